Fault matrix and randomised runs in virtual time

Cause: what must hold for requests had no proof. Fakes at the core's edges (upstreams, claims, callers) in virtual time drive several cores from a seed; the matrix causes 17 faults at each step of five kinds of requests, the randomised runs cause them at any moment.

Found and mended with it: - a caller that came back with its cursor while the continuation of its non-repeatable generation ran was told already_claimed. The claim of a continuation now names the upstream it is sent to, and the second instance reads that stream on. - the check "continued twice from one place" was wrong: an engine lost before it yields is followed by a continuation from the same place, one after the other. Replaced by a check that no attempt number is started twice.

The edges are not in these runs.

--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -227,6 +227,7 @@
             delivered: received,
             digest,
             fingerprint: submission.fingerprint,
+            following: false,
             generation: cursor.map_or(submission.generation, |cursor| cursor.generation),
             held: 0,
             may_have_run: cursor.is_some(),
--- a/crates/core/src/claim.rs
+++ b/crates/core/src/claim.rs
@@ -24,7 +24,7 @@
 /// A claim of an idempotency key by one request.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 pub struct Claim {
-    /// Digest of service, customer and body.
+    /// Digest of service and body; for a continuation, the upstream it is sent to.
     pub fingerprint: u64,
     /// The key mixed with the customer's name, so that customers do not meet.
     pub key: u128,
@@ -59,10 +59,7 @@
                 event::ClaimOutcome::Claimed
             }
             Some((_, nonce)) if *nonce == claim.nonce => event::ClaimOutcome::Claimed,
-            Some((fingerprint, _)) if *fingerprint == claim.fingerprint => {
-                event::ClaimOutcome::Duplicate
-            }
-            Some(_) => event::ClaimOutcome::Reused,
+            Some((fingerprint, _)) => event::ClaimOutcome::Taken(*fingerprint),
         }
     }
 
@@ -132,13 +129,14 @@
     }
 
     /// The claim of one continuation of a non-repeatable generation: only one instance may start
-    /// the attempt of this number.
-    pub fn continuation(generation: u128, number: u32, nonce: u64) -> Option<Self> {
+    /// the attempt of this number. Its fingerprint is the upstream that it is sent to, so that
+    /// another instance finds its stream.
+    pub fn continuation(generation: u128, number: u32, upstream: u64, nonce: u64) -> Option<Self> {
         let mut hasher = blake3::Hasher::new_derive_key("wellplank continuation");
         hasher.update(&generation.to_le_bytes());
         hasher.update(&number.to_le_bytes());
         Some(Self {
-            fingerprint: u64::from(number),
+            fingerprint: upstream,
             key: u128::from_le_bytes(*hasher.finalize().as_bytes().first_chunk()?),
             nonce,
             stamp: stamp(generation)?,
--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -33,10 +33,8 @@
 pub enum ClaimOutcome {
     /// The claim is this request's.
     Claimed,
-    /// The key was claimed before by the same request.
-    Duplicate,
-    /// The key was claimed before by another request.
-    Reused,
+    /// The key was claimed before, with this fingerprint.
+    Taken(u64),
     /// It is not known whether the claim was committed; nothing was sent upstream.
     Unavailable,
 }
--- a/crates/core/src/failure.rs
+++ b/crates/core/src/failure.rs
@@ -113,6 +113,11 @@
         if !request.attempts.is_empty() || request.state == State::Claiming {
             return;
         }
+        if request.following && reason == counter::Reason::Caller {
+            // The other instance claimed the continuation but its stream is not there.
+            self.fail(key, Kind::Unknown);
+            return;
+        }
         if request.skip > request.position() {
             self.fail(key, Kind::CannotResume);
             return;
--- a/crates/core/src/request.rs
+++ b/crates/core/src/request.rs
@@ -94,6 +94,8 @@
     pub digest: Digest,
     /// Digest of the request's body and service, which binds cursors and claims.
     pub fingerprint: u64,
+    /// Whether it reads a continuation that another instance claimed.
+    pub following: bool,
     /// Bytes counted against the limit of held memory: payload and the longest answer.
     pub held: u64,
     /// Identity of the generation.
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -4,17 +4,21 @@
 pub mod caller;
 pub mod demo;
 pub mod engine;
+pub mod fake;
 pub mod fleet;
 pub mod host;
 pub mod http;
+pub mod matrix;
 pub mod plain;
 pub mod platform;
+pub mod random;
+pub mod stream;
 pub mod token;
+pub mod world;
 
 mod arguments;
 mod cache;
 mod keyvalue;
-mod stream;
 
 pub use {
     caller::Caller, engine::Engine, fleet::Fleet, host::Host, plain::Plain, platform::Platform,
--- a/crates/standin/src/stream.rs
+++ b/crates/standin/src/stream.rs
@@ -83,7 +83,7 @@
 
 /// A wrong that the next token of a stream is done.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(crate) enum Fault {
+pub enum Fault {
     /// It is not sent.
     Gap,
     /// It is sent twice.
--- /dev/null
+++ b/crates/standin/src/world.rs
@@ -0,0 +1,903 @@
+//! Several cores with fakes at their edges, in virtual time, deterministic from a seed. It checks
+//! what must always hold while it runs.
+
+use super::*;
+use fake::{Arrival, Claims, Mode, Reader, Said, StoreMode, Upstream};
+use std::{cmp::Reverse, collections::BinaryHeap, sync::Arc};
+use wellplank_core::{
+    claim::Claim,
+    clock::Time,
+    config::{self, Config, Policy, Priority, Target},
+    core::Core,
+    counter::Counter,
+    effect::{Effect, Sending},
+    event::{Event, Failure, Listed, Submission},
+    kind::{Kind, Ran},
+    request::{self, Caller as Connection, Work},
+    settings::Settings,
+    upstream::Load,
+};
+
+/// Start of virtual time.
+const START: Time = Time(1_800_000_000_000);
+
+/// Time between two ticks of a core.
+const TICK_MS: u64 = 10;
+
+/// Time between two steps of an upstream.
+const STEP_MS: u64 = 20;
+
+/// Time between two reads of the platform's list.
+const LIST_MS: u64 = 200;
+
+/// Silence after which a caller leaves its instance for another.
+const CALLER_PATIENCE_MS: u64 = 4_000;
+
+/// Time after which a caller that found nobody tries again.
+const CALLER_RETRY_MS: u64 = 200;
+
+/// Time that a connection attempt to a silent machine takes.
+const CONNECT_MS: u64 = 1_000;
+
+/// Time after which a claim at a store that is down is given up on.
+const CLAIM_MS: u64 = 300;
+
+/// Time after which an ended instance is replaced.
+const RESTART_MS: u64 = 1_000;
+
+/// Time after which a leaving upstream must get no new work.
+const LEAVE_MS: u64 = 3_000;
+
+/// Secret of the cursors.
+const SECRET: [u8; 32] = [7; 32];
+
+/// What a caller asks for.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum Ask {
+    /// A call that may run again.
+    Call,
+    /// A call that may not.
+    CallOnce,
+    /// A generation that may run again, policy `resources`.
+    Generate,
+    /// A generation that may run again, policy `latency`.
+    GenerateFast,
+    /// A generation that may not.
+    GenerateOnce,
+}
+
+impl Ask {
+    /// Every kind of request.
+    pub const ALL: [Self; 5] = [
+        Self::Call,
+        Self::CallOnce,
+        Self::Generate,
+        Self::GenerateFast,
+        Self::GenerateOnce,
+    ];
+
+    /// Whether it is a generation.
+    pub fn generates(self) -> bool {
+        !matches!(self, Self::Call | Self::CallOnce)
+    }
+
+    /// Whether faults of others can end a right request with this error.
+    pub fn may_end_with(self, kind: Kind) -> bool {
+        match kind {
+            Kind::AlreadyClaimed | Kind::PlatformDown | Kind::Unknown => self.once(),
+            Kind::CannotResume => self.generates(),
+            Kind::Deadline
+            | Kind::NoUpstream
+            | Kind::NotReady
+            | Kind::Overloaded
+            | Kind::TimedOut
+            | Kind::UpstreamFailed => true,
+            _ => false,
+        }
+    }
+
+    /// Whether it may run at most once.
+    pub fn once(self) -> bool {
+        matches!(self, Self::CallOnce | Self::GenerateOnce)
+    }
+
+    /// Name of its service.
+    pub fn service(self) -> &'static str {
+        match self {
+            Self::Call => "availability",
+            Self::CallOnce => "reservation",
+            Self::Generate => "notebook-summary",
+            Self::GenerateFast => "cutting-plan",
+            Self::GenerateOnce => "catalogue-draft",
+        }
+    }
+}
+
+/// How a request ended for its caller.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum End {
+    /// With an error.
+    Failed(Kind),
+    /// Whole.
+    Whole,
+}
+
+/// A step in the life of a request, as seen from outside.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum Step {
+    /// Its key is being claimed.
+    Claiming,
+    /// A continuation was sent, and has not yielded.
+    Continuing,
+    /// It was answered.
+    Ended,
+    /// It was sent, and has not yielded.
+    Sent,
+    /// It streams.
+    Streaming,
+    /// It was handed in.
+    Submitted,
+}
+
+/// Someone who asks, and what came of it.
+pub struct Asker {
+    /// What is asked.
+    pub ask: Ask,
+    /// Whether it comes back with its tokens, or with the cursor alone.
+    pub brings_tokens: bool,
+    /// Where its connection goes.
+    pub instance: usize,
+    /// How it ended; the last answer counts.
+    pub end: Option<End>,
+    /// Longest time between two tokens, in milliseconds.
+    pub stall_ms: u64,
+    /// Tokens received.
+    pub tokens: Vec<u32>,
+    /// Times that it came back.
+    pub returns: u32,
+    connection: Option<Connection>,
+    /// Upstream that it was sent to last.
+    pub sent_to: Option<usize>,
+    cursor: Option<Vec<u8>>,
+    heard: Time,
+    key: u128,
+    payload: Value,
+    steps: Vec<Step>,
+}
+
+struct Instance {
+    core: Option<Core>,
+    frozen_until: Time,
+    restart_at: Time,
+    /// Grows with every life, so that what was meant for an earlier one is dropped.
+    life: usize,
+}
+
+#[derive(Debug)]
+enum Action {
+    Arrive(usize, Arrival),
+    Event(usize, usize, Event),
+    List(usize),
+    Return(usize),
+    Step(usize),
+    Tick(usize, usize),
+}
+
+struct Scheduled {
+    action: Action,
+    at: Time,
+    order: u64,
+}
+
+impl Eq for Scheduled {}
+
+impl Ord for Scheduled {
+    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
+        (self.at, self.order).cmp(&(other.at, other.order))
+    }
+}
+
+impl PartialEq for Scheduled {
+    fn eq(&self, other: &Self) -> bool {
+        self.order == other.order
+    }
+}
+
+impl PartialOrd for Scheduled {
+    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+/// Several cores with fakes at their edges.
+pub struct World {
+    /// Callers.
+    pub askers: Vec<Asker>,
+    /// The store of claims.
+    pub claims: Claims,
+    /// Counters of all instances.
+    pub counters: BTreeMap<Counter, u64>,
+    /// Engines first, then the plain service.
+    pub upstreams: Vec<Upstream>,
+    /// What must always hold and did not.
+    pub violations: Vec<String>,
+    connections: HashMap<Connection, usize>,
+    engines: usize,
+    instances: Vec<Instance>,
+    left: Vec<Option<Time>>,
+    next_connection: u64,
+    now: Time,
+    order: u64,
+    queue: BinaryHeap<Reverse<Scheduled>>,
+    random: Pcg64Mcg,
+    settings: Settings,
+}
+
+impl World {
+    /// A world with a configuration in force.
+    pub fn new(instances: usize, engines: usize, settings: Settings, seed: u64) -> Self {
+        let name = |index: usize| match index {
+            index if index < engines => format!("runner-{index}"),
+            index => format!("yard-{}", index - engines),
+        };
+        let upstreams = (0..engines + 2)
+            .map(|index| Upstream::new(&name(index), seed ^ (index as u64 + 1)))
+            .collect();
+        let mut world = Self {
+            askers: Vec::new(),
+            claims: Claims::new(),
+            connections: HashMap::new(),
+            counters: BTreeMap::new(),
+            engines,
+            instances: Vec::new(),
+            left: vec![None; engines + 2],
+            next_connection: 0,
+            now: START,
+            order: 0,
+            queue: BinaryHeap::new(),
+            random: Pcg64Mcg::seed_from_u64(seed),
+            settings,
+            upstreams,
+            violations: Vec::new(),
+        };
+        for index in 0..instances {
+            world.instances.push(Instance {
+                core: None,
+                frozen_until: START,
+                restart_at: START,
+                life: 0,
+            });
+            world.start(index);
+        }
+        for index in 0..world.upstreams.len() {
+            world.schedule(STEP_MS, Action::Step(index));
+        }
+        world.run_for(500);
+        world
+    }
+
+    /// Hands in a new request through an instance.
+    pub fn ask(&mut self, ask: Ask, instance: usize, tokens: usize, brings_tokens: bool) -> usize {
+        let index = self.askers.len();
+        let key = self.uuid();
+        self.askers.push(Asker {
+            ask,
+            brings_tokens,
+            connection: None,
+            cursor: None,
+            end: None,
+            heard: self.now,
+            instance,
+            key,
+            payload: json!({ "max": tokens, "prompt": format!("prompt {index}") }),
+            returns: 0,
+            sent_to: None,
+            stall_ms: 0,
+            steps: Vec::new(),
+            tokens: Vec::new(),
+        });
+        self.submit(index);
+        index
+    }
+
+    /// Cuts a caller's connection; it comes back at another instance.
+    pub fn cut_caller(&mut self, index: usize) {
+        if let Some(connection) = self.askers[index].connection.take() {
+            let instance = self.askers[index].instance;
+            self.event(instance, 1, Event::CallerGone(connection));
+            self.come_back(index);
+        }
+    }
+
+    /// Stops an instance for a while; what comes for it waits.
+    pub fn freeze_instance(&mut self, index: usize, millis: u64) {
+        self.instances[index].frozen_until = self.now.after(millis);
+    }
+
+    /// Ends an instance without notice and starts another in its place after a second.
+    pub fn kill_instance(&mut self, index: usize) {
+        let life = self.instances[index].life;
+        self.instances[index].core = None;
+        self.instances[index].life += 1;
+        for upstream in 0..self.upstreams.len() {
+            let readers = self.upstreams[upstream].readers(life * self.instances.len() + index);
+            for reader in readers {
+                self.schedule(1, Action::Arrive(upstream, Arrival::Closed(reader)));
+            }
+        }
+        for asker in 0..self.askers.len() {
+            let cut = self.askers[asker].instance == index;
+            if cut && self.askers[asker].connection.take().is_some() {
+                self.come_back(asker);
+            }
+        }
+        self.instances[index].restart_at = self.now.after(RESTART_MS);
+    }
+
+    /// Changes how an upstream behaves.
+    pub fn set_mode(&mut self, index: usize, mode: Mode) {
+        self.upstreams[index].mode = mode;
+        if matches!(mode, Mode::Dead | Mode::Silent) {
+            let readers = self.upstreams[index].end();
+            if mode == Mode::Dead {
+                for reader in readers {
+                    self.say(reader, Said::Failed(Failure::Broken));
+                }
+            }
+        }
+    }
+
+    /// Puts an upstream on the platform's list as leaving.
+    pub fn leave(&mut self, index: usize) {
+        self.left[index] = Some(self.now);
+    }
+
+    /// Whether a request has reached a step.
+    pub fn reached(&self, asker: usize, step: Step) -> bool {
+        let asker = &self.askers[asker];
+        match step {
+            Step::Ended => asker.end.is_some(),
+            Step::Streaming => asker.tokens.len() >= 5,
+            step => asker.steps.contains(&step),
+        }
+    }
+
+    /// Runs until a condition holds or time is over; whether it holds.
+    pub fn run_until(&mut self, millis: u64, holds: impl Fn(&Self) -> bool) -> bool {
+        let end = self.now.after(millis);
+        while !holds(self) {
+            let Some(Reverse(next)) = self.queue.pop() else {
+                return false;
+            };
+            if next.at > end {
+                self.queue.push(Reverse(next));
+                self.now = end;
+                return false;
+            }
+            self.now = next.at;
+            self.act(next.action);
+            self.impatient();
+        }
+        true
+    }
+
+    /// Runs for some time.
+    pub fn run_for(&mut self, millis: u64) {
+        self.run_until(millis, |_| false);
+    }
+
+    /// Checks what must hold at the end of a run.
+    pub fn check_end(&mut self) {
+        for index in 0..self.askers.len() {
+            let asker = &self.askers[index];
+            let runs: Vec<&fake::Run> = self
+                .upstreams
+                .iter()
+                .flat_map(|upstream| &upstream.runs)
+                .filter(|run| run.payload == asker.payload)
+                .collect();
+            let from_start = runs.iter().filter(|run| run.prefix == 0).count();
+            let mut wrong = Vec::new();
+            if asker.ask.once() && from_start > 1 {
+                wrong.push(format!("ran {from_start} times"));
+            }
+            let mut numbers: Vec<u32> = runs.iter().map(|run| run.number).collect();
+            numbers.sort_unstable();
+            numbers.dedup();
+            if asker.ask.once() && numbers.len() != runs.len() {
+                wrong.push(format!("an attempt was started twice: {runs:?}"));
+            }
+            match asker.end {
+                None => wrong.push("was never answered".into()),
+                Some(End::Whole) if asker.ask.generates() => {
+                    let max = asker.payload["max"].as_u64().unwrap_or(0) as usize;
+                    if asker.tokens.len() != max {
+                        wrong.push(format!("has {} of {max} tokens", asker.tokens.len()));
+                    }
+                }
+                Some(End::Whole) => {}
+                Some(End::Failed(kind)) => {
+                    if !asker.ask.may_end_with(kind) {
+                        wrong.push(format!("ended with {kind}"));
+                    }
+                    let claimed_not_run = kind.answer().ran == Ran::No;
+                    if claimed_not_run && asker.returns == 0 && !runs.is_empty() {
+                        wrong.push(format!("was refused as not run, {kind}, but ran"));
+                    }
+                }
+            }
+            if let Some(position) = token::first_wrong(&asker.payload, &asker.tokens) {
+                wrong.push(format!("has a wrong token at {position}"));
+            }
+            let ask = asker.ask;
+            self.violations.extend(
+                wrong
+                    .into_iter()
+                    .map(|text| format!("{ask:?} {index} {text}")),
+            );
+        }
+        let broken: u64 = self
+            .counters
+            .iter()
+            .filter(|(counter, _)| matches!(counter, Counter::Invariant(_)))
+            .map(|(_, count)| count)
+            .sum();
+        if broken > 0 {
+            self.violations.push(format!("{broken} invariants broken"));
+        }
+    }
+
+    fn act(&mut self, action: Action) {
+        match action {
+            Action::Arrive(index, arrival) => self.arrive(index, arrival),
+            Action::Event(instance, life, event) => self.deliver(instance, life, event),
+            Action::List(instance) => {
+                let ended = self.instances[instance].core.is_none();
+                if ended && self.now >= self.instances[instance].restart_at {
+                    self.start(instance);
+                }
+                self.list(instance);
+            }
+            Action::Return(asker) => self.come_back(asker),
+            Action::Step(index) => {
+                let mode = self.upstreams[index].mode;
+                if matches!(
+                    mode,
+                    Mode::CutOut | Mode::Leaving | Mode::Refusing | Mode::Slow | Mode::Up
+                ) {
+                    for (reader, said) in self.upstreams[index].step(self.now) {
+                        if mode != Mode::CutOut {
+                            self.say(reader, said);
+                        }
+                    }
+                }
+                self.schedule(STEP_MS, Action::Step(index));
+            }
+            Action::Tick(instance, life) => {
+                if self.instances[instance].life == life {
+                    self.deliver(instance, life, Event::Tick);
+                    let until = self.instances[instance].frozen_until;
+                    let wait = TICK_MS.max(until.since(self.now));
+                    self.schedule(wait, Action::Tick(instance, life));
+                }
+            }
+        }
+    }
+
+    fn arrive(&mut self, index: usize, arrival: Arrival) {
+        match self.upstreams[index].mode {
+            Mode::Dead | Mode::Silent => {
+                if let Arrival::Sent(reader, _) = arrival {
+                    self.say(reader, Said::Failed(Failure::Broken));
+                }
+            }
+            Mode::Frozen => self.schedule(STEP_MS, Action::Arrive(index, arrival)),
+            mode => {
+                for (reader, said) in self.upstreams[index].take(self.now, arrival) {
+                    if mode != Mode::CutOut {
+                        self.say(reader, said);
+                    }
+                }
+            }
+        }
+    }
+
+    /// Carries out what a core decided.
+    fn carry_out(&mut self, instance: usize, effect: Effect) {
+        let reader = |attempt| Reader {
+            attempt,
+            instance: self.instances[instance].life * self.instances.len() + instance,
+        };
+        match effect {
+            Effect::Cancel {
+                address,
+                attempt,
+                stream,
+            } => {
+                let upstream = index_of(address);
+                let closed = Arrival::Closed(reader(attempt));
+                self.schedule(2, Action::Arrive(upstream, closed));
+                if let Some(stream) = stream {
+                    self.schedule(3, Action::Arrive(upstream, Arrival::Cancel(stream)));
+                }
+            }
+            Effect::Claim { claim, request } => self.claim(instance, &claim, request),
+            Effect::Count(counter, count) => {
+                *self.counters.entry(counter).or_default() += count;
+            }
+            Effect::Deliver {
+                caller,
+                cursor,
+                pieces,
+                position,
+            } => {
+                let tokens: Vec<u32> = pieces.iter().map(|piece| piece.token).collect();
+                self.receive(caller, position, &tokens, &cursor);
+            }
+            Effect::Detach(attempt) => {
+                let reader = reader(attempt);
+                for upstream in 0..self.upstreams.len() {
+                    let closed = Arrival::Closed(reader);
+                    self.schedule(2, Action::Arrive(upstream, closed));
+                }
+            }
+            Effect::Fail { caller, kind, .. } => self.end(caller, End::Failed(kind)),
+            Effect::Finish { caller, .. } | Effect::Reply { caller, .. } => {
+                self.end(caller, End::Whole);
+            }
+            Effect::Note { .. } => {}
+            Effect::Probe { address, upstream } => {
+                let index = index_of(address);
+                let alive = match self.upstreams[index].mode {
+                    Mode::CutOut | Mode::Frozen | Mode::Silent => return,
+                    Mode::Dead => false,
+                    _ => true,
+                };
+                if alive {
+                    let load = Load {
+                        leaving: self.upstreams[index].mode == Mode::Leaving,
+                        running: self.upstreams[index].running(),
+                        slots: 8,
+                        waiting: 0,
+                    };
+                    self.event(instance, 3, Event::Load { upstream, load });
+                }
+                self.event(instance, 4, Event::Probed { upstream, alive });
+            }
+            Effect::Send {
+                address,
+                attempt,
+                sending,
+            } => {
+                let reader = reader(attempt);
+                self.send(instance, index_of(address), reader, sending);
+            }
+        }
+    }
+
+    fn claim(&mut self, instance: usize, claim: &Claim, request: request::Key) {
+        for asker in 0..self.askers.len() {
+            if self.askers[asker].instance == instance && self.askers[asker].end.is_none() {
+                self.askers[asker].steps.push(Step::Claiming);
+            }
+        }
+        let wait = match self.claims.mode {
+            StoreMode::Up => self.random.random_range(1..8),
+            _ => CLAIM_MS,
+        };
+        let outcome = self.claims.settle(claim);
+        self.event(instance, wait, Event::Claimed { outcome, request });
+    }
+
+    /// A caller whose connection broke asks again at the next instance.
+    fn come_back(&mut self, index: usize) {
+        let count = self.instances.len();
+        let asker = &mut self.askers[index];
+        if asker.end.is_some() {
+            return;
+        }
+        asker.returns += 1;
+        asker.instance = (asker.instance + 1) % count;
+        self.submit(index);
+    }
+
+    fn deliver(&mut self, instance: usize, life: usize, event: Event) {
+        if self.instances[instance].life != life {
+            return;
+        }
+        let until = self.instances[instance].frozen_until;
+        if self.now < until {
+            if !matches!(event, Event::Tick) {
+                self.schedule(until.since(self.now), Action::Event(instance, life, event));
+            }
+            return;
+        }
+        let now = self.now;
+        let Some(core) = &mut self.instances[instance].core else {
+            return;
+        };
+        for effect in core.handle(now, event) {
+            self.carry_out(instance, effect);
+        }
+    }
+
+    fn end(&mut self, connection: Connection, end: End) {
+        let Some(index) = self.connections.remove(&connection) else {
+            self.violations
+                .push("a connection was answered twice".into());
+            return;
+        };
+        let asker = &mut self.askers[index];
+        if asker.connection == Some(connection) {
+            asker.connection = None;
+            asker.end = Some(end);
+        }
+    }
+
+    fn event(&mut self, instance: usize, wait: u64, event: Event) {
+        let life = self.instances[instance].life;
+        self.schedule(wait, Action::Event(instance, life, event));
+    }
+
+    /// Callers that heard nothing for long leave their instance, if it does not answer at all.
+    fn impatient(&mut self) {
+        let frozen: Vec<usize> = (0..self.askers.len())
+            .filter(|index| {
+                let asker = &self.askers[*index];
+                asker.connection.is_some()
+                    && self.now < self.instances[asker.instance].frozen_until
+                    && self.now.since(asker.heard) > CALLER_PATIENCE_MS
+            })
+            .collect();
+        for index in frozen {
+            self.cut_caller(index);
+        }
+    }
+
+    fn list(&mut self, instance: usize) {
+        let listed = (0..self.upstreams.len())
+            .map(|index| Listed {
+                address: address_of(index),
+                leaving: self.left[index].is_some(),
+                name: self.upstreams[index].name.clone(),
+                pool: pool_of(index, self.engines).into(),
+            })
+            .chain((0..self.instances.len()).map(|index| Listed {
+                address: address_of(1_000 + index),
+                leaving: false,
+                name: format!("entry-{index}"),
+                pool: wellplank_core::core::INSTANCE_POOL.into(),
+            }))
+            .collect();
+        self.event(instance, 1, Event::List(listed));
+        self.schedule(LIST_MS, Action::List(instance));
+    }
+
+    fn receive(&mut self, connection: Connection, position: u32, tokens: &[u32], cursor: &[u8]) {
+        let Some(index) = self.connections.get(&connection).copied() else {
+            return;
+        };
+        let asker = &mut self.askers[index];
+        if asker.connection != Some(connection) {
+            return;
+        }
+        if position as usize != asker.tokens.len() {
+            let have = asker.tokens.len();
+            self.violations.push(format!(
+                "{index} was given position {position} after {have} tokens"
+            ));
+            return;
+        }
+        if !asker.tokens.is_empty() {
+            asker.stall_ms = asker.stall_ms.max(self.now.since(asker.heard));
+        }
+        asker.heard = self.now;
+        asker.tokens.extend_from_slice(tokens);
+        asker.cursor = Some(cursor.to_vec());
+    }
+
+    /// Something an upstream says travels to its reader; a connection keeps its order.
+    fn say(&mut self, reader: Reader, said: Said) {
+        let (life, instance) = (
+            reader.instance / self.instances.len(),
+            reader.instance % self.instances.len(),
+        );
+        if self.instances[instance].life != life {
+            return;
+        }
+        let attempt = reader.attempt;
+        let event = match said {
+            Said::Failed(failure) => Event::Failed { attempt, failure },
+            Said::Finished(position) => Event::Finished {
+                attempt,
+                position,
+                reason: "length".into(),
+            },
+            Said::Replied => Event::Replied {
+                attempt,
+                body: Vec::new(),
+                status: 200,
+            },
+            Said::Tokens(position, pieces) => Event::Tokens {
+                attempt,
+                pieces,
+                position,
+            },
+        };
+        self.event(instance, 2, event);
+    }
+
+    fn schedule(&mut self, wait: u64, action: Action) {
+        self.order += 1;
+        self.queue.push(Reverse(Scheduled {
+            action,
+            at: self.now.after(wait),
+            order: self.order,
+        }));
+    }
+
+    fn send(&mut self, instance: usize, index: usize, reader: Reader, sending: Sending) {
+        let late = self.left[index].is_some_and(|left| self.now.since(left) > LEAVE_MS);
+        if late && !matches!(sending, Sending::Attach { .. }) {
+            self.violations
+                .push(format!("{index} got work long after it began to leave"));
+        }
+        for asker in &mut self.askers {
+            let payload = match &sending {
+                Sending::Attach { .. } => continue,
+                Sending::Call { payload, .. } | Sending::Generate { payload, .. } => payload,
+            };
+            if asker.payload.to_string().as_bytes() == &payload[..] {
+                let continues =
+                    matches!(&sending, Sending::Generate { prefix, .. } if !prefix.is_empty());
+                asker.sent_to = Some(index);
+                asker.steps.push(if continues {
+                    Step::Continuing
+                } else {
+                    Step::Sent
+                });
+            }
+        }
+        let failure = |failure| Event::Failed {
+            attempt: reader.attempt,
+            failure,
+        };
+        match self.upstreams[index].mode {
+            Mode::Dead => self.event(instance, 2, failure(Failure::NotSent)),
+            Mode::Silent => self.event(instance, CONNECT_MS, failure(Failure::NotSent)),
+            _ => {
+                let wait = self.random.random_range(1..4);
+                self.schedule(wait, Action::Arrive(index, Arrival::Sent(reader, sending)));
+            }
+        }
+    }
+
+    fn start(&mut self, instance: usize) {
+        let seed = self.random.random();
+        let core = Core::new(self.settings.clone(), SECRET, seed, self.now);
+        self.instances[instance].core = Some(core);
+        let life = self.instances[instance].life;
+        let config = Arc::new(configuration());
+        self.event(instance, 1, Event::Config(config));
+        self.schedule(1, Action::Tick(instance, life));
+        if life == 0 {
+            self.schedule(1, Action::List(instance));
+        }
+    }
+
+    fn submit(&mut self, index: usize) {
+        self.next_connection += 1;
+        let connection = Connection(self.next_connection);
+        let generation = self.uuid();
+        let asker = &mut self.askers[index];
+        asker.connection = Some(connection);
+        asker.heard = self.now;
+        asker.steps.push(Step::Submitted);
+        let payload: Arc<[u8]> = asker.payload.to_string().into_bytes().into();
+        let max = asker.payload["max"].as_u64().unwrap_or(0) as u32;
+        let work = if asker.ask.generates() {
+            Work::Generate {
+                max_tokens: max,
+                payload: payload.clone(),
+                prefix: 0,
+            }
+        } else {
+            Work::Call {
+                path: "POST /".into(),
+                payload: payload.clone(),
+            }
+        };
+        let returns = asker.cursor.is_some() && asker.brings_tokens;
+        let submission = Submission {
+            caller: connection,
+            cursor: asker.cursor.clone(),
+            customer: "customer".into(),
+            fingerprint: wellplank_node::fingerprint(asker.ask.service(), &payload),
+            generation,
+            key: asker.ask.once().then_some(asker.key),
+            received: returns.then(|| asker.tokens.clone()),
+            service: asker.ask.service().into(),
+            work,
+        };
+        let instance = asker.instance;
+        self.connections.insert(connection, index);
+        if self.instances[instance].core.is_none() {
+            // Nobody listens there: the caller tries the next one.
+            self.connections.remove(&connection);
+            self.askers[index].connection = None;
+            self.schedule(CALLER_RETRY_MS, Action::Return(index));
+            return;
+        }
+        self.event(instance, 1, Event::Submit(Box::new(submission)));
+    }
+
+    /// A new UUID of version 7 at the virtual time.
+    fn uuid(&mut self) -> u128 {
+        let noise: u128 = self.random.random();
+        let time = u128::from(self.now.0) << 80;
+        let version = 7_u128 << 76;
+        let variant = 2_u128 << 62;
+        let low = noise & !(0xffff_ffff_ffff_u128 << 80) & !(0xf_u128 << 76) & !(3_u128 << 62);
+        time | version | variant | low
+    }
+}
+
+fn address_of(index: usize) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], index as u16 + 1))
+}
+
+fn index_of(address: SocketAddr) -> usize {
+    usize::from(address.port()) - 1
+}
+
+fn pool_of(index: usize, engines: usize) -> &'static str {
+    if index < engines { "runner" } else { "yard" }
+}
+
+fn configuration() -> Config {
+    let model = Arc::new(config::Model {
+        adapters: Vec::new(),
+        name: "llm".into(),
+        pool: "runner".into(),
+        version: "1".into(),
+    });
+    let service = |ask: Ask| {
+        let target = if ask.generates() {
+            Target::Generate {
+                adapter: String::new(),
+                model: model.clone(),
+            }
+        } else {
+            Target::Call {
+                pool: "yard".into(),
+            }
+        };
+        let policy = if ask == Ask::GenerateFast {
+            Policy::Latency
+        } else {
+            Policy::Resources
+        };
+        let service = config::Service {
+            deadline_ms: 60_000,
+            max_wait_ms: 10_000,
+            name: ask.service().into(),
+            policy,
+            priority: Priority::Normal,
+            repeatable: !ask.once(),
+            target,
+        };
+        (service.name.clone(), Arc::new(service))
+    };
+    let customer = config::Customer {
+        max_running: 10_000,
+        name: "customer".into(),
+        services: Vec::new(),
+        weight: 1,
+    };
+    Config {
+        customers: HashMap::from([("customer".into(), Arc::new(customer))]),
+        models: BTreeMap::from([("llm".into(), model.clone())]),
+        revision: 1,
+        services: Ask::ALL.into_iter().map(service).collect(),
+    }
+}
