--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -195,6 +195,14 @@
         self.instances[index].address
     }
 
+    /// Address of an instance for other instances.
+    pub fn peer_address(&self, index: usize) -> SocketAddr {
+        let name = &self.instances[index].name;
+        let mut lines = self.lines.iter();
+        let line = lines.find(|line| line.instance == *name);
+        line.expect("every instance is listed").address
+    }
+
     /// Sum of a counter over all instances that answer.
     pub async fn counter(&self, name: &str) -> u64 {
         let mut sum = 0;
--- /dev/null
+++ b/crates/standin/tests/process.rs
@@ -0,0 +1,431 @@
+//! Cells of the fault matrix between real processes: ends, stops and starts them by signals.
+
+use {
+    googletest::prelude::*,
+    serde_json::{Value, json},
+    std::{
+        net::SocketAddr,
+        process::{Child, Command, Stdio},
+        time::{Duration, Instant},
+    },
+    uuid::Uuid,
+    wellplank_standin::{
+        Caller, Fleet,
+        caller::{Ask, Outcome},
+        fleet::{OPERATOR_KEY, Plan},
+        host::free_address,
+        http,
+    },
+};
+
+/// Time that anything may take before the test fails.
+const PATIENCE: Duration = Duration::from_mins(1);
+
+/// A process that ends with the test.
+struct Process {
+    address: SocketAddr,
+    child: Child,
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+impl Process {
+    fn signal(&self, signal: &str) {
+        let sent = Command::new("kill")
+            .args([signal, &self.child.id().to_string()])
+            .status();
+        assert!(sent.unwrap().success());
+    }
+
+    fn spawn(program: &str, arguments: &[&str], address: SocketAddr) -> Self {
+        let child = Command::new(program)
+            .args(arguments)
+            .stderr(Stdio::null())
+            .stdout(Stdio::null())
+            .spawn()
+            .unwrap();
+        Self { address, child }
+    }
+
+    fn standin(kind: &str) -> Self {
+        let address = free_address();
+        let listen = address.to_string();
+        Self::spawn(
+            env!("CARGO_BIN_EXE_standin"),
+            &[kind, "--listen", &listen],
+            address,
+        )
+    }
+}
+
+/// A fleet of processes.
+struct Processes {
+    engines: Vec<Process>,
+    instances: Vec<Process>,
+    operators: Vec<SocketAddr>,
+    platform: Process,
+    yard: Process,
+    folder: std::path::PathBuf,
+}
+
+impl Drop for Processes {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+impl Processes {
+    async fn start(core: Value) -> Self {
+        let folder = std::env::temp_dir().join(format!("wellplank-{}", Uuid::new_v4()));
+        std::fs::create_dir_all(&folder).unwrap();
+        let mut fleet = Self {
+            engines: (0..3).map(|_| Process::standin("engine")).collect(),
+            folder,
+            instances: Vec::new(),
+            operators: Vec::new(),
+            platform: Process::standin("platform"),
+            yard: Process::standin("plain"),
+        };
+        answers(fleet.platform.address, "/instances").await;
+        let plan = Plan {
+            core,
+            ..Plan::default()
+        };
+        let line = |name: String, pool: &str, address: &Value| {
+            json!({
+                "address": address, "data_centre": "a", "instance": name, "leaving": false,
+                "pool": pool,
+            })
+        };
+        let mut lines = vec![line("yard-1".into(), "yard", &json!(fleet.yard.address))];
+        for (index, engine) in fleet.engines.iter().enumerate() {
+            lines.push(line(
+                format!("runner-{index}"),
+                "runner",
+                &json!(engine.address),
+            ));
+        }
+        for index in 0..2 {
+            let name = format!("entry-{index}");
+            let settings = Fleet::settings(&plan, &name, fleet.platform.address);
+            lines.push(line(name, "wellplank", &settings["listen"]["peers"]));
+            fleet.start_instance(&settings);
+        }
+        http::post(fleet.platform.address, "/instances", &json!(lines))
+            .await
+            .unwrap();
+        fleet.apply();
+        for index in 0..fleet.instances.len() {
+            fleet.ready(index).await;
+        }
+        fleet
+    }
+
+    /// Applies the declaration by the operators' command line.
+    fn apply(&self) {
+        let file = self.folder.join("declaration.json");
+        std::fs::write(&file, json!(Fleet::declaration()).to_string()).unwrap();
+        let began = Instant::now();
+        let address = self.operators[0].to_string();
+        loop {
+            let status = Command::new(binary("wellplankctl"))
+                .args([
+                    "--address",
+                    &address,
+                    "--key",
+                    OPERATOR_KEY,
+                    "apply",
+                    "--wait",
+                    "-f",
+                ])
+                .arg(&file)
+                .stderr(Stdio::null())
+                .stdout(Stdio::null())
+                .status();
+            if status.unwrap().success() {
+                return;
+            }
+            assert!(
+                began.elapsed() < PATIENCE,
+                "the declaration is not accepted"
+            );
+            std::thread::sleep(Duration::from_millis(50));
+        }
+    }
+
+    /// Index of an engine that generates.
+    async fn busy(&self) -> usize {
+        let began = Instant::now();
+        loop {
+            for (index, engine) in self.engines.iter().enumerate() {
+                let spent = http::get(engine.address, "/control/spent").await;
+                if spent.is_some_and(|spent| spent["spent"]["generated"].as_u64() > Some(20)) {
+                    return index;
+                }
+            }
+            assert!(began.elapsed() < PATIENCE, "no engine generates");
+        }
+    }
+
+    async fn ready(&self, index: usize) {
+        let began = Instant::now();
+        let address = self.operators[index].to_string();
+        loop {
+            if let Ok(mut client) = wellplank_ctl::Client::connect(&address, OPERATOR_KEY).await
+                && let Ok(status) = client.status().await
+                && status.ready
+                && status
+                    .upstreams
+                    .iter()
+                    .filter(|upstream| upstream.slots > 0)
+                    .count()
+                    == 4
+            {
+                return;
+            }
+            assert!(began.elapsed() < PATIENCE, "instance {index} is not ready");
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+
+    fn start_instance(&mut self, settings: &Value) {
+        let name = settings["instance"].as_str().unwrap();
+        let file = self.folder.join(format!("{name}.json"));
+        std::fs::write(&file, settings.to_string()).unwrap();
+        let file = file.to_str().unwrap().to_owned();
+        let address = settings["listen"]["callers"]
+            .as_str()
+            .unwrap()
+            .parse()
+            .unwrap();
+        let process = Process::spawn(&binary("wellplank"), &["run", "--settings", &file], address);
+        self.instances.push(process);
+        let operators = settings["listen"]["operators"].as_str().unwrap();
+        self.operators.push(operators.parse().unwrap());
+    }
+
+    /// Streams a generation through the first instance.
+    fn stream(&self, ask: &Ask) -> tokio::task::JoinHandle<Outcome> {
+        let address = self.instances[0].address;
+        let ask = ask.clone();
+        tokio::spawn(async move { caller().generate(address, &ask).await })
+    }
+}
+
+async fn answers(address: SocketAddr, path: &str) {
+    let began = Instant::now();
+    while http::get(address, path).await.is_none() {
+        assert!(began.elapsed() < PATIENCE, "{address} does not answer");
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+}
+
+/// Path of a binary built beside the stand-ins.
+fn binary(name: &str) -> String {
+    let standin = std::path::Path::new(env!("CARGO_BIN_EXE_standin"));
+    standin.with_file_name(name).to_str().unwrap().to_owned()
+}
+
+fn caller() -> Caller {
+    Caller {
+        key: "hemelarchief".into(),
+    }
+}
+
+fn summary(tokens: usize) -> Ask {
+    Ask::new("notebook-summary", "night log", tokens)
+}
+
+fn run(test: impl Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .worker_threads(2)
+        .build()
+        .unwrap();
+    runtime.block_on(test);
+}
+
+#[gtest]
+fn answer_is_whole_though_its_engine_is_killed() {
+    run(async {
+        let mut fleet = Processes::start(json!({})).await;
+        let ask = summary(200);
+        let answer = fleet.stream(&ask);
+        let victim = fleet.busy().await;
+        fleet.engines[victim].child.kill().unwrap();
+        let outcome = answer.await.unwrap();
+        expect_that!(outcome.error, none());
+        expect_that!(ask.is_whole(&outcome.tokens), eq(true));
+        expect_that!(outcome.wrong_positions, eq(0));
+    });
+}
+
+#[gtest]
+fn answer_is_not_whole_without_continuation() {
+    run(async {
+        let mut fleet = Processes::start(json!({ "continuation": false })).await;
+        let ask = summary(200);
+        let answer = fleet.stream(&ask);
+        let victim = fleet.busy().await;
+        fleet.engines[victim].child.kill().unwrap();
+        let outcome = answer.await.unwrap();
+        expect_that!(outcome.error, some(eq("upstream_failed")));
+        expect_that!(ask.is_whole(&outcome.tokens), eq(false));
+    });
+}
+
+#[gtest]
+fn answer_is_whole_though_its_engine_is_frozen_and_comes_back() {
+    run(async {
+        let fleet = Processes::start(json!({})).await;
+        let ask = summary(200);
+        let answer = fleet.stream(&ask);
+        let victim = fleet.busy().await;
+        fleet.engines[victim].signal("-STOP");
+        let outcome = answer.await.unwrap();
+        fleet.engines[victim].signal("-CONT");
+        expect_that!(outcome.error, none());
+        expect_that!(ask.is_whole(&outcome.tokens), eq(true));
+    });
+}
+
+#[gtest]
+fn caller_goes_on_at_another_instance_after_its_own_is_killed() {
+    run(async {
+        let mut fleet = Processes::start(json!({})).await;
+        let ask = summary(200);
+        let answer = fleet.stream(&ask);
+        fleet.busy().await;
+        fleet.instances[0].child.kill().unwrap();
+        let first = answer.await.unwrap();
+        expect_that!(first.finished, eq(false));
+        let rest = Ask {
+            cursor: first.cursor,
+            received: first.tokens.clone(),
+            ..ask.clone()
+        };
+        let second = caller().generate(fleet.instances[1].address, &rest).await;
+        expect_that!(second.error, none());
+        let whole = [first.tokens, second.tokens].concat();
+        expect_that!(ask.is_whole(&whole), eq(true));
+    });
+}
+
+#[gtest]
+fn caller_goes_on_after_its_engine_and_its_instance_are_killed() {
+    run(async {
+        let mut fleet = Processes::start(json!({})).await;
+        let ask = summary(200);
+        let answer = fleet.stream(&ask);
+        let victim = fleet.busy().await;
+        fleet.instances[0].child.kill().unwrap();
+        fleet.engines[victim].child.kill().unwrap();
+        let first = answer.await.unwrap();
+        let rest = Ask {
+            cursor: first.cursor,
+            received: first.tokens.clone(),
+            ..ask.clone()
+        };
+        let second = caller().generate(fleet.instances[1].address, &rest).await;
+        expect_that!(second.error, none());
+        let whole = [first.tokens, second.tokens].concat();
+        expect_that!(ask.is_whole(&whole), eq(true));
+    });
+}
+
+#[gtest]
+fn planned_stop_cuts_no_answer() {
+    run(async {
+        let mut fleet = Processes::start(json!({})).await;
+        let ask = summary(400);
+        let answer = fleet.stream(&ask);
+        fleet.busy().await;
+        fleet.instances[0].signal("-TERM");
+        // The balancer lags: callers still come.
+        let late = summary(50);
+        let late_outcome = caller().generate(fleet.instances[0].address, &late).await;
+        let outcome = answer.await.unwrap();
+        expect_that!(ask.is_whole(&outcome.tokens), eq(true));
+        expect_that!(late.is_whole(&late_outcome.tokens), eq(true));
+        let began = Instant::now();
+        while fleet.instances[0].child.try_wait().unwrap().is_none() {
+            assert!(began.elapsed() < PATIENCE, "the instance does not leave");
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        let status = fleet.instances[0].child.wait().unwrap();
+        expect_that!(status.success(), eq(true));
+    });
+}
+
+#[gtest]
+fn reservation_runs_at_most_once_though_it_is_asked_for_at_two_instances() {
+    run(async {
+        let fleet = Processes::start(json!({})).await;
+        let key = Uuid::now_v7();
+        let body = json!({ "lot": 7 });
+        let ask = |index: usize| {
+            let (address, body) = (fleet.instances[index].address, body.clone());
+            async move {
+                caller()
+                    .call(address, "reservation", "reserve", &body, Some(key))
+                    .await
+            }
+        };
+        let (one, other) = tokio::join!(ask(0), ask(1));
+        let statuses = [one.status, other.status];
+        expect_that!(statuses, unordered_elements_are![eq(200), eq(409)]);
+        let runs = http::get(fleet.yard.address, "/control/runs")
+            .await
+            .unwrap();
+        expect_that!(runs.as_array().unwrap().len(), eq(1));
+    });
+}
+
+#[gtest]
+fn reservation_is_refused_as_not_run_while_the_store_is_down() {
+    run(async {
+        let fleet = Processes::start(json!({})).await;
+        let fault = json!({ "fault": "down" });
+        http::post(fleet.platform.address, "/control", &fault)
+            .await
+            .unwrap();
+        let (address, body) = (fleet.instances[0].address, json!({ "lot": 7 }));
+        let key = Some(Uuid::now_v7());
+        let outcome = caller()
+            .call(address, "reservation", "reserve", &body, key)
+            .await;
+        expect_that!(outcome.error, some(eq("platform_down")));
+        expect_that!(outcome.ran, some(eq("no")));
+        expect_that!(outcome.retry_after_ms, some(gt(0)));
+        let runs = http::get(fleet.yard.address, "/control/runs")
+            .await
+            .unwrap();
+        expect_that!(runs.as_array().unwrap().len(), eq(0));
+    });
+}
+
+#[gtest]
+fn claim_whose_answer_is_lost_is_settled_by_reading_it_back() {
+    run(async {
+        let fleet = Processes::start(json!({})).await;
+        let fault = json!({ "count": 1, "fault": "lose_answers" });
+        http::post(fleet.platform.address, "/control", &fault)
+            .await
+            .unwrap();
+        let (address, body) = (fleet.instances[0].address, json!({ "lot": 7 }));
+        let key = Some(Uuid::now_v7());
+        let outcome = caller()
+            .call(address, "reservation", "reserve", &body, key)
+            .await;
+        expect_that!(outcome.status, eq(200));
+        let runs = http::get(fleet.yard.address, "/control/runs")
+            .await
+            .unwrap();
+        expect_that!(runs.as_array().unwrap().len(), eq(1));
+    });
+}
--- /dev/null
+++ b/crates/standin/tests/proof.rs
@@ -0,0 +1,65 @@
+//! The fault matrix and randomised runs with fixed seeds, in virtual time.
+
+use {
+    googletest::prelude::*,
+    wellplank_core::settings::Settings,
+    wellplank_standin::{
+        matrix::{self, Cell, Fault},
+        random,
+        world::{Ask, End, Step},
+    },
+};
+
+/// Cases of the randomised run that every check makes.
+const CASES: u64 = 60;
+
+fn broken(cells: &[Cell]) -> Vec<&Cell> {
+    cells.iter().filter(|cell| !cell.holds()).collect()
+}
+
+#[gtest]
+fn every_fault_at_every_step_holds() {
+    let cells = matrix::run(&Settings::default());
+    expect_that!(broken(&cells), is_empty());
+    expect_that!(cells.len(), gt(300));
+}
+
+#[gtest]
+fn matrix_fails_without_continuation() {
+    let settings = Settings {
+        continuation: false,
+        ..Settings::default()
+    };
+    let cell = matrix::cell(
+        Ask::Generate,
+        Step::Streaming,
+        Fault::EngineKilled,
+        &settings,
+    );
+    expect_that!(cell.holds(), eq(false));
+}
+
+#[gtest]
+fn non_repeatable_generation_is_not_continued_when_that_is_switched_off() {
+    let settings = Settings {
+        continue_non_repeatable: false,
+        ..Settings::default()
+    };
+    let cell = matrix::cell(
+        Ask::GenerateOnce,
+        Step::Streaming,
+        Fault::EngineKilled,
+        &settings,
+    );
+    expect_that!(cell.violations, is_empty());
+    let end = cell.end.unwrap();
+    expect_that!(end, eq(End::Failed(wellplank_core::kind::Kind::Unknown)));
+}
+
+#[gtest]
+fn random_faults_break_nothing() {
+    for seed in 1..=CASES {
+        let case = random::case(seed, &Settings::default());
+        expect_that!(case.violations, is_empty(), "seed {seed}");
+    }
+}
