--- a/crates/ctl/src/arguments.rs
+++ b/crates/ctl/src/arguments.rs
@@ -68,6 +68,10 @@
                 .about("Shows what applying a file would change")
                 .arg(file),
         )
+        .subcommand(
+            clap::Command::new("digest")
+                .about("Reads a customer's key from standard input and prints its key_digest"),
+        )
         .subcommand(clap::Command::new("get").about("Prints the declaration in force as JSON"))
         .subcommand(clap::Command::new("status").about("Shows the state of an instance"))
         .subcommand_required(true)
--- a/crates/ctl/src/command.rs
+++ b/crates/ctl/src/command.rs
@@ -16,6 +16,9 @@
     let Some((name, arguments)) = matches.subcommand() else {
         return Ok(());
     };
+    if name == "digest" {
+        return digest();
+    }
     let address = arguments
         .get_one::<String>("address")
         .expect("has a default");
@@ -53,6 +56,19 @@
     Ok(())
 }
 
+/// Prints the digest of the key on standard input; a line end after the key does not count.
+fn digest() -> Result<(), Error> {
+    let mut key = String::new();
+    std::io::stdin()
+        .read_line(&mut key)
+        .map_err(|error| Error::File("standard input".into(), error.to_string()))?;
+    println!(
+        "{}",
+        blake3::hash(key.trim_end_matches(['\r', '\n']).as_bytes())
+    );
+    Ok(())
+}
+
 async fn apply(
     client: &mut Client,
     declaration: Declaration,
--- /dev/null
+++ b/crates/ctl/tests/command.rs
@@ -0,0 +1,118 @@
+//! The operators' command line, without an instance.
+
+use {
+    googletest::prelude::*,
+    std::{
+        io::Write,
+        process::{Command, Stdio},
+    },
+    wellplank_ctl::declaration,
+    wellplank_wire::operator::Declaration,
+};
+
+/// One run of the command: arguments, standard input, and what comes of it.
+struct Test {
+    arguments: Vec<String>,
+    input: &'static str,
+}
+
+impl Test {
+    fn arguments(arguments: &[&str]) -> Self {
+        Self {
+            arguments: arguments.iter().map(ToString::to_string).collect(),
+            input: "",
+        }
+    }
+
+    fn input(mut self, input: &'static str) -> Self {
+        self.input = input;
+        self
+    }
+
+    /// Exit code, standard output and standard error.
+    fn run(self) -> (Option<i32>, String, String) {
+        let mut child = Command::new(env!("CARGO_BIN_EXE_wellplankctl"))
+            .args(self.arguments)
+            .stderr(Stdio::piped())
+            .stdin(Stdio::piped())
+            .stdout(Stdio::piped())
+            .spawn()
+            .unwrap();
+        let mut input = child.stdin.take().unwrap();
+        input.write_all(self.input.as_bytes()).unwrap();
+        drop(input);
+        let output = child.wait_with_output().unwrap();
+        (
+            output.status.code(),
+            String::from_utf8(output.stdout).unwrap(),
+            String::from_utf8(output.stderr).unwrap(),
+        )
+    }
+}
+
+fn example() -> String {
+    format!(
+        "{}/../../examples/declaration.json",
+        env!("CARGO_MANIFEST_DIR")
+    )
+}
+
+#[gtest]
+fn digest_is_that_of_the_key_without_its_line_end() {
+    let (code, output, _) = Test::arguments(&["digest"]).input("archive-key\n").run();
+    expect_that!(code, some(eq(0)));
+    expect_that!(
+        output.trim(),
+        eq(&blake3::hash(b"archive-key").to_hex().to_string())
+    );
+}
+
+#[gtest]
+fn file_with_foreign_field_is_refused_with_its_place() {
+    let path = std::env::temp_dir().join(format!("wellplank-ctl-{}.json", std::process::id()));
+    std::fs::write(&path, "{\n  \"modles\": []\n}").unwrap();
+    let file = path.to_str().unwrap();
+    let (code, _, error) = Test::arguments(&["apply", "-f", file]).run();
+    std::fs::remove_file(&path).unwrap();
+    expect_that!(code, some(eq(2)));
+    expect_that!(error, contains_substring("unknown field `modles`"));
+    expect_that!(error, contains_substring("line 2"));
+}
+
+#[gtest]
+fn instance_that_does_not_answer_is_an_error() {
+    let arguments = ["--address", "127.0.0.1:1", "status"];
+    let (code, _, error) = Test::arguments(&arguments).run();
+    expect_that!(code, some(eq(1)));
+    expect_that!(error, contains_substring("can not reach 127.0.0.1:1"));
+}
+
+#[gtest]
+fn example_has_no_fault() {
+    let declaration = declaration::read(example().as_ref()).unwrap();
+    expect_that!(declaration.services.len(), eq(4));
+}
+
+#[gtest]
+fn difference_names_what_is_added_changed_and_removed() {
+    let old = declaration::read(example().as_ref()).unwrap();
+    let mut new = old.clone();
+    new.services.remove(0);
+    new.customers[0].weight = 2;
+    new.models.push(new.models[0].clone());
+    new.models[1].name = "other".into();
+    let lines = declaration::difference(&old, &new);
+    expect_that!(
+        lines,
+        elements_are![
+            starts_with("~ customer hemelarchief"),
+            starts_with("+ model other"),
+            eq("- service notebook-summary"),
+        ]
+    );
+    expect_that!(declaration::difference(&old, &old), is_empty());
+    expect_that!(
+        declaration::difference(&Declaration::default(), &old).len(),
+        eq(6)
+    );
+}
--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -280,7 +280,10 @@
             .push(line(name, "wellplank", settings.listen.peers));
         let host = Host::new(2);
         let node = host.run(wellplank_node::Instance::start(settings)).await;
-        self.nodes.push(node.and_then(Result::ok));
+        let node = node
+            .expect("its runtime runs")
+            .expect("its addresses are free");
+        self.nodes.push(Some(node));
         self.operators.push(operators);
         self.instances.push(Member {
             address: callers,
--- a/crates/standin/src/host.rs
+++ b/crates/standin/src/host.rs
@@ -1,6 +1,7 @@
 //! A runtime of its own for each stand-in, so that one can be ended like a process.
 
 use super::*;
+use std::sync::atomic::{AtomicU32, Ordering};
 use tokio::runtime::Runtime;
 
 /// A runtime that runs one server.
@@ -45,9 +46,25 @@
     }
 }
 
-/// An address on the loopback interface that is free now.
+/// First port that stand-ins use; below those that outgoing connections are given.
+const PORT_FIRST: u32 = 10_000;
+
+/// Count of ports that stand-ins use.
+const PORTS: u32 = 20_000;
+
+/// Count of ports between the starts of two processes.
+const STRIDE: u32 = 97;
+
+/// An address on the loopback interface that is free now and is given once by this process.
 pub fn free_address() -> SocketAddr {
-    std::net::TcpListener::bind(("127.0.0.1", 0))
-        .and_then(|listener| listener.local_addr())
-        .expect("a loopback port is free")
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    loop {
+        let step = NEXT.fetch_add(1, Ordering::Relaxed);
+        let offset = std::process::id().wrapping_mul(STRIDE).wrapping_add(step) % PORTS;
+        let port = PORT_FIRST + offset;
+        let address = SocketAddr::from(([127, 0, 0, 1], port as u16));
+        if std::net::TcpListener::bind(address).is_ok() {
+            return address;
+        }
+    }
 }
