Claims by the owner of their place, heads on demand, history, drain, and measuring tools

Cause: every instance committed its own claims, so writers of one place fail against each other and the writes grow with the fleet; heartbeats carried the whole head, a few kilobytes twice a second on each link; an instance started in an outage had the head but not the parts.

The measuring tool has resume, claims, cost and routing.

--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -189,6 +189,9 @@
         }
         upstream.attempts.push(attempt);
         upstream.since_report += 1;
+        if let Work::Generate { prefix, .. } = request.work {
+            upstream.note_prefix(prefix, self.now);
+        }
         attempt
     }
 
--- a/crates/core/src/effect.rs
+++ b/crates/core/src/effect.rs
@@ -118,6 +118,8 @@
         /// Why the engine stopped.
         reason: String,
     },
+    /// Tell other instances that an upstream is leaving.
+    Leaving(Arc<str>),
     /// Log a step in the life of a request.
     Note {
         /// Customer.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -49,7 +49,7 @@
     rand::{RngExt, SeedableRng},
     rand_pcg::Pcg64Mcg,
     request::{Request, State, Work},
-    settings::Settings,
+    settings::{Routing, Settings},
     slotmap::{SlotMap, new_key_type},
     std::{
         collections::{BTreeMap, HashMap, VecDeque},
--- a/crates/core/src/route.rs
+++ b/crates/core/src/route.rs
@@ -5,44 +5,37 @@
 /// Load over its slots up to which an upstream takes resumed work when no other has room.
 const RESUME_OVERLOAD: f64 = 1.25;
 
+/// Load over its slots beyond which an upstream is not chosen for its cache alone.
+const PREFIX_LOAD: f64 = 0.7;
+
 impl Core {
-    /// The upstream for a request: of two taken at random among those with room, the one believed
-    /// to have less work for its slots. `None` if none has room.
-    pub(crate) fn choose(&mut self, request: request::Key, resume: bool) -> Option<upstream::Key> {
-        let request = &self.requests[request];
-        let pool = self.pools.get(request.service.pool())?;
-        let busy: Vec<upstream::Key> = request
-            .attempts
-            .iter()
-            .filter_map(|key| Some(self.attempts.get(*key)?.upstream))
-            .collect();
-        let avoid = request.avoid;
-        let limit = if resume {
-            1.0
-        } else {
-            1.0 - self.settings.resume_reserve
-        };
-        let usable: Vec<upstream::Key> = pool
-            .upstreams
-            .iter()
-            .copied()
-            .filter(|key| !busy.contains(key))
-            .filter(|key| self.upstreams[*key].takes_work(self.now))
-            .collect();
-        let mut free = self.below(&usable, limit);
-        if free.is_empty() && resume {
-            free = self.below(&usable, RESUME_OVERLOAD);
+    /// The upstream for a request; `None` if it must wait.
+    pub(crate) fn choose(&mut self, key: request::Key, resume: bool) -> Option<upstream::Key> {
+        let mut candidates = self.candidates(key, resume);
+        let avoid = self.requests[key].avoid;
+        if candidates.len() > 1 {
+            candidates.retain(|other| Some(*other) != avoid);
         }
-        if free.len() > 1 {
-            free.retain(|key| Some(*key) != avoid);
+        if candidates.is_empty() {
+            return None;
+        }
+        match self.settings.routing {
+            Routing::Headroom => self.by_headroom(&candidates),
+            Routing::LeastReported => self.least_reported(&candidates),
+            Routing::Prefix => self
+                .by_prefix(key, &candidates)
+                .or_else(|| Some(self.of_two(&candidates))),
+            Routing::Random => Some(self.any(&candidates)),
+            Routing::RoundRobin => {
+                self.rotation += 1;
+                Some(candidates[self.rotation % candidates.len()])
+            }
+            Routing::TwoChoices => Some(self.of_two(&candidates)),
         }
-        let first = *free.get(self.rng.random_range(0..free.len().max(1)))?;
-        let second = free[self.rng.random_range(0..free.len())];
-        Some(if self.filled(second) < self.filled(first) {
-            second
-        } else {
-            first
-        })
+    }
+
+    fn any(&mut self, keys: &[upstream::Key]) -> upstream::Key {
+        keys[self.rng.random_range(0..keys.len())]
     }
 
     fn below(&self, keys: &[upstream::Key], limit: f64) -> Vec<upstream::Key> {
@@ -52,9 +45,86 @@
             .collect()
     }
 
+    /// At random, by the share of slots believed free.
+    fn by_headroom(&mut self, keys: &[upstream::Key]) -> Option<upstream::Key> {
+        let room = |key: &upstream::Key| (1.0 - self.filled(*key)).max(f64::EPSILON);
+        let total: f64 = keys.iter().map(room).sum();
+        let rooms: Vec<f64> = keys.iter().map(room).collect();
+        let mut point = self.rng.random_range(0.0..total);
+        for (key, room) in keys.iter().zip(rooms) {
+            point -= room;
+            if point <= 0.0 {
+                return Some(*key);
+            }
+        }
+        keys.last().copied()
+    }
+
+    /// The least loaded of those believed to hold the prompt's start, if one has room to spare.
+    fn by_prefix(&self, key: request::Key, keys: &[upstream::Key]) -> Option<upstream::Key> {
+        let Work::Generate { prefix, .. } = self.requests[key].work else {
+            return None;
+        };
+        keys.iter()
+            .copied()
+            .filter(|key| self.upstreams[*key].holds_prefix(prefix, self.now))
+            .filter(|key| self.filled(*key) < PREFIX_LOAD)
+            .min_by(|one, other| self.filled(*one).total_cmp(&self.filled(*other)))
+    }
+
+    /// Upstreams that may be sent this request: live, not tried by it now, and with room.
+    fn candidates(&self, key: request::Key, resume: bool) -> Vec<upstream::Key> {
+        let request = &self.requests[key];
+        let Some(pool) = self.pools.get(request.service.pool()) else {
+            return Vec::new();
+        };
+        let tried = |key: &upstream::Key| {
+            let mut attempts = request.attempts.iter();
+            attempts.any(|attempt| self.attempts[*attempt].upstream == *key)
+        };
+        let usable: Vec<upstream::Key> = pool
+            .upstreams
+            .iter()
+            .copied()
+            .filter(|key| self.upstreams[*key].takes_work(self.now) && !tried(key))
+            .collect();
+        if !self.settings.routing.knows_room() {
+            return usable;
+        }
+        let limit = if resume {
+            1.0
+        } else {
+            1.0 - self.settings.resume_reserve
+        };
+        let free = self.below(&usable, limit);
+        if free.is_empty() && resume {
+            return self.below(&usable, RESUME_OVERLOAD);
+        }
+        free
+    }
+
     /// Work believed to be at an upstream, over its slots.
     fn filled(&self, key: upstream::Key) -> f64 {
         let upstream = &self.upstreams[key];
         f64::from(upstream.believed()) / f64::from(upstream.slots())
     }
+
+    fn least_reported(&self, keys: &[upstream::Key]) -> Option<upstream::Key> {
+        let reported = |key: &upstream::Key| {
+            let upstream = &self.upstreams[*key];
+            (upstream.load.running + upstream.load.waiting) * 1_000 / upstream.slots()
+        };
+        keys.iter().copied().min_by_key(reported)
+    }
+
+    /// Of two taken at random, the one believed to have less work.
+    fn of_two(&mut self, keys: &[upstream::Key]) -> upstream::Key {
+        let first = self.any(keys);
+        let second = self.any(keys);
+        if self.filled(second) < self.filled(first) {
+            second
+        } else {
+            first
+        }
+    }
 }
--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -1,5 +1,40 @@
 //! Bounds and rates of the decisions; all times in milliseconds.
 
+/// How an upstream is chosen. The ways that know no room send to any live upstream and leave the
+/// waiting to it; they are the baselines of the measurements.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Routing {
+    /// At random with the weight of the believed room, as the `RouteGrail` paper has it.
+    Headroom,
+    /// The least load in the last report, without regard to room.
+    LeastReported,
+    /// One that was sent the same prompt's start lately, if it has room to spare; else two choices.
+    Prefix,
+    /// At random, without regard to room.
+    Random,
+    /// One after the other, without regard to room.
+    RoundRobin,
+    /// Of two taken at random among those with room, the one believed to have less work.
+    TwoChoices,
+}
+
+impl Routing {
+    /// Every way, with its name in settings.
+    pub const ALL: [(&'static str, Self); 6] = [
+        ("headroom", Self::Headroom),
+        ("least_reported", Self::LeastReported),
+        ("prefix", Self::Prefix),
+        ("random", Self::Random),
+        ("round_robin", Self::RoundRobin),
+        ("two_choices", Self::TwoChoices),
+    ];
+
+    /// Whether work waits at the instance until an upstream is believed to have room.
+    pub fn knows_room(self) -> bool {
+        matches!(self, Self::Headroom | Self::Prefix | Self::TwoChoices)
+    }
+}
+
 /// Settings of the core, the same for the life of an instance.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
@@ -31,6 +66,8 @@
     pub probe_timeout_ms: u64,
     /// Requests waiting for an upstream, at most.
     pub queue_max: usize,
+    /// How an upstream is chosen.
+    pub routing: Routing,
     /// Share of an upstream's slots that only resumed work may use.
     pub resume_reserve: f64,
     /// Permits for a retry that each admitted request earns.
@@ -63,6 +100,7 @@
             probe_timeout_ms: 400,
             queue_max: 1_000,
             resume_reserve: 0.1,
+            routing: Routing::Prefix,
             retry_earn: 0.1,
             stall_loss_ms: 2_000,
             stall_max_ms: 600,
--- a/crates/core/src/watch.rs
+++ b/crates/core/src/watch.rs
@@ -30,7 +30,11 @@
     pub(crate) fn leave(&mut self, key: upstream::Key) {
         let until = self.now.after(self.settings.leaving_hint_ms);
         if let Some(upstream) = self.upstreams.get_mut(key) {
+            let news = !upstream.leaves(self.now);
             upstream.leaving_until = until;
+            if news {
+                self.effects.push(Effect::Leaving(upstream.name.clone()));
+            }
         }
     }
 
@@ -156,6 +160,7 @@
             load: Load::default(),
             name: name.clone(),
             pool: pool.clone(),
+            prefixes: HashMap::new(),
             probe_at: self.now,
             probing: None,
             since_report: 0,
--- a/crates/ctl/src/arguments.rs
+++ b/crates/ctl/src/arguments.rs
@@ -18,9 +18,8 @@
             Arg::new("address")
                 .default_value("127.0.0.1:8081")
                 .global(true)
-                .help("Operators' address of any instance; several for `apply --wait`")
+                .help("Operators' address of any instance")
                 .long("address")
-                .value_delimiter(',')
                 .value_name("ADDRESS"),
         )
         .arg(
@@ -56,10 +55,17 @@
                         .value_name("N")
                         .value_parser(clap::value_parser!(u64)),
                 )
+                .arg(
+                    Arg::new("note")
+                        .default_value("")
+                        .help("Why, for the history")
+                        .long("note")
+                        .value_name("TEXT"),
+                )
                 .arg(
                     Arg::new("wait")
                         .action(ArgAction::SetTrue)
-                        .help("Return when it is in force at the instance and all peers it knows")
+                        .help("Return when it is in force at every live instance, and name those where it is not")
                         .long("wait"),
                 ),
         )
@@ -72,7 +78,11 @@
             clap::Command::new("digest")
                 .about("Reads a customer's key from standard input and prints its key_digest"),
         )
+        .subcommand(
+            clap::Command::new("drain").about("Stops an instance as planned: no answer is cut"),
+        )
         .subcommand(clap::Command::new("get").about("Prints the declaration in force as JSON"))
+        .subcommand(clap::Command::new("history").about("Shows the last accepted changes"))
         .subcommand(clap::Command::new("status").about("Shows the state of an instance"))
         .subcommand_required(true)
         .version(env!("CARGO_PKG_VERSION"))
--- a/crates/ctl/src/client.rs
+++ b/crates/ctl/src/client.rs
@@ -19,12 +19,14 @@
         declaration: Declaration,
         expect_revision: Option<u64>,
         dry_run: bool,
+        note: &str,
     ) -> Result<ApplyReply, Error> {
         let request = self.request(ApplyRequest {
             change: Uuid::new_v4().to_string(),
             declaration: Some(declaration),
             dry_run,
             expect_revision,
+            note: note.to_owned(),
         });
         let reply = self.operator.apply(request).await?.into_inner();
         if !reply.faults.is_empty() {
@@ -54,9 +56,31 @@
         Ok(self.operator.get(request).await?.into_inner())
     }
 
-    /// State of the instance.
+    /// Stops the instance as planned.
+    pub async fn drain(&mut self) -> Result<(), Error> {
+        let request = self.request(DrainRequest {});
+        self.operator.drain(request).await?;
+        Ok(())
+    }
+
+    /// The last accepted changes.
+    pub async fn history(&mut self) -> Result<HistoryReply, Error> {
+        let request = self.request(HistoryRequest {});
+        Ok(self.operator.history(request).await?.into_inner())
+    }
+
+    /// State of the instance and the peers it heard of.
     pub async fn status(&mut self) -> Result<StatusReply, Error> {
-        let request = self.request(StatusRequest {});
+        self.status_of(false).await
+    }
+
+    /// State of the instance and of every instance on the platform's list.
+    pub async fn status_everywhere(&mut self) -> Result<StatusReply, Error> {
+        self.status_of(true).await
+    }
+
+    async fn status_of(&mut self, everywhere: bool) -> Result<StatusReply, Error> {
+        let request = self.request(StatusRequest { everywhere });
         Ok(self.operator.status(request).await?.into_inner())
     }
 
--- a/crates/ctl/src/command.rs
+++ b/crates/ctl/src/command.rs
@@ -8,9 +8,6 @@
 /// Time between two looks.
 const LOOK: Duration = Duration::from_millis(100);
 
-/// Time since a peer's last heartbeat after which it does not count as live, in milliseconds.
-const SILENT_MS: u64 = 5_000;
-
 /// Runs the command that the arguments name.
 pub(crate) async fn run(matches: &ArgMatches) -> Result<(), Error> {
     let Some((name, arguments)) = matches.subcommand() else {
@@ -47,6 +44,13 @@
         println!("{declaration:#}");
         return Ok(());
     }
+    if name == "drain" {
+        return client.drain().await;
+    }
+    if name == "history" {
+        print_history(&client.history().await?, json);
+        return Ok(());
+    }
     let status = client.status().await?;
     if json {
         println!("{:#}", status_json(&status));
@@ -76,7 +80,8 @@
 ) -> Result<(), Error> {
     let expected = arguments.get_one::<u64>("expect-revision").copied();
     let dry_run = arguments.get_flag("dry-run");
-    let reply = client.apply(declaration, expected, dry_run).await?;
+    let note = arguments.get_one::<String>("note").expect("has a default");
+    let reply = client.apply(declaration, expected, dry_run, note).await?;
     if dry_run {
         println!("no faults; revision {} is in force", reply.revision);
         return Ok(());
@@ -89,12 +94,24 @@
     Ok(())
 }
 
-/// Waits until the instance and all live peers it knows have a revision in force.
+/// Waits until every live instance has a revision in force.
 async fn wait(client: &mut Client, revision: u64) -> Result<(), Error> {
     let began = Instant::now();
     loop {
-        let status = client.status().await?;
-        let behind = behind(&status, revision);
+        let status = client.status_everywhere().await?;
+        let behind: Vec<String> = status
+            .peers
+            .iter()
+            .filter(|peer| peer.revision < revision)
+            .map(|peer| {
+                let silent = if peer.reachable {
+                    ""
+                } else {
+                    " (does not answer)"
+                };
+                format!("{}{silent}", peer.name)
+            })
+            .collect();
         if behind.is_empty() {
             return Ok(());
         }
@@ -105,14 +122,31 @@
     }
 }
 
-fn behind(status: &StatusReply, revision: u64) -> Vec<String> {
-    let own = (status.revision < revision).then(|| status.instance.clone());
-    let peers = status
-        .peers
+fn print_history(history: &HistoryReply, json: bool) {
+    if json {
+        let changes = history.changes.iter().map(|change| {
+            json!({
+                "id": change.id,
+                "note": change.note,
+                "revision": change.revision,
+                "time_ms": change.time_ms,
+            })
+        });
+        println!("{:#}", Value::Array(changes.collect()));
+        return;
+    }
+    let rows: Vec<Vec<String>> = history
+        .changes
         .iter()
-        .filter(|peer| peer.silent_ms < SILENT_MS && peer.revision < revision)
-        .map(|peer| peer.name.clone());
-    own.into_iter().chain(peers).collect()
+        .map(|change| {
+            let (revision, time) = (change.revision.to_string(), change.time_ms.to_string());
+            vec![revision, time, change.id.clone(), change.note.clone()]
+        })
+        .collect();
+    println!(
+        "{}",
+        table::table(&["revision", "time ms", "change", "note"], &rows)
+    );
 }
 
 fn print_status(status: &StatusReply) {
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -23,8 +23,8 @@
     tonic::{Request, transport::Channel},
     uuid::Uuid,
     wellplank_wire::operator::{
-        self as schema, ApplyReply, ApplyRequest, Declaration, GetReply, GetRequest, StatusReply,
-        StatusRequest, operator_client::OperatorClient,
+        self as schema, ApplyReply, ApplyRequest, Declaration, DrainRequest, GetReply, GetRequest,
+        HistoryReply, HistoryRequest, StatusReply, StatusRequest, operator_client::OperatorClient,
     },
 };
 
--- a/crates/node/src/arguments.rs
+++ b/crates/node/src/arguments.rs
@@ -67,7 +67,10 @@
         .map_err(Error::Runtime)?;
     runtime.block_on(async {
         let instance = Instance::start(settings).await?;
-        instance::terminated().await;
+        tokio::select! {
+            () = instance::terminated() => {}
+            () = instance.drained() => {}
+        }
         info!("stopping");
         instance.stop().await;
         info!("stopped");
--- a/crates/node/src/driver.rs
+++ b/crates/node/src/driver.rs
@@ -5,6 +5,12 @@
 /// Time between two ticks of the core.
 const TICK: Duration = Duration::from_millis(10);
 
+/// Time that peers are told that an upstream is leaving.
+const LEAVING: Duration = Duration::from_secs(3);
+
+/// Upstreams that said they are leaving, and when that was heard.
+pub(crate) type Leaving = BTreeMap<String, Instant>;
+
 /// Messages taken at once.
 const BATCH: usize = 256;
 
@@ -50,6 +56,7 @@
     core: Core,
     driver: Driver,
     fresh: Http,
+    leaving: watch::Sender<Leaving>,
     meter: meter::Meter,
     pooled: Http,
 }
@@ -82,6 +89,7 @@
         settings: &Settings,
         clock: Clock,
         claims: mpsc::UnboundedSender<claimer::Order>,
+        leaving: watch::Sender<Leaving>,
     ) -> (Self, JoinHandle<()>) {
         let (sender, receiver) = mpsc::unbounded_channel();
         let driver = Self {
@@ -98,6 +106,7 @@
             core,
             driver: driver.clone(),
             fresh: Http::fresh(),
+            leaving,
             meter: meter::Meter::new(settings.metrics),
             pooled: Http::pooled(),
         };
@@ -157,7 +166,11 @@
                 }
             }
             Effect::Claim { claim, request } => {
-                let _ = self.claims.send(claimer::Order { claim, request });
+                let _ = self.claims.send(claimer::Order {
+                    claim,
+                    here: false,
+                    settle: claimer::Settle::Here(request),
+                });
             }
             Effect::Count(counter, count) => {
                 if let Counter::Invariant(invariant) = counter {
@@ -195,6 +208,13 @@
                 position,
                 reason,
             } => self.end(caller, Reply::Finished { position, reason }),
+            Effect::Leaving(name) => {
+                let now = Instant::now();
+                self.leaving.send_modify(|leaving| {
+                    leaving.retain(|_, heard| heard.elapsed() < LEAVING);
+                    leaving.insert(name.to_string(), now);
+                });
+            }
             Effect::Note {
                 customer,
                 generation,
--- a/crates/node/src/instance.rs
+++ b/crates/node/src/instance.rs
@@ -7,6 +7,7 @@
 
 /// A running instance.
 pub struct Instance {
+    drained: watch::Receiver<bool>,
     driver: Driver,
     server: salvo::server::ServerHandle,
     serving: JoinHandle<()>,
@@ -44,34 +45,48 @@
             .await
             .map_err(|error| Error::Bind(settings.listen.callers, std::io::Error::other(error)))?;
 
-        let (driver, core) = Driver::start(&settings, clock, claims);
+        let (leaving, leaving_here) = watch::channel(driver::Leaving::new());
+        let (driver, core) = Driver::start(&settings, clock, claims.clone(), leaving);
+        let claimer = claimer::Claimer {
+            driver: driver.clone(),
+            list: listed.clone(),
+            orders: claims.clone(),
+            settings: settings.clone(),
+            store: store.clone(),
+        };
         let links = peer::Links {
+            claims,
+            driver: driver.clone(),
+            leaving: leaving_here,
             held: held_here.clone(),
             orders: orders.clone(),
             peers,
             settings: settings.clone(),
         };
+        let (drain, drained) = watch::channel(false);
         let operators = operator::Service {
+            drain,
             driver: driver.clone(),
             held: held_here.clone(),
+            list: listed.clone(),
             orders: orders.clone(),
             peers: peers_heard,
             settings: settings.clone(),
             stopping: stopping.clone(),
         };
-        let revisions = revision::Task::new(driver.clone(), store.clone(), held);
+        let revisions = revision::Task {
+            clock,
+            driver: driver.clone(),
+            held,
+            list: listed.clone(),
+            store: store.clone(),
+        };
         let router = caller::router(&settings, &driver, &stopping);
         let server = Server::new(acceptor);
         let handle = server.handle();
         let tasks = vec![
             core,
-            tokio::spawn(claimer::run(
-                settings.clone(),
-                store.clone(),
-                driver.clone(),
-                listed.clone(),
-                claim_orders,
-            )),
+            tokio::spawn(claimer.run(claim_orders)),
             tokio::spawn(list::run(settings.clone(), driver.clone(), list)),
             tokio::spawn(revisions.run(revision_orders)),
             tokio::spawn(revision::watch(
@@ -89,6 +104,7 @@
         let address = settings.listen.callers.to_string();
         info!(address; "started");
         Ok(Self {
+            drained,
             driver,
             server: handle,
             serving,
@@ -98,6 +114,15 @@
         })
     }
 
+    /// Waits until an operator asks that the instance stop.
+    pub async fn drained(&self) {
+        let mut drained = self.drained.clone();
+        if drained.wait_for(|drained| *drained).await.is_err() {
+            // The operators' side has ended; only a signal can stop the instance now.
+            std::future::pending::<()>().await;
+        }
+    }
+
     /// Stops as planned: is no longer ready, answers what it has and what still comes, and leaves
     /// when nothing has run for a while.
     pub async fn stop(mut self) {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -11,7 +11,9 @@
 
 mod caller;
 mod claimer;
+mod committer;
 mod engine;
+mod forwarder;
 mod http;
 mod list;
 mod logger;
--- a/crates/node/src/operator.rs
+++ b/crates/node/src/operator.rs
@@ -4,12 +4,19 @@
 use schema::operator_server::Operator;
 use tonic::{Code, Status};
 
+/// Longest note of a change in bytes.
+const NOTE_MAX: usize = 200;
+
 /// Serves operators.
 pub(crate) struct Service {
     /// The core task.
     pub driver: Driver,
+    /// Told when the instance shall stop as planned.
+    pub drain: watch::Sender<bool>,
     /// The configuration held here.
     pub held: watch::Receiver<revision::Held>,
+    /// The platform's list.
+    pub list: watch::Receiver<Vec<list::Line>>,
     /// Where changes are sent.
     pub orders: mpsc::UnboundedSender<revision::Order>,
     /// Peers heard of.
@@ -21,6 +28,19 @@
 }
 
 impl Service {
+    fn peers_heard(&self) -> Vec<schema::PeerState> {
+        let peers = self.peers.borrow();
+        peers
+            .iter()
+            .map(|(name, peer)| schema::PeerState {
+                name: name.clone(),
+                reachable: true,
+                revision: peer.revision,
+                silent_ms: peer.heard.elapsed().as_millis() as u64,
+            })
+            .collect()
+    }
+
     fn authorize<T>(&self, request: &tonic::Request<T>) -> Result<(), Status> {
         let key = request
             .metadata()
@@ -44,6 +64,10 @@
     ) -> Result<tonic::Response<schema::ApplyReply>, Status> {
         self.authorize(&request)?;
         let request = request.into_inner();
+        if request.note.len() > NOTE_MAX {
+            let text = format!("note must not be longer than {NOTE_MAX} bytes");
+            return Err(Status::invalid_argument(text));
+        }
         if request.change.is_empty() {
             return Err(Status::invalid_argument("change must not be empty"));
         }
@@ -57,6 +81,15 @@
             .map_err(|error| Status::new(Code::Unavailable, error.to_string()))
     }
 
+    async fn drain(
+        &self,
+        request: tonic::Request<schema::DrainRequest>,
+    ) -> Result<tonic::Response<schema::DrainReply>, Status> {
+        self.authorize(&request)?;
+        self.drain.send_replace(true);
+        Ok(tonic::Response::new(schema::DrainReply {}))
+    }
+
     async fn get(
         &self,
         request: tonic::Request<schema::GetRequest>,
@@ -69,6 +102,23 @@
         }))
     }
 
+    async fn history(
+        &self,
+        request: tonic::Request<schema::HistoryRequest>,
+    ) -> Result<tonic::Response<schema::HistoryReply>, Status> {
+        self.authorize(&request)?;
+        let changes = self.held.borrow().head.changes.clone();
+        let changes = changes.into_iter().map(|change| schema::ChangeState {
+            id: change.id,
+            note: change.note,
+            revision: change.revision,
+            time_ms: change.time_ms,
+        });
+        Ok(tonic::Response::new(schema::HistoryReply {
+            changes: changes.collect(),
+        }))
+    }
+
     async fn status(
         &self,
         request: tonic::Request<schema::StatusRequest>,
@@ -76,16 +126,16 @@
         self.authorize(&request)?;
         let snapshot = self.driver.status().await;
         let stopping = self.stopping.load(Ordering::Relaxed);
-        let peers = self.peers.borrow().clone();
-        let peers = peers.into_iter().map(|(name, peer)| schema::PeerState {
-            name,
-            revision: peer.revision,
-            silent_ms: peer.heard.elapsed().as_millis() as u64,
-        });
+        let peers = if request.into_inner().everywhere {
+            let list = self.list.borrow().clone();
+            peer::revisions(&list).await
+        } else {
+            self.peers_heard()
+        };
         Ok(tonic::Response::new(schema::StatusReply {
             counters: snapshot.counters,
             instance: self.settings.instance.clone(),
-            peers: peers.collect(),
+            peers,
             ready: snapshot.revision.is_some() && !stopping,
             revision: snapshot.revision.unwrap_or(0),
             running: snapshot.running as u64,
--- a/crates/node/src/revision.rs
+++ b/crates/node/src/revision.rs
@@ -2,12 +2,13 @@
 //! heartbeats, never going to a lower revision.
 
 use super::*;
+use std::collections::hash_map::Entry;
 
 /// Key of the head.
 const HEAD: &str = "wellplank/head";
 
-/// Identities of changes that a head remembers.
-const CHANGES: usize = 64;
+/// Changes that a head remembers.
+const CHANGES: usize = 16;
 
 /// Instances per data centre that keep a watch.
 const WATCHERS: usize = 2;
@@ -28,6 +29,8 @@
     pub declaration: schema::Declaration,
     /// Its head.
     pub head: Head,
+    /// Its encoded parts by their digests.
+    pub parts: Arc<HashMap<Vec<u8>, Bytes>>,
 }
 
 /// What the task is told.
@@ -44,23 +47,19 @@
 
 /// What the task owns.
 pub(crate) struct Task {
-    driver: Driver,
-    held: watch::Sender<Held>,
-    parts: HashMap<Vec<u8>, schema::Declaration>,
-    store: Store,
+    /// The clock of the instance.
+    pub clock: Clock,
+    /// The core task.
+    pub driver: Driver,
+    /// Where the configuration is held.
+    pub held: watch::Sender<Held>,
+    /// The platform's list.
+    pub list: watch::Receiver<Vec<list::Line>>,
+    /// The key-value service.
+    pub store: Store,
 }
 
 impl Task {
-    /// The task of an instance.
-    pub fn new(driver: Driver, store: Store, held: watch::Sender<Held>) -> Self {
-        Self {
-            driver,
-            held,
-            parts: HashMap::new(),
-            store,
-        }
-    }
-
     /// Serves orders until the instance ends.
     pub async fn run(mut self, mut orders: mpsc::UnboundedReceiver<Order>) {
         while let Some(order) = orders.recv().await {
@@ -84,24 +83,57 @@
         if head.revision <= current {
             return Ok(());
         }
-        let mut parts = HashMap::new();
-        for part in &head.parts {
-            let declaration = match self.parts.get(&part.digest) {
-                Some(declaration) => declaration.clone(),
-                None => self.fetch(&part.digest).await?,
-            };
-            parts.insert(part.digest.clone(), declaration);
+        let parts = self.gather(&head).await?;
+        let declarations: Vec<schema::Declaration> = head
+            .parts
+            .iter()
+            .filter_map(|part| schema::Declaration::decode(parts.get(&part.digest)?.clone()).ok())
+            .collect();
+        if declarations.len() != head.parts.len() {
+            return Err(Error::Store("a part is no declaration".into()));
         }
-        let declaration = declaration::join(parts.values());
+        let declaration = declaration::join(declarations.iter());
         let config = declaration::compile(&declaration, head.revision);
-        self.parts = parts;
         self.driver.event(Event::Config(Arc::new(config)));
         let revision = head.revision;
-        self.held.send_replace(Held { declaration, head });
+        self.held.send_replace(Held {
+            declaration,
+            head,
+            parts: Arc::new(parts),
+        });
         info!(revision; "configuration in force");
         Ok(())
     }
 
+    /// The parts of a head: those held, then those that peers have, then the rest from the
+    /// key-value service, which may be down.
+    async fn gather(&self, head: &Head) -> Result<HashMap<Vec<u8>, Bytes>, Error> {
+        let held = self.held.borrow().parts.clone();
+        let mut parts = HashMap::new();
+        let mut missing = Vec::new();
+        for part in &head.parts {
+            match held.get(&part.digest) {
+                Some(bytes) => {
+                    parts.insert(part.digest.clone(), bytes.clone());
+                }
+                None => missing.push(part.digest.clone()),
+            }
+        }
+        if !missing.is_empty() {
+            let list = self.list.borrow().clone();
+            for bytes in peer::fetch_parts(&list, &missing).await {
+                parts.insert(blake3::hash(&bytes).as_bytes().to_vec(), bytes);
+            }
+        }
+        for digest in missing {
+            if let Entry::Vacant(entry) = parts.entry(digest) {
+                let bytes = self.fetch(entry.key()).await?;
+                entry.insert(bytes);
+            }
+        }
+        Ok(parts)
+    }
+
     /// Accepts a change: writes its parts, then swaps the head.
     async fn apply(&mut self, request: schema::ApplyRequest) -> Result<schema::ApplyReply, Error> {
         let declaration = request.declaration.unwrap_or_default();
@@ -114,10 +146,14 @@
                 ..Default::default()
             });
         }
-        let parts = self.write_parts(&declaration).await?;
+        let change = peers::Change {
+            id: request.change,
+            note: request.note,
+            ..Default::default()
+        };
         for _ in 0..TRIES {
             let tried = self
-                .swap(&parts, request.expect_revision, &request.change)
+                .accept(&declaration, request.expect_revision, &change)
                 .await;
             match tried {
                 Ok(Some(reply)) => return Ok(reply),
@@ -133,15 +169,25 @@
         ))
     }
 
-    async fn fetch(&self, digest: &[u8]) -> Result<schema::Declaration, Error> {
+    /// One try to accept a change; `None` if another one came in between and any may win.
+    async fn accept(
+        &mut self,
+        declaration: &schema::Declaration,
+        expected: Option<u64>,
+        change: &peers::Change,
+    ) -> Result<Option<schema::ApplyReply>, Error> {
+        let parts = self.write_parts(declaration).await?;
+        self.swap(&parts, expected, change).await
+    }
+
+    async fn fetch(&self, digest: &[u8]) -> Result<Bytes, Error> {
         let key = part_key(digest);
         let entry = self.store.get(&key).await?;
         let entry = entry.ok_or_else(|| Error::Store(format!("{key} is missing")))?;
         if blake3::hash(&entry.value).as_bytes() != digest {
             return Err(Error::Store(format!("{key} has another digest")));
         }
-        schema::Declaration::decode(&entry.value[..])
-            .map_err(|error| Error::Store(error.to_string()))
+        Ok(entry.value.into())
     }
 
     /// One try to swap the head; `None` if another change came in between and any may win.
@@ -149,7 +195,7 @@
         &mut self,
         parts: &[peers::Part],
         expected: Option<u64>,
-        change: &str,
+        change: &peers::Change,
     ) -> Result<Option<schema::ApplyReply>, Error> {
         let entry = self.store.get(HEAD).await?;
         let head = match &entry {
@@ -161,7 +207,7 @@
             revision,
             ..Default::default()
         };
-        if head.changes.iter().any(|other| other == change) {
+        if head.changes.iter().any(|other| other.id == change.id) {
             let revision = head.revision;
             self.adopt(head).await?;
             return Ok(Some(reply(revision, false)));
@@ -174,7 +220,11 @@
             parts: parts.to_vec(),
             revision: head.revision + 1,
         };
-        next.changes.push(change.to_owned());
+        next.changes.push(peers::Change {
+            revision: next.revision,
+            time_ms: self.clock.now().0,
+            ..change.clone()
+        });
         let surplus = next.changes.len().saturating_sub(CHANGES);
         next.changes.drain(..surplus);
         let write = store::Write {
@@ -199,7 +249,7 @@
         for part in declaration::split(declaration) {
             let value = part.encode_to_vec();
             let digest = blake3::hash(&value).as_bytes().to_vec();
-            if !self.parts.contains_key(&digest) {
+            if !self.held.borrow().parts.contains_key(&digest) {
                 let write = store::Write {
                     expected: 0,
                     key: &part_key(&digest),
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -1,6 +1,7 @@
 //! Settings of an instance, read from a JSON file.
 
 use super::*;
+use wellplank_core::settings::Routing;
 
 /// Bytes of the secret that authenticates cursors.
 const SECRET_BYTES: usize = 32;
@@ -106,6 +107,7 @@
                 "queue_max": core.queue_max,
                 "resume_reserve": core.resume_reserve,
                 "retry_earn": core.retry_earn,
+                "routing": "prefix",
                 "stall_loss_ms": core.stall_loss_ms,
                 "stall_max_ms": core.stall_max_ms,
                 "stall_min_ms": core.stall_min_ms,
@@ -194,6 +196,7 @@
             queue_max: reader.number("queue_max", default.queue_max as u64, 1..=1_000_000) as usize,
             resume_reserve: reader.share("resume_reserve", default.resume_reserve),
             retry_earn: reader.share("retry_earn", default.retry_earn),
+            routing: Self::read_routing(&mut reader),
             stall_loss_ms,
             stall_max_ms,
             stall_min_ms: stall_min_ms.min(stall_max_ms),
@@ -222,6 +225,22 @@
         platform
     }
 
+    fn read_routing(reader: &mut Reader) -> Routing {
+        let default = wellplank_core::settings::Settings::default().routing;
+        let Some(text) = reader.text("routing", Some("prefix")) else {
+            return default;
+        };
+        let known = Routing::ALL.iter().find(|(name, _)| *name == text);
+        known.map_or_else(
+            || {
+                let names = Routing::ALL.map(|(name, _)| name).join(", ");
+                reader.fault("routing", format!("`{text}` must be one of {names}"));
+                default
+            },
+            |(_, routing)| *routing,
+        )
+    }
+
     fn read_secret(reader: &mut Reader) -> cursor::Secret {
         let Some(text) = reader.text("secret", None) else {
             return [0; SECRET_BYTES];
--- a/crates/standin/src/arguments.rs
+++ b/crates/standin/src/arguments.rs
@@ -22,6 +22,22 @@
         .subcommand(
             Command::new("matrix").about("Runs the fault matrix and prints its tables as Markdown"),
         )
+        .subcommand(
+            Command::new("measure")
+                .about("Measures, baselines beside the policies, and prints tables and JSON")
+                .subcommand_required(true)
+                .subcommand(Command::new("claims").about("Writes and time of claims"))
+                .subcommand(Command::new("cost").about("Cost of tokens through one instance"))
+                .subcommand(
+                    Command::new("resume")
+                        .about("Resume latency and extra resource use")
+                        .arg(number("rounds", "Faults of each way", "8")),
+                )
+                .subcommand(
+                    Command::new("routing")
+                        .about("Routing, sharing and limits under load, in virtual time"),
+                ),
+        )
         .subcommand(
             Command::new("platform")
                 .about("Runs the platform's key-value service and list")
@@ -65,6 +81,7 @@
         match name {
             "demo" => return demo::run().await,
             "matrix" => return matrix(),
+            "measure" => return measure(arguments).await,
             "random" => return random(arguments),
             _ => {}
         }
@@ -123,3 +140,19 @@
         ExitCode::FAILURE
     }
 }
+
+/// Runs a measurement.
+async fn measure(arguments: &ArgMatches) -> ExitCode {
+    let Some((name, arguments)) = arguments.subcommand() else {
+        return ExitCode::FAILURE;
+    };
+    let number = |name| *arguments.get_one::<u64>(name).expect("has a default") as usize;
+    match name {
+        "claims" => claims::run().await,
+        "cost" => cost::run().await,
+        "resume" => resume::run(number("rounds")).await,
+        "routing" => routing::run(),
+        _ => return ExitCode::FAILURE,
+    }
+    ExitCode::SUCCESS
+}
--- a/crates/standin/src/caller.rs
+++ b/crates/standin/src/caller.rs
@@ -1,6 +1,10 @@
 //! A caller: asks for generations, checks every token, and can come back with its cursor.
 
 use super::*;
+use base64::{Engine as _, prelude::BASE64_URL_SAFE_NO_PAD};
+
+/// Place of the upstream in the bytes of a cursor.
+const UPSTREAM_AT: usize = 41;
 
 /// Someone who asks instances for answers.
 #[derive(Clone, Debug)]
@@ -28,19 +32,32 @@
     pub service: String,
 }
 
+/// One event with tokens.
+#[derive(Clone, Copy, Debug)]
+pub struct Seen {
+    /// When it came.
+    pub at: Instant,
+    /// Time since the engine stamped it, in milliseconds, if it did.
+    pub delay_ms: Option<f64>,
+    /// Tokens in it.
+    pub tokens: usize,
+    /// Upstream that its cursor names.
+    pub upstream: u64,
+}
+
 /// What came of it.
 #[derive(Clone, Debug, Default)]
 pub struct Outcome {
     /// Cursor of the last event.
     pub cursor: Option<String>,
+    /// Events with tokens, in the order they came.
+    pub events: Vec<Seen>,
     /// Kind of the error, if the answer is one.
     pub error: Option<String>,
     /// Whether the end of the answer came.
     pub finished: bool,
     /// Time to the first token, in milliseconds.
     pub first_ms: Option<f64>,
-    /// Times between tokens, in milliseconds.
-    pub gaps_ms: Vec<f64>,
     /// What the error says of whether it ran.
     pub ran: Option<String>,
     /// When to come back, if the answer says so.
@@ -78,7 +95,9 @@
 impl Outcome {
     /// Longest time between two tokens, in milliseconds.
     pub fn stall_ms(&self) -> f64 {
-        self.gaps_ms.iter().copied().fold(0.0, f64::max)
+        let gaps = self.events.windows(2);
+        gaps.map(|pair| millis(pair[1].at - pair[0].at))
+            .fold(0.0, f64::max)
     }
 
     fn take_error(&mut self, error: &Value) {
@@ -88,7 +107,7 @@
         self.retry_after_ms = error["error"]["retry_after_ms"].as_u64();
     }
 
-    fn take_chunk(&mut self, chunk: &Value, last: &mut Instant, began: Instant) {
+    fn take_chunk(&mut self, chunk: &Value, began: Instant) {
         let position = chunk["position"].as_u64().unwrap_or(0) as usize;
         let choice = &chunk["choices"][0];
         let tokens: Vec<u32> =
@@ -99,12 +118,14 @@
             self.wrong_positions += 1;
         }
         if !tokens.is_empty() {
-            if self.first_ms.is_none() {
-                self.first_ms = Some(millis(began.elapsed()));
-            } else {
-                self.gaps_ms.push(millis(last.elapsed()));
-            }
-            *last = Instant::now();
+            let at = Instant::now();
+            self.first_ms.get_or_insert(millis(at - began));
+            self.events.push(Seen {
+                at,
+                delay_ms: choice["text"].as_str().and_then(token::delay_ms),
+                tokens: tokens.len(),
+                upstream: self.cursor.as_deref().map_or(0, upstream_of),
+            });
         }
         self.tokens.extend(tokens);
         self.finished |= choice["finish_reason"].is_string();
@@ -159,7 +180,6 @@
             }
             return outcome;
         }
-        let mut last = began;
         let mut events = SseStream::new(response.into_body());
         while let Some(Ok(event)) = events.next().await {
             outcome.cursor = event.id.or(outcome.cursor);
@@ -172,7 +192,7 @@
                 outcome.take_error(&data);
                 break;
             }
-            outcome.take_chunk(&data, &mut last, began);
+            outcome.take_chunk(&data, began);
             if ask.cut_after.is_some_and(|cut| outcome.tokens.len() >= cut) {
                 break;
             }
@@ -208,6 +228,15 @@
     }
 }
 
+/// Upstream that a cursor names; what a caller can not know, but a measurement can.
+fn upstream_of(cursor: &str) -> u64 {
+    let bytes = BASE64_URL_SAFE_NO_PAD.decode(cursor).unwrap_or_default();
+    let id = bytes.get(UPSTREAM_AT..UPSTREAM_AT + 8);
+    id.map_or(0, |id| {
+        u64::from_le_bytes(id.try_into().expect("eight bytes"))
+    })
+}
+
 /// Milliseconds with their fraction.
 pub fn millis(duration: Duration) -> f64 {
     duration.as_secs_f64() * 1_000.0
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -56,6 +56,16 @@
     }
 }
 
+impl Spent {
+    /// Adds the work of another engine.
+    pub fn add(&mut self, other: &Self) {
+        self.cached += other.cached;
+        self.generated += other.generated;
+        self.prefilled += other.prefilled;
+        self.started += other.started;
+    }
+}
+
 type Opened = Result<mpsc::UnboundedReceiver<Bytes>, Refusal>;
 
 enum Order {
--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -139,13 +139,44 @@
         settings
     }
 
+    /// Starts a fleet whose only instance is a process of its own; its address for callers too.
+    pub async fn start_with_process(plan: &Plan) -> (Self, SocketAddr, process::Process) {
+        let mut fleet = Self::start_members(plan).await;
+        let settings = Self::settings(plan, "entry-1", fleet.platform.address);
+        let address = |name: &str| -> SocketAddr {
+            let text = settings["listen"][name].as_str().unwrap_or_default();
+            text.parse().expect("settings hold addresses")
+        };
+        fleet
+            .lines
+            .push(line("entry-1", "wellplank", address("peers")));
+        fleet.operators.push(address("operators"));
+        let process = process::Process::start(&settings).expect("wellplank is built beside");
+        fleet.publish().await;
+        fleet.apply(Self::declaration()).await;
+        fleet.ready().await;
+        (fleet, address("callers"), process)
+    }
+
     /// Starts a fleet and applies the declaration; returns when it is in force everywhere.
     pub async fn start(plan: &Plan) -> Self {
+        let mut fleet = Self::start_members(plan).await;
+        for number in 1..=plan.instances {
+            fleet.start_instance(plan, &format!("entry-{number}")).await;
+        }
+        fleet.publish().await;
+        fleet.apply(Self::declaration()).await;
+        fleet.ready().await;
+        fleet
+    }
+
+    /// Starts everything but the instances.
+    async fn start_members(plan: &Plan) -> Self {
         let platform = start_platform(plan);
         wait_for(platform.address, "/instances").await;
         let yard = start_yard();
         let engines: Vec<Member> = (1..=plan.engines)
-            .map(|number| start_engine(plan, &format!("runner-{number}")))
+            .map(|number| start_engine(plan, &format!("runner-{number}"), host::free_address()))
             .collect();
         let mut fleet = Self {
             engines,
@@ -163,12 +194,6 @@
         }
         let yard = line(&fleet.yard.name, YARD, fleet.yard.address);
         fleet.lines.push(yard);
-        for number in 1..=plan.instances {
-            fleet.start_instance(plan, &format!("entry-{number}")).await;
-        }
-        fleet.publish().await;
-        fleet.apply(Self::declaration()).await;
-        fleet.ready().await;
         fleet
     }
 
@@ -178,7 +203,7 @@
         let began = Instant::now();
         loop {
             if let Ok(mut client) = wellplank_ctl::Client::connect(&address, OPERATOR_KEY).await
-                && let Ok(reply) = client.apply(declaration.clone(), None, false).await
+                && let Ok(reply) = client.apply(declaration.clone(), None, false, "").await
             {
                 return reply.revision;
             }
@@ -190,6 +215,35 @@
         }
     }
 
+    /// Starts one more instance and puts it on the list.
+    pub async fn add_instance(&mut self, plan: &Plan, name: &str) {
+        self.start_instance(plan, name).await;
+        self.publish().await;
+    }
+
+    /// A client for operators of an instance.
+    pub async fn operator(&self, index: usize) -> wellplank_ctl::Client {
+        let address = self.operators[index].to_string();
+        let client = wellplank_ctl::Client::connect(&address, OPERATOR_KEY).await;
+        client.expect("the instance answers")
+    }
+
+    /// Waits until every instance has a revision in force; the time that took.
+    pub async fn in_force(&self, revision: u64) -> Duration {
+        let began = Instant::now();
+        for index in 0..self.operators.len() {
+            let mut operator = self.operator(index).await;
+            while operator.status().await.map_or(0, |status| status.revision) < revision {
+                assert!(
+                    began.elapsed() < PATIENCE,
+                    "revision {revision} is not in force in time"
+                );
+                sleep(Duration::from_millis(2)).await;
+            }
+        }
+        began.elapsed()
+    }
+
     /// Address of an instance for callers.
     pub fn caller_address(&self, index: usize) -> SocketAddr {
         self.instances[index].address
@@ -229,23 +283,28 @@
         self.publish().await;
     }
 
+    /// Starts an engine that has ended again, empty, at its address.
+    pub fn restart_engine(&mut self, index: usize, plan: &Plan) {
+        let engine = &self.engines[index];
+        self.engines[index] = start_engine(plan, &engine.name, engine.address);
+    }
+
     /// Work of all engines that answer.
     pub async fn spent(&self) -> engine::Spent {
         let mut sum = engine::Spent::default();
-        for engine in &self.engines {
-            let Some(body) = http::get(engine.address, "/control/spent").await else {
-                continue;
-            };
-            let spent: engine::Spent =
-                serde_json::from_value(body["spent"].clone()).unwrap_or_default();
-            sum.cached += spent.cached;
-            sum.generated += spent.generated;
-            sum.prefilled += spent.prefilled;
-            sum.started += spent.started;
+        for index in 0..self.engines.len() {
+            sum.add(&self.spent_by(index).await);
         }
         sum
     }
 
+    /// Work of one engine; none if it does not answer.
+    pub async fn spent_by(&self, index: usize) -> engine::Spent {
+        let body = http::get(self.engines[index].address, "/control/spent").await;
+        let spent = body.map(|body| body["spent"].clone()).unwrap_or_default();
+        serde_json::from_value(spent).unwrap_or_default()
+    }
+
     async fn publish(&self) {
         let lines = json!(self.lines);
         let published = http::post(self.platform.address, "/instances", &lines).await;
@@ -327,8 +386,7 @@
     }
 }
 
-fn start_engine(plan: &Plan, name: &str) -> Member {
-    let address = host::free_address();
+fn start_engine(plan: &Plan, name: &str, address: SocketAddr) -> Member {
     let engine = Engine {
         address,
         ..plan.engine.clone()
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -2,16 +2,23 @@
 //! tests. Not shipped.
 
 pub mod caller;
+pub mod claims;
+pub mod cost;
 pub mod demo;
 pub mod engine;
 pub mod fake;
 pub mod fleet;
 pub mod host;
 pub mod http;
+pub mod load;
 pub mod matrix;
 pub mod plain;
 pub mod platform;
+pub mod process;
 pub mod random;
+pub mod report;
+pub mod resume;
+pub mod routing;
 pub mod stream;
 pub mod token;
 pub mod world;
--- a/crates/standin/src/token.rs
+++ b/crates/standin/src/token.rs
@@ -53,7 +53,21 @@
     None
 }
 
-/// Text of a token.
+/// Text of a token: its digits and the time at which it was generated.
 pub fn text(token: u32) -> String {
-    format!(" {token:08x}")
+    format!(" {token:08x}@{}", micros())
+}
+
+/// Time since the text of a token was made, in milliseconds; `None` if it has no time.
+pub fn delay_ms(text: &str) -> Option<f64> {
+    let (_, stamp) = text.rsplit_once('@')?;
+    let stamp: u64 = stamp.parse().ok()?;
+    Some(micros().saturating_sub(stamp) as f64 / 1_000.0)
+}
+
+/// Microseconds since the Unix epoch.
+fn micros() -> u64 {
+    let epoch = std::time::UNIX_EPOCH;
+    let now = std::time::SystemTime::now().duration_since(epoch);
+    now.unwrap_or_default().as_micros() as u64
 }
--- a/crates/standin/src/world.rs
+++ b/crates/standin/src/world.rs
@@ -545,7 +545,7 @@
             Effect::Finish { caller, .. } | Effect::Reply { caller, .. } => {
                 self.end(caller, End::Whole);
             }
-            Effect::Note { .. } => {}
+            Effect::Leaving(_) | Effect::Note { .. } => {}
             Effect::Probe { address, upstream } => {
                 let index = index_of(address);
                 let alive = match self.upstreams[index].mode {
--- a/crates/standin/tests/callers.rs
+++ b/crates/standin/tests/callers.rs
@@ -240,10 +240,14 @@
         let mut operator = wellplank_ctl::Client::connect(&address, OPERATOR_KEY)
             .await
             .unwrap();
-        let change = operator.apply(Fleet::declaration(), Some(0), false).await;
+        let change = operator
+            .apply(Fleet::declaration(), Some(0), false, "")
+            .await;
         let conflict = matches!(change, Err(wellplank_ctl::Error::Conflict(1)));
         expect_that!(conflict, eq(true));
-        let change = operator.apply(Fleet::declaration(), Some(1), false).await;
+        let change = operator
+            .apply(Fleet::declaration(), Some(1), false, "")
+            .await;
         expect_that!(change.unwrap().revision, eq(2));
     });
 }
--- a/crates/standin/tests/process.rs
+++ b/crates/standin/tests/process.rs
@@ -19,7 +19,7 @@
 };
 
 /// Time that anything may take before the test fails.
-const PATIENCE: Duration = Duration::from_mins(1);
+const PATIENCE: Duration = Duration::from_secs(20);
 
 /// A process that ends with the test.
 struct Process {
@@ -42,10 +42,10 @@
         assert!(sent.unwrap().success());
     }
 
-    fn spawn(program: &str, arguments: &[&str], address: SocketAddr) -> Self {
+    fn spawn(program: &str, arguments: &[&str], address: SocketAddr, log: Stdio) -> Self {
         let child = Command::new(program)
             .args(arguments)
-            .stderr(Stdio::null())
+            .stderr(log)
             .stdout(Stdio::null())
             .spawn()
             .unwrap();
@@ -59,6 +59,7 @@
             env!("CARGO_BIN_EXE_standin"),
             &[kind, "--listen", &listen],
             address,
+            Stdio::null(),
         )
     }
 }
@@ -188,7 +189,11 @@
             {
                 return;
             }
-            assert!(began.elapsed() < PATIENCE, "instance {index} is not ready");
+            if began.elapsed() > PATIENCE {
+                let log = self.folder.join(format!("entry-{index}.log"));
+                let log = std::fs::read_to_string(log).unwrap();
+                panic!("instance {index} is not ready: {log}");
+            }
             tokio::time::sleep(Duration::from_millis(20)).await;
         }
     }
@@ -203,7 +208,9 @@
             .unwrap()
             .parse()
             .unwrap();
-        let process = Process::spawn(&binary("wellplank"), &["run", "--settings", &file], address);
+        let log = std::fs::File::create(self.folder.join(format!("{name}.log"))).unwrap();
+        let arguments = ["run", "--settings", &file];
+        let process = Process::spawn(&binary("wellplank"), &arguments, address, log.into());
         self.instances.push(process);
         let operators = settings["listen"]["operators"].as_str().unwrap();
         self.operators.push(operators.parse().unwrap());
@@ -429,3 +436,52 @@
         expect_that!(runs.as_array().unwrap().len(), eq(1));
     });
 }
+
+#[gtest]
+fn frozen_instance_wakes_to_the_newest_configuration() {
+    run(async {
+        let fleet = Processes::start(json!({})).await;
+        let operator = async |index: usize| {
+            let address = fleet.operators[index].to_string();
+            wellplank_ctl::Client::connect(&address, OPERATOR_KEY)
+                .await
+                .unwrap()
+        };
+        let mut awake = operator(0).await;
+        let before = awake.status().await.unwrap().revision;
+        fleet.instances[1].signal("-STOP");
+        for note in ["one", "two", "three"] {
+            awake
+                .apply(Fleet::declaration(), None, false, note)
+                .await
+                .unwrap();
+        }
+        fleet.instances[1].signal("-CONT");
+        let mut woken = operator(1).await;
+        let began = Instant::now();
+        let mut last = 0;
+        while last < before + 3 {
+            let revision = woken.status().await.unwrap().revision;
+            assert!(revision >= last, "revision {revision} after {last}");
+            last = revision;
+            assert!(began.elapsed() < PATIENCE, "still at revision {last}");
+        }
+    });
+}
+
+#[gtest]
+fn drained_instance_leaves_when_its_answers_are_whole() {
+    run(async {
+        let mut fleet = Processes::start(json!({})).await;
+        let ask = summary(200);
+        let answer = fleet.stream(&ask);
+        fleet.busy().await;
+        let address = fleet.operators[0].to_string();
+        let drained = Command::new(binary("wellplankctl"))
+            .args(["--address", &address, "--key", OPERATOR_KEY, "drain"])
+            .status();
+        expect_that!(drained.unwrap().success(), eq(true));
+        expect_that!(ask.is_whole(&answer.await.unwrap().tokens), eq(true));
+        expect_that!(fleet.instances[0].child.wait().unwrap().success(), eq(true));
+    });
+}
--- a/crates/wire/tests/frame.rs
+++ b/crates/wire/tests/frame.rs
@@ -16,6 +16,7 @@
             head: vec![1, 2, 3],
             instance: "entry-1".into(),
             leaving: vec!["runner-2".into()],
+            revision: 7,
         })),
     }
 }
