--- a/crates/standin/src/report.rs
+++ b/crates/standin/src/report.rs
@@ -52,14 +52,18 @@
         }
     }
 
+    /// Adds one quantile of values in milliseconds.
+    #[must_use]
+    pub fn quantile(self, name: &str, values_ms: &[f64], quantile: f64) -> Self {
+        let value = histogram(values_ms).value_at_quantile(quantile) as f64 / PER_MS;
+        let percent = quantile * 100.0;
+        self.figure(format!("{name} p{percent:.0} ms"), value)
+    }
+
     /// Adds count, median, high percentiles and maximum of values in milliseconds.
     #[must_use]
     pub fn percentiles(self, name: &str, values_ms: &[f64]) -> Self {
-        let mut histogram = Histogram::<u64>::new(3).expect("three digits are allowed");
-        for value in values_ms {
-            let recorded = histogram.record((value * PER_MS) as u64);
-            recorded.expect("the histogram grows");
-        }
+        let histogram = histogram(values_ms);
         let at = |quantile| histogram.value_at_quantile(quantile) as f64 / PER_MS;
         self.figure(format!("{name} n"), values_ms.len() as f64)
             .figure(format!("{name} p50 ms"), at(0.5))
@@ -114,6 +118,15 @@
     }
 }
 
+fn histogram(values_ms: &[f64]) -> Histogram<u64> {
+    let mut histogram = Histogram::new(3).expect("three digits are allowed");
+    for value in values_ms {
+        let recorded = histogram.record((value * PER_MS) as u64);
+        recorded.expect("the histogram grows");
+    }
+    histogram
+}
+
 /// Slope and offset of the line through points by least squares.
 pub fn line(points: &[(f64, f64)]) -> (f64, f64) {
     let count = points.len() as f64;
--- a/crates/standin/src/routing.rs
+++ b/crates/standin/src/routing.rs
@@ -122,6 +122,8 @@
     pub most_running: u32,
     /// Requests refused.
     pub refused: usize,
+    /// Times from asking to being refused, in milliseconds.
+    pub refusal_ms: Vec<f64>,
     /// Retries, resumes and hedges.
     pub moved: u64,
     /// Tokens of whole answers, by customer.
@@ -409,6 +411,8 @@
                 self.running[asked.customer] -= 1;
                 if self.measuring && asked.tokens == 0 {
                     self.outcome.refused += 1;
+                    let waited = self.now.since(asked.at) as f64;
+                    self.outcome.refusal_ms.push(waited);
                 } else if self.measuring {
                     self.outcome.failed += 1;
                 }
@@ -734,18 +738,19 @@
     let lookups = outcome.cache.0 + outcome.cache.1;
     let requests = outcome.requests.max(1) as f64;
     Row::new(name)
-        .percentiles("first", &outcome.first_ms)
-        .percentiles("short whole", &outcome.short_ms)
-        .percentiles("between", &outcome.between_ms)
-        .figure(
-            "work % of capacity",
-            100.0 * outcome.delivered as f64 / capacity,
-        )
+        .quantile("first", &outcome.first_ms, 0.5)
+        .quantile("first", &outcome.first_ms, 0.95)
+        .quantile("first", &outcome.first_ms, 0.99)
+        .quantile("short", &outcome.short_ms, 0.99)
+        .quantile("between", &outcome.between_ms, 0.95)
+        .quantile("between", &outcome.between_ms, 1.0)
+        .figure("work %", 100.0 * outcome.delivered as f64 / capacity)
         .figure("refused %", 100.0 * outcome.refused as f64 / requests)
+        .quantile("refusal", &outcome.refusal_ms, 0.99)
         .figure("failed %", 100.0 * outcome.failed as f64 / requests)
-        .figure("moved per request", outcome.moved as f64 / requests)
+        .figure("moved/request", outcome.moved as f64 / requests)
         .figure(
-            "cache hits %",
+            "hits %",
             100.0 * outcome.cache.0 as f64 / lookups.max(1) as f64,
         )
         .figure("Jain", jain(&outcome.tokens))
@@ -808,7 +813,9 @@
                 ..Scene::new(routing, 0.9)
             });
             let row = Row::new(format!("{name}, {text}"))
-                .percentiles("others' first", &outcome.first_others_ms)
+                .quantile("others' first", &outcome.first_others_ms, 0.5)
+                .quantile("others' first", &outcome.first_others_ms, 0.95)
+                .quantile("others' first", &outcome.first_others_ms, 0.99)
                 .figure("flood's tokens", outcome.tokens[0])
                 .figure(
                     "others' tokens",
