Routing: prompts with one start go to the few upstreams that it ranks first

Cause: own sends say nothing of a small cache: after a while an instance had sent every start to every upstream and believed them all to hold it.

--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -129,7 +129,7 @@
         let found = self
             .upstreams
             .iter()
-            .find(|(_, other)| other.id() == upstream && other.health != Health::Lost)
+            .find(|(_, other)| other.id == upstream && other.health != Health::Lost)
             .map(|(key, _)| key);
         let Some(upstream) = found else {
             return false;
@@ -189,9 +189,6 @@
         }
         upstream.attempts.push(attempt);
         upstream.since_report += 1;
-        if let Work::Generate { prefix, .. } = request.work {
-            upstream.note_prefix(prefix, self.now);
-        }
         attempt
     }
 
@@ -249,7 +246,7 @@
         let request = &mut self.requests[key];
         let continues = request.may_have_run && !request.service.repeatable;
         if request.claim.is_none() && continues {
-            let id = self.upstreams[upstream].id();
+            let id = self.upstreams[upstream].id;
             request.claim = Claim::continuation(request.generation, request.number, id, nonce);
         }
         if let Some(claim) = request.claim {
--- a/crates/core/src/route.rs
+++ b/crates/core/src/route.rs
@@ -6,7 +6,10 @@
 const RESUME_OVERLOAD: f64 = 1.25;
 
 /// Load over its slots beyond which an upstream is not chosen for its cache alone.
-const PREFIX_LOAD: f64 = 0.7;
+const PREFIX_LOAD: f64 = 0.85;
+
+/// Upstreams tried for their cache before others are.
+const PREFIX_UPSTREAMS: usize = 2;
 
 impl Core {
     /// The upstream for a request; `None` if it must wait.
@@ -60,16 +63,19 @@
         keys.last().copied()
     }
 
-    /// The least loaded of those believed to hold the prompt's start, if one has room to spare.
+    /// The first of those that the prompt's start ranks highest which has room to spare. Every
+    /// instance ranks alike, so a start is computed by few upstreams and found there by all.
     fn by_prefix(&self, key: request::Key, keys: &[upstream::Key]) -> Option<upstream::Key> {
         let Work::Generate { prefix, .. } = self.requests[key].work else {
             return None;
         };
-        keys.iter()
-            .copied()
-            .filter(|key| self.upstreams[*key].holds_prefix(prefix, self.now))
-            .filter(|key| self.filled(*key) < PREFIX_LOAD)
-            .min_by(|one, other| self.filled(*one).total_cmp(&self.filled(*other)))
+        let rank = |key: &upstream::Key| prefix_rank(prefix, self.upstreams[*key].id);
+        let mut ranked = keys.to_vec();
+        ranked.sort_unstable_by_key(rank);
+        ranked
+            .into_iter()
+            .take(PREFIX_UPSTREAMS)
+            .find(|key| self.filled(*key) < PREFIX_LOAD)
     }
 
     /// Upstreams that may be sent this request: live, not tried by it now, and with room.
@@ -128,3 +134,9 @@
         }
     }
 }
+
+/// Rank of an upstream for a prompt's start, by rendezvous hashing; the lowest is first.
+fn prefix_rank(prefix: u64, upstream: u64) -> u64 {
+    let mixed = (prefix ^ upstream.rotate_left(32)).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    (mixed ^ (mixed >> 29)).wrapping_mul(0xbf58_476d_1ce4_e5b9)
+}
--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -8,7 +8,7 @@
     Headroom,
     /// The least load in the last report, without regard to room.
     LeastReported,
-    /// One that was sent the same prompt's start lately, if it has room to spare; else two choices.
+    /// One of the few that the prompt's start ranks first, if it has room to spare; else two choices.
     Prefix,
     /// At random, without regard to room.
     Random,
--- a/crates/core/src/upstream.rs
+++ b/crates/core/src/upstream.rs
@@ -48,14 +48,14 @@
     pub leaving: bool,
     /// Until when an earlier word that it is leaving counts, though the list says otherwise.
     pub leaving_until: Time,
+    /// Hash of the name, as cursors carry it.
+    pub id: u64,
     /// Last load report.
     pub load: Load,
     /// Unique name in the platform's list.
     pub name: Arc<str>,
     /// Pool in the platform's list.
     pub pool: Arc<str>,
-    /// Starts of prompts sent there by this instance, and when last.
-    pub prefixes: HashMap<u64, Time>,
     /// Time at which the last probe was sent, while it is not answered.
     pub probing: Option<Time>,
     /// Time of the next probe.
@@ -91,42 +91,12 @@
         self.leaving || now < self.leaving_until
     }
 
-    /// Hash of the name, as cursors carry it.
-    pub fn id(&self) -> u64 {
-        id(&self.name)
-    }
-
     /// Requests it takes at once.
     pub fn slots(&self) -> u32 {
         self.load.slots.max(1)
     }
 }
 
-/// Starts of prompts remembered for one upstream, at most.
-const PREFIXES: usize = 512;
-
-/// Time after which a prompt's start is believed to have left the upstream's cache, in milliseconds.
-const PREFIX_AGE_MS: u64 = 120_000;
-
-impl Upstream {
-    /// Whether the start of a prompt is believed to be in its cache.
-    pub fn holds_prefix(&self, prefix: u64, now: Time) -> bool {
-        let sent = self.prefixes.get(&prefix);
-        sent.is_some_and(|sent| now.since(*sent) < PREFIX_AGE_MS)
-    }
-
-    /// Notes that a prompt was sent there; when too many are known, the oldest half is forgotten.
-    pub fn note_prefix(&mut self, prefix: u64, now: Time) {
-        self.prefixes.insert(prefix, now);
-        if self.prefixes.len() > PREFIXES {
-            let mut times: Vec<Time> = self.prefixes.values().copied().collect();
-            times.sort_unstable();
-            let middle = times[times.len() / 2];
-            self.prefixes.retain(|_, sent| *sent >= middle);
-        }
-    }
-}
-
 /// Hash of an upstream's name, as cursors carry it.
 pub fn id(name: &str) -> u64 {
     let mut bytes = [0; 8];
--- a/crates/standin/src/routing.rs
+++ b/crates/standin/src/routing.rs
@@ -369,7 +369,8 @@
             cursor: None,
             customer: format!("customer-{customer}"),
             fingerprint: self.next,
-            generation: u128::from(self.next),
+            // The runner reads the prompt's start off the generation.
+            generation: u128::from(self.next * PREFIXES + prefix),
             key: None,
             received: None,
             service: KINDS[kind].service.into(),
