Routing: what an instance did in the age of a load report counts beside it

Cause: a report that is 300 ms old when it arrives does not hold the starts of those 300 ms, yet it reset their count.

--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -188,7 +188,7 @@
             upstream.heard = self.now;
         }
         upstream.attempts.push(attempt);
-        upstream.since_report += 1;
+        upstream.change(1, self.now);
         attempt
     }
 
--- a/crates/core/src/failure.rs
+++ b/crates/core/src/failure.rs
@@ -74,7 +74,7 @@
         }
         if let Some(upstream) = self.upstreams.get_mut(attempt.upstream) {
             upstream.attempts.retain(|other| *other != key);
-            upstream.since_report -= 1;
+            upstream.change(-1, self.now);
         }
         Some(attempt)
     }
--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -68,6 +68,8 @@
     pub queue_max: usize,
     /// How an upstream is chosen.
     pub routing: Routing,
+    /// Age that the content of a load report has when it arrives.
+    pub report_lag_ms: u64,
     /// Share of an upstream's slots that only resumed work may use.
     pub resume_reserve: f64,
     /// Permits for a retry that each admitted request earns.
@@ -99,6 +101,7 @@
             probe_ms: 1_000,
             probe_timeout_ms: 400,
             queue_max: 1_000,
+            report_lag_ms: 300,
             resume_reserve: 0.1,
             routing: Routing::Prefix,
             retry_earn: 0.1,
--- a/crates/core/src/upstream.rs
+++ b/crates/core/src/upstream.rs
@@ -31,6 +31,15 @@
     pub waiting: u32,
 }
 
+/// A start or end of an attempt, or slots taken out of belief after a refusal.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Change {
+    /// When it was.
+    pub at: Time,
+    /// What it adds to the work believed to be there.
+    pub difference: i64,
+}
+
 /// One upstream.
 #[derive(Clone, Debug)]
 pub struct Upstream {
@@ -60,8 +69,8 @@
     pub probing: Option<Time>,
     /// Time of the next probe.
     pub probe_at: Time,
-    /// Starts less ends of this instance since the last load report.
-    pub since_report: i64,
+    /// Starts and ends of this instance that the last load report may not hold, oldest first.
+    pub recent: VecDeque<Change>,
 }
 
 impl Upstream {
@@ -69,7 +78,8 @@
     ///
     /// The anchor and local count follow the `RouteGrail` paper.
     pub fn believed(&self) -> u32 {
-        let reported = i64::from(self.load.running + self.load.waiting) + self.since_report;
+        let recent: i64 = self.recent.iter().map(|change| change.difference).sum();
+        let reported = i64::from(self.load.running + self.load.waiting) + recent;
         (reported.max(0) as u32).max(self.attempts.len() as u32)
     }
 
@@ -81,6 +91,21 @@
         }
     }
 
+    /// Takes in a load report whose content is `lag` milliseconds old; what this instance did
+    /// before that is in it.
+    pub fn report(&mut self, load: Load, now: Time, lag: u64) {
+        self.load = load;
+        self.recent.retain(|change| now.since(change.at) < lag);
+    }
+
+    /// Notes a start or an end.
+    pub fn change(&mut self, difference: i64, now: Time) {
+        self.recent.push_back(Change {
+            at: now,
+            difference,
+        });
+    }
+
     /// Whether it may be given new work.
     pub fn takes_work(&self, now: Time) -> bool {
         self.health == Health::Live && !self.leaves(now)
--- a/crates/core/src/watch.rs
+++ b/crates/core/src/watch.rs
@@ -86,7 +86,7 @@
             return;
         };
         let missing = i64::from(upstream.slots()) - i64::from(upstream.believed());
-        upstream.since_report += missing.max(0);
+        upstream.change(missing.max(0), self.now);
         upstream.probe_at = self.now;
     }
 
@@ -95,8 +95,7 @@
         let Some(upstream) = self.upstreams.get_mut(key) else {
             return;
         };
-        upstream.load = load;
-        upstream.since_report = 0;
+        upstream.report(load, self.now, self.settings.report_lag_ms);
         if load.leaving {
             self.leave(key);
             return;
@@ -163,7 +162,7 @@
             pool: pool.clone(),
             probe_at: self.now,
             probing: None,
-            since_report: 0,
+            recent: VecDeque::new(),
         });
         self.names.insert(name, key);
         self.pools.entry(pool).or_default().upstreams.push(key);
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -105,6 +105,7 @@
                 "probe_ms": core.probe_ms,
                 "probe_timeout_ms": core.probe_timeout_ms,
                 "queue_max": core.queue_max,
+                "report_lag_ms": core.report_lag_ms,
                 "resume_reserve": core.resume_reserve,
                 "retry_earn": core.retry_earn,
                 "routing": "prefix",
@@ -163,6 +164,7 @@
         let pause_ms = millis("pause_ms", default.pause_ms);
         let probe_ms = millis("probe_ms", default.probe_ms);
         let probe_timeout_ms = millis("probe_timeout_ms", default.probe_timeout_ms);
+        let report_lag_ms = millis("report_lag_ms", default.report_lag_ms);
         let stall_loss_ms = millis("stall_loss_ms", default.stall_loss_ms);
         let stall_max_ms = millis("stall_max_ms", default.stall_max_ms);
         let stall_min_ms = millis("stall_min_ms", default.stall_min_ms);
@@ -194,6 +196,7 @@
             probe_ms,
             probe_timeout_ms,
             queue_max: reader.number("queue_max", default.queue_max as u64, 1..=1_000_000) as usize,
+            report_lag_ms,
             resume_reserve: reader.share("resume_reserve", default.resume_reserve),
             retry_earn: reader.share("retry_earn", default.retry_earn),
             routing: Self::read_routing(&mut reader),
