Routing: the cache is worth a full upstream, and no slots idle for resumes

The reserve idled slots and bought nothing, since resumed work may overfill by a quarter and engines honour priorities.

--- a/crates/core/src/route.rs
+++ b/crates/core/src/route.rs
@@ -6,7 +6,7 @@
 const RESUME_OVERLOAD: f64 = 1.25;
 
 /// Load over its slots beyond which an upstream is not chosen for its cache alone.
-const PREFIX_LOAD: f64 = 0.85;
+const PREFIX_LOAD: f64 = 1.0;
 
 /// Upstreams tried for their cache before others are.
 const PREFIX_UPSTREAMS: usize = 2;
@@ -14,6 +14,11 @@
 impl Core {
     /// The upstream for a request; `None` if it must wait.
     pub(crate) fn choose(&mut self, key: request::Key, resume: bool) -> Option<upstream::Key> {
+        if self.settings.routing == Routing::Prefix
+            && let Some(upstream) = self.by_prefix(key)
+        {
+            return Some(upstream);
+        }
         let mut candidates = self.candidates(key, resume);
         let avoid = self.requests[key].avoid;
         if candidates.len() > 1 {
@@ -25,15 +30,12 @@
         match self.settings.routing {
             Routing::Headroom => self.by_headroom(&candidates),
             Routing::LeastReported => self.least_reported(&candidates),
-            Routing::Prefix => self
-                .by_prefix(key, &candidates)
-                .or_else(|| Some(self.of_two(&candidates))),
             Routing::Random => Some(self.any(&candidates)),
             Routing::RoundRobin => {
                 self.rotation += 1;
                 Some(candidates[self.rotation % candidates.len()])
             }
-            Routing::TwoChoices => Some(self.of_two(&candidates)),
+            Routing::Prefix | Routing::TwoChoices => Some(self.of_two(&candidates)),
         }
     }
 
@@ -65,35 +67,21 @@
 
     /// The first of those that the prompt's start ranks highest which has room to spare. Every
     /// instance ranks alike, so a start is computed by few upstreams and found there by all.
-    fn by_prefix(&self, key: request::Key, keys: &[upstream::Key]) -> Option<upstream::Key> {
+    fn by_prefix(&self, key: request::Key) -> Option<upstream::Key> {
         let Work::Generate { prefix, .. } = self.requests[key].work else {
             return None;
         };
-        let rank = |key: &upstream::Key| prefix_rank(prefix, self.upstreams[*key].id);
-        let mut ranked = keys.to_vec();
-        ranked.sort_unstable_by_key(rank);
+        let mut ranked = self.usable(key);
+        ranked.sort_unstable_by_key(|key| prefix_rank(prefix, self.upstreams[*key].id));
         ranked
             .into_iter()
             .take(PREFIX_UPSTREAMS)
             .find(|key| self.filled(*key) < PREFIX_LOAD)
     }
 
-    /// Upstreams that may be sent this request: live, not tried by it now, and with room.
+    /// Upstreams that may be sent this request: usable, and with room if the way knows room.
     fn candidates(&self, key: request::Key, resume: bool) -> Vec<upstream::Key> {
-        let request = &self.requests[key];
-        let Some(pool) = self.pools.get(request.service.pool()) else {
-            return Vec::new();
-        };
-        let tried = |key: &upstream::Key| {
-            let mut attempts = request.attempts.iter();
-            attempts.any(|attempt| self.attempts[*attempt].upstream == *key)
-        };
-        let usable: Vec<upstream::Key> = pool
-            .upstreams
-            .iter()
-            .copied()
-            .filter(|key| self.upstreams[*key].takes_work(self.now) && !tried(key))
-            .collect();
+        let usable = self.usable(key);
         if !self.settings.routing.knows_room() {
             return usable;
         }
@@ -133,6 +121,23 @@
             first
         }
     }
+
+    /// Upstreams of a request's pool that take work and do not have it already.
+    fn usable(&self, key: request::Key) -> Vec<upstream::Key> {
+        let request = &self.requests[key];
+        let Some(pool) = self.pools.get(request.service.pool()) else {
+            return Vec::new();
+        };
+        let tried = |key: &upstream::Key| {
+            let mut attempts = request.attempts.iter();
+            attempts.any(|attempt| self.attempts[*attempt].upstream == *key)
+        };
+        pool.upstreams
+            .iter()
+            .copied()
+            .filter(|key| self.upstreams[*key].takes_work(self.now) && !tried(key))
+            .collect()
+    }
 }
 
 /// Rank of an upstream for a prompt's start, by rendezvous hashing; the lowest is first.
--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -102,7 +102,7 @@
             probe_timeout_ms: 400,
             queue_max: 1_000,
             report_lag_ms: 300,
-            resume_reserve: 0.1,
+            resume_reserve: 0.0,
             routing: Routing::Prefix,
             retry_earn: 0.1,
             stall_loss_ms: 2_000,
