Refusals come at once: waits are expected by the rate at which a priority is served

Cause: the expected wait took the time of requests, waiting included, and all slots, though urgent work takes them first; background work was accepted and refused 20 s later.

Change: the wait is what is ahead over the rate at which that priority was sent lately, durations count from sending, and a request is accepted only if it would wait half of what it may.

Also: control traffic of an instance is counted (control.bytes, .messages).

--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -5,6 +5,10 @@
 /// Bounds of the time after which a refused caller is asked to come back; milliseconds.
 const RETRY_AFTER: std::ops::RangeInclusive<u64> = 200..=60_000;
 
+/// Part of the longest wait that a request is accepted with; an estimate that is wrong by less than
+/// the rest leads to no late refusal.
+const WAIT_MARGIN: f64 = 0.5;
+
 /// A refusal before anything was sent.
 struct Refusal {
     kind: Kind,
@@ -48,8 +52,13 @@
     }
 
     /// When a caller refused for want of room in a pool is asked to come back.
-    pub(crate) fn retry_after(&mut self, pool: &str) -> u64 {
-        let wait = self.expected_wait(pool, Priority::Background);
+    pub(crate) fn retry_after(
+        &mut self,
+        pool: &str,
+        priority: Priority,
+        customer: &config::Customer,
+    ) -> u64 {
+        let wait = self.expected_wait(pool, priority, customer);
         let jitter = self.rng.random_range(0.8..1.2);
         let wait = (wait as f64 * jitter) as u64;
         wait.clamp(*RETRY_AFTER.start(), *RETRY_AFTER.end())
@@ -119,12 +128,12 @@
             .map_or(0, |pool| pool.queue.len());
         let bytes = submission.work.bytes() + 4 * u64::from(submission.work.max_tokens());
         let full = self.held + bytes > self.settings.held_bytes_max;
-        let late =
-            !resumed && self.expected_wait(service.pool(), service.priority) > service.max_wait_ms;
+        let wait = self.expected_wait(service.pool(), service.priority, customer);
+        let late = !resumed && wait as f64 > WAIT_MARGIN * service.max_wait_ms as f64;
         if full || late || queued >= self.settings.queue_max {
             return Err(Refusal {
                 kind: Kind::Overloaded,
-                retry_after_ms: Some(self.retry_after(service.pool())),
+                retry_after_ms: Some(self.retry_after(service.pool(), service.priority, customer)),
             });
         }
         Ok(())
@@ -148,8 +157,9 @@
         }
     }
 
-    /// Expected time until a new request of `priority` would be sent, in milliseconds.
-    fn expected_wait(&self, pool: &str, priority: Priority) -> u64 {
+    /// Expected time until a new request would be sent, in milliseconds: by the rate at which its
+    /// priority was served lately, else by the time that requests take and the slots there are.
+    fn expected_wait(&self, pool: &str, priority: Priority, customer: &config::Customer) -> u64 {
         let Some(pool) = self.pools.get(pool) else {
             return 0;
         };
@@ -157,6 +167,9 @@
         if ahead == 0 {
             return 0;
         }
+        if let Some(wait) = pool.queue.expected_wait(priority, customer, self.now) {
+            return wait;
+        }
         let slots: u32 = pool
             .upstreams
             .iter()
@@ -216,7 +229,6 @@
             return Err(Kind::BadCursor);
         }
         Ok(Request {
-            accepted: self.now,
             attach: cursor,
             attempts: Vec::new(),
             avoid: None,
@@ -233,6 +245,7 @@
             may_have_run: cursor.is_some(),
             number: cursor.map_or(0, |cursor| cursor.attempt),
             send_by: self.now.after(service.max_wait_ms),
+            sent: None,
             service,
             skip: cursor.map_or(0, |cursor| cursor.position),
             skip_digest: cursor.map_or_else(Digest::default, |cursor| cursor.digest),
--- a/crates/core/src/core.rs
+++ b/crates/core/src/core.rs
@@ -205,8 +205,8 @@
                 pool.queue
                     .remove(request.service.priority, &request.customer, key);
             }
-            if request.number > 0 {
-                let duration = self.now.since(request.accepted) as f64;
+            if let Some(sent) = request.sent {
+                let duration = self.now.since(sent) as f64;
                 pool.duration += DURATION_GAIN * (duration - pool.duration);
             }
         }
--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -16,7 +16,7 @@
             request.send_by = self.now.after(request.service.max_wait_ms);
             queue.push_resume(key);
         } else {
-            queue.push(request.service.priority, &request.customer, key);
+            queue.push(request.service.priority, &request.customer, key, self.now);
         }
         self.pump(&pool);
     }
@@ -35,7 +35,7 @@
             };
             let key = waiting.request;
             if let Some(pool) = self.pools.get_mut(name) {
-                pool.queue.pop();
+                pool.queue.pop(self.now);
             }
             self.start(key, upstream);
         }
@@ -213,6 +213,7 @@
         }
         self.attempts[key].sent = true;
         self.attempts[key].last = self.now;
+        self.requests[owner].sent.get_or_insert(self.now);
         let upstream = self.attempts[key].upstream;
         let note = self.noted(&self.requests[owner], effect::What::Sent, Some(upstream));
         self.effects.push(note);
--- a/crates/core/src/failure.rs
+++ b/crates/core/src/failure.rs
@@ -96,7 +96,10 @@
         };
         self.note(&request, effect::What::Failed(kind), None);
         let pool = request.service.pool();
-        let retry_after_ms = kind.answer().retry.then(|| self.retry_after(pool));
+        let retry_after_ms = kind
+            .answer()
+            .retry
+            .then(|| self.retry_after(pool, request.service.priority, &request.customer));
         self.refuse(request.caller, kind, retry_after_ms);
         self.pump(pool);
     }
--- a/crates/core/src/queue.rs
+++ b/crates/core/src/queue.rs
@@ -18,9 +18,25 @@
     customers: BTreeMap<String, VecDeque<Entry>>,
     finishes: HashMap<String, u64>,
     length: usize,
+    /// When requests of this class were last sent, oldest first.
+    sent: VecDeque<Time>,
     virtual_time: u64,
+    /// Since when some request has waited without a break.
+    waiting_since: Option<Time>,
 }
 
+/// Sendings that the rate of a class is taken from, at most.
+const SENDINGS: usize = 1_024;
+
+/// Sendings that a class without any is believed to have had.
+const SENDINGS_LEAST: f64 = 0.5;
+
+/// Time that a class must have had waiting work for its rate to say something, in milliseconds.
+const BACKLOG_MS: u64 = 1_000;
+
+/// Time after which a sending no longer counts for the rate, in milliseconds.
+const SENDING_AGE_MS: u64 = 5_000;
+
 /// The request to send next.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Waiting {
@@ -52,7 +68,36 @@
         entries.front().map(|entry| entry.request)
     }
 
-    fn pop(&mut self) -> Option<request::Key> {
+    /// Requests that would be sent before a new one of a customer.
+    fn ahead(&self, customer: &config::Customer) -> usize {
+        let finish = self.finish(customer);
+        let waiting = self.customers.values().flatten();
+        waiting.filter(|entry| entry.finish <= finish).count()
+    }
+
+    /// Virtual time at which a new request of a customer would end.
+    fn finish(&self, customer: &config::Customer) -> u64 {
+        let last = self.finishes.get(&customer.name).copied().unwrap_or(0);
+        last.max(self.virtual_time) + UNIT / u64::from(customer.weight.max(1))
+    }
+
+    /// Requests sent a second lately, while some waited; `None` if none has waited for long.
+    fn rate(&self, now: Time) -> Option<f64> {
+        let waited = now.since(self.waiting_since?);
+        if waited < BACKLOG_MS {
+            return None;
+        }
+        let window = waited.min(SENDING_AGE_MS);
+        let recent = self.sent.iter().filter(|sent| now.since(**sent) < window);
+        let count = (recent.count() as f64).max(SENDINGS_LEAST);
+        Some(count / window as f64 * 1_000.0)
+    }
+
+    fn pop(&mut self, now: Time) -> Option<request::Key> {
+        self.sent.push_back(now);
+        if self.sent.len() > SENDINGS {
+            self.sent.pop_front();
+        }
         let name = self.next()?.to_owned();
         let entries = self.customers.get_mut(&name)?;
         let entry = entries.pop_front()?;
@@ -64,13 +109,14 @@
         if self.length == 0 {
             self.finishes.clear();
             self.virtual_time = 0;
+            self.waiting_since = None;
         }
         Some(entry.request)
     }
 
-    fn push(&mut self, customer: &config::Customer, request: request::Key) {
-        let last = self.finishes.get(&customer.name).copied().unwrap_or(0);
-        let finish = last.max(self.virtual_time) + UNIT / u64::from(customer.weight.max(1));
+    fn push(&mut self, customer: &config::Customer, request: request::Key, now: Time) {
+        self.waiting_since.get_or_insert(now);
+        let finish = self.finish(customer);
         self.finishes.insert(customer.name.clone(), finish);
         self.customers
             .entry(customer.name.clone())
@@ -89,6 +135,9 @@
         if entries.is_empty() {
             self.customers.remove(customer);
         }
+        if self.length == 0 {
+            self.waiting_since = None;
+        }
     }
 }
 
@@ -129,18 +178,39 @@
     }
 
     /// Takes the request to send next.
-    pub fn pop(&mut self) -> Option<request::Key> {
-        self.resumes
-            .pop_front()
-            .or_else(|| self.classes.values_mut().find_map(Class::pop))
+    pub fn pop(&mut self, now: Time) -> Option<request::Key> {
+        if let Some(request) = self.resumes.pop_front() {
+            return Some(request);
+        }
+        let class = self.classes.values_mut().find(|class| class.length > 0);
+        class.and_then(|class| class.pop(now))
+    }
+
+    /// Time in milliseconds until a new request of a customer would be sent, by the rate at which
+    /// its priority was served lately; `None` if too little was served to say.
+    pub fn expected_wait(
+        &self,
+        priority: Priority,
+        customer: &config::Customer,
+        now: Time,
+    ) -> Option<u64> {
+        let class = self.classes.get(&priority)?;
+        let ahead = class.ahead(customer) + self.resumes.len() + 1;
+        Some((ahead as f64 / class.rate(now)? * 1_000.0) as u64)
     }
 
     /// Adds new work.
-    pub fn push(&mut self, priority: Priority, customer: &config::Customer, request: request::Key) {
+    pub fn push(
+        &mut self,
+        priority: Priority,
+        customer: &config::Customer,
+        request: request::Key,
+        now: Time,
+    ) {
         self.classes
             .entry(priority)
             .or_default()
-            .push(customer, request);
+            .push(customer, request, now);
     }
 
     /// Takes out a request that no longer waits.
--- a/crates/core/src/request.rs
+++ b/crates/core/src/request.rs
@@ -100,8 +100,6 @@
     pub held: u64,
     /// Identity of the generation.
     pub generation: u128,
-    /// Time of acceptance.
-    pub accepted: Time,
     /// The cursor to re-attach with, until that was tried.
     pub attach: Option<Cursor>,
     /// Whether an upstream may have run it.
@@ -114,6 +112,8 @@
     pub skip: u32,
     /// Digest that `delivered` must have at `skip`.
     pub skip_digest: Digest,
+    /// Time at which it was first sent.
+    pub sent: Option<Time>,
     /// Service asked for.
     pub service: Arc<config::Service>,
     /// Where it stands.
--- a/crates/node/src/driver.rs
+++ b/crates/node/src/driver.rs
@@ -59,6 +59,8 @@
     leaving: watch::Sender<Leaving>,
     meter: meter::Meter,
     pooled: Http,
+    probes: Http,
+    traffic: Traffic,
 }
 
 impl Driver {
@@ -90,6 +92,7 @@
         clock: Clock,
         claims: mpsc::UnboundedSender<claimer::Order>,
         leaving: watch::Sender<Leaving>,
+        traffic: Traffic,
     ) -> (Self, JoinHandle<()>) {
         let (sender, receiver) = mpsc::unbounded_channel();
         let driver = Self {
@@ -109,6 +112,8 @@
             leaving,
             meter: meter::Meter::new(settings.metrics),
             pooled: Http::pooled(),
+            probes: Http::control(&traffic),
+            traffic,
         };
         (driver, tokio::spawn(task.run(receiver)))
     }
@@ -231,7 +236,7 @@
                 what,
             ),
             Effect::Probe { address, upstream } => {
-                let probe = probe::run(self.pooled.clone(), self.driver.clone(), upstream, address);
+                let probe = probe::run(self.probes.clone(), self.driver.clone(), upstream, address);
                 tokio::spawn(probe);
             }
             Effect::Reply {
@@ -313,7 +318,12 @@
 
     fn status(&self) -> Snapshot {
         Snapshot {
-            counters: self.meter.counts(),
+            counters: self
+                .meter
+                .counts()
+                .into_iter()
+                .chain(self.traffic.counts())
+                .collect(),
             revision: self.core.revision(),
             running: self.core.running(),
             upstreams: self.core.upstreams().map(upstream_state).collect(),
--- a/crates/node/src/http.rs
+++ b/crates/node/src/http.rs
@@ -20,9 +20,16 @@
     NotSent(String),
 }
 
+/// Bytes of a request's or answer's first line beside its path, and of the headers that the client
+/// adds.
+const HEAD: usize = 60;
+
 /// A client whose requests are never sent twice by itself.
 #[derive(Clone)]
-pub(crate) struct Http(Client<HttpConnector, Body>);
+pub(crate) struct Http {
+    client: Client<HttpConnector, Body>,
+    traffic: Option<Traffic>,
+}
 
 impl Display for Error {
     fn fmt(&self, formatter: &mut Formatter) -> fmt::Result {
@@ -39,13 +46,24 @@
         Self::build(0)
     }
 
+    /// A client that keeps connections and counts what it sends and receives.
+    pub fn control(traffic: &Traffic) -> Self {
+        Self {
+            traffic: Some(traffic.clone()),
+            ..Self::pooled()
+        }
+    }
+
     /// Sends a request and reads the whole answer.
     pub async fn exchange(&self, request: Request<Body>) -> Result<(StatusCode, Bytes), Error> {
         let response = self.send(request).await?;
         let status = response.status();
+        let head = HEAD + size(response.headers());
         let body = response.into_body().collect().await;
         let body = body.map_err(|error| Error::Broken(error.to_string()))?;
-        Ok((status, body.to_bytes()))
+        let body = body.to_bytes();
+        self.count(head + body.len());
+        Ok((status, body))
     }
 
     /// A client that keeps connections.
@@ -58,7 +76,10 @@
         &self,
         request: Request<Body>,
     ) -> Result<hyper::Response<hyper::body::Incoming>, Error> {
-        self.0.request(request).await.map_err(|error| {
+        let body = hyper::body::Body::size_hint(request.body()).exact();
+        let path = request.uri().path().len();
+        self.count(HEAD + path + size(request.headers()) + body.unwrap_or(0) as usize);
+        self.client.request(request).await.map_err(|error| {
             if error.is_connect() {
                 Error::NotSent(error.to_string())
             } else {
@@ -76,7 +97,16 @@
             .pool_max_idle_per_host(idle)
             .retry_canceled_requests(false)
             .build(connector);
-        Self(client)
+        Self {
+            client,
+            traffic: None,
+        }
+    }
+
+    fn count(&self, bytes: usize) {
+        if let Some(traffic) = &self.traffic {
+            traffic.count(bytes);
+        }
     }
 }
 
@@ -94,3 +124,10 @@
         .body(Body::default())
         .expect("address and path make a uri")
 }
+
+fn size(headers: &hyper::HeaderMap) -> usize {
+    let size = |(name, value): (&header::HeaderName, &header::HeaderValue)| {
+        name.as_str().len() + value.len() + ": \r\n".len()
+    };
+    headers.iter().map(size).sum()
+}
--- a/crates/node/src/instance.rs
+++ b/crates/node/src/instance.rs
@@ -30,7 +30,8 @@
     pub async fn start(settings: Settings) -> Result<Self, Error> {
         let clock = Clock::new();
         let patience = Duration::from_millis(settings.store_timeout_ms);
-        let store = Store::new(settings.platform.store, patience);
+        let traffic = Traffic::default();
+        let store = Store::new(settings.platform.store, patience, &traffic);
         let (claims, claim_orders) = mpsc::unbounded_channel();
         let (orders, revision_orders) = mpsc::unbounded_channel();
         let (held, held_here) = watch::channel(revision::Held::default());
@@ -46,7 +47,8 @@
             .map_err(|error| Error::Bind(settings.listen.callers, std::io::Error::other(error)))?;
 
         let (leaving, leaving_here) = watch::channel(driver::Leaving::new());
-        let (driver, core) = Driver::start(&settings, clock, claims.clone(), leaving);
+        let (driver, core) =
+            Driver::start(&settings, clock, claims.clone(), leaving, traffic.clone());
         let claimer = claimer::Claimer {
             driver: driver.clone(),
             list: listed.clone(),
@@ -62,6 +64,7 @@
             orders: orders.clone(),
             peers,
             settings: settings.clone(),
+            traffic: traffic.clone(),
         };
         let (drain, drained) = watch::channel(false);
         let operators = operator::Service {
@@ -87,7 +90,7 @@
         let tasks = vec![
             core,
             tokio::spawn(claimer.run(claim_orders)),
-            tokio::spawn(list::run(settings.clone(), driver.clone(), list)),
+            tokio::spawn(list::run(settings.clone(), driver.clone(), list, traffic)),
             tokio::spawn(revisions.run(revision_orders)),
             tokio::spawn(revision::watch(
                 settings.clone(),
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -25,6 +25,7 @@
 mod reply;
 mod revision;
 mod store;
+mod traffic;
 
 pub use {caller::fingerprint, clock::Clock, error::Error, instance::Instance, settings::Settings};
 
@@ -69,6 +70,7 @@
         task::JoinHandle,
         time::{MissedTickBehavior, interval, sleep, timeout},
     },
+    traffic::Traffic,
     uuid::Uuid,
     wellplank_core::{
         attempt,
--- a/crates/node/src/list.rs
+++ b/crates/node/src/list.rs
@@ -21,8 +21,13 @@
 }
 
 /// Reads the list for ever and tells the core task and the other tasks.
-pub(crate) async fn run(settings: Settings, driver: Driver, sender: watch::Sender<Vec<Line>>) {
-    let http = Http::pooled();
+pub(crate) async fn run(
+    settings: Settings,
+    driver: Driver,
+    sender: watch::Sender<Vec<Line>>,
+    traffic: Traffic,
+) {
+    let http = Http::control(&traffic);
     let mut ticks = interval(Duration::from_millis(settings.list_ms));
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
--- a/crates/node/src/peer.rs
+++ b/crates/node/src/peer.rs
@@ -7,6 +7,9 @@
 /// Time after which a link on which nothing came is given up on, in heartbeats.
 const SILENCE: u32 = 6;
 
+/// Bytes before each frame that hold its length.
+const FRAME_HEAD: usize = 4;
+
 /// Time that an instance asked by itself has to answer.
 const ASK: Duration = Duration::from_millis(500);
 
@@ -42,6 +45,8 @@
     pub peers: watch::Sender<Peers>,
     /// Settings.
     pub settings: Settings,
+    /// Where frames are counted.
+    pub traffic: Traffic,
 }
 
 impl Links {
@@ -106,6 +111,7 @@
                 frame = frames.next() => match frame {
                     Some(Ok(frame)) => {
                         last = Instant::now();
+                        self.traffic.count(FRAME_HEAD + frame.encoded_len());
                         if let Some(peers::frame::Body::Heartbeat(beat)) = &frame.body {
                             known = beat.revision;
                         }
@@ -123,6 +129,7 @@
                 },
                 answer = answered.recv() => {
                     let Some(answer) = answer else { return };
+                    self.traffic.count(FRAME_HEAD + answer.encoded_len());
                     if frames.send(answer).await.is_err() {
                         return;
                     }
@@ -138,6 +145,7 @@
             }
             let names = leaving.borrow_and_update().keys().cloned().collect();
             let heartbeat = self.heartbeat(&held.borrow_and_update(), names, known);
+            self.traffic.count(FRAME_HEAD + heartbeat.encoded_len());
             if frames.send(heartbeat).await.is_err() {
                 return;
             }
--- a/crates/node/src/store.rs
+++ b/crates/node/src/store.rs
@@ -127,10 +127,10 @@
     }
 
     /// A client of the service at `address`.
-    pub fn new(address: SocketAddr, patience: Duration) -> Self {
+    pub fn new(address: SocketAddr, patience: Duration, traffic: &Traffic) -> Self {
         Self {
             address,
-            http: Http::pooled(),
+            http: Http::control(traffic),
             patience,
         }
     }
--- /dev/null
+++ b/crates/node/src/traffic.rs
@@ -0,0 +1,34 @@
+//! What an instance sends and receives for control: probes, the list, the key-value service and
+//! other instances. Bytes above TCP.
+
+use super::*;
+
+/// Bytes and messages counted so far; clones share them.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Traffic(Arc<Counts>);
+
+#[derive(Debug, Default)]
+struct Counts {
+    bytes: AtomicU64,
+    messages: AtomicU64,
+}
+
+impl Traffic {
+    /// Counts one message.
+    pub fn count(&self, bytes: usize) {
+        self.0.bytes.fetch_add(bytes as u64, Ordering::Relaxed);
+        self.0.messages.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// The counts by name.
+    pub fn counts(&self) -> [schema::Count; 2] {
+        let count = |name: &str, value: &AtomicU64| schema::Count {
+            name: name.into(),
+            value: value.load(Ordering::Relaxed),
+        };
+        [
+            count("control.bytes", &self.0.bytes),
+            count("control.messages", &self.0.messages),
+        ]
+    }
+}
