--- a/crates/core/src/core.rs
+++ b/crates/core/src/core.rs
@@ -205,6 +205,9 @@
                 pool.queue
                     .remove(request.service.priority, &request.customer, key);
             }
+            if request.counted {
+                pool.queue.ended(&request.customer);
+            }
             if let Some(sent) = request.sent {
                 let duration = self.now.since(sent) as f64;
                 pool.duration += DURATION_GAIN * (duration - pool.duration);
--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -36,6 +36,7 @@
             let key = waiting.request;
             if let Some(pool) = self.pools.get_mut(name) {
                 pool.queue.pop(self.now);
+                self.requests[key].counted |= !waiting.resume;
             }
             self.start(key, upstream);
         }
--- a/crates/core/src/queue.rs
+++ b/crates/core/src/queue.rs
@@ -46,25 +46,40 @@
     pub resume: bool,
 }
 
+/// What a customer has of a pool at this instance.
+#[derive(Clone, Copy, Debug, Default)]
+struct Share {
+    running: u32,
+    waiting: u32,
+    weight: u32,
+}
+
 /// Requests of one pool that wait for an upstream.
 #[derive(Clone, Debug, Default)]
 pub struct Queue {
     classes: BTreeMap<Priority, Class>,
     resumes: VecDeque<request::Key>,
+    shares: HashMap<String, Share>,
 }
 
+/// Part of its fair share that a customer may have more before others' work of any priority goes
+/// before its own.
+const SHARE_MARGIN: f64 = 2.0;
+
 impl Class {
-    /// Name of the customer whose turn it is.
-    fn next(&self) -> Option<&str> {
+    /// Name of the customer whose turn it is, among those that `may` be served.
+    fn next(&self, may: impl Fn(&str) -> bool) -> Option<&str> {
         self.customers
             .iter()
+            .filter(|(name, _)| may(name))
             .filter_map(|(name, entries)| Some((entries.front()?.finish, name.as_str())))
             .min()
             .map(|(_, name)| name)
     }
 
-    fn peek(&self) -> Option<request::Key> {
-        let entries = self.customers.get(self.next()?)?;
+    /// The request that a customer is served next.
+    fn front(&self, customer: &str) -> Option<request::Key> {
+        let entries = self.customers.get(customer)?;
         entries.front().map(|entry| entry.request)
     }
 
@@ -93,16 +108,15 @@
         Some(count / window as f64 * 1_000.0)
     }
 
-    fn pop(&mut self, now: Time) -> Option<request::Key> {
+    fn pop(&mut self, customer: &str, now: Time) -> Option<request::Key> {
         self.sent.push_back(now);
         if self.sent.len() > SENDINGS {
             self.sent.pop_front();
         }
-        let name = self.next()?.to_owned();
-        let entries = self.customers.get_mut(&name)?;
+        let entries = self.customers.get_mut(customer)?;
         let entry = entries.pop_front()?;
         if entries.is_empty() {
-            self.customers.remove(&name);
+            self.customers.remove(customer);
         }
         self.virtual_time = self.virtual_time.max(entry.finish);
         self.length -= 1;
@@ -125,19 +139,21 @@
         self.length += 1;
     }
 
-    fn remove(&mut self, customer: &str, request: request::Key) {
+    fn remove(&mut self, customer: &str, request: request::Key) -> bool {
         let Some(entries) = self.customers.get_mut(customer) else {
-            return;
+            return false;
         };
         let before = entries.len();
         entries.retain(|entry| entry.request != request);
-        self.length -= before - entries.len();
+        let removed = before - entries.len();
+        self.length -= removed;
         if entries.is_empty() {
             self.customers.remove(customer);
         }
         if self.length == 0 {
             self.waiting_since = None;
         }
+        removed > 0
     }
 }
 
@@ -164,16 +180,16 @@
 
     /// The request to send next.
     pub fn peek(&self) -> Option<Waiting> {
-        let resumed = self.resumes.front().map(|request| Waiting {
-            request: *request,
-            resume: true,
-        });
-        resumed.or_else(|| {
-            let request = self.classes.values().find_map(Class::peek)?;
-            Some(Waiting {
-                request,
-                resume: false,
-            })
+        if let Some(request) = self.resumes.front() {
+            return Some(Waiting {
+                request: *request,
+                resume: true,
+            });
+        }
+        let (priority, customer) = self.select()?;
+        Some(Waiting {
+            request: self.classes.get(&priority)?.front(customer)?,
+            resume: false,
         })
     }
 
@@ -182,8 +198,47 @@
         if let Some(request) = self.resumes.pop_front() {
             return Some(request);
         }
-        let class = self.classes.values_mut().find(|class| class.length > 0);
-        class.and_then(|class| class.pop(now))
+        let (priority, customer) = self.select()?;
+        let customer = customer.to_owned();
+        let request = self.classes.get_mut(&priority)?.pop(&customer, now)?;
+        let share = self.shares.entry(customer).or_default();
+        share.waiting -= 1;
+        share.running += 1;
+        Some(request)
+    }
+
+    /// A request that was taken by `pop` as new work has ended.
+    pub fn ended(&mut self, customer: &config::Customer) {
+        if let Some(share) = self.shares.get_mut(&customer.name) {
+            share.running -= 1;
+        }
+        self.forget(&customer.name);
+    }
+
+    /// Priority and customer to serve next: the first priority in which some customer has not had
+    /// its fair share; if all have, the first priority.
+    fn select(&self) -> Option<(Priority, &str)> {
+        let running: u32 = self.shares.values().map(|share| share.running).sum();
+        let weight: u32 = self.shares.values().map(|share| share.weight).sum();
+        let per_weight = f64::from(running + 1) / f64::from(weight.max(1));
+        let short = |customer: &str| {
+            self.shares.get(customer).is_none_or(|share| {
+                let fair = per_weight * f64::from(share.weight) * SHARE_MARGIN;
+                f64::from(share.running) < fair
+            })
+        };
+        let next = |may: &dyn Fn(&str) -> bool| {
+            let mut classes = self.classes.iter();
+            classes.find_map(|(priority, class)| Some((*priority, class.next(may)?)))
+        };
+        next(&short).or_else(|| next(&|_| true))
+    }
+
+    fn forget(&mut self, customer: &str) {
+        let over = |share: &Share| share.running == 0 && share.waiting == 0;
+        if self.shares.get(customer).is_some_and(over) {
+            self.shares.remove(customer);
+        }
     }
 
     /// Time in milliseconds until a new request of a customer would be sent, by the rate at which
@@ -207,6 +262,9 @@
         request: request::Key,
         now: Time,
     ) {
+        let share = self.shares.entry(customer.name.clone()).or_default();
+        share.waiting += 1;
+        share.weight = customer.weight.max(1);
         self.classes
             .entry(priority)
             .or_default()
@@ -221,9 +279,13 @@
         request: request::Key,
     ) {
         self.resumes.retain(|key| *key != request);
-        if let Some(class) = self.classes.get_mut(&priority) {
-            class.remove(&customer.name, request);
+        let class = self.classes.get_mut(&priority);
+        if class.is_some_and(|class| class.remove(&customer.name, request))
+            && let Some(share) = self.shares.get_mut(&customer.name)
+        {
+            share.waiting -= 1;
         }
+        self.forget(&customer.name);
     }
 
     /// Adds work that had been sent before; it goes before all new work.
--- a/crates/core/src/request.rs
+++ b/crates/core/src/request.rs
@@ -84,6 +84,8 @@
     pub caller: Caller,
     /// Claim needed before it is sent, if any.
     pub claim: Option<Claim>,
+    /// Whether the queue counts it as running.
+    pub counted: bool,
     /// Customer.
     pub customer: Arc<config::Customer>,
     /// Time by which it must be answered.
