A change between the read of the head and the start of its watch is not missed

Cause: the head was read first and watched after; a change in between was seen ten seconds later unless a peer told of it. And every instance that was not yet listed kept a watch for ten seconds: the new test counted 6 watches of 6 instances.

Change: the read follows the word that the watch has begun; an instance watches only while it is listed among the two of its data centre.

Test: two_instances_of_a_data_centre_watch failed with 6 watches, passes with at most 2. Also a test between processes of a claimer frozen while its claim hangs.

--- a/crates/node/src/revision.rs
+++ b/crates/node/src/revision.rs
@@ -41,8 +41,10 @@
         schema::ApplyRequest,
         oneshot::Sender<Result<schema::ApplyReply, Error>>,
     ),
-    /// A head, by a watch, a read or a peer.
+    /// A head, by a watch or a peer.
     Head(Head),
+    /// Read the head.
+    Read,
 }
 
 /// What the task owns.
@@ -68,15 +70,24 @@
                     let reply = self.apply(request).await;
                     let _ = sender.send(reply);
                 }
-                Order::Head(head) => {
-                    if let Err(error) = self.adopt(head).await {
-                        warn!("configuration: {error}");
+                Order::Head(head) => self.take(head).await,
+                Order::Read => {
+                    if let Ok(Some(entry)) = self.store.get(HEAD).await
+                        && let Ok(head) = decode(&entry.value)
+                    {
+                        self.take(head).await;
                     }
                 }
             }
         }
     }
 
+    async fn take(&mut self, head: Head) {
+        if let Err(error) = self.adopt(head).await {
+            warn!("configuration: {error}");
+        }
+    }
+
     /// Takes a head into force if it is newer than the one held.
     async fn adopt(&mut self, head: Head) -> Result<(), Error> {
         let current = self.held.borrow().head.revision;
@@ -264,30 +275,34 @@
     }
 }
 
-/// Keeps a watch on the head if this instance is one of the few that do, and reads the head now
-/// and then if it is not.
+/// Keeps a watch on the head if this instance is one of the few that do, and has the head read now
+/// and then in any case.
 pub(crate) async fn watch(
     settings: Settings,
     store: Store,
-    list: watch::Receiver<Vec<list::Line>>,
+    mut list: watch::Receiver<Vec<list::Line>>,
     orders: mpsc::UnboundedSender<Order>,
     held: watch::Receiver<Held>,
 ) {
     loop {
-        let known = held.borrow().head.revision > 0;
-        let watches = watches(&settings, &list.borrow());
-        if let Ok(Some(entry)) = store.get(HEAD).await {
-            hand_on(&orders, &entry);
-        }
-        if watches {
-            let seen = store.watch(HEAD, |entry| hand_on(&orders, &entry));
-            // The rest of the loop reads the head again, also what changed before the watch began.
-            let _ = timeout(POLL, seen).await;
+        if watches(&settings, &list.borrow()) {
+            // A change before the watch began is found by the read when it has begun.
+            let seen = store.watch(HEAD, |seen| match seen {
+                store::Seen::Changed(entry) => hand_on(&orders, &entry),
+                store::Seen::Created => {
+                    let _ = orders.send(Order::Read);
+                }
+            });
+            tokio::select! {
+                _ = timeout(POLL, seen) => {}
+                _ = list.wait_for(|list| !watches(&settings, list)) => {}
+            }
+            sleep(RETRY).await;
         } else {
+            let _ = orders.send(Order::Read);
+            let known = held.borrow().head.revision > 0;
             sleep(if known { POLL } else { RETRY }).await;
-            continue;
         }
-        sleep(RETRY).await;
     }
 }
 
@@ -311,7 +326,7 @@
     format!("wellplank/part/{digest}")
 }
 
-/// Whether this instance is one of those that watch for its data centre.
+/// Whether this instance is one of those that watch for its data centre; not before it is listed.
 fn watches(settings: &Settings, list: &[list::Line]) -> bool {
     let mut names: Vec<&str> = list
         .iter()
@@ -323,5 +338,5 @@
     names
         .iter()
         .position(|name| *name == settings.instance)
-        .is_none_or(|rank| rank < WATCHERS)
+        .is_some_and(|rank| rank < WATCHERS)
 }
--- a/crates/node/src/store.rs
+++ b/crates/node/src/store.rs
@@ -22,6 +22,15 @@
     Lost(Option<Entry>),
 }
 
+/// What a watch sees.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) enum Seen {
+    /// The key changed.
+    Changed(Entry),
+    /// The watch began: every change from now on is seen.
+    Created,
+}
+
 /// A write of a compare-and-swap.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Write<'a> {
@@ -82,6 +91,8 @@
 
 #[derive(Deserialize)]
 struct WatchResult {
+    #[serde(default)]
+    created: bool,
     #[serde(default)]
     events: Vec<WatchEvent>,
 }
@@ -164,8 +175,8 @@
         }
     }
 
-    /// Waits for changes of a key and hands them to `take`, until the connection ends.
-    pub async fn watch(&self, key: &str, mut take: impl FnMut(Entry)) -> Result<(), Error> {
+    /// Waits for changes of a key and hands what it sees to `take`, until the connection ends.
+    pub async fn watch(&self, key: &str, mut take: impl FnMut(Seen)) -> Result<(), Error> {
         let body = json!({ "create_request": { "key": BASE64_STANDARD.encode(key) } });
         let request = http::post(self.address, "/v3/watch", &body);
         let response = timeout(self.patience, self.http.send(request)).await;
@@ -179,8 +190,11 @@
             while let Some(end) = buffer.iter().position(|byte| *byte == b'\n') {
                 let line: Vec<u8> = buffer.drain(..=end).collect();
                 let watched: Watched = parse(&line)?;
+                if watched.result.created {
+                    take(Seen::Created);
+                }
                 for event in watched.result.events {
-                    take(event.kv.entry()?);
+                    take(Seen::Changed(event.kv.entry()?));
                 }
             }
         }
--- a/crates/standin/tests/configuration.rs
+++ b/crates/standin/tests/configuration.rs
@@ -189,3 +189,24 @@
         expect_that!(fleet.counter("retried.leaving").await, eq(before));
     });
 }
+
+#[gtest]
+fn two_instances_of_a_data_centre_watch_and_the_others_hear_of_changes() {
+    let plan = Plan {
+        instances: 6,
+        ..Plan::default()
+    };
+    run(plan, async |fleet, _| {
+        let calls = http::get(fleet.platform.address, "/control/calls")
+            .await
+            .unwrap();
+        expect_that!(calls["watches"].as_u64(), some(le(2)));
+        expect_that!(calls["watches"].as_u64(), some(ge(1)));
+        let mut operator = fleet.operator(0).await;
+        operator
+            .apply(declaration(7), None, false, "")
+            .await
+            .unwrap();
+        fleet.in_force(2).await;
+    });
+}
--- a/crates/standin/tests/process.rs
+++ b/crates/standin/tests/process.rs
@@ -485,3 +485,52 @@
         expect_that!(fleet.instances[0].child.wait().unwrap().success(), eq(true));
     });
 }
+
+#[gtest]
+fn claimer_frozen_before_it_sends_runs_nothing_twice() {
+    run(async {
+        let fleet = Processes::start(json!({})).await;
+        let key = Some(Uuid::now_v7());
+        let body = json!({ "lot": 7 });
+        // The claim's answer hangs while the store is down; its claimer is frozen over that time.
+        let control = async |fault: &str| {
+            let fault = json!({ "fault": fault });
+            http::post(fleet.platform.address, "/control", &fault)
+                .await
+                .unwrap();
+        };
+        control("down").await;
+        let address = fleet.instances[0].address;
+        let first = {
+            let body = body.clone();
+            tokio::spawn(async move {
+                caller()
+                    .call(address, "reservation", "reserve", &body, key)
+                    .await
+            })
+        };
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        fleet.instances[0].signal("-STOP");
+        control("heal").await;
+        let other = fleet.instances[1].address;
+        let second = caller()
+            .call(other, "reservation", "reserve", &body, key)
+            .await;
+        fleet.instances[0].signal("-CONT");
+        let first = first.await.unwrap();
+        let runs = http::get(fleet.yard.address, "/control/runs")
+            .await
+            .unwrap();
+        let answered = [&first, &second]
+            .iter()
+            .filter(|call| call.finished)
+            .count();
+        expect_that!(runs.as_array().unwrap().len(), le(1));
+        expect_that!(runs.as_array().unwrap().len(), eq(answered));
+        for call in [&first, &second] {
+            if call.ran.as_deref() == Some("no") {
+                expect_that!(call.finished, eq(false));
+            }
+        }
+    });
+}
