--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -9,9 +9,12 @@
 pub mod reader;
 pub mod settings;
 
+mod answer;
 mod caller;
+mod calls;
 mod claimer;
 mod committer;
+mod completions;
 mod engine;
 mod forwarder;
 mod http;
--- a/crates/node/src/revision.rs
+++ b/crates/node/src/revision.rs
@@ -301,7 +301,10 @@
         } else {
             let _ = orders.send(Order::Read);
             let known = held.borrow().head.revision > 0;
-            sleep(if known { POLL } else { RETRY }).await;
+            tokio::select! {
+                () = sleep(if known { POLL } else { RETRY }) => {}
+                _ = list.wait_for(|list| watches(&settings, list)) => {}
+            }
         }
     }
 }
--- a/crates/standin/src/control.rs
+++ b/crates/standin/src/control.rs
@@ -5,10 +5,10 @@
 use report::{Report, Row, line};
 
 /// Time that each size rests.
-const TIME: Duration = Duration::from_secs(6);
+const TIME: Duration = Duration::from_secs(10);
 
 /// Time until a size runs evenly.
-const WARM_UP: Duration = Duration::from_secs(4);
+const WARM_UP: Duration = Duration::from_secs(12);
 
 /// Instances and upstreams of each size.
 const SIZES: [Size; 7] = [
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -1,6 +1,7 @@
 //! Stand-ins of engines, plain services and the platform, for the demo, the measuring tool and the
 //! tests. Not shipped.
 
+pub mod asker;
 pub mod caller;
 pub mod claims;
 pub mod control;
@@ -25,8 +26,11 @@
 pub mod world;
 
 mod arguments;
+mod bench;
 mod cache;
 mod keyvalue;
+mod runner;
+mod scene;
 
 pub use {
     caller::Caller, engine::Engine, fleet::Fleet, host::Host, plain::Plain, platform::Platform,
--- a/crates/standin/src/matrix.rs
+++ b/crates/standin/src/matrix.rs
@@ -1,10 +1,11 @@
 //! The fault matrix: every fault at every step in the life of a request, in virtual time.
 
 use super::*;
+use asker::{Ask, End, Step};
 use fake::{Mode, StoreMode};
 use std::fmt::Write as _;
 use wellplank_core::{counter::Counter, kind::Kind, settings::Settings};
-use world::{Ask, End, Step, World};
+use world::World;
 
 /// Engines of each cell's world.
 const ENGINES: usize = 3;
--- a/crates/standin/src/random.rs
+++ b/crates/standin/src/random.rs
@@ -2,9 +2,10 @@
 //! virtual time, from a seed.
 
 use super::*;
+use asker::{Ask, End};
 use fake::{Mode, StoreMode};
 use wellplank_core::{kind::Kind, settings::Settings};
-use world::{Ask, End, World};
+use world::World;
 
 /// Virtual time that a case may take after its last fault, in milliseconds.
 const PATIENCE_MS: u64 = 120_000;
--- a/crates/standin/src/world.rs
+++ b/crates/standin/src/world.rs
@@ -2,17 +2,17 @@
 //! what must always hold while it runs.
 
 use super::*;
+use asker::{Ask, Asker, End, Step, configuration};
 use fake::{Arrival, Claims, Mode, Reader, Said, StoreMode, Upstream};
 use std::{cmp::Reverse, collections::BinaryHeap, sync::Arc};
 use wellplank_core::{
     claim::Claim,
     clock::Time,
-    config::{self, Config, Policy, Priority, Target},
     core::Core,
     counter::Counter,
     effect::{Effect, Sending},
     event::{Event, Failure, Listed, Submission},
-    kind::{Kind, Ran},
+    kind::Ran,
     request::{self, Caller as Connection, Work},
     settings::Settings,
     upstream::Load,
@@ -51,120 +51,6 @@
 /// Secret of the cursors.
 const SECRET: [u8; 32] = [7; 32];
 
-/// What a caller asks for.
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-pub enum Ask {
-    /// A call that may run again.
-    Call,
-    /// A call that may not.
-    CallOnce,
-    /// A generation that may run again, policy `resources`.
-    Generate,
-    /// A generation that may run again, policy `latency`.
-    GenerateFast,
-    /// A generation that may not.
-    GenerateOnce,
-}
-
-impl Ask {
-    /// Every kind of request.
-    pub const ALL: [Self; 5] = [
-        Self::Call,
-        Self::CallOnce,
-        Self::Generate,
-        Self::GenerateFast,
-        Self::GenerateOnce,
-    ];
-
-    /// Whether it is a generation.
-    pub fn generates(self) -> bool {
-        !matches!(self, Self::Call | Self::CallOnce)
-    }
-
-    /// Whether faults of others can end a right request with this error.
-    pub fn may_end_with(self, kind: Kind) -> bool {
-        match kind {
-            Kind::AlreadyClaimed | Kind::PlatformDown | Kind::Unknown => self.once(),
-            Kind::CannotResume => self.generates(),
-            Kind::Deadline
-            | Kind::NoUpstream
-            | Kind::NotReady
-            | Kind::Overloaded
-            | Kind::TimedOut
-            | Kind::UpstreamFailed => true,
-            _ => false,
-        }
-    }
-
-    /// Whether it may run at most once.
-    pub fn once(self) -> bool {
-        matches!(self, Self::CallOnce | Self::GenerateOnce)
-    }
-
-    /// Name of its service.
-    pub fn service(self) -> &'static str {
-        match self {
-            Self::Call => "availability",
-            Self::CallOnce => "reservation",
-            Self::Generate => "notebook-summary",
-            Self::GenerateFast => "cutting-plan",
-            Self::GenerateOnce => "catalogue-draft",
-        }
-    }
-}
-
-/// How a request ended for its caller.
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-pub enum End {
-    /// With an error.
-    Failed(Kind),
-    /// Whole.
-    Whole,
-}
-
-/// A step in the life of a request, as seen from outside.
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-pub enum Step {
-    /// Its key is being claimed.
-    Claiming,
-    /// A continuation was sent, and has not yielded.
-    Continuing,
-    /// It was answered.
-    Ended,
-    /// It was sent, and has not yielded.
-    Sent,
-    /// It streams.
-    Streaming,
-    /// It was handed in.
-    Submitted,
-}
-
-/// Someone who asks, and what came of it.
-pub struct Asker {
-    /// What is asked.
-    pub ask: Ask,
-    /// Whether it comes back with its tokens, or with the cursor alone.
-    pub brings_tokens: bool,
-    /// Where its connection goes.
-    pub instance: usize,
-    /// How it ended; the last answer counts.
-    pub end: Option<End>,
-    /// Longest time between two tokens, in milliseconds.
-    pub stall_ms: u64,
-    /// Tokens received.
-    pub tokens: Vec<u32>,
-    /// Times that it came back.
-    pub returns: u32,
-    connection: Option<Connection>,
-    /// Upstream that it was sent to last.
-    pub sent_to: Option<usize>,
-    cursor: Option<Vec<u8>>,
-    heard: Time,
-    key: u128,
-    payload: Value,
-    steps: Vec<Step>,
-}
-
 struct Instance {
     core: Option<Core>,
     frozen_until: Time,
@@ -853,51 +739,3 @@
 fn pool_of(index: usize, engines: usize) -> &'static str {
     if index < engines { "runner" } else { "yard" }
 }
-
-fn configuration() -> Config {
-    let model = Arc::new(config::Model {
-        adapters: Vec::new(),
-        name: "llm".into(),
-        pool: "runner".into(),
-        version: "1".into(),
-    });
-    let service = |ask: Ask| {
-        let target = if ask.generates() {
-            Target::Generate {
-                adapter: String::new(),
-                model: model.clone(),
-            }
-        } else {
-            Target::Call {
-                pool: "yard".into(),
-            }
-        };
-        let policy = if ask == Ask::GenerateFast {
-            Policy::Latency
-        } else {
-            Policy::Resources
-        };
-        let service = config::Service {
-            deadline_ms: 60_000,
-            max_wait_ms: 10_000,
-            name: ask.service().into(),
-            policy,
-            priority: Priority::Normal,
-            repeatable: !ask.once(),
-            target,
-        };
-        (service.name.clone(), Arc::new(service))
-    };
-    let customer = config::Customer {
-        max_running: 10_000,
-        name: "customer".into(),
-        services: Vec::new(),
-        weight: 1,
-    };
-    Config {
-        customers: HashMap::from([("customer".into(), Arc::new(customer))]),
-        models: BTreeMap::from([("llm".into(), model.clone())]),
-        revision: 1,
-        services: Ask::ALL.into_iter().map(service).collect(),
-    }
-}
--- a/crates/standin/tests/proof.rs
+++ b/crates/standin/tests/proof.rs
@@ -4,9 +4,9 @@
     googletest::prelude::*,
     wellplank_core::settings::Settings,
     wellplank_standin::{
+        asker::{Ask, End, Step},
         matrix::{self, Cell, Fault},
         random,
-        world::{Ask, End, Step},
     },
 };
 
