Load rides on the streams' own events

Change: an engine may add its load to events of a stream; the core takes it as fresh and asks that upstream no more for load_ms.

--- a/crates/core/src/core.rs
+++ b/crates/core/src/core.rs
@@ -85,6 +85,7 @@
         self.now = self.now.max(now);
         match event {
             Event::CallerGone(caller) => self.caller_gone(caller),
+            Event::Carried { attempt, load } => self.carried(attempt, load),
             Event::Claimed { request, outcome } => self.claimed(request, outcome),
             Event::Config(config) => self.adopt(config),
             Event::Failed { attempt, failure } => self.failed(attempt, failure),
--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -80,6 +80,13 @@
 pub enum Event {
     /// The caller's connection is closed.
     CallerGone(request::Caller),
+    /// A load report came along with the tokens of a stream, and is as old as they are.
+    Carried {
+        /// The attempt.
+        attempt: attempt::Key,
+        /// The report.
+        load: Load,
+    },
     /// A claim was settled.
     Claimed {
         /// The request whose key was claimed.
--- a/crates/core/src/watch.rs
+++ b/crates/core/src/watch.rs
@@ -2,10 +2,24 @@
 
 use super::*;
 
+/// Age of a load report that comes along with tokens, in milliseconds.
+const CARRIED_LAG_MS: u64 = 5;
+
 /// Time between two looks at deadlines, in milliseconds.
 const SWEEP_MS: u64 = 50;
 
 impl Core {
+    /// Takes in a load report that came along with tokens; the next one need not be asked for.
+    pub(crate) fn carried(&mut self, attempt: attempt::Key, load: Load) {
+        let Some(attempt) = self.attempts.get(attempt) else {
+            return;
+        };
+        let key = attempt.upstream;
+        let next = self.now.after(self.settings.load_ms);
+        self.upstreams[key].probe_at = next;
+        self.take_load(key, load, CARRIED_LAG_MS);
+    }
+
     /// Something about an upstream went wrong: it is suspected and probed at once.
     pub(crate) fn doubt(&mut self, key: upstream::Key) {
         let Some(upstream) = self.upstreams.get_mut(key) else {
@@ -95,18 +109,9 @@
         upstream.probe_at = self.now;
     }
 
-    /// Takes in a load report.
-    pub(crate) fn report(&mut self, key: upstream::Key, load: Load) {
-        let Some(upstream) = self.upstreams.get_mut(key) else {
-            return;
-        };
-        upstream.report(load, self.now, self.settings.report_lag_ms);
-        if load.leaving {
-            self.leave(key);
-            return;
-        }
-        let pool = upstream.pool.clone();
-        self.pump(&pool);
+    /// Takes in a load report that was asked for.
+    pub(crate) fn report(&mut self, upstream: upstream::Key, load: Load) {
+        self.take_load(upstream, load, self.settings.report_lag_ms);
     }
 
     /// Time passed.
@@ -266,6 +271,20 @@
         }
     }
 
+    /// Takes in a load report whose content is `lag` milliseconds old.
+    fn take_load(&mut self, key: upstream::Key, load: Load, lag: u64) {
+        let Some(upstream) = self.upstreams.get_mut(key) else {
+            return;
+        };
+        upstream.report(load, self.now, lag);
+        if load.leaving {
+            self.leave(key);
+            return;
+        }
+        let pool = upstream.pool.clone();
+        self.pump(&pool);
+    }
+
     fn watch_probe(&mut self, key: upstream::Key) {
         let upstream = &self.upstreams[key];
         if !upstream.chosen && upstream.attempts.is_empty() {
--- a/crates/node/src/engine.rs
+++ b/crates/node/src/engine.rs
@@ -18,6 +18,8 @@
 #[derive(Debug, Deserialize)]
 struct Chunk {
     choices: Vec<Choice>,
+    /// The engine's load now, in some of the events.
+    load: Option<probe::Report>,
     position: u32,
 }
 
@@ -135,6 +137,10 @@
                 position,
             });
         }
+        if let Some(report) = chunk.load {
+            let load = report.load();
+            driver.event(Event::Carried { attempt, load });
+        }
         if let Some(reason) = choice.finish_reason {
             driver.event(Event::Finished {
                 attempt,
--- a/crates/node/src/probe.rs
+++ b/crates/node/src/probe.rs
@@ -5,9 +5,9 @@
 /// Time after which a probe is not waited for; the core gives up on it earlier.
 const PATIENCE: Duration = Duration::from_secs(2);
 
-/// The answer of an upstream.
-#[derive(Debug, Deserialize)]
-struct Report {
+/// A load report, as upstreams answer a probe and engines may add it to the events of a stream.
+#[derive(Clone, Copy, Debug, Deserialize)]
+pub(crate) struct Report {
     #[serde(default)]
     leaving: bool,
     running: u32,
@@ -15,6 +15,18 @@
     waiting: u32,
 }
 
+impl Report {
+    /// The report as the core takes it.
+    pub fn load(self) -> Load {
+        Load {
+            leaving: self.leaving,
+            running: self.running,
+            slots: self.slots,
+            waiting: self.waiting,
+        }
+    }
+}
+
 /// Probes an upstream and tells the core task what it said.
 pub(crate) async fn run(http: Http, driver: Driver, upstream: upstream::Key, address: SocketAddr) {
     let exchange = http.exchange(http::get(address, "/load"));
@@ -25,13 +37,10 @@
     };
     let alive = report.is_some();
     if let Some(report) = report {
-        let load = Load {
-            leaving: report.leaving,
-            running: report.running,
-            slots: report.slots,
-            waiting: report.waiting,
-        };
-        driver.event(Event::Load { upstream, load });
+        driver.event(Event::Load {
+            load: report.load(),
+            upstream,
+        });
     }
     driver.event(Event::Probed { upstream, alive });
 }
--- a/crates/standin/src/arguments.rs
+++ b/crates/standin/src/arguments.rs
@@ -37,7 +37,8 @@
                 .subcommand(Command::new("claims").about("Writes and time of claims"))
                 .subcommand(
                     Command::new("control")
-                        .about("Cost of control, and time until a configuration is in force"),
+                        .about("Cost of control, and time until a configuration is in force")
+                        .arg(number("load-ms", "Time between load reports", "1000")),
                 )
                 .subcommand(Command::new("cost").about("Cost of tokens through one instance"))
                 .subcommand(
@@ -169,7 +170,7 @@
     let number = |name| *arguments.get_one::<u64>(name).expect("has a default") as usize;
     match name {
         "claims" => claims::run().await,
-        "control" => control::run().await,
+        "control" => control::run(number("load-ms") as u64).await,
         "cost" => cost::run().await,
         "resume" => resume::run(number("rounds")).await,
         "routing" => routing::run(),
--- a/crates/standin/src/bench.rs
+++ b/crates/standin/src/bench.rs
@@ -35,6 +35,12 @@
 /// Prompt starts in use.
 const PREFIXES: u64 = 200;
 
+/// Tokens of a stream between two that carry the runner's load.
+const LOAD_EVERY: u32 = 10;
+
+/// Time after which a refusal is late, in milliseconds.
+const LATE_MS: f64 = 50.0;
+
 /// Customers.
 const CUSTOMERS: usize = 10;
 
@@ -275,6 +281,7 @@
                 if self.measuring && asked.tokens == 0 {
                     self.outcome.refused += 1;
                     let waited = self.now.since(asked.at) as f64;
+                    self.outcome.late += usize::from(waited > LATE_MS);
                     self.outcome.refusal_ms.push(waited);
                 } else if self.measuring {
                     self.outcome.failed += 1;
@@ -473,7 +480,7 @@
 
     /// One step of a runner's batch.
     fn step(&mut self, index: usize) {
-        let now = self.now;
+        let (carried, now) = (self.scene.carried, self.now);
         let runner = &mut self.runners[index];
         let load = runner.load();
         runner.reports.push_back((now, load));
@@ -503,6 +510,10 @@
                 };
                 stream.position += 1;
                 said.push((stream.instance, tokens));
+                if carried && stream.position.is_multiple_of(LOAD_EVERY) {
+                    let attempt = stream.attempt;
+                    said.push((stream.instance, Event::Carried { attempt, load }));
+                }
                 if stream.left == 0 {
                     let finished = Event::Finished {
                         attempt: stream.attempt,
--- a/crates/standin/src/control.rs
+++ b/crates/standin/src/control.rs
@@ -49,13 +49,14 @@
     }
 }
 
-/// Measures every size.
-pub async fn run() {
-    let mut report = Report::new("Control of an instance at rest");
+/// Measures every size with a load report from each upstream in `load_ms`.
+pub async fn run(load_ms: u64) {
+    let title = format!("Control of an instance at rest, a load report in {load_ms} ms");
+    let mut report = Report::new(&title);
     let mut by_instances = Vec::new();
     let mut by_upstreams = Vec::new();
     for size in SIZES {
-        let point = one(size).await;
+        let point = one(size, load_ms).await;
         if size.upstreams == 8 {
             by_instances.push((size.instances as f64, point.cpu, point.bytes_per_second));
         }
@@ -93,8 +94,9 @@
     println!("                   {bytes:.1} B/s over {bytes_base:.0} B/s");
 }
 
-async fn one(size: Size) -> Point {
+async fn one(size: Size, load_ms: u64) -> Point {
     let plan = fleet::Plan {
+        core: json!({ "load_ms": load_ms }),
         engines: size.upstreams - 1,
         instances: 0,
         ..fleet::Plan::default()
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -305,10 +305,11 @@
         {
             stream.slot = true;
         }
+        let load = self.load();
         let now = Instant::now();
         let ready = |stream: &&mut Running| stream.slot && stream.ready <= now;
         for stream in self.streams.values_mut().filter(ready) {
-            stream.step(&mut self.random, self.token_fault.take());
+            stream.step(&mut self.random, self.token_fault.take(), &load);
             self.spent.generated += 1;
             stream.slot = !stream.done;
         }
--- a/crates/standin/src/routing.rs
+++ b/crates/standin/src/routing.rs
@@ -31,6 +31,7 @@
         .quantile("between", &outcome.between_ms, 1.0)
         .figure("work %", 100.0 * outcome.delivered as f64 / capacity)
         .figure("refused %", 100.0 * outcome.refused as f64 / requests)
+        .figure("late refusals %", 100.0 * outcome.late as f64 / requests)
         .quantile("refusal", &outcome.refusal_ms, 0.99)
         .figure("failed %", 100.0 * outcome.failed as f64 / requests)
         .figure("moved/request", outcome.moved as f64 / requests)
@@ -85,14 +86,29 @@
 /// Measures what fewer load reports and smaller subsets cost.
 fn stale() {
     let mut report = Report::new("Fewer load reports and subsets of the pool, 0.9 of capacity");
-    for (load_ms, subset) in [(1_000, 0), (5_000, 0), (10_000, 0), (5_000, 16), (5_000, 8)] {
+    let ways = [
+        (1_000, 0, false),
+        (5_000, 0, false),
+        (10_000, 0, false),
+        (1_000, 0, true),
+        (10_000, 0, true),
+        (10_000, 16, true),
+        (10_000, 8, true),
+    ];
+    for (load_ms, subset, carried) in ways {
         let outcome = bench::run(&Scene {
+            carried,
             load_ms,
             subset,
             ..Scene::new(Routing::Prefix, 0.9)
         });
         let of = if subset == 0 { RUNNERS } else { subset };
-        let name = format!("prefix, a report in {load_ms} ms, {of} of {RUNNERS} runners");
+        let carried = if carried {
+            "carried and asked"
+        } else {
+            "asked"
+        };
+        let name = format!("{carried} in {load_ms} ms, {of} of {RUNNERS} runners");
         report.rows.push(row(name, &outcome));
     }
     report.print();
--- a/crates/standin/src/scene.rs
+++ b/crates/standin/src/scene.rs
@@ -5,6 +5,8 @@
 /// One setting of the bench.
 #[derive(Clone, Debug)]
 pub struct Scene {
+    /// Whether runners add their load to every tenth token.
+    pub carried: bool,
     /// Runners lost in the middle of the time measured.
     pub lost: usize,
     /// Whether one customer asks ten times as much as the others.
@@ -46,6 +48,8 @@
     pub most_running: u32,
     /// Requests refused.
     pub refused: usize,
+    /// Refusals later than 50 ms.
+    pub late: usize,
     /// Times from asking to being refused, in milliseconds.
     pub refusal_ms: Vec<f64>,
     /// Retries, resumes and hedges.
@@ -62,6 +66,7 @@
     /// An ordinary scene.
     pub fn new(routing: Routing, offered: f64) -> Self {
         Self {
+            carried: true,
             flood: false,
             instance_lost: false,
             lost: 0,
--- a/crates/standin/src/stream.rs
+++ b/crates/standin/src/stream.rs
@@ -2,6 +2,9 @@
 
 use super::*;
 
+/// Tokens of a stream between two that carry the engine's load.
+const LOAD_EVERY: usize = 10;
+
 /// A stream: its tokens and who reads it.
 pub(crate) struct Running {
     /// Tokens before this stream began.
@@ -40,7 +43,7 @@
     }
 
     /// Yields one token, and the end after the last.
-    pub fn step(&mut self, random: &mut Pcg64Mcg, fault: Option<Fault>) {
+    pub fn step(&mut self, random: &mut Pcg64Mcg, fault: Option<Fault>, load: &Value) {
         let token = self.chain.next(random);
         self.chain = self.chain.push(token);
         let position = self.tokens.len();
@@ -51,6 +54,7 @@
                 self.send(chunk(position, Some(token), None));
                 self.send(chunk(position, Some(token), None));
             }
+            _ if position.is_multiple_of(LOAD_EVERY) => self.send(loaded(position, token, load)),
             _ => self.send(chunk(position, Some(token), None)),
         }
         if self.tokens.len() >= self.max_tokens {
@@ -92,8 +96,21 @@
 
 /// One event of a stream.
 fn chunk(position: usize, token: Option<u32>, reason: Option<&str>) -> Bytes {
+    Sse::default()
+        .data(event(position, token, reason).to_string())
+        .into()
+}
+
+/// One event of a stream that carries the engine's load.
+fn loaded(position: usize, token: u32, load: &Value) -> Bytes {
+    let mut event = event(position, Some(token), None);
+    event["load"] = load.clone();
+    Sse::default().data(event.to_string()).into()
+}
+
+fn event(position: usize, token: Option<u32>, reason: Option<&str>) -> Value {
     let text = token.map(token::text).unwrap_or_default();
-    let data = json!({
+    json!({
         "choices": [{
             "finish_reason": reason,
             "index": 0,
@@ -102,6 +119,5 @@
         }],
         "object": "text_completion",
         "position": position,
-    });
-    Sse::default().data(data.to_string()).into()
+    })
 }
