An instance woken from a long pause sends nothing by its old list

An instance frozen for seconds woke, took requests that had waited, and sent them by a list read before its pause.

Change: a pause is noticed at the first event after it, not the next tick; for pauses over 2 s nothing is sent until a list that was asked for after waking has come, or 3 s have passed. Claimed requests wait too.

Ruled out: that the list's lag alone explains it (cases without a frozen instance did not fail).

--- a/crates/core/src/core.rs
+++ b/crates/core/src/core.rs
@@ -59,9 +59,12 @@
     pub(crate) running: HashMap<String, u32>,
     pub(crate) secret: cursor::Secret,
     pub(crate) settings: Settings,
+    /// Until when the list is not trusted, since this instance was paused.
+    pub(crate) stale_until: Time,
     pub(crate) swept: Time,
-    pub(crate) ticked: Time,
     pub(crate) upstreams: SlotMap<upstream::Key, Upstream>,
+    /// When it last woke from a pause.
+    pub(crate) woken: Time,
 }
 
 impl Core {
@@ -82,7 +85,11 @@
 
     /// Takes in one event and answers with what is to be done.
     pub fn handle(&mut self, now: Time, event: Event) -> Vec<Effect> {
+        let gap = now.since(self.now);
         self.now = self.now.max(now);
+        if gap > self.settings.pause_ms {
+            self.wake(gap);
+        }
         match event {
             Event::CallerGone(caller) => self.caller_gone(caller),
             Event::Carried { attempt, load } => self.carried(attempt, load),
@@ -95,7 +102,7 @@
                 reason,
             } => self.finished(attempt, position, reason),
             Event::Leaving(name) => self.hint_leaving(&name),
-            Event::List(listed) => self.list(&listed),
+            Event::List { asked, listed } => self.list(asked, listed.as_deref()),
             Event::Load { upstream, load } => self.report(upstream, load),
             Event::Probed { upstream, alive } => self.probed(upstream, alive),
             Event::Replied {
@@ -137,9 +144,10 @@
             running: HashMap::new(),
             secret,
             settings,
+            stale_until: Time::default(),
             swept: now,
-            ticked: now,
             upstreams: SlotMap::with_key(),
+            woken: Time::default(),
         }
     }
 
--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -233,7 +233,8 @@
             self.enqueue(key);
             return;
         };
-        if self.upstreams[self.attempts[attempt].upstream].takes_work(self.now) {
+        let upstream = &self.upstreams[self.attempts[attempt].upstream];
+        if upstream.takes_work(self.now) && self.now >= self.stale_until {
             self.send(attempt);
             return;
         }
--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -114,8 +114,13 @@
     },
     /// An upstream is leaving; from the list, a peer, or its own word.
     Leaving(String),
-    /// The platform's list of upstreams.
-    List(Vec<Listed>),
+    /// The platform's list.
+    List {
+        /// When it was asked for.
+        asked: Time,
+        /// Its lines; `None` if they are those of the last read.
+        listed: Option<Vec<Listed>>,
+    },
     /// A load report.
     Load {
         /// The upstream.
--- a/crates/core/src/route.rs
+++ b/crates/core/src/route.rs
@@ -124,6 +124,9 @@
 
     /// Upstreams of a request's pool that take work and do not have it already.
     fn usable(&self, key: request::Key) -> Vec<upstream::Key> {
+        if self.now < self.stale_until {
+            return Vec::new();
+        }
         let request = &self.requests[key];
         let Some(pool) = self.pools.get(request.service.pool()) else {
             return Vec::new();
--- a/crates/core/src/watch.rs
+++ b/crates/core/src/watch.rs
@@ -5,6 +5,12 @@
 /// Age of a load report that comes along with tokens, in milliseconds.
 const CARRIED_LAG_MS: u64 = 5;
 
+/// Length of a pause after which the list is not trusted, in milliseconds.
+const LIST_STALE_MS: u64 = 2_000;
+
+/// Time for which a list that can not be read again is waited for, in milliseconds.
+const LIST_WAIT_MS: u64 = 3_000;
+
 /// Time between two looks at deadlines, in milliseconds.
 const SWEEP_MS: u64 = 50;
 
@@ -53,7 +59,13 @@
     }
 
     /// Takes in the platform's list: new upstreams, those that leave, and those that are gone.
-    pub(crate) fn list(&mut self, listed: &[event::Listed]) {
+    pub(crate) fn list(&mut self, asked: Time, listed: Option<&[event::Listed]>) {
+        if asked >= self.woken {
+            self.stale_until = Time::default();
+        }
+        let Some(listed) = listed else {
+            return;
+        };
         let instances = listed
             .iter()
             .filter(|entry| entry.pool == core::INSTANCE_POOL && !entry.leaving)
@@ -116,12 +128,6 @@
 
     /// Time passed.
     pub(crate) fn tick(&mut self) {
-        let gap = self.now.since(self.ticked);
-        self.ticked = self.now;
-        if gap > self.settings.pause_ms {
-            self.wake();
-            return;
-        }
         let keys: Vec<upstream::Key> = self.upstreams.keys().collect();
         for key in &keys {
             self.watch_probe(*key);
@@ -258,9 +264,15 @@
         }
     }
 
-    /// This instance was paused: what it did not hear in the meantime says nothing of others.
-    fn wake(&mut self) {
+    /// This instance was paused: what it did not hear in the meantime says nothing of others. After
+    /// a long pause its list may name upstreams that have left since; it sends nothing until it has
+    /// read the list again, or that fails for a while.
+    pub(crate) fn wake(&mut self, gap: u64) {
         self.count(Counter::Paused);
+        self.woken = self.now;
+        if gap > LIST_STALE_MS {
+            self.stale_until = self.now.after(LIST_WAIT_MS);
+        }
         for attempt in self.attempts.values_mut() {
             attempt.last = self.now;
         }
--- a/crates/core/tests/core.rs
+++ b/crates/core/tests/core.rs
@@ -4,6 +4,7 @@
     googletest::prelude::*,
     std::{collections::HashMap, net::SocketAddr, sync::Arc},
     wellplank_core::{
+        attempt,
         clock::Time,
         config::{Config, Customer, Model, Policy, Priority, Service, Target},
         core::Core,
@@ -88,7 +89,10 @@
             name: format!("runner-{index}"),
             pool: "runner".into(),
         });
-        self.tell(Event::List(listed.collect()));
+        self.tell(Event::List {
+            asked: self.now,
+            listed: Some(listed.collect()),
+        });
         self.tell(Event::Tick);
         let probes: Vec<Effect> = self.effects.drain(..).collect();
         for probe in probes {
@@ -106,6 +110,36 @@
         }
     }
 
+    /// Attempts that were sent, in order.
+    fn attempts(&self) -> Vec<attempt::Key> {
+        let attempt = |effect: &Effect| match effect {
+            Effect::Send { attempt, .. } => Some(*attempt),
+            _ => None,
+        };
+        self.effects.iter().filter_map(attempt).collect()
+    }
+
+    /// Lets time pass in the steps of a running instance.
+    fn pass(&mut self, millis: u64) {
+        for _ in 0..millis / 10 {
+            self.now = self.now.after(10);
+            self.tell(Event::Tick);
+        }
+    }
+
+    /// Gives one token of an attempt.
+    fn token(&mut self, attempt: attempt::Key, position: u32, token: u32) {
+        let piece = Piece {
+            text: "a".into(),
+            token,
+        };
+        self.tell(Event::Tokens {
+            attempt,
+            pieces: vec![piece],
+            position,
+        });
+    }
+
     /// Where requests were sent, in order.
     fn sent(&self) -> Vec<usize> {
         let sent = |effect: &Effect| match effect {
@@ -135,7 +169,7 @@
         deadline_ms: 60_000,
         max_wait_ms: 1_000,
         name: "summary".into(),
-        policy: Policy::Resources,
+        policy: Policy::Latency,
         priority: Priority::Normal,
         repeatable: true,
         target: Target::Generate {
@@ -278,20 +312,8 @@
 fn lost_stream_goes_on_before_new_work() {
     let mut test = Test::new(Settings::default(), 2);
     let first = test.ask("mill");
-    let attempt = test.effects.iter().find_map(|effect| match effect {
-        Effect::Send { attempt, .. } => Some(*attempt),
-        _ => None,
-    });
-    let attempt = attempt.unwrap();
-    let piece = Piece {
-        text: "a".into(),
-        token: 7,
-    };
-    test.tell(Event::Tokens {
-        attempt,
-        pieces: vec![piece],
-        position: 0,
-    });
+    let attempt = test.attempts()[0];
+    test.token(attempt, 0, 7);
     for _ in 0..30 {
         test.ask("mill");
     }
@@ -316,14 +338,11 @@
 fn late_frames_are_dropped_and_counted() {
     let mut test = Test::new(Settings::default(), 1);
     let caller = test.ask("mill");
-    let attempt = test.effects.iter().find_map(|effect| match effect {
-        Effect::Send { attempt, .. } => Some(*attempt),
-        _ => None,
-    });
+    let attempt = test.attempts()[0];
     test.tell(Event::CallerGone(caller));
     test.effects.clear();
     test.tell(Event::Finished {
-        attempt: attempt.unwrap(),
+        attempt,
         position: 100,
         reason: "length".into(),
     });
@@ -347,3 +366,70 @@
     let paused = |effect: &Effect| matches!(effect, Effect::Count(Counter::Paused, 1));
     expect_that!(test.effects.iter().any(paused), eq(true));
 }
+
+#[gtest]
+fn silent_stream_is_continued_elsewhere_and_the_first_to_yield_wins() {
+    let mut test = Test::new(Settings::default(), 2);
+    test.ask("mill");
+    let first = test.attempts()[0];
+    test.token(first, 0, 7);
+    test.pass(Settings::default().stall_min_ms + 50);
+    let attempts = test.attempts();
+    expect_that!(attempts.len(), eq(2));
+    test.effects.clear();
+    test.token(attempts[1], 1, 8);
+    let cancelled: Vec<attempt::Key> = test
+        .effects
+        .iter()
+        .filter_map(|effect| match effect {
+            Effect::Cancel { attempt, .. } => Some(*attempt),
+            _ => None,
+        })
+        .collect();
+    expect_that!(cancelled, elements_are![eq(&first)]);
+    // What the first says from now on is late.
+    test.effects.clear();
+    test.token(first, 1, 9);
+    let delivered = |effect: &Effect| matches!(effect, Effect::Deliver { .. });
+    expect_that!(test.effects.iter().any(delivered), eq(false));
+}
+
+#[gtest]
+fn load_that_comes_with_tokens_is_believed_at_once() {
+    let mut test = Test::new(Settings::default(), 2);
+    test.ask("mill");
+    let (first, busy) = (test.attempts()[0], test.sent()[0]);
+    test.tell(Event::Carried {
+        attempt: first,
+        load: Load {
+            running: 8,
+            slots: 8,
+            ..Load::default()
+        },
+    });
+    test.effects.clear();
+    for _ in 0..4 {
+        test.ask("mill");
+    }
+    expect_that!(test.sent(), each(not(eq(&busy))));
+}
+
+#[gtest]
+fn woken_instance_sends_nothing_before_it_has_read_the_list_again() {
+    let mut test = Test::new(Settings::default(), 1);
+    let asked = test.now;
+    test.now = test.now.after(5_000);
+    test.ask("mill");
+    // An answer that was on its way before the pause says nothing new.
+    test.tell(Event::List {
+        asked,
+        listed: None,
+    });
+    expect_that!(test.sent(), is_empty());
+    test.tell(Event::List {
+        asked: test.now,
+        listed: None,
+    });
+    test.tell(Event::Tick);
+    expect_that!(test.sent().len(), eq(1));
+}
--- a/crates/node/src/instance.rs
+++ b/crates/node/src/instance.rs
@@ -90,7 +90,13 @@
         let tasks = vec![
             core,
             tokio::spawn(claimer.run(claim_orders)),
-            tokio::spawn(list::run(settings.clone(), driver.clone(), list, traffic)),
+            tokio::spawn(list::run(
+                settings.clone(),
+                clock,
+                driver.clone(),
+                list,
+                traffic,
+            )),
             tokio::spawn(revisions.run(revision_orders)),
             tokio::spawn(revision::watch(
                 settings.clone(),
--- a/crates/node/src/list.rs
+++ b/crates/node/src/list.rs
@@ -34,6 +34,7 @@
 /// since the last read is not sent again.
 pub(crate) async fn run(
     settings: Settings,
+    clock: Clock,
     driver: Driver,
     sender: watch::Sender<Vec<Line>>,
     traffic: Traffic,
@@ -44,14 +45,19 @@
     let mut tag = None;
     loop {
         ticks.tick().await;
+        let asked = clock.now();
         match read(&http, settings.platform.list, tag.as_ref()).await {
             Read::Changed(lines, new_tag) => {
                 tag = new_tag;
-                driver.event(Event::List(lines.iter().map(listed).collect()));
+                let listed = Some(lines.iter().map(listed).collect());
+                driver.event(Event::List { asked, listed });
                 sender.send_replace(lines);
             }
             Read::Failed => warn!("the platform's list did not answer"),
-            Read::Same => {}
+            Read::Same => driver.event(Event::List {
+                asked,
+                listed: None,
+            }),
         }
     }
 }
--- a/crates/standin/src/bench.rs
+++ b/crates/standin/src/bench.rs
@@ -177,8 +177,11 @@
             }
             Action::Event(instance, event) => self.tell(instance, event),
             Action::List(instance) => {
-                let list = self.list();
-                self.tell(instance, Event::List(list));
+                let event = Event::List {
+                    asked: self.now,
+                    listed: Some(self.list()),
+                };
+                self.tell(instance, event);
                 self.schedule(1_000, Action::List(instance));
             }
             Action::Send(index, stream, prefix) => self.receive(index, stream, prefix),
--- a/crates/standin/src/random.rs
+++ b/crates/standin/src/random.rs
@@ -45,6 +45,7 @@
         world.set_mode(upstream, Mode::Up);
     }
     world.claims.mode = StoreMode::Up;
+    world.stay();
     world.run_until(PATIENCE_MS, |world| {
         world.askers.iter().all(|asker| asker.end.is_some())
     });
@@ -68,7 +69,7 @@
 fn cause(world: &mut World, random: &mut Pcg64Mcg, instances: usize, engines: usize) {
     let upstream = random.random_range(0..engines + 2);
     let instance = random.random_range(0..instances);
-    match random.random_range(0..18) {
+    match random.random_range(0..20) {
         0 => world.set_mode(upstream, Mode::CutOut),
         1 => world.set_mode(upstream, Mode::Dead),
         2 => world.set_mode(upstream, Mode::Frozen),
@@ -85,7 +86,10 @@
             let asker = random.random_range(0..world.askers.len());
             world.cut_caller(asker);
         }
+        13 => world.leave(upstream),
+        14 => world.set_mode(upstream, Mode::Leaving),
         _ => {
+            world.stay();
             world.set_mode(upstream, Mode::Up);
             world.claims.mode = StoreMode::Up;
         }
--- a/crates/standin/src/world.rs
+++ b/crates/standin/src/world.rs
@@ -233,6 +233,11 @@
         }
     }
 
+    /// Puts every upstream on the platform's list as staying.
+    pub fn stay(&mut self) {
+        self.left.fill(None);
+    }
+
     /// Puts an upstream on the platform's list as leaving.
     pub fn leave(&mut self, index: usize) {
         self.left[index] = Some(self.now);
@@ -555,7 +560,11 @@
                 pool: wellplank_core::core::INSTANCE_POOL.into(),
             }))
             .collect();
-        self.event(instance, 1, Event::List(listed));
+        let event = Event::List {
+            asked: self.now,
+            listed: Some(listed),
+        };
+        self.event(instance, 1, event);
         self.schedule(LIST_MS, Action::List(instance));
     }
 
