Runs end with no stream that nobody reads

Cause: that lost callers and dead instances cost a bounded engine time was not checked.

Ruled out: the product; the fake engine kept a stream that was whole when it was attached to, as read for ever. The fake now lets it linger once more, as the stand-in engine does.

Conclusion: linger and cancel bound what is computed for nobody, in virtual time.

--- a/crates/standin/src/fake.rs
+++ b/crates/standin/src/fake.rs
@@ -227,7 +227,10 @@
                 let pieces: Vec<Piece> = stream.tokens[from..].iter().copied().map(piece).collect();
                 let mut said = vec![(reader, Said::Tokens(position, pieces))];
                 if stream.tokens.len() >= stream.max {
+                    // It is whole; it lingers once more for another reader.
                     said.push((reader, Said::Finished(stream.max as u32)));
+                    stream.reader = None;
+                    stream.unread = now;
                 }
                 said
             }
--- a/crates/standin/src/world.rs
+++ b/crates/standin/src/world.rs
@@ -327,6 +327,15 @@
                     .map(|text| format!("{ask:?} {index} {text}")),
             );
         }
+        for upstream in &self.upstreams {
+            let running = upstream.running();
+            if upstream.mode == Mode::Up && running > 0 {
+                let name = &upstream.name;
+                self.violations.push(format!(
+                    "{name} still runs {running} requests that nobody reads"
+                ));
+            }
+        }
         let broken: u64 = self
             .counters
             .iter()
