A long generation that runs once is continued after its key has aged

Cause: found by reading: the age of a caller's key was asked of continuations too, whose claim carries the time at which the generation began. One that ran longer than key_age_max_ms (15 minutes) and lost its engine ended with an error, and with the wrong one: "not run", which the invariant not_run_is_true turned into unknown (a panic in tests).

Change: a continuation's claim holds for the retention from the moment it was asked for; a caller's key as before.

Tests, both red before: a generation twice that old is continued; a continuation claimed before a pause of twice the retention is not sent after it, but ends as unknown.

--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -234,6 +234,7 @@
             avoid: None,
             caller: submission.caller,
             claim,
+            claim_asked: self.now,
             counted: false,
             customer,
             deadline: self.now.after(service.deadline_ms),
--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -52,12 +52,13 @@
         }
         let Some(claim) = request.claim else { return };
         match outcome {
-            event::ClaimOutcome::Claimed if !claim.in_time(self.now, &self.settings) => {
-                self.fail(key, Kind::BadKey);
-            }
             event::ClaimOutcome::Claimed => {
                 request.claim = None;
-                self.send_claimed(key);
+                if self.claim_holds(key, &claim) {
+                    self.send_claimed(key);
+                } else {
+                    self.give_up(key, Kind::BadKey, Kind::Unknown);
+                }
             }
             event::ClaimOutcome::Taken(upstream) if request.may_have_run => {
                 self.follow(key, upstream);
@@ -74,6 +75,16 @@
         }
     }
 
+    /// Whether a claim that was just settled is surely still kept: a caller's key is not too old, and
+    /// a continuation's claim was asked for less than the retention ago.
+    fn claim_holds(&self, key: request::Key, claim: &Claim) -> bool {
+        let request = &self.requests[key];
+        if !request.may_have_run {
+            return claim.in_time(self.now, &self.settings);
+        }
+        self.now.since(request.claim_asked) <= self.settings.key_age_max_ms
+    }
+
     /// Asks once more for the claims of continuations that the platform did not settle.
     pub(crate) fn reclaim(&mut self) {
         let now = self.now;
@@ -253,6 +264,7 @@
             request.claim = Claim::continuation(request.generation, request.number, id, nonce);
         }
         if let Some(claim) = request.claim {
+            request.claim_asked = self.now;
             request.state = State::Claiming;
             self.effects.push(Effect::Claim {
                 claim,
--- a/crates/core/src/request.rs
+++ b/crates/core/src/request.rs
@@ -84,6 +84,8 @@
     pub caller: Caller,
     /// Claim needed before it is sent, if any.
     pub claim: Option<Claim>,
+    /// When its claim was first asked for.
+    pub claim_asked: Time,
     /// Whether the queue counts it as running.
     pub counted: bool,
     /// Customer.
--- a/crates/core/tests/core.rs
+++ b/crates/core/tests/core.rs
@@ -10,7 +10,7 @@
         core::Core,
         counter::Counter,
         effect::{Effect, Sending},
-        event::{Event, Failure, Listed, Piece, Submission},
+        event::{ClaimOutcome, Event, Failure, Listed, Piece, Submission},
         kind::Kind,
         request::{Caller, Work},
         settings::Settings,
@@ -46,8 +46,12 @@
         }
     }
 
-    /// Asks for a generation.
+    /// Asks for a generation that may run again.
     fn ask(&mut self, customer: &str) -> Caller {
+        self.ask_of(customer, "summary", None)
+    }
+
+    fn ask_of(&mut self, customer: &str, service: &str, key: Option<u128>) -> Caller {
         self.next += 1;
         let caller = Caller(self.next);
         self.tell(Event::Submit(Box::new(Submission {
@@ -55,10 +59,10 @@
             cursor: None,
             customer: customer.into(),
             fingerprint: self.next,
-            generation: u128::from(self.next),
-            key: None,
+            generation: key.unwrap_or(u128::from(self.next)),
+            key,
             received: None,
-            service: "summary".into(),
+            service: service.into(),
             work: Work::Generate {
                 max_tokens: 100,
                 payload: Arc::from(&b"{}"[..]),
@@ -68,6 +72,18 @@
         caller
     }
 
+    /// Settles the claim that was asked for last as this request's.
+    fn claim(&mut self) {
+        let claimed = self.effects.iter().rev().find_map(|effect| match effect {
+            Effect::Claim { request, .. } => Some(*request),
+            _ => None,
+        });
+        self.tell(Event::Claimed {
+            outcome: ClaimOutcome::Claimed,
+            request: claimed.expect("a claim was asked for"),
+        });
+    }
+
     /// Errors given to callers, and whether they say when to come back.
     fn errors(&self) -> Vec<(Kind, bool)> {
         let error = |effect: &Effect| match effect {
@@ -177,6 +193,11 @@
             model,
         },
     };
+    let draft = Service {
+        name: "draft".into(),
+        repeatable: false,
+        ..service.clone()
+    };
     let customer = |name: &str, max_running| {
         let customer = Customer {
             max_running,
@@ -190,7 +211,11 @@
         customers: HashMap::from([customer("mill", 1_000), customer("small", 2)]),
         models: std::collections::BTreeMap::new(),
         revision,
-        services: [(service.name.clone(), Arc::new(service))].into(),
+        services: [
+            ("draft".into(), Arc::new(draft)),
+            (service.name.clone(), Arc::new(service)),
+        ]
+        .into(),
     }
 }
 
@@ -433,3 +458,49 @@
     test.tell(Event::Tick);
     expect_that!(test.sent().len(), eq(1));
 }
+
+#[gtest]
+fn long_generation_that_runs_once_is_still_continued_after_its_key_has_aged() {
+    let mut test = Test::new(Settings::default(), 2);
+    let key = (u128::from(NOW.0) << 80) | (7 << 76) | (2 << 62);
+    test.ask_of("mill", "draft", Some(key));
+    test.claim();
+    let first = test.attempts()[0];
+    test.token(first, 0, 7);
+    test.now = test.now.after(2 * Settings::default().key_age_max_ms);
+    test.tell(Event::List {
+        asked: test.now,
+        listed: None,
+    });
+    test.effects.clear();
+    test.tell(Event::Failed {
+        attempt: first,
+        failure: Failure::Broken,
+    });
+    test.claim();
+    expect_that!(test.errors(), is_empty());
+    expect_that!(test.attempts().len(), eq(1));
+}
+
+#[gtest]
+fn continuation_claimed_before_a_long_pause_is_not_sent_after_it() {
+    let mut test = Test::new(Settings::default(), 2);
+    let key = (u128::from(NOW.0) << 80) | (7 << 76) | (2 << 62);
+    test.ask_of("mill", "draft", Some(key));
+    test.claim();
+    let first = test.attempts()[0];
+    test.token(first, 0, 7);
+    test.effects.clear();
+    test.tell(Event::Failed {
+        attempt: first,
+        failure: Failure::Broken,
+    });
+    test.now = test.now.after(2 * Settings::default().key_age_max_ms);
+    test.claim();
+    test.tell(Event::List {
+        asked: test.now,
+        listed: None,
+    });
+    expect_that!(test.attempts(), is_empty());
+    expect_that!(test.errors(), elements_are![eq(&(Kind::Unknown, false))]);
+}
