--- a/crates/core/src/upstream.rs
+++ b/crates/core/src/upstream.rs
@@ -31,6 +31,10 @@
     pub waiting: u32,
 }
 
+/// Time for which starts and ends are remembered one by one, in milliseconds; longer than the age of
+/// any load report.
+const RECENT_MS: u64 = 5_000;
+
 /// A start or end of an attempt, or slots taken out of belief after a refusal.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Change {
@@ -47,33 +51,35 @@
     pub address: SocketAddr,
     /// Attempts of this instance under way.
     pub attempts: Vec<attempt::Key>,
+    /// Sum of this instance's starts less ends since what the last load report holds.
+    pub balance: i64,
+    /// Whether this instance works with it, where it works with a part of the pool only.
+    pub chosen: bool,
     /// Gaps between its tokens.
     pub detector: Detector,
     /// What is believed of its life.
     pub health: Health,
-    /// Whether this instance works with it, where it works with a part of the pool only.
-    pub chosen: bool,
     /// Last time anything came from it.
     pub heard: Time,
+    /// Hash of the name, as cursors carry it.
+    pub id: u64,
     /// Whether the platform's list says that it is leaving, or has dropped it.
     pub leaving: bool,
     /// Until when an earlier word that it is leaving counts, though the list says otherwise.
     pub leaving_until: Time,
-    /// Hash of the name, as cursors carry it.
-    pub id: u64,
     /// Last load report.
     pub load: Load,
     /// Unique name in the platform's list.
     pub name: Arc<str>,
     /// Pool in the platform's list.
     pub pool: Arc<str>,
+    /// Time of the next probe.
+    pub probe_at: Time,
     /// Time at which the last probe was sent.
     pub probed: Time,
     /// Time at which the last probe was sent, while it is not answered.
     pub probing: Option<Time>,
-    /// Time of the next probe.
-    pub probe_at: Time,
-    /// Starts and ends of this instance that the last load report may not hold, oldest first.
+    /// Starts and ends of the last while, oldest first, of which a report may hold some.
     pub recent: VecDeque<Change>,
 }
 
@@ -82,8 +88,7 @@
     ///
     /// The anchor and local count follow the `RouteGrail` paper.
     pub fn believed(&self) -> u32 {
-        let recent: i64 = self.recent.iter().map(|change| change.difference).sum();
-        let reported = i64::from(self.load.running + self.load.waiting) + recent;
+        let reported = i64::from(self.load.running + self.load.waiting) + self.balance;
         (reported.max(0) as u32).max(self.attempts.len() as u32)
     }
 
@@ -100,10 +105,14 @@
     pub fn report(&mut self, load: Load, now: Time, lag: u64) {
         self.load = load;
         self.recent.retain(|change| now.since(change.at) < lag);
+        self.balance = self.recent.iter().map(|change| change.difference).sum();
     }
 
     /// Notes a start or an end.
     pub fn change(&mut self, difference: i64, now: Time) {
+        let old = |change: &mut Change| now.since(change.at) > RECENT_MS;
+        while self.recent.pop_front_if(old).is_some() {}
+        self.balance += difference;
         self.recent.push_back(Change {
             at: now,
             difference,
--- a/crates/core/src/watch.rs
+++ b/crates/core/src/watch.rs
@@ -188,6 +188,7 @@
         let key = self.upstreams.insert(Upstream {
             address: entry.address,
             attempts: Vec::new(),
+            balance: 0,
             chosen: true,
             detector: Detector::default(),
             health: Health::Live,
--- a/crates/standin/tests/process.rs
+++ b/crates/standin/tests/process.rs
@@ -257,15 +257,58 @@
     runtime.block_on(test);
 }
 
+/// What an engine is done to while it generates.
+#[derive(Clone, Copy)]
+enum Fault {
+    Freeze,
+    Kill,
+}
+
+/// Streams a generation and causes a fault at its engine halfway; what came.
+async fn stream_under(fault: Fault, core: Value) -> (Ask, Outcome) {
+    let mut fleet = Processes::start(core).await;
+    let ask = summary(200);
+    let answer = fleet.stream(&ask);
+    let victim = fleet.busy().await;
+    match fault {
+        Fault::Freeze => fleet.engines[victim].signal("-STOP"),
+        Fault::Kill => fleet.engines[victim].child.kill().unwrap(),
+    }
+    let outcome = answer.await.unwrap();
+    if matches!(fault, Fault::Freeze) {
+        fleet.engines[victim].signal("-CONT");
+    }
+    (ask, outcome)
+}
+
+/// Streams a generation, ends its instance halfway, and its engine too if asked; the caller goes on
+/// at the other instance.
+async fn go_on_elsewhere(engine_too: bool) {
+    let mut fleet = Processes::start(json!({})).await;
+    let ask = summary(200);
+    let answer = fleet.stream(&ask);
+    let victim = fleet.busy().await;
+    fleet.instances[0].child.kill().unwrap();
+    if engine_too {
+        fleet.engines[victim].child.kill().unwrap();
+    }
+    let first = answer.await.unwrap();
+    expect_that!(first.finished, eq(false));
+    let rest = Ask {
+        cursor: first.cursor,
+        received: first.tokens.clone(),
+        ..ask.clone()
+    };
+    let second = caller().generate(fleet.instances[1].address, &rest).await;
+    expect_that!(second.error, none());
+    let whole = [first.tokens, second.tokens].concat();
+    expect_that!(ask.is_whole(&whole), eq(true));
+}
+
 #[gtest]
 fn answer_is_whole_though_its_engine_is_killed() {
     run(async {
-        let mut fleet = Processes::start(json!({})).await;
-        let ask = summary(200);
-        let answer = fleet.stream(&ask);
-        let victim = fleet.busy().await;
-        fleet.engines[victim].child.kill().unwrap();
-        let outcome = answer.await.unwrap();
+        let (ask, outcome) = stream_under(Fault::Kill, json!({})).await;
         expect_that!(outcome.error, none());
         expect_that!(ask.is_whole(&outcome.tokens), eq(true));
         expect_that!(outcome.wrong_positions, eq(0));
@@ -275,12 +318,8 @@
 #[gtest]
 fn answer_is_not_whole_without_continuation() {
     run(async {
-        let mut fleet = Processes::start(json!({ "continuation": false })).await;
-        let ask = summary(200);
-        let answer = fleet.stream(&ask);
-        let victim = fleet.busy().await;
-        fleet.engines[victim].child.kill().unwrap();
-        let outcome = answer.await.unwrap();
+        let core = json!({ "continuation": false });
+        let (ask, outcome) = stream_under(Fault::Kill, core).await;
         expect_that!(outcome.error, some(eq("upstream_failed")));
         expect_that!(ask.is_whole(&outcome.tokens), eq(false));
     });
@@ -289,13 +328,7 @@
 #[gtest]
 fn answer_is_whole_though_its_engine_is_frozen_and_comes_back() {
     run(async {
-        let fleet = Processes::start(json!({})).await;
-        let ask = summary(200);
-        let answer = fleet.stream(&ask);
-        let victim = fleet.busy().await;
-        fleet.engines[victim].signal("-STOP");
-        let outcome = answer.await.unwrap();
-        fleet.engines[victim].signal("-CONT");
+        let (ask, outcome) = stream_under(Fault::Freeze, json!({})).await;
         expect_that!(outcome.error, none());
         expect_that!(ask.is_whole(&outcome.tokens), eq(true));
     });
@@ -303,46 +336,12 @@
 
 #[gtest]
 fn caller_goes_on_at_another_instance_after_its_own_is_killed() {
-    run(async {
-        let mut fleet = Processes::start(json!({})).await;
-        let ask = summary(200);
-        let answer = fleet.stream(&ask);
-        fleet.busy().await;
-        fleet.instances[0].child.kill().unwrap();
-        let first = answer.await.unwrap();
-        expect_that!(first.finished, eq(false));
-        let rest = Ask {
-            cursor: first.cursor,
-            received: first.tokens.clone(),
-            ..ask.clone()
-        };
-        let second = caller().generate(fleet.instances[1].address, &rest).await;
-        expect_that!(second.error, none());
-        let whole = [first.tokens, second.tokens].concat();
-        expect_that!(ask.is_whole(&whole), eq(true));
-    });
+    run(go_on_elsewhere(false));
 }
 
 #[gtest]
 fn caller_goes_on_after_its_engine_and_its_instance_are_killed() {
-    run(async {
-        let mut fleet = Processes::start(json!({})).await;
-        let ask = summary(200);
-        let answer = fleet.stream(&ask);
-        let victim = fleet.busy().await;
-        fleet.instances[0].child.kill().unwrap();
-        fleet.engines[victim].child.kill().unwrap();
-        let first = answer.await.unwrap();
-        let rest = Ask {
-            cursor: first.cursor,
-            received: first.tokens.clone(),
-            ..ask.clone()
-        };
-        let second = caller().generate(fleet.instances[1].address, &rest).await;
-        expect_that!(second.error, none());
-        let whole = [first.tokens, second.tokens].concat();
-        expect_that!(ask.is_whole(&whole), eq(true));
-    });
+    run(go_on_elsewhere(true));
 }
 
 #[gtest]
