The delay that an instance adds is measured beside none

Cause: the delay of tokens held the engines' bursts and the callers' reading, so that the instance's part was not known.

--- a/crates/standin/src/caller.rs
+++ b/crates/standin/src/caller.rs
@@ -18,6 +18,8 @@
 pub struct Ask {
     /// Cursor of an earlier connection.
     pub cursor: Option<String>,
+    /// Whether it is sent straight to an engine, in the engine's words.
+    pub direct: bool,
     /// Leave after this many tokens of this connection.
     pub cut_after: Option<usize>,
     /// Idempotency key.
@@ -80,6 +82,7 @@
         Self {
             cursor: None,
             cut_after: None,
+            direct: false,
             idempotency: None,
             max_tokens,
             prompt: prompt.into(),
@@ -217,6 +220,10 @@
         if !ask.received.is_empty() {
             body["received_token_ids"] = json!(ask.received);
         }
+        if ask.direct {
+            body["continue_token_ids"] = json!([]);
+            body["stream_id"] = json!(Uuid::new_v4().to_string());
+        }
         let mut request = hyper::Request::post(format!("http://{address}/v1/completions"))
             .header(header::AUTHORIZATION, self.bearer());
         if let Some(cursor) = &ask.cursor {
--- a/crates/standin/src/cost.rs
+++ b/crates/standin/src/cost.rs
@@ -17,6 +17,9 @@
 /// Time between two tokens of a stream.
 const STEP: Duration = Duration::from_millis(25);
 
+/// Tokens of a stream.
+const TOKENS: usize = 400;
+
 /// Engines.
 const ENGINES: usize = 8;
 
@@ -24,6 +27,8 @@
 struct Point {
     cpu: f64,
     delays_ms: Vec<f64>,
+    /// Delays of the same load without an instance in between.
+    direct_ms: Vec<f64>,
     memory: f64,
     tokens_per_second: f64,
 }
@@ -46,7 +51,9 @@
                     point.cpu * 1e6 / point.tokens_per_second.max(1.0),
                 )
                 .figure("MB", point.memory / 1e6)
-                .percentiles("delay", &point.delays_ms),
+                .percentiles("delay", &point.delays_ms)
+                .quantile("straight from the engines", &point.direct_ms, 0.5)
+                .quantile("straight from the engines", &point.direct_ms, 0.99),
         );
     }
     report.print();
@@ -71,27 +78,46 @@
     plan.engine.step = STEP;
     plan.engine.slots = 128;
     let (fleet, address, process) = Fleet::start_with_process(&plan).await;
-    let tokens = 400;
-    let ask = caller::Ask::new("notebook-summary", "log", tokens);
+    let ask = caller::Ask::new("notebook-summary", "log", TOKENS);
     let load = Load::start(&[address], streams, &ask, Style::Plain);
     sleep(WARM_UP).await;
     let (before, began) = (process.used(), Instant::now());
     sleep(TIME).await;
     let (after, ended) = (process.used(), Instant::now());
-    let outcomes = load.stop().await;
+    let events = seen(load, began, ended).await;
     let seconds = (ended - began).as_secs_f64();
-    let within = |event: &&caller::Seen| event.at >= began && event.at < ended;
-    let events: Vec<caller::Seen> = outcomes
-        .iter()
-        .flat_map(|outcome| outcome.seen.events.iter().filter(within))
-        .copied()
-        .collect();
     let count: usize = events.iter().map(|event| event.tokens).sum();
-    drop(fleet);
     Point {
         cpu: (after.cpu_seconds - before.cpu_seconds) / seconds,
-        delays_ms: events.iter().filter_map(|event| event.delay_ms).collect(),
+        delays_ms: delays(&events),
+        direct_ms: direct(&fleet, streams, ask).await,
         memory: after.memory_bytes,
         tokens_per_second: count as f64 / seconds,
     }
 }
+
+/// Delays of a load that is sent straight to the engines.
+async fn direct(fleet: &Fleet, streams: usize, ask: caller::Ask) -> Vec<f64> {
+    let engines: Vec<SocketAddr> = fleet.engines.iter().map(|engine| engine.address).collect();
+    let ask = caller::Ask {
+        direct: true,
+        ..ask
+    };
+    let load = Load::start(&engines, streams, &ask, Style::Plain);
+    sleep(WARM_UP).await;
+    let began = Instant::now();
+    sleep(TIME).await;
+    delays(&seen(load, began, Instant::now()).await)
+}
+
+fn delays(events: &[caller::Seen]) -> Vec<f64> {
+    events.iter().filter_map(|event| event.delay_ms).collect()
+}
+
+/// Stops a load; what its callers saw between two moments.
+async fn seen(load: Load, began: Instant, ended: Instant) -> Vec<caller::Seen> {
+    let within = |event: &caller::Seen| event.at >= began && event.at < ended;
+    let outcomes = load.stop().await;
+    let events = outcomes.into_iter().flat_map(|outcome| outcome.seen.events);
+    events.filter(within).collect()
+}
