Stand-ins' ports are looked at without listening on them

Cause, inferred and not shown: a process test failed again (1 of 3 runs of it) while waiting for an instance that had its configuration in force, so one of the four upstreams had not come up. A port was tried by listening on it; a process that another test starts in that moment holds the listener on until it runs its program, and the stand-in then can not bind.

Change: a refused connection shows that a port is free. If it fails again the test prints the upstreams as the instance saw them.

Conclusion: the test bed, not the product, as far as is known.

--- a/crates/standin/src/host.rs
+++ b/crates/standin/src/host.rs
@@ -63,7 +63,9 @@
         let offset = std::process::id().wrapping_mul(STRIDE).wrapping_add(step) % PORTS;
         let port = PORT_FIRST + offset;
         let address = SocketAddr::from(([127, 0, 0, 1], port as u16));
-        if std::net::TcpListener::bind(address).is_ok() {
+        // A listener of our own would be held on by any process that another thread starts meanwhile,
+        // until that process runs its program; a refused connection shows the same.
+        if std::net::TcpStream::connect(address).is_err() {
             return address;
         }
     }
--- a/crates/standin/tests/process.rs
+++ b/crates/standin/tests/process.rs
@@ -176,9 +176,11 @@
     async fn ready(&self, index: usize) {
         let began = Instant::now();
         let address = self.operators[index].to_string();
+        let mut seen = None;
         loop {
             if let Ok(mut client) = wellplank_ctl::Client::connect(&address, OPERATOR_KEY).await
                 && let Ok(status) = client.status().await
+                && let status = seen.insert(status)
                 && status.ready
                 && status
                     .upstreams
@@ -192,7 +194,7 @@
             if began.elapsed() > PATIENCE {
                 let log = self.folder.join(format!("entry-{index}.log"));
                 let log = std::fs::read_to_string(log).unwrap();
-                panic!("instance {index} is not ready: {log}");
+                panic!("instance {index} is not ready: {seen:?} {log}");
             }
             tokio::time::sleep(Duration::from_millis(20)).await;
         }
