Two invariants that were named and never checked are checked

Cause: found on reading the whole change: AnsweredTwice and SameGeneration stood in the list of invariants, but no code asked for them, so the list claimed more than it held.

Change: a request leaves the state only while its caller has not been answered; tokens are given on only when their attempt is the one left of the request. Broken, the second ends the request with an error in place of wrong data. Two tests of the core share their common start; their assertions are as they were.

--- a/crates/core/src/core.rs
+++ b/crates/core/src/core.rs
@@ -203,7 +203,8 @@
     /// Takes a request out of the state; every request leaves through here, once.
     pub(crate) fn remove(&mut self, key: request::Key) -> Option<Request> {
         let request = self.requests.remove(key)?;
-        self.callers.remove(&request.caller);
+        let unanswered = self.callers.remove(&request.caller) == Some(key);
+        self.check(unanswered, Invariant::AnsweredTwice);
         self.held -= request.held;
         let customer = &request.customer.name;
         if let Some(running) = self.running.get_mut(customer) {
--- a/crates/core/src/stream.rs
+++ b/crates/core/src/stream.rs
@@ -114,6 +114,11 @@
                 }
             }
         }
+        let current = self.requests[owner].attempts == [key];
+        if !self.check(current, Invariant::SameGeneration) {
+            self.fail(owner, Kind::Internal);
+            return;
+        }
         self.accept(owner, number, upstream, pieces);
     }
 
--- a/crates/core/tests/core.rs
+++ b/crates/core/tests/core.rs
@@ -37,6 +37,17 @@
         test
     }
 
+    /// A core that streams a generation which may run once; its first attempt has yielded a token.
+    fn drafting() -> (Self, attempt::Key) {
+        let mut test = Self::new(Settings::default(), 2);
+        let key = (u128::from(NOW.0) << 80) | (7 << 76) | (2 << 62);
+        test.ask_of("mill", "draft", Some(key));
+        test.claim();
+        let first = test.attempts()[0];
+        test.token(first, 0, 7);
+        (test, first)
+    }
+
     fn without_configuration(settings: Settings) -> Self {
         Self {
             core: Core::new(settings, [0; 32], 1, NOW),
@@ -461,12 +472,7 @@
 
 #[gtest]
 fn long_generation_that_runs_once_is_still_continued_after_its_key_has_aged() {
-    let mut test = Test::new(Settings::default(), 2);
-    let key = (u128::from(NOW.0) << 80) | (7 << 76) | (2 << 62);
-    test.ask_of("mill", "draft", Some(key));
-    test.claim();
-    let first = test.attempts()[0];
-    test.token(first, 0, 7);
+    let (mut test, first) = Test::drafting();
     test.now = test.now.after(2 * Settings::default().key_age_max_ms);
     test.tell(Event::List {
         asked: test.now,
@@ -484,12 +490,7 @@
 
 #[gtest]
 fn continuation_claimed_before_a_long_pause_is_not_sent_after_it() {
-    let mut test = Test::new(Settings::default(), 2);
-    let key = (u128::from(NOW.0) << 80) | (7 << 76) | (2 << 62);
-    test.ask_of("mill", "draft", Some(key));
-    test.claim();
-    let first = test.attempts()[0];
-    test.token(first, 0, 7);
+    let (mut test, first) = Test::drafting();
     test.effects.clear();
     test.tell(Event::Failed {
         attempt: first,
