Instances tell each other of the streams that they relay

Change: when a stream starts, moves or begins to answer, its instance tells the others by one datagram (prompt, run, upstream, backup), and keeps its list in the store at most every 0.7 s, which is read at a start. A caller who comes back goes on from the copy, else at the upstream that ran the stream. The same sightings say what other instances run where. Ruled out: the state in the store alone (a read per caller who comes back, and 0.7 s late).

--- a/crates/core/src/core.rs
+++ b/crates/core/src/core.rs
@@ -122,7 +122,7 @@
                 body,
                 status,
             } => self.replied(attempt, status, body),
-            Event::Sighted(sighting) => self.sightings.add(sighting, self.now),
+            Event::Sighted(sighting) => self.sightings.add(sighting, false, self.now),
             Event::Submit(submission) => self.submit(*submission),
             Event::Tick => self.tick(),
             Event::Tokens {
--- a/crates/core/src/failure.rs
+++ b/crates/core/src/failure.rs
@@ -106,7 +106,7 @@
             return;
         };
         self.note(&request, effect::What::Failed(kind), None);
-        self.tell_ended(&request);
+        self.tell_over(&request, sighting::Stage::Left);
         let pool = request.service.pool();
         if request.passage.opened {
             self.count(Counter::Refused(kind));
--- a/crates/core/src/place.rs
+++ b/crates/core/src/place.rs
@@ -182,9 +182,9 @@
                 );
             }
         }
-        for (at, sighting) in self.sightings.running() {
+        for (at, sighting) in self.sightings.running(self.now) {
             let reading =
-                sighting.stage == sighting::Stage::Started && self.now.since(*at) < READING_MS;
+                sighting.stage == sighting::Stage::Started && self.now.since(at) < READING_MS;
             if let Some(key) = self.names.get(sighting.upstream.as_str()) {
                 add(
                     *key,
--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -276,45 +276,35 @@
         }
     }
 
-    /// Tells other instances of a stream.
+    /// Tells other instances of a stream that is being sent or has begun.
     fn tell(&mut self, key: attempt::Key, stage: sighting::Stage) {
         let attempt = &self.attempts[key];
-        let Some(relay) = self.requests[attempt.request].work.relay() else {
-            return;
-        };
-        if relay.prompt == 0 {
-            return;
-        }
         let name = |key: upstream::Key| {
             let upstream = self.upstreams.get(key);
             upstream.map_or_else(String::new, |upstream| upstream.name.to_string())
         };
-        self.effects.push(Effect::Tell(Sighting {
-            backup: attempt.backup.map_or_else(String::new, name),
-            prompt: relay.prompt,
-            run: relay.run.to_string(),
-            stage,
-            tokens: relay.tokens,
-            upstream: name(attempt.upstream),
-        }));
+        let backup = attempt.backup.map_or_else(String::new, name);
+        let upstream = name(attempt.upstream);
+        if let Some(relay) = self.requests[attempt.request].work.relay() {
+            let sighting = relay.sighting(stage, upstream, backup);
+            self.tell_all(sighting);
+        }
     }
 
-    /// Tells other instances that a stream is over.
-    pub(crate) fn tell_ended(&mut self, request: &Request) {
-        let Some(relay) = request.work.relay() else {
-            return;
-        };
-        if relay.prompt == 0 {
+    /// Tells other instances that a stream is over, or left by its caller.
+    pub(crate) fn tell_over(&mut self, request: &Request, stage: sighting::Stage) {
+        if let Some(relay) = request.work.relay() {
+            let sighting = relay.sighting(stage, String::new(), String::new());
+            self.tell_all(sighting);
+        }
+    }
+
+    fn tell_all(&mut self, sighting: Sighting) {
+        if sighting.prompt == 0 {
             return;
         }
-        self.effects.push(Effect::Tell(Sighting {
-            backup: String::new(),
-            prompt: relay.prompt,
-            run: relay.run.to_string(),
-            stage: sighting::Stage::Ended,
-            tokens: relay.tokens,
-            upstream: String::new(),
-        }));
+        self.sightings.add(sighting.clone(), true, self.now);
+        self.effects.push(Effect::Tell(sighting));
     }
 
     /// Gives the caller the last step of a relayed answer.
@@ -332,7 +322,7 @@
         };
         self.count(Counter::Answered);
         self.note(&request, effect::What::Answered, Some(upstream));
-        self.tell_ended(&request);
+        self.tell_over(&request, sighting::Stage::Ended);
         self.effects.push(last(request.caller));
         self.pump(request.service.pool());
     }
--- a/crates/core/src/request.rs
+++ b/crates/core/src/request.rs
@@ -55,6 +55,20 @@
     pub tokens: u32,
 }
 
+impl Relay {
+    /// What is told of it to other instances.
+    pub fn sighting(&self, stage: sighting::Stage, upstream: String, backup: String) -> Sighting {
+        Sighting {
+            backup,
+            prompt: self.prompt,
+            run: self.run.to_string(),
+            stage,
+            tokens: self.tokens,
+            upstream,
+        }
+    }
+}
+
 /// How far a relayed answer has come.
 #[derive(Clone, Debug, Default)]
 pub struct Passage {
--- a/crates/core/src/sighting.rs
+++ b/crates/core/src/sighting.rs
@@ -4,23 +4,29 @@
 
 /// Time after which a sighting that was not renewed is forgotten, in milliseconds; longer than a
 /// stream runs and its caller takes to come back.
-pub(crate) const KEPT_MS: u64 = 30_000;
+const KEPT_MS: u64 = 30_000;
 
-/// Sightings kept, at most; the oldest go first.
+/// Time after which a stream that was not told of again no longer counts as running, in
+/// milliseconds: a long answer. The instance that told may be gone.
+const RUNNING_MS: u64 = 10_000;
+
+/// Sightings kept, at most; beyond it the older half of their time goes.
 const KEPT: usize = 20_000;
 
 /// Where a stream stands.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Stage {
-    /// It was answered whole, or given up.
+    /// It was answered whole.
     Ended,
+    /// Its caller went away, or it could not go on; the caller may come back.
+    Left,
     /// It was sent to an upstream.
     Started,
     /// Its first event came.
     Streaming,
 }
 
-/// A stream of one instance, as told to others.
+/// A relayed stream, as instances tell each other of it.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Sighting {
     /// Name of the upstream that keeps a copy of its memory; empty for none.
@@ -37,34 +43,62 @@
     pub upstream: String,
 }
 
-/// Streams that other instances told of, by the identity of their prompt.
+/// One stream that was told of.
+#[derive(Clone, Debug)]
+struct Seen {
+    at: Time,
+    /// Whether this instance relays it itself.
+    own: bool,
+    sighting: Sighting,
+}
+
+/// Streams by the identity of their prompt.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Sightings {
-    seen: HashMap<u64, (Time, Sighting)>,
+    seen: HashMap<u64, Seen>,
 }
 
 impl Sightings {
-    /// Notes what another instance told.
-    pub fn add(&mut self, sighting: Sighting, now: Time) {
-        if self.seen.len() >= KEPT {
-            self.seen.retain(|_, (at, _)| now.since(*at) < KEPT_MS / 2);
+    /// Notes what another instance told, or what this one tells if it is its `own`.
+    pub fn add(&mut self, sighting: Sighting, own: bool, now: Time) {
+        match sighting.stage {
+            Stage::Ended => {
+                self.seen.remove(&sighting.prompt);
+            }
+            Stage::Left => {
+                if let Some(seen) = self.seen.get_mut(&sighting.prompt)
+                    && seen.sighting.run == sighting.run
+                {
+                    seen.sighting.stage = Stage::Left;
+                }
+            }
+            Stage::Started | Stage::Streaming => {
+                if self.seen.len() >= KEPT {
+                    self.seen.retain(|_, seen| now.since(seen.at) < KEPT_MS / 2);
+                }
+                let at = now;
+                let prompt = sighting.prompt;
+                self.seen.insert(prompt, Seen { at, own, sighting });
+            }
         }
-        self.seen.insert(sighting.prompt, (now, sighting));
     }
 
     /// Forgets what is too old.
     pub fn expire(&mut self, now: Time) {
-        self.seen.retain(|_, (at, _)| now.since(*at) < KEPT_MS);
+        self.seen.retain(|_, seen| now.since(seen.at) < KEPT_MS);
     }
 
-    /// The stream of a prompt that another instance had.
+    /// The last stream of a prompt.
     pub fn get(&self, prompt: u64) -> Option<&Sighting> {
-        self.seen.get(&prompt).map(|(_, sighting)| sighting)
+        self.seen.get(&prompt).map(|seen| &seen.sighting)
     }
 
-    /// Streams that are believed to run, and when they were last told of.
-    pub fn running(&self) -> impl Iterator<Item = &(Time, Sighting)> {
-        let running = |(_, sighting): &&(Time, Sighting)| sighting.stage != Stage::Ended;
-        self.seen.values().filter(running)
+    /// Streams of other instances that are believed to run, and when they were told of.
+    pub fn running(&self, now: Time) -> impl Iterator<Item = (Time, &Sighting)> {
+        let running = move |seen: &&Seen| {
+            !seen.own && seen.sighting.stage != Stage::Left && now.since(seen.at) < RUNNING_MS
+        };
+        let seen = self.seen.values().filter(running);
+        seen.map(|seen| (seen.at, &seen.sighting))
     }
 }
--- a/crates/core/src/stream.rs
+++ b/crates/core/src/stream.rs
@@ -22,7 +22,7 @@
         }
         if let Some(request) = self.remove(key) {
             self.note(&request, effect::What::Left, None);
-            self.tell_ended(&request);
+            self.tell_over(&request, sighting::Stage::Left);
             self.pump(request.service.pool());
         }
     }
--- a/crates/node/src/feed.rs
+++ b/crates/node/src/feed.rs
@@ -15,7 +15,7 @@
 const GATHER: Duration = Duration::from_millis(200);
 
 /// Pause after a call that failed.
-const RETRY: Duration = Duration::from_millis(250);
+pub(crate) const RETRY: Duration = Duration::from_millis(250);
 
 /// Time after the store's return up to which upstreams whose entries lapsed in between are believed
 /// to live; they enter themselves again within about two seconds.
@@ -29,14 +29,14 @@
 }
 
 /// A prefix of the store, read once and watched from there on.
-struct Cursor {
+pub(crate) struct Cursor {
     client: Client,
     prefix: &'static str,
     revision: Option<u64>,
 }
 
 /// What a cursor saw.
-enum News {
+pub(crate) enum News {
     /// Everything, since it was read anew.
     All(Vec<Item>),
     /// Changes since the last news.
@@ -66,6 +66,22 @@
             .map_err(|error| Error::Store(error.to_string()))
     }
 
+    /// Reads all items under a prefix, and the revision to watch from. Pages are no snapshot, so it
+    /// is that of the first one.
+    pub async fn items(&self, prefix: &str) -> Result<(Vec<Item>, u64), Error> {
+        let mut page = self.page(prefix, None).await?;
+        let revision = page.revision;
+        let mut items = std::mem::take(&mut page.items);
+        while page.more {
+            let Some(last) = items.last().map(|item| item.key.clone()) else {
+                break;
+            };
+            page = self.page(prefix, Some(&last)).await?;
+            items.append(&mut page.items);
+        }
+        Ok((items, revision))
+    }
+
     async fn page(&self, prefix: &str, after: Option<&str>) -> Result<Page, Error> {
         let (status, body) = self
             .call(platform::store::range(prefix, after), PATIENCE)
@@ -78,7 +94,8 @@
 }
 
 impl Cursor {
-    fn new(client: Client, prefix: &'static str) -> Self {
+    /// A cursor that has read nothing yet.
+    pub fn new(client: Client, prefix: &'static str) -> Self {
         Self {
             client,
             prefix,
@@ -87,7 +104,7 @@
     }
 
     /// Waits for news.
-    async fn next(&mut self) -> Result<News, Error> {
+    pub async fn next(&mut self) -> Result<News, Error> {
         let Some(revision) = self.revision else {
             return self.read().await.map(News::All);
         };
@@ -106,18 +123,8 @@
         Ok(News::Some(seen.changes))
     }
 
-    /// Reads everything. Pages are no snapshot, so the watch goes on from the first one.
     async fn read(&mut self) -> Result<Vec<Item>, Error> {
-        let mut page = self.client.page(self.prefix, None).await?;
-        let revision = page.revision;
-        let mut items = std::mem::take(&mut page.items);
-        while page.more {
-            let Some(last) = items.last().map(|item| item.key.clone()) else {
-                break;
-            };
-            page = self.client.page(self.prefix, Some(&last)).await?;
-            items.append(&mut page.items);
-        }
+        let (items, revision) = self.client.items(self.prefix).await?;
         self.revision = Some(revision);
         Ok(items)
     }
@@ -212,13 +219,14 @@
 }
 
 /// Whether a part of the store answers; each change is logged once.
-struct Link {
+pub(crate) struct Link {
     lost: bool,
     what: &'static str,
 }
 
 impl Link {
-    fn bad(&mut self, error: &Error) {
+    /// Notes a call that failed.
+    pub fn bad(&mut self, error: &Error) {
         if !self.lost {
             warn!("{} of the store can not be read: {error}", self.what);
         }
@@ -226,14 +234,15 @@
     }
 
     /// Notes an answer; whether it is the first after a loss.
-    fn good(&mut self) -> bool {
+    pub fn good(&mut self) -> bool {
         if self.lost {
             info!("{} of the store can be read again", self.what);
         }
         std::mem::take(&mut self.lost)
     }
 
-    fn new(what: &'static str) -> Self {
+    /// A link that is believed to work; `what` names it in logs.
+    pub fn new(what: &'static str) -> Self {
         Self { lost: false, what }
     }
 }
--- /dev/null
+++ b/crates/node/src/gossip.rs
@@ -0,0 +1,328 @@
+//! What instances on the users' platform know of each other: their addresses, which each enters in
+//! the platform's store, and the streams that they relay, told by datagrams and kept in the store so
+//! that they are known after all instances were lost at once.
+
+use super::*;
+use tokio::net::UdpSocket;
+
+/// Start of the keys under which instances enter their addresses.
+const ADDRESSES: &str = "wellplank/instances/";
+
+/// Start of the keys under which instances keep the streams that they relay.
+const STREAMS: &str = "wellplank/streams/";
+
+/// Time that an instance's entries outlive it: longer than a restart takes.
+const LEASE: Duration = Duration::from_secs(20);
+
+/// Time between two renewals of the lease; several may fail.
+const RENEW: Duration = Duration::from_secs(5);
+
+/// Time between two writes of the streams; each write is paid for.
+const KEEP: Duration = Duration::from_millis(700);
+
+/// Time that a call may take.
+const PATIENCE: Duration = Duration::from_secs(1);
+
+/// Bytes of a datagram that are taken in.
+const DATAGRAM: usize = 2_048;
+
+/// Streams kept in the store, at most; the value stays far below the store's limit.
+const KEPT: usize = 1_000;
+
+/// Other instances' addresses by name.
+type Addresses = BTreeMap<String, SocketAddr>;
+
+/// What the tasks need.
+pub(crate) struct Gossip {
+    /// Client of the store.
+    pub client: feed::Client,
+    /// The core task.
+    pub driver: Driver,
+    /// Name of this instance.
+    pub instance: String,
+    /// Where datagrams come.
+    pub listen: SocketAddr,
+}
+
+impl Gossip {
+    /// Starts the tasks; `sightings` are those that the core tells.
+    pub async fn start(self, sightings: mpsc::UnboundedReceiver<Sighting>) -> Result<(), Error> {
+        let socket = UdpSocket::bind(self.listen)
+            .await
+            .map_err(|error| Error::Bind(self.listen, error))?;
+        let socket = Arc::new(socket);
+        let (found, addresses) = watch::channel(Addresses::new());
+        let (changed, streams) = watch::channel(Streams::default());
+        tokio::spawn(hear(socket.clone(), self.driver.clone()));
+        tokio::spawn(find(self.client.clone(), self.instance.clone(), found));
+        tokio::spawn(tell(socket, addresses, changed, sightings));
+        tokio::spawn(keep(self, streams));
+        Ok(())
+    }
+}
+
+/// Streams that this instance relays, by the identity of their prompt.
+#[derive(Clone, Debug, Default)]
+struct Streams(BTreeMap<u64, peers::Sighting>);
+
+impl Streams {
+    fn encode(&self) -> Vec<u8> {
+        let sightings = self.0.values().take(KEPT).cloned().collect();
+        peers::Sightings { sightings }.encode_to_vec()
+    }
+
+    fn take(&mut self, sighting: &peers::Sighting) {
+        match sighting.stage() {
+            peers::Stage::Ended | peers::Stage::Left => {
+                self.0.remove(&sighting.prompt);
+            }
+            peers::Stage::Started | peers::Stage::Streaming => {
+                self.0.insert(sighting.prompt, sighting.clone());
+            }
+        }
+    }
+}
+
+/// Hands what other instances tell to the core, for ever.
+async fn hear(socket: Arc<UdpSocket>, driver: Driver) {
+    let mut datagram = vec![0; DATAGRAM];
+    loop {
+        match socket.recv_from(&mut datagram).await {
+            Ok((length, _)) => take_in(&datagram[..length], &driver),
+            // An earlier datagram may have met a closed port.
+            Err(error) => debug!("datagram: {error}"),
+        }
+    }
+}
+
+fn take_in(bytes: &[u8], driver: &Driver) {
+    match peers::Sightings::decode(bytes) {
+        Ok(told) => {
+            for sighting in told.sightings {
+                driver.event(Event::Sighted(decode(sighting)));
+            }
+        }
+        Err(error) => warn!("what an instance told of its streams can not be read: {error}"),
+    }
+}
+
+/// Keeps the addresses of other instances as the store lists them, for ever.
+async fn find(client: feed::Client, instance: String, found: watch::Sender<Addresses>) {
+    let mut cursor = feed::Cursor::new(client, ADDRESSES);
+    let mut link = feed::Link::new("instances");
+    let mut addresses = Addresses::new();
+    loop {
+        match cursor.next().await {
+            Ok(news) => {
+                link.good();
+                take_addresses(&mut addresses, news, &instance);
+                found.send_replace(addresses.clone());
+            }
+            Err(error) => {
+                link.bad(&error);
+                sleep(feed::RETRY).await;
+            }
+        }
+    }
+}
+
+fn take_addresses(addresses: &mut Addresses, news: feed::News, instance: &str) {
+    let write = |addresses: &mut Addresses, item: &platform::store::Item| {
+        let name = item.key.trim_start_matches(ADDRESSES);
+        let address = std::str::from_utf8(&item.value).ok();
+        match address.and_then(|address| address.parse().ok()) {
+            Some(_) if name == instance => {}
+            Some(address) => {
+                addresses.insert(name.to_owned(), address);
+            }
+            None => warn!("{}: no address", item.key),
+        }
+    };
+    match news {
+        feed::News::All(items) => {
+            addresses.clear();
+            for item in &items {
+                write(addresses, item);
+            }
+        }
+        feed::News::Some(changes) => {
+            for change in changes {
+                match change {
+                    platform::store::Change::Removed(key) => {
+                        addresses.remove(key.trim_start_matches(ADDRESSES));
+                    }
+                    platform::store::Change::Written(item) => write(addresses, &item),
+                }
+            }
+        }
+    }
+}
+
+/// Tells all other instances what the core tells, for ever.
+async fn tell(
+    socket: Arc<UdpSocket>,
+    addresses: watch::Receiver<Addresses>,
+    streams: watch::Sender<Streams>,
+    mut sightings: mpsc::UnboundedReceiver<Sighting>,
+) {
+    while let Some(sighting) = sightings.recv().await {
+        let sighting = encode(sighting);
+        streams.send_modify(|streams| streams.take(&sighting));
+        let told = peers::Sightings {
+            sightings: vec![sighting],
+        };
+        let datagram = told.encode_to_vec();
+        let to: Vec<SocketAddr> = addresses.borrow().values().copied().collect();
+        for address in to {
+            if let Err(error) = socket.try_send_to(&datagram, address) {
+                // A lost datagram costs a prompt read again at most.
+                debug!("datagram to {address}: {error}");
+            }
+        }
+    }
+}
+
+/// Enters this instance in the store and keeps its streams there, for ever. What was kept before its
+/// start is read first.
+async fn keep(gossip: Gossip, mut streams: watch::Receiver<Streams>) {
+    let Gossip {
+        client,
+        driver,
+        instance,
+        listen,
+    } = gossip;
+    recall(&client, &driver).await;
+    let mut lease = Lease {
+        client,
+        granted: None,
+    };
+    let address = format!("{ADDRESSES}{instance}");
+    let kept = format!("{STREAMS}{instance}");
+    let mut ticks = interval(KEEP);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        if let Err(error) = lease.hold(&address, &listen.to_string()).await {
+            debug!("entering this instance: {error}");
+            continue;
+        }
+        if streams.has_changed().unwrap_or(false) {
+            let value = streams.borrow_and_update().encode();
+            if let Err(error) = lease.put(&kept, &value).await {
+                debug!("keeping streams: {error}");
+            }
+        }
+    }
+}
+
+/// Reads the streams that were kept before this instance started.
+async fn recall(client: &feed::Client, driver: &Driver) {
+    match client.items(STREAMS).await {
+        Ok((items, _)) => {
+            for item in items {
+                take_in(&item.value, driver);
+            }
+        }
+        Err(error) => warn!("streams kept before the start are not known: {error}"),
+    }
+}
+
+/// The lease that this instance's entries end with.
+struct Lease {
+    client: feed::Client,
+    granted: Option<Granted>,
+}
+
+#[derive(Clone, Copy)]
+struct Granted {
+    id: u64,
+    renewed: Instant,
+}
+
+impl Lease {
+    /// Makes sure that the lease runs and this instance is entered.
+    async fn hold(&mut self, key: &str, address: &str) -> Result<(), Error> {
+        match self.granted {
+            Some(granted) if granted.renewed.elapsed() < RENEW => Ok(()),
+            Some(granted) => self.renew(granted.id).await,
+            None => {
+                let asked = Instant::now();
+                let call = platform::store::lease(LEASE);
+                let (status, body) = self.client.call(call, PATIENCE).await?;
+                if status != StatusCode::OK {
+                    return Err(Error::Store(format!("lease: {status}")));
+                }
+                let id = platform::store::decode_lease(&body)
+                    .map_err(|error| Error::Store(error.to_string()))?;
+                self.granted = Some(Granted { id, renewed: asked });
+                self.put(key, address.as_bytes()).await
+            }
+        }
+    }
+
+    async fn put(&mut self, key: &str, value: &[u8]) -> Result<(), Error> {
+        let id = self.granted.map_or(0, |granted| granted.id);
+        let call = platform::store::put(key, value, id);
+        let (status, _) = self.client.call(call, PATIENCE).await?;
+        match status {
+            StatusCode::OK => Ok(()),
+            StatusCode::NOT_FOUND => {
+                // The lease has ended; the next look asks for a new one.
+                self.granted = None;
+                Err(Error::Store(format!("{key}: the lease has ended")))
+            }
+            status => Err(Error::Store(format!("{key}: {status}"))),
+        }
+    }
+
+    async fn renew(&mut self, id: u64) -> Result<(), Error> {
+        let asked = Instant::now();
+        let call = platform::store::renew(id);
+        let (status, _) = self.client.call(call, PATIENCE).await?;
+        match status {
+            StatusCode::OK => {
+                self.granted = Some(Granted { id, renewed: asked });
+                Ok(())
+            }
+            StatusCode::NOT_FOUND => {
+                self.granted = None;
+                Err(Error::Store("the lease has ended".into()))
+            }
+            status => Err(Error::Store(format!("renewing: {status}"))),
+        }
+    }
+}
+
+fn decode(sighting: peers::Sighting) -> Sighting {
+    let stage = match sighting.stage() {
+        peers::Stage::Ended => Stage::Ended,
+        peers::Stage::Left => Stage::Left,
+        peers::Stage::Started => Stage::Started,
+        peers::Stage::Streaming => Stage::Streaming,
+    };
+    Sighting {
+        backup: sighting.backup,
+        prompt: sighting.prompt,
+        run: sighting.run,
+        stage,
+        tokens: sighting.tokens,
+        upstream: sighting.upstream,
+    }
+}
+
+fn encode(sighting: Sighting) -> peers::Sighting {
+    let stage = match sighting.stage {
+        Stage::Ended => peers::Stage::Ended,
+        Stage::Left => peers::Stage::Left,
+        Stage::Started => peers::Stage::Started,
+        Stage::Streaming => peers::Stage::Streaming,
+    };
+    peers::Sighting {
+        backup: sighting.backup,
+        prompt: sighting.prompt,
+        run: sighting.run,
+        stage: stage.into(),
+        tokens: sighting.tokens,
+        upstream: sighting.upstream,
+    }
+}
--- a/crates/node/src/hosted.rs
+++ b/crates/node/src/hosted.rs
@@ -51,7 +51,7 @@
     let (limits, limited) = watch::channel(platform::configuration::Limits::default());
     let (configured, is_configured) = watch::channel(false);
     let (stop, stopping) = watch::channel(None);
-    let (sightings, _) = mpsc::unbounded_channel();
+    let (sightings, told) = mpsc::unbounded_channel();
     let traffic = Traffic::default();
     let (driver, _) = Driver::start(&settings, clock, claims, leaving, sightings, traffic);
 
@@ -74,7 +74,14 @@
         limits,
         configured,
     ));
-    tokio::spawn(feed::upstreams(client, clock, driver.clone()));
+    tokio::spawn(feed::upstreams(client.clone(), clock, driver.clone()));
+    let gossip = gossip::Gossip {
+        client: client.clone(),
+        driver: driver.clone(),
+        instance: settings.instance.clone(),
+        listen: hosted.peers,
+    };
+    gossip.start(told).await?;
     let address = settings.listen.callers.to_string();
     info!(address; "started");
 
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -20,6 +20,7 @@
 mod feed;
 mod forward;
 mod forwarder;
+mod gossip;
 mod http;
 mod list;
 mod logger;
@@ -92,7 +93,7 @@
         event::{self, ClaimOutcome, Event, Failure, Piece, Submission},
         kind::{Kind, Ran},
         request::{self, Caller, Work},
-        sighting::Sighting,
+        sighting::{Sighting, Stage},
         upstream::{self, Load},
     },
     wellplank_platform as platform,
