Upstreams that are lost together are avoided together

Change: of a data centre with two or more upstreams lost of late, those not heard since cost more, by the part that is lost; instances tell each other what they lost; a new upstream at an address ends the older one there.

--- a/crates/core/src/core.rs
+++ b/crates/core/src/core.rs
@@ -96,6 +96,7 @@
         }
         match event {
             Event::Answered { attempt, verdict } => self.answered(attempt, verdict),
+            Event::Blamed(name) => self.blamed(&name),
             Event::CallerGone(caller) => self.caller_gone(caller),
             Event::Carried { attempt, load } => self.carried(attempt, load),
             Event::Claimed { request, outcome } => self.claimed(request, outcome),
--- a/crates/core/src/effect.rs
+++ b/crates/core/src/effect.rs
@@ -120,6 +120,8 @@
 pub enum Effect {
     /// Give a caller the whole answer that the edge holds.
     Answer(request::Caller),
+    /// Tell other instances that an upstream was lost.
+    Blame(Arc<str>),
     /// Stop an attempt and tell the engine, if it is a stream.
     Cancel {
         /// Where the upstream listens.
--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -108,6 +108,8 @@
         /// What the answer means.
         verdict: Verdict,
     },
+    /// Another instance lost an upstream of this name.
+    Blamed(String),
     /// The caller's connection is closed.
     CallerGone(request::Caller),
     /// A load report came along with the tokens of a stream, and is as old as they are.
--- a/crates/core/src/place.rs
+++ b/crates/core/src/place.rs
@@ -17,6 +17,16 @@
 /// Cost of one failure of late.
 const TROUBLE_COST: f64 = 3.0;
 
+/// Cost of an upstream that was not heard since all others of its data centre were lost; a part of
+/// them costs that part. Racks and data centres fail together, and each try costs time.
+const OUTAGE_COST: f64 = 20.0;
+
+/// Failures of late from which on an upstream counts as lost with others of its data centre.
+const TROUBLED: f64 = 0.5;
+
+/// Upstreams of a data centre that must be lost before the others are doubted.
+const OUTAGE_LEAST: u32 = 2;
+
 /// Cost of another data centre, for the bytes between them.
 const FAR_COST: f64 = 0.4;
 
@@ -38,6 +48,29 @@
     tokens: u32,
 }
 
+/// Upstreams of one pool in one data centre that were lost of late.
+#[derive(Clone, Copy, Debug, Default)]
+struct Outage {
+    all: u32,
+    lost: u32,
+    /// When the first of them was lost.
+    since: Option<Time>,
+}
+
+/// Outages by data centre.
+type Outages = BTreeMap<Arc<str>, Outage>;
+
+impl Outage {
+    /// What it costs to choose an upstream of the data centre that was heard at `heard`.
+    fn cost(&self, heard: Time) -> f64 {
+        let unheard = self.since.is_some_and(|since| heard < since);
+        if self.lost < OUTAGE_LEAST || !unheard {
+            return 0.0;
+        }
+        OUTAGE_COST * f64::from(self.lost) / f64::from(self.all)
+    }
+}
+
 /// Usage of every upstream that has any.
 pub(crate) type Usages = SecondaryMap<upstream::Key, Usage>;
 
@@ -115,10 +148,15 @@
         candidates: &[upstream::Key],
     ) -> Option<upstream::Key> {
         let usages = self.usages();
+        let outages = self.outages(self.requests[key].service.pool());
         let mut best = None;
         for candidate in candidates {
             let usage = usages.get(*candidate).copied().unwrap_or_default();
-            let cost = self.cost(key, *candidate, usage) + self.rng.random_range(0.0..SPREAD_COST);
+            let upstream = &self.upstreams[*candidate];
+            let outage = outages.get(&upstream.data_centre).copied();
+            let cost = self.cost(key, *candidate, usage)
+                + outage.unwrap_or_default().cost(upstream.heard)
+                + self.rng.random_range(0.0..SPREAD_COST);
             if best.is_none_or(|(least, _)| cost < least) {
                 best = Some((cost, *candidate));
             }
@@ -148,6 +186,25 @@
         cost
     }
 
+    /// Upstreams of a pool that were lost of late, by data centre.
+    fn outages(&self, pool: &str) -> Outages {
+        let mut outages = Outages::new();
+        let Some(pool) = self.pools.get(pool) else {
+            return outages;
+        };
+        for key in &pool.upstreams {
+            let upstream = &self.upstreams[*key];
+            let outage = outages.entry(upstream.data_centre.clone()).or_default();
+            outage.all += 1;
+            if upstream.trouble.level(self.now) >= TROUBLED {
+                let at = upstream.trouble.last();
+                outage.lost += 1;
+                outage.since = Some(outage.since.map_or(at, |since| since.min(at)));
+            }
+        }
+        outages
+    }
+
     /// What is believed to be in use at each upstream: by this instance's own requests, and by those
     /// that other instances told of.
     fn usages(&self) -> Usages {
--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -155,8 +155,7 @@
             Failure::Broken | Failure::UnknownStream => {
                 request.may_have_run = true;
                 self.keep_copy(attempt);
-                self.upstreams[upstream].trouble.add(self.now);
-                self.doubt(upstream);
+                self.blame(upstream);
                 counter::Reason::Broken
             }
             Failure::Leaving => {
@@ -164,16 +163,18 @@
                 counter::Reason::Leaving
             }
             Failure::NotSent => {
-                self.doubt(upstream);
+                self.blame(upstream);
                 counter::Reason::NotSent
             }
             Failure::Refused | Failure::Rejected => {
+                self.upstreams[upstream].heard = self.now;
                 if attempt.copy.is_none() {
                     self.upstreams[upstream].trouble.add(self.now);
                 }
                 counter::Reason::Refused
             }
             Failure::Replaced => {
+                self.blame(upstream);
                 self.upstreams[upstream].health = Health::Lost;
                 counter::Reason::Replaced
             }
@@ -267,15 +268,31 @@
                 request.service.repeatable && spare && silence > self.settings.relay_call_ms
             };
             if lost {
-                self.upstreams[key].trouble.add(self.now);
                 if silent {
-                    self.doubt(key);
+                    self.blame(key);
+                } else {
+                    self.upstreams[key].trouble.add(self.now);
                 }
                 self.abandon(attempt_key, counter::Reason::Stall);
             }
         }
     }
 
+    /// An upstream was lost: it is doubted here, and other instances are told.
+    fn blame(&mut self, key: upstream::Key) {
+        let upstream = &mut self.upstreams[key];
+        upstream.trouble.add(self.now);
+        self.effects.push(Effect::Blame(upstream.name.clone()));
+        self.doubt(key);
+    }
+
+    /// Another instance lost an upstream. That may be its own link, so it is only one failure.
+    pub(crate) fn blamed(&mut self, name: &str) {
+        if let Some(key) = self.names.get(name) {
+            self.upstreams[*key].trouble.add(self.now);
+        }
+    }
+
     /// Tells other instances of a stream that is being sent or has begun.
     fn tell(&mut self, key: attempt::Key, stage: sighting::Stage) {
         let attempt = &self.attempts[key];
--- a/crates/core/src/upstream.rs
+++ b/crates/core/src/upstream.rs
@@ -61,6 +61,11 @@
         self.at = now;
     }
 
+    /// When the last failure was.
+    pub fn last(&self) -> Time {
+        self.at
+    }
+
     /// Failures of late; 1 for one that happened just now.
     pub fn level(&self, now: Time) -> f64 {
         self.level * (-(now.since(self.at) as f64) / TROUBLE_HALF_MS).exp2()
--- a/crates/core/src/watch.rs
+++ b/crates/core/src/watch.rs
@@ -191,6 +191,7 @@
             self.upstreams[key].leaving = entry.leaving;
             return key;
         }
+        self.replace(entry);
         let name: Arc<str> = entry.name.as_str().into();
         let pool: Arc<str> = entry.pool.as_str().into();
         let key = self.upstreams.insert(Upstream {
@@ -220,6 +221,17 @@
         key
     }
 
+    /// A new upstream has the address of an older one, which is gone then.
+    fn replace(&mut self, entry: &event::Listed) {
+        let now = self.now;
+        for (_, upstream) in &mut self.upstreams {
+            if upstream.address == entry.address && !self.settings.probes {
+                upstream.health = Health::Lost;
+                upstream.trouble.add(now);
+            }
+        }
+    }
+
     /// Gives up on an upstream and on everything that it runs.
     fn lose(&mut self, key: upstream::Key) {
         if self.upstreams[key].health == Health::Lost && self.upstreams[key].attempts.is_empty() {
--- a/crates/node/src/driver.rs
+++ b/crates/node/src/driver.rs
@@ -88,7 +88,7 @@
     pooled: Http,
     probes: Http,
     relaying: Http,
-    sightings: mpsc::UnboundedSender<Sighting>,
+    told: mpsc::UnboundedSender<gossip::Told>,
     traffic: Traffic,
 }
 
@@ -121,7 +121,7 @@
         clock: Clock,
         claims: mpsc::UnboundedSender<claimer::Order>,
         leaving: watch::Sender<Leaving>,
-        sightings: mpsc::UnboundedSender<Sighting>,
+        told: mpsc::UnboundedSender<gossip::Told>,
         traffic: Traffic,
     ) -> (Self, JoinHandle<()>) {
         let (sender, receiver) = mpsc::unbounded_channel();
@@ -145,7 +145,7 @@
             pooled: Http::pooled(),
             probes: Http::control(&traffic),
             relaying: Http::relaying(),
-            sightings,
+            told,
             traffic,
         };
         (driver, tokio::spawn(task.run(receiver)))
@@ -215,6 +215,7 @@
                     self.end(caller, Reply::Answer(answer));
                 }
             }
+            Effect::Blame(name) => self.tell_others(gossip::Told::Lost(name)),
             Effect::Cancel {
                 address,
                 attempt,
@@ -298,10 +299,7 @@
                 attempt,
                 sending,
             } => self.send(address, attempt, sending),
-            Effect::Tell(sighting) => {
-                // Where there are no other instances to tell, nobody listens.
-                let _ = self.sightings.send(sighting);
-            }
+            Effect::Tell(sighting) => self.tell_others(gossip::Told::Stream(sighting)),
         }
     }
 
@@ -337,6 +335,11 @@
         }
     }
 
+    fn tell_others(&self, told: gossip::Told) {
+        // Where there are no other instances to tell, nobody listens.
+        let _ = self.told.send(told);
+    }
+
     fn take_held(&mut self, caller: Caller) -> Option<Held> {
         self.callers.get_mut(&caller)?.held.take()
     }
--- a/crates/node/src/gossip.rs
+++ b/crates/node/src/gossip.rs
@@ -29,6 +29,15 @@
 /// Streams kept in the store, at most; the value stays far below the store's limit.
 const KEPT: usize = 1_000;
 
+/// What the core tells other instances.
+#[derive(Clone, Debug)]
+pub(crate) enum Told {
+    /// It lost an upstream.
+    Lost(Arc<str>),
+    /// It relays a stream.
+    Stream(Sighting),
+}
+
 /// Other instances' addresses by name.
 type Addresses = BTreeMap<String, SocketAddr>;
 
@@ -45,8 +54,8 @@
 }
 
 impl Gossip {
-    /// Starts the tasks; `sightings` are those that the core tells.
-    pub async fn start(self, sightings: mpsc::UnboundedReceiver<Sighting>) -> Result<(), Error> {
+    /// Starts the tasks; `told` is what the core tells.
+    pub async fn start(self, told: mpsc::UnboundedReceiver<Told>) -> Result<(), Error> {
         let socket = UdpSocket::bind(self.listen)
             .await
             .map_err(|error| Error::Bind(self.listen, error))?;
@@ -55,7 +64,7 @@
         let (changed, streams) = watch::channel(Streams::default());
         tokio::spawn(hear(socket.clone(), self.driver.clone()));
         tokio::spawn(find(self.client.clone(), self.instance.clone(), found));
-        tokio::spawn(tell(socket, addresses, changed, sightings));
+        tokio::spawn(tell(socket, addresses, changed, told));
         tokio::spawn(keep(self, streams));
         Ok(())
     }
@@ -68,7 +77,11 @@
 impl Streams {
     fn encode(&self) -> Vec<u8> {
         let sightings = self.0.values().take(KEPT).cloned().collect();
-        peers::Sightings { sightings }.encode_to_vec()
+        peers::Sightings {
+            lost: Vec::new(),
+            sightings,
+        }
+        .encode_to_vec()
     }
 
     fn take(&mut self, sighting: &peers::Sighting) {
@@ -101,6 +114,9 @@
             for sighting in told.sightings {
                 driver.event(Event::Sighted(decode(sighting)));
             }
+            for name in told.lost {
+                driver.event(Event::Blamed(name));
+            }
         }
         Err(error) => warn!("what an instance told of its streams can not be read: {error}"),
     }
@@ -163,15 +179,19 @@
     socket: Arc<UdpSocket>,
     addresses: watch::Receiver<Addresses>,
     streams: watch::Sender<Streams>,
-    mut sightings: mpsc::UnboundedReceiver<Sighting>,
+    mut told: mpsc::UnboundedReceiver<Told>,
 ) {
-    while let Some(sighting) = sightings.recv().await {
-        let sighting = encode(sighting);
-        streams.send_modify(|streams| streams.take(&sighting));
-        let told = peers::Sightings {
-            sightings: vec![sighting],
-        };
-        let datagram = told.encode_to_vec();
+    while let Some(told) = told.recv().await {
+        let mut message = peers::Sightings::default();
+        match told {
+            Told::Lost(name) => message.lost.push(name.to_string()),
+            Told::Stream(sighting) => {
+                let sighting = encode(sighting);
+                streams.send_modify(|streams| streams.take(&sighting));
+                message.sightings.push(sighting);
+            }
+        }
+        let datagram = message.encode_to_vec();
         let to: Vec<SocketAddr> = addresses.borrow().values().copied().collect();
         for address in to {
             if let Err(error) = socket.try_send_to(&datagram, address) {
--- a/crates/node/src/hosted.rs
+++ b/crates/node/src/hosted.rs
@@ -51,9 +51,9 @@
     let (limits, limited) = watch::channel(platform::configuration::Limits::default());
     let (configured, is_configured) = watch::channel(false);
     let (stop, stopping) = watch::channel(None);
-    let (sightings, told) = mpsc::unbounded_channel();
+    let (told, telling) = mpsc::unbounded_channel();
     let traffic = Traffic::default();
-    let (driver, _) = Driver::start(&settings, clock, claims, leaving, sightings, traffic);
+    let (driver, _) = Driver::start(&settings, clock, claims, leaving, told, traffic);
 
     let ready = Ready {
         configured: is_configured,
@@ -81,7 +81,7 @@
         instance: settings.instance.clone(),
         listen: hosted.peers,
     };
-    gossip.start(told).await?;
+    gossip.start(telling).await?;
     let address = settings.listen.callers.to_string();
     info!(address; "started");
 
--- a/crates/node/src/instance.rs
+++ b/crates/node/src/instance.rs
@@ -47,13 +47,13 @@
             .map_err(|error| Error::Bind(settings.listen.callers, std::io::Error::other(error)))?;
 
         let (leaving, leaving_here) = watch::channel(driver::Leaving::new());
-        let (sightings, _) = mpsc::unbounded_channel();
+        let (told, _) = mpsc::unbounded_channel();
         let (driver, core) = Driver::start(
             &settings,
             clock,
             claims.clone(),
             leaving,
-            sightings,
+            told,
             traffic.clone(),
         );
         let claimer = claimer::Claimer {
--- a/crates/standin/src/world.rs
+++ b/crates/standin/src/world.rs
@@ -447,6 +447,7 @@
             }
             // Nobody relays in this world.
             Effect::Answer(_)
+            | Effect::Blame(_)
             | Effect::Close(_)
             | Effect::Cut(_)
             | Effect::Leaving(_)
