Fewer calls of the store, and copies only where there are any

Change: the pause between watches of upstreams grows with their number (0.2 to 1 s), streams are written less often the more instances there are, failed calls back off to a second, a watch waits as long as the store lets it; a copy is used from the first event on; a caller is asked to come back to an instance without configuration after an eighth of its patience. Ruled out: stale reads at a tenth of the price (they may be older than a leaving upstream allows).

--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -5,6 +5,10 @@
 /// Bounds of the time after which a refused caller is asked to come back; milliseconds.
 const RETRY_AFTER: std::ops::RangeInclusive<u64> = 200..=60_000;
 
+/// The part of a caller's patience after which it is asked to come back to instances that have no
+/// configuration; less than the third up to which callers follow.
+const NOT_READY_PART: u64 = 8;
+
 /// Part of the longest wait that a request is accepted with; an estimate that is wrong by less than
 /// the rest leads to no late refusal.
 const WAIT_MARGIN: f64 = 0.5;
@@ -36,6 +40,17 @@
     Ok((customer.clone(), service.clone()))
 }
 
+/// The refusal of an instance that has no configuration yet. Without the platform's store none is to
+/// be had, so a caller who waits long is asked to come back late.
+fn not_ready(submission: &event::Submission) -> Refusal {
+    let patience = submission.work.relay().and_then(|relay| relay.patience_ms);
+    let wait = patience.map_or(0, |patience| patience / NOT_READY_PART);
+    Refusal {
+        kind: Kind::NotReady,
+        retry_after_ms: Some(wait.clamp(*RETRY_AFTER.start(), *RETRY_AFTER.end())),
+    }
+}
+
 impl Core {
     pub(crate) fn submit(&mut self, submission: event::Submission) {
         let caller = submission.caller;
@@ -77,10 +92,7 @@
     }
 
     fn admit(&mut self, submission: event::Submission) -> Result<request::Key, Refusal> {
-        let config = self.config.clone().ok_or(Refusal {
-            kind: Kind::NotReady,
-            retry_after_ms: Some(*RETRY_AFTER.start()),
-        })?;
+        let config = self.config.clone().ok_or_else(|| not_ready(&submission))?;
         let (customer, service) = match submission.work.relay() {
             Some(relay) => self.relayed(&config, &submission.customer, relay)?,
             None => declared(&config, &submission)?,
--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -124,13 +124,13 @@
         })
     }
 
-    /// Remembers where the memory of a lost attempt was copied to.
+    /// Remembers where the memory of a lost attempt was copied to. Copies begin with the first event:
+    /// of 18 streams that were lost before it none had one.
     pub(crate) fn keep_copy(&mut self, attempt: &Attempt) {
-        let run = self.requests[attempt.request].work.relay();
-        let run = run.map(|relay| relay.run.clone());
-        let copy = attempt.backup.zip(run);
-        self.requests[attempt.request].passage.copy =
-            copy.map(|(upstream, run)| request::Copy { run, upstream });
+        let request = &mut self.requests[attempt.request];
+        let run = request.work.relay().map(|relay| relay.run.clone());
+        let copy = attempt.backup.zip(run).filter(|_| attempt.started);
+        request.passage.copy = copy.map(|(upstream, run)| request::Copy { run, upstream });
     }
 
     /// Chooses where a copy of a stream's memory is kept while it runs, and tells other instances.
--- a/crates/node/src/feed.rs
+++ b/crates/node/src/feed.rs
@@ -6,16 +6,21 @@
 /// Time that the store has to answer a read: many times the few milliseconds that it takes.
 const PATIENCE: Duration = Duration::from_millis(1_500);
 
-/// Time that a watch waits for a change. Longer means fewer calls; a path that is gone is noticed by
-/// the connection long before.
-const WAIT: Duration = Duration::from_secs(10);
+/// Time that a watch waits for a change: the longest that the store takes. A path that is gone is
+/// noticed by the connection long before.
+const WAIT: Duration = Duration::from_secs(30);
 
-/// Pause between two watches of upstreams, in which changes gather. Far below the time in which a
-/// leaving upstream must get no more work.
-const GATHER: Duration = Duration::from_millis(200);
+/// Pause between two watches of upstreams for each of them, in which changes gather: each call is
+/// paid for, and a lost data centre changes a part of all entries.
+const GATHER_EACH: Duration = Duration::from_millis(4);
 
-/// Pause after a call that failed.
-pub(crate) const RETRY: Duration = Duration::from_millis(250);
+/// Bounds of that pause: the longest is half of the shortest time in which a leaving upstream must
+/// get no more work.
+const GATHER: RangeInclusive<Duration> = Duration::from_millis(200)..=Duration::from_secs(1);
+
+/// Pause after a call that failed: it doubles with each further failure up to the end, since refused
+/// calls are paid for too.
+const RETRY: RangeInclusive<Duration> = Duration::from_millis(250)..=Duration::from_secs(1);
 
 /// Time after the store's return up to which upstreams whose entries lapsed in between are believed
 /// to live; they enter themselves again within about two seconds.
@@ -147,10 +152,7 @@
                     adopt(&item, &driver, &limits, &configured);
                 }
             }
-            Err(error) => {
-                link.bad(&error);
-                sleep(RETRY).await;
-            }
+            Err(error) => link.bad(&error).await,
         }
     }
 }
@@ -171,17 +173,18 @@
                 roster.take(news, returned);
             }
             Ok(Err(error)) => {
-                link.bad(&error);
-                sleep(RETRY).await;
+                link.bad(&error).await;
                 continue;
             }
             // An entry has been missing for long enough.
             Err(_) => {}
         }
-        let listed = Some(roster.listed());
+        let listed = roster.listed();
+        let gather = GATHER_EACH * listed.len() as u32;
         let asked = clock.now();
+        let listed = Some(listed);
         driver.event(Event::List { asked, listed });
-        sleep(GATHER).await;
+        sleep(gather.clamp(*GATHER.start(), *GATHER.end())).await;
     }
 }
 
@@ -220,30 +223,34 @@
 
 /// Whether a part of the store answers; each change is logged once.
 pub(crate) struct Link {
-    lost: bool,
+    /// Pause after the next failure; `None` while the store answers.
+    pause: Option<Duration>,
     what: &'static str,
 }
 
 impl Link {
-    /// Notes a call that failed.
-    pub fn bad(&mut self, error: &Error) {
-        if !self.lost {
+    /// Notes a call that failed, and waits before the next one.
+    pub async fn bad(&mut self, error: &Error) {
+        let pause = self.pause.unwrap_or_else(|| {
             warn!("{} of the store can not be read: {error}", self.what);
-        }
-        self.lost = true;
+            *RETRY.start()
+        });
+        self.pause = Some((pause * 2).min(*RETRY.end()));
+        sleep(pause).await;
     }
 
     /// Notes an answer; whether it is the first after a loss.
     pub fn good(&mut self) -> bool {
-        if self.lost {
+        let lost = self.pause.take().is_some();
+        if lost {
             info!("{} of the store can be read again", self.what);
         }
-        std::mem::take(&mut self.lost)
+        lost
     }
 
     /// A link that is believed to work; `what` names it in logs.
     pub fn new(what: &'static str) -> Self {
-        Self { lost: false, what }
+        Self { pause: None, what }
     }
 }
 
--- a/crates/node/src/gossip.rs
+++ b/crates/node/src/gossip.rs
@@ -17,9 +17,17 @@
 /// Time between two renewals of the lease; several may fail.
 const RENEW: Duration = Duration::from_secs(5);
 
-/// Time between two writes of the streams; each write is paid for.
+/// Time between two looks at whether the streams are to be written.
 const KEEP: Duration = Duration::from_millis(700);
 
+/// Time between two writes of the streams for each instance that there is; each write is paid for,
+/// and the store takes a few hundred a second from all.
+const KEEP_EACH: Duration = Duration::from_millis(40);
+
+/// Pause between two watches of addresses, in which changes gather; an address matters only after
+/// its instance has begun to serve.
+const GATHER: Duration = Duration::from_secs(2);
+
 /// Time that a call may take.
 const PATIENCE: Duration = Duration::from_secs(1);
 
@@ -64,8 +72,8 @@
         let (changed, streams) = watch::channel(Streams::default());
         tokio::spawn(hear(socket.clone(), self.driver.clone()));
         tokio::spawn(find(self.client.clone(), self.instance.clone(), found));
+        tokio::spawn(keep(self, addresses.clone(), streams));
         tokio::spawn(tell(socket, addresses, changed, told));
-        tokio::spawn(keep(self, streams));
         Ok(())
     }
 }
@@ -133,11 +141,9 @@
                 link.good();
                 take_addresses(&mut addresses, news, &instance);
                 found.send_replace(addresses.clone());
+                sleep(GATHER).await;
             }
-            Err(error) => {
-                link.bad(&error);
-                sleep(feed::RETRY).await;
-            }
+            Err(error) => link.bad(&error).await,
         }
     }
 }
@@ -204,7 +210,11 @@
 
 /// Enters this instance in the store and keeps its streams there, for ever. What was kept before its
 /// start is read first.
-async fn keep(gossip: Gossip, mut streams: watch::Receiver<Streams>) {
+async fn keep(
+    gossip: Gossip,
+    addresses: watch::Receiver<Addresses>,
+    mut streams: watch::Receiver<Streams>,
+) {
     let Gossip {
         client,
         driver,
@@ -218,6 +228,7 @@
     };
     let address = format!("{ADDRESSES}{instance}");
     let kept = format!("{STREAMS}{instance}");
+    let mut written = Instant::now();
     let mut ticks = interval(KEEP);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
@@ -226,7 +237,9 @@
             debug!("entering this instance: {error}");
             continue;
         }
-        if streams.has_changed().unwrap_or(false) {
+        let pause = KEEP_EACH * addresses.borrow().len() as u32;
+        if streams.has_changed().unwrap_or(false) && written.elapsed() >= pause {
+            written = Instant::now();
             let value = streams.borrow_and_update().encode();
             if let Err(error) = lease.put(&kept, &value).await {
                 debug!("keeping streams: {error}");
