The platform's path is tested between sockets

Found by them and mended: a head beyond the limit was taken (the library's own limit is far higher); it gets 431 now.

--- a/crates/core/src/kind.rs
+++ b/crates/core/src/kind.rs
@@ -19,6 +19,8 @@
     CustomerLimit,
     /// The deadline passed before the request was sent anywhere.
     Deadline,
+    /// The head of the request is larger than the limit.
+    HeadTooLarge,
     /// An invariant was broken; the answer would have been wrong.
     Internal,
     /// The service runs a request at most once and needs an idempotency key.
@@ -77,7 +79,7 @@
 
 impl Kind {
     /// Every kind.
-    pub const ALL: [Self; 22] = [
+    pub const ALL: [Self; 23] = [
         Self::AlreadyClaimed,
         Self::BadBody,
         Self::BadCursor,
@@ -85,6 +87,7 @@
         Self::CannotResume,
         Self::CustomerLimit,
         Self::Deadline,
+        Self::HeadTooLarge,
         Self::Internal,
         Self::KeyRequired,
         Self::KeyReused,
@@ -115,6 +118,7 @@
             Self::CannotResume     => row("cannot_resume",     410, Maybe, false, "the rest of this answer can not be had; send the tokens received so far, or ask anew"),
             Self::CustomerLimit    => row("customer_limit",    429, No,    true,  "the customer has too many requests running"),
             Self::Deadline         => row("deadline",          504, No,    true,  "the deadline passed before the request was sent"),
+            Self::HeadTooLarge     => row("head_too_large",    431, No,    false, "the head of the request is larger than the limit"),
             Self::Internal         => row("internal",          500, Maybe, false, "an internal check failed"),
             Self::KeyRequired      => row("key_required",      400, No,    false, "this service needs an idempotency-key header"),
             Self::KeyReused        => row("key_reused",        422, No,    false, "the idempotency key belongs to another request"),
--- a/crates/node/src/hosted.rs
+++ b/crates/node/src/hosted.rs
@@ -42,61 +42,84 @@
     }
 }
 
+/// A running instance on the users' platform.
+pub struct Instance {
+    driver: Driver,
+    grace: Duration,
+    stop: watch::Sender<Option<Instant>>,
+}
+
 /// Runs an instance until it is told to stop and has stopped.
 pub async fn run(settings: Settings, hosted: Hosted) -> Result<(), Error> {
-    let clock = Clock::new();
-    let client = feed::Client::new(hosted.store);
-    let (claims, _) = mpsc::unbounded_channel();
-    let (leaving, _) = watch::channel(driver::Leaving::new());
-    let (limits, limited) = watch::channel(platform::configuration::Limits::default());
-    let (configured, is_configured) = watch::channel(false);
-    let (stop, stopping) = watch::channel(None);
-    let (told, telling) = mpsc::unbounded_channel();
-    let traffic = Traffic::default();
-    let (driver, _) = Driver::start(&settings, clock, claims, leaving, told, traffic);
+    let instance = Instance::start(settings, hosted).await?;
+    instance::terminated().await;
+    instance.stop().await;
+    Ok(())
+}
 
-    let ready = Ready {
-        configured: is_configured,
-        stopping: stopping.clone(),
-    };
-    serve(hosted.ready, Router::with_path("{**path}").goal(ready)).await?;
-    let endpoint = relay::Endpoint {
-        driver: driver.clone(),
-        limits: limited,
-        stopping,
-    };
-    let callers = Router::new().goal(endpoint);
-    let callers = Router::with_path("{**path}").push(callers);
-    serve(settings.listen.callers, callers).await?;
-    tokio::spawn(feed::configuration(
-        client.clone(),
-        driver.clone(),
-        limits,
-        configured,
-    ));
-    tokio::spawn(feed::upstreams(client.clone(), clock, driver.clone()));
-    let gossip = gossip::Gossip {
-        client: client.clone(),
-        driver: driver.clone(),
-        instance: settings.instance.clone(),
-        listen: hosted.peers,
-    };
-    gossip.start(telling).await?;
-    let address = settings.listen.callers.to_string();
-    info!(address; "started");
+impl Instance {
+    /// Starts every task of an instance.
+    pub async fn start(settings: Settings, hosted: Hosted) -> Result<Self, Error> {
+        let clock = Clock::new();
+        let client = feed::Client::new(hosted.store);
+        let (claims, _) = mpsc::unbounded_channel();
+        let (configured, is_configured) = watch::channel(false);
+        let (leaving, _) = watch::channel(driver::Leaving::new());
+        let (limits, limited) = watch::channel(platform::configuration::Limits::default());
+        let (stop, stopping) = watch::channel(None);
+        let (told, telling) = mpsc::unbounded_channel();
+        let traffic = Traffic::default();
+        let (driver, _) = Driver::start(&settings, clock, claims, leaving, told, traffic);
 
-    instance::terminated().await;
-    info!("stopping");
-    let since = Instant::now();
-    stop.send_replace(Some(since));
-    let last = Duration::from_millis(hosted.grace_ms).saturating_sub(MARGIN);
-    loop {
-        sleep(LOOK).await;
-        let running = driver.status().await.running;
-        let elapsed = since.elapsed();
-        if elapsed >= last || (running == 0 && elapsed >= STAY) {
-            info!(running; "stopped");
-            return Ok(());
+        let ready = Ready {
+            configured: is_configured,
+            stopping: stopping.clone(),
+        };
+        serve(hosted.ready, Router::with_path("{**path}").goal(ready)).await?;
+        let endpoint = relay::Endpoint {
+            driver: driver.clone(),
+            limits: limited,
+            stopping,
+        };
+        let callers = Router::with_path("{**path}").goal(endpoint);
+        serve(settings.listen.callers, callers).await?;
+        let configuration = feed::configuration(client.clone(), driver.clone(), limits, configured);
+        tokio::spawn(configuration);
+        tokio::spawn(feed::upstreams(client.clone(), clock, driver.clone()));
+        let gossip = gossip::Gossip {
+            client,
+            driver: driver.clone(),
+            instance: settings.instance.clone(),
+            listen: hosted.peers,
+        };
+        gossip.start(telling).await?;
+        let address = settings.listen.callers.to_string();
+        let data_centre = settings.data_centre.as_str();
+        let peers = hosted.peers.to_string();
+        let store = hosted.store.to_string();
+        info!(address, data_centre, peers, store; "started");
+        Ok(Self {
+            driver,
+            grace: Duration::from_millis(hosted.grace_ms),
+            stop,
+        })
+    }
+
+    /// Stops as planned: is no longer ready, goes on with what it has and what still comes, and
+    /// leaves when nothing runs any more or the grace time ends.
+    pub async fn stop(self) {
+        let since = Instant::now();
+        let last = self.grace.saturating_sub(MARGIN);
+        info!("stopping");
+        self.stop.send_replace(Some(since));
+        loop {
+            sleep(LOOK).await;
+            let running = self.driver.status().await.running;
+            let elapsed = since.elapsed();
+            if elapsed >= last || (running == 0 && elapsed >= STAY) {
+                info!(running; "stopped");
+                return;
+            }
         }
     }
 }
--- a/crates/node/src/http.rs
+++ b/crates/node/src/http.rs
@@ -163,7 +163,8 @@
         .expect("address and path make a uri")
 }
 
-fn size(headers: &hyper::HeaderMap) -> usize {
+/// Bytes of headers as they are written.
+pub(crate) fn size(headers: &hyper::HeaderMap) -> usize {
     let size = |(name, value): (&header::HeaderName, &header::HeaderValue)| {
         name.as_str().len() + value.len() + ": \r\n".len()
     };
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -50,7 +50,11 @@
         request: &mut salvo::Request,
         response: &mut salvo::Response,
     ) -> Result<(), Kind> {
-        let body = self.body(request).await?;
+        let limits = *self.limits.borrow();
+        if http::size(request.headers()) > limits.head_max {
+            return Err(Kind::HeadTooLarge);
+        }
+        let body = body(request, limits).await?;
         let uri = request.uri();
         let asked = platform::request::read(uri.path(), uri.query(), request.headers(), &body);
         let asked = asked.map_err(|error| {
@@ -90,19 +94,21 @@
         answer(replies, guard, response).await;
         Ok(())
     }
+}
 
-    /// The whole body of a request, within the limits.
-    async fn body(&self, request: &mut salvo::Request) -> Result<Bytes, Kind> {
-        let limits = *self.limits.borrow();
-        let read = request.payload_with_max_size(limits.body_max);
-        let Ok(read) = timeout(limits.head_wait, read).await else {
-            return Err(Kind::SlowBody);
-        };
-        read.cloned().map_err(|error| match error {
-            salvo::http::ParseError::PayloadTooLarge => Kind::TooLarge,
-            _ => Kind::BadBody,
-        })
-    }
+/// The whole body of a request, within the limits.
+async fn body(
+    request: &mut salvo::Request,
+    limits: platform::configuration::Limits,
+) -> Result<Bytes, Kind> {
+    let read = request.payload_with_max_size(limits.body_max);
+    let Ok(read) = timeout(limits.head_wait, read).await else {
+        return Err(Kind::SlowBody);
+    };
+    read.cloned().map_err(|error| match error {
+        salvo::http::ParseError::PayloadTooLarge => Kind::TooLarge,
+        _ => Kind::BadBody,
+    })
 }
 
 /// Gives a caller its answer as it comes.
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -21,8 +21,11 @@
 pub mod report;
 pub mod resume;
 pub mod routing;
+pub mod shelf;
+pub mod site;
 pub mod stream;
 pub mod token;
+pub mod worker;
 pub mod world;
 
 mod arguments;
@@ -34,6 +37,7 @@
 
 pub use {
     caller::Caller, engine::Engine, fleet::Fleet, host::Host, plain::Plain, platform::Platform,
+    site::Site,
 };
 
 use {
--- /dev/null
+++ b/crates/standin/src/shelf.rs
@@ -0,0 +1,327 @@
+//! The store of the users' platform: items with revisions and leases, reads that wait for a change,
+//! outages, and a history that can be forgotten.
+
+use super::*;
+use base64::{Engine as _, prelude::BASE64_STANDARD};
+use std::sync::{Arc, Mutex};
+use tokio::sync::Notify;
+
+/// Longest time that a read waits for a change.
+const WAIT: Duration = Duration::from_secs(30);
+
+/// Time between two looks at whether leases have ended.
+const LOOK: Duration = Duration::from_millis(50);
+
+/// A stand-in of the store. Clones share it.
+#[derive(Clone, Default)]
+pub struct Shelf {
+    changed: Arc<Notify>,
+    state: Arc<Mutex<State>>,
+}
+
+#[derive(Clone)]
+struct Item {
+    created: u64,
+    lease: u64,
+    revision: u64,
+    value: Vec<u8>,
+}
+
+/// A change: its revision, the key, and the value unless the key went.
+struct Change {
+    item: Option<Item>,
+    key: String,
+    revision: u64,
+}
+
+#[derive(Default)]
+struct State {
+    away: bool,
+    calls: u64,
+    history: Vec<Change>,
+    items: BTreeMap<String, Item>,
+    leases: BTreeMap<u64, Lease>,
+    next_lease: u64,
+    oldest: u64,
+    revision: u64,
+}
+
+struct Lease {
+    ends: Instant,
+    ttl: Duration,
+}
+
+impl State {
+    fn put(&mut self, key: &str, value: Vec<u8>, lease: u64) {
+        self.revision += 1;
+        let created = self
+            .items
+            .get(key)
+            .map_or(self.revision, |item| item.created);
+        let item = Item {
+            created,
+            lease,
+            revision: self.revision,
+            value,
+        };
+        self.items.insert(key.to_owned(), item.clone());
+        self.history.push(Change {
+            item: Some(item),
+            key: key.to_owned(),
+            revision: self.revision,
+        });
+    }
+
+    fn remove(&mut self, key: &str) {
+        if self.items.remove(key).is_none() {
+            return;
+        }
+        self.revision += 1;
+        self.history.push(Change {
+            item: None,
+            key: key.to_owned(),
+            revision: self.revision,
+        });
+    }
+
+    /// Ends leases whose time is over, with their keys.
+    fn expire(&mut self, now: Instant) {
+        let over = |_: &u64, lease: &mut Lease| lease.ends <= now;
+        let over: Vec<u64> = self.leases.extract_if(.., over).map(|(id, _)| id).collect();
+        let keys: Vec<String> = self
+            .items
+            .iter()
+            .filter(|(_, item)| over.contains(&item.lease))
+            .map(|(key, _)| key.clone())
+            .collect();
+        for key in keys {
+            self.remove(&key);
+        }
+    }
+
+    /// Changes of keys with a prefix behind a revision; `None` if they are forgotten.
+    fn since(&self, prefix: &str, revision: u64) -> Option<Vec<Value>> {
+        if revision < self.oldest {
+            return None;
+        }
+        let changes = self
+            .history
+            .iter()
+            .filter(|change| change.revision > revision && change.key.starts_with(prefix));
+        Some(changes.map(Change::encode).collect())
+    }
+}
+
+impl Change {
+    fn encode(&self) -> Value {
+        match &self.item {
+            Some(item) => item.encode(&self.key),
+            None => json!({
+                "private_key": self.key,
+                "revision": self.revision,
+                "deleted": true,
+            }),
+        }
+    }
+}
+
+impl Item {
+    fn encode(&self, key: &str) -> Value {
+        json!({
+            "private_key": key,
+            "value": BASE64_STANDARD.encode(&self.value),
+            "revision": self.revision,
+            "created": self.created,
+            "lease": self.lease,
+        })
+    }
+}
+
+impl Shelf {
+    /// Calls taken so far.
+    pub fn calls(&self) -> u64 {
+        self.lock().calls
+    }
+
+    /// Makes the store refuse every call, or answer again.
+    pub fn away(&self, away: bool) {
+        self.lock().away = away;
+        self.changed.notify_waiters();
+    }
+
+    /// Forgets all history: watches from before must read anew.
+    pub fn forget(&self) {
+        let mut state = self.lock();
+        state.oldest = state.revision;
+        state.history.clear();
+        drop(state);
+        self.changed.notify_waiters();
+    }
+
+    /// Writes an item, as the platform's operator or an upstream does.
+    pub fn put(&self, key: &str, value: &Value) {
+        self.lock().put(key, value.to_string().into_bytes(), 0);
+        self.changed.notify_waiters();
+    }
+
+    /// Removes an item.
+    pub fn remove(&self, key: &str) {
+        self.lock().remove(key);
+        self.changed.notify_waiters();
+    }
+
+    /// Keys with a prefix.
+    pub fn keys(&self, prefix: &str) -> Vec<String> {
+        let state = self.lock();
+        let keys = state.items.keys().filter(|key| key.starts_with(prefix));
+        keys.cloned().collect()
+    }
+
+    /// Serves the store for ever.
+    pub async fn serve(self, address: SocketAddr) {
+        let endpoint = |asks| Endpoint {
+            asks,
+            shelf: self.clone(),
+        };
+        let router = Router::with_path("api")
+            .push(Router::with_path("kv-range").get(endpoint(Asks::Range)))
+            .push(Router::with_path("kv-watch").get(endpoint(Asks::Watch)))
+            .push(Router::with_path("kv-txn").post(endpoint(Asks::Write)))
+            .push(Router::with_path("kv-lease").post(endpoint(Asks::Lease)))
+            .push(Router::with_path("kv-keep/{id}").post(endpoint(Asks::Renew)));
+        http::serve(address, router).await;
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, State> {
+        self.state.lock().expect("nobody panics while holding it")
+    }
+
+    fn lease(&self, body: &Value) -> Value {
+        let ttl = Duration::from_millis(body["ttl_ms"].as_u64().unwrap_or(1_000));
+        let mut state = self.lock();
+        state.next_lease += 1;
+        let id = state.next_lease;
+        let ends = Instant::now() + ttl;
+        state.leases.insert(id, Lease { ends, ttl });
+        json!({ "lease": id, "ttl_ms": ttl.as_millis() as u64 })
+    }
+
+    fn range(&self, prefix: &str) -> Value {
+        let state = self.lock();
+        let items = state
+            .items
+            .iter()
+            .filter(|(key, _)| key.starts_with(prefix));
+        let items: Vec<Value> = items.map(|(key, item)| item.encode(key)).collect();
+        json!({ "items": items, "has_more": false, "as_of": state.revision })
+    }
+
+    fn renew(&self, id: u64) -> bool {
+        let mut state = self.lock();
+        let lease = state.leases.get_mut(&id);
+        lease.is_some_and(|lease| {
+            lease.ends = Instant::now() + lease.ttl;
+            true
+        })
+    }
+
+    /// Waits for changes; `None` if the history is forgotten.
+    async fn watch(&self, prefix: &str, revision: u64, wait: Duration) -> Option<Value> {
+        let end = Instant::now() + wait.min(WAIT);
+        loop {
+            {
+                let mut state = self.lock();
+                state.expire(Instant::now());
+                let events = state.since(prefix, revision)?;
+                let over = Instant::now() >= end || state.away;
+                if !events.is_empty() || over {
+                    return Some(json!({ "events": events, "as_of": state.revision }));
+                }
+            }
+            let changed = self.changed.notified();
+            let _ = tokio::time::timeout(LOOK, changed).await;
+        }
+    }
+
+    fn write(&self, body: &Value) -> Option<Value> {
+        let mut state = self.lock();
+        for put in body["puts"].as_array().into_iter().flatten() {
+            let lease = put["lease"].as_u64().unwrap_or(0);
+            if lease != 0 && !state.leases.contains_key(&lease) {
+                return None;
+            }
+            let value = BASE64_STANDARD.decode(put["value"].as_str()?).ok()?;
+            state.put(put["private_key"].as_str()?, value, lease);
+        }
+        let revision = state.revision;
+        drop(state);
+        self.changed.notify_waiters();
+        Some(json!({ "revision": revision }))
+    }
+}
+
+#[derive(Clone, Copy)]
+enum Asks {
+    Lease,
+    Range,
+    Renew,
+    Watch,
+    Write,
+}
+
+struct Endpoint {
+    asks: Asks,
+    shelf: Shelf,
+}
+
+#[salvo::async_trait]
+impl Handler for Endpoint {
+    async fn handle(
+        &self,
+        request: &mut Request,
+        _depot: &mut Depot,
+        response: &mut Response,
+        _flow: &mut FlowCtrl,
+    ) {
+        let away = {
+            let mut state = self.shelf.lock();
+            state.calls += 1;
+            state.away
+        };
+        if away {
+            response.status_code(StatusCode::SERVICE_UNAVAILABLE);
+            return;
+        }
+        let text = |request: &Request, name: &str| request.query::<String>(name);
+        let number = |request: &Request, name: &str| request.query::<u64>(name).unwrap_or(0);
+        let prefix = text(request, "path_prefix").unwrap_or_default();
+        let (missing, answer) = match self.asks {
+            Asks::Lease => {
+                let body = http::json_body(request).await;
+                (StatusCode::BAD_REQUEST, Some(self.shelf.lease(&body)))
+            }
+            Asks::Range => (StatusCode::BAD_REQUEST, Some(self.shelf.range(&prefix))),
+            Asks::Renew => {
+                let id = request.param("id").unwrap_or(0);
+                let renewed = self.shelf.renew(id).then(|| json!({}));
+                (StatusCode::NOT_FOUND, renewed)
+            }
+            Asks::Watch => {
+                let wait = Duration::from_millis(number(request, "wait_ms"));
+                let revision = number(request, "since_rev");
+                let seen = self.shelf.watch(&prefix, revision, wait).await;
+                (StatusCode::GONE, seen)
+            }
+            Asks::Write => {
+                let body = http::json_body(request).await;
+                (StatusCode::NOT_FOUND, self.shelf.write(&body))
+            }
+        };
+        match answer {
+            Some(body) => http::answer(response, StatusCode::OK, &body),
+            None => {
+                response.status_code(missing);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/standin/src/site.rs
@@ -0,0 +1,237 @@
+//! A small site of the users' platform in one process: a store, workers and instances, each with a
+//! runtime of its own, so that each can be ended like a process.
+
+use super::*;
+use shelf::Shelf;
+use worker::{Ledger, Worker};
+
+/// Name of the pool that streams.
+const ENGINES: &str = "engines";
+
+/// Name of the pool that answers calls.
+const DESK: &str = "desk";
+
+/// Key of the customer.
+pub const KEY: &str = "key-1";
+
+/// Time that an instance has to be ready.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// How many of each.
+#[derive(Clone, Copy, Debug)]
+pub struct Plan {
+    /// Whether the store answers at the start.
+    pub away: bool,
+    /// Workers that answer calls.
+    pub desks: usize,
+    /// Workers that stream; every second one is in another data centre.
+    pub engines: usize,
+    /// Time that an instance has to stop.
+    pub grace_ms: u64,
+    /// Instances.
+    pub instances: usize,
+}
+
+impl Default for Plan {
+    fn default() -> Self {
+        Self {
+            away: false,
+            desks: 2,
+            engines: 4,
+            grace_ms: 8_000,
+            instances: 1,
+        }
+    }
+}
+
+/// One instance.
+pub struct Member {
+    /// Where callers connect.
+    pub callers: SocketAddr,
+    /// Its runtime.
+    pub host: Host,
+    /// Where its counters are served.
+    pub metrics: SocketAddr,
+    /// Where it says whether it is ready.
+    pub ready: SocketAddr,
+    running: Option<wellplank_node::hosted::Instance>,
+}
+
+/// A worker and its runtime.
+pub struct Seat {
+    /// Its runtime.
+    pub host: Host,
+    /// The worker.
+    pub worker: Worker,
+}
+
+/// A running site.
+pub struct Site {
+    /// Workers that answer calls.
+    pub desks: Vec<Seat>,
+    /// Workers that stream.
+    pub engines: Vec<Seat>,
+    /// Instances.
+    pub instances: Vec<Member>,
+    /// What ran.
+    pub ledger: Ledger,
+    /// The store.
+    pub shelf: Shelf,
+    store: SocketAddr,
+    _host: Host,
+}
+
+/// The configuration of a site.
+pub fn configuration(version: u64) -> Value {
+    let route = |name: &str, path: &str, kind: &str, service: &str, attempts: u32| {
+        json!({
+            "name": name, "host": "a.example", "path_prefix": path, "kind": kind,
+            "timeout_ms": 10_000, "slo_ms": 1_000, "priority": 1, "service": service,
+            "max_attempts": attempts, "public": false, "can_resume": kind == "streaming",
+        })
+    };
+    json!({
+        "version": version,
+        "routes": [
+            route("stream", "/stream/", "streaming", ENGINES, 5),
+            route("again", "/again/", "idempotent", DESK, 2),
+            route("once", "/once/", "non_idempotent", DESK, 1),
+        ],
+        "services": [
+            {"name": ENGINES, "engine": {"kv_capacity": 55_000, "backups": true}},
+            {"name": DESK},
+        ],
+        "limits": {"max_header_bytes": 16_384, "max_body_bytes": 10_000,
+                   "header_timeout_ms": 500, "idle_timeout_ms": 15_000},
+        "tenants": [{"name": "mill", "api_keys": [KEY]}],
+    })
+}
+
+impl Site {
+    /// Starts everything and waits until the instances are ready, if the store answers.
+    pub async fn start(plan: Plan) -> Self {
+        let shelf = Shelf::default();
+        let store = host::free_address();
+        let host = Host::new(1);
+        host.spawn(shelf.clone().serve(store));
+        shelf.put("op/config", &configuration(1));
+        shelf.away(plan.away);
+        let mut site = Self {
+            desks: Vec::new(),
+            engines: Vec::new(),
+            instances: Vec::new(),
+            ledger: Ledger::default(),
+            shelf,
+            store,
+            _host: host,
+        };
+        for index in 0..plan.engines {
+            let seat = site.seat(&format!("engine-{index}"), ENGINES, index % 2);
+            site.engines.push(seat);
+        }
+        for index in 0..plan.desks {
+            let seat = site.seat(&format!("desk-{index}"), DESK, index % 2);
+            site.desks.push(seat);
+        }
+        for index in 0..plan.instances {
+            let member = site.member(index, plan.grace_ms).await;
+            site.instances.push(member);
+        }
+        if !plan.away {
+            site.wait_ready().await;
+        }
+        site
+    }
+
+    /// Enters a worker in the store, as ready or leaving.
+    pub fn enter(&self, worker: &Worker, pool: &str, data_centre: usize, state: &str) {
+        let entry = json!({
+            "service": pool, "address": worker.address, "zone": format!("dc-{data_centre}"),
+            "version": "v1", "slots": 8, "state": state, "cold_left_ms": 0, "call_seq": 0,
+        });
+        self.shelf.put(&format!("servers/{}", worker.name), &entry);
+    }
+
+    /// Has a worker that answers calls leave.
+    pub fn leave(&self, desk: usize) {
+        self.enter(&self.desks[desk].worker, DESK, desk % 2, "draining");
+    }
+
+    /// Waits until every instance is ready and knows the workers.
+    pub async fn wait_ready(&self) {
+        let end = Instant::now() + PATIENCE;
+        while Instant::now() < end {
+            let mut ready = 0;
+            for member in &self.instances {
+                ready += usize::from(member.is_ready().await);
+            }
+            let entered = self.shelf.keys("wellplank/instances/").len();
+            if ready == self.instances.len() && entered >= ready {
+                // Upstreams are read beside the configuration and a moment later at most; peers'
+                // addresses are watched with a pause of two seconds.
+                sleep(Duration::from_millis(300)).await;
+                if self.instances.len() > 1 {
+                    sleep(Duration::from_millis(2_200)).await;
+                }
+                return;
+            }
+            sleep(Duration::from_millis(20)).await;
+        }
+        panic!("the instances are not ready");
+    }
+
+    async fn member(&self, index: usize, grace_ms: u64) -> Member {
+        let [callers, metrics, ready, peers] = std::array::from_fn(|_| host::free_address());
+        let settings = json!({
+            "core": { "probes": false },
+            "data_centre": format!("dc-{}", index % 2),
+            "hosted": {
+                "grace_ms": grace_ms, "metrics": metrics, "peers": peers, "ready": ready,
+                "store": self.store,
+            },
+            "instance": format!("instance-{index}"),
+            "listen": { "callers": callers },
+        });
+        let settings = wellplank_node::Settings::parse(&settings.to_string());
+        let settings = settings.expect("the settings have no fault");
+        let hosted = settings.hosted.expect("the settings are for the platform");
+        let host = Host::new(1);
+        let start = wellplank_node::hosted::Instance::start(settings, hosted);
+        let running = host.run(start).await;
+        let running = running.and_then(Result::ok).expect("the instance starts");
+        Member {
+            callers,
+            host,
+            metrics,
+            ready,
+            running: Some(running),
+        }
+    }
+
+    fn seat(&self, name: &str, pool: &str, data_centre: usize) -> Seat {
+        let worker = Worker::new(host::free_address(), name, &self.ledger);
+        let host = Host::new(1);
+        host.spawn(worker.clone().serve());
+        self.enter(&worker, pool, data_centre, "ready");
+        Seat { host, worker }
+    }
+}
+
+impl Member {
+    /// Whether it says that it is ready.
+    pub async fn is_ready(&self) -> bool {
+        let uri = format!("http://{}/api/ready", self.ready);
+        let request = hyper::Request::get(uri).body(Full::default());
+        let request = request.expect("an address makes a uri");
+        let response = http::client().request(request).await;
+        response.is_ok_and(|response| response.status() == StatusCode::OK)
+    }
+
+    /// Stops it as planned and waits until it has stopped.
+    pub async fn stop(&mut self) {
+        if let Some(running) = self.running.take() {
+            self.host.run(running.stop()).await;
+        }
+        self.host.kill();
+    }
+}
--- /dev/null
+++ b/crates/standin/src/worker.rs
@@ -0,0 +1,335 @@
+//! An upstream of the users' platform: it answers relayed requests in one piece or as events, keeps
+//! copies of other upstreams' streams, and can fail in every way that one may.
+
+use super::*;
+use std::sync::{Arc, Mutex};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener as Socket, TcpStream},
+};
+
+/// Events of a whole stream.
+pub const EVENTS: u64 = 40;
+
+/// Time between two events.
+const STEP: Duration = Duration::from_millis(10);
+
+/// Bytes of a request's head that are read, at most.
+const HEAD: usize = 64 << 10;
+
+/// How a worker behaves.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Mode {
+    /// Breaks an answer off in its middle, and a stream within an event.
+    Cut,
+    /// Answers with a body that was encoded.
+    Encoded,
+    /// Writes a second answer behind each.
+    Extra,
+    /// Answers that it failed.
+    Fault,
+    /// Writes bytes that are no answer.
+    Garbage,
+    /// Answers as it should.
+    #[default]
+    Good,
+    /// Answers before it has read the body.
+    Hasty,
+    /// Says that another life has the address.
+    Replaced,
+    /// Refuses without running anything.
+    Refuse,
+    /// Says that it is busy though it ran the request.
+    Sham,
+    /// Says nothing.
+    Silent,
+    /// Answers to another request.
+    Stray,
+    /// Answers without a length, and ends with its connection.
+    Unframed,
+    /// Answers without a signature.
+    Unsigned,
+}
+
+/// One request that ran.
+#[derive(Clone, Debug)]
+pub struct Run {
+    /// Body.
+    pub body: Vec<u8>,
+    /// Copy that it went on from, as the request named it.
+    pub copy: Option<String>,
+    /// Headers by their names in lower case.
+    pub headers: BTreeMap<String, String>,
+    /// First line of the request.
+    pub line: String,
+    /// Name of the worker.
+    pub worker: String,
+}
+
+impl Run {
+    /// A header's value; empty if there is none.
+    pub fn header(&self, name: &str) -> &str {
+        self.headers.get(name).map_or("", String::as_str)
+    }
+}
+
+/// What all workers share: what ran, and the copies of streams, by address and run.
+#[derive(Clone, Default)]
+pub struct Ledger(Arc<Mutex<Pages>>);
+
+#[derive(Default)]
+struct Pages {
+    cancelled: u64,
+    copies: HashMap<(String, String), u64>,
+    runs: Vec<Run>,
+}
+
+impl Ledger {
+    /// Streams whose connection was closed before their end.
+    pub fn cancelled(&self) -> u64 {
+        self.lock().cancelled
+    }
+
+    /// What ran, in order.
+    pub fn runs(&self) -> Vec<Run> {
+        self.lock().runs.clone()
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, Pages> {
+        self.0.lock().expect("nobody panics while holding it")
+    }
+}
+
+/// A stand-in of an upstream. Clones share its mode.
+#[derive(Clone)]
+pub struct Worker {
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Name of this life.
+    pub name: String,
+    ledger: Ledger,
+    mode: Arc<Mutex<Mode>>,
+}
+
+/// A request as it was read.
+struct Asked {
+    run: Run,
+}
+
+impl Worker {
+    /// A worker that behaves as it should.
+    pub fn new(address: SocketAddr, name: &str, ledger: &Ledger) -> Self {
+        Self {
+            address,
+            ledger: ledger.clone(),
+            mode: Arc::default(),
+            name: name.into(),
+        }
+    }
+
+    /// Has it behave otherwise from now on.
+    pub fn set(&self, mode: Mode) {
+        *self.mode.lock().expect("nobody panics while holding it") = mode;
+    }
+
+    /// Serves for ever.
+    pub async fn serve(self) {
+        let Ok(socket) = Socket::bind(self.address).await else {
+            return;
+        };
+        while let Ok((connection, _)) = socket.accept().await {
+            tokio::spawn(self.clone().answer(connection));
+        }
+    }
+
+    fn mode(&self) -> Mode {
+        *self.mode.lock().expect("nobody panics while holding it")
+    }
+
+    /// Answers one request; the connection ends with it.
+    async fn answer(self, mut connection: TcpStream) {
+        let Some(asked) = self.read(&mut connection).await else {
+            return;
+        };
+        // A caller that is gone shows when the answer is written; nothing else is to be done then.
+        let _ = self.write(&mut connection, asked).await;
+    }
+
+    async fn read(&self, connection: &mut TcpStream) -> Option<Asked> {
+        let mut bytes = Vec::new();
+        let end = loop {
+            if let Some(end) = bytes.windows(4).position(|part| part == b"\r\n\r\n") {
+                break end;
+            }
+            if bytes.len() > HEAD || connection.read_buf(&mut bytes).await.ok()? == 0 {
+                return None;
+            }
+        };
+        let head = String::from_utf8(bytes[..end].to_vec()).ok()?;
+        let mut lines = head.split("\r\n");
+        let line = lines.next()?.to_owned();
+        let headers: BTreeMap<String, String> = lines
+            .filter_map(|line| line.split_once(": "))
+            .map(|(name, value)| (name.to_ascii_lowercase(), value.to_owned()))
+            .collect();
+        let length = headers.get("content-length");
+        let length: usize = length.and_then(|text| text.parse().ok()).unwrap_or(0);
+        let mut body = bytes.split_off(end + 4);
+        while self.mode() != Mode::Hasty && body.len() < length {
+            if connection.read_buf(&mut body).await.ok()? == 0 {
+                return None;
+            }
+        }
+        let run = Run {
+            body,
+            copy: headers.get("kv-from").cloned(),
+            headers,
+            line,
+            worker: self.name.clone(),
+        };
+        Some(Asked { run })
+    }
+
+    async fn write(&self, connection: &mut TcpStream, asked: Asked) -> std::io::Result<()> {
+        let run = &asked.run;
+        let mode = self.mode();
+        if mode == Mode::Silent {
+            std::future::pending::<()>().await;
+        }
+        if mode == Mode::Replaced || run.header("wellplank-expect-instance") != self.name {
+            let refusal = "HTTP/1.1 421 Misdirected Request\r\nwellplank-instance-id: other\r\n\
+                content-length: 0\r\n\r\n";
+            return connection.write_all(refusal.as_bytes()).await;
+        }
+        if mode == Mode::Refuse || !self.take_copy(run) {
+            let refusal = "HTTP/1.1 503 Service Unavailable\r\nwellplank-not-executed: 1\r\n\
+                content-length: 0\r\n\r\n";
+            return connection.write_all(refusal.as_bytes()).await;
+        }
+        self.ledger.lock().runs.push(run.clone());
+        if mode == Mode::Garbage {
+            return connection.write_all(b"\x00\x01 no answer \r\n\r\n").await;
+        }
+        if run.header("wellplank-token-usage").is_empty() {
+            connection.write_all(&whole(run, mode)).await
+        } else {
+            let written = self.stream(connection, run, mode).await;
+            if written.is_err() {
+                self.ledger.lock().cancelled += 1;
+            }
+            written
+        }
+    }
+
+    /// Takes the copy that a request goes on from; false if there is none.
+    fn take_copy(&self, run: &Run) -> bool {
+        let Some((address, name)) = run.copy.as_deref().and_then(|copy| copy.split_once('/'))
+        else {
+            return true;
+        };
+        let key = (address.to_owned(), name.to_owned());
+        address == self.address.to_string() && self.ledger.lock().copies.remove(&key).is_some()
+    }
+
+    async fn stream(
+        &self,
+        connection: &mut TcpStream,
+        run: &Run,
+        mode: Mode,
+    ) -> std::io::Result<()> {
+        let head = format!(
+            "{}content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n",
+            head(run, 200, mode)
+        );
+        connection.write_all(head.as_bytes()).await?;
+        let first: u64 = run.header("last-event-id").parse().unwrap_or(0) + 1;
+        for position in first..=EVENTS {
+            sleep(STEP).await;
+            if self.mode() == Mode::Silent {
+                std::future::pending::<()>().await;
+            }
+            let event = event(&run.body, position);
+            if mode == Mode::Cut && position == EVENTS / 2 {
+                let half = &event[..event.len() / 2];
+                connection.write_all(chunk(half).as_bytes()).await?;
+                return Ok(());
+            }
+            connection.write_all(chunk(&event).as_bytes()).await?;
+            let backup = run.header("wellplank-kv-backup");
+            if !backup.is_empty() {
+                let key = (
+                    backup.to_owned(),
+                    run.header("wellplank-request-id").to_owned(),
+                );
+                self.ledger.lock().copies.insert(key, position);
+            }
+        }
+        connection.write_all(b"0\r\n\r\n").await
+    }
+}
+
+/// One event of the stream that answers a body.
+pub fn event(body: &[u8], position: u64) -> String {
+    let digest = blake3::hash(body).to_hex();
+    format!("id: {position}\ndata: {}-{position}\n\n", &digest[..8])
+}
+
+/// The events of a whole stream behind a position.
+pub fn events(body: &[u8], position: u64) -> String {
+    (position + 1..=EVENTS)
+        .map(|position| event(body, position))
+        .collect()
+}
+
+/// The whole answer to a call.
+pub fn reply(body: &[u8]) -> String {
+    format!("answer to {}", blake3::hash(body).to_hex())
+}
+
+fn chunk(text: &str) -> String {
+    format!("{:x}\r\n{text}\r\n", text.len())
+}
+
+fn head(run: &Run, status: u16, mode: Mode) -> String {
+    let mut head = format!("HTTP/1.1 {status} Status\r\nx-worker: {}\r\n", run.worker);
+    let name = match mode {
+        Mode::Stray => "another",
+        _ => run.header("wellplank-request-id"),
+    };
+    head.push_str("wellplank-request-id: ");
+    head.push_str(name);
+    head.push_str("\r\n");
+    if mode != Mode::Unsigned {
+        head.push_str("wellplank-response-signature: signed-by-");
+        head.push_str(&run.worker);
+        head.push_str("\r\n");
+    }
+    if mode == Mode::Encoded {
+        head.push_str("content-encoding: gzip\r\n");
+    }
+    head
+}
+
+fn whole(run: &Run, mode: Mode) -> Vec<u8> {
+    let body = reply(&run.body);
+    let status = match mode {
+        Mode::Fault => 500,
+        Mode::Sham => 503,
+        _ => 200,
+    };
+    let head = head(run, status, mode);
+    let length = body.len();
+    let answer = match mode {
+        Mode::Cut => format!(
+            "{head}content-length: {length}\r\n\r\n{}",
+            &body[..length / 2]
+        ),
+        Mode::Extra => {
+            let answer = format!("{head}content-length: {length}\r\n\r\n{body}");
+            format!("{answer}{answer}")
+        }
+        Mode::Unframed => format!("{head}connection: close\r\n\r\n{body}"),
+        _ => format!("{head}content-length: {length}\r\n\r\n{body}"),
+    };
+    answer.into_bytes()
+}
