Beliefs are logged, counters and latencies are served, settings are read again

Cause: an engineer with logs and metrics alone could not see why a request went where it went. Change: one line for each change in what is believed of an upstream; a page of counters and latency histograms (first event, pause, resume, answer, store call) by the prometheus library at the address in the settings; lines of one message beyond 200 a second are counted and left out; the settings file is read again on SIGHUP and when it has changed, a file with faults changes nothing. Ruled out: cadence for the page (it sends, it does not serve); it stays for the statsd sink.

--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -293,6 +293,7 @@
             return Err(Kind::BadCursor);
         }
         Ok(Request {
+            asked: self.now,
             attach: cursor,
             attempts: Vec::new(),
             avoid: None,
--- a/crates/core/src/core.rs
+++ b/crates/core/src/core.rs
@@ -167,6 +167,11 @@
         }
     }
 
+    /// Takes other settings from now on.
+    pub fn configure(&mut self, settings: Settings) {
+        self.settings = settings;
+    }
+
     /// The same instance, standing in a data centre: it prefers upstreams that stand there too.
     #[must_use]
     pub fn standing_in(mut self, data_centre: &str) -> Self {
--- a/crates/core/src/counter.rs
+++ b/crates/core/src/counter.rs
@@ -37,6 +37,19 @@
     UpstreamLost,
 }
 
+/// What is timed.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub enum Timing {
+    /// From asking to a relayed call's whole answer.
+    Answer,
+    /// From asking to the first event of a relayed stream.
+    FirstEvent,
+    /// Between two events of a relayed stream.
+    Pause,
+    /// From the loss of a relayed stream to its next event.
+    Resume,
+}
+
 /// Why work was sent to another upstream.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub enum Reason {
--- a/crates/core/src/effect.rs
+++ b/crates/core/src/effect.rs
@@ -96,6 +96,25 @@
     },
 }
 
+/// A change of what is believed of an upstream.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Belief {
+    /// It went wrong and gets no new work for a while.
+    Doubted,
+    /// It is no longer listed and runs nothing.
+    Gone,
+    /// It is leaving.
+    Leaving,
+    /// It was given up on.
+    Lost,
+    /// It is listed for the first time.
+    New,
+    /// Another upstream has its address.
+    Replaced,
+    /// It gets work again.
+    Trusted,
+}
+
 /// A step in the life of a request, with what it was decided by.
 #[derive(Clone, Debug)]
 pub struct Note {
@@ -115,11 +134,35 @@
     pub what: What,
 }
 
+impl Belief {
+    /// Name in logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Doubted => "doubted",
+            Self::Gone => "gone",
+            Self::Leaving => "leaving",
+            Self::Lost => "lost",
+            Self::New => "new",
+            Self::Replaced => "replaced",
+            Self::Trusted => "trusted",
+        }
+    }
+}
+
 /// What the core wants done.
 #[derive(Clone, Debug)]
 pub enum Effect {
     /// Give a caller the whole answer that the edge holds.
     Answer(request::Caller),
+    /// Log that something else is believed of an upstream.
+    Believe {
+        /// What is believed now.
+        belief: Belief,
+        /// Time since anything came from it, in milliseconds.
+        silent_ms: u64,
+        /// Name of the upstream.
+        upstream: Arc<str>,
+    },
     /// Tell other instances that an upstream was lost.
     Blame(Arc<str>),
     /// Stop an attempt and tell the engine, if it is a stream.
@@ -215,4 +258,6 @@
     },
     /// Tell other instances of a relayed stream.
     Tell(Sighting),
+    /// Note how long something took, in milliseconds.
+    Timed(Timing, u64),
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -40,7 +40,7 @@
     claim::Claim,
     clock::Time,
     config::{Config, Policy, Priority},
-    counter::Counter,
+    counter::{Counter, Timing},
     cursor::Cursor,
     detector::Detector,
     digest::Digest,
--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -88,12 +88,27 @@
             self.abandon(key, counter::Reason::Gap);
             return;
         }
+        self.time_event(owner);
         let request = &mut self.requests[owner];
         request.passage.position = position;
         let caller = request.caller;
         self.effects.push(Effect::Pass { bytes, caller });
     }
 
+    /// Notes how long a caller waited for an event.
+    fn time_event(&mut self, key: request::Key) {
+        let request = &mut self.requests[key];
+        let timed = match (request.passage.lost_at.take(), request.passage.event_at) {
+            (Some(lost), Some(_)) => (Timing::Resume, lost),
+            (None, Some(last)) => (Timing::Pause, last),
+            (_, None) => (Timing::FirstEvent, request.asked),
+        };
+        request.passage.event_at = Some(self.now);
+        let (timing, since) = timed;
+        self.effects
+            .push(Effect::Timed(timing, self.now.since(since)));
+    }
+
     /// Where a relayed request begins: behind the events that its caller has, and from the copied
     /// memory of the stream that another instance told of, if the caller had it there.
     pub(crate) fn passage(&self, relay: &request::Relay) -> request::Passage {
@@ -175,7 +190,7 @@
             }
             Failure::Replaced => {
                 self.blame(upstream);
-                self.upstreams[upstream].health = Health::Lost;
+                self.replaced(upstream);
                 counter::Reason::Replaced
             }
         };
@@ -193,8 +208,10 @@
             self.give_up(key, Kind::Overloaded, Kind::UpstreamFailed);
             return;
         }
-        let request = &self.requests[key];
+        let now = self.now;
+        let request = &mut self.requests[key];
         if request.passage.position > 0 {
+            request.passage.lost_at.get_or_insert(now);
             self.count(Counter::Resumed(reason));
         } else if self.retries.spend(1.0, self.now) {
             self.count(Counter::Retried(reason));
@@ -338,6 +355,10 @@
             return;
         };
         self.count(Counter::Answered);
+        if !request.passage.opened {
+            let wait = self.now.since(request.asked);
+            self.effects.push(Effect::Timed(Timing::Answer, wait));
+        }
         self.note(&request, effect::What::Answered, Some(upstream));
         self.tell_over(&request, sighting::Stage::Ended);
         self.effects.push(last(request.caller));
--- a/crates/core/src/request.rs
+++ b/crates/core/src/request.rs
@@ -74,8 +74,12 @@
 pub struct Passage {
     /// Where a copy of the run's memory is kept, and under which name.
     pub copy: Option<Copy>,
+    /// When the caller was given its last event; `None` before the first.
+    pub event_at: Option<Time>,
     /// Whether the edge holds a failed answer of an upstream, to be given if nothing better comes.
     pub fault: bool,
+    /// When the stream was lost, until it goes on.
+    pub lost_at: Option<Time>,
     /// Whether the caller has the head of an answer.
     pub opened: bool,
     /// Position of the last event that the caller has.
@@ -152,6 +156,8 @@
 /// A request accepted and not yet answered.
 #[derive(Clone, Debug)]
 pub struct Request {
+    /// When it arrived.
+    pub asked: Time,
     /// Attempts under way.
     pub attempts: Vec<attempt::Key>,
     /// The caller's connection.
--- a/crates/core/src/watch.rs
+++ b/crates/core/src/watch.rs
@@ -37,6 +37,7 @@
         upstream.health = Health::Suspected;
         upstream.doubted_until = self.now.after(self.settings.probe_ms);
         self.count(Counter::Suspected);
+        self.believe(key, effect::Belief::Doubted);
         if self.settings.probes {
             self.probe(key);
         }
@@ -82,6 +83,9 @@
             }
         }
         for key in absent {
+            if !self.upstreams[key].leaving || self.upstreams[key].attempts.is_empty() {
+                self.believe(key, effect::Belief::Gone);
+            }
             self.upstreams[key].leaving = true;
             if self.upstreams[key].attempts.is_empty() {
                 self.forget(key);
@@ -188,6 +192,9 @@
         if let Some(key) = known
             && self.upstreams[key].address == entry.address
         {
+            if entry.leaving && !self.upstreams[key].leaving {
+                self.believe(key, effect::Belief::Leaving);
+            }
             self.upstreams[key].leaving = entry.leaving;
             return key;
         }
@@ -218,20 +225,39 @@
         });
         self.names.insert(name, key);
         self.pools.entry(pool).or_default().upstreams.push(key);
+        self.believe(key, effect::Belief::New);
         key
     }
 
-    /// A new upstream has the address of an older one, which is gone then.
+    /// A new upstream has the address of an older one, which is gone then. Where upstreams are probed,
+    /// the probe tells.
     fn replace(&mut self, entry: &event::Listed) {
-        let now = self.now;
-        for (_, upstream) in &mut self.upstreams {
-            if upstream.address == entry.address && !self.settings.probes {
-                upstream.health = Health::Lost;
-                upstream.trouble.add(now);
-            }
+        if self.settings.probes {
+            return;
+        }
+        let same = |(_, upstream): &(upstream::Key, &Upstream)| upstream.address == entry.address;
+        let replaced: Vec<upstream::Key> = self
+            .upstreams
+            .iter()
+            .filter(same)
+            .map(|(key, _)| key)
+            .collect();
+        for key in replaced {
+            self.replaced(key);
         }
     }
 
+    /// Another upstream has the address of this one.
+    pub(crate) fn replaced(&mut self, key: upstream::Key) {
+        let upstream = &mut self.upstreams[key];
+        if upstream.health == Health::Lost {
+            return;
+        }
+        upstream.health = Health::Lost;
+        upstream.trouble.add(self.now);
+        self.believe(key, effect::Belief::Replaced);
+    }
+
     /// Gives up on an upstream and on everything that it runs.
     fn lose(&mut self, key: upstream::Key) {
         if self.upstreams[key].health == Health::Lost && self.upstreams[key].attempts.is_empty() {
@@ -239,6 +265,7 @@
         }
         self.upstreams[key].health = Health::Lost;
         self.count(Counter::UpstreamLost);
+        self.believe(key, effect::Belief::Lost);
         self.choose_subsets();
         for attempt in self.upstreams[key].attempts.clone() {
             self.abandon(attempt, counter::Reason::Probe);
@@ -331,9 +358,20 @@
         let upstream = &mut self.upstreams[key];
         if upstream.health == Health::Suspected && self.now >= upstream.doubted_until {
             upstream.health = Health::Live;
+            self.believe(key, effect::Belief::Trusted);
         }
     }
 
+    /// Logs what is believed of an upstream from now on.
+    pub(crate) fn believe(&mut self, key: upstream::Key, belief: effect::Belief) {
+        let upstream = &self.upstreams[key];
+        self.effects.push(Effect::Believe {
+            belief,
+            silent_ms: self.now.since(upstream.heard),
+            upstream: upstream.name.clone(),
+        });
+    }
+
     fn watch_probe(&mut self, key: upstream::Key) {
         let upstream = &self.upstreams[key];
         if !upstream.chosen && upstream.attempts.is_empty() {
--- a/crates/node/src/arguments.rs
+++ b/crates/node/src/arguments.rs
@@ -36,7 +36,7 @@
             println!("ok");
             Ok(())
         }
-        Some(("run", arguments)) => serve(load(arguments)?),
+        Some(("run", arguments)) => serve(load(arguments)?, path(arguments)),
         _ => {
             println!("{:#}", Settings::defaults());
             Ok(())
@@ -45,10 +45,14 @@
 }
 
 fn load(arguments: &ArgMatches) -> Result<Settings, Error> {
+    read(path(arguments))
+}
+
+fn path(arguments: &ArgMatches) -> &Path {
     let path: &PathBuf = arguments
         .get_one("settings")
         .expect("the command line requires it");
-    read(path)
+    path
 }
 
 /// Reads a settings file.
@@ -58,14 +62,14 @@
     Settings::parse(&text).map_err(|faults| Error::Settings(path.to_owned(), faults))
 }
 
-fn serve(settings: Settings) -> Result<(), Error> {
+fn serve(settings: Settings, path: &Path) -> Result<(), Error> {
     logger::start(&settings.instance);
     if let Some(hosted) = settings.hosted {
         let runtime = tokio::runtime::Builder::new_current_thread()
             .enable_all()
             .build()
             .map_err(Error::Runtime)?;
-        return runtime.block_on(hosted::run(settings, hosted));
+        return runtime.block_on(hosted::run(path.to_owned(), settings, hosted));
     }
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .enable_all()
--- a/crates/node/src/driver.rs
+++ b/crates/node/src/driver.rs
@@ -31,6 +31,8 @@
     ),
     /// Answer with the state.
     Status(oneshot::Sender<Snapshot>),
+    /// Other settings of the core.
+    Settings(Box<wellplank_core::settings::Settings>),
     /// A request, and where its answer goes.
     Submit(Box<Submission>, mpsc::UnboundedSender<Reply>),
 }
@@ -74,6 +76,20 @@
     sender: mpsc::UnboundedSender<Message>,
 }
 
+/// Where the core task sends what it does not carry out itself.
+pub(crate) struct Ends {
+    /// Claims to be settled.
+    pub claims: mpsc::UnboundedSender<claimer::Order>,
+    /// Upstreams that said they are leaving.
+    pub leaving: watch::Sender<Leaving>,
+    /// Counters and histograms.
+    pub meter: meter::Meter,
+    /// What other instances are told.
+    pub told: mpsc::UnboundedSender<gossip::Told>,
+    /// What control sends and receives.
+    pub traffic: Traffic,
+}
+
 /// What the core task owns.
 struct Task {
     attempts: HashMap<attempt::Key, JoinHandle<()>>,
@@ -116,14 +132,7 @@
     }
 
     /// Starts the core task.
-    pub(crate) fn start(
-        settings: &Settings,
-        clock: Clock,
-        claims: mpsc::UnboundedSender<claimer::Order>,
-        leaving: watch::Sender<Leaving>,
-        told: mpsc::UnboundedSender<gossip::Told>,
-        traffic: Traffic,
-    ) -> (Self, JoinHandle<()>) {
+    pub(crate) fn start(settings: &Settings, clock: Clock, ends: Ends) -> (Self, JoinHandle<()>) {
         let (sender, receiver) = mpsc::unbounded_channel();
         let driver = Self {
             callers: Arc::default(),
@@ -135,18 +144,18 @@
         let task = Task {
             attempts: HashMap::new(),
             callers: HashMap::new(),
-            claims,
+            claims: ends.claims,
             clock,
             core,
             driver: driver.clone(),
             fresh: Http::fresh(),
-            leaving,
-            meter: meter::Meter::new(settings.metrics),
+            leaving: ends.leaving,
+            meter: ends.meter,
             pooled: Http::pooled(),
-            probes: Http::control(&traffic),
+            probes: Http::control(&ends.traffic),
             relaying: Http::relaying(),
-            told,
-            traffic,
+            told: ends.told,
+            traffic: ends.traffic,
         };
         (driver, tokio::spawn(task.run(receiver)))
     }
@@ -158,6 +167,11 @@
         receiver
     }
 
+    /// Has the core take other settings.
+    pub(crate) fn configure(&self, settings: wellplank_core::settings::Settings) {
+        self.tell(Message::Settings(Box::new(settings)));
+    }
+
     /// Hands in what an upstream answered, and tells the core of it.
     pub(crate) fn hold(&self, attempt: attempt::Key, caller: Caller, held: Held, event: Event) {
         self.tell(Message::Held(attempt, caller, held, event));
@@ -215,6 +229,11 @@
                     self.end(caller, Reply::Answer(answer));
                 }
             }
+            Effect::Believe {
+                belief,
+                silent_ms,
+                upstream,
+            } => note::believe(belief, silent_ms, &upstream),
             Effect::Blame(name) => self.tell_others(gossip::Told::Lost(name)),
             Effect::Cancel {
                 address,
@@ -300,6 +319,9 @@
                 sending,
             } => self.send(address, attempt, sending),
             Effect::Tell(sighting) => self.tell_others(gossip::Told::Stream(sighting)),
+            Effect::Timed(timing, millis) => {
+                self.meter.time(meter::Timed::Core(timing), millis as f64);
+            }
         }
     }
 
@@ -442,6 +464,7 @@
                 self.callers.insert(submission.caller, listener);
                 self.event(Event::Submit(submission));
             }
+            Message::Settings(settings) => self.core.configure(*settings),
             Message::Status(sender) => {
                 let _ = sender.send(self.status());
             }
--- a/crates/node/src/feed.rs
+++ b/crates/node/src/feed.rs
@@ -31,6 +31,7 @@
 pub(crate) struct Client {
     address: SocketAddr,
     http: Http,
+    meter: meter::Meter,
 }
 
 /// A prefix of the store, read once and watched from there on.
@@ -50,10 +51,11 @@
 
 impl Client {
     /// A client of the store at `address`.
-    pub fn new(address: SocketAddr) -> Self {
+    pub fn new(address: SocketAddr, meter: meter::Meter) -> Self {
         Self {
             address,
             http: Http::watching(),
+            meter,
         }
     }
 
@@ -65,10 +67,16 @@
             .header(header::CONTENT_TYPE, "application/json")
             .body(http::Body::from(call.body))
             .expect("address and path make a uri");
-        timeout(patience, self.http.exchange(request))
+        let begun = Instant::now();
+        let answer = timeout(patience, self.http.exchange(request))
             .await
             .map_err(|_| Error::Store("no answer in time".into()))?
-            .map_err(|error| Error::Store(error.to_string()))
+            .map_err(|error| Error::Store(error.to_string()))?;
+        if patience < WAIT {
+            let millis = begun.elapsed().as_secs_f64() * 1_000.0;
+            self.meter.time(meter::Timed::Store, millis);
+        }
+        Ok(answer)
     }
 
     /// Reads all items under a prefix, and the revision to watch from. Pages are no snapshot, so it
--- a/crates/node/src/hosted.rs
+++ b/crates/node/src/hosted.rs
@@ -23,6 +23,23 @@
     stopping: relay::Stopping,
 }
 
+/// The endpoint of the page of counters.
+struct Page(meter::Meter);
+
+#[salvo::async_trait]
+impl Handler for Page {
+    async fn handle(
+        &self,
+        _request: &mut salvo::Request,
+        _depot: &mut Depot,
+        response: &mut salvo::Response,
+        _flow: &mut FlowCtrl,
+    ) {
+        let _ = response.add_header(header::CONTENT_TYPE, "text/plain; version=0.0.4", true);
+        let _ = response.write_body(self.0.page());
+    }
+}
+
 #[salvo::async_trait]
 impl Handler for Ready {
     async fn handle(
@@ -49,10 +66,19 @@
     stop: watch::Sender<Option<Instant>>,
 }
 
-/// Runs an instance until it is told to stop and has stopped.
-pub async fn run(settings: Settings, hosted: Hosted) -> Result<(), Error> {
-    let instance = Instance::start(settings, hosted).await?;
-    instance::terminated().await;
+/// Runs an instance until it is told to stop and has stopped. Its settings file is read again on
+/// SIGHUP and when it has changed.
+pub async fn run(path: PathBuf, settings: Settings, hosted: Hosted) -> Result<(), Error> {
+    let mut instance = Instance::start(settings.clone(), hosted).await?;
+    let mut reload = reload::Reload::new(path, settings);
+    let terminated = instance::terminated();
+    tokio::pin!(terminated);
+    loop {
+        tokio::select! {
+            () = &mut terminated => break,
+            settings = reload.next() => instance.configure(&settings),
+        }
+    }
     instance.stop().await;
     Ok(())
 }
@@ -61,15 +87,21 @@
     /// Starts every task of an instance.
     pub async fn start(settings: Settings, hosted: Hosted) -> Result<Self, Error> {
         let clock = Clock::new();
-        let client = feed::Client::new(hosted.store);
-        let (claims, _) = mpsc::unbounded_channel();
         let (configured, is_configured) = watch::channel(false);
-        let (leaving, _) = watch::channel(driver::Leaving::new());
         let (limits, limited) = watch::channel(platform::configuration::Limits::default());
         let (stop, stopping) = watch::channel(None);
         let (told, telling) = mpsc::unbounded_channel();
-        let traffic = Traffic::default();
-        let (driver, _) = Driver::start(&settings, clock, claims, leaving, told, traffic);
+        let meter = meter::Meter::new(settings.metrics);
+        let client = feed::Client::new(hosted.store, meter.clone());
+        let page = Page(meter.clone());
+        let ends = driver::Ends {
+            claims: mpsc::unbounded_channel().0,
+            leaving: watch::channel(driver::Leaving::new()).0,
+            meter,
+            told,
+            traffic: Traffic::default(),
+        };
+        let (driver, _) = Driver::start(&settings, clock, ends);
 
         let ready = Ready {
             configured: is_configured,
@@ -83,6 +115,7 @@
         };
         let callers = Router::with_path("{**path}").goal(endpoint);
         serve(settings.listen.callers, callers).await?;
+        serve(hosted.metrics, Router::with_path("metrics").get(page)).await?;
         let configuration = feed::configuration(client.clone(), driver.clone(), limits, configured);
         tokio::spawn(configuration);
         tokio::spawn(feed::upstreams(client.clone(), clock, driver.clone()));
@@ -105,6 +138,14 @@
         })
     }
 
+    /// Takes those of other settings that can change while it runs.
+    pub fn configure(&mut self, settings: &Settings) {
+        self.driver.configure(settings.core.clone());
+        if let Some(hosted) = settings.hosted {
+            self.grace = Duration::from_millis(hosted.grace_ms);
+        }
+    }
+
     /// Stops as planned: is no longer ready, goes on with what it has and what still comes, and
     /// leaves when nothing runs any more or the grace time ends.
     pub async fn stop(self) {
--- a/crates/node/src/instance.rs
+++ b/crates/node/src/instance.rs
@@ -47,15 +47,14 @@
             .map_err(|error| Error::Bind(settings.listen.callers, std::io::Error::other(error)))?;
 
         let (leaving, leaving_here) = watch::channel(driver::Leaving::new());
-        let (told, _) = mpsc::unbounded_channel();
-        let (driver, core) = Driver::start(
-            &settings,
-            clock,
-            claims.clone(),
+        let ends = driver::Ends {
+            claims: claims.clone(),
             leaving,
-            told,
-            traffic.clone(),
-        );
+            meter: meter::Meter::new(settings.metrics),
+            told: mpsc::unbounded_channel().0,
+            traffic: traffic.clone(),
+        };
+        let (driver, core) = Driver::start(&settings, clock, ends);
         let claimer = claimer::Claimer {
             driver: driver.clone(),
             list: listed.clone(),
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -31,6 +31,7 @@
 mod plain;
 mod probe;
 mod relay;
+mod reload;
 mod reply;
 mod revision;
 mod store;
@@ -87,9 +88,9 @@
         clock::Time,
         config::{self, Config},
         core::Core,
-        counter::Counter,
+        counter::{Counter, Timing},
         cursor,
-        effect::{Effect, Note, Sending, What},
+        effect::{Belief, Effect, Note, Sending, What},
         event::{self, ClaimOutcome, Event, Failure, Piece, Submission},
         kind::{Kind, Ran},
         request::{self, Caller, Work},
--- a/crates/node/src/logger.rs
+++ b/crates/node/src/logger.rs
@@ -12,6 +12,52 @@
 /// Lines that may wait to be written; a few seconds of a busy instance, below a megabyte.
 const QUEUE: usize = 4_096;
 
+/// Lines of one message that are written within a second; the rest is counted.
+const PER_SECOND: u32 = 200;
+
+/// Lines dropped since the start.
+static DROPPED: AtomicU64 = AtomicU64::new(0);
+
+/// Lines of each message within the second that runs.
+struct Sampler {
+    lines: HashMap<String, u32>,
+    second: u64,
+}
+
+impl Sampler {
+    /// A sampler that has seen nothing.
+    fn new() -> Self {
+        Self {
+            lines: HashMap::new(),
+            second: 0,
+        }
+    }
+
+    /// Whether a line with this message is written; else it is left out and counted. With the first
+    /// line of a second comes the number left out in the one before.
+    fn take(&mut self, message: &str, now: Time) -> Option<u32> {
+        let second = now.0 / 1_000;
+        let mut left_out = 0;
+        if second != self.second {
+            self.second = second;
+            let over = self
+                .lines
+                .values()
+                .map(|lines| lines.saturating_sub(PER_SECOND));
+            left_out = over.sum();
+            self.lines.clear();
+        }
+        let lines = self.lines.entry(message.to_owned()).or_default();
+        *lines += 1;
+        (*lines <= PER_SECOND).then_some(left_out)
+    }
+}
+
+/// Lines dropped since the start, since nobody read them.
+pub(crate) fn dropped() -> u64 {
+    DROPPED.load(Ordering::Relaxed)
+}
+
 struct Visitor<'a>(&'a mut Map<String, Value>);
 
 impl<'kvs> log::kv::VisitSource<'kvs> for Visitor<'_> {
@@ -66,6 +112,7 @@
         }
         if !self.send(line.to_vec()) {
             self.dropped += 1;
+            DROPPED.fetch_add(1, Ordering::Relaxed);
         }
         Ok(line.len())
     }
@@ -76,18 +123,32 @@
     let instance = instance.to_owned();
     let clock = Clock::new();
     let (pipe, lines) = Pipe::new(QUEUE);
+    let sampler = std::sync::Mutex::new(Sampler::new());
     std::thread::spawn(move || write(&lines, &mut io::stdout().lock()));
     let environment = env_logger::Env::default().default_filter_or("info");
     let started = env_logger::Builder::from_env(environment)
         .format(move |target, record| {
+            let message = record.args().to_string();
+            let now = clock.now();
+            // A panic elsewhere while a line is counted loses a count, not the log.
+            let mut sampler = sampler
+                .lock()
+                .unwrap_or_else(std::sync::PoisonError::into_inner);
+            let Some(left_out) = sampler.take(&message, now) else {
+                return Ok(());
+            };
+            drop(sampler);
             let mut line = Map::new();
-            line.insert("time_ms".into(), clock.now().0.into());
+            line.insert("time_ms".into(), now.0.into());
             line.insert(
                 "level".into(),
                 record.level().as_str().to_lowercase().into(),
             );
             line.insert("instance".into(), instance.clone().into());
-            line.insert("message".into(), record.args().to_string().into());
+            line.insert("message".into(), message.into());
+            if left_out > 0 {
+                line.insert("lines_left_out".into(), left_out.into());
+            }
             let _ = record.key_values().visit(&mut Visitor(&mut line));
             writeln!(target, "{}", Value::Object(line))
         })
--- a/crates/node/src/meter.rs
+++ b/crates/node/src/meter.rs
@@ -1,43 +1,123 @@
-//! Counters: kept for `wellplankctl status` and sent to a statsd sink.
+//! Counters and latency histograms: kept for `wellplankctl status`, sent to a statsd sink, and given
+//! as a text page.
 
 use super::*;
+use prometheus::{
+    Encoder, HistogramOpts, HistogramVec, IntCounterVec, Opts, Registry, TextEncoder,
+};
 
 /// Prefix of every metric.
 const PREFIX: &str = "wellplank";
 
-/// Counters of an instance.
+/// Bounds of the buckets of every histogram, in milliseconds: from the time of a call within a data
+/// centre to that of a long answer, with the pauses and objectives of callers between.
+const BUCKETS: [f64; 14] = [
+    2.0, 5.0, 10.0, 25.0, 50.0, 100.0, 200.0, 400.0, 700.0, 1_500.0, 3_000.0, 4_500.0, 10_000.0,
+    25_000.0,
+];
+
+/// What is timed at the edges, beside the core's timings.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Timed {
+    /// What the core times.
+    Core(Timing),
+    /// A call of the platform's store that is no waiting read.
+    Store,
+}
+
+/// Counters and histograms of an instance. Clones share them.
+#[derive(Clone)]
 pub(crate) struct Meter {
-    client: Option<StatsdClient>,
-    counts: BTreeMap<Counter, u64>,
+    client: Option<Arc<StatsdClient>>,
+    counters: IntCounterVec,
+    histograms: HistogramVec,
+    registry: Registry,
+}
+
+impl Timed {
+    fn name(self) -> &'static str {
+        match self {
+            Self::Core(Timing::Answer) => "answer",
+            Self::Core(Timing::FirstEvent) => "first_event",
+            Self::Core(Timing::Pause) => "pause",
+            Self::Core(Timing::Resume) => "resume",
+            Self::Store => "store_call",
+        }
+    }
 }
 
 impl Meter {
     /// Counts something.
-    pub fn count(&mut self, counter: Counter, count: u64) {
-        *self.counts.entry(counter).or_default() += count;
+    pub fn count(&self, counter: Counter, count: u64) {
+        let name = counter.to_string();
+        self.counters.with_label_values(&[&name]).inc_by(count);
         if let Some(client) = &self.client {
             // A sink that is away must not stop the instance.
-            let _ = client.count(&counter.to_string(), count.cast_signed());
+            let _ = client.count(&name, count.cast_signed());
         }
     }
 
     /// All counts by name.
     pub fn counts(&self) -> Vec<schema::Count> {
-        self.counts
+        let families = self.registry.gather();
+        let counters = families
             .iter()
-            .map(|(counter, value)| schema::Count {
-                name: counter.to_string(),
-                value: *value,
+            .filter(|family| family.name().ends_with("_events_total"));
+        let metrics = counters.flat_map(prometheus::proto::MetricFamily::get_metric);
+        metrics
+            .map(|metric| schema::Count {
+                name: metric
+                    .get_label()
+                    .first()
+                    .map_or("", |label| label.value())
+                    .into(),
+                value: metric.get_counter().get_value() as u64,
             })
             .collect()
     }
 
     /// Counters that are sent to `sink`, if one is given.
     pub fn new(sink: Option<SocketAddr>) -> Self {
+        let counters = Opts::new("wellplank_events_total", "Events by their name.");
+        let counters = IntCounterVec::new(counters, &["event"]).expect("the names are valid");
+        let histograms = HistogramOpts::new("wellplank_latency_ms", "Times in milliseconds.")
+            .buckets(BUCKETS.to_vec());
+        let histograms = HistogramVec::new(histograms, &["what"]).expect("the names are valid");
+        let registry = Registry::new();
+        for collector in [
+            Box::new(counters.clone()) as Box<dyn prometheus::core::Collector>,
+            Box::new(histograms.clone()),
+        ] {
+            registry
+                .register(collector)
+                .expect("each name is registered once");
+        }
         Self {
-            client: sink.and_then(Self::client),
-            counts: BTreeMap::new(),
+            client: sink.and_then(Self::client).map(Arc::new),
+            counters,
+            histograms,
+            registry,
+        }
+    }
+
+    /// The text page.
+    pub fn page(&self) -> Vec<u8> {
+        let mut page = Vec::new();
+        let families = self.registry.gather();
+        if let Err(error) = TextEncoder::new().encode(&families, &mut page) {
+            warn!("the page of counters can not be written: {error}");
         }
+        let dropped = logger::dropped();
+        let name = "wellplank_log_lines_dropped_total";
+        page.extend_from_slice(format!("# TYPE {name} counter\n{name} {dropped}\n").as_bytes());
+        page
+    }
+
+    /// Notes how long something took, in milliseconds.
+    pub fn time(&self, timed: Timed, millis: f64) {
+        self.histograms
+            .with_label_values(&[timed.name()])
+            .observe(millis);
     }
 
     fn client(sink: SocketAddr) -> Option<StatsdClient> {
--- a/crates/node/src/note.rs
+++ b/crates/node/src/note.rs
@@ -2,6 +2,12 @@
 
 use super::*;
 
+/// Writes the line of a change in what is believed of an upstream.
+pub(crate) fn believe(belief: Belief, silent_ms: u64, upstream: &str) {
+    let belief = belief.name();
+    info!(upstream, belief, silent_ms; "upstream");
+}
+
 /// Writes the line of a step. Relayed requests have the name that their caller gave them.
 pub(crate) fn write(note: &Note) {
     let own = || Uuid::from_u128(note.generation).to_string();
--- a/crates/standin/src/world.rs
+++ b/crates/standin/src/world.rs
@@ -447,6 +447,7 @@
             }
             // Nobody relays in this world.
             Effect::Answer(_)
+            | Effect::Believe { .. }
             | Effect::Blame(_)
             | Effect::Close(_)
             | Effect::Cut(_)
@@ -454,7 +455,8 @@
             | Effect::Note { .. }
             | Effect::Open(_)
             | Effect::Pass { .. }
-            | Effect::Tell(_) => {}
+            | Effect::Tell(_)
+            | Effect::Timed(..) => {}
             Effect::Probe { address, upstream } => {
                 let index = index_of(address);
                 let alive = match self.upstreams[index].mode {
