--- a/crates/node/src/logger.rs
+++ b/crates/node/src/logger.rs
@@ -9,8 +9,8 @@
     sync::mpsc::{Receiver, SyncSender, TrySendError, sync_channel},
 };
 
-/// Lines that may wait to be written; a few seconds of a busy instance, below a megabyte.
-const QUEUE: usize = 4_096;
+/// Lines that may wait to be written: a second or two of a busy instance, below half a megabyte.
+const QUEUE: usize = 1_024;
 
 /// Lines of one message that are written within a second; the rest is counted.
 const PER_SECOND: u32 = 200;
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod asker;
 pub mod caller;
 pub mod claims;
+pub mod client;
 pub mod control;
 pub mod cost;
 pub mod demo;
--- a/crates/standin/src/site.rs
+++ b/crates/standin/src/site.rs
@@ -181,20 +181,11 @@
     }
 
     async fn member(&self, index: usize, grace_ms: u64) -> Member {
-        let [callers, metrics, ready, peers] = std::array::from_fn(|_| host::free_address());
-        let settings = json!({
-            "core": { "probes": false },
-            "data_centre": format!("dc-{}", index % 2),
-            "hosted": {
-                "grace_ms": grace_ms, "metrics": metrics, "peers": peers, "ready": ready,
-                "store": self.store,
-            },
-            "instance": format!("instance-{index}"),
-            "listen": { "callers": callers },
-        });
+        let settings = self.settings(index, grace_ms);
         let settings = wellplank_node::Settings::parse(&settings.to_string());
         let settings = settings.expect("the settings have no fault");
         let hosted = settings.hosted.expect("the settings are for the platform");
+        let (callers, metrics, ready) = (settings.listen.callers, hosted.metrics, hosted.ready);
         let host = Host::new(1);
         let start = wellplank_node::hosted::Instance::start(settings, hosted);
         let running = host.run(start).await;
@@ -208,6 +199,21 @@
         }
     }
 
+    /// Settings of an instance at free addresses.
+    pub fn settings(&self, index: usize, grace_ms: u64) -> Value {
+        let [callers, metrics, ready, peers] = std::array::from_fn(|_| host::free_address());
+        json!({
+            "core": { "probes": false },
+            "data_centre": format!("dc-{}", index % 2),
+            "hosted": {
+                "grace_ms": grace_ms, "metrics": metrics, "peers": peers, "ready": ready,
+                "store": self.store,
+            },
+            "instance": format!("instance-{index}"),
+            "listen": { "callers": callers },
+        })
+    }
+
     fn seat(&self, name: &str, pool: &str, data_centre: usize) -> Seat {
         let worker = Worker::new(host::free_address(), name, &self.ledger);
         let host = Host::new(1);
--- a/crates/standin/tests/site.rs
+++ b/crates/standin/tests/site.rs
@@ -3,8 +3,8 @@
 use {
     bytes::Bytes,
     googletest::prelude::*,
-    http_body_util::{BodyExt, Full},
-    hyper::{HeaderMap, Request, StatusCode},
+    http_body_util::Full,
+    hyper::Request,
     std::{net::SocketAddr, time::Duration},
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
@@ -12,8 +12,9 @@
         time::{Instant, sleep},
     },
     wellplank_standin::{
+        client::{Ask, Got},
         http,
-        site::{KEY, Plan, Site, configuration},
+        site::{Plan, Site, configuration},
         worker::{self, EVENTS, Mode, Run},
     },
 };
@@ -21,118 +22,6 @@
 /// Time in which something must come about.
 const PATIENCE: Duration = Duration::from_secs(10);
 
-/// One request of a caller.
-struct Ask {
-    body: Vec<u8>,
-    headers: Vec<(&'static str, String)>,
-    path: &'static str,
-}
-
-/// What a caller got.
-struct Got {
-    body: String,
-    headers: HeaderMap,
-    status: StatusCode,
-    /// Whether the answer ended as it should.
-    whole: bool,
-}
-
-impl Ask {
-    fn new(path: &'static str, run: &str) -> Self {
-        Self {
-            body: b"what is asked".to_vec(),
-            headers: Vec::new(),
-            path,
-        }
-        .with("host", "a.example")
-        .with("authorization", &format!("Token {KEY}"))
-        .with("wellplank-request-id", run)
-        .with("wellplank-timeout-ms", "9000")
-    }
-
-    fn again(run: &str) -> Self {
-        Self::new("/again/1", run)
-    }
-
-    fn once(run: &str) -> Self {
-        Self::new("/once/1", run)
-    }
-
-    fn stream(run: &str) -> Self {
-        Self::new("/stream/1", run)
-            .with("wellplank-prefix-hash", "5c1e07a2:200,e4402b7d:5000")
-            .with("wellplank-token-usage", "5200,700")
-    }
-
-    fn body(mut self, bytes: usize) -> Self {
-        self.body = vec![b'x'; bytes];
-        self
-    }
-
-    fn with(mut self, name: &'static str, value: &str) -> Self {
-        self.headers.retain(|(other, _)| *other != name);
-        self.headers.push((name, value.into()));
-        self
-    }
-
-    async fn open(&self, address: SocketAddr) -> hyper::Response<hyper::body::Incoming> {
-        let uri = format!("http://{address}{}", self.path);
-        let mut request = Request::post(uri);
-        for (name, value) in &self.headers {
-            request = request.header(*name, value);
-        }
-        let request = request.body(Full::new(Bytes::from(self.body.clone())));
-        let response = http::client().request(request.unwrap()).await;
-        response.expect("an answer begins")
-    }
-
-    async fn send(&self, address: SocketAddr) -> Got {
-        let response = self.open(address).await;
-        Got::read(response, usize::MAX).await
-    }
-
-    /// The bytes of the request, as a caller writes them on a connection of its own.
-    fn bytes(&self) -> Vec<u8> {
-        let headers = self.headers.iter();
-        let headers: String = headers
-            .flat_map(|(name, value)| [name, ": ", value, "\r\n"])
-            .collect();
-        let (path, length) = (self.path, self.body.len());
-        let head = format!("POST {path} HTTP/1.1\r\n{headers}content-length: {length}\r\n\r\n");
-        [head.as_bytes(), &self.body].concat()
-    }
-}
-
-impl Got {
-    /// Reads an answer up to its end, or until it has some bytes.
-    async fn read(response: hyper::Response<hyper::body::Incoming>, most: usize) -> Self {
-        let (parts, mut body) = response.into_parts();
-        let mut bytes = Vec::new();
-        let mut whole = true;
-        while let Some(frame) = body.frame().await {
-            match frame {
-                Ok(frame) => bytes.extend_from_slice(&frame.into_data().unwrap_or_default()),
-                Err(_) => whole = false,
-            }
-            if !whole || bytes.len() >= most {
-                break;
-            }
-        }
-        Self {
-            body: String::from_utf8(bytes).unwrap(),
-            headers: parts.headers,
-            status: parts.status,
-            whole,
-        }
-    }
-
-    fn header(&self, name: &str) -> &str {
-        self.headers
-            .get(name)
-            .map_or("", |value| value.to_str().unwrap())
-    }
-}
-
 /// Runs a test against a site.
 fn run<F: Future<Output = ()>>(plan: Plan, test: impl FnOnce(Site) -> F) {
     let runtime = tokio::runtime::Builder::new_multi_thread()
