--- a/crates/node/src/feed.rs
+++ b/crates/node/src/feed.rs
@@ -12,11 +12,11 @@
 
 /// Pause between two watches of upstreams for each of them, in which changes gather: each call is
 /// paid for, and a lost data centre changes a part of all entries.
-const GATHER_EACH: Duration = Duration::from_millis(4);
+const GATHER_EACH: Duration = Duration::from_millis(6);
 
-/// Bounds of that pause: the longest is half of the shortest time in which a leaving upstream must
-/// get no more work.
-const GATHER: RangeInclusive<Duration> = Duration::from_millis(200)..=Duration::from_secs(1);
+/// The shortest such pause. The longest is half of the time in which a leaving upstream must get no
+/// more work; the other half is for the call.
+const GATHER_LEAST: Duration = Duration::from_millis(200);
 
 /// Pause after a call that failed: it doubles with each further failure up to the end, since refused
 /// calls are paid for too.
@@ -165,8 +165,10 @@
     }
 }
 
-/// Keeps the core's upstreams as the store lists them, for ever.
-pub(crate) async fn upstreams(client: Client, clock: Clock, driver: Driver) {
+/// Keeps the core's upstreams as the store lists them, for ever. A leaving upstream must get no more
+/// work after `leave`.
+pub(crate) async fn upstreams(client: Client, clock: Clock, driver: Driver, leave: Duration) {
+    let longest = (leave / 2).max(GATHER_LEAST);
     let mut cursor = Cursor::new(client, platform::upstream::PREFIX);
     let mut link = Link::new("upstreams");
     let mut roster = Roster::default();
@@ -192,7 +194,7 @@
         let asked = clock.now();
         let listed = Some(listed);
         driver.event(Event::List { asked, listed });
-        sleep(gather.clamp(*GATHER.start(), *GATHER.end())).await;
+        sleep(gather.clamp(GATHER_LEAST, longest)).await;
     }
 }
 
--- a/crates/node/src/hosted.rs
+++ b/crates/node/src/hosted.rs
@@ -63,7 +63,7 @@
 pub struct Instance {
     driver: Driver,
     grace: Duration,
-    stop: watch::Sender<Option<Instant>>,
+    stop: watch::Sender<Option<relay::Stop>>,
 }
 
 /// Runs an instance until it is told to stop and has stopped. Its settings file is read again on
@@ -118,7 +118,9 @@
         serve(hosted.metrics, Router::with_path("metrics").get(page)).await?;
         let configuration = feed::configuration(client.clone(), driver.clone(), limits, configured);
         tokio::spawn(configuration);
-        tokio::spawn(feed::upstreams(client.clone(), clock, driver.clone()));
+        let leave = Duration::from_millis(hosted.leave_ms);
+        let upstreams = feed::upstreams(client.clone(), clock, driver.clone(), leave);
+        tokio::spawn(upstreams);
         let gossip = gossip::Gossip {
             client,
             driver: driver.clone(),
@@ -149,14 +151,15 @@
     /// Stops as planned: is no longer ready, goes on with what it has and what still comes, and
     /// leaves when nothing runs any more or the grace time ends.
     pub async fn stop(self) {
-        let since = Instant::now();
+        let begun = Instant::now();
         let last = self.grace.saturating_sub(MARGIN);
+        let end = begun + last;
         info!("stopping");
-        self.stop.send_replace(Some(since));
+        self.stop.send_replace(Some(relay::Stop { begun, end }));
         loop {
             sleep(LOOK).await;
             let running = self.driver.status().await.running;
-            let elapsed = since.elapsed();
+            let elapsed = begun.elapsed();
             if elapsed >= last || (running == 0 && elapsed >= STAY) {
                 info!(running; "stopped");
                 return;
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -11,8 +11,29 @@
 /// since it will meet another one.
 const STOPPING_RETRY_MS: u64 = 50;
 
-/// Since when the instance is stopping; `None` while it is not.
-pub(crate) type Stopping = watch::Receiver<Option<Instant>>;
+/// Time before the end of a stopping instance from which on nothing new is taken: what short requests
+/// may take.
+const SHORT_TAKEN: Duration = Duration::from_millis(1_700);
+
+/// A planned stop.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Stop {
+    /// When it began.
+    pub begun: Instant,
+    /// When the instance ends at the latest.
+    pub end: Instant,
+}
+
+/// The planned stop; `None` while there is none.
+pub(crate) type Stopping = watch::Receiver<Option<Stop>>;
+
+impl Stop {
+    /// Whether a new request could still be answered.
+    fn takes(self, long: bool) -> bool {
+        let left = self.end.saturating_duration_since(Instant::now());
+        left > SHORT_TAKEN && (!long || self.begun.elapsed() <= LONG_TAKEN)
+    }
+}
 
 /// The endpoint of relayed requests.
 pub(crate) struct Endpoint {
@@ -20,7 +41,7 @@
     pub driver: Driver,
     /// Limits on what callers send.
     pub limits: watch::Receiver<platform::configuration::Limits>,
-    /// Since when the instance is stopping.
+    /// The planned stop.
     pub stopping: Stopping,
 }
 
@@ -62,8 +83,8 @@
             Kind::BadBody
         })?;
         let long = asked.relay.prompt != 0;
-        let since = *self.stopping.borrow();
-        if long && since.is_some_and(|since| since.elapsed() > LONG_TAKEN) {
+        let stop = *self.stopping.borrow();
+        if stop.is_some_and(|stop| !stop.takes(long)) {
             self.driver.count(Counter::Refused(Kind::NotReady));
             refuse(response, Kind::NotReady, Some(STOPPING_RETRY_MS));
             return Ok(());
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -52,6 +52,8 @@
 pub struct Hosted {
     /// Time from the signal to stop to the end that the platform gives, in milliseconds.
     pub grace_ms: u64,
+    /// Time in which a leaving upstream must get no more work, in milliseconds.
+    pub leave_ms: u64,
     /// Where the page of counters is served.
     pub metrics: SocketAddr,
     /// Where other instances' datagrams come.
@@ -264,6 +266,7 @@
     fn read_hosted(mut reader: Reader) -> Hosted {
         let hosted = Hosted {
             grace_ms: reader.number("grace_ms", 8_000, 100..=MILLIS_MAX),
+            leave_ms: reader.number("leave_ms", 2_000, 100..=MILLIS_MAX),
             metrics: reader.address("metrics"),
             peers: reader.address("peers"),
             ready: reader.address("ready"),
--- a/crates/standin/tests/site.rs
+++ b/crates/standin/tests/site.rs
@@ -560,6 +560,33 @@
     });
 }
 
+#[gtest]
+fn stopping_instance_takes_nothing_that_it_could_not_answer() {
+    let plan = Plan {
+        grace_ms: 5_000,
+        ..Plan::default()
+    };
+    run(plan, async |mut site: Site| {
+        let ask = Ask::stream("r0");
+        for seat in &site.engines {
+            seat.worker.set(Mode::Silent);
+        }
+        let callers = address(&site);
+        let held = tokio::spawn(async move { ask.open(callers).await });
+        sleep(Duration::from_millis(100)).await;
+        let mut member = site.instances.remove(0);
+        let stopping = tokio::spawn(async move {
+            member.stop().await;
+        });
+        sleep(Duration::from_millis(3_500)).await;
+        let got = Ask::once("r1").send(callers).await;
+        expect_that!(got.status.as_u16(), eq(503));
+        expect_that!(site.ledger.runs(), is_empty());
+        stopping.await.unwrap();
+        held.abort();
+    });
+}
+
 #[gtest]
 fn many_streams_over_the_loss_of_a_data_centre_are_whole() {
     run(Plan::default(), async |mut site: Site| {
