--- a/crates/standin/src/arguments.rs
+++ b/crates/standin/src/arguments.rs
@@ -151,7 +151,29 @@
     for (kind, count) in failed {
         println!("ended with {kind}: {count}");
     }
-    exit(broken == 0)
+    let relaying = random_relaying(seed, cases);
+    exit(broken + relaying == 0)
+}
+
+/// Runs randomised cases of relayed requests; how many are broken.
+fn random_relaying(first: u64, cases: u64) -> usize {
+    let mut broken = 0;
+    let (mut copies, mut requests, mut whole) = (0, 0, 0);
+    for seed in first..first + cases {
+        let case = relaying::case(seed);
+        copies += case.copies;
+        requests += case.requests;
+        whole += case.whole;
+        if !case.violations.is_empty() {
+            broken += 1;
+            eprintln!("relaying, seed {seed}: {:?}", case.violations);
+        }
+    }
+    println!(
+        "{cases} cases of relaying, {requests} requests, {whole} whole, {copies} from copies, \
+         {broken} cases broken"
+    );
+    broken
 }
 
 fn exit(success: bool) -> ExitCode {
--- a/crates/standin/src/bench.rs
+++ b/crates/standin/src/bench.rs
@@ -4,7 +4,8 @@
 use super::*;
 use runner::{Runner, Running, SLOTS, STEP_MS};
 use scene::{Outcome, Scene};
-use std::{cmp::Reverse, collections::BinaryHeap, sync::Arc};
+use std::sync::Arc;
+use timeline::Timeline;
 use wellplank_core::{
     attempt,
     clock::Time,
@@ -96,20 +97,16 @@
 }
 
 struct Bench {
-    actions: Vec<Option<Action>>,
     askers: HashMap<Connection, Asked>,
     cores: Vec<Option<Core>>,
-    free: Vec<usize>,
     measuring: bool,
     next: u64,
-    now: Time,
-    order: u64,
     outcome: Outcome,
-    queue: BinaryHeap<Reverse<(Time, u64, usize)>>,
     random: Pcg64Mcg,
     runners: Vec<Runner>,
     running: Vec<u32>,
     scene: Scene,
+    timeline: Timeline<Action>,
 }
 
 /// Runs one scene.
@@ -136,23 +133,19 @@
             Some(Core::new(settings.clone(), [0; 32], seed, START))
         };
         let mut bench = Self {
-            actions: Vec::new(),
             askers: HashMap::new(),
             cores: (0..INSTANCES).map(core).collect(),
-            free: Vec::new(),
             measuring: false,
             next: 0,
-            now: START,
-            order: 0,
             outcome: Outcome {
                 tokens: vec![0.0; CUSTOMERS],
                 ..Outcome::default()
             },
-            queue: BinaryHeap::new(),
             random: Pcg64Mcg::seed_from_u64(scene.seed),
             runners: (0..RUNNERS).map(|_| Runner::new()).collect(),
             running: vec![0; CUSTOMERS],
             scene,
+            timeline: Timeline::new(START),
         };
         let config = Arc::new(configuration(bench.scene.max_running));
         for index in 0..INSTANCES {
@@ -178,7 +171,7 @@
             Action::Event(instance, event) => self.tell(instance, event),
             Action::List(instance) => {
                 let event = Event::List {
-                    asked: self.now,
+                    asked: self.timeline.now(),
                     listed: Some(self.list()),
                 };
                 self.tell(instance, event);
@@ -221,12 +214,12 @@
         self.askers.insert(
             caller,
             Asked {
-                at: self.now,
+                at: self.timeline.now(),
                 customer,
                 first: None,
                 instance,
                 kind,
-                last: self.now,
+                last: self.timeline.now(),
                 tokens: 0,
             },
         );
@@ -283,7 +276,7 @@
                 self.running[asked.customer] -= 1;
                 if self.measuring && asked.tokens == 0 {
                     self.outcome.refused += 1;
-                    let waited = self.now.since(asked.at) as f64;
+                    let waited = self.timeline.now().since(asked.at) as f64;
                     self.outcome.late += usize::from(waited > LATE_MS);
                     self.outcome.refusal_ms.push(waited);
                 } else if self.measuring {
@@ -295,7 +288,7 @@
                 let index = index_of(address);
                 let alive = !self.runners[index].lost;
                 if alive {
-                    let load = self.runners[index].report(self.now);
+                    let load = self.runners[index].report(self.timeline.now());
                     self.schedule(2, Action::Event(instance, Event::Load { upstream, load }));
                 }
                 let event = Event::Probed { alive, upstream };
@@ -318,18 +311,18 @@
         if self.measuring {
             self.outcome.delivered += u64::from(count);
             if asked.first.is_some() {
-                let gap = self.now.since(asked.last) as f64;
+                let gap = self.timeline.now().since(asked.last) as f64;
                 self.outcome.between_ms.push(gap);
             } else {
-                let first = self.now.since(asked.at) as f64;
+                let first = self.timeline.now().since(asked.at) as f64;
                 self.outcome.first_ms.push(first);
                 if asked.customer != 0 {
                     self.outcome.first_others_ms.push(first);
                 }
             }
         }
-        asked.last = self.now;
-        asked.first.get_or_insert(self.now);
+        asked.last = self.timeline.now();
+        asked.first.get_or_insert(self.timeline.now());
     }
 
     fn finish(&mut self, caller: Connection) {
@@ -343,7 +336,7 @@
         self.outcome.answered += 1;
         self.outcome.tokens[asked.customer] += f64::from(asked.tokens);
         if asked.kind == 0 {
-            let whole = self.now.since(asked.at) as f64;
+            let whole = self.timeline.now().since(asked.at) as f64;
             self.outcome.short_ms.push(whole);
         }
     }
@@ -406,7 +399,7 @@
     }
 
     fn receive(&mut self, index: usize, mut stream: Running, prefix: u64) {
-        let now = self.now;
+        let now = self.timeline.now();
         let runner = &mut self.runners[index];
         let failure = if runner.lost {
             Some(Failure::NotSent)
@@ -431,30 +424,14 @@
     }
 
     fn run_for(&mut self, millis: u64) {
-        let end = self.now.after(millis);
-        while let Some(Reverse((at, _, slot))) = self.queue.peek().copied() {
-            if at > end {
-                break;
-            }
-            self.queue.pop();
-            self.now = at;
-            self.free.push(slot);
-            if let Some(action) = self.actions[slot].take() {
-                self.act(action);
-            }
+        let end = self.timeline.now().after(millis);
+        while let Some(action) = self.timeline.next(end) {
+            self.act(action);
         }
-        self.now = end;
     }
 
     fn schedule(&mut self, wait: u64, action: Action) {
-        self.order += 1;
-        let slot = self.free.pop().unwrap_or_else(|| {
-            self.actions.push(None);
-            self.actions.len() - 1
-        });
-        self.actions[slot] = Some(action);
-        self.queue
-            .push(Reverse((self.now.after(wait), self.order, slot)));
+        self.timeline.schedule(wait, action);
     }
 
     fn send(&mut self, instance: usize, index: usize, attempt: attempt::Key, sending: Sending) {
@@ -476,7 +453,7 @@
             name: (stream.generation, stream.number),
             position,
             priority,
-            ready: self.now,
+            ready: self.timeline.now(),
             slot: false,
         };
         let start = stream.generation as u64 % PREFIXES;
@@ -485,7 +462,7 @@
 
     /// One step of a runner's batch.
     fn step(&mut self, index: usize) {
-        let (carried, now) = (self.scene.carried, self.now);
+        let (carried, now) = (self.scene.carried, self.timeline.now());
         let runner = &mut self.runners[index];
         let load = runner.load();
         runner.reports.push_back((now, load));
@@ -539,7 +516,7 @@
         let Some(core) = &mut self.cores[instance] else {
             return;
         };
-        for effect in core.handle(self.now, event) {
+        for effect in core.handle(self.timeline.now(), event) {
             self.carry_out(instance, effect);
         }
     }
--- a/crates/standin/src/world.rs
+++ b/crates/standin/src/world.rs
@@ -4,7 +4,8 @@
 use super::*;
 use asker::{Ask, Asker, End, Step, configuration};
 use fake::{Arrival, Claims, Mode, Reader, Said, StoreMode, Upstream};
-use std::{cmp::Reverse, collections::BinaryHeap, sync::Arc};
+use std::sync::Arc;
+use timeline::Timeline;
 use wellplank_core::{
     claim::Claim,
     clock::Time,
@@ -69,32 +70,6 @@
     Tick(usize, usize),
 }
 
-struct Scheduled {
-    action: Action,
-    at: Time,
-    order: u64,
-}
-
-impl Eq for Scheduled {}
-
-impl Ord for Scheduled {
-    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
-        (self.at, self.order).cmp(&(other.at, other.order))
-    }
-}
-
-impl PartialEq for Scheduled {
-    fn eq(&self, other: &Self) -> bool {
-        self.order == other.order
-    }
-}
-
-impl PartialOrd for Scheduled {
-    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
-        Some(self.cmp(other))
-    }
-}
-
 /// Several cores with fakes at their edges.
 pub struct World {
     /// Callers.
@@ -112,11 +87,9 @@
     instances: Vec<Instance>,
     left: Vec<Option<Time>>,
     next_connection: u64,
-    now: Time,
-    order: u64,
-    queue: BinaryHeap<Reverse<Scheduled>>,
     random: Pcg64Mcg,
     settings: Settings,
+    timeline: Timeline<Action>,
 }
 
 impl World {
@@ -138,11 +111,9 @@
             instances: Vec::new(),
             left: vec![None; engines + 2],
             next_connection: 0,
-            now: START,
-            order: 0,
-            queue: BinaryHeap::new(),
             random: Pcg64Mcg::seed_from_u64(seed),
             settings,
+            timeline: Timeline::new(START),
             upstreams,
             violations: Vec::new(),
         };
@@ -172,7 +143,7 @@
             connection: None,
             cursor: None,
             end: None,
-            heard: self.now,
+            heard: self.timeline.now(),
             instance,
             key,
             payload: json!({ "max": tokens, "prompt": format!("prompt {index}") }),
@@ -197,7 +168,7 @@
 
     /// Stops an instance for a while; what comes for it waits.
     pub fn freeze_instance(&mut self, index: usize, millis: u64) {
-        self.instances[index].frozen_until = self.now.after(millis);
+        self.instances[index].frozen_until = self.timeline.now().after(millis);
     }
 
     /// Ends an instance without notice and starts another in its place after a second.
@@ -217,7 +188,7 @@
                 self.come_back(asker);
             }
         }
-        self.instances[index].restart_at = self.now.after(RESTART_MS);
+        self.instances[index].restart_at = self.timeline.now().after(RESTART_MS);
     }
 
     /// Changes how an upstream behaves.
@@ -240,7 +211,7 @@
 
     /// Puts an upstream on the platform's list as leaving.
     pub fn leave(&mut self, index: usize) {
-        self.left[index] = Some(self.now);
+        self.left[index] = Some(self.timeline.now());
     }
 
     /// Whether a request has reached a step.
@@ -255,18 +226,12 @@
 
     /// Runs until a condition holds or time is over; whether it holds.
     pub fn run_until(&mut self, millis: u64, holds: impl Fn(&Self) -> bool) -> bool {
-        let end = self.now.after(millis);
+        let end = self.timeline.now().after(millis);
         while !holds(self) {
-            let Some(Reverse(next)) = self.queue.pop() else {
+            let Some(action) = self.timeline.next(end) else {
                 return false;
             };
-            if next.at > end {
-                self.queue.push(Reverse(next));
-                self.now = end;
-                return false;
-            }
-            self.now = next.at;
-            self.act(next.action);
+            self.act(action);
             self.impatient();
         }
         true
@@ -353,7 +318,7 @@
             Action::Event(instance, life, event) => self.deliver(instance, life, event),
             Action::List(instance) => {
                 let ended = self.instances[instance].core.is_none();
-                if ended && self.now >= self.instances[instance].restart_at {
+                if ended && self.timeline.now() >= self.instances[instance].restart_at {
                     self.start(instance);
                 }
                 self.list(instance);
@@ -365,7 +330,7 @@
                     mode,
                     Mode::CutOut | Mode::Leaving | Mode::Refusing | Mode::Slow | Mode::Up
                 ) {
-                    for (reader, said) in self.upstreams[index].step(self.now) {
+                    for (reader, said) in self.upstreams[index].step(self.timeline.now()) {
                         if mode != Mode::CutOut {
                             self.say(reader, said);
                         }
@@ -377,7 +342,7 @@
                 if self.instances[instance].life == life {
                     self.deliver(instance, life, Event::Tick);
                     let until = self.instances[instance].frozen_until;
-                    let wait = TICK_MS.max(until.since(self.now));
+                    let wait = TICK_MS.max(until.since(self.timeline.now()));
                     self.schedule(wait, Action::Tick(instance, life));
                 }
             }
@@ -393,7 +358,7 @@
             }
             Mode::Frozen => self.schedule(STEP_MS, Action::Arrive(index, arrival)),
             mode => {
-                for (reader, said) in self.upstreams[index].take(self.now, arrival) {
+                for (reader, said) in self.upstreams[index].take(self.timeline.now(), arrival) {
                     if mode != Mode::CutOut {
                         self.say(reader, said);
                     }
@@ -517,13 +482,16 @@
             return;
         }
         let until = self.instances[instance].frozen_until;
-        if self.now < until {
+        if self.timeline.now() < until {
             if !matches!(event, Event::Tick) {
-                self.schedule(until.since(self.now), Action::Event(instance, life, event));
+                self.schedule(
+                    until.since(self.timeline.now()),
+                    Action::Event(instance, life, event),
+                );
             }
             return;
         }
-        let now = self.now;
+        let now = self.timeline.now();
         let Some(core) = &mut self.instances[instance].core else {
             return;
         };
@@ -556,8 +524,8 @@
             .filter(|index| {
                 let asker = &self.askers[*index];
                 asker.connection.is_some()
-                    && self.now < self.instances[asker.instance].frozen_until
-                    && self.now.since(asker.heard) > CALLER_PATIENCE_MS
+                    && self.timeline.now() < self.instances[asker.instance].frozen_until
+                    && self.timeline.now().since(asker.heard) > CALLER_PATIENCE_MS
             })
             .collect();
         for index in frozen {
@@ -583,7 +551,7 @@
             }))
             .collect();
         let event = Event::List {
-            asked: self.now,
+            asked: self.timeline.now(),
             listed: Some(listed),
         };
         self.event(instance, 1, event);
@@ -606,9 +574,9 @@
             return;
         }
         if !asker.tokens.is_empty() {
-            asker.stall_ms = asker.stall_ms.max(self.now.since(asker.heard));
+            asker.stall_ms = asker.stall_ms.max(self.timeline.now().since(asker.heard));
         }
-        asker.heard = self.now;
+        asker.heard = self.timeline.now();
         asker.tokens.extend_from_slice(tokens);
         asker.cursor = Some(cursor.to_vec());
     }
@@ -645,16 +613,11 @@
     }
 
     fn schedule(&mut self, wait: u64, action: Action) {
-        self.order += 1;
-        self.queue.push(Reverse(Scheduled {
-            action,
-            at: self.now.after(wait),
-            order: self.order,
-        }));
+        self.timeline.schedule(wait, action);
     }
 
     fn send(&mut self, instance: usize, index: usize, reader: Reader, sending: Sending) {
-        let late = self.left[index].is_some_and(|left| self.now.since(left) > LEAVE_MS);
+        let late = self.left[index].is_some_and(|left| self.timeline.now().since(left) > LEAVE_MS);
         if late && !matches!(sending, Sending::Attach { .. }) {
             self.violations
                 .push(format!("{index} got work long after it began to leave"));
@@ -691,7 +654,7 @@
 
     fn start(&mut self, instance: usize) {
         let seed = self.random.random();
-        let core = Core::new(self.settings.clone(), SECRET, seed, self.now);
+        let core = Core::new(self.settings.clone(), SECRET, seed, self.timeline.now());
         self.instances[instance].core = Some(core);
         let life = self.instances[instance].life;
         let config = Arc::new(configuration());
@@ -708,7 +671,7 @@
         let generation = self.uuid();
         let asker = &mut self.askers[index];
         asker.connection = Some(connection);
-        asker.heard = self.now;
+        asker.heard = self.timeline.now();
         asker.steps.push(Step::Submitted);
         let payload: Arc<[u8]> = asker.payload.to_string().into_bytes().into();
         let max = asker.payload["max"].as_u64().unwrap_or(0) as u32;
@@ -751,7 +714,7 @@
     /// A new UUID of version 7 at the virtual time.
     fn uuid(&mut self) -> u128 {
         let noise: u128 = self.random.random();
-        let time = u128::from(self.now.0) << 80;
+        let time = u128::from(self.timeline.now().0) << 80;
         let version = 7_u128 << 76;
         let variant = 2_u128 << 62;
         let low = noise & !(0xffff_ffff_ffff_u128 << 80) & !(0xf_u128 << 76) & !(3_u128 << 62);
--- a/crates/standin/tests/proof.rs
+++ b/crates/standin/tests/proof.rs
@@ -6,13 +6,16 @@
     wellplank_standin::{
         asker::{Ask, End, Step},
         matrix::{self, Cell, Fault},
-        random,
+        random, relaying,
     },
 };
 
 /// Cases of the randomised run that every check makes.
 const CASES: u64 = 60;
 
+/// Cases of the randomised run of relayed requests that every check makes.
+const RELAYING_CASES: u64 = 100;
+
 fn broken(cells: &[Cell]) -> Vec<&Cell> {
     cells.iter().filter(|cell| !cell.holds()).collect()
 }
@@ -63,3 +66,17 @@
         expect_that!(case.violations, is_empty(), "seed {seed}");
     }
 }
+
+#[gtest]
+fn random_faults_break_nothing_that_is_relayed() {
+    let (mut copies, mut requests, mut whole) = (0, 0, 0);
+    for seed in 1..=RELAYING_CASES {
+        let case = relaying::case(seed);
+        expect_that!(case.violations, is_empty(), "seed {seed}");
+        copies += case.copies;
+        requests += case.requests;
+        whole += case.whole;
+    }
+    expect_that!(copies, gt(100));
+    expect_that!(whole * 10, gt(requests * 7));
+}
