Streams whose first event does not come go elsewhere in time; the last upstream entered at an address is there

A stream waited 13 s for its first event at an engine that had lost its answer, up to the caller's deadline: silence counted from the first event on only. And an instance that started while an address had two entries took them in the order of their names, so that it believed the living upstream replaced for good. Change: a stream without a first event goes elsewhere after 0.65 of the time in which it is wanted, one that goes on from a copy after 1 s; entries carry their place in the order of entering. Ruled out: a link that hangs (the upstream answered others all the while). Measured: three tests fail before and pass after.

--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -96,6 +96,9 @@
     pub name: String,
     /// Pool.
     pub pool: String,
+    /// Place in the order in which upstreams were entered; of two at one address the later one is
+    /// there. 0 where that is not known.
+    pub since: u64,
 }
 
 /// What the core is told.
--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -5,6 +5,10 @@
 
 use super::*;
 
+/// Part of the time in which the first event is wanted after which a stream without one goes
+/// elsewhere: what is left is enough to read a prompt of usual length there.
+const FIRST_PART: f64 = 0.65;
+
 impl Core {
     /// An upstream answered a relayed request in one piece.
     pub(crate) fn answered(&mut self, key: attempt::Key, verdict: event::Verdict) {
@@ -277,9 +281,8 @@
                 continue;
             };
             let lost = if relay.streams {
-                let doubted = self.upstreams[key].health == Health::Suspected;
-                let stalled = silence > self.settings.relay_stall_ms;
-                relay.resumable && stalled && (attempt.started || (doubted && silent))
+                let doubted = self.upstreams[key].health == Health::Suspected && silent;
+                relay.resumable && silence > self.patience(attempt, relay, doubted)
             } else {
                 let spare = request.passage.reached < relay.attempts_max;
                 request.service.repeatable && spare && silence > self.settings.relay_call_ms
@@ -295,6 +298,18 @@
         }
     }
 
+    /// Silence in milliseconds after which a stream has lost its upstream. Before its first event it
+    /// waits for its prompt to be read, unless the upstream is `doubted` with all its streams.
+    fn patience(&self, attempt: &Attempt, relay: &config::Relay, doubted: bool) -> u64 {
+        if attempt.started || doubted {
+            self.settings.relay_stall_ms
+        } else if attempt.copy.is_some() {
+            self.settings.relay_copy_ms
+        } else {
+            (relay.objective_ms as f64 * FIRST_PART) as u64
+        }
+    }
+
     /// An upstream was lost: it is doubted here, and other instances are told.
     fn blame(&mut self, key: upstream::Key) {
         let upstream = &mut self.upstreams[key];
--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -76,6 +76,8 @@
     pub probes: bool,
     /// Silence after which a repeatable relayed call is sent to another upstream.
     pub relay_call_ms: u64,
+    /// Silence before the first event after which a stream that goes on from a copy has none.
+    pub relay_copy_ms: u64,
     /// Silence between two events after which a relayed stream goes on elsewhere.
     pub relay_stall_ms: u64,
     /// Share of an upstream's slots that only resumed work may use.
@@ -114,6 +116,7 @@
             probes: true,
             queue_max: 1_000,
             relay_call_ms: 300,
+            relay_copy_ms: 1_000,
             relay_stall_ms: 400,
             report_lag_ms: 300,
             resume_reserve: 0.0,
--- a/crates/core/src/upstream.rs
+++ b/crates/core/src/upstream.rs
@@ -111,6 +111,8 @@
     pub probed: Time,
     /// Time at which the last probe was sent, while it is not answered.
     pub probing: Option<Time>,
+    /// Place in the order in which upstreams were entered; 0 where that is not known.
+    pub since: u64,
     /// Failures of late, each fading with time.
     pub trouble: Trouble,
     /// Starts and ends of the last while, oldest first, of which a report may hold some.
--- a/crates/core/src/watch.rs
+++ b/crates/core/src/watch.rs
@@ -198,7 +198,6 @@
             self.upstreams[key].leaving = entry.leaving;
             return key;
         }
-        self.replace(entry);
         let name: Arc<str> = entry.name.as_str().into();
         let pool: Arc<str> = entry.pool.as_str().into();
         let key = self.upstreams.insert(Upstream {
@@ -221,28 +220,28 @@
             probed: Time::default(),
             probing: None,
             recent: VecDeque::new(),
+            since: entry.since,
             trouble: upstream::Trouble::default(),
         });
         self.names.insert(name, key);
         self.pools.entry(pool).or_default().upstreams.push(key);
         self.believe(key, effect::Belief::New);
+        self.replace(entry.address);
         key
     }
 
-    /// A new upstream has the address of an older one, which is gone then. Where upstreams are probed,
-    /// the probe tells.
-    fn replace(&mut self, entry: &event::Listed) {
-        if self.settings.probes {
-            return;
-        }
-        let same = |(_, upstream): &(upstream::Key, &Upstream)| upstream.address == entry.address;
-        let replaced: Vec<upstream::Key> = self
+    /// Of upstreams at one address only the one that was entered last is there.
+    fn replace(&mut self, address: SocketAddr) {
+        let there = |(_, upstream): &(upstream::Key, &Upstream)| upstream.address == address;
+        let mut same: Vec<(u64, upstream::Key)> = self
             .upstreams
             .iter()
-            .filter(same)
-            .map(|(key, _)| key)
+            .filter(there)
+            .map(|(key, upstream)| (upstream.since, key))
             .collect();
-        for key in replaced {
+        let last = same.iter().map(|(since, _)| *since).max().unwrap_or(0);
+        same.retain(|(since, _)| *since < last);
+        for (_, key) in same {
             self.replaced(key);
         }
     }
--- a/crates/core/tests/core.rs
+++ b/crates/core/tests/core.rs
@@ -116,6 +116,7 @@
             leaving: leaving == Some(index),
             name: format!("runner-{index}"),
             pool: "runner".into(),
+            since: 0,
         });
         self.tell(Event::List {
             asked: self.now,
--- a/crates/core/tests/relay.rs
+++ b/crates/core/tests/relay.rs
@@ -234,6 +234,7 @@
         leaving: false,
         name: format!("runner-{name}"),
         pool: "pool".into(),
+        since: 0,
     }
 }
 
@@ -272,6 +273,7 @@
         attempts_max: 5,
         copies: true,
         memory_tokens: 55_000,
+        objective_ms: 4_500,
         resumable: true,
         streams: true,
         ..call.clone()
@@ -428,6 +430,28 @@
     expect_that!(test.sent().len(), eq(1));
 }
 
+#[gtest]
+fn stream_whose_first_event_does_not_come_goes_elsewhere_in_time() {
+    let mut test = Test::new(6);
+    let first = test.stream(0);
+    test.pass(3_000);
+    let second = test.last();
+    expect_that!(second.attempt, not(eq(first.attempt)));
+    expect_that!(second.upstream, not(eq(first.upstream)));
+}
+
+#[gtest]
+fn stream_that_does_not_go_on_from_its_copy_goes_elsewhere_soon() {
+    let mut test = Test::new(6);
+    let first = test.stream(3);
+    test.fail(&first, Failure::Broken);
+    let second = test.last();
+    test.tell(Event::Opened(second.attempt));
+    test.pass(1_100);
+    expect_that!(test.last().attempt, not(eq(second.attempt)));
+    expect_that!(test.last().position, eq(3));
+}
+
 #[gtest]
 fn streams_of_a_silent_upstream_are_lost_together() {
     let mut test = Test::new(1);
@@ -554,18 +578,28 @@
 }
 
 #[gtest]
-fn new_upstream_at_an_address_ends_the_older_one() {
-    let mut test = Test::new(1);
-    test.list(vec![listed(0, 0), listed(9, 0)]);
-    test.ask(ONCE);
-    let named = test.effects.iter().find_map(|effect| match effect {
-        Effect::Send {
-            sending: Sending::Relay { upstream, .. },
-            ..
-        } => Some(upstream.to_string()),
-        _ => None,
-    });
-    expect_that!(named.as_deref(), some(eq("runner-9")));
+fn of_upstreams_at_one_address_the_last_one_entered_gets_work() {
+    let older = Listed {
+        since: 4,
+        ..listed(0, 0)
+    };
+    let newer = Listed {
+        since: 7,
+        ..listed(9, 0)
+    };
+    for order in [[older.clone(), newer.clone()], [newer, older]] {
+        let mut test = Test::new(0);
+        test.list(order.to_vec());
+        test.ask(ONCE);
+        let named = test.effects.iter().find_map(|effect| match effect {
+            Effect::Send {
+                sending: Sending::Relay { upstream, .. },
+                ..
+            } => Some(upstream.to_string()),
+            _ => None,
+        });
+        expect_that!(named.as_deref(), some(eq("runner-9")));
+    }
 }
 
 #[gtest]
--- a/crates/node/src/feed.rs
+++ b/crates/node/src/feed.rs
@@ -335,7 +335,7 @@
     }
 
     fn write(&mut self, item: &Item) {
-        match platform::upstream::decode(&item.key, &item.value) {
+        match platform::upstream::decode(item) {
             Ok(listed) => {
                 self.lapsing.remove(&item.key);
                 self.entries.insert(item.key.clone(), listed);
--- a/crates/node/src/list.rs
+++ b/crates/node/src/list.rs
@@ -69,6 +69,7 @@
         leaving: line.leaving,
         name: line.instance.clone(),
         pool: line.pool.clone(),
+        since: 0,
     }
 }
 
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -128,6 +128,7 @@
                 "probes": core.probes,
                 "queue_max": core.queue_max,
                 "relay_call_ms": core.relay_call_ms,
+                "relay_copy_ms": core.relay_copy_ms,
                 "relay_stall_ms": core.relay_stall_ms,
                 "report_lag_ms": core.report_lag_ms,
                 "resume_reserve": core.resume_reserve,
@@ -212,6 +213,7 @@
         let probe_ms = millis("probe_ms", default.probe_ms);
         let probe_timeout_ms = millis("probe_timeout_ms", default.probe_timeout_ms);
         let relay_call_ms = millis("relay_call_ms", default.relay_call_ms);
+        let relay_copy_ms = millis("relay_copy_ms", default.relay_copy_ms);
         let relay_stall_ms = millis("relay_stall_ms", default.relay_stall_ms);
         let report_lag_ms = millis("report_lag_ms", default.report_lag_ms);
         let stall_loss_ms = millis("stall_loss_ms", default.stall_loss_ms);
@@ -248,6 +250,7 @@
             queue_max: reader.number("queue_max", default.queue_max as u64, 1..=1_000_000) as usize,
             probes: reader.flag("probes", default.probes),
             relay_call_ms,
+            relay_copy_ms,
             relay_stall_ms,
             report_lag_ms,
             resume_reserve: reader.share("resume_reserve", default.resume_reserve),
--- a/crates/standin/src/bench.rs
+++ b/crates/standin/src/bench.rs
@@ -360,6 +360,7 @@
             leaving: false,
             name: format!("runner-{index}"),
             pool: "runner".into(),
+            since: 0,
         });
         let live = (0..INSTANCES).filter(|index| self.cores[*index].is_some());
         let instances = live.map(|index| Listed {
@@ -368,6 +369,7 @@
             leaving: false,
             name: format!("entry-{index}"),
             pool: wellplank_core::core::INSTANCE_POOL.into(),
+            since: 0,
         });
         runners.chain(instances).collect()
     }
--- a/crates/standin/src/relaying.rs
+++ b/crates/standin/src/relaying.rs
@@ -536,6 +536,7 @@
             leaving: upstream.leaving.is_some(),
             name: format!("{index}-{}", upstream.life),
             pool: if upstream.calls { "desk" } else { "engines" }.into(),
+            since: 0,
         };
         self.upstreams.iter().enumerate().map(listed).collect()
     }
--- a/crates/standin/src/world.rs
+++ b/crates/standin/src/world.rs
@@ -541,6 +541,7 @@
                 leaving: self.left[index].is_some(),
                 name: self.upstreams[index].name.clone(),
                 pool: pool_of(index, self.engines).into(),
+                since: 0,
             })
             .chain((0..self.instances.len()).map(|index| Listed {
                 data_centre: String::new(),
@@ -548,6 +549,7 @@
                 leaving: false,
                 name: format!("entry-{index}"),
                 pool: wellplank_core::core::INSTANCE_POOL.into(),
+                since: 0,
             }))
             .collect();
         let event = Event::List {
