In a large fleet a few instances watch the list of upstreams and tell the others

Change: from 13 instances on three of them watch and tell the others by datagrams what changed and up to which revision the list is known, at least once a second; who hears nothing fresh for 1.5 s, or misses a change, asks the store itself. Ruled out: raising the pause between watches further (bounded by the time in which a leaving upstream must get no more work).

--- a/crates/node/src/feed.rs
+++ b/crates/node/src/feed.rs
@@ -1,4 +1,4 @@
-//! What the platform's store tells: the configuration and the upstreams.
+//! What the platform's store tells: reading, watching, and the configuration.
 
 use super::*;
 use platform::store::{Call, Change, Item, Page, Seen};
@@ -8,24 +8,12 @@
 
 /// Time that a watch waits for a change: the longest that the store takes. A path that is gone is
 /// noticed by the connection long before.
-const WAIT: Duration = Duration::from_secs(30);
-
-/// Pause between two watches of upstreams for each of them, in which changes gather: each call is
-/// paid for, and a lost data centre changes a part of all entries.
-const GATHER_EACH: Duration = Duration::from_millis(6);
-
-/// The shortest such pause. The longest is half of the time in which a leaving upstream must get no
-/// more work; the other half is for the call.
-const GATHER_LEAST: Duration = Duration::from_millis(200);
+pub(crate) const WAIT: Duration = Duration::from_secs(30);
 
 /// Pause after a call that failed: it doubles with each further failure up to the end, since refused
 /// calls are paid for too.
 const RETRY: RangeInclusive<Duration> = Duration::from_millis(250)..=Duration::from_secs(1);
 
-/// Time after the store's return up to which upstreams whose entries lapsed in between are believed
-/// to live; they enter themselves again within about two seconds.
-const LAPSED: Duration = Duration::from_secs(2);
-
 /// A client of the platform's store.
 #[derive(Clone)]
 pub(crate) struct Client {
@@ -38,7 +26,10 @@
 pub(crate) struct Cursor {
     client: Client,
     prefix: &'static str,
-    revision: Option<u64>,
+    /// Revision up to which it has seen changes; `None` before it has read.
+    pub revision: Option<u64>,
+    /// Time that a watch waits for a change.
+    pub wait: Duration,
 }
 
 /// What a cursor saw.
@@ -72,7 +63,7 @@
             .await
             .map_err(|_| Error::Store("no answer in time".into()))?
             .map_err(|error| Error::Store(error.to_string()))?;
-        if patience < WAIT {
+        if patience <= PATIENCE {
             let millis = begun.elapsed().as_secs_f64() * 1_000.0;
             self.meter.time(meter::Timed::Store, millis);
         }
@@ -113,6 +104,7 @@
             client,
             prefix,
             revision: None,
+            wait: WAIT,
         }
     }
 
@@ -121,8 +113,8 @@
         let Some(revision) = self.revision else {
             return self.read().await.map(News::All);
         };
-        let call = platform::store::watch(self.prefix, revision, WAIT);
-        let (status, body) = self.client.call(call, WAIT + PATIENCE).await?;
+        let call = platform::store::watch(self.prefix, revision, self.wait);
+        let (status, body) = self.client.call(call, self.wait + PATIENCE).await?;
         if platform::store::forgotten(status) {
             self.revision = None;
             return self.read().await.map(News::All);
@@ -165,39 +157,6 @@
     }
 }
 
-/// Keeps the core's upstreams as the store lists them, for ever. A leaving upstream must get no more
-/// work after `leave`.
-pub(crate) async fn upstreams(client: Client, clock: Clock, driver: Driver, leave: Duration) {
-    let longest = (leave / 2).max(GATHER_LEAST);
-    let mut cursor = Cursor::new(client, platform::upstream::PREFIX);
-    let mut link = Link::new("upstreams");
-    let mut roster = Roster::default();
-    loop {
-        let next = match roster.next_lapse() {
-            None => Ok(cursor.next().await),
-            Some(lapse) => timeout(lapse, cursor.next()).await,
-        };
-        match next {
-            Ok(Ok(news)) => {
-                let returned = link.good();
-                roster.take(news, returned);
-            }
-            Ok(Err(error)) => {
-                link.bad(&error).await;
-                continue;
-            }
-            // An entry has been missing for long enough.
-            Err(_) => {}
-        }
-        let listed = roster.listed();
-        let gather = GATHER_EACH * listed.len() as u32;
-        let asked = clock.now();
-        let listed = Some(listed);
-        driver.event(Event::List { asked, listed });
-        sleep(gather.clamp(GATHER_LEAST, longest)).await;
-    }
-}
-
 /// The newest configuration in what was seen.
 fn newest(news: News) -> Option<Item> {
     match news {
@@ -206,7 +165,7 @@
             .find(|item| item.key == platform::configuration::KEY),
         News::Some(changes) => changes.into_iter().rev().find_map(|change| match change {
             Change::Written(item) if item.key == platform::configuration::KEY => Some(item),
-            Change::Removed(_) | Change::Written(_) => None,
+            Change::Removed { .. } | Change::Written(_) => None,
         }),
     }
 }
@@ -263,84 +222,3 @@
         Self { pause: None, what }
     }
 }
-
-/// Upstreams by the key of their entry.
-#[derive(Default)]
-struct Roster {
-    entries: BTreeMap<String, event::Listed>,
-    /// Entries that went missing while the store was away, and until when they are believed.
-    lapsing: BTreeMap<String, Instant>,
-    /// Until when an entry that goes missing may have lapsed while the store was away.
-    returning_until: Option<Instant>,
-}
-
-impl Roster {
-    /// The upstreams as they are believed now.
-    fn listed(&mut self) -> Vec<event::Listed> {
-        let now = Instant::now();
-        let over: Vec<String> = self
-            .lapsing
-            .extract_if(.., |_, until| *until <= now)
-            .map(|(key, _)| key)
-            .collect();
-        for key in over {
-            self.entries.remove(&key);
-        }
-        self.entries.values().cloned().collect()
-    }
-
-    /// Time until the next entry is believed no longer.
-    fn next_lapse(&self) -> Option<Duration> {
-        let next = self.lapsing.values().min()?;
-        Some(next.saturating_duration_since(Instant::now()))
-    }
-
-    fn remove(&mut self, key: &str) {
-        match self.returning_until.filter(|until| *until > Instant::now()) {
-            Some(until) => {
-                self.lapsing.entry(key.to_owned()).or_insert(until);
-            }
-            None => {
-                self.entries.remove(key);
-            }
-        }
-    }
-
-    /// Takes in news; `returned` if they are the first after the store was away.
-    fn take(&mut self, news: News, returned: bool) {
-        if returned {
-            self.returning_until = Some(Instant::now() + LAPSED);
-        }
-        match news {
-            News::All(items) => {
-                let keys: HashSet<&str> = items.iter().map(|item| item.key.as_str()).collect();
-                let missing = |key: &&String| !keys.contains(key.as_str());
-                let missing: Vec<String> = self.entries.keys().filter(missing).cloned().collect();
-                for key in missing {
-                    self.remove(&key);
-                }
-                for item in &items {
-                    self.write(item);
-                }
-            }
-            News::Some(changes) => {
-                for change in changes {
-                    match change {
-                        Change::Removed(key) => self.remove(&key),
-                        Change::Written(item) => self.write(&item),
-                    }
-                }
-            }
-        }
-    }
-
-    fn write(&mut self, item: &Item) {
-        match platform::upstream::decode(item) {
-            Ok(listed) => {
-                self.lapsing.remove(&item.key);
-                self.entries.insert(item.key.clone(), listed);
-            }
-            Err(error) => error!("an upstream's entry is left as it was: {error}"),
-        }
-    }
-}
--- a/crates/node/src/gossip.rs
+++ b/crates/node/src/gossip.rs
@@ -42,12 +42,14 @@
 pub(crate) enum Told {
     /// It lost an upstream.
     Lost(Arc<str>),
+    /// Changes of the list of upstreams.
+    Roster(peers::Roster),
     /// It relays a stream.
     Stream(Sighting),
 }
 
 /// Other instances' addresses by name.
-type Addresses = BTreeMap<String, SocketAddr>;
+pub(crate) type Addresses = BTreeMap<String, SocketAddr>;
 
 /// What the tasks need.
 pub(crate) struct Gossip {
@@ -63,18 +65,22 @@
 
 impl Gossip {
     /// Starts the tasks; `told` is what the core tells.
-    pub async fn start(self, told: mpsc::UnboundedReceiver<Told>) -> Result<(), Error> {
+    pub async fn start(
+        self,
+        told: mpsc::UnboundedReceiver<Told>,
+        rosters: mpsc::UnboundedSender<peers::Roster>,
+    ) -> Result<watch::Receiver<Addresses>, Error> {
         let socket = UdpSocket::bind(self.listen)
             .await
             .map_err(|error| Error::Bind(self.listen, error))?;
         let socket = Arc::new(socket);
         let (found, addresses) = watch::channel(Addresses::new());
         let (changed, streams) = watch::channel(Streams::default());
-        tokio::spawn(hear(socket.clone(), self.driver.clone()));
+        tokio::spawn(hear(socket.clone(), self.driver.clone(), rosters));
         tokio::spawn(find(self.client.clone(), self.instance.clone(), found));
         tokio::spawn(keep(self, addresses.clone(), streams));
-        tokio::spawn(tell(socket, addresses, changed, told));
-        Ok(())
+        tokio::spawn(tell(socket, addresses.clone(), changed, told));
+        Ok(addresses)
     }
 }
 
@@ -85,11 +91,7 @@
 impl Streams {
     fn encode(&self) -> Vec<u8> {
         let sightings = self.0.values().take(KEPT).cloned().collect();
-        peers::Sightings {
-            lost: Vec::new(),
-            sightings,
-        }
-        .encode_to_vec()
+        peers::Sightings { sightings }.encode_to_vec()
     }
 
     fn take(&mut self, sighting: &peers::Sighting) {
@@ -104,29 +106,41 @@
     }
 }
 
-/// Hands what other instances tell to the core, for ever.
-async fn hear(socket: Arc<UdpSocket>, driver: Driver) {
+/// Hands on what other instances tell, for ever.
+async fn hear(
+    socket: Arc<UdpSocket>,
+    driver: Driver,
+    rosters: mpsc::UnboundedSender<peers::Roster>,
+) {
     let mut datagram = vec![0; DATAGRAM];
     loop {
-        match socket.recv_from(&mut datagram).await {
-            Ok((length, _)) => take_in(&datagram[..length], &driver),
-            // An earlier datagram may have met a closed port.
-            Err(error) => debug!("datagram: {error}"),
+        let length = match socket.recv_from(&mut datagram).await {
+            Ok((length, _)) => length,
+            Err(error) => {
+                // An earlier datagram may have met a closed port.
+                debug!("datagram: {error}");
+                continue;
+            }
+        };
+        match peers::Datagram::decode(&datagram[..length]) {
+            Ok(told) => {
+                sight(told.sightings, &driver);
+                for name in told.lost {
+                    driver.event(Event::Blamed(name));
+                }
+                if let Some(roster) = told.roster {
+                    // The task that keeps the list ends only with the instance.
+                    let _ = rosters.send(roster);
+                }
+            }
+            Err(error) => warn!("a datagram can not be read: {error}"),
         }
     }
 }
 
-fn take_in(bytes: &[u8], driver: &Driver) {
-    match peers::Sightings::decode(bytes) {
-        Ok(told) => {
-            for sighting in told.sightings {
-                driver.event(Event::Sighted(decode(sighting)));
-            }
-            for name in told.lost {
-                driver.event(Event::Blamed(name));
-            }
-        }
-        Err(error) => warn!("what an instance told of its streams can not be read: {error}"),
+fn sight(sightings: Vec<peers::Sighting>, driver: &Driver) {
+    for sighting in sightings {
+        driver.event(Event::Sighted(decode(sighting)));
     }
 }
 
@@ -170,7 +184,7 @@
         feed::News::Some(changes) => {
             for change in changes {
                 match change {
-                    platform::store::Change::Removed(key) => {
+                    platform::store::Change::Removed { key, .. } => {
                         addresses.remove(key.trim_start_matches(ADDRESSES));
                     }
                     platform::store::Change::Written(item) => write(addresses, &item),
@@ -188,8 +202,9 @@
     mut told: mpsc::UnboundedReceiver<Told>,
 ) {
     while let Some(told) = told.recv().await {
-        let mut message = peers::Sightings::default();
+        let mut message = peers::Datagram::default();
         match told {
+            Told::Roster(roster) => message.roster = Some(roster),
             Told::Lost(name) => message.lost.push(name.to_string()),
             Told::Stream(sighting) => {
                 let sighting = encode(sighting);
@@ -253,7 +268,10 @@
     match client.items(STREAMS).await {
         Ok((items, _)) => {
             for item in items {
-                take_in(&item.value, driver);
+                match peers::Sightings::decode(item.value.as_slice()) {
+                    Ok(kept) => sight(kept.sightings, driver),
+                    Err(error) => warn!("{} can not be read: {error}", item.key),
+                }
             }
         }
         Err(error) => warn!("streams kept before the start are not known: {error}"),
--- a/crates/node/src/hosted.rs
+++ b/crates/node/src/hosted.rs
@@ -91,6 +91,7 @@
         let (limits, limited) = watch::channel(platform::configuration::Limits::default());
         let (stop, stopping) = watch::channel(None);
         let (told, telling) = mpsc::unbounded_channel();
+        let telling_others = told.clone();
         let meter = meter::Meter::new(settings.metrics);
         let client = feed::Client::new(hosted.store, meter.clone());
         let page = Page(meter.clone());
@@ -118,16 +119,24 @@
         serve(hosted.metrics, Router::with_path("metrics").get(page)).await?;
         let configuration = feed::configuration(client.clone(), driver.clone(), limits, configured);
         tokio::spawn(configuration);
-        let leave = Duration::from_millis(hosted.leave_ms);
-        let upstreams = feed::upstreams(client.clone(), clock, driver.clone(), leave);
-        tokio::spawn(upstreams);
         let gossip = gossip::Gossip {
-            client,
+            client: client.clone(),
             driver: driver.clone(),
             instance: settings.instance.clone(),
             listen: hosted.peers,
         };
-        gossip.start(telling).await?;
+        let (rosters, heard) = mpsc::unbounded_channel();
+        let roster = roster::Task {
+            addresses: gossip.start(telling, rosters).await?,
+            client,
+            clock,
+            driver: driver.clone(),
+            heard,
+            instance: settings.instance.clone(),
+            leave: Duration::from_millis(hosted.leave_ms),
+            told: telling_others,
+        };
+        tokio::spawn(roster.run());
         let address = settings.listen.callers.to_string();
         let data_centre = settings.data_centre.as_str();
         let peers = hosted.peers.to_string();
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -34,6 +34,7 @@
 mod reload;
 mod reply;
 mod revision;
+mod roster;
 mod store;
 mod traffic;
 
--- a/crates/standin/tests/site.rs
+++ b/crates/standin/tests/site.rs
@@ -436,6 +436,35 @@
     });
 }
 
+#[gtest]
+fn in_a_large_fleet_a_few_watch_the_list_and_all_know_it() {
+    const INSTANCES: usize = 16;
+    let plan = Plan {
+        engines: 1,
+        instances: INSTANCES,
+        ..Plan::default()
+    };
+    run(plan, async |site: Site| {
+        let before = site.shelf.calls();
+        sleep(Duration::from_secs(4)).await;
+        let calls = site.shelf.calls() - before;
+        // Three watch about once a second, and each instance renews its lease.
+        expect_that!(calls, lt(INSTANCES as u64 * 3));
+        site.leave(0);
+        sleep(Duration::from_millis(1_900)).await;
+        for (index, instance) in site.instances.iter().enumerate() {
+            for run in 0..3 {
+                let got = Ask::once(&format!("r{index}-{run}"))
+                    .send(instance.callers)
+                    .await;
+                expect_that!(got.status.as_u16(), eq(200));
+            }
+        }
+        let runs = site.ledger.runs();
+        expect_that!(runs.iter().all(|run| run.worker == "desk-1"), eq(true));
+    });
+}
+
 #[gtest]
 fn upstream_whose_entry_is_gone_gets_no_new_work() {
     run(Plan::default(), async |site: Site| {
