A store that is silent at a start is asked again soon; every error answered has its line

And a request refused before the core held it had no line in the log. Change: reads have 0.6 s; kept streams are asked for until the store answers; one line for each error answered, with the request's name, kind, status, whether it may have run and when to come back.

--- a/crates/node/src/feed.rs
+++ b/crates/node/src/feed.rs
@@ -3,8 +3,9 @@
 use super::*;
 use platform::store::{Call, Change, Item, Page, Seen};
 
-/// Time that the store has to answer a read: many times the few milliseconds that it takes.
-const PATIENCE: Duration = Duration::from_millis(1_500);
+/// Time that the store has to answer a read: many times the few milliseconds that it takes, and twice
+/// what it takes when it is slow. An instance that starts while the store is silent tries again soon.
+const PATIENCE: Duration = Duration::from_millis(600);
 
 /// Time that a watch waits for a change: the longest that the store takes. A path that is gone is
 /// noticed by the connection long before.
--- a/crates/node/src/gossip.rs
+++ b/crates/node/src/gossip.rs
@@ -263,18 +263,21 @@
     }
 }
 
-/// Reads the streams that were kept before this instance started.
+/// Reads the streams that were kept before this instance started; a store that is away is waited for,
+/// since nothing can be written to it either.
 async fn recall(client: &feed::Client, driver: &Driver) {
-    match client.items(STREAMS).await {
-        Ok((items, _)) => {
-            for item in items {
-                match peers::Sightings::decode(item.value.as_slice()) {
-                    Ok(kept) => sight(kept.sightings, driver),
-                    Err(error) => warn!("{} can not be read: {error}", item.key),
-                }
-            }
+    let mut link = feed::Link::new("streams");
+    let items = loop {
+        match client.items(STREAMS).await {
+            Ok((items, _)) => break items,
+            Err(error) => link.bad(&error).await,
+        }
+    };
+    for item in items {
+        match peers::Sightings::decode(item.value.as_slice()) {
+            Ok(kept) => sight(kept.sightings, driver),
+            Err(error) => warn!("{} can not be read: {error}", item.key),
         }
-        Err(error) => warn!("streams kept before the start are not known: {error}"),
     }
 }
 
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -56,7 +56,8 @@
     ) {
         if let Err(kind) = self.relay(request, response).await {
             self.driver.count(Counter::Refused(kind));
-            refuse(response, kind, None);
+            let run = platform::request::run(request.headers());
+            refuse(response, run.unwrap_or_default(), kind, None);
         }
         if self.stopping.borrow().is_some() {
             let close = header::HeaderValue::from_static("close");
@@ -86,7 +87,8 @@
         let stop = *self.stopping.borrow();
         if stop.is_some_and(|stop| !stop.takes(long)) {
             self.driver.count(Counter::Refused(Kind::NotReady));
-            refuse(response, Kind::NotReady, Some(STOPPING_RETRY_MS));
+            let run = &asked.relay.run;
+            refuse(response, run, Kind::NotReady, Some(STOPPING_RETRY_MS));
             return Ok(());
         }
         let original = forward::Original {
@@ -111,8 +113,9 @@
             service: String::new(),
             work: Work::Relay(asked.relay),
         };
+        let run = original.run.clone();
         let replies = self.driver.relay(submission, original);
-        answer(replies, guard, response).await;
+        answer(&run, replies, guard, response).await;
         Ok(())
     }
 }
@@ -134,6 +137,7 @@
 
 /// Gives a caller its answer as it comes.
 async fn answer(
+    run: &str,
     mut replies: mpsc::UnboundedReceiver<Reply>,
     mut guard: Guard,
     response: &mut salvo::Response,
@@ -149,13 +153,13 @@
             retry_after_ms,
         }) => {
             guard.ended = true;
-            refuse(response, kind, retry_after_ms);
+            refuse(response, run, kind, retry_after_ms);
         }
         Some(Reply::Open(head)) => {
             write_head(response, *head);
             response.stream(events(replies, guard));
         }
-        _ => refuse(response, Kind::Internal, None),
+        _ => refuse(response, run, Kind::Internal, None),
     }
 }
 
@@ -207,8 +211,14 @@
     )
 }
 
-/// Gives an error as the whole answer; the time to come back has fractions of seconds.
-fn refuse(response: &mut salvo::Response, kind: Kind, retry_after_ms: Option<u64>) {
+/// Gives an error as the whole answer to the request named `run`; the time to come back has fractions
+/// of seconds.
+fn refuse(response: &mut salvo::Response, run: &str, kind: Kind, retry_after_ms: Option<u64>) {
+    let answer = kind.answer();
+    let (request, kind_name, status) = (run, answer.name, answer.status);
+    let ran = matches!(answer.ran, Ran::Maybe);
+    let come_back_ms = retry_after_ms.unwrap_or(0);
+    warn!(request, kind = kind_name, status, may_have_run = ran, come_back_ms; "error answered");
     caller::refuse(response, kind, None);
     if let Some(millis) = retry_after_ms {
         let seconds = platform::answer::retry_after(millis);
