A soak of processes under faults from a seed; instances tell each other what they know of the store

Cause: nothing of our own ran the real programs under faults from outside. Its third seed found a fault: answers of the store were lost on connections that stayed open, a watch waited 30 s for nothing, and two instances served by an old configuration. Ruled out: the kernel's probes of silent connections (the other end acknowledges).

--- a/crates/node/src/feed.rs
+++ b/crates/node/src/feed.rs
@@ -7,9 +7,16 @@
 /// what it takes when it is slow. An instance that starts while the store is silent tries again soon.
 const PATIENCE: Duration = Duration::from_millis(600);
 
-/// Time that a watch waits for a change: the longest that the store takes. A path that is gone is
-/// noticed by the connection long before.
-pub(crate) const WAIT: Duration = Duration::from_secs(30);
+/// The longest time that the store has after reads that took too long: many instances that start at
+/// once read long lists together.
+const PATIENCE_MOST: Duration = Duration::from_secs(5);
+
+/// Time that a watch waits for a change. Longer means fewer calls; a path that is gone is noticed by the
+/// connection before, and a watch that says nothing by what other instances know.
+pub(crate) const WAIT: Duration = Duration::from_secs(10);
+
+/// Time that the own watch has after other instances are known to know more.
+const BEHIND: Duration = Duration::from_millis(500);
 
 /// Pause after a call that failed: it doubles with each further failure up to the end, since refused
 /// calls are paid for too.
@@ -26,6 +33,7 @@
 /// A prefix of the store, read once and watched from there on.
 pub(crate) struct Cursor {
     client: Client,
+    patience: Duration,
     prefix: &'static str,
     /// Revision up to which it has seen changes; `None` before it has read.
     pub revision: Option<u64>,
@@ -51,45 +59,52 @@
         }
     }
 
-    /// Makes a call; status and body of its answer.
+    /// Makes a call that does not wait; status and body of its answer.
     pub async fn call(&self, call: Call, patience: Duration) -> Result<(StatusCode, Bytes), Error> {
+        let begun = Instant::now();
+        let answer = self.exchange(call, patience).await?;
+        let millis = begun.elapsed().as_secs_f64() * 1_000.0;
+        self.meter.time(meter::Timed::Store, millis);
+        Ok(answer)
+    }
+
+    async fn exchange(&self, call: Call, patience: Duration) -> Result<(StatusCode, Bytes), Error> {
         let request = Request::builder()
             .method(call.method)
             .uri(format!("http://{}{}", self.address, call.path))
             .header(header::CONTENT_TYPE, "application/json")
             .body(http::Body::from(call.body))
             .expect("address and path make a uri");
-        let begun = Instant::now();
-        let answer = timeout(patience, self.http.exchange(request))
+        timeout(patience, self.http.exchange(request))
             .await
             .map_err(|_| Error::Store("no answer in time".into()))?
-            .map_err(|error| Error::Store(error.to_string()))?;
-        if patience <= PATIENCE {
-            let millis = begun.elapsed().as_secs_f64() * 1_000.0;
-            self.meter.time(meter::Timed::Store, millis);
-        }
-        Ok(answer)
+            .map_err(|error| Error::Store(error.to_string()))
     }
 
     /// Reads all items under a prefix, and the revision to watch from. Pages are no snapshot, so it
     /// is that of the first one.
-    pub async fn items(&self, prefix: &str) -> Result<(Vec<Item>, u64), Error> {
-        let mut page = self.page(prefix, None).await?;
+    pub async fn items(&self, prefix: &str, patience: Duration) -> Result<(Vec<Item>, u64), Error> {
+        let mut page = self.page(prefix, None, patience).await?;
         let revision = page.revision;
         let mut items = std::mem::take(&mut page.items);
         while page.more {
             let Some(last) = items.last().map(|item| item.key.clone()) else {
                 break;
             };
-            page = self.page(prefix, Some(&last)).await?;
+            page = self.page(prefix, Some(&last), patience).await?;
             items.append(&mut page.items);
         }
         Ok((items, revision))
     }
 
-    async fn page(&self, prefix: &str, after: Option<&str>) -> Result<Page, Error> {
+    async fn page(
+        &self,
+        prefix: &str,
+        after: Option<&str>,
+        patience: Duration,
+    ) -> Result<Page, Error> {
         let (status, body) = self
-            .call(platform::store::range(prefix, after), PATIENCE)
+            .call(platform::store::range(prefix, after), patience)
             .await?;
         if status != StatusCode::OK {
             return Err(Error::Store(format!("reading {prefix}: {status}")));
@@ -103,19 +118,32 @@
     pub fn new(client: Client, prefix: &'static str) -> Self {
         Self {
             client,
+            patience: PATIENCE,
             prefix,
             revision: None,
             wait: WAIT,
         }
     }
 
-    /// Waits for news.
+    /// Waits for news. After a failure the store has more time.
     pub async fn next(&mut self) -> Result<News, Error> {
+        let news = self.look().await;
+        self.patience = match news {
+            Ok(_) => PATIENCE,
+            Err(_) => (self.patience * 2).min(PATIENCE_MOST),
+        };
+        news
+    }
+
+    async fn look(&mut self) -> Result<News, Error> {
         let Some(revision) = self.revision else {
             return self.read().await.map(News::All);
         };
         let call = platform::store::watch(self.prefix, revision, self.wait);
-        let (status, body) = self.client.call(call, self.wait + PATIENCE).await?;
+        let (status, body) = self
+            .client
+            .exchange(call, self.wait + self.patience)
+            .await?;
         if platform::store::forgotten(status) {
             self.revision = None;
             return self.read().await.map(News::All);
@@ -130,34 +158,82 @@
     }
 
     async fn read(&mut self) -> Result<Vec<Item>, Error> {
-        let (items, revision) = self.client.items(self.prefix).await?;
+        let (items, revision) = self.client.items(self.prefix, self.patience).await?;
         self.revision = Some(revision);
         Ok(items)
     }
 }
 
-/// Keeps the configuration in force that the store holds, for ever.
-pub(crate) async fn configuration(
-    client: Client,
-    driver: Driver,
-    limits: watch::Sender<platform::configuration::Limits>,
-    configured: watch::Sender<bool>,
-) {
-    let mut cursor = Cursor::new(client, platform::configuration::KEY);
-    let mut link = Link::new("configuration");
-    loop {
-        match cursor.next().await {
-            Ok(news) => {
-                link.good();
-                if let Some(item) = newest(news) {
-                    adopt(&item, &driver, &limits, &configured);
+/// Keeps the configuration in force that the store holds.
+pub(crate) struct Configuration {
+    /// Client of the store.
+    pub client: Client,
+    /// The core task.
+    pub driver: Driver,
+    /// The most that other instances know.
+    pub heard: watch::Receiver<gossip::Known>,
+    /// What this instance knows.
+    pub known: watch::Sender<gossip::Known>,
+    /// Limits on what callers send.
+    pub limits: watch::Sender<platform::configuration::Limits>,
+}
+
+impl Configuration {
+    /// Serves for ever.
+    pub async fn run(mut self) {
+        let mut cursor = Cursor::new(self.client.clone(), platform::configuration::KEY);
+        let mut link = Link::new("configuration");
+        loop {
+            let own = self.known.borrow().configuration;
+            let behind = behind(&mut self.heard, move |heard| heard.configuration > own);
+            let next = tokio::select! {
+                next = cursor.next() => next,
+                () = behind => {
+                    cursor.revision = None;
+                    Err(Error::Store("other instances know a newer one".into()))
                 }
+            };
+            match next {
+                Ok(news) => {
+                    link.good();
+                    if let Some(item) = newest(news) {
+                        self.adopt(&item);
+                    }
+                }
+                Err(error) => link.bad(&error).await,
             }
-            Err(error) => link.bad(&error).await,
+        }
+    }
+
+    fn adopt(&self, item: &Item) {
+        match platform::configuration::decode(&item.value) {
+            Ok(decoded) => {
+                let revision = decoded.config.revision;
+                let routes = decoded.config.routes.len();
+                let store_revision = item.revision;
+                info!(revision, routes, store_revision; "configuration in force");
+                self.driver.event(Event::Config(Arc::new(decoded.config)));
+                self.limits.send_replace(decoded.limits);
+                self.known
+                    .send_modify(|known| known.configuration = revision);
+            }
+            Err(error) => error!("the configuration in force stays: {error}"),
         }
     }
 }
 
+/// Waits until other instances have known more for a while than this one: its own watch says nothing
+/// any more, though its connection stays.
+pub(crate) async fn behind(
+    heard: &mut watch::Receiver<gossip::Known>,
+    more: impl Fn(&gossip::Known) -> bool,
+) {
+    if heard.wait_for(|heard| more(heard)).await.is_err() {
+        std::future::pending::<()>().await;
+    }
+    sleep(BEHIND).await;
+}
+
 /// The newest configuration in what was seen.
 fn newest(news: News) -> Option<Item> {
     match news {
@@ -171,26 +247,6 @@
     }
 }
 
-fn adopt(
-    item: &Item,
-    driver: &Driver,
-    limits: &watch::Sender<platform::configuration::Limits>,
-    configured: &watch::Sender<bool>,
-) {
-    match platform::configuration::decode(&item.value) {
-        Ok(decoded) => {
-            let revision = decoded.config.revision;
-            let routes = decoded.config.routes.len();
-            let store_revision = item.revision;
-            info!(revision, routes, store_revision; "configuration in force");
-            driver.event(Event::Config(Arc::new(decoded.config)));
-            limits.send_replace(decoded.limits);
-            configured.send_replace(true);
-        }
-        Err(error) => error!("the configuration in force stays: {error}"),
-    }
-}
-
 /// Whether a part of the store answers; each change is logged once.
 pub(crate) struct Link {
     /// Pause after the next failure; `None` while the store answers.
@@ -199,6 +255,12 @@
 }
 
 impl Link {
+    /// Time that the next read has.
+    pub fn patience(&self) -> Duration {
+        let patience = self.pause.map_or(PATIENCE, |pause| pause * 4);
+        patience.clamp(PATIENCE, PATIENCE_MOST)
+    }
+
     /// Notes a call that failed, and waits before the next one.
     pub async fn bad(&mut self, error: &Error) {
         let pause = self.pause.unwrap_or_else(|| {
--- a/crates/node/src/gossip.rs
+++ b/crates/node/src/gossip.rs
@@ -37,6 +37,15 @@
 /// Streams kept in the store, at most; the value stays far below the store's limit.
 const KEPT: usize = 1_000;
 
+/// What an instance knows of the store, by its revisions.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub(crate) struct Known {
+    /// Version of the configuration in force; 0 if there is none.
+    pub configuration: u64,
+    /// Revision of the last change of the list of upstreams.
+    pub list: u64,
+}
+
 /// What the core tells other instances.
 #[derive(Clone, Debug)]
 pub(crate) enum Told {
@@ -57,8 +66,12 @@
     pub client: feed::Client,
     /// The core task.
     pub driver: Driver,
+    /// The most that other instances know.
+    pub heard: watch::Sender<Known>,
     /// Name of this instance.
     pub instance: String,
+    /// What this instance knows.
+    pub known: watch::Receiver<Known>,
     /// Where datagrams come.
     pub listen: SocketAddr,
 }
@@ -76,10 +89,22 @@
         let socket = Arc::new(socket);
         let (found, addresses) = watch::channel(Addresses::new());
         let (changed, streams) = watch::channel(Streams::default());
-        tokio::spawn(hear(socket.clone(), self.driver.clone(), rosters));
+        let ear = Ear {
+            driver: self.driver.clone(),
+            heard: self.heard.clone(),
+            rosters,
+            socket: socket.clone(),
+        };
+        tokio::spawn(ear.run());
         tokio::spawn(find(self.client.clone(), self.instance.clone(), found));
+        let mouth = Mouth {
+            addresses: addresses.clone(),
+            known: self.known.clone(),
+            socket,
+            streams: changed,
+        };
         tokio::spawn(keep(self, addresses.clone(), streams));
-        tokio::spawn(tell(socket, addresses.clone(), changed, told));
+        tokio::spawn(mouth.run(told));
         Ok(addresses)
     }
 }
@@ -106,35 +131,49 @@
     }
 }
 
-/// Hands on what other instances tell, for ever.
-async fn hear(
-    socket: Arc<UdpSocket>,
+/// Hands on what other instances tell.
+struct Ear {
     driver: Driver,
+    heard: watch::Sender<Known>,
     rosters: mpsc::UnboundedSender<peers::Roster>,
-) {
-    let mut datagram = vec![0; DATAGRAM];
-    loop {
-        let length = match socket.recv_from(&mut datagram).await {
-            Ok((length, _)) => length,
-            Err(error) => {
+    socket: Arc<UdpSocket>,
+}
+
+impl Ear {
+    /// Serves for ever.
+    async fn run(self) {
+        let mut datagram = vec![0; DATAGRAM];
+        loop {
+            match self.socket.recv_from(&mut datagram).await {
+                Ok((length, _)) => self.take(&datagram[..length]),
                 // An earlier datagram may have met a closed port.
-                debug!("datagram: {error}");
-                continue;
+                Err(error) => debug!("datagram: {error}"),
             }
-        };
-        match peers::Datagram::decode(&datagram[..length]) {
-            Ok(told) => {
-                sight(told.sightings, &driver);
-                for name in told.lost {
-                    driver.event(Event::Blamed(name));
-                }
-                if let Some(roster) = told.roster {
-                    // The task that keeps the list ends only with the instance.
-                    let _ = rosters.send(roster);
-                }
+        }
+    }
+
+    fn take(&self, datagram: &[u8]) {
+        let told = match peers::Datagram::decode(datagram) {
+            Ok(told) => told,
+            Err(error) => {
+                warn!("a datagram can not be read: {error}");
+                return;
             }
-            Err(error) => warn!("a datagram can not be read: {error}"),
+        };
+        sight(told.sightings, &self.driver);
+        for name in told.lost {
+            self.driver.event(Event::Blamed(name));
         }
+        if let Some(roster) = told.roster {
+            // The task that keeps the list ends only with the instance.
+            let _ = self.rosters.send(roster);
+        }
+        self.heard.send_if_modified(|heard| {
+            let more = told.configuration > heard.configuration || told.list > heard.list;
+            heard.configuration = heard.configuration.max(told.configuration);
+            heard.list = heard.list.max(told.list);
+            more
+        });
     }
 }
 
@@ -194,32 +233,46 @@
     }
 }
 
-/// Tells all other instances what the core tells, for ever.
-async fn tell(
-    socket: Arc<UdpSocket>,
+/// Tells all other instances what the core tells.
+struct Mouth {
     addresses: watch::Receiver<Addresses>,
+    known: watch::Receiver<Known>,
+    socket: Arc<UdpSocket>,
     streams: watch::Sender<Streams>,
-    mut told: mpsc::UnboundedReceiver<Told>,
-) {
-    while let Some(told) = told.recv().await {
-        let mut message = peers::Datagram::default();
+}
+
+impl Mouth {
+    /// Serves for ever.
+    async fn run(self, mut told: mpsc::UnboundedReceiver<Told>) {
+        while let Some(told) = told.recv().await {
+            let datagram = self.datagram(told).encode_to_vec();
+            let to: Vec<SocketAddr> = self.addresses.borrow().values().copied().collect();
+            for address in to {
+                if let Err(error) = self.socket.try_send_to(&datagram, address) {
+                    // A lost datagram costs a prompt read again at most.
+                    debug!("datagram to {address}: {error}");
+                }
+            }
+        }
+    }
+
+    fn datagram(&self, told: Told) -> peers::Datagram {
+        let known = *self.known.borrow();
+        let mut datagram = peers::Datagram {
+            configuration: known.configuration,
+            list: known.list,
+            ..peers::Datagram::default()
+        };
         match told {
-            Told::Roster(roster) => message.roster = Some(roster),
-            Told::Lost(name) => message.lost.push(name.to_string()),
+            Told::Lost(name) => datagram.lost.push(name.to_string()),
+            Told::Roster(roster) => datagram.roster = Some(roster),
             Told::Stream(sighting) => {
                 let sighting = encode(sighting);
-                streams.send_modify(|streams| streams.take(&sighting));
-                message.sightings.push(sighting);
-            }
-        }
-        let datagram = message.encode_to_vec();
-        let to: Vec<SocketAddr> = addresses.borrow().values().copied().collect();
-        for address in to {
-            if let Err(error) = socket.try_send_to(&datagram, address) {
-                // A lost datagram costs a prompt read again at most.
-                debug!("datagram to {address}: {error}");
+                self.streams.send_modify(|streams| streams.take(&sighting));
+                datagram.sightings.push(sighting);
             }
         }
+        datagram
     }
 }
 
@@ -235,6 +288,7 @@
         driver,
         instance,
         listen,
+        ..
     } = gossip;
     recall(&client, &driver).await;
     let mut lease = Lease {
@@ -268,7 +322,7 @@
 async fn recall(client: &feed::Client, driver: &Driver) {
     let mut link = feed::Link::new("streams");
     let items = loop {
-        match client.items(STREAMS).await {
+        match client.items(STREAMS, link.patience()).await {
             Ok((items, _)) => break items,
             Err(error) => link.bad(&error).await,
         }
--- a/crates/node/src/hosted.rs
+++ b/crates/node/src/hosted.rs
@@ -19,7 +19,7 @@
 
 /// The endpoint by which the platform learns whether the instance is ready.
 struct Ready {
-    configured: watch::Receiver<bool>,
+    known: watch::Receiver<gossip::Known>,
     stopping: relay::Stopping,
 }
 
@@ -49,7 +49,8 @@
         response: &mut salvo::Response,
         _flow: &mut FlowCtrl,
     ) {
-        let ready = *self.configured.borrow() && self.stopping.borrow().is_none();
+        let configured = self.known.borrow().configuration > 0;
+        let ready = configured && self.stopping.borrow().is_none();
         response.status_code(if ready {
             StatusCode::OK
         } else {
@@ -87,7 +88,8 @@
     /// Starts every task of an instance.
     pub async fn start(settings: Settings, hosted: Hosted) -> Result<Self, Error> {
         let clock = Clock::new();
-        let (configured, is_configured) = watch::channel(false);
+        let (heard, most_heard) = watch::channel(gossip::Known::default());
+        let (known, own) = watch::channel(gossip::Known::default());
         let (limits, limited) = watch::channel(platform::configuration::Limits::default());
         let (stop, stopping) = watch::channel(None);
         let (told, telling) = mpsc::unbounded_channel();
@@ -105,7 +107,7 @@
         let (driver, _) = Driver::start(&settings, clock, ends);
 
         let ready = Ready {
-            configured: is_configured,
+            known: own.clone(),
             stopping: stopping.clone(),
         };
         serve(hosted.ready, Router::with_path("{**path}").goal(ready)).await?;
@@ -117,23 +119,33 @@
         let callers = Router::with_path("{**path}").goal(endpoint);
         serve(settings.listen.callers, callers).await?;
         serve(hosted.metrics, Router::with_path("metrics").get(page)).await?;
-        let configuration = feed::configuration(client.clone(), driver.clone(), limits, configured);
-        tokio::spawn(configuration);
+        let configuration = feed::Configuration {
+            client: client.clone(),
+            driver: driver.clone(),
+            heard: most_heard.clone(),
+            known: known.clone(),
+            limits,
+        };
+        tokio::spawn(configuration.run());
         let gossip = gossip::Gossip {
             client: client.clone(),
             driver: driver.clone(),
+            heard,
             instance: settings.instance.clone(),
+            known: own,
             listen: hosted.peers,
         };
-        let (rosters, heard) = mpsc::unbounded_channel();
+        let (tell_roster, rosters) = mpsc::unbounded_channel();
         let roster = roster::Task {
-            addresses: gossip.start(telling, rosters).await?,
+            addresses: gossip.start(telling, tell_roster).await?,
             client,
             clock,
             driver: driver.clone(),
-            heard,
+            heard: most_heard,
             instance: settings.instance.clone(),
+            known,
             leave: Duration::from_millis(hosted.leave_ms),
+            rosters,
             told: telling_others,
         };
         tokio::spawn(roster.run());
--- a/crates/node/src/roster.rs
+++ b/crates/node/src/roster.rs
@@ -47,12 +47,16 @@
     pub clock: Clock,
     /// The core task.
     pub driver: Driver,
-    /// What other instances tell.
-    pub heard: mpsc::UnboundedReceiver<peers::Roster>,
+    /// The most that other instances know.
+    pub heard: watch::Receiver<gossip::Known>,
     /// Name of this instance.
     pub instance: String,
+    /// What this instance knows.
+    pub known: watch::Sender<gossip::Known>,
     /// Time in which a leaving upstream must get no more work.
     pub leave: Duration,
+    /// Changes of the list that other instances tell.
+    pub rosters: mpsc::UnboundedReceiver<peers::Roster>,
     /// Where other instances are told.
     pub told: mpsc::UnboundedSender<gossip::Told>,
 }
@@ -120,7 +124,7 @@
         let end = Instant::now() + UNHEARD;
         loop {
             let left = end.saturating_duration_since(Instant::now());
-            let Ok(Some(told)) = timeout(left, self.heard.recv()).await else {
+            let Ok(Some(told)) = timeout(left, self.rosters.recv()).await else {
                 break;
             };
             match roster.hear(&told, cursor.revision.unwrap_or(0)) {
@@ -146,6 +150,8 @@
     fn list(&self, roster: &mut Roster) -> usize {
         let listed = roster.listed();
         let entries = listed.len();
+        let changed = roster.changed;
+        self.known.send_modify(|known| known.list = changed);
         let asked = self.clock.now();
         let listed = Some(listed);
         self.driver.event(Event::List { asked, listed });
@@ -175,10 +181,16 @@
     }
 
     /// Watches the store once; whether the list is to be told to the core.
-    async fn watch(&self, cursor: &mut Cursor, link: &mut Link, roster: &mut Roster) -> bool {
-        let next = match roster.next_lapse() {
-            None => Ok(cursor.next().await),
-            Some(lapse) => timeout(lapse, cursor.next()).await,
+    async fn watch(&mut self, cursor: &mut Cursor, link: &mut Link, roster: &mut Roster) -> bool {
+        let changed = roster.changed;
+        let lapse = roster.next_lapse().unwrap_or(feed::WAIT * 2);
+        let behind = feed::behind(&mut self.heard, move |heard| heard.list > changed);
+        let next = tokio::select! {
+            next = timeout(lapse, cursor.next()) => next,
+            () = behind => {
+                let error = Error::Store("other instances know a newer one".into());
+                Ok(Err(error))
+            }
         };
         match next {
             Ok(Ok(news)) => {
@@ -199,6 +211,8 @@
 /// Upstreams by the key of their entry.
 #[derive(Default)]
 struct Roster {
+    /// Revision of the last change that is known.
+    changed: u64,
     entries: BTreeMap<String, event::Listed>,
     /// Entries that went missing while the store was away, and until when they are believed.
     lapsing: BTreeMap<String, Instant>,
@@ -333,6 +347,7 @@
                 for change in changes {
                     match change {
                         Change::Removed { key, revision } => {
+                            self.changed = self.changed.max(revision);
                             self.remove(&key);
                             self.untold.push(peers::Entry {
                                 gone: true,
@@ -349,6 +364,7 @@
     }
 
     fn write(&mut self, item: &platform::store::Item) {
+        self.changed = self.changed.max(item.revision);
         match platform::upstream::decode(item) {
             Ok(listed) => {
                 self.untold.push(encode(&listed, item.revision));
--- a/crates/standin/src/arguments.rs
+++ b/crates/standin/src/arguments.rs
@@ -13,7 +13,29 @@
     Command::new("standin")
         .about("Stand-ins of engines, services and the platform")
         .arg_required_else_help(true)
-        .subcommand(Command::new("demo").about("Runs the demo in this process"))
+        .subcommand(
+            Command::new("demo")
+                .about("Runs the demo in this process")
+                .arg(
+                    Arg::new("site")
+                        .action(clap::ArgAction::SetTrue)
+                        .help("Show the users' platform")
+                        .long("site"),
+                ),
+        )
+        .subcommand(
+            Command::new("soak")
+                .about("Runs instances as processes under faults from a seed")
+                .arg(number("seed", "Seed of the first run", "1"))
+                .arg(number("runs", "Runs, each with the next seed", "1"))
+                .arg(number(
+                    "seconds",
+                    "Time in which faults come, for each run",
+                    "10",
+                ))
+                .arg(number("instances", "Instances, each a process", "4"))
+                .arg(number("engines", "Upstreams that stream", "6")),
+        )
         .subcommand(
             Command::new("engine")
                 .about("Runs an engine")
@@ -92,7 +114,9 @@
             return ExitCode::FAILURE;
         };
         match name {
+            "demo" if arguments.get_flag("site") => return demo::run_site().await,
             "demo" => return demo::run().await,
+            "soak" => return soak(arguments).await,
             "matrix" => return matrix(arguments),
             "measure" => return measure(arguments).await,
             "random" => return random(arguments),
@@ -108,6 +132,29 @@
     })
 }
 
+/// Runs soaks, one seed after the other.
+async fn soak(arguments: &ArgMatches) -> ExitCode {
+    let number = |name| *arguments.get_one::<u64>(name).expect("has a default");
+    let mut broken = 0;
+    for seed in number("seed")..number("seed") + number("runs") {
+        let plan = soak::Plan {
+            engines: number("engines") as usize,
+            instances: number("instances") as usize,
+            lasts: Duration::from_secs(number("seconds")),
+            seed,
+        };
+        let outcome = soak::run(plan).await;
+        let (faults, requests, whole) = (outcome.faults, outcome.requests, outcome.whole);
+        println!("seed {seed}: {faults} faults, {requests} requests, {whole} whole");
+        for violation in &outcome.violations {
+            eprintln!("seed {seed}: {violation}");
+        }
+        broken += usize::from(!outcome.violations.is_empty());
+    }
+    println!("{broken} runs broken");
+    exit(broken == 0)
+}
+
 /// Runs the fault matrix.
 fn matrix(arguments: &ArgMatches) -> ExitCode {
     let cells = matrix::run(&wellplank_core::settings::Settings::default());
--- a/crates/standin/src/client.rs
+++ b/crates/standin/src/client.rs
@@ -74,14 +74,22 @@
 
     /// Sends it and reads the head of the answer.
     pub async fn open(&self, address: SocketAddr) -> hyper::Response<hyper::body::Incoming> {
+        self.try_open(address).await.expect("an answer begins")
+    }
+
+    /// The same; an error if no answer begins.
+    pub async fn try_open(
+        &self,
+        address: SocketAddr,
+    ) -> Result<hyper::Response<hyper::body::Incoming>, hyper_util::client::legacy::Error> {
         let uri = format!("http://{address}{}", self.path);
         let mut request = hyper::Request::post(uri);
         for (name, value) in &self.headers {
             request = request.header(*name, value);
         }
         let request = request.body(Full::new(Bytes::from(self.body.clone())));
-        let response = http::client().request(request.unwrap()).await;
-        response.expect("an answer begins")
+        let request = request.expect("names and values are plain");
+        http::client().request(request).await
     }
 
     /// Sends it and reads the whole answer.
--- a/crates/standin/src/demo.rs
+++ b/crates/standin/src/demo.rs
@@ -67,3 +67,50 @@
         .unwrap_or_default();
     body["spent"]["generated"].as_u64().unwrap_or(0)
 }
+
+/// Runs the demo of the users' platform: an engine ends under a stream, and then the instance that
+/// relays it; its caller comes back at the other one.
+pub async fn run_site() -> ExitCode {
+    println!("starting the platform's store, four engines, two services and two instances");
+    let plan = site::Plan {
+        instances: 2,
+        ..site::Plan::default()
+    };
+    let mut site = Site::start(plan).await;
+    let ask = client::Ask::stream("first-try");
+    let response = ask.open(site.instances[0].callers).await;
+    while site.ledger.runs().is_empty() {
+        sleep(Duration::from_millis(10)).await;
+    }
+    sleep(Duration::from_millis(100)).await;
+    let engine = site.ledger.runs()[0].worker.clone();
+    for seat in &mut site.engines {
+        if seat.worker.name == engine {
+            println!("{engine} ends without notice");
+            seat.host.kill();
+        }
+    }
+    let part = worker::events(&ask.body, 0).len() / 2;
+    let first = client::Got::read(response, part).await;
+    println!("the instance ends without notice");
+    site.instances[0].host.kill();
+    let position = first.body.matches("id: ").count() as u64;
+    let again = client::Ask::stream("second-try").with("last-event-id", &position.to_string());
+    let rest = again.send(site.instances[1].callers).await;
+    let due = worker::events(&ask.body, 0);
+    let whole = rest.whole && format!("{}{}", first.body, rest.body) == due;
+    let copies = site
+        .ledger
+        .runs()
+        .iter()
+        .filter(|run| run.copy.is_some())
+        .count();
+    println!("events received      {}", due.matches("id: ").count());
+    println!("answer whole         {whole}");
+    println!("went on from copies  {copies}");
+    if whole && copies == 2 {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
+    }
+}
--- a/crates/standin/src/site.rs
+++ b/crates/standin/src/site.rs
@@ -6,10 +6,10 @@
 use worker::{Ledger, Worker};
 
 /// Name of the pool that streams.
-const ENGINES: &str = "engines";
+pub(crate) const ENGINES: &str = "engines";
 
 /// Name of the pool that answers calls.
-const DESK: &str = "desk";
+pub(crate) const DESK: &str = "desk";
 
 /// Key of the customer.
 pub const KEY: &str = "key-1";
@@ -107,6 +107,30 @@
     })
 }
 
+/// Settings of an instance at free addresses, with a store.
+pub fn settings(index: usize, grace_ms: u64, store: SocketAddr) -> Value {
+    let [callers, metrics, ready, peers] = std::array::from_fn(|_| host::free_address());
+    json!({
+        "core": { "probes": false },
+        "data_centre": format!("dc-{}", index % 2),
+        "hosted": {
+            "grace_ms": grace_ms, "metrics": metrics, "peers": peers, "ready": ready,
+            "store": store,
+        },
+        "instance": format!("instance-{index}"),
+        "listen": { "callers": callers },
+    })
+}
+
+/// Enters a worker in a store, as ready or leaving.
+pub fn enter(shelf: &Shelf, worker: &Worker, pool: &str, data_centre: usize, state: &str) {
+    let entry = json!({
+        "service": pool, "address": worker.entered, "zone": format!("dc-{data_centre}"),
+        "version": "v1", "slots": 8, "state": state, "cold_left_ms": 0, "call_seq": 0,
+    });
+    shelf.put(&format!("servers/{}", worker.name), &entry);
+}
+
 impl Site {
     /// Starts everything and waits until the instances are ready, if the store answers.
     pub async fn start(plan: Plan) -> Self {
@@ -145,11 +169,7 @@
 
     /// Enters a worker in the store, as ready or leaving.
     pub fn enter(&self, worker: &Worker, pool: &str, data_centre: usize, state: &str) {
-        let entry = json!({
-            "service": pool, "address": worker.address, "zone": format!("dc-{data_centre}"),
-            "version": "v1", "slots": 8, "state": state, "cold_left_ms": 0, "call_seq": 0,
-        });
-        self.shelf.put(&format!("servers/{}", worker.name), &entry);
+        enter(&self.shelf, worker, pool, data_centre, state);
     }
 
     /// Has a worker that answers calls leave.
@@ -201,17 +221,7 @@
 
     /// Settings of an instance at free addresses.
     pub fn settings(&self, index: usize, grace_ms: u64) -> Value {
-        let [callers, metrics, ready, peers] = std::array::from_fn(|_| host::free_address());
-        json!({
-            "core": { "probes": false },
-            "data_centre": format!("dc-{}", index % 2),
-            "hosted": {
-                "grace_ms": grace_ms, "metrics": metrics, "peers": peers, "ready": ready,
-                "store": self.store,
-            },
-            "instance": format!("instance-{index}"),
-            "listen": { "callers": callers },
-        })
+        settings(index, grace_ms, self.store)
     }
 
     fn seat(&self, name: &str, pool: &str, data_centre: usize) -> Seat {
--- /dev/null
+++ b/crates/standin/src/soak.rs
@@ -0,0 +1,531 @@
+//! A soak: instances as processes of their own on one machine, faults from outside of them, and checks
+//! of what callers and upstreams see.
+//!
+//! Faults come from a seed, in series and overlapping: proxies before the store and each upstream delay,
+//! reset, cut one way or silence connections; instances are stopped, paused, killed and started by
+//! signals; upstreams end and come back as other lives; the configuration changes.
+
+use super::*;
+use client::{Ask, Got};
+use host::Host;
+use proxy::{Mode as Way, Proxy};
+use shelf::Shelf;
+use std::{
+    path::PathBuf,
+    process::{Child, Command as Program, Stdio},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, AtomicUsize, Ordering},
+    },
+};
+use worker::{Ledger, Mode, Worker};
+
+/// Time between two faults, at most.
+const BETWEEN_MS: u64 = 400;
+
+/// Time that everything has to be served again after the last fault.
+const SETTLE: Duration = Duration::from_secs(12);
+
+/// Callers of each instance.
+const CALLERS: usize = 4;
+
+/// Tries of a caller to have one answer whole.
+const TRIES: usize = 60;
+
+/// Pause of a caller between two tries.
+const PAUSE: Duration = Duration::from_millis(150);
+
+/// Time within which a new configuration must be in force after the last fault.
+const FORCE: Duration = Duration::from_secs(4);
+
+/// How large a soak is.
+#[derive(Clone, Copy, Debug)]
+pub struct Plan {
+    /// Upstreams that stream.
+    pub engines: usize,
+    /// Instances, each a process.
+    pub instances: usize,
+    /// Time in which faults come.
+    pub lasts: Duration,
+    /// Seed of the faults.
+    pub seed: u64,
+}
+
+/// What came of a soak.
+#[derive(Clone, Debug, Default)]
+pub struct Outcome {
+    /// Faults caused.
+    pub faults: usize,
+    /// Requests of callers; the tries of one count once.
+    pub requests: usize,
+    /// Streams and calls answered whole.
+    pub whole: usize,
+    /// What must always hold and did not.
+    pub violations: Vec<String>,
+}
+
+/// What callers and the soak share.
+#[derive(Clone, Default)]
+struct Shared {
+    broken: Arc<Mutex<Vec<String>>>,
+    /// Tries that were told not to have run.
+    refused: Arc<Mutex<Vec<String>>>,
+    requests: Arc<AtomicUsize>,
+    stop: Arc<AtomicBool>,
+    whole: Arc<AtomicUsize>,
+}
+
+impl Shared {
+    fn broken(&self, text: String) {
+        self.broken
+            .lock()
+            .expect("nobody panics while holding it")
+            .push(text);
+    }
+
+    fn refused(&self, run: &str) {
+        let mut refused = self.refused.lock().expect("nobody panics while holding it");
+        refused.push(run.to_owned());
+    }
+}
+
+/// An instance as a process.
+struct Instance {
+    callers: SocketAddr,
+    child: Option<Child>,
+    file: PathBuf,
+}
+
+/// An upstream behind its proxy.
+struct Seat {
+    host: Host,
+    life: u64,
+    pool: &'static str,
+    proxy: Proxy,
+    worker: Worker,
+}
+
+struct Soak {
+    folder: PathBuf,
+    host: Host,
+    instances: Vec<Instance>,
+    ledger: Ledger,
+    random: Pcg64Mcg,
+    seats: Vec<Seat>,
+    shared: Shared,
+    shelf: Shelf,
+    store: Proxy,
+    version: u64,
+}
+
+impl Drop for Soak {
+    fn drop(&mut self) {
+        for instance in &mut self.instances {
+            instance.kill();
+        }
+        let broken = self
+            .shared
+            .broken
+            .lock()
+            .is_ok_and(|broken| !broken.is_empty());
+        if broken {
+            eprintln!("logs are kept in {}", self.folder.display());
+        } else {
+            let _ = std::fs::remove_dir_all(&self.folder);
+        }
+    }
+}
+
+impl Instance {
+    /// Sends a signal to the process, if it runs.
+    fn signal(&self, signal: &str) {
+        if let Some(child) = &self.child {
+            let id = child.id().to_string();
+            let _ = Program::new("kill").args([signal, &id]).status();
+        }
+    }
+
+    fn kill(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    /// Starts the process unless it runs.
+    fn start(&mut self) {
+        if let Some(child) = &mut self.child
+            && matches!(child.try_wait(), Ok(None))
+        {
+            return;
+        }
+        let program = std::env::current_exe().expect("the program has a path");
+        // Tests run one folder below the programs.
+        let folder = program
+            .ancestors()
+            .find(|folder| folder.join("wellplank").is_file());
+        let program = folder.map(|folder| folder.join("wellplank"));
+        let log = std::fs::File::options()
+            .append(true)
+            .create(true)
+            .open(self.file.with_extension("log"));
+        self.child = program.and_then(|program| {
+            Program::new(program)
+                .args(["run", "--settings"])
+                .arg(&self.file)
+                .stdout(log.map_or_else(|_| Stdio::null(), Stdio::from))
+                .stderr(Stdio::null())
+                .spawn()
+                .ok()
+        });
+    }
+}
+
+/// Runs one soak.
+pub async fn run(plan: Plan) -> Outcome {
+    let mut soak = Soak::start(plan);
+    sleep(Duration::from_secs(2)).await;
+    let addresses: Vec<SocketAddr> = soak.instances.iter().map(|one| one.callers).collect();
+    let callers: Vec<_> = (0..plan.instances * CALLERS)
+        .map(|index| {
+            let caller = Caller {
+                addresses: addresses.clone(),
+                index,
+                random: Pcg64Mcg::seed_from_u64(plan.seed ^ (index as u64) << 20),
+                shared: soak.shared.clone(),
+            };
+            tokio::spawn(caller.run())
+        })
+        .collect();
+    let end = Instant::now() + plan.lasts;
+    let mut faults = 0;
+    while Instant::now() < end {
+        soak.cause();
+        faults += 1;
+        let wait = soak.random.random_range(10..BETWEEN_MS);
+        sleep(Duration::from_millis(wait)).await;
+    }
+    soak.heal();
+    soak.shared.stop.store(true, Ordering::Relaxed);
+    soak.check_configuration(&addresses).await;
+    for caller in callers {
+        if tokio::time::timeout(SETTLE * 3, caller).await.is_err() {
+            soak.shared
+                .broken("a caller has no answer long after the last fault".into());
+        }
+    }
+    soak.check_runs();
+    let shared = soak.shared.clone();
+    let violations = shared
+        .broken
+        .lock()
+        .expect("nobody panics while holding it")
+        .clone();
+    Outcome {
+        faults,
+        requests: shared.requests.load(Ordering::Relaxed),
+        violations,
+        whole: shared.whole.load(Ordering::Relaxed),
+    }
+}
+
+impl Soak {
+    fn start(plan: Plan) -> Self {
+        let folder = std::env::temp_dir().join(format!("wellplank-soak-{}", Uuid::new_v4()));
+        std::fs::create_dir_all(&folder).expect("a folder can be made");
+        let host = Host::new(2);
+        let shelf = Shelf::default();
+        let [store, before] = std::array::from_fn(|_| host::free_address());
+        host.spawn(shelf.clone().serve(store));
+        let store = Proxy::new(before, store);
+        host.spawn(store.clone().serve());
+        shelf.put("op/config", &site::configuration(1));
+        let mut soak = Self {
+            folder,
+            host,
+            instances: Vec::new(),
+            ledger: Ledger::default(),
+            random: Pcg64Mcg::seed_from_u64(plan.seed),
+            seats: Vec::new(),
+            shared: Shared::default(),
+            shelf,
+            store,
+            version: 1,
+        };
+        for index in 0..plan.engines + 3 {
+            let pool = if index < plan.engines {
+                site::ENGINES
+            } else {
+                site::DESK
+            };
+            soak.seat(pool);
+        }
+        for index in 0..plan.instances {
+            soak.instance(index);
+        }
+        soak
+    }
+
+    fn instance(&mut self, index: usize) {
+        let settings = site::settings(index, 4_000, self.store.address);
+        let file = self.folder.join(format!("instance-{index}.json"));
+        std::fs::write(&file, settings.to_string()).expect("a file can be written");
+        let callers = settings["listen"]["callers"].as_str().unwrap_or_default();
+        let mut instance = Instance {
+            callers: callers.parse().expect("settings hold addresses"),
+            child: None,
+            file,
+        };
+        instance.start();
+        self.instances.push(instance);
+    }
+
+    fn seat(&mut self, pool: &'static str) {
+        let index = self.seats.len();
+        let proxy = Proxy::new(host::free_address(), host::free_address());
+        self.host.spawn(proxy.clone().serve());
+        let name = format!("{pool}-{index}-0");
+        let worker = Worker::new(proxy.address, &name, &self.ledger);
+        self.seats.push(Seat {
+            host: Host::new(1),
+            life: 0,
+            pool,
+            proxy,
+            worker,
+        });
+        self.revive(index);
+    }
+
+    /// Has an upstream end, and another life of it begin at its address.
+    fn revive(&mut self, index: usize) {
+        let seat = &mut self.seats[index];
+        seat.host.kill();
+        self.shelf.remove(&format!("servers/{}", seat.worker.name));
+        seat.life += 1;
+        let address = host::free_address();
+        let name = format!("{}-{index}-{}", seat.pool, seat.life);
+        seat.worker = Worker::new(address, &name, &self.ledger).behind(seat.proxy.address);
+        seat.host = Host::new(1);
+        seat.host.spawn(seat.worker.clone().serve());
+        seat.proxy.aim(address);
+        site::enter(&self.shelf, &seat.worker, seat.pool, index % 3, "ready");
+    }
+
+    /// Causes a fault, or ends one.
+    fn cause(&mut self) {
+        let seat = self.random.random_range(0..self.seats.len());
+        let instance = self.random.random_range(0..self.instances.len());
+        let way = Way::ALL[self.random.random_range(0..Way::ALL.len())];
+        match self.random.random_range(0..16) {
+            0..3 => self.seats[seat].proxy.set(way),
+            3 => self.store.set(way),
+            4 => self.revive(seat),
+            5 => self.seats[seat].worker.set(Mode::Silent),
+            6 => self.seats[seat].worker.set(Mode::Refuse),
+            7 => self.seats[seat].worker.set(Mode::Cut),
+            8 => self.instances[instance].kill(),
+            9 => self.instances[instance].signal("-STOP"),
+            10 => self.instances[instance].signal("-TERM"),
+            11 => self.instances[instance].signal("-HUP"),
+            12 => {
+                self.version += 3;
+                let version = self.version;
+                self.shelf.put("op/config", &site::configuration(version));
+            }
+            13 => self.shelf.forget(),
+            _ => self.mend(),
+        }
+    }
+
+    /// Ends some faults: paused and ended instances go on, and half of the rest is well again.
+    fn mend(&mut self) {
+        for instance in &mut self.instances {
+            instance.signal("-CONT");
+            instance.start();
+        }
+        self.store.set(Way::Open);
+        for seat in &self.seats {
+            if self.random.random_range(0..2) == 0 {
+                seat.proxy.set(Way::Open);
+                seat.worker.set(Mode::Good);
+            }
+        }
+    }
+
+    /// Ends every fault.
+    fn heal(&mut self) {
+        for seat in &self.seats {
+            seat.proxy.set(Way::Open);
+            seat.worker.set(Mode::Good);
+        }
+        self.mend();
+    }
+
+    /// A change after the last fault must be in force everywhere soon; instances that were told to stop
+    /// are started again until then.
+    async fn check_configuration(&mut self, addresses: &[SocketAddr]) {
+        let mut changed = site::configuration(self.version + 3);
+        changed["routes"][2]["path_prefix"] = "/first/".into();
+        let end = Instant::now() + SETTLE;
+        self.shelf.put("op/config", &changed);
+        let mut behind: Vec<SocketAddr> = addresses.to_vec();
+        while !behind.is_empty() && Instant::now() < end + FORCE {
+            for instance in &mut self.instances {
+                instance.start();
+            }
+            let mut still = Vec::new();
+            for address in behind {
+                let run = format!("check-{}", Uuid::new_v4());
+                let got = Ask::new("/first/1", &run).attempt(address).await;
+                if got.is_none_or(|got| got.status != StatusCode::OK) {
+                    still.push(address);
+                }
+            }
+            behind = still;
+            sleep(PAUSE).await;
+        }
+        for address in behind {
+            let text = format!("{address} does not serve by the last configuration");
+            self.shared.broken(text);
+        }
+    }
+
+    /// What upstreams ran must fit what callers were told.
+    fn check_runs(&self) {
+        let mut runs: HashMap<String, usize> = HashMap::new();
+        for run in self.ledger.runs() {
+            let name = run.header("wellplank-request-id").to_owned();
+            if !run.header("authorization").is_empty() {
+                self.shared
+                    .broken(format!("{name} carried the caller's key"));
+            }
+            *runs.entry(name).or_default() += 1;
+        }
+        for (run, count) in &runs {
+            if run.starts_with("once-") && *count > 1 {
+                self.shared.broken(format!("{run} ran {count} times"));
+            }
+        }
+        let refused = self
+            .shared
+            .refused
+            .lock()
+            .expect("nobody panics while holding it");
+        for run in refused.iter().filter(|run| run.starts_with("once-")) {
+            if runs.contains_key(run) {
+                self.shared
+                    .broken(format!("{run} was told not to have run, and ran"));
+            }
+        }
+    }
+}
+
+/// Statuses that say that a request has not run.
+const NOT_RUN: [u16; 4] = [408, 421, 429, 503];
+
+/// A caller that asks again and again until it is told to stop.
+struct Caller {
+    addresses: Vec<SocketAddr>,
+    index: usize,
+    random: Pcg64Mcg,
+    shared: Shared,
+}
+
+impl Caller {
+    async fn run(mut self) {
+        let mut count = 0;
+        while !self.shared.stop.load(Ordering::Relaxed) {
+            count += 1;
+            self.shared.requests.fetch_add(1, Ordering::Relaxed);
+            let name = format!("{}-{count}", self.index);
+            let whole = match self.random.random_range(0..3) {
+                0 => self.call("again", &name, TRIES).await,
+                1 => self.call("once", &name, 1).await,
+                _ => self.stream(&name).await,
+            };
+            self.shared
+                .whole
+                .fetch_add(usize::from(whole), Ordering::Relaxed);
+        }
+    }
+
+    fn address(&mut self) -> SocketAddr {
+        self.addresses[self.random.random_range(0..self.addresses.len())]
+    }
+
+    /// Asks up to some times until there is an answer of an upstream.
+    async fn call(&mut self, kind: &str, name: &str, tries: usize) -> bool {
+        for number in 0..tries {
+            let run = format!("{kind}-{name}-{number}");
+            let path = if kind == "again" {
+                "/again/1"
+            } else {
+                "/once/1"
+            };
+            let body = 10 + self.index;
+            let ask = Ask::new(path, &run).body(body);
+            let address = self.address();
+            let got = ask.attempt(address).await;
+            if let Some(got) = got {
+                if NOT_RUN.contains(&got.status.as_u16()) {
+                    self.shared.refused(&run);
+                }
+                if got.status == StatusCode::OK && got.whole {
+                    if got.body != worker::reply(&ask.body) {
+                        self.shared
+                            .broken(format!("{run} got the answer {}", got.body));
+                    }
+                    return true;
+                }
+            }
+            sleep(PAUSE).await;
+        }
+        false
+    }
+
+    /// Reads a stream, coming back behind the last event at any instance, until it is whole.
+    async fn stream(&mut self, name: &str) -> bool {
+        let mut position = 0;
+        let bytes = 1_000 + self.random.random_range(0..5_000);
+        for number in 0..TRIES {
+            let run = format!("stream-{name}-{number}");
+            let mut ask = Ask::stream(&run).body(bytes);
+            ask.body.extend_from_slice(name.as_bytes());
+            if position > 0 {
+                ask = ask.with("last-event-id", &position.to_string());
+            }
+            let address = self.address();
+            if let Some(got) = ask.attempt(address).await
+                && got.status == StatusCode::OK
+            {
+                let due = worker::events(&ask.body, position);
+                let events = got.body.matches("\n\n").count() as u64;
+                let right = due.starts_with(&got.body);
+                if !right || (got.whole && got.body != due) {
+                    let text = format!("{run} got {events} events that are not its own");
+                    self.shared.broken(text);
+                    return false;
+                }
+                if got.whole {
+                    return true;
+                }
+                position += events;
+            }
+            sleep(PAUSE).await;
+        }
+        false
+    }
+}
+
+/// Waits for an answer as long as a caller does.
+const PATIENCE: Duration = Duration::from_secs(12);
+
+impl Ask {
+    /// Sends it and reads the whole answer; `None` if no answer begins.
+    pub async fn attempt(&self, address: SocketAddr) -> Option<Got> {
+        let sent = tokio::time::timeout(PATIENCE, self.try_open(address)).await;
+        let response = sent.ok()?.ok()?;
+        let read = Got::read(response, usize::MAX);
+        tokio::time::timeout(PATIENCE, read).await.ok()
+    }
+}
--- a/crates/standin/src/worker.rs
+++ b/crates/standin/src/worker.rs
@@ -105,6 +105,8 @@
 pub struct Worker {
     /// Where it listens.
     pub address: SocketAddr,
+    /// Address by which others know it; a proxy may stand there.
+    pub entered: SocketAddr,
     /// Name of this life.
     pub name: String,
     ledger: Ledger,
@@ -121,12 +123,20 @@
     pub fn new(address: SocketAddr, name: &str, ledger: &Ledger) -> Self {
         Self {
             address,
+            entered: address,
             ledger: ledger.clone(),
             mode: Arc::default(),
             name: name.into(),
         }
     }
 
+    /// The same, known by the address of a proxy before it.
+    #[must_use]
+    pub fn behind(mut self, proxy: SocketAddr) -> Self {
+        self.entered = proxy;
+        self
+    }
+
     /// Has it behave otherwise from now on.
     pub fn set(&self, mode: Mode) {
         *self.mode.lock().expect("nobody panics while holding it") = mode;
@@ -228,7 +238,7 @@
             return true;
         };
         let key = (address.to_owned(), name.to_owned());
-        address == self.address.to_string() && self.ledger.lock().copies.remove(&key).is_some()
+        address == self.entered.to_string() && self.ledger.lock().copies.remove(&key).is_some()
     }
 
     async fn stream(
