--- a/crates/node/src/caller.rs
+++ b/crates/node/src/caller.rs
@@ -116,15 +116,9 @@
     first_bytes(&hasher.finalize())
 }
 
-#[salvo::async_trait]
-impl Handler for Endpoint {
-    async fn handle(
-        &self,
-        request: &mut salvo::Request,
-        _depot: &mut Depot,
-        response: &mut salvo::Response,
-        _flow: &mut FlowCtrl,
-    ) {
+#[salvo::handler]
+impl Endpoint {
+    async fn handle(&self, request: &mut salvo::Request, response: &mut salvo::Response) {
         let answered = match self.asks {
             Asks::Call => calls::call(&self.desk, request, response).await,
             Asks::Completion => completions::complete(&self.desk, request, response).await,
@@ -179,23 +173,12 @@
     }
 }
 
-#[salvo::async_trait]
-impl Handler for Ready {
-    async fn handle(
-        &self,
-        _request: &mut salvo::Request,
-        _depot: &mut Depot,
-        response: &mut salvo::Response,
-        _flow: &mut FlowCtrl,
-    ) {
+#[salvo::handler]
+impl Ready {
+    async fn handle(&self, response: &mut salvo::Response) {
         let configured = self.driver.status().await.revision.is_some();
         let ready = configured && !self.stopping.load(Ordering::Relaxed);
-        response.status_code(if ready {
-            StatusCode::OK
-        } else {
-            StatusCode::SERVICE_UNAVAILABLE
-        });
-        let _ = response.write_body(if ready { "ready\n" } else { "not ready\n" });
+        write_ready(response, ready);
     }
 }
 
@@ -249,6 +232,17 @@
     write_json(response, &answer::error(kind, retry_after_ms));
 }
 
+/// Says whether new callers shall be sent here.
+pub(crate) fn write_ready(response: &mut salvo::Response, ready: bool) {
+    let (status, text) = if ready {
+        (StatusCode::OK, "ready\n")
+    } else {
+        (StatusCode::SERVICE_UNAVAILABLE, "not ready\n")
+    };
+    response.status_code(status);
+    let _ = response.write_body(text);
+}
+
 /// Gives JSON as the whole answer.
 pub(crate) fn write_json(response: &mut salvo::Response, body: &Value) {
     let _ = response.add_header(header::CONTENT_TYPE, "application/json", true);
--- a/crates/node/src/hosted.rs
+++ b/crates/node/src/hosted.rs
@@ -26,37 +26,20 @@
 /// The endpoint of the page of counters.
 struct Page(meter::Meter);
 
-#[salvo::async_trait]
-impl Handler for Page {
-    async fn handle(
-        &self,
-        _request: &mut salvo::Request,
-        _depot: &mut Depot,
-        response: &mut salvo::Response,
-        _flow: &mut FlowCtrl,
-    ) {
+#[salvo::handler]
+impl Page {
+    fn handle(&self, response: &mut salvo::Response) {
         let _ = response.add_header(header::CONTENT_TYPE, "text/plain; version=0.0.4", true);
         let _ = response.write_body(self.0.page());
     }
 }
 
-#[salvo::async_trait]
-impl Handler for Ready {
-    async fn handle(
-        &self,
-        _request: &mut salvo::Request,
-        _depot: &mut Depot,
-        response: &mut salvo::Response,
-        _flow: &mut FlowCtrl,
-    ) {
+#[salvo::handler]
+impl Ready {
+    fn handle(&self, response: &mut salvo::Response) {
         let configured = self.known.borrow().configuration > 0;
         let ready = configured && self.stopping.borrow().is_none();
-        response.status_code(if ready {
-            StatusCode::OK
-        } else {
-            StatusCode::SERVICE_UNAVAILABLE
-        });
-        let _ = response.write_body(if ready { "ready\n" } else { "not ready\n" });
+        caller::write_ready(response, ready);
     }
 }
 
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -58,7 +58,7 @@
     prost::Message as _,
     reader::{Fault, Reader},
     reply::Reply,
-    salvo::{Depot, FlowCtrl, Handler, Listener, Router, Server, conn::TcpListener},
+    salvo::{Listener, Router, Server, conn::TcpListener},
     serde::Deserialize,
     serde_json::{Map, Value, json},
     sse_stream::{Sse, SseStream},
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -45,15 +45,9 @@
     pub stopping: Stopping,
 }
 
-#[salvo::async_trait]
-impl Handler for Endpoint {
-    async fn handle(
-        &self,
-        request: &mut salvo::Request,
-        _depot: &mut Depot,
-        response: &mut salvo::Response,
-        _flow: &mut FlowCtrl,
-    ) {
+#[salvo::handler]
+impl Endpoint {
+    async fn handle(&self, request: &mut salvo::Request, response: &mut salvo::Response) {
         if let Err(kind) = self.relay(request, response).await {
             self.driver.count(Counter::Refused(kind));
             let run = platform::request::run(request.headers());
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -385,15 +385,9 @@
     }
 }
 
-#[salvo::async_trait]
-impl Handler for Http {
-    async fn handle(
-        &self,
-        request: &mut Request,
-        _depot: &mut Depot,
-        response: &mut Response,
-        _flow: &mut FlowCtrl,
-    ) {
+#[salvo::handler]
+impl Http {
+    async fn handle(&self, request: &mut Request, response: &mut Response) {
         let id: String = request.param("id").unwrap_or_default();
         match self.endpoint {
             Endpoint::Attach => {
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -57,9 +57,7 @@
     },
     rand::{RngExt, SeedableRng},
     rand_pcg::Pcg64Mcg,
-    salvo::{
-        Depot, FlowCtrl, Handler, Listener, Request, Response, Router, Server, conn::TcpListener,
-    },
+    salvo::{Listener, Request, Response, Router, Server, conn::TcpListener},
     serde::{Deserialize, Serialize},
     serde_json::{Value, json},
     sse_stream::{Sse, SseStream},
--- a/crates/standin/src/plain.rs
+++ b/crates/standin/src/plain.rs
@@ -135,15 +135,9 @@
     }
 }
 
-#[salvo::async_trait]
-impl Handler for Http {
-    async fn handle(
-        &self,
-        request: &mut Request,
-        _depot: &mut Depot,
-        response: &mut Response,
-        _flow: &mut FlowCtrl,
-    ) {
+#[salvo::handler]
+impl Http {
+    async fn handle(&self, request: &mut Request, response: &mut Response) {
         let body = match self.endpoint {
             Endpoint::Call => return self.call(request, response).await,
             Endpoint::Control => self.control(&http::json_body(request).await),
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -220,15 +220,9 @@
     }
 }
 
-#[salvo::async_trait]
-impl Handler for Http {
-    async fn handle(
-        &self,
-        request: &mut Request,
-        _depot: &mut Depot,
-        response: &mut Response,
-        _flow: &mut FlowCtrl,
-    ) {
+#[salvo::handler]
+impl Http {
+    async fn handle(&self, request: &mut Request, response: &mut Response) {
         let body = http::json_body(request).await;
         let write = matches!(self.endpoint, Endpoint::Grant | Endpoint::Txn);
         let counted = write || matches!(self.endpoint, Endpoint::Range | Endpoint::Watch);
--- a/crates/standin/src/shelf.rs
+++ b/crates/standin/src/shelf.rs
@@ -274,15 +274,9 @@
     shelf: Shelf,
 }
 
-#[salvo::async_trait]
-impl Handler for Endpoint {
-    async fn handle(
-        &self,
-        request: &mut Request,
-        _depot: &mut Depot,
-        response: &mut Response,
-        _flow: &mut FlowCtrl,
-    ) {
+#[salvo::handler]
+impl Endpoint {
+    async fn handle(&self, request: &mut Request, response: &mut Response) {
         let away = {
             let mut state = self.shelf.lock();
             state.calls += 1;
