--- a/crates/node/src/gossip.rs
+++ b/crates/node/src/gossip.rs
@@ -245,8 +245,14 @@
     /// Serves for ever.
     async fn run(self, mut told: mpsc::UnboundedReceiver<Told>) {
         while let Some(told) = told.recv().await {
+            let begun =
+                matches!(&told, Told::Stream(sighting) if sighting.stage == Stage::Streaming);
             let datagram = self.datagram(told).encode_to_vec();
             let to: Vec<SocketAddr> = self.addresses.borrow().values().copied().collect();
+            if begun && to.len() >= roster::FEW {
+                // That a prompt is read others believe by its age; bytes between data centres are dear.
+                continue;
+            }
             for address in to {
                 if let Err(error) = self.socket.try_send_to(&datagram, address) {
                     // A lost datagram costs a prompt read again at most.
--- a/crates/node/src/roster.rs
+++ b/crates/node/src/roster.rs
@@ -17,7 +17,7 @@
 const GATHER_LEAST: Duration = Duration::from_millis(200);
 
 /// Instances up to which each of them watches: there a watch each costs less than telling.
-const FEW: usize = 12;
+pub(crate) const FEW: usize = 12;
 
 /// Instances that watch for all in a larger fleet; two of them may be lost at once.
 const WATCHERS: usize = 3;
