An end of a stream that is not marked is believed only when a second upstream has nothing more

Cause: found by reading. An answer without length or chunks ends with its connection; an engine lost between two events then looks like a whole answer. Change: such an end is asked about at a second upstream, behind the last event; nothing more there, and the stream is whole. Ruled out: taking every such end for a loss (a whole stream would never end).

--- a/crates/core/src/core.rs
+++ b/crates/core/src/core.rs
@@ -100,7 +100,7 @@
             Event::CallerGone(caller) => self.caller_gone(caller),
             Event::Carried { attempt, load } => self.carried(attempt, load),
             Event::Claimed { request, outcome } => self.claimed(request, outcome),
-            Event::Closed(attempt) => self.closed(attempt),
+            Event::Closed { attempt, marked } => self.closed(attempt, marked),
             Event::Config(config) => self.adopt(config),
             Event::Failed { attempt, failure } => self.failed(attempt, failure),
             Event::Finished {
--- a/crates/core/src/counter.rs
+++ b/crates/core/src/counter.rs
@@ -73,6 +73,8 @@
     Replaced,
     /// The stream stalled.
     Stall,
+    /// The stream ended without a mark that it is whole.
+    Unmarked,
 }
 
 impl Display for Counter {
@@ -110,6 +112,7 @@
             Self::Refused => "refused",
             Self::Replaced => "replaced",
             Self::Stall => "stall",
+            Self::Unmarked => "unmarked",
         })
     }
 }
--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -129,8 +129,13 @@
         /// Outcome.
         outcome: ClaimOutcome,
     },
-    /// A relayed stream ended as it should.
-    Closed(attempt::Key),
+    /// A relayed stream ended without an error.
+    Closed {
+        /// The attempt.
+        attempt: attempt::Key,
+        /// Whether the end was marked; else it may be that the upstream was lost between two events.
+        marked: bool,
+    },
     /// A configuration was read from the platform or a peer.
     Config(Arc<Config>),
     /// An attempt ended without a whole answer.
--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -37,14 +37,25 @@
         self.complete(owner, attempt.upstream, Effect::Answer);
     }
 
-    /// A relayed stream ended as it should.
-    pub(crate) fn closed(&mut self, key: attempt::Key) {
+    /// A relayed stream ended without an error. An end that is not marked is believed when a second
+    /// upstream, asked to go on behind the last event, has nothing more either.
+    pub(crate) fn closed(&mut self, key: attempt::Key, marked: bool) {
         let Some(attempt) = self.close(key) else {
             self.count(Counter::FrameLate);
             return;
         };
-        if !self.requests[attempt.request].passage.opened {
-            self.fail(attempt.request, Kind::UpstreamFailed);
+        let owner = attempt.request;
+        let passage = &mut self.requests[owner].passage;
+        if !passage.opened {
+            self.fail(owner, Kind::UpstreamFailed);
+            return;
+        }
+        let ended_before = passage.unmarked_end.replace(passage.position);
+        let believed = marked || ended_before == Some(passage.position);
+        if !believed && self.may_go_on(owner) {
+            self.keep_copy(&attempt);
+            self.note_lost(&attempt, counter::Reason::Unmarked);
+            self.relay_again(owner, counter::Reason::Unmarked);
             return;
         }
         self.complete(attempt.request, attempt.upstream, Effect::Close);
--- a/crates/core/src/request.rs
+++ b/crates/core/src/request.rs
@@ -86,6 +86,8 @@
     pub position: u64,
     /// Upstream that ran the stream at another instance, and may keep its prompt.
     pub prefer: Option<upstream::Key>,
+    /// Position at which a stream ended without a mark that it is whole.
+    pub unmarked_end: Option<u64>,
     /// Upstreams that the request reached.
     pub reached: u32,
 }
--- a/crates/core/tests/relay.rs
+++ b/crates/core/tests/relay.rs
@@ -120,6 +120,11 @@
         });
     }
 
+    fn close(&mut self, sent: &Sent, marked: bool) {
+        let attempt = sent.attempt;
+        self.tell(Event::Closed { attempt, marked });
+    }
+
     fn fail(&mut self, sent: &Sent, failure: Failure) {
         self.tell(Event::Failed {
             attempt: sent.attempt,
@@ -310,11 +315,37 @@
 fn events_go_to_the_caller_as_they_come() {
     let mut test = Test::new(6);
     let sent = test.stream(3);
-    test.tell(Event::Closed(sent.attempt));
+    test.close(&sent, true);
     expect_that!(test.given(), elements_are![eq(&1), eq(&2), eq(&3)]);
     expect_that!(test.ends(), elements_are![eq("close")]);
 }
 
+#[gtest]
+fn end_without_a_mark_is_believed_when_a_second_upstream_has_nothing_more() {
+    let mut test = Test::new(6);
+    let first = test.stream(3);
+    test.close(&first, false);
+    let second = test.last();
+    expect_that!(test.ends(), is_empty());
+    expect_that!(second.position, eq(3));
+    test.tell(Event::Opened(second.attempt));
+    test.close(&second, false);
+    expect_that!(test.ends(), elements_are![eq("close")]);
+}
+
+#[gtest]
+fn stream_lost_between_two_events_goes_on_though_its_end_looked_well() {
+    let mut test = Test::new(6);
+    let first = test.stream(3);
+    test.close(&first, false);
+    let second = test.last();
+    test.tell(Event::Opened(second.attempt));
+    test.pass_on(&second, 4);
+    test.close(&second, true);
+    expect_that!(test.given(), elements_are![eq(&1), eq(&2), eq(&3), eq(&4)]);
+    expect_that!(test.ends(), elements_are![eq("close")]);
+}
+
 #[gtest]
 fn copy_is_kept_in_another_data_centre() {
     for _ in 0..20 {
--- a/crates/node/src/driver.rs
+++ b/crates/node/src/driver.rs
@@ -338,7 +338,7 @@
             self.callers.remove(caller);
         }
         if let Event::Answered { attempt, .. }
-        | Event::Closed(attempt)
+        | Event::Closed { attempt, .. }
         | Event::Failed { attempt, .. }
         | Event::Finished { attempt, .. }
         | Event::Replied { attempt, .. } = &event
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -106,6 +106,8 @@
         let (parts, body) = response.into_parts();
         let meaning =
             platform::answer::meaning(parts.status, &parts.headers, &self.run, self.streams);
+        let marked = parts.headers.contains_key(header::TRANSFER_ENCODING)
+            || parts.headers.contains_key(header::CONTENT_LENGTH);
         let head = Head {
             headers: platform::request::end_to_end(&parts.headers),
             status: parts.status,
@@ -116,7 +118,7 @@
                 let event = Event::Opened(self.attempt);
                 let held = driver::Held::Head(Box::new(head));
                 self.driver.hold(self.attempt, self.caller, held, event);
-                self.stream(body).await
+                self.stream(body, marked).await
             }
             Meaning::Whole(verdict) => {
                 let body = body.collect().await.map_err(|_| Failure::Broken)?;
@@ -135,8 +137,9 @@
         }
     }
 
-    /// Reads events up to the end. What is left behind the last whole event is dropped.
-    async fn stream(&self, mut body: hyper::body::Incoming) -> Result<(), Failure> {
+    /// Reads events up to the end, which the answer marks if it has a length or comes in chunks. What is
+    /// left behind the last whole event is dropped.
+    async fn stream(&self, mut body: hyper::body::Incoming, marked: bool) -> Result<(), Failure> {
         let mut buffer = Vec::new();
         while let Some(frame) = body.frame().await {
             let frame = frame.map_err(|_| Failure::Broken)?;
@@ -157,7 +160,10 @@
         if !buffer.is_empty() {
             return Err(Failure::Broken);
         }
-        self.driver.event(Event::Closed(self.attempt));
+        self.driver.event(Event::Closed {
+            attempt: self.attempt,
+            marked,
+        });
         Ok(())
     }
 }
--- a/crates/standin/src/relaying.rs
+++ b/crates/standin/src/relaying.rs
@@ -763,7 +763,8 @@
         let attempt = line.attempt;
         if stream.position > EVENTS {
             self.upstreams[upstream].streams.remove(&line);
-            self.event(line, Event::Closed(attempt));
+            let marked = true;
+            self.event(line, Event::Closed { attempt, marked });
             return;
         }
         if let Some(backup) = stream.backup
