An instance that is behind learns by what others know, tested; revisions of 0 are configurations too

Change: a stand-in store that never answers one waiting read; the revision that is told is optional.

--- a/crates/node/src/feed.rs
+++ b/crates/node/src/feed.rs
@@ -215,7 +215,7 @@
                 self.driver.event(Event::Config(Arc::new(decoded.config)));
                 self.limits.send_replace(decoded.limits);
                 self.known
-                    .send_modify(|known| known.configuration = revision);
+                    .send_modify(|known| known.configuration = Some(revision));
             }
             Err(error) => error!("the configuration in force stays: {error}"),
         }
--- a/crates/node/src/gossip.rs
+++ b/crates/node/src/gossip.rs
@@ -40,8 +40,8 @@
 /// What an instance knows of the store, by its revisions.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub(crate) struct Known {
-    /// Version of the configuration in force; 0 if there is none.
-    pub configuration: u64,
+    /// Revision of the configuration in force; `None` before there is one.
+    pub configuration: Option<u64>,
     /// Revision of the last change of the list of upstreams.
     pub list: u64,
 }
--- a/crates/node/src/hosted.rs
+++ b/crates/node/src/hosted.rs
@@ -37,7 +37,7 @@
 #[salvo::handler]
 impl Ready {
     fn handle(&self, response: &mut salvo::Response) {
-        let configured = self.known.borrow().configuration > 0;
+        let configured = self.known.borrow().configuration.is_some();
         let ready = configured && self.stopping.borrow().is_none();
         caller::write_ready(response, ready);
     }
--- a/crates/standin/src/shelf.rs
+++ b/crates/standin/src/shelf.rs
@@ -41,6 +41,8 @@
     history: Vec<Change>,
     items: BTreeMap<String, Item>,
     leases: BTreeMap<u64, Lease>,
+    /// Prefix of which the next waiting read that sees a change is never answered.
+    muted: Option<String>,
     next_lease: u64,
     oldest: u64,
     revision: u64,
@@ -158,6 +160,11 @@
         self.changed.notify_waiters();
     }
 
+    /// Has the next waiting read under a prefix that sees a change wait for ever.
+    pub fn mute_once(&self, prefix: &str) {
+        self.lock().muted = Some(prefix.to_owned());
+    }
+
     /// Writes an item, as the platform's operator or an upstream does.
     pub fn put(&self, key: &str, value: &Value) {
         self.lock().put(key, value.to_string().into_bytes(), 0);
@@ -225,10 +232,26 @@
         })
     }
 
+    /// Whether a waiting read is the one that is never answered.
+    fn is_muted(&self, prefix: &str, revision: u64) -> bool {
+        let mut state = self.lock();
+        let changed = state
+            .since(prefix, revision)
+            .is_some_and(|events| !events.is_empty());
+        let muted = changed && state.muted.as_deref() == Some(prefix);
+        if muted {
+            state.muted = None;
+        }
+        muted
+    }
+
     /// Waits for changes; `None` if the history is forgotten.
     async fn watch(&self, prefix: &str, revision: u64, wait: Duration) -> Option<Value> {
         let end = Instant::now() + wait.min(WAIT);
         loop {
+            if self.is_muted(prefix, revision) {
+                std::future::pending::<()>().await;
+            }
             {
                 let mut state = self.lock();
                 state.expire(Instant::now());
--- a/crates/standin/tests/site.rs
+++ b/crates/standin/tests/site.rs
@@ -405,6 +405,35 @@
     });
 }
 
+#[gtest]
+fn instance_that_is_behind_learns_by_what_others_know() {
+    let plan = Plan {
+        instances: 2,
+        ..Plan::default()
+    };
+    run(plan, async |site: Site| {
+        let mut next = configuration(5);
+        next["routes"][2]["path_prefix"] = "/first/".into();
+        site.shelf.mute_once("op/config");
+        site.shelf.put("op/config", &next);
+        sleep(Duration::from_millis(300)).await;
+        // One of the two does not hear of the change by its own watch; datagrams go with streams.
+        for (index, instance) in site.instances.iter().enumerate() {
+            let got = Ask::stream(&format!("r{index}"))
+                .send(instance.callers)
+                .await;
+            expect_that!(got.whole, eq(true));
+        }
+        sleep(Duration::from_millis(1_500)).await;
+        for (index, instance) in site.instances.iter().enumerate() {
+            let moved = Ask::new("/first/1", &format!("m{index}"))
+                .send(instance.callers)
+                .await;
+            expect_that!(moved.status.as_u16(), eq(200));
+        }
+    });
+}
+
 #[gtest]
 fn malformed_configuration_or_entry_changes_nothing() {
     run(Plan::default(), async |site: Site| {
