The test of half events meets engines that cut for certain

Cause: it failed twice in about 330 runs, traced beside load: 'runs 6, expected more than 6'. Two of four engines cut streams, and all six requests had chosen the other two. Nothing was wrong with the answers. Change: the engines that cut are those in the instance's own data centre, which it prefers; the test expects the same as before. Ruled out: load (the same number of runs, and whole answers, with and without 20 busy processes).

--- a/crates/standin/tests/site.rs
+++ b/crates/standin/tests/site.rs
@@ -157,7 +157,8 @@
 #[gtest]
 fn half_an_event_is_not_given_and_the_stream_goes_on_elsewhere() {
     run(Plan::default(), async |site: Site| {
-        for seat in &site.engines[..2] {
+        // Those in the instance's own data centre, which it prefers.
+        for seat in site.engines.iter().step_by(2) {
             seat.worker.set(Mode::Cut);
         }
         for run in 0..6 {
