Connections of callers rest as long as the limits in force say

Change: a connection may rest for 1.25 of the configured time, as in force when it was accepted. Ruled out: the exact time, since a close could cross a request of a caller that keeps within it.

--- a/crates/node/src/hosted.rs
+++ b/crates/node/src/hosted.rs
@@ -1,6 +1,7 @@
 //! An instance on the users' platform: its tasks, started and stopped together.
 
 use super::*;
+use salvo::fuse::{FuseAction, FuseConfig, FuseInfo};
 use settings::Hosted;
 
 /// Time between two looks at whether a stopping instance may leave.
@@ -13,9 +14,9 @@
 /// Time before the end of the grace time at which what still runs is cut.
 const MARGIN: Duration = Duration::from_millis(150);
 
-/// Time that a connection of a caller may rest or take for a head. Above the limit in the
-/// configuration, so that a close does not cross a request.
-const CALLERS_IDLE: Duration = Duration::from_mins(1);
+/// Time that a connection may rest or take for a head, over what the limits say: callers take up
+/// connections that have rested for nearly as long, and a close must not cross a request.
+const IDLE_MARGIN: f64 = 1.25;
 
 /// The endpoint by which the platform learns whether the instance is ready.
 struct Ready {
@@ -93,15 +94,18 @@
             known: own.clone(),
             stopping: stopping.clone(),
         };
-        serve(hosted.ready, Router::with_path("{**path}").goal(ready)).await?;
+        let idle = limited.clone();
+        let ready = Router::with_path("{**path}").goal(ready);
+        serve(hosted.ready, ready, idle.clone()).await?;
         let endpoint = relay::Endpoint {
             driver: driver.clone(),
             limits: limited,
             stopping,
         };
         let callers = Router::with_path("{**path}").goal(endpoint);
-        serve(settings.listen.callers, callers).await?;
-        serve(hosted.metrics, Router::with_path("metrics").get(page)).await?;
+        serve(settings.listen.callers, callers, idle.clone()).await?;
+        let page = Router::with_path("metrics").get(page);
+        serve(hosted.metrics, page, idle).await?;
         let configuration = feed::Configuration {
             client: client.clone(),
             driver: driver.clone(),
@@ -172,14 +176,20 @@
     }
 }
 
-/// Serves a router at an address for ever.
-async fn serve(address: SocketAddr, router: Router) -> Result<(), Error> {
+/// Serves a router at an address for ever. New connections may rest as long as the limits in force say.
+async fn serve(
+    address: SocketAddr,
+    router: Router,
+    limits: watch::Receiver<platform::configuration::Limits>,
+) -> Result<(), Error> {
     let acceptor = TcpListener::new(address)
         .try_bind()
         .await
         .map_err(|error| Error::Bind(address, std::io::Error::other(error)))?;
-    let mut server = Server::new(acceptor).disable_fuse();
-    server.http1_mut().header_read_timeout(CALLERS_IDLE);
-    tokio::spawn(server.serve(router));
+    let fuse = move |_: &FuseInfo| {
+        let idle = limits.borrow().idle.mul_f64(IDLE_MARGIN);
+        FuseAction::Accept(FuseConfig::disabled().with_http1_header_timeout(idle))
+    };
+    tokio::spawn(Server::new(acceptor).fuse_policy(fuse).serve(router));
     Ok(())
 }
--- a/crates/standin/tests/site.rs
+++ b/crates/standin/tests/site.rs
@@ -388,6 +388,33 @@
     });
 }
 
+#[gtest]
+fn connection_may_rest_as_long_as_the_limits_say() {
+    run(Plan::default(), async |site: Site| {
+        let mut limited = configuration(5);
+        limited["limits"]["idle_timeout_ms"] = 800.into();
+        site.shelf.put("op/config", &limited);
+        sleep(Duration::from_millis(500)).await;
+        let mut connection = TcpStream::connect(address(&site)).await.unwrap();
+        let mut answer = Vec::new();
+        for run in 0..2 {
+            let ask = Ask::once(&format!("r{run}"));
+            connection.write_all(&ask.bytes()).await.unwrap();
+            let due = worker::reply(&ask.body);
+            answer.clear();
+            while !answer.ends_with(due.as_bytes()) {
+                let read = connection.read_buf(&mut answer).await.unwrap();
+                assert!(read > 0, "the connection ended");
+            }
+            sleep(Duration::from_millis(600)).await;
+        }
+        sleep(Duration::from_secs(1)).await;
+        answer.clear();
+        let read = connection.read_buf(&mut answer).await;
+        expect_that!(read.unwrap_or(0), eq(0));
+    });
+}
+
 #[gtest]
 fn new_configuration_is_in_force_soon_and_never_goes_back() {
     run(Plan::default(), async |site: Site| {
