A process that ends writes its last lines

Cause: the whole check failed once in a clean clone: the line 'stopped' was not in the log. Lines go through a queue to a thread that writes them, and the process ended before it had. Change: at its end a process waits until its lines are written, at most 100 ms. Ruled out: a stop that did not come (the process had ended well).

--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -107,7 +107,9 @@
 
 /// Runs the command that the arguments name.
 pub fn run() -> ExitCode {
-    match arguments::run(&arguments::command().get_matches()) {
+    let ended = arguments::run(&arguments::command().get_matches());
+    logger::finish();
+    match ended {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("error: {error}");
--- a/crates/node/src/logger.rs
+++ b/crates/node/src/logger.rs
@@ -15,9 +15,16 @@
 /// Lines of one message that are written within a second; the rest is counted.
 const PER_SECOND: u32 = 200;
 
+/// Longest time that the end of a process waits for lines that are not written yet. Nobody may read
+/// them.
+const LAST: Duration = Duration::from_millis(100);
+
 /// Lines dropped since the start.
 static DROPPED: AtomicU64 = AtomicU64::new(0);
 
+/// Lines handed to the thread that writes, and not yet written.
+static WAITING: AtomicU64 = AtomicU64::new(0);
+
 /// Lines of each message within the second that runs.
 struct Sampler {
     lines: HashMap<String, u32>,
@@ -53,6 +60,14 @@
     }
 }
 
+/// Waits until the lines of a process that ends are written, or for a short time.
+pub(crate) fn finish() {
+    let end = Instant::now() + LAST;
+    while WAITING.load(Ordering::Acquire) > 0 && Instant::now() < end {
+        std::thread::sleep(Duration::from_millis(1));
+    }
+}
+
 /// Lines dropped since the start, since nobody read them.
 pub(crate) fn dropped() -> u64 {
     DROPPED.load(Ordering::Relaxed)
@@ -89,9 +104,13 @@
     }
 
     fn send(&mut self, line: Vec<u8>) -> bool {
+        WAITING.fetch_add(1, Ordering::Release);
         match self.lines.try_send(line) {
             Ok(()) => true,
-            Err(TrySendError::Disconnected(_) | TrySendError::Full(_)) => false,
+            Err(TrySendError::Disconnected(_) | TrySendError::Full(_)) => {
+                WAITING.fetch_sub(1, Ordering::Release);
+                false
+            }
         }
     }
 }
@@ -162,11 +181,9 @@
 /// Writes lines until there is no one left who sends any, or they can not be written.
 fn write(lines: &Receiver<Vec<u8>>, output: &mut impl Write) {
     for line in lines {
-        if output
-            .write_all(&line)
-            .and_then(|()| output.flush())
-            .is_err()
-        {
+        let written = output.write_all(&line).and_then(|()| output.flush());
+        WAITING.fetch_sub(1, Ordering::Release);
+        if written.is_err() {
             return;
         }
     }
