Lost relayed streams measured in each way to go on; relayed steps in the fault matrix

Cause: what going on from copies is worth was known from a throwaway program only, and the fault matrix had no relayed requests. A setting `core.relay_resume` names the baselines; `standin measure relay` and 165 cells of the matrix play them in virtual time. The world of relayed requests is split: callers (`crowd`), upstreams (`pool`), instances and time (`relaying`).

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -52,7 +52,7 @@
     rand::{RngExt, SeedableRng},
     rand_pcg::Pcg64Mcg,
     request::{Request, State, Work},
-    settings::{Routing, Settings},
+    settings::{Resume, Routing, Settings},
     sighting::Sighting,
     slotmap::{SecondaryMap, SlotMap, new_key_type},
     std::{
--- a/crates/core/src/place.rs
+++ b/crates/core/src/place.rs
@@ -100,7 +100,8 @@
         upstream: upstream::Key,
     ) -> Option<upstream::Key> {
         let relay = self.requests[key].service.relay()?;
-        if !relay.copies || !relay.resumable {
+        let wanted = self.settings.relay_resume == Resume::Copy;
+        if !wanted || !relay.copies || !relay.resumable {
             return None;
         }
         let home = self.upstreams[upstream].data_centre.clone();
--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -245,7 +245,8 @@
             return false;
         };
         let repeatable = request.service.repeatable || !request.may_have_run;
-        let whole = !request.passage.opened || relay.resumable;
+        let resumes = relay.resumable && self.settings.relay_resume != Resume::None;
+        let whole = !request.passage.opened || resumes;
         let reached = request.passage.reached < relay.attempts_max.max(1);
         let sent = request.number < self.settings.attempts_max;
         repeatable && whole && reached && sent && self.now < request.deadline
--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -35,6 +35,26 @@
     }
 }
 
+/// How a relayed stream goes on whose upstream was lost; all but the first only show what it is worth.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Resume {
+    /// From a copy of its memory at another upstream, else by reading the prompt anew.
+    Copy,
+    /// By reading the prompt anew at another upstream.
+    Anew,
+    /// Not at all: it is cut, and its caller comes back.
+    None,
+}
+
+impl Resume {
+    /// Every way, with its name in settings.
+    pub const ALL: [(&'static str, Self); 3] = [
+        ("copy", Self::Copy),
+        ("anew", Self::Anew),
+        ("none", Self::None),
+    ];
+}
+
 /// Settings of the core, the same for the life of an instance.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
@@ -78,6 +98,8 @@
     pub relay_call_ms: u64,
     /// Silence before the first event after which a stream that goes on from a copy has none.
     pub relay_copy_ms: u64,
+    /// How a relayed stream goes on whose upstream was lost.
+    pub relay_resume: Resume,
     /// Silence between two events after which a relayed stream goes on elsewhere.
     pub relay_stall_ms: u64,
     /// Share of an upstream's slots that only resumed work may use.
@@ -117,6 +139,7 @@
             queue_max: 1_000,
             relay_call_ms: 300,
             relay_copy_ms: 1_000,
+            relay_resume: Resume::Copy,
             relay_stall_ms: 400,
             report_lag_ms: 300,
             resume_reserve: 0.0,
--- a/crates/core/tests/relay.rs
+++ b/crates/core/tests/relay.rs
@@ -13,7 +13,7 @@
         event::{Event, Failure, Listed, Submission, Verdict},
         kind::Kind,
         request::{Caller, Relay, Work},
-        settings::Settings,
+        settings::{Resume, Settings},
         sighting::{Sighting, Stage},
     },
 };
@@ -51,15 +51,24 @@
 impl Test {
     /// A core with a configuration and upstreams, three of them in each data centre.
     fn new(upstreams: usize) -> Self {
-        let mut test = Self::without_configuration();
-        test.tell(Event::Config(Arc::new(configuration(1))));
-        test.list((0..upstreams).map(|index| listed(index, index)).collect());
-        test
+        Self::without_configuration().configured(upstreams)
+    }
+
+    fn configured(mut self, upstreams: usize) -> Self {
+        self.tell(Event::Config(Arc::new(configuration(1))));
+        self.list((0..upstreams).map(|index| listed(index, index)).collect());
+        self
     }
 
     fn without_configuration() -> Self {
+        Self::with(Resume::Copy)
+    }
+
+    /// A core without a configuration whose lost streams go on in one way.
+    fn with(relay_resume: Resume) -> Self {
         let settings = Settings {
             probes: false,
+            relay_resume,
             ..Settings::default()
         };
         Self {
@@ -369,6 +378,25 @@
     expect_that!(test.counted(Counter::Resumed(Reason::Broken)), eq(1));
 }
 
+#[gtest]
+fn baseline_that_reads_anew_keeps_no_copy() {
+    let mut test = Test::with(Resume::Anew).configured(9);
+    let first = test.stream(3);
+    expect_that!(first.backup, none());
+    test.fail(&first, Failure::Broken);
+    expect_that!(test.last().copy, none());
+    expect_that!(test.last().position, eq(3));
+}
+
+#[gtest]
+fn baseline_that_does_not_resume_cuts_a_lost_stream() {
+    let mut test = Test::with(Resume::None).configured(9);
+    let first = test.stream(3);
+    test.fail(&first, Failure::Broken);
+    expect_that!(test.sent().len(), eq(1));
+    expect_that!(test.ends(), elements_are![eq("cut")]);
+}
+
 #[gtest]
 fn head_of_a_resumed_stream_is_not_given_again() {
     let mut test = Test::new(6);
--- a/crates/node/src/reader.rs
+++ b/crates/node/src/reader.rs
@@ -46,6 +46,23 @@
         Some(self.address(name))
     }
 
+    /// One of the `known` ways, by its name.
+    pub fn choice<T: Copy>(&mut self, name: &str, known: &[(&str, T)], default: T) -> T {
+        if !self.fields.contains_key(name) {
+            return default;
+        }
+        let Some(text) = self.text(name, None) else {
+            return default;
+        };
+        if let Some((_, way)) = known.iter().find(|(known, _)| *known == text) {
+            return *way;
+        }
+        let names: Vec<&str> = known.iter().map(|(known, _)| *known).collect();
+        let text = format!("`{text}` must be one of {}", names.join(", "));
+        self.fault(name, text);
+        default
+    }
+
     /// Notes a fault of a field.
     pub fn fault(&mut self, name: &str, text: impl Into<String>) {
         let place = self.place(name);
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -1,7 +1,7 @@
 //! Settings of an instance, read from a JSON file.
 
 use super::*;
-use wellplank_core::settings::Routing;
+use wellplank_core::settings::{Resume, Routing};
 
 /// Bytes of the secret that authenticates cursors.
 const SECRET_BYTES: usize = 32;
@@ -129,6 +129,7 @@
                 "queue_max": core.queue_max,
                 "relay_call_ms": core.relay_call_ms,
                 "relay_copy_ms": core.relay_copy_ms,
+                "relay_resume": "copy",
                 "relay_stall_ms": core.relay_stall_ms,
                 "report_lag_ms": core.report_lag_ms,
                 "resume_reserve": core.resume_reserve,
@@ -251,11 +252,12 @@
             probes: reader.flag("probes", default.probes),
             relay_call_ms,
             relay_copy_ms,
+            relay_resume: reader.choice("relay_resume", &Resume::ALL, default.relay_resume),
             relay_stall_ms,
             report_lag_ms,
             resume_reserve: reader.share("resume_reserve", default.resume_reserve),
             retry_earn: reader.share("retry_earn", default.retry_earn),
-            routing: Self::read_routing(&mut reader),
+            routing: reader.choice("routing", &Routing::ALL, default.routing),
             stall_loss_ms,
             stall_max_ms,
             stall_min_ms: stall_min_ms.min(stall_max_ms),
@@ -307,22 +309,6 @@
         platform
     }
 
-    fn read_routing(reader: &mut Reader) -> Routing {
-        let default = wellplank_core::settings::Settings::default().routing;
-        let Some(text) = reader.text("routing", Some("prefix")) else {
-            return default;
-        };
-        let known = Routing::ALL.iter().find(|(name, _)| *name == text);
-        known.map_or_else(
-            || {
-                let names = Routing::ALL.map(|(name, _)| name).join(", ");
-                reader.fault("routing", format!("`{text}` must be one of {names}"));
-                default
-            },
-            |(_, routing)| *routing,
-        )
-    }
-
     fn read_secret(reader: &mut Reader) -> cursor::Secret {
         let Some(text) = reader.text("secret", None) else {
             return [0; SECRET_BYTES];
--- a/crates/node/tests/settings.rs
+++ b/crates/node/tests/settings.rs
@@ -86,6 +86,21 @@
     );
 }
 
+#[gtest]
+fn unknown_ways_are_told_with_those_that_there_are() {
+    let faults = Test::new()
+        .set("/core/relay_resume", json!("twice"))
+        .set("/core/routing", json!(3))
+        .faults();
+    expect_that!(
+        faults,
+        unordered_elements_are![
+            eq("core.relay_resume: `twice` must be one of copy, anew, none"),
+            eq("core.routing: 3 must be a text that is not empty"),
+        ]
+    );
+}
+
 #[gtest]
 fn missing_names_are_faults() {
     let faults = Settings::parse("{}").unwrap_err();
--- a/crates/standin/src/arguments.rs
+++ b/crates/standin/src/arguments.rs
@@ -1,6 +1,7 @@
 //! The command line of the stand-ins.
 
 use super::*;
+use wellplank_core::settings::Resume;
 
 /// The command line.
 pub(crate) fn command() -> Command {
@@ -63,6 +64,14 @@
                         .arg(number("load-ms", "Time between load reports", "1000")),
                 )
                 .subcommand(Command::new("cost").about("Cost of tokens through one instance"))
+                .subcommand(
+                    Command::new("relay")
+                        .about(
+                            "Relayed streams under faults, in each way to go on, in virtual time",
+                        )
+                        .arg(number("cases", "Count of cases", "300"))
+                        .arg(number("seed", "Seed of the first case", "1")),
+                )
                 .subcommand(
                     Command::new("resume")
                         .about("Resume latency and extra resource use")
@@ -158,21 +167,30 @@
 /// Runs the fault matrix.
 fn matrix(arguments: &ArgMatches) -> ExitCode {
     let cells = matrix::run(&wellplank_core::settings::Settings::default());
+    let relayed = relayed::run(Resume::Copy);
     match arguments.get_one::<std::path::PathBuf>("write") {
-        None => println!("{}", matrix::table(&cells)),
+        None => println!("{}{}", matrix::table(&cells), relayed::table(&relayed)),
         Some(path) => {
-            if let Err(error) = std::fs::write(path, matrix::page(&cells)) {
+            if let Err(error) = std::fs::write(path, matrix::page(&cells, &relayed)) {
                 eprintln!("error: can not write {}: {error}", path.display());
                 return ExitCode::FAILURE;
             }
         }
     }
     let broken: Vec<&matrix::Cell> = cells.iter().filter(|cell| !cell.holds()).collect();
-    println!("{} cells, {} broken", cells.len(), broken.len());
+    let relayed_broken: Vec<&relayed::Cell> = relayed.iter().filter(|cell| !cell.holds()).collect();
+    let all = cells.len() + relayed.len();
+    println!(
+        "{all} cells, {} broken",
+        broken.len() + relayed_broken.len()
+    );
     for cell in &broken {
         eprintln!("{cell:?}");
     }
-    exit(broken.is_empty())
+    for cell in &relayed_broken {
+        eprintln!("{cell:?}");
+    }
+    exit(broken.is_empty() && relayed_broken.is_empty())
 }
 
 /// Runs randomised cases.
@@ -207,7 +225,7 @@
     let mut broken = 0;
     let (mut copies, mut requests, mut whole) = (0, 0, 0);
     for seed in first..first + cases {
-        let case = relaying::case(seed);
+        let case = relaying::case(seed, Resume::Copy);
         copies += case.copies;
         requests += case.requests;
         whole += case.whole;
@@ -241,6 +259,7 @@
         "claims" => claims::run().await,
         "control" => control::run(number("load-ms") as u64).await,
         "cost" => cost::run().await,
+        "relay" => relaying::measure(number("cases") as u64, number("seed") as u64),
         "resume" => resume::run(number("rounds")).await,
         "routing" => routing::run(),
         _ => return ExitCode::FAILURE,
--- /dev/null
+++ b/crates/standin/src/crowd.rs
@@ -0,0 +1,202 @@
+//! Callers of relayed requests in virtual time: what they ask, what they have, and how they come back.
+
+use super::*;
+use relaying::{Action, World, event};
+use wellplank_core::{
+    clock::Time,
+    event::{Event, Submission},
+    kind::Ran,
+    request::{Caller as Connection, Relay, Work},
+};
+
+/// Time that a caller waits for its whole answer.
+pub(crate) const PATIENCE_MS: u64 = 25_000;
+
+/// Time after which a caller comes back.
+const BACK_MS: u64 = 60;
+
+/// Tries of a caller, at most.
+const TRIES: usize = 12;
+
+/// What a caller asks.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Kind {
+    Again,
+    Once,
+    Stream,
+}
+
+impl Kind {
+    pub const ALL: [Self; 3] = [Self::Again, Self::Once, Self::Stream];
+
+    pub fn path(self) -> &'static str {
+        match self {
+            Self::Again => "/again/1",
+            Self::Once => "/once/1",
+            Self::Stream => "/stream/1",
+        }
+    }
+}
+
+/// A caller and what it has.
+pub(crate) struct Asker {
+    pub begun: Time,
+    pub ended: bool,
+    pub instance: usize,
+    pub kind: Kind,
+    /// Position of the last event that it has.
+    pub position: u64,
+    /// Name of its try; a number.
+    pub run: u64,
+    /// Upstream that its request reached last.
+    pub sent_to: Option<usize>,
+    pub tries: usize,
+    pub whole: bool,
+}
+
+impl World {
+    /// A new caller asks.
+    pub fn ask(&mut self) {
+        let kind = Kind::ALL[self.random.random_range(0..Kind::ALL.len())];
+        let instance = self.random.random_range(0..self.instances.len());
+        self.ask_at(kind, instance);
+    }
+
+    /// A new caller asks at an instance; its number.
+    pub fn ask_at(&mut self, kind: Kind, instance: usize) -> usize {
+        self.askers.push(Asker {
+            begun: self.timeline.now(),
+            ended: false,
+            instance,
+            kind,
+            position: 0,
+            run: 0,
+            sent_to: None,
+            tries: 0,
+            whole: false,
+        });
+        let asker = self.askers.len() - 1;
+        self.timeline.schedule(0, Action::Ask(asker));
+        asker
+    }
+
+    /// Has a caller's request arrive at an instance; a caller that finds none comes back.
+    pub fn submit(&mut self, index: usize) {
+        self.next += 1;
+        let (run, connection) = (self.next, Connection(self.next));
+        let asker = &mut self.askers[index];
+        asker.run = run;
+        asker.tries += 1;
+        let waited = self.timeline.now().since(asker.begun);
+        if asker.tries > TRIES || waited >= PATIENCE_MS {
+            asker.ended = true;
+            return;
+        }
+        let instance = asker.instance;
+        if self.instances[instance].core.is_none() {
+            self.come_back(index);
+            return;
+        }
+        let asker = &self.askers[index];
+        let submission = Submission {
+            caller: connection,
+            cursor: None,
+            customer: "key".into(),
+            fingerprint: 0,
+            generation: u128::from(run),
+            key: None,
+            received: None,
+            service: String::new(),
+            work: Work::Relay(Relay {
+                bytes: 100,
+                host: "host".into(),
+                path: asker.kind.path().into(),
+                patience_ms: Some(PATIENCE_MS - waited),
+                position: asker.position,
+                prompt: if asker.kind == Kind::Stream {
+                    index as u64 + 1
+                } else {
+                    0
+                },
+                run: run.to_string().into(),
+                tokens: if asker.kind == Kind::Stream { 5_200 } else { 0 },
+            }),
+        };
+        self.connections.insert(connection, index);
+        self.tell(instance, Event::Submit(Box::new(submission)));
+    }
+
+    /// A caller asks again at another instance, if it may.
+    pub fn come_back(&mut self, index: usize) {
+        let instances = self.instances.len();
+        let asker = &mut self.askers[index];
+        asker.instance = (asker.instance + 1) % instances;
+        self.timeline.schedule(BACK_MS, Action::Ask(index));
+    }
+
+    /// Callers' connections break; they come back.
+    pub fn leave_connections(&mut self) {
+        for asker in 0..self.askers.len() {
+            self.leave_connection(asker);
+        }
+    }
+
+    /// A caller's connection breaks; it comes back.
+    pub fn leave_connection(&mut self, asker: usize) {
+        let connections = self.connections.extract_if(|_, other| *other == asker);
+        let connections: Vec<Connection> = connections.map(|(connection, _)| connection).collect();
+        for connection in connections {
+            let instance = self.askers[asker].instance;
+            self.tell(instance, Event::CallerGone(connection));
+            self.lost(asker);
+        }
+    }
+
+    /// A caller's connection ended without a whole answer. One that may not repeat gives up.
+    pub fn lost(&mut self, index: usize) {
+        if self.askers[index].kind == Kind::Once {
+            self.askers[index].ended = true;
+        } else {
+            self.come_back(index);
+        }
+    }
+
+    /// A caller's answer ended, whole or cut.
+    pub fn end(&mut self, caller: Connection, whole: bool) {
+        let Some(asker) = self.connections.remove(&caller) else {
+            return;
+        };
+        if whole {
+            self.askers[asker].ended = true;
+            self.askers[asker].whole = true;
+        } else {
+            self.lost(asker);
+        }
+    }
+
+    /// A caller was given an error. One that did not run, or may repeat, comes back.
+    pub fn refuse(&mut self, caller: Connection, ran: Ran) {
+        let Some(asker) = self.connections.remove(&caller) else {
+            return;
+        };
+        if ran == Ran::No || self.askers[asker].kind != Kind::Once {
+            let run = self.askers[asker].run;
+            self.timeline.schedule(400, Action::Return(asker, run));
+        } else {
+            self.askers[asker].ended = true;
+        }
+    }
+
+    /// A caller gets an event.
+    pub fn take(&mut self, caller: Connection, bytes: &[u8]) {
+        let Some(asker) = self.connections.get(&caller).copied() else {
+            return;
+        };
+        let next = self.askers[asker].position + 1;
+        if *bytes != *event(asker, next) {
+            let text = String::from_utf8_lossy(bytes).into_owned();
+            self.broken(format_args!("{asker} got {text} in place of event {next}"));
+        }
+        self.askers[asker].position = next;
+    }
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod process;
 pub mod proxy;
 pub mod random;
+pub mod relayed;
 pub mod relaying;
 pub mod report;
 pub mod resume;
@@ -36,7 +37,9 @@
 mod arguments;
 mod bench;
 mod cache;
+mod crowd;
 mod keyvalue;
+mod pool;
 mod runner;
 mod scene;
 
--- a/crates/standin/src/matrix.rs
+++ b/crates/standin/src/matrix.rs
@@ -278,8 +278,9 @@
 }
 
 /// The page that holds the tables.
-pub fn page(cells: &[Cell]) -> String {
+pub fn page(cells: &[Cell], relayed: &[relayed::Cell]) -> String {
     let broken = cells.iter().filter(|cell| !cell.holds()).count();
+    let relayed_broken = relayed.iter().filter(|cell| !cell.holds()).count();
     format!(
         "# Fault matrix\n\n\
          Every fault at every step in the life of five kinds of requests, in virtual time, each\n\
@@ -290,9 +291,16 @@
          A cell says how the request ended for its caller, how often it was moved to another\n\
          upstream or instance, and the longest time without a token if that is above 100 ms.\n\
          What each error claims of having run was checked against what ran.\n\n\
-         {} cells, {broken} broken.\n\n{}",
+         {} cells, {broken} broken.\n\n{}\n\n\
+         ## Relayed requests\n\n\
+         The same for requests that are passed on as they are, with the core's relaying. A cell says\n\
+         whether the caller got the whole answer, and the longest time from a loss to the next event\n\
+         if that is above 100 ms. Callers come back, but for calls that may run once.\n\n\
+         {} cells, {relayed_broken} broken.\n\n{}\n",
         cells.len(),
-        table(cells).trim_end().to_owned() + "\n"
+        table(cells).trim_end(),
+        relayed.len(),
+        relayed::table(relayed).trim_end(),
     )
 }
 
--- /dev/null
+++ b/crates/standin/src/pool.rs
@@ -0,0 +1,246 @@
+//! Upstreams of relayed requests in virtual time: what they run, the copies that they hold, and how they fail.
+
+use super::*;
+use crowd::Kind;
+use relaying::{Action, EVENTS, World, address, event, index};
+use std::sync::Arc;
+use wellplank_core::{
+    attempt,
+    clock::Time,
+    effect::Sending,
+    event::{Event, Failure, Listed, Verdict},
+};
+
+/// Time between two events of a stream.
+const STEP_MS: u64 = 30;
+
+/// Time from the start of a stream to its first event: its prompt is read.
+const READ_MS: u64 = 300;
+
+/// Time that a call takes.
+const CALL_MS: u64 = 15;
+
+/// Time after which a leaving upstream must get no new work.
+const LEAVE_MS: u64 = 2_000;
+
+/// Time by which an attempt must have ended before the next one of its request may run.
+const OVERLAP_MS: u64 = 400;
+
+/// One upstream over its lives.
+pub(crate) struct Upstream {
+    pub calls: bool,
+    /// Copies of streams: the run, and the caller whose stream it is.
+    pub copies: HashMap<Arc<str>, usize>,
+    pub leaving: Option<Time>,
+    /// Grows with every start.
+    pub life: u64,
+    pub mode: Mode,
+    pub streams: HashMap<Line, Stream>,
+}
+
+/// How an upstream behaves.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Mode {
+    Down,
+    Faulty,
+    Good,
+    Refusing,
+    Silent,
+}
+
+/// An attempt at an upstream: life of the instance that sent it, and its key there.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub(crate) struct Line {
+    pub attempt: attempt::Key,
+    pub instance: usize,
+    pub life: u64,
+}
+
+/// A stream that an upstream runs.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Stream {
+    pub asker: usize,
+    pub backup: Option<usize>,
+    pub position: u64,
+    pub run: u64,
+}
+
+impl Upstream {
+    /// One that behaves as it should; a plain service if it takes calls.
+    pub fn new(calls: bool) -> Self {
+        Self {
+            calls,
+            copies: HashMap::new(),
+            leaving: None,
+            life: 1,
+            mode: Mode::Good,
+            streams: HashMap::new(),
+        }
+    }
+}
+
+impl World {
+    /// Has an upstream behave otherwise. One that was down starts a new life.
+    pub fn set(&mut self, index: usize, mode: Mode) {
+        let upstream = &mut self.upstreams[index];
+        if upstream.mode == Mode::Down && mode != Mode::Down {
+            upstream.life += 1;
+            upstream.leaving = None;
+        }
+        if mode == Mode::Good {
+            upstream.leaving = None;
+        }
+        upstream.mode = mode;
+        if mode == Mode::Down {
+            upstream.copies.clear();
+            let lines: Vec<Line> = upstream.streams.drain().map(|(line, _)| line).collect();
+            for line in lines {
+                self.fail(line, Failure::Broken);
+            }
+        }
+    }
+
+    pub fn listed(&self) -> Vec<Listed> {
+        let listed = |(index, upstream): (usize, &Upstream)| Listed {
+            address: address(index),
+            data_centre: format!("dc-{}", index % 3),
+            leaving: upstream.leaving.is_some(),
+            name: format!("{index}-{}", upstream.life),
+            pool: if upstream.calls { "desk" } else { "engines" }.into(),
+            since: 0,
+        };
+        self.upstreams.iter().enumerate().map(listed).collect()
+    }
+
+    /// A request arrives at an upstream.
+    pub fn arrive(&mut self, line: Line, upstream: usize, sending: &Sending) {
+        let Sending::Relay {
+            backup,
+            caller,
+            copy,
+            position,
+            upstream: name,
+            ..
+        } = sending
+        else {
+            return;
+        };
+        let Some(asker) = self.connections.get(caller).copied() else {
+            return;
+        };
+        let run = self.askers[asker].run;
+        let now = self.timeline.now();
+        let state = &mut self.upstreams[upstream];
+        match state.mode {
+            Mode::Down => return self.fail(line, Failure::NotSent),
+            Mode::Silent => return,
+            Mode::Refusing => return self.fail(line, Failure::Refused),
+            Mode::Faulty | Mode::Good => {}
+        }
+        if **name != format!("{upstream}-{}", state.life) {
+            return self.fail(line, Failure::Replaced);
+        }
+        let late = state
+            .leaving
+            .is_some_and(|since| now.since(since) > LEAVE_MS);
+        if let Some(copy) = copy {
+            match state.copies.remove(copy) {
+                None => return self.fail(line, Failure::Refused),
+                Some(owner) if owner != asker => {
+                    self.broken(format_args!("{asker} goes on from the memory of {owner}"));
+                }
+                Some(_) => self.case.copies += 1,
+            }
+        }
+        if late {
+            self.broken(format_args!(
+                "{upstream} got work long after it began to leave"
+            ));
+        }
+        *self.runs.entry(run).or_default() += 1;
+        self.askers[asker].sent_to = Some(upstream);
+        if self.askers[asker].kind != Kind::Stream {
+            self.timeline
+                .schedule(CALL_MS, Action::Answer(line, upstream, asker));
+            return;
+        }
+        self.case.prompts += usize::from(copy.is_none());
+        self.event(line, Event::Opened(line.attempt));
+        let stream = Stream {
+            asker,
+            backup: backup.map(index),
+            position: *position,
+            run,
+        };
+        self.upstreams[upstream].streams.insert(line, stream);
+        let read = if copy.is_some() { STEP_MS } else { READ_MS };
+        self.timeline.schedule(read, Action::Step(line, upstream));
+        self.check_alone(asker, line);
+    }
+
+    /// Two upstreams must not work on one stream for long.
+    pub fn check_alone(&mut self, asker: usize, line: Line) {
+        let others = self.upstreams.iter().flat_map(|upstream| &upstream.streams);
+        let others = others.filter(|(other, stream)| {
+            stream.asker == asker && **other != line && other.instance == line.instance
+        });
+        if others.count() > 0 {
+            self.broken(format_args!(
+                "{asker} runs twice for more than {OVERLAP_MS} ms"
+            ));
+        }
+    }
+
+    /// An upstream makes the next event of a stream.
+    pub fn step(&mut self, line: Line, upstream: usize) {
+        let mode = self.upstreams[upstream].mode;
+        let Some(stream) = self.upstreams[upstream].streams.get_mut(&line) else {
+            return;
+        };
+        if mode == Mode::Silent {
+            self.timeline
+                .schedule(STEP_MS, Action::Step(line, upstream));
+            return;
+        }
+        stream.position += 1;
+        let stream = *stream;
+        let attempt = line.attempt;
+        if stream.position > EVENTS {
+            self.upstreams[upstream].streams.remove(&line);
+            let marked = true;
+            self.event(line, Event::Closed { attempt, marked });
+            return;
+        }
+        if let Some(backup) = stream.backup
+            && self.upstreams[backup].mode != Mode::Down
+        {
+            self.upstreams[backup]
+                .copies
+                .insert(stream.run.to_string().into(), stream.asker);
+        }
+        let bytes = event(stream.asker, stream.position);
+        let position = stream.position;
+        self.event(
+            line,
+            Event::Passed {
+                attempt,
+                bytes,
+                position,
+            },
+        );
+        self.timeline
+            .schedule(STEP_MS, Action::Step(line, upstream));
+    }
+
+    /// A call ends at an upstream.
+    pub fn reply(&mut self, line: Line, upstream: usize, asker: usize) {
+        let attempt = line.attempt;
+        let verdict = match self.upstreams[upstream].mode {
+            Mode::Down => return self.fail(line, Failure::Broken),
+            Mode::Silent => return,
+            Mode::Faulty if self.askers[asker].kind == Kind::Again => Verdict::Fault,
+            Mode::Faulty | Mode::Good | Mode::Refusing => Verdict::Good,
+        };
+        self.event(line, Event::Answered { attempt, verdict });
+    }
+}
--- a/crates/standin/src/relaying.rs
+++ b/crates/standin/src/relaying.rs
@@ -2,34 +2,27 @@
 //! seed. It checks what must always hold while it runs.
 
 use super::*;
+use crowd::{Asker, Kind, PATIENCE_MS};
+use pool::{Line, Mode, Upstream};
 use std::{collections::HashSet, sync::Arc};
 use timeline::Timeline;
 use wellplank_core::{
-    attempt,
     clock::Time,
     config::{self, Config, Customer, Policy, Priority, Route, Service, Share, Target},
     core::Core,
+    counter::{Counter, Timing},
     effect::{Effect, Sending},
-    event::{Event, Failure, Listed, Submission, Verdict},
+    event::{Event, Failure},
     kind::Ran,
-    request::{Caller as Connection, Relay, Work},
-    settings::Settings,
+    request::Caller as Connection,
+    settings::{Resume, Settings},
 };
 
 /// Start of virtual time.
 const START: Time = Time(1_800_000_000_000);
 
 /// Events of a whole stream.
-const EVENTS: u64 = 60;
-
-/// Time between two events of a stream.
-const STEP_MS: u64 = 30;
-
-/// Time from the start of a stream to its first event: its prompt is read.
-const READ_MS: u64 = 300;
-
-/// Time that a call takes.
-const CALL_MS: u64 = 15;
+pub(crate) const EVENTS: u64 = 60;
 
 /// Time between two ticks of a core.
 const TICK_MS: u64 = 10;
@@ -37,112 +30,36 @@
 /// Time between two reads of the list.
 const LIST_MS: u64 = 300;
 
-/// Time after which a leaving upstream must get no new work.
-const LEAVE_MS: u64 = 2_000;
-
-/// Time that a caller waits for its whole answer.
-const PATIENCE_MS: u64 = 25_000;
-
-/// Time after which a caller comes back.
-const BACK_MS: u64 = 60;
-
-/// Tries of a caller, at most.
-const TRIES: usize = 12;
-
 /// Virtual time that a case may take after its last fault.
 const SETTLE_MS: u64 = 60_000;
 
-/// Time by which an attempt must have ended before the next one of its request may run.
-const OVERLAP_MS: u64 = 400;
-
-/// What a caller asks.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum Kind {
-    Again,
-    Once,
-    Stream,
-}
-
-impl Kind {
-    const ALL: [Self; 3] = [Self::Again, Self::Once, Self::Stream];
-
-    fn path(self) -> &'static str {
-        match self {
-            Self::Again => "/again/1",
-            Self::Once => "/once/1",
-            Self::Stream => "/stream/1",
-        }
-    }
-}
-
-/// A caller and what it has.
-struct Asker {
-    begun: Time,
-    ended: bool,
-    instance: usize,
-    kind: Kind,
-    /// Position of the last event that it has.
-    position: u64,
-    /// Name of its try; a number.
-    run: u64,
-    tries: usize,
-    whole: bool,
-}
-
-/// One upstream over its lives.
-struct Upstream {
-    calls: bool,
-    /// Copies of streams: the run and the asker whose stream it is.
-    copies: HashMap<u64, usize>,
-    leaving: Option<Time>,
-    /// Grows with every start.
-    life: u64,
-    mode: Mode,
-    streams: HashMap<Line, Stream>,
-}
-
-/// How an upstream behaves.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum Mode {
-    Down,
-    Faulty,
-    Good,
-    Refusing,
-    Silent,
-}
-
-/// An attempt at an upstream: life of the instance that sent it, and its key there.
-#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
-struct Line {
-    attempt: attempt::Key,
-    instance: usize,
-    life: u64,
-}
-
-/// A stream that an upstream runs.
-#[derive(Clone, Copy, Debug)]
-struct Stream {
-    asker: usize,
-    backup: Option<usize>,
-    position: u64,
-    run: u64,
-}
-
-struct Instance {
-    core: Option<Core>,
-    life: u64,
+/// An instance over its lives.
+pub(crate) struct Instance {
+    pub core: Option<Core>,
+    pub life: u64,
 }
 
-enum Action {
+/// What is to happen.
+pub(crate) enum Action {
+    /// A caller asks.
     Ask(usize),
+    /// A call that an upstream runs for a caller ends.
     Answer(Line, usize, usize),
+    /// A request arrives at an upstream.
     Arrive(Line, usize, Sending),
+    /// The connection of an attempt is closed at an upstream.
     Close(Line, usize),
+    /// One life of an instance reads the list.
     List(usize, u64),
+    /// A caller comes back, if its try of this name is still the last.
     Return(usize, u64),
+    /// An upstream makes the next event of a stream.
     Step(Line, usize),
+    /// One life of an instance is told something.
     Tell(usize, u64, Event),
+    /// Time passes for one life of an instance.
     Tick(usize, u64),
+    /// An instance starts again.
     Restart(usize),
 }
 
@@ -151,6 +68,14 @@
 pub struct Case {
     /// Streams that went on from a copy.
     pub copies: usize,
+    /// Times from the loss of a stream to its next event, in milliseconds.
+    pub pauses_ms: Vec<f64>,
+    /// Prompts read, one for each stream and one more each time that it was read again.
+    pub prompts: usize,
+    /// Streams asked for.
+    pub streams: usize,
+    /// Streams answered whole.
+    pub streams_whole: usize,
     /// Requests.
     pub requests: usize,
     /// What must always hold and did not.
@@ -160,28 +85,31 @@
 }
 
 /// Several cores that relay.
-struct World {
-    askers: Vec<Asker>,
-    case: Case,
-    connections: HashMap<Connection, usize>,
-    instances: Vec<Instance>,
-    next: u64,
-    random: Pcg64Mcg,
+pub(crate) struct World {
+    pub askers: Vec<Asker>,
+    pub case: Case,
+    pub connections: HashMap<Connection, usize>,
+    pub instances: Vec<Instance>,
+    /// Whether instances can read the list of upstreams.
+    pub listing: bool,
+    pub next: u64,
+    pub random: Pcg64Mcg,
     /// Runs that were told not to have run.
-    refused: HashSet<u64>,
+    pub refused: HashSet<u64>,
     /// Runs that ran, and how often.
-    runs: HashMap<u64, usize>,
-    /// When the last attempt of an asker ended at an upstream that still had it.
-    timeline: Timeline<Action>,
-    upstreams: Vec<Upstream>,
+    pub runs: HashMap<u64, usize>,
+    pub settings: Settings,
+    pub timeline: Timeline<Action>,
+    pub upstreams: Vec<Upstream>,
 }
 
-/// Runs one case: requests of every kind and faults at any moment, together and again.
-pub fn case(seed: u64) -> Case {
+/// Runs one case: requests of every kind and faults at any moment, together and again. Streams that are
+/// lost go on in the way `resume`.
+pub fn case(seed: u64, resume: Resume) -> Case {
     let mut random = Pcg64Mcg::seed_from_u64(seed);
     let instances = random.random_range(1..4);
     let engines = random.random_range(3..10);
-    let mut world = World::new(instances, engines, seed);
+    let mut world = World::new(instances, engines, resume, seed);
     for _ in 0..random.random_range(5..40) {
         for _ in 0..random.random_range(0..6) {
             world.ask();
@@ -201,15 +129,55 @@
     world.case
 }
 
-fn address(index: usize) -> SocketAddr {
+/// Measures what going on with lost streams is worth: the same cases in each way.
+pub fn measure(cases: u64, seed: u64) {
+    let mut report = report::Report::new("Relayed streams under faults, in each way to go on");
+    for (name, resume) in Resume::ALL {
+        let mut all = Case::default();
+        for seed in seed..seed + cases {
+            all.add(case(seed, resume));
+        }
+        let streams = all.streams.max(1) as f64;
+        let row = report::Row::new(name)
+            .figure("streams", streams)
+            .figure("whole %", 100.0 * all.streams_whole as f64 / streams)
+            .quantile("pause", &all.pauses_ms, 0.5)
+            .quantile("pause", &all.pauses_ms, 0.99)
+            .figure("pauses", all.pauses_ms.len() as f64)
+            .figure("from copies", all.copies as f64)
+            .figure(
+                "prompts read again/stream",
+                all.prompts as f64 / streams - 1.0,
+            )
+            .figure("broken", all.violations.len() as f64);
+        report.rows.push(row);
+    }
+    report.print();
+}
+
+impl Case {
+    /// Adds another case.
+    fn add(&mut self, other: Self) {
+        self.copies += other.copies;
+        self.pauses_ms.extend(other.pauses_ms);
+        self.prompts += other.prompts;
+        self.requests += other.requests;
+        self.streams += other.streams;
+        self.streams_whole += other.streams_whole;
+        self.violations.extend(other.violations);
+        self.whole += other.whole;
+    }
+}
+
+pub(crate) fn address(index: usize) -> SocketAddr {
     SocketAddr::from(([10, 0, 0, 1], index as u16 + 1))
 }
 
-fn index(address: SocketAddr) -> usize {
+pub(crate) fn index(address: SocketAddr) -> usize {
     usize::from(address.port()) - 1
 }
 
-fn event(asker: usize, position: u64) -> Arc<[u8]> {
+pub(crate) fn event(asker: usize, position: u64) -> Arc<[u8]> {
     format!("{asker}/{position}").into_bytes().into()
 }
 
@@ -260,26 +228,28 @@
 }
 
 impl World {
-    fn new(instances: usize, engines: usize, seed: u64) -> Self {
-        let upstream = |index: usize| Upstream {
-            calls: index >= engines,
-            copies: HashMap::new(),
-            leaving: None,
-            life: 1,
-            mode: Mode::Good,
-            streams: HashMap::new(),
+    /// Instances before engines and two plain services.
+    pub fn new(instances: usize, engines: usize, resume: Resume, seed: u64) -> Self {
+        let settings = Settings {
+            probes: false,
+            relay_resume: resume,
+            ..Settings::default()
         };
         let mut world = Self {
             askers: Vec::new(),
             case: Case::default(),
             connections: HashMap::new(),
             instances: Vec::new(),
+            listing: true,
             next: 0,
             random: Pcg64Mcg::seed_from_u64(seed ^ 1),
             refused: HashSet::new(),
             runs: HashMap::new(),
+            settings,
             timeline: Timeline::new(START),
-            upstreams: (0..engines + 2).map(upstream).collect(),
+            upstreams: (0..engines + 2)
+                .map(|index| Upstream::new(index >= engines))
+                .collect(),
         };
         for index in 0..instances {
             world.instances.push(Instance {
@@ -291,83 +261,11 @@
         world
     }
 
-    fn broken(&mut self, text: impl std::fmt::Display) {
+    pub fn broken(&mut self, text: impl std::fmt::Display) {
         let at = self.timeline.now().since(START);
         self.case.violations.push(format!("{at} ms: {text}"));
     }
 
-    /// A new caller asks.
-    fn ask(&mut self) {
-        let kind = Kind::ALL[self.random.random_range(0..Kind::ALL.len())];
-        let instance = self.random.random_range(0..self.instances.len());
-        self.askers.push(Asker {
-            begun: self.timeline.now(),
-            ended: false,
-            instance,
-            kind,
-            position: 0,
-            run: 0,
-            tries: 0,
-            whole: false,
-        });
-        let asker = self.askers.len() - 1;
-        self.timeline.schedule(0, Action::Ask(asker));
-    }
-
-    /// Has a caller's request arrive at an instance; a caller that finds none comes back.
-    fn submit(&mut self, index: usize) {
-        self.next += 1;
-        let (run, connection) = (self.next, Connection(self.next));
-        let asker = &mut self.askers[index];
-        asker.run = run;
-        asker.tries += 1;
-        let waited = self.timeline.now().since(asker.begun);
-        if asker.tries > TRIES || waited >= PATIENCE_MS {
-            asker.ended = true;
-            return;
-        }
-        let instance = asker.instance;
-        if self.instances[instance].core.is_none() {
-            self.come_back(index);
-            return;
-        }
-        let asker = &self.askers[index];
-        let submission = Submission {
-            caller: connection,
-            cursor: None,
-            customer: "key".into(),
-            fingerprint: 0,
-            generation: u128::from(run),
-            key: None,
-            received: None,
-            service: String::new(),
-            work: Work::Relay(Relay {
-                bytes: 100,
-                host: "host".into(),
-                path: asker.kind.path().into(),
-                patience_ms: Some(PATIENCE_MS - waited),
-                position: asker.position,
-                prompt: if asker.kind == Kind::Stream {
-                    index as u64 + 1
-                } else {
-                    0
-                },
-                run: run.to_string().into(),
-                tokens: if asker.kind == Kind::Stream { 5_200 } else { 0 },
-            }),
-        };
-        self.connections.insert(connection, index);
-        self.tell(instance, Event::Submit(Box::new(submission)));
-    }
-
-    /// A caller asks again at another instance, if it may.
-    fn come_back(&mut self, index: usize) {
-        let instances = self.instances.len();
-        let asker = &mut self.askers[index];
-        asker.instance = (asker.instance + 1) % instances;
-        self.timeline.schedule(BACK_MS, Action::Ask(index));
-    }
-
     /// Causes a fault, or ends one.
     fn cause(&mut self) {
         let upstream = self.random.random_range(0..self.upstreams.len());
@@ -393,18 +291,8 @@
         }
     }
 
-    /// Callers' connections break; they come back.
-    fn leave_connections(&mut self) {
-        let connections: Vec<(Connection, usize)> = self.connections.drain().collect();
-        for (connection, asker) in connections {
-            let instance = self.askers[asker].instance;
-            self.tell(instance, Event::CallerGone(connection));
-            self.lost(asker);
-        }
-    }
-
     /// An instance ends at once.
-    fn kill(&mut self, index: usize) {
+    pub fn kill(&mut self, index: usize) {
         self.instances[index].core = None;
         let life = self.instances[index].life;
         for upstream in &mut self.upstreams {
@@ -423,23 +311,11 @@
         self.timeline.schedule(800, Action::Restart(index));
     }
 
-    /// A caller's connection ended without a whole answer. One that may not repeat gives up.
-    fn lost(&mut self, index: usize) {
-        if self.askers[index].kind == Kind::Once {
-            self.askers[index].ended = true;
-        } else {
-            self.come_back(index);
-        }
-    }
-
-    fn restart(&mut self, index: usize) {
+    pub fn restart(&mut self, index: usize) {
         if self.instances[index].core.is_some() {
             return;
         }
-        let settings = Settings {
-            probes: false,
-            ..Settings::default()
-        };
+        let settings = self.settings.clone();
         let life = self.instances[index].life + 1;
         let seed = self.random.random();
         let core = Core::new(settings, [0; 32], seed, self.timeline.now());
@@ -453,37 +329,17 @@
         self.timeline.schedule(1, Action::Tick(index, life));
     }
 
-    /// Has an upstream behave otherwise. One that was down starts a new life.
-    fn set(&mut self, index: usize, mode: Mode) {
-        let upstream = &mut self.upstreams[index];
-        if upstream.mode == Mode::Down && mode != Mode::Down {
-            upstream.life += 1;
-            upstream.leaving = None;
-        }
-        if mode == Mode::Good {
-            upstream.leaving = None;
-        }
-        upstream.mode = mode;
-        if mode == Mode::Down {
-            upstream.copies.clear();
-            let lines: Vec<Line> = upstream.streams.drain().map(|(line, _)| line).collect();
-            for line in lines {
-                self.fail(line, Failure::Broken);
-            }
-        }
-    }
-
-    fn fail(&mut self, line: Line, failure: Failure) {
+    pub fn fail(&mut self, line: Line, failure: Failure) {
         let attempt = line.attempt;
         self.event(line, Event::Failed { attempt, failure });
     }
 
-    fn event(&mut self, line: Line, event: Event) {
+    pub fn event(&mut self, line: Line, event: Event) {
         let action = Action::Tell(line.instance, line.life, event);
         self.timeline.schedule(1, action);
     }
 
-    fn run_for(&mut self, millis: u64) {
+    pub fn run_for(&mut self, millis: u64) {
         let end = self.timeline.now().after(millis);
         while let Some(action) = self.timeline.next(end) {
             self.act(action);
@@ -503,9 +359,11 @@
                 self.upstreams[upstream].streams.remove(&line);
             }
             Action::List(instance, life) if self.lives(instance, life) => {
-                let listed = Some(self.listed());
-                let asked = self.timeline.now();
-                self.tell(instance, Event::List { asked, listed });
+                if self.listing {
+                    let listed = Some(self.listed());
+                    let asked = self.timeline.now();
+                    self.tell(instance, Event::List { asked, listed });
+                }
                 self.timeline
                     .schedule(LIST_MS, Action::List(instance, life));
             }
@@ -529,19 +387,7 @@
         }
     }
 
-    fn listed(&self) -> Vec<Listed> {
-        let listed = |(index, upstream): (usize, &Upstream)| Listed {
-            address: address(index),
-            data_centre: format!("dc-{}", index % 3),
-            leaving: upstream.leaving.is_some(),
-            name: format!("{index}-{}", upstream.life),
-            pool: if upstream.calls { "desk" } else { "engines" }.into(),
-            since: 0,
-        };
-        self.upstreams.iter().enumerate().map(listed).collect()
-    }
-
-    fn tell(&mut self, instance: usize, event: Event) {
+    pub fn tell(&mut self, instance: usize, event: Event) {
         let now = self.timeline.now();
         let Some(core) = self.instances[instance].core.as_mut() else {
             return;
@@ -579,10 +425,8 @@
                 }
                 self.end(caller, true);
             }
-            Effect::Count(counter, _) => {
-                if let wellplank_core::counter::Counter::Invariant(invariant) = counter {
-                    self.broken(format_args!("invariant {invariant}"));
-                }
+            Effect::Count(Counter::Invariant(invariant), _) => {
+                self.broken(format_args!("invariant {invariant}"));
             }
             Effect::Cut(caller) => self.end(caller, false),
             Effect::Fail { caller, kind, .. } => {
@@ -605,8 +449,10 @@
                 self.timeline.schedule(1, arrive);
             }
             Effect::Tell(sighting) => self.gossip(instance, &Event::Sighted(sighting)),
+            Effect::Timed(Timing::Resume, millis) => self.case.pauses_ms.push(millis as f64),
             Effect::Believe { .. }
             | Effect::Claim { .. }
+            | Effect::Count(..)
             | Effect::Deliver { .. }
             | Effect::Detach(_)
             | Effect::Finish { .. }
@@ -630,180 +476,16 @@
         }
     }
 
-    /// A caller's answer ended, whole or cut.
-    fn end(&mut self, caller: Connection, whole: bool) {
-        let Some(asker) = self.connections.remove(&caller) else {
-            return;
-        };
-        if whole {
-            self.askers[asker].ended = true;
-            self.askers[asker].whole = true;
-        } else {
-            self.lost(asker);
-        }
-    }
-
-    /// A caller was given an error. One that did not run, or may repeat, comes back.
-    fn refuse(&mut self, caller: Connection, ran: Ran) {
-        let Some(asker) = self.connections.remove(&caller) else {
-            return;
-        };
-        if ran == Ran::No || self.askers[asker].kind != Kind::Once {
-            let run = self.askers[asker].run;
-            self.timeline.schedule(400, Action::Return(asker, run));
-        } else {
-            self.askers[asker].ended = true;
-        }
-    }
-
-    /// A caller gets an event.
-    fn take(&mut self, caller: Connection, bytes: &[u8]) {
-        let Some(asker) = self.connections.get(&caller).copied() else {
-            return;
-        };
-        let next = self.askers[asker].position + 1;
-        if *bytes != *event(asker, next) {
-            let text = String::from_utf8_lossy(bytes).into_owned();
-            self.broken(format_args!("{asker} got {text} in place of event {next}"));
-        }
-        self.askers[asker].position = next;
-    }
-
-    /// A request arrives at an upstream.
-    fn arrive(&mut self, line: Line, upstream: usize, sending: &Sending) {
-        let Sending::Relay {
-            backup,
-            caller,
-            copy,
-            position,
-            upstream: name,
-            ..
-        } = sending
-        else {
-            return;
-        };
-        let Some(asker) = self.connections.get(caller).copied() else {
-            return;
-        };
-        let run = self.askers[asker].run;
-        let now = self.timeline.now();
-        let state = &mut self.upstreams[upstream];
-        match state.mode {
-            Mode::Down => return self.fail(line, Failure::NotSent),
-            Mode::Silent => return,
-            Mode::Refusing => return self.fail(line, Failure::Refused),
-            Mode::Faulty | Mode::Good => {}
-        }
-        if **name != format!("{upstream}-{}", state.life) {
-            return self.fail(line, Failure::Replaced);
-        }
-        let late = state
-            .leaving
-            .is_some_and(|since| now.since(since) > LEAVE_MS);
-        if let Some(copy) = copy {
-            let copied: u64 = copy.parse().unwrap_or_default();
-            match state.copies.remove(&copied) {
-                None => return self.fail(line, Failure::Refused),
-                Some(owner) if owner != asker => {
-                    self.broken(format_args!("{asker} goes on from the memory of {owner}"));
-                }
-                Some(_) => self.case.copies += 1,
-            }
-        }
-        if late {
-            self.broken(format_args!(
-                "{upstream} got work long after it began to leave"
-            ));
-        }
-        *self.runs.entry(run).or_default() += 1;
-        if self.askers[asker].kind != Kind::Stream {
-            self.timeline
-                .schedule(CALL_MS, Action::Answer(line, upstream, asker));
-            return;
-        }
-        self.event(line, Event::Opened(line.attempt));
-        let stream = Stream {
-            asker,
-            backup: backup.map(index),
-            position: *position,
-            run,
-        };
-        self.upstreams[upstream].streams.insert(line, stream);
-        let read = if copy.is_some() { STEP_MS } else { READ_MS };
-        self.timeline.schedule(read, Action::Step(line, upstream));
-        self.check_alone(asker, line);
-    }
-
-    /// Two upstreams must not work on one stream for long.
-    fn check_alone(&mut self, asker: usize, line: Line) {
-        let others = self.upstreams.iter().flat_map(|upstream| &upstream.streams);
-        let others = others.filter(|(other, stream)| {
-            stream.asker == asker && **other != line && other.instance == line.instance
-        });
-        if others.count() > 0 {
-            self.broken(format_args!(
-                "{asker} runs twice for more than {OVERLAP_MS} ms"
-            ));
-        }
-    }
-
-    /// An upstream makes the next event of a stream.
-    fn step(&mut self, line: Line, upstream: usize) {
-        let mode = self.upstreams[upstream].mode;
-        let Some(stream) = self.upstreams[upstream].streams.get_mut(&line) else {
-            return;
-        };
-        if mode == Mode::Silent {
-            self.timeline
-                .schedule(STEP_MS, Action::Step(line, upstream));
-            return;
-        }
-        stream.position += 1;
-        let stream = *stream;
-        let attempt = line.attempt;
-        if stream.position > EVENTS {
-            self.upstreams[upstream].streams.remove(&line);
-            let marked = true;
-            self.event(line, Event::Closed { attempt, marked });
-            return;
-        }
-        if let Some(backup) = stream.backup
-            && self.upstreams[backup].mode != Mode::Down
-        {
-            self.upstreams[backup]
-                .copies
-                .insert(stream.run, stream.asker);
-        }
-        let bytes = event(stream.asker, stream.position);
-        let position = stream.position;
-        self.event(
-            line,
-            Event::Passed {
-                attempt,
-                bytes,
-                position,
-            },
-        );
-        self.timeline
-            .schedule(STEP_MS, Action::Step(line, upstream));
-    }
-
-    /// A call ends at an upstream.
-    fn reply(&mut self, line: Line, upstream: usize, asker: usize) {
-        let attempt = line.attempt;
-        let verdict = match self.upstreams[upstream].mode {
-            Mode::Down => return self.fail(line, Failure::Broken),
-            Mode::Silent => return,
-            Mode::Faulty if self.askers[asker].kind == Kind::Again => Verdict::Fault,
-            Mode::Faulty | Mode::Good | Mode::Refusing => Verdict::Good,
-        };
-        self.event(line, Event::Answered { attempt, verdict });
-    }
-
     /// Checks what must hold at the end of a run.
-    fn check_end(&mut self) {
+    pub fn check_end(&mut self) {
         self.case.requests = self.askers.len();
         self.case.whole = self.askers.iter().filter(|asker| asker.whole).count();
+        let streams = self
+            .askers
+            .iter()
+            .filter(|asker| asker.kind == Kind::Stream);
+        self.case.streams = streams.clone().count();
+        self.case.streams_whole = streams.filter(|asker| asker.whole).count();
         let refused_and_run: Vec<u64> = self
             .refused
             .iter()
--- a/crates/standin/tests/proof.rs
+++ b/crates/standin/tests/proof.rs
@@ -2,11 +2,11 @@
 
 use {
     googletest::prelude::*,
-    wellplank_core::settings::Settings,
+    wellplank_core::settings::{Resume, Settings},
     wellplank_standin::{
         asker::{Ask, End, Step},
         matrix::{self, Cell, Fault},
-        random, relaying,
+        random, relayed, relaying,
     },
 };
 
@@ -59,6 +59,27 @@
     expect_that!(end, eq(End::Failed(wellplank_core::kind::Kind::Unknown)));
 }
 
+#[gtest]
+fn every_fault_at_every_step_of_a_relayed_request_holds() {
+    let cells = relayed::run(Resume::Copy);
+    let broken: Vec<&relayed::Cell> = cells.iter().filter(|cell| !cell.holds()).collect();
+    expect_that!(broken, is_empty());
+    expect_that!(cells.len(), eq(165));
+}
+
+#[gtest]
+fn relayed_streams_lose_time_without_copies() {
+    let pause = |resume| {
+        let cells = relayed::run(resume);
+        let killed = |cell: &&relayed::Cell| {
+            cell.fault == relayed::Fault::EngineKilled && cell.step == relayed::Step::Streaming
+        };
+        cells.iter().find(killed).map(|cell| cell.pause_ms)
+    };
+    expect_that!(pause(Resume::Copy), some(lt(100)));
+    expect_that!(pause(Resume::Anew), some(ge(300)));
+}
+
 #[gtest]
 fn random_faults_break_nothing() {
     for seed in 1..=CASES {
@@ -71,7 +92,7 @@
 fn random_faults_break_nothing_that_is_relayed() {
     let (mut copies, mut requests, mut whole) = (0, 0, 0);
     for seed in 1..=RELAYING_CASES {
-        let case = relaying::case(seed);
+        let case = relaying::case(seed, Resume::Copy);
         expect_that!(case.violations, is_empty(), "seed {seed}");
         copies += case.copies;
         requests += case.requests;
