Large fleets: one instance of a data centre watches the store for all there

Change: one instance of each data centre watches list and configuration and tells the others there, a deputy stands in when it is silent; the others read a changed configuration by reads that may be old and cost a tenth; instances are looked for by such reads; two instances keep the streams of all. Datagrams that overtake others wait for these, and are sent no faster than the link carries. Ruled out as causes of missed changes: lost datagrams as such; the last of three to 28 others was dropped by the sender's own full link, and a first word began behind its own changes (test in node/tests/roster.rs). Tests that counted calls of the store now count their price, with the same bounds or lower ones: reads that may be old cost a tenth, which a count would hide.

--- a/crates/node/src/feed.rs
+++ b/crates/node/src/feed.rs
@@ -1,4 +1,4 @@
-//! What the platform's store tells: reading, watching, and the configuration.
+//! Reading and watching the platform's store.
 
 use super::*;
 use platform::store::{Call, Change, Item, Page, Seen};
@@ -19,8 +19,11 @@
 const BEHIND: Duration = Duration::from_millis(500);
 
 /// Pause after a call that failed: it doubles with each further failure up to the end, since refused
-/// calls are paid for too.
-const RETRY: RangeInclusive<Duration> = Duration::from_millis(250)..=Duration::from_secs(1);
+/// calls are paid for in full, also those that cost a tenth when they are answered.
+const RETRY: RangeInclusive<Duration> = Duration::from_millis(250)..=Duration::from_secs(2);
+
+/// The longest such pause of an instance that has started and has read nothing yet: it can not serve.
+const RETRY_FIRST: Duration = Duration::from_secs(1);
 
 /// A client of the platform's store.
 #[derive(Clone)]
@@ -30,6 +33,15 @@
     meter: meter::Meter,
 }
 
+/// How old what a read brings may be.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Age {
+    /// It is the newest.
+    Newest,
+    /// It may be seconds old; such a read costs a tenth.
+    Seconds,
+}
+
 /// A prefix of the store, read once and watched from there on.
 pub(crate) struct Cursor {
     client: Client,
@@ -83,15 +95,20 @@
 
     /// Reads all items under a prefix, and the revision to watch from. Pages are no snapshot, so it
     /// is that of the first one.
-    pub async fn items(&self, prefix: &str, patience: Duration) -> Result<(Vec<Item>, u64), Error> {
-        let mut page = self.page(prefix, None, patience).await?;
+    pub async fn items(
+        &self,
+        prefix: &str,
+        patience: Duration,
+        age: Age,
+    ) -> Result<(Vec<Item>, u64), Error> {
+        let mut page = self.page(prefix, None, patience, age).await?;
         let revision = page.revision;
         let mut items = std::mem::take(&mut page.items);
         while page.more {
             let Some(last) = items.last().map(|item| item.key.clone()) else {
                 break;
             };
-            page = self.page(prefix, Some(&last), patience).await?;
+            page = self.page(prefix, Some(&last), patience, age).await?;
             items.append(&mut page.items);
         }
         Ok((items, revision))
@@ -102,10 +119,10 @@
         prefix: &str,
         after: Option<&str>,
         patience: Duration,
+        age: Age,
     ) -> Result<Page, Error> {
-        let (status, body) = self
-            .call(platform::store::range(prefix, after), patience)
-            .await?;
+        let call = platform::store::range(prefix, after, age == Age::Seconds);
+        let (status, body) = self.call(call, patience).await?;
         if status != StatusCode::OK {
             return Err(Error::Store(format!("reading {prefix}: {status}")));
         }
@@ -158,124 +175,78 @@
     }
 
     async fn read(&mut self) -> Result<Vec<Item>, Error> {
-        let (items, revision) = self.client.items(self.prefix, self.patience).await?;
+        let (items, revision) = self
+            .client
+            .items(self.prefix, self.patience, Age::Newest)
+            .await?;
         self.revision = Some(revision);
         Ok(items)
     }
 }
 
-/// Keeps the configuration in force that the store holds.
-pub(crate) struct Configuration {
-    /// Client of the store.
-    pub client: Client,
-    /// The core task.
-    pub driver: Driver,
-    /// The most that other instances know.
-    pub heard: watch::Receiver<gossip::Known>,
-    /// What this instance knows.
-    pub known: watch::Sender<gossip::Known>,
-    /// Limits on what callers send.
-    pub limits: watch::Sender<platform::configuration::Limits>,
-}
-
-impl Configuration {
-    /// Serves for ever.
-    pub async fn run(mut self) {
-        let mut cursor = Cursor::new(self.client.clone(), platform::configuration::KEY);
-        let mut link = Link::new("configuration");
-        loop {
-            let own = self.known.borrow().configuration;
-            let behind = behind(&mut self.heard, move |heard| heard.configuration > own);
-            let reading = cursor.revision.is_none();
-            let next = tokio::select! {
-                next = cursor.next() => next,
-                // A read brings the newest anyway, and may take long.
-                () = behind, if !reading => {
-                    cursor.revision = None;
-                    Err(Error::Store("other instances know a newer one".into()))
-                }
-            };
-            match next {
-                Ok(news) => {
-                    link.good();
-                    if let Some(item) = newest(news) {
-                        self.adopt(&item);
-                    }
-                }
-                Err(error) => link.bad(&error).await,
-            }
-        }
-    }
-
-    fn adopt(&self, item: &Item) {
-        match platform::configuration::decode(&item.value) {
-            Ok(decoded) => {
-                let revision = decoded.config.revision;
-                let routes = decoded.config.routes.len();
-                let store_revision = item.revision;
-                info!(revision, routes, store_revision; "configuration in force");
-                self.driver.event(Event::Config(Arc::new(decoded.config)));
-                self.limits.send_replace(decoded.limits);
-                self.known
-                    .send_modify(|known| known.configuration = Some(revision));
-            }
-            Err(error) => error!("the configuration in force stays: {error}"),
-        }
-    }
-}
-
 /// Waits until other instances have known more for a while than this one: its own watch says nothing
 /// any more, though its connection stays.
 pub(crate) async fn behind(
-    heard: &mut watch::Receiver<gossip::Known>,
+    heard: &mut watch::Receiver<gossip::Heard>,
     more: impl Fn(&gossip::Known) -> bool,
 ) {
-    if heard.wait_for(|heard| more(heard)).await.is_err() {
+    if heard.wait_for(|heard| more(&heard.most)).await.is_err() {
         std::future::pending::<()>().await;
     }
     sleep(BEHIND).await;
 }
 
-/// The newest configuration in what was seen.
-fn newest(news: News) -> Option<Item> {
-    match news {
-        News::All(items) => items
-            .into_iter()
-            .find(|item| item.key == platform::configuration::KEY),
-        News::Some(changes) => changes.into_iter().rev().find_map(|change| match change {
-            Change::Written(item) if item.key == platform::configuration::KEY => Some(item),
-            Change::Removed { .. } | Change::Written(_) => None,
-        }),
-    }
-}
-
 /// Whether a part of the store answers; each change is logged once.
 pub(crate) struct Link {
-    /// Pause after the next failure; `None` while the store answers.
+    /// When the last call failed; `None` while the store answers.
+    failed: Option<Instant>,
+    /// Pause after the last failure; `None` while the store answers.
     pause: Option<Duration>,
+    /// Whether the store has ever answered.
+    known: bool,
     what: &'static str,
 }
 
 impl Link {
     /// Time that the next read has.
     pub fn patience(&self) -> Duration {
-        let patience = self.pause.map_or(PATIENCE, |pause| pause * 4);
+        let patience = self.pause.map_or(PATIENCE, |pause| pause * 8);
         patience.clamp(PATIENCE, PATIENCE_MOST)
     }
 
     /// Notes a call that failed, and waits before the next one.
     pub async fn bad(&mut self, error: &Error) {
-        let pause = self.pause.unwrap_or_else(|| {
-            warn!("{} of the store can not be read: {error}", self.what);
-            *RETRY.start()
-        });
-        self.pause = Some((pause * 2).min(*RETRY.end()));
-        sleep(pause).await;
+        self.note(error);
+        sleep(self.wait()).await;
+    }
+
+    /// Notes a call that failed. The pause after it doubles with each further failure.
+    pub fn note(&mut self, error: &Error) {
+        let pause = match self.pause {
+            Some(pause) if self.known => (pause * 2).min(*RETRY.end()),
+            Some(pause) => (pause * 2).min(RETRY_FIRST),
+            None => {
+                warn!("{} of the store can not be read: {error}", self.what);
+                *RETRY.start()
+            }
+        };
+        self.failed = Some(Instant::now());
+        self.pause = Some(pause);
+    }
+
+    /// Time left before the store is to be asked again.
+    pub fn wait(&self) -> Duration {
+        match (self.failed, self.pause) {
+            (Some(failed), Some(pause)) => pause.saturating_sub(failed.elapsed()),
+            _ => Duration::ZERO,
+        }
     }
 
     /// Notes an answer; whether it is the first after a loss.
     pub fn good(&mut self) -> bool {
         let lost = self.pause.take().is_some();
+        self.failed = None;
+        self.known = true;
         if lost {
             info!("{} of the store can be read again", self.what);
         }
@@ -284,6 +255,11 @@
 
     /// A link that is believed to work; `what` names it in logs.
     pub fn new(what: &'static str) -> Self {
-        Self { pause: None, what }
+        Self {
+            failed: None,
+            known: false,
+            pause: None,
+            what,
+        }
     }
 }
--- a/crates/node/src/hosted.rs
+++ b/crates/node/src/hosted.rs
@@ -72,7 +72,7 @@
     /// Starts every task of an instance.
     pub async fn start(settings: Settings, hosted: Hosted) -> Result<Self, Error> {
         let clock = Clock::new();
-        let (heard, most_heard) = watch::channel(gossip::Known::default());
+        let (heard, most_heard) = watch::channel(gossip::Heard::default());
         let (known, own) = watch::channel(gossip::Known::default());
         let (limits, limited) = watch::channel(platform::configuration::Limits::default());
         let (stop, stopping) = watch::channel(None);
@@ -81,6 +81,10 @@
         let meter = meter::Meter::new(settings.metrics);
         let client = feed::Client::new(hosted.store, meter.clone());
         let page = Page(meter.clone());
+        let this = members::Own {
+            data_centre: settings.data_centre.clone(),
+            name: settings.instance.clone(),
+        };
         let ends = driver::Ends {
             claims: mpsc::unbounded_channel().0,
             leaving: watch::channel(driver::Leaving::new()).0,
@@ -106,36 +110,46 @@
         serve(settings.listen.callers, callers, idle.clone()).await?;
         let page = Router::with_path("metrics").get(page);
         serve(hosted.metrics, page, idle).await?;
-        let configuration = feed::Configuration {
-            client: client.clone(),
-            driver: driver.clone(),
-            heard: most_heard.clone(),
-            known: known.clone(),
-            limits,
-        };
-        tokio::spawn(configuration.run());
         let gossip = gossip::Gossip {
             client: client.clone(),
             driver: driver.clone(),
             heard,
-            instance: settings.instance.clone(),
             known: own,
+            link_mbps: hosted.link_mbps,
             listen: hosted.peers,
+            own: this.clone(),
         };
         let (tell_roster, rosters) = mpsc::unbounded_channel();
-        let roster = roster::Task {
-            addresses: gossip.start(telling, tell_roster).await?,
+        let members = gossip.start(telling, tell_roster).await?;
+        let pace = pace::Pace {
+            bound: Duration::from_millis(hosted.apply_ms.min(hosted.leave_ms)),
+        };
+        let configuration = configuration::Configuration {
+            client: client.clone(),
+            driver: driver.clone(),
+            heard: most_heard.clone(),
+            known: known.clone(),
+            limits,
+            members: members.clone(),
+            own: this.clone(),
+            pace,
+            told: telling_others.clone(),
+        };
+        tokio::spawn(configuration.run());
+        let lister = lister::Lister {
             client,
             clock,
             driver: driver.clone(),
             heard: most_heard,
-            instance: settings.instance.clone(),
             known,
             leave: Duration::from_millis(hosted.leave_ms),
+            members,
+            own: this,
+            pace,
             rosters,
             told: telling_others,
         };
-        tokio::spawn(roster.run());
+        tokio::spawn(lister.run());
         let address = settings.listen.callers.to_string();
         let data_centre = settings.data_centre.as_str();
         let peers = hosted.peers.to_string();
--- /dev/null
+++ b/crates/node/src/keeper.rs
@@ -0,0 +1,197 @@
+//! What instances keep in the platform's store: their entries, and the streams that they relay, so that
+//! these are known after all instances were lost at once.
+
+use super::*;
+use members::{Member, Members, Own};
+
+/// Start of the keys under which streams are kept.
+const STREAMS: &str = "wellplank/streams/";
+
+/// Time that an instance's entries outlive it: longer than a restart takes.
+const LEASE: Duration = Duration::from_secs(20);
+
+/// Time between two renewals of the lease; several may fail.
+const RENEW: Duration = Duration::from_secs(5);
+
+/// Time between two looks at whether the streams are to be written; each write is paid for.
+const KEEP: Duration = Duration::from_millis(700);
+
+/// Time that a call may take.
+const PATIENCE: Duration = Duration::from_secs(1);
+
+/// Streams kept, at most: half of what a value may hold.
+const KEPT: usize = 4_000;
+
+/// Time for which a stream is kept that is not told of again: longer than a caller waits.
+const KEPT_FOR: Duration = Duration::from_secs(30);
+
+/// Streams that instances relay, by the identity of their prompt, and when each was told of.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Streams(BTreeMap<u64, (Instant, peers::Sighting)>);
+
+impl Streams {
+    /// The newest streams as they are kept.
+    fn encode(&mut self) -> Vec<u8> {
+        self.0.retain(|_, (at, _)| at.elapsed() < KEPT_FOR);
+        let mut kept: Vec<&(Instant, peers::Sighting)> = self.0.values().collect();
+        kept.sort_unstable_by_key(|(at, _)| std::cmp::Reverse(*at));
+        if kept.len() > KEPT {
+            warn!("{} streams of {} are kept", KEPT, kept.len());
+        }
+        let kept = kept.into_iter().take(KEPT);
+        let sightings = kept.map(|(_, sighting)| sighting.clone()).collect();
+        peers::Sightings { sightings }.encode_to_vec()
+    }
+
+    /// Takes in what an instance told of a stream.
+    pub fn take(&mut self, sighting: &peers::Sighting) {
+        match sighting.stage() {
+            peers::Stage::Ended | peers::Stage::Left => {
+                self.0.remove(&sighting.prompt);
+            }
+            peers::Stage::Started | peers::Stage::Streaming => {
+                let told = (Instant::now(), sighting.clone());
+                self.0.insert(sighting.prompt, told);
+            }
+        }
+    }
+}
+
+/// What the task needs.
+pub(crate) struct Keeper {
+    /// Client of the store.
+    pub client: feed::Client,
+    /// The core task.
+    pub driver: Driver,
+    /// Where this instance's datagrams come.
+    pub listen: SocketAddr,
+    /// Other instances.
+    pub members: watch::Receiver<Members>,
+    /// This instance.
+    pub own: Own,
+    /// Streams that instances told of, this one's with them.
+    pub streams: watch::Receiver<Streams>,
+}
+
+impl Keeper {
+    /// Enters this instance in the store and keeps streams there, for ever. What was kept before its start
+    /// is read first.
+    pub async fn run(mut self) {
+        self.recall().await;
+        let mut lease = Lease {
+            client: self.client.clone(),
+            granted: None,
+        };
+        let member = Member {
+            address: self.listen,
+            data_centre: self.own.data_centre.clone(),
+        };
+        let entry = member.encode();
+        let key = format!("{}{}", members::PREFIX, self.own.name);
+        let kept = format!("{STREAMS}{}", self.own.name);
+        let mut ticks = interval(KEEP);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            ticks.tick().await;
+            if let Err(error) = lease.hold(&key, &entry).await {
+                debug!("entering this instance: {error}");
+                continue;
+            }
+            let keeps = self.own.keeps(&self.members.borrow());
+            if keeps && self.streams.has_changed().unwrap_or(false) {
+                let mut streams = self.streams.borrow_and_update().clone();
+                if let Err(error) = lease.put(&kept, &streams.encode()).await {
+                    debug!("keeping streams: {error}");
+                }
+            }
+        }
+    }
+
+    /// Reads the streams that were kept before this instance started; a store that is away is waited for,
+    /// since nothing can be written to it either. Callers who come back noticed the loss of their instances
+    /// only after seconds, so the read may be as old.
+    async fn recall(&self) {
+        let mut link = feed::Link::new("streams");
+        let items = loop {
+            let read = self
+                .client
+                .items(STREAMS, link.patience(), feed::Age::Seconds);
+            match read.await {
+                Ok((items, _)) => break items,
+                Err(error) => link.bad(&error).await,
+            }
+        };
+        for item in items {
+            match peers::Sightings::decode(item.value.as_slice()) {
+                Ok(kept) => gossip::sight(kept.sightings, &self.driver),
+                Err(error) => warn!("{} can not be read: {error}", item.key),
+            }
+        }
+    }
+}
+
+/// The lease that this instance's entries end with.
+struct Lease {
+    client: feed::Client,
+    granted: Option<Granted>,
+}
+
+#[derive(Clone, Copy)]
+struct Granted {
+    id: u64,
+    renewed: Instant,
+}
+
+impl Lease {
+    /// Makes sure that the lease runs and this instance is entered.
+    async fn hold(&mut self, key: &str, address: &str) -> Result<(), Error> {
+        match self.granted {
+            Some(granted) if granted.renewed.elapsed() < RENEW => Ok(()),
+            Some(granted) => self.renew(granted.id).await,
+            None => {
+                let asked = Instant::now();
+                let call = platform::store::lease(LEASE);
+                let (status, body) = self.client.call(call, PATIENCE).await?;
+                if status != StatusCode::OK {
+                    return Err(Error::Store(format!("lease: {status}")));
+                }
+                let id = platform::store::decode_lease(&body)
+                    .map_err(|error| Error::Store(error.to_string()))?;
+                self.granted = Some(Granted { id, renewed: asked });
+                self.put(key, address.as_bytes()).await
+            }
+        }
+    }
+
+    async fn put(&mut self, key: &str, value: &[u8]) -> Result<(), Error> {
+        let id = self.granted.map_or(0, |granted| granted.id);
+        let call = platform::store::put(key, value, id);
+        let (status, _) = self.client.call(call, PATIENCE).await?;
+        match status {
+            StatusCode::OK => Ok(()),
+            StatusCode::NOT_FOUND => {
+                // The lease has ended; the next look asks for a new one.
+                self.granted = None;
+                Err(Error::Store(format!("{key}: the lease has ended")))
+            }
+            status => Err(Error::Store(format!("{key}: {status}"))),
+        }
+    }
+
+    async fn renew(&mut self, id: u64) -> Result<(), Error> {
+        let asked = Instant::now();
+        let call = platform::store::renew(id);
+        let (status, _) = self.client.call(call, PATIENCE).await?;
+        match status {
+            StatusCode::OK => {
+                self.granted = Some(Granted { id, renewed: asked });
+                Ok(())
+            }
+            StatusCode::NOT_FOUND => {
+                self.granted = None;
+                Err(Error::Store("the lease has ended".into()))
+            }
+            status => Err(Error::Store(format!("renewing: {status}"))),
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/members.rs
@@ -0,0 +1,141 @@
+//! The instances of the fleet on the users' platform, as they enter themselves in its store, and what each
+//! of them does for the others.
+
+use super::*;
+
+/// Start of the keys under which instances enter themselves.
+pub(crate) const PREFIX: &str = "wellplank/instances/";
+
+/// Time between two reads of the instances while few are known. The reads may be seconds old and cost a
+/// tenth of others; a new instance asks the store itself until it is known.
+const LOOK: Duration = Duration::from_secs(2);
+
+/// The same in a large fleet, where such reads are many: 2 s would be half as many calls as all others.
+const LOOK_LARGE: Duration = Duration::from_secs(5);
+
+/// The same while no other instance is known: those that start together do not know each other at first, and
+/// each watches the store until they do.
+const LOOK_ALONE: Duration = Duration::from_millis(500);
+
+/// Time after its start after which an instance that knows no other one takes it that there is none.
+const ALONE: Duration = Duration::from_secs(5);
+
+/// Instances up to which each of them watches the store: there a watch each costs less than telling.
+pub(crate) const FEW: usize = 12;
+
+/// Instances that keep the streams of all in the store; one of them may be lost.
+const KEEPERS: usize = 2;
+
+/// Another instance.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq)]
+pub struct Member {
+    /// Where its datagrams come.
+    pub address: SocketAddr,
+    /// Where it stands.
+    pub data_centre: String,
+}
+
+/// Other instances by name.
+pub type Members = BTreeMap<String, Member>;
+
+/// What an instance does for its data centre.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Role {
+    /// It watches the store for itself, as all do.
+    Alone,
+    /// It asks the store and tells the others when the one that watches is silent.
+    Deputy,
+    /// It hears from the one that watches.
+    Follower,
+    /// It watches and tells the others.
+    Watcher,
+}
+
+/// This instance among the others.
+#[derive(Clone, Debug)]
+pub struct Own {
+    /// Where it stands.
+    pub data_centre: String,
+    /// Its name.
+    pub name: String,
+}
+
+impl Member {
+    /// The value of its entry.
+    pub fn encode(&self) -> String {
+        json!({ "address": self.address, "data_centre": self.data_centre }).to_string()
+    }
+}
+
+impl Own {
+    /// Whether it keeps the streams of all instances in the store.
+    pub fn keeps(&self, members: &Members) -> bool {
+        self.ranked_before(members.keys()) < KEEPERS
+    }
+
+    /// What it does for its data centre.
+    pub fn role(&self, members: &Members) -> Role {
+        if members.len() < FEW {
+            return Role::Alone;
+        }
+        let near = members
+            .iter()
+            .filter(|(_, member)| member.data_centre == self.data_centre);
+        match self.ranked_before(near.map(|(name, _)| name)) {
+            0 => Role::Watcher,
+            1 => Role::Deputy,
+            _ => Role::Follower,
+        }
+    }
+
+    /// How many of some instances rank before it.
+    fn ranked_before<'a>(&self, names: impl Iterator<Item = &'a String>) -> usize {
+        let own = upstream::id(&self.name);
+        names.filter(|name| upstream::id(name) < own).count()
+    }
+}
+
+/// Keeps the other instances as the store lists them, for ever.
+pub(crate) async fn find(client: feed::Client, own: String, found: watch::Sender<Members>) {
+    let begun = Instant::now();
+    let mut link = feed::Link::new("instances");
+    loop {
+        match client
+            .items(PREFIX, link.patience(), feed::Age::Seconds)
+            .await
+        {
+            Ok((items, _)) => {
+                link.good();
+                let members = decode(&items, &own);
+                found.send_if_modified(|known| {
+                    let changed = *known != members;
+                    *known = members;
+                    changed
+                });
+                let pause = match found.borrow().len() {
+                    0 if begun.elapsed() < ALONE => LOOK_ALONE,
+                    few if few < FEW => LOOK,
+                    _ => LOOK_LARGE,
+                };
+                sleep(pause).await;
+            }
+            Err(error) => link.bad(&error).await,
+        }
+    }
+}
+
+/// The instances but `own`; entries that can not be read are left out.
+fn decode(items: &[platform::store::Item], own: &str) -> Members {
+    let mut members = Members::new();
+    for item in items {
+        let name = item.key.trim_start_matches(PREFIX);
+        match serde_json::from_slice(&item.value) {
+            Ok(_) if name == own => {}
+            Ok(member) => {
+                members.insert(name.to_owned(), member);
+            }
+            Err(error) => warn!("{}: no entry of an instance: {error}", item.key),
+        }
+    }
+    members
+}
--- a/crates/node/src/reader.rs
+++ b/crates/node/src/reader.rs
@@ -111,18 +111,27 @@
         default
     }
 
-    /// A share within 0 to 1.
-    pub fn share(&mut self, name: &str, default: f64) -> f64 {
+    /// A number within `range`, with a fraction if need be.
+    pub fn real(&mut self, name: &str, default: f64, range: RangeInclusive<f64>) -> f64 {
         let Some(value) = self.fields.remove(name) else {
             return default;
         };
-        if let Some(share) = value.as_f64().filter(|share| (0.0..=1.0).contains(share)) {
-            return share;
+        if let Some(number) = value.as_f64().filter(|number| range.contains(number)) {
+            return number;
         }
-        self.fault(name, format!("{value} must be a number from 0 to 1"));
+        let (low, high) = (range.start(), range.end());
+        self.fault(
+            name,
+            format!("{value} must be a number from {low} to {high}"),
+        );
         default
     }
 
+    /// A share within 0 to 1.
+    pub fn share(&mut self, name: &str, default: f64) -> f64 {
+        self.real(name, default, 0.0..=1.0)
+    }
+
     /// Reads an object within this one; all its fields have defaults if it is missing.
     pub fn section(&mut self, name: &str) -> Reader<'_> {
         let value = self
--- a/crates/node/src/roster.rs
+++ b/crates/node/src/roster.rs
@@ -1,80 +1,19 @@
-//! The upstreams, as the platform's store lists them.
-//!
-//! Each call of the store is paid for. In a small fleet every instance watches the list. In a larger
-//! one a few watch it and tell the others by datagrams; an instance that hears nothing for a while, or
-//! misses a change, asks the store itself.
+//! The upstreams as the platform's store lists them, and their changes as instances tell them.
 
 use super::*;
-use feed::{Client, Cursor, Link, News};
+use feed::News;
 use platform::store::Change;
 
-/// Pause between two watches for each upstream, in which changes gather: each call is paid for, and a
-/// lost data centre changes a part of all entries.
-const GATHER_EACH: Duration = Duration::from_millis(6);
-
-/// The shortest such pause. The longest is half of the time in which a leaving upstream must get no
-/// more work; the other half is for the call.
-const GATHER_LEAST: Duration = Duration::from_millis(200);
-
-/// Instances up to which each of them watches: there a watch each costs less than telling.
-pub(crate) const FEW: usize = 12;
-
-/// Instances that watch for all in a larger fleet; two of them may be lost at once.
-const WATCHERS: usize = 3;
-
-/// Pause and longest wait of an instance that watches for others, so that it tells at least each
-/// second that nothing has changed.
-const TELL: Duration = Duration::from_millis(500);
-
-/// Time without word from those that watch after which an instance asks the store itself: more than
-/// one of their rounds, and half of the time in which a leaving upstream must get no more work.
-const UNHEARD: Duration = Duration::from_millis(1_500);
-
-/// Changes in one datagram; it stays below what a link carries in one piece.
-const PIECE: usize = 10;
+/// Bytes of changes in one datagram; it stays below what a link carries in one piece.
+const PIECE: usize = 1_200;
 
 /// Time after the store's return up to which upstreams whose entries lapsed in between are believed
 /// to live; they enter themselves again within about two seconds.
 const LAPSED: Duration = Duration::from_secs(2);
 
-/// What the task needs.
-pub(crate) struct Task {
-    /// Other instances.
-    pub addresses: watch::Receiver<gossip::Addresses>,
-    /// Client of the store.
-    pub client: Client,
-    /// Clock of the instance.
-    pub clock: Clock,
-    /// The core task.
-    pub driver: Driver,
-    /// The most that other instances know.
-    pub heard: watch::Receiver<gossip::Known>,
-    /// Name of this instance.
-    pub instance: String,
-    /// What this instance knows.
-    pub known: watch::Sender<gossip::Known>,
-    /// Time in which a leaving upstream must get no more work.
-    pub leave: Duration,
-    /// Changes of the list that other instances tell.
-    pub rosters: mpsc::UnboundedReceiver<peers::Roster>,
-    /// Where other instances are told.
-    pub told: mpsc::UnboundedSender<gossip::Told>,
-}
-
-/// What an instance does for the list.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum Role {
-    /// It watches for itself, as all do.
-    Alone,
-    /// It hears from those that watch.
-    Follower,
-    /// It watches and tells the others.
-    Watcher,
-}
-
 /// What word from another instance is worth.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum Heard {
+pub enum Worth {
     /// The list is known up to its revision.
     Fresh,
     /// Changes before it are missing.
@@ -83,137 +22,11 @@
     Old,
 }
 
-impl Task {
-    /// Keeps the core's upstreams as the store lists them, for ever.
-    pub async fn run(mut self) {
-        let mut cursor = Cursor::new(self.client.clone(), platform::upstream::PREFIX);
-        let mut link = Link::new("upstreams");
-        let mut roster = Roster::default();
-        loop {
-            let role = self.role();
-            if role == Role::Follower && cursor.revision.is_some() {
-                self.follow(&mut cursor, &mut roster).await;
-                self.list(&mut roster);
-                continue;
-            }
-            cursor.wait = match role {
-                Role::Alone => feed::WAIT,
-                Role::Follower | Role::Watcher => TELL,
-            };
-            if !self.watch(&mut cursor, &mut link, &mut roster).await {
-                continue;
-            }
-            let entries = self.list(&mut roster);
-            let pause = match role {
-                Role::Watcher => {
-                    self.tell(&mut roster, cursor.revision);
-                    TELL
-                }
-                Role::Alone | Role::Follower => {
-                    let longest = (self.leave / 2).max(GATHER_LEAST);
-                    (GATHER_EACH * entries as u32).clamp(GATHER_LEAST, longest)
-                }
-            };
-            sleep(pause).await;
-        }
-    }
-
-    /// Hears from those that watch, or asks the store after a while without fresh word or when a
-    /// change was missed.
-    async fn follow(&mut self, cursor: &mut Cursor, roster: &mut Roster) {
-        let end = Instant::now() + UNHEARD;
-        loop {
-            let left = end.saturating_duration_since(Instant::now());
-            let Ok(Some(told)) = timeout(left, self.rosters.recv()).await else {
-                break;
-            };
-            match roster.hear(&told, cursor.revision.unwrap_or(0)) {
-                Heard::Fresh => {
-                    cursor.revision = Some(told.to);
-                    return;
-                }
-                Heard::Gap => break,
-                Heard::Old => {}
-            }
-        }
-        cursor.wait = Duration::ZERO;
-        match cursor.next().await {
-            Ok(news) => roster.take(news, false),
-            Err(error) => {
-                debug!("asking for upstreams: {error}");
-                sleep(TELL).await;
-            }
-        }
-    }
-
-    /// Tells the core; how many upstreams there are.
-    fn list(&self, roster: &mut Roster) -> usize {
-        let listed = roster.listed();
-        let entries = listed.len();
-        let changed = roster.changed;
-        self.known.send_modify(|known| known.list = changed);
-        let asked = self.clock.now();
-        let listed = Some(listed);
-        self.driver.event(Event::List { asked, listed });
-        entries
-    }
-
-    fn role(&self) -> Role {
-        let addresses = self.addresses.borrow();
-        if addresses.len() < FEW {
-            return Role::Alone;
-        }
-        let own = upstream::id(&self.instance);
-        let before = addresses.keys().filter(|name| upstream::id(name) < own);
-        if before.count() < WATCHERS {
-            Role::Watcher
-        } else {
-            Role::Follower
-        }
-    }
-
-    /// Tells other instances what has changed up to a revision.
-    fn tell(&self, roster: &mut Roster, revision: Option<u64>) {
-        for piece in roster.pieces(revision.unwrap_or(0)) {
-            // The task that tells ends only with the instance.
-            let _ = self.told.send(gossip::Told::Roster(piece));
-        }
-    }
-
-    /// Watches the store once; whether the list is to be told to the core.
-    async fn watch(&mut self, cursor: &mut Cursor, link: &mut Link, roster: &mut Roster) -> bool {
-        // What others know of is missing here only behind the revision that was read or watched up to.
-        let seen = cursor.revision;
-        let lapse = roster.next_lapse().unwrap_or(feed::WAIT * 2);
-        let behind = feed::behind(&mut self.heard, move |heard| Some(heard.list) > seen);
-        let next = tokio::select! {
-            next = timeout(lapse, cursor.next()) => next,
-            () = behind, if seen.is_some() => {
-                let error = Error::Store("other instances know a newer one".into());
-                Ok(Err(error))
-            }
-        };
-        match next {
-            Ok(Ok(news)) => {
-                let returned = link.good();
-                roster.take(news, returned);
-            }
-            Ok(Err(error)) => {
-                link.bad(&error).await;
-                return false;
-            }
-            // An entry has been missing for long enough.
-            Err(_) => {}
-        }
-        true
-    }
-}
-
 /// Upstreams by the key of their entry.
 #[derive(Default)]
-struct Roster {
+pub struct Roster {
     /// Revision of the last change that is known.
-    changed: u64,
+    pub changed: u64,
     entries: BTreeMap<String, event::Listed>,
     /// Entries that went missing while the store was away, and until when they are believed.
     lapsing: BTreeMap<String, Instant>,
@@ -227,12 +40,12 @@
 
 impl Roster {
     /// Takes in what an instance that watches told; the list is known up to `revision`.
-    fn hear(&mut self, told: &peers::Roster, revision: u64) -> Heard {
+    pub fn hear(&mut self, told: &peers::Roster, revision: u64) -> Worth {
         if told.from > revision {
-            return Heard::Gap;
+            return Worth::Gap;
         }
         if told.to < revision {
-            return Heard::Old;
+            return Worth::Old;
         }
         if told.returning_ms > 0 {
             let until = Instant::now() + Duration::from_millis(told.returning_ms.into());
@@ -253,11 +66,23 @@
                 None => warn!("{key}: `{}` is no address", entry.address),
             }
         }
-        Heard::Fresh
+        Worth::Fresh
+    }
+
+    /// Takes in what came too early, now that the list is known up to `revision`; up to which revision it is
+    /// known then. What still misses something before it is left.
+    pub fn catch_up(&mut self, mut revision: u64, early: &mut Vec<peers::Roster>) -> u64 {
+        while let Some(next) = early.iter().position(|told| told.from <= revision) {
+            let told = early.swap_remove(next);
+            if self.hear(&told, revision) == Worth::Fresh {
+                revision = told.to;
+            }
+        }
+        revision
     }
 
     /// The upstreams as they are believed now.
-    fn listed(&mut self) -> Vec<event::Listed> {
+    pub fn listed(&mut self) -> Vec<event::Listed> {
         let now = Instant::now();
         let over: Vec<String> = self
             .lapsing
@@ -271,13 +96,19 @@
     }
 
     /// Time until the next entry is believed no longer.
-    fn next_lapse(&self) -> Option<Duration> {
+    pub fn next_lapse(&self) -> Option<Duration> {
         let next = self.lapsing.values().min()?;
         Some(next.saturating_duration_since(Instant::now()))
     }
 
+    /// Has what comes next told as changes behind a revision: the others know of all before it.
+    pub fn tell_from(&mut self, revision: u64) {
+        self.told = revision;
+        self.untold.clear();
+    }
+
     /// What other instances are to be told up to a revision; at least that nothing has changed.
-    fn pieces(&mut self, revision: u64) -> Vec<peers::Roster> {
+    pub fn pieces(&mut self, revision: u64) -> Vec<peers::Roster> {
         let mut from = if self.told == 0 { revision } else { self.told };
         let untold = std::mem::take(&mut self.untold);
         let until = self
@@ -285,7 +116,7 @@
             .map(|until| until.saturating_duration_since(Instant::now()));
         let returning_ms = until.unwrap_or_default().as_millis() as u32;
         let mut pieces: Vec<peers::Roster> = Vec::new();
-        for entries in untold.chunks(PIECE) {
+        for entries in split(&untold) {
             let to = entries.last().map_or(from, |entry| entry.revision);
             pieces.push(peers::Roster {
                 entries: entries.to_vec(),
@@ -325,7 +156,7 @@
     }
 
     /// Takes in news of the store; `returned` if they are the first after it was away.
-    fn take(&mut self, news: News, returned: bool) {
+    pub(crate) fn take(&mut self, news: News, returned: bool) {
         if returned {
             self.returning_until = Some(Instant::now() + LAPSED);
         }
@@ -376,6 +207,24 @@
     }
 }
 
+/// Splits changes into parts that a datagram holds each.
+fn split(entries: &[peers::Entry]) -> Vec<&[peers::Entry]> {
+    let mut parts = Vec::new();
+    let (mut start, mut bytes) = (0, 0);
+    for (index, entry) in entries.iter().enumerate() {
+        let length = entry.encoded_len();
+        if bytes + length > PIECE && index > start {
+            parts.push(&entries[start..index]);
+            (start, bytes) = (index, 0);
+        }
+        bytes += length;
+    }
+    if start < entries.len() {
+        parts.push(&entries[start..]);
+    }
+    parts
+}
+
 /// A change as other instances are told it; `None` if its address is none.
 fn decode(entry: &peers::Entry) -> Option<event::Listed> {
     Some(event::Listed {
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -6,6 +6,9 @@
 /// Bytes of the secret that authenticates cursors.
 const SECRET_BYTES: usize = 32;
 
+/// Megabits a second that an instance's link carries at least, where nothing is said.
+const LINK_MBPS: f64 = 10.0;
+
 /// Longest time a setting may give, in milliseconds.
 const MILLIS_MAX: u64 = 3_600_000;
 
@@ -48,10 +51,14 @@
 
 /// Settings of an instance on the users' platform. There it has no operators' port and no links to
 /// other instances; what it must know lies in the platform's store.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Hosted {
+    /// Time within which a change of the configuration must be in force, in milliseconds.
+    pub apply_ms: u64,
     /// Time from the signal to stop to the end that the platform gives, in milliseconds.
     pub grace_ms: u64,
+    /// What the instance's own link carries, in megabits a second.
+    pub link_mbps: f64,
     /// Time in which a leaving upstream must get no more work, in milliseconds.
     pub leave_ms: u64,
     /// Where the page of counters is served.
@@ -270,7 +277,9 @@
 
     fn read_hosted(mut reader: Reader) -> Hosted {
         let hosted = Hosted {
+            apply_ms: reader.number("apply_ms", 2_000, 100..=MILLIS_MAX),
             grace_ms: reader.number("grace_ms", 8_000, 100..=MILLIS_MAX),
+            link_mbps: reader.real("link_mbps", LINK_MBPS, 0.1..=1e6),
             leave_ms: reader.number("leave_ms", 2_000, 100..=MILLIS_MAX),
             metrics: reader.address("metrics"),
             peers: reader.address("peers"),
--- /dev/null
+++ b/crates/node/tests/roster.rs
@@ -0,0 +1,78 @@
+//! What instances tell each other of the list of upstreams.
+
+use {
+    googletest::prelude::*,
+    wellplank_node::roster::{Roster, Worth},
+    wellplank_wire::peer::{self, Entry},
+};
+
+/// Word of one change at a revision, behind an earlier one.
+fn word(from: u64, to: u64) -> peer::Roster {
+    let entry = Entry {
+        address: format!("10.0.0.1:{to}"),
+        name: format!("engine-{to}"),
+        pool: "engines".into(),
+        revision: to,
+        ..Entry::default()
+    };
+    peer::Roster {
+        entries: vec![entry],
+        from,
+        returning_ms: 0,
+        to,
+    }
+}
+
+fn names(roster: &mut Roster) -> Vec<String> {
+    let mut names: Vec<String> = roster
+        .listed()
+        .into_iter()
+        .map(|entry| entry.name)
+        .collect();
+    names.sort();
+    names
+}
+
+#[gtest]
+fn word_that_follows_what_is_known_is_taken_in() {
+    let mut roster = Roster::default();
+    expect_that!(roster.hear(&word(1, 2), 1), eq(Worth::Fresh));
+    expect_that!(names(&mut roster), elements_are![eq("engine-2")]);
+}
+
+#[gtest]
+fn word_that_misses_a_change_is_a_gap_and_changes_nothing() {
+    let mut roster = Roster::default();
+    expect_that!(roster.hear(&word(2, 3), 1), eq(Worth::Gap));
+    expect_that!(names(&mut roster), is_empty());
+}
+
+#[gtest]
+fn word_of_what_is_known_is_old() {
+    let mut roster = Roster::default();
+    expect_that!(roster.hear(&word(1, 2), 5), eq(Worth::Old));
+}
+
+#[gtest]
+fn words_that_overtook_others_are_taken_in_after_these() {
+    let mut roster = Roster::default();
+    let mut early = vec![word(3, 4), word(2, 3), word(8, 9)];
+    expect_that!(roster.hear(&word(1, 2), 1), eq(Worth::Fresh));
+    expect_that!(roster.catch_up(2, &mut early), eq(4));
+    expect_that!(early.len(), eq(1));
+    expect_that!(
+        names(&mut roster),
+        elements_are![eq("engine-2"), eq("engine-3"), eq("engine-4")]
+    );
+}
+
+#[gtest]
+fn first_word_tells_only_up_to_where_the_list_is_known() {
+    let mut roster = Roster::default();
+    roster.tell_from(7);
+    let told = roster.pieces(9);
+    expect_that!(told.len(), eq(1));
+    expect_that!((told[0].from, told[0].to), eq((7, 9)));
+    let next = roster.pieces(12);
+    expect_that!((next[0].from, next[0].to), eq((9, 12)));
+}
--- a/crates/standin/src/shelf.rs
+++ b/crates/standin/src/shelf.rs
@@ -9,6 +9,15 @@
 /// Longest time that a read waits for a change.
 const WAIT: Duration = Duration::from_secs(30);
 
+/// Age that reads may have which may be old, at most.
+const AGE: Duration = Duration::from_millis(300);
+
+/// Price of a call that costs a tenth, in hundredths.
+const TENTH: u64 = 10;
+
+/// Price of any other call, in hundredths.
+const WHOLE: u64 = 100;
+
 /// Time between two looks at whether leases have ended.
 const LOOK: Duration = Duration::from_millis(50);
 
@@ -37,14 +46,24 @@
 #[derive(Default)]
 struct State {
     away: bool,
-    calls: u64,
     history: Vec<Change>,
     items: BTreeMap<String, Item>,
     leases: BTreeMap<u64, Lease>,
     /// Prefix of which the next waiting read that sees a change is never answered.
     muted: Option<String>,
     next_lease: u64,
+    /// What reads that may be old are given.
+    old: Option<Old>,
     oldest: u64,
+    /// Price of all calls taken so far, in hundredths.
+    price: u64,
+    revision: u64,
+}
+
+/// Items as they were a moment ago.
+struct Old {
+    at: Instant,
+    items: BTreeMap<String, Item>,
     revision: u64,
 }
 
@@ -140,9 +159,9 @@
 }
 
 impl Shelf {
-    /// Calls taken so far.
-    pub fn calls(&self) -> u64 {
-        self.lock().calls
+    /// Price of the calls taken so far: one each, but a tenth for renewals and reads that may be old.
+    pub fn price(&self) -> f64 {
+        self.lock().price as f64 / WHOLE as f64
     }
 
     /// Makes the store refuse every call, or answer again.
@@ -213,14 +232,20 @@
         json!({ "lease": id, "ttl_ms": ttl.as_millis() as u64 })
     }
 
-    fn range(&self, prefix: &str) -> Value {
-        let state = self.lock();
-        let items = state
-            .items
-            .iter()
-            .filter(|(key, _)| key.starts_with(prefix));
-        let items: Vec<Value> = items.map(|(key, item)| item.encode(key)).collect();
-        json!({ "items": items, "has_more": false, "as_of": state.revision })
+    fn range(&self, prefix: &str, old: bool) -> Value {
+        let mut state = self.lock();
+        if !old {
+            return encode(&state.items, prefix, state.revision);
+        }
+        if state.old.as_ref().is_none_or(|old| old.at.elapsed() > AGE) {
+            state.old = Some(Old {
+                at: Instant::now(),
+                items: state.items.clone(),
+                revision: state.revision,
+            });
+        }
+        let old = state.old.as_ref().expect("was just taken");
+        encode(&old.items, prefix, old.revision)
     }
 
     fn renew(&self, id: u64) -> bool {
@@ -283,7 +308,14 @@
     }
 }
 
-#[derive(Clone, Copy)]
+/// The answer to a read of the items with a prefix.
+fn encode(items: &BTreeMap<String, Item>, prefix: &str, revision: u64) -> Value {
+    let items = items.iter().filter(|(key, _)| key.starts_with(prefix));
+    let items: Vec<Value> = items.map(|(key, item)| item.encode(key)).collect();
+    json!({ "items": items, "has_more": false, "as_of": revision })
+}
+
+#[derive(Clone, Copy, Eq, PartialEq)]
 enum Asks {
     Lease,
     Range,
@@ -300,9 +332,12 @@
 #[salvo::handler]
 impl Endpoint {
     async fn handle(&self, request: &mut Request, response: &mut Response) {
+        let old = request.query::<u64>("serializable") == Some(1);
         let away = {
             let mut state = self.shelf.lock();
-            state.calls += 1;
+            // Refused calls are paid for in full.
+            let cheap = (old || self.asks == Asks::Renew) && !state.away;
+            state.price += if cheap { TENTH } else { WHOLE };
             state.away
         };
         if away {
@@ -317,7 +352,10 @@
                 let body = http::json_body(request).await;
                 (StatusCode::BAD_REQUEST, Some(self.shelf.lease(&body)))
             }
-            Asks::Range => (StatusCode::BAD_REQUEST, Some(self.shelf.range(&prefix))),
+            Asks::Range => (
+                StatusCode::BAD_REQUEST,
+                Some(self.shelf.range(&prefix, old)),
+            ),
             Asks::Renew => {
                 let id = request.param("id").unwrap_or(0);
                 let renewed = self.shelf.renew(id).then(|| json!({}));
--- a/crates/standin/tests/site.rs
+++ b/crates/standin/tests/site.rs
@@ -470,10 +470,10 @@
         site.join().await;
         Ask::stream("r1").send(address(&site)).await;
         sleep(Duration::from_millis(1_500)).await;
-        let before = site.shelf.calls();
+        let before = site.shelf.price();
         sleep(Duration::from_secs(5)).await;
-        // Two leases are renewed, and a watch may end.
-        expect_that!(site.shelf.calls() - before, le(4));
+        // Two leases are renewed, instances are looked for, and a watch may end.
+        expect_that!(site.shelf.price() - before, le(4.0));
     });
 }
 
@@ -517,11 +517,11 @@
         ..Plan::default()
     };
     run(plan, async |site: Site| {
-        let before = site.shelf.calls();
+        let before = site.shelf.price();
         sleep(Duration::from_secs(4)).await;
-        let calls = site.shelf.calls() - before;
-        // Three watch about once a second, and each instance renews its lease.
-        expect_that!(calls, lt(INSTANCES as u64 * 3));
+        let price = site.shelf.price() - before;
+        // Two watch about once a second; each instance renews its lease and looks for others.
+        expect_that!(price, lt(INSTANCES as f64));
         site.leave(0);
         sleep(Duration::from_millis(1_900)).await;
         for (index, instance) in site.instances.iter().enumerate() {
@@ -537,6 +537,86 @@
     });
 }
 
+/// The instances of a large fleet that watch for their data centres.
+fn watchers(instances: usize) -> Vec<usize> {
+    let id = |index: &usize| wellplank_core::upstream::id(&format!("instance-{index}"));
+    let first = |data_centre| {
+        (0..instances)
+            .filter(|index| index % 2 == data_centre)
+            .min_by_key(id)
+    };
+    [0, 1].into_iter().filter_map(first).collect()
+}
+
+#[gtest]
+fn in_a_large_fleet_a_configuration_is_in_force_everywhere_soon_for_few_calls() {
+    const INSTANCES: usize = 16;
+    let plan = Plan {
+        instances: INSTANCES,
+        ..Plan::default()
+    };
+    run(plan, async |site: Site| {
+        let before = site.shelf.price();
+        let mut next = configuration(5);
+        next["routes"][2]["path_prefix"] = "/first/".into();
+        site.shelf.put("op/config", &next);
+        sleep(Duration::from_millis(1_500)).await;
+        let price = site.shelf.price() - before;
+        for (index, instance) in site.instances.iter().enumerate() {
+            let moved = Ask::new("/first/1", &format!("m{index}"))
+                .send(instance.callers)
+                .await;
+            expect_that!(moved.status.as_u16(), eq(200));
+        }
+        expect_that!(price, lt(INSTANCES as f64));
+    });
+}
+
+#[gtest]
+fn in_a_large_fleet_all_know_of_a_change_soon_though_those_that_watch_are_gone() {
+    const INSTANCES: usize = 16;
+    let plan = Plan {
+        engines: 1,
+        instances: INSTANCES,
+        ..Plan::default()
+    };
+    run(plan, async |mut site: Site| {
+        let gone = watchers(INSTANCES);
+        for index in &gone {
+            site.instances[*index].host.kill();
+        }
+        site.leave(0);
+        sleep(Duration::from_millis(1_900)).await;
+        let left = (0..INSTANCES).filter(|index| !gone.contains(index));
+        for index in left {
+            let got = Ask::once(&format!("r{index}"))
+                .send(site.instances[index].callers)
+                .await;
+            expect_that!(got.status.as_u16(), eq(200));
+        }
+        let runs = site.ledger.runs();
+        expect_that!(runs.iter().all(|run| run.worker == "desk-1"), eq(true));
+    });
+}
+
+#[gtest]
+fn streams_of_all_instances_are_kept_by_two_of_them() {
+    let plan = Plan {
+        instances: 5,
+        ..Plan::default()
+    };
+    run(plan, async |site: Site| {
+        for (index, instance) in site.instances.iter().enumerate() {
+            let got = Ask::stream(&format!("r{index}"))
+                .send(instance.callers)
+                .await;
+            expect_that!(got.whole, eq(true));
+        }
+        sleep(Duration::from_millis(1_500)).await;
+        expect_that!(site.shelf.keys("wellplank/streams/").len(), eq(2));
+    });
+}
+
 #[gtest]
 fn upstream_whose_entry_is_gone_gets_no_new_work() {
     run(Plan::default(), async |site: Site| {
