Fewer reads of large fleets: a pause before the first, seldom looks for instances

Change: 200 ms before the first such read, looks each 8 s, renewals each 8 s of 20, and silence counts from when an instance began to hear from others.

--- a/crates/node/src/configuration.rs
+++ b/crates/node/src/configuration.rs
@@ -9,12 +9,13 @@
 use pace::Pace;
 use platform::store::{Change, Item};
 
-/// Pauses before the reads of a configuration that others are known to have. All but the last read may be
-/// old, and cost a tenth.
+/// Pauses before the reads of a configuration that others are known to have. These reads may be old, by some
+/// hundred milliseconds as played, and cost a tenth; the one after them does not. In the first pause more
+/// changes may gather.
 const READS: [Duration; 3] = [
-    Duration::ZERO,
-    Duration::from_millis(150),
-    Duration::from_millis(250),
+    Duration::from_millis(200),
+    Duration::from_millis(200),
+    Duration::from_millis(200),
 ];
 
 /// Time that such a read may take; many times the few milliseconds that it takes.
@@ -45,23 +46,26 @@
 impl Configuration {
     /// Serves for ever.
     pub async fn run(mut self) {
-        let mut asked = Instant::now();
+        let mut asked = None;
         let mut cursor = Cursor::new(self.client.clone(), platform::configuration::KEY);
         let mut link = Link::new("configuration");
         loop {
             let role = self.own.role(&self.members.borrow());
             let follows = matches!(role, Role::Deputy | Role::Follower);
             if follows && self.revision().is_some() {
-                self.follow(role, &mut asked, &mut link).await;
+                let asked = asked.get_or_insert_with(Instant::now);
+                self.follow(role, asked, &mut link).await;
                 // The next watch must begin with a read.
                 cursor.revision = None;
             } else {
+                asked = None;
                 self.watch(role, &mut cursor, &mut link).await;
             }
         }
     }
 
     /// Waits until others have a newer configuration, or nobody that watches is heard, and reads it then.
+    /// `asked` is when it was last read, or this instance began to hear from others.
     async fn follow(&mut self, role: Role, asked: &mut Instant, link: &mut Link) {
         let own = self.revision();
         let silence = self.pace.patience(role);
--- a/crates/node/src/keeper.rs
+++ b/crates/node/src/keeper.rs
@@ -10,8 +10,8 @@
 /// Time that an instance's entries outlive it: longer than a restart takes.
 const LEASE: Duration = Duration::from_secs(20);
 
-/// Time between two renewals of the lease; several may fail.
-const RENEW: Duration = Duration::from_secs(5);
+/// Time between two renewals of the lease; for as long and more they may fail.
+const RENEW: Duration = Duration::from_secs(8);
 
 /// Time between two looks at whether the streams are to be written; each write is paid for.
 const KEEP: Duration = Duration::from_millis(700);
--- a/crates/node/src/members.rs
+++ b/crates/node/src/members.rs
@@ -10,8 +10,8 @@
 /// tenth of others; a new instance asks the store itself until it is known.
 const LOOK: Duration = Duration::from_secs(2);
 
-/// The same in a large fleet, where such reads are many: 2 s would be half as many calls as all others.
-const LOOK_LARGE: Duration = Duration::from_secs(5);
+/// The same in a large fleet, where such reads are many: each 2 s they were half as many calls as all others.
+const LOOK_LARGE: Duration = Duration::from_secs(8);
 
 /// The same while no other instance is known: those that start together do not know each other at first, and
 /// each watches the store until they do.
