--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -37,6 +37,7 @@
 mod arguments;
 mod bench;
 mod cache;
+mod callers;
 mod crowd;
 mod keyvalue;
 mod pool;
--- a/crates/standin/src/world.rs
+++ b/crates/standin/src/world.rs
@@ -2,7 +2,7 @@
 //! what must always hold while it runs.
 
 use super::*;
-use asker::{Ask, Asker, End, Step, configuration};
+use asker::{Asker, End, Step, configuration};
 use fake::{Arrival, Claims, Mode, Reader, Said, StoreMode, Upstream};
 use std::sync::Arc;
 use timeline::Timeline;
@@ -12,9 +12,9 @@
     core::Core,
     counter::Counter,
     effect::{Effect, Sending},
-    event::{Event, Failure, Listed, Submission},
+    event::{Event, Failure, Listed},
     kind::Ran,
-    request::{self, Caller as Connection, Work},
+    request::{self, Caller as Connection},
     settings::Settings,
     upstream::Load,
 };
@@ -31,12 +31,6 @@
 /// Time between two reads of the platform's list.
 const LIST_MS: u64 = 200;
 
-/// Silence after which a caller leaves its instance for another.
-const CALLER_PATIENCE_MS: u64 = 4_000;
-
-/// Time after which a caller that found nobody tries again.
-const CALLER_RETRY_MS: u64 = 200;
-
 /// Time that a connection attempt to a silent machine takes.
 const CONNECT_MS: u64 = 1_000;
 
@@ -52,16 +46,18 @@
 /// Secret of the cursors.
 const SECRET: [u8; 32] = [7; 32];
 
-struct Instance {
-    core: Option<Core>,
-    frozen_until: Time,
+/// One instance over its lives.
+pub(crate) struct Instance {
+    pub core: Option<Core>,
+    pub frozen_until: Time,
     restart_at: Time,
     /// Grows with every life, so that what was meant for an earlier one is dropped.
     life: usize,
 }
 
+/// What is to happen.
 #[derive(Debug)]
-enum Action {
+pub(crate) enum Action {
     Arrive(usize, Arrival),
     Event(usize, usize, Event),
     List(usize),
@@ -82,14 +78,14 @@
     pub upstreams: Vec<Upstream>,
     /// What must always hold and did not.
     pub violations: Vec<String>,
-    connections: HashMap<Connection, usize>,
+    pub(crate) connections: HashMap<Connection, usize>,
     engines: usize,
-    instances: Vec<Instance>,
+    pub(crate) instances: Vec<Instance>,
     left: Vec<Option<Time>>,
-    next_connection: u64,
-    random: Pcg64Mcg,
+    pub(crate) next_connection: u64,
+    pub(crate) random: Pcg64Mcg,
     settings: Settings,
-    timeline: Timeline<Action>,
+    pub(crate) timeline: Timeline<Action>,
 }
 
 impl World {
@@ -133,39 +129,6 @@
         world
     }
 
-    /// Hands in a new request through an instance.
-    pub fn ask(&mut self, ask: Ask, instance: usize, tokens: usize, brings_tokens: bool) -> usize {
-        let index = self.askers.len();
-        let key = self.uuid();
-        self.askers.push(Asker {
-            ask,
-            brings_tokens,
-            connection: None,
-            cursor: None,
-            end: None,
-            heard: self.timeline.now(),
-            instance,
-            key,
-            payload: json!({ "max": tokens, "prompt": format!("prompt {index}") }),
-            returns: 0,
-            sent_to: None,
-            stall_ms: 0,
-            steps: Vec::new(),
-            tokens: Vec::new(),
-        });
-        self.submit(index);
-        index
-    }
-
-    /// Cuts a caller's connection; it comes back at another instance.
-    pub fn cut_caller(&mut self, index: usize) {
-        if let Some(connection) = self.askers[index].connection.take() {
-            let instance = self.askers[index].instance;
-            self.event(instance, 1, Event::CallerGone(connection));
-            self.come_back(index);
-        }
-    }
-
     /// Stops an instance for a while; what comes for it waits.
     pub fn freeze_instance(&mut self, index: usize, millis: u64) {
         self.instances[index].frozen_until = self.timeline.now().after(millis);
@@ -214,16 +177,6 @@
         self.left[index] = Some(self.timeline.now());
     }
 
-    /// Whether a request has reached a step.
-    pub fn reached(&self, asker: usize, step: Step) -> bool {
-        let asker = &self.askers[asker];
-        match step {
-            Step::Ended => asker.end.is_some(),
-            Step::Streaming => asker.tokens.len() >= 5,
-            step => asker.steps.contains(&step),
-        }
-    }
-
     /// Runs until a condition holds or time is over; whether it holds.
     pub fn run_until(&mut self, millis: u64, holds: impl Fn(&Self) -> bool) -> bool {
         let end = self.timeline.now().after(millis);
@@ -465,18 +418,6 @@
         self.event(instance, wait, Event::Claimed { outcome, request });
     }
 
-    /// A caller whose connection broke asks again at the next instance.
-    fn come_back(&mut self, index: usize) {
-        let count = self.instances.len();
-        let asker = &mut self.askers[index];
-        if asker.end.is_some() {
-            return;
-        }
-        asker.returns += 1;
-        asker.instance = (asker.instance + 1) % count;
-        self.submit(index);
-    }
-
     fn deliver(&mut self, instance: usize, life: usize, event: Event) {
         if self.instances[instance].life != life {
             return;
@@ -500,39 +441,11 @@
         }
     }
 
-    fn end(&mut self, connection: Connection, end: End) {
-        let Some(index) = self.connections.remove(&connection) else {
-            self.violations
-                .push("a connection was answered twice".into());
-            return;
-        };
-        let asker = &mut self.askers[index];
-        if asker.connection == Some(connection) {
-            asker.connection = None;
-            asker.end = Some(end);
-        }
-    }
-
-    fn event(&mut self, instance: usize, wait: u64, event: Event) {
+    pub(crate) fn event(&mut self, instance: usize, wait: u64, event: Event) {
         let life = self.instances[instance].life;
         self.schedule(wait, Action::Event(instance, life, event));
     }
 
-    /// Callers that heard nothing for long leave their instance, if it does not answer at all.
-    fn impatient(&mut self) {
-        let frozen: Vec<usize> = (0..self.askers.len())
-            .filter(|index| {
-                let asker = &self.askers[*index];
-                asker.connection.is_some()
-                    && self.timeline.now() < self.instances[asker.instance].frozen_until
-                    && self.timeline.now().since(asker.heard) > CALLER_PATIENCE_MS
-            })
-            .collect();
-        for index in frozen {
-            self.cut_caller(index);
-        }
-    }
-
     fn list(&mut self, instance: usize) {
         let listed = (0..self.upstreams.len())
             .map(|index| Listed {
@@ -560,29 +473,6 @@
         self.schedule(LIST_MS, Action::List(instance));
     }
 
-    fn receive(&mut self, connection: Connection, position: u32, tokens: &[u32], cursor: &[u8]) {
-        let Some(index) = self.connections.get(&connection).copied() else {
-            return;
-        };
-        let asker = &mut self.askers[index];
-        if asker.connection != Some(connection) {
-            return;
-        }
-        if position as usize != asker.tokens.len() {
-            let have = asker.tokens.len();
-            self.violations.push(format!(
-                "{index} was given position {position} after {have} tokens"
-            ));
-            return;
-        }
-        if !asker.tokens.is_empty() {
-            asker.stall_ms = asker.stall_ms.max(self.timeline.now().since(asker.heard));
-        }
-        asker.heard = self.timeline.now();
-        asker.tokens.extend_from_slice(tokens);
-        asker.cursor = Some(cursor.to_vec());
-    }
-
     /// Something an upstream says travels to its reader; a connection keeps its order.
     fn say(&mut self, reader: Reader, said: Said) {
         let (life, instance) = (
@@ -614,7 +504,7 @@
         self.event(instance, 2, event);
     }
 
-    fn schedule(&mut self, wait: u64, action: Action) {
+    pub(crate) fn schedule(&mut self, wait: u64, action: Action) {
         self.timeline.schedule(wait, action);
     }
 
@@ -666,62 +556,6 @@
             self.schedule(1, Action::List(instance));
         }
     }
-
-    fn submit(&mut self, index: usize) {
-        self.next_connection += 1;
-        let connection = Connection(self.next_connection);
-        let generation = self.uuid();
-        let asker = &mut self.askers[index];
-        asker.connection = Some(connection);
-        asker.heard = self.timeline.now();
-        asker.steps.push(Step::Submitted);
-        let payload: Arc<[u8]> = asker.payload.to_string().into_bytes().into();
-        let max = asker.payload["max"].as_u64().unwrap_or(0) as u32;
-        let work = if asker.ask.generates() {
-            Work::Generate {
-                max_tokens: max,
-                payload: payload.clone(),
-                prefix: 0,
-            }
-        } else {
-            Work::Call {
-                path: "POST /".into(),
-                payload: payload.clone(),
-            }
-        };
-        let returns = asker.cursor.is_some() && asker.brings_tokens;
-        let submission = Submission {
-            caller: connection,
-            cursor: asker.cursor.clone(),
-            customer: "customer".into(),
-            fingerprint: wellplank_node::fingerprint(asker.ask.service(), &payload),
-            generation,
-            key: asker.ask.once().then_some(asker.key),
-            received: returns.then(|| asker.tokens.clone()),
-            service: asker.ask.service().into(),
-            work,
-        };
-        let instance = asker.instance;
-        self.connections.insert(connection, index);
-        if self.instances[instance].core.is_none() {
-            // Nobody listens there: the caller tries the next one.
-            self.connections.remove(&connection);
-            self.askers[index].connection = None;
-            self.schedule(CALLER_RETRY_MS, Action::Return(index));
-            return;
-        }
-        self.event(instance, 1, Event::Submit(Box::new(submission)));
-    }
-
-    /// A new UUID of version 7 at the virtual time.
-    fn uuid(&mut self) -> u128 {
-        let noise: u128 = self.random.random();
-        let time = u128::from(self.timeline.now().0) << 80;
-        let version = 7_u128 << 76;
-        let variant = 2_u128 << 62;
-        let low = noise & !(0xffff_ffff_ffff_u128 << 80) & !(0xf_u128 << 76) & !(3_u128 << 62);
-        time | version | variant | low
-    }
 }
 
 fn address_of(index: usize) -> SocketAddr {
