--- a/crates/standin/tests/site.rs
+++ b/crates/standin/tests/site.rs
@@ -508,32 +508,43 @@
     });
 }
 
-#[gtest]
-fn in_a_large_fleet_a_few_watch_the_list_and_all_know_it() {
-    const INSTANCES: usize = 16;
-    let plan = Plan {
+/// Instances of a large fleet, in which a few watch the store for the others.
+const LARGE: usize = 16;
+
+/// A large fleet.
+fn large() -> Plan {
+    Plan {
         engines: 1,
-        instances: INSTANCES,
+        instances: LARGE,
         ..Plan::default()
-    };
-    run(plan, async |site: Site| {
+    }
+}
+
+/// Has the first of two desks leave, and expects soon after that some instances ask the other one only.
+async fn expect_that_all_know_of_a_leaving_desk(site: &Site, instances: Vec<usize>) {
+    site.leave(0);
+    sleep(Duration::from_millis(1_900)).await;
+    for index in instances {
+        for run in 0..3 {
+            let got = Ask::once(&format!("r{index}-{run}"))
+                .send(site.instances[index].callers)
+                .await;
+            expect_that!(got.status.as_u16(), eq(200));
+        }
+    }
+    let runs = site.ledger.runs();
+    expect_that!(runs.iter().all(|run| run.worker == "desk-1"), eq(true));
+}
+
+#[gtest]
+fn in_a_large_fleet_a_few_watch_the_list_and_all_know_it() {
+    run(large(), async |site: Site| {
         let before = site.shelf.price();
         sleep(Duration::from_secs(4)).await;
         let price = site.shelf.price() - before;
         // Two watch about once a second; each instance renews its lease and looks for others.
-        expect_that!(price, lt(INSTANCES as f64));
-        site.leave(0);
-        sleep(Duration::from_millis(1_900)).await;
-        for (index, instance) in site.instances.iter().enumerate() {
-            for run in 0..3 {
-                let got = Ask::once(&format!("r{index}-{run}"))
-                    .send(instance.callers)
-                    .await;
-                expect_that!(got.status.as_u16(), eq(200));
-            }
-        }
-        let runs = site.ledger.runs();
-        expect_that!(runs.iter().all(|run| run.worker == "desk-1"), eq(true));
+        expect_that!(price, lt(LARGE as f64));
+        expect_that_all_know_of_a_leaving_desk(&site, (0..LARGE).collect()).await;
     });
 }
 
@@ -550,12 +561,7 @@
 
 #[gtest]
 fn in_a_large_fleet_a_configuration_is_in_force_everywhere_soon_for_few_calls() {
-    const INSTANCES: usize = 16;
-    let plan = Plan {
-        instances: INSTANCES,
-        ..Plan::default()
-    };
-    run(plan, async |site: Site| {
+    run(large(), async |site: Site| {
         let before = site.shelf.price();
         let mut next = configuration(5);
         next["routes"][2]["path_prefix"] = "/first/".into();
@@ -568,34 +574,19 @@
                 .await;
             expect_that!(moved.status.as_u16(), eq(200));
         }
-        expect_that!(price, lt(INSTANCES as f64));
+        expect_that!(price, lt(LARGE as f64));
     });
 }
 
 #[gtest]
 fn in_a_large_fleet_all_know_of_a_change_soon_though_those_that_watch_are_gone() {
-    const INSTANCES: usize = 16;
-    let plan = Plan {
-        engines: 1,
-        instances: INSTANCES,
-        ..Plan::default()
-    };
-    run(plan, async |mut site: Site| {
-        let gone = watchers(INSTANCES);
+    run(large(), async |mut site: Site| {
+        let gone = watchers(LARGE);
         for index in &gone {
             site.instances[*index].host.kill();
         }
-        site.leave(0);
-        sleep(Duration::from_millis(1_900)).await;
-        let left = (0..INSTANCES).filter(|index| !gone.contains(index));
-        for index in left {
-            let got = Ask::once(&format!("r{index}"))
-                .send(site.instances[index].callers)
-                .await;
-            expect_that!(got.status.as_u16(), eq(200));
-        }
-        let runs = site.ledger.runs();
-        expect_that!(runs.iter().all(|run| run.worker == "desk-1"), eq(true));
+        let left = (0..LARGE).filter(|index| !gone.contains(index));
+        expect_that_all_know_of_a_leaving_desk(&site, left.collect()).await;
     });
 }
 
