--- a/crates/core/src/place.rs
+++ b/crates/core/src/place.rs
@@ -210,59 +210,50 @@
     /// that other instances told of.
     fn usages(&self) -> Usages {
         let mut usages = Usages::new();
-        let mut add = |key: upstream::Key, usage: Usage| {
-            if let Some(entry) = usages.entry(key) {
-                let entry = entry.or_default();
-                entry.reading += usage.reading;
-                entry.running += usage.running;
-                entry.tokens += usage.tokens;
-            }
-        };
         for attempt in self.attempts.values() {
             let Some(relay) = self.requests[attempt.request].work.relay() else {
                 continue;
             };
-            add(
-                attempt.upstream,
-                Usage {
-                    reading: u32::from(!attempt.started && relay.tokens > 0),
-                    running: 1,
-                    tokens: relay.tokens,
-                },
-            );
-            if let Some(backup) = attempt.backup {
-                add(
-                    backup,
-                    Usage {
-                        tokens: relay.tokens,
-                        ..Usage::default()
-                    },
-                );
-            }
+            let usage = Usage {
+                reading: u32::from(!attempt.started && relay.tokens > 0),
+                running: 1,
+                tokens: relay.tokens,
+            };
+            note(&mut usages, Some(attempt.upstream), attempt.backup, usage);
         }
         for (at, sighting) in self.sightings.running(self.now) {
             let reading =
                 sighting.stage == sighting::Stage::Started && self.now.since(at) < READING_MS;
-            if let Some(key) = self.names.get(sighting.upstream.as_str()) {
-                add(
-                    *key,
-                    Usage {
-                        reading: u32::from(reading),
-                        running: 1,
-                        tokens: sighting.tokens,
-                    },
-                );
-            }
-            if let Some(key) = self.names.get(sighting.backup.as_str()) {
-                add(
-                    *key,
-                    Usage {
-                        tokens: sighting.tokens,
-                        ..Usage::default()
-                    },
-                );
-            }
+            let usage = Usage {
+                reading: u32::from(reading),
+                running: 1,
+                tokens: sighting.tokens,
+            };
+            let find = |name: &str| self.names.get(name).copied();
+            let (upstream, backup) = (find(&sighting.upstream), find(&sighting.backup));
+            note(&mut usages, upstream, backup, usage);
         }
         usages
     }
 }
+
+/// Notes what one request uses at its upstream, and the memory of its copy.
+fn note(
+    usages: &mut Usages,
+    upstream: Option<upstream::Key>,
+    backup: Option<upstream::Key>,
+    usage: Usage,
+) {
+    let copy = Usage {
+        tokens: usage.tokens,
+        ..Usage::default()
+    };
+    for (key, usage) in [(upstream, usage), (backup, copy)] {
+        if let Some(entry) = key.and_then(|key| usages.entry(key)) {
+            let entry = entry.or_default();
+            entry.reading += usage.reading;
+            entry.running += usage.running;
+            entry.tokens += usage.tokens;
+        }
+    }
+}
--- a/crates/node/src/gossip.rs
+++ b/crates/node/src/gossip.rs
@@ -280,7 +280,14 @@
     }
 }
 
+/// A sighting as others are told it. Of a stream that is whole they need to know its prompt only.
 fn encode(sighting: Sighting) -> peers::Sighting {
+    if sighting.stage == Stage::Ended {
+        return peers::Sighting {
+            prompt: sighting.prompt,
+            ..peers::Sighting::default()
+        };
+    }
     let stage = match sighting.stage {
         Stage::Ended => peers::Stage::Ended,
         Stage::Left => peers::Stage::Left,
