--- a/crates/node/src/configuration.rs
+++ b/crates/node/src/configuration.rs
@@ -51,8 +51,7 @@
         let mut link = Link::new("configuration");
         loop {
             let role = self.own.role(&self.members.borrow());
-            let follows = matches!(role, Role::Deputy | Role::Follower);
-            if follows && self.revision().is_some() {
+            if role.follows() && self.revision().is_some() {
                 let asked = asked.get_or_insert_with(Instant::now);
                 self.follow(role, asked, &mut link).await;
                 // The next watch must begin with a read.
@@ -86,7 +85,7 @@
         }
     }
 
-    /// Reads a configuration that others have.
+    /// Reads a configuration that others have, by reads that may be old first.
     async fn read_newer(&mut self, told: Option<u64>, link: &mut Link) {
         for pause in READS {
             sleep(pause).await;
@@ -98,6 +97,7 @@
         self.read(Age::Newest, link).await;
     }
 
+    /// Reads the configuration once.
     async fn read(&mut self, age: Age, link: &mut Link) {
         let key = platform::configuration::KEY;
         match self.client.items(key, PATIENCE, age).await {
--- a/crates/node/src/feed.rs
+++ b/crates/node/src/feed.rs
@@ -11,6 +11,9 @@
 /// once read long lists together.
 const PATIENCE_MOST: Duration = Duration::from_secs(5);
 
+/// Time that the store has after a failure, in pauses: it doubles with them.
+const PATIENCE_PAUSES: u32 = 8;
+
 /// Time that a watch waits for a change. Longer means fewer calls; a path that is gone is noticed by the
 /// connection before, and a watch that says nothing by what other instances know.
 pub(crate) const WAIT: Duration = Duration::from_secs(10);
@@ -210,7 +213,7 @@
 impl Link {
     /// Time that the next read has.
     pub fn patience(&self) -> Duration {
-        let patience = self.pause.map_or(PATIENCE, |pause| pause * 8);
+        let patience = self.pause.map_or(PATIENCE, |pause| pause * PATIENCE_PAUSES);
         patience.clamp(PATIENCE, PATIENCE_MOST)
     }
 
--- a/crates/node/src/lister.rs
+++ b/crates/node/src/lister.rs
@@ -55,8 +55,7 @@
         let mut roster = Roster::default();
         loop {
             let role = self.own.role(&self.members.borrow());
-            let follows = matches!(role, Role::Deputy | Role::Follower);
-            if follows && cursor.revision.is_some() {
+            if role.follows() && cursor.revision.is_some() {
                 self.follow(role, &mut cursor, &mut link, &mut roster).await;
                 self.list(&mut roster);
                 continue;
--- a/crates/node/src/members.rs
+++ b/crates/node/src/members.rs
@@ -17,7 +17,7 @@
 /// each watches the store until they do.
 const LOOK_ALONE: Duration = Duration::from_millis(500);
 
-/// Time after its start after which an instance that knows no other one takes it that there is none.
+/// Time from its start for which an instance that knows no other one looks so often; then there is none.
 const ALONE: Duration = Duration::from_secs(5);
 
 /// Instances up to which each of them watches the store: there a watch each costs less than telling.
@@ -67,6 +67,13 @@
     }
 }
 
+impl Role {
+    /// Whether it hears of changes from another instance.
+    pub fn follows(self) -> bool {
+        matches!(self, Self::Deputy | Self::Follower)
+    }
+}
+
 impl Own {
     /// Whether it keeps the streams of all instances in the store.
     pub fn keeps(&self, members: &Members) -> bool {
