--- a/crates/node/src/configuration.rs
+++ b/crates/node/src/configuration.rs
@@ -51,7 +51,7 @@
     pub async fn run(mut self) {
         let mut asked = None;
         let mut cursor = Cursor::new(self.client.clone(), platform::configuration::KEY);
-        let mut link = Link::new("configuration");
+        let mut link = Link::new("configuration", &self.client);
         loop {
             let role = self.own.role(&self.members.borrow());
             if role.follows() && self.revision().is_some() {
--- a/crates/node/src/feed.rs
+++ b/crates/node/src/feed.rs
@@ -23,15 +23,18 @@
 
 /// Pause after a call that failed: it doubles with each further failure up to the end, since refused
 /// calls are paid for in full, also those that cost a tenth when they are answered.
-const RETRY: RangeInclusive<Duration> = Duration::from_millis(250)..=Duration::from_secs(2);
+const RETRY: RangeInclusive<Duration> = Duration::from_millis(250)..=Duration::from_secs(1);
 
-/// The longest such pause of an instance that has started and has read nothing yet: it can not serve.
-const RETRY_FIRST: Duration = Duration::from_secs(1);
+/// Time since the store answered any call for which a call that failed is tried again after the shortest
+/// pause: it may have begun before the path was back, and a connection takes a second to fail.
+const BACK: Duration = Duration::from_millis(1_500);
 
 /// A client of the platform's store.
 #[derive(Clone)]
 pub(crate) struct Client {
     address: SocketAddr,
+    /// When the store answered last; clones of the client share it.
+    answered: Arc<Mutex<Option<Instant>>>,
     http: Http,
     meter: meter::Meter,
 }
@@ -69,6 +72,7 @@
     pub fn new(address: SocketAddr, meter: meter::Meter) -> Self {
         Self {
             address,
+            answered: Arc::default(),
             http: Http::watching(),
             meter,
         }
@@ -83,6 +87,15 @@
         Ok(answer)
     }
 
+    /// Whether the store has just answered some call.
+    fn is_back(&self) -> bool {
+        let answered = *self
+            .answered
+            .lock()
+            .expect("nobody panics while holding it");
+        answered.is_some_and(|answered| answered.elapsed() < BACK)
+    }
+
     async fn exchange(&self, call: Call, patience: Duration) -> Result<(StatusCode, Bytes), Error> {
         let request = Request::builder()
             .method(call.method)
@@ -90,10 +103,18 @@
             .header(header::CONTENT_TYPE, "application/json")
             .body(http::Body::from(call.body))
             .expect("address and path make a uri");
-        timeout(patience, self.http.exchange(request))
+        let answer = timeout(patience, self.http.exchange(request))
             .await
             .map_err(|_| Error::Store("no answer in time".into()))?
-            .map_err(|error| Error::Store(error.to_string()))
+            .map_err(|error| Error::Store(error.to_string()))?;
+        if answer.0.is_success() {
+            let mut answered = self
+                .answered
+                .lock()
+                .expect("nobody panics while holding it");
+            *answered = Some(Instant::now());
+        }
+        Ok(answer)
     }
 
     /// Reads all items under a prefix, and the revision to watch from. Pages are no snapshot, so it
@@ -201,12 +222,11 @@
 
 /// Whether a part of the store answers; each change is logged once.
 pub(crate) struct Link {
+    client: Client,
     /// When the last call failed; `None` while the store answers.
     failed: Option<Instant>,
     /// Pause after the last failure; `None` while the store answers.
     pause: Option<Duration>,
-    /// Whether the store has ever answered.
-    known: bool,
     what: &'static str,
 }
 
@@ -226,8 +246,8 @@
     /// Notes a call that failed. The pause after it doubles with each further failure.
     pub fn note(&mut self, error: &Error) {
         let pause = match self.pause {
-            Some(pause) if self.known => (pause * 2).min(*RETRY.end()),
-            Some(pause) => (pause * 2).min(RETRY_FIRST),
+            Some(_) if self.client.is_back() => *RETRY.start(),
+            Some(pause) => (pause * 2).min(*RETRY.end()),
             None => {
                 warn!("{} of the store can not be read: {error}", self.what);
                 *RETRY.start()
@@ -249,7 +269,6 @@
     pub fn good(&mut self) -> bool {
         let lost = self.pause.take().is_some();
         self.failed = None;
-        self.known = true;
         if lost {
             info!("{} of the store can be read again", self.what);
         }
@@ -257,10 +276,10 @@
     }
 
     /// A link that is believed to work; `what` names it in logs.
-    pub fn new(what: &'static str) -> Self {
+    pub fn new(what: &'static str, client: &Client) -> Self {
         Self {
+            client: client.clone(),
             failed: None,
-            known: false,
             pause: None,
             what,
         }
--- a/crates/node/src/keeper.rs
+++ b/crates/node/src/keeper.rs
@@ -111,7 +111,7 @@
     /// since nothing can be written to it either. Callers who come back noticed the loss of their instances
     /// only after seconds, so the read may be as old.
     async fn recall(&self) {
-        let mut link = feed::Link::new("streams");
+        let mut link = feed::Link::new("streams", &self.client);
         let items = loop {
             let read = self
                 .client
--- a/crates/node/src/lister.rs
+++ b/crates/node/src/lister.rs
@@ -51,7 +51,7 @@
     /// Keeps the core's upstreams as the store lists them, for ever.
     pub async fn run(mut self) {
         let mut cursor = Cursor::new(self.client.clone(), platform::upstream::PREFIX);
-        let mut link = Link::new("upstreams");
+        let mut link = Link::new("upstreams", &self.client);
         let mut roster = Roster::default();
         loop {
             let role = self.own.role(&self.members.borrow());
--- a/crates/node/src/members.rs
+++ b/crates/node/src/members.rs
@@ -105,7 +105,7 @@
 /// Keeps the other instances as the store lists them, for ever.
 pub(crate) async fn find(client: feed::Client, own: String, found: watch::Sender<Members>) {
     let begun = Instant::now();
-    let mut link = feed::Link::new("instances");
+    let mut link = feed::Link::new("instances", &client);
     loop {
         match client
             .items(PREFIX, link.patience(), feed::Age::Seconds)
