Streams told of are bounded in each instance's own table

Cause: found by reading the whole change. What was too old was left out of a copy only, when streams were written to the store; the table itself kept each stream whose end was lost on its way or whose instance ended, for ever, on every instance. The copy was made for each write. Change: beyond 4,000 the older half goes, as with the core's sightings; writing reads the table in place. The lease's parameter that holds an entry is named so.

--- a/crates/node/src/keeper.rs
+++ b/crates/node/src/keeper.rs
@@ -19,7 +19,7 @@
 /// Time that a call may take.
 const PATIENCE: Duration = Duration::from_secs(1);
 
-/// Streams kept, at most: half of what a value may hold.
+/// Streams known, at most: as kept they take half of what a value may hold. Beyond it the older half goes.
 const KEPT: usize = 4_000;
 
 /// Time for which a stream is kept that is not told of again: longer than a caller waits.
@@ -27,22 +27,34 @@
 
 /// Streams that instances relay, by the identity of their prompt, and when each was told of.
 #[derive(Clone, Debug, Default)]
-pub(crate) struct Streams(BTreeMap<u64, (Instant, peers::Sighting)>);
+pub struct Streams(BTreeMap<u64, (Instant, peers::Sighting)>);
 
 impl Streams {
-    /// The newest streams as they are kept.
-    fn encode(&mut self) -> Vec<u8> {
-        self.0.retain(|_, (at, _)| at.elapsed() < KEPT_FOR);
-        let mut kept: Vec<&(Instant, peers::Sighting)> = self.0.values().collect();
-        kept.sort_unstable_by_key(|(at, _)| std::cmp::Reverse(*at));
-        if kept.len() > KEPT {
-            warn!("{} streams of {} are kept", KEPT, kept.len());
-        }
-        let kept = kept.into_iter().take(KEPT);
-        let sightings = kept.map(|(_, sighting)| sighting.clone()).collect();
+    /// The streams as they are kept, without those that were told of too long ago.
+    fn encode(&self) -> Vec<u8> {
+        let fresh = self.0.values().filter(|(at, _)| at.elapsed() < KEPT_FOR);
+        let sightings = fresh.map(|(_, sighting)| sighting.clone()).collect();
         peers::Sightings { sightings }.encode_to_vec()
     }
 
+    /// Forgets the older half, among them those whose end was lost on its way.
+    fn forget_older(&mut self) {
+        let mut times: Vec<Instant> = self.0.values().map(|(at, _)| *at).collect();
+        let middle = times.len() / 2;
+        let (_, middle, _) = times.select_nth_unstable(middle);
+        self.0.retain(|_, (at, _)| *at > *middle);
+    }
+
+    /// Whether no stream is known.
+    pub fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+
+    /// Streams known.
+    pub fn len(&self) -> usize {
+        self.0.len()
+    }
+
     /// Takes in what an instance told of a stream.
     pub fn take(&mut self, sighting: &peers::Sighting) {
         match sighting.stage() {
@@ -50,6 +62,9 @@
                 self.0.remove(&sighting.prompt);
             }
             peers::Stage::Started | peers::Stage::Streaming => {
+                if self.0.len() >= KEPT {
+                    self.forget_older();
+                }
                 let told = (Instant::now(), sighting.clone());
                 self.0.insert(sighting.prompt, told);
             }
@@ -99,8 +114,8 @@
             }
             let keeps = self.own.keeps(&self.members.borrow());
             if keeps && self.streams.has_changed().unwrap_or(false) {
-                let mut streams = self.streams.borrow_and_update().clone();
-                if let Err(error) = lease.put(&kept, &streams.encode()).await {
+                let streams = self.streams.borrow_and_update().encode();
+                if let Err(error) = lease.put(&kept, &streams).await {
                     debug!("keeping streams: {error}");
                 }
             }
@@ -144,7 +159,7 @@
 
 impl Lease {
     /// Makes sure that the lease runs and this instance is entered.
-    async fn hold(&mut self, key: &str, address: &str) -> Result<(), Error> {
+    async fn hold(&mut self, key: &str, entry: &str) -> Result<(), Error> {
         match self.granted {
             Some(granted) if granted.renewed.elapsed() < RENEW => Ok(()),
             Some(granted) => self.renew(granted.id).await,
@@ -158,7 +173,7 @@
                 let id = platform::store::decode_lease(&body)
                     .map_err(|error| Error::Store(error.to_string()))?;
                 self.granted = Some(Granted { id, renewed: asked });
-                self.put(key, address.as_bytes()).await
+                self.put(key, entry.as_bytes()).await
             }
         }
     }
