--- a/crates/node/src/configuration.rs
+++ b/crates/node/src/configuration.rs
@@ -140,7 +140,10 @@
                     self.adopt(&item);
                 }
             }
-            Err(error) => link.bad(&error).await,
+            Err(error) => {
+                link.hurry(own.is_none());
+                link.bad(&error).await;
+            }
         }
         if role == Role::Watcher && self.revision() > own {
             // The task that tells ends only with the instance.
--- a/crates/node/src/feed.rs
+++ b/crates/node/src/feed.rs
@@ -25,6 +25,12 @@
 /// calls are paid for in full, also those that cost a tenth when they are answered.
 const RETRY: RangeInclusive<Duration> = Duration::from_millis(250)..=Duration::from_secs(1);
 
+/// The longest such pause of an instance that can not serve anybody before it has read.
+const RETRY_AT_START: Duration = Duration::from_millis(100);
+
+/// The shortest pause after a call that failed, when the store has answered another call since.
+const RETRY_BACK: Duration = Duration::from_millis(50);
+
 /// Time since the store answered any call for which a call that failed is tried again after the shortest
 /// pause: it may have begun before the path was back, and a connection takes a second to fail.
 const BACK: Duration = Duration::from_millis(1_500);
@@ -34,7 +40,7 @@
 pub(crate) struct Client {
     address: SocketAddr,
     /// When the store answered last; clones of the client share it.
-    answered: Arc<Mutex<Option<Instant>>>,
+    answered: Arc<watch::Sender<Option<Instant>>>,
     http: Http,
     meter: meter::Meter,
 }
@@ -72,7 +78,7 @@
     pub fn new(address: SocketAddr, meter: meter::Meter) -> Self {
         Self {
             address,
-            answered: Arc::default(),
+            answered: Arc::new(watch::Sender::new(None)),
             http: Http::watching(),
             meter,
         }
@@ -89,10 +95,7 @@
 
     /// Whether the store has just answered some call.
     fn is_back(&self) -> bool {
-        let answered = *self
-            .answered
-            .lock()
-            .expect("nobody panics while holding it");
+        let answered = *self.answered.borrow();
         answered.is_some_and(|answered| answered.elapsed() < BACK)
     }
 
@@ -108,11 +111,7 @@
             .map_err(|_| Error::Store("no answer in time".into()))?
             .map_err(|error| Error::Store(error.to_string()))?;
         if answer.0.is_success() {
-            let mut answered = self
-                .answered
-                .lock()
-                .expect("nobody panics while holding it");
-            *answered = Some(Instant::now());
+            self.answered.send_replace(Some(Instant::now()));
         }
         Ok(answer)
     }
@@ -227,6 +226,8 @@
     failed: Option<Instant>,
     /// Pause after the last failure; `None` while the store answers.
     pause: Option<Duration>,
+    /// Whether nobody can be served before this is read.
+    urgent: bool,
     what: &'static str,
 }
 
@@ -237,10 +238,30 @@
         patience.clamp(PATIENCE, PATIENCE_MOST)
     }
 
-    /// Notes a call that failed, and waits before the next one.
+    /// Notes a call that failed, and waits before the next one: less if the store answers another call.
     pub async fn bad(&mut self, error: &Error) {
         self.note(error);
-        sleep(self.wait()).await;
+        let failed = self.failed;
+        let mut answered = self.client.answered.subscribe();
+        let since = async {
+            let client_gone = answered.wait_for(|at| *at > failed).await.is_err();
+            if client_gone {
+                std::future::pending::<()>().await;
+            }
+        };
+        let back = async {
+            sleep(RETRY_BACK).await;
+            since.await;
+        };
+        tokio::select! {
+            () = back => {}
+            () = sleep(self.wait()) => {}
+        }
+    }
+
+    /// Says whether nobody can be served before this is read.
+    pub fn hurry(&mut self, urgent: bool) {
+        self.urgent = urgent;
     }
 
     /// Notes a call that failed. The pause after it doubles with each further failure.
@@ -253,6 +274,11 @@
                 *RETRY.start()
             }
         };
+        let pause = if self.urgent {
+            pause.min(RETRY_AT_START)
+        } else {
+            pause
+        };
         self.failed = Some(Instant::now());
         self.pause = Some(pause);
     }
@@ -281,6 +307,7 @@
             client: client.clone(),
             failed: None,
             pause: None,
+            urgent: false,
             what,
         }
     }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -75,7 +75,7 @@
         path::{Path, PathBuf},
         process::ExitCode,
         sync::{
-            Arc, Mutex,
+            Arc,
             atomic::{AtomicBool, AtomicU64, Ordering},
         },
         time::{Duration, Instant, SystemTime, UNIX_EPOCH},
