--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -42,6 +42,7 @@
 mod revision;
 mod store;
 mod traffic;
+mod tuning;
 
 pub use {caller::fingerprint, clock::Clock, error::Error, instance::Instance, settings::Settings};
 
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -1,7 +1,6 @@
 //! Settings of an instance, read from a JSON file.
 
 use super::*;
-use wellplank_core::settings::{Place, Resume, Room, Routing};
 
 /// Bytes of the secret that authenticates cursors.
 const SECRET_BYTES: usize = 32;
@@ -10,7 +9,7 @@
 const LINK_MBPS: f64 = 10.0;
 
 /// Longest time a setting may give, in milliseconds.
-const MILLIS_MAX: u64 = 3_600_000;
+pub(crate) const MILLIS_MAX: u64 = 3_600_000;
 
 /// Settings of an instance.
 #[derive(Clone, Debug, PartialEq)]
@@ -113,62 +112,10 @@
 
     /// A file that holds every setting at its default, with examples where there is none.
     pub fn defaults() -> Value {
-        let core = wellplank_core::settings::Settings::default();
         json!({
             "body_max": 4 << 20,
             "claim_writes": 160,
-            "core": {
-                "attempts_max": core.attempts_max,
-                "claim_retry_ms": core.claim_retry_ms,
-                "continuation": core.continuation,
-                "continue_non_repeatable": core.continue_non_repeatable,
-                "hedge_earn": core.hedge_earn,
-                "held_bytes_max": core.held_bytes_max,
-                "key_age_max_ms": core.key_age_max_ms,
-                "key_lead_max_ms": core.key_lead_max_ms,
-                "leaving_hint_ms": core.leaving_hint_ms,
-                "linger_ms": core.linger_ms,
-                "load_ms": core.load_ms,
-                "pause_ms": core.pause_ms,
-                "probe_ms": core.probe_ms,
-                "probe_timeout_ms": core.probe_timeout_ms,
-                "place": {
-                    "far": core.place.far,
-                    "memory": core.place.memory,
-                    "outage": core.place.outage,
-                    "reading": core.place.reading,
-                    "running": core.place.running,
-                    "spread": core.place.spread,
-                    "trouble": core.place.trouble,
-                },
-                "probes": core.probes,
-                "queue_max": core.queue_max,
-                "relay_call_ms": core.relay_call_ms,
-                "relay_copy_ms": core.relay_copy_ms,
-                "relay_first": core.relay_first,
-                "relay_resume": "copy",
-                "relay_stall_ms": core.relay_stall_ms,
-                "report_lag_ms": core.report_lag_ms,
-                "resume_reserve": core.resume_reserve,
-                "retry_earn": core.retry_earn,
-                "room": {
-                    "copy_fill": core.room.copy_fill,
-                    "early": core.room.early,
-                    "fill": core.room.fill,
-                    "hopeless": core.room.hopeless,
-                    "late_fill": core.room.late_fill,
-                    "reading": core.room.reading,
-                    "refuse": core.room.refuse,
-                    "turns": core.room.turns,
-                    "window": core.room.window,
-                },
-                "routing": "prefix",
-                "stall_loss_ms": core.stall_loss_ms,
-                "stall_max_ms": core.stall_max_ms,
-                "stall_min_ms": core.stall_min_ms,
-                "subset": core.subset,
-                "tokens_max": core.tokens_max,
-            },
+            "core": tuning::defaults(),
             "data_centre": "a",
             "heartbeat_ms": 500,
             "instance": "entry-1",
@@ -205,7 +152,7 @@
     fn read_shared(reader: &mut Reader, hosted: Option<Hosted>) -> Self {
         let nowhere = SocketAddr::from(([0, 0, 0, 0], 0));
         let data_centre = reader.text("data_centre", None).unwrap_or_default();
-        let core = Self::read_core(reader.section("core"));
+        let core = tuning::read(reader.section("core"));
         Self {
             body_max: reader.number("body_max", 4 << 20, 1_024..=256 << 20) as usize,
             claim_writes: reader.number("claim_writes", 160, 1..=10_000),
@@ -229,110 +176,6 @@
         }
     }
 
-    fn read_core(mut reader: Reader) -> wellplank_core::settings::Settings {
-        let default = wellplank_core::settings::Settings::default();
-        let mut millis = |name: &str, default: u64| reader.number(name, default, 1..=MILLIS_MAX);
-        let claim_retry_ms = millis("claim_retry_ms", default.claim_retry_ms);
-        let key_age_max_ms = millis("key_age_max_ms", default.key_age_max_ms);
-        let key_lead_max_ms = millis("key_lead_max_ms", default.key_lead_max_ms);
-        let leaving_hint_ms = millis("leaving_hint_ms", default.leaving_hint_ms);
-        let linger_ms = millis("linger_ms", default.linger_ms);
-        let load_ms = millis("load_ms", default.load_ms);
-        let pause_ms = millis("pause_ms", default.pause_ms);
-        let probe_ms = millis("probe_ms", default.probe_ms);
-        let probe_timeout_ms = millis("probe_timeout_ms", default.probe_timeout_ms);
-        let relay_call_ms = millis("relay_call_ms", default.relay_call_ms);
-        let relay_copy_ms = millis("relay_copy_ms", default.relay_copy_ms);
-        let relay_stall_ms = millis("relay_stall_ms", default.relay_stall_ms);
-        let report_lag_ms = millis("report_lag_ms", default.report_lag_ms);
-        let stall_loss_ms = millis("stall_loss_ms", default.stall_loss_ms);
-        let stall_max_ms = millis("stall_max_ms", default.stall_max_ms);
-        let stall_min_ms = millis("stall_min_ms", default.stall_min_ms);
-        if stall_min_ms > stall_max_ms {
-            reader.fault(
-                "stall_min_ms",
-                format!("{stall_min_ms} must not be above stall_max_ms, {stall_max_ms}"),
-            );
-        }
-        let attempts_max = u64::from(default.attempts_max);
-        let tokens_max = u64::from(default.tokens_max);
-        let settings = wellplank_core::settings::Settings {
-            attempts_max: reader.number("attempts_max", attempts_max, 1..=100) as u32,
-            claim_retry_ms,
-            continuation: reader.flag("continuation", default.continuation),
-            continue_non_repeatable: reader
-                .flag("continue_non_repeatable", default.continue_non_repeatable),
-            hedge_earn: reader.share("hedge_earn", default.hedge_earn),
-            held_bytes_max: reader.number(
-                "held_bytes_max",
-                default.held_bytes_max,
-                1 << 16..=1 << 40,
-            ),
-            key_age_max_ms,
-            key_lead_max_ms,
-            leaving_hint_ms,
-            linger_ms,
-            load_ms,
-            pause_ms,
-            probe_ms,
-            probe_timeout_ms,
-            queue_max: reader.number("queue_max", default.queue_max as u64, 1..=1_000_000) as usize,
-            place: Self::read_place(reader.section("place")),
-            probes: reader.flag("probes", default.probes),
-            relay_call_ms,
-            relay_copy_ms,
-            relay_first: reader.real("relay_first", default.relay_first, 0.1..=100.0),
-            relay_resume: reader.choice("relay_resume", &Resume::ALL, default.relay_resume),
-            relay_stall_ms,
-            report_lag_ms,
-            resume_reserve: reader.share("resume_reserve", default.resume_reserve),
-            room: Self::read_room(reader.section("room")),
-            retry_earn: reader.share("retry_earn", default.retry_earn),
-            routing: reader.choice("routing", &Routing::ALL, default.routing),
-            stall_loss_ms,
-            stall_max_ms,
-            stall_min_ms: stall_min_ms.min(stall_max_ms),
-            subset: reader.number("subset", default.subset as u64, 0..=10_000) as usize,
-            tokens_max: reader.number("tokens_max", tokens_max, 1..=1 << 24) as u32,
-        };
-        reader.finish();
-        settings
-    }
-
-    fn read_place(mut reader: Reader) -> Place {
-        let default = Place::default();
-        let mut cost = |name: &str, default: f64| reader.real(name, default, 0.0..=1_000.0);
-        let place = Place {
-            far: cost("far", default.far),
-            memory: cost("memory", default.memory),
-            outage: cost("outage", default.outage),
-            reading: cost("reading", default.reading),
-            running: cost("running", default.running),
-            spread: cost("spread", default.spread),
-            trouble: cost("trouble", default.trouble),
-        };
-        reader.finish();
-        place
-    }
-
-    fn read_room(mut reader: Reader) -> Room {
-        let default = Room::default();
-        let mut part = |name: &str, default: f64| reader.real(name, default, 0.0..=10.0);
-        let room = Room {
-            copy_fill: part("copy_fill", default.copy_fill),
-            early: part("early", default.early),
-            fill: part("fill", default.fill),
-            hopeless: part("hopeless", default.hopeless),
-            late_fill: part("late_fill", default.late_fill),
-            reading: reader.number("reading", u64::from(default.reading), 0..=1_000) as u32,
-            refuse: reader.flag("refuse", default.refuse),
-            turns: reader.flag("turns", default.turns),
-            window: reader.flag("window", default.window),
-        };
-        reader.finish();
-        room
-    }
-
     fn read_hosted(mut reader: Reader) -> Hosted {
         let hosted = Hosted {
             apply_ms: reader.number("apply_ms", 2_000, 100..=MILLIS_MAX),
