--- a/crates/core/src/room.rs
+++ b/crates/core/src/room.rs
@@ -106,10 +106,10 @@
         }
     }
 
-    /// Whether another call may be under way in the pool of a request, where upstreams keep nothing of it in
-    /// memory.
+    /// Whether another call may be under way in the pool of a request; streams are bounded by the room of
+    /// their engines.
     pub(crate) fn may_call(&self, request: &Request) -> bool {
-        if !self.settings.room.window || Need::of(request).is_some() {
+        if !self.settings.room.window || streams(request) {
             return true;
         }
         let Some(pool) = self.pools.get(request.service.pool()) else {
@@ -122,6 +122,9 @@
     /// Notes how a relayed call ended: with an answer, or without one.
     pub(crate) fn called(&mut self, attempt: &Attempt, answered: bool) {
         let request = &self.requests[attempt.request];
+        if streams(request) {
+            return;
+        }
         let name: Arc<str> = request.service.pool().into();
         let load = self.upstreams.get(attempt.upstream);
         let load = load.map(|upstream| upstream.load).unwrap_or_default();
@@ -311,3 +314,8 @@
         self.rng.random_range(least..=2 * least)
     }
 }
+
+/// Whether the answer to a request is a series of events.
+fn streams(request: &Request) -> bool {
+    request.service.relay().is_some_and(|relay| relay.streams)
+}
--- a/crates/core/tests/relay/builder.rs
+++ b/crates/core/tests/relay/builder.rs
@@ -84,6 +84,23 @@
 
     /// Asks with so much patience, in milliseconds.
     pub fn ask_within(&mut self, patience: u64, key: &str, path: &str, position: u64) -> Caller {
+        let tokens = if path == STREAM { 5_200 } else { 0 };
+        self.submit(patience, key, path, position, tokens)
+    }
+
+    /// Asks for so many tokens; 0 does not say.
+    pub fn ask_of_size(&mut self, tokens: u32, path: &str) -> Caller {
+        self.submit(20_000, "key", path, 0, tokens)
+    }
+
+    fn submit(
+        &mut self,
+        patience: u64,
+        key: &str,
+        path: &str,
+        position: u64,
+        tokens: u32,
+    ) -> Caller {
         self.next += 1;
         let caller = Caller(self.next);
         self.tell(Event::Submit(Box::new(Submission {
@@ -104,7 +121,7 @@
                 position,
                 prompt: if path == STREAM { 77 } else { 0 },
                 run: format!("run-{}", self.next).into(),
-                tokens: if path == STREAM { 5_200 } else { 0 },
+                tokens,
             }),
         })));
         caller
--- a/crates/core/tests/relay/room.rs
+++ b/crates/core/tests/relay/room.rs
@@ -260,6 +260,15 @@
     expect_that!(test.ends(), each(eq("overloaded")));
 }
 
+#[gtest]
+fn streams_that_do_not_tell_their_size_have_no_window() {
+    let mut test = Test::new(4);
+    for _ in 0..40 {
+        test.ask_of_size(0, STREAM);
+    }
+    expect_that!(test.sent().len(), eq(40));
+}
+
 #[gtest]
 fn broken_connections_narrow_the_window() {
     let mut test = Test::new(4);
