--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -68,12 +68,12 @@
         self.submit_now(submission);
     }
 
-    /// Whether this instance can serve a request: it has a configuration and, for a stream that its caller has
+    /// Whether this instance can serve a request: it has a configuration and a list of upstreams and, for a stream that its caller has
     /// a part of, the streams that were kept before its start.
     fn knows_enough(&self, submission: &event::Submission) -> bool {
         let goes_on = |relay: &request::Relay| relay.position > 0;
         let goes_on = submission.work.relay().is_some_and(goes_on);
-        self.config.is_some() && (self.recalled || !goes_on)
+        self.config.is_some() && self.listed && (self.recalled || !goes_on)
     }
 
     /// All streams that were kept before the start are known.
@@ -169,6 +169,7 @@
         self.check_room(&customer, &service, &submission)?;
         let mut request = self.request(submission, customer, service)?;
         self.check_time(&request)?;
+        self.check_demand(&request)?;
         request.held = request.work.bytes() + 4 * u64::from(request.work.max_tokens());
         self.held += request.held;
         self.count(Counter::Admitted);
@@ -318,15 +319,13 @@
         })
     }
 
-    /// Time by which a caller wants the first event: counted from its first try.
-    fn wanted_by(&mut self, service: &config::Service, patience_ms: Option<u64>) -> Time {
-        let objective = service.relay().map_or(u64::MAX, |relay| relay.objective_ms);
+    /// For how long a caller has waited before it asked, by its patience and others', in milliseconds.
+    fn waited_ms(&mut self, service: &config::Service, patience_ms: Option<u64>) -> u64 {
         let Some(patience) = patience_ms else {
-            return self.now.after(objective);
+            return 0;
         };
         let longest = self.patiences.entry(service.name.clone()).or_default();
-        let waited = longest.note(patience, self.now);
-        Time(self.now.after(objective).0.saturating_sub(waited))
+        longest.note(patience, self.now)
     }
 
     fn request(
@@ -346,7 +345,9 @@
         let relay = submission.work.relay();
         let patience_ms = relay.and_then(|relay| relay.patience_ms);
         let deadline_ms = service.deadline_ms.min(patience_ms.unwrap_or(u64::MAX));
-        let wanted_by = self.wanted_by(&service, patience_ms);
+        let waited_ms = self.waited_ms(&service, patience_ms);
+        let objective = service.relay().map_or(u64::MAX, |relay| relay.objective_ms);
+        let wanted_by = self.now.after(objective).0.saturating_sub(waited_ms);
         let passage = relay.map_or_else(request::Passage::default, |relay| self.passage(relay));
         let claim = if cursor.is_none() && !service.repeatable && relay.is_none() {
             let key = submission.key.ok_or(Kind::KeyRequired)?;
@@ -394,7 +395,8 @@
             send_by: self.now.after(service.max_wait_ms),
             sent: None,
             service,
-            wanted_by,
+            waited_ms,
+            wanted_by: Time(wanted_by),
             skip: cursor.map_or(0, |cursor| cursor.position),
             skip_digest: cursor.map_or_else(Digest::default, |cursor| cursor.digest),
             state: State::Queued,
--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -173,6 +173,11 @@
             Target::Call { .. } | Target::Generate { .. } => None,
         }
     }
+
+    /// Whether requests are relayed whose answers are series of events.
+    pub fn streams(&self) -> bool {
+        self.relay().is_some_and(|relay| relay.streams)
+    }
 }
 
 impl Config {
--- a/crates/core/src/core.rs
+++ b/crates/core/src/core.rs
@@ -11,9 +11,6 @@
 /// Permits that a retry budget gains a second without work.
 const BUDGET_REFILL: f64 = 1.0;
 
-/// Instances that have a full retry budget each; more of them share as much as these have together.
-pub(crate) const BUDGET_INSTANCES: f64 = 4.0;
-
 /// Weight of a new sample in the mean duration of requests.
 const DURATION_GAIN: f64 = 0.05;
 
@@ -23,6 +20,8 @@
 /// Upstreams of one pool and the work that waits for them.
 #[derive(Clone, Debug)]
 pub(crate) struct Pool {
+    /// What all instances ask of it.
+    pub demands: Demands,
     /// Running mean of the time from sending to the end, in milliseconds.
     pub duration: f64,
     /// Paces of its upstreams, and how long they have had no room.
@@ -40,6 +39,7 @@
 impl Default for Pool {
     fn default() -> Self {
         Self {
+            demands: Demands::default(),
             duration: DURATION_START,
             gauge: Gauge::default(),
             queue: Queue::default(),
@@ -80,6 +80,8 @@
     /// How long callers of each service wait.
     pub(crate) patiences: HashMap<String, patience::Longest>,
     pub(crate) pools: BTreeMap<Arc<str>, Pool>,
+    /// Whether the list of upstreams was read since its start.
+    pub(crate) listed: bool,
     /// Whether the streams that were kept before its start are known.
     pub(crate) recalled: bool,
     pub(crate) reclaims: Vec<(Time, request::Key)>,
@@ -119,6 +121,7 @@
     pub fn handle(&mut self, now: Time, event: Event) -> Vec<Effect> {
         let gap = now.since(self.now);
         self.now = self.now.max(now);
+        self.sightings.advance(self.now);
         if gap > self.settings.pause_ms {
             self.wake(gap);
         }
@@ -130,6 +133,7 @@
             Event::Claimed { request, outcome } => self.claimed(request, outcome),
             Event::Closed { attempt, marked } => self.closed(attempt, marked),
             Event::Config(config) => self.adopt(config),
+            Event::Demanded { demand, from } => self.demanded(from, &demand),
             Event::Failed { attempt, failure } => self.failed(attempt, failure),
             Event::Finished {
                 attempt,
@@ -141,6 +145,7 @@
             Event::List { asked, listed } => self.list(asked, listed.as_deref()),
             Event::Load { upstream, load } => self.report(upstream, load),
             Event::Opened(attempt) => self.opened(attempt),
+            Event::Paced(pace) => self.paced(&pace),
             Event::Passed {
                 attempt,
                 bytes,
@@ -179,6 +184,7 @@
             held: 0,
             identity: seed,
             instances: 1,
+            listed: false,
             names: HashMap::new(),
             now,
             patiences: HashMap::new(),
--- a/crates/core/src/counter.rs
+++ b/crates/core/src/counter.rs
@@ -77,6 +77,13 @@
     Unmarked,
 }
 
+impl Reason {
+    /// Whether no upstream took the request in: it was not there, or is another one by now.
+    pub fn never_taken_in(self) -> bool {
+        matches!(self, Self::Leaving | Self::NotSent | Self::Replaced)
+    }
+}
+
 impl Display for Counter {
     fn fmt(&self, formatter: &mut Formatter) -> fmt::Result {
         match self {
--- /dev/null
+++ b/crates/core/src/demand.rs
@@ -0,0 +1,394 @@
+//! What all instances ask of a plain service together, and which part of it the service can serve.
+//!
+//! The load that this answers: more calls than a service's slots serve, asked at hundreds of instances that
+//! each see a few of them a second. A window of calls that each instance keeps alone can not be less than one
+//! call, and hundreds of such windows are many times what the service holds. So instances tell each other
+//! what they are asked for, and where that is more than the slots serve each admits the same part of its
+//! calls. The part is the same everywhere, however unevenly callers are spread and however little an instance
+//! sees; nothing is kept for an instance that does not need it.
+
+use super::*;
+
+/// Time over which calls are counted for their rate, in milliseconds: a burst is known after about as long.
+/// With half of it the rate of 295 instances is no better known, since what they tell is as old.
+const RATE_MS: f64 = 250.0;
+
+/// Time between two words to other instances, in milliseconds; several within `RATE_MS` would say the same.
+const TELL_MS: u64 = 250;
+
+/// Time after which another instance's word no longer counts, in milliseconds; instances tell more often
+/// while they are asked for anything.
+const KEPT_MS: u64 = 3_000;
+
+/// Instances that must have been heard before what they tell stands for those that were not: with so many
+/// the whole is known to about a third.
+const HEARD_LEAST: usize = 16;
+
+/// Part of what the slots serve up to which calls are admitted. With random arrivals at 6 slots and 24 waiting
+/// one call in 60 is turned away at 0.95, one in 200 at 0.9.
+const FILL: f64 = 0.9;
+
+/// Calls under way for each slot that are aimed at while calls are refused: one that runs, and for some slots
+/// one that waits, so that few are idle.
+const CALLS_PER_SLOT: f64 = 1.6;
+
+/// Part of what is served that callers who were refused before may have of it, where new ones would fill it:
+/// their answers are late already. With more of it fewer are refused twice, and more are late.
+const RETURNED_PART: f64 = 0.1;
+
+/// Milliseconds by which a caller's time must be shorter than others' for it to have come back.
+pub(crate) const RETURNED_MS: u64 = 50;
+
+/// Weight of a new sample in the time that calls take, at least.
+const GAIN: f64 = 0.05;
+
+/// Times of what calls usually take after which one is hung, and says nothing of how many wait.
+const HUNG: f64 = 8.0;
+
+/// Power of the ratio by which a step goes: what is told is a second old, and whole steps would swing.
+const STEP_POWER: f64 = 0.05;
+
+/// Largest and smallest step of the correction, and its bounds: what calls take may be known wrong by so much.
+const STEPS: std::ops::RangeInclusive<f64> = 0.8..=1.05;
+const CORRECTIONS: std::ops::RangeInclusive<f64> = 0.25..=2.0;
+
+/// Part of what the slots serve from which on callers' own data centre is no longer preferred, and from which
+/// on it does not count at all: its upstreams may be fewer than its callers need.
+const NEAR: std::ops::Range<f64> = 0.5..0.7;
+
+/// What one instance is asked of a pool.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Demand {
+    /// New calls a second.
+    pub asked: f64,
+    /// Name of the pool.
+    pub pool: Arc<str>,
+    /// Calls a second of callers that came back after a refusal.
+    pub returned: f64,
+    /// Calls under way.
+    pub running: u32,
+    /// Milliseconds that a call takes while none waits; 0 if this instance has seen none.
+    pub takes_ms: f64,
+}
+
+/// Events a second, the recent ones counting most.
+#[derive(Clone, Copy, Debug, Default)]
+struct Rate {
+    at: Time,
+    level: f64,
+}
+
+/// What an instance told, and when.
+#[derive(Clone, Copy, Debug)]
+struct Told {
+    asked: f64,
+    at: Time,
+    returned: f64,
+    running: u32,
+    takes_ms: f64,
+}
+
+/// What all instances ask for.
+#[derive(Clone, Copy, Debug, Default)]
+struct Whole {
+    asked: f64,
+    returned: f64,
+    running: f64,
+    /// Milliseconds that a call takes while none waits, as the mean of what instances saw; 0 if none saw any.
+    takes_ms: f64,
+}
+
+/// Which part of the calls is admitted; above 1 while there is room for more.
+#[derive(Clone, Copy, Debug)]
+struct Part {
+    /// Of new ones.
+    new: f64,
+    /// Of those whose callers came back.
+    returned: f64,
+}
+
+/// What is known of the demand for one pool.
+#[derive(Clone, Debug)]
+pub(crate) struct Demands {
+    adjusted: Time,
+    asked: Rate,
+    /// By how much more, or less, is admitted than slots and times say.
+    correction: f64,
+    /// What is asked for, over what is served.
+    load: f64,
+    others: HashMap<SocketAddr, Told>,
+    part: Part,
+    returned: Rate,
+    /// Calls whose time was taken.
+    samples: f64,
+    /// Milliseconds that a call takes while none waits.
+    takes_ms: f64,
+    told: Time,
+}
+
+impl Rate {
+    fn add(&mut self, now: Time) {
+        self.level = self.level(now) + 1.0;
+        self.at = now;
+    }
+
+    fn level(&self, now: Time) -> f64 {
+        self.level * (-(now.since(self.at) as f64) / RATE_MS).exp()
+    }
+
+    fn per_second(&self, now: Time) -> f64 {
+        self.level(now) * 1_000.0 / RATE_MS
+    }
+}
+
+impl Part {
+    const ALL: Self = Self {
+        new: f64::INFINITY,
+        returned: f64::INFINITY,
+    };
+}
+
+impl Default for Demands {
+    fn default() -> Self {
+        Self {
+            adjusted: Time::default(),
+            asked: Rate::default(),
+            correction: 1.0,
+            load: 0.0,
+            others: HashMap::new(),
+            part: Part::ALL,
+            returned: Rate::default(),
+            samples: 0.0,
+            takes_ms: 0.0,
+            told: Time::default(),
+        }
+    }
+}
+
+impl Demands {
+    /// Another instance told what it is asked for.
+    fn hear(&mut self, from: SocketAddr, demand: &Demand, now: Time) {
+        let told = Told {
+            asked: demand.asked,
+            at: now,
+            returned: demand.returned,
+            running: demand.running,
+            takes_ms: demand.takes_ms,
+        };
+        self.others.insert(from, told);
+    }
+
+    /// Whether any instance was asked for anything.
+    fn is_known(&self) -> bool {
+        self.asked.level + self.returned.level > 0.0 || !self.others.is_empty()
+    }
+
+    /// A call was answered after some time, while none waited at the service.
+    fn answered(&mut self, millis: u64) {
+        self.samples += 1.0;
+        self.takes_ms += (millis as f64 - self.takes_ms) * (1.0 / self.samples).max(GAIN);
+    }
+
+    /// Age from which on a call is hung, in milliseconds.
+    fn hung_ms(&self) -> u64 {
+        if self.takes_ms == 0.0 {
+            return u64::MAX;
+        }
+        (self.takes_ms * HUNG) as u64
+    }
+
+    /// What all instances ask for, this one's own calls under way with them. Those that were not heard are
+    /// believed to be like those that were.
+    fn whole(&self, running: u32, instances: u32, now: Time) -> Whole {
+        let recent = self.others.values();
+        let recent = recent.filter(|told| now.since(told.at) < KEPT_MS);
+        let mut heard = 0;
+        let mut others = Whole::default();
+        let (mut takes_ms, mut known) = (self.takes_ms, u32::from(self.takes_ms > 0.0));
+        for told in recent {
+            heard += 1;
+            takes_ms += told.takes_ms;
+            known += u32::from(told.takes_ms > 0.0);
+            others.asked += told.asked;
+            others.returned += told.returned;
+            others.running += f64::from(told.running);
+        }
+        let missing = instances as usize - 1;
+        let scale = if heard >= HEARD_LEAST && missing > heard {
+            missing as f64 / heard as f64
+        } else {
+            1.0
+        };
+        Whole {
+            asked: self.asked.per_second(now) + others.asked * scale,
+            returned: self.returned.per_second(now) + others.returned * scale,
+            running: f64::from(running) + others.running * scale,
+            takes_ms: takes_ms / f64::from(known.max(1)),
+        }
+    }
+
+    /// Takes in what all instances ask of so many slots.
+    fn adjust(&mut self, whole: Whole, slots: u32, now: Time) {
+        self.part = Part::ALL;
+        self.load = 0.0;
+        let asked = whole.asked + whole.returned;
+        if slots == 0 || whole.takes_ms <= 0.0 || asked <= 0.0 {
+            return;
+        }
+        let slots = f64::from(slots);
+        let places = FILL * slots * 1_000.0 / whole.takes_ms;
+        let limits = places * self.correction < asked;
+        if now.since(self.adjusted) >= TELL_MS {
+            self.adjusted = now;
+            self.correct(whole.running / slots, limits);
+        }
+        let served = places * self.correction;
+        let returned = (served - whole.asked).max(served * RETURNED_PART);
+        let new = served - returned.min(whole.returned);
+        self.load = asked / served;
+        self.part = Part {
+            new: new / whole.asked,
+            returned: returned / whole.returned,
+        };
+    }
+
+    /// Follows the calls under way for each slot: admits fewer where too many wait, also if what calls take is
+    /// known wrong, and more where places are idle though calls are refused.
+    fn correct(&mut self, running: f64, limits: bool) {
+        let aim = if limits || running > CALLS_PER_SLOT {
+            CALLS_PER_SLOT / running.max(f64::EPSILON)
+        } else {
+            // What was corrected in a burst is forgotten behind it.
+            1.0 / self.correction
+        };
+        let step = aim.powf(STEP_POWER).clamp(*STEPS.start(), *STEPS.end());
+        let correction = self.correction * step;
+        self.correction = correction.clamp(*CORRECTIONS.start(), *CORRECTIONS.end());
+    }
+
+    /// How much an upstream in the own data centre is preferred: 1 while the service is far from full, 0 when
+    /// it is nearly so.
+    pub fn nearness(&self) -> f64 {
+        ((NEAR.end - self.load) / (NEAR.end - NEAR.start)).clamp(0.0, 1.0)
+    }
+}
+
+impl Core {
+    /// Another instance told what it is asked of a pool.
+    pub(crate) fn demanded(&mut self, from: SocketAddr, demand: &Demand) {
+        let pool = self.pools.entry(demand.pool.clone()).or_default();
+        pool.demands.hear(from, demand, self.now);
+    }
+
+    /// Whether a new call is among those that the service can serve. One that is not is refused at once.
+    pub(crate) fn check_demand(&mut self, request: &Request) -> Result<(), admission::Refusal> {
+        if !self.settings.calls.demand || request.service.streams() {
+            return Ok(());
+        }
+        let name: Arc<str> = request.service.pool().into();
+        let now = self.now;
+        let came_back = request.waited_ms >= RETURNED_MS;
+        let demands = &mut self.pools.entry(name.clone()).or_default().demands;
+        if came_back {
+            demands.returned.add(now);
+        } else {
+            demands.asked.add(now);
+        }
+        self.measure_demand(&name);
+        let part = self.pools[&name].demands.part;
+        let part = if came_back { part.returned } else { part.new };
+        if part >= 1.0 || self.rng.random::<f64>() < part {
+            return Ok(());
+        }
+        self.shortage(request);
+        Err(admission::Refusal {
+            kind: Kind::Overloaded,
+            retry_after_ms: Some(self.come_back(request)),
+        })
+    }
+
+    /// Tells other instances what this one is asked for.
+    pub(crate) fn tell_demands(&mut self) {
+        let now = self.now;
+        let due = |pool: &core::Pool| now.since(pool.demands.told) >= TELL_MS;
+        // An instance that is asked nothing says so, or it would be believed to be like the others.
+        let asks = |pool: &core::Pool| pool.demands.is_known();
+        let due: Vec<Arc<str>> = self
+            .pools
+            .iter()
+            .filter(|(_, pool)| due(pool) && asks(pool))
+            .map(|(name, _)| name.clone())
+            .collect();
+        for name in due {
+            self.measure_demand(&name);
+            let running = self.under_way(&name);
+            let Some(pool) = self.pools.get_mut(&name) else {
+                continue;
+            };
+            pool.demands.told = now;
+            pool.demands
+                .others
+                .retain(|_, told| now.since(told.at) < KEPT_MS);
+            let demand = Demand {
+                asked: pool.demands.asked.per_second(now),
+                pool: name,
+                returned: pool.demands.returned.per_second(now),
+                running,
+                takes_ms: pool.demands.takes_ms,
+            };
+            let pressed = pool.demands.nearness() < 1.0;
+            self.effects.push(Effect::Demand { demand, pressed });
+        }
+    }
+
+    /// Notes that a call was answered. While calls wait at the service its time is not its own.
+    pub(crate) fn time_call(&mut self, name: &str, millis: u64) {
+        let running = self.under_way(name);
+        let Some(pool) = self.pools.get(name) else {
+            return;
+        };
+        let slots = f64::from(self.slots(pool));
+        let (instances, now) = (self.instances, self.now);
+        let Some(pool) = self.pools.get_mut(name) else {
+            return;
+        };
+        let whole = pool.demands.whole(running, instances, now);
+        if whole.running < slots || whole.takes_ms == 0.0 {
+            pool.demands.answered(millis);
+        }
+    }
+
+    /// Takes in what is known of the demand for a pool now.
+    fn measure_demand(&mut self, name: &str) {
+        let running = self.under_way(name);
+        let Some(pool) = self.pools.get(name) else {
+            return;
+        };
+        let slots = self.slots(pool);
+        let (instances, now) = (self.instances, self.now);
+        if let Some(pool) = self.pools.get_mut(name) {
+            let whole = pool.demands.whole(running, instances, now);
+            pool.demands.adjust(whole, slots, now);
+        }
+    }
+
+    /// Slots of a pool's upstreams that take work, by the list.
+    fn slots(&self, pool: &core::Pool) -> u32 {
+        let upstreams = self.upstreams_of(pool);
+        let works = upstreams.filter(|upstream| upstream.takes_work(self.now));
+        works.map(|upstream| upstream.listed_slots).sum()
+    }
+
+    /// Calls of a pool under way here, without those that hang.
+    fn under_way(&self, name: &str) -> u32 {
+        let Some(pool) = self.pools.get(name) else {
+            return 0;
+        };
+        let hung = pool.demands.hung_ms();
+        let attempts = self
+            .upstreams_of(pool)
+            .flat_map(|upstream| &upstream.attempts);
+        let fresh = attempts.filter(|key| self.now.since(self.attempts[**key].sent_at) < hung);
+        fresh.count() as u32
+    }
+}
--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -133,7 +133,9 @@
         let Some(upstream) = self.choose(key, true) else {
             return;
         };
-        if !self.hedges.spend(1.0, self.now) {
+        self.hedges
+            .share(self.instances, self.settings.shared.least);
+        if !self.hedges.spend(self.now) {
             return;
         }
         self.count(Counter::Hedged);
--- a/crates/core/src/effect.rs
+++ b/crates/core/src/effect.rs
@@ -198,6 +198,13 @@
         /// Position of the first of them.
         position: u32,
     },
+    /// Tell other instances what this one is asked of a pool.
+    Demand {
+        /// What it is asked.
+        demand: Demand,
+        /// Whether the pool is near what it can serve, so that others must know soon.
+        pressed: bool,
+    },
     /// Stop reading a stream but leave it running, since its caller may come back.
     Detach(attempt::Key),
     /// Give the caller an error as its final answer.
@@ -224,6 +231,8 @@
     Note(Note),
     /// Give a caller the head of a stream that the edge holds.
     Open(request::Caller),
+    /// Tell other instances how fast the engines of a pool work.
+    Pace(Pace),
     /// Give a caller one event of a relayed stream.
     Pass {
         /// The event.
--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -96,6 +96,8 @@
     pub name: String,
     /// Pool.
     pub pool: String,
+    /// Requests that it runs at once; 0 where that is not known.
+    pub slots: u32,
     /// Place in the order in which upstreams were entered; of two at one address the later one is
     /// there. 0 where that is not known.
     pub since: u64,
@@ -138,6 +140,13 @@
     },
     /// A configuration was read from the platform or a peer.
     Config(Arc<Config>),
+    /// Another instance told what it is asked of a pool of plain services.
+    Demanded {
+        /// What it is asked.
+        demand: Demand,
+        /// Where it listens.
+        from: SocketAddr,
+    },
     /// An attempt ended without a whole answer.
     Failed {
         /// The attempt.
@@ -174,6 +183,8 @@
     },
     /// A relayed stream began; the edge holds its head.
     Opened(attempt::Key),
+    /// Another instance told how fast the engines of a pool work.
+    Paced(Pace),
     /// One whole event of a relayed stream.
     Passed {
         /// The attempt.
--- a/crates/core/src/failure.rs
+++ b/crates/core/src/failure.rs
@@ -166,7 +166,7 @@
         }
         if request.may_have_run && !repeatable {
             self.fail(key, Kind::Unknown);
-        } else if exhausted || !self.may_retry(key) {
+        } else if exhausted || !self.may_retry(key, reason) {
             self.give_up(key, Kind::Overloaded, Kind::UpstreamFailed);
         } else {
             self.count(Counter::Retried(reason));
@@ -174,15 +174,19 @@
         }
     }
 
-    /// Takes a permit to send a request a second time; false if there is none.
-    pub(crate) fn may_retry(&mut self, key: request::Key) -> bool {
-        let part = (core::BUDGET_INSTANCES / f64::from(self.instances)).min(1.0);
+    /// Whether a request may be sent a second time: what no upstream took in may, everything else needs a
+    /// permit. Each upstream that is gone is met once, so this adds no load to those that are there.
+    pub(crate) fn may_retry(&mut self, key: request::Key, reason: counter::Reason) -> bool {
+        if self.settings.shared.unsent && reason.never_taken_in() {
+            return true;
+        }
         let pool = self.requests[key].service.pool();
         let Some(pool) = self.pools.get_mut(pool) else {
             return false;
         };
-        pool.retries.limit(part);
-        pool.retries.spend(1.0, self.now)
+        pool.retries
+            .share(self.instances, self.settings.shared.least);
+        pool.retries.spend(self.now)
     }
 
     /// Whether an upstream may have run any of a request.
--- a/crates/core/src/gauge.rs
+++ b/crates/core/src/gauge.rs
@@ -19,6 +19,17 @@
 /// Time without want of room after which a shortage is over, in milliseconds.
 const SHORTAGE_OVER_MS: u64 = 1_000;
 
+/// How fast the engines of a pool work, as one stream showed.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Pace {
+    /// Milliseconds between two events of a stream.
+    pub event_ms: f64,
+    /// Name of the pool.
+    pub pool: Arc<str>,
+    /// Milliseconds to the first event, for each token of the requests whose prompts were being read.
+    pub reading_ms: f64,
+}
+
 /// A running mean.
 #[derive(Clone, Copy, Debug, Default)]
 struct Mean(Option<f64>);
@@ -82,11 +93,35 @@
         (self.reading_ms.get() * f64::from(tokens)) as u64
     }
 
-    /// The first event came so long after sending, while prompts of requests of so many tokens were read.
-    pub fn read(&mut self, tokens: u32, millis: u64) {
-        if tokens > 0 {
-            self.reading_ms.add(millis as f64 / f64::from(tokens));
+    /// The same; `None` before anything is known.
+    pub fn known_reading(&self, tokens: u32) -> Option<u64> {
+        let per_token = self.reading_ms.0?;
+        Some((per_token * f64::from(tokens)) as u64)
+    }
+
+    /// Another instance told what a stream of its own showed. One of hundreds sees too few streams to know
+    /// how fast engines are while all are busy.
+    pub fn hear(&mut self, pace: &Pace) {
+        self.reading_ms.add(pace.reading_ms);
+        if pace.event_ms > 0.0 {
+            self.event_ms.add(pace.event_ms);
+        }
+    }
+
+    /// The first event came so long after sending, while prompts of requests of so many tokens were read; what
+    /// others are to be told of it, while streams find no room.
+    pub fn read(&mut self, pool: Arc<str>, tokens: u32, millis: u64, now: Time) -> Option<Pace> {
+        if tokens == 0 {
+            return None;
         }
+        let reading_ms = millis as f64 / f64::from(tokens);
+        self.reading_ms.add(reading_ms);
+        self.lasting(now)?;
+        Some(Pace {
+            event_ms: self.event_ms.get(),
+            pool,
+            reading_ms,
+        })
     }
 
     /// Milliseconds that the rest of an answer of at most `tokens` takes behind `position`.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -12,10 +12,12 @@
 pub mod core;
 pub mod counter;
 pub mod cursor;
+pub mod demand;
 pub mod detector;
 pub mod digest;
 pub mod effect;
 pub mod event;
+pub mod gauge;
 pub mod invariant;
 pub mod kind;
 pub mod queue;
@@ -27,7 +29,6 @@
 mod admission;
 mod dispatch;
 mod failure;
-mod gauge;
 mod patience;
 mod place;
 mod relay;
@@ -47,27 +48,28 @@
     config::{Config, Policy, Priority},
     counter::{Counter, Timing},
     cursor::Cursor,
+    demand::{Demand, Demands},
     detector::Detector,
     digest::Digest,
     effect::Effect,
     event::{Event, Failure, Piece},
-    gauge::Gauge,
+    gauge::{Gauge, Pace},
     invariant::Invariant,
     kind::Kind,
     queue::Queue,
-    rand::{RngExt, SeedableRng},
+    rand::{RngExt, SeedableRng, seq::SliceRandom},
     rand_pcg::Pcg64Mcg,
     request::{Request, State, Work},
     settings::{Resume, Routing, Settings},
     sighting::Sighting,
     slotmap::{SecondaryMap, SlotMap, new_key_type},
     std::{
-        collections::{BTreeMap, HashMap, VecDeque},
+        collections::{BTreeMap, BTreeSet, HashMap, VecDeque},
         fmt::{self, Display, Formatter},
         net::SocketAddr,
         sync::Arc,
     },
     upstream::{Health, Load, Upstream},
-    usage::{Usage, Usages},
+    usage::{Own, Usage},
     window::Window,
 };
--- a/crates/core/src/place.rs
+++ b/crates/core/src/place.rs
@@ -11,6 +11,10 @@
 /// Upstreams of a data centre that must be lost before the others are doubted.
 const OUTAGE_LEAST: u32 = 2;
 
+/// Upstreams that are looked at for a request, at least: with two of them the load of the fullest is mostly
+/// that of the mean and one or two more, and with four one of them has room while three quarters are full.
+const SAMPLE_LEAST: usize = 4;
+
 /// Upstreams of one pool in one data centre that were lost of late.
 #[derive(Clone, Copy, Debug, Default)]
 struct Outage {
@@ -53,9 +57,9 @@
         if !self.may_call(request) {
             return None;
         }
-        let usages = self.usages();
-        let candidates = self.with_room(request, self.placeable(request), &usages);
-        self.cheapest(key, &candidates, &usages)
+        let own = self.own_usage();
+        let candidates = self.with_room(request, self.placeable(request), &own);
+        self.cheapest(key, candidates, &own)
     }
 
     /// The upstream that keeps a copy of a stream's memory: one in another data centre than the
@@ -64,6 +68,7 @@
         &mut self,
         key: request::Key,
         upstream: upstream::Key,
+        own: &Own,
     ) -> Option<upstream::Key> {
         let relay = self.requests[key].service.relay()?;
         let wanted = self.settings.relay_resume == Resume::Copy;
@@ -78,9 +83,8 @@
             .into_iter()
             .partition(|other| self.upstreams[*other].data_centre != home);
         let candidates = if far.is_empty() { near } else { far };
-        let usages = self.usages();
-        let candidates = self.with_room_for_copy(request, candidates, &usages);
-        self.cheapest(key, &candidates, &usages)
+        let candidates = self.with_room_for_copy(request, candidates, own);
+        self.cheapest(key, candidates, own)
     }
 
     /// Whether an upstream may still hold a copy, by all that is known of it.
@@ -114,14 +118,17 @@
     fn cheapest(
         &mut self,
         key: request::Key,
-        candidates: &[upstream::Key],
-        usages: &Usages,
+        mut candidates: Vec<upstream::Key>,
+        own: &Own,
     ) -> Option<upstream::Key> {
         let place = self.settings.place;
-        let outages = self.outages(self.requests[key].service.pool());
+        let pool = self.requests[key].service.pool();
+        let outages = self.outages(pool);
+        let looked_at = self.looked_at(pool, candidates.len());
+        let (candidates, _) = candidates.partial_shuffle(&mut self.rng, looked_at);
         let mut best = None;
-        for candidate in candidates {
-            let usage = usages.of(*candidate);
+        for candidate in candidates.iter() {
+            let usage = self.usage(own, *candidate);
             let upstream = &self.upstreams[*candidate];
             let outage = outages.get(&upstream.data_centre).copied();
             let cost = self.cost(key, *candidate, usage)
@@ -134,6 +141,19 @@
         best.map(|(_, upstream)| upstream)
     }
 
+    /// How many of some upstreams, taken at random, a request is placed by. Instances that know the same, such
+    /// as all of them after a restart, would else all choose the same few: of 703 streams that came back within
+    /// two seconds to 295 instances and 320 engines, 16 went to one engine and none to 80 others.
+    fn looked_at(&self, pool: &str, candidates: usize) -> usize {
+        let all = self.pools.get(pool).map_or(0, |pool| pool.upstreams.len());
+        let part = self.settings.place.sample;
+        if part == 0.0 {
+            return candidates;
+        }
+        let sample = (part * all as f64 / f64::from(self.instances)) as usize;
+        sample.max(SAMPLE_LEAST).min(candidates)
+    }
+
     /// What it costs others and the request itself to go to an upstream.
     fn cost(&self, key: request::Key, candidate: upstream::Key, usage: Usage) -> f64 {
         let request = &self.requests[key];
@@ -143,7 +163,7 @@
         cost += f64::from(usage.reading) * place.reading;
         cost += f64::from(usage.running) * place.running;
         if upstream.data_centre != self.data_centre {
-            cost += place.far;
+            cost += place.far * self.nearness(request.service.pool());
         }
         let memory = request
             .service
@@ -157,12 +177,23 @@
         cost
     }
 
+    /// How much of the distance counts: all of it but for a plain service that is nearly full.
+    fn nearness(&self, pool: &str) -> f64 {
+        let pool = self.pools.get(pool);
+        pool.map_or(1.0, |pool| pool.demands.nearness())
+    }
+
     /// Upstreams of a pool that were lost of late, by data centre.
     fn outages(&self, pool: &str) -> Outages {
         let mut outages = Outages::new();
         let Some(pool) = self.pools.get(pool) else {
             return outages;
         };
+        let troubled =
+            |key: &upstream::Key| self.upstreams[*key].trouble.level(self.now) >= TROUBLED;
+        if !pool.upstreams.iter().any(troubled) {
+            return outages;
+        }
         for key in &pool.upstreams {
             let upstream = &self.upstreams[*key];
             let outage = outages.entry(upstream.data_centre.clone()).or_default();
--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -141,19 +141,39 @@
         let request = &self.requests[attempt.request];
         let fresh = attempt.copy.is_none() && request.passage.position == 0;
         let took = self.now.since(attempt.sent_at);
-        if fresh && let Some(pool) = self.pools.get_mut(request.service.pool()) {
-            pool.gauge.read(attempt.ahead_tokens, took);
+        let name: Arc<str> = request.service.pool().into();
+        let Some(pool) = self.pools.get_mut(&name).filter(|_| fresh) else {
+            return;
+        };
+        let pace = pool.gauge.read(name, attempt.ahead_tokens, took, self.now);
+        if let Some(pace) = pace.filter(|_| self.settings.room.paces) {
+            self.effects.push(Effect::Pace(pace));
         }
     }
 
+    /// Another instance told how fast the engines of a pool work.
+    pub(crate) fn paced(&mut self, pace: &Pace) {
+        let pool = self.pools.entry(pace.pool.clone()).or_default();
+        pool.gauge.hear(pace);
+    }
+
     /// Another instance told of a stream.
     pub(crate) fn sighted(&mut self, sighting: Sighting) {
         let starts = sighting.stage == sighting::Stage::Started;
-        if starts && let Some(upstream) = self.names.get(sighting.upstream.as_str()) {
-            let pool = self.upstreams[*upstream].pool.clone();
-            self.pools.entry(pool).or_default().gauge.started(self.now);
+        let upstream = self.names.get(sighting.upstream.as_str()).copied();
+        let mut reading_ms = sighting::READING_MS;
+        if let Some(upstream) = upstream.filter(|_| starts) {
+            let ahead = self.sightings.usage(upstream).reading_tokens;
+            let name = self.upstreams[upstream].pool.clone();
+            let pool = self.pools.entry(name).or_default();
+            pool.gauge.started(self.now);
+            if let Some(millis) = pool.gauge.known_reading(ahead + sighting.tokens) {
+                reading_ms = millis;
+            }
         }
-        self.sightings.add(sighting, false, self.now);
+        let names = &self.names;
+        self.sightings
+            .add(sighting, false, reading_ms, names, self.now);
     }
 
     /// Where a relayed request begins: behind the events that its caller has, and from the copied
@@ -200,8 +220,9 @@
         let attempt = &self.attempts[key];
         let (owner, upstream) = (attempt.request, attempt.upstream);
         let copy = self.requests[owner].passage.copy.take();
-        let backup = self.backup(owner, upstream);
-        let ahead_tokens = self.usages().of(upstream).reading_tokens;
+        let own = self.own_usage();
+        let backup = self.backup(owner, upstream, &own);
+        let ahead_tokens = self.usage(&own, upstream).reading_tokens;
         let request = &self.requests[owner];
         if let Some(pool) = self.pools.get_mut(request.service.pool()) {
             pool.gauge.started(self.now);
@@ -269,7 +290,7 @@
         if request.passage.position > 0 {
             request.passage.lost_at.get_or_insert(now);
             self.count(Counter::Resumed(reason));
-        } else if self.may_retry(key) {
+        } else if self.may_retry(key, reason) {
             self.count(Counter::Retried(reason));
         } else {
             self.give_up(key, Kind::Overloaded, Kind::UpstreamFailed);
@@ -423,7 +444,8 @@
         if sighting.prompt == 0 {
             return;
         }
-        self.sightings.add(sighting.clone(), true, self.now);
+        self.sightings
+            .add(sighting.clone(), true, 0, &self.names, self.now);
         self.effects.push(Effect::Tell(sighting));
     }
 
--- a/crates/core/src/request.rs
+++ b/crates/core/src/request.rs
@@ -199,6 +199,8 @@
     pub passage: Passage,
     /// Time by which it must have been sent.
     pub send_by: Time,
+    /// For how long its caller had waited before it asked here, as far as is known, in milliseconds.
+    pub waited_ms: u64,
     /// Time by which the first event of its answer is wanted, for relayed streams.
     pub wanted_by: Time,
     /// Position before which tokens are not given to the caller, since it has them.
--- a/crates/core/src/room.rs
+++ b/crates/core/src/room.rs
@@ -52,7 +52,7 @@
         &self,
         request: &Request,
         mut candidates: Vec<upstream::Key>,
-        usages: &Usages,
+        own: &Own,
     ) -> Vec<upstream::Key> {
         let Some(need) = Need::of(request).filter(|_| request.position() == 0) else {
             return candidates;
@@ -63,7 +63,7 @@
             if self.now < self.upstreams[*key].full_until {
                 return false;
             }
-            let usage = usages.of(*key);
+            let usage = self.usage(own, *key);
             if late {
                 return need.fits(usage, room.late_fill) && usage.reading == 0;
             }
@@ -72,9 +72,9 @@
         });
         let before = if late { self.now } else { request.asked };
         let pool = request.service.pool();
-        let ahead = self.sightings.waiting(pool, before, self.now);
+        let ahead = self.sightings.waiting(pool, before);
         if ahead > 0 && room.turns {
-            let places = |key: &upstream::Key| self.places(need, usages.of(*key));
+            let places = |key: &upstream::Key| self.places(need, self.usage(own, *key));
             if candidates.iter().map(places).sum::<usize>() <= ahead {
                 candidates.clear();
             }
@@ -106,68 +106,23 @@
         }
     }
 
-    /// Whether another call may be under way in the pool of a request; streams are bounded by the room of
-    /// their engines.
-    pub(crate) fn may_call(&self, request: &Request) -> bool {
-        if !self.settings.room.window || streams(request) {
-            return true;
-        }
-        let Some(pool) = self.pools.get(request.service.pool()) else {
-            return true;
-        };
-        let slots = self.upstreams_of(pool).map(|upstream| upstream.load.slots);
-        self.calls(pool) < pool.window.size(slots.sum(), self.instances)
-    }
-
-    /// Notes how a relayed call ended: with an answer, or without one.
-    pub(crate) fn called(&mut self, attempt: &Attempt, answered: bool) {
-        let request = &self.requests[attempt.request];
-        if streams(request) {
-            return;
-        }
-        let name: Arc<str> = request.service.pool().into();
-        let load = self.upstreams.get(attempt.upstream);
-        let load = load.map(|upstream| upstream.load).unwrap_or_default();
-        let now = self.now;
-        let Some(pool) = self.pools.get(&name) else {
-            return;
-        };
-        let running = self.calls(pool) + 1;
-        let window = &mut self.pools.entry(name).or_default().window;
-        if answered {
-            window.answered(load, running, now);
-        } else {
-            window.cut(now);
-        }
-    }
-
-    fn upstreams_of<'a>(&'a self, pool: &'a core::Pool) -> impl Iterator<Item = &'a Upstream> {
-        let keys = pool.upstreams.iter();
-        keys.filter_map(|key| self.upstreams.get(*key))
-    }
-
-    /// Calls of a pool that are under way.
-    fn calls(&self, pool: &core::Pool) -> u32 {
-        let calls = self
-            .upstreams_of(pool)
-            .map(|upstream| upstream.attempts.len() as u32);
-        calls.sum()
-    }
-
     /// Those of some upstreams that have room for a copy of a stream's memory. Where the memory of all is
     /// short none has: a copy takes as much of it as a stream does.
     pub(crate) fn with_room_for_copy(
         &self,
         request: &Request,
         mut candidates: Vec<upstream::Key>,
-        usages: &Usages,
+        own: &Own,
     ) -> Vec<upstream::Key> {
         let Some(need) = Need::of(request) else {
             return candidates;
         };
         let room = self.settings.room;
         let placeable = self.placeable(request);
-        let used: u32 = placeable.iter().map(|key| usages.of(*key).tokens).sum();
+        let used: u32 = placeable
+            .iter()
+            .map(|key| self.usage(own, *key).tokens)
+            .sum();
         let all = Usage {
             tokens: used,
             ..Usage::default()
@@ -179,14 +134,14 @@
         if !whole.fits(all, room.copy_fill) {
             return Vec::new();
         }
-        candidates.retain(|key| need.fits(usages.of(*key), room.fill));
+        candidates.retain(|key| need.fits(self.usage(own, *key), room.fill));
         candidates
     }
 
     /// Whether no upstream has room for a request.
     pub(crate) fn lacks_room(&self, request: &Request) -> bool {
         let placeable = self.placeable(request);
-        self.with_room(request, placeable, &self.usages())
+        self.with_room(request, placeable, &self.own_usage())
             .is_empty()
     }
 
@@ -272,7 +227,7 @@
     /// Streams that wait for room in a pool, here and at other instances.
     fn waiting(&self, pool: &str) -> usize {
         let here = self.pools.get(pool).map_or(0, |pool| pool.queue.len());
-        here + self.sightings.waiting(pool, self.now, self.now)
+        here + self.sightings.waiting(pool, self.now)
     }
 
     /// Notes that a stream found no room; for how long that has been so, in milliseconds.
@@ -314,8 +269,3 @@
         self.rng.random_range(least..=2 * least)
     }
 }
-
-/// Whether the answer to a request is a series of events.
-fn streams(request: &Request) -> bool {
-    request.service.relay().is_some_and(|relay| relay.streams)
-}
--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -70,6 +70,9 @@
     /// One request that runs there, which a new prompt holds up. With 0.5, and 4 for the memory, copies
     /// weighed as much as streams: worth 0.704 against 0.715 over 40 pairs.
     pub running: f64,
+    /// Upstreams of a pool that a request is placed by, for each upstream that there is for an instance; 0 for
+    /// all of them.
+    pub sample: f64,
     /// Width of the random part, so that instances which know the same do not all choose the same.
     pub spread: f64,
     /// One failure of late.
@@ -84,6 +87,7 @@
             outage: 20.0,
             reading: 4.0,
             running: 2.0,
+            sample: 8.0,
             spread: 0.5,
             trouble: 3.0,
         }
@@ -109,14 +113,14 @@
     /// Part of an upstream's memory up to which it is given streams that can no longer begin in the time
     /// wanted: they take what others leave.
     pub late_fill: f64,
+    /// Whether instances tell each other how fast engines read prompts while streams find no room.
+    pub paces: bool,
     /// Prompts that an upstream reads at once: one, and another so that it is not idle between them.
     pub reading: u32,
     /// Whether streams that would wait too long are refused at once.
     pub refuse: bool,
     /// Whether streams that wait at several instances are sent in the order in which they came.
     pub turns: bool,
-    /// Whether calls of plain services under way at once are bounded by how they are answered.
-    pub window: bool,
 }
 
 impl Default for Room {
@@ -127,9 +131,46 @@
             fill: 1.0,
             hopeless: 1.25,
             late_fill: 0.5,
+            paces: true,
             reading: 2,
             refuse: true,
             turns: true,
+        }
+    }
+}
+
+/// Budgets that all instances keep together, of second sendings and of continuations on suspicion.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Shared {
+    /// Permits that an instance's part is at least, and that it may owe; 0 for neither: where the part is less
+    /// than one permit, nothing is then ever sent again.
+    pub least: f64,
+    /// Whether what no upstream took in is sent again without a permit.
+    pub unsent: bool,
+}
+
+impl Default for Shared {
+    fn default() -> Self {
+        Self {
+            least: 1.0,
+            unsent: true,
+        }
+    }
+}
+
+/// Bounds on calls of plain services.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Calls {
+    /// Whether those beyond what the slots serve are refused, by what all instances are asked.
+    pub demand: bool,
+    /// Whether those under way at once are bounded by how they are answered.
+    pub window: bool,
+}
+
+impl Default for Calls {
+    fn default() -> Self {
+        Self {
+            demand: true,
             window: true,
         }
     }
@@ -144,10 +185,10 @@
             fill: 0.0,
             hopeless: 0.0,
             late_fill: 0.0,
+            paces: false,
             reading: 0,
             refuse: false,
             turns: false,
-            window: false,
         }
     }
 }
@@ -157,6 +198,8 @@
 pub struct Settings {
     /// Greatest number of attempts of one request.
     pub attempts_max: u32,
+    /// Bounds on calls of plain services.
+    pub calls: Calls,
     /// Time between two tries to claim a continuation.
     pub claim_retry_ms: u64,
     /// Whether a non-repeatable generation may go on elsewhere from its delivered tokens.
@@ -211,6 +254,8 @@
     pub room: Room,
     /// Permits for a retry that each admitted request earns.
     pub retry_earn: f64,
+    /// Budgets that all instances keep together.
+    pub shared: Shared,
     /// Silence after which a stream under the policy `resources` is lost.
     pub stall_loss_ms: u64,
     /// Upper limit of the adaptive stall bound.
@@ -227,6 +272,7 @@
     fn default() -> Self {
         Self {
             attempts_max: 8,
+            calls: Calls::default(),
             claim_retry_ms: 250,
             continue_non_repeatable: true,
             continuation: true,
@@ -253,6 +299,7 @@
             routing: Routing::Prefix,
             retry_earn: 0.1,
             room: Room::default(),
+            shared: Shared::default(),
             stall_loss_ms: 2_000,
             stall_max_ms: 600,
             stall_min_ms: 150,
--- a/crates/core/src/sighting.rs
+++ b/crates/core/src/sighting.rs
@@ -10,6 +10,10 @@
 /// milliseconds: a long answer of a busy engine. The instance that told may be gone.
 const RUNNING_MS: u64 = 20_000;
 
+/// Time after which a prompt that another instance told of counts as read where it is not known how fast
+/// engines read, in milliseconds; where instances are many, they do not tell when it was.
+pub(crate) const READING_MS: u64 = 1_500;
+
 /// Time after which a stream that was told to wait no longer counts, in milliseconds: longer than streams
 /// are mostly let wait. The instance that told may be gone.
 const WAITING_MS: u64 = 5_000;
@@ -17,6 +21,9 @@
 /// Sightings kept, at most; beyond it the older half of their time goes.
 const KEPT: usize = 20_000;
 
+/// Upstreams by their names.
+pub(crate) type Names = HashMap<Arc<str>, upstream::Key>;
+
 /// Where a stream stands.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Stage {
@@ -55,45 +62,137 @@
 #[derive(Clone, Debug)]
 struct Seen {
     at: Time,
+    /// Upstream that keeps a copy of its memory, if it is known.
+    backup: Option<upstream::Key>,
+    /// When it holds something else.
+    due: Time,
+    holds: Holds,
     /// Whether this instance relays it itself.
     own: bool,
+    /// Time after which its prompt counts as read, in milliseconds.
+    reading_ms: u64,
     sighting: Sighting,
+    /// Upstream that runs it, if it is known.
+    upstream: Option<upstream::Key>,
 }
 
-/// Streams by the identity of their prompt.
+/// What a stream of another instance is believed to hold.
+#[derive(Clone, Copy, Debug)]
+enum Holds {
+    Nothing,
+    /// Memory and time of its upstream, and memory of the one that keeps its copy.
+    Room(Usage),
+    /// A place among those that wait for room in its pool.
+    Turn,
+}
+
+/// Streams by the identity of their prompt, and what they hold together. Only what changes is reckoned anew,
+/// so that a decision costs as much with thousands of streams as with few.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Sightings {
+    /// When streams hold something else, by their prompts.
+    due: BTreeSet<(Time, u64)>,
     seen: HashMap<u64, Seen>,
+    /// What streams of other instances hold of each upstream.
+    usages: SecondaryMap<upstream::Key, Usage>,
+    /// Streams of other instances that wait for room in each pool, in the order in which they were told of.
+    waiting: HashMap<String, BTreeSet<(Time, u64)>>,
+}
+
+impl Seen {
+    /// What it holds now, and when that may change.
+    fn holds(&self, now: Time) -> (Holds, Time) {
+        let age = now.since(self.at);
+        let tokens = self.sighting.tokens;
+        let room = |reading| Holds::Room(Usage::new(reading, tokens));
+        let (holds, until) = match self.sighting.stage {
+            _ if self.own => (Holds::Nothing, KEPT_MS),
+            Stage::Started if age < self.reading_ms => (room(true), self.reading_ms),
+            Stage::Started | Stage::Streaming if age < RUNNING_MS => (room(false), RUNNING_MS),
+            Stage::Waiting if age < WAITING_MS => (Holds::Turn, WAITING_MS),
+            _ => (Holds::Nothing, KEPT_MS),
+        };
+        (holds, self.at.after(until))
+    }
 }
 
 impl Sightings {
-    /// Notes what another instance told, or what this one tells if it is its `own`.
-    pub fn add(&mut self, sighting: Sighting, own: bool, now: Time) {
+    /// Notes what another instance told, or what this one tells if it is its `own`. Its prompt counts as read
+    /// after `reading_ms`.
+    pub fn add(
+        &mut self,
+        sighting: Sighting,
+        own: bool,
+        reading_ms: u64,
+        names: &Names,
+        now: Time,
+    ) {
         match sighting.stage {
-            Stage::Ended => {
-                self.seen.remove(&sighting.prompt);
-            }
+            Stage::Ended => self.forget(sighting.prompt),
             Stage::Left => {
                 if let Some(seen) = self.seen.get_mut(&sighting.prompt)
                     && seen.sighting.run == sighting.run
                 {
                     seen.sighting.stage = Stage::Left;
+                    self.settle(sighting.prompt, now);
                 }
             }
             Stage::Started | Stage::Streaming | Stage::Waiting => {
                 if self.seen.len() >= KEPT {
-                    self.seen.retain(|_, seen| now.since(seen.at) < KEPT_MS / 2);
+                    self.forget_older(now);
                 }
-                let at = now;
                 let prompt = sighting.prompt;
-                self.seen.insert(prompt, Seen { at, own, sighting });
+                self.forget(prompt);
+                let seen = Seen {
+                    at: now,
+                    backup: names.get(sighting.backup.as_str()).copied(),
+                    due: now,
+                    holds: Holds::Nothing,
+                    own,
+                    reading_ms: reading_ms.min(RUNNING_MS),
+                    upstream: names.get(sighting.upstream.as_str()).copied(),
+                    sighting,
+                };
+                self.seen.insert(prompt, seen);
+                self.settle(prompt, now);
             }
         }
     }
 
-    /// Forgets what is too old.
-    pub fn expire(&mut self, now: Time) {
-        self.seen.retain(|_, seen| now.since(seen.at) < KEPT_MS);
+    /// Takes in that time has passed: streams hold less, and those told of long ago are forgotten.
+    pub fn advance(&mut self, now: Time) {
+        while let Some((at, prompt)) = self.due.first().copied()
+            && at <= now
+        {
+            let seen = self.seen.get(&prompt);
+            if seen.is_none_or(|seen| now.since(seen.at) >= KEPT_MS) {
+                self.forget(prompt);
+                self.due.remove(&(at, prompt));
+            } else {
+                self.settle(prompt, now);
+            }
+        }
+    }
+
+    /// An upstream is known now of which streams may have been told before.
+    pub fn resolve(&mut self, name: &str, key: upstream::Key, now: Time) {
+        let named: Vec<u64> = self
+            .seen
+            .iter()
+            .filter(|(_, seen)| seen.sighting.upstream == name || seen.sighting.backup == name)
+            .map(|(prompt, _)| *prompt)
+            .collect();
+        for prompt in named {
+            self.release(prompt);
+            if let Some(seen) = self.seen.get_mut(&prompt) {
+                if seen.sighting.upstream == name {
+                    seen.upstream = Some(key);
+                } else {
+                    seen.backup = Some(key);
+                }
+            }
+            self.settle(prompt, now);
+        }
     }
 
     /// The last stream of a prompt.
@@ -101,22 +200,85 @@
         self.seen.get(&prompt).map(|seen| &seen.sighting)
     }
 
+    /// What streams of other instances are believed to use of an upstream.
+    pub fn usage(&self, key: upstream::Key) -> Usage {
+        self.usages.get(key).copied().unwrap_or_default()
+    }
+
     /// Streams of other instances that are believed to wait for room in a pool, and did so before a time.
-    pub fn waiting(&self, pool: &str, before: Time, now: Time) -> usize {
-        let waits = |seen: &&Seen| {
-            let waiting = seen.sighting.stage == Stage::Waiting && seen.sighting.pool == pool;
-            !seen.own && waiting && seen.at <= before && now.since(seen.at) < WAITING_MS
+    pub fn waiting(&self, pool: &str, before: Time) -> usize {
+        let waiting = self.waiting.get(pool);
+        waiting.map_or(0, |waiting| waiting.range(..=(before, u64::MAX)).count())
+    }
+
+    /// Reckons anew what a stream holds.
+    fn settle(&mut self, prompt: u64, now: Time) {
+        self.release(prompt);
+        let Some(seen) = self.seen.get_mut(&prompt) else {
+            return;
         };
-        self.seen.values().filter(waits).count()
+        self.due.remove(&(seen.due, prompt));
+        (seen.holds, seen.due) = seen.holds(now);
+        self.due.insert((seen.due, prompt));
+        match seen.holds {
+            Holds::Nothing => {}
+            Holds::Room(usage) => {
+                for (key, usage) in usage.at(seen.upstream, seen.backup) {
+                    if let Some(entry) = self.usages.entry(key) {
+                        entry.or_default().add(usage);
+                    }
+                }
+            }
+            Holds::Turn => {
+                let pool = seen.sighting.pool.clone();
+                self.waiting
+                    .entry(pool)
+                    .or_default()
+                    .insert((seen.at, prompt));
+            }
+        }
     }
 
-    /// Streams of other instances that are believed to run, and when they were told of.
-    pub fn running(&self, now: Time) -> impl Iterator<Item = (Time, &Sighting)> {
-        let running = move |seen: &&Seen| {
-            let over = matches!(seen.sighting.stage, Stage::Left | Stage::Waiting);
-            !seen.own && !over && now.since(seen.at) < RUNNING_MS
+    /// Gives back what a stream holds.
+    fn release(&mut self, prompt: u64) {
+        let Some(seen) = self.seen.get_mut(&prompt) else {
+            return;
         };
-        let seen = self.seen.values().filter(running);
-        seen.map(|seen| (seen.at, &seen.sighting))
+        match std::mem::replace(&mut seen.holds, Holds::Nothing) {
+            Holds::Nothing => {}
+            Holds::Room(usage) => {
+                for (key, usage) in usage.at(seen.upstream, seen.backup) {
+                    if let Some(entry) = self.usages.get_mut(key) {
+                        entry.subtract(usage);
+                    }
+                }
+            }
+            Holds::Turn => {
+                if let Some(waiting) = self.waiting.get_mut(&seen.sighting.pool) {
+                    waiting.remove(&(seen.at, prompt));
+                }
+            }
+        }
+    }
+
+    fn forget(&mut self, prompt: u64) {
+        self.release(prompt);
+        if let Some(seen) = self.seen.remove(&prompt) {
+            self.due.remove(&(seen.due, prompt));
+        }
+    }
+
+    /// Forgets the older half, by time.
+    fn forget_older(&mut self, now: Time) {
+        let old = |seen: &Seen| now.since(seen.at) >= KEPT_MS / 2;
+        let old: Vec<u64> = self
+            .seen
+            .iter()
+            .filter(|(_, seen)| old(seen))
+            .map(|(prompt, _)| *prompt)
+            .collect();
+        for prompt in old {
+            self.forget(prompt);
+        }
     }
 }
--- a/crates/core/src/upstream.rs
+++ b/crates/core/src/upstream.rs
@@ -68,6 +68,9 @@
 
     /// Failures of late; 1 for one that happened just now.
     pub fn level(&self, now: Time) -> f64 {
+        if self.level == 0.0 {
+            return 0.0;
+        }
         self.level * (-(now.since(self.at) as f64) / TROUBLE_HALF_MS).exp2()
     }
 }
@@ -101,6 +104,8 @@
     pub leaving: bool,
     /// Until when an earlier word that it is leaving counts, though the list says otherwise.
     pub leaving_until: Time,
+    /// Requests that it runs at once, by the platform's list; 0 where that is not known.
+    pub listed_slots: u32,
     /// Last load report.
     pub load: Load,
     /// Unique name in the platform's list.
--- a/crates/core/src/usage.rs
+++ b/crates/core/src/usage.rs
@@ -3,12 +3,8 @@
 
 use super::*;
 
-/// Time after which a prompt that another instance told of counts as read, in milliseconds; where
-/// instances are many, they do not tell when it was.
-const READING_MS: u64 = 1_500;
-
 /// What is believed to be in use at an upstream.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub(crate) struct Usage {
     /// Prompts that are being read.
     pub reading: u32,
@@ -22,7 +18,7 @@
 
 impl Usage {
     /// What one request uses.
-    fn new(reading: bool, tokens: u32) -> Self {
+    pub fn new(reading: bool, tokens: u32) -> Self {
         let reads = reading && tokens > 0;
         Self {
             reading: u32::from(reads),
@@ -31,60 +27,66 @@
             tokens,
         }
     }
-}
 
-/// Usage of every upstream that has any.
-#[derive(Clone, Debug, Default)]
-pub(crate) struct Usages(SecondaryMap<upstream::Key, Usage>);
-
-impl Usages {
-    /// Usage of one upstream.
-    pub fn of(&self, key: upstream::Key) -> Usage {
-        self.0.get(key).copied().unwrap_or_default()
-    }
-
-    /// Adds what one request uses at its upstream, and the memory of its copy.
-    fn add(
-        &mut self,
+    /// What one request uses at its upstream, and the memory of its copy.
+    pub fn at(
+        self,
         upstream: Option<upstream::Key>,
         backup: Option<upstream::Key>,
-        usage: Usage,
-    ) {
-        let copy = Usage {
-            tokens: usage.tokens,
-            ..Usage::default()
+    ) -> impl Iterator<Item = (upstream::Key, Self)> {
+        let copy = Self {
+            tokens: self.tokens,
+            ..Self::default()
         };
-        for (key, usage) in [(upstream, usage), (backup, copy)] {
-            if let Some(entry) = key.and_then(|key| self.0.entry(key)) {
-                let entry = entry.or_default();
-                entry.reading += usage.reading;
-                entry.reading_tokens += usage.reading_tokens;
-                entry.running += usage.running;
-                entry.tokens += usage.tokens;
-            }
-        }
+        let places = [(upstream, self), (backup, copy)];
+        places
+            .into_iter()
+            .filter_map(|(key, usage)| Some((key?, usage)))
+    }
+
+    /// Adds what others use.
+    pub fn add(&mut self, other: Self) {
+        self.reading += other.reading;
+        self.reading_tokens += other.reading_tokens;
+        self.running += other.running;
+        self.tokens += other.tokens;
+    }
+
+    /// Takes out what was added.
+    pub fn subtract(&mut self, other: Self) {
+        self.reading -= other.reading;
+        self.reading_tokens -= other.reading_tokens;
+        self.running -= other.running;
+        self.tokens -= other.tokens;
     }
 }
 
+/// What this instance's own requests use, at every upstream that they use.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Own(SecondaryMap<upstream::Key, Usage>);
+
 impl Core {
-    /// What is believed to be in use at each upstream.
-    pub(crate) fn usages(&self) -> Usages {
-        let mut usages = Usages::default();
+    /// What this instance's own requests use now.
+    pub(crate) fn own_usage(&self) -> Own {
+        let mut own = Own::default();
         for attempt in self.attempts.values() {
             let Some(relay) = self.requests[attempt.request].work.relay() else {
                 continue;
             };
             let usage = Usage::new(!attempt.started, relay.tokens);
-            usages.add(Some(attempt.upstream), attempt.backup, usage);
-        }
-        for (at, sighting) in self.sightings.running(self.now) {
-            let reading =
-                sighting.stage == sighting::Stage::Started && self.now.since(at) < READING_MS;
-            let usage = Usage::new(reading, sighting.tokens);
-            let find = |name: &str| self.names.get(name).copied();
-            let (upstream, backup) = (find(&sighting.upstream), find(&sighting.backup));
-            usages.add(upstream, backup, usage);
+            for (key, usage) in usage.at(Some(attempt.upstream), attempt.backup) {
+                if let Some(entry) = own.0.entry(key) {
+                    entry.or_default().add(usage);
+                }
+            }
         }
-        usages
+        own
+    }
+
+    /// What is believed to be in use at an upstream, by this instance and others.
+    pub(crate) fn usage(&self, own: &Own, key: upstream::Key) -> Usage {
+        let mut usage = self.sightings.usage(key);
+        usage.add(own.0.get(key).copied().unwrap_or_default());
+        usage
     }
 }
--- a/crates/core/src/watch.rs
+++ b/crates/core/src/watch.rs
@@ -94,6 +94,8 @@
             }
         }
         self.choose_subsets();
+        self.listed = true;
+        self.submit_early();
         self.pump_all();
     }
 
@@ -148,9 +150,9 @@
         }
         self.reclaim();
         self.submit_early();
+        self.tell_demands();
         if self.now.since(self.swept) >= SWEEP_MS {
             self.swept = self.now;
-            self.sightings.expire(self.now);
             self.sweep();
         }
         self.pump_all();
@@ -199,6 +201,7 @@
                 self.believe(key, effect::Belief::Leaving);
             }
             self.upstreams[key].leaving = entry.leaving;
+            self.upstreams[key].listed_slots = entry.slots;
             return key;
         }
         let name: Arc<str> = entry.name.as_str().into();
@@ -217,6 +220,7 @@
             id: upstream::id(&name),
             leaving: entry.leaving,
             leaving_until: Time::default(),
+            listed_slots: entry.slots,
             load: Load::default(),
             name: name.clone(),
             pool: pool.clone(),
@@ -227,6 +231,7 @@
             since: entry.since,
             trouble: upstream::Trouble::default(),
         });
+        self.sightings.resolve(&name, key, self.now);
         self.names.insert(name, key);
         self.pools.entry(pool).or_default().upstreams.push(key);
         self.believe(key, effect::Belief::New);
--- a/crates/core/src/window.rs
+++ b/crates/core/src/window.rs
@@ -66,3 +66,59 @@
         self.size.min(part.max(LEAST_MOST)) as u32
     }
 }
+
+impl Core {
+    /// Whether another call may be under way in the pool of a request; streams are bounded by the room of
+    /// their engines.
+    pub(crate) fn may_call(&self, request: &Request) -> bool {
+        if !self.settings.calls.window || request.service.streams() {
+            return true;
+        }
+        let Some(pool) = self.pools.get(request.service.pool()) else {
+            return true;
+        };
+        let slots = self.upstreams_of(pool).map(|upstream| upstream.load.slots);
+        self.calls(pool) < pool.window.size(slots.sum(), self.instances)
+    }
+
+    /// Notes how a relayed call ended: with an answer, or without one.
+    pub(crate) fn called(&mut self, attempt: &Attempt, answered: bool) {
+        let request = &self.requests[attempt.request];
+        if request.service.streams() {
+            return;
+        }
+        let name: Arc<str> = request.service.pool().into();
+        let load = self.upstreams.get(attempt.upstream);
+        let load = load.map(|upstream| upstream.load).unwrap_or_default();
+        let now = self.now;
+        let Some(pool) = self.pools.get(&name) else {
+            return;
+        };
+        let running = self.calls(pool) + 1;
+        let window = &mut self.pools.entry(name.clone()).or_default().window;
+        if answered {
+            let millis = now.since(attempt.sent_at);
+            window.answered(load, running, now);
+            self.time_call(&name, millis);
+        } else {
+            window.cut(now);
+        }
+    }
+
+    /// Upstreams of a pool.
+    pub(crate) fn upstreams_of<'a>(
+        &'a self,
+        pool: &'a core::Pool,
+    ) -> impl Iterator<Item = &'a Upstream> {
+        let keys = pool.upstreams.iter();
+        keys.filter_map(|key| self.upstreams.get(*key))
+    }
+
+    /// Calls of a pool that are under way.
+    fn calls(&self, pool: &core::Pool) -> u32 {
+        let calls = self
+            .upstreams_of(pool)
+            .map(|upstream| upstream.attempts.len() as u32);
+        calls.sum()
+    }
+}
--- a/crates/core/tests/core.rs
+++ b/crates/core/tests/core.rs
@@ -117,6 +117,7 @@
             name: format!("runner-{index}"),
             pool: "runner".into(),
             since: 0,
+            slots: 0,
         });
         self.tell(Event::List {
             asked: self.now,
--- a/crates/core/tests/relay/builder.rs
+++ b/crates/core/tests/relay/builder.rs
@@ -287,6 +287,7 @@
         name: format!("runner-{name}"),
         pool: "pool".into(),
         since: 0,
+        slots: 0,
     }
 }
 
--- a/crates/core/tests/relay/main.rs
+++ b/crates/core/tests/relay/main.rs
@@ -20,6 +20,7 @@
 };
 
 mod builder;
+mod fleet;
 mod room;
 
 use builder::*;
@@ -344,10 +345,12 @@
 fn of_upstreams_at_one_address_the_last_one_entered_gets_work() {
     let older = Listed {
         since: 4,
+        slots: 0,
         ..listed(0, 0)
     };
     let newer = Listed {
         since: 7,
+        slots: 0,
         ..listed(9, 0)
     };
     for order in [[older.clone(), newer.clone()], [newer, older]] {
--- a/crates/node/src/driver.rs
+++ b/crates/node/src/driver.rs
@@ -276,6 +276,9 @@
                     position,
                 },
             ),
+            Effect::Demand { demand, pressed } => {
+                self.tell_others(gossip::Told::Demand { demand, pressed });
+            }
             Effect::Detach(attempt) => self.abort(attempt),
             Effect::Fail {
                 caller,
@@ -293,19 +296,14 @@
                 position,
                 reason,
             } => self.end(caller, Reply::Finished { position, reason }),
-            Effect::Leaving(name) => {
-                let now = Instant::now();
-                self.leaving.send_modify(|leaving| {
-                    leaving.retain(|_, heard| heard.elapsed() < LEAVING);
-                    leaving.insert(name.to_string(), now);
-                });
-            }
+            Effect::Leaving(name) => self.leaves(&name),
             Effect::Note(note) => note::write(&note),
             Effect::Open(caller) => {
                 if let Some(Held::Head(head)) = self.take_held(caller) {
                     self.reply(caller, Reply::Open(head));
                 }
             }
+            Effect::Pace(pace) => self.tell_others(gossip::Told::Pace(pace)),
             Effect::Pass { bytes, caller } => self.reply(caller, Reply::Pass(bytes)),
             Effect::Probe { address, upstream } => {
                 let probe = probe::run(self.probes.clone(), self.driver.clone(), upstream, address);
@@ -328,6 +326,15 @@
         }
     }
 
+    /// Has peers told that an upstream is leaving.
+    fn leaves(&self, name: &str) {
+        let now = Instant::now();
+        self.leaving.send_modify(|leaving| {
+            leaving.retain(|_, heard| heard.elapsed() < LEAVING);
+            leaving.insert(name.to_owned(), now);
+        });
+    }
+
     /// Gives a caller the last step of its answer.
     fn end(&mut self, caller: Caller, reply: Reply) {
         if let Some(listener) = self.callers.remove(&caller) {
--- a/crates/node/src/gossip.rs
+++ b/crates/node/src/gossip.rs
@@ -4,6 +4,7 @@
 use super::*;
 use members::{FEW, Member, Members, Own};
 use tokio::net::UdpSocket;
+use wellplank_core::{demand::Demand, gauge::Pace};
 
 /// Bytes of a datagram that are taken in.
 const DATAGRAM: usize = 2_048;
@@ -15,6 +16,15 @@
 /// Of three datagrams to 28 others on a link of 10 Mbit/s the third was, with 70 KB before it.
 const BURST: usize = 16 << 10;
 
+/// Seconds for which calls are told, so that a few of them are whole numbers.
+const ASKED_S: f64 = 10.0;
+
+/// Microseconds in a millisecond.
+const MICROS: f64 = 1_000.0;
+
+/// Paces told at once, at most; more of one moment say the same.
+const PACES: usize = 2;
+
 /// Share of the link that such datagrams may take, beside callers' answers.
 const SHARE: f64 = 0.7;
 
@@ -41,8 +51,18 @@
 pub(crate) enum Told {
     /// Another configuration is in force here; told within the data centre.
     Configuration,
+    /// What the instance is asked of a pool; it goes along with what else is told. Where `pressed`, it is told
+    /// within the data centre also alone.
+    Demand {
+        /// What it is asked.
+        demand: Demand,
+        /// Whether the pool is near what it can serve.
+        pressed: bool,
+    },
     /// An upstream is lost.
     Lost(Arc<str>),
+    /// How fast the engines of a pool work; it goes along with what is told next.
+    Pace(Pace),
     /// Changes of the list of upstreams; told within the data centre.
     Roster(peers::Roster),
     /// A stream is relayed.
@@ -100,10 +120,12 @@
         let find = members::find(self.client.clone(), self.own.name.clone(), found);
         tokio::spawn(find);
         let mouth = Mouth {
+            demands: BTreeMap::new(),
             data_centre: self.own.data_centre.clone(),
             known: self.known,
             link_mbps: self.link_mbps,
             members: members.clone(),
+            paces: Vec::new(),
             socket,
             streams,
         };
@@ -136,14 +158,14 @@
         let mut datagram = vec![0; DATAGRAM];
         loop {
             match self.socket.recv_from(&mut datagram).await {
-                Ok((length, _)) => self.take(&datagram[..length]),
+                Ok((length, from)) => self.take(&datagram[..length], from),
                 // An earlier datagram may have met a closed port.
                 Err(error) => debug!("datagram: {error}"),
             }
         }
     }
 
-    fn take(&self, datagram: &[u8]) {
+    fn take(&self, datagram: &[u8], from: SocketAddr) {
         let told = match peers::Datagram::decode(datagram) {
             Ok(told) => told,
             Err(error) => {
@@ -162,6 +184,13 @@
         for name in told.lost {
             self.driver.event(Event::Blamed(name));
         }
+        for demand in told.demands {
+            let demand = decode_demand(demand);
+            self.driver.event(Event::Demanded { demand, from });
+        }
+        for pace in told.paces {
+            self.driver.event(Event::Paced(decode_pace(pace)));
+        }
         let watches = told.roster.is_some();
         if let Some(roster) = told.roster {
             // The task that keeps the list ends only with the instance.
@@ -189,19 +218,27 @@
 
 /// Tells other instances what this one knows.
 struct Mouth {
+    /// What this instance is asked of each pool.
+    demands: BTreeMap<Arc<str>, peers::Demand>,
     data_centre: String,
     known: watch::Receiver<Known>,
     link_mbps: f64,
     members: watch::Receiver<Members>,
+    /// What streams showed of engines since the last datagram.
+    paces: Vec<peers::Pace>,
     socket: Arc<UdpSocket>,
     streams: watch::Sender<keeper::Streams>,
 }
 
 impl Mouth {
     /// Serves for ever.
-    async fn run(self, mut told: mpsc::UnboundedReceiver<Told>) {
+    async fn run(mut self, mut told: mpsc::UnboundedReceiver<Told>) {
         while let Some(told) = told.recv().await {
+            self.note(&told);
             let to = self.listeners(&told);
+            if to.is_empty() {
+                continue;
+            }
             let datagram = self.datagram(told).encode_to_vec();
             let bytes = datagram.len() * to.len();
             for address in to {
@@ -218,6 +255,22 @@
         }
     }
 
+    /// Keeps what goes along with the next datagrams.
+    fn note(&mut self, told: &Told) {
+        match told {
+            Told::Demand { demand, .. } => {
+                let pool = demand.pool.clone();
+                self.demands.insert(pool, encode_demand(demand));
+            }
+            Told::Pace(pace) if self.paces.len() < PACES => self.paces.push(encode_pace(pace)),
+            Told::Stream(sighting) => {
+                let sighting = encode(sighting.clone());
+                self.streams.send_modify(|streams| streams.take(&sighting));
+            }
+            Told::Configuration | Told::Lost(_) | Told::Pace(_) | Told::Roster(_) => {}
+        }
+    }
+
     /// Time that the share of the link that datagrams may take needs for some bytes.
     fn drain(&self, bytes: usize) -> Duration {
         Duration::from_secs_f64(bytes as f64 * 8.0 / (self.link_mbps * 1e6 * SHARE))
@@ -229,7 +282,8 @@
         let near = |member: &&Member| member.data_centre == self.data_centre;
         let address = |member: &Member| member.address;
         match told {
-            Told::Configuration | Told::Roster(_) => {
+            Told::Demand { pressed: false, .. } | Told::Pace(_) => Vec::new(),
+            Told::Configuration | Told::Demand { .. } | Told::Roster(_) => {
                 members.values().filter(near).map(address).collect()
             }
             // That a prompt is read others believe by its age.
@@ -242,27 +296,63 @@
         }
     }
 
-    fn datagram(&self, told: Told) -> peers::Datagram {
+    fn datagram(&mut self, told: Told) -> peers::Datagram {
         let known = *self.known.borrow();
         let mut datagram = peers::Datagram {
             configuration: known.configuration,
+            demands: self.demands.values().cloned().collect(),
             list: known.list,
+            paces: std::mem::take(&mut self.paces),
             ..peers::Datagram::default()
         };
         match told {
-            Told::Configuration => {}
+            Told::Configuration | Told::Demand { .. } | Told::Pace(_) => {}
             Told::Lost(name) => datagram.lost.push(name.to_string()),
             Told::Roster(roster) => datagram.roster = Some(roster),
-            Told::Stream(sighting) => {
-                let sighting = encode(sighting);
-                self.streams.send_modify(|streams| streams.take(&sighting));
-                datagram.sightings.push(sighting);
-            }
+            Told::Stream(sighting) => datagram.sightings.push(encode(sighting)),
         }
         datagram
     }
 }
 
+/// What another instance is asked of a pool.
+fn decode_demand(demand: peers::Demand) -> Demand {
+    Demand {
+        asked: f64::from(demand.asked) / ASKED_S,
+        pool: demand.pool.into(),
+        returned: f64::from(demand.returned) / ASKED_S,
+        running: demand.running,
+        takes_ms: f64::from(demand.takes_ms),
+    }
+}
+
+fn encode_demand(demand: &Demand) -> peers::Demand {
+    peers::Demand {
+        asked: (demand.asked * ASKED_S).round() as u32,
+        pool: demand.pool.to_string(),
+        returned: (demand.returned * ASKED_S).round() as u32,
+        running: demand.running,
+        takes_ms: demand.takes_ms.ceil() as u32,
+    }
+}
+
+/// How fast another instance saw engines work.
+fn decode_pace(pace: peers::Pace) -> Pace {
+    Pace {
+        event_ms: f64::from(pace.event_us) / MICROS,
+        pool: pace.pool.into(),
+        reading_ms: f64::from(pace.reading_us) / MICROS,
+    }
+}
+
+fn encode_pace(pace: &Pace) -> peers::Pace {
+    peers::Pace {
+        event_us: (pace.event_ms * MICROS) as u32,
+        pool: pace.pool.to_string(),
+        reading_us: (pace.reading_ms * MICROS) as u32,
+    }
+}
+
 fn decode(sighting: peers::Sighting) -> Sighting {
     let stage = match sighting.stage() {
         peers::Stage::Ended => Stage::Ended,
--- a/crates/node/src/list.rs
+++ b/crates/node/src/list.rs
@@ -70,6 +70,7 @@
         name: line.instance.clone(),
         pool: line.pool.clone(),
         since: 0,
+        slots: 0,
     }
 }
 
--- a/crates/node/src/roster.rs
+++ b/crates/node/src/roster.rs
@@ -234,6 +234,7 @@
         name: entry.name.clone(),
         pool: entry.pool.clone(),
         since: entry.since,
+        slots: entry.slots,
     })
 }
 
@@ -247,5 +248,6 @@
         pool: listed.pool.clone(),
         revision,
         since: listed.since,
+        slots: listed.slots,
     }
 }
--- a/crates/node/src/tuning.rs
+++ b/crates/node/src/tuning.rs
@@ -3,13 +3,17 @@
 use super::*;
 use reader::Reader;
 use settings::MILLIS_MAX;
-use wellplank_core::settings::{Place, Resume, Room, Routing, Settings};
+use wellplank_core::settings::{Calls, Place, Resume, Room, Routing, Settings, Shared};
 
 /// The section with every setting at its default.
 pub(crate) fn defaults() -> Value {
     let core = Settings::default();
     json!({
         "attempts_max": core.attempts_max,
+        "calls": {
+            "demand": core.calls.demand,
+            "window": core.calls.window,
+        },
         "claim_retry_ms": core.claim_retry_ms,
         "continuation": core.continuation,
         "continue_non_repeatable": core.continue_non_repeatable,
@@ -29,6 +33,7 @@
             "outage": core.place.outage,
             "reading": core.place.reading,
             "running": core.place.running,
+            "sample": core.place.sample,
             "spread": core.place.spread,
             "trouble": core.place.trouble,
         },
@@ -48,12 +53,16 @@
             "fill": core.room.fill,
             "hopeless": core.room.hopeless,
             "late_fill": core.room.late_fill,
+            "paces": core.room.paces,
             "reading": core.room.reading,
             "refuse": core.room.refuse,
             "turns": core.room.turns,
-            "window": core.room.window,
         },
         "routing": "prefix",
+        "shared": {
+            "least": core.shared.least,
+            "unsent": core.shared.unsent,
+        },
         "stall_loss_ms": core.stall_loss_ms,
         "stall_max_ms": core.stall_max_ms,
         "stall_min_ms": core.stall_min_ms,
@@ -92,6 +101,7 @@
     let tokens_max = u64::from(default.tokens_max);
     let settings = Settings {
         attempts_max: reader.number("attempts_max", attempts_max, 1..=100) as u32,
+        calls: read_calls(reader.section("calls")),
         claim_retry_ms,
         continuation: reader.flag("continuation", default.continuation),
         continue_non_repeatable: reader
@@ -119,6 +129,7 @@
         room: read_room(reader.section("room")),
         retry_earn: reader.share("retry_earn", default.retry_earn),
         routing: reader.choice("routing", &Routing::ALL, default.routing),
+        shared: read_shared(reader.section("shared")),
         stall_loss_ms,
         stall_max_ms,
         stall_min_ms: stall_min_ms.min(stall_max_ms),
@@ -129,6 +140,16 @@
     settings
 }
 
+fn read_calls(mut reader: Reader) -> Calls {
+    let default = Calls::default();
+    let calls = Calls {
+        demand: reader.flag("demand", default.demand),
+        window: reader.flag("window", default.window),
+    };
+    reader.finish();
+    calls
+}
+
 fn read_place(mut reader: Reader) -> Place {
     let default = Place::default();
     let mut cost = |name: &str, default: f64| reader.real(name, default, 0.0..=1_000.0);
@@ -138,6 +159,7 @@
         outage: cost("outage", default.outage),
         reading: cost("reading", default.reading),
         running: cost("running", default.running),
+        sample: cost("sample", default.sample),
         spread: cost("spread", default.spread),
         trouble: cost("trouble", default.trouble),
     };
@@ -154,11 +176,21 @@
         fill: part("fill", default.fill),
         hopeless: part("hopeless", default.hopeless),
         late_fill: part("late_fill", default.late_fill),
+        paces: reader.flag("paces", default.paces),
         reading: reader.number("reading", u64::from(default.reading), 0..=1_000) as u32,
         refuse: reader.flag("refuse", default.refuse),
         turns: reader.flag("turns", default.turns),
-        window: reader.flag("window", default.window),
     };
     reader.finish();
     room
 }
+
+fn read_shared(mut reader: Reader) -> Shared {
+    let default = Shared::default();
+    let shared = Shared {
+        least: reader.real("least", default.least, 0.0..=10.0),
+        unsent: reader.flag("unsent", default.unsent),
+    };
+    reader.finish();
+    shared
+}
--- a/crates/standin/src/bench.rs
+++ b/crates/standin/src/bench.rs
@@ -361,6 +361,7 @@
             name: format!("runner-{index}"),
             pool: "runner".into(),
             since: 0,
+            slots: 0,
         });
         let live = (0..INSTANCES).filter(|index| self.cores[*index].is_some());
         let instances = live.map(|index| Listed {
@@ -370,6 +371,7 @@
             name: format!("entry-{index}"),
             pool: wellplank_core::core::INSTANCE_POOL.into(),
             since: 0,
+            slots: 0,
         });
         runners.chain(instances).collect()
     }
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod report;
 pub mod resume;
 pub mod routing;
+pub mod rush;
 pub mod shelf;
 pub mod site;
 pub mod soak;
--- a/crates/standin/src/pool.rs
+++ b/crates/standin/src/pool.rs
@@ -108,6 +108,7 @@
             name: format!("{index}-{}", upstream.life),
             pool: if upstream.calls { "desk" } else { "engines" }.into(),
             since: 0,
+            slots: 0,
         };
         self.upstreams.iter().enumerate().map(listed).collect()
     }
--- a/crates/standin/src/relaying.rs
+++ b/crates/standin/src/relaying.rs
@@ -413,6 +413,14 @@
                 let close = Action::Close(line(attempt), index(address));
                 self.timeline.schedule(1, close);
             }
+            Effect::Demand { demand, .. } => self.gossip(
+                instance,
+                &Event::Demanded {
+                    demand,
+                    from: address(instance),
+                },
+            ),
+            Effect::Pace(pace) => self.gossip(instance, &Event::Paced(pace)),
             Effect::Close(caller) => {
                 let asker = self.connections.get(&caller).copied();
                 if let Some(asker) = asker
--- /dev/null
+++ b/crates/standin/src/rush.rs
@@ -0,0 +1,602 @@
+//! More calls than plain services hold, in virtual time: cores that share a few upstreams with slots and short
+//! queues, callers who come back once, and what is answered in the time wanted.
+
+use super::*;
+use std::sync::Arc;
+use timeline::Timeline;
+use wellplank_core::{
+    attempt,
+    clock::Time,
+    config::{self, Config, Customer, Policy, Priority, Route, Service, Share, Target},
+    core::Core,
+    effect::{Effect, Sending},
+    event::{Event, Failure, Listed, Submission, Verdict},
+    request::{Caller, Relay, Work},
+    settings::{Calls, Settings},
+};
+
+/// Start of virtual time.
+const START: Time = Time(1_800_000_000_000);
+
+/// Data centre of each upstream; callers are spread evenly over five.
+const HOMES: [usize; 6] = [0, 0, 1, 2, 3, 4];
+
+/// Data centres.
+const DATA_CENTRES: usize = 5;
+
+/// Requests that wait at an upstream, at most, for each of its slots.
+const QUEUE_PER_SLOT: usize = 4;
+
+/// Mean of what a call takes, in milliseconds, and the deviation of its logarithm.
+const WORK_MS: f64 = 60.0;
+const WORK_SPREAD: f64 = 0.47;
+
+/// Time in which an answer is wanted, in milliseconds.
+const OBJECTIVE_MS: u64 = 300;
+
+/// Time for which an instance may hold a call, and for which its caller waits in all, in milliseconds.
+const HELD_MS: u64 = 2_000;
+const PATIENCE_MS: u64 = 4_000;
+
+/// Usual calls, as a part of what the slots serve.
+const USUAL: f64 = 0.4;
+
+/// Time for which there is more load than usual, in milliseconds, behind some seconds of it and before as many.
+const RUSH_MS: u64 = 20_000;
+const CALM_MS: u64 = 8_000;
+
+/// Time on the way, in milliseconds.
+const WAY_MS: u64 = 1;
+
+/// Part of the words to other instances that find something else to go along with.
+const CARRIED: f64 = 0.25;
+
+/// What is played.
+#[derive(Clone, Copy, Debug)]
+pub struct Plan {
+    /// Instances, each with a core.
+    pub instances: usize,
+    /// Load in the rush, over the usual.
+    pub load: f64,
+    /// Bounds on what upstreams are given.
+    pub calls: Calls,
+    /// Seed of every random choice.
+    pub seed: u64,
+    /// Slots of each upstream.
+    pub slots: usize,
+}
+
+/// What came of it, in calls.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Outcome {
+    /// Sent to upstreams, each time.
+    pub arrivals: usize,
+    /// Asked for.
+    pub asked: usize,
+    /// Neither answered nor refused.
+    pub failed: usize,
+    /// Answered in the time wanted, counted from the first try.
+    pub in_time: usize,
+    /// Answered later.
+    pub late: usize,
+    /// Refused, also when their callers came back.
+    pub refused: usize,
+    /// Turned away by upstreams, each time.
+    pub turned_away: usize,
+}
+
+/// What is to happen.
+enum Action {
+    Arrive(usize),
+    Ask(usize),
+    Come,
+    Done(usize),
+    Tell(usize, Event),
+    Tick(usize),
+}
+
+/// A caller.
+struct Asker {
+    begun: Time,
+    instance: usize,
+    state: State,
+    tries: usize,
+    work_ms: u64,
+}
+
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum State {
+    Answered(u64),
+    Asking,
+    Refused,
+}
+
+/// A call at an upstream.
+struct Line {
+    asker: usize,
+    attempt: attempt::Key,
+    instance: usize,
+    over: bool,
+    upstream: usize,
+}
+
+/// An upstream: what runs there, and what waits.
+#[derive(Clone, Debug, Default)]
+struct Desk {
+    running: Vec<usize>,
+    waiting: VecDeque<usize>,
+}
+
+struct Rush {
+    askers: Vec<Asker>,
+    callers: HashMap<Caller, usize>,
+    cores: Vec<Core>,
+    desks: Vec<Desk>,
+    lines: Vec<Line>,
+    next: u64,
+    outcome: Outcome,
+    plan: Plan,
+    random: Pcg64Mcg,
+    timeline: Timeline<Action>,
+    /// Part of all callers that each instance has, added up.
+    weights: Vec<f64>,
+}
+
+/// Plays a rush of calls.
+pub fn run(plan: Plan) -> Outcome {
+    let mut rush = Rush::new(plan);
+    let end = START.after(2 * CALM_MS + RUSH_MS + PATIENCE_MS);
+    while let Some(action) = rush.timeline.next(end) {
+        rush.act(action);
+    }
+    rush.outcome()
+}
+
+/// The most that can be answered in time: one queue before all slots, which knows everything, and takes in
+/// what it can still answer in time.
+pub fn ceiling(plan: Plan) -> Outcome {
+    let mut random = Pcg64Mcg::seed_from_u64(plan.seed);
+    let slots = plan.slots * HOMES.len();
+    let mut free_at = vec![0.0_f64; slots];
+    let mut outcome = Outcome::default();
+    let mut at = 0.0;
+    loop {
+        at += gap(&plan, at as u64, &mut random);
+        if at > (2 * CALM_MS + RUSH_MS) as f64 {
+            return outcome;
+        }
+        outcome.asked += 1;
+        let work = work(&mut random) as f64;
+        let first = (0..slots).min_by(|one, other| free_at[*one].total_cmp(&free_at[*other]));
+        let Some(slot) = first else { return outcome };
+        let ends = free_at[slot].max(at) + work;
+        if ends - at > OBJECTIVE_MS as f64 {
+            outcome.refused += 1;
+            continue;
+        }
+        free_at[slot] = ends;
+        outcome.in_time += 1;
+    }
+}
+
+/// Plays rushes with several numbers of instances, and prints what was answered.
+pub fn measure(seeds: u64) {
+    let ways = [
+        (
+            "a window at each instance",
+            Calls {
+                demand: false,
+                ..Calls::default()
+            },
+        ),
+        ("demand of all instances", Calls::default()),
+    ];
+    for load in [2.0, 3.0, 4.0, 6.0] {
+        let title = format!("Calls at {load} times the usual for 20 s");
+        let mut report = report::Report::new(&title);
+        for instances in [1, 6, 74, 295] {
+            for (name, calls) in ways {
+                let plan = |seed| Plan {
+                    instances,
+                    load,
+                    calls,
+                    seed,
+                    slots: 6,
+                };
+                report.rows.push(row(
+                    &format!("{instances} instances, {name}"),
+                    seeds,
+                    plan,
+                    run,
+                ));
+            }
+        }
+        let plan = |seed| Plan {
+            instances: 1,
+            load,
+            calls: Calls::default(),
+            seed,
+            slots: 6,
+        };
+        report.rows.push(row("all known", seeds, plan, ceiling));
+        report.print();
+    }
+}
+
+fn row(
+    name: &str,
+    seeds: u64,
+    plan: impl Fn(u64) -> Plan,
+    play: fn(Plan) -> Outcome,
+) -> report::Row {
+    let mut all = Outcome::default();
+    for seed in 0..seeds {
+        all.add(play(plan(seed)));
+    }
+    let mean = |count: usize| count as f64 / seeds.max(1) as f64;
+    report::Row::new(name)
+        .figure("asked", mean(all.asked))
+        .figure("in time", mean(all.in_time))
+        .figure("late", mean(all.late))
+        .figure("refused", mean(all.refused))
+        .figure("failed", mean(all.failed))
+        .figure("arrivals", mean(all.arrivals))
+        .figure("turned away", mean(all.turned_away))
+}
+
+impl Outcome {
+    fn add(&mut self, other: Self) {
+        self.arrivals += other.arrivals;
+        self.asked += other.asked;
+        self.failed += other.failed;
+        self.in_time += other.in_time;
+        self.late += other.late;
+        self.refused += other.refused;
+        self.turned_away += other.turned_away;
+    }
+}
+
+/// Milliseconds until the next new caller.
+fn gap(plan: &Plan, since: u64, random: &mut Pcg64Mcg) -> f64 {
+    let rush = (CALM_MS..CALM_MS + RUSH_MS).contains(&since);
+    let load = if rush { plan.load } else { 1.0 };
+    let per_ms = USUAL * (plan.slots * HOMES.len()) as f64 / WORK_MS * load;
+    -(1.0 - random.random::<f64>()).ln() / per_ms
+}
+
+/// What a call takes, in milliseconds.
+fn work(random: &mut Pcg64Mcg) -> u64 {
+    let radius = (-2.0 * (1.0 - random.random::<f64>()).ln()).sqrt();
+    let normal = radius * (std::f64::consts::TAU * random.random::<f64>()).cos();
+    let mean = WORK_MS.ln() - WORK_SPREAD * WORK_SPREAD / 2.0;
+    (mean + WORK_SPREAD * normal).exp().round().max(1.0) as u64
+}
+
+fn address(upstream: usize) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], upstream as u16 + 1))
+}
+
+fn data_centre(index: usize) -> String {
+    format!("dc-{}", index % DATA_CENTRES)
+}
+
+fn configuration() -> Config {
+    let service = Service {
+        deadline_ms: HELD_MS,
+        max_wait_ms: OBJECTIVE_MS / 4,
+        name: "lookup".into(),
+        policy: Policy::Resources,
+        priority: Priority::Background,
+        repeatable: false,
+        target: Target::Relay(config::Relay {
+            attempts_max: 1,
+            copies: false,
+            memory_tokens: 0,
+            objective_ms: OBJECTIVE_MS,
+            pool: "desk".into(),
+            resumable: false,
+            streams: false,
+        }),
+    };
+    Config {
+        customers: [("key".to_owned(), Arc::new(Customer::anyone()))].into(),
+        revision: 1,
+        routes: vec![Route {
+            host: "host".into(),
+            prefix: "/".into(),
+            public: false,
+            shares: vec![Share {
+                service: Arc::new(service),
+                weight: 1,
+            }],
+        }],
+        ..Config::default()
+    }
+}
+
+impl Rush {
+    fn new(plan: Plan) -> Self {
+        let settings = Settings {
+            probes: false,
+            calls: plan.calls,
+            ..Settings::default()
+        };
+        let core = |index| {
+            let seed = plan.seed * 1_000 + index as u64;
+            let core = Core::new(settings.clone(), [0; 32], seed, START);
+            core.standing_in(&data_centre(index))
+        };
+        let mut random = Pcg64Mcg::seed_from_u64(plan.seed);
+        let mut sum = 0.0;
+        let weight = |_| {
+            sum += 0.5 + random.random::<f64>();
+            sum
+        };
+        let weights = (0..plan.instances).map(weight).collect();
+        let mut rush = Self {
+            askers: Vec::new(),
+            callers: HashMap::new(),
+            cores: (0..plan.instances).map(core).collect(),
+            desks: vec![Desk::default(); HOMES.len()],
+            lines: Vec::new(),
+            next: 0,
+            outcome: Outcome::default(),
+            plan,
+            random,
+            timeline: Timeline::new(START),
+            weights,
+        };
+        for instance in 0..plan.instances {
+            rush.tell(instance, Event::Config(Arc::new(configuration())));
+            rush.tell(instance, Event::Instances(plan.instances as u32));
+            rush.tell(
+                instance,
+                Event::List {
+                    asked: START,
+                    listed: Some(rush.list()),
+                },
+            );
+            let first = rush.random.random_range(0..10);
+            rush.timeline.schedule(first, Action::Tick(instance));
+        }
+        rush.timeline.schedule(0, Action::Come);
+        rush
+    }
+
+    fn list(&self) -> Vec<Listed> {
+        let listed = |index: usize| Listed {
+            address: address(index),
+            data_centre: data_centre(HOMES[index]),
+            leaving: false,
+            name: format!("desk-{index}"),
+            pool: "desk".into(),
+            since: 0,
+            slots: self.plan.slots as u32,
+        };
+        (0..HOMES.len()).map(listed).collect()
+    }
+
+    fn act(&mut self, action: Action) {
+        match action {
+            Action::Arrive(line) => self.arrive(line),
+            Action::Ask(asker) => self.ask(asker),
+            Action::Come => self.come(),
+            Action::Done(line) => self.done(line),
+            Action::Tell(instance, event) => self.tell(instance, event),
+            Action::Tick(instance) => {
+                self.tell(instance, Event::Tick);
+                self.timeline.schedule(10, Action::Tick(instance));
+            }
+        }
+    }
+
+    /// A new caller asks, and the next one is to come.
+    fn come(&mut self) {
+        let since = self.timeline.now().since(START);
+        if since > 2 * CALM_MS + RUSH_MS {
+            return;
+        }
+        let gap = gap(&self.plan, since, &mut self.random);
+        let whole = gap as u64;
+        let rest = u64::from(self.random.random::<f64>() < gap.fract());
+        self.timeline.schedule(whole + rest, Action::Come);
+        let work_ms = work(&mut self.random);
+        self.askers.push(Asker {
+            begun: self.timeline.now(),
+            instance: 0,
+            state: State::Asking,
+            tries: 0,
+            work_ms,
+        });
+        self.ask(self.askers.len() - 1);
+    }
+
+    /// A caller asks at some instance.
+    fn ask(&mut self, index: usize) {
+        self.next += 1;
+        let all = self.weights.last().copied().unwrap_or_default();
+        let point = self.random.random::<f64>() * all;
+        let instance = self.weights.partition_point(|sum| *sum < point);
+        let asker = &mut self.askers[index];
+        asker.tries += 1;
+        asker.instance = instance;
+        asker.state = State::Asking;
+        let caller = Caller(self.next);
+        let left = PATIENCE_MS - self.timeline.now().since(asker.begun);
+        self.callers.insert(caller, index);
+        let submission = Submission {
+            caller,
+            cursor: None,
+            customer: "key".into(),
+            fingerprint: 0,
+            generation: u128::from(self.next),
+            key: None,
+            received: None,
+            service: String::new(),
+            work: Work::Relay(Relay {
+                answer_tokens: 0,
+                bytes: 100,
+                host: "host".into(),
+                path: "/".into(),
+                patience_ms: Some(left),
+                position: 0,
+                prompt: 0,
+                run: self.next.to_string().into(),
+                tokens: 0,
+            }),
+        };
+        self.tell(instance, Event::Submit(Box::new(submission)));
+    }
+
+    fn tell(&mut self, instance: usize, event: Event) {
+        let effects = self.cores[instance].handle(self.timeline.now(), event);
+        for effect in effects {
+            self.carry_out(instance, effect);
+        }
+    }
+
+    fn carry_out(&mut self, instance: usize, effect: Effect) {
+        match effect {
+            Effect::Answer(caller) => {
+                if let Some(index) = self.callers.remove(&caller) {
+                    let asker = &mut self.askers[index];
+                    let took = self.timeline.now().since(asker.begun);
+                    asker.state = State::Answered(took);
+                }
+            }
+            Effect::Cancel { attempt, .. } => self.leave(instance, attempt),
+            Effect::Demand { demand, pressed } => {
+                let from = address(instance);
+                let event = Event::Demanded { demand, from };
+                self.spread(instance, &event, pressed);
+            }
+            Effect::Fail {
+                caller,
+                retry_after_ms,
+                ..
+            } => self.refuse(caller, retry_after_ms),
+            Effect::Send {
+                address,
+                attempt,
+                sending: Sending::Relay { caller, .. },
+            } => {
+                let Some(asker) = self.callers.get(&caller).copied() else {
+                    return;
+                };
+                self.lines.push(Line {
+                    asker,
+                    attempt,
+                    instance,
+                    over: false,
+                    upstream: usize::from(address.port()) - 1,
+                });
+                let arrive = Action::Arrive(self.lines.len() - 1);
+                self.timeline.schedule(WAY_MS, arrive);
+            }
+            _ => {}
+        }
+    }
+
+    /// A word to other instances: to those of the data centre, if it goes alone; to all, if something else goes
+    /// to them anyhow.
+    fn spread(&mut self, from: usize, event: &Event, pressed: bool) {
+        let carried = self.random.random::<f64>() < CARRIED;
+        let home = from % DATA_CENTRES;
+        for to in (0..self.cores.len()).filter(|to| *to != from) {
+            if carried || (pressed && to % DATA_CENTRES == home) {
+                let action = Action::Tell(to, event.clone());
+                self.timeline.schedule(WAY_MS, action);
+            }
+        }
+    }
+
+    /// A caller was refused. It comes back once, if there is time.
+    fn refuse(&mut self, caller: Caller, retry_after_ms: Option<u64>) {
+        let Some(index) = self.callers.remove(&caller) else {
+            return;
+        };
+        let asker = &mut self.askers[index];
+        asker.state = State::Refused;
+        let left = PATIENCE_MS.saturating_sub(self.timeline.now().since(asker.begun));
+        if asker.tries < 2 && left > 0 {
+            let wait = retry_after_ms.unwrap_or(0).clamp(1, left / 3 + 1);
+            self.timeline.schedule(wait, Action::Ask(index));
+        }
+    }
+
+    fn arrive(&mut self, line: usize) {
+        self.outcome.arrivals += 1;
+        let desk = &mut self.desks[self.lines[line].upstream];
+        if self.lines[line].over {
+            return;
+        }
+        if desk.running.len() < self.plan.slots {
+            self.start(line);
+        } else if desk.waiting.len() < self.plan.slots * QUEUE_PER_SLOT {
+            desk.waiting.push_back(line);
+        } else {
+            self.outcome.turned_away += 1;
+            let attempt = self.lines[line].attempt;
+            let failure = Failure::Refused;
+            let failed = Event::Failed { attempt, failure };
+            let instance = self.lines[line].instance;
+            self.timeline
+                .schedule(WAY_MS, Action::Tell(instance, failed));
+        }
+    }
+
+    fn start(&mut self, line: usize) {
+        let desk = &mut self.desks[self.lines[line].upstream];
+        desk.running.push(line);
+        let work_ms = self.askers[self.lines[line].asker].work_ms;
+        self.timeline.schedule(work_ms, Action::Done(line));
+    }
+
+    fn done(&mut self, line: usize) {
+        if !self.lines[line].over {
+            let attempt = self.lines[line].attempt;
+            let verdict = Verdict::Good;
+            let answered = Event::Answered { attempt, verdict };
+            let instance = self.lines[line].instance;
+            self.timeline
+                .schedule(WAY_MS, Action::Tell(instance, answered));
+        }
+        self.free(line);
+    }
+
+    /// A call's connection was closed: it gives its place to another.
+    fn leave(&mut self, instance: usize, attempt: attempt::Key) {
+        let same = |line: &Line| line.instance == instance && line.attempt == attempt;
+        if let Some(line) = self.lines.iter().rposition(same) {
+            self.lines[line].over = true;
+            self.free(line);
+        }
+    }
+
+    fn free(&mut self, line: usize) {
+        let desk = &mut self.desks[self.lines[line].upstream];
+        desk.waiting.retain(|other| *other != line);
+        let before = desk.running.len();
+        desk.running.retain(|other| *other != line);
+        if desk.running.len() == before {
+            return;
+        }
+        if let Some(next) = desk.waiting.pop_front() {
+            self.start(next);
+        }
+    }
+
+    fn outcome(&self) -> Outcome {
+        let mut outcome = self.outcome;
+        outcome.asked = self.askers.len();
+        for asker in &self.askers {
+            match asker.state {
+                State::Answered(took) if took <= OBJECTIVE_MS => outcome.in_time += 1,
+                State::Answered(_) => outcome.late += 1,
+                State::Asking => outcome.failed += 1,
+                State::Refused => outcome.refused += 1,
+            }
+        }
+        outcome
+    }
+}
--- a/crates/standin/src/surge.rs
+++ b/crates/standin/src/surge.rs
@@ -34,6 +34,9 @@
 /// Time for which there is more load than usual, in milliseconds, after half of it and before as much.
 const SURGE_MS: u64 = 20_000;
 
+/// Time until something is told that waits for something else to go along with, in milliseconds.
+const CARRIED_MS: u64 = 1_000;
+
 /// Time on the way between instances, and to engines, in milliseconds.
 const WAY_MS: u64 = 1;
 
@@ -258,6 +261,7 @@
             name: format!("engine-{index}"),
             pool: "engines".into(),
             since: 0,
+            slots: 0,
         };
         let list: Vec<Listed> = (0..plan.engines).map(listed).collect();
         for instance in 0..plan.instances {
@@ -385,6 +389,13 @@
                     self.askers[*asker].first.get_or_insert(now);
                 }
             }
+            Effect::Pace(pace) => {
+                for other in (0..self.cores.len()).filter(|other| *other != instance) {
+                    let event = Event::Paced(pace.clone());
+                    self.timeline
+                        .schedule(CARRIED_MS, Action::Tell(other, event));
+                }
+            }
             Effect::Send {
                 address,
                 attempt,
--- a/crates/standin/src/world.rs
+++ b/crates/standin/src/world.rs
@@ -369,9 +369,11 @@
             | Effect::Blame(_)
             | Effect::Close(_)
             | Effect::Cut(_)
+            | Effect::Demand { .. }
             | Effect::Leaving(_)
             | Effect::Note { .. }
             | Effect::Open(_)
+            | Effect::Pace(_)
             | Effect::Pass { .. }
             | Effect::Tell(_)
             | Effect::Timed(..) => {}
@@ -455,6 +457,7 @@
                 name: self.upstreams[index].name.clone(),
                 pool: pool_of(index, self.engines).into(),
                 since: 0,
+                slots: 0,
             })
             .chain((0..self.instances.len()).map(|index| Listed {
                 data_centre: String::new(),
@@ -463,6 +466,7 @@
                 name: format!("entry-{index}"),
                 pool: wellplank_core::core::INSTANCE_POOL.into(),
                 since: 0,
+                slots: 0,
             }))
             .collect();
         let event = Event::List {
