--- a/crates/node/src/configuration.rs
+++ b/crates/node/src/configuration.rs
@@ -70,7 +70,7 @@
     /// `asked` is when it was last read, or this instance began to hear from others.
     async fn follow(&mut self, role: Role, asked: &mut Instant, link: &mut Link) {
         let own = self.revision();
-        let silence = self.pace.patience(role, link);
+        let silence = self.pace.patience(role);
         let word = self.heard.borrow().word;
         let silent = word.max(*asked).elapsed();
         let left = silence.saturating_sub(silent).max(link.wait());
--- a/crates/node/src/lister.rs
+++ b/crates/node/src/lister.rs
@@ -90,7 +90,7 @@
         roster: &mut Roster,
     ) {
         let mut early = Vec::new();
-        let mut end = Instant::now() + link.wait().max(self.pace.patience(role, link));
+        let mut end = Instant::now() + link.wait().max(self.pace.patience(role));
         loop {
             let left = end.saturating_duration_since(Instant::now());
             let Ok(Some(told)) = timeout(left, self.rosters.recv()).await else {
--- a/crates/node/src/pace.rs
+++ b/crates/node/src/pace.rs
@@ -22,16 +22,12 @@
     }
 
     /// Time without word after which an instance asks the store itself; more than a pause and a wait. The
-    /// deputy is first, so that the others hear of what it learned. One whose last call failed asks half as
-    /// often: if the store is back those that watch are the first to know, and tell it.
-    pub fn patience(self, role: Role, link: &feed::Link) -> Duration {
-        let patience = match role {
+    /// deputy is first, so that the others hear of what it learned. It is the same while the store refuses: those
+    /// that watch may be refused longer than others.
+    pub fn patience(self, role: Role) -> Duration {
+        match role {
             Role::Deputy => self.bound / 2,
             Role::Alone | Role::Follower | Role::Watcher => self.bound * 3 / 5,
-        };
-        match role {
-            Role::Follower if link.is_down() => patience * 2,
-            Role::Alone | Role::Deputy | Role::Follower | Role::Watcher => patience,
         }
     }
 }
