An instance that the store answers does not believe that entries lapsed for want of it

In the log all instances of three data centres learn of it 0.5 s after their watchers, which the store had refused until 26.1 s and which believe entries that went meanwhile for 2 s; with their word they have the others believe so too, though the store answered these.

--- a/crates/node/src/feed.rs
+++ b/crates/node/src/feed.rs
@@ -238,6 +238,11 @@
         patience.clamp(PATIENCE, PATIENCE_MOST)
     }
 
+    /// Whether the last call failed.
+    pub fn is_down(&self) -> bool {
+        self.pause.is_some()
+    }
+
     /// Notes a call that failed, and waits before the next one: less if the store answers another call.
     pub async fn bad(&mut self, error: &Error) {
         self.note(error);
--- a/crates/node/src/lister.rs
+++ b/crates/node/src/lister.rs
@@ -97,6 +97,7 @@
                 break;
             };
             let known = cursor.revision.unwrap_or(0);
+            roster.away = link.is_down();
             match roster.hear(&told, known) {
                 Worth::Fresh => {
                     let all = roster.catch_up(told.to, &mut early);
--- a/crates/node/src/roster.rs
+++ b/crates/node/src/roster.rs
@@ -25,6 +25,9 @@
 /// Upstreams by the key of their entry.
 #[derive(Default)]
 pub struct Roster {
+    /// Whether the store refused this instance's own last call. One that it answers knows that entries which go
+    /// missing have not lapsed for want of a store, whatever those that were refused tell.
+    pub away: bool,
     /// Revision of the last change that is known.
     pub changed: u64,
     entries: BTreeMap<String, event::Listed>,
@@ -47,7 +50,7 @@
         if told.to < revision {
             return Worth::Old;
         }
-        if told.returning_ms > 0 {
+        if told.returning_ms > 0 && self.away {
             let until = Instant::now() + Duration::from_millis(told.returning_ms.into());
             self.returning_until = Some(until);
         }
--- a/crates/node/tests/roster.rs
+++ b/crates/node/tests/roster.rs
@@ -76,3 +76,36 @@
     let next = roster.pieces(12);
     expect_that!((next[0].from, next[0].to), eq((9, 12)));
 }
+
+/// Word from one that the store refused until now that an entry is gone.
+fn gone(from: u64, to: u64, name: &str) -> peer::Roster {
+    let entry = Entry {
+        gone: true,
+        name: name.into(),
+        revision: to,
+        ..Entry::default()
+    };
+    peer::Roster {
+        entries: vec![entry],
+        from,
+        returning_ms: 2_000,
+        to,
+    }
+}
+
+#[gtest]
+fn entry_that_goes_while_the_store_answers_here_is_gone_though_it_refused_the_teller() {
+    let mut roster = Roster::default();
+    roster.hear(&word(1, 2), 1);
+    roster.hear(&gone(2, 3, "engine-2"), 2);
+    expect_that!(names(&mut roster), is_empty());
+}
+
+#[gtest]
+fn entry_that_goes_while_the_store_is_away_here_too_is_believed_for_a_while() {
+    let mut roster = Roster::default();
+    roster.hear(&word(1, 2), 1);
+    roster.away = true;
+    roster.hear(&gone(2, 3, "engine-2"), 2);
+    expect_that!(names(&mut roster), elements_are![eq("engine-2")]);
+}
