The worlds of relayed requests share their route and their callers' request

Cause: rush, surge and placing wrote the same configuration of one route and the same submission three times; a comment on reading told what it no longer does.

--- a/crates/core/src/room.rs
+++ b/crates/core/src/room.rs
@@ -157,8 +157,7 @@
             && self.now.after(self.reading_ms(request)) > request.wanted_by
     }
 
-    /// Time in milliseconds that an engine without other work needs to read a request's prompt, or one of the
-    /// mean length if its own is longer.
+    /// Time in milliseconds that an engine without other work needs to read the tokens by which a request counts.
     fn reading_ms(&self, request: &Request) -> u64 {
         let tokens = self.counted_tokens(request);
         let pool = self.pools.get(request.service.pool());
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -38,6 +38,7 @@
 pub mod world;
 
 mod arguments;
+mod ask;
 mod batch;
 mod bench;
 mod cache;
--- a/crates/standin/src/placing.rs
+++ b/crates/standin/src/placing.rs
@@ -5,11 +5,11 @@
 use std::sync::Arc;
 use wellplank_core::{
     clock::Time,
-    config::{self, Config, Customer, Policy, Priority, Route, Service, Share, Target},
+    config::{self, Policy, Priority, Service, Target},
     core::Core,
     effect::{Effect, Sending},
     event::{Event, Failure, Listed, Submission},
-    request::{Caller, Relay, Work},
+    request::{Caller, Relay},
     settings::Settings,
     sighting::{Sighting, Stage},
 };
@@ -24,8 +24,8 @@
 const TOKENS: u32 = 6_000;
 const MEMORY: u32 = 55_000;
 
-fn configuration() -> Config {
-    let service = Service {
+fn service() -> Service {
+    Service {
         deadline_ms: 25_000,
         max_wait_ms: 1_000,
         name: "summary".into(),
@@ -41,20 +41,6 @@
             resumable: true,
             streams: true,
         }),
-    };
-    Config {
-        customers: [("key".to_owned(), Arc::new(Customer::anyone()))].into(),
-        revision: 1,
-        routes: vec![Route {
-            host: "host".into(),
-            prefix: "/".into(),
-            public: false,
-            shares: vec![Share {
-                service: Arc::new(service),
-                weight: 1,
-            }],
-        }],
-        ..Config::default()
     }
 }
 
@@ -84,27 +70,18 @@
 }
 
 fn submission(number: u64) -> Submission {
-    Submission {
-        caller: Caller(number),
-        cursor: None,
-        customer: "key".into(),
-        fingerprint: 0,
-        generation: u128::from(number),
-        key: None,
-        received: None,
-        service: String::new(),
-        work: Work::Relay(Relay {
-            answer_tokens: 1_000,
-            bytes: 100,
-            host: "host".into(),
-            path: "/".into(),
-            patience_ms: Some(25_000),
-            position: 0,
-            prompt: 1_000_000 + number,
-            run: number.to_string().into(),
-            tokens: TOKENS,
-        }),
-    }
+    let relay = Relay {
+        answer_tokens: 1_000,
+        bytes: 100,
+        host: ask::HOST.into(),
+        path: ask::PATH.into(),
+        patience_ms: Some(25_000),
+        position: 0,
+        prompt: 1_000_000 + number,
+        run: number.to_string().into(),
+        tokens: TOKENS,
+    };
+    ask::submission(Caller(number), relay)
 }
 
 /// Microseconds that it takes to place a stream at one of some upstreams, while others told of some streams, and
@@ -115,7 +92,10 @@
         ..Settings::default()
     };
     let mut core = Core::new(settings, [0; 32], 1, START).standing_in("dc-0");
-    core.handle(START, Event::Config(Arc::new(configuration())));
+    core.handle(
+        START,
+        Event::Config(Arc::new(ask::configuration(service()))),
+    );
     core.handle(START, Event::Instances(295));
     let list = Event::List {
         asked: START,
--- a/crates/standin/src/rush.rs
+++ b/crates/standin/src/rush.rs
@@ -7,11 +7,11 @@
 use wellplank_core::{
     attempt,
     clock::Time,
-    config::{self, Config, Customer, Policy, Priority, Route, Service, Share, Target},
+    config::{self, Policy, Priority, Service, Target},
     core::Core,
     effect::{Effect, Sending},
-    event::{Event, Failure, Listed, Submission, Verdict},
-    request::{Caller, Relay, Work},
+    event::{Event, Failure, Listed, Verdict},
+    request::{Caller, Relay},
     settings::{Calls, Settings},
 };
 
@@ -286,8 +286,8 @@
     format!("dc-{}", index % DATA_CENTRES)
 }
 
-fn configuration() -> Config {
-    let service = Service {
+fn service() -> Service {
+    Service {
         deadline_ms: HELD_MS,
         max_wait_ms: OBJECTIVE_MS / 4,
         name: "lookup".into(),
@@ -303,20 +303,6 @@
             resumable: false,
             streams: false,
         }),
-    };
-    Config {
-        customers: [("key".to_owned(), Arc::new(Customer::anyone()))].into(),
-        revision: 1,
-        routes: vec![Route {
-            host: "host".into(),
-            prefix: "/".into(),
-            public: false,
-            shares: vec![Share {
-                service: Arc::new(service),
-                weight: 1,
-            }],
-        }],
-        ..Config::default()
     }
 }
 
@@ -353,7 +339,10 @@
             weights,
         };
         for instance in 0..plan.instances {
-            rush.tell(instance, Event::Config(Arc::new(configuration())));
+            rush.tell(
+                instance,
+                Event::Config(Arc::new(ask::configuration(service()))),
+            );
             rush.tell(instance, Event::Instances(plan.instances as u32));
             rush.tell(
                 instance,
@@ -430,28 +419,21 @@
         let caller = Caller(self.next);
         let left = PATIENCE_MS - self.timeline.now().since(asker.begun);
         self.callers.insert(caller, index);
-        let submission = Submission {
-            caller,
-            cursor: None,
-            customer: "key".into(),
-            fingerprint: 0,
-            generation: u128::from(self.next),
-            key: None,
-            received: None,
-            service: String::new(),
-            work: Work::Relay(Relay {
-                answer_tokens: 0,
-                bytes: 100,
-                host: "host".into(),
-                path: "/".into(),
-                patience_ms: Some(left),
-                position: 0,
-                prompt: 0,
-                run: self.next.to_string().into(),
-                tokens: 0,
-            }),
+        let relay = Relay {
+            answer_tokens: 0,
+            bytes: 100,
+            host: ask::HOST.into(),
+            path: ask::PATH.into(),
+            patience_ms: Some(left),
+            position: 0,
+            prompt: 0,
+            run: self.next.to_string().into(),
+            tokens: 0,
         };
-        self.tell(instance, Event::Submit(Box::new(submission)));
+        self.tell(
+            instance,
+            Event::Submit(Box::new(ask::submission(caller, relay))),
+        );
     }
 
     fn tell(&mut self, instance: usize, event: Event) {
--- a/crates/standin/src/surge.rs
+++ b/crates/standin/src/surge.rs
@@ -8,11 +8,11 @@
 use wellplank_core::{
     attempt,
     clock::Time,
-    config::{self, Config, Customer, Policy, Priority, Route, Service, Share, Target},
+    config::{self, Policy, Priority, Service, Target},
     core::Core,
     effect::{Effect, Sending},
-    event::{Event, Failure, Listed, Submission},
-    request::{Caller, Relay, Work},
+    event::{Event, Failure, Listed},
+    request::{Caller, Relay},
     settings::{Room, Settings},
 };
 
@@ -206,8 +206,8 @@
     usize::from(address.port()) - 1
 }
 
-fn configuration() -> Config {
-    let service = Service {
+fn service() -> Service {
+    Service {
         deadline_ms: PATIENCE_MS,
         max_wait_ms: OBJECTIVE_MS / 4,
         name: "summary".into(),
@@ -223,20 +223,6 @@
             resumable: true,
             streams: true,
         }),
-    };
-    Config {
-        customers: [("key".to_owned(), Arc::new(Customer::anyone()))].into(),
-        revision: 1,
-        routes: vec![Route {
-            host: "host".into(),
-            prefix: "/".into(),
-            public: false,
-            shares: vec![Share {
-                service: Arc::new(service),
-                weight: 1,
-            }],
-        }],
-        ..Config::default()
     }
 }
 
@@ -276,7 +262,10 @@
         };
         let list: Vec<Listed> = (0..plan.engines).map(listed).collect();
         for instance in 0..plan.instances {
-            surge.tell(instance, Event::Config(Arc::new(configuration())));
+            surge.tell(
+                instance,
+                Event::Config(Arc::new(ask::configuration(service()))),
+            );
             surge.tell(instance, Event::Instances(plan.instances as u32));
             let listed = Some(list.clone());
             surge.tell(
@@ -339,30 +328,23 @@
         asker.state = State::Asking;
         let caller = Caller(self.next);
         let left = PATIENCE_MS - self.timeline.now().since(asker.begun);
-        let submission = Submission {
-            caller,
-            cursor: None,
-            customer: "key".into(),
-            fingerprint: 0,
-            generation: u128::from(self.next),
-            key: None,
-            received: None,
-            service: String::new(),
-            work: Work::Relay(Relay {
-                answer_tokens: 1_020,
-                bytes: 100,
-                host: "host".into(),
-                path: "/".into(),
-                patience_ms: Some(left),
-                position: 0,
-                prompt: index as u64 + 1,
-                run: self.next.to_string().into(),
-                tokens: asker.prompt + 1_020,
-            }),
+        let relay = Relay {
+            answer_tokens: 1_020,
+            bytes: 100,
+            host: ask::HOST.into(),
+            path: ask::PATH.into(),
+            patience_ms: Some(left),
+            position: 0,
+            prompt: index as u64 + 1,
+            run: self.next.to_string().into(),
+            tokens: asker.prompt + 1_020,
         };
         let instance = asker.instance;
         self.callers.insert(caller, index);
-        self.tell(instance, Event::Submit(Box::new(submission)));
+        self.tell(
+            instance,
+            Event::Submit(Box::new(ask::submission(caller, relay))),
+        );
     }
 
     fn tell(&mut self, instance: usize, event: Event) {
