--- a/crates/node/src/feed.rs
+++ b/crates/node/src/feed.rs
@@ -108,7 +108,7 @@
             .expect("address and path make a uri");
         let answer = timeout(patience, self.http.exchange(request))
             .await
-            .map_err(|_| Error::Store("no answer in time".into()))?
+            .map_err(|_| Error::Store(format!("no answer in {} ms", patience.as_millis())))?
             .map_err(|error| Error::Store(error.to_string()))?;
         if answer.0.is_success() {
             self.answered.send_replace(Some(Instant::now()));
@@ -167,6 +167,12 @@
 
     /// Waits for news. After a failure the store has more time.
     pub async fn next(&mut self) -> Result<News, Error> {
+        if self.patience > PATIENCE {
+            let patience_ms = self.patience.as_millis() as u64;
+            let since = self.revision;
+            let wait_ms = self.wait.as_millis() as u64;
+            info!(patience_ms, since, wait_ms; "asking the store again for {}", self.prefix);
+        }
         let news = self.look().await;
         self.patience = match news {
             Ok(_) => PATIENCE,
@@ -185,6 +191,7 @@
             .exchange(call, self.wait + self.patience)
             .await?;
         if platform::store::forgotten(status) {
+            info!(revision; "the store has forgotten the changes of {}", self.prefix);
             self.revision = None;
             return self.read().await.map(News::All);
         }
@@ -224,6 +231,8 @@
     client: Client,
     /// When the last call failed; `None` while the store answers.
     failed: Option<Instant>,
+    /// When the first call failed; `None` while the store answers.
+    lost: Option<Instant>,
     /// Pause after the last failure; `None` while the store answers.
     pause: Option<Duration>,
     /// Whether nobody can be served before this is read.
@@ -272,10 +281,17 @@
     /// Notes a call that failed. The pause after it doubles with each further failure.
     pub fn note(&mut self, error: &Error) {
         let pause = match self.pause {
-            Some(_) if self.client.is_back() => *RETRY.start(),
-            Some(pause) => (pause * 2).min(*RETRY.end()),
+            Some(pause) => {
+                info!("{} of the store still can not be read: {error}", self.what);
+                if self.client.is_back() {
+                    *RETRY.start()
+                } else {
+                    (pause * 2).min(*RETRY.end())
+                }
+            }
             None => {
                 warn!("{} of the store can not be read: {error}", self.what);
+                self.lost = Some(Instant::now());
                 *RETRY.start()
             }
         };
@@ -298,12 +314,14 @@
 
     /// Notes an answer; whether it is the first after a loss.
     pub fn good(&mut self) -> bool {
-        let lost = self.pause.take().is_some();
         self.failed = None;
-        if lost {
-            info!("{} of the store can be read again", self.what);
-        }
-        lost
+        self.pause = None;
+        let Some(lost) = self.lost.take() else {
+            return false;
+        };
+        let lost_ms = lost.elapsed().as_millis() as u64;
+        info!(lost_ms; "{} of the store can be read again", self.what);
+        true
     }
 
     /// A link that is believed to work; `what` names it in logs.
@@ -311,6 +329,7 @@
         Self {
             client: client.clone(),
             failed: None,
+            lost: None,
             pause: None,
             urgent: false,
             what,
--- a/crates/node/src/roster.rs
+++ b/crates/node/src/roster.rs
@@ -150,6 +150,9 @@
     fn remove(&mut self, key: &str) {
         match self.returning_until.filter(|until| *until > Instant::now()) {
             Some(until) => {
+                let believed_ms = (until - Instant::now()).as_millis() as u64;
+                let upstream = platform::upstream::name(key);
+                info!(believed_ms, upstream; "an entry that is missing may have lapsed");
                 self.lapsing.entry(key.to_owned()).or_insert(until);
             }
             None => {
