Failing tests: instances that do not look at the store again behind its silence

Cause: a watch that begins while the store is silent is never answered and holds the next look for its whole time. Ruled out: that it is a matter of the list alone (the configuration's watch fails the same way) or of small fleets (2 of 16 instances, whose calls have up to 5 s).

--- a/crates/standin/src/site.rs
+++ b/crates/standin/src/site.rs
@@ -131,6 +131,17 @@
     shelf.put(&format!("servers/{}", worker.name), &entry);
 }
 
+/// Runs a test against a site.
+pub fn run<F: Future<Output = ()>>(plan: Plan, test: impl FnOnce(Site) -> F) {
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(2)
+        .enable_all()
+        .build()
+        .expect("the runtime starts");
+    runtime.block_on(async { test(Site::start(plan).await).await });
+    runtime.shutdown_background();
+}
+
 impl Site {
     /// Starts everything and waits until the instances are ready, if the store answers.
     pub async fn start(plan: Plan) -> Self {
