Behind a call that was not answered the store is asked without waiting, and silence is noticed in half the bound

Cause: a call that a silent store takes is never answered. Now a call behind a failed one asks only for what is known; its answer must begin within half the bound (0.6 s at first) and then goes on piece by piece, so that long lists on small links need no long limit. Ruled out: fewer or shorter waits in general (dear, and the silence of a watch in use is noticed by what others know).

--- a/crates/node/src/configuration.rs
+++ b/crates/node/src/configuration.rs
@@ -18,10 +18,6 @@
 /// a link of 10 Mbit/s for half a second, and the time in which it must be in force is short.
 const LARGE: usize = 64 << 10;
 
-/// Time that a read of the configuration may take: twice what a link of 10 Mbit/s needs for the largest value.
-/// With 600 ms one of 1,700 routes was never read while callers' answers took the link too.
-const PATIENCE: Duration = Duration::from_millis(2_500);
-
 /// What the task needs.
 pub(crate) struct Configuration {
     /// Bytes of the configuration that was read last.
@@ -106,7 +102,7 @@
     /// Reads the configuration once.
     async fn read(&mut self, age: Age, link: &mut Link) {
         let key = platform::configuration::KEY;
-        match self.client.items(key, PATIENCE, age).await {
+        match self.client.items(key, link.patience(), age).await {
             Ok((items, _)) => {
                 link.good();
                 if let Some(item) = newest(News::All(items)) {
--- a/crates/node/src/feed.rs
+++ b/crates/node/src/feed.rs
@@ -3,17 +3,21 @@
 use super::*;
 use platform::store::{Call, Change, Item, Page, Seen};
 
-/// Time that the store has to answer a read: many times the few milliseconds that it takes, and twice
+/// Time in which the store's answer must begin: many times the few milliseconds that it takes, and twice
 /// what it takes when it is slow. An instance that starts while the store is silent tries again soon.
 const PATIENCE: Duration = Duration::from_millis(600);
 
-/// The longest time that the store has after reads that took too long: many instances that start at
+/// The longest such time behind failures of an instance that the store has never answered: many that start at
 /// once read long lists together.
 const PATIENCE_MOST: Duration = Duration::from_secs(5);
 
 /// Time that the store has after a failure, in pauses: it doubles with them.
 const PATIENCE_PAUSES: u32 = 8;
 
+/// Time in which an answer that has begun must go on: as long as the kernel waits for a silent connection. However
+/// long a list is and however small the link, a piece of it comes sooner.
+const PIECE: Duration = Duration::from_secs(1);
+
 /// Time that a watch waits for a change. Longer means fewer calls; a path that is gone is noticed by the
 /// connection before, and a watch that says nothing by what other instances know.
 pub(crate) const WAIT: Duration = Duration::from_secs(10);
@@ -41,6 +45,8 @@
     address: SocketAddr,
     /// When the store answered last; clones of the client share it.
     answered: Arc<watch::Sender<Option<Instant>>>,
+    /// Time within which what the store says must be known.
+    bound: Duration,
     http: Http,
     meter: meter::Meter,
 }
@@ -56,6 +62,8 @@
 
 /// A prefix of the store, read once and watched from there on.
 pub(crate) struct Cursor {
+    /// Whether its last call was answered.
+    answered: bool,
     client: Client,
     patience: Duration,
     prefix: &'static str,
@@ -74,11 +82,12 @@
 }
 
 impl Client {
-    /// A client of the store at `address`.
-    pub fn new(address: SocketAddr, meter: meter::Meter) -> Self {
+    /// A client of the store at `address`; what it says must be known within `bound`.
+    pub fn new(address: SocketAddr, bound: Duration, meter: meter::Meter) -> Self {
         Self {
             address,
             answered: Arc::new(watch::Sender::new(None)),
+            bound,
             http: Http::watching(),
             meter,
         }
@@ -106,14 +115,25 @@
             .header(header::CONTENT_TYPE, "application/json")
             .body(http::Body::from(call.body))
             .expect("address and path make a uri");
-        let answer = timeout(patience, self.http.exchange(request))
+        let response = timeout(patience, self.http.send(request))
             .await
             .map_err(|_| Error::Store(format!("no answer in {} ms", patience.as_millis())))?
             .map_err(|error| Error::Store(error.to_string()))?;
-        if answer.0.is_success() {
+        let status = response.status();
+        let body = read(response.into_body()).await?;
+        if status.is_success() {
             self.answered.send_replace(Some(Instant::now()));
         }
-        Ok(answer)
+        Ok((status, body))
+    }
+
+    /// The longest time in which an answer must begin. A call that was taken by a store that fell silent is never
+    /// answered, and nothing else looks meanwhile: of the bound, half is for it and half for the next one.
+    fn patience_most(&self) -> Duration {
+        match *self.answered.borrow() {
+            Some(_) => (self.bound / 2).max(PATIENCE),
+            None => PATIENCE_MOST,
+        }
     }
 
     /// Reads all items under a prefix, and the revision to watch from. Pages are no snapshot, so it
@@ -157,6 +177,7 @@
     /// A cursor that has read nothing yet.
     pub fn new(client: Client, prefix: &'static str) -> Self {
         Self {
+            answered: false,
             client,
             patience: PATIENCE,
             prefix,
@@ -167,29 +188,31 @@
 
     /// Waits for news. After a failure the store has more time.
     pub async fn next(&mut self) -> Result<News, Error> {
+        let answered = std::mem::take(&mut self.answered);
+        let wait = if answered { self.wait } else { Duration::ZERO };
         if self.patience > PATIENCE {
             let patience_ms = self.patience.as_millis() as u64;
             let since = self.revision;
-            let wait_ms = self.wait.as_millis() as u64;
-            info!(patience_ms, since, wait_ms; "asking the store again for {}", self.prefix);
+            info!(patience_ms, since; "asking the store again for {}", self.prefix);
         }
-        let news = self.look().await;
+        let news = self.look(wait).await;
+        self.answered = news.is_ok();
         self.patience = match news {
             Ok(_) => PATIENCE,
-            Err(_) => (self.patience * 2).min(PATIENCE_MOST),
+            Err(_) => (self.patience * 2).min(self.client.patience_most()),
         };
         news
     }
 
-    async fn look(&mut self) -> Result<News, Error> {
+    /// Looks for news, and waits for some so long. Behind a call that was not answered no change is waited for: one
+    /// that a silent store takes is never answered, and with 10 s of waiting leaving upstreams got requests for
+    /// 2.2 s more than allowed.
+    async fn look(&mut self, wait: Duration) -> Result<News, Error> {
         let Some(revision) = self.revision else {
             return self.read().await.map(News::All);
         };
-        let call = platform::store::watch(self.prefix, revision, self.wait);
-        let (status, body) = self
-            .client
-            .exchange(call, self.wait + self.patience)
-            .await?;
+        let call = platform::store::watch(self.prefix, revision, wait);
+        let (status, body) = self.client.exchange(call, wait + self.patience).await?;
         if platform::store::forgotten(status) {
             info!(revision; "the store has forgotten the changes of {}", self.prefix);
             self.revision = None;
@@ -214,6 +237,23 @@
     }
 }
 
+/// Reads an answer that has begun, for as long as it goes on.
+async fn read(mut body: hyper::body::Incoming) -> Result<Bytes, Error> {
+    let mut bytes = BytesMut::new();
+    loop {
+        let frame = timeout(PIECE, body.frame())
+            .await
+            .map_err(|_| Error::Store(format!("an answer ended after {} bytes", bytes.len())))?;
+        let Some(frame) = frame else {
+            return Ok(bytes.freeze());
+        };
+        let frame = frame.map_err(|error| Error::Store(error.to_string()))?;
+        if let Some(piece) = frame.data_ref() {
+            bytes.extend_from_slice(piece);
+        }
+    }
+}
+
 /// Waits until other instances have known more for a while than this one: its own watch says nothing
 /// any more, though its connection stays.
 pub(crate) async fn behind(
@@ -244,7 +284,7 @@
     /// Time that the next read has.
     pub fn patience(&self) -> Duration {
         let patience = self.pause.map_or(PATIENCE, |pause| pause * PATIENCE_PAUSES);
-        patience.clamp(PATIENCE, PATIENCE_MOST)
+        patience.min(self.client.patience_most())
     }
 
     /// Whether the last call failed.
@@ -280,20 +320,18 @@
 
     /// Notes a call that failed. The pause after it doubles with each further failure.
     pub fn note(&mut self, error: &Error) {
-        let pause = match self.pause {
-            Some(pause) => {
-                info!("{} of the store still can not be read: {error}", self.what);
-                if self.client.is_back() {
-                    *RETRY.start()
-                } else {
-                    (pause * 2).min(*RETRY.end())
-                }
-            }
-            None => {
-                warn!("{} of the store can not be read: {error}", self.what);
-                self.lost = Some(Instant::now());
-                *RETRY.start()
-            }
+        let pause = if let Some(pause) = self.pause {
+            info!("{} of the store still can not be read: {error}", self.what);
+            (pause * 2).min(*RETRY.end())
+        } else {
+            warn!("{} of the store can not be read: {error}", self.what);
+            self.lost = Some(Instant::now());
+            *RETRY.start()
+        };
+        let pause = if self.client.is_back() {
+            pause.min(*RETRY.start())
+        } else {
+            pause
         };
         let pause = if self.urgent {
             pause.min(RETRY_AT_START)
--- a/crates/node/src/hosted.rs
+++ b/crates/node/src/hosted.rs
@@ -79,7 +79,10 @@
         let (told, telling) = mpsc::unbounded_channel();
         let telling_others = told.clone();
         let meter = meter::Meter::new(settings.metrics);
-        let client = feed::Client::new(hosted.store, meter.clone());
+        let pace = pace::Pace {
+            bound: Duration::from_millis(hosted.apply_ms.min(hosted.leave_ms)),
+        };
+        let client = feed::Client::new(hosted.store, pace.bound, meter.clone());
         let page = Page(meter.clone());
         let this = members::Own {
             data_centre: settings.data_centre.clone(),
@@ -122,9 +125,6 @@
         let (tell_roster, rosters) = mpsc::unbounded_channel();
         let members = gossip.start(telling, tell_roster).await?;
         tokio::spawn(count(members.clone(), driver.clone()));
-        let pace = pace::Pace {
-            bound: Duration::from_millis(hosted.apply_ms.min(hosted.leave_ms)),
-        };
         let configuration = configuration::Configuration {
             bytes: 0,
             client: client.clone(),
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -48,7 +48,7 @@
 
 use {
     base64::{Engine as _, prelude::BASE64_STANDARD, prelude::BASE64_URL_SAFE_NO_PAD},
-    bytes::Bytes,
+    bytes::{Bytes, BytesMut},
     cadence::{Counted, MetricSink, QueuingMetricSink, StatsdClient, UdpMetricSink},
     clap::{Arg, ArgMatches, Command},
     driver::Driver,
