Failing tests: an outage is believed where there was none, and not where there was one

Cause: whether the store was away is concluded by each task from its own last call. One watch that is cut, while other calls are answered, counts as an outage, and an entry that goes then is believed for 2 s more; a watch that outlasts an outage counts as none, and all upstreams whose entries lapsed are given up at its end.

--- a/crates/standin/tests/outage.rs
+++ b/crates/standin/tests/outage.rs
@@ -95,6 +95,33 @@
     });
 }
 
+#[gtest]
+fn upstream_that_leaves_without_a_word_while_only_the_watch_is_cut_gets_no_new_work() {
+    run(Plan::default(), async |site: Site| {
+        site.shelf.cut();
+        site.shelf.remove("servers/desk-0");
+        sleep(BOUND).await;
+        expect_that!(asked(&site, 0).await, eq((0, 6)));
+    });
+}
+
+#[gtest]
+fn entries_that_lapsed_in_an_outage_that_the_watch_outlasted_are_believed_for_a_while() {
+    run(Plan::default(), async |site: Site| {
+        site.shelf.silent(true);
+        sleep(Duration::from_millis(4_500)).await;
+        site.shelf.remove("servers/desk-0");
+        site.shelf.remove("servers/desk-1");
+        site.shelf.silent(false);
+        sleep(Duration::from_millis(500)).await;
+        let (_, answered) = asked(&site, 0).await;
+        expect_that!(answered, eq(6));
+        sleep(SETTLED).await;
+        let (_, answered) = asked(&site, 0).await;
+        expect_that!(answered, eq(0));
+    });
+}
+
 #[gtest]
 fn in_a_large_fleet_all_know_of_a_leaving_upstream_behind_a_silent_outage() {
     let plan = Plan {
