One account of the store's outages for all tasks of an instance; entries are believed from the store's return on

Cause: each task concluded from its own last call whether the store had been away. A watch that outlasted an outage counted as none: all upstreams were given up at its end. Now every call's end is noted in one place (core, outage.rs): an outage is two heartbeats of upstreams or more without an answer, with a call that failed, since no entry goes sooner for want of the store; what is missing is believed for 2 s from the first answer of any call. Ruled out: that the store's log of lapses allows a shorter outage (the first entry went 2.40 s behind its begin, twice 1.2 s).

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod gauge;
 pub mod invariant;
 pub mod kind;
+pub mod outage;
 pub mod queue;
 pub mod request;
 pub mod settings;
--- a/crates/node/src/feed.rs
+++ b/crates/node/src/feed.rs
@@ -36,19 +36,20 @@
 const RETRY_BACK: Duration = Duration::from_millis(50);
 
 /// Time since the store answered any call for which a call that failed is tried again after the shortest
-/// pause: it may have begun before the path was back, and a connection takes a second to fail.
-const BACK: Duration = Duration::from_millis(1_500);
+/// pause, in milliseconds: it may have begun before the path was back, and a connection takes a second to fail.
+const BACK_MS: u64 = 1_500;
 
 /// A client of the platform's store.
 #[derive(Clone)]
 pub(crate) struct Client {
     address: SocketAddr,
-    /// When the store answered last; clones of the client share it.
-    answered: Arc<watch::Sender<Option<Instant>>>,
     /// Time within which what the store says must be known.
     bound: Duration,
+    clock: Clock,
     http: Http,
     meter: meter::Meter,
+    /// What calls showed of the store; clones of the client share it.
+    outage: Arc<watch::Sender<Outage>>,
 }
 
 /// How old what a read brings may be.
@@ -82,17 +83,30 @@
 }
 
 impl Client {
-    /// A client of the store at `address`; what it says must be known within `bound`.
-    pub fn new(address: SocketAddr, bound: Duration, meter: meter::Meter) -> Self {
+    /// A client of the platform's store; what it says must be known within `bound`.
+    pub fn new(
+        hosted: settings::Hosted,
+        bound: Duration,
+        clock: Clock,
+        meter: meter::Meter,
+    ) -> Self {
+        let outage = Outage::new(hosted.heartbeat_ms);
         Self {
-            address,
-            answered: Arc::new(watch::Sender::new(None)),
+            address: hosted.store,
             bound,
+            clock,
             http: Http::watching(),
             meter,
+            outage: Arc::new(watch::Sender::new(outage)),
         }
     }
 
+    /// For how much longer an entry that is missing now is believed.
+    pub fn believed(&self) -> Duration {
+        let left = self.outage.borrow().believed_ms(self.clock.now());
+        Duration::from_millis(left)
+    }
+
     /// Makes a call that does not wait; status and body of its answer.
     pub async fn call(&self, call: Call, patience: Duration) -> Result<(StatusCode, Bytes), Error> {
         let begun = Instant::now();
@@ -102,13 +116,31 @@
         Ok(answer)
     }
 
+    /// Whether entries may have gone for want of the store.
+    pub fn doubts(&self) -> bool {
+        self.outage.borrow().doubts(self.clock.now())
+    }
+
     /// Whether the store has just answered some call.
     fn is_back(&self) -> bool {
-        let answered = *self.answered.borrow();
-        answered.is_some_and(|answered| answered.elapsed() < BACK)
+        let answered = self.outage.borrow().answered();
+        answered.is_some_and(|answered| self.clock.now().since(answered) < BACK_MS)
     }
 
     async fn exchange(&self, call: Call, patience: Duration) -> Result<(StatusCode, Bytes), Error> {
+        let answer = self.send(call, patience).await;
+        let answered = matches!(&answer, Ok((status, _)) if !is_refusal(*status));
+        self.outage.send_modify(|outage| {
+            if !answered {
+                outage.fail();
+            } else if let Some(away_ms) = outage.answer(self.clock.now()) {
+                info!(away_ms; "the store is back");
+            }
+        });
+        answer
+    }
+
+    async fn send(&self, call: Call, patience: Duration) -> Result<(StatusCode, Bytes), Error> {
         let request = Request::builder()
             .method(call.method)
             .uri(format!("http://{}{}", self.address, call.path))
@@ -121,16 +153,13 @@
             .map_err(|error| Error::Store(error.to_string()))?;
         let status = response.status();
         let body = read(response.into_body()).await?;
-        if status.is_success() {
-            self.answered.send_replace(Some(Instant::now()));
-        }
         Ok((status, body))
     }
 
     /// The longest time in which an answer must begin. A call that was taken by a store that fell silent is never
     /// answered, and nothing else looks meanwhile: of the bound, half is for it and half for the next one.
     fn patience_most(&self) -> Duration {
-        match *self.answered.borrow() {
+        match self.outage.borrow().answered() {
             Some(_) => (self.bound / 2).max(PATIENCE),
             None => PATIENCE_MOST,
         }
@@ -237,6 +266,11 @@
     }
 }
 
+/// Whether the store did not do what it was asked, for want of itself or of calls left to this instance.
+fn is_refusal(status: StatusCode) -> bool {
+    status.is_server_error() || status == StatusCode::TOO_MANY_REQUESTS
+}
+
 /// Reads an answer that has begun, for as long as it goes on.
 async fn read(mut body: hyper::body::Incoming) -> Result<Bytes, Error> {
     let mut bytes = BytesMut::new();
@@ -270,9 +304,9 @@
 pub(crate) struct Link {
     client: Client,
     /// When the last call failed; `None` while the store answers.
-    failed: Option<Instant>,
+    failed: Option<Time>,
     /// When the first call failed; `None` while the store answers.
-    lost: Option<Instant>,
+    lost: Option<Time>,
     /// Pause after the last failure; `None` while the store answers.
     pause: Option<Duration>,
     /// Whether nobody can be served before this is read.
@@ -287,18 +321,14 @@
         patience.min(self.client.patience_most())
     }
 
-    /// Whether the last call failed.
-    pub fn is_down(&self) -> bool {
-        self.pause.is_some()
-    }
-
     /// Notes a call that failed, and waits before the next one: less if the store answers another call.
     pub async fn bad(&mut self, error: &Error) {
         self.note(error);
         let failed = self.failed;
-        let mut answered = self.client.answered.subscribe();
+        let mut outage = self.client.outage.subscribe();
         let since = async {
-            let client_gone = answered.wait_for(|at| *at > failed).await.is_err();
+            let answered = outage.wait_for(|outage| outage.answered() > failed);
+            let client_gone = answered.await.is_err();
             if client_gone {
                 std::future::pending::<()>().await;
             }
@@ -325,7 +355,7 @@
             (pause * 2).min(*RETRY.end())
         } else {
             warn!("{} of the store can not be read: {error}", self.what);
-            self.lost = Some(Instant::now());
+            self.lost = Some(self.client.clock.now());
             *RETRY.start()
         };
         let pause = if self.client.is_back() {
@@ -338,28 +368,29 @@
         } else {
             pause
         };
-        self.failed = Some(Instant::now());
+        self.failed = Some(self.client.clock.now());
         self.pause = Some(pause);
     }
 
     /// Time left before the store is to be asked again.
     pub fn wait(&self) -> Duration {
         match (self.failed, self.pause) {
-            (Some(failed), Some(pause)) => pause.saturating_sub(failed.elapsed()),
+            (Some(failed), Some(pause)) => {
+                let passed = self.client.clock.now().since(failed);
+                pause.saturating_sub(Duration::from_millis(passed))
+            }
             _ => Duration::ZERO,
         }
     }
 
-    /// Notes an answer; whether it is the first after a loss.
-    pub fn good(&mut self) -> bool {
+    /// Notes an answer.
+    pub fn good(&mut self) {
         self.failed = None;
         self.pause = None;
-        let Some(lost) = self.lost.take() else {
-            return false;
-        };
-        let lost_ms = lost.elapsed().as_millis() as u64;
-        info!(lost_ms; "{} of the store can be read again", self.what);
-        true
+        if let Some(lost) = self.lost.take() {
+            let lost_ms = self.client.clock.now().since(lost);
+            info!(lost_ms; "{} of the store can be read again", self.what);
+        }
     }
 
     /// A link that is believed to work; `what` names it in logs.
--- a/crates/node/src/hosted.rs
+++ b/crates/node/src/hosted.rs
@@ -82,7 +82,7 @@
         let pace = pace::Pace {
             bound: Duration::from_millis(hosted.apply_ms.min(hosted.leave_ms)),
         };
-        let client = feed::Client::new(hosted.store, pace.bound, meter.clone());
+        let client = feed::Client::new(hosted, pace.bound, clock, meter.clone());
         let page = Page(meter.clone());
         let this = members::Own {
             data_centre: settings.data_centre.clone(),
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -100,6 +100,7 @@
         effect::{Belief, Effect, Note, Sending, What},
         event::{self, ClaimOutcome, Event, Failure, Piece, Submission},
         kind::{Kind, Ran},
+        outage::Outage,
         request::{self, Caller, Work},
         sighting::{Sighting, Stage},
         upstream::{self, Load},
--- a/crates/node/src/lister.rs
+++ b/crates/node/src/lister.rs
@@ -97,7 +97,7 @@
                 break;
             };
             let known = cursor.revision.unwrap_or(0);
-            roster.away = link.is_down();
+            roster.away = self.client.doubts();
             match roster.hear(&told, known) {
                 Worth::Fresh => {
                     let all = roster.catch_up(told.to, &mut early);
@@ -125,8 +125,8 @@
         roster.tell_from(cursor.revision.unwrap_or(0));
         match cursor.next().await {
             Ok(news) => {
-                let returned = link.good();
-                roster.take(news, returned);
+                link.good();
+                roster.take(news, self.client.believed());
                 if role == Role::Deputy {
                     self.tell(roster, cursor.revision);
                 }
@@ -190,8 +190,8 @@
         };
         match next {
             Ok(Ok(news)) => {
-                let returned = link.good();
-                roster.take(news, returned);
+                link.good();
+                roster.take(news, self.client.believed());
             }
             Ok(Err(error)) => {
                 link.bad(&error).await;
--- a/crates/node/src/roster.rs
+++ b/crates/node/src/roster.rs
@@ -7,10 +7,6 @@
 /// Bytes of changes in one datagram; it stays below what a link carries in one piece.
 const PIECE: usize = 1_200;
 
-/// Time after the store's return up to which upstreams whose entries lapsed in between are believed
-/// to live; they enter themselves again within about two seconds.
-const LAPSED: Duration = Duration::from_secs(2);
-
 /// What word from another instance is worth.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Worth {
@@ -25,7 +21,7 @@
 /// Upstreams by the key of their entry.
 #[derive(Default)]
 pub struct Roster {
-    /// Whether the store refused this instance's own last call. One that it answers knows that entries which go
+    /// Whether the store was away for this instance too. One that it answers knows that entries which go
     /// missing have not lapsed for want of a store, whatever those that were refused tell.
     pub away: bool,
     /// Revision of the last change that is known.
@@ -161,10 +157,10 @@
         }
     }
 
-    /// Takes in news of the store; `returned` if they are the first after it was away.
-    pub(crate) fn take(&mut self, news: News, returned: bool) {
-        if returned {
-            self.returning_until = Some(Instant::now() + LAPSED);
+    /// Takes in news of the store. Entries that are missing are believed for a while if it was away.
+    pub(crate) fn take(&mut self, news: News, believed: Duration) {
+        if !believed.is_zero() {
+            self.returning_until = Some(Instant::now() + believed);
         }
         match news {
             News::All(items) => {
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -56,6 +56,8 @@
     pub apply_ms: u64,
     /// Time from the signal to stop to the end that the platform gives, in milliseconds.
     pub grace_ms: u64,
+    /// Time between two writes of an upstream's entry in the store, in milliseconds.
+    pub heartbeat_ms: u64,
     /// What the instance's own link carries, in megabits a second.
     pub link_mbps: f64,
     /// Time in which a leaving upstream must get no more work, in milliseconds.
@@ -180,6 +182,7 @@
         let hosted = Hosted {
             apply_ms: reader.number("apply_ms", 2_000, 100..=MILLIS_MAX),
             grace_ms: reader.number("grace_ms", 8_000, 100..=MILLIS_MAX),
+            heartbeat_ms: reader.number("heartbeat_ms", 1_200, 50..=MILLIS_MAX),
             link_mbps: reader.real("link_mbps", LINK_MBPS, 0.1..=1e6),
             leave_ms: reader.number("leave_ms", 2_000, 100..=MILLIS_MAX),
             metrics: reader.address("metrics"),
