A watch ends when the store answers other calls behind its silence and not this one

Cause: a watch that begins just before the store falls silent, behind an answered call, is never answered and held the next look for up to 10.6 s; the first repair covers only calls behind a failed one. Now the account of the store's absences, which holds how all calls of an instance end, ends such a watch 0.6 s behind the first answer of any other call, and the next call asks without waiting. Left: a silence shorter than the time between other calls, 2 s, that takes the watches of all instances at one moment; those end after 10.6 s.

--- a/crates/core/src/outage.rs
+++ b/crates/core/src/absence.rs
@@ -16,24 +16,27 @@
 
 /// What the calls of an instance showed of the store.
 #[derive(Clone, Copy, Debug)]
-pub struct Outage {
+pub struct Absence {
     /// When a call was answered last; `None` before the first time.
     answered: Option<Time>,
     /// Whether a call failed since.
     failed: bool,
     /// Time between two writes of an upstream's entry, in milliseconds.
     heartbeat_ms: u64,
-    /// When the store answered first behind an outage in which entries may have gone.
+    /// When a call was answered first behind one that failed.
+    recovered: Option<Time>,
+    /// The same, behind an outage in which entries may have gone.
     returned: Option<Time>,
 }
 
-impl Outage {
+impl Absence {
     /// What is believed before the first call, where upstreams write their entries so often.
     pub fn new(heartbeat_ms: u64) -> Self {
         Self {
             answered: None,
             failed: false,
             heartbeat_ms,
+            recovered: None,
             returned: None,
         }
     }
@@ -43,7 +46,9 @@
     pub fn answer(&mut self, now: Time) -> Option<u64> {
         let lasted = self.lasted(now);
         self.answered = Some(now);
-        self.failed = false;
+        if std::mem::take(&mut self.failed) {
+            self.recovered = Some(now);
+        }
         if lasted.is_some() {
             self.returned = Some(now);
         }
@@ -72,6 +77,12 @@
         self.failed = true;
     }
 
+    /// When a call was answered first behind one that failed. A silent store never answers a call that it took
+    /// before, however long this may wait.
+    pub fn recovered(&self) -> Option<Time> {
+        self.recovered
+    }
+
     /// Time since the last answer, in milliseconds, if calls failed since and entries may have gone meanwhile.
     fn lasted(&self, now: Time) -> Option<u64> {
         let lasted = now.since(self.answered?);
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -4,6 +4,7 @@
 //! and answers with a list of [`effect::Effect`]. It reads no clock, opens no socket and starts no
 //! thread, so the same settings, seed and events always give the same effects.
 
+pub mod absence;
 pub mod attempt;
 pub mod budget;
 pub mod claim;
@@ -20,7 +21,6 @@
 pub mod gauge;
 pub mod invariant;
 pub mod kind;
-pub mod outage;
 pub mod queue;
 pub mod request;
 pub mod settings;
--- a/crates/node/src/feed.rs
+++ b/crates/node/src/feed.rs
@@ -42,14 +42,14 @@
 /// A client of the platform's store.
 #[derive(Clone)]
 pub(crate) struct Client {
+    /// What calls showed of the store; clones of the client share it.
+    absence: Arc<watch::Sender<Absence>>,
     address: SocketAddr,
     /// Time within which what the store says must be known.
     bound: Duration,
     clock: Clock,
     http: Http,
     meter: meter::Meter,
-    /// What calls showed of the store; clones of the client share it.
-    outage: Arc<watch::Sender<Outage>>,
 }
 
 /// How old what a read brings may be.
@@ -90,20 +90,20 @@
         clock: Clock,
         meter: meter::Meter,
     ) -> Self {
-        let outage = Outage::new(hosted.heartbeat_ms);
+        let absence = Absence::new(hosted.heartbeat_ms);
         Self {
+            absence: Arc::new(watch::Sender::new(absence)),
             address: hosted.store,
             bound,
             clock,
             http: Http::watching(),
             meter,
-            outage: Arc::new(watch::Sender::new(outage)),
         }
     }
 
     /// For how much longer an entry that is missing now is believed.
     pub fn believed(&self) -> Duration {
-        let left = self.outage.borrow().believed_ms(self.clock.now());
+        let left = self.absence.borrow().believed_ms(self.clock.now());
         Duration::from_millis(left)
     }
 
@@ -118,22 +118,22 @@
 
     /// Whether entries may have gone for want of the store.
     pub fn doubts(&self) -> bool {
-        self.outage.borrow().doubts(self.clock.now())
+        self.absence.borrow().doubts(self.clock.now())
     }
 
     /// Whether the store has just answered some call.
     fn is_back(&self) -> bool {
-        let answered = self.outage.borrow().answered();
+        let answered = self.absence.borrow().answered();
         answered.is_some_and(|answered| self.clock.now().since(answered) < BACK_MS)
     }
 
     async fn exchange(&self, call: Call, patience: Duration) -> Result<(StatusCode, Bytes), Error> {
         let answer = self.send(call, patience).await;
         let answered = matches!(&answer, Ok((status, _)) if !is_refusal(*status));
-        self.outage.send_modify(|outage| {
+        self.absence.send_modify(|absence| {
             if !answered {
-                outage.fail();
-            } else if let Some(away_ms) = outage.answer(self.clock.now()) {
+                absence.fail();
+            } else if let Some(away_ms) = absence.answer(self.clock.now()) {
                 info!(away_ms; "the store is back");
             }
         });
@@ -156,10 +156,22 @@
         Ok((status, body))
     }
 
+    /// Waits until the store has answered other calls for a while behind some that failed, and not one that begins
+    /// now: it was taken in the silence and is never answered.
+    async fn overtaken(&self) {
+        let begun = Some(self.clock.now());
+        let mut absence = self.absence.subscribe();
+        let recovered = absence.wait_for(|absence| absence.recovered() > begun);
+        if recovered.await.is_err() {
+            std::future::pending::<()>().await;
+        }
+        sleep(PATIENCE).await;
+    }
+
     /// The longest time in which an answer must begin. A call that was taken by a store that fell silent is never
     /// answered, and nothing else looks meanwhile: of the bound, half is for it and half for the next one.
     fn patience_most(&self) -> Duration {
-        match self.outage.borrow().answered() {
+        match self.absence.borrow().answered() {
             Some(_) => (self.bound / 2).max(PATIENCE),
             None => PATIENCE_MOST,
         }
@@ -241,7 +253,11 @@
             return self.read().await.map(News::All);
         };
         let call = platform::store::watch(self.prefix, revision, wait);
-        let (status, body) = self.client.exchange(call, wait + self.patience).await?;
+        let answer = tokio::select! {
+            answer = self.client.exchange(call, wait + self.patience) => answer,
+            () = self.client.overtaken() => Err(Error::Store("other calls are answered again".into())),
+        };
+        let (status, body) = answer?;
         if platform::store::forgotten(status) {
             info!(revision; "the store has forgotten the changes of {}", self.prefix);
             self.revision = None;
@@ -325,9 +341,9 @@
     pub async fn bad(&mut self, error: &Error) {
         self.note(error);
         let failed = self.failed;
-        let mut outage = self.client.outage.subscribe();
+        let mut absence = self.client.absence.subscribe();
         let since = async {
-            let answered = outage.wait_for(|outage| outage.answered() > failed);
+            let answered = absence.wait_for(|absence| absence.answered() > failed);
             let client_gone = answered.await.is_err();
             if client_gone {
                 std::future::pending::<()>().await;
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -90,6 +90,7 @@
     traffic::Traffic,
     uuid::Uuid,
     wellplank_core::{
+        absence::Absence,
         attempt,
         claim::{self, Claim},
         clock::Time,
@@ -100,7 +101,6 @@
         effect::{Belief, Effect, Note, Sending, What},
         event::{self, ClaimOutcome, Event, Failure, Piece, Submission},
         kind::{Kind, Ran},
-        outage::Outage,
         request::{self, Caller, Work},
         sighting::{Sighting, Stage},
         upstream::{self, Load},
