What an instance believes of the store is one state machine of the core, without input or output

Now informer (with line, roster, role, absence) takes answers, failures, datagrams, roles and the time, and gives calls, words, configurations and lists; the task learner makes the calls. lister, configuration, pace and roster of the node are gone. Ruled out: that behaviour changes on the way but for three things: a follower hears words while a call of its own is out, a call that is overtaken ends for it too, and its reads share the pauses of the rest.

--- /dev/null
+++ b/crates/core/src/informer.rs
@@ -0,0 +1,587 @@
+//! What an instance learns from the platform's store, when it asks, whom it believes and what it tells others.
+//!
+//! The load that it answers: each call of the store is paid for, and what the store says must be known everywhere
+//! within a bound. In a small fleet every instance watches the store. In a larger one an instance of each data centre
+//! watches it and tells the others there by datagrams; a deputy stands in, and one that hears nothing for a while, or
+//! misses a change, asks the store itself. All times are derived from the bound or bounded by it.
+
+use super::*;
+
+/// Time that a watch of an instance that watches for itself waits for a change, in milliseconds. Longer means fewer
+/// calls; a watch that says nothing any more is noticed by what other calls and other instances show.
+const WAIT_MS: u64 = 10_000;
+
+/// Pause between two watches for each upstream, in milliseconds, in which changes gather: each call is paid for, and
+/// a lost data centre changes a part of all entries.
+const GATHER_EACH_MS: u64 = 6;
+
+/// The shortest such pause, in milliseconds. The longest is half of the time in which a leaving upstream must get no
+/// more work; the other half is for the call.
+const GATHER_LEAST_MS: u64 = 200;
+
+/// Time for which datagrams that came before earlier ones wait for these, in milliseconds: links carry short ones
+/// sooner.
+const REORDER_MS: u64 = 150;
+
+/// Pauses before the reads of a configuration that others are known to have, in milliseconds. These reads may be old,
+/// by some hundred milliseconds as played, and cost a tenth; the one after them does not. In the first pause more
+/// changes may gather.
+const READS_MS: [u64; 2] = [200, 300];
+
+/// Bytes from which on a configuration is read once, with the first pause: each read of half a megabyte takes
+/// a link of 10 Mbit/s for half a second, and the time in which it must be in force is short.
+const LARGE: usize = 64 << 10;
+
+/// What is learned from the store.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub enum Topic {
+    /// The configuration.
+    Configuration,
+    /// The list of upstreams.
+    Upstreams,
+}
+
+/// How old what a call brings may be.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Age {
+    /// It is the newest.
+    Newest,
+    /// It may be seconds old; such a read costs a tenth.
+    Seconds,
+}
+
+/// A call of the store.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Call {
+    /// How old the answer may be.
+    pub age: Age,
+    /// Whether the call before it failed.
+    pub again: bool,
+    /// Its number.
+    pub id: u64,
+    /// Time in which the answer must begin behind the wait, in milliseconds.
+    pub patience_ms: u64,
+    /// Revision behind which changes are asked for; `None` for all.
+    pub since: Option<u64>,
+    /// What is asked for.
+    pub topic: Topic,
+    /// Time for which the store waits for a change, in milliseconds.
+    pub wait_ms: u64,
+}
+
+/// What an answer brings.
+#[derive(Clone, Debug)]
+pub enum Content {
+    /// The newest configuration, if it is among what was asked for and can be read.
+    Configuration {
+        /// Its size.
+        bytes: usize,
+        /// What it says.
+        config: Option<Arc<Config>>,
+    },
+    /// Upstreams, or their changes, in the order of their revisions.
+    Upstreams(Vec<Change>),
+}
+
+/// How the store answered.
+#[derive(Clone, Debug)]
+pub enum Answer {
+    /// With all, or all changes, up to a revision.
+    Known(Content, u64),
+    /// It has forgotten what changed since.
+    Forgotten,
+}
+
+/// What another instance let this one know.
+#[derive(Clone, Debug, Default)]
+pub struct Heard {
+    /// Revision of the configuration in force there.
+    pub configuration: Option<u64>,
+    /// Revision of the last change of the list that is known there.
+    pub list: u64,
+    /// Changes that one that watches for the data centre tells.
+    pub word: Option<Word>,
+}
+
+/// What happens to an informer.
+#[derive(Clone, Debug)]
+pub enum Input {
+    /// A call was answered.
+    Answered(u64, Answer),
+    /// A call failed or was refused.
+    Failed(u64),
+    /// Another instance let this one know something.
+    Heard(Heard),
+    /// What it does for its data centre.
+    Role(Role),
+    /// Time has passed, or another call of the store has ended.
+    Tick,
+}
+
+/// Why a call is ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Why {
+    /// Other instances know more.
+    Behind,
+    /// The store answers other calls again, and not this one.
+    Overtaken,
+    /// The instance does something else for its data centre.
+    Role,
+}
+
+/// What an informer wants done.
+#[derive(Clone, Debug)]
+pub enum Output {
+    /// A call is to be made.
+    Ask(Call),
+    /// A configuration is in force.
+    Configuration(Arc<Config>),
+    /// A call is to be ended; nothing it brings counts.
+    Drop(Call, Why),
+    /// An upstream whose entry is missing is believed for so many milliseconds, since the store was away.
+    Lapsing(String, u64),
+    /// The others of the data centre are to be told changes of the list.
+    Tell(Word),
+    /// They are to be told that another configuration is in force.
+    TellConfiguration,
+    /// The upstreams as they are believed now.
+    Upstreams(Vec<Listed>),
+}
+
+/// What an instance believes of the store.
+#[derive(Debug)]
+pub struct Informer {
+    absence: Absence,
+    /// When the configuration was asked for last by one that hears from others.
+    asked: Time,
+    bound: Bound,
+    /// Size of the configuration that was read last.
+    bytes: usize,
+    calls: BTreeMap<u64, Call>,
+    configuration: Line,
+    /// Words that came before earlier ones.
+    early: Vec<Word>,
+    /// Upstreams that there are.
+    entries: usize,
+    /// When word was fresh last, or the store was asked, of one that hears from others.
+    fresh: Time,
+    /// When a word showed that a change was missed.
+    gap: Option<Time>,
+    /// The most that others know.
+    heard: Known,
+    /// Revision of the configuration in force.
+    in_force: Option<u64>,
+    /// Time in which a leaving upstream must get no more work, in milliseconds.
+    leave_ms: u64,
+    next_call: u64,
+    outputs: Vec<Output>,
+    /// Which read of a configuration that others have is next, and when.
+    read: Option<(usize, Time)>,
+    role: Role,
+    roster: Roster,
+    upstreams: Line,
+    /// When one that watches for the data centre was heard last.
+    word: Time,
+}
+
+/// What an instance knows of the store, by its revisions.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Known {
+    /// Revision of the configuration in force; `None` before there is one.
+    pub configuration: Option<u64>,
+    /// Revision of the last change of the list of upstreams.
+    pub list: u64,
+}
+
+impl Informer {
+    /// An informer that knows nothing yet. What the store says must be known within `bound`, and a leaving upstream
+    /// must get no more work within `leave_ms`.
+    pub fn new(bound: Bound, leave_ms: u64, absence: Absence, now: Time) -> Self {
+        Self {
+            absence,
+            asked: now,
+            bound,
+            bytes: 0,
+            calls: BTreeMap::new(),
+            configuration: Line::default(),
+            early: Vec::new(),
+            entries: 0,
+            fresh: now,
+            gap: None,
+            heard: Known::default(),
+            in_force: None,
+            leave_ms,
+            next_call: 0,
+            outputs: Vec::new(),
+            read: None,
+            role: Role::Alone,
+            roster: Roster::default(),
+            upstreams: Line::default(),
+            word: now,
+        }
+    }
+
+    /// What it knows.
+    pub fn known(&self) -> Known {
+        Known {
+            configuration: self.in_force,
+            list: self.roster.changed,
+        }
+    }
+
+    /// Takes in what happened, and what the ends of all calls showed of the store; what is to be done.
+    pub fn take(&mut self, input: Input, absence: Absence, now: Time) -> Vec<Output> {
+        self.absence = absence;
+        match input {
+            Input::Answered(id, answer) => self.answered(id, answer, now),
+            Input::Failed(id) => self.failed(id, now),
+            Input::Heard(heard) => self.hear(heard, now),
+            Input::Role(role) => self.change_role(role, now),
+            Input::Tick => {}
+        }
+        self.settle(now);
+        std::mem::take(&mut self.outputs)
+    }
+
+    /// When it is to be called again, if nothing happens before.
+    pub fn wake(&self) -> Option<Time> {
+        let lines = [Topic::Configuration, Topic::Upstreams].into_iter();
+        let lines = lines.filter_map(|topic| {
+            let line = self.line(topic);
+            match line.out {
+                None => Some(self.due(topic)),
+                Some(_) => line.hopeless(&self.absence).map(|(at, _)| at),
+            }
+        });
+        lines.chain(self.roster.next_lapse()).min()
+    }
+
+    fn line(&self, topic: Topic) -> &Line {
+        match topic {
+            Topic::Configuration => &self.configuration,
+            Topic::Upstreams => &self.upstreams,
+        }
+    }
+
+    fn line_mut(&mut self, topic: Topic) -> &mut Line {
+        match topic {
+            Topic::Configuration => &mut self.configuration,
+            Topic::Upstreams => &mut self.upstreams,
+        }
+    }
+
+    /// Whether it hears of a topic from others: what was never read is read first.
+    fn follows(&self, topic: Topic) -> bool {
+        let known = match topic {
+            Topic::Configuration => self.in_force.is_some(),
+            Topic::Upstreams => self.upstreams.revision.is_some(),
+        };
+        self.role.follows() && known
+    }
+
+    /// Whether others have a newer configuration.
+    fn lacks_configuration(&self) -> bool {
+        self.heard.configuration > self.in_force
+    }
+
+    fn answered(&mut self, id: u64, answer: Answer, now: Time) {
+        let Some(call) = self.calls.remove(&id) else {
+            return;
+        };
+        self.line_mut(call.topic).answer();
+        match answer {
+            Answer::Forgotten => {
+                let line = self.line_mut(call.topic);
+                line.revision = None;
+                line.ready = now;
+            }
+            Answer::Known(Content::Configuration { bytes, config }, revision) => {
+                self.take_configuration(call, bytes, config, revision, now);
+            }
+            Answer::Known(Content::Upstreams(changes), revision) => {
+                self.take_upstreams(call, changes, revision, now);
+            }
+        }
+    }
+
+    fn take_configuration(
+        &mut self,
+        call: Call,
+        bytes: usize,
+        config: Option<Arc<Config>>,
+        revision: u64,
+        now: Time,
+    ) {
+        let followed = self.follows(Topic::Configuration);
+        if let Some(config) = config {
+            self.bytes = bytes;
+            self.adopt(config);
+        }
+        if followed {
+            // The next watch must begin with a read.
+            self.configuration.revision = None;
+            self.read = match self.read {
+                Some((step, _)) if self.lacks_configuration() && step < READS_MS.len() => {
+                    let pause = READS_MS.get(step + 1).copied().unwrap_or(0);
+                    Some((step + 1, now.after(pause)))
+                }
+                _ => None,
+            };
+        } else if call.age == Age::Newest {
+            self.configuration.revision = Some(revision);
+        }
+    }
+
+    /// Puts a configuration in force, unless it is older than the one that is.
+    fn adopt(&mut self, config: Arc<Config>) {
+        if Some(config.revision) <= self.in_force {
+            return;
+        }
+        self.in_force = Some(config.revision);
+        self.outputs.push(Output::Configuration(config));
+        if self.role == Role::Watcher {
+            self.outputs.push(Output::TellConfiguration);
+        }
+    }
+
+    fn take_upstreams(&mut self, call: Call, mut changes: Vec<Change>, revision: u64, now: Time) {
+        let known = self.upstreams.revision.unwrap_or(0);
+        let believed_ms = self.absence.believed_ms(now);
+        let first = self.upstreams.revision.is_none();
+        if call.since.is_none() {
+            self.roster.take_all(&changes, believed_ms, now);
+        } else {
+            // Others may have told some of them while the call was out.
+            changes.retain(|change| change.revision > known);
+            self.roster.take(changes, believed_ms, now);
+        }
+        self.upstreams.revision = Some(revision.max(known));
+        self.fresh = now;
+        self.gap = None;
+        self.early.clear();
+        self.list(now);
+        let tells = match self.role {
+            Role::Watcher => true,
+            Role::Deputy => !first,
+            Role::Alone | Role::Follower => false,
+        };
+        if tells {
+            let words = self.roster.words(revision.max(known), now);
+            self.outputs.extend(words.into_iter().map(Output::Tell));
+        }
+        if first {
+            // The others know nothing of what was just read.
+            self.roster.tell_from(revision);
+        }
+        self.upstreams.ready = now.after(self.gather_ms());
+    }
+
+    /// Pause before the next watch of the list, in milliseconds.
+    fn gather_ms(&self) -> u64 {
+        if self.role == Role::Watcher {
+            return self.bound.pause_ms();
+        }
+        let longest = (self.leave_ms / 2).max(GATHER_LEAST_MS);
+        (GATHER_EACH_MS * self.entries as u64).clamp(GATHER_LEAST_MS, longest)
+    }
+
+    fn list(&mut self, now: Time) {
+        for (name, until) in self.roster.new_lapsing() {
+            self.outputs.push(Output::Lapsing(name, until.since(now)));
+        }
+        let listed = self.roster.listed(now);
+        self.entries = listed.len();
+        self.outputs.push(Output::Upstreams(listed));
+    }
+
+    fn failed(&mut self, id: u64, now: Time) {
+        let Some(call) = self.calls.remove(&id) else {
+            return;
+        };
+        self.fail(call.topic, now);
+    }
+
+    fn fail(&mut self, topic: Topic, now: Time) {
+        let (absence, bound) = (self.absence, self.bound);
+        let urgent = topic == Topic::Configuration && self.in_force.is_none();
+        self.line_mut(topic).fail(urgent, &absence, bound, now);
+        match topic {
+            Topic::Configuration => self.read = None,
+            Topic::Upstreams => {
+                self.fresh = now;
+                self.gap = None;
+                self.early.clear();
+            }
+        }
+    }
+
+    fn hear(&mut self, heard: Heard, now: Time) {
+        self.heard.configuration = self.heard.configuration.max(heard.configuration);
+        self.heard.list = self.heard.list.max(heard.list);
+        let Some(word) = heard.word else {
+            return;
+        };
+        self.word = now;
+        if !self.follows(Topic::Upstreams) {
+            return;
+        }
+        self.roster.away = self.absence.doubts(now);
+        let known = self.upstreams.revision.unwrap_or(0);
+        match self.roster.hear(&word, known, now) {
+            Worth::Fresh => {
+                let all = self.roster.catch_up(word.to, &mut self.early, now);
+                self.upstreams.revision = Some(all);
+                // Who told it told the others too.
+                self.roster.tell_from(all);
+                if self.early.is_empty() {
+                    self.fresh = now;
+                    self.gap = None;
+                }
+                self.list(now);
+            }
+            Worth::Gap => {
+                self.early.push(word);
+                self.gap.get_or_insert(now);
+            }
+            Worth::Old => {}
+        }
+    }
+
+    fn change_role(&mut self, role: Role, now: Time) {
+        if role == self.role {
+            return;
+        }
+        let followed = self.role.follows();
+        self.role = role;
+        for topic in [Topic::Configuration, Topic::Upstreams] {
+            if self.line(topic).out.is_some_and(|out| out.changes) {
+                self.end(topic, Why::Role);
+            }
+        }
+        if followed && !role.follows() {
+            self.configuration.revision = None;
+        }
+        if !followed {
+            self.asked = now;
+            self.fresh = now;
+        }
+        self.read = None;
+        self.gap = None;
+        self.early.clear();
+    }
+
+    /// Ends the call of a topic that is out.
+    fn end(&mut self, topic: Topic, why: Why) {
+        let Some(out) = self.line_mut(topic).out.take() else {
+            return;
+        };
+        if let Some(call) = self.calls.remove(&out.id) {
+            self.outputs.push(Output::Drop(call, why));
+        }
+    }
+
+    /// Does what is due.
+    fn settle(&mut self, now: Time) {
+        if self.roster.next_lapse().is_some_and(|lapse| lapse <= now) {
+            self.list(now);
+        }
+        let more = self.lacks_configuration() && !self.follows(Topic::Configuration);
+        self.configuration.compare(more, now);
+        let more = Some(self.heard.list) > self.upstreams.revision;
+        self.upstreams.compare(more, now);
+        if self.follows(Topic::Configuration) && self.lacks_configuration() && self.read.is_none() {
+            let at = self.configuration.may(&self.absence).max(now);
+            self.read = Some((0, at.after(READS_MS[0])));
+        }
+        for topic in [Topic::Configuration, Topic::Upstreams] {
+            if let Some((at, why)) = self.line(topic).hopeless(&self.absence)
+                && at <= now
+            {
+                self.end(topic, why);
+                self.fail(topic, now);
+                if topic == Topic::Configuration && why == Why::Behind {
+                    // A read brings the newest whatever became of the watch.
+                    self.configuration.revision = None;
+                }
+            }
+            if self.line(topic).out.is_none() && self.due(topic) <= now {
+                self.ask(topic, now);
+            }
+        }
+    }
+
+    /// When the next call of a topic is due, if none is out.
+    fn due(&self, topic: Topic) -> Time {
+        let may = self.line(topic).may(&self.absence);
+        if !self.follows(topic) {
+            return may;
+        }
+        let silence = self.bound.silence_ms(self.role);
+        let wanted = match topic {
+            Topic::Configuration => match self.read {
+                Some((_, at)) => at,
+                None => self.word.max(self.asked).after(silence),
+            },
+            Topic::Upstreams => {
+                let silent = self.fresh.after(silence);
+                let missed = self.gap.map(|gap| gap.after(REORDER_MS));
+                missed.map_or(silent, |missed| missed.min(silent))
+            }
+        };
+        wanted.max(may)
+    }
+
+    fn ask(&mut self, topic: Topic, now: Time) {
+        let line = self.line(topic);
+        let follows = self.follows(topic);
+        let since = match topic {
+            Topic::Configuration if follows => None,
+            Topic::Configuration | Topic::Upstreams => line.revision,
+        };
+        // Behind a call that was not answered no change is waited for: one that a silent store takes is never answered.
+        let waits = since.is_some() && line.answered && !follows;
+        let wait_ms = match (topic, self.role) {
+            _ if !waits => 0,
+            (Topic::Configuration, _) | (Topic::Upstreams, Role::Alone) => WAIT_MS,
+            // The others are to hear at least that nothing has changed.
+            (Topic::Upstreams, Role::Deputy | Role::Follower | Role::Watcher) => {
+                self.bound.wait_ms()
+            }
+        };
+        let age = match (topic, self.read) {
+            (Topic::Configuration, Some((step, _)))
+                if follows && step < READS_MS.len() && self.bytes < LARGE =>
+            {
+                Age::Seconds
+            }
+            _ => Age::Newest,
+        };
+        let call = Call {
+            age,
+            again: line.patience_ms > line::PATIENCE_MS,
+            id: self.next_call,
+            patience_ms: line.patience_ms,
+            since,
+            topic,
+            wait_ms,
+        };
+        self.next_call += 1;
+        if follows {
+            match topic {
+                Topic::Configuration => self.asked = now,
+                Topic::Upstreams => {
+                    let known = self.upstreams.revision.unwrap_or(0);
+                    self.roster.tell_from(known);
+                }
+            }
+        }
+        let out = line::Out {
+            began: now,
+            id: call.id,
+            changes: since.is_some(),
+        };
+        self.line_mut(topic).out = Some(out);
+        self.calls.insert(call.id, call);
+        self.outputs.push(Output::Ask(call));
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -19,10 +19,14 @@
 pub mod effect;
 pub mod event;
 pub mod gauge;
+pub mod informer;
 pub mod invariant;
 pub mod kind;
+pub mod line;
 pub mod queue;
 pub mod request;
+pub mod role;
+pub mod roster;
 pub mod settings;
 pub mod sighting;
 pub mod upstream;
@@ -42,6 +46,7 @@
 
 use {
     crate::core::{Core, Early},
+    absence::Absence,
     attempt::Attempt,
     budget::Budget,
     claim::Claim,
@@ -53,14 +58,18 @@
     detector::Detector,
     digest::Digest,
     effect::Effect,
-    event::{Event, Failure, Piece},
+    event::{Event, Failure, Listed, Piece},
     gauge::{Gauge, Pace},
+    informer::Why,
     invariant::Invariant,
     kind::Kind,
+    line::Line,
     queue::Queue,
     rand::{RngExt, SeedableRng, seq::SliceRandom},
     rand_pcg::Pcg64Mcg,
     request::{Request, State, Work},
+    role::{Bound, Role},
+    roster::{Change, Roster, Word, Worth},
     settings::{Resume, Routing, Settings},
     sighting::Sighting,
     slotmap::{SecondaryMap, SlotMap, new_key_type},
@@ -68,6 +77,7 @@
         collections::{BTreeMap, BTreeSet, HashMap, VecDeque},
         fmt::{self, Display, Formatter},
         net::SocketAddr,
+        ops::RangeInclusive,
         sync::Arc,
     },
     upstream::{Health, Load, Upstream},
--- /dev/null
+++ b/crates/core/src/line.rs
@@ -0,0 +1,147 @@
+//! The calls of one topic of the store: one at a time, with pauses and time limits behind failures.
+
+use super::*;
+
+/// Time in which the store's answer must begin, in milliseconds: many times the few that it takes, and twice what it
+/// takes when it is slow. An instance that starts while the store is silent tries again soon.
+pub const PATIENCE_MS: u64 = 600;
+
+/// The longest such time behind failures of an instance that the store has never answered, in milliseconds: many that
+/// start at once read long lists together.
+const PATIENCE_MOST_MS: u64 = 5_000;
+
+/// Pause after a call that failed, in milliseconds: it doubles with each further failure up to the end, since refused
+/// calls are paid for in full, also those that cost a tenth when they are answered.
+const RETRY_MS: RangeInclusive<u64> = 250..=1_000;
+
+/// The longest such pause of an instance that can not serve anybody before it has read, in milliseconds.
+const RETRY_AT_START_MS: u64 = 100;
+
+/// The shortest pause after a call that failed, when the store has answered another call since, in milliseconds.
+const RETRY_BACK_MS: u64 = 50;
+
+/// Time since the store answered any call for which a call that failed is tried again after the shortest
+/// pause, in milliseconds: it may have begun before the path was back, and a connection takes a second to fail.
+const BACK_MS: u64 = 1_500;
+
+/// Time that a watch has after other instances are known to know more, in milliseconds.
+const BEHIND_MS: u64 = 500;
+
+/// A call that is out.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Out {
+    /// When it began.
+    pub began: Time,
+    /// Its number.
+    pub id: u64,
+    /// Whether it asks for changes, and not for all.
+    pub changes: bool,
+}
+
+/// The calls of one topic.
+#[derive(Debug)]
+pub struct Line {
+    /// Whether the last call was answered.
+    pub(crate) answered: bool,
+    /// Since when others are known to know more.
+    behind: Option<Time>,
+    /// When the last call failed; `None` while the store answers.
+    failed: Option<Time>,
+    /// The call that is out.
+    pub(crate) out: Option<Out>,
+    /// Time in which the next answer must begin, in milliseconds.
+    pub patience_ms: u64,
+    pause_ms: u64,
+    /// Time before which the store is not asked, since changes gather.
+    pub(crate) ready: Time,
+    /// Revision up to which all is known; `None` before it was read.
+    pub(crate) revision: Option<u64>,
+}
+
+impl Default for Line {
+    fn default() -> Self {
+        Self {
+            answered: false,
+            behind: None,
+            failed: None,
+            out: None,
+            patience_ms: PATIENCE_MS,
+            pause_ms: 0,
+            ready: Time::default(),
+            revision: None,
+        }
+    }
+}
+
+impl Line {
+    /// Notes an answer to the call that was out.
+    pub fn answer(&mut self) {
+        self.answered = true;
+        self.failed = None;
+        self.out = None;
+        self.patience_ms = PATIENCE_MS;
+        self.pause_ms = 0;
+    }
+
+    /// Notes that the call that was out failed; `urgent` if nobody can be served before it is answered.
+    pub fn fail(&mut self, urgent: bool, absence: &Absence, bound: Bound, now: Time) {
+        let since = |answered: Time| now.since(answered);
+        let is_back = absence
+            .answered()
+            .map(since)
+            .is_some_and(|since| since < BACK_MS);
+        let doubled = (self.pause_ms * 2).clamp(*RETRY_MS.start(), *RETRY_MS.end());
+        let pause = if is_back { *RETRY_MS.start() } else { doubled };
+        self.pause_ms = if urgent {
+            pause.min(RETRY_AT_START_MS)
+        } else {
+            pause
+        };
+        let most = match absence.answered() {
+            Some(_) => bound.call_ms().max(PATIENCE_MS),
+            None => PATIENCE_MOST_MS,
+        };
+        self.patience_ms = (self.patience_ms * 2).min(most);
+        self.answered = false;
+        self.failed = Some(now);
+        self.out = None;
+    }
+
+    /// When the next call may be made.
+    pub fn may(&self, absence: &Absence) -> Time {
+        let Some(failed) = self.failed else {
+            return self.ready;
+        };
+        let late = failed.after(self.pause_ms);
+        if absence.answered() >= self.failed {
+            late.min(failed.after(RETRY_BACK_MS))
+        } else {
+            late
+        }
+    }
+
+    /// Notes whether others are known to know more.
+    pub(crate) fn compare(&mut self, behind: bool, now: Time) {
+        self.behind = behind.then(|| self.behind.unwrap_or(now));
+    }
+
+    /// When the watch that is out is known to say nothing any more, and why: others know more, or the store has
+    /// answered other calls behind some that failed, and this one was taken in the silence. A silent store never
+    /// answers it; with 10 s of waiting, leaving upstreams got requests for 2.2 s more than allowed.
+    pub(crate) fn hopeless(&self, absence: &Absence) -> Option<(Time, Why)> {
+        let out = self.out.filter(|out| out.changes)?;
+        let behind = self
+            .behind
+            .map(|behind| behind.max(out.began).after(BEHIND_MS));
+        let recovered = absence
+            .recovered()
+            .filter(|recovered| *recovered > out.began);
+        let overtaken = recovered.map(|recovered| recovered.after(PATIENCE_MS));
+        let behind = behind.map(|at| (at, Why::Behind));
+        let overtaken = overtaken.map(|at| (at, Why::Overtaken));
+        behind
+            .into_iter()
+            .chain(overtaken)
+            .min_by_key(|(at, _)| *at)
+    }
+}
--- a/crates/node/tests/roster.rs
+++ b/crates/core/tests/roster.rs
@@ -2,21 +2,34 @@
 
 use {
     googletest::prelude::*,
-    wellplank_node::roster::{Roster, Worth},
-    wellplank_wire::peer::{self, Entry},
+    wellplank_core::{
+        clock::Time,
+        event::Listed,
+        roster::{Change, Entry, Roster, Word, Worth},
+    },
 };
 
+/// When everything happens.
+const NOW: Time = Time(1_000_000);
+
 /// Word of one change at a revision, behind an earlier one.
-fn word(from: u64, to: u64) -> peer::Roster {
-    let entry = Entry {
-        address: format!("10.0.0.1:{to}"),
-        name: format!("engine-{to}"),
+fn word(from: u64, to: u64) -> Word {
+    let name = format!("engine-{to}");
+    let listed = Listed {
+        address: format!("10.0.0.1:{to}").parse().unwrap(),
+        data_centre: "hall".into(),
+        leaving: false,
+        name: name.clone(),
         pool: "engines".into(),
-        revision: to,
-        ..Entry::default()
+        since: to,
+        slots: 8,
     };
-    peer::Roster {
-        entries: vec![entry],
+    Word {
+        changes: vec![Change {
+            entry: Entry::Listed(listed),
+            name,
+            revision: to,
+        }],
         from,
         returning_ms: 0,
         to,
@@ -25,7 +38,7 @@
 
 fn names(roster: &mut Roster) -> Vec<String> {
     let mut names: Vec<String> = roster
-        .listed()
+        .listed(NOW)
         .into_iter()
         .map(|entry| entry.name)
         .collect();
@@ -36,29 +49,29 @@
 #[gtest]
 fn word_that_follows_what_is_known_is_taken_in() {
     let mut roster = Roster::default();
-    expect_that!(roster.hear(&word(1, 2), 1), eq(Worth::Fresh));
+    expect_that!(roster.hear(&word(1, 2), 1, NOW), eq(Worth::Fresh));
     expect_that!(names(&mut roster), elements_are![eq("engine-2")]);
 }
 
 #[gtest]
 fn word_that_misses_a_change_is_a_gap_and_changes_nothing() {
     let mut roster = Roster::default();
-    expect_that!(roster.hear(&word(2, 3), 1), eq(Worth::Gap));
+    expect_that!(roster.hear(&word(2, 3), 1, NOW), eq(Worth::Gap));
     expect_that!(names(&mut roster), is_empty());
 }
 
 #[gtest]
 fn word_of_what_is_known_is_old() {
     let mut roster = Roster::default();
-    expect_that!(roster.hear(&word(1, 2), 5), eq(Worth::Old));
+    expect_that!(roster.hear(&word(1, 2), 5, NOW), eq(Worth::Old));
 }
 
 #[gtest]
 fn words_that_overtook_others_are_taken_in_after_these() {
     let mut roster = Roster::default();
     let mut early = vec![word(3, 4), word(2, 3), word(8, 9)];
-    expect_that!(roster.hear(&word(1, 2), 1), eq(Worth::Fresh));
-    expect_that!(roster.catch_up(2, &mut early), eq(4));
+    expect_that!(roster.hear(&word(1, 2), 1, NOW), eq(Worth::Fresh));
+    expect_that!(roster.catch_up(2, &mut early, NOW), eq(4));
     expect_that!(early.len(), eq(1));
     expect_that!(
         names(&mut roster),
@@ -70,23 +83,21 @@
 fn first_word_tells_only_up_to_where_the_list_is_known() {
     let mut roster = Roster::default();
     roster.tell_from(7);
-    let told = roster.pieces(9);
+    let told = roster.words(9, NOW);
     expect_that!(told.len(), eq(1));
     expect_that!((told[0].from, told[0].to), eq((7, 9)));
-    let next = roster.pieces(12);
+    let next = roster.words(12, NOW);
     expect_that!((next[0].from, next[0].to), eq((9, 12)));
 }
 
 /// Word from one that the store refused until now that an entry is gone.
-fn gone(from: u64, to: u64, name: &str) -> peer::Roster {
-    let entry = Entry {
-        gone: true,
-        name: name.into(),
-        revision: to,
-        ..Entry::default()
-    };
-    peer::Roster {
-        entries: vec![entry],
+fn gone(from: u64, to: u64, name: &str) -> Word {
+    Word {
+        changes: vec![Change {
+            entry: Entry::Gone,
+            name: name.into(),
+            revision: to,
+        }],
         from,
         returning_ms: 2_000,
         to,
@@ -96,16 +107,16 @@
 #[gtest]
 fn entry_that_goes_while_the_store_answers_here_is_gone_though_it_refused_the_teller() {
     let mut roster = Roster::default();
-    roster.hear(&word(1, 2), 1);
-    roster.hear(&gone(2, 3, "engine-2"), 2);
+    roster.hear(&word(1, 2), 1, NOW);
+    roster.hear(&gone(2, 3, "engine-2"), 2, NOW);
     expect_that!(names(&mut roster), is_empty());
 }
 
 #[gtest]
 fn entry_that_goes_while_the_store_is_away_here_too_is_believed_for_a_while() {
     let mut roster = Roster::default();
-    roster.hear(&word(1, 2), 1);
+    roster.hear(&word(1, 2), 1, NOW);
     roster.away = true;
-    roster.hear(&gone(2, 3, "engine-2"), 2);
+    roster.hear(&gone(2, 3, "engine-2"), 2, NOW);
     expect_that!(names(&mut roster), elements_are![eq("engine-2")]);
 }
--- a/crates/node/src/gossip.rs
+++ b/crates/node/src/gossip.rs
@@ -7,6 +7,8 @@
 use wellplank_core::{
     demand::{Demand, Ended},
     gauge::Pace,
+    informer::{Heard, Known},
+    roster::{self, Entry, Word},
 };
 
 /// Bytes of a datagram that are taken in.
@@ -31,24 +33,6 @@
 /// Share of the link that such datagrams may take, beside callers' answers.
 const SHARE: f64 = 0.7;
 
-/// What an instance knows of the store, by its revisions.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-pub(crate) struct Known {
-    /// Revision of the configuration in force; `None` before there is one.
-    pub configuration: Option<u64>,
-    /// Revision of the last change of the list of upstreams.
-    pub list: u64,
-}
-
-/// What others let this instance know of the store.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct Heard {
-    /// The most that any of them knows.
-    pub most: Known,
-    /// When one that watches for this instance's data centre was last heard.
-    pub word: Instant,
-}
-
 /// What other instances are told.
 #[derive(Clone, Debug)]
 pub(crate) enum Told {
@@ -67,7 +51,7 @@
     /// How fast the engines of a pool work; it goes along with what is told next.
     Pace(Pace),
     /// Changes of the list of upstreams; told within the data centre.
-    Roster(peers::Roster),
+    Roster(Word),
     /// A stream is relayed.
     Stream(Sighting),
 }
@@ -79,7 +63,7 @@
     /// The core task.
     pub driver: Driver,
     /// What others let this instance know.
-    pub heard: watch::Sender<Heard>,
+    pub heard: mpsc::UnboundedSender<Heard>,
     /// What this instance knows.
     pub known: watch::Receiver<Known>,
     /// What the instance's link carries, in megabits a second.
@@ -90,21 +74,11 @@
     pub own: Own,
 }
 
-impl Default for Heard {
-    fn default() -> Self {
-        Self {
-            most: Known::default(),
-            word: Instant::now(),
-        }
-    }
-}
-
 impl Gossip {
-    /// Starts the tasks; `told` is what others are told, and `rosters` gets the changes that they tell.
+    /// Starts the tasks; `told` is what others are told.
     pub async fn start(
         self,
         told: mpsc::UnboundedReceiver<Told>,
-        rosters: mpsc::UnboundedSender<peers::Roster>,
     ) -> Result<watch::Receiver<Members>, Error> {
         let socket = UdpSocket::bind(self.listen)
             .await
@@ -115,7 +89,7 @@
         let ear = Ear {
             driver: self.driver.clone(),
             heard: self.heard,
-            rosters,
+            most: Known::default(),
             socket: socket.clone(),
             streams: streams.clone(),
         };
@@ -150,15 +124,16 @@
 /// Hands on what other instances tell.
 struct Ear {
     driver: Driver,
-    heard: watch::Sender<Heard>,
-    rosters: mpsc::UnboundedSender<peers::Roster>,
+    heard: mpsc::UnboundedSender<Heard>,
+    /// The most that others let this instance know.
+    most: Known,
     socket: Arc<UdpSocket>,
     streams: watch::Sender<keeper::Streams>,
 }
 
 impl Ear {
     /// Serves for ever.
-    async fn run(self) {
+    async fn run(mut self) {
         let mut datagram = vec![0; DATAGRAM];
         loop {
             match self.socket.recv_from(&mut datagram).await {
@@ -169,7 +144,7 @@
         }
     }
 
-    fn take(&self, datagram: &[u8], from: SocketAddr) {
+    fn take(&mut self, datagram: &[u8], from: SocketAddr) {
         let told = match peers::Datagram::decode(datagram) {
             Ok(told) => told,
             Err(error) => {
@@ -195,21 +170,20 @@
         for pace in told.paces {
             self.driver.event(Event::Paced(decode_pace(pace)));
         }
-        let watches = told.roster.is_some();
-        if let Some(roster) = told.roster {
-            // The task that keeps the list ends only with the instance.
-            let _ = self.rosters.send(roster);
+        let word = told.roster.map(decode_word);
+        let most = &mut self.most;
+        if word.is_none() && told.configuration <= most.configuration && told.list <= most.list {
+            return;
         }
-        self.heard.send_if_modified(|heard| {
-            let most = &mut heard.most;
-            let more = told.configuration > most.configuration || told.list > most.list;
-            most.configuration = most.configuration.max(told.configuration);
-            most.list = most.list.max(told.list);
-            if watches {
-                heard.word = Instant::now();
-            }
-            more || watches
-        });
+        most.configuration = most.configuration.max(told.configuration);
+        most.list = most.list.max(told.list);
+        let heard = Heard {
+            configuration: told.configuration,
+            list: told.list,
+            word,
+        };
+        // The task that learns ends only with the instance.
+        let _ = self.heard.send(heard);
     }
 }
 
@@ -348,13 +322,83 @@
         match told {
             Told::Configuration | Told::Demand { .. } | Told::Pace(_) => {}
             Told::Lost(name) => datagram.lost.push(name.to_string()),
-            Told::Roster(roster) => datagram.roster = Some(roster),
+            Told::Roster(word) => datagram.roster = Some(encode_word(word)),
             Told::Stream(sighting) => datagram.sightings.push(encode(sighting)),
         }
         datagram
     }
 }
 
+/// Changes of the list as another instance tells them.
+fn decode_word(word: peers::Roster) -> Word {
+    Word {
+        changes: word.entries.into_iter().map(decode_change).collect(),
+        from: word.from,
+        returning_ms: word.returning_ms.into(),
+        to: word.to,
+    }
+}
+
+fn decode_change(entry: peers::Entry) -> roster::Change {
+    let name = entry.name;
+    let revision = entry.revision;
+    let entry = match entry.address.parse() {
+        _ if entry.gone => Entry::Gone,
+        Ok(address) => Entry::Listed(event::Listed {
+            address,
+            data_centre: entry.data_centre,
+            leaving: entry.leaving,
+            name: name.clone(),
+            pool: entry.pool,
+            since: entry.since,
+            slots: entry.slots,
+        }),
+        Err(error) => {
+            warn!("{name}: `{}` is no address: {error}", entry.address);
+            Entry::Odd
+        }
+    };
+    roster::Change {
+        entry,
+        name,
+        revision,
+    }
+}
+
+fn encode_word(word: Word) -> peers::Roster {
+    peers::Roster {
+        entries: word.changes.into_iter().filter_map(encode_change).collect(),
+        from: word.from,
+        returning_ms: word.returning_ms as u32,
+        to: word.to,
+    }
+}
+
+/// A change as other instances are told it; `None` if there is nothing to tell.
+fn encode_change(change: roster::Change) -> Option<peers::Entry> {
+    let (name, revision) = (change.name, change.revision);
+    match change.entry {
+        Entry::Gone => Some(peers::Entry {
+            gone: true,
+            name,
+            revision,
+            ..peers::Entry::default()
+        }),
+        Entry::Listed(listed) => Some(peers::Entry {
+            address: listed.address.to_string(),
+            data_centre: listed.data_centre,
+            gone: false,
+            leaving: listed.leaving,
+            name,
+            pool: listed.pool,
+            revision,
+            since: listed.since,
+            slots: listed.slots,
+        }),
+        Entry::Odd => None,
+    }
+}
+
 /// What another instance is asked of a pool.
 fn decode_demand(demand: peers::Demand) -> Demand {
     Demand {
--- a/crates/node/src/hosted.rs
+++ b/crates/node/src/hosted.rs
@@ -3,6 +3,7 @@
 use super::*;
 use salvo::fuse::{FuseAction, FuseConfig, FuseInfo};
 use settings::Hosted;
+use wellplank_core::{informer::Known, role::Bound};
 
 /// Time between two looks at whether a stopping instance may leave.
 const LOOK: Duration = Duration::from_millis(50);
@@ -20,7 +21,7 @@
 
 /// The endpoint by which the platform learns whether the instance is ready.
 struct Ready {
-    known: watch::Receiver<gossip::Known>,
+    known: watch::Receiver<Known>,
     stopping: relay::Stopping,
 }
 
@@ -72,17 +73,17 @@
     /// Starts every task of an instance.
     pub async fn start(settings: Settings, hosted: Hosted) -> Result<Self, Error> {
         let clock = Clock::new();
-        let (heard, most_heard) = watch::channel(gossip::Heard::default());
-        let (known, own) = watch::channel(gossip::Known::default());
+        let (heard, hearing) = mpsc::unbounded_channel();
+        let (known, own) = watch::channel(Known::default());
         let (limits, limited) = watch::channel(platform::configuration::Limits::default());
         let (stop, stopping) = watch::channel(None);
         let (told, telling) = mpsc::unbounded_channel();
         let telling_others = told.clone();
         let meter = meter::Meter::new(settings.metrics);
-        let pace = pace::Pace {
-            bound: Duration::from_millis(hosted.apply_ms.min(hosted.leave_ms)),
+        let bound = Bound {
+            bound_ms: hosted.apply_ms.min(hosted.leave_ms),
         };
-        let client = feed::Client::new(hosted, pace.bound, clock, meter.clone());
+        let client = feed::Client::new(hosted, bound, clock, meter.clone());
         let page = Page(meter.clone());
         let this = members::Own {
             data_centre: settings.data_centre.clone(),
@@ -122,36 +123,21 @@
             listen: hosted.peers,
             own: this.clone(),
         };
-        let (tell_roster, rosters) = mpsc::unbounded_channel();
-        let members = gossip.start(telling, tell_roster).await?;
+        let members = gossip.start(telling).await?;
         tokio::spawn(count(members.clone(), driver.clone()));
-        let configuration = configuration::Configuration {
-            bytes: 0,
-            client: client.clone(),
-            driver: driver.clone(),
-            heard: most_heard.clone(),
-            known: known.clone(),
-            limits,
-            members: members.clone(),
-            own: this.clone(),
-            pace,
-            told: telling_others.clone(),
-        };
-        tokio::spawn(configuration.run());
-        let lister = lister::Lister {
+        let learner = learner::Learner {
+            bound,
             client,
             clock,
             driver: driver.clone(),
-            heard: most_heard,
             known,
-            leave: Duration::from_millis(hosted.leave_ms),
+            leave_ms: hosted.leave_ms,
+            limits,
             members,
             own: this,
-            pace,
-            rosters,
             told: telling_others,
         };
-        tokio::spawn(lister.run());
+        tokio::spawn(learner.run(hearing));
         let address = settings.listen.callers.to_string();
         let data_centre = settings.data_centre.as_str();
         let peers = hosted.peers.to_string();
--- a/crates/node/src/keeper.rs
+++ b/crates/node/src/keeper.rs
@@ -137,9 +137,11 @@
     async fn recall(&self) {
         let mut link = feed::Link::new("streams", &self.client);
         let items = loop {
-            let read = self
-                .client
-                .items(STREAMS, link.patience(), feed::Age::Seconds);
+            let read = self.client.items(
+                STREAMS,
+                link.patience(),
+                wellplank_core::informer::Age::Seconds,
+            );
             match read.await {
                 Ok((items, _)) => break items,
                 Err(error) => link.bad(&error).await,
--- /dev/null
+++ b/crates/node/src/learner.rs
@@ -0,0 +1,298 @@
+//! The task that learns the configuration and the list of upstreams from the platform's store: it makes the calls
+//! that the core's informer wants, and hands on what these bring.
+
+use super::*;
+use feed::{Client, Log};
+use members::{Members, Own};
+use platform::store::{Change, Item};
+use tokio::task::AbortHandle;
+use wellplank_core::{
+    informer::{Answer, Call, Content, Heard, Informer, Input, Known, Output, Topic, Why},
+    role::Bound,
+    roster::{self, Entry},
+};
+
+/// The longest time between two looks at what is due, though nothing is.
+const LOOK: Duration = Duration::from_mins(1);
+
+/// What the task needs.
+pub(crate) struct Learner {
+    /// Time within which what the store says must be known.
+    pub bound: Bound,
+    /// Client of the store.
+    pub client: Client,
+    /// Clock of the instance.
+    pub clock: Clock,
+    /// The core task.
+    pub driver: Driver,
+    /// What this instance knows.
+    pub known: watch::Sender<Known>,
+    /// Time in which a leaving upstream must get no more work, in milliseconds.
+    pub leave_ms: u64,
+    /// Limits on what callers send.
+    pub limits: watch::Sender<platform::configuration::Limits>,
+    /// Other instances.
+    pub members: watch::Receiver<Members>,
+    /// This instance.
+    pub own: Own,
+    /// Where other instances are told.
+    pub told: mpsc::UnboundedSender<gossip::Told>,
+}
+
+/// What a call brought.
+enum Brought {
+    /// All that there is, up to a revision.
+    All(Vec<Item>, u64),
+    /// Changes, up to a revision.
+    Changes(Vec<Change>, u64),
+    /// The changes are forgotten.
+    Nothing,
+}
+
+/// The end of a call.
+struct Ended {
+    brought: Result<Brought, Error>,
+    call: Call,
+}
+
+/// What the task keeps.
+struct Task {
+    calls: HashMap<u64, AbortHandle>,
+    ends: mpsc::UnboundedSender<Ended>,
+    informer: Informer,
+    learner: Learner,
+    /// The configuration that was read last: what callers may send, and its revision in the store.
+    limits: (platform::configuration::Limits, u64),
+    logs: [Log; 2],
+}
+
+impl Learner {
+    /// Serves for ever; `heard` is what other instances let this one know.
+    pub async fn run(self, mut heard: mpsc::UnboundedReceiver<Heard>) {
+        let (ends, mut ended) = mpsc::unbounded_channel();
+        let mut absence = self.client.absence();
+        let mut members = self.members.clone();
+        let now = self.clock.now();
+        let informer = Informer::new(self.bound, self.leave_ms, *absence.borrow(), now);
+        let mut task = Task {
+            calls: HashMap::new(),
+            ends,
+            informer,
+            limits: Default::default(),
+            logs: [Topic::Configuration, Topic::Upstreams]
+                .map(|topic| Log::new(what(topic), self.clock)),
+            learner: self,
+        };
+        let role = task.learner.own.role(&members.borrow_and_update());
+        task.take(Input::Role(role), *absence.borrow());
+        loop {
+            let left = task.left();
+            let input = tokio::select! {
+                Some(ended) = ended.recv() => task.end(ended),
+                Some(heard) = heard.recv() => Input::Heard(heard),
+                Ok(()) = members.changed() => {
+                    Input::Role(task.learner.own.role(&members.borrow_and_update()))
+                }
+                Ok(()) = absence.changed() => Input::Tick,
+                () = sleep(left) => Input::Tick,
+            };
+            let absence = *absence.borrow_and_update();
+            task.take(input, absence);
+        }
+    }
+}
+
+impl Task {
+    /// Time until something is due.
+    fn left(&self) -> Duration {
+        let now = self.learner.clock.now();
+        let left = self.informer.wake().map(|wake| wake.since(now));
+        left.map_or(LOOK, Duration::from_millis).min(LOOK)
+    }
+
+    /// Has the informer take in what happened, and does what it wants.
+    fn take(&mut self, input: Input, absence: Absence) {
+        let now = self.learner.clock.now();
+        for output in self.informer.take(input, absence, now) {
+            self.perform(output, now);
+        }
+        let known = self.informer.known();
+        self.learner.known.send_if_modified(|before| {
+            let changed = *before != known;
+            *before = known;
+            changed
+        });
+    }
+
+    fn perform(&mut self, output: Output, now: Time) {
+        match output {
+            Output::Ask(call) => self.ask(call),
+            Output::Configuration(config) => {
+                let (revision, routes) = (config.revision, config.routes.len());
+                let (limits, store_revision) = self.limits;
+                info!(revision, routes, store_revision; "configuration in force");
+                self.learner.driver.event(Event::Config(config));
+                self.learner.limits.send_replace(limits);
+            }
+            Output::Drop(call, why) => self.drop(call, why),
+            Output::Lapsing(upstream, believed_ms) => {
+                info!(believed_ms, upstream; "an entry that is missing may have lapsed");
+            }
+            // The task that tells ends only with the instance.
+            Output::Tell(word) => drop(self.learner.told.send(gossip::Told::Roster(word))),
+            Output::TellConfiguration => drop(self.learner.told.send(gossip::Told::Configuration)),
+            Output::Upstreams(listed) => {
+                let listed = Some(listed);
+                self.learner
+                    .driver
+                    .event(Event::List { asked: now, listed });
+            }
+        }
+    }
+
+    fn ask(&mut self, call: Call) {
+        if call.again {
+            let Call {
+                patience_ms, since, ..
+            } = call;
+            info!(patience_ms, since; "asking the store again for {}", what(call.topic));
+        }
+        let client = self.learner.client.clone();
+        let ends = self.ends.clone();
+        let asking = tokio::spawn(async move {
+            let brought = make(&client, call).await;
+            // The task that hears of it ends only with the instance.
+            let _ = ends.send(Ended { brought, call });
+        });
+        self.calls.insert(call.id, asking.abort_handle());
+    }
+
+    /// Ends a call that is out.
+    fn drop(&mut self, call: Call, why: Why) {
+        if let Some(asking) = self.calls.remove(&call.id) {
+            asking.abort();
+        }
+        let error = match why {
+            Why::Behind => "other instances know more",
+            Why::Overtaken => "it answers other calls again",
+            Why::Role => return,
+        };
+        self.log(call.topic).bad(&Error::Store(error.into()));
+    }
+
+    fn log(&mut self, topic: Topic) -> &mut Log {
+        match topic {
+            Topic::Configuration => &mut self.logs[0],
+            Topic::Upstreams => &mut self.logs[1],
+        }
+    }
+
+    /// What the end of a call means to the informer.
+    fn end(&mut self, ended: Ended) -> Input {
+        let Ended { brought, call } = ended;
+        if self.calls.remove(&call.id).is_none() {
+            // It ended while it was being dropped.
+            return Input::Tick;
+        }
+        let brought = match brought {
+            Ok(brought) => brought,
+            Err(error) => {
+                self.log(call.topic).bad(&error);
+                return Input::Failed(call.id);
+            }
+        };
+        self.log(call.topic).good();
+        let (changes, revision) = match brought {
+            Brought::All(items, revision) => {
+                (items.into_iter().map(Change::Written).collect(), revision)
+            }
+            Brought::Changes(changes, revision) => (changes, revision),
+            Brought::Nothing => {
+                let since = call.since;
+                info!(since; "the store has forgotten the changes of {}", what(call.topic));
+                return Input::Answered(call.id, Answer::Forgotten);
+            }
+        };
+        let content = match call.topic {
+            Topic::Configuration => self.configuration(changes),
+            Topic::Upstreams => Content::Upstreams(changes.iter().map(change).collect()),
+        };
+        Input::Answered(call.id, Answer::Known(content, revision))
+    }
+
+    /// The newest configuration in what was seen.
+    fn configuration(&mut self, changes: Vec<Change>) -> Content {
+        let newest = changes.into_iter().rev().find_map(|change| match change {
+            Change::Written(item) if item.key == platform::configuration::KEY => Some(item),
+            Change::Removed { .. } | Change::Written(_) => None,
+        });
+        let Some(item) = newest else {
+            return Content::Configuration {
+                bytes: 0,
+                config: None,
+            };
+        };
+        let config = match platform::configuration::decode(&item.value) {
+            Ok(decoded) => {
+                self.limits = (decoded.limits, item.revision);
+                Some(Arc::new(decoded.config))
+            }
+            Err(error) => {
+                error!("the configuration in force stays: {error}");
+                None
+            }
+        };
+        Content::Configuration {
+            bytes: item.value.len(),
+            config,
+        }
+    }
+}
+
+/// Makes a call.
+async fn make(client: &Client, call: Call) -> Result<Brought, Error> {
+    let prefix = match call.topic {
+        Topic::Configuration => platform::configuration::KEY,
+        Topic::Upstreams => platform::upstream::PREFIX,
+    };
+    let patience = Duration::from_millis(call.patience_ms);
+    let Some(since) = call.since else {
+        let (items, revision) = client.items(prefix, patience, call.age).await?;
+        return Ok(Brought::All(items, revision));
+    };
+    let wait = Duration::from_millis(call.wait_ms);
+    let seen = client.changes(prefix, since, wait, patience).await?;
+    Ok(seen.map_or(Brought::Nothing, |seen| {
+        Brought::Changes(seen.changes, seen.revision)
+    }))
+}
+
+/// A change of the list as the core takes it.
+fn change(change: &Change) -> roster::Change {
+    let (entry, key, revision) = match change {
+        Change::Removed { key, revision } => (Entry::Gone, key, *revision),
+        Change::Written(item) => {
+            let entry = match platform::upstream::decode(item) {
+                Ok(listed) => Entry::Listed(listed),
+                Err(error) => {
+                    error!("an upstream's entry is left as it was: {error}");
+                    Entry::Odd
+                }
+            };
+            (entry, &item.key, item.revision)
+        }
+    };
+    roster::Change {
+        entry,
+        name: platform::upstream::name(key).into(),
+        revision,
+    }
+}
+
+/// A topic as logs name it.
+fn what(topic: Topic) -> &'static str {
+    match topic {
+        Topic::Configuration => "configuration",
+        Topic::Upstreams => "upstreams",
+    }
+}
--- a/crates/node/src/members.rs
+++ b/crates/node/src/members.rs
@@ -2,6 +2,7 @@
 //! of them does for the others.
 
 use super::*;
+use wellplank_core::{informer::Age, role::Role};
 
 /// Start of the keys under which instances enter themselves.
 pub(crate) const PREFIX: &str = "wellplank/instances/";
@@ -38,19 +39,6 @@
 /// Other instances by name.
 pub type Members = BTreeMap<String, Member>;
 
-/// What an instance does for its data centre.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Role {
-    /// It watches the store for itself, as all do.
-    Alone,
-    /// It asks the store and tells the others when the one that watches is silent.
-    Deputy,
-    /// It hears from the one that watches.
-    Follower,
-    /// It watches and tells the others.
-    Watcher,
-}
-
 /// This instance among the others.
 #[derive(Clone, Debug)]
 pub struct Own {
@@ -67,13 +55,6 @@
     }
 }
 
-impl Role {
-    /// Whether it hears of changes from another instance.
-    pub fn follows(self) -> bool {
-        matches!(self, Self::Deputy | Self::Follower)
-    }
-}
-
 impl Own {
     /// Whether it keeps the streams of all instances in the store.
     pub fn keeps(&self, members: &Members) -> bool {
@@ -107,10 +88,7 @@
     let begun = Instant::now();
     let mut link = feed::Link::new("instances", &client);
     loop {
-        match client
-            .items(PREFIX, link.patience(), feed::Age::Seconds)
-            .await
-        {
+        match client.items(PREFIX, link.patience(), Age::Seconds).await {
             Ok((items, _)) => {
                 link.good();
                 let members = decode(&items, &own);
--- a/crates/node/tests/members.rs
+++ b/crates/node/tests/members.rs
@@ -2,7 +2,8 @@
 
 use {
     googletest::prelude::*,
-    wellplank_node::members::{Member, Members, Own, Role},
+    wellplank_core::role::Role,
+    wellplank_node::members::{Member, Members, Own},
 };
 
 /// Data centres of the fleets.
