--- a/crates/standin/src/arguments.rs
+++ b/crates/standin/src/arguments.rs
@@ -68,7 +68,13 @@
             Command::new("random")
                 .about("Runs randomised cases in virtual time")
                 .arg(number("cases", "Count of cases", "1000"))
-                .arg(number("seed", "Seed of the first case", "1")),
+                .arg(number("seed", "Seed of the first case", "1"))
+                .arg(
+                    Arg::new("store")
+                        .action(clap::ArgAction::SetTrue)
+                        .help("Run fleets that learn from a store that fails, on all cores")
+                        .long("store"),
+                ),
         )
         .subcommand_required(true)
 }
@@ -211,6 +217,9 @@
 fn random(arguments: &ArgMatches) -> ExitCode {
     let number = |name| *arguments.get_one::<u64>(name).expect("has a default");
     let (cases, seed) = (number("cases"), number("seed"));
+    if arguments.get_flag("store") {
+        return random_store(seed, cases);
+    }
     let settings = wellplank_core::settings::Settings::default();
     let mut broken = 0;
     let mut failed = std::collections::BTreeMap::new();
@@ -234,6 +243,27 @@
     exit(broken + relaying == 0)
 }
 
+/// Runs fleets that learn from a store, on all cores.
+fn random_store(seed: u64, cases: u64) -> ExitCode {
+    let cores = std::thread::available_parallelism().map_or(1, usize::from) as u64;
+    let each = cases.div_ceil(cores) as u32;
+    let searches: Vec<_> = (0..cores)
+        .map(|core| std::thread::spawn(move || scenario::search(seed + core, each)))
+        .collect();
+    let (mut events, mut runs, mut broken) = (0, 0, 0);
+    for search in searches {
+        let found = search.join().expect("a search does not panic");
+        events += found.events;
+        runs += found.runs;
+        if let Some((run, violations)) = found.broken {
+            broken += 1;
+            eprintln!("{run:#?}\n{violations:#?}");
+        }
+    }
+    println!("{runs} runs, {events} events, {broken} searches found a run that breaks a rule");
+    exit(broken == 0)
+}
+
 /// Runs randomised cases of relayed requests; how many are broken.
 fn random_relaying(first: u64, cases: u64) -> usize {
     let mut broken = 0;
--- /dev/null
+++ b/crates/standin/src/learning.rs
@@ -0,0 +1,839 @@
+//! Fleets that learn from the store, in virtual time: the core's informers before a store that fails as the users'
+//! platform says, and an observer that checks what they believe.
+
+use super::*;
+use observer::{Observer, Rules};
+use registry::Registry;
+use std::{cmp::Reverse, collections::BinaryHeap};
+use wellplank_core::{
+    absence::Absence,
+    clock::Time,
+    event::Listed,
+    informer::{Answer, Call, Heard, Informer, Input, Output},
+    role::{Bound, Role},
+};
+use wellplank_node::members::{Member, Members, Own};
+
+/// When a run begins; a time above zero, as of a real clock.
+const BEGIN: Time = Time(1_000_000);
+
+/// Time between two writes of an upstream's entry, in milliseconds, as on the users' platform.
+const HEARTBEAT_MS: u64 = 1_200;
+
+/// Heartbeats without a write after which an entry lapses.
+const LAPSE: u64 = 3;
+
+/// Time that the store takes for an answer, and a datagram on its way, in milliseconds.
+const HOP_MS: u64 = 4;
+
+/// Time between two checks, in milliseconds.
+const CHECK_MS: u64 = 50;
+
+/// Time for which an instance that ended is still entered, in milliseconds: the lease of its entry.
+const LEASE_MS: u64 = 20_000;
+
+/// Time between two renewals of that lease, in milliseconds.
+const RENEW_MS: u64 = 7_000;
+
+/// Time in which other calls of an instance must be answered, in milliseconds.
+const PATIENCE_MS: u64 = 600;
+
+/// Time between two looks at the other instances, in milliseconds: in a small fleet, in a large one.
+const LOOK_MS: [u64; 2] = [2_000, 8_000];
+
+/// Instances up to which each watches for itself.
+const FEW: usize = 12;
+
+/// Time between two datagrams by which an instance lets some others know how much it knows, in milliseconds.
+const GOSSIP_MS: u64 = 400;
+
+/// Others that are let know at once.
+const GOSSIP: usize = 6;
+
+/// How the store fails.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Failing {
+    /// It refuses calls and cuts those that wait.
+    Busy,
+    /// It takes calls and never answers them.
+    Silent,
+}
+
+/// What happens in a run. Numbers of instances and upstreams count anew from the first behind the last.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Act {
+    /// The store fails for some time for all; leases run out meanwhile or wait.
+    Away(Failing, u64, bool),
+    /// The configuration changes.
+    Configure,
+    /// An upstream crashes.
+    Crash(usize),
+    /// All reads that wait for a change are cut.
+    CutWatches,
+    /// An upstream ends its entry without having said that it leaves.
+    Depart(usize),
+    /// An upstream enters itself.
+    Enter,
+    /// The store forgets its history.
+    Forget,
+    /// An instance stands still for some time.
+    Freeze(usize, u64),
+    /// An instance is cut off from all for some time.
+    Isolate(usize, u64),
+    /// An instance is killed and starts again after some time.
+    Kill(usize, u64),
+    /// All instances are killed and start again after some time.
+    KillAll(u64),
+    /// An upstream says that it leaves.
+    Leave(usize),
+    /// So many of the next answers to an instance are lost.
+    LoseAnswers(usize, usize),
+    /// A part of all datagrams, in percent, is lost for some time.
+    LoseDatagrams(u64, u64),
+    /// The store fails for some time for each so manieth instance, and serves the others.
+    Refuse(usize, Failing, u64),
+    /// The store takes so many times as long for some time.
+    Slow(u64, u64),
+}
+
+/// A run.
+#[derive(Clone, Debug)]
+pub struct Run {
+    /// Data centres.
+    pub data_centres: usize,
+    /// Instances.
+    pub instances: usize,
+    /// Bounds of the rules.
+    pub rules: Rules,
+    /// Seed of all chance.
+    pub seed: u64,
+    /// What happens, and when, in milliseconds from the begin.
+    pub steps: Vec<(u64, Act)>,
+    /// Whether instances let others know of what they know though the list does not change, as they do while they
+    /// relay streams.
+    pub traffic: bool,
+    /// Upstreams at the begin.
+    pub upstreams: usize,
+}
+
+/// What came of a run.
+#[derive(Clone, Debug)]
+pub struct Outcome {
+    /// Calls of the store.
+    pub calls: u64,
+    /// Events.
+    pub events: u64,
+    /// What must hold and did not.
+    pub violations: Vec<String>,
+}
+
+/// An instance.
+struct Node {
+    absence: Absence,
+    calls: BTreeMap<u64, Call>,
+    /// Until when it is entered in the store.
+    entered_until: Time,
+    frozen_until: Time,
+    informer: Option<Informer>,
+    isolated_until: Time,
+    /// Counts its starts.
+    life: u32,
+    /// Answers to it that will be lost.
+    losing: usize,
+    member: Member,
+    name: String,
+    own: Own,
+    refused: Option<(Failing, Time)>,
+    /// When it is called next at the latest.
+    wake: Time,
+}
+
+/// An upstream.
+struct Upstream {
+    alive: bool,
+    listed: Listed,
+}
+
+/// A read that waits for a change.
+struct Waiting {
+    call: Call,
+    life: u32,
+    node: usize,
+    over: Time,
+}
+
+/// What happens next.
+enum Event {
+    Arrive(usize, u32, Call),
+    Beat(usize),
+    Check,
+    Deliver(usize, u32, u64, Option<Answer>),
+    Expire(usize, u32, u64),
+    Gossip(usize, u32),
+    Hear(usize, u32, Heard),
+    Look(usize, u32),
+    Looked(usize, u32, bool),
+    Remove(usize),
+    Renew(usize, u32),
+    Renewed(usize, u32, bool),
+    Start(usize),
+    Step(Act),
+    Wake(usize, u32),
+    Watches,
+}
+
+/// A fleet that runs.
+struct World {
+    away: Option<(Failing, Time)>,
+    calls: u64,
+    events: BTreeMap<u64, Event>,
+    lossy: Option<(u64, Time)>,
+    next: u64,
+    nodes: Vec<Node>,
+    now: Time,
+    observer: Observer,
+    queue: BinaryHeap<Reverse<(Time, u64)>>,
+    random: Pcg64Mcg,
+    registry: Registry,
+    rules: Rules,
+    slow: Option<(u64, Time)>,
+    traffic: bool,
+    upstreams: Vec<Upstream>,
+    waiting: Vec<Waiting>,
+}
+
+/// Plays a run for some time behind its last step.
+pub fn play(run: &Run, millis: u64) -> Outcome {
+    let mut world = World::new(run);
+    let mut last = 0;
+    for (at, act) in &run.steps {
+        world.at(BEGIN.after(*at), Event::Step(*act));
+        last = last.max(*at);
+    }
+    let end = BEGIN.after(last + millis);
+    let mut events = 0;
+    while let Some(Reverse((at, number))) = world.queue.pop() {
+        if at > end {
+            break;
+        }
+        world.now = world.now.max(at);
+        let event = world
+            .events
+            .remove(&number)
+            .expect("each event is kept once");
+        events += 1;
+        world.happen(event);
+    }
+    Outcome {
+        calls: world.calls,
+        events,
+        violations: world.observer.violations,
+    }
+}
+
+impl World {
+    fn new(run: &Run) -> Self {
+        let node = |index: usize| {
+            let name = format!("instance-{index}");
+            let data_centre = format!("dc-{}", index % run.data_centres.max(1));
+            Node {
+                absence: Absence::new(HEARTBEAT_MS),
+                calls: BTreeMap::new(),
+                entered_until: Time::default(),
+                frozen_until: Time::default(),
+                informer: None,
+                isolated_until: Time::default(),
+                life: 0,
+                losing: 0,
+                member: Member {
+                    address: ([127, 0, 0, 1], 1).into(),
+                    data_centre: data_centre.clone(),
+                },
+                name: name.clone(),
+                own: Own { data_centre, name },
+                refused: None,
+                wake: Time::default(),
+            }
+        };
+        let mut world = Self {
+            away: None,
+            calls: 0,
+            events: BTreeMap::new(),
+            lossy: None,
+            next: 0,
+            nodes: (0..run.instances).map(node).collect(),
+            now: BEGIN,
+            observer: Observer::new(run.instances, run.rules),
+            queue: BinaryHeap::new(),
+            random: Pcg64Mcg::seed_from_u64(run.seed),
+            registry: Registry::new(),
+            rules: run.rules,
+            slow: None,
+            traffic: run.traffic,
+            upstreams: Vec::new(),
+            waiting: Vec::new(),
+        };
+        for _ in 0..run.upstreams {
+            world.enter();
+        }
+        for node in 0..run.instances {
+            let start = world.random.random_range(0..300);
+            world.later(start, Event::Start(node));
+        }
+        world.later(CHECK_MS, Event::Check);
+        world
+    }
+
+    fn at(&mut self, at: Time, event: Event) {
+        self.next += 1;
+        self.events.insert(self.next, event);
+        self.queue.push(Reverse((at, self.next)));
+    }
+
+    fn later(&mut self, millis: u64, event: Event) {
+        self.at(self.now.after(millis), event);
+    }
+
+    /// The instance that an event concerns, if any, with its life.
+    fn concerned(event: &Event) -> Option<(usize, u32)> {
+        match event {
+            Event::Deliver(node, life, ..)
+            | Event::Expire(node, life, _)
+            | Event::Gossip(node, life)
+            | Event::Hear(node, life, _)
+            | Event::Look(node, life)
+            | Event::Looked(node, life, _)
+            | Event::Renew(node, life)
+            | Event::Renewed(node, life, _)
+            | Event::Wake(node, life) => Some((*node, *life)),
+            Event::Arrive(..)
+            | Event::Beat(_)
+            | Event::Check
+            | Event::Remove(_)
+            | Event::Start(_)
+            | Event::Step(_)
+            | Event::Watches => None,
+        }
+    }
+
+    fn happen(&mut self, event: Event) {
+        if let Some((node, life)) = Self::concerned(&event) {
+            let node = &self.nodes[node];
+            if node.life != life || node.informer.is_none() {
+                return;
+            }
+            if node.frozen_until > self.now {
+                self.at(node.frozen_until, event);
+                return;
+            }
+        }
+        match event {
+            Event::Arrive(node, life, call) => self.arrive(node, life, call),
+            Event::Beat(upstream) => self.beat(upstream),
+            Event::Check => {
+                self.registry_expire();
+                self.observer.check(self.now);
+                self.later(CHECK_MS, Event::Check);
+            }
+            Event::Deliver(node, _, id, answer) => self.deliver(node, id, answer),
+            Event::Expire(node, _, id) => self.end(node, id, None),
+            Event::Gossip(node, life) => self.gossip(node, life),
+            Event::Hear(node, _, heard) => {
+                if self.nodes[node].isolated_until <= self.now {
+                    self.take(node, Input::Heard(heard));
+                }
+            }
+            Event::Look(node, life) => self.other_call(node, life, Event::Looked),
+            Event::Looked(node, life, answered) => self.looked(node, life, answered),
+            Event::Remove(upstream) => self.remove(upstream),
+            Event::Renew(node, life) => self.other_call(node, life, Event::Renewed),
+            Event::Renewed(node, life, answered) => self.renewed(node, life, answered),
+            Event::Start(node) => self.start(node),
+            Event::Step(act) => self.act(act),
+            Event::Wake(node, _) => self.take(node, Input::Tick),
+            Event::Watches => self.watches(),
+        }
+    }
+
+    /// How the store fails for an instance now, if it does.
+    fn failing(&self, node: usize) -> Option<Failing> {
+        let now = self.now;
+        let fails = |failing: Option<(Failing, Time)>| {
+            failing
+                .filter(|(_, until)| *until > now)
+                .map(|(how, _)| how)
+        };
+        fails(self.away).or(fails(self.nodes[node].refused))
+    }
+
+    fn is_away(&self) -> bool {
+        self.away.is_some_and(|(_, until)| until > self.now)
+    }
+
+    /// Time that an answer takes, in milliseconds.
+    fn hop_ms(&self) -> u64 {
+        match self.slow {
+            Some((times, until)) if until > self.now => HOP_MS * times,
+            _ => HOP_MS,
+        }
+    }
+
+    fn registry_expire(&mut self) {
+        let before = self.registry.revision;
+        self.registry.expire(self.now);
+        if self.registry.revision > before {
+            self.watches();
+        }
+    }
+
+    /// A call reaches the store.
+    fn arrive(&mut self, node: usize, life: u32, call: Call) {
+        if self.nodes[node].isolated_until > self.now {
+            return;
+        }
+        match self.failing(node) {
+            Some(Failing::Silent) => return,
+            Some(Failing::Busy) => {
+                self.later(HOP_MS, Event::Deliver(node, life, call.id, None));
+                return;
+            }
+            None => {}
+        }
+        let over = call.wait_ms == 0;
+        if let Some(answer) = self.registry.answer(&call, self.now, over) {
+            let hop = self.hop_ms();
+            self.later(hop, Event::Deliver(node, life, call.id, Some(answer)));
+            return;
+        }
+        let over = self.now.after(call.wait_ms);
+        self.waiting.push(Waiting {
+            call,
+            life,
+            node,
+            over,
+        });
+        self.at(over, Event::Watches);
+    }
+
+    /// Answers the waiting reads that can be.
+    fn watches(&mut self) {
+        if self.is_away() {
+            return;
+        }
+        let (now, hop) = (self.now, self.hop_ms());
+        let waiting = std::mem::take(&mut self.waiting);
+        for waiting in waiting {
+            let over = waiting.over <= now;
+            let fails = self.failing(waiting.node).is_some();
+            let answer = self.registry.answer(&waiting.call, now, over);
+            match answer.filter(|_| !fails) {
+                Some(answer) => {
+                    let (node, life, id) = (waiting.node, waiting.life, waiting.call.id);
+                    self.later(hop, Event::Deliver(node, life, id, Some(answer)));
+                }
+                None => self.waiting.push(waiting),
+            }
+        }
+    }
+
+    /// Cuts the waiting reads of some instances.
+    fn cut(&mut self, cuts: impl Fn(usize) -> bool) {
+        let waiting = std::mem::take(&mut self.waiting);
+        let (cut, kept) = waiting
+            .into_iter()
+            .partition(|waiting: &Waiting| cuts(waiting.node));
+        self.waiting = kept;
+        for waiting in cut {
+            let Waiting {
+                call, life, node, ..
+            } = waiting;
+            self.later(HOP_MS, Event::Deliver(node, life, call.id, None));
+        }
+    }
+
+    fn deliver(&mut self, node: usize, id: u64, answer: Option<Answer>) {
+        let receiver = &mut self.nodes[node];
+        if receiver.isolated_until > self.now {
+            return;
+        }
+        if receiver.losing > 0 {
+            receiver.losing -= 1;
+            return;
+        }
+        self.end(node, id, answer);
+    }
+
+    /// A call of an instance ends.
+    fn end(&mut self, node: usize, id: u64, answer: Option<Answer>) {
+        if self.nodes[node].calls.remove(&id).is_none() {
+            return;
+        }
+        self.note(node, answer.is_some());
+        let input = match answer {
+            Some(answer) => Input::Answered(id, answer),
+            None => Input::Failed(id),
+        };
+        self.take(node, input);
+    }
+
+    /// Notes how a call of an instance ended.
+    fn note(&mut self, node: usize, answered: bool) {
+        let absence = &mut self.nodes[node].absence;
+        if answered {
+            absence.answer(self.now);
+        } else {
+            absence.fail();
+        }
+    }
+
+    /// Has an instance take in what happened.
+    fn take(&mut self, node: usize, input: Input) {
+        let now = self.now;
+        let taker = &mut self.nodes[node];
+        let absence = taker.absence;
+        let Some(informer) = &mut taker.informer else {
+            return;
+        };
+        let outputs = informer.take(input, absence, now);
+        let wake = informer.wake();
+        let life = taker.life;
+        for output in outputs {
+            self.perform(node, life, output);
+        }
+        let Some(wake) = wake else {
+            return;
+        };
+        if wake <= now {
+            self.observer
+                .violations
+                .push(format!("{now}: instance {node} would be busy"));
+            return;
+        }
+        let taker = &mut self.nodes[node];
+        if taker.wake <= now || wake < taker.wake {
+            taker.wake = wake;
+            self.at(wake, Event::Wake(node, life));
+        }
+    }
+
+    fn perform(&mut self, node: usize, life: u32, output: Output) {
+        match output {
+            Output::Ask(call) => {
+                self.calls += 1;
+                self.observer.called(node, self.now);
+                self.nodes[node].calls.insert(call.id, call);
+                self.later(1, Event::Arrive(node, life, call));
+                let expires = call.wait_ms + call.patience_ms;
+                self.later(expires, Event::Expire(node, life, call.id));
+            }
+            Output::Configuration(config) => {
+                self.observer.in_force(node, config.revision, self.now);
+            }
+            Output::Drop(call, _) => {
+                self.nodes[node].calls.remove(&call.id);
+            }
+            Output::Lapsing(..) => {}
+            Output::Tell(word) => self.tell(node, Some(&word)),
+            Output::TellConfiguration => self.tell(node, None),
+            Output::Upstreams(listed) => {
+                let listed = listed.into_iter().map(|one| (one.name, one.leaving));
+                self.observer.listed(node, listed.collect(), self.now);
+            }
+        }
+    }
+
+    /// Tells the others of the data centre.
+    fn tell(&mut self, node: usize, word: Option<&wellplank_core::roster::Word>) {
+        let near = |other: &usize| {
+            let (one, other) = (&self.nodes[node], &self.nodes[*other]);
+            one.member.data_centre == other.member.data_centre
+        };
+        let others = (0..self.nodes.len()).filter(|other| *other != node);
+        let to: Vec<usize> = others.filter(near).collect();
+        self.send(node, &to, word);
+    }
+
+    /// Sends a datagram with what an instance knows.
+    fn send(&mut self, node: usize, to: &[usize], word: Option<&wellplank_core::roster::Word>) {
+        let Some(informer) = &self.nodes[node].informer else {
+            return;
+        };
+        let known = informer.known();
+        if self.nodes[node].isolated_until > self.now {
+            return;
+        }
+        for other in to {
+            let lost = match self.lossy {
+                Some((percent, until)) if until > self.now => percent,
+                _ => 0,
+            };
+            if self.random.random_range(0..100) < lost {
+                continue;
+            }
+            let heard = Heard {
+                configuration: known.configuration,
+                list: known.list,
+                word: word.cloned(),
+            };
+            let hop = self.random.random_range(1..HOP_MS);
+            let life = self.nodes[*other].life;
+            self.later(hop, Event::Hear(*other, life, heard));
+        }
+    }
+
+    fn gossip(&mut self, node: usize, life: u32) {
+        let count = self.nodes.len();
+        let to: Vec<usize> = (0..GOSSIP)
+            .map(|_| self.random.random_range(0..count))
+            .filter(|other| *other != node)
+            .collect();
+        self.send(node, &to, None);
+        self.later(GOSSIP_MS, Event::Gossip(node, life));
+    }
+
+    /// An instance makes a call that is not for its informer.
+    fn other_call(&mut self, node: usize, life: u32, ended: fn(usize, u32, bool) -> Event) {
+        self.calls += 1;
+        self.observer.called(node, self.now);
+        let isolated = self.nodes[node].isolated_until > self.now;
+        let lost = self.nodes[node].losing > 0;
+        if lost {
+            self.nodes[node].losing -= 1;
+        }
+        match self.failing(node) {
+            _ if isolated || lost => self.later(PATIENCE_MS, ended(node, life, false)),
+            Some(Failing::Silent) => self.later(PATIENCE_MS, ended(node, life, false)),
+            Some(Failing::Busy) => self.later(HOP_MS, ended(node, life, false)),
+            None => {
+                let hop = self.hop_ms();
+                let in_time = hop < PATIENCE_MS;
+                self.later(hop.min(PATIENCE_MS), ended(node, life, in_time));
+            }
+        }
+    }
+
+    fn looked(&mut self, node: usize, life: u32, answered: bool) {
+        self.note(node, answered);
+        let large = usize::from(self.nodes.len() > FEW);
+        let pause = if answered || large == 1 {
+            LOOK_MS[large]
+        } else {
+            PATIENCE_MS
+        };
+        self.later(pause, Event::Look(node, life));
+        let input = if answered {
+            Input::Role(self.role(node))
+        } else {
+            Input::Tick
+        };
+        self.take(node, input);
+    }
+
+    fn renewed(&mut self, node: usize, life: u32, answered: bool) {
+        self.note(node, answered);
+        if answered {
+            self.nodes[node].entered_until = self.now.after(LEASE_MS);
+        }
+        let pause = if answered { RENEW_MS } else { 1_000 };
+        self.later(pause, Event::Renew(node, life));
+        self.take(node, Input::Tick);
+    }
+
+    /// What an instance does for its data centre, by those that are entered.
+    fn role(&self, node: usize) -> Role {
+        let entered = self.nodes.iter().enumerate();
+        let entered = entered.filter(|(other, one)| *other != node && one.entered_until > self.now);
+        let members: Members = entered
+            .map(|(_, one)| (one.name.clone(), one.member.clone()))
+            .collect();
+        self.nodes[node].own.role(&members)
+    }
+
+    fn start(&mut self, node: usize) {
+        let bound = Bound {
+            bound_ms: self.rules.apply_ms.min(self.rules.leave_ms),
+        };
+        let now = self.now;
+        let starting = &mut self.nodes[node];
+        starting.absence = Absence::new(HEARTBEAT_MS);
+        starting.calls.clear();
+        starting.life += 1;
+        starting.wake = Time::default();
+        let life = starting.life;
+        let informer = Informer::new(bound, self.rules.leave_ms, starting.absence, now);
+        starting.informer = Some(informer);
+        self.observer.started(node, now);
+        self.take(node, Input::Tick);
+        let spread = self.random.random_range(1..50);
+        self.later(spread, Event::Renew(node, life));
+        self.later(spread + 20, Event::Look(node, life));
+        if self.traffic {
+            self.later(spread, Event::Gossip(node, life));
+        }
+    }
+
+    fn kill(&mut self, node: usize, millis: u64) {
+        if self.nodes[node].informer.take().is_none() {
+            return;
+        }
+        self.waiting.retain(|waiting| waiting.node != node);
+        self.observer.ended(node);
+        self.later(millis.max(1), Event::Start(node));
+    }
+
+    fn enter(&mut self) {
+        let index = self.upstreams.len();
+        let name = format!("upstream-{index}");
+        let listed = Listed {
+            address: ([127, 0, 0, 1], 1_000 + index as u16).into(),
+            data_centre: "dc-0".into(),
+            leaving: false,
+            name,
+            pool: "pool".into(),
+            since: 0,
+            slots: 8,
+        };
+        self.upstreams.push(Upstream {
+            alive: true,
+            listed,
+        });
+        self.beat(index);
+    }
+
+    /// An upstream writes its entry, if it reaches the store, and again later.
+    fn beat(&mut self, index: usize) {
+        let upstream = &self.upstreams[index];
+        if !upstream.alive {
+            return;
+        }
+        if !self.is_away() {
+            let listed = upstream.listed.clone();
+            if !listed.leaving {
+                self.observer.lives(&listed.name);
+            }
+            self.registry
+                .enter(listed, self.now.after(LAPSE * HEARTBEAT_MS));
+            self.watches();
+        }
+        let late = self.random.random_range(0..HEARTBEAT_MS / 20);
+        self.later(HEARTBEAT_MS - late, Event::Beat(index));
+    }
+
+    /// An upstream that has served long enough behind its word ends its entry.
+    fn remove(&mut self, index: usize) {
+        if self.is_away() {
+            self.later(200, Event::Remove(index));
+            return;
+        }
+        let name = self.upstreams[index].listed.name.clone();
+        self.upstreams[index].alive = false;
+        self.observer.leaves(&name, self.now);
+        self.registry.remove(&name);
+        self.watches();
+    }
+
+    /// The upstream with a number among those that are ready.
+    fn ready(&self, number: usize) -> Option<usize> {
+        let ready = |index: &usize| {
+            let upstream = &self.upstreams[*index];
+            upstream.alive && !upstream.listed.leaving
+        };
+        let ready: Vec<usize> = (0..self.upstreams.len()).filter(ready).collect();
+        (!ready.is_empty()).then(|| ready[number % ready.len()])
+    }
+
+    fn act(&mut self, act: Act) {
+        let now = self.now;
+        let instances = self.nodes.len();
+        match act {
+            Act::Away(how, millis, lapse) => {
+                if self.is_away() {
+                    return;
+                }
+                let until = now.after(millis);
+                self.away = Some((how, until));
+                self.observer.store_disturbed(until);
+                if how == Failing::Busy {
+                    self.cut(|_| true);
+                }
+                if !lapse {
+                    self.registry.extend(until.after(LAPSE * HEARTBEAT_MS));
+                }
+                self.at(until, Event::Watches);
+            }
+            Act::Crash(number) => {
+                if let Some(index) = self.ready(number) {
+                    self.upstreams[index].alive = false;
+                    self.observer
+                        .dies(&self.upstreams[index].listed.name.clone());
+                }
+            }
+            Act::CutWatches => self.cut(|_| true),
+            Act::Enter => self.enter(),
+            Act::Forget => self.registry.forget(),
+            Act::Freeze(number, millis) => {
+                let until = now.after(millis);
+                let node = &mut self.nodes[number % instances];
+                node.frozen_until = node.frozen_until.max(until);
+                self.observer.disturbed(number % instances, until);
+            }
+            Act::Isolate(number, millis) => {
+                let until = now.after(millis);
+                let node = &mut self.nodes[number % instances];
+                node.isolated_until = node.isolated_until.max(until);
+                self.observer.disturbed(number % instances, until);
+            }
+            Act::Kill(number, millis) => self.kill(number % instances, millis),
+            Act::KillAll(millis) => (0..instances).for_each(|node| self.kill(node, millis)),
+            Act::LoseAnswers(number, count) => {
+                self.nodes[number % instances].losing += count;
+                self.observer.disturbed(number % instances, now);
+            }
+            Act::LoseDatagrams(percent, millis) => {
+                self.lossy = Some((percent, now.after(millis)));
+            }
+            Act::Refuse(each, how, millis) => {
+                let until = now.after(millis);
+                for node in (0..instances).step_by(each.max(1)) {
+                    self.nodes[node].refused = Some((how, until));
+                    self.observer.disturbed(node, until);
+                }
+                if how == Failing::Busy {
+                    self.cut(|node| node.is_multiple_of(each.max(1)));
+                }
+                self.at(until, Event::Watches);
+            }
+            Act::Slow(times, millis) => {
+                let until = now.after(millis);
+                self.slow = Some((times, until));
+                self.observer.store_disturbed(until);
+            }
+            Act::Configure | Act::Depart(_) | Act::Leave(_) if self.is_away() => {
+                // Operators and upstreams try again.
+                self.later(100, Event::Step(act));
+            }
+            Act::Configure => {
+                let revision = self.registry.configure(now);
+                self.observer.configured(revision, now);
+                self.watches();
+            }
+            Act::Depart(number) => {
+                if let Some(index) = self.ready(number) {
+                    self.remove(index);
+                }
+            }
+            Act::Leave(number) => {
+                if let Some(index) = self.ready(number) {
+                    let upstream = &mut self.upstreams[index];
+                    upstream.listed.leaving = true;
+                    let listed = upstream.listed.clone();
+                    self.observer.leaves(&listed.name, now);
+                    self.registry.enter(listed, now.after(LAPSE * HEARTBEAT_MS));
+                    self.watches();
+                    let serves = self.rules.leave_ms + self.random.random_range(0..4_000);
+                    self.later(serves, Event::Remove(index));
+                }
+            }
+        }
+    }
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -13,8 +13,10 @@
 pub mod fleet;
 pub mod host;
 pub mod http;
+pub mod learning;
 pub mod load;
 pub mod matrix;
+pub mod observer;
 pub mod placing;
 pub mod plain;
 pub mod platform;
@@ -27,6 +29,7 @@
 pub mod resume;
 pub mod routing;
 pub mod rush;
+pub mod scenario;
 pub mod shelf;
 pub mod site;
 pub mod soak;
@@ -46,6 +49,7 @@
 mod crowd;
 mod keyvalue;
 mod pool;
+mod registry;
 mod runner;
 mod scene;
 
@@ -71,7 +75,7 @@
     serde_json::{Value, json},
     sse_stream::{Sse, SseStream},
     std::{
-        collections::{BTreeMap, HashMap, VecDeque},
+        collections::{BTreeMap, BTreeSet, HashMap, VecDeque},
         net::SocketAddr,
         process::ExitCode,
         time::{Duration, Instant},
--- /dev/null
+++ b/crates/standin/src/observer.rs
@@ -0,0 +1,202 @@
+//! What a fleet must believe of the store, written from the platform's rules: it shares no code with the instances.
+
+use super::*;
+use wellplank_core::clock::Time;
+
+/// Bounds of the rules, in milliseconds.
+#[derive(Clone, Copy, Debug)]
+pub struct Rules {
+    /// Within which a configuration must be in force.
+    pub apply_ms: u64,
+    /// Calm that an instance or the store needs before a bound holds for it.
+    pub calm_ms: u64,
+    /// Within which a leaving upstream must get no more work.
+    pub leave_ms: u64,
+}
+
+/// What an instance believes.
+#[derive(Clone, Debug, Default)]
+struct Belief {
+    /// When what disturbs it ends or ended.
+    calm_from: Time,
+    calls: VecDeque<Time>,
+    configuration: u64,
+    /// Upstreams, and whether they are known to leave.
+    listed: BTreeMap<String, bool>,
+    running: bool,
+}
+
+/// Calls of the store that an instance may make in a second: one that can not serve anybody tries ten times, and as
+/// many are left for what else it does.
+const CALLS_A_SECOND: usize = 20;
+
+/// Watches a fleet.
+pub(crate) struct Observer {
+    beliefs: Vec<Belief>,
+    configurations: Vec<(u64, Time)>,
+    /// Upstreams that said that they leave or whose entries they ended, and when the store took it.
+    leaves: BTreeMap<String, Time>,
+    /// Upstreams that live.
+    living: BTreeSet<String>,
+    rules: Rules,
+    /// When what disturbs the store ends or ended.
+    store_calm_from: Time,
+    pub violations: Vec<String>,
+}
+
+impl Observer {
+    /// An observer of so many instances.
+    pub fn new(instances: usize, rules: Rules) -> Self {
+        Self {
+            beliefs: vec![Belief::default(); instances],
+            configurations: Vec::new(),
+            leaves: BTreeMap::new(),
+            living: BTreeSet::new(),
+            rules,
+            store_calm_from: Time::default(),
+            violations: Vec::new(),
+        }
+    }
+
+    /// An instance made a call.
+    pub fn called(&mut self, instance: usize, now: Time) {
+        let calls = &mut self.beliefs[instance].calls;
+        calls.push_back(now);
+        while calls.front().is_some_and(|first| now.since(*first) > 1_000) {
+            calls.pop_front();
+        }
+        if calls.len() > CALLS_A_SECOND {
+            let count = calls.len();
+            self.violate(
+                now,
+                format!("instance {instance} made {count} calls in a second"),
+            );
+        }
+    }
+
+    /// Something disturbs an instance until then.
+    pub fn disturbed(&mut self, instance: usize, until: Time) {
+        let belief = &mut self.beliefs[instance];
+        belief.calm_from = belief.calm_from.max(until);
+    }
+
+    /// Something disturbs the store until then.
+    pub fn store_disturbed(&mut self, until: Time) {
+        self.store_calm_from = self.store_calm_from.max(until);
+    }
+
+    /// An instance started, and knows nothing.
+    pub fn started(&mut self, instance: usize, now: Time) {
+        let calm_from = self.beliefs[instance].calm_from.max(now);
+        self.beliefs[instance] = Belief {
+            calm_from,
+            running: true,
+            ..Belief::default()
+        };
+    }
+
+    /// An instance ended.
+    pub fn ended(&mut self, instance: usize) {
+        self.beliefs[instance].running = false;
+    }
+
+    /// The store took a configuration.
+    pub fn configured(&mut self, revision: u64, now: Time) {
+        self.configurations.push((revision, now));
+    }
+
+    /// An upstream entered itself.
+    pub fn lives(&mut self, name: &str) {
+        self.living.insert(name.to_owned());
+    }
+
+    /// The store took the word of an upstream that it leaves, or the end of its entry.
+    pub fn leaves(&mut self, name: &str, now: Time) {
+        self.living.remove(name);
+        self.leaves.entry(name.to_owned()).or_insert(now);
+    }
+
+    /// An upstream crashed.
+    pub fn dies(&mut self, name: &str) {
+        self.living.remove(name);
+    }
+
+    /// A configuration is in force at an instance.
+    pub fn in_force(&mut self, instance: usize, revision: u64, now: Time) {
+        let before = std::mem::replace(&mut self.beliefs[instance].configuration, revision);
+        if revision < before {
+            let text =
+                format!("instance {instance} went from configuration {before} to {revision}");
+            self.violate(now, text);
+        }
+    }
+
+    /// The upstreams that an instance believes in.
+    pub fn listed(&mut self, instance: usize, listed: BTreeMap<String, bool>, now: Time) {
+        let calm_ms = self.rules.calm_ms;
+        let belief = &mut self.beliefs[instance];
+        let calm = now.since(belief.calm_from) >= calm_ms;
+        let before = std::mem::replace(&mut belief.listed, listed);
+        let listed = &belief.listed;
+        let reverted = before
+            .iter()
+            .filter(|(name, leaving)| **leaving && listed.get(*name) == Some(&false))
+            .map(|(name, _)| format!("instance {instance} no longer believes that {name} leaves"));
+        let given_up = before
+            .keys()
+            .filter(|name| calm && !listed.contains_key(*name) && self.living.contains(*name))
+            .map(|name| format!("instance {instance} gives up {name}, which lives"));
+        let texts: Vec<String> = reverted.chain(given_up).collect();
+        for text in texts {
+            self.violate(now, text);
+        }
+    }
+
+    /// Checks what must be known by now.
+    pub fn check(&mut self, now: Time) {
+        let rules = self.rules;
+        if now.since(self.store_calm_from) < rules.calm_ms {
+            return;
+        }
+        let due = |at: Time, bound: u64| now.since(at) > bound;
+        let newest = self.configurations.iter().rev();
+        let newest = newest.copied().find(|(_, at)| due(*at, rules.apply_ms));
+        let left = self
+            .leaves
+            .iter()
+            .filter(|(_, at)| due(**at, rules.leave_ms));
+        let left: Vec<(&String, u64)> = left.map(|(name, at)| (name, now.since(*at))).collect();
+        let mut texts = Vec::new();
+        for (instance, belief) in self.beliefs.iter().enumerate() {
+            if !belief.running || now.since(belief.calm_from) < rules.calm_ms {
+                continue;
+            }
+            for (name, since) in &left {
+                if belief.listed.get(*name) == Some(&false) {
+                    texts.push(format!(
+                        "instance {instance} gives work to {name}, {since} ms behind its word"
+                    ));
+                }
+            }
+            // One that has no configuration yet serves nobody by an old one.
+            if let Some((revision, at)) = newest
+                && (1..revision).contains(&belief.configuration)
+            {
+                let since = now.since(at);
+                let has = belief.configuration;
+                texts.push(format!(
+                    "instance {instance} has configuration {has}, {since} ms behind {revision}"
+                ));
+            }
+        }
+        for text in texts {
+            self.violate(now, text);
+        }
+    }
+
+    fn violate(&mut self, now: Time, text: String) {
+        if self.violations.len() < 20 {
+            self.violations.push(format!("{now}: {text}"));
+        }
+    }
+}
--- /dev/null
+++ b/crates/standin/src/scenario.rs
@@ -0,0 +1,146 @@
+//! Randomised runs of fleets that learn from the store, and the shortest run that breaks a rule.
+
+use super::*;
+use learning::{Act, Failing, Outcome, Run};
+use observer::Rules;
+use proptest::{
+    prelude::*,
+    test_runner::{Config, TestError, TestRunner},
+};
+use std::sync::atomic::{AtomicU64, Ordering};
+
+/// Time that a run goes on behind its last step, in milliseconds: a watch that hangs is noticed in it.
+const BEHIND_MS: u64 = 16_000;
+
+/// Time within which steps come, in milliseconds.
+const STEPS_MS: u64 = 24_000;
+
+/// Steps of a run, at most.
+const STEPS: usize = 14;
+
+/// Numbers of instances: alone, the users' smaller fleets, just above the size from which on a few watch, and more.
+const INSTANCES: [usize; 5] = [1, 2, 6, 14, 24];
+
+/// Bounds of the rules in milliseconds, as on the users' sites.
+const LEAVE_MS: [u64; 3] = [2_000, 3_000, 4_000];
+
+/// Times that a search of a shorter run may take.
+const SHRINKS: u32 = 4_000;
+
+/// How the store may fail.
+fn failing() -> impl Strategy<Value = Failing> {
+    prop_oneof![Just(Failing::Silent), Just(Failing::Busy)]
+}
+
+/// How long something lasts, in milliseconds.
+fn millis() -> impl Strategy<Value = u64> {
+    prop_oneof![100..1_500_u64, 1_500..5_000_u64, 5_000..11_000_u64]
+}
+
+/// Something that happens.
+fn act() -> impl Strategy<Value = Act> {
+    let number = 0..24_usize;
+    prop_oneof![
+        4 => (failing(), millis(), any::<bool>()).prop_map(|(how, millis, lapse)| Act::Away(how, millis, lapse)),
+        4 => Just(Act::Configure),
+        1 => number.clone().prop_map(Act::Crash),
+        2 => Just(Act::CutWatches),
+        3 => number.clone().prop_map(Act::Depart),
+        2 => Just(Act::Enter),
+        2 => Just(Act::Forget),
+        1 => (number.clone(), 100..4_000_u64).prop_map(|(node, millis)| Act::Freeze(node, millis)),
+        1 => (number.clone(), millis()).prop_map(|(node, millis)| Act::Isolate(node, millis)),
+        1 => (number.clone(), 500..3_000_u64).prop_map(|(node, millis)| Act::Kill(node, millis)),
+        1 => (500..3_000_u64).prop_map(Act::KillAll),
+        5 => number.clone().prop_map(Act::Leave),
+        1 => (1..60_u64, millis()).prop_map(|(percent, millis)| Act::LoseDatagrams(percent, millis)),
+        3 => (1..5_usize, failing(), millis()).prop_map(|(each, how, millis)| Act::Refuse(each, how, millis)),
+        1 => (10..100_u64, millis()).prop_map(|(times, millis)| Act::Slow(times, millis)),
+    ]
+}
+
+/// A run.
+pub fn runs() -> impl Strategy<Value = Run> {
+    let steps = proptest::collection::vec((500..STEPS_MS, act()), 1..STEPS);
+    let instances = proptest::sample::select(INSTANCES.to_vec());
+    let leave_ms = proptest::sample::select(LEAVE_MS.to_vec());
+    (
+        instances,
+        1..4_usize,
+        2..9_usize,
+        leave_ms,
+        any::<u64>(),
+        any::<bool>(),
+        steps,
+    )
+        .prop_map(
+            |(instances, data_centres, upstreams, leave_ms, seed, traffic, steps)| Run {
+                data_centres,
+                instances,
+                rules: Rules {
+                    apply_ms: leave_ms,
+                    calm_ms: 3_000,
+                    leave_ms,
+                },
+                seed,
+                steps,
+                traffic,
+                upstreams,
+            },
+        )
+}
+
+/// Plays a run.
+pub fn play(run: &Run) -> Outcome {
+    learning::play(run, BEHIND_MS)
+}
+
+/// What a search came to.
+#[derive(Debug, Default)]
+pub struct Found {
+    /// The shortest run that breaks a rule, and what it breaks.
+    pub broken: Option<(Run, Vec<String>)>,
+    /// Events of all runs.
+    pub events: u64,
+    /// Runs.
+    pub runs: u64,
+}
+
+/// Plays random runs until some number of them, or one that breaks a rule, which is made as short as can be.
+pub fn search(seed: u64, runs_most: u32) -> Found {
+    let config = Config {
+        cases: runs_most,
+        failure_persistence: None,
+        max_shrink_iters: SHRINKS,
+        ..Config::default()
+    };
+    let mut bytes = [0; 32];
+    bytes[..8].copy_from_slice(&seed.to_le_bytes());
+    let random = proptest::test_runner::TestRng::from_seed(
+        proptest::test_runner::RngAlgorithm::ChaCha,
+        &bytes,
+    );
+    let mut runner = TestRunner::new_with_rng(config, random);
+    let (events, played) = (AtomicU64::new(0), AtomicU64::new(0));
+    let result = runner.run(&runs(), |run| {
+        let outcome = play(&run);
+        events.fetch_add(outcome.events, Ordering::Relaxed);
+        played.fetch_add(1, Ordering::Relaxed);
+        let Some(first) = outcome.violations.first().cloned() else {
+            return Ok(());
+        };
+        Err(TestCaseError::fail(first))
+    });
+    let broken = match result {
+        Err(TestError::Fail(_, run)) => {
+            let violations = play(&run).violations;
+            Some((run, violations))
+        }
+        Err(TestError::Abort(_)) | Ok(()) => None,
+    };
+    Found {
+        broken,
+        events: events.into_inner(),
+        runs: played.into_inner(),
+    }
+}
