Calls behind a failure are short and soon, where missing entries are believed from the first answer on

Cause: the time of a call and the pause behind it add up to what an instance knows late of the store's return. Ruled out: longer calls behind silence.

--- a/crates/core/src/absence.rs
+++ b/crates/core/src/absence.rs
@@ -147,6 +147,10 @@
     /// The span of an absence that ends now with one that ended so shortly before that upstreams may have written
     /// nothing in between, if entries may have gone in both together.
     fn merged(&mut self, failed: Time, now: Time) -> Option<Span> {
+        if now.since(failed) < line::PATIENCE_MS {
+            // A call of the absence before was noticed late.
+            return None;
+        }
         let before = self
             .failing
             .filter(|before| failed.since(before.to) < self.heartbeat_ms);
--- a/crates/core/src/line.rs
+++ b/crates/core/src/line.rs
@@ -14,10 +14,13 @@
 /// calls are paid for in full, also those that cost a tenth when they are answered.
 const RETRY_MS: RangeInclusive<u64> = 250..=1_000;
 
-/// The longest such pause where entries that are missing are believed for a while from the first answer on, in
-/// milliseconds: with a call that hangs it makes less than a second, so that with the two seconds of belief an
-/// instance knows what the store says within the three in which it is back in touch.
-const RETRY_SOON_MS: u64 = 250;
+/// Time and pause of a call behind a failure where entries that are missing are believed for a while from the first
+/// answer on, in milliseconds: together less than a second, so that with the two seconds of belief an instance knows
+/// what the store says within the three in which it is back in touch.
+const SOON_MS: (u64, u64) = (700, 50);
+
+/// Failures in a row behind which such a call has as much time as others: a store may be slower for long.
+const SOON: u32 = 16;
 
 /// The longest such pause of an instance that can not serve anybody before it has read, in milliseconds.
 const RETRY_AT_START_MS: u64 = 100;
@@ -59,8 +62,10 @@
     /// Time in which the next answer must begin, in milliseconds.
     pub patience_ms: u64,
     pause_ms: u64,
-    /// The longest pause after a failure, in milliseconds.
-    pause_most_ms: u64,
+    /// Failures in a row.
+    failures: u32,
+    /// Whether calls are made again soon behind a failure.
+    hurried: bool,
     /// Time before which the store is not asked, since changes gather.
     pub(crate) ready: Time,
     /// Revision up to which all is known; `None` before it was read.
@@ -76,7 +81,8 @@
             out: None,
             patience_ms: PATIENCE_MS,
             pause_ms: 0,
-            pause_most_ms: *RETRY_MS.end(),
+            failures: 0,
+            hurried: false,
             ready: Time::default(),
             revision: None,
         }
@@ -87,7 +93,7 @@
     /// Calls that are made again soon behind a failure.
     pub(crate) fn hurried() -> Self {
         Self {
-            pause_most_ms: RETRY_SOON_MS,
+            hurried: true,
             ..Self::default()
         }
     }
@@ -96,6 +102,7 @@
     pub fn answer(&mut self) {
         self.answered = true;
         self.failed = None;
+        self.failures = 0;
         self.out = None;
         self.patience_ms = PATIENCE_MS;
         self.pause_ms = 0;
@@ -108,20 +115,30 @@
             .answered()
             .map(since)
             .is_some_and(|since| since < BACK_MS);
-        let doubled = (self.pause_ms * 2).clamp(*RETRY_MS.start(), self.pause_most_ms);
+        let doubled = (self.pause_ms * 2).clamp(*RETRY_MS.start(), *RETRY_MS.end());
         let pause = if is_back { *RETRY_MS.start() } else { doubled };
         self.pause_ms = if urgent {
             pause.min(RETRY_AT_START_MS)
         } else {
             pause
         };
-        // A call that fails while others are answered may be slow; behind silence more time only finds the return later.
         let most = match absence.answered() {
-            Some(_) if is_back => bound.call_ms().max(PATIENCE_MS),
-            Some(_) => PATIENCE_MS,
+            Some(_) => bound.call_ms().max(PATIENCE_MS),
             None => PATIENCE_MOST_MS,
         };
         self.patience_ms = (self.patience_ms * 2).min(most);
+        self.failures += 1;
+        if self.hurried && absence.answered().is_some() && self.failures < SOON {
+            let (patience, pause) = SOON_MS;
+            self.patience_ms = patience;
+            // One that is refused at once is not asked twenty times a second.
+            let took = self.out.map_or(0, |out| now.since(out.began));
+            self.pause_ms = if took < PATIENCE_MS {
+                *RETRY_MS.start()
+            } else {
+                pause
+            };
+        }
         self.answered = false;
         self.failed = Some(now);
         self.out = None;
