--- a/crates/standin/src/arguments.rs
+++ b/crates/standin/src/arguments.rs
@@ -245,10 +245,17 @@
 
 /// Runs fleets that learn from a store, on all cores.
 fn random_store(seed: u64, cases: u64) -> ExitCode {
+    let small = search_store(seed, cases, "small", scenario::SMALL);
+    let large = search_store(seed, cases, "large", scenario::LARGE);
+    exit(small + large == 0)
+}
+
+/// Runs fleets of some sizes; how many searches found a run that breaks a rule.
+fn search_store(seed: u64, cases: u64, name: &str, sizes: &'static [usize]) -> usize {
     let cores = std::thread::available_parallelism().map_or(1, usize::from) as u64;
     let each = cases.div_ceil(cores) as u32;
-    let searches: Vec<_> = (0..cores)
-        .map(|core| std::thread::spawn(move || scenario::search(seed + core, each)))
+    let searches: Vec<_> = (seed..seed + cores)
+        .map(|seed| std::thread::spawn(move || scenario::search(seed, each, sizes)))
         .collect();
     let (mut events, mut runs, mut broken) = (0, 0, 0);
     for search in searches {
@@ -260,8 +267,10 @@
             eprintln!("{run:#?}\n{violations:#?}");
         }
     }
-    println!("{runs} runs, {events} events, {broken} searches found a run that breaks a rule");
-    exit(broken == 0)
+    println!(
+        "{name} fleets: {runs} runs, {events} events, {broken} searches found a run that breaks a rule"
+    );
+    broken
 }
 
 /// Runs randomised cases of relayed requests; how many are broken.
--- a/crates/standin/src/scenario.rs
+++ b/crates/standin/src/scenario.rs
@@ -18,8 +18,11 @@
 /// Steps of a run, at most.
 const STEPS: usize = 14;
 
-/// Numbers of instances: alone, the users' smaller fleets, just above the size from which on a few watch, and more.
-const INSTANCES: [usize; 5] = [1, 2, 6, 14, 24];
+/// Numbers of instances of fleets in which each watches the store: alone, a pair, the users' smaller sites.
+pub const SMALL: &[usize] = &[1, 2, 6];
+
+/// Numbers of instances of fleets in which a few watch for the others: just above the size, and more.
+pub const LARGE: &[usize] = &[14, 24];
 
 /// Bounds of the rules in milliseconds, as on the users' sites.
 const LEAVE_MS: [u64; 3] = [2_000, 3_000, 4_000];
@@ -68,10 +71,10 @@
     ]
 }
 
-/// A run.
-pub fn runs() -> impl Strategy<Value = Run> {
+/// Runs of fleets with such numbers of instances.
+pub fn runs(sizes: &'static [usize]) -> impl Strategy<Value = Run> {
     let steps = proptest::collection::vec((500..STEPS_MS, act()), 1..STEPS);
-    let instances = proptest::sample::select(INSTANCES.to_vec());
+    let instances = proptest::sample::select(sizes);
     let leave_ms = proptest::sample::select(LEAVE_MS.to_vec());
     (
         instances,
@@ -116,7 +119,7 @@
 }
 
 /// Plays random runs until some number of them, or one that breaks a rule, which is made as short as can be.
-pub fn search(seed: u64, runs_most: u32) -> Found {
+pub fn search(seed: u64, runs_most: u32, sizes: &'static [usize]) -> Found {
     let config = Config {
         cases: runs_most,
         failure_persistence: None,
@@ -131,7 +134,7 @@
     );
     let mut runner = TestRunner::new_with_rng(config, random);
     let (events, played) = (AtomicU64::new(0), AtomicU64::new(0));
-    let result = runner.run(&runs(), |run| {
+    let result = runner.run(&runs(sizes), |run| {
         let outcome = play(&run);
         events.fetch_add(outcome.events, Ordering::Relaxed);
         played.fetch_add(1, Ordering::Relaxed);
--- /dev/null
+++ b/crates/standin/tests/learning.rs
@@ -0,0 +1,104 @@
+//! Fleets that learn from a store that fails, in virtual time.
+
+use {
+    googletest::prelude::*,
+    wellplank_standin::{
+        learning::{Act, Failing, Run},
+        observer::Rules,
+        scenario::{self, LARGE, SMALL},
+    },
+};
+
+/// Runs of the short search in every check.
+const RUNS: u32 = 150;
+
+/// A fleet with so many instances in so many data centres, and upstreams.
+fn fleet(counts: (usize, usize, usize), leave_ms: u64, seed: u64, steps: &[(u64, Act)]) -> Run {
+    let (instances, data_centres, upstreams) = counts;
+    Run {
+        data_centres,
+        instances,
+        rules: Rules {
+            apply_ms: leave_ms,
+            calm_ms: 3_000,
+            leave_ms,
+        },
+        seed,
+        steps: steps.to_vec(),
+        traffic: seed % 2 == 1,
+        upstreams,
+    }
+}
+
+fn violations(run: &Run) -> Vec<String> {
+    scenario::play(run).violations
+}
+
+#[gtest]
+fn random_small_fleets_break_no_rule() {
+    let found = scenario::search(1, RUNS, SMALL);
+    expect_that!(found.broken, none());
+    expect_that!(found.runs, eq(u64::from(RUNS)));
+}
+
+#[gtest]
+fn random_large_fleets_break_no_rule() {
+    expect_that!(scenario::search(100, 1_000, LARGE).broken, none());
+}
+
+#[gtest]
+fn two_short_absences_that_upstreams_missed_writes_in_give_up_nobody() {
+    let steps = [
+        (6_058, Act::Away(Failing::Busy, 2_233, true)),
+        (8_480, Act::Away(Failing::Busy, 1_919, true)),
+    ];
+    let run = fleet((1, 1, 3), 2_000, 928_819_753_542_041_111, &steps);
+    expect_that!(violations(&run), is_empty());
+}
+
+#[gtest]
+fn followers_that_made_no_call_in_an_absence_give_up_nobody() {
+    let steps = [(5_000, Act::Away(Failing::Silent, 2_998, true))];
+    expect_that!(violations(&fleet((14, 1, 2), 2_000, 0, &steps)), is_empty());
+}
+
+#[gtest]
+fn entries_are_not_given_up_while_the_store_is_away_again() {
+    let steps = [
+        (16_631, Act::Away(Failing::Busy, 3_294, true)),
+        (20_427, Act::Away(Failing::Silent, 2_700, false)),
+    ];
+    expect_that!(
+        violations(&fleet((6, 1, 4), 2_000, 180_726_572, &steps)),
+        is_empty()
+    );
+}
+
+#[gtest]
+fn call_that_is_out_in_an_absence_is_not_dropped_since_others_know_more() {
+    let steps = [
+        (703, Act::Away(Failing::Silent, 6_906, false)),
+        (2_204, Act::Leave(4)),
+        (11_779, Act::Away(Failing::Silent, 3_348, true)),
+    ];
+    let run = fleet((24, 3, 4), 4_000, 14_998_676_746_457_929_515, &steps);
+    expect_that!(violations(&run), is_empty());
+}
+
+#[gtest]
+fn absence_of_one_instance_is_not_taken_over_by_those_that_were_served() {
+    let steps = [
+        (5_962, Act::Refuse(3, Failing::Busy, 2_551)),
+        (9_104, Act::Away(Failing::Silent, 5_071, true)),
+    ];
+    expect_that!(violations(&fleet((14, 1, 2), 4_000, 0, &steps)), is_empty());
+}
+
+#[gtest]
+fn busy_store_is_not_asked_in_a_storm_by_instances_that_start() {
+    let steps = [
+        (14_314, Act::KillAll(2_683)),
+        (18_423, Act::Refuse(1, Failing::Busy, 1_500)),
+    ];
+    expect_that!(violations(&fleet((1, 1, 2), 2_000, 0, &steps)), is_empty());
+}
