--- a/crates/core/src/informer.rs
+++ b/crates/core/src/informer.rs
@@ -6,6 +6,7 @@
 //! misses a change, asks the store itself. All times are derived from the bound or bounded by it.
 
 use super::*;
+use lesson::{Age, Answer, Call, Content, Heard, Input, Known, Output, Topic, Why};
 
 /// Time that a watch of an instance that watches for itself waits for a change, in milliseconds. Longer means fewer
 /// calls; a watch that says nothing any more is noticed by what other calls and other instances show.
@@ -32,124 +33,6 @@
 /// a link of 10 Mbit/s for half a second, and the time in which it must be in force is short.
 const LARGE: usize = 64 << 10;
 
-/// What is learned from the store.
-#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
-pub enum Topic {
-    /// The configuration.
-    Configuration,
-    /// The list of upstreams.
-    Upstreams,
-}
-
-/// How old what a call brings may be.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Age {
-    /// It is the newest.
-    Newest,
-    /// It may be seconds old; such a read costs a tenth.
-    Seconds,
-}
-
-/// A call of the store.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct Call {
-    /// How old the answer may be.
-    pub age: Age,
-    /// Whether the call before it failed.
-    pub again: bool,
-    /// Its number.
-    pub id: u64,
-    /// Time in which the answer must begin behind the wait, in milliseconds.
-    pub patience_ms: u64,
-    /// Revision behind which changes are asked for; `None` for all.
-    pub since: Option<u64>,
-    /// What is asked for.
-    pub topic: Topic,
-    /// Time for which the store waits for a change, in milliseconds.
-    pub wait_ms: u64,
-}
-
-/// What an answer brings.
-#[derive(Clone, Debug)]
-pub enum Content {
-    /// The newest configuration, if it is among what was asked for and can be read.
-    Configuration {
-        /// Its size.
-        bytes: usize,
-        /// What it says.
-        config: Option<Arc<Config>>,
-    },
-    /// Upstreams, or their changes, in the order of their revisions.
-    Upstreams(Vec<Change>),
-}
-
-/// How the store answered.
-#[derive(Clone, Debug)]
-pub enum Answer {
-    /// With all, or all changes, up to a revision.
-    Known(Content, u64),
-    /// It has forgotten what changed since.
-    Forgotten,
-}
-
-/// What another instance let this one know.
-#[derive(Clone, Debug, Default)]
-pub struct Heard {
-    /// Revision of the configuration in force there.
-    pub configuration: Option<u64>,
-    /// Revision of the last change of the list that is known there.
-    pub list: u64,
-    /// Changes that one that watches for the data centre tells.
-    pub word: Option<Word>,
-}
-
-/// What happens to an informer.
-#[derive(Clone, Debug)]
-pub enum Input {
-    /// A call was answered.
-    Answered(u64, Answer),
-    /// A call failed or was refused.
-    Failed(u64),
-    /// Another instance let this one know something.
-    Heard(Heard),
-    /// What it does for its data centre.
-    Role(Role),
-    /// Time has passed, or another call of the store has ended.
-    Tick,
-}
-
-/// Why a call is ended.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Why {
-    /// Other instances know more.
-    Behind,
-    /// It waits for a change, and an entry has been missing for long enough.
-    Lapse,
-    /// The store answers other calls again, and not this one.
-    Overtaken,
-    /// The instance does something else for its data centre.
-    Role,
-}
-
-/// What an informer wants done.
-#[derive(Clone, Debug)]
-pub enum Output {
-    /// A call is to be made.
-    Ask(Call),
-    /// A configuration is in force.
-    Configuration(Arc<Config>),
-    /// A call is to be ended; nothing it brings counts.
-    Drop(Call, Why),
-    /// An upstream whose entry is missing is believed for so many milliseconds, since the store was away.
-    Lapsing(String, u64),
-    /// The others of the data centre are to be told changes of the list.
-    Tell(Word),
-    /// They are to be told that another configuration is in force.
-    TellConfiguration,
-    /// The upstreams as they are believed now.
-    Upstreams(Vec<Listed>),
-}
-
 /// What an instance believes of the store.
 #[derive(Debug)]
 pub struct Informer {
@@ -188,15 +71,6 @@
     word: Time,
 }
 
-/// What an instance knows of the store, by its revisions.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-pub struct Known {
-    /// Revision of the configuration in force; `None` before there is one.
-    pub configuration: Option<u64>,
-    /// Revision of the last change of the list of upstreams.
-    pub list: u64,
-}
-
 impl Informer {
     /// An informer that knows nothing yet. What the store says must be known within `bound`, and a leaving upstream
     /// must get no more work within `leave_ms`.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod informer;
 pub mod invariant;
 pub mod kind;
+pub mod lesson;
 pub mod line;
 pub mod queue;
 pub mod request;
@@ -60,9 +61,9 @@
     effect::Effect,
     event::{Event, Failure, Listed, Piece},
     gauge::{Gauge, Pace},
-    informer::Why,
     invariant::Invariant,
     kind::Kind,
+    lesson::Why,
     line::Line,
     queue::Queue,
     rand::{RngExt, SeedableRng, seq::SliceRandom},
--- a/crates/node/src/gossip.rs
+++ b/crates/node/src/gossip.rs
@@ -7,7 +7,7 @@
 use wellplank_core::{
     demand::{Demand, Ended},
     gauge::Pace,
-    informer::{Heard, Known},
+    lesson::{Heard, Known},
     roster::{self, Entry, Word},
 };
 
--- a/crates/node/src/keeper.rs
+++ b/crates/node/src/keeper.rs
@@ -140,7 +140,7 @@
             let read = self.client.items(
                 STREAMS,
                 link.patience(),
-                wellplank_core::informer::Age::Seconds,
+                wellplank_core::lesson::Age::Seconds,
             );
             match read.await {
                 Ok((items, _)) => break items,
--- a/crates/node/src/learner.rs
+++ b/crates/node/src/learner.rs
@@ -7,7 +7,8 @@
 use platform::store::{Change, Item};
 use tokio::task::AbortHandle;
 use wellplank_core::{
-    informer::{Answer, Call, Content, Heard, Informer, Input, Known, Output, Topic, Why},
+    informer::Informer,
+    lesson::{Answer, Call, Content, Heard, Input, Known, Output, Topic, Why},
     role::Bound,
     roster::{self, Entry},
 };
--- a/crates/node/src/members.rs
+++ b/crates/node/src/members.rs
@@ -2,7 +2,7 @@
 //! of them does for the others.
 
 use super::*;
-use wellplank_core::{informer::Age, role::Role};
+use wellplank_core::{lesson::Age, role::Role};
 
 /// Start of the keys under which instances enter themselves.
 pub(crate) const PREFIX: &str = "wellplank/instances/";
--- a/crates/standin/src/learning.rs
+++ b/crates/standin/src/learning.rs
@@ -5,11 +5,13 @@
 use observer::{Observer, Rules};
 use registry::Registry;
 use std::{cmp::Reverse, collections::BinaryHeap};
+use trial::{Act, Failing, Outcome, Run};
 use wellplank_core::{
     absence::Absence,
     clock::Time,
     event::Listed,
-    informer::{Answer, Call, Heard, Informer, Input, Output},
+    informer::Informer,
+    lesson::{Answer, Call, Heard, Input, Output},
     role::Bound,
 };
 use wellplank_node::members::{Member, Members, Own};
@@ -64,81 +66,6 @@
 /// Others that are let know at once.
 const GOSSIP: usize = 6;
 
-/// How the store fails.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Failing {
-    /// It refuses calls and cuts those that wait.
-    Busy,
-    /// It takes calls and never answers them.
-    Silent,
-}
-
-/// What happens in a run. Numbers of instances and upstreams count anew from the first behind the last.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub enum Act {
-    /// The store fails for some time for all; leases run out meanwhile or wait.
-    Away(Failing, u64, bool),
-    /// The configuration changes.
-    Configure,
-    /// An upstream crashes.
-    Crash(usize),
-    /// All reads that wait for a change are cut.
-    CutWatches,
-    /// An upstream ends its entry without having said that it leaves.
-    Depart(usize),
-    /// An upstream enters itself.
-    Enter,
-    /// The store forgets its history.
-    Forget,
-    /// An instance stands still for some time.
-    Freeze(usize, u64),
-    /// An instance is cut off from all for some time.
-    Isolate(usize, u64),
-    /// An instance is killed and starts again after some time.
-    Kill(usize, u64),
-    /// All instances are killed and start again after some time.
-    KillAll(u64),
-    /// An upstream says that it leaves.
-    Leave(usize),
-    /// A part of all datagrams, in percent, is lost for some time.
-    LoseDatagrams(u64, u64),
-    /// The store fails for some time for each so manieth instance, and serves the others.
-    Refuse(usize, Failing, u64),
-    /// The store takes so many times as long for some time.
-    Slow(u64, u64),
-}
-
-/// A run.
-#[derive(Clone, Debug)]
-pub struct Run {
-    /// Data centres.
-    pub data_centres: usize,
-    /// Instances.
-    pub instances: usize,
-    /// Bounds of the rules.
-    pub rules: Rules,
-    /// Seed of all chance.
-    pub seed: u64,
-    /// What happens, and when, in milliseconds from the begin.
-    pub steps: Vec<(u64, Act)>,
-    /// Whether instances let others know of what they know though the list does not change, as they do while they
-    /// relay streams.
-    pub traffic: bool,
-    /// Upstreams at the begin.
-    pub upstreams: usize,
-}
-
-/// What came of a run.
-#[derive(Clone, Debug)]
-pub struct Outcome {
-    /// Calls of the store.
-    pub calls: u64,
-    /// Events.
-    pub events: u64,
-    /// What must hold and did not.
-    pub violations: Vec<String>,
-}
-
 /// An instance.
 struct Node {
     absence: Absence,
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -37,6 +37,7 @@
 pub mod surge;
 pub mod timeline;
 pub mod token;
+pub mod trial;
 pub mod worker;
 pub mod world;
 
--- a/crates/standin/src/registry.rs
+++ b/crates/standin/src/registry.rs
@@ -6,7 +6,7 @@
     clock::Time,
     config::Config,
     event::Listed,
-    informer::{Age, Answer, Call, Content, Topic},
+    lesson::{Age, Answer, Call, Content, Topic},
     roster::{Change, Entry},
 };
 
--- a/crates/standin/src/scenario.rs
+++ b/crates/standin/src/scenario.rs
@@ -1,13 +1,13 @@
 //! Randomised runs of fleets that learn from the store, and the shortest run that breaks a rule.
 
 use super::*;
-use learning::{Act, Failing, Outcome, Run};
 use observer::Rules;
 use proptest::{
     prelude::*,
     test_runner::{Config, TestError, TestRunner},
 };
 use std::sync::atomic::{AtomicU64, Ordering};
+use trial::{Act, Failing, Outcome, Run};
 
 /// Time that a run goes on behind its last step, in milliseconds: a watch that hangs is noticed in it.
 const BEHIND_MS: u64 = 16_000;
--- a/crates/standin/tests/learning.rs
+++ b/crates/standin/tests/learning.rs
@@ -3,9 +3,9 @@
 use {
     googletest::prelude::*,
     wellplank_standin::{
-        learning::{Act, Failing, Run},
         observer::Rules,
         scenario::{self, LARGE, SMALL},
+        trial::{Act, Failing, Run},
     },
 };
 
