--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod absence;
 pub mod attempt;
+pub mod bound;
 pub mod budget;
 pub mod claim;
 pub mod clock;
@@ -49,6 +50,7 @@
     crate::core::{Core, Early},
     absence::{Absence, Span},
     attempt::Attempt,
+    bound::Bound,
     budget::Budget,
     claim::Claim,
     clock::Time,
@@ -69,7 +71,7 @@
     rand::{RngExt, SeedableRng, seq::SliceRandom},
     rand_pcg::Pcg64Mcg,
     request::{Request, State, Work},
-    role::{Bound, Role},
+    role::Role,
     roster::{Change, Roster, Word, Worth},
     settings::{Resume, Routing, Settings},
     sighting::Sighting,
--- a/crates/core/src/line.rs
+++ b/crates/core/src/line.rs
@@ -110,38 +110,53 @@
 
     /// Notes that the call that was out failed; `urgent` if nobody can be served before it is answered.
     pub fn fail(&mut self, urgent: bool, absence: &Absence, bound: Bound, now: Time) {
-        let since = |answered: Time| now.since(answered);
-        let is_back = absence
-            .answered()
-            .map(since)
-            .is_some_and(|since| since < BACK_MS);
-        let doubled = (self.pause_ms * 2).clamp(*RETRY_MS.start(), *RETRY_MS.end());
-        let pause = if is_back { *RETRY_MS.start() } else { doubled };
-        self.pause_ms = if urgent {
-            pause.min(RETRY_AT_START_MS)
-        } else {
-            pause
-        };
+        self.failures += 1;
+        self.pause_ms = self.pause(urgent, absence, now);
+        self.patience_ms = self.patience(absence, bound);
+        self.answered = false;
+        self.failed = Some(now);
+        self.out = None;
+    }
+
+    /// Whether it is short and soon, as behind a failure of a store that has answered before.
+    fn hurries(&self, absence: &Absence) -> bool {
+        self.hurried && absence.answered().is_some() && self.failures < SOON
+    }
+
+    /// Time that the next call has behind a failure, in milliseconds.
+    fn patience(&self, absence: &Absence, bound: Bound) -> u64 {
+        if self.hurries(absence) {
+            return SOON_MS.0;
+        }
         let most = match absence.answered() {
             Some(_) => bound.call_ms().max(PATIENCE_MS),
             None => PATIENCE_MOST_MS,
         };
-        self.patience_ms = (self.patience_ms * 2).min(most);
-        self.failures += 1;
-        if self.hurried && absence.answered().is_some() && self.failures < SOON {
-            let (patience, pause) = SOON_MS;
-            self.patience_ms = patience;
+        (self.patience_ms * 2).min(most)
+    }
+
+    /// Pause behind a failure, in milliseconds.
+    fn pause(&self, urgent: bool, absence: &Absence, now: Time) -> u64 {
+        if self.hurries(absence) {
             // One that is refused at once is not asked twenty times a second.
             let took = self.out.map_or(0, |out| now.since(out.began));
-            self.pause_ms = if took < PATIENCE_MS {
+            return if took < PATIENCE_MS {
                 *RETRY_MS.start()
             } else {
-                pause
+                SOON_MS.1
             };
         }
-        self.answered = false;
-        self.failed = Some(now);
-        self.out = None;
+        let is_back = |answered: Time| now.since(answered) < BACK_MS;
+        let pause = if absence.answered().is_some_and(is_back) {
+            *RETRY_MS.start()
+        } else {
+            (self.pause_ms * 2).clamp(*RETRY_MS.start(), *RETRY_MS.end())
+        };
+        if urgent {
+            pause.min(RETRY_AT_START_MS)
+        } else {
+            pause
+        }
     }
 
     /// Whether the last call failed.
--- a/crates/node/src/feed.rs
+++ b/crates/node/src/feed.rs
@@ -2,7 +2,7 @@
 
 use super::*;
 use platform::store::{Call, Item, Page, Seen};
-use wellplank_core::{lesson::Age, line::Line, role::Bound};
+use wellplank_core::{bound::Bound, lesson::Age, line::Line};
 
 /// Time in which an answer that has begun must go on: as long as the kernel waits for a silent connection. However
 /// long a list is and however small the link, a piece of it comes sooner.
--- a/crates/node/src/hosted.rs
+++ b/crates/node/src/hosted.rs
@@ -3,7 +3,7 @@
 use super::*;
 use salvo::fuse::{FuseAction, FuseConfig, FuseInfo};
 use settings::Hosted;
-use wellplank_core::{lesson::Known, role::Bound};
+use wellplank_core::{bound::Bound, lesson::Known};
 
 /// Time between two looks at whether a stopping instance may leave.
 const LOOK: Duration = Duration::from_millis(50);
--- a/crates/node/src/learner.rs
+++ b/crates/node/src/learner.rs
@@ -7,9 +7,9 @@
 use platform::store::{Change, Item};
 use tokio::task::AbortHandle;
 use wellplank_core::{
+    bound::Bound,
     informer::Informer,
     lesson::{Answer, Call, Content, Heard, Input, Known, Output, Topic, Why},
-    role::Bound,
     roster::{self, Entry},
 };
 
--- a/crates/standin/src/learning.rs
+++ b/crates/standin/src/learning.rs
@@ -8,11 +8,11 @@
 use trial::{Act, Failing, Outcome, Run};
 use wellplank_core::{
     absence::Absence,
+    bound::Bound,
     clock::Time,
     event::Listed,
     informer::Informer,
     lesson::{Answer, Call, Heard, Input, Output},
-    role::Bound,
 };
 use wellplank_node::members::{Member, Members, Own};
 
