--- a/crates/core/src/line.rs
+++ b/crates/core/src/line.rs
@@ -182,9 +182,9 @@
         self.behind = behind.then(|| self.behind.unwrap_or(now));
     }
 
-    /// When the watch that is out, and waits for a change, is known to say nothing any more, and why: others know more, or the store has
-    /// answered other calls behind some that failed, and this one was taken in the silence. A silent store never
-    /// answers it; with 10 s of waiting, leaving upstreams got requests for 2.2 s more than allowed.
+    /// When the watch that is out, and waits for a change, is known to say nothing any more, and why: others know more,
+    /// or the store has answered other calls behind some that failed, and this one was taken in the silence. A silent
+    /// store never answers it; with 10 s of waiting, leaving upstreams got requests for 2.2 s more than allowed.
     pub(crate) fn hopeless(&self, absence: &Absence) -> Option<(Time, Why)> {
         let out = self.out.filter(|out| out.waits)?;
         let behind = self
--- a/crates/core/src/role.rs
+++ b/crates/core/src/role.rs
@@ -1,4 +1,4 @@
-//! What an instance does for the others of its data centre, and how fast these hear of changes.
+//! What an instance does for the others of its data centre.
 
 /// What an instance does for its data centre.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
--- a/crates/standin/src/learning.rs
+++ b/crates/standin/src/learning.rs
@@ -331,7 +331,7 @@
 
     /// A call reaches the store.
     fn arrive(&mut self, node: usize, life: u32, call: Call) {
-        if self.hold(node, life, call.id, |life| Event::Arrive(node, life, call)) {
+        if self.hold(node, life, call.id, Event::Arrive(node, life, call)) {
             return;
         }
         match self.failing(node) {
@@ -360,14 +360,14 @@
 
     /// Whether what is on its way between the store and an instance meets a cut: it comes behind a short one, and is
     /// lost with its connection in a longer one.
-    fn hold(&mut self, node: usize, life: u32, id: u64, event: impl FnOnce(u32) -> Event) -> bool {
+    fn hold(&mut self, node: usize, life: u32, id: u64, event: Event) -> bool {
         let until = self.nodes[node].isolated_until;
         let left = until.since(self.now);
         if left == 0 {
             return false;
         }
         if left < UNACKNOWLEDGED_MS {
-            self.at(until.after(HOP_MS), event(life));
+            self.at(until.after(HOP_MS), event);
         } else {
             self.later(UNACKNOWLEDGED_MS, Event::Broken(node, life, id));
         }
@@ -414,8 +414,8 @@
         if answer.is_some() && self.fell_silent() {
             return;
         }
-        let again = answer.clone();
-        if !self.hold(node, life, id, |life| Event::Deliver(node, life, id, again)) {
+        let again = Event::Deliver(node, life, id, answer.clone());
+        if !self.hold(node, life, id, again) {
             self.end(node, id, answer);
         }
     }
--- a/crates/standin/src/observer.rs
+++ b/crates/standin/src/observer.rs
@@ -14,6 +14,20 @@
     pub leave_ms: u64,
 }
 
+/// Calm that the rules of the users' sites ask for, in milliseconds.
+const CALM_MS: u64 = 3_000;
+
+impl Rules {
+    /// Rules with one bound for configurations and leaving upstreams, as on the users' sites.
+    pub fn within(bound_ms: u64) -> Self {
+        Self {
+            apply_ms: bound_ms,
+            calm_ms: CALM_MS,
+            leave_ms: bound_ms,
+        }
+    }
+}
+
 /// What an instance believes.
 #[derive(Clone, Debug, Default)]
 struct Belief {
--- a/crates/standin/src/scenario.rs
+++ b/crates/standin/src/scenario.rs
@@ -89,11 +89,7 @@
             |(instances, data_centres, upstreams, leave_ms, seed, traffic, steps)| Run {
                 data_centres,
                 instances,
-                rules: Rules {
-                    apply_ms: leave_ms,
-                    calm_ms: 3_000,
-                    leave_ms,
-                },
+                rules: Rules::within(leave_ms),
                 seed,
                 steps,
                 traffic,
--- a/crates/standin/tests/learning.rs
+++ b/crates/standin/tests/learning.rs
@@ -18,11 +18,7 @@
     Run {
         data_centres,
         instances,
-        rules: Rules {
-            apply_ms: leave_ms,
-            calm_ms: 3_000,
-            leave_ms,
-        },
+        rules: Rules::within(leave_ms),
         seed,
         steps: steps.to_vec(),
         traffic: seed % 2 == 1,
