The line of a sent request tells how old the list was that its choice rested on

Ruled out: a line for each look at the list, which would be many. Conclusion: list_age_ms beside left_ms.

--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -73,7 +73,7 @@
     fn knows_enough(&self, submission: &event::Submission) -> bool {
         let goes_on = |relay: &request::Relay| relay.position > 0;
         let goes_on = submission.work.relay().is_some_and(goes_on);
-        self.config.is_some() && self.listed && (self.recalled || !goes_on)
+        self.config.is_some() && self.listed.is_some() && (self.recalled || !goes_on)
     }
 
     /// All streams that were kept before the start are known.
--- a/crates/core/src/core.rs
+++ b/crates/core/src/core.rs
@@ -83,8 +83,8 @@
     /// How long callers of each service wait.
     pub(crate) patiences: HashMap<String, patience::Longest>,
     pub(crate) pools: BTreeMap<Arc<str>, Pool>,
-    /// Whether the list of upstreams was read since its start.
-    pub(crate) listed: bool,
+    /// When the store last showed the list of upstreams; `None` before it was read.
+    pub(crate) listed: Option<Time>,
     /// Whether the streams that were kept before its start are known.
     pub(crate) recalled: bool,
     pub(crate) reclaims: Vec<(Time, request::Key)>,
@@ -187,7 +187,7 @@
             held: 0,
             identity: seed,
             instances: 1,
-            listed: false,
+            listed: None,
             names: HashMap::new(),
             now,
             patiences: HashMap::new(),
--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -272,6 +272,7 @@
             backup: backup.map(|upstream| upstream.name.clone()),
             copy: attempt.copy.as_ref().map(|copy| copy.run.clone()),
             left_ms: self.requests[attempt.request].deadline.since(self.now),
+            list_age_ms: self.listed.map_or(0, |listed| self.now.since(listed)),
         }
     }
 
--- a/crates/core/src/effect.rs
+++ b/crates/core/src/effect.rs
@@ -93,6 +93,8 @@
         copy: Option<Arc<str>>,
         /// Time left, in milliseconds.
         left_ms: u64,
+        /// Age of the list of upstreams that the choice rests on, in milliseconds.
+        list_age_ms: u64,
     },
 }
 
--- a/crates/core/src/watch.rs
+++ b/crates/core/src/watch.rs
@@ -94,7 +94,7 @@
             }
         }
         self.choose_subsets();
-        self.listed = true;
+        self.listed = Some(asked);
         self.submit_early();
         self.pump_all();
     }
--- a/crates/node/src/note.rs
+++ b/crates/node/src/note.rs
@@ -40,11 +40,12 @@
             backup,
             copy,
             left_ms,
+            list_age_ms,
         } => {
             let backup = backup.as_deref().unwrap_or_default();
             let copy = copy.as_deref().unwrap_or_default();
-            let left_ms = *left_ms;
-            info!(request, customer, service, model, upstream, position, backup, copy, left_ms; "sent");
+            let (left_ms, list_age_ms) = (*left_ms, *list_age_ms);
+            info!(request, customer, service, model, upstream, position, backup, copy, left_ms, list_age_ms; "sent");
         }
     }
 }
--- a/crates/standin/tests/logs.rs
+++ b/crates/standin/tests/logs.rs
@@ -161,6 +161,7 @@
         let ask = Ask::stream("name-1");
         let response = ask.open(test.callers()).await;
         let sent = test.line("sent", Some("name-1")).await;
+        expect_that!(sent["list_age_ms"].as_u64(), some(lt(12_000)));
         sleep(Duration::from_millis(100)).await;
         let upstream = sent["upstream"].as_str().unwrap();
         let mut engines = test.site.engines.iter();
