Failing test: an upstream leaves while the waiting calls of all instances are silent

Cause: connections that go silent while something between the ends goes on acknowledging: no keep-alive probe and no unacknowledged byte ends the calls that wait on them. Ruled out: late sending (sent and arrived within a millisecond) and a word undone (no instance wrote leaving before its last late request).

--- a/crates/standin/src/arguments.rs
+++ b/crates/standin/src/arguments.rs
@@ -35,7 +35,13 @@
                     "10",
                 ))
                 .arg(number("instances", "Instances, each a process", "4"))
-                .arg(number("engines", "Upstreams that stream", "6")),
+                .arg(number("engines", "Upstreams that stream", "6"))
+                .arg(
+                    Arg::new("leaving")
+                        .action(clap::ArgAction::SetTrue)
+                        .help("Have upstreams leave behind series of faults")
+                        .long("leaving"),
+                ),
         )
         .subcommand(
             Command::new("engine")
@@ -172,7 +178,11 @@
             lasts: Duration::from_secs(number("seconds")),
             seed,
         };
-        let outcome = soak::run(plan).await;
+        let outcome = if arguments.get_flag("leaving") {
+            leaving::run(plan).await
+        } else {
+            soak::run(plan).await
+        };
         let (faults, requests, whole) = (outcome.faults, outcome.requests, outcome.whole);
         println!("seed {seed}: {faults} faults, {requests} requests, {whole} whole");
         for violation in &outcome.violations {
--- /dev/null
+++ b/crates/standin/src/leaving.rs
@@ -0,0 +1,324 @@
+//! A soak with upstreams that leave behind and during faults of the paths to the store, of the store, of instances and
+//! of links, as real processes meet them.
+//!
+//! Faults come in series; then everything is well for a while, and upstreams leave then and before, with a word
+//! or without one, and serve on for long. What reached them, and when, is held against the rule on leaving upstreams.
+
+use super::*;
+use departure::{Arrival, Record, Rule, Scope};
+use proxy::{Hushed, Mode as Way};
+use soak::{Outcome, Plan, Soak};
+use wellplank_core::{absence::Span, clock::Time};
+
+/// Pause of a caller between two requests.
+const REST: Duration = Duration::from_millis(30);
+
+/// Callers of each instance.
+const CALLERS: usize = 3;
+
+/// Faults in one series, at most.
+const SERIES: usize = 3;
+
+/// Time between two looks at what is due.
+const STEP: Duration = Duration::from_millis(20);
+
+/// Time for which an upstream serves on behind the bound, at most, in milliseconds.
+const SERVES_ON_MS: u64 = 6_000;
+
+/// Time that a fault lasts, in milliseconds.
+const LASTS_MS: std::ops::Range<u64> = 50..4_000;
+
+/// Time between two series of faults, in milliseconds.
+const CALM_MS: std::ops::Range<u64> = 5_000..9_000;
+
+/// Time from a series of faults up to which upstreams leave, in milliseconds.
+const LEAVES_MS: std::ops::Range<u64> = 0..5_000;
+
+/// Upstreams that leave behind one series, at most.
+const LEAVES: usize = 3;
+
+/// Bounds of the rule, as the instances' settings and the users' sites have them.
+const RULE: Rule = Rule {
+    calm_ms: 3_000,
+    leave_ms: 2_000,
+};
+
+/// Something that is due at a time.
+#[derive(Clone, Copy, Debug)]
+enum Due {
+    /// A fault ends.
+    Heal(Fault),
+    /// An upstream leaves; with a word or without one.
+    Leave(bool),
+    /// An upstream that left ends, and another takes its place.
+    Replace(usize),
+}
+
+/// A fault that lasts.
+#[derive(Clone, Copy, Debug)]
+enum Fault {
+    /// The links to an upstream.
+    Link(usize),
+    /// An instance stands still, or is gone.
+    Instance(usize),
+    /// The path of an instance to the store.
+    Path(usize),
+    /// The store.
+    Store,
+}
+
+struct Leaving {
+    begun: Instant,
+    due: Vec<(Time, Due)>,
+    faults: usize,
+    /// Which upstreams leave.
+    left: BTreeSet<usize>,
+    record: Record,
+    soak: Soak,
+}
+
+/// Runs one soak in which upstreams leave.
+pub async fn run(plan: Plan) -> Outcome {
+    let mut leaving = Leaving {
+        begun: Instant::now(),
+        due: Vec::new(),
+        faults: 0,
+        left: BTreeSet::new(),
+        record: Record::new(RULE),
+        soak: Soak::start(plan),
+    };
+    sleep(Duration::from_secs(3)).await;
+    let callers = leaving.soak.call(plan.instances * CALLERS, REST);
+    sleep(Duration::from_secs(1)).await;
+    while leaving.begun.elapsed() < plan.lasts {
+        leaving.cause_series().await;
+        let calm = leaving.soak.random.random_range(CALM_MS);
+        leaving.wait(calm).await;
+    }
+    leaving.wait(LASTS_MS.end).await;
+    leaving.soak.heal();
+    leaving.check();
+    let faults = leaving.faults;
+    leaving.soak.end(callers, faults).await
+}
+
+impl Leaving {
+    fn now(&self) -> Time {
+        Time(self.begun.elapsed().as_millis() as u64)
+    }
+
+    /// Causes some faults that overlap, and has upstreams leave in and behind them.
+    async fn cause_series(&mut self) {
+        for _ in 0..self.soak.random.random_range(1..=SERIES) {
+            self.cause();
+            self.faults += 1;
+            let pause = self.soak.random.random_range(20..800);
+            self.wait(pause).await;
+        }
+        for _ in 0..self.soak.random.random_range(1..=LEAVES) {
+            let at = self.now().after(self.soak.random.random_range(LEAVES_MS));
+            let word = self.soak.random.random_range(0..3) > 0;
+            self.due.push((at, Due::Leave(word)));
+        }
+    }
+
+    /// Lets some time pass, and does what is due in it.
+    async fn wait(&mut self, millis: u64) {
+        let end = self.now().after(millis);
+        while self.now() < end {
+            let now = self.now();
+            let due: Vec<Due> = self
+                .due
+                .extract_if(.., |(at, _)| *at <= now)
+                .map(|(_, due)| due)
+                .collect();
+            for due in due {
+                self.happen(due);
+            }
+            sleep(STEP).await;
+        }
+    }
+
+    fn happen(&mut self, due: Due) {
+        match due {
+            Due::Heal(fault) => self.heal(fault),
+            Due::Leave(word) => self.leave(word),
+            Due::Replace(seat) => {
+                self.left.remove(&seat);
+                self.soak.revive(seat);
+            }
+        }
+    }
+
+    /// Writes a line of what is done into the folder of the logs.
+    fn write(&self, what: &str) {
+        let line = json!({ "at_ms": self.now().0, "time_ms": unix_ms(), "what": what });
+        self.soak.write("faults.log", &line.to_string());
+    }
+
+    fn cause(&mut self) {
+        let random = &mut self.soak.random;
+        let instances = self.soak.instances.len();
+        let instance = random.random_range(0..instances);
+        let seat = random.random_range(0..self.soak.seats.len());
+        let lasts = random.random_range(LASTS_MS);
+        let way = Way::ALL[random.random_range(0..Way::ALL.len())];
+        let which = if random.random() {
+            Hushed::All
+        } else {
+            Hushed::Waiting
+        };
+        match random.random_range(0..16) {
+            0..4 => (0..instances).for_each(|instance| self.hush(instance, which)),
+            4..6 => self.hush(instance, which),
+            6..8 => {
+                self.soak.stores[instance].set(way);
+                self.last(Fault::Path(instance), lasts);
+            }
+            8 => {
+                for instance in (0..instances).filter(|other| other % 2 == instance % 2) {
+                    self.soak.stores[instance].set(way);
+                    self.last(Fault::Path(instance), lasts);
+                }
+            }
+            9 => {
+                self.soak.shelf.away(true);
+                self.last(Fault::Store, lasts);
+            }
+            10 => {
+                self.soak.shelf.silent(true);
+                self.last(Fault::Store, lasts);
+            }
+            11 => self.soak.shelf.forget(),
+            12 => {
+                self.soak.instances[instance].signal("-STOP");
+                self.last(Fault::Instance(instance), lasts);
+            }
+            13 => {
+                self.soak.instances[instance].kill();
+                self.last(Fault::Instance(instance), lasts);
+            }
+            14 => {
+                self.soak.seats[seat].proxy.set(way);
+                self.last(Fault::Link(seat), lasts);
+            }
+            _ => self.soak.configure(),
+        }
+    }
+
+    /// Has open connections of an instance to the store say nothing further. That disturbs it for a moment.
+    fn hush(&mut self, instance: usize, which: Hushed) {
+        self.write(&format!(
+            "the store's connections {which:?} of instance-{instance} go silent"
+        ));
+        self.soak.stores[instance].hush(which);
+        let (from, to) = (self.now(), self.now());
+        self.record
+            .disturb(Scope::Instance(instance), Span { from, to });
+    }
+
+    /// Has a fault last for some time.
+    fn last(&mut self, fault: Fault, millis: u64) {
+        self.write(&format!("{fault:?} for {millis} ms"));
+        let from = self.now();
+        let to = from.after(millis);
+        let scope = match fault {
+            Fault::Instance(instance) | Fault::Path(instance) => Scope::Instance(instance),
+            Fault::Link(seat) => Scope::Link(seat),
+            Fault::Store => Scope::Store,
+        };
+        // What is healed a step late is disturbed until then.
+        let to_late = to.after(2 * STEP.as_millis() as u64);
+        self.record.disturb(scope, Span { from, to: to_late });
+        self.due.push((to, Due::Heal(fault)));
+    }
+
+    fn heal(&mut self, fault: Fault) {
+        match fault {
+            Fault::Instance(instance) => {
+                self.soak.instances[instance].signal("-CONT");
+                self.soak.instances[instance].start();
+            }
+            Fault::Link(seat) => self.soak.seats[seat].proxy.set(Way::Open),
+            Fault::Path(instance) => self.soak.stores[instance].set(Way::Open),
+            Fault::Store => {
+                self.soak.shelf.away(false);
+                self.soak.shelf.silent(false);
+            }
+        }
+    }
+
+    /// Has an upstream leave, if another one of its pool stays, and end later.
+    fn leave(&mut self, word: bool) {
+        let count = self.soak.seats.len();
+        let seat = self.soak.random.random_range(0..count);
+        let pool = self.soak.seats[seat].pool;
+        let stays =
+            |other: &usize| self.soak.seats[*other].pool == pool && !self.left.contains(other);
+        if self.left.contains(&seat) || (0..count).filter(stays).count() < 2 {
+            return;
+        }
+        self.left.insert(seat);
+        let name = self.soak.seats[seat].worker.name.clone();
+        if word {
+            self.soak.enter(seat, "draining");
+        } else {
+            self.soak.shelf.remove(&format!("servers/{name}"));
+        }
+        self.record.take(&name, self.now());
+        let how = if word {
+            "says that it leaves"
+        } else {
+            "leaves without a word"
+        };
+        self.write(&format!("{name} {how}"));
+        let serves = RULE.leave_ms + self.soak.random.random_range(0..SERVES_ON_MS);
+        self.due
+            .push((self.now().after(serves), Due::Replace(seat)));
+    }
+
+    /// Holds what reached upstreams against the rule; of each upstream the first and the last late request are told.
+    fn check(&self) {
+        let mut late: BTreeMap<String, Vec<String>> = BTreeMap::new();
+        for run in self.soak.ledger.runs() {
+            let name = run.header("wellplank-request-id");
+            let Some(instance) = self.soak.shared.sender(name) else {
+                continue;
+            };
+            let at = run.at.saturating_duration_since(self.begun);
+            let arrival = Arrival {
+                at: Time(at.as_millis() as u64),
+                instance,
+                link: soak::seat_of(&run.worker),
+                run: name.to_owned(),
+                upstream: run.worker.clone(),
+            };
+            if let Some(late_ms) = self.record.late_ms(&arrival) {
+                let Arrival {
+                    at, run, upstream, ..
+                } = arrival;
+                let text = format!(
+                    "{run} reached {upstream} from instance-{instance} at {at}, {late_ms} ms behind its word"
+                );
+                late.entry(upstream).or_default().push(text);
+            }
+        }
+        for texts in late.into_values() {
+            let count = texts.len();
+            self.soak
+                .shared
+                .broken(format!("1 of {count}: {}", texts[0]));
+            if count > 1 {
+                self.soak
+                    .shared
+                    .broken(format!("{count} of {count}: {}", texts[count - 1]));
+            }
+        }
+    }
+}
+
+/// The Unix time in milliseconds, as logs have it.
+fn unix_ms() -> u64 {
+    let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+    since.map_or(0, |since| since.as_millis() as u64)
+}
--- a/crates/standin/src/site.rs
+++ b/crates/standin/src/site.rs
@@ -2,6 +2,7 @@
 //! runtime of its own, so that each can be ended like a process.
 
 use super::*;
+use proxy::Proxy;
 use shelf::Shelf;
 use worker::{Ledger, Worker};
 
@@ -78,7 +79,10 @@
     /// The store.
     pub shelf: Shelf,
     store: SocketAddr,
-    _host: Host,
+    /// Proxies between the instances and the store, one for each.
+    pub stores: Vec<Proxy>,
+    /// Runs the store and the proxies before it.
+    host: Host,
 }
 
 /// The configuration of a site.
@@ -158,7 +162,8 @@
             ledger: Ledger::default(),
             shelf,
             store,
-            _host: host,
+            stores: Vec::new(),
+            host,
         };
         for index in 0..plan.engines {
             let seat = site.seat(&format!("engine-{index}"), ENGINES, index % 2);
@@ -221,9 +226,13 @@
     }
 
     /// Starts an instance; at other addresses if another process took one of them meanwhile.
-    async fn member(&self, index: usize, grace_ms: u64) -> Member {
+    async fn member(&mut self, index: usize, grace_ms: u64) -> Member {
+        let store = Proxy::new(host::free_address(), self.store);
+        self.host.spawn(store.clone().serve());
+        let before = store.address;
+        self.stores.push(store);
         loop {
-            let settings = self.settings(index, grace_ms);
+            let settings = settings(index, grace_ms, before);
             let settings = wellplank_node::Settings::parse(&settings.to_string());
             let settings = settings.expect("the settings have no fault");
             let hosted = settings.hosted.expect("the settings are for the platform");
--- a/crates/standin/src/soak.rs
+++ b/crates/standin/src/soak.rs
@@ -18,6 +18,7 @@
         atomic::{AtomicBool, AtomicUsize, Ordering},
     },
 };
+use tokio::task::JoinHandle;
 use worker::{Ledger, Mode, Worker};
 
 /// Time between two faults, at most.
@@ -66,23 +67,38 @@
 
 /// What callers and the soak share.
 #[derive(Clone, Default)]
-struct Shared {
+pub(crate) struct Shared {
     broken: Arc<Mutex<Vec<String>>>,
     /// Tries that were told not to have run.
     refused: Arc<Mutex<Vec<String>>>,
     requests: Arc<AtomicUsize>,
+    /// Which instance each try was sent to.
+    senders: Arc<Mutex<HashMap<String, usize>>>,
     stop: Arc<AtomicBool>,
     whole: Arc<AtomicUsize>,
 }
 
 impl Shared {
-    fn broken(&self, text: String) {
+    /// Notes that something did not hold.
+    pub(crate) fn broken(&self, text: String) {
         self.broken
             .lock()
             .expect("nobody panics while holding it")
             .push(text);
     }
 
+    /// Notes that a try goes to an instance.
+    fn sends(&self, run: &str, instance: usize) {
+        let mut senders = self.senders.lock().expect("nobody panics while holding it");
+        senders.insert(run.to_owned(), instance);
+    }
+
+    /// The instance that a try went to.
+    pub(crate) fn sender(&self, run: &str) -> Option<usize> {
+        let senders = self.senders.lock().expect("nobody panics while holding it");
+        senders.get(run).copied()
+    }
+
     fn refused(&self, run: &str) {
         let mut refused = self.refused.lock().expect("nobody panics while holding it");
         refused.push(run.to_owned());
@@ -90,31 +106,36 @@
 }
 
 /// An instance as a process.
-struct Instance {
+pub(crate) struct Instance {
     callers: SocketAddr,
     child: Option<Child>,
     file: PathBuf,
 }
 
 /// An upstream behind its proxy.
-struct Seat {
+pub(crate) struct Seat {
     host: Host,
     life: u64,
-    pool: &'static str,
-    proxy: Proxy,
-    worker: Worker,
+    pub(crate) pool: &'static str,
+    pub(crate) proxy: Proxy,
+    pub(crate) worker: Worker,
 }
 
-struct Soak {
+/// A running soak.
+pub(crate) struct Soak {
     folder: PathBuf,
     host: Host,
-    instances: Vec<Instance>,
-    ledger: Ledger,
-    random: Pcg64Mcg,
-    seats: Vec<Seat>,
-    shared: Shared,
-    shelf: Shelf,
-    store: Proxy,
+    pub(crate) instances: Vec<Instance>,
+    pub(crate) ledger: Ledger,
+    pub(crate) random: Pcg64Mcg,
+    pub(crate) seats: Vec<Seat>,
+    pub(crate) shared: Shared,
+    pub(crate) shelf: Shelf,
+    seed: u64,
+    /// Where the store listens.
+    store: SocketAddr,
+    /// Proxies between the instances and the store, one for each.
+    pub(crate) stores: Vec<Proxy>,
     version: u64,
 }
 
@@ -138,14 +159,14 @@
 
 impl Instance {
     /// Sends a signal to the process, if it runs.
-    fn signal(&self, signal: &str) {
+    pub(crate) fn signal(&self, signal: &str) {
         if let Some(child) = &self.child {
             let id = child.id().to_string();
             let _ = Program::new("kill").args([signal, &id]).status();
         }
     }
 
-    fn kill(&mut self) {
+    pub(crate) fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
             let _ = child.kill();
             let _ = child.wait();
@@ -153,7 +174,7 @@
     }
 
     /// Starts the process unless it runs.
-    fn start(&mut self) {
+    pub(crate) fn start(&mut self) {
         if let Some(child) = &mut self.child
             && matches!(child.try_wait(), Ok(None))
         {
@@ -185,18 +206,7 @@
 pub async fn run(plan: Plan) -> Outcome {
     let mut soak = Soak::start(plan);
     sleep(Duration::from_secs(2)).await;
-    let addresses: Vec<SocketAddr> = soak.instances.iter().map(|one| one.callers).collect();
-    let callers: Vec<_> = (0..plan.instances * CALLERS)
-        .map(|index| {
-            let caller = Caller {
-                addresses: addresses.clone(),
-                index,
-                random: Pcg64Mcg::seed_from_u64(plan.seed ^ (index as u64) << 20),
-                shared: soak.shared.clone(),
-            };
-            tokio::spawn(caller.run())
-        })
-        .collect();
+    let callers = soak.call(plan.instances * CALLERS, Duration::ZERO);
     let end = Instant::now() + plan.lasts;
     let mut faults = 0;
     while Instant::now() < end {
@@ -206,39 +216,56 @@
         sleep(Duration::from_millis(wait)).await;
     }
     soak.heal();
-    soak.shared.stop.store(true, Ordering::Relaxed);
-    soak.check_configuration(&addresses).await;
-    for caller in callers {
-        if tokio::time::timeout(SETTLE * 3, caller).await.is_err() {
-            soak.shared
-                .broken("a caller has no answer long after the last fault".into());
-        }
-    }
-    soak.check_runs();
-    let shared = soak.shared.clone();
-    let violations = shared
-        .broken
-        .lock()
-        .expect("nobody panics while holding it")
-        .clone();
-    Outcome {
-        faults,
-        requests: shared.requests.load(Ordering::Relaxed),
-        violations,
-        whole: shared.whole.load(Ordering::Relaxed),
-    }
+    soak.end(callers, faults).await
 }
 
 impl Soak {
-    fn start(plan: Plan) -> Self {
+    /// Starts callers that ask until they are told to stop, and rest between two requests.
+    pub(crate) fn call(&self, count: usize, rest: Duration) -> Vec<JoinHandle<()>> {
+        let caller = |index| Caller {
+            addresses: self.addresses(),
+            index,
+            random: Pcg64Mcg::seed_from_u64(self.seed ^ (index as u64) << 20),
+            rest,
+            shared: self.shared.clone(),
+        };
+        (0..count)
+            .map(|index| tokio::spawn(caller(index).run()))
+            .collect()
+    }
+
+    fn addresses(&self) -> Vec<SocketAddr> {
+        self.instances.iter().map(|one| one.callers).collect()
+    }
+
+    /// Has the callers stop, now that no fault is left, and checks what came of it all.
+    pub(crate) async fn end(mut self, callers: Vec<JoinHandle<()>>, faults: usize) -> Outcome {
+        self.shared.stop.store(true, Ordering::Relaxed);
+        self.check_configuration().await;
+        for caller in callers {
+            if tokio::time::timeout(SETTLE * 3, caller).await.is_err() {
+                self.shared
+                    .broken("a caller has no answer long after the last fault".into());
+            }
+        }
+        self.check_runs();
+        let broken = self.shared.broken.lock();
+        let violations = broken.expect("nobody panics while holding it").clone();
+        Outcome {
+            faults,
+            requests: self.shared.requests.load(Ordering::Relaxed),
+            violations,
+            whole: self.shared.whole.load(Ordering::Relaxed),
+        }
+    }
+
+    pub(crate) fn start(plan: Plan) -> Self {
         let folder = std::env::temp_dir().join(format!("wellplank-soak-{}", Uuid::new_v4()));
         std::fs::create_dir_all(&folder).expect("a folder can be made");
         let host = Host::new(2);
         let shelf = Shelf::default();
-        let [store, before] = std::array::from_fn(|_| host::free_address());
+        let store = host::free_address();
         host.spawn(shelf.clone().serve(store));
-        let store = Proxy::new(before, store);
-        host.spawn(store.clone().serve());
         shelf.put("op/config", &site::configuration(1));
         let mut soak = Self {
             folder,
@@ -249,7 +276,9 @@
             seats: Vec::new(),
             shared: Shared::default(),
             shelf,
+            seed: plan.seed,
             store,
+            stores: Vec::new(),
             version: 1,
         };
         for index in 0..plan.engines + 3 {
@@ -267,7 +296,10 @@
     }
 
     fn instance(&mut self, index: usize) {
-        let settings = site::settings(index, 4_000, self.store.address);
+        let store = Proxy::new(host::free_address(), self.store);
+        self.host.spawn(store.clone().serve());
+        let settings = site::settings(index, 4_000, store.address);
+        self.stores.push(store);
         let file = self.folder.join(format!("instance-{index}.json"));
         std::fs::write(&file, settings.to_string()).expect("a file can be written");
         let callers = settings["listen"]["callers"].as_str().unwrap_or_default();
@@ -297,7 +329,7 @@
     }
 
     /// Has an upstream end, and another life of it begin at its address.
-    fn revive(&mut self, index: usize) {
+    pub(crate) fn revive(&mut self, index: usize) {
         let seat = &mut self.seats[index];
         seat.host.kill();
         self.shelf.remove(&format!("servers/{}", seat.worker.name));
@@ -308,7 +340,32 @@
         seat.host = Host::new(1);
         seat.host.spawn(seat.worker.clone().serve());
         seat.proxy.aim(address);
-        site::enter(&self.shelf, &seat.worker, seat.pool, index % 3, "ready");
+        self.enter(index, "ready");
+    }
+
+    /// Adds a line to a file in the folder of the logs.
+    pub(crate) fn write(&self, file: &str, line: &str) {
+        use std::io::Write as _;
+        let file = std::fs::File::options()
+            .append(true)
+            .create(true)
+            .open(self.folder.join(file));
+        if let Err(error) = file.and_then(|mut file| writeln!(file, "{line}")) {
+            eprintln!("a line can not be kept: {error}");
+        }
+    }
+
+    /// Enters an upstream in the store, as ready or leaving.
+    pub(crate) fn enter(&self, index: usize, state: &str) {
+        let seat = &self.seats[index];
+        site::enter(&self.shelf, &seat.worker, seat.pool, index % 3, state);
+    }
+
+    /// Has another configuration, which says the same, come.
+    pub(crate) fn configure(&mut self) {
+        self.version += 3;
+        self.shelf
+            .put("op/config", &site::configuration(self.version));
     }
 
     /// Causes a fault, or ends one.
@@ -318,7 +375,7 @@
         let way = Way::ALL[self.random.random_range(0..Way::ALL.len())];
         match self.random.random_range(0..16) {
             0..3 => self.seats[seat].proxy.set(way),
-            3 => self.store.set(way),
+            3 => self.set_stores(way),
             4 => self.revive(seat),
             5 => self.seats[seat].worker.set(Mode::Silent),
             6 => self.seats[seat].worker.set(Mode::Refuse),
@@ -327,23 +384,26 @@
             9 => self.instances[instance].signal("-STOP"),
             10 => self.instances[instance].signal("-TERM"),
             11 => self.instances[instance].signal("-HUP"),
-            12 => {
-                self.version += 3;
-                let version = self.version;
-                self.shelf.put("op/config", &site::configuration(version));
-            }
+            12 => self.configure(),
             13 => self.shelf.forget(),
             _ => self.mend(),
         }
     }
 
+    /// Does the same to the connections of all instances to the store.
+    fn set_stores(&self, way: Way) {
+        for store in &self.stores {
+            store.set(way);
+        }
+    }
+
     /// Ends some faults: paused and ended instances go on, and half of the rest is well again.
     fn mend(&mut self) {
         for instance in &mut self.instances {
             instance.signal("-CONT");
             instance.start();
         }
-        self.store.set(Way::Open);
+        self.set_stores(Way::Open);
         for seat in &self.seats {
             if self.random.random_range(0..2) == 0 {
                 seat.proxy.set(Way::Open);
@@ -353,7 +413,7 @@
     }
 
     /// Ends every fault.
-    fn heal(&mut self) {
+    pub(crate) fn heal(&mut self) {
         for seat in &self.seats {
             seat.proxy.set(Way::Open);
             seat.worker.set(Mode::Good);
@@ -363,12 +423,12 @@
 
     /// A change after the last fault must be in force everywhere soon; instances that were told to stop
     /// are started again until then.
-    async fn check_configuration(&mut self, addresses: &[SocketAddr]) {
+    async fn check_configuration(&mut self) {
         let mut changed = site::configuration(self.version + 3);
         changed["routes"][2]["path_prefix"] = "/first/".into();
         let end = Instant::now() + SETTLE;
         self.shelf.put("op/config", &changed);
-        let mut behind: Vec<SocketAddr> = addresses.to_vec();
+        let mut behind = self.addresses();
         while !behind.is_empty() && Instant::now() < end + FORCE {
             for instance in &mut self.instances {
                 instance.start();
@@ -420,6 +480,15 @@
     }
 }
 
+/// The place of an upstream, by its name.
+pub(crate) fn seat_of(name: &str) -> usize {
+    let mut parts = name.rsplit('-').skip(1);
+    parts
+        .next()
+        .and_then(|place| place.parse().ok())
+        .unwrap_or(usize::MAX)
+}
+
 /// Statuses that say that a request has not run.
 const NOT_RUN: [u16; 4] = [408, 421, 429, 503];
 
@@ -428,6 +497,8 @@
     addresses: Vec<SocketAddr>,
     index: usize,
     random: Pcg64Mcg,
+    /// Pause between two requests.
+    rest: Duration,
     shared: Shared,
 }
 
@@ -446,11 +517,15 @@
             self.shared
                 .whole
                 .fetch_add(usize::from(whole), Ordering::Relaxed);
+            sleep(self.rest).await;
         }
     }
 
-    fn address(&mut self) -> SocketAddr {
-        self.addresses[self.random.random_range(0..self.addresses.len())]
+    /// The instance that a try goes to.
+    fn address(&mut self, run: &str) -> SocketAddr {
+        let instance = self.random.random_range(0..self.addresses.len());
+        self.shared.sends(run, instance);
+        self.addresses[instance]
     }
 
     /// Asks up to some times until there is an answer of an upstream.
@@ -464,7 +539,7 @@
             };
             let body = 10 + self.index;
             let ask = Ask::new(path, &run).body(body);
-            let address = self.address();
+            let address = self.address(&run);
             let got = ask.attempt(address).await;
             if let Some(got) = got {
                 if NOT_RUN.contains(&got.status.as_u16()) {
@@ -494,7 +569,7 @@
             if position > 0 {
                 ask = ask.with("last-event-id", &position.to_string());
             }
-            let address = self.address();
+            let address = self.address(&run);
             if let Some(got) = ask.attempt(address).await
                 && got.status == StatusCode::OK
             {
--- a/crates/standin/src/worker.rs
+++ b/crates/standin/src/worker.rs
@@ -54,6 +54,8 @@
 /// One request that ran.
 #[derive(Clone, Debug)]
 pub struct Run {
+    /// When it was read.
+    pub at: Instant,
     /// Body.
     pub body: Vec<u8>,
     /// Copy that it went on from, as the request named it.
@@ -191,6 +193,7 @@
             }
         }
         let run = Run {
+            at: Instant::now(),
             body,
             copy: headers.get("kv-from").cloned(),
             headers,
