--- a/crates/standin/tests/silence.rs
+++ b/crates/standin/tests/silence.rs
@@ -31,8 +31,9 @@
     },
 };
 
-/// Time behind the begin of a silence from which on what the store says must be known in time again.
-const SETTLED: Duration = Duration::from_secs(3);
+/// Time from the begin of a silence to the upstream's word: with the bound it makes the three seconds behind which what
+/// the store says must be known in time again.
+const BEFORE: Duration = Duration::from_millis(1_100);
 
 /// Time in which a change must be known, as the settings of these instances say, less a little for the test.
 const BOUND: Duration = Duration::from_millis(1_900);
@@ -68,7 +69,7 @@
     };
     run(plan, async |site: Site| {
         hush(&site);
-        sleep(SETTLED - BOUND).await;
+        sleep(BEFORE).await;
         site.leave(0);
         sleep(BOUND).await;
         let asked = asked(&site).await;
