Instances that watch the store show each other that nothing has changed; one that is shown nothing asks on a new connection

A connection that something on the way acknowledges for never breaks, other calls over other connections are answered, and where all wait in vain nobody can tell the others. Ruled out: shorter waits for all (7 calls a second and topic at seven instances); keep-alive probes (answered by what stands between); words of changes between all (a peer need only know that it is behind). Repair: the first of those that watch (all of a small fleet, the first of each data centre for a large fleet's configuration) waits for half the bound and tells the others what it was shown; who is shown nothing for 0.7 of the bound, and up to a tenth more by its rank, ends its wait and asks over a new connection. A call without an answer in time has all kept connections replaced. The others wait for 30 s.

--- a/crates/core/src/bound.rs
+++ b/crates/core/src/bound.rs
@@ -16,6 +16,11 @@
         self.bound_ms / 2
     }
 
+    /// Longest time between two calls of the instance that shows the others that nothing has changed.
+    pub fn confirm_ms(self) -> u64 {
+        self.bound_ms / 2
+    }
+
     /// Pause of one that watches for others between two watches, in which changes gather.
     pub fn pause_ms(self) -> u64 {
         self.bound_ms / 6
@@ -31,6 +36,15 @@
         }
     }
 
+    /// Time without being shown that nothing has changed after which an instance that watches for itself asks the store,
+    /// whatever call it has out. It is longer than the time between two such calls by what a slow store takes; the
+    /// fifth of the bound that is left at the longest is for the call, a datagram and a process that runs late. The
+    /// first of those that watch asks first, so that its answer spares the others.
+    pub fn unconfirmed_ms(self, turn: Turn) -> u64 {
+        let spread = self.bound_ms / 10 * turn.rank as u64 / turn.count.max(1) as u64;
+        self.bound_ms * 7 / 10 + spread
+    }
+
     /// Longest wait of a watch of one that watches for others, so that these hear at least that nothing has changed.
     pub fn wait_ms(self) -> u64 {
         self.bound_ms / 4
--- a/crates/core/src/informer.rs
+++ b/crates/core/src/informer.rs
@@ -4,13 +4,21 @@
 //! within a bound. In a small fleet every instance watches the store. In a larger one an instance of each data centre
 //! watches it and tells the others there by datagrams; a deputy stands in, and one that hears nothing for a while, or
 //! misses a change, asks the store itself. All times are derived from the bound or bounded by it.
+//!
+//! A call that waits for a change and hears nothing does not show that there is none: its connection may say
+//! nothing any more while something on the way acknowledges for it. So the first of those that watch waits for short
+//! and tells the others what the store showed it; who is shown nothing for a while asks again on a new connection.
 
 use super::*;
-use lesson::{Age, Answer, Call, Content, Heard, Input, Known, Output, Topic, Why};
+use lesson::{Age, Answer, Call, Confirmed, Content, Heard, Input, Known, Output, Topic, Why};
+
+/// Time that a watch waits for a change while another instance shows that there is none, in milliseconds: as long as
+/// the store lets it. One that says nothing any more is noticed by what other calls and other instances show.
+const WAIT_MS: u64 = 30_000;
 
-/// Time that a watch of an instance that watches for itself waits for a change, in milliseconds. Longer means fewer
-/// calls; a watch that says nothing any more is noticed by what other calls and other instances show.
-const WAIT_MS: u64 = 10_000;
+/// The shortest wait of a watch, in milliseconds: behind a pause in which changes gathered little of the time between
+/// two calls may be left.
+const WAIT_LEAST_MS: u64 = 100;
 
 /// Pause between two watches for each upstream, in milliseconds, in which changes gather: each call is paid for, and
 /// a lost data centre changes a part of all entries.
@@ -66,6 +74,8 @@
     roster: Roster,
     /// When the store is known to have served anybody: by own calls, and by word of those that watch.
     served: Absence,
+    /// Its place among those that watch the store for themselves.
+    turn: Turn,
     upstreams: Line,
     /// When one that watches for the data centre was heard last.
     word: Time,
@@ -81,7 +91,7 @@
             bound,
             bytes: 0,
             calls: BTreeMap::new(),
-            configuration: Line::default(),
+            configuration: Line::default().begun(now),
             early: Vec::new(),
             entries: 0,
             fresh: now,
@@ -95,7 +105,8 @@
             role: Role::Alone,
             roster: Roster::default(),
             served: absence,
-            upstreams: Line::hurried(),
+            turn: Turn::default(),
+            upstreams: Line::hurried().begun(now),
             word: now,
         }
     }
@@ -121,7 +132,10 @@
             Input::Answered(id, answer) => self.answered(id, answer, now),
             Input::Failed(id) => self.failed(id, now),
             Input::Heard(heard) => self.hear(heard, now),
-            Input::Role(role) => self.change_role(role, now),
+            Input::Role(role, turn) => {
+                self.turn = turn;
+                self.change_role(role, now);
+            }
             Input::Tick => {}
         }
         self.settle(now);
@@ -133,14 +147,48 @@
         let lines = [Topic::Configuration, Topic::Upstreams].into_iter();
         let lines = lines.filter_map(|topic| {
             let line = self.line(topic);
-            match line.out {
-                None => Some(self.due(topic)),
-                Some(_) => line.hopeless(&self.absence).map(|(at, _)| at),
+            if line.out.is_none() {
+                return Some(self.due(topic));
             }
+            let hopeless = line.hopeless(&self.absence).map(|(at, _)| at);
+            hopeless.into_iter().chain(self.unconfirmed(topic)).min()
         });
         lines.chain(self.lapse()).min()
     }
 
+    /// Whether instances that watch for themselves show each other that nothing of a topic has changed.
+    fn is_confirmed(&self, topic: Topic) -> bool {
+        match (topic, self.role) {
+            (_, Role::Alone) | (Topic::Configuration, Role::Watcher) => true,
+            // One that watches the list for others waits for a fraction of the bound.
+            (Topic::Upstreams, Role::Watcher) | (_, Role::Deputy | Role::Follower) => false,
+        }
+    }
+
+    /// Whether this instance is the one that shows the others that nothing has changed: it is the first, or heard of
+    /// none before it for long.
+    fn confirms(&self, topic: Topic, now: Time) -> bool {
+        let silent = self
+            .line(topic)
+            .told
+            .after(self.bound.unconfirmed_ms(self.turn));
+        self.is_confirmed(topic) && (self.turn.rank == 0 || silent <= now)
+    }
+
+    /// Until when what is known of a topic holds without being shown again.
+    fn confirmed_until(&self, topic: Topic) -> Option<Time> {
+        let line = self.line(topic);
+        let until = line.confirmed.after(self.bound.unconfirmed_ms(self.turn));
+        self.is_confirmed(topic).then_some(until)
+    }
+
+    /// When the call that waits for a change is ended since nobody has shown that there was none. A connection that
+    /// says nothing any more held a word of an upstream back for 6.2 s of 2 s allowed, as seven processes showed.
+    fn unconfirmed(&self, topic: Topic) -> Option<Time> {
+        let waits = self.line(topic).out.is_some_and(|out| out.waits);
+        self.confirmed_until(topic).filter(|_| waits)
+    }
+
     /// When the store is to be asked of an entry that is missing, though a watch is out that waits for other changes.
     fn lapse(&self) -> Option<Time> {
         let waits = self.upstreams.out.is_some_and(|out| out.waits);
@@ -184,6 +232,7 @@
         let Some(call) = self.calls.remove(&id) else {
             return;
         };
+        let confirms = self.line(call.topic).out.is_some_and(|out| out.confirms);
         self.line_mut(call.topic).answer();
         match answer {
             Answer::Forgotten => {
@@ -198,6 +247,14 @@
                 self.take_upstreams(call, changes, revision, now);
             }
         }
+        let topic = call.topic;
+        let Some(to) = self.line(topic).revision else {
+            return;
+        };
+        self.line_mut(topic).confirmed = now;
+        if confirms && self.turn.count > 1 {
+            self.outputs.push(Output::Confirm(Confirmed { to, topic }));
+        }
     }
 
     fn take_configuration(
@@ -320,6 +377,9 @@
     fn hear(&mut self, heard: Heard, now: Time) {
         self.heard.configuration = self.heard.configuration.max(heard.configuration);
         self.heard.list = self.heard.list.max(heard.list);
+        if let Some(confirmed) = heard.confirmed {
+            self.hear_confirmed(confirmed, &heard, now);
+        }
         let Some(word) = heard.word else {
             return;
         };
@@ -353,6 +413,29 @@
         }
     }
 
+    /// Takes in what the store has just shown another instance, unless more was known here before.
+    fn hear_confirmed(&mut self, confirmed: Confirmed, heard: &Heard, now: Time) {
+        let topic = confirmed.topic;
+        let (newest, same) = match topic {
+            Topic::Configuration => (
+                heard.configuration >= self.in_force,
+                heard.configuration == self.in_force,
+            ),
+            Topic::Upstreams => (
+                confirmed.to >= self.roster.changed,
+                Some(heard.list) <= self.upstreams.revision,
+            ),
+        };
+        if !newest {
+            return;
+        }
+        let line = self.line_mut(topic);
+        line.told = now;
+        if same {
+            line.confirmed = now;
+        }
+    }
+
     fn change_role(&mut self, role: Role, now: Time) {
         if role == self.role {
             return;
@@ -402,6 +485,10 @@
             self.read = Some((0, at.after(READS_MS[0])));
         }
         for topic in [Topic::Configuration, Topic::Upstreams] {
+            if self.unconfirmed(topic).is_some_and(|at| at <= now) {
+                self.end(topic, Why::Unconfirmed);
+                self.line_mut(topic).answered = false;
+            }
             if let Some((at, why)) = self.line(topic).hopeless(&self.absence)
                 && at <= now
             {
@@ -440,6 +527,17 @@
         wanted.max(may)
     }
 
+    /// Wait of the instance that shows the others that nothing has changed, in milliseconds: with the pause before it
+    /// the time between two such calls.
+    fn confirm_wait_ms(&self, topic: Topic) -> u64 {
+        let pause = match topic {
+            Topic::Configuration => 0,
+            Topic::Upstreams => self.gather_ms(),
+        };
+        let wait = self.bound.confirm_ms().saturating_sub(pause);
+        wait.max(WAIT_LEAST_MS)
+    }
+
     fn ask(&mut self, topic: Topic, now: Time) {
         let line = self.line(topic);
         let follows = self.follows(topic);
@@ -450,9 +548,14 @@
         // Behind a call that was not answered no change is waited for: one that a silent store takes is never answered.
         let missing =
             topic == Topic::Upstreams && self.roster.next_lapse().is_some_and(|lapse| lapse <= now);
-        let waits = since.is_some() && line.answered && !follows && !missing;
+        let doubtful = self
+            .confirmed_until(topic)
+            .is_some_and(|until| until <= now);
+        let waits = since.is_some() && line.answered && !follows && !missing && !doubtful;
+        let confirms = self.confirms(topic, now);
         let wait_ms = match (topic, self.role) {
             _ if !waits => 0,
+            _ if confirms => self.confirm_wait_ms(topic),
             (Topic::Configuration, _) | (Topic::Upstreams, Role::Alone) => WAIT_MS,
             // The others are to hear at least that nothing has changed.
             (Topic::Upstreams, Role::Deputy | Role::Follower | Role::Watcher) => {
@@ -488,6 +591,7 @@
         }
         let out = line::Out {
             began: now,
+            confirms,
             id: call.id,
             changes: since.is_some(),
             waits: wait_ms > 0,
--- a/crates/core/src/lesson.rs
+++ b/crates/core/src/lesson.rs
@@ -62,11 +62,22 @@
     Forgotten,
 }
 
+/// What the store has just shown an instance to be the newest.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Confirmed {
+    /// Revision of the store up to which it holds.
+    pub to: u64,
+    /// Of what.
+    pub topic: Topic,
+}
+
 /// What another instance let this one know.
 #[derive(Clone, Debug, Default)]
 pub struct Heard {
     /// Revision of the configuration in force there.
     pub configuration: Option<u64>,
+    /// What the store has just shown it, if this is told.
+    pub confirmed: Option<Confirmed>,
     /// Revision of the last change of the list that is known there.
     pub list: u64,
     /// Changes that one that watches for the data centre tells.
@@ -82,8 +93,8 @@
     Failed(u64),
     /// Another instance let this one know something.
     Heard(Heard),
-    /// What it does for its data centre.
-    Role(Role),
+    /// What it does for its data centre, and its place among those that watch the store.
+    Role(Role, Turn),
     /// Time has passed, or another call of the store has ended.
     Tick,
 }
@@ -99,6 +110,8 @@
     Overtaken,
     /// The instance does something else for its data centre.
     Role,
+    /// Nobody has shown for too long that nothing has changed.
+    Unconfirmed,
 }
 
 /// What an informer wants done.
@@ -108,6 +121,8 @@
     Ask(Call),
     /// A configuration is in force.
     Configuration(Arc<Config>),
+    /// The other instances that watch are to be told what the store has just shown.
+    Confirm(Confirmed),
     /// A call is to be ended; nothing it brings counts.
     Drop(Call, Why),
     /// An upstream whose entry is missing is believed for so many milliseconds, since the store was away.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -71,7 +71,7 @@
     rand::{RngExt, SeedableRng, seq::SliceRandom},
     rand_pcg::Pcg64Mcg,
     request::{Request, State, Work},
-    role::Role,
+    role::{Role, Turn},
     roster::{Change, Roster, Word, Worth},
     settings::{Resume, Routing, Settings},
     sighting::Sighting,
--- a/crates/core/src/line.rs
+++ b/crates/core/src/line.rs
@@ -40,6 +40,8 @@
 pub(crate) struct Out {
     /// When it began.
     pub began: Time,
+    /// Whether its answer is told to the other instances that watch.
+    pub confirms: bool,
     /// Its number.
     pub id: u64,
     /// Whether it asks for changes, and not for all.
@@ -55,6 +57,8 @@
     pub(crate) answered: bool,
     /// Since when others are known to know more.
     behind: Option<Time>,
+    /// When the store last showed what is newest, here or to another instance that knows as much.
+    pub(crate) confirmed: Time,
     /// When the last call failed; `None` while the store answers.
     failed: Option<Time>,
     /// The call that is out.
@@ -70,6 +74,8 @@
     pub(crate) ready: Time,
     /// Revision up to which all is known; `None` before it was read.
     pub(crate) revision: Option<u64>,
+    /// When another instance that watches last told what the store had shown it.
+    pub(crate) told: Time,
 }
 
 impl Default for Line {
@@ -77,6 +83,7 @@
         Self {
             answered: false,
             behind: None,
+            confirmed: Time::default(),
             failed: None,
             out: None,
             patience_ms: PATIENCE_MS,
@@ -85,6 +92,7 @@
             hurried: false,
             ready: Time::default(),
             revision: None,
+            told: Time::default(),
         }
     }
 }
@@ -98,6 +106,11 @@
         }
     }
 
+    /// The same, of an instance that has just begun: others have not been silent for long.
+    pub(crate) fn begun(self, now: Time) -> Self {
+        Self { told: now, ..self }
+    }
+
     /// Notes an answer to the call that was out.
     pub fn answer(&mut self) {
         self.answered = true;
--- a/crates/core/src/role.rs
+++ b/crates/core/src/role.rs
@@ -19,3 +19,19 @@
         matches!(self, Self::Deputy | Self::Follower)
     }
 }
+
+/// The place of an instance among those that watch the store for themselves. The first of them shows the others in
+/// short turns that nothing has changed, and the next ones stand in for it.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Turn {
+    /// How many they are, with this one.
+    pub count: usize,
+    /// How many come before it.
+    pub rank: usize,
+}
+
+impl Default for Turn {
+    fn default() -> Self {
+        Self { count: 1, rank: 0 }
+    }
+}
--- a/crates/node/src/feed.rs
+++ b/crates/node/src/feed.rs
@@ -16,7 +16,8 @@
     address: SocketAddr,
     bound: Bound,
     clock: Clock,
-    http: Http,
+    /// Makes and keeps connections; replaced when one of them may say nothing any more.
+    http: Arc<watch::Sender<Http>>,
     meter: meter::Meter,
 }
 
@@ -29,7 +30,7 @@
             address: hosted.store,
             bound,
             clock,
-            http: Http::watching(),
+            http: Arc::new(watch::Sender::new(Http::watching())),
             meter,
         }
     }
@@ -39,6 +40,12 @@
         self.absence.subscribe()
     }
 
+    /// Has later calls go over new connections: what took one of those that are kept may have taken all. Calls that are
+    /// out go on.
+    pub fn renew(&self) {
+        self.http.send_replace(Http::watching());
+    }
+
     /// Makes a call that does not wait; status and body of its answer.
     pub async fn call(&self, call: Call, patience: Duration) -> Result<(StatusCode, Bytes), Error> {
         let begun = Instant::now();
@@ -68,9 +75,13 @@
             .header(header::CONTENT_TYPE, "application/json")
             .body(http::Body::from(call.body))
             .expect("address and path make a uri");
-        let response = timeout(patience, self.http.send(request))
+        let http = self.http.borrow().clone();
+        let response = timeout(patience, http.send(request))
             .await
-            .map_err(|_| Error::Store(format!("no answer in {} ms", patience.as_millis())))?
+            .map_err(|_| {
+                self.renew();
+                Error::Store(format!("no answer in {} ms", patience.as_millis()))
+            })?
             .map_err(|error| Error::Store(error.to_string()))?;
         let status = response.status();
         let body = read(response.into_body()).await?;
--- a/crates/node/src/gossip.rs
+++ b/crates/node/src/gossip.rs
@@ -7,7 +7,7 @@
 use wellplank_core::{
     demand::{Demand, Ended},
     gauge::Pace,
-    lesson::{Heard, Known},
+    lesson::{Confirmed, Heard, Known, Topic},
     roster::{self, Entry, Word},
 };
 
@@ -38,6 +38,8 @@
 pub(crate) enum Told {
     /// Another configuration is in force here; told within the data centre.
     Configuration,
+    /// What the store has just shown; told to those that watch it for themselves.
+    Confirmed(Confirmed),
     /// What the instance is asked of a pool; it goes along with what else is told. Where `pressed`, it is told
     /// within the data centre also alone.
     Demand {
@@ -98,10 +100,10 @@
         tokio::spawn(find);
         let mouth = Mouth {
             demands: BTreeMap::new(),
-            data_centre: self.own.data_centre.clone(),
             known: self.known,
             link_mbps: self.link_mbps,
             members: members.clone(),
+            own: self.own.clone(),
             paces: Vec::new(),
             pressed: BTreeSet::new(),
             socket,
@@ -171,14 +173,17 @@
             self.driver.event(Event::Paced(decode_pace(pace)));
         }
         let word = told.roster.map(decode_word);
+        let confirmed = told.confirmed.map(decode_confirmed);
         let most = &mut self.most;
-        if word.is_none() && told.configuration <= most.configuration && told.list <= most.list {
+        let bare = word.is_none() && confirmed.is_none();
+        if bare && told.configuration <= most.configuration && told.list <= most.list {
             return;
         }
         most.configuration = most.configuration.max(told.configuration);
         most.list = most.list.max(told.list);
         let heard = Heard {
             configuration: told.configuration,
+            confirmed,
             list: told.list,
             word,
         };
@@ -206,10 +211,11 @@
 struct Mouth {
     /// What this instance is asked of each pool.
     demands: BTreeMap<Arc<str>, peers::Demand>,
-    data_centre: String,
     known: watch::Receiver<Known>,
     link_mbps: f64,
     members: watch::Receiver<Members>,
+    /// This instance.
+    own: Own,
     /// What streams showed of engines since the last datagram.
     paces: Vec<peers::Pace>,
     /// Pools that are near what they can serve.
@@ -278,7 +284,11 @@
                 let sighting = encode(sighting.clone());
                 self.streams.send_modify(|streams| streams.take(&sighting));
             }
-            Told::Configuration | Told::Lost(_) | Told::Pace(_) | Told::Roster(_) => {}
+            Told::Configuration
+            | Told::Confirmed(_)
+            | Told::Lost(_)
+            | Told::Pace(_)
+            | Told::Roster(_) => {}
         }
     }
 
@@ -292,10 +302,15 @@
         let members = self.members.borrow();
         let listener = |member: &Member| Listener {
             address: member.address,
-            near: member.data_centre == self.data_centre,
+            near: member.data_centre == self.own.data_centre,
         };
         let all = members.values().map(listener);
         match told {
+            Told::Confirmed(_) => {
+                let watchers = self.own.watchers(&members);
+                let watchers = watchers.into_iter().filter_map(|name| members.get(name));
+                watchers.map(listener).collect()
+            }
             Told::Demand { pressed: false, .. } | Told::Pace(_) => Vec::new(),
             Told::Configuration | Told::Demand { .. } | Told::Roster(_) => {
                 all.filter(|listener| listener.near).collect()
@@ -321,6 +336,9 @@
         };
         match told {
             Told::Configuration | Told::Demand { .. } | Told::Pace(_) => {}
+            Told::Confirmed(confirmed) => {
+                datagram.confirmed = Some(encode_confirmed(confirmed));
+            }
             Told::Lost(name) => datagram.lost.push(name.to_string()),
             Told::Roster(word) => datagram.roster = Some(encode_word(word)),
             Told::Stream(sighting) => datagram.sightings.push(encode(sighting)),
@@ -329,6 +347,29 @@
     }
 }
 
+/// What the store has just shown another instance.
+fn decode_confirmed(confirmed: peers::Confirmed) -> Confirmed {
+    let topic = match confirmed.topic() {
+        peers::Topic::Configuration => Topic::Configuration,
+        peers::Topic::Upstreams => Topic::Upstreams,
+    };
+    Confirmed {
+        to: confirmed.to,
+        topic,
+    }
+}
+
+fn encode_confirmed(confirmed: Confirmed) -> peers::Confirmed {
+    let topic = match confirmed.topic {
+        Topic::Configuration => peers::Topic::Configuration,
+        Topic::Upstreams => peers::Topic::Upstreams,
+    };
+    peers::Confirmed {
+        to: confirmed.to,
+        topic: topic.into(),
+    }
+}
+
 /// Changes of the list as another instance tells them.
 fn decode_word(word: peers::Roster) -> Word {
     Word {
--- a/crates/node/src/learner.rs
+++ b/crates/node/src/learner.rs
@@ -68,6 +68,11 @@
 }
 
 impl Learner {
+    /// What this instance does among the others.
+    fn role(&self, members: &Members) -> Input {
+        Input::Role(self.own.role(members), self.own.turn(members))
+    }
+
     /// Serves for ever; `heard` is what other instances let this one know.
     pub async fn run(self, mut heard: mpsc::UnboundedReceiver<Heard>) {
         let (ends, mut ended) = mpsc::unbounded_channel();
@@ -84,16 +89,14 @@
                 .map(|topic| Log::new(what(topic), self.clock)),
             learner: self,
         };
-        let role = task.learner.own.role(&members.borrow_and_update());
-        task.take(Input::Role(role), *absence.borrow());
+        let input = task.learner.role(&members.borrow_and_update());
+        task.take(input, *absence.borrow());
         loop {
             let left = task.left();
             let input = tokio::select! {
                 Some(ended) = ended.recv() => task.end(ended),
                 Some(heard) = heard.recv() => Input::Heard(heard),
-                Ok(()) = members.changed() => {
-                    Input::Role(task.learner.own.role(&members.borrow_and_update()))
-                }
+                Ok(()) = members.changed() => task.learner.role(&members.borrow_and_update()),
                 Ok(()) = absence.changed() => Input::Tick,
                 () = sleep(left) => Input::Tick,
             };
@@ -135,6 +138,10 @@
                 self.learner.driver.event(Event::Config(config));
                 self.learner.limits.send_replace(limits);
             }
+            // The task that tells ends only with the instance.
+            Output::Confirm(confirmed) => {
+                drop(self.learner.told.send(gossip::Told::Confirmed(confirmed)));
+            }
             Output::Drop(call, why) => self.drop(call, why),
             Output::Lapsing(upstream, believed_ms) => {
                 info!(believed_ms, upstream; "an entry that is missing may have lapsed");
@@ -176,8 +183,15 @@
         let error = match why {
             Why::Behind => "other instances know more",
             Why::Overtaken => "it answers other calls again",
+            Why::Unconfirmed => {
+                let since = call.since;
+                info!(since; "nothing was shown of {} for long: asking on a new connection", what(call.topic));
+                self.learner.client.renew();
+                return;
+            }
             Why::Lapse | Why::Role => return,
         };
+        self.learner.client.renew();
         self.log(call.topic).bad(&Error::Store(error.into()));
     }
 
--- a/crates/node/src/members.rs
+++ b/crates/node/src/members.rs
@@ -2,7 +2,10 @@
 //! of them does for the others.
 
 use super::*;
-use wellplank_core::{lesson::Age, role::Role};
+use wellplank_core::{
+    lesson::Age,
+    role::{Role, Turn},
+};
 
 /// Start of the keys under which instances enter themselves.
 pub(crate) const PREFIX: &str = "wellplank/instances/";
@@ -76,6 +79,40 @@
         }
     }
 
+    /// Its place among those that watch the store for themselves: all of a small fleet, else the first of each data
+    /// centre.
+    pub fn turn(&self, members: &Members) -> Turn {
+        match self.role(members) {
+            Role::Alone => Turn {
+                count: members.len() + 1,
+                rank: self.ranked_before(members.keys()),
+            },
+            Role::Watcher => {
+                let watchers = self.watchers(members);
+                Turn {
+                    count: watchers.len() + 1,
+                    rank: self.ranked_before(watchers.into_iter()),
+                }
+            }
+            Role::Deputy | Role::Follower => Turn::default(),
+        }
+    }
+
+    /// The others that watch the store for themselves.
+    pub fn watchers<'a>(&self, members: &'a Members) -> BTreeSet<&'a String> {
+        if members.len() < FEW {
+            return members.keys().collect();
+        }
+        let mut first: BTreeMap<&str, (u64, &String)> = BTreeMap::new();
+        let far = |member: &Member| member.data_centre != self.data_centre;
+        for (name, member) in members.iter().filter(|(_, member)| far(member)) {
+            let rank = (upstream::id(name), name);
+            let least = first.entry(&member.data_centre).or_insert(rank);
+            *least = rank.min(*least);
+        }
+        first.into_values().map(|(_, name)| name).collect()
+    }
+
     /// How many of some instances rank before it.
     fn ranked_before<'a>(&self, names: impl Iterator<Item = &'a String>) -> usize {
         let own = upstream::id(&self.name);
--- a/crates/standin/src/scenario.rs
+++ b/crates/standin/src/scenario.rs
@@ -61,6 +61,7 @@
         2 => Just(Act::Enter),
         2 => Just(Act::Forget),
         1 => (number.clone(), 100..4_000_u64).prop_map(|(node, millis)| Act::Freeze(node, millis)),
+        2 => (1..4_usize).prop_map(Act::Hush),
         1 => (number.clone(), millis()).prop_map(|(node, millis)| Act::Isolate(node, millis)),
         1 => (number.clone(), 500..3_000_u64).prop_map(|(node, millis)| Act::Kill(node, millis)),
         1 => (500..3_000_u64).prop_map(Act::KillAll),
--- a/crates/standin/src/trial.rs
+++ b/crates/standin/src/trial.rs
@@ -31,6 +31,8 @@
     Forget,
     /// An instance stands still for some time.
     Freeze(usize, u64),
+    /// The connections on which each so manieth instance waits for a change say nothing any more, and stay.
+    Hush(usize),
     /// An instance is cut off from all for some time.
     Isolate(usize, u64),
     /// An instance is killed and starts again after some time.
--- a/crates/standin/tests/learning.rs
+++ b/crates/standin/tests/learning.rs
@@ -98,3 +98,30 @@
     ];
     expect_that!(violations(&fleet((1, 1, 2), 2_000, 0, &steps)), is_empty());
 }
+
+/// An upstream leaves, and a configuration comes, while the waiting calls of all instances are silent.
+fn hushed(instances: usize, data_centres: usize, leave_ms: u64) -> Vec<String> {
+    let steps = [
+        (12_000, Act::Hush(1)),
+        (12_050, Act::Leave(0)),
+        (12_060, Act::Configure),
+        (27_000, Act::Hush(1)),
+        (27_400, Act::Depart(1)),
+    ];
+    let counts = (instances, data_centres, 4);
+    violations(&fleet(counts, leave_ms, instances as u64, &steps))
+}
+
+#[gtest]
+fn what_the_store_says_while_all_waiting_calls_are_silent_is_known_in_time() {
+    for leave_ms in [2_000, 3_000, 4_000] {
+        for (instances, data_centres) in [(1, 1), (2, 1), (6, 4), (7, 3), (13, 3), (24, 3)] {
+            let broken = hushed(instances, data_centres, leave_ms);
+            expect_that!(
+                broken,
+                is_empty(),
+                "{instances} instances, {leave_ms} ms allowed"
+            );
+        }
+    }
+}
