Postmortem of leaving upstreams on real processes; the rule on leaving upstreams in a soak of processes

Cause: the soak that found the fault had no test of its rule, and its first broken seed none in the check. Ruled out: none.

--- a/crates/standin/tests/silence.rs
+++ b/crates/standin/tests/silence.rs
@@ -27,7 +27,7 @@
     wellplank_standin::{
         client::Ask,
         proxy::Hushed,
-        site::{Plan, Site, run},
+        site::{Plan, Site, configuration, run},
     },
 };
 
@@ -83,3 +83,56 @@
         upstream_leaves_in_silence(instances);
     }
 }
+
+/// Has every open connection to the store say nothing further.
+fn hush_all(site: &Site) {
+    for store in &site.stores {
+        store.hush(Hushed::All);
+    }
+}
+
+fn fleet(instances: usize) -> Plan {
+    Plan {
+        instances,
+        ..Plan::default()
+    }
+}
+
+#[gtest]
+fn configuration_that_comes_while_all_waiting_calls_are_silent_is_in_force_in_time() {
+    run(fleet(3), async |site: Site| {
+        hush(&site);
+        sleep(BEFORE).await;
+        let mut next = configuration(5);
+        next["routes"][2]["path_prefix"] = "/first/".into();
+        site.shelf.put("op/config", &next);
+        sleep(BOUND).await;
+        for (index, instance) in site.instances.iter().enumerate() {
+            let moved = Ask::new("/first/1", &format!("m{index}"))
+                .send(instance.callers)
+                .await;
+            expect_that!(moved.status.as_u16(), eq(200));
+        }
+    });
+}
+
+#[gtest]
+fn upstream_that_leaves_while_all_connections_are_silent_gets_no_new_work() {
+    run(fleet(7), async |site: Site| {
+        hush_all(&site);
+        sleep(BEFORE).await;
+        site.leave(0);
+        sleep(BOUND).await;
+        expect_that!(asked(&site).await, eq((0, 42)));
+    });
+}
+
+#[gtest]
+fn instance_whose_own_connections_are_silent_learns_in_time() {
+    run(fleet(3), async |site: Site| {
+        site.stores[1].hush(Hushed::All);
+        site.leave(0);
+        sleep(BOUND).await;
+        expect_that!(asked(&site).await, eq((0, 18)));
+    });
+}
--- a/crates/standin/tests/soak.rs
+++ b/crates/standin/tests/soak.rs
@@ -3,27 +3,45 @@
 use {
     googletest::prelude::*,
     std::time::Duration,
-    wellplank_standin::soak::{self, Plan},
+    wellplank_standin::{
+        leaving,
+        soak::{self, Outcome, Plan},
+    },
 };
 
-fn run(seed: u64) {
-    let plan = Plan {
-        engines: 5,
-        instances: 3,
-        lasts: Duration::from_secs(5),
-        seed,
-    };
+fn check(seed: u64, soak: impl Future<Output = Outcome>) {
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .worker_threads(2)
         .enable_all()
         .build()
         .unwrap();
-    let outcome = runtime.block_on(soak::run(plan));
+    let outcome = runtime.block_on(soak);
     runtime.shutdown_background();
     expect_that!(outcome.violations, is_empty(), "seed {seed}");
     expect_that!(outcome.requests, gt(0));
 }
 
+fn run(seed: u64) {
+    let plan = Plan {
+        engines: 5,
+        instances: 3,
+        lasts: Duration::from_secs(5),
+        seed,
+    };
+    check(seed, soak::run(plan));
+}
+
+/// A soak in which upstreams leave.
+fn run_leaving(seed: u64) {
+    let plan = Plan {
+        engines: 8,
+        instances: 7,
+        lasts: Duration::from_secs(20),
+        seed,
+    };
+    check(seed, leaving::run(plan));
+}
+
 #[gtest]
 fn short_soak_breaks_nothing() {
     run(1);
@@ -35,3 +53,9 @@
 fn seed_3_watch_that_says_nothing_any_more() {
     run(3);
 }
+
+/// All waiting calls went silent 3 s before two upstreams ended their entries: these got requests for 6.2 s.
+#[gtest]
+fn leaving_seed_2_waiting_calls_that_say_nothing_any_more() {
+    run_leaving(2);
+}
