Failing test: an upstream goes without a word while all connections to the store are silent

Ruled out: learning late (the list was asked for 0.7 s behind the change). Conclusion: listed red until mended.

--- a/crates/standin/tests/silence.rs
+++ b/crates/standin/tests/silence.rs
@@ -136,3 +136,17 @@
         expect_that!(asked(&site).await, eq((0, 18)));
     });
 }
+
+/// An instance whose call for other things was lost on a silent connection, 2 s behind its last answered one, took
+/// that for an absence of the store in which entries may have gone: `"the store is back" "away_ms":2854`, and an
+/// upstream whose entry had ended meanwhile was believed for two seconds more, `"believed_ms":1960`.
+#[gtest]
+fn upstream_that_goes_while_all_connections_are_silent_gets_no_new_work() {
+    run(fleet(7), async |site: Site| {
+        hush_all(&site);
+        sleep(Duration::from_secs(2)).await;
+        site.shelf.remove("servers/desk-0");
+        sleep(BOUND).await;
+        expect_that!(asked(&site).await, eq((0, 42)));
+    });
+}
