An absence of the store needs that it answered nobody, as far as others tell

Cause: a call that a silent connection lost was taken for the store's absence: two seconds between an instance's other calls and the call's time together were longer than two heartbeats of upstreams. Ruled out: shorter pauses between these calls (more calls); the failed call alone (a store that is away loses calls too). Repair: what other instances tell that the store has just shown them counts as an answer in this account.

--- a/crates/core/src/absence.rs
+++ b/crates/core/src/absence.rs
@@ -37,6 +37,8 @@
     quiet: Option<Span>,
     /// When a call was answered first behind one that failed.
     recovered: Option<Time>,
+    /// When the store last answered another instance, by what that one told.
+    witnessed: Option<Time>,
 }
 
 /// A span of time.
@@ -67,6 +69,7 @@
             heartbeat_ms,
             quiet: None,
             recovered: None,
+            witnessed: None,
         }
     }
 
@@ -100,6 +103,20 @@
         self.entered_by
     }
 
+    /// Notes that the store has just answered another instance: no entry goes for want of it while it answers any. A
+    /// call that a silent connection lost was else taken for an absence, and an upstream that had gone was believed
+    /// for two seconds more.
+    pub fn witness(&mut self, now: Time) {
+        let quiet = self.quiet_until(now);
+        if let Some(quiet) = quiet.filter(|quiet| self.may_lapse(*quiet)) {
+            self.quiet = Some(quiet);
+            if self.failed.is_some() {
+                self.away = Some(quiet);
+            }
+        }
+        self.witnessed = Some(now);
+    }
+
     /// When the store answered last.
     pub fn answered(&self) -> Option<Time> {
         self.answered
@@ -170,9 +187,9 @@
         span.to.since(span.from) >= self.lapse_ms()
     }
 
-    /// The span since the last answer.
+    /// The span since the last answer, here or to another instance; `None` before the first one here.
     fn quiet_until(&self, now: Time) -> Option<Span> {
-        let from = self.answered?;
+        let from = self.answered?.max(self.witnessed.unwrap_or_default());
         Some(Span { from, to: now })
     }
 }
--- a/crates/core/tests/absence.rs
+++ b/crates/core/tests/absence.rs
@@ -82,3 +82,30 @@
     let absence = absence(&[(1_000, false), (1_500, true)]);
     expect_that!(absence.believed_ms(Time(1_500)), eq(2_000));
 }
+
+#[gtest]
+fn call_that_is_lost_while_the_store_answers_others_is_no_absence() {
+    let mut absence = absence(&[(1_000, true)]);
+    for at in [1_800, 2_800, 3_800] {
+        absence.witness(Time(at));
+        absence.fail(Time(at + 100));
+    }
+    absence.answer(Time(3_950));
+    expect_that!(absence.away(), none());
+}
+
+#[gtest]
+fn absence_that_another_instance_saw_end_first_is_one() {
+    let mut absence = absence(&[(1_000, true), (2_600, false)]);
+    absence.witness(Time(9_000));
+    absence.answer(Time(9_300));
+    expect_that!(absence.believed_ms(Time(9_300)), eq(1_700));
+}
+
+#[gtest]
+fn absence_that_only_another_instance_s_answer_ends_is_noticed_by_a_call_that_fails_late() {
+    let mut absence = absence(&[(1_000, true)]);
+    absence.witness(Time(9_000));
+    absence.fail(Time(9_200));
+    expect_that!(absence.believed_ms(Time(9_200)), eq(1_800));
+}
--- a/crates/node/src/feed.rs
+++ b/crates/node/src/feed.rs
@@ -46,6 +46,12 @@
         self.http.send_replace(Http::watching());
     }
 
+    /// Notes that the store has just answered another instance.
+    pub fn witness(&self) {
+        let now = self.clock.now();
+        self.absence.send_modify(|absence| absence.witness(now));
+    }
+
     /// Makes a call that does not wait; status and body of its answer.
     pub async fn call(&self, call: Call, patience: Duration) -> Result<(StatusCode, Bytes), Error> {
         let begun = Instant::now();
--- a/crates/node/src/learner.rs
+++ b/crates/node/src/learner.rs
@@ -95,7 +95,7 @@
             let left = task.left();
             let input = tokio::select! {
                 Some(ended) = ended.recv() => task.end(ended),
-                Some(heard) = heard.recv() => Input::Heard(heard),
+                Some(heard) = heard.recv() => task.hear(heard),
                 Ok(()) = members.changed() => task.learner.role(&members.borrow_and_update()),
                 Ok(()) = absence.changed() => Input::Tick,
                 () = sleep(left) => Input::Tick,
@@ -117,6 +117,14 @@
     /// Has the informer take in what happened, and does what it wants.
     fn take(&mut self, input: Input, absence: Absence) {
         let now = self.learner.clock.now();
+    /// What the informer takes in of what another instance let this one know.
+    fn hear(&self, heard: Heard) -> Input {
+        if heard.confirmed.is_some() {
+            self.learner.client.witness();
+        }
+        Input::Heard(heard)
+    }
+
         for output in self.informer.take(input, absence, now) {
             self.perform(output, now);
         }
--- a/crates/standin/src/learning.rs
+++ b/crates/standin/src/learning.rs
@@ -294,6 +294,9 @@
             Event::Gossip(node, life) => self.gossip(node, life),
             Event::Hear(node, _, heard) => {
                 if self.nodes[node].isolated_until <= self.now {
+                    if heard.confirmed.is_some() {
+                        self.nodes[node].absence.witness(self.now);
+                    }
                     self.take(node, Input::Heard(heard));
                 }
             }
