A life of an upstream is its name and its birth; entries of other writers name nobody and touch no others

Cause: an upstream that starts again under its name was the same one to every belief: its copies, load, doubts, leaving. An entry that can not be read left what was known in use; one odd item failed a whole read; a foreign entry at the address of a living upstream took this one out. Ruled out: the order of births (a clock may go back; the store's revisions order what it lists), a textual name with birth (longer datagrams). Repair: life::Life, decoded once, in the list, words, losses, sightings and logs; a former life ends as by a crash once the whole list is taken in; odd entries take the one under their name out; items are decoded one by one; an address changes hands only for services of the configuration in force.

--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -17,6 +17,16 @@
     pub services: BTreeMap<String, Arc<Service>>,
 }
 
+impl Config {
+    /// Pools of upstreams that serve something.
+    pub fn pools(&self) -> BTreeSet<&str> {
+        let shares = self.routes.iter().flat_map(|route| &route.shares);
+        let services = shares.map(|share| &share.service);
+        let services = services.chain(self.services.values());
+        services.map(|service| service.pool()).collect()
+    }
+}
+
 /// Someone allowed to call services.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Customer {
--- a/crates/core/src/core.rs
+++ b/crates/core/src/core.rs
@@ -78,7 +78,8 @@
     pub(crate) held: u64,
     pub(crate) instances: u32,
     pub(crate) identity: u64,
-    pub(crate) names: HashMap<Arc<str>, upstream::Key>,
+    /// Upstreams by their lives; of each name at most one.
+    pub(crate) lives: sighting::Lives,
     pub(crate) now: Time,
     /// How long callers of each service wait.
     pub(crate) patiences: HashMap<String, patience::Longest>,
@@ -130,7 +131,7 @@
         }
         match event {
             Event::Answered { attempt, verdict } => self.answered(attempt, verdict),
-            Event::Blamed(name) => self.blamed(&name),
+            Event::Blamed(life) => self.blamed(life),
             Event::CallerGone(caller) => self.caller_gone(caller),
             Event::Carried { attempt, load } => self.carried(attempt, load),
             Event::Claimed { request, outcome } => self.claimed(request, outcome),
@@ -188,7 +189,7 @@
             identity: seed,
             instances: 1,
             listed: None,
-            names: HashMap::new(),
+            lives: BTreeMap::new(),
             now,
             patiences: HashMap::new(),
             pools: BTreeMap::new(),
@@ -232,6 +233,7 @@
         let current = self.revision().unwrap_or(0);
         if config.revision > current || self.config.is_none() {
             self.config = Some(config);
+            self.settle_addresses();
             self.submit_early();
         }
         let after = self.revision().unwrap_or(0);
--- a/crates/core/src/counter.rs
+++ b/crates/core/src/counter.rs
@@ -11,6 +11,8 @@
     Answered,
     /// Callers that went away before their answer was whole.
     CallerGone,
+    /// An entry of the list names no upstream to use, for a reason.
+    EntryOdd(&'static str),
     /// Frames dropped since their attempt is over.
     FrameLate,
     /// Tokens dropped since they were delivered before.
@@ -73,6 +75,8 @@
     Refused,
     /// Another upstream has the address.
     Replaced,
+    /// The upstream started again.
+    Restarted,
     /// The stream stalled.
     Stall,
     /// The stream ended without a mark that it is whole.
@@ -92,6 +96,7 @@
             Self::Admitted => write!(formatter, "admitted"),
             Self::Answered => write!(formatter, "answered"),
             Self::CallerGone => write!(formatter, "caller_gone"),
+            Self::EntryOdd(reason) => write!(formatter, "entry.odd.{reason}"),
             Self::FrameGap => write!(formatter, "frame.gap"),
             Self::FrameLate => write!(formatter, "frame.late"),
             Self::FrameRepeated => write!(formatter, "frame.repeated"),
@@ -121,6 +126,7 @@
             Self::Probe => "probe",
             Self::Refused => "refused",
             Self::Replaced => "replaced",
+            Self::Restarted => "restarted",
             Self::Stall => "stall",
             Self::Unmarked => "unmarked",
         })
--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -160,7 +160,7 @@
         let found = self
             .upstreams
             .iter()
-            .find(|(_, other)| other.id == upstream && other.health != Health::Lost)
+            .find(|(_, other)| other.life.id == upstream && other.health != Health::Lost)
             .map(|(key, _)| key);
         let Some(upstream) = found else {
             return false;
@@ -301,7 +301,7 @@
         let relayed = request.work.relay().is_some();
         let continues = request.may_have_run && !request.service.repeatable && !relayed;
         if request.claim.is_none() && continues {
-            let id = self.upstreams[upstream].id;
+            let id = self.upstreams[upstream].life.id;
             request.claim = Claim::continuation(request.generation, request.number, id, nonce);
         }
         if let Some(claim) = request.claim {
--- a/crates/core/src/effect.rs
+++ b/crates/core/src/effect.rs
@@ -113,6 +113,8 @@
     New,
     /// Another upstream has its address.
     Replaced,
+    /// It started again under its name, and is another one since.
+    Restarted,
     /// It gets work again.
     Trusted,
 }
@@ -146,6 +148,7 @@
             Self::Lost => "lost",
             Self::New => "new",
             Self::Replaced => "replaced",
+            Self::Restarted => "restarted",
             Self::Trusted => "trusted",
         }
     }
@@ -160,13 +163,15 @@
     Believe {
         /// What is believed now.
         belief: Belief,
+        /// When its life began, in milliseconds since the Unix epoch; 0 where it does not say.
+        born: u64,
         /// Time since anything came from it, in milliseconds.
         silent_ms: u64,
         /// Name of the upstream.
         upstream: Arc<str>,
     },
     /// Tell other instances that an upstream was lost.
-    Blame(Arc<str>),
+    Blame(Life),
     /// Stop an attempt and tell the engine, if it is a stream.
     Cancel {
         /// Where the upstream listens.
--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -88,6 +88,8 @@
 pub struct Listed {
     /// Where it listens.
     pub address: SocketAddr,
+    /// When it started, by its own clock, in milliseconds since the Unix epoch; 0 where it does not say.
+    pub born: u64,
     /// Data centre that it stands in.
     pub data_centre: String,
     /// Whether it is leaving.
@@ -103,6 +105,13 @@
     pub since: u64,
 }
 
+impl Listed {
+    /// The life that the entry speaks of.
+    pub fn life(&self) -> Life {
+        Life::new(&self.name, self.born)
+    }
+}
+
 /// What the core is told.
 #[derive(Clone, Debug)]
 pub enum Event {
@@ -113,8 +122,8 @@
         /// What the answer means.
         verdict: Verdict,
     },
-    /// Another instance lost an upstream of this name.
-    Blamed(String),
+    /// Another instance lost an upstream.
+    Blamed(Life),
     /// The caller's connection is closed.
     CallerGone(request::Caller),
     /// A load report came along with the tokens of a stream, and is as old as they are.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod invariant;
 pub mod kind;
 pub mod lesson;
+pub mod life;
 pub mod line;
 pub mod queue;
 pub mod request;
@@ -66,6 +67,7 @@
     invariant::Invariant,
     kind::Kind,
     lesson::Why,
+    life::Life,
     line::Line,
     queue::Queue,
     rand::{RngExt, SeedableRng, seq::SliceRandom},
--- /dev/null
+++ b/crates/core/src/life.rs
@@ -0,0 +1,27 @@
+//! Lives of upstreams: what starts again under a name is another upstream.
+
+use super::*;
+
+/// One life of an upstream, from its start to its end. What is told or believed of one life says nothing of another
+/// one under the same name. Of an upstream that does not say when it was born the birth is 0, and its name alone tells.
+#[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct Life {
+    /// Hash of its name, as cursors carry it.
+    pub id: u64,
+    /// When it started, by its own clock, in milliseconds since the Unix epoch; 0 where it does not say.
+    pub born: u64,
+}
+
+impl Life {
+    /// The life that an upstream of this name began at a time.
+    pub fn new(name: &str, born: u64) -> Self {
+        let id = upstream::id(name);
+        Self { id, born }
+    }
+
+    /// Every life that may be known under the same name.
+    pub(crate) fn namesakes(self) -> RangeInclusive<Self> {
+        let born = |born| Self { born, ..self };
+        born(0)..=born(u64::MAX)
+    }
+}
--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -160,7 +160,8 @@
     /// Another instance told of a stream.
     pub(crate) fn sighted(&mut self, sighting: Sighting) {
         let starts = sighting.stage == sighting::Stage::Started;
-        let upstream = self.names.get(sighting.upstream.as_str()).copied();
+        let upstream = sighting.upstream;
+        let upstream = upstream.and_then(|life| self.lives.get(&life).copied());
         let mut reading_ms = sighting::READING_MS;
         if let Some(upstream) = upstream.filter(|_| starts) {
             let ahead = self.sightings.usage(upstream).reading_tokens;
@@ -171,9 +172,9 @@
                 reading_ms = millis;
             }
         }
-        let names = &self.names;
+        let lives = &self.lives;
         self.sightings
-            .add(sighting, false, reading_ms, names, self.now);
+            .add(sighting, false, reading_ms, lives, self.now);
     }
 
     /// Where a relayed request begins: behind the events that its caller has, and from the copied
@@ -187,9 +188,9 @@
             return passage;
         }
         if let Some(sighting) = self.sightings.get(relay.prompt) {
-            let find = |name: &str| self.names.get(name).copied();
-            passage.prefer = find(&sighting.upstream);
-            passage.copy = find(&sighting.backup).map(|upstream| request::Copy {
+            let find = |life: Option<Life>| self.lives.get(&life?).copied();
+            passage.prefer = find(sighting.upstream);
+            passage.copy = find(sighting.backup).map(|upstream| request::Copy {
                 run: sighting.run.as_str().into(),
                 upstream,
             });
@@ -395,13 +396,13 @@
     fn blame(&mut self, key: upstream::Key) {
         let upstream = &mut self.upstreams[key];
         upstream.trouble.add(self.now);
-        self.effects.push(Effect::Blame(upstream.name.clone()));
+        self.effects.push(Effect::Blame(upstream.life));
         self.doubt(key);
     }
 
     /// Another instance lost an upstream. That may be its own link, so it is only one failure.
-    pub(crate) fn blamed(&mut self, name: &str) {
-        if let Some(key) = self.names.get(name) {
+    pub(crate) fn blamed(&mut self, life: Life) {
+        if let Some(key) = self.lives.get(&life) {
             self.upstreams[*key].trouble.add(self.now);
         }
     }
@@ -409,12 +410,9 @@
     /// Tells other instances of a stream that is being sent or has begun.
     fn tell(&mut self, key: attempt::Key, stage: sighting::Stage) {
         let attempt = &self.attempts[key];
-        let name = |key: upstream::Key| {
-            let upstream = self.upstreams.get(key);
-            upstream.map_or_else(String::new, |upstream| upstream.name.to_string())
-        };
-        let backup = attempt.backup.map_or_else(String::new, name);
-        let upstream = name(attempt.upstream);
+        let life = |key: upstream::Key| self.upstreams.get(key).map(|upstream| upstream.life);
+        let backup = attempt.backup.and_then(life);
+        let upstream = life(attempt.upstream);
         if let Some(relay) = self.requests[attempt.request].work.relay() {
             let sighting = relay.sighting(stage, upstream, backup);
             self.tell_all(sighting);
@@ -425,8 +423,7 @@
     pub(crate) fn tell_waiting(&mut self, key: request::Key) {
         let request = &self.requests[key];
         if let Some(relay) = request.work.relay() {
-            let mut sighting =
-                relay.sighting(sighting::Stage::Waiting, String::new(), String::new());
+            let mut sighting = relay.sighting(sighting::Stage::Waiting, None, None);
             sighting.pool = request.service.pool().into();
             self.tell_all(sighting);
         }
@@ -435,7 +432,7 @@
     /// Tells other instances that a stream is over, or left by its caller.
     pub(crate) fn tell_over(&mut self, request: &Request, stage: sighting::Stage) {
         if let Some(relay) = request.work.relay() {
-            let sighting = relay.sighting(stage, String::new(), String::new());
+            let sighting = relay.sighting(stage, None, None);
             self.tell_all(sighting);
         }
     }
@@ -445,7 +442,7 @@
             return;
         }
         self.sightings
-            .add(sighting.clone(), true, 0, &self.names, self.now);
+            .add(sighting.clone(), true, 0, &self.lives, self.now);
         self.effects.push(Effect::Tell(sighting));
     }
 
--- a/crates/core/src/request.rs
+++ b/crates/core/src/request.rs
@@ -59,7 +59,12 @@
 
 impl Relay {
     /// What is told of it to other instances.
-    pub fn sighting(&self, stage: sighting::Stage, upstream: String, backup: String) -> Sighting {
+    pub fn sighting(
+        &self,
+        stage: sighting::Stage,
+        upstream: Option<Life>,
+        backup: Option<Life>,
+    ) -> Sighting {
         Sighting {
             backup,
             pool: String::new(),
--- a/crates/core/src/roster.rs
+++ b/crates/core/src/roster.rs
@@ -15,7 +15,7 @@
     Gone,
     /// It was written.
     Listed(Listed),
-    /// It was written and can not be read; what was known of it stays.
+    /// It was written and names no upstream to use, as another writer's: the one under this name gets no new work.
     Odd,
 }
 
@@ -224,9 +224,7 @@
         for change in changes {
             self.changed = self.changed.max(change.revision);
             self.apply(&change, now);
-            if change.entry != Entry::Odd {
-                self.untold.push(change);
-            }
+            self.untold.push(change);
         }
     }
 
@@ -237,7 +235,10 @@
                 self.lapsing.remove(&change.name);
                 self.entries.insert(change.name.clone(), listed.clone());
             }
-            Entry::Odd => {}
+            Entry::Odd => {
+                self.lapsing.remove(&change.name);
+                self.entries.remove(&change.name);
+            }
         }
     }
 
--- a/crates/core/src/route.rs
+++ b/crates/core/src/route.rs
@@ -75,7 +75,7 @@
             return None;
         };
         let mut ranked = self.usable(key);
-        ranked.sort_unstable_by_key(|key| rank(prefix, self.upstreams[*key].id));
+        ranked.sort_unstable_by_key(|key| rank(prefix, self.upstreams[*key].life.id));
         ranked
             .into_iter()
             .take(PREFIX_UPSTREAMS)
--- a/crates/core/src/sighting.rs
+++ b/crates/core/src/sighting.rs
@@ -21,8 +21,8 @@
 /// Sightings kept, at most; beyond it the older half of their time goes.
 const KEPT: usize = 20_000;
 
-/// Upstreams by their names.
-pub(crate) type Names = HashMap<Arc<str>, upstream::Key>;
+/// Upstreams by their lives.
+pub(crate) type Lives = BTreeMap<Life, upstream::Key>;
 
 /// Where a stream stands.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -42,8 +42,8 @@
 /// A relayed stream, as instances tell each other of it.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Sighting {
-    /// Name of the upstream that keeps a copy of its memory; empty for none.
-    pub backup: String,
+    /// Upstream that keeps a copy of its memory.
+    pub backup: Option<Life>,
     /// Name of the pool that it waits for; empty if it does not wait.
     pub pool: String,
     /// Identity of the prompt.
@@ -54,8 +54,8 @@
     pub stage: Stage,
     /// Tokens of prompt and longest answer.
     pub tokens: u32,
-    /// Name of the upstream that runs it.
-    pub upstream: String,
+    /// Upstream that runs it.
+    pub upstream: Option<Life>,
 }
 
 /// One stream that was told of.
@@ -124,7 +124,7 @@
         sighting: Sighting,
         own: bool,
         reading_ms: u64,
-        names: &Names,
+        lives: &Lives,
         now: Time,
     ) {
         match sighting.stage {
@@ -142,15 +142,16 @@
                     self.forget_older(now);
                 }
                 let prompt = sighting.prompt;
+                let find = |life: Option<Life>| lives.get(&life?).copied();
                 self.forget(prompt);
                 let seen = Seen {
                     at: now,
-                    backup: names.get(sighting.backup.as_str()).copied(),
+                    backup: find(sighting.backup),
                     due: now,
                     holds: Holds::Nothing,
                     own,
                     reading_ms: reading_ms.min(RUNNING_MS),
-                    upstream: names.get(sighting.upstream.as_str()).copied(),
+                    upstream: find(sighting.upstream),
                     sighting,
                 };
                 self.seen.insert(prompt, seen);
@@ -175,17 +176,18 @@
     }
 
     /// An upstream is known now of which streams may have been told before.
-    pub fn resolve(&mut self, name: &str, key: upstream::Key, now: Time) {
+    pub fn resolve(&mut self, life: Life, key: upstream::Key, now: Time) {
+        let life = Some(life);
         let named: Vec<u64> = self
             .seen
             .iter()
-            .filter(|(_, seen)| seen.sighting.upstream == name || seen.sighting.backup == name)
+            .filter(|(_, seen)| seen.sighting.upstream == life || seen.sighting.backup == life)
             .map(|(prompt, _)| *prompt)
             .collect();
         for prompt in named {
             self.release(prompt);
             if let Some(seen) = self.seen.get_mut(&prompt) {
-                if seen.sighting.upstream == name {
+                if seen.sighting.upstream == life {
                     seen.upstream = Some(key);
                 } else {
                     seen.backup = Some(key);
--- a/crates/core/src/stream.rs
+++ b/crates/core/src/stream.rs
@@ -92,7 +92,7 @@
             return;
         };
         let (owner, number) = (attempt.request, attempt.number);
-        let upstream = self.upstreams[attempt.upstream].id;
+        let upstream = self.upstreams[attempt.upstream].life.id;
         let request = &self.requests[owner];
         let next = request.position();
         let repeated = pieces.len().min(next.saturating_sub(position) as usize);
--- a/crates/core/src/upstream.rs
+++ b/crates/core/src/upstream.rs
@@ -98,8 +98,8 @@
     pub full_until: Time,
     /// Last time anything came from it.
     pub heard: Time,
-    /// Hash of the name, as cursors carry it.
-    pub id: u64,
+    /// Its life.
+    pub life: Life,
     /// Whether the platform's list says that it is leaving, or has dropped it.
     pub leaving: bool,
     /// Until when an earlier word that it is leaving counts, though the list says otherwise.
--- a/crates/core/src/watch.rs
+++ b/crates/core/src/watch.rs
@@ -14,6 +14,14 @@
 /// Time between two looks at deadlines, in milliseconds.
 const SWEEP_MS: u64 = 50;
 
+/// What an entry of the list stands for.
+struct Place {
+    /// The life that was known under the name before, if it is another one.
+    former: Option<upstream::Key>,
+    /// The upstream.
+    key: upstream::Key,
+}
+
 impl Core {
     /// Takes in a load report that came along with tokens; the next one need not be asked for.
     pub(crate) fn carried(&mut self, attempt: attempt::Key, load: Load) {
@@ -45,7 +53,7 @@
 
     /// A word that an upstream is leaving, which the platform's list may not say yet.
     pub(crate) fn hint_leaving(&mut self, name: &str) {
-        if let Some(key) = self.names.get(name).copied() {
+        if let Some(key) = self.namesake(Life::new(name, 0)) {
             self.leave(key);
         }
     }
@@ -78,10 +86,12 @@
             self.instances = instances as u32;
         }
         let mut absent: Vec<upstream::Key> = self.upstreams.keys().collect();
+        let mut formers = Vec::new();
         for entry in listed {
             if entry.pool != core::INSTANCE_POOL {
-                let key = self.listed(entry);
-                absent.retain(|other| *other != key);
+                let place = self.listed(entry);
+                formers.extend(place.former);
+                absent.retain(|other| *other != place.key && Some(*other) != place.former);
             }
         }
         for key in absent {
@@ -93,6 +103,11 @@
                 self.forget(key);
             }
         }
+        self.settle_addresses();
+        // What they ran goes on elsewhere, which only the whole list tells.
+        for former in formers {
+            self.restarted(former);
+        }
         self.choose_subsets();
         self.listed = Some(asked);
         self.submit_early();
@@ -171,7 +186,9 @@
                 let upstream = &self.upstreams[*key];
                 upstream.health != Health::Lost && !upstream.leaves(self.now)
             });
-            ranked.sort_unstable_by_key(|key| route::rank(self.identity, self.upstreams[*key].id));
+            ranked.sort_unstable_by_key(|key| {
+                route::rank(self.identity, self.upstreams[*key].life.id)
+            });
             ranked.truncate(count);
             for key in &pool.upstreams {
                 self.upstreams[*key].chosen = ranked.contains(key);
@@ -183,18 +200,38 @@
         let Some(upstream) = self.upstreams.remove(key) else {
             return;
         };
-        if self.names.get(&upstream.name) == Some(&key) {
-            self.names.remove(&upstream.name);
+        if self.lives.get(&upstream.life) == Some(&key) {
+            self.lives.remove(&upstream.life);
         }
         if let Some(pool) = self.pools.get_mut(&upstream.pool) {
             pool.upstreams.retain(|other| *other != key);
         }
     }
 
-    /// The upstream of a list entry, made if it is new. Another address is another upstream.
-    fn listed(&mut self, entry: &event::Listed) -> upstream::Key {
-        let known = self.names.get(entry.name.as_str()).copied();
+    /// The upstream that is known under the name of a life, which may be another life.
+    fn namesake(&self, life: Life) -> Option<upstream::Key> {
+        self.lives
+            .range(life.namesakes())
+            .next()
+            .map(|(_, key)| *key)
+    }
+
+    /// An upstream started again under its name: what ran there is gone, and nothing of it is believed any more. Had a
+    /// silent link kept an attempt waiting, its caller would get no answer before its deadline.
+    fn restarted(&mut self, key: upstream::Key) {
+        self.believe(key, effect::Belief::Restarted);
+        for attempt in self.upstreams[key].attempts.clone() {
+            self.abandon(attempt, counter::Reason::Restarted);
+        }
+        self.forget(key);
+    }
+
+    /// The upstream of a list entry, made if it is new. Another birth or another address is another upstream.
+    fn listed(&mut self, entry: &event::Listed) -> Place {
+        let life = entry.life();
+        let known = self.namesake(life);
         if let Some(key) = known
+            && self.upstreams[key].life == life
             && self.upstreams[key].address == entry.address
         {
             if entry.leaving && !self.upstreams[key].leaving {
@@ -202,7 +239,13 @@
             }
             self.upstreams[key].leaving = entry.leaving;
             self.upstreams[key].listed_slots = entry.slots;
-            return key;
+            return Place { former: None, key };
+        }
+        let former = known.filter(|key| self.upstreams[*key].life != life);
+        if let Some(former) = former {
+            let former = &mut self.upstreams[former];
+            former.health = Health::Lost;
+            self.lives.remove(&former.life);
         }
         let name: Arc<str> = entry.name.as_str().into();
         let pool: Arc<str> = entry.pool.as_str().into();
@@ -217,9 +260,9 @@
             full_until: Time::default(),
             health: Health::Live,
             heard: self.now,
-            id: upstream::id(&name),
             leaving: entry.leaving,
             leaving_until: Time::default(),
+            life,
             listed_slots: entry.slots,
             load: Load::default(),
             name: name.clone(),
@@ -232,26 +275,38 @@
             takes_ms: 0.0,
             trouble: upstream::Trouble::default(),
         });
-        self.sightings.resolve(&name, key, self.now);
-        self.names.insert(name, key);
+        self.sightings.resolve(life, key, self.now);
+        self.lives.insert(life, key);
         self.pools.entry(pool).or_default().upstreams.push(key);
         self.believe(key, effect::Belief::New);
-        self.replace(entry.address);
-        key
+        Place { former, key }
     }
 
-    /// Of upstreams at one address only the one that was entered last is there.
-    fn replace(&mut self, address: SocketAddr) {
-        let there = |(_, upstream): &(upstream::Key, &Upstream)| upstream.address == address;
-        let mut same: Vec<(u64, upstream::Key)> = self
+    /// Of upstreams at one address only the one that was entered last is there. An entry for a service that the
+    /// configuration in force does not name takes nobody's place: it is another writer's, or its configuration comes
+    /// yet, and then this is looked at again.
+    pub(crate) fn settle_addresses(&mut self) {
+        let Some(config) = &self.config else {
+            return;
+        };
+        let pools = config.pools();
+        let mut last: HashMap<SocketAddr, u64> = HashMap::new();
+        let served = |upstream: &&Upstream| pools.contains(&*upstream.pool);
+        for upstream in self.upstreams.values().filter(served) {
+            let since = last.entry(upstream.address).or_default();
+            *since = upstream.since.max(*since);
+        }
+        let earlier = |(_, upstream): &(upstream::Key, &Upstream)| {
+            let since = last.get(&upstream.address);
+            since.is_some_and(|since| upstream.since < *since)
+        };
+        let earlier: Vec<upstream::Key> = self
             .upstreams
             .iter()
-            .filter(there)
-            .map(|(key, upstream)| (upstream.since, key))
+            .filter(earlier)
+            .map(|(key, _)| key)
             .collect();
-        let last = same.iter().map(|(since, _)| *since).max().unwrap_or(0);
-        same.retain(|(since, _)| *since < last);
-        for (_, key) in same {
+        for key in earlier {
             self.replaced(key);
         }
     }
@@ -378,6 +433,7 @@
         let upstream = &self.upstreams[key];
         self.effects.push(Effect::Believe {
             belief,
+            born: upstream.life.born,
             silent_ms: self.now.since(upstream.heard),
             upstream: upstream.name.clone(),
         });
--- a/crates/core/tests/core.rs
+++ b/crates/core/tests/core.rs
@@ -111,8 +111,9 @@
     /// Has the list read, with one upstream leaving if given.
     fn list(&mut self, upstreams: usize, leaving: Option<usize>) {
         let listed = (0..upstreams).map(|index| Listed {
-            data_centre: String::new(),
             address: address(index),
+            born: 0,
+            data_centre: String::new(),
             leaving: leaving == Some(index),
             name: format!("runner-{index}"),
             pool: "runner".into(),
--- a/crates/core/tests/roster.rs
+++ b/crates/core/tests/roster.rs
@@ -17,6 +17,7 @@
     let name = format!("engine-{to}");
     let listed = Listed {
         address: format!("10.0.0.1:{to}").parse().unwrap(),
+        born: 0,
         data_centre: "hall".into(),
         leaving: false,
         name: name.clone(),
@@ -122,3 +123,41 @@
     roster.hear(&gone(2, 3, "engine-2"), 2, NOW);
     expect_that!(names(&roster), elements_are![eq("engine-2")]);
 }
+
+/// Word that an entry was written which names no upstream to use.
+fn odd(from: u64, to: u64, name: &str) -> Word {
+    let mut word = gone(from, to, name);
+    word.changes[0].entry = Entry::Odd;
+    word
+}
+
+#[gtest]
+fn entry_that_names_no_upstream_takes_the_one_under_its_name_out_and_no_other() {
+    let mut roster = Roster::default();
+    roster.hear(&word(1, 2), 1, NOW);
+    roster.hear(&word(2, 3), 2, NOW);
+    // Also where entries that go are believed for a while: it was written, and the store was there.
+    roster.away = true;
+    roster.hear(&odd(3, 4, "engine-2"), 3, NOW);
+    expect_that!(names(&roster), elements_are![eq("engine-3")]);
+}
+
+#[gtest]
+fn good_entry_behind_an_odd_one_brings_its_upstream_back() {
+    let mut roster = Roster::default();
+    roster.hear(&word(1, 2), 1, NOW);
+    roster.hear(&odd(2, 3, "engine-2"), 2, NOW);
+    let mut good = word(3, 4);
+    good.changes[0].name = "engine-2".into();
+    roster.hear(&good, 3, NOW);
+    expect_that!(roster.listed().len(), eq(1));
+}
+
+#[gtest]
+fn odd_entries_are_told_to_others() {
+    let mut roster = Roster::default();
+    roster.tell_from(1);
+    roster.take(odd(1, 2, "engine-2").changes, None, NOW);
+    let told = roster.words(2, NOW);
+    expect_that!(told[0].changes[0].entry, eq(&Entry::Odd));
+}
--- a/crates/node/src/driver.rs
+++ b/crates/node/src/driver.rs
@@ -234,10 +234,11 @@
             }
             Effect::Believe {
                 belief,
+                born,
                 silent_ms,
                 upstream,
-            } => note::believe(belief, silent_ms, &upstream),
-            Effect::Blame(name) => self.tell_others(gossip::Told::Lost(name)),
+            } => note::believe(belief, born, silent_ms, &upstream),
+            Effect::Blame(life) => self.tell_others(gossip::Told::Lost(life)),
             Effect::Cancel {
                 address,
                 attempt,
--- a/crates/node/src/feed.rs
+++ b/crates/node/src/feed.rs
@@ -106,10 +106,13 @@
         let revision = page.revision;
         let mut items = std::mem::take(&mut page.items);
         while page.more {
-            let Some(last) = items.last().map(|item| item.key.clone()) else {
-                break;
-            };
+            let last = items.last().map(|item| item.key.clone());
+            let last =
+                last.ok_or_else(|| Error::Store(format!("{prefix}: a page names no key")))?;
             page = self.page(prefix, Some(&last), patience, age).await?;
+            if page.items.is_empty() && page.more {
+                return Err(Error::Store(format!("{prefix}: a page names no key")));
+            }
             items.append(&mut page.items);
         }
         Ok((items, revision))
@@ -127,7 +130,18 @@
         if status != StatusCode::OK {
             return Err(Error::Store(format!("reading {prefix}: {status}")));
         }
-        platform::store::decode_page(&body).map_err(|error| Error::Store(error.to_string()))
+        let page = platform::store::decode_page(&body);
+        let page = page.map_err(|error| Error::Store(error.to_string()))?;
+        self.leave_out(prefix, page.odd);
+        Ok(page)
+    }
+
+    /// Notes items that name no key, which are left out.
+    fn leave_out(&self, prefix: &str, odd: usize) {
+        if odd > 0 {
+            warn!(odd; "items of {prefix} name no key and are left out");
+            self.meter.count(Counter::EntryOdd("item"), odd as u64);
+        }
     }
 
     /// Waits for changes under a prefix behind a revision; `None` if these are forgotten.
@@ -147,8 +161,9 @@
             return Err(Error::Store(format!("watching {prefix}: {status}")));
         }
         let seen = platform::store::decode_seen(&body);
-        seen.map(Some)
-            .map_err(|error| Error::Store(error.to_string()))
+        let seen = seen.map_err(|error| Error::Store(error.to_string()))?;
+        self.leave_out(prefix, seen.odd);
+        Ok(Some(seen))
     }
 }
 
--- a/crates/node/src/gossip.rs
+++ b/crates/node/src/gossip.rs
@@ -8,6 +8,7 @@
     demand::{Demand, Ended},
     gauge::Pace,
     lesson::{Confirmed, Heard, Known, Topic},
+    life::Life,
     roster::{self, Entry, Word},
 };
 
@@ -49,7 +50,7 @@
         pressed: bool,
     },
     /// An upstream is lost.
-    Lost(Arc<str>),
+    Lost(Life),
     /// How fast the engines of a pool work; it goes along with what is told next.
     Pace(Pace),
     /// Changes of the list of upstreams; told within the data centre.
@@ -162,8 +163,8 @@
             });
             sight(told.sightings, &self.driver);
         }
-        for name in told.lost {
-            self.driver.event(Event::Blamed(name));
+        for life in told.lost {
+            self.driver.event(Event::Blamed(decode_life(life)));
         }
         for demand in told.demands {
             let demand = decode_demand(demand);
@@ -339,7 +340,7 @@
             Told::Confirmed(confirmed) => {
                 datagram.confirmed = Some(encode_confirmed(confirmed));
             }
-            Told::Lost(name) => datagram.lost.push(name.to_string()),
+            Told::Lost(life) => datagram.lost.push(encode_life(life)),
             Told::Roster(word) => datagram.roster = Some(encode_word(word)),
             Told::Stream(sighting) => datagram.sightings.push(encode(sighting)),
         }
@@ -386,8 +387,10 @@
     let revision = entry.revision;
     let entry = match entry.address.parse() {
         _ if entry.gone => Entry::Gone,
+        _ if entry.odd => Entry::Odd,
         Ok(address) => Entry::Listed(event::Listed {
             address,
+            born: entry.born,
             data_centre: entry.data_centre,
             leaving: entry.leaving,
             name: name.clone(),
@@ -410,38 +413,56 @@
 fn encode_word(word: Word) -> peers::Roster {
     peers::Roster {
         away_ms: word.away_ms as u32,
-        entries: word.changes.into_iter().filter_map(encode_change).collect(),
+        entries: word.changes.into_iter().map(encode_change).collect(),
         from: word.from,
         returning_ms: word.returning_ms as u32,
         to: word.to,
     }
 }
 
-/// A change as other instances are told it; `None` if there is nothing to tell.
-fn encode_change(change: roster::Change) -> Option<peers::Entry> {
+/// A change as other instances are told it.
+fn encode_change(change: roster::Change) -> peers::Entry {
     let (name, revision) = (change.name, change.revision);
     match change.entry {
-        Entry::Gone => Some(peers::Entry {
+        Entry::Gone => peers::Entry {
             gone: true,
             name,
             revision,
             ..peers::Entry::default()
-        }),
-        Entry::Listed(listed) => Some(peers::Entry {
+        },
+        Entry::Listed(listed) => peers::Entry {
             address: listed.address.to_string(),
+            born: listed.born,
             data_centre: listed.data_centre,
             gone: false,
             leaving: listed.leaving,
             name,
+            odd: false,
             pool: listed.pool,
             revision,
             since: listed.since,
             slots: listed.slots,
-        }),
-        Entry::Odd => None,
+        },
+        Entry::Odd => peers::Entry {
+            name,
+            odd: true,
+            revision,
+            ..peers::Entry::default()
+        },
     }
 }
 
+/// A life as another instance names it.
+fn decode_life(life: peers::Life) -> Life {
+    let peers::Life { born, id } = life;
+    Life { id, born }
+}
+
+fn encode_life(life: Life) -> peers::Life {
+    let Life { id, born } = life;
+    peers::Life { born, id }
+}
+
 /// What another instance is asked of a pool.
 fn decode_demand(demand: peers::Demand) -> Demand {
     Demand {
@@ -497,13 +518,13 @@
         peers::Stage::Waiting => Stage::Waiting,
     };
     Sighting {
-        backup: sighting.backup,
+        backup: sighting.backup.map(decode_life),
         pool: sighting.pool,
         prompt: sighting.prompt,
         run: sighting.run,
         stage,
         tokens: sighting.tokens,
-        upstream: sighting.upstream,
+        upstream: sighting.upstream.map(decode_life),
     }
 }
 
@@ -523,12 +544,12 @@
         Stage::Waiting => peers::Stage::Waiting,
     };
     peers::Sighting {
-        backup: sighting.backup,
+        backup: sighting.backup.map(encode_life),
         pool: sighting.pool,
         prompt: sighting.prompt,
         run: sighting.run,
         stage: stage.into(),
         tokens: sighting.tokens,
-        upstream: sighting.upstream,
+        upstream: sighting.upstream.map(encode_life),
     }
 }
--- a/crates/node/src/keeper.rs
+++ b/crates/node/src/keeper.rs
@@ -148,7 +148,11 @@
             }
         };
         for item in items {
-            match peers::Sightings::decode(item.value.as_slice()) {
+            let Some(value) = &item.value else {
+                warn!("{} can not be read: its value is no base64 text", item.key);
+                continue;
+            };
+            match peers::Sightings::decode(value.as_slice()) {
                 Ok(kept) => gossip::sight(kept.sightings, &self.driver),
                 Err(error) => warn!("{} can not be read: {error}", item.key),
             }
--- a/crates/node/src/learner.rs
+++ b/crates/node/src/learner.rs
@@ -16,6 +16,9 @@
 /// The longest time between two looks at what is due, though nothing is.
 const LOOK: Duration = Duration::from_mins(1);
 
+/// Characters of what is wrong with an entry that a log line has, at most.
+const ODD_TEXT: usize = 200;
+
 /// What the task needs.
 pub(crate) struct Learner {
     /// Time within which what the store says must be known.
@@ -114,9 +117,6 @@
         left.map_or(LOOK, Duration::from_millis).min(LOOK)
     }
 
-    /// Has the informer take in what happened, and does what it wants.
-    fn take(&mut self, input: Input, absence: Absence) {
-        let now = self.learner.clock.now();
     /// What the informer takes in of what another instance let this one know.
     fn hear(&self, heard: Heard) -> Input {
         if heard.confirmed.is_some() {
@@ -125,6 +125,9 @@
         Input::Heard(heard)
     }
 
+    /// Has the informer take in what happened, and does what it wants.
+    fn take(&mut self, input: Input, absence: Absence) {
+        let now = self.learner.clock.now();
         for output in self.informer.take(input, absence, now) {
             self.perform(output, now);
         }
@@ -238,11 +241,40 @@
         };
         let content = match call.topic {
             Topic::Configuration => self.configuration(changes),
-            Topic::Upstreams => Content::Upstreams(changes.iter().map(change).collect()),
+            Topic::Upstreams => {
+                let changes = changes.iter().map(|change| self.change(change));
+                Content::Upstreams(changes.collect())
+            }
         };
         Input::Answered(call.id, Answer::Known(content, revision))
     }
 
+    /// A change of the list as the core takes it.
+    fn change(&self, change: &Change) -> roster::Change {
+        let (entry, key, revision) = match change {
+            Change::Removed { key, revision } => (Entry::Gone, key, *revision),
+            Change::Written(item) => (self.entry(item), &item.key, item.revision),
+        };
+        roster::Change {
+            entry,
+            name: platform::upstream::name(key).into(),
+            revision,
+        }
+    }
+
+    /// What an entry that was written says.
+    fn entry(&self, item: &Item) -> Entry {
+        match platform::upstream::decode(item) {
+            Ok(listed) => Entry::Listed(listed),
+            Err(error) => {
+                let reason = error.reason();
+                warn!(reason; "an entry names no upstream to use: {}", shortened(&error));
+                self.learner.driver.count(Counter::EntryOdd(reason));
+                Entry::Odd
+            }
+        }
+    }
+
     /// The newest configuration in what was seen.
     fn configuration(&mut self, changes: Vec<Change>) -> Content {
         let newest = changes.into_iter().rev().find_map(|change| match change {
@@ -255,7 +287,9 @@
                 config: None,
             };
         };
-        let config = match platform::configuration::decode(&item.value) {
+        let bytes = item.value.as_ref().map_or(0, Vec::len);
+        let decoded = item.bytes().and_then(platform::configuration::decode);
+        let config = match decoded {
             Ok(decoded) => {
                 self.limits = (decoded.limits, item.revision);
                 Some(Arc::new(decoded.config))
@@ -265,10 +299,7 @@
                 None
             }
         };
-        Content::Configuration {
-            bytes: item.value.len(),
-            config,
-        }
+        Content::Configuration { bytes, config }
     }
 }
 
@@ -290,26 +321,9 @@
     }))
 }
 
-/// A change of the list as the core takes it.
-fn change(change: &Change) -> roster::Change {
-    let (entry, key, revision) = match change {
-        Change::Removed { key, revision } => (Entry::Gone, key, *revision),
-        Change::Written(item) => {
-            let entry = match platform::upstream::decode(item) {
-                Ok(listed) => Entry::Listed(listed),
-                Err(error) => {
-                    error!("an upstream's entry is left as it was: {error}");
-                    Entry::Odd
-                }
-            };
-            (entry, &item.key, item.revision)
-        }
-    };
-    roster::Change {
-        entry,
-        name: platform::upstream::name(key).into(),
-        revision,
-    }
+/// The text of an error, which may quote what another writer wrote.
+fn shortened(error: &platform::Error) -> String {
+    error.to_string().chars().take(ODD_TEXT).collect()
 }
 
 /// A topic as logs name it.
--- a/crates/node/src/list.rs
+++ b/crates/node/src/list.rs
@@ -65,6 +65,7 @@
 fn listed(line: &Line) -> event::Listed {
     event::Listed {
         address: line.address,
+        born: 0,
         data_centre: line.data_centre.clone(),
         leaving: line.leaving,
         name: line.instance.clone(),
--- a/crates/node/src/members.rs
+++ b/crates/node/src/members.rs
@@ -156,7 +156,8 @@
     let mut members = Members::new();
     for item in items {
         let name = item.key.trim_start_matches(PREFIX);
-        match serde_json::from_slice(&item.value) {
+        let value = item.value.as_deref().unwrap_or_default();
+        match serde_json::from_slice(value) {
             Ok(_) if name == own => {}
             Ok(member) => {
                 members.insert(name.to_owned(), member);
--- a/crates/node/src/note.rs
+++ b/crates/node/src/note.rs
@@ -3,9 +3,9 @@
 use super::*;
 
 /// Writes the line of a change in what is believed of an upstream.
-pub(crate) fn believe(belief: Belief, silent_ms: u64, upstream: &str) {
+pub(crate) fn believe(belief: Belief, born: u64, silent_ms: u64, upstream: &str) {
     let belief = belief.name();
-    info!(upstream, belief, silent_ms; "upstream");
+    info!(upstream, born, belief, silent_ms; "upstream");
 }
 
 /// Writes the line of a step. Relayed requests have the name that their caller gave them.
--- a/crates/standin/src/bench.rs
+++ b/crates/standin/src/bench.rs
@@ -355,6 +355,7 @@
 
     fn list(&self) -> Vec<Listed> {
         let runners = (0..RUNNERS).map(|index| Listed {
+            born: 0,
             data_centre: String::new(),
             address: address_of(index),
             leaving: false,
@@ -365,6 +366,7 @@
         });
         let live = (0..INSTANCES).filter(|index| self.cores[*index].is_some());
         let instances = live.map(|index| Listed {
+            born: 0,
             data_centre: String::new(),
             address: address_of(1_000 + index),
             leaving: false,
--- a/crates/standin/src/learning.rs
+++ b/crates/standin/src/learning.rs
@@ -685,6 +685,7 @@
         let name = format!("upstream-{index}");
         let listed = Listed {
             address: ([127, 0, 0, 1], 1_000 + index as u16).into(),
+            born: 0,
             data_centre: "dc-0".into(),
             leaving: false,
             name,
--- a/crates/standin/src/pool.rs
+++ b/crates/standin/src/pool.rs
@@ -103,6 +103,7 @@
     pub fn listed(&self) -> Vec<Listed> {
         let listed = |(index, upstream): (usize, &Upstream)| Listed {
             address: address(index),
+            born: 0,
             data_centre: format!("dc-{}", index % 3),
             leaving: upstream.leaving.is_some(),
             name: format!("{index}-{}", upstream.life),
--- a/crates/standin/src/relaying.rs
+++ b/crates/standin/src/relaying.rs
@@ -406,7 +406,7 @@
         };
         match effect {
             Effect::Answer(caller) => self.end(caller, true),
-            Effect::Blame(name) => self.gossip(instance, &Event::Blamed(name.to_string())),
+            Effect::Blame(life) => self.gossip(instance, &Event::Blamed(life)),
             Effect::Cancel {
                 address, attempt, ..
             } => {
--- a/crates/standin/src/rush.rs
+++ b/crates/standin/src/rush.rs
@@ -361,6 +361,7 @@
     fn list(&self) -> Vec<Listed> {
         let listed = |index: usize| Listed {
             address: address(index),
+            born: 0,
             data_centre: data_centre(HOMES[index]),
             leaving: false,
             name: format!("desk-{index}"),
--- a/crates/standin/src/site.rs
+++ b/crates/standin/src/site.rs
@@ -131,6 +131,7 @@
     let entry = json!({
         "service": pool, "address": worker.entered, "zone": format!("dc-{data_centre}"),
         "version": "v1", "slots": 8, "state": state, "cold_left_ms": 0, "call_seq": 0,
+        "born": worker.born,
     });
     shelf.put(&format!("servers/{}", worker.name), &entry);
 }
--- a/crates/standin/src/surge.rs
+++ b/crates/standin/src/surge.rs
@@ -253,6 +253,7 @@
         };
         let listed = |index| Listed {
             address: address(index),
+            born: 0,
             data_centre: format!("dc-{}", index % 3),
             leaving: false,
             name: format!("engine-{index}"),
@@ -356,9 +357,9 @@
 
     fn carry_out(&mut self, instance: usize, effect: Effect) {
         match effect {
-            Effect::Blame(name) => {
+            Effect::Blame(life) => {
                 for other in (0..self.cores.len()).filter(|other| *other != instance) {
-                    let event = Event::Blamed(name.to_string());
+                    let event = Event::Blamed(life);
                     self.timeline.schedule(WAY_MS, Action::Tell(other, event));
                 }
             }
--- a/crates/standin/src/worker.rs
+++ b/crates/standin/src/worker.rs
@@ -56,6 +56,8 @@
 pub struct Run {
     /// When it was read.
     pub at: Instant,
+    /// When the life that ran it began.
+    pub born: u64,
     /// Body.
     pub body: Vec<u8>,
     /// Copy that it went on from, as the request named it.
@@ -107,6 +109,8 @@
 pub struct Worker {
     /// Where it listens.
     pub address: SocketAddr,
+    /// When this life began, in milliseconds since the Unix epoch.
+    pub born: u64,
     /// Address by which others know it; a proxy may stand there.
     pub entered: SocketAddr,
     /// Name of this life.
@@ -125,6 +129,7 @@
     pub fn new(address: SocketAddr, name: &str, ledger: &Ledger) -> Self {
         Self {
             address,
+            born: unix_ms(),
             entered: address,
             ledger: ledger.clone(),
             mode: Arc::default(),
@@ -194,6 +199,7 @@
         }
         let run = Run {
             at: Instant::now(),
+            born: self.born,
             body,
             copy: headers.get("kv-from").cloned(),
             headers,
@@ -346,3 +352,9 @@
     };
     answer.into_bytes()
 }
+
+/// The Unix time in milliseconds.
+pub fn unix_ms() -> u64 {
+    let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+    since.map_or(0, |since| since.as_millis() as u64)
+}
--- a/crates/standin/src/world.rs
+++ b/crates/standin/src/world.rs
@@ -451,6 +451,7 @@
     fn list(&mut self, instance: usize) {
         let listed = (0..self.upstreams.len())
             .map(|index| Listed {
+                born: 0,
                 data_centre: String::new(),
                 address: address_of(index),
                 leaving: self.left[index].is_some(),
@@ -460,6 +461,7 @@
                 slots: 0,
             })
             .chain((0..self.instances.len()).map(|index| Listed {
+                born: 0,
                 data_centre: String::new(),
                 address: address_of(1_000 + index),
                 leaving: false,
--- a/crates/standin/tests/site.rs
+++ b/crates/standin/tests/site.rs
@@ -484,6 +484,54 @@
     });
 }
 
+/// Asks six times for what may run once; the workers that ran it, and how many were answered.
+async fn asked_once(site: &Site, name: &str) -> (Vec<String>, usize) {
+    let before = site.ledger.runs().len();
+    let mut answered = 0;
+    for ask in 0..6 {
+        let got = Ask::once(&format!("{name}-{ask}"))
+            .send(address(site))
+            .await;
+        answered += usize::from(got.status.as_u16() == 200);
+    }
+    let runs = site.ledger.runs();
+    let workers = runs[before..].iter().map(|run| run.worker.clone());
+    (workers.collect(), answered)
+}
+
+#[gtest]
+fn entry_of_another_writer_takes_its_upstream_out_until_a_good_one_comes() {
+    run(Plan::default(), async |site: Site| {
+        site.shelf.put("servers/", &"a key without a name".into());
+        site.shelf
+            .put("servers/desk-0", &serde_json::json!({ "state": "asleep" }));
+        sleep(Duration::from_millis(800)).await;
+        let (workers, answered) = asked_once(&site, "odd").await;
+        expect_that!(answered, eq(6));
+        expect_that!(workers.iter().any(|worker| worker == "desk-0"), eq(false));
+        site.enter(&site.desks[0].worker, "desk", 0, "ready");
+        sleep(Duration::from_millis(800)).await;
+        let (workers, answered) = asked_once(&site, "good").await;
+        expect_that!(answered, eq(6));
+        expect_that!(workers.iter().any(|worker| worker == "desk-0"), eq(true));
+    });
+}
+
+#[gtest]
+fn leaving_upstream_that_starts_again_under_its_name_gets_work() {
+    run(Plan::default(), async |mut site: Site| {
+        site.leave(0);
+        sleep(Duration::from_millis(800)).await;
+        site.desks[0].worker.born += 1;
+        let again = site.desks[0].worker.clone();
+        site.enter(&again, "desk", 0, "ready");
+        sleep(Duration::from_millis(800)).await;
+        let (workers, answered) = asked_once(&site, "again").await;
+        expect_that!(answered, eq(6));
+        expect_that!(workers.iter().any(|worker| worker == "desk-0"), eq(true));
+    });
+}
+
 #[gtest]
 fn leaving_upstream_gets_no_new_work_soon() {
     run(Plan::default(), async |site: Site| {
