--- a/crates/standin/src/departure.rs
+++ b/crates/standin/src/departure.rs
@@ -6,7 +6,7 @@
 //! held up is not late.
 
 use super::*;
-use wellplank_core::{absence::Span, clock::Time};
+use wellplank_core::{absence::Span, clock::Time, life::Life};
 
 /// What a fault disturbs.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -26,12 +26,12 @@
     pub at: Time,
     /// Instance that sent it.
     pub instance: usize,
+    /// Life of the upstream that it reached.
+    pub life: Life,
     /// Place of the upstream, by which its links are known.
     pub link: usize,
     /// Name of its run.
     pub run: String,
-    /// Name of the upstream.
-    pub upstream: String,
 }
 
 /// Bounds of the rule, in milliseconds.
@@ -48,7 +48,8 @@
 pub struct Record {
     disturbed: Vec<(Scope, Span)>,
     rule: Rule,
-    taken: BTreeMap<String, Time>,
+    /// Spans in which the store says that lives are not to be given work.
+    taken: BTreeMap<Life, Vec<Span>>,
 }
 
 impl Record {
@@ -66,14 +67,28 @@
         self.disturbed.push((scope, span));
     }
 
-    /// Notes that the store took the word of an upstream that it leaves, or the end of its entry.
-    pub fn take(&mut self, upstream: &str, now: Time) {
-        self.taken.entry(upstream.to_owned()).or_insert(now);
+    /// Notes that the store took the word of an upstream that it leaves, or the end of its entry, or an entry that
+    /// names no upstream to use.
+    pub fn take(&mut self, life: Life, now: Time) {
+        let span = Span {
+            from: now,
+            to: Time(u64::MAX),
+        };
+        self.taken.entry(life).or_default().push(span);
+    }
+
+    /// Notes that the store took a good entry of it again.
+    pub fn take_back(&mut self, life: Life, now: Time) {
+        if let Some(span) = self.taken.entry(life).or_default().last_mut() {
+            span.to = span.to.min(now);
+        }
     }
 
     /// How long behind the word a request came, in milliseconds, if that is longer than the rule allows.
     pub fn late_ms(&self, arrival: &Arrival) -> Option<u64> {
-        let taken = *self.taken.get(&arrival.upstream)?;
+        let spans = self.taken.get(&arrival.life)?;
+        let holds = |span: &&Span| (span.from..span.to).contains(&arrival.at);
+        let taken = spans.iter().find(holds)?.from;
         let behind_ms = arrival.at.since(taken);
         let bound = self.is_calm(Scope::Store, taken) && self.is_calm(Scope::Store, arrival.at);
         let calm = self.is_calm(Scope::Instance(arrival.instance), arrival.at)
--- a/crates/standin/src/leaving.rs
+++ b/crates/standin/src/leaving.rs
@@ -8,7 +8,7 @@
 use departure::{Arrival, Record, Rule, Scope};
 use proxy::{Hushed, Mode as Way};
 use soak::{Outcome, Plan, Soak};
-use wellplank_core::{absence::Span, clock::Time};
+use wellplank_core::{absence::Span, clock::Time, life::Life};
 
 /// Pause of a caller between two requests.
 const REST: Duration = Duration::from_millis(30);
@@ -43,6 +43,12 @@
     leave_ms: 2_000,
 };
 
+/// Sets the chance of restarts and other writers apart from that of faults.
+const EXTRAS: u64 = 0x5eed_0032;
+
+/// Time for which another writer's entry stands, in milliseconds.
+const ODD_MS: std::ops::Range<u64> = 500..5_000;
+
 /// Something that is due at a time.
 #[derive(Clone, Copy, Debug)]
 enum Due {
@@ -50,6 +56,12 @@
     Heal(Fault),
     /// An upstream leaves; with a word or without one.
     Leave(bool),
+    /// Another writer writes over an upstream's entry.
+    Odd,
+    /// An upstream writes its entry again, which another writer's stood over.
+    Reenter(usize),
+    /// An upstream ends and starts again under its name.
+    Restart,
     /// An upstream that left ends, and another takes its place.
     Replace(usize),
 }
@@ -70,6 +82,8 @@
 struct Leaving {
     begun: Instant,
     due: Vec<(Time, Due)>,
+    /// Chance of restarts and other writers, beside the seed's own series of faults.
+    extras: Pcg64Mcg,
     faults: usize,
     /// Which upstreams leave.
     left: BTreeSet<usize>,
@@ -82,6 +96,7 @@
     let mut leaving = Leaving {
         begun: Instant::now(),
         due: Vec::new(),
+        extras: Pcg64Mcg::seed_from_u64(plan.seed ^ EXTRAS),
         faults: 0,
         left: BTreeSet::new(),
         record: Record::new(RULE),
@@ -120,6 +135,12 @@
             let word = self.soak.random.random_range(0..3) > 0;
             self.due.push((at, Due::Leave(word)));
         }
+        for due in [Due::Odd, Due::Restart] {
+            if self.extras.random() {
+                let at = self.now().after(self.extras.random_range(LEAVES_MS));
+                self.due.push((at, due));
+            }
+        }
     }
 
     /// Lets some time pass, and does what is due in it.
@@ -143,11 +164,67 @@
         match due {
             Due::Heal(fault) => self.heal(fault),
             Due::Leave(word) => self.leave(word),
+            Due::Odd => self.write_over(),
+            Due::Reenter(seat) => {
+                let life = self.soak.life(seat);
+                self.record.take_back(life, self.now());
+                self.left.remove(&seat);
+                self.soak.enter(seat, "ready");
+            }
             Due::Replace(seat) => {
                 self.left.remove(&seat);
                 self.soak.revive(seat);
             }
+            Due::Restart => self.restart(),
+        }
+    }
+
+    /// Has an upstream that is no other's concern now, by its place.
+    fn quiet_seat(&mut self) -> Option<usize> {
+        let seat = self.extras.random_range(0..self.soak.seats.len());
+        Some(seat).filter(|seat| !self.left.contains(seat) && self.others_stay(*seat))
+    }
+
+    /// Whether another upstream of the same pool stays.
+    fn others_stay(&self, seat: usize) -> bool {
+        let seats = &self.soak.seats;
+        let stays =
+            |other: &usize| seats[*other].pool == seats[seat].pool && !self.left.contains(other);
+        (0..seats.len()).filter(stays).count() >= 2
+    }
+
+    /// Writes over an entry as another writer does; its upstream writes it again some heartbeats later.
+    fn write_over(&mut self) {
+        let Some(seat) = self.quiet_seat() else {
+            return;
+        };
+        self.left.insert(seat);
+        let name = self.soak.seats[seat].worker.name.clone();
+        self.write(&format!("{name}: its entry is another writer's"));
+        let entry = json!({ "service": 7, "state": "asleep" });
+        self.soak.shelf.put(&format!("servers/{name}"), &entry);
+        self.record.take(self.soak.life(seat), self.now());
+        let stands = self.extras.random_range(ODD_MS);
+        self.due
+            .push((self.now().after(stands), Due::Reenter(seat)));
+    }
+
+    /// Has an upstream start again under its name, or one that leaves.
+    fn restart(&mut self) {
+        let seat = self.extras.random_range(0..self.soak.seats.len());
+        if !self.left.contains(&seat) && !self.others_stay(seat) {
+            return;
+        }
+        let odd = |(_, due): &(Time, Due)| matches!(due, Due::Reenter(other) if *other == seat);
+        if self.due.iter().any(odd) {
+            return;
         }
+        self.due
+            .retain(|(_, due)| !matches!(due, Due::Replace(other) if *other == seat));
+        self.left.remove(&seat);
+        self.soak.restart(seat);
+        let name = &self.soak.seats[seat].worker.name;
+        self.write(&format!("{name} starts again"));
     }
 
     /// Writes a line of what is done into the folder of the logs.
@@ -252,10 +329,7 @@
     fn leave(&mut self, word: bool) {
         let count = self.soak.seats.len();
         let seat = self.soak.random.random_range(0..count);
-        let pool = self.soak.seats[seat].pool;
-        let stays =
-            |other: &usize| self.soak.seats[*other].pool == pool && !self.left.contains(other);
-        if self.left.contains(&seat) || (0..count).filter(stays).count() < 2 {
+        if self.left.contains(&seat) || !self.others_stay(seat) {
             return;
         }
         self.left.insert(seat);
@@ -265,7 +339,7 @@
         } else {
             self.soak.shelf.remove(&format!("servers/{name}"));
         }
-        self.record.take(&name, self.now());
+        self.record.take(self.soak.life(seat), self.now());
         let how = if word {
             "says that it leaves"
         } else {
@@ -289,14 +363,13 @@
             let arrival = Arrival {
                 at: Time(at.as_millis() as u64),
                 instance,
+                life: Life::new(&run.worker, run.born),
                 link: soak::seat_of(&run.worker),
                 run: name.to_owned(),
-                upstream: run.worker.clone(),
             };
             if let Some(late_ms) = self.record.late_ms(&arrival) {
-                let Arrival {
-                    at, run, upstream, ..
-                } = arrival;
+                let upstream = run.worker.clone();
+                let Arrival { at, run, .. } = arrival;
                 let text = format!(
                     "{run} reached {upstream} from instance-{instance} at {at}, {late_ms} ms behind its word"
                 );
--- a/crates/standin/src/soak.rs
+++ b/crates/standin/src/soak.rs
@@ -19,6 +19,7 @@
     },
 };
 use tokio::task::JoinHandle;
+use wellplank_core::life::Life;
 use worker::{Ledger, Mode, Worker};
 
 /// Time between two faults, at most.
@@ -343,6 +344,26 @@
         self.enter(index, "ready");
     }
 
+    /// The life of the upstream at a place.
+    pub(crate) fn life(&self, index: usize) -> Life {
+        let worker = &self.seats[index].worker;
+        Life::new(&worker.name, worker.born)
+    }
+
+    /// Has an upstream end and start again at once under its name: it holds nothing of before.
+    pub(crate) fn restart(&mut self, index: usize) {
+        let seat = &mut self.seats[index];
+        seat.host.kill();
+        let address = host::free_address();
+        let name = seat.worker.name.clone();
+        self.ledger.forget(seat.proxy.address);
+        seat.worker = Worker::new(address, &name, &self.ledger).behind(seat.proxy.address);
+        seat.host = Host::new(1);
+        seat.host.spawn(seat.worker.clone().serve());
+        seat.proxy.aim(address);
+        self.enter(index, "ready");
+    }
+
     /// Adds a line to a file in the folder of the logs.
     pub(crate) fn write(&self, file: &str, line: &str) {
         use std::io::Write as _;
--- a/crates/standin/src/worker.rs
+++ b/crates/standin/src/worker.rs
@@ -99,6 +99,12 @@
         self.lock().runs.clone()
     }
 
+    /// Forgets the copies that are kept at an address: what keeps them there has ended.
+    pub fn forget(&self, address: SocketAddr) {
+        let address = address.to_string();
+        self.lock().copies.retain(|(kept, _), _| *kept != address);
+    }
+
     fn lock(&self) -> std::sync::MutexGuard<'_, Pages> {
         self.0.lock().expect("nobody panics while holding it")
     }
--- a/crates/standin/tests/departure.rs
+++ b/crates/standin/tests/departure.rs
@@ -2,7 +2,7 @@
 
 use {
     googletest::prelude::*,
-    wellplank_core::{absence::Span, clock::Time},
+    wellplank_core::{absence::Span, clock::Time, life::Life},
     wellplank_standin::departure::{Arrival, Record, Rule, Scope},
 };
 
@@ -23,25 +23,30 @@
         };
         record.disturb(*scope, span);
     }
-    record.take("engine", TAKEN);
+    record.take(life(5), TAKEN);
     record
 }
 
+/// The upstream in a life that began at a time.
+fn life(born: u64) -> Life {
+    Life::new("engine", born)
+}
+
 /// A request of instance 1 over link 2.
 fn arrival(at: u64) -> Arrival {
     Arrival {
         at: Time(at),
         instance: 1,
+        life: life(5),
         link: 2,
         run: "run".into(),
-        upstream: "engine".into(),
     }
 }
 
 #[gtest]
 fn another_life_is_not_the_one_that_leaves() {
     let other = Arrival {
-        upstream: "other".into(),
+        life: life(6),
         ..arrival(15_000)
     };
     expect_that!(record(&[]).late_ms(&other), none());
@@ -81,3 +86,11 @@
     let record = record(&[(Scope::Store, 6_000, 7_500)]);
     expect_that!(record.late_ms(&arrival(20_000)), none());
 }
+
+#[gtest]
+fn life_that_is_entered_again_may_get_work() {
+    let mut record = record(&[]);
+    record.take_back(life(5), Time(13_000));
+    expect_that!(record.late_ms(&arrival(12_999)), some(eq(2_999)));
+    expect_that!(record.late_ms(&arrival(13_000)), none());
+}
