What is told goes with what is known since; times of calls go by lives

Cause: read again: the datagram that tells what the store has just shown could carry an older revision of the list, if its task ran in between; a time told of a former life counted for the next. Ruled out: none.

--- a/crates/core/src/demand.rs
+++ b/crates/core/src/demand.rs
@@ -95,7 +95,7 @@
 pub struct Ended {
     /// Time from sending to the answer, in milliseconds; for one that was turned away, that behind a full queue.
     pub millis: u32,
-    /// Identity of the upstream.
+    /// The number of the upstream's life.
     pub upstream: u64,
 }
 
@@ -322,7 +322,7 @@
         let millis = f64::from(ended.millis);
         for key in &pool.upstreams {
             let upstream = &mut self.upstreams[*key];
-            if upstream.life.id == ended.upstream {
+            if upstream.life.number() == ended.upstream {
                 let step = (millis - upstream.takes_ms) * UPSTREAM_GAIN;
                 upstream.takes_ms = if upstream.takes_ms > 0.0 {
                     upstream.takes_ms + step
@@ -442,7 +442,7 @@
         let slots = f64::from(self.slots(pool));
         let (instances, now) = (self.instances, self.now);
         let upstream = self.upstreams.get(attempt.upstream);
-        let upstream = upstream.map_or(0, |upstream| upstream.life.id);
+        let upstream = upstream.map_or(0, |upstream| upstream.life.number());
         let Some(pool) = self.pools.get_mut(name) else {
             return;
         };
--- a/crates/core/src/life.rs
+++ b/crates/core/src/life.rs
@@ -2,6 +2,9 @@
 
 use super::*;
 
+/// Spreads births over all bits: a large odd number.
+const SPREAD: u64 = 0x9e37_79b9_7f4a_7c15;
+
 /// One life of an upstream, from its start to its end. What is told or believed of one life says nothing of another
 /// one under the same name. Of an upstream that does not say when it was born the birth is 0, and its name alone tells.
 #[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
@@ -19,6 +22,11 @@
         Self { id, born }
     }
 
+    /// One number that stands for it: its name's hash where it does not say when it was born.
+    pub(crate) fn number(self) -> u64 {
+        self.id ^ self.born.wrapping_mul(SPREAD)
+    }
+
     /// Every life that may be known under the same name.
     pub(crate) fn namesakes(self) -> RangeInclusive<Self> {
         let born = |born| Self { born, ..self };
--- a/crates/node/src/learner.rs
+++ b/crates/node/src/learner.rs
@@ -128,15 +128,17 @@
     /// Has the informer take in what happened, and does what it wants.
     fn take(&mut self, input: Input, absence: Absence) {
         let now = self.learner.clock.now();
-        for output in self.informer.take(input, absence, now) {
-            self.perform(output, now);
-        }
+        let outputs = self.informer.take(input, absence, now);
+        // First, since what is told of it to others goes with what is known.
         let known = self.informer.known();
         self.learner.known.send_if_modified(|before| {
             let changed = *before != known;
             *before = known;
             changed
         });
+        for output in outputs {
+            self.perform(output, now);
+        }
     }
 
     fn perform(&mut self, output: Output, now: Time) {
--- a/crates/standin/src/leaving.rs
+++ b/crates/standin/src/leaving.rs
@@ -10,9 +10,12 @@
 use soak::{Outcome, Plan, Soak};
 use wellplank_core::{absence::Span, clock::Time, life::Life};
 
-/// Pause of a caller between two requests.
+/// Pause of a caller between two requests in a fleet of few instances; in a larger one as many requests come in all.
 const REST: Duration = Duration::from_millis(30);
 
+/// Instances up to which a fleet is one of few.
+const FEW: u32 = 8;
+
 /// Callers of each instance.
 const CALLERS: usize = 3;
 
@@ -103,7 +106,8 @@
         soak: Soak::start(plan),
     };
     sleep(Duration::from_secs(3)).await;
-    let callers = leaving.soak.call(plan.instances * CALLERS, REST);
+    let rest = REST * (plan.instances as u32).max(FEW) / FEW;
+    let callers = leaving.soak.call(plan.instances * CALLERS, rest);
     sleep(Duration::from_secs(1)).await;
     while leaving.begun.elapsed() < plan.lasts {
         leaving.cause_series().await;
