A second absence by an instance's own account counts once the belief behind the first is over

Cause: known red: two refusals of 2.2 and 1.9 s, 0.2 s apart, ended 2.16 s apart, less than 2.4 s, so the second was taken for the first, whose belief was over.

--- a/crates/core/src/roster.rs
+++ b/crates/core/src/roster.rs
@@ -26,6 +26,10 @@
 /// upstreams, the shortest in which entries may go. Instances see one return less than that apart.
 const ANOTHER_MS: u64 = 2_400;
 
+/// The same of two returns that this instance saw itself, in milliseconds: a little more than entries are believed behind
+/// the first. Two refusals of 2.2 and 1.9 s, 0.2 s apart, else had living upstreams given up.
+const ANOTHER_OWN_MS: u64 = 2_100;
+
 /// One change of the list.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Change {
@@ -74,6 +78,8 @@
     entries: BTreeMap<String, Listed>,
     /// When the store was away last.
     absent: Option<Span>,
+    /// Whether another instance told of that.
+    hearsay: bool,
     /// Entries that are missing and are believed, since they may have gone while the store was away.
     lapsing: BTreeSet<String>,
     /// Those that are new among them.
@@ -106,7 +112,9 @@
             return Worth::Old;
         }
         if self.away {
-            self.believe(word.away(now));
+            let heard = word.away(now);
+            self.believe(heard, ANOTHER_MS);
+            self.hearsay |= heard.is_some();
         }
         for change in &word.changes {
             if change.revision > revision {
@@ -202,7 +210,7 @@
 
     /// Takes in all that the store lists, which was `away` last. Entries that are missing are believed for a while.
     pub fn take_all(&mut self, entries: &[Change], away: Option<Span>, now: Time) {
-        self.believe(away);
+        self.believe_own(away);
         let names: BTreeSet<&str> = entries.iter().map(|entry| entry.name.as_str()).collect();
         let missing = |name: &&String| !names.contains(name.as_str());
         let missing: Vec<String> = self.entries.keys().filter(missing).cloned().collect();
@@ -220,7 +228,7 @@
 
     /// Takes in changes that the store told, which was `away` last. Entries that go are believed for a while.
     pub fn take(&mut self, changes: Vec<Change>, away: Option<Span>, now: Time) {
-        self.believe(away);
+        self.believe_own(away);
         for change in changes {
             self.changed = self.changed.max(change.revision);
             self.apply(&change, now);
@@ -242,13 +250,23 @@
         }
     }
 
+    /// Notes when the store was away by this instance's own account.
+    fn believe_own(&mut self, away: Option<Span>) {
+        let another_ms = if self.hearsay {
+            ANOTHER_MS
+        } else {
+            ANOTHER_OWN_MS
+        };
+        self.believe(away, another_ms);
+    }
+
     /// Notes when the store was away. Of one absence that several saw, the first return counts: another one lasts
     /// longer than their returns are apart.
-    fn believe(&mut self, away: Option<Span>) {
+    fn believe(&mut self, away: Option<Span>, another_ms: u64) {
         let Some(away) = away else {
             return;
         };
-        let is_another = |known: Span| away.to.since(known.to) >= ANOTHER_MS;
+        let is_another = |known: Span| away.to.since(known.to) >= another_ms;
         self.absent = match self.absent {
             Some(known) if !is_another(known) => Some(known),
             Some(_) | None => Some(away),
