--- a/crates/standin/src/leaving.rs
+++ b/crates/standin/src/leaving.rs
@@ -82,6 +82,7 @@
     Store,
 }
 
+/// A running soak and what is due in it.
 struct Leaving {
     begun: Instant,
     due: Vec<(Time, Due)>,
@@ -183,8 +184,8 @@
         }
     }
 
-    /// Has an upstream that is no other's concern now, by its place.
-    fn quiet_seat(&mut self) -> Option<usize> {
+    /// The place of an upstream, by chance, that is ready and not the last of its pool.
+    fn ready_seat(&mut self) -> Option<usize> {
         let seat = self.extras.random_range(0..self.soak.seats.len());
         Some(seat).filter(|seat| !self.left.contains(seat) && self.others_stay(*seat))
     }
@@ -199,7 +200,7 @@
 
     /// Writes over an entry as another writer does; its upstream writes it again some heartbeats later.
     fn write_over(&mut self) {
-        let Some(seat) = self.quiet_seat() else {
+        let Some(seat) = self.ready_seat() else {
             return;
         };
         self.left.insert(seat);
