Addresses are settled when the list grew; lives of the soak begin in one place

Who has an address was reckoned anew at each answer of the store and each word, though only a new entry or another configuration changes it; the soak had the begin of an upstream's life twice; values that are no base64 text were told apart in two more places than the decoder's own; a dropped call's connections were renewed in two branches.

--- a/crates/core/src/watch.rs
+++ b/crates/core/src/watch.rs
@@ -87,6 +87,7 @@
         }
         let mut absent: Vec<upstream::Key> = self.upstreams.keys().collect();
         let mut formers = Vec::new();
+        let known = self.upstreams.len();
         for entry in listed {
             if entry.pool != core::INSTANCE_POOL {
                 let place = self.listed(entry);
@@ -94,6 +95,7 @@
                 absent.retain(|other| *other != place.key && Some(*other) != place.former);
             }
         }
+        let is_longer = self.upstreams.len() > known;
         for key in absent {
             if !self.upstreams[key].leaving || self.upstreams[key].attempts.is_empty() {
                 self.believe(key, effect::Belief::Gone);
@@ -103,7 +105,9 @@
                 self.forget(key);
             }
         }
-        self.settle_addresses();
+        if is_longer {
+            self.settle_addresses();
+        }
         // What they ran goes on elsewhere, which only the whole list tells.
         for former in formers {
             self.restarted(former);
--- a/crates/node/src/keeper.rs
+++ b/crates/node/src/keeper.rs
@@ -148,11 +148,14 @@
             }
         };
         for item in items {
-            let Some(value) = &item.value else {
-                warn!("{} can not be read: its value is no base64 text", item.key);
-                continue;
+            let value = match item.bytes() {
+                Ok(value) => value,
+                Err(error) => {
+                    warn!("streams that were kept can not be read: {error}");
+                    continue;
+                }
             };
-            match peers::Sightings::decode(value.as_slice()) {
+            match peers::Sightings::decode(value) {
                 Ok(kept) => gossip::sight(kept.sightings, &self.driver),
                 Err(error) => warn!("{} can not be read: {error}", item.key),
             }
--- a/crates/node/src/learner.rs
+++ b/crates/node/src/learner.rs
@@ -194,18 +194,18 @@
             asking.abort();
         }
         let error = match why {
-            Why::Behind => "other instances know more",
-            Why::Overtaken => "it answers other calls again",
-            Why::Unconfirmed => {
-                let since = call.since;
-                info!(since; "nothing was shown of {} for long: asking on a new connection", what(call.topic));
-                self.learner.client.renew();
-                return;
-            }
+            Why::Behind => Some("other instances know more"),
+            Why::Overtaken => Some("it answers other calls again"),
+            Why::Unconfirmed => None,
             Why::Lapse | Why::Role => return,
         };
         self.learner.client.renew();
-        self.log(call.topic).bad(&Error::Store(error.into()));
+        if let Some(error) = error {
+            self.log(call.topic).bad(&Error::Store(error.into()));
+        } else {
+            let since = call.since;
+            info!(since; "nothing was shown of {} for long: asking on a new connection", what(call.topic));
+        }
     }
 
     fn log(&mut self, topic: Topic) -> &mut Log {
--- a/crates/node/src/members.rs
+++ b/crates/node/src/members.rs
@@ -156,7 +156,13 @@
     let mut members = Members::new();
     for item in items {
         let name = item.key.trim_start_matches(PREFIX);
-        let value = item.value.as_deref().unwrap_or_default();
+        let value = match item.bytes() {
+            Ok(value) => value,
+            Err(error) => {
+                warn!("no entry of an instance: {error}");
+                continue;
+            }
+        };
         match serde_json::from_slice(value) {
             Ok(_) if name == own => {}
             Ok(member) => {
--- a/crates/standin/src/learning.rs
+++ b/crates/standin/src/learning.rs
@@ -556,13 +556,10 @@
 
     /// Sends a datagram with what an instance knows.
     fn send(&mut self, node: usize, to: &[usize], what: &Told) {
-        let word = match what {
-            Told::Word(word) => Some(word),
-            Told::Confirmed(_) | Told::Known => None,
-        };
-        let confirmed = match what {
-            Told::Confirmed(confirmed) => Some(*confirmed),
-            Told::Known | Told::Word(_) => None,
+        let (confirmed, word) = match what {
+            Told::Confirmed(confirmed) => (Some(*confirmed), None),
+            Told::Known => (None, None),
+            Told::Word(word) => (None, Some(word)),
         };
         let Some(informer) = &self.nodes[node].informer else {
             return;
--- a/crates/standin/src/soak.rs
+++ b/crates/standin/src/soak.rs
@@ -335,9 +335,15 @@
         seat.host.kill();
         self.shelf.remove(&format!("servers/{}", seat.worker.name));
         seat.life += 1;
-        let address = host::free_address();
         let name = format!("{}-{index}-{}", seat.pool, seat.life);
-        seat.worker = Worker::new(address, &name, &self.ledger).behind(seat.proxy.address);
+        self.begin(index, &name);
+    }
+
+    /// Has a life of an upstream begin at its place.
+    fn begin(&mut self, index: usize, name: &str) {
+        let seat = &mut self.seats[index];
+        let address = host::free_address();
+        seat.worker = Worker::new(address, name, &self.ledger).behind(seat.proxy.address);
         seat.host = Host::new(1);
         seat.host.spawn(seat.worker.clone().serve());
         seat.proxy.aim(address);
@@ -354,14 +360,9 @@
     pub(crate) fn restart(&mut self, index: usize) {
         let seat = &mut self.seats[index];
         seat.host.kill();
-        let address = host::free_address();
-        let name = seat.worker.name.clone();
         self.ledger.forget(seat.proxy.address);
-        seat.worker = Worker::new(address, &name, &self.ledger).behind(seat.proxy.address);
-        seat.host = Host::new(1);
-        seat.host.spawn(seat.worker.clone().serve());
-        seat.proxy.aim(address);
-        self.enter(index, "ready");
+        let name = seat.worker.name.clone();
+        self.begin(index, &name);
     }
 
     /// Adds a line to a file in the folder of the logs.
