Lines of a request carry a fingerprint that is the same for every try of its caller

Ruled out: the identity of the prompt, which calls have none of. Conclusion: customer, path and body name a request; nothing is decided by it yet.

--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -386,6 +386,7 @@
         };
         let received = submission.received.unwrap_or_default();
         let digest = Digest::of(&received);
+        let print = Print::new(&customer.name, submission.fingerprint);
         if let Some(cursor) = &cursor
             && !received.is_empty()
             && (received.len() != cursor.position as usize || digest != cursor.digest)
@@ -412,6 +413,7 @@
             may_have_run: cursor.is_some(),
             number: cursor.map_or(0, |cursor| cursor.attempt),
             passage,
+            print,
             send_by: self.now.after(service.max_wait_ms),
             sent: None,
             service,
--- a/crates/core/src/core.rs
+++ b/crates/core/src/core.rs
@@ -274,6 +274,7 @@
             customer: request.customer.clone(),
             generation: request.generation,
             position: request.position(),
+            print: request.print,
             run: request.work.relay().map(|relay| relay.run.clone()),
             service: request.service.clone(),
             upstream: upstream.map(|upstream| upstream.name.clone()),
--- a/crates/core/src/effect.rs
+++ b/crates/core/src/effect.rs
@@ -128,6 +128,8 @@
     pub generation: u128,
     /// Tokens delivered, or position of the last event that the caller has.
     pub position: u32,
+    /// What tells that it is one of several tries of its caller.
+    pub print: Print,
     /// Name of the run at upstreams, for relayed requests.
     pub run: Option<Arc<str>>,
     /// Service.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod lesson;
 pub mod life;
 pub mod line;
+pub mod print;
 pub mod queue;
 pub mod request;
 pub mod role;
@@ -69,6 +70,7 @@
     lesson::Why,
     life::Life,
     line::Line,
+    print::Print,
     queue::Queue,
     rand::{RngExt, SeedableRng, seq::SliceRandom},
     rand_pcg::Pcg64Mcg,
--- /dev/null
+++ b/crates/core/src/print.rs
@@ -0,0 +1,26 @@
+//! What tells that two tries of a caller are one request.
+
+use super::*;
+
+/// Names a request of a customer: the same for every try, at every instance. 64 bits, of which the customer's name is a
+/// part: who looked for another body with the same print would find one of its own.
+#[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct Print(pub u64);
+
+impl Print {
+    /// The print of what a customer asks; `fingerprint` is the digest of service or path, and of the body.
+    pub fn new(customer: &str, fingerprint: u64) -> Self {
+        let mut hasher = blake3::Hasher::new();
+        hasher.update(&fingerprint.to_le_bytes());
+        hasher.update(customer.as_bytes());
+        let hash = hasher.finalize();
+        let bytes = hash.as_bytes().first_chunk().copied().unwrap_or_default();
+        Self(u64::from_le_bytes(bytes))
+    }
+}
+
+impl Display for Print {
+    fn fmt(&self, formatter: &mut Formatter) -> fmt::Result {
+        write!(formatter, "{:016x}", self.0)
+    }
+}
--- a/crates/core/src/request.rs
+++ b/crates/core/src/request.rs
@@ -202,6 +202,8 @@
     pub number: u32,
     /// How far a relayed answer has come.
     pub passage: Passage,
+    /// What tells that it is one of several tries of its caller.
+    pub print: Print,
     /// Time by which it must have been sent.
     pub send_by: Time,
     /// For how long its caller had waited before it asked here, as far as is known, in milliseconds.
--- a/crates/node/src/note.rs
+++ b/crates/node/src/note.rs
@@ -20,21 +20,22 @@
     let service = note.service.name.as_str();
     let upstream = note.upstream.as_deref().unwrap_or_default();
     let position = note.position;
+    let fingerprint = note.print.to_string();
     match &note.what {
         What::Answered => {
-            info!(request, customer, service, model, upstream, position; "answered");
+            info!(request, fingerprint, customer, service, model, upstream, position; "answered");
         }
         What::Attached => {
             info!(request, customer, service, model, upstream, position; "attached");
         }
         What::Failed(kind) => {
             let kind = kind.answer().name;
-            warn!(request, customer, service, model, upstream, position, kind; "failed");
+            warn!(request, fingerprint, customer, service, model, upstream, position, kind; "failed");
         }
         What::Left => info!(request, customer, service, position; "caller left"),
         What::Lost(reason) => {
             let reason = reason.to_string();
-            warn!(request, customer, service, upstream, position, reason; "attempt lost");
+            warn!(request, fingerprint, customer, service, upstream, position, reason; "attempt lost");
         }
         What::Sent {
             backup,
@@ -45,7 +46,7 @@
             let backup = backup.as_deref().unwrap_or_default();
             let copy = copy.as_deref().unwrap_or_default();
             let (left_ms, list_age_ms) = (*left_ms, *list_age_ms);
-            info!(request, customer, service, model, upstream, position, backup, copy, left_ms, list_age_ms; "sent");
+            info!(request, fingerprint, customer, service, model, upstream, position, backup, copy, left_ms, list_age_ms; "sent");
         }
     }
 }
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -100,7 +100,7 @@
             caller,
             cursor: None,
             customer: asked.customer,
-            fingerprint: asked.relay.prompt,
+            fingerprint: asked.fingerprint,
             generation: Uuid::now_v7().as_u128(),
             key: None,
             received: None,
