--- a/crates/standin/src/site.rs
+++ b/crates/standin/src/site.rs
@@ -189,6 +189,18 @@
         enter(&self.shelf, worker, pool, data_centre, state);
     }
 
+    /// Has an engine that a request ended be gone as a process is, with all that ran there. Its entry stays.
+    pub fn bury(&mut self, engine: usize) {
+        self.engines[engine].host.kill();
+    }
+
+    /// Has another life of an engine that has ended begin at its place, under another name.
+    pub fn revive(&mut self, engine: usize, life: usize) {
+        let ended = &self.engines[engine].worker;
+        self.shelf.remove(&format!("servers/{}", ended.name));
+        self.engines[engine] = self.seat(&format!("engine-{engine}-{life}"), ENGINES, engine % 2);
+    }
+
     /// Has a worker that answers calls leave.
     pub fn leave(&self, desk: usize) {
         self.enter(&self.desks[desk].worker, DESK, desk % 2, "draining");
--- a/crates/standin/src/worker.rs
+++ b/crates/standin/src/worker.rs
@@ -17,6 +17,9 @@
 /// Bytes of a request's head that are read, at most.
 const HEAD: usize = 64 << 10;
 
+/// Start of a body that ends each upstream that begins to run it.
+pub const FATAL: &[u8] = b"fatal";
+
 /// How a worker behaves.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum Mode {
@@ -121,10 +124,21 @@
     pub entered: SocketAddr,
     /// Name of this life.
     pub name: String,
+    /// When it was ended by a request, and by which try.
+    crash: Arc<Mutex<Option<Crash>>>,
     ledger: Ledger,
     mode: Arc<Mutex<Mode>>,
 }
 
+/// The end of a worker by a request.
+#[derive(Clone, Debug)]
+pub struct Crash {
+    /// When it ended.
+    pub at: Instant,
+    /// The request that ended it.
+    pub run: Run,
+}
+
 /// A request as it was read.
 struct Asked {
     run: Run,
@@ -136,6 +150,7 @@
         Self {
             address,
             born: unix_ms(),
+            crash: Arc::default(),
             entered: address,
             ledger: ledger.clone(),
             mode: Arc::default(),
@@ -155,6 +170,27 @@
         *self.mode.lock().expect("nobody panics while holding it") = mode;
     }
 
+    /// How a request has ended it; whoever holds its runtime is to end that too.
+    pub fn crash(&self) -> Option<Crash> {
+        self.crash
+            .lock()
+            .expect("nobody panics while holding it")
+            .clone()
+    }
+
+    /// Ends by a request: nothing comes from it any more.
+    async fn end_by(&self, run: &Run) {
+        let crash = Crash {
+            at: Instant::now(),
+            run: run.clone(),
+        };
+        self.crash
+            .lock()
+            .expect("nobody panics while holding it")
+            .get_or_insert(crash);
+        std::future::pending().await
+    }
+
     /// Serves for ever.
     pub async fn serve(self) {
         let Ok(socket) = Socket::bind(self.address).await else {
@@ -232,6 +268,9 @@
             return connection.write_all(refusal.as_bytes()).await;
         }
         self.ledger.lock().runs.push(run.clone());
+        if self.crash().is_some() || run.body.starts_with(FATAL) {
+            self.end_by(run).await;
+        }
         if mode == Mode::Garbage {
             return connection.write_all(b"\x00\x01 no answer \r\n\r\n").await;
         }
