--- a/crates/node/src/clock.rs
+++ b/crates/node/src/clock.rs
@@ -1,11 +1,26 @@
 //! The clock of an instance.
 
 use super::*;
+use rustix::time::{ClockId, clock_gettime};
 
-/// Milliseconds since the Unix epoch, read once at the start and advanced by the monotonic clock,
-/// so that a step of the wall clock moves nothing.
+/// Nanoseconds in a millisecond.
+const NANOS: i64 = 1_000_000;
+
+/// Difference of the two clocks that is taken for a suspension, in milliseconds: far more than lies between two reads of
+/// them, and far less than the suspensions of seconds that are meant.
+const LEAST: u64 = 100;
+
+/// Milliseconds for which the machine was suspended since the first clock started, as far as was noticed. One for all clocks of a
+/// process, which count them from their starts.
+static SUSPENDED: AtomicU64 = AtomicU64::new(0);
+
+/// Milliseconds since the Unix epoch, read once at the start and advanced by the monotonic clock, so that a step of the wall
+/// clock moves nothing. Suspensions, which that clock does not count, are added when they are noticed: what was believed before
+/// one would look fresh else.
 #[derive(Clone, Copy, Debug)]
 pub struct Clock {
+    /// What the clock that counts suspensions showed at the start.
+    boot: u64,
     epoch: u64,
     start: Instant,
 }
@@ -17,6 +32,7 @@
             .duration_since(UNIX_EPOCH)
             .unwrap_or_default();
         Self {
+            boot: boot_ms(),
             epoch: epoch.as_millis() as u64,
             start: Instant::now(),
         }
@@ -24,7 +40,23 @@
 
     /// The time now.
     pub fn now(self) -> Time {
-        Time(self.epoch + self.start.elapsed().as_millis() as u64)
+        let suspended = SUSPENDED.load(Ordering::Relaxed);
+        Time(self.epoch + self.start.elapsed().as_millis() as u64 + suspended)
+    }
+
+    /// Looks whether the machine was suspended; for how long since the last look, in milliseconds, if it was. Read each tick
+    /// and not for each time: read for each, it cost 0.012 to 0.021 of the worth of quiet days.
+    pub fn notice(self) -> Option<u64> {
+        let counted = boot_ms().saturating_sub(self.boot);
+        let steady = self.start.elapsed().as_millis() as u64;
+        let suspended = counted.saturating_sub(steady);
+        let known = SUSPENDED.load(Ordering::Relaxed);
+        let news = suspended.saturating_sub(known);
+        if news < LEAST {
+            return None;
+        }
+        SUSPENDED.store(suspended, Ordering::Relaxed);
+        Some(news)
     }
 }
 
@@ -33,3 +65,9 @@
         Self::new()
     }
 }
+
+/// Milliseconds since the machine was started, suspensions with them.
+fn boot_ms() -> u64 {
+    let time = clock_gettime(ClockId::Boottime);
+    (time.tv_sec * 1_000 + time.tv_nsec / NANOS) as u64
+}
--- a/crates/node/src/driver.rs
+++ b/crates/node/src/driver.rs
@@ -241,7 +241,12 @@
                         self.take(message);
                     }
                 }
-                _ = ticks.tick() => self.event(Event::Tick),
+                _ = ticks.tick() => {
+                    if let Some(suspended_ms) = self.clock.notice() {
+                        warn!(suspended_ms; "resumed");
+                    }
+                    self.event(Event::Tick);
+                }
             }
         }
     }
