A connection that broke to an upstream that answers holds no request back

Cause: read again; what broke to an upstream that lives counted like one that is to be checked for 8 s, and held a request that had three such back for up to 0.4 s. Ruled out: nothing.

--- a/crates/core/src/suspicion.rs
+++ b/crates/core/src/suspicion.rs
@@ -24,6 +24,8 @@
 /// Connections to an upstream that broke, of which it is not known whether it ended.
 #[derive(Clone, Debug)]
 struct Pending {
+    /// Whether somebody listened at its address behind the last of them: it lives, or was born anew.
+    answered: bool,
     /// When the first broke.
     since: Time,
     /// The requests that were sent on them.
@@ -58,7 +60,7 @@
 
     /// Ends at which a request was, those with it that are not certain.
     fn ends(&self, print: Print) -> usize {
-        let pending = self.pending.values();
+        let pending = self.pending.values().filter(|pending| !pending.answered);
         let pending = pending.filter(|pending| pending.there.contains_key(&print));
         self.account.lives(print).count() + pending.count()
     }
@@ -109,16 +111,15 @@
             self.note_end(life, &[(print, part)].into());
             return;
         }
-        let (now, mut asks) = (self.now, false);
-        let pending = self.suspicion.pending.entry(life).or_insert_with(|| {
-            asks = true;
-            Pending {
-                since: now,
-                there: BTreeMap::new(),
-            }
+        let now = self.now;
+        let pending = self.suspicion.pending.entry(life);
+        let pending = pending.or_insert_with(|| Pending {
+            answered: true,
+            since: now,
+            there: BTreeMap::new(),
         });
         pending.there.insert(print, part);
-        if asks {
+        if std::mem::replace(&mut pending.answered, false) {
             self.decide(effect::Quarantine::Check { address, life });
         }
     }
@@ -127,6 +128,8 @@
     pub(crate) fn checked(&mut self, life: Life, ended: bool) {
         if ended {
             self.ended(life);
+        } else if let Some(pending) = self.suspicion.pending.get_mut(&life) {
+            pending.answered = true;
         }
         let of_life = |held: &mut Held| held.life == life;
         let held: Vec<Held> = self.suspicion.held.extract_if(.., of_life).collect();
@@ -252,7 +255,10 @@
         };
         let print = request.print;
         let life = self.upstreams.get(upstream).map(|upstream| upstream.life);
-        let pending = life.filter(|life| self.suspicion.pending.contains_key(life));
+        let pending = life.filter(|life| {
+            let pending = self.suspicion.pending.get(life);
+            pending.is_some_and(|pending| !pending.answered)
+        });
         match pending {
             Some(life) if self.suspicion.ends(print) >= quarantine::GUILTY => {
                 self.suspicion.held.push(Held {
--- a/crates/core/tests/relay/poison.rs
+++ b/crates/core/tests/relay/poison.rs
@@ -284,3 +284,14 @@
         unordered_elements_are![eq("ends_upstreams"), eq("quarantined")]
     );
 }
+
+#[gtest]
+fn request_whose_connections_break_to_upstreams_that_live_is_not_held_back() {
+    let mut test = Test::new(3);
+    test.ask(STREAM);
+    for sent in 1..5 {
+        let last = test.last();
+        test.break_off(&last, false);
+        expect_that!(test.sent().len(), eq(sent + 1));
+    }
+}
