What upstreams say of themselves beside answers is decoded in one place and written to the log

Ruled out: words of another life (421) or of an answer to another request, which say nothing of who was asked. Conclusion: one decoder, one line 'upstream said'; nothing is decided by it yet.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod lesson;
 pub mod life;
 pub mod line;
+pub mod notice;
 pub mod print;
 pub mod quarantine;
 pub mod queue;
--- a/crates/node/src/driver.rs
+++ b/crates/node/src/driver.rs
@@ -447,7 +447,10 @@
         sending: &Sending,
     ) -> Option<JoinHandle<()>> {
         let Sending::Relay {
-            caller, streams, ..
+            caller,
+            streams,
+            upstream,
+            ..
         } = sending
         else {
             return None;
@@ -459,6 +462,7 @@
             driver: self.driver.clone(),
             run: original.run.clone(),
             streams: *streams,
+            upstream: upstream.clone(),
         };
         let request = original.request(address, sending)?;
         Some(tokio::spawn(exchange.run(self.relaying.clone(), request)))
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -48,6 +48,8 @@
     pub run: Arc<str>,
     /// Whether the answer is a series of events.
     pub streams: bool,
+    /// Name of the upstream.
+    pub upstream: Arc<str>,
 }
 
 impl Original {
@@ -108,7 +110,10 @@
             platform::answer::meaning(parts.status, &parts.headers, &self.run, self.streams);
         let marked = parts.headers.contains_key(header::TRANSFER_ENCODING)
             || parts.headers.contains_key(header::CONTENT_LENGTH);
-        let load = platform::answer::load(&parts.headers);
+        let notice = platform::answer::notice(parts.status, &parts.headers, &self.run);
+        if !notice.is_plain() {
+            note::notice(&self.run, &self.upstream, parts.status, &notice);
+        }
         let head = Head {
             headers: platform::request::end_to_end(&parts.headers),
             status: parts.status,
@@ -122,7 +127,7 @@
                 self.stream(body, marked).await
             }
             Meaning::Whole(verdict) => {
-                if let Some(load) = load {
+                if let Some(load) = notice.load {
                     let attempt = self.attempt;
                     self.driver.event(Event::Carried { attempt, load });
                 }
--- a/crates/node/src/note.rs
+++ b/crates/node/src/note.rs
@@ -1,7 +1,11 @@
 //! Log lines of the steps in a request's life: one for each decision that touches it.
 
 use super::*;
-use wellplank_core::{print::Print, quarantine::Account};
+use wellplank_core::{
+    notice::{Notice, Rest},
+    print::Print,
+    quarantine::Account,
+};
 
 /// Writes the line of a change in what is believed of an upstream.
 pub(crate) fn believe(belief: Belief, born: u64, silent_ms: u64, upstream: &str) {
@@ -9,6 +13,18 @@
     info!(upstream, born, belief, silent_ms; "upstream");
 }
 
+/// Writes the line of what an upstream said of itself beside an answer.
+pub(crate) fn notice(request: &str, upstream: &str, status: StatusCode, notice: &Notice) {
+    let status = status.as_u16();
+    let leaving = notice.leaving;
+    let (rest_ms, odd) = match notice.rest {
+        Rest::For(millis) => (millis, false),
+        Rest::None => (0, false),
+        Rest::Odd => (0, true),
+    };
+    info!(request, upstream, status, leaving, rest_ms, odd; "upstream said");
+}
+
 /// Writes the line of a request that is refused from now on, with the upstreams that ended under it, by the hashes of their
 /// names, and whether this instance saw one of them end.
 pub(crate) fn quarantine(print: Print, ends: &Account, own: bool) {
