Failing tests: upstreams that say in their answers that they leave, or ask for rest, get work

Ruled out: a word that is read and lost again (nothing is believed anew behind one, at any instance, and sendings go on without a pause); requests that waited.

--- a/crates/standin/src/worker.rs
+++ b/crates/standin/src/worker.rs
@@ -54,6 +54,42 @@
     Unsigned,
 }
 
+/// What a worker says of itself in the head of each answer, of whatever kind.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Remark {
+    /// Whether it is leaving.
+    pub leaving: bool,
+    /// When it wants requests again, as its refusals say it.
+    pub rest: Option<&'static str>,
+}
+
+impl Remark {
+    /// The header lines of a refusal.
+    fn refusal(self) -> String {
+        let rest = self.rest.map(|rest| format!("retry-after: {rest}\r\n"));
+        self.answer() + rest.unwrap_or_default().as_str()
+    }
+
+    /// The header lines of any other answer.
+    fn answer(self) -> String {
+        if self.leaving {
+            return "server-leaving: 1\r\n".into();
+        }
+        String::new()
+    }
+}
+
+/// One request that reached a worker, whether it ran or not.
+#[derive(Clone, Debug)]
+pub struct Arrival {
+    /// When it was read.
+    pub at: Instant,
+    /// Name of its run.
+    pub run: String,
+    /// Name of the worker.
+    pub worker: String,
+}
+
 /// One request that ran.
 #[derive(Clone, Debug)]
 pub struct Run {
@@ -86,12 +122,18 @@
 
 #[derive(Default)]
 struct Pages {
+    arrivals: Vec<Arrival>,
     cancelled: u64,
     copies: HashMap<(String, String), u64>,
     runs: Vec<Run>,
 }
 
 impl Ledger {
+    /// What reached workers, in order.
+    pub fn arrivals(&self) -> Vec<Arrival> {
+        self.lock().arrivals.clone()
+    }
+
     /// Streams whose connection was closed before their end.
     pub fn cancelled(&self) -> u64 {
         self.lock().cancelled
@@ -128,6 +170,7 @@
     crash: Arc<Mutex<Option<Crash>>>,
     ledger: Ledger,
     mode: Arc<Mutex<Mode>>,
+    remark: Arc<Mutex<Remark>>,
 }
 
 /// The end of a worker by a request.
@@ -155,6 +198,7 @@
             ledger: ledger.clone(),
             mode: Arc::default(),
             name: name.into(),
+            remark: Arc::default(),
         }
     }
 
@@ -170,6 +214,15 @@
         *self.mode.lock().expect("nobody panics while holding it") = mode;
     }
 
+    /// Has it say something of itself in all answers from now on.
+    pub fn say(&self, remark: Remark) {
+        *self.remark.lock().expect("nobody panics while holding it") = remark;
+    }
+
+    fn remark(&self) -> Remark {
+        *self.remark.lock().expect("nobody panics while holding it")
+    }
+
     /// How a request has ended it; whoever holds its runtime is to end that too.
     pub fn crash(&self) -> Option<Crash> {
         self.crash
@@ -257,14 +310,24 @@
         if mode == Mode::Silent {
             std::future::pending::<()>().await;
         }
+        let remark = self.remark().refusal();
         if mode == Mode::Replaced || run.header("wellplank-expect-instance") != self.name {
-            let refusal = "HTTP/1.1 421 Misdirected Request\r\nwellplank-instance-id: other\r\n\
-                content-length: 0\r\n\r\n";
+            let refusal = format!(
+                "HTTP/1.1 421 Misdirected Request\r\nwellplank-instance-id: other\r\n{remark}\
+                content-length: 0\r\n\r\n"
+            );
             return connection.write_all(refusal.as_bytes()).await;
         }
+        self.ledger.lock().arrivals.push(Arrival {
+            at: run.at,
+            run: run.header("wellplank-request-id").to_owned(),
+            worker: self.name.clone(),
+        });
         if mode == Mode::Refuse || !self.take_copy(run) {
-            let refusal = "HTTP/1.1 503 Service Unavailable\r\nwellplank-not-executed: 1\r\n\
-                content-length: 0\r\n\r\n";
+            let refusal = format!(
+                "HTTP/1.1 503 Service Unavailable\r\nwellplank-not-executed: 1\r\n{remark}\
+                content-length: 0\r\n\r\n"
+            );
             return connection.write_all(refusal.as_bytes()).await;
         }
         self.ledger.lock().runs.push(run.clone());
@@ -275,7 +338,7 @@
             return connection.write_all(b"\x00\x01 no answer \r\n\r\n").await;
         }
         if run.header("wellplank-token-usage").is_empty() {
-            connection.write_all(&whole(run, mode)).await
+            connection.write_all(&whole(run, mode, self.remark())).await
         } else {
             let written = self.stream(connection, run, mode).await;
             if written.is_err() {
@@ -303,7 +366,7 @@
     ) -> std::io::Result<()> {
         let head = format!(
             "{}content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n",
-            head(run, 200, mode)
+            head(run, 200, mode, self.remark())
         );
         connection.write_all(head.as_bytes()).await?;
         let first: u64 = run.header("last-event-id").parse().unwrap_or(0) + 1;
@@ -354,7 +417,7 @@
     format!("{:x}\r\n{text}\r\n", text.len())
 }
 
-fn head(run: &Run, status: u16, mode: Mode) -> String {
+fn head(run: &Run, status: u16, mode: Mode, remark: Remark) -> String {
     let mut head = format!("HTTP/1.1 {status} Status\r\nx-worker: {}\r\n", run.worker);
     let name = match mode {
         Mode::Stray => "another",
@@ -371,17 +434,18 @@
     if mode == Mode::Encoded {
         head.push_str("content-encoding: gzip\r\n");
     }
+    head.push_str(&remark.answer());
     head
 }
 
-fn whole(run: &Run, mode: Mode) -> Vec<u8> {
+fn whole(run: &Run, mode: Mode, remark: Remark) -> Vec<u8> {
     let body = reply(&run.body);
     let status = match mode {
         Mode::Fault => 500,
         Mode::Sham => 503,
         _ => 200,
     };
-    let head = head(run, status, mode);
+    let head = head(run, status, mode, remark);
     let length = body.len();
     let answer = match mode {
         Mode::Cut => format!(
