What upstreams say of themselves beside any answer is heeded: leaving for their life, rest for its time

Cause: what the head of an answer says of its upstream was read in one case only (load, beside a whole answer); that one leaves was known from the store alone, which was away, and one that turned work away was avoided for as long as the instance reckoned itself. Class: a truth that is in the instance's own hands is carried to the caller, not read, while a source is asked that is away. Ruled out: a word that is read and lost again, requests that waited. Now one decoder and one event into the core before anything of the answer goes on, whatever becomes of it. A rest holds at every way to a sending; where all rest for longer than a request may wait it is refused at once, with the end of the first rest, spread by a tenth. The own interface's refusals ask for rest by the same header. Tests of the core: every way to a sending, lives, entries that go and are back, odd and huge times, spread.

--- a/crates/core/src/core.rs
+++ b/crates/core/src/core.rs
@@ -97,6 +97,8 @@
     pub(crate) settings: Settings,
     /// Streams that other instances told of.
     pub(crate) sightings: sighting::Sightings,
+    /// What upstreams said of themselves that are listed no more.
+    pub(crate) standings: notice::Standings,
     /// Until when the list is not trusted, since this instance was paused.
     pub(crate) stale_until: Time,
     /// What is believed of requests that end their upstreams.
@@ -141,6 +143,7 @@
             Event::Closed { attempt, marked } => self.closed(attempt, marked),
             Event::Config(config) => self.adopt(config),
             Event::Crashed(account) => self.crashed(&account),
+            Event::Departing(life) => self.departing(life),
             Event::Demanded { demand, from } => self.demanded(from, &demand),
             Event::Failed { attempt, failure } => self.failed(attempt, failure),
             Event::Finished {
@@ -152,6 +155,7 @@
             Event::Leaving(name) => self.hint_leaving(&name),
             Event::List { asked, listed } => self.list(asked, listed.as_deref()),
             Event::Load { upstream, load } => self.report(upstream, load),
+            Event::Noticed { upstream, notice } => self.noticed(upstream, &notice),
             Event::Opened(attempt) => self.opened(attempt),
             Event::Paced(pace) => self.paced(&pace),
             Event::Passed {
@@ -207,6 +211,7 @@
             settings,
             sightings: sighting::Sightings::default(),
             stale_until: Time::default(),
+            standings: notice::Standings::default(),
             suspicion: Suspicion::default(),
             swept: now,
             upstreams: SlotMap::with_key(),
--- a/crates/core/src/counter.rs
+++ b/crates/core/src/counter.rs
@@ -23,6 +23,14 @@
     Hedged,
     /// Invariants found broken.
     Invariant(Invariant),
+    /// Words of other instances that an upstream is leaving.
+    LeavingTold,
+    /// Answers whose upstream said beside them that it is leaving.
+    NoticeLeaving,
+    /// Answers whose upstream asked for a rest that is no time.
+    NoticeOdd,
+    /// Answers whose upstream asked for rest.
+    NoticeRest,
     /// Pauses of this instance noticed.
     Paused,
     /// Requests found to end the upstreams that run them.
@@ -104,6 +112,10 @@
             Self::FrameRepeated => write!(formatter, "frame.repeated"),
             Self::Hedged => write!(formatter, "hedged"),
             Self::Invariant(invariant) => write!(formatter, "invariant.{invariant}"),
+            Self::LeavingTold => write!(formatter, "notice.told"),
+            Self::NoticeLeaving => write!(formatter, "notice.leaving"),
+            Self::NoticeOdd => write!(formatter, "notice.odd"),
+            Self::NoticeRest => write!(formatter, "notice.rest"),
             Self::Paused => write!(formatter, "paused"),
             Self::Quarantined => write!(formatter, "quarantined"),
             Self::Refused(kind) => write!(formatter, "refused.{kind}"),
--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -22,12 +22,19 @@
         self.waits(key);
     }
 
-    /// Notes that a relayed request found no room, if it waits.
+    /// Notes that a relayed request found no room, if it waits. One that is known to find none in time is given up on.
     fn waits(&mut self, key: request::Key) {
         let Some(request) = self.requests.get(key) else {
             return;
         };
-        if request.state != State::Queued || request.work.relay().is_none() {
+        if request.state != State::Queued {
+            return;
+        }
+        if self.outlasted_by_rest(request) {
+            self.give_up(key, Kind::Overloaded, Kind::UpstreamFailed);
+            return;
+        }
+        if request.work.relay().is_none() {
             return;
         }
         let until = self.may_wait_until(request);
@@ -186,6 +193,7 @@
                 position,
                 stream: effect::Stream { generation, number },
             },
+            upstream,
         });
         true
     }
@@ -245,6 +253,7 @@
             .all(|other| *other == key || !self.attempts[*other].sent);
         let once = request.service.repeatable || (alone && (!request.may_have_run || continues));
         let (address, leaves) = (upstream.address, upstream.leaves(self.now));
+        let rests = upstream.rests(self.now);
         let (number, owner) = (attempt.number, attempt.request);
         let sending = match request.work {
             Work::Relay(_) => self.relaying(key),
@@ -252,6 +261,7 @@
         };
         let guilty = self.is_guilty(request.print);
         self.check(!leaves, Invariant::NoWorkWhenLeaving);
+        self.check(!rests, Invariant::NoWorkWhenResting);
         if !self.check(!guilty, Invariant::NoQuarantinedWork) {
             self.refuse_guilty(owner);
             return;
@@ -272,6 +282,7 @@
             address,
             attempt: key,
             sending,
+            upstream,
         });
     }
 
--- a/crates/core/src/effect.rs
+++ b/crates/core/src/effect.rs
@@ -113,6 +113,8 @@
     New,
     /// Another upstream has its address.
     Replaced,
+    /// It asked for a time without requests of this instance.
+    Resting,
     /// It started again under its name, and is another one since.
     Restarted,
     /// It gets work again.
@@ -150,6 +152,7 @@
             Self::Lost => "lost",
             Self::New => "new",
             Self::Replaced => "replaced",
+            Self::Resting => "resting",
             Self::Restarted => "restarted",
             Self::Trusted => "trusted",
         }
@@ -262,7 +265,12 @@
         reason: String,
     },
     /// Tell other instances that an upstream is leaving.
-    Leaving(Arc<str>),
+    Leaving {
+        /// Its life.
+        life: Life,
+        /// Its name.
+        upstream: Arc<str>,
+    },
     /// Log a step in the life of a request.
     Note(Note),
     /// Give a caller the head of a stream that the edge holds.
@@ -302,6 +310,8 @@
         attempt: attempt::Key,
         /// What is sent.
         sending: Sending,
+        /// The upstream.
+        upstream: upstream::Key,
     },
     /// Tell other instances of a relayed stream.
     Tell(Sighting),
--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -165,6 +165,8 @@
         /// Where it listens.
         from: SocketAddr,
     },
+    /// Another instance heard from an upstream itself that it is leaving.
+    Departing(Life),
     /// An attempt ended without a whole answer.
     Failed {
         /// The attempt.
@@ -199,6 +201,13 @@
         /// The report.
         load: Load,
     },
+    /// An upstream said something of itself beside an answer, which comes behind this.
+    Noticed {
+        /// The upstream.
+        upstream: upstream::Key,
+        /// What it said.
+        notice: Notice,
+    },
     /// A relayed stream began; the edge holds its head.
     Opened(attempt::Key),
     /// Another instance told how fast the engines of a pool work.
--- a/crates/core/src/failure.rs
+++ b/crates/core/src/failure.rs
@@ -128,7 +128,10 @@
         let retry_after_ms = kind.answer().retry.then(|| match request.work {
             Work::Relay(_) => self.come_back(&request),
             Work::Call { .. } | Work::Generate { .. } => {
-                self.retry_after(pool, request.service.priority, &request.customer)
+                let rest = self.come_back_rested(&request);
+                rest.unwrap_or_else(|| {
+                    self.retry_after(pool, request.service.priority, &request.customer)
+                })
             }
         });
         self.refuse(request.caller, kind, retry_after_ms);
--- a/crates/core/src/invariant.rs
+++ b/crates/core/src/invariant.rs
@@ -15,6 +15,8 @@
     NoQuarantinedWork,
     /// An upstream that is leaving was given new work.
     NoWorkWhenLeaving,
+    /// An upstream that asked for rest was given new work.
+    NoWorkWhenResting,
     /// A request refused as "not run" had been sent.
     NotRunIsTrue,
     /// A non-repeatable request was to be sent although it may have run.
@@ -31,6 +33,7 @@
             Self::NeverReverts => "never_reverts",
             Self::NoQuarantinedWork => "no_quarantined_work",
             Self::NoWorkWhenLeaving => "no_work_when_leaving",
+            Self::NoWorkWhenResting => "no_work_when_resting",
             Self::NotRunIsTrue => "not_run_is_true",
             Self::RunsOnce => "runs_once",
             Self::SameGeneration => "same_generation",
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -73,6 +73,7 @@
     lesson::Why,
     life::Life,
     line::Line,
+    notice::Notice,
     print::Print,
     quarantine::Account,
     queue::Queue,
--- a/crates/core/src/room.rs
+++ b/crates/core/src/room.rs
@@ -20,7 +20,7 @@
 const SETTLED_MS: u64 = 2_000;
 
 /// The shortest time after which a caller is asked to come back, in milliseconds.
-const COME_BACK_MS: u64 = 200;
+pub(crate) const COME_BACK_MS: u64 = 200;
 
 /// What a stream needs of an upstream.
 #[derive(Clone, Copy, Debug)]
@@ -219,8 +219,11 @@
         Ok(())
     }
 
-    /// Time up to which a new stream may wait for room: as long as it can still begin in the time wanted.
+    /// Time up to which a request may wait for an upstream; a new stream as long as it can still begin in the time wanted.
     pub(crate) fn may_wait_until(&self, request: &Request) -> Time {
+        if request.service.relay().is_none() {
+            return request.send_by;
+        }
         let begins = self.reading_ms(request);
         let last = request.wanted_by.0.saturating_sub(begins);
         request.send_by.max(Time(last))
@@ -277,10 +280,14 @@
         self.reading_ms(request) * streams as u64 / engines
     }
 
-    /// When the caller of a stream that found no room is asked to come back: soon enough to have it in the
+    /// When the caller of a request that found no upstream is asked to come back: behind the rest of all, if they
+    /// rest. Else, as for a stream that found no room: soon enough to have it in the
     /// time wanted, if room is likely then; else when the shortage is likely to be over. One that has
     /// lasted for some time is likely to last as long again.
     pub(crate) fn come_back(&mut self, request: &Request) -> u64 {
+        if let Some(rest) = self.come_back_rested(request) {
+            return rest;
+        }
         let pool = self.pools.get(request.service.pool());
         let lasting = pool.and_then(|pool| pool.gauge.lasting(self.now));
         let waiting = self.waiting(request.service.pool());
--- a/crates/core/src/upstream.rs
+++ b/crates/core/src/upstream.rs
@@ -124,6 +124,8 @@
     pub takes_ms: f64,
     /// Failures of late, each fading with time.
     pub trouble: Trouble,
+    /// What holds of it by its own words.
+    pub standing: notice::Standing,
     /// Starts and ends of the last while, oldest first, of which a report may hold some.
     pub recent: VecDeque<Change>,
 }
@@ -166,12 +168,17 @@
 
     /// Whether it may be given new work.
     pub fn takes_work(&self, now: Time) -> bool {
-        self.chosen && self.health == Health::Live && !self.leaves(now)
+        self.chosen && self.health == Health::Live && !self.leaves(now) && !self.rests(now)
+    }
+
+    /// Whether it asked this instance for rest.
+    pub fn rests(&self, now: Time) -> bool {
+        now < self.standing.rests_until
     }
 
     /// Whether it is leaving, by any signal.
     pub fn leaves(&self, now: Time) -> bool {
-        self.leaving || now < self.leaving_until
+        self.leaving || self.standing.leaving || now < self.leaving_until
     }
 
     /// Requests it takes at once.
--- a/crates/core/src/watch.rs
+++ b/crates/core/src/watch.rs
@@ -28,7 +28,11 @@
         let Some(attempt) = self.attempts.get(attempt) else {
             return;
         };
-        let key = attempt.upstream;
+        self.carried_by(attempt.upstream, load);
+    }
+
+    /// The same, by an upstream.
+    pub(crate) fn carried_by(&mut self, key: upstream::Key, load: Load) {
         let next = self.now.after(self.settings.load_ms);
         self.upstreams[key].probe_at = next;
         self.take_load(key, load, CARRIED_LAG_MS);
@@ -58,16 +62,29 @@
         }
     }
 
-    /// Gives an upstream no new work for a while, whatever the platform's list says.
+    /// Gives an upstream no new work for a while, whatever the platform's list says, and has others told.
     pub(crate) fn leave(&mut self, key: upstream::Key) {
+        if self.hint(key) {
+            let upstream = &self.upstreams[key];
+            self.effects.push(Effect::Leaving {
+                life: upstream.life,
+                upstream: upstream.name.clone(),
+            });
+        }
+    }
+
+    /// Gives an upstream no new work for a while, whatever the platform's list says; whether that is news.
+    pub(crate) fn hint(&mut self, key: upstream::Key) -> bool {
         let until = self.now.after(self.settings.leaving_hint_ms);
-        if let Some(upstream) = self.upstreams.get_mut(key) {
-            let news = !upstream.leaves(self.now);
-            upstream.leaving_until = until;
-            if news {
-                self.effects.push(Effect::Leaving(upstream.name.clone()));
-            }
+        let Some(upstream) = self.upstreams.get_mut(key) else {
+            return false;
+        };
+        let news = !upstream.leaves(self.now);
+        upstream.leaving_until = until;
+        if news {
+            self.believe(key, effect::Belief::Leaving);
         }
+        news
     }
 
     /// Takes in the platform's list: new upstreams, those that leave, and those that are gone.
@@ -211,6 +228,7 @@
         if let Some(pool) = self.pools.get_mut(&upstream.pool) {
             pool.upstreams.retain(|other| *other != key);
         }
+        self.standings.keep(&upstream, self.now);
     }
 
     /// The upstream that is known under the name of a life, which may be another life.
@@ -240,7 +258,7 @@
             && self.upstreams[key].life == life
             && self.upstreams[key].address == entry.address
         {
-            if entry.leaving && !self.upstreams[key].leaving {
+            if entry.leaving && !self.upstreams[key].leaves(self.now) {
                 self.believe(key, effect::Belief::Leaving);
             }
             self.upstreams[key].leaving = entry.leaving;
@@ -278,6 +296,7 @@
             probing: None,
             recent: VecDeque::new(),
             since: entry.since,
+            standing: self.standings.take(life, entry.address),
             takes_ms: 0.0,
             trouble: upstream::Trouble::default(),
         });
--- a/crates/core/tests/core.rs
+++ b/crates/core/tests/core.rs
@@ -12,9 +12,10 @@
         effect::{Effect, Sending},
         event::{ClaimOutcome, Event, Failure, Listed, Piece, Submission},
         kind::Kind,
+        notice::{Notice, Rest},
         request::{Caller, Work},
         settings::Settings,
-        upstream::Load,
+        upstream::{self, Load},
     },
 };
 
@@ -150,6 +151,15 @@
         self.effects.iter().filter_map(attempt).collect()
     }
 
+    /// The upstream that a request was sent to last, as the core knows it.
+    fn upstream(&self) -> upstream::Key {
+        let upstream = self.effects.iter().rev().find_map(|effect| match effect {
+            Effect::Send { upstream, .. } => Some(*upstream),
+            _ => None,
+        });
+        upstream.expect("something was sent")
+    }
+
     /// Lets time pass in the steps of a running instance.
     fn pass(&mut self, millis: u64) {
         for _ in 0..millis / 10 {
@@ -235,6 +245,27 @@
     }
 }
 
+#[gtest]
+fn generation_is_not_sent_to_an_engine_that_asked_for_rest() {
+    let mut test = Test::new(Settings::default(), 1);
+    test.ask("mill");
+    let upstream = test.upstream();
+    let rest = Rest::For(3_000);
+    let notice = Notice {
+        rest,
+        ..Notice::default()
+    };
+    test.tell(Event::Noticed { notice, upstream });
+    test.ask("mill");
+    expect_that!(test.sent().len(), eq(1));
+    expect_that!(test.errors(), elements_are![eq(&(Kind::Overloaded, true))]);
+    test.now = test.now.after(3_400);
+    test.effects.clear();
+    test.list(1, None);
+    test.ask("mill");
+    expect_that!(test.sent().len(), eq(1));
+}
+
 #[gtest]
 fn without_configuration_nothing_is_taken() {
     let mut test = Test::without_configuration(Settings::default());
--- a/crates/core/tests/relay/builder.rs
+++ b/crates/core/tests/relay/builder.rs
@@ -30,6 +30,8 @@
     pub backup: Option<usize>,
     pub copy: Option<String>,
     pub left_ms: u64,
+    /// The upstream, as the core knows it.
+    pub key: upstream::Key,
     pub position: u64,
     pub upstream: usize,
 }
@@ -65,11 +67,20 @@
     }
 
     /// A core without a configuration, with some settings.
-    pub fn set(mut settings: Settings) -> Self {
+    pub fn set(settings: Settings) -> Self {
+        Self::build(settings, 1)
+    }
+
+    /// A core with one upstream, whose random choices are those of a seed.
+    pub fn seeded(seed: u64) -> Self {
+        Self::build(Settings::default(), seed).configured(1)
+    }
+
+    fn build(mut settings: Settings, seed: u64) -> Self {
         settings.probes = false;
         Self {
             body: 0,
-            core: Core::new(settings, [0; 32], 1, NOW).standing_in("dc-0"),
+            core: Core::new(settings, [0; 32], seed, NOW).standing_in("dc-0"),
             effects: Vec::new(),
             next: 0,
             now: NOW,
@@ -217,10 +228,12 @@
                         position,
                         ..
                     },
+                upstream: key,
             } => Some(Sent {
                 attempt: *attempt,
                 backup: backup.map(index),
                 copy: copy.as_deref().map(str::to_owned),
+                key: *key,
                 left_ms: *left_ms,
                 position: *position,
                 upstream: index(*address),
--- a/crates/core/tests/relay/main.rs
+++ b/crates/core/tests/relay/main.rs
@@ -13,18 +13,20 @@
         event::{Event, Failure, Listed, Submission, Verdict},
         kind::Kind,
         life::Life,
+        notice::{Notice, Rest},
         print::Print,
         quarantine::{Account, Part},
         request::{Caller, Relay, Work},
         settings::{Resume, Room as Bounds, Settings},
         sighting::{Sighting, Stage},
-        upstream::Load,
+        upstream::{self, Load},
     },
 };
 
 mod builder;
 mod fleet;
 mod life;
+mod notice;
 mod poison;
 mod room;
 
--- a/crates/node/src/account.rs
+++ b/crates/node/src/account.rs
@@ -2,7 +2,6 @@
 
 use super::*;
 use wellplank_core::{
-    life::Life,
     print::Print,
     quarantine::{Account, End, Part},
 };
--- a/crates/node/src/check.rs
+++ b/crates/node/src/check.rs
@@ -3,7 +3,6 @@
 use super::*;
 use std::io::ErrorKind;
 use tokio::net::TcpStream;
-use wellplank_core::life::Life;
 
 /// Time that a connection may take; one between data centres takes a hundredth of it.
 const PATIENCE: Duration = Duration::from_millis(300);
--- a/crates/node/src/driver.rs
+++ b/crates/node/src/driver.rs
@@ -291,25 +291,20 @@
             }
             Effect::Close(caller) => self.end(caller, Reply::Close),
             Effect::Cut(caller) => self.end(caller, Reply::Cut),
-            Effect::Count(counter, count) => {
-                if let Counter::Invariant(invariant) = counter {
-                    error!("invariant broken: {invariant}");
-                }
-                self.meter.count(counter, count);
-            }
+            Effect::Count(counter, count) => self.count(counter, count),
             Effect::Deliver {
                 caller,
                 cursor,
                 pieces,
                 position,
-            } => self.reply(
-                caller,
-                Reply::Tokens {
+            } => {
+                let reply = Reply::Tokens {
                     cursor,
                     pieces,
                     position,
-                },
-            ),
+                };
+                self.reply(caller, reply);
+            }
             Effect::Demand { demand, pressed } => {
                 self.tell_others(gossip::Told::Demand { demand, pressed });
             }
@@ -330,7 +325,7 @@
                 position,
                 reason,
             } => self.end(caller, Reply::Finished { position, reason }),
-            Effect::Leaving(name) => self.leaves(&name),
+            Effect::Leaving { life, upstream } => self.leaves(life, &upstream),
             Effect::Note(note) => note::write(&note),
             Effect::Open(caller) => {
                 if let Some(Held::Head(head)) = self.take_held(caller) {
@@ -353,7 +348,8 @@
                 address,
                 attempt,
                 sending,
-            } => self.send(address, attempt, sending),
+                upstream,
+            } => self.send(address, attempt, sending, upstream),
             Effect::Tell(sighting) => self.tell_others(gossip::Told::Stream(sighting)),
             Effect::Timed(timing, millis) => {
                 self.meter.time(meter::Timed::Core(timing), millis as f64);
@@ -361,6 +357,13 @@
         }
     }
 
+    fn count(&self, counter: Counter, count: u64) {
+        if let Counter::Invariant(invariant) = counter {
+            error!("invariant broken: {invariant}");
+        }
+        self.meter.count(counter, count);
+    }
+
     /// Carries out a decision on requests that end their upstreams.
     fn quarantine(&self, effect: effect::Quarantine) {
         match effect {
@@ -389,8 +392,9 @@
         let _ = self.kept.send(kept);
     }
 
-    /// Has peers told that an upstream is leaving.
-    fn leaves(&self, name: &str) {
+    /// Has other instances told that an upstream is leaving, by the one way that there is to them.
+    fn leaves(&self, life: Life, name: &str) {
+        self.tell_others(gossip::Told::Leaving(life));
         let now = Instant::now();
         self.leaving.send_modify(|leaving| {
             leaving.retain(|_, heard| heard.elapsed() < LEAVING);
@@ -445,11 +449,12 @@
         address: SocketAddr,
         attempt: attempt::Key,
         sending: &Sending,
+        upstream: upstream::Key,
     ) -> Option<JoinHandle<()>> {
         let Sending::Relay {
             caller,
             streams,
-            upstream,
+            upstream: name,
             ..
         } = sending
         else {
@@ -462,13 +467,20 @@
             driver: self.driver.clone(),
             run: original.run.clone(),
             streams: *streams,
-            upstream: upstream.clone(),
+            upstream,
+            upstream_name: name.clone(),
         };
         let request = original.request(address, sending)?;
         Some(tokio::spawn(exchange.run(self.relaying.clone(), request)))
     }
 
-    fn send(&mut self, address: SocketAddr, attempt: attempt::Key, sending: Sending) {
+    fn send(
+        &mut self,
+        address: SocketAddr,
+        attempt: attempt::Key,
+        sending: Sending,
+        upstream: upstream::Key,
+    ) {
         let driver = self.driver.clone();
         let task = match sending {
             Sending::Call {
@@ -482,15 +494,18 @@
                 } else {
                     &self.fresh
                 };
-                plain::request(address, &path, &payload, request)
-                    .map(|request| tokio::spawn(plain::run(http.clone(), driver, attempt, request)))
+                plain::request(address, &path, &payload, request).map(|request| {
+                    tokio::spawn(plain::run(http.clone(), driver, attempt, upstream, request))
+                })
             }
-            sending @ Sending::Relay { .. } => self.forward(address, attempt, &sending),
+            sending @ Sending::Relay { .. } => self.forward(address, attempt, &sending, upstream),
             sending => {
                 let attach = matches!(sending, Sending::Attach { .. });
                 engine::request(address, sending).map(|request| {
                     let http = self.fresh.clone();
-                    tokio::spawn(engine::run(http, driver, attempt, request, attach))
+                    tokio::spawn(engine::run(
+                        http, driver, attempt, upstream, request, attach,
+                    ))
                 })
             }
         };
--- a/crates/node/src/engine.rs
+++ b/crates/node/src/engine.rs
@@ -4,9 +4,11 @@
 //!   tokens that it continues from, `linger_ms` how long it is kept without a reader.
 //! - `GET /v1/completions/{stream_id}?starting_after=N` reads on from position N.
 //! - `POST /v1/completions/{stream_id}/cancel` stops it.
-//! - 429 and 503 mean that nothing ran; the header `x-leaving` that the engine is leaving.
+//! - 429 and 503 mean that nothing ran; the header `x-leaving` that the engine is leaving, `retry-after` for how many seconds it
+//!   wants nothing of this instance.
 
 use super::*;
+use wellplank_core::notice::{Notice, Rest};
 
 /// Header by which an upstream that refuses says that it is leaving.
 pub(crate) const LEAVING: &str = "x-leaving";
@@ -49,6 +51,7 @@
     http: Http,
     driver: Driver,
     attempt: attempt::Key,
+    upstream: upstream::Key,
     request: Request<http::Body>,
     attach: bool,
 ) {
@@ -61,7 +64,10 @@
             }
             Failure::Broken
         }
-        Ok(response) => refusal(&response, attach),
+        Ok(response) => {
+            tell(&driver, upstream, &response);
+            refusal(&response, attach)
+        }
     };
     driver.event(Event::Failed { attempt, failure });
 }
@@ -100,12 +106,32 @@
     }
 }
 
+/// Tells the core task for how long the upstream that gave a refusal wants nothing.
+pub(crate) fn tell<B>(driver: &Driver, upstream: upstream::Key, response: &hyper::Response<B>) {
+    let value = response.headers().get(header::RETRY_AFTER);
+    if let Some(value) = value.filter(|_| refuses(response.status())) {
+        let notice = Notice {
+            rest: value.to_str().map_or(Rest::Odd, Rest::read),
+            ..Notice::default()
+        };
+        driver.event(Event::Noticed { notice, upstream });
+    }
+}
+
+/// Whether a status says that nothing was run for want of room.
+pub(crate) fn refuses(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS
+    )
+}
+
 /// What a refusal means for the request.
 pub(crate) fn refusal<B>(response: &hyper::Response<B>, attach: bool) -> Failure {
     let leaving = response.headers().contains_key(LEAVING);
     match response.status() {
         StatusCode::SERVICE_UNAVAILABLE if leaving => Failure::Leaving,
-        StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS => Failure::Refused,
+        status if refuses(status) => Failure::Refused,
         StatusCode::NOT_FOUND if attach => Failure::UnknownStream,
         status if status.is_client_error() => Failure::Rejected,
         _ => Failure::Broken,
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -2,6 +2,7 @@
 
 use super::*;
 use platform::answer::Meaning;
+use wellplank_core::notice::Notice;
 
 /// A request as its caller sent it.
 #[derive(Debug)]
@@ -48,8 +49,10 @@
     pub run: Arc<str>,
     /// Whether the answer is a series of events.
     pub streams: bool,
+    /// The upstream.
+    pub upstream: upstream::Key,
     /// Name of the upstream.
-    pub upstream: Arc<str>,
+    pub upstream_name: Arc<str>,
 }
 
 impl Original {
@@ -111,9 +114,7 @@
         let marked = parts.headers.contains_key(header::TRANSFER_ENCODING)
             || parts.headers.contains_key(header::CONTENT_LENGTH);
         let notice = platform::answer::notice(parts.status, &parts.headers, &self.run);
-        if !notice.is_plain() {
-            note::notice(&self.run, &self.upstream, parts.status, &notice);
-        }
+        self.tell(parts.status, notice);
         let head = Head {
             headers: platform::request::end_to_end(&parts.headers),
             status: parts.status,
@@ -127,10 +128,6 @@
                 self.stream(body, marked).await
             }
             Meaning::Whole(verdict) => {
-                if let Some(load) = notice.load {
-                    let attempt = self.attempt;
-                    self.driver.event(Event::Carried { attempt, load });
-                }
                 let body = body.collect().await.map_err(|_| Failure::Broken)?;
                 let answer = Answer {
                     body: body.to_bytes(),
@@ -147,6 +144,19 @@
         }
     }
 
+    /// Tells the core task what the upstream says of itself beside its answer, before anything of the answer goes on.
+    fn tell(&self, status: StatusCode, notice: Notice) {
+        if !notice.is_plain() {
+            note::notice(&self.run, &self.upstream_name, status, &notice);
+        }
+        if notice != Notice::default() {
+            self.driver.event(Event::Noticed {
+                upstream: self.upstream,
+                notice,
+            });
+        }
+    }
+
     /// Reads events up to the end, which the answer marks if it has a length or comes in chunks. What is
     /// left behind the last whole event is dropped.
     async fn stream(&self, mut body: hyper::body::Incoming, marked: bool) -> Result<(), Failure> {
--- a/crates/node/src/gossip.rs
+++ b/crates/node/src/gossip.rs
@@ -8,7 +8,6 @@
     demand::{Demand, Ended},
     gauge::Pace,
     lesson::{Confirmed, Heard, Known, Topic},
-    life::Life,
     quarantine::Account,
     roster::{self, Entry, Word},
 };
@@ -56,6 +55,8 @@
     },
     /// Unplanned ends of upstreams.
     Ends(Account),
+    /// An upstream says that it is leaving.
+    Leaving(Life),
     /// An upstream is lost.
     Lost(Life),
     /// How fast the engines of a pool work; it goes along with what is told next.
@@ -188,6 +189,9 @@
         for life in told.lost {
             self.driver.event(Event::Blamed(decode_life(life)));
         }
+        for life in told.leaving {
+            self.driver.event(Event::Departing(decode_life(life)));
+        }
         for demand in told.demands {
             let demand = decode_demand(demand);
             self.driver.event(Event::Demanded { demand, from });
@@ -356,6 +360,7 @@
             | Told::Configuration
             | Told::Confirmed(_)
             | Told::Ends(_)
+            | Told::Leaving(_)
             | Told::Lost(_)
             | Told::Pace(_)
             | Told::Roster(_) => {}
@@ -396,7 +401,7 @@
             {
                 Vec::new()
             }
-            Told::Ends(_) | Told::Lost(_) | Told::Stream(_) => all.collect(),
+            Told::Ends(_) | Told::Leaving(_) | Told::Lost(_) | Told::Stream(_) => all.collect(),
         }
     }
 
@@ -421,6 +426,7 @@
             Told::Confirmed(confirmed) => {
                 datagram.confirmed = Some(encode_confirmed(confirmed));
             }
+            Told::Leaving(life) => datagram.leaving.push(encode_life(life)),
             Told::Lost(life) => datagram.lost.push(encode_life(life)),
             Told::Roster(word) => datagram.roster = Some(encode_word(word)),
             Told::Stream(sighting) => datagram.sightings.push(encode(sighting)),
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -100,6 +100,7 @@
         effect::{self, Belief, Effect, Note, Sending, What},
         event::{self, ClaimOutcome, Event, Failure, Piece, Submission},
         kind::{Kind, Ran},
+        life::Life,
         request::{self, Caller, Work},
         sighting::{Sighting, Stage},
         upstream::{self, Load},
--- a/crates/node/src/plain.rs
+++ b/crates/node/src/plain.rs
@@ -10,6 +10,7 @@
     http: Http,
     driver: Driver,
     attempt: attempt::Key,
+    upstream: upstream::Key,
     request: Request<http::Body>,
 ) {
     let response = match http.send(request).await {
@@ -18,11 +19,8 @@
         Ok(response) => response,
     };
     let status = response.status();
-    let refused = matches!(
-        status,
-        StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS
-    );
-    if refused {
+    if engine::refuses(status) {
+        engine::tell(&driver, upstream, &response);
         let failure = engine::refusal(&response, false);
         return fail(&driver, attempt, failure);
     }
--- a/crates/standin/src/bench.rs
+++ b/crates/standin/src/bench.rs
@@ -298,6 +298,7 @@
                 address,
                 attempt,
                 sending,
+                ..
             } => self.send(instance, index_of(address), attempt, sending),
             _ => {}
         }
--- a/crates/standin/src/plain.rs
+++ b/crates/standin/src/plain.rs
@@ -21,6 +21,8 @@
     delay: Duration,
     leaving: bool,
     refuses: bool,
+    /// Seconds for which a refusal asks for rest; 0 for none.
+    rest: u64,
     runs: Vec<Value>,
     running: usize,
 }
@@ -83,6 +85,9 @@
                 if state.leaving {
                     let _ = response.add_header("x-leaving", "true", true);
                 }
+                if state.rest > 0 {
+                    let _ = response.add_header(header::RETRY_AFTER, state.rest, true);
+                }
                 response.status_code(StatusCode::SERVICE_UNAVAILABLE);
                 return;
             }
@@ -128,7 +133,10 @@
                 state.delay = Duration::ZERO;
             }
             "leave" => state.leaving = true,
-            "refuse" => state.refuses = true,
+            "refuse" => {
+                state.refuses = true;
+                state.rest = body["rest"].as_u64().unwrap_or(0);
+            }
             other => return json!({ "error": format!("no fault `{other}`") }),
         }
         json!({})
--- a/crates/standin/src/relaying.rs
+++ b/crates/standin/src/relaying.rs
@@ -495,6 +495,7 @@
                 address,
                 attempt,
                 sending,
+                ..
             } => {
                 let arrive = Action::Arrive(line(attempt), index(address), sending);
                 self.timeline.schedule(1, arrive);
@@ -510,7 +511,7 @@
             | Effect::Deliver { .. }
             | Effect::Detach(_)
             | Effect::Finish { .. }
-            | Effect::Leaving(_)
+            | Effect::Leaving { .. }
             | Effect::Note(_)
             | Effect::Open(_)
             | Effect::Probe { .. }
--- a/crates/standin/src/rush.rs
+++ b/crates/standin/src/rush.rs
@@ -468,6 +468,7 @@
                 address,
                 attempt,
                 sending: Sending::Relay { caller, .. },
+                ..
             } => {
                 let Some(asker) = self.callers.get(&caller).copied() else {
                     return;
--- a/crates/standin/src/surge.rs
+++ b/crates/standin/src/surge.rs
@@ -394,6 +394,7 @@
                 address,
                 attempt,
                 sending: Sending::Relay { backup, caller, .. },
+                ..
             } => {
                 let Some(asker) = self.callers.get(&caller).copied() else {
                     return;
--- a/crates/standin/src/world.rs
+++ b/crates/standin/src/world.rs
@@ -377,7 +377,7 @@
             | Effect::Close(_)
             | Effect::Cut(_)
             | Effect::Demand { .. }
-            | Effect::Leaving(_)
+            | Effect::Leaving { .. }
             | Effect::Note { .. }
             | Effect::Open(_)
             | Effect::Pace(_)
@@ -407,6 +407,7 @@
                 address,
                 attempt,
                 sending,
+                ..
             } => {
                 let reader = reader(attempt);
                 self.send(instance, index_of(address), reader, sending);
--- a/crates/standin/tests/callers.rs
+++ b/crates/standin/tests/callers.rs
@@ -211,6 +211,32 @@
     });
 }
 
+#[gtest]
+fn service_that_asked_for_rest_gets_no_calls_in_that_time() {
+    run(async |fleet| {
+        let control = async |fault: Value| {
+            let answer = http::post(fleet.yard.address, "/control", &fault).await;
+            answer.unwrap();
+        };
+        let call = async || {
+            let (address, body) = (fleet.caller_address(0), json!({ "lot": 7 }));
+            let key = Some(Uuid::now_v7());
+            caller()
+                .call(address, "reservation", "reserve", &body, key)
+                .await
+        };
+        // Longer than a call may wait.
+        control(json!({ "fault": "refuse", "rest": 60 })).await;
+        let refused = call().await;
+        expect_that!(refused.error, some(eq("overloaded")));
+        expect_that!(refused.ran, some(eq("no")));
+        control(json!({ "fault": "heal" })).await;
+        expect_that!(call().await.error, some(eq("overloaded")));
+        let runs = http::get(fleet.yard.address, "/control/runs").await;
+        expect_that!(runs.unwrap().as_array().unwrap().len(), eq(0));
+    });
+}
+
 #[gtest]
 fn wrong_frame_of_a_peer_ends_its_link_and_changes_nothing() {
     run(async |fleet| {
