--- a/crates/standin/src/crowd.rs
+++ b/crates/standin/src/crowd.rs
@@ -43,6 +43,8 @@
 
 /// A caller and what it has.
 pub(crate) struct Asker {
+    /// When its last try was sent.
+    pub asked: Time,
     pub begun: Time,
     pub ended: bool,
     pub instance: usize,
@@ -78,6 +80,7 @@
     /// A new caller asks what others ask too; its number.
     pub fn ask_same(&mut self, kind: Kind, instance: usize, print: u64) -> usize {
         self.askers.push(Asker {
+            asked: self.timeline.now(),
             begun: self.timeline.now(),
             ended: false,
             instance,
@@ -102,6 +105,7 @@
         let asker = &mut self.askers[index];
         asker.run = run;
         asker.tries += 1;
+        asker.asked = self.timeline.now();
         let waited = self.timeline.now().since(asker.begun);
         if asker.tries > TRIES || waited >= PATIENCE_MS {
             asker.ended = true;
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -56,6 +56,7 @@
 mod registry;
 mod runner;
 mod scene;
+mod word;
 
 pub use {
     caller::Caller, engine::Engine, fleet::Fleet, host::Host, plain::Plain, platform::Platform,
--- a/crates/standin/src/pool.rs
+++ b/crates/standin/src/pool.rs
@@ -9,6 +9,7 @@
     clock::Time,
     effect::Sending,
     event::{Event, Failure, Listed, Verdict},
+    upstream,
 };
 
 /// Time between two events of a stream.
@@ -35,6 +36,8 @@
     /// Grows with every start.
     pub life: u64,
     pub mode: Mode,
+    /// Rest that its refusals ask for, in milliseconds; 0 for none.
+    pub rest_ms: u64,
     pub streams: HashMap<Line, Stream>,
 }
 
@@ -56,6 +59,18 @@
     pub life: u64,
 }
 
+/// A call that an upstream runs.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Call {
+    pub asker: usize,
+    /// The upstream as the instance knows it.
+    pub key: upstream::Key,
+    /// Life of the upstream that runs it.
+    pub life: u64,
+    pub line: Line,
+    pub upstream: usize,
+}
+
 /// A stream that an upstream runs.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Stream {
@@ -76,21 +91,21 @@
             leaving: None,
             life: 1,
             mode: Mode::Good,
+            rest_ms: 0,
             streams: HashMap::new(),
         }
     }
 }
 
 impl World {
-    /// Has an upstream behave otherwise. One that was down starts a new life.
+    /// Has an upstream behave otherwise. One that was down starts a new life, and so does one that left, once it runs nothing.
     pub fn set(&mut self, index: usize, mode: Mode) {
         let upstream = &mut self.upstreams[index];
-        if upstream.mode == Mode::Down && mode != Mode::Down {
+        let left = upstream.leaving.is_some() && upstream.streams.is_empty();
+        if (upstream.mode == Mode::Down && mode != Mode::Down) || (left && mode == Mode::Good) {
             upstream.life += 1;
             upstream.leaving = None;
-        }
-        if mode == Mode::Good {
-            upstream.leaving = None;
+            upstream.copies.clear();
         }
         upstream.mode = mode;
         if mode == Mode::Down {
@@ -117,7 +132,7 @@
     }
 
     /// A request arrives at an upstream.
-    pub fn arrive(&mut self, line: Line, upstream: usize, sending: &Sending) {
+    pub fn arrive(&mut self, line: Line, key: upstream::Key, upstream: usize, sending: &Sending) {
         let Sending::Relay {
             backup,
             caller,
@@ -138,18 +153,23 @@
         match state.mode {
             Mode::Down => return self.fail(line, Failure::NotSent),
             Mode::Silent => return,
-            Mode::Refusing => return self.fail(line, Failure::Refused),
-            Mode::Faulty | Mode::Good => {}
+            Mode::Faulty | Mode::Good | Mode::Refusing => {}
         }
         if **name != format!("{upstream}-{}", state.life) {
             return self.fail(line, Failure::Replaced);
         }
-        let late = state
-            .leaving
-            .is_some_and(|since| now.since(since) > LEAVE_MS);
+        let (leaving, mode) = (state.leaving, state.mode);
+        self.check_words(line, upstream, self.askers[asker].asked);
+        if mode == Mode::Refusing {
+            return self.turn_away(line, key, upstream);
+        }
+        let known = leaving
+            .zip(self.listing)
+            .map(|(left, listing)| left.max(listing));
+        let late = known.is_some_and(|known| now.since(known) > LEAVE_MS);
         if let Some(copy) = copy {
-            match state.copies.remove(copy) {
-                None => return self.fail(line, Failure::Refused),
+            match self.upstreams[upstream].copies.remove(copy) {
+                None => return self.turn_away(line, key, upstream),
                 Some(owner) if self.askers[owner].print != self.askers[asker].print => {
                     self.broken(format_args!("{asker} goes on from the memory of {owner}"));
                 }
@@ -165,11 +185,18 @@
         self.askers[asker].sent_to = Some(upstream);
         self.note_poison(asker, line.instance);
         if self.askers[asker].kind != Kind::Stream {
-            self.timeline
-                .schedule(CALL_MS, Action::Answer(line, upstream, asker));
+            let call = Call {
+                asker,
+                key,
+                life: self.upstreams[upstream].life,
+                line,
+                upstream,
+            };
+            self.timeline.schedule(CALL_MS, Action::Answer(call));
             return;
         }
         self.case.prompts += usize::from(copy.is_none());
+        self.say(line, key, upstream, false);
         self.event(line, Event::Opened(line.attempt));
         let stream = Stream {
             asker,
@@ -184,6 +211,12 @@
         self.check_alone(asker, line);
     }
 
+    /// An upstream refuses a request.
+    fn turn_away(&mut self, line: Line, key: upstream::Key, upstream: usize) {
+        self.say(line, key, upstream, true);
+        self.fail(line, Failure::Refused);
+    }
+
     /// Two upstreams must not work on one stream for long.
     pub fn check_alone(&mut self, asker: usize, line: Line) {
         let others = self.upstreams.iter().flat_map(|upstream| &upstream.streams);
@@ -244,7 +277,14 @@
     }
 
     /// A call ends at an upstream.
-    pub fn reply(&mut self, line: Line, upstream: usize, asker: usize) {
+    pub fn reply(&mut self, call: Call) {
+        let Call {
+            asker,
+            key,
+            life,
+            line,
+            upstream,
+        } = call;
         let attempt = line.attempt;
         let verdict = match self.upstreams[upstream].mode {
             Mode::Down => return self.fail(line, Failure::Broken),
@@ -252,6 +292,9 @@
             Mode::Faulty if self.askers[asker].kind == Kind::Again => Verdict::Fault,
             Mode::Faulty | Mode::Good | Mode::Refusing => Verdict::Good,
         };
+        if self.upstreams[upstream].life == life {
+            self.say(line, key, upstream, false);
+        }
         self.event(line, Event::Answered { attempt, verdict });
     }
 }
--- a/crates/standin/src/relayed.rs
+++ b/crates/standin/src/relayed.rs
@@ -200,7 +200,7 @@
             }
             Self::InstanceKilled => world.kill(instance),
             Self::ListAway => {
-                world.listing = false;
+                world.listing = None;
                 world.lose(Some(serving));
             }
         }
@@ -267,7 +267,7 @@
     if reached {
         fault.cause(&mut world, caller);
         world.run_for(AWAY_MS);
-        world.listing = true;
+        world.listing = Some(world.timeline.now());
         for upstream in 0..world.upstreams.len() {
             world.set(upstream, Mode::Good);
         }
--- a/crates/standin/src/relaying.rs
+++ b/crates/standin/src/relaying.rs
@@ -4,7 +4,7 @@
 use super::*;
 use crowd::{Asker, Kind, PATIENCE_MS};
 use poison::Poison;
-use pool::{Line, Mode, Upstream};
+use pool::{Call, Line, Mode, Upstream};
 use std::{collections::HashSet, sync::Arc};
 use timeline::Timeline;
 use wellplank_core::{
@@ -19,7 +19,9 @@
     quarantine::Account,
     request::Caller as Connection,
     settings::{Resume, Settings},
+    upstream,
 };
+use word::Words;
 
 /// Start of virtual time.
 pub(crate) const START: Time = Time(1_800_000_000_000);
@@ -51,9 +53,9 @@
     /// A caller asks.
     Ask(usize),
     /// A call that an upstream runs for a caller ends.
-    Answer(Line, usize, usize),
-    /// A request arrives at an upstream.
-    Arrive(Line, usize, Sending),
+    Answer(Call),
+    /// A request arrives at an upstream, which its instance knows by a key.
+    Arrive(Line, upstream::Key, usize, Sending),
     /// The connection of an attempt is closed at an upstream.
     Close(Line, usize),
     /// One life of an instance reads the list.
@@ -99,8 +101,8 @@
     pub case: Case,
     pub connections: HashMap<Connection, usize>,
     pub instances: Vec<Instance>,
-    /// Whether instances can read the list of upstreams.
-    pub listing: bool,
+    /// Since when instances can read the list of upstreams; `None` if they can not.
+    pub listing: Option<Time>,
     pub next: u64,
     /// Requests that end their upstreams, and what they did.
     pub poison: Poison,
@@ -112,6 +114,8 @@
     pub settings: Settings,
     pub timeline: Timeline<Action>,
     pub upstreams: Vec<Upstream>,
+    /// What upstreams said beside their answers.
+    pub words: Words,
 }
 
 /// Runs one case: requests of every kind and faults at any moment, together and again. Streams that are
@@ -132,6 +136,7 @@
     for upstream in 0..world.upstreams.len() {
         world.set(upstream, Mode::Good);
     }
+    world.listing = Some(world.timeline.now());
     for instance in 0..instances {
         world.restart(instance);
     }
@@ -251,7 +256,7 @@
             case: Case::default(),
             connections: HashMap::new(),
             instances: Vec::new(),
-            listing: true,
+            listing: Some(START),
             next: 0,
             poison: Poison::default(),
             random: Pcg64Mcg::seed_from_u64(seed ^ 1),
@@ -262,6 +267,7 @@
             upstreams: (0..engines + 2)
                 .map(|index| Upstream::new(index >= engines))
                 .collect(),
+            words: Words::default(),
         };
         for index in 0..instances {
             world.instances.push(Instance {
@@ -284,14 +290,19 @@
     fn cause(&mut self) {
         let upstream = self.random.random_range(0..self.upstreams.len());
         let instance = self.random.random_range(0..self.instances.len());
-        match self.random.random_range(0..12) {
+        match self.random.random_range(0..15) {
             0 => self.set(upstream, Mode::Down),
             1 => self.set(upstream, Mode::Silent),
-            2 => self.set(upstream, Mode::Refusing),
+            2 => {
+                self.ask_for_rest(upstream);
+                self.set(upstream, Mode::Refusing);
+            }
             3 => self.set(upstream, Mode::Faulty),
             4 => self.kill(instance),
             5 => self.leave_connections(),
-            6 => self.upstreams[upstream].leaving = Some(self.timeline.now()),
+            6 | 12 => self.upstreams[upstream].leaving = Some(self.timeline.now()),
+            8 | 13 => self.listing = None,
+            9 => self.listing = Some(self.timeline.now()),
             7 => {
                 for index in (0..self.upstreams.len()).filter(|index| index % 3 == upstream % 3) {
                     self.set(index, Mode::Down);
@@ -372,14 +383,16 @@
 
     fn act(&mut self, action: Action) {
         match action {
-            Action::Answer(line, upstream, asker) => self.reply(line, upstream, asker),
-            Action::Arrive(line, upstream, sending) => self.arrive(line, upstream, &sending),
+            Action::Answer(call) => self.reply(call),
+            Action::Arrive(line, key, upstream, sending) => {
+                self.arrive(line, key, upstream, &sending);
+            }
             Action::Ask(asker) => self.submit(asker),
             Action::Close(line, upstream) => {
                 self.upstreams[upstream].streams.remove(&line);
             }
             Action::List(instance, life) if self.lives(instance, life) => {
-                if self.listing {
+                if self.listing.is_some() {
                     let listed = Some(self.listed());
                     let asked = self.timeline.now();
                     self.tell(instance, Event::List { asked, listed });
@@ -463,6 +476,7 @@
                     from: address(instance),
                 },
             ),
+            Effect::Leaving { life, .. } => self.gossip(instance, &Event::Departing(life)),
             Effect::Pace(pace) => self.gossip(instance, &Event::Paced(pace)),
             Effect::Close(caller) => {
                 let asker = self.connections.get(&caller).copied();
@@ -495,9 +509,9 @@
                 address,
                 attempt,
                 sending,
-                ..
+                upstream,
             } => {
-                let arrive = Action::Arrive(line(attempt), index(address), sending);
+                let arrive = Action::Arrive(line(attempt), upstream, index(address), sending);
                 self.timeline.schedule(1, arrive);
             }
             Effect::Tell(sighting) => {
@@ -511,7 +525,6 @@
             | Effect::Deliver { .. }
             | Effect::Detach(_)
             | Effect::Finish { .. }
-            | Effect::Leaving { .. }
             | Effect::Note(_)
             | Effect::Open(_)
             | Effect::Probe { .. }
