Soak: upstreams say in answers that they leave, and ask for rest; what came against it is checked

Cause: the soak's upstreams said nothing beside their answers, so no run of real processes could meet the incident. Ruled out: an account of the store's words alone (the rule counts from an answer that was passed on, in touch or not).

--- a/crates/standin/src/leaving.rs
+++ b/crates/standin/src/leaving.rs
@@ -7,8 +7,10 @@
 use super::*;
 use departure::{Arrival, Record, Rule, Scope};
 use proxy::{Hushed, Mode as Way};
+use said::{Refusal, Said};
 use soak::{Outcome, Plan, Soak};
 use wellplank_core::{absence::Span, clock::Time, life::Life};
+use worker::{Mode, Remark};
 
 /// Pause of a caller between two requests in a fleet of few instances; in a larger one as many requests come in all.
 const REST: Duration = Duration::from_millis(30);
@@ -49,6 +51,12 @@
 /// Sets the chance of restarts and other writers apart from that of faults.
 const EXTRAS: u64 = 0x5eed_0032;
 
+/// Rests that upstreams ask for, in seconds.
+const RESTS_S: [&str; 4] = ["0.5", "1", "3", "8.5"];
+
+/// Time for which an upstream that asks for rest turns requests away, in milliseconds.
+const REFUSES_MS: std::ops::Range<u64> = 50..1_500;
+
 /// Time for which another writer's entry stands, in milliseconds.
 const ODD_MS: std::ops::Range<u64> = 500..5_000;
 
@@ -63,10 +71,14 @@
     Odd,
     /// An upstream writes its entry again, which another writer's stood over.
     Reenter(usize),
+    /// An upstream turns requests away for a moment, and asks for rest.
+    Rest,
     /// An upstream ends and starts again under its name.
     Restart,
     /// An upstream that left ends, and another takes its place.
     Replace(usize),
+    /// An upstream takes requests again.
+    Take(usize),
 }
 
 /// A fault that lasts.
@@ -92,6 +104,7 @@
     /// Which upstreams leave.
     left: BTreeSet<usize>,
     record: Record,
+    said: Said,
     soak: Soak,
 }
 
@@ -104,6 +117,7 @@
         faults: 0,
         left: BTreeSet::new(),
         record: Record::new(RULE),
+        said: Said::default(),
         soak: Soak::start(plan),
     };
     sleep(Duration::from_secs(3)).await;
@@ -118,6 +132,7 @@
     leaving.wait(LASTS_MS.end).await;
     leaving.soak.heal();
     leaving.check();
+    leaving.check_said();
     let faults = leaving.faults;
     leaving.soak.end(callers, faults).await
 }
@@ -140,7 +155,7 @@
             let word = self.soak.random.random_range(0..3) > 0;
             self.due.push((at, Due::Leave(word)));
         }
-        for due in [Due::Odd, Due::Restart] {
+        for due in [Due::Odd, Due::Restart, Due::Rest] {
             if self.extras.random() {
                 let at = self.now().after(self.extras.random_range(LEAVES_MS));
                 self.due.push((at, due));
@@ -180,10 +195,29 @@
                 self.left.remove(&seat);
                 self.soak.revive(seat);
             }
+            Due::Rest => self.ask_for_rest(),
             Due::Restart => self.restart(),
+            Due::Take(seat) => self.soak.seats[seat].worker.set(Mode::Good),
         }
     }
 
+    /// Has an upstream turn requests away for a moment and ask for rest.
+    fn ask_for_rest(&mut self) {
+        let seat = self.extras.random_range(0..self.soak.seats.len());
+        let rest = RESTS_S[self.extras.random_range(0..RESTS_S.len())];
+        let worker = &self.soak.seats[seat].worker;
+        let remark = Remark {
+            rest: Some(rest),
+            ..worker.remark()
+        };
+        worker.say(remark);
+        worker.set(Mode::Refuse);
+        let name = worker.name.clone();
+        self.write(&format!("{name} turns requests away and asks for {rest} s"));
+        let lasts = self.extras.random_range(REFUSES_MS);
+        self.due.push((self.now().after(lasts), Due::Take(seat)));
+    }
+
     /// The place of an upstream, by chance, that is ready and not the last of its pool.
     fn ready_seat(&mut self) -> Option<usize> {
         let seat = self.extras.random_range(0..self.soak.seats.len());
@@ -311,7 +345,11 @@
         };
         // What is healed a step late is disturbed until then.
         let to_late = to.after(2 * STEP.as_millis() as u64);
-        self.record.disturb(scope, Span { from, to: to_late });
+        let span = Span { from, to: to_late };
+        self.record.disturb(scope, span);
+        if let Fault::Instance(_) | Fault::Link(_) = fault {
+            self.said.disturb(scope, span);
+        }
         self.due.push((to, Due::Heal(fault)));
     }
 
@@ -338,7 +376,12 @@
             return;
         }
         self.left.insert(seat);
-        let name = self.soak.seats[seat].worker.name.clone();
+        let worker = &self.soak.seats[seat].worker;
+        worker.say(Remark {
+            leaving: true,
+            ..worker.remark()
+        });
+        let name = worker.name.clone();
         if word {
             self.soak.enter(seat, "draining");
         } else {
@@ -356,22 +399,66 @@
             .push((self.now().after(serves), Due::Replace(seat)));
     }
 
+    /// What reached an upstream, and when its caller sent it; `None` if no caller of the soak did.
+    fn arrival(&self, run: &str, worker: &str, born: u64, at: Instant) -> Option<(Arrival, Time)> {
+        let (instance, sent) = self.soak.shared.sender(run)?;
+        let arrival = Arrival {
+            at: self.time(at),
+            instance,
+            life: Life::new(worker, born),
+            link: soak::seat_of(worker),
+            run: run.to_owned(),
+        };
+        Some((arrival, self.time(sent)))
+    }
+
+    fn time(&self, at: Instant) -> Time {
+        let since = at.saturating_duration_since(self.begun);
+        Time(since.as_millis() as u64)
+    }
+
+    /// Holds what reached upstreams against what they said beside their answers.
+    fn check_said(&mut self) {
+        for (instance, life, at) in self.soak.shared.said() {
+            let at = self.time(at);
+            self.said.hear(instance, life, at);
+        }
+        let (mut arrivals, mut refusals) = (Vec::new(), Vec::new());
+        for reached in self.soak.ledger.arrivals() {
+            let (run, worker) = (&reached.run, &reached.worker);
+            let Some((arrival, sent)) = self.arrival(run, worker, reached.born, reached.at) else {
+                continue;
+            };
+            if let Some(late_ms) = self.said.late_ms(&arrival, sent) {
+                let text = format!("{run} was sent to {worker} {late_ms} ms behind its answer");
+                self.soak.shared.broken(text);
+            }
+            if let Some(rest) = reached.rest.and_then(|rest| rest.parse::<f64>().ok()) {
+                refusals.push(Refusal {
+                    arrival: arrival.clone(),
+                    rest_ms: (rest * 1_000.0) as u64,
+                });
+            }
+            arrivals.push(arrival);
+        }
+        for refusal in refusals {
+            let within = self.said.within(&refusal, &arrivals).len();
+            if within > said::WITHIN {
+                let text = format!("{within} requests came within a rest: {refusal:?}");
+                self.soak.shared.broken(text);
+            }
+        }
+    }
+
     /// Holds what reached upstreams against the rule; of each upstream the first and the last late request are told.
     fn check(&self) {
         let mut late: BTreeMap<String, Vec<String>> = BTreeMap::new();
         for run in self.soak.ledger.runs() {
             let name = run.header("wellplank-request-id");
-            let Some(instance) = self.soak.shared.sender(name) else {
+            let Some((arrival, _)) = self.arrival(name, &run.worker, run.born, run.at) else {
                 continue;
             };
-            let at = run.at.saturating_duration_since(self.begun);
-            let arrival = Arrival {
-                at: Time(at.as_millis() as u64),
-                instance,
-                life: Life::new(&run.worker, run.born),
-                link: soak::seat_of(&run.worker),
-                run: name.to_owned(),
-            };
+            let instance = arrival.instance;
             if let Some(late_ms) = self.record.late_ms(&arrival) {
                 let upstream = run.worker.clone();
                 let Arrival { at, run, .. } = arrival;
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod resume;
 pub mod routing;
 pub mod rush;
+pub mod said;
 pub mod scenario;
 pub mod shelf;
 pub mod site;
--- a/crates/standin/src/soak.rs
+++ b/crates/standin/src/soak.rs
@@ -73,8 +73,10 @@
     /// Tries that were told not to have run.
     refused: Arc<Mutex<Vec<String>>>,
     requests: Arc<AtomicUsize>,
-    /// Which instance each try was sent to.
-    senders: Arc<Mutex<HashMap<String, usize>>>,
+    /// Lives that said beside an answer that they leave, the instances that passed this on, and when.
+    said: Arc<Mutex<Vec<(usize, Life, Instant)>>>,
+    /// Which instance each try was sent to, and when.
+    senders: Arc<Mutex<HashMap<String, (usize, Instant)>>>,
     stop: Arc<AtomicBool>,
     whole: Arc<AtomicUsize>,
 }
@@ -91,11 +93,32 @@
     /// Notes that a try goes to an instance.
     fn sends(&self, run: &str, instance: usize) {
         let mut senders = self.senders.lock().expect("nobody panics while holding it");
-        senders.insert(run.to_owned(), instance);
+        senders.insert(run.to_owned(), (instance, Instant::now()));
     }
 
-    /// The instance that a try went to.
-    pub(crate) fn sender(&self, run: &str) -> Option<usize> {
+    /// Notes what the head of an answer to a try says of its upstream.
+    fn hears(&self, run: &str, got: &Got) {
+        let born = got.header("x-born").parse();
+        let (Some((instance, _)), Ok(born)) = (self.sender(run), born) else {
+            return;
+        };
+        if !got.header(worker::Remark::LEAVING).is_empty() {
+            let life = Life::new(got.header("x-worker"), born);
+            let mut said = self.said.lock().expect("nobody panics while holding it");
+            said.push((instance, life, Instant::now()));
+        }
+    }
+
+    /// Lives that said beside an answer that they leave, the instances that passed this on, and when.
+    pub(crate) fn said(&self) -> Vec<(usize, Life, Instant)> {
+        self.said
+            .lock()
+            .expect("nobody panics while holding it")
+            .clone()
+    }
+
+    /// The instance that a try went to, and when.
+    pub(crate) fn sender(&self, run: &str) -> Option<(usize, Instant)> {
         let senders = self.senders.lock().expect("nobody panics while holding it");
         senders.get(run).copied()
     }
@@ -564,6 +587,7 @@
             let address = self.address(&run);
             let got = ask.attempt(address).await;
             if let Some(got) = got {
+                self.shared.hears(&run, &got);
                 if NOT_RUN.contains(&got.status.as_u16()) {
                     self.shared.refused(&run);
                 }
@@ -595,6 +619,7 @@
             if let Some(got) = ask.attempt(address).await
                 && got.status == StatusCode::OK
             {
+                self.shared.hears(&run, &got);
                 let due = worker::events(&ask.body, position);
                 let events = got.body.matches("\n\n").count() as u64;
                 let right = due.starts_with(&got.body);
--- a/crates/standin/src/worker.rs
+++ b/crates/standin/src/worker.rs
@@ -64,6 +64,9 @@
 }
 
 impl Remark {
+    /// Whether the head of an answer, by one of its headers, says that its upstream leaves.
+    pub const LEAVING: &str = "server-leaving";
+
     /// The header lines of a refusal.
     fn refusal(self) -> String {
         let rest = self.rest.map(|rest| format!("retry-after: {rest}\r\n"));
@@ -73,7 +76,7 @@
     /// The header lines of any other answer.
     fn answer(self) -> String {
         if self.leaving {
-            return "server-leaving: 1\r\n".into();
+            return format!("{}: 1\r\n", Self::LEAVING);
         }
         String::new()
     }
@@ -84,6 +87,10 @@
 pub struct Arrival {
     /// When it was read.
     pub at: Instant,
+    /// When the life that it reached began.
+    pub born: u64,
+    /// Rest in seconds that the worker asked for when it turned the request away, if it did.
+    pub rest: Option<&'static str>,
     /// Name of its run.
     pub run: String,
     /// Name of the worker.
@@ -219,7 +226,8 @@
         *self.remark.lock().expect("nobody panics while holding it") = remark;
     }
 
-    fn remark(&self) -> Remark {
+    /// What it says of itself in all answers.
+    pub fn remark(&self) -> Remark {
         *self.remark.lock().expect("nobody panics while holding it")
     }
 
@@ -318,12 +326,15 @@
             );
             return connection.write_all(refusal.as_bytes()).await;
         }
+        let refuses = mode == Mode::Refuse || !self.take_copy(run);
         self.ledger.lock().arrivals.push(Arrival {
             at: run.at,
+            born: self.born,
+            rest: self.remark().rest.filter(|_| refuses),
             run: run.header("wellplank-request-id").to_owned(),
             worker: self.name.clone(),
         });
-        if mode == Mode::Refuse || !self.take_copy(run) {
+        if refuses {
             let refusal = format!(
                 "HTTP/1.1 503 Service Unavailable\r\nwellplank-not-executed: 1\r\n{remark}\
                 content-length: 0\r\n\r\n"
@@ -418,7 +429,8 @@
 }
 
 fn head(run: &Run, status: u16, mode: Mode, remark: Remark) -> String {
-    let mut head = format!("HTTP/1.1 {status} Status\r\nx-worker: {}\r\n", run.worker);
+    let (born, worker) = (run.born, &run.worker);
+    let mut head = format!("HTTP/1.1 {status} Status\r\nx-worker: {worker}\r\nx-born: {born}\r\n");
     let name = match mode {
         Mode::Stray => "another",
         _ => run.header("wellplank-request-id"),
