--- a/crates/standin/src/rush.rs
+++ b/crates/standin/src/rush.rs
@@ -11,8 +11,10 @@
     core::Core,
     effect::{Effect, Sending},
     event::{Event, Failure, Listed, Verdict},
+    notice::{Notice, Rest},
     request::{Caller, Relay},
     settings::{Calls, Settings},
+    upstream,
 };
 
 /// Start of virtual time.
@@ -66,12 +68,27 @@
     pub load: f64,
     /// Bounds on what upstreams are given.
     pub calls: Calls,
+    /// Who heeds the rest that upstreams ask for.
+    pub heeds: Heeds,
+    /// Rest that an upstream asks for when it turns a call away, in milliseconds; 0 for none.
+    pub rest_ms: u64,
     /// Seed of every random choice.
     pub seed: u64,
     /// Slots of each upstream.
     pub slots: usize,
 }
 
+/// Who gives an upstream no calls in the rest that it asked one instance for.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Heeds {
+    /// All instances, since the one that was asked tells them.
+    All,
+    /// The instance that was asked.
+    Asked,
+    /// None.
+    Nobody,
+}
+
 /// What came of it, in calls.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Outcome {
@@ -89,6 +106,8 @@
     pub refused: usize,
     /// Turned away by upstreams, each time.
     pub turned_away: usize,
+    /// Sent to an upstream within the rest that it asked the same instance for.
+    pub within_rest: usize,
 }
 
 /// What is to happen.
@@ -122,6 +141,8 @@
     asker: usize,
     attempt: attempt::Key,
     instance: usize,
+    /// The upstream as the instance knows it.
+    key: upstream::Key,
     over: bool,
     upstream: usize,
 }
@@ -137,12 +158,16 @@
     askers: Vec<Asker>,
     callers: HashMap<Caller, usize>,
     cores: Vec<Core>,
+    /// Upstreams as instances know them, by instance and upstream.
+    keys: HashMap<(usize, usize), upstream::Key>,
     desks: Vec<Desk>,
     lines: Vec<Line>,
     next: u64,
     outcome: Outcome,
     plan: Plan,
     random: Pcg64Mcg,
+    /// Until when upstreams asked instances for rest, by instance and upstream.
+    rests: HashMap<(usize, usize), Time>,
     timeline: Timeline<Action>,
     /// Part of all callers that each instance has, added up.
     weights: Vec<f64>,
@@ -207,7 +232,7 @@
                     load,
                     calls,
                     seed,
-                    slots: 6,
+                    ..Plan::default()
                 };
                 report.rows.push(row(
                     &format!("{instances} instances, {name}"),
@@ -218,17 +243,43 @@
             }
         }
         let plan = |seed| Plan {
-            instances: 1,
             load,
-            calls: Calls::default(),
             seed,
-            slots: 6,
+            ..Plan::default()
         };
         report.rows.push(row("all known", seeds, plan, ceiling));
         report.print();
     }
 }
 
+/// Plays rushes before upstreams that ask for rest, and prints what was answered by who heeds that.
+pub fn measure_rests(seeds: u64) {
+    let ways = [
+        ("nobody heeds it", Heeds::Nobody),
+        ("who was asked", Heeds::Asked),
+        ("all are told", Heeds::All),
+    ];
+    for (load, rest_ms) in [(2.0, 1_000), (3.0, 1_000), (3.0, 3_000), (6.0, 3_000)] {
+        let title = format!("Calls at {load} times the usual for 20 s, rests of {rest_ms} ms");
+        let mut report = report::Report::new(&title);
+        for instances in [1, 6, 74, 295] {
+            for (name, heeds) in ways {
+                let plan = |seed| Plan {
+                    instances,
+                    load,
+                    heeds,
+                    rest_ms,
+                    seed,
+                    ..Plan::default()
+                };
+                let name = format!("{instances} instances, {name}");
+                report.rows.push(row(&name, seeds, plan, run));
+            }
+        }
+        report.print();
+    }
+}
+
 fn row(
     name: &str,
     seeds: u64,
@@ -248,6 +299,21 @@
         .figure("failed", mean(all.failed))
         .figure("arrivals", mean(all.arrivals))
         .figure("turned away", mean(all.turned_away))
+        .figure("within a rest", mean(all.within_rest))
+}
+
+impl Default for Plan {
+    fn default() -> Self {
+        Self {
+            calls: Calls::default(),
+            heeds: Heeds::Asked,
+            instances: 1,
+            load: 1.0,
+            rest_ms: 0,
+            seed: 0,
+            slots: 6,
+        }
+    }
 }
 
 impl Outcome {
@@ -259,6 +325,7 @@
         self.late += other.late;
         self.refused += other.refused;
         self.turned_away += other.turned_away;
+        self.within_rest += other.within_rest;
     }
 }
 
@@ -329,12 +396,14 @@
             askers: Vec::new(),
             callers: HashMap::new(),
             cores: (0..plan.instances).map(core).collect(),
+            keys: HashMap::new(),
             desks: vec![Desk::default(); HOMES.len()],
             lines: Vec::new(),
             next: 0,
             outcome: Outcome::default(),
             plan,
             random,
+            rests: HashMap::new(),
             timeline: Timeline::new(START),
             weights,
         };
@@ -468,17 +537,20 @@
                 address,
                 attempt,
                 sending: Sending::Relay { caller, .. },
-                ..
+                upstream: key,
             } => {
                 let Some(asker) = self.callers.get(&caller).copied() else {
                     return;
                 };
+                let upstream = usize::from(address.port()) - 1;
+                self.keys.insert((instance, upstream), key);
                 self.lines.push(Line {
                     asker,
                     attempt,
                     instance,
+                    key,
                     over: false,
-                    upstream: usize::from(address.port()) - 1,
+                    upstream,
                 });
                 let arrive = Action::Arrive(self.lines.len() - 1);
                 self.timeline.schedule(WAY_MS, arrive);
@@ -517,6 +589,12 @@
 
     fn arrive(&mut self, line: usize) {
         self.outcome.arrivals += 1;
+        let Line {
+            instance, upstream, ..
+        } = self.lines[line];
+        let rests = self.rests.get(&(instance, upstream));
+        let now = self.timeline.now();
+        self.outcome.within_rest += usize::from(rests.is_some_and(|until| now < *until));
         let desk = &mut self.desks[self.lines[line].upstream];
         if self.lines[line].over {
             return;
@@ -530,12 +608,45 @@
             let attempt = self.lines[line].attempt;
             let failure = Failure::Refused;
             let failed = Event::Failed { attempt, failure };
-            let instance = self.lines[line].instance;
+            self.ask_for_rest(line);
             self.timeline
                 .schedule(WAY_MS, Action::Tell(instance, failed));
         }
     }
 
+    /// An upstream that turns a call away asks for rest, if it does that here.
+    fn ask_for_rest(&mut self, line: usize) {
+        let rest_ms = self.plan.rest_ms;
+        if rest_ms == 0 {
+            return;
+        }
+        let Line {
+            instance,
+            key,
+            upstream,
+            ..
+        } = self.lines[line];
+        let until = self.timeline.now().after(rest_ms);
+        self.rests.insert((instance, upstream), until);
+        let told: Vec<(usize, upstream::Key)> = match self.plan.heeds {
+            Heeds::All => {
+                let known = |to| Some((to, *self.keys.get(&(to, upstream))?));
+                (0..self.cores.len()).filter_map(known).collect()
+            }
+            Heeds::Asked => vec![(instance, key)],
+            Heeds::Nobody => Vec::new(),
+        };
+        for (instance, upstream) in told {
+            let notice = Notice {
+                rest: Rest::For(rest_ms),
+                ..Notice::default()
+            };
+            let noticed = Event::Noticed { notice, upstream };
+            self.timeline
+                .schedule(WAY_MS, Action::Tell(instance, noticed));
+        }
+    }
+
     fn start(&mut self, line: usize) {
         let desk = &mut self.desks[self.lines[line].upstream];
         desk.running.push(line);
--- a/crates/standin/tests/rush.rs
+++ b/crates/standin/tests/rush.rs
@@ -16,7 +16,7 @@
         instances,
         load,
         seed: 1,
-        slots: 6,
+        ..Plan::default()
     })
 }
 
@@ -77,6 +77,7 @@
             load,
             seed: 1,
             slots,
+            ..Plan::default()
         };
         let two = rush::run(plan(2.0));
         let four = rush::run(plan(4.0));
@@ -91,7 +92,7 @@
         instances: 1,
         load: 4.0,
         seed: 1,
-        slots: 6,
+        ..Plan::default()
     };
     expect_that!(rush::ceiling(plan).in_time, ge(rush::run(plan).in_time));
 }
