--- a/crates/standin/src/shelf.rs
+++ b/crates/standin/src/shelf.rs
@@ -36,6 +36,14 @@
     value: Vec<u8>,
 }
 
+/// A copy of the store, from which it may come back.
+#[derive(Clone)]
+pub struct Copy {
+    items: BTreeMap<String, Item>,
+    leases: BTreeSet<u64>,
+    revision: u64,
+}
+
 /// A change: its revision, the key, and the value unless the key went.
 struct Change {
     item: Option<Item>,
@@ -48,6 +56,8 @@
     away: bool,
     /// How often reads that wait for a change were cut.
     cuts: u64,
+    /// How often it has come back from a copy.
+    era: u64,
     history: Vec<Change>,
     items: BTreeMap<String, Item>,
     leases: BTreeMap<u64, Lease>,
@@ -128,7 +138,7 @@
 
     /// Changes of keys with a prefix behind a revision; `None` if they are forgotten.
     fn since(&self, prefix: &str, revision: u64) -> Option<Vec<Value>> {
-        if revision < self.oldest {
+        if revision < self.oldest || revision > self.revision {
             return None;
         }
         let changes = self
@@ -176,6 +186,30 @@
         self.changed.notify_waiters();
     }
 
+    /// A copy of all that it holds now.
+    pub fn copy(&self) -> Copy {
+        let state = self.lock();
+        Copy {
+            items: state.items.clone(),
+            leases: state.leases.keys().copied().collect(),
+            revision: state.revision,
+        }
+    }
+
+    /// Comes back from a copy: all that was written since is gone, leases too, and revisions are given out again.
+    pub fn restore(&self, copy: &Copy) {
+        let mut state = self.lock();
+        state.era += 1;
+        state.items = copy.items.clone();
+        state.revision = copy.revision;
+        state.leases.retain(|id, _| copy.leases.contains(id));
+        state
+            .history
+            .retain(|change| change.revision <= copy.revision);
+        drop(state);
+        self.changed.notify_waiters();
+    }
+
     /// Forgets all history: watches from before must read anew.
     pub fn forget(&self) {
         let mut state = self.lock();
@@ -367,6 +401,14 @@
     shelf: Shelf,
 }
 
+impl Endpoint {
+    /// Says how often the store has come back from a copy, as in every answer.
+    fn tell_era(&self, response: &mut Response) {
+        let era = self.shelf.lock().era;
+        let _ = response.add_header("store-era", era, true);
+    }
+}
+
 #[salvo::handler]
 impl Endpoint {
     async fn handle(&self, request: &mut Request, response: &mut Response) {
@@ -382,6 +424,7 @@
             std::future::pending::<()>().await;
         }
         if away {
+            self.tell_era(response);
             response.status_code(StatusCode::SERVICE_UNAVAILABLE);
             return;
         }
@@ -418,6 +461,7 @@
                 (StatusCode::NOT_FOUND, self.shelf.write(&body))
             }
         };
+        self.tell_era(response);
         match answer {
             Some(body) => http::answer(response, StatusCode::OK, &body),
             None => {
