--- a/crates/core/src/absence.rs
+++ b/crates/core/src/absence.rs
@@ -25,6 +25,8 @@
     answered: Option<Time>,
     /// The last span in which the store was away for so long that entries may have gone.
     away: Option<Span>,
+    /// How often the store had come back from a copy, by the last answer; 0 before the first, and where it does not say.
+    era: u64,
     /// Time by which upstreams have written their entries again behind calls that failed for a while.
     entered_by: Option<Time>,
     /// The last span in which calls failed.
@@ -66,6 +68,7 @@
             answered: None,
             away: None,
             entered_by: None,
+            era: 0,
             failed: None,
             failures: 0,
             failing: None,
@@ -102,6 +105,28 @@
         quiet.map(|away| away.to.since(away.from))
     }
 
+    /// Notes the era that an answer tells; whether the store has come back from a copy since the answer before. What its owners
+    /// wrote since the copy may be missing, as behind an absence in which entries may have gone.
+    pub fn show(&mut self, era: u64, now: Time) -> bool {
+        if era <= self.era {
+            return false;
+        }
+        self.era = era;
+        if self.answered.is_none() {
+            return false;
+        }
+        self.away = Some(Span {
+            from: now.before(self.lapse_ms()),
+            to: now,
+        });
+        true
+    }
+
+    /// How often the store had come back from a copy, by the newest answer.
+    pub fn era(&self) -> u64 {
+        self.era
+    }
+
     /// Time by which upstreams have written their entries again behind calls that failed for a while, however short.
     pub fn entered_by(&self) -> Option<Time> {
         self.entered_by
--- a/crates/core/src/counter.rs
+++ b/crates/core/src/counter.rs
@@ -43,6 +43,10 @@
     Resumed(Reason),
     /// Requests sent again from the start.
     Retried(Reason),
+    /// Answers of the store that were dropped, being of an era before it came back from a copy.
+    StoreOutdated,
+    /// Times at which the store was found to have come back from a copy.
+    StoreReturned,
     /// Upstreams suspected as a whole.
     Suspected,
     /// Tokens delivered to callers.
@@ -122,6 +126,8 @@
             Self::RefusedAgain => write!(formatter, "refused_again"),
             Self::Resumed(reason) => write!(formatter, "resumed.{reason}"),
             Self::Retried(reason) => write!(formatter, "retried.{reason}"),
+            Self::StoreOutdated => write!(formatter, "store.outdated"),
+            Self::StoreReturned => write!(formatter, "store.returned"),
             Self::Suspected => write!(formatter, "upstream.suspected"),
             Self::Tokens => write!(formatter, "tokens"),
             Self::UpstreamLost => write!(formatter, "upstream.lost"),
--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -101,8 +101,8 @@
     /// Requests that it runs at once; 0 where that is not known.
     pub slots: u32,
     /// Place in the order in which upstreams were entered; of two at one address the later one is
-    /// there. 0 where that is not known.
-    pub since: u64,
+    /// there. The first of all where that is not known.
+    pub since: Position,
 }
 
 impl Listed {
--- a/crates/core/src/informer.rs
+++ b/crates/core/src/informer.rs
@@ -56,6 +56,8 @@
     early: Vec<Word>,
     /// Upstreams that there are.
     entries: usize,
+    /// How often the store is known to have come back from a copy.
+    era: u64,
     /// When word was fresh last, or the store was asked, of one that hears from others.
     fresh: Time,
     /// When a word showed that a change was missed.
@@ -94,6 +96,7 @@
             configuration: Line::default().begun(now),
             early: Vec::new(),
             entries: 0,
+            era: 0,
             fresh: now,
             gap: None,
             heard: Known::default(),
@@ -128,6 +131,7 @@
         {
             self.served.answer(answered);
         }
+        self.enter(absence.era(), now);
         match input {
             Input::Answered(id, answer) => self.answered(id, answer, now),
             Input::Failed(id) => self.failed(id, now),
@@ -218,7 +222,7 @@
     fn follows(&self, topic: Topic) -> bool {
         let known = match topic {
             Topic::Configuration => self.in_force.is_some(),
-            Topic::Upstreams => self.upstreams.revision.is_some(),
+            Topic::Upstreams => self.upstreams.position.is_some(),
         };
         self.role.follows() && known
     }
@@ -237,18 +241,24 @@
         match answer {
             Answer::Forgotten => {
                 let line = self.line_mut(call.topic);
-                line.revision = None;
+                line.position = None;
                 line.ready = now;
             }
-            Answer::Known(Content::Configuration { bytes, config }, revision) => {
-                self.take_configuration(call, bytes, config, revision, now);
+            Answer::Known(_, position) if self.is_outdated(call, position) => {
+                let line = self.line_mut(call.topic);
+                line.position = None;
+                line.ready = now;
+                self.outputs.push(Output::Outdated(call.topic));
+            }
+            Answer::Known(Content::Configuration { bytes, config }, position) => {
+                self.take_configuration(call, bytes, config, position, now);
             }
-            Answer::Known(Content::Upstreams(changes), revision) => {
-                self.take_upstreams(call, changes, revision, now);
+            Answer::Known(Content::Upstreams(changes), position) => {
+                self.take_upstreams(call, changes, position, now);
             }
         }
         let topic = call.topic;
-        let Some(to) = self.line(topic).revision else {
+        let Some(to) = self.line(topic).position else {
             return;
         };
         self.line_mut(topic).confirmed = now;
@@ -257,12 +267,43 @@
         }
     }
 
+    /// Whether an answer says nothing of the store as it is: it is of an earlier era, or it tells changes behind a position that
+    /// the store's history does not have any more. Reads that may be old are ordered by what they bring.
+    fn is_outdated(&self, call: Call, position: Position) -> bool {
+        let behind = call.since.is_some_and(|since| since.era != position.era);
+        call.age == Age::Newest && (position.era < self.era || behind)
+    }
+
+    /// The store has come back from a copy: positions of before say nothing of what is to be asked for, calls that wait for
+    /// changes behind them are ended, and all is read again. A watch that went on from such a position missed what the store
+    /// wrote up to it anew, and an upstream that left there was given work for 7 s and more.
+    fn enter(&mut self, era: u64, now: Time) {
+        if era <= self.era {
+            return;
+        }
+        let first = self.upstreams.position.is_none() && self.configuration.position.is_none();
+        self.era = era;
+        if first && self.in_force.is_none() {
+            return;
+        }
+        self.outputs.push(Output::Era(era));
+        for topic in [Topic::Configuration, Topic::Upstreams] {
+            if self.line(topic).out.is_some_and(|out| out.changes) {
+                self.end(topic, Why::Returned);
+            }
+            self.line_mut(topic).begin_again(now);
+        }
+        self.read = None;
+        self.gap = None;
+        self.early.clear();
+    }
+
     fn take_configuration(
         &mut self,
         call: Call,
         bytes: usize,
         config: Option<Arc<Config>>,
-        revision: u64,
+        position: Position,
         now: Time,
     ) {
         let followed = self.follows(Topic::Configuration);
@@ -272,7 +313,7 @@
         }
         if followed {
             // The next watch must begin with a read.
-            self.configuration.revision = None;
+            self.configuration.position = None;
             self.read = match self.read {
                 Some((step, _)) if self.lacks_configuration() && step < READS_MS.len() => {
                     let pause = READS_MS.get(step + 1).copied().unwrap_or(0);
@@ -281,7 +322,7 @@
                 _ => None,
             };
         } else if call.age == Age::Newest {
-            self.configuration.revision = Some(revision);
+            self.configuration.position = Some(position);
         }
     }
 
@@ -298,21 +339,27 @@
         }
     }
 
-    fn take_upstreams(&mut self, call: Call, mut changes: Vec<Change>, revision: u64, now: Time) {
-        let known = self.upstreams.revision.unwrap_or(0);
+    fn take_upstreams(
+        &mut self,
+        call: Call,
+        mut changes: Vec<Change>,
+        position: Position,
+        now: Time,
+    ) {
+        let known = self.upstreams.position.unwrap_or_default();
         let away = self.absence.away();
-        let first = self.upstreams.revision.is_none();
+        let first = self.upstreams.position.is_none();
         if call.since.is_none() {
-            self.roster.take_all(&changes, away, now);
+            self.roster.take_all(&changes, position, away, now);
         } else {
             // Others may have told some of them while the call was out.
-            changes.retain(|change| change.revision > known);
+            changes.retain(|change| change.position > known);
             self.roster.take(changes, away, now);
         }
         if let Some(until) = self.absence.entered_by().filter(|_| !self.role.follows()) {
             self.roster.hold(until);
         }
-        self.upstreams.revision = Some(revision.max(known));
+        self.upstreams.position = Some(position.max(known));
         self.fresh = now;
         self.gap = None;
         self.early.clear();
@@ -323,12 +370,12 @@
             Role::Alone | Role::Follower => false,
         };
         if tells {
-            let words = self.roster.words(revision.max(known), now);
+            let words = self.roster.words(position.max(known), now);
             self.outputs.extend(words.into_iter().map(Output::Tell));
         }
         if first {
             // The others know nothing of what was just read.
-            self.roster.tell_from(revision);
+            self.roster.tell_from(position);
         }
         self.upstreams.ready = now.after(self.gather_ms());
     }
@@ -375,6 +422,10 @@
     }
 
     fn hear(&mut self, heard: Heard, now: Time) {
+        let confirmed = heard.confirmed.map(|confirmed| confirmed.to.era);
+        let word = heard.word.as_ref().map(|word| word.to.era);
+        let newest = confirmed.into_iter().chain(word).max();
+        self.enter(newest.unwrap_or(0).max(heard.list.era), now);
         self.heard.configuration = self.heard.configuration.max(heard.configuration);
         self.heard.list = self.heard.list.max(heard.list);
         if let Some(confirmed) = heard.confirmed {
@@ -389,14 +440,14 @@
         }
         let away = word.away(now);
         self.roster.away = away.is_some_and(|away| self.served.shares(away, now));
-        let known = self.upstreams.revision.unwrap_or(0);
+        let known = self.upstreams.position.unwrap_or_default();
         match self.roster.hear(&word, known, now) {
             Worth::Fresh => {
                 if away.is_none() {
                     self.served.answer(now);
                 }
                 let all = self.roster.catch_up(word.to, &mut self.early, now);
-                self.upstreams.revision = Some(all);
+                self.upstreams.position = Some(all);
                 // Who told it told the others too.
                 self.roster.tell_from(all);
                 if self.early.is_empty() {
@@ -423,7 +474,7 @@
             ),
             Topic::Upstreams => (
                 confirmed.to >= self.roster.changed,
-                Some(heard.list) <= self.upstreams.revision,
+                Some(heard.list) <= self.upstreams.position,
             ),
         };
         if !newest {
@@ -448,7 +499,7 @@
             }
         }
         if followed && !role.follows() {
-            self.configuration.revision = None;
+            self.configuration.position = None;
         }
         if !followed {
             self.asked = now;
@@ -478,7 +529,7 @@
         }
         let more = self.lacks_configuration() && !self.follows(Topic::Configuration);
         self.configuration.compare(more, now);
-        let more = Some(self.heard.list) > self.upstreams.revision;
+        let more = Some(self.heard.list) > self.upstreams.position;
         self.upstreams.compare(more, now);
         if self.follows(Topic::Configuration) && self.lacks_configuration() && self.read.is_none() {
             let at = self.configuration.may(&self.absence).max(now);
@@ -496,7 +547,7 @@
                 self.fail(topic, now);
                 if topic == Topic::Configuration && why == Why::Behind {
                     // A read brings the newest whatever became of the watch.
-                    self.configuration.revision = None;
+                    self.configuration.position = None;
                 }
             }
             if self.line(topic).out.is_none() && self.due(topic) <= now {
@@ -543,7 +594,7 @@
         let follows = self.follows(topic);
         let since = match topic {
             Topic::Configuration if follows => None,
-            Topic::Configuration | Topic::Upstreams => line.revision,
+            Topic::Configuration | Topic::Upstreams => line.position,
         };
         // Behind a call that was not answered no change is waited for: one that a silent store takes is never answered.
         let missing =
@@ -584,7 +635,7 @@
             match topic {
                 Topic::Configuration => self.asked = now,
                 Topic::Upstreams => {
-                    let known = self.upstreams.revision.unwrap_or(0);
+                    let known = self.upstreams.position.unwrap_or_default();
                     self.roster.tell_from(known);
                 }
             }
--- a/crates/core/src/lesson.rs
+++ b/crates/core/src/lesson.rs
@@ -31,8 +31,8 @@
     pub id: u64,
     /// Time in which the answer must begin behind the wait, in milliseconds.
     pub patience_ms: u64,
-    /// Revision behind which changes are asked for; `None` for all.
-    pub since: Option<u64>,
+    /// Position behind which changes are asked for; `None` for all.
+    pub since: Option<Position>,
     /// What is asked for.
     pub topic: Topic,
     /// Time for which the store waits for a change, in milliseconds.
@@ -49,15 +49,15 @@
         /// What it says.
         config: Option<Arc<Config>>,
     },
-    /// Upstreams, or their changes, in the order of their revisions.
+    /// Upstreams, or their changes, in the order of their positions.
     Upstreams(Vec<Change>),
 }
 
 /// How the store answered.
 #[derive(Clone, Debug)]
 pub enum Answer {
-    /// With all, or all changes, up to a revision.
-    Known(Content, u64),
+    /// With all, or all changes, up to a position.
+    Known(Content, Position),
     /// It has forgotten what changed since.
     Forgotten,
 }
@@ -65,8 +65,8 @@
 /// What the store has just shown an instance to be the newest.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Confirmed {
-    /// Revision of the store up to which it holds.
-    pub to: u64,
+    /// Position of the store up to which it holds.
+    pub to: Position,
     /// Of what.
     pub topic: Topic,
 }
@@ -78,8 +78,8 @@
     pub configuration: Option<u64>,
     /// What the store has just shown it, if this is told.
     pub confirmed: Option<Confirmed>,
-    /// Revision of the last change of the list that is known there.
-    pub list: u64,
+    /// Position of the last change of the list that is known there.
+    pub list: Position,
     /// Changes that one that watches for the data centre tells.
     pub word: Option<Word>,
 }
@@ -108,6 +108,8 @@
     Lapse,
     /// The store answers other calls again, and not this one.
     Overtaken,
+    /// The store has come back from a copy.
+    Returned,
     /// The instance does something else for its data centre.
     Role,
     /// Nobody has shown for too long that nothing has changed.
@@ -125,6 +127,10 @@
     Confirm(Confirmed),
     /// A call is to be ended; nothing it brings counts.
     Drop(Call, Why),
+    /// The store has come back from a copy: its era is this one now.
+    Era(u64),
+    /// What an answer brought is of an earlier era of the store, and was dropped.
+    Outdated(Topic),
     /// An upstream whose entry is missing is believed for so many milliseconds, since the store was away.
     Lapsing(String, u64),
     /// The others of the data centre are to be told changes of the list.
@@ -135,11 +141,11 @@
     Upstreams(Vec<Listed>),
 }
 
-/// What an instance knows of the store, by its revisions.
+/// What an instance knows of the store.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Known {
     /// Revision of the configuration in force; `None` before there is one.
     pub configuration: Option<u64>,
-    /// Revision of the last change of the list of upstreams.
-    pub list: u64,
+    /// Position of the last change of the list of upstreams.
+    pub list: Position,
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod life;
 pub mod line;
 pub mod notice;
+pub mod position;
 pub mod print;
 pub mod quarantine;
 pub mod queue;
@@ -74,6 +75,7 @@
     life::Life,
     line::Line,
     notice::Notice,
+    position::Position,
     print::Print,
     quarantine::Account,
     queue::Queue,
--- a/crates/core/src/line.rs
+++ b/crates/core/src/line.rs
@@ -72,8 +72,8 @@
     hurried: bool,
     /// Time before which the store is not asked, since changes gather.
     pub(crate) ready: Time,
-    /// Revision up to which all is known; `None` before it was read.
-    pub(crate) revision: Option<u64>,
+    /// Position up to which all is known; `None` before it was read.
+    pub(crate) position: Option<Position>,
     /// When another instance that watches last told what the store had shown it.
     pub(crate) told: Time,
 }
@@ -90,8 +90,8 @@
             pause_ms: 0,
             failures: 0,
             hurried: false,
+            position: None,
             ready: Time::default(),
-            revision: None,
             told: Time::default(),
         }
     }
@@ -131,6 +131,14 @@
         self.out = None;
     }
 
+    /// Begins anew, as far as what is known goes: the store has come back from a copy. Calls are soon again, since it serves
+    /// somebody: behind sixteen failures before, an instance that was refused knew 0.2 s too late of an upstream that left.
+    pub(crate) fn begin_again(&mut self, now: Time) {
+        self.failures = 0;
+        self.position = None;
+        self.ready = now;
+    }
+
     /// Whether it is short and soon, as behind a failure of a store that has answered before.
     fn hurries(&self, absence: &Absence) -> bool {
         self.hurried && absence.answered().is_some() && self.failures < SOON
--- a/crates/core/src/roster.rs
+++ b/crates/core/src/roster.rs
@@ -30,6 +30,13 @@
 /// the first. Two refusals of 2.2 and 1.9 s, 0.2 s apart, else had living upstreams given up.
 const ANOTHER_OWN_MS: u64 = 2_100;
 
+/// Time for which it is remembered that a life left or went, in milliseconds: copies from which the store comes back are
+/// seconds old, and upstreams that left are gone within minutes.
+const LEFT_MS: u64 = 600_000;
+
+/// Lives of which that is remembered, at most: all upstreams of the largest fleet designed for, replaced once.
+const LEFT_MOST: usize = 2_200;
+
 /// One change of the list.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Change {
@@ -37,8 +44,8 @@
     pub entry: Entry,
     /// Name of the upstream.
     pub name: String,
-    /// Revision of the store.
-    pub revision: u64,
+    /// Where it stands in the store's history.
+    pub position: Position,
 }
 
 /// What an instance tells others of the list.
@@ -46,20 +53,20 @@
 pub struct Word {
     /// For how long the store was away before, in milliseconds; with `returning_ms`, else 0.
     pub away_ms: u64,
-    /// In the order of their revisions.
+    /// In the order of their positions.
     pub changes: Vec<Change>,
-    /// Revision behind which the changes begin.
-    pub from: u64,
+    /// Position behind which the changes begin.
+    pub from: Position,
     /// Time for which entries that go are still believed, in milliseconds: the store was away.
     pub returning_ms: u64,
-    /// Revision up to which they are told.
-    pub to: u64,
+    /// Position up to which they are told.
+    pub to: Position,
 }
 
 /// What word from another instance is worth.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Worth {
-    /// The list is known up to its revision.
+    /// The list is known up to its position.
     Fresh,
     /// Changes before it are missing.
     Gap,
@@ -73,21 +80,39 @@
     /// Whether the store was away for this instance too. One that it answers knows that entries which go
     /// missing have not lapsed for want of a store, whatever those that were refused tell.
     pub away: bool,
-    /// Revision of the last change that is known.
-    pub changed: u64,
+    /// Position of the last change that is known.
+    pub changed: Position,
     entries: BTreeMap<String, Listed>,
     /// When the store was away last.
     absent: Option<Span>,
     /// Whether another instance told of that.
     hearsay: bool,
+    /// Lives that left or went of late.
+    left: BTreeMap<Life, Left>,
     /// Entries that are missing and are believed, since they may have gone while the store was away.
     lapsing: BTreeSet<String>,
     /// Those that are new among them.
     new_lapsing: Vec<String>,
+    /// Where the entries were written that are listed.
+    places: BTreeMap<String, Position>,
+    /// The newest position that anything was known at.
+    seen: Position,
+    /// Lives whose entries another writer wrote over.
+    spoilt: BTreeMap<String, Life>,
     /// Changes not yet told to other instances.
     untold: Vec<Change>,
-    /// Revision up to which other instances were told; 0 before the first time.
-    told: u64,
+    /// Position up to which other instances were told; `None` before the first time.
+    told: Option<Position>,
+}
+
+/// A life that left or went, as the store showed it. A copy from before may show it as it was.
+#[derive(Clone, Copy, Debug)]
+struct Left {
+    at: Time,
+    /// Whether it said that it leaves.
+    leaving: bool,
+    /// Position up to which that was known.
+    to: Position,
 }
 
 impl Word {
@@ -103,12 +128,12 @@
 }
 
 impl Roster {
-    /// Takes in what an instance that watches told; the list is known up to `revision`.
-    pub fn hear(&mut self, word: &Word, revision: u64, now: Time) -> Worth {
-        if word.from > revision {
+    /// Takes in what an instance that watches told; the list is known up to `known`.
+    pub fn hear(&mut self, word: &Word, known: Position, now: Time) -> Worth {
+        if word.from > known {
             return Worth::Gap;
         }
-        if word.to < revision {
+        if word.to < known {
             return Worth::Old;
         }
         if self.away {
@@ -117,23 +142,24 @@
             self.hearsay |= heard.is_some();
         }
         for change in &word.changes {
-            if change.revision > revision {
-                self.apply(change, now);
+            if change.position > known {
+                let change = self.corrected(change.clone());
+                self.apply(&change, now);
             }
         }
         Worth::Fresh
     }
 
-    /// Takes in what came too early, now that the list is known up to `revision`; up to which revision it is
+    /// Takes in what came too early, now that the list is known up to `known`; up to which position it is
     /// known then. What still misses something before it is left.
-    pub fn catch_up(&mut self, mut revision: u64, early: &mut Vec<Word>, now: Time) -> u64 {
-        while let Some(next) = early.iter().position(|word| word.from <= revision) {
+    pub fn catch_up(&mut self, mut known: Position, early: &mut Vec<Word>, now: Time) -> Position {
+        while let Some(next) = early.iter().position(|word| word.from <= known) {
             let word = early.swap_remove(next);
-            if self.hear(&word, revision, now) == Worth::Fresh {
-                revision = word.to;
+            if self.hear(&word, known, now) == Worth::Fresh {
+                known = word.to;
             }
         }
-        revision
+        known
     }
 
     /// The upstreams as they are believed.
@@ -148,7 +174,7 @@
             return;
         }
         for name in std::mem::take(&mut self.lapsing) {
-            self.entries.remove(&name);
+            self.forget(&name, now);
         }
     }
 
@@ -169,22 +195,22 @@
         Some(absent.to.after(absence::BELIEVED_MS))
     }
 
-    /// Has what comes next told as changes behind a revision: the others know of all before it.
-    pub fn tell_from(&mut self, revision: u64) {
-        self.told = revision;
+    /// Has what comes next told as changes behind a position: the others know of all before it.
+    pub fn tell_from(&mut self, position: Position) {
+        self.told = Some(position);
         self.untold.clear();
     }
 
-    /// What other instances are to be told up to a revision; at least that nothing has changed.
-    pub fn words(&mut self, revision: u64, now: Time) -> Vec<Word> {
-        let mut from = if self.told == 0 { revision } else { self.told };
+    /// What other instances are to be told up to a position; at least that nothing has changed.
+    pub fn words(&mut self, known: Position, now: Time) -> Vec<Word> {
+        let mut from = self.told.unwrap_or(known);
         let untold = std::mem::take(&mut self.untold);
         let returning_ms = self.believed_ms(now);
         let away = self.absent.filter(|_| returning_ms > 0);
         let away_ms = away.map_or(0, |away| away.to.since(away.from));
         let mut words: Vec<Word> = Vec::new();
         for changes in split(&untold) {
-            let to = changes.last().map_or(from, |change| change.revision);
+            let to = changes.last().map_or(from, |change| change.position);
             words.push(Word {
                 away_ms,
                 changes: changes.to_vec(),
@@ -195,22 +221,34 @@
             from = to;
         }
         match words.last_mut() {
-            Some(last) => last.to = revision,
+            Some(last) => last.to = known,
             None => words.push(Word {
                 away_ms,
                 changes: Vec::new(),
                 from,
                 returning_ms,
-                to: revision,
+                to: known,
             }),
         }
-        self.told = revision;
+        self.told = Some(known);
         words
     }
 
-    /// Takes in all that the store lists, which was `away` last. Entries that are missing are believed for a while.
-    pub fn take_all(&mut self, entries: &[Change], away: Option<Span>, now: Time) {
-        self.believe_own(away);
+    /// Takes in all that the store lists at a position, which was `away` last. Entries that are missing are believed for a while.
+    pub fn take_all(
+        &mut self,
+        entries: &[Change],
+        position: Position,
+        away: Option<Span>,
+        now: Time,
+    ) {
+        if position.era > self.changed.era {
+            // Each return from a copy loses entries of its own, however soon it comes behind another.
+            self.absent = away.or(self.absent);
+            self.changed = Position::new(position.era, 0);
+        } else {
+            self.believe_own(away);
+        }
         let names: BTreeSet<&str> = entries.iter().map(|entry| entry.name.as_str()).collect();
         let missing = |name: &&String| !names.contains(name.as_str());
         let missing: Vec<String> = self.entries.keys().filter(missing).cloned().collect();
@@ -218,11 +256,12 @@
             self.remove(&name, now);
         }
         for entry in entries {
-            self.changed = self.changed.max(entry.revision);
-            self.apply(entry, now);
+            self.changed = self.changed.max(entry.position);
+            let entry = self.corrected(entry.clone());
+            self.apply(&entry, now);
         }
         // What changed in between is not known one by one: others must ask.
-        self.told = 0;
+        self.told = None;
         self.untold.clear();
     }
 
@@ -230,26 +269,91 @@
     pub fn take(&mut self, changes: Vec<Change>, away: Option<Span>, now: Time) {
         self.believe_own(away);
         for change in changes {
-            self.changed = self.changed.max(change.revision);
+            self.changed = self.changed.max(change.position);
+            let change = self.corrected(change);
             self.apply(&change, now);
             self.untold.push(change);
         }
     }
 
     fn apply(&mut self, change: &Change, now: Time) {
+        self.seen = self.seen.max(change.position);
         match &change.entry {
             Entry::Gone => self.remove(&change.name, now),
             Entry::Listed(listed) => {
+                let former = self.entries.get(&change.name).map(Listed::life);
+                if let Some(former) = former.filter(|former| *former != listed.life()) {
+                    self.note_left(former, false, now);
+                }
+                if listed.leaving {
+                    self.note_left(listed.life(), true, now);
+                }
                 self.lapsing.remove(&change.name);
+                self.spoilt.remove(&change.name);
+                self.places.insert(change.name.clone(), change.position);
                 self.entries.insert(change.name.clone(), listed.clone());
             }
             Entry::Odd => {
                 self.lapsing.remove(&change.name);
-                self.entries.remove(&change.name);
+                self.places.remove(&change.name);
+                if let Some(listed) = self.entries.remove(&change.name) {
+                    self.spoilt.insert(change.name.clone(), listed.life());
+                }
             }
         }
     }
 
+    /// A change as it is to be believed. The store may be back from a copy from before a life left: one that said that it leaves stays
+    /// so, and one that had gone is not there again unless it wrote since. Else such lives were given work again for as long as
+    /// the copy's entries stood.
+    fn corrected(&self, mut change: Change) -> Change {
+        let Entry::Listed(listed) = &mut change.entry else {
+            return change;
+        };
+        let known = self.entries.get(&change.name).map(Listed::life);
+        let place = self.places.get(&change.name).copied().unwrap_or_default();
+        let is_copied =
+            place.era < change.position.era && change.position.revision < place.revision;
+        if is_copied && known.is_some_and(|known| known != listed.life()) {
+            // A former life, from before the one that is known began.
+            change.entry = Entry::Gone;
+            return change;
+        }
+        let before = |left: &&Left| left.to.era < change.position.era;
+        let Some(left) = self.left.get(&listed.life()).filter(before) else {
+            return change;
+        };
+        if left.leaving {
+            listed.leaving = true;
+        } else if change.position.revision <= left.to.revision {
+            change.entry = Entry::Gone;
+        }
+        change
+    }
+
+    /// Remembers that a life left or went.
+    fn note_left(&mut self, life: Life, leaving: bool, at: Time) {
+        let known = self.left.get(&life);
+        if known.is_some_and(|left| left.leaving || !leaving && left.to.era == self.seen.era) {
+            return;
+        }
+        if self.left.len() >= LEFT_MOST {
+            self.left.retain(|_, left| at.since(left.at) < LEFT_MS);
+        }
+        if self.left.len() < LEFT_MOST {
+            let to = self.seen;
+            self.left.insert(life, Left { at, leaving, to });
+        }
+    }
+
+    /// Takes an entry out; its life has gone.
+    fn forget(&mut self, name: &str, now: Time) {
+        self.places.remove(name);
+        if let Some(listed) = self.entries.remove(name) {
+            self.note_left(listed.life(), false, now);
+        }
+    }
+
     /// Notes when the store was away by this instance's own account.
     fn believe_own(&mut self, away: Option<Span>) {
         let another_ms = if self.hearsay {
@@ -284,11 +388,14 @@
     }
 
     fn remove(&mut self, name: &str, now: Time) {
+        if let Some(life) = self.spoilt.remove(name) {
+            self.note_left(life, false, now);
+        }
         if !self.entries.contains_key(name) {
             return;
         }
         if self.believed_ms(now) == 0 {
-            self.entries.remove(name);
+            self.forget(name, now);
             self.lapsing.remove(name);
         } else if self.lapsing.insert(name.to_owned()) {
             self.new_lapsing.push(name.to_owned());
--- a/crates/core/src/upstream.rs
+++ b/crates/core/src/upstream.rs
@@ -118,8 +118,8 @@
     pub probed: Time,
     /// Time at which the last probe was sent, while it is not answered.
     pub probing: Option<Time>,
-    /// Place in the order in which upstreams were entered; 0 where that is not known.
-    pub since: u64,
+    /// Place in the order in which upstreams were entered; the first of all where that is not known.
+    pub since: Position,
     /// Milliseconds that calls of all instances take there of late; 0 where none is known.
     pub takes_ms: f64,
     /// Failures of late, each fading with time.
--- a/crates/core/src/watch.rs
+++ b/crates/core/src/watch.rs
@@ -315,7 +315,7 @@
             return;
         };
         let pools = config.pools();
-        let mut last: HashMap<SocketAddr, u64> = HashMap::new();
+        let mut last: HashMap<SocketAddr, Position> = HashMap::new();
         let served = |upstream: &&Upstream| pools.contains(&*upstream.pool);
         for upstream in self.upstreams.values().filter(served) {
             let since = last.entry(upstream.address).or_default();
--- a/crates/core/tests/core.rs
+++ b/crates/core/tests/core.rs
@@ -13,6 +13,7 @@
         event::{ClaimOutcome, Event, Failure, Listed, Piece, Submission},
         kind::Kind,
         notice::{Notice, Rest},
+        position::Position,
         request::{Caller, Work},
         settings::Settings,
         upstream::{self, Load},
@@ -118,7 +119,7 @@
             leaving: leaving == Some(index),
             name: format!("runner-{index}"),
             pool: "runner".into(),
-            since: 0,
+            since: Position::default(),
             slots: 0,
         });
         self.tell(Event::List {
--- a/crates/core/tests/relay/builder.rs
+++ b/crates/core/tests/relay/builder.rs
@@ -310,7 +310,7 @@
         leaving: false,
         name: format!("runner-{name}"),
         pool: "pool".into(),
-        since: 0,
+        since: Position::default(),
         slots: 0,
     }
 }
--- a/crates/core/tests/relay/life.rs
+++ b/crates/core/tests/relay/life.rs
@@ -94,7 +94,7 @@
     let mut test = lives(1);
     let foreign = Listed {
         pool: "another".into(),
-        since: 70,
+        since: Position::new(0, 70),
         ..listed(9, 0)
     };
     test.list(vec![born(0, 5), foreign]);
@@ -107,7 +107,7 @@
     let mut test = lives(1);
     let newer = Listed {
         pool: "another".into(),
-        since: 70,
+        since: Position::new(0, 70),
         ..listed(9, 0)
     };
     test.list(vec![born(0, 5), newer]);
--- a/crates/core/tests/relay/main.rs
+++ b/crates/core/tests/relay/main.rs
@@ -14,6 +14,7 @@
         kind::Kind,
         life::Life,
         notice::{Notice, Rest},
+        position::Position,
         print::Print,
         quarantine::{Account, Part},
         request::{Caller, Relay, Work},
@@ -351,12 +352,12 @@
 #[gtest]
 fn of_upstreams_at_one_address_the_last_one_entered_gets_work() {
     let older = Listed {
-        since: 4,
+        since: Position::new(0, 4),
         slots: 0,
         ..listed(0, 0)
     };
     let newer = Listed {
-        since: 7,
+        since: Position::new(0, 7),
         slots: 0,
         ..listed(9, 0)
     };
--- a/crates/core/tests/roster.rs
+++ b/crates/core/tests/roster.rs
@@ -5,6 +5,7 @@
     wellplank_core::{
         clock::Time,
         event::Listed,
+        position::Position,
         roster::{Change, Entry, Roster, Word, Worth},
     },
 };
@@ -12,11 +13,17 @@
 /// When everything happens.
 const NOW: Time = Time(1_000_000);
 
+/// A revision of a store that never came back from a copy.
+fn at(revision: u64) -> Position {
+    Position::new(0, revision)
+}
+
 /// Word of one change at a revision, behind an earlier one.
 fn word(from: u64, to: u64) -> Word {
-    let name = format!("engine-{to}");
+    let (from, to) = (at(from), at(to));
+    let name = format!("engine-{}", to.revision);
     let listed = Listed {
-        address: format!("10.0.0.1:{to}").parse().unwrap(),
+        address: format!("10.0.0.1:{}", to.revision).parse().unwrap(),
         born: 0,
         data_centre: "hall".into(),
         leaving: false,
@@ -30,7 +37,7 @@
         changes: vec![Change {
             entry: Entry::Listed(listed),
             name,
-            revision: to,
+            position: to,
         }],
         from,
         returning_ms: 0,
@@ -51,29 +58,29 @@
 #[gtest]
 fn word_that_follows_what_is_known_is_taken_in() {
     let mut roster = Roster::default();
-    expect_that!(roster.hear(&word(1, 2), 1, NOW), eq(Worth::Fresh));
+    expect_that!(roster.hear(&word(1, 2), at(1), NOW), eq(Worth::Fresh));
     expect_that!(names(&roster), elements_are![eq("engine-2")]);
 }
 
 #[gtest]
 fn word_that_misses_a_change_is_a_gap_and_changes_nothing() {
     let mut roster = Roster::default();
-    expect_that!(roster.hear(&word(2, 3), 1, NOW), eq(Worth::Gap));
+    expect_that!(roster.hear(&word(2, 3), at(1), NOW), eq(Worth::Gap));
     expect_that!(names(&roster), is_empty());
 }
 
 #[gtest]
 fn word_of_what_is_known_is_old() {
     let mut roster = Roster::default();
-    expect_that!(roster.hear(&word(1, 2), 5, NOW), eq(Worth::Old));
+    expect_that!(roster.hear(&word(1, 2), at(5), NOW), eq(Worth::Old));
 }
 
 #[gtest]
 fn words_that_overtook_others_are_taken_in_after_these() {
     let mut roster = Roster::default();
     let mut early = vec![word(3, 4), word(2, 3), word(8, 9)];
-    expect_that!(roster.hear(&word(1, 2), 1, NOW), eq(Worth::Fresh));
-    expect_that!(roster.catch_up(2, &mut early, NOW), eq(4));
+    expect_that!(roster.hear(&word(1, 2), at(1), NOW), eq(Worth::Fresh));
+    expect_that!(roster.catch_up(at(2), &mut early, NOW), eq(at(4)));
     expect_that!(early.len(), eq(1));
     expect_that!(
         names(&roster),
@@ -84,12 +91,12 @@
 #[gtest]
 fn first_word_tells_only_up_to_where_the_list_is_known() {
     let mut roster = Roster::default();
-    roster.tell_from(7);
-    let told = roster.words(9, NOW);
+    roster.tell_from(at(7));
+    let told = roster.words(at(9), NOW);
     expect_that!(told.len(), eq(1));
-    expect_that!((told[0].from, told[0].to), eq((7, 9)));
-    let next = roster.words(12, NOW);
-    expect_that!((next[0].from, next[0].to), eq((9, 12)));
+    expect_that!((told[0].from, told[0].to), eq((at(7), at(9))));
+    let next = roster.words(at(12), NOW);
+    expect_that!((next[0].from, next[0].to), eq((at(9), at(12))));
 }
 
 /// Word from one that the store refused until now that an entry is gone.
@@ -99,28 +106,28 @@
         changes: vec![Change {
             entry: Entry::Gone,
             name: name.into(),
-            revision: to,
+            position: at(to),
         }],
-        from,
+        from: at(from),
         returning_ms: 2_000,
-        to,
+        to: at(to),
     }
 }
 
 #[gtest]
 fn entry_that_goes_while_the_store_answers_here_is_gone_though_it_refused_the_teller() {
     let mut roster = Roster::default();
-    roster.hear(&word(1, 2), 1, NOW);
-    roster.hear(&gone(2, 3, "engine-2"), 2, NOW);
+    roster.hear(&word(1, 2), at(1), NOW);
+    roster.hear(&gone(2, 3, "engine-2"), at(2), NOW);
     expect_that!(names(&roster), is_empty());
 }
 
 #[gtest]
 fn entry_that_goes_while_the_store_is_away_here_too_is_believed_for_a_while() {
     let mut roster = Roster::default();
-    roster.hear(&word(1, 2), 1, NOW);
+    roster.hear(&word(1, 2), at(1), NOW);
     roster.away = true;
-    roster.hear(&gone(2, 3, "engine-2"), 2, NOW);
+    roster.hear(&gone(2, 3, "engine-2"), at(2), NOW);
     expect_that!(names(&roster), elements_are![eq("engine-2")]);
 }
 
@@ -134,30 +141,30 @@
 #[gtest]
 fn entry_that_names_no_upstream_takes_the_one_under_its_name_out_and_no_other() {
     let mut roster = Roster::default();
-    roster.hear(&word(1, 2), 1, NOW);
-    roster.hear(&word(2, 3), 2, NOW);
+    roster.hear(&word(1, 2), at(1), NOW);
+    roster.hear(&word(2, 3), at(2), NOW);
     // Also where entries that go are believed for a while: it was written, and the store was there.
     roster.away = true;
-    roster.hear(&odd(3, 4, "engine-2"), 3, NOW);
+    roster.hear(&odd(3, 4, "engine-2"), at(3), NOW);
     expect_that!(names(&roster), elements_are![eq("engine-3")]);
 }
 
 #[gtest]
 fn good_entry_behind_an_odd_one_brings_its_upstream_back() {
     let mut roster = Roster::default();
-    roster.hear(&word(1, 2), 1, NOW);
-    roster.hear(&odd(2, 3, "engine-2"), 2, NOW);
+    roster.hear(&word(1, 2), at(1), NOW);
+    roster.hear(&odd(2, 3, "engine-2"), at(2), NOW);
     let mut good = word(3, 4);
     good.changes[0].name = "engine-2".into();
-    roster.hear(&good, 3, NOW);
+    roster.hear(&good, at(3), NOW);
     expect_that!(roster.listed().len(), eq(1));
 }
 
 #[gtest]
 fn odd_entries_are_told_to_others() {
     let mut roster = Roster::default();
-    roster.tell_from(1);
+    roster.tell_from(at(1));
     roster.take(odd(1, 2, "engine-2").changes, None, NOW);
-    let told = roster.words(2, NOW);
+    let told = roster.words(at(2), NOW);
     expect_that!(told[0].changes[0].entry, eq(&Entry::Odd));
 }
--- a/crates/node/src/feed.rs
+++ b/crates/node/src/feed.rs
@@ -8,6 +8,17 @@
 /// long a list is and however small the link, a piece of it comes sooner.
 const PIECE: Duration = Duration::from_secs(1);
 
+/// An answer of the store.
+#[derive(Debug)]
+pub(crate) struct Answer {
+    /// Body.
+    pub body: Bytes,
+    /// How often the store had come back from a copy; the newest that is known where the answer does not say.
+    pub era: u64,
+    /// Status.
+    pub status: StatusCode,
+}
+
 /// A client of the platform's store.
 #[derive(Clone)]
 pub(crate) struct Client {
@@ -52,8 +63,8 @@
         self.absence.send_modify(|absence| absence.witness(now));
     }
 
-    /// Makes a call that does not wait; status and body of its answer.
-    pub async fn call(&self, call: Call, patience: Duration) -> Result<(StatusCode, Bytes), Error> {
+    /// Makes a call that does not wait.
+    pub async fn call(&self, call: Call, patience: Duration) -> Result<Answer, Error> {
         let begun = Instant::now();
         let answer = self.exchange(call, patience).await?;
         let millis = begun.elapsed().as_secs_f64() * 1_000.0;
@@ -61,10 +72,17 @@
         Ok(answer)
     }
 
-    async fn exchange(&self, call: Call, patience: Duration) -> Result<(StatusCode, Bytes), Error> {
+    async fn exchange(&self, call: Call, patience: Duration) -> Result<Answer, Error> {
         let answer = self.send(call, patience).await;
-        let answered = matches!(&answer, Ok((status, _)) if !is_refusal(*status));
+        let answered = matches!(&answer, Ok(answer) if !is_refusal(answer.status));
         self.absence.send_modify(|absence| {
+            if let Ok(answer) = &answer
+                && absence.show(answer.era, self.clock.now())
+            {
+                let era = answer.era;
+                warn!(era; "the store has come back from an older copy");
+                self.meter.count(Counter::StoreReturned, 1);
+            }
             if !answered {
                 absence.fail(self.clock.now());
             } else if let Some(away_ms) = absence.answer(self.clock.now()) {
@@ -74,7 +92,7 @@
         answer
     }
 
-    async fn send(&self, call: Call, patience: Duration) -> Result<(StatusCode, Bytes), Error> {
+    async fn send(&self, call: Call, patience: Duration) -> Result<Answer, Error> {
         let request = Request::builder()
             .method(call.method)
             .uri(format!("http://{}{}", self.address, call.path))
@@ -90,32 +108,53 @@
             })?
             .map_err(|error| Error::Store(error.to_string()))?;
         let status = response.status();
+        let era = self.era(response.headers());
         let body = read(response.into_body()).await?;
-        Ok((status, body))
+        Ok(Answer { body, era, status })
+    }
+
+    /// How often the store had come back from a copy, by the head of an answer. One that does not say it, or not in a number, says
+    /// nothing against what is known.
+    fn era(&self, headers: &hyper::HeaderMap) -> u64 {
+        let known = self.absence.borrow().era();
+        match platform::store::era(headers) {
+            Ok(era) => era.unwrap_or(known),
+            Err(error) => {
+                warn!("an answer of the store: {error}");
+                self.meter.count(Counter::EntryOdd("era"), 1);
+                known
+            }
+        }
     }
 
-    /// Reads all items under a prefix, and the revision to watch from. Pages are no snapshot, so it
-    /// is that of the first one.
+    /// Reads all items under a prefix, and the position to watch from. Pages are no snapshot, so it
+    /// is that of the first one; pages of two eras are no answer.
     pub async fn items(
         &self,
         prefix: &str,
         patience: Duration,
         age: Age,
-    ) -> Result<(Vec<Item>, u64), Error> {
-        let mut page = self.page(prefix, None, patience, age).await?;
-        let revision = page.revision;
+    ) -> Result<(Vec<Item>, Position), Error> {
+        let (mut page, era) = self.page(prefix, None, patience, age).await?;
+        let position = Position::new(era, page.revision);
         let mut items = std::mem::take(&mut page.items);
         while page.more {
             let last = items.last().map(|item| item.key.clone());
             let last =
                 last.ok_or_else(|| Error::Store(format!("{prefix}: a page names no key")))?;
-            page = self.page(prefix, Some(&last), patience, age).await?;
+            let next;
+            (page, next) = self.page(prefix, Some(&last), patience, age).await?;
+            if next != era {
+                return Err(Error::Store(format!(
+                    "{prefix}: pages of the eras {era} and {next}"
+                )));
+            }
             if page.items.is_empty() && page.more {
                 return Err(Error::Store(format!("{prefix}: a page names no key")));
             }
             items.append(&mut page.items);
         }
-        Ok((items, revision))
+        Ok((items, position))
     }
 
     async fn page(
@@ -124,16 +163,16 @@
         after: Option<&str>,
         patience: Duration,
         age: Age,
-    ) -> Result<Page, Error> {
+    ) -> Result<(Page, u64), Error> {
         let call = platform::store::range(prefix, after, age == Age::Seconds);
-        let (status, body) = self.call(call, patience).await?;
+        let Answer { body, era, status } = self.call(call, patience).await?;
         if status != StatusCode::OK {
             return Err(Error::Store(format!("reading {prefix}: {status}")));
         }
         let page = platform::store::decode_page(&body);
         let page = page.map_err(|error| Error::Store(error.to_string()))?;
         self.leave_out(prefix, page.odd);
-        Ok(page)
+        Ok((page, era))
     }
 
     /// Notes items that name no key, which are left out.
@@ -144,16 +183,16 @@
         }
     }
 
-    /// Waits for changes under a prefix behind a revision; `None` if these are forgotten.
+    /// Waits for changes under a prefix behind a revision, and up to which position they are; `None` if these are forgotten.
     pub async fn changes(
         &self,
         prefix: &str,
         revision: u64,
         wait: Duration,
         patience: Duration,
-    ) -> Result<Option<Seen>, Error> {
+    ) -> Result<Option<(Seen, Position)>, Error> {
         let call = platform::store::watch(prefix, revision, wait);
-        let (status, body) = self.exchange(call, wait + patience).await?;
+        let Answer { body, era, status } = self.exchange(call, wait + patience).await?;
         if platform::store::forgotten(status) {
             return Ok(None);
         }
@@ -163,7 +202,8 @@
         let seen = platform::store::decode_seen(&body);
         let seen = seen.map_err(|error| Error::Store(error.to_string()))?;
         self.leave_out(prefix, seen.odd);
-        Ok(Some(seen))
+        let position = Position::new(era, seen.revision);
+        Ok(Some((seen, position)))
     }
 }
 
--- a/crates/node/src/gossip.rs
+++ b/crates/node/src/gossip.rs
@@ -135,6 +135,7 @@
             listen: self.listen,
             members: members.clone(),
             own: self.own,
+            quarantined: BTreeMap::new(),
             streams: kept,
         };
         tokio::spawn(keeper.run());
@@ -203,15 +204,16 @@
         let confirmed = told.confirmed.map(decode_confirmed);
         let most = &mut self.most;
         let bare = word.is_none() && confirmed.is_none();
-        if bare && told.configuration <= most.configuration && told.list <= most.list {
+        let list = Position::new(told.list_era, told.list);
+        if bare && told.configuration <= most.configuration && list <= most.list {
             return;
         }
         most.configuration = most.configuration.max(told.configuration);
-        most.list = most.list.max(told.list);
+        most.list = most.list.max(list);
         let heard = Heard {
             configuration: told.configuration,
             confirmed,
-            list: told.list,
+            list,
             word,
         };
         // The task that learns ends only with the instance.
@@ -412,7 +414,8 @@
             asks: matches!(told, Told::Ask(_)),
             configuration: known.configuration,
             demands: self.demands.values().cloned().collect(),
-            list: known.list,
+            list: known.list.revision,
+            list_era: known.list.era,
             paces: std::mem::take(&mut self.paces),
             ..peers::Datagram::default()
         };
@@ -442,7 +445,7 @@
         peers::Topic::Upstreams => Topic::Upstreams,
     };
     Confirmed {
-        to: confirmed.to,
+        to: Position::new(confirmed.era, confirmed.to),
         topic,
     }
 }
@@ -453,7 +456,8 @@
         Topic::Upstreams => peers::Topic::Upstreams,
     };
     peers::Confirmed {
-        to: confirmed.to,
+        era: confirmed.to.era,
+        to: confirmed.to.revision,
         topic: topic.into(),
     }
 }
@@ -462,16 +466,20 @@
 fn decode_word(word: peers::Roster) -> Word {
     Word {
         away_ms: word.away_ms.into(),
-        changes: word.entries.into_iter().map(decode_change).collect(),
-        from: word.from,
+        changes: word
+            .entries
+            .into_iter()
+            .map(|entry| decode_change(entry, word.era))
+            .collect(),
+        from: Position::new(word.era, word.from),
         returning_ms: word.returning_ms.into(),
-        to: word.to,
+        to: Position::new(word.era, word.to),
     }
 }
 
-fn decode_change(entry: peers::Entry) -> roster::Change {
+fn decode_change(entry: peers::Entry, era: u64) -> roster::Change {
     let name = entry.name;
-    let revision = entry.revision;
+    let position = Position::new(era, entry.revision);
     let entry = match entry.address.parse() {
         _ if entry.gone => Entry::Gone,
         _ if entry.odd => Entry::Odd,
@@ -482,7 +490,7 @@
             leaving: entry.leaving,
             name: name.clone(),
             pool: entry.pool,
-            since: entry.since,
+            since: Position::new(era, entry.since),
             slots: entry.slots,
         }),
         Err(error) => {
@@ -493,7 +501,7 @@
     roster::Change {
         entry,
         name,
-        revision,
+        position,
     }
 }
 
@@ -501,15 +509,16 @@
     peers::Roster {
         away_ms: word.away_ms as u32,
         entries: word.changes.into_iter().map(encode_change).collect(),
-        from: word.from,
+        era: word.to.era,
+        from: word.from.revision,
         returning_ms: word.returning_ms as u32,
-        to: word.to,
+        to: word.to.revision,
     }
 }
 
 /// A change as other instances are told it.
 fn encode_change(change: roster::Change) -> peers::Entry {
-    let (name, revision) = (change.name, change.revision);
+    let (name, revision) = (change.name, change.position.revision);
     match change.entry {
         Entry::Gone => peers::Entry {
             gone: true,
@@ -527,7 +536,7 @@
             odd: false,
             pool: listed.pool,
             revision,
-            since: listed.since,
+            since: listed.since.revision,
             slots: listed.slots,
         },
         Entry::Odd => peers::Entry {
--- a/crates/node/src/keeper.rs
+++ b/crates/node/src/keeper.rs
@@ -3,6 +3,7 @@
 
 use super::*;
 use members::{Member, Members, Own};
+use rand::RngExt;
 use wellplank_core::{print::Print, quarantine::Account};
 
 /// Start of the keys under which streams are kept.
@@ -27,6 +28,11 @@
 /// Time that a call may take.
 const PATIENCE: Duration = Duration::from_secs(1);
 
+/// Time over which instances spread the writing of all again, behind a return of the store from an older copy: its leases are
+/// gone with its items, 300 instances would else write three items each in the same moment, of some hundred a second that
+/// the store takes. Others believe their entries for longer.
+const AGAIN: Duration = Duration::from_millis(1_500);
+
 /// In place of a lease: the item stays until it is removed.
 const NO_LEASE: u64 = 0;
 
@@ -131,6 +137,9 @@
     pub members: watch::Receiver<Members>,
     /// This instance.
     pub own: Own,
+    /// Requests that this instance wrote since they end their upstreams: a store that comes back from an older copy may lack
+    /// them.
+    pub quarantined: BTreeMap<Print, Kept>,
     /// Streams that instances told of, this one's with them.
     pub streams: watch::Receiver<Streams>,
 }
@@ -155,6 +164,9 @@
         let mut ticks = interval(KEEP);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut unwritten = BTreeMap::new();
+        let mut era = self.client.absence().borrow().era();
+        // When all is written again, behind a return of the store from an older copy.
+        let mut again = None;
         loop {
             tokio::select! {
                 _ = ticks.tick() => {}
@@ -162,6 +174,18 @@
                     unwritten.insert(kept.print(), kept);
                 }
             }
+            let newest = self.client.absence().borrow().era();
+            if newest > era {
+                era = newest;
+                let spread = rand::rng().random_range(Duration::ZERO..AGAIN);
+                again = Some(Instant::now() + spread);
+            }
+            if again.is_some_and(|again| again <= Instant::now()) {
+                again = None;
+                lease.granted = None;
+                self.streams.mark_changed();
+                unwritten.extend(self.quarantined.clone());
+            }
             self.write(&mut unwritten).await;
             if let Err(error) = lease.hold(&key, &entry).await {
                 debug!("entering this instance: {error}");
@@ -178,11 +202,14 @@
     }
 
     /// Writes what is to be kept of requests that end their upstreams; what can not be written now is tried again.
-    async fn write(&self, unwritten: &mut BTreeMap<Print, Kept>) {
+    async fn write(&mut self, unwritten: &mut BTreeMap<Print, Kept>) {
         while let Some((print, kept)) = unwritten.pop_first() {
             let written = match self.client.call(kept.call(), PATIENCE).await {
-                Ok((StatusCode::OK, _)) => continue,
-                Ok((status, _)) => status.to_string(),
+                Ok(answer) if answer.status == StatusCode::OK => {
+                    self.note_kept(print, kept);
+                    continue;
+                }
+                Ok(answer) => answer.status.to_string(),
                 Err(error) => error.to_string(),
             };
             debug!("keeping {print}: {written}");
@@ -191,6 +218,14 @@
         }
     }
 
+    /// Remembers what is written, to write it again.
+    fn note_kept(&mut self, print: Print, kept: Kept) {
+        match kept {
+            Kept::Ends(..) => self.quarantined.insert(print, kept),
+            Kept::Nothing(_) => self.quarantined.remove(&print),
+        };
+    }
+
     /// Reads the requests that were kept since they end their upstreams. Read before the streams, so that none of them goes on.
     async fn recall_ends(&self) {
         let mut link = feed::Link::new("quarantine", &self.client);
@@ -288,7 +323,7 @@
             None => {
                 let asked = Instant::now();
                 let call = platform::store::lease(LEASE);
-                let (status, body) = self.client.call(call, PATIENCE).await?;
+                let feed::Answer { body, status, .. } = self.client.call(call, PATIENCE).await?;
                 if status != StatusCode::OK {
                     return Err(Error::Store(format!("lease: {status}")));
                 }
@@ -303,7 +338,7 @@
     async fn put(&mut self, key: &str, value: &[u8]) -> Result<(), Error> {
         let id = self.granted.map_or(0, |granted| granted.id);
         let call = platform::store::put(key, value, id);
-        let (status, _) = self.client.call(call, PATIENCE).await?;
+        let status = self.client.call(call, PATIENCE).await?.status;
         match status {
             StatusCode::OK => Ok(()),
             StatusCode::NOT_FOUND => {
@@ -322,7 +357,7 @@
             tried: asked,
             ..granted
         });
-        let (status, _) = self.client.call(call, PATIENCE).await?;
+        let status = self.client.call(call, PATIENCE).await?.status;
         match status {
             StatusCode::OK => {
                 self.granted = Some(Granted::new(granted.id, asked));
--- a/crates/node/src/learner.rs
+++ b/crates/node/src/learner.rs
@@ -45,10 +45,10 @@
 
 /// What a call brought.
 enum Brought {
-    /// All that there is, up to a revision.
-    All(Vec<Item>, u64),
-    /// Changes, up to a revision.
-    Changes(Vec<Change>, u64),
+    /// All that there is, up to a position.
+    All(Vec<Item>, Position),
+    /// Changes, up to a position.
+    Changes(Vec<Change>, Position),
     /// The changes are forgotten.
     Nothing,
 }
@@ -156,6 +156,13 @@
                 drop(self.learner.told.send(gossip::Told::Confirmed(confirmed)));
             }
             Output::Drop(call, why) => self.drop(call, why),
+            Output::Era(era) => {
+                info!(era; "what is known of the store is read again: it came back from an older copy");
+            }
+            Output::Outdated(topic) => {
+                self.learner.driver.count(Counter::StoreOutdated);
+                debug!("{} of an earlier era of the store is dropped", what(topic));
+            }
             Output::Lapsing(upstream, believed_ms) => {
                 info!(believed_ms, upstream; "an entry that is missing may have lapsed");
             }
@@ -173,9 +180,8 @@
 
     fn ask(&mut self, call: Call) {
         if call.again {
-            let Call {
-                patience_ms, since, ..
-            } = call;
+            let Call { patience_ms, .. } = call;
+            let since = call.since.map(|since| since.to_string());
             info!(patience_ms, since; "asking the store again for {}", what(call.topic));
         }
         let client = self.learner.client.clone();
@@ -197,13 +203,13 @@
             Why::Behind => Some("other instances know more"),
             Why::Overtaken => Some("it answers other calls again"),
             Why::Unconfirmed => None,
-            Why::Lapse | Why::Role => return,
+            Why::Lapse | Why::Returned | Why::Role => return,
         };
         self.learner.client.renew();
         if let Some(error) = error {
             self.log(call.topic).bad(&Error::Store(error.into()));
         } else {
-            let since = call.since;
+            let since = call.since.map(|since| since.to_string());
             info!(since; "nothing was shown of {} for long: asking on a new connection", what(call.topic));
         }
     }
@@ -230,13 +236,13 @@
             }
         };
         self.log(call.topic).good();
-        let (changes, revision) = match brought {
-            Brought::All(items, revision) => {
-                (items.into_iter().map(Change::Written).collect(), revision)
+        let (changes, position) = match brought {
+            Brought::All(items, position) => {
+                (items.into_iter().map(Change::Written).collect(), position)
             }
-            Brought::Changes(changes, revision) => (changes, revision),
+            Brought::Changes(changes, position) => (changes, position),
             Brought::Nothing => {
-                let since = call.since;
+                let since = call.since.map(|since| since.to_string());
                 info!(since; "the store has forgotten the changes of {}", what(call.topic));
                 return Input::Answered(call.id, Answer::Forgotten);
             }
@@ -244,29 +250,31 @@
         let content = match call.topic {
             Topic::Configuration => self.configuration(changes),
             Topic::Upstreams => {
-                let changes = changes.iter().map(|change| self.change(change));
+                let changes = changes
+                    .iter()
+                    .map(|change| self.change(change, position.era));
                 Content::Upstreams(changes.collect())
             }
         };
-        Input::Answered(call.id, Answer::Known(content, revision))
+        Input::Answered(call.id, Answer::Known(content, position))
     }
 
-    /// A change of the list as the core takes it.
-    fn change(&self, change: &Change) -> roster::Change {
+    /// A change of the list in an era as the core takes it.
+    fn change(&self, change: &Change, era: u64) -> roster::Change {
         let (entry, key, revision) = match change {
             Change::Removed { key, revision } => (Entry::Gone, key, *revision),
-            Change::Written(item) => (self.entry(item), &item.key, item.revision),
+            Change::Written(item) => (self.entry(item, era), &item.key, item.revision),
         };
         roster::Change {
             entry,
             name: platform::upstream::name(key).into(),
-            revision,
+            position: Position::new(era, revision),
         }
     }
 
-    /// What an entry that was written says.
-    fn entry(&self, item: &Item) -> Entry {
-        match platform::upstream::decode(item) {
+    /// What an entry that was written in an era says.
+    fn entry(&self, item: &Item, era: u64) -> Entry {
+        match platform::upstream::decode(item, era) {
             Ok(listed) => Entry::Listed(listed),
             Err(error) => {
                 let reason = error.reason();
@@ -313,13 +321,15 @@
     };
     let patience = Duration::from_millis(call.patience_ms);
     let Some(since) = call.since else {
-        let (items, revision) = client.items(prefix, patience, call.age).await?;
-        return Ok(Brought::All(items, revision));
+        let (items, position) = client.items(prefix, patience, call.age).await?;
+        return Ok(Brought::All(items, position));
     };
     let wait = Duration::from_millis(call.wait_ms);
-    let seen = client.changes(prefix, since, wait, patience).await?;
-    Ok(seen.map_or(Brought::Nothing, |seen| {
-        Brought::Changes(seen.changes, seen.revision)
+    let seen = client
+        .changes(prefix, since.revision, wait, patience)
+        .await?;
+    Ok(seen.map_or(Brought::Nothing, |(seen, position)| {
+        Brought::Changes(seen.changes, position)
     }))
 }
 
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -101,6 +101,7 @@
         event::{self, ClaimOutcome, Event, Failure, Piece, Submission},
         kind::{Kind, Ran},
         life::Life,
+        position::Position,
         request::{self, Caller, Work},
         sighting::{Sighting, Stage},
         upstream::{self, Load},
--- a/crates/node/src/list.rs
+++ b/crates/node/src/list.rs
@@ -70,7 +70,7 @@
         leaving: line.leaving,
         name: line.instance.clone(),
         pool: line.pool.clone(),
-        since: 0,
+        since: Position::default(),
         slots: 0,
     }
 }
--- a/crates/node/src/members.rs
+++ b/crates/node/src/members.rs
@@ -24,6 +24,11 @@
 /// Time from its start for which an instance that knows no other one looks so often; then there is none.
 const ALONE: Duration = Duration::from_secs(5);
 
+/// Time for which instances are believed whose entries are missing, behind a return of the store from an older copy: they write them
+/// again within two seconds, and these reads may be as old. Without it each of hundreds would take itself for one of few and
+/// watch the store for itself.
+const BELIEVED: Duration = Duration::from_secs(6);
+
 /// Instances up to which each of them watches the store: there a watch each costs less than telling.
 pub(crate) const FEW: usize = 12;
 
@@ -124,11 +129,21 @@
 pub(crate) async fn find(client: feed::Client, own: String, found: watch::Sender<Members>) {
     let begun = Instant::now();
     let mut link = feed::Link::new("instances", &client);
+    let mut era = None;
+    let mut believed_until = begun;
     loop {
         match client.items(PREFIX, link.patience(), Age::Seconds).await {
             Ok((items, _)) => {
                 link.good();
-                let members = decode(&items, &own);
+                let mut members = decode(&items, &own);
+                let newest = client.absence().borrow().era();
+                if era.replace(newest).is_some_and(|era| era < newest) {
+                    believed_until = Instant::now() + BELIEVED;
+                }
+                if Instant::now() < believed_until {
+                    let known = found.borrow().clone();
+                    members = known.into_iter().chain(members).collect();
+                }
                 found.send_if_modified(|known| {
                     let changed = *known != members;
                     *known = members;
--- a/crates/standin/src/arguments.rs
+++ b/crates/standin/src/arguments.rs
@@ -1,6 +1,7 @@
 //! The command line of the stand-ins.
 
 use super::*;
+use scenario::Drills;
 use wellplank_core::settings::{Guilt, Resume};
 
 /// The command line.
@@ -86,6 +87,12 @@
                 .help("Without other faults, where requests end their upstreams")
                 .long("calm"),
         )
+        .arg(
+            Arg::new("drills")
+                .action(clap::ArgAction::SetTrue)
+                .help("Have the store come back from older copies too, where fleets learn from it")
+                .long("drills"),
+        )
         .arg(
             Arg::new("large")
                 .action(clap::ArgAction::SetTrue)
@@ -260,7 +267,12 @@
     let number = |name| *arguments.get_one::<u64>(name).expect("has a default");
     let (cases, seed) = (number("cases"), number("seed"));
     if arguments.get_flag("store") {
-        return random_store(seed, cases);
+        let drills = if arguments.get_flag("drills") {
+            Drills::Among
+        } else {
+            Drills::None
+        };
+        return random_store(seed, cases, drills);
     }
     if arguments.get_flag("poison") {
         let plan = poison::Plan {
@@ -350,18 +362,24 @@
 }
 
 /// Runs fleets that learn from a store, on all cores.
-fn random_store(seed: u64, cases: u64) -> ExitCode {
-    let small = search_store(seed, cases, "small", scenario::SMALL);
-    let large = search_store(seed, cases, "large", scenario::LARGE);
+fn random_store(seed: u64, cases: u64, drills: Drills) -> ExitCode {
+    let small = search_store(seed, cases, "small", scenario::SMALL, drills);
+    let large = search_store(seed, cases, "large", scenario::LARGE, drills);
     exit(small + large == 0)
 }
 
 /// Runs fleets of some sizes; how many searches found a run that breaks a rule.
-fn search_store(seed: u64, cases: u64, name: &str, sizes: &'static [usize]) -> usize {
+fn search_store(
+    seed: u64,
+    cases: u64,
+    name: &str,
+    sizes: &'static [usize],
+    drills: Drills,
+) -> usize {
     let cores = std::thread::available_parallelism().map_or(1, usize::from) as u64;
     let each = cases.div_ceil(cores) as u32;
     let searches: Vec<_> = (seed..seed + cores)
-        .map(|seed| std::thread::spawn(move || scenario::search(seed, each, sizes)))
+        .map(|seed| std::thread::spawn(move || scenario::search(seed, each, sizes, drills)))
         .collect();
     let (mut events, mut runs, mut broken) = (0, 0, 0);
     for search in searches {
--- a/crates/standin/src/bench.rs
+++ b/crates/standin/src/bench.rs
@@ -14,6 +14,7 @@
     counter::Counter,
     effect::{Effect, Sending},
     event::{Event, Failure, Listed, Piece, Submission},
+    position::Position,
     request::{Caller as Connection, Work},
     settings::Settings,
 };
@@ -362,7 +363,7 @@
             leaving: false,
             name: format!("runner-{index}"),
             pool: "runner".into(),
-            since: 0,
+            since: Position::default(),
             slots: 0,
         });
         let live = (0..INSTANCES).filter(|index| self.cores[*index].is_some());
@@ -373,7 +374,7 @@
             leaving: false,
             name: format!("entry-{index}"),
             pool: wellplank_core::core::INSTANCE_POOL.into(),
-            since: 0,
+            since: Position::default(),
             slots: 0,
         });
         runners.chain(instances).collect()
--- a/crates/standin/src/learning.rs
+++ b/crates/standin/src/learning.rs
@@ -13,6 +13,7 @@
     event::Listed,
     informer::Informer,
     lesson::{Answer, Call, Confirmed, Heard, Input, Output},
+    position::Position,
     roster::Word,
 };
 use wellplank_node::members::{Member, Members, Own};
@@ -299,6 +300,7 @@
             Event::Arrive(node, life, call) => self.arrive(node, life, call),
             Event::Beat(upstream) => self.beat(upstream),
             Event::Check => {
+                self.registry.copy(self.now);
                 self.registry_expire();
                 self.observer.check(self.now);
                 self.later(CHECK_MS, Event::Check);
@@ -459,7 +461,11 @@
         if self.nodes[node].calls.remove(&id).is_none() {
             return;
         }
-        self.note(node, answer.is_some());
+        let era = match &answer {
+            Some(Answer::Known(_, position)) => position.era,
+            Some(Answer::Forgotten) | None => self.registry.era,
+        };
+        self.note(node, answer.is_some(), era);
         let input = match answer {
             Some(answer) => Input::Answered(id, answer),
             None => Input::Failed(id),
@@ -468,9 +474,10 @@
     }
 
     /// Notes how a call of an instance ended.
-    fn note(&mut self, node: usize, answered: bool) {
+    fn note(&mut self, node: usize, answered: bool, era: u64) {
         let absence = &mut self.nodes[node].absence;
         if answered {
+            absence.show(era, self.now);
             absence.answer(self.now);
         } else {
             absence.fail(self.now);
@@ -524,7 +531,7 @@
             Output::Drop(call, _) => {
                 self.nodes[node].calls.remove(&call.id);
             }
-            Output::Lapsing(..) => {}
+            Output::Era(_) | Output::Lapsing(..) | Output::Outdated(_) => {}
             Output::Tell(word) => self.tell(node, &Told::Word(word)),
             Output::TellConfiguration => self.tell(node, &Told::Known),
             Output::Upstreams(listed) => {
@@ -617,7 +624,7 @@
 
     fn looked(&mut self, node: usize, life: u32, answered: bool) {
         let answered = answered && !self.fell_silent();
-        self.note(node, answered);
+        self.note(node, answered, self.registry.era);
         let members = self.members(node);
         if answered {
             self.nodes[node].knows = members.len();
@@ -640,7 +647,7 @@
 
     fn renewed(&mut self, node: usize, life: u32, answered: bool) {
         let answered = answered && !self.fell_silent();
-        self.note(node, answered);
+        self.note(node, answered, self.registry.era);
         if answered {
             self.nodes[node].entered_until = self.now.after(LEASE_MS);
         }
@@ -701,7 +708,7 @@
             leaving: false,
             name,
             pool: "pool".into(),
-            since: 0,
+            since: Position::default(),
             slots: 8,
         };
         self.upstreams.push(Upstream {
@@ -814,6 +821,46 @@
         self.at(until, Event::Watches);
     }
 
+    /// Has all entries stay up to then at least, also those of upstreams that are gone.
+    fn extend(&mut self, until: Time) {
+        self.registry.extend(until);
+        for upstream in self.upstreams.iter().filter(|one| !one.alive) {
+            self.observer.lapses(&upstream.life(), until);
+        }
+    }
+
+    /// The store is away for some time, and then back from a copy that is so old. What it lacks its owners write again: upstreams
+    /// with their next heartbeat, the operator within a second and a half.
+    fn drill(&mut self, age_ms: u64, away_ms: u64) {
+        if self.is_away() {
+            return;
+        }
+        let until = self.now.after(away_ms);
+        self.away = Some((Failing::Busy, until));
+        self.away_from = self.now;
+        self.observer.store_disturbed(until);
+        self.cut(|_| true);
+        let written = self.registry.restore(age_ms, self.now);
+        for upstream in self.upstreams.iter_mut().filter(|one| one.alive) {
+            // Another writer's entry is as the copy has it, up to its upstream's next write.
+            upstream.spoiled_until = upstream.spoiled_until.min(until);
+            if self.registry.is_odd(&upstream.listed.name) {
+                self.observer.leaves(&upstream.life(), until);
+            } else if !upstream.listed.leaving {
+                self.observer.lives(&upstream.life(), until);
+            }
+        }
+        self.extend(until.after(LAPSE * HEARTBEAT_MS));
+        let kept = self.registry.configured();
+        self.observer.lost(kept as u64, until);
+        let mut at = until;
+        for _ in kept..written {
+            at = at.after(self.random.random_range(50..700));
+            self.at(at, Event::Step(Act::Rewrite));
+        }
+        self.at(until, Event::Watches);
+    }
+
     fn act(&mut self, act: Act) {
         let now = self.now;
         let instances = self.nodes.len();
@@ -830,7 +877,7 @@
                     self.cut(|_| true);
                 }
                 if !lapse {
-                    self.registry.extend(until.after(LAPSE * HEARTBEAT_MS));
+                    self.extend(until.after(LAPSE * HEARTBEAT_MS));
                 }
                 self.at(until, Event::Watches);
             }
@@ -840,6 +887,7 @@
                     self.observer.dies(&self.upstreams[index].life());
                 }
             }
+            Act::Drill(age_ms, away_ms) => self.drill(age_ms, away_ms),
             Act::CutWatches => self.cut(|_| true),
             Act::Enter => self.enter(),
             Act::Hush(each) => {
@@ -865,7 +913,12 @@
                 self.slow = Some((times, until));
                 self.observer.store_disturbed(until);
             }
-            Act::Configure | Act::Depart(_) | Act::Leave(_) | Act::Restart(_) | Act::Spoil(..)
+            Act::Configure
+            | Act::Rewrite
+            | Act::Depart(_)
+            | Act::Leave(_)
+            | Act::Restart(_)
+            | Act::Spoil(..)
                 if self.is_away() =>
             {
                 // Operators and upstreams try again.
@@ -881,7 +934,7 @@
                     self.spoil(index, millis);
                 }
             }
-            Act::Configure => {
+            Act::Configure | Act::Rewrite => {
                 let revision = self.registry.configure(now);
                 self.observer.configured(revision, now);
                 self.watches();
--- a/crates/standin/src/observer.rs
+++ b/crates/standin/src/observer.rs
@@ -35,11 +35,26 @@
     calm_from: Time,
     calls: VecDeque<Time>,
     configuration: u64,
+    /// Upstreams that it ever gave work to.
+    ever: BTreeSet<String>,
     /// Upstreams, and whether they are known to leave.
     listed: BTreeMap<String, bool>,
+    /// Upstreams that it knew to have left when the store came back from a copy.
+    known_gone: BTreeSet<String>,
     running: bool,
 }
 
+impl Belief {
+    /// Whether it knows that an upstream left.
+    fn knows_gone(&self, name: &str) -> bool {
+        self.running && self.ever.contains(name) && self.listed.get(name) != Some(&false)
+    }
+}
+
+/// Time in which the entry of an upstream that is gone lapses in a store that came back from a copy, in milliseconds: three
+/// heartbeats.
+const LAPSES_MS: u64 = 3_600;
+
 /// Calls of the store that an instance may make in a second: one that can not serve anybody tries ten times for the
 /// configuration, and for the list, the other instances and its lease as often together; the rest is for changes.
 const CALLS_A_SECOND: usize = 25;
@@ -120,9 +135,37 @@
         self.configurations.push((revision, now));
     }
 
+    /// The store came back from a copy then, with only the first configurations. What it was told since the copy binds those that have
+    /// heard it and nobody else: upstreams say it again with their next write, and those that are gone lapse.
+    pub fn lost(&mut self, configurations: u64, until: Time) {
+        self.configurations
+            .retain(|(revision, _)| *revision <= configurations);
+        for at in self.leaves.values_mut() {
+            *at = (*at).max(until.after(LAPSES_MS));
+        }
+        for belief in &mut self.beliefs {
+            belief.known_gone = self
+                .leaves
+                .keys()
+                .filter(|name| belief.knows_gone(name))
+                .cloned()
+                .collect();
+        }
+    }
+
+    /// The entry of an upstream that is gone is there up to then: the store lost its end, and leases wait while it is down.
+    pub fn lapses(&mut self, name: &str, at: Time) {
+        if let Some(left) = self.leaves.get_mut(name) {
+            *left = at.max(*left);
+        }
+    }
+
     /// An upstream entered itself, also where another writer's entry stood: what is told of that one may come yet.
     pub fn lives(&mut self, name: &str, now: Time) {
         self.leaves.remove(name);
+        for belief in &mut self.beliefs {
+            belief.known_gone.remove(name);
+        }
         if self.living.insert(name.to_owned()) {
             self.entered.insert(name.to_owned(), now);
         }
@@ -157,6 +200,8 @@
         let calm_ms = self.rules.calm_ms;
         let belief = &mut self.beliefs[instance];
         let calm = now.since(belief.calm_from) >= calm_ms;
+        let ready = listed.iter().filter(|(_, leaving)| !**leaving);
+        belief.ever.extend(ready.map(|(name, _)| name.clone()));
         let before = std::mem::replace(&mut belief.listed, listed);
         let listed = &belief.listed;
         let reverted = before
@@ -173,7 +218,12 @@
             .filter(|name| calm && !listed.contains_key(*name) && self.living.contains(*name))
             .filter(|name| !entered(name))
             .map(|name| format!("instance {instance} gives up {name}, which lives"));
-        let texts: Vec<String> = reverted.chain(given_up).collect();
+        let back = belief
+            .known_gone
+            .iter()
+            .filter(|name| listed.get(*name) == Some(&false) && !self.living.contains(*name))
+            .map(|name| format!("instance {instance} believes again in {name}, which left"));
+        let texts: Vec<String> = reverted.chain(given_up).chain(back).collect();
         for text in texts {
             self.violate(now, &text);
         }
--- a/crates/standin/src/placing.rs
+++ b/crates/standin/src/placing.rs
@@ -10,6 +10,7 @@
     effect::{Effect, Sending},
     event::{Event, Failure, Listed, Submission},
     life::Life,
+    position::Position,
     request::{Caller, Relay},
     settings::Settings,
     sighting::{Sighting, Stage},
@@ -53,7 +54,7 @@
         leaving: false,
         name: format!("engine-{index}"),
         pool: "engines".into(),
-        since: 0,
+        since: Position::default(),
         slots: 32,
     }
 }
--- a/crates/standin/src/pool.rs
+++ b/crates/standin/src/pool.rs
@@ -9,6 +9,7 @@
     clock::Time,
     effect::Sending,
     event::{Event, Failure, Listed, Verdict},
+    position::Position,
     upstream,
 };
 
@@ -125,7 +126,7 @@
             leaving: upstream.leaving.is_some(),
             name: format!("{index}-{}", upstream.life),
             pool: if upstream.calls { "desk" } else { "engines" }.into(),
-            since: 0,
+            since: Position::default(),
             slots: 0,
         };
         self.upstreams.iter().enumerate().map(listed).collect()
--- a/crates/standin/src/registry.rs
+++ b/crates/standin/src/registry.rs
@@ -7,13 +7,18 @@
     config::Config,
     event::Listed,
     lesson::{Age, Answer, Call, Content, Topic},
+    position::Position,
     roster::{Change, Entry},
 };
 
 /// Age that reads may have which may be old, in milliseconds.
 const OLD_MS: u64 = 300;
 
+/// Age of the oldest copy from which it comes back, in milliseconds.
+const COPY_MS: u64 = 5_000;
+
 /// An upstream's entry.
+#[derive(Clone)]
 struct Item {
     entry: Entry,
     lapses: Time,
@@ -28,8 +33,20 @@
     Upstream(Change),
 }
 
+/// What the store held at a moment.
+#[derive(Clone)]
+struct Snapshot {
+    configurations: Vec<(Time, u64, u64)>,
+    items: BTreeMap<String, Item>,
+    revision: u64,
+}
+
 /// The store.
 pub(crate) struct Registry {
+    /// How often it has come back from a copy.
+    pub era: u64,
+    /// What it held of late, oldest first.
+    snapshots: VecDeque<(Time, Snapshot)>,
     /// Revisions of configurations, with when they were written, and the store's revision then.
     configurations: Vec<(Time, u64, u64)>,
     history: Vec<(u64, Past)>,
@@ -43,6 +60,8 @@
     /// A store with a first configuration.
     pub fn new() -> Self {
         let mut registry = Self {
+            era: 0,
+            snapshots: VecDeque::new(),
             configurations: Vec::new(),
             history: Vec::new(),
             items: BTreeMap::new(),
@@ -53,6 +72,54 @@
         registry
     }
 
+    /// Where its history stands.
+    fn position(&self) -> Position {
+        Position::new(self.era, self.revision)
+    }
+
+    /// Keeps a copy of what it holds.
+    pub fn copy(&mut self, now: Time) {
+        let old = |(at, _): &mut (Time, Snapshot)| now.since(*at) > COPY_MS;
+        while self.snapshots.pop_front_if(old).is_some() {}
+        let snapshot = Snapshot {
+            configurations: self.configurations.clone(),
+            items: self.items.clone(),
+            revision: self.revision,
+        };
+        self.snapshots.push_back((now, snapshot));
+    }
+
+    /// Comes back from a copy that is so old, or the oldest one; whether there was any. What was written since is gone, and
+    /// revisions are given out again. How many configurations there had been.
+    pub fn restore(&mut self, age_ms: u64, now: Time) -> usize {
+        let written = self.configurations.len();
+        let old = |(at, _): &&(Time, Snapshot)| now.since(*at) >= age_ms;
+        let copy = self.snapshots.iter().rev().find(old);
+        let Some((_, copy)) = copy.or(self.snapshots.front()).cloned() else {
+            return written;
+        };
+        self.era += 1;
+        self.snapshots.clear();
+        self.configurations = copy.configurations;
+        self.items = copy.items;
+        self.revision = copy.revision;
+        self.oldest = self.oldest.min(copy.revision);
+        let since = |(revision, _): &(u64, Past)| *revision <= copy.revision;
+        self.history.retain(since);
+        written
+    }
+
+    /// Whether another writer's entry stands under a name.
+    pub fn is_odd(&self, name: &str) -> bool {
+        let item = self.items.get(name);
+        item.is_some_and(|item| item.entry == Entry::Odd)
+    }
+
+    /// How many configurations it has had.
+    pub fn configured(&self) -> usize {
+        self.configurations.len()
+    }
+
     /// Writes the next configuration; its revision.
     pub fn configure(&mut self, now: Time) -> u64 {
         self.revision += 1;
@@ -66,7 +133,8 @@
     /// Writes an upstream's entry, which lapses then; only another state of it is a change.
     pub fn enter(&mut self, mut listed: Listed, lapses: Time) {
         let known = self.items.get(&listed.name);
-        listed.since = known.map_or(self.revision + 1, |item| item.since);
+        let since = known.map_or(self.revision + 1, |item| item.since);
+        listed.since = Position::new(self.era, since);
         let name = listed.name.clone();
         self.write(&name, Entry::Listed(listed), lapses);
     }
@@ -88,7 +156,7 @@
         let change = Change {
             entry: entry.clone(),
             name: name.to_owned(),
-            revision,
+            position: self.position(),
         };
         self.history.push((revision, Past::Upstream(change)));
         let since = self.items.get(name).map_or(revision, |item| item.since);
@@ -132,7 +200,7 @@
         let change = Change {
             entry: Entry::Gone,
             name: name.to_owned(),
-            revision: self.revision,
+            position: self.position(),
         };
         self.history.push((self.revision, Past::Upstream(change)));
     }
@@ -140,9 +208,10 @@
     /// The answer to a call; `None` while a waiting read sees no change.
     pub fn answer(&self, call: &Call, now: Time, over: bool) -> Option<Answer> {
         let Some(since) = call.since else {
-            return Some(Answer::Known(self.all(call, now), self.revision));
+            return Some(Answer::Known(self.all(call, now), self.position()));
         };
-        if since < self.oldest {
+        let since = since.revision;
+        if since < self.oldest || since > self.revision {
             return Some(Answer::Forgotten);
         }
         let behind = self
@@ -167,7 +236,7 @@
                 (Content::Upstreams(changes), changed)
             }
         };
-        (changed || over).then_some(Answer::Known(content, self.revision))
+        (changed || over).then_some(Answer::Known(content, self.position()))
     }
 
     fn all(&self, call: &Call, now: Time) -> Content {
@@ -185,7 +254,7 @@
                 let items = self.items.iter().map(|(name, item)| Change {
                     entry: item.entry.clone(),
                     name: name.clone(),
-                    revision: item.revision,
+                    position: Position::new(self.era, item.revision),
                 });
                 Content::Upstreams(items.collect())
             }
--- a/crates/standin/src/rush.rs
+++ b/crates/standin/src/rush.rs
@@ -12,6 +12,7 @@
     effect::{Effect, Sending},
     event::{Event, Failure, Listed, Verdict},
     notice::{Notice, Rest},
+    position::Position,
     request::{Caller, Relay},
     settings::{Calls, Settings},
     upstream,
@@ -435,7 +436,7 @@
             leaving: false,
             name: format!("desk-{index}"),
             pool: "desk".into(),
-            since: 0,
+            since: Position::default(),
             slots: self.plan.slots as u32,
         };
         (0..HOMES.len()).map(listed).collect()
--- a/crates/standin/src/scenario.rs
+++ b/crates/standin/src/scenario.rs
@@ -74,9 +74,31 @@
     ]
 }
 
+/// Whether the store comes back from older copies in runs.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Drills {
+    /// Beside all other faults.
+    Among,
+    /// Never.
+    None,
+}
+
+/// The store comes back from an older copy, or anything else happens.
+fn act_or_drill(drills: Drills) -> BoxedStrategy<Act> {
+    let drill = (
+        100..5_000_u64,
+        prop_oneof![1..50_u64, 50..1_000_u64, 1_000..10_000_u64],
+    )
+        .prop_map(|(age_ms, away_ms)| Act::Drill(age_ms, away_ms));
+    match drills {
+        Drills::Among => prop_oneof![1 => drill, 3 => act()].boxed(),
+        Drills::None => act().boxed(),
+    }
+}
+
 /// Runs of fleets with such numbers of instances.
-pub fn runs(sizes: &'static [usize]) -> impl Strategy<Value = Run> {
-    let steps = proptest::collection::vec((500..STEPS_MS, act()), 1..STEPS);
+pub fn runs(sizes: &'static [usize], drills: Drills) -> impl Strategy<Value = Run> {
+    let steps = proptest::collection::vec((500..STEPS_MS, act_or_drill(drills)), 1..STEPS);
     let instances = proptest::sample::select(sizes);
     let leave_ms = proptest::sample::select(LEAVE_MS.to_vec());
     (
@@ -118,7 +140,7 @@
 }
 
 /// Plays random runs until some number of them, or one that breaks a rule, which is made as short as can be.
-pub fn search(seed: u64, runs_most: u32, sizes: &'static [usize]) -> Found {
+pub fn search(seed: u64, runs_most: u32, sizes: &'static [usize], drills: Drills) -> Found {
     let config = Config {
         cases: runs_most,
         failure_persistence: None,
@@ -133,7 +155,7 @@
     );
     let mut runner = TestRunner::new_with_rng(config, random);
     let (events, played) = (AtomicU64::new(0), AtomicU64::new(0));
-    let result = runner.run(&runs(sizes), |run| {
+    let result = runner.run(&runs(sizes, drills), |run| {
         let outcome = play(&run);
         events.fetch_add(outcome.events, Ordering::Relaxed);
         played.fetch_add(1, Ordering::Relaxed);
--- a/crates/standin/src/shelf.rs
+++ b/crates/standin/src/shelf.rs
@@ -202,6 +202,7 @@
         state.era += 1;
         state.items = copy.items.clone();
         state.revision = copy.revision;
+        state.oldest = state.oldest.min(copy.revision);
         state.leases.retain(|id, _| copy.leases.contains(id));
         state
             .history
--- a/crates/standin/src/surge.rs
+++ b/crates/standin/src/surge.rs
@@ -12,6 +12,7 @@
     core::Core,
     effect::{Effect, Sending},
     event::{Event, Failure, Listed},
+    position::Position,
     request::{Caller, Relay},
     settings::{Room, Settings},
 };
@@ -258,7 +259,7 @@
             leaving: false,
             name: format!("engine-{index}"),
             pool: "engines".into(),
-            since: 0,
+            since: Position::default(),
             slots: 0,
         };
         let list: Vec<Listed> = (0..plan.engines).map(listed).collect();
--- a/crates/standin/src/trial.rs
+++ b/crates/standin/src/trial.rs
@@ -25,6 +25,8 @@
     CutWatches,
     /// An upstream ends its entry without having said that it leaves.
     Depart(usize),
+    /// The store is away for some time and comes back from a copy that was as old when that began: age, time away.
+    Drill(u64, u64),
     /// An upstream enters itself.
     Enter,
     /// The store forgets its history.
@@ -47,6 +49,8 @@
     Refuse(usize, Failing, u64),
     /// An upstream ends and starts again at once under its name.
     Restart(usize),
+    /// The operator writes again a configuration that the store has lost.
+    Rewrite,
     /// The store takes so many times as long for some time.
     Slow(u64, u64),
     /// Another writer's entry stands over an upstream's for some time.
--- a/crates/standin/src/world.rs
+++ b/crates/standin/src/world.rs
@@ -14,6 +14,7 @@
     effect::{self, Effect, Sending},
     event::{Event, Failure, Listed},
     kind::Ran,
+    position::Position,
     request::{self, Caller as Connection},
     settings::Settings,
     upstream::Load,
@@ -466,7 +467,7 @@
                 leaving: self.left[index].is_some(),
                 name: self.upstreams[index].name.clone(),
                 pool: pool_of(index, self.engines).into(),
-                since: 0,
+                since: Position::default(),
                 slots: 0,
             })
             .chain((0..self.instances.len()).map(|index| Listed {
@@ -476,7 +477,7 @@
                 leaving: false,
                 name: format!("entry-{index}"),
                 pool: wellplank_core::core::INSTANCE_POOL.into(),
-                since: 0,
+                since: Position::default(),
                 slots: 0,
             }))
             .collect();
--- a/crates/standin/tests/learning.rs
+++ b/crates/standin/tests/learning.rs
@@ -4,7 +4,7 @@
     googletest::prelude::*,
     wellplank_standin::{
         observer::Rules,
-        scenario::{self, LARGE, SMALL},
+        scenario::{self, Drills, LARGE, SMALL},
         trial::{Act, Failing, Run},
     },
 };
@@ -32,14 +32,17 @@
 
 #[gtest]
 fn random_small_fleets_break_no_rule() {
-    let found = scenario::search(1, RUNS, SMALL);
+    let found = scenario::search(1, RUNS, SMALL, Drills::None);
     expect_that!(found.broken, none());
     expect_that!(found.runs, eq(u64::from(RUNS)));
 }
 
 #[gtest]
 fn random_large_fleets_break_no_rule() {
-    expect_that!(scenario::search(100, 1_000, LARGE).broken, none());
+    expect_that!(
+        scenario::search(100, 1_000, LARGE, Drills::None).broken,
+        none()
+    );
 }
 
 #[gtest]
@@ -125,3 +128,84 @@
         }
     }
 }
+
+/// The copy lacks a word that instances know, and the entry from before it is back.
+#[gtest]
+fn upstream_that_left_is_not_believed_again_in_an_older_copy() {
+    for leave in [Act::Leave(0), Act::Depart(0), Act::Restart(0)] {
+        for instances in [1, 6, 14, 24] {
+            let steps = [(12_000, leave), (12_700, Act::Drill(900, 400))];
+            let run = fleet((instances, 2, 4), 2_000, 5, &steps);
+            expect_that!(
+                violations(&run),
+                is_empty(),
+                "{instances} instances, {leave:?}"
+            );
+        }
+    }
+}
+
+/// Revisions are given out again, and a watch that went on from before would miss what stands there now.
+#[gtest]
+fn changes_behind_an_older_copy_are_known_in_time() {
+    for instances in [1, 6, 14, 24] {
+        let steps = [
+            (6_000, Act::Configure),
+            (7_000, Act::Enter),
+            (8_000, Act::Leave(1)),
+            (9_500, Act::Drill(4_000, 600)),
+            (10_200, Act::Leave(0)),
+            (10_300, Act::Configure),
+            (12_000, Act::Drill(1_000, 10)),
+            (12_100, Act::Depart(2)),
+        ];
+        let run = fleet((instances, 2, 6), 2_000, 6, &steps);
+        expect_that!(violations(&run), is_empty(), "{instances} instances");
+    }
+}
+
+/// One that was refused for long behind a return was asked as seldom as a store that never answers.
+#[gtest]
+fn instance_that_is_refused_across_a_return_knows_in_time_behind_it() {
+    let steps = [
+        (17_535, Act::Leave(0)),
+        (10_347, Act::Drill(100, 3_968)),
+        (2_278, Act::Drill(100, 1)),
+        (15_241, Act::Away(Failing::Busy, 2_048, false)),
+        (13_299, Act::Refuse(2, Failing::Silent, 6_842)),
+    ];
+    let run = fleet((6, 1, 7), 2_000, 6_321_922_161_080_517_780, &steps);
+    expect_that!(violations(&run), is_empty());
+}
+
+#[gtest]
+fn random_small_fleets_with_drills_break_no_rule() {
+    let found = scenario::search(1, RUNS, SMALL, Drills::Among);
+    expect_that!(found.broken, none());
+}
+
+/// An instance that never saw the former life of an upstream finds it in an older copy.
+#[gtest]
+fn life_before_the_one_that_is_known_does_not_take_its_place() {
+    let steps = [
+        (951, Act::Restart(0)),
+        (1_537, Act::Drill(538, 2_755)),
+        (500, Act::Kill(0, 500)),
+    ];
+    for instances in [1, 14] {
+        let run = fleet((instances, 1, 2), 2_000, 0, &steps);
+        expect_that!(violations(&run), is_empty(), "{instances} instances");
+    }
+}
+
+/// Another writer's entry stood where one had left when the store lost both.
+#[gtest]
+fn upstream_that_left_behind_a_spoilt_entry_is_not_believed_again() {
+    let steps = [
+        (9_001, Act::Spoil(8, 289)),
+        (9_001, Act::Depart(15)),
+        (9_046, Act::Drill(100, 1)),
+    ];
+    let run = fleet((14, 1, 7), 2_000, 0, &steps);
+    expect_that!(violations(&run), is_empty());
+}
