Soak: the store comes back from older copies; a store that forgets all is asked with pauses

Cause: the soak's store never lost what it had taken; and virtual time showed that behind each 410 all was read at once, however often. Ruled out: a pause behind the first 410 (a store that forgets once must be read at once).

--- a/crates/core/src/informer.rs
+++ b/crates/core/src/informer.rs
@@ -239,11 +239,7 @@
         let confirms = self.line(call.topic).out.is_some_and(|out| out.confirms);
         self.line_mut(call.topic).answer();
         match answer {
-            Answer::Forgotten => {
-                let line = self.line_mut(call.topic);
-                line.position = None;
-                line.ready = now;
-            }
+            Answer::Forgotten => self.line_mut(call.topic).forget(now),
             Answer::Known(_, position) if self.is_outdated(call, position) => {
                 let line = self.line_mut(call.topic);
                 line.position = None;
@@ -261,6 +257,9 @@
         let Some(to) = self.line(topic).position else {
             return;
         };
+        if call.since.is_some() {
+            self.line_mut(topic).remember();
+        }
         self.line_mut(topic).confirmed = now;
         if confirms && self.turn.count > 1 {
             self.outputs.push(Output::Confirm(Confirmed { to, topic }));
--- a/crates/core/src/line.rs
+++ b/crates/core/src/line.rs
@@ -68,6 +68,8 @@
     pause_ms: u64,
     /// Failures in a row.
     failures: u32,
+    /// Whether the store had forgotten what was asked for last.
+    forgotten: bool,
     /// Whether calls are made again soon behind a failure.
     hurried: bool,
     /// Time before which the store is not asked, since changes gather.
@@ -89,6 +91,7 @@
             patience_ms: PATIENCE_MS,
             pause_ms: 0,
             failures: 0,
+            forgotten: false,
             hurried: false,
             position: None,
             ready: Time::default(),
@@ -131,6 +134,20 @@
         self.out = None;
     }
 
+    /// Notes that the store has forgotten what changed: all is read at once, and behind a second time in a row after a pause, as
+    /// a store that forgets all would else be asked 200 times a second.
+    pub(crate) fn forget(&mut self, now: Time) {
+        let pause = if self.forgotten { *RETRY_MS.start() } else { 0 };
+        self.forgotten = true;
+        self.position = None;
+        self.ready = now.after(pause);
+    }
+
+    /// Notes that changes were told.
+    pub(crate) fn remember(&mut self) {
+        self.forgotten = false;
+    }
+
     /// Begins anew, as far as what is known goes: the store has come back from a copy. Calls are soon again, since it serves
     /// somebody: behind sixteen failures before, an instance that was refused knew 0.2 s too late of an upstream that left.
     pub(crate) fn begin_again(&mut self, now: Time) {
--- a/crates/standin/src/departure.rs
+++ b/crates/standin/src/departure.rs
@@ -77,6 +77,15 @@
         self.taken.entry(life).or_default().push(span);
     }
 
+    /// Notes that the store lost the word of a life, coming back from an older copy: it binds from then on only.
+    pub fn lose(&mut self, life: Life, binds: Time) {
+        let spans = self.taken.entry(life).or_default();
+        let open = spans.iter_mut().filter(|span| span.to == Time(u64::MAX));
+        for span in open {
+            span.from = span.from.max(binds);
+        }
+    }
+
     /// Notes that the store took a good entry of it again.
     pub fn take_back(&mut self, life: Life, now: Time) {
         if let Some(span) = self.taken.entry(life).or_default().last_mut() {
--- a/crates/standin/src/leaving.rs
+++ b/crates/standin/src/leaving.rs
@@ -8,6 +8,7 @@
 use departure::{Arrival, Record, Rule, Scope};
 use proxy::{Hushed, Mode as Way};
 use said::{Refusal, Said};
+use shelf::Copy;
 use soak::{Outcome, Plan, Soak};
 use wellplank_core::{absence::Span, clock::Time, life::Life};
 use worker::{Mode, Remark};
@@ -48,6 +49,22 @@
     leave_ms: 2_000,
 };
 
+/// Sets the chance of returns of the store from older copies apart from that of faults.
+const DRILLS: u64 = 0x5eed_0040;
+
+/// Time between two copies of the store, and copies that are kept.
+const COPY_EACH: Duration = Duration::from_secs(1);
+const COPIES: usize = 5;
+
+/// Time for which the store is away before it comes back from a copy, in milliseconds.
+const DRILL_MS: std::ops::Range<u64> = 10..1_200;
+
+/// Time in which upstreams and the operator write again what a copy lacks, in milliseconds: a heartbeat of upstreams.
+const REWRITE_MS: u64 = 1_200;
+
+/// Time in which an entry lapses that nobody writes again, in milliseconds: three heartbeats.
+const LAPSE_MS: u64 = 3_600;
+
 /// Sets the chance of restarts and other writers apart from that of faults.
 const EXTRAS: u64 = 0x5eed_0032;
 
@@ -63,8 +80,14 @@
 /// Something that is due at a time.
 #[derive(Clone, Copy, Debug)]
 enum Due {
+    /// The operator writes the configuration again.
+    Configure,
+    /// The store goes away, to come back from an older copy.
+    Drill,
     /// A fault ends.
     Heal(Fault),
+    /// Entries end that nobody has written since the store came back from a copy.
+    Lapse,
     /// An upstream leaves; with a word or without one.
     Leave(bool),
     /// Another writer writes over an upstream's entry.
@@ -77,6 +100,10 @@
     Restart,
     /// An upstream that left ends, and another takes its place.
     Replace(usize),
+    /// The store comes back from a copy.
+    Return(usize),
+    /// An upstream writes its entry, which a copy of the store may lack.
+    Rewrite(usize),
     /// An upstream takes requests again.
     Take(usize),
 }
@@ -97,12 +124,19 @@
 /// A running soak and what is due in it.
 struct Leaving {
     begun: Instant,
+    /// Copies of the store of late, and when the last one was taken.
+    copies: VecDeque<Copy>,
+    copied: Instant,
+    /// Chance of returns of the store from older copies.
+    drills: Pcg64Mcg,
     due: Vec<(Time, Due)>,
     /// Chance of restarts and other writers, beside the seed's own series of faults.
     extras: Pcg64Mcg,
     faults: usize,
     /// Which upstreams leave.
     left: BTreeSet<usize>,
+    /// Which of them said so in the store.
+    words: BTreeSet<usize>,
     record: Record,
     said: Said,
     soak: Soak,
@@ -112,10 +146,14 @@
 pub async fn run(plan: Plan) -> Outcome {
     let mut leaving = Leaving {
         begun: Instant::now(),
+        copied: Instant::now(),
+        copies: VecDeque::new(),
+        drills: Pcg64Mcg::seed_from_u64(plan.seed ^ DRILLS),
         due: Vec::new(),
         extras: Pcg64Mcg::seed_from_u64(plan.seed ^ EXTRAS),
         faults: 0,
         left: BTreeSet::new(),
+        words: BTreeSet::new(),
         record: Record::new(RULE),
         said: Said::default(),
         soak: Soak::start(plan),
@@ -155,6 +193,10 @@
             let word = self.soak.random.random_range(0..3) > 0;
             self.due.push((at, Due::Leave(word)));
         }
+        if self.drills.random_range(0..3) == 0 {
+            let at = self.now().after(self.drills.random_range(LEAVES_MS));
+            self.due.push((at, Due::Drill));
+        }
         for due in [Due::Odd, Due::Restart, Due::Rest] {
             if self.extras.random() {
                 let at = self.now().after(self.extras.random_range(LEAVES_MS));
@@ -176,13 +218,23 @@
             for due in due {
                 self.happen(due);
             }
+            if self.copied.elapsed() >= COPY_EACH {
+                self.copied = Instant::now();
+                self.copies.push_back(self.soak.shelf.copy());
+                if self.copies.len() > COPIES {
+                    self.copies.pop_front();
+                }
+            }
             sleep(STEP).await;
         }
     }
 
     fn happen(&mut self, due: Due) {
         match due {
+            Due::Configure => self.soak.configure(),
+            Due::Drill => self.drill(),
             Due::Heal(fault) => self.heal(fault),
+            Due::Lapse => self.lapse(),
             Due::Leave(word) => self.leave(word),
             Due::Odd => self.write_over(),
             Due::Reenter(seat) => {
@@ -195,12 +247,90 @@
                 self.left.remove(&seat);
                 self.soak.revive(seat);
             }
+            Due::Return(copy) => self.come_back(copy),
+            Due::Rewrite(seat) => self.rewrite(seat),
             Due::Rest => self.ask_for_rest(),
             Due::Restart => self.restart(),
             Due::Take(seat) => self.soak.seats[seat].worker.set(Mode::Good),
         }
     }
 
+    /// Has the store go away for a moment, to come back from a copy, unless it fails already.
+    fn drill(&mut self) {
+        let fails =
+            |(_, due): &(Time, Due)| matches!(due, Due::Heal(Fault::Store) | Due::Return(_));
+        if self.copies.is_empty() || self.due.iter().any(fails) {
+            return;
+        }
+        let copy = self.drills.random_range(0..self.copies.len());
+        let away = self.drills.random_range(DRILL_MS);
+        self.write(&format!(
+            "the store is away for {away} ms, and back from copy {copy}"
+        ));
+        self.soak.shelf.away(true);
+        let (from, to) = (self.now(), self.now().after(away));
+        let to_late = to.after(2 * STEP.as_millis() as u64);
+        let span = Span { from, to: to_late };
+        self.record.disturb(Scope::Store, span);
+        self.due.push((to, Due::Return(copy)));
+    }
+
+    /// Has the store come back from a copy. What this lacks its owners write again; entries of those that are gone lapse.
+    fn come_back(&mut self, copy: usize) {
+        let Some(copy) = self.copies.get(copy).cloned() else {
+            return;
+        };
+        self.copies.clear();
+        self.soak.shelf.restore(&copy);
+        self.soak.shelf.away(false);
+        let now = self.now();
+        let lapsed = now.after(LAPSE_MS);
+        let entries = copy.values("servers/");
+        let lives: Vec<Life> = (0..self.soak.seats.len())
+            .map(|seat| self.soak.life(seat))
+            .collect();
+        for (seat, life) in lives.into_iter().enumerate() {
+            let name = &self.soak.seats[seat].worker.name;
+            let entry = entries.get(format!("servers/{name}").as_str());
+            if entry.is_some_and(|entry| entry["state"] == "ready") {
+                self.record.lose(life, lapsed);
+            }
+            let at = now.after(self.drills.random_range(0..REWRITE_MS));
+            self.due.push((at, Due::Rewrite(seat)));
+        }
+        let at = now.after(self.drills.random_range(0..REWRITE_MS));
+        self.due.push((at, Due::Configure));
+        self.due.push((lapsed, Due::Lapse));
+    }
+
+    /// Has an upstream write its entry as it is, unless it left without a word or another writer's stands there.
+    fn rewrite(&self, seat: usize) {
+        let leaves = self.soak.seats[seat].worker.remark().leaving;
+        let key = format!("servers/{}", self.soak.seats[seat].worker.name);
+        if !self.left.contains(&seat) {
+            self.soak.enter(seat, "ready");
+        } else if leaves && self.words.contains(&seat) {
+            self.soak.enter(seat, "draining");
+        } else if leaves {
+            self.soak.shelf.remove(&key);
+        }
+    }
+
+    /// Ends the entries of upstreams that are none of those there are.
+    fn lapse(&mut self) {
+        let names = self
+            .soak
+            .seats
+            .iter()
+            .map(|seat| format!("servers/{}", seat.worker.name));
+        let names: BTreeSet<String> = names.collect();
+        for key in self.soak.shelf.keys("servers/") {
+            if !names.contains(&key) {
+                self.soak.shelf.remove(&key);
+            }
+        }
+    }
+
     /// Has an upstream turn requests away for a moment and ask for rest.
     fn ask_for_rest(&mut self) {
         let seat = self.extras.random_range(0..self.soak.seats.len());
@@ -382,7 +512,9 @@
             ..worker.remark()
         });
         let name = worker.name.clone();
+        self.words.remove(&seat);
         if word {
+            self.words.insert(seat);
             self.soak.enter(seat, "draining");
         } else {
             self.soak.shelf.remove(&format!("servers/{name}"));
--- a/crates/standin/src/shelf.rs
+++ b/crates/standin/src/shelf.rs
@@ -44,6 +44,18 @@
     revision: u64,
 }
 
+impl Copy {
+    /// Values of its items whose keys start with a prefix, by key.
+    pub fn values(&self, prefix: &str) -> BTreeMap<&str, Value> {
+        let items = self.items.iter();
+        let items = items.filter(|(key, _)| key.starts_with(prefix));
+        let value = |item: &Item| serde_json::from_slice(&item.value).unwrap_or_default();
+        items
+            .map(|(key, item)| (key.as_str(), value(item)))
+            .collect()
+    }
+}
+
 /// A change: its revision, the key, and the value unless the key went.
 struct Change {
     item: Option<Item>,
