Who kept a request that ends its upstreams removes it, and nobody else; prints are hashed once

Cause: left by earlier work: when such a request was free again every instance removed its key, and a print was hashed twice at admission, by three copies of the same code. Ruled out: a lease for such keys (they outlive all instances).

--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -165,12 +165,13 @@
         if !customer.services.is_empty() && !customer.services.contains(&service.name) {
             return Err(Kind::Unauthorized.into());
         }
-        if self.is_guilty(Print::new(&customer.name, submission.fingerprint)) {
+        let print = Print::new(&customer.name, submission.fingerprint);
+        if self.is_guilty(print) {
             return Err(Kind::Quarantined.into());
         }
         self.check_work(&submission, &service)?;
         self.check_room(&customer, &service, &submission)?;
-        let mut request = self.request(submission, customer, service)?;
+        let mut request = self.request(submission, customer, service, print)?;
         self.note_size(&request);
         let checked = self.check_rest(&request);
         let checked = checked.and_then(|()| self.check_time(&request));
@@ -357,6 +358,7 @@
         submission: event::Submission,
         customer: Arc<config::Customer>,
         service: Arc<config::Service>,
+        print: Print,
     ) -> Result<Request, Kind> {
         let cursor = match &submission.cursor {
             None => None,
@@ -390,7 +392,6 @@
         };
         let received = submission.received.unwrap_or_default();
         let digest = Digest::of(&received);
-        let print = Print::new(&customer.name, submission.fingerprint);
         if let Some(cursor) = &cursor
             && !received.is_empty()
             && (received.len() != cursor.position as usize || digest != cursor.digest)
--- a/crates/core/src/effect.rs
+++ b/crates/core/src/effect.rs
@@ -169,8 +169,14 @@
         /// The upstream.
         life: Life,
     },
-    /// Log that a request which was refused is not any more: another one explains the ends, or they lapsed.
-    Free(Print),
+    /// Log that a request which was refused is not any more, and have it forgotten where it is kept: another one explains the
+    /// ends, or they lapsed.
+    Free {
+        /// Whether this instance saw one of the ends itself, and so had the request kept.
+        own: bool,
+        /// The request.
+        print: Print,
+    },
     /// Hold ready what is known of unplanned ends of upstreams, which has changed.
     Keep(Account),
     /// Log that a request is refused from now on, and have it refused after the loss of all instances too.
--- a/crates/core/src/print.rs
+++ b/crates/core/src/print.rs
@@ -13,12 +13,16 @@
         let mut hasher = blake3::Hasher::new();
         hasher.update(&fingerprint.to_le_bytes());
         hasher.update(customer.as_bytes());
-        let hash = hasher.finalize();
-        let bytes = hash.as_bytes().first_chunk().copied().unwrap_or_default();
-        Self(u64::from_le_bytes(bytes))
+        Self(first(&hasher.finalize()))
     }
 }
 
+/// The first 64 bits of a hash.
+pub fn first(hash: &blake3::Hash) -> u64 {
+    let bytes = hash.as_bytes().first_chunk().copied();
+    u64::from_le_bytes(bytes.unwrap_or_default())
+}
+
 impl Display for Print {
     fn fmt(&self, formatter: &mut Formatter) -> fmt::Result {
         write!(formatter, "{:016x}", self.0)
--- a/crates/core/src/suspicion.rs
+++ b/crates/core/src/suspicion.rs
@@ -53,6 +53,17 @@
 }
 
 impl Suspicion {
+    /// Whether this instance saw one of some lives end itself.
+    fn saw(&self, lives: &BTreeSet<Life>) -> bool {
+        lives.iter().any(|life| self.seen.contains(life))
+    }
+
+    /// Guilty requests of whose ends this instance saw one itself.
+    fn own_guilty(&self) -> BTreeSet<Print> {
+        let own = self.guilty.iter().filter(|(_, lives)| self.saw(lives));
+        own.map(|(print, _)| *print).collect()
+    }
+
     /// Whether a request was at any end, or may have been.
     fn knows(&self, print: Print) -> bool {
         self.ends(print) > 0
@@ -193,6 +204,7 @@
 
     /// Finds out who is guilty by all that is known, and gives up on what is.
     fn judge(&mut self) {
+        let own = self.suspicion.own_guilty();
         let suspicion = &mut self.suspicion;
         let rule = self.settings.quarantine;
         suspicion.account.trim(rule, self.now);
@@ -209,7 +221,9 @@
         let freed = |print: &&Print| !self.suspicion.guilty.contains_key(print);
         let freed: Vec<Print> = before.keys().filter(freed).copied().collect();
         for print in freed {
-            self.decide(effect::Quarantine::Free(print));
+            // Only who kept it removes it: else each of hundreds would write when one lapses.
+            let own = own.contains(&print);
+            self.decide(effect::Quarantine::Free { own, print });
         }
         let account = self.suspicion.account.clone();
         self.decide(effect::Quarantine::Keep(account));
@@ -219,8 +233,7 @@
     fn condemn(&mut self, print: Print) {
         self.count(Counter::Quarantined);
         let suspicion = &self.suspicion;
-        let mut lives = suspicion.guilty[&print].iter();
-        let own = lives.any(|life| suspicion.seen.contains(life));
+        let own = suspicion.saw(&suspicion.guilty[&print]);
         let ends = suspicion.account.of(print);
         self.decide(effect::Quarantine::Refuse { ends, own, print });
         let tries: Vec<request::Key> = self
--- a/crates/core/src/upstream.rs
+++ b/crates/core/src/upstream.rs
@@ -189,7 +189,5 @@
 
 /// Hash of an upstream's name, as cursors carry it.
 pub fn id(name: &str) -> u64 {
-    let mut bytes = [0; 8];
-    bytes.copy_from_slice(&blake3::hash(name.as_bytes()).as_bytes()[..8]);
-    u64::from_le_bytes(bytes)
+    print::first(&blake3::hash(name.as_bytes()))
 }
--- a/crates/core/tests/relay/poison.rs
+++ b/crates/core/tests/relay/poison.rs
@@ -295,3 +295,23 @@
         expect_that!(test.sent().len(), eq(sent + 1));
     }
 }
+
+/// Ends that another instance saw lapse here too: the one that saw them removes what is kept of the request, and no other.
+#[gtest]
+fn request_is_freed_where_it_is_kept_by_who_kept_it() {
+    let freed = |test: &mut Test| {
+        test.now = test.now.after(25 * 3_600_000);
+        test.tell(Event::Tick);
+        let own = |effect: &Effect| match effect {
+            Effect::Quarantine(effect::Quarantine::Free { own, .. }) => Some(*own),
+            _ => None,
+        };
+        test.effects.iter().filter_map(own).collect::<Vec<bool>>()
+    };
+    let mut saw = Test::new(9);
+    end_upstreams(&mut saw, 3);
+    expect_that!(freed(&mut saw), elements_are![eq(&true)]);
+    let mut heard = Test::new(9);
+    heard.tell(told(0, 0..3));
+    expect_that!(freed(&mut heard), elements_are![eq(&false)]);
+}
--- a/crates/node/src/driver.rs
+++ b/crates/node/src/driver.rs
@@ -370,9 +370,11 @@
             effect::Quarantine::Check { address, life } => {
                 tokio::spawn(check::run(self.driver.clone(), address, life));
             }
-            effect::Quarantine::Free(print) => {
+            effect::Quarantine::Free { own, print } => {
                 note::free(print);
-                self.keep(keeper::Kept::Nothing(print));
+                if own {
+                    self.keep(keeper::Kept::Nothing(print));
+                }
             }
             effect::Quarantine::Keep(account) => {
                 self.account.send_replace(account::Known::new(account));
