--- a/crates/core/src/roster.rs
+++ b/crates/core/src/roster.rs
@@ -34,7 +34,8 @@
 /// seconds old, and upstreams that left are gone within minutes.
 const LEFT_MS: u64 = 600_000;
 
-/// Lives of which that is remembered, at most: all upstreams of the largest fleet designed for, replaced once.
+/// Lives of which that is remembered, at most: all upstreams of the largest fleet designed for, replaced once. Of more the
+/// oldest is forgotten.
 const LEFT_MOST: usize = 2_200;
 
 /// One change of the list.
@@ -143,7 +144,7 @@
         }
         for change in &word.changes {
             if change.position > known {
-                let change = self.corrected(change.clone());
+                let change = self.corrected(change.clone(), now);
                 self.apply(&change, now);
             }
         }
@@ -257,7 +258,7 @@
         }
         for entry in entries {
             self.changed = self.changed.max(entry.position);
-            let entry = self.corrected(entry.clone());
+            let entry = self.corrected(entry.clone(), now);
             self.apply(&entry, now);
         }
         // What changed in between is not known one by one: others must ask.
@@ -270,7 +271,7 @@
         self.believe_own(away);
         for change in changes {
             self.changed = self.changed.max(change.position);
-            let change = self.corrected(change);
+            let change = self.corrected(change, now);
             self.apply(&change, now);
             self.untold.push(change);
         }
@@ -306,7 +307,7 @@
     /// A change as it is to be believed. The store may be back from a copy from before a life left: one that said that it leaves stays
     /// so, and one that had gone is not there again unless it wrote since. Else such lives were given work again for as long as
     /// the copy's entries stood.
-    fn corrected(&self, mut change: Change) -> Change {
+    fn corrected(&self, mut change: Change, now: Time) -> Change {
         let Entry::Listed(listed) = &mut change.entry else {
             return change;
         };
@@ -319,7 +320,8 @@
             change.entry = Entry::Gone;
             return change;
         }
-        let before = |left: &&Left| left.to.era < change.position.era;
+        let before =
+            |left: &&Left| left.to.era < change.position.era && now.since(left.at) < LEFT_MS;
         let Some(left) = self.left.get(&listed.life()).filter(before) else {
             return change;
         };
@@ -337,13 +339,14 @@
         if known.is_some_and(|left| left.leaving || !leaving && left.to.era == self.seen.era) {
             return;
         }
-        if self.left.len() >= LEFT_MOST {
-            self.left.retain(|_, left| at.since(left.at) < LEFT_MS);
-        }
-        if self.left.len() < LEFT_MOST {
-            let to = self.seen;
-            self.left.insert(life, Left { at, leaving, to });
+        if self.left.len() >= LEFT_MOST
+            && let Some(oldest) = self.left.iter().min_by_key(|(_, left)| left.at)
+        {
+            let oldest = *oldest.0;
+            self.left.remove(&oldest);
         }
+        let to = self.seen;
+        self.left.insert(life, Left { at, leaving, to });
     }
 
     /// Takes an entry out; its life has gone.
--- a/crates/core/tests/roster.rs
+++ b/crates/core/tests/roster.rs
@@ -168,3 +168,44 @@
     let told = roster.words(at(2), NOW);
     expect_that!(told[0].changes[0].entry, eq(&Entry::Odd));
 }
+
+/// All that a store of some era lists: one upstream, ready or leaving, as it was written at a revision.
+fn listed(era: u64, revision: u64, leaving: bool) -> Vec<Change> {
+    let mut changes = word(0, 2).changes;
+    changes[0].position = Position::new(era, revision);
+    if let Entry::Listed(listed) = &mut changes[0].entry {
+        listed.leaving = leaving;
+    }
+    changes
+}
+
+/// Whether the one upstream of a roster is listed, and then whether it leaves.
+fn leaves(roster: &Roster) -> Option<bool> {
+    roster.listed().first().map(|listed| listed.leaving)
+}
+
+#[gtest]
+fn life_that_left_stays_so_in_an_older_copy_and_not_for_ever() {
+    let mut roster = Roster::default();
+    roster.take_all(&listed(1, 900, true), Position::new(1, 901), None, NOW);
+    let copy = listed(2, 800, false);
+    roster.take_all(&copy, Position::new(2, 801), None, NOW);
+    expect_that!(leaves(&roster), some(eq(true)));
+    let later = NOW.after(600_000);
+    roster.take_all(&copy, Position::new(2, 801), None, later);
+    expect_that!(leaves(&roster), some(eq(false)));
+}
+
+#[gtest]
+fn life_that_went_is_there_again_only_if_it_wrote_since() {
+    let mut roster = Roster::default();
+    roster.take_all(&listed(1, 700, false), Position::new(1, 701), None, NOW);
+    let mut gone = gone(0, 900, "engine-2").changes;
+    gone[0].position = Position::new(1, 900);
+    roster.take(gone, None, NOW);
+    expect_that!(leaves(&roster), none());
+    roster.take_all(&listed(2, 700, false), Position::new(2, 801), None, NOW);
+    expect_that!(leaves(&roster), none());
+    roster.take(listed(2, 901, false), None, NOW);
+    expect_that!(leaves(&roster), some(eq(false)));
+}
