Failing tests: followers that learn late of a leaving upstream behind refusals of the store

Cause: a search with drills had found followers that gave work to an upstream 8 s behind its word. Ruled out: a follower that the store served all along. Figures: that run, a grid of roles, sizes up to 295, one to three forgetful moments, silent or refusing, and four runs of other searches break; all are listed red. Conclusion: to be mended next.

--- a/crates/standin/src/learning.rs
+++ b/crates/standin/src/learning.rs
@@ -14,6 +14,7 @@
     informer::Informer,
     lesson::{Answer, Call, Confirmed, Heard, Input, Output},
     position::Position,
+    role::Role,
     roster::Word,
 };
 use wellplank_node::members::{Member, Members, Own};
@@ -808,19 +809,25 @@
         }
     }
 
-    /// Has the store fail for each so manieth instance.
-    fn refuse(&mut self, each: usize, how: Failing, millis: u64) {
+    /// Has the store fail for some instances.
+    fn refuse(&mut self, nodes: &BTreeSet<usize>, how: Failing, millis: u64) {
         let until = self.now.after(millis);
-        for node in (0..self.nodes.len()).step_by(each) {
-            self.nodes[node].refused = Some((how, until));
-            self.observer.disturbed(node, until);
+        for node in nodes {
+            self.nodes[*node].refused = Some((how, until));
+            self.observer.disturbed(*node, until);
         }
         if how == Failing::Busy {
-            self.cut(|node| node.is_multiple_of(each));
+            self.cut(|node| nodes.contains(&node));
         }
         self.at(until, Event::Watches);
     }
 
+    /// The instances that do something for their data centres.
+    fn with_role(&self, role: Role) -> BTreeSet<usize> {
+        let has = |node: &usize| self.nodes[*node].own.role(&self.members(*node)) == role;
+        (0..self.nodes.len()).filter(has).collect()
+    }
+
     /// Has all entries stay up to then at least, also those of upstreams that are gone.
     fn extend(&mut self, until: Time) {
         self.registry.extend(until);
@@ -907,7 +914,14 @@
             Act::LoseDatagrams(percent, millis) => {
                 self.lossy = Some((percent, now.after(millis)));
             }
-            Act::Refuse(each, how, millis) => self.refuse(each.max(1), how, millis),
+            Act::Refuse(each, how, millis) => {
+                let nodes = (0..instances).step_by(each.max(1)).collect();
+                self.refuse(&nodes, how, millis);
+            }
+            Act::RefuseRole(role, how, millis) => {
+                let nodes = self.with_role(role);
+                self.refuse(&nodes, how, millis);
+            }
             Act::Slow(times, millis) => {
                 let until = now.after(millis);
                 self.slow = Some((times, until));
--- a/crates/standin/src/trial.rs
+++ b/crates/standin/src/trial.rs
@@ -2,6 +2,7 @@
 
 use super::*;
 use observer::Rules;
+use wellplank_core::role::Role;
 
 /// How the store fails.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -47,6 +48,8 @@
     LoseDatagrams(u64, u64),
     /// The store fails for some time for each so manieth instance, and serves the others.
     Refuse(usize, Failing, u64),
+    /// The store fails for some time for the instances that do something for their data centres, and serves the others.
+    RefuseRole(Role, Failing, u64),
     /// An upstream ends and starts again at once under its name.
     Restart(usize),
     /// The operator writes again a configuration that the store has lost.
--- a/crates/standin/tests/learning.rs
+++ b/crates/standin/tests/learning.rs
@@ -2,6 +2,7 @@
 
 use {
     googletest::prelude::*,
+    wellplank_core::role::Role,
     wellplank_standin::{
         observer::Rules,
         scenario::{self, Drills, LARGE, SMALL},
@@ -209,3 +210,86 @@
     let run = fleet((14, 1, 7), 2_000, 0, &steps);
     expect_that!(violations(&run), is_empty());
 }
+
+/// An upstream says that it leaves, and the store forgets its history in the same moment. Before anybody has heard of it the
+/// store falls silent to all instances, for 4.8 s. One whose call began just before the silence ended hears 0.7 s later that it
+/// was not answered, when the store has answered another of its calls. It took that for another absence, and believed the
+/// missing entry for two seconds from its next answer on: over 3 s behind the silence it still gave work to the upstream.
+#[gtest]
+fn call_that_began_in_a_silence_and_fails_behind_it_has_no_missing_entry_believed_longer() {
+    let steps = [
+        (5_419, Act::Leave(0)),
+        (5_419, Act::Forget),
+        (5_483, Act::Refuse(1, Failing::Silent, 4_842)),
+    ];
+    let run = fleet((14, 1, 3), 2_000, 8_650_718_550_908_220_178, &steps);
+    expect_that!(violations(&run), is_empty());
+}
+
+/// Who the store fails for while an upstream leaves, in fleets of these sizes and data centres.
+const SIZES: [(usize, usize); 5] = [(6, 3), (24, 3), (74, 3), (90, 3), (295, 3)];
+
+/// An upstream leaves; the store forgets its history some times from then on, and fails for some instances.
+fn forgetful(refused: Act, forgets: u64, size: (usize, usize), leave_ms: u64, seed: u64) -> Run {
+    let (instances, data_centres) = size;
+    let mut steps = vec![(5_419, Act::Leave(0)), (5_483, refused)];
+    steps.extend((0..forgets).map(|time| (5_419 + time * 700, Act::Forget)));
+    fleet((instances, data_centres, 6), leave_ms, seed, &steps)
+}
+
+#[gtest]
+fn upstream_that_leaves_while_the_store_forgets_and_refuses_is_known_in_time() {
+    let roles = [Role::Watcher, Role::Deputy, Role::Follower];
+    for how in [Failing::Silent, Failing::Busy] {
+        let by_role = roles.map(|role| Act::RefuseRole(role, how, 4_842));
+        for refused in by_role.into_iter().chain([Act::Refuse(1, how, 4_842)]) {
+            for (forgets, size) in (1..=3).flat_map(|forgets| SIZES.map(|size| (forgets, size))) {
+                for leave_ms in [2_000, 3_000, 4_000] {
+                    let run = forgetful(refused, forgets, size, leave_ms, forgets);
+                    let broken = violations(&run);
+                    expect_that!(
+                        broken,
+                        is_empty(),
+                        "{refused:?}, {forgets}, {size:?}, {leave_ms}"
+                    );
+                }
+            }
+        }
+    }
+}
+
+/// Runs that `random_large_fleets_break_no_rule` and its longer kin found, each with what one instance learned too late.
+#[gtest]
+fn instances_that_were_refused_with_those_that_watch_know_in_time() {
+    let silent = |millis, lapse| Act::Away(Failing::Silent, millis, lapse);
+    let departed = [
+        (500, silent(6_121, true)),
+        (6_683, Act::Refuse(1, Failing::Silent, 10_288)),
+        (9_621, Act::Depart(0)),
+        (17_761, Act::Refuse(3, Failing::Silent, 4_789)),
+    ];
+    let configured = [
+        (5_133, Act::Configure),
+        (5_575, silent(3_244, false)),
+        (10_606, silent(3_313, false)),
+    ];
+    let refused = [
+        (2_729, Act::Refuse(2, Failing::Silent, 10_515)),
+        (3_488, Act::Configure),
+        (3_629, silent(5_455, false)),
+    ];
+    let cut_off = [
+        (4_086, Act::Isolate(8, 9_398)),
+        (4_377, Act::Leave(0)),
+        (4_377, Act::Forget),
+    ];
+    let runs = [
+        fleet((24, 1, 5), 4_000, 10_112_221_185_893_355_952, &departed),
+        fleet((14, 3, 5), 4_000, 14_707_886_089_523_303_257, &configured),
+        fleet((24, 3, 3), 4_000, 344_678_632_697_521_037, &refused),
+        fleet((14, 1, 4), 4_000, 459_904_405_522_978_098, &cut_off),
+    ];
+    for run in runs {
+        expect_that!(violations(&run), is_empty(), "{:?}", run.steps);
+    }
+}
