Instances believe missing entries no longer than the store's absence lasted for anybody

Cause: an instance that was refused, cut off or silent counted the absence from its own first answer, and believed entries that are missing for two seconds from then on, though the store had served those that watch all along, or though the call that failed last had been taken before the return. Chains of a call, a pause and a silence were not derived from the time in which an instance is held to the store again. Class: evidence dated by when it arrives, not by what it is of. Changed: a failure is dated by when the store did not answer; words tell for how long the store had not been away (steady_ms), and what is covered by that is no absence; of words that come too early the absence counts too; an extended belief is told (held); longest call and silence are constants derived from the 3 s (bound); calls behind refusals stay within 0.75 s each for 40 failures, 16 before; changes gather no longer than entries are believed; a whole list dates what is missing from it. The observer's knowledge of spoilt entries in copies: a copy has the upstream's own entry, and nobody was shown that it went.

--- a/crates/core/src/absence.rs
+++ b/crates/core/src/absence.rs
@@ -18,6 +18,10 @@
 /// milliseconds; they enter themselves again within about two seconds.
 pub const BELIEVED_MS: u64 = 2_000;
 
+/// The longest time without an absence that is told, in milliseconds: more than any instance is refused for before others are
+/// asked, and few bytes.
+const STEADY_MOST_MS: u64 = 60_000;
+
 /// What the calls of an instance showed of the store.
 #[derive(Clone, Copy, Debug)]
 pub struct Absence {
@@ -41,6 +45,8 @@
     quiet: Option<Span>,
     /// When a call was answered first behind one that failed.
     recovered: Option<Time>,
+    /// Since when the store has answered without an absence; `None` before the first answer.
+    steady: Option<Time>,
     /// When the store last answered another instance, by what that one told.
     witnessed: Option<Time>,
 }
@@ -75,6 +81,7 @@
             heartbeat_ms,
             quiet: None,
             recovered: None,
+            steady: None,
             witnessed: None,
         }
     }
@@ -82,6 +89,10 @@
     /// Notes an answer; for how long the store was away, in milliseconds, if this ends an absence in which entries
     /// may have gone.
     pub fn answer(&mut self, now: Time) -> Option<u64> {
+        let short = |answered: Time| now.since(answered) < self.lapse_ms();
+        if !self.answered.is_some_and(short) {
+            self.steady = Some(now);
+        }
         let quiet = match self.quiet_until(now) {
             Some(quiet) => Some(quiet).filter(|quiet| self.may_lapse(*quiet)),
             // It started without the store, and does not know since when this was away.
@@ -115,13 +126,36 @@
         if self.answered.is_none() {
             return false;
         }
+        self.steady = Some(now);
         self.away = Some(Span {
-            from: now.before(self.lapse_ms()),
+            // Whatever was answered before: it is lost.
+            from: now.before(STEADY_MOST_MS + self.lapse_ms()),
             to: now,
         });
         true
     }
 
+    /// For how long up to its last answer the store has not been away, in milliseconds.
+    pub fn steady_ms(&self) -> u64 {
+        let steady = self.answered.zip(self.steady);
+        steady.map_or(0, |(answered, steady)| {
+            answered.since(steady).min(STEADY_MOST_MS)
+        })
+    }
+
+    /// The part of a span without the store in which entries may have gone, as the store is known to have been there in another
+    /// span; `None` if there is none. Behind its end they are entered again.
+    pub(crate) fn without(&self, away: Span, steady: Span) -> Option<Span> {
+        if away.to.since(steady.to) >= self.lapse_ms() {
+            return Some(away);
+        }
+        let left = Span {
+            from: away.from,
+            to: away.to.min(steady.from).max(away.from),
+        };
+        Some(left).filter(|left| self.may_lapse(*left))
+    }
+
     /// How often the store had come back from a copy, by the newest answer.
     pub fn era(&self) -> u64 {
         self.era
@@ -162,10 +196,14 @@
         self.away.map_or(0, |away| believed_ms(away, now))
     }
 
-    /// Notes a call that failed or was refused.
-    pub fn fail(&mut self, now: Time) {
-        self.failed.get_or_insert(now);
-        self.failures += 1;
+    /// Notes a call that failed or was refused. `unanswered` is when the store did not answer it: now where it was refused, and where
+    /// its time ran out when that began. One that the store had taken before it answered another call shows nothing of the
+    /// store since: entries that had gone would be believed as behind a second absence, and leaving upstreams get work meanwhile.
+    pub fn fail(&mut self, unanswered: Time, now: Time) {
+        if self.answered.is_none_or(|answered| answered < unanswered) {
+            self.failed.get_or_insert(now);
+            self.failures += 1;
+        }
         // A call that was out in a span without answers may be noticed only behind it.
         let just = |quiet: &Span| now.since(quiet.to) <= line::PATIENCE_MS;
         if let Some(quiet) = self.quiet.filter(just)
--- a/crates/core/src/bound.rs
+++ b/crates/core/src/bound.rs
@@ -2,6 +2,21 @@
 
 use super::*;
 
+/// Time behind the return of the store, or the end of a refusal, in which an instance must know what it missed, in
+/// milliseconds: the shortest in which a deployment counts it as in touch again.
+const BACK_MS: u64 = 3_000;
+
+/// Part of it for answers, datagrams and processes that run late, in milliseconds.
+const MARGIN_MS: u64 = 100;
+
+/// The longest time of a call of the configuration and of the pause behind it, in milliseconds: what is left for them by the
+/// reads of a configuration that others have.
+const CALL_MOST_MS: u64 = BACK_MS - MARGIN_MS - line::RETRY_MOST_MS - informer::READS_ALL_MS;
+
+/// The longest time without word, in milliseconds: what is left for it by a call of the list that was taken just before the
+/// return.
+const SILENCE_MOST_MS: u64 = BACK_MS - MARGIN_MS - line::SOON_ALL_MS;
+
 /// Times derived from the bound within which every instance must know of a change, in milliseconds.
 #[derive(Clone, Copy, Debug)]
 pub struct Bound {
@@ -13,7 +28,7 @@
     /// The longest time in which an answer must begin: of the bound, half is for a call that a silent store took and
     /// never answers, and half for the next one.
     pub fn call_ms(self) -> u64 {
-        self.bound_ms / 2
+        (self.bound_ms / 2).min(CALL_MOST_MS)
     }
 
     /// Longest time between two calls of the instance that shows the others that nothing has changed.
@@ -32,7 +47,9 @@
     pub fn silence_ms(self, role: Role) -> u64 {
         match role {
             Role::Deputy => self.bound_ms / 2,
-            Role::Alone | Role::Follower | Role::Watcher => self.bound_ms * 3 / 5,
+            Role::Alone | Role::Follower | Role::Watcher => {
+                (self.bound_ms * 3 / 5).min(SILENCE_MOST_MS)
+            }
         }
     }
 
--- a/crates/core/src/informer.rs
+++ b/crates/core/src/informer.rs
@@ -10,6 +10,7 @@
 //! and tells the others what the store showed it; who is shown nothing for a while asks again on a new connection.
 
 use super::*;
+use absence::Span;
 use lesson::{Age, Answer, Call, Confirmed, Content, Heard, Input, Known, Output, Topic, Why};
 
 /// Time that a watch waits for a change while another instance shows that there is none, in milliseconds: as long as
@@ -37,6 +38,9 @@
 /// changes may gather.
 const READS_MS: [u64; 2] = [200, 300];
 
+/// Those pauses together.
+pub(crate) const READS_ALL_MS: u64 = READS_MS[0] + READS_MS[1];
+
 /// Bytes from which on a configuration is read once, with the first pause: each read of half a megabyte takes
 /// a link of 10 Mbit/s for half a second, and the time in which it must be in force is short.
 const LARGE: usize = 64 << 10;
@@ -76,6 +80,8 @@
     roster: Roster,
     /// When the store is known to have served anybody: by own calls, and by word of those that watch.
     served: Absence,
+    /// The last span in which the store was not away for others, as they tell, in its present era.
+    steady: Option<Span>,
     /// Its place among those that watch the store for themselves.
     turn: Turn,
     upstreams: Line,
@@ -108,6 +114,7 @@
             role: Role::Alone,
             roster: Roster::default(),
             served: absence,
+            steady: None,
             turn: Turn::default(),
             upstreams: Line::hurried().begun(now),
             word: now,
@@ -293,6 +300,7 @@
             self.line_mut(topic).begin_again(now);
         }
         self.read = None;
+        self.steady = None;
         self.gap = None;
         self.early.clear();
     }
@@ -346,7 +354,7 @@
         now: Time,
     ) {
         let known = self.upstreams.position.unwrap_or_default();
-        let away = self.absence.away();
+        let away = self.own_away();
         let first = self.upstreams.position.is_none();
         if call.since.is_none() {
             self.roster.take_all(&changes, position, away, now);
@@ -355,7 +363,11 @@
             changes.retain(|change| change.position > known);
             self.roster.take(changes, away, now);
         }
-        if let Some(until) = self.absence.entered_by().filter(|_| !self.role.follows()) {
+        let was_there = away.is_none() && self.steady.is_some();
+        if let Some(until) = self.absence.entered_by()
+            && !self.role.follows()
+            && !was_there
+        {
             self.roster.hold(until);
         }
         self.upstreams.position = Some(position.max(known));
@@ -369,7 +381,9 @@
             Role::Alone | Role::Follower => false,
         };
         if tells {
-            let words = self.roster.words(position.max(known), now);
+            let words = self
+                .roster
+                .words(position.max(known), self.absence.steady_ms(), now);
             self.outputs.extend(words.into_iter().map(Output::Tell));
         }
         if first {
@@ -379,6 +393,17 @@
         self.upstreams.ready = now.after(self.gather_ms());
     }
 
+    /// When the store was away by this instance's own account, unless others tell that it was there: entries do not go for want
+    /// of it then. An instance that was refused or cut off while others were served would believe an upstream that left for two
+    /// seconds more, from its own first answer on.
+    fn own_away(&self) -> Option<Span> {
+        let away = self.absence.away()?;
+        match self.steady {
+            Some(steady) => self.absence.without(away, steady),
+            None => Some(away),
+        }
+    }
+
     /// Pause before the next watch of the list, in milliseconds.
     fn gather_ms(&self) -> u64 {
         if self.role == Role::Watcher {
@@ -434,6 +459,7 @@
             return;
         };
         self.word = now;
+        self.hear_steady(&word, now);
         if !self.follows(Topic::Upstreams) {
             return;
         }
@@ -463,6 +489,24 @@
         }
     }
 
+    /// Takes in for how long the store had not been away for another instance when it answered that one.
+    fn hear_steady(&mut self, word: &Word, now: Time) {
+        if word.steady_ms == 0 || word.to.era < self.era {
+            return;
+        }
+        let mut steady = Span {
+            from: now.before(word.steady_ms),
+            to: now,
+        };
+        if let Some(before) = self.steady.filter(|before| before.to >= steady.from) {
+            steady.from = steady.from.min(before.from);
+        }
+        self.steady = Some(steady);
+        if self.role.follows() {
+            self.roster.doubt_absence(steady, &self.absence, now);
+        }
+    }
+
     /// Takes in what the store has just shown another instance, unless more was known here before.
     fn hear_confirmed(&mut self, confirmed: Confirmed, heard: &Heard, now: Time) {
         let topic = confirmed.topic;
@@ -559,7 +603,12 @@
     fn due(&self, topic: Topic) -> Time {
         let may = self.line(topic).may(&self.absence);
         if !self.follows(topic) {
-            return may;
+            return match topic {
+                Topic::Configuration => may,
+                // Changes gather no longer than entries that are missing are believed.
+                Topic::Upstreams if self.upstreams.has_failed() => may,
+                Topic::Upstreams => self.roster.next_lapse().map_or(may, |lapse| may.min(lapse)),
+            };
         }
         let silence = self.bound.silence_ms(self.role);
         let wanted = match topic {
--- a/crates/core/src/line.rs
+++ b/crates/core/src/line.rs
@@ -20,7 +20,13 @@
 const SOON_MS: (u64, u64) = (700, 50);
 
 /// Failures in a row behind which such a call has as much time as others: a store may be slower for long.
-const SOON: u32 = 16;
+const SOON: u32 = 40;
+
+/// The longest pause after a call that failed, in milliseconds.
+pub(crate) const RETRY_MOST_MS: u64 = *RETRY_MS.end();
+
+/// Time and pause of a call behind a failure together, in milliseconds.
+pub(crate) const SOON_ALL_MS: u64 = SOON_MS.0 + SOON_MS.1;
 
 /// The longest such pause of an instance that can not serve anybody before it has read, in milliseconds.
 const RETRY_AT_START_MS: u64 = 100;
@@ -179,7 +185,7 @@
             // One that is refused at once is not asked twenty times a second.
             let took = self.out.map_or(0, |out| now.since(out.began));
             return if took < PATIENCE_MS {
-                *RETRY_MS.start()
+                (self.pause_ms * 2).clamp(*RETRY_MS.start(), SOON_ALL_MS)
             } else {
                 SOON_MS.1
             };
--- a/crates/core/src/roster.rs
+++ b/crates/core/src/roster.rs
@@ -58,8 +58,12 @@
     pub changes: Vec<Change>,
     /// Position behind which the changes begin.
     pub from: Position,
+    /// Whether entries that go are believed for longer than behind one absence, since the store was away again soon.
+    pub held: bool,
     /// Time for which entries that go are still believed, in milliseconds: the store was away.
     pub returning_ms: u64,
+    /// For how long the store had not been away for who tells it, in milliseconds.
+    pub steady_ms: u64,
     /// Position up to which they are told.
     pub to: Position,
 }
@@ -86,6 +90,8 @@
     entries: BTreeMap<String, Listed>,
     /// When the store was away last.
     absent: Option<Span>,
+    /// Whether the end of that was put off, since the store was away again soon.
+    held: bool,
     /// Whether another instance told of that.
     hearsay: bool,
     /// Lives that left or went of late.
@@ -131,17 +137,22 @@
 impl Roster {
     /// Takes in what an instance that watches told; the list is known up to `known`.
     pub fn hear(&mut self, word: &Word, known: Position, now: Time) -> Worth {
+        // Also where changes before it are missing: who reads them itself would else count the absence from its own first answer.
+        if self.away {
+            let heard = word.away(now);
+            self.believe(heard, ANOTHER_MS);
+            self.hearsay |= heard.is_some();
+            if word.held {
+                // Upstreams could not enter themselves meanwhile.
+                self.hold(now.after(word.returning_ms));
+            }
+        }
         if word.from > known {
             return Worth::Gap;
         }
         if word.to < known {
             return Worth::Old;
         }
-        if self.away {
-            let heard = word.away(now);
-            self.believe(heard, ANOTHER_MS);
-            self.hearsay |= heard.is_some();
-        }
         for change in &word.changes {
             if change.position > known {
                 let change = self.corrected(change.clone(), now);
@@ -202,8 +213,9 @@
         self.untold.clear();
     }
 
-    /// What other instances are to be told up to a position; at least that nothing has changed.
-    pub fn words(&mut self, known: Position, now: Time) -> Vec<Word> {
+    /// What other instances are to be told up to a position; at least that nothing has changed. `steady_ms` is for how long the
+    /// store has not been away.
+    pub fn words(&mut self, known: Position, steady_ms: u64, now: Time) -> Vec<Word> {
         let mut from = self.told.unwrap_or(known);
         let untold = std::mem::take(&mut self.untold);
         let returning_ms = self.believed_ms(now);
@@ -216,7 +228,9 @@
                 away_ms,
                 changes: changes.to_vec(),
                 from,
+                held: self.held,
                 returning_ms,
+                steady_ms,
                 to,
             });
             from = to;
@@ -227,7 +241,9 @@
                 away_ms,
                 changes: Vec::new(),
                 from,
+                held: self.held,
                 returning_ms,
+                steady_ms,
                 to: known,
             }),
         }
@@ -250,6 +266,7 @@
         } else {
             self.believe_own(away);
         }
+        self.seen = self.seen.max(position);
         let names: BTreeSet<&str> = entries.iter().map(|entry| entry.name.as_str()).collect();
         let missing = |name: &&String| !names.contains(name.as_str());
         let missing: Vec<String> = self.entries.keys().filter(missing).cloned().collect();
@@ -374,10 +391,23 @@
             return;
         };
         let is_another = |known: Span| away.to.since(known.to) >= another_ms;
-        self.absent = match self.absent {
-            Some(known) if !is_another(known) => Some(known),
-            Some(_) | None => Some(away),
+        if self.absent.is_none_or(is_another) {
+            self.absent = Some(away);
+            self.held = false;
+        }
+    }
+
+    /// The store was not away in a span, as another instance tells: entries that are missing have not gone for want of it then.
+    pub fn doubt_absence(&mut self, steady: Span, absence: &Absence, now: Time) {
+        let Some(absent) = &mut self.absent else {
+            return;
         };
+        let over = now.before(absence::BELIEVED_MS);
+        let to = absence
+            .without(*absent, steady)
+            .map_or(over, |left| left.to);
+        absent.to = absent.to.min(to);
+        absent.from = absent.from.min(absent.to);
     }
 
     /// Has entries that are missing believed up to a time at least: calls failed again soon behind an absence, and
@@ -386,7 +416,9 @@
         if let Some(absent) = &mut self.absent
             && until <= absent.to.after(absence::BELIEVED_MS + ANOTHER_MS)
         {
-            absent.to = absent.to.max(until.before(absence::BELIEVED_MS));
+            let to = until.before(absence::BELIEVED_MS);
+            self.held |= to > absent.to;
+            absent.to = absent.to.max(to);
         }
     }
 
--- a/crates/core/tests/absence.rs
+++ b/crates/core/tests/absence.rs
@@ -18,7 +18,7 @@
         if *answered {
             absence.answer(Time(*at));
         } else {
-            absence.fail(Time(*at));
+            absence.fail(Time(*at), Time(*at));
         }
     }
     absence
@@ -89,7 +89,7 @@
     for at in [1_800, 2_800] {
         absence.witness(Time(at));
     }
-    absence.fail(Time(3_600));
+    absence.fail(Time(3_600), Time(3_600));
     absence.answer(Time(3_850));
     expect_that!(absence.away(), none());
 }
@@ -99,7 +99,7 @@
     let mut absence = absence(&[(1_000, true), (1_900, false), (2_200, false)]);
     // It stood still while the store was away, and tells what it was answered before.
     absence.witness(Time(2_700));
-    absence.fail(Time(3_200));
+    absence.fail(Time(3_200), Time(3_200));
     absence.answer(Time(4_400));
     expect_that!(absence.believed_ms(Time(4_400)), eq(2_000));
 }
@@ -116,6 +116,22 @@
 fn absence_that_only_another_instance_s_answer_ends_is_noticed_by_a_call_that_fails_late() {
     let mut absence = absence(&[(1_000, true)]);
     absence.witness(Time(9_000));
-    absence.fail(Time(9_200));
+    absence.fail(Time(9_200), Time(9_200));
     expect_that!(absence.believed_ms(Time(9_200)), eq(1_800));
 }
+
+#[gtest]
+fn call_that_a_silent_store_took_before_its_return_shows_no_other_absence() {
+    let mut absence = absence(&[(1_000, true), (2_600, false), (9_000, true)]);
+    absence.fail(Time(8_990), Time(9_690));
+    absence.answer(Time(10_400));
+    expect_that!(absence.believed_ms(Time(10_400)), eq(600));
+}
+
+#[gtest]
+fn call_that_was_refused_behind_an_answer_begins_an_absence() {
+    let mut absence = absence(&[(1_000, true)]);
+    absence.fail(Time(1_500), Time(1_500));
+    absence.answer(Time(4_000));
+    expect_that!(absence.believed_ms(Time(4_000)), eq(2_000));
+}
--- a/crates/core/tests/informer.rs
+++ b/crates/core/tests/informer.rs
@@ -155,7 +155,9 @@
                 position: Position::new(era, 3),
             }],
             from: Position::new(era, 2),
+            held: false,
             returning_ms: 0,
+            steady_ms: 0,
             to: Position::new(era, 3),
         }),
         ..Heard::default()
--- a/crates/core/tests/roster.rs
+++ b/crates/core/tests/roster.rs
@@ -40,7 +40,9 @@
             position: to,
         }],
         from,
+        held: false,
         returning_ms: 0,
+        steady_ms: 0,
         to,
     }
 }
@@ -92,10 +94,10 @@
 fn first_word_tells_only_up_to_where_the_list_is_known() {
     let mut roster = Roster::default();
     roster.tell_from(at(7));
-    let told = roster.words(at(9), NOW);
+    let told = roster.words(at(9), 0, NOW);
     expect_that!(told.len(), eq(1));
     expect_that!((told[0].from, told[0].to), eq((at(7), at(9))));
-    let next = roster.words(at(12), NOW);
+    let next = roster.words(at(12), 0, NOW);
     expect_that!((next[0].from, next[0].to), eq((at(9), at(12))));
 }
 
@@ -109,7 +111,9 @@
             position: at(to),
         }],
         from: at(from),
+        held: false,
         returning_ms: 2_000,
+        steady_ms: 0,
         to: at(to),
     }
 }
@@ -165,7 +169,7 @@
     let mut roster = Roster::default();
     roster.tell_from(at(1));
     roster.take(odd(1, 2, "engine-2").changes, None, NOW);
-    let told = roster.words(at(2), NOW);
+    let told = roster.words(at(2), 0, NOW);
     expect_that!(told[0].changes[0].entry, eq(&Entry::Odd));
 }
 
--- a/crates/node/src/feed.rs
+++ b/crates/node/src/feed.rs
@@ -66,14 +66,21 @@
     /// Makes a call that does not wait.
     pub async fn call(&self, call: Call, patience: Duration) -> Result<Answer, Error> {
         let begun = Instant::now();
-        let answer = self.exchange(call, patience).await?;
+        let answer = self.exchange(call, Duration::ZERO, patience).await?;
         let millis = begun.elapsed().as_secs_f64() * 1_000.0;
         self.meter.time(meter::Timed::Store, millis);
         Ok(answer)
     }
 
-    async fn exchange(&self, call: Call, patience: Duration) -> Result<Answer, Error> {
-        let answer = self.send(call, patience).await;
+    /// Makes a call that the store may hold for `wait`.
+    async fn exchange(
+        &self,
+        call: Call,
+        wait: Duration,
+        patience: Duration,
+    ) -> Result<Answer, Error> {
+        let due = self.clock.now().after(wait.as_millis() as u64);
+        let answer = self.send(call, wait + patience).await;
         let answered = matches!(&answer, Ok(answer) if !is_refusal(answer.status));
         self.absence.send_modify(|absence| {
             if let Ok(answer) = &answer
@@ -84,7 +91,9 @@
                 self.meter.count(Counter::StoreReturned, 1);
             }
             if !answered {
-                absence.fail(self.clock.now());
+                let now = self.clock.now();
+                let is_silent = matches!(answer, Err(Error::Unanswered(_)));
+                absence.fail(if is_silent { due } else { now }, now);
             } else if let Some(away_ms) = absence.answer(self.clock.now()) {
                 info!(away_ms; "the store is back");
             }
@@ -104,7 +113,7 @@
             .await
             .map_err(|_| {
                 self.renew();
-                Error::Store(format!("no answer in {} ms", patience.as_millis()))
+                Error::Unanswered(patience.as_millis())
             })?
             .map_err(|error| Error::Store(error.to_string()))?;
         let status = response.status();
@@ -192,7 +201,7 @@
         patience: Duration,
     ) -> Result<Option<(Seen, Position)>, Error> {
         let call = platform::store::watch(prefix, revision, wait);
-        let Answer { body, era, status } = self.exchange(call, wait + patience).await?;
+        let Answer { body, era, status } = self.exchange(call, wait, patience).await?;
         if platform::store::forgotten(status) {
             return Ok(None);
         }
--- a/crates/node/src/gossip.rs
+++ b/crates/node/src/gossip.rs
@@ -473,6 +473,8 @@
             .collect(),
         from: Position::new(word.era, word.from),
         returning_ms: word.returning_ms.into(),
+        held: word.held,
+        steady_ms: word.steady_ms.into(),
         to: Position::new(word.era, word.to),
     }
 }
@@ -512,6 +514,8 @@
         era: word.to.era,
         from: word.from.revision,
         returning_ms: word.returning_ms as u32,
+        held: word.held,
+        steady_ms: word.steady_ms as u32,
         to: word.to.revision,
     }
 }
--- a/crates/standin/src/learning.rs
+++ b/crates/standin/src/learning.rs
@@ -14,7 +14,6 @@
     informer::Informer,
     lesson::{Answer, Call, Confirmed, Heard, Input, Output},
     position::Position,
-    role::Role,
     roster::Word,
 };
 use wellplank_node::members::{Member, Members, Own};
@@ -128,6 +127,21 @@
     Word(Word),
 }
 
+/// How a call of an instance ended.
+#[derive(Clone, Copy)]
+enum Ended {
+    Answered,
+    Refused,
+    /// Its time ran out; the store had it so long, in milliseconds.
+    Unanswered(u64),
+}
+
+impl Ended {
+    fn is_answered(self) -> bool {
+        matches!(self, Self::Answered)
+    }
+}
+
 /// What happens next.
 enum Event {
     Arrive(usize, u32, Call),
@@ -139,10 +153,10 @@
     Gossip(usize, u32),
     Hear(usize, u32, Heard),
     Look(usize, u32),
-    Looked(usize, u32, bool),
+    Looked(usize, u32, Ended),
     Remove(usize),
     Renew(usize, u32),
-    Renewed(usize, u32, bool),
+    Renewed(usize, u32, Ended),
     Start(usize),
     Step(Act),
     Wake(usize, u32),
@@ -307,7 +321,8 @@
                 self.later(CHECK_MS, Event::Check);
             }
             Event::Deliver(node, life, id, answer) => self.deliver(node, life, id, answer),
-            Event::Broken(node, _, id) | Event::Expire(node, _, id) => self.end(node, id, None),
+            Event::Broken(node, _, id) => self.fail(node, id, Ended::Refused),
+            Event::Expire(node, _, id) => self.expire(node, id),
             Event::Gossip(node, life) => self.gossip(node, life),
             Event::Hear(node, _, heard) => {
                 if self.nodes[node].isolated_until <= self.now {
@@ -318,10 +333,10 @@
                 }
             }
             Event::Look(node, life) => self.other_call(node, life, Event::Looked),
-            Event::Looked(node, life, answered) => self.looked(node, life, answered),
+            Event::Looked(node, life, ended) => self.looked(node, life, ended),
             Event::Remove(upstream) => self.remove(upstream),
             Event::Renew(node, life) => self.other_call(node, life, Event::Renewed),
-            Event::Renewed(node, life, answered) => self.renewed(node, life, answered),
+            Event::Renewed(node, life, ended) => self.renewed(node, life, ended),
             Event::Start(node) => self.start(node),
             Event::Step(act) => self.act(act),
             Event::Wake(node, _) => self.take(node, Input::Tick),
@@ -459,29 +474,46 @@
 
     /// A call of an instance ends.
     fn end(&mut self, node: usize, id: u64, answer: Option<Answer>) {
+        let Some(answer) = answer else {
+            self.fail(node, id, Ended::Refused);
+            return;
+        };
         if self.nodes[node].calls.remove(&id).is_none() {
             return;
         }
         let era = match &answer {
-            Some(Answer::Known(_, position)) => position.era,
-            Some(Answer::Forgotten) | None => self.registry.era,
+            Answer::Known(_, position) => position.era,
+            Answer::Forgotten => self.registry.era,
         };
-        self.note(node, answer.is_some(), era);
-        let input = match answer {
-            Some(answer) => Input::Answered(id, answer),
-            None => Input::Failed(id),
-        };
-        self.take(node, input);
+        self.note(node, Ended::Answered, era);
+        self.take(node, Input::Answered(id, answer));
+    }
+
+    /// The time of a call of an instance has run out.
+    fn expire(&mut self, node: usize, id: u64) {
+        let patience_ms = self.nodes[node].calls.get(&id).map(|call| call.patience_ms);
+        self.fail(node, id, Ended::Unanswered(patience_ms.unwrap_or_default()));
+    }
+
+    /// A call of an instance fails.
+    fn fail(&mut self, node: usize, id: u64, ended: Ended) {
+        if self.nodes[node].calls.remove(&id).is_none() {
+            return;
+        }
+        self.note(node, ended, self.registry.era);
+        self.take(node, Input::Failed(id));
     }
 
     /// Notes how a call of an instance ended.
-    fn note(&mut self, node: usize, answered: bool, era: u64) {
+    fn note(&mut self, node: usize, ended: Ended, era: u64) {
         let absence = &mut self.nodes[node].absence;
-        if answered {
-            absence.show(era, self.now);
-            absence.answer(self.now);
-        } else {
-            absence.fail(self.now);
+        match ended {
+            Ended::Answered => {
+                absence.show(era, self.now);
+                absence.answer(self.now);
+            }
+            Ended::Refused => absence.fail(self.now, self.now),
+            Ended::Unanswered(millis) => absence.fail(self.now.before(millis), self.now),
         }
     }
 
@@ -607,25 +639,33 @@
     }
 
     /// An instance makes a call that is not for its informer.
-    fn other_call(&mut self, node: usize, life: u32, ended: fn(usize, u32, bool) -> Event) {
+    fn other_call(&mut self, node: usize, life: u32, ended: fn(usize, u32, Ended) -> Event) {
         self.calls += 1;
         self.observer.called(node, self.now);
         let isolated = self.nodes[node].isolated_until > self.now;
+        let silent = Ended::Unanswered(PATIENCE_MS);
         match self.failing(node) {
-            _ if isolated => self.later(PATIENCE_MS, ended(node, life, false)),
-            Some(Failing::Silent) => self.later(PATIENCE_MS, ended(node, life, false)),
-            Some(Failing::Busy) => self.later(HOP_MS, ended(node, life, false)),
-            None => {
-                let hop = self.hop_ms();
-                let in_time = hop < PATIENCE_MS;
-                self.later(hop.min(PATIENCE_MS), ended(node, life, in_time));
+            _ if isolated => self.later(PATIENCE_MS, ended(node, life, silent)),
+            Some(Failing::Busy) => self.later(HOP_MS, ended(node, life, Ended::Refused)),
+            None if self.hop_ms() < PATIENCE_MS => {
+                self.later(self.hop_ms(), ended(node, life, Ended::Answered));
             }
+            Some(Failing::Silent) | None => self.later(PATIENCE_MS, ended(node, life, silent)),
         }
     }
 
-    fn looked(&mut self, node: usize, life: u32, answered: bool) {
-        let answered = answered && !self.fell_silent();
-        self.note(node, answered, self.registry.era);
+    /// How a call ended, unless the store fell silent before its answer was out.
+    fn heard(&self, ended: Ended) -> Ended {
+        match ended {
+            Ended::Answered if self.fell_silent() => Ended::Refused,
+            _ => ended,
+        }
+    }
+
+    fn looked(&mut self, node: usize, life: u32, ended: Ended) {
+        let ended = self.heard(ended);
+        let answered = ended.is_answered();
+        self.note(node, ended, self.registry.era);
         let members = self.members(node);
         if answered {
             self.nodes[node].knows = members.len();
@@ -646,9 +686,10 @@
         self.take(node, input);
     }
 
-    fn renewed(&mut self, node: usize, life: u32, answered: bool) {
-        let answered = answered && !self.fell_silent();
-        self.note(node, answered, self.registry.era);
+    fn renewed(&mut self, node: usize, life: u32, ended: Ended) {
+        let ended = self.heard(ended);
+        let answered = ended.is_answered();
+        self.note(node, ended, self.registry.era);
         if answered {
             self.nodes[node].entered_until = self.now.after(LEASE_MS);
         }
@@ -766,12 +807,14 @@
     /// Has an upstream end and start again under its name; the store has its new entry at once.
     fn restart(&mut self, index: usize) {
         let now = self.now;
-        self.observer.leaves(&self.upstreams[index].life(), now);
         let upstream = &mut self.upstreams[index];
+        let former = upstream.life();
         upstream.listed.born += 1;
         if upstream.spoiled_until > now {
+            self.observer.spoils(&former, now);
             return;
         }
+        self.observer.leaves(&former, now);
         let listed = upstream.listed.clone();
         self.observer.lives(&label(&listed), self.now);
         self.registry.enter(listed, now.after(LAPSE * HEARTBEAT_MS));
@@ -782,7 +825,7 @@
     fn spoil(&mut self, index: usize, millis: u64) {
         let until = self.now.after(millis);
         self.observer
-            .leaves(&self.upstreams[index].life(), self.now);
+            .spoils(&self.upstreams[index].life(), self.now);
         let upstream = &mut self.upstreams[index];
         upstream.spoiled_until = until;
         let lapses = until.after(LAPSE * HEARTBEAT_MS);
@@ -822,10 +865,15 @@
         self.at(until, Event::Watches);
     }
 
-    /// The instances that do something for their data centres.
-    fn with_role(&self, role: Role) -> BTreeSet<usize> {
-        let has = |node: &usize| self.nodes[*node].own.role(&self.members(*node)) == role;
-        (0..self.nodes.len()).filter(has).collect()
+    /// The instances that the store fails for.
+    fn refused(&self, act: Act) -> BTreeSet<usize> {
+        let all = 0..self.nodes.len();
+        let role = |node: &usize| self.nodes[*node].own.role(&self.members(*node));
+        match act {
+            Act::Refuse(each, ..) => all.step_by(each.max(1)).collect(),
+            Act::RefuseRole(which, ..) => all.filter(|node| role(node) == which).collect(),
+            _ => BTreeSet::new(),
+        }
     }
 
     /// Has all entries stay up to then at least, also those of upstreams that are gone.
@@ -914,12 +962,8 @@
             Act::LoseDatagrams(percent, millis) => {
                 self.lossy = Some((percent, now.after(millis)));
             }
-            Act::Refuse(each, how, millis) => {
-                let nodes = (0..instances).step_by(each.max(1)).collect();
-                self.refuse(&nodes, how, millis);
-            }
-            Act::RefuseRole(role, how, millis) => {
-                let nodes = self.with_role(role);
+            Act::Refuse(_, how, millis) | Act::RefuseRole(_, how, millis) => {
+                let nodes = self.refused(act);
                 self.refuse(&nodes, how, millis);
             }
             Act::Slow(times, millis) => {
--- a/crates/standin/src/observer.rs
+++ b/crates/standin/src/observer.rs
@@ -70,6 +70,8 @@
     /// Upstreams that live.
     living: BTreeSet<String>,
     rules: Rules,
+    /// Lives over whose entries another writer wrote. A copy from before has their own, and nobody was shown that they went.
+    spoilt: BTreeSet<String>,
     /// When what disturbs the store ends or ended.
     store_calm_from: Time,
     pub violations: Vec<String>,
@@ -85,6 +87,7 @@
             leaves: BTreeMap::new(),
             living: BTreeSet::new(),
             rules,
+            spoilt: BTreeSet::new(),
             store_calm_from: Time::default(),
             violations: Vec::new(),
         }
@@ -147,7 +150,7 @@
             belief.known_gone = self
                 .leaves
                 .keys()
-                .filter(|name| belief.knows_gone(name))
+                .filter(|name| belief.knows_gone(name) && !self.spoilt.contains(*name))
                 .cloned()
                 .collect();
         }
@@ -163,6 +166,7 @@
     /// An upstream entered itself, also where another writer's entry stood: what is told of that one may come yet.
     pub fn lives(&mut self, name: &str, now: Time) {
         self.leaves.remove(name);
+        self.spoilt.remove(name);
         for belief in &mut self.beliefs {
             belief.known_gone.remove(name);
         }
@@ -174,12 +178,19 @@
     /// The store took the word of an upstream that it leaves, or the end of its entry. It binds if the store was calm,
     /// as the rule on leaving upstreams says.
     pub fn leaves(&mut self, name: &str, now: Time) {
+        self.spoilt.remove(name);
         self.living.remove(name);
         if now.since(self.store_calm_from) >= self.rules.calm_ms {
             self.leaves.entry(name.to_owned()).or_insert(now);
         }
     }
 
+    /// The store has another writer's entry in place of an upstream's.
+    pub fn spoils(&mut self, name: &str, now: Time) {
+        self.leaves(name, now);
+        self.spoilt.insert(name.to_owned());
+    }
+
     /// An upstream crashed.
     pub fn dies(&mut self, name: &str) {
         self.living.remove(name);
