Failing tests: upstreams of a version that nobody ordered get work; the version of an entry is decoded and told

Cause: the field is not read, so a new version has its full part of all work at once, before any order.

--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -103,6 +103,8 @@
     /// Place in the order in which upstreams were entered; of two at one address the later one is
     /// there. The first of all where that is not known.
     pub since: Position,
+    /// Version of its software; empty where it does not say.
+    pub version: String,
 }
 
 impl Listed {
--- a/crates/core/src/roster.rs
+++ b/crates/core/src/roster.rs
@@ -461,7 +461,8 @@
     let texts = match &change.entry {
         Entry::Gone | Entry::Odd => 0,
         Entry::Listed(listed) => {
-            listed.address.to_string().len() + listed.data_centre.len() + listed.pool.len()
+            let named = listed.data_centre.len() + listed.pool.len() + listed.version.len();
+            listed.address.to_string().len() + named
         }
     };
     CHANGE + change.name.len() + texts
--- a/crates/core/tests/core.rs
+++ b/crates/core/tests/core.rs
@@ -121,6 +121,7 @@
             pool: "runner".into(),
             since: Position::default(),
             slots: 0,
+            version: String::new(),
         });
         self.tell(Event::List {
             asked: self.now,
--- a/crates/core/tests/relay/builder.rs
+++ b/crates/core/tests/relay/builder.rs
@@ -312,6 +312,7 @@
         pool: "pool".into(),
         since: Position::default(),
         slots: 0,
+        version: String::new(),
     }
 }
 
--- a/crates/core/tests/relay/main.rs
+++ b/crates/core/tests/relay/main.rs
@@ -30,6 +30,7 @@
 mod notice;
 mod poison;
 mod room;
+mod version;
 
 use builder::*;
 
--- a/crates/core/tests/roster.rs
+++ b/crates/core/tests/roster.rs
@@ -31,6 +31,7 @@
         pool: "engines".into(),
         since: to,
         slots: 8,
+        version: String::new(),
     };
     Word {
         away_ms: 0,
--- a/crates/node/src/gossip.rs
+++ b/crates/node/src/gossip.rs
@@ -494,6 +494,7 @@
             pool: entry.pool,
             since: Position::new(era, entry.since),
             slots: entry.slots,
+            version: entry.version,
         }),
         Err(error) => {
             warn!("{name}: `{}` is no address: {error}", entry.address);
@@ -542,6 +543,7 @@
             revision,
             since: listed.since.revision,
             slots: listed.slots,
+            version: listed.version,
         },
         Entry::Odd => peers::Entry {
             name,
--- a/crates/node/src/list.rs
+++ b/crates/node/src/list.rs
@@ -72,6 +72,7 @@
         pool: line.pool.clone(),
         since: Position::default(),
         slots: 0,
+        version: String::new(),
     }
 }
 
--- a/crates/standin/src/bench.rs
+++ b/crates/standin/src/bench.rs
@@ -365,6 +365,7 @@
             pool: "runner".into(),
             since: Position::default(),
             slots: 0,
+            version: String::new(),
         });
         let live = (0..INSTANCES).filter(|index| self.cores[*index].is_some());
         let instances = live.map(|index| Listed {
@@ -376,6 +377,7 @@
             pool: wellplank_core::core::INSTANCE_POOL.into(),
             since: Position::default(),
             slots: 0,
+            version: String::new(),
         });
         runners.chain(instances).collect()
     }
--- a/crates/standin/src/learning.rs
+++ b/crates/standin/src/learning.rs
@@ -752,6 +752,7 @@
             pool: "pool".into(),
             since: Position::default(),
             slots: 8,
+            version: String::new(),
         };
         self.upstreams.push(Upstream {
             alive: true,
--- a/crates/standin/src/placing.rs
+++ b/crates/standin/src/placing.rs
@@ -56,6 +56,7 @@
         pool: "engines".into(),
         since: Position::default(),
         slots: 32,
+        version: String::new(),
     }
 }
 
--- a/crates/standin/src/pool.rs
+++ b/crates/standin/src/pool.rs
@@ -128,6 +128,7 @@
             pool: if upstream.calls { "desk" } else { "engines" }.into(),
             since: Position::default(),
             slots: 0,
+            version: String::new(),
         };
         self.upstreams.iter().enumerate().map(listed).collect()
     }
--- a/crates/standin/src/rush.rs
+++ b/crates/standin/src/rush.rs
@@ -438,6 +438,7 @@
             pool: "desk".into(),
             since: Position::default(),
             slots: self.plan.slots as u32,
+            version: String::new(),
         };
         (0..HOMES.len()).map(listed).collect()
     }
--- a/crates/standin/src/surge.rs
+++ b/crates/standin/src/surge.rs
@@ -261,6 +261,7 @@
             pool: "engines".into(),
             since: Position::default(),
             slots: 0,
+            version: String::new(),
         };
         let list: Vec<Listed> = (0..plan.engines).map(listed).collect();
         for instance in 0..plan.instances {
--- a/crates/standin/src/world.rs
+++ b/crates/standin/src/world.rs
@@ -469,6 +469,7 @@
                 pool: pool_of(index, self.engines).into(),
                 since: Position::default(),
                 slots: 0,
+                version: String::new(),
             })
             .chain((0..self.instances.len()).map(|index| Listed {
                 born: 0,
@@ -479,6 +480,7 @@
                 pool: wellplank_core::core::INSTANCE_POOL.into(),
                 since: Position::default(),
                 slots: 0,
+                version: String::new(),
             }))
             .collect();
         let event = Event::List {
