Upstreams of another version than the one in force get nothing while one of that stays

Cause: every listed upstream was given its part of all work, so a version that nobody ordered was exposed in full from its first entry on. Changed: the version of the upstream that was entered first is in force at an instance; others are held back from first and second sendings, streams that go on, copies, resumes and calls until none of it stays; beliefs `held` and `released` in logs. Ruled out: a switch of the version in force when its upstreams are gone for a moment (crashed ones come back as the youngest, and a bad version would keep all work).

--- a/crates/core/src/core.rs
+++ b/crates/core/src/core.rs
@@ -34,6 +34,8 @@
     pub tokens: gauge::Mean,
     /// Its upstreams.
     pub upstreams: Vec<upstream::Key>,
+    /// Version of its upstreams that is in force; `None` before there was one.
+    pub version: Option<Arc<str>>,
     /// Relayed calls that may be under way at once.
     pub window: Window,
 }
@@ -48,6 +50,7 @@
             retries: Budget::new(BUDGET, BUDGET_REFILL, Time::default()),
             tokens: gauge::Mean::default(),
             upstreams: Vec::new(),
+            version: None,
             window: Window::default(),
         }
     }
--- a/crates/core/src/effect.rs
+++ b/crates/core/src/effect.rs
@@ -105,12 +105,16 @@
     Doubted,
     /// It is no longer listed and runs nothing.
     Gone,
+    /// It is of another version than the one in force, and gets no work.
+    Held,
     /// It is leaving.
     Leaving,
     /// It was given up on.
     Lost,
     /// It is listed for the first time.
     New,
+    /// It is held back no longer.
+    Released,
     /// Another upstream has its address.
     Replaced,
     /// It asked for a time without requests of this instance.
@@ -148,9 +152,11 @@
         match self {
             Self::Doubted => "doubted",
             Self::Gone => "gone",
+            Self::Held => "held",
             Self::Leaving => "leaving",
             Self::Lost => "lost",
             Self::New => "new",
+            Self::Released => "released",
             Self::Replaced => "replaced",
             Self::Resting => "resting",
             Self::Restarted => "restarted",
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -49,6 +49,7 @@
 mod stream;
 mod suspicion;
 mod usage;
+mod version;
 mod watch;
 mod window;
 
--- a/crates/core/src/notice.rs
+++ b/crates/core/src/notice.rs
@@ -171,7 +171,8 @@
         let pool = self.pools.get(request.service.pool())?;
         let stay = self
             .upstreams_of(pool)
-            .filter(|upstream| upstream.health != Health::Lost && !upstream.leaves(self.now));
+            .filter(|upstream| upstream.health != Health::Lost && !upstream.leaves(self.now))
+            .filter(|upstream| !upstream.held);
         let ends = stay.map(|upstream| upstream.standing.rests_until);
         ends.min().filter(|end| *end > self.now)
     }
--- a/crates/core/src/place.rs
+++ b/crates/core/src/place.rs
@@ -94,10 +94,8 @@
     /// Whether an upstream may still hold a copy, by all that is known of it.
     fn may_have(&self, key: upstream::Key) -> bool {
         let upstream = self.upstreams.get(key);
-        upstream.is_some_and(|upstream| {
-            let stays = !upstream.leaves(self.now) && !upstream.rests(self.now);
-            upstream.health == Health::Live && stays
-        })
+        upstream
+            .is_some_and(|upstream| upstream.health == Health::Live && upstream.may_serve(self.now))
     }
 
     /// Upstreams that a relayed request may be sent to: those that take work, else those that are
@@ -109,8 +107,7 @@
         let mut stay = pool.upstreams.clone();
         stay.retain(|key| {
             let upstream = &self.upstreams[*key];
-            let stays = !upstream.leaves(self.now) && !upstream.rests(self.now);
-            upstream.health != Health::Lost && stays
+            upstream.health != Health::Lost && upstream.may_serve(self.now)
         });
         let live = |key: &upstream::Key| self.upstreams[*key].health == Health::Live;
         if stay.iter().any(live) {
--- a/crates/core/src/upstream.rs
+++ b/crates/core/src/upstream.rs
@@ -98,6 +98,8 @@
     pub full_until: Time,
     /// Last time anything came from it.
     pub heard: Time,
+    /// Whether it gets no work, as it is of another version than the one in force.
+    pub held: bool,
     /// Its life.
     pub life: Life,
     /// Whether the platform's list says that it is leaving, or has dropped it.
@@ -126,6 +128,8 @@
     pub trouble: Trouble,
     /// What holds of it by its own words.
     pub standing: notice::Standing,
+    /// Version of its software; empty where it does not say.
+    pub version: Arc<str>,
     /// Starts and ends of the last while, oldest first, of which a report may hold some.
     pub recent: VecDeque<Change>,
 }
@@ -168,7 +172,13 @@
 
     /// Whether it may be given new work.
     pub fn takes_work(&self, now: Time) -> bool {
-        self.chosen && self.health == Health::Live && !self.leaves(now) && !self.rests(now)
+        self.chosen && self.health == Health::Live && self.may_serve(now)
+    }
+
+    /// Whether work may be meant for it, as far as it goes by what it is and says: it neither leaves nor rests, and is of the
+    /// version in force.
+    pub fn may_serve(&self, now: Time) -> bool {
+        !self.leaves(now) && !self.rests(now) && !self.held
     }
 
     /// Whether it asked this instance for rest.
--- a/crates/core/src/watch.rs
+++ b/crates/core/src/watch.rs
@@ -129,6 +129,7 @@
         for former in formers {
             self.restarted(former);
         }
+        self.settle_versions();
         self.choose_subsets();
         self.listed = Some(asked);
         self.submit_early();
@@ -190,6 +191,7 @@
         self.tell_demands();
         if self.now.since(self.swept) >= SWEEP_MS {
             self.swept = self.now;
+            self.settle_versions();
             self.sweep();
         }
         self.pump_all();
@@ -206,7 +208,7 @@
             let mut ranked = pool.upstreams.clone();
             ranked.retain(|key| {
                 let upstream = &self.upstreams[*key];
-                upstream.health != Health::Lost && !upstream.leaves(self.now)
+                upstream.health != Health::Lost && !upstream.leaves(self.now) && !upstream.held
             });
             ranked.sort_unstable_by_key(|key| {
                 route::rank(self.identity, self.upstreams[*key].life.id)
@@ -263,6 +265,7 @@
             }
             self.upstreams[key].leaving = entry.leaving;
             self.upstreams[key].listed_slots = entry.slots;
+            self.upstreams[key].version = entry.version.as_str().into();
             return Place { former: None, key };
         }
         let former = known.filter(|key| self.upstreams[*key].life != life);
@@ -284,6 +287,7 @@
             full_until: Time::default(),
             health: Health::Live,
             heard: self.now,
+            held: false,
             leaving: entry.leaving,
             leaving_until: Time::default(),
             life,
@@ -299,6 +303,7 @@
             standing: self.standings.take(life, entry.address),
             takes_ms: 0.0,
             trouble: upstream::Trouble::default(),
+            version: entry.version.as_str().into(),
         });
         self.sightings.resolve(life, key, self.now);
         self.lives.insert(life, key);
