Calls under way follow the time wanted, what waits counts, and failed calls are not sent on while their service is full

Cause: at 4.5 times the usual calls of the shifted site 1,819 of 11,513 were refused and 2,217 late, at 492 arrivals a second before a service of 560: a fixed 1.6 calls for each slot leaves places idle by chance where answers are wanted within four times what a call takes; 730 calls went to a second upstream, mostly those that fail everywhere; a lone instance did not see what waits in its own queue. Ruled out: upstreams' queues as the cause of late calls (with 1.0 and 1.2 for each slot 6,775 to 7,087 in time, 1,953 to 2,040 late); without second sendings alone 7,235 in time. Settings: core.calls.wait (0 for the fixed number), core.calls.second.

--- a/crates/core/src/demand.rs
+++ b/crates/core/src/demand.rs
@@ -28,9 +28,10 @@
 /// one call in 60 is turned away at 0.95, one in 200 at 0.9.
 const FILL: f64 = 0.9;
 
-/// Calls under way for each slot that are aimed at while calls are refused: one that runs, and for some slots
-/// one that waits, so that few are idle.
-const CALLS_PER_SLOT: f64 = 1.6;
+/// Calls under way for each slot that are aimed at while calls are refused: at the least one that runs, and for some slots one that
+/// waits, so that few are idle; more where answers are wanted late enough, and fewer than a window lets through, or what
+/// waits at a lone instance is not seen.
+const CALLS_PER_SLOT: std::ops::RangeInclusive<f64> = 1.6..=2.4;
 
 /// Part of what is served that callers who were refused before may have of it, where new ones would fill it:
 /// their answers are late already. With more of it fewer are refused twice, and more are late.
@@ -146,6 +147,8 @@
     last: Option<Ended>,
     /// What is asked for, over what is served.
     load: f64,
+    /// Time in which the answer to the last call was wanted, in milliseconds.
+    objective_ms: f64,
     others: HashMap<SocketAddr, Told>,
     part: Part,
     returned: Rate,
@@ -186,6 +189,7 @@
             correction: 1.0,
             last: None,
             load: 0.0,
+            objective_ms: 0.0,
             others: HashMap::new(),
             part: Part::ALL,
             returned: Rate::default(),
@@ -259,7 +263,7 @@
     }
 
     /// Takes in what all instances ask of so many slots.
-    fn adjust(&mut self, whole: Whole, slots: u32, now: Time) {
+    fn adjust(&mut self, whole: Whole, slots: u32, wait: f64, now: Time) {
         self.part = Part::ALL;
         self.load = 0.0;
         let asked = whole.asked + whole.returned;
@@ -271,7 +275,8 @@
         let limits = places * self.correction < asked;
         if now.since(self.adjusted) >= TELL_MS {
             self.adjusted = now;
-            self.correct(whole.running / slots, limits);
+            let aim = self.aim(whole.takes_ms, wait);
+            self.correct(whole.running / slots, aim, limits);
         }
         let served = places * self.correction;
         let returned = (served - whole.asked).max(served * RETURNED_PART);
@@ -283,16 +288,24 @@
         };
     }
 
+    /// Calls under way for each slot that are aimed at while calls are refused: as many as have their answers in a part of the time
+    /// wanted. With a fixed number a service whose calls take a fourth of that time was left idle by chance while a fifth of
+    /// its calls were refused.
+    fn aim(&self, takes_ms: f64, wait: f64) -> f64 {
+        let (least, most) = (*CALLS_PER_SLOT.start(), *CALLS_PER_SLOT.end());
+        (self.objective_ms * wait / takes_ms).clamp(least, most)
+    }
+
     /// Follows the calls under way for each slot: admits fewer where too many wait, also if what calls take is
     /// known wrong, and more where places are idle though calls are refused.
-    fn correct(&mut self, running: f64, limits: bool) {
-        let aim = if limits || running > CALLS_PER_SLOT {
-            CALLS_PER_SLOT / running.max(f64::EPSILON)
+    fn correct(&mut self, running: f64, aim: f64, limits: bool) {
+        let ratio = if limits || running > aim {
+            aim / running.max(f64::EPSILON)
         } else {
             // What was corrected in a burst is forgotten behind it.
             1.0 / self.correction
         };
-        let step = aim.powf(STEP_POWER).clamp(*STEPS.start(), *STEPS.end());
+        let step = ratio.powf(STEP_POWER).clamp(*STEPS.start(), *STEPS.end());
         let correction = self.correction * step;
         self.correction = correction.clamp(*CORRECTIONS.start(), *CORRECTIONS.end());
     }
@@ -377,7 +390,12 @@
         let name: Arc<str> = request.service.pool().into();
         let now = self.now;
         let came_back = request.waited_ms >= RETURNED_MS;
+        let objective_ms = request
+            .service
+            .relay()
+            .map_or(0, |relay| relay.objective_ms);
         let demands = &mut self.pools.entry(name.clone()).or_default().demands;
+        demands.objective_ms = objective_ms as f64;
         if came_back {
             demands.returned.add(now);
         } else {
@@ -473,7 +491,8 @@
         let (instances, now) = (self.instances, self.now);
         if let Some(pool) = self.pools.get_mut(name) {
             let whole = pool.demands.whole(running, instances, now);
-            pool.demands.adjust(whole, slots, now);
+            pool.demands
+                .adjust(whole, slots, self.settings.calls.wait, now);
         }
     }
 
@@ -484,7 +503,8 @@
         works.map(|upstream| upstream.listed_slots).sum()
     }
 
-    /// Calls of a pool under way here, without those that hang.
+    /// Calls of a pool under way or waiting here, without those that hang: what waits for the window is late too, and with it unseen
+    /// a lone instance admitted three times what was served in time.
     fn under_way(&self, name: &str) -> u32 {
         let Some(pool) = self.pools.get(name) else {
             return 0;
@@ -494,6 +514,6 @@
             .upstreams_of(pool)
             .flat_map(|upstream| &upstream.attempts);
         let fresh = attempts.filter(|key| self.now.since(self.attempts[**key].sent_at) < hung);
-        fresh.count() as u32
+        (fresh.count() + pool.queue.len()) as u32
     }
 }
--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -27,7 +27,7 @@
             let request = &mut self.requests[owner];
             request.may_have_run = true;
             request.avoid = Some(attempt.upstream);
-            if request.service.repeatable && self.may_go_on(owner) {
+            if self.may_go_on(owner) && self.may_repeat_fault(owner) {
                 self.requests[owner].passage.fault = !self.requests[owner].passage.opened;
                 self.keep_copy(&attempt);
                 self.note_lost(&attempt, counter::Reason::Fault);
@@ -42,6 +42,14 @@
         self.complete(owner, attempt.upstream, Effect::Answer);
     }
 
+    /// Whether a request that an upstream failed is sent on. What fails by itself fails everywhere, and while a service is nearly
+    /// full its second sending takes the place of a call that could be in time.
+    fn may_repeat_fault(&self, key: request::Key) -> bool {
+        let request = &self.requests[key];
+        let crowds = !request.service.streams() && self.is_pressed(request.service.pool());
+        request.service.repeatable && (self.settings.calls.second || !crowds)
+    }
+
     /// A relayed stream ended without an error. An end that is not marked is believed when a second
     /// upstream, asked to go on behind the last event, has nothing more either.
     pub(crate) fn closed(&mut self, key: attempt::Key, marked: bool) {
--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -192,6 +192,10 @@
 pub struct Calls {
     /// Whether those beyond what the slots serve are refused, by what all instances are asked.
     pub demand: bool,
+    /// Whether calls that upstreams failed are sent on while their service is nearly full.
+    pub second: bool,
+    /// Part of the time in which answers are wanted that calls are under way while others are refused; 0 for a fixed number a slot.
+    pub wait: f64,
     /// Whether those under way at once are bounded by how they are answered.
     pub window: bool,
 }
@@ -200,6 +204,8 @@
     fn default() -> Self {
         Self {
             demand: true,
+            second: false,
+            wait: 0.6,
             window: true,
         }
     }
--- a/crates/core/tests/absence.rs
+++ b/crates/core/tests/absence.rs
@@ -135,3 +135,21 @@
     absence.answer(Time(4_000));
     expect_that!(absence.believed_ms(Time(4_000)), eq(2_000));
 }
+
+#[gtest]
+fn time_without_an_absence_begins_with_the_answer_that_ended_the_last() {
+    let mut absence = absence(&[(1_000, true), (2_000, true), (3_500, true)]);
+    expect_that!(absence.steady_ms(), eq(2_500));
+    absence.answer(Time(6_000));
+    expect_that!(absence.steady_ms(), eq(0));
+    absence.answer(Time(6_500));
+    expect_that!(absence.steady_ms(), eq(500));
+}
+
+#[gtest]
+fn return_from_an_older_copy_ends_the_time_without_an_absence() {
+    let mut absence = absence(&[(1_000, true), (2_000, true)]);
+    absence.show(1, Time(2_500));
+    absence.answer(Time(2_500));
+    expect_that!(absence.steady_ms(), eq(0));
+}
--- a/crates/core/tests/relay/fleet.rs
+++ b/crates/core/tests/relay/fleet.rs
@@ -196,3 +196,33 @@
     expect_that!(demand.asked, gt(0.0));
     expect_that!(pressed, eq(false));
 }
+
+/// How often a call is sent that an upstream fails while so much is asked at each of 294 other instances.
+fn sendings_of_a_fault(asked: f64, second: bool) -> usize {
+    let mut settings = Settings::default();
+    settings.calls.second = second;
+    let mut test = Test::set(settings);
+    test.tell(Event::Config(Arc::new(configuration(1))));
+    let slots = |upstream: Listed| Listed {
+        slots: 6,
+        ..upstream
+    };
+    test.list((0..6).map(|index| slots(listed(index, index))).collect());
+    test.tell(Event::Instances(295));
+    test.demand(294, asked, 58);
+    test.pass(300);
+    test.demand(294, asked, 58);
+    while test.sent().is_empty() {
+        test.ask(AGAIN);
+    }
+    let sent = test.last();
+    test.answer(&sent, Verdict::Fault);
+    test.sent().len()
+}
+
+#[gtest]
+fn call_that_an_upstream_failed_is_sent_on_unless_its_service_is_nearly_full() {
+    expect_that!(sendings_of_a_fault(0.2, false), eq(2));
+    expect_that!(sendings_of_a_fault(1.7, false), eq(1));
+    expect_that!(sendings_of_a_fault(1.7, true), eq(2));
+}
--- a/crates/core/tests/roster.rs
+++ b/crates/core/tests/roster.rs
@@ -214,3 +214,28 @@
     roster.take(listed(2, 901, false), None, NOW);
     expect_that!(leaves(&roster), some(eq(false)));
 }
+
+/// A life missing from a whole list had gone by then; the last change known before says less.
+#[gtest]
+fn life_that_a_whole_list_lacks_is_not_there_again_in_a_copy_from_before_the_list() {
+    let mut roster = Roster::default();
+    roster.take_all(&listed(1, 700, false), Position::new(1, 701), None, NOW);
+    roster.take_all(&[], Position::new(1, 900), None, NOW);
+    roster.take_all(&listed(2, 850, false), Position::new(2, 860), None, NOW);
+    expect_that!(leaves(&roster), none());
+}
+
+/// Upstreams could not enter themselves, since the store was away again soon: who is told believes entries that go as long as who saw it.
+#[gtest]
+fn belief_that_was_put_off_is_told_with_words() {
+    let mut roster = Roster::default();
+    roster.away = true;
+    let mut first = word(1, 2);
+    (first.away_ms, first.returning_ms) = (3_000, 1_200);
+    roster.hear(&first, at(1), NOW);
+    let mut second = gone(2, 3, "engine-2");
+    (second.away_ms, second.returning_ms, second.held) = (3_000, 2_000, true);
+    roster.hear(&second, at(2), NOW);
+    expect_that!(roster.believed_ms(NOW), eq(2_000));
+    expect_that!(names(&roster), elements_are![eq("engine-2")]);
+}
--- a/crates/node/src/tuning.rs
+++ b/crates/node/src/tuning.rs
@@ -12,6 +12,8 @@
         "attempts_max": core.attempts_max,
         "calls": {
             "demand": core.calls.demand,
+            "second": core.calls.second,
+            "wait": core.calls.wait,
             "window": core.calls.window,
         },
         "claim_retry_ms": core.claim_retry_ms,
@@ -148,6 +150,8 @@
     let default = Calls::default();
     let calls = Calls {
         demand: reader.flag("demand", default.demand),
+        second: reader.flag("second", default.second),
+        wait: reader.real("wait", default.wait, 0.0..=1.0),
         window: reader.flag("window", default.window),
     };
     reader.finish();
--- a/crates/standin/tests/rush.rs
+++ b/crates/standin/tests/rush.rs
@@ -96,3 +96,25 @@
     };
     expect_that!(rush::ceiling(plan).in_time, ge(rush::run(plan).in_time));
 }
+
+/// Answers are wanted within five times what a call takes: a fixed number of calls for each slot leaves places idle by chance, while a
+/// lone instance does not see what waits in its own queue.
+#[gtest]
+fn calls_under_way_by_the_time_wanted_leave_few_late_and_none_idle() {
+    let run = |wait, instances| {
+        rush::run(Plan {
+            calls: Calls {
+                wait,
+                ..Calls::default()
+            },
+            instances,
+            load: 3.0,
+            seed: 1,
+            ..Plan::default()
+        })
+    };
+    let (fixed, wanted) = (run(0.0, 74), run(0.6, 74));
+    expect_that!(wanted.in_time + wanted.late, gt(fixed.in_time + fixed.late));
+    let lone = run(0.6, 1);
+    expect_that!(lone.late * 4, lt(lone.in_time));
+}
