--- a/crates/core/src/demand.rs
+++ b/crates/core/src/demand.rs
@@ -69,10 +69,10 @@
 /// on it does not count at all: its upstreams may be fewer than its callers need.
 const NEAR: std::ops::Range<f64> = 0.5..0.7;
 
-/// Part of what the slots serve from which on all instances are told at once, not only those of the own data
+/// Part of what the slots serve from which on a service is full, and all instances are told at once, not only those of the own data
 /// centre along with something else. With 0.5, which is below the usual load of the large site, that alone added
 /// a half to the bytes between data centres.
-const TELL_ALL: f64 = 0.9;
+const FULL: f64 = 0.9;
 
 /// What one instance is asked of a pool.
 #[derive(Clone, Debug, PartialEq)]
@@ -382,6 +382,12 @@
         self.settings.calls.demand && pool.is_some_and(|pool| pool.demands.nearness() < 1.0)
     }
 
+    /// Whether a pool is asked for nearly all that its slots serve.
+    pub(crate) fn is_full(&self, pool: &str) -> bool {
+        let pool = self.pools.get(pool);
+        self.settings.calls.demand && pool.is_some_and(|pool| pool.demands.load >= FULL)
+    }
+
     /// Whether a new call is among those that the service can serve. One that is not is refused at once.
     pub(crate) fn check_demand(&mut self, request: &Request) -> Result<(), admission::Refusal> {
         if !self.settings.calls.demand || request.service.streams() {
@@ -433,7 +439,7 @@
                 continue;
             };
             pool.demands.told = now;
-            let pressed = pool.demands.load >= TELL_ALL;
+            let pressed = pool.demands.load >= FULL;
             let last = pool.demands.last.take().filter(|_| pressed);
             pool.demands
                 .others
--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -46,7 +46,7 @@
     /// full its second sending takes the place of a call that could be in time.
     fn may_repeat_fault(&self, key: request::Key) -> bool {
         let request = &self.requests[key];
-        let crowds = !request.service.streams() && self.is_pressed(request.service.pool());
+        let crowds = !request.service.streams() && self.is_full(request.service.pool());
         request.service.repeatable && (self.settings.calls.second || !crowds)
     }
 
--- a/crates/core/tests/relay/fleet.rs
+++ b/crates/core/tests/relay/fleet.rs
@@ -223,6 +223,7 @@
 #[gtest]
 fn call_that_an_upstream_failed_is_sent_on_unless_its_service_is_nearly_full() {
     expect_that!(sendings_of_a_fault(0.2, false), eq(2));
+    expect_that!(sendings_of_a_fault(1.2, false), eq(2));
     expect_that!(sendings_of_a_fault(1.7, false), eq(1));
     expect_that!(sendings_of_a_fault(1.7, true), eq(2));
 }
