Limits that upstreams name are decoded, counted and logged

Sight before any change of logic: lines `upstream said` carry the limit, a counter counts the answers that name one, and odd ones count as odd. Nothing heeds it yet.

The callers of the notice tests moved to the site, since the next tests need them too.

--- a/crates/core/src/counter.rs
+++ b/crates/core/src/counter.rs
@@ -27,7 +27,9 @@
     LeavingTold,
     /// Answers whose upstream said beside them that it is leaving.
     NoticeLeaving,
-    /// Answers whose upstream asked for a rest that is no time.
+    /// Answers whose upstream named a limit.
+    NoticeLimit,
+    /// Answers whose upstream asked for a rest that is no time, or named a limit that is no number.
     NoticeOdd,
     /// Answers whose upstream asked for rest.
     NoticeRest,
@@ -118,6 +120,7 @@
             Self::Invariant(invariant) => write!(formatter, "invariant.{invariant}"),
             Self::LeavingTold => write!(formatter, "notice.told"),
             Self::NoticeLeaving => write!(formatter, "notice.leaving"),
+            Self::NoticeLimit => write!(formatter, "notice.limit"),
             Self::NoticeOdd => write!(formatter, "notice.odd"),
             Self::NoticeRest => write!(formatter, "notice.rest"),
             Self::Paused => write!(formatter, "paused"),
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod kind;
 pub mod lesson;
 pub mod life;
+pub mod limit;
 pub mod line;
 pub mod notice;
 pub mod position;
@@ -74,6 +75,7 @@
     kind::Kind,
     lesson::Why,
     life::Life,
+    limit::Limit,
     line::Line,
     notice::Notice,
     position::Position,
--- a/crates/core/src/notice.rs
+++ b/crates/core/src/notice.rs
@@ -26,6 +26,8 @@
 pub struct Notice {
     /// Whether it is leaving.
     pub leaving: bool,
+    /// Which requests it takes from all instances together.
+    pub limit: Limit,
     /// Its load, if it tells that.
     pub load: Option<Load>,
     /// Whether it wants no requests of this instance for a while.
@@ -66,24 +68,29 @@
 impl Notice {
     /// Whether the head says nothing of the upstream but its load.
     pub fn is_plain(&self) -> bool {
-        !self.leaving && self.rest == Rest::None
+        let unlimited = matches!(self.limit, Limit::None | Limit::Unknown);
+        !self.leaving && self.rest == Rest::None && unlimited
     }
 }
 
 impl Rest {
     /// Reads a time in seconds, which may have a fraction.
     pub fn read(text: &str) -> Self {
-        let text = text.trim();
-        let plain = |byte: u8| byte.is_ascii_digit() || byte == b'.';
-        let seconds = text.parse::<f64>().ok();
-        match seconds.filter(|_| text.bytes().all(plain)) {
-            // The cast saturates, so a time beyond all numbers is the longest one.
-            Some(seconds) => Self::For((seconds * 1_000.0).ceil() as u64),
-            None => Self::Odd,
-        }
+        // The cast saturates, so a time beyond all numbers is the longest one.
+        decimal(text).map_or(Self::Odd, |seconds| {
+            Self::For((seconds * 1_000.0).ceil() as u64)
+        })
     }
 }
 
+/// A number of digits that may have a fraction; no sign, exponent or unit.
+pub(crate) fn decimal(text: &str) -> Option<f64> {
+    let text = text.trim();
+    let plain = |byte: u8| byte.is_ascii_digit() || byte == b'.';
+    let number = text.parse::<f64>().ok();
+    number.filter(|_| text.bytes().all(plain))
+}
+
 impl Standings {
     /// Remembers what an upstream said whose entry is gone. Of too many the oldest is forgotten.
     pub fn keep(&mut self, upstream: &Upstream, now: Time) {
@@ -121,6 +128,11 @@
         if notice.leaving {
             self.departs(key);
         }
+        match notice.limit {
+            Limit::None | Limit::Unknown => {}
+            Limit::Odd => self.count(Counter::NoticeOdd),
+            Limit::Rate(_) => self.count(Counter::NoticeLimit),
+        }
         match notice.rest {
             Rest::For(millis) => self.rest(key, millis),
             Rest::None => {}
--- a/crates/node/src/note.rs
+++ b/crates/node/src/note.rs
@@ -2,6 +2,7 @@
 
 use super::*;
 use wellplank_core::{
+    limit::Limit,
     notice::{Notice, Rest},
     print::Print,
     quarantine::Account,
@@ -22,7 +23,12 @@
         Rest::None => (0, false),
         Rest::Odd => (0, true),
     };
-    info!(request, upstream, status, leaving, rest_ms, odd; "upstream said");
+    let (limit, odd) = match notice.limit {
+        Limit::None | Limit::Unknown => (None, odd),
+        Limit::Odd => (None, true),
+        Limit::Rate(rate) => (Some(rate.per_second()), odd),
+    };
+    info!(request, upstream, status, leaving, limit, rest_ms, odd; "upstream said");
 }
 
 /// Writes the line of a request that is refused from now on, with the upstreams that ended under it, by the hashes of their
--- a/crates/standin/src/client.rs
+++ b/crates/standin/src/client.rs
@@ -26,6 +26,25 @@
     pub whole: bool,
 }
 
+/// What callers bring.
+#[derive(Clone, Copy, Debug)]
+pub enum Work {
+    /// Calls that may be repeated.
+    Call,
+    /// Streams.
+    Stream,
+}
+
+impl Work {
+    /// A request under the name of one try.
+    pub fn ask(self, run: &str) -> Ask {
+        match self {
+            Self::Call => Ask::again(run),
+            Self::Stream => Ask::stream(run),
+        }
+    }
+}
+
 impl Ask {
     /// A request with the customer's key, under the name of one try.
     pub fn new(path: &'static str, run: &str) -> Self {
--- a/crates/standin/src/site.rs
+++ b/crates/standin/src/site.rs
@@ -2,6 +2,7 @@
 //! runtime of its own, so that each can be ended like a process.
 
 use super::*;
+use client::{Got, Work};
 use proxy::Proxy;
 use shelf::Shelf;
 use worker::{Ledger, Worker};
@@ -15,6 +16,12 @@
 /// Key of the customer.
 pub const KEY: &str = "key-1";
 
+/// Callers that ask an instance at the same time.
+const CALLERS: usize = 8;
+
+/// Pause between two requests of one caller.
+const CALLER_PAUSE: Duration = Duration::from_millis(20);
+
 /// Time that an instance has to be ready.
 const PATIENCE: Duration = Duration::from_secs(20);
 
@@ -215,6 +222,39 @@
         self.wait_ready().await;
     }
 
+    /// Has callers ask an instance for some time, each one request behind the other; how many were answered whole, of how many.
+    /// The names of their requests begin with the number of the instance.
+    pub async fn bring(&self, instance: usize, work: Work, lasts: Duration) -> (usize, usize) {
+        let callers = (0..CALLERS).map(|caller| self.ask_on(instance, work, caller, lasts));
+        let counts = futures_util::future::join_all(callers).await;
+        let sum = |all: (usize, usize), one: (usize, usize)| (all.0 + one.0, all.1 + one.1);
+        counts.into_iter().fold((0, 0), sum)
+    }
+
+    /// One caller's part in that.
+    async fn ask_on(
+        &self,
+        instance: usize,
+        work: Work,
+        caller: usize,
+        lasts: Duration,
+    ) -> (usize, usize) {
+        let address = self.instances[instance].callers;
+        let begun = Instant::now();
+        let (mut whole, mut asked) = (0, 0);
+        while begun.elapsed() < lasts {
+            let at_us = begun.elapsed().as_micros();
+            let run = format!("i{instance}-{caller}-{at_us}-{asked}");
+            asked += 1;
+            if let Ok(response) = work.ask(&run).try_open(address).await {
+                let got = Got::read(response, usize::MAX).await;
+                whole += usize::from(got.whole && got.status == StatusCode::OK);
+            }
+            sleep(CALLER_PAUSE).await;
+        }
+        (whole, asked)
+    }
+
     /// Waits until every instance is ready and knows the workers.
     pub async fn wait_ready(&self) {
         let end = Instant::now() + PATIENCE;
--- a/crates/standin/src/word.rs
+++ b/crates/standin/src/word.rs
@@ -66,8 +66,8 @@
         };
         let notice = Notice {
             leaving,
-            load: None,
             rest,
+            ..Notice::default()
         };
         let upstream = key;
         self.event(line, Event::Noticed { notice, upstream });
--- a/crates/standin/src/worker.rs
+++ b/crates/standin/src/worker.rs
@@ -59,6 +59,8 @@
 pub struct Remark {
     /// Whether it is leaving.
     pub leaving: bool,
+    /// Requests a second that it takes from all instances together.
+    pub limit: Option<&'static str>,
     /// When it wants requests again, as its refusals say it.
     pub rest: Option<&'static str>,
 }
@@ -75,10 +77,9 @@
 
     /// The header lines of any other answer.
     fn answer(self) -> String {
-        if self.leaving {
-            return format!("{}: 1\r\n", Self::LEAVING);
-        }
-        String::new()
+        let leaving = self.leaving.then(|| format!("{}: 1\r\n", Self::LEAVING));
+        let limit = self.limit.map(|limit| format!("server-limit: {limit}\r\n"));
+        leaving.into_iter().chain(limit).collect()
     }
 }
 
@@ -89,6 +90,8 @@
     pub at: Instant,
     /// When the life that it reached began.
     pub born: u64,
+    /// Limit that the worker names in its answer, if it does.
+    pub limit: Option<&'static str>,
     /// Rest in seconds that the worker asked for when it turned the request away, if it did.
     pub rest: Option<&'static str>,
     /// Name of its run.
@@ -330,6 +333,7 @@
         self.ledger.lock().arrivals.push(Arrival {
             at: run.at,
             born: self.born,
+            limit: self.remark().limit,
             rest: self.remark().rest.filter(|_| refuses),
             run: run.header("wellplank-request-id").to_owned(),
             worker: self.name.clone(),
--- a/crates/standin/tests/notice.rs
+++ b/crates/standin/tests/notice.rs
@@ -28,7 +28,7 @@
     std::time::{Duration, Instant},
     tokio::time::sleep,
     wellplank_standin::{
-        client::{Ask, Got},
+        client::Work,
         site::{Plan, Seat, Site, run},
         worker::{Arrival, Mode, Remark},
     },
@@ -44,67 +44,23 @@
 /// Time behind a refusal for requests that cross it.
 const CROSSES: Duration = Duration::from_millis(500);
 
-/// Callers that ask at the same time.
-const CALLERS: usize = 8;
-
-/// Pause between two requests of one caller.
+/// Time in which callers bring work before it is seen where it went.
 const PAUSE: Duration = Duration::from_millis(20);
 
 /// The word of an upstream that leaves.
 const LEAVING: Remark = Remark {
     leaving: true,
+    limit: None,
     rest: None,
 };
 
 /// The word of an upstream that asks for rest.
 const RESTING: Remark = Remark {
     leaving: false,
+    limit: None,
     rest: Some(REST.0),
 };
 
-/// What is asked.
-#[derive(Clone, Copy, Debug)]
-enum Work {
-    Call,
-    Stream,
-}
-
-/// Has callers ask an instance for some time, each one request behind the other; how many were answered whole, of how many.
-async fn bring(site: &Site, instance: usize, work: Work, lasts: Duration) -> (usize, usize) {
-    let callers = (0..CALLERS).map(|caller| ask_on(site, instance, work, caller, lasts));
-    let counts = futures_util::future::join_all(callers).await;
-    let sum = |all: (usize, usize), one: (usize, usize)| (all.0 + one.0, all.1 + one.1);
-    counts.into_iter().fold((0, 0), sum)
-}
-
-/// One caller's part in that.
-async fn ask_on(
-    site: &Site,
-    instance: usize,
-    work: Work,
-    caller: usize,
-    lasts: Duration,
-) -> (usize, usize) {
-    let address = site.instances[instance].callers;
-    let begun = Instant::now();
-    let (mut whole, mut asked) = (0, 0);
-    while begun.elapsed() < lasts {
-        let at_us = begun.elapsed().as_micros();
-        let run = format!("i{instance}-{caller}-{at_us}-{asked}");
-        let ask = match work {
-            Work::Call => Ask::again(&run),
-            Work::Stream => Ask::stream(&run),
-        };
-        asked += 1;
-        if let Ok(response) = ask.try_open(address).await {
-            let got = Got::read(response, usize::MAX).await;
-            whole += usize::from(got.whole && got.status.as_u16() == 200);
-        }
-        sleep(PAUSE).await;
-    }
-    (whole, asked)
-}
-
 /// What one instance sent to an upstream within a time.
 fn sent(site: &Site, instance: usize, seat: &Seat, from: Instant, until: Instant) -> Vec<Arrival> {
     let own = format!("i{instance}-");
@@ -120,7 +76,7 @@
 async fn until_sent(site: &Site, instance: usize, work: Work, seat: &Seat) -> Instant {
     let begun = Instant::now();
     loop {
-        bring(site, instance, work, PAUSE).await;
+        site.bring(instance, work, PAUSE).await;
         let sent = sent(site, instance, seat, begun, Instant::now());
         if let Some(first) = sent.first() {
             return first.at;
@@ -145,7 +101,7 @@
     for instance in 0..site.instances.len() {
         let said = until_sent(site, instance, work, seat).await;
         sleep(BOUND).await;
-        let (whole, asked) = bring(site, instance, work, Duration::from_secs(3)).await;
+        let (whole, asked) = site.bring(instance, work, Duration::from_secs(3)).await;
         expect_that!(whole, eq(asked));
         late += sent(site, instance, seat, said + BOUND, Instant::now()).len();
     }
@@ -160,7 +116,7 @@
     let asked = until_sent(site, 0, work, seat).await;
     seat.worker.set(Mode::Good);
     seat.worker.say(Remark::default());
-    bring(site, 0, work, REST.1).await;
+    site.bring(0, work, REST.1).await;
     sent(site, 0, seat, asked + CROSSES, asked + REST.1).len()
 }
 
