Limits that upstreams name hold over all instances together

What callers saw: an upstream in need that had named a limit of requests a second got 31 calls in 4 s of 19 allowed; callers of it waited or failed there.

Ruled out: each instance keeping it alone (no instance kept anything: 507 calls with one), and second sendings (first ones broke the rule).

Now: who passes an answer on heeds its limit before any byte goes out, tells the others, and hears of its end by an answer to a request that was sent behind the word. About one instance for each request a second has a part, chosen by rendezvous hashing; a part is a bucket of one permit that begins empty, so all send at most 4 L + holders in 4 s, with L + 1 holders at most: 5 L + 1 of 6 L + 5 allowed. An instance acts as a holder only if it is one by every view of the fleet of the time in which all hear of a change, so never more act than that (test of 200 changing fleets). The permit is asked for where work is placed and taken where it is sent, on every way. Where all upstreams of a service name limits, what finds no permit in time is refused at once.

--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -173,7 +173,7 @@
         self.check_room(&customer, &service, &submission)?;
         let mut request = self.request(submission, customer, service, print)?;
         self.note_size(&request);
-        let checked = self.check_rest(&request);
+        let checked = self.check_open(&request);
         let checked = checked.and_then(|()| self.check_time(&request));
         if let Err(refusal) = checked.and_then(|()| self.check_demand(&request)) {
             self.count_refused(&request);
--- a/crates/core/src/core.rs
+++ b/crates/core/src/core.rs
@@ -83,6 +83,7 @@
     pub(crate) identity: u64,
     /// Upstreams by their lives; of each name at most one.
     pub(crate) lives: sighting::Lives,
+    pub(crate) members: Members,
     pub(crate) now: Time,
     /// How long callers of each service wait.
     pub(crate) patiences: HashMap<String, patience::Longest>,
@@ -154,11 +155,16 @@
                 position,
                 reason,
             } => self.finished(attempt, position, reason),
-            Event::Instances(count) => self.instances = count.max(1),
+            Event::Instances(view) => self.see_members(view),
             Event::Leaving(name) => self.hint_leaving(&name),
             Event::List { asked, listed } => self.list(asked, listed.as_deref()),
+            Event::Limited { life, rate } => self.limit_told(life, rate),
             Event::Load { upstream, load } => self.report(upstream, load),
-            Event::Noticed { upstream, notice } => self.noticed(upstream, &notice),
+            Event::Noticed {
+                attempt,
+                notice,
+                upstream,
+            } => self.noticed(upstream, attempt, &notice),
             Event::Opened(attempt) => self.opened(attempt),
             Event::Paced(pace) => self.paced(&pace),
             Event::Passed {
@@ -201,6 +207,7 @@
             instances: 1,
             listed: None,
             lives: BTreeMap::new(),
+            members: Members::default(),
             now,
             patiences: HashMap::new(),
             pools: BTreeMap::new(),
--- a/crates/core/src/counter.rs
+++ b/crates/core/src/counter.rs
@@ -25,6 +25,8 @@
     Invariant(Invariant),
     /// Words of other instances that an upstream is leaving.
     LeavingTold,
+    /// Words of other instances on the limits that upstreams name.
+    LimitTold,
     /// Answers whose upstream said beside them that it is leaving.
     NoticeLeaving,
     /// Answers whose upstream named a limit.
@@ -119,6 +121,7 @@
             Self::Hedged => write!(formatter, "hedged"),
             Self::Invariant(invariant) => write!(formatter, "invariant.{invariant}"),
             Self::LeavingTold => write!(formatter, "notice.told"),
+            Self::LimitTold => write!(formatter, "limit.told"),
             Self::NoticeLeaving => write!(formatter, "notice.leaving"),
             Self::NoticeLimit => write!(formatter, "notice.limit"),
             Self::NoticeOdd => write!(formatter, "notice.odd"),
--- a/crates/core/src/demand.rs
+++ b/crates/core/src/demand.rs
@@ -263,14 +263,13 @@
     }
 
     /// Takes in what all instances ask of so many slots.
-    fn adjust(&mut self, whole: Whole, slots: u32, wait: f64, now: Time) {
+    fn adjust(&mut self, whole: Whole, slots: f64, wait: f64, now: Time) {
         self.part = Part::ALL;
         self.load = 0.0;
         let asked = whole.asked + whole.returned;
-        if slots == 0 || whole.takes_ms <= 0.0 || asked <= 0.0 {
+        if slots <= 0.0 || whole.takes_ms <= 0.0 || asked <= 0.0 {
             return;
         }
-        let slots = f64::from(slots);
         let places = FILL * slots * 1_000.0 / whole.takes_ms;
         let limits = places * self.correction < asked;
         if now.since(self.adjusted) >= TELL_MS {
@@ -408,6 +407,10 @@
             demands.asked.add(now);
         }
         self.measure_demand(&name);
+        if self.is_limited(&self.pools[&name]) {
+            // Permits admit, here and at the few other instances that have any.
+            return Ok(());
+        }
         let part = self.pools[&name].demands.part;
         let part = if came_back { part.returned } else { part.new };
         if part >= 1.0 || self.rng.random::<f64>() < part {
@@ -460,17 +463,17 @@
     /// answer is not its own.
     pub(crate) fn time_call(&mut self, name: &str, attempt: &Attempt, answered: bool) {
         let running = self.under_way(name);
-        let Some(pool) = self.pools.get(name) else {
-            return;
-        };
-        let slots = f64::from(self.slots(pool));
         let (instances, now) = (self.instances, self.now);
         let upstream = self.upstreams.get(attempt.upstream);
         let upstream = upstream.map_or(0, |upstream| upstream.life.number());
-        let Some(pool) = self.pools.get_mut(name) else {
+        let Some(pool) = self.pools.get(name) else {
             return;
         };
         let whole = pool.demands.whole(running, instances, now);
+        let slots = self.slots(name, whole.takes_ms);
+        let Some(pool) = self.pools.get_mut(name) else {
+            return;
+        };
         let millis = if answered {
             now.since(attempt.sent_at)
         } else {
@@ -490,23 +493,34 @@
     /// Takes in what is known of the demand for a pool now.
     fn measure_demand(&mut self, name: &str) {
         let running = self.under_way(name);
+        let (instances, now) = (self.instances, self.now);
         let Some(pool) = self.pools.get(name) else {
             return;
         };
-        let slots = self.slots(pool);
-        let (instances, now) = (self.instances, self.now);
+        let whole = pool.demands.whole(running, instances, now);
+        let slots = self.slots(name, whole.takes_ms);
         if let Some(pool) = self.pools.get_mut(name) {
-            let whole = pool.demands.whole(running, instances, now);
             pool.demands
                 .adjust(whole, slots, self.settings.calls.wait, now);
         }
     }
 
-    /// Slots of a pool's upstreams that take work, by the list.
-    fn slots(&self, pool: &core::Pool) -> u32 {
-        let upstreams = self.upstreams_of(pool);
-        let works = upstreams.filter(|upstream| upstream.takes_work(self.now));
-        works.map(|upstream| upstream.listed_slots).sum()
+    /// Slots of a pool's upstreams that take work, by the list. One that names a limit counts with the slots that so many
+    /// calls keep busy.
+    fn slots(&self, name: &str, takes_ms: f64) -> f64 {
+        let Some(pool) = self.pools.get(name) else {
+            return 0.0;
+        };
+        let slots = |upstream: &Upstream| {
+            let listed = f64::from(upstream.listed_slots);
+            let busy = |part: limit::Part| part.rate().per_second() * takes_ms / 1_000.0;
+            upstream.part.map_or(listed, |part| busy(part).min(listed))
+        };
+        self.staying(pool)
+            .filter(|upstream| upstream.health == Health::Live && upstream.chosen)
+            .filter(|upstream| !upstream.rests(self.now))
+            .map(slots)
+            .sum()
     }
 
     /// Calls of a pool under way or waiting here, without those that hang: what waits for the window is late too, and with it unseen
--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -30,7 +30,7 @@
         if request.state != State::Queued {
             return;
         }
-        if self.outlasted_by_rest(request) {
+        if self.is_outlasted(request, 0) {
             self.give_up(key, Kind::Overloaded, Kind::UpstreamFailed);
             return;
         }
@@ -245,7 +245,8 @@
     fn send(&mut self, key: attempt::Key) {
         let attempt = &self.attempts[key];
         let request = &self.requests[attempt.request];
-        let upstream = &self.upstreams[attempt.upstream];
+        let upstream_key = attempt.upstream;
+        let upstream = &self.upstreams[upstream_key];
         let continues = request.position() > 0 && self.settings.continue_non_repeatable;
         let alone = request
             .attempts
@@ -260,6 +261,8 @@
             Work::Call { .. } | Work::Generate { .. } => request.sending(number, &self.settings),
         };
         let guilty = self.is_guilty(request.print);
+        let permitted = self.upstreams[upstream_key].spend(self.now);
+        self.check(permitted, Invariant::NoWorkBeyondLimit);
         self.check(!leaves, Invariant::NoWorkWhenLeaving);
         self.check(!rests, Invariant::NoWorkWhenResting);
         if !self.check(!guilty, Invariant::NoQuarantinedWork) {
--- a/crates/core/src/effect.rs
+++ b/crates/core/src/effect.rs
@@ -109,6 +109,8 @@
     Held,
     /// It is leaving.
     Leaving,
+    /// It takes so many requests a second from all instances together.
+    Limited,
     /// It was given up on.
     Lost,
     /// It is listed for the first time.
@@ -123,6 +125,8 @@
     Restarted,
     /// It gets work again.
     Trusted,
+    /// It names no limit any more.
+    Unlimited,
 }
 
 /// A step in the life of a request, with what it was decided by.
@@ -154,6 +158,7 @@
             Self::Gone => "gone",
             Self::Held => "held",
             Self::Leaving => "leaving",
+            Self::Limited => "limited",
             Self::Lost => "lost",
             Self::New => "new",
             Self::Released => "released",
@@ -161,6 +166,7 @@
             Self::Resting => "resting",
             Self::Restarted => "restarted",
             Self::Trusted => "trusted",
+            Self::Unlimited => "unlimited",
         }
     }
 }
@@ -283,6 +289,13 @@
         /// Its name.
         upstream: Arc<str>,
     },
+    /// Tell other instances what an upstream takes from all of them together.
+    Limit {
+        /// Its life.
+        life: Life,
+        /// The limit; `None` if it names none any more.
+        rate: Option<limit::Rate>,
+    },
     /// Log a step in the life of a request.
     Note(Note),
     /// Give a caller the head of a stream that the edge holds.
--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -185,10 +185,17 @@
         /// Why the engine stopped.
         reason: String,
     },
-    /// How many instances there are, this one with them.
-    Instances(u32),
+    /// Which instances there are.
+    Instances(View),
     /// An upstream is leaving; from the list, a peer, or its own word.
     Leaving(String),
+    /// Another instance heard the limit of an upstream.
+    Limited {
+        /// The upstream.
+        life: Life,
+        /// What it takes from all instances together; `None` if it names no limit any more.
+        rate: Option<limit::Rate>,
+    },
     /// The platform's list.
     List {
         /// When it was asked for.
@@ -205,10 +212,12 @@
     },
     /// An upstream said something of itself beside an answer, which comes behind this.
     Noticed {
-        /// The upstream.
-        upstream: upstream::Key,
+        /// The attempt that it answered.
+        attempt: attempt::Key,
         /// What it said.
         notice: Notice,
+        /// The upstream.
+        upstream: upstream::Key,
     },
     /// A relayed stream began; the edge holds its head.
     Opened(attempt::Key),
--- a/crates/core/src/invariant.rs
+++ b/crates/core/src/invariant.rs
@@ -13,6 +13,8 @@
     NeverReverts,
     /// A request that ends the upstreams that run it was to be sent.
     NoQuarantinedWork,
+    /// An upstream was given more work than this instance's part of the limit that it named.
+    NoWorkBeyondLimit,
     /// An upstream that is leaving was given new work.
     NoWorkWhenLeaving,
     /// An upstream that asked for rest was given new work.
@@ -32,6 +34,7 @@
             Self::ContiguousTokens => "contiguous_tokens",
             Self::NeverReverts => "never_reverts",
             Self::NoQuarantinedWork => "no_quarantined_work",
+            Self::NoWorkBeyondLimit => "no_work_beyond_limit",
             Self::NoWorkWhenLeaving => "no_work_when_leaving",
             Self::NoWorkWhenResting => "no_work_when_resting",
             Self::NotRunIsTrue => "not_run_is_true",
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod life;
 pub mod limit;
 pub mod line;
+pub mod members;
 pub mod notice;
 pub mod position;
 pub mod print;
@@ -77,6 +78,7 @@
     life::Life,
     limit::Limit,
     line::Line,
+    members::{Members, View},
     notice::Notice,
     position::Position,
     print::Print,
--- a/crates/core/src/notice.rs
+++ b/crates/core/src/notice.rs
@@ -4,6 +4,7 @@
 //! of the answer that brought it goes to a caller.
 
 use super::*;
+use limit::Rate;
 
 /// The longest rest that is believed, in milliseconds: one hour. An upstream that wants nothing for longer says that it
 /// leaves; a time written in another unit must not take one out for good.
@@ -51,6 +52,8 @@
 pub struct Standing {
     /// Whether it is leaving, up to its end.
     pub leaving: bool,
+    /// What it takes from all instances together, if it names that.
+    pub limit: Option<Rate>,
     /// Until when it wants no requests of this instance.
     pub rests_until: Time,
 }
@@ -117,8 +120,8 @@
 }
 
 impl Core {
-    /// An upstream said something of itself beside an answer.
-    pub(crate) fn noticed(&mut self, key: upstream::Key, notice: &Notice) {
+    /// An upstream said something of itself beside the answer to an attempt.
+    pub(crate) fn noticed(&mut self, key: upstream::Key, attempt: attempt::Key, notice: &Notice) {
         if !self.upstreams.contains_key(key) {
             return;
         }
@@ -128,11 +131,7 @@
         if notice.leaving {
             self.departs(key);
         }
-        match notice.limit {
-            Limit::None | Limit::Unknown => {}
-            Limit::Odd => self.count(Counter::NoticeOdd),
-            Limit::Rate(_) => self.count(Counter::NoticeLimit),
-        }
+        self.limited(key, attempt, notice.limit);
         match notice.rest {
             Rest::For(millis) => self.rest(key, millis),
             Rest::None => {}
@@ -181,14 +180,21 @@
     /// there is none.
     pub(crate) fn rested_at(&self, request: &Request) -> Option<Time> {
         let pool = self.pools.get(request.service.pool())?;
-        let stay = self
-            .upstreams_of(pool)
-            .filter(|upstream| upstream.health != Health::Lost && !upstream.leaves(self.now))
-            .filter(|upstream| !upstream.held);
+        let stay = self.staying(pool);
         let ends = stay.map(|upstream| upstream.standing.rests_until);
         ends.min().filter(|end| *end > self.now)
     }
 
+    /// Upstreams of a pool that work may be meant for, now or later.
+    pub(crate) fn staying<'a>(
+        &'a self,
+        pool: &'a core::Pool,
+    ) -> impl Iterator<Item = &'a Upstream> {
+        self.upstreams_of(pool)
+            .filter(|upstream| upstream.health != Health::Lost && !upstream.leaves(self.now))
+            .filter(|upstream| !upstream.held)
+    }
+
     /// When a caller is asked to come back whose request finds no upstream since all rest, in milliseconds: when the first of them wants
     /// requests again, also where the caller waits less long. `None` if one does not rest.
     pub(crate) fn come_back_rested(&mut self, request: &Request) -> Option<u64> {
@@ -197,20 +203,25 @@
         Some(self.rng.random_range(rest..=rest + rest / SPREAD))
     }
 
-    /// Whether it is known that a request finds no upstream as long as it may wait, since all rest for longer.
-    pub(crate) fn outlasted_by_rest(&self, request: &Request) -> bool {
+    /// Whether it is known that a request which so many others go before finds no upstream as long as it may wait, since all rest or
+    /// have named limits.
+    pub(crate) fn is_outlasted(&self, request: &Request, ahead: usize) -> bool {
         let until = self.may_wait_until(request).min(request.deadline);
-        self.rested_at(request).is_some_and(|end| end > until)
+        let opens = self.opens_at(request, ahead);
+        opens.is_some_and(|opens| opens >= until)
     }
 
-    /// Refuses a new request that no upstream wants as long as it may wait.
-    pub(crate) fn check_rest(&mut self, request: &Request) -> Result<(), admission::Refusal> {
-        if !self.outlasted_by_rest(request) {
+    /// Refuses a new request that no upstream takes as long as it may wait.
+    pub(crate) fn check_open(&mut self, request: &Request) -> Result<(), admission::Refusal> {
+        let pool = self.pools.get(request.service.pool());
+        let ahead = pool.map_or(0, |pool| pool.queue.ahead_of(request.service.priority));
+        if !self.is_outlasted(request, ahead) {
             return Ok(());
         }
+        self.shortage(request);
         Err(admission::Refusal {
             kind: Kind::Overloaded,
-            retry_after_ms: self.come_back_rested(request),
+            retry_after_ms: Some(self.come_back(request)),
         })
     }
 
@@ -219,7 +230,7 @@
         let pool = self.upstreams[key].pool.clone();
         let waits = |request: &Request| {
             let queued = request.state == State::Queued && request.service.pool() == &*pool;
-            queued && self.outlasted_by_rest(request)
+            queued && self.is_outlasted(request, 0)
         };
         let in_vain: Vec<request::Key> = self
             .requests
--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -1,5 +1,7 @@
 //! Bounds and rates of the decisions; all times in milliseconds.
 
+use super::*;
+
 /// How an upstream is chosen. The ways that know no room send to any live upstream and leave the
 /// waiting to it; they are the baselines of the measurements.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -57,6 +59,29 @@
     ];
 }
 
+/// Which instances have a part of the limit that an upstream names.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Limits {
+    /// All of them; only shows what few are worth.
+    All,
+    /// About one for each request a second.
+    Few,
+}
+
+impl Limits {
+    /// Every way, with its name in settings.
+    pub const ALL: [(&'static str, Self); 2] = [("all", Self::All), ("few", Self::Few)];
+
+    /// How many instances have a part of a limit.
+    pub(crate) fn holders(self, rate: limit::Rate, instances: u32) -> usize {
+        let instances = instances as usize;
+        match self {
+            Self::All => instances,
+            Self::Few => instances.min(rate.per_second() as usize + 1),
+        }
+    }
+}
+
 /// How a relayed stream goes on whose upstream was lost; all but the first only show what it is worth.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Resume {
@@ -251,6 +276,8 @@
     pub key_lead_max_ms: u64,
     /// How long a word that an upstream leaves counts against the platform's list.
     pub leaving_hint_ms: u64,
+    /// Which instances have a part of the limit that an upstream names.
+    pub limits: Limits,
     /// How long an engine keeps a stream without a reader.
     pub linger_ms: u64,
     /// Time between load reports of an upstream that is believed to live.
@@ -318,6 +345,7 @@
             key_age_max_ms: 900_000,
             key_lead_max_ms: 10_000,
             leaving_hint_ms: 30_000,
+            limits: Limits::Few,
             linger_ms: 5_000,
             load_ms: 1_000,
             pause_ms: 500,
--- a/crates/core/src/upstream.rs
+++ b/crates/core/src/upstream.rs
@@ -112,6 +112,8 @@
     pub load: Load,
     /// Unique name in the platform's list.
     pub name: Arc<str>,
+    /// What this instance has of the limit that it named; `None` while it names none.
+    pub part: Option<limit::Part>,
     /// Pool in the platform's list.
     pub pool: Arc<str>,
     /// Time of the next probe.
@@ -175,12 +177,22 @@
         self.chosen && self.health == Health::Live && self.may_serve(now)
     }
 
-    /// Whether work may be meant for it, as far as it goes by what it is and says: it neither leaves nor rests, and is of the
-    /// version in force.
+    /// Whether work may be meant for it, as far as it goes by what it is and says: it neither leaves nor rests, is of the
+    /// version in force, and takes one more request.
     pub fn may_serve(&self, now: Time) -> bool {
+        self.is_open(now) && self.part.is_none_or(|part| part.has_permit(now))
+    }
+
+    /// The same, also for what has to wait for a permit.
+    pub fn is_open(&self, now: Time) -> bool {
         !self.leaves(now) && !self.rests(now) && !self.held
     }
 
+    /// Takes the permit of a request that is sent, where it named a limit; false if there is none.
+    pub fn spend(&mut self, now: Time) -> bool {
+        self.part.as_mut().is_none_or(|part| part.spend(now))
+    }
+
     /// Whether it asked this instance for rest.
     pub fn rests(&self, now: Time) -> bool {
         now < self.standing.rests_until
--- a/crates/core/src/watch.rs
+++ b/crates/core/src/watch.rs
@@ -192,6 +192,7 @@
         if self.now.since(self.swept) >= SWEEP_MS {
             self.swept = self.now;
             self.settle_versions();
+            self.question_limits();
             self.sweep();
         }
         self.pump_all();
@@ -221,9 +222,10 @@
     }
 
     fn forget(&mut self, key: upstream::Key) {
-        let Some(upstream) = self.upstreams.remove(key) else {
+        let Some(mut upstream) = self.upstreams.remove(key) else {
             return;
         };
+        upstream.standing.limit = upstream.part.map(|part| part.rate());
         if self.lives.get(&upstream.life) == Some(&key) {
             self.lives.remove(&upstream.life);
         }
@@ -294,6 +296,7 @@
             listed_slots: entry.slots,
             load: Load::default(),
             name: name.clone(),
+            part: None,
             pool: pool.clone(),
             probe_at: self.now,
             probed: Time::default(),
@@ -309,6 +312,9 @@
         self.lives.insert(life, key);
         self.pools.entry(pool).or_default().upstreams.push(key);
         self.believe(key, effect::Belief::New);
+        if let Some(rate) = self.upstreams[key].standing.limit {
+            self.believe_limit(key, rate);
+        }
         Place { former, key }
     }
 
--- a/crates/core/tests/core.rs
+++ b/crates/core/tests/core.rs
@@ -251,13 +251,17 @@
 fn generation_is_not_sent_to_an_engine_that_asked_for_rest() {
     let mut test = Test::new(Settings::default(), 1);
     test.ask("mill");
-    let upstream = test.upstream();
+    let (attempt, upstream) = (test.attempts()[0], test.upstream());
     let rest = Rest::For(3_000);
     let notice = Notice {
         rest,
         ..Notice::default()
     };
-    test.tell(Event::Noticed { notice, upstream });
+    test.tell(Event::Noticed {
+        attempt,
+        notice,
+        upstream,
+    });
     test.ask("mill");
     expect_that!(test.sent().len(), eq(1));
     expect_that!(test.errors(), elements_are![eq(&(Kind::Overloaded, true))]);
--- a/crates/core/tests/relay/fleet.rs
+++ b/crates/core/tests/relay/fleet.rs
@@ -10,7 +10,7 @@
 /// A core that knows how many instances there are.
 fn one_of(instances: u32, settings: Settings) -> Test {
     let mut test = Test::set(settings).configured(12);
-    test.tell(Event::Instances(instances));
+    test.tell(Event::Instances(View::numbered(0, u64::from(instances))));
     test
 }
 
@@ -88,7 +88,7 @@
         let mut test = Test::set(settings.clone());
         test.core = Core::new(settings.clone(), [0; 32], u64::from(seed), NOW);
         let mut test = test.configured(60);
-        test.tell(Event::Instances(instances));
+        test.tell(Event::Instances(View::numbered(0, u64::from(instances))));
         // All but a few are known to be busy.
         for upstream in 4..60 {
             test.tell(Event::Sighted(Sighting {
@@ -135,7 +135,7 @@
             ..upstream
         };
         test.list((0..6).map(|index| slots(listed(index, index))).collect());
-        test.tell(Event::Instances(295));
+        test.tell(Event::Instances(View::numbered(0, 295)));
         for _ in 0..100 {
             test.pass(250);
             test.demand(294, asked, 58);
@@ -165,7 +165,7 @@
 #[gtest]
 fn what_instances_that_are_gone_asked_does_not_count() {
     let mut test = Test::set(Settings::default()).configured(6);
-    test.tell(Event::Instances(295));
+    test.tell(Event::Instances(View::numbered(0, 295)));
     test.demand(294, 100.0, 0);
     test.pass(3_010);
     test.ask(ONCE);
@@ -175,7 +175,7 @@
 #[gtest]
 fn words_of_few_instances_do_not_stand_for_hundreds() {
     let mut test = Test::set(Settings::default()).configured(6);
-    test.tell(Event::Instances(295));
+    test.tell(Event::Instances(View::numbered(0, 295)));
     test.demand(7, 10.0, 0);
     test.ask(ONCE);
     expect_that!(test.sent().len(), eq(1));
@@ -208,7 +208,7 @@
         ..upstream
     };
     test.list((0..6).map(|index| slots(listed(index, index))).collect());
-    test.tell(Event::Instances(295));
+    test.tell(Event::Instances(View::numbered(0, 295)));
     test.demand(294, asked, 58);
     test.pass(300);
     test.demand(294, asked, 58);
--- a/crates/core/tests/relay/main.rs
+++ b/crates/core/tests/relay/main.rs
@@ -13,6 +13,7 @@
         event::{Event, Failure, Listed, Submission, Verdict},
         kind::Kind,
         life::Life,
+        members::View,
         notice::{Notice, Rest},
         position::Position,
         print::Print,
@@ -27,6 +28,7 @@
 mod builder;
 mod fleet;
 mod life;
+mod limit;
 mod notice;
 mod poison;
 mod room;
--- a/crates/core/tests/relay/notice.rs
+++ b/crates/core/tests/relay/notice.rs
@@ -25,9 +25,12 @@
         self.says(sent, notice);
     }
 
-    fn says(&mut self, sent: &Sent, notice: Notice) {
-        let upstream = sent.key;
-        self.tell(Event::Noticed { notice, upstream });
+    pub(crate) fn says(&mut self, sent: &Sent, notice: Notice) {
+        self.tell(Event::Noticed {
+            attempt: sent.attempt,
+            notice,
+            upstream: sent.key,
+        });
     }
 
     /// The upstream of a sending turns it away and asks for rest.
--- a/crates/core/tests/relay/room.rs
+++ b/crates/core/tests/relay/room.rs
@@ -285,7 +285,7 @@
 #[gtest]
 fn calls_at_once_follow_the_slots_that_upstreams_tell() {
     let mut test = Test::new(1);
-    test.tell(Event::Instances(6));
+    test.tell(Event::Instances(View::numbered(0, 6)));
     test.calls(1);
     let sent = test.last();
     test.answer_with(&sent, 0);
@@ -315,7 +315,7 @@
         let sent = test.last();
         test.answer(&sent, Verdict::Good);
     }
-    test.tell(Event::Instances(40));
+    test.tell(Event::Instances(View::numbered(0, 40)));
     let mut again = 0;
     for _ in 0..30 {
         test.ask(ONCE);
--- a/crates/core/tests/relay/version.rs
+++ b/crates/core/tests/relay/version.rs
@@ -117,6 +117,7 @@
         ..Notice::default()
     };
     test.tell(Event::Noticed {
+        attempt: sent.attempt,
         notice,
         upstream: sent.key,
     });
--- a/crates/node/src/driver.rs
+++ b/crates/node/src/driver.rs
@@ -327,6 +327,9 @@
             } => self.end(caller, Reply::Finished { position, reason }),
             Effect::Leaving { life, upstream } => self.leaves(life, &upstream),
             Effect::Note(note) => note::write(&note),
+            Effect::Limit { life, rate } => {
+                self.tell_others(gossip::Told::Limit { life, rate });
+            }
             Effect::Open(caller) => {
                 if let Some(Held::Head(head)) = self.take_held(caller) {
                     self.reply(caller, Reply::Open(head));
--- a/crates/node/src/engine.rs
+++ b/crates/node/src/engine.rs
@@ -65,7 +65,7 @@
             Failure::Broken
         }
         Ok(response) => {
-            tell(&driver, upstream, &response);
+            tell(&driver, attempt, upstream, &response);
             refusal(&response, attach)
         }
     };
@@ -107,14 +107,23 @@
 }
 
 /// Tells the core task for how long the upstream that gave a refusal wants nothing.
-pub(crate) fn tell<B>(driver: &Driver, upstream: upstream::Key, response: &hyper::Response<B>) {
+pub(crate) fn tell<B>(
+    driver: &Driver,
+    attempt: attempt::Key,
+    upstream: upstream::Key,
+    response: &hyper::Response<B>,
+) {
     let value = response.headers().get(header::RETRY_AFTER);
     if let Some(value) = value.filter(|_| refuses(response.status())) {
         let notice = Notice {
             rest: value.to_str().map_or(Rest::Odd, Rest::read),
             ..Notice::default()
         };
-        driver.event(Event::Noticed { notice, upstream });
+        driver.event(Event::Noticed {
+            attempt,
+            notice,
+            upstream,
+        });
     }
 }
 
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -151,8 +151,9 @@
         }
         if notice != Notice::default() {
             self.driver.event(Event::Noticed {
-                upstream: self.upstream,
+                attempt: self.attempt,
                 notice,
+                upstream: self.upstream,
             });
         }
     }
--- a/crates/node/src/gossip.rs
+++ b/crates/node/src/gossip.rs
@@ -8,6 +8,7 @@
     demand::{Demand, Ended},
     gauge::Pace,
     lesson::{Confirmed, Heard, Known, Topic},
+    limit::Rate,
     quarantine::Account,
     roster::{self, Entry, Word},
 };
@@ -57,6 +58,13 @@
     Ends(Account),
     /// An upstream says that it is leaving.
     Leaving(Life),
+    /// An upstream named a limit, or names none any more.
+    Limit {
+        /// The upstream.
+        life: Life,
+        /// What it takes from all instances together.
+        rate: Option<Rate>,
+    },
     /// An upstream is lost.
     Lost(Life),
     /// How fast the engines of a pool work; it goes along with what is told next.
@@ -193,6 +201,11 @@
         for life in told.leaving {
             self.driver.event(Event::Departing(decode_life(life)));
         }
+        for limit in told.limits {
+            let life = decode_life(limit.life.unwrap_or_default());
+            let rate = limit.rate.map(Rate);
+            self.driver.event(Event::Limited { life, rate });
+        }
         for demand in told.demands {
             let demand = decode_demand(demand);
             self.driver.event(Event::Demanded { demand, from });
@@ -363,6 +376,7 @@
             | Told::Confirmed(_)
             | Told::Ends(_)
             | Told::Leaving(_)
+            | Told::Limit { .. }
             | Told::Lost(_)
             | Told::Pace(_)
             | Told::Roster(_) => {}
@@ -403,7 +417,11 @@
             {
                 Vec::new()
             }
-            Told::Ends(_) | Told::Leaving(_) | Told::Lost(_) | Told::Stream(_) => all.collect(),
+            Told::Ends(_)
+            | Told::Leaving(_)
+            | Told::Limit { .. }
+            | Told::Lost(_)
+            | Told::Stream(_) => all.collect(),
         }
     }
 
@@ -430,6 +448,10 @@
                 datagram.confirmed = Some(encode_confirmed(confirmed));
             }
             Told::Leaving(life) => datagram.leaving.push(encode_life(life)),
+            Told::Limit { life, rate } => datagram.limits.push(peers::Limit {
+                life: Some(encode_life(life)),
+                rate: rate.map(|rate| rate.0),
+            }),
             Told::Lost(life) => datagram.lost.push(encode_life(life)),
             Told::Roster(word) => datagram.roster = Some(encode_word(word)),
             Told::Stream(sighting) => datagram.sightings.push(encode(sighting)),
--- a/crates/node/src/hosted.rs
+++ b/crates/node/src/hosted.rs
@@ -130,7 +130,7 @@
             own: this.clone(),
         };
         let members = gossip.start(telling_others.clone(), telling).await?;
-        tokio::spawn(count(members.clone(), driver.clone()));
+        tokio::spawn(count(members.clone(), this.clone(), driver.clone()));
         let learner = learner::Learner {
             bound,
             client,
@@ -184,11 +184,11 @@
     }
 }
 
-/// Tells the core how many instances there are, for ever.
-async fn count(mut members: watch::Receiver<members::Members>, driver: Driver) {
+/// Tells the core which instances there are, for ever.
+async fn count(mut members: watch::Receiver<members::Members>, own: members::Own, driver: Driver) {
     loop {
-        let others = members.borrow_and_update().len();
-        driver.event(Event::Instances(others as u32 + 1));
+        let view = own.view(&members.borrow_and_update());
+        driver.event(Event::Instances(view));
         if members.changed().await.is_err() {
             return;
         }
--- a/crates/node/src/members.rs
+++ b/crates/node/src/members.rs
@@ -4,6 +4,7 @@
 use super::*;
 use wellplank_core::{
     lesson::Age,
+    members::View,
     role::{Role, Turn},
 };
 
@@ -21,6 +22,9 @@
 /// each watches the store until they do.
 const LOOK_ALONE: Duration = Duration::from_millis(500);
 
+/// Age of what reads of the instances show, at most, with the time that they take.
+const READ_AGE: Duration = Duration::from_secs(2);
+
 /// Time from its start for which an instance that knows no other one looks so often; then there is none.
 const ALONE: Duration = Duration::from_secs(5);
 
@@ -69,6 +73,20 @@
         self.ranked_before(members.keys()) < KEEPERS
     }
 
+    /// The fleet as the core knows it.
+    pub fn view(&self, members: &Members) -> View {
+        let look = if members.len() < FEW {
+            LOOK
+        } else {
+            LOOK_LARGE
+        };
+        View {
+            others: members.keys().map(|name| upstream::id(name)).collect(),
+            own: upstream::id(&self.name),
+            settles_ms: (look + READ_AGE).as_millis() as u64,
+        }
+    }
+
     /// What it does for its data centre.
     pub fn role(&self, members: &Members) -> Role {
         if members.len() < FEW {
--- a/crates/node/src/plain.rs
+++ b/crates/node/src/plain.rs
@@ -20,7 +20,7 @@
     };
     let status = response.status();
     if engine::refuses(status) {
-        engine::tell(&driver, upstream, &response);
+        engine::tell(&driver, attempt, upstream, &response);
         let failure = engine::refusal(&response, false);
         return fail(&driver, attempt, failure);
     }
--- a/crates/node/src/tuning.rs
+++ b/crates/node/src/tuning.rs
@@ -3,7 +3,9 @@
 use super::*;
 use reader::Reader;
 use settings::MILLIS_MAX;
-use wellplank_core::settings::{Calls, Guilt, Place, Resume, Room, Routing, Settings, Shared};
+use wellplank_core::settings::{
+    Calls, Guilt, Limits, Place, Resume, Room, Routing, Settings, Shared,
+};
 
 /// The section with every setting at its default.
 pub(crate) fn defaults() -> Value {
@@ -24,6 +26,7 @@
         "key_age_max_ms": core.key_age_max_ms,
         "key_lead_max_ms": core.key_lead_max_ms,
         "leaving_hint_ms": core.leaving_hint_ms,
+        "limits": "few",
         "linger_ms": core.linger_ms,
         "load_ms": core.load_ms,
         "pause_ms": core.pause_ms,
@@ -116,6 +119,7 @@
         key_age_max_ms,
         key_lead_max_ms,
         leaving_hint_ms,
+        limits: reader.choice("limits", &Limits::ALL, default.limits),
         linger_ms,
         load_ms,
         pause_ms,
--- a/crates/standin/src/placing.rs
+++ b/crates/standin/src/placing.rs
@@ -10,6 +10,7 @@
     effect::{Effect, Sending},
     event::{Event, Failure, Listed, Submission},
     life::Life,
+    members::View,
     position::Position,
     request::{Caller, Relay},
     settings::Settings,
@@ -100,7 +101,7 @@
         START,
         Event::Config(Arc::new(ask::configuration(service()))),
     );
-    core.handle(START, Event::Instances(295));
+    core.handle(START, Event::Instances(View::numbered(0, 295)));
     let list = Event::List {
         asked: START,
         listed: Some((0..upstreams).map(listed).collect()),
--- a/crates/standin/src/relaying.rs
+++ b/crates/standin/src/relaying.rs
@@ -477,6 +477,7 @@
                 },
             ),
             Effect::Leaving { life, .. } => self.gossip(instance, &Event::Departing(life)),
+            Effect::Limit { life, rate } => self.gossip(instance, &Event::Limited { life, rate }),
             Effect::Pace(pace) => self.gossip(instance, &Event::Paced(pace)),
             Effect::Close(caller) => {
                 let asker = self.connections.get(&caller).copied();
--- a/crates/standin/src/rush.rs
+++ b/crates/standin/src/rush.rs
@@ -11,6 +11,7 @@
     core::Core,
     effect::{Effect, Sending},
     event::{Event, Failure, Listed, Verdict},
+    members::View,
     notice::{Notice, Rest},
     position::Position,
     request::{Caller, Relay},
@@ -413,7 +414,10 @@
                 instance,
                 Event::Config(Arc::new(ask::configuration(service()))),
             );
-            rush.tell(instance, Event::Instances(plan.instances as u32));
+            rush.tell(
+                instance,
+                Event::Instances(View::numbered(instance as u64, plan.instances as u64)),
+            );
             rush.tell(
                 instance,
                 Event::List {
@@ -643,7 +647,11 @@
                 rest: Rest::For(rest_ms),
                 ..Notice::default()
             };
-            let noticed = Event::Noticed { notice, upstream };
+            let noticed = Event::Noticed {
+                attempt: self.lines[line].attempt,
+                notice,
+                upstream,
+            };
             self.timeline
                 .schedule(WAY_MS, Action::Tell(instance, noticed));
         }
--- a/crates/standin/src/surge.rs
+++ b/crates/standin/src/surge.rs
@@ -12,6 +12,7 @@
     core::Core,
     effect::{Effect, Sending},
     event::{Event, Failure, Listed},
+    members::View,
     position::Position,
     request::{Caller, Relay},
     settings::{Room, Settings},
@@ -269,7 +270,10 @@
                 instance,
                 Event::Config(Arc::new(ask::configuration(service()))),
             );
-            surge.tell(instance, Event::Instances(plan.instances as u32));
+            surge.tell(
+                instance,
+                Event::Instances(View::numbered(instance as u64, plan.instances as u64)),
+            );
             let listed = Some(list.clone());
             surge.tell(
                 instance,
--- a/crates/standin/src/word.rs
+++ b/crates/standin/src/word.rs
@@ -69,8 +69,12 @@
             rest,
             ..Notice::default()
         };
-        let upstream = key;
-        self.event(line, Event::Noticed { notice, upstream });
+        let noticed = Event::Noticed {
+            attempt: line.attempt,
+            notice,
+            upstream: key,
+        };
+        self.event(line, noticed);
     }
 
     /// Holds a request that its caller sent at a time, and that reached an upstream, against what this has said.
--- a/crates/standin/src/world.rs
+++ b/crates/standin/src/world.rs
@@ -379,6 +379,7 @@
             | Effect::Cut(_)
             | Effect::Demand { .. }
             | Effect::Leaving { .. }
+            | Effect::Limit { .. }
             | Effect::Note { .. }
             | Effect::Open(_)
             | Effect::Pace(_)
