Words of upstreams that are not known are told once and counted; the soak names limits

In the soak with leaving upstreams, one or all upstreams of a pool name limits for a while, also odd ones and 0; what reached them is counted as the rule does, without instances that stood still or were gone.

--- a/crates/core/src/counter.rs
+++ b/crates/core/src/counter.rs
@@ -35,6 +35,8 @@
     NoticeOdd,
     /// Answers whose upstream asked for rest.
     NoticeRest,
+    /// Words of upstreams beside their answers that are not known.
+    NoticeUnknown,
     /// Pauses of this instance noticed.
     Paused,
     /// Requests found to end the upstreams that run them.
@@ -126,6 +128,7 @@
             Self::NoticeLimit => write!(formatter, "notice.limit"),
             Self::NoticeOdd => write!(formatter, "notice.odd"),
             Self::NoticeRest => write!(formatter, "notice.rest"),
+            Self::NoticeUnknown => write!(formatter, "notice.unknown"),
             Self::Paused => write!(formatter, "paused"),
             Self::Quarantined => write!(formatter, "quarantined"),
             Self::Refused(kind) => write!(formatter, "refused.{kind}"),
--- a/crates/node/src/driver.rs
+++ b/crates/node/src/driver.rs
@@ -35,6 +35,8 @@
     Settings(Box<wellplank_core::settings::Settings>),
     /// A request, and where its answer goes.
     Submit(Box<Submission>, mpsc::UnboundedSender<Reply>),
+    /// A word that an upstream said of itself and that is not known, and the upstream.
+    Unknown(String, Arc<str>),
 }
 
 /// What the edge holds of an upstream's answer until the core decides what is done with it.
@@ -112,6 +114,7 @@
     relaying: Http,
     told: mpsc::UnboundedSender<gossip::Told>,
     traffic: Traffic,
+    unknown: unknown::Unknown,
 }
 
 impl Driver {
@@ -167,6 +170,7 @@
             relaying: Http::relaying(),
             told: ends.told,
             traffic: ends.traffic,
+            unknown: unknown::Unknown::default(),
         };
         (driver, tokio::spawn(task.run(receiver)))
     }
@@ -200,6 +204,11 @@
         receiver
     }
 
+    /// Hands in a word that an upstream said of itself and that is not known.
+    pub(crate) fn unknown(&self, word: &str, upstream: &Arc<str>) {
+        self.tell(Message::Unknown(word.to_owned(), upstream.clone()));
+    }
+
     fn tell(&self, message: Message) {
         // The core task ends only with the instance.
         let _ = self.sender.send(message);
@@ -574,6 +583,10 @@
                 self.callers.insert(submission.caller, listener);
                 self.event(Event::Submit(submission));
             }
+            Message::Unknown(word, upstream) => {
+                self.meter.count(Counter::NoticeUnknown, 1);
+                self.unknown.note(&word, &upstream);
+            }
         }
     }
 }
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -115,6 +115,9 @@
             || parts.headers.contains_key(header::CONTENT_LENGTH);
         let notice = platform::answer::notice(parts.status, &parts.headers, &self.run);
         self.tell(parts.status, notice);
+        for word in platform::answer::unknown(&parts.headers) {
+            self.driver.unknown(word, &self.upstream_name);
+        }
         let head = Head {
             headers: platform::request::end_to_end(&parts.headers),
             status: parts.status,
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -42,6 +42,7 @@
 mod store;
 mod traffic;
 mod tuning;
+mod unknown;
 
 pub use {caller::fingerprint, clock::Clock, error::Error, instance::Instance, settings::Settings};
 
--- a/crates/standin/src/leaving.rs
+++ b/crates/standin/src/leaving.rs
@@ -74,6 +74,15 @@
 /// Time for which an upstream that asks for rest turns requests away, in milliseconds.
 const REFUSES_MS: std::ops::Range<u64> = 50..1_500;
 
+/// Sets the chance of limits apart from that of faults.
+const LIMITS: u64 = 0x5eed_0048;
+
+/// Limits that upstreams name, in requests a second; some of them are no number.
+const LIMITS_PER_S: [&str; 6] = ["0", "0.5", "1.2", "3", "10", "-1"];
+
+/// Time for which an upstream names one limit, in milliseconds.
+const LIMITED_MS: std::ops::Range<u64> = 3_000..15_000;
+
 /// Time for which another writer's entry stands, in milliseconds.
 const ODD_MS: std::ops::Range<u64> = 500..5_000;
 
@@ -90,6 +99,8 @@
     Lapse,
     /// An upstream leaves; with a word or without one.
     Leave(bool),
+    /// Some upstreams of one pool name limits, or others than before.
+    Limit,
     /// Another writer writes over an upstream's entry.
     Odd,
     /// An upstream writes its entry again, which another writer's stood over.
@@ -106,6 +117,8 @@
     Rewrite(usize),
     /// An upstream takes requests again.
     Take(usize),
+    /// An upstream names no limit any more.
+    Unlimit(usize),
 }
 
 /// A fault that lasts.
@@ -135,6 +148,8 @@
     faults: usize,
     /// Which upstreams leave.
     left: BTreeSet<usize>,
+    /// Chance of limits.
+    limits: Pcg64Mcg,
     /// Which of them said so in the store.
     words: BTreeSet<usize>,
     record: Record,
@@ -153,6 +168,7 @@
         extras: Pcg64Mcg::seed_from_u64(plan.seed ^ EXTRAS),
         faults: 0,
         left: BTreeSet::new(),
+        limits: Pcg64Mcg::seed_from_u64(plan.seed ^ LIMITS),
         words: BTreeSet::new(),
         record: Record::new(RULE),
         said: Said::default(),
@@ -197,6 +213,10 @@
             let at = self.now().after(self.drills.random_range(LEAVES_MS));
             self.due.push((at, Due::Drill));
         }
+        if self.limits.random() {
+            let at = self.now().after(self.limits.random_range(LEAVES_MS));
+            self.due.push((at, Due::Limit));
+        }
         for due in [Due::Odd, Due::Restart, Due::Rest] {
             if self.extras.random() {
                 let at = self.now().after(self.extras.random_range(LEAVES_MS));
@@ -236,6 +256,7 @@
             Due::Heal(fault) => self.heal(fault),
             Due::Lapse => self.lapse(),
             Due::Leave(word) => self.leave(word),
+            Due::Limit => self.name_limits(),
             Due::Odd => self.write_over(),
             Due::Reenter(seat) => {
                 let life = self.soak.life(seat);
@@ -252,6 +273,7 @@
             Due::Rest => self.ask_for_rest(),
             Due::Restart => self.restart(),
             Due::Take(seat) => self.soak.seats[seat].worker.set(Mode::Good),
+            Due::Unlimit(seat) => self.name_limit(seat, None),
         }
     }
 
@@ -348,6 +370,34 @@
         self.due.push((self.now().after(lasts), Due::Take(seat)));
     }
 
+    /// Has one upstream, or all of a pool, name a limit for a while.
+    fn name_limits(&mut self) {
+        let count = self.soak.seats.len();
+        let one = self.limits.random_range(0..count);
+        let all: bool = self.limits.random();
+        let pool = self.soak.seats[one].pool;
+        for seat in 0..count {
+            if seat != one && (!all || self.soak.seats[seat].pool != pool) {
+                continue;
+            }
+            let limit = LIMITS_PER_S[self.limits.random_range(0..LIMITS_PER_S.len())];
+            self.name_limit(seat, Some(limit));
+            let until = self.now().after(self.limits.random_range(LIMITED_MS));
+            self.due.push((until, Due::Unlimit(seat)));
+        }
+    }
+
+    /// Has an upstream name a limit from now on, or none.
+    fn name_limit(&self, seat: usize, limit: Option<&'static str>) {
+        let worker = &self.soak.seats[seat].worker;
+        worker.say(Remark {
+            limit,
+            ..worker.remark()
+        });
+        let name = &worker.name;
+        self.write(&format!("{name} names the limit {limit:?}"));
+    }
+
     /// The place of an upstream, by chance, that is ready and not the last of its pool.
     fn ready_seat(&mut self) -> Option<usize> {
         let seat = self.extras.random_range(0..self.soak.seats.len());
@@ -555,6 +605,7 @@
             let at = self.time(at);
             self.said.hear(instance, life, at);
         }
+        let mut limits = limited::Record::default();
         let (mut arrivals, mut refusals) = (Vec::new(), Vec::new());
         for reached in self.soak.ledger.arrivals() {
             let (run, worker) = (&reached.run, &reached.worker);
@@ -565,6 +616,15 @@
                 let text = format!("{run} was sent to {worker} {late_ms} ms behind its answer");
                 self.soak.shared.broken(text);
             }
+            let told = limits.told(&arrival);
+            let excused = told.is_some_and(|told| self.said.stopped(&arrival, told));
+            if let Some(more) = limits.arrive(&arrival, reached.limit, excused) {
+                let limit = reached.limit.unwrap_or_default();
+                let text = format!(
+                    "{more} requests reached {worker} in 4 s, which takes {limit} a second"
+                );
+                self.soak.shared.broken(text);
+            }
             if let Some(rest) = reached.rest.and_then(|rest| rest.parse::<f64>().ok()) {
                 refusals.push(Refusal {
                     arrival: arrival.clone(),
--- a/crates/standin/src/limited.rs
+++ b/crates/standin/src/limited.rs
@@ -1,8 +1,10 @@
 //! Limits that upstreams name in virtual time, and whether what reaches them keeps to that, counted as the users' rule does.
 
 use super::*;
+use departure::Arrival;
 use wellplank_core::{
     clock::Time,
+    life::Life,
     limit::{Limit, Rate},
 };
 
@@ -69,3 +71,44 @@
         ALLOWED_PART * self.rate.per_second() * seconds + ALLOWED_MORE
     }
 }
+
+/// What reached upstreams between real processes while they named limits.
+#[derive(Debug, Default)]
+pub struct Record(HashMap<Life, (&'static str, Limited)>);
+
+impl Record {
+    /// When an upstream that names a limit had first told an instance of it.
+    pub fn told(&self, arrival: &Arrival) -> Option<Time> {
+        let (_, limited) = self.0.get(&arrival.life)?;
+        limited.told.get(&(arrival.instance, 0)).copied()
+    }
+
+    /// A request arrived at an upstream that names a limit, or none; how many there were in the last window if they are too
+    /// many. What arrives from an instance that was disturbed is `excused`.
+    pub fn arrive(
+        &mut self,
+        arrival: &Arrival,
+        limit: Option<&'static str>,
+        excused: bool,
+    ) -> Option<usize> {
+        let rate = limit.and_then(|text| match Limit::read(text) {
+            Limit::Rate(rate) => Some((text, rate)),
+            _ => None,
+        });
+        let Some((text, rate)) = rate else {
+            self.0.remove(&arrival.life);
+            return None;
+        };
+        let new = || (text, Limited::new(rate));
+        let named = self.0.entry(arrival.life).or_insert_with(new);
+        if named.0 != text {
+            *named = new();
+        }
+        let instance = (arrival.instance, 0);
+        let more = (!excused)
+            .then(|| named.1.arrive(instance, arrival.at))
+            .flatten();
+        named.1.tell(instance, arrival.at);
+        more
+    }
+}
--- a/crates/standin/src/said.rs
+++ b/crates/standin/src/said.rs
@@ -83,6 +83,15 @@
         arrivals.iter().filter(counts).collect()
     }
 
+    /// Whether the instance that sent a request stood still or was gone since a time.
+    pub fn stopped(&self, arrival: &Arrival, since: Time) -> bool {
+        let span = Span {
+            from: since,
+            to: arrival.at,
+        };
+        self.is_disturbed(Scope::Instance(arrival.instance), span)
+    }
+
     fn is_disturbed(&self, scope: Scope, during: Span) -> bool {
         let meets = |span: &Span| span.from <= during.to && during.from <= span.to;
         let mut disturbed = self.disturbed.iter();
