--- a/crates/standin/tests/learning.rs
+++ b/crates/standin/tests/learning.rs
@@ -293,3 +293,233 @@
         expect_that!(violations(&run), is_empty(), "{:?}", run.steps);
     }
 }
+
+// An entry that went left the position of the last change as it was, so others took it for no news.
+#[gtest]
+fn entry_that_is_missing_from_a_whole_read_is_told_to_those_that_watch() {
+    let steps = [
+        (2_061, Act::Configure),
+        (22_581, Act::Depart(0)),
+        (20_067, Act::Hush(1)),
+        (22_438, Act::Forget),
+        (1_874, Act::Away(Failing::Busy, 100, false)),
+        (22_215, Act::Configure),
+        (500, Act::CutWatches),
+    ];
+    let run = Run {
+        traffic: false,
+        ..fleet((6, 1, 2), 4_000, 0, &steps)
+    };
+    expect_that!(violations(&run), is_empty());
+}
+
+// Those that watch waited 4.8 s for a first read, and the others had no configuration to hear of.
+#[gtest]
+fn first_read_that_a_silent_store_took_is_not_waited_for_behind_its_return() {
+    let steps = [
+        (16_020, Act::Configure),
+        (15_607, Act::Away(Failing::Silent, 3_685, false)),
+        (12_907, Act::KillAll(1_550)),
+        (9_539, Act::Refuse(3, Failing::Silent, 5_770)),
+    ];
+    let run = Run {
+        traffic: false,
+        ..fleet((14, 1, 2), 2_000, 0, &steps)
+    };
+    expect_that!(violations(&run), is_empty());
+}
+
+// A deputy put no belief off when calls failed again, and told the others that an upstream had gone.
+#[gtest]
+fn deputy_that_is_answered_first_behind_a_second_absence_gives_nobody_up() {
+    let steps = [
+        (19_116, Act::Away(Failing::Busy, 1_631, false)),
+        (15_407, Act::Away(Failing::Silent, 3_291, true)),
+    ];
+    let run = Run {
+        traffic: false,
+        ..fleet((14, 1, 2), 2_000, 13_285, &steps)
+    };
+    expect_that!(violations(&run), is_empty());
+}
+
+// The same, with entries that the store lost in the first absence.
+#[gtest]
+fn upstreams_that_had_half_a_second_between_two_absences_are_not_given_up() {
+    let steps = [
+        (500, Act::Away(Failing::Silent, 4_192, false)),
+        (18_962, Act::Away(Failing::Busy, 1_853, false)),
+        (11_710, Act::Depart(0)),
+        (14_371, Act::Away(Failing::Silent, 4_323, true)),
+        (500, Act::Away(Failing::Silent, 2_700, false)),
+    ];
+    let run = Run {
+        traffic: false,
+        ..fleet((14, 1, 4), 2_000, 1_211_888_438_137_001_883, &steps)
+    };
+    expect_that!(violations(&run), is_empty());
+}
+
+// An answer just before the own one was taken for a store that had been there all along.
+#[gtest]
+fn word_of_a_store_that_is_back_does_not_cover_the_failures_before_it() {
+    let steps = [
+        (18_976, Act::Away(Failing::Busy, 2_043, false)),
+        (13_111, Act::Depart(12)),
+        (13_615, Act::Away(Failing::Silent, 4_323, true)),
+        (13_160, Act::Enter),
+    ];
+    let run = Run {
+        traffic: true,
+        ..fleet((14, 1, 4), 2_000, 1_227_926_388_529_276_031, &steps)
+    };
+    expect_that!(violations(&run), is_empty());
+}
+
+// Calls had failed 3 s ago and none was made since; others had told meanwhile that the store was back.
+#[gtest]
+fn follower_that_made_no_call_for_long_believes_no_longer_for_it() {
+    let steps = [
+        (10_081, Act::LoseDatagrams(1, 3_421)),
+        (9_728, Act::Depart(0)),
+        (8_763, Act::Refuse(1, Failing::Busy, 1_707)),
+    ];
+    let run = Run {
+        traffic: false,
+        ..fleet((24, 1, 2), 4_000, 7_684_842_493_267_756, &steps)
+    };
+    expect_that!(violations(&run), is_empty());
+}
+
+// A watcher that was answered 1.6 s apart told that the store had been there in between.
+#[gtest]
+fn store_that_was_away_for_a_second_was_not_there_all_along() {
+    let steps = [
+        (22_602, Act::Away(Failing::Busy, 1_025, false)),
+        (18_847, Act::Away(Failing::Silent, 3_424, true)),
+        (3_405, Act::Leave(2)),
+        (905, Act::Configure),
+        (3_180, Act::CutWatches),
+        (3_064, Act::Restart(0)),
+        (6_146, Act::Away(Failing::Busy, 4_190, false)),
+        (815, Act::KillAll(2_643)),
+    ];
+    let run = Run {
+        traffic: true,
+        ..fleet((14, 1, 6), 2_000, 2_549_091_596_890_516_159, &steps)
+    };
+    expect_that!(violations(&run), is_empty());
+}
+
+// A deputy that knew of the first return took the second one for the same.
+#[gtest]
+fn return_that_is_told_behind_own_failures_counts_anew() {
+    let steps = [
+        (12_911, Act::Crash(8)),
+        (836, Act::Restart(0)),
+        (22_633, Act::Away(Failing::Busy, 1_021, false)),
+        (18_859, Act::Away(Failing::Silent, 3_400, true)),
+        (5_491, Act::Restart(0)),
+        (5_371, Act::Away(Failing::Busy, 3_041, true)),
+        (692, Act::Leave(3)),
+    ];
+    let run = Run {
+        traffic: true,
+        ..fleet((14, 1, 6), 2_000, 2_549_091_297_400_608_148, &steps)
+    };
+    expect_that!(violations(&run), is_empty());
+}
+
+// The last failure counts, and not the first one since the own last answer.
+#[gtest]
+fn return_that_is_told_counts_anew_also_where_calls_failed_before_the_first() {
+    let steps = [
+        (12_875, Act::Crash(3)),
+        (22_585, Act::Away(Failing::Busy, 1_105, false)),
+        (18_697, Act::Away(Failing::Silent, 3_538, true)),
+        (3_865, Act::KillAll(2_370)),
+        (1_429, Act::Configure),
+        (5_701, Act::Away(Failing::Busy, 4_190, true)),
+        (646, Act::KillAll(2_489)),
+    ];
+    let run = Run {
+        traffic: true,
+        ..fleet((24, 2, 6), 2_000, 4_010_707_616_191_197_620, &steps)
+    };
+    expect_that!(violations(&run), is_empty());
+}
+
+// Followers that were served once in between took nothing from who told of one long absence.
+#[gtest]
+fn answer_between_two_absences_does_not_deny_both() {
+    let steps = [
+        (19_482, Act::Away(Failing::Busy, 1_631, false)),
+        (15_501, Act::Away(Failing::Silent, 3_291, true)),
+    ];
+    let run = Run {
+        traffic: false,
+        ..fleet((14, 1, 4), 4_000, 1_871_530_614_488_757_509, &steps)
+    };
+    expect_that!(violations(&run), is_empty());
+}
+
+// The same, of which this instance has seen a call fail and no answer yet.
+#[gtest]
+fn answer_between_two_absences_does_not_deny_the_one_that_lasts() {
+    let steps = [
+        (19_106, Act::Away(Failing::Busy, 520, false)),
+        (15_422, Act::Away(Failing::Silent, 3_291, true)),
+    ];
+    let run = Run {
+        traffic: false,
+        ..fleet((24, 2, 5), 4_000, 197_779_576_544_214_006, &steps)
+    };
+    expect_that!(violations(&run), is_empty());
+}
+
+// It told the shortest one, and some milliseconds less were none.
+#[gtest]
+fn absence_of_one_that_started_in_it_outlasts_what_others_take_off() {
+    let steps = [
+        (16_877, Act::Away(Failing::Busy, 5_316, true)),
+        (16_611, Act::Enter),
+        (19_378, Act::Kill(10, 1_546)),
+    ];
+    let run = Run {
+        traffic: false,
+        ..fleet((14, 2, 7), 2_000, 6_235_296_056_856_462_392, &steps)
+    };
+    expect_that!(violations(&run), is_empty());
+}
+
+// Its own first answer came a second behind those of other data centres, and its followers believed as long.
+#[gtest]
+fn watcher_that_is_refused_for_longer_counts_from_the_answer_to_another() {
+    let steps = [
+        (15_191, Act::Depart(0)),
+        (13_897, Act::Refuse(1, Failing::Busy, 7_796)),
+        (20_289, Act::Refuse(2, Failing::Busy, 2_148)),
+        (2_988, Act::Refuse(1, Failing::Silent, 5_982)),
+        (500, Act::Leave(0)),
+        (500, Act::Spoil(0, 100)),
+    ];
+    let run = Run {
+        traffic: false,
+        ..fleet((14, 3, 4), 3_000, 2_713_899_890_823_777, &steps)
+    };
+    expect_that!(violations(&run), is_empty());
+}
+
+// Refused alone at first, then with all others: what these told before says nothing of the end.
+#[gtest]
+fn answer_to_another_before_an_absence_is_no_return_from_it() {
+    let steps = [
+        (18_584, Act::Refuse(2, Failing::Silent, 2_786)),
+        (21_141, Act::Away(Failing::Silent, 3_281, true)),
+    ];
+    let run = Run {
+        traffic: false,
+        ..fleet((6, 1, 3), 2_000, 875_317_947_774, &steps)
+    };
+    expect_that!(violations(&run), is_empty());
+}
