Entries that are missing from a whole read are told to those that watch

Callers' requests went to an upstream 4.02 s behind its end, of 4.0 s allowed, in a fleet of six: the history was forgotten while all waiting calls were silent. The one that shows the others that nothing has changed had read the whole list, an entry was missing, and it told them position 6 with a last change at 3: they knew 4 and took it for no news, each 2 s again. A whole read raised the last change by entries that are there only.

Ruled out by the trace: lost datagrams, and turns (it was the first that told). Now a whole read that lacks an entry counts as a change at its position. The test failed before.

--- a/crates/core/src/roster.rs
+++ b/crates/core/src/roster.rs
@@ -270,6 +270,10 @@
         let names: BTreeSet<&str> = entries.iter().map(|entry| entry.name.as_str()).collect();
         let missing = |name: &&String| !names.contains(name.as_str());
         let missing: Vec<String> = self.entries.keys().filter(missing).cloned().collect();
+        if !missing.is_empty() {
+            // An entry that went leaves no position. Others would be told that nothing has changed behind the one they know.
+            self.changed = self.changed.max(position);
+        }
         for name in missing {
             self.remove(&name, now);
         }
