Whoever is answered first behind a second absence puts beliefs off

Upstreams that lived were given up by a whole data centre: the store was back for 0.4 to 0.7 s and away again, a deputy's call was the first that was answered, two seconds behind the first return, and it told the others. Only those that watch put a belief off when calls fail again; and an answer that others told of just before was taken for a store that had been there all the while. Now every instance puts it off, by a heartbeat from the end of its failures, or from when others know that the store was there: an instance that makes few calls else believed an upstream that left 0.97 s longer than allowed (a guard test).

--- a/crates/core/src/absence.rs
+++ b/crates/core/src/absence.rs
@@ -31,8 +31,6 @@
     away: Option<Span>,
     /// How often the store had come back from a copy, by the last answer; 0 before the first, and where it does not say.
     era: u64,
-    /// Time by which upstreams have written their entries again behind calls that failed for a while.
-    entered_by: Option<Time>,
     /// The last span in which calls failed.
     failing: Option<Span>,
     /// When a call failed first since; `None` if none did.
@@ -41,6 +39,8 @@
     failures: u32,
     /// Time between two writes of an upstream's entry, in milliseconds.
     heartbeat_ms: u64,
+    /// The last span in which calls failed for so long that upstreams missed a write too.
+    missed: Option<Span>,
     /// The last span without an answer in which entries may have gone, whether or not a call failed in it.
     quiet: Option<Span>,
     /// When a call was answered first behind one that failed.
@@ -73,12 +73,12 @@
         Self {
             answered: None,
             away: None,
-            entered_by: None,
             era: 0,
             failed: None,
             failures: 0,
             failing: None,
             heartbeat_ms,
+            missed: None,
             quiet: None,
             recovered: None,
             steady: None,
@@ -110,7 +110,10 @@
         let merged = self.merged(failed, now);
         let quiet = quiet.or(merged);
         if now.since(failed) >= MISSED_MS {
-            self.entered_by = Some(now.after(self.heartbeat_ms));
+            self.missed = Some(Span {
+                from: failed,
+                to: now,
+            });
         }
         self.away = quiet.or(self.away);
         quiet.map(|away| away.to.since(away.from))
@@ -161,9 +164,14 @@
         self.era
     }
 
-    /// Time by which upstreams have written their entries again behind calls that failed for a while, however short.
-    pub fn entered_by(&self) -> Option<Time> {
-        self.entered_by
+    /// Time by which upstreams have written their entries again behind calls that failed for a while, however short; `None` if they
+    /// missed no write, as the store is known to have been there in another span. An instance that makes few calls is answered long
+    /// behind the end of an absence.
+    pub(crate) fn entered_by(&self, steady: Option<Span>) -> Option<Time> {
+        let missed = self.missed?;
+        let lasting = steady.filter(|steady| self.is_steady(steady.to, missed.to));
+        let back = lasting.map_or(missed.to, |steady| steady.from.min(missed.to));
+        (back > missed.from).then(|| back.after(self.heartbeat_ms))
     }
 
     /// Notes that the store has just answered another instance: no entry goes for want of it while it answers any. A
@@ -245,6 +253,12 @@
         Some(span).filter(|span| before.is_some() && self.may_lapse(*span))
     }
 
+    /// Whether the store was there between two answers to anybody: the time between them is too short for an absence in which an
+    /// upstream misses more than one write.
+    fn is_steady(&self, before: Time, now: Time) -> bool {
+        now.since(before) < self.heartbeat_ms
+    }
+
     /// The shortest time without the store in which entries may go, in milliseconds.
     fn lapse_ms(&self) -> u64 {
         HEARTBEATS * self.heartbeat_ms
--- a/crates/core/src/informer.rs
+++ b/crates/core/src/informer.rs
@@ -363,11 +363,7 @@
             changes.retain(|change| change.position > known);
             self.roster.take(changes, away, now);
         }
-        let was_there = away.is_none() && self.steady.is_some();
-        if let Some(until) = self.absence.entered_by()
-            && !self.role.follows()
-            && !was_there
-        {
+        if let Some(until) = self.absence.entered_by(self.steady) {
             self.roster.hold(until);
         }
         self.upstreams.position = Some(position.max(known));
