A store that was away for a second was not there all along

Upstreams that lived were given up: a watcher whose calls failed for 1.0 s between two answers 1.6 s apart told that the store had been there in between, so the others counted two seconds from before. Only 2.4 s without an answer ended that span. Calls that fail for as long as makes upstreams miss a write end it too. The test failed before.

--- a/crates/core/src/absence.rs
+++ b/crates/core/src/absence.rs
@@ -90,7 +90,11 @@
     /// may have gone.
     pub fn answer(&mut self, now: Time) -> Option<u64> {
         let short = |answered: Time| now.since(answered) < self.lapse_ms();
-        if !self.answered.is_some_and(short) {
+        // Upstreams miss a write in a shorter absence too: behind its end they have to enter themselves.
+        let missed = self
+            .failed
+            .is_some_and(|failed| now.since(failed) >= MISSED_MS);
+        if missed || !self.answered.is_some_and(short) {
             self.steady = Some(now);
         }
         let quiet = match self.quiet_until(now) {
@@ -109,7 +113,7 @@
         self.recovered = Some(now);
         let merged = self.merged(failed, now);
         let quiet = quiet.or(merged);
-        if now.since(failed) >= MISSED_MS {
+        if missed {
             self.missed = Some(Span {
                 from: failed,
                 to: now,
