A return that is told counts anew where the store did not answer in between

Upstreams that lived were given up by instances that knew of a first return of the store: the watcher had seen one long absence and told its end 1.4 s later, which is less than two returns are apart, so it was taken for the same one. An instance that found the store not to answer between the two knows better.

--- a/crates/core/src/absence.rs
+++ b/crates/core/src/absence.rs
@@ -47,6 +47,8 @@
     recovered: Option<Time>,
     /// Since when the store has answered without an absence; `None` before the first answer.
     steady: Option<Time>,
+    /// When the store was last found not to answer since; `None` if it was not.
+    unanswered: Option<Time>,
     /// When the store last answered another instance, by what that one told.
     witnessed: Option<Time>,
 }
@@ -82,6 +84,7 @@
             quiet: None,
             recovered: None,
             steady: None,
+            unanswered: None,
             witnessed: None,
         }
     }
@@ -107,6 +110,7 @@
         };
         let failed = self.failed.take();
         self.failures = 0;
+        self.unanswered = None;
         self.answered = Some(now);
         self.quiet = quiet.or(self.quiet);
         let failed = failed?;
@@ -197,6 +201,11 @@
         self.answered
     }
 
+    /// When the store was last found not to answer, since the last answer; `None` if it was not.
+    pub fn unanswered(&self) -> Option<Time> {
+        self.unanswered
+    }
+
     /// The last span in which the store was away for so long that entries may have gone.
     pub fn away(&self) -> Option<Span> {
         self.away
@@ -215,6 +224,7 @@
         if self.answered.is_none_or(|answered| answered < unanswered) {
             self.failed.get_or_insert(now);
             self.failures += 1;
+            self.unanswered = self.unanswered.max(Some(unanswered));
         }
         // A call that was out in a span without answers may be noticed only behind it.
         let just = |quiet: &Span| now.since(quiet.to) <= line::PATIENCE_MS;
--- a/crates/core/src/informer.rs
+++ b/crates/core/src/informer.rs
@@ -461,6 +461,9 @@
         }
         let away = word.away(now);
         self.roster.away = away.is_some_and(|away| self.served.shares(away, now));
+        if let Some(away) = away.filter(|_| self.roster.away) {
+            self.roster.hear_return(away, self.absence.unanswered());
+        }
         let known = self.upstreams.position.unwrap_or_default();
         match self.roster.hear(&word, known, now) {
             Worth::Fresh => {
--- a/crates/core/src/roster.rs
+++ b/crates/core/src/roster.rs
@@ -426,6 +426,18 @@
         }
     }
 
+    /// Another instance tells of a return behind the one that is known here. If this instance found the store not to answer in between
+    /// it is another return, however soon: upstreams have from then on to enter themselves.
+    pub fn hear_return(&mut self, away: Span, unanswered: Option<Time>) {
+        let known = self.absent.map(|absent| absent.to);
+        let between = known
+            .zip(unanswered)
+            .is_some_and(|(known, unanswered)| known < unanswered && unanswered < away.to);
+        if between {
+            self.hold(away.to.after(absence::BELIEVED_MS));
+        }
+    }
+
     fn remove(&mut self, name: &str, now: Time) {
         if let Some(life) = self.spoilt.remove(name) {
             self.note_left(life, false, now);
