An answer between two absences does not deny them

Upstreams that lived were given up by followers that the store had answered once between two absences: who was served 2.4 s or less apart took nothing from who told of one long absence. An instance's own account takes the two together, and a call of its own that was not answered in the span that is told shows that it was not served.

--- a/crates/core/src/absence.rs
+++ b/crates/core/src/absence.rs
@@ -245,6 +245,11 @@
         shared(quiet) || self.quiet.is_some_and(shared)
     }
 
+    /// Whether two spans without the store have so much in common that entries may have gone in it.
+    pub(crate) fn is_same(&self, one: Span, other: Span) -> bool {
+        one.shared_ms(other) >= self.lapse_ms()
+    }
+
     /// When a call was answered first behind one that failed. A silent store never answers a call that it took
     /// before, however long this may wait.
     pub fn recovered(&self) -> Option<Time> {
--- a/crates/core/src/informer.rs
+++ b/crates/core/src/informer.rs
@@ -389,6 +389,16 @@
         self.upstreams.ready = now.after(self.gather_ms());
     }
 
+    /// Whether the store may have been away for all in a span that another instance tells: nobody was served meanwhile, or it was so
+    /// by this instance's own account. Two absences in series are one by that, with an answer in between.
+    fn shares(&self, away: Span, now: Time) -> bool {
+        let own = self.own_away();
+        let unanswered = self.absence.unanswered();
+        self.served.shares(away, now)
+            || own.is_some_and(|own| self.absence.is_same(own, away))
+            || unanswered.is_some_and(|at| (away.from..away.to).contains(&at))
+    }
+
     /// When the store was away by this instance's own account, unless others tell that it was there: entries do not go for want
     /// of it then. An instance that was refused or cut off while others were served would believe an upstream that left for two
     /// seconds more, from its own first answer on.
@@ -460,7 +470,7 @@
             return;
         }
         let away = word.away(now);
-        self.roster.away = away.is_some_and(|away| self.served.shares(away, now));
+        self.roster.away = away.is_some_and(|away| self.shares(away, now));
         if let Some(away) = away.filter(|_| self.roster.away) {
             self.roster.hear_return(away, self.absence.unanswered());
         }
