An absence that an instance started in is told as a longer one than the shortest

An upstream that lived was given up behind the word of an instance that had started without the store: it told the shortest absence in which entries go, others knew of some milliseconds at its end in which the store had answered, and what was left was none. The test failed before.

--- a/crates/core/src/absence.rs
+++ b/crates/core/src/absence.rs
@@ -102,9 +102,10 @@
         }
         let quiet = match self.quiet_until(now) {
             Some(quiet) => Some(quiet).filter(|quiet| self.may_lapse(*quiet)),
-            // It started without the store, and does not know since when this was away.
+            // It started without the store, and does not know since when this was away: for longer than what others may take off
+            // its end.
             None => self.failed.map(|_| Span {
-                from: now.before(self.lapse_ms()),
+                from: now.before(2 * self.lapse_ms()),
                 to: now,
             }),
         };
