A watcher that is refused for longer counts from the store's answer to another

Two followers gave an upstream work 8 ms too late: their watcher was refused again as they were served again, and told its own first answer, 0.75 s later, as the store's return. An instance of another data centre had told it before that the store answers.

--- a/crates/core/src/absence.rs
+++ b/crates/core/src/absence.rs
@@ -45,6 +45,8 @@
     quiet: Option<Span>,
     /// When a call was answered first behind one that failed.
     recovered: Option<Time>,
+    /// The last span in which other instances told that the store had answered them, while calls failed here.
+    returned: Option<Span>,
     /// Since when the store has answered without an absence; `None` before the first answer.
     steady: Option<Time>,
     /// When the store was last found not to answer since; `None` if it was not.
@@ -83,6 +85,7 @@
             missed: None,
             quiet: None,
             recovered: None,
+            returned: None,
             steady: None,
             unanswered: None,
             witnessed: None,
@@ -110,6 +113,7 @@
             }),
         };
         let failed = self.failed.take();
+        let returned = self.returned.take();
         self.failures = 0;
         self.unanswered = None;
         self.answered = Some(now);
@@ -124,6 +128,8 @@
                 to: now,
             });
         }
+        let returned = returned.filter(|returned| self.is_steady(returned.to, now));
+        let quiet = quiet.map(|quiet| self.ended_by(quiet, returned));
         self.away = quiet.or(self.away);
         quiet.map(|away| away.to.since(away.from))
     }
@@ -195,6 +201,13 @@
             }
         }
         self.witnessed = Some(now);
+        if self.failed.is_some() {
+            let lasting = self
+                .returned
+                .filter(|before| self.is_steady(before.to, now));
+            let from = lasting.map_or(now, |before| before.from);
+            self.returned = Some(Span { from, to: now });
+        }
     }
 
     /// When the store answered last.
@@ -273,6 +286,18 @@
         Some(span).filter(|span| before.is_some() && self.may_lapse(*span))
     }
 
+    /// A span without the store, up to its return for another instance: upstreams enter themselves from then on, though the store
+    /// refuses this one for longer. From its own first answer on an upstream that left was believed too long.
+    fn ended_by(&self, away: Span, returned: Option<Span>) -> Span {
+        let to = returned.map_or(away.to, |returned| away.to.min(returned.from));
+        let ended = Span { to, ..away };
+        if to > away.from && self.may_lapse(ended) {
+            ended
+        } else {
+            away
+        }
+    }
+
     /// Whether the store was there between two answers to anybody: the time between them is too short for an absence in which an
     /// upstream misses more than one write.
     fn is_steady(&self, before: Time, now: Time) -> bool {
