Beliefs are put off before entries go by what is read

Upstreams that lived were given up where an instance made no call in a second absence, or the store came back from a copy within 1.2 s of a return: the answer that puts a belief off also brought the entries that had gone, and these went first, as the belief behind the first return was over. The test failed before.

--- a/crates/core/src/informer.rs
+++ b/crates/core/src/informer.rs
@@ -356,6 +356,10 @@
         let known = self.upstreams.position.unwrap_or_default();
         let away = self.own_away();
         let first = self.upstreams.position.is_none();
+        // Before entries go by what is taken in.
+        if let Some(until) = self.absence.entered_by(self.steady) {
+            self.roster.hold(until);
+        }
         if call.since.is_none() {
             self.roster.take_all(&changes, position, away, now);
         } else {
@@ -363,9 +367,6 @@
             changes.retain(|change| change.position > known);
             self.roster.take(changes, away, now);
         }
-        if let Some(until) = self.absence.entered_by(self.steady) {
-            self.roster.hold(until);
-        }
         self.upstreams.position = Some(position.max(known));
         self.fresh = now;
         self.gap = None;
--- a/crates/standin/tests/learning.rs
+++ b/crates/standin/tests/learning.rs
@@ -523,3 +523,17 @@
     };
     expect_that!(violations(&run), is_empty());
 }
+
+// Entries that went while nobody asked were given up by the answer that would have put that off.
+#[gtest]
+fn beliefs_are_put_off_before_entries_go_by_what_is_read() {
+    let steps = [
+        (11_674, Act::Drill(100, 1_207)),
+        (4_988, Act::Away(Failing::Busy, 5_580, true)),
+    ];
+    let run = Run {
+        traffic: false,
+        ..fleet((14, 1, 4), 2_000, 172_711_048_979_527_286, &steps)
+    };
+    expect_that!(violations(&run), is_empty());
+}
