An own answer does not hide that the store was away again

Upstreams that lived were given up by an instance that the store had answered 0.1 s before another told it of a second return: its failures between the two were forgotten with that answer. When the store was last found not to answer is kept; it is compared with the times of the returns. The test failed before.

--- a/crates/core/src/absence.rs
+++ b/crates/core/src/absence.rs
@@ -49,7 +49,7 @@
     returned: Option<Span>,
     /// Since when the store has answered without an absence; `None` before the first answer.
     steady: Option<Time>,
-    /// When the store was last found not to answer since; `None` if it was not.
+    /// When the store was last found not to answer; `None` if it never was.
     unanswered: Option<Time>,
     /// When the store last answered another instance, by what that one told.
     witnessed: Option<Time>,
@@ -115,7 +115,6 @@
         let failed = self.failed.take();
         let returned = self.returned.take();
         self.failures = 0;
-        self.unanswered = None;
         self.answered = Some(now);
         self.quiet = quiet.or(self.quiet);
         let failed = failed?;
@@ -215,7 +214,7 @@
         self.answered
     }
 
-    /// When the store was last found not to answer, since the last answer; `None` if it was not.
+    /// When the store was last found not to answer; `None` if it never was.
     pub fn unanswered(&self) -> Option<Time> {
         self.unanswered
     }
--- a/crates/standin/tests/learning.rs
+++ b/crates/standin/tests/learning.rs
@@ -537,3 +537,22 @@
     };
     expect_that!(violations(&run), is_empty());
 }
+
+// An instance that was answered just before it heard of the second return forgot its failures.
+#[gtest]
+fn own_answer_between_does_not_hide_that_the_store_was_away_again() {
+    let steps = [
+        (12_875, Act::Crash(3)),
+        (22_585, Act::Away(Failing::Busy, 1_105, false)),
+        (18_697, Act::Away(Failing::Silent, 3_538, true)),
+        (3_865, Act::Leave(4)),
+        (831, Act::Configure),
+        (6_117, Act::Away(Failing::Busy, 4_034, false)),
+        (827, Act::Leave(9)),
+    ];
+    let run = Run {
+        traffic: true,
+        ..fleet((24, 2, 6), 2_000, 4_010_707_616_191_197_620, &steps)
+    };
+    expect_that!(violations(&run), is_empty());
+}
