--- a/crates/standin/tests/learning.rs
+++ b/crates/standin/tests/learning.rs
@@ -556,3 +556,18 @@
     };
     expect_that!(violations(&run), is_empty());
 }
+
+// One that was answered before and behind it, 2.2 s apart, tells that the store was there all along.
+#[gtest]
+fn instances_that_made_no_call_in_an_absence_do_not_deny_it() {
+    let steps = [
+        (19_489, Act::Away(Failing::Busy, 1_331, false)),
+        (12_219, Act::Restart(0)),
+        (15_348, Act::Away(Failing::Silent, 3_291, true)),
+    ];
+    let run = Run {
+        traffic: false,
+        ..fleet((24, 2, 5), 4_000, 189_028_969_233_728_719, &steps)
+    };
+    expect_that!(violations(&run), is_empty());
+}
