--- a/crates/standin/tests/learning.rs
+++ b/crates/standin/tests/learning.rs
@@ -557,9 +557,9 @@
     expect_that!(violations(&run), is_empty());
 }
 
-// One that was answered before and behind it, 2.2 s apart, tells that the store was there all along.
+// They ask when their belief behind the first return is over, just before another tells of the second.
 #[gtest]
-fn instances_that_made_no_call_in_an_absence_do_not_deny_it() {
+fn followers_that_made_no_call_in_a_second_absence_give_nobody_up() {
     let steps = [
         (19_489, Act::Away(Failing::Busy, 1_331, false)),
         (12_219, Act::Restart(0)),
