Read once more: what stood twice, and work on the path of a request

No behaviour changes. Admission took a list of all staying upstreams of a service for each request, also where one of them takes what comes: it stops at the first such now. The slots of a service are reckoned from the pool that is at hand, by what being open means already. What is kept of a limit is read where it is kept; the comparison of two spans, the pause between two looks at the instances and the builder of two tests stand once.

--- a/crates/core/src/absence.rs
+++ b/crates/core/src/absence.rs
@@ -254,7 +254,7 @@
         let Some(quiet) = self.quiet_until(now) else {
             return true;
         };
-        let shared = |quiet: Span| quiet.shared_ms(away) >= self.lapse_ms();
+        let shared = |quiet: Span| self.is_same(quiet, away);
         shared(quiet) || self.quiet.is_some_and(shared)
     }
 
--- a/crates/core/src/demand.rs
+++ b/crates/core/src/demand.rs
@@ -475,7 +475,7 @@
             return;
         };
         let whole = pool.demands.whole(running, instances, now);
-        let slots = self.slots(name, whole.takes_ms);
+        let slots = self.slots(pool, whole.takes_ms);
         let Some(pool) = self.pools.get_mut(name) else {
             return;
         };
@@ -503,7 +503,7 @@
             return;
         };
         let whole = pool.demands.whole(running, instances, now);
-        let slots = self.slots(name, whole.takes_ms);
+        let slots = self.slots(pool, whole.takes_ms);
         if let Some(pool) = self.pools.get_mut(name) {
             pool.demands
                 .adjust(whole, slots, self.settings.calls.wait, now);
@@ -512,18 +512,15 @@
 
     /// Slots of a pool's upstreams that take work, by the list. One that names a limit counts with the slots that so many
     /// calls keep busy.
-    fn slots(&self, name: &str, takes_ms: f64) -> f64 {
-        let Some(pool) = self.pools.get(name) else {
-            return 0.0;
-        };
+    fn slots(&self, pool: &core::Pool, takes_ms: f64) -> f64 {
         let slots = |upstream: &Upstream| {
             let listed = f64::from(upstream.listed_slots);
             let busy = |part: limit::Part| part.rate().per_second() * takes_ms / 1_000.0;
             upstream.part.map_or(listed, |part| busy(part).min(listed))
         };
-        self.staying(pool)
+        self.upstreams_of(pool)
             .filter(|upstream| upstream.health == Health::Live && upstream.chosen)
-            .filter(|upstream| !upstream.rests(self.now))
+            .filter(|upstream| upstream.is_open(self.now))
             .map(slots)
             .sum()
     }
--- a/crates/core/src/limit.rs
+++ b/crates/core/src/limit.rs
@@ -279,10 +279,15 @@
     /// When an upstream takes a request that comes behind so many others; `None` if one does now or there is none.
     pub(crate) fn opens_at(&self, request: &Request, ahead: usize) -> Option<Time> {
         let pool = self.pools.get(request.service.pool())?;
-        let stay: Vec<&Upstream> = self.staying(pool).collect();
-        let parts = stay.iter().filter(|upstream| upstream.part.is_some());
+        let takes = |upstream: &Upstream| upstream.part.is_none() && !upstream.rests(self.now);
+        if self.staying(pool).any(takes) {
+            return None;
+        }
+        let parts = self
+            .staying(pool)
+            .filter(|upstream| upstream.part.is_some());
         let turn = 1 + ahead / parts.count().max(1);
-        let opens = stay.iter().map(|upstream| {
+        let opens = self.staying(pool).map(|upstream| {
             let part = upstream.part.as_ref();
             let permit = part.map_or(self.now, |part| part.opens_at(turn, self.now));
             permit.max(upstream.standing.rests_until)
--- a/crates/core/src/notice.rs
+++ b/crates/core/src/notice.rs
@@ -98,7 +98,10 @@
     /// Remembers what an upstream said whose entry is gone. Of too many the oldest is forgotten.
     pub fn keep(&mut self, upstream: &Upstream, now: Time) {
         self.0.retain(|_, kept| now.since(kept.at) < KEPT_MS);
-        let standing = upstream.standing;
+        let standing = Standing {
+            limit: upstream.part.map(|part| part.rate()),
+            ..upstream.standing
+        };
         if standing == Standing::default() {
             return;
         }
--- a/crates/core/src/version.rs
+++ b/crates/core/src/version.rs
@@ -13,15 +13,16 @@
     pub(crate) fn settle_versions(&mut self) {
         let mut changed = Vec::new();
         for pool in self.pools.values_mut() {
-            let first = pool
-                .upstreams
-                .iter()
-                .min_by_key(|key| self.upstreams[**key].since);
-            let Some(first) = first else {
+            if pool.version.is_none() {
+                let first = pool
+                    .upstreams
+                    .iter()
+                    .min_by_key(|key| self.upstreams[**key].since);
+                pool.version = first.map(|key| self.upstreams[*key].version.clone());
+            }
+            let Some(in_force) = &pool.version else {
                 continue;
             };
-            let first = &self.upstreams[*first].version;
-            let in_force = pool.version.get_or_insert_with(|| first.clone());
             let stays = pool.upstreams.iter().any(|key| {
                 let upstream = &self.upstreams[*key];
                 upstream.version == *in_force && !upstream.leaves(self.now)
--- a/crates/core/src/watch.rs
+++ b/crates/core/src/watch.rs
@@ -222,10 +222,9 @@
     }
 
     fn forget(&mut self, key: upstream::Key) {
-        let Some(mut upstream) = self.upstreams.remove(key) else {
+        let Some(upstream) = self.upstreams.remove(key) else {
             return;
         };
-        upstream.standing.limit = upstream.part.map(|part| part.rate());
         if self.lives.get(&upstream.life) == Some(&key) {
             self.lives.remove(&upstream.life);
         }
--- a/crates/core/tests/relay/fleet.rs
+++ b/crates/core/tests/relay/fleet.rs
@@ -126,9 +126,9 @@
         }
     }
 
-    /// How many of a hundred calls are sent, with so much asked at each of 294 other instances.
-    fn sent_of_a_hundred(asked: f64) -> usize {
-        let mut test = Test::set(Settings::default());
+    /// One of 295 instances, before six upstreams of six slots.
+    fn with_slots(settings: Settings) -> Self {
+        let mut test = Self::set(settings);
         test.tell(Event::Config(Arc::new(configuration(1))));
         let slots = |upstream: Listed| Listed {
             slots: 6,
@@ -136,6 +136,12 @@
         };
         test.list((0..6).map(|index| slots(listed(index, index))).collect());
         test.tell(Event::Instances(View::numbered(0, 295)));
+        test
+    }
+
+    /// How many of a hundred calls are sent, with so much asked at each of 294 other instances.
+    fn sent_of_a_hundred(asked: f64) -> usize {
+        let mut test = Self::with_slots(Settings::default());
         for _ in 0..100 {
             test.pass(250);
             test.demand(294, asked, 58);
@@ -201,14 +207,7 @@
 fn sendings_of_a_fault(asked: f64, second: bool) -> usize {
     let mut settings = Settings::default();
     settings.calls.second = second;
-    let mut test = Test::set(settings);
-    test.tell(Event::Config(Arc::new(configuration(1))));
-    let slots = |upstream: Listed| Listed {
-        slots: 6,
-        ..upstream
-    };
-    test.list((0..6).map(|index| slots(listed(index, index))).collect());
-    test.tell(Event::Instances(View::numbered(0, 295)));
+    let mut test = Test::with_slots(settings);
     test.demand(294, asked, 58);
     test.pass(300);
     test.demand(294, asked, 58);
--- a/crates/node/src/members.rs
+++ b/crates/node/src/members.rs
@@ -75,15 +75,10 @@
 
     /// The fleet as the core knows it.
     pub fn view(&self, members: &Members) -> View {
-        let look = if members.len() < FEW {
-            LOOK
-        } else {
-            LOOK_LARGE
-        };
         View {
             others: members.keys().map(|name| upstream::id(name)).collect(),
             own: upstream::id(&self.name),
-            settles_ms: (look + READ_AGE).as_millis() as u64,
+            settles_ms: (look(members.len()) + READ_AGE).as_millis() as u64,
         }
     }
 
@@ -143,6 +138,11 @@
     }
 }
 
+/// Time between two reads of the instances where so many others are known.
+fn look(others: usize) -> Duration {
+    if others < FEW { LOOK } else { LOOK_LARGE }
+}
+
 /// Keeps the other instances as the store lists them, for ever.
 pub(crate) async fn find(client: feed::Client, own: String, found: watch::Sender<Members>) {
     let begun = Instant::now();
@@ -169,8 +169,7 @@
                 });
                 let pause = match found.borrow().len() {
                     0 if begun.elapsed() < ALONE => LOOK_ALONE,
-                    few if few < FEW => LOOK,
-                    _ => LOOK_LARGE,
+                    others => look(others),
                 };
                 sleep(pause).await;
             }
