Apply changes of the list one by one, and visit only the upstreams that a tick concerns

Cause: an instance applied the whole list for each change of it. The informer cloned every entry, and the core compared every entry with every upstream: some 5 x 10^7 comparisons for one change at 10,000 upstreams. A tick collected the keys of all upstreams and looked at each, a hundred times a second, and twenty times a second two checks (versions, limits) walked them again: 10^6 looks a second at rest on each of 984 instances.

Ruled out: a longer tick (the same growth, later); a pause between changes that grows with the list (it is what a leaving upstream waits for).

Now the roster names what has changed since the output before, and the core applies that. Conflicts over addresses are resolved by an index. A tick visits upstreams with attempts and those that may recover; limited ones are kept in a set, and the walk over versions is left out while a pool has one. A start logs one line with a count in place of a line for each upstream.

Conclusion: cost of rest and of a change no longer grows with the list. Placement still walks the pool for each request.

--- a/crates/core/src/core.rs
+++ b/crates/core/src/core.rs
@@ -36,6 +36,8 @@
     pub upstreams: Vec<upstream::Key>,
     /// Version that its upstreams must have to receive requests; `None` until there is one.
     pub version: Option<Arc<str>>,
+    /// Number of its upstreams by version.
+    pub versions: Versions,
     /// Limit of concurrent relayed calls.
     pub window: Window,
 }
@@ -51,6 +53,7 @@
             tokens: estimates::Mean::default(),
             upstreams: Vec::new(),
             version: None,
+            versions: Versions::default(),
             window: Window::default(),
         }
     }
@@ -78,6 +81,8 @@
     pub(crate) crash_suspects: CrashSuspects,
     /// Data centre that this instance runs in; empty if there is no preference.
     pub(crate) data_centre: Arc<str>,
+    /// Unlisted upstreams that still have attempts.
+    pub(crate) departed: BTreeSet<upstream::Key>,
     /// Requests that arrived before this instance had the state to serve them.
     pub(crate) deferred: Vec<DeferredRequest>,
     pub(crate) effects: Vec<Effect>,
@@ -88,6 +93,8 @@
     pub(crate) held_bytes: u64,
     /// Number of instances in the fleet.
     pub(crate) instances: u32,
+    /// Upstreams with a rate limit.
+    pub(crate) limited: BTreeSet<upstream::Key>,
     /// When the list of upstreams was last read from the store; `None` before the first read.
     pub(crate) list_read_at: Option<Time>,
     /// Time until which the list counts as stale, after a pause of this process.
@@ -115,7 +122,13 @@
     pub(crate) stream_records: stream_record::StreamRecords,
     /// Whether all streams that were stored before its start have been reported.
     pub(crate) streams_restored: bool,
+    /// Upstreams that may be suspected.
+    pub(crate) suspected: BTreeSet<upstream::Key>,
     pub(crate) upstreams: SlotMap<upstream::Key, Upstream>,
+    /// Number of looks at an upstream, by ticks and changes of the list.
+    pub(crate) upstream_visits: u64,
+    /// Upstreams by address.
+    pub(crate) upstreams_by_address: HashMap<SocketAddr, Vec<upstream::Key>>,
     /// Upstreams by incarnation; at most one of each name.
     pub(crate) upstreams_by_incarnation: stream_record::UpstreamsByIncarnation,
 }
@@ -131,6 +144,11 @@
         self.requests.len() + self.deferred.len()
     }
 
+    /// Number of looks at an upstream so far, by ticks and changes of the list: their cost.
+    pub fn upstream_visits(&self) -> u64 {
+        self.upstream_visits
+    }
+
     /// All known upstreams.
     pub fn upstreams(&self) -> impl Iterator<Item = &Upstream> {
         self.upstreams.values()
@@ -165,6 +183,10 @@
                 entries,
                 requested_at,
             } => self.apply_list(requested_at, entries.as_deref()),
+            Event::ListChanged {
+                delta,
+                requested_at,
+            } => self.apply_list_delta(requested_at, &delta),
             Event::Load { load, upstream } => self.apply_load_report(upstream, load),
             Event::NoticeReceived {
                 attempt,
@@ -213,12 +235,14 @@
             config: None,
             crash_suspects: CrashSuspects::default(),
             data_centre: Arc::from(""),
+            departed: BTreeSet::new(),
             deferred: Vec::new(),
             effects: Vec::new(),
             expiry_checked_at: now,
             hedge_budget: Budget::new(BUDGET_PERMITS, BUDGET_REFILL_PER_SECOND, now),
             held_bytes: 0,
             instances: 1,
+            limited: BTreeSet::new(),
             list_read_at: None,
             list_stale_until: Time::default(),
             longest_timeouts: HashMap::new(),
@@ -236,7 +260,10 @@
             settings,
             stream_records: stream_record::StreamRecords::default(),
             streams_restored: true,
+            suspected: BTreeSet::new(),
             upstreams: SlotMap::with_key(),
+            upstream_visits: 0,
+            upstreams_by_address: HashMap::new(),
             upstreams_by_incarnation: BTreeMap::new(),
         }
     }
--- a/crates/core/src/effect.rs
+++ b/crates/core/src/effect.rs
@@ -312,6 +312,13 @@
         /// Name of the upstream.
         upstream: Arc<str>,
     },
+    /// Log that the statuses of many upstreams changed at once.
+    LogUpstreams {
+        /// The change.
+        change: StatusChange,
+        /// Number of upstreams.
+        count: usize,
+    },
     /// Record a duration, in milliseconds.
     Observe(Timing, u64),
     /// Probe the health and load of an upstream.
--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -107,6 +107,15 @@
     pub version: String,
 }
 
+/// Changes of the platform's list.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct ListDelta {
+    /// Entries that are new or were written again.
+    pub listed: Vec<ListEntry>,
+    /// Names of entries that no longer exist.
+    pub removed: Vec<String>,
+}
+
 impl ListEntry {
     /// Incarnation that the entry describes.
     pub fn incarnation(&self) -> Incarnation {
@@ -171,6 +180,13 @@
         /// When the read was started.
         requested_at: Time,
     },
+    /// The platform's list changed.
+    ListChanged {
+        /// Changes since the event before.
+        delta: ListDelta,
+        /// When the changes became known.
+        requested_at: Time,
+    },
     /// An upstream reported its load.
     Load {
         /// The report.
--- a/crates/core/src/informer.rs
+++ b/crates/core/src/informer.rs
@@ -63,8 +63,6 @@
     configuration: StoreCalls,
     /// Updates that arrived before their predecessors.
     early_updates: Vec<RosterUpdate>,
-    /// Number of listed upstreams.
-    entry_count: usize,
     /// Number of known restores of the store from a backup.
     era: u64,
     /// When the store is known to have served any instance: by own calls and by updates from watchers.
@@ -111,7 +109,6 @@
             config_bytes: 0,
             configuration: StoreCalls::default().started_at(now),
             early_updates: Vec::new(),
-            entry_count: 0,
             era: 0,
             fleet_availability: availability,
             gap_since: None,
@@ -453,7 +450,7 @@
             return self.bound.pause_ms();
         }
         let longest = (self.leave_ms / 2).max(BATCH_MIN_MS);
-        (BATCH_PER_UPSTREAM_MS * self.entry_count as u64).clamp(BATCH_MIN_MS, longest)
+        (BATCH_PER_UPSTREAM_MS * self.roster.len() as u64).clamp(BATCH_MIN_MS, longest)
     }
 
     fn emit_upstreams(&mut self, now: Time) {
@@ -462,9 +459,8 @@
             self.outputs.push(Output::MissingEntry(name, grace_ms));
         }
         self.roster.remove_expired(now);
-        let listed = self.roster.listed();
-        self.entry_count = listed.len();
-        self.outputs.push(Output::Upstreams(listed));
+        self.outputs
+            .push(Output::Upstreams(self.roster.take_delta()));
     }
 
     fn handle_failure(&mut self, id: u64, now: Time) {
--- a/crates/core/src/informer_io.rs
+++ b/crates/core/src/informer_io.rs
@@ -138,8 +138,8 @@
     MissingEntry(String, u64),
     /// An answer described an earlier era of the store and was dropped.
     Outdated(Topic),
-    /// The upstreams that are now taken to exist.
-    Upstreams(Vec<ListEntry>),
+    /// Changes of the upstreams that are taken to exist, since the output before.
+    Upstreams(ListDelta),
 }
 
 /// What an instance knows of the store.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -46,6 +46,7 @@
 mod capacity;
 mod dispatch;
 mod failure;
+mod list;
 mod place;
 mod relay;
 mod route;
@@ -72,7 +73,7 @@
     digest::Digest,
     effect::Effect,
     estimates::{EngineSpeed, PoolEstimates},
-    event::{Event, Failure, ListEntry, OutputToken},
+    event::{Event, Failure, ListDelta, ListEntry, OutputToken},
     fingerprint::RequestFingerprint,
     incarnation::Incarnation,
     informer_io::CancelReason,
@@ -93,7 +94,7 @@
     slotmap::{SecondaryMap, SlotMap, new_key_type},
     staleness::StalenessBound,
     std::{
-        collections::{BTreeMap, BTreeSet, HashMap, VecDeque},
+        collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque},
         fmt::{self, Display, Formatter},
         net::SocketAddr,
         ops::RangeInclusive,
@@ -104,5 +105,6 @@
     suspicion::CrashSuspects,
     upstream::{Health, Load, Upstream},
     usage::{OwnUsage, Usage},
+    version::Versions,
     window::Window,
 };
--- a/crates/core/src/limit.rs
+++ b/crates/core/src/limit.rs
@@ -244,6 +244,7 @@
             .limit_bucket
             .get_or_insert_with(|| TokenBucket::new(rate, now));
         bucket.probe_due = now.after(UNCONFIRMED_MS + jitter);
+        self.limited.insert(key);
         if is_changed {
             self.update_share(key, rate);
             self.log_status_change(key, effect::StatusChange::Limited);
@@ -264,6 +265,7 @@
 
     fn clear_limit(&mut self, key: upstream::Key) {
         if self.upstreams[key].limit_bucket.take().is_some() {
+            self.limited.remove(&key);
             self.log_status_change(key, effect::StatusChange::Unlimited);
             let pool = self.upstreams[key].pool.clone();
             self.dispatch_queued(&pool);
@@ -274,8 +276,8 @@
     /// time, so that the response to the first spares the others.
     pub(crate) fn schedule_limit_probes(&mut self) {
         let now = self.now;
-        for upstream in self.upstreams.values_mut() {
-            let Some(bucket) = &mut upstream.limit_bucket else {
+        for key in &self.limited {
+            let Some(bucket) = &mut self.upstreams[*key].limit_bucket else {
                 continue;
             };
             if now >= bucket.probe_due {
--- a/crates/core/src/members.rs
+++ b/crates/core/src/members.rs
@@ -75,11 +75,11 @@
     pub(crate) fn update_members(&mut self, view: View) {
         self.instances = view.count();
         self.members.record_view(view, self.now);
-        let limited = |(key, upstream): (upstream::Key, &Upstream)| {
-            let bucket = upstream.limit_bucket.as_ref()?;
-            Some((key, bucket.rate()))
+        let rate = |key: &upstream::Key| {
+            let bucket = self.upstreams[*key].limit_bucket.as_ref()?;
+            Some((*key, bucket.rate()))
         };
-        let limited: Vec<_> = self.upstreams.iter().filter_map(limited).collect();
+        let limited: Vec<_> = self.limited.iter().filter_map(rate).collect();
         for (key, rate) in limited {
             self.update_share(key, rate);
         }
--- a/crates/core/src/roster.rs
+++ b/crates/core/src/roster.rs
@@ -87,6 +87,8 @@
 pub struct Roster {
     /// Position up to which changes were announced; `None` before the first announcement.
     announced: Option<Position>,
+    /// Names of entries that changed since the last delta was taken.
+    changed: BTreeSet<String>,
     /// Incarnations that recently left or were deleted.
     departures: BTreeMap<Incarnation, Departure>,
     entries: BTreeMap<String, ListEntry>,
@@ -194,6 +196,28 @@
         self.entries.values().cloned().collect()
     }
 
+    /// Number of upstreams that are taken to exist.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Whether no upstream is taken to exist.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// Changes of the upstreams that are taken to exist, since the last call.
+    pub fn take_delta(&mut self) -> ListDelta {
+        let mut delta = ListDelta::default();
+        for name in std::mem::take(&mut self.changed) {
+            match self.entries.get(&name) {
+                Some(listed) => delta.listed.push(listed.clone()),
+                None => delta.removed.push(name),
+            }
+        }
+        delta
+    }
+
     /// Removes upstreams that have been missing for the whole grace period, after a call of the store: while the store
     /// is down again no upstream can register.
     pub fn remove_expired(&mut self, now: Time) {
@@ -336,11 +360,13 @@
                 self.overwritten.remove(&change.name);
                 self.positions.insert(change.name.clone(), change.position);
                 self.entries.insert(change.name.clone(), listed.clone());
+                self.changed.insert(change.name.clone());
             }
             Entry::Invalid => {
                 self.missing.remove(&change.name);
                 self.positions.remove(&change.name);
                 if let Some(listed) = self.entries.remove(&change.name) {
+                    self.changed.insert(change.name.clone());
                     self.overwritten
                         .insert(change.name.clone(), listed.incarnation());
                 }
@@ -408,6 +434,7 @@
     fn remove_entry(&mut self, name: &str, now: Time) {
         self.positions.remove(name);
         if let Some(listed) = self.entries.remove(name) {
+            self.changed.insert(name.to_owned());
             self.record_departure(listed.incarnation(), false, now);
         }
     }
--- a/crates/core/src/version.rs
+++ b/crates/core/src/version.rs
@@ -6,6 +6,32 @@
 
 use super::*;
 
+/// Number of a pool's upstreams by version.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Versions(BTreeMap<Arc<str>, usize>);
+
+impl Versions {
+    /// Counts one more upstream of a version.
+    pub fn add(&mut self, version: &Arc<str>) {
+        *self.0.entry(version.clone()).or_default() += 1;
+    }
+
+    /// Counts one upstream of a version less.
+    pub fn remove(&mut self, version: &str) {
+        if let Some(count) = self.0.get_mut(version) {
+            *count -= 1;
+            if *count == 0 {
+                self.0.remove(version);
+            }
+        }
+    }
+
+    /// Whether all upstreams have this version.
+    fn are_all(&self, version: &str) -> bool {
+        self.0.len() == 1 && self.0.contains_key(version)
+    }
+}
+
 impl Core {
     /// Holds back upstreams whose version is not the active one, as long as one with the active version stays. The active
     /// version is that of the upstream registered first, and does not change while the instance runs: crashed upstreams come
@@ -23,6 +49,10 @@
             let Some(active) = &pool.version else {
                 continue;
             };
+            if pool.versions.are_all(active) {
+                continue;
+            }
+            self.upstream_visits += pool.upstreams.len() as u64;
             let is_active_present = pool.upstreams.iter().any(|key| {
                 let upstream = &self.upstreams[*key];
                 upstream.version == *active && !upstream.is_leaving(self.now)
--- a/crates/core/src/watch.rs
+++ b/crates/core/src/watch.rs
@@ -14,14 +14,6 @@
 /// Interval of the checks for expired requests, in milliseconds.
 const EXPIRY_CHECK_MS: u64 = 50;
 
-/// Upstream of a list entry.
-struct ListedUpstream {
-    /// Current incarnation.
-    key: upstream::Key,
-    /// Previous incarnation under the same name, if the entry replaces one.
-    predecessor: Option<upstream::Key>,
-}
-
 impl Core {
     /// Applies a load report that came along with tokens, and postpones the next probe.
     pub(crate) fn apply_piggybacked_load(&mut self, attempt: attempt::Key, load: Load) {
@@ -48,6 +40,7 @@
         }
         upstream.health = Health::Suspected;
         upstream.suspected_until = self.now.after(self.settings.probe_ms);
+        self.suspected.insert(key);
         self.count(Counter::Suspected);
         self.log_status_change(key, effect::StatusChange::Suspected);
         if self.settings.probes {
@@ -88,56 +81,6 @@
         is_new
     }
 
-    /// Applies the platform's list: adds new upstreams, and marks or removes those that are leaving or gone.
-    pub(crate) fn apply_list(&mut self, requested_at: Time, listed: Option<&[event::ListEntry]>) {
-        if requested_at >= self.resumed_at {
-            self.list_stale_until = Time::default();
-        }
-        let Some(listed) = listed else {
-            return;
-        };
-        let instances = listed
-            .iter()
-            .filter(|entry| entry.pool == core::INSTANCE_POOL && !entry.leaving)
-            .count();
-        if instances > 0 {
-            self.instances = instances as u32;
-        }
-        let mut unlisted: Vec<upstream::Key> = self.upstreams.keys().collect();
-        let mut predecessors = Vec::new();
-        let known = self.upstreams.len();
-        for entry in listed {
-            if entry.pool != core::INSTANCE_POOL {
-                let upstream = self.upsert_listed(entry);
-                predecessors.extend(upstream.predecessor);
-                unlisted
-                    .retain(|other| *other != upstream.key && Some(*other) != upstream.predecessor);
-            }
-        }
-        let has_new = self.upstreams.len() > known;
-        for key in unlisted {
-            if !self.upstreams[key].leaving || self.upstreams[key].attempts.is_empty() {
-                self.log_status_change(key, effect::StatusChange::Gone);
-            }
-            self.upstreams[key].leaving = true;
-            if self.upstreams[key].attempts.is_empty() {
-                self.remove_upstream(key);
-            }
-        }
-        if has_new {
-            self.resolve_address_conflicts();
-        }
-        // Their work is retried elsewhere, which requires that the whole list has been applied.
-        for predecessor in predecessors {
-            self.remove_restarted(predecessor);
-        }
-        self.hold_back_inactive_versions();
-        self.choose_subsets();
-        self.list_read_at = Some(requested_at);
-        self.submit_deferred();
-        self.dispatch_all();
-    }
-
     /// Handles the result of a probe.
     pub(crate) fn apply_probe_result(&mut self, key: upstream::Key, alive: bool) {
         let Some(upstream) = self.upstreams.get_mut(key) else {
@@ -178,14 +121,15 @@
 
     /// Performs all time-dependent work.
     pub(crate) fn tick(&mut self) {
-        let keys: Vec<upstream::Key> = self.upstreams.keys().collect();
-        for key in &keys {
+        let due = self.due_upstreams();
+        self.upstream_visits += due.len() as u64;
+        for key in due {
             if self.settings.probes {
-                self.check_probe(*key);
+                self.check_probe(key);
             } else {
-                self.expire_suspected(*key);
+                self.expire_suspected(key);
             }
-            self.check_streams(*key);
+            self.check_streams(key);
         }
         self.retry_claims();
         self.expire_crash_suspects();
@@ -200,9 +144,22 @@
         self.dispatch_all();
     }
 
+    /// The upstreams that a tick concerns: those with attempts, those that may recover, and if upstreams are probed, all.
+    /// A tick must not visit the others: hundreds of instances would look at ten thousand idle upstreams a hundred
+    /// times a second.
+    fn due_upstreams(&self) -> Vec<upstream::Key> {
+        if self.settings.probes {
+            return self.upstreams.keys().collect();
+        }
+        let busy = self.attempts.values().map(|attempt| attempt.upstream);
+        let busy = busy.filter(|key| self.upstreams.contains_key(*key));
+        let due: BTreeSet<upstream::Key> = busy.chain(self.suspected.iter().copied()).collect();
+        due.into_iter().collect()
+    }
+
     /// Selects this instance's subset of each pool: the upstreams that its identity ranks first among those that are neither
     /// lost, leaving nor held back. Upstreams that drop out finish their work.
-    fn choose_subsets(&mut self) {
+    pub(crate) fn choose_subsets(&mut self) {
         let count = self.settings.subset;
         if count == 0 {
             return;
@@ -223,135 +180,6 @@
         }
     }
 
-    fn remove_upstream(&mut self, key: upstream::Key) {
-        let Some(upstream) = self.upstreams.remove(key) else {
-            return;
-        };
-        if self.upstreams_by_incarnation.get(&upstream.incarnation) == Some(&key) {
-            self.upstreams_by_incarnation.remove(&upstream.incarnation);
-        }
-        if let Some(pool) = self.pools.get_mut(&upstream.pool) {
-            pool.upstreams.retain(|other| *other != key);
-        }
-        self.retained_states.keep(&upstream, self.now);
-    }
-
-    /// The known upstream with the same name, which may be another incarnation.
-    fn upstream_by_name(&self, incarnation: Incarnation) -> Option<upstream::Key> {
-        self.upstreams_by_incarnation
-            .range(incarnation.same_name_range())
-            .next()
-            .map(|(_, key)| *key)
-    }
-
-    /// Removes the former incarnation of a restarted upstream and retries its work at once. With a silent link, callers
-    /// would otherwise get no response before their deadline.
-    fn remove_restarted(&mut self, key: upstream::Key) {
-        self.log_status_change(key, effect::StatusChange::Restarted);
-        self.confirm_crash(self.upstreams[key].incarnation);
-        for attempt in self.upstreams[key].attempts.clone() {
-            self.abandon(attempt, counter::Reason::Restarted);
-        }
-        self.remove_upstream(key);
-    }
-
-    /// Returns the upstream of a list entry, and adds it if it is new. Another start time or address means another upstream.
-    fn upsert_listed(&mut self, entry: &event::ListEntry) -> ListedUpstream {
-        let incarnation = entry.incarnation();
-        let known = self.upstream_by_name(incarnation);
-        if let Some(key) = known
-            && self.upstreams[key].incarnation == incarnation
-            && self.upstreams[key].address == entry.address
-        {
-            if entry.leaving && !self.upstreams[key].is_leaving(self.now) {
-                self.log_status_change(key, effect::StatusChange::Leaving);
-            }
-            self.upstreams[key].leaving = entry.leaving;
-            self.upstreams[key].listed_slots = entry.slots;
-            self.upstreams[key].version = entry.version.as_str().into();
-            return ListedUpstream {
-                key,
-                predecessor: None,
-            };
-        }
-        let predecessor = known.filter(|key| self.upstreams[*key].incarnation != incarnation);
-        if let Some(predecessor) = predecessor {
-            let predecessor = &mut self.upstreams[predecessor];
-            predecessor.health = Health::Lost;
-            self.upstreams_by_incarnation
-                .remove(&predecessor.incarnation);
-        }
-        let name: Arc<str> = entry.name.as_str().into();
-        let pool: Arc<str> = entry.pool.as_str().into();
-        let key = self.upstreams.insert(Upstream {
-            address: entry.address,
-            attempts: Vec::new(),
-            data_centre: entry.data_centre.as_str().into(),
-            declared: self.retained_states.take(incarnation, entry.address),
-            detector: StallDetector::default(),
-            failure_score: upstream::FailureScore::default(),
-            full_until: Time::default(),
-            health: Health::Live,
-            held: false,
-            in_subset: true,
-            incarnation,
-            last_heard: self.now,
-            last_probe: Time::default(),
-            leaving: entry.leaving,
-            leaving_until: Time::default(),
-            limit_bucket: None,
-            listed_slots: entry.slots,
-            load: Load::default(),
-            mean_call_ms: 0.0,
-            name: name.clone(),
-            next_probe: self.now,
-            pool: pool.clone(),
-            probe_sent: None,
-            recent_changes: VecDeque::new(),
-            registered_at: entry.registered_at,
-            suspected_until: Time::default(),
-            unreported: 0,
-            version: entry.version.as_str().into(),
-        });
-        self.stream_records.resolve(incarnation, key, self.now);
-        self.upstreams_by_incarnation.insert(incarnation, key);
-        self.pools.entry(pool).or_default().upstreams.push(key);
-        self.log_status_change(key, effect::StatusChange::New);
-        if let Some(rate) = self.upstreams[key].declared.limit {
-            self.set_limit(key, rate);
-        }
-        ListedUpstream { key, predecessor }
-    }
-
-    /// Marks all but the last registered of the upstreams at one address as replaced. Entries for services that the active
-    /// configuration does not contain replace none: they belong to another writer, or their configuration is yet to arrive,
-    /// and then this check is repeated.
-    pub(crate) fn resolve_address_conflicts(&mut self) {
-        let Some(config) = &self.config else {
-            return;
-        };
-        let pools = config.pools();
-        let mut last: HashMap<SocketAddr, Position> = HashMap::new();
-        let is_served = |upstream: &&Upstream| pools.contains(&*upstream.pool);
-        for upstream in self.upstreams.values().filter(is_served) {
-            let last_position = last.entry(upstream.address).or_default();
-            *last_position = upstream.registered_at.max(*last_position);
-        }
-        let is_replaced = |(_, upstream): &(upstream::Key, &Upstream)| {
-            let last_position = last.get(&upstream.address);
-            last_position.is_some_and(|position| upstream.registered_at < *position)
-        };
-        let replaced: Vec<upstream::Key> = self
-            .upstreams
-            .iter()
-            .filter(is_replaced)
-            .map(|(key, _)| key)
-            .collect();
-        for key in replaced {
-            self.mark_replaced(key);
-        }
-    }
-
     /// Marks an upstream as lost because another one has taken over its address.
     pub(crate) fn mark_replaced(&mut self, key: upstream::Key) {
         let upstream = &mut self.upstreams[key];
@@ -393,7 +221,7 @@
         });
     }
 
-    fn dispatch_all(&mut self) {
+    pub(crate) fn dispatch_all(&mut self) {
         let waiting: Vec<Arc<str>> = self
             .pools
             .iter()
@@ -465,8 +293,11 @@
     /// Returns a suspected upstream to service after a while, if upstreams are not probed.
     fn expire_suspected(&mut self, key: upstream::Key) {
         let upstream = &mut self.upstreams[key];
-        if upstream.health == Health::Suspected && self.now >= upstream.suspected_until {
+        if upstream.health != Health::Suspected {
+            self.suspected.remove(&key);
+        } else if self.now >= upstream.suspected_until {
             upstream.health = Health::Live;
+            self.suspected.remove(&key);
             self.log_status_change(key, effect::StatusChange::Recovered);
         }
     }
--- a/crates/node/src/driver.rs
+++ b/crates/node/src/driver.rs
@@ -357,6 +357,7 @@
                 silent_ms,
                 upstream,
             } => request_log::log_upstream(change, born, silent_ms, &upstream),
+            Effect::LogUpstreams { change, count } => request_log::log_upstreams(change, count),
             Effect::Observe(timing, ms) => {
                 self.meter.observe(meter::Latency::Core(timing), ms as f64);
             }
--- a/crates/node/src/request_log.rs
+++ b/crates/node/src/request_log.rs
@@ -15,6 +15,12 @@
     info!(upstream, born, belief = change, silent_ms; "upstream");
 }
 
+/// Logs a change of the statuses of many upstreams.
+pub(crate) fn log_upstreams(change: StatusChange, count: usize) {
+    let change = change.name();
+    info!(belief = change, count; "upstreams");
+}
+
 /// Logs the state that an upstream announced in the headers of a response.
 pub(crate) fn log_notice(request: &str, upstream: &str, status: StatusCode, notice: &Notice) {
     let status = status.as_u16();
--- a/crates/node/src/store_sync.rs
+++ b/crates/node/src/store_sync.rs
@@ -189,13 +189,10 @@
             Output::AnnounceConfiguration => {
                 drop(self.params.gossip.send(gossip::Message::Configuration));
             }
-            Output::Upstreams(listed) => {
-                let listed = Some(listed);
-                self.params.driver.send_event(Event::List {
-                    requested_at: now,
-                    entries: listed,
-                });
-            }
+            Output::Upstreams(delta) => self.params.driver.send_event(Event::ListChanged {
+                delta,
+                requested_at: now,
+            }),
         }
     }
 
--- a/crates/standin/src/learning.rs
+++ b/crates/standin/src/learning.rs
@@ -79,6 +79,8 @@
     isolated_until: Time,
     /// How many others it knows.
     knows: usize,
+    /// Upstreams that it takes to exist, by name.
+    listed: BTreeMap<String, ListEntry>,
     /// Counts its starts.
     life: u32,
     member: Member,
@@ -226,6 +228,7 @@
                 informer: None,
                 isolated_until: Time::default(),
                 knows: 0,
+                listed: BTreeMap::new(),
                 life: 0,
                 member: Member {
                     address: ([127, 0, 0, 1], 1).into(),
@@ -567,9 +570,16 @@
             Output::Era(_) | Output::MissingEntry(..) | Output::Outdated(_) => {}
             Output::AnnounceRoster(word) => self.tell(node, &Told::Word(word)),
             Output::AnnounceConfiguration => self.tell(node, &Told::Known),
-            Output::Upstreams(listed) => {
-                let listed = listed.into_iter().map(|one| (label(&one), one.leaving));
-                self.observer.listed(node, listed.collect(), self.now);
+            Output::Upstreams(delta) => {
+                let listed = &mut self.nodes[node].listed;
+                for name in delta.removed {
+                    listed.remove(&name);
+                }
+                let changed = delta.listed.into_iter();
+                listed.extend(changed.map(|one| (one.name.clone(), one)));
+                let listed = listed.values().map(|one| (label(one), one.leaving));
+                let listed = listed.collect();
+                self.observer.listed(node, listed, self.now);
             }
         }
     }
@@ -716,6 +726,7 @@
         starting.absence = Availability::new(HEARTBEAT_MS);
         starting.calls.clear();
         starting.knows = 0;
+        starting.listed.clear();
         starting.life += 1;
         starting.wake = Time::default();
         let life = starting.life;
--- a/crates/standin/src/relaying.rs
+++ b/crates/standin/src/relaying.rs
@@ -544,6 +544,7 @@
             }
             Effect::Observe(Timing::Resume, millis) => self.case.pauses_ms.push(millis as f64),
             Effect::LogUpstream { .. }
+            | Effect::LogUpstreams { .. }
             | Effect::Claim { .. }
             | Effect::Count(..)
             | Effect::Deliver { .. }
--- a/crates/standin/src/world.rs
+++ b/crates/standin/src/world.rs
@@ -377,6 +377,7 @@
             // Nobody relays in this world.
             Effect::ForwardResponse(_)
             | Effect::LogUpstream { .. }
+            | Effect::LogUpstreams { .. }
             | Effect::GossipLost(_)
             | Effect::EndStream(_)
             | Effect::AbortStream(_)
