Tell the records of streams to a few holders where engines outnumber streams

Cause: each record of a relayed stream went to all instances: 50 streams a second on 984 instances are 100,000 to 150,000 datagrams a second, which grows with the square of the fleet, and most of them cross data centres, where bytes are dear.

Who needs a record? An instance that places a stream by the load of the engines, and the one to which the caller returns. Where engines outnumber streams a sample of four hardly meets a busy engine, so only the second is left. The record goes to two holders, ranked by the prompt, and to the two that write all streams to the store; an instance to which a caller returns asks these, and waits 150 ms at most. Where engines are scarce (streams of this instance times instances are as many as engines), in fleets below 64, and for streams that wait for capacity, all are told as before.

What it costs: a returning caller waits for a datagram to another data centre and back; where both holders and the writers are lost, its prompt is read again.

Held by `tests/relay/directory.rs`: who is told in which fleet, the wait and its end, evenness of holders.

--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -56,6 +56,7 @@
 impl Core {
     /// Admits or refuses a request; defers it while this instance lacks the state to serve it.
     pub(crate) fn submit(&mut self, submission: event::Submission) {
+        self.look_up_stream(&submission);
         if !self.is_ready_for(&submission)
             && let Some(until) = self.defer_until(&submission)
         {
@@ -70,11 +71,12 @@
     }
 
     /// Whether this instance has the state to serve a request: a configuration, a list of upstreams
-    /// and, to resume a stream, all streams that were stored before its start.
+    /// and, to resume a stream, all streams that were stored before its start and the stream's record.
     fn is_ready_for(&self, submission: &event::Submission) -> bool {
         let resumes = |relay: &request::Relay| relay.position > 0;
         let resumes = submission.work.relay().is_some_and(resumes);
-        self.config.is_some() && self.list_read_at.is_some() && (self.streams_restored || !resumes)
+        let is_resumable = !resumes || (self.streams_restored && !self.awaits_lookup(submission));
+        self.config.is_some() && self.list_read_at.is_some() && is_resumable
     }
 
     /// Handles the end of the reports on streams that were stored before the start.
--- a/crates/core/src/core.rs
+++ b/crates/core/src/core.rs
@@ -101,6 +101,8 @@
     pub(crate) list_stale_until: Time,
     /// Timeouts of the callers of each service.
     pub(crate) longest_timeouts: HashMap<String, timeout::LongestTimeout>,
+    /// Until when the records of streams are looked up at other instances, by the hash of their prompts.
+    pub(crate) lookups: HashMap<u64, Time>,
     pub(crate) members: Members,
     pub(crate) now: Time,
     pub(crate) pools: BTreeMap<Arc<str>, Pool>,
@@ -246,6 +248,7 @@
             list_read_at: None,
             list_stale_until: Time::default(),
             longest_timeouts: HashMap::new(),
+            lookups: HashMap::new(),
             members: Members::default(),
             now,
             pools: BTreeMap::new(),
--- a/crates/core/src/effect.rs
+++ b/crates/core/src/effect.rs
@@ -293,12 +293,19 @@
         /// The limit; `None` if it no longer announces one.
         rate: Option<limit::Rate>,
     },
+    /// Request the record of a stream, by the hash of its prompt, from the instances that hold it.
+    FindStream(u64),
     /// Broadcast to other instances that an upstream was lost.
     GossipLost(Incarnation),
     /// Broadcast to other instances how fast the engines of a pool are.
     GossipSpeed(EngineSpeed),
-    /// Broadcast the state of a relayed stream to other instances.
-    GossipStream(StreamRecord),
+    /// Send the state of a relayed stream to other instances.
+    GossipStream {
+        /// The instances to send it to.
+        audience: Audience,
+        /// The state.
+        record: StreamRecord,
+    },
     /// Log a step in the life cycle of a request.
     LogRequest(RequestLog),
     /// Log that the status of an upstream changed.
--- a/crates/core/src/estimates.rs
+++ b/crates/core/src/estimates.rs
@@ -19,6 +19,10 @@
 /// Time in milliseconds without a stream that finds no capacity after which a shortage is over.
 const SHORTAGE_OVER_MS: u64 = 1_000;
 
+/// Time constant in milliseconds over which this instance's own streams are counted: as long as a stream counts as
+/// running without news of it, so that their number is not underestimated.
+const OWN_STREAMS_MS: f64 = 20_000.0;
+
 /// Speed of a pool's engines: the sample that an instance sends to the others during a shortage.
 #[derive(Clone, Debug, PartialEq)]
 pub struct EngineSpeed {
@@ -50,6 +54,8 @@
     event_interval_ms: Mean,
     /// Events of a complete response per token of its maximum length.
     events_per_token: Mean,
+    /// Number of streams that this instance started of late, with exponential decay, and when it was computed.
+    own_streams: (f64, Time),
     /// Milliseconds to the first event per token of the requests in prefill.
     prefill_ms_per_token: Mean,
     shortage: Option<Shortage>,
@@ -161,6 +167,17 @@
         is_ongoing.then(|| now.since(shortage.since))
     }
 
+    /// Number of streams that this instance started of late, at least as many as it runs.
+    pub fn own_streams(&self, now: Time) -> f64 {
+        let (count, at) = self.own_streams;
+        count * (-(now.since(at) as f64) / OWN_STREAMS_MS).exp()
+    }
+
+    /// Records the start of a stream at this instance.
+    pub fn record_own_start(&mut self, now: Time) {
+        self.own_streams = (self.own_streams(now) + 1.0, now);
+    }
+
     /// Records the start of a stream at any instance.
     pub fn record_stream_start(&mut self, now: Time) {
         let is_old = |start: &mut Time| now.since(*start) > START_RATE_WINDOW_MS;
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod demand;
 pub mod detector;
 pub mod digest;
+pub mod directory;
 pub mod dissemination;
 pub mod effect;
 pub mod estimates;
@@ -72,6 +73,7 @@
     demand::{Demand, DemandTracker},
     detector::StallDetector,
     digest::Digest,
+    directory::Audience,
     effect::Effect,
     estimates::{EngineSpeed, PoolEstimates},
     event::{Event, Failure, ListDelta, ListEntry, OutputToken},
--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -200,8 +200,10 @@
             }
         }
         let upstreams = &self.upstreams_by_incarnation;
+        let prompt = record.prompt;
         self.stream_records
             .add(record, false, prefill_ms, upstreams, self.now);
+        self.finish_lookup(prompt);
     }
 
     /// Initial progress of a relayed request. A request that resumes a stream starts after the last
@@ -258,6 +260,7 @@
         let request = &self.requests[owner];
         if let Some(pool) = self.pools.get_mut(request.service.pool()) {
             pool.estimates.record_stream_start(self.now);
+            pool.estimates.record_own_start(self.now);
         }
         let attempt = &mut self.attempts[key];
         attempt.ahead_tokens = ahead_tokens;
@@ -462,9 +465,11 @@
             |key: upstream::Key| self.upstreams.get(key).map(|upstream| upstream.incarnation);
         let backup = attempt.backup.and_then(incarnation);
         let upstream = incarnation(attempt.upstream);
-        if let Some(relay) = self.requests[attempt.request].work.relay() {
+        let request = &self.requests[attempt.request];
+        if let Some(relay) = request.work.relay() {
             let record = relay.stream_record(stage, upstream, backup);
-            self.gossip(record);
+            let audience = self.audience(request.service.pool(), stage);
+            self.gossip(record, audience);
         }
     }
 
@@ -474,7 +479,8 @@
         if let Some(relay) = request.work.relay() {
             let mut record = relay.stream_record(stream_record::Stage::Waiting, None, None);
             record.pool = request.service.pool().into();
-            self.gossip(record);
+            let audience = self.audience(request.service.pool(), record.stage);
+            self.gossip(record, audience);
         }
     }
 
@@ -482,11 +488,12 @@
     pub(crate) fn gossip_end(&mut self, request: &Request, stage: stream_record::Stage) {
         if let Some(relay) = request.work.relay() {
             let record = relay.stream_record(stage, None, None);
-            self.gossip(record);
+            let audience = self.audience(request.service.pool(), stage);
+            self.gossip(record, audience);
         }
     }
 
-    fn gossip(&mut self, record: StreamRecord) {
+    fn gossip(&mut self, record: StreamRecord, audience: Audience) {
         if record.prompt == 0 {
             return;
         }
@@ -497,7 +504,7 @@
             &self.upstreams_by_incarnation,
             self.now,
         );
-        self.effects.push(Effect::GossipStream(record));
+        self.effects.push(Effect::GossipStream { audience, record });
     }
 
     /// Completes a relayed request: ends the caller's response with the effect that `last` creates.
--- a/crates/core/src/watch.rs
+++ b/crates/core/src/watch.rs
@@ -137,6 +137,8 @@
         self.gossip_demand();
         if self.now.since(self.expiry_checked_at) >= EXPIRY_CHECK_MS {
             self.expiry_checked_at = self.now;
+            self.remove_departed();
+            self.expire_lookups();
             self.hold_back_inactive_versions();
             self.schedule_limit_probes();
             self.expire_requests();
--- a/crates/core/tests/relay/capacity.rs
+++ b/crates/core/tests/relay/capacity.rs
@@ -148,7 +148,9 @@
     let mut test = Test::new(1);
     test.burst(3);
     let waits = |effect: &&Effect| match effect {
-        Effect::GossipStream(record) => record.stage == Stage::Waiting && record.pool == "pool",
+        Effect::GossipStream { record, .. } => {
+            record.stage == Stage::Waiting && record.pool == "pool"
+        }
         _ => false,
     };
     expect_that!(test.effects.iter().filter(waits).count(), eq(1));
--- a/crates/core/tests/relay/main.rs
+++ b/crates/core/tests/relay/main.rs
@@ -27,6 +27,7 @@
 
 mod builder;
 mod capacity;
+mod directory;
 mod fleet;
 mod incarnation;
 mod limit;
--- a/crates/node/src/driver.rs
+++ b/crates/node/src/driver.rs
@@ -347,9 +347,12 @@
             Effect::GossipLimit { incarnation, rate } => {
                 self.gossip(gossip::Message::RateLimit { incarnation, rate });
             }
+            Effect::FindStream(prompt) => self.gossip(gossip::Message::FindStream(prompt)),
             Effect::GossipLost(upstream) => self.gossip(gossip::Message::UpstreamLost(upstream)),
             Effect::GossipSpeed(pace) => self.gossip(gossip::Message::EngineSpeed(pace)),
-            Effect::GossipStream(sighting) => self.gossip(gossip::Message::Stream(sighting)),
+            Effect::GossipStream { audience, record } => {
+                self.gossip(gossip::Message::Stream(record, audience));
+            }
             Effect::LogRequest(entry) => request_log::log_step(&entry),
             Effect::LogUpstream {
                 born,
--- a/crates/node/src/gossip.rs
+++ b/crates/node/src/gossip.rs
@@ -7,6 +7,7 @@
 use tokio::net::UdpSocket;
 use wellplank_core::{
     demand::Demand,
+    directory::Audience,
     dissemination::{self, Forwarder, Route, Tree},
     estimates::EngineSpeed,
     informer_io::{Confirmed, KnownState, PeerReport},
@@ -59,6 +60,8 @@
     },
     /// How fast the engines of a pool work. Included in the next datagram.
     EngineSpeed(EngineSpeed),
+    /// A request for the record of a stream, by the hash of its prompt, to those that keep it.
+    FindStream(u64),
     /// Changes of the list of upstreams that another instance announced, to be passed on in the
     /// tree in which they came.
     ForwardedUpdate(Box<peers::Roster>, Route),
@@ -72,7 +75,9 @@
     /// Changes of the list of upstreams. Sent within the data centre.
     RosterUpdate(RosterUpdate),
     /// The state of a relayed stream.
-    Stream(StreamRecord),
+    Stream(StreamRecord, Audience),
+    /// Records of streams that another instance asked for.
+    StreamRecords(SocketAddr, Vec<peers::Sighting>),
     /// An upstream announced that it is leaving.
     UpstreamLeaving(Incarnation),
     /// An upstream is lost.
@@ -208,6 +213,7 @@
             });
             report_streams(datagram.sightings, &self.driver);
         }
+        self.answer_wanted(&datagram.wanted, from);
         self.merge_crashes(datagram.ends, datagram.account, datagram.asks, from);
         for incarnation in datagram.lost {
             self.driver
@@ -259,6 +265,17 @@
 }
 
 impl DatagramReceiver {
+    /// Answers an instance that asks for the records of streams with those that are known here.
+    fn answer_wanted(&self, wanted: &[u64], from: SocketAddr) {
+        let streams = self.streams.borrow();
+        let records = wanted.iter().filter_map(|prompt| streams.get(*prompt));
+        let records: Vec<peers::Sighting> = records.cloned().collect();
+        if !records.is_empty() {
+            // Sending fails only while the instance shuts down.
+            let _ = self.outgoing.send(Message::StreamRecords(from, records));
+        }
+    }
+
     /// Passes an update of the list on to the instances behind this one; returns whether it is the
     /// first copy.
     fn pass_on(&mut self, roster: &peers::Roster) -> bool {
@@ -493,7 +510,7 @@
                 self.engine_speeds
                     .push(datagram::encode_engine_speed(speed));
             }
-            Message::Stream(record) => {
+            Message::Stream(record, _) => {
                 let record = datagram::encode_stream_record(record.clone());
                 self.streams.send_modify(|streams| streams.apply(&record));
             }
@@ -503,9 +520,11 @@
             | Message::CrashHistoryRequest(_)
             | Message::Crashes(_)
             | Message::EngineSpeed(_)
+            | Message::FindStream(_)
             | Message::ForwardedUpdate(..)
             | Message::RateLimit { .. }
             | Message::RosterUpdate(_)
+            | Message::StreamRecords(..)
             | Message::UpstreamLeaving(_)
             | Message::UpstreamLost(_) => {}
         }
@@ -537,7 +556,9 @@
                 let watchers = watchers.into_iter().filter_map(|name| members.get(name));
                 watchers.map(recipient).collect()
             }
-            Message::CrashHistory(address) | Message::CrashHistoryRequest(address) => {
+            Message::CrashHistory(address)
+            | Message::CrashHistoryRequest(address)
+            | Message::StreamRecords(address, _) => {
                 let is_local = false;
                 let address = *address;
                 vec![Recipient { address, is_local }]
@@ -547,14 +568,22 @@
             | Message::ForwardedUpdate(..)
             | Message::RosterUpdate(_) => Vec::new(),
             // In a large fleet, instances infer the end of a prefill from its duration.
-            Message::Stream(record)
+            Message::FindStream(prompt) => {
+                let keepers = self.own.record_keepers(*prompt, &members);
+                keepers.into_iter().map(recipient).collect()
+            }
+            Message::Stream(record, _)
                 if record.stage == Stage::Streaming && members.len() >= SMALL_FLEET_MAX =>
             {
                 Vec::new()
             }
+            Message::Stream(record, Audience::Holders) => {
+                let keepers = self.own.record_keepers(record.prompt, &members);
+                keepers.into_iter().map(recipient).collect()
+            }
             Message::Crashes(_)
             | Message::RateLimit { .. }
-            | Message::Stream(_)
+            | Message::Stream(_, Audience::All)
             | Message::UpstreamLeaving(_)
             | Message::UpstreamLost(_) => all.collect(),
         }
@@ -589,11 +618,13 @@
                 rate: rate.map(|rate| rate.0),
             }),
             Message::ForwardedUpdate(roster, _) => datagram.roster = Some(*roster),
-            Message::Stream(record) => {
+            Message::FindStream(prompt) => datagram.wanted.push(prompt),
+            Message::Stream(record, _) => {
                 datagram
                     .sightings
                     .push(datagram::encode_stream_record(record));
             }
+            Message::StreamRecords(_, records) => datagram.sightings = records,
             Message::UpstreamLeaving(incarnation) => {
                 datagram
                     .leaving
--- a/crates/node/src/members.rs
+++ b/crates/node/src/members.rs
@@ -3,6 +3,7 @@
 
 use super::*;
 use wellplank_core::{
+    directory,
     informer_io::Consistency,
     members::View,
     role::{Role, WatcherRank},
@@ -78,6 +79,19 @@
         self.count_before(members.keys()) < STREAM_WRITERS
     }
 
+    /// The other instances that keep the record of a stream: its holders, and those that write all streams to the store.
+    pub fn record_keepers<'a>(&self, prompt: u64, members: &'a Members) -> Vec<&'a Member> {
+        let others = members
+            .iter()
+            .map(|(name, member)| (upstream::id(name), member));
+        let others: BTreeMap<u64, &Member> = others.collect();
+        let mut keepers: BTreeSet<u64> = others.keys().copied().take(STREAM_WRITERS).collect();
+        let all = others.keys().copied().chain([upstream::id(&self.name)]);
+        keepers.extend(directory::holders(prompt, all));
+        let keepers = keepers.iter().filter_map(|id| others.get(id).copied());
+        keepers.collect()
+    }
+
     /// The fleet in the form that the core requires.
     pub fn view(&self, members: &Members) -> View {
         View {
--- a/crates/node/src/store_writer.rs
+++ b/crates/node/src/store_writer.rs
@@ -66,6 +66,11 @@
         self.0.retain(|_, (at, _)| *at > *middle);
     }
 
+    /// Record of the stream with this hash of its prompt.
+    pub fn get(&self, prompt: u64) -> Option<&peers::Sighting> {
+        self.0.get(&prompt).map(|(_, sighting)| sighting)
+    }
+
     /// Whether there are no streams.
     pub fn is_empty(&self) -> bool {
         self.0.is_empty()
--- a/crates/standin/src/relaying.rs
+++ b/crates/standin/src/relaying.rs
@@ -538,12 +538,15 @@
                 let arrive = Action::Arrive(line(attempt), upstream, index(address), outbound);
                 self.timeline.schedule(1, arrive);
             }
-            Effect::GossipStream(sighting) => {
+            Effect::GossipStream {
+                record: sighting, ..
+            } => {
                 self.gossip(instance, &Event::PeerStream(sighting));
                 self.compare_accounts(instance);
             }
             Effect::Observe(Timing::Resume, millis) => self.case.pauses_ms.push(millis as f64),
-            Effect::LogUpstream { .. }
+            Effect::FindStream(_)
+            | Effect::LogUpstream { .. }
             | Effect::LogUpstreams { .. }
             | Effect::Claim { .. }
             | Effect::Count(..)
--- a/crates/standin/src/surge.rs
+++ b/crates/standin/src/surge.rs
@@ -416,7 +416,9 @@
                 let line = self.lines.len() - 1;
                 self.timeline.schedule(WAY_MS, Action::Arrive(line, asker));
             }
-            Effect::GossipStream(sighting) => {
+            Effect::GossipStream {
+                record: sighting, ..
+            } => {
                 for other in (0..self.cores.len()).filter(|other| *other != instance) {
                     let event = Event::PeerStream(sighting.clone());
                     self.timeline.schedule(WAY_MS, Action::Tell(other, event));
--- a/crates/standin/src/world.rs
+++ b/crates/standin/src/world.rs
@@ -389,7 +389,8 @@
             | Effect::GossipSpeed(_)
             | Effect::ForwardEvent { .. }
             | Effect::Quarantine(_)
-            | Effect::GossipStream(_)
+            | Effect::FindStream(_)
+            | Effect::GossipStream { .. }
             | Effect::Observe(..) => {}
             Effect::Probe { address, upstream } => {
                 let index = index_of(address);
