--- a/crates/core/src/counter.rs
+++ b/crates/core/src/counter.rs
@@ -12,6 +12,8 @@
     Answered,
     /// Callers that disconnected before their response was complete.
     CallerGone,
+    /// Configurations taken from another instance.
+    ConfigurationFromPeer,
     /// Entries of the upstream list that are not usable, by reason.
     EntryInvalid(&'static str),
     /// Frames dropped because their attempt is over.
@@ -121,6 +123,7 @@
             Self::Admitted => write!(formatter, "admitted"),
             Self::Answered => write!(formatter, "answered"),
             Self::CallerGone => write!(formatter, "caller_gone"),
+            Self::ConfigurationFromPeer => write!(formatter, "configuration.from_peer"),
             Self::EntryInvalid(reason) => write!(formatter, "entry.odd.{reason}"),
             Self::FrameGap => write!(formatter, "frame.gap"),
             Self::FrameLate => write!(formatter, "frame.late"),
--- a/crates/core/src/dissemination.rs
+++ b/crates/core/src/dissemination.rs
@@ -115,3 +115,18 @@
     let to = (from + FANOUT).min(order.len());
     order[from..to].to_vec()
 }
+
+/// The instance from which `own` receives the updates of `root` in the forward tree; `None` for the root.
+pub fn parent(others: &[u64], own: u64, root: u64) -> Option<u64> {
+    let before = |other: &&u64| **other < own && **other != root;
+    let place = others.iter().filter(before).count() + 1;
+    if own == root {
+        return None;
+    }
+    let above = (place - 1) / FANOUT;
+    if above == 0 {
+        return Some(root);
+    }
+    let mut order = others.iter().filter(|other| **other != root);
+    order.nth(above - 1).copied()
+}
--- a/crates/core/src/informer.rs
+++ b/crates/core/src/informer.rs
@@ -30,6 +30,10 @@
 /// the loss of a data centre changes a share of all entries.
 const BATCH_PER_UPSTREAM_MS: u64 = 6;
 
+/// Number of changes of an answer from which the next watch follows without a pause: an answer holds some hundred at most,
+/// and behind ten thousand registrations a watcher that paused after each was half a minute late.
+const FULL_ANSWER: usize = 100;
+
 /// Minimum batching pause, in milliseconds. The maximum is half of the time within which a leaving upstream must get
 /// no more work; the other half is left for the call.
 const BATCH_MIN_MS: u64 = 200;
@@ -50,9 +54,44 @@
 /// occupies a 10 Mbit/s link for half a second, and little time is left to apply it.
 const LARGE_CONFIG_BYTES: usize = 64 << 10;
 
+/// Pause before the read of a configuration from another instance, in milliseconds: a report may have passed the
+/// announcement of the instance before this one.
+const PEER_READ_PAUSE_MS: u64 = 10;
+
+/// Pause after a call of another instance that has no configuration yet, in milliseconds.
+const FIRST_READ_PAUSE_MS: u64 = 300;
+
+/// Time within which another instance's configuration must begin to arrive, in milliseconds. The store is read after it.
+const PEER_READ_TIMEOUT_MS: u64 = 250;
+
+/// Time for which an instance without a list or a configuration calls only other instances, as a multiple of the staleness
+/// bound: after the loss of a whole data centre the list passes through all levels of it.
+const PEERS_BOUNDS: u64 = 2;
+
+/// Time between the first reads of the store by two instances of a large data centre that get nothing from others, in
+/// milliseconds. When hundreds read the whole list at once, none of them finished before its time ran out, and nobody was
+/// served for 18 s behind the loss of all.
+const STORE_TURN_MS: u64 = 100;
+
 /// Pause after a call of another instance that has no list to give, in milliseconds.
 const PEER_PAUSE_MS: u64 = 150;
 
+/// Failed calls of other instances about missed changes after which the store is called, where updates are passed on: the
+/// instance before this one may have missed the same changes, and has them a moment later.
+const GAP_ATTEMPTS_MAX: u32 = 4;
+
+/// Maximum number of updates kept before the first list, of some ten changes each.
+const EARLY_UPDATES_MAX: usize = 2_000;
+
+/// A read of a configuration that peers have.
+#[derive(Clone, Copy, Debug)]
+struct PendingRead {
+    at: Time,
+    source: Source,
+    /// Index in [`READ_PAUSES_MS`] of a read of the store.
+    step: usize,
+}
+
 /// Follows the store on behalf of one instance.
 #[derive(Debug)]
 pub struct Informer {
@@ -74,24 +113,24 @@
     gap_since: Option<Time>,
     /// Whether this instance has ever had the list.
     has_list: bool,
-    /// Whether the role of this instance is known.
-    has_role: bool,
     /// When the watcher of the data centre was last heard.
     last_heard: Time,
     /// Time within which a leaving upstream must get no more work, in milliseconds.
     leave_ms: u64,
     next_call: u64,
     outputs: Vec<Output>,
+    /// Place of this instance in its data centre if announcements are passed on there.
+    place: Option<usize>,
     /// Failed calls of other instances since the last one that closed a gap.
     peer_attempts: u32,
     /// Newest state that any peer has reported.
     peer_state: KnownState,
     /// Latest span in the present era in which the store was available to peers, as they report.
     peer_uptime: Option<Span>,
-    /// Time until which an instance that follows others and has no list calls only these.
+    /// Time until which an instance that follows others and has no list or configuration calls only these.
     peers_until: Time,
-    /// Index in [`READ_PAUSES_MS`] and time of the next read of a configuration that peers have.
-    pending_read: Option<(usize, Time)>,
+    /// The next read of a configuration that peers have.
+    pending_read: Option<PendingRead>,
     /// Rank among the instances that watch the store.
     rank: WatcherRank,
     /// When an instance that follows others last read the configuration.
@@ -100,6 +139,8 @@
     refreshed_at: Time,
     role: Role,
     roster: Roster,
+    /// Whether the first configuration is taken from other instances.
+    takes_first_configuration: bool,
     upstreams: StoreCalls,
 }
 
@@ -124,7 +165,6 @@
             fleet_availability: availability,
             gap_since: None,
             has_list: false,
-            has_role: false,
             last_heard: now,
             leave_ms,
             next_call: 0,
@@ -134,11 +174,13 @@
             peer_uptime: None,
             peers_until: now,
             pending_read: None,
+            place: None,
             rank: WatcherRank::default(),
             read_at: now,
             refreshed_at: now,
             role: Role::Independent,
             roster: Roster::default(),
+            takes_first_configuration: false,
             upstreams: StoreCalls::with_fast_retry().started_at(now),
         }
     }
@@ -152,6 +194,13 @@
         self
     }
 
+    /// Sets the place of this instance in its data centre if announcements are passed on there, as in a large one. The first
+    /// configuration is taken from other instances then, since the store's link would carry it to each of a thousand that
+    /// start together; and those that get nothing from others read the store one after the other.
+    pub fn set_place(&mut self, place: Option<usize>) {
+        self.place = place;
+    }
+
     /// What this instance knows of the store.
     pub fn known_state(&self) -> KnownState {
         KnownState {
@@ -174,6 +223,9 @@
         match input {
             Input::Answered(id, answer) => self.handle_answer(id, answer, now),
             Input::Failed(id) => self.handle_failure(id, now),
+            Input::PeerConfiguration { bytes, config, id } => {
+                self.handle_peer_configuration(id, bytes, config, now);
+            }
             Input::PeerList(id, list) => self.handle_peer_list(id, list, now),
             Input::PeerReport(report) => self.handle_report(report, now),
             Input::Progressed(id) => {
@@ -296,7 +348,9 @@
     /// Whether a topic is followed through other instances; what was never read is read first.
     fn follows(&self, topic: Topic) -> bool {
         let known = match topic {
-            Topic::Configuration => self.active_revision.is_some(),
+            Topic::Configuration => {
+                self.active_revision.is_some() || self.takes_first_configuration
+            }
             Topic::Upstreams => self.upstreams.position.is_some(),
         };
         self.role.follows() && known
@@ -397,11 +451,15 @@
             // The next watch must begin with a read.
             self.configuration.position = None;
             self.pending_read = match self.pending_read {
-                Some((step, _))
+                Some(PendingRead { step, .. })
                     if self.is_configuration_behind() && step < READ_PAUSES_MS.len() =>
                 {
                     let pause = READ_PAUSES_MS.get(step + 1).copied().unwrap_or(0);
-                    Some((step + 1, now.after(pause)))
+                    Some(PendingRead {
+                        at: now.after(pause),
+                        source: Source::Store,
+                        step: step + 1,
+                    })
                 }
                 _ => None,
             };
@@ -419,8 +477,94 @@
         self.outputs.push(Output::Configuration(config));
         // A standby may have read it while the watcher is silent; otherwise its peers would learn of it a second
         // later.
-        if matches!(self.role, Role::Standby | Role::Watcher) {
-            self.outputs.push(Output::AnnounceConfiguration);
+        match self.role {
+            Role::Standby | Role::Watcher => self.outputs.push(Output::AnnounceConfiguration),
+            Role::Follower => self.outputs.push(Output::PassOnConfiguration),
+            Role::Independent => {}
+        }
+    }
+
+    /// Handles the configuration of another instance. If it is not newer, the store is read.
+    fn handle_peer_configuration(
+        &mut self,
+        id: u64,
+        bytes: usize,
+        config: Option<Arc<Config>>,
+        now: Time,
+    ) {
+        if self.calls.remove(&id).is_none() {
+            return;
+        }
+        self.configuration.record_peer_answer();
+        let before = self.active_revision;
+        if let Some(config) = config {
+            self.config_bytes = bytes;
+            self.apply_configuration(config);
+        }
+        if self.active_revision == before {
+            self.retry_configuration(now);
+        } else {
+            self.takes_first_configuration = false;
+            let is_behind = self.is_configuration_behind();
+            self.pending_read = is_behind.then(|| Self::read_from_peer(now));
+        }
+    }
+
+    /// Schedules the next read of a configuration that another instance did not give.
+    fn retry_configuration(&mut self, now: Time) {
+        let read = if self.takes_first_configuration {
+            PendingRead {
+                at: now.after(FIRST_READ_PAUSE_MS),
+                ..Self::read_from_peer(now)
+            }
+        } else {
+            self.read_from_store(now)
+        };
+        self.pending_read = Some(read);
+    }
+
+    /// Begins or ends taking the first configuration from other instances, and hurries once one of them has it.
+    fn update_first_read(&mut self, now: Time) {
+        if !self.takes_first_configuration {
+            return;
+        }
+        if now >= self.peers_until || !self.role.follows() {
+            self.takes_first_configuration = false;
+            self.pending_read = None;
+            return;
+        }
+        let soon = Self::read_from_peer(now);
+        let is_slow = |read: &PendingRead| self.is_configuration_behind() && read.at > soon.at;
+        if self.configuration.pending.is_none() && self.pending_read.as_ref().is_none_or(is_slow) {
+            self.pending_read = Some(soon);
+        }
+    }
+
+    /// The first read of a configuration that peers have: a large one is taken from the peer that announced it, also by an
+    /// instance that the store refuses, or those behind it would not hear of it. A read of it from the store by each of a
+    /// thousand instances takes a second of the store's link.
+    fn first_read(&self, now: Time) -> PendingRead {
+        if self.config_bytes >= LARGE_CONFIG_BYTES {
+            Self::read_from_peer(now)
+        } else {
+            self.read_from_store(now)
+        }
+    }
+
+    fn read_from_peer(now: Time) -> PendingRead {
+        PendingRead {
+            at: now.after(PEER_READ_PAUSE_MS),
+            source: Source::Peer,
+            step: 0,
+        }
+    }
+
+    fn read_from_store(&self, now: Time) -> PendingRead {
+        let at = self.configuration.next_call_at(&self.availability).max(now);
+        PendingRead {
+            at: at.after(READ_PAUSES_MS[0]),
+            source: Source::Store,
+            step: 0,
         }
     }
 
@@ -434,6 +578,7 @@
         let known = self.upstreams.position.unwrap_or_default();
         let outage = self.own_outage();
         let first = self.upstreams.position.is_none();
+        let is_full = call.since.is_some() && changes.len() >= FULL_ANSWER;
         // Before the answer removes entries.
         if let Some(until) = self.availability.reregistered_by(self.peer_uptime) {
             self.roster.extend_grace(until);
@@ -469,7 +614,8 @@
             // Peers know nothing of what was just read.
             self.roster.set_announced(position);
         }
-        self.upstreams.not_before = now.after(self.batch_pause_ms());
+        let pause_ms = if is_full { 0 } else { self.batch_pause_ms() };
+        self.upstreams.not_before = now.after(pause_ms);
     }
 
     /// Applies the list of another instance. What is older than the own is of no use, and the next call goes elsewhere.
@@ -500,6 +646,7 @@
             self.gap_since = None;
             self.peer_attempts = 0;
         } else {
+            self.gap_since.get_or_insert(now);
             self.record_peer_failure(now);
         }
         self.emit_upstreams(now);
@@ -508,7 +655,8 @@
     /// Records that a call of another instance brought nothing. One that has missed changes must not lose time.
     fn record_peer_failure(&mut self, now: Time) {
         self.peer_attempts += 1;
-        let pause_ms = if self.has_list { 0 } else { PEER_PAUSE_MS };
+        let waits = !self.has_list || self.place.is_some();
+        let pause_ms = if waits { PEER_PAUSE_MS } else { 0 };
         self.upstreams.record_unavailable(pause_ms, now);
     }
 
@@ -520,7 +668,12 @@
             .gap_since
             .is_some_and(|gap_since| gap_since.after(REORDER_WINDOW_MS) <= now);
         let asks_peers = if self.has_list {
-            has_gap && self.peer_attempts == 0
+            let attempts_max = if self.place.is_some() {
+                GAP_ATTEMPTS_MAX
+            } else {
+                1
+            };
+            has_gap && self.peer_attempts < attempts_max
         } else {
             now < self.peers_until
         };
@@ -577,9 +730,13 @@
         let Some(call) = self.calls.remove(&id) else {
             return;
         };
-        match call.source {
-            Source::Peer => self.record_peer_failure(now),
-            Source::Store => self.record_failure(call.topic, now),
+        match (call.source, call.topic) {
+            (Source::Peer, Topic::Configuration) => {
+                self.configuration.pending = None;
+                self.retry_configuration(now);
+            }
+            (Source::Peer, Topic::Upstreams) => self.record_peer_failure(now),
+            (Source::Store, topic) => self.record_failure(topic, now),
         }
     }
 
@@ -614,6 +771,7 @@
         self.last_heard = now;
         self.record_peer_uptime(&update, now);
         if !self.follows(Topic::Upstreams) {
+            self.keep_until_list(update);
             return;
         }
         let outage = update.outage(now);
@@ -648,6 +806,14 @@
         }
     }
 
+    /// Keeps an update that arrives before the first list: the list of a peer may be older than it. Without them each
+    /// instance that starts while upstreams register has a gap, and reads the changes from the store.
+    fn keep_until_list(&mut self, update: RosterUpdate) {
+        if self.role.follows() && !self.has_list && self.early_updates.len() < EARLY_UPDATES_MAX {
+            self.early_updates.push(update);
+        }
+    }
+
     /// Records how long the store had been available to a peer when it answered that peer.
     fn record_peer_uptime(&mut self, update: &RosterUpdate, now: Time) {
         if update.uptime_ms == 0 || update.to.era < self.era {
@@ -690,15 +856,18 @@
     }
 
     fn change_role(&mut self, role: Role, now: Time) {
-        if !std::mem::replace(&mut self.has_role, true) && !self.has_list {
+        if !self.has_list && self.peer_attempts == 0 {
             self.upstreams.not_before = now;
         }
         if role == self.role {
             return;
         }
-        if role.follows() && self.upstreams.position.is_none() {
-            self.peers_until = now.after(self.bound.bound_ms);
+        if role.follows() && (self.upstreams.position.is_none() || self.active_revision.is_none()) {
+            let turn_ms = STORE_TURN_MS * self.place.unwrap_or_default() as u64;
+            self.peers_until = now.after(PEERS_BOUNDS * self.bound.bound_ms + turn_ms);
         }
+        self.takes_first_configuration =
+            role.follows() && self.place.is_some() && self.active_revision.is_none();
         let followed = self.role.follows();
         self.role = role;
         for topic in [Topic::Configuration, Topic::Upstreams] {
@@ -743,12 +912,12 @@
         self.configuration.set_behind(is_behind, now);
         let is_behind = Some(self.peer_state.list) > self.upstreams.position;
         self.upstreams.set_behind(is_behind, now);
+        self.update_first_read(now);
         if self.follows(Topic::Configuration)
             && self.is_configuration_behind()
             && self.pending_read.is_none()
         {
-            let at = self.configuration.next_call_at(&self.availability).max(now);
-            self.pending_read = Some((0, at.after(READ_PAUSES_MS[0])));
+            self.pending_read = Some(self.first_read(now));
         }
         for topic in [Topic::Configuration, Topic::Upstreams] {
             if self.unconfirmed_at(topic).is_some_and(|at| at <= now) {
@@ -788,7 +957,7 @@
         let silence = self.bound.silence_ms(self.role);
         let due_at = match topic {
             Topic::Configuration => match self.pending_read {
-                Some((_, at)) => at,
+                Some(read) => read.at,
                 None => self.last_heard.max(self.read_at).after(silence),
             },
             Topic::Upstreams => {
@@ -843,18 +1012,23 @@
             }
         };
         let consistency = match (topic, self.pending_read) {
-            (Topic::Configuration, Some((step, _)))
+            (Topic::Configuration, Some(read))
                 if follows
-                    && step < READ_PAUSES_MS.len()
+                    && read.step < READ_PAUSES_MS.len()
                     && self.config_bytes < LARGE_CONFIG_BYTES =>
             {
                 Consistency::Serializable
             }
             _ => Consistency::Linearizable,
         };
-        let source = match topic {
-            Topic::Upstreams if !is_entry_expired => self.list_source(now),
-            Topic::Configuration | Topic::Upstreams => Source::Store,
+        let source = match (topic, self.pending_read) {
+            (Topic::Configuration, Some(read)) if follows => read.source,
+            (Topic::Upstreams, _) if !is_entry_expired => self.list_source(now),
+            (Topic::Configuration | Topic::Upstreams, _) => Source::Store,
+        };
+        let timeout_ms = match (topic, source) {
+            (Topic::Configuration, Source::Peer) => PEER_READ_TIMEOUT_MS,
+            _ => calls.timeout_ms,
         };
         let call = Call {
             consistency,
@@ -862,13 +1036,14 @@
             is_retry: calls.has_failed(),
             since,
             source,
-            timeout_ms: calls.timeout_ms,
+            timeout_ms,
             topic,
             wait_ms,
         };
         self.next_call += 1;
         if follows {
             match topic {
+                Topic::Configuration if source == Source::Peer => {}
                 Topic::Configuration => self.read_at = now,
                 Topic::Upstreams => {
                     let known = self.upstreams.position.unwrap_or_default();
@@ -878,10 +1053,10 @@
         }
         let pending = store_calls::PendingCall {
             confirms,
-            has_progressed: false,
             id: call.id,
             is_incremental: since.is_some(),
             is_watch: wait_ms > 0,
+            progress: store_calls::Progress::Awaited,
             source,
             started_at: now,
         };
--- a/crates/core/src/informer_io.rs
+++ b/crates/core/src/informer_io.rs
@@ -115,6 +115,15 @@
     Answered(u64, Answer),
     /// A call failed or was refused.
     Failed(u64),
+    /// Another instance answered a call with its configuration.
+    PeerConfiguration {
+        /// Size in bytes.
+        bytes: usize,
+        /// The configuration; `None` if it is older than one that was read here, or cannot be parsed.
+        config: Option<Arc<Config>>,
+        /// Identifier of the call.
+        id: u64,
+    },
     /// Another instance answered a call with its list.
     PeerList(u64, PeerList),
     /// Another instance reported what it knows.
@@ -164,6 +173,8 @@
     Era(u64),
     /// An upstream's entry is missing after an outage of the store; its grace period in milliseconds.
     MissingEntry(String, u64),
+    /// Announce to the instances behind this one that another configuration is in force.
+    PassOnConfiguration,
     /// An answer described an earlier era of the store and was dropped.
     Outdated(Topic),
     /// Changes of the upstreams that are taken to exist, since the output before.
--- a/crates/core/src/roster.rs
+++ b/crates/core/src/roster.rs
@@ -42,7 +42,7 @@
 const DEPARTURES_MAX: usize = 2_200;
 
 /// Maximum number of changes that are kept for other instances; one that lacks more gets the whole list.
-const HISTORY_MAX: usize = 2_000;
+const HISTORY_MAX: usize = 10_000;
 
 /// A change of the list.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -339,13 +339,12 @@
         }
         self.history.clear();
         self.history_from = position;
-        match differences {
-            Some(differences) => self.unannounced.extend(differences),
+        if let Some(differences) = differences {
+            self.unannounced.extend(differences);
+        } else {
             // The single changes in between are unknown: peers must read the list.
-            None => {
-                self.announced = None;
-                self.unannounced.clear();
-            }
+            self.announced = None;
+            self.unannounced.clear();
         }
     }
 
--- a/crates/core/src/store_calls.rs
+++ b/crates/core/src/store_calls.rs
@@ -42,19 +42,28 @@
 /// Time that a watch has left once peers are known to be ahead, in milliseconds.
 const BEHIND_MS: u64 = 500;
 
+/// Progress of the answer to a call.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Progress {
+    /// It has begun to arrive.
+    Arriving,
+    /// Nothing of it has arrived.
+    Awaited,
+}
+
 /// A call whose answer is awaited.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct PendingCall {
     /// Whether its answer is announced as a confirmation to the other watchers.
     pub confirms: bool,
-    /// Whether its answer has begun to arrive.
-    pub has_progressed: bool,
     /// Identifier of the call.
     pub id: u64,
     /// Whether it asks for changes since a position rather than for everything.
     pub is_incremental: bool,
     /// Whether the store waits for a change before it answers.
     pub is_watch: bool,
+    /// Whether its answer has begun to arrive.
+    pub progress: Progress,
     /// Where it was made.
     pub source: Source,
     /// When it was sent.
@@ -132,7 +141,7 @@
     /// answer that takes seconds on a busy link was abandoned and requested again, which kept the link busy.
     pub(crate) fn record_progress(&mut self, id: u64) {
         if let Some(pending) = self.pending.as_mut().filter(|pending| pending.id == id) {
-            pending.has_progressed = true;
+            pending.progress = Progress::Arriving;
         }
     }
 
@@ -283,8 +292,9 @@
     /// of waiting, leaving upstreams got requests for 2.2 s more than allowed; with 4.8 s for a first read, watchers
     /// had no configuration to announce 3 s after the store's return.
     pub(crate) fn abandon_at(&self, availability: &Availability) -> Option<(Time, CancelReason)> {
-        let is_abandonable =
-            |pending: &PendingCall| pending.source == Source::Store && !pending.has_progressed;
+        let is_abandonable = |pending: &PendingCall| {
+            pending.source == Source::Store && pending.progress == Progress::Awaited
+        };
         let pending = self.pending.filter(is_abandonable)?;
         let behind = self
             .behind_since
--- a/crates/core/tests/dissemination.rs
+++ b/crates/core/tests/dissemination.rs
@@ -101,3 +101,16 @@
     });
     expect_that!(receipts, eq([(true, true), (false, true), (false, false)]));
 }
+
+#[gtest]
+fn parent_is_the_instance_that_sends_to_its_child() {
+    let instances = instances(217);
+    let root = instances[30];
+    for own in instances.iter().filter(|one| **one != root) {
+        let others =
+            |of: u64| -> Vec<u64> { instances.iter().copied().filter(|one| *one != of).collect() };
+        let parent = dissemination::parent(&others(*own), *own, root).expect("it is not the root");
+        let children = dissemination::children(&others(parent), parent, root, Tree::Forward);
+        expect_that!(children, contains(eq(own)));
+    }
+}
--- a/crates/node/src/driver.rs
+++ b/crates/node/src/driver.rs
@@ -290,13 +290,7 @@
                     tokio::spawn(engine::cancel(self.pooled.clone(), address, stream));
                 }
             }
-            Effect::Claim { claim, request } => {
-                let _ = self.claims.send(claimer::PendingClaim {
-                    claim,
-                    commit_here: false,
-                    reply_to: claimer::ReplyTo::Request(request),
-                });
-            }
+            Effect::Claim { claim, request } => self.request_claim(claim, request),
             Effect::Count(counter, count) => self.count(counter, count),
             Effect::Deliver {
                 caller,
@@ -324,6 +318,7 @@
                 };
                 self.finish_caller(caller, reply);
             }
+            Effect::FindStream(prompt) => self.gossip(gossip::Message::FindStream(prompt)),
             Effect::Finish {
                 caller,
                 position,
@@ -347,7 +342,6 @@
             Effect::GossipLimit { incarnation, rate } => {
                 self.gossip(gossip::Message::RateLimit { incarnation, rate });
             }
-            Effect::FindStream(prompt) => self.gossip(gossip::Message::FindStream(prompt)),
             Effect::GossipLost(upstream) => self.gossip(gossip::Message::UpstreamLost(upstream)),
             Effect::GossipSpeed(pace) => self.gossip(gossip::Message::EngineSpeed(pace)),
             Effect::GossipStream { audience, record } => {
@@ -473,6 +467,15 @@
         }
     }
 
+    fn request_claim(&self, claim: Claim, request: request::Key) {
+        // Sending fails only while the instance shuts down.
+        let _ = self.claims.send(claimer::PendingClaim {
+            claim,
+            commit_here: false,
+            reply_to: claimer::ReplyTo::Request(request),
+        });
+    }
+
     fn gossip(&self, message: gossip::Message) {
         // The channel has no receiver on instances that do not gossip.
         let _ = self.gossip.send(message);
--- /dev/null
+++ b/crates/node/src/exchange.rs
@@ -0,0 +1,338 @@
+//! Exchange of the list of upstreams and of the configuration between instances of a data centre, over a connection for
+//! each request.
+//!
+//! An instance that starts, or has missed changes, takes the list from a neighbour, and a large configuration from the one
+//! that announced it. The link of the store would carry them to hundreds of instances at once.
+
+use super::*;
+use flate2::{Compression, read::DeflateDecoder, write::DeflateEncoder};
+use std::io::{Read as _, Write as _};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::Semaphore,
+};
+use tokio_util::codec::Framed;
+use wellplank_core::informer_io::PeerList;
+
+/// Number of entries of one part of an answer: parts of some hundred kilobytes.
+const PART_ENTRIES: usize = 2_000;
+
+/// Maximum time until the first part of an answer and between two: a link of 20 Mbit/s that carries several answers takes a
+/// fraction of it, and so does a small instance that encodes a list.
+const PART_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Maximum number of answers that are sent at the same time; further requests are declined, and go elsewhere. An instance
+/// announces a configuration to eight others.
+const ANSWERS_MAX: usize = 8;
+
+/// The same for lists, which take hundreds of kilobytes each.
+const LISTS_MAX: usize = 4;
+
+/// Maximum size of a configuration or of a part of a list, in bytes; what is larger is cut off.
+const BYTES_MAX: u64 = 16 << 20;
+
+/// Pause after a failure to accept a connection.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
+
+/// Time within which the request must follow the connection.
+const REQUEST_TIMEOUT: Duration = Duration::from_millis(500);
+
+type Frames = Framed<TcpStream, frame::Codec>;
+
+/// A request of another instance.
+pub(crate) enum Request {
+    /// For the configuration in force.
+    Configuration(oneshot::Sender<Option<StoredConfiguration>>),
+    /// For the list, or its changes after a position.
+    List {
+        /// Receives the list; `None` if this instance has none to give.
+        reply: oneshot::Sender<Option<EncodedList>>,
+        /// Position after which changes are requested; `None` for the whole list.
+        since: Option<Position>,
+    },
+}
+
+/// Frames that hold a list. They are shared, since hundreds of instances may ask for the same one at once, and encoding ten
+/// thousand entries takes a small instance half a second.
+pub(crate) type EncodedList = Arc<[peers::Frame]>;
+
+/// A configuration as it is passed on.
+#[derive(Clone, Debug)]
+pub(crate) struct StoredConfiguration {
+    /// The document, compressed.
+    pub document: Bytes,
+    /// Revision of the store at which it was written.
+    pub store_revision: u64,
+}
+
+impl StoredConfiguration {
+    /// Compresses a document.
+    pub fn new(document: &[u8], store_revision: u64) -> std::io::Result<Self> {
+        Ok(Self {
+            document: compress(document)?.into(),
+            store_revision,
+        })
+    }
+
+    /// Decompresses the document.
+    pub fn decompress(&self) -> std::io::Result<Vec<u8>> {
+        decompress(&self.document)
+    }
+}
+
+fn compress(bytes: &[u8]) -> std::io::Result<Vec<u8>> {
+    let mut encoder = DeflateEncoder::new(Vec::new(), Compression::fast());
+    encoder.write_all(bytes)?;
+    encoder.finish()
+}
+
+fn decompress(bytes: &[u8]) -> std::io::Result<Vec<u8>> {
+    let mut decompressed = Vec::new();
+    DeflateDecoder::new(bytes)
+        .take(BYTES_MAX)
+        .read_to_end(&mut decompressed)?;
+    Ok(decompressed)
+}
+
+/// Answers other instances.
+#[derive(Clone)]
+pub(crate) struct Responder {
+    answers: Arc<Semaphore>,
+    lists: Arc<Semaphore>,
+    /// Requests, which the task that follows the store answers.
+    requests: mpsc::UnboundedSender<Request>,
+}
+
+impl Responder {
+    /// Creates a responder whose requests are answered by the receiver of a channel.
+    pub fn new(requests: mpsc::UnboundedSender<Request>) -> Self {
+        Self {
+            answers: Arc::new(Semaphore::new(ANSWERS_MAX)),
+            lists: Arc::new(Semaphore::new(LISTS_MAX)),
+            requests,
+        }
+    }
+
+    /// Answers other instances until this one ends.
+    pub async fn run(self, listener: TcpListener) {
+        loop {
+            match listener.accept().await {
+                Ok((socket, from)) => {
+                    let responder = self.clone();
+                    tokio::spawn(async move {
+                        if let Err(error) = responder.answer(socket).await {
+                            debug!("answering instance {from}: {error}");
+                        }
+                    });
+                }
+                Err(error) => {
+                    warn!("accepting a connection of another instance: {error}");
+                    sleep(ACCEPT_PAUSE).await;
+                }
+            }
+        }
+    }
+
+    async fn answer(self, socket: TcpStream) -> Result<(), frame::Error> {
+        let mut frames = Framed::new(socket, frame::Codec::new());
+        let Ok(Some(request)) = timeout(REQUEST_TIMEOUT, frames.next()).await else {
+            return Ok(());
+        };
+        let request = request?.body;
+        let Ok(_permit) = self.answers.try_acquire() else {
+            // A connection that ends without an answer sends the other instance elsewhere at once.
+            return Ok(());
+        };
+        match request {
+            Some(peers::frame::Body::ConfigurationRequest(_)) => {
+                self.answer_configuration(&mut frames).await
+            }
+            Some(peers::frame::Body::ListRequest(request)) => {
+                self.answer_list(&mut frames, request).await
+            }
+            _ => Ok(()),
+        }
+    }
+
+    async fn answer_configuration(&self, frames: &mut Frames) -> Result<(), frame::Error> {
+        let (reply, configuration) = oneshot::channel();
+        // Sending fails only while the instance shuts down; the channel of the reply is closed then.
+        let _ = self.requests.send(Request::Configuration(reply));
+        let configuration = configuration.await.ok().flatten();
+        let configuration = configuration.map_or_else(peers::Configuration::default, |stored| {
+            peers::Configuration {
+                document: stored.document.to_vec(),
+                store_revision: stored.store_revision,
+            }
+        });
+        let body = Some(peers::frame::Body::Configuration(configuration));
+        frames.send(peers::Frame { body }).await
+    }
+
+    async fn answer_list(
+        &self,
+        frames: &mut Frames,
+        request: peers::ListRequest,
+    ) -> Result<(), frame::Error> {
+        let Ok(_permit) = self.lists.try_acquire() else {
+            return frames.send(unavailable()).await;
+        };
+        let since = request
+            .is_incremental
+            .then(|| Position::new(request.era, request.since));
+        let (reply, list) = oneshot::channel();
+        let _ = self.requests.send(Request::List { reply, since });
+        let Ok(Some(list)) = list.await else {
+            return frames.send(unavailable()).await;
+        };
+        for part in list.iter() {
+            frames.send(part.clone()).await?;
+        }
+        Ok(())
+    }
+}
+
+fn part(part: peers::ListPart) -> peers::Frame {
+    let body = Some(peers::frame::Body::ListPart(part));
+    peers::Frame { body }
+}
+
+fn unavailable() -> peers::Frame {
+    part(peers::ListPart {
+        is_unavailable: true,
+        ..peers::ListPart::default()
+    })
+}
+
+/// Encodes a list as at least one part. It is said to be older by what it may be kept for.
+pub(crate) fn encode_list(list: PeerList, kept_for: Duration) -> std::io::Result<EncodedList> {
+    let PeerList {
+        age_ms,
+        changes,
+        is_complete,
+        to,
+    } = list;
+    let age_ms = age_ms + kept_for.as_millis() as u64;
+    let count = changes.len().div_ceil(PART_ENTRIES).max(1);
+    let mut changes = changes.into_iter();
+    let parts = (1..=count).map(|number| {
+        let entries = changes.by_ref().take(PART_ENTRIES);
+        let entries = entries.map(datagram::encode_change).collect();
+        let entries = peers::Entries { entries }.encode_to_vec();
+        Ok(part(peers::ListPart {
+            age_ms,
+            entries: compress(&entries)?,
+            era: to.era,
+            has_more: number < count,
+            is_complete,
+            is_unavailable: false,
+            to: to.revision,
+        }))
+    });
+    parts.collect()
+}
+
+/// Decodes the entries of a part.
+fn decode_entries(part: &peers::ListPart) -> Result<Vec<peers::Entry>, String> {
+    let bytes = decompress(&part.entries).map_err(|error| error.to_string())?;
+    let decoded = peers::Entries::decode(&bytes[..]).map_err(|error| error.to_string())?;
+    Ok(decoded.entries)
+}
+
+/// Requests the configuration in force at another instance, which must arrive within `response_timeout`.
+pub(crate) async fn fetch_configuration(
+    address: SocketAddr,
+    response_timeout: Duration,
+) -> Result<StoredConfiguration, Error> {
+    let body = peers::frame::Body::ConfigurationRequest(peers::ConfigurationRequest {});
+    let answer = async {
+        let mut frames = request(address, body).await?;
+        next_frame(address, &mut frames).await
+    };
+    let answer = timeout(response_timeout, answer).await;
+    match answer.map_err(|_| Error::Peer(address, "no answer in time".into()))?? {
+        peers::frame::Body::Configuration(configuration) if configuration.store_revision > 0 => {
+            Ok(StoredConfiguration {
+                document: configuration.document.into(),
+                store_revision: configuration.store_revision,
+            })
+        }
+        _ => Err(Error::Peer(
+            address,
+            "it has no configuration to give".into(),
+        )),
+    }
+}
+
+/// Requests the list, or the changes after a position, from another instance. `on_progress` is called when its answer
+/// begins to arrive.
+pub(crate) async fn fetch_list(
+    address: SocketAddr,
+    since: Option<Position>,
+    on_progress: impl Fn(),
+) -> Result<PeerList, Error> {
+    let position = since.unwrap_or_default();
+    let body = peers::frame::Body::ListRequest(peers::ListRequest {
+        era: position.era,
+        is_incremental: since.is_some(),
+        since: position.revision,
+    });
+    let begin = async {
+        let mut frames = request(address, body).await?;
+        let first = next_part(address, &mut frames).await?;
+        Ok((frames, first))
+    };
+    let begun = timeout(PART_TIMEOUT, begin).await;
+    let (mut frames, first) =
+        begun.map_err(|_| Error::Peer(address, "no answer in time".into()))??;
+    on_progress();
+    let mut list = PeerList {
+        age_ms: first.age_ms,
+        changes: Vec::new(),
+        is_complete: first.is_complete,
+        to: Position::new(first.era, first.to),
+    };
+    let mut part = first;
+    loop {
+        if part.is_unavailable {
+            return Err(Error::Peer(address, "it has no list to give".into()));
+        }
+        let entries = decode_entries(&part).map_err(|error| Error::Peer(address, error))?;
+        let changes = entries.into_iter();
+        list.changes
+            .extend(changes.map(|entry| datagram::decode_change(entry, list.to.era)));
+        if !part.has_more {
+            return Ok(list);
+        }
+        let next = timeout(PART_TIMEOUT, next_part(address, &mut frames)).await;
+        part = next.map_err(|_| Error::Peer(address, "the list stalled".into()))??;
+    }
+}
+
+/// Connects and sends a request.
+async fn request(address: SocketAddr, body: peers::frame::Body) -> Result<Frames, Error> {
+    let failed = |error: &dyn Display| Error::Peer(address, error.to_string());
+    let socket = TcpStream::connect(address).await;
+    let socket = socket.map_err(|error| failed(&error))?;
+    let mut frames = Framed::new(socket, frame::Codec::new());
+    let sent = frames.send(peers::Frame { body: Some(body) }).await;
+    sent.map_err(|error| failed(&error))?;
+    Ok(frames)
+}
+
+async fn next_part(address: SocketAddr, frames: &mut Frames) -> Result<peers::ListPart, Error> {
+    match next_frame(address, frames).await? {
+        peers::frame::Body::ListPart(part) => Ok(part),
+        _ => Err(Error::Peer(address, "the answer is no list".into())),
+    }
+}
+
+async fn next_frame(address: SocketAddr, frames: &mut Frames) -> Result<peers::frame::Body, Error> {
+    let failed = |text: String| Error::Peer(address, text);
+    let frame = frames.next().await;
+    let frame = frame.ok_or_else(|| failed("the connection ended within the answer".into()))?;
+    let frame = frame.map_err(|error| failed(error.to_string()))?;
+    frame
+        .body
+        .ok_or_else(|| failed("the answer is empty".into()))
+}
--- a/crates/node/src/gossip.rs
+++ b/crates/node/src/gossip.rs
@@ -4,6 +4,7 @@
 
 use super::*;
 use members::{LocalMember, Member, Members, SMALL_FLEET_MAX};
+use pacer::Pacer;
 use tokio::net::UdpSocket;
 use wellplank_core::{
     demand::Demand,
@@ -23,25 +24,19 @@
 /// instances at once.
 const SEND_TIMEOUT: Duration = Duration::from_millis(100);
 
-/// Bytes sent at once, beyond which sending pauses until the link has carried them; the link drops
-/// what it cannot queue. Of three datagrams to 28 instances on a 10 Mbit/s link, the third was
-/// dropped, behind 70 KB.
-const BURST_BYTES: usize = 16 << 10;
-
 /// Maximum number of engine speeds per datagram; more samples of one moment would be alike.
 const ENGINE_SPEEDS_MAX: usize = 2;
 
 /// Binary digits of the number of updates that an instance may announce in a millisecond, on average.
 const SEQUENCE_SHIFT: u32 = 8;
 
-/// Share of the link's rate at which datagrams are sent; the rest is for responses to callers.
-const LINK_SHARE: f64 = 0.7;
-
 /// A message to other instances.
 #[derive(Clone, Debug)]
 pub(crate) enum Message {
     /// Another configuration is in force here. Sent within the data centre.
     Configuration,
+    /// The same, at an instance that learnt of it from another. Sent to the instances behind it.
+    ConfigurationPassedOn,
     /// Proof from the store that a topic is up to date. Sent to the other watchers.
     Confirmed(Confirmed),
     /// The whole crash history, for an instance that requested it.
@@ -103,7 +98,7 @@
     /// This instance.
     pub own: LocalMember,
     /// Channel for what other instances report of the store.
-    pub peer_reports: mpsc::UnboundedSender<PeerReport>,
+    pub peer_reports: mpsc::UnboundedSender<(SocketAddr, PeerReport)>,
 }
 
 impl Gossip {
@@ -125,6 +120,7 @@
             crash_history: self.crash_history.clone(),
             driver: self.driver.clone(),
             forwarder: Forwarder::default(),
+            known: self.known.clone(),
             newest: KnownState::default(),
             outgoing,
             peer_reports: self.peer_reports,
@@ -132,15 +128,17 @@
             streams: streams.clone(),
         };
         tokio::spawn(receiver.run());
-        let discovery =
-            members::discover(self.client.clone(), self.own.name.clone(), members_sender);
-        tokio::spawn(discovery);
+        let discovery = members::Discovery {
+            client: self.client.clone(),
+            own: self.own.clone(),
+            sender: members_sender,
+        };
+        tokio::spawn(discovery.run());
         let sender = DatagramSender {
             crash_history: self.crash_history,
             demands: BTreeMap::new(),
             engine_speeds: Vec::new(),
             known: self.known,
-            link_mbps: self.link_mbps,
             local_peers: LocalPeers {
                 addresses: BTreeMap::new(),
                 members: members.clone(),
@@ -148,6 +146,7 @@
             },
             members: members.clone(),
             own: self.own.clone(),
+            pacer: Pacer::new(self.link_mbps),
             sequence: first_sequence(),
             pools_at_capacity: BTreeSet::new(),
             socket,
@@ -175,11 +174,13 @@
     crash_history: watch::Receiver<crash_history::LocalHistory>,
     driver: Driver,
     forwarder: Forwarder,
+    /// What this instance knows of the store.
+    known: watch::Receiver<KnownState>,
     /// The newest revisions that other instances have reported.
     newest: KnownState,
     /// Messages to send to other instances.
     outgoing: mpsc::UnboundedSender<Message>,
-    peer_reports: mpsc::UnboundedSender<PeerReport>,
+    peer_reports: mpsc::UnboundedSender<(SocketAddr, PeerReport)>,
     socket: Arc<UdpSocket>,
     streams: watch::Sender<store_writer::Streams>,
 }
@@ -245,8 +246,9 @@
         let newest = &mut self.newest;
         let has_revisions_only = update.is_none() && confirmed.is_none();
         let list = Position::new(datagram.list_era, datagram.list);
+        // A configuration that is not in force here is reported by each that has it: one of them is near.
         if has_revisions_only
-            && datagram.configuration <= newest.configuration
+            && datagram.configuration <= self.known.borrow().configuration
             && list <= newest.list
         {
             return;
@@ -260,7 +262,7 @@
             update,
         };
         // Sending fails only while the instance shuts down.
-        let _ = self.peer_reports.send(report);
+        let _ = self.peer_reports.send((from, report));
     }
 }
 
@@ -355,6 +357,31 @@
         &self.addresses
     }
 
+    /// Whether announcements are passed on rather than sent to each.
+    fn are_many(&mut self) -> bool {
+        dissemination::trees(self.addresses().len()) != [Tree::Direct]
+    }
+
+    /// The instances to which this one announces a configuration, in both trees: as their root if it read that from the
+    /// store, otherwise behind the watcher, which is ranked first.
+    fn behind(&mut self, is_root: bool) -> Vec<Recipient> {
+        let own = upstream::id(&self.own.name);
+        let first = self.addresses().keys().next().copied();
+        let root = if is_root {
+            own
+        } else {
+            first.map_or(own, |first| first.min(own))
+        };
+        let trees = dissemination::trees(self.addresses().len());
+        let route = |tree: &Tree| Route {
+            root,
+            sequence: 0,
+            tree: *tree,
+        };
+        let copies = trees.iter().filter(|tree| **tree != Tree::Direct);
+        copies.flat_map(|tree| self.children(route(tree))).collect()
+    }
+
     /// The instances to which this one sends a copy of an update.
     fn children(&mut self, route: Route) -> Vec<Recipient> {
         let own = upstream::id(&self.own.name);
@@ -385,11 +412,11 @@
     /// Engine speeds measured since the last datagram.
     engine_speeds: Vec<peers::Pace>,
     known: watch::Receiver<KnownState>,
-    link_mbps: f64,
     local_peers: LocalPeers,
     members: watch::Receiver<Members>,
     /// This instance.
     own: LocalMember,
+    pacer: Pacer,
     /// Pools that are near their capacity.
     pools_at_capacity: BTreeSet<Arc<str>>,
     /// Number of the update of the list that was announced last.
@@ -459,17 +486,16 @@
         chunks
     }
 
-    async fn send_all(&self, datagram: peers::Datagram, to: &[Recipient]) {
+    async fn send_all(&mut self, datagram: peers::Datagram, to: &[Recipient]) {
         let local = datagram.encode_to_vec();
         let remote = self.for_remote(datagram).encode_to_vec();
-        let mut bytes = 0;
         for recipient in to {
             let datagram = if recipient.is_local { &local } else { &remote };
-            bytes += datagram.len();
             self.send(datagram, recipient.address).await;
-        }
-        if bytes > BURST_BYTES {
-            sleep(self.transmission_time(bytes)).await;
+            let pause = self.pacer.record(datagram.len(), Instant::now());
+            if pause > Duration::ZERO {
+                sleep(pause).await;
+            }
         }
     }
 
@@ -515,6 +541,7 @@
                 self.streams.send_modify(|streams| streams.apply(&record));
             }
             Message::Configuration
+            | Message::ConfigurationPassedOn
             | Message::Confirmed(_)
             | Message::CrashHistory(_)
             | Message::CrashHistoryRequest(_)
@@ -530,16 +557,16 @@
         }
     }
 
-    /// Time that the link needs for some bytes at the rate allowed for datagrams.
-    fn transmission_time(&self, bytes: usize) -> Duration {
-        Duration::from_secs_f64(bytes as f64 * 8.0 / (self.link_mbps * 1e6 * LINK_SHARE))
-    }
-
     /// The instances to which a message is sent; as few as possible in other data centres, since
     /// traffic between them is expensive.
     fn recipients(&mut self, message: &Message) -> Vec<Recipient> {
-        if let Message::ForwardedUpdate(_, route) = message {
-            return self.local_peers.children(*route);
+        match message {
+            Message::ConfigurationPassedOn => return self.local_peers.behind(false),
+            Message::Configuration if self.local_peers.are_many() => {
+                return self.local_peers.behind(true);
+            }
+            Message::ForwardedUpdate(_, route) => return self.local_peers.children(*route),
+            _ => {}
         }
         let members = self.members.borrow();
         let recipient = |member: &Member| Recipient {
@@ -564,6 +591,7 @@
                 vec![Recipient { address, is_local }]
             }
             Message::Demand { urgent: false, .. }
+            | Message::ConfigurationPassedOn
             | Message::EngineSpeed(_)
             | Message::ForwardedUpdate(..)
             | Message::RosterUpdate(_) => Vec::new(),
@@ -604,6 +632,7 @@
         };
         match message {
             Message::Configuration
+            | Message::ConfigurationPassedOn
             | Message::CrashHistory(_)
             | Message::CrashHistoryRequest(_)
             | Message::Crashes(_)
--- a/crates/node/src/hosted.rs
+++ b/crates/node/src/hosted.rs
@@ -138,10 +138,10 @@
             own.clone(),
             driver.clone(),
         ));
-        let (list_requests_sender, list_requests) = mpsc::unbounded_channel();
+        let (requests_sender, peer_requests) = mpsc::unbounded_channel();
         let listener = tokio::net::TcpListener::bind(hosted.peers).await;
         let listener = listener.map_err(|error| Error::Bind(hosted.peers, error))?;
-        tokio::spawn(list_exchange::serve(listener, list_requests_sender));
+        tokio::spawn(exchange::Responder::new(requests_sender).run(listener));
         let store_sync = store_sync::StoreSync {
             bound,
             client,
@@ -151,9 +151,9 @@
             known_state: known_state_sender,
             leave_ms: hosted.leave_ms,
             limits,
-            list_requests,
             members,
             own,
+            peer_requests,
         };
         tokio::spawn(store_sync.run(peer_reports));
         let address = settings.listen.callers.to_string();
--- a/crates/node/src/members.rs
+++ b/crates/node/src/members.rs
@@ -2,23 +2,38 @@
 //! and the role of each.
 
 use super::*;
+use rand::RngExt;
 use wellplank_core::{
     directory,
+    dissemination::{self, Tree},
     informer_io::Consistency,
     members::View,
     role::{Role, WatcherRank},
 };
 
-/// Key prefix of the instances' entries.
-pub(crate) const PREFIX: &str = "wellplank/instances/";
+/// Key prefix of the instances' entries; the data centre and the name of an instance follow.
+const PREFIX: &str = "wellplank/instances/";
 
 /// Interval between two reads of the instances while few are known. The reads are serializable, may be seconds old and
 /// cost a tenth of linearizable ones. A new instance reads the store itself until the others know it.
 const POLL_INTERVAL: Duration = Duration::from_secs(2);
 
-/// The same in a large fleet: at an interval of 2 s these reads were half as many calls as all others together.
+/// The same in a large fleet, of the instances of the own data centre: at an interval of 2 s these reads were half as many
+/// calls as all others together.
 const POLL_INTERVAL_LARGE_FLEET: Duration = Duration::from_secs(8);
 
+/// Number of instances up to which those of all data centres are read at that interval. Beyond it the interval grows with
+/// their number, so that the bytes that an instance reads a second do not.
+const FREQUENTLY_READ_MAX: usize = 300;
+
+/// Time for each instance of a large data centre over which the first reads of those of all others are spread: hundreds of
+/// instances that start together would fill the store's link.
+const FIRST_FULL_READ_SPREAD: Duration = Duration::from_millis(20);
+
+/// Time from the start for which an instance that knows few others polls at the short interval: others may have started
+/// with it.
+const START_PERIOD: Duration = Duration::from_secs(2);
+
 /// The same while no other instance is known: instances that start together do not know each other at first, and each
 /// of them watches the store until they do.
 const POLL_INTERVAL_ALONE: Duration = Duration::from_millis(500);
@@ -97,7 +112,8 @@
         View {
             others: members.keys().map(|name| upstream::id(name)).collect(),
             own: upstream::id(&self.name),
-            convergence_ms: (poll_interval(members.len()) + READ_STALENESS_MAX).as_millis() as u64,
+            convergence_ms: (full_read_interval(members.len()) + READ_STALENESS_MAX).as_millis()
+                as u64,
         }
     }
 
@@ -134,6 +150,15 @@
         }
     }
 
+    /// Its place in its data centre if updates are passed on there; `None` in a small one.
+    pub fn place(&self, members: &Members) -> Option<usize> {
+        let local = members
+            .iter()
+            .filter(|(_, member)| member.data_centre == self.data_centre);
+        let passes_on = dissemination::trees(local.clone().count()) != [Tree::Direct];
+        passes_on.then(|| self.count_before(local.map(|(name, _)| name)))
+    }
+
     /// The other instances that watch the store: all of a small fleet, otherwise the first one of each other data centre.
     pub fn watchers<'a>(&self, members: &'a Members) -> BTreeSet<&'a String> {
         if members.len() < SMALL_FLEET_MAX {
@@ -156,65 +181,182 @@
     }
 }
 
-/// Interval between two reads of the instances, given the number of others that are known.
-fn poll_interval(others: usize) -> Duration {
+/// Key of an instance's entry.
+pub(crate) fn key(own: &LocalMember) -> String {
+    format!("{}{}", prefix(&own.data_centre), own.name)
+}
+
+/// Key prefix of the entries of a data centre.
+fn prefix(data_centre: &str) -> String {
+    format!("{PREFIX}{data_centre}/")
+}
+
+/// Interval between two reads of the instances of all data centres, given the number of others that are known.
+fn full_read_interval(others: usize) -> Duration {
     if others < SMALL_FLEET_MAX {
         POLL_INTERVAL
     } else {
-        POLL_INTERVAL_LARGE_FLEET
+        let factor = others.max(FREQUENTLY_READ_MAX) as f64 / FREQUENTLY_READ_MAX as f64;
+        POLL_INTERVAL_LARGE_FLEET.mul_f64(factor)
     }
 }
 
-/// Polls the store for the other instances and publishes them until the instance ends.
-pub(crate) async fn discover(
-    client: platform_store::Client,
-    own: String,
-    sender: watch::Sender<Members>,
-) {
-    let started_at = Instant::now();
-    let mut retry_state = platform_store::RetryState::new("instances", &client);
-    let mut era = None;
-    let mut grace_until = started_at;
-    loop {
-        match client
-            .read_prefix(
-                PREFIX,
-                retry_state.response_timeout(),
-                Consistency::Serializable,
-            )
-            .await
-        {
-            Ok((items, _)) => {
-                retry_state.record_success();
-                let mut members = decode(&items, &own);
-                let current_era = client.availability().borrow().era();
-                if era
-                    .replace(current_era)
-                    .is_some_and(|era| era < current_era)
-                {
-                    grace_until = Instant::now() + RESTORE_GRACE;
+/// Discovers the other instances by polling the store. In a large data centre, its instances are read more often than those
+/// of the others: a thousand instances that read all of each other would take a quarter of the store's link.
+pub(crate) struct Discovery {
+    /// Client of the store.
+    pub client: platform_store::Client,
+    /// This instance.
+    pub own: LocalMember,
+    /// Publishes the other instances.
+    pub sender: watch::Sender<Members>,
+}
+
+/// When the instances of all data centres are read.
+#[derive(Clone, Copy, Debug)]
+enum FullRead {
+    /// Not before this time; those of the own data centre are read meanwhile.
+    At(Instant),
+    /// Each time.
+    Always,
+    /// The own data centre is read first, which shows whether it is large.
+    Undecided,
+}
+
+impl FullRead {
+    fn is_due(self) -> bool {
+        match self {
+            Self::Always => true,
+            Self::At(at) => at <= Instant::now(),
+            Self::Undecided => false,
+        }
+    }
+
+    /// Time until it is due at a certain time.
+    fn time_left(self) -> Option<Duration> {
+        match self {
+            Self::At(at) => Some(at.saturating_duration_since(Instant::now())),
+            Self::Always | Self::Undecided => None,
+        }
+    }
+
+    /// State after a read, given the numbers of other instances of the data centre and of all, and the time since the start.
+    fn next(self, local: usize, others: usize, age: Duration) -> Self {
+        let is_large = local >= SMALL_FLEET_MAX;
+        match self {
+            Self::Undecided if is_large => {
+                let spread = FIRST_FULL_READ_SPREAD * local as u32;
+                Self::At(Instant::now() + rand::rng().random_range(Duration::ZERO..spread))
+            }
+            Self::Undecided if age < DISCOVERY_PERIOD => Self::Undecided,
+            Self::At(at) if !self.is_due() => Self::At(at),
+            _ if is_large => Self::At(Instant::now() + full_read_interval(others)),
+            _ => Self::Always,
+        }
+    }
+}
+
+impl Discovery {
+    /// Polls until the instance ends.
+    pub async fn run(self) {
+        let started_at = Instant::now();
+        let mut retry_state = platform_store::RetryState::new("instances", &self.client);
+        let mut era = None;
+        let mut grace_until = started_at;
+        let mut full_read = FullRead::Undecided;
+        loop {
+            let members = match self.read(full_read, &retry_state).await {
+                Ok(members) => members,
+                // Refused calls are paid for, so hundreds of instances must not retry soon. Known ones still get datagrams.
+                Err(error) if self.sender.borrow().len() >= SMALL_FLEET_MAX => {
+                    retry_state.record_failure(&error);
+                    sleep(POLL_INTERVAL_LARGE_FLEET).await;
+                    continue;
                 }
-                if Instant::now() < grace_until {
-                    let known = sender.borrow().clone();
-                    members = known.into_iter().chain(members).collect();
+                Err(error) => {
+                    retry_state.back_off(&error).await;
+                    continue;
                 }
-                sender.send_if_modified(|known| {
-                    let is_changed = *known != members;
-                    *known = members;
-                    is_changed
-                });
-                let pause = match sender.borrow().len() {
-                    0 if started_at.elapsed() < DISCOVERY_PERIOD => POLL_INTERVAL_ALONE,
-                    others => poll_interval(others),
-                };
-                sleep(pause).await;
+            };
+            retry_state.record_success();
+            let current_era = self.client.availability().borrow().era();
+            if era
+                .replace(current_era)
+                .is_some_and(|era| era < current_era)
+            {
+                grace_until = Instant::now() + RESTORE_GRACE;
             }
-            // Refused calls are paid for, so hundreds of instances must not retry soon. Known ones still get datagrams.
-            Err(error) if sender.borrow().len() >= SMALL_FLEET_MAX => {
-                retry_state.record_failure(&error);
-                sleep(POLL_INTERVAL_LARGE_FLEET).await;
+            let keeps_known = Instant::now() < grace_until;
+            let local = self.local_count(&members);
+            full_read = full_read.next(local, members.len(), started_at.elapsed());
+            self.publish(members, keeps_known);
+            let pause = self.pause(started_at);
+            sleep(full_read.time_left().map_or(pause, |left| pause.min(left))).await;
+        }
+    }
+
+    /// Reads the other instances: all, or those of the own data centre beside the known ones of others.
+    async fn read(
+        &self,
+        full_read: FullRead,
+        retry_state: &platform_store::RetryState,
+    ) -> Result<Members, Error> {
+        if full_read.is_due() {
+            return self.read_prefix(PREFIX, retry_state).await;
+        }
+        let local = prefix(&self.own.data_centre);
+        let mut members = self.read_prefix(&local, retry_state).await?;
+        if matches!(full_read, FullRead::Undecided) && members.len() < SMALL_FLEET_MAX {
+            return self.read_prefix(PREFIX, retry_state).await;
+        }
+        let known = self.sender.borrow().clone();
+        let is_remote = |member: &Member| member.data_centre != self.own.data_centre;
+        members.extend(known.into_iter().filter(|(_, member)| is_remote(member)));
+        Ok(members)
+    }
+
+    async fn read_prefix(
+        &self,
+        prefix: &str,
+        retry_state: &platform_store::RetryState,
+    ) -> Result<Members, Error> {
+        let read = self.client.read_prefix(
+            prefix,
+            retry_state.response_timeout(),
+            Consistency::Serializable,
+        );
+        let (items, _) = read.await?;
+        Ok(decode(&items, &self.own.name))
+    }
+
+    /// Number of other instances in the own data centre.
+    fn local_count(&self, members: &Members) -> usize {
+        let is_local = |member: &&Member| member.data_centre == self.own.data_centre;
+        members.values().filter(is_local).count()
+    }
+
+    /// Publishes the other instances if they have changed.
+    fn publish(&self, mut members: Members, keeps_known: bool) {
+        if keeps_known {
+            let known = self.sender.borrow().clone();
+            members = known.into_iter().chain(members).collect();
+        }
+        self.sender.send_if_modified(|known| {
+            let is_changed = *known != members;
+            *known = members;
+            is_changed
+        });
+    }
+
+    /// Pause before the next read.
+    fn pause(&self, started_at: Instant) -> Duration {
+        match self.sender.borrow().len() {
+            0 if started_at.elapsed() < DISCOVERY_PERIOD => POLL_INTERVAL_ALONE,
+            others if others < SMALL_FLEET_MAX && started_at.elapsed() < START_PERIOD => {
+                POLL_INTERVAL_ALONE
             }
-            Err(error) => retry_state.back_off(&error).await,
+            others if others < SMALL_FLEET_MAX => POLL_INTERVAL,
+            _ => POLL_INTERVAL_LARGE_FLEET,
         }
     }
 }
@@ -223,7 +365,7 @@
 fn decode(items: &[platform::store::Item], own: &str) -> Members {
     let mut members = Members::new();
     for item in items {
-        let name = item.key.trim_start_matches(PREFIX);
+        let name = item.key.rsplit('/').next().unwrap_or_default();
         let value = match item.bytes() {
             Ok(value) => value,
             Err(error) => {
--- a/crates/node/src/peer.rs
+++ b/crates/node/src/peer.rs
@@ -193,6 +193,8 @@
             }
             Some(
                 peers::frame::Body::ClaimOutcomes(_)
+                | peers::frame::Body::Configuration(_)
+                | peers::frame::Body::ConfigurationRequest(_)
                 | peers::frame::Body::ListPart(_)
                 | peers::frame::Body::ListRequest(_)
                 | peers::frame::Body::Parts(_),
--- a/crates/node/src/store_sync.rs
+++ b/crates/node/src/store_sync.rs
@@ -2,11 +2,13 @@
 //! that the core's informer requests and applies the informer's outputs.
 
 use super::*;
+use exchange::StoredConfiguration;
 use members::{LocalMember, Members};
 use platform::store::{Change, Item};
 use platform_store::{AvailabilityLog, Client};
 use tokio::task::AbortHandle;
 use wellplank_core::{
+    dissemination,
     informer::Informer,
     informer_io::{
         Answer, Call, CancelReason, Content, Input, KnownState, Output, PeerList, PeerReport,
@@ -22,6 +24,9 @@
 /// Maximum number of characters of an error that a log line contains: the error may quote a malformed entry.
 const LOGGED_ERROR_MAX: usize = 200;
 
+/// Time for which a whole list that was encoded for other instances is given to further ones.
+const LIST_KEPT_FOR: Duration = Duration::from_secs(2);
+
 /// Parameters of the task.
 pub(crate) struct StoreSync {
     /// Time within which a change in the store must be known here.
@@ -38,14 +43,14 @@
     pub known_state: watch::Sender<KnownState>,
     /// Time within which a leaving upstream must stop getting work, in milliseconds.
     pub leave_ms: u64,
-    /// Requests of other instances for the list.
-    pub list_requests: mpsc::UnboundedReceiver<list_exchange::Request>,
     /// Publishes the limits on callers' requests in the configuration in force.
     pub limits: watch::Sender<platform::configuration::Limits>,
     /// Other instances.
     pub members: watch::Receiver<Members>,
     /// This instance.
     pub own: LocalMember,
+    /// Requests of other instances for what this one has.
+    pub peer_requests: mpsc::UnboundedReceiver<exchange::Request>,
 }
 
 /// Result of a call that the store answered.
@@ -54,6 +59,8 @@
     Changes(Vec<Change>, Position),
     /// The store has compacted the changes since the requested position.
     Compacted,
+    /// The configuration of another instance.
+    PeerConfiguration(StoredConfiguration),
     /// The list of another instance.
     PeerList(PeerList),
     /// All items, up to a position.
@@ -79,26 +86,30 @@
     calls: HashMap<u64, AbortHandle>,
     call_events: mpsc::UnboundedSender<CallEvent>,
     informer: Informer,
+    /// The whole list as it was last given to another instance, and when it was encoded.
+    encoded_list: Option<(Instant, exchange::EncodedList)>,
+    /// Another instance of the data centre that has a newer configuration, and its revision.
+    configured_peer: Option<(u64, SocketAddr)>,
     /// Limits on callers' requests in the last configuration that was read, and its revision in the store.
     limits: (platform::configuration::Limits, u64),
     /// Logs of the configuration and the upstreams, in this order.
     logs: [AvailabilityLog; 2],
     params: StoreSync,
+    /// The last configuration that was read, for other instances.
+    stored_configuration: Option<StoredConfiguration>,
 }
 
 impl StoreSync {
-    /// The role and the rank of this instance among the others.
-    fn role(&self, members: &Members) -> Input {
-        Input::Role(self.own.role(members), self.own.watcher_rank(members))
-    }
-
     /// Runs until the instance ends; `peer_reports` are the reports of other instances.
-    pub async fn run(mut self, mut peer_reports: mpsc::UnboundedReceiver<PeerReport>) {
+    pub async fn run(
+        mut self,
+        mut peer_reports: mpsc::UnboundedReceiver<(SocketAddr, PeerReport)>,
+    ) {
         let (call_events, mut events) = mpsc::unbounded_channel();
         let mut availability = self.client.availability();
         let mut members = self.members.clone();
         let (_, no_requests) = mpsc::unbounded_channel();
-        let mut list_requests = std::mem::replace(&mut self.list_requests, no_requests);
+        let mut peer_requests = std::mem::replace(&mut self.peer_requests, no_requests);
         let now = self.clock.now();
         let informer = Informer::new(self.bound, self.leave_ms, *availability.borrow(), now)
             .awaiting_role(members::DISCOVERY_WAIT_MS, now);
@@ -106,10 +117,13 @@
             calls: HashMap::new(),
             call_events,
             informer,
+            configured_peer: None,
+            encoded_list: None,
             limits: Default::default(),
             logs: [Topic::Configuration, Topic::Upstreams]
                 .map(|topic| AvailabilityLog::new(topic_name(topic), self.clock)),
             params: self,
+            stored_configuration: None,
         };
         task.handle(Input::Tick, *availability.borrow());
         loop {
@@ -119,12 +133,12 @@
                     CallEvent::Finished(finished) => task.finish(finished),
                     CallEvent::Progressed(id) => Input::Progressed(id),
                 },
-                Some(request) = list_requests.recv() => {
-                    task.give_list(request);
+                Some(request) = peer_requests.recv() => {
+                    task.answer_peer(request);
                     continue;
                 }
-                Some(report) = peer_reports.recv() => task.receive(report),
-                Ok(()) = members.changed() => task.params.role(&members.borrow_and_update()),
+                Some((from, report)) = peer_reports.recv() => task.receive(from, report),
+                Ok(()) = members.changed() => task.update_role(&members.borrow_and_update()),
                 Ok(()) = availability.changed() => Input::Tick,
                 () = sleep(time_to_wake) => Input::Tick,
             };
@@ -143,16 +157,91 @@
             .min(WAKE_INTERVAL_MAX)
     }
 
-    /// Gives another instance the list.
-    fn give_list(&self, request: list_exchange::Request) {
-        let list = self
-            .informer
-            .peer_list(request.since, self.params.clock.now());
-        if list.is_some() {
-            self.params.driver.count(Counter::ListGiven);
+    /// Input for the informer from the other instances as they are known now: the role and the rank of this one.
+    fn update_role(&mut self, members: &Members) -> Input {
+        let own = &self.params.own;
+        let place = own.place(members);
+        self.informer.set_place(place);
+        Input::Role(own.role(members), own.watcher_rank(members))
+    }
+
+    /// Gives another instance what it asks for; it may have disconnected meanwhile.
+    fn answer_peer(&mut self, request: exchange::Request) {
+        match request {
+            exchange::Request::Configuration(reply) => {
+                drop(reply.send(self.stored_configuration.clone()));
+            }
+            exchange::Request::List { reply, since } => {
+                let list = self.encoded_list(since);
+                if list.is_some() {
+                    self.params.driver.count(Counter::ListGiven);
+                }
+                drop(reply.send(list));
+            }
         }
-        // The other instance may have disconnected.
-        let _ = request.reply.send(list);
+    }
+
+    /// The list, or its changes after a position, for another instance. A whole list is encoded once for all that ask for
+    /// it within a while; what they miss of it is in the updates that they have kept.
+    fn encoded_list(&mut self, since: Option<Position>) -> Option<exchange::EncodedList> {
+        let is_fresh = |(at, _): &&(Instant, _)| at.elapsed() < LIST_KEPT_FOR;
+        if since.is_none()
+            && let Some((_, list)) = self.encoded_list.as_ref().filter(is_fresh)
+        {
+            return Some(list.clone());
+        }
+        let list = self.informer.peer_list(since, self.params.clock.now())?;
+        let kept_for = if since.is_none() {
+            LIST_KEPT_FOR
+        } else {
+            Duration::ZERO
+        };
+        match exchange::encode_list(list, kept_for) {
+            Ok(list) => {
+                if since.is_none() {
+                    self.encoded_list = Some((Instant::now(), list.clone()));
+                }
+                Some(list)
+            }
+            Err(error) => {
+                warn!("the list can not be compressed: {error}");
+                None
+            }
+        }
+    }
+
+    /// Notes an instance of the data centre that has a newer configuration.
+    fn note_configured(&mut self, from: SocketAddr, revision: Option<u64>) {
+        let Some(revision) =
+            revision.filter(|_| revision > self.informer.known_state().configuration)
+        else {
+            return;
+        };
+        let newest = self.configured_peer.map_or(0, |(newest, _)| newest);
+        let members = self.params.members.borrow();
+        let is_local = |member: &members::Member| {
+            member.address == from && member.data_centre == self.params.own.data_centre
+        };
+        if revision >= newest && members.values().any(is_local) {
+            self.configured_peer = Some((revision, from));
+        }
+    }
+
+    /// Address of the instance before this one in the tree behind the watcher: the first to have what this one has missed.
+    fn preceding_peer(&self) -> Option<SocketAddr> {
+        let members = self.params.members.borrow();
+        let own = &self.params.own;
+        let local = members
+            .iter()
+            .filter(|(_, member)| member.data_centre == own.data_centre);
+        let addresses: BTreeMap<u64, SocketAddr> = local
+            .map(|(name, member)| (upstream::id(name), member.address))
+            .collect();
+        let others: Vec<u64> = addresses.keys().copied().collect();
+        let id = upstream::id(&own.name);
+        let root = others.first().map_or(id, |first| id.min(*first));
+        let parent = dissemination::parent(&others, id, root)?;
+        addresses.get(&parent).copied()
     }
 
     /// Address of a random other instance of the data centre.
@@ -166,7 +255,8 @@
     }
 
     /// Input for the informer from another instance's report.
-    fn receive(&self, report: PeerReport) -> Input {
+    fn receive(&mut self, from: SocketAddr, report: PeerReport) -> Input {
+        self.note_configured(from, report.configuration);
         if report.confirmed.is_some() {
             self.params.client.record_peer_success();
         }
@@ -232,6 +322,13 @@
             Output::AnnounceConfiguration => {
                 drop(self.params.gossip.send(gossip::Message::Configuration));
             }
+            Output::PassOnConfiguration => {
+                drop(
+                    self.params
+                        .gossip
+                        .send(gossip::Message::ConfigurationPassedOn),
+                );
+            }
             Output::Upstreams(delta) => self.params.driver.send_event(Event::ListChanged {
                 delta,
                 requested_at: now,
@@ -250,12 +347,25 @@
         }
         let client = self.params.client.clone();
         let events = self.call_events.clone();
-        let peer = self.random_peer().filter(|_| call.source == Source::Peer);
+        let peer = match (call.source, call.topic) {
+            (Source::Peer, Topic::Configuration) => {
+                let configured = self.configured_peer.map(|(_, peer)| peer);
+                configured.or_else(|| self.random_peer())
+            }
+            // The instance before this one has the list first, unless it is lost.
+            (Source::Peer, Topic::Upstreams)
+                if call.since.is_some() || call.id.is_multiple_of(2) =>
+            {
+                self.preceding_peer().or_else(|| self.random_peer())
+            }
+            (Source::Peer, Topic::Upstreams) => self.random_peer(),
+            (Source::Store, _) => None,
+        };
         let task = tokio::spawn(async move {
             // A send fails only if the receiving task has ended, which it does only with the instance.
             let on_progress = || drop(events.send(CallEvent::Progressed(call.id)));
             let result = match call.source {
-                Source::Peer => fetch_list(peer, call, on_progress).await,
+                Source::Peer => fetch(peer, call, on_progress).await,
                 Source::Store => execute(&client, call, &on_progress).await,
             };
             drop(events.send(CallEvent::Finished(FinishedCall { call, result })));
@@ -303,7 +413,10 @@
         let result = match result {
             Ok(result) => result,
             Err(error) if call.source == Source::Peer => {
-                debug!("no list from another instance: {error}");
+                debug!(
+                    "no {} from another instance: {error}",
+                    topic_name(call.topic)
+                );
                 return Input::Failed(call.id);
             }
             Err(error) => {
@@ -319,6 +432,12 @@
                 (items.into_iter().map(Change::Written).collect(), position)
             }
             CallResult::Changes(changes, position) => (changes, position),
+            CallResult::PeerConfiguration(stored) => {
+                self.params.driver.count(Counter::ConfigurationFromPeer);
+                let (bytes, config) = self.decode_peer_configuration(stored);
+                let id = call.id;
+                return Input::PeerConfiguration { bytes, config, id };
+            }
             CallResult::PeerList(list) => {
                 let (entries, to) = (list.changes.len(), list.to.to_string());
                 info!(entries, to; "got the list from another instance");
@@ -381,24 +500,69 @@
                 config: None,
             };
         };
-        let bytes = item.value.as_ref().map_or(0, Vec::len);
-        let decoded = item.bytes().and_then(platform::configuration::decode);
-        let config = match decoded {
+        let document = match item.bytes() {
+            Ok(document) => document,
+            Err(error) => {
+                error!("invalid configuration; the one in force stays: {error}");
+                return Content::Configuration {
+                    bytes: 0,
+                    config: None,
+                };
+            }
+        };
+        let config = self.decode_document(document, item.revision);
+        if config.is_some() {
+            match StoredConfiguration::new(document, item.revision) {
+                Ok(stored) => self.stored_configuration = Some(stored),
+                Err(error) => warn!("the configuration can not be compressed: {error}"),
+            }
+        }
+        Content::Configuration {
+            bytes: document.len(),
+            config,
+        }
+    }
+
+    /// Decodes the configuration of another instance, and returns its size in bytes; `None` if it is older than the last
+    /// one that was read, or invalid.
+    fn decode_peer_configuration(
+        &mut self,
+        stored: StoredConfiguration,
+    ) -> (usize, Option<Arc<Config>>) {
+        if stored.store_revision <= self.limits.1 {
+            return (0, None);
+        }
+        let document = match stored.decompress() {
+            Ok(document) => document,
+            Err(error) => {
+                warn!("the configuration of another instance can not be decompressed: {error}");
+                return (0, None);
+            }
+        };
+        let config = self.decode_document(&document, stored.store_revision);
+        if config.is_some() {
+            self.stored_configuration = Some(stored);
+        }
+        (document.len(), config)
+    }
+
+    /// Decodes the document of a configuration that was written at a revision of the store.
+    fn decode_document(&mut self, document: &[u8], store_revision: u64) -> Option<Arc<Config>> {
+        match platform::configuration::decode(document) {
             Ok(decoded) => {
-                self.limits = (decoded.limits, item.revision);
+                self.limits = (decoded.limits, store_revision);
                 Some(Arc::new(decoded.config))
             }
             Err(error) => {
                 error!("invalid configuration; the one in force stays: {error}");
                 None
             }
-        };
-        Content::Configuration { bytes, config }
+        }
     }
 }
 
-/// Requests the list from another instance.
-async fn fetch_list(
+/// Requests the configuration or the list from another instance.
+async fn fetch(
     peer: Option<SocketAddr>,
     call: Call,
     on_progress: impl Fn(),
@@ -407,8 +571,14 @@
         return Err(Error::Store("no other instance in the data centre".into()));
     };
     let response_timeout = Duration::from_millis(call.timeout_ms);
-    let list = list_exchange::fetch(peer, call.since, response_timeout, on_progress).await?;
-    Ok(CallResult::PeerList(list))
+    match call.topic {
+        Topic::Configuration => exchange::fetch_configuration(peer, response_timeout)
+            .await
+            .map(CallResult::PeerConfiguration),
+        Topic::Upstreams => exchange::fetch_list(peer, call.since, on_progress)
+            .await
+            .map(CallResult::PeerList),
+    }
 }
 
 /// Executes a call of the store.
--- a/crates/node/src/store_writer.rs
+++ b/crates/node/src/store_writer.rs
@@ -165,7 +165,7 @@
             data_centre: self.own.data_centre.clone(),
         };
         let entry = member.encode();
-        let entry_key = format!("{}{}", members::PREFIX, self.own.name);
+        let entry_key = members::key(&self.own);
         let streams_key = format!("{STREAMS_PREFIX}{}", self.own.name);
         let mut ticks = interval(WRITE_INTERVAL);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
--- a/crates/standin/src/arguments.rs
+++ b/crates/standin/src/arguments.rs
@@ -366,11 +366,15 @@
     all
 }
 
+/// Runs of fleets in which updates are passed on are so many times fewer: each takes as many times as long.
+const HUGE_DIVISOR: u64 = 20;
+
 /// Runs fleets that learn from a store, on all cores.
 fn random_store(seed: u64, cases: u64, drills: Drills) -> ExitCode {
     let small = search_store(seed, cases, "small", scenario::SMALL, drills);
     let large = search_store(seed, cases, "large", scenario::LARGE, drills);
-    exit(small + large == 0)
+    let huge = search_store(seed, cases / HUGE_DIVISOR, "huge", scenario::HUGE, drills);
+    exit(small + large + huge == 0)
 }
 
 /// Runs fleets of some sizes; how many searches found a run that breaks a rule.
--- a/crates/standin/src/learning.rs
+++ b/crates/standin/src/learning.rs
@@ -4,15 +4,18 @@
 use super::*;
 use observer::{Observer, Rules};
 use registry::Registry;
-use std::{cmp::Reverse, collections::BinaryHeap};
+use std::{cmp::Reverse, collections::BinaryHeap, sync::Arc};
 use trial::{Act, Failing, Outcome, Run};
 use wellplank_core::{
     availability::Availability,
     clock::Time,
-    dissemination::{self, Forwarder, Route},
+    config::Config,
+    dissemination::{self, Forwarder, Route, Tree},
     event::ListEntry,
     informer::Informer,
-    informer_io::{Answer, Call, Confirmed, Content, Input, Output, PeerList, PeerReport, Source},
+    informer_io::{
+        Answer, Call, Confirmed, Content, Input, Output, PeerList, PeerReport, Source, Topic,
+    },
     position::Position,
     roster::RosterUpdate,
     staleness::StalenessBound,
@@ -74,6 +77,8 @@
 struct Node {
     absence: Availability,
     calls: BTreeMap<u64, Call>,
+    /// The configuration in force there.
+    configuration: Option<Arc<Config>>,
     /// Until when it is entered in the store.
     entered_until: Time,
     forwarder: Forwarder,
@@ -157,6 +162,7 @@
     Broken(usize, u32, u64),
     Check,
     Deliver(usize, u32, u64, Option<Answer>),
+    DeliverConfiguration(usize, u32, u64, Option<Arc<Config>>),
     DeliverList(usize, u32, u64, Option<PeerList>),
     Expire(usize, u32, u64),
     Gossip(usize, u32),
@@ -235,6 +241,7 @@
             Node {
                 absence: Availability::new(HEARTBEAT_MS),
                 calls: BTreeMap::new(),
+                configuration: None,
                 entered_until: Time::default(),
                 forwarder: Forwarder::default(),
                 frozen_until: Time::default(),
@@ -301,6 +308,7 @@
         match event {
             Event::Broken(node, life, _)
             | Event::Deliver(node, life, ..)
+            | Event::DeliverConfiguration(node, life, ..)
             | Event::DeliverList(node, life, ..)
             | Event::Expire(node, life, _)
             | Event::Gossip(node, life)
@@ -343,6 +351,9 @@
                 self.later(CHECK_MS, Event::Check);
             }
             Event::Deliver(node, life, id, answer) => self.deliver(node, life, id, answer),
+            Event::DeliverConfiguration(node, _, id, config) => {
+                self.take_configuration(node, id, config);
+            }
             Event::DeliverList(node, _, id, list) => self.take_list(node, id, list),
             Event::Broken(node, _, id) => self.fail(node, id, Ended::Refused),
             Event::Expire(node, _, id) => self.expire(node, id),
@@ -585,6 +596,7 @@
                 self.later(expires, Event::Expire(node, life, call.id));
             }
             Output::Configuration(config) => {
+                self.nodes[node].configuration = Some(config.clone());
                 self.observer.in_force(node, config.revision, self.now);
             }
             Output::Confirm(confirmed) => self.confirm(node, confirmed),
@@ -592,6 +604,7 @@
                 self.nodes[node].calls.remove(&call.id);
             }
             Output::Era(_) | Output::MissingEntry(..) | Output::Outdated(_) => {}
+            Output::PassOnConfiguration => self.pass_configuration_on(node),
             Output::AnnounceRoster(word) => self.announce(node, &word),
             Output::AnnounceConfiguration => self.tell(node, &Told::Known),
             Output::Upstreams(delta) => {
@@ -667,7 +680,22 @@
         receipt.is_new
     }
 
-    /// Asks another instance of the data centre for the list.
+    /// Tells the instances behind one of the configuration in force there.
+    fn pass_configuration_on(&mut self, node: usize) {
+        let near = self.near(node);
+        let own = self.nodes[node].id;
+        let root = near.keys().next().map_or(own, |first| own.min(*first));
+        let others: Vec<u64> = near.keys().copied().collect();
+        for tree in dissemination::trees(near.len()) {
+            if *tree != Tree::Direct {
+                let children = dissemination::children(&others, own, root, *tree);
+                let to: Vec<usize> = children.iter().map(|child| near[child]).collect();
+                self.send(node, &to, &Told::Known);
+            }
+        }
+    }
+
+    /// Asks another instance of the data centre for the list or the configuration.
     fn ask_peer(&mut self, node: usize, life: u32, call: Call) {
         self.nodes[node].calls.insert(call.id, call);
         let near: Vec<usize> = self.near(node).into_values().collect();
@@ -688,11 +716,24 @@
             self.later(call.timeout_ms, list);
             return;
         }
+        if call.topic == Topic::Configuration {
+            let config = asked.configuration.clone();
+            self.later(1, Event::DeliverConfiguration(node, life, call.id, config));
+            return;
+        }
         let informer = asked.informer.as_ref();
         let list = informer.and_then(|informer| informer.peer_list(call.since, self.now));
         self.later(1, Event::DeliverList(node, life, call.id, list));
     }
 
+    /// The configuration of another instance arrives.
+    fn take_configuration(&mut self, node: usize, id: u64, config: Option<Arc<Config>>) {
+        if self.nodes[node].calls.remove(&id).is_some() {
+            let bytes = 0;
+            self.take(node, Input::PeerConfiguration { bytes, config, id });
+        }
+    }
+
     /// The answer to a call of another instance arrives.
     fn take_list(&mut self, node: usize, id: u64, list: Option<PeerList>) {
         if self.nodes[node].calls.remove(&id).is_none() {
@@ -797,6 +838,10 @@
             _ => LOOK_LARGE_MS,
         };
         self.later(pause, Event::Look(node, life));
+        let place = self.nodes[node].own.place(&members);
+        if let Some(informer) = &mut self.nodes[node].informer {
+            informer.set_place(place);
+        }
         let own = &self.nodes[node].own;
         let input = if answered {
             Input::Role(own.role(&members), own.watcher_rank(&members))
@@ -837,6 +882,7 @@
         let starting = &mut self.nodes[node];
         starting.absence = Availability::new(HEARTBEAT_MS);
         starting.calls.clear();
+        starting.configuration = None;
         starting.forwarder = Forwarder::default();
         starting.knows = 0;
         starting.listed.clear();
