Wait for the first read of the instances before the list is read as if alone

Cause: an instance that knew no other for a second read the whole list from the store.

Now the list waits for the first answered read of the instances, for the staleness bound at most (2 to 5 s by deployment); one that answers "none" after a second still means that the instance is alone.

--- a/crates/node/src/members.rs
+++ b/crates/node/src/members.rs
@@ -45,8 +45,9 @@
 /// is taken to be the only one.
 const DISCOVERY_PERIOD: Duration = Duration::from_secs(5);
 
-/// Time from the start for which the list of upstreams is not read before any other instance is known, in milliseconds:
-/// two reads of the instances.
+/// Time from the start, in milliseconds, after which an instance that finds no other reads the list of upstreams as if it
+/// were alone: two reads of the instances. While these reads are not answered it waits for longer: behind the loss of
+/// all, a thousand instances that did not know each other yet filled the store's link with whole lists for 20 s.
 pub const DISCOVERY_WAIT_MS: u64 = 1_000;
 
 /// Time after a restore of the store from a backup for which instances with missing entries are taken to exist: they
@@ -289,7 +290,7 @@
             let keeps_known = Instant::now() < grace_until;
             let local = self.local_count(&members);
             full_read = full_read.next(local, members.len(), started_at.elapsed());
-            self.publish(members, keeps_known);
+            self.publish(members, keeps_known, started_at.elapsed());
             let pause = self.pause(started_at);
             sleep(full_read.time_left().map_or(pause, |left| pause.min(left))).await;
         }
@@ -335,8 +336,8 @@
         members.values().filter(is_local).count()
     }
 
-    /// Publishes the other instances if they have changed.
-    fn publish(&self, mut members: Members, keeps_known: bool) {
+    /// Publishes the other instances if they have changed, or if there are none for so long that this one is alone.
+    fn publish(&self, mut members: Members, keeps_known: bool, age: Duration) {
         if keeps_known {
             let known = self.sender.borrow().clone();
             members = known.into_iter().chain(members).collect();
@@ -344,7 +345,7 @@
         self.sender.send_if_modified(|known| {
             let is_changed = *known != members;
             *known = members;
-            is_changed
+            is_changed || known.is_empty() && age >= Duration::from_millis(DISCOVERY_WAIT_MS)
         });
     }
 
--- a/crates/node/src/store_sync.rs
+++ b/crates/node/src/store_sync.rs
@@ -112,7 +112,7 @@
         let mut peer_requests = std::mem::replace(&mut self.peer_requests, no_requests);
         let now = self.clock.now();
         let informer = Informer::new(self.bound, self.leave_ms, *availability.borrow(), now)
-            .awaiting_role(members::DISCOVERY_WAIT_MS, now);
+            .awaiting_role(self.bound.bound_ms, now);
         let mut task = Task {
             calls: HashMap::new(),
             call_events,
