Take an instance for alone 0.2 s behind its start, not a second

Cause: a lone instance was ready up to a second before it read its upstreams, since it waited for others to register.

Instances that start together register within some tens of milliseconds while the store's link is free; while their reads are not answered they wait on as before.

--- a/crates/node/src/members.rs
+++ b/crates/node/src/members.rs
@@ -46,9 +46,10 @@
 const DISCOVERY_PERIOD: Duration = Duration::from_secs(5);
 
 /// Time from the start, in milliseconds, after which an instance that finds no other reads the list of upstreams as if it
-/// were alone: two reads of the instances. While these reads are not answered it waits for longer: behind the loss of
-/// all, a thousand instances that did not know each other yet filled the store's link with whole lists for 20 s.
-pub const DISCOVERY_WAIT_MS: u64 = 1_000;
+/// were alone: those that started with it have registered by then. While these reads are not answered it waits for
+/// longer: behind the loss of all, a thousand instances that did not know each other yet filled the store's link with
+/// whole lists for 20 s.
+pub const DISCOVERY_WAIT_MS: u64 = 200;
 
 /// Time after a restore of the store from a backup for which instances with missing entries are taken to exist: they
 /// write their entries again within two seconds, and reads may be as old. Otherwise each of hundreds of instances would
@@ -352,6 +353,9 @@
     /// Pause before the next read.
     fn pause(&self, started_at: Instant) -> Duration {
         match self.sender.borrow().len() {
+            0 if started_at.elapsed() < Duration::from_millis(DISCOVERY_WAIT_MS) => {
+                Duration::from_millis(DISCOVERY_WAIT_MS)
+            }
             0 if started_at.elapsed() < DISCOVERY_PERIOD => POLL_INTERVAL_ALONE,
             others if others < SMALL_FLEET_MAX && started_at.elapsed() < START_PERIOD => {
                 POLL_INTERVAL_ALONE
