--- a/crates/core/tests/informer.rs
+++ b/crates/core/tests/informer.rs
@@ -78,6 +78,11 @@
     }
 
     fn call_within(&mut self, limit_ms: u64) -> Option<Call> {
+        self.topic_call_within(Topic::Upstreams, limit_ms)
+    }
+
+    /// The last call of a topic, within some time.
+    fn topic_call_within(&mut self, topic: Topic, limit_ms: u64) -> Option<Call> {
         let end = self.now.after(limit_ms);
         loop {
             let call = self
@@ -85,7 +90,7 @@
                 .drain(..)
                 .rev()
                 .find_map(|output| match output {
-                    Output::Call(call) if call.topic == Topic::Upstreams => Some(call),
+                    Output::Call(call) if call.topic == topic => Some(call),
                     _ => None,
                 });
             if call.is_some() || self.now >= end {
@@ -352,22 +357,7 @@
 impl Test {
     /// The last call of the configuration within some time.
     fn configuration_call_within(&mut self, limit_ms: u64) -> Option<Call> {
-        let end = self.now.after(limit_ms);
-        loop {
-            let call = self
-                .outputs
-                .drain(..)
-                .rev()
-                .find_map(|output| match output {
-                    Output::Call(call) if call.topic == Topic::Configuration => Some(call),
-                    _ => None,
-                });
-            if call.is_some() || self.now >= end {
-                return call;
-            }
-            self.now = self.now.after(10);
-            self.handle(Input::Tick);
-        }
+        self.topic_call_within(Topic::Configuration, limit_ms)
     }
 
     /// A follower of a large data centre that has just learnt its role.
