--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -2,6 +2,9 @@
 
 use super::*;
 
+/// Priority of customers and routes that state none.
+pub const DEFAULT_PRIORITY: u32 = 1;
+
 /// A configuration from the key-value store; validated before it was stored.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Config {
@@ -34,6 +37,8 @@
     pub max_running: u32,
     /// Unique name.
     pub name: String,
+    /// Priority of its requests, which is compared before the route's; 0 is the highest.
+    pub priority: u32,
     /// Names of the permitted services; empty for all.
     pub services: Vec<String>,
     /// Weight in the sharing of contended capacity between customers; at least 1.
@@ -106,10 +111,14 @@
     pub memory_tokens: u32,
     /// Whether upstreams replicate a running stream's KV cache to a second one.
     pub copies: bool,
+    /// Objective for the longest interval between two events, in milliseconds; 0 if there is none.
+    pub event_interval_objective_ms: u64,
     /// Objective for the time to the first byte, in milliseconds.
     pub objective_ms: u64,
     /// Name of the pool in the list of upstreams.
     pub pool: String,
+    /// Priority of the route; 0 is the highest.
+    pub priority: u32,
     /// Whether another upstream can continue a response after any of its events.
     pub resumable: bool,
     /// Whether the response is an event stream.
@@ -160,6 +169,7 @@
         Self {
             max_running: u32::MAX,
             name: String::new(),
+            priority: DEFAULT_PRIORITY,
             services: Vec::new(),
             weight: 1,
         }
--- a/crates/core/tests/core.rs
+++ b/crates/core/tests/core.rs
@@ -230,6 +230,7 @@
         let customer = Customer {
             max_running,
             name: name.into(),
+            priority: wellplank_core::config::DEFAULT_PRIORITY,
             services: Vec::new(),
             weight: 1,
         };
--- a/crates/core/tests/queue.rs
+++ b/crates/core/tests/queue.rs
@@ -18,6 +18,7 @@
     Customer {
         max_running: 10,
         name: name.into(),
+        priority: wellplank_core::config::DEFAULT_PRIORITY,
         services: Vec::new(),
         weight,
     }
--- a/crates/core/tests/relay/builder.rs
+++ b/crates/core/tests/relay/builder.rs
@@ -349,6 +349,8 @@
         copies: false,
         memory_tokens: 0,
         objective_ms: 100,
+        event_interval_objective_ms: 0,
+        priority: config::DEFAULT_PRIORITY,
         pool: "pool".into(),
         resumable: false,
         streams: false,
@@ -358,6 +360,8 @@
         copies: true,
         memory_tokens: 55_000,
         objective_ms: 4_500,
+        event_interval_objective_ms: 0,
+        priority: config::DEFAULT_PRIORITY,
         resumable: true,
         streams: true,
         ..call.clone()
--- a/crates/core/tests/relay/incarnation.rs
+++ b/crates/core/tests/relay/incarnation.rs
@@ -58,6 +58,8 @@
         copies: false,
         memory_tokens: 0,
         objective_ms: 100,
+        event_interval_objective_ms: 0,
+        priority: config::DEFAULT_PRIORITY,
         pool: "another".into(),
         resumable: false,
         streams: false,
--- a/crates/node/src/declaration.rs
+++ b/crates/node/src/declaration.rs
@@ -177,6 +177,7 @@
             let compiled = config::Customer {
                 max_running: customer.max_running,
                 name: customer.name.clone(),
+                priority: config::DEFAULT_PRIORITY,
                 services: customer.services.clone(),
                 weight: customer.weight,
             };
--- a/crates/standin/src/asker.rs
+++ b/crates/standin/src/asker.rs
@@ -167,6 +167,7 @@
     let customer = config::Customer {
         max_running: 10_000,
         name: "customer".into(),
+        priority: config::DEFAULT_PRIORITY,
         services: Vec::new(),
         weight: 1,
     };
--- a/crates/standin/src/bench.rs
+++ b/crates/standin/src/bench.rs
@@ -579,6 +579,7 @@
         let customer = config::Customer {
             max_running,
             name: format!("customer-{index}"),
+            priority: config::DEFAULT_PRIORITY,
             services: Vec::new(),
             weight: 1,
         };
--- a/crates/standin/src/placing.rs
+++ b/crates/standin/src/placing.rs
@@ -40,6 +40,8 @@
             copies: true,
             memory_tokens: MEMORY,
             objective_ms: 4_500,
+            event_interval_objective_ms: 0,
+            priority: config::DEFAULT_PRIORITY,
             pool: "engines".into(),
             resumable: true,
             streams: true,
--- a/crates/standin/src/relaying.rs
+++ b/crates/standin/src/relaying.rs
@@ -208,6 +208,8 @@
             copies: streams,
             memory_tokens: if streams { 55_000 } else { 0 },
             objective_ms: 1_000,
+            event_interval_objective_ms: 0,
+            priority: config::DEFAULT_PRIORITY,
             pool: pool.into(),
             resumable: streams,
             streams,
--- a/crates/standin/src/rush.rs
+++ b/crates/standin/src/rush.rs
@@ -445,6 +445,8 @@
             copies: false,
             memory_tokens: 0,
             objective_ms: OBJECTIVE_MS,
+            event_interval_objective_ms: 0,
+            priority: config::DEFAULT_PRIORITY,
             pool: "desk".into(),
             resumable: false,
             streams: false,
