Judge silent engines by evidence and the cost of both errors

A stream leaves a silent engine when no later time to leave has a lower expected cost, given the engine's own speed, prefills beside the stream, losses in its data centre, and whether a copy of its KV cache is at hand. A stalled stream no longer takes streams in prefill along unless the engine itself is judged dead. core.liveness = timeout keeps the previous rule.

--- a/crates/core/src/core.rs
+++ b/crates/core/src/core.rs
@@ -22,6 +22,8 @@
 pub(crate) struct Pool {
     /// Demand of all instances.
     pub demand: DemandTracker,
+    /// Intervals between the events of its streams.
+    pub intervals: liveness::Intervals,
     /// Speed of its upstreams, and how long they have had no free capacity.
     pub estimates: PoolEstimates,
     /// Moving average of the time from sending a request to its end, in milliseconds.
@@ -47,6 +49,7 @@
         Self {
             demand: DemandTracker::default(),
             estimates: PoolEstimates::default(),
+            intervals: liveness::Intervals::default(),
             mean_duration_ms: INITIAL_DURATION_MS,
             queue: Queue::default(),
             retry_budget: Budget::new(BUDGET_PERMITS, BUDGET_REFILL_PER_SECOND, Time::default()),
@@ -99,6 +102,8 @@
     pub(crate) list_read_at: Option<Time>,
     /// Time until which the list counts as stale, after a pause of this process.
     pub(crate) list_stale_until: Time,
+    /// Recent losses of upstreams.
+    pub(crate) losses: liveness::RecentLosses,
     /// Timeouts of the callers of each service.
     pub(crate) longest_timeouts: HashMap<String, timeout::LongestTimeout>,
     /// Until when the records of streams are looked up at other instances, by the hash of their prompts.
@@ -249,6 +254,7 @@
             list_stale_until: Time::default(),
             longest_timeouts: HashMap::new(),
             lookups: HashMap::new(),
+            losses: liveness::RecentLosses::default(),
             members: Members::default(),
             now,
             pools: BTreeMap::new(),
--- a/crates/core/src/counter.rs
+++ b/crates/core/src/counter.rs
@@ -26,6 +26,8 @@
     Hedged,
     /// Violated invariants.
     Invariant(Invariant),
+    /// Streams that left an upstream that sent nothing, by evidence.
+    LeftSilent(liveness::Evidence),
     /// Lists of upstreams, or changes of them, taken from another instance.
     ListFromPeer,
     /// Lists of upstreams, or changes of them, given to another instance.
@@ -130,6 +132,7 @@
             Self::FrameRepeated => write!(formatter, "frame.repeated"),
             Self::Hedged => write!(formatter, "hedged"),
             Self::Invariant(invariant) => write!(formatter, "invariant.{invariant}"),
+            Self::LeftSilent(evidence) => write!(formatter, "left_silent.{evidence}"),
             Self::ListFromPeer => write!(formatter, "list.from_peer"),
             Self::ListGiven => write!(formatter, "list.given"),
             Self::NoticeInvalid => write!(formatter, "notice.odd"),
--- a/crates/core/src/effect.rs
+++ b/crates/core/src/effect.rs
@@ -83,6 +83,8 @@
     Failed(Kind),
     /// The caller disconnected.
     Left,
+    /// The request left an upstream that sent nothing.
+    LeftSilent(liveness::Departure),
     /// An attempt ended without a complete response.
     Lost(counter::Reason),
     /// The request was sent to an upstream.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod invariant;
 pub mod kind;
 pub mod limit;
+pub mod liveness;
 pub mod members;
 pub mod notice;
 pub mod position;
@@ -47,6 +48,7 @@
 mod admission;
 mod capacity;
 mod dispatch;
+mod engine_watch;
 mod failure;
 mod list;
 mod place;
@@ -83,6 +85,7 @@
     invariant::Invariant,
     kind::Kind,
     limit::Limit,
+    liveness::LossSource,
     members::{Members, View},
     notice::Notice,
     position::Position,
@@ -93,7 +96,7 @@
     request::{Request, State, Work},
     role::{Role, WatcherRank},
     roster::{Change, Roster, RosterUpdate, UpdateOutcome},
-    settings::{QuarantineRule, ResumeMode, Routing, Settings},
+    settings::{LivenessMethod, QuarantineRule, ResumeMode, Routing, Settings},
     slotmap::{SecondaryMap, SlotMap, new_key_type},
     staleness::StalenessBound,
     std::{
--- a/crates/core/src/list.rs
+++ b/crates/core/src/list.rs
@@ -201,6 +201,7 @@
             mean_call_ms: 0.0,
             name: name.clone(),
             next_probe: self.now,
+            observed: liveness::Observations::default(),
             pool: pool.clone(),
             probe_sent: None,
             recent_changes: VecDeque::new(),
--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -109,6 +109,7 @@
             return;
         };
         let (owner, first) = (attempt.request, !attempt.started);
+        self.record_engine_interval(key);
         self.record_activity(key);
         if first {
             self.record_prefill(key);
@@ -190,6 +191,9 @@
         let upstream = upstream
             .and_then(|incarnation| self.upstreams_by_incarnation.get(&incarnation).copied());
         let mut prefill_ms = stream_record::DEFAULT_PREFILL_MS;
+        if let Some(upstream) = upstream {
+            self.record_peer_progress(&record, upstream);
+        }
         if let Some(upstream) = upstream.filter(|_| starts) {
             let ahead = self.stream_records.usage(upstream).prefill_tokens;
             let name = self.upstreams[upstream].pool.clone();
@@ -279,7 +283,7 @@
             Failure::Broken | Failure::UnknownStream => {
                 request.may_have_run = true;
                 self.remember_copy(attempt);
-                self.report_loss(upstream);
+                self.report_loss(upstream, LossSource::Connection);
                 counter::Reason::Broken
             }
             Failure::Leaving => {
@@ -287,7 +291,7 @@
                 counter::Reason::Leaving
             }
             Failure::NotSent => {
-                self.report_loss(upstream);
+                self.report_loss(upstream, LossSource::Connection);
                 counter::Reason::NotSent
             }
             Failure::Refused | Failure::Rejected => {
@@ -300,7 +304,7 @@
                 counter::Reason::Refused
             }
             Failure::Replaced => {
-                self.report_loss(upstream);
+                self.report_loss(upstream, LossSource::Connection);
                 counter::Reason::Replaced
             }
         };
@@ -403,6 +407,11 @@
                 continue;
             };
             let suspected = self.upstreams[key].health == Health::Suspected && silent;
+            let uses_evidence = self.settings.liveness == LivenessMethod::Evidence;
+            if relay.streams && uses_evidence {
+                self.check_stream_evidence(attempt_key);
+                continue;
+            }
             let lost = if relay.streams {
                 relay.resumable && silence > self.stall_timeout_ms(attempt, relay, suspected)
             } else {
@@ -416,7 +425,7 @@
             let slow = relay.streams && !attempt.started && attempt.copy.is_none() && !suspected;
             if lost && !(slow && self.lacks_capacity(request)) {
                 if silent {
-                    self.report_loss(key);
+                    self.report_loss(key, LossSource::Silence);
                 } else {
                     self.upstreams[key].failure_score.record(self.now);
                 }
@@ -443,7 +452,8 @@
     }
 
     /// Marks an upstream that was lost as suspected, and announces the loss to other instances.
-    fn report_loss(&mut self, key: upstream::Key) {
+    pub(crate) fn report_loss(&mut self, key: upstream::Key, source: LossSource) {
+        self.losses.record(key, source, self.now);
         let upstream = &mut self.upstreams[key];
         upstream.failure_score.record(self.now);
         self.effects.push(Effect::GossipLost(upstream.incarnation));
@@ -454,6 +464,7 @@
     /// instance's own network link, so the report counts as a single failure.
     pub(crate) fn record_peer_loss(&mut self, incarnation: Incarnation) {
         if let Some(key) = self.upstreams_by_incarnation.get(&incarnation) {
+            self.losses.record(*key, LossSource::Peer, self.now);
             self.upstreams[*key].failure_score.record(self.now);
         }
     }
--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -93,6 +93,21 @@
     }
 }
 
+/// How a silent engine with relayed streams is judged.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum LivenessMethod {
+    /// By all that is known of the engine and its data centre, and by the cost of both errors.
+    Evidence,
+    /// By a fixed timeout, or a multiple of the mean interval between the events of the pool.
+    Timeout,
+}
+
+impl LivenessMethod {
+    /// Every value, with its name in settings.
+    pub const ALL: [(&'static str, Self); 2] =
+        [("evidence", Self::Evidence), ("timeout", Self::Timeout)];
+}
+
 /// How a relayed stream resumes after its upstream was lost; all but the first only serve to
 /// measure its benefit.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -302,6 +317,8 @@
     pub limits: LimitHolders,
     /// Time for which an engine keeps a stream without a reader.
     pub linger_ms: u64,
+    /// How a silent engine with relayed streams is judged.
+    pub liveness: LivenessMethod,
     /// Interval of load reports of an upstream that is considered live.
     pub load_ms: u64,
     /// Gap between ticks from which the instance detects that it was paused.
@@ -373,6 +390,7 @@
             leaving_hint_ms: 30_000,
             limits: LimitHolders::Few,
             linger_ms: 5_000,
+            liveness: LivenessMethod::Evidence,
             load_ms: 1_000,
             pause_ms: 500,
             probe_ms: 1_000,
--- a/crates/core/src/stream_record.rs
+++ b/crates/core/src/stream_record.rs
@@ -204,6 +204,16 @@
         self.entries.get(&prompt).map(|entry| &entry.record)
     }
 
+    /// Time since another instance reported the start of a stream whose prefill is in progress, as a
+    /// multiple of its estimated duration.
+    pub fn prefill_pace(&self, record: &StreamRecord, now: Time) -> Option<f64> {
+        let entry = self.entries.get(&record.prompt)?;
+        let is_same = entry.record.run == record.run && entry.record.upstream == record.upstream;
+        let is_prefilling = is_same && entry.record.stage == Stage::Started && !entry.is_own;
+        let duration = entry.prefill_ms.max(1) as f64;
+        is_prefilling.then(|| now.since(entry.at) as f64 / duration)
+    }
+
     /// Estimated usage of an upstream by streams of other instances.
     pub fn usage(&self, key: upstream::Key) -> Usage {
         self.usages.get(key).copied().unwrap_or_default()
--- a/crates/core/src/upstream.rs
+++ b/crates/core/src/upstream.rs
@@ -119,6 +119,8 @@
     pub name: Arc<str>,
     /// Time of the next probe.
     pub next_probe: Time,
+    /// What its streams show of its speed and liveness.
+    pub observed: liveness::Observations,
     /// Pool in the platform's list.
     pub pool: Arc<str>,
     /// When the pending probe was sent; `None` if none is pending.
--- a/crates/core/tests/relay/main.rs
+++ b/crates/core/tests/relay/main.rs
@@ -31,6 +31,7 @@
 mod fleet;
 mod incarnation;
 mod limit;
+mod liveness;
 mod notice;
 mod poison;
 mod version;
--- a/crates/node/src/core_settings.rs
+++ b/crates/node/src/core_settings.rs
@@ -4,8 +4,8 @@
 use reader::Reader;
 use settings::MILLIS_MAX;
 use wellplank_core::settings::{
-    CallLimits, CapacityLimits, LimitHolders, PlacementWeights, QuarantineRule, ResumeMode,
-    Routing, Settings, SharedSettings,
+    CallLimits, CapacityLimits, LimitHolders, LivenessMethod, PlacementWeights, QuarantineRule,
+    ResumeMode, Routing, Settings, SharedSettings,
 };
 
 /// The section with all settings at their defaults.
@@ -29,6 +29,7 @@
         "leaving_hint_ms": core.leaving_hint_ms,
         "limits": "few",
         "linger_ms": core.linger_ms,
+        "liveness": "evidence",
         "load_ms": core.load_ms,
         "pause_ms": core.pause_ms,
         "probe_ms": core.probe_ms,
@@ -122,6 +123,7 @@
         leaving_hint_ms,
         limits: reader.choice("limits", &LimitHolders::ALL, default.limits),
         linger_ms,
+        liveness: reader.choice("liveness", &LivenessMethod::ALL, default.liveness),
         load_ms,
         pause_ms,
         probe_ms,
--- a/crates/node/src/request_log.rs
+++ b/crates/node/src/request_log.rs
@@ -85,6 +85,12 @@
             warn!(request, fingerprint, customer, service, model, upstream, position, kind; "failed");
         }
         Step::Left => info!(request, customer, service, position; "caller left"),
+        Step::LeftSilent(departure) => {
+            let evidence = departure.evidence.to_string();
+            let (silent_ms, expected_ms) = (departure.silent_ms, departure.expected_ms);
+            let (dead_percent, has_copy) = (departure.dead_percent, departure.has_copy);
+            warn!(request, fingerprint, customer, service, upstream, position, evidence, silent_ms, expected_ms, dead_percent, has_copy; "left a silent upstream");
+        }
         Step::Lost(reason) => {
             let reason = reason.to_string();
             warn!(request, fingerprint, customer, service, upstream, position, reason; "attempt lost");
