Weigh the current speed of an engine in placement

The pace of an engine, by its own first events and event intervals and by first events that other instances report, holds for about 600 ms. Weight core.place.slow, 0 for none.

--- a/crates/core/src/engine_watch.rs
+++ b/crates/core/src/engine_watch.rs
@@ -31,7 +31,11 @@
         if record.stage != stream_record::Stage::Streaming {
             return;
         }
+        let pool = self.pools.get(&self.upstreams[key].pool);
+        let is_speed_known =
+            pool.is_some_and(|pool| pool.estimates.known_prefill_ms(record.tokens).is_some());
         let pace = self.stream_records.prefill_pace(record, self.now);
+        let pace = pace.filter(|_| is_speed_known);
         let observed = &mut self.upstreams[key].observed;
         observed.peer_heard_at = self.now;
         if let Some(pace) = pace {
--- a/crates/core/src/liveness.rs
+++ b/crates/core/src/liveness.rs
@@ -22,6 +22,10 @@
 /// Range of a sample of an engine's pace.
 const PACE_RANGE: RangeInclusive<f64> = 0.3..=5.0;
 
+/// Pace up to which an engine counts as even with its pool. Estimates from single intervals vary by
+/// a fifth where all engines are alike.
+const EVEN_PACE: f64 = 1.25;
+
 /// Pace from which on an interval counts as that of a slow engine.
 const SLOW_PACE: f64 = 1.6;
 
@@ -223,6 +227,11 @@
         1.0 + (self.value - 1.0) * (-(now.since(self.at) as f64) / PACE_RETENTION_MS).exp()
     }
 
+    /// Part of the pace that exceeds the mean by more than the jitter of an even pool.
+    pub fn excess(self, now: Time) -> f64 {
+        (self.get(now) - EVEN_PACE).max(0.0)
+    }
+
     /// Adds a sample: the duration of some work as a multiple of the pool's mean.
     pub fn record(&mut self, sample: f64, now: Time) {
         let sample = sample.clamp(*PACE_RANGE.start(), *PACE_RANGE.end());
--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -170,6 +170,14 @@
         let Some(pool) = self.pools.get_mut(&name).filter(|_| is_full_prefill) else {
             return;
         };
+        let expected_ms = pool.estimates.prefill_ms(attempt.ahead_tokens);
+        if expected_ms > 0 {
+            let pace = duration as f64 / expected_ms as f64;
+            self.upstreams[attempt.upstream]
+                .observed
+                .pace
+                .record(pace, self.now);
+        }
         let speed = pool
             .estimates
             .record_prefill(name, attempt.ahead_tokens, duration, self.now);
--- a/crates/core/tests/relay/liveness.rs
+++ b/crates/core/tests/relay/liveness.rs
@@ -4,7 +4,10 @@
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use std::collections::BTreeMap;
-use wellplank_core::{liveness::Evidence, settings::LivenessMethod};
+use wellplank_core::{
+    liveness::Evidence,
+    settings::{LivenessMethod, PlacementWeights},
+};
 
 /// Usual interval between events in milliseconds.
 const INTERVAL_MS: f64 = 36.0;
@@ -413,6 +416,48 @@
     expect_that!(departure.expected_ms as f64, near(INTERVAL_MS, 10.0));
 }
 
+/// Guards against new streams for an engine that is slow at the moment, and against avoiding it
+/// when that is no longer known.
+#[gtest]
+fn engine_that_is_slow_now_is_avoided_for_a_while() {
+    let on_slow = |slow: f64, pause_ms: u64| {
+        let settings = Settings {
+            place: PlacementWeights {
+                slow,
+                ..PlacementWeights::default()
+            },
+            room: CapacityLimits::unbounded(),
+            ..Settings::default()
+        };
+        let mut engines = Engines::new(LivenessMethod::Evidence, 2, OBJECTIVE_MS);
+        engines.test.core.configure(Settings {
+            probes: false,
+            ..settings
+        });
+        let first = engines.start();
+        let second = engines.start();
+        expect_that!(first.upstream, not(eq(second.upstream)));
+        engines.set(first.upstream, Behaviour { pace: SLOW, ..EVEN });
+        engines.run(600);
+        engines.set(first.upstream, EVEN);
+        engines.run(pause_ms);
+        let place = |_| {
+            let caller = engines.test.request(STREAM);
+            let upstream = engines.test.last_sent().upstream;
+            engines.test.handle(Event::CallerGone(caller));
+            upstream
+        };
+        let chosen: Vec<usize> = (0..20).map(place).collect();
+        chosen
+            .iter()
+            .filter(|upstream| **upstream == first.upstream)
+            .count()
+    };
+    expect_that!(on_slow(PlacementWeights::default().slow, 0), eq(0));
+    expect_that!(on_slow(0.0, 0), ge(4));
+    expect_that!(on_slow(PlacementWeights::default().slow, 2_000), ge(4));
+}
+
 impl Engines {
     fn announce_losses(&mut self, engines: &[usize]) {
         for engine in engines {
