--- a/crates/core/src/core.rs
+++ b/crates/core/src/core.rs
@@ -110,6 +110,8 @@
     pub(crate) lookups: HashMap<u64, Time>,
     pub(crate) members: Members,
     pub(crate) now: Time,
+    /// When another instance last reported a stream or a loss.
+    pub(crate) peer_heard_at: Time,
     pub(crate) pools: BTreeMap<Arc<str>, Pool>,
     pub(crate) requests: SlotMap<request::Key, Request>,
     /// When this process last resumed after a pause.
@@ -257,6 +259,7 @@
             losses: liveness::RecentLosses::default(),
             members: Members::default(),
             now,
+            peer_heard_at: Time::default(),
             pools: BTreeMap::new(),
             requests: SlotMap::with_key(),
             resumed_at: Time::default(),
--- a/crates/core/src/engine_watch.rs
+++ b/crates/core/src/engine_watch.rs
@@ -8,6 +8,10 @@
 /// Multiple of its expected interval within which an engine counts as heard from.
 const HEARD_INTERVALS: f64 = 1.5;
 
+/// Factor on the timeout of the first event for a prefill that is slower than expected on an engine
+/// that is probably alive. Twice the timeout exceeds the longest prefill on a slow engine.
+const SLOW_PREFILL_FACTOR: u64 = 2;
+
 impl Core {
     /// Records the interval that ends with an event of a stream, before the event itself.
     pub(crate) fn record_engine_interval(&mut self, key: attempt::Key) {
@@ -32,8 +36,7 @@
             return;
         }
         let pool = self.pools.get(&self.upstreams[key].pool);
-        let is_speed_known =
-            pool.is_some_and(|pool| pool.estimates.known_prefill_ms(record.tokens).is_some());
+        let is_speed_known = pool.is_some_and(|pool| pool.estimates.known_prefill_ms(1).is_some());
         let pace = self.stream_records.prefill_pace(record, self.now);
         let pace = pace.filter(|_| is_speed_known);
         let observed = &mut self.upstreams[key].observed;
@@ -89,7 +92,7 @@
         } else {
             self.judge_first_event(key, silent_ms, hints)
         };
-        let is_overdue = !started && self.is_first_event_overdue(key, silent_ms);
+        let is_overdue = !started && self.is_first_event_overdue(key, silent_ms, judgement.dead);
         if !judgement.leaves && !is_overdue {
             return None;
         }
@@ -157,12 +160,26 @@
     }
 
     /// Whether a stream without a first event should be sent to another engine although its own may
-    /// be alive. Without capacity elsewhere, a slow prefill would not finish sooner there.
-    fn is_first_event_overdue(&self, key: attempt::Key, silent_ms: u64) -> bool {
+    /// be alive. Without capacity elsewhere, a slow prefill would not finish sooner there. The prefill
+    /// of an engine that is probably alive is nearly done by then.
+    fn is_first_event_overdue(&self, key: attempt::Key, silent_ms: u64, dead: f64) -> bool {
         let attempt = &self.attempts[key];
         let request = &self.requests[attempt.request];
-        silent_ms > self.first_event_timeout_ms(key)
-            && (attempt.copy.is_some() || !self.lacks_capacity(request))
+        let timeout_ms = self.first_event_timeout_ms(key);
+        let is_prefilling = attempt.copy.is_none() && self.is_prefill_speed_known(key);
+        let timeout_ms = if is_prefilling && dead < liveness::PROBABLY_DEAD {
+            timeout_ms * SLOW_PREFILL_FACTOR
+        } else {
+            timeout_ms
+        };
+        silent_ms > timeout_ms && (attempt.copy.is_some() || !self.lacks_capacity(request))
+    }
+
+    /// Whether the prefill speed of an attempt's engines is known.
+    fn is_prefill_speed_known(&self, key: attempt::Key) -> bool {
+        let upstream = &self.upstreams[self.attempts[key].upstream];
+        let pool = self.pools.get(&upstream.pool);
+        pool.is_some_and(|pool| pool.estimates.known_prefill_ms(1).is_some())
     }
 
     /// Probability that an engine that is alive is as silent as one that a stream left as dead; 1 if
@@ -235,38 +252,77 @@
     /// What the other engines in the data centre of a silent one do.
     fn neighbourhood(&mut self, key: upstream::Key, silent_ms: u64) -> Neighbourhood {
         let mut neighbourhood = Neighbourhood::default();
-        let (data_centre, pool) = {
-            let upstream = &self.upstreams[key];
-            (upstream.data_centre.clone(), upstream.pool.clone())
-        };
-        let is_neighbour = |other: &upstream::Key| {
-            let upstream = self.upstreams.get(*other);
-            *other != key
-                && upstream.is_some_and(|upstream| {
-                    upstream.data_centre == data_centre && upstream.pool == pool
-                })
-        };
-        let lost = self.losses.recent(self.now).map(|loss| loss.upstream);
-        let lost: BTreeSet<upstream::Key> = lost.filter(is_neighbour).collect();
-        let streaming = self.attempts.values().filter(|attempt| attempt.started);
-        let streaming = streaming.map(|attempt| attempt.upstream);
-        let streaming: BTreeSet<upstream::Key> = streaming.filter(is_neighbour).collect();
+        let is_link_up = self.is_link_up(key, silent_ms);
+        let counts = |loss: &&liveness::Loss| is_link_up || loss.source != LossSource::Silence;
+        let lost = self.losses.recent(self.now).filter(counts);
+        let lost = lost.map(|loss| loss.upstream);
+        let lost: BTreeSet<upstream::Key> = lost
+            .filter(|other| self.is_neighbour(key, *other))
+            .collect();
         for _ in &lost {
             neighbourhood.add_lost();
         }
+        let streaming = self.streaming_upstreams();
         for other in streaming.difference(&lost) {
-            let other_silent_ms = self.now.since(self.upstreams[*other].last_heard);
-            let expectation = self.expectation(*other);
-            let heard_ms = (expectation.expected_ms * HEARD_INTERVALS).min(silent_ms as f64 / 2.0);
-            if (other_silent_ms as f64) < heard_ms {
+            if !self.is_neighbour(key, *other) {
+                continue;
+            }
+            if self.was_heard(*other, silent_ms) {
                 neighbourhood.add_heard();
-            } else {
+            } else if is_link_up {
+                let other_silent_ms = self.now.since(self.upstreams[*other].last_heard);
+                let expectation = self.expectation(*other);
                 neighbourhood.add_silent(expectation.survival(other_silent_ms));
             }
         }
         neighbourhood
     }
 
+    /// Whether this instance's own link worked during the silence of an engine: something arrived
+    /// from another instance, or from another data centre. Otherwise the silence of several engines
+    /// is no evidence on their data centre.
+    fn is_link_up(&mut self, key: upstream::Key, silent_ms: u64) -> bool {
+        if self.now.since(self.peer_heard_at) < silent_ms / 2 {
+            return true;
+        }
+        let others = self.streaming_upstreams().into_iter();
+        let others: Vec<upstream::Key> = others
+            .filter(|other| *other != key && !self.is_neighbour(key, *other))
+            .collect();
+        others
+            .into_iter()
+            .any(|other| self.was_heard(other, silent_ms))
+    }
+
+    /// Whether an engine sent an event during the later half of the silence of another one, and not
+    /// longer ago than usual.
+    fn was_heard(&mut self, key: upstream::Key, silent_ms: u64) -> bool {
+        let own_silent_ms = self.now.since(self.upstreams[key].last_heard) as f64;
+        let usual_ms = self.expectation(key).expected_ms * HEARD_INTERVALS;
+        own_silent_ms < usual_ms.min(silent_ms as f64 / 2.0)
+    }
+
+    /// Whether two different upstreams are in the same pool and data centre.
+    fn is_neighbour(&self, key: upstream::Key, other: upstream::Key) -> bool {
+        let (Some(upstream), Some(neighbour)) =
+            (self.upstreams.get(key), self.upstreams.get(other))
+        else {
+            return false;
+        };
+        key != other
+            && upstream.data_centre == neighbour.data_centre
+            && upstream.pool == neighbour.pool
+    }
+
+    /// Upstreams that have sent an event of a running stream of this instance.
+    fn streaming_upstreams(&self) -> BTreeSet<upstream::Key> {
+        let streaming = self.attempts.values().filter(|attempt| attempt.started);
+        let streaming = streaming.map(|attempt| attempt.upstream);
+        streaming
+            .filter(|key| self.upstreams.contains_key(*key))
+            .collect()
+    }
+
     /// What it means for a stream to be moved.
     fn stakes(&self, key: attempt::Key) -> Stakes {
         let attempt = &self.attempts[key];
--- a/crates/core/src/liveness.rs
+++ b/crates/core/src/liveness.rs
@@ -98,6 +98,9 @@
 /// Probability from which on an engine counts as dead.
 pub const DEAD: f64 = 0.9;
 
+/// Probability from which on an engine is more likely dead than alive.
+pub const PROBABLY_DEAD: f64 = 0.5;
+
 /// Probability from which on a data centre counts as dark: it is reached with two other engines
 /// lost.
 const DARK: f64 = 0.8;
--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -194,6 +194,7 @@
 
     /// Records the state of a stream as reported by another instance.
     pub(crate) fn record_peer_stream(&mut self, record: StreamRecord) {
+        self.peer_heard_at = self.now;
         let starts = record.stage == stream_record::Stage::Started;
         let upstream = record.upstream;
         let upstream = upstream
@@ -471,6 +472,7 @@
     /// Records the loss of an upstream as reported by another instance. The cause may be that
     /// instance's own network link, so the report counts as a single failure.
     pub(crate) fn record_peer_loss(&mut self, incarnation: Incarnation) {
+        self.peer_heard_at = self.now;
         if let Some(key) = self.upstreams_by_incarnation.get(&incarnation) {
             self.losses.record(*key, LossSource::Peer, self.now);
             self.upstreams[*key].failure_score.record(self.now);
--- a/crates/core/tests/relay/liveness.rs
+++ b/crates/core/tests/relay/liveness.rs
@@ -189,7 +189,7 @@
 }
 
 /// The usual configuration with a maximum pause between the events of streams.
-fn with_gap_objective(objective_ms: u64) -> Config {
+pub fn with_gap_objective(objective_ms: u64) -> Config {
     let mut config = configuration(2);
     for share in config.routes.iter_mut().flat_map(|route| &mut route.shares) {
         if let Target::Relay(relay) = &mut Arc::make_mut(&mut share.service).target {
@@ -307,6 +307,32 @@
     expect_that!(departures(LivenessMethod::Evidence), eq(0));
 }
 
+/// Guards against a prefill that is repeated elsewhere when it takes longer than the objective
+/// allows on an engine that is probably alive; that of a silent engine is.
+#[gtest]
+fn slow_prefill_is_not_repeated_elsewhere() {
+    let departures = |method, pace: f64| {
+        let mut engines = Engines::new(method, 6, OBJECTIVE_MS);
+        // The mean of a slow and a usual prefill is known.
+        engines.start();
+        for engine in 0..6 {
+            engines.set(engine, Behaviour { pace: 3.0, ..EVEN });
+        }
+        engines.start();
+        for engine in 0..6 {
+            engines.set(engine, Behaviour { pace, ..EVEN });
+        }
+        let (before, resumed) = (engines.departures(), Counter::Resumed(Reason::Stall));
+        let resumed_before = engines.test.counted(resumed);
+        engines.test.request(STREAM);
+        engines.run(6_000);
+        engines.departures() - before - (engines.test.counted(resumed) - resumed_before)
+    };
+    expect_that!(departures(LivenessMethod::Timeout, 5.2), ge(1));
+    expect_that!(departures(LivenessMethod::Evidence, 5.2), eq(0));
+    expect_that!(departures(LivenessMethod::Evidence, 1_000.0), ge(1));
+}
+
 /// Guards against streams that wait for a data centre that has gone dark, as long as for a single
 /// silent engine; those in prefill would wait for the timeout of their first event.
 #[gtest]
@@ -343,6 +369,33 @@
     );
 }
 
+/// Guards against an interruption of this instance's own link that is taken for dark data centres:
+/// all streams would leave after a pause that they outlast.
+#[gtest]
+fn streams_outlast_an_interruption_of_the_own_link() {
+    let departures_when_silent = |silent: std::ops::Range<usize>| {
+        let mut engines = Engines::new(LivenessMethod::Evidence, 6, OBJECTIVE_MS);
+        for _ in 0..6 {
+            engines.test.request(STREAM);
+        }
+        engines.run(PREFILL_MS * 3);
+        for engine in silent {
+            engines.set(
+                engine,
+                Behaviour {
+                    sends: false,
+                    ..EVEN
+                },
+            );
+        }
+        engines.run(350);
+        engines.departures()
+    };
+    expect_that!(departures_when_silent(0..6), eq(0));
+    // The engines of one data centre, while those of the other one send events.
+    expect_that!(departures_when_silent(0..3), eq(3));
+}
+
 /// Guards against a decision that needs announcements of others, which may be lost.
 #[gtest]
 fn stream_leaves_a_dark_engine_without_announcements() {
--- a/crates/core/tests/relay/main.rs
+++ b/crates/core/tests/relay/main.rs
@@ -28,10 +28,12 @@
 mod builder;
 mod capacity;
 mod directory;
+mod engine_model;
 mod fleet;
 mod incarnation;
 mod limit;
 mod liveness;
+mod liveness_load;
 mod notice;
 mod poison;
 mod version;
