Count only silences of engines that had sent events as evidence on a data centre, and only since the stream was heard

Cause: a stream in prefill left its engine 400 ms behind its sending while the losses of others in the data centre counted as darkness; each such departure was announced as a loss and counted in turn. Ruled out: a higher threshold, since the evidence itself was false.

--- a/crates/core/src/engine_watch.rs
+++ b/crates/core/src/engine_watch.rs
@@ -63,7 +63,12 @@
             if self.attempts[key].started {
                 self.upstreams[upstream].observed.judged_dead_at = Some(self.now);
             }
-            self.report_loss(upstream, LossSource::Silence);
+            let source = if self.attempts[key].started {
+                LossSource::Silence
+            } else {
+                LossSource::FirstEvent
+            };
+            self.report_loss(upstream, source);
         } else {
             self.upstreams[upstream].failure_score.record(self.now);
         }
@@ -231,11 +236,10 @@
 
     /// Evidence on an engine besides the silence of a stream.
     fn hints(&mut self, key: upstream::Key, started: bool, silent_ms: u64) -> Hints {
-        let is_lost =
-            |loss: &liveness::Loss| loss.upstream == key && loss.source != LossSource::Silence;
-        let lost = self.losses.recent(self.now).any(is_lost);
+        let is_lost = |loss: &liveness::Loss| loss.upstream == key && loss.source.is_of_engine();
+        let lost = self.losses.recent(silent_ms, self.now).any(is_lost);
         // The many streams in prefill need no look at all others as long as nothing was lost.
-        let is_quiet = !started && self.losses.recent(self.now).next().is_none();
+        let is_quiet = !started && self.losses.recent(silent_ms, self.now).next().is_none();
         let neighbourhood = if is_quiet {
             Neighbourhood::default()
         } else {
@@ -253,8 +257,8 @@
     fn neighbourhood(&mut self, key: upstream::Key, silent_ms: u64) -> Neighbourhood {
         let mut neighbourhood = Neighbourhood::default();
         let is_link_up = self.is_link_up(key, silent_ms);
-        let counts = |loss: &&liveness::Loss| is_link_up || loss.source != LossSource::Silence;
-        let lost = self.losses.recent(self.now).filter(counts);
+        let counts = |loss: &&liveness::Loss| is_link_up && loss.source == LossSource::Silence;
+        let lost = self.losses.recent(silent_ms, self.now).filter(counts);
         let lost = lost.map(|loss| loss.upstream);
         let lost: BTreeSet<upstream::Key> = lost
             .filter(|other| self.is_neighbour(key, *other))
--- a/crates/core/src/liveness.rs
+++ b/crates/core/src/liveness.rs
@@ -432,10 +432,19 @@
     Connection,
     /// Another instance announced it.
     Peer,
-    /// This instance judged it dead by its silence.
+    /// A first event did not come. Says little of other engines: a prefill may be slow, and streams that move add to it.
+    FirstEvent,
+    /// It fell silent on a stream of this instance that had received events.
     Silence,
 }
 
+impl LossSource {
+    /// Whether the engine itself was seen to fail, rather than judged by its silence.
+    pub fn is_of_engine(self) -> bool {
+        matches!(self, Self::Connection | Self::Peer)
+    }
+}
+
 /// Loss of an engine.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Loss {
@@ -462,9 +471,11 @@
         }
     }
 
-    /// Iterates over the losses that are recent enough to be evidence.
-    pub fn recent(&self, now: Time) -> impl Iterator<Item = &Loss> {
-        let is_recent = move |loss: &&Loss| now.since(loss.at) <= LOSS_RETENTION_MS;
+    /// Iterates over the losses that are evidence on an engine silent for `silent_ms`: recent ones since it was last
+    /// heard from or sent a request. An earlier loss says nothing of it, or streams would leave one engine after the other.
+    pub fn recent(&self, silent_ms: u64, now: Time) -> impl Iterator<Item = &Loss> {
+        let limit_ms = LOSS_RETENTION_MS.min(silent_ms);
+        let is_recent = move |loss: &&Loss| now.since(loss.at) <= limit_ms;
         self.0.iter().filter(is_recent)
     }
 }
