Bound attempts beyond the first by a sliding window that each instance of a fleet keeps its part of

Every attempt of a request beyond the first that reached an upstream takes a permit: retries, resumes, and requests that met a leaving, replaced or full upstream, which were free so far. A window for each pool earns core.retry.ratio permits for each received request, also a refused one, plus this instance's part of core.retry.extra. Attempts that could not connect return their permit. The last tenth is left to streams with a copy of their KV cache. Without core.retry.window_ms the previous budget holds.

--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -169,6 +169,7 @@
         if !customer.services.is_empty() && !customer.services.contains(&service.name) {
             return Err(Kind::Unauthorized.into());
         }
+        self.record_received(service.pool());
         let request_fingerprint = RequestFingerprint::new(&customer.name, submission.fingerprint);
         if self.is_quarantined(request_fingerprint) {
             return Err(Kind::Quarantined.into());
@@ -440,6 +441,7 @@
             progress,
             request_fingerprint,
             resume_cursor: cursor,
+            retry_permit: request::RetryPermit::default(),
             send_by: self.now.after(service.max_wait_ms),
             service,
             skip: cursor.map_or(0, |cursor| cursor.position),
--- a/crates/core/src/core.rs
+++ b/crates/core/src/core.rs
@@ -30,6 +30,8 @@
     pub queue: Queue,
     /// Budget for retries.
     pub retry_budget: Budget,
+    /// Attempts beyond the first, where the users bound them.
+    pub retry_window: RetryWindow,
     /// Mean number of tokens of a request.
     pub tokens: estimates::Mean,
     /// Its upstreams.
@@ -50,6 +52,7 @@
             mean_duration_ms: INITIAL_DURATION_MS,
             queue: Queue::default(),
             retry_budget: Budget::new(BUDGET_PERMITS, BUDGET_REFILL_PER_SECOND, Time::default()),
+            retry_window: RetryWindow::default(),
             tokens: estimates::Mean::default(),
             upstreams: Vec::new(),
             version: None,
@@ -347,6 +350,9 @@
 
     /// Removes a request from the state; every request passes through here exactly once.
     pub(crate) fn remove(&mut self, key: request::Key) -> Option<Request> {
+        if self.requests.get(key)?.state == State::Queued {
+            self.refund_retry_permit(key);
+        }
         let request = self.requests.remove(key)?;
         let unanswered = self.callers.remove(&request.caller) == Some(key);
         self.check_invariant(unanswered, Invariant::AnsweredTwice);
--- a/crates/core/src/counter.rs
+++ b/crates/core/src/counter.rs
@@ -56,6 +56,8 @@
     Resumed(Reason),
     /// Requests sent again from the start, by reason.
     Retried(Reason),
+    /// Attempts that the users' bound on attempts beyond the first did not permit, by class.
+    RetryRefused(RetryClass),
     /// Responses of the store that were dropped because they predate its restore from a backup.
     StoreOutdated,
     /// Detected restores of the store from a backup.
@@ -111,6 +113,11 @@
 }
 
 impl Reason {
+    /// Whether the attempt sent nothing to an upstream.
+    pub fn reached_no_upstream(self) -> bool {
+        matches!(self, Self::Caller | Self::NotSent)
+    }
+
     /// Whether no upstream accepted the request: the upstream was not there, or has been replaced.
     pub fn was_never_accepted(self) -> bool {
         matches!(self, Self::Leaving | Self::NotSent | Self::Replaced)
@@ -145,6 +152,7 @@
             Self::RefusedAgain => write!(formatter, "refused_again"),
             Self::Resumed(reason) => write!(formatter, "resumed.{reason}"),
             Self::Retried(reason) => write!(formatter, "retried.{reason}"),
+            Self::RetryRefused(class) => write!(formatter, "retry_refused.{class}"),
             Self::StoreOutdated => write!(formatter, "store.outdated"),
             Self::StoreRestored => write!(formatter, "store.returned"),
             Self::Suspected => write!(formatter, "upstream.suspected"),
--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -152,7 +152,9 @@
         };
         self.hedge_budget
             .set_share(self.instances, self.settings.shared.least);
-        if !self.hedge_budget.spend(self.now) {
+        if !self.hedge_budget.spend(self.now)
+            || (self.settings.retry.is_set() && !self.spend_retry_permit(key))
+        {
             return;
         }
         self.count(Counter::Hedged);
@@ -284,6 +286,7 @@
         self.attempts[key].last_event_at = self.now;
         self.requests[owner].first_sent_at.get_or_insert(self.now);
         self.requests[owner].progress.upstreams_reached += 1;
+        self.defer_retry_permit(owner);
         let upstream = self.attempts[key].upstream;
         let step = self.sent_step(key);
         let entry = self.log_effect(&self.requests[owner], step, Some(upstream));
--- a/crates/core/src/effect.rs
+++ b/crates/core/src/effect.rs
@@ -85,6 +85,8 @@
     Left,
     /// An attempt ended without a complete response.
     Lost(counter::Reason),
+    /// The bound on attempts beyond the first permits no other attempt.
+    RetryRefused(RetryClass),
     /// The request was sent to an upstream.
     Sent {
         /// Upstream that keeps a copy of the run's KV cache.
--- a/crates/core/src/failure.rs
+++ b/crates/core/src/failure.rs
@@ -174,7 +174,10 @@
         let exhausted = request.last_attempt >= self.settings.attempts_max;
         if request.position() > 0 {
             let allowed = repeatable || self.settings.continue_non_repeatable;
-            if !self.settings.continuation || exhausted {
+            if !self.settings.continuation
+                || exhausted
+                || (allowed && !self.may_take_attempt(key, true, reason))
+            {
                 self.fail(key, Kind::UpstreamFailed);
             } else if allowed {
                 self.count(Counter::Resumed(reason));
@@ -186,7 +189,7 @@
         }
         if request.may_have_run && !repeatable {
             self.fail(key, Kind::Unknown);
-        } else if exhausted || !self.may_retry(key, reason) {
+        } else if exhausted || !self.may_take_attempt(key, false, reason) {
             self.give_up(key, Kind::Overloaded, Kind::UpstreamFailed);
         } else {
             self.count(Counter::Retried(reason));
@@ -194,10 +197,24 @@
         }
     }
 
+    /// Whether a request may be sent again after its last attempt ended for `reason`. Where the users bound the attempts
+    /// beyond the first, each that reached an upstream counts; otherwise only retries take permits.
+    pub(crate) fn may_take_attempt(
+        &mut self,
+        key: request::Key,
+        resumes: bool,
+        reason: counter::Reason,
+    ) -> bool {
+        if self.settings.retry.is_set() {
+            return self.take_retry_permit(key, reason);
+        }
+        resumes || self.may_retry(key, reason)
+    }
+
     /// Whether a request may be retried. Requests that no upstream accepted need no permit: each
     /// failed upstream is hit once, so their retries add no load to the others. All others take a
     /// permit from the retry budget.
-    pub(crate) fn may_retry(&mut self, key: request::Key, reason: counter::Reason) -> bool {
+    fn may_retry(&mut self, key: request::Key, reason: counter::Reason) -> bool {
         if self.settings.shared.unsent && reason.was_never_accepted() {
             return true;
         }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -36,6 +36,7 @@
 pub mod quarantine;
 pub mod queue;
 pub mod request;
+pub mod retry_window;
 pub mod role;
 pub mod roster;
 pub mod settings;
@@ -91,9 +92,10 @@
     rand::{RngExt, SeedableRng, seq::SliceRandom},
     rand_pcg::Pcg64Mcg,
     request::{Request, State, Work},
+    retry_window::{RetryClass, RetryWindow},
     role::{Role, WatcherRank},
     roster::{Change, Roster, RosterUpdate, UpdateOutcome},
-    settings::{QuarantineRule, ResumeMode, Routing, Settings},
+    settings::{QuarantineRule, ResumeMode, RetryBound, Routing, Settings},
     slotmap::{SecondaryMap, SlotMap, new_key_type},
     staleness::StalenessBound,
     std::{
--- a/crates/core/src/members.rs
+++ b/crates/core/src/members.rs
@@ -58,6 +58,15 @@
         self.views.push_back((now, view));
     }
 
+    /// Number of instances with lower identifiers, as a fraction of all; 0 without a view.
+    pub fn rank_fraction(&self) -> f64 {
+        let Some((_, newest)) = self.views.back() else {
+            return 0.0;
+        };
+        let lower = newest.others.iter().filter(|other| **other < newest.own);
+        lower.count() as f64 / f64::from(newest.count())
+    }
+
     /// Since when this instance may act as one of the `elected_count` for a topic; `None` if it is not elected. An
     /// instance that has no view acts alone.
     pub fn active_from(&self, elected_count: usize, topic: u64) -> Option<Time> {
--- a/crates/core/src/place.rs
+++ b/crates/core/src/place.rs
@@ -94,7 +94,7 @@
     }
 
     /// Whether an upstream may still hold a copy, as far as is known.
-    fn may_hold_copy(&self, key: upstream::Key) -> bool {
+    pub(crate) fn may_hold_copy(&self, key: upstream::Key) -> bool {
         let upstream = self.upstreams.get(key);
         upstream
             .is_some_and(|upstream| upstream.health == Health::Live && upstream.may_serve(self.now))
--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -329,17 +329,18 @@
             self.give_up(key, Kind::Overloaded, Kind::UpstreamFailed);
             return;
         }
-        let now = self.now;
-        let request = &mut self.requests[key];
-        if request.progress.position > 0 {
-            request.progress.lost_at.get_or_insert(now);
-            self.count(Counter::Resumed(reason));
-        } else if self.may_retry(key, reason) {
-            self.count(Counter::Retried(reason));
-        } else {
+        let resumes = self.requests[key].progress.position > 0;
+        if !self.may_take_attempt(key, resumes, reason) {
             self.give_up(key, Kind::Overloaded, Kind::UpstreamFailed);
             return;
         }
+        if resumes {
+            let progress = &mut self.requests[key].progress;
+            progress.lost_at.get_or_insert(self.now);
+            self.count(Counter::Resumed(reason));
+        } else {
+            self.count(Counter::Retried(reason));
+        }
         self.enqueue(key);
     }
 
--- a/crates/core/src/request.rs
+++ b/crates/core/src/request.rs
@@ -154,6 +154,18 @@
     }
 }
 
+/// Permit for attempts beyond the first, where the users bound them.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum RetryPermit {
+    /// No attempt has reached an upstream, as far as is known; the next one needs no permit.
+    #[default]
+    NotNeeded,
+    /// An attempt has reached an upstream; the next one needs a permit.
+    Needed,
+    /// Taken for the next or current attempt at this time.
+    Taken(Time),
+}
+
 /// Stage of processing of a request.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum State {
@@ -212,6 +224,8 @@
     pub request_fingerprint: RequestFingerprint,
     /// Cursor to re-attach with; `None` after the attempt to do so.
     pub resume_cursor: Option<Cursor>,
+    /// Whether its next attempt needs a retry permit.
+    pub retry_permit: RetryPermit,
     /// Time by which it must have been sent.
     pub send_by: Time,
     /// Requested service.
--- /dev/null
+++ b/crates/core/src/retry_window.rs
@@ -0,0 +1,249 @@
+//! Bound on the attempts of requests beyond their first that reach an upstream, over a sliding window.
+//!
+//! The bound holds for each service over all instances together. Each instance keeps its own part of it, which depends
+//! on its own requests and on the number of instances only, so nothing has to be exchanged.
+
+use super::*;
+use request::RetryPermit;
+
+/// Length of a time slot in which requests and attempts are counted, in milliseconds. A hundred slots cover the window
+/// of ten seconds that users set.
+const SLOT_MS: u64 = 100;
+
+/// Fraction of its part that an instance may use. The rest covers what others overshoot: their views of the fleet
+/// differ while instances start and end, and a restarted instance has forgotten what it spent.
+const PART_FRACTION: f64 = 0.95;
+
+/// Fraction of its part that an instance may use for requests whose callers have received nothing.
+const RESTART_FRACTION: f64 = 0.8;
+
+/// Fraction of its part that an instance may use for streams that resume without a copy of their KV cache. Only those
+/// with a copy may use the rest: they repeat no prefill, and refusing one loses the work already done.
+const RESUME_FRACTION: f64 = 0.9;
+
+/// Fraction of the instances' ranks that is added to their parts before rounding down. With 1 the parts of 320 instances
+/// with two requests each exceeded the bound by 0.07, since their rounding follows each request that comes and expires.
+const ROUNDING: f64 = 0.75;
+
+/// Permits that an instance has for streams with a copy of their KV cache, however small its part is.
+const COPY_PERMITS_MIN: f64 = 1.0;
+
+/// What an attempt beyond the first is for, in the order in which permits become short.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub enum RetryClass {
+    /// A request whose caller has received nothing.
+    Restart,
+    /// A stream whose caller has received a part of the response; its prefill is repeated.
+    Resume,
+    /// The same, where an upstream holds a copy of its KV cache.
+    ResumeFromCopy,
+}
+
+/// An instance's place in its fleet.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct FleetPart {
+    /// Number of instances.
+    pub instances: u32,
+    /// Number of instances with lower identifiers, as a fraction of all. Where parts of a permit are rounded up follows
+    /// from it, so that some instances have a permit where all together have fewer than one each.
+    pub rank: f64,
+}
+
+/// Numbers of occurrences by time slot, oldest first.
+#[derive(Clone, Debug, Default)]
+struct SlotCounts {
+    slots: VecDeque<(u64, u32)>,
+    total: u32,
+}
+
+/// Requests that an instance received for one service, and its attempts beyond their first.
+#[derive(Clone, Debug, Default)]
+pub struct RetryWindow {
+    received: SlotCounts,
+    spent: SlotCounts,
+}
+
+impl RetryClass {
+    /// Permits that this class may use of a part of the bound, in permits.
+    fn permits(self, part: f64, rank: f64) -> f64 {
+        let usable = |fraction: f64| (part * fraction * PART_FRACTION + rank * ROUNDING).floor();
+        match self {
+            Self::Restart => usable(RESTART_FRACTION),
+            Self::Resume => usable(RESUME_FRACTION),
+            Self::ResumeFromCopy => usable(1.0).max(COPY_PERMITS_MIN),
+        }
+    }
+}
+
+impl Display for RetryClass {
+    fn fmt(&self, formatter: &mut Formatter) -> fmt::Result {
+        formatter.write_str(match self {
+            Self::Restart => "restart",
+            Self::Resume => "resume",
+            Self::ResumeFromCopy => "resume_from_copy",
+        })
+    }
+}
+
+impl SlotCounts {
+    fn add(&mut self, at: Time) {
+        let slot = at.0 / SLOT_MS;
+        self.total += 1;
+        match self.slots.back_mut() {
+            Some((last, count)) if *last == slot => *count += 1,
+            _ => self.slots.push_back((slot, 1)),
+        }
+    }
+
+    fn remove(&mut self, at: Time) {
+        let slot = at.0 / SLOT_MS;
+        let counted = self.slots.iter_mut().find(|(other, _)| *other == slot);
+        if let Some((_, count)) = counted.filter(|(_, count)| *count > 0) {
+            *count -= 1;
+            self.total -= 1;
+        }
+    }
+
+    /// Number of occurrences from the slot of `start` on.
+    fn since(&self, start: Time) -> u32 {
+        let is_recent = |(slot, _): &&(u64, u32)| *slot >= start.0 / SLOT_MS;
+        let recent = self.slots.iter().rev().take_while(is_recent);
+        recent.map(|(_, count)| count).sum()
+    }
+
+    /// Drops the slots before the one of `oldest`.
+    fn expire(&mut self, oldest: Time) {
+        let is_expired = |(slot, _): &mut (u64, u32)| *slot < oldest.0 / SLOT_MS;
+        while let Some((_, count)) = self.slots.pop_front_if(is_expired) {
+            self.total -= count;
+        }
+    }
+}
+
+impl RetryWindow {
+    /// Records a request that was received, whether or not it was admitted.
+    pub fn record_request(&mut self, bound: &RetryBound, now: Time) {
+        self.expire(bound, now);
+        self.received.add(now);
+    }
+
+    /// Takes a permit for an attempt beyond the first; takes nothing and returns false if this class has none left.
+    pub fn spend(
+        &mut self,
+        class: RetryClass,
+        bound: &RetryBound,
+        fleet: FleetPart,
+        now: Time,
+    ) -> bool {
+        self.expire(bound, now);
+        let extra = bound.extra / f64::from(fleet.instances.max(1));
+        let part = bound.ratio * f64::from(self.expected_requests(bound, now)) + extra;
+        if f64::from(self.spent.total) >= class.permits(part, fleet.rank) {
+            return false;
+        }
+        self.spent.add(now);
+        true
+    }
+
+    /// Returns a permit that was taken at a time for an attempt that reached no upstream.
+    pub fn refund(&mut self, taken_at: Time) {
+        self.spent.remove(taken_at);
+    }
+
+    /// Counts a permit that was taken earlier at the time at which its attempt is sent.
+    pub fn defer(&mut self, taken_at: Time, sent_at: Time) {
+        self.spent.remove(taken_at);
+        self.spent.add(sent_at);
+    }
+
+    /// Requests in the window, or twice those in its second half if they are fewer: attempts stay in the window longer
+    /// than the requests before them. Where demand fell by half, the bound was exceeded by 0.04 without this.
+    fn expected_requests(&self, bound: &RetryBound, now: Time) -> u32 {
+        let half = now.before(bound.window_ms / 2).after(SLOT_MS);
+        self.received.total.min(2 * self.received.since(half))
+    }
+
+    /// Drops what lies outside the window. Attempts count for the whole of their first slot and requests for no part of
+    /// it, so that no window of the exact length exceeds the bound.
+    fn expire(&mut self, bound: &RetryBound, now: Time) {
+        let start = now.before(bound.window_ms);
+        self.spent.expire(start);
+        self.received.expire(start.after(SLOT_MS));
+    }
+}
+
+impl Core {
+    /// Records that a request for a pool was received, which earns retry permits.
+    pub(crate) fn record_received(&mut self, pool: &str) {
+        let bound = self.settings.retry;
+        if bound.is_set() {
+            let pool = self.pools.entry(pool.into()).or_default();
+            pool.retry_window.record_request(&bound, self.now);
+        }
+    }
+
+    /// Takes the permit that the next attempt of a request needs after the previous one ended for `reason`. An attempt
+    /// that reached no upstream returns its permit, and a request that has reached none yet needs none.
+    pub(crate) fn take_retry_permit(&mut self, key: request::Key, reason: counter::Reason) -> bool {
+        if reason.reached_no_upstream() {
+            self.refund_retry_permit(key);
+        } else {
+            self.requests[key].retry_permit = RetryPermit::Needed;
+        }
+        self.requests[key].retry_permit == RetryPermit::NotNeeded || self.spend_retry_permit(key)
+    }
+
+    /// Takes a permit for another attempt of a request.
+    pub(crate) fn spend_retry_permit(&mut self, key: request::Key) -> bool {
+        let class = self.retry_class(key);
+        let fleet = FleetPart {
+            instances: self.instances,
+            rank: self.members.rank_fraction(),
+        };
+        let (bound, now) = (self.settings.retry, self.now);
+        let request = &mut self.requests[key];
+        let pool = self.pools.entry(request.service.pool().into()).or_default();
+        if pool.retry_window.spend(class, &bound, fleet, now) {
+            request.retry_permit = RetryPermit::Taken(now);
+            return true;
+        }
+        self.count(Counter::RetryRefused(class));
+        let entry = self.log_effect(&self.requests[key], effect::Step::RetryRefused(class), None);
+        self.effects.push(entry);
+        false
+    }
+
+    /// Returns the permit of an attempt that reached no upstream.
+    pub(crate) fn refund_retry_permit(&mut self, key: request::Key) {
+        let request = &mut self.requests[key];
+        if let RetryPermit::Taken(taken_at) = request.retry_permit
+            && let Some(pool) = self.pools.get_mut(request.service.pool())
+        {
+            pool.retry_window.refund(taken_at);
+            request.retry_permit = RetryPermit::Needed;
+        }
+    }
+
+    /// Counts the permit of a request at the time at which its attempt is sent.
+    pub(crate) fn defer_retry_permit(&mut self, key: request::Key) {
+        let request = &mut self.requests[key];
+        if let RetryPermit::Taken(taken_at) = request.retry_permit
+            && let Some(pool) = self.pools.get_mut(request.service.pool())
+        {
+            pool.retry_window.defer(taken_at, self.now);
+            request.retry_permit = RetryPermit::Taken(self.now);
+        }
+    }
+
+    fn retry_class(&self, key: request::Key) -> RetryClass {
+        let request = &self.requests[key];
+        let copy = request.progress.copy.as_ref();
+        if copy.is_some_and(|copy| self.may_hold_copy(copy.upstream)) {
+            RetryClass::ResumeFromCopy
+        } else if request.position() > 0 {
+            RetryClass::Resume
+        } else {
+            RetryClass::Restart
+        }
+    }
+}
--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -232,6 +232,26 @@
     }
 }
 
+/// The users' bound on the attempts of requests beyond their first that reach an upstream, for each service over all
+/// instances together: in any window, `ratio` times the requests plus `extra`.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct RetryBound {
+    /// Attempts beyond the first allowed in a window whatever the number of requests.
+    pub extra: f64,
+    /// Attempts beyond the first allowed for each request.
+    pub ratio: f64,
+    /// Length of the window, in milliseconds; 0 for no such bound: retries then take permits of token buckets, and
+    /// resumes none.
+    pub window_ms: u64,
+}
+
+impl RetryBound {
+    /// Whether there is a bound.
+    pub fn is_set(&self) -> bool {
+        self.window_ms > 0
+    }
+}
+
 /// Limits on calls of plain services.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct CallLimits {
@@ -342,6 +362,8 @@
     pub resume_reserve: f64,
     /// Limits on the load of engines with relayed streams.
     pub room: CapacityLimits,
+    /// The users' bound on attempts beyond the first.
+    pub retry: RetryBound,
     /// Retry permits that each admitted request adds to the budget.
     pub retry_earn: f64,
     /// State that all instances share.
@@ -389,6 +411,7 @@
             report_lag_ms: 300,
             resume_reserve: 0.0,
             routing: Routing::Prefix,
+            retry: RetryBound::default(),
             retry_earn: 0.1,
             room: CapacityLimits::default(),
             shared: SharedSettings::default(),
--- a/crates/core/tests/relay/main.rs
+++ b/crates/core/tests/relay/main.rs
@@ -33,6 +33,7 @@
 mod limit;
 mod notice;
 mod poison;
+mod retry;
 mod version;
 
 use builder::*;
--- /dev/null
+++ b/crates/core/tests/retry_window.rs
@@ -0,0 +1,159 @@
+//! The bound on attempts beyond the first, over fleets of all sizes: instances that each keep their own part keep it
+//! together.
+
+use {
+    googletest::prelude::*,
+    rand::{RngExt, SeedableRng},
+    rand_pcg::Pcg64Mcg,
+    wellplank_core::{
+        clock::Time,
+        retry_window::{FleetPart, RetryClass, RetryWindow},
+        settings::RetryBound,
+    },
+};
+
+const BOUND: RetryBound = RetryBound {
+    extra: 150.0,
+    ratio: 0.8,
+    window_ms: 10_000,
+};
+
+/// Fleet sizes, from one instance to the largest supported.
+const FLEET_SIZES: [u32; 6] = [1, 6, 30, 71, 320, 984];
+
+const START: Time = Time(1_800_000_000_000);
+
+struct Fleet {
+    instances: u32,
+    /// Times of all requests and attempts beyond the first.
+    received: Vec<Time>,
+    rng: Pcg64Mcg,
+    spent: Vec<Time>,
+    windows: Vec<RetryWindow>,
+}
+
+impl Fleet {
+    fn new(instances: u32) -> Self {
+        Self {
+            instances,
+            received: Vec::new(),
+            rng: Pcg64Mcg::seed_from_u64(u64::from(instances)),
+            spent: Vec::new(),
+            windows: vec![RetryWindow::default(); instances as usize],
+        }
+    }
+
+    /// Receives requests at random instances.
+    fn receive(&mut self, requests: u32, now: Time) {
+        for _ in 0..requests {
+            let instance = self.rng.random_range(0..self.windows.len());
+            self.windows[instance].record_request(&BOUND, now);
+            self.received.push(now);
+        }
+    }
+
+    /// Takes all permits that there are for a class; returns how many.
+    fn spend_all(&mut self, class: RetryClass, now: Time) -> usize {
+        let before = self.spent.len();
+        for (instance, window) in self.windows.iter_mut().enumerate() {
+            let fleet = FleetPart {
+                instances: self.instances,
+                rank: instance as f64 / f64::from(self.instances),
+            };
+            while window.spend(class, &BOUND, fleet, now) {
+                self.spent.push(now);
+            }
+        }
+        self.spent.len() - before
+    }
+
+    /// Attempts beyond the first in the window that ends now, and how many the users allow.
+    fn compare(&self, now: Time) -> (f64, f64) {
+        let is_recent = |at: &&Time| now.since(**at) < BOUND.window_ms;
+        let count = |times: &[Time]| times.iter().rev().take_while(is_recent).count() as f64;
+        let allowed = BOUND.ratio * count(&self.received) + BOUND.extra;
+        (count(&self.spent), allowed)
+    }
+}
+
+/// Guards against a bound that each instance keeps and the fleet breaks: with a fixed number of permits for each
+/// instance, thirty of them made 674 attempts in ten seconds where 586 were allowed.
+#[gtest]
+fn fleet_of_any_size_keeps_the_bound_in_every_window() {
+    for (instances, period) in FLEET_SIZES.into_iter().flat_map(|n| [(n, 7), (n, 30)]) {
+        let mut fleet = Fleet::new(instances);
+        for step in 0..300 {
+            let now = START.after(step * 100);
+            // Demand of 60 and 40 requests a second, as in waves.
+            fleet.receive(if step / 70 % 2 == 0 { 6 } else { 4 }, now);
+            if step % period == 0 {
+                fleet.spend_all(RetryClass::Resume, now);
+            }
+            let (spent, allowed) = fleet.compare(now);
+            expect_that!(spent, le(allowed), "{instances} instances, step {step}");
+        }
+    }
+}
+
+/// Guards against a bound that is kept by refusing what it allows.
+#[gtest]
+fn fleet_of_any_size_may_use_most_of_the_bound() {
+    for instances in FLEET_SIZES {
+        let mut fleet = Fleet::new(instances);
+        fleet.receive(1_000, START);
+        let now = START.after(10);
+        fleet.spend_all(RetryClass::ResumeFromCopy, now);
+        let (spent, allowed) = fleet.compare(now);
+        expect_that!(spent, ge(0.85 * allowed), "{instances} instances");
+    }
+}
+
+/// Guards against retries of requests whose callers have nothing using up the permits of running streams.
+#[gtest]
+fn last_permits_are_left_to_resumes_and_then_to_copies() {
+    for instances in [1, 6, 30] {
+        let mut fleet = Fleet::new(instances);
+        fleet.receive(545, START);
+        let now = START.after(10);
+        expect_that!(fleet.spend_all(RetryClass::Restart, now), ge(400));
+        expect_that!(fleet.spend_all(RetryClass::Resume, now), ge(30));
+        expect_that!(fleet.spend_all(RetryClass::ResumeFromCopy, now), ge(30));
+        expect_that!(fleet.spend_all(RetryClass::Restart, now), eq(0));
+        expect_that!(fleet.spend_all(RetryClass::Resume, now), eq(0));
+    }
+}
+
+/// Guards against the loss of a running stream for the fraction of a permit that an instance of a large fleet lacks.
+#[gtest]
+fn every_instance_may_resume_one_stream_from_its_copy() {
+    for instances in FLEET_SIZES {
+        let mut fleet = Fleet::new(instances);
+        let spent = fleet.spend_all(RetryClass::ResumeFromCopy, START);
+        expect_that!(spent, ge(instances as usize), "{instances} instances");
+    }
+}
+
+/// Guards against permits that are lost with attempts that reached no upstream.
+#[gtest]
+fn refunded_permit_can_be_taken_again() {
+    let mut fleet = Fleet::new(1);
+    fleet.spend_all(RetryClass::Restart, START);
+    let later = START.after(500);
+    expect_that!(fleet.spend_all(RetryClass::Restart, later), eq(0));
+    fleet.windows[0].refund(START);
+    expect_that!(fleet.spend_all(RetryClass::Restart, later), eq(1));
+}
+
+/// Guards against permits that are counted when they are taken: an attempt that waited for capacity is made in a later
+/// window.
+#[gtest]
+fn permit_counts_from_the_time_at_which_its_attempt_is_sent() {
+    let mut fleet = Fleet::new(1);
+    let taken = fleet.spend_all(RetryClass::Restart, START);
+    fleet.windows[0].defer(START, START.after(900));
+    let after_first = START.after(BOUND.window_ms + 200);
+    expect_that!(
+        fleet.spend_all(RetryClass::Restart, after_first),
+        eq(taken - 1)
+    );
+}
--- a/crates/node/src/core_settings.rs
+++ b/crates/node/src/core_settings.rs
@@ -5,7 +5,7 @@
 use settings::MILLIS_MAX;
 use wellplank_core::settings::{
     CallLimits, CapacityLimits, LimitHolders, PlacementWeights, QuarantineRule, ResumeMode,
-    Routing, Settings, SharedSettings,
+    RetryBound, Routing, Settings, SharedSettings,
 };
 
 /// The section with all settings at their defaults.
@@ -54,6 +54,11 @@
         "relay_stall_ms": core.relay_stall_ms,
         "report_lag_ms": core.report_lag_ms,
         "resume_reserve": core.resume_reserve,
+        "retry": {
+            "extra": core.retry.extra,
+            "ratio": core.retry.ratio,
+            "window_ms": core.retry.window_ms,
+        },
         "retry_earn": core.retry_earn,
         "room": {
             "copy_fill": core.room.copy_fill,
@@ -138,6 +143,7 @@
         report_lag_ms,
         resume_reserve: reader.fraction("resume_reserve", default.resume_reserve),
         room: read_capacity(reader.section("room")),
+        retry: read_retry(reader.section("retry")),
         retry_earn: reader.fraction("retry_earn", default.retry_earn),
         routing: reader.choice("routing", &Routing::ALL, default.routing),
         shared: read_shared(reader.section("shared")),
@@ -199,6 +205,17 @@
     room
 }
 
+fn read_retry(mut reader: Reader) -> RetryBound {
+    let default = RetryBound::default();
+    let retry = RetryBound {
+        extra: reader.float("extra", default.extra, 0.0..=1_000_000.0),
+        ratio: reader.float("ratio", default.ratio, 0.0..=100.0),
+        window_ms: reader.number("window_ms", default.window_ms, 0..=MILLIS_MAX),
+    };
+    reader.finish();
+    retry
+}
+
 fn read_shared(mut reader: Reader) -> SharedSettings {
     let default = SharedSettings::default();
     let shared = SharedSettings {
--- a/crates/node/src/request_log.rs
+++ b/crates/node/src/request_log.rs
@@ -89,6 +89,10 @@
             let reason = reason.to_string();
             warn!(request, fingerprint, customer, service, upstream, position, reason; "attempt lost");
         }
+        Step::RetryRefused(class) => {
+            let class = class.to_string();
+            warn!(request, fingerprint, customer, service, position, class; "no retry permit");
+        }
         Step::Sent {
             backup,
             copy,
