Keep ended incarnations of upstreams for their life and announce them to all instances

An answer by another upstream proves that the expected incarnation has ended. It is kept as ended whatever the list says, announced with the next tick (Datagram.ended), repeated with the next two datagrams to all, and sent along with the crash history. Receivers retry their streams there as after a reset, and do not forward. core.shared.losses turns it off.

--- a/crates/core/src/core.rs
+++ b/crates/core/src/core.rs
@@ -89,6 +89,8 @@
     /// Requests that arrived before this instance had the state to serve them.
     pub(crate) deferred: Vec<DeferredRequest>,
     pub(crate) effects: Vec<Effect>,
+    /// Incarnations of upstreams that have ended.
+    pub(crate) ended: EndedIncarnations,
     /// When requests were last checked for expiry.
     pub(crate) expiry_checked_at: Time,
     pub(crate) hedge_budget: Budget,
@@ -199,6 +201,7 @@
                 upstream,
             } => self.apply_notice(upstream, attempt, &notice),
             Event::PeerDemand { demand, from } => self.record_peer_demand(from, &demand),
+            Event::PeerEnds(incarnations) => self.apply_peer_ends(&incarnations),
             Event::PeerLeaving(incarnation) => self.apply_peer_leaving(incarnation),
             Event::PeerLimit { incarnation, rate } => self.apply_peer_limit(incarnation, rate),
             Event::PeerLoss(incarnation) => self.record_peer_loss(incarnation),
@@ -243,6 +246,7 @@
             departed: BTreeSet::new(),
             deferred: Vec::new(),
             effects: Vec::new(),
+            ended: EndedIncarnations::default(),
             expiry_checked_at: now,
             hedge_budget: Budget::new(BUDGET_PERMITS, BUDGET_REFILL_PER_SECOND, now),
             held_bytes: 0,
--- a/crates/core/src/counter.rs
+++ b/crates/core/src/counter.rs
@@ -30,6 +30,8 @@
     ListFromPeer,
     /// Lists of upstreams, or changes of them, given to another instance.
     ListGiven,
+    /// Ended incarnations of upstreams that other instances announced first.
+    PeerEnded,
     /// Reports from other instances that an upstream is leaving.
     PeerLeaving,
     /// Reports from other instances of the rate limits of upstreams.
@@ -145,6 +147,7 @@
             Self::NoticeBackoff => write!(formatter, "notice.rest"),
             Self::NoticeUnknown => write!(formatter, "notice.unknown"),
             Self::Paused => write!(formatter, "paused"),
+            Self::PeerEnded => write!(formatter, "ended.told"),
             Self::PeerLeaving => write!(formatter, "notice.told"),
             Self::PeerLimit => write!(formatter, "limit.told"),
             Self::Quarantined => write!(formatter, "quarantined"),
--- a/crates/core/src/effect.rs
+++ b/crates/core/src/effect.rs
@@ -281,6 +281,8 @@
         /// Whether the pool is nearly at its capacity, so that all instances need the update at once.
         urgent: bool,
     },
+    /// Broadcast to other instances that incarnations of upstreams have ended.
+    GossipEnded(Vec<Incarnation>),
     /// Broadcast to other instances that an upstream is leaving.
     GossipLeaving {
         /// Its incarnation.
--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -210,6 +210,8 @@
         /// Address that the instance listens on.
         from: SocketAddr,
     },
+    /// Incarnations of upstreams have ended, as another instance found.
+    PeerEnds(Vec<Incarnation>),
     /// An upstream announced to another instance that it is leaving.
     PeerLeaving(Incarnation),
     /// Another instance reported the rate limit of an upstream.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -48,6 +48,7 @@
 mod admission;
 mod capacity;
 mod dispatch;
+mod ended;
 mod failure;
 mod list;
 mod place;
@@ -76,6 +77,7 @@
     digest::Digest,
     directory::Audience,
     effect::Effect,
+    ended::EndedIncarnations,
     estimates::{EngineSpeed, PoolEstimates},
     event::{Event, Failure, ListDelta, ListEntry, OutputToken},
     fingerprint::RequestFingerprint,
--- a/crates/core/src/list.rs
+++ b/crates/core/src/list.rs
@@ -161,6 +161,7 @@
             if entry.leaving && !self.upstreams[key].is_leaving(self.now) {
                 self.log_status_change(key, effect::StatusChange::Leaving);
             }
+            self.ended.contains_listed(incarnation, self.now);
             self.upstreams[key].leaving = entry.leaving;
             self.upstreams[key].listed_slots = entry.slots;
             self.set_version(key, &entry.version);
@@ -177,6 +178,7 @@
             self.upstreams_by_incarnation
                 .remove(&predecessor.incarnation);
         }
+        let has_ended = self.ended.contains_listed(incarnation, self.now);
         let name: Arc<str> = entry.name.as_str().into();
         let pool: Arc<str> = entry.pool.as_str().into();
         let key = self.upstreams.insert(Upstream {
@@ -187,7 +189,11 @@
             detector: StallDetector::default(),
             failure_score: upstream::FailureScore::default(),
             full_until: Time::default(),
-            health: Health::Live,
+            health: if has_ended {
+                Health::Lost
+            } else {
+                Health::Live
+            },
             held: false,
             in_subset: true,
             incarnation,
--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -299,10 +299,8 @@
                 }
                 counter::Reason::Refused
             }
-            Failure::Replaced => {
-                self.report_loss(upstream);
-                counter::Reason::Replaced
-            }
+            // Recorded and announced below, together with the proof of its end.
+            Failure::Replaced => counter::Reason::Replaced,
         };
         self.record_call_result(attempt, false);
         self.log_lost(attempt, reason);
@@ -313,7 +311,7 @@
         // The crash suspicion may lead to the failure of this request.
         match failure {
             Failure::Broken => self.suspect_crash(attempt),
-            Failure::Replaced => self.mark_replaced(upstream),
+            Failure::Replaced => self.handle_proven_end(upstream),
             _ => {}
         }
         self.retry_after_crash_check(owner, upstream, reason);
@@ -393,6 +391,7 @@
     /// Abandons the relayed attempts of an upstream that have been silent for too long. If one
     /// stream is silent and the upstream sends nothing else either, all its streams count as lost.
     pub(crate) fn check_relay_stalls(&mut self, key: upstream::Key) {
+        self.retry_streams_of_ended(key);
         let silent = self.now.since(self.upstreams[key].last_heard) > self.settings.relay_stall_ms;
         for attempt_key in self.upstreams[key].attempts.clone() {
             let Some(attempt) = self.attempts.get(attempt_key) else {
@@ -444,7 +443,7 @@
     }
 
     /// Marks an upstream that was lost as suspected, and announces the loss to other instances.
-    fn report_loss(&mut self, key: upstream::Key) {
+    pub(crate) fn report_loss(&mut self, key: upstream::Key) {
         let upstream = &mut self.upstreams[key];
         upstream.failure_score.record(self.now);
         self.effects.push(Effect::GossipLost(upstream.incarnation));
--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -216,6 +216,9 @@
     /// Minimum number of permits in an instance's share, and number that it may overdraw; 0 for
     /// neither: an instance with a share of less than one permit then never retries.
     pub least: f64,
+    /// Whether instances act on each other's reports of upstreams that have ended or could not be connected to, and keep
+    /// those that have ended whatever the list says.
+    pub losses: bool,
     /// Whether instances send each other the prefill speed of engines during a shortage.
     pub paces: bool,
     /// Whether requests that no upstream accepted are sent again without a permit.
@@ -226,6 +229,7 @@
     fn default() -> Self {
         Self {
             least: 1.0,
+            losses: true,
             paces: true,
             unsent: true,
         }
--- a/crates/core/src/watch.rs
+++ b/crates/core/src/watch.rs
@@ -95,7 +95,9 @@
             self.settings.probe_ms
         };
         upstream.next_probe = self.now.after(wait);
-        if alive {
+        if alive && self.ended.contains(upstream.incarnation) {
+            // Its successor at the address answered.
+        } else if alive {
             upstream.health = Health::Live;
             let pool = upstream.pool.clone();
             self.dispatch_queued(&pool);
@@ -135,6 +137,7 @@
         self.expire_crash_suspects();
         self.submit_deferred();
         self.gossip_demand();
+        self.announce_ended();
         if self.now.since(self.expiry_checked_at) >= EXPIRY_CHECK_MS {
             self.expiry_checked_at = self.now;
             self.remove_departed();
--- a/crates/core/tests/relay/main.rs
+++ b/crates/core/tests/relay/main.rs
@@ -28,6 +28,7 @@
 mod builder;
 mod capacity;
 mod directory;
+mod ended;
 mod fleet;
 mod incarnation;
 mod limit;
--- a/crates/node/src/core_settings.rs
+++ b/crates/node/src/core_settings.rs
@@ -74,6 +74,7 @@
         "routing": "prefix",
         "shared": {
             "least": core.shared.least,
+            "losses": core.shared.losses,
             "paces": core.shared.paces,
             "unsent": core.shared.unsent,
         },
@@ -220,6 +221,7 @@
     let default = SharedSettings::default();
     let shared = SharedSettings {
         least: reader.float("least", default.least, 0.0..=10.0),
+        losses: reader.flag("losses", default.losses),
         paces: reader.flag("paces", default.paces),
         unsent: reader.flag("unsent", default.unsent),
     };
--- a/crates/node/src/driver.rs
+++ b/crates/node/src/driver.rs
@@ -342,6 +342,9 @@
             Effect::GossipLimit { incarnation, rate } => {
                 self.gossip(gossip::Message::RateLimit { incarnation, rate });
             }
+            Effect::GossipEnded(incarnations) => {
+                self.gossip(gossip::Message::UpstreamsEnded(incarnations));
+            }
             Effect::GossipLost(upstream) => self.gossip(gossip::Message::UpstreamLost(upstream)),
             Effect::GossipSpeed(pace) => self.gossip(gossip::Message::EngineSpeed(pace)),
             Effect::GossipStream { audience, record } => {
--- a/crates/node/src/gossip.rs
+++ b/crates/node/src/gossip.rs
@@ -3,6 +3,7 @@
 //! upstreams, and the revisions that each instance knows.
 
 use super::*;
+use ended_announcements::EndedAnnouncements;
 use members::{LocalMember, Member, Members, SMALL_FLEET_MAX};
 use pacer::Pacer;
 use tokio::net::UdpSocket;
@@ -55,6 +56,8 @@
     },
     /// How fast the engines of a pool work. Included in the next datagram.
     EngineSpeed(EngineSpeed),
+    /// Ended incarnations of upstreams that another instance announced. Not sent, but kept for instances that start.
+    EndsLearnt(Vec<Incarnation>),
     /// A request for the record of a stream, by the hash of its prompt, to those that keep it.
     FindStream(u64),
     /// Changes of the list of upstreams that another instance announced, to be passed on in the
@@ -77,6 +80,22 @@
     UpstreamLeaving(Incarnation),
     /// An upstream is lost.
     UpstreamLost(Incarnation),
+    /// Incarnations of upstreams have ended.
+    UpstreamsEnded(Vec<Incarnation>),
+}
+
+impl Message {
+    /// Whether it is sent to all instances, and is no announcement of ended upstreams itself.
+    fn goes_to_all(&self) -> bool {
+        matches!(
+            self,
+            Self::Crashes(_)
+                | Self::RateLimit { .. }
+                | Self::Stream(_, Audience::All)
+                | Self::UpstreamLeaving(_)
+                | Self::UpstreamLost(_)
+        )
+    }
 }
 
 /// Inputs and settings of the gossip tasks.
@@ -137,6 +156,7 @@
         let sender = DatagramSender {
             crash_history: self.crash_history,
             demands: BTreeMap::new(),
+            ended: EndedAnnouncements::default(),
             engine_speeds: Vec::new(),
             known: self.known,
             local_peers: LocalPeers {
@@ -216,6 +236,7 @@
         }
         self.answer_wanted(&datagram.wanted, from);
         self.merge_crashes(datagram.ends, datagram.account, datagram.asks, from);
+        self.learn_ends(datagram.ended);
         for incarnation in datagram.lost {
             self.driver
                 .send_event(Event::PeerLoss(datagram::decode_incarnation(incarnation)));
@@ -278,6 +299,20 @@
         }
     }
 
+    /// Reports the ends of upstreams that another instance announced; they are not forwarded.
+    fn learn_ends(&self, ended: Vec<peers::Life>) {
+        if ended.is_empty() {
+            return;
+        }
+        let ended: Vec<Incarnation> = ended
+            .into_iter()
+            .map(datagram::decode_incarnation)
+            .collect();
+        // Sending fails only while the instance shuts down.
+        let _ = self.outgoing.send(Message::EndsLearnt(ended.clone()));
+        self.driver.send_event(Event::PeerEnds(ended));
+    }
+
     /// Passes an update of the list on to the instances behind this one; returns whether it is the
     /// first copy.
     fn pass_on(&mut self, roster: &peers::Roster) -> bool {
@@ -409,6 +444,8 @@
     crash_history: watch::Receiver<crash_history::LocalHistory>,
     /// Demand at this instance for each pool.
     demands: BTreeMap<Arc<str>, peers::Demand>,
+    /// Ended incarnations of upstreams.
+    ended: EndedAnnouncements,
     /// Engine speeds measured since the last datagram.
     engine_speeds: Vec<peers::Pace>,
     known: watch::Receiver<KnownState>,
@@ -469,6 +506,26 @@
             datagram.ends = chunk;
             self.send_all(datagram, &to).await;
         }
+        for chunk in self.ended_chunks(&message) {
+            let datagram = peers::Datagram {
+                ended: chunk,
+                ..self.datagram(Message::EndsLearnt(Vec::new()))
+            };
+            self.send_all(datagram, &to).await;
+        }
+    }
+
+    /// The ended incarnations that follow a message in datagrams of their own: those that fit into none, and for an
+    /// instance that has just started all that are known.
+    fn ended_chunks(&self, message: &Message) -> Vec<Vec<peers::Life>> {
+        match message {
+            Message::CrashHistory(_) => self.ended.chunks(),
+            Message::UpstreamsEnded(ended) => {
+                let chunks = ended_announcements::chunks(ended);
+                chunks.into_iter().skip(1).collect()
+            }
+            _ => Vec::new(),
+        }
     }
 
     /// The crashes of a message in chunks, one per datagram; a single empty chunk if it has none.
@@ -532,6 +589,8 @@
                 }
                 self.demands.insert(pool, datagram::encode_demand(demand));
             }
+            Message::EndsLearnt(ended) => self.ended.learn(ended),
+            Message::UpstreamsEnded(ended) => self.ended.announce(ended, Instant::now()),
             Message::EngineSpeed(speed) if self.engine_speeds.len() < ENGINE_SPEEDS_MAX => {
                 self.engine_speeds
                     .push(datagram::encode_engine_speed(speed));
@@ -592,6 +651,7 @@
             }
             Message::Demand { urgent: false, .. }
             | Message::ConfigurationPassedOn
+            | Message::EndsLearnt(_)
             | Message::EngineSpeed(_)
             | Message::ForwardedUpdate(..)
             | Message::RosterUpdate(_) => Vec::new(),
@@ -613,7 +673,8 @@
             | Message::RateLimit { .. }
             | Message::Stream(_, Audience::All)
             | Message::UpstreamLeaving(_)
-            | Message::UpstreamLost(_) => all.collect(),
+            | Message::UpstreamLost(_)
+            | Message::UpstreamsEnded(_) => all.collect(),
         }
     }
 
@@ -630,6 +691,9 @@
             paces: std::mem::take(&mut self.engine_speeds),
             ..peers::Datagram::default()
         };
+        if message.goes_to_all() {
+            datagram.ended = self.ended.repeat(Instant::now());
+        }
         match message {
             Message::Configuration
             | Message::ConfigurationPassedOn
@@ -637,6 +701,7 @@
             | Message::CrashHistoryRequest(_)
             | Message::Crashes(_)
             | Message::Demand { .. }
+            | Message::EndsLearnt(_)
             | Message::EngineSpeed(_)
             | Message::RosterUpdate(_) => {}
             Message::Confirmed(confirmed) => {
@@ -664,6 +729,13 @@
                     .lost
                     .push(datagram::encode_incarnation(incarnation));
             }
+            Message::UpstreamsEnded(ended) => {
+                let mut chunks = ended_announcements::chunks(&ended).into_iter();
+                let chunk = chunks.next().unwrap_or_default();
+                // Instances of the previous version read only this field.
+                datagram.lost = chunk.clone();
+                datagram.ended = chunk;
+            }
         }
         datagram
     }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod clock;
 pub mod declaration;
 pub mod driver;
+pub mod ended_announcements;
 pub mod error;
 pub mod hosted;
 pub mod instance;
--- a/crates/standin/src/relaying.rs
+++ b/crates/standin/src/relaying.rs
@@ -467,6 +467,7 @@
         match effect {
             Effect::ForwardResponse(caller) => self.end(caller, true),
             Effect::GossipLost(life) => self.gossip(instance, &Event::PeerLoss(life)),
+            Effect::GossipEnded(lives) => self.gossip(instance, &Event::PeerEnds(lives)),
             Effect::Cancel {
                 address, attempt, ..
             } => {
--- a/crates/standin/src/surge.rs
+++ b/crates/standin/src/surge.rs
@@ -371,6 +371,12 @@
                     self.timeline.schedule(WAY_MS, Action::Tell(other, event));
                 }
             }
+            Effect::GossipEnded(lives) => {
+                for other in (0..self.cores.len()).filter(|other| *other != instance) {
+                    let event = Event::PeerEnds(lives.clone());
+                    self.timeline.schedule(WAY_MS, Action::Tell(other, event));
+                }
+            }
             Effect::Cancel { attempt, .. } => self.drop_lines(instance, attempt),
             Effect::EndStream(caller) => {
                 if let Some(asker) = self.callers.remove(&caller) {
--- a/crates/standin/src/world.rs
+++ b/crates/standin/src/world.rs
@@ -379,6 +379,7 @@
             | Effect::LogUpstream { .. }
             | Effect::LogUpstreams { .. }
             | Effect::GossipLost(_)
+            | Effect::GossipEnded(_)
             | Effect::EndStream(_)
             | Effect::AbortStream(_)
             | Effect::GossipDemand { .. }
