Prefer upstreams heard from while the store is away, and try those that could not be connected to with few requests

While the store is away an upstream that has answered since then, here or by another instance's stream record, is preferred; a request that met an ended incarnation goes only to those if there is one. An upstream that another instance lost is not chosen for core.probe_ms while others are left, unless it has just answered here, and then gets one request at a time until it answers.

--- a/crates/core/src/availability.rs
+++ b/crates/core/src/availability.rs
@@ -14,6 +14,9 @@
 /// first pause after a single failure, such as a cut watch.
 const MISSED_WRITE_MS: u64 = 300;
 
+/// Failed calls in sequence from which on the store counts as away.
+const MIN_FAILURES: u32 = 2;
+
 /// Grace period after the store's return, in milliseconds: upstreams whose entries expired during the outage are taken
 /// to be alive and register again within about two seconds.
 pub const GRACE_MS: u64 = 2_000;
@@ -215,6 +218,18 @@
         self.last_answer.is_some() && self.failing_since.is_none()
     }
 
+    /// Since when the store has answered neither this instance nor, as far as is known, another one; `None` if it
+    /// answers. A single failure may be that of a connection.
+    pub fn away_since(&self) -> Option<Time> {
+        let failing_since = self.failing_since?;
+        let answers_peers = self.last_peer_answer >= Some(failing_since);
+        if self.failures < MIN_FAILURES || answers_peers {
+            return None;
+        }
+        let last_answer = self.last_answer.max(self.last_peer_answer);
+        Some(last_answer.unwrap_or(failing_since))
+    }
+
     /// When the store last answered.
     pub fn last_answer(&self) -> Option<Time> {
         self.last_answer
--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -250,6 +250,8 @@
         /// HTTP status.
         status: u16,
     },
+    /// The store stopped answering at this time, or answers again.
+    StoreAway(Option<Time>),
     /// A relayed stream ended without an error.
     StreamEnded {
         /// The attempt.
--- a/crates/core/src/list.rs
+++ b/crates/core/src/list.rs
@@ -183,6 +183,7 @@
         let pool: Arc<str> = entry.pool.as_str().into();
         let key = self.upstreams.insert(Upstream {
             address: entry.address,
+            answered_at: Time::default(),
             attempts: Vec::new(),
             data_centre: entry.data_centre.as_str().into(),
             declared: self.retained_states.take(incarnation, entry.address),
@@ -210,6 +211,7 @@
             pool: pool.clone(),
             probe_sent: None,
             recent_changes: VecDeque::new(),
+            reach: upstream::Reach::Undoubted,
             registered_at: entry.registered_at,
             suspected_until: Time::default(),
             unreported: 0,
--- a/crates/core/src/place.rs
+++ b/crates/core/src/place.rs
@@ -11,6 +11,10 @@
 /// Lost upstreams in a data centre from which on the others are suspected as well.
 const MIN_OUTAGE_UPSTREAMS: u32 = 2;
 
+/// Time within which an upstream counts as just heard from, in milliseconds: half the interval between two losses of
+/// data centres in quick succession, and many times that between two events of a stream.
+const JUST_HEARD_MS: u64 = 1_500;
+
 /// Minimum number of upstreams sampled for a request. With two, the fullest mostly has one or two requests more than the
 /// mean; with four, one of them has capacity while three quarters of all are full.
 const MIN_SAMPLE: usize = 4;
@@ -115,12 +119,41 @@
         if candidates.iter().any(is_live) {
             candidates.retain(is_live);
         }
+        self.retain_preferred(&mut candidates, |upstream| !upstream.is_doubted(self.now));
+        if let Some(heard_since) = self.heard_since(request) {
+            self.retain_preferred(&mut candidates, |upstream| {
+                upstream.answered_at >= heard_since
+            });
+        }
         if candidates.len() > 1 {
             candidates.retain(|other| Some(*other) != request.avoided_upstream);
         }
         candidates
     }
 
+    /// Limits candidates to those that are preferred, if there is any.
+    fn retain_preferred(
+        &self,
+        candidates: &mut Vec<upstream::Key>,
+        is_preferred: impl Fn(&Upstream) -> bool,
+    ) {
+        let is_preferred = |key: &upstream::Key| is_preferred(&self.upstreams[*key]);
+        if candidates.iter().any(is_preferred) {
+            candidates.retain(is_preferred);
+        }
+    }
+
+    /// Since when an upstream should have answered to get a request that met ended incarnations while the store is away:
+    /// the list may show many more of them. The second time, it should have answered just now.
+    fn heard_since(&self, request: &Request) -> Option<Time> {
+        let away_since = self.store_away_since?;
+        match request.progress.ends_met {
+            0 => None,
+            1 => Some(away_since),
+            _ => Some(away_since.max(self.now.before(JUST_HEARD_MS))),
+        }
+    }
+
     fn choose_by_cost(
         &mut self,
         key: request::Key,
@@ -168,6 +201,12 @@
         let mut cost = upstream.failure_score.level(self.now) * weights.trouble;
         cost += f64::from(usage.prefilling) * weights.reading;
         cost += f64::from(usage.running) * weights.running;
+        if self
+            .store_away_since
+            .is_some_and(|since| upstream.answered_at < since)
+        {
+            cost += weights.unheard;
+        }
         cost += self.suspects_at(request.request_fingerprint, candidate) as f64 * weights.suspect;
         if upstream.data_centre != self.data_centre {
             cost += weights.far * self.distance_weight(request.service.pool());
--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -199,6 +199,11 @@
                 prefill_ms = millis;
             }
         }
+        if record.stage == stream_record::Stage::Streaming
+            && let Some(upstream) = upstream
+        {
+            self.upstreams[upstream].record_answer(self.now);
+        }
         let upstreams = &self.upstreams_by_incarnation;
         let prompt = record.prompt;
         self.stream_records
@@ -287,11 +292,15 @@
                 counter::Reason::Leaving
             }
             Failure::NotSent => {
+                if self.settings.shared.losses {
+                    self.upstreams[upstream].reach = upstream::Reach::Doubted { until: self.now };
+                }
                 self.report_loss(upstream);
                 counter::Reason::NotSent
             }
             Failure::Refused | Failure::Rejected => {
                 self.upstreams[upstream].last_heard = self.now;
+                self.upstreams[upstream].record_answer(self.now);
                 if attempt.copy.is_none() {
                     let upstream = &mut self.upstreams[upstream];
                     upstream.failure_score.record(self.now);
@@ -300,7 +309,10 @@
                 counter::Reason::Refused
             }
             // Recorded and announced below, together with the proof of its end.
-            Failure::Replaced => counter::Reason::Replaced,
+            Failure::Replaced => {
+                request.progress.ends_met += 1;
+                counter::Reason::Replaced
+            }
         };
         self.record_call_result(attempt, false);
         self.log_lost(attempt, reason);
@@ -451,10 +463,16 @@
     }
 
     /// Records the loss of an upstream as reported by another instance. The cause may be that
-    /// instance's own network link, so the report counts as a single failure.
+    /// instance's own network link, so the report counts as a single failure, and the upstream is
+    /// avoided only while others are left.
     pub(crate) fn record_peer_loss(&mut self, incarnation: Incarnation) {
-        if let Some(key) = self.upstreams_by_incarnation.get(&incarnation) {
-            self.upstreams[*key].failure_score.record(self.now);
+        let Some(key) = self.upstreams_by_incarnation.get(&incarnation).copied() else {
+            return;
+        };
+        let upstream = &mut self.upstreams[key];
+        upstream.failure_score.record(self.now);
+        if self.settings.shared.losses {
+            upstream.record_reported_loss(self.settings.probe_ms, self.now);
         }
     }
 
--- a/crates/core/src/request.rs
+++ b/crates/core/src/request.rs
@@ -83,6 +83,8 @@
 pub struct RelayProgress {
     /// Copy of the run's KV cache that the next attempt may resume from.
     pub copy: Option<KvCopy>,
+    /// Number of attempts that met an ended incarnation of an upstream.
+    pub ends_met: u32,
     /// Whether the edge holds an error response of an upstream, to be forwarded if no other attempt
     /// succeeds.
     pub has_held_error: bool,
--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -143,6 +143,8 @@
     pub suspect: f64,
     /// Each recent failure.
     pub trouble: f64,
+    /// An upstream not heard from since the store went away: the list would not show its end.
+    pub unheard: f64,
 }
 
 impl Default for PlacementWeights {
@@ -157,6 +159,7 @@
             spread: 0.5,
             suspect: 6.0,
             trouble: 3.0,
+            unheard: 3.0,
         }
     }
 }
--- a/crates/core/src/upstream.rs
+++ b/crates/core/src/upstream.rs
@@ -74,11 +74,25 @@
     }
 }
 
+/// Whether an upstream can be reached, by failed connections here and other instances' reports.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Reach {
+    /// Nothing has arrived from it since a connection failed or another instance lost it.
+    Doubted {
+        /// Until when it gets no work while others are left; then it gets one request at a time.
+        until: Time,
+    },
+    /// There is no reason to doubt it.
+    Undoubted,
+}
+
 /// State of one upstream.
 #[derive(Clone, Debug)]
 pub struct Upstream {
     /// Address that it listens on.
     pub address: SocketAddr,
+    /// When it last sent anything to this instance or, by their records of streams, to others; the epoch if never.
+    pub answered_at: Time,
     /// This instance's attempts in progress.
     pub attempts: Vec<attempt::Key>,
     /// Data centre that it runs in.
@@ -125,6 +139,8 @@
     pub probe_sent: Option<Time>,
     /// Recent load changes, oldest first, some of which a load report may include.
     pub recent_changes: VecDeque<LoadChange>,
+    /// Whether it can be reached.
+    pub reach: Reach,
     /// Position in the order of registration; the lowest if unknown.
     pub registered_at: Position,
     /// Until when it stays suspected, if upstreams are not probed.
@@ -147,11 +163,38 @@
     /// Records that something was received from it.
     pub fn record_activity(&mut self, now: Time) {
         self.last_heard = now;
+        self.record_answer(now);
         if self.health == Health::Suspected {
             self.health = Health::Live;
         }
     }
 
+    /// Records that it sent something to this instance or another one.
+    pub fn record_answer(&mut self, now: Time) {
+        self.answered_at = now;
+        self.reach = Reach::Undoubted;
+    }
+
+    /// Records that another instance lost it. For `millis` it gets no work while others are left, and then one request
+    /// at a time until it answers. An upstream that has answered here within that time is reachable: the cause is the
+    /// reporter's own network link.
+    pub fn record_reported_loss(&mut self, millis: u64, now: Time) {
+        if self.answered_at == Time::default() || now.since(self.answered_at) >= millis {
+            self.reach = Reach::Doubted {
+                until: now.after(millis),
+            };
+        }
+    }
+
+    /// Whether it should get no work while others are left: another instance has just lost it, or a request of this
+    /// instance already tries whether it can be reached again.
+    pub fn is_doubted(&self, now: Time) -> bool {
+        match self.reach {
+            Reach::Doubted { until } => now < until || !self.attempts.is_empty(),
+            Reach::Undoubted => false,
+        }
+    }
+
     /// Applies a load report that is `lag_ms` milliseconds old. Changes of this instance before that are included in it.
     pub fn apply_load_report(&mut self, load: Load, now: Time, lag_ms: u64) {
         self.load = load;
--- a/crates/core/tests/availability.rs
+++ b/crates/core/tests/availability.rs
@@ -162,3 +162,20 @@
     availability.record_success(Time(2_500));
     expect_that!(availability.uptime_ms(), eq(0));
 }
+
+/// Guards against an outage that is assumed after a single failed call, such as a cut watch, and against one that is
+/// missed.
+#[gtest]
+fn store_counts_as_away_since_its_last_answer_to_anybody() {
+    let mut availability = Availability::new(HEARTBEAT_MS);
+    availability.record_success(Time(10_000));
+    expect_that!(availability.away_since(), none());
+    availability.record_failure(Time(11_000), Time(11_000));
+    expect_that!(availability.away_since(), none());
+    availability.record_failure(Time(11_200), Time(11_200));
+    expect_that!(availability.away_since(), some(eq(Time(10_000))));
+    availability.record_peer_success(Time(11_300));
+    expect_that!(availability.away_since(), none());
+    availability.record_success(Time(12_000));
+    expect_that!(availability.away_since(), none());
+}
--- a/crates/core/tests/relay/main.rs
+++ b/crates/core/tests/relay/main.rs
@@ -34,6 +34,7 @@
 mod limit;
 mod notice;
 mod poison;
+mod reach;
 mod retry;
 mod version;
 
--- a/crates/node/src/core_settings.rs
+++ b/crates/node/src/core_settings.rs
@@ -43,6 +43,7 @@
             "spread": core.place.spread,
             "suspect": core.place.suspect,
             "trouble": core.place.trouble,
+            "unheard": core.place.unheard,
         },
         "probes": core.probes,
         "quarantine": "lives",
@@ -183,6 +184,7 @@
         spread: weight("spread", default.spread),
         suspect: weight("suspect", default.suspect),
         trouble: weight("trouble", default.trouble),
+        unheard: weight("unheard", default.unheard),
     };
     reader.finish();
     place
--- a/crates/node/src/store_sync.rs
+++ b/crates/node/src/store_sync.rs
@@ -82,6 +82,8 @@
 
 /// State of the task.
 struct Task {
+    /// Since when the store has not answered, as last reported to the core.
+    away_since: Option<Time>,
     /// Pending calls by their identifiers.
     calls: HashMap<u64, AbortHandle>,
     call_events: mpsc::UnboundedSender<CallEvent>,
@@ -114,6 +116,7 @@
         let informer = Informer::new(self.bound, self.leave_ms, *availability.borrow(), now)
             .awaiting_role(self.bound.bound_ms, now);
         let mut task = Task {
+            away_since: None,
             calls: HashMap::new(),
             call_events,
             informer,
@@ -266,6 +269,10 @@
     /// Passes an input to the informer and applies its outputs.
     fn handle(&mut self, input: Input, availability: Availability) {
         let now = self.params.clock.now();
+        let away_since = availability.away_since();
+        if std::mem::replace(&mut self.away_since, away_since) != away_since {
+            self.params.driver.send_event(Event::StoreAway(away_since));
+        }
         let outputs = self.informer.handle(input, availability, now);
         // Published before the outputs are applied, since announcements to others contain the known state.
         let known = self.informer.known_state();
