--- a/crates/core/src/core.rs
+++ b/crates/core/src/core.rs
@@ -32,6 +32,8 @@
     pub queue: Queue,
     /// Budget for retries.
     pub retry_budget: Budget,
+    /// Attempts beyond the first, where the users bound them.
+    pub retry_window: RetryWindow,
     /// Mean number of tokens of a request.
     pub tokens: estimates::Mean,
     /// Its upstreams.
@@ -53,6 +55,7 @@
             mean_duration_ms: INITIAL_DURATION_MS,
             queue: Queue::default(),
             retry_budget: Budget::new(BUDGET_PERMITS, BUDGET_REFILL_PER_SECOND, Time::default()),
+            retry_window: RetryWindow::default(),
             tokens: estimates::Mean::default(),
             upstreams: Vec::new(),
             version: None,
@@ -89,6 +92,8 @@
     /// Requests that arrived before this instance had the state to serve them.
     pub(crate) deferred: Vec<DeferredRequest>,
     pub(crate) effects: Vec<Effect>,
+    /// Incarnations of upstreams that have ended.
+    pub(crate) ended: EndedIncarnations,
     /// When requests were last checked for expiry.
     pub(crate) expiry_checked_at: Time,
     pub(crate) hedge_budget: Budget,
@@ -127,6 +132,8 @@
     /// Ranks the upstreams that this instance works with.
     pub(crate) seed: u64,
     pub(crate) settings: Settings,
+    /// Since when the store has not answered; `None` while it does.
+    pub(crate) store_away_since: Option<Time>,
     /// Streams that other instances reported.
     pub(crate) stream_records: stream_record::StreamRecords,
     /// Whether all streams that were stored before its start have been reported.
@@ -203,6 +210,7 @@
                 upstream,
             } => self.apply_notice(upstream, attempt, &notice),
             Event::PeerDemand { demand, from } => self.record_peer_demand(from, &demand),
+            Event::PeerEnds(incarnations) => self.apply_peer_ends(&incarnations),
             Event::PeerLeaving(incarnation) => self.apply_peer_leaving(incarnation),
             Event::PeerLimit { incarnation, rate } => self.apply_peer_limit(incarnation, rate),
             Event::PeerLoss(incarnation) => self.record_peer_loss(incarnation),
@@ -215,6 +223,7 @@
                 body,
                 status,
             } => self.handle_reply(attempt, status, body),
+            Event::StoreAway(since) => self.store_away_since = since,
             Event::StreamEnded { attempt, marked } => self.handle_stream_end(attempt, marked),
             Event::StreamEvent {
                 attempt,
@@ -247,6 +256,7 @@
             departed: BTreeSet::new(),
             deferred: Vec::new(),
             effects: Vec::new(),
+            ended: EndedIncarnations::default(),
             expiry_checked_at: now,
             hedge_budget: Budget::new(BUDGET_PERMITS, BUDGET_REFILL_PER_SECOND, now),
             held_bytes: 0,
@@ -270,6 +280,7 @@
             secret,
             seed,
             settings,
+            store_away_since: None,
             stream_records: stream_record::StreamRecords::default(),
             streams_restored: true,
             suspected: BTreeSet::new(),
@@ -356,6 +367,9 @@
 
     /// Removes a request from the state; every request passes through here exactly once.
     pub(crate) fn remove(&mut self, key: request::Key) -> Option<Request> {
+        if self.requests.get(key)?.state == State::Queued {
+            self.refund_retry_permit(key);
+        }
         let request = self.requests.remove(key)?;
         let unanswered = self.callers.remove(&request.caller) == Some(key);
         self.check_invariant(unanswered, Invariant::AnsweredTwice);
--- a/crates/core/src/effect.rs
+++ b/crates/core/src/effect.rs
@@ -87,6 +87,8 @@
     LeftSilent(liveness::Departure),
     /// An attempt ended without a complete response.
     Lost(counter::Reason),
+    /// The bound on attempts beyond the first permits no other attempt.
+    RetryRefused(RetryClass),
     /// The request was sent to an upstream.
     Sent {
         /// Upstream that keeps a copy of the run's KV cache.
@@ -281,6 +283,8 @@
         /// Whether the pool is nearly at its capacity, so that all instances need the update at once.
         urgent: bool,
     },
+    /// Broadcast to other instances that incarnations of upstreams have ended.
+    GossipEnded(Vec<Incarnation>),
     /// Broadcast to other instances that an upstream is leaving.
     GossipLeaving {
         /// Its incarnation.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -37,6 +37,7 @@
 pub mod quarantine;
 pub mod queue;
 pub mod request;
+pub mod retry_window;
 pub mod role;
 pub mod roster;
 pub mod settings;
@@ -48,6 +49,7 @@
 mod admission;
 mod capacity;
 mod dispatch;
+mod ended;
 mod engine_watch;
 mod failure;
 mod list;
@@ -77,6 +79,7 @@
     digest::Digest,
     directory::Audience,
     effect::Effect,
+    ended::EndedIncarnations,
     estimates::{EngineSpeed, PoolEstimates},
     event::{Event, Failure, ListDelta, ListEntry, OutputToken},
     fingerprint::RequestFingerprint,
@@ -94,9 +97,10 @@
     rand::{RngExt, SeedableRng, seq::SliceRandom},
     rand_pcg::Pcg64Mcg,
     request::{Request, State, Work},
+    retry_window::{RetryClass, RetryWindow},
     role::{Role, WatcherRank},
     roster::{Change, Roster, RosterUpdate, UpdateOutcome},
-    settings::{LivenessMethod, QuarantineRule, ResumeMode, Routing, Settings},
+    settings::{LivenessMethod, QuarantineRule, ResumeMode, RetryBound, Routing, Settings},
     slotmap::{SecondaryMap, SlotMap, new_key_type},
     staleness::StalenessBound,
     std::{
--- a/crates/core/src/list.rs
+++ b/crates/core/src/list.rs
@@ -161,6 +161,7 @@
             if entry.leaving && !self.upstreams[key].is_leaving(self.now) {
                 self.log_status_change(key, effect::StatusChange::Leaving);
             }
+            self.ended.contains_listed(incarnation, self.now);
             self.upstreams[key].leaving = entry.leaving;
             self.upstreams[key].listed_slots = entry.slots;
             self.set_version(key, &entry.version);
@@ -177,17 +178,23 @@
             self.upstreams_by_incarnation
                 .remove(&predecessor.incarnation);
         }
+        let has_ended = self.ended.contains_listed(incarnation, self.now);
         let name: Arc<str> = entry.name.as_str().into();
         let pool: Arc<str> = entry.pool.as_str().into();
         let key = self.upstreams.insert(Upstream {
             address: entry.address,
+            answered_at: Time::default(),
             attempts: Vec::new(),
             data_centre: entry.data_centre.as_str().into(),
             declared: self.retained_states.take(incarnation, entry.address),
             detector: StallDetector::default(),
             failure_score: upstream::FailureScore::default(),
             full_until: Time::default(),
-            health: Health::Live,
+            health: if has_ended {
+                Health::Lost
+            } else {
+                Health::Live
+            },
             held: false,
             in_subset: true,
             incarnation,
@@ -205,6 +212,7 @@
             pool: pool.clone(),
             probe_sent: None,
             recent_changes: VecDeque::new(),
+            reach: upstream::Reach::Undoubted,
             registered_at: entry.registered_at,
             suspected_until: Time::default(),
             unreported: 0,
--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -212,6 +212,11 @@
                 prefill_ms = millis;
             }
         }
+        if record.stage == stream_record::Stage::Streaming
+            && let Some(upstream) = upstream
+        {
+            self.upstreams[upstream].record_answer(self.now);
+        }
         let upstreams = &self.upstreams_by_incarnation;
         let prompt = record.prompt;
         self.stream_records
@@ -300,11 +305,15 @@
                 counter::Reason::Leaving
             }
             Failure::NotSent => {
+                if self.settings.shared.losses {
+                    self.upstreams[upstream].reach = upstream::Reach::Doubted { until: self.now };
+                }
                 self.report_loss(upstream, LossSource::Connection);
                 counter::Reason::NotSent
             }
             Failure::Refused | Failure::Rejected => {
                 self.upstreams[upstream].last_heard = self.now;
+                self.upstreams[upstream].record_answer(self.now);
                 if attempt.copy.is_none() {
                     let upstream = &mut self.upstreams[upstream];
                     upstream.failure_score.record(self.now);
@@ -312,8 +321,9 @@
                 }
                 counter::Reason::Refused
             }
+            // Recorded and announced below, together with the proof of its end.
             Failure::Replaced => {
-                self.report_loss(upstream, LossSource::Connection);
+                request.progress.ends_met += 1;
                 counter::Reason::Replaced
             }
         };
@@ -326,7 +336,7 @@
         // The crash suspicion may lead to the failure of this request.
         match failure {
             Failure::Broken => self.suspect_crash(attempt),
-            Failure::Replaced => self.mark_replaced(upstream),
+            Failure::Replaced => self.handle_proven_end(upstream),
             _ => {}
         }
         self.retry_after_crash_check(owner, upstream, reason);
@@ -342,17 +352,18 @@
             self.give_up(key, Kind::Overloaded, Kind::UpstreamFailed);
             return;
         }
-        let now = self.now;
-        let request = &mut self.requests[key];
-        if request.progress.position > 0 {
-            request.progress.lost_at.get_or_insert(now);
-            self.count(Counter::Resumed(reason));
-        } else if self.may_retry(key, reason) {
-            self.count(Counter::Retried(reason));
-        } else {
+        let resumes = self.requests[key].progress.position > 0;
+        if !self.may_take_attempt(key, resumes, reason) {
             self.give_up(key, Kind::Overloaded, Kind::UpstreamFailed);
             return;
         }
+        if resumes {
+            let progress = &mut self.requests[key].progress;
+            progress.lost_at.get_or_insert(self.now);
+            self.count(Counter::Resumed(reason));
+        } else {
+            self.count(Counter::Retried(reason));
+        }
         self.enqueue(key);
     }
 
@@ -405,6 +416,7 @@
     /// Abandons the relayed attempts of an upstream that have been silent for too long. If one
     /// stream is silent and the upstream sends nothing else either, all its streams count as lost.
     pub(crate) fn check_relay_stalls(&mut self, key: upstream::Key) {
+        self.retry_streams_of_ended(key);
         let silent = self.now.since(self.upstreams[key].last_heard) > self.settings.relay_stall_ms;
         for attempt_key in self.upstreams[key].attempts.clone() {
             let Some(attempt) = self.attempts.get(attempt_key) else {
@@ -470,12 +482,18 @@
     }
 
     /// Records the loss of an upstream as reported by another instance. The cause may be that
-    /// instance's own network link, so the report counts as a single failure.
+    /// instance's own network link, so the report counts as a single failure, and the upstream is
+    /// avoided only while others are left.
     pub(crate) fn record_peer_loss(&mut self, incarnation: Incarnation) {
         self.peer_heard_at = self.now;
-        if let Some(key) = self.upstreams_by_incarnation.get(&incarnation) {
-            self.losses.record(*key, LossSource::Peer, self.now);
-            self.upstreams[*key].failure_score.record(self.now);
+        let Some(key) = self.upstreams_by_incarnation.get(&incarnation).copied() else {
+            return;
+        };
+        self.losses.record(key, LossSource::Peer, self.now);
+        let upstream = &mut self.upstreams[key];
+        upstream.failure_score.record(self.now);
+        if self.settings.shared.losses {
+            upstream.record_reported_loss(self.settings.probe_ms, self.now);
         }
     }
 
--- a/crates/core/src/request.rs
+++ b/crates/core/src/request.rs
@@ -83,6 +83,8 @@
 pub struct RelayProgress {
     /// Copy of the run's KV cache that the next attempt may resume from.
     pub copy: Option<KvCopy>,
+    /// Number of attempts that met an ended incarnation of an upstream.
+    pub ends_met: u32,
     /// Whether the edge holds an error response of an upstream, to be forwarded if no other attempt
     /// succeeds.
     pub has_held_error: bool,
@@ -154,6 +156,18 @@
     }
 }
 
+/// Permit for attempts beyond the first, where the users bound them.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum RetryPermit {
+    /// No attempt has reached an upstream, as far as is known; the next one needs no permit.
+    #[default]
+    NotNeeded,
+    /// An attempt has reached an upstream; the next one needs a permit.
+    Needed,
+    /// Taken for the next or current attempt at this time.
+    Taken(Time),
+}
+
 /// Stage of processing of a request.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum State {
@@ -212,6 +226,8 @@
     pub request_fingerprint: RequestFingerprint,
     /// Cursor to re-attach with; `None` after the attempt to do so.
     pub resume_cursor: Option<Cursor>,
+    /// Whether its next attempt needs a retry permit.
+    pub retry_permit: RetryPermit,
     /// Time by which it must have been sent.
     pub send_by: Time,
     /// Requested service.
--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -161,6 +161,8 @@
     pub suspect: f64,
     /// Each recent failure.
     pub trouble: f64,
+    /// An upstream not heard from since the store went away: the list would not show its end.
+    pub unheard: f64,
 }
 
 impl Default for PlacementWeights {
@@ -176,6 +178,7 @@
             spread: 0.5,
             suspect: 6.0,
             trouble: 3.0,
+            unheard: 3.0,
         }
     }
 }
@@ -235,6 +238,9 @@
     /// Minimum number of permits in an instance's share, and number that it may overdraw; 0 for
     /// neither: an instance with a share of less than one permit then never retries.
     pub least: f64,
+    /// Whether instances act on each other's reports of upstreams that have ended or could not be connected to, and keep
+    /// those that have ended whatever the list says.
+    pub losses: bool,
     /// Whether instances send each other the prefill speed of engines during a shortage.
     pub paces: bool,
     /// Whether requests that no upstream accepted are sent again without a permit.
@@ -245,12 +251,33 @@
     fn default() -> Self {
         Self {
             least: 1.0,
+            losses: true,
             paces: true,
             unsent: true,
         }
     }
 }
 
+/// The users' bound on the attempts of requests beyond their first that reach an upstream, for each service over all
+/// instances together: in any window, `ratio` times the requests plus `extra`.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct RetryBound {
+    /// Attempts beyond the first allowed in a window whatever the number of requests.
+    pub extra: f64,
+    /// Attempts beyond the first allowed for each request.
+    pub ratio: f64,
+    /// Length of the window, in milliseconds; 0 for no such bound: retries then take permits of token buckets, and
+    /// resumes none.
+    pub window_ms: u64,
+}
+
+impl RetryBound {
+    /// Whether there is a bound.
+    pub fn is_set(&self) -> bool {
+        self.window_ms > 0
+    }
+}
+
 /// Limits on calls of plain services.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct CallLimits {
@@ -363,6 +390,8 @@
     pub resume_reserve: f64,
     /// Limits on the load of engines with relayed streams.
     pub room: CapacityLimits,
+    /// The users' bound on attempts beyond the first.
+    pub retry: RetryBound,
     /// Retry permits that each admitted request adds to the budget.
     pub retry_earn: f64,
     /// State that all instances share.
@@ -411,6 +440,7 @@
             report_lag_ms: 300,
             resume_reserve: 0.0,
             routing: Routing::Prefix,
+            retry: RetryBound::default(),
             retry_earn: 0.1,
             room: CapacityLimits::default(),
             shared: SharedSettings::default(),
--- a/crates/core/tests/relay/main.rs
+++ b/crates/core/tests/relay/main.rs
@@ -28,6 +28,7 @@
 mod builder;
 mod capacity;
 mod directory;
+mod ended;
 mod engine_model;
 mod fleet;
 mod incarnation;
@@ -37,6 +38,8 @@
 mod liveness_methods;
 mod notice;
 mod poison;
+mod reach;
+mod retry;
 mod version;
 
 use builder::*;
--- a/crates/node/src/core_settings.rs
+++ b/crates/node/src/core_settings.rs
@@ -5,7 +5,7 @@
 use settings::MILLIS_MAX;
 use wellplank_core::settings::{
     CallLimits, CapacityLimits, LimitHolders, LivenessMethod, PlacementWeights, QuarantineRule,
-    ResumeMode, Routing, Settings, SharedSettings,
+    ResumeMode, RetryBound, Routing, Settings, SharedSettings,
 };
 
 /// The section with all settings at their defaults.
@@ -45,6 +45,7 @@
             "spread": core.place.spread,
             "suspect": core.place.suspect,
             "trouble": core.place.trouble,
+            "unheard": core.place.unheard,
         },
         "probes": core.probes,
         "quarantine": "lives",
@@ -56,6 +57,11 @@
         "relay_stall_ms": core.relay_stall_ms,
         "report_lag_ms": core.report_lag_ms,
         "resume_reserve": core.resume_reserve,
+        "retry": {
+            "extra": core.retry.extra,
+            "ratio": core.retry.ratio,
+            "window_ms": core.retry.window_ms,
+        },
         "retry_earn": core.retry_earn,
         "room": {
             "copy_fill": core.room.copy_fill,
@@ -71,6 +77,7 @@
         "routing": "prefix",
         "shared": {
             "least": core.shared.least,
+            "losses": core.shared.losses,
             "paces": core.shared.paces,
             "unsent": core.shared.unsent,
         },
@@ -141,6 +148,7 @@
         report_lag_ms,
         resume_reserve: reader.fraction("resume_reserve", default.resume_reserve),
         room: read_capacity(reader.section("room")),
+        retry: read_retry(reader.section("retry")),
         retry_earn: reader.fraction("retry_earn", default.retry_earn),
         routing: reader.choice("routing", &Routing::ALL, default.routing),
         shared: read_shared(reader.section("shared")),
@@ -180,6 +188,7 @@
         spread: weight("spread", default.spread),
         suspect: weight("suspect", default.suspect),
         trouble: weight("trouble", default.trouble),
+        unheard: weight("unheard", default.unheard),
     };
     reader.finish();
     place
@@ -203,10 +212,22 @@
     room
 }
 
+fn read_retry(mut reader: Reader) -> RetryBound {
+    let default = RetryBound::default();
+    let retry = RetryBound {
+        extra: reader.float("extra", default.extra, 0.0..=1_000_000.0),
+        ratio: reader.float("ratio", default.ratio, 0.0..=100.0),
+        window_ms: reader.number("window_ms", default.window_ms, 0..=MILLIS_MAX),
+    };
+    reader.finish();
+    retry
+}
+
 fn read_shared(mut reader: Reader) -> SharedSettings {
     let default = SharedSettings::default();
     let shared = SharedSettings {
         least: reader.float("least", default.least, 0.0..=10.0),
+        losses: reader.flag("losses", default.losses),
         paces: reader.flag("paces", default.paces),
         unsent: reader.flag("unsent", default.unsent),
     };
