--- a/crates/core/src/ended.rs
+++ b/crates/core/src/ended.rs
@@ -10,6 +10,9 @@
 /// restored later than that costs one attempt at each incarnation that it brings back.
 const RETENTION_MS: u64 = 3_600_000;
 
+/// Stands for the address of an incarnation that is not listed here and is identified by its start time.
+const UNKNOWN_ADDRESS: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::UNSPECIFIED), 0);
+
 /// Maximum number of ended incarnations; the oldest are evicted. The largest fleet, replaced ten times. An entry takes
 /// under 100 bytes.
 const MAX_ENTRIES: usize = 20_000;
@@ -23,29 +26,54 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct EndedIncarnations {
     /// When each became known or was last listed.
-    entries: HashMap<Incarnation, Time>,
+    entries: HashMap<Identity, Time>,
     unannounced: Vec<Incarnation>,
 }
 
+/// Identity of an ended incarnation.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+struct Identity {
+    /// Address, if the upstream reports no start time: a restarted one may have its former name at another address. At
+    /// the same address it would answer to the name, so the former incarnation was never proven to have ended.
+    address: Option<SocketAddr>,
+    incarnation: Incarnation,
+}
+
 /// Order in which the streams of an ended upstream are retried: those with tokens, then the most urgent by customer and
 /// route, then the earliest due.
 type RetryOrder = (bool, u32, u32, Time);
 
+impl Identity {
+    fn new(incarnation: Incarnation, address: SocketAddr) -> Self {
+        Self {
+            address: (incarnation.born == 0).then_some(address),
+            incarnation,
+        }
+    }
+}
+
 impl EndedIncarnations {
-    /// Whether an incarnation has ended.
-    pub fn contains(&self, incarnation: Incarnation) -> bool {
-        self.entries.contains_key(&incarnation)
+    /// Whether an incarnation at an address has ended.
+    pub fn contains(&self, incarnation: Incarnation, address: SocketAddr) -> bool {
+        self.entries
+            .contains_key(&Identity::new(incarnation, address))
     }
 
     /// Whether a listed incarnation has ended; keeps it while it is listed.
-    pub fn contains_listed(&mut self, incarnation: Incarnation, now: Time) -> bool {
-        let entry = self.entries.get_mut(&incarnation);
+    pub fn contains_listed(
+        &mut self,
+        incarnation: Incarnation,
+        address: SocketAddr,
+        now: Time,
+    ) -> bool {
+        let entry = self.entries.get_mut(&Identity::new(incarnation, address));
         entry.map(|at| *at = now).is_some()
     }
 
     /// Adds an incarnation; returns whether it was not known to have ended.
-    pub fn add(&mut self, incarnation: Incarnation, now: Time) -> bool {
-        if self.entries.insert(incarnation, now).is_some() {
+    pub fn add(&mut self, incarnation: Incarnation, address: SocketAddr, now: Time) -> bool {
+        let identity = Identity::new(incarnation, address);
+        if self.entries.insert(identity, now).is_some() {
             return false;
         }
         if self.entries.len() > MAX_ENTRIES {
@@ -69,10 +97,10 @@
 impl Core {
     /// Handles the proof that the incarnation of an upstream has ended: another one answered a request meant for it.
     pub(crate) fn handle_proven_end(&mut self, key: upstream::Key) {
-        let incarnation = self.upstreams[key].incarnation;
+        let (incarnation, address) = (self.upstreams[key].incarnation, self.upstreams[key].address);
         if !self.settings.shared.losses {
             self.report_loss(key, LossSource::Connection);
-        } else if self.ended.add(incarnation, self.now) {
+        } else if self.ended.add(incarnation, address, self.now) {
             self.ended.unannounced.push(incarnation);
         }
         self.mark_replaced(key);
@@ -85,11 +113,14 @@
             return;
         }
         for incarnation in incarnations {
-            if !self.ended.add(*incarnation, self.now) {
+            let key = self.upstreams_by_incarnation.get(incarnation).copied();
+            let address = key.map(|key| self.upstreams[key].address);
+            // Without a start time, only one that is listed here can be told from its successor of the same name.
+            let address = address.or((incarnation.born > 0).then_some(UNKNOWN_ADDRESS));
+            if !address.is_some_and(|address| self.ended.add(*incarnation, address, self.now)) {
                 continue;
             }
             self.count(Counter::PeerEnded);
-            let key = self.upstreams_by_incarnation.get(incarnation).copied();
             if let Some(key) = key {
                 self.mark_replaced(key);
                 self.retry_streams_of_ended(key);
@@ -108,7 +139,7 @@
     /// Whether the incarnation of an upstream is known to have ended.
     pub(crate) fn has_ended(&self, key: upstream::Key) -> bool {
         let upstream = self.upstreams.get(key);
-        upstream.is_some_and(|upstream| self.ended.contains(upstream.incarnation))
+        upstream.is_some_and(|upstream| self.ended.contains(upstream.incarnation, upstream.address))
     }
 
     /// Retries the streams of an ended upstream as after a reset of their connections, of which none may come. Calls and
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -106,7 +106,7 @@
     std::{
         collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque},
         fmt::{self, Display, Formatter},
-        net::SocketAddr,
+        net::{IpAddr, Ipv4Addr, SocketAddr},
         ops::RangeInclusive,
         sync::Arc,
     },
--- a/crates/core/src/list.rs
+++ b/crates/core/src/list.rs
@@ -161,7 +161,8 @@
             if entry.leaving && !self.upstreams[key].is_leaving(self.now) {
                 self.log_status_change(key, effect::StatusChange::Leaving);
             }
-            self.ended.contains_listed(incarnation, self.now);
+            self.ended
+                .contains_listed(incarnation, entry.address, self.now);
             self.upstreams[key].leaving = entry.leaving;
             self.upstreams[key].listed_slots = entry.slots;
             self.set_version(key, &entry.version);
@@ -178,7 +179,9 @@
             self.upstreams_by_incarnation
                 .remove(&predecessor.incarnation);
         }
-        let has_ended = self.ended.contains_listed(incarnation, self.now);
+        let has_ended = self
+            .ended
+            .contains_listed(incarnation, entry.address, self.now);
         let name: Arc<str> = entry.name.as_str().into();
         let pool: Arc<str> = entry.pool.as_str().into();
         let key = self.upstreams.insert(Upstream {
--- a/crates/core/src/watch.rs
+++ b/crates/core/src/watch.rs
@@ -95,7 +95,7 @@
             self.settings.probe_ms
         };
         upstream.next_probe = self.now.after(wait);
-        if alive && self.ended.contains(upstream.incarnation) {
+        if alive && self.ended.contains(upstream.incarnation, upstream.address) {
             // Its successor at the address answered.
         } else if alive {
             upstream.health = Health::Live;
