Let an instance go beyond its part of the retry bound by stream records, and doubt silent data centres while the store is away

Losses fall unevenly on instances: with each at its own part, 39 streams with a copy were refused while the fleet had used 0.73 of the bound. A second Started record of the same run is an attempt beyond the first, so each instance knows the fleet's attempts without another message. While the store is away, an upstream half of whose data centre was lost since it answered holds no copies and weighs more: idle ones are missed by nobody, and six instances met the end of one that held copies of their streams.

--- a/crates/core/src/core.rs
+++ b/crates/core/src/core.rs
@@ -125,8 +125,8 @@
     /// Ranks the upstreams that this instance works with.
     pub(crate) seed: u64,
     pub(crate) settings: Settings,
-    /// Since when the store has not answered; `None` while it does.
-    pub(crate) store_away_since: Option<Time>,
+    /// The latest time without answers of the store; `None` if it always answered.
+    pub(crate) store_away: Option<silence::StoreAway>,
     /// Streams that other instances reported.
     pub(crate) stream_records: stream_record::StreamRecords,
     /// Whether all streams that were stored before its start have been reported.
@@ -216,7 +216,7 @@
                 body,
                 status,
             } => self.handle_reply(attempt, status, body),
-            Event::StoreAway(since) => self.store_away_since = since,
+            Event::StoreAway(since) => self.record_store_away(since),
             Event::StreamEnded { attempt, marked } => self.handle_stream_end(attempt, marked),
             Event::StreamEvent {
                 attempt,
@@ -271,7 +271,7 @@
             secret,
             seed,
             settings,
-            store_away_since: None,
+            store_away: None,
             stream_records: stream_record::StreamRecords::default(),
             streams_restored: true,
             suspected: BTreeSet::new(),
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -54,6 +54,7 @@
 mod place;
 mod relay;
 mod route;
+mod silence;
 mod stream;
 mod suspicion;
 mod timeout;
--- a/crates/core/src/place.rs
+++ b/crates/core/src/place.rs
@@ -11,9 +11,9 @@
 /// Lost upstreams in a data centre from which on the others are suspected as well.
 const MIN_OUTAGE_UPSTREAMS: u32 = 2;
 
-/// Time within which an upstream counts as just heard from, in milliseconds: half the interval between two losses of
-/// data centres in quick succession, and many times that between two events of a stream.
-const JUST_HEARD_MS: u64 = 1_500;
+/// Time within which an upstream counts as just heard from, in milliseconds: less than engines take to restart, and many
+/// times the interval between two events of a stream.
+const JUST_HEARD_MS: u64 = 1_000;
 
 /// Minimum number of upstreams sampled for a request. With two, the fullest mostly has one or two requests more than the
 /// mean; with four, one of them has capacity while three quarters of all are full.
@@ -97,11 +97,14 @@
         self.choose_by_cost(key, candidates, own)
     }
 
-    /// Whether an upstream may still hold a copy, as far as is known.
+    /// Whether an upstream may still hold a copy, as far as is known. One that another instance lost may have been
+    /// restarted since: streams of several instances would meet the end of the one that held their copies.
     pub(crate) fn may_hold_copy(&self, key: upstream::Key) -> bool {
-        let upstream = self.upstreams.get(key);
-        upstream
-            .is_some_and(|upstream| upstream.health == Health::Live && upstream.may_serve(self.now))
+        let Some(upstream) = self.upstreams.get(key) else {
+            return false;
+        };
+        let is_lost = self.settings.shared.losses && self.may_have_lost_copy(key);
+        upstream.health == Health::Live && upstream.may_serve(self.now) && !is_lost
     }
 
     /// Candidates for a relayed request: live upstreams that can serve, or suspected ones if there is none. Excludes the one
@@ -120,10 +123,8 @@
             candidates.retain(is_live);
         }
         self.retain_preferred(&mut candidates, |upstream| !upstream.is_doubted(self.now));
-        if let Some(heard_since) = self.heard_since(request) {
-            self.retain_preferred(&mut candidates, |upstream| {
-                upstream.answered_at >= heard_since
-            });
+        if request.progress.ends_met > 0 {
+            self.retain_heard(request, &mut candidates);
         }
         if candidates.len() > 1 {
             candidates.retain(|other| Some(*other) != request.avoided_upstream);
@@ -143,14 +144,17 @@
         }
     }
 
-    /// Since when an upstream should have answered to get a request that met ended incarnations while the store is away:
-    /// the list may show many more of them. The second time, it should have answered just now.
-    fn heard_since(&self, request: &Request) -> Option<Time> {
-        let away_since = self.store_away_since?;
-        match request.progress.ends_met {
-            0 => None,
-            1 => Some(away_since),
-            _ => Some(away_since.max(self.now.before(JUST_HEARD_MS))),
+    /// Limits the candidates for a request that met ended incarnations while the store is away: the list may show many
+    /// more of them. The second time, an upstream should have answered just now.
+    fn retain_heard(&self, request: &Request, candidates: &mut Vec<upstream::Key>) {
+        let Some(silences) = self.silences(request.service.pool()) else {
+            return;
+        };
+        self.retain_preferred(candidates, |upstream| !silences.cover(upstream));
+        if request.progress.ends_met > 1 {
+            self.retain_preferred(candidates, |upstream| {
+                self.now.since(upstream.answered_at) < JUST_HEARD_MS
+            });
         }
     }
 
@@ -163,6 +167,7 @@
         let weights = self.settings.place;
         let pool = self.requests[key].service.pool();
         let outages = self.outages(pool);
+        let silences = self.silences(pool);
         let sample_size = self.sample_size(pool, candidates.len());
         let (candidates, _) = candidates.partial_shuffle(&mut self.rng, sample_size);
         let mut best = None;
@@ -170,7 +175,11 @@
             let usage = self.usage(own, *candidate);
             let upstream = &self.upstreams[*candidate];
             let outage = outages.get(&upstream.data_centre).copied();
+            let is_silent = silences
+                .as_ref()
+                .is_some_and(|silences| silences.cover(upstream));
             let cost = self.cost(key, *candidate, usage)
+                + f64::from(u8::from(is_silent)) * weights.unheard
                 + outage.unwrap_or_default().lost_share(upstream.last_heard) * weights.outage
                 + self.rng.random::<f64>() * weights.spread;
             if best.is_none_or(|(least, _)| cost < least) {
@@ -201,12 +210,6 @@
         let mut cost = upstream.failure_score.level(self.now) * weights.trouble;
         cost += f64::from(usage.prefilling) * weights.reading;
         cost += f64::from(usage.running) * weights.running;
-        if self
-            .store_away_since
-            .is_some_and(|since| upstream.answered_at < since)
-        {
-            cost += weights.unheard;
-        }
         cost += self.suspects_at(request.request_fingerprint, candidate) as f64 * weights.suspect;
         if upstream.data_centre != self.data_centre {
             cost += weights.far * self.distance_weight(request.service.pool());
--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -193,6 +193,7 @@
         if let Some(upstream) = upstream.filter(|_| starts) {
             let ahead = self.stream_records.usage(upstream).prefill_tokens;
             let name = self.upstreams[upstream].pool.clone();
+            self.record_peer_start(&name, &record);
             let pool = self.pools.entry(name).or_default();
             pool.estimates.record_stream_start(self.now);
             if let Some(millis) = pool.estimates.known_prefill_ms(ahead + record.tokens) {
@@ -293,7 +294,7 @@
             }
             Failure::NotSent => {
                 if self.settings.shared.losses {
-                    self.upstreams[upstream].reach = upstream::Reach::Doubted { until: self.now };
+                    self.upstreams[upstream].doubt(self.now, self.now);
                 }
                 self.report_loss(upstream);
                 counter::Reason::NotSent
--- a/crates/core/src/retry_window.rs
+++ b/crates/core/src/retry_window.rs
@@ -1,7 +1,9 @@
 //! Bound on the attempts of requests beyond their first that reach an upstream, over a sliding window.
 //!
 //! The bound holds for each service over all instances together. Each instance keeps its own part of it, which depends
-//! on its own requests and on the number of instances only, so nothing has to be exchanged.
+//! on its own requests and on the number of instances only. Losses fall unevenly on instances: beyond its part, an
+//! instance may go as long as the stream records of all, which are sent anyway, show that the fleet is well below the
+//! bound. Where records go to few instances, each keeps to its part.
 
 use super::*;
 use request::RetryPermit;
@@ -25,6 +27,18 @@
 /// with two requests each exceeded the bound by 0.07, since their rounding follows each request that comes and expires.
 const ROUNDING: f64 = 0.75;
 
+/// Multiple of its part, and permits, that an instance may use in all while the fleet is below the bound.
+const BORROWED_MULTIPLE: f64 = 3.0;
+const BORROWED_PERMITS: f64 = 2.0;
+
+/// Fraction of the requests of a fleet, by those of this instance, that stream records must show for an instance to go
+/// beyond its part.
+const KNOWN_FRACTION: f64 = 0.25;
+
+/// Mean attempts of the instances of a fleet at one moment as a fraction of those of an instance that has used up its
+/// part: that one has more than most.
+const MEAN_FRACTION: f64 = 0.5;
+
 /// Permits that an instance has for streams with a copy of their KV cache, however small its part is.
 const COPY_PERMITS_MIN: f64 = 1.0;
 
@@ -56,13 +70,22 @@
     total: u32,
 }
 
-/// Requests that an instance received for one service, and its attempts beyond their first.
+/// Requests and attempts beyond their first.
 #[derive(Clone, Debug, Default)]
-pub struct RetryWindow {
+struct AttemptCounts {
     received: SlotCounts,
     spent: SlotCounts,
 }
 
+/// Requests that were received for one service, and attempts beyond their first.
+#[derive(Clone, Debug, Default)]
+pub struct RetryWindow {
+    /// Of all instances, as far as their stream records show.
+    fleet: AttemptCounts,
+    /// Of this instance.
+    own: AttemptCounts,
+}
+
 impl RetryClass {
     /// Permits that this class may use of a part of the bound, in permits.
     fn permits(self, part: f64, rank: f64) -> f64 {
@@ -73,6 +96,16 @@
             Self::ResumeFromCopy => usable(1.0).max(COPY_PERMITS_MIN),
         }
     }
+
+    /// Fraction of the fleet's bound below which this class may go beyond the part of its instance. The margin is for
+    /// attempts whose records have not arrived.
+    fn borrowed_below(self) -> f64 {
+        match self {
+            Self::Restart => 0.8,
+            Self::Resume => 0.9,
+            Self::ResumeFromCopy => 1.0,
+        }
+    }
 }
 
 impl Display for RetryClass {
@@ -120,11 +153,40 @@
     }
 }
 
+impl AttemptCounts {
+    /// Drops what lies outside the window. Attempts count for the whole of their first slot and requests for no part of
+    /// it, so that no window of the exact length exceeds the bound.
+    fn expire(&mut self, bound: &RetryBound, now: Time) {
+        let start = now.before(bound.window_ms);
+        self.spent.expire(start);
+        self.received.expire(start.after(SLOT_MS));
+    }
+
+    /// Requests in the window, or twice those in its second half if they are fewer: attempts stay in the window longer
+    /// than the requests before them. Where demand fell by half, 320 instances exceeded the bound by 0.15 without this, and by
+    /// 0.07 with it.
+    fn expected_requests(&self, bound: &RetryBound, now: Time) -> f64 {
+        let half = now.before(bound.window_ms / 2).after(SLOT_MS);
+        f64::from(self.received.total.min(2 * self.received.since(half)))
+    }
+}
+
 impl RetryWindow {
     /// Records a request that was received, whether or not it was admitted.
     pub fn record_request(&mut self, bound: &RetryBound, now: Time) {
         self.expire(bound, now);
-        self.received.add(now);
+        self.own.received.add(now);
+        self.fleet.received.add(now);
+    }
+
+    /// Records an attempt of another instance, and whether it is beyond the first of its request.
+    pub fn record_peer_attempt(&mut self, is_first: bool, bound: &RetryBound, now: Time) {
+        self.expire(bound, now);
+        if is_first {
+            self.fleet.received.add(now);
+        } else {
+            self.fleet.spent.add(now);
+        }
     }
 
     /// Takes a permit for an attempt beyond the first; takes nothing and returns false if this class has none left.
@@ -137,38 +199,64 @@
     ) -> bool {
         self.expire(bound, now);
         let extra = bound.extra / f64::from(fleet.instances.max(1));
-        let part = bound.ratio * f64::from(self.expected_requests(bound, now)) + extra;
-        if f64::from(self.spent.total) >= class.permits(part, fleet.rank) {
+        let part = bound.ratio * self.own.expected_requests(bound, now) + extra;
+        let has_part = f64::from(self.own.spent.total) < class.permits(part, fleet.rank);
+        if !has_part && !self.may_borrow(class, part, bound, fleet, now) {
             return false;
         }
-        self.spent.add(now);
+        self.own.spent.add(now);
+        self.fleet.spent.add(now);
         true
     }
 
     /// Returns a permit that was taken at a time for an attempt that reached no upstream.
     pub fn refund(&mut self, taken_at: Time) {
-        self.spent.remove(taken_at);
+        self.own.spent.remove(taken_at);
+        self.fleet.spent.remove(taken_at);
     }
 
     /// Counts a permit that was taken earlier at the time at which its attempt is sent.
     pub fn defer(&mut self, taken_at: Time, sent_at: Time) {
-        self.spent.remove(taken_at);
-        self.spent.add(sent_at);
+        self.refund(taken_at);
+        self.own.spent.add(sent_at);
+        self.fleet.spent.add(sent_at);
     }
 
-    /// Requests in the window, or twice those in its second half if they are fewer: attempts stay in the window longer
-    /// than the requests before them. Where demand fell by half, the bound was exceeded by 0.04 without this.
-    fn expected_requests(&self, bound: &RetryBound, now: Time) -> u32 {
-        let half = now.before(bound.window_ms / 2).after(SLOT_MS);
-        self.received.total.min(2 * self.received.since(half))
+    /// Whether an instance that has used up its part may go beyond it.
+    fn may_borrow(
+        &self,
+        class: RetryClass,
+        part: f64,
+        bound: &RetryBound,
+        fleet: FleetPart,
+        now: Time,
+    ) -> bool {
+        let instances = f64::from(fleet.instances);
+        let own_requests = f64::from(self.own.received.total.max(1));
+        let is_known =
+            f64::from(self.fleet.received.total) >= KNOWN_FRACTION * own_requests * instances;
+        let most = part * BORROWED_MULTIPLE + BORROWED_PERMITS;
+        if fleet.instances < 2 || !is_known || f64::from(self.own.spent.total) >= most {
+            return false;
+        }
+        let allowed = bound.ratio * self.fleet.expected_requests(bound, now) + bound.extra;
+        let unreported = match class {
+            RetryClass::Restart | RetryClass::Resume => self.unreported_attempts(instances, now),
+            RetryClass::ResumeFromCopy => 0.0,
+        };
+        f64::from(self.fleet.spent.total) + unreported < class.borrowed_below() * allowed
+    }
+
+    /// Attempts of other instances whose records may be on their way: when a data centre of upstreams is lost, all
+    /// instances retry their streams at the same moment.
+    fn unreported_attempts(&self, instances: f64, now: Time) -> f64 {
+        let own = f64::from(self.own.spent.since(now)) * instances * MEAN_FRACTION;
+        (own - f64::from(self.fleet.spent.since(now))).max(0.0)
     }
 
-    /// Drops what lies outside the window. Attempts count for the whole of their first slot and requests for no part of
-    /// it, so that no window of the exact length exceeds the bound.
     fn expire(&mut self, bound: &RetryBound, now: Time) {
-        let start = now.before(bound.window_ms);
-        self.spent.expire(start);
-        self.received.expire(start.after(SLOT_MS));
+        self.own.expire(bound, now);
+        self.fleet.expire(bound, now);
     }
 }
 
@@ -182,6 +270,23 @@
         }
     }
 
+    /// Records the start of another instance's stream at an upstream of a pool. A record of the same run shows that it
+    /// was sent before.
+    pub(crate) fn record_peer_start(&mut self, pool: &str, record: &StreamRecord) {
+        let bound = self.settings.retry;
+        if !bound.is_set() {
+            return;
+        }
+        let before = self.stream_records.get(record.prompt);
+        let is_first = before.is_none_or(|before| {
+            before.run != record.run || before.stage == stream_record::Stage::Waiting
+        });
+        if let Some(pool) = self.pools.get_mut(pool) {
+            pool.retry_window
+                .record_peer_attempt(is_first, &bound, self.now);
+        }
+    }
+
     /// Takes the permit that the next attempt of a request needs after the previous one ended for `reason`. An attempt
     /// that reached no upstream returns its permit, and a request that has reached none yet needs none.
     pub(crate) fn take_retry_permit(&mut self, key: request::Key, reason: counter::Reason) -> bool {
--- a/crates/core/src/upstream.rs
+++ b/crates/core/src/upstream.rs
@@ -79,6 +79,8 @@
 pub enum Reach {
     /// Nothing has arrived from it since a connection failed or another instance lost it.
     Doubted {
+        /// Since when.
+        since: Time,
         /// Until when it gets no work while others are left; then it gets one request at a time.
         until: Time,
     },
@@ -123,6 +125,8 @@
     pub leaving_until: Time,
     /// This instance's share of the rate limit; `None` without a limit.
     pub limit_bucket: Option<limit::TokenBucket>,
+    /// When its entry became known.
+    pub listed_at: Time,
     /// Maximum number of concurrent requests by the platform's list; 0 if unknown.
     pub listed_slots: u32,
     /// Last load report.
@@ -180,21 +184,33 @@
     /// reporter's own network link.
     pub fn record_reported_loss(&mut self, millis: u64, now: Time) {
         if self.answered_at == Time::default() || now.since(self.answered_at) >= millis {
-            self.reach = Reach::Doubted {
-                until: now.after(millis),
-            };
+            self.doubt(now.after(millis), now);
         }
     }
 
+    /// Records that it may not be reached, and until when it gets no work while others are left.
+    pub fn doubt(&mut self, until: Time, now: Time) {
+        let since = match self.reach {
+            Reach::Doubted { since, .. } => since,
+            Reach::Undoubted => now,
+        };
+        self.reach = Reach::Doubted { since, until };
+    }
+
     /// Whether it should get no work while others are left: another instance has just lost it, or a request of this
     /// instance already tries whether it can be reached again.
     pub fn is_doubted(&self, now: Time) -> bool {
         match self.reach {
-            Reach::Doubted { until } => now < until || !self.attempts.is_empty(),
+            Reach::Doubted { until, .. } => now < until || !self.attempts.is_empty(),
             Reach::Undoubted => false,
         }
     }
 
+    /// Whether another instance has just lost it.
+    pub fn is_just_reported(&self, now: Time) -> bool {
+        matches!(self.reach, Reach::Doubted { until, .. } if now < until)
+    }
+
     /// Applies a load report that is `lag_ms` milliseconds old. Changes of this instance before that are included in it.
     pub fn apply_load_report(&mut self, load: Load, now: Time, lag_ms: u64) {
         self.load = load;
--- a/crates/core/src/watch.rs
+++ b/crates/core/src/watch.rs
@@ -192,6 +192,7 @@
             return;
         }
         upstream.health = Health::Lost;
+        upstream.doubt(self.now, self.now);
         upstream.failure_score.record(self.now);
         let incarnation = upstream.incarnation;
         self.log_status_change(key, effect::StatusChange::Replaced);
--- a/crates/core/tests/relay/reach.rs
+++ b/crates/core/tests/relay/reach.rs
@@ -93,7 +93,7 @@
     let sent = test.sent().split_off(before);
     let tries = sent.iter().filter(|sent| sent.upstream == first.upstream);
     expect_that!(tries.clone().count(), eq(1));
-    let trial = tries.last().unwrap().clone();
+    let trial = tries.clone().next().unwrap().clone();
     test.answer(&trial, Verdict::Good);
     let used: std::collections::BTreeSet<usize> = (0..50).map(|_| call(&mut test)).collect();
     expect_that!(used, contains(eq(&first.upstream)));
--- a/crates/core/tests/retry_window.rs
+++ b/crates/core/tests/retry_window.rs
@@ -157,3 +157,33 @@
         eq(taken - 1)
     );
 }
+
+/// Guards against the loss of streams at one instance while the others have permits left: losses fall unevenly.
+#[gtest]
+fn instance_goes_beyond_its_part_while_records_show_that_the_fleet_is_below_the_bound() {
+    let fleet = FleetPart {
+        instances: 30,
+        rank: 0.5,
+    };
+    let spent = |known: u32, peers_spent: u32| {
+        let mut window = RetryWindow::default();
+        for _ in 0..18 {
+            window.record_request(&BOUND, START);
+        }
+        for _ in 0..known {
+            window.record_peer_attempt(true, &BOUND, START);
+        }
+        for _ in 0..peers_spent {
+            window.record_peer_attempt(false, &BOUND, START);
+        }
+        let now = START.after(200);
+        let class = RetryClass::ResumeFromCopy;
+        (0..1_000)
+            .take_while(|_| window.spend(class, &BOUND, fleet, now))
+            .count()
+    };
+    // Its part is 19.4.
+    expect_that!(spent(0, 0), le(19));
+    expect_that!(spent(500, 100), all![ge(30), le(62)]);
+    expect_that!(spent(500, 560), le(19));
+}
