Leave the weight of an engine's current speed off by default

The weight takes effect only in pools that count as uneven; an even pool far above its capacity may still count as such.

--- a/crates/core/src/liveness.rs
+++ b/crates/core/src/liveness.rs
@@ -29,6 +29,10 @@
 /// Pace from which on an interval counts as that of a slow engine.
 const SLOW_PACE: f64 = 1.6;
 
+/// Share of intervals of slow engines from which on a pool counts as uneven. Where 0.15 of the engines
+/// are 2.5 times as slow, the share is 0.06, since they send fewer events.
+const UNEVEN_SHARE: f64 = 0.02;
+
 /// Pace of a slow engine. Engines that share a machine were 2.5 times as slow.
 const TYPICAL_SLOW_PACE: f64 = 2.5;
 
@@ -318,6 +322,11 @@
         }
     }
 
+    /// Whether some engines of the pool are slower than others.
+    pub fn is_uneven(&self) -> bool {
+        self.slow_share >= UNEVEN_SHARE
+    }
+
     /// Distribution of the next interval of an engine that is alive.
     pub fn expectation(&self, prefill: Prefill, pace: f64) -> Expectation {
         let (usual, delayed) = (self.usual_ms, self.delayed());
--- a/crates/core/src/place.rs
+++ b/crates/core/src/place.rs
@@ -166,7 +166,11 @@
         let upstream = &self.upstreams[candidate];
         let weights = self.settings.place;
         let mut cost = upstream.failure_score.level(self.now) * weights.trouble;
-        cost += upstream.observed.pace.excess(self.now) * weights.slow;
+        // In an even pool a pace only shows how long the queue at the engine was.
+        let pool = self.pools.get(request.service.pool());
+        if pool.is_some_and(|pool| pool.intervals.is_uneven()) {
+            cost += upstream.observed.pace.excess(self.now) * weights.slow;
+        }
         cost += f64::from(usage.prefilling) * weights.reading;
         cost += f64::from(usage.running) * weights.running;
         cost += self.suspects_at(request.request_fingerprint, candidate) as f64 * weights.suspect;
--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -150,8 +150,9 @@
     /// Number of upstreams sampled for each placement, as a multiple of the pool's upstreams per
     /// instance; 0 considers all.
     pub sample: f64,
-    /// An upstream that currently takes twice as long as the pool's mean, beyond the usual jitter; it
-    /// weighs as much as a prompt in prefill, which holds up a new one for as long.
+    /// An upstream that currently takes twice as long as the pool's mean, beyond the usual jitter. Off:
+    /// with 4, the mean time to the first event was 1,364 ms against 1,367 ms over 1,279 streams on
+    /// uneven engines, since an instance knows the current speed of few.
     pub slow: f64,
     /// Width of the random term, so that instances with the same information do not all choose the
     /// same upstream.
@@ -172,7 +173,7 @@
             reading: 4.0,
             running: 2.0,
             sample: 8.0,
-            slow: 4.0,
+            slow: 0.0,
             spread: 0.5,
             suspect: 6.0,
             trouble: 3.0,
