Count unread bytes of callers and stop reading streams whose callers do not read

Events that wait for a caller are counted by request, customer and instance. At the request's limit (core.unread.request_bytes) the upstream is no longer read; at half of it reading goes on. A stream that its upstream cut meanwhile is resumed behind the last event when the caller has read what is buffered, which costs a retry permit. A paused stream is not judged as stalled.

--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -185,6 +185,8 @@
         }
         request.held_bytes = request.work.bytes() + 4 * u64::from(request.work.max_tokens());
         self.held_bytes += request.held_bytes;
+        self.buffers
+            .add_request(&request.customer.name, request.work.bytes());
         self.count(Counter::Admitted);
         let pool = self.pools.entry(request.service.pool().into()).or_default();
         pool.retry_budget.earn(self.settings.retry_earn);
--- a/crates/core/src/attempt.rs
+++ b/crates/core/src/attempt.rs
@@ -25,6 +25,8 @@
     pub last_event_at: Time,
     /// Number within the generation, from 1.
     pub number: u32,
+    /// Whether the edge reads its events.
+    pub reading: Reading,
     /// The request that it serves.
     pub request: request::Key,
     /// Whether it was handed to the edge for sending; until then its key may still be claimed.
--- /dev/null
+++ b/crates/core/src/buffer.rs
@@ -0,0 +1,371 @@
+//! Bytes that an instance holds for others: events that wait for their callers, and requests that wait for upstreams.
+//!
+//! The edge reports what callers have read; the core decides which streams are read on, and which are given up.
+
+use super::*;
+use settings::UnreadLimits;
+
+/// Fraction of the instance's limit from which streams are read only as far as their callers read. The rest of the
+/// limit absorbs what is on its way when reading stops, so that callers are rarely given up.
+const PRESSURE_FRACTION: f64 = 0.75;
+
+/// Unread bytes up to which a stream is read on although its customer or the instance is at its limit. A caller that
+/// reads promptly has less: some events of the 10 ms between two reports.
+const PROMPT_BYTES: u64 = 4 << 10;
+
+/// Step in which times without reading are compared, in milliseconds: among callers that stopped within the same step,
+/// the one with the most unread bytes is given up first.
+const IDLE_STEP_MS: u64 = 1_000;
+
+/// Time after the end of a pause in which a broken stream counts as cut for the pause, in milliseconds. What the upstream
+/// sent before it cut the stream is still in the socket's buffer and is read first, which takes a few milliseconds.
+const CUT_WINDOW_MS: u64 = 1_000;
+
+/// Whether the edge reads the events of an attempt.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Reading {
+    /// They are read as they arrive, and always have been.
+    #[default]
+    Open,
+    /// They are not read, since the caller does not read; silence is no sign of a stall.
+    Paused,
+    /// They are read again since this time.
+    Resumed(Time),
+}
+
+impl Reading {
+    /// Whether a stream that breaks now was cut because it was not read.
+    fn explains_break(self, now: Time) -> bool {
+        match self {
+            Self::Open => false,
+            Self::Paused => true,
+            Self::Resumed(at) => now.since(at) <= CUT_WINDOW_MS,
+        }
+    }
+}
+
+/// Bytes held for one customer, or for all.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct HeldBytes {
+    /// Events that wait for callers.
+    pub answers: u64,
+    /// Bodies of requests that may still have to be sent.
+    pub requests: u64,
+}
+
+/// Events that wait for one caller.
+#[derive(Clone, Debug)]
+struct Unread {
+    bytes: u64,
+    customer: Arc<config::Customer>,
+    /// Whether the stream was given up; the rest is released when the connection ends.
+    is_given_up: bool,
+    /// When the caller last read, or when the first of the bytes arrived.
+    last_read: Time,
+}
+
+/// All bytes that an instance holds for others.
+#[derive(Clone, Debug, Default)]
+pub struct Buffers {
+    callers: HashMap<request::Caller, Unread>,
+    customers: HashMap<String, HeldBytes>,
+    /// Number of attempts whose events are not read.
+    paused: u64,
+    /// Bytes of streams that were given up.
+    releasing: u64,
+    total: HeldBytes,
+}
+
+impl Buffers {
+    /// Bytes held for each customer that has any, by name.
+    pub fn customers(&self) -> impl Iterator<Item = (&str, HeldBytes)> {
+        let customers = self.customers.iter();
+        customers.map(|(name, held)| (name.as_str(), *held))
+    }
+
+    /// Number of bytes of the answer with the most unread bytes.
+    pub fn largest(&self) -> u64 {
+        let bytes = self.callers.values().map(|unread| unread.bytes);
+        bytes.max().unwrap_or(0)
+    }
+
+    /// Number of attempts whose events are not read.
+    pub fn paused(&self) -> u64 {
+        self.paused
+    }
+
+    /// Bytes held for all customers.
+    pub fn total(&self) -> HeldBytes {
+        self.total
+    }
+
+    /// Number of bytes that wait for a caller.
+    pub fn unread(&self, caller: request::Caller) -> u64 {
+        self.callers.get(&caller).map_or(0, |unread| unread.bytes)
+    }
+
+    /// Counts the body of an admitted request.
+    pub(crate) fn add_request(&mut self, customer: &str, bytes: u64) {
+        self.total.requests += bytes;
+        self.customer(customer).requests += bytes;
+    }
+
+    /// Stops counting the body of a request.
+    pub(crate) fn remove_request(&mut self, customer: &str, bytes: u64) {
+        self.total.requests = self.total.requests.saturating_sub(bytes);
+        let held = self.customer(customer);
+        held.requests = held.requests.saturating_sub(bytes);
+        self.drop_if_empty(customer);
+    }
+
+    fn add_answer(
+        &mut self,
+        caller: request::Caller,
+        customer: &Arc<config::Customer>,
+        bytes: u64,
+        now: Time,
+    ) {
+        let unread = self.callers.entry(caller).or_insert_with(|| Unread {
+            bytes: 0,
+            customer: customer.clone(),
+            is_given_up: false,
+            last_read: now,
+        });
+        unread.bytes += bytes;
+        self.total.answers += bytes;
+        self.customer(&customer.name).answers += bytes;
+    }
+
+    /// Stops counting what a caller has read.
+    fn remove_answer(&mut self, caller: request::Caller, bytes: u64, now: Time) {
+        let Some(unread) = self.callers.get_mut(&caller) else {
+            return;
+        };
+        let bytes = bytes.min(unread.bytes);
+        unread.bytes -= bytes;
+        unread.last_read = now;
+        if unread.is_given_up {
+            self.releasing -= bytes;
+        }
+        let customer = unread.customer.clone();
+        if unread.bytes == 0 {
+            self.callers.remove(&caller);
+        }
+        self.total.answers -= bytes;
+        self.customer(&customer.name).answers -= bytes;
+        self.drop_if_empty(&customer.name);
+    }
+
+    /// Stops counting all that waits for a caller.
+    pub(crate) fn forget(&mut self, caller: request::Caller, now: Time) {
+        self.remove_answer(caller, u64::MAX, now);
+    }
+
+    /// Whether the events of a caller's stream must not be read on.
+    fn is_full(&self, caller: request::Caller, limits: &UnreadLimits) -> bool {
+        let Some(unread) = self.callers.get(&caller) else {
+            return false;
+        };
+        let reaches = |bytes: u64, limit: u64| limit > 0 && bytes >= limit;
+        reaches(unread.bytes, limits.request_bytes)
+            || (unread.bytes >= PROMPT_BYTES && self.is_pressed(&unread.customer.name, limits))
+    }
+
+    /// Whether the events of a caller's stream may be read on after a pause: at half the limit, so that reading does not
+    /// stop again at once.
+    fn has_drained(&self, caller: request::Caller, limits: &UnreadLimits) -> bool {
+        let Some(unread) = self.callers.get(&caller) else {
+            return true;
+        };
+        let is_below = limits.request_bytes == 0 || unread.bytes <= limits.request_bytes / 2;
+        is_below && !self.is_full(caller, limits)
+    }
+
+    /// Whether a customer is at its limit, or the instance near its own.
+    fn is_pressed(&self, customer: &str, limits: &UnreadLimits) -> bool {
+        let pressure = (limits.instance_bytes as f64 * PRESSURE_FRACTION) as u64;
+        (limits.instance_bytes > 0 && self.total.answers - self.releasing >= pressure)
+            || self.is_customer_full(customer, limits)
+    }
+
+    /// Whether the unread answers of a customer have reached its limit.
+    pub(crate) fn is_customer_full(&self, customer: &str, limits: &UnreadLimits) -> bool {
+        let held = self.customers.get(customer).copied().unwrap_or_default();
+        limits.customer_bytes > 0 && held.answers >= limits.customer_bytes
+    }
+
+    /// Number of bytes by which unread answers exceed the instance's limit.
+    fn excess(&self, limits: &UnreadLimits) -> u64 {
+        if limits.instance_bytes == 0 {
+            return 0;
+        }
+        let held = self.total.answers - self.releasing;
+        held.saturating_sub(limits.instance_bytes)
+    }
+
+    /// Callers by the order in which their streams are given up: those that have not read for longest, then those with
+    /// the most unread bytes.
+    fn give_up_order(&self, now: Time) -> Vec<request::Caller> {
+        let waiting = self.callers.iter();
+        let waiting = waiting.filter(|(_, unread)| !unread.is_given_up);
+        let mut order: Vec<_> = waiting
+            .map(|(caller, unread)| {
+                let idle_steps = now.since(unread.last_read) / IDLE_STEP_MS;
+                (idle_steps, unread.bytes, *caller)
+            })
+            .collect();
+        order.sort_unstable_by(|one, other| other.cmp(one));
+        order.into_iter().map(|(_, _, caller)| caller).collect()
+    }
+
+    fn give_up(&mut self, caller: request::Caller) {
+        if let Some(unread) = self.callers.get_mut(&caller) {
+            unread.is_given_up = true;
+            self.releasing += unread.bytes;
+        }
+    }
+
+    fn customer(&mut self, name: &str) -> &mut HeldBytes {
+        if !self.customers.contains_key(name) {
+            self.customers.insert(name.into(), HeldBytes::default());
+        }
+        self.customers.get_mut(name).expect("it was inserted")
+    }
+
+    fn drop_if_empty(&mut self, customer: &str) {
+        if self.customers.get(customer) == Some(&HeldBytes::default()) {
+            self.customers.remove(customer);
+        }
+    }
+}
+
+impl Core {
+    /// Bytes that this instance holds for others.
+    pub fn buffers(&self) -> &Buffers {
+        &self.buffers
+    }
+
+    /// Counts an event that was forwarded, and stops reading the stream if its caller does not read.
+    pub(crate) fn hold_unread(&mut self, key: attempt::Key, bytes: u64) {
+        if !self.counts_unread {
+            return;
+        }
+        let attempt = &self.attempts[key];
+        let request = &self.requests[attempt.request];
+        let caller = request.caller;
+        self.buffers
+            .add_answer(caller, &request.customer, bytes, self.now);
+        let is_paused = attempt.reading == Reading::Paused;
+        if !is_paused && self.buffers.is_full(caller, &self.settings.unread) {
+            self.pause_reading(key);
+        }
+    }
+
+    /// Stops reading the events of an attempt.
+    fn pause_reading(&mut self, key: attempt::Key) {
+        let attempt = &mut self.attempts[key];
+        let is_first_pause = attempt.reading == Reading::Open;
+        attempt.reading = Reading::Paused;
+        if is_first_pause {
+            let request = &self.requests[attempt.request];
+            let unread_bytes = self.buffers.unread(request.caller);
+            let step = effect::Step::Paused { unread_bytes };
+            let entry = self.log_effect(request, step, Some(self.attempts[key].upstream));
+            self.effects.push(entry);
+        }
+        self.buffers.paused += 1;
+        self.count(Counter::ReadingPaused);
+        self.effects
+            .push(Effect::Buffering(effect::Buffering::Pause(key)));
+    }
+
+    /// Handles reports of what callers have read.
+    pub(crate) fn handle_reads(&mut self, reads: &[event::CallerRead]) {
+        for read in reads {
+            self.buffers
+                .remove_answer(read.caller, read.bytes, self.now);
+            if let Some(key) = self.callers.get(&read.caller).copied() {
+                self.read_on(key);
+            }
+        }
+    }
+
+    /// Reads a stream on whose caller has read, or resumes it where its upstream has cut it.
+    fn read_on(&mut self, key: request::Key) {
+        let request = &mut self.requests[key];
+        let caller = request.caller;
+        if self.buffers.unread(caller) == 0
+            && let Some(reason) = request.progress.resume_when_read.take()
+        {
+            self.retry_relay(key, reason);
+            return;
+        }
+        if !self.buffers.has_drained(caller, &self.settings.unread) {
+            return;
+        }
+        for attempt in self.requests[key].attempts.clone() {
+            self.resume_reading(attempt);
+        }
+    }
+
+    /// Reads the events of a paused attempt on. The time of the pause counts neither as silence of the upstream nor as
+    /// an interval between its events.
+    fn resume_reading(&mut self, key: attempt::Key) {
+        let attempt = &mut self.attempts[key];
+        if attempt.reading != Reading::Paused {
+            return;
+        }
+        attempt.reading = Reading::Resumed(self.now);
+        attempt.last_event_at = self.now;
+        let progress = &mut self.requests[attempt.request].progress;
+        progress.last_event_at = Some(self.now);
+        self.buffers.paused -= 1;
+        self.count(Counter::ReadingResumed);
+        self.effects
+            .push(Effect::Buffering(effect::Buffering::Resume(key)));
+    }
+
+    /// Stops counting an attempt that has ended as paused.
+    pub(crate) fn forget_reading(&mut self, attempt: &Attempt) {
+        if attempt.reading == Reading::Paused {
+            self.buffers.paused -= 1;
+        }
+    }
+
+    /// Whether an attempt that has broken was cut by its upstream because its events were not read.
+    pub(crate) fn was_cut_unread(&self, attempt: &Attempt) -> bool {
+        attempt.reading.explains_break(self.now)
+    }
+
+    /// Whether a lost stream must not be resumed before its caller has read what is buffered: always if it was cut
+    /// unread, otherwise if its next events would not be read either.
+    pub(crate) fn waits_for_reader(&mut self, key: request::Key, reason: counter::Reason) -> bool {
+        let request = &mut self.requests[key];
+        let caller = request.caller;
+        let waits = match reason {
+            counter::Reason::Unread => self.buffers.unread(caller) > 0,
+            _ => !self.buffers.has_drained(caller, &self.settings.unread),
+        };
+        request.progress.resume_when_read = waits.then_some(reason);
+        waits
+    }
+
+    /// Gives up streams that are not read until the instance is within its limit. Responses that are complete are kept.
+    pub(crate) fn give_up_unread(&mut self) {
+        if self.buffers.excess(&self.settings.unread) == 0 {
+            return;
+        }
+        for caller in self.buffers.give_up_order(self.now) {
+            let Some(key) = self.callers.get(&caller).copied() else {
+                continue;
+            };
+            self.buffers.give_up(caller);
+            self.effects
+                .push(Effect::Buffering(effect::Buffering::Discard(caller)));
+            self.fail(key, Kind::UnreadAnswer);
+            if self.buffers.excess(&self.settings.unread) == 0 {
+                return;
+            }
+        }
+    }
+}
--- a/crates/core/src/core.rs
+++ b/crates/core/src/core.rs
@@ -73,12 +73,16 @@
 /// State of an instance; all decisions depend only on it and on the event at hand.
 pub struct Core {
     pub(crate) attempts: SlotMap<attempt::Key, Attempt>,
+    /// Bytes held for callers and upstreams.
+    pub(crate) buffers: Buffers,
     pub(crate) callers: HashMap<request::Caller, request::Key>,
     /// Requests whose claim is retried, each with the time of the retry.
     pub(crate) claim_retries: Vec<(Time, request::Key)>,
     pub(crate) config: Option<Arc<Config>>,
     /// Evidence against requests that crash their upstreams.
     pub(crate) crash_suspects: CrashSuspects,
+    /// Whether the edge reports what callers read, so that unread bytes are counted.
+    pub(crate) counts_unread: bool,
     /// Data centre that this instance runs in; empty if there is no preference.
     pub(crate) data_centre: Arc<str>,
     /// Unlisted upstreams that still have attempts.
@@ -167,6 +171,7 @@
         match event {
             Event::Answered { attempt, verdict } => self.handle_response(attempt, verdict),
             Event::CallerGone(caller) => self.handle_caller_gone(caller),
+            Event::CallersRead(reads) => self.handle_reads(&reads),
             Event::Claimed { outcome, request } => self.handle_claim_outcome(request, outcome),
             Event::Config(config) => self.apply_config(config),
             Event::CrashChecked { ended, incarnation } => {
@@ -232,10 +237,12 @@
     pub fn new(settings: Settings, secret: cursor::Secret, seed: u64, now: Time) -> Self {
         Self {
             attempts: SlotMap::with_key(),
+            buffers: Buffers::default(),
             callers: HashMap::new(),
             claim_retries: Vec::new(),
             config: None,
             crash_suspects: CrashSuspects::default(),
+            counts_unread: false,
             data_centre: Arc::from(""),
             departed: BTreeSet::new(),
             deferred: Vec::new(),
@@ -283,6 +290,13 @@
         self
     }
 
+    /// Makes the instance count what waits for callers; the edge must report by [`Event::CallersRead`] what they read.
+    #[must_use]
+    pub fn counting_unread(mut self) -> Self {
+        self.counts_unread = true;
+        self
+    }
+
     /// Makes the instance wait for [`Event::StreamsRestored`] before it resumes streams: those
     /// stored before its start are yet to be reported.
     #[must_use]
@@ -352,6 +366,7 @@
         self.check_invariant(unanswered, Invariant::AnsweredTwice);
         self.held_bytes -= request.held_bytes;
         let customer = &request.customer.name;
+        self.buffers.remove_request(customer, request.work.bytes());
         if let Some(running) = self.running_by_customer.get_mut(customer) {
             *running -= 1;
             if *running == 0 {
--- a/crates/core/src/counter.rs
+++ b/crates/core/src/counter.rs
@@ -48,6 +48,10 @@
     Paused,
     /// Requests found to crash the upstreams that run them.
     Quarantined,
+    /// Streams that are no longer read, since their callers do not read.
+    ReadingPaused,
+    /// Paused streams that are read again.
+    ReadingResumed,
     /// Requests refused, by reason.
     Refused(Kind),
     /// Refusals of callers that were retrying after a refusal.
@@ -108,6 +112,8 @@
     Stall,
     /// The stream ended without its end marker.
     Unmarked,
+    /// The upstream cut a stream that was not read, since its caller did not read.
+    Unread,
 }
 
 impl Reason {
@@ -141,6 +147,8 @@
             Self::PeerLeaving => write!(formatter, "notice.told"),
             Self::PeerLimit => write!(formatter, "limit.told"),
             Self::Quarantined => write!(formatter, "quarantined"),
+            Self::ReadingPaused => write!(formatter, "reading.paused"),
+            Self::ReadingResumed => write!(formatter, "reading.resumed"),
             Self::Refused(kind) => write!(formatter, "refused.{kind}"),
             Self::RefusedAgain => write!(formatter, "refused_again"),
             Self::Resumed(reason) => write!(formatter, "resumed.{reason}"),
@@ -169,6 +177,7 @@
             Self::Restarted => "restarted",
             Self::Stall => "stall",
             Self::Unmarked => "unmarked",
+            Self::Unread => "unread",
         })
     }
 }
--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -231,6 +231,7 @@
             first_event_at: None,
             last_event_at: self.now,
             number: request.last_attempt,
+            reading: Reading::Open,
             request: key,
             sent: false,
             started: false,
--- a/crates/core/src/effect.rs
+++ b/crates/core/src/effect.rs
@@ -83,6 +83,11 @@
     Failed(Kind),
     /// The caller disconnected.
     Left,
+    /// The stream is no longer read, since its caller does not read.
+    Paused {
+        /// Number of bytes that wait for the caller.
+        unread_bytes: u64,
+    },
     /// An attempt ended without a complete response.
     Lost(counter::Reason),
     /// The request was sent to an upstream.
@@ -205,11 +210,24 @@
     },
 }
 
+/// Effect concerning events that wait for callers.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Buffering {
+    /// Discard the events that wait for a caller; its stream is aborted next.
+    Discard(request::Caller),
+    /// Stop reading the events of a relayed stream, so that its upstream stops sending.
+    Pause(attempt::Key),
+    /// Read the events of a paused stream again.
+    Resume(attempt::Key),
+}
+
 /// Action that the core asks its driver to carry out.
 #[derive(Clone, Debug)]
 pub enum Effect {
     /// Abort a relayed stream, so that its caller sees that it is incomplete.
     AbortStream(request::Caller),
+    /// An effect concerning events that wait for callers.
+    Buffering(Buffering),
     /// Abort an attempt and, for a stream, cancel it at the engine.
     Cancel {
         /// Address of the upstream.
--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -30,6 +30,15 @@
     UnknownStream,
 }
 
+/// Bytes of its response that a caller has read.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct CallerRead {
+    /// Number of bytes since the last report.
+    pub bytes: u64,
+    /// The caller's connection.
+    pub caller: request::Caller,
+}
+
 impl Failure {
     /// Whether it is certain that the upstream did not run the request.
     pub fn was_not_executed(self) -> bool {
@@ -135,6 +144,8 @@
     },
     /// The caller's connection closed.
     CallerGone(request::Caller),
+    /// Callers have read parts of their responses.
+    CallersRead(Vec<CallerRead>),
     /// A claim was settled.
     Claimed {
         /// Outcome.
--- a/crates/core/src/failure.rs
+++ b/crates/core/src/failure.rs
@@ -84,6 +84,7 @@
     /// Removes an attempt from the state, its request and its upstream.
     pub(crate) fn remove_attempt(&mut self, key: attempt::Key) -> Option<Attempt> {
         let attempt = self.attempts.remove(key)?;
+        self.forget_reading(&attempt);
         if let Some(request) = self.requests.get_mut(attempt.request) {
             request.attempts.retain(|other| *other != key);
         }
--- a/crates/core/src/kind.rs
+++ b/crates/core/src/kind.rs
@@ -54,6 +54,8 @@
     Unknown,
     /// No service of this name is declared.
     UnknownService,
+    /// The caller did not read its response while the instance was at its limit of unread bytes.
+    UnreadAnswer,
     /// Upstreams failed more often than the retry budget allows.
     UpstreamFailed,
     /// The upstream rejected the request as invalid.
@@ -86,7 +88,7 @@
 
 impl Kind {
     /// Every kind.
-    pub const ALL: [Self; 26] = [
+    pub const ALL: [Self; 27] = [
         Self::AlreadyClaimed,
         Self::BadBody,
         Self::BadCursor,
@@ -111,6 +113,7 @@
         Self::Unauthorized,
         Self::Unknown,
         Self::UnknownService,
+        Self::UnreadAnswer,
         Self::UpstreamFailed,
         Self::UpstreamRejected,
     ];
@@ -145,6 +148,7 @@
             Self::Unauthorized     => row("unauthorized",      401, No,    false, "no customer with this key may use the service"),
             Self::Unknown          => row("unknown",           502, Maybe, false, "the request may have run; its outcome is lost"),
             Self::UnknownService   => row("unknown_service",   404, No,    false, "no such service is declared"),
+            Self::UnreadAnswer     => row("unread_answer",     503, Maybe, true,  "the answer was not read and its events take too much memory"),
             Self::UpstreamFailed   => row("upstream_failed",   502, Maybe, true,  "upstreams failed too often"),
             Self::UpstreamRejected => row("upstream_rejected", 400, No,    false, "the upstream called the request wrong"),
         }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod attempt;
 pub mod availability;
 pub mod budget;
+pub mod buffer;
 pub mod claim;
 pub mod clock;
 pub mod config;
@@ -65,6 +66,7 @@
     attempt::Attempt,
     availability::{Availability, Span},
     budget::Budget,
+    buffer::{Buffers, Reading},
     claim::Claim,
     clock::Time,
     config::{Config, Policy, Priority},
--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -73,6 +73,11 @@
         let is_complete = marked || ended_before == Some(progress.position);
         if !is_complete && self.may_continue(owner) {
             self.remember_copy(&attempt);
+            if self.was_cut_unread(&attempt) {
+                self.log_lost(&attempt, counter::Reason::Unread);
+                self.retry_relay(owner, counter::Reason::Unread);
+                return;
+            }
             self.log_lost(&attempt, counter::Reason::Unmarked);
             self.suspect_crash(&attempt);
             self.retry_after_crash_check(owner, attempt.upstream, counter::Reason::Unmarked);
@@ -133,8 +138,9 @@
         self.record_event_delay(owner);
         let request = &mut self.requests[owner];
         request.progress.position = position;
-        let caller = request.caller;
+        let (caller, size) = (request.caller, bytes.len() as u64);
         self.effects.push(Effect::ForwardEvent { bytes, caller });
+        self.hold_unread(key, size);
     }
 
     /// Records how long a caller waited for an event.
@@ -273,9 +279,16 @@
     pub(crate) fn handle_relay_failure(&mut self, attempt: &Attempt, failure: Failure) {
         let owner = attempt.request;
         let upstream = attempt.upstream;
+        let is_cut_unread = failure == Failure::Broken && self.was_cut_unread(attempt);
         let request = &mut self.requests[owner];
-        request.avoided_upstream = Some(upstream);
+        request.avoided_upstream = (!is_cut_unread).then_some(upstream);
         let reason = match failure {
+            // The upstream is well: it closes streams that are not read.
+            Failure::Broken if is_cut_unread => {
+                request.may_have_run = true;
+                self.remember_copy(attempt);
+                counter::Reason::Unread
+            }
             Failure::Broken | Failure::UnknownStream => {
                 request.may_have_run = true;
                 self.remember_copy(attempt);
@@ -312,7 +325,7 @@
         }
         // The crash suspicion may lead to the failure of this request.
         match failure {
-            Failure::Broken => self.suspect_crash(attempt),
+            Failure::Broken if !is_cut_unread => self.suspect_crash(attempt),
             Failure::Replaced => self.mark_replaced(upstream),
             _ => {}
         }
@@ -330,9 +343,18 @@
             return;
         }
         let now = self.now;
-        let request = &mut self.requests[key];
+        let request = &self.requests[key];
         if request.progress.position > 0 {
-            request.progress.lost_at.get_or_insert(now);
+            if self.waits_for_reader(key, reason) {
+                return;
+            }
+            // An upstream cuts a stream again and again if its caller goes on reading slowly.
+            if reason == counter::Reason::Unread && !self.may_retry(key, reason) {
+                self.fail(key, Kind::UpstreamFailed);
+                return;
+            }
+            let progress = &mut self.requests[key].progress;
+            progress.lost_at.get_or_insert(now);
             self.count(Counter::Resumed(reason));
         } else if self.may_retry(key, reason) {
             self.count(Counter::Retried(reason));
@@ -397,6 +419,9 @@
             let Some(attempt) = self.attempts.get(attempt_key) else {
                 continue;
             };
+            if attempt.reading == Reading::Paused {
+                continue;
+            }
             let silence = self.now.since(attempt.last_event_at);
             let request = &self.requests[attempt.request];
             let Some(relay) = request.service.relay() else {
--- a/crates/core/src/request.rs
+++ b/crates/core/src/request.rs
@@ -96,6 +96,8 @@
     pub position: u64,
     /// Upstream that ran the stream for another instance, and may still have its prompt cached.
     pub preferred_upstream: Option<upstream::Key>,
+    /// Why the stream was lost, if it is resumed only when its caller has read what is buffered.
+    pub resume_when_read: Option<counter::Reason>,
     /// Position at which a stream ended without an end marker.
     pub unmarked_end: Option<u64>,
     /// Number of upstreams that the request reached.
--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -274,6 +274,28 @@
     }
 }
 
+/// Limits on the bytes of events that wait for callers; 0 for none.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct UnreadLimits {
+    /// Unread bytes of a customer from which its streams are read only as far as their callers read, and from which no
+    /// new streams of it are admitted.
+    pub customer_bytes: u64,
+    /// Unread bytes of an instance beyond which streams are given up.
+    pub instance_bytes: u64,
+    /// Unread bytes of a request from which its upstream is not read.
+    pub request_bytes: u64,
+}
+
+impl Default for UnreadLimits {
+    fn default() -> Self {
+        Self {
+            customer_bytes: 8 << 20,
+            instance_bytes: 16 << 20,
+            request_bytes: 64 << 10,
+        }
+    }
+}
+
 /// Settings of the core, constant for the lifetime of an instance.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
@@ -356,6 +378,8 @@
     pub subset: usize,
     /// Maximum number of tokens in one response.
     pub tokens_max: u32,
+    /// Limits on the events that wait for callers.
+    pub unread: UnreadLimits,
 }
 
 impl Default for Settings {
@@ -397,6 +421,7 @@
             stall_min_ms: 150,
             subset: 0,
             tokens_max: 32_768,
+            unread: UnreadLimits::default(),
         }
     }
 }
--- a/crates/core/src/stream.rs
+++ b/crates/core/src/stream.rs
@@ -8,6 +8,7 @@
     pub(crate) fn handle_caller_gone(&mut self, caller: request::Caller) {
         self.deferred
             .retain(|deferred| deferred.submission.caller != caller);
+        self.buffers.forget(caller, self.now);
         let Some(key) = self.callers.get(&caller).copied() else {
             return;
         };
--- a/crates/core/src/watch.rs
+++ b/crates/core/src/watch.rs
@@ -143,6 +143,7 @@
             self.schedule_limit_probes();
             self.expire_requests();
         }
+        self.give_up_unread();
         self.dispatch_all();
     }
 
--- a/crates/node/src/core_settings.rs
+++ b/crates/node/src/core_settings.rs
@@ -5,7 +5,7 @@
 use settings::MILLIS_MAX;
 use wellplank_core::settings::{
     CallLimits, CapacityLimits, LimitHolders, PlacementWeights, QuarantineRule, ResumeMode,
-    Routing, Settings, SharedSettings,
+    Routing, Settings, SharedSettings, UnreadLimits,
 };
 
 /// The section with all settings at their defaults.
@@ -77,6 +77,11 @@
         "stall_min_ms": core.stall_min_ms,
         "subset": core.subset,
         "tokens_max": core.tokens_max,
+        "unread": {
+            "customer_bytes": core.unread.customer_bytes,
+            "instance_bytes": core.unread.instance_bytes,
+            "request_bytes": core.unread.request_bytes,
+        },
     })
 }
 
@@ -146,6 +151,7 @@
         stall_min_ms: stall_min_ms.min(stall_max_ms),
         subset: reader.number("subset", default.subset as u64, 0..=10_000) as usize,
         tokens_max: reader.number("tokens_max", tokens_max, 1..=1 << 24) as u32,
+        unread: read_unread(reader.section("unread")),
     };
     reader.finish();
     settings
@@ -199,6 +205,18 @@
     room
 }
 
+fn read_unread(mut reader: Reader) -> UnreadLimits {
+    let default = UnreadLimits::default();
+    let mut bytes = |name: &str, default: u64| reader.number(name, default, 0..=1 << 40);
+    let unread = UnreadLimits {
+        customer_bytes: bytes("customer_bytes", default.customer_bytes),
+        instance_bytes: bytes("instance_bytes", default.instance_bytes),
+        request_bytes: bytes("request_bytes", default.request_bytes),
+    };
+    reader.finish();
+    unread
+}
+
 fn read_shared(mut reader: Reader) -> SharedSettings {
     let default = SharedSettings::default();
     let shared = SharedSettings {
--- a/crates/node/src/driver.rs
+++ b/crates/node/src/driver.rs
@@ -21,11 +21,13 @@
     Count(Counter),
     /// An event for the core.
     Event(Event),
-    /// A request to relay: its submission, the original request, and the channel for its replies.
+    /// A request to relay: its submission, the original request, and the channel for its replies with the outlet at its
+    /// other end.
     Relay(
         Box<Submission>,
         Arc<forward::OriginalRequest>,
         mpsc::UnboundedSender<Reply>,
+        Arc<Outlet>,
     ),
     /// Response head or complete response of an upstream, and the event that reports it to the core.
     Response(attempt::Key, Caller, HeldResponse, Event),
@@ -54,10 +56,20 @@
     held: Option<HeldResponse>,
     /// The original request; `None` unless it is relayed.
     original: Option<Arc<forward::OriginalRequest>>,
+    /// Where its replies wait; `None` unless it is relayed.
+    outlet: Option<Arc<Outlet>>,
     /// Channel to the caller's task.
     replies: mpsc::UnboundedSender<Reply>,
 }
 
+/// An attempt that is in progress.
+struct RunningAttempt {
+    /// Whether its events are not read; `None` unless it is relayed.
+    is_paused: Option<watch::Sender<bool>>,
+    /// The task that reads the response.
+    task: JoinHandle<()>,
+}
+
 /// State of the core as reported to operators.
 #[derive(Debug, Default)]
 pub(crate) struct Snapshot {
@@ -98,7 +110,7 @@
 
 /// State of the core task.
 struct Task {
-    attempts: HashMap<attempt::Key, JoinHandle<()>>,
+    attempts: HashMap<attempt::Key, RunningAttempt>,
     callers: HashMap<Caller, PendingCaller>,
     claims: mpsc::UnboundedSender<claimer::PendingClaim>,
     clock: Clock,
@@ -108,6 +120,8 @@
     gossip: mpsc::UnboundedSender<gossip::Message>,
     leaving: watch::Sender<LeavingUpstreams>,
     meter: meter::Meter,
+    /// Where the events of streams wait for their callers, until all are written.
+    outlets: HashMap<Caller, Arc<Outlet>>,
     pooled: HttpClient,
     probes: HttpClient,
     quarantine_updates: mpsc::UnboundedSender<store_writer::QuarantineUpdate>,
@@ -153,7 +167,8 @@
         };
         let seed = rand::random();
         let mut core = Core::new(settings.core.clone(), settings.secret, seed, clock.now())
-            .in_data_centre(&settings.data_centre);
+            .in_data_centre(&settings.data_centre)
+            .counting_unread();
         if settings.hosted.is_some() {
             core = core.restoring_streams();
         }
@@ -168,6 +183,7 @@
             gossip: outputs.gossip,
             leaving: outputs.leaving,
             meter: outputs.meter,
+            outlets: HashMap::new(),
             pooled: HttpClient::pooled(),
             probes: HttpClient::metered(&outputs.traffic),
             quarantine_updates: outputs.quarantine_updates,
@@ -202,16 +218,22 @@
         self.send(Message::Response(attempt, caller, held, event));
     }
 
-    /// Submits a request to relay; the receiver yields its replies.
+    /// Submits a request to relay; the outlet yields its replies.
     pub(crate) fn submit_relay(
         &self,
         submission: Submission,
         original: forward::OriginalRequest,
-    ) -> mpsc::UnboundedReceiver<Reply> {
-        let (replies, receiver) = mpsc::unbounded_channel();
+    ) -> Arc<Outlet> {
+        let (replies, outlet) = Outlet::new();
         let original = Arc::new(original);
-        self.send(Message::Relay(Box::new(submission), original, replies));
-        receiver
+        let submission = Box::new(submission);
+        self.send(Message::Relay(
+            submission,
+            original,
+            replies,
+            outlet.clone(),
+        ));
+        outlet
     }
 
     /// Reports an unknown platform header in an upstream's response.
@@ -225,6 +247,16 @@
     }
 }
 
+impl RunningAttempt {
+    /// An attempt whose reading is never paused.
+    fn unpaused(task: JoinHandle<()>) -> Self {
+        Self {
+            is_paused: None,
+            task,
+        }
+    }
+}
+
 impl CoreOutputs {
     /// Outputs of an instance that sends frames over links to its peers: it neither gossips by datagram nor persists the
     /// quarantine, so these channels have no receiver.
@@ -265,6 +297,7 @@
                     if let Some(suspended_ms) = self.clock.detect_suspension() {
                         warn!(suspended_ms; "resumed");
                     }
+                    self.report_reads();
                     self.handle_event(Event::Tick);
                 }
             }
@@ -272,14 +305,41 @@
     }
 
     fn abort(&mut self, attempt: attempt::Key) {
-        if let Some(task) = self.attempts.remove(&attempt) {
-            task.abort();
+        if let Some(running) = self.attempts.remove(&attempt) {
+            running.task.abort();
+        }
+    }
+
+    /// Reports to the core what callers have read since the last tick. A report for each chunk would double the number
+    /// of messages to the core task.
+    fn report_reads(&mut self) {
+        let mut reads = Vec::new();
+        self.outlets.retain(|caller, outlet| {
+            // Nothing else can release bytes once this is the last reference.
+            let is_last = Arc::strong_count(outlet) == 1;
+            let bytes = outlet.take_released();
+            if bytes > 0 {
+                let caller = *caller;
+                reads.push(event::CallerRead { bytes, caller });
+            }
+            !is_last
+        });
+        if !reads.is_empty() {
+            self.handle_event(Event::CallersRead(reads));
+        }
+    }
+
+    fn set_paused(&self, attempt: attempt::Key, is_paused: bool) {
+        let running = self.attempts.get(&attempt);
+        if let Some(sender) = running.and_then(|running| running.is_paused.as_ref()) {
+            sender.send_replace(is_paused);
         }
     }
 
     fn execute(&mut self, effect: Effect) {
         match effect {
             Effect::AbortStream(caller) => self.finish_caller(caller, Reply::Abort),
+            Effect::Buffering(effect) => self.execute_buffering(effect),
             Effect::Cancel {
                 address,
                 attempt,
@@ -327,6 +387,7 @@
             Effect::ForwardEvent { bytes, caller } => self.send_reply(caller, Reply::Event(bytes)),
             Effect::ForwardHead(caller) => {
                 if let Some(HeldResponse::Head(head)) = self.take_held(caller) {
+                    self.keep_outlet(caller);
                     self.send_reply(caller, Reply::Head(head));
                 }
             }
@@ -384,6 +445,19 @@
         self.meter.count(counter, count);
     }
 
+    /// Executes an effect concerning events that wait for callers.
+    fn execute_buffering(&self, effect: effect::Buffering) {
+        match effect {
+            effect::Buffering::Discard(caller) => {
+                if let Some(outlet) = self.outlets.get(&caller) {
+                    outlet.discard();
+                }
+            }
+            effect::Buffering::Pause(attempt) => self.set_paused(attempt, true),
+            effect::Buffering::Resume(attempt) => self.set_paused(attempt, false),
+        }
+    }
+
     /// Executes an effect concerning requests that crash the upstreams that run them.
     fn execute_quarantine(&self, effect: effect::Quarantine) {
         match effect {
@@ -481,6 +555,14 @@
         let _ = self.gossip.send(message);
     }
 
+    /// Keeps the outlet of a stream until all its events are written.
+    fn keep_outlet(&mut self, caller: Caller) {
+        let pending = self.callers.get(&caller);
+        if let Some(outlet) = pending.and_then(|pending| pending.outlet.clone()) {
+            self.outlets.insert(caller, outlet);
+        }
+    }
+
     fn take_held(&mut self, caller: Caller) -> Option<HeldResponse> {
         self.callers.get_mut(&caller)?.held.take()
     }
@@ -492,7 +574,7 @@
         attempt: attempt::Key,
         outbound: &Outbound,
         upstream: upstream::Key,
-    ) -> Option<JoinHandle<()>> {
+    ) -> Option<RunningAttempt> {
         let Outbound::Relay {
             caller,
             streams,
@@ -503,17 +585,22 @@
             return None;
         };
         let original = self.callers.get(caller)?.original.clone()?;
+        let (is_paused, paused) = watch::channel(false);
         let exchange = forward::Exchange {
             attempt,
             caller: *caller,
             driver: self.driver.clone(),
+            paused,
             request_id: original.request_id.clone(),
             streams: *streams,
             upstream,
             upstream_name: name.clone(),
         };
         let request = original.upstream_request(address, outbound)?;
-        Some(tokio::spawn(exchange.run(self.relays.clone(), request)))
+        Some(RunningAttempt {
+            is_paused: Some(is_paused),
+            task: tokio::spawn(exchange.run(self.relays.clone(), request)),
+        })
     }
 
     fn start_attempt(
@@ -537,7 +624,8 @@
                     &self.unpooled
                 };
                 plain::request(address, &path, &payload, request).map(|request| {
-                    tokio::spawn(plain::run(http.clone(), driver, attempt, upstream, request))
+                    let call = plain::run(http.clone(), driver, attempt, upstream, request);
+                    RunningAttempt::unpaused(tokio::spawn(call))
                 })
             }
             outbound @ Outbound::Relay { .. } => {
@@ -547,15 +635,14 @@
                 let attach = matches!(outbound, Outbound::Attach { .. });
                 engine::request(address, outbound).map(|request| {
                     let http = self.unpooled.clone();
-                    tokio::spawn(engine::run(
-                        http, driver, attempt, upstream, request, attach,
-                    ))
+                    let generation = engine::run(http, driver, attempt, upstream, request, attach);
+                    RunningAttempt::unpaused(tokio::spawn(generation))
                 })
             }
         };
         match task {
-            Some(task) => {
-                self.attempts.insert(attempt, task);
+            Some(running) => {
+                self.attempts.insert(attempt, running);
             }
             None => self.driver.send_event(Event::Failed {
                 attempt,
@@ -582,10 +669,11 @@
         match message {
             Message::Count(counter) => self.meter.count(counter, 1),
             Message::Event(event) => self.handle_event(event),
-            Message::Relay(submission, original, replies) => {
+            Message::Relay(submission, original, replies, outlet) => {
                 let pending = PendingCaller {
                     held: None,
                     original: Some(original),
+                    outlet: Some(outlet),
                     replies,
                 };
                 self.callers.insert(submission.caller, pending);
@@ -608,6 +696,7 @@
                 let pending = PendingCaller {
                     held: None,
                     original: None,
+                    outlet: None,
                     replies,
                 };
                 self.callers.insert(submission.caller, pending);
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -45,6 +45,8 @@
     pub caller: Caller,
     /// Handle of the core task.
     pub driver: Driver,
+    /// Whether the events of the response are not read, since the caller does not read.
+    pub paused: watch::Receiver<bool>,
     /// Request ID, which the response must repeat.
     pub request_id: Arc<str>,
     /// Whether the response is a stream of events.
@@ -95,7 +97,7 @@
 
 impl Exchange {
     /// Sends the request and reports the response to the core task, up to its end.
-    pub async fn run(self, http: HttpClient, request: Request<http::Body>) {
+    pub async fn run(mut self, http: HttpClient, request: Request<http::Body>) {
         if let Err(failure) = self.exchange(http, request).await {
             self.driver.send_event(Event::Failed {
                 attempt: self.attempt,
@@ -105,7 +107,7 @@
     }
 
     async fn exchange(
-        &self,
+        &mut self,
         http: HttpClient,
         request: Request<http::Body>,
     ) -> Result<(), Failure> {
@@ -158,6 +160,19 @@
         }
     }
 
+    /// The next frame of a stream, which is not read while the attempt is paused: the upstream then fills the buffers of
+    /// the connection and has to wait.
+    async fn next_frame(
+        &mut self,
+        body: &mut hyper::body::Incoming,
+    ) -> Option<Result<hyper::body::Frame<Bytes>, hyper::Error>> {
+        if *self.paused.borrow() {
+            // An error means that the attempt is over, so that this task is about to be aborted.
+            let _ = self.paused.wait_for(|is_paused| !is_paused).await;
+        }
+        body.frame().await
+    }
+
     /// Reports the upstream's notice about itself to the core task, before any part of the response is forwarded.
     fn report_notice(&self, status: StatusCode, notice: Notice) {
         if !notice.is_plain() {
@@ -175,12 +190,12 @@
     /// Reads the events of a stream up to its end; `has_end_marker` tells whether the response has a length or is chunked,
     /// so that its end is explicit. Bytes after the last complete event are dropped, and the stream counts as broken.
     async fn read_stream(
-        &self,
+        &mut self,
         mut body: hyper::body::Incoming,
         has_end_marker: bool,
     ) -> Result<(), Failure> {
         let mut buffer = Vec::new();
-        while let Some(frame) = body.frame().await {
+        while let Some(frame) = self.next_frame(&mut body).await {
             let frame = frame.map_err(|_| Failure::Broken)?;
             let Ok(data) = frame.into_data() else {
                 continue;
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -33,6 +33,7 @@
 mod logger;
 mod meter;
 mod operator;
+mod outlet;
 mod peer;
 mod plain;
 mod platform_store;
@@ -64,6 +65,7 @@
         rt::TokioExecutor,
     },
     log::{debug, error, info, warn},
+    outlet::Outlet,
     prost::Message as _,
     reader::{Fault, Reader},
     reply::Reply,
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -114,8 +114,8 @@
             work: Work::Relay(parsed.relay),
         };
         let request_id = original.request_id.clone();
-        let replies = self.driver.submit_relay(submission, original);
-        respond(&request_id, replies, guard, response).await;
+        let outlet = self.driver.submit_relay(submission, original);
+        respond(&request_id, outlet, guard, response).await;
         Ok(())
     }
 }
@@ -138,11 +138,11 @@
 /// Writes the replies of the core to the response.
 async fn respond(
     request_id: &str,
-    mut replies: mpsc::UnboundedReceiver<Reply>,
+    outlet: Arc<Outlet>,
     mut guard: CallerGuard,
     response: &mut salvo::Response,
 ) {
-    match replies.recv().await {
+    match outlet.recv().await {
         Some(Reply::Response(upstream_response)) => {
             guard.is_finished = true;
             write_head(response, upstream_response.head);
@@ -157,30 +157,30 @@
         }
         Some(Reply::Head(head)) => {
             write_head(response, *head);
-            response.stream(events(replies, guard));
+            response.stream(events(outlet, guard));
         }
         _ => write_error(response, request_id, Kind::Internal, None),
     }
 }
 
-/// The events of a stream; all events that are queued go into one chunk. An aborted stream ends with an error, which closes
+/// The events of a stream; events that are queued go into one chunk, up to its maximum size. An aborted stream ends with an error, which closes
 /// the caller's connection before the response is complete.
 fn events(
-    replies: mpsc::UnboundedReceiver<Reply>,
+    outlet: Arc<Outlet>,
     guard: CallerGuard,
 ) -> impl Stream<Item = Result<Bytes, std::io::Error>> {
     futures_util::stream::unfold(
-        (replies, guard, false),
-        |(mut replies, mut guard, mut is_aborted)| async move {
+        (outlet, guard, false),
+        |(outlet, mut guard, mut is_aborted)| async move {
             if is_aborted {
                 let error = std::io::Error::other("relayed stream aborted before it was complete");
-                return Some((Err(error), (replies, guard, false)));
+                return Some((Err(error), (outlet, guard, false)));
             }
             if guard.is_finished {
                 return None;
             }
             let mut bytes = Vec::new();
-            let mut next = replies.recv().await;
+            let mut next = outlet.recv().await;
             loop {
                 match next {
                     Some(Reply::Event(event)) => bytes.extend_from_slice(&event),
@@ -194,19 +194,23 @@
                         break;
                     }
                 }
-                match replies.try_recv() {
-                    Ok(reply) => next = Some(reply),
-                    Err(_) => break,
+                if bytes.len() >= outlet::CHUNK_BYTES {
+                    break;
+                }
+                match outlet.try_recv() {
+                    Some(reply) => next = Some(reply),
+                    None => break,
                 }
             }
             if bytes.is_empty() && is_aborted {
                 let error = std::io::Error::other("relayed stream aborted before it was complete");
-                return Some((Err(error), (replies, guard, false)));
+                return Some((Err(error), (outlet, guard, false)));
             }
             if bytes.is_empty() {
                 return None;
             }
-            Some((Ok(Bytes::from(bytes)), (replies, guard, is_aborted)))
+            let chunk = outlet.chunk(bytes);
+            Some((Ok(chunk), (outlet, guard, is_aborted)))
         },
     )
 }
--- a/crates/node/src/request_log.rs
+++ b/crates/node/src/request_log.rs
@@ -89,6 +89,10 @@
             let reason = reason.to_string();
             warn!(request, fingerprint, customer, service, upstream, position, reason; "attempt lost");
         }
+        Step::Paused { unread_bytes } => {
+            let unread_bytes = *unread_bytes;
+            info!(request, customer, service, upstream, position, unread_bytes; "reading paused");
+        }
         Step::Sent {
             backup,
             copy,
--- a/crates/standin/src/relaying.rs
+++ b/crates/standin/src/relaying.rs
@@ -535,7 +535,8 @@
                 self.compare_accounts(instance);
             }
             Effect::Observe(Timing::Resume, millis) => self.case.pauses_ms.push(millis as f64),
-            Effect::FindStream(_)
+            Effect::Buffering(_)
+            | Effect::FindStream(_)
             | Effect::LogUpstream { .. }
             | Effect::LogUpstreams { .. }
             | Effect::Claim { .. }
--- a/crates/standin/src/site.rs
+++ b/crates/standin/src/site.rs
@@ -5,6 +5,7 @@
 use client::{Got, Work};
 use proxy::Proxy;
 use shelf::Shelf;
+use wellplank_core::settings::UnreadLimits;
 use worker::{Ledger, Worker};
 
 /// Name of the pool that streams.
@@ -38,6 +39,8 @@
     pub grace_ms: u64,
     /// Instances.
     pub instances: usize,
+    /// Limits of the instances on what waits for callers.
+    pub unread: UnreadLimits,
 }
 
 impl Default for Plan {
@@ -48,6 +51,7 @@
             engines: 4,
             grace_ms: 8_000,
             instances: 1,
+            unread: UnreadLimits::default(),
         }
     }
 }
@@ -90,6 +94,7 @@
     pub stores: Vec<Proxy>,
     /// Runs the store and the proxies before it.
     host: Host,
+    unread: UnreadLimits,
 }
 
 /// The configuration of a site.
@@ -177,6 +182,7 @@
             store,
             stores: Vec::new(),
             host,
+            unread: plan.unread,
         };
         for index in 0..plan.engines {
             let seat = site.seat(&format!("engine-{index}"), ENGINES, index % 2);
@@ -290,7 +296,12 @@
         let before = store.address;
         self.stores.push(store);
         loop {
-            let settings = settings(index, grace_ms, before);
+            let mut settings = settings(index, grace_ms, before);
+            settings["core"]["unread"] = json!({
+                "customer_bytes": self.unread.customer_bytes,
+                "instance_bytes": self.unread.instance_bytes,
+                "request_bytes": self.unread.request_bytes,
+            });
             let settings = wellplank_node::Settings::parse(&settings.to_string());
             let settings = settings.expect("the settings have no fault");
             let hosted = settings.hosted.expect("the settings are for the platform");
--- a/crates/standin/src/worker.rs
+++ b/crates/standin/src/worker.rs
@@ -14,6 +14,12 @@
 /// Time between two events.
 const STEP: Duration = Duration::from_millis(10);
 
+/// Header of a request that asks for events of this many bytes.
+pub const EVENT_BYTES: &str = "x-event-bytes";
+
+/// Time for which an impatient worker waits until a connection takes an event.
+const IMPATIENCE: Duration = Duration::from_millis(300);
+
 /// Bytes of a request's head that are read, at most.
 const HEAD: usize = 64 << 10;
 
@@ -40,6 +46,8 @@
     Hasty,
     /// Says that another life has the address.
     Replaced,
+    /// Ends a stream that takes nothing for [`IMPATIENCE`].
+    Impatient,
     /// Refuses without running anything.
     Refuse,
     /// Says that it is busy though it ran the request.
@@ -384,19 +392,26 @@
             head(run, 200, mode, self.remark())
         );
         connection.write_all(head.as_bytes()).await?;
+        let size = run.header(EVENT_BYTES).parse().unwrap_or(0);
         let first: u64 = run.header("last-event-id").parse().unwrap_or(0) + 1;
         for position in first..=EVENTS {
             sleep(STEP).await;
             if self.mode() == Mode::Silent {
                 std::future::pending::<()>().await;
             }
-            let event = event(&run.body, position);
+            let event = long_event(&run.body, position, size);
             if mode == Mode::Cut && position == EVENTS / 2 {
                 let half = &event[..event.len() / 2];
                 connection.write_all(chunk(half).as_bytes()).await?;
                 return Ok(());
             }
-            connection.write_all(chunk(&event).as_bytes()).await?;
+            let bytes = chunk(&event);
+            let writing = connection.write_all(bytes.as_bytes());
+            if mode == Mode::Impatient {
+                tokio::time::timeout(IMPATIENCE, writing).await??;
+            } else {
+                writing.await?;
+            }
             let backup = run.header("wellplank-kv-backup");
             if !backup.is_empty() {
                 let key = (
@@ -412,8 +427,15 @@
 
 /// One event of the stream that answers a body.
 pub fn event(body: &[u8], position: u64) -> String {
+    long_event(body, position, 0)
+}
+
+/// The same, filled up to this many bytes.
+pub fn long_event(body: &[u8], position: u64, bytes: usize) -> String {
     let digest = blake3::hash(body).to_hex();
-    format!("id: {position}\ndata: {}-{position}\n\n", &digest[..8])
+    let text = format!("id: {position}\ndata: {}-{position}", &digest[..8]);
+    let filling = "x".repeat(bytes.saturating_sub(text.len() + 2));
+    format!("{text}{filling}\n\n")
 }
 
 /// The events of a whole stream behind a position.
--- a/crates/standin/src/world.rs
+++ b/crates/standin/src/world.rs
@@ -391,7 +391,8 @@
             | Effect::Quarantine(_)
             | Effect::FindStream(_)
             | Effect::GossipStream { .. }
-            | Effect::Observe(..) => {}
+            | Effect::Observe(..)
+            | Effect::Buffering(_) => {}
             Effect::Probe { address, upstream } => {
                 let index = index_of(address);
                 let alive = match self.upstreams[index].mode {
