--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -223,8 +223,9 @@
         service: &config::Service,
         submission: &event::Submission,
     ) -> Result<(), Refusal> {
-        if submission.work.relay().is_some() {
-            return self.check_memory(submission.work.bytes());
+        if let Some(relay) = submission.work.relay() {
+            self.check_unread(customer, service, relay)?;
+            return self.check_memory(relay.bytes);
         }
         let resumed = submission.cursor.is_some();
         let running = self
@@ -267,10 +268,33 @@
         Ok(())
     }
 
+    /// Refuses new streams of a customer whose callers do not read. One that resumes is admitted, since its events before
+    /// the break were read.
+    fn check_unread(
+        &self,
+        customer: &config::Customer,
+        service: &config::Service,
+        relay: &request::Relay,
+    ) -> Result<(), Refusal> {
+        let is_new_stream = service.streams() && relay.position == 0;
+        let is_full = || {
+            self.buffers
+                .is_customer_full(&customer.name, &self.settings.unread)
+        };
+        if is_new_stream && is_full() {
+            return Err(Refusal {
+                kind: Kind::CustomerLimit,
+                retry_after_ms: Some(*RETRY_AFTER_MS.start()),
+            });
+        }
+        Ok(())
+    }
+
     /// Checks the memory limit for a relayed request. Other limits do not apply: the request is
     /// queued rather than refused, since an upstream may become free.
     fn check_memory(&self, bytes: u64) -> Result<(), Refusal> {
-        if self.held_bytes + bytes <= self.settings.held_bytes_max {
+        let held = self.held_bytes + self.buffers.total().answers;
+        if held + bytes <= self.settings.held_bytes_max {
             return Ok(());
         }
         Err(Refusal {
--- a/crates/core/src/buffer.rs
+++ b/crates/core/src/buffer.rs
@@ -261,6 +261,16 @@
         }
     }
 
+    /// Counts a complete response that the edge holds. It is read at once whatever its size, and never given up.
+    pub(crate) fn hold_response(&mut self, key: attempt::Key, bytes: u64) {
+        let Some(attempt) = self.attempts.get(key).filter(|_| self.counts_unread) else {
+            return;
+        };
+        let request = &self.requests[attempt.request];
+        self.buffers
+            .add_answer(request.caller, &request.customer, bytes, self.now);
+    }
+
     /// Stops reading the events of an attempt.
     fn pause_reading(&mut self, key: attempt::Key) {
         let attempt = &mut self.attempts[key];
@@ -356,7 +366,9 @@
             return;
         }
         for caller in self.buffers.give_up_order(self.now) {
-            let Some(key) = self.callers.get(&caller).copied() else {
+            // A request that is complete, or not yet open, has nothing but a complete response.
+            let key = self.callers.get(&caller).copied();
+            let Some(key) = key.filter(|key| self.requests[*key].progress.is_open) else {
                 continue;
             };
             self.buffers.give_up(caller);
--- a/crates/core/src/core.rs
+++ b/crates/core/src/core.rs
@@ -213,6 +213,7 @@
                 body,
                 status,
             } => self.handle_reply(attempt, status, body),
+            Event::ResponseHeld { attempt, bytes } => self.hold_response(attempt, bytes),
             Event::StreamEnded { attempt, marked } => self.handle_stream_end(attempt, marked),
             Event::StreamEvent {
                 attempt,
--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -259,6 +259,13 @@
         /// HTTP status.
         status: u16,
     },
+    /// The edge holds a complete response, whose bytes count until its caller has read them or it is superseded.
+    ResponseHeld {
+        /// The attempt.
+        attempt: attempt::Key,
+        /// Number of bytes.
+        bytes: u64,
+    },
     /// A relayed stream ended without an error.
     StreamEnded {
         /// The attempt.
--- a/crates/core/tests/relay/main.rs
+++ b/crates/core/tests/relay/main.rs
@@ -33,6 +33,7 @@
 mod limit;
 mod notice;
 mod poison;
+mod readers;
 mod version;
 
 use builder::*;
--- a/crates/node/src/driver.rs
+++ b/crates/node/src/driver.rs
@@ -1,10 +1,15 @@
 //! The core task: owns the core, feeds events into it and executes its effects.
 
 use super::*;
+use wellplank_core::buffer::Buffers;
 
 /// Interval between ticks of the core.
 const TICK_INTERVAL: Duration = Duration::from_millis(10);
 
+/// Interval at which the gauges of held bytes are set: they are looked at every few seconds, and setting them visits all
+/// callers with unread bytes.
+const GAUGE_INTERVAL: Duration = Duration::from_millis(500);
+
 /// Time for which peers are notified that an upstream is leaving.
 const LEAVING_RETENTION: Duration = Duration::from_secs(3);
 
@@ -117,6 +122,8 @@
     core: Core,
     crash_history: watch::Sender<crash_history::LocalHistory>,
     driver: Driver,
+    /// When the gauges of held bytes were last set.
+    gauges_set_at: Instant,
     gossip: mpsc::UnboundedSender<gossip::Message>,
     leaving: watch::Sender<LeavingUpstreams>,
     meter: meter::Meter,
@@ -180,6 +187,7 @@
             core,
             crash_history: outputs.crash_history,
             driver: driver.clone(),
+            gauges_set_at: Instant::now(),
             gossip: outputs.gossip,
             leaving: outputs.leaving,
             meter: outputs.meter,
@@ -299,6 +307,7 @@
                     }
                     self.report_reads();
                     self.handle_event(Event::Tick);
+                    self.set_gauges();
                 }
             }
         }
@@ -329,6 +338,13 @@
         }
     }
 
+    fn set_gauges(&mut self) {
+        if self.gauges_set_at.elapsed() >= GAUGE_INTERVAL {
+            self.gauges_set_at = Instant::now();
+            self.meter.set_buffers(self.core.buffers());
+        }
+    }
+
     fn set_paused(&self, attempt: attempt::Key, is_paused: bool) {
         let running = self.attempts.get(&attempt);
         if let Some(sender) = running.and_then(|running| running.is_paused.as_ref()) {
@@ -555,6 +571,26 @@
         let _ = self.gossip.send(message);
     }
 
+    /// Counts the complete response that is held for a caller, if it is large.
+    fn count_held(&mut self, attempt: attempt::Key, caller: Caller) {
+        let Some(pending) = self.callers.get_mut(&caller) else {
+            return;
+        };
+        let (Some(HeldResponse::Complete(response)), Some(outlet)) =
+            (&mut pending.held, &pending.outlet)
+        else {
+            return;
+        };
+        let bytes = response.body.len();
+        if bytes < outlet::COUNTED_BODY_BYTES {
+            return;
+        }
+        response.body = outlet.chunk(std::mem::take(&mut response.body));
+        self.keep_outlet(caller);
+        let bytes = bytes as u64;
+        self.handle_event(Event::ResponseHeld { attempt, bytes });
+    }
+
     /// Keeps the outlet of a stream until all its events are written.
     fn keep_outlet(&mut self, caller: Caller) {
         let pending = self.callers.get(&caller);
@@ -658,6 +694,7 @@
                 .counts()
                 .into_iter()
                 .chain(self.traffic.counts())
+                .chain(held_counts(self.core.buffers()))
                 .collect(),
             revision: self.core.revision(),
             running: self.core.running(),
@@ -685,6 +722,7 @@
                     && let Some(pending) = self.callers.get_mut(&caller)
                 {
                     pending.held = Some(held);
+                    self.count_held(attempt, caller);
                     self.handle_event(event);
                 }
             }
@@ -710,6 +748,24 @@
     }
 }
 
+/// What is held for callers and upstreams, by the names that `status` shows.
+fn held_counts(buffers: &Buffers) -> Vec<schema::Count> {
+    let count = |name: String, value: u64| schema::Count { name, value };
+    let total = buffers.total();
+    let mut counts = vec![
+        count("held.answer_bytes".into(), total.answers),
+        count("held.largest_answer_bytes".into(), buffers.largest()),
+        count("held.paused_streams".into(), buffers.paused()),
+        count("held.request_bytes".into(), total.requests),
+    ];
+    for (customer, held) in buffers.customers() {
+        let name = |what: &str| format!("held.customer.{customer}.{what}");
+        counts.push(count(name("answer_bytes"), held.answers));
+        counts.push(count(name("request_bytes"), held.requests));
+    }
+    counts
+}
+
 fn upstream_state(upstream: &upstream::Upstream) -> schema::UpstreamState {
     schema::UpstreamState {
         attempts: upstream.attempts.len() as u32,
--- a/crates/node/src/meter.rs
+++ b/crates/node/src/meter.rs
@@ -1,10 +1,12 @@
-//! Counters and latency histograms, for `wellplankctl status`, a statsd sink and scrapes by
+//! Counters, gauges and latency histograms, for `wellplankctl status`, a statsd sink and scrapes by
 //! Prometheus.
 
 use super::*;
 use prometheus::{
-    Encoder, HistogramOpts, HistogramVec, IntCounterVec, Opts, Registry, TextEncoder,
+    Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry,
+    TextEncoder,
 };
+use wellplank_core::buffer::{Buffers, HeldBytes};
 
 /// Prefix of all metrics sent to statsd.
 const PREFIX: &str = "wellplank";
@@ -30,7 +32,10 @@
 pub(crate) struct Meter {
     statsd: Option<Arc<StatsdClient>>,
     counters: IntCounterVec,
+    customer_bytes: IntGaugeVec,
+    held_bytes: IntGaugeVec,
     histograms: HistogramVec,
+    paused_streams: IntGauge,
     registry: Registry,
 }
 
@@ -85,10 +90,27 @@
             .buckets(BUCKET_BOUNDS_MS.to_vec());
         let histograms =
             HistogramVec::new(histograms, &["what"]).expect("metric and label names are valid");
+        let held_bytes = Opts::new("wellplank_held_bytes", "Bytes held, by what they are.");
+        let held_bytes =
+            IntGaugeVec::new(held_bytes, &["what"]).expect("metric and label names are valid");
+        let customer_bytes = Opts::new(
+            "wellplank_customer_held_bytes",
+            "Bytes held for customers that have any, by what they are.",
+        );
+        let customer_bytes = IntGaugeVec::new(customer_bytes, &["customer", "what"])
+            .expect("metric and label names are valid");
+        let paused_streams = IntGauge::new(
+            "wellplank_paused_streams",
+            "Streams that are not read, since their callers do not read.",
+        )
+        .expect("the metric name is valid");
         let registry = Registry::new();
         for collector in [
             Box::new(counters.clone()) as Box<dyn prometheus::core::Collector>,
             Box::new(histograms.clone()),
+            Box::new(held_bytes.clone()),
+            Box::new(customer_bytes.clone()),
+            Box::new(paused_streams.clone()),
         ] {
             registry
                 .register(collector)
@@ -97,7 +119,10 @@
         Self {
             statsd: sink.and_then(Self::connect_statsd).map(Arc::new),
             counters,
+            customer_bytes,
+            held_bytes,
             histograms,
+            paused_streams,
             registry,
         }
     }
@@ -109,6 +134,24 @@
             .observe(millis);
     }
 
+    /// Sets the gauges of what is held for callers and upstreams.
+    pub fn set_buffers(&self, buffers: &Buffers) {
+        let set = |gauges: &IntGaugeVec, labels: &[&str], bytes: u64| {
+            let gauge = gauges.with_label_values(labels);
+            gauge.set(bytes.cast_signed());
+        };
+        let HeldBytes { answers, requests } = buffers.total();
+        set(&self.held_bytes, &["answers"], answers);
+        set(&self.held_bytes, &["largest_answer"], buffers.largest());
+        set(&self.held_bytes, &["requests"], requests);
+        self.paused_streams.set(buffers.paused().cast_signed());
+        self.customer_bytes.reset();
+        for (customer, held) in buffers.customers() {
+            set(&self.customer_bytes, &[customer, "answers"], held.answers);
+            set(&self.customer_bytes, &[customer, "requests"], held.requests);
+        }
+    }
+
     /// All metrics in the Prometheus text format.
     pub fn render(&self) -> Vec<u8> {
         let mut page = Vec::new();
--- a/crates/node/src/outlet.rs
+++ b/crates/node/src/outlet.rs
@@ -7,6 +7,10 @@
 /// is what stays in memory of a stream that was given up.
 pub(crate) const CHUNK_BYTES: usize = 16 << 10;
 
+/// Size from which the body of a complete response is counted, in bytes. Smaller ones fit into the buffer of the caller's
+/// socket, so that they leave the process at once.
+pub(crate) const COUNTED_BODY_BYTES: usize = 16 << 10;
+
 /// Replies to one caller. The caller's task takes them; the core task queues them, and can discard them while the caller's
 /// task waits for the connection.
 #[derive(Debug)]
@@ -18,7 +22,7 @@
 
 /// Bytes that count as written when the connection drops them.
 struct Unwritten {
-    bytes: Vec<u8>,
+    bytes: Bytes,
     outlet: Arc<Outlet>,
 }
 
@@ -54,9 +58,9 @@
     }
 
     /// A chunk of the response that counts as written when the connection drops it.
-    pub fn chunk(self: &Arc<Self>, bytes: Vec<u8>) -> Bytes {
+    pub fn chunk(self: &Arc<Self>, bytes: impl Into<Bytes>) -> Bytes {
         Bytes::from_owner(Unwritten {
-            bytes,
+            bytes: bytes.into(),
             outlet: self.clone(),
         })
     }
--- a/crates/standin/tests/readers.rs
+++ b/crates/standin/tests/readers.rs
@@ -167,3 +167,67 @@
         expect_that!(metric(&site, suspected).await, eq(0));
     });
 }
+
+/// Guards against an instance that grows with the number of callers that do not read, against a stream that is given up
+/// and seems complete, and against giving up callers that read.
+#[gtest]
+fn instance_at_its_limit_gives_up_unread_streams_as_incomplete() {
+    let plan = Plan {
+        unread: UnreadLimits {
+            instance_bytes: 2 * EVENT_BYTES as u64,
+            ..LIMITS
+        },
+        ..Plan::default()
+    };
+    run(plan, async |site: Site| {
+        let mut unread = Vec::new();
+        for index in 0..4 {
+            unread.push(open(&site, &ask(&format!("r{index}"))).await);
+        }
+        let given_up = "wellplank_events_total{event=\"refused.unread_answer\"}";
+        until_counted(&site, "refused.unread_answer").await;
+        let small = Ask::stream("small").send(address(&site)).await;
+        expect_that!(small.whole, eq(true));
+        sleep(Duration::from_millis(1_000)).await;
+        let answers = "wellplank_held_bytes{what=\"answers\"}";
+        // What the limit allows, and the chunk of each stream that the connection is writing.
+        let most = 2 * EVENT_BYTES + 4 * (EVENT_BYTES + (16 << 10));
+        expect_that!(metric(&site, answers).await, le(most as u64));
+        let given_up = metric(&site, given_up).await;
+        let mut incomplete = 0;
+        for response in unread {
+            let (is_whole, events) = read(response).await;
+            let is_prefix = all_events().starts_with(&events);
+            expect_that!(is_prefix || !is_whole, eq(true));
+            incomplete += u64::from(!is_whole);
+            expect_that!(is_whole, eq(events == all_events()));
+        }
+        expect_that!(incomplete, eq(given_up));
+    });
+}
+
+/// Guards against bytes that stay counted when they have been read, or when their caller has left.
+#[gtest]
+fn nothing_is_held_once_callers_have_read_or_left() {
+    let plan = Plan {
+        unread: LIMITS,
+        ..Plan::default()
+    };
+    run(plan, async |site: Site| {
+        let left = open(&site, &ask("r1")).await;
+        let reads = open(&site, &ask("r2")).await;
+        until_counted(&site, "reading.paused").await;
+        drop(left);
+        let (is_whole, _) = read(reads).await;
+        expect_that!(is_whole, eq(true));
+        sleep(Duration::from_millis(1_200)).await;
+        for name in [
+            "wellplank_held_bytes{what=\"answers\"}",
+            "wellplank_held_bytes{what=\"requests\"}",
+            "wellplank_customer_held_bytes",
+            "wellplank_paused_streams",
+        ] {
+            expect_that!(metric(&site, name).await, eq(0), "{name}");
+        }
+    });
+}
