--- a/crates/core/tests/relay/readers.rs
+++ b/crates/core/tests/relay/readers.rs
@@ -3,7 +3,8 @@
 use {
     super::*,
     wellplank_core::{
-        counter::Timing, effect::Buffering, event::CallerRead, settings::UnreadLimits,
+        buffer::HeldBytes, counter::Timing, effect::Buffering, event::CallerRead,
+        settings::UnreadLimits,
     },
 };
 
@@ -333,7 +334,7 @@
     read.read(&mut test, 30 * KIB);
     given_up.read(&mut test, 64 * KIB);
     test.handle(Event::CallerGone(given_up.caller));
-    expect_that!(test.core.buffers().total(), eq(Default::default()));
+    expect_that!(test.core.buffers().total(), eq(HeldBytes::default()));
     expect_that!(test.core.buffers().customers().count(), eq(0));
     expect_that!(test.core.buffers().paused(), eq(0));
 }
--- a/crates/node/src/driver.rs
+++ b/crates/node/src/driver.rs
@@ -84,6 +84,8 @@
     pub revision: Option<u64>,
     /// Number of requests that are accepted but not finished.
     pub running: usize,
+    /// Number of bytes that callers have not read.
+    pub unread_bytes: u64,
     /// Known upstreams.
     pub upstreams: Vec<schema::UpstreamState>,
 }
@@ -698,6 +700,7 @@
                 .collect(),
             revision: self.core.revision(),
             running: self.core.running(),
+            unread_bytes: self.core.buffers().total().answers,
             upstreams: self.core.upstreams().map(upstream_state).collect(),
         }
     }
--- a/crates/node/src/hosted.rs
+++ b/crates/node/src/hosted.rs
@@ -177,7 +177,7 @@
     }
 
     /// Shuts down gracefully: reports that it is not ready, continues to serve running and new requests, and returns when
-    /// none is running any more or the grace period ends.
+    /// none is running any more and all responses are read, or the grace period ends.
     pub async fn stop(self) {
         let begun = Instant::now();
         let drain_time_max = self.grace_period.saturating_sub(GRACE_MARGIN);
@@ -189,10 +189,15 @@
         }));
         loop {
             sleep(DRAIN_CHECK_INTERVAL).await;
-            let running = self.driver.status().await.running;
+            let driver::Snapshot {
+                running,
+                unread_bytes,
+                ..
+            } = self.driver.status().await;
+            let is_idle = running == 0 && unread_bytes == 0;
             let elapsed = begun.elapsed();
-            if elapsed >= drain_time_max || (running == 0 && elapsed >= DRAIN_TIME_MIN) {
-                info!(running; "stopped");
+            if elapsed >= drain_time_max || (is_idle && elapsed >= DRAIN_TIME_MIN) {
+                info!(running, unread_bytes; "stopped");
                 return;
             }
         }
--- a/crates/standin/tests/readers.rs
+++ b/crates/standin/tests/readers.rs
@@ -188,7 +188,7 @@
         until_counted(&site, "refused.unread_answer").await;
         let small = Ask::stream("small").send(address(&site)).await;
         expect_that!(small.whole, eq(true));
-        sleep(Duration::from_millis(1_000)).await;
+        sleep(Duration::from_secs(1)).await;
         let answers = "wellplank_held_bytes{what=\"answers\"}";
         // What the limit allows, and the chunk of each stream that the connection is writing.
         let most = 2 * EVENT_BYTES + 4 * (EVENT_BYTES + (16 << 10));
@@ -231,3 +231,27 @@
         }
     });
 }
+
+/// Guards against a planned stop that cuts a response which is complete but not yet read.
+#[gtest]
+fn planned_stop_waits_for_callers_that_still_read() {
+    let plan = Plan {
+        unread: UnreadLimits {
+            request_bytes: 0,
+            ..LIMITS
+        },
+        ..Plan::default()
+    };
+    run(plan, async |mut site: Site| {
+        let response = open(&site, &ask("r1")).await;
+        until_counted(&site, "answered").await;
+        let reading = tokio::spawn(async {
+            sleep(Duration::from_secs(4)).await;
+            read(response).await
+        });
+        site.instances[0].stop().await;
+        let (is_whole, events) = reading.await.unwrap();
+        expect_that!(is_whole, eq(true));
+        expect_that!(events, eq(&all_events()));
+    });
+}
