--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -13,6 +13,10 @@
 /// remainder absorbs estimation errors, which would otherwise lead to late refusals.
 const MAX_WAIT_FRACTION: f64 = 0.5;
 
+/// Retry delay for new streams of a customer whose callers do not read, in milliseconds: callers that have stopped reading
+/// for some ticks mostly stay so for seconds.
+const UNREAD_RETRY_MS: u64 = 1_000;
+
 /// Refusal of a request before anything was sent upstream.
 pub(crate) struct Refusal {
     /// Kind of error.
@@ -283,8 +287,8 @@
         };
         if is_new_stream && is_full() {
             return Err(Refusal {
-                kind: Kind::CustomerLimit,
-                retry_after_ms: Some(*RETRY_AFTER_MS.start()),
+                kind: Kind::Overloaded,
+                retry_after_ms: Some(UNREAD_RETRY_MS),
             });
         }
         Ok(())
--- a/crates/core/src/core.rs
+++ b/crates/core/src/core.rs
@@ -367,7 +367,8 @@
         self.check_invariant(unanswered, Invariant::AnsweredTwice);
         self.held_bytes -= request.held_bytes;
         let customer = &request.customer.name;
-        self.buffers.remove_request(customer, request.work.bytes());
+        self.buffers
+            .remove_request(request.caller, customer, request.work.bytes());
         if let Some(running) = self.running_by_customer.get_mut(customer) {
             *running -= 1;
             if *running == 0 {
