--- a/crates/core/src/buffer.rs
+++ b/crates/core/src/buffer.rs
@@ -9,10 +9,14 @@
 /// limit absorbs what is on its way when reading stops, so that callers are rarely given up.
 const PRESSURE_FRACTION: f64 = 0.75;
 
-/// Unread bytes up to which a stream is read on although its customer or the instance is at its limit. A caller that
+/// Unread bytes up to which a stream is read on, and not given up, although its customer or the instance is at its limit. A caller that
 /// reads promptly has less: some events of the 10 ms between two reports.
 const PROMPT_BYTES: u64 = 4 << 10;
 
+/// Time without reading below which a stream is not given up, in milliseconds. A caller that reads promptly is reported at
+/// each tick of 10 ms, also where complete responses alone exceed the limit.
+const PROMPT_MS: u64 = 50;
+
 /// Step in which times without reading are compared, in milliseconds: among callers that stopped within the same step,
 /// the one with the most unread bytes is given up first.
 const IDLE_STEP_MS: u64 = 1_000;
@@ -239,7 +243,10 @@
     /// the most unread bytes.
     fn give_up_order(&self, now: Time) -> Vec<request::Caller> {
         let waiting = self.callers.iter();
-        let waiting = waiting.filter(|(_, unread)| unread.bytes > 0 && !unread.is_given_up);
+        let waiting = waiting.filter(|(_, unread)| {
+            let is_prompt = unread.bytes < PROMPT_BYTES || now.since(unread.last_read) < PROMPT_MS;
+            !is_prompt && !unread.is_given_up
+        });
         let mut order: Vec<_> = waiting
             .map(|(caller, unread)| {
                 let idle_steps = now.since(unread.last_read) / IDLE_STEP_MS;
--- a/crates/core/tests/relay/readers.rs
+++ b/crates/core/tests/relay/readers.rs
@@ -246,7 +246,7 @@
     for (reader, size) in readers.iter_mut().zip([20, 50, 20, 20]) {
         reader.receive(&mut test, size * KIB);
     }
-    test.advance(20);
+    test.advance(60);
     let discards: Vec<_> = buffering(&test)
         .into_iter()
         .filter(|effect| matches!(effect, Buffering::Discard(_)))
@@ -273,7 +273,7 @@
     test.advance(2_000);
     let mut running = Reader::open(&mut test, "key");
     running.receive(&mut test, 20 * KIB);
-    test.advance(20);
+    test.advance(60);
     expect_that!(
         buffering(&test),
         not(contains(eq(&Buffering::Discard(complete.caller))))
@@ -288,6 +288,24 @@
     );
 }
 
+/// Guards against giving up callers that read, where that does not help: complete responses alone exceed the limit.
+#[gtest]
+fn callers_that_read_promptly_are_not_given_up() {
+    let mut test = test(limits(0, 0, 100 * KIB));
+    let mut complete = Reader::open(&mut test, "key");
+    complete.receive(&mut test, 120 * KIB);
+    test.close(&complete.sent, true);
+    let mut large = Reader::open(&mut test, "key");
+    let mut small = Reader::open(&mut test, "key");
+    small.receive(&mut test, 3 * KIB);
+    for _ in 0..10 {
+        large.receive(&mut test, 20 * KIB);
+        test.advance(20);
+        large.read(&mut test, 20 * KIB);
+    }
+    expect_that!(test.outcomes(), elements_are![eq("close")]);
+}
+
 /// Guards against one customer's slow callers that stop the streams of others, or those of callers that read.
 #[gtest]
 fn customer_at_its_limit_is_read_as_far_as_its_callers_read() {
@@ -315,6 +333,24 @@
     );
 }
 
+/// Guards against an instance that reads on up to its limit, where streams must be given up, and against stopping the
+/// streams of callers that read.
+#[gtest]
+fn instance_near_its_limit_is_read_as_far_as_its_callers_read() {
+    let mut test = test(limits(0, 0, 100 * KIB));
+    let mut slow = Reader::open(&mut test, "key");
+    let mut prompt = Reader::open(&mut test, "other");
+    slow.receive(&mut test, 60 * KIB);
+    expect_that!(buffering(&test), is_empty());
+    slow.receive(&mut test, 15 * KIB);
+    prompt.receive(&mut test, KIB);
+    test.advance(2_000);
+    expect_that!(
+        buffering(&test),
+        elements_are![eq(&Buffering::Pause(slow.sent.attempt))]
+    );
+}
+
 /// Guards against sums that drift, by which streams would be paused or given up for nothing.
 #[gtest]
 fn nothing_is_counted_once_all_has_been_read_or_the_callers_have_left() {
@@ -327,7 +363,7 @@
     given_up.receive(&mut test, 64 * KIB);
     expect_that!(test.core.buffers().paused(), eq(2));
     expect_that!(test.core.buffers().total().requests, eq(300));
-    test.advance(20);
+    test.advance(60);
     expect_that!(test.outcomes(), elements_are![eq("cut")]);
     test.handle(Event::CallerGone(left.caller));
     test.close(&read.sent, true);
--- a/crates/node/src/outlet.rs
+++ b/crates/node/src/outlet.rs
@@ -3,9 +3,9 @@
 use super::*;
 use std::sync::{Mutex, MutexGuard};
 
-/// Maximum size of a chunk that joins queued events, in bytes. The HTTP server holds the chunk that it is writing, so this
-/// is what stays in memory of a stream that was given up.
-pub(crate) const CHUNK_BYTES: usize = 16 << 10;
+/// Maximum size of a chunk that joins queued events, in bytes. The HTTP server takes several chunks before it waits for the
+/// caller; those stay in memory when the stream is given up.
+pub(crate) const CHUNK_BYTES: usize = 4 << 10;
 
 /// Size from which the body of a complete response is counted, in bytes. Smaller ones fit into the buffer of the caller's
 /// socket, so that they leave the process at once.
