--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -195,13 +195,16 @@
         has_end_marker: bool,
     ) -> Result<(), Failure> {
         let mut buffer = Vec::new();
+        // Bytes of an event are searched once, however many frames it arrives in.
+        let mut searched = 0;
         while let Some(frame) = self.next_frame(&mut body).await {
             let frame = frame.map_err(|_| Failure::Broken)?;
             let Ok(data) = frame.into_data() else {
                 continue;
             };
             buffer.extend_from_slice(&data);
-            while let Some(end) = event_end(&buffer) {
+            while let Some(end) = event_end(&buffer, searched) {
+                searched = 0;
                 let event: Vec<u8> = buffer.drain(..end).collect();
                 let position = platform::response::position(&event).ok_or(Failure::Broken)?;
                 self.driver.send_event(Event::StreamEvent {
@@ -210,6 +213,7 @@
                     position,
                 });
             }
+            searched = buffer.len();
         }
         if !buffer.is_empty() {
             return Err(Failure::Broken);
@@ -222,11 +226,13 @@
     }
 }
 
-/// Length of the first event in a buffer, with the empty line that ends it; `None` if the event is incomplete.
-fn event_end(buffer: &[u8]) -> Option<usize> {
+/// Length of the first event in a buffer, with the empty line that ends it; `None` if the event is incomplete. The first
+/// `searched` bytes are known not to contain its end.
+fn event_end(buffer: &[u8], searched: usize) -> Option<usize> {
     const DELIMITER: &[u8] = b"\n\n";
-    let start = buffer
+    let from = (searched + 1).saturating_sub(DELIMITER.len());
+    let start = buffer[from..]
         .windows(DELIMITER.len())
         .position(|bytes| bytes == DELIMITER)?;
-    Some(start + DELIMITER.len())
+    Some(from + start + DELIMITER.len())
 }
--- a/crates/standin/src/worker.rs
+++ b/crates/standin/src/worker.rs
@@ -54,6 +54,8 @@
     Sham,
     /// Says nothing.
     Silent,
+    /// Writes each event in two parts, divided within the empty line that ends it.
+    Split,
     /// Answers to another request.
     Stray,
     /// Answers without a length, and ends with its connection.
@@ -405,7 +407,14 @@
                 connection.write_all(chunk(half).as_bytes()).await?;
                 return Ok(());
             }
-            let bytes = chunk(&event);
+            let mut rest = event.as_str();
+            if mode == Mode::Split {
+                let (part, last) = event.split_at(event.len() - 1);
+                connection.write_all(chunk(part).as_bytes()).await?;
+                sleep(STEP).await;
+                rest = last;
+            }
+            let bytes = chunk(rest);
             let writing = connection.write_all(bytes.as_bytes());
             if mode == Mode::Impatient {
                 tokio::time::timeout(IMPATIENCE, writing).await??;
--- a/crates/standin/tests/readers.rs
+++ b/crates/standin/tests/readers.rs
@@ -255,3 +255,18 @@
         expect_that!(events, eq(&all_events()));
     });
 }
+
+/// Guards against missing the end of an event that arrives in two parts.
+#[gtest]
+fn events_that_arrive_in_parts_are_forwarded() {
+    run(Plan::default(), async |site: Site| {
+        for seat in &site.engines {
+            seat.worker.set(Mode::Split);
+        }
+        let ask = Ask::stream("r1");
+        let got = ask.send(address(&site)).await;
+        expect_that!(got.whole, eq(true));
+        expect_that!(got.body, eq(&worker::events(&ask.body, 0)));
+        expect_that!(site.ledger.runs().len(), eq(1));
+    });
+}
