--- a/crates/standin/src/worker.rs
+++ b/crates/standin/src/worker.rs
@@ -14,7 +14,7 @@
 /// Time between two events.
 const STEP: Duration = Duration::from_millis(10);
 
-/// Header of a request that asks for events of this many bytes.
+/// Header of a request that asks for events, or for an answer to a call, of this many bytes.
 pub const EVENT_BYTES: &str = "x-event-bytes";
 
 /// Time for which an impatient worker waits until a connection takes an event.
@@ -486,7 +486,9 @@
 }
 
 fn whole(run: &Run, mode: Mode, remark: Remark) -> Vec<u8> {
-    let body = reply(&run.body);
+    let mut body = reply(&run.body);
+    let size: usize = run.header(EVENT_BYTES).parse().unwrap_or(0);
+    body.push_str(&"x".repeat(size.saturating_sub(body.len())));
     let status = match mode {
         Mode::Fault => 500,
         Mode::Sham => 503,
--- a/crates/standin/tests/readers.rs
+++ b/crates/standin/tests/readers.rs
@@ -270,3 +270,20 @@
         expect_that!(site.ledger.runs().len(), eq(1));
     });
 }
+
+/// Guards against complete responses that are not counted, or that stay counted when they have been read.
+#[gtest]
+fn complete_response_is_counted_until_its_caller_has_read_it() {
+    const BYTES: usize = 16 << 20;
+    run(Plan::default(), async |site: Site| {
+        let ask = Ask::again("r1").with(worker::EVENT_BYTES, &BYTES.to_string());
+        let response = open(&site, &ask).await;
+        sleep(Duration::from_secs(1)).await;
+        let held = "wellplank_held_bytes{what=\"answers\"}";
+        expect_that!(metric(&site, held).await, eq(BYTES as u64));
+        let body = response.into_body().collect().await.unwrap().to_bytes();
+        expect_that!(body.len(), eq(BYTES));
+        sleep(Duration::from_secs(1)).await;
+        expect_that!(metric(&site, held).await, eq(0));
+    });
+}
