--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -30,7 +30,7 @@
     UnknownStream,
 }
 
-/// Bytes of its response that a caller has read.
+/// Bytes of a response that its caller's connection has taken, or that were discarded.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct CallerRead {
     /// Number of bytes since the last report.
@@ -144,7 +144,7 @@
     },
     /// The caller's connection closed.
     CallerGone(request::Caller),
-    /// Callers have read parts of their responses.
+    /// The connections of callers have taken parts of their responses.
     CallersRead(Vec<CallerRead>),
     /// A claim was settled.
     Claimed {
