Drop the queued replies of callers that have left

A complete response in the queue of an outlet refers to the outlet, so that both would have stayed in memory when the caller left before it took the response.

--- a/crates/node/src/driver.rs
+++ b/crates/node/src/driver.rs
@@ -538,6 +538,10 @@
     fn handle_event(&mut self, event: Event) {
         if let Event::CallerGone(caller) = &event {
             self.callers.remove(caller);
+            // A response in its queue would keep the outlet alive, since its chunk refers to it.
+            if let Some(outlet) = self.outlets.remove(caller) {
+                outlet.discard();
+            }
         }
         if let Event::Answered { attempt, .. }
         | Event::StreamEnded { attempt, .. }
