--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -13,6 +13,10 @@
 /// remainder absorbs estimation errors, which would otherwise lead to late refusals.
 const MAX_WAIT_FRACTION: f64 = 0.5;
 
+/// Retry delay for new streams of a customer whose callers do not read, in milliseconds: callers that have stopped reading
+/// for some ticks mostly stay so for seconds.
+const UNREAD_RETRY_MS: u64 = 1_000;
+
 /// Refusal of a request before anything was sent upstream.
 pub(crate) struct Refusal {
     /// Kind of error.
@@ -186,6 +190,8 @@
         }
         request.held_bytes = request.work.bytes() + 4 * u64::from(request.work.max_tokens());
         self.held_bytes += request.held_bytes;
+        self.buffers
+            .add_request(&request.customer.name, request.work.bytes());
         self.count(Counter::Admitted);
         let pool = self.pools.entry(request.service.pool().into()).or_default();
         pool.retry_budget.earn(self.settings.retry_earn);
@@ -222,8 +228,9 @@
         service: &config::Service,
         submission: &event::Submission,
     ) -> Result<(), Refusal> {
-        if submission.work.relay().is_some() {
-            return self.check_memory(submission.work.bytes());
+        if let Some(relay) = submission.work.relay() {
+            self.check_unread(customer, service, relay)?;
+            return self.check_memory(relay.bytes);
         }
         let resumed = submission.cursor.is_some();
         let running = self
@@ -266,10 +273,33 @@
         Ok(())
     }
 
+    /// Refuses new streams of a customer whose callers do not read. One that resumes is admitted, since its events before
+    /// the break were read.
+    fn check_unread(
+        &self,
+        customer: &config::Customer,
+        service: &config::Service,
+        relay: &request::Relay,
+    ) -> Result<(), Refusal> {
+        let is_new_stream = service.streams() && relay.position == 0;
+        let is_full = || {
+            self.buffers
+                .is_customer_full(&customer.name, &self.settings.unread)
+        };
+        if is_new_stream && is_full() {
+            return Err(Refusal {
+                kind: Kind::Overloaded,
+                retry_after_ms: Some(UNREAD_RETRY_MS),
+            });
+        }
+        Ok(())
+    }
+
     /// Checks the memory limit for a relayed request. Other limits do not apply: the request is
     /// queued rather than refused, since an upstream may become free.
     fn check_memory(&self, bytes: u64) -> Result<(), Refusal> {
-        if self.held_bytes + bytes <= self.settings.held_bytes_max {
+        let held = self.held_bytes + self.buffers.total().answers;
+        if held + bytes <= self.settings.held_bytes_max {
             return Ok(());
         }
         Err(Refusal {
--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -30,6 +30,15 @@
     UnknownStream,
 }
 
+/// Bytes of a response that its caller's connection has taken, or that were discarded.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct CallerRead {
+    /// Number of bytes since the last report.
+    pub bytes: u64,
+    /// The caller's connection.
+    pub caller: request::Caller,
+}
+
 impl Failure {
     /// Whether it is certain that the upstream did not run the request.
     pub fn was_not_executed(self) -> bool {
@@ -135,6 +144,8 @@
     },
     /// The caller's connection closed.
     CallerGone(request::Caller),
+    /// The connections of callers have taken parts of their responses.
+    CallersRead(Vec<CallerRead>),
     /// A claim was settled.
     Claimed {
         /// Outcome.
@@ -252,6 +263,13 @@
     },
     /// The store stopped answering at this time, or answers again.
     StoreAway(Option<Time>),
+    /// The edge holds a complete response, whose bytes count until its caller has read them or it is superseded.
+    ResponseHeld {
+        /// The attempt.
+        attempt: attempt::Key,
+        /// Number of bytes.
+        bytes: u64,
+    },
     /// A relayed stream ended without an error.
     StreamEnded {
         /// The attempt.
--- a/crates/core/src/failure.rs
+++ b/crates/core/src/failure.rs
@@ -84,6 +84,7 @@
     /// Removes an attempt from the state, its request and its upstream.
     pub(crate) fn remove_attempt(&mut self, key: attempt::Key) -> Option<Attempt> {
         let attempt = self.attempts.remove(key)?;
+        self.forget_reading(&attempt);
         if let Some(request) = self.requests.get_mut(attempt.request) {
             request.attempts.retain(|other| *other != key);
         }
@@ -208,7 +209,9 @@
         if self.settings.retry.is_set() {
             return self.take_retry_permit(key, reason);
         }
-        resumes || self.may_retry(key, reason)
+        // An upstream cuts a stream again and again if its caller goes on reading slowly.
+        let is_free = resumes && reason != counter::Reason::Unread;
+        is_free || self.may_retry(key, reason)
     }
 
     /// Whether a request may be retried. Requests that no upstream accepted need no permit: each
--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -73,6 +73,11 @@
         let is_complete = marked || ended_before == Some(progress.position);
         if !is_complete && self.may_continue(owner) {
             self.remember_copy(&attempt);
+            if self.was_cut_unread(&attempt) {
+                self.log_lost(&attempt, counter::Reason::Unread);
+                self.retry_relay(owner, counter::Reason::Unread);
+                return;
+            }
             self.log_lost(&attempt, counter::Reason::Unmarked);
             self.suspect_crash(&attempt);
             self.retry_after_crash_check(owner, attempt.upstream, counter::Reason::Unmarked);
@@ -134,8 +139,9 @@
         self.record_event_delay(owner);
         let request = &mut self.requests[owner];
         request.progress.position = position;
-        let caller = request.caller;
+        let (caller, size) = (request.caller, bytes.len() as u64);
         self.effects.push(Effect::ForwardEvent { bytes, caller });
+        self.hold_unread(key, size);
     }
 
     /// Records how long a caller waited for an event.
@@ -292,9 +298,16 @@
     pub(crate) fn handle_relay_failure(&mut self, attempt: &Attempt, failure: Failure) {
         let owner = attempt.request;
         let upstream = attempt.upstream;
+        let is_cut_unread = failure == Failure::Broken && self.was_cut_unread(attempt);
         let request = &mut self.requests[owner];
-        request.avoided_upstream = Some(upstream);
+        request.avoided_upstream = (!is_cut_unread).then_some(upstream);
         let reason = match failure {
+            // The upstream is well: it closes streams that are not read.
+            Failure::Broken if is_cut_unread => {
+                request.may_have_run = true;
+                self.remember_copy(attempt);
+                counter::Reason::Unread
+            }
             Failure::Broken | Failure::UnknownStream => {
                 request.may_have_run = true;
                 self.remember_copy(attempt);
@@ -336,7 +349,7 @@
         }
         // The crash suspicion may lead to the failure of this request.
         match failure {
-            Failure::Broken => self.suspect_crash(attempt),
+            Failure::Broken if !is_cut_unread => self.suspect_crash(attempt),
             Failure::Replaced => self.handle_proven_end(upstream),
             _ => {}
         }
@@ -354,6 +367,9 @@
             return;
         }
         let resumes = self.requests[key].progress.position > 0;
+        if resumes && self.waits_for_reader(key, reason) {
+            return;
+        }
         if !self.may_take_attempt(key, resumes, reason) {
             self.give_up(key, Kind::Overloaded, Kind::UpstreamFailed);
             return;
@@ -423,6 +439,9 @@
             let Some(attempt) = self.attempts.get(attempt_key) else {
                 continue;
             };
+            if attempt.reading == Reading::Paused {
+                continue;
+            }
             let silence = self.now.since(attempt.last_event_at);
             let request = &self.requests[attempt.request];
             let Some(relay) = request.service.relay() else {
--- a/crates/core/tests/relay/main.rs
+++ b/crates/core/tests/relay/main.rs
@@ -39,6 +39,7 @@
 mod notice;
 mod poison;
 mod reach;
+mod readers;
 mod retry;
 mod version;
 
--- a/crates/node/src/driver.rs
+++ b/crates/node/src/driver.rs
@@ -1,10 +1,15 @@
 //! The core task: owns the core, feeds events into it and executes its effects.
 
 use super::*;
+use wellplank_core::buffer::Buffers;
 
 /// Interval between ticks of the core.
 const TICK_INTERVAL: Duration = Duration::from_millis(10);
 
+/// Interval at which the gauges of held bytes are set: they are looked at every few seconds, and setting them visits all
+/// callers with unread bytes.
+const GAUGE_INTERVAL: Duration = Duration::from_millis(500);
+
 /// Time for which peers are notified that an upstream is leaving.
 const LEAVING_RETENTION: Duration = Duration::from_secs(3);
 
@@ -21,11 +26,13 @@
     Count(Counter),
     /// An event for the core.
     Event(Event),
-    /// A request to relay: its submission, the original request, and the channel for its replies.
+    /// A request to relay: its submission, the original request, and the channel for its replies with the outlet at its
+    /// other end.
     Relay(
         Box<Submission>,
         Arc<forward::OriginalRequest>,
         mpsc::UnboundedSender<Reply>,
+        Arc<Outlet>,
     ),
     /// Response head or complete response of an upstream, and the event that reports it to the core.
     Response(attempt::Key, Caller, HeldResponse, Event),
@@ -54,10 +61,20 @@
     held: Option<HeldResponse>,
     /// The original request; `None` unless it is relayed.
     original: Option<Arc<forward::OriginalRequest>>,
+    /// Where its replies wait; `None` unless it is relayed.
+    outlet: Option<Arc<Outlet>>,
     /// Channel to the caller's task.
     replies: mpsc::UnboundedSender<Reply>,
 }
 
+/// An attempt that is in progress.
+struct RunningAttempt {
+    /// Whether its events are not read; `None` unless it is relayed.
+    is_paused: Option<watch::Sender<bool>>,
+    /// The task that reads the response.
+    task: JoinHandle<()>,
+}
+
 /// State of the core as reported to operators.
 #[derive(Debug, Default)]
 pub(crate) struct Snapshot {
@@ -67,6 +84,8 @@
     pub revision: Option<u64>,
     /// Number of requests that are accepted but not finished.
     pub running: usize,
+    /// Number of bytes that callers have not read.
+    pub unread_bytes: u64,
     /// Known upstreams.
     pub upstreams: Vec<schema::UpstreamState>,
 }
@@ -98,16 +117,20 @@
 
 /// State of the core task.
 struct Task {
-    attempts: HashMap<attempt::Key, JoinHandle<()>>,
+    attempts: HashMap<attempt::Key, RunningAttempt>,
     callers: HashMap<Caller, PendingCaller>,
     claims: mpsc::UnboundedSender<claimer::PendingClaim>,
     clock: Clock,
     core: Core,
     crash_history: watch::Sender<crash_history::LocalHistory>,
     driver: Driver,
+    /// When the gauges of held bytes were last set.
+    gauges_set_at: Instant,
     gossip: mpsc::UnboundedSender<gossip::Message>,
     leaving: watch::Sender<LeavingUpstreams>,
     meter: meter::Meter,
+    /// Where the events of streams wait for their callers, until all are written.
+    outlets: HashMap<Caller, Arc<Outlet>>,
     pooled: HttpClient,
     probes: HttpClient,
     quarantine_updates: mpsc::UnboundedSender<store_writer::QuarantineUpdate>,
@@ -153,7 +176,8 @@
         };
         let seed = rand::random();
         let mut core = Core::new(settings.core.clone(), settings.secret, seed, clock.now())
-            .in_data_centre(&settings.data_centre);
+            .in_data_centre(&settings.data_centre)
+            .counting_unread();
         if settings.hosted.is_some() {
             core = core.restoring_streams();
         }
@@ -165,9 +189,11 @@
             core,
             crash_history: outputs.crash_history,
             driver: driver.clone(),
+            gauges_set_at: Instant::now(),
             gossip: outputs.gossip,
             leaving: outputs.leaving,
             meter: outputs.meter,
+            outlets: HashMap::new(),
             pooled: HttpClient::pooled(),
             probes: HttpClient::metered(&outputs.traffic),
             quarantine_updates: outputs.quarantine_updates,
@@ -202,16 +228,22 @@
         self.send(Message::Response(attempt, caller, held, event));
     }
 
-    /// Submits a request to relay; the receiver yields its replies.
+    /// Submits a request to relay; the outlet yields its replies.
     pub(crate) fn submit_relay(
         &self,
         submission: Submission,
         original: forward::OriginalRequest,
-    ) -> mpsc::UnboundedReceiver<Reply> {
-        let (replies, receiver) = mpsc::unbounded_channel();
+    ) -> Arc<Outlet> {
+        let (replies, outlet) = Outlet::new();
         let original = Arc::new(original);
-        self.send(Message::Relay(Box::new(submission), original, replies));
-        receiver
+        let submission = Box::new(submission);
+        self.send(Message::Relay(
+            submission,
+            original,
+            replies,
+            outlet.clone(),
+        ));
+        outlet
     }
 
     /// Reports an unknown platform header in an upstream's response.
@@ -225,6 +257,16 @@
     }
 }
 
+impl RunningAttempt {
+    /// An attempt whose reading is never paused.
+    fn unpaused(task: JoinHandle<()>) -> Self {
+        Self {
+            is_paused: None,
+            task,
+        }
+    }
+}
+
 impl CoreOutputs {
     /// Outputs of an instance that sends frames over links to its peers: it neither gossips by datagram nor persists the
     /// quarantine, so these channels have no receiver.
@@ -265,21 +307,57 @@
                     if let Some(suspended_ms) = self.clock.detect_suspension() {
                         warn!(suspended_ms; "resumed");
                     }
+                    self.report_reads();
                     self.handle_event(Event::Tick);
+                    self.set_gauges();
                 }
             }
         }
     }
 
     fn abort(&mut self, attempt: attempt::Key) {
-        if let Some(task) = self.attempts.remove(&attempt) {
-            task.abort();
+        if let Some(running) = self.attempts.remove(&attempt) {
+            running.task.abort();
+        }
+    }
+
+    /// Reports to the core what callers have read since the last tick. A report for each chunk would double the number
+    /// of messages to the core task.
+    fn report_reads(&mut self) {
+        let mut reads = Vec::new();
+        self.outlets.retain(|caller, outlet| {
+            // Nothing else can release bytes once this is the last reference.
+            let is_last = Arc::strong_count(outlet) == 1;
+            let bytes = outlet.take_released();
+            if bytes > 0 {
+                let caller = *caller;
+                reads.push(event::CallerRead { bytes, caller });
+            }
+            !is_last
+        });
+        if !reads.is_empty() {
+            self.handle_event(Event::CallersRead(reads));
+        }
+    }
+
+    fn set_gauges(&mut self) {
+        if self.gauges_set_at.elapsed() >= GAUGE_INTERVAL {
+            self.gauges_set_at = Instant::now();
+            self.meter.set_buffers(self.core.buffers());
+        }
+    }
+
+    fn set_paused(&self, attempt: attempt::Key, is_paused: bool) {
+        let running = self.attempts.get(&attempt);
+        if let Some(sender) = running.and_then(|running| running.is_paused.as_ref()) {
+            sender.send_replace(is_paused);
         }
     }
 
     fn execute(&mut self, effect: Effect) {
         match effect {
             Effect::AbortStream(caller) => self.finish_caller(caller, Reply::Abort),
+            Effect::Buffering(effect) => self.execute_buffering(effect),
             Effect::Cancel {
                 address,
                 attempt,
@@ -327,6 +405,7 @@
             Effect::ForwardEvent { bytes, caller } => self.send_reply(caller, Reply::Event(bytes)),
             Effect::ForwardHead(caller) => {
                 if let Some(HeldResponse::Head(head)) = self.take_held(caller) {
+                    self.keep_outlet(caller);
                     self.send_reply(caller, Reply::Head(head));
                 }
             }
@@ -387,6 +466,19 @@
         self.meter.count(counter, count);
     }
 
+    /// Executes an effect concerning events that wait for callers.
+    fn execute_buffering(&self, effect: effect::Buffering) {
+        match effect {
+            effect::Buffering::Discard(caller) => {
+                if let Some(outlet) = self.outlets.get(&caller) {
+                    outlet.discard();
+                }
+            }
+            effect::Buffering::Pause(attempt) => self.set_paused(attempt, true),
+            effect::Buffering::Resume(attempt) => self.set_paused(attempt, false),
+        }
+    }
+
     /// Executes an effect concerning requests that crash the upstreams that run them.
     fn execute_quarantine(&self, effect: effect::Quarantine) {
         match effect {
@@ -449,6 +541,10 @@
     fn handle_event(&mut self, event: Event) {
         if let Event::CallerGone(caller) = &event {
             self.callers.remove(caller);
+            // A response in its queue would keep the outlet alive, since its chunk refers to it.
+            if let Some(outlet) = self.outlets.remove(caller) {
+                outlet.discard();
+            }
         }
         if let Event::Answered { attempt, .. }
         | Event::StreamEnded { attempt, .. }
@@ -484,6 +580,34 @@
         let _ = self.gossip.send(message);
     }
 
+    /// Counts the complete response that is held for a caller, if it is large.
+    fn count_held(&mut self, attempt: attempt::Key, caller: Caller) {
+        let Some(pending) = self.callers.get_mut(&caller) else {
+            return;
+        };
+        let (Some(HeldResponse::Complete(response)), Some(outlet)) =
+            (&mut pending.held, &pending.outlet)
+        else {
+            return;
+        };
+        let bytes = response.body.len();
+        if bytes < outlet::COUNTED_BODY_BYTES {
+            return;
+        }
+        response.body = outlet.chunk(std::mem::take(&mut response.body));
+        self.keep_outlet(caller);
+        let bytes = bytes as u64;
+        self.handle_event(Event::ResponseHeld { attempt, bytes });
+    }
+
+    /// Keeps the outlet of a stream until all its events are written.
+    fn keep_outlet(&mut self, caller: Caller) {
+        let pending = self.callers.get(&caller);
+        if let Some(outlet) = pending.and_then(|pending| pending.outlet.clone()) {
+            self.outlets.insert(caller, outlet);
+        }
+    }
+
     fn take_held(&mut self, caller: Caller) -> Option<HeldResponse> {
         self.callers.get_mut(&caller)?.held.take()
     }
@@ -495,7 +619,7 @@
         attempt: attempt::Key,
         outbound: &Outbound,
         upstream: upstream::Key,
-    ) -> Option<JoinHandle<()>> {
+    ) -> Option<RunningAttempt> {
         let Outbound::Relay {
             caller,
             streams,
@@ -506,17 +630,22 @@
             return None;
         };
         let original = self.callers.get(caller)?.original.clone()?;
+        let (is_paused, paused) = watch::channel(false);
         let exchange = forward::Exchange {
             attempt,
             caller: *caller,
             driver: self.driver.clone(),
+            paused,
             request_id: original.request_id.clone(),
             streams: *streams,
             upstream,
             upstream_name: name.clone(),
         };
         let request = original.upstream_request(address, outbound)?;
-        Some(tokio::spawn(exchange.run(self.relays.clone(), request)))
+        Some(RunningAttempt {
+            is_paused: Some(is_paused),
+            task: tokio::spawn(exchange.run(self.relays.clone(), request)),
+        })
     }
 
     fn start_attempt(
@@ -540,7 +669,8 @@
                     &self.unpooled
                 };
                 plain::request(address, &path, &payload, request).map(|request| {
-                    tokio::spawn(plain::run(http.clone(), driver, attempt, upstream, request))
+                    let call = plain::run(http.clone(), driver, attempt, upstream, request);
+                    RunningAttempt::unpaused(tokio::spawn(call))
                 })
             }
             outbound @ Outbound::Relay { .. } => {
@@ -550,15 +680,14 @@
                 let attach = matches!(outbound, Outbound::Attach { .. });
                 engine::request(address, outbound).map(|request| {
                     let http = self.unpooled.clone();
-                    tokio::spawn(engine::run(
-                        http, driver, attempt, upstream, request, attach,
-                    ))
+                    let generation = engine::run(http, driver, attempt, upstream, request, attach);
+                    RunningAttempt::unpaused(tokio::spawn(generation))
                 })
             }
         };
         match task {
-            Some(task) => {
-                self.attempts.insert(attempt, task);
+            Some(running) => {
+                self.attempts.insert(attempt, running);
             }
             None => self.driver.send_event(Event::Failed {
                 attempt,
@@ -574,9 +703,11 @@
                 .counts()
                 .into_iter()
                 .chain(self.traffic.counts())
+                .chain(held_counts(self.core.buffers()))
                 .collect(),
             revision: self.core.revision(),
             running: self.core.running(),
+            unread_bytes: self.core.buffers().total().answers,
             upstreams: self.core.upstreams().map(upstream_state).collect(),
         }
     }
@@ -585,10 +716,11 @@
         match message {
             Message::Count(counter) => self.meter.count(counter, 1),
             Message::Event(event) => self.handle_event(event),
-            Message::Relay(submission, original, replies) => {
+            Message::Relay(submission, original, replies, outlet) => {
                 let pending = PendingCaller {
                     held: None,
                     original: Some(original),
+                    outlet: Some(outlet),
                     replies,
                 };
                 self.callers.insert(submission.caller, pending);
@@ -600,6 +732,7 @@
                     && let Some(pending) = self.callers.get_mut(&caller)
                 {
                     pending.held = Some(held);
+                    self.count_held(attempt, caller);
                     self.handle_event(event);
                 }
             }
@@ -611,6 +744,7 @@
                 let pending = PendingCaller {
                     held: None,
                     original: None,
+                    outlet: None,
                     replies,
                 };
                 self.callers.insert(submission.caller, pending);
@@ -624,6 +758,24 @@
     }
 }
 
+/// What is held for callers and upstreams, by the names that `status` shows.
+fn held_counts(buffers: &Buffers) -> Vec<schema::Count> {
+    let count = |name: String, value: u64| schema::Count { name, value };
+    let total = buffers.total();
+    let mut counts = vec![
+        count("held.answer_bytes".into(), total.answers),
+        count("held.largest_answer_bytes".into(), buffers.largest()),
+        count("held.paused_streams".into(), buffers.paused()),
+        count("held.request_bytes".into(), total.requests),
+    ];
+    for (customer, held) in buffers.customers() {
+        let name = |what: &str| format!("held.customer.{customer}.{what}");
+        counts.push(count(name("answer_bytes"), held.answers));
+        counts.push(count(name("request_bytes"), held.requests));
+    }
+    counts
+}
+
 fn upstream_state(upstream: &upstream::Upstream) -> schema::UpstreamState {
     schema::UpstreamState {
         attempts: upstream.attempts.len() as u32,
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -34,6 +34,7 @@
 mod logger;
 mod meter;
 mod operator;
+mod outlet;
 mod peer;
 mod plain;
 mod platform_store;
@@ -65,6 +66,7 @@
         rt::TokioExecutor,
     },
     log::{debug, error, info, warn},
+    outlet::Outlet,
     prost::Message as _,
     reader::{Fault, Reader},
     reply::Reply,
--- a/crates/node/src/request_log.rs
+++ b/crates/node/src/request_log.rs
@@ -98,6 +98,9 @@
         Step::RetryRefused(class) => {
             let class = class.to_string();
             warn!(request, fingerprint, customer, service, position, class; "no retry permit");
+        Step::Paused { unread_bytes } => {
+            let unread_bytes = *unread_bytes;
+            info!(request, customer, service, upstream, position, unread_bytes; "reading paused");
         }
         Step::Sent {
             backup,
--- a/crates/standin/src/worker.rs
+++ b/crates/standin/src/worker.rs
@@ -14,6 +14,12 @@
 /// Time between two events.
 const STEP: Duration = Duration::from_millis(10);
 
+/// Header of a request that asks for events, or for an answer to a call, of this many bytes.
+pub const EVENT_BYTES: &str = "x-event-bytes";
+
+/// Time for which an impatient worker waits until a connection takes an event.
+const IMPATIENCE: Duration = Duration::from_millis(300);
+
 /// Bytes of a request's head that are read, at most.
 const HEAD: usize = 64 << 10;
 
@@ -40,12 +46,16 @@
     Hasty,
     /// Says that another life has the address.
     Replaced,
+    /// Ends a stream that takes nothing for [`IMPATIENCE`].
+    Impatient,
     /// Refuses without running anything.
     Refuse,
     /// Says that it is busy though it ran the request.
     Sham,
     /// Says nothing.
     Silent,
+    /// Writes each event in two parts, divided within the empty line that ends it.
+    Split,
     /// Answers to another request.
     Stray,
     /// Answers without a length, and ends with its connection.
@@ -384,19 +394,33 @@
             head(run, 200, mode, self.remark())
         );
         connection.write_all(head.as_bytes()).await?;
+        let size = run.header(EVENT_BYTES).parse().unwrap_or(0);
         let first: u64 = run.header("last-event-id").parse().unwrap_or(0) + 1;
         for position in first..=EVENTS {
             sleep(STEP).await;
             if self.mode() == Mode::Silent {
                 std::future::pending::<()>().await;
             }
-            let event = event(&run.body, position);
+            let event = long_event(&run.body, position, size);
             if mode == Mode::Cut && position == EVENTS / 2 {
                 let half = &event[..event.len() / 2];
                 connection.write_all(chunk(half).as_bytes()).await?;
                 return Ok(());
             }
-            connection.write_all(chunk(&event).as_bytes()).await?;
+            let mut rest = event.as_str();
+            if mode == Mode::Split {
+                let (part, last) = event.split_at(event.len() - 1);
+                connection.write_all(chunk(part).as_bytes()).await?;
+                sleep(STEP).await;
+                rest = last;
+            }
+            let bytes = chunk(rest);
+            let writing = connection.write_all(bytes.as_bytes());
+            if mode == Mode::Impatient {
+                tokio::time::timeout(IMPATIENCE, writing).await??;
+            } else {
+                writing.await?;
+            }
             let backup = run.header("wellplank-kv-backup");
             if !backup.is_empty() {
                 let key = (
@@ -412,8 +436,15 @@
 
 /// One event of the stream that answers a body.
 pub fn event(body: &[u8], position: u64) -> String {
+    long_event(body, position, 0)
+}
+
+/// The same, filled up to this many bytes.
+pub fn long_event(body: &[u8], position: u64, bytes: usize) -> String {
     let digest = blake3::hash(body).to_hex();
-    format!("id: {position}\ndata: {}-{position}\n\n", &digest[..8])
+    let text = format!("id: {position}\ndata: {}-{position}", &digest[..8]);
+    let filling = "x".repeat(bytes.saturating_sub(text.len() + 2));
+    format!("{text}{filling}\n\n")
 }
 
 /// The events of a whole stream behind a position.
@@ -455,7 +486,9 @@
 }
 
 fn whole(run: &Run, mode: Mode, remark: Remark) -> Vec<u8> {
-    let body = reply(&run.body);
+    let mut body = reply(&run.body);
+    let size: usize = run.header(EVENT_BYTES).parse().unwrap_or(0);
+    body.push_str(&"x".repeat(size.saturating_sub(body.len())));
     let status = match mode {
         Mode::Fault => 500,
         Mode::Sham => 503,
