Order streams of different urgency by rank over all instances

In pools whose routes of streams differ in priority, requests are ordered by customer's priority, then route's, then latest start. Records of streams carry the rank and the time left to start, so that less urgent streams at any instance neither take a turn nor count in the wait of a more urgent one. Engines are told the rank in `Wellplank-Request-Priority`. Refusals and waits are logged and counted by rank.

Cause: all waiting streams counted alike, whatever their priority, and routes' priorities above 2 fell together. In a pool whose routes have one priority, a random play of waits, refusals and reports of others gives the same effects as with `core.urgency.mode` `off`.

--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -186,6 +186,9 @@
         request.held_bytes = request.work.bytes() + 4 * u64::from(request.work.max_tokens());
         self.held_bytes += request.held_bytes;
         self.count(Counter::Admitted);
+        if let Some(rank) = request.rank {
+            self.count(Counter::RankAdmitted(rank));
+        }
         let pool = self.pools.entry(request.service.pool().into()).or_default();
         pool.retry_budget.earn(self.settings.retry_earn);
         self.hedge_budget.earn(self.settings.hedge_earn);
@@ -199,8 +202,11 @@
         Ok(key)
     }
 
-    /// Counts the refusal of a caller that was refused before.
+    /// Counts the refusal of a request by rank, and of a caller that was refused before.
     pub(crate) fn count_refused(&mut self, request: &Request) {
+        if let Some(rank) = request.rank {
+            self.count(Counter::RankRefused(rank));
+        }
         if request.waited_ms >= demand::RETRY_MARGIN_MS {
             self.count(Counter::RefusedAgain);
         }
@@ -417,7 +423,9 @@
         {
             return Err(Kind::BadCursor);
         }
+        let rank = self.rank_of(&customer, &service);
         Ok(Request {
+            announced_at: None,
             arrived_at: self.now,
             attempts: Vec::new(),
             avoided_upstream: None,
@@ -438,6 +446,7 @@
             last_attempt: cursor.map_or(0, |cursor| cursor.attempt),
             may_have_run: cursor.is_some(),
             progress,
+            rank,
             request_fingerprint,
             resume_cursor: cursor,
             send_by: self.now.after(service.max_wait_ms),
@@ -445,6 +454,7 @@
             skip: cursor.map_or(0, |cursor| cursor.position),
             skip_digest: cursor.map_or_else(Digest::default, |cursor| cursor.digest),
             state: State::Queued,
+            turn: None,
             waited_ms,
             work: submission.work,
         })
--- a/crates/core/src/capacity.rs
+++ b/crates/core/src/capacity.rs
@@ -82,7 +82,10 @@
             request.arrived_at
         };
         let pool = request.service.pool();
-        let ahead = self.stream_records.waiting(pool, before);
+        let ahead = match self.turn(request) {
+            Some(turn) => self.stream_records.waiting_before(pool, turn),
+            None => self.stream_records.waiting(pool, before),
+        };
         if ahead > 0 && limits.turns {
             let stream_capacity =
                 |key: &upstream::Key| self.stream_capacity(need, self.usage(own, *key));
@@ -167,7 +170,7 @@
 
     /// Time in milliseconds in which an idle engine prefills the tokens by which a request is
     /// counted.
-    fn own_prefill_ms(&self, request: &Request) -> u64 {
+    pub(crate) fn own_prefill_ms(&self, request: &Request) -> u64 {
         let tokens = self.counted_tokens(request);
         let pool = self.pools.get(request.service.pool());
         pool.map_or(0, |pool| pool.estimates.prefill_ms(tokens))
@@ -207,7 +210,7 @@
         if request.position() > 0 || !self.settings.room.refuse {
             return Ok(());
         }
-        let queued_streams = self.queued_streams(request.service.pool());
+        let queued_streams = self.streams_ahead(request);
         let candidates = self.relay_candidates(request);
         if candidates.is_empty() || (queued_streams == 0 && !self.lacks_capacity(request)) {
             return Ok(());
@@ -221,7 +224,10 @@
         } else {
             starts_at > request.first_event_due
         };
-        if is_futile {
+        if is_futile && !self.may_overtake(request) {
+            if let Some(outlook) = self.outlook(request) {
+                self.log_step(request, effect::Step::Refused(outlook), None);
+            }
             return Err(admission::Refusal {
                 kind: Kind::Overloaded,
                 retry_after_ms: Some(self.retry_after_ms(request)),
@@ -264,10 +270,30 @@
         hopeless > 0.0 && (prefill_ms + remaining_ms) as f64 > left as f64 * hopeless
     }
 
-    /// Number of streams that wait for capacity in a pool, here and at other instances.
-    fn queued_streams(&self, pool: &str) -> usize {
-        let here = self.pools.get(pool).map_or(0, |pool| pool.queue.len());
-        here + self.stream_records.waiting(pool, self.now)
+    /// Number of streams that wait for capacity in a pool, here and at other instances, before a request: all that came
+    /// before it or, where ranks are in force, all whose turn is earlier.
+    pub(crate) fn streams_ahead(&self, request: &Request) -> usize {
+        let name = request.service.pool();
+        let pool = self.pools.get(name);
+        if let Some(turn) = self.turn(request) {
+            let here = pool.map_or(0, |pool| pool.queue.ahead_of_turn(turn));
+            return here + self.stream_records.waiting_before(name, turn);
+        }
+        let here = pool.map_or(0, |pool| pool.queue.len());
+        here + self.stream_records.waiting(name, self.now)
+    }
+
+    /// Whether a request that is expected to start too late may yet start in time before less urgent ones, which are still
+    /// being started.
+    fn may_overtake(&self, request: &Request) -> bool {
+        let pool = self.pools.get(request.service.pool());
+        let starts_below = |rank: Rank| {
+            let estimates = pool.map(|pool| &pool.estimates);
+            estimates.is_some_and(|estimates| {
+                estimates.started_below(rank, rank::OVERTAKING_MS, self.now)
+            })
+        };
+        request.rank.is_some_and(starts_below) && !self.is_late(request)
     }
 
     /// Records that a stream found no capacity. Returns the age of the shortage in milliseconds.
@@ -279,7 +305,7 @@
 
     /// Expected time in milliseconds until `streams` streams have found capacity: from the rate of
     /// recent starts, or, while a shortage is too recent for that, from the prefill speed.
-    fn expected_wait_ms(&self, request: &Request, streams: usize) -> u64 {
+    pub(crate) fn expected_wait_ms(&self, request: &Request, streams: usize) -> u64 {
         let Some(pool) = self.pools.get(request.service.pool()) else {
             return 0;
         };
@@ -288,7 +314,8 @@
             .shortage_ms(self.now)
             .is_some_and(|shortage_ms| shortage_ms >= RATE_KNOWN_MS)
         {
-            return pool.estimates.expected_wait_ms(streams, self.now);
+            let rank = request.rank;
+            return pool.estimates.expected_wait_ms(streams, rank, self.now);
         }
         let engines = self.relay_candidates(request).len().max(1) as u64;
         self.own_prefill_ms(request) * streams as u64 / engines
@@ -304,7 +331,7 @@
         }
         let pool = self.pools.get(request.service.pool());
         let shortage_ms = pool.and_then(|pool| pool.estimates.shortage_ms(self.now));
-        let queued_streams = self.queued_streams(request.service.pool());
+        let queued_streams = self.streams_ahead(request);
         let wait_ms = self.expected_wait_ms(request, queued_streams + 1);
         let max = request.deadline.since(self.now) / FOLLOWED_DIVISOR;
         let max = max.max(2 * MIN_RETRY_AFTER_MS);
--- a/crates/core/src/core.rs
+++ b/crates/core/src/core.rs
@@ -106,6 +106,8 @@
     pub(crate) members: Members,
     pub(crate) now: Time,
     pub(crate) pools: BTreeMap<Arc<str>, Pool>,
+    /// Ranks in force, by pool; pools without any are absent.
+    pub(crate) ranks: BTreeMap<Arc<str>, PoolRanks>,
     pub(crate) requests: SlotMap<request::Key, Request>,
     /// When this process last resumed after a pause.
     pub(crate) resumed_at: Time,
@@ -252,6 +254,7 @@
             members: Members::default(),
             now,
             pools: BTreeMap::new(),
+            ranks: BTreeMap::new(),
             requests: SlotMap::with_key(),
             resumed_at: Time::default(),
             retained_states: notice::RetainedStates::default(),
@@ -274,6 +277,7 @@
     /// Replaces the settings.
     pub fn configure(&mut self, settings: Settings) {
         self.settings = settings;
+        self.update_ranks();
     }
 
     /// Sets the data centre of the instance; it prefers upstreams of the same one.
@@ -295,6 +299,7 @@
         let current = self.revision().unwrap_or(0);
         if config.revision > current || self.config.is_none() {
             self.config = Some(config);
+            self.update_ranks();
             self.resolve_address_conflicts();
             self.submit_deferred();
         }
--- a/crates/core/src/counter.rs
+++ b/crates/core/src/counter.rs
@@ -20,6 +20,12 @@
     FrameLate,
     /// Tokens dropped because they had already been delivered.
     FrameRepeated,
+    /// Streams admitted where ranks are in force, by rank.
+    RankAdmitted(Rank),
+    /// Streams refused for lack of capacity where ranks are in force, by rank.
+    RankRefused(Rank),
+    /// Streams that waited for capacity where ranks are in force, by rank.
+    RankWaited(Rank),
     /// Streams abandoned because tokens were missing.
     FrameGap,
     /// Hedged continuations: started while the current upstream is only suspected.
@@ -141,6 +147,9 @@
             Self::PeerLeaving => write!(formatter, "notice.told"),
             Self::PeerLimit => write!(formatter, "limit.told"),
             Self::Quarantined => write!(formatter, "quarantined"),
+            Self::RankAdmitted(rank) => write!(formatter, "rank.{rank}.admitted"),
+            Self::RankRefused(rank) => write!(formatter, "rank.{rank}.refused"),
+            Self::RankWaited(rank) => write!(formatter, "rank.{rank}.waited"),
             Self::Refused(kind) => write!(formatter, "refused.{kind}"),
             Self::RefusedAgain => write!(formatter, "refused_again"),
             Self::Resumed(reason) => write!(formatter, "resumed.{reason}"),
--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -10,10 +10,19 @@
         }
         let request = &mut self.requests[key];
         request.state = State::Queued;
+        request.turn = None;
+        let turn = self.turn(&self.requests[key]);
+        let request = &mut self.requests[key];
+        request.turn = turn;
         let pool: Arc<str> = request.service.pool().into();
         let queue = &mut self.pools.entry(pool.clone()).or_default().queue;
-        if request.last_attempt > 0 || request.position() > 0 {
+        let was_sent = request.last_attempt > 0 || request.position() > 0;
+        if was_sent {
             request.send_by = self.now.after(request.service.max_wait_ms);
+        }
+        if let Some(turn) = turn.filter(|_| request.position() == 0) {
+            queue.push_ranked(turn, key);
+        } else if was_sent {
             queue.push_resume(key);
         } else {
             queue.push(request.service.priority, &request.customer, key, self.now);
@@ -47,6 +56,7 @@
             .or_default()
             .estimates
             .record_shortage(self.now);
+        self.report_wait(key);
         self.gossip_waiting(key);
     }
 
@@ -69,7 +79,8 @@
             };
             if let Some(pool) = self.pools.get_mut(name) {
                 pool.queue.pop(self.now);
-                self.requests[key].counts_as_running |= !waiting.is_resume;
+                let request = &mut self.requests[key];
+                request.counts_as_running |= !waiting.is_resume && request.rank.is_none();
             }
             self.start_attempt(key, upstream);
         }
--- a/crates/core/src/effect.rs
+++ b/crates/core/src/effect.rs
@@ -46,6 +46,8 @@
         customer: Option<Arc<str>>,
         /// Position of the last event that the caller received; 0 for none.
         position: u64,
+        /// Priority at the upstream, from 0 for the most urgent to 9; `None` if no ranks are in force.
+        priority: Option<u8>,
         /// Whether the response is a stream of events.
         streams: bool,
         /// Name of the upstream; a different upstream at its address refuses the request.
@@ -85,6 +87,8 @@
     Left,
     /// An attempt ended without a complete response.
     Lost(counter::Reason),
+    /// The request was refused on arrival for lack of capacity; only where ranks are in force.
+    Refused(Outlook),
     /// The request was sent to an upstream.
     Sent {
         /// Upstream that keeps a copy of the run's KV cache.
@@ -96,6 +100,19 @@
         /// Age of the upstream list that the choice is based on, in milliseconds.
         list_age_ms: u64,
     },
+    /// The request waits for capacity; only where ranks are in force.
+    Waits(Outlook),
+}
+
+/// What a stream without capacity is expected to wait for.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Outlook {
+    /// Number of streams that go before it, over all instances.
+    pub ahead: usize,
+    /// Its rank.
+    pub rank: Rank,
+    /// Expected wait in milliseconds.
+    pub wait_ms: u64,
 }
 
 /// Change in the status of an upstream, as this instance sees it.
--- a/crates/core/src/estimates.rs
+++ b/crates/core/src/estimates.rs
@@ -59,8 +59,8 @@
     /// Milliseconds to the first event per token of the requests in prefill.
     prefill_ms_per_token: Mean,
     shortage: Option<Shortage>,
-    /// Start times of streams of all instances, oldest first.
-    starts: VecDeque<Time>,
+    /// Start times of streams of all instances with their ranks, oldest first.
+    starts: VecDeque<(Time, Option<Rank>)>,
 }
 
 impl Mean {
@@ -178,20 +178,31 @@
         self.own_streams = (self.own_streams(now) + 1.0, now);
     }
 
-    /// Records the start of a stream at any instance.
-    pub fn record_stream_start(&mut self, now: Time) {
-        let is_old = |start: &mut Time| now.since(*start) > START_RATE_WINDOW_MS;
+    /// Records the start of a stream at any instance; `rank` is `None` if no ranks are in force.
+    pub fn record_stream_start(&mut self, rank: Option<Rank>, now: Time) {
+        let is_old = |start: &mut (Time, Option<Rank>)| now.since(start.0) > START_RATE_WINDOW_MS;
         while self.starts.pop_front_if(is_old).is_some() {}
         if self.starts.len() < MAX_STARTS {
-            self.starts.push_back(now);
+            self.starts.push_back((now, rank));
         }
     }
 
-    /// Expected time in milliseconds in which `streams` streams start at the recent rate.
-    pub fn expected_wait_ms(&self, streams: usize, now: Time) -> u64 {
-        let recent = self.starts.iter();
-        let recent = recent.filter(|start| now.since(**start) <= START_RATE_WINDOW_MS);
-        let starts = (recent.count() as f64).max(MIN_STARTS);
+    /// Expected time in milliseconds in which `streams` streams start at the recent rate; with a rank, at the rate of those
+    /// that are not more urgent, since others of those will come.
+    pub fn expected_wait_ms(&self, streams: usize, rank: Option<Rank>, now: Time) -> u64 {
+        let counts = |start: &&(Time, Option<Rank>)| {
+            let is_recent = now.since(start.0) <= START_RATE_WINDOW_MS;
+            is_recent && (rank.is_none() || start.1 >= rank)
+        };
+        let starts = self.starts.iter().filter(counts).count() as f64;
+        let starts = starts.max(MIN_STARTS);
         (streams as f64 * START_RATE_WINDOW_MS as f64 / starts) as u64
     }
+
+    /// Whether a less urgent stream started within so many milliseconds.
+    pub fn started_below(&self, rank: Rank, millis: u64, now: Time) -> bool {
+        let recent = self.starts.iter().rev();
+        let mut recent = recent.take_while(|start| now.since(start.0) <= millis);
+        recent.any(|start| start.1 > Some(rank))
+    }
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -35,6 +35,7 @@
 pub mod position;
 pub mod quarantine;
 pub mod queue;
+pub mod rank;
 pub mod request;
 pub mod role;
 pub mod roster;
@@ -90,10 +91,11 @@
     queue::Queue,
     rand::{RngExt, SeedableRng, seq::SliceRandom},
     rand_pcg::Pcg64Mcg,
+    rank::{PoolRanks, Rank, Turn},
     request::{Request, State, Work},
     role::{Role, WatcherRank},
     roster::{Change, Roster, RosterUpdate, UpdateOutcome},
-    settings::{QuarantineRule, ResumeMode, Routing, Settings},
+    settings::{QuarantineRule, ResumeMode, Routing, Settings, UrgencyMode},
     slotmap::{SecondaryMap, SlotMap, new_key_type},
     staleness::StalenessBound,
     std::{
--- a/crates/core/src/queue.rs
+++ b/crates/core/src/queue.rs
@@ -61,6 +61,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Queue {
     classes: BTreeMap<Priority, Class>,
+    /// Requests of pools in which ranks are in force, in the order of their turns.
+    ranked: BTreeSet<(Turn, request::Key)>,
     resumes: VecDeque<request::Key>,
     shares: HashMap<String, Share>,
 }
@@ -183,7 +185,13 @@
 
     /// Number of waiting requests.
     pub fn len(&self) -> usize {
-        self.ahead_of(Priority::Background)
+        self.ahead_of(Priority::Background) + self.ranked.len()
+    }
+
+    /// Number of waiting requests that would be sent before a new one with this turn.
+    pub fn ahead_of_turn(&self, turn: Turn) -> usize {
+        let ranked = self.ranked.iter();
+        self.resumes.len() + ranked.take_while(|(other, _)| *other <= turn).count()
     }
 
     /// The request to send next.
@@ -194,6 +202,12 @@
                 is_resume: true,
             });
         }
+        if let Some((_, request)) = self.ranked.first() {
+            return Some(NextRequest {
+                is_resume: false,
+                request: *request,
+            });
+        }
         let (priority, customer) = self.select()?;
         Some(NextRequest {
             request: self.classes.get(&priority)?.front(customer)?,
@@ -206,6 +220,9 @@
         if let Some(request) = self.resumes.pop_front() {
             return Some(request);
         }
+        if let Some((_, request)) = self.ranked.pop_first() {
+            return Some(request);
+        }
         let (priority, customer) = self.select()?;
         let customer = customer.to_owned();
         let request = self.classes.get_mut(&priority)?.pop(&customer, now)?;
@@ -215,7 +232,7 @@
         Some(request)
     }
 
-    /// Records the end of a request that was taken by `pop` as new work.
+    /// Records the end of a request that was taken by `pop` as new work without a rank.
     pub fn finish(&mut self, customer: &config::Customer) {
         if let Some(share) = self.shares.get_mut(&customer.name) {
             share.running -= 1;
@@ -287,6 +304,7 @@
         request: request::Key,
     ) {
         self.resumes.retain(|key| *key != request);
+        self.ranked.retain(|(_, key)| *key != request);
         let class = self.classes.get_mut(&priority);
         if class.is_some_and(|class| class.remove(&customer.name, request))
             && let Some(share) = self.shares.get_mut(&customer.name)
@@ -296,6 +314,11 @@
         self.remove_if_idle(&customer.name);
     }
 
+    /// Enqueues a request of a pool in which ranks are in force; it goes before all requests with a later turn.
+    pub fn push_ranked(&mut self, turn: Turn, request: request::Key) {
+        self.ranked.insert((turn, request));
+    }
+
     /// Enqueues work that had been sent before; it goes before all new work.
     pub fn push_resume(&mut self, request: request::Key) {
         self.resumes.push_back(request);
--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -184,7 +184,8 @@
     }
 
     /// Records the state of a stream as reported by another instance.
-    pub(crate) fn record_peer_stream(&mut self, record: StreamRecord) {
+    pub(crate) fn record_peer_stream(&mut self, mut record: StreamRecord) {
+        self.fit_rank(&mut record);
         let starts = record.stage == stream_record::Stage::Started;
         let upstream = record.upstream;
         let upstream = upstream
@@ -194,7 +195,7 @@
             let ahead = self.stream_records.usage(upstream).prefill_tokens;
             let name = self.upstreams[upstream].pool.clone();
             let pool = self.pools.entry(name).or_default();
-            pool.estimates.record_stream_start(self.now);
+            pool.estimates.record_stream_start(record.rank, self.now);
             if let Some(millis) = pool.estimates.known_prefill_ms(ahead + record.tokens) {
                 prefill_ms = millis;
             }
@@ -259,7 +260,7 @@
         let ahead_tokens = self.usage(&own, upstream).prefill_tokens;
         let request = &self.requests[owner];
         if let Some(pool) = self.pools.get_mut(request.service.pool()) {
-            pool.estimates.record_stream_start(self.now);
+            pool.estimates.record_stream_start(request.rank, self.now);
             pool.estimates.record_own_start(self.now);
         }
         let attempt = &mut self.attempts[key];
@@ -376,6 +377,7 @@
             customer: (!customer.is_empty()).then(|| customer.into()),
             left_ms: request.deadline.since(self.now),
             position: request.progress.position,
+            priority: request.rank.map(Rank::number),
             streams: request.service.relay().is_some_and(|relay| relay.streams),
             upstream: self.upstreams[attempt.upstream].name.clone(),
         }
@@ -467,7 +469,8 @@
         let upstream = incarnation(attempt.upstream);
         let request = &self.requests[attempt.request];
         if let Some(relay) = request.work.relay() {
-            let record = relay.stream_record(stage, upstream, backup);
+            let mut record = relay.stream_record(stage, upstream, backup);
+            record.rank = request.rank;
             let audience = self.audience(request.service.pool(), stage);
             self.gossip(record, audience);
         }
@@ -475,10 +478,14 @@
 
     /// Announces to other instances that a stream is queued for lack of capacity.
     pub(crate) fn gossip_waiting(&mut self, key: request::Key) {
+        self.requests[key].announced_at = Some(self.now);
         let request = &self.requests[key];
         if let Some(relay) = request.work.relay() {
             let mut record = relay.stream_record(stream_record::Stage::Waiting, None, None);
             record.pool = request.service.pool().into();
+            let turn = self.turn(request);
+            record.rank = turn.map(|turn| turn.rank);
+            record.start_within_ms = turn.map(|turn| turn.start_by.since(self.now));
             let audience = self.audience(request.service.pool(), record.stage);
             self.gossip(record, audience);
         }
--- a/crates/core/src/request.rs
+++ b/crates/core/src/request.rs
@@ -70,8 +70,10 @@
             backup,
             pool: String::new(),
             prompt: self.prompt,
+            rank: None,
             run: self.run.to_string(),
             stage,
+            start_within_ms: None,
             tokens: self.tokens,
             upstream,
         }
@@ -168,6 +170,8 @@
 /// A request that was admitted and not yet answered.
 #[derive(Clone, Debug)]
 pub struct Request {
+    /// When other instances were last told that it waits; `None` if they were not.
+    pub announced_at: Option<Time>,
     /// When it arrived.
     pub arrived_at: Time,
     /// Attempts in progress.
@@ -208,6 +212,8 @@
     pub may_have_run: bool,
     /// Progress of a relayed response.
     pub progress: RelayProgress,
+    /// Rank among the streams of its pool; `None` if no ranks are in force there.
+    pub rank: Option<Rank>,
     /// Fingerprint that all attempts of a caller at the same request share.
     pub request_fingerprint: RequestFingerprint,
     /// Cursor to re-attach with; `None` after the attempt to do so.
@@ -222,6 +228,8 @@
     pub skip_digest: Digest,
     /// Stage of processing.
     pub state: State,
+    /// Place in the order of its pool, as it was when it was queued; `None` if no ranks are in force there.
+    pub turn: Option<Turn>,
     /// How long its caller had already waited before this request arrived, in milliseconds, as far
     /// as known.
     pub waited_ms: u64,
--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -274,6 +274,39 @@
     }
 }
 
+/// Whether requests are ordered by the priorities of customers and routes.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum UrgencyMode {
+    /// Not by these: as in pools whose routes of streams have one priority.
+    Off,
+    /// By rank, over all instances.
+    Ranks,
+}
+
+impl UrgencyMode {
+    /// Every value, with its name in settings.
+    pub const ALL: [(&'static str, Self); 2] = [("off", Self::Off), ("ranks", Self::Ranks)];
+}
+
+/// How streams of different urgency compete for capacity.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct UrgencySettings {
+    /// Rate at which requests of any one rank or customer are served at least, as a fraction of the rate at which all
+    /// are; 0 for no minimum.
+    pub floor: f64,
+    /// Whether requests are ordered by rank.
+    pub mode: UrgencyMode,
+}
+
+impl Default for UrgencySettings {
+    fn default() -> Self {
+        Self {
+            floor: 0.25,
+            mode: UrgencyMode::Ranks,
+        }
+    }
+}
+
 /// Settings of the core, constant for the lifetime of an instance.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
@@ -356,6 +389,8 @@
     pub subset: usize,
     /// Maximum number of tokens in one response.
     pub tokens_max: u32,
+    /// How streams of different urgency compete for capacity.
+    pub urgency: UrgencySettings,
 }
 
 impl Default for Settings {
@@ -397,6 +432,7 @@
             stall_min_ms: 150,
             subset: 0,
             tokens_max: 32_768,
+            urgency: UrgencySettings::default(),
         }
     }
 }
--- a/crates/core/src/stream_record.rs
+++ b/crates/core/src/stream_record.rs
@@ -48,10 +48,14 @@
     pub pool: String,
     /// Hash of the prompt.
     pub prompt: u64,
+    /// Its rank; `None` if no ranks are in force in its pool, or if its instance tells none.
+    pub rank: Option<Rank>,
     /// Request id at its upstreams.
     pub run: String,
     /// Progress.
     pub stage: Stage,
+    /// Time in milliseconds within which it must start to be in time, 0 if it no longer can; `None` if not stated.
+    pub start_within_ms: Option<u64>,
     /// Tokens of the prompt and the longest possible response.
     pub tokens: u32,
     /// Upstream that runs it.
@@ -80,8 +84,8 @@
 #[derive(Clone, Copy, Debug)]
 enum Reservation {
     Nothing,
-    /// Position in the queue of its pool.
-    QueueSlot,
+    /// Position in the queue of its pool, and in the order of its turns if it has a rank.
+    QueueSlot(Option<Turn>),
     /// Memory and compute of its upstream, and memory of the upstream with its copy.
     Resources(Usage),
 }
@@ -95,11 +99,24 @@
     entries: HashMap<u64, Entry>,
     /// Usage of each upstream by streams of other instances.
     usages: SecondaryMap<upstream::Key, Usage>,
+    /// Queued streams of other instances by pool, in the order of their turns; only those with a rank.
+    turns: HashMap<String, BTreeSet<(Turn, u64)>>,
     /// Queued streams of other instances by pool, in the order of their records.
     waiting: HashMap<String, BTreeSet<(Time, u64)>>,
 }
 
 impl Entry {
+    /// Its place in the order of its pool; `None` if it has no rank. If its instance states no latest start, it is taken
+    /// to be due.
+    fn turn(&self) -> Option<Turn> {
+        let start_within_ms = self.record.start_within_ms;
+        Some(Turn {
+            is_late: start_within_ms == Some(0),
+            rank: self.record.rank?,
+            start_by: self.at.after(start_within_ms.unwrap_or(0)),
+        })
+    }
+
     /// Returns its reservation at `now`, and when that may change.
     fn reservation_at(&self, now: Time) -> (Reservation, Time) {
         let age = now.since(self.at);
@@ -109,7 +126,7 @@
             _ if self.is_own => (Reservation::Nothing, RETENTION_MS),
             Stage::Started if age < self.prefill_ms => (resources(true), self.prefill_ms),
             Stage::Started | Stage::Streaming if age < RUNNING_MS => (resources(false), RUNNING_MS),
-            Stage::Waiting if age < WAITING_MS => (Reservation::QueueSlot, WAITING_MS),
+            Stage::Waiting if age < WAITING_MS => (Reservation::QueueSlot(self.turn()), WAITING_MS),
             _ => (Reservation::Nothing, RETENTION_MS),
         };
         (reservation, self.at.after(until))
@@ -215,6 +232,12 @@
         waiting.map_or(0, |waiting| waiting.range(..=(before, u64::MAX)).count())
     }
 
+    /// Number of streams of other instances that are estimated to be queued for a pool and whose turn is before another.
+    pub fn waiting_before(&self, pool: &str, turn: Turn) -> usize {
+        let turns = self.turns.get(pool);
+        turns.map_or(0, |turns| turns.range(..(turn, 0)).count())
+    }
+
     /// Recomputes the reservation of a stream.
     fn update(&mut self, prompt: u64, now: Time) {
         self.release(prompt);
@@ -233,8 +256,12 @@
                     }
                 }
             }
-            Reservation::QueueSlot => {
+            Reservation::QueueSlot(turn) => {
                 let pool = entry.record.pool.clone();
+                if let Some(turn) = turn {
+                    let turns = self.turns.entry(pool.clone()).or_default();
+                    turns.insert((turn, prompt));
+                }
                 self.waiting
                     .entry(pool)
                     .or_default()
@@ -257,7 +284,12 @@
                     }
                 }
             }
-            Reservation::QueueSlot => {
+            Reservation::QueueSlot(turn) => {
+                if let Some(turn) = turn
+                    && let Some(turns) = self.turns.get_mut(&entry.record.pool)
+                {
+                    turns.remove(&(turn, prompt));
+                }
                 if let Some(waiting) = self.waiting.get_mut(&entry.record.pool) {
                     waiting.remove(&(entry.at, prompt));
                 }
--- a/crates/core/src/watch.rs
+++ b/crates/core/src/watch.rs
@@ -237,6 +237,7 @@
 
     /// Fails requests whose deadline or waiting time has expired.
     fn expire_requests(&mut self) {
+        self.renew_waiting();
         let now = self.now;
         let expired: Vec<request::Key> = self
             .requests
--- a/crates/core/tests/relay/builder.rs
+++ b/crates/core/tests/relay/builder.rs
@@ -393,8 +393,10 @@
         backup: Some(incarnation(backup, 0)),
         pool: String::new(),
         prompt: 77,
+        rank: None,
         run: "run-before".into(),
         stage: Stage::Streaming,
+        start_within_ms: None,
         tokens: 5_200,
         upstream: Some(incarnation(upstream, 0)),
     }
--- a/crates/core/tests/relay/main.rs
+++ b/crates/core/tests/relay/main.rs
@@ -18,8 +18,9 @@
         notice::{Backoff, Notice},
         position::Position,
         quarantine::{CrashHistory, Involvement},
+        rank::{PoolRanks, Rank},
         request::{Caller, Relay, Work},
-        settings::{CapacityLimits, ResumeMode, Settings},
+        settings::{CapacityLimits, ResumeMode, Settings, UrgencyMode, UrgencySettings},
         stream_record::{Stage, StreamRecord},
         upstream::{self, Load},
     },
@@ -33,6 +34,7 @@
 mod limit;
 mod notice;
 mod poison;
+mod rank;
 mod version;
 
 use builder::*;
--- a/crates/node/src/core_settings.rs
+++ b/crates/node/src/core_settings.rs
@@ -5,7 +5,7 @@
 use settings::MILLIS_MAX;
 use wellplank_core::settings::{
     CallLimits, CapacityLimits, LimitHolders, PlacementWeights, QuarantineRule, ResumeMode,
-    Routing, Settings, SharedSettings,
+    Routing, Settings, SharedSettings, UrgencyMode, UrgencySettings,
 };
 
 /// The section with all settings at their defaults.
@@ -77,6 +77,10 @@
         "stall_min_ms": core.stall_min_ms,
         "subset": core.subset,
         "tokens_max": core.tokens_max,
+        "urgency": {
+            "floor": core.urgency.floor,
+            "mode": "ranks",
+        },
     })
 }
 
@@ -146,6 +150,7 @@
         stall_min_ms: stall_min_ms.min(stall_max_ms),
         subset: reader.number("subset", default.subset as u64, 0..=10_000) as usize,
         tokens_max: reader.number("tokens_max", tokens_max, 1..=1 << 24) as u32,
+        urgency: read_urgency(reader.section("urgency")),
     };
     reader.finish();
     settings
@@ -209,3 +214,13 @@
     reader.finish();
     shared
 }
+
+fn read_urgency(mut reader: Reader) -> UrgencySettings {
+    let default = UrgencySettings::default();
+    let urgency = UrgencySettings {
+        floor: reader.fraction("floor", default.floor),
+        mode: reader.choice("mode", &UrgencyMode::ALL, default.mode),
+    };
+    reader.finish();
+    urgency
+}
--- a/crates/node/src/datagram.rs
+++ b/crates/node/src/datagram.rs
@@ -6,6 +6,7 @@
     dissemination::{Route, Tree},
     estimates::EngineSpeed,
     informer_io::{Confirmed, Topic},
+    rank::Rank,
     roster::{self, Entry, RosterUpdate},
 };
 
@@ -236,8 +237,10 @@
         backup: record.backup.map(decode_incarnation),
         pool: record.pool,
         prompt: record.prompt,
+        rank: record.rank.map(Rank::new),
         run: record.run,
         stage,
+        start_within_ms: record.start_within_ms.map(u64::from),
         tokens: record.tokens,
         upstream: record.upstream.map(decode_incarnation),
     }
@@ -262,8 +265,10 @@
         backup: record.backup.map(encode_incarnation),
         pool: record.pool,
         prompt: record.prompt,
+        rank: record.rank.map(|rank| u32::from(rank.number())),
         run: record.run,
         stage: stage.into(),
+        start_within_ms: record.start_within_ms.map(|millis| millis as u32),
         tokens: record.tokens,
         upstream: record.upstream.map(encode_incarnation),
     }
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -68,6 +68,7 @@
             customer,
             left_ms,
             position,
+            priority,
             upstream,
             ..
         } = outbound
@@ -80,6 +81,7 @@
             customer: customer.as_deref(),
             left_ms: *left_ms,
             position: *position,
+            priority: *priority,
             upstream,
         };
         let mut request = Request::builder()
--- a/crates/node/src/request_log.rs
+++ b/crates/node/src/request_log.rs
@@ -89,6 +89,10 @@
             let reason = reason.to_string();
             warn!(request, fingerprint, customer, service, upstream, position, reason; "attempt lost");
         }
+        Step::Refused(outlook) => {
+            let (rank, ahead, wait_ms) = (outlook.rank.number(), outlook.ahead, outlook.wait_ms);
+            info!(request, fingerprint, customer, service, rank, ahead, wait_ms; "refused for others ahead");
+        }
         Step::Sent {
             backup,
             copy,
@@ -100,5 +104,9 @@
             let (left_ms, list_age_ms) = (*left_ms, *list_age_ms);
             info!(request, fingerprint, customer, service, model, upstream, position, backup, copy, left_ms, list_age_ms; "sent");
         }
+        Step::Waits(outlook) => {
+            let (rank, ahead, wait_ms) = (outlook.rank.number(), outlook.ahead, outlook.wait_ms);
+            info!(request, fingerprint, customer, service, rank, ahead, wait_ms; "waits");
+        }
     }
 }
--- a/crates/standin/src/placing.rs
+++ b/crates/standin/src/placing.rs
@@ -72,8 +72,10 @@
         )),
         pool: String::new(),
         prompt,
+        rank: None,
         run: format!("run-{prompt}"),
         stage: Stage::Started,
+        start_within_ms: None,
         tokens: TOKENS,
         upstream: Some(Incarnation::new(&format!("engine-{at}"), 0)),
     }
