Let less urgent streams give way on engines, keep a part of the starts for each rank, and play the load

Capacity as a rank sees it: where no engine has free capacity, what less urgent streams hold may count as free, those without a first event first (`core.urgency.yielding`). Copies yield: none for a stream while more urgent ones wait. Expected starts count the prefills of more urgent prompts, which engines do first. While too few streams of a rank start at all instances, a part of its requests goes before all others (`core.urgency.floor`).

--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -177,6 +177,7 @@
         self.check_capacity(&customer, &service, &submission)?;
         let mut request = self.build_request(submission, customer, service, request_fingerprint)?;
         self.record_size(&request);
+        self.raise_starved(&mut request);
         let checked = self.check_availability(&request);
         let checked = checked.and_then(|()| self.check_feasible(&request));
         if let Err(refusal) = checked.and_then(|()| self.check_demand(&request)) {
@@ -186,7 +187,7 @@
         request.held_bytes = request.work.bytes() + 4 * u64::from(request.work.max_tokens());
         self.held_bytes += request.held_bytes;
         self.count(Counter::Admitted);
-        if let Some(rank) = request.rank {
+        if let Some(rank) = self.rank_of(&request.customer, &request.service) {
             self.count(Counter::RankAdmitted(rank));
         }
         let pool = self.pools.entry(request.service.pool().into()).or_default();
@@ -204,7 +205,7 @@
 
     /// Counts the refusal of a request by rank, and of a caller that was refused before.
     pub(crate) fn count_refused(&mut self, request: &Request) {
-        if let Some(rank) = request.rank {
+        if let Some(rank) = self.rank_of(&request.customer, &request.service) {
             self.count(Counter::RankRefused(rank));
         }
         if request.waited_ms >= demand::RETRY_MARGIN_MS {
--- a/crates/core/src/capacity.rs
+++ b/crates/core/src/capacity.rs
@@ -20,6 +20,10 @@
 /// moment, and 0.525 by their own length.
 const SETTLED_MS: u64 = 2_000;
 
+/// Maximum number of more urgent prompts that are expected to be prefilled before one that is sent:
+/// as many as engines are given beside it.
+const MAX_OVERTAKING: f64 = 1.0;
+
 /// Minimum retry delay that a refused caller is given, in milliseconds.
 pub(crate) const MIN_RETRY_AFTER_MS: u64 = 200;
 
@@ -53,23 +57,49 @@
 
 impl Core {
     /// Filters the candidates to upstreams with capacity for a request. A stream whose caller
-    /// already has part of the response continues wherever it can.
+    /// already has part of the response continues wherever it can. Where ranks are in force and no
+    /// upstream has free capacity, less urgent streams give way, those without a first event first.
     pub(crate) fn upstreams_with_capacity(
         &self,
         request: &Request,
-        mut candidates: Vec<upstream::Key>,
+        candidates: Vec<upstream::Key>,
         own: &OwnUsage,
     ) -> Vec<upstream::Key> {
         let Some(need) = Need::of(request).filter(|_| request.position() == 0) else {
             return candidates;
         };
+        if request.rank.is_none() {
+            return self.upstreams_beside(request, need, Yielding::Nobody, candidates, own);
+        }
+        let most = self.settings.urgency.yielding;
+        let ways = Yielding::ALL.into_iter().map(|(_, yielding)| yielding);
+        ways.filter(|yielding| *yielding <= most)
+            .map(|yielding| self.upstreams_beside(request, need, yielding, candidates.clone(), own))
+            .find(|upstreams| !upstreams.is_empty())
+            .unwrap_or_default()
+    }
+
+    /// Filters the candidates to upstreams with capacity for a request if less urgent streams give
+    /// way in the stated way.
+    fn upstreams_beside(
+        &self,
+        request: &Request,
+        need: Need,
+        yielding: Yielding,
+        mut candidates: Vec<upstream::Key>,
+        own: &OwnUsage,
+    ) -> Vec<upstream::Key> {
+        let usage = |key: upstream::Key| {
+            self.usage(own, key)
+                .without_yielding(request.rank, yielding)
+        };
         let limits = self.settings.room;
         let is_late = self.is_late(request);
         candidates.retain(|key| {
             if self.now < self.upstreams[*key].full_until {
                 return false;
             }
-            let usage = self.usage(own, *key);
+            let usage = usage(*key);
             if is_late {
                 return need.fits(usage, limits.late_fill) && usage.prefilling == 0;
             }
@@ -87,8 +117,7 @@
             None => self.stream_records.waiting(pool, before),
         };
         if ahead > 0 && limits.turns {
-            let stream_capacity =
-                |key: &upstream::Key| self.stream_capacity(need, self.usage(own, *key));
+            let stream_capacity = |key: &upstream::Key| self.stream_capacity(need, usage(*key));
             if candidates.iter().map(stream_capacity).sum::<usize>() <= ahead {
                 candidates.clear();
             }
@@ -106,6 +135,7 @@
             pool.estimates.prefill_ms(usage.prefill_tokens + tokens)
         });
         let is_unbounded = self.settings.room.late_fill == 0.0;
+        let prefill_ms = prefill_ms + self.overtaken_ms(request, tokens);
         is_unbounded || self.now.after(prefill_ms) <= request.first_event_due
     }
 
@@ -173,7 +203,20 @@
     pub(crate) fn own_prefill_ms(&self, request: &Request) -> u64 {
         let tokens = self.counted_tokens(request);
         let pool = self.pools.get(request.service.pool());
-        pool.map_or(0, |pool| pool.estimates.prefill_ms(tokens))
+        let prefill_ms = pool.map_or(0, |pool| pool.estimates.prefill_ms(tokens));
+        prefill_ms + self.overtaken_ms(request, tokens)
+    }
+
+    /// Time in milliseconds by which the prefill of a request takes longer since engines prefill more
+    /// urgent prompts first, if its own takes `tokens`; 0 if no ranks are in force.
+    fn overtaken_ms(&self, request: &Request, tokens: u32) -> u64 {
+        let pool = self.pools.get(request.service.pool());
+        let (Some(rank), Some(pool)) = (request.rank, pool) else {
+            return 0;
+        };
+        let share = pool.estimates.started_above(rank, self.now);
+        let overtaking = (share / (1.0 - share).max(f64::EPSILON)).min(MAX_OVERTAKING);
+        (pool.estimates.prefill_ms(tokens) as f64 * overtaking) as u64
     }
 
     /// Tokens by which a request is admitted and queued: in a lasting shortage the mean of the
--- a/crates/core/src/counter.rs
+++ b/crates/core/src/counter.rs
@@ -22,6 +22,8 @@
     FrameRepeated,
     /// Streams admitted where ranks are in force, by rank.
     RankAdmitted(Rank),
+    /// Streams treated as the most urgent since too few of their rank started, by rank.
+    RankRaised(Rank),
     /// Streams refused for lack of capacity where ranks are in force, by rank.
     RankRefused(Rank),
     /// Streams that waited for capacity where ranks are in force, by rank.
@@ -148,6 +150,7 @@
             Self::PeerLimit => write!(formatter, "limit.told"),
             Self::Quarantined => write!(formatter, "quarantined"),
             Self::RankAdmitted(rank) => write!(formatter, "rank.{rank}.admitted"),
+            Self::RankRaised(rank) => write!(formatter, "rank.{rank}.raised"),
             Self::RankRefused(rank) => write!(formatter, "rank.{rank}.refused"),
             Self::RankWaited(rank) => write!(formatter, "rank.{rank}.waited"),
             Self::Refused(kind) => write!(formatter, "refused.{kind}"),
--- a/crates/core/src/estimates.rs
+++ b/crates/core/src/estimates.rs
@@ -19,6 +19,13 @@
 /// Time in milliseconds without a stream that finds no capacity after which a shortage is over.
 const SHORTAGE_OVER_MS: u64 = 1_000;
 
+/// Number of recent starts from which on they show that a rank starves: of fewer, it gets none by chance.
+const MIN_STARVING_STARTS: f64 = 8.0;
+
+/// Weight of a new request in the fractions of requests by rank: over some tens, since an instance of a large fleet sees
+/// few.
+const RANK_SHARE_GAIN: f64 = 0.03;
+
 /// Time constant in milliseconds over which this instance's own streams are counted: as long as a stream counts as
 /// running without news of it, so that their number is not underestimated.
 const OWN_STREAMS_MS: f64 = 20_000.0;
@@ -58,6 +65,8 @@
     own_streams: (f64, Time),
     /// Milliseconds to the first event per token of the requests in prefill.
     prefill_ms_per_token: Mean,
+    /// Fractions of this instance's requests that have each rank, with exponential decay.
+    rank_shares: [f64; rank::RANKS],
     shortage: Option<Shortage>,
     /// Start times of streams of all instances with their ranks, oldest first.
     starts: VecDeque<(Time, Option<Rank>)>,
@@ -199,6 +208,41 @@
         (streams as f64 * START_RATE_WINDOW_MS as f64 / starts) as u64
     }
 
+    /// Records the rank of a request, also of one that is refused.
+    pub fn record_rank(&mut self, rank: Rank) {
+        for share in &mut self.rank_shares {
+            *share *= 1.0 - RANK_SHARE_GAIN;
+        }
+        self.rank_shares[usize::from(rank.number())] += RANK_SHARE_GAIN;
+    }
+
+    /// Whether less than `floor` of the recent starts at all instances that are due to a rank, by its part of the requests,
+    /// were its own.
+    pub fn is_starved(&self, rank: Rank, floor: f64, now: Time) -> bool {
+        let recent = self.starts.iter();
+        let recent = recent.filter(|start| now.since(start.0) <= START_RATE_WINDOW_MS);
+        let (mut all, mut own) = (0.0, 0.0);
+        for (_, started) in recent {
+            all += 1.0;
+            own += f64::from(u8::from(*started == Some(rank)));
+        }
+        let known: f64 = self.rank_shares.iter().sum();
+        let share = self.rank_shares[usize::from(rank.number())] / known.max(RANK_SHARE_GAIN);
+        all >= MIN_STARVING_STARTS && own < floor * share * all
+    }
+
+    /// Fraction of the recent starts that were of more urgent streams.
+    pub fn started_above(&self, rank: Rank, now: Time) -> f64 {
+        let recent = self.starts.iter();
+        let recent = recent.filter(|start| now.since(start.0) <= START_RATE_WINDOW_MS);
+        let (mut all, mut above) = (0.0, 0.0);
+        for (_, started) in recent {
+            all += 1.0;
+            above += f64::from(u8::from(*started < Some(rank)));
+        }
+        above / f64::max(all, 1.0)
+    }
+
     /// Whether a less urgent stream started within so many milliseconds.
     pub fn started_below(&self, rank: Rank, millis: u64, now: Time) -> bool {
         let recent = self.starts.iter().rev();
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -95,7 +95,7 @@
     request::{Request, State, Work},
     role::{Role, WatcherRank},
     roster::{Change, Roster, RosterUpdate, UpdateOutcome},
-    settings::{QuarantineRule, ResumeMode, Routing, Settings, UrgencyMode},
+    settings::{QuarantineRule, ResumeMode, Routing, Settings, UrgencyMode, Yielding},
     slotmap::{SecondaryMap, SlotMap, new_key_type},
     staleness::StalenessBound,
     std::{
--- a/crates/core/src/place.rs
+++ b/crates/core/src/place.rs
@@ -83,6 +83,9 @@
         }
         let home = self.upstreams[upstream].data_centre.clone();
         let request = &self.requests[key];
+        if self.more_urgent_waits(request) {
+            return None;
+        }
         let mut candidates = self.relay_candidates(request);
         candidates.retain(|other| *other != upstream);
         let (far, near): (Vec<_>, Vec<_>) = candidates
--- a/crates/core/src/queue.rs
+++ b/crates/core/src/queue.rs
@@ -178,6 +178,11 @@
                 .sum::<usize>()
     }
 
+    /// Whether a request waits whose turn is before another.
+    pub fn has_turn_before(&self, turn: Turn) -> bool {
+        self.ranked.first().is_some_and(|(first, _)| *first < turn)
+    }
+
     /// Whether no request waits.
     pub fn is_empty(&self) -> bool {
         self.len() == 0
--- a/crates/core/src/rank.rs
+++ b/crates/core/src/rank.rs
@@ -138,6 +138,28 @@
         })
     }
 
+    /// Records the rank of a new request. During a shortage in which too few streams of its rank start at all instances
+    /// together, a part of them is treated as the most urgent, so that no rank starves. The part is drawn at each instance
+    /// alone: most see too few requests to count on.
+    pub(crate) fn raise_starved(&mut self, request: &mut Request) {
+        let floor = self.settings.urgency.floor;
+        let Some(rank) = request.rank.filter(|_| request.position() == 0) else {
+            return;
+        };
+        let Some(pool) = self.pools.get_mut(request.service.pool()) else {
+            return;
+        };
+        pool.estimates.record_rank(rank);
+        let is_short = pool.estimates.shortage_ms(self.now).is_some();
+        if is_short
+            && pool.estimates.is_starved(rank, floor, self.now)
+            && self.rng.random::<f64>() < floor
+        {
+            request.rank = Some(Rank::MOST_URGENT);
+            self.count(Counter::RankRaised(rank));
+        }
+    }
+
     /// Counts and logs that a stream waits for capacity, if ranks are in force in its pool.
     pub(crate) fn report_wait(&mut self, key: request::Key) {
         let request = &self.requests[key];
@@ -151,8 +173,9 @@
             ..outlook
         };
         let entry = self.log_effect(request, effect::Step::Waits(others), None);
+        let rank = self.rank_of(&request.customer, &request.service);
         self.effects.push(entry);
-        self.count(Counter::RankWaited(outlook.rank));
+        self.count(Counter::RankWaited(rank.unwrap_or(outlook.rank)));
     }
 
     /// What a request is expected to wait for; `None` if no ranks are in force in its pool.
@@ -167,6 +190,22 @@
         })
     }
 
+    /// Whether a more urgent stream than a request waits for capacity in its pool, at any instance.
+    pub(crate) fn more_urgent_waits(&self, request: &Request) -> bool {
+        let Some(rank) = request.rank else {
+            return false;
+        };
+        let first = Turn {
+            is_late: false,
+            rank,
+            start_by: Time::default(),
+        };
+        let name = request.service.pool();
+        let is_queued = |pool: &core::Pool| pool.queue.has_turn_before(first);
+        self.pools.get(name).is_some_and(is_queued)
+            || self.stream_records.waiting_before(name, first) > 0
+    }
+
     /// Announces again the streams that wait here, before the records at other instances expire.
     pub(crate) fn renew_waiting(&mut self) {
         let is_due = |request: &Request| {
--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -288,6 +288,27 @@
     pub const ALL: [(&'static str, Self); 2] = [("off", Self::Off), ("ranks", Self::Ranks)];
 }
 
+/// Which less urgent streams on an engine give way to a stream: what they hold counts as free, where no engine has free
+/// capacity otherwise.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum Yielding {
+    /// None.
+    Nobody,
+    /// Those whose caller has nothing of the response yet; only their prefill is repeated.
+    Unstarted,
+    /// All; the callers of those that stream see a pause.
+    All,
+}
+
+impl Yielding {
+    /// Every value with its name in settings, from the least costly one.
+    pub const ALL: [(&'static str, Self); 3] = [
+        ("nobody", Self::Nobody),
+        ("unstarted", Self::Unstarted),
+        ("all", Self::All),
+    ];
+}
+
 /// How streams of different urgency compete for capacity.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct UrgencySettings {
@@ -296,6 +317,8 @@
     pub floor: f64,
     /// Whether requests are ordered by rank.
     pub mode: UrgencyMode,
+    /// Which less urgent streams on an engine give way.
+    pub yielding: Yielding,
 }
 
 impl Default for UrgencySettings {
@@ -303,6 +326,7 @@
         Self {
             floor: 0.25,
             mode: UrgencyMode::Ranks,
+            yielding: Yielding::Nobody,
         }
     }
 }
--- a/crates/core/src/stream_record.rs
+++ b/crates/core/src/stream_record.rs
@@ -121,7 +121,9 @@
     fn reservation_at(&self, now: Time) -> (Reservation, Time) {
         let age = now.since(self.at);
         let tokens = self.record.tokens;
-        let resources = |is_prefilling| Reservation::Resources(Usage::new(is_prefilling, tokens));
+        let resources = |is_prefilling| {
+            Reservation::Resources(Usage::new(is_prefilling, tokens, self.record.rank))
+        };
         let (reservation, until) = match self.record.stage {
             _ if self.is_own => (Reservation::Nothing, RETENTION_MS),
             Stage::Started if age < self.prefill_ms => (resources(true), self.prefill_ms),
--- a/crates/core/src/usage.rs
+++ b/crates/core/src/usage.rs
@@ -2,6 +2,17 @@
 
 use super::*;
 
+/// Usage of an upstream by the streams of each rank, without copies.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub(crate) struct RankUsage {
+    /// Tokens of the streams in prefill.
+    prefill_tokens: [u32; rank::RANKS],
+    /// Streams in prefill.
+    prefilling: [u32; rank::RANKS],
+    /// Tokens of the streams whose caller has a part of the response.
+    streaming_tokens: [u32; rank::RANKS],
+}
+
 /// Estimated usage of an upstream.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub(crate) struct Usage {
@@ -9,6 +20,8 @@
     pub prefill_tokens: u32,
     /// Prompts in prefill.
     pub prefilling: u32,
+    /// The part that streams with a rank account for.
+    pub ranks: RankUsage,
     /// Requests running or queued.
     pub running: u32,
     /// Tokens in memory, including copies of streams of other upstreams.
@@ -16,10 +29,21 @@
 }
 
 impl Usage {
-    /// Usage by one request.
-    pub fn new(is_prefilling: bool, tokens: u32) -> Self {
+    /// Usage by one request; `rank` is `None` if no ranks are in force in its pool.
+    pub fn new(is_prefilling: bool, tokens: u32, rank: Option<Rank>) -> Self {
         let counts_prefill = is_prefilling && tokens > 0;
+        let mut ranks = RankUsage::default();
+        if let Some(rank) = rank {
+            let place = usize::from(rank.number());
+            if counts_prefill {
+                ranks.prefilling[place] = 1;
+                ranks.prefill_tokens[place] = tokens;
+            } else {
+                ranks.streaming_tokens[place] = tokens;
+            }
+        }
         Self {
+            ranks,
             prefill_tokens: if counts_prefill { tokens } else { 0 },
             prefilling: u32::from(counts_prefill),
             running: 1,
@@ -43,10 +67,29 @@
             .filter_map(|(key, usage)| Some((key?, usage)))
     }
 
+    /// The usage without that of the less urgent streams that give way to a stream of a rank.
+    pub fn without_yielding(mut self, rank: Option<Rank>, yielding: Yielding) -> Self {
+        let Some(rank) = rank.filter(|_| yielding != Yielding::Nobody) else {
+            return self;
+        };
+        let below = usize::from(rank.number()) + 1..;
+        let prefill_tokens: u32 = self.ranks.prefill_tokens[below.clone()].iter().sum();
+        let prefilling: u32 = self.ranks.prefilling[below.clone()].iter().sum();
+        self.prefill_tokens -= prefill_tokens;
+        self.prefilling -= prefilling;
+        self.running -= prefilling;
+        self.tokens -= prefill_tokens;
+        if yielding == Yielding::All {
+            self.tokens -= self.ranks.streaming_tokens[below].iter().sum::<u32>();
+        }
+        self
+    }
+
     /// Adds another usage.
     pub fn add(&mut self, other: Self) {
         self.prefill_tokens += other.prefill_tokens;
         self.prefilling += other.prefilling;
+        self.ranks.combine(&other.ranks, |sum, other| *sum += other);
         self.running += other.running;
         self.tokens += other.tokens;
     }
@@ -55,11 +98,27 @@
     pub fn subtract(&mut self, other: Self) {
         self.prefill_tokens -= other.prefill_tokens;
         self.prefilling -= other.prefilling;
+        self.ranks.combine(&other.ranks, |sum, other| *sum -= other);
         self.running -= other.running;
         self.tokens -= other.tokens;
     }
 }
 
+impl RankUsage {
+    fn combine(&mut self, other: &Self, operation: fn(&mut u32, u32)) {
+        let sums = [
+            (&mut self.prefill_tokens, &other.prefill_tokens),
+            (&mut self.prefilling, &other.prefilling),
+            (&mut self.streaming_tokens, &other.streaming_tokens),
+        ];
+        for (sums, others) in sums {
+            for (sum, other) in sums.iter_mut().zip(others) {
+                operation(sum, *other);
+            }
+        }
+    }
+}
+
 /// Usage by this instance's own requests, by upstream.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct OwnUsage(SecondaryMap<upstream::Key, Usage>);
@@ -69,10 +128,11 @@
     pub(crate) fn own_usage(&self) -> OwnUsage {
         let mut own = OwnUsage::default();
         for attempt in self.attempts.values() {
-            let Some(relay) = self.requests[attempt.request].work.relay() else {
+            let request = &self.requests[attempt.request];
+            let Some(relay) = request.work.relay() else {
                 continue;
             };
-            let usage = Usage::new(!attempt.started, relay.tokens);
+            let usage = Usage::new(!attempt.started, relay.tokens, request.rank);
             for (key, usage) in usage.split(Some(attempt.upstream), attempt.backup) {
                 if let Some(entry) = own.0.entry(key) {
                     entry.or_default().add(usage);
--- a/crates/node/src/core_settings.rs
+++ b/crates/node/src/core_settings.rs
@@ -5,7 +5,7 @@
 use settings::MILLIS_MAX;
 use wellplank_core::settings::{
     CallLimits, CapacityLimits, LimitHolders, PlacementWeights, QuarantineRule, ResumeMode,
-    Routing, Settings, SharedSettings, UrgencyMode, UrgencySettings,
+    Routing, Settings, SharedSettings, UrgencyMode, UrgencySettings, Yielding,
 };
 
 /// The section with all settings at their defaults.
@@ -80,6 +80,7 @@
         "urgency": {
             "floor": core.urgency.floor,
             "mode": "ranks",
+            "yielding": "nobody",
         },
     })
 }
@@ -220,6 +221,7 @@
     let urgency = UrgencySettings {
         floor: reader.fraction("floor", default.floor),
         mode: reader.choice("mode", &UrgencyMode::ALL, default.mode),
+        yielding: reader.choice("yielding", &Yielding::ALL, default.yielding),
     };
     reader.finish();
     urgency
--- a/crates/standin/src/arguments.rs
+++ b/crates/standin/src/arguments.rs
@@ -165,6 +165,13 @@
                 .about("Streams in time under more load than engines hold, in virtual time")
                 .arg(number("seeds", "Runs of each load", "4")),
         )
+        .subcommand(
+            Command::new("urgency")
+                .about("Streams of three kinds under more load than engines hold, in virtual time")
+                .arg(number("seeds", "Days of each", "2"))
+                .arg(number("engines", "Engines", "120"))
+                .arg(number("percent", "Load in percent of what engines serve", "90")),
+        )
         .subcommand(
             Command::new("routing")
                 .about("Routing, sharing and limits under load, in virtual time"),
@@ -453,6 +460,11 @@
         "routing" => routing::run(),
         "rush" => rush::measure(number("seeds") as u64),
         "surge" => surge::measure(number("seeds") as u64),
+        "urgency" => urgency::measure(
+            number("seeds") as u64,
+            number("engines"),
+            number("percent") as f64 / 100.0,
+        ),
         _ => return ExitCode::FAILURE,
     }
     ExitCode::SUCCESS
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -43,6 +43,7 @@
 pub mod timeline;
 pub mod token;
 pub mod trial;
+pub mod urgency;
 pub mod worker;
 pub mod world;
 
@@ -55,6 +56,7 @@
 mod crowd;
 mod keyvalue;
 mod pool;
+mod priority_batch;
 mod registry;
 mod runner;
 mod scene;
