--- a/crates/core/src/capacity.rs
+++ b/crates/core/src/capacity.rs
@@ -24,6 +24,10 @@
 /// as many as engines are given beside it.
 const MAX_OVERTAKING: f64 = 1.0;
 
+/// Time in milliseconds before the latest start of a stream from which on others give way to it: as
+/// long as news takes to the other instances, and for an engine that is found to have no capacity.
+const DUE_MS: u64 = 600;
+
 /// Minimum retry delay that a refused caller is given, in milliseconds.
 pub(crate) const MIN_RETRY_AFTER_MS: u64 = 200;
 
@@ -74,11 +78,19 @@
         let most = self.settings.urgency.yielding;
         let ways = Yielding::ALL.into_iter().map(|(_, yielding)| yielding);
         ways.filter(|yielding| *yielding <= most)
+            .filter(|yielding| *yielding != Yielding::Due || self.is_due(request))
             .map(|yielding| self.upstreams_beside(request, need, yielding, candidates.clone(), own))
             .find(|upstreams| !upstreams.is_empty())
             .unwrap_or_default()
     }
 
+    /// Whether a stream that waits would soon be too late to start in time. One that has just arrived
+    /// counts as well, so that it is not refused while others can give way to it later.
+    fn is_due(&self, request: &Request) -> bool {
+        let turn = request.turn.as_ref();
+        turn.is_none_or(|turn| turn.start_by.since(self.now) <= DUE_MS && !turn.is_late)
+    }
+
     /// Filters the candidates to upstreams with capacity for a request if less urgent streams give
     /// way in the stated way.
     fn upstreams_beside(
--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -294,6 +294,8 @@
 pub enum Yielding {
     /// None.
     Nobody,
+    /// Like `Unstarted`, but only to a stream that would otherwise soon be too late to start in time.
+    Due,
     /// Those whose caller has nothing of the response yet; only their prefill is repeated.
     Unstarted,
     /// All; the callers of those that stream see a pause.
@@ -302,8 +304,9 @@
 
 impl Yielding {
     /// Every value with its name in settings, from the least costly one.
-    pub const ALL: [(&'static str, Self); 3] = [
+    pub const ALL: [(&'static str, Self); 4] = [
         ("nobody", Self::Nobody),
+        ("due", Self::Due),
         ("unstarted", Self::Unstarted),
         ("all", Self::All),
     ];
@@ -326,7 +329,8 @@
         Self {
             floor: 0.25,
             mode: UrgencyMode::Ranks,
-            yielding: Yielding::Nobody,
+            // Of the ways that preempt, the only one that costs no worth in all: six days of three fleets.
+            yielding: Yielding::Due,
         }
     }
 }
--- a/crates/core/tests/relay/rank.rs
+++ b/crates/core/tests/relay/rank.rs
@@ -456,6 +456,21 @@
     }
 }
 
+/// Guards against preemption for a stream that may yet find free capacity, and against none when its time runs out.
+#[gtest]
+fn less_urgent_prefills_give_way_to_a_stream_that_is_due() {
+    let mut test = Test::yielding(1, Yielding::Due);
+    for _ in 0..2 {
+        test.request_kind(2);
+    }
+    test.request_kind(0);
+    test.advance(3_000);
+    expect_that!(test.sent().len(), eq(2));
+    test.advance(900);
+    expect_that!(test.sent().len(), eq(3));
+    expect_that!(test.outcomes(), is_empty());
+}
+
 /// Guards against streams that give way while another engine has free capacity.
 #[gtest]
 fn free_capacity_goes_before_streams_that_give_way() {
--- a/crates/node/src/core_settings.rs
+++ b/crates/node/src/core_settings.rs
@@ -80,7 +80,7 @@
         "urgency": {
             "floor": core.urgency.floor,
             "mode": "ranks",
-            "yielding": "nobody",
+            "yielding": "due",
         },
     })
 }
