--- a/crates/core/tests/relay/rank.rs
+++ b/crates/core/tests/relay/rank.rs
@@ -541,3 +541,13 @@
     expect_that!(started_of_least(0.25), all![ge(30), le(75)]);
     expect_that!(started_of_least(0.0), eq(0));
 }
+
+/// Guards against refusals of urgent streams while other instances still start less urgent ones.
+#[gtest]
+fn urgent_stream_is_not_refused_just_after_the_start_of_a_less_urgent_one() {
+    let mut test = Test::occupied();
+    for _ in 0..8 {
+        test.request_kind(0);
+    }
+    expect_that!(test.ranks_counted(Counter::RankRefused), eq([0, 0, 0]));
+}
