--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -182,6 +182,7 @@
         self.check_capacity(&customer, &service, &submission)?;
         let mut request = self.build_request(submission, customer, service, request_fingerprint)?;
         self.record_size(&request);
+        self.raise_starved(&mut request);
         let checked = self.check_availability(&request);
         let checked = checked.and_then(|()| self.check_feasible(&request));
         if let Err(refusal) = checked.and_then(|()| self.check_demand(&request)) {
@@ -193,6 +194,9 @@
         self.buffers
             .add_request(&request.customer.name, request.work.bytes());
         self.count(Counter::Admitted);
+        if let Some(rank) = self.rank_of(&request.customer, &request.service) {
+            self.count(Counter::RankAdmitted(rank));
+        }
         let pool = self.pools.entry(request.service.pool().into()).or_default();
         pool.retry_budget.earn(self.settings.retry_earn);
         self.hedge_budget.earn(self.settings.hedge_earn);
@@ -206,8 +210,11 @@
         Ok(key)
     }
 
-    /// Counts the refusal of a caller that was refused before.
+    /// Counts the refusal of a request by rank, and of a caller that was refused before.
     pub(crate) fn count_refused(&mut self, request: &Request) {
+        if let Some(rank) = self.rank_of(&request.customer, &request.service) {
+            self.count(Counter::RankRefused(rank));
+        }
         if request.waited_ms >= demand::RETRY_MARGIN_MS {
             self.count(Counter::RefusedAgain);
         }
@@ -448,7 +455,9 @@
         {
             return Err(Kind::BadCursor);
         }
+        let rank = self.rank_of(&customer, &service);
         Ok(Request {
+            announced_at: None,
             arrived_at: self.now,
             attempts: Vec::new(),
             avoided_upstream: None,
@@ -469,6 +478,7 @@
             last_attempt: cursor.map_or(0, |cursor| cursor.attempt),
             may_have_run: cursor.is_some(),
             progress,
+            rank,
             request_fingerprint,
             resume_cursor: cursor,
             retry_permit: request::RetryPermit::default(),
@@ -477,6 +487,7 @@
             skip: cursor.map_or(0, |cursor| cursor.position),
             skip_digest: cursor.map_or_else(Digest::default, |cursor| cursor.digest),
             state: State::Queued,
+            turn: None,
             waited_ms,
             work: submission.work,
         })
--- a/crates/core/src/capacity.rs
+++ b/crates/core/src/capacity.rs
@@ -20,6 +20,14 @@
 /// moment, and 0.525 by their own length.
 const SETTLED_MS: u64 = 2_000;
 
+/// Maximum number of more urgent prompts that are expected to be prefilled before one that is sent:
+/// as many as engines are given beside it.
+const MAX_OVERTAKING: f64 = 1.0;
+
+/// Time in milliseconds before the latest start of a stream from which on others give way to it: as
+/// long as news takes to the other instances, and for an engine that is found to have no capacity.
+const DUE_MS: u64 = 600;
+
 /// Minimum retry delay that a refused caller is given, in milliseconds.
 pub(crate) const MIN_RETRY_AFTER_MS: u64 = 200;
 
@@ -53,23 +61,57 @@
 
 impl Core {
     /// Filters the candidates to upstreams with capacity for a request. A stream whose caller
-    /// already has part of the response continues wherever it can.
+    /// already has part of the response continues wherever it can. Where ranks are in force and no
+    /// upstream has free capacity, less urgent streams give way, those without a first event first.
     pub(crate) fn upstreams_with_capacity(
         &self,
         request: &Request,
-        mut candidates: Vec<upstream::Key>,
+        candidates: Vec<upstream::Key>,
         own: &OwnUsage,
     ) -> Vec<upstream::Key> {
         let Some(need) = Need::of(request).filter(|_| request.position() == 0) else {
             return candidates;
         };
+        if request.rank.is_none() {
+            return self.upstreams_beside(request, need, Yielding::Nobody, candidates, own);
+        }
+        let most = self.settings.urgency.yielding;
+        let ways = Yielding::ALL.into_iter().map(|(_, yielding)| yielding);
+        ways.filter(|yielding| *yielding <= most)
+            .filter(|yielding| *yielding != Yielding::Due || self.is_due(request))
+            .map(|yielding| self.upstreams_beside(request, need, yielding, candidates.clone(), own))
+            .find(|upstreams| !upstreams.is_empty())
+            .unwrap_or_default()
+    }
+
+    /// Whether a stream that waits would soon be too late to start in time. One that has just arrived
+    /// counts as well, so that it is not refused while others can give way to it later.
+    fn is_due(&self, request: &Request) -> bool {
+        let turn = request.turn.as_ref();
+        turn.is_none_or(|turn| turn.start_by.since(self.now) <= DUE_MS && !turn.is_late)
+    }
+
+    /// Filters the candidates to upstreams with capacity for a request if less urgent streams give
+    /// way in the stated way.
+    fn upstreams_beside(
+        &self,
+        request: &Request,
+        need: Need,
+        yielding: Yielding,
+        mut candidates: Vec<upstream::Key>,
+        own: &OwnUsage,
+    ) -> Vec<upstream::Key> {
+        let usage = |key: upstream::Key| {
+            self.usage(own, key)
+                .without_yielding(request.rank, yielding)
+        };
         let limits = self.settings.room;
         let is_late = self.is_late(request);
         candidates.retain(|key| {
             if self.now < self.upstreams[*key].full_until {
                 return false;
             }
-            let usage = self.usage(own, *key);
+            let usage = usage(*key);
             if is_late {
                 return need.fits(usage, limits.late_fill) && usage.prefilling == 0;
             }
@@ -82,10 +124,12 @@
             request.arrived_at
         };
         let pool = request.service.pool();
-        let ahead = self.stream_records.waiting(pool, before);
+        let ahead = match self.turn(request) {
+            Some(turn) => self.stream_records.waiting_before(pool, turn),
+            None => self.stream_records.waiting(pool, before),
+        };
         if ahead > 0 && limits.turns {
-            let stream_capacity =
-                |key: &upstream::Key| self.stream_capacity(need, self.usage(own, *key));
+            let stream_capacity = |key: &upstream::Key| self.stream_capacity(need, usage(*key));
             if candidates.iter().map(stream_capacity).sum::<usize>() <= ahead {
                 candidates.clear();
             }
@@ -103,6 +147,7 @@
             pool.estimates.prefill_ms(usage.prefill_tokens + tokens)
         });
         let is_unbounded = self.settings.room.late_fill == 0.0;
+        let prefill_ms = prefill_ms + self.overtaken_ms(request, tokens);
         is_unbounded || self.now.after(prefill_ms) <= request.first_event_due
     }
 
@@ -167,10 +212,23 @@
 
     /// Time in milliseconds in which an idle engine prefills the tokens by which a request is
     /// counted.
-    fn own_prefill_ms(&self, request: &Request) -> u64 {
+    pub(crate) fn own_prefill_ms(&self, request: &Request) -> u64 {
         let tokens = self.counted_tokens(request);
         let pool = self.pools.get(request.service.pool());
-        pool.map_or(0, |pool| pool.estimates.prefill_ms(tokens))
+        let prefill_ms = pool.map_or(0, |pool| pool.estimates.prefill_ms(tokens));
+        prefill_ms + self.overtaken_ms(request, tokens)
+    }
+
+    /// Time in milliseconds by which the prefill of a request takes longer since engines prefill more
+    /// urgent prompts first, if its own takes `tokens`; 0 if no ranks are in force.
+    fn overtaken_ms(&self, request: &Request, tokens: u32) -> u64 {
+        let pool = self.pools.get(request.service.pool());
+        let (Some(rank), Some(pool)) = (request.rank, pool) else {
+            return 0;
+        };
+        let share = pool.estimates.started_above(rank, self.now);
+        let overtaking = (share / (1.0 - share).max(f64::EPSILON)).min(MAX_OVERTAKING);
+        (pool.estimates.prefill_ms(tokens) as f64 * overtaking) as u64
     }
 
     /// Tokens by which a request is admitted and queued: in a lasting shortage the mean of the
@@ -207,7 +265,7 @@
         if request.position() > 0 || !self.settings.room.refuse {
             return Ok(());
         }
-        let queued_streams = self.queued_streams(request.service.pool());
+        let queued_streams = self.streams_ahead(request);
         let candidates = self.relay_candidates(request);
         if candidates.is_empty() || (queued_streams == 0 && !self.lacks_capacity(request)) {
             return Ok(());
@@ -221,7 +279,10 @@
         } else {
             starts_at > request.first_event_due
         };
-        if is_futile {
+        if is_futile && !self.may_overtake(request) {
+            if let Some(outlook) = self.outlook(request) {
+                self.log_step(request, effect::Step::Refused(outlook), None);
+            }
             return Err(admission::Refusal {
                 kind: Kind::Overloaded,
                 retry_after_ms: Some(self.retry_after_ms(request)),
@@ -264,10 +325,30 @@
         hopeless > 0.0 && (prefill_ms + remaining_ms) as f64 > left as f64 * hopeless
     }
 
-    /// Number of streams that wait for capacity in a pool, here and at other instances.
-    fn queued_streams(&self, pool: &str) -> usize {
-        let here = self.pools.get(pool).map_or(0, |pool| pool.queue.len());
-        here + self.stream_records.waiting(pool, self.now)
+    /// Number of streams that wait for capacity in a pool, here and at other instances, before a request: all that came
+    /// before it or, where ranks are in force, all whose turn is earlier.
+    pub(crate) fn streams_ahead(&self, request: &Request) -> usize {
+        let name = request.service.pool();
+        let pool = self.pools.get(name);
+        if let Some(turn) = self.turn(request) {
+            let here = pool.map_or(0, |pool| pool.queue.ahead_of_turn(turn));
+            return here + self.stream_records.waiting_before(name, turn);
+        }
+        let here = pool.map_or(0, |pool| pool.queue.len());
+        here + self.stream_records.waiting(name, self.now)
+    }
+
+    /// Whether a request that is expected to start too late may yet start in time before less urgent ones, which are still
+    /// being started.
+    fn may_overtake(&self, request: &Request) -> bool {
+        let pool = self.pools.get(request.service.pool());
+        let starts_below = |rank: Rank| {
+            let estimates = pool.map(|pool| &pool.estimates);
+            estimates.is_some_and(|estimates| {
+                estimates.started_below(rank, rank::OVERTAKING_MS, self.now)
+            })
+        };
+        request.rank.is_some_and(starts_below) && !self.is_late(request)
     }
 
     /// Records that a stream found no capacity. Returns the age of the shortage in milliseconds.
@@ -279,7 +360,7 @@
 
     /// Expected time in milliseconds until `streams` streams have found capacity: from the rate of
     /// recent starts, or, while a shortage is too recent for that, from the prefill speed.
-    fn expected_wait_ms(&self, request: &Request, streams: usize) -> u64 {
+    pub(crate) fn expected_wait_ms(&self, request: &Request, streams: usize) -> u64 {
         let Some(pool) = self.pools.get(request.service.pool()) else {
             return 0;
         };
@@ -288,7 +369,8 @@
             .shortage_ms(self.now)
             .is_some_and(|shortage_ms| shortage_ms >= RATE_KNOWN_MS)
         {
-            return pool.estimates.expected_wait_ms(streams, self.now);
+            let rank = request.rank;
+            return pool.estimates.expected_wait_ms(streams, rank, self.now);
         }
         let engines = self.relay_candidates(request).len().max(1) as u64;
         self.own_prefill_ms(request) * streams as u64 / engines
@@ -304,7 +386,7 @@
         }
         let pool = self.pools.get(request.service.pool());
         let shortage_ms = pool.and_then(|pool| pool.estimates.shortage_ms(self.now));
-        let queued_streams = self.queued_streams(request.service.pool());
+        let queued_streams = self.streams_ahead(request);
         let wait_ms = self.expected_wait_ms(request, queued_streams + 1);
         let max = request.deadline.since(self.now) / FOLLOWED_DIVISOR;
         let max = max.max(2 * MIN_RETRY_AFTER_MS);
--- a/crates/core/src/core.rs
+++ b/crates/core/src/core.rs
@@ -122,6 +122,8 @@
     /// When another instance last reported a stream or a loss.
     pub(crate) peer_heard_at: Time,
     pub(crate) pools: BTreeMap<Arc<str>, Pool>,
+    /// Ranks in force, by pool; pools without any are absent.
+    pub(crate) ranks: BTreeMap<Arc<str>, PoolRanks>,
     pub(crate) requests: SlotMap<request::Key, Request>,
     /// When this process last resumed after a pause.
     pub(crate) resumed_at: Time,
@@ -279,6 +281,7 @@
             now,
             peer_heard_at: Time::default(),
             pools: BTreeMap::new(),
+            ranks: BTreeMap::new(),
             requests: SlotMap::with_key(),
             resumed_at: Time::default(),
             retained_states: notice::RetainedStates::default(),
@@ -302,6 +305,7 @@
     /// Replaces the settings.
     pub fn configure(&mut self, settings: Settings) {
         self.settings = settings;
+        self.update_ranks();
     }
 
     /// Sets the data centre of the instance; it prefers upstreams of the same one.
@@ -330,6 +334,7 @@
         let current = self.revision().unwrap_or(0);
         if config.revision > current || self.config.is_none() {
             self.config = Some(config);
+            self.update_ranks();
             self.resolve_address_conflicts();
             self.submit_deferred();
         }
--- a/crates/core/src/counter.rs
+++ b/crates/core/src/counter.rs
@@ -20,6 +20,14 @@
     FrameLate,
     /// Tokens dropped because they had already been delivered.
     FrameRepeated,
+    /// Streams admitted where ranks are in force, by rank.
+    RankAdmitted(Rank),
+    /// Streams treated as the most urgent since too few of their rank started, by rank.
+    RankRaised(Rank),
+    /// Streams refused for lack of capacity where ranks are in force, by rank.
+    RankRefused(Rank),
+    /// Streams that waited for capacity where ranks are in force, by rank.
+    RankWaited(Rank),
     /// Streams abandoned because tokens were missing.
     FrameGap,
     /// Hedged continuations: started while the current upstream is only suspected.
@@ -162,6 +170,10 @@
             Self::Quarantined => write!(formatter, "quarantined"),
             Self::ReadingPaused => write!(formatter, "reading.paused"),
             Self::ReadingResumed => write!(formatter, "reading.resumed"),
+            Self::RankAdmitted(rank) => write!(formatter, "rank.{rank}.admitted"),
+            Self::RankRaised(rank) => write!(formatter, "rank.{rank}.raised"),
+            Self::RankRefused(rank) => write!(formatter, "rank.{rank}.refused"),
+            Self::RankWaited(rank) => write!(formatter, "rank.{rank}.waited"),
             Self::Refused(kind) => write!(formatter, "refused.{kind}"),
             Self::RefusedAgain => write!(formatter, "refused_again"),
             Self::Resumed(reason) => write!(formatter, "resumed.{reason}"),
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -37,6 +37,7 @@
 pub mod position;
 pub mod quarantine;
 pub mod queue;
+pub mod rank;
 pub mod request;
 pub mod retry_window;
 pub mod role;
@@ -99,11 +100,15 @@
     queue::Queue,
     rand::{RngExt, SeedableRng, seq::SliceRandom},
     rand_pcg::Pcg64Mcg,
+    rank::{PoolRanks, Rank, Turn},
     request::{Request, State, Work},
     retry_window::{RetryClass, RetryWindow},
     role::{Role, WatcherRank},
     roster::{Change, Roster, RosterUpdate, UpdateOutcome},
-    settings::{LivenessMethod, QuarantineRule, ResumeMode, RetryBound, Routing, Settings},
+    settings::{
+        LivenessMethod, QuarantineRule, ResumeMode, RetryBound, Routing, Settings, UrgencyMode,
+        Yielding,
+    },
     slotmap::{SecondaryMap, SlotMap, new_key_type},
     staleness::StalenessBound,
     std::{
--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -343,6 +343,67 @@
     }
 }
 
+/// Whether requests are ordered by the priorities of customers and routes.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum UrgencyMode {
+    /// Not by these: as in pools whose routes of streams have one priority.
+    Off,
+    /// By rank, over all instances.
+    Ranks,
+}
+
+impl UrgencyMode {
+    /// Every value, with its name in settings.
+    pub const ALL: [(&'static str, Self); 2] = [("off", Self::Off), ("ranks", Self::Ranks)];
+}
+
+/// Which less urgent streams on an engine give way to a stream: what they hold counts as free, where no engine has free
+/// capacity otherwise.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum Yielding {
+    /// None.
+    Nobody,
+    /// Like `Unstarted`, but only to a stream that would otherwise soon be too late to start in time.
+    Due,
+    /// Those whose caller has nothing of the response yet; only their prefill is repeated.
+    Unstarted,
+    /// All; the callers of those that stream see a pause.
+    All,
+}
+
+impl Yielding {
+    /// Every value with its name in settings, from the least costly one.
+    pub const ALL: [(&'static str, Self); 4] = [
+        ("nobody", Self::Nobody),
+        ("due", Self::Due),
+        ("unstarted", Self::Unstarted),
+        ("all", Self::All),
+    ];
+}
+
+/// How streams of different urgency compete for capacity.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct UrgencySettings {
+    /// Rate at which requests of any one rank or customer are served at least, as a fraction of the rate at which all
+    /// are; 0 for no minimum.
+    pub floor: f64,
+    /// Whether requests are ordered by rank.
+    pub mode: UrgencyMode,
+    /// Which less urgent streams on an engine give way.
+    pub yielding: Yielding,
+}
+
+impl Default for UrgencySettings {
+    fn default() -> Self {
+        Self {
+            floor: 0.25,
+            mode: UrgencyMode::Ranks,
+            // Of the ways that preempt, the only one that costs no worth in all: six days of three fleets.
+            yielding: Yielding::Due,
+        }
+    }
+}
+
 /// Settings of the core, constant for the lifetime of an instance.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
@@ -431,6 +492,8 @@
     pub tokens_max: u32,
     /// Limits on the events that wait for callers.
     pub unread: UnreadLimits,
+    /// How streams of different urgency compete for capacity.
+    pub urgency: UrgencySettings,
 }
 
 impl Default for Settings {
@@ -475,6 +538,7 @@
             subset: 0,
             tokens_max: 32_768,
             unread: UnreadLimits::default(),
+            urgency: UrgencySettings::default(),
         }
     }
 }
--- a/crates/core/tests/relay/main.rs
+++ b/crates/core/tests/relay/main.rs
@@ -18,8 +18,9 @@
         notice::{Backoff, Notice},
         position::Position,
         quarantine::{CrashHistory, Involvement},
+        rank::{PoolRanks, Rank},
         request::{Caller, Relay, Work},
-        settings::{CapacityLimits, ResumeMode, Settings},
+        settings::{CapacityLimits, ResumeMode, Settings, UrgencyMode, UrgencySettings, Yielding},
         stream_record::{Stage, StreamRecord},
         upstream::{self, Load},
     },
@@ -38,6 +39,7 @@
 mod liveness_methods;
 mod notice;
 mod poison;
+mod rank;
 mod reach;
 mod readers;
 mod retry;
--- a/crates/node/src/core_settings.rs
+++ b/crates/node/src/core_settings.rs
@@ -5,7 +5,8 @@
 use settings::MILLIS_MAX;
 use wellplank_core::settings::{
     CallLimits, CapacityLimits, LimitHolders, LivenessMethod, PlacementWeights, QuarantineRule,
-    ResumeMode, RetryBound, Routing, Settings, SharedSettings, UnreadLimits,
+    ResumeMode, RetryBound, Routing, Settings, SharedSettings, UnreadLimits, UrgencyMode,
+    UrgencySettings, Yielding,
 };
 
 /// The section with all settings at their defaults.
@@ -13,12 +14,7 @@
     let core = Settings::default();
     json!({
         "attempts_max": core.attempts_max,
-        "calls": {
-            "demand": core.calls.demand,
-            "second": core.calls.second,
-            "wait": core.calls.wait,
-            "window": core.calls.window,
-        },
+        "calls": default_calls(&core),
         "claim_retry_ms": core.claim_retry_ms,
         "continuation": core.continuation,
         "continue_non_repeatable": core.continue_non_repeatable,
@@ -34,19 +30,7 @@
         "pause_ms": core.pause_ms,
         "probe_ms": core.probe_ms,
         "probe_timeout_ms": core.probe_timeout_ms,
-        "place": {
-            "far": core.place.far,
-            "memory": core.place.memory,
-            "outage": core.place.outage,
-            "reading": core.place.reading,
-            "running": core.place.running,
-            "sample": core.place.sample,
-            "slow": core.place.slow,
-            "spread": core.place.spread,
-            "suspect": core.place.suspect,
-            "trouble": core.place.trouble,
-            "unheard": core.place.unheard,
-        },
+        "place": default_place(&core),
         "probes": core.probes,
         "quarantine": "lives",
         "queue_max": core.queue_max,
@@ -57,40 +41,97 @@
         "relay_stall_ms": core.relay_stall_ms,
         "report_lag_ms": core.report_lag_ms,
         "resume_reserve": core.resume_reserve,
-        "retry": {
-            "extra": core.retry.extra,
-            "ratio": core.retry.ratio,
-            "window_ms": core.retry.window_ms,
-        },
+        "retry": default_retry(&core),
         "retry_earn": core.retry_earn,
-        "room": {
-            "copy_fill": core.room.copy_fill,
-            "early": core.room.early,
-            "fill": core.room.fill,
-            "hopeless": core.room.hopeless,
-            "late_fill": core.room.late_fill,
-            "reading": core.room.reading,
-            "refuse": core.room.refuse,
-            "sizes": core.room.sizes,
-            "turns": core.room.turns,
-        },
+        "room": default_room(&core),
         "routing": "prefix",
-        "shared": {
-            "least": core.shared.least,
-            "losses": core.shared.losses,
-            "paces": core.shared.paces,
-            "unsent": core.shared.unsent,
-        },
+        "shared": default_shared(&core),
         "stall_loss_ms": core.stall_loss_ms,
         "stall_max_ms": core.stall_max_ms,
         "stall_min_ms": core.stall_min_ms,
         "subset": core.subset,
         "tokens_max": core.tokens_max,
-        "unread": {
-            "customer_bytes": core.unread.customer_bytes,
-            "instance_bytes": core.unread.instance_bytes,
-            "request_bytes": core.unread.request_bytes,
-        },
+        "unread": default_unread(&core),
+        "urgency": default_urgency(&core),
+    })
+}
+
+/// Limits of calls at their defaults.
+fn default_calls(core: &Settings) -> Value {
+    json!({
+        "demand": core.calls.demand,
+        "second": core.calls.second,
+        "wait": core.calls.wait,
+        "window": core.calls.window,
+    })
+}
+
+/// Weights of placement at their defaults.
+fn default_place(core: &Settings) -> Value {
+    json!({
+        "far": core.place.far,
+        "memory": core.place.memory,
+        "outage": core.place.outage,
+        "reading": core.place.reading,
+        "running": core.place.running,
+        "sample": core.place.sample,
+        "slow": core.place.slow,
+        "spread": core.place.spread,
+        "suspect": core.place.suspect,
+        "trouble": core.place.trouble,
+        "unheard": core.place.unheard,
+    })
+}
+
+/// The bound on retries at its default.
+fn default_retry(core: &Settings) -> Value {
+    json!({
+        "extra": core.retry.extra,
+        "ratio": core.retry.ratio,
+        "window_ms": core.retry.window_ms,
+    })
+}
+
+/// Limits on capacity at their defaults.
+fn default_room(core: &Settings) -> Value {
+    json!({
+        "copy_fill": core.room.copy_fill,
+        "early": core.room.early,
+        "fill": core.room.fill,
+        "hopeless": core.room.hopeless,
+        "late_fill": core.room.late_fill,
+        "reading": core.room.reading,
+        "refuse": core.room.refuse,
+        "sizes": core.room.sizes,
+        "turns": core.room.turns,
+    })
+}
+
+/// What instances share, at its defaults.
+fn default_shared(core: &Settings) -> Value {
+    json!({
+        "least": core.shared.least,
+        "losses": core.shared.losses,
+        "paces": core.shared.paces,
+        "unsent": core.shared.unsent,
+    })
+}
+
+/// Limits on unread bytes at their defaults.
+fn default_unread(core: &Settings) -> Value {
+    json!({
+        "customer_bytes": core.unread.customer_bytes,
+        "instance_bytes": core.unread.instance_bytes,
+        "request_bytes": core.unread.request_bytes,
+    })
+}
+
+/// How streams of different urgency compete, by default.
+fn default_urgency(core: &Settings) -> Value {
+    json!({
+        "floor": core.urgency.floor,
+        "mode": "ranks",
+        "yielding": "due",
     })
 }
 
@@ -163,6 +204,7 @@
         subset: reader.number("subset", default.subset as u64, 0..=10_000) as usize,
         tokens_max: reader.number("tokens_max", tokens_max, 1..=1 << 24) as u32,
         unread: read_unread(reader.section("unread")),
+        urgency: read_urgency(reader.section("urgency")),
     };
     reader.finish();
     settings
@@ -252,3 +294,14 @@
     reader.finish();
     shared
 }
+
+fn read_urgency(mut reader: Reader) -> UrgencySettings {
+    let default = UrgencySettings::default();
+    let urgency = UrgencySettings {
+        floor: reader.fraction("floor", default.floor),
+        mode: reader.choice("mode", &UrgencyMode::ALL, default.mode),
+        yielding: reader.choice("yielding", &Yielding::ALL, default.yielding),
+    };
+    reader.finish();
+    urgency
+}
--- a/crates/node/src/request_log.rs
+++ b/crates/node/src/request_log.rs
@@ -98,10 +98,15 @@
         Step::RetryRefused(class) => {
             let class = class.to_string();
             warn!(request, fingerprint, customer, service, position, class; "no retry permit");
+        }
         Step::Paused { unread_bytes } => {
             let unread_bytes = *unread_bytes;
             info!(request, customer, service, upstream, position, unread_bytes; "reading paused");
         }
+        Step::Refused(outlook) => {
+            let (rank, ahead, wait_ms) = (outlook.rank.number(), outlook.ahead, outlook.wait_ms);
+            info!(request, fingerprint, customer, service, rank, ahead, wait_ms; "refused for others ahead");
+        }
         Step::Sent {
             backup,
             copy,
@@ -113,5 +118,9 @@
             let (left_ms, list_age_ms) = (*left_ms, *list_age_ms);
             info!(request, fingerprint, customer, service, model, upstream, position, backup, copy, left_ms, list_age_ms; "sent");
         }
+        Step::Waits(outlook) => {
+            let (rank, ahead, wait_ms) = (outlook.rank.number(), outlook.ahead, outlook.wait_ms);
+            info!(request, fingerprint, customer, service, rank, ahead, wait_ms; "waits");
+        }
     }
 }
