Measure calls before upstreams whose speed changes, in virtual time

`standin measure uneven` plays waves of calls whose peaks differ by data centre before seven upstreams of six slots, of which 0.15 work 2.5 times as slowly, a different set each 600 ms; two of them leave in a second table.

--- a/crates/standin/src/arguments.rs
+++ b/crates/standin/src/arguments.rs
@@ -165,6 +165,11 @@
                 .about("Streams in time under more load than engines hold, in virtual time")
                 .arg(number("seeds", "Runs of each load", "4")),
         )
+        .subcommand(
+            Command::new("uneven")
+                .about("Calls in time before upstreams whose speed changes, 1 to 300 instances, in virtual time")
+                .arg(number("seeds", "Runs of each fleet", "2")),
+        )
         .subcommand(
             Command::new("routing")
                 .about("Routing, sharing and limits under load, in virtual time"),
@@ -453,6 +458,7 @@
         "routing" => routing::run(),
         "rush" => rush::measure(number("seeds") as u64),
         "surge" => surge::measure(number("seeds") as u64),
+        "uneven" => rush::measure_uneven(number("seeds") as u64),
         _ => return ExitCode::FAILURE,
     }
     ExitCode::SUCCESS
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod fleet;
 pub mod host;
 pub mod http;
+pub mod layout;
 pub mod learning;
 pub mod leaving;
 pub mod limited;
--- a/crates/standin/src/rush.rs
+++ b/crates/standin/src/rush.rs
@@ -2,6 +2,7 @@
 //! queues, callers who come back once, and what is answered in the time wanted.
 
 use super::*;
+use layout::Layout;
 use limited::Limited;
 use std::sync::Arc;
 use timeline::Timeline;
@@ -24,15 +25,6 @@
 /// Start of virtual time.
 const START: Time = Time(1_800_000_000_000);
 
-/// Data centre of each upstream; callers are spread evenly over five.
-const HOMES: [usize; 6] = [0, 0, 1, 2, 3, 4];
-
-/// Data centres.
-const DATA_CENTRES: usize = 5;
-
-/// What a call takes at each upstream, over the mean.
-const SLOWNESS: [f64; 6] = [0.9, 1.0, 1.3, 0.85, 1.05, 1.0];
-
 /// Requests that wait at an upstream, at most, for each of its slots.
 const QUEUE_PER_SLOT: usize = 4;
 
@@ -81,6 +73,8 @@
     pub limit: Option<(f64, LimitHolders)>,
     /// Upstreams that name a limit, if any do.
     pub limited: usize,
+    /// Which upstreams there are, how fast they work, and where callers ask.
+    pub layout: Layout,
     /// Load in the rush, over the usual.
     pub load: f64,
     /// Bounds on what upstreams are given.
@@ -141,6 +135,8 @@
     Done(usize),
     Lift,
     Limit,
+    /// The list of upstreams changes.
+    List,
     Tell(usize, Event),
     Tick(usize),
 }
@@ -216,7 +212,7 @@
 /// what it can still answer in time.
 pub fn ceiling(plan: Plan) -> Outcome {
     let mut random = Pcg64Mcg::seed_from_u64(plan.seed);
-    let slots = plan.slots * HOMES.len();
+    let slots = plan.slots * plan.layout.homes().len();
     let mut free_at = vec![0.0_f64; slots];
     let mut outcome = Outcome::default();
     let mut at = 0.0;
@@ -227,9 +223,17 @@
         }
         outcome.asked += 1;
         let work = work(&mut random) as f64;
-        let first = (0..slots).min_by(|one, other| free_at[*one].total_cmp(&free_at[*other]));
+        let ends = |slot: usize| {
+            let starts = free_at[slot].max(at);
+            let upstream = slot / plan.slots;
+            starts + work * plan.layout.ceiling_slowness(plan.seed, upstream, starts as u64)
+        };
+        let is_used = |slot: &usize| !plan.layout.is_leaving(slot / plan.slots, at as u64);
+        let first = (0..slots)
+            .filter(is_used)
+            .min_by(|one, other| ends(*one).total_cmp(&ends(*other)));
         let Some(slot) = first else { return outcome };
-        let ends = free_at[slot].max(at) + work;
+        let ends = ends(slot);
         if ends - at > OBJECTIVE_MS as f64 {
             outcome.refused += 1;
             continue;
@@ -281,6 +285,32 @@
     }
 }
 
+/// Plays waves that differ by data centre before upstreams whose speed changes, and prints what was answered.
+pub fn measure_uneven(seeds: u64) {
+    for leaving in [0, 2] {
+        let title = format!("Waves before seven uneven upstreams, {leaving} of which leave");
+        let mut report = report::Report::new(&title);
+        let layout = Layout::Uneven { leaving };
+        for instances in [1, 6, 30, 74, 300] {
+            let plan = |seed| Plan {
+                instances,
+                layout,
+                seed,
+                ..Plan::default()
+            };
+            let name = format!("{instances} instances");
+            report.rows.push(row(&name, seeds, plan, run));
+        }
+        let plan = |seed| Plan {
+            layout,
+            seed,
+            ..Plan::default()
+        };
+        report.rows.push(row("all known", seeds, plan, ceiling));
+        report.print();
+    }
+}
+
 /// Plays rushes before upstreams that ask for rest, and prints what was answered by who heeds that.
 pub fn measure_rests(seeds: u64) {
     let ways = [
@@ -382,6 +412,7 @@
             calls: CallLimits::default(),
             heeds: Heeds::Asked,
             instances: 1,
+            layout: Layout::Even,
             limit: None,
             limited: 0,
             load: 1.0,
@@ -410,9 +441,15 @@
 
 /// Milliseconds until the next new caller.
 fn gap(plan: &Plan, since: u64, random: &mut Pcg64Mcg) -> f64 {
-    let rush = (CALM_MS..CALM_MS + RUSH_MS).contains(&since);
-    let load = if rush { plan.load } else { 1.0 };
-    let per_ms = USUAL * (plan.slots * HOMES.len()) as f64 / WORK_MS * load;
+    let per_ms = match plan.layout {
+        Layout::Even => {
+            let rush = (CALM_MS..CALM_MS + RUSH_MS).contains(&since);
+            let load = if rush { plan.load } else { 1.0 };
+            let slots = plan.slots * plan.layout.homes().len();
+            USUAL * slots as f64 / WORK_MS * load
+        }
+        Layout::Uneven { .. } => plan.layout.calls_per_ms(since) * plan.load,
+    };
     -(1.0 - random.random::<f64>()).ln() / per_ms
 }
 
@@ -428,10 +465,6 @@
     SocketAddr::from(([127, 0, 0, 1], upstream as u16 + 1))
 }
 
-fn data_centre(index: usize) -> String {
-    format!("dc-{}", index % DATA_CENTRES)
-}
-
 fn service() -> Service {
     Service {
         deadline_ms: HELD_MS,
@@ -465,7 +498,7 @@
         let core = |index| {
             let seed = plan.seed * 1_000 + index as u64;
             let core = Core::new(settings.clone(), [0; 32], seed, START);
-            core.in_data_centre(&data_centre(index))
+            core.in_data_centre(&plan.layout.data_centre(index))
         };
         let mut random = Pcg64Mcg::seed_from_u64(plan.seed);
         let mut sum = 0.0;
@@ -479,7 +512,7 @@
             callers: HashMap::new(),
             cores: (0..plan.instances).map(core).collect(),
             keys: HashMap::new(),
-            desks: vec![Desk::default(); HOMES.len()],
+            desks: vec![Desk::default(); plan.layout.homes().len()],
             lifted: None,
             limited: Vec::new(),
             lines: Vec::new(),
@@ -500,11 +533,12 @@
                 instance,
                 Event::Instances(View::numbered(instance as u64, plan.instances as u64)),
             );
+            let entries = rush.list();
             rush.tell(
                 instance,
                 Event::List {
                     requested_at: START,
-                    entries: Some(rush.list()),
+                    entries: Some(entries),
                 },
             );
             let first = rush.random.random_range(0..10);
@@ -514,22 +548,27 @@
         if plan.limit.is_some() {
             rush.timeline.schedule(CALM_MS, Action::Limit);
         }
+        for at in plan.layout.list_changes_ms() {
+            rush.timeline.schedule(at, Action::List);
+        }
         rush
     }
 
     fn list(&self) -> Vec<ListEntry> {
+        let layout = self.plan.layout;
+        let since = self.timeline.now().since(START);
         let listed = |index: usize| ListEntry {
             address: address(index),
-            born: 0,
-            data_centre: data_centre(HOMES[index]),
-            leaving: false,
+            born: layout.started_ms(index, since),
+            data_centre: layout.data_centre(layout.homes()[index]),
+            leaving: layout.is_leaving(index, since),
             name: format!("desk-{index}"),
             pool: "desk".into(),
             registered_at: Position::default(),
             slots: self.plan.slots as u32,
             version: String::new(),
         };
-        (0..HOMES.len()).map(listed).collect()
+        (0..layout.homes().len()).map(listed).collect()
     }
 
     fn act(&mut self, action: Action) {
@@ -540,6 +579,7 @@
             Action::Done(line) => self.done(line),
             Action::Lift => self.lift(),
             Action::Limit => self.limit(),
+            Action::List => self.tell_list(),
             Action::Tell(instance, event) => self.tell(instance, event),
             Action::Tick(instance) => {
                 self.tell(instance, Event::Tick);
@@ -572,9 +612,7 @@
     /// A caller asks at some instance.
     fn ask(&mut self, index: usize) {
         self.next += 1;
-        let all = self.weights.last().copied().unwrap_or_default();
-        let point = self.random.random::<f64>() * all;
-        let instance = self.weights.partition_point(|sum| *sum < point);
+        let instance = self.instance();
         let asker = &mut self.askers[index];
         asker.tries += 1;
         asker.instance = instance;
@@ -599,6 +637,31 @@
         );
     }
 
+    /// The instance at which a caller asks.
+    fn instance(&mut self) -> usize {
+        let all = self.weights.last().copied().unwrap_or_default();
+        let since = self.timeline.now().since(START);
+        loop {
+            let point = self.random.random::<f64>() * all;
+            let instance = self.weights.partition_point(|sum| *sum < point);
+            let part = self.plan.layout.wave(instance, since);
+            if part >= 1.0 || self.random.random::<f64>() < part {
+                return instance;
+            }
+        }
+    }
+
+    /// All instances read the list.
+    fn tell_list(&mut self) {
+        for instance in 0..self.cores.len() {
+            let read = Event::List {
+                requested_at: self.timeline.now(),
+                entries: Some(self.list()),
+            };
+            self.tell(instance, read);
+        }
+    }
+
     fn tell(&mut self, instance: usize, event: Event) {
         let effects = self.cores[instance].handle(self.timeline.now(), event);
         for effect in effects {
@@ -668,9 +731,10 @@
     /// once, and to all others along with something, where the service is pressed.
     fn spread(&mut self, from: usize, event: &Event, pressed: bool) {
         let carried = self.random.random::<f64>() < CARRIED;
-        let home = from % DATA_CENTRES;
+        let centres = self.plan.layout.data_centres();
+        let home = from % centres;
         for to in (0..self.cores.len()).filter(|to| *to != from) {
-            let near = to % DATA_CENTRES == home || self.cores.len() <= FEW;
+            let near = to % centres == home || self.cores.len() <= FEW;
             if (near && (carried || pressed)) || (carried && pressed) {
                 let action = Action::Tell(to, event.clone());
                 self.timeline.schedule(WAY_MS, action);
@@ -823,7 +887,9 @@
     fn start(&mut self, line: usize) {
         let desk = &mut self.desks[self.lines[line].upstream];
         desk.running.push(line);
-        let slowness = SLOWNESS[self.lines[line].upstream];
+        let since = self.timeline.now().since(START);
+        let upstream = self.lines[line].upstream;
+        let slowness = self.plan.layout.slowness(self.plan.seed, upstream, since);
         let work_ms = self.askers[self.lines[line].asker].work_ms as f64 * slowness;
         let work_ms = work_ms.round() as u64;
         self.timeline.schedule(work_ms, Action::Done(line));
