--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod availability;
 pub mod budget;
 pub mod buffer;
+pub mod call_place;
 pub mod claim;
 pub mod clock;
 pub mod config;
@@ -73,6 +74,7 @@
     availability::{Availability, Span},
     budget::Budget,
     buffer::{Buffers, Reading},
+    call_place::{Announced, BusyUpstream},
     claim::Claim,
     clock::Time,
     config::{Config, Policy, Priority},
@@ -106,8 +108,8 @@
     role::{Role, WatcherRank},
     roster::{Change, Roster, RosterUpdate, UpdateOutcome},
     settings::{
-        LivenessMethod, QuarantineRule, ResumeMode, RetryBound, Routing, Settings, UrgencyMode,
-        Yielding,
+        CallPlacement, LivenessMethod, QuarantineRule, ResumeMode, RetryBound, Routing, Settings,
+        UrgencyMode, Yielding,
     },
     slotmap::{SecondaryMap, SlotMap, new_key_type},
     staleness::StalenessBound,
--- a/crates/core/tests/relay/main.rs
+++ b/crates/core/tests/relay/main.rs
@@ -27,6 +27,7 @@
 };
 
 mod builder;
+mod call_place;
 mod capacity;
 mod directory;
 mod ended;
--- a/crates/node/src/core_settings.rs
+++ b/crates/node/src/core_settings.rs
@@ -4,9 +4,9 @@
 use reader::Reader;
 use settings::MILLIS_MAX;
 use wellplank_core::settings::{
-    CallLimits, CapacityLimits, LimitHolders, LivenessMethod, PlacementWeights, QuarantineRule,
-    ResumeMode, RetryBound, Routing, Settings, SharedSettings, UnreadLimits, UrgencyMode,
-    UrgencySettings, Yielding,
+    CallLimits, CallPlacement, CapacityLimits, LimitHolders, LivenessMethod, PlacementWeights,
+    QuarantineRule, ResumeMode, RetryBound, Routing, Settings, SharedSettings, UnreadLimits,
+    UrgencyMode, UrgencySettings, Yielding,
 };
 
 /// The section with all settings at their defaults.
@@ -60,6 +60,7 @@
 fn default_calls(core: &Settings) -> Value {
     json!({
         "demand": core.calls.demand,
+        "place": "busy",
         "second": core.calls.second,
         "wait": core.calls.wait,
         "window": core.calls.window,
@@ -214,6 +215,7 @@
     let default = CallLimits::default();
     let calls = CallLimits {
         demand: reader.flag("demand", default.demand),
+        place: reader.choice("place", &CallPlacement::ALL, default.place),
         second: reader.flag("second", default.second),
         wait: reader.float("wait", default.wait, 0.0..=1.0),
         window: reader.flag("window", default.window),
--- a/crates/standin/src/arguments.rs
+++ b/crates/standin/src/arguments.rs
@@ -172,6 +172,11 @@
                 .arg(number("engines", "Engines", "120"))
                 .arg(number("percent", "Load in percent of what engines serve", "90")),
         )
+        .subcommand(
+            Command::new("uneven")
+                .about("Calls in time before upstreams whose speed changes, 1 to 300 instances, in virtual time")
+                .arg(number("seeds", "Runs of each fleet", "2")),
+        )
         .subcommand(
             Command::new("routing")
                 .about("Routing, sharing and limits under load, in virtual time"),
@@ -465,6 +470,7 @@
             number("engines"),
             number("percent") as f64 / 100.0,
         ),
+        "uneven" => rush::measure_uneven(number("seeds") as u64),
         _ => return ExitCode::FAILURE,
     }
     ExitCode::SUCCESS
