Use copies at upstreams that are merely unheard from while the store is away

Cause: while the store does not answer, a copy was given up unless its holder had answered this instance since; an instance of 71 hears from few of 120 engines, so nearly all copies were given up and their prompts prefilled again. Now only the loss of the holder, or of half of its data centre since it was heard from, counts.

--- a/crates/core/src/place.rs
+++ b/crates/core/src/place.rs
@@ -110,7 +110,7 @@
         let Some(upstream) = self.upstreams.get(key) else {
             return false;
         };
-        let is_lost = self.settings.shared.losses && self.may_have_lost_copy(key);
+        let is_lost = self.settings.shared.losses && self.has_probably_lost_copy(key);
         upstream.health == Health::Live && upstream.may_serve(self.now) && !is_lost
     }
 
--- a/crates/core/src/silence.rs
+++ b/crates/core/src/silence.rs
@@ -37,6 +37,15 @@
     }
 }
 
+impl Silences {
+    /// Whether half of an upstream's data centre was lost since it last answered or was listed.
+    fn is_in_lost_data_centre(&self, upstream: &Upstream) -> bool {
+        let known_at = upstream.answered_at.max(upstream.listed_at);
+        let lost_at = self.lost_at.get(&upstream.data_centre);
+        lost_at.is_some_and(|lost_at| known_at < *lost_at)
+    }
+}
+
 impl Core {
     /// Records since when the store has not answered, or that it answers again. The list catches up within the grace
     /// period after that.
@@ -79,11 +88,13 @@
         })
     }
 
-    /// Whether an upstream that holds a copy may have ended, so that its copy is not worth an attempt.
-    pub(crate) fn may_have_lost_copy(&self, key: upstream::Key) -> bool {
+    /// Whether an upstream that holds a copy has probably ended, so that its copy is not worth an attempt: it or half of its
+    /// data centre was lost since it was last heard from. Silence alone is no reason, since it costs an attempt to ask, and a
+    /// prefill and a long pause not to: an instance hears from few of the upstreams that hold its copies.
+    pub(crate) fn has_probably_lost_copy(&self, key: upstream::Key) -> bool {
         let upstream = &self.upstreams[key];
         let silences = self.silences(&upstream.pool);
         upstream.is_just_reported(self.now)
-            || silences.is_some_and(|silences| silences.cover(upstream))
+            || silences.is_some_and(|silences| silences.is_in_lost_data_centre(upstream))
     }
 }
