--- a/crates/core/tests/relay/reach.rs
+++ b/crates/core/tests/relay/reach.rs
@@ -165,3 +165,18 @@
     test.fail(&first, Failure::Replaced);
     expect_that!(test.sent().len(), eq(2));
 }
+
+/// Guards against copies that are given up because this instance had no answer from their holders since the store went
+/// away: with 71 instances and 120 engines, nearly all prompts of lost streams were prefilled again.
+#[gtest]
+fn copy_at_an_upstream_that_was_not_heard_from_is_used_while_the_store_is_away() {
+    let mut test = Test::new(9);
+    test.advance(100);
+    let sent = test.stream(3);
+    test.handle(Event::StoreAway(Some(test.now)));
+    test.advance(50);
+    test.fail(&sent, Failure::Broken);
+    let next = test.last_sent();
+    expect_that!(Some(next.upstream), eq(sent.backup));
+    expect_that!(next.copy, some(anything()));
+}
