--- a/crates/node/src/driver.rs
+++ b/crates/node/src/driver.rs
@@ -403,17 +403,8 @@
                 reason,
             } => self.finish_caller(caller, Reply::Finished { position, reason }),
             Effect::ForwardEvent { bytes, caller } => self.send_reply(caller, Reply::Event(bytes)),
-            Effect::ForwardHead(caller) => {
-                if let Some(HeldResponse::Head(head)) = self.take_held(caller) {
-                    self.keep_outlet(caller);
-                    self.send_reply(caller, Reply::Head(head));
-                }
-            }
-            Effect::ForwardResponse(caller) => {
-                if let Some(HeldResponse::Complete(response)) = self.take_held(caller) {
-                    self.finish_caller(caller, Reply::Response(response));
-                }
-            }
+            Effect::ForwardHead(caller) => self.forward_head(caller),
+            Effect::ForwardResponse(caller) => self.forward_response(caller),
             Effect::GossipDemand { demand, reach } => {
                 self.gossip(gossip::Message::Demand { demand, reach });
             }
@@ -459,6 +450,21 @@
         }
     }
 
+    /// Sends the held head of a stream's response to its caller.
+    fn forward_head(&mut self, caller: Caller) {
+        if let Some(HeldResponse::Head(head)) = self.take_held(caller) {
+            self.keep_outlet(caller);
+            self.send_reply(caller, Reply::Head(head));
+        }
+    }
+
+    /// Sends the held complete response to its caller.
+    fn forward_response(&mut self, caller: Caller) {
+        if let Some(HeldResponse::Complete(response)) = self.take_held(caller) {
+            self.finish_caller(caller, Reply::Response(response));
+        }
+    }
+
     fn count(&self, counter: Counter, count: u64) {
         if let Counter::Invariant(invariant) = counter {
             error!("invariant broken: {invariant}");
