Look at a pool's silences only where a copy's holder was not just reported lost, and ask once whether a stream has begun

The silences are a walk over all upstreams of a pool and were made before the cheap check beside them; a condition stood twice in a row. Ruled out: a change of behaviour; both are the same conditions in the same order of effect.

--- a/crates/core/src/engine_watch.rs
+++ b/crates/core/src/engine_watch.rs
@@ -60,10 +60,8 @@
             return;
         };
         if is_dead {
-            if self.attempts[key].started {
-                self.upstreams[upstream].observed.judged_dead_at = Some(self.now);
-            }
             let source = if self.attempts[key].started {
+                self.upstreams[upstream].observed.judged_dead_at = Some(self.now);
                 LossSource::Silence
             } else {
                 LossSource::FirstEvent
--- a/crates/core/src/silence.rs
+++ b/crates/core/src/silence.rs
@@ -93,8 +93,10 @@
     /// prefill and a long pause not to: an instance hears from few of the upstreams that hold its copies.
     pub(crate) fn has_probably_lost_copy(&self, key: upstream::Key) -> bool {
         let upstream = &self.upstreams[key];
-        let silences = self.silences(&upstream.pool);
+        // The silences are a walk over the pool.
         upstream.is_just_reported(self.now)
-            || silences.is_some_and(|silences| silences.is_in_lost_data_centre(upstream))
+            || self
+                .silences(&upstream.pool)
+                .is_some_and(|silences| silences.is_in_lost_data_centre(upstream))
     }
 }
