Test that instances partitioned from all upstreams serve their callers, failing

Stand-ins: a link of its own from each instance to each upstream (uplink), which refuses, resets or hangs for this instance alone; the store tells each instance the addresses of its own links. Names of requests in the site are unique over several rounds; before, the first of each round were alike.

--- a/crates/standin/src/client.rs
+++ b/crates/standin/src/client.rs
@@ -31,6 +31,8 @@
 pub enum Work {
     /// Calls that may be repeated.
     Call,
+    /// Calls that may run once.
+    Once,
     /// Streams.
     Stream,
 }
@@ -40,6 +42,7 @@
     pub fn ask(self, run: &str) -> Ask {
         match self {
             Self::Call => Ask::again(run),
+            Self::Once => Ask::once(run),
             Self::Stream => Ask::stream(run),
         }
     }
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -44,6 +44,7 @@
 pub mod timeline;
 pub mod token;
 pub mod trial;
+pub mod uplink;
 pub mod urgency;
 pub mod worker;
 pub mod world;
--- a/crates/standin/src/shelf.rs
+++ b/crates/standin/src/shelf.rs
@@ -25,6 +25,8 @@
 #[derive(Clone, Default)]
 pub struct Shelf {
     changed: Arc<Notify>,
+    /// What this reader is told instead of the addresses of upstreams.
+    links: Arc<HashMap<SocketAddr, SocketAddr>>,
     state: Arc<Mutex<State>>,
 }
 
@@ -187,6 +189,38 @@
 }
 
 impl Shelf {
+    /// The same store for a reader that has links of its own to upstreams, by their addresses.
+    #[must_use]
+    pub fn seen_over(&self, links: HashMap<SocketAddr, SocketAddr>) -> Self {
+        Self {
+            links: Arc::new(links),
+            ..self.clone()
+        }
+    }
+
+    /// Names the reader's own links in an answer that holds items or changes.
+    fn name_links(&self, answer: &mut Value) {
+        if self.links.is_empty() {
+            return;
+        }
+        for list in ["items", "events"] {
+            for item in answer[list].as_array_mut().into_iter().flatten() {
+                if let Some(value) = self.over_link(&item["value"]) {
+                    item["value"] = value;
+                }
+            }
+        }
+    }
+
+    /// An encoded entry of an upstream with the address of the reader's own link to it.
+    fn over_link(&self, value: &Value) -> Option<Value> {
+        let bytes = BASE64_STANDARD.decode(value.as_str()?).ok()?;
+        let mut entry: Value = serde_json::from_slice(&bytes).ok()?;
+        let address: SocketAddr = entry["address"].as_str()?.parse().ok()?;
+        entry["address"] = json!(self.links.get(&address)?);
+        Some(json!(BASE64_STANDARD.encode(entry.to_string())))
+    }
+
     /// Price of the calls taken so far: one each, but a tenth for renewals and reads that may be old.
     pub fn price(&self) -> f64 {
         self.lock().price as f64 / WHOLE as f64
@@ -476,7 +510,10 @@
         };
         self.tell_era(response);
         match answer {
-            Some(body) => http::answer(response, StatusCode::OK, &body),
+            Some(mut body) => {
+                self.shelf.name_links(&mut body);
+                http::answer(response, StatusCode::OK, &body);
+            }
             None => {
                 response.status_code(missing);
             }
--- a/crates/standin/src/site.rs
+++ b/crates/standin/src/site.rs
@@ -5,6 +5,8 @@
 use client::{Got, Work};
 use proxy::Proxy;
 use shelf::Shelf;
+use std::sync::atomic::{AtomicU64, Ordering};
+use uplink::Uplink;
 use wellplank_core::settings::UnreadLimits;
 use worker::{Ledger, Worker};
 
@@ -39,6 +41,8 @@
     pub grace_ms: u64,
     /// Instances.
     pub instances: usize,
+    /// Whether each instance has a link of its own to each worker.
+    pub links: bool,
     /// Limits of the instances on what waits for callers.
     pub unread: UnreadLimits,
 }
@@ -51,6 +55,7 @@
             engines: 4,
             grace_ms: 8_000,
             instances: 1,
+            links: false,
             unread: UnreadLimits::default(),
         }
     }
@@ -62,6 +67,8 @@
     pub callers: SocketAddr,
     /// Its runtime.
     pub host: Host,
+    /// Its own links to the workers, if it has any.
+    pub links: Vec<Uplink>,
     /// Where its counters are served.
     pub metrics: SocketAddr,
     /// Where it says whether it is ready.
@@ -79,6 +86,8 @@
 
 /// A running site.
 pub struct Site {
+    /// Requests that callers have brought so far.
+    asked: AtomicU64,
     /// Workers that answer calls.
     pub desks: Vec<Seat>,
     /// Workers that stream.
@@ -94,6 +103,7 @@
     pub stores: Vec<Proxy>,
     /// Runs the store and the proxies before it.
     host: Host,
+    has_links: bool,
     unread: UnreadLimits,
 }
 
@@ -174,6 +184,7 @@
         shelf.put("op/config", &configuration(1));
         shelf.away(plan.away);
         let mut site = Self {
+            asked: AtomicU64::new(0),
             desks: Vec::new(),
             engines: Vec::new(),
             instances: Vec::new(),
@@ -181,6 +192,7 @@
             shelf,
             store,
             stores: Vec::new(),
+            has_links: plan.links,
             host,
             unread: plan.unread,
         };
@@ -254,8 +266,8 @@
         let begun = Instant::now();
         let (mut whole, mut asked) = (0, 0);
         while begun.elapsed() < lasts {
-            let at_us = begun.elapsed().as_micros();
-            let run = format!("i{instance}-{caller}-{at_us}-{asked}");
+            let number = self.asked.fetch_add(1, Ordering::Relaxed);
+            let run = format!("i{instance}-{caller}-{number}");
             asked += 1;
             if let Ok(response) = work.ask(&run).try_open(address).await {
                 let got = Got::read(response, usize::MAX).await;
@@ -291,7 +303,9 @@
 
     /// Starts an instance; at other addresses if another process took one of them meanwhile.
     async fn member(&mut self, index: usize, grace_ms: u64) -> Member {
-        let store = Proxy::new(host::free_address(), self.store);
+        let links = self.links();
+        let seen = self.store_seen_over(&links);
+        let store = Proxy::new(host::free_address(), seen);
         self.host.spawn(store.clone().serve());
         let before = store.address;
         self.stores.push(store);
@@ -313,6 +327,7 @@
                     return Member {
                         callers,
                         host,
+                        links,
                         metrics,
                         ready,
                         running: Some(running),
@@ -324,6 +339,30 @@
         }
     }
 
+    /// Links of one more instance to all workers; none if instances share their ways.
+    fn links(&self) -> Vec<Uplink> {
+        let seats = self.engines.iter().chain(&self.desks);
+        let seats = seats.filter(|_| self.has_links);
+        let links = seats.map(|seat| Uplink::new(host::free_address(), seat.worker.entered));
+        let links: Vec<Uplink> = links.collect();
+        for link in &links {
+            self.host.spawn(link.clone().serve());
+        }
+        links
+    }
+
+    /// Address of the store for an instance that has these links.
+    fn store_seen_over(&self, links: &[Uplink]) -> SocketAddr {
+        if links.is_empty() {
+            return self.store;
+        }
+        let addresses = links.iter().map(|link| (link.target, link.address));
+        let address = host::free_address();
+        let shelf = self.shelf.seen_over(addresses.collect());
+        self.host.spawn(shelf.serve(address));
+        address
+    }
+
     /// Settings of an instance at free addresses.
     pub fn settings(&self, index: usize, grace_ms: u64) -> Value {
         settings(index, grace_ms, self.store)
@@ -339,6 +378,13 @@
 }
 
 impl Member {
+    /// Has all its links to workers do something else.
+    pub fn set_links(&self, state: uplink::State) {
+        for link in &self.links {
+            link.set(state);
+        }
+    }
+
     /// Whether it says that it is ready.
     pub async fn is_ready(&self) -> bool {
         let uri = format!("http://{}/api/ready", self.ready);
--- a/crates/standin/tests/limit.rs
+++ b/crates/standin/tests/limit.rs
@@ -81,7 +81,7 @@
     let (found, most) = std::sync::mpsc::channel();
     run(plan, async |site: Site| {
         let seat = match work {
-            Work::Call => &site.desks[0],
+            Work::Call | Work::Once => &site.desks[0],
             Work::Stream => &site.engines[0],
         };
         seat.worker.say(names(limit));
--- a/crates/standin/tests/notice.rs
+++ b/crates/standin/tests/notice.rs
@@ -86,7 +86,7 @@
 
 fn seat(site: &Site, work: Work) -> &Seat {
     match work {
-        Work::Call => &site.desks[0],
+        Work::Call | Work::Once => &site.desks[0],
         Work::Stream => &site.engines[0],
     }
 }
