--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -237,6 +237,12 @@
     ) -> Result<(), Refusal> {
         if let Some(relay) = submission.work.relay() {
             self.check_unread(customer, service, relay)?;
+            if self.is_isolated() {
+                return Err(Refusal {
+                    kind: Kind::NoUpstream,
+                    retry_after_ms: Some(self.settings.probe_ms),
+                });
+            }
             return self.check_memory(relay.bytes);
         }
         let resumed = submission.cursor.is_some();
--- a/crates/core/src/attempt.rs
+++ b/crates/core/src/attempt.rs
@@ -25,6 +25,8 @@
     pub last_event_at: Time,
     /// Number within the generation, from 1.
     pub number: u32,
+    /// Path that it takes to the upstream.
+    pub path: Path,
     /// Whether the edge reads its events.
     pub reading: Reading,
     /// The request that it serves.
--- /dev/null
+++ b/crates/core/src/connectivity.rs
@@ -0,0 +1,404 @@
+//! Whether this instance itself reaches the upstreams, and the path that its requests take there: a connection of its
+//! own, or a tunnel through another instance.
+//!
+//! A connection that can not be made shows that an upstream is not reachable from here. Whether the upstream has ended or
+//! this instance is cut off is told apart by what else it reaches: an instance that is cut off reaches none. Until it has
+//! reached another upstream, it does not announce to others what it lost.
+
+use super::*;
+
+/// Number of upstreams to which connections failed, none having been made since, from which on this instance takes itself
+/// to be cut off.
+const MIN_FAILED: usize = 2;
+
+/// Time without any connection after which a connection is made to find out whether a loss is this instance's own, in
+/// milliseconds. A retry mostly makes one within a few.
+const CONFIRM_MS: u64 = 50;
+
+/// Interval between two connections that only find out whether upstreams can be reached again, in milliseconds.
+const CHECK_INTERVAL_MS: u64 = 500;
+
+/// Time after which such a connection counts as failed, in milliseconds. Exceeds the connect timeout.
+const CHECK_TIMEOUT_MS: u64 = 1_000;
+
+/// Number of such connections in a row, to different upstreams, after which all upstreams count as reachable again.
+const CHECKS_PASSED: u32 = 2;
+
+/// Time for which an instance that offered no tunnel is not asked again, in milliseconds.
+const AVOID_MS: u64 = 2_000;
+
+/// Number of instances of the own data centre that offered no tunnel from which on those of other data centres are asked:
+/// the whole data centre may be cut off.
+const MAX_AVOIDED_LOCALLY: usize = 2;
+
+/// Number of random draws before all instances are searched for one that may be asked.
+const DRAWS: usize = 8;
+
+/// Path of an attempt to its upstream.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Path {
+    /// A connection of this instance.
+    #[default]
+    Direct,
+    /// A tunnel through the instance with this identifier.
+    Tunnel(u64),
+}
+
+/// What is announced to other instances once this one has reached another upstream.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Announcement {
+    /// The process of the upstream has ended.
+    Crash,
+    /// The upstream was lost.
+    Loss,
+}
+
+/// An announcement that is not made yet.
+#[derive(Clone, Copy, Debug)]
+struct Held {
+    announcement: Announcement,
+    at: Time,
+    upstream: upstream::Key,
+}
+
+/// A connection that only finds out whether an upstream can be reached.
+#[derive(Clone, Copy, Debug)]
+struct Check {
+    started_at: Time,
+    upstream: upstream::Key,
+}
+
+/// What this instance knows of its own paths to upstreams.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Connectivity {
+    /// Instances that offered no tunnel, and until when they are not asked again.
+    avoided: HashMap<u64, Time>,
+    check: Option<Check>,
+    checks_passed: u32,
+    /// When the last connection that was made had been started.
+    connected_at: Time,
+    /// Upstreams to which connections failed since, with the time at which the first of them was started.
+    failed: BTreeMap<upstream::Key, Time>,
+    held: Vec<Held>,
+    next_check: Time,
+    /// Upstreams that another instance reaches and this one does not.
+    tunnelled: BTreeSet<upstream::Key>,
+}
+
+impl Connectivity {
+    /// Records that a connection that was started at a time was made: earlier failures were not this instance's own.
+    fn connect(&mut self, started_at: Time) {
+        self.connected_at = self.connected_at.max(started_at);
+        let connected_at = self.connected_at;
+        self.failed.retain(|_, failed_at| *failed_at > connected_at);
+    }
+
+    /// Records that a connection that was started at a time failed.
+    fn fail(&mut self, upstream: upstream::Key, started_at: Time) {
+        if started_at > self.connected_at {
+            self.failed.entry(upstream).or_insert(started_at);
+        }
+    }
+
+    fn is_avoided(&self, instance: u64, now: Time) -> bool {
+        self.avoided
+            .get(&instance)
+            .is_some_and(|until| now < *until)
+    }
+}
+
+impl Core {
+    /// Whether this instance reaches no upstream, as far as is known, while there are others that may.
+    pub fn is_cut_off(&self) -> bool {
+        let failed = self.connectivity.failed.len();
+        failed >= MIN_FAILED.min(self.upstreams.len()) && failed > 0 && self.has_gateways()
+    }
+
+    /// Whether this instance is cut off and knows no other that offers a tunnel.
+    pub(crate) fn is_isolated(&self) -> bool {
+        let is_avoided = |instance: &u64| self.connectivity.is_avoided(*instance, self.now);
+        self.is_cut_off() && self.members.others().iter().all(is_avoided)
+    }
+
+    /// The upstream to which this instance opens a tunnel for another one; `None` if it reaches none itself, or if the
+    /// upstream is to get no new work.
+    pub fn tunnel_target(&self, incarnation: Incarnation) -> Option<(upstream::Key, SocketAddr)> {
+        let key = *self.upstreams_by_incarnation.get(&incarnation)?;
+        let upstream = self.upstreams.get(key)?;
+        let may_connect = !self.is_cut_off() && !upstream.is_leaving(self.now);
+        may_connect.then_some((key, upstream.address))
+    }
+
+    /// The path of a new attempt to an upstream.
+    pub(crate) fn path_to(&mut self, upstream: upstream::Key) -> Path {
+        if !self.is_cut_off() && !self.connectivity.tunnelled.contains(&upstream) {
+            return Path::Direct;
+        }
+        self.choose_gateway().map_or(Path::Direct, Path::Tunnel)
+    }
+
+    /// Handles the connection of an attempt that was made, or a response to it.
+    pub(crate) fn record_connection(&mut self, key: attempt::Key) {
+        let Some(attempt) = self.attempts.get(key) else {
+            return;
+        };
+        let (path, upstream, started_at) = (attempt.path, attempt.upstream, attempt.created_at);
+        match path {
+            Path::Direct => self.record_reached(upstream, started_at),
+            Path::Tunnel(gateway) => {
+                self.connectivity.avoided.remove(&gateway);
+                if self.is_cut_off() {
+                    self.connectivity.tunnelled.insert(upstream);
+                }
+            }
+        }
+    }
+
+    /// Handles an attempt that could not connect.
+    pub(crate) fn handle_not_connected(&mut self, attempt: &Attempt) {
+        let upstream = attempt.upstream;
+        if attempt.path == Path::Direct {
+            self.record_unreached(upstream, attempt.created_at);
+        } else {
+            self.connectivity.tunnelled.remove(&upstream);
+        }
+        let is_own = attempt.path == Path::Direct && self.is_cut_off();
+        if is_own {
+            // The copy is where it was: the next attempt finds it by a tunnel.
+            self.requests[attempt.request]
+                .progress
+                .copy
+                .clone_from(&attempt.copy);
+            return;
+        }
+        if self.settings.shared.losses {
+            self.upstreams[upstream].doubt(self.now, self.now);
+        }
+        match attempt.path {
+            Path::Direct => self.report_loss(upstream, LossSource::Connection),
+            Path::Tunnel(_) => self.confirm_loss(upstream, LossSource::Connection),
+        }
+    }
+
+    /// Handles an attempt whose tunnel was not opened, which says nothing of its upstream.
+    pub(crate) fn handle_no_tunnel(&mut self, attempt: &Attempt) {
+        if let Path::Tunnel(gateway) = attempt.path {
+            let until = self.now.after(AVOID_MS);
+            self.connectivity.avoided.insert(gateway, until);
+        }
+        self.requests[attempt.request]
+            .progress
+            .copy
+            .clone_from(&attempt.copy);
+    }
+
+    /// Handles the result of a connection that was made for no request of this instance: `started_at` is when it was
+    /// started.
+    pub(crate) fn handle_connection_check(
+        &mut self,
+        upstream: upstream::Key,
+        started_at: Time,
+        connected: bool,
+    ) {
+        let check = self.connectivity.check;
+        let is_own = check.is_some_and(|check| check.upstream == upstream);
+        if is_own {
+            self.connectivity.check = None;
+        }
+        if !connected {
+            self.connectivity.checks_passed = 0;
+            self.connectivity.next_check = self.now.after(CHECK_INTERVAL_MS);
+            if !self.connectivity.tunnelled.contains(&upstream) {
+                self.record_unreached(upstream, started_at);
+            }
+            return;
+        }
+        self.record_reached(upstream, started_at);
+        if is_own {
+            self.connectivity.next_check = self.now;
+            self.connectivity.checks_passed += 1;
+            if self.connectivity.checks_passed >= CHECKS_PASSED {
+                self.connectivity.tunnelled.clear();
+            }
+        }
+    }
+
+    /// Makes connections that only find out whether upstreams can be reached, as long as that is in question.
+    pub(crate) fn check_connectivity(&mut self) {
+        let connectivity = &mut self.connectivity;
+        if let Some(check) = connectivity.check {
+            if self.now.since(check.started_at) < CHECK_TIMEOUT_MS {
+                return;
+            }
+            connectivity.check = None;
+        }
+        if self.now < connectivity.next_check {
+            return;
+        }
+        let Some(upstream) = self.check_target() else {
+            self.connectivity.checks_passed = 0;
+            return;
+        };
+        let started_at = self.now;
+        self.connectivity.check = Some(Check {
+            started_at,
+            upstream,
+        });
+        let address = self.upstreams[upstream].address;
+        self.push_connectivity_effect(effect::Connectivity::Check {
+            address,
+            started_at,
+            upstream,
+        });
+    }
+
+    /// Holds an announcement until this instance has reached another upstream; returns whether it may be made now.
+    pub(crate) fn may_announce(
+        &mut self,
+        upstream: upstream::Key,
+        announcement: Announcement,
+    ) -> bool {
+        if !self.has_gateways() {
+            return true;
+        }
+        let is_same = |held: &Held| held.upstream == upstream && held.announcement == announcement;
+        if self.connectivity.held.iter().any(is_same) {
+            return false;
+        }
+        self.connectivity.held.push(Held {
+            announcement,
+            at: self.now,
+            upstream,
+        });
+        false
+    }
+
+    fn push_connectivity_effect(&mut self, effect: effect::Connectivity) {
+        self.effects.push(Effect::Connectivity(effect));
+    }
+
+    fn has_gateways(&self) -> bool {
+        !self.members.others().is_empty()
+    }
+
+    /// Handles a direct connection that was made: this instance is not cut off, so that what it lost before was lost by
+    /// others as well.
+    fn record_reached(&mut self, upstream: upstream::Key, started_at: Time) {
+        let was_cut_off = self.is_cut_off();
+        self.connectivity.connect(started_at);
+        self.connectivity.tunnelled.remove(&upstream);
+        if was_cut_off && !self.is_cut_off() {
+            self.push_connectivity_effect(effect::Connectivity::Log {
+                cut_off: false,
+                unreached: self.connectivity.tunnelled.len(),
+            });
+        }
+        let is_due = |held: &mut Held| held.at <= started_at;
+        let due: Vec<Held> = self.connectivity.held.extract_if(.., is_due).collect();
+        for held in due {
+            self.announce(&held);
+        }
+    }
+
+    fn announce(&mut self, held: &Held) {
+        let Some(upstream) = self.upstreams.get(held.upstream) else {
+            return;
+        };
+        let incarnation = upstream.incarnation;
+        match held.announcement {
+            Announcement::Crash => self.confirm_crash(incarnation),
+            Announcement::Loss => self.effects.push(Effect::GossipLost(incarnation)),
+        }
+    }
+
+    /// Handles a direct connection that failed.
+    fn record_unreached(&mut self, upstream: upstream::Key, started_at: Time) {
+        let was_cut_off = self.is_cut_off();
+        self.connectivity.fail(upstream, started_at);
+        if was_cut_off || !self.is_cut_off() {
+            return;
+        }
+        self.count(Counter::CutOff);
+        self.push_connectivity_effect(effect::Connectivity::Log {
+            cut_off: true,
+            unreached: self.connectivity.failed.len(),
+        });
+        self.connectivity.next_check = self.now;
+        let held = std::mem::take(&mut self.connectivity.held);
+        let held = held.iter().map(|held| held.upstream);
+        let doubted: BTreeSet<upstream::Key> = held
+            .chain(self.connectivity.failed.keys().copied())
+            .collect();
+        for key in doubted {
+            self.trust(key);
+        }
+    }
+
+    /// Takes back what was concluded on an upstream from connections of this instance that failed.
+    fn trust(&mut self, key: upstream::Key) {
+        self.losses.forget(key);
+        let Some(upstream) = self.upstreams.get_mut(key) else {
+            return;
+        };
+        upstream.failure_score = upstream::FailureScore::default();
+        upstream.reach = upstream::Reach::Undoubted;
+        if upstream.health != Health::Suspected {
+            return;
+        }
+        upstream.health = Health::Live;
+        self.suspected.remove(&key);
+        self.log_status_change(key, effect::StatusChange::Recovered);
+    }
+
+    /// An instance that may offer a tunnel, at random, so that those that are cut off do not all ask the same one. One of
+    /// the own data centre comes first.
+    fn choose_gateway(&mut self) -> Option<u64> {
+        let (connectivity, now) = (&self.connectivity, self.now);
+        let is_usable = |instance: &u64| !connectivity.is_avoided(*instance, now);
+        let local = self.members.local();
+        let avoided = local.iter().filter(|instance| !is_usable(instance)).count();
+        let is_local_usable = avoided < MAX_AVOIDED_LOCALLY.min(local.len());
+        let candidates = if is_local_usable {
+            local
+        } else {
+            self.members.others()
+        };
+        let draws = DRAWS.min(candidates.len());
+        let drawn = (0..draws).map(|_| candidates[self.rng.random_range(0..candidates.len())]);
+        let drawn: Vec<u64> = drawn.collect();
+        let mut in_order = drawn.iter().chain(candidates);
+        in_order.find(|instance| is_usable(instance)).copied()
+    }
+
+    /// The upstream to connect to next, to find out whether it can be reached; `None` if nothing is in question.
+    fn check_target(&mut self) -> Option<upstream::Key> {
+        let upstreams = &self.upstreams;
+        let connectivity = &mut self.connectivity;
+        let is_known = |key: &upstream::Key| upstreams.contains_key(*key);
+        connectivity.failed.retain(|key, _| is_known(key));
+        connectivity.tunnelled.retain(|key| is_known(key));
+        connectivity.held.retain(|held| is_known(&held.upstream));
+        let (cut_off, now) = (self.is_cut_off(), self.now);
+        let connectivity = &self.connectivity;
+        let is_overdue = |held: &Held| now.since(held.at) >= CONFIRM_MS;
+        let candidates: Vec<upstream::Key> = if !cut_off && !connectivity.tunnelled.is_empty() {
+            connectivity.tunnelled.iter().copied().collect()
+        } else if cut_off || connectivity.held.iter().any(is_overdue) {
+            let is_lost = |key: &upstream::Key| {
+                connectivity.failed.contains_key(key)
+                    || connectivity.held.iter().any(|held| held.upstream == *key)
+            };
+            let keys = self.upstreams.keys();
+            let others: Vec<upstream::Key> = keys.filter(|key| !is_lost(key)).collect();
+            if others.is_empty() {
+                self.upstreams.keys().collect()
+            } else {
+                others
+            }
+        } else {
+            return None;
+        };
+        let index = self.rng.random_range(0..candidates.len().max(1));
+        candidates.get(index).copied()
+    }
+}
--- a/crates/core/src/core.rs
+++ b/crates/core/src/core.rs
@@ -87,6 +87,8 @@
     pub(crate) config: Option<Arc<Config>>,
     /// Evidence against requests that crash their upstreams.
     pub(crate) crash_suspects: CrashSuspects,
+    /// What is known of this instance's own paths to upstreams.
+    pub(crate) connectivity: Connectivity,
     /// Whether the edge reports what callers read, so that unread bytes are counted.
     pub(crate) counts_unread: bool,
     /// Data centre that this instance runs in; empty if there is no preference.
@@ -171,6 +173,11 @@
         self.upstream_visits
     }
 
+    /// Incarnation of an upstream.
+    pub fn incarnation(&self, key: upstream::Key) -> Option<Incarnation> {
+        self.upstreams.get(key).map(|upstream| upstream.incarnation)
+    }
+
     /// All known upstreams.
     pub fn upstreams(&self) -> impl Iterator<Item = &Upstream> {
         self.upstreams.values()
@@ -190,6 +197,12 @@
             Event::CallersRead(reads) => self.handle_reads(&reads),
             Event::Claimed { outcome, request } => self.handle_claim_outcome(request, outcome),
             Event::Config(config) => self.apply_config(config),
+            Event::Connected(attempt) => self.record_connection(attempt),
+            Event::ConnectionChecked {
+                connected,
+                started_at,
+                upstream,
+            } => self.handle_connection_check(upstream, started_at, connected),
             Event::CrashChecked { ended, incarnation } => {
                 self.apply_crash_check(incarnation, ended);
             }
@@ -260,6 +273,7 @@
             callers: HashMap::new(),
             claim_retries: Vec::new(),
             config: None,
+            connectivity: Connectivity::default(),
             crash_suspects: CrashSuspects::default(),
             counts_unread: false,
             data_centre: Arc::from(""),
--- a/crates/core/src/counter.rs
+++ b/crates/core/src/counter.rs
@@ -18,6 +18,8 @@
     CallOverflow,
     /// Configurations taken from another instance.
     ConfigurationFromPeer,
+    /// Times that this instance found itself cut off from upstreams.
+    CutOff,
     /// Entries of the upstream list that are not usable, by reason.
     EntryInvalid(&'static str),
     /// Frames dropped because their attempt is over.
@@ -118,6 +120,8 @@
     Leaving,
     /// No connection could be made.
     NotSent,
+    /// The instance that was asked for a tunnel offered none.
+    NoTunnel,
     /// The upstream stopped answering probes.
     Probe,
     /// The upstream refused.
@@ -137,12 +141,15 @@
 impl Reason {
     /// Whether the attempt sent nothing to an upstream.
     pub fn reached_no_upstream(self) -> bool {
-        matches!(self, Self::Caller | Self::NotSent)
+        matches!(self, Self::Caller | Self::NotSent | Self::NoTunnel)
     }
 
     /// Whether no upstream accepted the request: the upstream was not there, or has been replaced.
     pub fn was_never_accepted(self) -> bool {
-        matches!(self, Self::Leaving | Self::NotSent | Self::Replaced)
+        matches!(
+            self,
+            Self::Leaving | Self::NotSent | Self::NoTunnel | Self::Replaced
+        )
     }
 }
 
@@ -155,6 +162,7 @@
             Self::CallAtOwnSlot => write!(formatter, "call.own_slot"),
             Self::CallOverflow => write!(formatter, "call.overflow"),
             Self::ConfigurationFromPeer => write!(formatter, "configuration.from_peer"),
+            Self::CutOff => write!(formatter, "cut_off"),
             Self::EntryInvalid(reason) => write!(formatter, "entry.odd.{reason}"),
             Self::FrameGap => write!(formatter, "frame.gap"),
             Self::FrameLate => write!(formatter, "frame.late"),
@@ -203,6 +211,7 @@
             Self::Gap => "gap",
             Self::Leaving => "leaving",
             Self::NotSent => "not_sent",
+            Self::NoTunnel => "no_tunnel",
             Self::Probe => "probe",
             Self::Refused => "refused",
             Self::Replaced => "replaced",
--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -234,6 +234,7 @@
 
     /// Creates an attempt at an upstream without sending it.
     fn open_attempt(&mut self, key: request::Key, upstream: upstream::Key) -> attempt::Key {
+        let path = self.path_to(upstream);
         let request = &mut self.requests[key];
         request.last_attempt += 1;
         let attempt = self.attempts.insert(Attempt {
@@ -244,6 +245,7 @@
             first_event_at: None,
             last_event_at: self.now,
             number: request.last_attempt,
+            path,
             reading: Reading::Open,
             request: key,
             sent: false,
@@ -322,6 +324,7 @@
             list_age_ms: self
                 .list_read_at
                 .map_or(0, |read_at| self.now.since(read_at)),
+            path: attempt.path,
         }
     }
 
--- a/crates/core/src/effect.rs
+++ b/crates/core/src/effect.rs
@@ -44,6 +44,8 @@
         left_ms: u64,
         /// Name of the customer; `None` where callers need no key.
         customer: Option<Arc<str>>,
+        /// Path to the upstream.
+        path: Path,
         /// Position of the last event that the caller received; 0 for none.
         position: u64,
         /// Priority at the upstream, from 0 for the most urgent to 9; `None` if no ranks are in force.
@@ -108,6 +110,8 @@
         left_ms: u64,
         /// Age of the upstream list that the choice is based on, in milliseconds.
         list_age_ms: u64,
+        /// Path to the upstream.
+        path: Path,
     },
     /// The request waits for capacity; only where ranks are in force.
     Waits(Outlook),
@@ -242,6 +246,27 @@
     Resume(attempt::Key),
 }
 
+/// Effect concerning this instance's own connections to upstreams.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Connectivity {
+    /// Connect to an upstream and close the connection, only to find out whether it can be reached from here.
+    Check {
+        /// Address that it listens on.
+        address: SocketAddr,
+        /// The time now.
+        started_at: Time,
+        /// The upstream.
+        upstream: upstream::Key,
+    },
+    /// Log that this instance is cut off from upstreams, or that it reaches them again.
+    Log {
+        /// Whether it is cut off.
+        cut_off: bool,
+        /// Number of upstreams that it does not reach, as far as it has tried.
+        unreached: usize,
+    },
+}
+
 /// Action that the core asks its driver to carry out.
 #[derive(Clone, Debug)]
 pub enum Effect {
@@ -258,6 +283,8 @@
         /// The stream; `None` unless the request is a generation.
         stream: Option<Stream>,
     },
+    /// An effect concerning this instance's own connections to upstreams.
+    Connectivity(Connectivity),
     /// Claim an idempotency key.
     Claim {
         /// The claim.
--- a/crates/core/src/engine_watch.rs
+++ b/crates/core/src/engine_watch.rs
@@ -284,6 +284,9 @@
     /// from another instance, or from another data centre. Otherwise the silence of several engines
     /// is no evidence on their data centre.
     fn is_link_up(&mut self, key: upstream::Key, silent_ms: u64) -> bool {
+        if self.is_cut_off() {
+            return false;
+        }
         if self.now.since(self.peer_heard_at) < silent_ms / 2 {
             return true;
         }
--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -20,6 +20,8 @@
     Leaving,
     /// No connection could be established; nothing was sent.
     NotSent,
+    /// The instance that was asked for a tunnel offered none; nothing was sent.
+    NoTunnel,
     /// The upstream refused the request without running it.
     Refused,
     /// The upstream rejected the request as invalid without running it.
@@ -44,7 +46,12 @@
     pub fn was_not_executed(self) -> bool {
         match self {
             Self::Broken | Self::UnknownStream => false,
-            Self::Leaving | Self::NotSent | Self::Refused | Self::Rejected | Self::Replaced => true,
+            Self::Leaving
+            | Self::NotSent
+            | Self::NoTunnel
+            | Self::Refused
+            | Self::Rejected
+            | Self::Replaced => true,
         }
     }
 }
@@ -155,6 +162,17 @@
     },
     /// A configuration was read from the platform or a peer.
     Config(Arc<Config>),
+    /// The connection of an attempt was made, before its request is sent on it.
+    Connected(attempt::Key),
+    /// A connection that was made for no request of this instance was made, or failed.
+    ConnectionChecked {
+        /// Whether it was made.
+        connected: bool,
+        /// When it was started.
+        started_at: Time,
+        /// The upstream.
+        upstream: upstream::Key,
+    },
     /// An upstream whose connections broke was checked for a crash.
     CrashChecked {
         /// Whether nothing listens at its address.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod claim;
 pub mod clock;
 pub mod config;
+pub mod connectivity;
 pub mod core;
 pub mod counter;
 pub mod cursor;
@@ -78,6 +79,7 @@
     claim::Claim,
     clock::Time,
     config::{Config, Policy, Priority},
+    connectivity::{Announcement, Connectivity, Path},
     counter::{Counter, Timing},
     cursor::Cursor,
     demand::{Demand, DemandTracker},
--- a/crates/core/src/liveness.rs
+++ b/crates/core/src/liveness.rs
@@ -482,6 +482,11 @@
         }
     }
 
+    /// Forgets the loss of an engine.
+    pub fn forget(&mut self, upstream: upstream::Key) {
+        self.0.retain(|loss| loss.upstream != upstream);
+    }
+
     /// Iterates over the losses that are evidence on an engine silent for `silent_ms`: recent ones since it was last
     /// heard from or sent a request. An earlier loss says nothing of it, or streams would leave one engine after the other.
     pub fn recent(&self, silent_ms: u64, now: Time) -> impl Iterator<Item = &Loss> {
--- a/crates/core/src/members.rs
+++ b/crates/core/src/members.rs
@@ -14,6 +14,8 @@
 pub struct View {
     /// Time within which all instances learn of a change, in milliseconds.
     pub convergence_ms: u64,
+    /// Identifiers of the other instances of this one's data centre.
+    pub local: Vec<u64>,
     /// Identifiers of the other instances.
     pub others: Vec<u64>,
     /// Identifier of this instance.
@@ -31,6 +33,7 @@
     pub fn numbered(own: u64, instances: u64) -> Self {
         Self {
             convergence_ms: 0,
+            local: Vec::new(),
             others: (0..instances).filter(|other| *other != own).collect(),
             own,
         }
@@ -58,6 +61,20 @@
         self.views.push_back((now, view));
     }
 
+    /// The other instances by the newest view.
+    pub fn others(&self) -> &[u64] {
+        self.newest().map_or(&[], |view| &view.others)
+    }
+
+    /// The other instances of the own data centre by the newest view.
+    pub fn local(&self) -> &[u64] {
+        self.newest().map_or(&[], |view| &view.local)
+    }
+
+    fn newest(&self) -> Option<&View> {
+        self.views.back().map(|(_, view)| view)
+    }
+
     /// Number of instances with lower identifiers, as a fraction of all; 0 without a view.
     pub fn rank_fraction(&self) -> f64 {
         let Some((_, newest)) = self.views.back() else {
--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -16,6 +16,7 @@
 impl Core {
     /// Handles the complete, non-streaming response to a relayed request.
     pub(crate) fn handle_response(&mut self, key: attempt::Key, verdict: event::Verdict) {
+        self.record_connection(key);
         let Some(attempt) = self.remove_attempt(key) else {
             self.count(Counter::FrameLate);
             return;
@@ -89,6 +90,7 @@
     /// Handles the start of a relayed stream. Only the first response head is forwarded to the
     /// caller.
     pub(crate) fn handle_stream_opened(&mut self, key: attempt::Key) {
+        self.record_connection(key);
         let Some(attempt) = self.attempts.get(key) else {
             self.count(Counter::FrameLate);
             return;
@@ -301,7 +303,8 @@
         let upstream = attempt.upstream;
         let is_cut_unread = failure == Failure::Broken && self.was_cut_unread(attempt);
         let request = &mut self.requests[owner];
-        request.avoided_upstream = (!is_cut_unread).then_some(upstream);
+        let says_nothing = is_cut_unread || failure == Failure::NoTunnel;
+        request.avoided_upstream = (!says_nothing).then_some(upstream);
         let reason = match failure {
             // The upstream is well: it closes streams that are not read.
             Failure::Broken if is_cut_unread => {
@@ -320,12 +323,13 @@
                 counter::Reason::Leaving
             }
             Failure::NotSent => {
-                if self.settings.shared.losses {
-                    self.upstreams[upstream].doubt(self.now, self.now);
-                }
-                self.report_loss(upstream, LossSource::Connection);
+                self.handle_not_connected(attempt);
                 counter::Reason::NotSent
             }
+            Failure::NoTunnel => {
+                self.handle_no_tunnel(attempt);
+                counter::Reason::NoTunnel
+            }
             Failure::Refused | Failure::Rejected => {
                 self.upstreams[upstream].last_heard = self.now;
                 self.upstreams[upstream].record_answer(self.now);
@@ -342,7 +346,10 @@
                 counter::Reason::Replaced
             }
         };
-        self.record_call_result(attempt, false);
+        // What this instance's own link does to calls is no sign that the upstreams are overloaded.
+        if !(reason.reached_no_upstream() && self.is_cut_off()) {
+            self.record_call_result(attempt, false);
+        }
         self.log_lost(attempt, reason);
         if failure.was_not_executed() {
             let progress = &mut self.requests[owner].progress;
@@ -363,8 +370,9 @@
             self.refuse_quarantined(key);
             return;
         }
+        let unsent = self.unsent_kind();
         if !self.may_continue(key) {
-            self.give_up(key, Kind::Overloaded, Kind::UpstreamFailed);
+            self.give_up(key, unsent, Kind::UpstreamFailed);
             return;
         }
         let resumes = self.requests[key].progress.position > 0;
@@ -372,7 +380,7 @@
             return;
         }
         if !self.may_take_attempt(key, resumes, reason) {
-            self.give_up(key, Kind::Overloaded, Kind::UpstreamFailed);
+            self.give_up(key, unsent, Kind::UpstreamFailed);
             return;
         }
         if resumes {
@@ -417,6 +425,7 @@
             copy: attempt.copy.as_ref().map(|copy| copy.run.clone()),
             customer: (!customer.is_empty()).then(|| customer.into()),
             left_ms: request.deadline.since(self.now),
+            path: attempt.path,
             position: request.progress.position,
             priority: request.rank.map(Rank::number),
             streams: request.service.relay().is_some_and(|relay| relay.streams),
@@ -494,12 +503,38 @@
         }
     }
 
-    /// Marks an upstream that was lost as suspected, and announces the loss to other instances.
+    /// Kind of error for a request that was not sent to any upstream.
+    fn unsent_kind(&self) -> Kind {
+        if self.is_cut_off() {
+            Kind::NoUpstream
+        } else {
+            Kind::Overloaded
+        }
+    }
+
+    /// Marks an upstream that this instance lost as suspected, and announces the loss to other instances once this one has
+    /// reached another upstream. If it is cut off, it says nothing of the upstream.
     pub(crate) fn report_loss(&mut self, key: upstream::Key, source: LossSource) {
+        if self.is_cut_off() {
+            return;
+        }
+        self.record_loss(key, source);
+        if self.may_announce(key, Announcement::Loss) {
+            let incarnation = self.upstreams[key].incarnation;
+            self.effects.push(Effect::GossipLost(incarnation));
+        }
+    }
+
+    /// Marks an upstream as suspected that another instance did not reach either, and announces the loss.
+    pub(crate) fn confirm_loss(&mut self, key: upstream::Key, source: LossSource) {
+        self.record_loss(key, source);
+        let incarnation = self.upstreams[key].incarnation;
+        self.effects.push(Effect::GossipLost(incarnation));
+    }
+
+    fn record_loss(&mut self, key: upstream::Key, source: LossSource) {
         self.losses.record(key, source, self.now);
-        let upstream = &mut self.upstreams[key];
-        upstream.failure_score.record(self.now);
-        self.effects.push(Effect::GossipLost(upstream.incarnation));
+        self.upstreams[key].failure_score.record(self.now);
         self.mark_suspected(key);
     }
 
--- a/crates/core/src/suspicion.rs
+++ b/crates/core/src/suspicion.rs
@@ -147,7 +147,7 @@
     /// Handles the result of the check whether an upstream with broken connections has crashed.
     pub(crate) fn apply_crash_check(&mut self, incarnation: Incarnation, ended: bool) {
         if ended {
-            self.confirm_crash(incarnation);
+            self.report_crash(incarnation);
         } else if let Some(pending) = self.crash_suspects.pending.get_mut(&incarnation) {
             pending.answered = true;
         }
@@ -162,6 +162,18 @@
         }
     }
 
+    /// Records the crash of an upstream whose address refused a connection of this instance, unless the cause may be that this
+    /// instance is cut off.
+    fn report_crash(&mut self, incarnation: Incarnation) {
+        let Some(key) = self.upstreams_by_incarnation.get(&incarnation).copied() else {
+            self.confirm_crash(incarnation);
+            return;
+        };
+        if !self.is_cut_off() && self.may_announce(key, Announcement::Crash) {
+            self.confirm_crash(incarnation);
+        }
+    }
+
     /// Records the crash of an upstream, with the requests whose connections to it broke.
     pub(crate) fn confirm_crash(&mut self, incarnation: Incarnation) {
         if let Some(pending) = self.crash_suspects.pending.remove(&incarnation) {
--- a/crates/core/src/watch.rs
+++ b/crates/core/src/watch.rs
@@ -133,6 +133,7 @@
             }
             self.check_streams(key);
         }
+        self.check_connectivity();
         self.retry_claims();
         self.expire_crash_suspects();
         self.submit_deferred();
--- a/crates/core/tests/members.rs
+++ b/crates/core/tests/members.rs
@@ -71,6 +71,7 @@
                 let others = changes[next].iter().copied();
                 let view = View {
                     convergence_ms: CONVERGENCE_MS,
+                    local: Vec::new(),
                     others: others.filter(|other| other != number).collect(),
                     own: *number,
                 };
--- a/crates/node/src/driver.rs
+++ b/crates/node/src/driver.rs
@@ -1,7 +1,7 @@
 //! The core task: owns the core, feeds events into it and executes its effects.
 
 use super::*;
-use wellplank_core::buffer::Buffers;
+use wellplank_core::{buffer::Buffers, members::View};
 
 /// Interval between ticks of the core.
 const TICK_INTERVAL: Duration = Duration::from_millis(10);
@@ -34,6 +34,8 @@
         mpsc::UnboundedSender<Reply>,
         Arc<Outlet>,
     ),
+    /// The other instances, and their addresses by identifier.
+    Members(View, HashMap<u64, SocketAddr>),
     /// Response head or complete response of an upstream, and the event that reports it to the core.
     Response(attempt::Key, Caller, HeldResponse, Event),
     /// New settings for the core.
@@ -42,10 +44,23 @@
     Status(oneshot::Sender<Snapshot>),
     /// A request, and the channel for its replies.
     Submit(Box<Submission>, mpsc::UnboundedSender<Reply>),
+    /// Request for the upstream to which a tunnel is to be opened; `None` if it is to be declined.
+    TunnelTarget(Incarnation, oneshot::Sender<Option<TunnelTarget>>),
     /// Name of an unknown platform header in a response, and the upstream that sent it.
     UnknownHeader(String, Arc<str>),
 }
 
+/// The upstream at the other end of a tunnel.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct TunnelTarget {
+    /// Address that it listens on.
+    pub address: SocketAddr,
+    /// The time now.
+    pub started_at: Time,
+    /// Its key.
+    pub upstream: upstream::Key,
+}
+
 /// Response data of an upstream, held until the core decides whether it is forwarded.
 #[derive(Debug)]
 pub(crate) enum HeldResponse {
@@ -131,10 +146,11 @@
     meter: meter::Meter,
     /// Where the events of streams wait for their callers, until all are written.
     outlets: HashMap<Caller, Arc<Outlet>>,
+    /// Addresses of the other instances, by identifier.
+    peers: HashMap<u64, SocketAddr>,
     pooled: HttpClient,
     probes: HttpClient,
     quarantine_updates: mpsc::UnboundedSender<store_writer::QuarantineUpdate>,
-    relays: HttpClient,
     traffic: Traffic,
     unknown_headers: unknown_headers::UnknownHeaders,
     unpooled: HttpClient,
@@ -194,10 +210,10 @@
             leaving: outputs.leaving,
             meter: outputs.meter,
             outlets: HashMap::new(),
+            peers: HashMap::new(),
             pooled: HttpClient::pooled(),
             probes: HttpClient::metered(&outputs.traffic),
             quarantine_updates: outputs.quarantine_updates,
-            relays: HttpClient::for_relays(),
             traffic: outputs.traffic,
             unknown_headers: unknown_headers::UnknownHeaders::default(),
             unpooled: HttpClient::unpooled(),
@@ -205,6 +221,18 @@
         (driver, tokio::spawn(task.run(receiver)))
     }
 
+    /// Passes a change of the fleet's members to the core.
+    pub(crate) fn publish_members(&self, view: View, peers: HashMap<u64, SocketAddr>) {
+        self.send(Message::Members(view, peers));
+    }
+
+    /// The upstream to which a tunnel is to be opened for another instance; `None` if it is to be declined.
+    pub(crate) async fn tunnel_target(&self, upstream: Incarnation) -> Option<TunnelTarget> {
+        let (sender, receiver) = oneshot::channel();
+        self.send(Message::TunnelTarget(upstream, sender));
+        receiver.await.ok().flatten()
+    }
+
     /// Submits a request; the receiver yields its replies.
     pub(crate) fn submit(&self, submission: Submission) -> mpsc::UnboundedReceiver<Reply> {
         let (replies, receiver) = mpsc::unbounded_channel();
@@ -369,6 +397,7 @@
                 }
             }
             Effect::Claim { claim, request } => self.request_claim(claim, request),
+            Effect::Connectivity(effect) => self.execute_connectivity(effect),
             Effect::Count(counter, count) => self.count(counter, count),
             Effect::Deliver {
                 caller,
@@ -485,6 +514,23 @@
         }
     }
 
+    /// Executes an effect concerning this instance's own connections to upstreams.
+    fn execute_connectivity(&self, effect: effect::Connectivity) {
+        match effect {
+            effect::Connectivity::Check {
+                address,
+                started_at,
+                upstream,
+            } => {
+                let driver = self.driver.clone();
+                tokio::spawn(check_connection(driver, address, started_at, upstream));
+            }
+            effect::Connectivity::Log { cut_off, unreached } => {
+                request_log::log_connectivity(cut_off, unreached);
+            }
+        }
+    }
+
     /// Executes an effect concerning requests that crash the upstreams that run them.
     fn execute_quarantine(&self, effect: effect::Quarantine) {
         match effect {
@@ -628,6 +674,7 @@
     ) -> Option<RunningAttempt> {
         let Outbound::Relay {
             caller,
+            path,
             streams,
             upstream: name,
             ..
@@ -635,12 +682,19 @@
         else {
             return None;
         };
+        let gateway = match path {
+            connectivity::Path::Direct => None,
+            connectivity::Path::Tunnel(instance) => Some(*self.peers.get(instance)?),
+        };
         let original = self.callers.get(caller)?.original.clone()?;
         let (is_paused, paused) = watch::channel(false);
         let exchange = forward::Exchange {
+            address,
             attempt,
             caller: *caller,
             driver: self.driver.clone(),
+            gateway,
+            incarnation: self.core.incarnation(upstream)?,
             paused,
             request_id: original.request_id.clone(),
             streams: *streams,
@@ -650,7 +704,7 @@
         let request = original.upstream_request(address, outbound)?;
         Some(RunningAttempt {
             is_paused: Some(is_paused),
-            task: tokio::spawn(exchange.run(self.relays.clone(), request)),
+            task: tokio::spawn(exchange.run(request)),
         })
     }
 
@@ -702,6 +756,15 @@
         }
     }
 
+    fn tunnel_target(&self, incarnation: Incarnation) -> Option<TunnelTarget> {
+        let (upstream, address) = self.core.tunnel_target(incarnation)?;
+        Some(TunnelTarget {
+            address,
+            started_at: self.clock.now(),
+            upstream,
+        })
+    }
+
     fn status(&self) -> Snapshot {
         Snapshot {
             counters: self
@@ -722,6 +785,10 @@
         match message {
             Message::Count(counter) => self.meter.count(counter, 1),
             Message::Event(event) => self.handle_event(event),
+            Message::Members(view, peers) => {
+                self.peers = peers;
+                self.handle_event(Event::Instances(view));
+            }
             Message::Relay(submission, original, replies, outlet) => {
                 let pending = PendingCaller {
                     held: None,
@@ -756,6 +823,10 @@
                 self.callers.insert(submission.caller, pending);
                 self.handle_event(Event::Submit(submission));
             }
+            Message::TunnelTarget(incarnation, sender) => {
+                // The receiver is gone if the other instance has closed the tunnel.
+                let _ = sender.send(self.tunnel_target(incarnation));
+            }
             Message::UnknownHeader(name, upstream) => {
                 self.meter.count(Counter::NoticeUnknown, 1);
                 self.unknown_headers.log_if_new(&name, &upstream);
@@ -764,6 +835,21 @@
     }
 }
 
+/// Connects to an upstream only to find out whether it can be reached from here.
+async fn check_connection(
+    driver: Driver,
+    address: SocketAddr,
+    started_at: Time,
+    upstream: upstream::Key,
+) {
+    let connected = connection::connect(address).await.is_ok();
+    driver.send_event(Event::ConnectionChecked {
+        connected,
+        started_at,
+        upstream,
+    });
+}
+
 /// What is held for callers and upstreams, by the names that `status` shows.
 fn held_counts(buffers: &Buffers) -> Vec<schema::Count> {
     let count = |name: String, value: u64| schema::Count { name, value };
--- a/crates/node/src/exchange.rs
+++ b/crates/node/src/exchange.rs
@@ -101,13 +101,15 @@
     lists: Arc<Semaphore>,
     /// Requests, which the task that follows the store answers.
     requests: mpsc::UnboundedSender<Request>,
+    gateway: tunnel::Gateway,
 }
 
 impl Responder {
-    /// Creates a responder whose requests are answered by the receiver of a channel.
-    pub fn new(requests: mpsc::UnboundedSender<Request>) -> Self {
+    /// Creates a responder whose requests are answered by the receiver of a channel, and by a gateway.
+    pub fn new(requests: mpsc::UnboundedSender<Request>, gateway: tunnel::Gateway) -> Self {
         Self {
             answers: Arc::new(Semaphore::new(ANSWERS_MAX)),
+            gateway,
             lists: Arc::new(Semaphore::new(LISTS_MAX)),
             requests,
         }
@@ -139,6 +141,9 @@
             return Ok(());
         };
         let request = request?.body;
+        if let Some(peers::frame::Body::TunnelRequest(request)) = request {
+            return self.gateway.serve(frames, request).await;
+        }
         let Ok(_permit) = self.answers.try_acquire() else {
             // A connection that ends without an answer sends the other instance elsewhere at once.
             return Ok(());
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -39,12 +39,18 @@
 
 /// One attempt of a request at one upstream.
 pub(crate) struct Exchange {
+    /// Address of the upstream.
+    pub address: SocketAddr,
     /// The attempt.
     pub attempt: attempt::Key,
     /// The caller that sent the request.
     pub caller: Caller,
     /// Handle of the core task.
     pub driver: Driver,
+    /// Address of the instance through which the request is sent; `None` for a connection of this one.
+    pub gateway: Option<SocketAddr>,
+    /// Incarnation of the upstream.
+    pub incarnation: Incarnation,
     /// Whether the events of the response are not read, since the caller does not read.
     pub paused: watch::Receiver<bool>,
     /// Request ID, which the response must repeat.
@@ -99,8 +105,8 @@
 
 impl Exchange {
     /// Sends the request and reports the response to the core task, up to its end.
-    pub async fn run(mut self, http: HttpClient, request: Request<http::Body>) {
-        if let Err(failure) = self.exchange(http, request).await {
+    pub async fn run(mut self, request: Request<http::Body>) {
+        if let Err(failure) = self.exchange(request).await {
             self.driver.send_event(Event::Failed {
                 attempt: self.attempt,
                 failure,
@@ -108,15 +114,38 @@
         }
     }
 
-    async fn exchange(
-        &mut self,
-        http: HttpClient,
+    /// Connects, sends the request and reads the response up to its headers.
+    async fn send(
+        &self,
         request: Request<http::Body>,
-    ) -> Result<(), Failure> {
-        let response = http.send(request).await.map_err(|error| match error {
-            http::Error::Broken(_) => Failure::Broken,
-            http::Error::NotSent(_) => Failure::NotSent,
-        })?;
+    ) -> Result<hyper::Response<hyper::body::Incoming>, Failure> {
+        let response = if let Some(gateway) = self.gateway {
+            let tunnel = tunnel::open(gateway, self.incarnation).await;
+            let tunnel = tunnel.map_err(|error| self.classify_tunnel_error(gateway, &error))?;
+            self.driver.send_event(Event::Connected(self.attempt));
+            connection::send(tunnel, request).await
+        } else {
+            let connection = connection::connect(self.address).await;
+            let connection = connection.map_err(|_| Failure::NotSent)?;
+            self.driver.send_event(Event::Connected(self.attempt));
+            connection::send(connection, request).await
+        };
+        response.map_err(|_| Failure::Broken)
+    }
+
+    fn classify_tunnel_error(&self, gateway: SocketAddr, error: &tunnel::Error) -> Failure {
+        match error {
+            tunnel::Error::Declined(reason) => {
+                let upstream = &*self.upstream_name;
+                debug!(upstream, reason; "no tunnel through {gateway}");
+                Failure::NoTunnel
+            }
+            tunnel::Error::Unreached => Failure::NotSent,
+        }
+    }
+
+    async fn exchange(&mut self, request: Request<http::Body>) -> Result<(), Failure> {
+        let response = self.send(request).await?;
         let (parts, body) = response.into_parts();
         let classification = platform::response::classify(
             parts.status,
--- a/crates/node/src/hosted.rs
+++ b/crates/node/src/hosted.rs
@@ -48,6 +48,7 @@
 /// A running instance on the users' platform.
 pub struct Instance {
     driver: Driver,
+    gateway: tunnel::Gateway,
     grace_period: Duration,
     stop: watch::Sender<Option<relay::Shutdown>>,
 }
@@ -103,6 +104,7 @@
         };
         let (driver, _) = Driver::start(&settings, clock, outputs);
 
+        let stopping_gateway = stopping.clone();
         let ready = ReadinessEndpoint {
             known_state: known_state.clone(),
             stopping: stopping.clone(),
@@ -141,7 +143,9 @@
         let (requests_sender, peer_requests) = mpsc::unbounded_channel();
         let listener = tokio::net::TcpListener::bind(hosted.peers).await;
         let listener = listener.map_err(|error| Error::Bind(hosted.peers, error))?;
-        tokio::spawn(exchange::Responder::new(requests_sender).run(listener));
+        let gateway = tunnel::Gateway::new(driver.clone(), stopping_gateway);
+        let responder = exchange::Responder::new(requests_sender, gateway.clone());
+        tokio::spawn(responder.run(listener));
         let store_sync = store_sync::StoreSync {
             bound,
             client,
@@ -163,6 +167,7 @@
         info!(address, data_centre, peers, store; "started");
         Ok(Self {
             driver,
+            gateway,
             grace_period: Duration::from_millis(hosted.grace_ms),
             stop,
         })
@@ -194,10 +199,11 @@
                 unread_bytes,
                 ..
             } = self.driver.status().await;
-            let is_idle = running == 0 && unread_bytes == 0;
+            let tunnels = self.gateway.open();
+            let is_idle = running == 0 && unread_bytes == 0 && tunnels == 0;
             let elapsed = begun.elapsed();
             if elapsed >= drain_time_max || (is_idle && elapsed >= DRAIN_TIME_MIN) {
-                info!(running, unread_bytes; "stopped");
+                info!(running, tunnels, unread_bytes; "stopped");
                 return;
             }
         }
@@ -211,8 +217,11 @@
     driver: Driver,
 ) {
     loop {
-        let view = own.view(&members.borrow_and_update());
-        driver.send_event(Event::Instances(view));
+        let (view, peers) = {
+            let members = members.borrow_and_update();
+            (own.view(&members), members::peers(&members))
+        };
+        driver.publish_members(view, peers);
         if members.changed().await.is_err() {
             return;
         }
--- a/crates/node/src/http.rs
+++ b/crates/node/src/http.rs
@@ -5,13 +5,9 @@
 /// Body of a request, held in memory.
 pub(crate) type Body = Full<Bytes>;
 
-/// Connect timeout of all requests except relayed ones.
+/// Connect timeout.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Connect timeout for relayed requests: a hundred times the connect time between data centres, and
-/// short enough to send the request to another upstream afterwards.
-const RELAY_CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
-
 /// Idle time before TCP keepalive probes, and interval between them: the minimum of the kernel.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -70,12 +66,6 @@
         Ok(hyper::Response::from_parts(head, body))
     }
 
-    /// A client for relayed requests. It opens a connection per request, so that the response to
-    /// another request can not arrive on it, and detects a dead peer within about a second.
-    pub fn for_relays() -> Self {
-        Self::build_with(0, RELAY_CONNECT_TIMEOUT, Some(USER_TIMEOUT))
-    }
-
     /// A client with a connection pool that counts its messages and bytes in `traffic`.
     pub fn metered(traffic: &Traffic) -> Self {
         Self {
@@ -115,20 +105,16 @@
 
     /// A client with a connection pool that detects by TCP keepalive when a store is unreachable.
     pub fn with_keepalive() -> Self {
-        Self::build_with(4, CONNECT_TIMEOUT, Some(USER_TIMEOUT))
+        Self::build_with(4, Some(USER_TIMEOUT))
     }
 
     fn build(max_idle: usize) -> Self {
-        Self::build_with(max_idle, CONNECT_TIMEOUT, None)
+        Self::build_with(max_idle, None)
     }
 
-    fn build_with(
-        max_idle: usize,
-        connect_timeout: Duration,
-        user_timeout: Option<Duration>,
-    ) -> Self {
+    fn build_with(max_idle: usize, user_timeout: Option<Duration>) -> Self {
         let mut connector = HttpConnector::new();
-        connector.set_connect_timeout(Some(connect_timeout));
+        connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
         connector.set_nodelay(true);
         if let Some(user_timeout) = user_timeout {
             connector.set_keepalive(Some(KEEPALIVE_INTERVAL));
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -21,6 +21,7 @@
 mod committer;
 mod completion_response;
 mod completions;
+mod connection;
 mod core_settings;
 mod crash_check;
 mod crash_history;
@@ -47,6 +48,7 @@
 mod store;
 mod store_sync;
 mod traffic;
+mod tunnel;
 mod unknown_headers;
 
 pub use {caller::fingerprint, clock::Clock, error::Error, instance::Instance, settings::Settings};
@@ -101,6 +103,7 @@
         claim::{self, Claim},
         clock::Time,
         config::{self, Config},
+        connectivity,
         core::Core,
         counter::{Counter, Timing},
         cursor,
--- a/crates/node/src/members.rs
+++ b/crates/node/src/members.rs
@@ -112,6 +112,11 @@
     /// The fleet in the form that the core requires.
     pub fn view(&self, members: &Members) -> View {
         View {
+            local: members
+                .iter()
+                .filter(|(_, member)| member.data_centre == self.data_centre)
+                .map(|(name, _)| upstream::id(name))
+                .collect(),
             others: members.keys().map(|name| upstream::id(name)).collect(),
             own: upstream::id(&self.name),
             convergence_ms: (full_read_interval(members.len()) + READ_STALENESS_MAX).as_millis()
@@ -183,6 +188,12 @@
     }
 }
 
+/// Addresses of the other instances, by the identifiers that the core knows them by.
+pub(crate) fn peers(members: &Members) -> HashMap<u64, SocketAddr> {
+    let peer = |(name, member): (&String, &Member)| (upstream::id(name), member.address);
+    members.iter().map(peer).collect()
+}
+
 /// Key of an instance's entry.
 pub(crate) fn key(own: &LocalMember) -> String {
     format!("{}{}", prefix(&own.data_centre), own.name)
--- a/crates/node/src/peer.rs
+++ b/crates/node/src/peer.rs
@@ -197,7 +197,10 @@
                 | peers::frame::Body::ConfigurationRequest(_)
                 | peers::frame::Body::ListPart(_)
                 | peers::frame::Body::ListRequest(_)
-                | peers::frame::Body::Parts(_),
+                | peers::frame::Body::Parts(_)
+                | peers::frame::Body::TunnelBytes(_)
+                | peers::frame::Body::TunnelRequest(_)
+                | peers::frame::Body::TunnelResponse(_),
             )
             | None => false,
         }
--- a/crates/node/src/request_log.rs
+++ b/crates/node/src/request_log.rs
@@ -15,6 +15,15 @@
     info!(upstream, born, belief = change, silent_ms; "upstream");
 }
 
+/// Logs that this instance reaches no upstream, or reaches upstreams again.
+pub(crate) fn log_connectivity(cut_off: bool, unreached: usize) {
+    if cut_off {
+        warn!(unreached; "cut off from upstreams");
+    } else {
+        info!(unreached; "upstreams reached again");
+    }
+}
+
 /// Logs a change of the statuses of many upstreams.
 pub(crate) fn log_upstreams(change: StatusChange, count: usize) {
     let change = change.name();
@@ -112,11 +121,13 @@
             copy,
             left_ms,
             list_age_ms,
+            path,
         } => {
+            let tunnelled = matches!(path, connectivity::Path::Tunnel(_));
             let backup = backup.as_deref().unwrap_or_default();
             let copy = copy.as_deref().unwrap_or_default();
             let (left_ms, list_age_ms) = (*left_ms, *list_age_ms);
-            info!(request, fingerprint, customer, service, model, upstream, position, backup, copy, left_ms, list_age_ms; "sent");
+            info!(request, fingerprint, customer, service, model, upstream, position, backup, copy, left_ms, list_age_ms, tunnelled; "sent");
         }
         Step::Waits(outlook) => {
             let (rank, ahead, wait_ms) = (outlook.rank.number(), outlook.ahead, outlook.wait_ms);
--- a/crates/standin/src/pool.rs
+++ b/crates/standin/src/pool.rs
@@ -144,6 +144,7 @@
             backup,
             caller,
             copy,
+            path,
             position,
             upstream: name,
             ..
@@ -156,11 +157,12 @@
         };
         let run = self.askers[asker].run;
         let now = self.timeline.now();
+        if !self.connect(line, upstream, *path) {
+            return;
+        }
         let state = &mut self.upstreams[upstream];
-        match state.mode {
-            Mode::Down => return self.fail(line, Failure::NotSent),
-            Mode::Silent => return,
-            Mode::Faulty | Mode::Good | Mode::Refusing => {}
+        if state.mode == Mode::Silent {
+            return;
         }
         if **name != format!("{upstream}-{}", state.life) {
             return self.fail(line, Failure::Replaced);
--- a/crates/standin/src/relaying.rs
+++ b/crates/standin/src/relaying.rs
@@ -10,6 +10,7 @@
 use wellplank_core::{
     clock::Time,
     config::{self, Config, Customer, Policy, Priority, Route, Service, Share, Target},
+    connectivity::Path,
     core::Core,
     counter::{Counter, Timing},
     effect::{self, Effect, Outbound},
@@ -101,6 +102,8 @@
     pub askers: Vec<Asker>,
     pub case: Case,
     pub connections: HashMap<Connection, usize>,
+    /// Instances that can make no connection to any upstream; those that they have live on.
+    pub cut_off: BTreeSet<usize>,
     pub instances: Vec<Instance>,
     /// Since when instances can read the list of upstreams; `None` if they can not.
     pub listing: Option<Time>,
@@ -116,6 +119,8 @@
     pub runs: HashMap<u64, usize>,
     pub settings: Settings,
     pub timeline: Timeline<Action>,
+    /// Instances through which attempts reach their upstreams.
+    pub tunnels: HashMap<Line, usize>,
     pub upstreams: Vec<Upstream>,
     /// What upstreams said beside their answers.
     pub words: Words,
@@ -140,6 +145,7 @@
         world.set(upstream, Mode::Good);
     }
     world.lift_limits();
+    world.cut_off.clear();
     world.listing = Some(world.timeline.now());
     for instance in 0..instances {
         world.restart(instance);
@@ -261,6 +267,7 @@
             askers: Vec::new(),
             case: Case::default(),
             connections: HashMap::new(),
+            cut_off: BTreeSet::new(),
             instances: Vec::new(),
             listing: Some(START),
             members: instances as u64,
@@ -271,6 +278,7 @@
             runs: HashMap::new(),
             settings,
             timeline: Timeline::new(START),
+            tunnels: HashMap::new(),
             upstreams: (0..engines + 2)
                 .map(|index| Upstream::new(index >= engines))
                 .collect(),
@@ -297,7 +305,7 @@
     fn cause(&mut self) {
         let upstream = self.random.random_range(0..self.upstreams.len());
         let instance = self.random.random_range(0..self.instances.len());
-        match self.random.random_range(0..19) {
+        match self.random.random_range(0..22) {
             0 => self.set(upstream, Mode::Down),
             1 => self.set(upstream, Mode::Silent),
             2 => {
@@ -315,6 +323,10 @@
                 }
             }
             17 => self.lift_limits(),
+            19 => {
+                self.cut_off.insert(instance);
+            }
+            20 => self.cut_off.clear(),
             8 | 13 => self.listing = None,
             9 => self.listing = Some(self.timeline.now()),
             7 => {
@@ -339,6 +351,7 @@
                 .streams
                 .retain(|line, _| line.instance != index || line.life != life);
         }
+        self.break_tunnels(index);
         let connections = self.connections.extract_if(|_, asker| {
             let asker = &self.askers[*asker];
             asker.instance == index
@@ -350,6 +363,45 @@
         self.timeline.schedule(800, Action::Restart(index));
     }
 
+    /// Ends the tunnels through an instance.
+    fn break_tunnels(&mut self, gateway: usize) {
+        let through = |_: &Line, instance: &mut usize| *instance == gateway;
+        let lines: Vec<Line> = self
+            .tunnels
+            .extract_if(through)
+            .map(|(line, _)| line)
+            .collect();
+        for line in lines {
+            for upstream in &mut self.upstreams {
+                upstream.streams.remove(&line);
+            }
+            self.fail(line, Failure::Broken);
+        }
+    }
+
+    /// Makes the connection of an attempt; returns whether it could be made.
+    pub fn connect(&mut self, line: Line, upstream: usize, path: Path) -> bool {
+        let gateway = match path {
+            Path::Direct => line.instance,
+            Path::Tunnel(instance) => instance as usize,
+        };
+        let is_tunnel = path != Path::Direct;
+        let is_gateway_cut = self.cut_off.contains(&gateway);
+        if is_tunnel && (is_gateway_cut || self.instances[gateway].core.is_none()) {
+            self.fail(line, Failure::NoTunnel);
+            return false;
+        }
+        if is_gateway_cut || self.upstreams[upstream].mode == Mode::Down {
+            self.fail(line, Failure::NotSent);
+            return false;
+        }
+        if is_tunnel {
+            self.tunnels.insert(line, gateway);
+        }
+        self.event(line, Event::Connected(line.attempt));
+        true
+    }
+
     pub fn restart(&mut self, index: usize) {
         if self.instances[index].core.is_some() {
             return;
@@ -474,6 +526,7 @@
                 let close = Action::Close(line(attempt), index(address));
                 self.timeline.schedule(1, close);
             }
+            Effect::Connectivity(effect) => self.check_connection(instance, effect),
             Effect::Quarantine(effect::Quarantine::CheckCrash {
                 address,
                 incarnation,
@@ -481,7 +534,7 @@
                 let upstream = &self.upstreams[index(address)];
                 let name = format!("{}-{}", index(address), upstream.life);
                 let runs = upstream.mode != Mode::Down && Incarnation::new(&name, 0) == incarnation;
-                let ended = !runs;
+                let ended = !runs || self.cut_off.contains(&instance);
                 self.event_soon(instance, Event::CrashChecked { ended, incarnation });
             }
             Effect::Quarantine(effect::Quarantine::Publish(account)) => {
@@ -554,6 +607,25 @@
         }
     }
 
+    /// An instance connects to an upstream to find out whether it can.
+    fn check_connection(&mut self, instance: usize, effect: effect::Connectivity) {
+        let effect::Connectivity::Check {
+            address,
+            started_at,
+            upstream,
+        } = effect
+        else {
+            return;
+        };
+        let is_down = self.upstreams[index(address)].mode == Mode::Down;
+        let checked = Event::ConnectionChecked {
+            connected: !is_down && !self.cut_off.contains(&instance),
+            started_at,
+            upstream,
+        };
+        self.event_soon(instance, checked);
+    }
+
     /// Ends a stream that is said to be whole.
     fn end_stream(&mut self, caller: wellplank_core::request::Caller) {
         if let Some(asker) = self.connections.get(&caller).copied()
--- a/crates/standin/src/surge.rs
+++ b/crates/standin/src/surge.rs
@@ -10,7 +10,7 @@
     clock::Time,
     config::{self, Policy, Priority, Service, Target},
     core::Core,
-    effect::{Effect, Outbound},
+    effect::{self, Effect, Outbound},
     event::{Event, Failure, ListEntry},
     members::View,
     position::Position,
@@ -378,6 +378,19 @@
                 }
             }
             Effect::Cancel { attempt, .. } => self.drop_lines(instance, attempt),
+            Effect::Connectivity(effect::Connectivity::Check {
+                started_at,
+                upstream,
+                ..
+            }) => {
+                let checked = Event::ConnectionChecked {
+                    connected: true,
+                    started_at,
+                    upstream,
+                };
+                self.timeline
+                    .schedule(2 * WAY_MS, Action::Tell(instance, checked));
+            }
             Effect::EndStream(caller) => {
                 if let Some(asker) = self.callers.remove(&caller) {
                     self.askers[asker].state = State::Whole;
--- a/crates/standin/src/urgency.rs
+++ b/crates/standin/src/urgency.rs
@@ -581,6 +581,19 @@
     fn carry_out(&mut self, instance: usize, effect: Effect) {
         match effect {
             Effect::Cancel { attempt, .. } => self.drop_attempt(instance, attempt),
+            Effect::Connectivity(effect::Connectivity::Check {
+                address,
+                started_at,
+                upstream,
+            }) => {
+                let checked = Event::ConnectionChecked {
+                    connected: self.up[engine(address)],
+                    started_at,
+                    upstream,
+                };
+                self.timeline
+                    .schedule(CHECK_MS, Action::Tell(instance, checked));
+            }
             Effect::EndStream(caller) => {
                 if let Some(asker) = self.callers.remove(&caller) {
                     self.askers[asker].state = State::Whole;
@@ -707,6 +720,9 @@
             self.fail(line, Failure::NotSent);
             return;
         }
+        let (instance, attempt) = (self.lines[line].instance, self.lines[line].attempt);
+        self.timeline
+            .schedule(WAY_MS, Action::Tell(instance, Event::Connected(attempt)));
         let asker = &self.askers[asker];
         let received = position as u32 * STRIDE;
         let work = Work {
--- a/crates/standin/src/world.rs
+++ b/crates/standin/src/world.rs
@@ -376,6 +376,7 @@
             }
             // Nobody relays in this world.
             Effect::ForwardResponse(_)
+            | Effect::Connectivity(_)
             | Effect::LogUpstream { .. }
             | Effect::LogUpstreams { .. }
             | Effect::GossipLost(_)
