Find the few instances that reach upstreams, and announce what a gateway finds by the gateway

Two upstreams that a gateway does not reach make it one that declines. A loss that a gateway finds is announced by the gateway, once it has reached another upstream; the instance that is cut off announces none.

--- a/crates/core/src/connectivity.rs
+++ b/crates/core/src/connectivity.rs
@@ -24,16 +24,6 @@
 /// Number of such connections in a row, to different upstreams, after which all upstreams count as reachable again.
 const CHECKS_PASSED: u32 = 2;
 
-/// Time for which an instance that offered no tunnel is not asked again, in milliseconds.
-const AVOID_MS: u64 = 2_000;
-
-/// Number of instances of the own data centre that offered no tunnel from which on those of other data centres are asked:
-/// the whole data centre may be cut off.
-const MAX_AVOIDED_LOCALLY: usize = 2;
-
-/// Number of random draws before all instances are searched for one that may be asked.
-const DRAWS: usize = 8;
-
 /// Path of an attempt to its upstream.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum Path {
@@ -71,14 +61,13 @@
 /// What this instance knows of its own paths to upstreams.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Connectivity {
-    /// Instances that offered no tunnel, and until when they are not asked again.
-    avoided: HashMap<u64, Time>,
     check: Option<Check>,
     checks_passed: u32,
     /// When the last connection that was made had been started.
     connected_at: Time,
     /// Upstreams to which connections failed since, with the time at which the first of them was started.
     failed: BTreeMap<upstream::Key, Time>,
+    gateways: Gateways,
     held: Vec<Held>,
     next_check: Time,
     /// Upstreams that another instance reaches and this one does not.
@@ -99,12 +88,6 @@
             self.failed.entry(upstream).or_insert(started_at);
         }
     }
-
-    fn is_avoided(&self, instance: u64, now: Time) -> bool {
-        self.avoided
-            .get(&instance)
-            .is_some_and(|until| now < *until)
-    }
 }
 
 impl Core {
@@ -116,7 +99,8 @@
 
     /// Whether this instance is cut off and knows no other that offers a tunnel.
     pub(crate) fn is_isolated(&self) -> bool {
-        let is_avoided = |instance: &u64| self.connectivity.is_avoided(*instance, self.now);
+        let is_avoided =
+            |instance: &u64| self.connectivity.gateways.is_avoided(*instance, self.now);
         self.is_cut_off() && self.members.others().iter().all(is_avoided)
     }
 
@@ -129,12 +113,22 @@
         may_connect.then_some((key, upstream.address))
     }
 
+    /// Another instance that is known to open tunnels, while this one is cut off.
+    pub fn known_gateway(&mut self) -> Option<u64> {
+        if !self.is_cut_off() {
+            return None;
+        }
+        self.connectivity.gateways.known(self.now, &mut self.rng)
+    }
+
     /// The path of a new attempt to an upstream.
     pub(crate) fn path_to(&mut self, upstream: upstream::Key) -> Path {
         if !self.is_cut_off() && !self.connectivity.tunnelled.contains(&upstream) {
             return Path::Direct;
         }
-        self.choose_gateway().map_or(Path::Direct, Path::Tunnel)
+        let gateways = &self.connectivity.gateways;
+        let gateway = gateways.choose(&self.members, self.now, &mut self.rng);
+        gateway.map_or(Path::Direct, Path::Tunnel)
     }
 
     /// Handles the connection of an attempt that was made, or a response to it.
@@ -146,7 +140,7 @@
         match path {
             Path::Direct => self.record_reached(upstream, started_at),
             Path::Tunnel(gateway) => {
-                self.connectivity.avoided.remove(&gateway);
+                self.connectivity.gateways.record_opened(gateway, self.now);
                 if self.is_cut_off() {
                     self.connectivity.tunnelled.insert(upstream);
                 }
@@ -157,18 +151,18 @@
     /// Handles an attempt that could not connect.
     pub(crate) fn handle_not_connected(&mut self, attempt: &Attempt) {
         let upstream = attempt.upstream;
-        if attempt.path == Path::Direct {
-            self.record_unreached(upstream, attempt.created_at);
-        } else {
-            self.connectivity.tunnelled.remove(&upstream);
+        match attempt.path {
+            Path::Direct => self.record_unreached(upstream, attempt.created_at),
+            Path::Tunnel(gateway) => {
+                self.connectivity.tunnelled.remove(&upstream);
+                let gateways = &mut self.connectivity.gateways;
+                gateways.record_unreached(gateway, self.now);
+            }
         }
-        let is_own = attempt.path == Path::Direct && self.is_cut_off();
-        if is_own {
+        if attempt.path == Path::Direct && self.is_cut_off() {
             // The copy is where it was: the next attempt finds it by a tunnel.
-            self.requests[attempt.request]
-                .progress
-                .copy
-                .clone_from(&attempt.copy);
+            let progress = &mut self.requests[attempt.request].progress;
+            progress.copy.clone_from(&attempt.copy);
             return;
         }
         if self.settings.shared.losses {
@@ -176,20 +170,20 @@
         }
         match attempt.path {
             Path::Direct => self.report_loss(upstream, LossSource::Connection),
-            Path::Tunnel(_) => self.confirm_loss(upstream, LossSource::Connection),
+            // The gateway announces it, once it has reached another upstream.
+            Path::Tunnel(_) => self.record_loss(upstream, LossSource::Connection),
         }
     }
 
-    /// Handles an attempt whose tunnel was not opened, which says nothing of its upstream.
-    pub(crate) fn handle_no_tunnel(&mut self, attempt: &Attempt) {
+    /// Handles an attempt whose tunnel was not opened, which says nothing of its upstream. The instance that declined it may
+    /// have named another one.
+    pub(crate) fn handle_no_tunnel(&mut self, attempt: &Attempt, named: Option<u64>) {
         if let Path::Tunnel(gateway) = attempt.path {
-            let until = self.now.after(AVOID_MS);
-            self.connectivity.avoided.insert(gateway, until);
+            let gateways = &mut self.connectivity.gateways;
+            gateways.record_declined(gateway, named, self.now);
         }
-        self.requests[attempt.request]
-            .progress
-            .copy
-            .clone_from(&attempt.copy);
+        let progress = &mut self.requests[attempt.request].progress;
+        progress.copy.clone_from(&attempt.copy);
     }
 
     /// Handles the result of a connection that was made for no request of this instance: `started_at` is when it was
@@ -210,6 +204,7 @@
             self.connectivity.next_check = self.now.after(CHECK_INTERVAL_MS);
             if !self.connectivity.tunnelled.contains(&upstream) {
                 self.record_unreached(upstream, started_at);
+                self.report_loss(upstream, LossSource::Connection);
             }
             return;
         }
@@ -350,26 +345,6 @@
         self.log_status_change(key, effect::StatusChange::Recovered);
     }
 
-    /// An instance that may offer a tunnel, at random, so that those that are cut off do not all ask the same one. One of
-    /// the own data centre comes first.
-    fn choose_gateway(&mut self) -> Option<u64> {
-        let (connectivity, now) = (&self.connectivity, self.now);
-        let is_usable = |instance: &u64| !connectivity.is_avoided(*instance, now);
-        let local = self.members.local();
-        let avoided = local.iter().filter(|instance| !is_usable(instance)).count();
-        let is_local_usable = avoided < MAX_AVOIDED_LOCALLY.min(local.len());
-        let candidates = if is_local_usable {
-            local
-        } else {
-            self.members.others()
-        };
-        let draws = DRAWS.min(candidates.len());
-        let drawn = (0..draws).map(|_| candidates[self.rng.random_range(0..candidates.len())]);
-        let drawn: Vec<u64> = drawn.collect();
-        let mut in_order = drawn.iter().chain(candidates);
-        in_order.find(|instance| is_usable(instance)).copied()
-    }
-
     /// The upstream to connect to next, to find out whether it can be reached; `None` if nothing is in question.
     fn check_target(&mut self) -> Option<upstream::Key> {
         let upstreams = &self.upstreams;
--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -21,7 +21,10 @@
     /// No connection could be established; nothing was sent.
     NotSent,
     /// The instance that was asked for a tunnel offered none; nothing was sent.
-    NoTunnel,
+    NoTunnel {
+        /// Another instance that it knows to open tunnels.
+        named: Option<u64>,
+    },
     /// The upstream refused the request without running it.
     Refused,
     /// The upstream rejected the request as invalid without running it.
@@ -48,7 +51,7 @@
             Self::Broken | Self::UnknownStream => false,
             Self::Leaving
             | Self::NotSent
-            | Self::NoTunnel
+            | Self::NoTunnel { .. }
             | Self::Refused
             | Self::Rejected
             | Self::Replaced => true,
--- a/crates/core/src/failure.rs
+++ b/crates/core/src/failure.rs
@@ -19,7 +19,7 @@
             Failure::Broken => counter::Reason::Broken,
             Failure::Leaving => counter::Reason::Leaving,
             Failure::NotSent => counter::Reason::NotSent,
-            Failure::NoTunnel => counter::Reason::NoTunnel,
+            Failure::NoTunnel { .. } => counter::Reason::NoTunnel,
             Failure::Refused => counter::Reason::Refused,
             Failure::Replaced => counter::Reason::Replaced,
             Failure::Rejected => {
@@ -38,7 +38,7 @@
             Failure::Leaving | Failure::Replaced => self.mark_leaving(attempt.upstream),
             Failure::NotSent => self.mark_suspected(attempt.upstream),
             Failure::Refused => self.mark_full(attempt.upstream),
-            Failure::NoTunnel | Failure::Rejected | Failure::UnknownStream => {}
+            Failure::NoTunnel { .. } | Failure::Rejected | Failure::UnknownStream => {}
         }
         self.requests[request].avoided_upstream = Some(attempt.upstream);
         if failure == Failure::Broken {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -56,6 +56,7 @@
 mod ended;
 mod engine_watch;
 mod failure;
+mod gateways;
 mod list;
 mod place;
 mod relay;
@@ -91,6 +92,7 @@
     estimates::{EngineSpeed, PoolEstimates},
     event::{Event, Failure, ListDelta, ListEntry, OutputToken},
     fingerprint::RequestFingerprint,
+    gateways::Gateways,
     incarnation::Incarnation,
     informer_io::CancelReason,
     invariant::Invariant,
--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -303,7 +303,7 @@
         let upstream = attempt.upstream;
         let is_cut_unread = failure == Failure::Broken && self.was_cut_unread(attempt);
         let request = &mut self.requests[owner];
-        let says_nothing = is_cut_unread || failure == Failure::NoTunnel;
+        let says_nothing = is_cut_unread || matches!(failure, Failure::NoTunnel { .. });
         request.avoided_upstream = (!says_nothing).then_some(upstream);
         let reason = match failure {
             // The upstream is well: it closes streams that are not read.
@@ -326,8 +326,8 @@
                 self.handle_not_connected(attempt);
                 counter::Reason::NotSent
             }
-            Failure::NoTunnel => {
-                self.handle_no_tunnel(attempt);
+            Failure::NoTunnel { named } => {
+                self.handle_no_tunnel(attempt, named);
                 counter::Reason::NoTunnel
             }
             Failure::Refused | Failure::Rejected => {
@@ -525,14 +525,8 @@
         }
     }
 
-    /// Marks an upstream as suspected that another instance did not reach either, and announces the loss.
-    pub(crate) fn confirm_loss(&mut self, key: upstream::Key, source: LossSource) {
-        self.record_loss(key, source);
-        let incarnation = self.upstreams[key].incarnation;
-        self.effects.push(Effect::GossipLost(incarnation));
-    }
-
-    fn record_loss(&mut self, key: upstream::Key, source: LossSource) {
+    /// Marks an upstream that was lost as suspected.
+    pub(crate) fn record_loss(&mut self, key: upstream::Key, source: LossSource) {
         self.losses.record(key, source, self.now);
         self.upstreams[key].failure_score.record(self.now);
         self.mark_suspected(key);
--- /dev/null
+++ b/crates/core/tests/relay/connectivity.rs
@@ -0,0 +1,413 @@
+//! An instance that is cut off from all upstreams: the paths of its requests, and what it concludes and announces.
+
+use super::*;
+
+/// Identifiers of this instance and the others; the first of these is in its data centre.
+const OWN: u64 = 1;
+const LOCAL: [u64; 1] = [2];
+const OTHERS: [u64; 3] = [2, 3, 4];
+
+/// A core with other instances and upstreams.
+fn test(upstreams: usize) -> Test {
+    let mut test = Test::new(upstreams);
+    test.handle(Event::Instances(View {
+        convergence_ms: 0,
+        local: LOCAL.to_vec(),
+        others: OTHERS.to_vec(),
+        own: OWN,
+    }));
+    test.advance(10);
+    test
+}
+
+/// The path of the last attempt.
+fn last_path(test: &Test) -> Path {
+    let path = |effect: &Effect| match effect {
+        Effect::Send {
+            outbound: Outbound::Relay { path, .. },
+            ..
+        } => Some(*path),
+        _ => None,
+    };
+    test.effects
+        .iter()
+        .rev()
+        .find_map(path)
+        .expect("something was sent")
+}
+
+fn connect(test: &mut Test, sent: &Sent) {
+    test.handle(Event::Connected(sent.attempt));
+}
+
+/// Has the connections of a request fail until it goes another way; its last attempt.
+fn cut_off(test: &mut Test) -> Sent {
+    test.request(NON_REPEATABLE);
+    for _ in 0..2 {
+        expect_that!(last_path(test), eq(Path::Direct));
+        let sent = test.last_sent();
+        test.fail(&sent, Failure::NotSent);
+    }
+    test.last_sent()
+}
+
+/// Number of losses announced to other instances.
+fn losses_announced(test: &Test) -> usize {
+    let is_loss = |effect: &&Effect| matches!(effect, Effect::GossipLost(_));
+    test.effects.iter().filter(is_loss).count()
+}
+
+/// The last check whether an upstream can be reached, and when it was started.
+fn last_check(test: &Test) -> Option<(upstream::Key, Time)> {
+    let check = |effect: &Effect| match effect {
+        Effect::Connectivity(effect::Connectivity::Check {
+            started_at,
+            upstream,
+            ..
+        }) => Some((*upstream, *started_at)),
+        _ => None,
+    };
+    test.effects.iter().rev().find_map(check)
+}
+
+fn checks(test: &Test) -> usize {
+    let is_check = |effect: &&Effect| {
+        matches!(
+            effect,
+            Effect::Connectivity(effect::Connectivity::Check { .. })
+        )
+    };
+    test.effects.iter().filter(is_check).count()
+}
+
+/// Answers the last check.
+fn answer_check(test: &mut Test, connected: bool) {
+    let (upstream, started_at) = last_check(test).expect("a check was started");
+    test.handle(Event::ConnectionChecked {
+        connected,
+        started_at,
+        upstream,
+    });
+}
+
+#[gtest]
+fn request_whose_connections_to_two_upstreams_fail_takes_a_tunnel_and_is_answered() {
+    let mut test = test(6);
+    let sent = cut_off(&mut test);
+    expect_that!(last_path(&test), eq(Path::Tunnel(LOCAL[0])));
+    connect(&mut test, &sent);
+    test.answer(&sent, Verdict::Good);
+    expect_that!(test.outcomes(), elements_are![eq("answer")]);
+}
+
+#[gtest]
+fn next_request_of_an_instance_that_is_cut_off_takes_a_tunnel_at_once() {
+    let mut test = test(6);
+    cut_off(&mut test);
+    for path in [NON_REPEATABLE, REPEATABLE, STREAM] {
+        test.request(path);
+        expect_that!(last_path(&test), not(eq(Path::Direct)));
+    }
+}
+
+#[gtest]
+fn single_failed_connection_sends_the_request_to_another_upstream_directly() {
+    let mut test = test(6);
+    test.request(NON_REPEATABLE);
+    let first = test.last_sent();
+    test.fail(&first, Failure::NotSent);
+    expect_that!(last_path(&test), eq(Path::Direct));
+    expect_that!(test.last_sent().upstream, not(eq(first.upstream)));
+}
+
+#[gtest]
+fn failures_of_upstreams_are_not_this_instances_own_while_later_connections_are_made() {
+    let mut test = test(9);
+    for _ in 0..3 {
+        test.request(NON_REPEATABLE);
+        let dark = test.last_sent();
+        test.advance(100);
+        test.request(NON_REPEATABLE);
+        let sound = test.last_sent();
+        connect(&mut test, &sound);
+        test.advance(200);
+        test.fail(&dark, Failure::NotSent);
+        expect_that!(last_path(&test), eq(Path::Direct));
+    }
+    expect_that!(test.core.is_cut_off(), eq(false));
+}
+
+#[gtest]
+fn events_on_open_connections_do_not_show_that_upstreams_can_be_reached() {
+    let mut test = test(6);
+    let running = test.stream(3);
+    test.advance(10);
+    cut_off(&mut test);
+    test.send_event(&running, 4);
+    expect_that!(test.core.is_cut_off(), eq(true));
+}
+
+#[gtest]
+fn upstreams_are_neither_announced_as_lost_nor_avoided_by_an_instance_that_is_cut_off() {
+    let mut test = test(2);
+    let sent = cut_off(&mut test);
+    connect(&mut test, &sent);
+    test.answer(&sent, Verdict::Good);
+    test.advance(100);
+    expect_that!(losses_announced(&test), eq(0));
+    // Both upstreams get requests: neither is doubted.
+    let mut used = BTreeSet::new();
+    for _ in 0..20 {
+        test.request(NON_REPEATABLE);
+        let sent = test.last_sent();
+        used.insert(sent.upstream);
+        connect(&mut test, &sent);
+        test.answer(&sent, Verdict::Good);
+    }
+    expect_that!(used, eq(&BTreeSet::from([0, 1])));
+}
+
+#[gtest]
+fn broken_connections_of_an_instance_that_is_cut_off_are_no_losses_and_no_crashes() {
+    let mut test = test(6);
+    let streams: Vec<Sent> = (0..4).map(|_| test.stream(2)).collect();
+    test.advance(10);
+    for sent in &streams {
+        test.break_connection(sent, true);
+        while last_path(&test) == Path::Direct {
+            let next = test.last_sent();
+            test.fail(&next, Failure::NotSent);
+        }
+    }
+    test.advance(200);
+    expect_that!(losses_announced(&test), eq(0));
+    expect_that!(test.core.crash_history().is_empty(), eq(true));
+}
+
+#[gtest]
+fn loss_is_announced_once_another_upstream_was_reached() {
+    let mut test = test(6);
+    let sent = test.stream(2);
+    test.advance(10);
+    test.fail(&sent, Failure::Broken);
+    expect_that!(losses_announced(&test), eq(0));
+    let next = test.last_sent();
+    connect(&mut test, &next);
+    expect_that!(losses_announced(&test), eq(1));
+}
+
+#[gtest]
+fn loss_without_a_retry_is_announced_once_a_check_has_reached_another_upstream() {
+    let mut test = test(6);
+    test.request(NON_REPEATABLE);
+    let sent = test.last_sent();
+    test.advance(10);
+    test.fail(&sent, Failure::Broken);
+    test.advance(100);
+    expect_that!(checks(&test), eq(1));
+    answer_check(&mut test, true);
+    expect_that!(losses_announced(&test), eq(1));
+}
+
+#[gtest]
+fn upstream_that_a_gateway_does_not_reach_is_avoided_and_not_announced() {
+    let mut test = test(6);
+    let sent = cut_off(&mut test);
+    test.fail(&sent, Failure::NotSent);
+    expect_that!(test.last_sent().upstream, not(eq(sent.upstream)));
+    expect_that!(losses_announced(&test), eq(0));
+}
+
+#[gtest]
+fn loss_that_a_gateway_finds_is_announced_once_it_has_reached_another_upstream() {
+    let mut test = test(6);
+    let (upstream, _) = test
+        .core
+        .tunnel_target(incarnation(0, 0))
+        .expect("it is reached");
+    test.handle(Event::ConnectionChecked {
+        connected: false,
+        started_at: test.now,
+        upstream,
+    });
+    expect_that!(losses_announced(&test), eq(0));
+    test.advance(10);
+    test.request(NON_REPEATABLE);
+    let sent = test.last_sent();
+    connect(&mut test, &sent);
+    expect_that!(losses_announced(&test), eq(1));
+}
+
+#[gtest]
+fn gateway_that_reaches_no_upstreams_is_not_asked_again() {
+    let mut test = test(6);
+    let mut sent = cut_off(&mut test);
+    for _ in 0..2 {
+        expect_that!(last_path(&test), eq(Path::Tunnel(LOCAL[0])));
+        test.fail(&sent, Failure::NotSent);
+        sent = test.last_sent();
+    }
+    expect_that!(last_path(&test), not(eq(Path::Tunnel(LOCAL[0]))));
+}
+
+#[gtest]
+fn instance_that_others_name_is_asked_once_several_have_declined() {
+    let mut test = test(6);
+    cut_off(&mut test);
+    test.advance(10);
+    let others: Vec<u64> = (10..40).collect();
+    test.handle(Event::Instances(View {
+        convergence_ms: 0,
+        local: Vec::new(),
+        others,
+        own: OWN,
+    }));
+    for _ in 0..3 {
+        let sent = test.last_sent();
+        test.fail(&sent, Failure::NoTunnel { named: Some(39) });
+    }
+    let (mut asked, mut all) = (0, 0);
+    for _ in 0..40 {
+        while last_path(&test) != Path::Tunnel(39) {
+            all += 1;
+            let sent = test.last_sent();
+            test.fail(&sent, Failure::NoTunnel { named: None });
+        }
+        (asked, all) = (asked + 1, all + 1);
+        let sent = test.last_sent();
+        connect(&mut test, &sent);
+        test.answer(&sent, Verdict::Good);
+        test.request(NON_REPEATABLE);
+    }
+    // One in eight asks another one.
+    expect_that!(asked * 4, ge(all * 3));
+}
+
+#[gtest]
+fn instance_that_offers_no_tunnel_is_not_asked_again_and_the_upstream_is_not_blamed() {
+    let mut test = test(6);
+    let sent = cut_off(&mut test);
+    test.fail(&sent, Failure::NoTunnel { named: None });
+    let next = last_path(&test);
+    expect_that!(next, any![eq(Path::Tunnel(3)), eq(Path::Tunnel(4))]);
+    expect_that!(losses_announced(&test), eq(0));
+    for _ in 0..10 {
+        test.request(NON_REPEATABLE);
+        expect_that!(last_path(&test), not(eq(Path::Tunnel(LOCAL[0]))));
+    }
+}
+
+#[gtest]
+fn request_is_refused_at_once_while_no_instance_offers_a_tunnel() {
+    let mut test = test(6);
+    cut_off(&mut test);
+    for _ in OTHERS {
+        let sent = test.last_sent();
+        test.fail(&sent, Failure::NoTunnel { named: None });
+    }
+    let sent = test.sent().len();
+    test.request(NON_REPEATABLE);
+    expect_that!(test.sent().len(), eq(sent));
+    expect_that!(
+        test.outcomes().last().map(String::as_str),
+        some(eq("no_upstream"))
+    );
+    expect_that!(test.retry_afters().last(), some(gt(&0)));
+}
+
+#[gtest]
+fn stream_resumes_from_its_copy_although_the_direct_path_to_it_failed() {
+    let mut test = test(6);
+    let sent = test.stream(3);
+    test.advance(10);
+    cut_off(&mut test);
+    test.fail(&sent, Failure::Broken);
+    let resumed = test.last_sent();
+    expect_that!(resumed.copy.as_deref(), some(eq("run-1")));
+    expect_that!(last_path(&test), not(eq(Path::Direct)));
+    test.fail(&resumed, Failure::NoTunnel { named: None });
+    expect_that!(test.last_sent().copy.as_deref(), some(eq("run-1")));
+}
+
+#[gtest]
+fn direct_path_is_taken_again_within_two_seconds_of_the_links_return() {
+    let mut test = test(6);
+    cut_off(&mut test);
+    // Several upstreams are known by their tunnels alone.
+    for _ in 0..20 {
+        test.request(NON_REPEATABLE);
+        let sent = test.last_sent();
+        connect(&mut test, &sent);
+        test.answer(&sent, Verdict::Good);
+    }
+    for _ in 0..10 {
+        test.advance(10);
+        if checks(&test) > 0 {
+            answer_check(&mut test, false);
+        }
+    }
+    for _ in 0..199 {
+        let before = checks(&test);
+        test.advance(10);
+        if checks(&test) > before {
+            answer_check(&mut test, true);
+        }
+    }
+    for _ in 0..20 {
+        test.request(STREAM);
+        expect_that!(last_path(&test), eq(Path::Direct));
+    }
+    // A few connections have shown it.
+    expect_that!(checks(&test), le(4));
+    let shown = checks(&test);
+    test.advance(2_000);
+    expect_that!(checks(&test), eq(shown));
+}
+
+#[gtest]
+fn upstreams_that_stay_unreachable_keep_their_tunnels_while_others_are_reached() {
+    let mut test = test(3);
+    let cut = cut_off(&mut test);
+    connect(&mut test, &cut);
+    // A connection to another upstream is made: only that one is known to be reached.
+    for _ in 0..20 {
+        test.advance(10);
+        if let Some((upstream, _)) = last_check(&test) {
+            answer_check(&mut test, upstream != cut.key);
+        }
+    }
+    for _ in 0..20 {
+        test.request(NON_REPEATABLE);
+        let sent = test.last_sent();
+        let expected = sent.upstream == cut.upstream;
+        expect_that!(last_path(&test) != Path::Direct, eq(expected));
+        connect(&mut test, &sent);
+        test.answer(&sent, Verdict::Good);
+    }
+}
+
+#[gtest]
+fn instance_that_is_cut_off_opens_no_tunnel_for_others() {
+    let mut test = test(6);
+    expect_that!(test.core.tunnel_target(incarnation(0, 0)), some(anything()));
+    cut_off(&mut test);
+    expect_that!(test.core.tunnel_target(incarnation(0, 0)), none());
+}
+
+#[gtest]
+fn no_tunnel_is_opened_to_an_upstream_that_is_leaving() {
+    let mut test = test(6);
+    test.handle(Event::Leaving("runner-0".into()));
+    expect_that!(test.core.tunnel_target(incarnation(0, 0)), none());
+}
+
+#[gtest]
+fn instance_alone_keeps_trying_upstreams_itself() {
+    let mut test = Test::new(6);
+    test.request(NON_REPEATABLE);
+    for _ in 0..3 {
+        let sent = test.last_sent();
+        test.fail(&sent, Failure::NotSent);
+        expect_that!(last_path(&test), eq(Path::Direct));
+    }
+}
--- a/crates/core/tests/relay/main.rs
+++ b/crates/core/tests/relay/main.rs
@@ -2,11 +2,16 @@
 
 use {
     googletest::prelude::*,
-    std::{net::SocketAddr, sync::Arc},
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        net::SocketAddr,
+        sync::Arc,
+    },
     wellplank_core::{
         attempt,
         clock::Time,
         config::{self, Config, Customer, Policy, Priority, Route, Service, Share, Target},
+        connectivity::Path,
         core::Core,
         counter::{Counter, Reason},
         effect::{self, Effect, Outbound},
@@ -29,6 +34,8 @@
 mod builder;
 mod call_place;
 mod capacity;
+mod connectivity;
+mod connectivity_fleet;
 mod directory;
 mod ended;
 mod engine_model;
--- a/crates/node/src/driver.rs
+++ b/crates/node/src/driver.rs
@@ -44,8 +44,12 @@
     Status(oneshot::Sender<Snapshot>),
     /// A request, and the channel for its replies.
     Submit(Box<Submission>, mpsc::UnboundedSender<Reply>),
-    /// Request for the upstream to which a tunnel is to be opened; `None` if it is to be declined.
-    TunnelTarget(Incarnation, oneshot::Sender<Option<TunnelTarget>>),
+    /// Request for the upstream to which a tunnel is to be opened. If it is to be declined, the answer is another instance
+    /// that is known to open tunnels.
+    TunnelTarget(
+        Incarnation,
+        oneshot::Sender<Result<TunnelTarget, Option<u64>>>,
+    ),
     /// Name of an unknown platform header in a response, and the upstream that sent it.
     UnknownHeader(String, Arc<str>),
 }
@@ -226,11 +230,15 @@
         self.send(Message::Members(view, peers));
     }
 
-    /// The upstream to which a tunnel is to be opened for another instance; `None` if it is to be declined.
-    pub(crate) async fn tunnel_target(&self, upstream: Incarnation) -> Option<TunnelTarget> {
+    /// The upstream to which a tunnel is to be opened for another instance. If it is to be declined, another instance that is
+    /// known to open tunnels.
+    pub(crate) async fn tunnel_target(
+        &self,
+        upstream: Incarnation,
+    ) -> Result<TunnelTarget, Option<u64>> {
         let (sender, receiver) = oneshot::channel();
         self.send(Message::TunnelTarget(upstream, sender));
-        receiver.await.ok().flatten()
+        receiver.await.unwrap_or(Err(None))
     }
 
     /// Submits a request; the receiver yields its replies.
@@ -756,9 +764,10 @@
         }
     }
 
-    fn tunnel_target(&self, incarnation: Incarnation) -> Option<TunnelTarget> {
-        let (upstream, address) = self.core.tunnel_target(incarnation)?;
-        Some(TunnelTarget {
+    fn tunnel_target(&mut self, incarnation: Incarnation) -> Result<TunnelTarget, Option<u64>> {
+        let target = self.core.tunnel_target(incarnation);
+        let (upstream, address) = target.ok_or_else(|| self.core.known_gateway())?;
+        Ok(TunnelTarget {
             address,
             started_at: self.clock.now(),
             upstream,
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -135,10 +135,10 @@
 
     fn classify_tunnel_error(&self, gateway: SocketAddr, error: &tunnel::Error) -> Failure {
         match error {
-            tunnel::Error::Declined(reason) => {
+            tunnel::Error::Declined { named, reason } => {
                 let upstream = &*self.upstream_name;
                 debug!(upstream, reason; "no tunnel through {gateway}");
-                Failure::NoTunnel
+                Failure::NoTunnel { named: *named }
             }
             tunnel::Error::Unreached => Failure::NotSent,
         }
--- a/crates/node/src/tunnel.rs
+++ b/crates/node/src/tunnel.rs
@@ -41,23 +41,35 @@
 #[derive(Debug)]
 pub(crate) enum Error {
     /// The gateway could not be reached or declined; that says nothing of the upstream.
-    Declined(String),
+    Declined {
+        /// Another instance that it knows to open tunnels.
+        named: Option<u64>,
+        /// Why, for logs.
+        reason: String,
+    },
     /// The gateway could not connect to the upstream.
     Unreached,
 }
 
 /// Opens a tunnel to an upstream.
 pub(crate) async fn open(gateway: SocketAddr, upstream: Incarnation) -> Result<Tunnel, Error> {
-    let declined = |error: &dyn Display| Error::Declined(error.to_string());
+    let declined = |error: &dyn Display| Error::Declined {
+        named: None,
+        reason: error.to_string(),
+    };
     let connection = connection::connect(gateway).await;
     let connection = connection.map_err(|error| declined(&error))?;
     let mut frames = Framed::new(connection, frame::Codec::new());
     let answer = timeout(OPEN_TIMEOUT, request(&mut frames, upstream)).await;
     let answer = answer.map_err(|error| declined(&error))?;
-    match answer.map_err(|error| declined(&error))? {
+    let answer = answer.map_err(|error| declined(&error))?;
+    match answer.status() {
         peers::TunnelStatus::Open => Ok(split(frames)),
         peers::TunnelStatus::Unreached => Err(Error::Unreached),
-        peers::TunnelStatus::Declined => Err(declined(&"declined")),
+        peers::TunnelStatus::Declined => Err(Error::Declined {
+            named: answer.named,
+            reason: "declined".into(),
+        }),
     }
 }
 
@@ -65,7 +77,7 @@
 async fn request(
     frames: &mut Framed<TcpStream, frame::Codec>,
     upstream: Incarnation,
-) -> Result<peers::TunnelStatus, frame::Error> {
+) -> Result<peers::TunnelResponse, frame::Error> {
     let request = peers::TunnelRequest {
         upstream: Some(datagram::encode_incarnation(upstream)),
     };
@@ -73,8 +85,8 @@
     frames.send(peers::Frame { body }).await?;
     let answer = frames.next().await.transpose()?;
     match answer.and_then(|frame| frame.body) {
-        Some(peers::frame::Body::TunnelResponse(response)) => Ok(response.status()),
-        _ => Ok(peers::TunnelStatus::Declined),
+        Some(peers::frame::Body::TunnelResponse(response)) => Ok(response),
+        _ => Ok(peers::TunnelResponse::default()),
     }
 }
 
@@ -140,10 +152,11 @@
         request: peers::TunnelRequest,
     ) -> Result<(), frame::Error> {
         let Ok(_place) = self.places.try_acquire() else {
-            return respond(&mut frames, peers::TunnelStatus::Declined).await;
+            return decline(&mut frames, None).await;
         };
-        let Some(target) = self.target(request).await else {
-            return respond(&mut frames, peers::TunnelStatus::Declined).await;
+        let target = match self.target(request).await {
+            Ok(target) => target,
+            Err(named) => return decline(&mut frames, named).await,
         };
         let upstream = connection::connect(target.address).await;
         self.driver.send_event(Event::ConnectionChecked {
@@ -159,12 +172,16 @@
         carry(frames, upstream).await
     }
 
-    /// The upstream to connect to; `None` if the tunnel is declined.
-    async fn target(&self, request: peers::TunnelRequest) -> Option<driver::TunnelTarget> {
+    /// The upstream to connect to. If the tunnel is declined, another instance that is known to open tunnels.
+    async fn target(
+        &self,
+        request: peers::TunnelRequest,
+    ) -> Result<driver::TunnelTarget, Option<u64>> {
         if self.shutdown.borrow().is_some() {
-            return None;
+            return Err(None);
         }
-        let incarnation = datagram::decode_incarnation(request.upstream?);
+        let upstream = request.upstream.ok_or(None)?;
+        let incarnation = datagram::decode_incarnation(upstream);
         self.driver.tunnel_target(incarnation).await
     }
 }
@@ -174,8 +191,27 @@
     status: peers::TunnelStatus,
 ) -> Result<(), frame::Error> {
     let response = peers::TunnelResponse {
+        named: None,
         status: status.into(),
     };
+    send(frames, response).await
+}
+
+async fn decline(
+    frames: &mut Framed<TcpStream, frame::Codec>,
+    named: Option<u64>,
+) -> Result<(), frame::Error> {
+    let response = peers::TunnelResponse {
+        named,
+        status: peers::TunnelStatus::Declined.into(),
+    };
+    send(frames, response).await
+}
+
+async fn send(
+    frames: &mut Framed<TcpStream, frame::Codec>,
+    response: peers::TunnelResponse,
+) -> Result<(), frame::Error> {
     let body = Some(peers::frame::Body::TunnelResponse(response));
     frames.send(peers::Frame { body }).await
 }
--- a/crates/standin/src/relaying.rs
+++ b/crates/standin/src/relaying.rs
@@ -388,7 +388,9 @@
         let is_tunnel = path != Path::Direct;
         let is_gateway_cut = self.cut_off.contains(&gateway);
         if is_tunnel && (is_gateway_cut || self.instances[gateway].core.is_none()) {
-            self.fail(line, Failure::NoTunnel);
+            let core = self.instances[gateway].core.as_mut();
+            let named = core.and_then(Core::known_gateway);
+            self.fail(line, Failure::NoTunnel { named });
             return false;
         }
         if is_gateway_cut || self.upstreams[upstream].mode == Mode::Down {
