--- a/crates/standin/src/site.rs
+++ b/crates/standin/src/site.rs
@@ -71,6 +71,8 @@
     pub links: Vec<Uplink>,
     /// Where its counters are served.
     pub metrics: SocketAddr,
+    /// Where other instances connect.
+    pub peers: SocketAddr,
     /// Where it says whether it is ready.
     pub ready: SocketAddr,
     running: Option<wellplank_node::hosted::Instance>,
@@ -320,6 +322,7 @@
             let settings = settings.expect("the settings have no fault");
             let hosted = settings.hosted.expect("the settings are for the platform");
             let (callers, metrics, ready) = (settings.listen.callers, hosted.metrics, hosted.ready);
+            let peers = hosted.peers;
             let host = Host::new(1);
             let start = wellplank_node::hosted::Instance::start(settings, hosted);
             match host.run(start).await {
@@ -329,6 +332,7 @@
                         host,
                         links,
                         metrics,
+                        peers,
                         ready,
                         running: Some(running),
                     };
