--- a/crates/standin/src/rush.rs
+++ b/crates/standin/src/rush.rs
@@ -53,6 +53,16 @@
 /// Part of the datagrams that are lost.
 const LOST: f64 = 0.02;
 
+/// Requests that wait at a brittle upstream, at most, for each of its slots, and time from its first word on from which that
+/// holds, in milliseconds: the users' `contact_ms`.
+const BRITTLE_QUEUE_PER_SLOT: usize = 1;
+const BRITTLE_AFTER_MS: u64 = 3_000;
+
+/// Time over which a brittle upstream counts what it turns away, and for which it is down once it has fallen over, in
+/// milliseconds.
+const BRITTLE_WINDOW_MS: u64 = 1_000;
+const DOWN_MS: u64 = 3_000;
+
 /// Time for which a limit has held when its use is first counted, in milliseconds.
 const USED_MS: u64 = 4_000;
 
@@ -68,6 +78,8 @@
 /// What is played.
 #[derive(Clone, Copy, Debug)]
 pub struct Plan {
+    /// Requests that a brittle upstream survives to turn away in a second, if upstreams are brittle in the rush.
+    pub brittle: Option<u32>,
     /// Instances, each with a core.
     pub instances: usize,
     /// Requests a second that some upstreams take in the rush from all instances together, and which instances have a part.
@@ -110,6 +122,8 @@
     pub asked: usize,
     /// Neither answered nor refused.
     pub failed: usize,
+    /// Times that brittle upstreams fell over.
+    pub falls: usize,
     /// The most in 4 s at an upstream with a limit, from instances that it had told.
     pub fullest: usize,
     /// Answered in the time wanted, counted from the first try.
@@ -134,6 +148,8 @@
     Ask(usize),
     Come,
     Done(usize),
+    /// An upstream that fell over is back.
+    GetUp(usize),
     Lift,
     Limit,
     /// The list of upstreams changes.
@@ -172,6 +188,9 @@
 /// An upstream: what runs there, and what waits.
 #[derive(Clone, Debug, Default)]
 struct Desk {
+    is_down: bool,
+    /// When it turned requests away of late.
+    rejections: VecDeque<Time>,
     running: Vec<usize>,
     waiting: VecDeque<usize>,
 }
@@ -437,6 +456,7 @@
 impl Default for Plan {
     fn default() -> Self {
         Self {
+            brittle: None,
             calls: CallLimits::default(),
             heeds: Heeds::Asked,
             instances: 1,
@@ -456,6 +476,7 @@
         self.arrivals += other.arrivals;
         self.asked += other.asked;
         self.failed += other.failed;
+        self.falls += other.falls;
         self.fullest = self.fullest.max(other.fullest);
         self.in_time += other.in_time;
         self.late += other.late;
@@ -605,6 +626,7 @@
             Action::Ask(asker) => self.ask(asker),
             Action::Come => self.come(),
             Action::Done(line) => self.done(line),
+            Action::GetUp(upstream) => self.desks[upstream].is_down = false,
             Action::Lift => self.lift(),
             Action::Limit => self.limit(),
             Action::List => self.tell_list(),
@@ -791,23 +813,71 @@
         let now = self.timeline.now();
         self.outcome.within_rest += usize::from(rests.is_some_and(|until| now < *until));
         self.count_limited(instance, upstream);
+        let queue = self.plan.slots * self.queue_per_slot();
         let desk = &mut self.desks[self.lines[line].upstream];
         if self.lines[line].over {
             return;
         }
-        if desk.running.len() < self.plan.slots {
+        if desk.is_down {
+            self.fail(line, Failure::NotSent);
+        } else if desk.running.len() < self.plan.slots {
             self.start(line);
-        } else if desk.waiting.len() < self.plan.slots * QUEUE_PER_SLOT {
+        } else if desk.waiting.len() < queue {
             desk.waiting.push_back(line);
         } else {
             self.outcome.turned_away += 1;
-            let attempt = self.lines[line].attempt;
-            let failure = Failure::Refused;
-            let failed = Event::Failed { attempt, failure };
             self.ask_for_rest(line);
-            self.timeline
-                .schedule(WAY_MS, Action::Tell(instance, failed));
+            self.fail(line, Failure::Refused);
+            self.strain(upstream);
+        }
+    }
+
+    fn fail(&mut self, line: usize, failure: Failure) {
+        let Line {
+            attempt, instance, ..
+        } = self.lines[line];
+        let failed = Event::Failed { attempt, failure };
+        self.timeline
+            .schedule(WAY_MS, Action::Tell(instance, failed));
+    }
+
+    /// Requests that an upstream lets wait now, for each of its slots.
+    fn queue_per_slot(&self) -> usize {
+        let since = self.timeline.now().since(START);
+        let is_brittle = (CALM_MS + BRITTLE_AFTER_MS..CALM_MS + RUSH_MS).contains(&since);
+        if self.plan.brittle.is_some() && is_brittle {
+            BRITTLE_QUEUE_PER_SLOT
+        } else {
+            QUEUE_PER_SLOT
+        }
+    }
+
+    /// An upstream has turned a request away; it falls over if it is brittle and there were too many in a second.
+    fn strain(&mut self, upstream: usize) {
+        let since = self.timeline.now().since(START);
+        let is_brittle = (CALM_MS..CALM_MS + RUSH_MS).contains(&since);
+        let Some(survives) = self.plan.brittle.filter(|_| is_brittle) else {
+            return;
+        };
+        let now = self.timeline.now();
+        let rejections = &mut self.desks[upstream].rejections;
+        rejections.push_back(now);
+        let old = |at: &mut Time| now.since(*at) >= BRITTLE_WINDOW_MS;
+        while rejections.pop_front_if(old).is_some() {}
+        if rejections.len() > survives as usize {
+            self.fall_over(upstream);
+        }
+    }
+
+    fn fall_over(&mut self, upstream: usize) {
+        self.outcome.falls += 1;
+        let fallen = std::mem::take(&mut self.desks[upstream]);
+        self.desks[upstream].is_down = true;
+        for line in fallen.running.into_iter().chain(fallen.waiting) {
+            self.lines[line].over = true;
+            self.fail(line, Failure::Broken);
         }
+        self.timeline.schedule(DOWN_MS, Action::GetUp(upstream));
     }
 
     /// An upstream that turns a call away asks for rest, if it does that here.
--- a/crates/standin/tests/rush.rs
+++ b/crates/standin/tests/rush.rs
@@ -277,3 +277,36 @@
         );
     }
 }
+
+/// Times that brittle upstreams may fall over, by the users' rule: twice and a tenth of their number.
+const FALLS: usize = 2;
+
+/// A rush before six upstreams that are brittle in it.
+fn brittle_rush(instances: usize, load: f64, survives: u32) -> Outcome {
+    rush::run(Plan {
+        brittle: Some(survives),
+        instances,
+        load,
+        seed: 1,
+        ..Plan::default()
+    })
+}
+
+fn expect_few_falls(instances: usize) {
+    for (load, survives) in [(2.0, 2), (3.0, 5), (6.0, 2)] {
+        let outcome = brittle_rush(instances, load, survives);
+        let what = format!("{instances} instances, load {load}, {survives}: {outcome:?}");
+        expect_that!(outcome.falls, le(FALLS), "{what}");
+    }
+}
+
+#[gtest]
+fn brittle_upstreams_do_not_fall_over_in_a_rush_at_6_instances() {
+    expect_few_falls(1);
+    expect_few_falls(6);
+}
+
+#[gtest]
+fn brittle_upstreams_do_not_fall_over_in_a_rush_at_74_instances() {
+    expect_few_falls(74);
+}
