Ignore the check of an upstream that has left the list

Cause: a connection for a tunnel failed while the upstream's entry went; the core looked the upstream up and panicked. Its task was gone and its connections stayed open. Why this works: what is not listed is not lost. Test failed_connection_to_an_upstream_that_is_no_longer_listed_changes_nothing panicked before.

--- a/crates/core/src/connectivity.rs
+++ b/crates/core/src/connectivity.rs
@@ -202,7 +202,9 @@
         if !connected {
             self.connectivity.checks_passed = 0;
             self.connectivity.next_check = self.now.after(CHECK_INTERVAL_MS);
-            if !self.connectivity.tunnelled.contains(&upstream) {
+            // It may have left the list since the connection was started.
+            let is_listed = self.upstreams.contains_key(upstream);
+            if is_listed && !self.connectivity.tunnelled.contains(&upstream) {
                 self.record_unreached(upstream, started_at);
                 self.report_loss(upstream, LossSource::Connection);
             }
--- a/crates/core/tests/relay/connectivity.rs
+++ b/crates/core/tests/relay/connectivity.rs
@@ -238,6 +238,23 @@
     expect_that!(losses_announced(&test), eq(1));
 }
 
+#[gtest]
+fn failed_connection_to_an_upstream_that_is_no_longer_listed_changes_nothing() {
+    let mut test = test(6);
+    let (upstream, _) = test
+        .core
+        .tunnel_target(incarnation(0, 0))
+        .expect("it is reached");
+    test.list((1..6).map(|index| listed(index, index)).collect());
+    test.handle(Event::ConnectionChecked {
+        connected: false,
+        started_at: test.now,
+        upstream,
+    });
+    test.advance(10);
+    expect_that!(losses_announced(&test), eq(0));
+}
+
 #[gtest]
 fn gateway_that_reaches_no_upstreams_is_not_asked_again() {
     let mut test = test(6);
--- a/crates/node/src/error.rs
+++ b/crates/node/src/error.rs
@@ -10,6 +10,8 @@
 pub enum Error {
     /// Listening on an address failed.
     Bind(SocketAddr, std::io::Error),
+    /// The core task ended while the instance was running.
+    CoreEnded,
     /// Another instance did not answer a request.
     Peer(SocketAddr, String),
     /// Reading a file failed.
@@ -30,6 +32,7 @@
         match self {
             Self::Read(..) | Self::Settings(..) => ExitCode::from(EXIT_USAGE),
             Self::Bind(..)
+            | Self::CoreEnded
             | Self::Peer(..)
             | Self::Runtime(_)
             | Self::Store(_)
@@ -44,6 +47,7 @@
             Self::Bind(address, error) => {
                 write!(formatter, "failed to listen on {address}: {error}")
             }
+            Self::CoreEnded => write!(formatter, "the core task ended"),
             Self::Peer(address, text) => write!(formatter, "instance {address}: {text}"),
             Self::Read(path, error) => {
                 write!(formatter, "failed to read {}: {error}", path.display())
