End the process of an instance whose core task has ended

Found by the panic before this commit: the instance went on accepting callers and answered each with 500 until its planned stop, 7 s and more, while streams of the dead core kept their connections to upstreams. Now the process ends with an error, its connections with it, and the platform starts another one. Not tested: no event is known that makes the core panic.

--- a/crates/node/src/driver.rs
+++ b/crates/node/src/driver.rs
@@ -171,6 +171,11 @@
         self.send(Message::Count(counter));
     }
 
+    /// Waits until the core task has ended.
+    pub(crate) async fn ended(&self) {
+        self.sender.closed().await;
+    }
+
     /// Queues an event for the core.
     pub(crate) fn send_event(&self, event: Event) {
         self.send(Message::Event(event));
--- a/crates/node/src/hosted.rs
+++ b/crates/node/src/hosted.rs
@@ -60,9 +60,12 @@
     let mut settings_watcher = reload::SettingsWatcher::new(path, settings);
     let termination = instance::wait_for_termination();
     tokio::pin!(termination);
+    let driver = instance.driver.clone();
     loop {
         tokio::select! {
             () = &mut termination => break,
+            // Without its core the instance would answer every request with an error; the platform starts another one.
+            () = driver.ended() => return Err(Error::CoreEnded),
             settings = settings_watcher.next() => instance.configure(&settings),
         }
     }
