Heed upstreams that say that they are brittle

Cause: Server-Brittle was decoded nowhere. Change: the word is one of the things that an answer says, heeded before any byte goes on, for all upstreams of the pool and 5 s behind the last such answer. Instances together send no more calls than there are slots, each its part of them; one that was rejected stays away for 1 to 5 s; the demand that is admitted aims at 0.85 of the slots in place of 0.9, and at 0.8 to 1.1 calls under way for each in place of 1.6 to 2.4.

--- a/crates/core/src/call_place.rs
+++ b/crates/core/src/call_place.rs
@@ -177,7 +177,7 @@
     }
 
     /// Whether an upstream has a slot that is this instance's to fill first and that it leaves idle.
-    fn has_idle_home_slot(&self, key: upstream::Key, homes: &[upstream::Key]) -> bool {
+    pub(crate) fn has_idle_home_slot(&self, key: upstream::Key, homes: &[upstream::Key]) -> bool {
         let slots = homes.iter().filter(|home| **home == key).count();
         slots > self.upstreams[key].attempts.len()
     }
@@ -218,7 +218,7 @@
     /// Upstreams with slots that are this instance's to fill first, one for each such slot. The
     /// slots are dealt out in turn, so that the slots of an instance are at different upstreams;
     /// where instances outnumber slots, some share one.
-    fn home_slots(&self, candidates: &[upstream::Key]) -> Vec<upstream::Key> {
+    pub(crate) fn home_slots(&self, candidates: &[upstream::Key]) -> Vec<upstream::Key> {
         let (rank, instances) = self.members.rank();
         let mut slots: Vec<(u32, u64, upstream::Key)> = Vec::new();
         for key in candidates {
--- a/crates/core/src/core.rs
+++ b/crates/core/src/core.rs
@@ -20,6 +20,8 @@
 /// Upstreams of one pool and the requests queued for them.
 #[derive(Clone, Debug)]
 pub(crate) struct Pool {
+    /// Rejections that its upstreams tolerate; `None` if they never said that they are brittle.
+    pub brittleness: Option<Brittleness>,
     /// Demand of all instances.
     pub demand: DemandTracker,
     /// Intervals between the events of its streams.
@@ -49,6 +51,7 @@
 impl Default for Pool {
     fn default() -> Self {
         Self {
+            brittleness: None,
             demand: DemandTracker::default(),
             estimates: PoolEstimates::default(),
             intervals: liveness::Intervals::default(),
--- a/crates/core/src/counter.rs
+++ b/crates/core/src/counter.rs
@@ -54,6 +54,8 @@
     PeerLimit,
     /// Responses in which the upstream announced that it is leaving.
     NoticeLeaving,
+    /// Responses in which the upstream announced that it is brittle.
+    NoticeBrittle,
     /// Responses in which the upstream announced a rate limit.
     NoticeLimit,
     /// Responses with an unparsable backoff time or rate limit.
@@ -172,6 +174,7 @@
             Self::LeftSilent(evidence) => write!(formatter, "left_silent.{evidence}"),
             Self::ListFromPeer => write!(formatter, "list.from_peer"),
             Self::ListGiven => write!(formatter, "list.given"),
+            Self::NoticeBrittle => write!(formatter, "notice.brittle"),
             Self::NoticeInvalid => write!(formatter, "notice.odd"),
             Self::NoticeLeaving => write!(formatter, "notice.leaving"),
             Self::NoticeLimit => write!(formatter, "notice.limit"),
--- a/crates/core/src/demand.rs
+++ b/crates/core/src/demand.rs
@@ -36,6 +36,10 @@
 /// go unnoticed.
 const CALLS_PER_SLOT: std::ops::RangeInclusive<f64> = 1.6..=2.4;
 
+/// The same two while upstreams are brittle: no call is to wait there, since one that finds no room does harm.
+const BRITTLE_UTILIZATION: f64 = 0.85;
+const BRITTLE_CALLS_PER_SLOT: std::ops::RangeInclusive<f64> = 0.8..=1.1;
+
 /// Share of the capacity left to callers that were refused before, where new calls would take all
 /// of it: their responses are already late. With a larger share fewer are refused twice, and more
 /// are late.
@@ -161,6 +165,15 @@
     retry: f64,
 }
 
+/// How many calls may wait at the upstreams of a pool.
+#[derive(Clone, Copy, Debug)]
+struct Room {
+    /// Whether none should, since the upstreams are brittle.
+    is_brittle: bool,
+    /// Fraction of the latency objective for which calls may wait there.
+    wait: f64,
+}
+
 /// Tracks the demand for one pool and the admitted share.
 #[derive(Clone, Debug)]
 pub(crate) struct DemandTracker {
@@ -322,18 +335,23 @@
 
     /// Computes the load and the admitted share from the demand of all instances and the number of
     /// slots.
-    fn update(&mut self, total: FleetDemand, slots: f64, wait: f64, now: Time) {
+    fn update(&mut self, total: FleetDemand, slots: f64, room: Room, now: Time) {
         self.admitted = AdmittedShare::ALL;
         self.load = 0.0;
         let demand = total.arrival_rate + total.retry_rate;
         if slots <= 0.0 || total.service_time_ms <= 0.0 || demand <= 0.0 {
             return;
         }
-        let capacity = TARGET_UTILIZATION * slots * 1_000.0 / total.service_time_ms;
+        let utilization = if room.is_brittle {
+            BRITTLE_UTILIZATION
+        } else {
+            TARGET_UTILIZATION
+        };
+        let capacity = utilization * slots * 1_000.0 / total.service_time_ms;
         let is_overloaded = capacity * self.correction < demand;
         if now.since(self.adjusted_at) >= GOSSIP_INTERVAL_MS {
             self.adjusted_at = now;
-            let target = self.target(total.service_time_ms, wait);
+            let target = self.target(total.service_time_ms, room);
             self.correct(total.running / slots, target, is_overloaded);
         }
         let served = capacity * self.correction;
@@ -349,9 +367,14 @@
     /// Target number of calls in flight per slot while calls are refused: as many as complete
     /// within a fraction of the latency objective. With a fixed number, a service whose calls take
     /// a fourth of it was idle by chance while a fifth of its calls were refused.
-    fn target(&self, service_time_ms: f64, wait: f64) -> f64 {
-        let (least, most) = (*CALLS_PER_SLOT.start(), *CALLS_PER_SLOT.end());
-        (self.objective_ms * wait / service_time_ms).clamp(least, most)
+    fn target(&self, service_time_ms: f64, room: Room) -> f64 {
+        let range = if room.is_brittle {
+            BRITTLE_CALLS_PER_SLOT
+        } else {
+            CALLS_PER_SLOT
+        };
+        let (least, most) = (*range.start(), *range.end());
+        (self.objective_ms * room.wait / service_time_ms).clamp(least, most)
     }
 
     /// Adjusts the correction by the calls in flight per slot: admits fewer where too many wait,
@@ -584,10 +607,13 @@
             return;
         };
         let total = pool.demand.total(running, instances, now);
+        let room = Room {
+            is_brittle: self.is_brittle(pool),
+            wait: self.settings.calls.wait,
+        };
         let slots = self.slots(pool, total.service_time_ms);
         if let Some(pool) = self.pools.get_mut(name) {
-            pool.demand
-                .update(total, slots, self.settings.calls.wait, now);
+            pool.demand.update(total, slots, room, now);
         }
     }
 
--- a/crates/core/src/notice.rs
+++ b/crates/core/src/notice.rs
@@ -31,6 +31,8 @@
     pub leaving: bool,
     /// Rate limit over all instances.
     pub limit: Limit,
+    /// Rejections per second that it tolerates, if it is brittle.
+    pub tolerated: Limit,
     /// Load report; `None` if the response has none.
     pub load: Option<Load>,
 }
@@ -72,7 +74,8 @@
     /// Whether the headers announce nothing but load.
     pub fn is_plain(&self) -> bool {
         let unlimited = matches!(self.limit, Limit::None | Limit::Unknown);
-        !self.leaving && self.backoff == Backoff::None && unlimited
+        let brittle = matches!(self.tolerated, Limit::Rate(_) | Limit::Malformed);
+        !self.leaving && self.backoff == Backoff::None && unlimited && !brittle
     }
 }
 
@@ -141,6 +144,7 @@
             self.apply_own_leaving(key);
         }
         self.apply_limit(key, attempt, notice.limit);
+        self.apply_brittleness(key, notice.tolerated);
         match notice.backoff {
             Backoff::For(millis) => self.back_off(key, millis),
             Backoff::Malformed => self.count(Counter::NoticeInvalid),
--- a/crates/core/src/place.rs
+++ b/crates/core/src/place.rs
@@ -62,8 +62,9 @@
             return None;
         }
         let own = self.own_usage();
-        let candidates =
+        let mut candidates =
             self.upstreams_with_capacity(request, self.relay_candidates(request), &own);
+        self.retain_with_slot(request, &mut candidates);
         if !request.service.streams() {
             let pool: Arc<str> = request.service.pool().into();
             if self.places_by_calls_in_flight(&pool) {
--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -334,9 +334,10 @@
                 self.upstreams[upstream].last_heard = self.now;
                 self.upstreams[upstream].record_answer(self.now);
                 if attempt.copy.is_none() {
+                    let full_ms = self.full_ms(upstream, FULL_MS);
                     let upstream = &mut self.upstreams[upstream];
                     upstream.failure_score.record(self.now);
-                    upstream.full_until = self.now.after(FULL_MS);
+                    upstream.full_until = self.now.after(full_ms);
                 }
                 counter::Reason::Refused
             }
--- a/crates/core/tests/relay/main.rs
+++ b/crates/core/tests/relay/main.rs
@@ -31,6 +31,7 @@
     },
 };
 
+mod brittle;
 mod builder;
 mod call_place;
 mod capacity;
--- a/crates/node/src/request_log.rs
+++ b/crates/node/src/request_log.rs
@@ -44,7 +44,12 @@
         Limit::Malformed => (None, true),
         Limit::Rate(rate) => (Some(rate.per_second()), is_malformed),
     };
-    info!(request, upstream, status, leaving, limit, rest_ms = backoff_ms, odd = is_malformed; "upstream said");
+    let brittle = match notice.tolerated {
+        Limit::Rate(rate) => Some(rate.per_second()),
+        Limit::Malformed | Limit::None | Limit::Unknown => None,
+    };
+    let is_malformed = is_malformed || notice.tolerated == Limit::Malformed;
+    info!(request, upstream, status, leaving, limit, brittle, rest_ms = backoff_ms, odd = is_malformed; "upstream said");
 }
 
 /// Logs that a request is refused from now on, with the upstreams that crashed while they ran it, by the hashes of their
--- a/crates/standin/src/rush.rs
+++ b/crates/standin/src/rush.rs
@@ -827,6 +827,7 @@
         } else {
             self.outcome.turned_away += 1;
             self.ask_for_rest(line);
+            self.say(line);
             self.fail(line, Failure::Refused);
             self.strain(upstream);
         }
@@ -852,6 +853,16 @@
         }
     }
 
+    /// What upstreams say of the requests that they survive to turn away.
+    fn tolerated(&self) -> Limit {
+        let since = self.timeline.now().since(START);
+        let is_brittle = (CALM_MS..CALM_MS + RUSH_MS).contains(&since);
+        let survives = self.plan.brittle.filter(|_| is_brittle);
+        survives.map_or(Limit::None, |survives| {
+            Limit::Rate(Rate(u64::from(survives) * 1_000))
+        })
+    }
+
     /// An upstream has turned a request away; it falls over if it is brittle and there were too many in a second.
     fn strain(&mut self, upstream: usize) {
         let since = self.timeline.now().since(START);
@@ -934,8 +945,8 @@
         self.lifted = Some((self.timeline.now(), 0));
     }
 
-    /// An answer says what its upstream takes.
-    fn say_limit(&mut self, line: usize) {
+    /// An answer says what its upstream takes, and whether it is brittle.
+    fn say(&mut self, line: usize) {
         let Line {
             attempt,
             instance,
@@ -955,6 +966,7 @@
             attempt,
             notice: Notice {
                 limit,
+                tolerated: self.tolerated(),
                 ..Notice::default()
             },
             upstream: key,
@@ -997,7 +1009,7 @@
             let verdict = Verdict::Good;
             let answered = Event::Answered { attempt, verdict };
             let instance = self.lines[line].instance;
-            self.say_limit(line);
+            self.say(line);
             self.timeline
                 .schedule(WAY_MS, Action::Tell(instance, answered));
         }
