Keep losses that are not announced yet by upstream

Cost: with thousands of upstreams lost at once each further loss looked at all before it, and each check at all upstreams times all losses.

--- a/crates/core/src/connectivity.rs
+++ b/crates/core/src/connectivity.rs
@@ -35,7 +35,7 @@
 }
 
 /// What is announced to other instances once this one has reached another upstream.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub(crate) enum Announcement {
     /// The process of the upstream has ended.
     Crash,
@@ -43,14 +43,6 @@
     Loss,
 }
 
-/// An announcement that is not made yet.
-#[derive(Clone, Copy, Debug)]
-struct Held {
-    announcement: Announcement,
-    at: Time,
-    upstream: upstream::Key,
-}
-
 /// A connection that only finds out whether an upstream can be reached.
 #[derive(Clone, Copy, Debug)]
 struct Check {
@@ -68,7 +60,8 @@
     /// Upstreams to which connections failed since, with the time at which the first of them was started.
     failed: BTreeMap<upstream::Key, Time>,
     gateways: Gateways,
-    held: Vec<Held>,
+    /// Announcements that are not made yet, and since when.
+    held: BTreeMap<(upstream::Key, Announcement), Time>,
     next_check: Time,
     /// Upstreams that another instance reaches and this one does not.
     tunnelled: BTreeSet<upstream::Key>,
@@ -258,15 +251,8 @@
         if !self.has_gateways() {
             return true;
         }
-        let is_same = |held: &Held| held.upstream == upstream && held.announcement == announcement;
-        if self.connectivity.held.iter().any(is_same) {
-            return false;
-        }
-        self.connectivity.held.push(Held {
-            announcement,
-            at: self.now,
-            upstream,
-        });
+        let held = &mut self.connectivity.held;
+        held.entry((upstream, announcement)).or_insert(self.now);
         false
     }
 
@@ -290,19 +276,20 @@
                 unreached: self.connectivity.tunnelled.len(),
             });
         }
-        let is_due = |held: &mut Held| held.at <= started_at;
-        let due: Vec<Held> = self.connectivity.held.extract_if(.., is_due).collect();
-        for held in due {
-            self.announce(&held);
+        let is_due = |_: &(upstream::Key, Announcement), at: &mut Time| *at <= started_at;
+        let due = self.connectivity.held.extract_if(.., is_due);
+        let due: Vec<_> = due.map(|(announcement, _)| announcement).collect();
+        for (lost, announcement) in due {
+            self.announce(lost, announcement);
         }
     }
 
-    fn announce(&mut self, held: &Held) {
-        let Some(upstream) = self.upstreams.get(held.upstream) else {
+    fn announce(&mut self, lost: upstream::Key, announcement: Announcement) {
+        let Some(upstream) = self.upstreams.get(lost) else {
             return;
         };
         let incarnation = upstream.incarnation;
-        match held.announcement {
+        match announcement {
             Announcement::Crash => self.confirm_crash(incarnation),
             Announcement::Loss => self.effects.push(Effect::GossipLost(incarnation)),
         }
@@ -322,7 +309,7 @@
         });
         self.connectivity.next_check = self.now;
         let held = std::mem::take(&mut self.connectivity.held);
-        let held = held.iter().map(|held| held.upstream);
+        let held = held.into_keys().map(|(lost, _)| lost);
         let doubted: BTreeSet<upstream::Key> = held
             .chain(self.connectivity.failed.keys().copied())
             .collect();
@@ -351,31 +338,39 @@
     fn check_target(&mut self) -> Option<upstream::Key> {
         let upstreams = &self.upstreams;
         let connectivity = &mut self.connectivity;
-        let is_known = |key: &upstream::Key| upstreams.contains_key(*key);
-        connectivity.failed.retain(|key, _| is_known(key));
-        connectivity.tunnelled.retain(|key| is_known(key));
-        connectivity.held.retain(|held| is_known(&held.upstream));
+        connectivity
+            .failed
+            .retain(|key, _| upstreams.contains_key(*key));
+        connectivity
+            .tunnelled
+            .retain(|key| upstreams.contains_key(*key));
+        connectivity
+            .held
+            .retain(|(key, _), _| upstreams.contains_key(*key));
         let (cut_off, now) = (self.is_cut_off(), self.now);
         let connectivity = &self.connectivity;
-        let is_overdue = |held: &Held| now.since(held.at) >= CONFIRM_MS;
-        let candidates: Vec<upstream::Key> = if !cut_off && !connectivity.tunnelled.is_empty() {
+        let is_overdue = |at: &Time| now.since(*at) >= CONFIRM_MS;
+        let candidates = if !cut_off && !connectivity.tunnelled.is_empty() {
             connectivity.tunnelled.iter().copied().collect()
-        } else if cut_off || connectivity.held.iter().any(is_overdue) {
-            let is_lost = |key: &upstream::Key| {
-                connectivity.failed.contains_key(key)
-                    || connectivity.held.iter().any(|held| held.upstream == *key)
-            };
-            let keys = self.upstreams.keys();
-            let others: Vec<upstream::Key> = keys.filter(|key| !is_lost(key)).collect();
-            if others.is_empty() {
-                self.upstreams.keys().collect()
-            } else {
-                others
-            }
+        } else if cut_off || connectivity.held.values().any(is_overdue) {
+            self.not_lost()
         } else {
             return None;
         };
         let index = self.rng.random_range(0..candidates.len().max(1));
         candidates.get(index).copied()
     }
+
+    /// Upstreams to which no connection failed of late, or all if there are none.
+    fn not_lost(&self) -> Vec<upstream::Key> {
+        let held = self.connectivity.held.keys().map(|(lost, _)| *lost);
+        let failed = self.connectivity.failed.keys().copied();
+        let lost: BTreeSet<upstream::Key> = held.chain(failed).collect();
+        let all = self.upstreams.keys();
+        let others: Vec<upstream::Key> = all.filter(|key| !lost.contains(key)).collect();
+        if others.is_empty() {
+            return self.upstreams.keys().collect();
+        }
+        others
+    }
 }
