Open no tunnel to an upstream that this instance reaches by tunnels alone

An instance that reaches some upstreams was asked for a tunnel to one of the others, connected in vain and called it unreached, so that the asker doubted the upstream. Now it declines, and another one is asked. Test no_tunnel_is_opened_to_an_upstream_that_is_reached_by_a_tunnel_alone failed before. Found by reading.

--- a/crates/core/src/connectivity.rs
+++ b/crates/core/src/connectivity.rs
@@ -97,12 +97,13 @@
         self.is_cut_off() && self.members.others().iter().all(is_avoided)
     }
 
-    /// The upstream to which this instance opens a tunnel for another one; `None` if it reaches none itself, or if the
-    /// upstream is to get no new work.
+    /// The upstream to which this instance opens a tunnel for another one; `None` if it does not reach that itself, or if
+    /// the upstream is to get no new work.
     pub fn tunnel_target(&self, incarnation: Incarnation) -> Option<(upstream::Key, SocketAddr)> {
         let key = *self.upstreams_by_incarnation.get(&incarnation)?;
         let upstream = self.upstreams.get(key)?;
-        let may_connect = !self.is_cut_off() && !upstream.is_leaving(self.now);
+        let is_reached = !self.is_cut_off() && !self.connectivity.tunnelled.contains(&key);
+        let may_connect = is_reached && !upstream.is_leaving(self.now);
         may_connect.then_some((key, upstream.address))
     }
 
--- a/crates/core/tests/relay/connectivity.rs
+++ b/crates/core/tests/relay/connectivity.rs
@@ -411,6 +411,24 @@
     expect_that!(test.core.tunnel_target(incarnation(0, 0)), none());
 }
 
+#[gtest]
+fn no_tunnel_is_opened_to_an_upstream_that_is_reached_by_a_tunnel_alone() {
+    let mut test = test(3);
+    let cut = cut_off(&mut test);
+    connect(&mut test, &cut);
+    for _ in 0..20 {
+        test.advance(10);
+        if let Some((upstream, _)) = last_check(&test) {
+            answer_check(&mut test, upstream != cut.key);
+        }
+    }
+    expect_that!(test.core.is_cut_off(), eq(false));
+    for index in 0..3 {
+        let target = test.core.tunnel_target(incarnation(index, 0));
+        expect_that!(target.is_some(), eq(index != cut.upstream));
+    }
+}
+
 #[gtest]
 fn no_tunnel_is_opened_to_an_upstream_that_is_leaving() {
     let mut test = test(6);
