Let an instance borrow one slot at brittle upstreams

Each instance had its own part of the slots and no more, so that calls were refused at instances with more callers than others while slots of others were idle.

--- a/crates/core/src/brittle.rs
+++ b/crates/core/src/brittle.rs
@@ -53,7 +53,7 @@
     }
 
     /// Limits the candidates for a request to those that will not reject it, as far as that is in this instance's hands:
-    /// it has not just been rejected there, and has no more calls there than its part of the slots.
+    /// it has not just been rejected there, and a slot there is idle that is its own to fill, or it may borrow one.
     pub(crate) fn retain_with_slot(&self, request: &Request, candidates: &mut Vec<upstream::Key>) {
         let pool = self.pools.get(request.service.pool());
         let Some(pool) = pool.filter(|pool| self.is_brittle(pool)) else {
@@ -64,11 +64,29 @@
             return;
         }
         let homes = self.home_slots(&pool.upstreams);
-        if !homes.is_empty() {
-            candidates.retain(|key| self.has_idle_home_slot(*key, &homes));
+        if homes.is_empty() {
+            return;
+        }
+        let is_idle = |key: &upstream::Key| self.has_idle_home_slot(*key, &homes);
+        if candidates.iter().any(is_idle) {
+            candidates.retain(is_idle);
+        } else if !self.may_borrow_slot(pool, &homes) {
+            candidates.clear();
         }
     }
 
+    /// Whether this instance may have a call more under way than there are slots of its own, at an upstream of any: one, and
+    /// only where there is a slot for each instance. Callers are not spread as evenly as slots.
+    fn may_borrow_slot(&self, pool: &core::Pool, homes: &[upstream::Key]) -> bool {
+        let slots = self
+            .upstreams_of(pool)
+            .map(|upstream| upstream.listed_slots);
+        let own = self
+            .upstreams_of(pool)
+            .map(|upstream| upstream.attempts.len());
+        slots.sum::<u32>() >= self.instances && own.sum::<usize>() <= homes.len()
+    }
+
     /// Time for which an upstream that rejected a request gets none from this instance, in milliseconds.
     pub(crate) fn full_ms(&mut self, key: upstream::Key, usual_ms: u64) -> u64 {
         let pool = self.pools.get(&self.upstreams[key].pool);
