Carry an answer back though its upstream takes no more of the request

By reading: where the upstream closed its side while bytes were still on their way to it, the gateway ended the tunnel with what the upstream had answered, which a direct connection still reads. No test shows it: on loopback the answer was always carried before.

--- a/crates/node/src/hosted.rs
+++ b/crates/node/src/hosted.rs
@@ -107,7 +107,7 @@
         };
         let (driver, _) = Driver::start(&settings, clock, outputs);
 
-        let stopping_gateway = stopping.clone();
+        let gateway = tunnel::Gateway::new(driver.clone(), stopping.clone());
         let ready = ReadinessEndpoint {
             known_state: known_state.clone(),
             stopping: stopping.clone(),
@@ -146,7 +146,6 @@
         let (requests_sender, peer_requests) = mpsc::unbounded_channel();
         let listener = tokio::net::TcpListener::bind(hosted.peers).await;
         let listener = listener.map_err(|error| Error::Bind(hosted.peers, error))?;
-        let gateway = tunnel::Gateway::new(driver.clone(), stopping_gateway);
         let responder = exchange::Responder::new(requests_sender, gateway.clone());
         tokio::spawn(responder.run(listener));
         let store_sync = store_sync::StoreSync {
--- a/crates/node/src/tunnel.rs
+++ b/crates/node/src/tunnel.rs
@@ -15,7 +15,7 @@
     sync::Semaphore,
 };
 use tokio_util::{
-    codec::{Framed, FramedRead},
+    codec::{Framed, FramedRead, FramedWrite},
     io::StreamReader,
 };
 
@@ -223,14 +223,10 @@
     upstream: TcpStream,
 ) -> Result<(), frame::Error> {
     let parts = frames.into_parts();
-    let (mut near_read, near_write) = parts.io.into_split();
-    let (far_read, mut far_write) = upstream.into_split();
-    far_write.write_all(&parts.read_buf).await?;
-    let mut near_frames = tokio_util::codec::FramedWrite::new(near_write, frame::Codec::new());
-    let forth = async {
-        // An error means that one of the two ends is gone, like the end of the bytes.
-        let _ = tokio::io::copy(&mut near_read, &mut far_write).await;
-    };
+    let (near_read, near_write) = parts.io.into_split();
+    let (far_read, far_write) = upstream.into_split();
+    let mut near_frames = FramedWrite::new(near_write, frame::Codec::new());
+    let forth = carry_forth(near_read, far_write, parts.read_buf);
     tokio::pin!(forth);
     tokio::select! {
         () = &mut forth => return Ok(()),
@@ -240,10 +236,26 @@
     Ok(())
 }
 
+/// Carries bytes to an upstream until the other instance closes the tunnel. Once the upstream takes no more they are
+/// dropped: what it has answered may still have to be carried back.
+async fn carry_forth(mut near: OwnedReadHalf, mut upstream: OwnedWriteHalf, mut bytes: BytesMut) {
+    let mut is_taken = true;
+    loop {
+        if is_taken {
+            is_taken = upstream.write_all(&bytes).await.is_ok();
+        }
+        bytes.clear();
+        bytes.reserve(FRAME_BYTES);
+        let Ok(1..) = near.read_buf(&mut bytes).await else {
+            return;
+        };
+    }
+}
+
 /// Carries the bytes of an upstream to the other instance, and marks the end of its connection unless that broke.
 async fn carry_back(
     mut upstream: OwnedReadHalf,
-    frames: &mut tokio_util::codec::FramedWrite<OwnedWriteHalf, frame::Codec>,
+    frames: &mut FramedWrite<OwnedWriteHalf, frame::Codec>,
 ) -> Result<(), frame::Error> {
     let mut buffer = BytesMut::with_capacity(FRAME_BYTES);
     loop {
