--- a/crates/core/src/connectivity.rs
+++ b/crates/core/src/connectivity.rs
@@ -15,8 +15,10 @@
 /// milliseconds. A retry mostly makes one within a few.
 const CONFIRM_MS: u64 = 50;
 
-/// Interval between two connections that only find out whether upstreams can be reached again, in milliseconds.
-const CHECK_INTERVAL_MS: u64 = 500;
+/// Interval between two connections that only find out whether upstreams can be reached again, in milliseconds. It grows
+/// from the minimum by as much as the time for which they could not: most instances that seem to be cut off have only met
+/// several upstreams that are down.
+const CHECK_INTERVAL_MS: RangeInclusive<u64> = 50..=500;
 
 /// Time after which such a connection counts as failed, in milliseconds. Exceeds the connect timeout.
 const CHECK_TIMEOUT_MS: u64 = 1_000;
@@ -55,6 +57,8 @@
 pub(crate) struct Connectivity {
     check: Option<Check>,
     checks_passed: u32,
+    /// When this instance last found itself cut off.
+    cut_off_at: Time,
     /// When the last connection that was made had been started.
     connected_at: Time,
     /// Upstreams to which connections failed since, with the time at which the first of them was started.
@@ -195,7 +199,7 @@
         }
         if !connected {
             self.connectivity.checks_passed = 0;
-            self.connectivity.next_check = self.now.after(CHECK_INTERVAL_MS);
+            self.connectivity.next_check = self.now.after(self.check_interval_ms());
             // It may have left the list since the connection was started.
             let is_listed = self.upstreams.contains_key(upstream);
             if is_listed && !self.connectivity.tunnelled.contains(&upstream) {
@@ -214,6 +218,11 @@
         }
     }
 
+    fn check_interval_ms(&self) -> u64 {
+        let cut_off_ms = self.now.since(self.connectivity.cut_off_at);
+        cut_off_ms.clamp(*CHECK_INTERVAL_MS.start(), *CHECK_INTERVAL_MS.end())
+    }
+
     /// Makes connections that only find out whether upstreams can be reached, as long as that is in question.
     pub(crate) fn check_connectivity(&mut self) {
         let connectivity = &mut self.connectivity;
@@ -308,6 +317,7 @@
             cut_off: true,
             unreached: self.connectivity.failed.len(),
         });
+        self.connectivity.cut_off_at = self.now;
         self.connectivity.next_check = self.now;
         let held = std::mem::take(&mut self.connectivity.held);
         let held = held.into_keys().map(|(lost, _)| lost);
