--- a/crates/core/src/brittle.rs
+++ b/crates/core/src/brittle.rs
@@ -2,15 +2,15 @@
 //!
 //! A rejection is harmless elsewhere, and instances learn from it where room is. The upstreams of a service announce in all
 //! their responses that they are brittle, and let fewer requests wait from then on. While they do, instances together
-//! send no more calls than there are slots, and whoever was rejected stays away for a while.
+//! send about as many calls as there are slots, and whoever was rejected stays away for a while.
 
 use super::*;
 
 /// Time for which a pool counts as brittle after the last response that said so, in milliseconds.
 const RETENTION_MS: u64 = 5_000;
 
-/// Time for which an instance sends nothing to a brittle upstream that rejected its request, in milliseconds: the bounds, and
-/// per other instance and tolerated rejection, so that all together stay within what is tolerated.
+/// Bounds on the time for which an instance sends nothing to a brittle upstream that rejected its request, in milliseconds.
+/// Within them it is long enough for one rejection of each instance to be tolerated.
 const HOLD_MS: RangeInclusive<u64> = 1_000..=5_000;
 
 /// Factor by which the end of that time is randomized at most.
--- a/crates/core/src/gateways.rs
+++ b/crates/core/src/gateways.rs
@@ -111,8 +111,7 @@
 
     /// An instance that is known to reach upstreams, at random.
     pub fn known(&self, now: Time, rng: &mut Pcg64Mcg) -> Option<u64> {
-        let known = self.known_all(now);
-        (!known.is_empty()).then(|| known[rng.random_range(0..known.len())])
+        random_of(&self.known_all(now), rng)
     }
 
     /// The instance to ask for a tunnel; `None` if no other offers one. Those known come first; otherwise one of the own data
@@ -122,10 +121,10 @@
         let seeks = known.len() < KNOWN_ENOUGH
             && (!self.are_most_cut_off() || rng.random_bool(EXPLORATION));
         if !known.is_empty() && !seeks {
-            return Some(known[rng.random_range(0..known.len())]);
+            return random_of(&known, rng);
         }
         let unknown = self.draw_unknown(members, &known, now, rng);
-        unknown.or_else(|| self.known(now, rng))
+        unknown.or_else(|| random_of(&known, rng))
     }
 
     fn known_all(&self, now: Time) -> Vec<u64> {
@@ -154,12 +153,16 @@
     }
 }
 
+fn random_of(instances: &[u64], rng: &mut Pcg64Mcg) -> Option<u64> {
+    (!instances.is_empty()).then(|| instances[rng.random_range(0..instances.len())])
+}
+
 /// A random instance that fulfils a condition.
 fn draw(instances: &[u64], is_candidate: impl Fn(&u64) -> bool, rng: &mut Pcg64Mcg) -> Option<u64> {
     for _ in 0..DRAWS.min(instances.len()) {
-        let drawn = instances[rng.random_range(0..instances.len())];
-        if is_candidate(&drawn) {
-            return Some(drawn);
+        let drawn = random_of(instances, rng);
+        if drawn.is_some_and(|drawn| is_candidate(&drawn)) {
+            return drawn;
         }
     }
     instances.iter().copied().find(|one| is_candidate(one))
--- a/crates/core/src/members.rs
+++ b/crates/core/src/members.rs
@@ -77,7 +77,7 @@
 
     /// Number of instances with lower identifiers, as a fraction of all; 0 without a view.
     pub fn rank_fraction(&self) -> f64 {
-        let Some((_, newest)) = self.views.back() else {
+        let Some(newest) = self.newest() else {
             return 0.0;
         };
         let lower = newest.others.iter().filter(|other| **other < newest.own);
@@ -99,7 +99,7 @@
 impl Members {
     /// Position of this instance in the order of identifiers, and the number of instances.
     pub fn rank(&self) -> (usize, usize) {
-        let Some((_, view)) = self.views.back() else {
+        let Some(view) = self.newest() else {
             return (0, 1);
         };
         let before = view.others.iter().filter(|other| **other < view.own);
--- a/crates/core/tests/relay/connectivity.rs
+++ b/crates/core/tests/relay/connectivity.rs
@@ -51,6 +51,21 @@
     test.last_sent()
 }
 
+/// The first upstream, as this instance would connect to it for another one.
+fn tunnel_target(test: &Test) -> upstream::Key {
+    let target = test.core.tunnel_target(incarnation(0, 0));
+    target.expect("it is reached").0
+}
+
+/// Has the connection for a tunnel to an upstream fail.
+fn fail_connection(test: &mut Test, upstream: upstream::Key) {
+    test.handle(Event::ConnectionChecked {
+        connected: false,
+        started_at: test.now,
+        upstream,
+    });
+}
+
 /// Number of losses announced to other instances.
 fn losses_announced(test: &Test) -> usize {
     let is_loss = |effect: &&Effect| matches!(effect, Effect::GossipLost(_));
@@ -221,15 +236,8 @@
 #[gtest]
 fn loss_that_a_gateway_finds_is_announced_once_it_has_reached_another_upstream() {
     let mut test = test(6);
-    let (upstream, _) = test
-        .core
-        .tunnel_target(incarnation(0, 0))
-        .expect("it is reached");
-    test.handle(Event::ConnectionChecked {
-        connected: false,
-        started_at: test.now,
-        upstream,
-    });
+    let upstream = tunnel_target(&test);
+    fail_connection(&mut test, upstream);
     expect_that!(losses_announced(&test), eq(0));
     test.advance(10);
     test.request(NON_REPEATABLE);
@@ -241,16 +249,9 @@
 #[gtest]
 fn failed_connection_to_an_upstream_that_is_no_longer_listed_changes_nothing() {
     let mut test = test(6);
-    let (upstream, _) = test
-        .core
-        .tunnel_target(incarnation(0, 0))
-        .expect("it is reached");
+    let upstream = tunnel_target(&test);
     test.list((1..6).map(|index| listed(index, index)).collect());
-    test.handle(Event::ConnectionChecked {
-        connected: false,
-        started_at: test.now,
-        upstream,
-    });
+    fail_connection(&mut test, upstream);
     test.advance(10);
     expect_that!(losses_announced(&test), eq(0));
 }
--- a/crates/node/src/connection.rs
+++ b/crates/node/src/connection.rs
@@ -10,7 +10,7 @@
 
 /// Connect timeout: a hundred times the connect time between data centres, and short enough to send the request to another
 /// upstream afterwards.
-pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// Idle time before TCP keepalive probes, and interval between them: the minimum of the kernel.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
