Announce crashes of upstreams as soon as another one was reached

What callers saw: with a request that ends its engines brought at three instances, eight of eight engines ended before it was refused, and streams beside it were answered 503 for a second.

Cause, by the instances' logs (crash checks done 1 ms behind the break, quarantine 50 ms later), a matter of the announcements that wait until this instance knows that it is not cut off: 1. they waited from the check's end, not from the break, so that the retry's connection did not count; 2. a retry that waited for the third crash went on while that crash was still held: one try ended four engines or five; 3. the confirming connection also went to upstreams known to be down, and the next one came 500 ms later; 4. crashes found while several failures looked like a cut were dropped for good.

Each of the four has tests in relay/connectivity.rs, seven of which failed before. On real sockets one_try_ends_three_upstreams_at_most_beside_other_instances is new and failed 6 of 6 (4 or 5 ended); now all of tests/poison.rs passes 24 of 24, six at a time.

The stand-in's engine went on listening for milliseconds behind the end of its connections, so that a check found it alive and one try ended four engines at a lone instance, 2 runs of 24. No process does that: it closes its listener first now. The check is as strict as before.

--- a/crates/core/src/connectivity.rs
+++ b/crates/core/src/connectivity.rs
@@ -12,7 +12,8 @@
 const MIN_FAILED: usize = 2;
 
 /// Time without any connection after which a connection is made to find out whether a loss is this instance's own, in
-/// milliseconds. A retry mostly makes one within a few.
+/// milliseconds. A retry mostly makes one within a few. For a crash none is waited for: until it is announced, every instance
+/// sends the request that caused it to further upstreams.
 const CONFIRM_MS: u64 = 50;
 
 /// Interval between two connections that only find out whether upstreams can be reached again, in milliseconds. It grows
@@ -45,6 +46,16 @@
     Loss,
 }
 
+impl Announcement {
+    /// Time for which a connection made by other work is waited for, in milliseconds.
+    fn confirm_ms(self) -> u64 {
+        match self {
+            Self::Crash => 0,
+            Self::Loss => CONFIRM_MS,
+        }
+    }
+}
+
 /// A connection that only finds out whether an upstream can be reached.
 #[derive(Clone, Copy, Debug)]
 struct Check {
@@ -64,7 +75,7 @@
     /// Upstreams to which connections failed since, with the time at which the first of them was started.
     failed: BTreeMap<upstream::Key, Time>,
     gateways: Gateways,
-    /// Announcements that are not made yet, and since when.
+    /// Announcements that are not made yet, with the time since which no connection has been made.
     held: BTreeMap<(upstream::Key, Announcement), Time>,
     next_check: Time,
     /// Upstreams that another instance reaches and this one does not.
@@ -219,6 +230,10 @@
     }
 
     fn check_interval_ms(&self) -> u64 {
+        if !self.is_cut_off() && self.connectivity.tunnelled.is_empty() {
+            // An announcement waits, and the upstream that was chosen turned out to be down as well.
+            return *CHECK_INTERVAL_MS.start();
+        }
         let cut_off_ms = self.now.since(self.connectivity.cut_off_at);
         cut_off_ms.clamp(*CHECK_INTERVAL_MS.start(), *CHECK_INTERVAL_MS.end())
     }
@@ -252,20 +267,28 @@
         });
     }
 
-    /// Holds an announcement until this instance has reached another upstream; returns whether it may be made now.
+    /// Holds an announcement of what broke at a time until this instance has reached another upstream since; returns whether
+    /// it may be made now.
     pub(crate) fn may_announce(
         &mut self,
         upstream: upstream::Key,
         announcement: Announcement,
+        broken_at: Time,
     ) -> bool {
-        if !self.has_gateways() {
+        if !self.has_gateways() || self.connectivity.connected_at >= broken_at {
             return true;
         }
         let held = &mut self.connectivity.held;
-        held.entry((upstream, announcement)).or_insert(self.now);
+        held.entry((upstream, announcement)).or_insert(broken_at);
         false
     }
 
+    /// Whether the announcement of a crash is held.
+    pub(crate) fn holds_crash(&self, upstream: upstream::Key) -> bool {
+        let held = &self.connectivity.held;
+        held.contains_key(&(upstream, Announcement::Crash))
+    }
+
     fn push_connectivity_effect(&mut self, effect: effect::Connectivity) {
         self.effects.push(Effect::Connectivity(effect));
     }
@@ -285,6 +308,7 @@
                 cut_off: false,
                 unreached: self.connectivity.tunnelled.len(),
             });
+            self.repeat_crash_checks();
         }
         let is_due = |_: &(upstream::Key, Announcement), at: &mut Time| *at <= started_at;
         let due = self.connectivity.held.extract_if(.., is_due);
@@ -326,6 +350,10 @@
             .collect();
         for key in doubted {
             self.trust(key);
+            let incarnation = self.upstreams.get(key).map(|upstream| upstream.incarnation);
+            if let Some(incarnation) = incarnation {
+                self.release_retries(incarnation);
+            }
         }
     }
 
@@ -360,10 +388,12 @@
             .retain(|(key, _), _| upstreams.contains_key(*key));
         let (cut_off, now) = (self.is_cut_off(), self.now);
         let connectivity = &self.connectivity;
-        let is_overdue = |at: &Time| now.since(*at) >= CONFIRM_MS;
+        let is_overdue = |((_, announcement), at): (&(upstream::Key, Announcement), &Time)| {
+            now.since(*at) >= announcement.confirm_ms()
+        };
         let candidates = if !cut_off && !connectivity.tunnelled.is_empty() {
             connectivity.tunnelled.iter().copied().collect()
-        } else if cut_off || connectivity.held.values().any(is_overdue) {
+        } else if cut_off || connectivity.held.iter().any(is_overdue) {
             self.not_lost()
         } else {
             return None;
@@ -372,13 +402,20 @@
         candidates.get(index).copied()
     }
 
-    /// Upstreams to which no connection failed of late, or all if there are none.
+    /// Upstreams to which no connection failed of late and that are not known to be down, or all if there are none.
     fn not_lost(&self) -> Vec<upstream::Key> {
         let held = self.connectivity.held.keys().map(|(lost, _)| *lost);
         let failed = self.connectivity.failed.keys().copied();
         let lost: BTreeSet<upstream::Key> = held.chain(failed).collect();
         let all = self.upstreams.keys();
-        let others: Vec<upstream::Key> = all.filter(|key| !lost.contains(key)).collect();
+        let is_up = |key: &upstream::Key| {
+            let upstream = &self.upstreams[*key];
+            let is_undoubted = upstream.reach == upstream::Reach::Undoubted;
+            upstream.health == Health::Live && is_undoubted && !self.has_ended(*key)
+        };
+        let others: Vec<upstream::Key> = all
+            .filter(|key| !lost.contains(key) && is_up(key))
+            .collect();
         if others.is_empty() {
             return self.upstreams.keys().collect();
         }
--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -520,7 +520,7 @@
             return;
         }
         self.record_loss(key, source);
-        if self.may_announce(key, Announcement::Loss) {
+        if self.may_announce(key, Announcement::Loss, self.now) {
             let incarnation = self.upstreams[key].incarnation;
             self.effects.push(Effect::GossipLost(incarnation));
         }
--- a/crates/core/src/suspicion.rs
+++ b/crates/core/src/suspicion.rs
@@ -27,6 +27,8 @@
     answered: bool,
     /// When the first connection broke.
     broken_at: Time,
+    /// When the last check of its address was started.
+    checked_at: Time,
     /// Requests that were sent on these connections.
     requests: BTreeMap<RequestFingerprint, quarantine::Involvement>,
 }
@@ -133,10 +135,12 @@
         let pending = pending.or_insert_with(|| Pending {
             answered: true,
             broken_at: now,
+            checked_at: now,
             requests: BTreeMap::new(),
         });
         pending.requests.insert(fingerprint, involvement);
         if std::mem::replace(&mut pending.answered, false) {
+            pending.checked_at = now;
             self.push_quarantine_effect(effect::Quarantine::CheckCrash {
                 address,
                 incarnation,
@@ -144,13 +148,22 @@
         }
     }
 
-    /// Handles the result of the check whether an upstream with broken connections has crashed.
+    /// Handles the result of the check whether an upstream with broken connections has crashed. Retries that wait for it go
+    /// on waiting while it is not certain that the result is not this instance's own.
     pub(crate) fn apply_crash_check(&mut self, incarnation: Incarnation, ended: bool) {
         if ended {
             self.report_crash(incarnation);
         } else if let Some(pending) = self.crash_suspects.pending.get_mut(&incarnation) {
             pending.answered = true;
         }
+        let upstream = self.upstreams_by_incarnation.get(&incarnation);
+        if !upstream.is_some_and(|upstream| self.holds_crash(*upstream)) {
+            self.release_retries(incarnation);
+        }
+    }
+
+    /// Goes on with the retries that wait for the check of an upstream.
+    pub(crate) fn release_retries(&mut self, incarnation: Incarnation) {
         let is_same_incarnation = |retry: &mut DelayedRetry| retry.incarnation == incarnation;
         let delayed: Vec<DelayedRetry> = self
             .crash_suspects
@@ -162,6 +175,27 @@
         }
     }
 
+    /// Checks once more all upstreams with broken connections that have not answered since: what was found while this
+    /// instance took itself to be cut off was not recorded.
+    pub(crate) fn repeat_crash_checks(&mut self) {
+        let mut checks = Vec::new();
+        for (incarnation, pending) in &mut self.crash_suspects.pending {
+            let key = self.upstreams_by_incarnation.get(incarnation);
+            let upstream = key.and_then(|key| self.upstreams.get(*key));
+            if let Some(upstream) = upstream.filter(|_| !pending.answered) {
+                pending.checked_at = self.now;
+                checks.push((upstream.address, *incarnation));
+            }
+        }
+        checks.sort_unstable_by_key(|(_, incarnation)| *incarnation);
+        for (address, incarnation) in checks {
+            self.push_quarantine_effect(effect::Quarantine::CheckCrash {
+                address,
+                incarnation,
+            });
+        }
+    }
+
     /// Records the crash of an upstream whose address refused a connection of this instance, unless the cause may be that this
     /// instance is cut off.
     fn report_crash(&mut self, incarnation: Incarnation) {
@@ -169,16 +203,22 @@
             self.confirm_crash(incarnation);
             return;
         };
-        if !self.is_cut_off() && self.may_announce(key, Announcement::Crash) {
+        let Some(pending) = self.crash_suspects.pending.get(&incarnation) else {
+            return;
+        };
+        let checked_at = pending.checked_at;
+        if !self.is_cut_off() && self.may_announce(key, Announcement::Crash, checked_at) {
             self.confirm_crash(incarnation);
         }
     }
 
-    /// Records the crash of an upstream, with the requests whose connections to it broke.
+    /// Records the crash of an upstream, with the requests whose connections to it broke, and goes on with the retries that
+    /// wait for that.
     pub(crate) fn confirm_crash(&mut self, incarnation: Incarnation) {
         if let Some(pending) = self.crash_suspects.pending.remove(&incarnation) {
             self.record_crash(incarnation, &pending.requests);
         }
+        self.release_retries(incarnation);
     }
 
     fn record_crash(
--- a/crates/core/tests/relay/connectivity.rs
+++ b/crates/core/tests/relay/connectivity.rs
@@ -7,6 +7,9 @@
 const LOCAL: [u64; 1] = [2];
 const OTHERS: [u64; 3] = [2, 3, 4];
 
+/// Interval between two ticks in the tests, in milliseconds.
+const TICK_MS: u64 = 10;
+
 /// A core with other instances and upstreams.
 fn test(upstreams: usize) -> Test {
     let mut test = Test::new(upstreams);
@@ -95,6 +98,32 @@
     test.effects.iter().filter(is_check).count()
 }
 
+/// Reports whether the upstream of an attempt whose connection broke has ended.
+fn check_crash(test: &mut Test, sent: &Sent, ended: bool) {
+    let incarnation = incarnation(sent.upstream, 0);
+    test.handle(Event::CrashChecked { ended, incarnation });
+}
+
+/// Crashes the upstream of the last attempt and has the retry connect; the attempt that was lost.
+fn crash_and_retry(test: &mut Test) -> Sent {
+    let sent = test.last_sent();
+    test.break_connection(&sent, true);
+    let retry = test.last_sent();
+    connect(test, &retry);
+    sent
+}
+
+/// Number of checks whether an upstream has ended.
+fn crash_checks(test: &Test) -> usize {
+    let is_check = |effect: &&Effect| {
+        matches!(
+            effect,
+            Effect::Quarantine(effect::Quarantine::CheckCrash { .. })
+        )
+    };
+    test.effects.iter().filter(is_check).count()
+}
+
 /// Answers the last check.
 fn answer_check(test: &mut Test, connected: bool) {
     let (upstream, started_at) = last_check(test).expect("a check was started");
@@ -224,6 +253,126 @@
     expect_that!(losses_announced(&test), eq(1));
 }
 
+#[gtest]
+fn crash_is_announced_once_a_retry_connects_that_began_before_its_check_ended() {
+    let mut test = test(6);
+    let sent = test.stream(2);
+    test.advance(10);
+    test.fail(&sent, Failure::Broken);
+    let retry = test.last_sent();
+    test.now = test.now.after(2);
+    check_crash(&mut test, &sent, true);
+    expect_that!(test.core.crash_history().is_empty(), eq(true));
+    connect(&mut test, &retry);
+    expect_that!(test.core.crash_history().len(), eq(1));
+}
+
+#[gtest]
+fn crash_is_announced_at_once_if_a_retry_has_connected_since() {
+    let mut test = test(6);
+    let sent = test.stream(2);
+    test.advance(10);
+    test.fail(&sent, Failure::Broken);
+    let retry = test.last_sent();
+    connect(&mut test, &retry);
+    test.now = test.now.after(2);
+    check_crash(&mut test, &sent, true);
+    expect_that!(test.core.crash_history().len(), eq(1));
+}
+
+#[gtest]
+fn crash_without_a_retry_is_announced_within_two_ticks_of_its_check() {
+    let mut test = test(6);
+    test.request(NON_REPEATABLE);
+    let sent = test.last_sent();
+    test.advance(10);
+    test.fail(&sent, Failure::Broken);
+    check_crash(&mut test, &sent, true);
+    test.advance(2 * TICK_MS);
+    expect_that!(checks(&test), eq(1));
+    answer_check(&mut test, true);
+    expect_that!(test.core.crash_history().len(), eq(1));
+}
+
+#[gtest]
+fn crash_found_while_apparently_cut_off_is_checked_again_once_upstreams_are_reached() {
+    let mut test = test(6);
+    let stream = test.stream(2);
+    test.advance(10);
+    cut_off(&mut test);
+    test.advance(10);
+    test.break_connection(&stream, true);
+    expect_that!(test.core.crash_history().is_empty(), eq(true));
+    answer_check(&mut test, true);
+    expect_that!(test.core.is_cut_off(), eq(false));
+    expect_that!(crash_checks(&test), eq(2));
+    check_crash(&mut test, &stream, true);
+    test.advance(2 * TICK_MS);
+    answer_check(&mut test, true);
+    expect_that!(test.core.crash_history().len(), eq(1));
+}
+
+#[gtest]
+fn stream_is_not_sent_to_a_fourth_upstream_while_its_third_crash_is_not_announced() {
+    let mut test = test(9);
+    test.request(STREAM);
+    for _ in 0..2 {
+        crash_and_retry(&mut test);
+    }
+    let third = test.last_sent();
+    test.advance(10);
+    test.break_connection(&third, true);
+    expect_that!(test.sent().len(), eq(3));
+    test.advance(2 * TICK_MS);
+    answer_check(&mut test, true);
+    test.advance(1_000);
+    expect_that!(test.sent().len(), eq(3));
+    expect_that!(test.outcomes(), elements_are![eq("ends_upstreams")]);
+}
+
+#[gtest]
+fn crash_is_not_confirmed_by_a_check_of_an_upstream_that_is_known_to_be_down() {
+    for upstreams in 4..24 {
+        let mut test = test(upstreams);
+        test.request(STREAM);
+        let crashed: Vec<Sent> = (0..2).map(|_| crash_and_retry(&mut test)).collect();
+        let third = test.last_sent();
+        test.advance(TICK_MS);
+        test.break_connection(&third, true);
+        test.advance(2 * TICK_MS);
+        let (checked, _) = last_check(&test).expect("a check was started");
+        expect_that!(crashed.iter().any(|sent| sent.key == checked), eq(false));
+    }
+}
+
+#[gtest]
+fn check_of_a_crash_is_repeated_soon_if_it_has_met_another_upstream_that_is_down() {
+    let mut test = test(9);
+    let sent = test.stream(2);
+    test.advance(TICK_MS);
+    test.break_connection(&sent, true);
+    test.advance(2 * TICK_MS);
+    answer_check(&mut test, false);
+    test.advance(60);
+    expect_that!(checks(&test), eq(2));
+}
+
+#[gtest]
+fn retry_that_waits_for_a_crash_goes_on_once_this_instance_is_cut_off() {
+    let mut test = test(9);
+    test.request(STREAM);
+    for _ in 0..2 {
+        crash_and_retry(&mut test);
+    }
+    let third = test.last_sent();
+    test.advance(10);
+    test.break_connection(&third, true);
+    cut_off(&mut test);
+    expect_that!(last_path(&test), not(eq(Path::Direct)));
+    expect_that!(test.sent().len(), eq(7));
+    expect_that!(test.outcomes(), is_empty());
+}
+
 #[gtest]
 fn upstream_that_a_gateway_does_not_reach_is_avoided_and_not_announced() {
     let mut test = test(6);
--- a/crates/standin/src/worker.rs
+++ b/crates/standin/src/worker.rs
@@ -2,10 +2,14 @@
 //! copies of other upstreams' streams, and can fail in every way that one may.
 
 use super::*;
-use std::sync::{Arc, Mutex};
+use std::sync::{
+    Arc, Mutex,
+    atomic::{AtomicBool, Ordering},
+};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener as Socket, TcpStream},
+    sync::Notify,
 };
 
 /// Events of a whole stream.
@@ -188,6 +192,10 @@
     pub name: String,
     /// When it was ended by a request, and by which try.
     crash: Arc<Mutex<Option<Crash>>>,
+    /// Tells the listener that a request has ended it.
+    ending: Arc<Notify>,
+    /// Whether nothing listens at its address any more.
+    is_closed: Arc<AtomicBool>,
     ledger: Ledger,
     mode: Arc<Mutex<Mode>>,
     remark: Arc<Mutex<Remark>>,
@@ -214,7 +222,9 @@
             address,
             born: unix_ms(),
             crash: Arc::default(),
+            ending: Arc::default(),
             entered: address,
+            is_closed: Arc::default(),
             ledger: ledger.clone(),
             mode: Arc::default(),
             name: name.into(),
@@ -244,8 +254,14 @@
         *self.remark.lock().expect("nobody panics while holding it")
     }
 
-    /// How a request has ended it; whoever holds its runtime is to end that too.
+    /// How a request has ended it, once nothing listens there any more, as with a process: its listener is closed before its
+    /// connections break. Whoever holds its runtime is to end that too.
     pub fn crash(&self) -> Option<Crash> {
+        let is_closed = self.is_closed.load(Ordering::Acquire);
+        self.ending().filter(|_| is_closed)
+    }
+
+    fn ending(&self) -> Option<Crash> {
         self.crash
             .lock()
             .expect("nobody panics while holding it")
@@ -262,14 +278,24 @@
             .lock()
             .expect("nobody panics while holding it")
             .get_or_insert(crash);
+        self.ending.notify_one();
         std::future::pending::<()>().await;
     }
 
-    /// Serves for ever.
+    /// Serves until a request ends it.
     pub async fn serve(self) {
         let Ok(socket) = Socket::bind(self.address).await else {
             return;
         };
+        tokio::select! {
+            () = self.accept(&socket) => {}
+            () = self.ending.notified() => {}
+        }
+        drop(socket);
+        self.is_closed.store(true, Ordering::Release);
+    }
+
+    async fn accept(&self, socket: &Socket) {
         while let Ok((connection, _)) = socket.accept().await {
             tokio::spawn(self.clone().answer(connection));
         }
@@ -356,7 +382,7 @@
             return connection.write_all(refusal.as_bytes()).await;
         }
         self.ledger.lock().runs.push(run.clone());
-        if self.crash().is_some() || run.body.starts_with(FATAL) {
+        if self.ending().is_some() || run.body.starts_with(FATAL) {
             self.end_by(run).await;
         }
         if mode == Mode::Garbage {
--- a/crates/standin/tests/poison.rs
+++ b/crates/standin/tests/poison.rs
@@ -128,16 +128,28 @@
     });
 }
 
-#[gtest]
-fn one_try_ends_three_upstreams_at_most() {
-    run(plan(1), async |mut site: Site| {
+/// Upstreams that end under one try at the first of some instances.
+fn ended_by_one_try(instances: usize) -> usize {
+    let mut ended = 0;
+    run(plan(instances), async |mut site: Site| {
         let address = site.instances[0].callers;
         let once = Duration::from_millis(1);
         let brought = bring(address, "a", once);
         let count = watch(&mut site, Duration::from_secs(2)).await;
         brought.await.unwrap();
-        expect_that!(count.ended, eq(3));
+        ended = count.ended;
     });
+    ended
+}
+
+#[gtest]
+fn one_try_ends_three_upstreams_at_most() {
+    expect_that!(ended_by_one_try(1), eq(3));
+}
+
+#[gtest]
+fn one_try_ends_three_upstreams_at_most_beside_other_instances() {
+    expect_that!(ended_by_one_try(3), eq(3));
 }
 
 #[gtest]
