Let instances take turns at brittle upstreams where they outnumber the slots

Tests held 74 instances before 36 slots only.

Cause: each instance has one call under way whatever its part of the slots is, five to eight times what the slots hold. Admission bounds the mean of that, not what waits: behind the fall of one upstream all that waited for it sent at once when it was back, and it fell again. And each instance learned only by an answer of its own that upstreams are brittle; where all had fallen nobody did.

Now instances that outnumber the slots send a call once in the time in which their share of a slot becomes free (1.4 times as often at most, less strictly while demand is low), draw that time anew while their upstream is down, and tell each other along with their demand that upstreams are brittle and for how long that holds.

--- a/crates/core/src/core.rs
+++ b/crates/core/src/core.rs
@@ -20,8 +20,6 @@
 /// Upstreams of one pool and the requests queued for them.
 #[derive(Clone, Debug)]
 pub(crate) struct Pool {
-    /// Rejections that its upstreams tolerate; `None` if they never said that they are brittle.
-    pub brittleness: Option<Brittleness>,
     /// Demand of all instances.
     pub demand: DemandTracker,
     /// Intervals between the events of its streams.
@@ -38,6 +36,10 @@
     pub retry_window: RetryWindow,
     /// Mean number of tokens of a request.
     pub tokens: estimates::Mean,
+    /// Rejections that its upstreams tolerate; `None` if they never said that they are brittle.
+    pub tolerance: Option<Tolerance>,
+    /// From when on this instance may send a call, while instances take turns at brittle upstreams.
+    pub turn_at: Time,
     /// Its upstreams.
     pub upstreams: Vec<upstream::Key>,
     /// Version that its upstreams must have to receive requests; `None` until there is one.
@@ -51,7 +53,6 @@
 impl Default for Pool {
     fn default() -> Self {
         Self {
-            brittleness: None,
             demand: DemandTracker::default(),
             estimates: PoolEstimates::default(),
             intervals: liveness::Intervals::default(),
@@ -60,6 +61,8 @@
             retry_budget: Budget::new(BUDGET_PERMITS, BUDGET_REFILL_PER_SECOND, Time::default()),
             retry_window: RetryWindow::default(),
             tokens: estimates::Mean::default(),
+            tolerance: None,
+            turn_at: Time::default(),
             upstreams: Vec::new(),
             version: None,
             versions: Versions::default(),
--- a/crates/core/src/demand.rs
+++ b/crates/core/src/demand.rs
@@ -90,6 +90,8 @@
 pub struct Demand {
     /// New calls per second, without retries.
     pub arrival_rate: f64,
+    /// What the upstreams tolerate, if they are known to be brittle.
+    pub brittleness: Option<Brittleness>,
     /// Calls in flight by upstream, for each that has any; empty unless the pool is near its
     /// capacity.
     pub busy: Vec<BusyUpstream>,
@@ -188,6 +190,8 @@
     correction: f64,
     /// The call that finished last, unless already sent to other instances.
     last_call: Option<FinishedCall>,
+    /// Mean time in milliseconds that a call takes at all instances, as last known; 0 before the first sample.
+    fleet_service_time_ms: f64,
     /// Demand over capacity.
     load: f64,
     /// Latency objective of the last call in milliseconds.
@@ -198,6 +202,8 @@
     samples: f64,
     /// Mean time in milliseconds that a call takes while none is queued.
     service_time_ms: f64,
+    /// Part of the slots that the demand of all instances would keep busy, 1 at most and while no slot is available.
+    utilization: f64,
 }
 
 impl Rate {
@@ -232,12 +238,14 @@
             broadcast_at: Time::default(),
             correction: 1.0,
             last_call: None,
+            fleet_service_time_ms: 0.0,
             load: 0.0,
             objective_ms: 0.0,
             peers: HashMap::new(),
             retries: Rate::default(),
             samples: 0.0,
             service_time_ms: 0.0,
+            utilization: 1.0,
         }
     }
 }
@@ -338,6 +346,10 @@
     fn update(&mut self, total: FleetDemand, slots: f64, room: Room, now: Time) {
         self.admitted = AdmittedShare::ALL;
         self.load = 0.0;
+        self.utilization = 1.0;
+        if total.service_time_ms > 0.0 {
+            self.fleet_service_time_ms = total.service_time_ms;
+        }
         let demand = total.arrival_rate + total.retry_rate;
         if slots <= 0.0 || total.service_time_ms <= 0.0 || demand <= 0.0 {
             return;
@@ -348,6 +360,7 @@
             TARGET_UTILIZATION
         };
         let capacity = utilization * slots * 1_000.0 / total.service_time_ms;
+        self.utilization = (demand * total.service_time_ms / 1_000.0 / slots).min(1.0);
         let is_overloaded = capacity * self.correction < demand;
         if now.since(self.adjusted_at) >= GOSSIP_INTERVAL_MS {
             self.adjusted_at = now;
@@ -393,6 +406,13 @@
         self.correction = correction.clamp(*CORRECTION_RANGE.start(), *CORRECTION_RANGE.end());
     }
 
+    /// Interval in milliseconds at which each of some instances may send a call if together they are to keep so many slots
+    /// busy; shorter while there is less demand than that.
+    pub fn turn_interval_ms(&self, instances: u32, slots: u32) -> f64 {
+        let parts = f64::from(instances) / f64::from(slots.max(1));
+        parts * self.fleet_service_time_ms * self.utilization
+    }
+
     /// Preference for upstreams in the own data centre: 1 while the service is far from full, 0
     /// when it is nearly full.
     pub fn local_preference(&self) -> f64 {
@@ -408,6 +428,9 @@
         if let Some(call) = demand.last_call {
             self.record_upstream_time(&demand.pool, call);
         }
+        if let Some(brittleness) = demand.brittleness {
+            self.record_brittleness(&demand.pool, brittleness);
+        }
         let pool = self.pools.entry(demand.pool.clone()).or_default();
         pool.demand.merge_peer(from, demand, self.now);
     }
@@ -529,6 +552,7 @@
             .collect();
         for name in due {
             self.update_demand(&name);
+            let brittleness = self.brittleness(&self.pools[&name]);
             let running = self.calls_in_flight(&name);
             let instances = self.instances;
             let is_announced =
@@ -557,6 +581,7 @@
                 .retain(|_, peer| now.since(peer.at) < STALE_MS);
             let demand = Demand {
                 arrival_rate: pool.demand.arrivals.per_second(now),
+                brittleness,
                 busy,
                 last_call,
                 pool: name,
--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -369,6 +369,8 @@
         }
         request.state = State::Running;
         if relayed {
+            let pool: Arc<str> = request.service.pool().into();
+            self.take_turn(&pool);
             self.prepare_relay(attempt);
         }
         self.send_attempt(attempt);
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -8,7 +8,7 @@
 
 pub mod attempt;
 pub mod availability;
-mod brittle;
+pub mod brittle;
 pub mod budget;
 pub mod buffer;
 pub mod call_place;
@@ -75,7 +75,7 @@
     crate::core::{Core, DeferredRequest},
     attempt::Attempt,
     availability::{Availability, Span},
-    brittle::Brittleness,
+    brittle::{Brittleness, Tolerance},
     budget::Budget,
     buffer::{Buffers, Reading},
     call_place::{Announced, BusyUpstream},
--- a/crates/core/src/place.rs
+++ b/crates/core/src/place.rs
@@ -64,7 +64,8 @@
         let own = self.own_usage();
         let mut candidates =
             self.upstreams_with_capacity(request, self.relay_candidates(request), &own);
-        self.retain_with_slot(request, &mut candidates);
+        self.retain_with_slot(key, &mut candidates);
+        let request = &self.requests[key];
         if !request.service.streams() {
             let pool: Arc<str> = request.service.pool().into();
             if self.places_by_calls_in_flight(&pool) {
--- a/crates/core/tests/relay/call_place.rs
+++ b/crates/core/tests/relay/call_place.rs
@@ -64,6 +64,7 @@
         for other in 0..others {
             let demand = Demand {
                 arrival_rate: 0.7 * served / f64::from(others),
+                brittleness: None,
                 busy: (0..upstreams).map(busy).collect(),
                 last_call: None,
                 pool: "pool".into(),
--- a/crates/core/tests/relay/fleet.rs
+++ b/crates/core/tests/relay/fleet.rs
@@ -127,6 +127,7 @@
         for instance in 0..instances {
             let demand = Demand {
                 arrival_rate,
+                brittleness: None,
                 busy: Vec::new(),
                 last_call: None,
                 pool: "pool".into(),
--- a/crates/node/src/datagram.rs
+++ b/crates/node/src/datagram.rs
@@ -2,11 +2,13 @@
 
 use super::*;
 use wellplank_core::{
+    brittle::Brittleness,
     call_place::BusyUpstream,
     demand::{Demand, FinishedCall},
     dissemination::{Route, Tree},
     estimates::EngineSpeed,
     informer_io::{Confirmed, Topic},
+    limit,
     rank::Rank,
     roster::{self, Entry, RosterUpdate},
 };
@@ -179,8 +181,13 @@
 
 /// Decodes the demand at an instance.
 pub(crate) fn decode_demand(demand: peers::Demand) -> Demand {
+    let brittleness = Brittleness {
+        left_ms: demand.tolerated_ms.into(),
+        tolerated: limit::Rate(demand.tolerated),
+    };
     Demand {
         arrival_rate: f64::from(demand.asked) / RATE_PERIOD_S,
+        brittleness: Some(brittleness).filter(|brittleness| brittleness.left_ms > 0),
         busy: demand.busy.into_iter().map(BusyUpstream).collect(),
         last_call: demand.last.map(|last| FinishedCall {
             duration_ms: last.millis,
@@ -195,6 +202,7 @@
 
 /// Encodes the demand at this instance.
 pub(crate) fn encode_demand(demand: &Demand) -> peers::Demand {
+    let brittleness = demand.brittleness;
     peers::Demand {
         asked: (demand.arrival_rate * RATE_PERIOD_S).round() as u32,
         busy: demand.busy.iter().map(|busy| busy.0).collect(),
@@ -206,6 +214,8 @@
         returned: (demand.retry_rate * RATE_PERIOD_S).round() as u32,
         running: demand.running,
         takes_ms: demand.service_time_ms.ceil() as u32,
+        tolerated: brittleness.map_or(0, |brittleness| brittleness.tolerated.0),
+        tolerated_ms: brittleness.map_or(0, |brittleness| brittleness.left_ms as u32),
     }
 }
 
--- a/crates/standin/src/layout.rs
+++ b/crates/standin/src/layout.rs
@@ -9,6 +9,10 @@
 /// What a call takes at each upstream, over the mean, where that does not change.
 const EVEN_SLOWNESS: [f64; 6] = [0.9, 1.0, 1.3, 0.85, 1.05, 1.0];
 
+/// Data centre of each upstream where there are few, one in each, and what a call takes there, over the mean.
+const FEW_HOMES: [usize; 3] = [0, 1, 2];
+const FEW_SLOWNESS: [f64; 3] = [0.9, 1.0, 1.1];
+
 /// Data centre of each upstream of the uneven site.
 const UNEVEN_HOMES: [usize; 7] = [0, 0, 1, 1, 2, 2, 3];
 
@@ -40,6 +44,8 @@
 pub enum Layout {
     /// Six upstreams of constant speed; callers are spread evenly.
     Even,
+    /// The same with three upstreams.
+    Few,
     /// Seven upstreams, some of which are slow for a time; waves of callers differ by data centre.
     Uneven {
         /// Upstreams that leave for some seconds, and come back as new incarnations.
@@ -52,6 +58,7 @@
     pub fn homes(self) -> &'static [usize] {
         match self {
             Self::Even => &EVEN_HOMES,
+            Self::Few => &FEW_HOMES,
             Self::Uneven { .. } => &UNEVEN_HOMES,
         }
     }
@@ -60,6 +67,7 @@
     pub fn data_centres(self) -> usize {
         match self {
             Self::Even => EVEN_DATA_CENTRES,
+            Self::Few => FEW_HOMES.len(),
             Self::Uneven { .. } => UNEVEN_DATA_CENTRES,
         }
     }
@@ -73,6 +81,7 @@
     pub fn slowness(self, seed: u64, upstream: usize, since: u64) -> f64 {
         match self {
             Self::Even => EVEN_SLOWNESS[upstream],
+            Self::Few => FEW_SLOWNESS[upstream],
             Self::Uneven { .. } => {
                 let draw = [seed, upstream as u64, since / SLOW_MS];
                 let mut hasher = blake3::Hasher::new();
@@ -92,7 +101,7 @@
     /// The same in the bound on what can be answered in time, which is reckoned at the mean speed where that is constant.
     pub fn ceiling_slowness(self, seed: u64, upstream: usize, since: u64) -> f64 {
         match self {
-            Self::Even => 1.0,
+            Self::Even | Self::Few => 1.0,
             Self::Uneven { .. } => self.slowness(seed, upstream, since),
         }
     }
@@ -100,7 +109,7 @@
     /// Calls of the data centre of an instance at a time, over those at its peak.
     pub fn wave(self, instance: usize, since: u64) -> f64 {
         match self {
-            Self::Even => 1.0,
+            Self::Even | Self::Few => 1.0,
             Self::Uneven { .. } => {
                 let data_centre = instance % UNEVEN_DATA_CENTRES;
                 let phase = since as f64 / WAVE_MS - data_centre as f64 * WAVE_SHIFT;
@@ -119,7 +128,7 @@
     /// Whether an upstream is leaving at a time.
     pub fn is_leaving(self, upstream: usize, since: u64) -> bool {
         match self {
-            Self::Even => false,
+            Self::Even | Self::Few => false,
             Self::Uneven { leaving } => upstream < leaving && LEAVING_MS.contains(&since),
         }
     }
@@ -130,7 +139,7 @@
             Self::Uneven { leaving } if upstream < leaving && since >= LEAVING_MS.end => {
                 LEAVING_MS.end
             }
-            Self::Even | Self::Uneven { .. } => 0,
+            Self::Even | Self::Few | Self::Uneven { .. } => 0,
         }
     }
 
@@ -138,7 +147,7 @@
     pub fn list_changes_ms(self) -> Vec<u64> {
         match self {
             Self::Uneven { leaving } if leaving > 0 => vec![LEAVING_MS.start, LEAVING_MS.end],
-            Self::Even | Self::Uneven { .. } => Vec::new(),
+            Self::Even | Self::Few | Self::Uneven { .. } => Vec::new(),
         }
     }
 }
--- a/crates/standin/src/rush.rs
+++ b/crates/standin/src/rush.rs
@@ -491,7 +491,7 @@
 /// Milliseconds until the next new caller.
 fn gap(plan: &Plan, since: u64, random: &mut Pcg64Mcg) -> f64 {
     let per_ms = match plan.layout {
-        Layout::Even => {
+        Layout::Even | Layout::Few => {
             let rush = (CALM_MS..CALM_MS + RUSH_MS).contains(&since);
             let load = if rush { plan.load } else { 1.0 };
             let slots = plan.slots * plan.layout.homes().len();
--- a/crates/standin/tests/rush.rs
+++ b/crates/standin/tests/rush.rs
@@ -281,20 +281,24 @@
 /// Times that brittle upstreams may fall over, by the users' rule: twice and a tenth of their number.
 const FALLS: usize = 2;
 
-/// A rush before six upstreams that are brittle in it.
-fn brittle_rush(instances: usize, load: f64, survives: u32) -> Outcome {
+/// Loads of a rush before brittle upstreams, over the usual, and the rejections a second that these survive.
+const BRITTLE_RUSHES: [(f64, u32); 3] = [(2.0, 2), (3.0, 5), (6.0, 2)];
+
+/// A rush before upstreams that are brittle in it.
+fn brittle_rush(layout: Layout, instances: usize, load: f64, survives: u32) -> Outcome {
     rush::run(Plan {
         brittle: Some(survives),
         instances,
+        layout,
         load,
         seed: 1,
         ..Plan::default()
     })
 }
 
-fn expect_few_falls(instances: usize) {
-    for (load, survives) in [(2.0, 2), (3.0, 5), (6.0, 2)] {
-        let outcome = brittle_rush(instances, load, survives);
+fn expect_few_falls(layout: Layout, instances: usize, rushes: &[(f64, u32)]) {
+    for (load, survives) in rushes {
+        let outcome = brittle_rush(layout, instances, *load, *survives);
         let what = format!("{instances} instances, load {load}, {survives}: {outcome:?}");
         expect_that!(outcome.falls, le(FALLS), "{what}");
     }
@@ -302,11 +306,27 @@
 
 #[gtest]
 fn brittle_upstreams_do_not_fall_over_in_a_rush_at_6_instances() {
-    expect_few_falls(1);
-    expect_few_falls(6);
+    expect_few_falls(Layout::Even, 1, &BRITTLE_RUSHES);
+    expect_few_falls(Layout::Even, 6, &BRITTLE_RUSHES);
 }
 
 #[gtest]
 fn brittle_upstreams_do_not_fall_over_in_a_rush_at_74_instances() {
-    expect_few_falls(74);
+    expect_few_falls(Layout::Even, 74, &BRITTLE_RUSHES);
+}
+
+/// Guards against instances that outnumber the slots many times over and each have a call under way.
+#[gtest]
+fn brittle_upstreams_do_not_fall_over_in_a_rush_at_five_instances_for_each_slot() {
+    expect_few_falls(Layout::Few, 90, &BRITTLE_RUSHES);
+}
+
+#[gtest]
+fn brittle_upstreams_do_not_fall_over_in_a_rush_at_300_instances() {
+    expect_few_falls(Layout::Even, 300, &BRITTLE_RUSHES[..1]);
+}
+
+#[gtest]
+fn brittle_upstreams_do_not_fall_over_at_six_times_the_load_and_300_instances() {
+    expect_few_falls(Layout::Even, 300, &BRITTLE_RUSHES[2..]);
 }
