Take turns only while upstreams are brittle

Found in the last read of the diff: the next turn was computed for each call and stream that was sent, brittle or not, and walks the upstreams of the pool: work for each request that grows with upstreams. It is computed only while the pool is brittle now.

Not held by a test of its own: the cost is by reading.

--- a/crates/core/src/brittle.rs
+++ b/crates/core/src/brittle.rs
@@ -24,8 +24,8 @@
 /// only spread what waits.
 const TURN_HEADROOM: f64 = 1.4;
 
-/// What the upstreams of a pool tolerate, as instances tell each other: at hundreds of them each sends a few calls a second,
-/// and would reject the first before it knew.
+/// What the upstreams of a pool tolerate, as instances tell each other. One of hundreds sends a few calls a second, too few to
+/// learn it in time by itself.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Brittleness {
     /// Time for which it is taken to hold, in milliseconds.
@@ -37,7 +37,9 @@
 /// The same as an instance keeps it.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) struct Tolerance {
+    /// Rejections per second, at each of them.
     tolerated: limit::Rate,
+    /// Until when it is taken to hold.
     until: Time,
 }
 
@@ -138,8 +140,12 @@
         self.defer_turn(name, fraction);
     }
 
-    /// Records a call that is sent to a pool: the next one waits for the turn of this instance, if instances take turns.
+    /// Records a call that is sent to a pool: if its upstreams are brittle, the next one waits for the turn of this instance.
     pub(crate) fn take_turn(&mut self, name: &str) {
+        let pool = self.pools.get(name);
+        if !pool.is_some_and(|pool| self.is_brittle(pool)) {
+            return;
+        }
         let fraction = self.rng.random_range(TURN_JITTER);
         self.defer_turn(name, fraction);
     }
--- a/crates/core/src/demand.rs
+++ b/crates/core/src/demand.rs
@@ -188,10 +188,10 @@
     broadcast_at: Time,
     /// Factor on the capacity computed from slots and service time, as corrected by feedback.
     correction: f64,
-    /// The call that finished last, unless already sent to other instances.
-    last_call: Option<FinishedCall>,
     /// Mean time in milliseconds that a call takes at all instances, as last known; 0 before the first sample.
     fleet_service_time_ms: f64,
+    /// The call that finished last, unless already sent to other instances.
+    last_call: Option<FinishedCall>,
     /// Demand over capacity.
     load: f64,
     /// Latency objective of the last call in milliseconds.
@@ -237,8 +237,8 @@
             arrivals: Rate::default(),
             broadcast_at: Time::default(),
             correction: 1.0,
-            last_call: None,
             fleet_service_time_ms: 0.0,
+            last_call: None,
             load: 0.0,
             objective_ms: 0.0,
             peers: HashMap::new(),
