Log which check refused a call on arrival, with what it knew

A caller that was refused as `overloaded` left the line `error answered` alone; neither the check nor its figures could be told, so the refusals of the listed test could not be traced, and OPERATIONS.md promises that for every decision. `refused by demand` gives the share, arrivals, service time, slots, calls in flight and correction; `refused by limits` the time until a permit.

--- a/crates/core/src/demand.rs
+++ b/crates/core/src/demand.rs
@@ -158,6 +158,23 @@
     service_time_ms: f64,
 }
 
+/// What an instance knows of a pool when it admits or refuses a call by demand.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Figures {
+    /// Calls that all instances receive per second, retries included.
+    pub arrivals: u64,
+    /// Factor on the capacity computed from slots and service time, as corrected by feedback, in percent.
+    pub correction_percent: u64,
+    /// Calls in flight or queued at all instances.
+    pub running: u64,
+    /// Mean time in milliseconds that a call takes while none is queued.
+    pub service_ms: u64,
+    /// Probability of admission of this call, in percent.
+    pub share_percent: u64,
+    /// Slots of the upstreams that accept work.
+    pub slots: u64,
+}
+
 /// Probability of admission by kind of caller; above 1 while there is spare capacity.
 #[derive(Clone, Copy, Debug)]
 struct AdmittedShare {
@@ -188,6 +205,8 @@
     broadcast_at: Time,
     /// Factor on the capacity computed from slots and service time, as corrected by feedback.
     correction: f64,
+    /// What the admitted share was last computed from.
+    figures: Figures,
     /// Mean time in milliseconds that a call takes at all instances, as last known; 0 before the first sample.
     fleet_service_time_ms: f64,
     /// The call that finished last, unless already sent to other instances.
@@ -237,6 +256,7 @@
             arrivals: Rate::default(),
             broadcast_at: Time::default(),
             correction: 1.0,
+            figures: Figures::default(),
             fleet_service_time_ms: 0.0,
             last_call: None,
             load: 0.0,
@@ -371,6 +391,14 @@
         let retried = (served - total.arrival_rate).max(served * RETRY_SHARE);
         let new = served - retried.min(total.retry_rate);
         self.load = demand / served;
+        self.figures = Figures {
+            arrivals: demand.round() as u64,
+            correction_percent: percent(self.correction),
+            running: total.running.round() as u64,
+            service_ms: total.service_time_ms.round() as u64,
+            share_percent: 100,
+            slots: slots.round() as u64,
+        };
         self.admitted = AdmittedShare {
             new: new / total.arrival_rate,
             retry: retried / total.retry_rate,
@@ -422,6 +450,10 @@
     }
 }
 
+fn percent(fraction: f64) -> u64 {
+    (fraction * 100.0).round() as u64
+}
+
 impl Core {
     /// Records the demand of another instance for a pool, and the call that finished there last.
     pub(crate) fn record_peer_demand(&mut self, from: SocketAddr, demand: &Demand) {
@@ -530,6 +562,11 @@
         if share >= 1.0 || self.rng.random::<f64>() < share {
             return Ok(());
         }
+        let figures = Figures {
+            share_percent: percent(share),
+            ..self.pools[&name].demand.figures
+        };
+        self.log_step(request, effect::Step::RefusedByDemand(figures), None);
         self.record_shortage(request);
         Err(admission::Refusal {
             kind: Kind::Overloaded,
--- a/crates/core/src/effect.rs
+++ b/crates/core/src/effect.rs
@@ -100,6 +100,13 @@
     RetryRefused(RetryClass),
     /// The request was refused on arrival for lack of capacity; only where ranks are in force.
     Refused(Outlook),
+    /// The call was refused on arrival, since the demand of all instances exceeds what the slots serve.
+    RefusedByDemand(demand::Figures),
+    /// The request was refused on arrival, since backoffs and rate limits let no upstream take it in its waiting time.
+    RefusedByLimits {
+        /// Time until an upstream can take it, in milliseconds; `None` if other instances hold the shares of all limits.
+        available_ms: Option<u64>,
+    },
     /// The request was sent to an upstream.
     Sent {
         /// Upstream that keeps a copy of the run's KV cache.
--- a/crates/core/src/limit.rs
+++ b/crates/core/src/limit.rs
@@ -24,6 +24,9 @@
 /// miss an update need not probe.
 const ANNOUNCE_MS: u64 = 5_000;
 
+/// When a bucket without a refill rate will have a permit.
+pub(crate) const NEVER: Time = Time(u64::MAX);
+
 /// Requests per second, in thousandths.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub struct Rate(pub u64);
@@ -84,14 +87,14 @@
         self.permits_at(now) >= CAPACITY
     }
 
-    /// When the bucket will have provided `requests` permits; the end of time if other instances hold the shares.
+    /// When the bucket will have provided `requests` permits; [`NEVER`] if other instances hold the shares.
     pub fn available_at(&self, requests: usize, now: Time) -> Time {
         let missing = requests as f64 * CAPACITY - self.permits_at(now);
         if missing <= 0.0 {
             return now;
         }
         if self.refill_per_ms == 0.0 {
-            return Time(u64::MAX);
+            return NEVER;
         }
         self.refilled_at
             .max(now)
--- a/crates/core/src/notice.rs
+++ b/crates/core/src/notice.rs
@@ -246,6 +246,14 @@
         if !self.is_bound_to_expire(request, ahead) {
             return Ok(());
         }
+        let available = self.available_at(request, ahead);
+        let available = available.filter(|available| *available != limit::NEVER);
+        let available_ms = available.map(|available| available.since(self.now));
+        self.log_step(
+            request,
+            effect::Step::RefusedByLimits { available_ms },
+            None,
+        );
         self.record_shortage(request);
         Err(admission::Refusal {
             kind: Kind::Overloaded,
--- a/crates/core/tests/relay/fleet.rs
+++ b/crates/core/tests/relay/fleet.rs
@@ -183,6 +183,30 @@
     expect_that!(Test::sent_of_hundred_calls(4.0), all![ge(30), le(65)]);
 }
 
+/// Guards against refusals whose cause operators can not tell: the line names the check and what it knew.
+#[gtest]
+fn refusal_by_demand_is_logged_with_what_it_is_based_on() {
+    let mut test = Test::with_slots(Settings::default());
+    for _ in 0..20 {
+        test.advance(250);
+        test.demand(294, 4.0, 58);
+        test.request(NON_REPEATABLE);
+    }
+    let refused = test.effects.iter().find_map(|effect| match effect {
+        Effect::LogRequest(entry) => match entry.step {
+            effect::Step::RefusedByDemand(figures) => Some(figures),
+            _ => None,
+        },
+        _ => None,
+    });
+    let figures = refused.expect("a call is refused");
+    expect_that!(figures.slots, eq(36));
+    expect_that!(figures.service_ms, eq(60));
+    expect_that!(figures.arrivals, all![ge(1_176), le(1_200)]);
+    expect_that!(figures.running, ge(58));
+    expect_that!(figures.share_percent, lt(100));
+}
+
 #[gtest]
 fn stale_demand_of_other_instances_is_ignored() {
     let mut test = Test::set(Settings::default()).configured(6);
--- a/crates/core/tests/relay/limit.rs
+++ b/crates/core/tests/relay/limit.rs
@@ -314,3 +314,21 @@
     test.advance(1_100);
     expect_that!(test.sent().len(), eq(2));
 }
+
+/// Guards against refusals whose cause operators can not tell.
+#[gtest]
+fn refusal_for_a_limit_is_logged_with_the_time_until_a_permit() {
+    let mut test = Test::with_a_limit(1_000);
+    test.effects.clear();
+    for _ in 0..3 {
+        test.request_within(100, "key", NON_REPEATABLE, 0);
+    }
+    let refused = test.effects.iter().find_map(|effect| match effect {
+        Effect::LogRequest(entry) => match entry.step {
+            effect::Step::RefusedByLimits { available_ms } => Some(available_ms),
+            _ => None,
+        },
+        _ => None,
+    });
+    expect_that!(refused, some(some(all![gt(100), le(3_000)])));
+}
--- a/crates/node/src/request_log.rs
+++ b/crates/node/src/request_log.rs
@@ -3,6 +3,7 @@
 
 use super::*;
 use wellplank_core::{
+    demand,
     fingerprint::RequestFingerprint,
     limit::Limit,
     notice::{Backoff, Notice},
@@ -121,6 +122,21 @@
             let (rank, ahead, wait_ms) = (outlook.rank.number(), outlook.ahead, outlook.wait_ms);
             info!(request, fingerprint, customer, service, rank, ahead, wait_ms; "refused for others ahead");
         }
+        Step::RefusedByDemand(figures) => {
+            let demand::Figures {
+                arrivals,
+                correction_percent,
+                running,
+                service_ms,
+                share_percent,
+                slots,
+            } = *figures;
+            info!(request, fingerprint, customer, service, share_percent, arrivals, service_ms, slots, running, correction_percent; "refused by demand");
+        }
+        Step::RefusedByLimits { available_ms } => {
+            let available_ms = *available_ms;
+            info!(request, fingerprint, customer, service, available_ms; "refused by limits");
+        }
         Step::Sent {
             backup,
             copy,
--- a/crates/standin/src/site.rs
+++ b/crates/standin/src/site.rs
@@ -340,7 +340,9 @@
             .shortfalls
             .lock()
             .expect("nobody panics while holding it");
-        let lines = shortfalls.iter().map(|shortfall| format!("{shortfall:?}\n"));
+        let lines = shortfalls
+            .iter()
+            .map(|shortfall| format!("{shortfall:?}\n"));
         lines.collect()
     }
 
