--- a/crates/core/tests/relay/fleet.rs
+++ b/crates/core/tests/relay/fleet.rs
@@ -266,3 +266,31 @@
     expect_that!(sends_of_failing_call(1.7, false), eq(1));
     expect_that!(sends_of_failing_call(1.7, true), eq(2));
 }
+
+/// Guards against refusals by an instance that alone does not reach most upstreams: it holds the demand of all instances against the
+/// slots of those that it reaches.
+#[gtest]
+fn instance_that_reaches_few_upstreams_refuses_no_more_calls_than_others() {
+    let mut test = Test::with_slots(Settings::default());
+    test.handle(Event::Instances(View::numbered(0, 6)));
+    let mut refused = 0;
+    for _ in 0..200 {
+        test.advance(20);
+        // Six tenths of what 36 slots serve.
+        test.demand(5, 65.0, 4);
+        let before = test.sent().len();
+        test.request(NON_REPEATABLE);
+        let Some(sent) = test.sent().get(before).cloned() else {
+            refused += 1;
+            continue;
+        };
+        if sent.upstream == 0 {
+            test.handle(Event::Connected(sent.attempt));
+            test.advance(20);
+            test.answer(&sent, Verdict::Good);
+        } else {
+            test.fail(&sent, Failure::NotSent);
+        }
+    }
+    expect_that!(refused, eq(0));
+}
