Reproduce streams that go on at another version, listed as known failures

Callers whose streams began at engines of one software version got the rest from engines of another. No product code changes.

--- a/crates/core/tests/relay/main.rs
+++ b/crates/core/tests/relay/main.rs
@@ -52,6 +52,7 @@
 mod reach;
 mod readers;
 mod retry;
+mod stream_version;
 mod version;
 
 use builder::*;
--- a/crates/standin/src/client.rs
+++ b/crates/standin/src/client.rs
@@ -79,6 +79,13 @@
             .with("wellplank-token-usage", "5200,700")
     }
 
+    /// The same for a stream that its caller takes up behind an event, which another try began.
+    #[must_use]
+    pub fn taking_up(self, began: &str, position: u64) -> Self {
+        self.with("last-event-id", &position.to_string())
+            .with("resumes", began)
+    }
+
     /// The same with a body of this length.
     #[must_use]
     pub fn body(mut self, bytes: usize) -> Self {
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod load;
 pub mod matrix;
 pub mod observer;
+pub mod order;
 pub mod placing;
 pub mod plain;
 pub mod platform;
--- a/crates/standin/src/site.rs
+++ b/crates/standin/src/site.rs
@@ -51,6 +51,8 @@
     pub links: bool,
     /// Limits of the instances on what waits for callers.
     pub unread: UnreadLimits,
+    /// Versions of the software of the workers that stream, in turn; each has workers in both data centres.
+    pub versions: &'static [&'static str],
 }
 
 impl Default for Plan {
@@ -63,6 +65,7 @@
             instances: 1,
             links: false,
             unread: UnreadLimits::default(),
+            versions: &[worker::VERSION],
         }
     }
 }
@@ -177,7 +180,7 @@
 pub fn enter(shelf: &Shelf, worker: &Worker, pool: &str, data_centre: usize, state: &str) {
     let entry = json!({
         "service": pool, "address": worker.entered, "zone": format!("dc-{data_centre}"),
-        "version": "v1", "slots": 8, "state": state, "cold_left_ms": 0, "call_seq": 0,
+        "version": worker.version, "slots": 8, "state": state, "cold_left_ms": 0, "call_seq": 0,
         "born": worker.born,
     });
     shelf.put(&format!("servers/{}", worker.name), &entry);
@@ -224,11 +227,12 @@
             unread: plan.unread,
         };
         for index in 0..plan.engines {
-            let seat = site.seat(&format!("engine-{index}"), ENGINES, index % 2);
+            let version = plan.versions[index / 2 % plan.versions.len()];
+            let seat = site.seat(&format!("engine-{index}"), ENGINES, index % 2, version);
             site.engines.push(seat);
         }
         for index in 0..plan.desks {
-            let seat = site.seat(&format!("desk-{index}"), DESK, index % 2);
+            let seat = site.seat(&format!("desk-{index}"), DESK, index % 2, worker::VERSION);
             site.desks.push(seat);
         }
         for index in 0..plan.instances {
@@ -254,8 +258,10 @@
     /// Has another life of an engine that has ended begin at its place, under another name.
     pub fn revive(&mut self, engine: usize, life: usize) {
         let ended = &self.engines[engine].worker;
+        let version = ended.version;
         self.shelf.remove(&format!("servers/{}", ended.name));
-        self.engines[engine] = self.seat(&format!("engine-{engine}-{life}"), ENGINES, engine % 2);
+        let name = format!("engine-{engine}-{life}");
+        self.engines[engine] = self.seat(&name, ENGINES, engine % 2, version);
     }
 
     /// Has a worker that answers calls leave.
@@ -263,6 +269,20 @@
         self.enter(&self.desks[desk].worker, DESK, desk % 2, "draining");
     }
 
+    /// Has a worker that streams end with its entry, and all that runs there.
+    pub fn remove_engine(&mut self, engine: usize) {
+        let name = self.engines[engine].worker.name.clone();
+        self.bury(engine);
+        self.shelf.remove(&format!("servers/{name}"));
+    }
+
+    /// Ends an instance at once, and starts it again under its name.
+    pub async fn restart(&mut self, instance: usize) {
+        self.instances[instance].host.kill();
+        let member = self.member(instance, Plan::default().grace_ms).await;
+        self.instances[instance] = member;
+    }
+
     /// Starts one more instance.
     pub async fn join(&mut self) {
         let member = self
@@ -438,8 +458,8 @@
         settings(index, grace_ms, self.store)
     }
 
-    fn seat(&self, name: &str, pool: &str, data_centre: usize) -> Seat {
-        let worker = Worker::new(host::free_address(), name, &self.ledger);
+    fn seat(&self, name: &str, pool: &str, data_centre: usize, version: &'static str) -> Seat {
+        let worker = Worker::new(host::free_address(), name, &self.ledger).of_version(version);
         let host = Host::new(1);
         host.spawn(worker.clone().serve());
         self.enter(&worker, pool, data_centre, "ready");
--- a/crates/standin/src/worker.rs
+++ b/crates/standin/src/worker.rs
@@ -12,6 +12,9 @@
     sync::Notify,
 };
 
+/// Version of the software of a worker of which nothing else is said.
+pub const VERSION: &str = "v1";
+
 /// Events of a whole stream.
 pub const EVENTS: u64 = 40;
 
@@ -58,6 +61,8 @@
     Sham,
     /// Says nothing.
     Silent,
+    /// Takes ten times as long for each event.
+    Slow,
     /// Writes each event in two parts, divided within the empty line that ends it.
     Split,
     /// Answers to another request.
@@ -129,6 +134,8 @@
     pub headers: BTreeMap<String, String>,
     /// First line of the request.
     pub line: String,
+    /// Version of the software of the life that ran it.
+    pub version: &'static str,
     /// Name of the worker.
     pub worker: String,
 }
@@ -190,6 +197,8 @@
     pub entered: SocketAddr,
     /// Name of this life.
     pub name: String,
+    /// Version of its software, as its entry says.
+    pub version: &'static str,
     /// When it was ended by a request, and by which try.
     crash: Arc<Mutex<Option<Crash>>>,
     /// Tells the listener that a request has ended it.
@@ -229,9 +238,17 @@
             mode: Arc::default(),
             name: name.into(),
             remark: Arc::default(),
+            version: VERSION,
         }
     }
 
+    /// The same, of another version of the software.
+    #[must_use]
+    pub fn of_version(mut self, version: &'static str) -> Self {
+        self.version = version;
+        self
+    }
+
     /// The same, known by the address of a proxy before it.
     #[must_use]
     pub fn behind(mut self, proxy: SocketAddr) -> Self {
@@ -346,6 +363,7 @@
             copy: headers.get("kv-from").cloned(),
             headers,
             line,
+            version: self.version,
             worker: self.name.clone(),
         };
         Some(Asked { run })
@@ -423,7 +441,7 @@
         let size = run.header(EVENT_BYTES).parse().unwrap_or(0);
         let first: u64 = run.header("last-event-id").parse().unwrap_or(0) + 1;
         for position in first..=EVENTS {
-            sleep(STEP).await;
+            sleep(if mode == Mode::Slow { 10 * STEP } else { STEP }).await;
             if self.mode() == Mode::Silent {
                 std::future::pending::<()>().await;
             }
