--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -60,12 +60,13 @@
 impl Core {
     /// Admits or refuses a request; defers it while this instance lacks the state to serve it.
     pub(crate) fn submit(&mut self, submission: event::Submission) {
-        self.look_up_stream(&submission);
+        let is_looked_up = self.look_up_stream(&submission);
         if !self.is_ready_for(&submission)
             && let Some(until) = self.defer_until(&submission)
         {
             self.deferred.push(DeferredRequest {
                 arrived_at: self.now,
+                is_looked_up,
                 submission,
                 until,
             });
@@ -80,7 +81,12 @@
         let resumes = |relay: &request::Relay| relay.position > 0;
         let resumes = submission.work.relay().is_some_and(resumes);
         let is_resumable = !resumes || (self.streams_restored && !self.awaits_lookup(submission));
-        self.config.is_some() && self.list_read_at.is_some() && is_resumable
+        self.has_read_state() && is_resumable
+    }
+
+    /// Whether this instance has a configuration and a list of upstreams.
+    pub(crate) fn has_read_state(&self) -> bool {
+        self.config.is_some() && self.list_read_at.is_some()
     }
 
     /// Handles the end of the reports on streams that were stored before the start.
@@ -91,7 +97,11 @@
 
     /// Submits the deferred requests that can be served now and those whose deferral expired.
     pub(crate) fn submit_deferred(&mut self) {
-        for deferred in std::mem::take(&mut self.deferred) {
+        for mut deferred in std::mem::take(&mut self.deferred) {
+            // Which versions there may be is known only with all that was stored.
+            if !deferred.is_looked_up && self.streams_restored {
+                deferred.is_looked_up = self.look_up_stream(&deferred.submission);
+            }
             if self.now < deferred.until && !self.is_ready_for(&deferred.submission) {
                 self.deferred.push(deferred);
             } else {
@@ -183,7 +193,8 @@
         let mut request = self.build_request(submission, customer, service, request_fingerprint)?;
         self.record_size(&request);
         self.raise_starved(&mut request);
-        let checked = self.check_availability(&request);
+        let checked = self.check_origin(&request);
+        let checked = checked.and_then(|()| self.check_availability(&request));
         let checked = checked.and_then(|()| self.check_feasible(&request));
         if let Err(refusal) = checked.and_then(|()| self.check_demand(&request)) {
             self.count_refused(&request);
@@ -436,7 +447,7 @@
         let objective = service.relay().map_or(u64::MAX, |relay| relay.objective_ms);
         let first_event_due = self.now.after(objective).0.saturating_sub(waited_ms);
         let progress = relay.map_or_else(request::RelayProgress::default, |relay| {
-            self.initial_progress(relay)
+            self.initial_progress(relay, service.pool())
         });
         let claim = if cursor.is_none() && !service.repeatable && relay.is_none() {
             let key = submission.key.ok_or(Kind::KeyRequired)?;
--- a/crates/core/src/attempt.rs
+++ b/crates/core/src/attempt.rs
@@ -39,4 +39,6 @@
     pub suspected: bool,
     /// Upstream that it was sent to.
     pub upstream: upstream::Key,
+    /// Version of that upstream at the time of sending.
+    pub version: Version,
 }
--- a/crates/core/src/core.rs
+++ b/crates/core/src/core.rs
@@ -43,8 +43,8 @@
     /// Its upstreams.
     pub upstreams: Vec<upstream::Key>,
     /// Version that its upstreams must have to receive requests; `None` until there is one.
-    pub version: Option<Arc<str>>,
-    /// Number of its upstreams by version.
+    pub active_version: Option<Version>,
+    /// Versions of its upstreams.
     pub versions: Versions,
     /// Limit of concurrent relayed calls.
     pub window: Window,
@@ -64,7 +64,7 @@
             tolerance: None,
             turn_at: Time::default(),
             upstreams: Vec::new(),
-            version: None,
+            active_version: None,
             versions: Versions::default(),
             window: Window::default(),
         }
@@ -76,6 +76,8 @@
 pub(crate) struct DeferredRequest {
     /// When it arrived.
     pub arrived_at: Time,
+    /// Whether the record of its stream was looked up.
+    pub is_looked_up: bool,
     /// The request.
     pub submission: event::Submission,
     /// Time until which it is deferred.
@@ -123,10 +125,12 @@
     pub(crate) losses: liveness::RecentLosses,
     /// Timeouts of the callers of each service.
     pub(crate) longest_timeouts: HashMap<String, timeout::LongestTimeout>,
-    /// Until when the records of streams are looked up at other instances, by the hash of their prompts.
-    pub(crate) lookups: HashMap<u64, Time>,
+    /// Records of streams that are looked up at other instances.
+    pub(crate) lookups: Lookups,
     pub(crate) members: Members,
     pub(crate) now: Time,
+    /// Which versions began the streams that callers may take up.
+    pub(crate) origins: Origins,
     /// When another instance last reported a stream or a loss.
     pub(crate) peer_heard_at: Time,
     pub(crate) pools: BTreeMap<Arc<str>, Pool>,
@@ -295,10 +299,11 @@
             list_read_at: None,
             list_stale_until: Time::default(),
             longest_timeouts: HashMap::new(),
-            lookups: HashMap::new(),
+            lookups: Lookups::new(),
             losses: liveness::RecentLosses::default(),
             members: Members::default(),
             now,
+            origins: Origins::default(),
             peer_heard_at: Time::default(),
             pools: BTreeMap::new(),
             ranks: BTreeMap::new(),
--- a/crates/core/src/directory.rs
+++ b/crates/core/src/directory.rs
@@ -18,6 +18,18 @@
 /// than an engine needs to read a prompt again.
 const LOOKUP_MS: u64 = 150;
 
+/// What the record of a stream is looked up by.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct Lookup {
+    /// The run that brought the stream's first event, if its caller names it.
+    pub origin: Option<RunId>,
+    /// Hash of its prompt, by which its holders are ranked.
+    pub prompt: u64,
+}
+
+/// Lookups that are awaited, with the time until which.
+pub(crate) type Lookups = BTreeMap<Lookup, Time>;
+
 /// The instances to which the record of a stream is sent.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Audience {
@@ -57,22 +69,44 @@
         }
     }
 
-    /// Starts a lookup if a submission resumes a stream whose record this instance may lack.
-    pub(crate) fn look_up_stream(&mut self, submission: &event::Submission) {
-        let Some(relay) = submission.work.relay() else {
-            return;
+    /// Starts a lookup if a submission resumes a stream whose record this instance lacks: where only few instances have it,
+    /// and where several versions may have begun the stream. Returns whether it did.
+    pub(crate) fn look_up_stream(&mut self, submission: &event::Submission) -> bool {
+        let Some(lookup) = self.needed_lookup(submission) else {
+            return false;
         };
-        let (prompt, position) = (relay.prompt, relay.position);
-        let is_unknown = prompt != 0 && self.stream_records.get(prompt).is_none();
+        let until = self.now.after(LOOKUP_MS);
+        self.lookups.insert(lookup, until);
+        self.effects.push(Effect::FindStream(lookup));
+        true
+    }
+
+    /// The lookup that a submission needs; `None` if it needs none, or if this instance can not tell yet.
+    fn needed_lookup(&self, submission: &event::Submission) -> Option<Lookup> {
+        let relay = submission.work.relay().filter(|relay| relay.position > 0)?;
+        let lookup = relay.lookup();
+        if !self.has_read_state() || self.knows_stream(lookup) {
+            return None;
+        }
         let has_holders = |pool: &Arc<str>| {
             self.audience(pool, stream_record::Stage::Started) == Audience::Holders
         };
-        if position == 0 || !is_unknown || !self.pools.keys().any(has_holders) {
-            return;
+        let is_kept_by_few = relay.prompt != 0 && self.pools.keys().any(has_holders);
+        let needs_version = || {
+            let config = self.config.as_ref()?;
+            let route = config.route(&relay.host, &relay.path)?;
+            let mut pools = route.shares.iter().map(|share| share.service.pool());
+            Some(pools.any(|pool| self.only_version(pool).is_none()))
+        };
+        (is_kept_by_few || needs_version() == Some(true)).then_some(lookup)
+    }
+
+    /// Whether the record of a stream is known.
+    fn knows_stream(&self, lookup: Lookup) -> bool {
+        match lookup.origin {
+            Some(run) => self.origins.get(run).is_some(),
+            None => self.stream_records.get(lookup.prompt).is_some(),
         }
-        let until = self.now.after(LOOKUP_MS);
-        self.lookups.insert(prompt, until);
-        self.effects.push(Effect::FindStream(prompt));
     }
 
     /// Whether a submission waits for the record of its stream.
@@ -80,17 +114,28 @@
         let Some(relay) = submission.work.relay() else {
             return false;
         };
-        let until = self.lookups.get(&relay.prompt);
+        let until = self.lookups.get(&relay.lookup());
         until.is_some_and(|until| self.now < *until)
     }
 
-    /// Ends the lookup of a record that has arrived.
-    pub(crate) fn finish_lookup(&mut self, prompt: u64) {
-        if self.lookups.remove(&prompt).is_some() {
+    /// Ends the lookups of a record that has arrived.
+    pub(crate) fn finish_lookups(&mut self, prompt: u64, origin: RunId) {
+        let before = self.lookups.len();
+        self.lookups.retain(|lookup, _| match lookup.origin {
+            Some(run) => run != origin,
+            None => lookup.prompt != prompt,
+        });
+        if self.lookups.len() < before {
             self.submit_deferred();
         }
     }
 
+    /// Repeats the lookups, after the first of them went to instances that were not known yet.
+    pub(crate) fn repeat_lookups(&mut self) {
+        let lookups = self.lookups.keys().copied();
+        self.effects.extend(lookups.map(Effect::FindStream));
+    }
+
     /// Forgets lookups that nobody answered.
     pub(crate) fn expire_lookups(&mut self) {
         let now = self.now;
--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -20,7 +20,9 @@
         if was_sent {
             request.send_by = self.now.after(request.service.max_wait_ms);
         }
-        if let Some(turn) = turn.filter(|_| request.position() == 0) {
+        if request.progress.origin != Origin::Unbegun {
+            queue.push_bound(key);
+        } else if let Some(turn) = turn.filter(|_| request.position() == 0) {
             queue.push_ranked(turn, key);
         } else if was_sent {
             queue.push_resume(key);
@@ -60,8 +62,36 @@
         self.gossip_waiting(key);
     }
 
+    /// Sends the queued streams of a pool that may go on at one version only, and fails those of which no upstream is left.
+    fn dispatch_bound(&mut self, name: &str) {
+        let Some(pool) = self.pools.get(name) else {
+            return;
+        };
+        for key in pool.queue.bound() {
+            if self.requests.get(key).is_none() {
+                continue;
+            }
+            if self.is_quarantined(self.requests[key].request_fingerprint) {
+                self.refuse_quarantined(key);
+                continue;
+            }
+            if let Err(refusal) = self.check_origin(&self.requests[key]) {
+                self.give_up(key, refusal.kind, Kind::UpstreamFailed);
+                continue;
+            }
+            let Some(upstream) = self.choose_upstream(key, true) else {
+                continue;
+            };
+            if let Some(pool) = self.pools.get_mut(name) {
+                pool.queue.remove_bound(key);
+            }
+            self.start_attempt(key, upstream);
+        }
+    }
+
     /// Sends the queued requests of a pool for as long as upstreams have capacity.
     pub(crate) fn dispatch_queued(&mut self, name: &str) {
+        self.dispatch_bound(name);
         loop {
             let Some(pool) = self.pools.get_mut(name) else {
                 return;
@@ -252,6 +282,7 @@
             started: false,
             suspected: false,
             upstream,
+            version: self.upstreams[upstream].version,
         });
         request.attempts.push(attempt);
         let upstream = &mut self.upstreams[upstream];
@@ -324,7 +355,9 @@
             list_age_ms: self
                 .list_read_at
                 .map_or(0, |read_at| self.now.since(read_at)),
+            origin: self.requests[attempt.request].progress.origin,
             path: attempt.path,
+            version: self.upstreams[attempt.upstream].version_name.clone(),
         }
     }
 
--- a/crates/core/src/effect.rs
+++ b/crates/core/src/effect.rs
@@ -117,8 +117,12 @@
         left_ms: u64,
         /// Age of the upstream list that the choice is based on, in milliseconds.
         list_age_ms: u64,
+        /// What is known of the version that began the stream.
+        origin: Origin,
         /// Path to the upstream.
         path: Path,
+        /// Software version of the upstream.
+        version: Arc<str>,
     },
     /// The request waits for capacity; only where ranks are in force.
     Waits(Outlook),
@@ -369,7 +373,7 @@
         rate: Option<limit::Rate>,
     },
     /// Request the record of a stream, by the hash of its prompt, from the instances that hold it.
-    FindStream(u64),
+    FindStream(directory::Lookup),
     /// Broadcast to other instances that an upstream was lost.
     GossipLost(Incarnation),
     /// Broadcast to other instances how fast the engines of a pool are.
--- a/crates/core/src/kind.rs
+++ b/crates/core/src/kind.rs
@@ -60,6 +60,10 @@
     UpstreamFailed,
     /// The upstream rejected the request as invalid.
     UpstreamRejected,
+    /// No upstream is left of the software version that began the stream, at which alone it may go on.
+    VersionGone,
+    /// It is not known here which software version began the stream.
+    VersionUnknown,
 }
 
 /// Whether an upstream ran a request that failed.
@@ -88,7 +92,7 @@
 
 impl Kind {
     /// Every kind.
-    pub const ALL: [Self; 27] = [
+    pub const ALL: [Self; 29] = [
         Self::AlreadyClaimed,
         Self::BadBody,
         Self::BadCursor,
@@ -116,6 +120,8 @@
         Self::UnreadAnswer,
         Self::UpstreamFailed,
         Self::UpstreamRejected,
+        Self::VersionGone,
+        Self::VersionUnknown,
     ];
 
     /// The error response for this kind.
@@ -151,6 +157,8 @@
             Self::UnreadAnswer     => row("unread_answer",     503, Maybe, true,  "the answer was not read and its events take too much memory"),
             Self::UpstreamFailed   => row("upstream_failed",   502, Maybe, true,  "upstreams failed too often"),
             Self::UpstreamRejected => row("upstream_rejected", 400, No,    false, "the upstream called the request wrong"),
+            Self::VersionGone      => row("version_gone",      503, No,    false, "no upstream is left of the version that began this answer; ask anew"),
+            Self::VersionUnknown   => row("version_unknown",   503, No,    true,  "it is not known here which version began this answer; ask another instance"),
         }
     }
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -37,6 +37,7 @@
 pub mod liveness;
 pub mod members;
 pub mod notice;
+pub mod origin;
 pub mod position;
 pub mod quarantine;
 pub mod queue;
@@ -50,6 +51,7 @@
 pub mod store_calls;
 pub mod stream_record;
 pub mod upstream;
+pub mod version;
 
 mod admission;
 mod capacity;
@@ -67,7 +69,6 @@
 mod suspicion;
 mod timeout;
 mod usage;
-mod version;
 mod watch;
 mod window;
 
@@ -88,7 +89,7 @@
     demand::{Demand, DemandTracker},
     detector::StallDetector,
     digest::Digest,
-    directory::Audience,
+    directory::{Audience, Lookups},
     effect::Effect,
     ended::EndedIncarnations,
     estimates::{EngineSpeed, PoolEstimates},
@@ -103,6 +104,7 @@
     liveness::LossSource,
     members::{Members, View},
     notice::Notice,
+    origin::{Origin, Origins, RunId},
     position::Position,
     quarantine::CrashHistory,
     queue::Queue,
@@ -131,6 +133,6 @@
     suspicion::CrashSuspects,
     upstream::{Health, Load, Upstream},
     usage::{OwnUsage, Usage},
-    version::Versions,
+    version::{Version, Versions},
     window::Window,
 };
--- a/crates/core/src/limit.rs
+++ b/crates/core/src/limit.rs
@@ -298,14 +298,16 @@
         let accepts = |upstream: &Upstream| {
             upstream.limit_bucket.is_none() && !upstream.is_in_backoff(self.now)
         };
-        if self.assignable(pool).any(accepts) {
+        let assignable = || {
+            let upstreams = self.assignable(pool);
+            upstreams.filter(|upstream| self.admits(request, upstream))
+        };
+        if assignable().any(accepts) {
             return None;
         }
-        let limited = self
-            .assignable(pool)
-            .filter(|upstream| upstream.limit_bucket.is_some());
+        let limited = assignable().filter(|upstream| upstream.limit_bucket.is_some());
         let permits_needed = 1 + ahead / limited.count().max(1);
-        let available = self.assignable(pool).map(|upstream| {
+        let available = assignable().map(|upstream| {
             let bucket = upstream.limit_bucket.as_ref();
             let permit = bucket.map_or(self.now, |bucket| {
                 bucket.available_at(permits_needed, self.now)
--- a/crates/core/src/list.rs
+++ b/crates/core/src/list.rs
@@ -221,13 +221,14 @@
             registered_at: entry.registered_at,
             suspected_until: Time::default(),
             unreported: 0,
-            version: entry.version.as_str().into(),
+            version: Version::new(&entry.pool, &entry.version),
+            version_name: entry.version.as_str().into(),
         });
         self.stream_records.resolve(incarnation, key, self.now);
         self.upstreams_by_incarnation.insert(incarnation, key);
         let pool = self.pools.entry(pool).or_default();
         pool.upstreams.push(key);
-        pool.versions.add(&self.upstreams[key].version);
+        pool.versions.add(self.upstreams[key].version);
         self.upstreams_by_address
             .entry(entry.address)
             .or_default()
@@ -243,15 +244,17 @@
     }
 
     /// Sets the version that an upstream's entry states now.
-    fn set_version(&mut self, key: upstream::Key, version: &str) {
+    fn set_version(&mut self, key: upstream::Key, name: &str) {
         let upstream = &mut self.upstreams[key];
-        if &*upstream.version == version {
+        if &*upstream.version_name == name {
             return;
         }
-        let before = std::mem::replace(&mut upstream.version, version.into());
+        let version = Version::new(&upstream.pool, name);
+        upstream.version_name = name.into();
+        let before = std::mem::replace(&mut upstream.version, version);
         if let Some(pool) = self.pools.get_mut(&upstream.pool) {
-            pool.versions.remove(&before);
-            pool.versions.add(&upstream.version);
+            pool.versions.remove(before, self.now);
+            pool.versions.add(version);
         }
     }
 
@@ -281,7 +284,7 @@
         }
         if let Some(pool) = self.pools.get_mut(&upstream.pool) {
             pool.upstreams.retain(|other| *other != key);
-            pool.versions.remove(&upstream.version);
+            pool.versions.remove(upstream.version, self.now);
         }
         self.retained_states.keep(&upstream, self.now);
     }
--- a/crates/core/src/members.rs
+++ b/crates/core/src/members.rs
@@ -112,6 +112,7 @@
     pub(crate) fn update_members(&mut self, view: View) {
         self.instances = view.count();
         self.members.record_view(view, self.now);
+        self.repeat_lookups();
         let rate = |key: &upstream::Key| {
             let bucket = self.upstreams[*key].limit_bucket.as_ref()?;
             Some((*key, bucket.rate()))
--- /dev/null
+++ b/crates/core/src/origin.rs
@@ -0,0 +1,228 @@
+//! Origins of streams: the software version that began each of them, at which alone it may go on.
+//!
+//! What upstreams of two versions write does not fit together, and upstreams do not check which of them began a stream. So
+//! the version is bound to the stream by its first event, not by what an instance believes when the stream goes on. Other
+//! instances learn it from the records of streams; one that does not know it refuses the stream rather than guess.
+
+use super::*;
+
+/// Retention time for origins, in milliseconds: longer than a caller waits for a response, so that a version that is gone is
+/// remembered as long as streams of it may come back.
+pub(crate) const RETENTION_MS: u64 = 60_000;
+
+/// Maximum number of origins; beyond it the oldest is forgotten.
+const MAX_ENTRIES: usize = 20_000;
+
+/// Age of an origin in milliseconds from which on another report keeps it for longer: each stream is reported several times.
+const REFRESH_MS: u64 = 15_000;
+
+/// Retry delay for a stream whose origin is unknown here, in milliseconds: callers return at other instances.
+const UNKNOWN_RETRY_MS: u64 = 200;
+
+/// Identifies a run of a stream by a hash of its request ID. The run that brought the first event identifies the stream over
+/// all of its caller's attempts.
+#[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct RunId(pub u64);
+
+impl RunId {
+    /// The identifier of the run with this request ID.
+    pub fn new(request_id: &str) -> Self {
+        Self(fingerprint::first(&blake3::hash(request_id.as_bytes())).max(1))
+    }
+}
+
+/// What is known of the version that began a stream.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Origin {
+    /// An upstream of this version.
+    Begun(Version),
+    /// Its caller has no event yet, so that any upstream may begin it.
+    #[default]
+    Unbegun,
+    /// Its caller has events, and nobody who is known here knows which version sent the first.
+    Unknown,
+}
+
+/// Version of the upstream that a run was sent to.
+#[derive(Clone, Copy, Debug)]
+struct Entry {
+    at: Time,
+    /// Whether its first event has arrived; until then it may be sent to another upstream.
+    has_begun: bool,
+    version: Version,
+}
+
+/// Origins of streams, by the runs that began them.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Origins {
+    /// Runs by the time of their last report.
+    due: VecDeque<(Time, RunId)>,
+    entries: HashMap<RunId, Entry>,
+    /// When each version was last reported.
+    reported: BTreeMap<Version, Time>,
+}
+
+impl Origins {
+    /// Records that a run was sent to an upstream of a version, or that its first event came from there. The upstream that
+    /// sent the first event does not change any more.
+    pub fn record(&mut self, run: RunId, version: Version, has_begun: bool, now: Time) {
+        if !version.is_stated() {
+            return;
+        }
+        self.expire(now);
+        self.reported.insert(version, now);
+        let is_new = !self.entries.contains_key(&run);
+        let entry = self.entries.entry(run).or_insert(Entry {
+            at: now,
+            has_begun,
+            version,
+        });
+        if !entry.has_begun {
+            entry.has_begun = has_begun;
+            entry.version = version;
+        }
+        if is_new || now.since(entry.at) >= REFRESH_MS {
+            entry.at = now;
+            self.due.push_back((now, run));
+        }
+    }
+
+    /// The version that began the stream of a run.
+    pub fn get(&self, run: RunId) -> Option<Version> {
+        self.entries.get(&run).map(|entry| entry.version)
+    }
+
+    /// Versions that streams were sent to recently, of any pool.
+    pub fn versions(&self, now: Time) -> impl Iterator<Item = Version> {
+        let reported = self.reported.iter();
+        let recent = reported.filter(move |(_, at)| now.since(**at) < RETENTION_MS);
+        recent.map(|(version, _)| *version)
+    }
+
+    /// Forgets origins whose retention time is over, and the oldest if there are too many.
+    fn expire(&mut self, now: Time) {
+        while let Some((at, run)) = self.due.front().copied()
+            && (now.since(at) >= RETENTION_MS || self.due.len() >= MAX_ENTRIES)
+        {
+            self.due.pop_front();
+            if self.entries.get(&run).is_some_and(|entry| entry.at == at) {
+                self.entries.remove(&run);
+            }
+        }
+        self.reported.retain(|_, at| now.since(*at) < RETENTION_MS);
+    }
+}
+
+impl Core {
+    /// The origin of a stream that its caller takes up; `record` is what is known of the stream by its prompt.
+    pub(crate) fn origin_of(
+        &self,
+        relay: &request::Relay,
+        record: Option<&StreamRecord>,
+        pool: &str,
+    ) -> Origin {
+        if relay.position == 0 {
+            return Origin::Unbegun;
+        }
+        let known = match relay.resumes {
+            Some(run) => self.origins.get(run),
+            None => record.and_then(|record| self.origins.get(record.origin)),
+        };
+        let version = known.or_else(|| self.only_version(pool));
+        version.map_or(Origin::Unknown, Origin::Begun)
+    }
+
+    /// The version that must have begun every stream of a pool which may come back now: the only one that its upstreams have
+    /// had for as long as callers wait. `None` if there were several, or if this instance may have missed one: it has not
+    /// read yet which streams ran before its start, or the store is away.
+    pub(crate) fn only_version(&self, pool: &str) -> Option<Version> {
+        if !self.streams_restored || self.store_away().is_some() {
+            return None;
+        }
+        let own = self.pools.get(pool)?;
+        let mut listed = own.versions.recent(self.now);
+        let only = listed.next()?;
+        if listed.any(|version| version != only) {
+            return None;
+        }
+        let is_elsewhere = |version: Version| {
+            let mut others = self.pools.iter().filter(|(name, _)| &***name != pool);
+            others.any(|(_, other)| other.versions.recent(self.now).any(|one| one == version))
+        };
+        let mut reported = self.origins.versions(self.now);
+        let is_other = reported.any(|version| version != only && !is_elsewhere(version));
+        (!is_other).then_some(only)
+    }
+
+    /// Whether an upstream may have a request: any one may, but a stream goes on only at the version that began it.
+    pub(crate) fn admits(&self, request: &Request, upstream: &Upstream) -> bool {
+        match request.progress.origin {
+            Origin::Unbegun => true,
+            Origin::Unknown => false,
+            Origin::Begun(version) => {
+                let pool = self.pools.get(&upstream.pool);
+                pool.is_some_and(|pool| pool.versions.are_equal(version, upstream.version))
+            }
+        }
+    }
+
+    /// Binds a stream to the version of the upstream that sent its first event, unless the upstream has stated another one
+    /// since the stream was sent to it.
+    pub(crate) fn bind_origin(&mut self, key: attempt::Key) {
+        let attempt = &self.attempts[key];
+        let (owner, version) = (attempt.request, attempt.version);
+        let upstream = self.upstreams.get(attempt.upstream);
+        let is_unchanged = upstream.is_some_and(|upstream| upstream.version == version);
+        let progress = &mut self.requests[owner].progress;
+        if progress.origin != Origin::Unbegun {
+            return;
+        }
+        progress.origin = if is_unchanged {
+            Origin::Begun(version)
+        } else {
+            Origin::Unknown
+        };
+    }
+
+    /// Whether a stream can not go on, and if so, the refusal of its caller: no upstream of its version is left, or its
+    /// version is unknown. There is hope as long as an upstream of it is listed that does not leave.
+    pub(crate) fn check_origin(&self, request: &Request) -> Result<(), admission::Refusal> {
+        match request.progress.origin {
+            Origin::Unbegun => return Ok(()),
+            Origin::Unknown => {
+                return Err(admission::Refusal {
+                    kind: Kind::VersionUnknown,
+                    retry_after_ms: Some(UNKNOWN_RETRY_MS),
+                });
+            }
+            Origin::Begun(_) => {}
+        }
+        let pool = self.pools.get(request.service.pool());
+        let upstreams = pool.into_iter().flat_map(|pool| self.upstreams_of(pool));
+        let mut of_version = upstreams
+            .filter(|upstream| self.admits(request, upstream) && !upstream.is_leaving(self.now));
+        let Some(first) = of_version.next() else {
+            return Err(Kind::VersionGone.into());
+        };
+        if first.health != Health::Lost || of_version.any(|other| other.health != Health::Lost) {
+            return Ok(());
+        }
+        Err(admission::Refusal {
+            kind: Kind::VersionGone,
+            retry_after_ms: Some(self.settings.probe_ms),
+        })
+    }
+
+    /// Records the origin that another instance reported with a stream. A record of an earlier version of this program
+    /// names only the upstream.
+    pub(crate) fn record_origin(&mut self, record: &mut StreamRecord) {
+        if !record.version.is_stated()
+            && let Some(upstream) = record.upstream
+            && let Some(key) = self.upstreams_by_incarnation.get(&upstream)
+        {
+            record.version = self.upstreams[*key].version;
+        }
+        self.origins
+            .record(record.origin, record.version, record.has_begun, self.now);
+    }
+}
--- a/crates/core/src/place.rs
+++ b/crates/core/src/place.rs
@@ -47,13 +47,13 @@
     /// Chooses an upstream for a relayed request; `None` if it must wait.
     pub(crate) fn choose_relay_upstream(&mut self, key: request::Key) -> Option<upstream::Key> {
         if let Some(copy) = &self.requests[key].progress.copy
-            && self.may_hold_copy(copy.upstream)
+            && self.may_resume_at(key, copy.upstream)
         {
             return Some(copy.upstream);
         }
         let preferred = self.requests[key].progress.preferred_upstream.take();
         if let Some(preferred) = preferred
-            && self.may_hold_copy(preferred)
+            && self.may_resume_at(key, preferred)
         {
             return Some(preferred);
         }
@@ -92,12 +92,19 @@
             return None;
         }
         let home = self.upstreams[upstream].data_centre.clone();
+        let version = self.upstreams[upstream].version;
         let request = &self.requests[key];
         if self.more_urgent_waits(request) {
             return None;
         }
         let mut candidates = self.relay_candidates(request);
-        candidates.retain(|other| *other != upstream);
+        let pool = self.pools.get(request.service.pool())?;
+        candidates.retain(|other| {
+            let is_equal = pool
+                .versions
+                .are_equal(version, self.upstreams[*other].version);
+            is_equal && *other != upstream
+        });
         let (far, near): (Vec<_>, Vec<_>) = candidates
             .into_iter()
             .partition(|other| self.upstreams[*other].data_centre != home);
@@ -106,6 +113,11 @@
         self.choose_by_cost(key, candidates, own)
     }
 
+    /// Whether a request may resume at an upstream that may still hold its memory.
+    fn may_resume_at(&self, key: request::Key, upstream: upstream::Key) -> bool {
+        self.may_hold_copy(upstream) && self.admits(&self.requests[key], &self.upstreams[upstream])
+    }
+
     /// Whether an upstream may still hold a copy, as far as is known. One that another instance lost may have been
     /// restarted since: streams of several instances would meet the end of the one that held their copies.
     pub(crate) fn may_hold_copy(&self, key: upstream::Key) -> bool {
@@ -113,19 +125,25 @@
             return false;
         };
         let is_lost = self.settings.shared.losses && self.has_probably_lost_copy(key);
-        upstream.health == Health::Live && upstream.may_serve(self.now) && !is_lost
+        upstream.health == Health::Live && upstream.may_continue(self.now) && !is_lost
     }
 
-    /// Candidates for a relayed request: live upstreams that can serve, or suspected ones if there is none. Excludes the one
-    /// that failed last, unless it is the only one.
+    /// Candidates for a relayed request: live upstreams that can serve, or suspected ones if there is none; for a stream that
+    /// has begun, only those of its version. Excludes the one that failed last, unless it is the only one.
     pub(crate) fn relay_candidates(&self, request: &Request) -> Vec<upstream::Key> {
         let Some(pool) = self.pools.get(request.service.pool()) else {
             return Vec::new();
         };
+        let has_begun = request.progress.origin != Origin::Unbegun;
         let mut candidates = pool.upstreams.clone();
         candidates.retain(|key| {
             let upstream = &self.upstreams[*key];
-            upstream.health != Health::Lost && upstream.may_serve(self.now)
+            let may_serve = if has_begun {
+                upstream.may_continue(self.now) && self.admits(request, upstream)
+            } else {
+                upstream.may_serve(self.now)
+            };
+            upstream.health != Health::Lost && may_serve
         });
         let is_live = |key: &upstream::Key| self.upstreams[*key].health == Health::Live;
         if candidates.iter().any(is_live) {
--- a/crates/core/src/queue.rs
+++ b/crates/core/src/queue.rs
@@ -60,6 +60,8 @@
 /// Requests of one pool that wait for an upstream.
 #[derive(Clone, Debug, Default)]
 pub struct Queue {
+    /// Streams that may go on at one version only, and so may have to wait while others do not.
+    bound: VecDeque<request::Key>,
     classes: BTreeMap<Priority, Class>,
     /// Requests of pools in which ranks are in force, in the order of their turns.
     ranked: BTreeSet<(Turn, request::Key)>,
@@ -170,7 +172,7 @@
 impl Queue {
     /// Number of waiting requests that would be sent before new work of `priority`.
     pub fn ahead_of(&self, priority: Priority) -> usize {
-        self.resumes.len()
+        self.resumes_waiting()
             + self
                 .classes
                 .range(..=priority)
@@ -196,10 +198,21 @@
     /// Number of waiting requests that would be sent before a new one with this turn.
     pub fn ahead_of_turn(&self, turn: Turn) -> usize {
         let ranked = self.ranked.iter();
-        self.resumes.len() + ranked.take_while(|(other, _)| *other <= turn).count()
+        self.resumes_waiting() + ranked.take_while(|(other, _)| *other <= turn).count()
     }
 
-    /// The request to send next.
+    /// The streams that may go on at one version only, in the order in which they go before all other requests. One that
+    /// has to wait holds up nothing else.
+    pub fn bound(&self) -> Vec<request::Key> {
+        self.bound.iter().copied().collect()
+    }
+
+    /// Number of waiting requests that had been sent before.
+    fn resumes_waiting(&self) -> usize {
+        self.bound.len() + self.resumes.len()
+    }
+
+    /// The request to send next, apart from those that may go on at one version only.
     pub fn peek(&self) -> Option<NextRequest> {
         if let Some(request) = self.resumes.front() {
             return Some(NextRequest {
@@ -280,7 +293,7 @@
         now: Time,
     ) -> Option<u64> {
         let class = self.classes.get(&priority)?;
-        let ahead = class.ahead(customer) + self.resumes.len() + 1;
+        let ahead = class.ahead(customer) + self.resumes_waiting() + 1;
         Some((ahead as f64 / class.service_rate(now)? * 1_000.0) as u64)
     }
 
@@ -308,6 +321,7 @@
         customer: &config::Customer,
         request: request::Key,
     ) {
+        self.remove_bound(request);
         self.resumes.retain(|key| *key != request);
         self.ranked.retain(|(_, key)| *key != request);
         let class = self.classes.get_mut(&priority);
@@ -324,6 +338,16 @@
         self.ranked.insert((turn, request));
     }
 
+    /// Enqueues a stream that may go on at one version only.
+    pub fn push_bound(&mut self, request: request::Key) {
+        self.bound.push_back(request);
+    }
+
+    /// Removes a stream that may go on at one version only.
+    pub fn remove_bound(&mut self, request: request::Key) {
+        self.bound.retain(|key| *key != request);
+    }
+
     /// Enqueues work that had been sent before; it goes before all new work.
     pub fn push_resume(&mut self, request: request::Key) {
         self.resumes.push_back(request);
--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -139,6 +139,7 @@
             return;
         }
         self.record_event_delay(owner);
+        self.bind_origin(key);
         let request = &mut self.requests[owner];
         request.progress.position = position;
         let (caller, size) = (request.caller, bytes.len() as u64);
@@ -204,6 +205,7 @@
     pub(crate) fn record_peer_stream(&mut self, mut record: StreamRecord) {
         self.peer_heard_at = self.now;
         self.fit_rank(&mut record);
+        self.record_origin(&mut record);
         let starts = record.stage == stream_record::Stage::Started;
         let upstream = record.upstream;
         let upstream = upstream
@@ -228,24 +230,37 @@
             self.upstreams[upstream].record_answer(self.now);
         }
         let upstreams = &self.upstreams_by_incarnation;
-        let prompt = record.prompt;
+        let (prompt, origin) = (record.prompt, record.origin);
         self.stream_records
             .add(record, false, prefill_ms, upstreams, self.now);
-        self.finish_lookup(prompt);
+        self.finish_lookups(prompt, origin);
     }
 
     /// Initial progress of a relayed request. A request that resumes a stream starts after the last
     /// event that its caller received, from the KV copy or the upstream that another instance
     /// reported for the stream.
-    pub(crate) fn initial_progress(&self, relay: &request::Relay) -> request::RelayProgress {
+    pub(crate) fn initial_progress(
+        &self,
+        relay: &request::Relay,
+        pool: &str,
+    ) -> request::RelayProgress {
         let mut progress = request::RelayProgress {
             position: relay.position,
+            run: RunId::new(&relay.run),
             ..request::RelayProgress::default()
         };
         if relay.position == 0 {
             return progress;
         }
-        if let Some(record) = self.stream_records.get(relay.prompt) {
+        // Another stream may have the same prompt.
+        let is_same = |record: &&StreamRecord| relay.resumes.is_none_or(|run| run == record.origin);
+        let record = self.stream_records.get(relay.prompt).filter(is_same);
+        progress.origin = self.origin_of(relay, record, pool);
+        progress.run = relay
+            .resumes
+            .or(record.map(|record| record.origin))
+            .unwrap_or(progress.run);
+        if let Some(record) = record {
             let find = |incarnation: Option<Incarnation>| {
                 self.upstreams_by_incarnation.get(&incarnation?).copied()
             };
@@ -376,6 +391,10 @@
             self.give_up(key, unsent, Kind::UpstreamFailed);
             return;
         }
+        if let Err(refusal) = self.check_origin(&self.requests[key]) {
+            self.give_up(key, refusal.kind, Kind::UpstreamFailed);
+            return;
+        }
         let resumes = self.requests[key].progress.position > 0;
         if resumes && self.waits_for_reader(key, reason) {
             return;
@@ -560,6 +579,7 @@
         if let Some(relay) = request.work.relay() {
             let mut record = relay.stream_record(stage, upstream, backup);
             record.rank = request.rank;
+            record.set_origin(&request.progress, attempt.version);
             let audience = self.audience(request.service.pool(), stage);
             self.gossip(record, audience);
         }
@@ -583,7 +603,8 @@
     /// Announces to other instances that a stream ended, or that its caller left.
     pub(crate) fn gossip_end(&mut self, request: &Request, stage: stream_record::Stage) {
         if let Some(relay) = request.work.relay() {
-            let record = relay.stream_record(stage, None, None);
+            let mut record = relay.stream_record(stage, None, None);
+            record.set_origin(&request.progress, Version::UNSTATED);
             let audience = self.audience(request.service.pool(), stage);
             self.gossip(record, audience);
         }
@@ -593,6 +614,8 @@
         if record.prompt == 0 {
             return;
         }
+        self.origins
+            .record(record.origin, record.version, record.has_begun, self.now);
         self.stream_records.add(
             record.clone(),
             true,
--- a/crates/core/src/request.rs
+++ b/crates/core/src/request.rs
@@ -49,6 +49,8 @@
     pub position: u64,
     /// Identifier of the prompt, equal for all attempts of a caller; 0 for none.
     pub prompt: u64,
+    /// The run of an earlier attempt of the caller that brought the first event; `None` unless the caller names it.
+    pub resumes: Option<RunId>,
     /// Name of the run at upstreams.
     pub run: Arc<str>,
     /// How long the caller waits for the complete response, in milliseconds; `None` if it sets no
@@ -59,6 +61,14 @@
 }
 
 impl Relay {
+    /// What the record of its stream is looked up by.
+    pub(crate) fn lookup(&self) -> directory::Lookup {
+        directory::Lookup {
+            origin: self.resumes,
+            prompt: self.prompt,
+        }
+    }
+
     /// Report for other instances about the request at a stage of processing.
     pub fn stream_record(
         &self,
@@ -68,6 +78,8 @@
     ) -> StreamRecord {
         StreamRecord {
             backup,
+            has_begun: false,
+            origin: RunId::new(&self.run),
             pool: String::new(),
             prompt: self.prompt,
             rank: None,
@@ -76,6 +88,7 @@
             start_within_ms: None,
             tokens: self.tokens,
             upstream,
+            version: Version::UNSTATED,
         }
     }
 }
@@ -96,10 +109,15 @@
     pub last_event_at: Option<Time>,
     /// When the stream was lost; `None` while it is running.
     pub lost_at: Option<Time>,
+    /// Which version began the stream.
+    pub origin: Origin,
     /// Position of the last event that the caller received.
     pub position: u64,
     /// Upstream that ran the stream for another instance, and may still have its prompt cached.
     pub preferred_upstream: Option<upstream::Key>,
+    /// The run that identifies the stream over all attempts of its caller: the one that brought the first event, or this
+    /// one.
+    pub run: RunId,
     /// Why the stream was lost, if it is resumed only when its caller has read what is buffered.
     pub resume_when_read: Option<counter::Reason>,
     /// Position at which a stream ended without an end marker.
--- a/crates/core/src/silence.rs
+++ b/crates/core/src/silence.rs
@@ -60,15 +60,16 @@
         }
     }
 
+    /// The time without answers of the store, if it is away or the list may not have caught up with its return.
+    pub(crate) fn store_away(&self) -> Option<StoreAway> {
+        let has_caught_up = |back_at| self.now >= Time::after(back_at, availability::GRACE_MS);
+        self.store_away
+            .filter(|away| !away.back_at.is_some_and(has_caught_up))
+    }
+
     /// What is known of the upstreams of a pool, if the store is away.
     pub(crate) fn silences(&self, pool: &str) -> Option<Silences> {
-        let away = self.store_away.filter(|_| self.settings.shared.losses)?;
-        if away
-            .back_at
-            .is_some_and(|back_at| self.now >= back_at.after(availability::GRACE_MS))
-        {
-            return None;
-        }
+        let away = self.store_away().filter(|_| self.settings.shared.losses)?;
         let mut losses: BTreeMap<Arc<str>, (usize, Vec<Time>)> = BTreeMap::new();
         for upstream in self.upstreams_of(self.pools.get(pool)?) {
             let (total, lost) = losses.entry(upstream.data_centre.clone()).or_default();
--- a/crates/core/src/stream_record.rs
+++ b/crates/core/src/stream_record.rs
@@ -44,6 +44,10 @@
 pub struct StreamRecord {
     /// Upstream that keeps a copy of its KV cache.
     pub backup: Option<Incarnation>,
+    /// Whether its caller has events, so that it is bound to the version.
+    pub has_begun: bool,
+    /// The run that brought its first event, or its run if none has arrived.
+    pub origin: RunId,
     /// Name of the pool in whose queue it is; empty unless it is queued.
     pub pool: String,
     /// Hash of the prompt.
@@ -60,6 +64,20 @@
     pub tokens: u32,
     /// Upstream that runs it.
     pub upstream: Option<Incarnation>,
+    /// Version that began it, or of the upstream that it was sent to; unstated if not known.
+    pub version: Version,
+}
+
+impl StreamRecord {
+    /// Sets the origin of the stream, as far as it has one; otherwise `version` is that of the upstream it was sent to.
+    pub(crate) fn set_origin(&mut self, progress: &request::RelayProgress, version: Version) {
+        self.origin = progress.run;
+        (self.has_begun, self.version) = match progress.origin {
+            Origin::Begun(begun) => (true, begun),
+            Origin::Unbegun => (false, version),
+            Origin::Unknown => (true, Version::UNSTATED),
+        };
+    }
 }
 
 /// State kept for one record.
--- a/crates/core/src/upstream.rs
+++ b/crates/core/src/upstream.rs
@@ -172,8 +172,10 @@
     pub reported_at: Time,
     /// Starts minus ends of this instance's attempts that the last load report does not include.
     pub unreported: i64,
-    /// Software version; empty if it does not state one.
-    pub version: Arc<str>,
+    /// Software version.
+    pub version: Version,
+    /// Name of its software version; empty if it does not state one.
+    pub version_name: Arc<str>,
 }
 
 impl Upstream {
@@ -256,7 +258,14 @@
 
     /// Whether it can take one more request, apart from its health: it is available and within its rate limit.
     pub fn may_serve(&self, now: Time) -> bool {
-        self.is_available(now)
+        !self.held && self.may_continue(now)
+    }
+
+    /// Whether it can take a stream that an upstream of its version began, apart from its health: such a stream may go on
+    /// nowhere else, also while new work is held back from this version.
+    pub fn may_continue(&self, now: Time) -> bool {
+        !self.is_leaving(now)
+            && !self.is_in_backoff(now)
             && self
                 .limit_bucket
                 .is_none_or(|bucket| bucket.has_permit(now))
--- a/crates/core/tests/ended.rs
+++ b/crates/core/tests/ended.rs
@@ -378,6 +378,7 @@
                     path: "/stream/1".into(),
                     position: 0,
                     prompt: caller.0,
+                    resumes: None,
                     run: format!("run-{}", caller.0).into(),
                     timeout_ms: Some(40_000),
                     tokens: 9_000,
--- a/crates/core/tests/relay/builder.rs
+++ b/crates/core/tests/relay/builder.rs
@@ -21,6 +21,8 @@
     pub effects: Vec<Effect>,
     next: u64,
     pub now: Time,
+    /// The run that requests name as the one that brought the first event of their stream.
+    pub resumes: Option<RunId>,
 }
 
 /// One request sent to an upstream.
@@ -84,6 +86,7 @@
             effects: Vec::new(),
             next: 0,
             now: NOW,
+            resumes: None,
         }
     }
 
@@ -140,6 +143,7 @@
                 timeout_ms: Some(timeout_ms),
                 position,
                 prompt: if path == STREAM { 77 } else { 0 },
+                resumes: self.resumes,
                 run: format!("run-{}", self.next).into(),
                 tokens,
             }),
@@ -391,6 +395,8 @@
 pub fn stream_record(upstream: usize, backup: usize) -> StreamRecord {
     StreamRecord {
         backup: Some(incarnation(backup, 0)),
+        has_begun: true,
+        origin: RunId::new("run-before"),
         pool: String::new(),
         prompt: 77,
         rank: None,
@@ -399,5 +405,6 @@
         start_within_ms: None,
         tokens: 5_200,
         upstream: Some(incarnation(upstream, 0)),
+        version: Version::UNSTATED,
     }
 }
--- a/crates/core/tests/relay/connectivity_fleet.rs
+++ b/crates/core/tests/relay/connectivity_fleet.rs
@@ -220,6 +220,7 @@
             timeout_ms: Some(TIMEOUT_MS),
             position: 0,
             prompt: 0,
+            resumes: None,
             run: format!("run-{}", self.next).into(),
             tokens: 0,
         });
--- a/crates/core/tests/relay/directory.rs
+++ b/crates/core/tests/relay/directory.rs
@@ -2,7 +2,7 @@
 
 use super::*;
 use wellplank_core::{
-    directory::{self, Audience, HOLDERS},
+    directory::{self, Audience, HOLDERS, Lookup},
     members::View,
 };
 
@@ -28,7 +28,7 @@
 /// Prompts whose records were looked up.
 fn looked_up(test: &Test) -> Vec<u64> {
     let prompt = |effect: &Effect| match effect {
-        Effect::FindStream(prompt) => Some(*prompt),
+        Effect::FindStream(Lookup { prompt, .. }) => Some(*prompt),
         _ => None,
     };
     test.effects.iter().filter_map(prompt).collect()
--- a/crates/core/tests/relay/main.rs
+++ b/crates/core/tests/relay/main.rs
@@ -21,6 +21,7 @@
         kind::Kind,
         members::View,
         notice::{Backoff, Notice},
+        origin::RunId,
         position::Position,
         quarantine::{CrashHistory, Involvement},
         rank::{PoolRanks, Rank},
@@ -28,6 +29,7 @@
         settings::{CapacityLimits, ResumeMode, Settings, UrgencyMode, UrgencySettings, Yielding},
         stream_record::{Stage, StreamRecord},
         upstream::{self, Load},
+        version::Version,
     },
 };
 
--- a/crates/core/tests/relay/rank.rs
+++ b/crates/core/tests/relay/rank.rs
@@ -81,6 +81,7 @@
                 timeout_ms: Some(timeout_ms),
                 position: 0,
                 prompt: 1_000 + self.body,
+                resumes: None,
                 run: format!("run-{}", self.body).into(),
                 tokens: 5_200,
             }),
--- a/crates/core/tests/relay/version.rs
+++ b/crates/core/tests/relay/version.rs
@@ -1,4 +1,4 @@
-//! Pools whose upstreams run several versions: which of them get work.
+//! Pools whose upstreams run several versions, on platforms where only ordered ones get new work: which of them get it.
 
 use super::*;
 
@@ -18,9 +18,14 @@
     old.chain(new).collect()
 }
 
+/// Creates a core that gives new work to the active version alone.
+fn active_only() -> Test {
+    Test::new(0)
+}
+
 /// Creates a core that knew the old version before the new one was listed.
 fn with_new_version() -> Test {
-    let mut test = Test::new(0);
+    let mut test = active_only();
     test.list(two_versions()[..6].to_vec());
     test.list(two_versions());
     test
@@ -52,14 +57,14 @@
 
 #[gtest]
 fn instance_that_starts_with_two_versions_uses_the_one_registered_first() {
-    let mut test = Test::new(0);
+    let mut test = active_only();
     test.list(two_versions());
     expect_that!(used_upstreams(&mut test, REPEATABLE), each(lt(&6)));
 }
 
 #[gtest]
 fn retry_goes_to_the_active_version_too() {
-    let mut test = Test::new(0);
+    let mut test = active_only();
     test.list(vec![
         of_version(0, "v1"),
         of_version(1, "v1"),
@@ -84,8 +89,7 @@
 fn copy_at_another_version_is_not_resumed_from() {
     let mut test = with_new_version();
     test.handle(Event::PeerStream(StreamRecord {
-        backup: Some(incarnation(8, 0)),
-        upstream: Some(incarnation(7, 0)),
+        version: Version::new("pool", "v1"),
         ..stream_record(7, 8)
     }));
     test.request_as("key", STREAM, 9);
@@ -93,6 +97,15 @@
     expect_that!(test.last_sent().copy, none());
 }
 
+#[gtest]
+fn stream_of_a_version_that_gets_no_new_work_goes_on_at_its_copy() {
+    let mut test = with_new_version();
+    test.handle(Event::PeerStream(stream_record(7, 8)));
+    test.request_as("key", STREAM, 9);
+    expect_that!(test.last_sent().upstream, eq(8));
+    expect_that!(test.last_sent().copy, some(eq("run-before")));
+}
+
 #[gtest]
 fn another_version_gets_work_once_the_active_one_is_gone() {
     let mut test = with_new_version();
@@ -108,7 +121,7 @@
 
 #[gtest]
 fn upstreams_that_announce_leaving_hold_no_other_version_back() {
-    let mut test = Test::new(0);
+    let mut test = active_only();
     test.list(vec![of_version(0, "v1"), of_version(1, "v2")]);
     test.request(REPEATABLE);
     let sent = test.last_sent();
--- a/crates/node/src/datagram.rs
+++ b/crates/node/src/datagram.rs
@@ -9,8 +9,10 @@
     estimates::EngineSpeed,
     informer_io::{Confirmed, Topic},
     limit,
+    origin::RunId,
     rank::Rank,
     roster::{self, Entry, RosterUpdate},
+    version::Version,
 };
 
 /// Period in seconds over which datagrams state call rates, so that low rates are whole numbers.
@@ -248,6 +250,8 @@
     };
     StreamRecord {
         backup: record.backup.map(decode_incarnation),
+        has_begun: record.has_begun,
+        origin: origin(&record),
         pool: record.pool,
         prompt: record.prompt,
         rank: record.rank.map(Rank::new),
@@ -256,17 +260,28 @@
         start_within_ms: record.start_within_ms.map(u64::from),
         tokens: record.tokens,
         upstream: record.upstream.map(decode_incarnation),
+        version: Version(record.version),
     }
 }
 
-/// Encodes a record of a stream; of a completed one, other instances need only the prompt's hash.
+/// The run that identifies a stream over all attempts of its caller.
+pub(crate) fn origin(record: &peers::Sighting) -> RunId {
+    match record.origin {
+        0 => RunId::new(&record.run),
+        origin => RunId(origin),
+    }
+}
+
+/// Encodes a record of a stream; of a completed one, other instances need only what identifies it.
 pub(crate) fn encode_stream_record(record: StreamRecord) -> peers::Sighting {
     if record.stage == Stage::Ended {
         return peers::Sighting {
+            origin: record.origin.0,
             prompt: record.prompt,
             ..peers::Sighting::default()
         };
     }
+    let is_own_run = record.origin == RunId::new(&record.run);
     let stage = match record.stage {
         Stage::Ended => peers::Stage::Ended,
         Stage::Left => peers::Stage::Left,
@@ -276,6 +291,8 @@
     };
     peers::Sighting {
         backup: record.backup.map(encode_incarnation),
+        has_begun: record.has_begun,
+        origin: if is_own_run { 0 } else { record.origin.0 },
         pool: record.pool,
         prompt: record.prompt,
         rank: record.rank.map(|rank| u32::from(rank.number())),
@@ -284,5 +301,6 @@
         start_within_ms: record.start_within_ms.map(|millis| millis as u32),
         tokens: record.tokens,
         upstream: record.upstream.map(encode_incarnation),
+        version: record.version.0,
     }
 }
--- a/crates/node/src/driver.rs
+++ b/crates/node/src/driver.rs
@@ -438,7 +438,7 @@
                 };
                 self.finish_caller(caller, reply);
             }
-            Effect::FindStream(prompt) => self.gossip(gossip::Message::FindStream(prompt)),
+            Effect::FindStream(lookup) => self.gossip(gossip::Message::FindStream(lookup)),
             Effect::Finish {
                 caller,
                 position,
--- a/crates/node/src/gossip.rs
+++ b/crates/node/src/gossip.rs
@@ -9,11 +9,12 @@
 use tokio::net::UdpSocket;
 use wellplank_core::{
     demand::{Demand, Reach},
-    directory::Audience,
+    directory::{Audience, Lookup},
     dissemination::{self, Forwarder, Route, Tree},
     estimates::EngineSpeed,
     informer_io::{Confirmed, KnownState, PeerReport},
     limit::Rate,
+    origin::RunId,
     quarantine::CrashHistory,
     roster::RosterUpdate,
 };
@@ -58,8 +59,8 @@
     EngineSpeed(EngineSpeed),
     /// Ended incarnations of upstreams that another instance announced. Not sent, but kept for instances that start.
     EndsLearnt(Vec<Incarnation>),
-    /// A request for the record of a stream, by the hash of its prompt, to those that keep it.
-    FindStream(u64),
+    /// A request for the record of a stream to those that keep it.
+    FindStream(Lookup),
     /// Changes of the list of upstreams that another instance announced, to be passed on in the
     /// tree in which they came.
     ForwardedUpdate(Box<peers::Roster>, Route),
@@ -170,7 +171,7 @@
             sequence: first_sequence(),
             pools_at_capacity: BTreeSet::new(),
             socket,
-            streams,
+            streams: streams.clone(),
         };
         tokio::spawn(sender.run(messages));
         let writer = store_writer::StoreWriter {
@@ -182,6 +183,7 @@
             quarantine_updates: self.kept,
             quarantined: BTreeMap::new(),
             streams: known_streams,
+            streams_sender: streams,
         };
         tokio::spawn(writer.run());
         Ok(members)
@@ -234,7 +236,7 @@
             });
             report_streams(datagram.sightings, &self.driver);
         }
-        self.answer_wanted(&datagram.wanted, from);
+        self.answer_wanted(&datagram.wanted, &datagram.wanted_origins, from);
         self.merge_crashes(datagram.ends, datagram.account, datagram.asks, from);
         self.learn_ends(datagram.ended);
         for incarnation in datagram.lost {
@@ -289,9 +291,15 @@
 
 impl DatagramReceiver {
     /// Answers an instance that asks for the records of streams with those that are known here.
-    fn answer_wanted(&self, wanted: &[u64], from: SocketAddr) {
+    fn answer_wanted(&self, prompts: &[u64], origins: &[u64], from: SocketAddr) {
         let streams = self.streams.borrow();
-        let records = wanted.iter().filter_map(|prompt| streams.get(*prompt));
+        let by_prompt = prompts
+            .iter()
+            .filter_map(|prompt| streams.of_prompt(*prompt));
+        let by_origin = origins
+            .iter()
+            .filter_map(|origin| streams.get(RunId(*origin)));
+        let records = by_prompt.chain(by_origin);
         let records: Vec<peers::Sighting> = records.cloned().collect();
         if !records.is_empty() {
             // Sending fails only while the instance shuts down.
@@ -661,7 +669,8 @@
             | Message::ForwardedUpdate(..)
             | Message::RosterUpdate(_) => Vec::new(),
             // In a large fleet, instances infer the end of a prefill from its duration.
-            Message::FindStream(prompt) => {
+            Message::FindStream(_) if members.len() < SMALL_FLEET_MAX => all.collect(),
+            Message::FindStream(Lookup { prompt, .. }) => {
                 let keepers = self.own.record_keepers(*prompt, &members);
                 keepers.into_iter().map(recipient).collect()
             }
@@ -717,7 +726,11 @@
                 rate: rate.map(|rate| rate.0),
             }),
             Message::ForwardedUpdate(roster, _) => datagram.roster = Some(*roster),
-            Message::FindStream(prompt) => datagram.wanted.push(prompt),
+            Message::FindStream(Lookup {
+                origin: Some(origin),
+                ..
+            }) => datagram.wanted_origins.push(origin.0),
+            Message::FindStream(Lookup { prompt, .. }) => datagram.wanted.push(prompt),
             Message::Stream(record, _) => {
                 datagram
                     .sightings
--- a/crates/node/src/request_log.rs
+++ b/crates/node/src/request_log.rs
@@ -7,6 +7,7 @@
     fingerprint::RequestFingerprint,
     limit::Limit,
     notice::{Backoff, Notice},
+    origin::Origin,
     quarantine::CrashHistory,
 };
 
@@ -75,6 +76,15 @@
     info!(fingerprint; "no longer quarantined");
 }
 
+/// What is known of the version that began a stream, by name.
+fn origin_name(origin: Origin) -> &'static str {
+    match origin {
+        Origin::Begun(_) => "begun",
+        Origin::Unbegun => "unbegun",
+        Origin::Unknown => "unknown",
+    }
+}
+
 /// Logs a step of a request. Relayed requests are identified by the ID that their caller assigned.
 pub(crate) fn log_step(entry: &RequestLog) {
     let generation = || Uuid::from_u128(entry.generation).to_string();
@@ -142,13 +152,16 @@
             copy,
             left_ms,
             list_age_ms,
+            origin,
             path,
+            version,
         } => {
             let tunnelled = matches!(path, connectivity::Path::Tunnel(_));
             let backup = backup.as_deref().unwrap_or_default();
             let copy = copy.as_deref().unwrap_or_default();
             let (left_ms, list_age_ms) = (*left_ms, *list_age_ms);
-            info!(request, fingerprint, customer, service, model, upstream, position, backup, copy, left_ms, list_age_ms, tunnelled; "sent");
+            let (origin, version) = (origin_name(*origin), version.as_ref());
+            info!(request, fingerprint, customer, service, model, upstream, position, backup, copy, left_ms, list_age_ms, tunnelled, version, origin; "sent");
         }
         Step::Waits(outlook) => {
             let (rank, ahead, wait_ms) = (outlook.rank.number(), outlook.ahead, outlook.wait_ms);
--- a/crates/node/src/store_writer.rs
+++ b/crates/node/src/store_writer.rs
@@ -4,7 +4,7 @@
 use super::*;
 use members::{LocalMember, Member, Members};
 use rand::RngExt;
-use wellplank_core::{fingerprint::RequestFingerprint, quarantine::CrashHistory};
+use wellplank_core::{fingerprint::RequestFingerprint, origin::RunId, quarantine::CrashHistory};
 
 /// Key prefix of the stored streams.
 const STREAMS_PREFIX: &str = "wellplank/streams/";
@@ -46,15 +46,19 @@
 /// Time for which a stream is stored without another report: longer than a caller waits.
 const STREAM_TTL: Duration = Duration::from_secs(30);
 
-/// Streams that instances relay, by the hash of their prompt, with the time of the last report.
+/// Streams that instances relay, by the run that identifies each over all attempts of its caller, with the time of the last
+/// report.
 #[derive(Clone, Debug, Default)]
-pub struct Streams(BTreeMap<u64, (Instant, peers::Sighting)>);
+pub struct Streams(BTreeMap<RunId, (Instant, peers::Sighting)>);
 
 impl Streams {
-    /// Encodes the streams for the store, without those whose last report is too old.
+    /// Encodes the streams for the store in the order of their reports, without those whose last report is too old.
     fn encode(&self) -> Vec<u8> {
         let recent = self.0.values().filter(|(at, _)| at.elapsed() < STREAM_TTL);
-        let sightings = recent.map(|(_, sighting)| sighting.clone()).collect();
+        let mut recent: Vec<&(Instant, peers::Sighting)> = recent.collect();
+        recent.sort_by_key(|(at, _)| *at);
+        let sightings = recent.into_iter().map(|(_, sighting)| sighting.clone());
+        let sightings = sightings.collect();
         peers::Sightings { sightings }.encode_to_vec()
     }
 
@@ -66,9 +70,16 @@
         self.0.retain(|_, (at, _)| *at > *middle);
     }
 
-    /// Record of the stream with this hash of its prompt.
-    pub fn get(&self, prompt: u64) -> Option<&peers::Sighting> {
-        self.0.get(&prompt).map(|(_, sighting)| sighting)
+    /// Record of the stream that a run began.
+    pub fn get(&self, origin: RunId) -> Option<&peers::Sighting> {
+        self.0.get(&origin).map(|(_, sighting)| sighting)
+    }
+
+    /// Last record of a stream with this hash of its prompt.
+    pub fn of_prompt(&self, prompt: u64) -> Option<&peers::Sighting> {
+        let of_prompt = |(_, sighting): &&(Instant, peers::Sighting)| sighting.prompt == prompt;
+        let last = self.0.values().filter(of_prompt).max_by_key(|(at, _)| *at);
+        last.map(|(_, sighting)| sighting)
     }
 
     /// Whether there are no streams.
@@ -81,18 +92,32 @@
         self.0.len()
     }
 
+    /// Adds a stream that was stored before the start, unless an instance has reported it since.
+    fn restore(&mut self, sighting: &peers::Sighting) {
+        let record = (Instant::now(), sighting.clone());
+        let origin = datagram::origin(sighting);
+        self.0.entry(origin).or_insert(record);
+    }
+
     /// Applies an instance's report of a stream.
     pub fn apply(&mut self, sighting: &peers::Sighting) {
+        let origin = datagram::origin(sighting);
         match sighting.stage() {
+            // Its caller may take it up, at the version that began it.
+            peers::Stage::Left if sighting.has_begun => {
+                if let Some((_, known)) = self.0.get_mut(&origin) {
+                    known.set_stage(peers::Stage::Left);
+                }
+            }
             peers::Stage::Ended | peers::Stage::Left => {
-                self.0.remove(&sighting.prompt);
+                self.0.remove(&origin);
             }
             peers::Stage::Started | peers::Stage::Streaming => {
                 if self.0.len() >= STREAMS_MAX {
                     self.evict_older_half();
                 }
                 let record = (Instant::now(), sighting.clone());
-                self.0.insert(sighting.prompt, record);
+                self.0.insert(origin, record);
             }
             // A request that has not been sent to an upstream has nothing to resume from.
             peers::Stage::Waiting => {}
@@ -148,6 +173,8 @@
     pub quarantined: BTreeMap<RequestFingerprint, QuarantineUpdate>,
     /// Streams of all instances including this one.
     pub streams: watch::Receiver<Streams>,
+    /// Where those are added that were stored before the start.
+    pub streams_sender: watch::Sender<Streams>,
 }
 
 impl StoreWriter {
@@ -288,7 +315,14 @@
                 }
             };
             match peers::Sightings::decode(value) {
-                Ok(stored) => gossip::report_streams(stored.sightings, &self.driver),
+                Ok(stored) => {
+                    self.streams_sender.send_modify(|streams| {
+                        for sighting in &stored.sightings {
+                            streams.restore(sighting);
+                        }
+                    });
+                    gossip::report_streams(stored.sightings, &self.driver);
+                }
                 Err(error) => warn!("malformed streams in {}: {error}", item.key),
             }
         }
--- a/crates/standin/src/crowd.rs
+++ b/crates/standin/src/crowd.rs
@@ -6,6 +6,7 @@
     clock::Time,
     event::{Event, Submission},
     kind::Ran,
+    origin::RunId,
     request::{Caller as Connection, Relay, Work},
 };
 
@@ -49,6 +50,8 @@
     pub ended: bool,
     pub instance: usize,
     pub kind: Kind,
+    /// The version that sent its first event, and its try that brought it.
+    pub origin: Option<(u64, RunId)>,
     /// Position of the last event that it has.
     pub position: u64,
     /// Identity of what it asks; another caller may ask the same.
@@ -59,6 +62,10 @@
     pub run: u64,
     /// Upstream that its request reached last.
     pub sent_to: Option<usize>,
+    /// Version of that upstream then.
+    pub sent_version: u64,
+    /// The version of the stream that its last try took up, if two upstreams of it served, until it gets an event.
+    pub takes_up: Option<u64>,
     pub tries: usize,
     pub whole: bool,
 }
@@ -85,11 +92,14 @@
             ended: false,
             instance,
             kind,
+            origin: None,
             position: 0,
             print,
             quarantined: false,
             run: 0,
             sent_to: None,
+            sent_version: 0,
+            takes_up: None,
             tries: 0,
             whole: false,
         });
@@ -116,6 +126,7 @@
             self.come_back(index);
             return;
         }
+        self.count_take_up(index);
         let asker = &self.askers[index];
         let submission = Submission {
             caller: connection,
@@ -138,6 +149,7 @@
                 } else {
                     0
                 },
+                resumes: asker.origin.map(|(_, run)| run),
                 run: run.to_string().into(),
                 tokens: if asker.kind == Kind::Stream { 5_200 } else { 0 },
             }),
@@ -146,6 +158,21 @@
         self.tell(instance, Event::Submit(Box::new(submission)));
     }
 
+    /// Counts a try that takes a stream up while two upstreams of its version serve.
+    fn count_take_up(&mut self, index: usize) {
+        let origin = self.askers[index].origin;
+        let serving = |version: u64| {
+            let upstreams = self.upstreams.iter().enumerate();
+            upstreams
+                .filter(|(at, upstream)| upstream.serves() && self.version(*at) == version)
+                .count()
+        };
+        let version = origin.map(|(version, _)| version);
+        let takes_up = version.filter(|version| serving(*version) >= 2);
+        self.askers[index].takes_up = takes_up;
+        self.case.taken_up += usize::from(takes_up.is_some());
+    }
+
     /// A caller asks again at another instance, if it may.
     pub fn come_back(&mut self, index: usize) {
         let instances = self.instances.len();
@@ -224,6 +251,12 @@
             let text = String::from_utf8_lossy(bytes).into_owned();
             self.broken(format_args!("{asker} got {text} in place of event {next}"));
         }
-        self.askers[asker].position = next;
+        let asker = &mut self.askers[asker];
+        asker.position = next;
+        if asker.origin.is_none() {
+            let run = RunId::new(&asker.run.to_string());
+            asker.origin = Some((asker.sent_version, run));
+        }
+        self.case.went_on += usize::from(asker.takes_up.take().is_some());
     }
 }
--- a/crates/standin/src/placing.rs
+++ b/crates/standin/src/placing.rs
@@ -11,10 +11,12 @@
     event::{Event, Failure, ListEntry, Submission},
     incarnation::Incarnation,
     members::View,
+    origin::RunId,
     position::Position,
     request::{Caller, Relay},
     settings::Settings,
     stream_record::{Stage, StreamRecord},
+    version::Version,
 };
 
 /// Start of virtual time.
@@ -70,6 +72,8 @@
             &format!("engine-{}", (at + 1) % upstreams),
             0,
         )),
+        has_begun: false,
+        origin: RunId::new(&format!("run-{prompt}")),
         pool: String::new(),
         prompt,
         rank: None,
@@ -78,6 +82,7 @@
         start_within_ms: None,
         tokens: TOKENS,
         upstream: Some(Incarnation::new(&format!("engine-{at}"), 0)),
+        version: Version::UNSTATED,
     }
 }
 
@@ -90,6 +95,7 @@
         timeout_ms: Some(25_000),
         position: 0,
         prompt: 1_000_000 + number,
+        resumes: None,
         run: number.to_string().into(),
         tokens: TOKENS,
     };
--- a/crates/standin/src/pool.rs
+++ b/crates/standin/src/pool.rs
@@ -102,6 +102,13 @@
     }
 }
 
+impl Upstream {
+    /// Whether it takes new work.
+    pub fn serves(&self) -> bool {
+        self.mode == Mode::Good && self.leaving.is_none() && self.limited.is_none() && !self.calls
+    }
+}
+
 impl World {
     /// Has an upstream behave otherwise. One that was down starts a new life, and so does one that left, once it runs nothing.
     pub fn set(&mut self, index: usize, mode: Mode) {
@@ -133,7 +140,7 @@
             pool: if upstream.calls { "desk" } else { "engines" }.into(),
             registered_at: Position::default(),
             slots: 0,
-            version: String::new(),
+            version: self.version_name(index),
         };
         self.upstreams.iter().enumerate().map(listed).collect()
     }
@@ -192,6 +199,7 @@
         }
         *self.runs.entry(run).or_default() += 1;
         self.askers[asker].sent_to = Some(upstream);
+        self.check_version(asker, upstream, *position);
         self.note_poison(asker, line.instance);
         if self.askers[asker].kind != Kind::Stream {
             let call = Call {
@@ -220,6 +228,31 @@
         self.check_alone(asker, line);
     }
 
+    /// Version of an upstream in its present life; always the same where there is only one.
+    pub fn version(&self, upstream: usize) -> u64 {
+        (upstream as u64 + self.upstreams[upstream].life) % self.versions
+    }
+
+    /// Its name, as the upstream's entry has it; none where there is only one.
+    fn version_name(&self, upstream: usize) -> String {
+        if self.versions == 1 {
+            return String::new();
+        }
+        format!("v{}", self.version(upstream))
+    }
+
+    /// A stream goes on only at the version that sent its first event.
+    fn check_version(&mut self, asker: usize, upstream: usize, position: u64) {
+        let version = self.version(upstream);
+        let other = self.askers[asker].origin.map(|(began, _)| began);
+        if position > 0 && other.is_some_and(|began| began != version) {
+            self.broken(format_args!(
+                "{asker} began at version {other:?} and goes on at {version}, {upstream}"
+            ));
+        }
+        self.askers[asker].sent_version = version;
+    }
+
     /// An upstream refuses a request.
     fn turn_away(&mut self, line: Line, key: upstream::Key, upstream: usize) {
         self.say(line, key, upstream, true);
--- a/crates/standin/src/relaying.rs
+++ b/crates/standin/src/relaying.rs
@@ -13,14 +13,17 @@
     connectivity::Path,
     core::Core,
     counter::{Counter, Timing},
+    directory::Lookup,
     effect::{self, Effect, Outbound},
     event::{Event, Failure},
     incarnation::Incarnation,
     kind::Ran,
     members::View,
+    origin::RunId,
     quarantine::CrashHistory,
     request::Caller as Connection,
     settings::{ResumeMode, Settings},
+    stream_record::{Stage, StreamRecord},
     upstream,
 };
 use word::Words;
@@ -34,9 +37,18 @@
 /// Time between two ticks of a core.
 const TICK_MS: u64 = 10;
 
+/// Time within which a record of a stream is in the store.
+const KEEP_MS: u64 = 700;
+
+/// Time that an instance needs to read the records of streams at its start.
+const RESTORE_MS: u64 = 20;
+
 /// Time between two reads of the list.
 pub(crate) const LIST_MS: u64 = 300;
 
+/// Versions of upstreams that serve side by side in a case, at most.
+const VERSIONS_MAX: u64 = 3;
+
 /// Virtual time that a case may take after its last fault.
 const SETTLE_MS: u64 = 60_000;
 
@@ -46,6 +58,8 @@
     pub account: (u64, CrashHistory),
     pub core: Option<Core>,
     pub life: u64,
+    /// Records of streams that this life has sent or was told, by the runs that began them.
+    pub records: BTreeMap<RunId, StreamRecord>,
     /// When this life began.
     pub since: Time,
 }
@@ -60,6 +74,8 @@
     Arrive(Line, upstream::Key, usize, Outbound),
     /// The connection of an attempt is closed at an upstream.
     Close(Line, usize),
+    /// A record of a stream is in the store.
+    Keep(StreamRecord),
     /// One life of an instance reads the list.
     List(usize, u64),
     /// A caller comes back, if its try of this name is still the last.
@@ -87,6 +103,10 @@
     pub prompts: usize,
     /// Streams asked for.
     pub streams: usize,
+    /// Tries that took up a stream while two upstreams of its version served.
+    pub taken_up: usize,
+    /// Those of them that got an event.
+    pub went_on: usize,
     /// Streams answered whole.
     pub streams_whole: usize,
     /// Requests.
@@ -119,9 +139,13 @@
     pub runs: HashMap<u64, usize>,
     pub settings: Settings,
     pub timeline: Timeline<Action>,
+    /// Records of streams in the store.
+    pub stored: BTreeMap<RunId, StreamRecord>,
     /// Instances through which attempts reach their upstreams.
     pub tunnels: HashMap<Line, usize>,
     pub upstreams: Vec<Upstream>,
+    /// Versions of upstreams that serve side by side.
+    pub versions: u64,
     /// What upstreams said beside their answers.
     pub words: Words,
 }
@@ -133,6 +157,7 @@
     let instances = random.random_range(1..4);
     let engines = random.random_range(3..10);
     let mut world = World::new(instances, engines, resume, seed);
+    world.versions = 1 + seed % VERSIONS_MAX;
     for _ in 0..random.random_range(5..40) {
         for _ in 0..random.random_range(0..6) {
             world.ask();
@@ -190,6 +215,8 @@
         self.requests += other.requests;
         self.streams += other.streams;
         self.streams_whole += other.streams_whole;
+        self.taken_up += other.taken_up;
+        self.went_on += other.went_on;
         self.violations.extend(other.violations);
         self.whole += other.whole;
     }
@@ -207,6 +234,24 @@
     format!("{print}/{position}").into_bytes().into()
 }
 
+/// Applies the record of a stream to those that are kept.
+fn keep(records: &mut BTreeMap<RunId, StreamRecord>, record: StreamRecord) {
+    match record.stage {
+        Stage::Ended => {
+            records.remove(&record.origin);
+        }
+        Stage::Left => {
+            if let Some(known) = records.get_mut(&record.origin) {
+                known.stage = Stage::Left;
+            }
+        }
+        Stage::Started | Stage::Streaming => {
+            records.insert(record.origin, record);
+        }
+        Stage::Waiting => {}
+    }
+}
+
 fn configuration() -> Config {
     let route = |prefix: &str, pool: &str, repeatable, streams| {
         let relay = config::Relay {
@@ -278,10 +323,12 @@
             runs: HashMap::new(),
             settings,
             timeline: Timeline::new(START),
+            stored: BTreeMap::new(),
             tunnels: HashMap::new(),
             upstreams: (0..engines + 2)
                 .map(|index| Upstream::new(index >= engines))
                 .collect(),
+            versions: 1,
             words: Words::default(),
         };
         for index in 0..instances {
@@ -289,6 +336,7 @@
                 account: Default::default(),
                 core: None,
                 life: 0,
+                records: BTreeMap::new(),
                 since: START,
             });
             world.restart(index);
@@ -415,8 +463,9 @@
         let home = format!("dc-{}", index % 3);
         self.instances[index] = Instance {
             account: Default::default(),
-            core: Some(core.in_data_centre(&home)),
+            core: Some(core.in_data_centre(&home).restoring_streams()),
             life,
+            records: BTreeMap::new(),
             since: self.timeline.now(),
         };
         self.tell(index, Event::Config(Arc::new(configuration())));
@@ -426,10 +475,22 @@
             let kept = self.poison.kept.clone();
             self.tell(index, Event::CrashReported(kept.into()));
         }
+        self.restore_streams(index);
         self.timeline.schedule(0, Action::List(index, life));
         self.timeline.schedule(1, Action::Tick(index, life));
     }
 
+    /// An instance reads from the store which streams ran before its start.
+    fn restore_streams(&mut self, index: usize) {
+        let life = self.instances[index].life;
+        let records = self.stored.values().cloned().map(Event::PeerStream);
+        let events: Vec<Event> = records.chain([Event::StreamsRestored]).collect();
+        for event in events {
+            let action = Action::Tell(index, life, event);
+            self.timeline.schedule(RESTORE_MS, action);
+        }
+    }
+
     pub fn fail(&mut self, line: Line, failure: Failure) {
         let attempt = line.attempt;
         self.event(line, Event::Failed { attempt, failure });
@@ -461,6 +522,7 @@
             Action::Close(line, upstream) => {
                 self.upstreams[upstream].streams.remove(&line);
             }
+            Action::Keep(record) => keep(&mut self.stored, record),
             Action::List(instance, life) if self.lives(instance, life) => {
                 if self.listing.is_some() {
                     let listed = Some(self.listed());
@@ -503,6 +565,9 @@
 
     pub fn tell(&mut self, instance: usize, event: Event) {
         let now = self.timeline.now();
+        if let Event::PeerStream(record) = &event {
+            keep(&mut self.instances[instance].records, record.clone());
+        }
         let Some(core) = self.instances[instance].core.as_mut() else {
             return;
         };
@@ -586,13 +651,16 @@
                 let arrive = Action::Arrive(line(attempt), upstream, index(address), outbound);
                 self.timeline.schedule(1, arrive);
             }
+            Effect::FindStream(lookup) => self.find_stream(instance, lookup),
             Effect::GossipStream { record, .. } => {
+                keep(&mut self.instances[instance].records, record.clone());
+                self.timeline
+                    .schedule(KEEP_MS, Action::Keep(record.clone()));
                 self.gossip(instance, &Event::PeerStream(record));
                 self.compare_accounts(instance);
             }
             Effect::Observe(Timing::Resume, millis) => self.case.pauses_ms.push(millis as f64),
             Effect::Buffering(_)
-            | Effect::FindStream(_)
             | Effect::LogUpstream { .. }
             | Effect::LogUpstreams { .. }
             | Effect::Claim { .. }
@@ -663,6 +731,24 @@
         }
     }
 
+    /// Other instances are asked for the record of a stream; one in ten questions and answers is lost.
+    fn find_stream(&mut self, from: usize, lookup: Lookup) {
+        for to in (0..self.instances.len()).filter(|to| *to != from) {
+            let is_asked = |record: &&StreamRecord| match lookup.origin {
+                Some(run) => record.origin == run,
+                None => record.prompt == lookup.prompt,
+            };
+            let record = self.instances[to].records.values().find(is_asked).cloned();
+            let is_reached = self.instances[to].core.is_some() && self.poison.reaches(from, to);
+            if let Some(record) = record
+                && is_reached
+                && self.random.random_range(0..10) > 1
+            {
+                self.event_soon(from, Event::PeerStream(record));
+            }
+        }
+    }
+
     /// Passes a datagram to the other instances; one in ten is lost.
     fn gossip(&mut self, from: usize, event: &Event) {
         for to in (0..self.instances.len()).filter(|to| *to != from) {
--- a/crates/standin/src/rush.rs
+++ b/crates/standin/src/rush.rs
@@ -746,6 +746,7 @@
             timeout_ms: Some(left),
             position: 0,
             prompt: 0,
+            resumes: None,
             run: self.next.to_string().into(),
             tokens: 0,
         };
--- a/crates/standin/src/surge.rs
+++ b/crates/standin/src/surge.rs
@@ -345,6 +345,7 @@
             timeout_ms: Some(left),
             position: 0,
             prompt: index as u64 + 1,
+            resumes: None,
             run: self.next.to_string().into(),
             tokens: asker.prompt + 1_020,
         };
--- a/crates/standin/src/urgency.rs
+++ b/crates/standin/src/urgency.rs
@@ -551,6 +551,7 @@
             timeout_ms: Some(PATIENCE_MS - now.since(asker.begun)),
             position: 0,
             prompt: index as u64 + 1,
+            resumes: None,
             run: self.next.to_string().into(),
             tokens: asker.prompt + MAX_ANSWER,
         };
