Let versions of upstreams serve side by side where nobody orders roll-outs

Cause: a version that nobody ordered was held back everywhere while one of the active version stayed.

Streams that have begun are bound to their version either way.

The tests of the active version run with that setting, their checks unchanged.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -117,7 +117,7 @@
     roster::{Change, Roster, RosterUpdate, UpdateOutcome},
     settings::{
         CallAdmission, CallPlacement, LivenessMethod, QuarantineRule, ResumeMode, RetryBound,
-        Routing, Settings, UrgencyMode, Yielding,
+        Routing, Settings, UrgencyMode, VersionPolicy, Yielding,
     },
     slotmap::{SecondaryMap, SlotMap, new_key_type},
     staleness::StalenessBound,
--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -108,6 +108,22 @@
         [("evidence", Self::Evidence), ("timeout", Self::Timeout)];
 }
 
+/// Which versions of a pool's upstreams get new work.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum VersionPolicy {
+    /// The active one alone, while one of its upstreams stays: for platforms on which operators order that another one
+    /// gets work.
+    Active,
+    /// All of them.
+    SideBySide,
+}
+
+impl VersionPolicy {
+    /// Every value, with its name in settings.
+    pub const ALL: [(&'static str, Self); 2] =
+        [("active", Self::Active), ("side_by_side", Self::SideBySide)];
+}
+
 /// How a relayed stream resumes after its upstream was lost; all but the first only serve to
 /// measure its benefit.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -529,6 +545,8 @@
     pub unread: UnreadLimits,
     /// How streams of different urgency compete for capacity.
     pub urgency: UrgencySettings,
+    /// Which versions of a pool's upstreams get new work.
+    pub versions: VersionPolicy,
 }
 
 impl Default for Settings {
@@ -574,6 +592,7 @@
             tokens_max: 32_768,
             unread: UnreadLimits::default(),
             urgency: UrgencySettings::default(),
+            versions: VersionPolicy::SideBySide,
         }
     }
 }
--- a/crates/core/src/version.rs
+++ b/crates/core/src/version.rs
@@ -90,6 +90,9 @@
     /// the active version stays. The active version is that of the upstream registered first, and does not change while the
     /// instance runs: crashed upstreams come back as the last registered.
     pub(crate) fn hold_back_inactive_versions(&mut self) {
+        if self.settings.versions == VersionPolicy::SideBySide {
+            return;
+        }
         let mut changed = Vec::new();
         for pool in self.pools.values_mut() {
             if pool.active_version.is_none() {
--- a/crates/core/tests/relay/main.rs
+++ b/crates/core/tests/relay/main.rs
@@ -26,7 +26,10 @@
         quarantine::{CrashHistory, Involvement},
         rank::{PoolRanks, Rank},
         request::{Caller, Relay, Work},
-        settings::{CapacityLimits, ResumeMode, Settings, UrgencyMode, UrgencySettings, Yielding},
+        settings::{
+            CapacityLimits, ResumeMode, Settings, UrgencyMode, UrgencySettings, VersionPolicy,
+            Yielding,
+        },
         stream_record::{Stage, StreamRecord},
         upstream::{self, Load},
         version::Version,
--- a/crates/core/tests/relay/version.rs
+++ b/crates/core/tests/relay/version.rs
@@ -20,7 +20,11 @@
 
 /// Creates a core that gives new work to the active version alone.
 fn active_only() -> Test {
-    Test::new(0)
+    let settings = Settings {
+        versions: VersionPolicy::Active,
+        ..Settings::default()
+    };
+    Test::set(settings).configured(0)
 }
 
 /// Creates a core that knew the old version before the new one was listed.
--- a/crates/node/src/core_settings.rs
+++ b/crates/node/src/core_settings.rs
@@ -6,7 +6,7 @@
 use wellplank_core::settings::{
     CallAdmission, CallLimits, CallPlacement, CapacityLimits, LimitHolders, LivenessMethod,
     PlacementWeights, QuarantineRule, ResumeMode, RetryBound, Routing, Settings, SharedSettings,
-    UnreadLimits, UrgencyMode, UrgencySettings, Yielding,
+    UnreadLimits, UrgencyMode, UrgencySettings, VersionPolicy, Yielding,
 };
 
 /// The section with all settings at their defaults.
@@ -53,6 +53,7 @@
         "tokens_max": core.tokens_max,
         "unread": default_unread(&core),
         "urgency": default_urgency(&core),
+        "versions": "side_by_side",
     })
 }
 
@@ -207,6 +208,7 @@
         tokens_max: reader.number("tokens_max", tokens_max, 1..=1 << 24) as u32,
         unread: read_unread(reader.section("unread")),
         urgency: read_urgency(reader.section("urgency")),
+        versions: reader.choice("versions", &VersionPolicy::ALL, default.versions),
     };
     reader.finish();
     settings
