Hold streams to their version in virtual time, in the soak and in the core's invariants

The class of the incident was met by no stand-in: all engines were of one version. Random relayed cases have one to three versions that come, go and come back; callers name by `Resumes` the try that brought their first event; records of streams are told, asked for and stored as on the platform; each change of version is a violation, and streams that are taken up must go on at least half as often as new ones begin. The soak's engines are of two versions.

`versions::run` loses one instance, all, or one and a version, at 2, 6, 74 and 300 instances (tests) and up to 984 (`standin measure versions`).

A sending at another version than the stream's is an invariant now (`one_version`).

--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -367,6 +367,29 @@
             None if route.public => Arc::new(config::Customer::anonymous()),
             None => return Err(Kind::Unauthorized),
         };
+        let origin = self.share_of_origin(route, relay);
+        let share = origin.or_else(|| self.draw_share(route));
+        let share = share.ok_or(Kind::UnknownService)?;
+        Ok((customer, share.service.clone()))
+    }
+
+    /// The share of a route whose service began the stream that a request takes up, if that is known.
+    fn share_of_origin<'a>(
+        &self,
+        route: &'a config::Route,
+        relay: &request::Relay,
+    ) -> Option<&'a config::Share> {
+        let run = relay.resumes.filter(|_| relay.position > 0)?;
+        let version = self.origins.get(run)?;
+        let mut shares = route.shares.iter();
+        shares.find(|share| {
+            let pool = self.pools.get(share.service.pool());
+            pool.is_some_and(|pool| pool.versions.recent(self.now).any(|one| one == version))
+        })
+    }
+
+    /// Draws a share of a route by weight.
+    fn draw_share<'a>(&mut self, route: &'a config::Route) -> Option<&'a config::Share> {
         let total: u32 = route.shares.iter().map(|share| share.weight).sum();
         let mut point = self.rng.random_range(0..total.max(1));
         let share = route.shares.iter().find(|share| {
@@ -374,8 +397,7 @@
             point = point.saturating_sub(share.weight);
             hit
         });
-        let share = share.or(route.shares.first()).ok_or(Kind::UnknownService)?;
-        Ok((customer, share.service.clone()))
+        share.or(route.shares.first())
     }
 
     /// Expected queueing time of a new request, in milliseconds: from the recent service rate of
--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -315,6 +315,7 @@
             Work::Call { .. } | Work::Generate { .. } => request.outbound(number, &self.settings),
         };
         let is_quarantined = self.is_quarantined(request.request_fingerprint);
+        let is_admitted = self.admits(request, upstream);
         let has_permit = self.upstreams[upstream_key].take_permit(self.now);
         self.check_invariant(has_permit, Invariant::NoWorkBeyondLimit);
         self.check_invariant(!is_leaving, Invariant::NoWorkWhenLeaving);
@@ -323,6 +324,10 @@
             self.refuse_quarantined(owner);
             return;
         }
+        if !self.check_invariant(is_admitted, Invariant::OneVersion) {
+            self.give_up(owner, Kind::VersionGone, Kind::UpstreamFailed);
+            return;
+        }
         if !self.check_invariant(runs_once, Invariant::RunsOnce) {
             self.fail(owner, Kind::Unknown);
             return;
--- a/crates/core/src/invariant.rs
+++ b/crates/core/src/invariant.rs
@@ -19,6 +19,8 @@
     NoWorkWhenLeaving,
     /// An upstream that requested a backoff was given new work.
     NoWorkInBackoff,
+    /// A stream was about to go on at another software version than the one that began it.
+    OneVersion,
     /// A request that was refused as not run had been sent.
     NotRunIsTrue,
     /// A non-repeatable request was about to be sent although it may have run.
@@ -38,6 +40,7 @@
             Self::NoWorkWhenLeaving => "no_work_when_leaving",
             Self::NoWorkInBackoff => "no_work_when_resting",
             Self::NotRunIsTrue => "not_run_is_true",
+            Self::OneVersion => "one_version",
             Self::RunsOnce => "runs_once",
             Self::SameGeneration => "same_generation",
         })
--- a/crates/standin/src/arguments.rs
+++ b/crates/standin/src/arguments.rs
@@ -177,6 +177,11 @@
                 .about("Calls in time before upstreams whose speed changes, 1 to 300 instances, in virtual time")
                 .arg(number("seeds", "Runs of each fleet", "2")),
         )
+        .subcommand(
+            Command::new("versions")
+                .about("Streams of several versions that go on behind lost instances, 2 to 984 of them, in virtual time")
+                .arg(number("seeds", "Runs of each fleet", "2")),
+        )
         .subcommand(
             Command::new("routing")
                 .about("Routing, sharing and limits under load, in virtual time"),
@@ -421,19 +426,28 @@
 /// Runs randomised cases of relayed requests; how many are broken.
 fn random_relaying(first: u64, cases: u64) -> usize {
     let mut broken = 0;
-    let (mut copies, mut requests, mut whole) = (0, 0, 0);
+    let mut all = relaying::Case::default();
     for seed in first..first + cases {
         let case = relaying::case(seed, ResumeMode::Copy);
-        copies += case.copies;
-        requests += case.requests;
-        whole += case.whole;
         if !case.violations.is_empty() {
             broken += 1;
             eprintln!("relaying, seed {seed}: {:?}", case.violations);
         }
+        all.add(case);
     }
+    let relaying::Case {
+        copies,
+        requests,
+        streams,
+        streams_begun,
+        taken_up,
+        went_on,
+        whole,
+        ..
+    } = all;
     println!(
         "{cases} cases of relaying, {requests} requests, {whole} whole, {copies} from copies, \
+         {streams_begun} of {streams} streams begun, {went_on} of {taken_up} taken up went on, \
          {broken} cases broken"
     );
     broken
@@ -470,6 +484,7 @@
             number("engines"),
             number("percent") as f64 / 100.0,
         ),
+        "versions" => versions::measure(number("seeds") as u64),
         "uneven" => rush::measure_uneven(number("seeds") as u64),
         _ => return ExitCode::FAILURE,
     }
--- a/crates/standin/src/crowd.rs
+++ b/crates/standin/src/crowd.rs
@@ -108,16 +108,15 @@
         asker
     }
 
-    /// Has a caller's request arrive at an instance; a caller that finds none comes back.
+    /// Has a caller's request arrive at an instance; a caller that finds none comes back, which is no try.
     pub fn submit(&mut self, index: usize) {
         self.next += 1;
         let (run, connection) = (self.next, Connection(self.next));
         let asker = &mut self.askers[index];
         asker.run = run;
-        asker.tries += 1;
         asker.asked = self.timeline.now();
         let waited = self.timeline.now().since(asker.begun);
-        if asker.tries > TRIES || waited >= PATIENCE_MS {
+        if asker.tries >= TRIES || waited >= PATIENCE_MS {
             asker.ended = true;
             return;
         }
@@ -126,6 +125,7 @@
             self.come_back(index);
             return;
         }
+        self.askers[index].tries += 1;
         self.count_take_up(index);
         let asker = &self.askers[index];
         let submission = Submission {
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -47,6 +47,7 @@
 pub mod trial;
 pub mod uplink;
 pub mod urgency;
+pub mod versions;
 pub mod worker;
 pub mod world;
 
--- a/crates/standin/src/relaying.rs
+++ b/crates/standin/src/relaying.rs
@@ -13,7 +13,7 @@
     connectivity::Path,
     core::Core,
     counter::{Counter, Timing},
-    directory::Lookup,
+    directory::{self, Audience, Lookup},
     effect::{self, Effect, Outbound},
     event::{Event, Failure},
     incarnation::Incarnation,
@@ -37,6 +37,12 @@
 /// Time between two ticks of a core.
 const TICK_MS: u64 = 10;
 
+/// Size up to which a fleet counts as small, as on the users' platform.
+const SMALL_FLEET_MAX: usize = 12;
+
+/// Instances that write the records of all streams to the store.
+const WRITERS: usize = 2;
+
 /// Time within which a record of a stream is in the store.
 const KEEP_MS: u64 = 700;
 
@@ -95,6 +101,8 @@
 /// What came of one case.
 #[derive(Clone, Debug, Default)]
 pub struct Case {
+    /// Datagrams that asked for the record of a stream.
+    pub asked: usize,
     /// Streams that went on from a copy.
     pub copies: usize,
     /// Times from the loss of a stream to its next event, in milliseconds.
@@ -103,10 +111,14 @@
     pub prompts: usize,
     /// Streams asked for.
     pub streams: usize,
+    /// Datagrams with the record of a stream.
+    pub told: usize,
     /// Tries that took up a stream while two upstreams of its version served.
     pub taken_up: usize,
     /// Those of them that got an event.
     pub went_on: usize,
+    /// Streams of which callers got an event.
+    pub streams_begun: usize,
     /// Streams answered whole.
     pub streams_whole: usize,
     /// Requests.
@@ -139,6 +151,8 @@
     pub runs: HashMap<u64, usize>,
     pub settings: Settings,
     pub timeline: Timeline<Action>,
+    /// How instances learn which version began a stream.
+    pub learning: versions::Learning,
     /// Records of streams in the store.
     pub stored: BTreeMap<RunId, StreamRecord>,
     /// Instances through which attempts reach their upstreams.
@@ -208,12 +222,13 @@
 
 impl Case {
     /// Adds another case.
-    fn add(&mut self, other: Self) {
+    pub fn add(&mut self, other: Self) {
         self.copies += other.copies;
         self.pauses_ms.extend(other.pauses_ms);
         self.prompts += other.prompts;
         self.requests += other.requests;
         self.streams += other.streams;
+        self.streams_begun += other.streams_begun;
         self.streams_whole += other.streams_whole;
         self.taken_up += other.taken_up;
         self.went_on += other.went_on;
@@ -323,6 +338,7 @@
             runs: HashMap::new(),
             settings,
             timeline: Timeline::new(START),
+            learning: versions::Learning::Stored,
             stored: BTreeMap::new(),
             tunnels: HashMap::new(),
             upstreams: (0..engines + 2)
@@ -483,7 +499,9 @@
     /// An instance reads from the store which streams ran before its start.
     fn restore_streams(&mut self, index: usize) {
         let life = self.instances[index].life;
-        let records = self.stored.values().cloned().map(Event::PeerStream);
+        let is_stored = self.learning == versions::Learning::Stored;
+        let stored = self.stored.values().filter(|_| is_stored);
+        let records = stored.cloned().map(Event::PeerStream);
         let events: Vec<Event> = records.chain([Event::StreamsRestored]).collect();
         for event in events {
             let action = Action::Tell(index, life, event);
@@ -652,11 +670,11 @@
                 self.timeline.schedule(1, arrive);
             }
             Effect::FindStream(lookup) => self.find_stream(instance, lookup),
-            Effect::GossipStream { record, .. } => {
+            Effect::GossipStream { audience, record } => {
                 keep(&mut self.instances[instance].records, record.clone());
                 self.timeline
                     .schedule(KEEP_MS, Action::Keep(record.clone()));
-                self.gossip(instance, &Event::PeerStream(record));
+                self.gossip_stream(instance, audience, record);
                 self.compare_accounts(instance);
             }
             Effect::Observe(Timing::Resume, millis) => self.case.pauses_ms.push(millis as f64),
@@ -731,9 +749,44 @@
         }
     }
 
+    /// Whether the fleet is so large that instances are not told of first events, and few are asked for records.
+    fn is_large(&self) -> bool {
+        self.instances.len() > SMALL_FLEET_MAX
+    }
+
+    /// The instances that keep the record of a prompt: its holders, and those that write all records to the store.
+    fn record_keepers(&self, prompt: u64) -> BTreeSet<usize> {
+        let holders = directory::holders(prompt, 0..self.members);
+        let holders = holders.into_iter().map(|holder| holder as usize);
+        holders
+            .chain(0..WRITERS.min(self.instances.len()))
+            .collect()
+    }
+
+    /// Passes the record of a stream to the instances that are to have it.
+    fn gossip_stream(&mut self, from: usize, audience: Audience, record: StreamRecord) {
+        if self.is_large() && record.stage == Stage::Streaming {
+            return;
+        }
+        let keepers = self.record_keepers(record.prompt);
+        let is_told = |to: usize| audience == Audience::All || keepers.contains(&to);
+        let event = Event::PeerStream(record);
+        for to in (0..self.instances.len()).filter(|to| is_told(*to)) {
+            self.case.told += 1;
+            self.gossip_to(from, to, &event);
+        }
+    }
+
     /// Other instances are asked for the record of a stream; one in ten questions and answers is lost.
     fn find_stream(&mut self, from: usize, lookup: Lookup) {
-        for to in (0..self.instances.len()).filter(|to| *to != from) {
+        if self.learning == versions::Learning::Told {
+            return;
+        }
+        let keepers = self.record_keepers(lookup.prompt);
+        let is_large = self.is_large();
+        let others = (0..self.instances.len()).filter(|to| !is_large || keepers.contains(to));
+        for to in others.filter(|to| *to != from).collect::<Vec<_>>() {
+            self.case.asked += 1;
             let is_asked = |record: &&StreamRecord| match lookup.origin {
                 Some(run) => record.origin == run,
                 None => record.prompt == lookup.prompt,
@@ -751,12 +804,20 @@
 
     /// Passes a datagram to the other instances; one in ten is lost.
     fn gossip(&mut self, from: usize, event: &Event) {
-        for to in (0..self.instances.len()).filter(|to| *to != from) {
-            if self.random.random_range(0..10) > 0 && self.poison.reaches(from, to) {
-                let life = self.instances[to].life;
-                let action = Action::Tell(to, life, event.clone());
-                self.timeline.schedule(2, action);
-            }
+        for to in 0..self.instances.len() {
+            self.gossip_to(from, to, event);
+        }
+    }
+
+    /// Passes a datagram to another instance; one in ten is lost.
+    fn gossip_to(&mut self, from: usize, to: usize, event: &Event) {
+        if from == to {
+            return;
+        }
+        if self.random.random_range(0..10) > 0 && self.poison.reaches(from, to) {
+            let life = self.instances[to].life;
+            let action = Action::Tell(to, life, event.clone());
+            self.timeline.schedule(2, action);
         }
     }
 
@@ -769,6 +830,8 @@
             .iter()
             .filter(|asker| asker.kind == Kind::Stream);
         self.case.streams = streams.clone().count();
+        let begun = streams.clone().filter(|asker| asker.origin.is_some());
+        self.case.streams_begun = begun.count();
         self.case.streams_whole = streams.filter(|asker| asker.whole).count();
         let refused_and_run: Vec<u64> = self
             .refused
--- a/crates/standin/src/soak.rs
+++ b/crates/standin/src/soak.rs
@@ -31,6 +31,9 @@
 /// Callers of each instance.
 const CALLERS: usize = 4;
 
+/// Versions of the software of upstreams, which serve side by side.
+const VERSIONS: [&str; 2] = ["v1", "v2"];
+
 /// Tries of a caller to have one answer whole.
 const TRIES: usize = 60;
 
@@ -366,7 +369,9 @@
     fn begin(&mut self, index: usize, name: &str) {
         let seat = &mut self.seats[index];
         let address = host::free_address();
-        seat.worker = Worker::new(address, name, &self.ledger).behind(seat.proxy.address);
+        seat.worker = Worker::new(address, name, &self.ledger)
+            .behind(seat.proxy.address)
+            .of_version(VERSIONS[index % VERSIONS.len()]);
         seat.host = Host::new(1);
         seat.host.spawn(seat.worker.clone().serve());
         seat.proxy.aim(address);
@@ -506,6 +511,9 @@
             }
             *runs.entry(name).or_default() += 1;
         }
+        for mixed in order::mixed(&self.ledger.runs()) {
+            self.shared.broken(mixed);
+        }
         for (run, count) in &runs {
             if run.starts_with("once-") && *count > 1 {
                 self.shared.broken(format!("{run} ran {count} times"));
@@ -607,13 +615,14 @@
     /// Reads a stream, coming back behind the last event at any instance, until it is whole.
     async fn stream(&mut self, name: &str) -> bool {
         let mut position = 0;
+        let mut origin = String::new();
         let bytes = 1_000 + self.random.random_range(0..5_000);
         for number in 0..TRIES {
             let run = format!("stream-{name}-{number}");
             let mut ask = Ask::stream(&run).body(bytes);
             ask.body.extend_from_slice(name.as_bytes());
             if position > 0 {
-                ask = ask.with("last-event-id", &position.to_string());
+                ask = ask.taking_up(&origin, position);
             }
             let address = self.address(&run);
             if let Some(got) = ask.attempt(address).await
@@ -631,6 +640,9 @@
                 if got.whole {
                     return true;
                 }
+                if position == 0 {
+                    origin = run;
+                }
                 position += events;
             }
             sleep(PAUSE).await;
--- a/crates/standin/tests/proof.rs
+++ b/crates/standin/tests/proof.rs
@@ -93,16 +93,19 @@
 
 #[gtest]
 fn random_faults_break_nothing_that_is_relayed() {
-    let (mut copies, mut requests, mut whole) = (0, 0, 0);
+    let mut all = relaying::Case::default();
     for seed in 1..=RELAYING_CASES {
         let case = relaying::case(seed, ResumeMode::Copy);
         expect_that!(case.violations, is_empty(), "seed {seed}");
-        copies += case.copies;
-        requests += case.requests;
-        whole += case.whole;
+        all.add(case);
     }
-    expect_that!(copies, gt(100));
-    expect_that!(whole * 10, gt(requests * 7));
+    expect_that!(all.copies, gt(100));
+    expect_that!(all.whole * 10, gt(all.requests * 7));
+    // Streams that callers take up go on at least half as often as new ones begin.
+    expect_that!(
+        2 * all.went_on * all.streams,
+        ge(all.taken_up * all.streams_begun)
+    );
 }
 
 #[gtest]
--- a/crates/standin/tests/stream_version.rs
+++ b/crates/standin/tests/stream_version.rs
@@ -12,6 +12,7 @@
         client::Ask,
         order,
         site::{Plan, Site, run},
+        versions::{self, Learning, Loss},
         worker::{self, Mode},
     },
 };
@@ -193,3 +194,34 @@
         expect_that!(used_versions(&site), eq(&vec!["v1", "v2", "v3"]));
     });
 }
+
+/// Expects that no stream changes its version when instances are lost, and that at least half go on where two engines of
+/// theirs serve.
+fn expect_bound(instances: usize) {
+    for loss in Loss::ALL {
+        let outcome = versions::run(instances, loss, Learning::Stored, 1);
+        expect_that!(outcome.violations, is_empty(), "{loss:?}");
+        expect_that!(outcome.taken_up, ge(STREAMS), "{loss:?}");
+        expect_that!(2 * outcome.went_on, ge(outcome.taken_up), "{loss:?}");
+    }
+}
+
+#[gtest]
+fn streams_of_two_instances_stay_at_their_versions() {
+    expect_bound(2);
+}
+
+#[gtest]
+fn streams_of_six_instances_stay_at_their_versions() {
+    expect_bound(6);
+}
+
+#[gtest]
+fn streams_of_74_instances_stay_at_their_versions() {
+    expect_bound(74);
+}
+
+#[gtest]
+fn streams_of_300_instances_stay_at_their_versions() {
+    expect_bound(300);
+}
