--- a/crates/core/src/origin.rs
+++ b/crates/core/src/origin.rs
@@ -154,16 +154,11 @@
         (!is_other).then_some(only)
     }
 
-    /// Whether an upstream may have a request: any one may, but a stream goes on only at the version that began it.
+    /// Whether an upstream may have a request: a stream goes on only at the version that began it.
     pub(crate) fn admits(&self, request: &Request, upstream: &Upstream) -> bool {
-        match request.progress.origin {
-            Origin::Unbegun => true,
-            Origin::Unknown => false,
-            Origin::Begun(version) => {
-                let pool = self.pools.get(&upstream.pool);
-                pool.is_some_and(|pool| pool.versions.are_equal(version, upstream.version))
-            }
-        }
+        let origin = request.progress.origin;
+        let pool = self.pools.get(&upstream.pool);
+        pool.is_some_and(|pool| pool.versions.admit(origin, upstream.version))
     }
 
     /// Binds a stream to the version of the upstream that sent its first event, unless the upstream has stated another one
--- a/crates/core/src/place.rs
+++ b/crates/core/src/place.rs
@@ -134,16 +134,16 @@
         let Some(pool) = self.pools.get(request.service.pool()) else {
             return Vec::new();
         };
-        let has_begun = request.progress.origin != Origin::Unbegun;
+        let origin = request.progress.origin;
         let mut candidates = pool.upstreams.clone();
         candidates.retain(|key| {
             let upstream = &self.upstreams[*key];
-            let may_serve = if has_begun {
-                upstream.may_continue(self.now) && self.admits(request, upstream)
-            } else {
-                upstream.may_serve(self.now)
+            let may_serve = match origin {
+                Origin::Unbegun => upstream.may_serve(self.now),
+                Origin::Begun(_) | Origin::Unknown => upstream.may_continue(self.now),
             };
-            upstream.health != Health::Lost && may_serve
+            let is_admitted = pool.versions.admit(origin, upstream.version);
+            upstream.health != Health::Lost && is_admitted && may_serve
         });
         let is_live = |key: &upstream::Key| self.upstreams[*key].health == Health::Live;
         if candidates.iter().any(is_live) {
--- a/crates/core/src/version.rs
+++ b/crates/core/src/version.rs
@@ -73,6 +73,16 @@
             .copied()
     }
 
+    /// Whether an upstream of a version may have a stream: any one may begin it, and only one of the version that began it
+    /// may go on with it.
+    pub fn admit(&self, origin: Origin, version: Version) -> bool {
+        match origin {
+            Origin::Begun(begun) => self.are_equal(begun, version),
+            Origin::Unbegun => true,
+            Origin::Unknown => false,
+        }
+    }
+
     /// Whether what an upstream of one version began may go on at one of another: if they are equal. Two upstreams that
     /// state none are taken to be equal only where no upstream of the pool states one.
     pub fn are_equal(&self, one: Version, other: Version) -> bool {
