Tell other instances that a stream has begun once its version is bound

Found by reading the change: the record of a stream's first event left before the event bound the stream to its version, so that others kept its version as that of a sending which may still change, and a later word of another sending could have replaced it. A test asks for the records of a stream, as sent and as begun; it fails on the order before. A stream without a prompt's hash is bound at its own instance too, which returned before it kept that.

--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -120,7 +120,6 @@
         self.record_activity(key);
         if first {
             self.record_prefill(key);
-            self.gossip_attempt(key, stream_record::Stage::Streaming);
         }
         let request = &mut self.requests[owner];
         let is_only_attempt = request.attempts == [key];
@@ -140,6 +139,9 @@
         }
         self.record_event_delay(owner);
         self.bind_origin(key);
+        if first {
+            self.gossip_attempt(key, stream_record::Stage::Streaming);
+        }
         let request = &mut self.requests[owner];
         request.progress.position = position;
         let (caller, size) = (request.caller, bytes.len() as u64);
@@ -611,11 +613,11 @@
     }
 
     fn gossip(&mut self, record: StreamRecord, audience: Audience) {
+        self.origins
+            .record(record.origin, record.version, record.has_begun, self.now);
         if record.prompt == 0 {
             return;
         }
-        self.origins
-            .record(record.origin, record.version, record.has_begun, self.now);
         self.stream_records.add(
             record.clone(),
             true,
--- a/crates/core/tests/relay/stream_version.rs
+++ b/crates/core/tests/relay/stream_version.rs
@@ -434,3 +434,26 @@
         }
     }
 }
+
+#[gtest]
+fn other_instances_are_told_that_a_stream_has_begun_with_its_first_event() {
+    let mut test = Test::new(0);
+    test.list(two_versions());
+    let sent = test.stream(1);
+    let version = if sent.upstream < 3 { "v1" } else { "v2" };
+    let told = test.effects.iter().filter_map(|effect| match effect {
+        Effect::GossipStream { record, .. } => Some(record),
+        _ => None,
+    });
+    let told: Vec<_> = told
+        .map(|record| (record.stage, record.has_begun, record.version))
+        .collect();
+    let version = Version::new("pool", version);
+    expect_that!(
+        told,
+        eq(&vec![
+            (Stage::Started, false, version),
+            (Stage::Streaming, true, version),
+        ])
+    );
+}
--- a/crates/node/tests/store_writer.rs
+++ b/crates/node/tests/store_writer.rs
@@ -2,13 +2,15 @@
 
 use {
     googletest::prelude::*,
+    wellplank_core::origin::RunId,
     wellplank_node::store_writer::Streams,
     wellplank_wire::peer::{Sighting, Stage},
 };
 
-/// An instance's report of the stream of a prompt.
+/// An instance's report of the stream of a prompt, which a run of its own began.
 fn sighting(prompt: u64, stage: Stage) -> Sighting {
     Sighting {
+        origin: prompt,
         pool: String::new(),
         prompt,
         stage: stage.into(),
@@ -34,3 +36,37 @@
     }
     expect_that!(streams.len(), le(4_000));
 }
+
+#[gtest]
+fn stream_that_its_caller_may_take_up_is_kept() {
+    let mut streams = Streams::default();
+    streams.apply(&sighting(1, Stage::Started));
+    streams.apply(&Sighting {
+        has_begun: true,
+        ..sighting(1, Stage::Left)
+    });
+    expect_that!(
+        streams.get(RunId(1)).map(Sighting::stage),
+        some(eq(Stage::Left))
+    );
+}
+
+#[gtest]
+fn streams_with_one_prompt_are_both_kept() {
+    let mut streams = Streams::default();
+    for origin in [1, 2] {
+        streams.apply(&Sighting {
+            origin,
+            ..sighting(7, Stage::Started)
+        });
+    }
+    streams.apply(&Sighting {
+        origin: 1,
+        ..sighting(7, Stage::Ended)
+    });
+    expect_that!(streams.get(RunId(1)), none());
+    expect_that!(
+        streams.of_prompt(7).map(|record| record.origin),
+        some(eq(2))
+    );
+}
