Send a stream once that waits beside one which is given up

Streams that are bound to a version are gone through by a list taken before; giving one of them up dispatches the queue again, which may send another, and the outer walk then sent that one a second time: one stream at two upstreams. The walk looks whether each still waits. The test has one version leave while an upstream of the other comes: two sendings before, one now.

--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -68,7 +68,9 @@
             return;
         };
         for key in pool.queue.bound() {
-            if self.requests.get(key).is_none() {
+            // Giving up another one may have sent or ended it.
+            let is_queued = |request: &Request| request.state == State::Queued;
+            if !self.requests.get(key).is_some_and(is_queued) {
                 continue;
             }
             if self.is_quarantined(self.requests[key].request_fingerprint) {
--- a/crates/core/tests/relay/stream_version.rs
+++ b/crates/core/tests/relay/stream_version.rs
@@ -457,3 +457,35 @@
         ])
     );
 }
+
+#[gtest]
+fn stream_that_is_sent_while_another_is_given_up_is_sent_once() {
+    let [old, new] = [of_version(0, "v1"), of_version(3, "v2")];
+    let leaving = ListEntry {
+        leaving: true,
+        ..old.clone()
+    };
+    let mut test = Test::new(0);
+    test.list(vec![old.clone()]);
+    let first = test.stream(1);
+    test.list(vec![leaving.clone(), new.clone()]);
+    let second = test.stream(1);
+    expect_that!(second.upstream, eq(3));
+    test.list(vec![old, new.clone()]);
+    for sent in [&first, &second] {
+        test.handle(Event::NoticeReceived {
+            attempt: sent.attempt,
+            notice: Notice {
+                backoff: Backoff::For(500),
+                ..Notice::default()
+            },
+            upstream: sent.key,
+        });
+    }
+    test.fail(&first, Failure::Refused);
+    test.fail(&second, Failure::Refused);
+    let before = test.sent().len();
+    test.list(vec![leaving, new, of_version(4, "v2")]);
+    let sent = test.sent().split_off(before);
+    expect_that!(sent.len(), eq(1), "{sent:?} {:?}", test.outcomes());
+}
