--- a/review/standin/memory.rs
+++ b/review/standin/memory.rs
@@ -21,6 +21,9 @@
 /// Attempts of a client: the first and one more.
 const ATTEMPTS: usize = 2;
 
+/// The two streams of a session, the instance that each asks first, and the tokens that it asks for at most.
+const STREAMS: [(&str, usize, u32); 2] = [("a", 0, 700), ("b", 1, 800)];
+
 /// Plays the case.
 pub fn play(plan: &Plan) -> Outcome {
     let record = plan.record.clone();
@@ -43,7 +46,7 @@
     let callers: Vec<String> = site.instances.iter().map(|one| one.callers.clone()).collect();
     let callers = Arc::new(callers);
     let mut clients = Vec::new();
-    for (stream, first) in [("a", 0), ("b", 1)] {
+    for (stream, first, tokens) in STREAMS {
         for session in 0..SESSIONS {
             let (record, callers) = (record.clone(), callers.clone());
             clients.push(std::thread::spawn(move || {
@@ -51,7 +54,7 @@
                 for attempt in 1..=ATTEMPTS {
                     let to = if attempt == 1 { first } else { 2 };
                     let id = format!("{stream}{session}-{attempt}");
-                    let end = ask(&callers[to], &id, session, &mut last, &record);
+                    let end = ask(&callers[to], &id, session, tokens, &mut last, &record);
                     record.line(&format!("client {stream}{session}: {id} at front-{to} ended as {end:?} at event {last}"));
                     if matches!(end, End::Whole | End::Answered(_)) {
                         return;
@@ -102,6 +105,7 @@
     address: &str,
     id: &str,
     session: usize,
+    tokens: u32,
     last: &mut u64,
     record: &crate::site::Record,
 ) -> End {
@@ -110,7 +114,7 @@
     };
     let mut headers = vec![
         ("wellplank-model", "m".to_owned()),
-        ("wellplank-token-usage", "5000,700".to_owned()),
+        ("wellplank-token-usage", format!("5000,{tokens}")),
         ("wellplank-prefix-hash", format!("5c1e07a2:200,91bd3f{session:02}:4800")),
         ("wellplank-timeout-ms", "25000".to_owned()),
     ];
--- a/review/standin/restart.rs
+++ b/review/standin/restart.rs
@@ -23,11 +23,13 @@
 
 /// Instances, and clients of each.
 const INSTANCES: usize = 3;
-const CLIENTS: usize = 40;
+const CLIENTS: usize = 60;
 
-/// Time before the first runner leaves, and between two.
+/// Time before the first runner leaves, and between two; a little more each time, so that it does not keep step with what
+/// instances do each 50 ms.
 const BEFORE: Duration = Duration::from_secs(8);
 const GAP: Duration = Duration::from_secs(5);
+const MORE: Duration = Duration::from_millis(17);
 
 /// Time after which the platform starts a process again that has ended.
 const DOWN: Duration = Duration::from_millis(500);
@@ -76,7 +78,7 @@
             record.line(&format!("runner {} leaves", runner.name));
             runner.leave();
         }
-        std::thread::sleep(GAP);
+        std::thread::sleep(GAP + MORE * number as u32);
     }
     is_over.store(true, Ordering::Relaxed);
     wait_until(Duration::from_secs(15), || clients.iter().all(|client| client.is_finished()));
@@ -104,7 +106,7 @@
         let id = format!("s{client}.{number}");
         let headers = [
             ("wellplank-model", "m".to_owned()),
-            ("wellplank-token-usage", "300,850".to_owned()),
+            ("wellplank-token-usage", "300,900".to_owned()),
             ("wellplank-prefix-hash", format!("5c1e07a2:200,{:x}:100", (client + 1) * 100_000 + number)),
             ("wellplank-timeout-ms", "25000".to_owned()),
         ];
