--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-rustc --edition 2024 -O -o target/review/stand-in review/standin/main.rs
+rustc --edition 2024 -O -o target/review/stand-in review/main.rs
--- a/review/play.sh
+++ b/review/play.sh
@@ -1,9 +1,8 @@
 #!/usr/bin/env bash
-# Plays a case: play.sh FOLDER CASE. Writes record.txt into the folder; exits with 1 if the rule was broken, 0 if it held,
-# and 2 if the case could not run. TROUBLE=0 leaves the disruption out.
+# Plays a case: play.sh CASE RECORD TROUBLE. Exits with 1 if the rule was broken, 0 if it held, and 2 if it could not run.
 set -u
-here=$(cd "$1" && pwd)
-cd "$here/../.."
+record=$2
+cd "$(dirname "$0")/.."
 for program in target/release/wellplank target/review/stand-in; do
     if [ ! -x "$program" ]; then
         echo "$program is missing: build the system, and then run review/build.sh"
@@ -21,8 +20,8 @@
     rm -rf "$folder"
 }
 trap clean EXIT
-timeout --signal=KILL 115 target/review/stand-in "$2" --program target/release/wellplank --folder "$folder" \
-    --record "$here/record.txt" --trouble "${TROUBLE:-1}"
+timeout --signal=KILL 115 target/review/stand-in "$1" --program target/release/wellplank --folder "$folder" \
+    --record "$record" --trouble "$3"
 code=$?
 [ "$code" -le 2 ] || code=2
 exit "$code"
