--- a/review/runner.rs
+++ b/review/runner.rs
@@ -10,7 +10,7 @@
     io::{self, BufRead, BufReader, Write},
     net::{TcpListener, TcpStream},
     sync::{Arc, Mutex},
-    time::{Duration, SystemTime, UNIX_EPOCH},
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
 /// Interval between two writes of the entry.
@@ -26,13 +26,17 @@
 /// Events between two parts of a copy.
 const PART: u64 = 6;
 
+/// Time for which a copy is kept behind its last part.
+const KEPT: Duration = Duration::from_secs(4);
+
 /// Tokens of an event.
 const STRIDE: u64 = 5;
 
 struct Runner {
     address: String,
-    /// Copies of the memory of requests that run elsewhere, by their ids: the run whose text they continue.
-    copies: Mutex<HashMap<String, String>>,
+    /// Copies of the memory of requests that run elsewhere, by their ids: the run whose text they continue, and when the
+    /// last part came.
+    copies: Mutex<HashMap<String, (String, Instant)>>,
     is_engine: bool,
     name: String,
     work: Duration,
@@ -44,6 +48,17 @@
     let _ = out.flush();
 }
 
+/// Sends a part of a run's memory to the runner that keeps its copy, or tells it that the run has ended well.
+fn send_part(request: &Request, id: &str, text: &str, state: &str) {
+    let Some(backup) = request.header("wellplank-kv-backup").map(str::to_owned) else {
+        return;
+    };
+    let target = format!("/api/kv-part?id={id}&text={text}&state={state}");
+    std::thread::spawn(move || {
+        let _ = http::exchange(&backup, "POST", &target, b"");
+    });
+}
+
 /// Runs a runner: name, address, service, zone, store, `engine` or `plain`, milliseconds of work.
 pub fn run(arguments: &[String]) -> io::Result<()> {
     let [name, address, service, zone, store, kind, work] = arguments else {
@@ -114,7 +129,11 @@
         if request.path() == "/api/kv-part" {
             let parameter = |name: &str| request.parameter(name).unwrap_or_default();
             let mut copies = self.copies.lock().unwrap();
-            copies.insert(parameter("id"), parameter("text"));
+            if parameter("state") == "ended" {
+                copies.remove(&parameter("id"));
+            } else {
+                copies.insert(parameter("id"), (parameter("text"), Instant::now()));
+            }
             return http::write_message(writer, "HTTP/1.1 200 OK", &[], b"");
         }
         let id = request.header("wellplank-request-id").unwrap_or_default().to_owned();
@@ -137,8 +156,9 @@
         let mut text = id.clone();
         let source = request.header("kv-from").and_then(|source| source.split_once('/'));
         if let Some((address, run)) = source {
-            let copy = self.copies.lock().unwrap().remove(run);
-            let Some(copy) = copy.filter(|_| address == self.address) else {
+            let copy = self.copies.lock().unwrap().get(run).cloned();
+            let copy = copy.filter(|(_, at)| at.elapsed() < KEPT && address == self.address);
+            let Some((copy, _)) = copy else {
                 say(&format!("503 id={id} no copy of run={run}"));
                 let headers = [("wellplank-not-executed", "1")];
                 return http::write_message(writer, "HTTP/1.1 503 Service Unavailable", &headers, b"");
@@ -173,17 +193,13 @@
             let event = format!("id: {number}\ndata: {text} {number}\n\n");
             let chunk = format!("{:x}\r\n{event}\r\n", event.len());
             writer.write_all(chunk.as_bytes())?;
-            if let Some(backup) = request.header("wellplank-kv-backup")
-                && number % PART == 1
-            {
-                let (backup, id, text) = (backup.to_owned(), id.to_owned(), text.to_owned());
-                std::thread::spawn(move || {
-                    let target = format!("/api/kv-part?id={id}&text={text}");
-                    let _ = http::exchange(&backup, "POST", &target, b"");
-                });
+            if number % PART == 1 {
+                send_part(request, id, text, "runs");
             }
             std::thread::sleep(STEP);
         }
-        writer.write_all(b"0\r\n\r\n")
+        writer.write_all(b"0\r\n\r\n")?;
+        send_part(request, id, text, "ended");
+        Ok(())
     }
 }
