--- a/review/site.rs
+++ b/review/site.rs
@@ -98,9 +98,12 @@
     Ok(child)
 }
 
-/// A free loopback address.
-pub fn free_address() -> io::Result<String> {
-    Ok(TcpListener::bind("127.0.0.1:0")?.local_addr()?.to_string())
+/// A free port at a loopback address of its own, so that no outgoing connection takes it meanwhile.
+fn free_address() -> io::Result<String> {
+    static GIVEN: AtomicU32 = AtomicU32::new(0);
+    let number = GIVEN.fetch_add(1, Ordering::Relaxed);
+    let address = format!("127.77.{}.{}:0", number / 200, number % 200 + 1);
+    Ok(TcpListener::bind(address)?.local_addr()?.to_string())
 }
 
 /// The desired state: a stream that may be resumed, and calls that may be repeated or not.
