Remove the former life of a restarted upstream in one place

Seen by callers: all streams of an instance break off at one moment, calls that ran get 500, new connections are refused until the platform has started the process again. The incident of requests without a whole answer fits it (all at one moment, no line of the instance); that it is its cause is not shown.

Cause: `finish_list` works off the former lives of restarted upstreams last, by keys that were collected first. An upstream whose entry was gone before its end is among the departed ones as well; if its last attempt has ended since they were last swept, at most 50 ms ago, `remove_departed` removes it between the two, and `remove_restarted` indexes the arena with a key that names nothing. The core task panics, and the process ends with all requests.

Evidence: the first test of `removal.rs` has exactly these four events and failed before ("invalid SlotMap key used" in `remove_restarted`); a second one, a change of the list that names a gone upstream twice, failed in `mark_unlisted` (no writer of such a change is known).

Mend: whoever replaces a life owns its removal, so it is taken out of the departed ones when its successor is entered; the evidence of its restart is kept, which a check for missing keys alone would drop. And the keys that a change of the list works off are looked up again at each turn, by a type of their own. Ruled out: the order of the two steps alone, which the next step between them breaks again; a removal at the end of the event, by which a request that has been answered would stay to be found by the rest of the event.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -71,6 +71,7 @@
 mod usage;
 mod watch;
 mod window;
+mod worklist;
 
 use {
     crate::core::{Core, DeferredRequest},
@@ -135,4 +136,5 @@
     usage::{OwnUsage, Usage},
     version::{Version, Versions},
     window::Window,
+    worklist::Worklist,
 };
--- a/crates/core/src/list.rs
+++ b/crates/core/src/list.rs
@@ -93,7 +93,8 @@
         self.remove_departed();
         self.resolve_conflicts_of(&applied.added);
         // Their work is retried elsewhere, which requires that the whole list has been applied.
-        for predecessor in applied.predecessors {
+        let mut predecessors = Worklist::new(applied.predecessors);
+        while let Some(predecessor) = predecessors.next(&self.upstreams) {
             self.remove_restarted(predecessor);
         }
         self.hold_back_inactive_versions();
@@ -125,7 +126,8 @@
                 count: unlisted.len(),
             });
         }
-        for key in unlisted {
+        let mut unlisted = Worklist::new(unlisted);
+        while let Some(key) = unlisted.next(&self.upstreams) {
             let upstream = &mut self.upstreams[key];
             let was_leaving = std::mem::replace(&mut upstream.leaving, true);
             let is_idle = upstream.attempts.is_empty();
@@ -174,6 +176,8 @@
         }
         let predecessor = known.filter(|key| self.upstreams[*key].incarnation != incarnation);
         if let Some(predecessor) = predecessor {
+            // It is removed as restarted, which is evidence against the requests that it ran.
+            self.departed.remove(&predecessor);
             let predecessor = &mut self.upstreams[predecessor];
             predecessor.health = Health::Lost;
             self.upstreams_by_incarnation
--- a/crates/core/tests/relay/main.rs
+++ b/crates/core/tests/relay/main.rs
@@ -15,7 +15,7 @@
         core::Core,
         counter::{Counter, Reason},
         effect::{self, Effect, Outbound},
-        event::{Event, Failure, ListEntry, Submission, Verdict},
+        event::{Event, Failure, ListDelta, ListEntry, Submission, Verdict},
         fingerprint::RequestFingerprint,
         incarnation::Incarnation,
         kind::Kind,
@@ -56,6 +56,7 @@
 mod rank;
 mod reach;
 mod readers;
+mod removal;
 mod retry;
 mod stream_version;
 mod version;
--- /dev/null
+++ b/crates/core/tests/relay/removal.rs
@@ -0,0 +1,52 @@
+//! Steps of one event that remove what a later step of it was about to handle.
+
+use super::*;
+
+/// List entry for an upstream with the given start time.
+fn listed_since(upstream: usize, born: u64) -> ListEntry {
+    ListEntry {
+        born,
+        ..listed(upstream, upstream)
+    }
+}
+
+/// Creates a core with upstreams that all started at 5.
+fn started_at_5(upstreams: usize) -> Test {
+    let mut test = Test::new(0);
+    test.list((0..upstreams).map(|index| listed_since(index, 5)).collect());
+    test
+}
+
+/// Has a list without one of three upstreams arrive.
+fn unlist(test: &mut Test, upstream: usize) {
+    let others = (0..3).filter(|other| *other != upstream);
+    test.list(others.map(|other| listed_since(other, 5)).collect());
+}
+
+#[gtest]
+fn restart_of_an_upstream_whose_last_attempt_has_just_ended_ends_no_instance() {
+    let mut test = started_at_5(3);
+    let sent = test.stream(3);
+    unlist(&mut test, sent.upstream);
+    test.fail(&sent, Failure::Broken);
+    test.list(
+        (0..3)
+            .map(|index| listed_since(index, if index == sent.upstream { 9 } else { 5 }))
+            .collect(),
+    );
+    expect_that!(test.last_sent().position, eq(3));
+    expect_that!(test.outcomes(), is_empty());
+}
+
+#[gtest]
+fn name_that_is_removed_twice_in_one_change_ends_no_instance() {
+    let mut test = started_at_5(3);
+    test.handle(Event::ListChanged {
+        delta: ListDelta {
+            listed: Vec::new(),
+            removed: vec!["runner-1".into(), "runner-1".into()],
+        },
+        requested_at: test.now,
+    });
+    expect_that!(test.core.upstreams().count(), eq(2));
+}
