Look up each stream of an ended upstream before it is handled

Cause: `retry_streams_of_ended` collects the attempts at an upstream that has ended and records each as suspect. Where another instance has already reported the crash, that record may be the third against a request, which is refused at once with all its attempts; the next turn indexes one of these. It needs two requests alike at the upstream, as two callers of a popular thing are.

Mend: the list is worked off by keys that are looked up at each turn.

--- a/crates/core/src/ended.rs
+++ b/crates/core/src/ended.rs
@@ -155,12 +155,15 @@
             .map(|attempt| (self.retry_order(&self.attempts[*attempt]), *attempt))
             .collect();
         lost.sort_unstable();
-        for (_, attempt) in &lost {
-            let attempt = self.attempts[*attempt].clone();
+        let lost: Vec<attempt::Key> = lost.into_iter().map(|(_, attempt)| attempt).collect();
+        let mut suspected = Worklist::new(lost.iter().copied());
+        while let Some(attempt) = suspected.next(&self.attempts) {
+            let attempt = self.attempts[attempt].clone();
             self.suspect_crash(&attempt);
         }
         self.confirm_crash(self.upstreams[key].incarnation);
-        for (_, attempt) in lost {
+        let mut lost = Worklist::new(lost);
+        while let Some(attempt) = lost.next(&self.attempts) {
             self.abandon(attempt, counter::Reason::Replaced);
         }
     }
--- a/crates/core/tests/relay/removal.rs
+++ b/crates/core/tests/relay/removal.rs
@@ -50,3 +50,28 @@
     });
     expect_that!(test.core.upstreams().count(), eq(2));
 }
+
+/// Two streams alike at one upstream, whose requests were in two crashes elsewhere; another request was at this upstream's.
+fn alike_at_one_upstream() -> Test {
+    let mut test = Test::new(0);
+    test.list(vec![listed_since(0, 5)]);
+    for _ in 0..2 {
+        test.stream(2);
+    }
+    let mut history = CrashHistory::default();
+    let alike = RequestFingerprint::new("mill", 0);
+    for elsewhere in [7, 8] {
+        history.record(incarnation(elsewhere, 5), alike, Involvement::Fresh, NOW);
+    }
+    let other = RequestFingerprint::new("mill", 1);
+    history.record(incarnation(0, 5), other, Involvement::Fresh, NOW);
+    test.handle(Event::CrashReported(history.into()));
+    test
+}
+
+#[gtest]
+fn streams_alike_at_an_upstream_that_has_ended_end_no_instance() {
+    let mut test = alike_at_one_upstream();
+    test.handle(Event::PeerEnds(vec![incarnation(0, 5)]));
+    expect_that!(test.outcomes(), elements_are![eq("cut"), eq("cut")]);
+}
