Look up each expired request before it is ended

Cause: `expire_requests` collects all requests whose time is over. Ending one dispatches what waits in its pool, which gives up streams whose version has no upstream left; if such a stream has expired too, the next turn indexes a request that is gone. It needs a word of leaving since the last tick, and a stream that waits for that upstream while its own time and another request's end within 50 ms: a crowded instance during a release.

What has expired is said in one place, `Request::has_expired`.

--- a/crates/core/src/request.rs
+++ b/crates/core/src/request.rs
@@ -287,6 +287,12 @@
         }
     }
 
+    /// Whether its time is over: the one that it may wait, or the one until its answer must be complete.
+    pub fn has_expired(&self, now: Time) -> bool {
+        let is_wait_over = self.state == State::Queued && now >= self.send_by;
+        is_wait_over || now >= self.deadline
+    }
+
     /// Number of tokens delivered, or position of the last event that the caller received.
     pub fn position(&self) -> u32 {
         match &self.work {
--- a/crates/core/src/watch.rs
+++ b/crates/core/src/watch.rs
@@ -244,17 +244,10 @@
     /// Fails requests whose deadline or waiting time has expired.
     fn expire_requests(&mut self) {
         self.renew_waiting();
-        let now = self.now;
-        let expired: Vec<request::Key> = self
-            .requests
-            .iter()
-            .filter(|(_, request)| {
-                let is_wait_over = request.state == State::Queued && now >= request.send_by;
-                is_wait_over || now >= request.deadline
-            })
-            .map(|(key, _)| key)
-            .collect();
-        for key in expired {
+        let expired = self.requests.iter();
+        let expired = expired.filter(|(_, request)| request.has_expired(self.now));
+        let mut expired = Worklist::new(expired.map(|(key, _)| key));
+        while let Some(key) = expired.next(&self.requests) {
             // A relayed request is refused long before its deadline, while a retry by the caller can still help.
             let request = &self.requests[key];
             let unsent = match request.work {
--- a/crates/core/tests/relay/removal.rs
+++ b/crates/core/tests/relay/removal.rs
@@ -2,6 +2,9 @@
 
 use super::*;
 
+/// Version that upstreams state in these tests.
+const VERSION: &str = "v1";
+
 /// List entry for an upstream with the given start time.
 fn listed_since(upstream: usize, born: u64) -> ListEntry {
     ListEntry {
@@ -75,3 +78,43 @@
     test.handle(Event::PeerEnds(vec![incarnation(0, 5)]));
     expect_that!(test.outcomes(), elements_are![eq("cut"), eq("cut")]);
 }
+
+/// List entry for an upstream of the version.
+fn of_version(index: usize) -> ListEntry {
+    ListEntry {
+        version: VERSION.into(),
+        ..listed(index, index)
+    }
+}
+
+/// A call, and a stream that may go on at its version only, which wait for the only upstream: it has refused both.
+fn both_waiting() -> Test {
+    let mut test = Test::new(0);
+    test.list(vec![of_version(0)]);
+    test.request(REPEATABLE);
+    let call = test.last_sent();
+    let stream = test.stream(3);
+    test.apply_notice(
+        &stream,
+        Notice {
+            backoff: Backoff::For(300),
+            ..Notice::default()
+        },
+    );
+    test.fail(&stream, Failure::Refused);
+    test.fail(&call, Failure::Refused);
+    test
+}
+
+#[gtest]
+fn requests_that_expire_together_end_no_instance() {
+    let mut test = both_waiting();
+    test.now = test.now.after(30_000);
+    // The stream has no upstream any more, which is found out as the call ends.
+    test.handle(Event::Leaving("runner-0".into()));
+    test.handle(Event::Tick);
+    expect_that!(
+        test.outcomes(),
+        unordered_elements_are![eq("no_upstream"), eq("cut")]
+    );
+}
