Look up requests that a back-off makes late before each is ended

The last loop of the class that ends requests by collected keys. No order of events is known in which it meets a key that names nothing: a request is ended by it only if an upstream that does not leave may have it, and then no dispatch gives it up. It is worked off like the others so that the next reason to end a request within a dispatch does not end the instance.

--- a/crates/core/src/notice.rs
+++ b/crates/core/src/notice.rs
@@ -268,13 +268,10 @@
             let queued = request.state == State::Queued && request.service.pool() == &*pool;
             queued && self.is_bound_to_expire(request, 0)
         };
-        let expiring: Vec<request::Key> = self
-            .requests
-            .iter()
-            .filter(|(_, request)| is_expiring(request))
-            .map(|(key, _)| key)
-            .collect();
-        for key in expiring {
+        let expiring = self.requests.iter();
+        let expiring = expiring.filter(|(_, request)| is_expiring(request));
+        let mut expiring = Worklist::new(expiring.map(|(key, _)| key));
+        while let Some(key) = expiring.next(&self.requests) {
             self.give_up(key, Kind::Overloaded, Kind::UpstreamFailed);
         }
     }
