--- a/crates/core/src/call_place.rs
+++ b/crates/core/src/call_place.rs
@@ -6,16 +6,15 @@
 /// not get all calls at once: what is known of it is up to a second old.
 const BASE_CALLS_PER_SLOT: f64 = 0.3;
 
-/// Exponent of the calls in flight per slot in an upstream's weight. Before seven uneven upstreams
-/// and 300 instances 168 of 10,100 calls are late with 3, 191 with 2.
+/// Exponent of the calls in flight per slot in an upstream's weight.
 const IN_FLIGHT_EXPONENT: i32 = 3;
 
 /// Factor on an upstream's weight where this instance has as many calls in flight there as its share
 /// of the slots, which is one slot at least: what it knows of its own calls is not out of date.
 const OWN_CALL_FACTOR: f64 = 0.05;
 
-/// Factor on the weight of an upstream that has an idle slot of this instance's. Without it, 277
-/// calls are late instead of 168 at 300 instances, since many choose by the same announcements.
+/// Factor on the weight of an upstream that has an idle slot of this instance's: without it, many choose alike by the same
+/// announcements.
 const HOME_FACTOR: f64 = 1_000.0;
 
 /// Fraction of the slots that calls in flight take from which on calls are placed by them.
@@ -57,9 +56,7 @@
 /// Maximum interval of announcements in milliseconds: an older one says nothing of calls of 60 ms.
 const INTERVAL_MS_MAX: f64 = 1_000.0;
 
-/// Number of instances above which calls in flight are not announced. At 300 instances 168 of 10,100
-/// calls are late with an announcement per second and 255 without; at 984 each instance would
-/// receive 245 of them per second.
+/// Number of instances above which calls in flight are not announced: each instance receives those of all others.
 const LARGE_FLEET: u32 = 512;
 
 /// Number of intervals for which an announcement is valid: one may be lost.
--- a/crates/core/src/demand.rs
+++ b/crates/core/src/demand.rs
@@ -10,8 +10,8 @@
 
 use super::*;
 
-/// Time constant of the arrival rate in milliseconds: a burst is detected after about this long.
-/// Half of it gives no better rate over 295 instances, since the gossiped values are as old.
+/// Time constant of the arrival rate in milliseconds: a burst is detected after about this long, and the gossiped values
+/// are as old.
 const RATE_TIME_CONSTANT_MS: f64 = 250.0;
 
 /// Interval of gossip in milliseconds; more messages within `RATE_TIME_CONSTANT_MS` would say
@@ -26,8 +26,8 @@
 /// is then known to within about a third, and a data centre of a fleet of tens has more.
 const MIN_REPORTS: usize = 8;
 
-/// Target utilization of the slots up to which calls are admitted. With random arrivals at 6 slots
-/// and 24 queue places, one call in 60 is rejected at 0.95 and one in 200 at 0.9.
+/// Target utilization of the slots up to which calls are admitted; the rest absorbs random arrivals, which upstreams would
+/// reject.
 const TARGET_UTILIZATION: f64 = 0.9;
 
 /// Range of the target number of calls in flight per slot while calls are refused: at least one
@@ -67,8 +67,7 @@
 /// tens of calls, which all instances together make within a second under load.
 const UPSTREAM_GAIN: f64 = 0.05;
 
-/// Exponent of an upstream's call time in its weight. At twice the load, 12,271 calls are in time
-/// with 0, 13,399 with 1 and 12,391 with 2, which oscillates.
+/// Exponent of an upstream's call time in its weight; a larger one oscillates.
 const UPSTREAM_EXPONENT: i32 = 1;
 
 /// Exponent that damps each correction step: gossiped values are a second old, and full steps would
@@ -84,9 +83,8 @@
 /// upstreams may be fewer than its callers need.
 const LOCAL_PREFERENCE_FADE: std::ops::Range<f64> = 0.5..0.7;
 
-/// Utilization at which a service is full and demand is sent to all instances at once, not only
-/// within the data centre along with other messages. At 0.5, below the usual load of the large
-/// site, this alone added half as much again to the bytes between data centres.
+/// Utilization at which a service is full and demand is sent to all instances at once, not only within the data centre
+/// along with other messages. It is above the usual load, since these messages cross data centres.
 const FULL_UTILIZATION: f64 = 0.9;
 
 /// Demand of one instance for a pool.
--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -159,16 +159,13 @@
     pub outage: f64,
     /// Each prompt in prefill: it holds up every stream of its upstream.
     pub reading: f64,
-    /// Each running request, which the prefill of a new prompt holds up. With 0.5, and 4 for the
-    /// memory, copies weighed as much as streams: the value of served requests was 0.704 against
-    /// 0.715 over 40 pairs.
+    /// Each running request, which the prefill of a new prompt holds up.
     pub running: f64,
     /// Number of upstreams sampled for each placement, as a multiple of the pool's upstreams per
     /// instance; 0 considers all.
     pub sample: f64,
-    /// An upstream that currently takes twice as long as the pool's mean, beyond the usual jitter. Off:
-    /// with 4, the mean time to the first event was 1,364 ms against 1,367 ms over 1,279 streams on
-    /// uneven engines, since an instance knows the current speed of few.
+    /// An upstream that currently takes twice as long as the pool's mean, beyond the usual jitter. Off: an instance knows
+    /// the current speed of few.
     pub slow: f64,
     /// Width of the random term, so that instances with the same information do not all choose the
     /// same upstream.
