Take times that the platform states as fractions

Seen by operators, had it happened: an instance does not start, "8.5000 must be an integer", where the platform bounds the grace period or the window of retries by a fraction of a second, or another time by a fraction of a millisecond; its pages allow fractions among the bounds.

Cause: the template makes milliseconds by writing three zeros behind the seconds, which makes a fraction no other number, and times were read as integers.

--- a/crates/node/src/core_settings.rs
+++ b/crates/node/src/core_settings.rs
@@ -271,7 +271,7 @@
     let retry = RetryBound {
         extra: reader.float("extra", default.extra, 0.0..=1_000_000.0),
         ratio: reader.float("ratio", default.ratio, 0.0..=100.0),
-        window_ms: reader.number("window_ms", default.window_ms, 0..=MILLIS_MAX),
+        window_ms: reader.millis("window_ms", default.window_ms, 0..=MILLIS_MAX),
     };
     reader.finish();
     retry
--- a/crates/node/src/reader.rs
+++ b/crates/node/src/reader.rs
@@ -121,6 +121,12 @@
         Self::object(value, faults, String::new())
     }
 
+    /// Reads a time in milliseconds within `range`; fractions are rounded.
+    pub fn millis(&mut self, name: &str, default: u64, range: RangeInclusive<u64>) -> u64 {
+        let range = *range.start() as f64..=*range.end() as f64;
+        self.float(name, default as f64, range).round() as u64
+    }
+
     /// Reads an integer within `range`.
     pub fn number(&mut self, name: &str, default: u64, range: RangeInclusive<u64>) -> u64 {
         let Some(value) = self.fields.remove(name) else {
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -180,11 +180,11 @@
 
     fn read_hosted(mut reader: Reader) -> Hosted {
         let hosted = Hosted {
-            apply_ms: reader.number("apply_ms", 2_000, 100..=MILLIS_MAX),
-            grace_ms: reader.number("grace_ms", 8_000, 100..=MILLIS_MAX),
-            heartbeat_ms: reader.number("heartbeat_ms", 1_200, 50..=MILLIS_MAX),
+            apply_ms: reader.millis("apply_ms", 2_000, 100..=MILLIS_MAX),
+            grace_ms: reader.millis("grace_ms", 8_000, 100..=MILLIS_MAX),
+            heartbeat_ms: reader.millis("heartbeat_ms", 1_200, 50..=MILLIS_MAX),
             link_mbps: reader.float("link_mbps", DEFAULT_LINK_MBPS, 0.1..=1e6),
-            leave_ms: reader.number("leave_ms", 2_000, 100..=MILLIS_MAX),
+            leave_ms: reader.millis("leave_ms", 2_000, 100..=MILLIS_MAX),
             metrics: reader.address("metrics"),
             peers: reader.address("peers"),
             ready: reader.address("ready"),
