Dispatch pools one after the other where a dispatch ends requests

Seen by callers, had it happened: an instance ends with all its streams, by a signal and without any line, since a stack that overflows does not unwind.

Cause: ending a request dispatches its pool, and a dispatch ends streams whose version has no upstream left, each of which dispatches the pool again. The stack grows with the number of streams that wait for one version.

Mend: a call within a dispatch leaves its pool to the outermost one, which goes on until no pool is left. A second test holds that the evidence of a crash is kept where the last attempt at an upstream ends before its restart is listed; it fails if keys are only looked up again and the former life stays among the departed ones.

--- a/crates/core/src/core.rs
+++ b/crates/core/src/core.rs
@@ -115,6 +115,8 @@
     pub(crate) held_bytes: u64,
     /// Number of instances in the fleet.
     pub(crate) instances: u32,
+    /// Whether queued requests are being sent.
+    pub(crate) is_dispatching: bool,
     /// Upstreams with a rate limit.
     pub(crate) limited: BTreeSet<upstream::Key>,
     /// When the list of upstreams was last read from the store; `None` before the first read.
@@ -159,6 +161,8 @@
     /// Upstreams that may be suspected.
     pub(crate) suspected: BTreeSet<upstream::Key>,
     pub(crate) upstreams: SlotMap<upstream::Key, Upstream>,
+    /// Pools whose queued requests are to be sent by the end of the dispatch under way.
+    pub(crate) undispatched: BTreeSet<Arc<str>>,
     /// Number of looks at an upstream, by ticks and changes of the list.
     pub(crate) upstream_visits: u64,
     /// Upstreams by address.
@@ -295,6 +299,7 @@
             hedge_budget: Budget::new(BUDGET_PERMITS, BUDGET_REFILL_PER_SECOND, now),
             held_bytes: 0,
             instances: 1,
+            is_dispatching: false,
             limited: BTreeSet::new(),
             list_read_at: None,
             list_stale_until: Time::default(),
@@ -320,6 +325,7 @@
             stream_records: stream_record::StreamRecords::default(),
             streams_restored: true,
             suspected: BTreeSet::new(),
+            undispatched: BTreeSet::new(),
             upstreams: SlotMap::with_key(),
             upstream_visits: 0,
             upstreams_by_address: HashMap::new(),
--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -91,8 +91,21 @@
         }
     }
 
-    /// Sends the queued requests of a pool for as long as upstreams have capacity.
+    /// Sends the queued requests of a pool for as long as upstreams have capacity. Where that ends requests, whose pools are
+    /// to be dispatched again, this does not nest: a nested call leaves its pool to the outermost one.
     pub(crate) fn dispatch_queued(&mut self, name: &str) {
+        self.undispatched.insert(name.into());
+        if self.is_dispatching {
+            return;
+        }
+        self.is_dispatching = true;
+        while let Some(name) = self.undispatched.pop_first() {
+            self.dispatch_pool(&name);
+        }
+        self.is_dispatching = false;
+    }
+
+    fn dispatch_pool(&mut self, name: &str) {
         self.dispatch_bound(name);
         loop {
             let Some(pool) = self.pools.get_mut(name) else {
--- a/crates/core/tests/relay/removal.rs
+++ b/crates/core/tests/relay/removal.rs
@@ -118,3 +118,54 @@
         unordered_elements_are![eq("no_upstream"), eq("cut")]
     );
 }
+
+/// Guards against a stack that grows with the number of requests that wait.
+#[gtest]
+fn thousands_of_streams_whose_version_goes_end_no_instance() {
+    const STREAMS: usize = 1_000;
+    let mut test = Test::new(0);
+    test.list(vec![of_version(0)]);
+    let sent = test.stream(1);
+    test.apply_notice(
+        &sent,
+        Notice {
+            backoff: Backoff::For(3_000),
+            ..Notice::default()
+        },
+    );
+    for _ in 0..STREAMS {
+        test.request_as("key", STREAM, 3);
+    }
+    expect_that!(test.core.running(), eq(STREAMS + 1));
+    test.handle(Event::Leaving("runner-0".into()));
+    test.handle(Event::Tick);
+    expect_that!(test.outcomes().len(), eq(STREAMS));
+}
+
+/// Guards against evidence that is lost with the former life of a restarted upstream.
+#[gtest]
+fn crash_of_an_upstream_is_known_though_its_last_attempt_ended_before_its_restart_was_listed() {
+    for is_delta in [false, true] {
+        let mut test = started_at_5(1);
+        let (first, second) = (test.stream(3), test.stream(3));
+        // The entry goes while the second stream still runs.
+        test.fail(&first, Failure::Broken);
+        test.list(vec![listed_since(1, 5)]);
+        test.fail(&second, Failure::Broken);
+        let back = listed_since(0, 9);
+        if is_delta {
+            test.handle(Event::ListChanged {
+                delta: ListDelta {
+                    listed: vec![back],
+                    removed: Vec::new(),
+                },
+                requested_at: test.now,
+            });
+        } else {
+            test.list(vec![back, listed_since(1, 5)]);
+        }
+        let crashes = test.core.crash_history().crashes();
+        let crashes: Vec<Incarnation> = crashes.map(|(incarnation, _)| incarnation).collect();
+        expect_that!(crashes, elements_are![eq(&incarnation(0, 5))]);
+    }
+}
