Let an upstream that moves finish at its former address, and get no work there

Callers would see calls and streams go to an address that the list no longer names: where nothing listens there, a failed connection and a retry each time; where another upstream listens, a refusal as replaced.

Cause: an entry that keeps name and start time but has another address makes another upstream. A whole list finds the former one unlisted and removes it once it is idle. A change of the list looked only at the names that it removes, so the former one stayed in the state for ever, without an incarnation that names it, and took work like any other. Not even the removal of the name reached it.

Both now treat the former address as unlisted: it gets no new requests, its running ones finish there, and it is removed behind them. A restart (another start time) is handled as before.

Evidence: the new test sent calls to the former address before the change.

Ruled out: cutting what runs at the former address, as for a restart. Without a start time a move can not be told from a restart, but with the same start time it is the same process, whose connections live.

--- a/crates/core/src/list.rs
+++ b/crates/core/src/list.rs
@@ -15,6 +15,8 @@
     is_new: bool,
     /// Current incarnation.
     key: upstream::Key,
+    /// The same incarnation at its former address, if the entry moved it.
+    moved: Option<upstream::Key>,
     /// Previous incarnation under the same name, if the entry replaces one.
     predecessor: Option<upstream::Key>,
 }
@@ -26,6 +28,8 @@
     added: Vec<upstream::Key>,
     /// Those whose entries are unchanged or were written again.
     kept: HashSet<upstream::Key>,
+    /// Former addresses of incarnations whose entries moved, which are no longer listed.
+    moved: Vec<upstream::Key>,
     /// Previous incarnations that restarted upstreams replace.
     predecessors: Vec<upstream::Key>,
 }
@@ -50,9 +54,12 @@
         let known: Vec<upstream::Key> = self.upstreams.keys().collect();
         let applied = self.apply_entries(listed);
         let is_unlisted = |key: &upstream::Key| {
-            !applied.kept.contains(key) && !applied.predecessors.contains(key)
+            !applied.kept.contains(key)
+                && !applied.predecessors.contains(key)
+                && !applied.moved.contains(key)
         };
-        let unlisted = known.into_iter().filter(is_unlisted).collect();
+        let unlisted = known.into_iter().filter(is_unlisted);
+        let unlisted = unlisted.chain(applied.moved.iter().copied()).collect();
         self.finish_list(requested_at, applied, unlisted);
     }
 
@@ -64,7 +71,7 @@
         let applied = self.apply_entries(&delta.listed);
         let removed = delta.removed.iter();
         let unlisted = removed.filter_map(|name| self.upstream_by_name(Incarnation::new(name, 0)));
-        let unlisted = unlisted.collect();
+        let unlisted = unlisted.chain(applied.moved.iter().copied()).collect();
         self.finish_list(requested_at, applied, unlisted);
     }
 
@@ -79,6 +86,10 @@
             self.departed.remove(&upstream.key);
             applied.kept.insert(upstream.key);
             applied.predecessors.extend(upstream.predecessor);
+            if let Some(moved) = upstream.moved {
+                applied.kept.remove(&moved);
+                applied.moved.push(moved);
+            }
             if upstream.is_new {
                 applied.added.push(upstream.key);
             }
@@ -171,10 +182,12 @@
             return ListedUpstream {
                 is_new: false,
                 key,
+                moved: None,
                 predecessor: None,
             };
         }
         let predecessor = known.filter(|key| self.upstreams[*key].incarnation != incarnation);
+        let moved = known.filter(|_| predecessor.is_none());
         if let Some(predecessor) = predecessor {
             // It is removed as restarted, which is evidence against the requests that it ran.
             self.departed.remove(&predecessor);
@@ -243,6 +256,7 @@
         ListedUpstream {
             is_new: true,
             key,
+            moved,
             predecessor,
         }
     }
--- a/crates/core/tests/relay/builder.rs
+++ b/crates/core/tests/relay/builder.rs
@@ -203,6 +203,15 @@
         });
     }
 
+    /// Has a change of the list arrive: entries that are new or were written again, and names that are gone.
+    pub fn change_list(&mut self, listed: Vec<ListEntry>, removed: &[&str]) {
+        let removed = removed.iter().map(|name| (*name).to_owned()).collect();
+        self.handle(Event::ListChanged {
+            delta: ListDelta { listed, removed },
+            requested_at: self.now,
+        });
+    }
+
     /// Reports a stream that is queued at another instance.
     pub fn add_peer_waiting(&mut self, prompt: u64) {
         self.handle(Event::PeerStream(StreamRecord {
--- a/crates/core/tests/relay/incarnation.rs
+++ b/crates/core/tests/relay/incarnation.rs
@@ -182,6 +182,29 @@
     expect_that!(test.outcomes(), is_empty());
 }
 
+/// Guards against an entry of the list that nothing removes: a change of the list names only the new address, so work
+/// went on to the former one, also after the upstream had left the list.
+#[gtest]
+fn upstream_that_moves_to_another_address_gets_no_work_at_the_former_one() {
+    let mut test = started_at_5(1);
+    let sent = test.stream(1);
+    let moved = ListEntry {
+        address: address(5),
+        ..listed_since(0, 5)
+    };
+    test.change_list(vec![moved], &[]);
+    for _ in 0..10 {
+        test.request(REPEATABLE);
+        expect_that!(test.last_sent().upstream, eq(5));
+    }
+    // What runs at the former address finishes there.
+    test.send_event(&sent, 2);
+    test.close(&sent, true);
+    expect_that!(test.delivered(), elements_are![eq(&1), eq(&2)]);
+    test.advance(100);
+    expect_that!(test.core.upstreams().count(), eq(1));
+}
+
 #[gtest]
 fn restart_at_another_address_is_another_incarnation() {
     let mut test = started_at_5(1);
