Play the core alone with events in any order, and check its whole state behind each

A key of an arena that outlives what it names within one event ends the process with all of its streams. The tests of single events had none of the sequences that it takes: several removals within one event, names and addresses that return, requests alike that end together.

`tests/disorder` draws cases from a seed: whole lists and changes of the list (restarts, moves, names twice, versions, unknown pools), relayed and own requests, answers, failures, crash checks, peers' messages, notices, reads, settings, configurations, pauses and late events, with another frequency of each in each case. Each request must get one end and nothing behind it, no invariant may be broken, and behind each event `Core::inconsistencies` must find nothing: attempts, requests and upstreams name each other, queues, pools, sets and indices hold only living keys, sums are those of what is there. Nothing in the product calls it.

--- a/crates/core/src/buffer.rs
+++ b/crates/core/src/buffer.rs
@@ -257,6 +257,36 @@
         order.into_iter().map(|(_, _, caller)| caller).collect()
     }
 
+    /// Sums that are wrong, in words; `requests` and `paused` are the bytes of all requests and the number of attempts whose
+    /// events are not read.
+    pub(crate) fn wrong_sums(&self, requests: u64, paused: u64) -> Vec<String> {
+        let unread = self.callers.values();
+        let answers: u64 = unread.clone().map(|unread| unread.bytes).sum();
+        let given_up = unread.filter(|unread| unread.is_given_up);
+        let releasing: u64 = given_up.map(|unread| unread.bytes).sum();
+        let customers = self.customers.iter();
+        let sums = [
+            ("requests", requests, self.total.requests),
+            ("answers", answers, self.total.answers),
+            (
+                "requests by customer",
+                requests,
+                customers.clone().map(|held| held.requests).sum(),
+            ),
+            (
+                "answers by customer",
+                answers,
+                customers.map(|held| held.answers).sum(),
+            ),
+            ("answers given up", releasing, self.releasing),
+            ("attempts not read", paused, self.paused),
+        ];
+        let wrong = sums.iter().filter(|(_, sum, counted)| sum != counted);
+        let wrong =
+            wrong.map(|(name, sum, counted)| format!("{name}: {sum} and {counted} counted"));
+        wrong.collect()
+    }
+
     fn give_up(&mut self, caller: request::Caller) {
         if let Some(unread) = self.callers.get_mut(&caller) {
             unread.is_given_up = true;
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -55,6 +55,7 @@
 
 mod admission;
 mod capacity;
+mod consistency;
 mod dispatch;
 mod ended;
 mod engine_watch;
--- a/crates/core/src/queue.rs
+++ b/crates/core/src/queue.rs
@@ -207,6 +207,30 @@
         self.bound.iter().copied().collect()
     }
 
+    /// All waiting requests, one as often as it is queued.
+    pub(crate) fn keys(&self) -> Vec<request::Key> {
+        let sent_before = self.bound.iter().chain(&self.resumes).copied();
+        let ranked = self.ranked.iter().map(|(_, key)| *key);
+        let classes = self.classes.values();
+        let entries = classes.flat_map(|class| class.customers.values().flatten());
+        let new = entries.map(|entry| entry.request);
+        sent_before.chain(ranked).chain(new).collect()
+    }
+
+    /// Number of requests that were taken by `pop` as new work without a rank and have not ended.
+    pub(crate) fn running(&self) -> usize {
+        let running = self.shares.values().map(|share| share.running as usize);
+        running.sum()
+    }
+
+    /// Whether the counts of waiting requests by priority and by customer are those of the waiting requests.
+    pub(crate) fn has_true_lengths(&self) -> bool {
+        let is_true = |class: &Class| class.length == class.customers.values().flatten().count();
+        let entries = self.classes.values().map(|class| class.length);
+        let waiting = self.shares.values().map(|share| share.waiting as usize);
+        self.classes.values().all(is_true) && entries.sum::<usize>() == waiting.sum()
+    }
+
     /// Number of waiting requests that had been sent before.
     fn resumes_waiting(&self) -> usize {
         self.bound.len() + self.resumes.len()
--- a/crates/core/src/suspicion.rs
+++ b/crates/core/src/suspicion.rs
@@ -82,6 +82,11 @@
         self.history.crashes_of(fingerprint).count() + pending.count()
     }
 
+    /// Whether the retry of a request waits for a crash check.
+    pub(crate) fn delays(&self, request: request::Key) -> bool {
+        self.delayed.iter().any(|retry| retry.request == request)
+    }
+
     /// Whether there are neither recorded crashes nor pending checks.
     fn is_idle(&self) -> bool {
         self.history.is_empty() && self.pending.is_empty()
--- a/crates/core/src/version.rs
+++ b/crates/core/src/version.rs
@@ -63,6 +63,11 @@
         }
     }
 
+    /// Number of upstreams by version.
+    pub fn counts(&self) -> &BTreeMap<Version, usize> {
+        &self.counts
+    }
+
     /// Versions of upstreams that are listed or were recently.
     pub fn recent(&self, now: Time) -> impl Iterator<Item = Version> {
         let former = self.former.iter();
