Retry a request behind a crash check only if it still waits for it

Callers of the own interface would see all streams of an instance break off at one moment.

Cause: a hedged generation has two attempts. The first breaks its connection and, since another crash would quarantine the request, the retry waits for the check of the upstream. The second fails without a check and the request is queued at once. The result of the check then queued it again. The end of a request takes it out of the queue only while it is queued, so with one place used and the other left, the queue named a request that was gone, and the next look at it indexed with its key.

The retry now asks whether the request has neither an attempt nor a place in the queue.

Ruled out: relayed requests. They have one attempt at a time, and none while their retry waits.

--- a/crates/core/src/suspicion.rs
+++ b/crates/core/src/suspicion.rs
@@ -378,6 +378,10 @@
         let Some(request) = self.requests.get(key) else {
             return;
         };
+        // A second attempt of a hedged request may have ended since, so that it was queued or sent without waiting.
+        if request.state != State::Running || !request.attempts.is_empty() {
+            return;
+        }
         if request.work.relay().is_some() {
             self.retry_relay(key, reason);
         } else {
--- a/crates/core/tests/core.rs
+++ b/crates/core/tests/core.rs
@@ -11,9 +11,12 @@
         counter::Counter,
         effect::{Effect, Outbound},
         event::{ClaimOutcome, Event, Failure, ListEntry, OutputToken, Submission},
+        fingerprint::RequestFingerprint,
+        incarnation::Incarnation,
         kind::Kind,
         notice::{Backoff, Notice},
         position::Position,
+        quarantine::{CrashHistory, Involvement},
         request::{Caller, Work},
         settings::Settings,
         upstream::{self, Load},
@@ -473,6 +476,56 @@
     expect_that!(test.effects.iter().any(delivered), eq(false));
 }
 
+/// Guards against a request that is queued twice: behind its end, the second place in the queue would name nothing, and
+/// the next look at the queue would end the process.
+#[gtest]
+fn hedged_request_that_is_queued_is_not_queued_again_behind_a_crash_check() {
+    let mut test = Test::new(Settings::default(), 2);
+    test.submit("mill");
+    let (first, upstream) = (test.attempts()[0], test.upstream());
+    let former = test.core.incarnation(upstream).expect("it is listed");
+    test.send_token(first, 0, 7);
+    test.advance(Settings::default().stall_min_ms + 50);
+    let (second, other) = (test.attempts()[1], test.upstream());
+    let mut crashes = CrashHistory::default();
+    let fingerprint = RequestFingerprint::new("mill", 1);
+    for born in [1, 2] {
+        let crashed = Incarnation::new("runner-9", born);
+        crashes.record(crashed, fingerprint, Involvement::Fresh, test.now);
+    }
+    test.handle(Event::CrashReported(Box::new(crashes)));
+    for (attempt, upstream) in [(first, upstream), (second, other)] {
+        let notice = Notice {
+            backoff: Backoff::For(300),
+            ..Notice::default()
+        };
+        test.handle(Event::NoticeReceived {
+            attempt,
+            notice,
+            upstream,
+        });
+    }
+    for (attempt, failure) in [(first, Failure::Broken), (second, Failure::Refused)] {
+        test.handle(Event::Failed { attempt, failure });
+    }
+    expect_that!(test.attempts().len(), eq(2));
+    test.handle(Event::CrashChecked {
+        ended: false,
+        incarnation: former,
+    });
+    test.advance(400);
+    expect_that!(test.attempts().len(), eq(3));
+    let third = test.attempts()[2];
+    test.send_token(third, 1, 8);
+    test.handle(Event::GenerationFinished {
+        attempt: third,
+        position: 2,
+        reason: "stop".into(),
+    });
+    expect_that!(test.core.running(), eq(0));
+    expect_that!(test.core.inconsistencies(), is_empty());
+}
+
 #[gtest]
 fn piggybacked_load_applies_immediately() {
     let mut test = Test::new(Settings::default(), 2);
