--- a/crates/core/src/suspicion.rs
+++ b/crates/core/src/suspicion.rs
@@ -82,6 +82,11 @@
         self.history.crashes_of(fingerprint).count() + pending.count()
     }
 
+    /// Whether the retry of a request waits for a crash check.
+    pub(crate) fn delays(&self, request: request::Key) -> bool {
+        self.delayed.iter().any(|retry| retry.request == request)
+    }
+
     /// Whether there are neither recorded crashes nor pending checks.
     fn is_idle(&self) -> bool {
         self.history.is_empty() && self.pending.is_empty()
@@ -373,6 +378,10 @@
         let Some(request) = self.requests.get(key) else {
             return;
         };
+        // A second attempt of a hedged request may have ended since, so that it was queued or sent without waiting.
+        if request.state != State::Running || !request.attempts.is_empty() {
+            return;
+        }
         if request.work.relay().is_some() {
             self.retry_relay(key, reason);
         } else {
