Panics, and the end of the core task, are log lines

Cause: an instance whose core task panicked ended with plain text on standard error and no line in its log, so that an incident of 2,345 cut requests could not be told from other ends of connections.

The core task's state is dropped while it unwinds; there it logs the kind of the event or message that it was handling, the number of open requests, the IDs of up to 32 of them and the revision of the configuration.

Ruled out: catching the panic around the task, which would have to move the state out of it; a counter of the event in shared memory, which would not have the requests.

The tests run their own executable as an instance, with the product's logger wrapped in one that panics when the core task logs a chosen request, so the product has no code for it. logger::create and run_command are public for that. Failed first, with these two functions alone: no line `panicked` (length 0, not 1), no line `core task ended` (length 0, not 1); the exit status was 1 already.

--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -326,3 +326,47 @@
         tokens: Vec<OutputToken>,
     },
 }
+
+impl Event {
+    /// Name of its kind in logs.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Self::Answered { .. } => "answered",
+            Self::CallerGone(_) => "caller_gone",
+            Self::CallersRead(_) => "callers_read",
+            Self::Claimed { .. } => "claimed",
+            Self::Config(_) => "config",
+            Self::Connected(_) => "connected",
+            Self::ConnectionChecked { .. } => "connection_checked",
+            Self::CrashChecked { .. } => "crash_checked",
+            Self::CrashReported(_) => "crash_reported",
+            Self::Failed { .. } => "failed",
+            Self::GenerationFinished { .. } => "generation_finished",
+            Self::Instances(_) => "instances",
+            Self::Leaving(_) => "leaving",
+            Self::List { .. } => "list",
+            Self::ListChanged { .. } => "list_changed",
+            Self::Load { .. } => "load",
+            Self::NoticeReceived { .. } => "notice_received",
+            Self::PeerDemand { .. } => "peer_demand",
+            Self::PeerEnds(_) => "peer_ends",
+            Self::PeerLeaving(_) => "peer_leaving",
+            Self::PeerLimit { .. } => "peer_limit",
+            Self::PeerLoss(_) => "peer_loss",
+            Self::PeerSpeed(_) => "peer_speed",
+            Self::PeerStream(_) => "peer_stream",
+            Self::PiggybackedLoad { .. } => "piggybacked_load",
+            Self::Probed { .. } => "probed",
+            Self::Replied { .. } => "replied",
+            Self::StoreAway(_) => "store_away",
+            Self::ResponseHeld { .. } => "response_held",
+            Self::StreamEnded { .. } => "stream_ended",
+            Self::StreamEvent { .. } => "stream_event",
+            Self::StreamOpened(_) => "stream_opened",
+            Self::StreamsRestored => "streams_restored",
+            Self::Submit(_) => "submit",
+            Self::Tick => "tick",
+            Self::Tokens { .. } => "tokens",
+        }
+    }
+}
--- a/crates/node/src/driver.rs
+++ b/crates/node/src/driver.rs
@@ -19,6 +19,9 @@
 /// Maximum number of messages that are received at once.
 const BATCH_SIZE: usize = 256;
 
+/// Maximum number of open requests that the last line of a core task names: with IDs of 40 bytes it stays below 2 kB.
+const NAMED_REQUESTS_MAX: usize = 32;
+
 /// Message to the core task.
 #[derive(Debug)]
 pub(crate) enum Message {
@@ -137,6 +140,8 @@
 /// State of the core task.
 struct Task {
     attempts: HashMap<attempt::Key, RunningAttempt>,
+    /// Messages that were received and are not handled yet, the last one first.
+    batch: Vec<Message>,
     callers: HashMap<Caller, PendingCaller>,
     claims: mpsc::UnboundedSender<claimer::PendingClaim>,
     clock: Clock,
@@ -146,6 +151,8 @@
     /// When the gauges of held bytes were last set.
     gauges_set_at: Instant,
     gossip: mpsc::UnboundedSender<gossip::Message>,
+    /// Kind of the message or event that is being handled, or was handled last.
+    handling: &'static str,
     leaving: watch::Sender<LeavingUpstreams>,
     meter: meter::Meter,
     /// Where the events of streams wait for their callers, until all are written.
@@ -155,6 +162,7 @@
     pooled: HttpClient,
     probes: HttpClient,
     quarantine_updates: mpsc::UnboundedSender<store_writer::QuarantineUpdate>,
+    receiver: mpsc::UnboundedReceiver<Message>,
     traffic: Traffic,
     unknown_headers: unknown_headers::UnknownHeaders,
     unpooled: HttpClient,
@@ -208,6 +216,7 @@
         }
         let task = Task {
             attempts: HashMap::new(),
+            batch: Vec::with_capacity(BATCH_SIZE),
             callers: HashMap::new(),
             claims: outputs.claims,
             clock,
@@ -216,6 +225,7 @@
             driver: driver.clone(),
             gauges_set_at: Instant::now(),
             gossip: outputs.gossip,
+            handling: "start",
             leaving: outputs.leaving,
             meter: outputs.meter,
             outlets: HashMap::new(),
@@ -223,11 +233,12 @@
             pooled: HttpClient::pooled(),
             probes: HttpClient::metered(&outputs.traffic),
             quarantine_updates: outputs.quarantine_updates,
+            receiver,
             traffic: outputs.traffic,
             unknown_headers: unknown_headers::UnknownHeaders::default(),
             unpooled: HttpClient::unpooled(),
         };
-        (driver, tokio::spawn(task.run(receiver)))
+        (driver, tokio::spawn(task.run()))
     }
 
     /// Passes a change of the fleet's members to the core.
@@ -298,6 +309,30 @@
     }
 }
 
+impl Message {
+    /// Name of its kind, or of the kind of its event, in logs.
+    fn name(&self) -> &'static str {
+        match self {
+            Self::Count(_) => "count",
+            Self::Event(event) | Self::Response(_, _, _, event) => event.name(),
+            Self::Members(..) => "members",
+            Self::Relay(..) | Self::Submit(..) => "submit",
+            Self::Settings(_) => "settings",
+            Self::Status(_) => "status",
+            Self::TunnelTarget(..) => "tunnel_target",
+            Self::UnknownHeader(..) => "unknown_header",
+        }
+    }
+}
+
+impl Drop for Task {
+    fn drop(&mut self) {
+        if std::thread::panicking() {
+            self.log_end();
+        }
+    }
+}
+
 impl RunningAttempt {
     /// An attempt whose reading is never paused.
     fn unpaused(task: JoinHandle<()>) -> Self {
@@ -330,17 +365,17 @@
 }
 
 impl Task {
-    async fn run(mut self, mut receiver: mpsc::UnboundedReceiver<Message>) {
+    async fn run(mut self) {
         let mut ticks = interval(TICK_INTERVAL);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
-        let mut messages = Vec::with_capacity(BATCH_SIZE);
         loop {
             tokio::select! {
-                count = receiver.recv_many(&mut messages, BATCH_SIZE) => {
+                count = self.receiver.recv_many(&mut self.batch, BATCH_SIZE) => {
                     if count == 0 {
                         return;
                     }
-                    for message in messages.drain(..) {
+                    self.batch.reverse();
+                    while let Some(message) = self.batch.pop() {
                         self.handle_message(message);
                     }
                 }
@@ -356,6 +391,19 @@
         }
     }
 
+    /// Logs what the core task was handling when it panicked, and the requests that end with it.
+    fn log_end(&self) {
+        let open = self.callers.values();
+        let ids = open.filter_map(|pending| pending.original.as_ref());
+        let ids = ids.map(|original| original.request_id.as_ref());
+        let request_ids: Vec<&str> = ids.take(NAMED_REQUESTS_MAX).collect();
+        let request_ids = request_ids.join(",");
+        let event = self.handling;
+        let requests = self.callers.len();
+        let revision = self.core.revision();
+        error!(event, requests, request_ids, revision; "core task ended");
+    }
+
     fn abort(&mut self, attempt: attempt::Key) {
         if let Some(running) = self.attempts.remove(&attempt) {
             running.task.abort();
@@ -604,6 +652,7 @@
     }
 
     fn handle_event(&mut self, event: Event) {
+        self.handling = event.name();
         if let Event::CallerGone(caller) = &event {
             self.callers.remove(caller);
             // A response in its queue would keep the outlet alive, since its chunk refers to it.
@@ -796,6 +845,7 @@
     }
 
     fn handle_message(&mut self, message: Message) {
+        self.handling = message.name();
         match message {
             Message::Count(counter) => self.meter.count(counter, 1),
             Message::Event(event) => self.handle_event(event),
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod error;
 pub mod hosted;
 pub mod instance;
+pub mod logger;
 pub mod members;
 pub mod pacer;
 pub mod reader;
@@ -32,7 +33,6 @@
 mod gossip;
 mod http;
 mod instance_list;
-mod logger;
 mod meter;
 mod operator;
 mod outlet;
@@ -125,7 +125,13 @@
 
 /// Parses the command line, runs its subcommand and returns the exit code of the process.
 pub fn run() -> ExitCode {
-    let result = arguments::run(&arguments::command().get_matches());
+    run_command(&arguments::command().get_matches())
+}
+
+/// Runs the subcommand that was parsed into `matches`, writes the lines that are still queued and returns the exit code of
+/// the process.
+pub fn run_command(matches: &ArgMatches) -> ExitCode {
+    let result = arguments::run(matches);
     logger::flush();
     match result {
         Ok(()) => ExitCode::SUCCESS,
--- a/crates/node/src/logger.rs
+++ b/crates/node/src/logger.rs
@@ -136,15 +136,16 @@
     }
 }
 
-/// Initializes logging; the level is taken from `RUST_LOG` and defaults to `info`.
-pub(crate) fn start(instance: &str) {
+/// Creates the logger of an instance and starts its writer thread; the level is taken from `RUST_LOG` and defaults to
+/// `info`.
+pub fn create(instance: &str) -> env_logger::Logger {
     let instance = instance.to_owned();
     let clock = Clock::new();
     let (queue, lines) = QueueWriter::new(QUEUE_LINES);
     let sampler = std::sync::Mutex::new(Sampler::new());
     std::thread::spawn(move || write_lines(&lines, &mut io::stdout().lock()));
     let environment = env_logger::Env::default().default_filter_or("info");
-    let started = env_logger::Builder::from_env(environment)
+    env_logger::Builder::from_env(environment)
         .format(move |target, record| {
             let message = record.args().to_string();
             let now = clock.now();
@@ -171,10 +172,32 @@
             writeln!(target, "{}", Value::Object(line))
         })
         .target(env_logger::Target::Pipe(Box::new(queue)))
-        .try_init();
-    if let Err(error) = started {
+        .build()
+}
+
+/// Starts logging, unless the process has a logger already. From then on each panic is logged.
+pub(crate) fn start(instance: &str) {
+    let logger = create(instance);
+    log::set_max_level(logger.filter());
+    if let Err(error) = log::set_boxed_logger(Box::new(logger)) {
         eprintln!("logging is already initialized: {error}");
     }
+    let report = std::panic::take_hook();
+    std::panic::set_hook(Box::new(move |panic| {
+        report(panic);
+        log_panic(panic);
+    }));
+}
+
+/// Logs a panic, and waits until the line is written: a panic of the main thread ends the process.
+fn log_panic(panic: &std::panic::PanicHookInfo) {
+    let place = |place: &std::panic::Location| format!("{}:{}", place.file(), place.line());
+    let place = panic.location().map(place).unwrap_or_default();
+    let text = panic.payload_as_str().unwrap_or_default();
+    let thread = std::thread::current();
+    let thread = thread.name().unwrap_or_default();
+    error!(place, text, thread; "panicked");
+    flush();
 }
 
 /// Writes lines until all senders are gone or a write fails.
--- /dev/null
+++ b/crates/standin/tests/core_end.rs
@@ -0,0 +1,258 @@
+//! What an instance logs and does when its core task panics, as a process of its own.
+
+use {
+    googletest::prelude::*,
+    http_body_util::Full,
+    hyper::{Request, body::Bytes},
+    log::{Log, Metadata, Record, kv},
+    serde_json::Value,
+    std::{
+        net::SocketAddr,
+        path::PathBuf,
+        process::{Child, Command, ExitCode, ExitStatus, Stdio},
+        time::Duration,
+    },
+    tokio::time::{Instant, sleep},
+    wellplank_standin::{
+        client::Ask,
+        http,
+        site::{Plan, Site},
+        worker::Mode,
+    },
+};
+
+/// Time in which something must come about.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// Environment variable that names the settings file of the process under test.
+const SETTINGS: &str = "WELLPLANK_TEST_SETTINGS";
+
+/// Request whose line `sent` makes the core task panic.
+const FATAL: &str = "ends-the-core";
+
+/// Text of that panic.
+const TEXT: &str = "the trap was sprung";
+
+/// Maximum number of request IDs in the last line of a core task.
+const NAMED_MAX: usize = 32;
+
+/// The product's logger, which panics at the line `sent` of the request [`FATAL`]. The core task writes that line, so
+/// that it panics without any code for it in the product.
+struct Trap(Box<dyn Log>);
+
+/// Looks for the request of a line.
+#[derive(Default)]
+struct Finder(bool);
+
+impl<'kvs> kv::VisitSource<'kvs> for Finder {
+    fn visit_pair(
+        &mut self,
+        key: kv::Key<'kvs>,
+        value: kv::Value<'kvs>,
+    ) -> std::result::Result<(), kv::Error> {
+        self.0 |= key.as_str() == "request" && value.to_string() == FATAL;
+        Ok(())
+    }
+}
+
+impl Log for Trap {
+    fn enabled(&self, metadata: &Metadata) -> bool {
+        self.0.enabled(metadata)
+    }
+
+    fn flush(&self) {
+        self.0.flush();
+    }
+
+    fn log(&self, record: &Record) {
+        let mut finder = Finder::default();
+        let _ = record.key_values().visit(&mut finder);
+        let is_sent = record.args().as_str() == Some("sent");
+        assert!(!(finder.0 && is_sent), "{TEXT}");
+        self.0.log(record);
+    }
+}
+
+/// An instance as a process, and the site that it serves.
+struct Test {
+    child: Child,
+    file: PathBuf,
+    settings: Value,
+    _site: Site,
+}
+
+impl Drop for Test {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.file);
+        let _ = std::fs::remove_file(self.log());
+    }
+}
+
+impl Test {
+    /// Starts this test's own executable as an instance, whose streams take four seconds.
+    async fn start() -> Self {
+        let plan = Plan {
+            instances: 0,
+            ..Plan::default()
+        };
+        let site = Site::start(plan).await;
+        for seat in &site.engines {
+            seat.worker.set(Mode::Slow);
+        }
+        let settings = site.settings(0, 5_000);
+        let name = format!("wellplank-{}.json", uuid::Uuid::new_v4());
+        let file = std::env::temp_dir().join(name);
+        std::fs::write(&file, settings.to_string()).unwrap();
+        let log = std::fs::File::create(file.with_extension("log")).unwrap();
+        let child = Command::new(std::env::current_exe().unwrap())
+            .args(["process_under_test", "--exact", "--nocapture"])
+            .env(SETTINGS, &file)
+            .stdout(log)
+            .stderr(Stdio::null())
+            .spawn()
+            .unwrap();
+        let test = Self {
+            child,
+            file,
+            settings,
+            _site: site,
+        };
+        test.serves().await;
+        test
+    }
+
+    fn address(&self, pointer: &str) -> SocketAddr {
+        let text = self.settings.pointer(pointer).unwrap().as_str().unwrap();
+        text.parse().unwrap()
+    }
+
+    fn callers(&self) -> SocketAddr {
+        self.address("/listen/callers")
+    }
+
+    /// Has the core task panic, and waits until the process has ended; its status, and the time that the end took.
+    async fn end(&mut self) -> (ExitStatus, Duration) {
+        let callers = self.callers();
+        let begun = Instant::now();
+        tokio::spawn(async move { Ask::again(FATAL).try_open(callers).await });
+        loop {
+            if let Some(status) = self.child.try_wait().unwrap() {
+                return (status, begun.elapsed());
+            }
+            assert!(begun.elapsed() < PATIENCE, "the process does not end");
+            sleep(Duration::from_millis(2)).await;
+        }
+    }
+
+    fn log(&self) -> PathBuf {
+        self.file.with_extension("log")
+    }
+
+    /// Lines with a message. The test harness of the process writes lines of its own.
+    fn lines(&self, message: &str) -> Vec<Value> {
+        let text = std::fs::read_to_string(self.log()).unwrap();
+        let lines = text.lines().filter(|line| line.starts_with('{'));
+        let lines = lines.map(|line| serde_json::from_str(line).unwrap());
+        lines
+            .filter(|line: &Value| line["message"] == message)
+            .collect()
+    }
+
+    async fn serves(&self) {
+        let end = Instant::now() + PATIENCE;
+        let uri = format!("http://{}/api/ready", self.address("/hosted/ready"));
+        loop {
+            let request = Request::get(&uri).body(Full::<Bytes>::default()).unwrap();
+            let response = http::client().request(request).await;
+            if response.is_ok_and(|response| response.status().is_success()) {
+                break;
+            }
+            assert!(Instant::now() < end, "the instance is not ready");
+            sleep(Duration::from_millis(20)).await;
+        }
+        // Upstreams are read beside the configuration.
+        sleep(Duration::from_millis(300)).await;
+    }
+}
+
+fn run<F: Future<Output = ()>>(test: impl FnOnce() -> F) {
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(2)
+        .enable_all()
+        .build()
+        .unwrap();
+    runtime.block_on(test());
+    runtime.shutdown_background();
+}
+
+/// Not a test: the process that the tests start.
+#[gtest]
+fn process_under_test() {
+    let Ok(file) = std::env::var(SETTINGS) else {
+        return;
+    };
+    let logger = wellplank_node::logger::create("instance-0");
+    log::set_max_level(logger.filter());
+    log::set_boxed_logger(Box::new(Trap(Box::new(logger)))).unwrap();
+    let arguments = ["wellplank", "run", "--settings", &file];
+    let matches = wellplank_node::arguments::command().get_matches_from(arguments);
+    let code = wellplank_node::run_command(&matches);
+    std::process::exit(i32::from(code != ExitCode::SUCCESS));
+}
+
+/// Guards against an instance that ends without a line that says where, on what and with what it ended.
+#[gtest]
+fn end_of_the_core_is_logged_with_its_place_and_its_requests() {
+    run(async || {
+        let mut test = Test::start().await;
+        let mut streams = Vec::new();
+        for stream in 0..3 {
+            let ask = Ask::stream(&format!("stream-{stream}"));
+            streams.push(ask.open(test.callers()).await);
+        }
+        let (status, _) = test.end().await;
+        expect_that!(status.code(), some(eq(1)));
+        let panics = test.lines("panicked");
+        expect_that!(panics, len(eq(1)));
+        expect_that!(panics[0]["level"], eq("error"));
+        let place = panics[0]["place"].as_str().unwrap_or_default();
+        expect_that!(place, matches_regex(r".*core_end\.rs:\d+"));
+        expect_that!(panics[0]["text"], eq(TEXT));
+        let ends = test.lines("core task ended");
+        expect_that!(ends, len(eq(1)));
+        expect_that!(ends[0]["level"], eq("error"));
+        expect_that!(ends[0]["event"], eq("submit"));
+        expect_that!(ends[0]["requests"], eq(4));
+        expect_that!(ends[0]["revision"].as_u64(), some(gt(0)));
+        let named = ends[0]["request_ids"].as_str().unwrap_or_default();
+        let mut named: Vec<&str> = named.split(',').collect();
+        named.sort_unstable();
+        expect_that!(
+            named,
+            container_eq([FATAL, "stream-0", "stream-1", "stream-2"])
+        );
+    });
+}
+
+/// Guards against a last line that grows with the number of requests.
+#[gtest]
+fn end_of_the_core_names_a_bounded_number_of_requests() {
+    run(async || {
+        let mut test = Test::start().await;
+        let callers = test.callers();
+        let mut streams = Vec::new();
+        for stream in 0..2 * NAMED_MAX {
+            let ask = Ask::stream(&format!("stream-{stream}"));
+            streams.push(tokio::spawn(async move { ask.try_open(callers).await }));
+        }
+        sleep(Duration::from_millis(500)).await;
+        test.end().await;
+        let ends = test.lines("core task ended");
+        expect_that!(ends, len(eq(1)));
+        expect_that!(ends[0]["requests"].as_u64(), some(gt(NAMED_MAX as u64)));
+        let named = ends[0]["request_ids"].as_str().unwrap_or_default();
+        expect_that!(named.split(',').count(), eq(NAMED_MAX));
+    });
+}
