Each cut stream is a line and a count by cause, with the age of the configuration

Cause: a stream that ended unfinished after its caller had the head had a line only where the core gave it up, and that line did not say that the caller had a head; what a closed connection or the end of the core task cut was in no line of its own. Whether cuts cluster behind a configuration could not be read at all.

`stream cut` is logged and `stream_cut.CAUSE` counted once for each, with the cause caller_gone, core_ended or the kind of the failure (unread_answer is a full buffer); the age of the configuration in force is in the line and in the histogram `cut_configuration_age`. `failed` has `has_head`. A stream that the core had finished and whose caller closed before it had taken the last event counts as caller_gone too: it was `answered` alone.

Ruled out: the age in the core, where it would be passed through each effect; the driver sees each change of the revision.

--- a/crates/core/src/counter.rs
+++ b/crates/core/src/counter.rs
@@ -86,6 +86,8 @@
     StoreOutdated,
     /// Detected restores of the store from a backup.
     StoreRestored,
+    /// Streams that ended before they were complete, after their callers had the response head, by cause.
+    StreamCut(Cut),
     /// Upstreams suspected with all their work.
     Suspected,
     /// Tokens delivered to callers.
@@ -140,6 +142,27 @@
     Unread,
 }
 
+/// What ended a stream before it was complete, after its caller had the response head.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub enum Cut {
+    /// The caller's connection closed.
+    CallerGone,
+    /// The core task ended.
+    CoreEnded,
+    /// The request failed; [`Kind::UnreadAnswer`] is a full buffer.
+    Failed(Kind),
+}
+
+impl Display for Cut {
+    fn fmt(&self, formatter: &mut Formatter) -> fmt::Result {
+        match self {
+            Self::CallerGone => write!(formatter, "caller_gone"),
+            Self::CoreEnded => write!(formatter, "core_ended"),
+            Self::Failed(kind) => write!(formatter, "{kind}"),
+        }
+    }
+}
+
 impl Reason {
     /// Whether the attempt sent nothing to an upstream.
     pub fn reached_no_upstream(self) -> bool {
@@ -198,6 +221,7 @@
             Self::RetryRefused(class) => write!(formatter, "retry_refused.{class}"),
             Self::StoreOutdated => write!(formatter, "store.outdated"),
             Self::StoreRestored => write!(formatter, "store.returned"),
+            Self::StreamCut(cut) => write!(formatter, "stream_cut.{cut}"),
             Self::Suspected => write!(formatter, "upstream.suspected"),
             Self::Tokens => write!(formatter, "tokens"),
             Self::UpstreamLost => write!(formatter, "upstream.lost"),
--- a/crates/core/src/effect.rs
+++ b/crates/core/src/effect.rs
@@ -83,8 +83,15 @@
     Answered,
     /// The request was re-attached to its running stream.
     Attached,
+    /// The stream ended before it was complete, after its caller had the response head.
+    Cut(counter::Cut),
     /// The request failed.
-    Failed(Kind),
+    Failed {
+        /// Whether its caller had the response head.
+        has_head: bool,
+        /// Kind of error.
+        kind: Kind,
+    },
     /// The caller disconnected.
     Left,
     /// The request left an upstream that sent nothing.
@@ -437,3 +444,15 @@
         upstream: upstream::Key,
     },
 }
+
+impl Core {
+    /// Log entry for a step of a caller's request that the driver found; `None` if the caller has no open request.
+    pub fn request_log(&self, caller: request::Caller, step: Step) -> Option<RequestLog> {
+        let key = self.callers.get(&caller)?;
+        let request = self.requests.get(*key)?;
+        match self.log_effect(request, step, None) {
+            Effect::LogRequest(entry) => Some(entry),
+            _ => None,
+        }
+    }
+}
--- a/crates/core/src/failure.rs
+++ b/crates/core/src/failure.rs
@@ -116,7 +116,10 @@
         let Some(request) = self.remove(key) else {
             return;
         };
-        self.log_step(&request, effect::Step::Failed(kind), None);
+        let has_head = has_head(&request);
+        let step = effect::Step::Failed { has_head, kind };
+        self.log_step(&request, step, None);
+        self.record_cut(&request, counter::Cut::Failed(kind));
         self.gossip_end(&request, stream_record::Stage::Left);
         let pool = request.service.pool();
         if request.progress.is_open {
@@ -146,6 +149,14 @@
         self.dispatch_queued(pool);
     }
 
+    /// Counts and logs the end of an incomplete response, if its caller had the response head.
+    pub(crate) fn record_cut(&mut self, request: &Request, cut: counter::Cut) {
+        if has_head(request) {
+            self.count(Counter::StreamCut(cut));
+            self.log_step(request, effect::Step::Cut(cut), None);
+        }
+    }
+
     /// Fails a request with `unsent` if no upstream can have run it, otherwise with `sent`.
     pub(crate) fn give_up(&mut self, key: request::Key, unsent: Kind, sent: Kind) {
         let maybe_executed = self.may_have_executed(&self.requests[key]);
@@ -237,3 +248,12 @@
         request.may_have_run || request.attempts.iter().any(sent)
     }
 }
+
+/// Whether the caller of a request has received the response head, with the first tokens where the request is a generation.
+fn has_head(request: &Request) -> bool {
+    match request.work {
+        Work::Call { .. } => false,
+        Work::Generate { .. } => request.position() > request.skip,
+        Work::Relay(_) => request.progress.is_open,
+    }
+}
--- a/crates/core/src/stream.rs
+++ b/crates/core/src/stream.rs
@@ -25,6 +25,7 @@
         }
         if let Some(request) = self.remove(key) {
             self.log_step(&request, effect::Step::Left, None);
+            self.record_cut(&request, counter::Cut::CallerGone);
             self.gossip_end(&request, stream_record::Stage::Left);
             self.dispatch_queued(request.service.pool());
         }
--- a/crates/node/src/driver.rs
+++ b/crates/node/src/driver.rs
@@ -1,7 +1,7 @@
 //! The core task: owns the core, feeds events into it and executes its effects.
 
 use super::*;
-use wellplank_core::{buffer::Buffers, members::View};
+use wellplank_core::{buffer::Buffers, counter, members::View};
 
 /// Interval between ticks of the core.
 const TICK_INTERVAL: Duration = Duration::from_millis(10);
@@ -79,6 +79,8 @@
 
 /// A caller whose response is not finished.
 struct PendingCaller {
+    /// Whether the response head was sent to it, with the first tokens where the request is a generation.
+    has_head: bool,
     /// Latest response data from an upstream that is not yet forwarded to the caller.
     held: Option<HeldResponse>,
     /// The original request; `None` unless it is relayed.
@@ -89,6 +91,16 @@
     replies: mpsc::UnboundedSender<Reply>,
 }
 
+/// Where the events of a stream wait for its caller.
+struct KeptOutlet {
+    /// Whether all its events are queued.
+    is_complete: bool,
+    /// The outlet.
+    outlet: Arc<Outlet>,
+    /// Request ID of the stream.
+    request_id: Arc<str>,
+}
+
 /// An attempt that is in progress.
 struct RunningAttempt {
     /// Whether its events are not read; `None` unless it is relayed.
@@ -145,6 +157,8 @@
     callers: HashMap<Caller, PendingCaller>,
     claims: mpsc::UnboundedSender<claimer::PendingClaim>,
     clock: Clock,
+    /// When the configuration in force took effect; `None` before the first one.
+    configured_at: Option<Time>,
     core: Core,
     crash_history: watch::Sender<crash_history::LocalHistory>,
     driver: Driver,
@@ -156,7 +170,7 @@
     leaving: watch::Sender<LeavingUpstreams>,
     meter: meter::Meter,
     /// Where the events of streams wait for their callers, until all are written.
-    outlets: HashMap<Caller, Arc<Outlet>>,
+    outlets: HashMap<Caller, KeptOutlet>,
     /// Addresses of the other instances, by identifier.
     peers: HashMap<u64, SocketAddr>,
     pooled: HttpClient,
@@ -220,6 +234,7 @@
             callers: HashMap::new(),
             claims: outputs.claims,
             clock,
+            configured_at: None,
             core,
             crash_history: outputs.crash_history,
             driver: driver.clone(),
@@ -329,6 +344,7 @@
     fn drop(&mut self) {
         if std::thread::panicking() {
             self.log_end();
+            self.record_cuts();
         }
     }
 }
@@ -404,6 +420,18 @@
         error!(event, requests, request_ids, revision; "core task ended");
     }
 
+    /// Counts and logs the streams that end with the core task.
+    fn record_cuts(&self) {
+        let cut = counter::Cut::CoreEnded;
+        let begun = self.callers.iter().filter(|(_, pending)| pending.has_head);
+        for (caller, _) in begun {
+            self.count(Counter::StreamCut(cut), 1);
+            if let Some(entry) = self.core.request_log(*caller, Step::Cut(cut)) {
+                self.log_request(&entry);
+            }
+        }
+    }
+
     fn abort(&mut self, attempt: attempt::Key) {
         if let Some(running) = self.attempts.remove(&attempt) {
             running.task.abort();
@@ -414,7 +442,7 @@
     /// of messages to the core task.
     fn report_reads(&mut self) {
         let mut reads = Vec::new();
-        self.outlets.retain(|caller, outlet| {
+        self.outlets.retain(|caller, KeptOutlet { outlet, .. }| {
             // Nothing else can release bytes once this is the last reference.
             let is_last = Arc::strong_count(outlet) == 1;
             let bytes = outlet.take_released();
@@ -474,7 +502,12 @@
                 self.send_reply(caller, reply);
             }
             Effect::Detach(attempt) => self.abort(attempt),
-            Effect::EndStream(caller) => self.finish_caller(caller, Reply::EndStream),
+            Effect::EndStream(caller) => {
+                if let Some(kept) = self.outlets.get_mut(&caller) {
+                    kept.is_complete = true;
+                }
+                self.finish_caller(caller, Reply::EndStream);
+            }
             Effect::Fail {
                 caller,
                 kind,
@@ -510,7 +543,7 @@
             Effect::GossipStream { audience, record } => {
                 self.gossip(gossip::Message::Stream(record, audience));
             }
-            Effect::LogRequest(entry) => request_log::log_step(&entry),
+            Effect::LogRequest(entry) => self.log_request(&entry),
             Effect::LogUpstream {
                 born,
                 change,
@@ -566,8 +599,8 @@
     fn execute_buffering(&self, effect: effect::Buffering) {
         match effect {
             effect::Buffering::Discard(caller) => {
-                if let Some(outlet) = self.outlets.get(&caller) {
-                    outlet.discard();
+                if let Some(kept) = self.outlets.get(&caller) {
+                    kept.outlet.discard();
                 }
             }
             effect::Buffering::Pause(attempt) => self.set_paused(attempt, true),
@@ -656,8 +689,9 @@
         if let Event::CallerGone(caller) = &event {
             self.callers.remove(caller);
             // A response in its queue would keep the outlet alive, since its chunk refers to it.
-            if let Some(outlet) = self.outlets.remove(caller) {
-                outlet.discard();
+            if let Some(kept) = self.outlets.remove(caller) {
+                kept.outlet.discard();
+                self.record_unread_cut(&kept);
             }
         }
         if let Event::Answered { attempt, .. }
@@ -668,13 +702,57 @@
         {
             self.attempts.remove(attempt);
         }
-        for effect in self.core.handle(self.clock.now(), event) {
+        let now = self.clock.now();
+        let revision = self.core.revision();
+        let effects = self.core.handle(now, event);
+        if self.core.revision() != revision {
+            self.configured_at = Some(now);
+        }
+        for effect in effects {
             self.execute(effect);
         }
     }
 
-    fn send_reply(&self, caller: Caller, reply: Reply) {
-        if let Some(pending) = self.callers.get(&caller) {
+    /// The configuration in force; `None` before the first one.
+    fn configuration_in_force(&self) -> Option<request_log::ConfigurationInForce> {
+        Some(request_log::ConfigurationInForce {
+            age_ms: self.clock.now().since(self.configured_at?),
+            revision: self.core.revision()?,
+        })
+    }
+
+    /// Logs a step of a request, and records the age of the configuration in force if its stream was cut.
+    fn log_request(&self, entry: &RequestLog) {
+        let configuration = self.configuration_in_force();
+        if matches!(entry.step, Step::Cut(_)) {
+            self.observe_cut(configuration);
+        }
+        request_log::log_step(entry, configuration);
+    }
+
+    /// Records the age of the configuration in force when a stream was cut.
+    fn observe_cut(&self, configuration: Option<request_log::ConfigurationInForce>) {
+        if let Some(configuration) = configuration {
+            let age_ms = configuration.age_ms as f64;
+            self.meter
+                .observe(meter::Latency::CutConfigurationAge, age_ms);
+        }
+    }
+
+    /// Records that a caller's connection closed before it had taken a stream that the core had finished.
+    fn record_unread_cut(&self, kept: &KeptOutlet) {
+        if !kept.is_complete {
+            return;
+        }
+        let configuration = self.configuration_in_force();
+        self.count(Counter::StreamCut(counter::Cut::CallerGone), 1);
+        self.observe_cut(configuration);
+        request_log::log_unread_cut(&kept.request_id, configuration);
+    }
+
+    fn send_reply(&mut self, caller: Caller, reply: Reply) {
+        if let Some(pending) = self.callers.get_mut(&caller) {
+            pending.has_head |= matches!(reply, Reply::Head(_) | Reply::Tokens { .. });
             // Sending fails if the caller has disconnected.
             let _ = pending.replies.send(reply);
         }
@@ -716,9 +794,16 @@
 
     /// Keeps the outlet of a stream until all its events are written.
     fn keep_outlet(&mut self, caller: Caller) {
-        let pending = self.callers.get(&caller);
-        if let Some(outlet) = pending.and_then(|pending| pending.outlet.clone()) {
-            self.outlets.insert(caller, outlet);
+        let Some(pending) = self.callers.get(&caller) else {
+            return;
+        };
+        if let (Some(original), Some(outlet)) = (&pending.original, &pending.outlet) {
+            let kept = KeptOutlet {
+                is_complete: false,
+                outlet: outlet.clone(),
+                request_id: original.request_id.clone(),
+            };
+            self.outlets.insert(caller, kept);
         }
     }
 
@@ -855,6 +940,7 @@
             }
             Message::Relay(submission, original, replies, outlet) => {
                 let pending = PendingCaller {
+                    has_head: false,
                     held: None,
                     original: Some(original),
                     outlet: Some(outlet),
@@ -879,6 +965,7 @@
             }
             Message::Submit(submission, replies) => {
                 let pending = PendingCaller {
+                    has_head: false,
                     held: None,
                     original: None,
                     outlet: None,
--- a/crates/node/src/meter.rs
+++ b/crates/node/src/meter.rs
@@ -23,6 +23,8 @@
 pub(crate) enum Latency {
     /// A latency reported by the core.
     Core(Timing),
+    /// Age of the configuration in force when a stream was cut.
+    CutConfigurationAge,
     /// A call of the platform's store other than a long poll.
     Store,
 }
@@ -46,6 +48,7 @@
             Self::Core(Timing::FirstEvent) => "first_event",
             Self::Core(Timing::EventInterval) => "pause",
             Self::Core(Timing::Resume) => "resume",
+            Self::CutConfigurationAge => "cut_configuration_age",
             Self::Store => "store_call",
         }
     }
--- a/crates/node/src/request_log.rs
+++ b/crates/node/src/request_log.rs
@@ -3,7 +3,7 @@
 
 use super::*;
 use wellplank_core::{
-    demand,
+    counter, demand,
     fingerprint::RequestFingerprint,
     limit::Limit,
     notice::{Backoff, Notice},
@@ -85,8 +85,25 @@
     }
 }
 
+/// The configuration in force.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ConfigurationInForce {
+    /// Time since it took effect, in milliseconds.
+    pub age_ms: u64,
+    /// Its revision.
+    pub revision: u64,
+}
+
+/// Logs that a stream that the core had finished ended before its caller's connection had taken all of it.
+pub(crate) fn log_unread_cut(request: &str, configuration: Option<ConfigurationInForce>) {
+    let cause = counter::Cut::CallerGone.to_string();
+    let configuration_age_ms = configuration.map(|configuration| configuration.age_ms);
+    let revision = configuration.map(|configuration| configuration.revision);
+    warn!(request, cause, configuration_age_ms, revision; "stream cut");
+}
+
 /// Logs a step of a request. Relayed requests are identified by the ID that their caller assigned.
-pub(crate) fn log_step(entry: &RequestLog) {
+pub(crate) fn log_step(entry: &RequestLog, configuration: Option<ConfigurationInForce>) {
     let generation = || Uuid::from_u128(entry.generation).to_string();
     let request = entry.run.as_deref().map_or_else(generation, str::to_owned);
     let customer = entry.customer.name.as_str();
@@ -105,9 +122,15 @@
         Step::Attached => {
             info!(request, customer, service, model, upstream, position; "attached");
         }
-        Step::Failed(kind) => {
-            let kind = kind.answer().name;
-            warn!(request, fingerprint, customer, service, model, upstream, position, kind; "failed");
+        Step::Cut(cut) => {
+            let cause = cut.to_string();
+            let configuration_age_ms = configuration.map(|configuration| configuration.age_ms);
+            let revision = configuration.map(|configuration| configuration.revision);
+            warn!(request, fingerprint, customer, service, model, position, cause, configuration_age_ms, revision; "stream cut");
+        }
+        Step::Failed { has_head, kind } => {
+            let (has_head, kind) = (*has_head, kind.answer().name);
+            warn!(request, fingerprint, customer, service, model, upstream, position, kind, has_head; "failed");
         }
         Step::Left => info!(request, customer, service, position; "caller left"),
         Step::LeftSilent(departure) => {
--- a/crates/standin/tests/core_end.rs
+++ b/crates/standin/tests/core_end.rs
@@ -256,3 +256,29 @@
         expect_that!(named.split(',').count(), eq(NAMED_MAX));
     });
 }
+
+/// Guards against streams that end with the core task and are found in no line of their own.
+#[gtest]
+fn streams_that_end_with_the_core_are_cuts() {
+    run(async || {
+        let mut test = Test::start().await;
+        let mut streams = Vec::new();
+        for stream in 0..3 {
+            let ask = Ask::stream(&format!("stream-{stream}"));
+            streams.push(ask.open(test.callers()).await);
+        }
+        test.end().await;
+        let cuts = test.lines("stream cut");
+        let mut cut: Vec<&str> = cuts
+            .iter()
+            .map(|line| line["request"].as_str().unwrap())
+            .collect();
+        cut.sort_unstable();
+        expect_that!(cut, container_eq(["stream-0", "stream-1", "stream-2"]));
+        for line in &cuts {
+            expect_that!(line["cause"], eq("core_ended"));
+            expect_that!(line["configuration_age_ms"].as_u64(), some(gt(0)));
+            expect_that!(line["revision"].as_u64(), some(gt(0)));
+        }
+    });
+}
--- a/crates/standin/tests/logs.rs
+++ b/crates/standin/tests/logs.rs
@@ -289,3 +289,70 @@
         test.line("stopped", None).await;
     });
 }
+
+/// Guards against a stream that ends unfinished without a line, a count or the age of the configuration in force.
+#[gtest]
+fn stream_that_its_caller_leaves_is_a_cut() {
+    run(async || {
+        let test = Test::start(true).await;
+        for seat in &test.site.engines {
+            seat.worker.set(Mode::Slow);
+        }
+        let response = Ask::stream("name-1").open(test.callers()).await;
+        let got = Got::read(response, 1).await;
+        expect_that!(got.whole, eq(true));
+        let cut = test.line("stream cut", Some("name-1")).await;
+        expect_that!(cut["cause"], eq("caller_gone"));
+        expect_that!(cut["position"].as_u64(), some(gt(0)));
+        expect_that!(cut["configuration_age_ms"].as_u64(), some(gt(0)));
+        expect_that!(cut["revision"].as_u64(), some(gt(0)));
+        let page = test.page().await;
+        for line in [
+            "wellplank_events_total{event=\"stream_cut.caller_gone\"} 1",
+            "wellplank_latency_ms_count{what=\"cut_configuration_age\"} 1",
+        ] {
+            expect_that!(page, contains_substring(line));
+        }
+    });
+}
+
+/// Guards against a stream that the core gives up whose line does not say that its caller had begun to read, or whose cut
+/// has another cause than its failure.
+#[gtest]
+fn stream_that_is_given_up_is_a_cut_with_the_kind_of_its_failure() {
+    run(async || {
+        let mut test = Test::start(true).await;
+        for seat in &test.site.engines {
+            seat.worker.set(Mode::Slow);
+        }
+        let response = Ask::stream("name-1").open(test.callers()).await;
+        for seat in &mut test.site.engines {
+            seat.host.kill();
+        }
+        let got = Got::read(response, usize::MAX).await;
+        expect_that!(got.whole, eq(false));
+        let failed = test.line("failed", Some("name-1")).await;
+        expect_that!(failed["has_head"], eq("true"));
+        let cut = test.line("stream cut", Some("name-1")).await;
+        expect_that!(cut["cause"], eq(&failed["kind"]));
+        expect_that!(cut["position"], eq(&failed["position"]));
+        let counter = format!(
+            "event=\"stream_cut.{}\"}} 1",
+            cut["cause"].as_str().unwrap()
+        );
+        expect_that!(test.page().await, contains_substring(counter));
+        let late = Ask::stream("name-2").send(test.callers()).await;
+        expect_that!(late.status.is_success(), eq(false));
+        let failed = test
+            .lines()
+            .into_iter()
+            .find(|line| line["message"] == "failed" && line["request"] == "name-2");
+        let has_head = failed.map(|line| line["has_head"].clone());
+        expect_that!(has_head.unwrap_or("false".into()), eq("false"));
+        let cuts = test
+            .lines()
+            .into_iter()
+            .filter(|line| line["message"] == "stream cut");
+        expect_that!(cuts.count(), eq(1));
+    });
+}
--- a/crates/standin/tests/readers.rs
+++ b/crates/standin/tests/readers.rs
@@ -194,6 +194,8 @@
         let most = 2 * EVENT_BYTES + 4 * (EVENT_BYTES + (16 << 10));
         expect_that!(metric(&site, answers).await, le(most as u64));
         let given_up = metric(&site, given_up).await;
+        let cut = "wellplank_events_total{event=\"stream_cut.unread_answer\"}";
+        expect_that!(metric(&site, cut).await, eq(given_up));
         let mut incomplete = 0;
         for response in unread {
             let (is_whole, events) = read(response).await;
@@ -290,3 +292,26 @@
         expect_that!(metric(&site, held).await, eq(0));
     });
 }
+
+/// Guards against a stream that counts as answered alone though its caller's connection closed before it had taken all of
+/// it.
+#[gtest]
+fn stream_whose_caller_leaves_behind_its_last_event_is_counted_as_cut() {
+    let plan = Plan {
+        unread: UnreadLimits {
+            customer_bytes: 0,
+            instance_bytes: 0,
+            request_bytes: 0,
+        },
+        ..Plan::default()
+    };
+    run(plan, async |site: Site| {
+        let response = open(&site, &ask("r1")).await;
+        until_counted(&site, "answered").await;
+        let cut = "wellplank_events_total{event=\"stream_cut.caller_gone\"}";
+        expect_that!(metric(&site, cut).await, eq(0));
+        drop(response);
+        until_counted(&site, "stream_cut.caller_gone").await;
+        expect_that!(metric(&site, cut).await, eq(1));
+    });
+}
