--- a/crates/node/src/hosted.rs
+++ b/crates/node/src/hosted.rs
@@ -21,11 +21,11 @@
 
 /// Time for which an instance whose core task has ended refuses the requests that arrive: those that were on their way, in
 /// the buffers of its sockets or on connections that callers reuse. Where the process had stood still for 200 ms, 20 of them were
-/// broken off in five runs, and 34 without this time. Each millisecond of it delays the next life.
-const FAREWELL_TIME: Duration = Duration::from_millis(100);
+/// broken off in five runs, and 34 without this time. It delays the restart.
+const REFUSAL_TIME: Duration = Duration::from_millis(100);
 
 /// Time that the connections of callers then have to take what was written and to close.
-const FAREWELL_FLUSH_TIME: Duration = Duration::from_millis(200);
+const CLOSE_TIME_MAX: Duration = Duration::from_millis(200);
 
 /// Readiness check of the platform.
 struct ReadinessEndpoint {
@@ -203,8 +203,8 @@
             deadline: now,
             started_at: now,
         }));
-        sleep(FAREWELL_TIME).await;
-        self.callers.handle.stop_graceful(FAREWELL_FLUSH_TIME);
+        sleep(REFUSAL_TIME).await;
+        self.callers.handle.stop_graceful(CLOSE_TIME_MAX);
         // The server ends by itself then; its task can only end early by a panic, which is logged.
         let _ = self.callers.task.await;
     }
--- a/crates/standin/tests/core_end.rs
+++ b/crates/standin/tests/core_end.rs
@@ -33,14 +33,14 @@
 const FATAL: &str = "ends-the-core";
 
 /// Text of that panic.
-const TEXT: &str = "the trap was sprung";
+const TEXT: &str = "panic of the test";
 
 /// Maximum number of request IDs in the last line of a core task.
 const NAMED_MAX: usize = 32;
 
 /// The product's logger, which panics at the line `sent` of the request [`FATAL`]. The core task writes that line, so
 /// that it panics without any code for it in the product.
-struct Trap(Box<dyn Log>);
+struct PanickingLogger(Box<dyn Log>);
 
 /// Looks for the request of a line.
 #[derive(Default)]
@@ -57,7 +57,7 @@
     }
 }
 
-impl Log for Trap {
+impl Log for PanickingLogger {
     fn enabled(&self, metadata: &Metadata) -> bool {
         self.0.enabled(metadata)
     }
@@ -201,7 +201,7 @@
     };
     let logger = wellplank_node::logger::create("instance-0");
     log::set_max_level(logger.filter());
-    log::set_boxed_logger(Box::new(Trap(Box::new(logger)))).unwrap();
+    log::set_boxed_logger(Box::new(PanickingLogger(Box::new(logger)))).unwrap();
     let arguments = ["wellplank", "run", "--settings", &file];
     let matches = wellplank_node::arguments::command().get_matches_from(arguments);
     let code = wellplank_node::run_command(&matches);
