--- a/crates/node/src/driver.rs
+++ b/crates/node/src/driver.rs
@@ -1,7 +1,7 @@
 //! The core task: owns the core, feeds events into it and executes its effects.
 
 use super::*;
-use wellplank_core::{buffer::Buffers, members::View};
+use wellplank_core::{buffer::Buffers, counter, members::View};
 
 /// Interval between ticks of the core.
 const TICK_INTERVAL: Duration = Duration::from_millis(10);
@@ -19,6 +19,9 @@
 /// Maximum number of messages that are received at once.
 const BATCH_SIZE: usize = 256;
 
+/// Maximum number of open requests that the last line of a core task names: with IDs of 40 bytes it stays below 2 kB.
+const NAMED_REQUESTS_MAX: usize = 32;
+
 /// Message to the core task.
 #[derive(Debug)]
 pub(crate) enum Message {
@@ -74,8 +77,26 @@
     Head(Box<forward::Head>),
 }
 
+/// Retry delay for callers whose request did not run since the core task has ended, in milliseconds: as during a planned
+/// stop they reach another instance.
+const CORE_ENDED_RETRY_MS: u64 = relay::SHUTDOWN_RETRY_MS;
+
+/// Reply to a request that did not run since the core task has ended.
+const NOT_RUN: Reply = Reply::Failed {
+    kind: Kind::NotReady,
+    retry_after_ms: Some(CORE_ENDED_RETRY_MS),
+};
+
+/// Reply to a request that may have run and whose response is lost with the core task.
+const MAY_HAVE_RUN: Reply = Reply::Failed {
+    kind: Kind::Internal,
+    retry_after_ms: None,
+};
+
 /// A caller whose response is not finished.
 struct PendingCaller {
+    /// Whether the response head was sent to it, with the first tokens where the request is a generation.
+    has_head: bool,
     /// Latest response data from an upstream that is not yet forwarded to the caller.
     held: Option<HeldResponse>,
     /// The original request; `None` unless it is relayed.
@@ -84,6 +105,18 @@
     outlet: Option<Arc<Outlet>>,
     /// Channel to the caller's task.
     replies: mpsc::UnboundedSender<Reply>,
+    /// Whether an attempt at an upstream was started; only known of a relayed request.
+    was_sent: bool,
+}
+
+/// Where the events of a stream wait for its caller.
+struct KeptOutlet {
+    /// Whether all its events are queued.
+    is_complete: bool,
+    /// The outlet.
+    outlet: Arc<Outlet>,
+    /// Request ID of the stream.
+    request_id: Arc<str>,
 }
 
 /// An attempt that is in progress.
@@ -137,24 +170,31 @@
 /// State of the core task.
 struct Task {
     attempts: HashMap<attempt::Key, RunningAttempt>,
+    /// Messages that were received and are not handled yet, the last one first.
+    batch: Vec<Message>,
     callers: HashMap<Caller, PendingCaller>,
     claims: mpsc::UnboundedSender<claimer::PendingClaim>,
     clock: Clock,
+    /// When the configuration in force took effect; `None` before the first one.
+    configured_at: Option<Time>,
     core: Core,
     crash_history: watch::Sender<crash_history::LocalHistory>,
     driver: Driver,
     /// When the gauges of held bytes were last set.
     gauges_set_at: Instant,
     gossip: mpsc::UnboundedSender<gossip::Message>,
+    /// Kind of the message or event that is being handled, or was handled last.
+    handling: &'static str,
     leaving: watch::Sender<LeavingUpstreams>,
     meter: meter::Meter,
     /// Where the events of streams wait for their callers, until all are written.
-    outlets: HashMap<Caller, Arc<Outlet>>,
+    outlets: HashMap<Caller, KeptOutlet>,
     /// Addresses of the other instances, by identifier.
     peers: HashMap<u64, SocketAddr>,
     pooled: HttpClient,
     probes: HttpClient,
     quarantine_updates: mpsc::UnboundedSender<store_writer::QuarantineUpdate>,
+    receiver: mpsc::UnboundedReceiver<Message>,
     traffic: Traffic,
     unknown_headers: unknown_headers::UnknownHeaders,
     unpooled: HttpClient,
@@ -208,14 +248,17 @@
         }
         let task = Task {
             attempts: HashMap::new(),
+            batch: Vec::with_capacity(BATCH_SIZE),
             callers: HashMap::new(),
             claims: outputs.claims,
             clock,
+            configured_at: None,
             core,
             crash_history: outputs.crash_history,
             driver: driver.clone(),
             gauges_set_at: Instant::now(),
             gossip: outputs.gossip,
+            handling: "start",
             leaving: outputs.leaving,
             meter: outputs.meter,
             outlets: HashMap::new(),
@@ -223,11 +266,12 @@
             pooled: HttpClient::pooled(),
             probes: HttpClient::metered(&outputs.traffic),
             quarantine_updates: outputs.quarantine_updates,
+            receiver,
             traffic: outputs.traffic,
             unknown_headers: unknown_headers::UnknownHeaders::default(),
             unpooled: HttpClient::unpooled(),
         };
-        (driver, tokio::spawn(task.run(receiver)))
+        (driver, tokio::spawn(task.run()))
     }
 
     /// Passes a change of the fleet's members to the core.
@@ -278,12 +322,10 @@
         let (replies, outlet) = Outlet::new();
         let original = Arc::new(original);
         let submission = Box::new(submission);
-        self.send(Message::Relay(
-            submission,
-            original,
-            replies,
-            outlet.clone(),
-        ));
+        let message = Message::Relay(submission, original, replies, outlet.clone());
+        if let Err(unsent) = self.sender.send(message) {
+            refuse(unsent.0);
+        }
         outlet
     }
 
@@ -298,6 +340,32 @@
     }
 }
 
+impl Message {
+    /// Name of its kind, or of the kind of its event, in logs.
+    fn name(&self) -> &'static str {
+        match self {
+            Self::Count(_) => "count",
+            Self::Event(event) | Self::Response(_, _, _, event) => event.name(),
+            Self::Members(..) => "members",
+            Self::Relay(..) | Self::Submit(..) => "submit",
+            Self::Settings(_) => "settings",
+            Self::Status(_) => "status",
+            Self::TunnelTarget(..) => "tunnel_target",
+            Self::UnknownHeader(..) => "unknown_header",
+        }
+    }
+}
+
+impl Drop for Task {
+    fn drop(&mut self) {
+        if std::thread::panicking() {
+            self.log_end();
+            self.record_cuts();
+            self.end_requests();
+        }
+    }
+}
+
 impl RunningAttempt {
     /// An attempt whose reading is never paused.
     fn unpaused(task: JoinHandle<()>) -> Self {
@@ -330,17 +398,17 @@
 }
 
 impl Task {
-    async fn run(mut self, mut receiver: mpsc::UnboundedReceiver<Message>) {
+    async fn run(mut self) {
         let mut ticks = interval(TICK_INTERVAL);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
-        let mut messages = Vec::with_capacity(BATCH_SIZE);
         loop {
             tokio::select! {
-                count = receiver.recv_many(&mut messages, BATCH_SIZE) => {
+                count = self.receiver.recv_many(&mut self.batch, BATCH_SIZE) => {
                     if count == 0 {
                         return;
                     }
-                    for message in messages.drain(..) {
+                    self.batch.reverse();
+                    while let Some(message) = self.batch.pop() {
                         self.handle_message(message);
                     }
                 }
@@ -356,6 +424,52 @@
         }
     }
 
+    /// Logs what the core task was handling when it panicked, and the requests that end with it.
+    fn log_end(&self) {
+        let open = self.callers.values();
+        let ids = open.filter_map(|pending| pending.original.as_ref());
+        let ids = ids.map(|original| original.request_id.as_ref());
+        let request_ids: Vec<&str> = ids.take(NAMED_REQUESTS_MAX).collect();
+        let request_ids = request_ids.join(",");
+        let event = self.handling;
+        let requests = self.callers.len();
+        let revision = self.core.revision();
+        error!(event, requests, request_ids, revision; "core task ended");
+    }
+
+    /// Ends all open requests: begun responses as incomplete, and others with what is known of whether they ran. A request
+    /// that may have run is never refused as not run.
+    fn end_requests(&mut self) {
+        self.receiver.close();
+        for (_, pending) in self.callers.drain() {
+            let reply = match pending {
+                // Callers of other kinds of requests get their replies when the channel closes.
+                PendingCaller { original: None, .. } => continue,
+                PendingCaller { has_head: true, .. } => Reply::Abort,
+                PendingCaller { was_sent: true, .. } => MAY_HAVE_RUN,
+                PendingCaller { .. } => NOT_RUN,
+            };
+            // Sending fails if the caller has disconnected.
+            let _ = pending.replies.send(reply);
+        }
+        self.batch.drain(..).for_each(refuse);
+        while let Ok(message) = self.receiver.try_recv() {
+            refuse(message);
+        }
+    }
+
+    /// Counts and logs the streams that end with the core task.
+    fn record_cuts(&self) {
+        let cut = counter::Cut::CoreEnded;
+        let begun = self.callers.iter().filter(|(_, pending)| pending.has_head);
+        for (caller, _) in begun {
+            self.count(Counter::StreamCut(cut), 1);
+            if let Some(entry) = self.core.request_log(*caller, Step::Cut(cut)) {
+                self.log_request(&entry);
+            }
+        }
+    }
+
     fn abort(&mut self, attempt: attempt::Key) {
         if let Some(running) = self.attempts.remove(&attempt) {
             running.task.abort();
@@ -366,7 +480,7 @@
     /// of messages to the core task.
     fn report_reads(&mut self) {
         let mut reads = Vec::new();
-        self.outlets.retain(|caller, outlet| {
+        self.outlets.retain(|caller, KeptOutlet { outlet, .. }| {
             // Nothing else can release bytes once this is the last reference.
             let is_last = Arc::strong_count(outlet) == 1;
             let bytes = outlet.take_released();
@@ -426,7 +540,12 @@
                 self.send_reply(caller, reply);
             }
             Effect::Detach(attempt) => self.abort(attempt),
-            Effect::EndStream(caller) => self.finish_caller(caller, Reply::EndStream),
+            Effect::EndStream(caller) => {
+                if let Some(kept) = self.outlets.get_mut(&caller) {
+                    kept.is_complete = true;
+                }
+                self.finish_caller(caller, Reply::EndStream);
+            }
             Effect::Fail {
                 caller,
                 kind,
@@ -462,7 +581,7 @@
             Effect::GossipStream { audience, record } => {
                 self.gossip(gossip::Message::Stream(record, audience));
             }
-            Effect::LogRequest(entry) => request_log::log_step(&entry),
+            Effect::LogRequest(entry) => self.log_request(&entry),
             Effect::LogUpstream {
                 born,
                 change,
@@ -518,8 +637,8 @@
     fn execute_buffering(&self, effect: effect::Buffering) {
         match effect {
             effect::Buffering::Discard(caller) => {
-                if let Some(outlet) = self.outlets.get(&caller) {
-                    outlet.discard();
+                if let Some(kept) = self.outlets.get(&caller) {
+                    kept.outlet.discard();
                 }
             }
             effect::Buffering::Pause(attempt) => self.set_paused(attempt, true),
@@ -604,11 +723,13 @@
     }
 
     fn handle_event(&mut self, event: Event) {
+        self.handling = event.name();
         if let Event::CallerGone(caller) = &event {
             self.callers.remove(caller);
             // A response in its queue would keep the outlet alive, since its chunk refers to it.
-            if let Some(outlet) = self.outlets.remove(caller) {
-                outlet.discard();
+            if let Some(kept) = self.outlets.remove(caller) {
+                kept.outlet.discard();
+                self.record_unread_cut(&kept);
             }
         }
         if let Event::Answered { attempt, .. }
@@ -619,13 +740,57 @@
         {
             self.attempts.remove(attempt);
         }
-        for effect in self.core.handle(self.clock.now(), event) {
+        let now = self.clock.now();
+        let revision = self.core.revision();
+        let effects = self.core.handle(now, event);
+        if self.core.revision() != revision {
+            self.configured_at = Some(now);
+        }
+        for effect in effects {
             self.execute(effect);
         }
     }
 
-    fn send_reply(&self, caller: Caller, reply: Reply) {
-        if let Some(pending) = self.callers.get(&caller) {
+    /// The configuration in force; `None` before the first one.
+    fn configuration_in_force(&self) -> Option<request_log::ConfigurationInForce> {
+        Some(request_log::ConfigurationInForce {
+            age_ms: self.clock.now().since(self.configured_at?),
+            revision: self.core.revision()?,
+        })
+    }
+
+    /// Logs a step of a request, and records the age of the configuration in force if its stream was cut.
+    fn log_request(&self, entry: &RequestLog) {
+        let configuration = self.configuration_in_force();
+        if matches!(entry.step, Step::Cut(_)) {
+            self.observe_cut(configuration);
+        }
+        request_log::log_step(entry, configuration);
+    }
+
+    /// Records the age of the configuration in force when a stream was cut.
+    fn observe_cut(&self, configuration: Option<request_log::ConfigurationInForce>) {
+        if let Some(configuration) = configuration {
+            let age_ms = configuration.age_ms as f64;
+            self.meter
+                .observe(meter::Latency::CutConfigurationAge, age_ms);
+        }
+    }
+
+    /// Records that a caller's connection closed before it had taken a stream that the core had finished.
+    fn record_unread_cut(&self, kept: &KeptOutlet) {
+        if !kept.is_complete {
+            return;
+        }
+        let configuration = self.configuration_in_force();
+        self.count(Counter::StreamCut(counter::Cut::CallerGone), 1);
+        self.observe_cut(configuration);
+        request_log::log_unread_cut(&kept.request_id, configuration);
+    }
+
+    fn send_reply(&mut self, caller: Caller, reply: Reply) {
+        if let Some(pending) = self.callers.get_mut(&caller) {
+            pending.has_head |= matches!(reply, Reply::Head(_) | Reply::Tokens { .. });
             // Sending fails if the caller has disconnected.
             let _ = pending.replies.send(reply);
         }
@@ -667,9 +832,16 @@
 
     /// Keeps the outlet of a stream until all its events are written.
     fn keep_outlet(&mut self, caller: Caller) {
-        let pending = self.callers.get(&caller);
-        if let Some(outlet) = pending.and_then(|pending| pending.outlet.clone()) {
-            self.outlets.insert(caller, outlet);
+        let Some(pending) = self.callers.get(&caller) else {
+            return;
+        };
+        if let (Some(original), Some(outlet)) = (&pending.original, &pending.outlet) {
+            let kept = KeptOutlet {
+                is_complete: false,
+                outlet: outlet.clone(),
+                request_id: original.request_id.clone(),
+            };
+            self.outlets.insert(caller, kept);
         }
     }
 
@@ -728,6 +900,11 @@
         outbound: Outbound,
         upstream: upstream::Key,
     ) {
+        if let Outbound::Relay { caller, .. } = &outbound
+            && let Some(pending) = self.callers.get_mut(caller)
+        {
+            pending.was_sent = true;
+        }
         let driver = self.driver.clone();
         let task = match outbound {
             Outbound::Call {
@@ -796,6 +973,7 @@
     }
 
     fn handle_message(&mut self, message: Message) {
+        self.handling = message.name();
         match message {
             Message::Count(counter) => self.meter.count(counter, 1),
             Message::Event(event) => self.handle_event(event),
@@ -805,10 +983,12 @@
             }
             Message::Relay(submission, original, replies, outlet) => {
                 let pending = PendingCaller {
+                    has_head: false,
                     held: None,
                     original: Some(original),
                     outlet: Some(outlet),
                     replies,
+                    was_sent: false,
                 };
                 self.callers.insert(submission.caller, pending);
                 self.handle_event(Event::Submit(submission));
@@ -829,10 +1009,12 @@
             }
             Message::Submit(submission, replies) => {
                 let pending = PendingCaller {
+                    has_head: false,
                     held: None,
                     original: None,
                     outlet: None,
                     replies,
+                    was_sent: false,
                 };
                 self.callers.insert(submission.caller, pending);
                 self.handle_event(Event::Submit(submission));
@@ -849,6 +1031,14 @@
     }
 }
 
+/// Answers the request of a message that the core task did not handle before it ended.
+fn refuse(message: Message) {
+    if let Message::Relay(_, _, replies, _) = message {
+        // Sending fails if the caller has disconnected.
+        let _ = replies.send(NOT_RUN);
+    }
+}
+
 /// Connects to an upstream only to find out whether it can be reached from here.
 async fn check_connection(
     driver: Driver,
