Streams go on only from the memory of their own runs

A client whose instance ended took its stream up at another instance and read on from there what a different request with the same prompt would have been given. It need not be its own request: two streams of one session suffice.

Cause: records of streams were kept by the hash of what is asked, one each, the latest. A caller that does not name its first run (`Resumes`) was given that record, its copy and its upstream, whoever's they were. The record of the other stream was lost, too, so that callers who name their run had no copy.

A stream is now identified by what is asked and by the run that brought its first event (`StreamId`), and one module, `sameness`, decides which stream a request takes up. Records, reservations, origins and lookups are kept by this identifier. A caller that names its run gets that stream if the content and the announced tokens are equal as well. One that does not is taken to come back for the only stream with its content and tokens; if there are two, running, left or ended in the last 30 s, or if this instance may have missed one, no copy, run or upstream is named and the stream goes on without a copy, at the version that all of them have. An instance that relays a stream asks the few that keep records for others like it, and answers to lookups hold all streams that fit and are recorded together.

The fake upstreams of the virtual fleet took a copy of another caller with the same prompt for its own; that check is now by the caller. In the new test, records that are not yet written are lost with all instances.

Ruled out: a number of the run in the hash of what is asked (it differs for each attempt), and to use no copy for callers that name no run, which the platform's callers do not.

--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -379,8 +379,7 @@
         route: &'a config::Route,
         relay: &request::Relay,
     ) -> Option<&'a config::Share> {
-        let run = relay.resumes.filter(|_| relay.position > 0)?;
-        let version = self.origins.get(run)?;
+        let version = self.version_of(&self.taken_up(relay))?;
         let mut shares = route.shares.iter();
         shares.find(|share| {
             let pool = self.pools.get(share.service.pool());
--- a/crates/core/src/core.rs
+++ b/crates/core/src/core.rs
@@ -245,7 +245,7 @@
             Event::PeerLimit { incarnation, rate } => self.apply_peer_limit(incarnation, rate),
             Event::PeerLoss(incarnation) => self.record_peer_loss(incarnation),
             Event::PeerSpeed(speed) => self.record_peer_speed(&speed),
-            Event::PeerStream(record) => self.record_peer_stream(record),
+            Event::PeerStream(record) => self.handle_peer_stream(record),
             Event::PiggybackedLoad { attempt, load } => self.apply_piggybacked_load(attempt, load),
             Event::Probed { alive, upstream } => self.apply_probe_result(upstream, alive),
             Event::Replied {
@@ -255,6 +255,7 @@
             } => self.handle_reply(attempt, status, body),
             Event::StoreAway(since) => self.record_store_away(since),
             Event::ResponseHeld { attempt, bytes } => self.hold_response(attempt, bytes),
+            Event::StreamsFound(records) => self.handle_found_streams(records),
             Event::StreamEnded { attempt, marked } => self.handle_stream_end(attempt, marked),
             Event::StreamEvent {
                 attempt,
--- a/crates/core/src/directory.rs
+++ b/crates/core/src/directory.rs
@@ -27,6 +27,13 @@
     pub prompt: u64,
 }
 
+impl Lookup {
+    /// Whether it is for the record of a stream.
+    pub fn finds(&self, id: StreamId) -> bool {
+        self.prompt == id.content && self.origin.is_none_or(|origin| origin == id.origin)
+    }
+}
+
 /// Lookups that are awaited, with the time until which.
 pub(crate) type Lookups = BTreeMap<Lookup, Time>;
 
@@ -85,13 +92,16 @@
     fn needed_lookup(&self, submission: &event::Submission) -> Option<Lookup> {
         let relay = submission.work.relay().filter(|relay| relay.position > 0)?;
         let lookup = relay.lookup();
-        if !self.has_read_state() || self.knows_stream(lookup) {
+        if !self.has_read_state() {
             return None;
         }
         let has_holders = |pool: &Arc<str>| {
             self.audience(pool, stream_record::Stage::Started) == Audience::Holders
         };
         let is_kept_by_few = relay.prompt != 0 && self.pools.keys().any(has_holders);
+        if self.knows_stream(lookup, is_kept_by_few) {
+            return None;
+        }
         let needs_version = || {
             let config = self.config.as_ref()?;
             let route = config.route(&relay.host, &relay.path)?;
@@ -101,14 +111,22 @@
         (is_kept_by_few || needs_version() == Some(true)).then_some(lookup)
     }
 
-    /// Whether the record of a stream is known.
-    fn knows_stream(&self, lookup: Lookup) -> bool {
+    /// Whether the record of a stream is known; if its caller does not name it, whether those of all streams with its content
+    /// are. Where few instances keep records, this one is told of all of them only if it is among the few.
+    fn knows_stream(&self, lookup: Lookup, is_kept_by_few: bool) -> bool {
+        let content = lookup.prompt;
         match lookup.origin {
-            Some(run) => self.origins.get(run).is_some(),
-            None => self.stream_records.get(lookup.prompt).is_some(),
+            Some(origin) => self.origins.get(StreamId { content, origin }).is_some(),
+            None if is_kept_by_few => self.stream_records.is_told_of(content),
+            None => self.stream_records.with_content(content).next().is_some(),
         }
     }
 
+    /// Whether the record of a stream is awaited.
+    pub(crate) fn is_looked_up(&self, id: StreamId) -> bool {
+        self.lookups.keys().any(|lookup| lookup.finds(id))
+    }
+
     /// Whether a submission waits for the record of its stream.
     pub(crate) fn awaits_lookup(&self, submission: &event::Submission) -> bool {
         let Some(relay) = submission.work.relay() else {
@@ -118,13 +136,11 @@
         until.is_some_and(|until| self.now < *until)
     }
 
-    /// Ends the lookups of a record that has arrived.
-    pub(crate) fn finish_lookups(&mut self, prompt: u64, origin: RunId) {
+    /// Ends the lookups of records that have arrived.
+    pub(crate) fn finish_lookups(&mut self, ids: &[StreamId]) {
         let before = self.lookups.len();
-        self.lookups.retain(|lookup, _| match lookup.origin {
-            Some(run) => run != origin,
-            None => lookup.prompt != prompt,
-        });
+        self.lookups
+            .retain(|lookup, _| !ids.iter().any(|id| lookup.finds(*id)));
         if self.lookups.len() < before {
             self.submit_deferred();
         }
--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -312,6 +312,8 @@
     StreamOpened(attempt::Key),
     /// All streams that were stored before this instance started have been reported.
     StreamsRestored,
+    /// Another instance answered a lookup with the states of all streams that it knows by it.
+    StreamsFound(Vec<StreamRecord>),
     /// A request arrived.
     Submit(Box<Submission>),
     /// Time passed.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -46,6 +46,7 @@
 pub mod retry_window;
 pub mod role;
 pub mod roster;
+pub mod sameness;
 pub mod settings;
 pub mod staleness;
 pub mod store_calls;
@@ -116,6 +117,7 @@
     retry_window::{RetryClass, RetryWindow},
     role::{Role, WatcherRank},
     roster::{Change, Roster, RosterUpdate, UpdateOutcome},
+    sameness::{EndedStreams, StreamId, TakenUp},
     settings::{
         CallAdmission, CallPlacement, LivenessMethod, QuarantineRule, ResumeMode, RetryBound,
         Routing, Settings, UrgencyMode, VersionPolicy, Yielding,
--- a/crates/core/src/origin.rs
+++ b/crates/core/src/origin.rs
@@ -52,27 +52,27 @@
     version: Version,
 }
 
-/// Origins of streams, by the runs that began them.
+/// Origins of streams.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Origins {
-    /// Runs by the time of their last report.
-    due: VecDeque<(Time, RunId)>,
-    entries: HashMap<RunId, Entry>,
+    /// Streams by the time of their last report.
+    due: VecDeque<(Time, StreamId)>,
+    entries: HashMap<StreamId, Entry>,
     /// When each version was last reported.
     reported: BTreeMap<Version, Time>,
 }
 
 impl Origins {
-    /// Records that a run was sent to an upstream of a version, or that its first event came from there. The upstream that
+    /// Records that a stream was sent to an upstream of a version, or that its first event came from there. The upstream that
     /// sent the first event does not change any more.
-    pub fn record(&mut self, run: RunId, version: Version, has_begun: bool, now: Time) {
+    pub fn record(&mut self, id: StreamId, version: Version, has_begun: bool, now: Time) {
         if !version.is_stated() {
             return;
         }
         self.expire(now);
         self.reported.insert(version, now);
-        let is_new = !self.entries.contains_key(&run);
-        let entry = self.entries.entry(run).or_insert(Entry {
+        let is_new = !self.entries.contains_key(&id);
+        let entry = self.entries.entry(id).or_insert(Entry {
             at: now,
             has_begun,
             version,
@@ -83,13 +83,13 @@
         }
         if is_new || now.since(entry.at) >= REFRESH_MS {
             entry.at = now;
-            self.due.push_back((now, run));
+            self.due.push_back((now, id));
         }
     }
 
-    /// The version that began the stream of a run.
-    pub fn get(&self, run: RunId) -> Option<Version> {
-        self.entries.get(&run).map(|entry| entry.version)
+    /// The version that began a stream.
+    pub fn get(&self, id: StreamId) -> Option<Version> {
+        self.entries.get(&id).map(|entry| entry.version)
     }
 
     /// Versions that streams were sent to recently, of any pool.
@@ -101,12 +101,12 @@
 
     /// Forgets origins whose retention time is over, and the oldest if there are too many.
     fn expire(&mut self, now: Time) {
-        while let Some((at, run)) = self.due.front().copied()
+        while let Some((at, id)) = self.due.front().copied()
             && (now.since(at) >= RETENTION_MS || self.due.len() >= MAX_ENTRIES)
         {
             self.due.pop_front();
-            if self.entries.get(&run).is_some_and(|entry| entry.at == at) {
-                self.entries.remove(&run);
+            if self.entries.get(&id).is_some_and(|entry| entry.at == at) {
+                self.entries.remove(&id);
             }
         }
         self.reported.retain(|_, at| now.since(*at) < RETENTION_MS);
@@ -114,24 +114,26 @@
 }
 
 impl Core {
-    /// The origin of a stream that its caller takes up; `record` is what is known of the stream by its prompt.
-    pub(crate) fn origin_of(
-        &self,
-        relay: &request::Relay,
-        record: Option<&StreamRecord>,
-        pool: &str,
-    ) -> Origin {
-        if relay.position == 0 {
-            return Origin::Unbegun;
-        }
-        let known = match relay.resumes {
-            Some(run) => self.origins.get(run),
-            None => record.and_then(|record| self.origins.get(record.origin)),
-        };
+    /// The origin of a stream of which this is known, where its caller takes it up.
+    pub(crate) fn origin_of(&self, taken_up: &TakenUp, pool: &str) -> Origin {
+        let known = self.version_of(taken_up);
         let version = known.or_else(|| self.only_version(pool));
         version.map_or(Origin::Unknown, Origin::Begun)
     }
 
+    /// The version that began a stream of which this is known. Where it may be one of several, all of them must have begun at
+    /// that version.
+    pub(crate) fn version_of(&self, taken_up: &TakenUp) -> Option<Version> {
+        let ids = match taken_up {
+            TakenUp::Known(id, _) => std::slice::from_ref(id),
+            TakenUp::OneOf(ids) => &ids[..],
+            TakenUp::Unknown => return None,
+        };
+        let version = self.origins.get(*ids.first()?)?;
+        let is_same = |id: &StreamId| self.origins.get(*id) == Some(version);
+        ids.iter().all(is_same).then_some(version)
+    }
+
     /// The version that must have begun every stream of a pool which may come back now: the only one that its upstreams have
     /// had for as long as callers wait. `None` if there were several, or if this instance may have missed one: it has not
     /// read yet which streams ran before its start, or the store is away.
@@ -218,6 +220,6 @@
             record.version = self.upstreams[*key].version;
         }
         self.origins
-            .record(record.origin, record.version, record.has_begun, self.now);
+            .record(record.id(), record.version, record.has_begun, self.now);
     }
 }
--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -204,7 +204,7 @@
     }
 
     /// Records the state of a stream as reported by another instance.
-    pub(crate) fn record_peer_stream(&mut self, mut record: StreamRecord) {
+    fn record_peer_stream(&mut self, mut record: StreamRecord) -> StreamId {
         self.peer_heard_at = self.now;
         self.fit_rank(&mut record);
         self.record_origin(&mut record);
@@ -232,15 +232,41 @@
             self.upstreams[upstream].record_answer(self.now);
         }
         let upstreams = &self.upstreams_by_incarnation;
-        let (prompt, origin) = (record.prompt, record.origin);
+        let id = record.id();
+        let source = if self.is_looked_up(id) || !self.streams_restored {
+            stream_record::Source::Found
+        } else {
+            stream_record::Source::Announced
+        };
         self.stream_records
-            .add(record, false, prefill_ms, upstreams, self.now);
-        self.finish_lookups(prompt, origin);
+            .add(record, source, prefill_ms, upstreams, self.now);
+        // What began after the last write to the store is not read from there: where streams before the start were alike, others
+        // may have been like them.
+        if !self.streams_restored && self.stream_records.has_others_like(id) {
+            self.stream_records.mark_incomplete(self.now);
+        }
+        id
+    }
+
+    /// Records the state of a stream as reported by another instance, and serves those who wait for it.
+    pub(crate) fn handle_peer_stream(&mut self, record: StreamRecord) {
+        let id = self.record_peer_stream(record);
+        self.finish_lookups(&[id]);
+    }
+
+    /// Records the streams that another instance found for a lookup, and serves those who wait for them. They are recorded
+    /// together, so that nobody is served while only one of several streams alike is known.
+    pub(crate) fn handle_found_streams(&mut self, records: Vec<StreamRecord>) {
+        let ids = records
+            .into_iter()
+            .map(|record| self.record_peer_stream(record));
+        let ids: Vec<StreamId> = ids.collect();
+        self.finish_lookups(&ids);
     }
 
     /// Initial progress of a relayed request. A request that resumes a stream starts after the last
     /// event that its caller received, from the KV copy or the upstream that another instance
-    /// reported for the stream.
+    /// reported for the stream, if it is known for certain which stream that is.
     pub(crate) fn initial_progress(
         &self,
         relay: &request::Relay,
@@ -254,15 +280,16 @@
         if relay.position == 0 {
             return progress;
         }
-        // Another stream may have the same prompt.
-        let is_same = |record: &&StreamRecord| relay.resumes.is_none_or(|run| run == record.origin);
-        let record = self.stream_records.get(relay.prompt).filter(is_same);
-        progress.origin = self.origin_of(relay, record, pool);
-        progress.run = relay
-            .resumes
-            .or(record.map(|record| record.origin))
-            .unwrap_or(progress.run);
-        if let Some(record) = record {
+        let taken_up = self.taken_up(relay);
+        progress.origin = self.origin_of(&taken_up, pool);
+        if let Some(run) = relay.resumes {
+            progress.run = run;
+        }
+        if let TakenUp::Known(id, record) = taken_up {
+            progress.run = id.origin;
+            let Some(record) = record else {
+                return progress;
+            };
             let find = |incarnation: Option<Incarnation>| {
                 self.upstreams_by_incarnation.get(&incarnation?).copied()
             };
@@ -593,6 +620,7 @@
         let request = &self.requests[key];
         if let Some(relay) = request.work.relay() {
             let mut record = relay.stream_record(stream_record::Stage::Waiting, None, None);
+            record.set_origin(&request.progress, Version::UNSTATED);
             record.pool = request.service.pool().into();
             let turn = self.turn(request);
             record.rank = turn.map(|turn| turn.rank);
@@ -614,13 +642,13 @@
 
     fn gossip(&mut self, record: StreamRecord, audience: Audience) {
         self.origins
-            .record(record.origin, record.version, record.has_begun, self.now);
+            .record(record.id(), record.version, record.has_begun, self.now);
         if record.prompt == 0 {
             return;
         }
         self.stream_records.add(
             record.clone(),
-            true,
+            stream_record::Source::Own,
             0,
             &self.upstreams_by_incarnation,
             self.now,
--- a/crates/core/src/request.rs
+++ b/crates/core/src/request.rs
@@ -47,7 +47,8 @@
     pub path: Arc<str>,
     /// Position of the last event that the caller received on an earlier connection; 0 for none.
     pub position: u64,
-    /// Identifier of the prompt, equal for all attempts of a caller; 0 for none.
+    /// Hash of what is asked: customer, host, path, query, prompt and body. It is equal for all attempts of a caller, and for
+    /// others that ask for the same; 0 if the request states no prompt.
     pub prompt: u64,
     /// The run of an earlier attempt of the caller that brought the first event; `None` unless the caller names it.
     pub resumes: Option<RunId>,
@@ -61,6 +62,14 @@
 }
 
 impl Relay {
+    /// Identifies its stream if this run brought the first event.
+    pub(crate) fn stream_id(&self, origin: RunId) -> StreamId {
+        StreamId {
+            content: self.prompt,
+            origin,
+        }
+    }
+
     /// What the record of its stream is looked up by.
     pub(crate) fn lookup(&self) -> directory::Lookup {
         directory::Lookup {
--- a/crates/core/src/retry_window.rs
+++ b/crates/core/src/retry_window.rs
@@ -277,7 +277,7 @@
         if !bound.is_set() {
             return;
         }
-        let before = self.stream_records.get(record.prompt);
+        let before = self.stream_records.get(record.id());
         let is_first = before.is_none_or(|before| {
             before.run != record.run || before.stage == stream_record::Stage::Waiting
         });
--- a/crates/core/src/stream_record.rs
+++ b/crates/core/src/stream_record.rs
@@ -50,7 +50,7 @@
     pub origin: RunId,
     /// Name of the pool in whose queue it is; empty unless it is queued.
     pub pool: String,
-    /// Hash of the prompt.
+    /// Hash of what is asked; see [`request::Relay::prompt`].
     pub prompt: u64,
     /// Its rank; `None` if no ranks are in force in its pool, or if its instance tells none.
     pub rank: Option<Rank>,
@@ -80,6 +80,17 @@
     }
 }
 
+/// How this instance came to know of a stream.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Source {
+    /// Another instance announced it to this one, as it does all streams with the same content.
+    Announced,
+    /// It was looked up, or read from the store.
+    Found,
+    /// This instance relays it.
+    Own,
+}
+
 /// State kept for one record.
 #[derive(Clone, Debug)]
 struct Entry {
@@ -88,12 +99,16 @@
     backup: Option<upstream::Key>,
     /// When `reservation` may change.
     expires_at: Time,
-    /// Whether this instance relays the stream itself.
-    is_own: bool,
+    /// Whether another stream has its identifier, or may have.
+    is_ambiguous: bool,
+    /// Whether a later stream with the same content, none of whose events have arrived either, counts in its place: mostly
+    /// its caller's next attempt.
+    is_superseded: bool,
     /// Estimated duration of its prefill, in milliseconds.
     prefill_ms: u64,
     record: StreamRecord,
     reservation: Reservation,
+    source: Source,
     /// Upstream that runs it, if known here.
     upstream: Option<upstream::Key>,
 }
@@ -108,19 +123,22 @@
     Resources(Usage),
 }
 
-/// Records by hash of the prompt, and the sum of their reservations. Sums are updated incrementally, so that the cost of a
+/// Records of streams, and the sum of their reservations. Sums are updated incrementally, so that the cost of a
 /// decision does not grow with the number of streams.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct StreamRecords {
-    /// When reservations may change, with the hash of the prompt.
-    due: BTreeSet<(Time, u64)>,
-    entries: HashMap<u64, Entry>,
+    /// When reservations may change.
+    due: BTreeSet<(Time, StreamId)>,
+    ended: EndedStreams,
+    entries: BTreeMap<StreamId, Entry>,
+    /// Until when streams that callers take up may be unknown here although others with their content are known.
+    incomplete_until: Option<Time>,
     /// Usage of each upstream by streams of other instances.
     usages: SecondaryMap<upstream::Key, Usage>,
     /// Queued streams of other instances by pool, in the order of their turns; only those with a rank.
-    turns: HashMap<String, BTreeSet<(Turn, u64)>>,
+    turns: HashMap<String, BTreeSet<(Turn, StreamId)>>,
     /// Queued streams of other instances by pool, in the order of their records.
-    waiting: HashMap<String, BTreeSet<(Time, u64)>>,
+    waiting: HashMap<String, BTreeSet<(Time, StreamId)>>,
 }
 
 impl Entry {
@@ -143,7 +161,9 @@
             Reservation::Resources(Usage::new(is_prefilling, tokens, self.record.rank))
         };
         let (reservation, until) = match self.record.stage {
-            _ if self.is_own => (Reservation::Nothing, RETENTION_MS),
+            _ if self.source == Source::Own || self.is_superseded => {
+                (Reservation::Nothing, RETENTION_MS)
+            }
             Stage::Started if age < self.prefill_ms => (resources(true), self.prefill_ms),
             Stage::Started | Stage::Streaming if age < RUNNING_MS => (resources(false), RUNNING_MS),
             Stage::Waiting if age < WAITING_MS => (Reservation::QueueSlot(self.turn()), WAITING_MS),
@@ -154,60 +174,70 @@
 }
 
 impl StreamRecords {
-    /// Adds a record from another instance, or from this one if `is_own` is set. The stream's prefill is assumed to take
-    /// `prefill_ms`.
+    /// Adds a record. The stream's prefill is assumed to take `prefill_ms`.
     pub fn add(
         &mut self,
         record: StreamRecord,
-        is_own: bool,
+        source: Source,
         prefill_ms: u64,
         upstreams: &UpstreamsByIncarnation,
         now: Time,
     ) {
         match record.stage {
-            Stage::Ended => self.remove(record.prompt),
+            Stage::Ended => {
+                self.remove(record.id());
+                if self.ended.add(record.id(), now) {
+                    self.mark_incomplete(now);
+                }
+            }
             Stage::Left => {
-                if let Some(entry) = self.entries.get_mut(&record.prompt)
+                if let Some(entry) = self.entries.get_mut(&record.id())
                     && entry.record.run == record.run
                 {
                     entry.record.stage = Stage::Left;
-                    self.update(record.prompt, now);
+                    entry.record.has_begun |= record.has_begun;
+                    self.update(record.id(), now);
                 }
             }
             Stage::Started | Stage::Streaming | Stage::Waiting => {
                 if self.entries.len() >= MAX_ENTRIES {
                     self.remove_older(now);
                 }
-                let prompt = record.prompt;
+                let id = record.id();
                 let find = |incarnation: Option<Incarnation>| upstreams.get(&incarnation?).copied();
-                self.remove(prompt);
+                let is_ambiguous = self.is_begun_again(&record);
+                self.remove(id);
+                self.supersede(&record, now);
                 let entry = Entry {
                     at: now,
                     backup: find(record.backup),
                     expires_at: now,
-                    is_own,
+                    is_ambiguous,
+                    is_superseded: false,
                     prefill_ms: prefill_ms.min(RUNNING_MS),
                     reservation: Reservation::Nothing,
+                    source,
                     upstream: find(record.upstream),
                     record,
                 };
-                self.entries.insert(prompt, entry);
-                self.update(prompt, now);
+                self.entries.insert(id, entry);
+                self.update(id, now);
             }
         }
     }
 
     /// Updates reservations that are due for a change, and removes expired records.
     pub fn advance(&mut self, now: Time) {
-        while let Some((at, prompt)) = self.due.first().copied()
+        self.ended.expire(now);
+        while let Some((at, id)) = self.due.first().copied()
             && at <= now
         {
-            let entry = self.entries.get(&prompt);
+            let entry = self.entries.get(&id);
             if entry.is_none_or(|entry| now.since(entry.at) >= RETENTION_MS) {
-                self.remove(prompt);
-                self.due.remove(&(at, prompt));
+                self.remove(id);
+                self.due.remove(&(at, id));
             } else {
-                self.update(prompt, now);
+                self.update(id, now);
             }
         }
     }
@@ -215,38 +245,110 @@
     /// Links existing records to an upstream that has become known.
     pub fn resolve(&mut self, incarnation: Incarnation, key: upstream::Key, now: Time) {
         let incarnation = Some(incarnation);
-        let affected: Vec<u64> = self
+        let affected: Vec<StreamId> = self
             .entries
             .iter()
             .filter(|(_, entry)| {
                 entry.record.upstream == incarnation || entry.record.backup == incarnation
             })
-            .map(|(prompt, _)| *prompt)
+            .map(|(id, _)| *id)
             .collect();
-        for prompt in affected {
-            self.release(prompt);
-            if let Some(entry) = self.entries.get_mut(&prompt) {
+        for id in affected {
+            self.release(id);
+            if let Some(entry) = self.entries.get_mut(&id) {
                 if entry.record.upstream == incarnation {
                     entry.upstream = Some(key);
                 } else {
                     entry.backup = Some(key);
                 }
             }
-            self.update(prompt, now);
+            self.update(id, now);
         }
     }
 
-    /// Last record of a prompt.
-    pub fn get(&self, prompt: u64) -> Option<&StreamRecord> {
-        self.entries.get(&prompt).map(|entry| &entry.record)
+    /// Last record of a stream.
+    pub fn get(&self, id: StreamId) -> Option<&StreamRecord> {
+        self.entries.get(&id).map(|entry| &entry.record)
+    }
+
+    /// Records of the streams with this content that have not ended.
+    pub fn with_content(&self, content: u64) -> impl Iterator<Item = &StreamRecord> {
+        let entries = self.entries.range(StreamId::with_content(content));
+        entries.map(|(_, entry)| &entry.record)
+    }
+
+    /// Whether there are other streams with the content of one.
+    pub fn has_others_like(&self, id: StreamId) -> bool {
+        self.with_content(id.content)
+            .any(|record| record.id() != id)
+    }
+
+    /// Streams with this content that have ended.
+    pub fn ended_with_content(&self, content: u64) -> impl Iterator<Item = StreamId> {
+        self.ended.with_content(content)
+    }
+
+    /// Whether another instance announces the streams with this content here.
+    pub fn is_told_of(&self, content: u64) -> bool {
+        let mut entries = self.entries.range(StreamId::with_content(content));
+        entries.any(|(_, entry)| entry.source == Source::Announced)
+    }
+
+    /// Whether a stream and another one have the same identifier, or may have.
+    pub fn is_ambiguous(&self, id: StreamId) -> bool {
+        self.entries
+            .get(&id)
+            .is_some_and(|entry| entry.is_ambiguous)
+    }
+
+    /// Whether streams that callers take up may be unknown here although others with their content are known.
+    pub fn may_lack_streams(&self, now: Time) -> bool {
+        self.incomplete_until.is_some_and(|until| now < until)
+    }
+
+    /// Notes that streams may have been missed that callers may take up.
+    pub fn mark_incomplete(&mut self, now: Time) {
+        self.incomplete_until = Some(now.after(RETENTION_MS));
+    }
+
+    /// Whether a record shows that a run which has begun was sent anew from the start: its caller has used its name again.
+    fn is_begun_again(&self, record: &StreamRecord) -> bool {
+        self.entries.get(&record.id()).is_some_and(|entry| {
+            let is_same_run = entry.record.run == record.run;
+            let starts = record.stage == Stage::Started && !record.has_begun;
+            entry.is_ambiguous || (is_same_run && starts && entry.record.has_begun)
+        })
+    }
+
+    /// Has a stream whose first event has not arrived count in place of others with the same content that have none either,
+    /// and a run in place of what was reported of it before: instances of the previous version report waiting streams under
+    /// other identifiers.
+    fn supersede(&mut self, record: &StreamRecord, now: Time) {
+        let entries = self
+            .entries
+            .range_mut(StreamId::with_content(record.prompt));
+        let replaced = entries.filter(|(_, entry)| {
+            let is_unbegun = !record.has_begun && !entry.record.has_begun;
+            !entry.is_superseded && (is_unbegun || entry.record.run == record.run)
+        });
+        let superseded: Vec<StreamId> = replaced
+            .map(|(id, entry)| {
+                entry.is_superseded = true;
+                *id
+            })
+            .collect();
+        for id in superseded {
+            self.update(id, now);
+        }
     }
 
     /// Time since another instance reported the start of a stream whose prefill is in progress, as a
     /// multiple of its estimated duration.
     pub fn prefill_pace(&self, record: &StreamRecord, now: Time) -> Option<f64> {
-        let entry = self.entries.get(&record.prompt)?;
+        let entry = self.entries.get(&record.id())?;
         let is_same = entry.record.run == record.run && entry.record.upstream == record.upstream;
-        let is_prefilling = is_same && entry.record.stage == Stage::Started && !entry.is_own;
+        let is_prefilling =
+            is_same && entry.record.stage == Stage::Started && entry.source != Source::Own;
         let duration = entry.prefill_ms.max(1) as f64;
         is_prefilling.then(|| now.since(entry.at) as f64 / duration)
     }
@@ -259,24 +361,28 @@
     /// Number of streams of other instances that are estimated to be queued for a pool and were so before a time.
     pub fn waiting(&self, pool: &str, before: Time) -> usize {
         let waiting = self.waiting.get(pool);
-        waiting.map_or(0, |waiting| waiting.range(..=(before, u64::MAX)).count())
+        waiting.map_or(0, |waiting| {
+            waiting.range(..=(before, StreamId::MAX)).count()
+        })
     }
 
     /// Number of streams of other instances that are estimated to be queued for a pool and whose turn is before another.
     pub fn waiting_before(&self, pool: &str, turn: Turn) -> usize {
         let turns = self.turns.get(pool);
-        turns.map_or(0, |turns| turns.range(..(turn, 0)).count())
+        turns.map_or(0, |turns| {
+            turns.range(..(turn, StreamId::default())).count()
+        })
     }
 
     /// Recomputes the reservation of a stream.
-    fn update(&mut self, prompt: u64, now: Time) {
-        self.release(prompt);
-        let Some(entry) = self.entries.get_mut(&prompt) else {
+    fn update(&mut self, id: StreamId, now: Time) {
+        self.release(id);
+        let Some(entry) = self.entries.get_mut(&id) else {
             return;
         };
-        self.due.remove(&(entry.expires_at, prompt));
+        self.due.remove(&(entry.expires_at, id));
         (entry.reservation, entry.expires_at) = entry.reservation_at(now);
-        self.due.insert((entry.expires_at, prompt));
+        self.due.insert((entry.expires_at, id));
         match entry.reservation {
             Reservation::Nothing => {}
             Reservation::Resources(usage) => {
@@ -290,19 +396,16 @@
                 let pool = entry.record.pool.clone();
                 if let Some(turn) = turn {
                     let turns = self.turns.entry(pool.clone()).or_default();
-                    turns.insert((turn, prompt));
+                    turns.insert((turn, id));
                 }
-                self.waiting
-                    .entry(pool)
-                    .or_default()
-                    .insert((entry.at, prompt));
+                self.waiting.entry(pool).or_default().insert((entry.at, id));
             }
         }
     }
 
     /// Releases the reservation of a stream.
-    fn release(&mut self, prompt: u64) {
-        let Some(entry) = self.entries.get_mut(&prompt) else {
+    fn release(&mut self, id: StreamId) {
+        let Some(entry) = self.entries.get_mut(&id) else {
             return;
         };
         match std::mem::replace(&mut entry.reservation, Reservation::Nothing) {
@@ -318,33 +421,34 @@
                 if let Some(turn) = turn
                     && let Some(turns) = self.turns.get_mut(&entry.record.pool)
                 {
-                    turns.remove(&(turn, prompt));
+                    turns.remove(&(turn, id));
                 }
                 if let Some(waiting) = self.waiting.get_mut(&entry.record.pool) {
-                    waiting.remove(&(entry.at, prompt));
+                    waiting.remove(&(entry.at, id));
                 }
             }
         }
     }
 
-    fn remove(&mut self, prompt: u64) {
-        self.release(prompt);
-        if let Some(entry) = self.entries.remove(&prompt) {
-            self.due.remove(&(entry.expires_at, prompt));
+    fn remove(&mut self, id: StreamId) {
+        self.release(id);
+        if let Some(entry) = self.entries.remove(&id) {
+            self.due.remove(&(entry.expires_at, id));
         }
     }
 
     /// Removes records older than half the retention time.
     fn remove_older(&mut self, now: Time) {
+        self.mark_incomplete(now);
         let is_old = |entry: &Entry| now.since(entry.at) >= RETENTION_MS / 2;
-        let old: Vec<u64> = self
+        let old: Vec<StreamId> = self
             .entries
             .iter()
             .filter(|(_, entry)| is_old(entry))
-            .map(|(prompt, _)| *prompt)
+            .map(|(id, _)| *id)
             .collect();
-        for prompt in old {
-            self.remove(prompt);
+        for id in old {
+            self.remove(id);
         }
     }
 }
--- a/crates/core/tests/relay/main.rs
+++ b/crates/core/tests/relay/main.rs
@@ -58,6 +58,7 @@
 mod readers;
 mod removal;
 mod retry;
+mod sameness;
 mod stream_version;
 mod version;
 
--- a/crates/node/src/gossip.rs
+++ b/crates/node/src/gossip.rs
@@ -234,7 +234,7 @@
                     streams.apply(record);
                 }
             });
-            report_streams(datagram.sightings, &self.driver);
+            report_found(datagram.sightings, &self.driver);
         }
         self.answer_wanted(&datagram.wanted, &datagram.wanted_origins, from);
         self.merge_crashes(datagram.ends, datagram.account, datagram.asks, from);
@@ -293,14 +293,11 @@
     /// Answers an instance that asks for the records of streams with those that are known here.
     fn answer_wanted(&self, prompts: &[u64], origins: &[u64], from: SocketAddr) {
         let streams = self.streams.borrow();
-        let by_prompt = prompts
-            .iter()
-            .filter_map(|prompt| streams.of_prompt(*prompt));
+        let by_prompt = prompts.iter().flat_map(|prompt| streams.of_prompt(*prompt));
         let by_origin = origins
             .iter()
-            .filter_map(|origin| streams.get(RunId(*origin)));
-        let records = by_prompt.chain(by_origin);
-        let records: Vec<peers::Sighting> = records.cloned().collect();
+            .filter_map(|origin| streams.get(RunId(*origin)).cloned());
+        let records: Vec<peers::Sighting> = by_prompt.chain(by_origin).collect();
         if !records.is_empty() {
             // Sending fails only while the instance shuts down.
             let _ = self.outgoing.send(Message::StreamRecords(from, records));
@@ -370,6 +367,15 @@
     now.map_or(0, |now| now.as_millis() as u64) << SEQUENCE_SHIFT
 }
 
+/// Reports to the core the streams of one datagram; several of them together, since they answer a lookup.
+fn report_found(records: Vec<peers::Sighting>, driver: &Driver) {
+    if records.len() == 1 {
+        return report_streams(records, driver);
+    }
+    let records = records.into_iter().map(datagram::decode_stream_record);
+    driver.send_event(Event::StreamsFound(records.collect()));
+}
+
 /// Reports to the core the streams that other instances relay.
 pub(crate) fn report_streams(records: Vec<peers::Sighting>, driver: &Driver) {
     for record in records {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -77,7 +77,7 @@
     serde_json::{Map, Value, json},
     sse_stream::{Sse, SseStream},
     std::{
-        collections::{BTreeMap, BTreeSet, HashMap, HashSet},
+        collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque},
         fmt::{self, Display, Formatter},
         net::SocketAddr,
         ops::RangeInclusive,
--- a/crates/node/src/store_writer.rs
+++ b/crates/node/src/store_writer.rs
@@ -43,18 +43,29 @@
 /// evicted.
 const STREAMS_MAX: usize = 4_000;
 
+/// Maximum number of ended streams that are remembered.
+const ENDED_MAX: usize = 100_000;
+
 /// Time for which a stream is stored without another report: longer than a caller waits.
 const STREAM_TTL: Duration = Duration::from_secs(30);
 
 /// Streams that instances relay, by the run that identifies each over all attempts of its caller, with the time of the last
 /// report.
 #[derive(Clone, Debug, Default)]
-pub struct Streams(BTreeMap<RunId, (Instant, peers::Sighting)>);
+pub struct Streams {
+    /// Streams that have ended, in the order of their ends, with the hash of what they asked for. Their callers may come back
+    /// for what they lack, and are not to be taken for those of others that ask for the same.
+    ended: VecDeque<(Instant, u64, RunId)>,
+    running: BTreeMap<RunId, (Instant, peers::Sighting)>,
+}
 
 impl Streams {
     /// Encodes the streams for the store in the order of their reports, without those whose last report is too old.
     fn encode(&self) -> Vec<u8> {
-        let recent = self.0.values().filter(|(at, _)| at.elapsed() < STREAM_TTL);
+        let recent = self
+            .running
+            .values()
+            .filter(|(at, _)| at.elapsed() < STREAM_TTL);
         let mut recent: Vec<&(Instant, peers::Sighting)> = recent.collect();
         recent.sort_by_key(|(at, _)| *at);
         let sightings = recent.into_iter().map(|(_, sighting)| sighting.clone());
@@ -64,39 +75,57 @@
 
     /// Removes the older half, including streams whose end was reported in a lost datagram.
     fn evict_older_half(&mut self) {
-        let mut times: Vec<Instant> = self.0.values().map(|(at, _)| *at).collect();
+        let mut times: Vec<Instant> = self.running.values().map(|(at, _)| *at).collect();
         let middle = times.len() / 2;
         let (_, middle, _) = times.select_nth_unstable(middle);
-        self.0.retain(|_, (at, _)| *at > *middle);
+        self.running.retain(|_, (at, _)| *at > *middle);
     }
 
     /// Record of the stream that a run began.
     pub fn get(&self, origin: RunId) -> Option<&peers::Sighting> {
-        self.0.get(&origin).map(|(_, sighting)| sighting)
+        self.running.get(&origin).map(|(_, sighting)| sighting)
     }
 
-    /// Last record of a stream with this hash of its prompt.
-    pub fn of_prompt(&self, prompt: u64) -> Option<&peers::Sighting> {
-        let of_prompt = |(_, sighting): &&(Instant, peers::Sighting)| sighting.prompt == prompt;
-        let last = self.0.values().filter(of_prompt).max_by_key(|(at, _)| *at);
-        last.map(|(_, sighting)| sighting)
+    /// Records of all streams with this hash of what they ask for, those that have ended included.
+    pub fn of_prompt(&self, prompt: u64) -> Vec<peers::Sighting> {
+        let running = self.running.values().map(|(_, sighting)| sighting);
+        let running = running.filter(|sighting| sighting.prompt == prompt);
+        let recent = |at: &Instant| at.elapsed() < STREAM_TTL;
+        let ended = self.ended.iter();
+        let ended = ended.filter(|(at, of, _)| *of == prompt && recent(at));
+        let ended = ended.map(|(_, _, origin)| peers::Sighting {
+            origin: origin.0,
+            prompt,
+            ..peers::Sighting::default()
+        });
+        running.cloned().chain(ended).collect()
+    }
+
+    /// Remembers that a stream has ended.
+    fn remember_end(&mut self, prompt: u64, origin: RunId) {
+        while let Some((at, _, _)) = self.ended.front()
+            && (at.elapsed() >= STREAM_TTL || self.ended.len() >= ENDED_MAX)
+        {
+            self.ended.pop_front();
+        }
+        self.ended.push_back((Instant::now(), prompt, origin));
     }
 
     /// Whether there are no streams.
     pub fn is_empty(&self) -> bool {
-        self.0.is_empty()
+        self.running.is_empty()
     }
 
     /// Number of streams.
     pub fn len(&self) -> usize {
-        self.0.len()
+        self.running.len()
     }
 
     /// Adds a stream that was stored before the start, unless an instance has reported it since.
     fn restore(&mut self, sighting: &peers::Sighting) {
         let record = (Instant::now(), sighting.clone());
         let origin = datagram::origin(sighting);
-        self.0.entry(origin).or_insert(record);
+        self.running.entry(origin).or_insert(record);
     }
 
     /// Applies an instance's report of a stream.
@@ -105,19 +134,23 @@
         match sighting.stage() {
             // Its caller may take it up, at the version that began it.
             peers::Stage::Left if sighting.has_begun => {
-                if let Some((_, known)) = self.0.get_mut(&origin) {
+                if let Some((_, known)) = self.running.get_mut(&origin) {
                     known.set_stage(peers::Stage::Left);
                 }
             }
-            peers::Stage::Ended | peers::Stage::Left => {
-                self.0.remove(&origin);
+            peers::Stage::Ended => {
+                self.running.remove(&origin);
+                self.remember_end(sighting.prompt, origin);
+            }
+            peers::Stage::Left => {
+                self.running.remove(&origin);
             }
             peers::Stage::Started | peers::Stage::Streaming => {
-                if self.0.len() >= STREAMS_MAX {
+                if self.running.len() >= STREAMS_MAX {
                     self.evict_older_half();
                 }
                 let record = (Instant::now(), sighting.clone());
-                self.0.insert(origin, record);
+                self.running.insert(origin, record);
             }
             // A request that has not been sent to an upstream has nothing to resume from.
             peers::Stage::Waiting => {}
--- a/crates/node/tests/store_writer.rs
+++ b/crates/node/tests/store_writer.rs
@@ -65,8 +65,10 @@
         ..sighting(7, Stage::Ended)
     });
     expect_that!(streams.get(RunId(1)), none());
-    expect_that!(
-        streams.of_prompt(7).map(|record| record.origin),
-        some(eq(2))
-    );
+    let known = streams.of_prompt(7);
+    let known: Vec<_> = known
+        .iter()
+        .map(|record| (record.origin, record.stage()))
+        .collect();
+    expect_that!(known, eq(&vec![(2, Stage::Started), (1, Stage::Ended)]));
 }
--- a/crates/standin/src/arguments.rs
+++ b/crates/standin/src/arguments.rs
@@ -124,6 +124,11 @@
     Command::new("measure")
         .about("Measures, baselines beside the policies, and prints tables and JSON")
         .subcommand_required(true)
+        .subcommand(
+            Command::new("alike")
+                .about("Streams alike that go on behind lost instances, in virtual time")
+                .arg(number("seeds", "Runs of each", "8")),
+        )
         .subcommand(Command::new("claims").about("Writes and time of claims"))
         .subcommand(
             Command::new("control")
@@ -468,6 +473,7 @@
     };
     let number = |name| *arguments.get_one::<u64>(name).expect("has a default") as usize;
     match name {
+        "alike" => alike::measure(number("seeds") as u64),
         "claims" => claims::run().await,
         "control" => control::run(number("load-ms") as u64).await,
         "cost" => cost::run().await,
--- a/crates/standin/src/crowd.rs
+++ b/crates/standin/src/crowd.rs
@@ -8,6 +8,7 @@
     kind::Ran,
     origin::RunId,
     request::{Caller as Connection, Relay, Work},
+    upstream,
 };
 
 /// Time that a caller waits for its whole answer.
@@ -22,6 +23,9 @@
 /// Tries of a caller, at most.
 const TRIES: usize = 12;
 
+/// API key of callers, unless they belong to another customer.
+pub(crate) const KEY: &str = "key";
+
 /// What a caller asks.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum Kind {
@@ -42,14 +46,24 @@
     }
 }
 
+/// Whether a caller that takes its stream up names the try that brought the first event.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Naming {
+    Named,
+    Unnamed,
+}
+
 /// A caller and what it has.
 pub(crate) struct Asker {
     /// When its last try was sent.
     pub asked: Time,
     pub begun: Time,
+    /// API key of its customer.
+    pub customer: &'static str,
     pub ended: bool,
     pub instance: usize,
     pub kind: Kind,
+    pub naming: Naming,
     /// The version that sent its first event, and its try that brought it.
     pub origin: Option<(u64, RunId)>,
     /// Position of the last event that it has.
@@ -70,6 +84,16 @@
     pub whole: bool,
 }
 
+impl Asker {
+    /// Hash of its prompt, which the edge takes over the customer's key as well.
+    fn prompt(&self) -> u64 {
+        if self.customer == KEY {
+            return self.print;
+        }
+        upstream::id(&format!("{} {}", self.customer, self.print))
+    }
+}
+
 impl World {
     /// A new caller asks.
     pub fn ask(&mut self) {
@@ -89,9 +113,11 @@
         self.askers.push(Asker {
             asked: self.timeline.now(),
             begun: self.timeline.now(),
+            customer: KEY,
             ended: false,
             instance,
             kind,
+            naming: Naming::Named,
             origin: None,
             position: 0,
             print,
@@ -131,7 +157,7 @@
         let submission = Submission {
             caller: connection,
             cursor: None,
-            customer: "key".into(),
+            customer: asker.customer.into(),
             fingerprint: asker.print,
             generation: u128::from(run),
             key: None,
@@ -145,11 +171,14 @@
                 timeout_ms: Some(PATIENCE_MS - waited),
                 position: asker.position,
                 prompt: if asker.kind == Kind::Stream {
-                    asker.print
+                    asker.prompt()
                 } else {
                     0
                 },
-                resumes: asker.origin.map(|(_, run)| run),
+                resumes: asker
+                    .origin
+                    .map(|(_, run)| run)
+                    .filter(|_| asker.naming == Naming::Named),
                 run: run.to_string().into(),
                 tokens: if asker.kind == Kind::Stream { 5_200 } else { 0 },
             }),
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -1,6 +1,7 @@
 //! Stand-ins of engines, plain services and the platform, for the demo, the measuring tool and the
 //! tests. Not shipped.
 
+pub mod alike;
 pub mod asker;
 pub mod caller;
 pub mod claims;
--- a/crates/standin/src/pool.rs
+++ b/crates/standin/src/pool.rs
@@ -186,7 +186,8 @@
         if let Some(copy) = copy {
             match self.upstreams[upstream].copies.remove(copy) {
                 None => return self.turn_away(line, key, upstream),
-                Some(owner) if self.askers[owner].print != self.askers[asker].print => {
+                Some(owner) if owner != asker => {
+                    self.case.foreign_copies += 1;
                     self.broken(format_args!("{asker} goes on from the memory of {owner}"));
                 }
                 Some(_) => self.case.copies += 1,
--- a/crates/standin/src/relaying.rs
+++ b/crates/standin/src/relaying.rs
@@ -80,8 +80,8 @@
     Arrive(Line, upstream::Key, usize, Outbound),
     /// The connection of an attempt is closed at an upstream.
     Close(Line, usize),
-    /// A record of a stream is in the store.
-    Keep(StreamRecord),
+    /// A record of a stream that was reported at a time is in the store.
+    Keep(StreamRecord, Time),
     /// One life of an instance reads the list.
     List(usize, u64),
     /// A caller comes back, if its try of this name is still the last.
@@ -103,8 +103,10 @@
 pub struct Case {
     /// Datagrams that asked for the record of a stream.
     pub asked: usize,
-    /// Streams that went on from a copy.
+    /// Streams that went on from a copy of their own.
     pub copies: usize,
+    /// Streams that went on from the copy of another caller's stream.
+    pub foreign_copies: usize,
     /// Times from the loss of a stream to its next event, in milliseconds.
     pub pauses_ms: Vec<f64>,
     /// Prompts read, one for each stream and one more each time that it was read again.
@@ -139,6 +141,10 @@
     pub instances: Vec<Instance>,
     /// Since when instances can read the list of upstreams; `None` if they can not.
     pub listing: Option<Time>,
+    /// Whether records that are not yet written to the store are lost with all instances.
+    pub loses_unwritten: bool,
+    /// Datagrams that are lost, of ten.
+    pub lost_of_ten: u32,
     /// How many instances there are.
     pub members: u64,
     pub next: u64,
@@ -224,6 +230,7 @@
     /// Adds another case.
     pub fn add(&mut self, other: Self) {
         self.copies += other.copies;
+        self.foreign_copies += other.foreign_copies;
         self.pauses_ms.extend(other.pauses_ms);
         self.prompts += other.prompts;
         self.requests += other.requests;
@@ -299,12 +306,19 @@
             }],
         }
     };
-    let customer = Customer {
-        name: "mill".into(),
-        ..Customer::anonymous()
+    let customer = |key: &str, name: &str| {
+        let customer = Customer {
+            name: name.into(),
+            ..Customer::anonymous()
+        };
+        (key.to_owned(), Arc::new(customer))
     };
     Config {
-        customers: [("key".to_owned(), Arc::new(customer))].into(),
+        customers: [
+            customer(crowd::KEY, "mill"),
+            customer(alike::OTHER_KEY, "loom"),
+        ]
+        .into(),
         revision: 1,
         routes: vec![
             route("/again/", "desk", true, false),
@@ -330,6 +344,8 @@
             cut_off: BTreeSet::new(),
             instances: Vec::new(),
             listing: Some(START),
+            loses_unwritten: false,
+            lost_of_ten: 1,
             members: instances as u64,
             next: 0,
             poison: Poison::default(),
@@ -526,6 +542,13 @@
         }
     }
 
+    /// Whether a record that was reported at a time is written to the store: where it is lost with them, by an instance that has
+    /// lived since.
+    fn is_written(&self, reported: Time) -> bool {
+        let has_lived = |one: &Instance| one.core.is_some() && one.since <= reported;
+        !self.loses_unwritten || self.instances.iter().any(has_lived)
+    }
+
     fn lives(&self, instance: usize, life: u64) -> bool {
         self.instances[instance].life == life && self.instances[instance].core.is_some()
     }
@@ -540,7 +563,9 @@
             Action::Close(line, upstream) => {
                 self.upstreams[upstream].streams.remove(&line);
             }
-            Action::Keep(record) => keep(&mut self.stored, record),
+            Action::Keep(record, reported) if self.is_written(reported) => {
+                keep(&mut self.stored, record);
+            }
             Action::List(instance, life) if self.lives(instance, life) => {
                 if self.listing.is_some() {
                     let listed = Some(self.listed());
@@ -577,13 +602,18 @@
                 self.timeline.schedule(pause, Action::Tick(instance, life));
             }
             // The instance has ended.
-            Action::List(..) | Action::Tell(..) | Action::Tick(..) => {}
+            Action::Keep(..) | Action::List(..) | Action::Tell(..) | Action::Tick(..) => {}
         }
     }
 
     pub fn tell(&mut self, instance: usize, event: Event) {
         let now = self.timeline.now();
-        if let Event::PeerStream(record) = &event {
+        let told = match &event {
+            Event::PeerStream(record) => std::slice::from_ref(record),
+            Event::StreamsFound(records) => &records[..],
+            _ => &[],
+        };
+        for record in told {
             keep(&mut self.instances[instance].records, record.clone());
         }
         let Some(core) = self.instances[instance].core.as_mut() else {
@@ -672,8 +702,8 @@
             Effect::FindStream(lookup) => self.find_stream(instance, lookup),
             Effect::GossipStream { audience, record } => {
                 keep(&mut self.instances[instance].records, record.clone());
-                self.timeline
-                    .schedule(KEEP_MS, Action::Keep(record.clone()));
+                let keep = Action::Keep(record.clone(), self.timeline.now());
+                self.timeline.schedule(KEEP_MS, keep);
                 self.gossip_stream(instance, audience, record);
                 self.compare_accounts(instance);
             }
@@ -742,7 +772,7 @@
                 continue;
             }
             let (own, other) = (own.1.clone(), other.1.clone());
-            if self.random.random_range(0..10) > 0 {
+            if self.random.random_range(0..10) >= self.lost_of_ten {
                 self.event_soon(to, Event::CrashReported(own.into()));
                 self.event_soon(from, Event::CrashReported(other.into()));
             }
@@ -787,17 +817,15 @@
         let others = (0..self.instances.len()).filter(|to| !is_large || keepers.contains(to));
         for to in others.filter(|to| *to != from).collect::<Vec<_>>() {
             self.case.asked += 1;
-            let is_asked = |record: &&StreamRecord| match lookup.origin {
-                Some(run) => record.origin == run,
-                None => record.prompt == lookup.prompt,
-            };
-            let record = self.instances[to].records.values().find(is_asked).cloned();
+            let records = self.instances[to].records.values();
+            let found = records.filter(|record| lookup.finds(record.id()));
+            let found: Vec<StreamRecord> = found.cloned().collect();
             let is_reached = self.instances[to].core.is_some() && self.poison.reaches(from, to);
-            if let Some(record) = record
+            if !found.is_empty()
                 && is_reached
-                && self.random.random_range(0..10) > 1
+                && self.random.random_range(0..10) >= 2 * self.lost_of_ten
             {
-                self.event_soon(from, Event::PeerStream(record));
+                self.event_soon(from, Event::StreamsFound(found));
             }
         }
     }
@@ -814,7 +842,7 @@
         if from == to {
             return;
         }
-        if self.random.random_range(0..10) > 0 && self.poison.reaches(from, to) {
+        if self.random.random_range(0..10) >= self.lost_of_ten && self.poison.reaches(from, to) {
             let life = self.instances[to].life;
             let action = Action::Tell(to, life, event.clone());
             self.timeline.schedule(2, action);
