Soak: an instance that ends by itself is a violation

The soak started an ended instance again without a look at how it had ended, and threw its standard error away, so that a panic of the core task showed as a few requests that were asked again. Each instance now has its standard error in a file beside its log; an end that no signal of the soak explains, or an exit behind SIGTERM that is not clean, is a violation with the exit status and the last 2,000 bytes of standard error.

--- /dev/null
+++ b/crates/standin/src/daemon.rs
@@ -0,0 +1,190 @@
+//! An instance as a process of its own: it is started, signalled and ended from outside, and each end that nobody asked
+//! for is kept with what the process wrote to its standard error.
+
+use super::*;
+use std::{
+    io::{Read as _, Seek as _, SeekFrom},
+    os::unix::process::ExitStatusExt as _,
+    path::PathBuf,
+    process::{Child, Command as Program, ExitStatus, Stdio},
+};
+
+/// Bytes from the end of standard error that are told of an end.
+const TAIL_BYTES: u64 = 2_000;
+
+/// Number of the signal that ends a process at once.
+const SIGKILL: i32 = 9;
+
+/// A signal that a soak sends.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Signal {
+    /// Goes on behind a pause.
+    Continue,
+    /// Reads the settings again.
+    Hangup,
+    /// Stands still.
+    Pause,
+    /// Ends in order.
+    Terminate,
+}
+
+impl Signal {
+    /// Its number.
+    fn number(self) -> i32 {
+        match self {
+            Self::Continue => 18,
+            Self::Hangup => 1,
+            Self::Pause => 19,
+            Self::Terminate => 15,
+        }
+    }
+}
+
+/// The end of a process that nobody asked for.
+#[derive(Clone, Debug)]
+pub(crate) struct End {
+    /// When it was seen.
+    pub(crate) at: Instant,
+    /// Exit status, and the last lines of standard error.
+    pub(crate) text: String,
+}
+
+/// An instance as a process.
+pub(crate) struct Daemon {
+    /// Where callers connect.
+    pub(crate) callers: SocketAddr,
+    child: Option<Child>,
+    /// Ends of its processes that nobody asked for.
+    pub(crate) ends: Vec<End>,
+    /// Bytes that earlier processes wrote to standard error.
+    error_start: u64,
+    /// Its settings; logs lie beside them.
+    file: PathBuf,
+    /// Numbers of the signals that the running process was sent.
+    signals: Vec<i32>,
+}
+
+impl Daemon {
+    /// An instance with settings in a file, not yet started.
+    pub(crate) fn new(callers: SocketAddr, file: PathBuf) -> Self {
+        Self {
+            callers,
+            child: None,
+            ends: Vec::new(),
+            error_start: 0,
+            file,
+            signals: Vec::new(),
+        }
+    }
+
+    /// Sends a signal to the process, if it runs.
+    pub(crate) fn signal(&mut self, signal: Signal) {
+        if !self.runs() {
+            return;
+        }
+        let Some(child) = &self.child else {
+            return;
+        };
+        self.signals.push(signal.number());
+        let (id, number) = (child.id().to_string(), format!("-{}", signal.number()));
+        let _ = Program::new("kill").args([number, id]).status();
+    }
+
+    /// Ends the process at once.
+    pub(crate) fn kill(&mut self) {
+        if !self.runs() {
+            return;
+        }
+        let Some(mut child) = self.child.take() else {
+            return;
+        };
+        self.signals.push(SIGKILL);
+        let _ = child.kill();
+        if let Ok(status) = child.wait() {
+            self.note(status);
+        }
+    }
+
+    /// Whether the process runs; an end of it is noted.
+    pub(crate) fn runs(&mut self) -> bool {
+        let Some(child) = &mut self.child else {
+            return false;
+        };
+        let Ok(Some(status)) = child.try_wait() else {
+            return true;
+        };
+        self.child = None;
+        self.note(status);
+        false
+    }
+
+    /// Starts the process unless it runs.
+    pub(crate) fn start(&mut self) {
+        if self.runs() {
+            return;
+        }
+        let program = std::env::current_exe().expect("the program has a path");
+        // Tests run one folder below the programs.
+        let folder = program
+            .ancestors()
+            .find(|folder| folder.join("wellplank").is_file());
+        let program = folder.map(|folder| folder.join("wellplank"));
+        self.signals.clear();
+        self.error_start = std::fs::metadata(self.error_file()).map_or(0, |file| file.len());
+        self.child = program.and_then(|program| {
+            Program::new(program)
+                .args(["run", "--settings"])
+                .arg(&self.file)
+                .stdout(append(&self.file.with_extension("log")))
+                .stderr(append(&self.error_file()))
+                .spawn()
+                .ok()
+        });
+    }
+
+    /// Where standard error is kept.
+    fn error_file(&self) -> PathBuf {
+        self.file.with_extension("err")
+    }
+
+    /// Notes an end unless a signal that was sent asked for it. A process that is told to end in order must say that it did.
+    fn note(&mut self, status: ExitStatus) {
+        let by_signal = status
+            .signal()
+            .is_some_and(|signal| self.signals.contains(&signal));
+        let in_order = status.success() && self.signals.contains(&Signal::Terminate.number());
+        if by_signal || in_order {
+            return;
+        }
+        let tail = self.error_tail();
+        self.ends.push(End {
+            at: Instant::now(),
+            text: format!("{status}; {}", tail.trim()),
+        });
+    }
+
+    /// The end of what the process wrote to standard error.
+    fn error_tail(&self) -> String {
+        let mut bytes = Vec::new();
+        let read = |bytes: &mut Vec<u8>| {
+            let mut file = std::fs::File::open(self.error_file())?;
+            let length = file.metadata()?.len();
+            let start = self.error_start.max(length.saturating_sub(TAIL_BYTES));
+            file.seek(SeekFrom::Start(start))?;
+            file.read_to_end(bytes)
+        };
+        match read(&mut bytes) {
+            Ok(_) => String::from_utf8_lossy(&bytes).into_owned(),
+            Err(error) => format!("its standard error can not be read: {error}"),
+        }
+    }
+}
+
+/// A file to which a process adds.
+fn append(path: &std::path::Path) -> Stdio {
+    let file = std::fs::File::options()
+        .append(true)
+        .create(true)
+        .open(path);
+    file.map_or_else(|_| Stdio::null(), Stdio::from)
+}
--- a/crates/standin/src/leaving.rs
+++ b/crates/standin/src/leaving.rs
@@ -5,6 +5,7 @@
 //! or without one, and serve on for long. What reached them, and when, is held against the rule on leaving upstreams.
 
 use super::*;
+use daemon::Signal;
 use departure::{Arrival, Record, Rule, Scope};
 use proxy::{Hushed, Mode as Way};
 use said::{Refusal, Said};
@@ -487,7 +488,7 @@
             }
             11 => self.soak.shelf.forget(),
             12 => {
-                self.soak.instances[instance].signal("-STOP");
+                self.soak.instances[instance].signal(Signal::Pause);
                 self.last(Fault::Instance(instance), lasts);
             }
             13 => {
@@ -536,7 +537,7 @@
     fn heal(&mut self, fault: Fault) {
         match fault {
             Fault::Instance(instance) => {
-                self.soak.instances[instance].signal("-CONT");
+                self.soak.instances[instance].signal(Signal::Continue);
                 self.soak.instances[instance].start();
             }
             Fault::Link(seat) => self.soak.seats[seat].proxy.set(Way::Open),
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -58,6 +58,7 @@
 mod cache;
 mod callers;
 mod crowd;
+mod daemon;
 mod keyvalue;
 mod pool;
 mod priority_batch;
--- a/crates/standin/src/soak.rs
+++ b/crates/standin/src/soak.rs
@@ -7,12 +7,12 @@
 
 use super::*;
 use client::{Ask, Got};
+use daemon::{Daemon, Signal};
 use host::Host;
 use proxy::{Mode as Way, Proxy};
 use shelf::Shelf;
 use std::{
     path::PathBuf,
-    process::{Child, Command as Program, Stdio},
     sync::{
         Arc, Mutex,
         atomic::{AtomicBool, AtomicUsize, Ordering},
@@ -132,13 +132,6 @@
     }
 }
 
-/// An instance as a process.
-pub(crate) struct Instance {
-    callers: SocketAddr,
-    child: Option<Child>,
-    file: PathBuf,
-}
-
 /// An upstream behind its proxy.
 pub(crate) struct Seat {
     host: Host,
@@ -150,9 +143,10 @@
 
 /// A running soak.
 pub(crate) struct Soak {
+    pub(crate) begun: Instant,
     folder: PathBuf,
     host: Host,
-    pub(crate) instances: Vec<Instance>,
+    pub(crate) instances: Vec<Daemon>,
     pub(crate) ledger: Ledger,
     pub(crate) random: Pcg64Mcg,
     pub(crate) seats: Vec<Seat>,
@@ -184,51 +178,6 @@
     }
 }
 
-impl Instance {
-    /// Sends a signal to the process, if it runs.
-    pub(crate) fn signal(&self, signal: &str) {
-        if let Some(child) = &self.child {
-            let id = child.id().to_string();
-            let _ = Program::new("kill").args([signal, &id]).status();
-        }
-    }
-
-    pub(crate) fn kill(&mut self) {
-        if let Some(mut child) = self.child.take() {
-            let _ = child.kill();
-            let _ = child.wait();
-        }
-    }
-
-    /// Starts the process unless it runs.
-    pub(crate) fn start(&mut self) {
-        if let Some(child) = &mut self.child
-            && matches!(child.try_wait(), Ok(None))
-        {
-            return;
-        }
-        let program = std::env::current_exe().expect("the program has a path");
-        // Tests run one folder below the programs.
-        let folder = program
-            .ancestors()
-            .find(|folder| folder.join("wellplank").is_file());
-        let program = folder.map(|folder| folder.join("wellplank"));
-        let log = std::fs::File::options()
-            .append(true)
-            .create(true)
-            .open(self.file.with_extension("log"));
-        self.child = program.and_then(|program| {
-            Program::new(program)
-                .args(["run", "--settings"])
-                .arg(&self.file)
-                .stdout(log.map_or_else(|_| Stdio::null(), Stdio::from))
-                .stderr(Stdio::null())
-                .spawn()
-                .ok()
-        });
-    }
-}
-
 /// Runs one soak.
 pub async fn run(plan: Plan) -> Outcome {
     let mut soak = Soak::start(plan);
@@ -276,6 +225,7 @@
             }
         }
         self.check_runs();
+        self.check_ends();
         let broken = self.shared.broken.lock();
         let violations = broken.expect("nobody panics while holding it").clone();
         Outcome {
@@ -295,6 +245,7 @@
         host.spawn(shelf.clone().serve(store));
         shelf.put("op/config", &site::configuration(1));
         let mut soak = Self {
+            begun: Instant::now(),
             folder,
             host,
             instances: Vec::new(),
@@ -330,11 +281,8 @@
         let file = self.folder.join(format!("instance-{index}.json"));
         std::fs::write(&file, settings.to_string()).expect("a file can be written");
         let callers = settings["listen"]["callers"].as_str().unwrap_or_default();
-        let mut instance = Instance {
-            callers: callers.parse().expect("settings hold addresses"),
-            child: None,
-            file,
-        };
+        let callers = callers.parse().expect("settings hold addresses");
+        let mut instance = Daemon::new(callers, file);
         instance.start();
         self.instances.push(instance);
     }
@@ -431,9 +379,9 @@
             6 => self.seats[seat].worker.set(Mode::Refuse),
             7 => self.seats[seat].worker.set(Mode::Cut),
             8 => self.instances[instance].kill(),
-            9 => self.instances[instance].signal("-STOP"),
-            10 => self.instances[instance].signal("-TERM"),
-            11 => self.instances[instance].signal("-HUP"),
+            9 => self.instances[instance].signal(Signal::Pause),
+            10 => self.instances[instance].signal(Signal::Terminate),
+            11 => self.instances[instance].signal(Signal::Hangup),
             12 => self.configure(),
             13 => self.shelf.forget(),
             _ => self.mend(),
@@ -450,7 +398,7 @@
     /// Ends some faults: paused and ended instances go on, and half of the rest is well again.
     fn mend(&mut self) {
         for instance in &mut self.instances {
-            instance.signal("-CONT");
+            instance.signal(Signal::Continue);
             instance.start();
         }
         self.set_stores(Way::Open);
@@ -500,6 +448,20 @@
         }
     }
 
+    /// No process may end by itself.
+    fn check_ends(&mut self) {
+        let begun = self.begun;
+        for (index, instance) in self.instances.iter_mut().enumerate() {
+            instance.runs();
+            for end in &instance.ends {
+                let at_ms = end.at.saturating_duration_since(begun).as_millis();
+                let text = &end.text;
+                self.shared
+                    .broken(format!("instance-{index} ended by itself at {at_ms} ms: {text}"));
+            }
+        }
+    }
+
     /// What upstreams ran must fit what callers were told.
     fn check_runs(&self) {
         let mut runs: HashMap<String, usize> = HashMap::new();
