Soak: addresses of instances are given to nobody else, and upstreams move between two

A large soak takes more than the thousand ports of its process, and they are given out again: an upstream could get the port of an instance that is away for a moment, which could not listen any more and would count as ended by itself. Each move to another address left a proxy behind that listened for ever; an upstream now moves to and fro between two.

--- a/crates/standin/src/returning.rs
+++ b/crates/standin/src/returning.rs
@@ -49,8 +49,9 @@
 /// Time that upstreams and instances have to be back at the end, in milliseconds.
 const CLOSE_MS: u64 = 5_000;
 
-/// Callers of each instance, and their pause between two requests.
+/// Callers of each instance, and their pause between two requests in a fleet of few instances; it is longer in a larger one.
 const CALLERS: usize = 6;
+const FEW: u32 = 8;
 const REST: Duration = Duration::from_millis(30);
 
 /// Pause of a slow reader between two pieces of an answer.
@@ -158,9 +159,10 @@
         1 => Habit::Fresh,
         _ => Habit::Kept,
     };
+    let rest = REST * (plan.instances as u32).max(FEW) / FEW;
     let callers = returning
         .soak
-        .call_by(plan.instances * CALLERS, REST, habit);
+        .call_by(plan.instances * CALLERS, rest, habit);
     let end = returning.now().after(plan.lasts.as_millis() as u64);
     returning.begin();
     returning.wait(end).await;
--- a/crates/standin/src/soak.rs
+++ b/crates/standin/src/soak.rs
@@ -172,6 +172,8 @@
 pub(crate) struct Seat {
     host: Host,
     life: u64,
+    /// A proxy at another address, to which lives may move.
+    other: Proxy,
     pub(crate) pool: &'static str,
     pub(crate) proxy: Proxy,
     pub(crate) worker: Worker,
@@ -179,7 +181,9 @@
 
 /// A running soak.
 pub(crate) struct Soak {
-    pub(crate) begun: Instant,
+    begun: Instant,
+    /// Where nothing listens.
+    closed: SocketAddr,
     folder: PathBuf,
     host: Host,
     pub(crate) instances: Vec<Daemon>,
@@ -187,6 +191,8 @@
     /// When lives of upstreams ended.
     pub(crate) lives_ended: HashMap<Incarnation, Instant>,
     pub(crate) random: Pcg64Mcg,
+    /// Addresses of instances, and one where nothing listens.
+    reserved: BTreeSet<SocketAddr>,
     pub(crate) seats: Vec<Seat>,
     pub(crate) shared: Shared,
     pub(crate) shelf: Shelf,
@@ -299,14 +305,17 @@
         let store = host::free_address();
         host.spawn(shelf.clone().serve(store));
         shelf.put("op/config", &site::configuration(1));
+        let closed = host::free_address();
         let mut soak = Self {
             begun: Instant::now(),
+            closed,
             folder,
             host,
             instances: Vec::new(),
             ledger: Ledger::default(),
             lives_ended: HashMap::new(),
             random: Pcg64Mcg::seed_from_u64(plan.seed),
+            reserved: BTreeSet::from([closed]),
             seats: Vec::new(),
             shared: Shared::default(),
             shelf,
@@ -330,9 +339,20 @@
     }
 
     fn instance(&mut self, index: usize) {
-        let store = Proxy::new(host::free_address(), self.store);
+        let store = Proxy::new(self.free_address(), self.store);
         self.host.spawn(store.clone().serve());
         let settings = site::settings(index, GRACE_MS, store.address);
+        let hosted = &settings["hosted"];
+        for address in [
+            &hosted["metrics"],
+            &hosted["peers"],
+            &hosted["ready"],
+            &settings["listen"]["callers"],
+        ] {
+            let address = address.as_str().unwrap_or_default();
+            self.reserved
+                .insert(address.parse().expect("settings hold addresses"));
+        }
         self.stores.push(store);
         let file = self.folder.join(format!("instance-{index}.json"));
         std::fs::write(&file, settings.to_string()).expect("a file can be written");
@@ -345,13 +365,17 @@
 
     fn seat(&mut self, pool: &'static str) {
         let index = self.seats.len();
-        let proxy = Proxy::new(host::free_address(), host::free_address());
-        self.host.spawn(proxy.clone().serve());
+        let [proxy, other] = std::array::from_fn(|_| {
+            let proxy = Proxy::new(self.free_address(), self.closed);
+            self.host.spawn(proxy.clone().serve());
+            proxy
+        });
         let name = format!("{pool}-{index}-0");
         let worker = Worker::new(proxy.address, &name, &self.ledger);
         self.seats.push(Seat {
             host: Host::new(1),
             life: 0,
+            other,
             pool,
             proxy,
             worker,
@@ -371,8 +395,8 @@
 
     /// Has a life of an upstream begin at its place.
     fn begin(&mut self, index: usize, name: &str) {
+        let address = self.free_address();
         let seat = &mut self.seats[index];
-        let address = host::free_address();
         seat.worker = Worker::new(address, name, &self.ledger)
             .behind(seat.proxy.address)
             .of_version(VERSIONS[index % VERSIONS.len()]);
@@ -409,12 +433,24 @@
         self.begin(index, &name);
     }
 
-    /// Has others reach the upstream at a place by another address from its next life on.
+    /// Has others reach the upstream at a place by its other address from its next life on. Nothing listens behind the one
+    /// before.
     pub(crate) fn move_away(&mut self, index: usize) {
         let seat = &mut self.seats[index];
         self.ledger.forget(seat.proxy.address);
-        seat.proxy = Proxy::new(host::free_address(), host::free_address());
-        self.host.spawn(seat.proxy.clone().serve());
+        seat.proxy.aim(self.closed);
+        std::mem::swap(&mut seat.proxy, &mut seat.other);
+    }
+
+    /// An address that is free and belongs to no instance. Addresses are given out again behind a thousand, also those of
+    /// instances that are away for a moment, which could not listen there any more.
+    fn free_address(&self) -> SocketAddr {
+        loop {
+            let address = host::free_address();
+            if !self.reserved.contains(&address) {
+                return address;
+            }
+        }
     }
 
     /// Adds a line to a file in the folder of the logs.
