Soak: what outlasts a stop counts beside no other work

Two or three streams of 4 s were under way when the 4 s of an instance that had been told to end were over, which the users' page excuses; the check excused them beside the stop alone and counted them beside a reload or a configuration of the seconds before.

--- a/crates/standin/tests/cuts.rs
+++ b/crates/standin/tests/cuts.rs
@@ -149,6 +149,19 @@
     }
 }
 
+/// An instance that is told to end cuts what outlasts its time; a configuration or a reload beside that is not the cause.
+#[gtest]
+fn what_outlasts_a_stop_counts_beside_no_other_work() {
+    for work in [Work::Configuration, Work::Reload(1)] {
+        let mut record = record(work);
+        record.plan(Work::Stop(1), Time(SENT - 4_500));
+        end(&mut record, 5, &request(SENT - 3_000, SENT + 600, true));
+        expect_that!(over(&record), is_empty(), "{work:?}");
+        end(&mut record, 5, &request(SENT - 3_000, SENT + 300, true));
+        expect_that!(over(&record), not(is_empty()), "{work:?}");
+    }
+}
+
 #[gtest]
 fn work_at_another_instance_does_not_count() {
     let mut record = record(Work::Stop(3));
