Soak: what is cut while the machine is slowed is not held against instances

In the logs each was given up as upstream_failed behind four or five attempts that were left as silent after 255 to 1,836 ms, at upstreams that work; the stand-ins, which run beside the instances, were late themselves. The users' rule excuses a slowed machine. A probe beside the proxies now measures when a step of 10 ms takes over 110 ms, and such spans excuse the requests beside them as other disturbances do; how long they were is printed with each run. Ends of processes are excused by nothing.

--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -62,6 +62,7 @@
 mod crowd;
 mod daemon;
 mod keyvalue;
+mod lateness;
 mod patron;
 mod pool;
 mod priority_batch;
--- a/crates/standin/src/soak.rs
+++ b/crates/standin/src/soak.rs
@@ -9,6 +9,7 @@
 use client::{Ask, Got};
 use daemon::{Daemon, Signal};
 use host::Host;
+use lateness::Probe;
 use patron::{Habit, Patron};
 use proxy::{Mode as Way, Proxy};
 use shelf::Shelf;
@@ -78,6 +79,8 @@
     pub ends: usize,
     /// Faults caused.
     pub faults: usize,
+    /// Time in which the machine was slowed, where the mode counts what is cut: it excuses what was cut in it.
+    pub late: Duration,
     /// Instances that cut more requests around planned work than the rule allows, where the mode counts them.
     pub over: usize,
     /// Requests of callers; the tries of one count once.
@@ -187,6 +190,8 @@
     folder: PathBuf,
     host: Host,
     pub(crate) instances: Vec<Daemon>,
+    /// How late the machine runs the proxies before the store and the upstreams.
+    pub(crate) lateness: Probe,
     pub(crate) ledger: Ledger,
     /// When lives of upstreams ended.
     pub(crate) lives_ended: HashMap<Incarnation, Instant>,
@@ -312,6 +317,7 @@
             folder,
             host,
             instances: Vec::new(),
+            lateness: Probe::default(),
             ledger: Ledger::default(),
             lives_ended: HashMap::new(),
             random: Pcg64Mcg::seed_from_u64(plan.seed),
@@ -324,6 +330,7 @@
             stores: Vec::new(),
             version: 1,
         };
+        soak.host.spawn(soak.lateness.clone().run());
         for index in 0..plan.engines + 3 {
             let pool = if index < plan.engines {
                 site::ENGINES
