--- a/crates/standin/src/soak.rs
+++ b/crates/standin/src/soak.rs
@@ -7,12 +7,14 @@
 
 use super::*;
 use client::{Ask, Got};
+use daemon::{Daemon, Signal};
 use host::Host;
+use lateness::Probe;
+use patron::{Habit, Patron};
 use proxy::{Mode as Way, Proxy};
 use shelf::Shelf;
 use std::{
     path::PathBuf,
-    process::{Child, Command as Program, Stdio},
     sync::{
         Arc, Mutex,
         atomic::{AtomicBool, AtomicUsize, Ordering},
@@ -37,12 +39,24 @@
 /// Tries of a caller to have one answer whole.
 const TRIES: usize = 60;
 
+/// Bytes of an event of a caller that reads slowly: a whole stream is more than what stands in its connection.
+const LONG_EVENT_BYTES: usize = 4_000;
+
 /// Pause of a caller between two tries.
 const PAUSE: Duration = Duration::from_millis(150);
 
 /// Time within which a new configuration must be in force after the last fault.
 const FORCE: Duration = Duration::from_secs(4);
 
+/// Time that an instance has to end in order, in milliseconds.
+pub(crate) const GRACE_MS: u64 = 4_000;
+
+/// Time that a caller gives each request, in milliseconds, as [`Ask::new`] names it.
+pub(crate) const LIMIT_MS: u64 = 9_000;
+
+/// Time that instances have to answer at the start.
+const READY: Duration = Duration::from_secs(30);
+
 /// How large a soak is.
 #[derive(Clone, Copy, Debug)]
 pub struct Plan {
@@ -59,8 +73,16 @@
 /// What came of a soak.
 #[derive(Clone, Debug, Default)]
 pub struct Outcome {
+    /// Requests that instances cut though their upstreams went on, where the mode counts them.
+    pub cut: usize,
+    /// Processes of instances that ended by themselves.
+    pub ends: usize,
     /// Faults caused.
     pub faults: usize,
+    /// Time in which the machine was slowed, where the mode counts what is cut: it excuses what was cut in it.
+    pub late: Duration,
+    /// Instances that cut more requests around planned work than the rule allows, where the mode counts them.
+    pub over: usize,
     /// Requests of callers; the tries of one count once.
     pub requests: usize,
     /// Streams and calls answered whole.
@@ -73,6 +95,8 @@
 #[derive(Clone, Default)]
 pub(crate) struct Shared {
     broken: Arc<Mutex<Vec<String>>>,
+    /// Tries whose answers have ended, whether they were whole answers of any kind, and when they ended.
+    ended: Arc<Mutex<Vec<(String, bool, Instant)>>>,
     /// Tries that were told not to have run.
     refused: Arc<Mutex<Vec<String>>>,
     requests: Arc<AtomicUsize>,
@@ -112,6 +136,21 @@
         }
     }
 
+    /// Notes how the answer to a try ended.
+    fn ends(&self, run: &str, got: Option<&Got>) {
+        let is_whole = got.is_some_and(|got| got.whole);
+        let mut ended = self.ended.lock().expect("nobody panics while holding it");
+        ended.push((run.to_owned(), is_whole, Instant::now()));
+    }
+
+    /// Tries whose answers have ended, whether they were whole answers of any kind, and when they ended.
+    pub(crate) fn ended(&self) -> Vec<(String, bool, Instant)> {
+        self.ended
+            .lock()
+            .expect("nobody panics while holding it")
+            .clone()
+    }
+
     /// Lives that said beside an answer that they leave, the instances that passed this on, and when.
     pub(crate) fn said(&self) -> Vec<(usize, Incarnation, Instant)> {
         self.said
@@ -132,17 +171,12 @@
     }
 }
 
-/// An instance as a process.
-pub(crate) struct Instance {
-    callers: SocketAddr,
-    child: Option<Child>,
-    file: PathBuf,
-}
-
 /// An upstream behind its proxy.
 pub(crate) struct Seat {
     host: Host,
     life: u64,
+    /// A proxy at another address, to which lives may move.
+    other: Proxy,
     pub(crate) pool: &'static str,
     pub(crate) proxy: Proxy,
     pub(crate) worker: Worker,
@@ -150,11 +184,20 @@
 
 /// A running soak.
 pub(crate) struct Soak {
+    begun: Instant,
+    /// Where nothing listens.
+    closed: SocketAddr,
     folder: PathBuf,
     host: Host,
-    pub(crate) instances: Vec<Instance>,
+    pub(crate) instances: Vec<Daemon>,
+    /// How late the machine runs the proxies before the store and the upstreams.
+    pub(crate) lateness: Probe,
     pub(crate) ledger: Ledger,
+    /// When lives of upstreams ended.
+    pub(crate) lives_ended: HashMap<Incarnation, Instant>,
     pub(crate) random: Pcg64Mcg,
+    /// Addresses of instances, and one where nothing listens.
+    reserved: BTreeSet<SocketAddr>,
     pub(crate) seats: Vec<Seat>,
     pub(crate) shared: Shared,
     pub(crate) shelf: Shelf,
@@ -184,51 +227,6 @@
     }
 }
 
-impl Instance {
-    /// Sends a signal to the process, if it runs.
-    pub(crate) fn signal(&self, signal: &str) {
-        if let Some(child) = &self.child {
-            let id = child.id().to_string();
-            let _ = Program::new("kill").args([signal, &id]).status();
-        }
-    }
-
-    pub(crate) fn kill(&mut self) {
-        if let Some(mut child) = self.child.take() {
-            let _ = child.kill();
-            let _ = child.wait();
-        }
-    }
-
-    /// Starts the process unless it runs.
-    pub(crate) fn start(&mut self) {
-        if let Some(child) = &mut self.child
-            && matches!(child.try_wait(), Ok(None))
-        {
-            return;
-        }
-        let program = std::env::current_exe().expect("the program has a path");
-        // Tests run one folder below the programs.
-        let folder = program
-            .ancestors()
-            .find(|folder| folder.join("wellplank").is_file());
-        let program = folder.map(|folder| folder.join("wellplank"));
-        let log = std::fs::File::options()
-            .append(true)
-            .create(true)
-            .open(self.file.with_extension("log"));
-        self.child = program.and_then(|program| {
-            Program::new(program)
-                .args(["run", "--settings"])
-                .arg(&self.file)
-                .stdout(log.map_or_else(|_| Stdio::null(), Stdio::from))
-                .stderr(Stdio::null())
-                .spawn()
-                .ok()
-        });
-    }
-}
-
 /// Runs one soak.
 pub async fn run(plan: Plan) -> Outcome {
     let mut soak = Soak::start(plan);
@@ -249,9 +247,24 @@
 impl Soak {
     /// Starts callers that ask until they are told to stop, and rest between two requests.
     pub(crate) fn call(&self, count: usize, rest: Duration) -> Vec<JoinHandle<()>> {
+        self.call_by(count, rest, |_| Habit::Fresh)
+    }
+
+    /// The same for callers that have habits, by their numbers.
+    pub(crate) fn call_by(
+        &self,
+        count: usize,
+        rest: Duration,
+        habit: impl Fn(usize) -> Habit,
+    ) -> Vec<JoinHandle<()>> {
         let caller = |index| Caller {
             addresses: self.addresses(),
+            event_bytes: match habit(index) {
+                Habit::Fresh | Habit::Kept => 0,
+                Habit::Slow(_) => LONG_EVENT_BYTES,
+            },
             index,
+            patron: Patron::new(habit(index)),
             random: Pcg64Mcg::seed_from_u64(self.seed ^ (index as u64) << 20),
             rest,
             shared: self.shared.clone(),
@@ -276,13 +289,16 @@
             }
         }
         self.check_runs();
+        self.check_ends();
         let broken = self.shared.broken.lock();
         let violations = broken.expect("nobody panics while holding it").clone();
         Outcome {
+            ends: self.instances.iter().map(|one| one.ends.len()).sum(),
             faults,
             requests: self.shared.requests.load(Ordering::Relaxed),
             violations,
             whole: self.shared.whole.load(Ordering::Relaxed),
+            ..Outcome::default()
         }
     }
 
@@ -294,12 +310,18 @@
         let store = host::free_address();
         host.spawn(shelf.clone().serve(store));
         shelf.put("op/config", &site::configuration(1));
+        let closed = host::free_address();
         let mut soak = Self {
+            begun: Instant::now(),
+            closed,
             folder,
             host,
             instances: Vec::new(),
+            lateness: Probe::default(),
             ledger: Ledger::default(),
+            lives_ended: HashMap::new(),
             random: Pcg64Mcg::seed_from_u64(plan.seed),
+            reserved: BTreeSet::from([closed]),
             seats: Vec::new(),
             shared: Shared::default(),
             shelf,
@@ -308,6 +330,7 @@
             stores: Vec::new(),
             version: 1,
         };
+        soak.host.spawn(soak.lateness.clone().run());
         for index in 0..plan.engines + 3 {
             let pool = if index < plan.engines {
                 site::ENGINES
@@ -323,31 +346,43 @@
     }
 
     fn instance(&mut self, index: usize) {
-        let store = Proxy::new(host::free_address(), self.store);
+        let store = Proxy::new(self.free_address(), self.store);
         self.host.spawn(store.clone().serve());
-        let settings = site::settings(index, 4_000, store.address);
+        let settings = site::settings(index, GRACE_MS, store.address);
+        let hosted = &settings["hosted"];
+        for address in [
+            &hosted["metrics"],
+            &hosted["peers"],
+            &hosted["ready"],
+            &settings["listen"]["callers"],
+        ] {
+            let address = address.as_str().unwrap_or_default();
+            self.reserved
+                .insert(address.parse().expect("settings hold addresses"));
+        }
         self.stores.push(store);
         let file = self.folder.join(format!("instance-{index}.json"));
         std::fs::write(&file, settings.to_string()).expect("a file can be written");
         let callers = settings["listen"]["callers"].as_str().unwrap_or_default();
-        let mut instance = Instance {
-            callers: callers.parse().expect("settings hold addresses"),
-            child: None,
-            file,
-        };
+        let callers = callers.parse().expect("settings hold addresses");
+        let mut instance = Daemon::new(callers, file);
         instance.start();
         self.instances.push(instance);
     }
 
     fn seat(&mut self, pool: &'static str) {
         let index = self.seats.len();
-        let proxy = Proxy::new(host::free_address(), host::free_address());
-        self.host.spawn(proxy.clone().serve());
+        let [proxy, other] = std::array::from_fn(|_| {
+            let proxy = Proxy::new(self.free_address(), self.closed);
+            self.host.spawn(proxy.clone().serve());
+            proxy
+        });
         let name = format!("{pool}-{index}-0");
         let worker = Worker::new(proxy.address, &name, &self.ledger);
         self.seats.push(Seat {
             host: Host::new(1),
             life: 0,
+            other,
             pool,
             proxy,
             worker,
@@ -357,8 +392,8 @@
 
     /// Has an upstream end, and another life of it begin at its address.
     pub(crate) fn revive(&mut self, index: usize) {
+        self.end_life(index);
         let seat = &mut self.seats[index];
-        seat.host.kill();
         self.shelf.remove(&format!("servers/{}", seat.worker.name));
         seat.life += 1;
         let name = format!("{}-{index}-{}", seat.pool, seat.life);
@@ -367,8 +402,8 @@
 
     /// Has a life of an upstream begin at its place.
     fn begin(&mut self, index: usize, name: &str) {
+        let address = self.free_address();
         let seat = &mut self.seats[index];
-        let address = host::free_address();
         seat.worker = Worker::new(address, name, &self.ledger)
             .behind(seat.proxy.address)
             .of_version(VERSIONS[index % VERSIONS.len()]);
@@ -386,13 +421,45 @@
 
     /// Has an upstream end and start again at once under its name: it holds nothing of before.
     pub(crate) fn restart(&mut self, index: usize) {
-        let seat = &mut self.seats[index];
-        seat.host.kill();
+        self.end_life(index);
+        self.start_again(index);
+    }
+
+    /// Has the upstream at a place end; all its connections break.
+    pub(crate) fn end_life(&mut self, index: usize) {
+        let life = self.life(index);
+        self.lives_ended.entry(life).or_insert_with(Instant::now);
+        self.seats[index].host.kill();
+    }
+
+    /// Has an upstream that has ended start again under its name: it holds nothing of before.
+    pub(crate) fn start_again(&mut self, index: usize) {
+        let seat = &self.seats[index];
         self.ledger.forget(seat.proxy.address);
         let name = seat.worker.name.clone();
         self.begin(index, &name);
     }
 
+    /// Has others reach the upstream at a place by its other address from its next life on. Nothing listens behind the one
+    /// before.
+    pub(crate) fn move_away(&mut self, index: usize) {
+        let seat = &mut self.seats[index];
+        self.ledger.forget(seat.proxy.address);
+        seat.proxy.aim(self.closed);
+        std::mem::swap(&mut seat.proxy, &mut seat.other);
+    }
+
+    /// An address that is free and belongs to no instance. Addresses are given out again behind a thousand, also those of
+    /// instances that are away for a moment, which could not listen there any more.
+    fn free_address(&self) -> SocketAddr {
+        loop {
+            let address = host::free_address();
+            if !self.reserved.contains(&address) {
+                return address;
+            }
+        }
+    }
+
     /// Adds a line to a file in the folder of the logs.
     pub(crate) fn write(&self, file: &str, line: &str) {
         use std::io::Write as _;
@@ -411,6 +478,27 @@
         site::enter(&self.shelf, &seat.worker, seat.pool, index % 3, state);
     }
 
+    /// Waits until each instance answers a call, for [`READY`] at most.
+    pub(crate) async fn wait_ready(&self) {
+        let end = Instant::now() + READY;
+        for address in self.addresses() {
+            while Instant::now() < end {
+                let run = format!("ready-{}", Uuid::new_v4());
+                let got = Ask::again(&run).attempt(address).await;
+                if got.is_some_and(|got| got.status == StatusCode::OK) {
+                    break;
+                }
+                sleep(PAUSE).await;
+            }
+        }
+    }
+
+    /// Has another configuration come, of a later version than those before.
+    pub(crate) fn put_configuration(&mut self, version: u64, configuration: &Value) {
+        self.version = version;
+        self.shelf.put("op/config", configuration);
+    }
+
     /// Has another configuration, which says the same, come.
     pub(crate) fn configure(&mut self) {
         self.version += 3;
@@ -431,9 +519,9 @@
             6 => self.seats[seat].worker.set(Mode::Refuse),
             7 => self.seats[seat].worker.set(Mode::Cut),
             8 => self.instances[instance].kill(),
-            9 => self.instances[instance].signal("-STOP"),
-            10 => self.instances[instance].signal("-TERM"),
-            11 => self.instances[instance].signal("-HUP"),
+            9 => self.instances[instance].signal(Signal::Pause),
+            10 => self.instances[instance].signal(Signal::Terminate),
+            11 => self.instances[instance].signal(Signal::Hangup),
             12 => self.configure(),
             13 => self.shelf.forget(),
             _ => self.mend(),
@@ -450,7 +538,7 @@
     /// Ends some faults: paused and ended instances go on, and half of the rest is well again.
     fn mend(&mut self) {
         for instance in &mut self.instances {
-            instance.signal("-CONT");
+            instance.signal(Signal::Continue);
             instance.start();
         }
         self.set_stores(Way::Open);
@@ -500,6 +588,21 @@
         }
     }
 
+    /// No process may end by itself.
+    fn check_ends(&mut self) {
+        let begun = self.begun;
+        for (index, instance) in self.instances.iter_mut().enumerate() {
+            instance.runs();
+            for end in &instance.ends {
+                let at_ms = end.at.saturating_duration_since(begun).as_millis();
+                let text = &end.text;
+                self.shared.broken(format!(
+                    "instance-{index} ended by itself at {at_ms} ms: {text}"
+                ));
+            }
+        }
+    }
+
     /// What upstreams ran must fit what callers were told.
     fn check_runs(&self) {
         let mut runs: HashMap<String, usize> = HashMap::new();
@@ -548,7 +651,10 @@
 /// A caller that asks again and again until it is told to stop.
 struct Caller {
     addresses: Vec<SocketAddr>,
+    /// Bytes that it asks each event to have; 0 asks for nothing.
+    event_bytes: usize,
     index: usize,
+    patron: Patron,
     random: Pcg64Mcg,
     /// Pause between two requests.
     rest: Duration,
@@ -581,6 +687,13 @@
         self.addresses[instance]
     }
 
+    /// Sends one try and reads its answer; how it ended is noted.
+    async fn attempt(&self, ask: &Ask, run: &str, address: SocketAddr) -> Option<Got> {
+        let got = self.patron.attempt(ask, address, PATIENCE).await;
+        self.shared.ends(run, got.as_ref());
+        got
+    }
+
     /// Asks up to some times until there is an answer of an upstream.
     async fn call(&mut self, kind: &str, name: &str, tries: usize) -> bool {
         for number in 0..tries {
@@ -593,7 +706,7 @@
             let body = 10 + self.index;
             let ask = Ask::new(path, &run).body(body);
             let address = self.address(&run);
-            let got = ask.attempt(address).await;
+            let got = self.attempt(&ask, &run, address).await;
             if let Some(got) = got {
                 self.shared.hears(&run, &got);
                 if NOT_RUN.contains(&got.status.as_u16()) {
@@ -624,12 +737,18 @@
             if position > 0 {
                 ask = ask.taking_up(&origin, position);
             }
+            if self.event_bytes > 0 {
+                ask = ask.with(worker::EVENT_BYTES, &self.event_bytes.to_string());
+            }
             let address = self.address(&run);
-            if let Some(got) = ask.attempt(address).await
+            if let Some(got) = self.attempt(&ask, &run, address).await
                 && got.status == StatusCode::OK
             {
                 self.shared.hears(&run, &got);
-                let due = worker::events(&ask.body, position);
+                let events = position + 1..=worker::EVENTS;
+                let due: String = events
+                    .map(|event| worker::long_event(&ask.body, event, self.event_bytes))
+                    .collect();
                 let events = got.body.matches("\n\n").count() as u64;
                 let right = due.starts_with(&got.body);
                 if !right || (got.whole && got.body != due) {
