--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -365,6 +365,7 @@
             Self::StreamEnded { .. } => "stream_ended",
             Self::StreamEvent { .. } => "stream_event",
             Self::StreamOpened(_) => "stream_opened",
+            Self::StreamsFound(_) => "streams_found",
             Self::StreamsRestored => "streams_restored",
             Self::Submit(_) => "submit",
             Self::Tick => "tick",
