--- a/crates/core/tests/relay/removal.rs
+++ b/crates/core/tests/relay/removal.rs
@@ -148,7 +148,8 @@
     for is_delta in [false, true] {
         let mut test = started_at_5(1);
         let (first, second) = (test.stream(3), test.stream(3));
-        // The entry goes while the second stream still runs.
+        test.list(vec![listed_since(0, 5), listed_since(1, 5)]);
+        // The entry goes while the second stream still runs. Both go on at the other upstream.
         test.fail(&first, Failure::Broken);
         test.list(vec![listed_since(1, 5)]);
         test.fail(&second, Failure::Broken);
