--- a/crates/node/src/hosted.rs
+++ b/crates/node/src/hosted.rs
@@ -20,8 +20,7 @@
 const IDLE_TIMEOUT_FACTOR: f64 = 1.25;
 
 /// Time for which an instance whose core task has ended refuses the requests that arrive: those that were on their way, in
-/// the buffers of its sockets or on connections that callers reuse. Where the process had stood still for 200 ms, 20 of them were
-/// broken off in five runs, and 34 without this time. It delays the restart.
+/// the buffers of its sockets or on connections that callers reuse. It delays the restart.
 const REFUSAL_TIME: Duration = Duration::from_millis(100);
 
 /// Time that the connections of callers then have to take what was written and to close.
