Name the requests that are open when a graceful stop ends

Each one is a line now, with its stage (deferred, claiming, queued, retrying, sent, streaming, resuming), its age and position, and a counter by stage. The stages are told apart by the core, with a test for each.

No logic of a stop is changed.

--- a/crates/core/src/counter.rs
+++ b/crates/core/src/counter.rs
@@ -64,6 +64,8 @@
     NoticeBackoff,
     /// Responses with an unknown notice from the upstream.
     NoticeUnknown,
+    /// Requests that were open when a graceful stop ended, by stage.
+    OpenAtStop(open_request::Stage),
     /// Detected pauses of this instance.
     Paused,
     /// Requests found to crash the upstreams that run them.
@@ -203,6 +205,7 @@
             Self::NoticeLimit => write!(formatter, "notice.limit"),
             Self::NoticeBackoff => write!(formatter, "notice.rest"),
             Self::NoticeUnknown => write!(formatter, "notice.unknown"),
+            Self::OpenAtStop(stage) => write!(formatter, "open_at_stop.{stage}"),
             Self::Paused => write!(formatter, "paused"),
             Self::PeerEnded => write!(formatter, "ended.told"),
             Self::PeerLeaving => write!(formatter, "notice.told"),
--- a/crates/core/src/failure.rs
+++ b/crates/core/src/failure.rs
@@ -250,7 +250,7 @@
 }
 
 /// Whether the caller of a request has received the response head, with the first tokens where the request is a generation.
-fn has_head(request: &Request) -> bool {
+pub(crate) fn has_head(request: &Request) -> bool {
     match request.work {
         Work::Call { .. } => false,
         Work::Generate { .. } => request.position() > request.skip,
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -37,6 +37,7 @@
 pub mod liveness;
 pub mod members;
 pub mod notice;
+pub mod open_request;
 pub mod origin;
 pub mod position;
 pub mod quarantine;
--- a/crates/core/tests/relay/main.rs
+++ b/crates/core/tests/relay/main.rs
@@ -52,6 +52,7 @@
 mod liveness_load;
 mod liveness_methods;
 mod notice;
+mod open_request;
 mod poison;
 mod rank;
 mod reach;
--- a/crates/node/src/driver.rs
+++ b/crates/node/src/driver.rs
@@ -43,6 +43,8 @@
     Response(attempt::Key, Caller, HeldResponse, Event),
     /// New settings for the core.
     Settings(Box<wellplank_core::settings::Settings>),
+    /// Log and count the open requests: a graceful stop ends. The answer is their number.
+    LogOpen(oneshot::Sender<usize>),
     /// Request for the current state.
     Status(oneshot::Sender<Snapshot>),
     /// A request, and the channel for its replies.
@@ -221,6 +223,13 @@
         self.send(Message::Event(event));
     }
 
+    /// Logs and counts the requests that are open as a graceful stop ends; returns their number.
+    pub(crate) async fn log_open(&self) -> usize {
+        let (sender, receiver) = oneshot::channel();
+        self.send(Message::LogOpen(sender));
+        receiver.await.unwrap_or_default()
+    }
+
     /// The state as reported to operators; empty if the core task has ended.
     pub(crate) async fn status(&self) -> Snapshot {
         let (sender, receiver) = oneshot::channel();
@@ -346,6 +355,7 @@
         match self {
             Self::Count(_) => "count",
             Self::Event(event) | Self::Response(_, _, _, event) => event.name(),
+            Self::LogOpen(_) => "log_open",
             Self::Members(..) => "members",
             Self::Relay(..) | Self::Submit(..) => "submit",
             Self::Settings(_) => "settings",
@@ -437,6 +447,20 @@
         error!(event, requests, request_ids, revision; "core task ended");
     }
 
+    /// Logs and counts the open requests, and returns their number.
+    fn log_open(&self) -> usize {
+        let mut open = 0;
+        for request in self.core.open_requests() {
+            let pending = self.callers.get(&request.caller);
+            let original = pending.and_then(|pending| pending.original.as_ref());
+            let id = original.map_or("", |original| original.request_id.as_ref());
+            request_log::log_open(id, &request);
+            self.count(Counter::OpenAtStop(request.stage), 1);
+            open += 1;
+        }
+        open
+    }
+
     /// Ends all open requests: begun responses as incomplete, and others with what is known of whether they ran. A request
     /// that may have run is never refused as not run.
     fn end_requests(&mut self) {
@@ -977,6 +1001,10 @@
         match message {
             Message::Count(counter) => self.meter.count(counter, 1),
             Message::Event(event) => self.handle_event(event),
+            Message::LogOpen(sender) => {
+                // The receiver is gone if the instance has ended meanwhile.
+                let _ = sender.send(self.log_open());
+            }
             Message::Members(view, peers) => {
                 self.peers = peers;
                 self.handle_event(Event::Instances(view));
--- a/crates/node/src/hosted.rs
+++ b/crates/node/src/hosted.rs
@@ -238,7 +238,8 @@
             let is_idle = running == 0 && unread_bytes == 0 && tunnels == 0;
             let elapsed = begun.elapsed();
             if elapsed >= drain_time_max || (is_idle && elapsed >= DRAIN_TIME_MIN) {
-                info!(running, tunnels, unread_bytes; "stopped");
+                let open = self.driver.log_open().await;
+                info!(running, open, tunnels, unread_bytes; "stopped");
                 return;
             }
         }
--- a/crates/node/src/request_log.rs
+++ b/crates/node/src/request_log.rs
@@ -7,6 +7,7 @@
     fingerprint::RequestFingerprint,
     limit::Limit,
     notice::{Backoff, Notice},
+    open_request::OpenRequest,
     origin::Origin,
     quarantine::CrashHistory,
 };
@@ -102,6 +103,13 @@
     warn!(request, cause, configuration_age_ms, revision; "stream cut");
 }
 
+/// Logs a request that is open when a graceful stop ends.
+pub(crate) fn log_open(request: &str, open: &OpenRequest) {
+    let stage = open.stage.to_string();
+    let (age_ms, position) = (open.age_ms, open.position);
+    warn!(request, stage, age_ms, position; "open at the end of the stop");
+}
+
 /// Logs a step of a request. Relayed requests are identified by the ID that their caller assigned.
 pub(crate) fn log_step(entry: &RequestLog, configuration: Option<ConfigurationInForce>) {
     let generation = || Uuid::from_u128(entry.generation).to_string();
