Requests that a stopping instance could not finish are refused at once

Callers saw: a request that waits in the queue of an instance that got SIGTERM is held until the instance ends, up to 7.6 s, and refused then, with little of its time left; a stream that arrives up to 2.5 s behind the signal is accepted though it takes longer than the instance has.

Cause: arrivals at a stopping instance were judged by the time since the signal alone, never by what they take, and nobody looked at the queue again.

While an instance stops, a new request is refused if its wait and its length, as far as both are known, do not fit into the time left, and one that waits is refused as soon as its length alone does not. Weighed: refusing all that waits at the signal (callers whose turn is near lose their place), and refusing at the end alone. Begun streams go on as before.

Three tests; without the change the first two fail (a stream of five seconds waits 3.5 s for the objective, one with 4.9 s left is sent).

--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -200,6 +200,7 @@
         let checked = self.check_origin(&request);
         let checked = checked.and_then(|()| self.check_availability(&request));
         let checked = checked.and_then(|()| self.check_feasible(&request));
+        let checked = checked.and_then(|()| self.check_shutdown(&request));
         if let Err(refusal) = checked.and_then(|()| self.check_demand(&request)) {
             self.count_refused(&request);
             return Err(refusal);
--- a/crates/core/src/watch.rs
+++ b/crates/core/src/watch.rs
@@ -146,6 +146,7 @@
             self.hold_back_inactive_versions();
             self.schedule_limit_probes();
             self.expire_requests();
+            self.refuse_unfinishable();
         }
         self.give_up_unread();
         self.dispatch_all();
--- a/crates/core/tests/relay/shutdown.rs
+++ b/crates/core/tests/relay/shutdown.rs
@@ -6,10 +6,36 @@
 /// Time that the instance has to stop, in milliseconds.
 const LEFT_MS: u64 = 7_600;
 
+/// Events of a whole stream.
+const EVENTS: u64 = 40;
+
 impl Test {
     fn start_shutdown(&mut self) {
         self.handle(Event::ShutdownStarted { left_ms: LEFT_MS });
     }
+
+    /// Has a stream take some time from its sending to its first event, and from there to its end.
+    fn run_stream(&mut self, prefill_ms: u64, events_ms: u64) {
+        self.request(STREAM);
+        let sent = self.last_sent();
+        self.advance(prefill_ms);
+        self.handle(Event::StreamOpened(sent.attempt));
+        for position in 1..=EVENTS {
+            self.send_event(&sent, position);
+            self.advance(events_ms / EVENTS);
+        }
+        self.close(&sent, true);
+    }
+
+    /// A core that has learnt that streams take a second to their first event and four more to their end.
+    fn with_streams_of_five_seconds() -> Self {
+        let mut test = Self::new(1);
+        for _ in 0..20 {
+            test.run_stream(1_000, 4_000);
+        }
+        test.effects.clear();
+        test
+    }
 }
 
 /// Guards against a request in any stage that gets neither an answer nor a refusal when its instance stops.
@@ -63,3 +89,51 @@
     expect_that!(test.outcomes(), elements_are![eq("stopping")]);
     expect_that!(test.sent(), is_empty());
 }
+
+/// Guards against a caller that is held until its instance ends, and then has too little time left at another one.
+#[gtest]
+fn stream_that_waits_is_refused_once_it_can_not_end_in_time() {
+    let mut test = Test::with_streams_of_five_seconds();
+    // The upstream reads two prompts at once.
+    for _ in 0..3 {
+        test.request(STREAM);
+    }
+    test.start_shutdown();
+    let mut waited_ms = 0;
+    while test.outcomes().is_empty() {
+        test.advance(100);
+        waited_ms += 100;
+    }
+    expect_that!(test.outcomes(), elements_are![eq("stopping")]);
+    expect_that!(test.sent().len(), eq(2));
+    // Streams take five seconds.
+    expect_that!(waited_ms, all![ge(LEFT_MS - 5_200), le(LEFT_MS - 4_800)]);
+    expect_that!(test.retry_afters(), elements_are![eq(&RETRY_AFTER_MS)]);
+}
+
+/// Guards against a stream that is accepted though the instance ends before it could.
+#[gtest]
+fn stream_that_could_not_end_in_time_is_refused_on_arrival() {
+    let mut test = Test::with_streams_of_five_seconds();
+    test.start_shutdown();
+    test.request(STREAM);
+    expect_that!(test.sent().len(), eq(1));
+    test.advance(2_700);
+    expect_that!(test.outcomes(), is_empty());
+    test.request(STREAM);
+    expect_that!(test.outcomes(), elements_are![eq("stopping")]);
+    expect_that!(test.retry_afters(), elements_are![eq(&RETRY_AFTER_MS)]);
+    test.request(REPEATABLE);
+    expect_that!(test.sent().len(), eq(2));
+}
+
+/// Guards against a stop that refuses work though nothing was said of one.
+#[gtest]
+fn requests_wait_as_usual_without_a_shutdown() {
+    let mut test = Test::with_streams_of_five_seconds();
+    for _ in 0..3 {
+        test.request(STREAM);
+    }
+    test.advance(500);
+    expect_that!(test.outcomes(), is_empty());
+}
