A setting decides when a stopping instance refuses requests that wait

`core.room.shutdown`: `unfinishable` as before, `at_once` or `at_end` to measure what it is worth. Cause: a mechanism that decides needs a setting that takes it away. No behaviour changes; a test holds the three values.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -123,7 +123,7 @@
     sameness::{EndedStreams, StreamId, TakenUp},
     settings::{
         CallAdmission, CallPlacement, LivenessMethod, QuarantineRule, ResumeMode, RetryBound,
-        Routing, Settings, UrgencyMode, VersionPolicy, Yielding,
+        Routing, Settings, ShutdownPolicy, UrgencyMode, VersionPolicy, Yielding,
     },
     shutdown::Shutdown,
     slotmap::{SecondaryMap, SlotMap, new_key_type},
--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -108,6 +108,26 @@
         [("evidence", Self::Evidence), ("timeout", Self::Timeout)];
 }
 
+/// When a stopping instance refuses requests that wait; all but the last only serve to measure its benefit.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ShutdownPolicy {
+    /// When its time is over.
+    AtEnd,
+    /// As it begins to stop, with all that arrive later and do not find an upstream at once.
+    AtOnce,
+    /// Once they could not be answered whole in the time left.
+    Unfinishable,
+}
+
+impl ShutdownPolicy {
+    /// Every value, with its name in settings.
+    pub const ALL: [(&'static str, Self); 3] = [
+        ("at_end", Self::AtEnd),
+        ("at_once", Self::AtOnce),
+        ("unfinishable", Self::Unfinishable),
+    ];
+}
+
 /// Which versions of a pool's upstreams get new work.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum VersionPolicy {
@@ -224,6 +244,8 @@
     pub reading: u32,
     /// Whether streams that would wait too long are refused at once.
     pub refuse: bool,
+    /// When a stopping instance refuses requests that wait.
+    pub shutdown: ShutdownPolicy,
     /// Whether streams with long prompts may wait as long as those with prompts of mean length.
     pub sizes: bool,
     /// Whether streams that wait at several instances are sent in the order of their arrival.
@@ -240,6 +262,7 @@
             late_fill: 0.5,
             reading: 2,
             refuse: true,
+            shutdown: ShutdownPolicy::Unfinishable,
             sizes: true,
             turns: true,
         }
@@ -363,6 +386,7 @@
             late_fill: 0.0,
             reading: 0,
             refuse: false,
+            shutdown: ShutdownPolicy::AtEnd,
             sizes: false,
             turns: false,
         }
--- a/crates/core/src/shutdown.rs
+++ b/crates/core/src/shutdown.rs
@@ -53,7 +53,8 @@
     /// Refuses a new request that could not be answered whole before this instance ends.
     pub(crate) fn check_shutdown(&self, request: &Request) -> Result<(), admission::Refusal> {
         let wait_ms = self.shutdown_wait_ms(request);
-        if self.finishes_in_time(request, wait_ms) {
+        let is_bounded = self.settings.room.shutdown != ShutdownPolicy::AtEnd;
+        if !is_bounded || self.finishes_in_time(request, wait_ms) {
             return Ok(());
         }
         Err(admission::Refusal {
@@ -70,7 +71,7 @@
         }
         let is_unfinishable = |request: &Request| {
             let waits = request.state == State::Queued && !failure::has_head(request);
-            waits && !self.finishes_in_time(request, 0)
+            waits && !self.may_wait(request)
         };
         let unfinishable = self.requests.iter();
         let unfinishable = unfinishable.filter(|(_, request)| is_unfinishable(request));
@@ -92,6 +93,15 @@
         self.give_up(key, Kind::Stopping, sent);
     }
 
+    /// Whether a request may wait at an instance that stops.
+    fn may_wait(&self, request: &Request) -> bool {
+        match self.settings.room.shutdown {
+            ShutdownPolicy::AtEnd => true,
+            ShutdownPolicy::AtOnce => false,
+            ShutdownPolicy::Unfinishable => self.finishes_in_time(request, 0),
+        }
+    }
+
     /// Whether a request that is sent after a wait is expected to be answered whole before this instance ends.
     fn finishes_in_time(&self, request: &Request, wait_ms: u64) -> bool {
         match self.shutdown {
--- a/crates/core/tests/relay/shutdown.rs
+++ b/crates/core/tests/relay/shutdown.rs
@@ -1,7 +1,7 @@
 //! Requests of an instance that stops.
 
 use super::*;
-use wellplank_core::shutdown::RETRY_AFTER_MS;
+use wellplank_core::{settings::ShutdownPolicy, shutdown::RETRY_AFTER_MS};
 
 /// Time that the instance has to stop, in milliseconds.
 const LEFT_MS: u64 = 7_600;
@@ -137,3 +137,28 @@
     test.advance(500);
     expect_that!(test.outcomes(), is_empty());
 }
+
+/// Guards against a setting that does not take the refusal of waiting requests away, or does not bring it forward.
+#[gtest]
+fn policy_decides_when_requests_that_wait_are_refused() {
+    for (policy, refused) in [
+        (ShutdownPolicy::AtEnd, 0),
+        (ShutdownPolicy::AtOnce, 1),
+        (ShutdownPolicy::Unfinishable, 0),
+    ] {
+        let mut test = Test::with_streams_of_five_seconds();
+        test.core.configure(Settings {
+            probes: false,
+            room: CapacityLimits {
+                shutdown: policy,
+                ..CapacityLimits::default()
+            },
+            ..Settings::default()
+        });
+        for _ in 0..3 {
+            test.request(STREAM);
+        }
+        test.start_shutdown();
+        expect_that!(test.outcomes().len(), eq(refused), "{policy:?}");
+    }
+}
--- a/crates/node/src/core_settings.rs
+++ b/crates/node/src/core_settings.rs
@@ -6,7 +6,7 @@
 use wellplank_core::settings::{
     CallAdmission, CallLimits, CallPlacement, CapacityLimits, LimitHolders, LivenessMethod,
     PlacementWeights, QuarantineRule, ResumeMode, RetryBound, Routing, Settings, SharedSettings,
-    UnreadLimits, UrgencyMode, UrgencySettings, VersionPolicy, Yielding,
+    ShutdownPolicy, UnreadLimits, UrgencyMode, UrgencySettings, VersionPolicy, Yielding,
 };
 
 /// The section with all settings at their defaults.
@@ -105,6 +105,7 @@
         "late_fill": core.room.late_fill,
         "reading": core.room.reading,
         "refuse": core.room.refuse,
+        "shutdown": "unfinishable",
         "sizes": core.room.sizes,
         "turns": core.room.turns,
     })
@@ -259,6 +260,7 @@
         late_fill: ratio("late_fill", default.late_fill),
         reading: reader.number("reading", u64::from(default.reading), 0..=1_000) as u32,
         refuse: reader.flag("refuse", default.refuse),
+        shutdown: reader.choice("shutdown", &ShutdownPolicy::ALL, default.shutdown),
         sizes: reader.flag("sizes", default.sizes),
         turns: reader.flag("turns", default.turns),
     };
