A stopping instance counts no prefill for a stream whose prompt is cached

Callers see: a stream that they take up is refused by a stopping instance though its rest would end in time; they lose an attempt in the middle of the stream.

Evidence: the test, without the change: with 1.5 s left a stream that needs 1 s from its copy gets `stopping`. Both checks now ask the same method.

--- a/crates/core/src/capacity.rs
+++ b/crates/core/src/capacity.rs
@@ -309,10 +309,7 @@
         else {
             return false;
         };
-        let progress = &request.progress;
-        // The upstream that ran the request before may still hold its prompt.
-        let has_prompt = progress.copy.is_some() || progress.preferred_upstream.is_some();
-        let prefill_ms = if has_prompt {
+        let prefill_ms = if request.progress.has_cached_prompt() {
             0
         } else {
             pool.estimates.prefill_ms(relay.tokens)
--- a/crates/core/src/request.rs
+++ b/crates/core/src/request.rs
@@ -144,6 +144,13 @@
     pub upstream: upstream::Key,
 }
 
+impl RelayProgress {
+    /// Whether an upstream may hold the prompt: the one with the copy, or the one that ran the request before.
+    pub fn has_cached_prompt(&self) -> bool {
+        self.copy.is_some() || self.preferred_upstream.is_some()
+    }
+}
+
 impl Work {
     /// Maximum number of tokens in the response; 0 unless it is a generation.
     pub fn max_tokens(&self) -> u32 {
--- a/crates/core/src/shutdown.rs
+++ b/crates/core/src/shutdown.rs
@@ -127,6 +127,9 @@
         let events_ms = pool
             .estimates
             .remaining_ms(relay.max_answer_tokens, position);
+        if request.progress.has_cached_prompt() {
+            return events_ms;
+        }
         self.own_prefill_ms(request) + events_ms
     }
 }
--- a/crates/core/tests/relay/shutdown.rs
+++ b/crates/core/tests/relay/shutdown.rs
@@ -137,3 +137,18 @@
     test.advance(500);
     expect_that!(test.outcomes(), is_empty());
 }
+
+/// Guards against a stream that is refused for a prompt that need not be read again: its caller takes it up, and an upstream
+/// holds its KV cache.
+#[gtest]
+fn stream_taken_up_from_a_copy_is_sent_if_its_rest_ends_in_time() {
+    let mut test = Test::with_streams_of_five_seconds();
+    test.start_shutdown();
+    // The prompt takes a second, and so does the rest.
+    test.advance(LEFT_MS - 1_500);
+    test.handle(Event::PeerStream(stream_record(1, 0)));
+    test.resumes = Some(RunId::new("run-before"));
+    test.request_as("key", STREAM, EVENTS - 10);
+    expect_that!(test.outcomes(), is_empty());
+    expect_that!(test.last_sent().copy, some(eq("run-before")));
+}
