A stopping instance counts no wait for a stream that overtakes the queue

Callers see: a stream that they take up is refused by a stopping instance for the streams that are queued there and at other instances, though it is sent before all of them.

Cause: the expected wait counted every queued stream as ahead; streams that are bound to a version are sent first, and the usual admission does not count a wait for them either.

--- a/crates/core/src/shutdown.rs
+++ b/crates/core/src/shutdown.rs
@@ -103,9 +103,11 @@
         }
     }
 
-    /// Expected wait of a new request during a shutdown, in milliseconds; 0 if it is likely to be sent at once.
+    /// Expected wait of a new request during a shutdown, in milliseconds; 0 if it is likely to be sent at once, and for a
+    /// stream that is taken up, which is sent before those that are queued.
     fn shutdown_wait_ms(&self, request: &Request) -> u64 {
-        if !matches!(self.shutdown, Shutdown::Draining(_)) || !request.service.streams() {
+        let is_new_stream = request.service.streams() && request.position() == 0;
+        if !matches!(self.shutdown, Shutdown::Draining(_)) || !is_new_stream {
             return 0;
         }
         let ahead = self.streams_ahead(request);
--- a/crates/core/tests/relay/shutdown.rs
+++ b/crates/core/tests/relay/shutdown.rs
@@ -152,3 +152,20 @@
     expect_that!(test.outcomes(), is_empty());
     expect_that!(test.last_sent().copy, some(eq("run-before")));
 }
+
+/// Guards against a stream that is refused for a wait that it does not have: streams that are taken up are sent before those
+/// that are queued.
+#[gtest]
+fn stream_taken_up_is_not_refused_for_the_streams_that_it_overtakes() {
+    let mut test = Test::with_streams_of_five_seconds();
+    for _ in 0..5 {
+        test.request(STREAM);
+    }
+    test.start_shutdown();
+    test.advance(2_300);
+    expect_that!(test.outcomes(), is_empty());
+    test.handle(Event::PeerStream(stream_record(1, 0)));
+    test.resumes = Some(RunId::new("run-before"));
+    test.request_as("key", STREAM, EVENTS - 15);
+    expect_that!(test.outcomes(), is_empty());
+}
