An interrupted request is answered with a status that promises nothing

Callers see: 503 for a repeatable request that an upstream may be running when its instance stops. To callers 503 is a promise that the request has not run and never will; 502 promises nothing, and repeatable requests are retried after either.

Cause: the new kind `interrupted` states that the request may have run, with the status of those that did not. Evidence: the test, without the change, finds 503 among the statuses that promise. `unread_answer` has the same contradiction and is left as it is here.

--- a/crates/core/src/kind.rs
+++ b/crates/core/src/kind.rs
@@ -146,7 +146,7 @@
             Self::EndsUpstreams    => row("ends_upstreams",    400, Maybe, false, "upstreams ended while they ran this request; it is not sent again"),
             Self::HeadTooLarge     => row("head_too_large",    431, No,    false, "the head of the request is larger than the limit"),
             Self::Internal         => row("internal",          500, Maybe, false, "an internal check failed"),
-            Self::Interrupted      => row("interrupted",       503, Maybe, true,  "the instance stopped before the answer began"),
+            Self::Interrupted      => row("interrupted",       502, Maybe, true,  "the instance stopped before the answer began"),
             Self::KeyRequired      => row("key_required",      400, No,    false, "this service needs an idempotency-key header"),
             Self::KeyReused        => row("key_reused",        422, No,    false, "the idempotency key belongs to another request"),
             Self::NoUpstream       => row("no_upstream",       503, No,    true,  "no live upstream serves this"),
--- a/crates/core/tests/relay/shutdown.rs
+++ b/crates/core/tests/relay/shutdown.rs
@@ -169,3 +169,12 @@
     test.request_as("key", STREAM, EVENTS - 15);
     expect_that!(test.outcomes(), is_empty());
 }
+
+/// Guards against a status that promises that a request has not run and never will, for one that may be running.
+#[gtest]
+fn interrupted_request_is_not_answered_with_a_promise() {
+    expect_that!(
+        Kind::Interrupted.answer().status,
+        not(any![eq(408), eq(421), eq(429), eq(503)])
+    );
+}
