--- a/crates/core/src/shutdown.rs
+++ b/crates/core/src/shutdown.rs
@@ -113,9 +113,11 @@
         }
     }
 
-    /// Expected wait of a new request during a shutdown, in milliseconds; 0 if it is likely to be sent at once.
+    /// Expected wait of a new request during a shutdown, in milliseconds; 0 if it is likely to be sent at once, and for a
+    /// stream that is taken up, which is sent before those that are queued.
     fn shutdown_wait_ms(&self, request: &Request) -> u64 {
-        if !matches!(self.shutdown, Shutdown::Draining(_)) || !request.service.streams() {
+        let is_new_stream = request.service.streams() && request.position() == 0;
+        if !matches!(self.shutdown, Shutdown::Draining(_)) || !is_new_stream {
             return 0;
         }
         let ahead = self.streams_ahead(request);
@@ -137,6 +139,9 @@
         let events_ms = pool
             .estimates
             .remaining_ms(relay.max_answer_tokens, position);
+        if request.progress.has_cached_prompt() {
+            return events_ms;
+        }
         self.own_prefill_ms(request) + events_ms
     }
 }
--- a/crates/core/tests/relay/shutdown.rs
+++ b/crates/core/tests/relay/shutdown.rs
@@ -162,3 +162,44 @@
         expect_that!(test.outcomes().len(), eq(refused), "{policy:?}");
     }
 }
+
+/// Guards against a stream that is refused for a prompt that need not be read again: its caller takes it up, and an upstream
+/// holds its KV cache.
+#[gtest]
+fn stream_taken_up_from_a_copy_is_sent_if_its_rest_ends_in_time() {
+    let mut test = Test::with_streams_of_five_seconds();
+    test.start_shutdown();
+    // The prompt takes a second, and so does the rest.
+    test.advance(LEFT_MS - 1_500);
+    test.handle(Event::PeerStream(stream_record(1, 0)));
+    test.resumes = Some(RunId::new("run-before"));
+    test.request_as("key", STREAM, EVENTS - 10);
+    expect_that!(test.outcomes(), is_empty());
+    expect_that!(test.last_sent().copy, some(eq("run-before")));
+}
+
+/// Guards against a stream that is refused for a wait that it does not have: streams that are taken up are sent before those
+/// that are queued.
+#[gtest]
+fn stream_taken_up_is_not_refused_for_the_streams_that_it_overtakes() {
+    let mut test = Test::with_streams_of_five_seconds();
+    for _ in 0..5 {
+        test.request(STREAM);
+    }
+    test.start_shutdown();
+    test.advance(2_300);
+    expect_that!(test.outcomes(), is_empty());
+    test.handle(Event::PeerStream(stream_record(1, 0)));
+    test.resumes = Some(RunId::new("run-before"));
+    test.request_as("key", STREAM, EVENTS - 15);
+    expect_that!(test.outcomes(), is_empty());
+}
+
+/// Guards against a status that promises that a request has not run and never will, for one that may be running.
+#[gtest]
+fn interrupted_request_is_not_answered_with_a_promise() {
+    expect_that!(
+        Kind::Interrupted.answer().status,
+        not(any![eq(408), eq(421), eq(429), eq(503)])
+    );
+}
