Install the handlers of signals before anything else

What was seen: a process that got SIGTERM, SIGINT or SIGHUP while it started was ended by the signal at once, without a stop.

Cause: each handler was installed where it was first waited for.

Fix: `run` installs all three handlers before it reads the settings. The listeners are kept until the tasks that wait take them, so a signal that arrives earlier is seen by the first wait: SIGHUP as a reload, SIGTERM and SIGINT as a planned stop.

Ruled out: a further signal during a stop. What remains is the time between exec and the first lines of `run`.

--- a/crates/node/src/arguments.rs
+++ b/crates/node/src/arguments.rs
@@ -36,7 +36,21 @@
             println!("ok");
             Ok(())
         }
-        Some(("run", arguments)) => serve(load_settings(arguments)?, settings_path(arguments)),
+        Some(("run", arguments)) => {
+            let runtime = tokio::runtime::Builder::new_current_thread()
+                .enable_all()
+                .build()
+                .map_err(Error::Runtime)?;
+            // Before anything else: a signal without a handler ends the process.
+            let context = runtime.enter();
+            signals::install().map_err(Error::Runtime)?;
+            drop(context);
+            serve(
+                &runtime,
+                load_settings(arguments)?,
+                settings_path(arguments),
+            )
+        }
         _ => {
             println!("{:#}", Settings::defaults());
             Ok(())
@@ -62,13 +76,10 @@
     Settings::parse(&text).map_err(|faults| Error::Settings(path.to_owned(), faults))
 }
 
-fn serve(settings: Settings, path: &Path) -> Result<(), Error> {
+/// Runs an instance: on the users' platform in the given runtime, otherwise in one with more threads.
+fn serve(runtime: &tokio::runtime::Runtime, settings: Settings, path: &Path) -> Result<(), Error> {
     logger::start(&settings.instance);
     if let Some(hosted) = settings.hosted {
-        let runtime = tokio::runtime::Builder::new_current_thread()
-            .enable_all()
-            .build()
-            .map_err(Error::Runtime)?;
         return runtime.block_on(hosted::run(path.to_owned(), settings, hosted));
     }
     let runtime = tokio::runtime::Builder::new_multi_thread()
--- a/crates/node/src/instance.rs
+++ b/crates/node/src/instance.rs
@@ -2,6 +2,8 @@
 
 use super::*;
 
+pub(crate) use signals::wait_for_termination;
+
 /// Interval at which a stopping instance checks whether requests still run.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -154,17 +156,6 @@
     }
 }
 
-/// Waits for SIGTERM or SIGINT.
-pub(crate) async fn wait_for_termination() {
-    use tokio::signal::unix::{SignalKind, signal};
-    let mut terminate =
-        signal(SignalKind::terminate()).expect("the SIGTERM handler can be installed");
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = tokio::signal::ctrl_c() => {}
-    }
-}
-
 async fn listen(address: SocketAddr) -> Result<tokio::net::TcpListener, Error> {
     tokio::net::TcpListener::bind(address)
         .await
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -45,6 +45,7 @@
 mod reply;
 mod request_log;
 mod revision;
+mod signals;
 mod store;
 mod store_sync;
 mod traffic;
--- a/crates/node/src/reload.rs
+++ b/crates/node/src/reload.rs
@@ -2,7 +2,7 @@
 
 use super::*;
 use std::time::SystemTime as FileTime;
-use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind};
 
 /// Interval between two checks whether the file has changed.
 const POLL_INTERVAL: Duration = Duration::from_secs(1);
@@ -21,7 +21,7 @@
     pub fn new(path: PathBuf, settings: Settings) -> Self {
         Self {
             modified: modified(&path),
-            hangup: signal(SignalKind::hangup()).expect("a SIGHUP handler can be installed"),
+            hangup: signals::take(SignalKind::hangup()),
             path,
             settings,
         }
