Stop an instance of the own interface as planned on SIGHUP

What was seen: SIGHUP, from a terminal that is closed or from an operator who expects a reload, ended an instance of the own interface at once; its callers lost their connections without an answer. Since the handlers are installed first, the signal was ignored there instead.

Cause: only hosted::run listened to it; the own interface does not read its settings again.

Evidence: the test fails without the change, before the handlers (ended by signal 1) and after them (the process does not end).

Fix: it is a signal to stop like SIGTERM: the effect stays that the process ends, and nothing is dropped. Ruled out: ignoring it, which leaves an instance without its terminal.

--- a/crates/node/src/arguments.rs
+++ b/crates/node/src/arguments.rs
@@ -89,7 +89,10 @@
         .map_err(Error::Runtime)?;
     runtime.block_on(async {
         let instance = Instance::start(settings).await?;
+        // Settings are not read again here: the signal tells that the terminal is gone.
+        let mut hangup = signals::take(tokio::signal::unix::SignalKind::hangup());
         tokio::select! {
+            _ = hangup.recv() => {}
             () = instance::wait_for_termination() => {}
             () = instance.wait_for_drain_request() => {}
         }
--- a/crates/node/tests/signals.rs
+++ b/crates/node/tests/ends.rs
@@ -1,4 +1,4 @@
-//! Signals that arrive at a process at any time of its life: each is handled, none ends it without a planned stop.
+//! Ways in which a process ends: each is a planned stop, in which nothing that callers are owed is dropped.
 
 use {
     googletest::prelude::*,
@@ -95,7 +95,7 @@
     }
 
     fn spawn(write_settings: impl FnOnce(&PathBuf)) -> Self {
-        let name = format!("wellplank-signals-{}", uuid::Uuid::now_v7());
+        let name = format!("wellplank-ends-{}", uuid::Uuid::now_v7());
         let folder = std::env::temp_dir().join(name);
         std::fs::create_dir_all(&folder).unwrap();
         let file = folder.join("settings.json");
@@ -200,3 +200,13 @@
     expect_that!(end(process.wait()), eq((true, None)));
     expect_that!(begun.elapsed(), ge(STOP_TIME_MIN));
 }
+
+/// Guards against an instance of the own interface that is ended at once, with all its requests, by the hang-up of its
+/// terminal or by a SIGHUP for a reload, which it does not have.
+#[gtest]
+fn hangup_of_an_instance_of_the_own_interface_is_a_planned_stop() {
+    let mut process = Process::started(&own_settings());
+    process.signal("-HUP");
+    expect_that!(end(process.wait()), eq((true, None)));
+    expect_that!(process.has_line("stopped"), eq(true));
+}
