Close kept connections of callers during a stop of the own interface

What was seen: an instance of the own interface that was stopping answered on kept connections without `connection: close`. Such callers go on sending to it past the load balancer; each of their requests begins the quiet time anew, so the stop need not end, and the signal that ends the process at last drops what runs then.

Cause: only the endpoint of the users' platform (relay.rs) sets the header.

Evidence: the test fails without the change: the answer during a stop has no such header, and the connection is open a second later.

Fix: the endpoints of the own interface set it as well, on refusals too. A stream that began before the stop keeps its connection until the next answer on it. Ruled out: closing idle connections at the start of a stop, since a request may be on its way on them.

--- a/crates/node/src/caller.rs
+++ b/crates/node/src/caller.rs
@@ -26,6 +26,7 @@
 /// An endpoint that submits requests to the core.
 struct Endpoint {
     operation: Operation,
+    stopping: Arc<AtomicBool>,
     submitter: Submitter,
 }
 
@@ -92,6 +93,7 @@
 pub(crate) fn router(settings: &Settings, driver: &Driver, stopping: &Arc<AtomicBool>) -> Router {
     let endpoint = |operation| Endpoint {
         operation,
+        stopping: stopping.clone(),
         submitter: Submitter {
             driver: driver.clone(),
             max_body_bytes: settings.body_max,
@@ -127,6 +129,11 @@
             self.submitter.driver.count(Counter::Refused(kind));
             write_error(response, kind, None);
         }
+        if self.stopping.load(Ordering::Relaxed) {
+            // A caller that keeps its connection would go on sending here, past the load balancer.
+            let close = header::HeaderValue::from_static("close");
+            response.headers_mut().insert(header::CONNECTION, close);
+        }
     }
 }
 
--- a/crates/node/tests/ends.rs
+++ b/crates/node/tests/ends.rs
@@ -5,8 +5,8 @@
     serde_json::{Value, json},
     std::{
         fs::File,
-        io::Write,
-        net::{SocketAddr, TcpListener},
+        io::{ErrorKind, Read, Write},
+        net::{SocketAddr, TcpListener, TcpStream},
         os::unix::process::ExitStatusExt,
         path::PathBuf,
         process::{Child, Command, ExitStatus, Stdio},
@@ -53,6 +53,37 @@
     listener.local_addr().unwrap()
 }
 
+/// A caller's connection to an instance of the own interface.
+struct Connection(TcpStream);
+
+impl Connection {
+    fn open(settings: &Value) -> Self {
+        let address = settings["listen"]["callers"].as_str().unwrap();
+        let stream = TcpStream::connect(address).unwrap();
+        stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        Self(stream)
+    }
+
+    /// Sends a request without a key, which is refused; the head of the answer, and as much of the body as came with it.
+    fn request(&mut self) -> String {
+        self.0
+            .write_all(b"GET /services/any/path HTTP/1.1\r\nhost: any\r\n\r\n")
+            .unwrap();
+        let mut bytes = [0; 4_096];
+        let length = self.0.read(&mut bytes).unwrap();
+        String::from_utf8_lossy(&bytes[..length]).to_lowercase()
+    }
+
+    /// Whether the instance closes the connection within a time, in which it sends no more.
+    fn closes_within(&mut self, time: Duration) -> bool {
+        self.0.set_read_timeout(Some(time)).unwrap();
+        match self.0.read(&mut [0; 16]) {
+            Ok(length) => length == 0,
+            Err(error) => error.kind() == ErrorKind::ConnectionReset,
+        }
+    }
+}
+
 /// An instance as a process.
 struct Process {
     child: Child,
@@ -210,3 +241,25 @@
     expect_that!(end(process.wait()), eq((true, None)));
     expect_that!(process.has_line("stopped"), eq(true));
 }
+
+/// Guards against an instance that callers on kept connections keep from settling: they go on sending to it, whatever the
+/// load balancer knows.
+#[gtest]
+fn answer_of_a_stopping_instance_ends_its_connection() {
+    let mut settings = own_settings();
+    settings["settle_ms"] = 2_000.into();
+    let mut process = Process::started(&settings);
+    let mut connection = Connection::open(&settings);
+    let before = connection.request();
+    expect_that!(before, contains_substring(" 401 "));
+    expect_that!(before, not(contains_substring("connection: close")));
+    process.signal("-TERM");
+    expect_that!(process.wait_for_line("stopping"), eq(true));
+    // The line is written just before the stop begins.
+    std::thread::sleep(Duration::from_millis(100));
+    let after = connection.request();
+    expect_that!(after, contains_substring(" 401 "));
+    expect_that!(after, contains_substring("connection: close"));
+    expect_that!(connection.closes_within(Duration::from_secs(1)), eq(true));
+    expect_that!(end(process.wait()), eq((true, None)));
+}
