Bound the time that one caller can hold up a stop of the own interface

What was seen: an instance of the own interface whose stop has settled waited without a bound for all connections. A caller that sends half of its body, or does not read its answer, kept the process for ever, so that SIGKILL decided.

Cause: `stop_graceful(None)`; the own interface has no time-out of bodies.

Fix: a setting `close_ms`, 10 s by default, bounds that wait. By then nothing has run for `settle_ms`, so it can cut only what a caller itself holds up: a request that is not whole, or an answer that is not read. Ruled out: to have no wait there, since slow callers are owed their answers.

--- a/crates/node/src/instance.rs
+++ b/crates/node/src/instance.rs
@@ -138,7 +138,9 @@
                 idle_since = Instant::now();
             }
         }
-        self.server.stop_graceful(None);
+        // Nothing runs: a caller that neither sends nor reads must not hold up the exit for ever.
+        let close_time_max = Duration::from_millis(self.settings.close_ms);
+        self.server.stop_graceful(close_time_max);
         let _ = (&mut self.serving).await;
     }
 
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -18,6 +18,9 @@
     pub body_max: usize,
     /// Limits, rates and policies of the core.
     pub core: wellplank_core::settings::Settings,
+    /// Time that callers have to send their bodies and to read their answers once a stopping instance has settled, in
+    /// milliseconds.
+    pub close_ms: u64,
     /// Data centre of this instance.
     pub data_centre: String,
     /// Settings of an instance on the users' platform; `None` elsewhere.
@@ -117,6 +120,7 @@
         json!({
             "body_max": 4 << 20,
             "claim_writes": 160,
+            "close_ms": 10_000,
             "core": core_settings::defaults(),
             "data_centre": "a",
             "heartbeat_ms": 500,
@@ -158,6 +162,7 @@
         Self {
             body_max: reader.number("body_max", 4 << 20, 1_024..=256 << 20) as usize,
             claim_writes: reader.number("claim_writes", 160, 1..=10_000),
+            close_ms: reader.number("close_ms", 10_000, 0..=MILLIS_MAX),
             core,
             data_centre,
             hosted,
--- a/crates/node/tests/ends.rs
+++ b/crates/node/tests/ends.rs
@@ -263,3 +263,24 @@
     expect_that!(connection.closes_within(Duration::from_secs(1)), eq(true));
     expect_that!(end(process.wait()), eq((true, None)));
 }
+
+/// Guards against a stop that one caller can hold up for ever: it waited until every body was read and every answer taken,
+/// and so for a signal that ends the process at once.
+#[gtest]
+fn caller_that_sends_no_more_of_its_body_does_not_hold_up_a_stop() {
+    let mut settings = own_settings();
+    settings["close_ms"] = 500.into();
+    let mut process = Process::started(&settings);
+    let mut connection = Connection::open(&settings);
+    connection
+        .0
+        .write_all(
+            b"POST /services/any/path HTTP/1.1\r\nhost: any\r\nauthorization: Bearer any\r\n\
+              content-length: 100\r\n\r\npart",
+        )
+        .unwrap();
+    std::thread::sleep(Duration::from_millis(100));
+    process.signal("-TERM");
+    expect_that!(end(process.wait()), eq((true, None)));
+    expect_that!(connection.closes_within(Duration::from_secs(1)), eq(true));
+}
