End an instance of the own interface whose core task has ended

What was seen: behind a panic of its core task, an instance of the own interface went on for ever: it answered every request with 500 `internal`, which says that the request may have run, and nothing started it again.

Cause: hosted::run waits for the end of the core task, the own interface did not.

Evidence: the test panics the core task by a line of the log, as the others of core_end.rs do.

Fix: the end of the core task is a way out beside signals and `drain`: not ready, answers for what arrives within 100 ms, 200 ms for connections, then exit code 1, so that what watches the process starts another.

Ruled out: requests without an answer at that end.

--- a/crates/node/src/arguments.rs
+++ b/crates/node/src/arguments.rs
@@ -95,6 +95,11 @@
             _ = hangup.recv() => {}
             () = instance::wait_for_termination() => {}
             () = instance.wait_for_drain_request() => {}
+            // Without its core the instance answers every request with an error.
+            () = instance.core_ended() => {
+                instance.close().await;
+                return Err(Error::CoreEnded);
+            }
         }
         info!("stopping");
         instance.stop().await;
--- a/crates/node/src/instance.rs
+++ b/crates/node/src/instance.rs
@@ -7,6 +7,13 @@
 /// Interval at which a stopping instance checks whether requests still run.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Time for which an instance whose core task has ended answers requests that arrive with an error: those that were on
+/// their way.
+const REFUSAL_TIME: Duration = Duration::from_millis(100);
+
+/// Time that the connections of callers then have to take what was written.
+const CLOSE_TIME_MAX: Duration = Duration::from_millis(200);
+
 /// A running instance; dropping it aborts its tasks.
 pub struct Instance {
     drain_requested: watch::Receiver<bool>,
@@ -126,6 +133,24 @@
         })
     }
 
+    /// Closes the connections of callers after the core task has ended.
+    pub async fn close(mut self) {
+        self.stopping.store(true, Ordering::Relaxed);
+        sleep(REFUSAL_TIME).await;
+        self.close_connections(CLOSE_TIME_MAX).await;
+    }
+
+    /// Waits until the core task has ended.
+    pub async fn core_ended(&self) {
+        self.driver.ended().await;
+    }
+
+    async fn close_connections(&mut self, time_max: Duration) {
+        self.server.stop_graceful(time_max);
+        // The task can only end early by a panic, which is logged.
+        let _ = (&mut self.serving).await;
+    }
+
     /// Shuts down gracefully: reports that it is not ready, goes on serving running and new requests,
     /// and stops once no request has run for `settle_ms`.
     pub async fn stop(mut self) {
@@ -140,8 +165,7 @@
         }
         // Nothing runs: a caller that neither sends nor reads must not hold up the exit for ever.
         let close_time_max = Duration::from_millis(self.settings.close_ms);
-        self.server.stop_graceful(close_time_max);
-        let _ = (&mut self.serving).await;
+        self.close_connections(close_time_max).await;
     }
 
     /// Waits until an operator requests that the instance drain and stop.
--- a/crates/standin/tests/core_end.rs
+++ b/crates/standin/tests/core_end.rs
@@ -16,8 +16,9 @@
     },
     tokio::time::{Instant, sleep},
     wellplank_standin::{
+        Caller, Fleet, caller,
         client::Ask,
-        http,
+        fleet, http,
         site::{Plan, Site},
         worker::Mode,
     },
@@ -32,13 +33,17 @@
 /// Request whose line `sent` makes the core task panic.
 const FATAL: &str = "ends-the-core";
 
+/// Customer for whose requests that line makes the core task panic as well, at an instance of the own interface: its
+/// requests have no name of their caller's choice.
+const FATAL_CUSTOMER: &str = "sawmill";
+
 /// Text of that panic.
 const TEXT: &str = "panic of the test";
 
 /// Maximum number of request IDs in the last line of a core task.
 const NAMED_MAX: usize = 32;
 
-/// The product's logger, which panics at the line `sent` of the request [`FATAL`]. The core task writes that line, so
+/// The product's logger, which panics at the line `sent` of the request [`FATAL`] or of [`FATAL_CUSTOMER`]. The core task writes that line, so
 /// that it panics without any code for it in the product.
 struct PanickingLogger(Box<dyn Log>);
 
@@ -52,7 +57,11 @@
         key: kv::Key<'kvs>,
         value: kv::Value<'kvs>,
     ) -> std::result::Result<(), kv::Error> {
-        self.0 |= key.as_str() == "request" && value.to_string() == FATAL;
+        self.0 |= match key.as_str() {
+            "request" => value.to_string() == FATAL,
+            "customer" => value.to_string() == FATAL_CUSTOMER,
+            _ => false,
+        };
         Ok(())
     }
 }
@@ -430,3 +439,69 @@
         expect_that!(was_unready, eq(true));
     });
 }
+
+/// Guards against an instance of the own interface that goes on without its core task: it answered every request with an
+/// error, and was never started again.
+#[gtest]
+fn end_of_the_core_ends_an_instance_of_the_own_interface() {
+    run(async || {
+        let plan = fleet::Plan {
+            instances: 1,
+            ..fleet::Plan::default()
+        };
+        let fleet = Fleet::start(&plan).await;
+        let settings = Fleet::settings(&plan, "entry-2", fleet.platform.address);
+        let file = std::env::temp_dir().join(format!("wellplank-{}.json", uuid::Uuid::new_v4()));
+        std::fs::write(&file, settings.to_string()).unwrap();
+        let address: SocketAddr = settings["listen"]["callers"]
+            .as_str()
+            .unwrap()
+            .parse()
+            .unwrap();
+        let mut child = start_process(&file);
+        let ask = |key: &str, tokens| {
+            let caller = Caller { key: key.into() };
+            async move {
+                let ask = caller::Ask::new("notebook-summary", "night log", tokens);
+                caller.generate(address, &ask).await
+            }
+        };
+        let begun = Instant::now();
+        while !ask("hemelarchief", 2).await.finished {
+            assert!(begun.elapsed() < PATIENCE, "the instance does not serve");
+            sleep(Duration::from_millis(50)).await;
+        }
+        let stream = tokio::spawn(ask("hemelarchief", 2_000));
+        sleep(Duration::from_millis(200)).await;
+        let fatal = ask(FATAL_CUSTOMER, 20).await;
+        let begun = Instant::now();
+        let status = loop {
+            if let Some(status) = child.try_wait().unwrap() {
+                break Some(status);
+            }
+            if begun.elapsed() > PATIENCE {
+                let _ = child.kill();
+                let _ = child.wait();
+                break None;
+            }
+            sleep(Duration::from_millis(20)).await;
+        };
+        let _ = std::fs::remove_file(&file);
+        expect_that!(status.and_then(|status| status.code()), some(eq(1)));
+        // Both requests were answered before.
+        expect_that!(fatal.error, some(eq("internal")));
+        expect_that!(stream.await.unwrap().error, some(eq("internal")));
+    });
+}
+
+/// Starts this test's own executable as an instance.
+fn start_process(settings: &std::path::Path) -> Child {
+    Command::new(std::env::current_exe().unwrap())
+        .args(["process_under_test", "--exact", "--nocapture"])
+        .env(SETTINGS, settings)
+        .env("RUST_BACKTRACE", "0")
+        .stdout(Stdio::null())
+        .stderr(Stdio::null())
+        .spawn()
+        .unwrap()
+}
