Refuse new requests of the own interface once a stop has lasted long enough

What was seen: an instance of the own interface that gets SIGTERM or `wellplankctl drain` while callers go on coming (a balancer that lags for long, or callers that know only this instance) did not leave at all. What ends it then is a signal that it can not handle, and all that runs is lost.

Cause: each request begins the quiet time of `settle_ms` anew, and nothing bounds how long requests are accepted.

Evidence: stop_ends_though_callers_go_on_coming, one caller that asks again behind each answer.

Fix: a setting `accept_ms`, 10 s by default. Behind it requests get 503 `not_ready` once their body is read (a connection that is closed with unread bytes is reset, and the answer with it). What runs has deadlines of its own, so the stop ends: accept_ms, the longest deadline, settle_ms and close_ms. An instance whose core task has ended refuses in the same way.

Ruled out: refusing from the start of a stop, since balancers lag; and closing the listener, which callers see as an instance that is gone.

--- a/crates/node/src/caller.rs
+++ b/crates/node/src/caller.rs
@@ -1,6 +1,7 @@
 //! The HTTP interface for callers: routes, and what completions and calls of plain services have in common.
 
 use super::*;
+use instance::StopPhase;
 
 /// Header with the caller's idempotency key, a `UUIDv7`.
 const IDEMPOTENCY_KEY: &str = "idempotency-key";
@@ -11,7 +12,7 @@
 /// `GET /ready`: tells the load balancer whether to send new callers to this instance.
 struct Readiness {
     driver: Driver,
-    stopping: Arc<AtomicBool>,
+    stop_phase: watch::Receiver<StopPhase>,
 }
 
 /// Operation that an [`Endpoint`] serves.
@@ -26,7 +27,6 @@
 /// An endpoint that submits requests to the core.
 struct Endpoint {
     operation: Operation,
-    stopping: Arc<AtomicBool>,
     submitter: Submitter,
 }
 
@@ -35,6 +35,7 @@
 pub(crate) struct Submitter {
     driver: Driver,
     max_body_bytes: usize,
+    stop_phase: watch::Receiver<StopPhase>,
 }
 
 /// A request that was submitted to the core.
@@ -90,18 +91,22 @@
 }
 
 /// The routes of the interface for callers.
-pub(crate) fn router(settings: &Settings, driver: &Driver, stopping: &Arc<AtomicBool>) -> Router {
+pub(crate) fn router(
+    settings: &Settings,
+    driver: &Driver,
+    stop_phase: &watch::Receiver<StopPhase>,
+) -> Router {
     let endpoint = |operation| Endpoint {
         operation,
-        stopping: stopping.clone(),
         submitter: Submitter {
             driver: driver.clone(),
             max_body_bytes: settings.body_max,
+            stop_phase: stop_phase.clone(),
         },
     };
     let readiness = Readiness {
         driver: driver.clone(),
-        stopping: stopping.clone(),
+        stop_phase: stop_phase.clone(),
     };
     Router::new()
         .push(Router::with_path("v1/completions").post(endpoint(Operation::Completion)))
@@ -127,9 +132,10 @@
         };
         if let Err(kind) = result {
             self.submitter.driver.count(Counter::Refused(kind));
-            write_error(response, kind, None);
+            let retry_after_ms = (kind == Kind::NotReady).then_some(relay::SHUTDOWN_RETRY_MS);
+            write_error(response, kind, retry_after_ms);
         }
-        if self.stopping.load(Ordering::Relaxed) {
+        if *self.submitter.stop_phase.borrow() != StopPhase::Serving {
             // A caller that keeps its connection would go on sending here, past the load balancer.
             let close = header::HeaderValue::from_static("close");
             response.headers_mut().insert(header::CONNECTION, close);
@@ -138,16 +144,18 @@
 }
 
 impl Submitter {
-    /// Reads the body of a request, up to the configured limit.
+    /// Reads the body of a request, up to the configured limit. Refuses the request once a planned stop accepts no more:
+    /// only then, since closing a connection with unread bytes would reset it, and the answer with it.
     pub async fn read_body(&self, request: &mut salvo::Request) -> Result<Bytes, Kind> {
-        request
-            .payload_with_max_size(self.max_body_bytes)
-            .await
-            .cloned()
-            .map_err(|error| match error {
-                salvo::http::ParseError::PayloadTooLarge => Kind::TooLarge,
-                _ => Kind::BadBody,
-            })
+        let body = request.payload_with_max_size(self.max_body_bytes).await;
+        let body = body.cloned().map_err(|error| match error {
+            salvo::http::ParseError::PayloadTooLarge => Kind::TooLarge,
+            _ => Kind::BadBody,
+        })?;
+        if *self.stop_phase.borrow() == StopPhase::Refusing {
+            return Err(Kind::NotReady);
+        }
+        Ok(body)
     }
 
     /// Submits a request to the core; `generation` is its new identifier.
@@ -190,7 +198,7 @@
 impl Readiness {
     async fn handle(&self, response: &mut salvo::Response) {
         let configured = self.driver.status().await.revision.is_some();
-        let ready = configured && !self.stopping.load(Ordering::Relaxed);
+        let ready = configured && *self.stop_phase.borrow() == StopPhase::Serving;
         write_readiness(response, ready);
     }
 }
--- a/crates/node/src/instance.rs
+++ b/crates/node/src/instance.rs
@@ -14,6 +14,17 @@
 /// Time that the connections of callers then have to take what was written.
 const CLOSE_TIME_MAX: Duration = Duration::from_millis(200);
 
+/// How far a planned stop is.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum StopPhase {
+    /// No stop has begun.
+    Serving,
+    /// The instance is not ready, and serves the requests that arrive: load balancers lag.
+    Draining,
+    /// New requests are refused as not run; those that run are served.
+    Refusing,
+}
+
 /// A running instance; dropping it aborts its tasks.
 pub struct Instance {
     drain_requested: watch::Receiver<bool>,
@@ -21,7 +32,7 @@
     server: salvo::server::ServerHandle,
     serving: JoinHandle<()>,
     settings: Settings,
-    stopping: Arc<AtomicBool>,
+    stop_phase: watch::Sender<StopPhase>,
     tasks: Vec<JoinHandle<()>>,
 }
 
@@ -46,7 +57,7 @@
         let (held, held_receiver) = watch::channel(revision::ActiveConfig::default());
         let (list, list_receiver) = watch::channel(Vec::new());
         let (peers, peers_receiver) = watch::channel(peer::Peers::new());
-        let stopping = Arc::new(AtomicBool::new(false));
+        let (stop_phase, stop_phase_receiver) = watch::channel(StopPhase::Serving);
 
         let peer_socket = listen(settings.listen.peers).await?;
         let operator_socket = listen(settings.listen.operators).await?;
@@ -85,7 +96,7 @@
             list: list_receiver.clone(),
             peers: peers_receiver,
             settings: settings.clone(),
-            stopping: stopping.clone(),
+            stop_phase: stop_phase_receiver.clone(),
         };
         let revisions = revision::Task {
             active_config: held,
@@ -94,7 +105,7 @@
             list: list_receiver.clone(),
             store: store.clone(),
         };
-        let router = caller::router(&settings, &driver, &stopping);
+        let router = caller::router(&settings, &driver, &stop_phase_receiver);
         let server = Server::new(acceptor);
         let handle = server.handle();
         let tasks = vec![
@@ -128,14 +139,14 @@
             server: handle,
             serving,
             settings,
-            stopping,
+            stop_phase,
             tasks,
         })
     }
 
     /// Closes the connections of callers after the core task has ended.
     pub async fn close(mut self) {
-        self.stopping.store(true, Ordering::Relaxed);
+        self.stop_phase.send_replace(StopPhase::Refusing);
         sleep(REFUSAL_TIME).await;
         self.close_connections(CLOSE_TIME_MAX).await;
     }
@@ -151,14 +162,19 @@
         let _ = (&mut self.serving).await;
     }
 
-    /// Shuts down gracefully: reports that it is not ready, goes on serving running and new requests,
-    /// and stops once no request has run for `settle_ms`.
+    /// Shuts down gracefully: reports that it is not ready, goes on serving running requests and, for `accept_ms`, new ones,
+    /// and stops once no request has run for `settle_ms`. Each request has a deadline, so that the stop ends.
     pub async fn stop(mut self) {
-        self.stopping.store(true, Ordering::Relaxed);
+        self.stop_phase.send_replace(StopPhase::Draining);
+        let begun = Instant::now();
+        let accept = Duration::from_millis(self.settings.accept_ms);
         let settle = Duration::from_millis(self.settings.settle_ms);
         let mut idle_since = Instant::now();
         while idle_since.elapsed() < settle {
             sleep(POLL_INTERVAL).await;
+            if begun.elapsed() >= accept {
+                self.stop_phase.send_replace(StopPhase::Refusing);
+            }
             if self.driver.status().await.running > 0 {
                 idle_since = Instant::now();
             }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -86,7 +86,7 @@
         process::ExitCode,
         sync::{
             Arc,
-            atomic::{AtomicBool, AtomicU64, Ordering},
+            atomic::{AtomicU64, Ordering},
         },
         time::{Duration, Instant, SystemTime, UNIX_EPOCH},
     },
--- a/crates/node/src/operator.rs
+++ b/crates/node/src/operator.rs
@@ -23,8 +23,8 @@
     pub peers: watch::Receiver<peer::Peers>,
     /// Settings of this instance.
     pub settings: Settings,
-    /// Whether this instance is stopping.
-    pub stopping: Arc<AtomicBool>,
+    /// How far a planned stop of this instance is.
+    pub stop_phase: watch::Receiver<instance::StopPhase>,
 }
 
 impl Service {
@@ -127,7 +127,7 @@
     ) -> Result<tonic::Response<schema::StatusReply>, Status> {
         self.authorize(&request)?;
         let snapshot = self.driver.status().await;
-        let stopping = self.stopping.load(Ordering::Relaxed);
+        let stopping = *self.stop_phase.borrow() != instance::StopPhase::Serving;
         let peers = if request.into_inner().everywhere {
             let list = self.list.borrow().clone();
             peer::fetch_revisions(&list).await
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -14,6 +14,8 @@
 /// Settings of an instance; the fields have the names of the settings.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
+    /// Time for which a stopping instance accepts new requests, in milliseconds.
+    pub accept_ms: u64,
     /// Maximum size of a request body, in bytes.
     pub body_max: usize,
     /// Limits, rates and policies of the core.
@@ -118,6 +120,7 @@
     /// A settings file with all settings at their defaults, or at an example if they have none.
     pub fn defaults() -> Value {
         json!({
+            "accept_ms": 10_000,
             "body_max": 4 << 20,
             "claim_writes": 160,
             "close_ms": 10_000,
@@ -160,6 +163,7 @@
         let data_centre = reader.string("data_centre", None).unwrap_or_default();
         let core = core_settings::read(reader.section("core"));
         Self {
+            accept_ms: reader.number("accept_ms", 10_000, 0..=MILLIS_MAX),
             body_max: reader.number("body_max", 4 << 20, 1_024..=256 << 20) as usize,
             claim_writes: reader.number("claim_writes", 160, 1..=10_000),
             close_ms: reader.number("close_ms", 10_000, 0..=MILLIS_MAX),
--- a/crates/standin/tests/process.rs
+++ b/crates/standin/tests/process.rs
@@ -487,6 +487,34 @@
     });
 }
 
+/// Guards against a stop that does not end while callers go on coming: a signal that can not be handled ended the process
+/// then, with all that ran.
+#[gtest]
+fn stop_ends_though_callers_go_on_coming() {
+    run(async {
+        let mut fleet = Processes::start(json!({})).await;
+        let address = fleet.instances[0].address;
+        fleet.instances[0].signal("-TERM");
+        let began = Instant::now();
+        let mut refused = 0;
+        while fleet.instances[0].child.try_wait().unwrap().is_none() {
+            assert!(began.elapsed() < PATIENCE, "the instance does not leave");
+            let ask = summary(50);
+            let outcome = caller().generate(address, &ask).await;
+            if outcome.error.as_deref() == Some("not_ready") {
+                expect_that!(outcome.ran, some(eq("no")));
+                refused += 1;
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            } else if outcome.status != 0 {
+                expect_that!(ask.is_whole(&outcome.tokens), eq(true));
+            }
+        }
+        expect_that!(refused, gt(0));
+        let status = fleet.instances[0].child.wait().unwrap();
+        expect_that!(status.success(), eq(true));
+    });
+}
+
 #[gtest]
 fn claimer_frozen_before_it_sends_runs_nothing_twice() {
     run(async {
