--- a/crates/node/tests/ends.rs
+++ b/crates/node/tests/ends.rs
@@ -48,6 +48,7 @@
     settings
 }
 
+/// An address that is free now. A process that another test starts meanwhile may hold its listener for a moment.
 fn free_address() -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     listener.local_addr().unwrap()
