--- a/crates/node/src/instance.rs
+++ b/crates/node/src/instance.rs
@@ -2,9 +2,29 @@
 
 use super::*;
 
+pub(crate) use signals::wait_for_termination;
+
 /// Interval at which a stopping instance checks whether requests still run.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Time for which an instance whose core task has ended answers requests that arrive with an error: those that were on
+/// their way.
+const REFUSAL_TIME: Duration = Duration::from_millis(100);
+
+/// Time that the connections of callers then have to take what was written.
+const CLOSE_TIME_MAX: Duration = Duration::from_millis(200);
+
+/// How far a planned stop is.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum StopPhase {
+    /// No stop has begun.
+    Serving,
+    /// The instance is not ready, and serves the requests that arrive: load balancers lag.
+    Draining,
+    /// New requests are refused as not run; those that run are served.
+    Refusing,
+}
+
 /// A running instance; dropping it aborts its tasks.
 pub struct Instance {
     drain_requested: watch::Receiver<bool>,
@@ -12,7 +32,7 @@
     server: salvo::server::ServerHandle,
     serving: JoinHandle<()>,
     settings: Settings,
-    stopping: Arc<AtomicBool>,
+    stop_phase: watch::Sender<StopPhase>,
     tasks: Vec<JoinHandle<()>>,
 }
 
@@ -37,7 +57,7 @@
         let (held, held_receiver) = watch::channel(revision::ActiveConfig::default());
         let (list, list_receiver) = watch::channel(Vec::new());
         let (peers, peers_receiver) = watch::channel(peer::Peers::new());
-        let stopping = Arc::new(AtomicBool::new(false));
+        let (stop_phase, stop_phase_receiver) = watch::channel(StopPhase::Serving);
 
         let peer_socket = listen(settings.listen.peers).await?;
         let operator_socket = listen(settings.listen.operators).await?;
@@ -76,7 +96,7 @@
             list: list_receiver.clone(),
             peers: peers_receiver,
             settings: settings.clone(),
-            stopping: stopping.clone(),
+            stop_phase: stop_phase_receiver.clone(),
         };
         let revisions = revision::Task {
             active_config: held,
@@ -85,7 +105,7 @@
             list: list_receiver.clone(),
             store: store.clone(),
         };
-        let router = caller::router(&settings, &driver, &stopping);
+        let router = caller::router(&settings, &driver, &stop_phase_receiver);
         let server = Server::new(acceptor);
         let handle = server.handle();
         let tasks = vec![
@@ -119,25 +139,49 @@
             server: handle,
             serving,
             settings,
-            stopping,
+            stop_phase,
             tasks,
         })
     }
 
-    /// Shuts down gracefully: reports that it is not ready, goes on serving running and new requests,
-    /// and stops once no request has run for `settle_ms`.
+    /// Closes the connections of callers after the core task has ended.
+    pub async fn close(mut self) {
+        self.stop_phase.send_replace(StopPhase::Refusing);
+        sleep(REFUSAL_TIME).await;
+        self.close_connections(CLOSE_TIME_MAX).await;
+    }
+
+    /// Waits until the core task has ended.
+    pub async fn core_ended(&self) {
+        self.driver.ended().await;
+    }
+
+    async fn close_connections(&mut self, time_max: Duration) {
+        self.server.stop_graceful(time_max);
+        // The task can only end early by a panic, which is logged.
+        let _ = (&mut self.serving).await;
+    }
+
+    /// Shuts down gracefully: reports that it is not ready, goes on serving running requests and, for `accept_ms`, new ones,
+    /// and stops once no request has run for `settle_ms`. Each request has a deadline, so that the stop ends.
     pub async fn stop(mut self) {
-        self.stopping.store(true, Ordering::Relaxed);
+        self.stop_phase.send_replace(StopPhase::Draining);
+        let begun = Instant::now();
+        let accept = Duration::from_millis(self.settings.accept_ms);
         let settle = Duration::from_millis(self.settings.settle_ms);
         let mut idle_since = Instant::now();
         while idle_since.elapsed() < settle {
             sleep(POLL_INTERVAL).await;
+            if begun.elapsed() >= accept {
+                self.stop_phase.send_replace(StopPhase::Refusing);
+            }
             if self.driver.status().await.running > 0 {
                 idle_since = Instant::now();
             }
         }
-        self.server.stop_graceful(None);
-        let _ = (&mut self.serving).await;
+        // Nothing runs: a caller that neither sends nor reads must not hold up the exit for ever.
+        let close_time_max = Duration::from_millis(self.settings.close_ms);
+        self.close_connections(close_time_max).await;
     }
 
     /// Waits until an operator requests that the instance drain and stop.
@@ -154,17 +198,6 @@
     }
 }
 
-/// Waits for SIGTERM or SIGINT.
-pub(crate) async fn wait_for_termination() {
-    use tokio::signal::unix::{SignalKind, signal};
-    let mut terminate =
-        signal(SignalKind::terminate()).expect("the SIGTERM handler can be installed");
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = tokio::signal::ctrl_c() => {}
-    }
-}
-
 async fn listen(address: SocketAddr) -> Result<tokio::net::TcpListener, Error> {
     tokio::net::TcpListener::bind(address)
         .await
