Stop instances in series in a soak while requests wait

SIGTERMs come for one instance, a third, and all in turn; they overlap, and beside them come configurations and releases of upstreams. Each request that ends without an answer is told by its state and by the time behind SIGTERM, and held against the rule LOST. The ledger of the upstreams says when the work on a run ended.

The other modes are the same; the configuration with idle routes of `--returning` is now written by the soak.

--- a/crates/standin/src/arguments.rs
+++ b/crates/standin/src/arguments.rs
@@ -49,6 +49,13 @@
                         .action(clap::ArgAction::SetTrue)
                         .help("Have upstreams start again under their names beside planned work")
                         .long("returning"),
+                )
+                .arg(
+                    Arg::new("stopping")
+                        .action(clap::ArgAction::SetTrue)
+                        .conflicts_with_all(["leaving", "returning"])
+                        .help("Stop instances in series while requests wait")
+                        .long("stopping"),
                 ),
         )
         .subcommand(
@@ -255,6 +262,8 @@
             leaving::run(plan).await
         } else if arguments.get_flag("returning") {
             returning::run(plan).await
+        } else if arguments.get_flag("stopping") {
+            stopping::run(plan).await
         } else {
             soak::run(plan).await
         };
@@ -264,6 +273,9 @@
         println!(
             "seed {seed}: {faults} faults, {requests} requests, {whole} whole, {ends} ends, {cut} cut, {over} over, {late:.1?} late"
         );
+        for note in &outcome.notes {
+            println!("seed {seed}: {note}");
+        }
         for violation in &outcome.violations {
             eprintln!("seed {seed}: {violation}");
         }
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -43,6 +43,7 @@
 pub mod shelf;
 pub mod site;
 pub mod soak;
+pub mod stopping;
 pub mod stream;
 pub mod surge;
 pub mod timeline;
--- a/crates/standin/src/patron.rs
+++ b/crates/standin/src/patron.rs
@@ -22,6 +22,17 @@
     Slow(Duration),
 }
 
+/// Why a request has no answer.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Miss {
+    /// The connection ended before an answer began.
+    Closed,
+    /// The answer was not whole in time.
+    Late,
+    /// No connection was made.
+    Unreached,
+}
+
 /// The connections of one caller.
 pub(crate) struct Patron {
     client: HttpClient,
@@ -50,18 +61,32 @@
         address: SocketAddr,
         patience: Duration,
     ) -> Option<Got> {
+        self.send(ask, address, patience).await.ok()
+    }
+
+    /// The same; why there is no answer otherwise.
+    pub(crate) async fn send(
+        &self,
+        ask: &Ask,
+        address: SocketAddr,
+        patience: Duration,
+    ) -> Result<Got, Miss> {
         let mut request = hyper::Request::post(format!("http://{address}{}", ask.path));
         for (name, value) in &ask.headers {
             request = request.header(*name, value);
         }
         let request = request
             .body(Full::new(Bytes::from(ask.body.clone())))
-            .ok()?;
+            .expect("names and values are plain");
         let sent = tokio::time::timeout(patience, self.client.request(request)).await;
-        let response = sent.ok()?.ok()?;
-        tokio::time::timeout(patience, self.read(response))
-            .await
-            .ok()
+        let response = match sent {
+            Err(_) => return Err(Miss::Late),
+            Ok(Err(error)) if error.is_connect() => return Err(Miss::Unreached),
+            Ok(Err(_)) => return Err(Miss::Closed),
+            Ok(Ok(response)) => response,
+        };
+        let read = tokio::time::timeout(patience, self.read(response)).await;
+        read.map_err(|_| Miss::Late)
     }
 
     async fn read(&self, response: hyper::Response<hyper::body::Incoming>) -> Got {
--- a/crates/standin/src/returning.rs
+++ b/crates/standin/src/returning.rs
@@ -153,7 +153,6 @@
     soak: Soak,
     /// Instances whose start is due.
     starting: BTreeSet<usize>,
-    version: u64,
 }
 
 /// Runs one soak in which upstreams come back.
@@ -168,7 +167,6 @@
         record: Record::new(RULE),
         soak: Soak::start(plan),
         starting: BTreeSet::new(),
-        version: 1,
     };
     returning.soak.wait_ready().await;
     returning.choose_paces();
@@ -317,20 +315,9 @@
     /// Writes a configuration that differs from the one before in routes that nobody asks for and a time limit.
     fn configure(&mut self, more: u32) {
         self.faults += 1;
-        self.version += 1;
         let idle = self.random.random_range(0..IDLE_ROUTES);
-        let mut configuration = site::configuration(self.version);
-        for number in 0..idle {
-            let mut route = configuration["routes"][1].clone();
-            route["name"] = json!(format!("idle-{number}"));
-            route["path_prefix"] = json!(format!("/idle-{number}/"));
-            if let Some(routes) = configuration["routes"].as_array_mut() {
-                routes.push(route);
-            }
-        }
-        configuration["limits"]["idle_timeout_ms"] = json!(15_000 + idle);
-        self.write(&format!("version {} with {idle} idle routes", self.version));
-        self.soak.put_configuration(self.version, &configuration);
+        let version = self.soak.configure_idle(idle);
+        self.write(&format!("version {version} with {idle} idle routes"));
         self.record.plan(Work::Configuration, self.now());
         if more > 0 {
             self.push_behind(STORM_STEP_MS, Due::Configure(more - 1));
--- a/crates/standin/src/site.rs
+++ b/crates/standin/src/site.rs
@@ -180,7 +180,7 @@
 pub fn enter(shelf: &Shelf, worker: &Worker, pool: &str, data_centre: usize, state: &str) {
     let entry = json!({
         "service": pool, "address": worker.entered, "zone": format!("dc-{data_centre}"),
-        "version": worker.version, "slots": 8, "state": state, "cold_left_ms": 0, "call_seq": 0,
+        "version": worker.version, "slots": worker.slots, "state": state, "cold_left_ms": 0, "call_seq": 0,
         "born": worker.born,
     });
     shelf.put(&format!("servers/{}", worker.name), &entry);
--- a/crates/standin/src/soak.rs
+++ b/crates/standin/src/soak.rs
@@ -70,6 +70,27 @@
     pub seed: u64,
 }
 
+/// What instances and upstreams are given.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Layout {
+    /// Configuration by its version.
+    pub(crate) configuration: fn(u64) -> Value,
+    /// Time that an instance has to end in order, in milliseconds.
+    pub(crate) grace_ms: u64,
+    /// Requests that each upstream has room for.
+    pub(crate) slots: usize,
+}
+
+impl Default for Layout {
+    fn default() -> Self {
+        Self {
+            configuration: site::configuration,
+            grace_ms: GRACE_MS,
+            slots: worker::SLOTS,
+        }
+    }
+}
+
 /// What came of a soak.
 #[derive(Clone, Debug, Default)]
 pub struct Outcome {
@@ -81,6 +102,8 @@
     pub faults: usize,
     /// Time in which the machine was slowed, where the mode counts what is cut: it excuses what was cut in it.
     pub late: Duration,
+    /// Figures of the mode, a line each.
+    pub notes: Vec<String>,
     /// Instances that cut more requests around planned work than the rule allows, where the mode counts them.
     pub over: usize,
     /// Requests of callers; the tries of one count once.
@@ -99,13 +122,13 @@
     ended: Arc<Mutex<Vec<(String, bool, Instant)>>>,
     /// Tries that were told not to have run.
     refused: Arc<Mutex<Vec<String>>>,
-    requests: Arc<AtomicUsize>,
+    pub(crate) requests: Arc<AtomicUsize>,
     /// Lives that said beside an answer that they leave, the instances that passed this on, and when.
     said: Arc<Mutex<Vec<(usize, Incarnation, Instant)>>>,
     /// Which instance each try was sent to, and when.
     senders: Arc<Mutex<HashMap<String, (usize, Instant)>>>,
-    stop: Arc<AtomicBool>,
-    whole: Arc<AtomicUsize>,
+    pub(crate) stop: Arc<AtomicBool>,
+    pub(crate) whole: Arc<AtomicUsize>,
 }
 
 impl Shared {
@@ -187,9 +210,10 @@
     begun: Instant,
     /// Where nothing listens.
     closed: SocketAddr,
-    folder: PathBuf,
+    pub(crate) folder: PathBuf,
     host: Host,
     pub(crate) instances: Vec<Daemon>,
+    layout: Layout,
     /// How late the machine runs the proxies before the store and the upstreams.
     pub(crate) lateness: Probe,
     pub(crate) ledger: Ledger,
@@ -274,7 +298,7 @@
             .collect()
     }
 
-    fn addresses(&self) -> Vec<SocketAddr> {
+    pub(crate) fn addresses(&self) -> Vec<SocketAddr> {
         self.instances.iter().map(|one| one.callers).collect()
     }
 
@@ -303,13 +327,18 @@
     }
 
     pub(crate) fn start(plan: Plan) -> Self {
+        Self::start_by(plan, Layout::default())
+    }
+
+    /// Starts everything by a layout.
+    pub(crate) fn start_by(plan: Plan, layout: Layout) -> Self {
         let folder = std::env::temp_dir().join(format!("wellplank-soak-{}", Uuid::new_v4()));
         std::fs::create_dir_all(&folder).expect("a folder can be made");
         let host = Host::new(2);
         let shelf = Shelf::default();
         let store = host::free_address();
         host.spawn(shelf.clone().serve(store));
-        shelf.put("op/config", &site::configuration(1));
+        shelf.put("op/config", &(layout.configuration)(1));
         let closed = host::free_address();
         let mut soak = Self {
             begun: Instant::now(),
@@ -317,6 +346,7 @@
             folder,
             host,
             instances: Vec::new(),
+            layout,
             lateness: Probe::default(),
             ledger: Ledger::default(),
             lives_ended: HashMap::new(),
@@ -348,7 +378,7 @@
     fn instance(&mut self, index: usize) {
         let store = Proxy::new(self.free_address(), self.store);
         self.host.spawn(store.clone().serve());
-        let settings = site::settings(index, GRACE_MS, store.address);
+        let settings = site::settings(index, self.layout.grace_ms, store.address);
         let hosted = &settings["hosted"];
         for address in [
             &hosted["metrics"],
@@ -406,7 +436,8 @@
         let seat = &mut self.seats[index];
         seat.worker = Worker::new(address, name, &self.ledger)
             .behind(seat.proxy.address)
-            .of_version(VERSIONS[index % VERSIONS.len()]);
+            .of_version(VERSIONS[index % VERSIONS.len()])
+            .with_slots(self.layout.slots);
         seat.host = Host::new(1);
         seat.host.spawn(seat.worker.clone().serve());
         seat.proxy.aim(address);
@@ -493,17 +524,28 @@
         }
     }
 
-    /// Has another configuration come, of a later version than those before.
-    pub(crate) fn put_configuration(&mut self, version: u64, configuration: &Value) {
-        self.version = version;
-        self.shelf.put("op/config", configuration);
+    /// Has a configuration come that differs from the one before in routes that nobody asks for and a time limit; its version.
+    pub(crate) fn configure_idle(&mut self, idle: usize) -> u64 {
+        self.version += 1;
+        let mut configuration = (self.layout.configuration)(self.version);
+        for number in 0..idle {
+            let mut route = configuration["routes"][1].clone();
+            route["name"] = json!(format!("idle-{number}"));
+            route["path_prefix"] = json!(format!("/idle-{number}/"));
+            if let Some(routes) = configuration["routes"].as_array_mut() {
+                routes.push(route);
+            }
+        }
+        configuration["limits"]["idle_timeout_ms"] = json!(15_000 + idle);
+        self.shelf.put("op/config", &configuration);
+        self.version
     }
 
     /// Has another configuration, which says the same, come.
     pub(crate) fn configure(&mut self) {
         self.version += 3;
         self.shelf
-            .put("op/config", &site::configuration(self.version));
+            .put("op/config", &(self.layout.configuration)(self.version));
     }
 
     /// Causes a fault, or ends one.
@@ -562,7 +604,7 @@
     /// A change after the last fault must be in force everywhere soon; instances that were told to stop
     /// are started again until then.
     async fn check_configuration(&mut self) {
-        let mut changed = site::configuration(self.version + 3);
+        let mut changed = (self.layout.configuration)(self.version + 3);
         changed["routes"][2]["path_prefix"] = "/first/".into();
         let end = Instant::now() + SETTLE;
         self.shelf.put("op/config", &changed);
@@ -646,7 +688,7 @@
 }
 
 /// Statuses that say that a request has not run.
-const NOT_RUN: [u16; 4] = [408, 421, 429, 503];
+pub(crate) const NOT_RUN: [u16; 4] = [408, 421, 429, 503];
 
 /// A caller that asks again and again until it is told to stop.
 struct Caller {
--- /dev/null
+++ b/crates/standin/src/stopping.rs
@@ -0,0 +1,632 @@
+//! A soak in which instances are stopped and started in series while requests wait, as real processes meet it.
+//!
+//! Callers outnumber the slots of the upstreams, with streams of three urgencies, and have patience for several turns of the
+//! least urgent one. Beside the stops, which overlap, the configuration changes and upstreams leave, end and are replaced;
+//! nothing is unplanned. Guards against requests that an instance has read and ends with, without an answer: each of them is
+//! told by what had become of it, and by the time behind the signal.
+
+use super::*;
+use client::{Ask, Got};
+use daemon::Signal;
+use patron::{Habit, Miss, Patron};
+use soak::{Layout, Outcome, Plan, Shared, Soak};
+use std::sync::{Arc, Mutex, atomic::Ordering};
+use wellplank_core::incarnation::Incarnation;
+use worker::{Mode, Run};
+
+/// Time that an instance has to end in order, as in the incident.
+const GRACE: Duration = Duration::from_secs(8);
+
+/// Time behind it that still belongs to the stop.
+const SLACK: Duration = Duration::from_secs(1);
+
+/// Requests that an upstream has room for, and callers for each of these places.
+const SLOTS: usize = 2;
+const CALLERS: usize = 10;
+
+/// Time that a caller gives a request, over all its tries.
+const PATIENCE: Duration = Duration::from_secs(25);
+
+/// Pause of a caller between two tries.
+const PAUSE: Duration = Duration::from_millis(150);
+
+/// Time behind a signal from which a load balancer sends an instance nothing more.
+const LEAVE: Duration = Duration::from_secs(2);
+
+/// Time within which the closing of a connection may cross a request.
+const CROSSING: Duration = Duration::from_millis(200);
+
+/// Time behind a signal up to which requests are sent that may be broken off in the last sixth of the grace period.
+const LATE: Duration = Duration::from_secs(3);
+
+/// Time that the end of a response takes from the upstream to the caller: an upstream counts as at work so long behind its end.
+const PASSING: Duration = Duration::from_millis(100);
+
+/// The same for a response that may be broken off. On a busy machine an instance read the last events 300 ms late.
+const PASSING_MAX: Duration = Duration::from_millis(500);
+
+/// Time within which an instance gives up a response that its upstream broke off.
+const GIVE_UP: Duration = Duration::from_millis(300);
+
+/// Time between two configurations, two departures of upstreams, and two series of stops, in milliseconds.
+const CONFIGURE_MS: std::ops::Range<u64> = 3_000..7_000;
+const RELEASE_MS: std::ops::Range<u64> = 2_000..5_000;
+const SERIES_MS: std::ops::Range<u64> = 1_000..3_000;
+
+/// Time for which an upstream serves on behind its word, in milliseconds: less and more than a stream takes.
+const SERVES_MS: std::ops::Range<u64> = 300..4_000;
+
+/// Time after which an instance whose process ended is started again, as the users' platform does.
+const DOWN: Duration = Duration::from_millis(500);
+
+/// Time between two looks at what is due.
+const STEP: Duration = Duration::from_millis(20);
+
+/// Span by which figures count times behind a signal, in milliseconds.
+const FIGURE_STEP_MS: u128 = 250;
+
+/// Routes of a configuration that nobody asks for, at most.
+const IDLE_ROUTES: usize = 50;
+
+/// Streams by urgency, the most urgent first: name, path, and aim in milliseconds.
+const STREAMS: [(&str, &str, u64); 3] = [
+    ("urgent", "/urgent/1", 1_000),
+    ("usual", "/usual/1", 3_000),
+    ("patient", "/stream/1", 10_000),
+];
+
+/// The configuration: the site's, with streams of three urgencies and the time that callers give.
+fn configuration(version: u64) -> Value {
+    let mut configuration = site::configuration(version);
+    let Some(routes) = configuration["routes"].as_array_mut() else {
+        return configuration;
+    };
+    for route in routes.iter_mut() {
+        route["timeout_ms"] = json!(PATIENCE.as_millis() as u64);
+    }
+    let stream = routes[0].clone();
+    for (priority, (name, path, aim_ms)) in STREAMS.into_iter().enumerate() {
+        let mut route = stream.clone();
+        route["slo_ms"] = json!(aim_ms);
+        route["priority"] = json!(priority);
+        if path.starts_with("/stream/") {
+            routes[0] = route;
+        } else {
+            route["name"] = json!(name);
+            route["path_prefix"] = json!(path.trim_end_matches('1'));
+            routes.push(route);
+        }
+    }
+    configuration
+}
+
+/// A stop of an instance.
+#[derive(Clone, Copy, Debug)]
+struct Stop {
+    at: Instant,
+    instance: usize,
+}
+
+/// How a try ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum End {
+    /// Its response broke off.
+    Cut,
+    /// Its connection closed before a response began.
+    Closed,
+    /// It was refused as not run.
+    Refused,
+    /// It was answered otherwise, its time was over, or it reached no instance.
+    Other,
+}
+
+/// A try of a caller.
+#[derive(Clone, Debug)]
+struct Try {
+    end: End,
+    ended: Instant,
+    instance: usize,
+    /// Time that it had.
+    limit: Duration,
+    run: String,
+    sent: Instant,
+}
+
+/// What had become of a request that ended without an answer.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+enum State {
+    /// No upstream had got it.
+    NeverSent,
+    /// Upstreams had got it, none was at work on it, and no response had begun.
+    BetweenAttempts,
+    /// An upstream was at work on it, and no response had begun.
+    Sent,
+    /// The response had begun, and an upstream was at work on it.
+    HeadWritten,
+    /// The response had begun, and no upstream was at work on it.
+    HeadWrittenIdle,
+}
+
+/// What the rule says of a request that ended without an answer.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+enum Verdict {
+    /// The close may have crossed it.
+    Crossed,
+    /// The instance did not stop, and the response had begun: counted, but not against the rule by itself.
+    Elsewhen,
+    /// The machine was slowed while its response came, so that its upstream looked silent.
+    Slowed,
+    /// Its time was over.
+    TimedOut,
+    /// Its upstream had ended.
+    UpstreamEnded,
+    /// Against the rule.
+    Violation,
+    /// An upstream was at work on it as the grace period ended.
+    Working,
+}
+
+/// What callers and the soak share.
+#[derive(Clone, Default)]
+struct Notes {
+    stops: Arc<Mutex<Vec<Stop>>>,
+    tries: Arc<Mutex<Vec<Try>>>,
+}
+
+impl Notes {
+    /// The stop of an instance under way at a time.
+    fn stop(&self, instance: usize, now: Instant) -> Option<Stop> {
+        let stops = self.stops.lock().expect("nobody panics while holding it");
+        let mut stops = stops.iter().rev();
+        let last = stops.find(|stop| stop.instance == instance && stop.at <= now);
+        last.filter(|stop| now - stop.at < GRACE + SLACK).copied()
+    }
+}
+
+/// Something that is due at a time.
+#[derive(Clone, Copy, Debug)]
+enum Due {
+    Configure,
+    End(usize),
+    Release,
+    Series,
+    Start(usize),
+    Stop(usize),
+}
+
+/// A running soak and what is due in it.
+struct Stopping {
+    due: Vec<(Instant, Due)>,
+    faults: usize,
+    is_closing: bool,
+    /// Upstreams that leave.
+    leaving: BTreeSet<usize>,
+    notes: Notes,
+    random: Pcg64Mcg,
+    soak: Soak,
+    /// Instances whose stop, or whose start behind it, is under way.
+    down: BTreeSet<usize>,
+}
+
+/// Runs one soak in which instances stop while requests wait.
+pub async fn run(plan: Plan) -> Outcome {
+    let layout = Layout {
+        configuration,
+        grace_ms: GRACE.as_millis() as u64,
+        slots: SLOTS,
+    };
+    let mut stopping = Stopping {
+        due: Vec::new(),
+        faults: 0,
+        is_closing: false,
+        leaving: BTreeSet::new(),
+        notes: Notes::default(),
+        random: Pcg64Mcg::seed_from_u64(plan.seed),
+        soak: Soak::start_by(plan, layout),
+        down: BTreeSet::new(),
+    };
+    stopping.soak.wait_ready().await;
+    for seat in &stopping.soak.seats {
+        seat.worker.set(Mode::Paced);
+    }
+    let callers =
+        (0..plan.engines * SLOTS * CALLERS).map(|index| stopping.caller(index, plan.seed));
+    let callers = callers.map(|caller| tokio::spawn(caller.run())).collect();
+    stopping.push(CONFIGURE_MS, Due::Configure);
+    stopping.push(RELEASE_MS, Due::Release);
+    stopping.push(SERIES_MS, Due::Series);
+    let end = Instant::now() + plan.lasts;
+    stopping.wait(end).await;
+    stopping.is_closing = true;
+    stopping.wait(Instant::now() + GRACE + SLACK + DOWN).await;
+    let notes = stopping.check();
+    let late = stopping.soak.lateness.late();
+    let late = late.into_iter().map(|(from, to)| to - from).sum();
+    stopping.soak.heal();
+    let outcome = stopping.soak.end(callers, stopping.faults).await;
+    Outcome {
+        late,
+        notes,
+        ..outcome
+    }
+}
+
+impl Stopping {
+    fn caller(&self, index: usize, seed: u64) -> Caller {
+        Caller {
+            addresses: self.soak.addresses(),
+            index,
+            instance: index % self.soak.instances.len(),
+            leaves: !index.is_multiple_of(3),
+            notes: self.notes.clone(),
+            patron: Patron::new(Habit::Kept),
+            random: Pcg64Mcg::seed_from_u64(seed ^ (index as u64) << 20),
+            shared: self.soak.shared.clone(),
+        }
+    }
+
+    /// Has something be due within a span from now, by chance.
+    fn push(&mut self, within_ms: std::ops::Range<u64>, due: Due) {
+        let behind = Duration::from_millis(self.random.random_range(within_ms));
+        self.due.push((Instant::now() + behind, due));
+    }
+
+    /// Does what is due up to a time.
+    async fn wait(&mut self, end: Instant) {
+        while Instant::now() < end {
+            for instance in 0..self.soak.instances.len() {
+                let has_ended = !self.soak.instances[instance].runs();
+                let is_due = |(_, due): &(Instant, Due)| matches!(due, Due::Start(other) if *other == instance);
+                if has_ended && !self.due.iter().any(is_due) {
+                    self.due.push((Instant::now() + DOWN, Due::Start(instance)));
+                }
+            }
+            let now = Instant::now();
+            let due: Vec<(Instant, Due)> = self.due.extract_if(.., |(at, _)| *at <= now).collect();
+            for (_, due) in due {
+                self.happen(due);
+            }
+            sleep(STEP).await;
+        }
+    }
+
+    fn happen(&mut self, due: Due) {
+        match due {
+            Due::Start(instance) => {
+                self.down.remove(&instance);
+                self.soak.instances[instance].start();
+            }
+            Due::End(seat) => {
+                self.soak.revive(seat);
+                self.soak.seats[seat].worker.set(Mode::Paced);
+                self.leaving.remove(&seat);
+            }
+            _ if self.is_closing => {}
+            Due::Configure => {
+                self.faults += 1;
+                let idle = self.random.random_range(0..IDLE_ROUTES);
+                self.soak.configure_idle(idle);
+                self.push(CONFIGURE_MS, due);
+            }
+            Due::Release => {
+                self.release();
+                self.push(RELEASE_MS, due);
+            }
+            Due::Series => {
+                self.series();
+                self.push(SERIES_MS, due);
+            }
+            Due::Stop(instance) => self.stop(instance),
+        }
+    }
+
+    /// Has one instance, a third of them, or all in turn be stopped.
+    fn series(&mut self) {
+        let all = self.soak.instances.len();
+        let first = self.random.random_range(0..all);
+        let (count, step) = match self.random.random_range(0..3) {
+            0 => (1, Duration::ZERO),
+            1 => (all.div_ceil(3), Duration::ZERO),
+            // As fast as keeps a third of them stopping.
+            _ => (all, GRACE * 3 / all as u32),
+        };
+        for number in 0..count {
+            let at = Instant::now() + step * number as u32;
+            self.due.push((at, Due::Stop((first + number) % all)));
+        }
+    }
+
+    /// Has an instance end in order, unless it does, or two thirds of several do.
+    fn stop(&mut self, instance: usize) {
+        let all = self.soak.instances.len();
+        let are_enough = all > 1 && (self.down.len() + 1) * 3 > all * 2;
+        if are_enough || !self.down.insert(instance) {
+            return;
+        }
+        self.faults += 1;
+        let at = Instant::now();
+        let mut stops = self
+            .notes
+            .stops
+            .lock()
+            .expect("nobody panics while holding it");
+        stops.push(Stop { at, instance });
+        drop(stops);
+        self.soak.instances[instance].signal(Signal::Terminate);
+    }
+
+    /// Has an upstream leave, if half of its pool stays.
+    fn release(&mut self) {
+        let seats = &self.soak.seats;
+        let seat = self.random.random_range(0..seats.len());
+        let is_alike = |other: &usize| seats[*other].pool == seats[seat].pool;
+        let all = (0..seats.len()).filter(is_alike).count();
+        let gone = self.leaving.iter().filter(|other| is_alike(other)).count();
+        if (gone + 1) * 2 <= all && self.leaving.insert(seat) {
+            self.faults += 1;
+            self.soak.enter(seat, "draining");
+            self.push(SERVES_MS, Due::End(seat));
+        }
+    }
+
+    /// Holds the tries against the rule; the figures.
+    fn check(&self) -> Vec<String> {
+        let mut runs: HashMap<String, Vec<Run>> = HashMap::new();
+        for run in self.soak.ledger.runs() {
+            let name = run.header("wellplank-request-id").to_owned();
+            runs.entry(name).or_default().push(run);
+        }
+        let arrivals = self.soak.ledger.arrivals();
+        let arrived: BTreeSet<&str> = arrivals.iter().map(|one| one.run.as_str()).collect();
+        let tries = self
+            .notes
+            .tries
+            .lock()
+            .expect("nobody panics while holding it");
+        let mut figures: BTreeMap<(Verdict, State), BTreeMap<Option<u128>, usize>> =
+            BTreeMap::new();
+        for one in tries.iter() {
+            let runs = runs.get(&one.run).map_or(&[][..], Vec::as_slice);
+            if one.end == End::Refused && !runs.is_empty() {
+                let text = format!("{} was told not to have run, and ran", one.run);
+                self.soak.shared.broken(text);
+            }
+            if !matches!(one.end, End::Cut | End::Closed) {
+                continue;
+            }
+            let is_working = is_at_work(one, runs, PASSING);
+            let state = match (one.end, is_working) {
+                (End::Cut, true) => State::HeadWritten,
+                (End::Cut, false) => State::HeadWrittenIdle,
+                (_, true) => State::Sent,
+                _ if arrived.contains(one.run.as_str()) => State::BetweenAttempts,
+                _ => State::NeverSent,
+            };
+            let stop = self.notes.stop(one.instance, one.ended);
+            let verdict = self.judge(one, state, stop, runs);
+            let behind = stop.map(|stop| (one.ended - stop.at).as_millis());
+            let figure = figures.entry((verdict, state)).or_default();
+            let step = behind.map(|behind| behind / FIGURE_STEP_MS * FIGURE_STEP_MS);
+            *figure.entry(step).or_default() += 1;
+            let took = one.ended - one.sent;
+            let text = format!(
+                "{} at instance-{}, {state:?}, {verdict:?}: closed {took:.3?} behind its sending, {behind:?} ms behind SIGTERM",
+                one.run, one.instance
+            );
+            self.soak.write("closed.log", &text);
+            if verdict == Verdict::Violation {
+                self.soak.shared.broken(text);
+            }
+        }
+        let mut notes = vec![format!("{} tries", tries.len())];
+        for ((verdict, state), steps) in figures {
+            let count: usize = steps.values().sum();
+            notes.push(format!(
+                "{verdict:?}, {state:?}: {count}; from ms behind SIGTERM: {steps:?}"
+            ));
+        }
+        notes.push(format!(
+            "open at the end of the stop: {:?}",
+            self.open_in_logs()
+        ));
+        notes
+    }
+
+    /// What the rule says of a try that ended without an answer.
+    fn judge(&self, one: &Try, state: State, stop: Option<Stop>, runs: &[Run]) -> Verdict {
+        let has_ended = |run: &Run| {
+            let life = Incarnation::new(&run.worker, run.born);
+            let ended = self.soak.lives_ended.get(&life);
+            ended.is_some_and(|ended| *ended <= one.ended && one.ended - *ended < GIVE_UP)
+        };
+        let slowed = self.slowed(one);
+        if state == State::NeverSent && one.ended - one.sent <= CROSSING + slowed.min(SLACK) {
+            return Verdict::Crossed;
+        }
+        if one.end == End::Cut && !slowed.is_zero() {
+            return Verdict::Slowed;
+        }
+        if one.ended - one.sent + PASSING >= one.limit {
+            return Verdict::TimedOut;
+        }
+        if runs.iter().any(has_ended) {
+            return Verdict::UpstreamEnded;
+        }
+        let Some(stop) = stop else {
+            let has_begun = one.end == End::Cut;
+            return if has_begun {
+                Verdict::Elsewhen
+            } else {
+                Verdict::Violation
+            };
+        };
+        let is_last_sixth = one.ended - stop.at >= GRACE * 5 / 6;
+        if is_last_sixth && one.sent <= stop.at + LATE && is_at_work(one, runs, PASSING_MAX) {
+            return Verdict::Working;
+        }
+        Verdict::Violation
+    }
+
+    /// Time for which the machine was slowed during a try.
+    fn slowed(&self, one: &Try) -> Duration {
+        let late = self.soak.lateness.late().into_iter();
+        let meets = |(from, to): &(Instant, Instant)| *from < one.ended && one.sent < *to;
+        late.filter(meets).map(|(from, to)| to - from).sum()
+    }
+
+    /// Requests that the logs of instances name as open at the end of a stop, by stage.
+    fn open_in_logs(&self) -> BTreeMap<String, usize> {
+        let mut open = BTreeMap::new();
+        for index in 0..self.soak.instances.len() {
+            let file = self.soak.folder.join(format!("instance-{index}.log"));
+            let text = std::fs::read_to_string(file).unwrap_or_default();
+            for line in text
+                .lines()
+                .filter(|line| line.contains("open at the end of the stop"))
+            {
+                let line: Value = serde_json::from_str(line).unwrap_or_default();
+                let stage = line["stage"].as_str().unwrap_or("unknown").to_owned();
+                *open.entry(stage).or_default() += 1;
+            }
+        }
+        open
+    }
+}
+
+/// Whether an answer says that the request did not run. Of a call that may run once, the status alone says so to callers.
+fn says_not_run(ask: &Ask, got: &Got) -> bool {
+    let is_status = soak::NOT_RUN.contains(&got.status.as_u16());
+    is_status && (ask.path.starts_with("/once/") || got.body.contains(r#""ran":"no""#))
+}
+
+/// Whether an upstream was at work on a try as it ended, or had been until a time before.
+fn is_at_work(one: &Try, runs: &[Run], passing: Duration) -> bool {
+    let ends_later = |run: &Run| run.ended.is_none_or(|ended| ended + passing >= one.ended);
+    runs.iter().any(ends_later)
+}
+
+/// A caller that asks again and again until it is told to stop.
+struct Caller {
+    addresses: Vec<SocketAddr>,
+    index: usize,
+    /// Instance that it asks, until it leaves it.
+    instance: usize,
+    /// Whether it leaves an instance some time behind its SIGTERM, and not only once nothing listens there.
+    leaves: bool,
+    notes: Notes,
+    patron: Patron,
+    random: Pcg64Mcg,
+    shared: Shared,
+}
+
+impl Caller {
+    async fn run(mut self) {
+        let mut count = 0;
+        while !self.shared.stop.load(Ordering::Relaxed) {
+            count += 1;
+            self.shared.requests.fetch_add(1, Ordering::Relaxed);
+            let is_whole = self.ask(count).await;
+            self.shared
+                .whole
+                .fetch_add(usize::from(is_whole), Ordering::Relaxed);
+            if self.random.random_range(0..4) == 0 {
+                self.choose();
+            }
+        }
+    }
+
+    fn choose(&mut self) {
+        self.instance = self.random.random_range(0..self.addresses.len());
+    }
+
+    /// Asks until there is a whole answer, the patience is over, or a call that may run once may have run.
+    async fn ask(&mut self, count: usize) -> bool {
+        let begun = Instant::now();
+        let kind = if self.random.random_range(0..6) == 0 {
+            STREAMS.len() + self.random.random_range(0..2)
+        } else {
+            self.random.random_range(0..STREAMS.len())
+        };
+        let mut number = 0;
+        while !self.shared.stop.load(Ordering::Relaxed) {
+            let left = PATIENCE.saturating_sub(begun.elapsed());
+            if left < PAUSE {
+                return false;
+            }
+            let name = format!("{}-{count}-{number}", self.index);
+            let ask = match (STREAMS.get(kind), kind - STREAMS.len().min(kind)) {
+                (Some((kind, path, _)), _) => Ask {
+                    path,
+                    ..Ask::stream(&format!("{kind}-{name}"))
+                },
+                (None, 0) => Ask::again(&format!("again-{name}")),
+                (None, _) => Ask::once(&format!("once-{name}")),
+            };
+            let mut ask = ask.with("wellplank-timeout-ms", &left.as_millis().to_string());
+            ask.body = format!("{}-{count}", self.index).into_bytes();
+            let is_stream = kind < STREAMS.len();
+            let (got, end) = self.attempt(&ask, left).await;
+            if let Some(got) = got.filter(|got| got.whole && got.status == StatusCode::OK) {
+                let due = if is_stream {
+                    worker::events(&ask.body, 0)
+                } else {
+                    worker::reply(&ask.body)
+                };
+                if got.body != due {
+                    self.shared
+                        .broken(format!("{name} got the answer {}", got.body));
+                }
+                return true;
+            }
+            if kind > STREAMS.len() && end != End::Refused {
+                return false;
+            }
+            number += 1;
+            sleep(PAUSE).await;
+        }
+        false
+    }
+
+    /// Sends one try and notes how it ended.
+    async fn attempt(&mut self, ask: &Ask, left: Duration) -> (Option<Got>, End) {
+        let now = Instant::now();
+        let stop = self.notes.stop(self.instance, now);
+        if self.leaves && stop.is_some_and(|stop| now - stop.at >= LEAVE) {
+            self.choose();
+        }
+        let (instance, sent) = (self.instance, Instant::now());
+        let got = self
+            .patron
+            .send(ask, self.addresses[instance], left + PAUSE)
+            .await;
+        let end = match &got {
+            Ok(got) if !got.whole => End::Cut,
+            Ok(got) if says_not_run(ask, got) => End::Refused,
+            Err(Miss::Closed) => End::Closed,
+            Err(Miss::Late | Miss::Unreached) | Ok(_) => End::Other,
+        };
+        if got.is_err() {
+            self.choose();
+        }
+        let run = ask
+            .headers
+            .iter()
+            .find(|(name, _)| *name == "wellplank-request-id");
+        let run = run.map(|(_, run)| run.clone()).unwrap_or_default();
+        let mut tries = self
+            .notes
+            .tries
+            .lock()
+            .expect("nobody panics while holding it");
+        tries.push(Try {
+            end,
+            ended: Instant::now(),
+            instance,
+            limit: left,
+            run,
+            sent,
+        });
+        drop(tries);
+        (got.ok(), end)
+    }
+}
--- a/crates/standin/src/worker.rs
+++ b/crates/standin/src/worker.rs
@@ -30,6 +30,15 @@
 /// Bytes of a request's head that are read, at most.
 const HEAD: usize = 64 << 10;
 
+/// Slots of a worker of which nothing else is said. They are what its entry says; it refuses nothing beyond them.
+pub const SLOTS: usize = 8;
+
+/// Time between two events of a paced worker: a stream takes 3 s.
+const PACED_STEP: Duration = Duration::from_millis(75);
+
+/// Time that a call takes at a paced worker.
+const PACED_CALL: Duration = Duration::from_millis(750);
+
 /// Start of a body that ends each upstream that begins to run it.
 pub const FATAL: &[u8] = b"fatal";
 
@@ -55,6 +64,8 @@
     Replaced,
     /// Ends a stream that takes nothing for [`IMPATIENCE`].
     Impatient,
+    /// Takes about 3 s for a stream, and some time for a call.
+    Paced,
     /// Refuses without running anything.
     Refuse,
     /// Says that it is busy though it ran the request.
@@ -130,6 +141,8 @@
     pub body: Vec<u8>,
     /// Copy that it went on from, as the request named it.
     pub copy: Option<String>,
+    /// When the worker's work on it ended, if it has.
+    pub ended: Option<Instant>,
     /// Headers by their names in lower case.
     pub headers: BTreeMap<String, String>,
     /// First line of the request.
@@ -208,6 +221,20 @@
     ledger: Ledger,
     mode: Arc<Mutex<Mode>>,
     remark: Arc<Mutex<Remark>>,
+    /// Slots, as its entry says.
+    pub slots: usize,
+}
+
+/// A request that runs; its end is noted in the ledger however it ends.
+struct Running {
+    index: usize,
+    ledger: Ledger,
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.ledger.lock().runs[self.index].ended = Some(Instant::now());
+    }
 }
 
 /// The end of a worker by a request.
@@ -238,10 +265,18 @@
             mode: Arc::default(),
             name: name.into(),
             remark: Arc::default(),
+            slots: SLOTS,
             version: VERSION,
         }
     }
 
+    /// The same, with so many slots.
+    #[must_use]
+    pub fn with_slots(mut self, slots: usize) -> Self {
+        self.slots = slots;
+        self
+    }
+
     /// The same, of another version of the software.
     #[must_use]
     pub fn of_version(mut self, version: &'static str) -> Self {
@@ -361,6 +396,7 @@
             born: self.born,
             body,
             copy: headers.get("kv-from").cloned(),
+            ended: None,
             headers,
             line,
             version: self.version,
@@ -399,7 +435,7 @@
             );
             return connection.write_all(refusal.as_bytes()).await;
         }
-        self.ledger.lock().runs.push(run.clone());
+        let _running = self.begin(run);
         if self.ending().is_some() || run.body.starts_with(FATAL) {
             self.end_by(run).await;
         }
@@ -407,6 +443,9 @@
             return connection.write_all(b"\x00\x01 no answer \r\n\r\n").await;
         }
         if run.header("wellplank-token-usage").is_empty() {
+            if mode == Mode::Paced {
+                sleep(PACED_CALL).await;
+            }
             connection.write_all(&whole(run, mode, self.remark())).await
         } else {
             let written = self.stream(connection, run, mode).await;
@@ -417,6 +456,16 @@
         }
     }
 
+    /// Notes that a request runs, until what it returns is dropped.
+    fn begin(&self, run: &Run) -> Running {
+        let mut pages = self.ledger.lock();
+        pages.runs.push(run.clone());
+        Running {
+            index: pages.runs.len() - 1,
+            ledger: self.ledger.clone(),
+        }
+    }
+
     /// Takes the copy that a request goes on from; false if there is none.
     fn take_copy(&self, run: &Run) -> bool {
         let Some((address, name)) = run.copy.as_deref().and_then(|copy| copy.split_once('/'))
@@ -441,7 +490,12 @@
         let size = run.header(EVENT_BYTES).parse().unwrap_or(0);
         let first: u64 = run.header("last-event-id").parse().unwrap_or(0) + 1;
         for position in first..=EVENTS {
-            sleep(if mode == Mode::Slow { 10 * STEP } else { STEP }).await;
+            let step = match mode {
+                Mode::Paced => PACED_STEP,
+                Mode::Slow => 10 * STEP,
+                _ => STEP,
+            };
+            sleep(step).await;
             if self.mode() == Mode::Silent {
                 std::future::pending::<()>().await;
             }
--- a/crates/standin/tests/soak.rs
+++ b/crates/standin/tests/soak.rs
@@ -6,6 +6,7 @@
     wellplank_standin::{
         leaving, returning,
         soak::{self, Outcome, Plan},
+        stopping,
     },
 };
 
@@ -86,3 +87,15 @@
 fn upstreams_that_come_back_at_once_have_no_requests_cut_around_planned_work() {
     check(202, returning::run(returning_plan(202)));
 }
+
+/// Requests that waited in the queue of an instance whose grace period ended got neither an answer nor a refusal.
+#[gtest]
+fn planned_stops_leave_no_waiting_request_without_an_answer() {
+    let plan = Plan {
+        engines: 9,
+        instances: 6,
+        lasts: Duration::from_secs(22),
+        seed: 1,
+    };
+    check(1, stopping::run(plan));
+}
