--- a/crates/node/src/caller.rs
+++ b/crates/node/src/caller.rs
@@ -132,7 +132,7 @@
         };
         if let Err(kind) = result {
             self.submitter.driver.count(Counter::Refused(kind));
-            let retry_after_ms = (kind == Kind::NotReady).then_some(relay::SHUTDOWN_RETRY_MS);
+            let retry_after_ms = (kind == Kind::Stopping).then_some(shutdown::RETRY_AFTER_MS);
             write_error(response, kind, retry_after_ms);
         }
         if *self.submitter.stop_phase.borrow() != StopPhase::Serving {
@@ -153,7 +153,7 @@
             _ => Kind::BadBody,
         })?;
         if *self.stop_phase.borrow() == StopPhase::Refusing {
-            return Err(Kind::NotReady);
+            return Err(Kind::Stopping);
         }
         Ok(body)
     }
--- a/crates/node/src/driver.rs
+++ b/crates/node/src/driver.rs
@@ -1,7 +1,7 @@
 //! The core task: owns the core, feeds events into it and executes its effects.
 
 use super::*;
-use wellplank_core::{buffer::Buffers, counter, members::View};
+use wellplank_core::{buffer::Buffers, counter, members::View, open_request::OpenRequest};
 
 /// Interval between ticks of the core.
 const TICK_INTERVAL: Duration = Duration::from_millis(10);
@@ -449,18 +449,27 @@
         error!(event, requests, request_ids, revision; "core task ended");
     }
 
-    /// Logs and counts the open requests, and returns their number.
-    fn log_open(&self) -> usize {
-        let mut open = 0;
-        for request in self.core.open_requests() {
-            let pending = self.callers.get(&request.caller);
-            let original = pending.and_then(|pending| pending.original.as_ref());
-            let id = original.map_or("", |original| original.request_id.as_ref());
-            request_log::log_open(id, &request);
+    /// Ends all open requests as a graceful shutdown ends, and returns how many there were. They are logged behind that, so
+    /// that the lines delay no answer.
+    fn end_shutdown(&mut self) -> usize {
+        let open: Vec<(Arc<str>, OpenRequest)> = self.open_requests();
+        self.handle_event(Event::ShutdownEnded);
+        for (id, request) in &open {
+            request_log::log_open(id, request);
             self.count(Counter::OpenAtStop(request.stage), 1);
-            open += 1;
         }
-        open
+        open.len()
+    }
+
+    /// The open requests, with the IDs that callers assigned to those that are relayed.
+    fn open_requests(&self) -> Vec<(Arc<str>, OpenRequest)> {
+        let id = |request: &OpenRequest| {
+            let pending = self.callers.get(&request.caller);
+            let original = pending.and_then(|pending| pending.original.as_ref());
+            original.map_or_else(|| Arc::from(""), |original| original.request_id.clone())
+        };
+        let open = self.core.open_requests();
+        open.map(|request| (id(&request), request)).collect()
     }
 
     /// Ends all open requests: begun responses as incomplete, and others with what is known of whether they ran. A request
@@ -1003,10 +1012,8 @@
         match message {
             Message::Count(counter) => self.meter.count(counter, 1),
             Message::EndShutdown(sender) => {
-                let open = self.log_open();
-                self.handle_event(Event::ShutdownEnded);
                 // The receiver is gone if the instance has ended meanwhile.
-                let _ = sender.send(open);
+                let _ = sender.send(self.end_shutdown());
             }
             Message::Event(event) => self.handle_event(event),
             Message::Members(view, peers) => {
--- a/crates/node/src/hosted.rs
+++ b/crates/node/src/hosted.rs
@@ -19,14 +19,17 @@
 /// Divisor of the grace period that gives this time where the period is short.
 const END_MARGIN_DIVISOR: u32 = 8;
 
-/// Divisor of this time that gives the part in which callers' connections may still take what was written.
-const CLOSE_TIME_DIVISOR: u32 = 2;
+/// Divisor of this time that gives the most that it is spent on refusing requests which arrive.
+const REFUSAL_TIME_DIVISOR: u32 = 4;
+
+/// Divisor of this time that gives the part reserved for the exit behind the close of callers' connections.
+const EXIT_TIME_DIVISOR: u32 = 4;
 
 /// Factor by which the server's idle and header time-outs exceed the configured limit: callers reuse connections that
 /// have been idle for nearly as long as it, and the server must not close one while a request is on its way.
 const IDLE_TIMEOUT_FACTOR: f64 = 1.25;
 
-/// Time for which an instance whose core task has ended refuses the requests that arrive: those that were on their way, in
+/// Time for which an instance refuses the requests that arrive before it closes their connections: those that were on their way, in
 /// the buffers of its sockets or on connections that callers reuse. It delays the restart.
 const REFUSAL_TIME: Duration = Duration::from_millis(100);
 
@@ -218,8 +221,8 @@
     }
 
     /// Shuts down gracefully: reports that it is not ready, continues to serve running and new requests, and returns when
-    /// none is running any more, or the grace period is nearly over. Every request is answered by then, and the answers are
-    /// written.
+    /// none is running any more, or the grace period is nearly over. What is open then is answered, begun streams are
+    /// aborted, and connections have the rest of the period to take what was written.
     pub async fn stop(mut self) {
         let begun = Instant::now();
         let end_margin = END_MARGIN_MAX.min(self.grace_period / END_MARGIN_DIVISOR);
@@ -233,10 +236,16 @@
         self.driver.start_shutdown(drain_time_max);
         self.wait_until_idle(begun + DRAIN_TIME_MIN, end).await;
         self.refuse_arrivals();
-        // Requests that arrived since the last check.
+        // Requests that arrived since the last check, and those still in the buffers of sockets.
+        sleep(REFUSAL_TIME.min(end_margin / REFUSAL_TIME_DIVISOR)).await;
         self.wait_until_idle(Instant::now(), end).await;
         let open = self.driver.end_shutdown().await;
-        self.close_callers(end_margin / CLOSE_TIME_DIVISOR).await;
+        let close_by = begun
+            + self
+                .grace_period
+                .saturating_sub(end_margin / EXIT_TIME_DIVISOR);
+        let close_time_max = close_by.saturating_duration_since(Instant::now());
+        self.close_callers(close_time_max.min(end_margin)).await;
         let driver::Snapshot {
             running,
             unread_bytes,
