Let a stream that has begun wait for a slot after refusals

Callers saw: streams of a sound upstream that was silent for a second are cut with 20 s left. Cause: each attempt that an upstream refused counted towards attempts_max (8), and the attempts followed one another within 0.2 s, also at upstreams that had just refused; a stream that found every upstream in a backoff was given up like a new one.

Now attempts that ran nothing are counted apart for a stream whose head is forwarded. After two refusals it waits 50 ms, doubled up to 500 ms, heeds the rest of upstreams that have just refused, takes the slot of a completed request of its instance, goes before new streams that are not more urgent, and ends at its deadline. Without a permit for another attempt after a refusal or its own departure it waits for one. Limits on runs (attempts_max, max_attempts of the route) and the bound on retries are unchanged.

Ruled out: raising attempts_max, as the burst stays and costs permits.

--- a/crates/core/src/counter.rs
+++ b/crates/core/src/counter.rs
@@ -171,6 +171,11 @@
         matches!(self, Self::Caller | Self::NotSent | Self::NoTunnel)
     }
 
+    /// Whether the attempt ran nothing, as far as its upstream or the connection shows.
+    pub fn ran_nothing(self) -> bool {
+        self.was_never_accepted() || self == Self::Refused
+    }
+
     /// Whether no upstream accepted the request: the upstream was not there, or has been replaced.
     pub fn was_never_accepted(self) -> bool {
         matches!(
--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -17,10 +17,13 @@
         let pool: Arc<str> = request.service.pool().into();
         let queue = &mut self.pools.entry(pool.clone()).or_default().queue;
         let was_sent = request.last_attempt > 0 || request.position() > 0;
-        if was_sent {
+        if request.progress.is_open {
+            // Its caller can not be refused any more, only cut off.
+            request.send_by = request.deadline;
+        } else if was_sent {
             request.send_by = self.now.after(request.service.max_wait_ms);
         }
-        if request.progress.origin != Origin::Unbegun {
+        if request.progress.origin != Origin::Unbegun || request.progress.was_refused() {
             queue.push_bound(key);
         } else if let Some(turn) = turn.filter(|_| request.position() == 0) {
             queue.push_ranked(turn, key);
@@ -81,9 +84,15 @@
                 self.give_up(key, refusal.kind, Kind::UpstreamFailed);
                 continue;
             }
+            if self.now < self.requests[key].progress.wait_until {
+                continue;
+            }
             let Some(upstream) = self.choose_upstream(key, true) else {
                 continue;
             };
+            if !self.take_awaited_permit(key) {
+                continue;
+            }
             if let Some(pool) = self.pools.get_mut(name) {
                 pool.queue.remove_bound(key);
             }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -68,6 +68,7 @@
 mod relay;
 mod route;
 mod silence;
+mod slot_wait;
 mod stream;
 mod suspicion;
 mod timeout;
--- a/crates/core/src/place.rs
+++ b/crates/core/src/place.rs
@@ -65,6 +65,7 @@
         let mut candidates =
             self.upstreams_with_capacity(request, self.relay_candidates(request), &own);
         self.retain_with_slot(key, &mut candidates);
+        self.retain_unawaited(key, &mut candidates);
         let request = &self.requests[key];
         if !request.service.streams() {
             let pool: Arc<str> = request.service.pool().into();
--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -144,6 +144,7 @@
         }
         let request = &mut self.requests[owner];
         request.progress.position = position;
+        request.progress.refusals = 0;
         let (caller, size) = (request.caller, bytes.len() as u64);
         self.effects.push(Effect::ForwardEvent { bytes, caller });
         self.hold_unread(key, size);
@@ -399,6 +400,7 @@
         if failure.was_not_executed() {
             let progress = &mut self.requests[owner].progress;
             progress.upstreams_reached = progress.upstreams_reached.saturating_sub(1);
+            self.record_not_run(owner, reason);
         }
         // The crash suspicion may lead to the failure of this request.
         match failure {
@@ -429,7 +431,12 @@
             return;
         }
         if !self.may_take_attempt(key, resumes, reason) {
-            self.give_up(key, unsent, Kind::UpstreamFailed);
+            if self.may_wait_for_permit(key, reason) {
+                self.wait_for_permit(key, reason);
+                self.enqueue(key);
+            } else {
+                self.give_up(key, unsent, Kind::UpstreamFailed);
+            }
             return;
         }
         if resumes {
@@ -452,7 +459,10 @@
         let resumes = relay.resumable && self.settings.relay_resume != ResumeMode::None;
         let can_resume = !request.progress.is_open || resumes;
         let has_upstreams_left = request.progress.upstreams_reached < relay.attempts_max.max(1);
-        let has_attempts_left = request.last_attempt < self.settings.attempts_max;
+        let runs = request
+            .last_attempt
+            .saturating_sub(request.progress.not_run);
+        let has_attempts_left = runs < self.settings.attempts_max;
         repeatable
             && can_resume
             && has_upstreams_left
@@ -669,6 +679,7 @@
         let Some(request) = self.remove(key) else {
             return;
         };
+        self.offer_slot(upstream);
         self.count(Counter::Answered);
         self.clear_suspicion(request.request_fingerprint);
         if !request.progress.is_open {
--- a/crates/core/src/request.rs
+++ b/crates/core/src/request.rs
@@ -114,12 +114,16 @@
     pub has_held_error: bool,
     /// Whether the response head was forwarded to the caller.
     pub is_open: bool,
+    /// Why the last attempt of an open stream ended, if the permit for the next one was not to be had yet.
+    pub lacks_permit: Option<counter::Reason>,
     /// When the last event was forwarded to the caller; `None` before the first.
     pub last_event_at: Option<Time>,
     /// When the stream was lost; `None` while it is running.
     pub lost_at: Option<Time>,
     /// Which version began the stream.
     pub origin: Origin,
+    /// Number of attempts that ran nothing, since the stream was opened.
+    pub not_run: u32,
     /// Position of the last event that the caller received.
     pub position: u64,
     /// Upstream that ran the stream for another instance, and may still have its prompt cached.
@@ -127,12 +131,23 @@
     /// The run that identifies the stream over all attempts of its caller: the one that brought the first event, or this
     /// one.
     pub run: RunId,
+    /// Number of attempts that ran nothing, since the last event of an open stream.
+    pub refusals: u32,
     /// Why the stream was lost, if it is resumed only when its caller has read what is buffered.
     pub resume_when_read: Option<counter::Reason>,
     /// Position at which a stream ended without an end marker.
     pub unmarked_end: Option<u64>,
     /// Number of upstreams that the request reached.
     pub upstreams_reached: u32,
+    /// When an open stream whose attempts ran nothing may be sent again.
+    pub wait_until: Time,
+}
+
+impl RelayProgress {
+    /// Whether an open stream waits because its last attempt ran nothing.
+    pub(crate) fn was_refused(&self) -> bool {
+        self.is_open && self.refusals > 0
+    }
 }
 
 /// Copy of the KV cache of a running stream, from which another upstream can resume it.
--- a/crates/core/tests/relay/main.rs
+++ b/crates/core/tests/relay/main.rs
@@ -60,6 +60,7 @@
 mod removal;
 mod retry;
 mod sameness;
+mod silent_upstream;
 mod stream_version;
 mod version;
 
--- /dev/null
+++ b/crates/core/tests/relay/silent_upstream.rs
@@ -0,0 +1,166 @@
+//! Streams that have begun and find no slot elsewhere: their upstream fell silent or broke off while all others are full.
+
+use super::*;
+use wellplank_core::settings::RetryBound;
+
+/// Time in which an upstream answers that it refuses a request, in milliseconds.
+const REFUSAL_MS: u64 = 10;
+
+impl Test {
+    /// Starts a stream of three events without a copy, and breaks its connection.
+    fn lose_stream(&mut self) -> Sent {
+        let sent = self.stream(3);
+        self.break_connection(&sent, false);
+        sent
+    }
+
+    /// Lets upstreams refuse whatever they are sent for a time; returns when each attempt after the first `seen` was sent,
+    /// and to which upstream.
+    fn refuse_all(&mut self, millis: u64, mut seen: usize) -> Vec<(Time, usize)> {
+        let mut tries = Vec::new();
+        for _ in 0..millis / REFUSAL_MS {
+            let sent = self.sent();
+            for sent in &sent[seen..] {
+                tries.push((self.now, sent.upstream));
+            }
+            self.advance(REFUSAL_MS);
+            for sent in &sent[seen..] {
+                self.fail(sent, Failure::Refused);
+            }
+            seen = sent.len();
+        }
+        tries
+    }
+}
+
+/// Upstreams whose streams have no copies.
+fn without_copies(retry: RetryBound) -> Test {
+    let settings = Settings {
+        relay_resume: ResumeMode::Anew,
+        retry,
+        ..Settings::default()
+    };
+    Test::set(settings).configured(6)
+}
+
+/// Guards against refusals that ran nothing using up the attempts of a stream: it was cut after seven of them, within 0.2 s,
+/// with 20 s left.
+#[gtest]
+fn stream_that_has_begun_outlasts_refusals() {
+    let mut test = without_copies(RetryBound::default());
+    test.lose_stream();
+    test.refuse_all(3_000, 1);
+    expect_that!(test.outcomes(), is_empty());
+    // An upstream has a slot again.
+    test.advance(1_000);
+    let next = test.last_sent();
+    expect_that!(next.position, eq(3));
+    test.handle(Event::StreamOpened(next.attempt));
+    test.send_event(&next, 4);
+    test.close(&next, true);
+    expect_that!(test.outcomes(), elements_are![eq("close")]);
+    expect_that!(
+        test.delivered(),
+        elements_are![eq(&1), eq(&2), eq(&3), eq(&4)]
+    );
+}
+
+/// Guards against a burst of attempts at upstreams that are known to be full.
+#[gtest]
+fn refused_stream_is_sent_at_a_growing_interval_and_not_to_an_upstream_that_has_just_refused_it() {
+    let mut test = without_copies(RetryBound::default());
+    test.lose_stream();
+    let tries = test.refuse_all(10_000, 1);
+    expect_that!(tries.len(), all![ge(10), le(25)]);
+    for pair in tries.windows(2).skip(4) {
+        expect_that!(pair[1].0.since(pair[0].0), ge(200));
+    }
+    for (index, (at, upstream)) in tries.iter().enumerate() {
+        let again = tries[index + 1..]
+            .iter()
+            .find(|(_, other)| other == upstream);
+        if let Some((again, _)) = again {
+            expect_that!(again.since(*at), ge(250));
+        }
+    }
+}
+
+/// Guards against a stream that waits without end.
+#[gtest]
+fn refused_stream_ends_at_its_deadline() {
+    let mut test = without_copies(RetryBound::default());
+    test.lose_stream();
+    test.refuse_all(19_900, 1);
+    expect_that!(test.outcomes(), is_empty());
+    test.refuse_all(1_000, test.sent().len());
+    expect_that!(test.outcomes(), elements_are![eq("cut")]);
+}
+
+/// Guards against cutting a stream while all upstreams ask for a rest that ends long before its deadline: it waited only as
+/// long as a new request.
+#[gtest]
+fn stream_that_has_begun_waits_for_the_end_of_a_backoff() {
+    let mut test = without_copies(RetryBound::default());
+    let mut by_upstream = BTreeMap::new();
+    while by_upstream.len() < 6 {
+        test.request(REPEATABLE);
+        let sent = test.last_sent();
+        test.answer(&sent, Verdict::Good);
+        by_upstream.insert(sent.upstream, sent);
+    }
+    let first = test.stream(3);
+    for sent in by_upstream.values() {
+        let notice = Notice {
+            backoff: Backoff::For(6_000),
+            ..Notice::default()
+        };
+        test.apply_notice(sent, notice);
+    }
+    let before = test.sent().len();
+    test.break_connection(&first, false);
+    test.advance(5_900);
+    expect_that!(test.sent().len(), eq(before));
+    expect_that!(test.outcomes(), not(contains(eq("cut"))));
+    test.advance(1_000);
+    expect_that!(test.last_sent().position, eq(3));
+}
+
+/// Guards against new streams taking the slots that a stream which has begun waits for.
+#[gtest]
+fn new_streams_wait_behind_a_refused_stream_that_has_begun() {
+    let mut test = without_copies(RetryBound::default());
+    test.lose_stream();
+    test.refuse_all(600, 1);
+    let before = test.sent().len();
+    test.request(STREAM);
+    expect_that!(test.sent().len(), eq(before));
+    test.advance(1_000);
+    let sent = test.sent();
+    expect_that!(sent[before].position, eq(3));
+    test.handle(Event::StreamOpened(sent[before].attempt));
+    test.send_event(&sent[before], 4);
+    test.advance(300);
+    expect_that!(test.sent().len(), eq(before + 2));
+    expect_that!(test.last_sent().position, eq(0));
+}
+
+/// Guards against cutting a stream that was refused because the bound on attempts leaves no permit at this moment.
+#[gtest]
+fn refused_stream_without_a_permit_waits_for_one() {
+    let bound = RetryBound {
+        extra: 3.0,
+        ratio: 0.0,
+        window_ms: 4_000,
+    };
+    let mut test = without_copies(bound);
+    test.lose_stream();
+    let tries = test.refuse_all(12_000, 1);
+    expect_that!(test.outcomes(), is_empty());
+    expect_that!(tries.len(), all![ge(4), le(9)]);
+    for (index, (at, _)) in tries.iter().enumerate() {
+        let in_window = tries[index..]
+            .iter()
+            .filter(|(other, _)| other.since(*at) < 4_000);
+        expect_that!(in_window.count(), le(3));
+    }
+}
