Count no refusal before the first event against a stream

Callers saw: a stream that had begun was cut at its first loss. Cause: a new stream refused seven times within 10 ms, as it may be where instances share few slots, begins with its eighth attempt, and has none left (attempts_max) when it must be moved.

The new test fails with 'cut' before. A new request is still given up after attempts_max attempts.

--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -459,10 +459,13 @@
         let resumes = relay.resumable && self.settings.relay_resume != ResumeMode::None;
         let can_resume = !request.progress.is_open || resumes;
         let has_upstreams_left = request.progress.upstreams_reached < relay.attempts_max.max(1);
-        let runs = request
-            .last_attempt
-            .saturating_sub(request.progress.not_run);
-        let has_attempts_left = runs < self.settings.attempts_max;
+        let not_counted = if request.progress.is_open {
+            request.progress.not_run
+        } else {
+            0
+        };
+        let counted = request.last_attempt.saturating_sub(not_counted);
+        let has_attempts_left = counted < self.settings.attempts_max;
         repeatable
             && can_resume
             && has_upstreams_left
--- a/crates/core/src/request.rs
+++ b/crates/core/src/request.rs
@@ -122,7 +122,7 @@
     pub lost_at: Option<Time>,
     /// Which version began the stream.
     pub origin: Origin,
-    /// Number of attempts that ran nothing, since the stream was opened.
+    /// Number of attempts that ran nothing.
     pub not_run: u32,
     /// Position of the last event that the caller received.
     pub position: u64,
--- a/crates/core/src/slot_wait.rs
+++ b/crates/core/src/slot_wait.rs
@@ -24,10 +24,10 @@
     /// Records that an attempt of a stream ran nothing. It uses up none of the attempts of a stream that has begun.
     pub(crate) fn record_not_run(&mut self, key: request::Key, reason: counter::Reason) {
         let progress = &mut self.requests[key].progress;
+        progress.not_run += 1;
         if !progress.is_open {
             return;
         }
-        progress.not_run += 1;
         progress.refusals += 1;
         let unpaused = if reason.reached_no_upstream() {
             UNPAUSED_UNREACHED
--- a/crates/core/tests/relay/silent_upstream.rs
+++ b/crates/core/tests/relay/silent_upstream.rs
@@ -65,6 +65,26 @@
     );
 }
 
+/// Guards against refusals before the first event using up the attempts of the stream that then begins: it was cut at the
+/// first loss.
+#[gtest]
+fn refusals_before_the_first_event_use_up_no_attempts_of_the_stream() {
+    let mut test = without_copies(RetryBound::default());
+    test.request(STREAM);
+    for _ in 0..7 {
+        let sent = test.last_sent();
+        test.fail(&sent, Failure::Refused);
+        test.advance(260);
+    }
+    expect_that!(test.sent().len(), eq(8));
+    let sent = test.last_sent();
+    test.handle(Event::StreamOpened(sent.attempt));
+    test.send_event(&sent, 1);
+    test.break_connection(&sent, false);
+    expect_that!(test.outcomes(), is_empty());
+    expect_that!(test.last_sent().position, eq(1));
+}
+
 /// Guards against a burst of attempts at upstreams that are known to be full.
 #[gtest]
 fn refused_stream_is_sent_at_a_growing_interval_and_not_to_an_upstream_that_has_just_refused_it() {
