Keep a stream at its silent upstream if it may go on nowhere else

Callers saw: a stream whose upstream fell silent for 0.4 s is cut, though the upstream is sound, where its runs (max_attempts of the route) or its attempts are used up, or it is not repeatable. Cause: the stream was left by its silence first, and then found to have no attempt left.

Streams are moved as before while they have attempts left.

--- a/crates/core/src/engine_watch.rs
+++ b/crates/core/src/engine_watch.rs
@@ -56,6 +56,10 @@
         if !is_resumable || silent_ms <= liveness::MIN_DARK_SILENCE_MS {
             return;
         }
+        // A stream that may go on nowhere else would be cut, while its upstream may speak again.
+        if !(request.service.repeatable && self.may_continue(attempt.request)) {
+            return;
+        }
         let Some((departure, is_dead)) = self.departure(key, silent_ms) else {
             return;
         };
--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -450,7 +450,7 @@
     }
 
     /// Whether a relayed request may be sent to another upstream.
-    fn may_continue(&self, key: request::Key) -> bool {
+    pub(crate) fn may_continue(&self, key: request::Key) -> bool {
         let request = &self.requests[key];
         let Some(relay) = request.service.relay() else {
             return false;
--- a/crates/core/tests/relay/silent_upstream.rs
+++ b/crates/core/tests/relay/silent_upstream.rs
@@ -85,6 +85,29 @@
     expect_that!(test.last_sent().position, eq(1));
 }
 
+/// Guards against leaving a silent upstream where the stream has no attempt left: that cut it.
+#[gtest]
+fn stream_without_further_attempts_stays_at_a_silent_upstream() {
+    let mut test = without_copies(RetryBound::default());
+    test.stream(1);
+    for position in 2..=5 {
+        let sent = test.last_sent();
+        test.break_connection(&sent, false);
+        let next = test.last_sent();
+        test.handle(Event::StreamOpened(next.attempt));
+        test.send_event(&next, position);
+        // The upstreams that broke off are in use again.
+        test.advance(10);
+    }
+    expect_that!(test.sent().len(), eq(5));
+    test.advance(3_000);
+    expect_that!(test.outcomes(), is_empty());
+    let last = test.last_sent();
+    test.send_event(&last, 6);
+    test.close(&last, true);
+    expect_that!(test.outcomes(), elements_are![eq("close")]);
+}
+
 /// Guards against a burst of attempts at upstreams that are known to be full.
 #[gtest]
 fn refused_stream_is_sent_at_a_growing_interval_and_not_to_an_upstream_that_has_just_refused_it() {
