A world of upstreams that fall silent or freeze, with few slots

A third of nine upstreams of two slots is silent for 1.2 s by turns, or a ninth freezes for 4 s and then breaks its connections; streams of 3 s, callers of 25 s, 20 s, fills 0.9, 1.0 and 1.5, with and without copies, bound on retries 0.8 and 150 in 10 s.

--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -41,6 +41,7 @@
 pub mod said;
 pub mod scenario;
 pub mod shelf;
+pub mod silent;
 pub mod site;
 pub mod soak;
 pub mod stream;
