--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -69,6 +69,7 @@
 mod relay;
 mod route;
 mod silence;
+mod slot_wait;
 mod stream;
 mod suspicion;
 mod timeout;
--- a/crates/core/tests/relay/main.rs
+++ b/crates/core/tests/relay/main.rs
@@ -61,6 +61,7 @@
 mod retry;
 mod sameness;
 mod shutdown;
+mod silent_upstream;
 mod stream_version;
 mod version;
 
