Test that a popular request is not refused behind crashes of one cause, listed red

In virtual time one, several or a zone of the upstreams crash within 0.1 s while a share of 0.05, 0.28 or 0.6 of all requests asks for one harmless thing.

--- a/crates/standin/src/crowd.rs
+++ b/crates/standin/src/crowd.rs
@@ -246,6 +246,7 @@
             self.askers[asker].ended = true;
             self.askers[asker].whole = true;
         } else {
+            self.case.cut += 1;
             self.lost(asker);
         }
     }
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod caller;
 pub mod claims;
 pub mod client;
+pub mod common_cause;
 pub mod control;
 pub mod cost;
 pub mod cuts;
--- a/crates/standin/src/poison.rs
+++ b/crates/standin/src/poison.rs
@@ -35,7 +35,7 @@
 const SETTLE_MS: u64 = 40_000;
 
 /// Time between two ticks of an instance of a large fleet.
-const TICK_LARGE_MS: u64 = 50;
+pub(crate) const TICK_LARGE_MS: u64 = 50;
 
 /// Time after which an upstream is back, in milliseconds.
 const BACK_MS: std::ops::Range<u64> = 1_000..5_000;
--- a/crates/standin/src/relaying.rs
+++ b/crates/standin/src/relaying.rs
@@ -103,6 +103,8 @@
 pub struct Case {
     /// Datagrams that asked for the record of a stream.
     pub asked: usize,
+    /// Connections of callers that ended without a whole answer.
+    pub cut: usize,
     /// Streams that went on from a copy of their own.
     pub copies: usize,
     /// Streams that went on from the copy of another caller's stream.
