--- a/crates/standin/src/silent.rs
+++ b/crates/standin/src/silent.rs
@@ -122,6 +122,17 @@
     sent: usize,
 }
 
+/// How far an upstream is with a run.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Stage {
+    /// It has not taken it up.
+    Asked,
+    /// It has sent nothing.
+    Accepted,
+    /// It has sent the response head.
+    Open,
+}
+
 /// A run of a stream at an upstream.
 #[derive(Clone, Copy, Debug)]
 struct Run {
@@ -130,8 +141,7 @@
     ended: bool,
     instance: usize,
     next: u64,
-    open: bool,
-    accepted: bool,
+    stage: Stage,
     upstream: usize,
 }
 
@@ -417,8 +427,7 @@
                     ended: false,
                     instance,
                     next: position + 1,
-                    open: false,
-                    accepted: false,
+                    stage: Stage::Asked,
                     upstream: usize::from(address.port()) - 1,
                 });
                 let run = self.runs.len() - 1;
@@ -456,7 +465,7 @@
             return;
         }
         self.slots[upstream].push(run);
-        self.runs[run].accepted = true;
+        self.runs[run].stage = Stage::Accepted;
         self.timeline.schedule(PREFILL_MS, Action::Step(run));
     }
 
@@ -468,7 +477,7 @@
             ended,
             instance,
             next,
-            open,
+            stage,
             upstream,
             ..
         } = self.runs[run];
@@ -481,8 +490,8 @@
             return;
         }
         self.runs[run].next += 1;
-        if !open {
-            self.runs[run].open = true;
+        if stage != Stage::Open {
+            self.runs[run].stage = Stage::Open;
             self.tell(instance, Event::StreamOpened(attempt));
         }
         if next > EVENTS {
@@ -558,7 +567,7 @@
             return;
         }
         for run in held {
-            if self.runs[run].accepted {
+            if self.runs[run].stage != Stage::Asked {
                 self.step(run);
             } else {
                 self.arrive(run);
