--- a/crates/standin/src/silent.rs
+++ b/crates/standin/src/silent.rs
@@ -567,10 +567,10 @@
             return;
         }
         for run in held {
-            if self.runs[run].stage != Stage::Asked {
-                self.step(run);
-            } else {
+            if self.runs[run].stage == Stage::Asked {
                 self.arrive(run);
+            } else {
+                self.step(run);
             }
         }
     }
