One pair of times for the close of both kinds of instance, and no dead list

Found by reading the whole change once more: the own interface repeated the times for which arrivals are refused and connections close (100 and 200 ms), a list of all stages was never used, and an annotation said what the signature says. Behaviour is unchanged. fmt and clippy of the workspace pass, and so do the tests of ends, settings, core_end, planned_stop and those of open requests and shutdown in relay (36); the rest was not run again.

--- a/crates/core/src/open_request.rs
+++ b/crates/core/src/open_request.rs
@@ -21,19 +21,6 @@
     Streaming,
 }
 
-impl Stage {
-    /// Every stage.
-    pub const ALL: [Self; 7] = [
-        Self::Claiming,
-        Self::Deferred,
-        Self::Queued,
-        Self::Resuming,
-        Self::Retrying,
-        Self::Sent,
-        Self::Streaming,
-    ];
-}
-
 impl Display for Stage {
     fn fmt(&self, formatter: &mut Formatter) -> fmt::Result {
         formatter.write_str(match self {
--- a/crates/node/src/driver.rs
+++ b/crates/node/src/driver.rs
@@ -452,7 +452,7 @@
     /// Ends all open requests as a graceful shutdown ends, and returns how many there were. They are logged behind that, so
     /// that the lines delay no answer.
     fn end_shutdown(&mut self) -> usize {
-        let open: Vec<(Arc<str>, OpenRequest)> = self.open_requests();
+        let open = self.open_requests();
         self.handle_event(Event::ShutdownEnded);
         for (id, request) in &open {
             request_log::log_open(id, request);
--- a/crates/node/src/hosted.rs
+++ b/crates/node/src/hosted.rs
@@ -31,10 +31,10 @@
 
 /// Time for which an instance refuses the requests that arrive before it closes their connections: those that were on their way, in
 /// the buffers of its sockets or on connections that callers reuse. It delays the restart.
-const REFUSAL_TIME: Duration = Duration::from_millis(100);
+pub(crate) const REFUSAL_TIME: Duration = Duration::from_millis(100);
 
 /// Time that the connections of callers then have to take what was written and to close.
-const CLOSE_TIME_MAX: Duration = Duration::from_millis(200);
+pub(crate) const CLOSE_TIME_MAX: Duration = Duration::from_millis(200);
 
 /// Readiness check of the platform.
 struct ReadinessEndpoint {
--- a/crates/node/src/instance.rs
+++ b/crates/node/src/instance.rs
@@ -1,19 +1,13 @@
 //! Start and stop of an instance with all of its tasks.
 
 use super::*;
+use hosted::{CLOSE_TIME_MAX, REFUSAL_TIME};
 
 pub(crate) use signals::wait_for_termination;
 
 /// Interval at which a stopping instance checks whether requests still run.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
-/// Time for which an instance whose core task has ended answers requests that arrive with an error: those that were on
-/// their way.
-const REFUSAL_TIME: Duration = Duration::from_millis(100);
-
-/// Time that the connections of callers then have to take what was written.
-const CLOSE_TIME_MAX: Duration = Duration::from_millis(200);
-
 /// How far a planned stop is.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum StopPhase {
