Log by which bound a request failed, and how an upstream's answer broke off

The line failed now has the bound, the time left, the upstreams reached, the attempts that ran nothing and the departures; the counter ended_early.KIND.BOUND counts those that may have run and had over half of their time left. A broken exchange tells at which stage and by which error.

No decision changes: may_continue is the absence of a bound, checked in the same order but for the deadline.

--- a/crates/core/src/core.rs
+++ b/crates/core/src/core.rs
@@ -162,6 +162,8 @@
     pub(crate) streams_restored: bool,
     /// Upstreams that may be suspected.
     pub(crate) suspected: BTreeSet<upstream::Key>,
+    /// How late this instance handles events.
+    pub(crate) tardiness: Tardiness,
     pub(crate) upstreams: SlotMap<upstream::Key, Upstream>,
     /// Pools whose queued requests are to be sent by the end of the dispatch under way.
     pub(crate) undispatched: BTreeSet<Arc<str>>,
@@ -203,6 +205,7 @@
     pub fn handle(&mut self, now: Time, event: Event) -> Vec<Effect> {
         let gap = now.since(self.now);
         self.now = self.now.max(now);
+        self.tardiness.record(gap, self.now);
         self.stream_records.advance(self.now);
         if gap > self.settings.pause_ms {
             self.resume_after_pause(gap);
@@ -331,6 +334,7 @@
             stream_records: stream_record::StreamRecords::default(),
             streams_restored: true,
             suspected: BTreeSet::new(),
+            tardiness: Tardiness::default(),
             undispatched: BTreeSet::new(),
             upstreams: SlotMap::with_key(),
             upstream_visits: 0,
--- a/crates/core/src/counter.rs
+++ b/crates/core/src/counter.rs
@@ -20,6 +20,9 @@
     ConfigurationFromPeer,
     /// Times that this instance found itself cut off from upstreams.
     CutOff,
+    /// Requests that may have run and failed with over half of their time left, by kind and by the bound that kept them from
+    /// being sent on.
+    EndedEarly(Kind, Option<Bound>),
     /// Entries of the upstream list that are not usable, by reason.
     EntryInvalid(&'static str),
     /// Frames dropped because their attempt is over.
@@ -195,6 +198,10 @@
             Self::CallOverflow => write!(formatter, "call.overflow"),
             Self::ConfigurationFromPeer => write!(formatter, "configuration.from_peer"),
             Self::CutOff => write!(formatter, "cut_off"),
+            Self::EndedEarly(kind, None) => write!(formatter, "ended_early.{kind}"),
+            Self::EndedEarly(kind, Some(bound)) => {
+                write!(formatter, "ended_early.{kind}.{bound}")
+            }
             Self::EntryInvalid(reason) => write!(formatter, "entry.odd.{reason}"),
             Self::FrameGap => write!(formatter, "frame.gap"),
             Self::FrameLate => write!(formatter, "frame.late"),
--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -81,6 +81,7 @@
                 continue;
             }
             if let Err(refusal) = self.check_origin(&self.requests[key]) {
+                self.note_bound(key, Bound::Version);
                 self.give_up(key, refusal.kind, Kind::UpstreamFailed);
                 continue;
             }
--- a/crates/core/src/effect.rs
+++ b/crates/core/src/effect.rs
@@ -87,6 +87,8 @@
     Cut(counter::Cut),
     /// The request failed.
     Failed {
+        /// What was done for it.
+        account: bound::Account,
         /// Whether its caller had the response head.
         has_head: bool,
         /// Kind of error.
--- a/crates/core/src/engine_watch.rs
+++ b/crates/core/src/engine_watch.rs
@@ -75,6 +75,8 @@
             self.upstreams[upstream].failure_score.record(self.now);
         }
         self.count(Counter::LeftSilent(departure.evidence));
+        let owner = self.attempts[key].request;
+        self.requests[owner].progress.departures += 1;
         let step = effect::Step::LeftSilent(departure);
         let request = &self.requests[self.attempts[key].request];
         let entry = self.log_effect(request, step, Some(upstream));
@@ -115,7 +117,9 @@
             evidence,
             expected_ms: expectation.expected_ms as u64,
             has_copy: self.stakes(key).has_copy,
+            late_ms: self.tardiness.longest_ms(self.now),
             silent_ms,
+            unheard_ms: engine_silent_ms,
         };
         Some((departure, is_dead))
     }
--- a/crates/core/src/failure.rs
+++ b/crates/core/src/failure.rs
@@ -116,9 +116,16 @@
         let Some(request) = self.remove(key) else {
             return;
         };
-        let has_head = has_head(&request);
-        let step = effect::Step::Failed { has_head, kind };
+        let (account, has_head) = (request.account(self.now), has_head(&request));
+        let step = effect::Step::Failed {
+            account,
+            has_head,
+            kind,
+        };
         self.log_step(&request, step, None);
+        if request.is_early(self.now) && !claims_unexecuted {
+            self.count(Counter::EndedEarly(kind, account.bound));
+        }
         self.record_cut(&request, counter::Cut::Failed(kind));
         self.gossip_end(&request, stream_record::Stage::Left);
         let pool = request.service.pool();
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -8,6 +8,7 @@
 
 pub mod attempt;
 pub mod availability;
+pub mod bound;
 pub mod brittle;
 pub mod budget;
 pub mod buffer;
@@ -72,6 +73,7 @@
 mod slot_wait;
 mod stream;
 mod suspicion;
+mod tardiness;
 mod timeout;
 mod usage;
 mod watch;
@@ -82,6 +84,7 @@
     crate::core::{Core, DeferredRequest},
     attempt::Attempt,
     availability::{Availability, Span},
+    bound::Bound,
     brittle::{Brittleness, Tolerance},
     budget::Budget,
     buffer::{Buffers, Reading},
@@ -139,6 +142,7 @@
     store_calls::StoreCalls,
     stream_record::StreamRecord,
     suspicion::CrashSuspects,
+    tardiness::Tardiness,
     upstream::{Health, Load, Upstream},
     usage::{OwnUsage, Usage},
     version::{Version, Versions},
--- a/crates/core/src/liveness.rs
+++ b/crates/core/src/liveness.rs
@@ -183,8 +183,12 @@
     pub expected_ms: u64,
     /// Whether another engine has a copy of its KV cache.
     pub has_copy: bool,
+    /// Longest recent gap between two events that this instance handled, in milliseconds.
+    pub late_ms: u64,
     /// Time without events, in milliseconds.
     pub silent_ms: u64,
+    /// Time for which the engine sent nothing on any stream of this instance, in milliseconds.
+    pub unheard_ms: u64,
 }
 
 /// Intervals between the events of a pool's streams.
--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -418,11 +418,13 @@
             return;
         }
         let unsent = self.unsent_kind();
-        if !self.may_continue(key) {
+        if let Some(bound) = self.reached_bound(key) {
+            self.note_bound(key, bound);
             self.give_up(key, unsent, Kind::UpstreamFailed);
             return;
         }
         if let Err(refusal) = self.check_origin(&self.requests[key]) {
+            self.note_bound(key, Bound::Version);
             self.give_up(key, refusal.kind, Kind::UpstreamFailed);
             return;
         }
@@ -435,6 +437,7 @@
                 self.wait_for_permit(key, reason);
                 self.enqueue(key);
             } else {
+                self.note_bound(key, Bound::Permits);
                 self.give_up(key, unsent, Kind::UpstreamFailed);
             }
             return;
@@ -449,30 +452,6 @@
         self.enqueue(key);
     }
 
-    /// Whether a relayed request may be sent to another upstream.
-    pub(crate) fn may_continue(&self, key: request::Key) -> bool {
-        let request = &self.requests[key];
-        let Some(relay) = request.service.relay() else {
-            return false;
-        };
-        let repeatable = request.service.repeatable || !request.may_have_run;
-        let resumes = relay.resumable && self.settings.relay_resume != ResumeMode::None;
-        let can_resume = !request.progress.is_open || resumes;
-        let has_upstreams_left = request.progress.upstreams_reached < relay.attempts_max.max(1);
-        let not_counted = if request.progress.is_open {
-            request.progress.not_run
-        } else {
-            0
-        };
-        let counted = request.last_attempt.saturating_sub(not_counted);
-        let has_attempts_left = counted < self.settings.attempts_max;
-        repeatable
-            && can_resume
-            && has_upstreams_left
-            && has_attempts_left
-            && self.now < request.deadline
-    }
-
     /// Message that a relayed attempt sends to its upstream.
     pub(crate) fn relay_outbound(&self, key: attempt::Key) -> effect::Outbound {
         let attempt = &self.attempts[key];
--- a/crates/core/src/request.rs
+++ b/crates/core/src/request.rs
@@ -105,8 +105,12 @@
 /// Progress of a relayed response.
 #[derive(Clone, Debug, Default)]
 pub struct RelayProgress {
+    /// What keeps it from being sent on, noted when it fails.
+    pub bound: Option<Bound>,
     /// Copy of the run's KV cache that the next attempt may resume from.
     pub copy: Option<KvCopy>,
+    /// Number of times that it left an upstream which sent nothing.
+    pub departures: u32,
     /// Number of attempts that met an ended incarnation of an upstream.
     pub ends_met: u32,
     /// Whether the edge holds an error response of an upstream, to be forwarded if no other attempt
--- a/crates/core/src/watch.rs
+++ b/crates/core/src/watch.rs
@@ -256,6 +256,7 @@
                 Work::Relay(_) => Kind::NoUpstream,
                 Work::Call { .. } | Work::Generate { .. } => Kind::Deadline,
             };
+            self.note_bound(key, Bound::Deadline);
             self.give_up(key, unsent, Kind::TimedOut);
         }
     }
--- a/crates/core/tests/relay/silent_upstream.rs
+++ b/crates/core/tests/relay/silent_upstream.rs
@@ -1,7 +1,12 @@
 //! Streams that have begun and find no slot elsewhere: their upstream fell silent or broke off while all others are full.
 
 use super::*;
-use wellplank_core::settings::RetryBound;
+use wellplank_core::{
+    bound::{Account, Bound},
+    effect::Step,
+    kind::Kind,
+    settings::RetryBound,
+};
 
 /// Time in which an upstream answers that it refuses a request, in milliseconds.
 const REFUSAL_MS: u64 = 10;
@@ -207,3 +212,61 @@
         expect_that!(in_window.count(), le(3));
     }
 }
+
+/// Accounts and kinds of the requests that failed.
+fn failures(test: &Test) -> Vec<(Account, Kind)> {
+    let failed = |effect: &Effect| match effect {
+        Effect::LogRequest(entry) => match entry.step {
+            Step::Failed { account, kind, .. } => Some((account, kind)),
+            _ => None,
+        },
+        _ => None,
+    };
+    test.effects.iter().filter_map(failed).collect()
+}
+
+/// Guards against a stream that fails with nearly all of its time left, and whose line does not say by which bound.
+#[gtest]
+fn failure_tells_the_bound_that_ended_the_request_and_the_time_left() {
+    let mut test = without_copies(RetryBound::default());
+    test.stream(1);
+    for _ in 0..5 {
+        let sent = test.last_sent();
+        test.break_connection(&sent, false);
+        test.advance(10);
+    }
+    expect_that!(test.outcomes(), elements_are![eq("cut")]);
+    let account = Account {
+        bound: Some(Bound::Upstreams),
+        departures: 0,
+        left_ms: 19_960,
+        not_run: 0,
+        upstreams: 5,
+    };
+    expect_that!(
+        failures(&test),
+        elements_are![eq(&(account, Kind::UpstreamFailed))]
+    );
+    let early = Counter::EndedEarly(Kind::UpstreamFailed, Some(Bound::Upstreams));
+    expect_that!(test.counted(early), eq(1));
+    expect_that!(
+        early.to_string(),
+        eq("ended_early.upstream_failed.upstreams")
+    );
+}
+
+/// Guards against the end of a request at its deadline that counts as one with time left.
+#[gtest]
+fn failure_at_the_deadline_is_not_early() {
+    let mut test = Test::new(1);
+    test.stream(1);
+    test.advance(20_100);
+    let bounds = failures(&test);
+    let bounds = bounds.iter().map(|(account, kind)| (account.bound, *kind));
+    expect_that!(
+        bounds.collect::<Vec<_>>(),
+        elements_are![eq(&(Some(Bound::Deadline), Kind::TimedOut))]
+    );
+    let early = Counter::EndedEarly(Kind::TimedOut, Some(Bound::Deadline));
+    expect_that!(test.counted(early), eq(0));
+}
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -2,6 +2,7 @@
 
 use super::*;
 use platform::response::Classification;
+use request_log::Break;
 use wellplank_core::notice::Notice;
 
 /// A request as its caller sent it.
@@ -130,7 +131,13 @@
             self.driver.send_event(Event::Connected(self.attempt));
             connection::send(connection, request).await
         };
-        response.map_err(|_| Failure::Broken)
+        response.map_err(|error| self.broken(Break::Head(&error)))
+    }
+
+    /// Logs how the exchange broke off.
+    fn broken(&self, broken: Break<'_>) -> Failure {
+        request_log::log_break(&self.request_id, &self.upstream_name, broken);
+        Failure::Broken
     }
 
     fn classify_tunnel_error(&self, gateway: SocketAddr, error: &tunnel::Error) -> Failure {
@@ -174,7 +181,8 @@
                 self.read_stream(body, has_end_marker).await
             }
             Classification::Unary(verdict) => {
-                let body = body.collect().await.map_err(|_| Failure::Broken)?;
+                let body = body.collect().await;
+                let body = body.map_err(|error| self.broken(Break::Body(&error)))?;
                 let response = CompleteResponse {
                     body: body.to_bytes(),
                     head,
@@ -229,7 +237,7 @@
         // Bytes of an event are searched once, however many frames it arrives in.
         let mut searched = 0;
         while let Some(frame) = self.next_frame(&mut body).await {
-            let frame = frame.map_err(|_| Failure::Broken)?;
+            let frame = frame.map_err(|error| self.broken(Break::Body(&error)))?;
             let Ok(data) = frame.into_data() else {
                 continue;
             };
@@ -237,7 +245,8 @@
             while let Some(end) = event_end(&buffer, searched) {
                 searched = 0;
                 let event: Vec<u8> = buffer.drain(..end).collect();
-                let position = platform::response::position(&event).ok_or(Failure::Broken)?;
+                let position = platform::response::position(&event);
+                let position = position.ok_or_else(|| self.broken(Break::Event))?;
                 self.driver.send_event(Event::StreamEvent {
                     attempt: self.attempt,
                     bytes: event.into(),
@@ -247,7 +256,7 @@
             searched = buffer.len();
         }
         if !buffer.is_empty() {
-            return Err(Failure::Broken);
+            return Err(self.broken(Break::Partial));
         }
         self.driver.send_event(Event::StreamEnded {
             attempt: self.attempt,
--- a/crates/node/src/request_log.rs
+++ b/crates/node/src/request_log.rs
@@ -3,7 +3,7 @@
 
 use super::*;
 use wellplank_core::{
-    counter, demand,
+    bound, counter, demand,
     fingerprint::RequestFingerprint,
     limit::Limit,
     notice::{Backoff, Notice},
@@ -103,6 +103,34 @@
     warn!(request, cause, configuration_age_ms, revision; "stream cut");
 }
 
+/// How the exchange with an upstream broke off.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum Break<'a> {
+    /// The connection ended or failed before the head of the response.
+    Head(&'a hyper::Error),
+    /// The connection ended or failed within the body.
+    Body(&'a hyper::Error),
+    /// The response ended within an event.
+    Partial,
+    /// An event has no position.
+    Event,
+}
+
+/// Logs that an exchange with an upstream broke off.
+pub(crate) fn log_break(request: &str, upstream: &str, broken: Break<'_>) {
+    let (stage, error) = match broken {
+        Break::Head(error) => ("head", Some(error)),
+        Break::Body(error) => ("body", Some(error)),
+        Break::Partial => ("partial_event", None),
+        Break::Event => ("malformed_event", None),
+    };
+    let error = error.map_or_else(String::new, |error| {
+        let cause = std::error::Error::source(error);
+        cause.map_or_else(|| error.to_string(), |cause| format!("{error}: {cause}"))
+    });
+    info!(request, upstream, stage, error; "exchange broke off");
+}
+
 /// Logs a request that is open when a graceful stop ends.
 pub(crate) fn log_open(request: &str, open: &OpenRequest) {
     let stage = open.stage.to_string();
@@ -136,16 +164,29 @@
             let revision = configuration.map(|configuration| configuration.revision);
             warn!(request, fingerprint, customer, service, model, position, cause, configuration_age_ms, revision; "stream cut");
         }
-        Step::Failed { has_head, kind } => {
+        Step::Failed {
+            account,
+            has_head,
+            kind,
+        } => {
             let (has_head, kind) = (*has_head, kind.answer().name);
-            warn!(request, fingerprint, customer, service, model, upstream, position, kind, has_head; "failed");
+            let bound::Account {
+                bound,
+                departures,
+                left_ms,
+                not_run,
+                upstreams,
+            } = *account;
+            let bound = bound.map_or_else(String::new, |bound| bound.to_string());
+            warn!(request, fingerprint, customer, service, model, upstream, position, kind, has_head, bound, left_ms, upstreams, not_run, departures; "failed");
         }
         Step::Left => info!(request, customer, service, position; "caller left"),
         Step::LeftSilent(departure) => {
             let evidence = departure.evidence.to_string();
             let (silent_ms, expected_ms) = (departure.silent_ms, departure.expected_ms);
             let (dead_percent, has_copy) = (departure.dead_percent, departure.has_copy);
-            warn!(request, fingerprint, customer, service, upstream, position, evidence, silent_ms, expected_ms, dead_percent, has_copy; "left a silent upstream");
+            let (late_ms, unheard_ms) = (departure.late_ms, departure.unheard_ms);
+            warn!(request, fingerprint, customer, service, upstream, position, evidence, silent_ms, unheard_ms, expected_ms, dead_percent, has_copy, late_ms; "left a silent upstream");
         }
         Step::Lost(reason) => {
             let reason = reason.to_string();
