Split the reads of the configuration and the updates of the list off the informer

The latter two move to configuration_reads.rs and list_updates.rs, each with its constants; no line of logic changes. Fields and a few methods of Informer become visible within the crate.

--- a/crates/core/src/informer.rs
+++ b/crates/core/src/informer.rs
@@ -13,10 +13,12 @@
 
 use super::*;
 use availability::Span;
+use configuration_reads::{LARGE_CONFIG_BYTES, PendingRead, READ_PAUSES_MS};
 use informer_io::{
     Answer, Call, CancelReason, Confirmed, Consistency, Content, Input, KnownState, Output,
     PeerList, PeerReport, Source, Topic,
 };
+use list_updates::REORDER_WINDOW_MS;
 
 /// Wait of a watch while another instance confirms that nothing has changed, in milliseconds: the longest that the
 /// store allows. A dead connection is detected through other calls and other instances.
@@ -26,41 +28,6 @@
 /// may be left.
 const WAIT_MIN_MS: u64 = 100;
 
-/// Pause between two watches per upstream in which changes are batched, in milliseconds: each call is paid for, and
-/// the loss of a data centre changes a share of all entries.
-const BATCH_PER_UPSTREAM_MS: u64 = 6;
-
-/// Number of changes of an answer from which the next watch follows without a pause: an answer holds some hundred at most,
-/// and behind ten thousand registrations a watcher that paused after each was half a minute late.
-const FULL_ANSWER: usize = 100;
-
-/// Minimum batching pause, in milliseconds. The maximum is half of the time within which a leaving upstream must get
-/// no more work; the other half is left for the call.
-const BATCH_MIN_MS: u64 = 200;
-
-/// Time that a datagram received before its predecessors waits for them, in milliseconds: links deliver short ones
-/// sooner.
-const REORDER_WINDOW_MS: u64 = 150;
-
-/// Pauses before the reads of a configuration that peers are known to have, in milliseconds. These reads are
-/// serializable: they may be some hundred milliseconds old in simulation, and cost a tenth of linearizable ones.
-/// The read after them is linearizable. The first pause lets more changes accumulate.
-const READ_PAUSES_MS: [u64; 2] = [200, 300];
-
-/// Sum of [`READ_PAUSES_MS`].
-pub(crate) const READ_PAUSES_TOTAL_MS: u64 = READ_PAUSES_MS[0] + READ_PAUSES_MS[1];
-
-/// Size in bytes from which a configuration is read only once, after the first pause: each read of half a megabyte
-/// occupies a 10 Mbit/s link for half a second, and little time is left to apply it.
-const LARGE_CONFIG_BYTES: usize = 64 << 10;
-
-/// Pause before the read of a configuration from another instance, in milliseconds: a report may have passed the
-/// announcement of the instance before this one.
-const PEER_READ_PAUSE_MS: u64 = 10;
-
-/// Pause after a call of another instance that has no configuration yet, in milliseconds.
-const FIRST_READ_PAUSE_MS: u64 = 300;
-
 /// Time within which another instance's configuration must begin to arrive, in milliseconds. The store is read after it.
 const PEER_READ_TIMEOUT_MS: u64 = 250;
 
@@ -73,75 +40,56 @@
 /// served for 18 s behind the loss of all.
 const STORE_TURN_MS: u64 = 100;
 
-/// Pause after a call of another instance that has no list to give, in milliseconds.
-const PEER_PAUSE_MS: u64 = 150;
-
-/// Failed calls of other instances about missed changes after which the store is called, where updates are passed on: the
-/// instance before this one may have missed the same changes, and has them a moment later.
-const GAP_ATTEMPTS_MAX: u32 = 4;
-
-/// Maximum number of updates kept before the first list, of some ten changes each.
-const EARLY_UPDATES_MAX: usize = 2_000;
-
-/// A read of a configuration that peers have.
-#[derive(Clone, Copy, Debug)]
-struct PendingRead {
-    at: Time,
-    source: Source,
-    /// Index in [`READ_PAUSES_MS`] of a read of the store.
-    step: usize,
-}
-
 /// Follows the store on behalf of one instance.
 #[derive(Debug)]
 pub struct Informer {
     /// Revision of the configuration in force.
-    active_revision: Option<u64>,
-    availability: Availability,
-    bound: StalenessBound,
-    calls: BTreeMap<u64, Call>,
+    pub(crate) active_revision: Option<u64>,
+    pub(crate) availability: Availability,
+    pub(crate) bound: StalenessBound,
+    pub(crate) calls: BTreeMap<u64, Call>,
     /// Size in bytes of the configuration that was read last.
-    config_bytes: usize,
-    configuration: StoreCalls,
+    pub(crate) config_bytes: usize,
+    pub(crate) configuration: StoreCalls,
     /// Updates that arrived before their predecessors.
-    early_updates: Vec<RosterUpdate>,
+    pub(crate) early_updates: Vec<RosterUpdate>,
     /// Number of known restores of the store from a backup.
-    era: u64,
+    pub(crate) era: u64,
     /// When the store is known to have served any instance: by own calls and by updates from watchers.
-    fleet_availability: Availability,
+    pub(crate) fleet_availability: Availability,
     /// When an update showed that a change was missed.
-    gap_since: Option<Time>,
+    pub(crate) gap_since: Option<Time>,
     /// Whether this instance has ever had the list.
-    has_list: bool,
+    pub(crate) has_list: bool,
     /// When the watcher of the data centre was last heard.
-    last_heard: Time,
+    pub(crate) last_heard: Time,
     /// Time within which a leaving upstream must get no more work, in milliseconds.
-    leave_ms: u64,
-    next_call: u64,
-    outputs: Vec<Output>,
+    pub(crate) leave_ms: u64,
+    pub(crate) next_call: u64,
+    pub(crate) outputs: Vec<Output>,
     /// Place of this instance in its data centre if announcements are passed on there.
-    place: Option<usize>,
+    pub(crate) place: Option<usize>,
     /// Failed calls of other instances since the last one that closed a gap.
-    peer_attempts: u32,
+    pub(crate) peer_attempts: u32,
     /// Newest state that any peer has reported.
-    peer_state: KnownState,
+    pub(crate) peer_state: KnownState,
     /// Latest span in the present era in which the store was available to peers, as they report.
-    peer_uptime: Option<Span>,
+    pub(crate) peer_uptime: Option<Span>,
     /// Time until which an instance that follows others and has no list or configuration calls only these.
-    peers_until: Time,
+    pub(crate) peers_until: Time,
     /// The next read of a configuration that peers have.
-    pending_read: Option<PendingRead>,
+    pub(crate) pending_read: Option<PendingRead>,
     /// Rank among the instances that watch the store.
-    rank: WatcherRank,
+    pub(crate) rank: WatcherRank,
     /// When an instance that follows others last read the configuration.
-    read_at: Time,
+    pub(crate) read_at: Time,
     /// When an instance that follows others last got an update in sequence or called the store.
-    refreshed_at: Time,
-    role: Role,
-    roster: Roster,
+    pub(crate) refreshed_at: Time,
+    pub(crate) role: Role,
+    pub(crate) roster: Roster,
     /// Whether the first configuration is taken from other instances.
-    takes_first_configuration: bool,
-    upstreams: StoreCalls,
+    pub(crate) takes_first_configuration: bool,
+    pub(crate) upstreams: StoreCalls,
 }
 
 impl Informer {
@@ -338,7 +286,7 @@
         }
     }
 
-    fn topic_calls_mut(&mut self, topic: Topic) -> &mut StoreCalls {
+    pub(crate) fn topic_calls_mut(&mut self, topic: Topic) -> &mut StoreCalls {
         match topic {
             Topic::Configuration => &mut self.configuration,
             Topic::Upstreams => &mut self.upstreams,
@@ -346,7 +294,7 @@
     }
 
     /// Whether a topic is followed through other instances; what was never read is read first.
-    fn follows(&self, topic: Topic) -> bool {
+    pub(crate) fn follows(&self, topic: Topic) -> bool {
         let known = match topic {
             Topic::Configuration => {
                 self.active_revision.is_some() || self.takes_first_configuration
@@ -357,7 +305,7 @@
     }
 
     /// Whether peers have a newer configuration.
-    fn is_configuration_behind(&self) -> bool {
+    pub(crate) fn is_configuration_behind(&self) -> bool {
         self.peer_state.configuration > self.active_revision
     }
 
@@ -408,7 +356,7 @@
     /// Enters a new era: the store was restored from a backup. Earlier positions are void, watches since them are
     /// cancelled, and everything is read again. A watch that continued from such a position missed what the store
     /// wrote again up to it, and an upstream that left then got work for 7 s and more.
-    fn enter_era(&mut self, era: u64, now: Time) {
+    pub(crate) fn enter_era(&mut self, era: u64, now: Time) {
         if era <= self.era {
             return;
         }
@@ -434,298 +382,6 @@
         self.early_updates.clear();
     }
 
-    fn handle_configuration(
-        &mut self,
-        call: Call,
-        bytes: usize,
-        config: Option<Arc<Config>>,
-        position: Position,
-        now: Time,
-    ) {
-        let followed = self.follows(Topic::Configuration);
-        if let Some(config) = config {
-            self.config_bytes = bytes;
-            self.apply_configuration(config);
-        }
-        if followed {
-            // The next watch must begin with a read.
-            self.configuration.position = None;
-            self.pending_read = match self.pending_read {
-                Some(PendingRead { step, .. })
-                    if self.is_configuration_behind() && step < READ_PAUSES_MS.len() =>
-                {
-                    let pause = READ_PAUSES_MS.get(step + 1).copied().unwrap_or(0);
-                    Some(PendingRead {
-                        at: now.after(pause),
-                        source: Source::Store,
-                        step: step + 1,
-                    })
-                }
-                _ => None,
-            };
-        } else if call.consistency == Consistency::Linearizable {
-            self.configuration.position = Some(position);
-        }
-    }
-
-    /// Puts a configuration in force, unless it is older than the present one.
-    fn apply_configuration(&mut self, config: Arc<Config>) {
-        if Some(config.revision) <= self.active_revision {
-            return;
-        }
-        self.active_revision = Some(config.revision);
-        self.outputs.push(Output::Configuration(config));
-        // A standby may have read it while the watcher is silent; otherwise its peers would learn of it a second
-        // later.
-        match self.role {
-            Role::Standby | Role::Watcher => self.outputs.push(Output::AnnounceConfiguration),
-            Role::Follower => self.outputs.push(Output::PassOnConfiguration),
-            Role::Independent => {}
-        }
-    }
-
-    /// Handles the configuration of another instance. If it is not newer, the store is read.
-    fn handle_peer_configuration(
-        &mut self,
-        id: u64,
-        bytes: usize,
-        config: Option<Arc<Config>>,
-        now: Time,
-    ) {
-        if self.calls.remove(&id).is_none() {
-            return;
-        }
-        self.configuration.record_peer_answer();
-        let before = self.active_revision;
-        if let Some(config) = config {
-            self.config_bytes = bytes;
-            self.apply_configuration(config);
-        }
-        if self.active_revision == before {
-            self.retry_configuration(now);
-        } else {
-            self.takes_first_configuration = false;
-            let is_behind = self.is_configuration_behind();
-            self.pending_read = is_behind.then(|| Self::read_from_peer(now));
-        }
-    }
-
-    /// Schedules the next read of a configuration that another instance did not give.
-    fn retry_configuration(&mut self, now: Time) {
-        let read = if self.takes_first_configuration {
-            PendingRead {
-                at: now.after(FIRST_READ_PAUSE_MS),
-                ..Self::read_from_peer(now)
-            }
-        } else {
-            self.read_from_store(now)
-        };
-        self.pending_read = Some(read);
-    }
-
-    /// Begins or ends taking the first configuration from other instances, and hurries once one of them has it.
-    fn update_first_read(&mut self, now: Time) {
-        if !self.takes_first_configuration {
-            return;
-        }
-        if now >= self.peers_until || !self.role.follows() {
-            self.takes_first_configuration = false;
-            self.pending_read = None;
-            return;
-        }
-        let soon = Self::read_from_peer(now);
-        let is_slow = |read: &PendingRead| self.is_configuration_behind() && read.at > soon.at;
-        if self.configuration.pending.is_none() && self.pending_read.as_ref().is_none_or(is_slow) {
-            self.pending_read = Some(soon);
-        }
-    }
-
-    /// The first read of a configuration that peers have: a large one is taken from the peer that announced it, also by an
-    /// instance that the store refuses, or those behind it would not hear of it. A read of it from the store by each of a
-    /// thousand instances takes a second of the store's link.
-    fn first_read(&self, now: Time) -> PendingRead {
-        if self.config_bytes >= LARGE_CONFIG_BYTES {
-            Self::read_from_peer(now)
-        } else {
-            self.read_from_store(now)
-        }
-    }
-
-    fn read_from_peer(now: Time) -> PendingRead {
-        PendingRead {
-            at: now.after(PEER_READ_PAUSE_MS),
-            source: Source::Peer,
-            step: 0,
-        }
-    }
-
-    fn read_from_store(&self, now: Time) -> PendingRead {
-        let at = self.configuration.next_call_at(&self.availability).max(now);
-        PendingRead {
-            at: at.after(READ_PAUSES_MS[0]),
-            source: Source::Store,
-            step: 0,
-        }
-    }
-
-    fn handle_upstreams(
-        &mut self,
-        call: Call,
-        mut changes: Vec<Change>,
-        position: Position,
-        now: Time,
-    ) {
-        let known = self.upstreams.position.unwrap_or_default();
-        let outage = self.own_outage();
-        let first = self.upstreams.position.is_none();
-        let is_full = call.since.is_some() && changes.len() >= FULL_ANSWER;
-        // Before the answer removes entries.
-        if let Some(until) = self.availability.reregistered_by(self.peer_uptime) {
-            self.roster.extend_grace(until);
-        }
-        if call.since.is_none() {
-            self.roster.replace_all(&changes, position, outage, now);
-        } else {
-            // Peers may have announced some of them during the call.
-            changes.retain(|change| change.position > known);
-            self.roster.apply_changes(changes, outage, now);
-        }
-        self.upstreams.position = Some(position.max(known));
-        self.refreshed_at = now;
-        self.gap_since = None;
-        self.peer_attempts = 0;
-        self.early_updates.clear();
-        self.emit_upstreams(now);
-        let announces = match self.role {
-            Role::Watcher => true,
-            Role::Standby => !first,
-            Role::Independent | Role::Follower => false,
-        };
-        if announces {
-            let updates = self.roster.pending_updates(
-                position.max(known),
-                self.availability.uptime_ms(),
-                now,
-            );
-            self.outputs
-                .extend(updates.into_iter().map(Output::AnnounceRoster));
-        }
-        if first {
-            // Peers know nothing of what was just read.
-            self.roster.set_announced(position);
-        }
-        let pause_ms = if is_full { 0 } else { self.batch_pause_ms() };
-        self.upstreams.not_before = now.after(pause_ms);
-    }
-
-    /// Applies the list of another instance. What is older than the own is of no use, and the next call goes elsewhere.
-    fn handle_peer_list(&mut self, id: u64, list: PeerList, now: Time) {
-        if self.calls.remove(&id).is_none() {
-            return;
-        }
-        let known = self.upstreams.position.unwrap_or_default();
-        let is_applicable = list.is_complete != self.has_list;
-        if list.to.era != self.era || list.to < known || !is_applicable {
-            self.record_peer_failure(now);
-            return;
-        }
-        self.upstreams.record_peer_answer();
-        let outage = self.own_outage();
-        if list.is_complete {
-            self.roster.replace_all(&list.changes, list.to, outage, now);
-        } else {
-            let mut changes = list.changes;
-            changes.retain(|change| change.position > known);
-            self.roster.apply_changes(changes, outage, now);
-        }
-        let known = self.roster.catch_up(list.to, &mut self.early_updates, now);
-        self.upstreams.position = Some(known);
-        self.roster.set_announced(known);
-        self.refreshed_at = self.refreshed_at.max(now.before(list.age_ms));
-        if self.early_updates.is_empty() {
-            self.gap_since = None;
-            self.peer_attempts = 0;
-        } else {
-            self.gap_since.get_or_insert(now);
-            self.record_peer_failure(now);
-        }
-        self.emit_upstreams(now);
-    }
-
-    /// Records that a call of another instance brought nothing. One that has missed changes must not lose time.
-    fn record_peer_failure(&mut self, now: Time) {
-        self.peer_attempts += 1;
-        let waits = !self.has_list || self.place.is_some();
-        let pause_ms = if waits { PEER_PAUSE_MS } else { 0 };
-        self.upstreams.record_unavailable(pause_ms, now);
-    }
-
-    /// Where the list is requested: an instance that follows others and has never had it takes it from one of them, and
-    /// one that has missed changes asks one first. In an outage and after it only the store shows what an instance lacks:
-    /// whether missing entries have expired follows from calls that it does not answer.
-    fn list_source(&self, now: Time) -> Source {
-        let has_gap = self
-            .gap_since
-            .is_some_and(|gap_since| gap_since.after(REORDER_WINDOW_MS) <= now);
-        let asks_peers = if self.has_list {
-            let attempts_max = if self.place.is_some() {
-                GAP_ATTEMPTS_MAX
-            } else {
-                1
-            };
-            has_gap && self.peer_attempts < attempts_max
-        } else {
-            now < self.peers_until
-        };
-        if self.role.follows() && asks_peers && self.availability.is_answering() {
-            Source::Peer
-        } else {
-            Source::Store
-        }
-    }
-
-    /// Whether the store may have been down for every instance in a span that a peer reports: nobody was served
-    /// meanwhile, or this instance saw the same outage. Two consecutive outages with one answer in between count as
-    /// one for this purpose.
-    fn is_shared_outage(&self, outage: Span, now: Time) -> bool {
-        let own = self.own_outage();
-        let unanswered = self.availability.last_unanswered();
-        self.fleet_availability.is_shared_outage(outage, now)
-            || own.is_some_and(|own| self.availability.overlaps_outage(own, outage))
-            || unanswered.is_some_and(|at| (outage.from..outage.to).contains(&at))
-    }
-
-    /// The outage that this instance saw, without the part in which peers report that the store was up: no entry
-    /// expires then. Otherwise an instance that was refused or cut off while others were served would keep an upstream
-    /// that left for two more seconds, counted from its own first answer.
-    fn own_outage(&self) -> Option<Span> {
-        let outage = self.availability.outage()?;
-        match self.peer_uptime {
-            Some(uptime) => self.availability.exclude_uptime(outage, uptime),
-            None => Some(outage),
-        }
-    }
-
-    /// Pause before the next watch of the list, in milliseconds.
-    fn batch_pause_ms(&self) -> u64 {
-        if self.role == Role::Watcher {
-            return self.bound.pause_ms();
-        }
-        let longest = (self.leave_ms / 2).max(BATCH_MIN_MS);
-        (BATCH_PER_UPSTREAM_MS * self.roster.len() as u64).clamp(BATCH_MIN_MS, longest)
-    }
-
-    fn emit_upstreams(&mut self, now: Time) {
-        self.has_list = true;
-        for name in self.roster.take_new_missing() {
-            let grace_ms = self.roster.grace_ms(now);
-            self.outputs.push(Output::MissingEntry(name, grace_ms));
-        }
-        self.roster.remove_expired(now);
-        self.outputs
-            .push(Output::Upstreams(self.roster.take_delta()));
-    }
-
     fn handle_failure(&mut self, id: u64, now: Time) {
         let Some(call) = self.calls.remove(&id) else {
             return;
@@ -740,7 +396,7 @@
         }
     }
 
-    fn record_failure(&mut self, topic: Topic, now: Time) {
+    pub(crate) fn record_failure(&mut self, topic: Topic, now: Time) {
         let (availability, bound) = (self.availability, self.bound);
         let urgent = topic == Topic::Configuration && self.active_revision.is_none();
         self.topic_calls_mut(topic)
@@ -755,7 +411,7 @@
         }
     }
 
-    fn handle_report(&mut self, report: PeerReport, now: Time) {
+    pub(crate) fn handle_report(&mut self, report: PeerReport, now: Time) {
         let confirmed = report.confirmed.map(|confirmed| confirmed.to.era);
         let update = report.update.as_ref().map(|update| update.to.era);
         let newest = confirmed.into_iter().chain(update).max();
@@ -806,32 +462,6 @@
         }
     }
 
-    /// Keeps an update that arrives before the first list: the list of a peer may be older than it. Without them each
-    /// instance that starts while upstreams register has a gap, and reads the changes from the store.
-    fn keep_until_list(&mut self, update: RosterUpdate) {
-        if self.role.follows() && !self.has_list && self.early_updates.len() < EARLY_UPDATES_MAX {
-            self.early_updates.push(update);
-        }
-    }
-
-    /// Records how long the store had been available to a peer when it answered that peer.
-    fn record_peer_uptime(&mut self, update: &RosterUpdate, now: Time) {
-        if update.uptime_ms == 0 || update.to.era < self.era {
-            return;
-        }
-        let mut uptime = Span {
-            from: now.before(update.uptime_ms),
-            to: now,
-        };
-        if let Some(before) = self.peer_uptime.filter(|before| before.to >= uptime.from) {
-            uptime.from = uptime.from.min(before.from);
-        }
-        self.peer_uptime = Some(uptime);
-        if self.role.follows() {
-            self.roster.shorten_outage(uptime, &self.availability, now);
-        }
-    }
-
     /// Handles a confirmation from a peer, unless this instance already knows more.
     fn handle_confirmation(&mut self, confirmed: Confirmed, report: &PeerReport, now: Time) {
         let topic = confirmed.topic;
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -59,6 +59,7 @@
 
 mod admission;
 mod capacity;
+mod configuration_reads;
 mod consistency;
 mod dispatch;
 mod ended;
@@ -66,6 +67,7 @@
 mod failure;
 mod gateways;
 mod list;
+mod list_updates;
 mod place;
 mod relay;
 mod route;
--- a/crates/core/src/staleness.rs
+++ b/crates/core/src/staleness.rs
@@ -11,8 +11,10 @@
 
 /// Maximum timeout of a call of the configuration, in milliseconds: what remains of [`RECOVERY_MS`] after the margin,
 /// the longest pause after the call, and the pauses before the reads of a configuration that peers have.
-const CALL_MAX_MS: u64 =
-    RECOVERY_MS - MARGIN_MS - store_calls::BACKOFF_MAX_MS - informer::READ_PAUSES_TOTAL_MS;
+const CALL_MAX_MS: u64 = RECOVERY_MS
+    - MARGIN_MS
+    - store_calls::BACKOFF_MAX_MS
+    - configuration_reads::READ_PAUSES_TOTAL_MS;
 
 /// Maximum silence of peers, in milliseconds: what remains of [`RECOVERY_MS`] after the margin and a call of the list
 /// that was sent just before the store returned.
