Give callers' connections a second to close at an idle exit

Evidence: in the log of one instance ten to fifteen refusals stand in each 0.1 s up to 532.311, then none for 275 ms until `stopped` at 532.586, which is when the unread requests were closed; the server ends connections by force 200 ms (400 at most) behind the request to close, so those tasks had not run once in that time. At an idle exit the grace period has seconds left, and nothing is gained by force that early. Now it is a second there; the end of a grace period that runs out keeps its 400 ms.

Ruled out: a request that the core knew (none is open, `open` 0, `running` 0). Not shown: that this mends it.

--- a/crates/node/src/hosted.rs
+++ b/crates/node/src/hosted.rs
@@ -36,6 +36,10 @@
 /// Time that the connections of callers then have to take what was written and to close.
 pub(crate) const CLOSE_TIME_MAX: Duration = Duration::from_millis(200);
 
+/// The same at an idle exit, where the grace period leaves more: an instance short of processor time has not read yet what
+/// callers sent some hundred milliseconds ago.
+const IDLE_CLOSE_TIME_MAX: Duration = Duration::from_secs(1);
+
 /// Readiness check of the platform.
 struct ReadinessEndpoint {
     known_state: watch::Receiver<KnownState>,
@@ -245,7 +249,13 @@
                 .grace_period
                 .saturating_sub(end_margin / EXIT_TIME_DIVISOR);
         let close_time_max = close_by.saturating_duration_since(Instant::now());
-        self.close_callers(close_time_max.min(end_margin)).await;
+        let is_idle_exit = close_time_max > end_margin;
+        let wanted = if is_idle_exit {
+            IDLE_CLOSE_TIME_MAX
+        } else {
+            end_margin
+        };
+        self.close_callers(close_time_max.min(wanted)).await;
         let driver::Snapshot {
             running,
             unread_bytes,
