--- a/crates/core/tests/relay/main.rs
+++ b/crates/core/tests/relay/main.rs
@@ -43,6 +43,7 @@
 mod connectivity;
 mod connectivity_fleet;
 mod directory;
+mod early;
 mod ended;
 mod engine_model;
 mod fleet;
