Let begun streams wait while every upstream is limited or asks for a rest

Callers whose stream had begun were cut with 20 s left as soon as it lost its upstream while, at that moment, other instances held all shares of the upstreams' rate limits, or all listed upstreams had asked for a rest beyond its deadline. The core gave up what no listed upstream would take until its deadline, as it does with new requests, for which an early refusal is a service. But a limit is lifted by the next response without one, and another upstream may be listed in a second; a cut stream gains nothing.

Both tests fail without the change ("cut" at the loss): a limit of one request per second at six upstreams, held by others of 300 instances and lifted after 1.2 s; an upstream that is listed 1.2 s after the only other one asked for a rest of 60 s. Not the refusal of attempts (`slot_wait`): nothing was sent. Such a stream now waits like one that was refused, and ends at its deadline at the latest. New requests and those whose callers have received nothing are given up as before.

--- a/crates/core/src/notice.rs
+++ b/crates/core/src/notice.rs
@@ -219,8 +219,12 @@
     }
 
     /// Whether a request with `ahead` others before it will find no upstream in its waiting time, because of backoffs
-    /// and rate limits.
+    /// and rate limits. One whose caller has a part of the response is never given up for that: a limit may be lifted and an
+    /// upstream may be listed before its deadline, while a caller that is cut off gains nothing.
     pub(crate) fn is_bound_to_expire(&self, request: &Request, ahead: usize) -> bool {
+        if failure::has_head(request) {
+            return false;
+        }
         let until = self.queue_deadline(request).min(request.deadline);
         let until = until.min(self.latest_start(request));
         let available = self.available_at(request, ahead);
--- a/crates/core/tests/relay/limit.rs
+++ b/crates/core/tests/relay/limit.rs
@@ -332,3 +332,26 @@
     });
     expect_that!(refused, some(some(all![gt(100), le(3_000)])));
 }
+
+/// Guards against cutting a begun stream because other instances hold all shares of the limits at that moment: limits are
+/// lifted, while a caller whose stream is cut has lost it.
+#[gtest]
+fn stream_that_has_begun_waits_while_other_instances_hold_all_permits() {
+    let mut test = Test::new(6);
+    test.handle(Event::Instances(View::numbered(0, 300)));
+    let first = test.stream(3);
+    let limit_all = |test: &mut Test, rate: Option<Rate>| {
+        for upstream in 0..6 {
+            let incarnation = incarnation(upstream, 0);
+            test.handle(Event::PeerLimit { incarnation, rate });
+        }
+    };
+    limit_all(&mut test, Some(Rate(1_000)));
+    test.break_connection(&first, false);
+    test.advance(1_200);
+    expect_that!(test.sent().len(), eq(1));
+    expect_that!(test.outcomes(), is_empty());
+    limit_all(&mut test, None);
+    test.advance(100);
+    expect_that!(test.last_sent().position, eq(3));
+}
--- a/crates/core/tests/relay/notice.rs
+++ b/crates/core/tests/relay/notice.rs
@@ -400,3 +400,24 @@
         .collect();
     expect_that!(known, elements_are![eq(&load)]);
 }
+
+/// Guards against cutting a begun stream because all upstreams that are listed at that moment ask for a long rest: another
+/// one may be listed in a second.
+#[gtest]
+fn stream_that_has_begun_waits_for_an_upstream_beside_those_in_a_long_backoff() {
+    let mut test = Test::new(1);
+    let first = test.stream(3);
+    let notice = Notice {
+        backoff: Backoff::For(60_000),
+        ..Notice::default()
+    };
+    test.apply_notice(&first, notice);
+    expect_that!(test.outcomes(), is_empty());
+    test.break_connection(&first, false);
+    test.advance(1_200);
+    expect_that!(test.outcomes(), is_empty());
+    test.list(vec![listed(0, 0), listed(1, 1)]);
+    test.advance(100);
+    expect_that!(test.last_sent().position, eq(3));
+    expect_that!(test.last_sent().upstream, eq(1));
+}
