Let a begun generation of the own interface wait until its deadline

A caller of the own interface that had received tokens got `timed_out` with 59 of 60 s left when its engine broke off and no other took the generation within `max_wait_ms`, the time after which a new request is refused. Relayed streams wait until their deadline (`slot_wait`); the line that does it asked for their response head only, which a generation never has. The test lets the only engine break off behind a token and come back 1.6 s later: `timed_out` before, continued now. Not the attempts (one was used) and not the permits (a continuation needs none). Requests whose callers have received nothing are refused as early as before.

--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -12,12 +12,13 @@
         request.state = State::Queued;
         request.turn = None;
         let turn = self.turn(&self.requests[key]);
+        let has_head = failure::has_head(&self.requests[key]);
         let request = &mut self.requests[key];
         request.turn = turn;
         let pool: Arc<str> = request.service.pool().into();
         let queue = &mut self.pools.entry(pool.clone()).or_default().queue;
         let was_sent = request.last_attempt > 0 || request.position() > 0;
-        if request.progress.is_open {
+        if has_head {
             // Its caller can not be refused any more, only cut off.
             request.send_by = request.deadline;
         } else if was_sent {
--- a/crates/core/tests/core.rs
+++ b/crates/core/tests/core.rs
@@ -601,3 +601,27 @@
     expect_that!(test.attempts(), is_empty());
     expect_that!(test.errors(), elements_are![eq(&(Kind::Unknown, false))]);
 }
+
+/// Guards against cutting a generation that has begun because no upstream took it for as long as a new one may wait: 58 s
+/// were left when the only upstream came back.
+#[gtest]
+fn begun_generation_waits_for_an_upstream_longer_than_a_new_one() {
+    let mut test = Test::new(Settings::default(), 1);
+    test.submit("mill");
+    let (first, upstream) = (test.attempts()[0], test.upstream());
+    test.send_token(first, 0, 7);
+    test.handle(Event::Failed {
+        attempt: first,
+        failure: Failure::Broken,
+    });
+    test.advance(1_600);
+    expect_that!(test.errors(), is_empty());
+    test.effects.clear();
+    let is_probe = |effect: &Effect| matches!(effect, Effect::Probe { .. });
+    while !test.effects.iter().any(is_probe) {
+        test.advance(10);
+    }
+    let alive = true;
+    test.handle(Event::Probed { alive, upstream });
+    expect_that!(test.sent_to(), elements_are![eq(&0)]);
+}
