Let requests of the own interface wait at a silent engine if they can go on nowhere else

A generation that may run only once was answered with `unknown`, and a begun one without further attempts or permits was cut with `upstream_failed`, as soon as its engine had left a probe unanswered for 0.4 s or had been silent for 2 s. Nothing is gained by that: there is no other engine to go to, and a sound one may be silent for a second or so and go on; its tokens were then dropped. `generation_that_runs_once_outlasts_the_silence_of_its_engine` and `generation_without_further_attempts_stays_at_a_silent_engine` fail without the change.

Now an attempt leaves a silent engine only if its request may be sent on, with a permit that is looked at and not taken, or runs elsewhere as well; after 5 s of silence it leaves in any case. Not the judgement of the engine, which stays as it is: it gets no new work.

--- a/crates/core/src/bound.rs
+++ b/crates/core/src/bound.rs
@@ -104,6 +104,29 @@
         self.reached_bound(key).is_none()
     }
 
+    /// Whether a request can go on elsewhere if it leaves an upstream that is silent and may be alive. Where it can not,
+    /// leaving would end it, while the upstream may go on: silence is no proof of an end.
+    pub(crate) fn may_leave(&mut self, key: attempt::Key) -> bool {
+        let attempt = &self.attempts[key];
+        let (owner, is_sent) = (attempt.request, attempt.sent);
+        let request = &self.requests[owner];
+        let has_other = request.attempts.len() > 1;
+        if !is_sent || has_other {
+            return true;
+        }
+        let resumes = request.position() > 0;
+        let repeatable = request.service.repeatable;
+        let may_continue = if request.work.relay().is_some() {
+            repeatable && self.may_continue(owner)
+        } else {
+            let may_repeat = repeatable || (resumes && self.settings.continue_non_repeatable);
+            let may_resume = !resumes || self.settings.continuation;
+            let has_attempt = request.last_attempt < self.settings.attempts_max;
+            may_repeat && may_resume && has_attempt && request.skip <= request.position()
+        };
+        may_continue && self.has_attempt_permit(owner, resumes)
+    }
+
     /// Notes what keeps a request from being sent on, before it fails.
     pub(crate) fn note_bound(&mut self, key: request::Key, bound: Bound) {
         self.requests[key].progress.bound = Some(bound);
--- a/crates/core/src/budget.rs
+++ b/crates/core/src/budget.rs
@@ -48,13 +48,18 @@
         self.share = (FULL_INSTANCES / f64::from(instances.max(1))).min(1.0);
     }
 
-    /// Takes a permit; if the bucket is empty, takes nothing and returns false.
-    pub fn spend(&mut self, now: Time) -> bool {
+    /// Whether a permit may be spent.
+    pub fn has_permit(&mut self, now: Time) -> bool {
         let earned =
             now.since(self.refilled_at) as f64 / 1000.0 * self.refill_per_second * self.share;
         self.refilled_at = now;
         self.earn(earned);
-        if self.level + self.capacity_min <= 1.0 {
+        self.level + self.capacity_min > 1.0
+    }
+
+    /// Takes a permit; if the bucket is empty, takes nothing and returns false.
+    pub fn spend(&mut self, now: Time) -> bool {
+        if !self.has_permit(now) {
             return false;
         }
         self.level -= 1.0;
--- a/crates/core/src/failure.rs
+++ b/crates/core/src/failure.rs
@@ -235,6 +235,25 @@
         is_free || self.may_retry(key, reason)
     }
 
+    /// Whether a request that reached an upstream would get the permit for another attempt. Takes none.
+    pub(crate) fn has_attempt_permit(&mut self, key: request::Key, resumes: bool) -> bool {
+        if self.settings.retry.is_set() {
+            return self.has_retry_permit(key);
+        }
+        resumes || self.has_budget(key)
+    }
+
+    /// Whether the retry budget of a request's pool has a permit.
+    fn has_budget(&mut self, key: request::Key) -> bool {
+        let pool = self.requests[key].service.pool();
+        let Some(pool) = self.pools.get_mut(pool) else {
+            return false;
+        };
+        pool.retry_budget
+            .set_share(self.instances, self.settings.shared.least);
+        pool.retry_budget.has_permit(self.now)
+    }
+
     /// Whether a request may be retried. Requests that no upstream accepted need no permit: each
     /// failed upstream is hit once, so their retries add no load to the others. All others take a
     /// permit from the retry budget.
--- a/crates/core/src/retry_window.rs
+++ b/crates/core/src/retry_window.rs
@@ -197,11 +197,7 @@
         fleet: FleetPart,
         now: Time,
     ) -> bool {
-        self.expire(bound, now);
-        let extra = bound.extra / f64::from(fleet.instances.max(1));
-        let part = bound.ratio * self.own.expected_requests(bound, now) + extra;
-        let has_part = f64::from(self.own.spent.total) < class.permits(part, fleet.rank);
-        if !has_part && !self.may_borrow(class, part, bound, fleet, now) {
+        if !self.has_permit(class, bound, fleet, now) {
             return false;
         }
         self.own.spent.add(now);
@@ -209,6 +205,21 @@
         true
     }
 
+    /// Whether this class has a permit left for an attempt beyond the first.
+    pub fn has_permit(
+        &mut self,
+        class: RetryClass,
+        bound: &RetryBound,
+        fleet: FleetPart,
+        now: Time,
+    ) -> bool {
+        self.expire(bound, now);
+        let extra = bound.extra / f64::from(fleet.instances.max(1));
+        let part = bound.ratio * self.own.expected_requests(bound, now) + extra;
+        let has_part = f64::from(self.own.spent.total) < class.permits(part, fleet.rank);
+        has_part || self.may_borrow(class, part, bound, fleet, now)
+    }
+
     /// Returns a permit that was taken at a time for an attempt that reached no upstream.
     pub fn refund(&mut self, taken_at: Time) {
         self.own.spent.remove(taken_at);
@@ -301,10 +312,7 @@
     /// Takes a permit for another attempt of a request.
     pub(crate) fn spend_retry_permit(&mut self, key: request::Key) -> bool {
         let class = self.retry_class(key);
-        let fleet = FleetPart {
-            instances: self.instances,
-            rank: self.members.rank_fraction(),
-        };
+        let fleet = self.fleet_part();
         let (bound, now) = (self.settings.retry, self.now);
         let request = &mut self.requests[key];
         let pool = self.pools.entry(request.service.pool().into()).or_default();
@@ -318,6 +326,22 @@
         false
     }
 
+    /// Whether there is a permit for another attempt of a request that reached an upstream.
+    pub(crate) fn has_retry_permit(&mut self, key: request::Key) -> bool {
+        let (class, fleet) = (self.retry_class(key), self.fleet_part());
+        let (bound, now) = (self.settings.retry, self.now);
+        let pool: Arc<str> = self.requests[key].service.pool().into();
+        let pool = self.pools.entry(pool).or_default();
+        pool.retry_window.has_permit(class, &bound, fleet, now)
+    }
+
+    fn fleet_part(&self) -> FleetPart {
+        FleetPart {
+            instances: self.instances,
+            rank: self.members.rank_fraction(),
+        }
+    }
+
     /// Returns the permit of an attempt that reached no upstream.
     pub(crate) fn refund_retry_permit(&mut self, key: request::Key) {
         let request = &mut self.requests[key];
--- a/crates/core/src/watch.rs
+++ b/crates/core/src/watch.rs
@@ -11,6 +11,11 @@
 /// Time to wait for a fresh list after such a pause, in milliseconds.
 const LIST_WAIT_MS: u64 = 3_000;
 
+/// Silence after which a request leaves an upstream that is taken to be lost also where that ends it, in milliseconds. A sound
+/// upstream may be silent for a second or so; where its answers no longer arrive, callers of requests that may run once must
+/// be told that the outcome is unknown.
+const SILENT_END_MS: u64 = 5_000;
+
 /// Interval of the checks for expired requests, in milliseconds.
 const EXPIRY_CHECK_MS: u64 = 50;
 
@@ -202,17 +207,19 @@
         self.confirm_crash(incarnation);
     }
 
-    /// Marks an upstream as lost, and abandons all its attempts.
+    /// Marks an upstream as lost, and abandons its attempts whose requests can go on elsewhere; after a long silence, all.
     fn mark_lost(&mut self, key: upstream::Key) {
-        if self.upstreams[key].health == Health::Lost && self.upstreams[key].attempts.is_empty() {
-            return;
+        if self.upstreams[key].health != Health::Lost {
+            self.upstreams[key].health = Health::Lost;
+            self.count(Counter::UpstreamLost);
+            self.log_status_change(key, effect::StatusChange::Lost);
+            self.choose_subsets();
         }
-        self.upstreams[key].health = Health::Lost;
-        self.count(Counter::UpstreamLost);
-        self.log_status_change(key, effect::StatusChange::Lost);
-        self.choose_subsets();
+        let silence = self.now.since(self.upstreams[key].last_heard);
         for attempt in self.upstreams[key].attempts.clone() {
-            self.abandon(attempt, counter::Reason::Probe);
+            if silence >= SILENT_END_MS || self.may_leave(attempt) {
+                self.abandon(attempt, counter::Reason::Probe);
+            }
         }
     }
 
@@ -370,13 +377,13 @@
         if !attempt.sent || silence <= timeout_ms || !(attempt.started || is_upstream_suspected) {
             return;
         }
-        let request = attempt.request;
-        if attempt.started && silence > self.settings.stall_loss_ms {
+        let (request, started) = (attempt.request, attempt.started);
+        let is_stalled = started && silence > self.settings.stall_loss_ms;
+        if is_stalled && (silence >= SILENT_END_MS || self.may_leave(key)) {
             self.abandon(key, counter::Reason::Stall);
             return;
         }
-        if !attempt.suspected {
-            attempt.suspected = true;
+        if !std::mem::replace(&mut self.attempts[key].suspected, true) {
             self.hedge(request);
         }
     }
--- a/crates/core/tests/core.rs
+++ b/crates/core/tests/core.rs
@@ -625,3 +625,54 @@
     test.handle(Event::Probed { alive, upstream });
     expect_that!(test.sent_to(), elements_are![eq(&0)]);
 }
+
+/// Guards against ending a generation that may run only once because its engine does not answer a probe for 0.4 s: the
+/// engine may go on, and nothing can be sent elsewhere.
+#[gtest]
+fn generation_that_runs_once_outlasts_the_silence_of_its_engine() {
+    let mut test = Test::new(Settings::default(), 2);
+    let key = (u128::from(NOW.0) << 80) | (7 << 76) | (2 << 62);
+    test.submit_to("mill", "draft", Some(key));
+    test.confirm_claim();
+    let (attempt, upstream) = (test.attempts()[0], test.upstream());
+    test.advance(4_000);
+    expect_that!(test.errors(), is_empty());
+    let lost = |effect: &&Effect| matches!(effect, Effect::Count(Counter::UpstreamLost, _));
+    expect_that!(test.effects.iter().filter(lost).count(), le(2));
+    test.effects.clear();
+    let alive = true;
+    test.handle(Event::Probed { alive, upstream });
+    test.send_token(attempt, 0, 7);
+    let delivered = |effect: &Effect| matches!(effect, Effect::Deliver { .. });
+    expect_that!(test.effects.iter().any(delivered), eq(true));
+}
+
+/// Guards against an engine whose answers no longer arrive, and callers that hear of it at their deadline.
+#[gtest]
+fn generation_that_runs_once_ends_as_unknown_after_a_long_silence() {
+    let mut test = Test::new(Settings::default(), 2);
+    let key = (u128::from(NOW.0) << 80) | (7 << 76) | (2 << 62);
+    test.submit_to("mill", "draft", Some(key));
+    test.confirm_claim();
+    test.advance(8_000);
+    expect_that!(test.errors(), elements_are![eq(&(Kind::Unknown, false))]);
+}
+
+/// Guards against ending a begun generation without further attempts because its engine is silent for two seconds.
+#[gtest]
+fn generation_without_further_attempts_stays_at_a_silent_engine() {
+    let settings = Settings {
+        attempts_max: 1,
+        ..Settings::default()
+    };
+    let mut test = Test::new(settings, 2);
+    test.submit("mill");
+    let attempt = test.attempts()[0];
+    test.send_token(attempt, 0, 7);
+    test.advance(4_000);
+    expect_that!(test.errors(), is_empty());
+    test.effects.clear();
+    test.send_token(attempt, 1, 8);
+    let delivered = |effect: &Effect| matches!(effect, Effect::Deliver { .. });
+    expect_that!(test.effects.iter().any(delivered), eq(true));
+}
