Let a silent call wait for its upstream unless another one takes it

Calls that may be repeated leave an upstream that has been silent for 0.3 s. Where no retry permit was left, or the instance's own attempts were used up, they were answered at that moment with 502 and 19.7 s left, although no upstream had failed; where no other upstream took work they were cancelled, waited for a second and got 504. The answer of the silent upstream was lost each time.

A call now leaves only if it may be sent once more, a permit is left, and another upstream takes it (`may_leave`). The three tests fail without the change: no permit, no attempt left, the only other upstream in a backoff. Not the crash check (nothing broke) and not the route's `max_attempts`, which was already looked at. Calls that may run only once never left a silent upstream.

--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -508,15 +508,16 @@
             let lost = if relay.streams {
                 relay.resumable && silence > self.stall_timeout_ms(attempt, relay, suspected)
             } else {
-                let has_upstreams_left = request.progress.upstreams_reached < relay.attempts_max;
-                request.service.repeatable
-                    && has_upstreams_left
-                    && silence > self.settings.relay_call_ms
+                silence > self.settings.relay_call_ms
             };
+            let is_call = !relay.streams;
             // Without capacity elsewhere, a slow prefill would not finish sooner on another
             // upstream.
             let slow = relay.streams && !attempt.started && attempt.copy.is_none() && !suspected;
             if lost && !(slow && self.lacks_capacity(request)) {
+                if is_call && !self.may_call_elsewhere(attempt_key) {
+                    continue;
+                }
                 if silent {
                     self.report_loss(key, LossSource::Silence);
                 } else {
@@ -527,6 +528,16 @@
         }
     }
 
+    /// Whether a call may leave its silent upstream: it may be sent once more, and another upstream takes it.
+    fn may_call_elsewhere(&mut self, key: attempt::Key) -> bool {
+        if !self.may_leave(key) {
+            return false;
+        }
+        let attempt = &self.attempts[key];
+        let candidates = self.relay_candidates(&self.requests[attempt.request]);
+        candidates.iter().any(|other| *other != attempt.upstream)
+    }
+
     /// Time without events after which a stream counts as stalled, in milliseconds. Before the
     /// first event it includes the prefill, unless the whole upstream is `suspected`.
     fn stall_timeout_ms(&self, attempt: &Attempt, relay: &config::Relay, suspected: bool) -> u64 {
--- a/crates/core/tests/relay/silent_upstream.rs
+++ b/crates/core/tests/relay/silent_upstream.rs
@@ -270,3 +270,62 @@
     let early = Counter::EndedEarly(Kind::TimedOut, Some(Bound::Deadline));
     expect_that!(test.counted(early), eq(0));
 }
+
+/// Guards against ending a call because its upstream is silent for 0.3 s and there is no permit to send it once more: it was
+/// answered with 502 and 19.7 s left, although no upstream had failed.
+#[gtest]
+fn silent_call_without_a_permit_waits_for_its_upstream() {
+    let bound = RetryBound {
+        extra: 0.0,
+        ratio: 0.0,
+        window_ms: 10_000,
+    };
+    let mut test = without_copies(bound);
+    test.request(REPEATABLE);
+    test.advance(1_500);
+    expect_that!(test.outcomes(), is_empty());
+    expect_that!(test.sent().len(), eq(1));
+    let sent = test.last_sent();
+    test.answer(&sent, Verdict::Good);
+    expect_that!(test.outcomes(), elements_are![eq("answer")]);
+}
+
+/// Guards against the same where all attempts of the instance are used up, by refusals and connections that could not be made.
+#[gtest]
+fn silent_call_without_further_attempts_waits_for_its_upstream() {
+    let settings = Settings {
+        attempts_max: 2,
+        ..Settings::default()
+    };
+    let mut test = Test::set(settings).configured(6);
+    test.request(REPEATABLE);
+    let first = test.last_sent();
+    test.fail(&first, Failure::NotSent);
+    test.advance(1_500);
+    expect_that!(test.outcomes(), is_empty());
+    let sent = test.last_sent();
+    test.answer(&sent, Verdict::Good);
+    expect_that!(test.outcomes(), elements_are![eq("answer")]);
+}
+
+/// Guards against taking a call from a silent upstream while no other takes it: it was cancelled there, and was answered with
+/// 504 when it had waited for a second.
+#[gtest]
+fn silent_call_stays_at_its_upstream_while_no_other_takes_it() {
+    let mut test = Test::new(2);
+    test.request(REPEATABLE);
+    let other = test.last_sent();
+    let notice = Notice {
+        backoff: Backoff::For(10_000),
+        ..Notice::default()
+    };
+    test.apply_notice(&other, notice);
+    test.answer(&other, Verdict::Good);
+    test.request(REPEATABLE);
+    let silent = test.last_sent();
+    expect_that!(silent.upstream, not(eq(other.upstream)));
+    test.advance(2_000);
+    expect_that!(test.sent().len(), eq(2));
+    test.answer(&silent, Verdict::Good);
+    expect_that!(test.outcomes(), elements_are![eq("answer"), eq("answer")]);
+}
