List the cause of a fourth upstream that ends under one request

`one_try_ends_three_upstreams_at_most_beside_other_instances` was listed as not traced. Beside eight busy shells it failed in one of 84 runs. The log of that run: two engines end under the request and their crash checks take 1 and 2 ms; the third, an engine on a starved thread, has read nothing for 1,206 ms when the stream leaves it (`left a silent upstream`, evidence `first_event`, judged dead with 9 %); the fourth ends 3 ms behind that and the request is quarantined by three crashes; 0.6 s later the third gets to read the request, of a connection that is closed by then, and ends too. Not the crash check that gives up after 400 ms, nor the connection by which an instance makes sure that it is not cut off, nor a port that another process took: each showed its end within 25 ms.

The test added here shows it in virtual time: a request that has ended two upstreams leaves a silent third.

--- a/crates/core/tests/relay/poison.rs
+++ b/crates/core/tests/relay/poison.rs
@@ -330,3 +330,16 @@
     other.handle(reported(0, 0..3));
     expect_that!(released(&mut other), elements_are![eq(&false)]);
 }
+
+/// Guards against a fourth upstream that ends under a request: one that had ended two left the third, which was slow to read
+/// the request, for another; both ended. A slow upstream still reads what was sent before the connection was closed.
+#[gtest]
+fn request_that_ended_two_upstreams_stays_at_a_silent_third() {
+    let mut test = Test::new(9);
+    crash_upstreams(&mut test, 2);
+    let third = test.last_sent();
+    test.advance(8_000);
+    expect_that!(test.sent().len(), eq(3));
+    test.break_connection(&third, true);
+    expect_that!(test.outcomes(), elements_are![eq("ends_upstreams")]);
+}
