Let begun streams wait while there is no upstream of any version

Callers whose stream had begun were cut with 20 s left as `version_gone` when it lost its upstream at a moment at which all upstreams of the pool were leaving, unlisted or ended, also where no upstream states a version: no other version was there either, and the next upstream that is listed may be of the right one. The test has two upstreams leave by the word of another instance, breaks the stream off and lists a new one 1.2 s later: `cut` before, continued now. Not the attempts: one was used.

A pool without any upstream now says nothing on versions. Beside upstreams of another version all is as before.

`thousands_of_streams_whose_version_goes_end_no_instance` let the only upstream leave and asked that a thousand streams are refused at that moment, which is no longer so; an upstream of another version is listed there now, and it asks for the same.

--- a/crates/core/src/origin.rs
+++ b/crates/core/src/origin.rs
@@ -182,7 +182,8 @@
     }
 
     /// Whether a stream can not go on, and if so, the refusal of its caller: no upstream of its version is left, or its
-    /// version is unknown. There is hope as long as an upstream of it is listed that does not leave.
+    /// version is unknown. There is hope as long as an upstream of it is listed that does not leave, and while there is no
+    /// upstream at all: those that come back or are started next may be of it.
     pub(crate) fn check_origin(&self, request: &Request) -> Result<(), admission::Refusal> {
         match request.progress.origin {
             Origin::Unbegun => return Ok(()),
@@ -196,8 +197,17 @@
         }
         let pool = self.pools.get(request.service.pool());
         let upstreams = pool.into_iter().flat_map(|pool| self.upstreams_of(pool));
-        let mut of_version = upstreams
-            .filter(|upstream| self.admits(request, upstream) && !upstream.is_leaving(self.now));
+        let staying = upstreams.filter(|upstream| !upstream.is_leaving(self.now));
+        let staying: Vec<&Upstream> = staying.collect();
+        if staying
+            .iter()
+            .all(|upstream| upstream.health == Health::Lost)
+        {
+            return Ok(());
+        }
+        let mut of_version = staying
+            .into_iter()
+            .filter(|upstream| self.admits(request, upstream));
         let Some(first) = of_version.next() else {
             return Err(Kind::VersionGone.into());
         };
--- a/crates/core/tests/relay/removal.rs
+++ b/crates/core/tests/relay/removal.rs
@@ -137,6 +137,11 @@
         test.request_as("key", STREAM, 3);
     }
     expect_that!(test.core.running(), eq(STREAMS + 1));
+    let other = ListEntry {
+        version: "v2".into(),
+        ..of_version(1)
+    };
+    test.list(vec![of_version(0), other]);
     test.handle(Event::Leaving("runner-0".into()));
     test.handle(Event::Tick);
     expect_that!(test.outcomes().len(), eq(STREAMS));
--- a/crates/core/tests/relay/stream_version.rs
+++ b/crates/core/tests/relay/stream_version.rs
@@ -489,3 +489,21 @@
     let sent = test.sent().split_off(before);
     expect_that!(sent.len(), eq(1), "{sent:?} {:?}", test.outcomes());
 }
+
+/// Guards against cutting a begun stream as one whose version is gone while there is no upstream at all: those that are
+/// started next may be of its version.
+#[gtest]
+fn begun_stream_waits_while_all_upstreams_leave() {
+    let mut test = Test::new(2);
+    let first = test.stream(2);
+    for upstream in 0..2 {
+        test.handle(Event::PeerLeaving(incarnation(upstream, 0)));
+    }
+    test.break_connection(&first, false);
+    test.advance(1_200);
+    expect_that!(test.outcomes(), is_empty());
+    test.list(vec![listed(5, 5)]);
+    test.advance(600);
+    expect_that!(test.last_sent().position, eq(2));
+    expect_that!(test.last_sent().upstream, eq(5));
+}
