--- a/crates/core/src/origin.rs
+++ b/crates/core/src/origin.rs
@@ -182,7 +182,8 @@
     }
 
     /// Whether a stream can not go on, and if so, the refusal of its caller: no upstream of its version is left, or its
-    /// version is unknown. There is hope as long as an upstream of it is listed that does not leave.
+    /// version is unknown. There is hope as long as an upstream of it is listed that does not leave, and while there is no
+    /// upstream at all: those that come back or are started next may be of it.
     pub(crate) fn check_origin(&self, request: &Request) -> Result<(), admission::Refusal> {
         match request.progress.origin {
             Origin::Unbegun => return Ok(()),
@@ -195,15 +196,18 @@
             Origin::Begun(_) => {}
         }
         let pool = self.pools.get(request.service.pool());
-        let upstreams = pool.into_iter().flat_map(|pool| self.upstreams_of(pool));
-        let mut of_version = upstreams
-            .filter(|upstream| self.admits(request, upstream) && !upstream.is_leaving(self.now));
-        let Some(first) = of_version.next() else {
-            return Err(Kind::VersionGone.into());
+        let staying = || {
+            let upstreams = pool.into_iter().flat_map(|pool| self.upstreams_of(pool));
+            upstreams.filter(|upstream| !upstream.is_leaving(self.now))
         };
-        if first.health != Health::Lost || of_version.any(|other| other.health != Health::Lost) {
+        let of_version = || staying().filter(|upstream| self.admits(request, upstream));
+        let is_up = |upstream: &Upstream| upstream.health != Health::Lost;
+        if of_version().any(is_up) || !staying().any(is_up) {
             return Ok(());
         }
+        if of_version().next().is_none() {
+            return Err(Kind::VersionGone.into());
+        }
         Err(admission::Refusal {
             kind: Kind::VersionGone,
             retry_after_ms: Some(self.settings.probe_ms),
