Tell streams in an upstream's queue from streams at a dead upstream

Callers got 502 (upstream_failed, bound upstreams) with 24 s of 25 s left while nothing was wrong: upstreams had four slots and queued eight requests more. A stream in such a queue gets neither head nor event until its turn. It was judged by the time of a prefill alone, left as dead after 0.4 s, was queued by the next upstream, and failed after the five of its route.

The expected time to a first event now includes the time that the streams ahead take: this instance's own, and those of other instances' records, by the slots of the list entry or of a load report and the mean duration of runs in the pool. Where slots are not known it is one run, if any other stream is there; not for engines whose memory is known, which get no more streams than it holds. First events behind a queue are no longer taken for prefills: they made the time to leave frozen upstreams longer.

A queue does not hide a death: it explains nothing once the loss of the upstream was announced, its connection broke, another stream judged it dead or its data centre is dark. The streams in its slots show that, as before.

Without a queue nothing changes.

Ruled out: no judgement while the upstream is heard on other streams.

--- a/crates/core/src/attempt.rs
+++ b/crates/core/src/attempt.rs
@@ -10,6 +10,8 @@
 /// A single attempt to run a request on one upstream.
 #[derive(Clone, Debug)]
 pub struct Attempt {
+    /// Number of other streams that were at the upstream at the time of sending.
+    pub ahead_streams: u32,
     /// Estimated number of prompt tokens that the upstream had to prefill at the time of sending,
     /// including this request's own.
     pub ahead_tokens: u32,
--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -296,6 +296,7 @@
         let request = &mut self.requests[key];
         request.last_attempt += 1;
         let attempt = self.attempts.insert(Attempt {
+            ahead_streams: 0,
             ahead_tokens: 0,
             backup: None,
             copy: None,
--- a/crates/core/src/engine_watch.rs
+++ b/crates/core/src/engine_watch.rs
@@ -144,6 +144,7 @@
             Some(millis) if millis > 0 => millis,
             _ => self.first_event_timeout_ms(key),
         };
+        let prefill_ms = prefill_ms + self.expected_queue_ms(key, hints);
         let pace = upstream.observed.pace.get(self.now);
         let intervals = pool.map(|pool| pool.intervals).unwrap_or_default();
         let expectation = intervals.first_event(prefill_ms, pace);
@@ -156,7 +157,7 @@
 
     /// Time without a first event after which a stream leaves an engine that may be alive, in
     /// milliseconds.
-    fn first_event_timeout_ms(&self, key: attempt::Key) -> u64 {
+    pub(crate) fn first_event_timeout_ms(&self, key: attempt::Key) -> u64 {
         let attempt = &self.attempts[key];
         let request = &self.requests[attempt.request];
         let objective_ms = request
@@ -183,6 +184,7 @@
         } else {
             timeout_ms
         };
+        let timeout_ms = timeout_ms + self.expected_queue_ms(key, Hints::default());
         silent_ms > timeout_ms && (attempt.copy.is_some() || !self.lacks_capacity(request))
     }
 
--- a/crates/core/src/estimates.rs
+++ b/crates/core/src/estimates.rs
@@ -67,6 +67,8 @@
     prefill_ms_per_token: Mean,
     /// Fractions of this instance's requests that have each rank, with exponential decay.
     rank_shares: [f64; rank::RANKS],
+    /// Time from the first event of a run to its end, in milliseconds.
+    run_ms: Mean,
     shortage: Option<Shortage>,
     /// Start times of streams of all instances with their ranks, oldest first.
     starts: VecDeque<(Time, Option<Rank>)>,
@@ -95,6 +97,16 @@
         }
     }
 
+    /// Records the time from the first event of a run to its end.
+    pub fn record_run(&mut self, millis: u64) {
+        self.run_ms.add(millis as f64);
+    }
+
+    /// Time from the first event of a run to its end, in milliseconds; `None` before the first sample.
+    pub fn known_run_ms(&self) -> Option<u64> {
+        self.run_ms.0.map(|millis| millis as u64)
+    }
+
     /// Records the interval between two events.
     pub fn record_event_interval(&mut self, millis: u64) {
         self.event_interval_ms.add(millis as f64);
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -55,6 +55,7 @@
 pub mod store_calls;
 pub mod stream_record;
 pub mod upstream;
+mod upstream_queue;
 pub mod version;
 
 mod admission;
--- a/crates/core/src/liveness.rs
+++ b/crates/core/src/liveness.rs
@@ -108,7 +108,7 @@
 
 /// Probability from which on a data centre counts as dark: it is reached with two other engines
 /// lost.
-const DARK: f64 = 0.8;
+pub const DARK: f64 = 0.8;
 
 /// Probability from which on a stream leaves an engine before its first event.
 const DEAD_IN_PREFILL: f64 = 0.8;
--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -84,6 +84,7 @@
             self.retry_after_crash_check(owner, attempt.upstream, counter::Reason::Unmarked);
             return;
         }
+        self.record_run(&attempt);
         self.complete(attempt.request, attempt.upstream, Effect::EndStream);
     }
 
@@ -176,7 +177,8 @@
     fn record_prefill(&mut self, key: attempt::Key) {
         let attempt = &self.attempts[key];
         let request = &self.requests[attempt.request];
-        let is_full_prefill = attempt.copy.is_none() && request.progress.position == 0;
+        let is_full_prefill =
+            attempt.copy.is_none() && request.progress.position == 0 && !self.had_to_queue(attempt);
         let duration = self.now.since(attempt.created_at);
         let name: Arc<str> = request.service.pool().into();
         let Some(pool) = self.pools.get_mut(&name).filter(|_| is_full_prefill) else {
@@ -329,14 +331,15 @@
         let copy = self.requests[owner].progress.copy.take();
         let own = self.own_usage();
         let backup = self.choose_backup(owner, upstream, &own);
-        let ahead_tokens = self.usage(&own, upstream).prefill_tokens;
+        let usage = self.usage(&own, upstream);
         let request = &self.requests[owner];
         if let Some(pool) = self.pools.get_mut(request.service.pool()) {
             pool.estimates.record_stream_start(request.rank, self.now);
             pool.estimates.record_own_start(self.now);
         }
         let attempt = &mut self.attempts[key];
-        attempt.ahead_tokens = ahead_tokens;
+        attempt.ahead_streams = usage.running.saturating_sub(1);
+        attempt.ahead_tokens = usage.prefill_tokens;
         attempt.copy = copy.filter(|copy| copy.upstream == upstream);
         attempt.backup = backup;
         self.gossip_attempt(key, stream_record::Stage::Started);
--- a/crates/core/tests/relay/main.rs
+++ b/crates/core/tests/relay/main.rs
@@ -63,6 +63,7 @@
 mod shutdown;
 mod silent_upstream;
 mod stream_version;
+mod upstream_queue;
 mod version;
 
 use builder::*;
