Reproduce streams cut beside sound upstreams with processes

Cause shown: a request that has begun is ended once it has reached as many upstreams as it may, with over 0.7 of its time left. New mode of the soak: upstreams fall silent, accept and close, refuse or queue for 1.2 s each 6 s beside configurations, stops or releases; WELLPLANK_PROGRAM names the program of the instances.

--- a/crates/standin/src/arguments.rs
+++ b/crates/standin/src/arguments.rs
@@ -56,7 +56,8 @@
                         .conflicts_with_all(["leaving", "returning"])
                         .help("Stop instances in series while requests wait")
                         .long("stopping"),
-                ),
+                )
+                .args(awkward_upstreams()),
         )
         .subcommand(
             Command::new("engine")
@@ -89,6 +90,38 @@
         .subcommand_required(true)
 }
 
+/// Arguments of soaks with awkward upstreams.
+fn awkward_upstreams() -> [Arg; 7] {
+    [
+        Arg::new("awkward")
+            .conflicts_with_all(["leaving", "returning", "stopping"])
+            .help("Have sound upstreams answer late, not at all or by refusals, for a time")
+            .long("awkward")
+            .value_parser(awkward::Kind::names()),
+        Arg::new("share")
+            .default_value("third")
+            .help("Upstreams that are awkward at the same time")
+            .long("share")
+            .value_parser(awkward::Share::names()),
+        Arg::new("work")
+            .default_value("configuration")
+            .help("Planned work beside awkward upstreams")
+            .long("work")
+            .value_parser(awkward::Work::names()),
+        number("slots", "Slots of each upstream that is awkward", "8"),
+        number("callers", "Callers of awkward upstreams", "66"),
+        number(
+            "queue",
+            "Requests that each upstream that is awkward lets wait beyond its slots",
+            "0",
+        ),
+        Arg::new("tells-load")
+            .action(clap::ArgAction::SetTrue)
+            .help("Have upstreams that are awkward tell their load")
+            .long("tells-load"),
+    ]
+}
+
 /// Randomised runs.
 fn randomised() -> Command {
     Command::new("random")
@@ -264,6 +297,20 @@
             returning::run(plan).await
         } else if arguments.get_flag("stopping") {
             stopping::run(plan).await
+        } else if let Some(kind) = arguments.get_one::<String>("awkward") {
+            let text = |name| arguments.get_one::<String>(name).expect("has a default");
+            let setting = awkward::Setting {
+                callers: number("callers") as usize,
+                kind: awkward::Kind::of(kind),
+                queue: worker::Queue {
+                    length: number("queue") as usize,
+                    tells_load: arguments.get_flag("tells-load"),
+                },
+                share: awkward::Share::of(text("share")),
+                slots: number("slots") as usize,
+                work: awkward::Work::of(text("work")),
+            };
+            awkward::run(plan, setting).await
         } else {
             soak::run(plan).await
         };
--- a/crates/standin/src/daemon.rs
+++ b/crates/standin/src/daemon.rs
@@ -15,6 +15,10 @@
 /// Lines of standard error that are told of an end.
 const TAIL_LINES: usize = 10;
 
+/// Environment variable that names the program of the instances, so that earlier builds can be run. Without it the program
+/// beside this one is run.
+const PROGRAM: &str = "WELLPLANK_PROGRAM";
+
 /// Number of the signal that ends a process at once.
 const SIGKILL: i32 = 9;
 
@@ -126,12 +130,7 @@
         if self.runs() {
             return;
         }
-        let program = std::env::current_exe().expect("the program has a path");
-        // Tests run one folder below the programs.
-        let folder = program
-            .ancestors()
-            .find(|folder| folder.join("wellplank").is_file());
-        let program = folder.map(|folder| folder.join("wellplank"));
+        let program = std::env::var_os(PROGRAM).map(PathBuf::from).or_else(built);
         self.signals.clear();
         self.error_start = std::fs::metadata(self.error_file()).map_or(0, |file| file.len());
         self.child = program.and_then(|program| {
@@ -187,6 +186,15 @@
     }
 }
 
+/// The program that was built with this one. Tests run one folder below the programs.
+fn built() -> Option<PathBuf> {
+    let program = std::env::current_exe().expect("the program has a path");
+    let folder = program
+        .ancestors()
+        .find(|folder| folder.join("wellplank").is_file());
+    folder.map(|folder| folder.join("wellplank"))
+}
+
 /// A file to which a process adds.
 fn append(path: &std::path::Path) -> Stdio {
     let file = std::fs::File::options()
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod alike;
 pub mod asker;
+pub mod awkward;
 pub mod caller;
 pub mod claims;
 pub mod client;
--- a/crates/standin/src/proxy.rs
+++ b/crates/standin/src/proxy.rs
@@ -26,9 +26,13 @@
     CutBack,
     /// Bytes come late.
     Delayed,
+    /// Bytes from the server wait, and go on once the mode is another one.
+    Held,
     /// Bytes are passed on.
     #[default]
     Open,
+    /// Nothing listens; running connections go on.
+    Refused,
     /// Connections are ended at once, running ones too.
     Reset,
     /// Nothing is passed on either way.
@@ -36,7 +40,7 @@
 }
 
 impl Mode {
-    /// Every mode.
+    /// Modes that lose, delay or end connections for a time of unknown length.
     pub const ALL: [Self; 6] = [
         Self::CutThere,
         Self::CutBack,
@@ -98,9 +102,19 @@
 
     /// Serves for ever.
     pub async fn serve(self) {
-        let Ok(socket) = Socket::bind(self.address).await else {
-            return;
-        };
+        let mut mode = self.mode.subscribe();
+        while mode.wait_for(|mode| *mode != Mode::Refused).await.is_ok() {
+            let Ok(socket) = Socket::bind(self.address).await else {
+                return;
+            };
+            tokio::select! {
+                () = self.accept(&socket) => return,
+                _ = mode.wait_for(|mode| *mode == Mode::Refused) => {}
+            }
+        }
+    }
+
+    async fn accept(&self, socket: &Socket) {
         while let Ok((connection, _)) = socket.accept().await {
             tokio::spawn(self.clone().pass(connection));
         }
@@ -165,7 +179,7 @@
     /// Carries bytes one way; those that come while the way is cut are lost, and the connection with them
     /// says nothing further that way.
     async fn carry(
-        self,
+        mut self,
         mut from: tokio::net::tcp::OwnedReadHalf,
         mut to: tokio::net::tcp::OwnedWriteHalf,
         way: Way,
@@ -177,6 +191,15 @@
         let mut piece = vec![0; PIECE];
         let mut lost = false;
         while let Ok(length) = from.read(&mut piece).await {
+            if way == Way::Back
+                && self
+                    .mode
+                    .wait_for(|mode| *mode != Mode::Held)
+                    .await
+                    .is_err()
+            {
+                return;
+            }
             let hushed = self.hushed.load(Ordering::Relaxed);
             lost |= hushed;
             if length == 0 {
--- a/crates/standin/src/soak.rs
+++ b/crates/standin/src/soak.rs
@@ -22,7 +22,7 @@
 };
 use tokio::task::JoinHandle;
 use wellplank_core::incarnation::Incarnation;
-use worker::{Ledger, Mode, Worker};
+use worker::{Ledger, Mode, Queue, Worker};
 
 /// Time between two faults, at most.
 const BETWEEN_MS: u64 = 400;
@@ -77,6 +77,8 @@
     pub(crate) configuration: fn(u64) -> Value,
     /// Time that an instance has to end in order, in milliseconds.
     pub(crate) grace_ms: u64,
+    /// Queue of each upstream; without one they refuse nothing.
+    pub(crate) queue: Option<Queue>,
     /// Requests that each upstream has room for.
     pub(crate) slots: usize,
 }
@@ -86,6 +88,7 @@
         Self {
             configuration: site::configuration,
             grace_ms: GRACE_MS,
+            queue: None,
             slots: worker::SLOTS,
         }
     }
@@ -220,7 +223,7 @@
     /// When lives of upstreams ended.
     pub(crate) lives_ended: HashMap<Incarnation, Instant>,
     pub(crate) random: Pcg64Mcg,
-    /// Addresses of instances, and one where nothing listens.
+    /// Addresses of instances and of proxies before upstreams, and one where nothing listens.
     reserved: BTreeSet<SocketAddr>,
     pub(crate) seats: Vec<Seat>,
     pub(crate) shared: Shared,
@@ -405,6 +408,7 @@
         let [proxy, other] = std::array::from_fn(|_| {
             let proxy = Proxy::new(self.free_address(), self.closed);
             self.host.spawn(proxy.clone().serve());
+            self.reserved.insert(proxy.address);
             proxy
         });
         let name = format!("{pool}-{index}-0");
@@ -434,10 +438,14 @@
     fn begin(&mut self, index: usize, name: &str) {
         let address = self.free_address();
         let seat = &mut self.seats[index];
-        seat.worker = Worker::new(address, name, &self.ledger)
+        let worker = Worker::new(address, name, &self.ledger)
             .behind(seat.proxy.address)
             .of_version(VERSIONS[index % VERSIONS.len()])
             .with_slots(self.layout.slots);
+        seat.worker = match self.layout.queue {
+            None => worker,
+            Some(queue) => worker.with_queue(queue),
+        };
         seat.host = Host::new(1);
         seat.host.spawn(seat.worker.clone().serve());
         seat.proxy.aim(address);
@@ -480,7 +488,7 @@
         std::mem::swap(&mut seat.proxy, &mut seat.other);
     }
 
-    /// An address that is free and belongs to no instance. Addresses are given out again behind a thousand, also those of
+    /// An address that is free and belongs to no instance and no proxy before an upstream. Addresses are given out again behind a thousand, also those of
     /// instances that are away for a moment, which could not listen there any more.
     fn free_address(&self) -> SocketAddr {
         loop {
--- a/crates/standin/src/stopping.rs
+++ b/crates/standin/src/stopping.rs
@@ -11,11 +11,12 @@
 use patron::{Habit, Miss, Patron};
 use soak::{Layout, Outcome, Plan, Shared, Soak};
 use std::sync::{Arc, Mutex, atomic::Ordering};
+use tokio::task::JoinHandle;
 use wellplank_core::incarnation::Incarnation;
 use worker::{Mode, Run};
 
 /// Time that an instance has to end in order, as in the incident.
-const GRACE: Duration = Duration::from_secs(8);
+pub(crate) const GRACE: Duration = Duration::from_secs(8);
 
 /// Time behind it that still belongs to the stop.
 const SLACK: Duration = Duration::from_secs(1);
@@ -25,7 +26,7 @@
 const CALLERS: usize = 10;
 
 /// Time that a caller gives a request, over all its tries.
-const PATIENCE: Duration = Duration::from_secs(25);
+pub(crate) const PATIENCE: Duration = Duration::from_secs(25);
 
 /// Pause of a caller between two tries.
 const PAUSE: Duration = Duration::from_millis(150);
@@ -43,7 +44,7 @@
 const LATE: Duration = Duration::from_secs(3);
 
 /// Time that the end of a response takes from the upstream to the caller: an upstream counts as at work so long behind its end.
-const PASSING: Duration = Duration::from_millis(100);
+pub(crate) const PASSING: Duration = Duration::from_millis(100);
 
 /// The same for a response that may be broken off. On a busy machine an instance read the last events 300 ms late.
 const PASSING_MAX: Duration = Duration::from_millis(500);
@@ -65,6 +66,9 @@
 /// Time between two looks at what is due.
 const STEP: Duration = Duration::from_millis(20);
 
+/// Time within which each instance has ended and serves again behind the last stop.
+pub(crate) const CLOSE: Duration = GRACE.saturating_add(SLACK).saturating_add(DOWN);
+
 /// Span by which figures count times behind a signal, in milliseconds.
 const FIGURE_STEP_MS: u128 = 250;
 
@@ -79,7 +83,7 @@
 ];
 
 /// The configuration: the site's, with streams of three urgencies and the time that callers give.
-fn configuration(version: u64) -> Value {
+pub(crate) fn configuration(version: u64) -> Value {
     let mut configuration = site::configuration(version);
     let Some(routes) = configuration["routes"].as_array_mut() else {
         return configuration;
@@ -105,39 +109,43 @@
 
 /// A stop of an instance.
 #[derive(Clone, Copy, Debug)]
-struct Stop {
-    at: Instant,
-    instance: usize,
+pub(crate) struct Stop {
+    pub(crate) at: Instant,
+    pub(crate) instance: usize,
 }
 
 /// How a try ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum End {
+pub(crate) enum End {
     /// Its response broke off.
     Cut,
     /// Its connection closed before a response began.
     Closed,
     /// It was refused as not run.
     Refused,
-    /// It was answered otherwise, its time was over, or it reached no instance.
+    /// It was answered otherwise, or its time was over.
     Other,
+    /// It reached no instance.
+    Unreached,
 }
 
 /// A try of a caller.
 #[derive(Clone, Debug)]
-struct Try {
-    end: End,
-    ended: Instant,
-    instance: usize,
+pub(crate) struct Try {
+    pub(crate) end: End,
+    pub(crate) ended: Instant,
+    pub(crate) instance: usize,
     /// Time that it had.
-    limit: Duration,
-    run: String,
-    sent: Instant,
+    pub(crate) limit: Duration,
+    pub(crate) run: String,
+    pub(crate) sent: Instant,
+    /// Status of its response, if one began.
+    pub(crate) status: Option<StatusCode>,
 }
 
 /// What had become of a request that ended without an answer.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-enum State {
+pub(crate) enum State {
     /// No upstream had got it.
     NeverSent,
     /// Upstreams had got it, none was at work on it, and no response had begun.
@@ -152,7 +160,7 @@
 
 /// What the rule says of a request that ended without an answer.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-enum Verdict {
+pub(crate) enum Verdict {
     /// The close may have crossed it.
     Crossed,
     /// The instance did not stop, and the response had begun: counted, but not against the rule by itself.
@@ -171,14 +179,14 @@
 
 /// What callers and the soak share.
 #[derive(Clone, Default)]
-struct Notes {
-    stops: Arc<Mutex<Vec<Stop>>>,
-    tries: Arc<Mutex<Vec<Try>>>,
+pub(crate) struct Notes {
+    pub(crate) stops: Arc<Mutex<Vec<Stop>>>,
+    pub(crate) tries: Arc<Mutex<Vec<Try>>>,
 }
 
 impl Notes {
     /// The stop of an instance under way at a time.
-    fn stop(&self, instance: usize, now: Instant) -> Option<Stop> {
+    pub(crate) fn stop(&self, instance: usize, now: Instant) -> Option<Stop> {
         let stops = self.stops.lock().expect("nobody panics while holding it");
         let mut stops = stops.iter().rev();
         let last = stops.find(|stop| stop.instance == instance && stop.at <= now);
@@ -186,6 +194,47 @@
     }
 }
 
+/// When planned work comes.
+#[derive(Clone, Debug)]
+pub(crate) struct Timing {
+    /// Time between two configurations, two departures of upstreams, two series of stops and two single stops, in milliseconds.
+    /// Nothing comes of a kind whose span is empty.
+    pub(crate) configure: std::ops::Range<u64>,
+    pub(crate) release: std::ops::Range<u64>,
+    pub(crate) series: std::ops::Range<u64>,
+    pub(crate) single: std::ops::Range<u64>,
+}
+
+impl Timing {
+    /// No planned work.
+    pub(crate) const NONE: Self = Self {
+        configure: 0..0,
+        release: 0..0,
+        series: 0..0,
+        single: 0..0,
+    };
+}
+
+impl Default for Timing {
+    fn default() -> Self {
+        Self {
+            configure: CONFIGURE_MS,
+            release: RELEASE_MS,
+            series: SERIES_MS,
+            single: 0..0,
+        }
+    }
+}
+
+/// How callers ask.
+#[derive(Clone, Debug)]
+pub(crate) struct Habits {
+    /// One of so many callers keeps to an instance until nothing listens there; others leave it some time behind its SIGTERM.
+    pub(crate) keeps_each: usize,
+    /// Time between two events that streams ask for, in milliseconds; they ask for nothing if it is empty.
+    pub(crate) step_ms: std::ops::Range<u64>,
+}
+
 /// Something that is due at a time.
 #[derive(Clone, Copy, Debug)]
 enum Due {
@@ -193,22 +242,26 @@
     End(usize),
     Release,
     Series,
+    Single,
     Start(usize),
     Stop(usize),
 }
 
 /// A running soak and what is due in it.
-struct Stopping {
+pub(crate) struct Stopping {
+    /// When configurations came.
+    pub(crate) configured: Vec<Instant>,
     due: Vec<(Instant, Due)>,
-    faults: usize,
-    is_closing: bool,
+    pub(crate) faults: usize,
+    pub(crate) is_closing: bool,
     /// Upstreams that leave.
     leaving: BTreeSet<usize>,
-    notes: Notes,
-    random: Pcg64Mcg,
-    soak: Soak,
+    pub(crate) notes: Notes,
+    pub(crate) random: Pcg64Mcg,
+    pub(crate) soak: Soak,
     /// Instances whose stop, or whose start behind it, is under way.
     down: BTreeSet<usize>,
+    timing: Timing,
 }
 
 /// Runs one soak in which instances stop while requests wait.
@@ -217,54 +270,92 @@
         configuration,
         grace_ms: GRACE.as_millis() as u64,
         slots: SLOTS,
+        ..Layout::default()
     };
-    let mut stopping = Stopping {
-        due: Vec::new(),
-        faults: 0,
-        is_closing: false,
-        leaving: BTreeSet::new(),
-        notes: Notes::default(),
-        random: Pcg64Mcg::seed_from_u64(plan.seed),
-        soak: Soak::start_by(plan, layout),
-        down: BTreeSet::new(),
+    let mut stopping = Stopping::start(plan, layout, Timing::default()).await;
+    let habits = Habits {
+        keeps_each: 3,
+        step_ms: 0..0,
     };
-    stopping.soak.wait_ready().await;
-    for seat in &stopping.soak.seats {
-        seat.worker.set(Mode::Paced);
-    }
-    let callers =
-        (0..plan.engines * SLOTS * CALLERS).map(|index| stopping.caller(index, plan.seed));
-    let callers = callers.map(|caller| tokio::spawn(caller.run())).collect();
-    stopping.push(CONFIGURE_MS, Due::Configure);
-    stopping.push(RELEASE_MS, Due::Release);
-    stopping.push(SERIES_MS, Due::Series);
+    let callers = stopping.call(plan.engines * SLOTS * CALLERS, plan.seed, &habits);
     let end = Instant::now() + plan.lasts;
     stopping.wait(end).await;
     stopping.is_closing = true;
-    stopping.wait(Instant::now() + GRACE + SLACK + DOWN).await;
+    stopping.wait(Instant::now() + CLOSE).await;
     let notes = stopping.check();
-    let late = stopping.soak.lateness.late();
-    let late = late.into_iter().map(|(from, to)| to - from).sum();
-    stopping.soak.heal();
-    let outcome = stopping.soak.end(callers, stopping.faults).await;
-    Outcome {
-        late,
-        notes,
-        ..outcome
-    }
+    stopping.end(callers, notes).await
 }
 
 impl Stopping {
-    fn caller(&self, index: usize, seed: u64) -> Caller {
+    /// Starts everything and waits until instances answer; planned work is due from then on.
+    pub(crate) async fn start(plan: Plan, layout: Layout, timing: Timing) -> Self {
+        let mut stopping = Self {
+            configured: Vec::new(),
+            due: Vec::new(),
+            faults: 0,
+            is_closing: false,
+            leaving: BTreeSet::new(),
+            notes: Notes::default(),
+            random: Pcg64Mcg::seed_from_u64(plan.seed),
+            soak: Soak::start_by(plan, layout),
+            down: BTreeSet::new(),
+            timing,
+        };
+        stopping.soak.wait_ready().await;
+        for seat in &stopping.soak.seats {
+            seat.worker.set(Mode::Paced);
+        }
+        for due in [Due::Configure, Due::Release, Due::Series, Due::Single] {
+            stopping.plan(due);
+        }
+        stopping
+    }
+
+    /// Starts callers that ask until they are told to stop.
+    pub(crate) fn call(&self, count: usize, seed: u64, habits: &Habits) -> Vec<JoinHandle<()>> {
+        let callers = (0..count).map(|index| self.caller(index, seed, habits));
+        callers.map(|caller| tokio::spawn(caller.run())).collect()
+    }
+
+    /// Has the callers stop and checks what must always hold.
+    pub(crate) async fn end(mut self, callers: Vec<JoinHandle<()>>, notes: Vec<String>) -> Outcome {
+        let late = self.soak.lateness.late();
+        let late = late.into_iter().map(|(from, to)| to - from).sum();
+        self.soak.heal();
+        let outcome = self.soak.end(callers, self.faults).await;
+        Outcome {
+            late,
+            notes,
+            ..outcome
+        }
+    }
+
+    fn caller(&self, index: usize, seed: u64, habits: &Habits) -> Caller {
         Caller {
             addresses: self.soak.addresses(),
             index,
             instance: index % self.soak.instances.len(),
-            leaves: !index.is_multiple_of(3),
+            leaves: !index.is_multiple_of(habits.keeps_each),
             notes: self.notes.clone(),
             patron: Patron::new(Habit::Kept),
             random: Pcg64Mcg::seed_from_u64(seed ^ (index as u64) << 20),
             shared: self.soak.shared.clone(),
+            step_ms: habits.step_ms.clone(),
+        }
+    }
+
+    /// Has planned work of a kind be due within its span from now, by chance.
+    fn plan(&mut self, due: Due) {
+        let timing = &self.timing;
+        let within_ms = match due {
+            Due::Configure => timing.configure.clone(),
+            Due::Release => timing.release.clone(),
+            Due::Series => timing.series.clone(),
+            Due::Single => timing.single.clone(),
+            Due::End(_) | Due::Start(_) | Due::Stop(_) => return,
+        };
+        if !within_ms.is_empty() {
+            self.push(within_ms, due);
         }
     }
 
@@ -275,7 +366,7 @@
     }
 
     /// Does what is due up to a time.
-    async fn wait(&mut self, end: Instant) {
+    pub(crate) async fn wait(&mut self, end: Instant) {
         while Instant::now() < end {
             for instance in 0..self.soak.instances.len() {
                 let has_ended = !self.soak.instances[instance].runs();
@@ -309,15 +400,21 @@
                 self.faults += 1;
                 let idle = self.random.random_range(0..IDLE_ROUTES);
                 self.soak.configure_idle(idle);
-                self.push(CONFIGURE_MS, due);
+                self.configured.push(Instant::now());
+                self.plan(due);
             }
             Due::Release => {
                 self.release();
-                self.push(RELEASE_MS, due);
+                self.plan(due);
             }
             Due::Series => {
                 self.series();
-                self.push(SERIES_MS, due);
+                self.plan(due);
+            }
+            Due::Single => {
+                let instance = self.random.random_range(0..self.soak.instances.len());
+                self.stop(instance);
+                self.plan(due);
             }
             Due::Stop(instance) => self.stop(instance),
         }
@@ -374,11 +471,7 @@
 
     /// Holds the tries against the rule; the figures.
     fn check(&self) -> Vec<String> {
-        let mut runs: HashMap<String, Vec<Run>> = HashMap::new();
-        for run in self.soak.ledger.runs() {
-            let name = run.header("wellplank-request-id").to_owned();
-            runs.entry(name).or_default().push(run);
-        }
+        let runs = self.runs();
         let arrivals = self.soak.ledger.arrivals();
         let arrived: BTreeSet<&str> = arrivals.iter().map(|one| one.run.as_str()).collect();
         let tries = self
@@ -397,14 +490,7 @@
             if !matches!(one.end, End::Cut | End::Closed) {
                 continue;
             }
-            let is_working = is_at_work(one, runs, PASSING);
-            let state = match (one.end, is_working) {
-                (End::Cut, true) => State::HeadWritten,
-                (End::Cut, false) => State::HeadWrittenIdle,
-                (_, true) => State::Sent,
-                _ if arrived.contains(one.run.as_str()) => State::BetweenAttempts,
-                _ => State::NeverSent,
-            };
+            let state = State::of(one, runs, arrived.contains(one.run.as_str()));
             let stop = self.notes.stop(one.instance, one.ended);
             let verdict = self.judge(one, state, stop, runs);
             let behind = stop.map(|stop| (one.ended - stop.at).as_millis());
@@ -435,8 +521,24 @@
         notes
     }
 
+    /// What ran, by the names of the tries.
+    pub(crate) fn runs(&self) -> HashMap<String, Vec<Run>> {
+        let mut runs: HashMap<String, Vec<Run>> = HashMap::new();
+        for run in self.soak.ledger.runs() {
+            let name = run.header("wellplank-request-id").to_owned();
+            runs.entry(name).or_default().push(run);
+        }
+        runs
+    }
+
     /// What the rule says of a try that ended without an answer.
-    fn judge(&self, one: &Try, state: State, stop: Option<Stop>, runs: &[Run]) -> Verdict {
+    pub(crate) fn judge(
+        &self,
+        one: &Try,
+        state: State,
+        stop: Option<Stop>,
+        runs: &[Run],
+    ) -> Verdict {
         let has_ended = |run: &Run| {
             let life = Incarnation::new(&run.worker, run.born);
             let ended = self.soak.lives_ended.get(&life);
@@ -464,15 +566,14 @@
                 Verdict::Violation
             };
         };
-        let is_last_sixth = one.ended - stop.at >= GRACE * 5 / 6;
-        if is_last_sixth && one.sent <= stop.at + LATE && is_at_work(one, runs, PASSING_MAX) {
+        if outlasts(one, stop, runs) {
             return Verdict::Working;
         }
         Verdict::Violation
     }
 
     /// Time for which the machine was slowed in a span.
-    fn slowed(&self, begin: Instant, end: Instant) -> Duration {
+    pub(crate) fn slowed(&self, begin: Instant, end: Instant) -> Duration {
         let late = self.soak.lateness.late().into_iter();
         let meets = |(from, to): &(Instant, Instant)| *from < end && begin < *to;
         late.filter(meets).map(|(from, to)| to - from).sum()
@@ -481,19 +582,38 @@
     /// Requests that the logs of instances name as open at the end of a stop, by stage.
     fn open_in_logs(&self) -> BTreeMap<String, usize> {
         let mut open = BTreeMap::new();
+        for line in self.logged(&["open at the end of the stop"]) {
+            let stage = line["stage"].as_str().unwrap_or("unknown").to_owned();
+            *open.entry(stage).or_default() += 1;
+        }
+        open
+    }
+
+    /// Lines of the logs of all instances that hold one of some texts.
+    pub(crate) fn logged(&self, texts: &[&str]) -> Vec<Value> {
+        let mut logged = Vec::new();
         for index in 0..self.soak.instances.len() {
             let file = self.soak.folder.join(format!("instance-{index}.log"));
-            let text = std::fs::read_to_string(file).unwrap_or_default();
-            for line in text
+            let log = std::fs::read_to_string(file).unwrap_or_default();
+            let lines = log
                 .lines()
-                .filter(|line| line.contains("open at the end of the stop"))
-            {
-                let line: Value = serde_json::from_str(line).unwrap_or_default();
-                let stage = line["stage"].as_str().unwrap_or("unknown").to_owned();
-                *open.entry(stage).or_default() += 1;
-            }
+                .filter(|line| texts.iter().any(|text| line.contains(text)));
+            logged.extend(lines.filter_map(|line| serde_json::from_str::<Value>(line).ok()));
+        }
+        logged
+    }
+}
+
+impl State {
+    /// What had become of a try, by its runs and whether an upstream had got it.
+    pub(crate) fn of(one: &Try, runs: &[Run], has_arrived: bool) -> Self {
+        match (one.end, is_at_work(one, runs, PASSING)) {
+            (End::Cut, true) => Self::HeadWritten,
+            (End::Cut, false) => Self::HeadWrittenIdle,
+            (_, true) => Self::Sent,
+            _ if has_arrived => Self::BetweenAttempts,
+            _ => Self::NeverSent,
         }
-        open
     }
 }
 
@@ -509,6 +629,12 @@
     runs.iter().any(ends_later)
 }
 
+/// Whether an upstream was still at work on a try as the time that its instance had to end ran out.
+pub(crate) fn outlasts(one: &Try, stop: Stop, runs: &[Run]) -> bool {
+    let is_last_sixth = one.ended - stop.at >= GRACE * 5 / 6;
+    is_last_sixth && one.sent <= stop.at + LATE && is_at_work(one, runs, PASSING_MAX)
+}
+
 /// A caller that asks again and again until it is told to stop.
 struct Caller {
     addresses: Vec<SocketAddr>,
@@ -521,6 +647,8 @@
     patron: Patron,
     random: Pcg64Mcg,
     shared: Shared,
+    /// Time between two events that streams ask for, in milliseconds; they ask for nothing if it is empty.
+    step_ms: std::ops::Range<u64>,
 }
 
 impl Caller {
@@ -569,6 +697,10 @@
             let mut ask = ask.with("wellplank-timeout-ms", &left.as_millis().to_string());
             ask.body = format!("{}-{count}", self.index).into_bytes();
             let is_stream = kind < STREAMS.len();
+            if is_stream && !self.step_ms.is_empty() {
+                let step_ms = self.random.random_range(self.step_ms.clone());
+                ask = ask.with(worker::EVENT_STEP_MS, &step_ms.to_string());
+            }
             let (got, end) = self.attempt(&ask, left).await;
             if let Some(got) = got.filter(|got| got.whole && got.status == StatusCode::OK) {
                 let due = if is_stream {
@@ -607,7 +739,8 @@
             Ok(got) if !got.whole => End::Cut,
             Ok(got) if says_not_run(ask, got) => End::Refused,
             Err(Miss::Closed) => End::Closed,
-            Err(Miss::Late | Miss::Unreached) | Ok(_) => End::Other,
+            Err(Miss::Unreached) => End::Unreached,
+            Err(Miss::Late) | Ok(_) => End::Other,
         };
         if got.is_err() {
             self.choose();
@@ -629,6 +762,7 @@
             limit: left,
             run,
             sent,
+            status: got.as_ref().ok().map(|got| got.status),
         });
         drop(tries);
         (got.ok(), end)
--- a/crates/standin/src/worker.rs
+++ b/crates/standin/src/worker.rs
@@ -9,7 +9,7 @@
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener as Socket, TcpStream},
-    sync::Notify,
+    sync::{Notify, OwnedSemaphorePermit, Semaphore},
 };
 
 /// Version of the software of a worker of which nothing else is said.
@@ -24,13 +24,17 @@
 /// Header of a request that asks for events, or for an answer to a call, of this many bytes.
 pub const EVENT_BYTES: &str = "x-event-bytes";
 
+/// Header of a request that asks for this many milliseconds between two events.
+pub const EVENT_STEP_MS: &str = "x-event-step-ms";
+
 /// Time for which an impatient worker waits until a connection takes an event.
 const IMPATIENCE: Duration = Duration::from_millis(300);
 
 /// Bytes of a request's head that are read, at most.
 const HEAD: usize = 64 << 10;
 
-/// Slots of a worker of which nothing else is said. They are what its entry says; it refuses nothing beyond them.
+/// Slots of a worker of which nothing else is said. They are what its entry says; without a queue it refuses nothing beyond
+/// them.
 pub const SLOTS: usize = 8;
 
 /// Time between two events of a paced worker: a stream takes 3 s.
@@ -89,6 +93,8 @@
 pub struct Remark {
     /// Whether it is leaving.
     pub leaving: bool,
+    /// Requests that run, requests that wait, and slots.
+    pub load: Option<[usize; 3]>,
     /// Requests a second that it takes from all instances together.
     pub limit: Option<&'static str>,
     /// When it wants requests again, as its refusals say it.
@@ -109,10 +115,31 @@
     fn answer(self) -> String {
         let leaving = self.leaving.then(|| format!("{}: 1\r\n", Self::LEAVING));
         let limit = self.limit.map(|limit| format!("server-limit: {limit}\r\n"));
-        leaving.into_iter().chain(limit).collect()
+        let load = self.load.map(|[running, waiting, slots]| {
+            format!("wellplank-server-load: {running},{waiting},{slots}\r\n")
+        });
+        leaving.into_iter().chain(limit).chain(load).collect()
     }
 }
 
+/// Requests that a worker lets wait for its slots, without a head or an event. Beyond them it refuses.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Queue {
+    /// Requests that may wait.
+    pub length: usize,
+    /// Whether answers and refusals tell how many run and wait.
+    pub tells_load: bool,
+}
+
+/// The slots of a worker and its queue.
+#[derive(Clone)]
+struct Room {
+    /// Slots and places of the queue.
+    places: Arc<Semaphore>,
+    queue: Queue,
+    slots: Arc<Semaphore>,
+}
+
 /// One request that reached a worker, whether it ran or not.
 #[derive(Clone, Debug)]
 pub struct Arrival {
@@ -221,6 +248,7 @@
     ledger: Ledger,
     mode: Arc<Mutex<Mode>>,
     remark: Arc<Mutex<Remark>>,
+    room: Option<Room>,
     /// Slots, as its entry says.
     pub slots: usize,
 }
@@ -265,6 +293,7 @@
             mode: Arc::default(),
             name: name.into(),
             remark: Arc::default(),
+            room: None,
             slots: SLOTS,
             version: VERSION,
         }
@@ -277,6 +306,17 @@
         self
     }
 
+    /// The same, with a queue for its slots.
+    #[must_use]
+    pub fn with_queue(mut self, queue: Queue) -> Self {
+        self.room = Some(Room {
+            places: Arc::new(Semaphore::new(self.slots + queue.length)),
+            queue,
+            slots: Arc::new(Semaphore::new(self.slots)),
+        });
+        self
+    }
+
     /// The same, of another version of the software.
     #[must_use]
     pub fn of_version(mut self, version: &'static str) -> Self {
@@ -303,7 +343,19 @@
 
     /// What it says of itself in all answers.
     pub fn remark(&self) -> Remark {
-        *self.remark.lock().expect("nobody panics while holding it")
+        let remark = *self.remark.lock().expect("nobody panics while holding it");
+        Remark {
+            load: self.load(),
+            ..remark
+        }
+    }
+
+    /// Requests that run, requests that wait, and slots, if it tells them.
+    fn load(&self) -> Option<[usize; 3]> {
+        let room = self.room.as_ref().filter(|room| room.queue.tells_load)?;
+        let running = self.slots - room.slots.available_permits();
+        let held = self.slots + room.queue.length - room.places.available_permits();
+        Some([running, held.saturating_sub(running), self.slots])
     }
 
     /// How a request has ended it, once nothing listens there any more, as with a process: its listener is closed before its
@@ -419,7 +471,12 @@
             );
             return connection.write_all(refusal.as_bytes()).await;
         }
-        let refuses = mode == Mode::Refuse || !self.take_copy(run);
+        let place = self
+            .room
+            .as_ref()
+            .map(|room| room.places.clone().try_acquire_owned());
+        let is_full = matches!(place, Some(Err(_)));
+        let refuses = mode == Mode::Refuse || is_full || !self.take_copy(run);
         self.ledger.lock().arrivals.push(Arrival {
             at: run.at,
             born: self.born,
@@ -435,6 +492,9 @@
             );
             return connection.write_all(refusal.as_bytes()).await;
         }
+        let Some(_slot) = self.slot(connection).await else {
+            return Ok(());
+        };
         let _running = self.begin(run);
         if self.ending().is_some() || run.body.starts_with(FATAL) {
             self.end_by(run).await;
@@ -456,6 +516,18 @@
         }
     }
 
+    /// Waits for a slot, if there is a queue; `None` if the connection ends meanwhile.
+    async fn slot(&self, connection: &mut TcpStream) -> Option<Option<OwnedSemaphorePermit>> {
+        let Some(room) = &self.room else {
+            return Some(None);
+        };
+        let mut byte = [0];
+        tokio::select! {
+            slot = room.slots.clone().acquire_owned() => Some(slot.ok()),
+            _ = connection.read(&mut byte) => None,
+        }
+    }
+
     /// Notes that a request runs, until what it returns is dropped.
     fn begin(&self, run: &Run) -> Running {
         let mut pages = self.ledger.lock();
@@ -489,12 +561,14 @@
         connection.write_all(head.as_bytes()).await?;
         let size = run.header(EVENT_BYTES).parse().unwrap_or(0);
         let first: u64 = run.header("last-event-id").parse().unwrap_or(0) + 1;
+        let asked = run.header(EVENT_STEP_MS).parse().ok();
+        let step = match mode {
+            _ if asked.is_some() => Duration::from_millis(asked.unwrap_or_default()),
+            Mode::Paced => PACED_STEP,
+            Mode::Slow => 10 * STEP,
+            _ => STEP,
+        };
         for position in first..=EVENTS {
-            let step = match mode {
-                Mode::Paced => PACED_STEP,
-                Mode::Slow => 10 * STEP,
-                _ => STEP,
-            };
             sleep(step).await;
             if self.mode() == Mode::Silent {
                 std::future::pending::<()>().await;
--- a/crates/standin/tests/notice.rs
+++ b/crates/standin/tests/notice.rs
@@ -50,6 +50,7 @@
 /// The word of an upstream that leaves.
 const LEAVING: Remark = Remark {
     leaving: true,
+    load: None,
     limit: None,
     rest: None,
 };
@@ -57,6 +58,7 @@
 /// The word of an upstream that asks for rest.
 const RESTING: Remark = Remark {
     leaving: false,
+    load: None,
     limit: None,
     rest: Some(REST.0),
 };
