Test that sound upstreams that answer late have no request fail early

Upstreams that answer calls have no queue and come with the others: with three of them for 24 instances, calls alone made 340 early 502 and hid what streams got.

--- a/crates/standin/src/awkward.rs
+++ b/crates/standin/src/awkward.rs
@@ -183,6 +183,7 @@
 pub async fn run(plan: soak::Plan, setting: Setting) -> Outcome {
     let layout = Layout {
         configuration: stopping::configuration,
+        desks: soak::DESKS.max(plan.engines / 3),
         grace_ms: RULE.grace_ms,
         queue: Some(setting.queue),
         slots: setting.slots,
--- a/crates/standin/src/soak.rs
+++ b/crates/standin/src/soak.rs
@@ -33,6 +33,9 @@
 /// Callers of each instance.
 const CALLERS: usize = 4;
 
+/// Upstreams that answer calls.
+pub(crate) const DESKS: usize = 3;
+
 /// Versions of the software of upstreams, which serve side by side.
 const VERSIONS: [&str; 2] = ["v1", "v2"];
 
@@ -75,9 +78,11 @@
 pub(crate) struct Layout {
     /// Configuration by its version.
     pub(crate) configuration: fn(u64) -> Value,
+    /// Upstreams that answer calls.
+    pub(crate) desks: usize,
     /// Time that an instance has to end in order, in milliseconds.
     pub(crate) grace_ms: u64,
-    /// Queue of each upstream; without one they refuse nothing.
+    /// Queue of each upstream that streams; without one they refuse nothing.
     pub(crate) queue: Option<Queue>,
     /// Requests that each upstream has room for.
     pub(crate) slots: usize,
@@ -87,6 +92,7 @@
     fn default() -> Self {
         Self {
             configuration: site::configuration,
+            desks: DESKS,
             grace_ms: GRACE_MS,
             queue: None,
             slots: worker::SLOTS,
@@ -364,7 +370,7 @@
             version: 1,
         };
         soak.host.spawn(soak.lateness.clone().run());
-        for index in 0..plan.engines + 3 {
+        for index in 0..plan.engines + layout.desks {
             let pool = if index < plan.engines {
                 site::ENGINES
             } else {
@@ -443,8 +449,8 @@
             .of_version(VERSIONS[index % VERSIONS.len()])
             .with_slots(self.layout.slots);
         seat.worker = match self.layout.queue {
-            None => worker,
-            Some(queue) => worker.with_queue(queue),
+            Some(queue) if seat.pool == site::ENGINES => worker.with_queue(queue),
+            _ => worker,
         };
         seat.host = Host::new(1);
         seat.host.spawn(seat.worker.clone().serve());
--- a/crates/standin/tests/soak.rs
+++ b/crates/standin/tests/soak.rs
@@ -4,9 +4,11 @@
     googletest::prelude::*,
     std::time::Duration,
     wellplank_standin::{
+        awkward::{self, Kind, Setting, Share, Work},
         leaving, returning,
         soak::{self, Outcome, Plan},
         stopping,
+        worker::Queue,
     },
 };
 
@@ -99,3 +101,79 @@
     };
     check(1, stopping::run(plan));
 }
+
+/// Nine upstreams that refuse requests beyond their 72 slots, beside a configuration. Two times some of them are awkward.
+async fn run_awkward(kind: Kind, share: Share, callers: usize) -> Outcome {
+    let plan = Plan {
+        engines: 9,
+        instances: 6,
+        lasts: Duration::from_secs(12),
+        seed: 1,
+    };
+    let setting = Setting {
+        callers,
+        kind,
+        queue: Queue {
+            length: 0,
+            tells_load: false,
+        },
+        share,
+        slots: 8,
+        work: Work::Configuration,
+    };
+    awkward::run(plan, setting).await
+}
+
+/// Streams that left upstreams which were silent for 1.2 s were given up with most of their time left, behind refusals of full
+/// upstreams.
+#[gtest]
+fn upstreams_silent_for_a_second_have_no_begun_stream_cut() {
+    let runtime = tokio::runtime::Runtime::new().unwrap();
+    let outcome = runtime.block_on(run_awkward(Kind::Silence, Share::Third, 66));
+    runtime.shutdown_background();
+    expect_that!(outcome.cut, eq(0), "{:?}", outcome.violations);
+    expect_that!(outcome.ends, eq(0), "{:?}", outcome.violations);
+    expect_that!(outcome.requests, gt(0));
+}
+
+/// Streams that had not begun got 502 with most of their time left, behind refusals of full upstreams.
+#[gtest]
+fn upstreams_silent_for_a_second_have_no_stream_fail_early() {
+    check(1, run_awkward(Kind::Silence, Share::Third, 90));
+}
+
+/// Streams were given up with most of their time left, since connections that were closed at once used up the upstreams that a
+/// request may reach.
+#[gtest]
+fn upstreams_that_accept_and_close_have_no_begun_stream_cut() {
+    check(1, run_awkward(Kind::AcceptsAndCloses, Share::TwoThirds, 66));
+}
+
+/// Guards against streams that are given up since refused connections use up their attempts.
+#[gtest]
+fn upstreams_that_refuse_connections_have_no_stream_fail_early() {
+    check(1, run_awkward(Kind::Refuses, Share::TwoThirds, 66));
+}
+
+/// Streams that waited in the queues of upstreams were taken for lost, and got 502 with most of their time left.
+#[gtest]
+fn streams_queued_at_upstreams_do_not_fail_early() {
+    let plan = Plan {
+        engines: 3,
+        instances: 1,
+        lasts: Duration::from_secs(12),
+        seed: 1,
+    };
+    let setting = Setting {
+        callers: 60,
+        kind: Kind::Queues,
+        queue: Queue {
+            length: 8,
+            tells_load: false,
+        },
+        share: Share::All,
+        slots: 4,
+        work: Work::Configuration,
+    };
+    check(1, awkward::run(plan, setting));
+}
