Keep a begun stream at a silent upstream until another has a slot

Callers saw streams stop for 7 to 10 s and end: an upstream was silent for 1.2 s, its streams left it after 0.4 s, found all other slots taken, and waited until a planned stop or their deadline cut them. The upstream itself went on 0.8 s after they had left.

The cause: `liveness` weighs a move against a wait as if a move always found a slot. By the intervals it has seen, 0.4 s of silence is death with 99 %.

A stream that has begun now stays while the silence is not known to be an end (no broken connection, entry still listed, no proven end) and no other upstream is known to have a slot: slots of the list entry, or the most runs at a refusal where it states none; own runs and those of stream records; refusals of the last 0.25 s. An upstream that was lost, here or elsewhere, and not heard since has none: the streams that left it no longer count there. The bound is the route's longest pause, or the time that callers wait for an event: from then on the caller loses by the silence what it would lose by the wait. The upstream is still reported as lost once per silence, so that new streams and other instances avoid it as soon as before.

begun_stream_stays_at_a_silent_upstream_while_all_others_are_full failed before this change.

--- a/crates/core/src/engine_watch.rs
+++ b/crates/core/src/engine_watch.rs
@@ -63,6 +63,12 @@
         let Some((departure, is_dead)) = self.departure(key, silent_ms) else {
             return;
         };
+        if self.stays_for_lack_of_place(key, silent_ms) {
+            if is_dead {
+                self.report_silent(key);
+            }
+            return;
+        }
         if is_dead {
             let source = if self.attempts[key].started {
                 self.upstreams[upstream].observed.judged_dead_at = Some(self.now);
@@ -84,6 +90,36 @@
         self.abandon(key, counter::Reason::Stall);
     }
 
+    /// Whether a stream that has begun stays at a silent upstream since no other is known to have a place for it. The
+    /// upstream may be sound, and then goes on sooner than a place is found. It is not sound if its connection broke or it
+    /// is no longer listed.
+    fn stays_for_lack_of_place(&self, key: attempt::Key, silent_ms: u64) -> bool {
+        let attempt = &self.attempts[key];
+        let request = &self.requests[attempt.request];
+        if !request.progress.is_open || silent_ms >= self.stakes(key).max_stay_ms() {
+            return false;
+        }
+        let is_broken = |loss: &liveness::Loss| {
+            loss.upstream == attempt.upstream && loss.source == LossSource::Connection
+        };
+        let is_ended = self.upstreams[attempt.upstream].leaving
+            || self.losses.recent(silent_ms, self.now).any(is_broken);
+        !is_ended && !self.has_place_beside(request, attempt.upstream)
+    }
+
+    /// Reports an upstream at which streams stay although it is judged dead, once per silence, so that no new ones are sent
+    /// there.
+    fn report_silent(&mut self, key: attempt::Key) {
+        let attempt = &self.attempts[key];
+        let upstream = &mut self.upstreams[attempt.upstream];
+        let judged_at = upstream.observed.judged_dead_at;
+        if !attempt.started || judged_at.is_some_and(|at| at > upstream.last_heard) {
+            return;
+        }
+        upstream.observed.judged_dead_at = Some(self.now);
+        self.report_loss(attempt.upstream, LossSource::Silence);
+    }
+
     /// Why a stream should leave its engine, and whether the engine itself is judged dead; `None` if
     /// the stream should wait.
     fn departure(&mut self, key: attempt::Key, silent_ms: u64) -> Option<(Departure, bool)> {
--- a/crates/core/src/list.rs
+++ b/crates/core/src/list.rs
@@ -235,6 +235,7 @@
             probe_sent: None,
             recent_changes: VecDeque::new(),
             reach: upstream::Reach::Undoubted,
+            refused_beside: 0,
             registered_at: entry.registered_at,
             suspected_until: Time::default(),
             unreported: 0,
--- a/crates/core/src/liveness.rs
+++ b/crates/core/src/liveness.rs
@@ -571,6 +571,18 @@
         cost + is_late
     }
 
+    /// Silence in milliseconds up to which a stream stays at an upstream that may be sound while no other has a place for it.
+    /// Beyond the maximum pause, or where the route states none, the time for which callers wait for an event, the caller
+    /// loses by the silence what it would lose by the wait for a place.
+    pub fn max_stay_ms(self) -> u64 {
+        let patience_ms = (1.0 / DELAY_COST_PER_MS) as u64;
+        if self.gap_objective_ms > 0 {
+            self.gap_objective_ms
+        } else {
+            patience_ms
+        }
+    }
+
     /// Whether a pause of this length is still within the objective.
     fn is_in_time(self, silent_ms: u64) -> bool {
         silent_ms < self.gap_objective_ms
--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -96,7 +96,9 @@
             return;
         };
         let owner = attempt.request;
-        self.upstreams[attempt.upstream].record_activity(self.now);
+        let upstream = attempt.upstream;
+        self.upstreams[upstream].record_activity(self.now);
+        self.record_taken(upstream);
         let request = &mut self.requests[owner];
         if !request.progress.is_open {
             request.progress.is_open = true;
@@ -383,6 +385,7 @@
                     let upstream = &mut self.upstreams[upstream];
                     upstream.failure_score.record(self.now);
                     upstream.full_until = self.now.after(full_ms);
+                    self.record_refusal(attempt.upstream);
                 }
                 counter::Reason::Refused
             }
--- a/crates/core/src/slot_wait.rs
+++ b/crates/core/src/slot_wait.rs
@@ -84,6 +84,50 @@
         true
     }
 
+    /// Number of requests that are known to run at an upstream, from this instance and others.
+    pub(crate) fn known_running(&self, key: upstream::Key) -> u32 {
+        self.upstreams[key].attempts.len() as u32 + self.stream_records.usage(key).running
+    }
+
+    /// Records that an upstream refused a request: it has as many slots as requests run there. Some that run may not be known
+    /// here, so the highest number counts.
+    pub(crate) fn record_refusal(&mut self, key: upstream::Key) {
+        let running = self.known_running(key);
+        let upstream = &mut self.upstreams[key];
+        upstream.refused_beside = upstream.refused_beside.max(running);
+    }
+
+    /// Records that an upstream has taken a request: it has at least as many slots as requests run there.
+    pub(crate) fn record_taken(&mut self, key: upstream::Key) {
+        let running = self.known_running(key);
+        let upstream = &mut self.upstreams[key];
+        if upstream.refused_beside > 0 {
+            upstream.refused_beside = upstream.refused_beside.max(running);
+        }
+    }
+
+    /// Number of requests that an upstream has slots for, as far as is known: by its list entry or, if that states none, by
+    /// what ran there when it refused one. Unbounded for one that has refused none; none for one that was lost, here or at
+    /// another instance, and not heard since: the streams that left it no longer count there.
+    fn free_places(&self, key: upstream::Key) -> usize {
+        let upstream = &self.upstreams[key];
+        let is_unheard = upstream.failure_score.last_failure() > upstream.answered_at;
+        let slots = match (upstream.listed_slots, upstream.refused_beside) {
+            _ if self.now < upstream.full_until || is_unheard => 0,
+            (0, 0) => return usize::MAX,
+            (0, refused_beside) => refused_beside,
+            (listed, _) => listed,
+        };
+        slots.saturating_sub(self.known_running(key)) as usize
+    }
+
+    /// Whether an upstream other than `own` is known to have a place for a stream.
+    pub(crate) fn has_place_beside(&self, request: &Request, own: upstream::Key) -> bool {
+        let candidates = self.relay_candidates(request).into_iter();
+        let mut others = candidates.filter(|key| *key != own);
+        others.any(|key| self.upstreams[key].health == Health::Live && self.free_places(key) > 0)
+    }
+
     /// Offers the slot that a completed request leaves to the first stream that was refused and may go on there.
     pub(crate) fn offer_slot(&mut self, key: upstream::Key) {
         let Some(upstream) = self.upstreams.get(key) else {
--- a/crates/core/src/upstream.rs
+++ b/crates/core/src/upstream.rs
@@ -164,6 +164,8 @@
     pub recent_changes: VecDeque<LoadChange>,
     /// Whether it can be reached.
     pub reach: Reach,
+    /// Most requests that were known to run there when it refused one, or that it has taken since; 0 if it refused none.
+    pub refused_beside: u32,
     /// Position in the order of registration; the lowest if unknown.
     pub registered_at: Position,
     /// Until when it stays suspected, if upstreams are not probed.
--- a/crates/core/tests/relay/silent_upstream.rs
+++ b/crates/core/tests/relay/silent_upstream.rs
@@ -270,3 +270,85 @@
     let early = Counter::EndedEarly(Kind::TimedOut, Some(Bound::Deadline));
     expect_that!(test.counted(early), eq(0));
 }
+
+/// Six upstreams with one slot each, which their list entries state, and a stream at one of them; streams of another instance
+/// take all other slots.
+fn with_full_upstreams() -> (Test, Sent) {
+    let mut test = without_copies(RetryBound::default());
+    let with_slot = |index| ListEntry {
+        slots: 1,
+        ..listed(index, index)
+    };
+    test.list((0..6).map(with_slot).collect());
+    let sent = test.stream(3);
+    for upstream in (0..6).filter(|upstream| *upstream != sent.upstream) {
+        test.handle(Event::PeerStream(peer_stream(upstream, Stage::Streaming)));
+    }
+    (test, sent)
+}
+
+/// Record of the stream of another instance that runs at an upstream.
+fn peer_stream(upstream: usize, stage: Stage) -> StreamRecord {
+    let run = format!("peer-{upstream}");
+    StreamRecord {
+        origin: RunId::new(&run),
+        prompt: 100 + upstream as u64,
+        run,
+        stage,
+        ..stream_record(upstream, upstream)
+    }
+}
+
+/// Guards against leaving a sound upstream for a slot that there is not: the stream waited for it until it was cut, while its
+/// upstream went on after 1.2 s.
+#[gtest]
+fn begun_stream_stays_at_a_silent_upstream_while_all_others_are_full() {
+    let (mut test, sent) = with_full_upstreams();
+    test.advance(1_200);
+    expect_that!(test.sent().len(), eq(1));
+    test.send_event(&sent, 4);
+    test.close(&sent, true);
+    expect_that!(
+        test.delivered(),
+        elements_are![eq(&1), eq(&2), eq(&3), eq(&4)]
+    );
+    expect_that!(test.outcomes(), elements_are![eq("close")]);
+}
+
+/// Guards against taking an upstream that another instance has just left as silent for one with a slot: its streams no longer
+/// count there.
+#[gtest]
+fn slot_of_an_upstream_that_another_instance_lost_is_no_reason_to_leave() {
+    let (mut test, sent) = with_full_upstreams();
+    test.advance(200);
+    let lost = (sent.upstream + 1) % 6;
+    test.handle(Event::PeerLoss(incarnation(lost, 0)));
+    test.handle(Event::PeerStream(peer_stream(lost, Stage::Ended)));
+    test.advance(1_000);
+    expect_that!(test.sent().len(), eq(1));
+}
+
+/// Guards against a stream that waits at a dead upstream although there is a slot for it elsewhere.
+#[gtest]
+fn begun_stream_leaves_a_silent_upstream_once_another_has_a_slot() {
+    let (mut test, sent) = with_full_upstreams();
+    test.advance(1_200);
+    let free = (sent.upstream + 1) % 6;
+    test.handle(Event::PeerStream(peer_stream(free, Stage::Ended)));
+    test.advance(10);
+    expect_that!(test.sent().len(), eq(2));
+    expect_that!(test.last_sent().upstream, eq(free));
+    expect_that!(test.last_sent().position, eq(3));
+}
+
+/// Guards against a stream that waits without end at an upstream that died, and against one that waits although the connection
+/// to its upstream broke.
+#[gtest]
+fn begun_stream_leaves_without_a_slot_elsewhere_after_the_time_that_callers_wait() {
+    let (mut test, _) = with_full_upstreams();
+    test.advance(5_100);
+    expect_that!(test.sent().len(), eq(2));
+    let (mut test, sent) = with_full_upstreams();
+    test.break_connection(&sent, false);
+    expect_that!(test.sent().len(), eq(2));
+}
--- a/crates/standin/src/silent.rs
+++ b/crates/standin/src/silent.rs
@@ -63,6 +63,8 @@
     pub fill: f64,
     /// Instances, each with a core.
     pub instances: usize,
+    /// Whether the list tells the slots of upstreams.
+    pub lists_slots: bool,
     /// Time for which callers come, in milliseconds.
     pub millis: u64,
     /// Seed of every random choice.
@@ -94,6 +96,20 @@
     pub refused: usize,
     /// Attempts that upstreams rejected for lack of a slot.
     pub rejected: usize,
+    /// Runs of begun streams that an instance cancelled although the upstream was sound.
+    pub left_sound: usize,
+    /// Begun streams that got another event after their run was lost.
+    pub resumed: usize,
+    /// Sum of the times from the loss of a run to the next event, in milliseconds.
+    pub resumed_ms: u64,
+    /// The longest of these times, in milliseconds.
+    pub resumed_max_ms: u64,
+    /// Begun streams that an upstream refused at least once before they got another event.
+    pub refused_begun: usize,
+    /// Sum of the times from the loss of their run to the next event, in milliseconds.
+    pub refused_begun_ms: u64,
+    /// The longest of these times, in milliseconds.
+    pub refused_begun_max_ms: u64,
     /// Complete.
     pub whole: usize,
     /// Whole, begun within the time wanted, and with no pause of over 3 s.
@@ -119,6 +135,8 @@
     instance: usize,
     last_at: Time,
     longest_ms: u64,
+    lost_at: Option<Time>,
+    rejections: usize,
     sent: usize,
 }
 
@@ -136,6 +154,7 @@
 /// A run of a stream at an upstream.
 #[derive(Clone, Copy, Debug)]
 struct Run {
+    asker: usize,
     attempt: attempt::Key,
     cancelled: bool,
     ended: bool,
@@ -226,6 +245,7 @@
             timeline: Timeline::new(START),
             turn: 0,
         };
+        let slots = if plan.lists_slots { plan.slots } else { 0 };
         let listed = |index| ListEntry {
             address: address(index),
             born: 0,
@@ -234,7 +254,7 @@
             name: format!("upstream-{index}"),
             pool: "upstreams".into(),
             registered_at: Position::default(),
-            slots: 0,
+            slots: slots as u32,
             version: String::new(),
         };
         let list: Vec<ListEntry> = (0..plan.upstreams).map(listed).collect();
@@ -270,6 +290,7 @@
             Action::Ask(asker) => self.ask(asker),
             Action::Broken(run) => {
                 if !self.runs[run].cancelled {
+                    self.record_loss(run);
                     let Run {
                         attempt, instance, ..
                     } = self.runs[run];
@@ -302,6 +323,8 @@
             instance,
             last_at: now,
             longest_ms: 0,
+            lost_at: None,
+            rejections: 0,
             sent: 0,
         });
         self.timeline
@@ -373,7 +396,9 @@
                 self.outcome.begun += 1;
             }
             Effect::ForwardEvent { caller, .. } => {
-                let asker = &mut self.askers[self.callers[&caller]];
+                let index = self.callers[&caller];
+                self.record_resumption(index);
+                let asker = &mut self.askers[index];
                 asker.first_at.get_or_insert(now);
                 asker.longest_ms = asker.longest_ms.max(now.since(asker.last_at));
                 asker.last_at = now;
@@ -422,6 +447,7 @@
                 self.outcome.attempts_more += usize::from(*sent > 0);
                 *sent += 1;
                 self.runs.push(Run {
+                    asker,
                     attempt,
                     cancelled: false,
                     ended: false,
@@ -460,6 +486,7 @@
         }
         if self.slots[upstream].len() >= self.plan.slots {
             self.outcome.rejected += 1;
+            self.askers[self.runs[run].asker].rejections += 1;
             let failure = Failure::Refused;
             self.tell(instance, Event::Failed { attempt, failure });
             return;
@@ -518,6 +545,42 @@
         self.runs[run].ended = true;
     }
 
+    /// Records that a begun stream lost its run; returns whether its caller still waits.
+    fn record_loss(&mut self, run: usize) -> bool {
+        let now = self.timeline.now();
+        let index = self.runs[run].asker;
+        let waits = self.callers.values().any(|other| *other == index);
+        let asker = &mut self.askers[index];
+        let is_open = self.runs[run].stage == Stage::Open;
+        if !(asker.begun && waits && is_open) {
+            return false;
+        }
+        if asker.lost_at.is_none() {
+            asker.lost_at = Some(now);
+            asker.rejections = 0;
+        }
+        true
+    }
+
+    /// Records that a stream goes on, if its run was lost.
+    fn record_resumption(&mut self, index: usize) {
+        let now = self.timeline.now();
+        let asker = &mut self.askers[index];
+        let Some(lost_at) = asker.lost_at.take() else {
+            return;
+        };
+        let waited = now.since(lost_at);
+        let outcome = &mut self.outcome;
+        outcome.resumed += 1;
+        outcome.resumed_ms += waited;
+        outcome.resumed_max_ms = outcome.resumed_max_ms.max(waited);
+        if asker.rejections > 0 {
+            outcome.refused_begun += 1;
+            outcome.refused_begun_ms += waited;
+            outcome.refused_begun_max_ms = outcome.refused_begun_max_ms.max(waited);
+        }
+    }
+
     /// An instance closes the connection of a run. A silent upstream learns it when it is awake.
     fn cancel(&mut self, instance: usize, attempt: attempt::Key) {
         let is_same = |run: &Run| run.instance == instance && run.attempt == attempt;
@@ -525,6 +588,10 @@
             return;
         };
         self.runs[run].cancelled = true;
+        let is_sound = matches!(self.plan.silence, Silence::Pause(_));
+        if self.record_loss(run) && is_sound {
+            self.outcome.left_sound += 1;
+        }
         if !self.silent[self.runs[run].upstream] {
             self.free(run);
         }
--- a/crates/standin/tests/silent.rs
+++ b/crates/standin/tests/silent.rs
@@ -11,6 +11,7 @@
         copies,
         fill,
         instances,
+        lists_slots: false,
         millis: 20_000,
         seed: 1,
         silence: Silence::Pause(1_200),
@@ -53,6 +54,18 @@
     }
 }
 
+/// Guards against leaving sound upstreams for slots that there are not: of the streams that began at them with two callers a
+/// slot, an instance took 0.6 away, and 0.2 of all paused for over 3 s.
+#[gtest]
+fn begun_streams_stay_at_sound_upstreams_while_all_others_are_full() {
+    let outcome = run(Plan {
+        lists_slots: true,
+        ..plan(1, 2.0, false)
+    });
+    expect_that!(outcome.left_sound * 20, le(outcome.begun));
+    expect_that!(outcome.paused * 20, le(outcome.begun));
+}
+
 /// Guards against losing more streams of upstreams that do end: they freeze for 4 s, then their connections break. One that
 /// meets five of them has used up the attempts of its route. 0.03 of the streams are cut, and 0.13 were before refused attempts
 /// were counted apart.
