Let begun streams that were refused go first over the fleet

Callers saw a stream stand still until it was cut, with seconds left, while all around them new streams began: with six instances one was sent 2.4 s and 3.8 s after its upstream was lost, refused both times, and then not once in 7.7 s, in which 18 slots each ended a stream every 3 s.

The cause: that a refused begun stream goes before new ones held within its instance only. It tried at its own interval, up to 0.5 s, and the new streams of five other instances took each slot within milliseconds.

Now each slot that a stream leaves, at any instance, is offered to a waiting begun stream at once. Which one follows from its rank and a hash of both streams, so instances agree without a message. New streams leave a place to each begun stream that waits elsewhere and is at least as urgent, at upstreams whose list entries state their slots. Waiting streams are announced by the records that exist (stage Waiting, has_begun), repeated every 2 s, and counted for 5 s: a record that is lost or stale holds one place for that long at most. A silent upstream is left only for a place beyond those that others wait for.

The time to the next event is now measured from the last event of the lost run, not from the departure, which is later now.

--- a/crates/core/src/rank.rs
+++ b/crates/core/src/rank.rs
@@ -209,7 +209,8 @@
     /// Announces again the streams that wait here, before the records at other instances expire.
     pub(crate) fn renew_waiting(&mut self) {
         let is_due = |request: &Request| {
-            let announced_at = request.announced_at.filter(|_| request.turn.is_some());
+            let is_awaited = request.turn.is_some() || request.progress.was_refused();
+            let announced_at = request.announced_at.filter(|_| is_awaited);
             request.state == State::Queued
                 && announced_at.is_some_and(|at| self.now.since(at) >= RENEWAL_MS)
         };
--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -253,8 +253,16 @@
 
     /// Records the state of a stream as reported by another instance, and serves those who wait for it.
     pub(crate) fn handle_peer_stream(&mut self, record: StreamRecord) {
+        let ends = matches!(
+            record.stage,
+            stream_record::Stage::Ended | stream_record::Stage::Left
+        );
+        let upstream = self.stream_records.upstream_of(record.id());
         let id = self.record_peer_stream(record);
         self.finish_lookups(&[id]);
+        if let Some(upstream) = upstream.filter(|_| ends) {
+            self.handle_peer_end(upstream, id);
+        }
     }
 
     /// Records the streams that another instance found for a lookup, and serves those who wait for them. They are recorded
@@ -664,7 +672,9 @@
         let Some(request) = self.remove(key) else {
             return;
         };
-        self.offer_slot(upstream);
+        let relay = request.work.relay();
+        let freed = relay.map(|relay| relay.stream_id(request.progress.run));
+        self.offer_slot(upstream, freed.unwrap_or_default());
         self.count(Counter::Answered);
         self.clear_suspicion(request.request_fingerprint);
         if !request.progress.is_open {
--- a/crates/core/src/sameness.rs
+++ b/crates/core/src/sameness.rs
@@ -23,6 +23,13 @@
     pub origin: RunId,
 }
 
+impl StreamId {
+    /// The identifier as one number, by which instances put streams in the same order.
+    pub(crate) fn order(self) -> u64 {
+        self.content ^ self.origin.0
+    }
+}
+
 /// What is known of the stream that a request takes up.
 #[derive(Clone, Debug)]
 pub(crate) enum TakenUp<'a> {
--- a/crates/core/src/slot_wait.rs
+++ b/crates/core/src/slot_wait.rs
@@ -121,20 +121,37 @@
         slots.saturating_sub(self.known_running(key)) as usize
     }
 
-    /// Whether an upstream other than `own` is known to have a place for a stream.
+    /// Whether an upstream other than `own` is known to have a place for a stream, beside those that refused streams wait for.
     pub(crate) fn has_place_beside(&self, request: &Request, own: upstream::Key) -> bool {
+        let name = request.service.pool();
+        let refused = |key: &request::Key| {
+            let request = self.requests.get(*key);
+            request.is_some_and(|request| request.progress.was_refused())
+        };
+        let queued = self.pools.get(name).map(|pool| pool.queue.bound());
+        let here = queued
+            .unwrap_or_default()
+            .iter()
+            .filter(|key| refused(key))
+            .count();
+        let waiting = here + self.stream_records.begun_waiting(name).count();
         let candidates = self.relay_candidates(request).into_iter();
-        let mut others = candidates.filter(|key| *key != own);
-        others.any(|key| self.upstreams[key].health == Health::Live && self.free_places(key) > 0)
+        let others =
+            candidates.filter(|key| *key != own && self.upstreams[*key].health == Health::Live);
+        let free = others.fold(0, |sum: usize, key| {
+            sum.saturating_add(self.free_places(key))
+        });
+        free > waiting
     }
 
-    /// Offers the slot that a completed request leaves to the first stream that was refused and may go on there.
-    pub(crate) fn offer_slot(&mut self, key: upstream::Key) {
+    /// Offers a slot that a stream leaves to the first stream that was refused and may go on there, unless one of another
+    /// instance goes before it; returns whether it did.
+    pub(crate) fn offer_slot(&mut self, key: upstream::Key, freed: StreamId) -> bool {
         let Some(upstream) = self.upstreams.get(key) else {
-            return;
+            return false;
         };
         let Some(pool) = self.pools.get(&upstream.pool) else {
-            return;
+            return false;
         };
         let waiting = pool.queue.bound().into_iter().find(|waiting| {
             let request = self.requests.get(*waiting);
@@ -144,11 +161,54 @@
                     && self.admits(request, upstream)
             })
         });
-        if let Some(waiting) = waiting {
-            self.upstreams[key].full_until = self.now;
-            let progress = &mut self.requests[waiting].progress;
-            progress.preferred_upstream = Some(key);
-            progress.wait_until = self.now;
+        let Some(waiting) = waiting else {
+            return false;
+        };
+        if self.is_another_first(&self.requests[waiting], upstream, freed) {
+            return false;
+        }
+        self.upstreams[key].full_until = self.now;
+        let progress = &mut self.requests[waiting].progress;
+        progress.preferred_upstream = Some(key);
+        progress.wait_until = self.now;
+        true
+    }
+
+    /// Whether a stream that waits at another instance goes before one of this instance to a slot that a stream leaves: a more
+    /// urgent one, and among equally urgent ones the one that ranks first for this slot, so that all instances agree on it
+    /// without a message.
+    fn is_another_first(&self, own: &Request, upstream: &Upstream, freed: StreamId) -> bool {
+        let place = |id: StreamId| route::rendezvous_rank(freed.order(), id.order());
+        let Some(id) = own
+            .work
+            .relay()
+            .map(|relay| relay.stream_id(own.progress.run))
+        else {
+            return false;
+        };
+        let own_order = (own.rank, place(id));
+        let others = self.stream_records.begun_waiting(&upstream.pool);
+        let mut others = others.filter(|record| self.admits_record(record, upstream));
+        others.any(|record| (record.rank, place(record.id())) < own_order)
+    }
+
+    /// Whether a begun stream of another instance may go on at an upstream.
+    fn admits_record(&self, record: &StreamRecord, upstream: &Upstream) -> bool {
+        let pool = self.pools.get(&upstream.pool);
+        pool.is_some_and(|pool| {
+            pool.versions
+                .admit(Origin::Begun(record.version), upstream.version)
+        })
+    }
+
+    /// Handles the end of a stream of another instance: its slot may go to a stream that waits here.
+    pub(crate) fn handle_peer_end(&mut self, key: upstream::Key, freed: StreamId) {
+        let Some(upstream) = self.upstreams.get(key) else {
+            return;
+        };
+        let pool = upstream.pool.clone();
+        if self.offer_slot(key, freed) {
+            self.dispatch_queued(&pool);
         }
     }
 
@@ -179,5 +239,33 @@
                 candidates.retain(|key| !self.admits(waiting, &self.upstreams[*key]));
             }
         }
+        if request.position() == 0 {
+            self.retain_beside_others(request, candidates);
+        }
+    }
+
+    /// Limits the candidates for a new stream to those that leave a place to each begun stream that waits at another instance
+    /// and is at least as urgent. A record of one that no longer waits holds one place until it expires. Only at upstreams whose
+    /// list entries state their slots: with slots learned from refusals, 24 instances served 716 new streams in time where 756
+    /// were served without this.
+    fn retain_beside_others(&self, request: &Request, candidates: &mut Vec<upstream::Key>) {
+        let waiting = self.stream_records.begun_waiting(request.service.pool());
+        let waiting: Vec<&StreamRecord> = waiting
+            .filter(|record| record.rank <= request.rank)
+            .collect();
+        if waiting.is_empty() {
+            return;
+        }
+        let is_awaited = |key: &upstream::Key| {
+            let upstream = &self.upstreams[*key];
+            let mut waiting = waiting.iter();
+            upstream.listed_slots > 0 && waiting.any(|record| self.admits_record(record, upstream))
+        };
+        let awaited = candidates.iter().filter(|key| is_awaited(key));
+        let free = awaited.fold(0, |sum: usize, key| {
+            sum.saturating_add(self.free_places(*key))
+        });
+        candidates
+            .retain(|key| !is_awaited(key) || free > waiting.len() && self.free_places(*key) > 0);
     }
 }
--- a/crates/core/src/stream_record.rs
+++ b/crates/core/src/stream_record.rs
@@ -135,6 +135,8 @@
     incomplete_until: Option<Time>,
     /// Usage of each upstream by streams of other instances.
     usages: SecondaryMap<upstream::Key, Usage>,
+    /// Queued streams of other instances that have begun, by pool.
+    begun: HashMap<String, BTreeSet<StreamId>>,
     /// Queued streams of other instances by pool, in the order of their turns; only those with a rank.
     turns: HashMap<String, BTreeSet<(Turn, StreamId)>>,
     /// Queued streams of other instances by pool, in the order of their records.
@@ -374,6 +376,19 @@
         })
     }
 
+    /// Streams of other instances that have begun and are estimated to be queued for a pool.
+    pub fn begun_waiting(&self, pool: &str) -> impl Iterator<Item = &StreamRecord> {
+        let ids = self.begun.get(pool).into_iter().flatten();
+        ids.filter_map(|id| self.get(*id))
+    }
+
+    /// Upstream that runs a stream of another instance, as far as is known.
+    pub fn upstream_of(&self, id: StreamId) -> Option<upstream::Key> {
+        let entry = self.entries.get(&id)?;
+        let is_running = matches!(entry.reservation, Reservation::Resources(_));
+        entry.upstream.filter(|_| is_running)
+    }
+
     /// Recomputes the reservation of a stream.
     fn update(&mut self, id: StreamId, now: Time) {
         self.release(id);
@@ -394,6 +409,9 @@
             }
             Reservation::QueueSlot(turn) => {
                 let pool = entry.record.pool.clone();
+                if entry.record.has_begun {
+                    self.begun.entry(pool.clone()).or_default().insert(id);
+                }
                 if let Some(turn) = turn {
                     let turns = self.turns.entry(pool.clone()).or_default();
                     turns.insert((turn, id));
@@ -418,6 +436,9 @@
                 }
             }
             Reservation::QueueSlot(turn) => {
+                if let Some(begun) = self.begun.get_mut(&entry.record.pool) {
+                    begun.remove(&id);
+                }
                 if let Some(turn) = turn
                     && let Some(turns) = self.turns.get_mut(&entry.record.pool)
                 {
--- a/crates/core/tests/relay/silent_upstream.rs
+++ b/crates/core/tests/relay/silent_upstream.rs
@@ -352,3 +352,82 @@
     test.break_connection(&sent, false);
     expect_that!(test.sent().len(), eq(2));
 }
+
+/// Record of a begun stream that waits for a slot at another instance.
+fn begun_waiting(prompt: u64) -> StreamRecord {
+    let run = format!("waiting-{prompt}");
+    StreamRecord {
+        backup: None,
+        origin: RunId::new(&run),
+        pool: "pool".into(),
+        prompt,
+        run,
+        stage: Stage::Waiting,
+        upstream: None,
+        ..stream_record(0, 0)
+    }
+}
+
+/// Guards against new streams taking the slots that a begun stream of another instance waits for: with six instances it was
+/// sent twice in 4 s and then not once in 7.7 s, while 18 slots became free every 3 s.
+#[gtest]
+fn new_streams_leave_a_slot_to_a_begun_stream_that_waits_at_another_instance() {
+    let (mut test, sent) = with_full_upstreams();
+    test.handle(Event::PeerStream(begun_waiting(500)));
+    test.close(&sent, true);
+    let before = test.sent().len();
+    test.request(STREAM);
+    test.advance(500);
+    expect_that!(test.sent().len(), eq(before));
+    // A second slot is free.
+    let free = (sent.upstream + 1) % 6;
+    test.handle(Event::PeerStream(peer_stream(free, Stage::Ended)));
+    test.advance(10);
+    expect_that!(test.sent().len(), eq(before + 1));
+}
+
+/// Guards against the record of a stream that no longer waits, or whose instance is gone, holding up new streams without end.
+#[gtest]
+fn record_of_a_begun_stream_that_waits_holds_a_slot_for_five_seconds_at_most() {
+    let (mut test, sent) = with_full_upstreams();
+    test.handle(Event::PeerStream(begun_waiting(500)));
+    test.advance(200);
+    test.close(&sent, true);
+    test.advance(3_000);
+    let before = test.sent().len();
+    test.request(STREAM);
+    test.advance(1_700);
+    expect_that!(test.sent().len(), eq(before));
+    test.advance(200);
+    expect_that!(test.sent().len(), eq(before + 1));
+}
+
+/// Guards against a refused stream that learns of a free slot only by trying: others have taken it by then.
+#[gtest]
+fn refused_stream_is_sent_at_once_to_the_slot_that_another_instance_leaves() {
+    let (mut test, sent) = with_full_upstreams();
+    test.break_connection(&sent, false);
+    test.refuse_all(700, 1);
+    let before = test.sent().len();
+    let free = (sent.upstream + 1) % 6;
+    test.handle(Event::PeerStream(peer_stream(free, Stage::Ended)));
+    expect_that!(test.sent().len(), eq(before + 1));
+    expect_that!(test.last_sent().upstream, eq(free));
+}
+
+/// Guards against all waiting streams of a fleet being sent to each slot that becomes free: one of them goes first.
+#[gtest]
+fn each_free_slot_goes_to_one_of_the_streams_that_wait_at_several_instances() {
+    let mut taken = 0;
+    for prompt in 500..540 {
+        let (mut test, sent) = with_full_upstreams();
+        test.break_connection(&sent, false);
+        test.refuse_all(700, 1);
+        test.handle(Event::PeerStream(begun_waiting(prompt)));
+        let before = test.sent().len();
+        let free = (sent.upstream + 1) % 6;
+        test.handle(Event::PeerStream(peer_stream(free, Stage::Ended)));
+        taken += test.sent().len() - before;
+    }
+    expect_that!(taken, all![ge(10), le(30)]);
+}
--- a/crates/standin/src/silent.rs
+++ b/crates/standin/src/silent.rs
@@ -100,13 +100,13 @@
     pub left_sound: usize,
     /// Begun streams that got another event after their run was lost.
     pub resumed: usize,
-    /// Sum of the times from the loss of a run to the next event, in milliseconds.
+    /// Sum of the times between the last event of a run that was lost and the next event, in milliseconds.
     pub resumed_ms: u64,
     /// The longest of these times, in milliseconds.
     pub resumed_max_ms: u64,
     /// Begun streams that an upstream refused at least once before they got another event.
     pub refused_begun: usize,
-    /// Sum of the times from the loss of their run to the next event, in milliseconds.
+    /// Sum of the times between the last event of their lost run and the next event, in milliseconds.
     pub refused_begun_ms: u64,
     /// The longest of these times, in milliseconds.
     pub refused_begun_max_ms: u64,
@@ -547,7 +547,6 @@
 
     /// Records that a begun stream lost its run; returns whether its caller still waits.
     fn record_loss(&mut self, run: usize) -> bool {
-        let now = self.timeline.now();
         let index = self.runs[run].asker;
         let waits = self.callers.values().any(|other| *other == index);
         let asker = &mut self.askers[index];
@@ -556,7 +555,7 @@
             return false;
         }
         if asker.lost_at.is_none() {
-            asker.lost_at = Some(now);
+            asker.lost_at = Some(asker.last_at);
             asker.rejections = 0;
         }
         true
--- a/crates/standin/tests/silent.rs
+++ b/crates/standin/tests/silent.rs
@@ -66,6 +66,23 @@
     expect_that!(outcome.paused * 20, le(outcome.begun));
 }
 
+/// Guards against new streams of other instances taking each slot that a refused begun stream waits for: with six instances
+/// some went without an event for 10 to 12 s while all slots ended a stream every 3 s.
+#[gtest]
+fn refused_begun_streams_find_a_slot_soon_at_six_instances() {
+    for fill in [1.5, 2.0] {
+        for seed in [1, 2] {
+            let outcome = run(Plan {
+                lists_slots: true,
+                seed,
+                ..plan(6, fill, false)
+            });
+            expect_that!(outcome.refused_begun, gt(0));
+            expect_that!(outcome.refused_begun_max_ms, le(5_000));
+        }
+    }
+}
+
 /// Guards against losing more streams of upstreams that do end: they freeze for 4 s, then their connections break. One that
 /// meets five of them has used up the attempts of its route. 0.03 of the streams are cut, and 0.13 were before refused attempts
 /// were counted apart.
