Count attempts of streams that waited as beyond their first

A stream that has begun announces to other instances that it waits. Its next start was then taken for its first there, as for a new stream that had waited: they counted a request more and an attempt beyond the first less, and went beyond their own parts of the retry budget.

A record that has begun tells the two apart.

--- a/crates/core/src/retry_window.rs
+++ b/crates/core/src/retry_window.rs
@@ -279,7 +279,9 @@
         }
         let before = self.stream_records.get(record.id());
         let is_first = before.is_none_or(|before| {
-            before.run != record.run || before.stage == stream_record::Stage::Waiting
+            // A stream that has begun waits for an attempt beyond its first.
+            let is_new = before.stage == stream_record::Stage::Waiting && !record.has_begun;
+            before.run != record.run || is_new
         });
         if let Some(pool) = self.pools.get_mut(pool) {
             pool.retry_window
