Know upstreams that accept connections and break them off

Callers saw: where two thirds of the upstreams accept connections and close them for 1.2 s, streams that had begun were cut with 20 s left, and new requests got 502 within milliseconds.

Cause: a connection that is made, and the check for crashes by connecting, left such an upstream in use, each instance met each of them first, and a request spent its runs and the permits at them within 10 ms.

An exchange that breaks off without an answer or event now gives its upstream a state, told to other instances in a new field beside `lost`, which earlier versions read alone. While it lasts the upstream gets one request of an instance at a time, at a growing interval; the first answer or event ends it, or a refused connection, as the process is then gone. Once several upstreams broke off, requests pause, keep their last run for a sound upstream, and wait for a permit until their deadline.

--- a/crates/core/src/connectivity.rs
+++ b/crates/core/src/connectivity.rs
@@ -40,6 +40,8 @@
 /// What is announced to other instances once this one has reached another upstream.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub(crate) enum Announcement {
+    /// The upstream was lost: it accepted a connection and broke it off.
+    BreakOff,
     /// The process of the upstream has ended.
     Crash,
     /// The upstream was lost.
@@ -51,7 +53,7 @@
     fn confirm_ms(self) -> u64 {
         match self {
             Self::Crash => 0,
-            Self::Loss => CONFIRM_MS,
+            Self::BreakOff | Self::Loss => CONFIRM_MS,
         }
     }
 }
@@ -174,6 +176,8 @@
             progress.copy.clone_from(&attempt.copy);
             return;
         }
+        // It accepts no connections.
+        self.upstreams[upstream].break_off = None;
         if self.settings.shared.losses {
             self.upstreams[upstream].doubt(self.now, self.now);
         }
@@ -324,6 +328,7 @@
         };
         let incarnation = upstream.incarnation;
         match announcement {
+            Announcement::BreakOff => self.effects.push(Effect::GossipBreakOff(incarnation)),
             Announcement::Crash => self.confirm_crash(incarnation),
             Announcement::Loss => self.effects.push(Effect::GossipLost(incarnation)),
         }
@@ -364,6 +369,7 @@
             return;
         };
         upstream.failure_score = upstream::FailureScore::default();
+        upstream.break_off = None;
         upstream.reach = upstream::Reach::Undoubted;
         if upstream.health != Health::Suspected {
             return;
--- a/crates/core/src/core.rs
+++ b/crates/core/src/core.rs
@@ -252,6 +252,7 @@
             Event::PeerEnds(incarnations) => self.apply_peer_ends(&incarnations),
             Event::PeerLeaving(incarnation) => self.apply_peer_leaving(incarnation),
             Event::PeerLimit { incarnation, rate } => self.apply_peer_limit(incarnation, rate),
+            Event::PeerBreakOff(incarnation) => self.record_peer_break_off(incarnation),
             Event::PeerLoss(incarnation) => self.record_peer_loss(incarnation),
             Event::PeerSpeed(speed) => self.record_peer_speed(&speed),
             Event::PeerStream(record) => self.handle_peer_stream(record),
--- a/crates/core/src/counter.rs
+++ b/crates/core/src/counter.rs
@@ -10,6 +10,10 @@
     Admitted,
     /// Requests that received a complete response.
     Answered,
+    /// Requests sent to an upstream that breaks off, to find out whether it answers.
+    BreakOffProbe,
+    /// Upstreams found to accept connections and break exchanges off, by this instance or another one.
+    BreaksOff,
     /// Callers that disconnected before their response was complete.
     CallerGone,
     /// Calls placed by the calls in flight: at an idle slot that is this instance's to fill first.
@@ -191,6 +195,8 @@
 impl Display for Counter {
     fn fmt(&self, formatter: &mut Formatter) -> fmt::Result {
         match self {
+            Self::BreaksOff => write!(formatter, "upstream.breaks_off"),
+            Self::BreakOffProbe => write!(formatter, "upstream.breaks_off_probe"),
             Self::Admitted => write!(formatter, "admitted"),
             Self::Answered => write!(formatter, "answered"),
             Self::CallerGone => write!(formatter, "caller_gone"),
--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -17,13 +17,14 @@
         let pool: Arc<str> = request.service.pool().into();
         let queue = &mut self.pools.entry(pool.clone()).or_default().queue;
         let was_sent = request.last_attempt > 0 || request.position() > 0;
-        if request.progress.is_open {
+        let may_run_again = request.may_have_run && request.work.relay().is_some();
+        if request.progress.is_open || may_run_again {
             // Its caller can not be refused any more, only cut off.
             request.send_by = request.deadline;
         } else if was_sent {
             request.send_by = self.now.after(request.service.max_wait_ms);
         }
-        if request.progress.origin != Origin::Unbegun || request.progress.was_refused() {
+        if request.progress.origin != Origin::Unbegun || request.progress.waits(self.now) {
             queue.push_bound(key);
         } else if let Some(turn) = turn.filter(|_| request.position() == 0) {
             queue.push_ranked(turn, key);
@@ -62,7 +63,11 @@
             .estimates
             .record_shortage(self.now);
         self.report_wait(key);
-        self.gossip_waiting(key);
+        // Others would take its next attempt for its first.
+        let was_sent = self.requests[key].may_have_run && !self.requests[key].progress.is_open;
+        if !was_sent {
+            self.gossip_waiting(key);
+        }
     }
 
     /// Sends the queued streams of a pool that may go on at one version only, and fails those of which no upstream is left.
@@ -364,6 +369,9 @@
         self.attempts[key].last_event_at = self.now;
         self.requests[owner].first_sent_at.get_or_insert(self.now);
         self.requests[owner].progress.upstreams_reached += 1;
+        if self.upstreams[upstream_key].break_off.is_some() {
+            self.count(Counter::BreakOffProbe);
+        }
         self.defer_retry_permit(owner);
         let upstream = self.attempts[key].upstream;
         let step = self.sent_step(key);
--- a/crates/core/src/effect.rs
+++ b/crates/core/src/effect.rs
@@ -151,8 +151,12 @@
 /// Change in the status of an upstream, as this instance sees it.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum StatusChange {
+    /// It answers again after exchanges broke off.
+    Answers,
     /// It requested a backoff from this instance.
     BackedOff,
+    /// It accepts connections and breaks exchanges off.
+    BreaksOff,
     /// It is no longer listed and runs nothing.
     Gone,
     /// Its version is not the active one of its pool, so it receives no requests.
@@ -204,6 +208,8 @@
     /// Name in logs.
     pub fn name(self) -> &'static str {
         match self {
+            Self::Answers => "answers again",
+            Self::BreaksOff => "breaks off",
             Self::BackedOff => "resting",
             Self::Gone => "gone",
             Self::Held => "held",
@@ -385,6 +391,8 @@
     FindStream(directory::Lookup),
     /// Broadcast to other instances that an upstream was lost.
     GossipLost(Incarnation),
+    /// Tell the other instances that an upstream was lost that accepted a connection and broke it off.
+    GossipBreakOff(Incarnation),
     /// Broadcast to other instances how fast the engines of a pool are.
     GossipSpeed(EngineSpeed),
     /// Send the state of a relayed stream to other instances.
--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -255,6 +255,8 @@
     },
     /// Another instance lost an upstream.
     PeerLoss(Incarnation),
+    /// Another instance lost an upstream that accepted a connection and broke it off; follows [`Event::PeerLoss`].
+    PeerBreakOff(Incarnation),
     /// Another instance reported how fast the engines of a pool are.
     PeerSpeed(EngineSpeed),
     /// Another instance reported the state of a stream that it relays.
@@ -361,6 +363,7 @@
             Self::PeerEnds(_) => "peer_ends",
             Self::PeerLeaving(_) => "peer_leaving",
             Self::PeerLimit { .. } => "peer_limit",
+            Self::PeerBreakOff(_) => "peer_break_off",
             Self::PeerLoss(_) => "peer_loss",
             Self::PeerSpeed(_) => "peer_speed",
             Self::PeerStream(_) => "peer_stream",
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod attempt;
 pub mod availability;
 pub mod bound;
+pub mod break_off;
 pub mod brittle;
 pub mod budget;
 pub mod buffer;
@@ -85,6 +86,7 @@
     attempt::Attempt,
     availability::{Availability, Span},
     bound::Bound,
+    break_off::BreakOff,
     brittle::{Brittleness, Tolerance},
     budget::Budget,
     buffer::{Buffers, Reading},
--- a/crates/core/src/list.rs
+++ b/crates/core/src/list.rs
@@ -204,6 +204,7 @@
         let key = self.upstreams.insert(Upstream {
             address: entry.address,
             answered_at: Time::default(),
+            break_off: None,
             attempts: Vec::new(),
             data_centre: entry.data_centre.as_str().into(),
             declared: self.retained_states.take(incarnation, entry.address),
--- a/crates/core/src/place.rs
+++ b/crates/core/src/place.rs
@@ -116,7 +116,11 @@
 
     /// Whether a request may resume at an upstream that may still hold its memory.
     fn may_resume_at(&self, key: request::Key, upstream: upstream::Key) -> bool {
-        self.may_hold_copy(upstream) && self.admits(&self.requests[key], &self.upstreams[upstream])
+        if !self.may_hold_copy(upstream) {
+            return false;
+        }
+        let (request, upstream) = (&self.requests[key], &self.upstreams[upstream]);
+        self.admits(request, upstream) && self.may_meet_break_off(request, upstream)
     }
 
     /// Whether an upstream may still hold a copy, as far as is known. One that another instance lost may have been
@@ -144,7 +148,10 @@
                 Origin::Begun(_) | Origin::Unknown => upstream.may_continue(self.now),
             };
             let is_admitted = pool.versions.admit(origin, upstream.version);
-            upstream.health != Health::Lost && is_admitted && may_serve
+            upstream.health != Health::Lost
+                && is_admitted
+                && may_serve
+                && self.may_meet_break_off(request, upstream)
         });
         let is_live = |key: &upstream::Key| self.upstreams[*key].health == Health::Live;
         if candidates.iter().any(is_live) {
--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -23,6 +23,7 @@
         };
         let owner = attempt.request;
         self.record_call_result(&attempt, true);
+        self.end_break_off(attempt.upstream);
         if verdict == event::Verdict::Fault {
             self.upstreams[attempt.upstream]
                 .failure_score
@@ -95,8 +96,9 @@
             self.count(Counter::FrameLate);
             return;
         };
-        let owner = attempt.request;
-        self.upstreams[attempt.upstream].record_activity(self.now);
+        let (owner, upstream) = (attempt.request, attempt.upstream);
+        self.upstreams[upstream].record_activity(self.now);
+        self.end_break_off(upstream);
         let request = &mut self.requests[owner];
         if !request.progress.is_open {
             request.progress.is_open = true;
@@ -115,7 +117,8 @@
             self.count(Counter::FrameLate);
             return;
         };
-        let (owner, first) = (attempt.request, !attempt.started);
+        let (owner, upstream, first) = (attempt.request, attempt.upstream, !attempt.started);
+        self.end_break_off(upstream);
         self.record_engine_interval(key);
         self.record_activity(key);
         if first {
@@ -231,6 +234,7 @@
             && let Some(upstream) = upstream
         {
             self.upstreams[upstream].record_answer(self.now);
+            self.end_break_off(upstream);
         }
         let upstreams = &self.upstreams_by_incarnation;
         let id = record.id();
@@ -360,7 +364,7 @@
             Failure::Broken | Failure::UnknownStream => {
                 request.may_have_run = true;
                 self.remember_copy(attempt);
-                self.report_loss(upstream, LossSource::Connection);
+                self.handle_break_off(owner, attempt);
                 counter::Reason::Broken
             }
             Failure::Leaving => {
@@ -378,6 +382,7 @@
             Failure::Refused | Failure::Rejected => {
                 self.upstreams[upstream].last_heard = self.now;
                 self.upstreams[upstream].record_answer(self.now);
+                self.end_break_off(upstream);
                 if attempt.copy.is_none() {
                     let full_ms = self.full_ms(upstream, FULL_MS);
                     let upstream = &mut self.upstreams[upstream];
--- a/crates/core/src/request.rs
+++ b/crates/core/src/request.rs
@@ -107,6 +107,8 @@
 pub struct RelayProgress {
     /// What keeps it from being sent on, noted when it fails.
     pub bound: Option<Bound>,
+    /// Number of attempts in a row that broke off without an answer or event.
+    pub broken_off: u32,
     /// Copy of the run's KV cache that the next attempt may resume from.
     pub copy: Option<KvCopy>,
     /// Number of times that it left an upstream which sent nothing.
@@ -148,6 +150,11 @@
 }
 
 impl RelayProgress {
+    /// Whether the request waits by itself, rather than for its turn.
+    pub(crate) fn waits(&self, now: Time) -> bool {
+        self.was_refused() || self.lacks_permit.is_some() || now < self.wait_until
+    }
+
     /// Whether an open stream waits because its last attempt ran nothing.
     pub(crate) fn was_refused(&self) -> bool {
         self.is_open && self.refusals > 0
--- a/crates/core/src/slot_wait.rs
+++ b/crates/core/src/slot_wait.rs
@@ -41,7 +41,7 @@
     }
 
     /// Lets a stream wait before its next attempt, after `paused` earlier waits.
-    fn pause(&mut self, key: request::Key, paused: u32) {
+    pub(crate) fn pause(&mut self, key: request::Key, paused: u32) {
         let doublings = (paused - 1).min(MAX_PAUSE_MS.ilog2());
         let millis = (FIRST_PAUSE_MS << doublings).min(MAX_PAUSE_MS) as f64;
         let millis = millis * self.rng.random_range(1.0..1.0 + JITTER);
@@ -52,7 +52,13 @@
     /// was left by this instance.
     pub(crate) fn may_wait_for_permit(&self, key: request::Key, reason: counter::Reason) -> bool {
         let is_own_choice = reason == counter::Reason::Stall;
-        self.requests[key].progress.is_open && (is_own_choice || reason.ran_nothing())
+        let request = &self.requests[key];
+        let has_broken_off = reason == counter::Reason::Broken || request.may_have_run;
+        let waits_for_sound = has_broken_off
+            && request.service.repeatable
+            && self.is_widespread(request.service.pool());
+        let ran_nothing = is_own_choice || reason.ran_nothing();
+        waits_for_sound || request.progress.is_open && ran_nothing
     }
 
     /// Lets a stream wait for a permit after its last attempt ended for `reason`.
--- a/crates/core/src/suspicion.rs
+++ b/crates/core/src/suspicion.rs
@@ -157,6 +157,11 @@
     /// on waiting while it is not certain that the result is not this instance's own.
     pub(crate) fn apply_crash_check(&mut self, incarnation: Incarnation, ended: bool) {
         if ended {
+            // It accepts no connections.
+            let key = self.upstreams_by_incarnation.get(&incarnation);
+            if let Some(upstream) = key.and_then(|key| self.upstreams.get_mut(*key)) {
+                upstream.break_off = None;
+            }
             self.report_crash(incarnation);
         } else if let Some(pending) = self.crash_suspects.pending.get_mut(&incarnation) {
             pending.answered = true;
--- a/crates/core/src/upstream.rs
+++ b/crates/core/src/upstream.rs
@@ -114,6 +114,8 @@
     pub answered_at: Time,
     /// This instance's attempts in progress.
     pub attempts: Vec<attempt::Key>,
+    /// State of its exchanges, if the last one broke off; `None` since its last answer or event.
+    pub break_off: Option<BreakOff>,
     /// Data centre that it runs in.
     pub data_centre: Arc<str>,
     /// State announced in its response headers.
--- a/crates/core/tests/ended.rs
+++ b/crates/core/tests/ended.rs
@@ -431,6 +431,10 @@
                 self.callers.remove(&id);
                 self.engines[index(address)].streams.remove(&id);
             }
+            Effect::GossipBreakOff(incarnation) => {
+                self.gossip(instance, &Event::PeerLoss(incarnation));
+                self.gossip(instance, &Event::PeerBreakOff(incarnation));
+            }
             Effect::GossipLost(incarnation) => {
                 self.gossip(instance, &Event::PeerLoss(incarnation));
             }
--- a/crates/core/tests/relay/capacity.rs
+++ b/crates/core/tests/relay/capacity.rs
@@ -281,6 +281,8 @@
         test.fail(&sent, Failure::Broken);
         test.advance(100);
     }
+    // Calls that may run once are kept from upstreams that just broke off.
+    test.advance(1_100);
     let before = test.sent().len();
     test.calls(10);
     expect_that!(test.sent().len() - before, eq(1));
--- a/crates/node/src/driver.rs
+++ b/crates/node/src/driver.rs
@@ -611,6 +611,7 @@
             Effect::GossipEnded(incarnations) => {
                 self.gossip(gossip::Message::UpstreamsEnded(incarnations));
             }
+            Effect::GossipBreakOff(upstream) => self.gossip_break_off(upstream),
             Effect::GossipLost(upstream) => self.gossip(gossip::Message::UpstreamLost(upstream)),
             Effect::GossipSpeed(pace) => self.gossip(gossip::Message::EngineSpeed(pace)),
             Effect::GossipStream { audience, record } => {
@@ -739,6 +740,11 @@
         let _ = self.quarantine_updates.send(update);
     }
 
+    /// Tells other instances that an upstream accepted a connection and broke it off.
+    fn gossip_break_off(&self, upstream: Incarnation) {
+        self.gossip(gossip::Message::UpstreamBrokeOff(upstream));
+    }
+
     /// Notifies other instances that an upstream is leaving, by gossip and by heartbeats; only one of the two is in use.
     fn notify(&self, incarnation: Incarnation, name: &str) {
         self.gossip(gossip::Message::UpstreamLeaving(incarnation));
--- a/crates/node/src/gossip.rs
+++ b/crates/node/src/gossip.rs
@@ -77,6 +77,8 @@
     Stream(StreamRecord, Audience),
     /// Records of streams that another instance asked for.
     StreamRecords(SocketAddr, Vec<peers::Sighting>),
+    /// An upstream accepted a connection and broke it off.
+    UpstreamBrokeOff(Incarnation),
     /// An upstream announced that it is leaving.
     UpstreamLeaving(Incarnation),
     /// An upstream is lost.
@@ -93,6 +95,7 @@
             Self::Crashes(_)
                 | Self::RateLimit { .. }
                 | Self::Stream(_, Audience::All)
+                | Self::UpstreamBrokeOff(_)
                 | Self::UpstreamLeaving(_)
                 | Self::UpstreamLost(_)
         )
@@ -243,6 +246,12 @@
             self.driver
                 .send_event(Event::PeerLoss(datagram::decode_incarnation(incarnation)));
         }
+        for incarnation in datagram.broke_off {
+            self.driver
+                .send_event(Event::PeerBreakOff(datagram::decode_incarnation(
+                    incarnation,
+                )));
+        }
         for incarnation in datagram.leaving {
             self.driver
                 .send_event(Event::PeerLeaving(datagram::decode_incarnation(
@@ -625,6 +634,7 @@
             | Message::RateLimit { .. }
             | Message::RosterUpdate(_)
             | Message::StreamRecords(..)
+            | Message::UpstreamBrokeOff(_)
             | Message::UpstreamLeaving(_)
             | Message::UpstreamLost(_) => {}
         }
@@ -692,6 +702,7 @@
             Message::Crashes(_)
             | Message::RateLimit { .. }
             | Message::Stream(_, Audience::All)
+            | Message::UpstreamBrokeOff(_)
             | Message::UpstreamLeaving(_)
             | Message::UpstreamLost(_)
             | Message::UpstreamsEnded(_) => all.collect(),
@@ -743,6 +754,12 @@
                     .push(datagram::encode_stream_record(record));
             }
             Message::StreamRecords(_, records) => datagram.sightings = records,
+            Message::UpstreamBrokeOff(incarnation) => {
+                let life = datagram::encode_incarnation(incarnation);
+                // Instances of the previous version read only this field.
+                datagram.lost.push(life);
+                datagram.broke_off.push(life);
+            }
             Message::UpstreamLeaving(incarnation) => {
                 datagram
                     .leaving
--- a/crates/standin/src/relaying.rs
+++ b/crates/standin/src/relaying.rs
@@ -635,6 +635,7 @@
         };
         match effect {
             Effect::ForwardResponse(caller) => self.end(caller, true),
+            Effect::GossipBreakOff(life) => self.gossip_break_off(instance, life),
             Effect::GossipLost(life) => self.gossip(instance, &Event::PeerLoss(life)),
             Effect::GossipEnded(lives) => self.gossip(instance, &Event::PeerEnds(lives)),
             Effect::Cancel {
@@ -832,6 +833,12 @@
         }
     }
 
+    /// Tells the others that an upstream was lost that accepted a connection and broke it off.
+    fn gossip_break_off(&mut self, instance: usize, life: Incarnation) {
+        self.gossip(instance, &Event::PeerLoss(life));
+        self.gossip(instance, &Event::PeerBreakOff(life));
+    }
+
     /// Passes a datagram to the other instances; one in ten is lost.
     fn gossip(&mut self, from: usize, event: &Event) {
         for to in 0..self.instances.len() {
--- a/crates/standin/src/silent.rs
+++ b/crates/standin/src/silent.rs
@@ -346,7 +346,13 @@
     fn carry_out(&mut self, instance: usize, effect: Effect) {
         let now = self.timeline.now();
         match effect {
-            Effect::GossipLost(life) => self.tell_others(instance, &Event::PeerLoss(life)),
+            Effect::GossipBreakOff(life) => {
+                self.tell_others(instance, &Event::PeerLoss(life));
+                self.tell_others(instance, &Event::PeerBreakOff(life));
+            }
+            Effect::GossipLost(life) => {
+                self.tell_others(instance, &Event::PeerLoss(life));
+            }
             Effect::GossipEnded(lives) => self.tell_others(instance, &Event::PeerEnds(lives)),
             Effect::GossipSpeed(speed) => self.tell_others(instance, &Event::PeerSpeed(speed)),
             Effect::GossipStream { record, .. } => {
--- a/crates/standin/src/surge.rs
+++ b/crates/standin/src/surge.rs
@@ -366,6 +366,16 @@
 
     fn carry_out(&mut self, instance: usize, effect: Effect) {
         match effect {
+            Effect::GossipBreakOff(life) => {
+                for other in (0..self.cores.len()).filter(|other| *other != instance) {
+                    let event = Event::PeerLoss(life);
+                    self.timeline.schedule(WAY_MS, Action::Tell(other, event));
+                }
+                for other in (0..self.cores.len()).filter(|other| *other != instance) {
+                    let event = Event::PeerBreakOff(life);
+                    self.timeline.schedule(WAY_MS, Action::Tell(other, event));
+                }
+            }
             Effect::GossipLost(life) => {
                 for other in (0..self.cores.len()).filter(|other| *other != instance) {
                     let event = Event::PeerLoss(life);
--- a/crates/standin/src/urgency.rs
+++ b/crates/standin/src/urgency.rs
@@ -613,6 +613,10 @@
                 let from = SocketAddr::from(([10, 0, 0, 1], instance as u16 + 1));
                 self.tell_others(instance, GOSSIP_MS, &Event::PeerDemand { demand, from });
             }
+            Effect::GossipBreakOff(life) => {
+                self.tell_others(instance, WAY_MS, &Event::PeerLoss(life));
+                self.tell_others(instance, WAY_MS, &Event::PeerBreakOff(life));
+            }
             Effect::GossipLost(life) => {
                 self.tell_others(instance, WAY_MS, &Event::PeerLoss(life));
             }
