Do not let broken exchanges and crashes of one content hold up requests for long

Requests that may have run wait beside the queue, as begun ones do. - A state of an upstream that breaks off never ended where nothing was sent there; it is held against it for 8 s at most now. - One call that broke off beside others that run had further calls refused at a sound upstream. It is a loss as before.

--- a/crates/core/src/break_off.rs
+++ b/crates/core/src/break_off.rs
@@ -19,6 +19,9 @@
 /// first, if there are any.
 const LAST_RUN_MS: u64 = 1_000;
 
+/// Time after the last broken exchange from which on nothing is held against an upstream: it may have got no request since.
+const RETENTION_MS: u64 = 8_000;
+
 /// Time within which exchanges with one upstream that break off count as one.
 const SAME_MS: u64 = FIRST_PROBE_MS / 2;
 
@@ -76,8 +79,10 @@
     /// Handles an exchange of a request that broke off, and announces it to other instances.
     pub(crate) fn handle_break_off(&mut self, key: request::Key, attempt: &Attempt) {
         let upstream = attempt.upstream;
-        if attempt.started {
-            // A crash looks the same: its upstream then refuses connections.
+        let runs_others = !self.upstreams[upstream].attempts.is_empty();
+        let is_call = !self.requests[key].service.streams();
+        if attempt.started || (is_call && runs_others) {
+            // A crash looks the same: its upstream then refuses connections. A call may break off alone, beside others that run.
             self.report_loss(upstream, LossSource::Connection);
         } else {
             self.record_break_off(upstream);
@@ -139,12 +144,16 @@
 
     /// Whether a request may be sent to an upstream, as far as it breaks exchanges off.
     pub(crate) fn may_meet_break_off(&self, request: &Request, upstream: &Upstream) -> bool {
-        let Some(state) = upstream.break_off else {
+        let is_recent = |state: &BreakOff| self.now.since(state.broke_at) < RETENTION_MS;
+        let Some(state) = upstream.break_off.filter(is_recent) else {
             return true;
         };
+        if !upstream.attempts.is_empty() || self.now < state.next_probe {
+            return false;
+        }
         let spares = is_last_run(request)
             && (state.breaks > 1 || self.is_widespread(request.service.pool()));
-        upstream.attempts.is_empty() && state.is_probe_due(spares, self.now)
+        state.is_probe_due(spares, self.now)
     }
 }
 
--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -25,7 +25,10 @@
         } else if was_sent {
             request.send_by = self.now.after(request.service.max_wait_ms);
         }
-        if request.progress.origin != Origin::Unbegun || request.progress.waits(self.now) {
+        let is_bound =
+            request.progress.origin != Origin::Unbegun || request.progress.waits(self.now);
+        // One that waits until its deadline must not hold up others from the head of a queue.
+        if is_bound || may_run_again {
             queue.push_bound(key);
         } else if let Some(turn) = turn.filter(|_| request.position() == 0) {
             queue.push_ranked(turn, key);
--- a/crates/core/src/engine_watch.rs
+++ b/crates/core/src/engine_watch.rs
@@ -57,7 +57,7 @@
             return;
         }
         // A stream that may go on nowhere else would be cut, while its upstream may speak again.
-        if !self.may_leave(key) || self.stays_as_suspect(key) {
+        if !self.may_leave(key) {
             return;
         }
         let Some((departure, is_dead)) = self.departure(key, silent_ms) else {
--- a/crates/core/src/suspicion.rs
+++ b/crates/core/src/suspicion.rs
@@ -409,18 +409,6 @@
         }
     }
 
-    /// Whether a request stays at an upstream that has sent no event yet, since one more crash would quarantine it: a slow
-    /// upstream may still read what has left it, and end as the fourth.
-    pub(crate) fn stays_as_suspect(&self, key: attempt::Key) -> bool {
-        let attempt = &self.attempts[key];
-        if self.crash_suspects.is_idle() || attempt.started {
-            return false;
-        }
-        let fingerprint = self.requests[attempt.request].request_fingerprint;
-        let crashes = self.crash_suspects.crash_count(fingerprint);
-        crashes + 1 >= quarantine::QUARANTINE_THRESHOLD
-    }
-
     /// Number of this instance's requests at an upstream from which a request should be kept apart. For one that was involved
     /// in a crash these are all that were, so that the next crash tells them apart; for any other, those involved in two, so
     /// that it is not involved in their third.
