--- a/crates/core/tests/relay/main.rs
+++ b/crates/core/tests/relay/main.rs
@@ -60,6 +60,7 @@
 mod rank;
 mod reach;
 mod readers;
+mod recovery;
 mod removal;
 mod retry;
 mod sameness;
