--- a/crates/core/tests/relay/recovery.rs
+++ b/crates/core/tests/relay/recovery.rs
@@ -247,7 +247,7 @@
         backoff: Backoff::For(5_000),
         ..Notice::default()
     };
-    test.apply_notice(&other, notice.clone());
+    test.apply_notice(&other, notice);
     test.answer(&other, Verdict::Good);
     test.request(REPEATABLE);
     let sent = test.last_sent();
@@ -522,3 +522,33 @@
     expect_that!(test.sent().len(), eq(50));
     expect_that!(silent, lt(4 * heard), "{heard} and {silent} microseconds");
 }
+
+/// Guards against a large stream that broke off and finds no memory by which small ones are held up until its deadline.
+#[gtest]
+fn large_stream_that_broke_off_does_not_hold_up_small_ones_until_its_deadline() {
+    let mut test = without_copies(2, RetryBound::default());
+    test.body = 1;
+    test.request_of_size(50_000, STREAM);
+    let large = test.last_sent();
+    let mut small = Vec::new();
+    for body in 2..8 {
+        test.body = body;
+        test.request_of_size(6_000, STREAM);
+        let sent = test.last_sent();
+        test.handle(Event::StreamOpened(sent.attempt));
+        test.send_event(&sent, 1);
+        small.push(sent);
+    }
+    test.break_connection(&large, false);
+    test.handle(Event::StreamOpened(small[0].attempt));
+    let before = test.sent().len();
+    test.body = 9;
+    test.request_of_size(6_000, STREAM);
+    for position in 2..390 {
+        test.advance(50);
+        for sent in &small {
+            test.send_event(sent, position);
+        }
+    }
+    expect_that!(test.sent().len(), gt(before));
+}
