Look for a place and for widespread breaks less often in large pools

A choice for a request that may run once went through its pool once for each upstream that broke off (606 ms with 4,000 of them, debug build), and each stream that stays at a silent upstream looked through a full pool in each tick. The first is looked at once for a choice now, the second each 50 ms.

--- a/crates/core/src/attempt.rs
+++ b/crates/core/src/attempt.rs
@@ -37,6 +37,8 @@
     pub sent: bool,
     /// Whether a token or event has arrived on this stream.
     pub started: bool,
+    /// Until when it stays at its silent upstream without another look for a place elsewhere.
+    pub stays_until: Time,
     /// Whether the stream is suspected of having stalled and a second attempt was considered.
     pub suspected: bool,
     /// Upstream that it was sent to.
--- a/crates/core/src/break_off.rs
+++ b/crates/core/src/break_off.rs
@@ -5,6 +5,7 @@
 //! interval; the first answer or event ends it.
 
 use super::*;
+use std::cell::OnceCell;
 
 /// Interval between the last broken exchange and the next request, doubled with each, and its maximum in milliseconds.
 /// Attempts that break off may have run, and count towards the runs of their requests.
@@ -143,7 +144,14 @@
     }
 
     /// Whether a request may be sent to an upstream, as far as it breaks exchanges off.
-    pub(crate) fn may_meet_break_off(&self, request: &Request, upstream: &Upstream) -> bool {
+    ///
+    /// `widespread` keeps, for one choice, whether others of its pool are expected to.
+    pub(crate) fn may_meet_break_off(
+        &self,
+        request: &Request,
+        upstream: &Upstream,
+        widespread: &OnceCell<bool>,
+    ) -> bool {
         let is_recent = |state: &BreakOff| self.now.since(state.broke_at) < RETENTION_MS;
         let Some(state) = upstream.break_off.filter(is_recent) else {
             return true;
@@ -151,8 +159,9 @@
         if !upstream.attempts.is_empty() || self.now < state.next_probe {
             return false;
         }
-        let spares = is_last_run(request)
-            && (state.breaks > 1 || self.is_widespread(request.service.pool()));
+        let is_widespread =
+            || *widespread.get_or_init(|| self.is_widespread(request.service.pool()));
+        let spares = is_last_run(request) && (state.breaks > 1 || is_widespread());
         state.is_probe_due(spares, self.now)
     }
 }
--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -318,6 +318,7 @@
             request: key,
             sent: false,
             started: false,
+            stays_until: Time::default(),
             suspected: false,
             upstream,
             version: self.upstreams[upstream].version,
--- a/crates/core/src/engine_watch.rs
+++ b/crates/core/src/engine_watch.rs
@@ -12,6 +12,10 @@
 /// that is probably alive. Twice the timeout exceeds the longest prefill on a slow engine.
 const SLOW_PREFILL_FACTOR: u64 = 2;
 
+/// Interval between two looks for a place for a stream that stays at a silent upstream, in milliseconds: each goes through its
+/// pool.
+const PLACE_CHECK_MS: u64 = 50;
+
 impl Core {
     /// Records the interval that ends with an event of a stream, before the event itself.
     pub(crate) fn record_engine_interval(&mut self, key: attempt::Key) {
@@ -56,6 +60,9 @@
         if !is_resumable || silent_ms <= liveness::MIN_DARK_SILENCE_MS {
             return;
         }
+        if self.now < self.attempts[key].stays_until {
+            return;
+        }
         // A stream that may go on nowhere else would be cut, while its upstream may speak again.
         if !self.may_leave(key) {
             return;
@@ -64,6 +71,7 @@
             return;
         };
         if self.stays_for_lack_of_place(key, silent_ms) {
+            self.attempts[key].stays_until = self.now.after(PLACE_CHECK_MS);
             if is_dead {
                 self.report_silent(key);
             }
--- a/crates/core/src/place.rs
+++ b/crates/core/src/place.rs
@@ -1,6 +1,7 @@
 //! Placement: which upstream a relayed request is sent to, and which one keeps a copy of its KV cache.
 
 use super::*;
+use std::cell::OnceCell;
 
 /// Cost per unit of memory beyond an upstream's capacity, where streams would be preempted.
 const OVERCOMMIT_COST: f64 = 50.0;
@@ -120,7 +121,8 @@
             return false;
         }
         let (request, upstream) = (&self.requests[key], &self.upstreams[upstream]);
-        self.admits(request, upstream) && self.may_meet_break_off(request, upstream)
+        self.admits(request, upstream)
+            && self.may_meet_break_off(request, upstream, &OnceCell::new())
     }
 
     /// Whether an upstream may still hold a copy, as far as is known. One that another instance lost may have been
@@ -141,6 +143,7 @@
         };
         let origin = request.progress.origin;
         let mut candidates = pool.upstreams.clone();
+        let widespread = OnceCell::new();
         candidates.retain(|key| {
             let upstream = &self.upstreams[*key];
             let may_serve = match origin {
@@ -151,7 +154,7 @@
             upstream.health != Health::Lost
                 && is_admitted
                 && may_serve
-                && self.may_meet_break_off(request, upstream)
+                && self.may_meet_break_off(request, upstream, &widespread)
         });
         let is_live = |key: &upstream::Key| self.upstreams[*key].health == Health::Live;
         if candidates.iter().any(is_live) {
