Log each end of a process by itself, with its step and the requests left

A process that ended at its start said so on standard error alone, and whoever keeps only its log saw a log that stops. No line told at which step it ended, how long it had run, or whether requests were open, so that a taken port, broken settings and the end of the core could not be told apart.

Each error that ends `run` is now a line `ends by itself` of level error, with kind, step, ran_ms and the requests that were read and not yet answered. The error of a port names which port it was. Nothing else changes.

--- a/crates/node/src/arguments.rs
+++ b/crates/node/src/arguments.rs
@@ -2,6 +2,9 @@
 
 use super::*;
 
+/// Name in the log of an instance whose settings could not be read.
+const UNNAMED: &str = "unnamed";
+
 /// Definition of the command line: `check`, `defaults` and `run`.
 pub fn command() -> Command {
     let settings = Arg::new("settings")
@@ -36,21 +39,7 @@
             println!("ok");
             Ok(())
         }
-        Some(("run", arguments)) => {
-            let runtime = tokio::runtime::Builder::new_current_thread()
-                .enable_all()
-                .build()
-                .map_err(Error::Runtime)?;
-            // Before anything else: a signal without a handler ends the process.
-            let context = runtime.enter();
-            signals::install().map_err(Error::Runtime)?;
-            drop(context);
-            serve(
-                &runtime,
-                load_settings(arguments)?,
-                settings_path(arguments),
-            )
-        }
+        Some(("run", arguments)) => run_instance(arguments, Instant::now()),
         _ => {
             println!("{:#}", Settings::defaults());
             Ok(())
@@ -58,6 +47,31 @@
     }
 }
 
+/// Runs an instance until it is stopped; an error is an end of the process by itself.
+fn run_instance(arguments: &ArgMatches, begun: Instant) -> Result<(), Error> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .map_err(Error::Runtime)?;
+    // Before anything else: a signal without a handler ends the process.
+    let context = runtime.enter();
+    signals::install().map_err(Error::Runtime)?;
+    drop(context);
+    let settings = load_settings(arguments).inspect_err(|error| {
+        logger::start(UNNAMED);
+        log_end(error, begun);
+    })?;
+    serve(&runtime, settings, settings_path(arguments), begun)
+}
+
+/// Logs that the process ends by itself. Must be called before the runtime is dropped, and the open requests with it.
+fn log_end(error: &Error, begun: Instant) {
+    let (kind, step) = (error.kind(), error.step());
+    let (ran_ms, text) = (begun.elapsed().as_millis() as u64, error.to_string());
+    let unanswered = unanswered::count();
+    error!(kind, ran_ms, step, text, unanswered; "ends by itself");
+}
+
 fn load_settings(arguments: &ArgMatches) -> Result<Settings, Error> {
     read_settings(settings_path(arguments))
 }
@@ -77,33 +91,45 @@
 }
 
 /// Runs an instance: on the users' platform in the given runtime, otherwise in one with more threads.
-fn serve(runtime: &tokio::runtime::Runtime, settings: Settings, path: &Path) -> Result<(), Error> {
+fn serve(
+    runtime: &tokio::runtime::Runtime,
+    settings: Settings,
+    path: &Path,
+    begun: Instant,
+) -> Result<(), Error> {
     logger::start(&settings.instance);
     if let Some(hosted) = settings.hosted {
-        return runtime.block_on(hosted::run(path.to_owned(), settings, hosted));
+        let run = hosted::run(path.to_owned(), settings, hosted);
+        let result = runtime.block_on(run);
+        return result.inspect_err(|error| log_end(error, begun));
     }
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .enable_all()
         .worker_threads(2)
         .build()
-        .map_err(Error::Runtime)?;
-    runtime.block_on(async {
-        let instance = Instance::start(settings).await?;
-        // Settings are not read again here: the signal tells that the terminal is gone.
-        let mut hangup = signals::take(tokio::signal::unix::SignalKind::hangup());
-        tokio::select! {
-            _ = hangup.recv() => {}
-            () = instance::wait_for_termination() => {}
-            () = instance.wait_for_drain_request() => {}
-            // Without its core the instance answers every request with an error.
-            () = instance.core_ended() => {
-                instance.close().await;
-                return Err(Error::CoreEnded);
-            }
+        .map_err(Error::Runtime)
+        .inspect_err(|error| log_end(error, begun))?;
+    let result = runtime.block_on(run_own_interface(settings));
+    result.inspect_err(|error| log_end(error, begun))
+}
+
+/// Runs an instance of the own interface until a signal or an operator stops it.
+async fn run_own_interface(settings: Settings) -> Result<(), Error> {
+    let instance = Instance::start(settings).await?;
+    // Settings are not read again here: the signal tells that the terminal is gone.
+    let mut hangup = signals::take(tokio::signal::unix::SignalKind::hangup());
+    tokio::select! {
+        _ = hangup.recv() => {}
+        () = instance::wait_for_termination() => {}
+        () = instance.wait_for_drain_request() => {}
+        // Without its core the instance answers every request with an error.
+        () = instance.core_ended() => {
+            instance.close().await;
+            return Err(Error::CoreEnded);
         }
-        info!("stopping");
-        instance.stop().await;
-        info!("stopped");
-        Ok(())
-    })
+    }
+    info!("stopping");
+    instance.stop().await;
+    info!("stopped");
+    Ok(())
 }
--- a/crates/node/src/error.rs
+++ b/crates/node/src/error.rs
@@ -9,7 +9,7 @@
 #[derive(Debug)]
 pub enum Error {
     /// Listening on an address failed.
-    Bind(SocketAddr, std::io::Error),
+    Bind(Port, SocketAddr, std::io::Error),
     /// The core task ended while the instance was running.
     CoreEnded,
     /// Another instance did not answer a request.
@@ -27,6 +27,32 @@
 }
 
 impl Error {
+    /// Name of its kind in logs.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Self::Bind(..) => "bind",
+            Self::CoreEnded => "core_ended",
+            Self::Peer(..) => "peer",
+            Self::Read(..) => "read",
+            Self::Runtime(_) => "runtime",
+            Self::Settings(..) => "settings",
+            Self::Store(_) => "store",
+            Self::StoreTimeout(_) => "store_timeout",
+        }
+    }
+
+    /// The step of the start that failed, in logs; empty for an error behind the start.
+    pub fn step(&self) -> String {
+        match self {
+            Self::Bind(port, ..) => port.to_string(),
+            Self::Read(..) | Self::Settings(..) => "settings".into(),
+            Self::Runtime(_) => "runtime".into(),
+            Self::CoreEnded | Self::Peer(..) | Self::Store(_) | Self::StoreTimeout(_) => {
+                String::new()
+            }
+        }
+    }
+
     /// Exit code of the process.
     pub fn exit_code(&self) -> ExitCode {
         match self {
@@ -44,8 +70,8 @@
 impl Display for Error {
     fn fmt(&self, formatter: &mut Formatter) -> fmt::Result {
         match self {
-            Self::Bind(address, error) => {
-                write!(formatter, "failed to listen on {address}: {error}")
+            Self::Bind(port, address, error) => {
+                write!(formatter, "failed to listen on {address} ({port}): {error}")
             }
             Self::CoreEnded => write!(formatter, "the core task ended"),
             Self::Peer(address, text) => write!(formatter, "instance {address}: {text}"),
--- a/crates/node/src/gossip.rs
+++ b/crates/node/src/gossip.rs
@@ -134,7 +134,7 @@
     ) -> Result<watch::Receiver<Members>, Error> {
         let socket = UdpSocket::bind(self.listen)
             .await
-            .map_err(|error| Error::Bind(self.listen, error))?;
+            .map_err(|error| Error::Bind(Port::PeerDatagrams, self.listen, error))?;
         let socket = Arc::new(socket);
         let (members_sender, members) = watch::channel(Members::new());
         let (streams, known_streams) = watch::channel(store_writer::Streams::default());
--- a/crates/node/src/hosted.rs
+++ b/crates/node/src/hosted.rs
@@ -123,7 +123,7 @@
             bound_ms: hosted.apply_ms.min(hosted.leave_ms),
         };
         let client = platform_store::Client::new(hosted, bound, clock, meter.clone());
-        let metrics = MetricsEndpoint(meter.clone());
+        let metrics = Router::with_path("metrics").get(MetricsEndpoint(meter.clone()));
         let own = members::LocalMember {
             data_centre: settings.data_centre.clone(),
             name: settings.instance.clone(),
@@ -144,18 +144,22 @@
             known_state: known_state.clone(),
             stopping: stopping.clone(),
         };
-        let server_limits = limits_receiver.clone();
         let ready = Router::with_path("{**path}").goal(ready);
-        serve(hosted.ready, ready, server_limits.clone()).await?;
+        serve(Port::Ready, hosted.ready, ready, limits_receiver.clone()).await?;
         let endpoint = relay::Endpoint {
             driver: driver.clone(),
-            limits: limits_receiver,
+            limits: limits_receiver.clone(),
             shutdown: stopping,
         };
-        let callers = Router::with_path("{**path}").goal(endpoint);
-        let callers = serve(settings.listen.callers, callers, server_limits.clone()).await?;
-        let metrics = Router::with_path("metrics").get(metrics);
-        serve(hosted.metrics, metrics, server_limits).await?;
+        let callers = unanswered::counted(Router::with_path("{**path}").goal(endpoint));
+        let callers = serve(
+            Port::Callers,
+            settings.listen.callers,
+            callers,
+            limits_receiver.clone(),
+        )
+        .await?;
+        serve(Port::Metrics, hosted.metrics, metrics, limits_receiver).await?;
         let gossip = gossip::Gossip {
             client: client.clone(),
             crash_history: crash_history_receiver,
@@ -177,7 +181,8 @@
         ));
         let (requests_sender, peer_requests) = mpsc::unbounded_channel();
         let listener = tokio::net::TcpListener::bind(hosted.peers).await;
-        let listener = listener.map_err(|error| Error::Bind(hosted.peers, error))?;
+        let listener =
+            listener.map_err(|error| Error::Bind(Port::PeerConnections, hosted.peers, error))?;
         let responder = exchange::Responder::new(requests_sender, gateway.clone());
         tokio::spawn(responder.run(listener));
         let store_sync = store_sync::StoreSync {
@@ -194,11 +199,7 @@
             peer_requests,
         };
         tokio::spawn(store_sync.run(peer_reports));
-        let address = settings.listen.callers.to_string();
-        let data_centre = settings.data_centre.as_str();
-        let peers = hosted.peers.to_string();
-        let store = hosted.store.to_string();
-        info!(address, data_centre, peers, store; "started");
+        log_start(&settings, &hosted);
         Ok(Self {
             callers,
             driver,
@@ -302,6 +303,14 @@
     }
 }
 
+fn log_start(settings: &Settings, hosted: &Hosted) {
+    let address = settings.listen.callers.to_string();
+    let data_centre = settings.data_centre.as_str();
+    let peers = hosted.peers.to_string();
+    let store = hosted.store.to_string();
+    info!(address, data_centre, peers, store; "started");
+}
+
 /// Passes each change of the fleet's members to the core until the instance ends.
 async fn publish_members(
     mut members: watch::Receiver<members::Members>,
@@ -322,6 +331,7 @@
 
 /// Starts to serve a router at an address. The idle time-out of a new connection follows from the limits in force.
 async fn serve(
+    port: Port,
     address: SocketAddr,
     router: Router,
     limits: watch::Receiver<platform::configuration::Limits>,
@@ -329,7 +339,7 @@
     let acceptor = TcpListener::new(address)
         .try_bind()
         .await
-        .map_err(|error| Error::Bind(address, std::io::Error::other(error)))?;
+        .map_err(|error| Error::Bind(port, address, std::io::Error::other(error)))?;
     let fuse = move |_: &FuseInfo| {
         let idle = limits.borrow().idle_timeout.mul_f64(IDLE_TIMEOUT_FACTOR);
         FuseAction::Accept(FuseConfig::disabled().with_http1_header_timeout(idle))
--- a/crates/node/src/instance.rs
+++ b/crates/node/src/instance.rs
@@ -53,12 +53,9 @@
         let (peers, peers_receiver) = watch::channel(peer::Peers::new());
         let (stop_phase, stop_phase_receiver) = watch::channel(StopPhase::Serving);
 
-        let peer_socket = listen(settings.listen.peers).await?;
-        let operator_socket = listen(settings.listen.operators).await?;
-        let acceptor = TcpListener::new(settings.listen.callers)
-            .try_bind()
-            .await
-            .map_err(|error| Error::Bind(settings.listen.callers, std::io::Error::other(error)))?;
+        let peer_socket = listen(Port::PeerConnections, settings.listen.peers).await?;
+        let operator_socket = listen(Port::Operators, settings.listen.operators).await?;
+        let acceptor = acceptor(settings.listen.callers).await?;
 
         let (leaving, leaving_receiver) = watch::channel(driver::LeavingUpstreams::new());
         let meter = meter::Meter::new(settings.metrics);
@@ -99,7 +96,7 @@
             list: list_receiver.clone(),
             store: store.clone(),
         };
-        let router = caller::router(&settings, &driver, &stop_phase_receiver);
+        let router = unanswered::counted(caller::router(&settings, &driver, &stop_phase_receiver));
         let server = Server::new(acceptor);
         let handle = server.handle();
         let tasks = vec![
@@ -192,10 +189,17 @@
     }
 }
 
-async fn listen(address: SocketAddr) -> Result<tokio::net::TcpListener, Error> {
+async fn acceptor(address: SocketAddr) -> Result<salvo::conn::tcp::TcpAcceptor, Error> {
+    TcpListener::new(address)
+        .try_bind()
+        .await
+        .map_err(|error| Error::Bind(Port::Callers, address, std::io::Error::other(error)))
+}
+
+async fn listen(port: Port, address: SocketAddr) -> Result<tokio::net::TcpListener, Error> {
     tokio::net::TcpListener::bind(address)
         .await
-        .map_err(|error| Error::Bind(address, error))
+        .map_err(|error| Error::Bind(port, address, error))
 }
 
 pub(crate) async fn serve_operators(service: operator::Service, socket: tokio::net::TcpListener) {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod error;
 pub mod hosted;
 pub mod instance;
+pub mod listener;
 pub mod logger;
 pub mod members;
 pub mod pacer;
@@ -50,6 +51,7 @@
 mod store_sync;
 mod traffic;
 mod tunnel;
+mod unanswered;
 mod unknown_headers;
 
 pub use {caller::fingerprint, clock::Clock, error::Error, instance::Instance, settings::Settings};
@@ -68,6 +70,7 @@
         client::legacy::{Client, connect::HttpConnector},
         rt::TokioExecutor,
     },
+    listener::Port,
     log::{debug, error, info, warn},
     outlet::Outlet,
     prost::Message as _,
