Say why a stream that is taken up goes on or is refused

Nothing told apart a stream whose version is known from one that goes on since its pool is taken to have had one version only. The line 'taken up' and a counter for each basis do.

--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -195,6 +195,7 @@
         self.check_operation(&submission, &service)?;
         self.check_capacity(&customer, &service, &submission)?;
         let mut request = self.build_request(submission, customer, service, request_fingerprint)?;
+        self.record_taken_up(&request);
         self.record_size(&request);
         self.raise_starved(&mut request);
         let checked = self.check_origin(&request);
@@ -236,6 +237,14 @@
         }
     }
 
+    /// Counts and logs why a stream that its caller takes up may go on, or may not.
+    fn record_taken_up(&mut self, request: &Request) {
+        if let Some(basis) = request.progress.basis {
+            self.count(Counter::TakenUp(basis));
+            self.log_step(request, effect::Step::TakenUp(basis), None);
+        }
+    }
+
     /// Adds a request to the mean request size of its pool.
     fn record_size(&mut self, request: &Request) {
         let tokens = request.work.relay().map_or(0, |relay| relay.tokens);
--- a/crates/core/src/counter.rs
+++ b/crates/core/src/counter.rs
@@ -99,6 +99,8 @@
     StreamCut(Cut),
     /// Upstreams suspected with all their work.
     Suspected,
+    /// Streams that callers took up, by what the decision whether they go on was based on.
+    TakenUp(origin::Basis),
     /// Tokens delivered to callers.
     Tokens,
     /// Upstreams declared lost.
@@ -244,6 +246,7 @@
             Self::StoreRestored => write!(formatter, "store.returned"),
             Self::StreamCut(cut) => write!(formatter, "stream_cut.{cut}"),
             Self::Suspected => write!(formatter, "upstream.suspected"),
+            Self::TakenUp(basis) => write!(formatter, "taken_up.{basis}"),
             Self::Tokens => write!(formatter, "tokens"),
             Self::UpstreamLost => write!(formatter, "upstream.lost"),
         }
--- a/crates/core/src/directory.rs
+++ b/crates/core/src/directory.rs
@@ -106,7 +106,7 @@
             let config = self.config.as_ref()?;
             let route = config.route(&relay.host, &relay.path)?;
             let mut pools = route.shares.iter().map(|share| share.service.pool());
-            Some(pools.any(|pool| self.only_version(pool).is_none()))
+            Some(pools.any(|pool| self.only_version(pool).is_err()))
         };
         (is_kept_by_few || needs_version() == Some(true)).then_some(lookup)
     }
--- a/crates/core/src/origin.rs
+++ b/crates/core/src/origin.rs
@@ -43,6 +43,66 @@
     Unknown,
 }
 
+/// What a decision on a stream that its caller takes up is based on: whether it may go on, and where.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub enum Basis {
+    /// All streams that its caller may mean began at one version.
+    Alike,
+    /// Its record was looked up at other instances, or read from the store.
+    Found,
+    /// Nothing is known of it, and all streams of its pool that may come back began at one version.
+    OnlyVersion,
+    /// This instance relayed it.
+    Own,
+    /// Its record is gone, and its version is still known.
+    Remembered,
+    /// Another instance announced it.
+    Told,
+    /// Its version is unknown.
+    Unknown(Gap),
+}
+
+/// Why the version that began a stream is unknown.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub enum Gap {
+    /// No upstream of its pool is or was listed.
+    NoUpstream,
+    /// The streams that were stored before the start of this instance have not been read yet.
+    NotRestored,
+    /// Upstreams of its pool have, or recently had, several versions.
+    SeveralListed,
+    /// Streams were recently reported of a version that no upstream of any pool has or recently had.
+    SeveralReported,
+    /// The store does not answer, or has only just begun to.
+    StoreAway,
+}
+
+impl Display for Basis {
+    fn fmt(&self, formatter: &mut Formatter) -> fmt::Result {
+        match self {
+            Self::Alike => formatter.write_str("alike"),
+            Self::Found => formatter.write_str("found"),
+            Self::OnlyVersion => formatter.write_str("only_version"),
+            Self::Own => formatter.write_str("own"),
+            Self::Remembered => formatter.write_str("remembered"),
+            Self::Told => formatter.write_str("told"),
+            Self::Unknown(gap) => write!(formatter, "unknown.{gap}"),
+        }
+    }
+}
+
+impl Display for Gap {
+    fn fmt(&self, formatter: &mut Formatter) -> fmt::Result {
+        formatter.write_str(match self {
+            Self::NoUpstream => "no_upstream",
+            Self::NotRestored => "not_restored",
+            Self::SeveralListed => "several_listed",
+            Self::SeveralReported => "several_reported",
+            Self::StoreAway => "store_away",
+        })
+    }
+}
+
 /// Version of the upstream that a run was sent to.
 #[derive(Clone, Copy, Debug)]
 struct Entry {
@@ -114,11 +174,28 @@
 }
 
 impl Core {
-    /// The origin of a stream of which this is known, where its caller takes it up.
-    pub(crate) fn origin_of(&self, taken_up: &TakenUp, pool: &str) -> Origin {
-        let known = self.version_of(taken_up);
-        let version = known.or_else(|| self.only_version(pool));
-        version.map_or(Origin::Unknown, Origin::Begun)
+    /// The origin of a stream of which this is known, where its caller takes it up, and what that is based on.
+    pub(crate) fn origin_of(&self, taken_up: &TakenUp, pool: &str) -> (Origin, Basis) {
+        if let Some(version) = self.version_of(taken_up) {
+            return (Origin::Begun(version), self.basis_of(taken_up));
+        }
+        match self.only_version(pool) {
+            Ok(version) => (Origin::Begun(version), Basis::OnlyVersion),
+            Err(gap) => (Origin::Unknown, Basis::Unknown(gap)),
+        }
+    }
+
+    /// How this instance came to know the version of a stream.
+    fn basis_of(&self, taken_up: &TakenUp) -> Basis {
+        let TakenUp::Known(id, _) = taken_up else {
+            return Basis::Alike;
+        };
+        match self.stream_records.source(*id) {
+            None => Basis::Remembered,
+            Some(stream_record::Source::Announced) => Basis::Told,
+            Some(stream_record::Source::Found) => Basis::Found,
+            Some(stream_record::Source::Own) => Basis::Own,
+        }
     }
 
     /// The version that began a stream of which this is known. Where it may be one of several, all of them must have begun at
@@ -135,25 +212,30 @@
     }
 
     /// The version that must have begun every stream of a pool which may come back now: the only one that its upstreams have
-    /// had for as long as callers wait. `None` if there were several, or if this instance may have missed one: it has not
+    /// had for as long as callers wait. A gap if there were several, or if this instance may have missed one: it has not
     /// read yet which streams ran before its start, or the store is away.
-    pub(crate) fn only_version(&self, pool: &str) -> Option<Version> {
-        if !self.streams_restored || self.store_away().is_some() {
-            return None;
+    pub(crate) fn only_version(&self, pool: &str) -> Result<Version, Gap> {
+        if !self.streams_restored {
+            return Err(Gap::NotRestored);
         }
-        let own = self.pools.get(pool)?;
+        if self.store_away().is_some() {
+            return Err(Gap::StoreAway);
+        }
+        let own = self.pools.get(pool).ok_or(Gap::NoUpstream)?;
         let mut listed = own.versions.recent(self.now);
-        let only = listed.next()?;
+        let only = listed.next().ok_or(Gap::NoUpstream)?;
         if listed.any(|version| version != only) {
-            return None;
+            return Err(Gap::SeveralListed);
         }
         let is_elsewhere = |version: Version| {
             let mut others = self.pools.iter().filter(|(name, _)| &***name != pool);
             others.any(|(_, other)| other.versions.recent(self.now).any(|one| one == version))
         };
         let mut reported = self.origins.versions(self.now);
-        let is_other = reported.any(|version| version != only && !is_elsewhere(version));
-        (!is_other).then_some(only)
+        if reported.any(|version| version != only && !is_elsewhere(version)) {
+            return Err(Gap::SeveralReported);
+        }
+        Ok(only)
     }
 
     /// Whether an upstream may have a request: a stream goes on only at the version that began it.
--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -297,7 +297,9 @@
             return progress;
         }
         let taken_up = self.taken_up(relay);
-        progress.origin = self.origin_of(&taken_up, pool);
+        let (origin, basis) = self.origin_of(&taken_up, pool);
+        progress.basis = Some(basis);
+        progress.origin = origin;
         if let Some(run) = relay.resumes {
             progress.run = run;
         }
--- a/crates/core/src/request.rs
+++ b/crates/core/src/request.rs
@@ -107,6 +107,8 @@
 pub struct RelayProgress {
     /// What keeps it from being sent on, noted when it fails.
     pub bound: Option<Bound>,
+    /// What is known of the version that began a stream which its caller takes up, and how; `None` if it is new.
+    pub basis: Option<origin::Basis>,
     /// Number of attempts in a row that broke off without an answer or event.
     pub broken_off: u32,
     /// Copy of the run's KV cache that the next attempt may resume from.
--- a/crates/core/src/stream_record.rs
+++ b/crates/core/src/stream_record.rs
@@ -273,6 +273,11 @@
         self.entries.get(&id).map(|entry| &entry.record)
     }
 
+    /// How this instance came to know of a stream.
+    pub fn source(&self, id: StreamId) -> Option<Source> {
+        self.entries.get(&id).map(|entry| entry.source)
+    }
+
     /// Records of the streams with this content that have not ended.
     pub fn with_content(&self, content: u64) -> impl Iterator<Item = &StreamRecord> {
         let entries = self.entries.range(StreamId::with_content(content));
--- a/crates/node/src/request_log.rs
+++ b/crates/node/src/request_log.rs
@@ -235,6 +235,10 @@
             let (origin, version) = (origin_name(*origin), version.as_ref());
             info!(request, fingerprint, customer, service, model, upstream, position, backup, copy, left_ms, list_age_ms, tunnelled, version, origin; "sent");
         }
+        Step::TakenUp(basis) => {
+            let basis = basis.to_string();
+            info!(request, fingerprint, customer, service, position, basis; "taken up");
+        }
         Step::Waits(outlook) => {
             let (rank, ahead, wait_ms) = (outlook.rank.number(), outlook.ahead, outlook.wait_ms);
             info!(request, fingerprint, customer, service, rank, ahead, wait_ms; "waits");
