Count and name each malformed item of the store that a reader skips

Malformed entries of instances, of the quarantine and of stored streams, and malformed datagrams and configurations, were log lines only, and a long key hid the reason or made a line of hundreds of kilobytes.

--- a/crates/node/src/gossip.rs
+++ b/crates/node/src/gossip.rs
@@ -228,6 +228,7 @@
             Ok(datagram) => datagram,
             Err(error) => {
                 warn!("malformed datagram from {from}: {error}");
+                self.driver.count(Counter::EntryInvalid("datagram"));
                 return;
             }
         };
--- a/crates/node/src/members.rs
+++ b/crates/node/src/members.rs
@@ -84,6 +84,15 @@
 }
 
 impl Member {
+    /// Decodes an entry in the store, with the name of its instance.
+    pub fn decode(item: &platform::store::Item) -> Result<(&str, Self), platform::Error> {
+        let name = item.key.rsplit('/').next().unwrap_or_default();
+        let value = item.bytes()?;
+        let member = serde_json::from_slice(value)
+            .map_err(|error| platform::Error::malformed(&item.key, error))?;
+        Ok((name, member))
+    }
+
     /// Encodes the value of its entry in the store.
     pub fn encode(&self) -> String {
         json!({ "address": self.address, "data_centre": self.data_centre }).to_string()
@@ -339,7 +348,7 @@
             Consistency::Serializable,
         );
         let (items, _) = read.await?;
-        Ok(decode(&items, &self.own.name))
+        Ok(self.decode(&items))
     }
 
     /// Number of other instances in the own data centre.
@@ -361,6 +370,21 @@
         });
     }
 
+    /// Decodes the instances without this one; malformed entries are skipped.
+    fn decode(&self, items: &[platform::store::Item]) -> Members {
+        let mut members = Members::new();
+        for item in items {
+            match Member::decode(item) {
+                Ok((name, _)) if name == self.own.name => {}
+                Ok((name, member)) => {
+                    members.insert(name.to_owned(), member);
+                }
+                Err(error) => self.client.report_invalid("instance", &error),
+            }
+        }
+        members
+    }
+
     /// Pause before the next read.
     fn pause(&self, started_at: Instant) -> Duration {
         match self.sender.borrow().len() {
@@ -376,26 +400,3 @@
         }
     }
 }
-
-/// Decodes the instances without `own`; malformed entries are logged and skipped.
-fn decode(items: &[platform::store::Item], own: &str) -> Members {
-    let mut members = Members::new();
-    for item in items {
-        let name = item.key.rsplit('/').next().unwrap_or_default();
-        let value = match item.bytes() {
-            Ok(value) => value,
-            Err(error) => {
-                warn!("skipped a malformed instance entry: {error}");
-                continue;
-            }
-        };
-        match serde_json::from_slice(value) {
-            Ok(_) if name == own => {}
-            Ok(member) => {
-                members.insert(name.to_owned(), member);
-            }
-            Err(error) => warn!("skipped a malformed instance entry {}: {error}", item.key),
-        }
-    }
-    members
-}
--- a/crates/node/src/platform_store.rs
+++ b/crates/node/src/platform_store.rs
@@ -236,6 +236,13 @@
         Ok((page, era))
     }
 
+    /// Logs and counts an item that a reader skipped; `kind` says what it holds.
+    pub fn report_invalid(&self, kind: &'static str, error: &platform::Error) {
+        let reason = error.reason();
+        warn!(kind, reason; "skipped a malformed item of the store: {error}");
+        self.meter.count(Counter::EntryInvalid(kind), 1);
+    }
+
     /// Logs and counts items that were skipped because they have no key or no revision.
     fn report_malformed(&self, prefix: &str, malformed: usize) {
         if malformed > 0 {
--- a/crates/node/src/store_sync.rs
+++ b/crates/node/src/store_sync.rs
@@ -21,9 +21,6 @@
 /// Maximum time between two ticks of the informer, also while it needs none.
 const WAKE_INTERVAL_MAX: Duration = Duration::from_mins(1);
 
-/// Maximum number of characters of an error that a log line contains: the error may quote a malformed entry.
-const LOGGED_ERROR_MAX: usize = 200;
-
 /// Time for which a whole list that was encoded for other instances is given to further ones.
 const LIST_KEPT_FOR: Duration = Duration::from_secs(2);
 
@@ -488,7 +485,7 @@
             Ok(listed) => Entry::Listed(listed),
             Err(error) => {
                 let reason = error.reason();
-                warn!(reason; "ignored a malformed upstream entry: {}", truncated(&error));
+                warn!(reason; "ignored a malformed upstream entry: {error}");
                 self.params.driver.count(Counter::EntryInvalid(reason));
                 Entry::Invalid
             }
@@ -510,7 +507,7 @@
         let document = match item.bytes() {
             Ok(document) => document,
             Err(error) => {
-                error!("invalid configuration; the one in force stays: {error}");
+                self.report_invalid_configuration(&error);
                 return Content::Configuration {
                     bytes: 0,
                     config: None,
@@ -561,11 +558,19 @@
                 Some(Arc::new(decoded.config))
             }
             Err(error) => {
-                error!("invalid configuration; the one in force stays: {error}");
+                self.report_invalid_configuration(&error);
                 None
             }
         }
     }
+
+    fn report_invalid_configuration(&self, error: &platform::Error) {
+        let reason = error.reason();
+        error!(reason; "invalid configuration; the one in force stays: {error}");
+        self.params
+            .driver
+            .count(Counter::EntryInvalid("configuration"));
+    }
 }
 
 /// Requests the configuration or the list from another instance.
@@ -616,11 +621,6 @@
     )
 }
 
-/// The first characters of an error, which may quote an entry of any length.
-fn truncated(error: &platform::Error) -> String {
-    error.to_string().chars().take(LOGGED_ERROR_MAX).collect()
-}
-
 /// Name of a topic in log lines.
 fn topic_name(topic: Topic) -> &'static str {
     match topic {
--- a/crates/node/src/store_writer.rs
+++ b/crates/node/src/store_writer.rs
@@ -311,14 +311,12 @@
             }
         };
         for item in items {
-            let read = item.bytes().map(peers::Ends::decode);
-            match read {
-                Ok(Ok(stored)) => {
+            match decode_message::<peers::Ends>(&item) {
+                Ok(stored) => {
                     let history = crash_history::decode(stored.ends);
                     self.driver.send_event(Event::CrashReported(history.into()));
                 }
-                Ok(Err(error)) => warn!("malformed quarantine entry {}: {error}", item.key),
-                Err(error) => warn!("malformed quarantine entry {}: {error}", item.key),
+                Err(error) => self.client.report_invalid("quarantine", &error),
             }
         }
     }
@@ -340,14 +338,7 @@
             }
         };
         for item in items {
-            let value = match item.bytes() {
-                Ok(value) => value,
-                Err(error) => {
-                    warn!("malformed streams in the store: {error}");
-                    continue;
-                }
-            };
-            match peers::Sightings::decode(value) {
+            match decode_message::<peers::Sightings>(&item) {
                 Ok(stored) => {
                     self.streams_sender.send_modify(|streams| {
                         for sighting in &stored.sightings {
@@ -356,13 +347,21 @@
                     });
                     gossip::report_streams(stored.sightings, &self.driver);
                 }
-                Err(error) => warn!("malformed streams in {}: {error}", item.key),
+                Err(error) => self.client.report_invalid("streams", &error),
             }
         }
         self.driver.send_event(Event::StreamsRestored);
     }
 }
 
+/// Decodes the value of an item that an instance wrote.
+fn decode_message<M: prost::Message + Default>(
+    item: &platform::store::Item,
+) -> Result<M, platform::Error> {
+    let value = item.bytes()?;
+    M::decode(value).map_err(|error| platform::Error::malformed(&item.key, error))
+}
+
 /// The lease with which this instance's entries expire.
 struct Lease {
     client: platform_store::Client,
