Show how many instances one takes to serve

Parts of limits and of permits for retries follow from that number, and no log line or metric said what it is: an instance that takes itself to be alone looked like any other. The metric wellplank_instances is set with each change.

--- a/crates/node/src/driver.rs
+++ b/crates/node/src/driver.rs
@@ -1024,6 +1024,7 @@
             Message::Event(event) => self.handle_event(event),
             Message::Members(view, peers) => {
                 self.peers = peers;
+                self.meter.set_instances(view.count());
                 self.handle_event(Event::Instances(view));
             }
             Message::Relay(submission, original, replies, outlet) => {
--- a/crates/node/src/meter.rs
+++ b/crates/node/src/meter.rs
@@ -37,6 +37,7 @@
     customer_bytes: IntGaugeVec,
     held_bytes: IntGaugeVec,
     histograms: HistogramVec,
+    instances: IntGauge,
     paused_streams: IntGauge,
     registry: Registry,
 }
@@ -102,6 +103,11 @@
         );
         let customer_bytes = IntGaugeVec::new(customer_bytes, &["customer", "what"])
             .expect("metric and label names are valid");
+        let instances = IntGauge::new(
+            "wellplank_instances",
+            "Instances that this one shares limits and permits with, itself included.",
+        )
+        .expect("the metric name is valid");
         let paused_streams = IntGauge::new(
             "wellplank_paused_streams",
             "Streams that are not read, since their callers do not read.",
@@ -113,6 +119,7 @@
             Box::new(histograms.clone()),
             Box::new(held_bytes.clone()),
             Box::new(customer_bytes.clone()),
+            Box::new(instances.clone()),
             Box::new(paused_streams.clone()),
         ] {
             registry
@@ -125,6 +132,7 @@
             customer_bytes,
             held_bytes,
             histograms,
+            instances,
             paused_streams,
             registry,
         }
@@ -137,6 +145,11 @@
             .observe(millis);
     }
 
+    /// Sets the number of instances that this one shares limits and permits with.
+    pub fn set_instances(&self, instances: u32) {
+        self.instances.set(instances.into());
+    }
+
     /// Sets the gauges of what is held for callers and upstreams.
     pub fn set_buffers(&self, buffers: &Buffers) {
         let set = |gauges: &IntGaugeVec, labels: &[&str], bytes: u64| {
