--- a/crates/standin/tests/stream_version.rs
+++ b/crates/standin/tests/stream_version.rs
@@ -9,7 +9,7 @@
     std::time::{Duration, Instant},
     tokio::time::sleep,
     wellplank_standin::{
-        client::Ask,
+        client::{Ask, Got},
         order,
         site::{Plan, Site, run},
         versions::{self, Learning, Loss},
@@ -58,8 +58,13 @@
     position: u64,
 }
 
-/// Begins streams at an instance and reads their first events.
+/// Begins streams at an instance and reads some of their events.
 async fn begin(site: &Site, instance: usize) -> Vec<Begun> {
+    begin_up_to(site, instance, READ_BYTES).await
+}
+
+/// Begins streams at an instance and reads events of so many bytes.
+async fn begin_up_to(site: &Site, instance: usize, bytes: usize) -> Vec<Begun> {
     for seat in &site.engines {
         seat.worker.set(Mode::Slow);
     }
@@ -69,7 +74,7 @@
         let response = ask(number, &origin).open(address).await;
         let mut connection = response.into_body();
         let mut text = Vec::new();
-        while text.len() < READ_BYTES {
+        while text.len() < bytes {
             let frame = connection.frame().await.expect("the stream goes on");
             let data = frame.expect("the stream goes on").into_data();
             text.extend_from_slice(&data.unwrap_or_default());
@@ -186,6 +191,118 @@
     });
 }
 
+/// When the engines of a version end, as seen from the loss of all instances.
+#[derive(Clone, Copy, Debug)]
+enum Gone {
+    Before,
+    At,
+    Behind,
+    Never,
+}
+
+/// Time between the end of the engines and the loss of the instances, or the other way around.
+const APART: Duration = Duration::from_millis(150);
+
+/// Time for which callers take up a stream again and again.
+const RETRYING: Duration = Duration::from_millis(2_500);
+
+/// Pause between two of their tries.
+const RETRY_PAUSE: Duration = Duration::from_millis(200);
+
+/// Has the callers take up their streams again and again; how many got the whole rest.
+async fn take_up_patiently(site: &Site, begun: &[Begun]) -> usize {
+    let answers = begun.iter().map(async |begun| {
+        let end = Instant::now() + RETRYING;
+        let mut attempt = begun.number;
+        while Instant::now() < end {
+            let address = site.instances[attempt % site.instances.len()].callers;
+            attempt += 1;
+            let name = format!("again-{}-{attempt}", begun.number);
+            let ask = ask(begun.number, &name).taking_up(&begun.origin, begun.position);
+            if let Ok(response) = ask.try_open(address).await {
+                let got = Got::read(response, usize::MAX).await;
+                if got.whole && got.body == worker::events(&ask.body, begun.position) {
+                    return true;
+                }
+            }
+            sleep(RETRY_PAUSE).await;
+        }
+        false
+    });
+    let answers = join_all(answers).await;
+    answers.into_iter().filter(|whole| *whole).count()
+}
+
+/// Kills all instances a while behind the first events of streams, and starts them again; how many went on, and the streams
+/// that hold two versions.
+async fn lose_all(site: &mut Site, age: Duration, gone: Gone) -> (usize, usize) {
+    let begun = begin_up_to(site, 0, 1).await;
+    sleep(age).await;
+    if matches!(gone, Gone::Before) {
+        retire(site, "v1");
+        sleep(APART).await;
+    }
+    for instance in &mut site.instances {
+        instance.host.kill();
+    }
+    if matches!(gone, Gone::Behind) {
+        sleep(APART).await;
+    }
+    if !matches!(gone, Gone::Never) {
+        retire(site, "v1");
+    }
+    for instance in 0..site.instances.len() {
+        site.restart(instance).await;
+    }
+    let whole = take_up_patiently(site, &begun).await;
+    (whole, order::mixed(&site.ledger.runs()).len())
+}
+
+/// Expects that no young stream goes on at another version behind the loss of all instances.
+fn expect_young_bound(instances: usize) {
+    for gone in [Gone::Before, Gone::At, Gone::Behind] {
+        for age_ms in [0, 250] {
+            run(plan(instances, &["v1", "v2"]), async |mut site: Site| {
+                let age = Duration::from_millis(age_ms);
+                let (whole, mixed) = lose_all(&mut site, age, gone).await;
+                println!("{instances} {gone:?} {age_ms} ms: {whole} went on, {mixed} mixed");
+                expect_that!(mixed, eq(0), "{gone:?}, {age_ms} ms");
+            });
+        }
+    }
+}
+
+#[gtest]
+fn young_stream_goes_on_at_no_other_version_behind_the_loss_of_the_only_instance() {
+    expect_young_bound(1);
+}
+
+#[gtest]
+fn young_stream_goes_on_at_no_other_version_behind_the_loss_of_three_instances() {
+    expect_young_bound(3);
+}
+
+#[gtest]
+fn young_stream_goes_on_at_no_other_version_behind_the_loss_of_six_instances() {
+    expect_young_bound(6);
+}
+
+/// Guards against binding streams by refusing those that were not in the store yet.
+#[gtest]
+fn young_streams_go_on_behind_the_loss_of_all_instances() {
+    for instances in [1, 3, 6] {
+        for age_ms in [100, 400] {
+            run(plan(instances, &["v1", "v2"]), async |mut site: Site| {
+                let age = Duration::from_millis(age_ms);
+                let (whole, mixed) = lose_all(&mut site, age, Gone::Never).await;
+                println!("{instances} {age_ms} ms: {whole} of {STREAMS} went on, {mixed} mixed");
+                expect_that!(mixed, eq(0), "{instances}, {age_ms} ms");
+                expect_that!(whole, ge(STREAMS / 2), "{instances}, {age_ms} ms");
+            });
+        }
+    }
+}
+
 #[gtest]
 fn versions_serve_side_by_side_without_an_order() {
     run(plan(2, &["v1", "v2", "v3"]), async |site: Site| {
