Name versions in the store, and let no stream go on from what was not seen

Callers whose streams had broken off with all instances were answered 200, and got the rest from another software version.

Cause: an instance that knew nothing of a stream concluded that its pool's only known version had begun it. Behind a start its memory of versions and streams is empty; a copy of the store that may be old was read for records written every 0.7 s. An instance that was cut off or stood still lacks what came meanwhile in the same way. Absence was taken for evidence further back than the instance had been there.

Now upstreams get new streams once the store names their version (1.5 s at most are they held back while others of the pool can take work), and a stream of unknown origin goes on only if a linearizable read of these names that began behind its arrival shows a single version for its pool. What the instance remembers can only speak against it. A read that fails refuses, with a time to come back. A name goes 120 s behind the last upstream of its version, by an instance that was in touch all that time.

So that refusing does not become losing: where a pool has several versions, records of streams are written 0.1 s behind a change instead of 0.7 s (at most 300 kB/s), written again if a write failed, and read as they are now at a start.

The tests' engines leave by their entries now and serve on: as killed they were 4 ends beside 12 requests alike, which were quarantined, so that cases with a leave before the kill showed nothing.

--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -64,28 +64,36 @@
             self.refuse_at_shutdown(submission.caller);
             return;
         }
-        let is_looked_up = self.look_up_stream(&submission);
-        if !self.is_ready_for(&submission)
+        let names_read = self.next_names_read();
+        let is_looked_up = self.look_up_stream(&submission, names_read);
+        if self.needs_names(&submission, names_read) {
+            self.read_names(names_read);
+        }
+        if !self.is_ready_for(&submission, names_read)
             && let Some(until) = self.defer_until(&submission)
         {
             self.deferred.push(DeferredRequest {
                 arrived_at: self.now,
                 is_looked_up,
+                names_read,
                 submission,
                 until,
             });
             return;
         }
-        self.admit_or_refuse(submission);
+        self.admit_or_refuse(submission, names_read);
     }
 
     /// Whether this instance has the state to serve a request: a configuration, a list of upstreams
-    /// and, to resume a stream, all streams that were stored before its start and the stream's record.
-    fn is_ready_for(&self, submission: &event::Submission) -> bool {
+    /// and, to resume a stream, all streams that were stored before its start and the stream's record, or the names of versions
+    /// by the read with this number.
+    fn is_ready_for(&self, submission: &event::Submission, names_read: u64) -> bool {
         let resumes = |relay: &request::Relay| relay.position > 0;
         let resumes = submission.work.relay().is_some_and(resumes);
         let is_resumable = !resumes || (self.streams_restored && !self.awaits_lookup(submission));
-        self.has_read_state() && is_resumable
+        let awaits_names =
+            !self.has_read_names(names_read) && self.needs_names(submission, names_read);
+        self.has_read_state() && is_resumable && !awaits_names
     }
 
     /// Whether this instance has a configuration and a list of upstreams.
@@ -104,9 +112,14 @@
         for mut deferred in std::mem::take(&mut self.deferred) {
             // Which versions there may be is known only with all that was stored.
             if !deferred.is_looked_up && self.streams_restored {
-                deferred.is_looked_up = self.look_up_stream(&deferred.submission);
+                deferred.is_looked_up =
+                    self.look_up_stream(&deferred.submission, deferred.names_read);
+            }
+            if self.needs_names(&deferred.submission, deferred.names_read) {
+                self.read_names(deferred.names_read);
             }
-            if self.now < deferred.until && !self.is_ready_for(&deferred.submission) {
+            let is_ready = self.is_ready_for(&deferred.submission, deferred.names_read);
+            if self.now < deferred.until && !is_ready {
                 self.deferred.push(deferred);
             } else {
                 self.submit_after_wait(deferred);
@@ -124,7 +137,7 @@
                 *timeout_ms = timeout_ms.saturating_sub(waited);
             }
         }
-        self.admit_or_refuse(submission);
+        self.admit_or_refuse(submission, deferred.names_read);
     }
 
     /// Time until which a request may be deferred: a fraction of its caller's timeout, in which the
@@ -139,12 +152,12 @@
         (wait > 0 && fits).then(|| self.now.after(wait))
     }
 
-    fn admit_or_refuse(&mut self, submission: event::Submission) {
+    fn admit_or_refuse(&mut self, submission: event::Submission, names_read: u64) {
         let caller = submission.caller;
         if self.callers.contains_key(&caller) {
             return;
         }
-        match self.admit(submission) {
+        match self.admit(submission, names_read) {
             Err(refusal) => self.refuse(caller, refusal.kind, refusal.retry_after_ms),
             Ok(key) => self.enqueue(key),
         }
@@ -178,7 +191,11 @@
         wait.clamp(*RETRY_AFTER_MS.start(), *RETRY_AFTER_MS.end())
     }
 
-    fn admit(&mut self, submission: event::Submission) -> Result<request::Key, Refusal> {
+    fn admit(
+        &mut self,
+        submission: event::Submission,
+        names_read: u64,
+    ) -> Result<request::Key, Refusal> {
         let config = self.config.clone().ok_or_else(|| not_ready(&submission))?;
         let (customer, service) = match submission.work.relay() {
             Some(relay) => self.route_relayed(&config, &submission.customer, relay)?,
@@ -194,7 +211,12 @@
         }
         self.check_operation(&submission, &service)?;
         self.check_capacity(&customer, &service, &submission)?;
+        let progress = submission
+            .work
+            .relay()
+            .map(|relay| self.initial_progress(relay, service.pool(), names_read));
         let mut request = self.build_request(submission, customer, service, request_fingerprint)?;
+        request.progress = progress.unwrap_or_default();
         self.record_taken_up(&request);
         self.record_size(&request);
         self.raise_starved(&mut request);
@@ -481,9 +503,6 @@
         let waited_ms = self.waited_ms(&service, timeout_ms);
         let objective = service.relay().map_or(u64::MAX, |relay| relay.objective_ms);
         let first_event_due = self.now.after(objective).0.saturating_sub(waited_ms);
-        let progress = relay.map_or_else(request::RelayProgress::default, |relay| {
-            self.initial_progress(relay, service.pool())
-        });
         let claim = if cursor.is_none() && !service.repeatable && relay.is_none() {
             let key = submission.key.ok_or(Kind::KeyRequired)?;
             let nonce = self.rng.random();
@@ -529,7 +548,7 @@
             held_bytes: 0,
             last_attempt: cursor.map_or(0, |cursor| cursor.attempt),
             may_have_run: cursor.is_some(),
-            progress,
+            progress: request::RelayProgress::default(),
             rank,
             request_fingerprint,
             resume_cursor: cursor,
--- a/crates/core/src/core.rs
+++ b/crates/core/src/core.rs
@@ -78,6 +78,8 @@
     pub arrived_at: Time,
     /// Whether the record of its stream was looked up.
     pub is_looked_up: bool,
+    /// Number of the first read of the names of versions that began behind its arrival.
+    pub names_read: u64,
     /// The request.
     pub submission: event::Submission,
     /// Time until which it is deferred.
@@ -115,6 +117,8 @@
     pub(crate) held_bytes: u64,
     /// Number of instances in the fleet.
     pub(crate) instances: u32,
+    /// When the list was first read from the store; `None` before.
+    pub(crate) first_list_at: Option<Time>,
     /// Whether queued requests are being sent.
     pub(crate) is_dispatching: bool,
     /// Upstreams with a rate limit.
@@ -130,6 +134,8 @@
     /// Records of streams that are looked up at other instances.
     pub(crate) lookups: Lookups,
     pub(crate) members: Members,
+    /// Versions that the store names.
+    pub(crate) names: Names,
     pub(crate) now: Time,
     /// Which versions began the streams that callers may take up.
     pub(crate) origins: Origins,
@@ -278,6 +284,8 @@
             Event::StreamsRestored => self.handle_streams_restored(),
             Event::Submit(submission) => self.submit(*submission),
             Event::Tick => self.tick(),
+            Event::VersionsNamed(names) => self.handle_versions_named(&names),
+            Event::VersionsRead { names, number } => self.handle_names_read(number, names),
             Event::Tokens {
                 attempt,
                 position,
@@ -308,6 +316,7 @@
             hedge_budget: Budget::new(BUDGET_PERMITS, BUDGET_REFILL_PER_SECOND, now),
             held_bytes: 0,
             instances: 1,
+            first_list_at: None,
             is_dispatching: false,
             limited: BTreeSet::new(),
             list_read_at: None,
@@ -316,6 +325,7 @@
             lookups: Lookups::new(),
             losses: liveness::RecentLosses::default(),
             members: Members::default(),
+            names: Names::default(),
             now,
             origins: Origins::default(),
             peer_heard_at: Time::default(),
--- a/crates/core/src/directory.rs
+++ b/crates/core/src/directory.rs
@@ -78,8 +78,8 @@
 
     /// Starts a lookup if a submission resumes a stream whose record this instance lacks: where only few instances have it,
     /// and where several versions may have begun the stream. Returns whether it did.
-    pub(crate) fn look_up_stream(&mut self, submission: &event::Submission) -> bool {
-        let Some(lookup) = self.needed_lookup(submission) else {
+    pub(crate) fn look_up_stream(&mut self, submission: &event::Submission, number: u64) -> bool {
+        let Some(lookup) = self.needed_lookup(submission, number) else {
             return false;
         };
         let until = self.now.after(LOOKUP_MS);
@@ -89,26 +89,53 @@
     }
 
     /// The lookup that a submission needs; `None` if it needs none, or if this instance can not tell yet.
-    fn needed_lookup(&self, submission: &event::Submission) -> Option<Lookup> {
+    fn needed_lookup(&self, submission: &event::Submission, number: u64) -> Option<Lookup> {
         let relay = submission.work.relay().filter(|relay| relay.position > 0)?;
         let lookup = relay.lookup();
         if !self.has_read_state() {
             return None;
         }
-        let has_holders = |pool: &Arc<str>| {
-            self.audience(pool, stream_record::Stage::Started) == Audience::Holders
-        };
-        let is_kept_by_few = relay.prompt != 0 && self.pools.keys().any(has_holders);
+        let is_kept_by_few = self.is_kept_by_few(lookup);
         if self.knows_stream(lookup, is_kept_by_few) {
             return None;
         }
-        let needs_version = || {
-            let config = self.config.as_ref()?;
-            let route = config.route(&relay.host, &relay.path)?;
-            let mut pools = route.shares.iter().map(|share| share.service.pool());
-            Some(pools.any(|pool| self.only_version(pool).is_err()))
+        let needs_version = self.has_gap(relay, number, |gap| gap != origin::Gap::Unconfirmed);
+        (is_kept_by_few || needs_version).then_some(lookup)
+    }
+
+    /// Whether only few instances keep the record of a stream.
+    fn is_kept_by_few(&self, lookup: Lookup) -> bool {
+        let has_holders = |pool: &Arc<str>| {
+            self.audience(pool, stream_record::Stage::Started) == Audience::Holders
+        };
+        lookup.prompt != 0 && self.pools.keys().any(has_holders)
+    }
+
+    /// Whether the version of a stream would be unknown in a pool of its route for such a reason.
+    fn has_gap(
+        &self,
+        relay: &request::Relay,
+        number: u64,
+        is_such: impl Fn(origin::Gap) -> bool,
+    ) -> bool {
+        let config = self.config.as_ref();
+        let Some(route) = config.and_then(|config| config.route(&relay.host, &relay.path)) else {
+            return false;
+        };
+        let mut pools = route.shares.iter().map(|share| share.service.pool());
+        pools.any(|pool| self.only_version(pool, number).is_err_and(&is_such))
+    }
+
+    /// Whether a submission takes up a stream of unknown version, which may go on if the names of versions confirm that there
+    /// was only one.
+    pub(crate) fn needs_names(&self, submission: &event::Submission, number: u64) -> bool {
+        let relay = submission.work.relay().filter(|relay| relay.position > 0);
+        let Some(relay) = relay.filter(|_| self.has_read_state()) else {
+            return false;
         };
-        (is_kept_by_few || needs_version() == Some(true)).then_some(lookup)
+        let lookup = relay.lookup();
+        !self.knows_stream(lookup, self.is_kept_by_few(lookup))
+            && self.has_gap(relay, number, |gap| gap == origin::Gap::Unconfirmed)
     }
 
     /// Whether the record of a stream is known; if its caller does not name it, whether those of all streams with its content
--- a/crates/core/src/effect.rs
+++ b/crates/core/src/effect.rs
@@ -391,6 +391,8 @@
     },
     /// Request the record of a stream, by the hash of its prompt, from the instances that hold it.
     FindStream(directory::Lookup),
+    /// Read or write the names of versions in the store.
+    Names(names::Call),
     /// Broadcast to other instances that an upstream was lost.
     GossipLost(Incarnation),
     /// Tell the other instances that an upstream was lost that accepted a connection and broke it off.
--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -336,6 +336,15 @@
         /// The tokens.
         tokens: Vec<OutputToken>,
     },
+    /// The store names these versions, among others.
+    VersionsNamed(Vec<names::Name>),
+    /// A read of all names of versions ended.
+    VersionsRead {
+        /// All names at a time behind the begin of the read; `None` if it failed.
+        names: Option<Vec<names::Name>>,
+        /// Number of the read.
+        number: u64,
+    },
 }
 
 impl Event {
@@ -382,6 +391,8 @@
             Self::Submit(_) => "submit",
             Self::Tick => "tick",
             Self::Tokens { .. } => "tokens",
+            Self::VersionsNamed(_) => "versions_named",
+            Self::VersionsRead { .. } => "versions_read",
         }
     }
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -38,6 +38,7 @@
 pub mod limit;
 pub mod liveness;
 pub mod members;
+pub mod names;
 pub mod notice;
 pub mod open_request;
 pub mod origin;
@@ -63,6 +64,7 @@
 mod capacity;
 mod configuration_reads;
 mod consistency;
+mod contact;
 mod dispatch;
 mod ended;
 mod engine_watch;
@@ -117,6 +119,7 @@
     limit::Limit,
     liveness::LossSource,
     members::{Members, View},
+    names::Names,
     notice::Notice,
     origin::{Origin, Origins, RunId},
     position::Position,
--- a/crates/core/src/list.rs
+++ b/crates/core/src/list.rs
@@ -111,6 +111,8 @@
         self.hold_back_inactive_versions();
         self.choose_subsets();
         self.list_read_at = Some(requested_at);
+        self.first_list_at.get_or_insert(self.now);
+        self.update_names();
         self.submit_deferred();
         self.dispatch_all();
     }
--- a/crates/core/src/origin.rs
+++ b/crates/core/src/origin.rs
@@ -71,10 +71,16 @@
     NotRestored,
     /// Upstreams of its pool have, or recently had, several versions.
     SeveralListed,
+    /// The store names several versions of its pool.
+    SeveralNamed,
     /// Streams were recently reported of a version that no upstream of any pool has or recently had.
     SeveralReported,
     /// The store does not answer, or has only just begun to.
     StoreAway,
+    /// The names of versions have not been read since its caller came.
+    Unconfirmed,
+    /// The store does not name the only version of its pool.
+    Unnamed,
 }
 
 impl Display for Basis {
@@ -97,8 +103,11 @@
             Self::NoUpstream => "no_upstream",
             Self::NotRestored => "not_restored",
             Self::SeveralListed => "several_listed",
+            Self::SeveralNamed => "several_named",
             Self::SeveralReported => "several_reported",
             Self::StoreAway => "store_away",
+            Self::Unconfirmed => "unconfirmed",
+            Self::Unnamed => "unnamed",
         })
     }
 }
@@ -174,12 +183,13 @@
 }
 
 impl Core {
-    /// The origin of a stream of which this is known, where its caller takes it up, and what that is based on.
-    pub(crate) fn origin_of(&self, taken_up: &TakenUp, pool: &str) -> (Origin, Basis) {
+    /// The origin of a stream of which this is known, where its caller takes it up, and what that is based on. `number` is that of
+    /// the first read of names that began behind its arrival.
+    pub(crate) fn origin_of(&self, taken_up: &TakenUp, pool: &str, number: u64) -> (Origin, Basis) {
         if let Some(version) = self.version_of(taken_up) {
             return (Origin::Begun(version), self.basis_of(taken_up));
         }
-        match self.only_version(pool) {
+        match self.only_version(pool, number) {
             Ok(version) => (Origin::Begun(version), Basis::OnlyVersion),
             Err(gap) => (Origin::Unknown, Basis::Unknown(gap)),
         }
@@ -213,8 +223,9 @@
 
     /// The version that must have begun every stream of a pool which may come back now: the only one that its upstreams have
     /// had for as long as callers wait. A gap if there were several, or if this instance may have missed one: it has not
-    /// read yet which streams ran before its start, or the store is away.
-    pub(crate) fn only_version(&self, pool: &str) -> Result<Version, Gap> {
+    /// read yet which streams ran before its start, the store is away, or the names of versions have not been read by the read
+    /// with this number or a later one. What this instance remembers can only speak against it.
+    pub(crate) fn only_version(&self, pool: &str, number: u64) -> Result<Version, Gap> {
         if !self.streams_restored {
             return Err(Gap::NotRestored);
         }
@@ -235,6 +246,7 @@
         if reported.any(|version| version != only && !is_elsewhere(version)) {
             return Err(Gap::SeveralReported);
         }
+        self.confirm_only(pool, only, number)?;
         Ok(only)
     }
 
--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -282,11 +282,13 @@
 
     /// Initial progress of a relayed request. A request that resumes a stream starts after the last
     /// event that its caller received, from the KV copy or the upstream that another instance
-    /// reported for the stream, if it is known for certain which stream that is.
+    /// reported for the stream, if it is known for certain which stream that is. `names_read` is the number of the first read of
+    /// names that began behind its arrival.
     pub(crate) fn initial_progress(
         &self,
         relay: &request::Relay,
         pool: &str,
+        names_read: u64,
     ) -> request::RelayProgress {
         let mut progress = request::RelayProgress {
             position: relay.position,
@@ -297,7 +299,7 @@
             return progress;
         }
         let taken_up = self.taken_up(relay);
-        let (origin, basis) = self.origin_of(&taken_up, pool);
+        let (origin, basis) = self.origin_of(&taken_up, pool, names_read);
         progress.basis = Some(basis);
         progress.origin = origin;
         if let Some(run) = relay.resumes {
--- a/crates/core/src/silence.rs
+++ b/crates/core/src/silence.rs
@@ -67,6 +67,12 @@
             .filter(|away| !away.back_at.is_some_and(has_caught_up))
     }
 
+    /// When the store last answered again behind a time without answers, and the list had caught up.
+    pub(crate) fn store_returned_at(&self) -> Option<Time> {
+        let back_at = self.store_away?.back_at?;
+        Some(back_at.after(availability::GRACE_MS))
+    }
+
     /// What is known of the upstreams of a pool, if the store is away.
     pub(crate) fn silences(&self, pool: &str) -> Option<Silences> {
         let away = self.store_away().filter(|_| self.settings.shared.losses)?;
--- a/crates/core/src/watch.rs
+++ b/crates/core/src/watch.rs
@@ -149,6 +149,7 @@
             self.remove_departed();
             self.expire_lookups();
             self.hold_back_inactive_versions();
+            self.update_names();
             self.schedule_limit_probes();
             self.expire_requests();
             self.refuse_unfinishable();
--- a/crates/node/src/driver.rs
+++ b/crates/node/src/driver.rs
@@ -159,6 +159,8 @@
     pub leaving: watch::Sender<LeavingUpstreams>,
     /// Counters and histograms.
     pub meter: meter::Meter,
+    /// Reads and writes of the names of versions.
+    pub names: mpsc::UnboundedSender<wellplank_core::names::Call>,
     /// Changes of the quarantine to persist, so that it survives the loss of all instances.
     pub quarantine_updates: mpsc::UnboundedSender<store_writer::QuarantineUpdate>,
     /// Volume of control traffic.
@@ -191,6 +193,7 @@
     peers: HashMap<u64, SocketAddr>,
     pooled: HttpClient,
     probes: HttpClient,
+    names: mpsc::UnboundedSender<wellplank_core::names::Call>,
     quarantine_updates: mpsc::UnboundedSender<store_writer::QuarantineUpdate>,
     receiver: mpsc::UnboundedReceiver<Message>,
     traffic: Traffic,
@@ -255,7 +258,7 @@
             .in_data_centre(&settings.data_centre)
             .counting_unread();
         if settings.hosted.is_some() {
-            core = core.restoring_streams();
+            core = core.restoring_streams().naming_versions();
         }
         let task = Task {
             attempts: HashMap::new(),
@@ -276,6 +279,7 @@
             peers: HashMap::new(),
             pooled: HttpClient::pooled(),
             probes: HttpClient::metered(&outputs.traffic),
+            names: outputs.names,
             quarantine_updates: outputs.quarantine_updates,
             receiver,
             traffic: outputs.traffic,
@@ -403,6 +407,7 @@
             gossip: mpsc::unbounded_channel().0,
             leaving,
             meter,
+            names: mpsc::unbounded_channel().0,
             quarantine_updates: mpsc::unbounded_channel().0,
             traffic,
         }
@@ -592,6 +597,8 @@
                 };
                 self.finish_caller(caller, reply);
             }
+            // A send fails only if the task has ended, which it does only with the instance.
+            Effect::Names(call) => drop(self.names.send(call)),
             Effect::FindStream(lookup) => self.gossip(gossip::Message::FindStream(lookup)),
             Effect::Finish {
                 caller,
--- a/crates/node/src/gossip.rs
+++ b/crates/node/src/gossip.rs
@@ -122,6 +122,8 @@
     pub own: LocalMember,
     /// Channel for what other instances report of the store.
     pub peer_reports: mpsc::UnboundedSender<(SocketAddr, PeerReport)>,
+    /// Whether the store names several versions of a pool.
+    pub several_versions: watch::Receiver<bool>,
 }
 
 impl Gossip {
@@ -185,6 +187,7 @@
             own: self.own,
             quarantine_updates: self.kept,
             quarantined: BTreeMap::new(),
+            several_versions: self.several_versions,
             streams: known_streams,
             streams_sender: streams,
         };
--- a/crates/node/src/hosted.rs
+++ b/crates/node/src/hosted.rs
@@ -112,6 +112,8 @@
         let (crash_history_sender, crash_history_receiver) =
             watch::channel(crash_history::LocalHistory::default());
         let (heard, peer_reports) = mpsc::unbounded_channel();
+        let (names_sender, names_calls) = mpsc::unbounded_channel();
+        let (several_sender, several_versions) = watch::channel(false);
         let (quarantine_sender, quarantine_receiver) = mpsc::unbounded_channel();
         let (known_state_sender, known_state) = watch::channel(KnownState::default());
         let (limits, limits_receiver) = watch::channel(platform::configuration::Limits::default());
@@ -134,6 +136,7 @@
             gossip: gossip_sender,
             leaving: watch::channel(driver::LeavingUpstreams::new()).0,
             meter,
+            names: names_sender,
             quarantine_updates: quarantine_sender,
             traffic: Traffic::default(),
         };
@@ -166,6 +169,7 @@
             listen: hosted.peers,
             own: own.clone(),
             peer_reports: heard,
+            several_versions,
         };
         let members = gossip
             .start(gossip_messages.clone(), gossip_receiver)
@@ -175,6 +179,15 @@
             own.clone(),
             driver.clone(),
         ));
+        let names = version_names::VersionNames {
+            calls: names_calls,
+            client: client.clone(),
+            driver: driver.clone(),
+            members: members.clone(),
+            own: own.clone(),
+            several: several_sender,
+        };
+        tokio::spawn(names.run());
         let (requests_sender, peer_requests) = mpsc::unbounded_channel();
         let listener = tokio::net::TcpListener::bind(hosted.peers).await;
         let listener = listener.map_err(|error| Error::Bind(hosted.peers, error))?;
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -51,6 +51,7 @@
 mod traffic;
 mod tunnel;
 mod unknown_headers;
+mod version_names;
 
 pub use {caller::fingerprint, clock::Clock, error::Error, instance::Instance, settings::Settings};
 
--- a/crates/node/src/store_writer.rs
+++ b/crates/node/src/store_writer.rs
@@ -18,6 +18,13 @@
 /// Interval between two checks for changed streams; each write costs a paid call.
 const WRITE_INTERVAL: Duration = Duration::from_millis(700);
 
+/// The same where upstreams of a pool may be of several versions: a stream whose record is lost with all instances can not go
+/// on there.
+const VERSIONED_WRITE_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Bytes of records that an instance writes a second at most where it writes more often.
+const WRITTEN_BYTES_PER_SECOND: f64 = 300_000.0;
+
 /// Interval between two attempts to renew a lease that is not about to expire: refused calls are paid for in full, and
 /// an unavailable store refuses those of all instances.
 const RENEWAL_RETRY_INTERVAL: Duration = Duration::from_secs(3);
@@ -204,6 +211,8 @@
     /// Quarantined requests that this instance has written, to be written again after the store was restored from a
     /// backup, which may lack them.
     pub quarantined: BTreeMap<RequestFingerprint, QuarantineUpdate>,
+    /// Whether the store names several versions of a pool.
+    pub several_versions: watch::Receiver<bool>,
     /// Streams of all instances including this one.
     pub streams: watch::Receiver<Streams>,
     /// Where those are added that were stored before the start.
@@ -227,19 +236,22 @@
         let entry = member.encode();
         let entry_key = members::key(&self.own);
         let streams_key = format!("{STREAMS_PREFIX}{}", self.own.name);
-        let mut ticks = interval(WRITE_INTERVAL);
-        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut pause = Duration::ZERO;
+        let mut written_bytes = 0;
         let mut unwritten = BTreeMap::new();
         let mut era = self.client.availability().borrow().era();
         // When everything is to be written once more, after the store was restored from a backup.
         let mut rewrite_at = None;
         loop {
             tokio::select! {
-                _ = ticks.tick() => {}
+                () = sleep(pause) => {}
+                Ok(()) = self.several_versions.changed() => {}
                 Some(update) = self.quarantine_updates.recv() => {
                     unwritten.insert(update.fingerprint(), update);
                 }
             }
+            // Failed calls are paid for too, and are not repeated sooner.
+            pause = WRITE_INTERVAL;
             let current_era = self.client.availability().borrow().era();
             if current_era > era {
                 era = current_era;
@@ -260,10 +272,16 @@
             let persists_streams = self.own.persists_streams(&self.members.borrow());
             if persists_streams && self.streams.has_changed().unwrap_or(false) {
                 let streams = self.streams.borrow_and_update().encode();
+                written_bytes = streams.len();
                 if let Err(error) = lease.put(&streams_key, &streams).await {
                     debug!("writing streams failed: {error}");
+                    self.streams.mark_changed();
+                    continue;
                 }
             }
+            if persists_streams && *self.several_versions.borrow() {
+                pause = versioned_write_interval(written_bytes);
+            }
         }
     }
 
@@ -324,15 +342,15 @@
     }
 
     /// Reads the streams that were stored before this instance started. Waits for an unavailable store, since nothing can
-    /// be written to it either. A read that is seconds old is sufficient: callers that reconnect take seconds to notice
-    /// the loss of their instances.
+    /// be written to it either. The newest records are those of the streams that are taken up first, so the read is not one
+    /// that may be old.
     async fn restore_streams(&self) {
         let mut retry_state = platform_store::RetryState::new("streams", &self.client);
         let items = loop {
             let read = self.client.read_prefix(
                 STREAMS_PREFIX,
                 retry_state.response_timeout(),
-                wellplank_core::informer_io::Consistency::Serializable,
+                wellplank_core::informer_io::Consistency::Linearizable,
             );
             match read.await {
                 Ok((items, _)) => break items,
@@ -363,6 +381,12 @@
     }
 }
 
+/// Interval between two writes of streams of several versions that take so many bytes.
+fn versioned_write_interval(bytes: usize) -> Duration {
+    let link_time = Duration::from_secs_f64(bytes as f64 / WRITTEN_BYTES_PER_SECOND);
+    link_time.clamp(VERSIONED_WRITE_INTERVAL, WRITE_INTERVAL)
+}
+
 /// The lease with which this instance's entries expire.
 struct Lease {
     client: platform_store::Client,
--- /dev/null
+++ b/crates/node/src/version_names.rs
@@ -0,0 +1,177 @@
+//! Names of versions in the platform's store: writes and reads them as the core asks.
+
+use super::*;
+use members::{LocalMember, Members};
+use rand::RngExt;
+use wellplank_core::{
+    informer_io::Consistency,
+    names::{Call, Name},
+    version::Version,
+};
+
+/// Key prefix of the names. The rest of a key is the number of the version, its value the name of the pool.
+const PREFIX: &str = "wellplank/versions/";
+
+/// Time-out of a call. Streams of unknown origin wait for a read, and capacity may for a write.
+const CALL_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Time between two attempts to write names.
+const RETRY_INTERVAL: Duration = Duration::from_millis(300);
+
+/// Time over which instances of a large fleet spread their first look at whether another one has written a name.
+const SPREAD: Duration = Duration::from_millis(200);
+
+/// Attempts from which on an instance that leaves names to others writes them itself.
+const OWN_ATTEMPT: u32 = 3;
+
+/// Maximum number of names that one call writes.
+const BATCH: usize = 32;
+
+/// Lease identifier of an item that stays until it is removed.
+const NO_LEASE: u64 = 0;
+
+/// Parameters of the task.
+pub(crate) struct VersionNames {
+    /// What the core asks for.
+    pub calls: mpsc::UnboundedReceiver<Call>,
+    /// Client of the store.
+    pub client: platform_store::Client,
+    /// The core task.
+    pub driver: Driver,
+    /// Other instances.
+    pub members: watch::Receiver<Members>,
+    /// This instance.
+    pub own: LocalMember,
+    /// Where it is published whether the store names several versions of a pool.
+    pub several: watch::Sender<bool>,
+}
+
+/// What each call needs.
+#[derive(Clone)]
+struct Session {
+    client: platform_store::Client,
+    driver: Driver,
+    several: watch::Sender<bool>,
+}
+
+impl VersionNames {
+    /// Runs until the instance ends.
+    pub async fn run(mut self) {
+        let session = Session {
+            client: self.client,
+            driver: self.driver,
+            several: self.several,
+        };
+        while let Some(call) = self.calls.recv().await {
+            let session = session.clone();
+            let is_writer = || self.own.persists_streams(&self.members.borrow());
+            match call {
+                Call::Forget(name) if is_writer() => {
+                    tokio::spawn(async move { session.forget(&name).await });
+                }
+                Call::Forget(_) => {}
+                Call::Name(names) => {
+                    let is_writer = is_writer();
+                    tokio::spawn(async move { session.name(names, is_writer).await });
+                }
+                Call::Read(number) => {
+                    tokio::spawn(async move { session.read_for(number).await });
+                }
+            }
+        }
+    }
+}
+
+impl Session {
+    async fn read(&self, consistency: Consistency) -> Result<Vec<Name>, Error> {
+        let read = self.client.read_prefix(PREFIX, CALL_TIMEOUT, consistency);
+        let (items, _) = read.await?;
+        let names: Vec<Name> = items.iter().filter_map(decode).collect();
+        let pools: BTreeSet<&Arc<str>> = names.iter().map(|name| &name.pool).collect();
+        let is_several = pools.len() < names.len();
+        self.several
+            .send_if_modified(|several| std::mem::replace(several, is_several) != is_several);
+        Ok(names)
+    }
+
+    async fn read_for(&self, number: u64) {
+        let names = match self.read(Consistency::Linearizable).await {
+            Ok(names) => Some(names),
+            Err(error) => {
+                debug!("reading the names of versions failed: {error}");
+                None
+            }
+        };
+        self.driver
+            .send_event(Event::VersionsRead { names, number });
+    }
+
+    /// Has names written that are not in the store yet, by this instance if it is a writer or the writers do not do so.
+    async fn name(&self, mut names: Vec<Name>, is_writer: bool) {
+        if !is_writer {
+            let delay = rand::rng().random_range(Duration::ZERO..SPREAD);
+            sleep(delay).await;
+        }
+        let mut attempt = 0;
+        loop {
+            if let Ok(known) = self.read(Consistency::Serializable).await {
+                names.retain(|name| !known.contains(name));
+                self.driver.send_event(Event::VersionsNamed(known));
+            }
+            if (is_writer || attempt >= OWN_ATTEMPT) && !names.is_empty() {
+                match self.write(&names).await {
+                    Ok(()) => {
+                        self.driver
+                            .send_event(Event::VersionsNamed(std::mem::take(&mut names)));
+                        // Whether a pool has several versions now.
+                        let _ = self.read(Consistency::Linearizable).await;
+                    }
+                    Err(error) => debug!("naming versions failed: {error}"),
+                }
+            }
+            if names.is_empty() {
+                return;
+            }
+            attempt += 1;
+            sleep(RETRY_INTERVAL).await;
+        }
+    }
+
+    async fn write(&self, names: &[Name]) -> Result<(), Error> {
+        for batch in names.chunks(BATCH) {
+            let puts: Vec<(String, &[u8])> = batch
+                .iter()
+                .map(|name| (key(name), name.pool.as_bytes()))
+                .collect();
+            let call = platform::store::put_all(&puts, NO_LEASE);
+            let status = self.client.call(call, CALL_TIMEOUT).await?.status;
+            if status != StatusCode::OK {
+                return Err(Error::Store(format!("{PREFIX}: {status}")));
+            }
+        }
+        Ok(())
+    }
+
+    /// Removes a name; if that fails, it stays until another instance does.
+    async fn forget(&self, name: &Name) {
+        let removed = platform::store::remove(&key(name));
+        if let Err(error) = self.client.call(removed, CALL_TIMEOUT).await {
+            debug!("removing the name of a version failed: {error}");
+        }
+        let _ = self.read(Consistency::Linearizable).await;
+    }
+}
+
+/// Key of a name.
+fn key(name: &Name) -> String {
+    format!("{PREFIX}{:016x}", name.version.0)
+}
+
+/// The name in an item of the store; `None` if another program wrote it.
+fn decode(item: &platform::store::Item) -> Option<Name> {
+    let version = item.key.strip_prefix(PREFIX)?;
+    let version = Version(u64::from_str_radix(version, 16).ok()?);
+    let pool = std::str::from_utf8(item.bytes().ok()?).ok()?;
+    let pool = pool.into();
+    Some(Name { pool, version })
+}
--- a/crates/standin/src/relaying.rs
+++ b/crates/standin/src/relaying.rs
@@ -713,6 +713,7 @@
             Effect::Observe(Timing::Resume, millis) => self.case.pauses_ms.push(millis as f64),
             Effect::Buffering(_)
             | Effect::LogUpstream { .. }
+            | Effect::Names(_)
             | Effect::LogUpstreams { .. }
             | Effect::Claim { .. }
             | Effect::Count(..)
--- a/crates/standin/src/world.rs
+++ b/crates/standin/src/world.rs
@@ -392,6 +392,7 @@
             | Effect::ForwardEvent { .. }
             | Effect::Quarantine(_)
             | Effect::FindStream(_)
+            | Effect::Names(_)
             | Effect::GossipStream { .. }
             | Effect::Observe(..)
             | Effect::Buffering(_) => {}
--- a/crates/standin/tests/stream_version.rs
+++ b/crates/standin/tests/stream_version.rs
@@ -124,6 +124,15 @@
     }
 }
 
+/// Has the entries of all engines of a version go, as of those that leave without a word; they serve on.
+fn withdraw(site: &Site, version: &str) {
+    for seat in &site.engines {
+        if seat.worker.version == version {
+            site.shelf.remove(&format!("servers/{}", seat.worker.name));
+        }
+    }
+}
+
 /// Versions of the engines that ran streams.
 fn used_versions(site: &Site) -> Vec<&'static str> {
     let mut versions: Vec<&str> = site.ledger.runs().iter().map(|run| run.version).collect();
@@ -191,7 +200,7 @@
     });
 }
 
-/// When the engines of a version end, as seen from the loss of all instances.
+/// When the engines of a version leave, as seen from the loss of all instances.
 #[derive(Clone, Copy, Debug)]
 enum Gone {
     Before,
@@ -200,7 +209,7 @@
     Never,
 }
 
-/// Time between the end of the engines and the loss of the instances, or the other way around.
+/// Time between the leave of the engines and the loss of the instances, or the other way around.
 const APART: Duration = Duration::from_millis(150);
 
 /// Time for which callers take up a stream again and again.
@@ -239,7 +248,7 @@
     let begun = begin_up_to(site, 0, 1).await;
     sleep(age).await;
     if matches!(gone, Gone::Before) {
-        retire(site, "v1");
+        withdraw(site, "v1");
         sleep(APART).await;
     }
     for instance in &mut site.instances {
@@ -249,7 +258,7 @@
         sleep(APART).await;
     }
     if !matches!(gone, Gone::Never) {
-        retire(site, "v1");
+        withdraw(site, "v1");
     }
     for instance in 0..site.instances.len() {
         site.restart(instance).await;
