Guard against going on with streams of versions that an instance has missed

An instance that was cut off, stood still or whose watch is silent holds a list without the version that joined meanwhile. In virtual time: no stream of unknown origin goes on before, during or behind a failed read of the names, nor by a read that began before it came; a new version gets no stream before it is named, unless no other is left or the store does not answer; a name goes only by an instance that was in touch.

--- a/crates/core/tests/relay/builder.rs
+++ b/crates/core/tests/relay/builder.rs
@@ -56,6 +56,12 @@
         self
     }
 
+    /// Makes the core name versions in the store.
+    pub fn naming_versions(mut self) -> Self {
+        self.core = self.core.naming_versions();
+        self
+    }
+
     pub fn without_configuration() -> Self {
         Self::with(ResumeMode::Copy)
     }
--- a/crates/core/tests/relay/main.rs
+++ b/crates/core/tests/relay/main.rs
@@ -54,6 +54,7 @@
 mod liveness;
 mod liveness_load;
 mod liveness_methods;
+mod names;
 mod notice;
 mod open_request;
 mod poison;
