--- a/crates/node/src/driver.rs
+++ b/crates/node/src/driver.rs
@@ -549,6 +549,10 @@
         }
     }
 
+    fn observe(&self, timing: counter::Timing, ms: u64) {
+        self.meter.observe(meter::Latency::Core(timing), ms as f64);
+    }
+
     fn execute(&mut self, effect: Effect) {
         match effect {
             Effect::AbortStream(caller) => self.finish_caller(caller, Reply::Abort),
@@ -597,7 +601,6 @@
                 };
                 self.finish_caller(caller, reply);
             }
-            // A send fails only if the task has ended, which it does only with the instance.
             Effect::Names(call) => drop(self.names.send(call)),
             Effect::FindStream(lookup) => self.gossip(gossip::Message::FindStream(lookup)),
             Effect::Finish {
@@ -632,9 +635,7 @@
                 upstream,
             } => request_log::log_upstream(change, born, silent_ms, &upstream),
             Effect::LogUpstreams { change, count } => request_log::log_upstreams(change, count),
-            Effect::Observe(timing, ms) => {
-                self.meter.observe(meter::Latency::Core(timing), ms as f64);
-            }
+            Effect::Observe(timing, ms) => self.observe(timing, ms),
             Effect::Probe { address, upstream } => {
                 let probe = probe::run(self.probes.clone(), self.driver.clone(), upstream, address);
                 tokio::spawn(probe);
--- a/crates/node/src/gossip.rs
+++ b/crates/node/src/gossip.rs
@@ -122,8 +122,8 @@
     pub own: LocalMember,
     /// Channel for what other instances report of the store.
     pub peer_reports: mpsc::UnboundedSender<(SocketAddr, PeerReport)>,
-    /// Whether the store names several versions of a pool.
-    pub several_versions: watch::Receiver<bool>,
+    /// Reads and writes of the names of versions.
+    pub name_calls: mpsc::UnboundedReceiver<wellplank_core::names::Call>,
 }
 
 impl Gossip {
@@ -179,6 +179,16 @@
             streams: streams.clone(),
         };
         tokio::spawn(sender.run(messages));
+        let (several, several_versions) = watch::channel(false);
+        let names = version_names::VersionNames {
+            calls: self.name_calls,
+            client: self.client.clone(),
+            driver: self.driver.clone(),
+            members: members.clone(),
+            own: self.own.clone(),
+            several,
+        };
+        tokio::spawn(names.run());
         let writer = store_writer::StoreWriter {
             client: self.client,
             driver: self.driver,
@@ -187,7 +197,7 @@
             own: self.own,
             quarantine_updates: self.kept,
             quarantined: BTreeMap::new(),
-            several_versions: self.several_versions,
+            several_versions,
             streams: known_streams,
             streams_sender: streams,
         };
--- a/crates/node/src/hosted.rs
+++ b/crates/node/src/hosted.rs
@@ -112,8 +112,7 @@
         let (crash_history_sender, crash_history_receiver) =
             watch::channel(crash_history::LocalHistory::default());
         let (heard, peer_reports) = mpsc::unbounded_channel();
-        let (names_sender, names_calls) = mpsc::unbounded_channel();
-        let (several_sender, several_versions) = watch::channel(false);
+        let (names_sender, name_calls) = mpsc::unbounded_channel();
         let (quarantine_sender, quarantine_receiver) = mpsc::unbounded_channel();
         let (known_state_sender, known_state) = watch::channel(KnownState::default());
         let (limits, limits_receiver) = watch::channel(platform::configuration::Limits::default());
@@ -169,7 +168,7 @@
             listen: hosted.peers,
             own: own.clone(),
             peer_reports: heard,
-            several_versions,
+            name_calls,
         };
         let members = gossip
             .start(gossip_messages.clone(), gossip_receiver)
@@ -179,15 +178,6 @@
             own.clone(),
             driver.clone(),
         ));
-        let names = version_names::VersionNames {
-            calls: names_calls,
-            client: client.clone(),
-            driver: driver.clone(),
-            members: members.clone(),
-            own: own.clone(),
-            several: several_sender,
-        };
-        tokio::spawn(names.run());
         let (requests_sender, peer_requests) = mpsc::unbounded_channel();
         let listener = tokio::net::TcpListener::bind(hosted.peers).await;
         let listener = listener.map_err(|error| Error::Bind(hosted.peers, error))?;
@@ -207,11 +197,7 @@
             peer_requests,
         };
         tokio::spawn(store_sync.run(peer_reports));
-        let address = settings.listen.callers.to_string();
-        let data_centre = settings.data_centre.as_str();
-        let peers = hosted.peers.to_string();
-        let store = hosted.store.to_string();
-        info!(address, data_centre, peers, store; "started");
+        log_start(&settings, &hosted);
         Ok(Self {
             callers,
             driver,
@@ -315,6 +301,15 @@
     }
 }
 
+/// Logs the addresses of an instance that has started.
+fn log_start(settings: &Settings, hosted: &Hosted) {
+    let address = settings.listen.callers.to_string();
+    let data_centre = settings.data_centre.as_str();
+    let peers = hosted.peers.to_string();
+    let store = hosted.store.to_string();
+    info!(address, data_centre, peers, store; "started");
+}
+
 /// Passes each change of the fleet's members to the core until the instance ends.
 async fn publish_members(
     mut members: watch::Receiver<members::Members>,
--- a/crates/node/src/request_log.rs
+++ b/crates/node/src/request_log.rs
@@ -8,8 +8,9 @@
     limit::Limit,
     notice::{Backoff, Notice},
     open_request::OpenRequest,
-    origin::Origin,
+    origin::{Basis, Origin},
     quarantine::CrashHistory,
+    retry_window::RetryClass,
 };
 
 /// Logs a change of an upstream's status.
@@ -138,6 +139,24 @@
     warn!(request, stage, age_ms, position; "open at the end of the stop");
 }
 
+/// Logs that the bound on attempts permits no other attempt of a request.
+fn log_retry_refused(entry: &RequestLog, request: &str, class: RetryClass) {
+    let customer = entry.customer.name.as_str();
+    let service = entry.service.name.as_str();
+    let (fingerprint, position) = (entry.fingerprint.to_string(), entry.position);
+    let class = class.to_string();
+    warn!(request, fingerprint, customer, service, position, class; "no retry permit");
+}
+
+/// Logs what the decision on a stream that its caller takes up is based on.
+fn log_taken_up(entry: &RequestLog, request: &str, basis: Basis) {
+    let customer = entry.customer.name.as_str();
+    let service = entry.service.name.as_str();
+    let (fingerprint, position) = (entry.fingerprint.to_string(), entry.position);
+    let basis = basis.to_string();
+    info!(request, fingerprint, customer, service, position, basis; "taken up");
+}
+
 /// Logs a step of a request. Relayed requests are identified by the ID that their caller assigned.
 pub(crate) fn log_step(entry: &RequestLog, configuration: Option<ConfigurationInForce>) {
     let generation = || Uuid::from_u128(entry.generation).to_string();
@@ -192,10 +211,6 @@
             let reason = reason.to_string();
             warn!(request, fingerprint, customer, service, upstream, position, reason; "attempt lost");
         }
-        Step::RetryRefused(class) => {
-            let class = class.to_string();
-            warn!(request, fingerprint, customer, service, position, class; "no retry permit");
-        }
         Step::Paused { unread_bytes } => {
             let unread_bytes = *unread_bytes;
             info!(request, customer, service, upstream, position, unread_bytes; "reading paused");
@@ -235,10 +250,8 @@
             let (origin, version) = (origin_name(*origin), version.as_ref());
             info!(request, fingerprint, customer, service, model, upstream, position, backup, copy, left_ms, list_age_ms, tunnelled, version, origin; "sent");
         }
-        Step::TakenUp(basis) => {
-            let basis = basis.to_string();
-            info!(request, fingerprint, customer, service, position, basis; "taken up");
-        }
+        Step::RetryRefused(class) => log_retry_refused(entry, &request, *class),
+        Step::TakenUp(basis) => log_taken_up(entry, &request, *basis),
         Step::Waits(outlook) => {
             let (rank, ahead, wait_ms) = (outlook.rank.number(), outlook.ahead, outlook.wait_ms);
             info!(request, fingerprint, customer, service, rank, ahead, wait_ms; "waits");
--- a/crates/standin/src/world.rs
+++ b/crates/standin/src/world.rs
@@ -408,7 +408,6 @@
                         leaving: self.upstreams[index].mode == Mode::Leaving,
                         running: self.upstreams[index].running(),
                         slots: 8,
-                        waiting: 0,
                         ..Load::default()
                     };
                     self.event(instance, 3, Event::Load { upstream, load });
