--- a/crates/node/src/driver.rs
+++ b/crates/node/src/driver.rs
@@ -159,6 +159,8 @@
     pub leaving: watch::Sender<LeavingUpstreams>,
     /// Counters and histograms.
     pub meter: meter::Meter,
+    /// Reads and writes of the names of versions.
+    pub names: mpsc::UnboundedSender<wellplank_core::names::Call>,
     /// Changes of the quarantine to persist, so that it survives the loss of all instances.
     pub quarantine_updates: mpsc::UnboundedSender<store_writer::QuarantineUpdate>,
     /// Volume of control traffic.
@@ -191,6 +193,7 @@
     peers: HashMap<u64, SocketAddr>,
     pooled: HttpClient,
     probes: HttpClient,
+    names: mpsc::UnboundedSender<wellplank_core::names::Call>,
     quarantine_updates: mpsc::UnboundedSender<store_writer::QuarantineUpdate>,
     receiver: mpsc::UnboundedReceiver<Message>,
     traffic: Traffic,
@@ -255,7 +258,7 @@
             .in_data_centre(&settings.data_centre)
             .counting_unread();
         if settings.hosted.is_some() {
-            core = core.restoring_streams();
+            core = core.restoring_streams().naming_versions();
         }
         let task = Task {
             attempts: HashMap::new(),
@@ -276,6 +279,7 @@
             peers: HashMap::new(),
             pooled: HttpClient::pooled(),
             probes: HttpClient::metered(&outputs.traffic),
+            names: outputs.names,
             quarantine_updates: outputs.quarantine_updates,
             receiver,
             traffic: outputs.traffic,
@@ -403,6 +407,7 @@
             gossip: mpsc::unbounded_channel().0,
             leaving,
             meter,
+            names: mpsc::unbounded_channel().0,
             quarantine_updates: mpsc::unbounded_channel().0,
             traffic,
         }
@@ -544,6 +549,10 @@
         }
     }
 
+    fn observe(&self, timing: counter::Timing, ms: u64) {
+        self.meter.observe(meter::Latency::Core(timing), ms as f64);
+    }
+
     fn execute(&mut self, effect: Effect) {
         match effect {
             Effect::AbortStream(caller) => self.finish_caller(caller, Reply::Abort),
@@ -592,6 +601,7 @@
                 };
                 self.finish_caller(caller, reply);
             }
+            Effect::Names(call) => drop(self.names.send(call)),
             Effect::FindStream(lookup) => self.gossip(gossip::Message::FindStream(lookup)),
             Effect::Finish {
                 caller,
@@ -625,9 +635,7 @@
                 upstream,
             } => request_log::log_upstream(change, born, silent_ms, &upstream),
             Effect::LogUpstreams { change, count } => request_log::log_upstreams(change, count),
-            Effect::Observe(timing, ms) => {
-                self.meter.observe(meter::Latency::Core(timing), ms as f64);
-            }
+            Effect::Observe(timing, ms) => self.observe(timing, ms),
             Effect::Probe { address, upstream } => {
                 let probe = probe::run(self.probes.clone(), self.driver.clone(), upstream, address);
                 tokio::spawn(probe);
--- a/crates/node/src/hosted.rs
+++ b/crates/node/src/hosted.rs
@@ -112,6 +112,7 @@
         let (crash_history_sender, crash_history_receiver) =
             watch::channel(crash_history::LocalHistory::default());
         let (heard, peer_reports) = mpsc::unbounded_channel();
+        let (names_sender, name_calls) = mpsc::unbounded_channel();
         let (quarantine_sender, quarantine_receiver) = mpsc::unbounded_channel();
         let (known_state_sender, known_state) = watch::channel(KnownState::default());
         let (limits, limits_receiver) = watch::channel(platform::configuration::Limits::default());
@@ -134,6 +135,7 @@
             gossip: gossip_sender,
             leaving: watch::channel(driver::LeavingUpstreams::new()).0,
             meter,
+            names: names_sender,
             quarantine_updates: quarantine_sender,
             traffic: Traffic::default(),
         };
@@ -170,6 +172,7 @@
             listen: hosted.peers,
             own: own.clone(),
             peer_reports: heard,
+            name_calls,
         };
         let members = gossip
             .start(gossip_messages.clone(), gossip_receiver)
@@ -303,6 +306,7 @@
     }
 }
 
+/// Logs the addresses of an instance that has started.
 fn log_start(settings: &Settings, hosted: &Hosted) {
     let address = settings.listen.callers.to_string();
     let data_centre = settings.data_centre.as_str();
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -53,6 +53,7 @@
 mod tunnel;
 mod unanswered;
 mod unknown_headers;
+mod version_names;
 
 pub use {caller::fingerprint, clock::Clock, error::Error, instance::Instance, settings::Settings};
 
--- a/crates/standin/src/world.rs
+++ b/crates/standin/src/world.rs
@@ -392,6 +392,7 @@
             | Effect::ForwardEvent { .. }
             | Effect::Quarantine(_)
             | Effect::FindStream(_)
+            | Effect::Names(_)
             | Effect::GossipStream { .. }
             | Effect::Observe(..)
             | Effect::Buffering(_) => {}
@@ -407,7 +408,6 @@
                         leaving: self.upstreams[index].mode == Mode::Leaving,
                         running: self.upstreams[index].running(),
                         slots: 8,
-                        waiting: 0,
                         ..Load::default()
                     };
                     self.event(instance, 3, Event::Load { upstream, load });
