Keep known instances behind an outage that outlasts their leases

What callers saw: nothing by itself. Behind an outage of the store in which the leases of all instances expired, each instance read a list without the others and took itself to be alone until its next read, two seconds later. For that time it used the limits and the permits for retries of all, sent the others no records of streams, could find no tunnel, and watched the store by itself.

Cause: an entry that is missing was taken for an instance that has ended. Behind a restore from a backup known instances were kept for six seconds; an outage that outlasts the leases (20 s) loses the same entries and had no such grace.

Ruled out: that the first read comes behind the others' registration; a read finds what was registered within some 0.7 s, the first one comes at once.

Why it works: all instances write their entries again within two seconds of the return and reads are at most as old, so an entry that is missing within six seconds of it says nothing. One that ended in the outage counts for six seconds longer; its part of limits is unused for that time.

--- a/crates/core/src/availability.rs
+++ b/crates/core/src/availability.rs
@@ -245,6 +245,12 @@
         self.outage
     }
 
+    /// Whether an outage that was long enough for entries to expire ended within a time.
+    pub fn had_outage_within(&self, millis: u64, now: Time) -> bool {
+        self.outage
+            .is_some_and(|outage| now.since(outage.to) < millis)
+    }
+
     /// Remaining grace period of entries that are missing now, in milliseconds: they may have expired during the
     /// outage and be registered again.
     pub fn grace_ms(&self, now: Time) -> u64 {
--- a/crates/node/src/members.rs
+++ b/crates/node/src/members.rs
@@ -51,10 +51,11 @@
 /// whole lists for 20 s.
 pub const DISCOVERY_WAIT_MS: u64 = 200;
 
-/// Time after a restore of the store from a backup for which instances with missing entries are taken to exist: they
-/// write their entries again within two seconds, and reads may be as old. Otherwise each of hundreds of instances would
-/// assume a small fleet and watch the store for itself.
-const RESTORE_GRACE: Duration = Duration::from_secs(6);
+/// Time after a restore of the store from a backup, or after an outage in which leases may have expired, for which
+/// instances with missing entries are taken to exist: they write their entries again within two seconds, and reads may be
+/// as old. Otherwise each of hundreds of instances would assume a small fleet, watch the store for itself, and use limits
+/// and permits for retries as if it were alone.
+const MISSING_GRACE: Duration = Duration::from_secs(6);
 
 /// Maximum size of a fleet in which each instance watches the store: there the watches cost less than announcements.
 pub(crate) const SMALL_FLEET_MAX: usize = 12;
@@ -297,9 +298,10 @@
                 .replace(current_era)
                 .is_some_and(|era| era < current_era)
             {
-                grace_until = Instant::now() + RESTORE_GRACE;
+                grace_until = Instant::now() + MISSING_GRACE;
             }
-            let keeps_known = Instant::now() < grace_until;
+            let keeps_known =
+                Instant::now() < grace_until || self.client.had_outage_within(MISSING_GRACE);
             let local = self.local_count(&members);
             full_read = full_read.next(local, members.len(), started_at.elapsed());
             self.publish(members, keeps_known, started_at.elapsed());
--- a/crates/node/src/platform_store.rs
+++ b/crates/node/src/platform_store.rs
@@ -58,6 +58,12 @@
         self.availability.subscribe()
     }
 
+    /// Whether an outage of the store in which entries may have expired ended within a time.
+    pub fn had_outage_within(&self, time: Duration) -> bool {
+        let availability = self.availability.borrow();
+        availability.had_outage_within(time.as_millis() as u64, self.clock.now())
+    }
+
     /// Makes later calls use new connections: the fault that broke one pooled connection may have broken all of them.
     /// Pending calls continue.
     pub fn reconnect(&self) {
