Give out no permits of the fleet before a whole window was counted

What callers saw: nothing by itself; the rule on second sendings (BUDGET) can break. An instance that has just started knows of no attempt in the window and gave out all permits that do not depend on requests (retry.extra) again; and while instances that started together do not know each other yet, each of them gave out those of all.

Cause: "nothing was spent in this window" was concluded by an instance that had not been there for the window.

Ruled out: the permits that requests earn. They are the sum of what each instance received since its start, whatever was before.

Evidence, crates/core/tests/retry_window.rs, retry.extra 150, ratio 0.8, 10 s, every permit used on both sides, attempts beyond what is allowed. All instances lost and back 0.5 to 8 s later: 47, 46, 37 and 34 with 1, 6, 30 and 71 instances, none with 320 and 984. Not known to each other for 0.5 s: 615, 3,686, 8,933 and 40,805 with 6, 30, 71 and 320. With this change: 0 in each.

Why it works: what an instance hands out in its first window follows from its own requests alone, so that the sum over instances stays within the ratio and what was spent before is within the rest.

What it costs: for 10 s behind its start an instance may send again only as often as 0.8 of the requests that it received (a stream with a copy once in any case).

--- a/crates/core/src/core.rs
+++ b/crates/core/src/core.rs
@@ -99,6 +99,8 @@
     pub(crate) connectivity: Connectivity,
     /// Whether the edge reports what callers read, so that unread bytes are counted.
     pub(crate) counts_unread: bool,
+    /// Since when requests and attempts are counted; the epoch if no earlier process may have made any.
+    pub(crate) counting_since: Time,
     /// Data centre that this instance runs in; empty if there is no preference.
     pub(crate) data_centre: Arc<str>,
     /// Unlisted upstreams that still have attempts.
@@ -298,6 +300,7 @@
             config: None,
             connectivity: Connectivity::default(),
             crash_suspects: CrashSuspects::default(),
+            counting_since: Time::default(),
             counts_unread: false,
             data_centre: Arc::from(""),
             departed: BTreeSet::new(),
@@ -365,10 +368,11 @@
     }
 
     /// Makes the instance wait for [`Event::StreamsRestored`] before it resumes streams: those
-    /// stored before its start are yet to be reported.
+    /// stored before its start are yet to be reported. What was spent before its start is never known.
     #[must_use]
     pub fn restoring_streams(mut self) -> Self {
         self.streams_restored = false;
+        self.counting_since = self.now;
         self
     }
 
--- a/crates/core/src/retry_window.rs
+++ b/crates/core/src/retry_window.rs
@@ -13,7 +13,7 @@
 const SLOT_MS: u64 = 100;
 
 /// Fraction of its part that an instance may use. The rest covers what others overshoot: their views of the fleet
-/// differ while instances start and end, and a restarted instance has forgotten what it spent.
+/// differ while instances start and end.
 const PART_FRACTION: f64 = 0.95;
 
 /// Fraction of its part that an instance may use for requests whose callers have received nothing.
@@ -58,6 +58,9 @@
 pub struct FleetPart {
     /// Number of instances.
     pub instances: u32,
+    /// Time for which this instance has counted requests and attempts, in milliseconds. It does not know what it spent
+    /// before a restart.
+    pub observed_ms: u64,
     /// Number of instances with lower identifiers, as a fraction of all. Where parts of a permit are rounded up follows
     /// from it, so that some instances have a permit where all together have fewer than one each.
     pub rank: f64,
@@ -86,6 +89,18 @@
     own: AttemptCounts,
 }
 
+impl FleetPart {
+    /// Permits of the fleet that do not depend on requests: none before this instance has counted for a whole window.
+    /// Instances that were lost together would spend them a second time in one window, and each those of all while they
+    /// do not know each other yet. What requests earn holds whatever was before.
+    fn extra(self, bound: &RetryBound) -> f64 {
+        if self.observed_ms <= bound.window_ms + SLOT_MS {
+            return 0.0;
+        }
+        bound.extra
+    }
+}
+
 impl RetryClass {
     /// Permits that this class may use of a part of the bound, in permits.
     fn permits(self, part: f64, rank: f64) -> f64 {
@@ -214,7 +229,7 @@
         now: Time,
     ) -> bool {
         self.expire(bound, now);
-        let extra = bound.extra / f64::from(fleet.instances.max(1));
+        let extra = fleet.extra(bound) / f64::from(fleet.instances.max(1));
         let part = bound.ratio * self.own.expected_requests(bound, now) + extra;
         let has_part = f64::from(self.own.spent.total) < class.permits(part, fleet.rank);
         has_part || self.may_borrow(class, part, bound, fleet, now)
@@ -250,7 +265,7 @@
         if fleet.instances < 2 || !is_known || f64::from(self.own.spent.total) >= most {
             return false;
         }
-        let allowed = bound.ratio * self.fleet.expected_requests(bound, now) + bound.extra;
+        let allowed = bound.ratio * self.fleet.expected_requests(bound, now) + fleet.extra(bound);
         let unreported = match class {
             RetryClass::Restart | RetryClass::Resume => self.unreported_attempts(instances, now),
             RetryClass::ResumeFromCopy => 0.0,
@@ -340,6 +355,7 @@
     fn fleet_part(&self) -> FleetPart {
         FleetPart {
             instances: self.instances,
+            observed_ms: self.now.since(self.counting_since),
             rank: self.members.rank_fraction(),
         }
     }
--- a/crates/core/tests/retry_window.rs
+++ b/crates/core/tests/retry_window.rs
@@ -27,6 +27,8 @@
     instances: u32,
     /// Times of all requests and attempts beyond the first.
     received: Vec<Time>,
+    /// When its instances last started.
+    started_at: Time,
     rng: Pcg64Mcg,
     spent: Vec<Time>,
     windows: Vec<RetryWindow>,
@@ -37,6 +39,7 @@
         Self {
             instances,
             received: Vec::new(),
+            started_at: Time::default(),
             rng: Pcg64Mcg::seed_from_u64(u64::from(instances)),
             spent: Vec::new(),
             windows: vec![RetryWindow::default(); instances as usize],
@@ -52,13 +55,21 @@
         }
     }
 
+    /// All instances are lost and start again at a time.
+    fn restart(&mut self, at: Time) {
+        self.started_at = at;
+        self.windows = vec![RetryWindow::default(); self.windows.len()];
+    }
+
     /// Takes all permits that there are for a class; returns how many.
     fn spend_all(&mut self, class: RetryClass, now: Time) -> usize {
         let before = self.spent.len();
         for (instance, window) in self.windows.iter_mut().enumerate() {
+            let rank = instance as f64 / f64::from(self.instances);
             let fleet = FleetPart {
                 instances: self.instances,
-                rank: instance as f64 / f64::from(self.instances),
+                observed_ms: now.since(self.started_at),
+                rank: if self.instances == 1 { 0.0 } else { rank },
             };
             while window.spend(class, &BOUND, fleet, now) {
                 self.spent.push(now);
@@ -163,6 +174,7 @@
 fn instance_goes_beyond_its_part_while_records_show_that_the_fleet_is_below_the_bound() {
     let fleet = FleetPart {
         instances: 30,
+        observed_ms: u64::MAX,
         rank: 0.5,
     };
     let spent = |known: u32, peers_spent: u32| {
@@ -187,3 +199,62 @@
     expect_that!(spent(500, 100), all![ge(30), le(62)]);
     expect_that!(spent(500, 560), le(19));
 }
+
+/// Guards against permits that a restart gives out a second time: an instance that has just started knows of no attempt in the
+/// window, and those before its start count all the same.
+#[gtest]
+fn restart_of_all_instances_gives_no_permits_out_again() {
+    for instances in FLEET_SIZES {
+        for down_ms in [500, 1_000, 2_600, 8_000] {
+            let mut fleet = Fleet::new(instances);
+            fleet.receive(500, START);
+            fleet.spend_all(RetryClass::Resume, START.after(10));
+            fleet.restart(START.after(10 + down_ms));
+            let mut worst = 0.0_f64;
+            for step in 0..100 {
+                let now = START.after(10 + down_ms + step * 100);
+                fleet.receive(5, now);
+                fleet.spend_all(RetryClass::Resume, now);
+                let (spent, allowed) = fleet.compare(now);
+                worst = worst.max(spent - allowed);
+            }
+            expect_that!(worst, le(0.0), "{instances} instances, {down_ms} ms");
+        }
+    }
+}
+
+/// Guards against permits of a whole fleet at each instance, while instances that started together do not know each other yet.
+#[gtest]
+fn instances_that_do_not_know_each_other_yet_keep_the_bound_together() {
+    for instances in FLEET_SIZES {
+        let mut fleet = Fleet::new(instances);
+        fleet.restart(START);
+        fleet.instances = 1;
+        let mut worst = 0.0_f64;
+        for step in 0..5 {
+            let now = START.after(step * 100);
+            fleet.receive(6, now);
+            fleet.spend_all(RetryClass::Resume, now);
+            let (spent, allowed) = fleet.compare(now);
+            worst = worst.max(spent - allowed);
+        }
+        expect_that!(worst, le(0.0), "{instances} instances");
+    }
+}
+
+/// Guards against a restart that takes away the permits that requests earn.
+#[gtest]
+fn instances_that_have_just_started_may_use_what_requests_earn() {
+    for instances in FLEET_SIZES {
+        let mut fleet = Fleet::new(instances);
+        fleet.restart(START);
+        fleet.receive(1_000, START);
+        let spent = fleet.spend_all(RetryClass::ResumeFromCopy, START.after(10));
+        let earned = BOUND.ratio * 1_000.0;
+        expect_that!(
+            spent as f64,
+            all![ge(0.85 * earned), le(earned + f64::from(instances))],
+            "{instances}"
+        );
+    }
+}
