Take no stream for the only one of its content behind a pause

What callers saw: at an instance that had stood still for seconds, a caller that names no run and whose stream another one equals in content could go on from the memory of that other one (MIXED).

Cause: "the only stream with this content that I know, so it is this caller's" was concluded by an instance that had not read what the others announced while it stood still: its socket holds some hundred datagrams. Behind the removal of records and behind some starts that was minded already, behind a pause not.

Ruled out: callers who name their run, and pauses below a second, of which the socket holds what arrived.

Evidence: crates/core/tests/relay/absence.rs, one stream known, its twin's record lost in pauses of 1.5, 3.5 and 20 s: the caller went on from the copy of "first" in each of three, in none now. With 0.7 s, and by name, the copy is still used. That datagrams are lost in such pauses is by calculation, not measured.

Why it works: records are kept for 30 s, and for as long behind such a pause the instance takes it that it may lack some. What it costs: prompts of unnamed callers are read again there for 30 s. Better would be to ask the others (docs/design/conclusions-from-absence.md).

--- a/crates/core/src/core.rs
+++ b/crates/core/src/core.rs
@@ -71,6 +71,10 @@
     }
 }
 
+/// Pause of this process behind which records of streams that other instances sent meanwhile may be lost, in milliseconds: a
+/// socket holds some hundred datagrams, as many as arrive in a second or two.
+const RECORDS_LOST_MS: u64 = 1_000;
+
 /// A request that arrived before this instance had the state to serve it.
 #[derive(Clone, Debug)]
 pub(crate) struct DeferredRequest {
@@ -212,6 +216,9 @@
         if gap > self.settings.pause_ms {
             self.resume_after_pause(gap);
         }
+        if gap >= RECORDS_LOST_MS && self.instances > 1 {
+            self.stream_records.mark_incomplete(self.now);
+        }
         match event {
             Event::Answered { attempt, verdict } => self.handle_response(attempt, verdict),
             Event::CallerGone(caller) => self.handle_caller_gone(caller),
