Keep to the own part of permits behind a time in which records were missed

What callers saw: nothing by itself; the rule on second sendings (BUDGET) can break. An instance that stood still while the others spent permits went beyond its part, up to three times, since no record showed that the fleet had spent any.

Cause: "the fleet is below its bound" was concluded from records by an instance that had missed some in the window.

Why it works: beyond its part an instance goes only where it has heard the others for a whole window. What it costs: behind a start or a pause of a second or more it keeps to its part for ten seconds. An instance that is cut off from the others alone does not know it (docs/design/conclusions-from-absence.md).

--- a/crates/core/src/core.rs
+++ b/crates/core/src/core.rs
@@ -116,6 +116,8 @@
     pub(crate) ended: EndedIncarnations,
     /// When requests were last checked for expiry.
     pub(crate) expiry_checked_at: Time,
+    /// Since when no records of other instances can have been missed by a start or a pause of this process.
+    pub(crate) hearing_since: Time,
     pub(crate) hedge_budget: Budget,
     /// Bytes that all running requests count towards the memory limit.
     pub(crate) held_bytes: u64,
@@ -217,6 +219,7 @@
             self.resume_after_pause(gap);
         }
         if gap >= RECORDS_LOST_MS && self.instances > 1 {
+            self.hearing_since = self.now;
             self.stream_records.mark_incomplete(self.now);
         }
         match event {
@@ -315,6 +318,7 @@
             effects: Vec::new(),
             ended: EndedIncarnations::default(),
             expiry_checked_at: now,
+            hearing_since: Time::default(),
             hedge_budget: Budget::new(BUDGET_PERMITS, BUDGET_REFILL_PER_SECOND, now),
             held_bytes: 0,
             instances: 1,
@@ -380,6 +384,7 @@
     pub fn restoring_streams(mut self) -> Self {
         self.streams_restored = false;
         self.counting_since = self.now;
+        self.hearing_since = self.now;
         self
     }
 
--- a/crates/core/src/retry_window.rs
+++ b/crates/core/src/retry_window.rs
@@ -56,6 +56,8 @@
 /// An instance's place in its fleet.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct FleetPart {
+    /// Time since this instance last missed records of the others, in milliseconds.
+    pub heard_ms: u64,
     /// Number of instances.
     pub instances: u32,
     /// Time for which this instance has counted requests and attempts, in milliseconds. It does not know what it spent
@@ -99,6 +101,11 @@
         }
         bound.extra
     }
+
+    /// Whether records show what the others spent in the whole window.
+    fn knows_fleet(self, bound: &RetryBound) -> bool {
+        self.instances > 1 && self.heard_ms > bound.window_ms + SLOT_MS
+    }
 }
 
 impl RetryClass {
@@ -262,7 +269,7 @@
         let is_known =
             f64::from(self.fleet.received.total) >= KNOWN_FRACTION * own_requests * instances;
         let most = part * BORROWED_MULTIPLE + BORROWED_PERMITS;
-        if fleet.instances < 2 || !is_known || f64::from(self.own.spent.total) >= most {
+        if !fleet.knows_fleet(bound) || !is_known || f64::from(self.own.spent.total) >= most {
             return false;
         }
         let allowed = bound.ratio * self.fleet.expected_requests(bound, now) + fleet.extra(bound);
@@ -354,6 +361,7 @@
 
     fn fleet_part(&self) -> FleetPart {
         FleetPart {
+            heard_ms: self.now.since(self.hearing_since),
             instances: self.instances,
             observed_ms: self.now.since(self.counting_since),
             rank: self.members.rank_fraction(),
--- a/crates/core/tests/retry_window.rs
+++ b/crates/core/tests/retry_window.rs
@@ -67,6 +67,7 @@
         for (instance, window) in self.windows.iter_mut().enumerate() {
             let rank = instance as f64 / f64::from(self.instances);
             let fleet = FleetPart {
+                heard_ms: now.since(self.started_at),
                 instances: self.instances,
                 observed_ms: now.since(self.started_at),
                 rank: if self.instances == 1 { 0.0 } else { rank },
@@ -173,6 +174,7 @@
 #[gtest]
 fn instance_goes_beyond_its_part_while_records_show_that_the_fleet_is_below_the_bound() {
     let fleet = FleetPart {
+        heard_ms: u64::MAX,
         instances: 30,
         observed_ms: u64::MAX,
         rank: 0.5,
@@ -258,3 +260,44 @@
         );
     }
 }
+
+/// Guards against an instance that goes beyond its part since it missed what others spent while it stood still.
+#[gtest]
+fn instances_that_missed_what_others_spent_keep_the_bound_together() {
+    for (instances, paused) in [(3, 1), (6, 1), (6, 3), (30, 1), (30, 10)] {
+        let requests = 1_000;
+        let bound = BOUND.ratio * f64::from(requests) + BOUND.extra;
+        let mut spent = 0;
+        for instance in 0..instances {
+            let fleet = FleetPart {
+                heard_ms: if instance < paused { 10 } else { u64::MAX },
+                instances,
+                observed_ms: u64::MAX,
+                rank: f64::from(instance) / f64::from(instances),
+            };
+            let mut window = RetryWindow::default();
+            for request in 0..requests {
+                if request % instances == instance {
+                    window.record_request(&BOUND, START.after(4_500));
+                } else {
+                    window.record_peer_attempt(true, &BOUND, START.after(4_500));
+                }
+            }
+            let now = START.after(5_000);
+            if instance >= paused {
+                // The others have used their parts, and know it of each other.
+                for _ in 0..(bound * 0.95) as u32 {
+                    window.record_peer_attempt(false, &BOUND, now.before(1_000));
+                }
+            }
+            // Streams are lost one after the other.
+            for step in 0..30 {
+                let now = now.after(step * 110);
+                let sends =
+                    (0..20).take_while(|_| window.spend(RetryClass::Resume, &BOUND, fleet, now));
+                spent += sends.count();
+            }
+        }
+        expect_that!(spent as f64, le(bound), "{paused} of {instances}");
+    }
+}
