Take no own requests for records of the fleet

What callers saw: nothing by itself; the rule on second sendings (BUDGET) can break in fleets of two to four instances that do not hear each other: each goes beyond its part as if the others had spent nothing.

Cause: whether records show what the fleet does was judged by a quarter of all requests, and the own ones are as much among four.

Why it works: the quarter is that of the other instances' requests, and own ones do not count. What it costs: where others receive hardly any requests, an instance keeps to its part.

--- a/crates/core/src/retry_window.rs
+++ b/crates/core/src/retry_window.rs
@@ -31,8 +31,8 @@
 const BORROWED_MULTIPLE: f64 = 3.0;
 const BORROWED_PERMITS: f64 = 2.0;
 
-/// Fraction of the requests of a fleet, by those of this instance, that stream records must show for an instance to go
-/// beyond its part.
+/// Fraction of the requests of the other instances, by those of this one, that stream records must show for an instance to
+/// go beyond its part. Its own requests show nothing: among four they were this fraction of all by themselves.
 const KNOWN_FRACTION: f64 = 0.25;
 
 /// Mean attempts of the instances of a fleet at one moment as a fraction of those of an instance that has used up its
@@ -265,9 +265,10 @@
         now: Time,
     ) -> bool {
         let instances = f64::from(fleet.instances);
-        let own_requests = f64::from(self.own.received.total.max(1));
-        let is_known =
-            f64::from(self.fleet.received.total) >= KNOWN_FRACTION * own_requests * instances;
+        let own_requests = self.own.received.total;
+        let others_requests = self.fleet.received.total.saturating_sub(own_requests);
+        let expected = f64::from(own_requests.max(1)) * (instances - 1.0);
+        let is_known = f64::from(others_requests) >= KNOWN_FRACTION * expected;
         let most = part * BORROWED_MULTIPLE + BORROWED_PERMITS;
         if !fleet.knows_fleet(bound) || !is_known || f64::from(self.own.spent.total) >= most {
             return false;
--- a/crates/core/tests/retry_window.rs
+++ b/crates/core/tests/retry_window.rs
@@ -301,3 +301,29 @@
         expect_that!(spent as f64, le(bound), "{paused} of {instances}");
     }
 }
+
+/// Guards against an instance of a few that hears none of the others and takes its own requests for records of the fleet.
+#[gtest]
+fn instances_that_are_cut_off_from_each_other_keep_the_bound_together() {
+    for instances in [2_u32, 3, 4, 6, 30] {
+        let mut spent = 0;
+        for instance in 0..instances {
+            let fleet = FleetPart {
+                heard_ms: u64::MAX,
+                instances,
+                observed_ms: u64::MAX,
+                rank: f64::from(instance) / f64::from(instances),
+            };
+            let mut window = RetryWindow::default();
+            for _ in 0..100 {
+                window.record_request(&BOUND, START);
+            }
+            let now = START.after(10);
+            while window.spend(RetryClass::ResumeFromCopy, &BOUND, fleet, now) {
+                spent += 1;
+            }
+        }
+        let allowed = BOUND.ratio * 100.0 * f64::from(instances) + BOUND.extra;
+        expect_that!(f64::from(spent), le(allowed), "{instances} instances");
+    }
+}
