--- a/crates/core/tests/retry_window.rs
+++ b/crates/core/tests/retry_window.rs
@@ -327,3 +327,39 @@
         expect_that!(f64::from(spent), le(allowed), "{instances} instances");
     }
 }
+
+/// Guards against parts that add up to more than one: an instance that the store refuses for longer than its lease is dropped by the
+/// others, and still counts all of them.
+#[gtest]
+fn instance_that_others_dropped_and_they_keep_the_bound_together() {
+    for instances in [3_u32, 6, 30] {
+        let mut spent = 0;
+        for instance in 0..instances {
+            let dropped = instance == 0;
+            let known = if dropped { instances } else { instances - 1 };
+            let fleet = FleetPart {
+                heard_ms: u64::MAX,
+                instances: known,
+                observed_ms: u64::MAX,
+                rank: f64::from(if dropped { 0 } else { instance - 1 }) / f64::from(known),
+            };
+            let mut window = RetryWindow::default();
+            for _ in 0..100 {
+                window.record_request(&BOUND, START);
+            }
+            // Records of the others arrive, of what they send a second time as well.
+            for _ in 0..100 * (instances - 1) {
+                window.record_peer_attempt(true, &BOUND, START);
+            }
+            for _ in 0..100 * instances + 150 {
+                window.record_peer_attempt(false, &BOUND, START);
+            }
+            let now = START.after(10);
+            while window.spend(RetryClass::ResumeFromCopy, &BOUND, fleet, now) {
+                spent += 1;
+            }
+        }
+        let allowed = BOUND.ratio * 100.0 * f64::from(instances) + BOUND.extra;
+        expect_that!(f64::from(spent), le(allowed), "{instances} instances");
+    }
+}
