--- a/crates/core/src/core.rs
+++ b/crates/core/src/core.rs
@@ -71,6 +71,10 @@
     }
 }
 
+/// Pause of this process behind which records of streams that other instances sent meanwhile may be lost, in milliseconds: a
+/// socket holds some hundred datagrams, as many as arrive in a second or two.
+const RECORDS_LOST_MS: u64 = 1_000;
+
 /// A request that arrived before this instance had the state to serve it.
 #[derive(Clone, Debug)]
 pub(crate) struct DeferredRequest {
@@ -101,6 +105,8 @@
     pub(crate) connectivity: Connectivity,
     /// Whether the edge reports what callers read, so that unread bytes are counted.
     pub(crate) counts_unread: bool,
+    /// Since when requests and attempts are counted; the epoch if no earlier process may have made any.
+    pub(crate) counting_since: Time,
     /// Data centre that this instance runs in; empty if there is no preference.
     pub(crate) data_centre: Arc<str>,
     /// Unlisted upstreams that still have attempts.
@@ -112,6 +118,8 @@
     pub(crate) ended: EndedIncarnations,
     /// When requests were last checked for expiry.
     pub(crate) expiry_checked_at: Time,
+    /// Since when no records of other instances can have been missed by a start or a pause of this process.
+    pub(crate) hearing_since: Time,
     pub(crate) hedge_budget: Budget,
     /// Bytes that all running requests count towards the memory limit.
     pub(crate) held_bytes: u64,
@@ -216,6 +224,10 @@
         if gap > self.settings.pause_ms {
             self.resume_after_pause(gap);
         }
+        if gap >= RECORDS_LOST_MS && self.instances > 1 {
+            self.hearing_since = self.now;
+            self.stream_records.mark_incomplete(self.now);
+        }
         match event {
             Event::Answered { attempt, verdict } => self.handle_response(attempt, verdict),
             Event::CallerGone(caller) => self.handle_caller_gone(caller),
@@ -306,6 +318,7 @@
             config: None,
             connectivity: Connectivity::default(),
             crash_suspects: CrashSuspects::default(),
+            counting_since: Time::default(),
             counts_unread: false,
             data_centre: Arc::from(""),
             departed: BTreeSet::new(),
@@ -313,6 +326,7 @@
             effects: Vec::new(),
             ended: EndedIncarnations::default(),
             expiry_checked_at: now,
+            hearing_since: Time::default(),
             hedge_budget: Budget::new(BUDGET_PERMITS, BUDGET_REFILL_PER_SECOND, now),
             held_bytes: 0,
             instances: 1,
@@ -375,10 +389,12 @@
     }
 
     /// Makes the instance wait for [`Event::StreamsRestored`] before it resumes streams: those
-    /// stored before its start are yet to be reported.
+    /// stored before its start are yet to be reported. What was spent before its start is never known.
     #[must_use]
     pub fn restoring_streams(mut self) -> Self {
         self.streams_restored = false;
+        self.counting_since = self.now;
+        self.hearing_since = self.now;
         self
     }
 
--- a/crates/core/src/retry_window.rs
+++ b/crates/core/src/retry_window.rs
@@ -13,7 +13,7 @@
 const SLOT_MS: u64 = 100;
 
 /// Fraction of its part that an instance may use. The rest covers what others overshoot: their views of the fleet
-/// differ while instances start and end, and a restarted instance has forgotten what it spent.
+/// differ while instances start and end.
 const PART_FRACTION: f64 = 0.95;
 
 /// Fraction of its part that an instance may use for requests whose callers have received nothing.
@@ -31,8 +31,8 @@
 const BORROWED_MULTIPLE: f64 = 3.0;
 const BORROWED_PERMITS: f64 = 2.0;
 
-/// Fraction of the requests of a fleet, by those of this instance, that stream records must show for an instance to go
-/// beyond its part.
+/// Fraction of the requests of the other instances, by those of this one, that stream records must show for an instance to
+/// go beyond its part. Its own requests show nothing: among four they were this fraction of all by themselves.
 const KNOWN_FRACTION: f64 = 0.25;
 
 /// Mean attempts of the instances of a fleet at one moment as a fraction of those of an instance that has used up its
@@ -56,8 +56,13 @@
 /// An instance's place in its fleet.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct FleetPart {
+    /// Time since this instance last missed records of the others, in milliseconds.
+    pub heard_ms: u64,
     /// Number of instances.
     pub instances: u32,
+    /// Time for which this instance has counted requests and attempts, in milliseconds. It does not know what it spent
+    /// before a restart.
+    pub observed_ms: u64,
     /// Number of instances with lower identifiers, as a fraction of all. Where parts of a permit are rounded up follows
     /// from it, so that some instances have a permit where all together have fewer than one each.
     pub rank: f64,
@@ -86,6 +91,23 @@
     own: AttemptCounts,
 }
 
+impl FleetPart {
+    /// Permits of the fleet that do not depend on requests: none before this instance has counted for a whole window.
+    /// Instances that were lost together would spend them a second time in one window, and each those of all while they
+    /// do not know each other yet. What requests earn holds whatever was before.
+    fn extra(self, bound: &RetryBound) -> f64 {
+        if self.observed_ms <= bound.window_ms + SLOT_MS {
+            return 0.0;
+        }
+        bound.extra
+    }
+
+    /// Whether records show what the others spent in the whole window.
+    fn knows_fleet(self, bound: &RetryBound) -> bool {
+        self.instances > 1 && self.heard_ms > bound.window_ms + SLOT_MS
+    }
+}
+
 impl RetryClass {
     /// Permits that this class may use of a part of the bound, in permits.
     fn permits(self, part: f64, rank: f64) -> f64 {
@@ -214,7 +236,7 @@
         now: Time,
     ) -> bool {
         self.expire(bound, now);
-        let extra = bound.extra / f64::from(fleet.instances.max(1));
+        let extra = fleet.extra(bound) / f64::from(fleet.instances.max(1));
         let part = bound.ratio * self.own.expected_requests(bound, now) + extra;
         let has_part = f64::from(self.own.spent.total) < class.permits(part, fleet.rank);
         has_part || self.may_borrow(class, part, bound, fleet, now)
@@ -243,14 +265,15 @@
         now: Time,
     ) -> bool {
         let instances = f64::from(fleet.instances);
-        let own_requests = f64::from(self.own.received.total.max(1));
-        let is_known =
-            f64::from(self.fleet.received.total) >= KNOWN_FRACTION * own_requests * instances;
+        let own_requests = self.own.received.total;
+        let others_requests = self.fleet.received.total.saturating_sub(own_requests);
+        let expected = f64::from(own_requests.max(1)) * (instances - 1.0);
+        let is_known = f64::from(others_requests) >= KNOWN_FRACTION * expected;
         let most = part * BORROWED_MULTIPLE + BORROWED_PERMITS;
-        if fleet.instances < 2 || !is_known || f64::from(self.own.spent.total) >= most {
+        if !fleet.knows_fleet(bound) || !is_known || f64::from(self.own.spent.total) >= most {
             return false;
         }
-        let allowed = bound.ratio * self.fleet.expected_requests(bound, now) + bound.extra;
+        let allowed = bound.ratio * self.fleet.expected_requests(bound, now) + fleet.extra(bound);
         let unreported = match class {
             RetryClass::Restart | RetryClass::Resume => self.unreported_attempts(instances, now),
             RetryClass::ResumeFromCopy => 0.0,
@@ -339,7 +362,9 @@
 
     fn fleet_part(&self) -> FleetPart {
         FleetPart {
+            heard_ms: self.now.since(self.hearing_since),
             instances: self.instances,
+            observed_ms: self.now.since(self.counting_since),
             rank: self.members.rank_fraction(),
         }
     }
--- a/crates/core/tests/retry_window.rs
+++ b/crates/core/tests/retry_window.rs
@@ -27,6 +27,8 @@
     instances: u32,
     /// Times of all requests and attempts beyond the first.
     received: Vec<Time>,
+    /// When its instances last started.
+    started_at: Time,
     rng: Pcg64Mcg,
     spent: Vec<Time>,
     windows: Vec<RetryWindow>,
@@ -37,6 +39,7 @@
         Self {
             instances,
             received: Vec::new(),
+            started_at: Time::default(),
             rng: Pcg64Mcg::seed_from_u64(u64::from(instances)),
             spent: Vec::new(),
             windows: vec![RetryWindow::default(); instances as usize],
@@ -52,13 +55,22 @@
         }
     }
 
+    /// All instances are lost and start again at a time.
+    fn restart(&mut self, at: Time) {
+        self.started_at = at;
+        self.windows = vec![RetryWindow::default(); self.windows.len()];
+    }
+
     /// Takes all permits that there are for a class; returns how many.
     fn spend_all(&mut self, class: RetryClass, now: Time) -> usize {
         let before = self.spent.len();
         for (instance, window) in self.windows.iter_mut().enumerate() {
+            let rank = instance as f64 / f64::from(self.instances);
             let fleet = FleetPart {
+                heard_ms: now.since(self.started_at),
                 instances: self.instances,
-                rank: instance as f64 / f64::from(self.instances),
+                observed_ms: now.since(self.started_at),
+                rank: if self.instances == 1 { 0.0 } else { rank },
             };
             while window.spend(class, &BOUND, fleet, now) {
                 self.spent.push(now);
@@ -162,7 +174,9 @@
 #[gtest]
 fn instance_goes_beyond_its_part_while_records_show_that_the_fleet_is_below_the_bound() {
     let fleet = FleetPart {
+        heard_ms: u64::MAX,
         instances: 30,
+        observed_ms: u64::MAX,
         rank: 0.5,
     };
     let spent = |known: u32, peers_spent: u32| {
@@ -187,3 +201,165 @@
     expect_that!(spent(500, 100), all![ge(30), le(62)]);
     expect_that!(spent(500, 560), le(19));
 }
+
+/// Guards against permits that a restart gives out a second time: an instance that has just started knows of no attempt in the
+/// window, and those before its start count all the same.
+#[gtest]
+fn restart_of_all_instances_gives_no_permits_out_again() {
+    for instances in FLEET_SIZES {
+        for down_ms in [500, 1_000, 2_600, 8_000] {
+            let mut fleet = Fleet::new(instances);
+            fleet.receive(500, START);
+            fleet.spend_all(RetryClass::Resume, START.after(10));
+            fleet.restart(START.after(10 + down_ms));
+            let mut worst = 0.0_f64;
+            for step in 0..100 {
+                let now = START.after(10 + down_ms + step * 100);
+                fleet.receive(5, now);
+                fleet.spend_all(RetryClass::Resume, now);
+                let (spent, allowed) = fleet.compare(now);
+                worst = worst.max(spent - allowed);
+            }
+            expect_that!(worst, le(0.0), "{instances} instances, {down_ms} ms");
+        }
+    }
+}
+
+/// Guards against permits of a whole fleet at each instance, while instances that started together do not know each other yet.
+#[gtest]
+fn instances_that_do_not_know_each_other_yet_keep_the_bound_together() {
+    for instances in FLEET_SIZES {
+        let mut fleet = Fleet::new(instances);
+        fleet.restart(START);
+        fleet.instances = 1;
+        let mut worst = 0.0_f64;
+        for step in 0..5 {
+            let now = START.after(step * 100);
+            fleet.receive(6, now);
+            fleet.spend_all(RetryClass::Resume, now);
+            let (spent, allowed) = fleet.compare(now);
+            worst = worst.max(spent - allowed);
+        }
+        expect_that!(worst, le(0.0), "{instances} instances");
+    }
+}
+
+/// Guards against a restart that takes away the permits that requests earn.
+#[gtest]
+fn instances_that_have_just_started_may_use_what_requests_earn() {
+    for instances in FLEET_SIZES {
+        let mut fleet = Fleet::new(instances);
+        fleet.restart(START);
+        fleet.receive(1_000, START);
+        let spent = fleet.spend_all(RetryClass::ResumeFromCopy, START.after(10));
+        let earned = BOUND.ratio * 1_000.0;
+        expect_that!(
+            spent as f64,
+            all![ge(0.85 * earned), le(earned + f64::from(instances))],
+            "{instances}"
+        );
+    }
+}
+
+/// Guards against an instance that goes beyond its part since it missed what others spent while it stood still.
+#[gtest]
+fn instances_that_missed_what_others_spent_keep_the_bound_together() {
+    for (instances, paused) in [(3, 1), (6, 1), (6, 3), (30, 1), (30, 10)] {
+        let requests = 1_000;
+        let bound = BOUND.ratio * f64::from(requests) + BOUND.extra;
+        let mut spent = 0;
+        for instance in 0..instances {
+            let fleet = FleetPart {
+                heard_ms: if instance < paused { 10 } else { u64::MAX },
+                instances,
+                observed_ms: u64::MAX,
+                rank: f64::from(instance) / f64::from(instances),
+            };
+            let mut window = RetryWindow::default();
+            for request in 0..requests {
+                if request % instances == instance {
+                    window.record_request(&BOUND, START.after(4_500));
+                } else {
+                    window.record_peer_attempt(true, &BOUND, START.after(4_500));
+                }
+            }
+            let now = START.after(5_000);
+            if instance >= paused {
+                // The others have used their parts, and know it of each other.
+                for _ in 0..(bound * 0.95) as u32 {
+                    window.record_peer_attempt(false, &BOUND, now.before(1_000));
+                }
+            }
+            // Streams are lost one after the other.
+            for step in 0..30 {
+                let now = now.after(step * 110);
+                let sends =
+                    (0..20).take_while(|_| window.spend(RetryClass::Resume, &BOUND, fleet, now));
+                spent += sends.count();
+            }
+        }
+        expect_that!(spent as f64, le(bound), "{paused} of {instances}");
+    }
+}
+
+/// Guards against an instance of a few that hears none of the others and takes its own requests for records of the fleet.
+#[gtest]
+fn instances_that_are_cut_off_from_each_other_keep_the_bound_together() {
+    for instances in [2_u32, 3, 4, 6, 30] {
+        let mut spent = 0;
+        for instance in 0..instances {
+            let fleet = FleetPart {
+                heard_ms: u64::MAX,
+                instances,
+                observed_ms: u64::MAX,
+                rank: f64::from(instance) / f64::from(instances),
+            };
+            let mut window = RetryWindow::default();
+            for _ in 0..100 {
+                window.record_request(&BOUND, START);
+            }
+            let now = START.after(10);
+            while window.spend(RetryClass::ResumeFromCopy, &BOUND, fleet, now) {
+                spent += 1;
+            }
+        }
+        let allowed = BOUND.ratio * 100.0 * f64::from(instances) + BOUND.extra;
+        expect_that!(f64::from(spent), le(allowed), "{instances} instances");
+    }
+}
+
+/// Guards against parts that add up to more than one: an instance that the store refuses for longer than its lease is dropped by the
+/// others, and still counts all of them.
+#[gtest]
+fn instance_that_others_dropped_and_they_keep_the_bound_together() {
+    for instances in [3_u32, 6, 30] {
+        let mut spent = 0;
+        for instance in 0..instances {
+            let dropped = instance == 0;
+            let known = if dropped { instances } else { instances - 1 };
+            let fleet = FleetPart {
+                heard_ms: u64::MAX,
+                instances: known,
+                observed_ms: u64::MAX,
+                rank: f64::from(if dropped { 0 } else { instance - 1 }) / f64::from(known),
+            };
+            let mut window = RetryWindow::default();
+            for _ in 0..100 {
+                window.record_request(&BOUND, START);
+            }
+            // Records of the others arrive, of what they send a second time as well.
+            for _ in 0..100 * (instances - 1) {
+                window.record_peer_attempt(true, &BOUND, START);
+            }
+            for _ in 0..100 * instances + 150 {
+                window.record_peer_attempt(false, &BOUND, START);
+            }
+            let now = START.after(10);
+            while window.spend(RetryClass::ResumeFromCopy, &BOUND, fleet, now) {
+                spent += 1;
+            }
+        }
+        let allowed = BOUND.ratio * 100.0 * f64::from(instances) + BOUND.extra;
+        expect_that!(f64::from(spent), le(allowed), "{instances} instances");
+    }
+}
