Test that a taken port does not end a starting process or lose requests

The tests take each port of real processes by a listener, by the local end of a connection, by datagrams, and by a connection that has closed (TIME_WAIT), and let callers ask on meanwhile.

--- a/crates/node/tests/ends.rs
+++ b/crates/node/tests/ends.rs
@@ -6,7 +6,7 @@
     std::{
         fs::File,
         io::{ErrorKind, Read, Write},
-        net::{SocketAddr, TcpListener, TcpStream},
+        net::{SocketAddr, TcpListener, TcpStream, UdpSocket},
         os::unix::process::ExitStatusExt,
         path::PathBuf,
         process::{Child, Command, ExitStatus},
@@ -319,3 +319,287 @@
     expect_that!(end(process.wait()), eq((true, None)));
     expect_that!(connection.closes_within(Duration::from_secs(1)), eq(true));
 }
+
+/// Time for which a port stays taken at the start of a process.
+const TAKEN: Duration = Duration::from_millis(500);
+
+/// Time that a connection of another process may keep its local port behind its close, and some more.
+const TIME_WAIT_MAX: Duration = Duration::from_secs(75);
+
+/// Time in which an instance that has nothing to end leaves behind a signal: a second is one interval of a supervisor.
+const EXIT_MAX: Duration = Duration::from_secs(1);
+
+/// How something else has the address of a port.
+#[derive(Clone, Copy, Debug)]
+enum Use {
+    /// A listener.
+    Listener,
+    /// Datagrams.
+    Datagrams,
+    /// The local end of a connection that some process opened.
+    Outgoing,
+    /// The same behind its close.
+    TimeWait,
+}
+
+/// An address that something else has until this value is dropped.
+struct Taken {
+    address: SocketAddr,
+    _connections: Vec<TcpStream>,
+    _datagrams: Option<UdpSocket>,
+    _listener: Option<TcpListener>,
+}
+
+impl Taken {
+    fn new(how: Use) -> Self {
+        if let Use::Datagrams = how {
+            let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
+            return Self {
+                address: socket.local_addr().unwrap(),
+                _connections: Vec::new(),
+                _datagrams: Some(socket),
+                _listener: None,
+            };
+        }
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let target = listener.local_addr().unwrap();
+        if let Use::Listener = how {
+            return Self {
+                address: target,
+                _connections: Vec::new(),
+                _datagrams: None,
+                _listener: Some(listener),
+            };
+        }
+        let outgoing = TcpStream::connect(target).unwrap();
+        let (accepted, address) = listener.accept().unwrap();
+        let mut connections = vec![outgoing, accepted];
+        if let Use::TimeWait = how {
+            // The end that closes first waits.
+            for connection in std::mem::take(&mut connections) {
+                drop(connection);
+                std::thread::sleep(POLL_INTERVAL);
+            }
+        }
+        Self {
+            address,
+            _connections: connections,
+            _datagrams: None,
+            _listener: None,
+        }
+    }
+}
+
+/// Settings whose port at `pointer` has an address.
+fn with_port(mut settings: Value, pointer: &str, address: SocketAddr) -> Value {
+    *settings.pointer_mut(pointer).unwrap() = address.to_string().into();
+    settings
+}
+
+/// The address at a pointer of settings.
+fn address_at(settings: &Value, pointer: &str) -> SocketAddr {
+    let text = settings.pointer(pointer).and_then(Value::as_str);
+    text.unwrap().parse().unwrap()
+}
+
+/// Sends a request to an address; the first bytes of the answer. `None` if there is no connection, so that nothing was sent.
+fn ask(address: SocketAddr) -> Option<std::io::Result<String>> {
+    let stream = TcpStream::connect(address).ok()?;
+    // A port that nobody listens on may be given to the very connection that looks for it.
+    if stream.local_addr().ok() == stream.peer_addr().ok() {
+        return None;
+    }
+    Some(Connection(stream).exchange())
+}
+
+impl Connection {
+    /// Sends a request; the first bytes of its answer, or how it ended without one.
+    fn exchange(&mut self) -> std::io::Result<String> {
+        self.0.set_read_timeout(Some(PATIENCE))?;
+        self.0
+            .write_all(b"GET /metrics HTTP/1.1\r\nhost: any\r\n\r\n")?;
+        let mut bytes = [0; 4_096];
+        match self.0.read(&mut bytes)? {
+            0 => Err(ErrorKind::UnexpectedEof.into()),
+            length => Ok(String::from_utf8_lossy(&bytes[..length]).into_owned()),
+        }
+    }
+}
+
+/// Asks an address again and again until it answers; the ends of all requests that were sent.
+fn ask_until_answered(address: SocketAddr, time: Duration) -> Vec<std::io::Result<String>> {
+    let begun = Instant::now();
+    let mut results = Vec::new();
+    while begun.elapsed() < time && !results.iter().any(std::result::Result::is_ok) {
+        results.extend(ask(address));
+        std::thread::sleep(Duration::from_millis(1));
+    }
+    results
+}
+
+/// Whether an address answers within a time.
+fn answers(address: SocketAddr, time: Duration) -> bool {
+    ask_until_answered(address, time).iter().any(Result::is_ok)
+}
+
+impl Process {
+    /// Starts a process; does not wait for anything.
+    fn starting(settings: &Value) -> Self {
+        Self::spawn(|file| std::fs::write(file, settings.to_string()).unwrap())
+    }
+
+    /// Whether it still runs.
+    fn runs(&mut self) -> bool {
+        self.child.try_wait().unwrap().is_none()
+    }
+}
+
+/// Ports of an instance on the users' platform, by their pointers, and what may have them.
+const HOSTED_PORTS: [(&str, Use); 9] = [
+    ("/listen/callers", Use::Listener),
+    ("/listen/callers", Use::Outgoing),
+    ("/hosted/metrics", Use::Listener),
+    ("/hosted/metrics", Use::Outgoing),
+    ("/hosted/ready", Use::Listener),
+    ("/hosted/ready", Use::Outgoing),
+    ("/hosted/peers", Use::Listener),
+    ("/hosted/peers", Use::Outgoing),
+    ("/hosted/peers", Use::Datagrams),
+];
+
+/// Guards against a process that ends by itself since one of its ports is taken for a moment: the number of a free port
+/// may be given to any connection of any process before the instance listens.
+#[gtest]
+fn port_that_is_taken_for_a_moment_does_not_end_a_starting_process() {
+    for (port, how) in HOSTED_PORTS {
+        let taken = Taken::new(how);
+        let settings = with_port(hosted_settings(), port, taken.address);
+        let mut process = Process::starting(&settings);
+        std::thread::sleep(TAKEN);
+        expect_that!(process.runs(), eq(true), "{port} {how:?}");
+        drop(taken);
+        if !process.runs() {
+            continue;
+        }
+        expect_that!(process.wait_for_line("started"), eq(true));
+        for served in ["/listen/callers", "/hosted/ready", "/hosted/metrics"] {
+            let served = address_at(&settings, served);
+            expect_that!(answers(served, PATIENCE), eq(true), "{port} {how:?}");
+        }
+        let peers = address_at(&settings, "/hosted/peers");
+        expect_that!(TcpStream::connect(peers).is_ok(), eq(true));
+    }
+}
+
+/// Guards against the same at the ports of the own interface.
+#[gtest]
+fn port_of_the_own_interface_that_is_taken_for_a_moment_does_not_end_a_starting_process() {
+    for port in ["/listen/callers", "/listen/operators", "/listen/peers"] {
+        for how in [Use::Listener, Use::Outgoing] {
+            let taken = Taken::new(how);
+            let settings = with_port(own_settings(), port, taken.address);
+            let mut process = Process::starting(&settings);
+            std::thread::sleep(TAKEN);
+            expect_that!(process.runs(), eq(true), "{port} {how:?}");
+            drop(taken);
+            if !process.runs() {
+                continue;
+            }
+            expect_that!(process.wait_for_line("started"), eq(true));
+            let callers = address_at(&settings, "/listen/callers");
+            expect_that!(answers(callers, PATIENCE), eq(true), "{port} {how:?}");
+        }
+    }
+}
+
+/// Guards against a process that ends by itself since a connection that has closed still has the number of its port, as
+/// the operating system keeps it for a minute.
+#[gtest]
+fn port_of_a_closed_connection_does_not_end_a_starting_process() {
+    let ports = [
+        "/listen/callers",
+        "/hosted/ready",
+        "/hosted/metrics",
+        "/hosted/peers",
+    ];
+    let processes = ports.map(|port| {
+        let taken = Taken::new(Use::TimeWait);
+        let settings = with_port(hosted_settings(), port, taken.address);
+        (port, Process::starting(&settings), settings)
+    });
+    for (port, mut process, settings) in processes {
+        let port_answers = match port {
+            "/hosted/peers" => address_at(&settings, "/listen/callers"),
+            _ => address_at(&settings, port),
+        };
+        let begun = Instant::now();
+        let mut is_answered = false;
+        while process.runs() && !is_answered && begun.elapsed() < TIME_WAIT_MAX {
+            is_answered = answers(port_answers, TAKEN);
+        }
+        expect_that!(is_answered, eq(true), "{port}");
+        expect_that!(process.runs(), eq(true), "{port}");
+        expect_that!(process.has_line("started"), eq(true), "{port}");
+    }
+}
+
+/// Guards against requests that an instance has accepted while it starts and then loses, since it ends or closes their
+/// connections at a later step.
+#[gtest]
+fn request_sent_while_another_port_is_taken_is_not_reset() {
+    let ports = HOSTED_PORTS.into_iter();
+    for (port, how) in ports.filter(|(port, _)| *port != "/listen/callers") {
+        let taken = Taken::new(how);
+        let settings = with_port(hosted_settings(), port, taken.address);
+        let callers = address_at(&settings, "/listen/callers");
+        let asking: Vec<_> = (0..4)
+            .map(|_| std::thread::spawn(move || ask_until_answered(callers, 4 * TAKEN)))
+            .collect();
+        let _process = Process::starting(&settings);
+        std::thread::sleep(TAKEN);
+        drop(taken);
+        for results in asking {
+            let results = results.join().unwrap();
+            let lost: Vec<_> = results
+                .iter()
+                .filter_map(|result| result.as_ref().err())
+                .collect();
+            expect_that!(lost, is_empty(), "{port} {how:?}");
+            expect_that!(results, not(is_empty()), "{port} {how:?}");
+        }
+    }
+}
+
+/// Guards against an instance that can't serve since nobody can read its metrics.
+#[gtest]
+fn port_of_the_metrics_that_stays_taken_does_not_keep_an_instance_from_serving() {
+    let taken = Taken::new(Use::Listener);
+    let settings = with_port(hosted_settings(), "/hosted/metrics", taken.address);
+    let mut process = Process::starting(&settings);
+    let callers = address_at(&settings, "/listen/callers");
+    expect_that!(answers(callers, TAKEN * 4), eq(true));
+    expect_that!(process.runs(), eq(true));
+    expect_that!(process.has_line("started"), eq(true));
+}
+
+/// Guards against a process that is waiting for a port and does not stop when it is told to.
+#[gtest]
+fn termination_during_the_wait_for_a_port_ends_the_process_in_order() {
+    let cases = [
+        (hosted_settings as fn() -> Value, "/hosted/ready"),
+        (own_settings, "/listen/operators"),
+    ];
+    for (settings, port) in cases {
+        for signal in ["-TERM", "-INT"] {
+            let taken = Taken::new(Use::Listener);
+            let mut process = Process::starting(&with_port(settings(), port, taken.address));
+            std::thread::sleep(TAKEN);
+            expect_that!(process.runs(), eq(true));
+            process.signal(signal);
+            let begun = Instant::now();
+            expect_that!(end(process.wait()), eq((true, None)));
+            expect_that!(begun.elapsed(), le(EXIT_MAX));
+            expect_that!(process.has_line("stopped"), eq(true));
+        }
+    }
+}
