Bind all ports before any is served, and wait for those that are taken

What callers saw: an instance did not start, or ended by itself at a restart, code 1 within 20 ms, and requests on accepted connections ended by a reset.

Cause: any of an instance's ports that is taken when it starts ended the process, also if it is taken for a moment: by the listener of a predecessor, by a datagram socket, or as the local port of any connection of any process, which the operating system keeps for 60 s behind its close. Ports were bound one behind the other, and callers were served before those of metrics and peers were bound, so the end of the process cut what they had sent.

Ruled out: SO_REUSEADDR at the listener, which is set, does not help unless the connection's socket has it too.

Now all ports are bound at first, before anything connects out, and none accepts until all are bound; that of callers listens last, and nothing can fail between that and its server. A port that is taken, and a lack of descriptors or memory, is tried again for listen_ms (90 s: the 60 s of a closed connection, and half as much again); then the process ends with its error. Addresses of other machines and missing permission end it at once. SIGTERM meanwhile ends it in order. The metrics do not hold up an instance of the users' platform: their port is tried each second. Both interfaces. Each wait has a warning, and listen.retried counts.

They choose ports outside of the range of connections now: in a run on the busy machine the port of a test was given to another process's connection while it was free, and one connection that looks for a port that nobody listens on may be given that very port. ends.rs no longer starts processes again at other addresses; the soak still keeps addresses of instances from its own proxies, which are listeners that stay. Instances inside of test processes (site.rs) have listen_ms 0, since they are started at other addresses at once, as before.

--- a/crates/core/src/counter.rs
+++ b/crates/core/src/counter.rs
@@ -49,6 +49,8 @@
     Invariant(Invariant),
     /// Streams that left an upstream that sent nothing, by evidence.
     LeftSilent(liveness::Evidence),
+    /// Attempts to listen on a port that failed and were followed by another one.
+    ListenRetried,
     /// Lists of upstreams, or changes of them, taken from another instance.
     ListFromPeer,
     /// Lists of upstreams, or changes of them, given to another instance.
@@ -215,6 +217,7 @@
             Self::Hedged => write!(formatter, "hedged"),
             Self::Invariant(invariant) => write!(formatter, "invariant.{invariant}"),
             Self::LeftSilent(evidence) => write!(formatter, "left_silent.{evidence}"),
+            Self::ListenRetried => write!(formatter, "listen.retried"),
             Self::ListFromPeer => write!(formatter, "list.from_peer"),
             Self::ListGiven => write!(formatter, "list.given"),
             Self::NoticeBrittle => write!(formatter, "notice.brittle"),
--- a/crates/node/src/arguments.rs
+++ b/crates/node/src/arguments.rs
@@ -115,12 +115,26 @@
 
 /// Runs an instance of the own interface until a signal or an operator stops it.
 async fn run_own_interface(settings: Settings) -> Result<(), Error> {
-    let instance = Instance::start(settings).await?;
     // Settings are not read again here: the signal tells that the terminal is gone.
     let mut hangup = signals::take(tokio::signal::unix::SignalKind::hangup());
+    let termination = instance::wait_for_termination();
+    tokio::pin!(termination);
+    let instance = tokio::select! {
+        // A signal that came before the ports were bound leads to a planned stop too.
+        biased;
+        instance = Instance::start(settings) => instance?,
+        _ = hangup.recv() => {
+            instance::log_unstarted_stop();
+            return Ok(());
+        }
+        () = &mut termination => {
+            instance::log_unstarted_stop();
+            return Ok(());
+        }
+    };
     tokio::select! {
         _ = hangup.recv() => {}
-        () = instance::wait_for_termination() => {}
+        () = &mut termination => {}
         () = instance.wait_for_drain_request() => {}
         // Without its core the instance answers every request with an error.
         () = instance.core_ended() => {
--- a/crates/node/src/gossip.rs
+++ b/crates/node/src/gossip.rs
@@ -116,26 +116,25 @@
     pub known: watch::Receiver<KnownState>,
     /// Rate of the instance's link in megabits per second.
     pub link_mbps: f64,
-    /// Address on which datagrams are received.
+    /// Address of the socket, which other instances are told.
     pub listen: SocketAddr,
     /// This instance.
     pub own: LocalMember,
     /// Channel for what other instances report of the store.
     pub peer_reports: mpsc::UnboundedSender<(SocketAddr, PeerReport)>,
+    /// Sends and receives the datagrams.
+    pub socket: UdpSocket,
 }
 
 impl Gossip {
     /// Starts the tasks. They send the `messages`; `outgoing` is the other end of that channel, for
     /// replies to datagrams.
-    pub async fn start(
+    pub fn start(
         self,
         outgoing: mpsc::UnboundedSender<Message>,
         messages: mpsc::UnboundedReceiver<Message>,
-    ) -> Result<watch::Receiver<Members>, Error> {
-        let socket = UdpSocket::bind(self.listen)
-            .await
-            .map_err(|error| Error::Bind(Port::PeerDatagrams, self.listen, error))?;
-        let socket = Arc::new(socket);
+    ) -> watch::Receiver<Members> {
+        let socket = Arc::new(self.socket);
         let (members_sender, members) = watch::channel(Members::new());
         let (streams, known_streams) = watch::channel(store_writer::Streams::default());
         let receiver = DatagramReceiver {
@@ -189,7 +188,7 @@
             streams_sender: streams,
         };
         tokio::spawn(writer.run());
-        Ok(members)
+        members
     }
 }
 
--- a/crates/node/src/hosted.rs
+++ b/crates/node/src/hosted.rs
@@ -1,6 +1,7 @@
 //! An instance on the users' platform: starts and stops its tasks.
 
 use super::*;
+use listener::HostedPorts;
 use salvo::fuse::{FuseAction, FuseConfig, FuseInfo};
 use settings::Hosted;
 use wellplank_core::{informer_io::KnownState, staleness::StalenessBound};
@@ -85,10 +86,19 @@
 /// Runs an instance until it has stopped after a termination signal. Reloads its settings file on SIGHUP and when the
 /// file has changed.
 pub async fn run(path: PathBuf, settings: Settings, hosted: Hosted) -> Result<(), Error> {
-    let mut instance = Instance::start(settings.clone(), hosted).await?;
-    let mut settings_watcher = reload::SettingsWatcher::new(path, settings);
     let termination = instance::wait_for_termination();
     tokio::pin!(termination);
+    let start = Instance::start(settings.clone(), hosted);
+    let mut instance = tokio::select! {
+        // A signal that came before the ports were bound leads to a planned stop too.
+        biased;
+        instance = start => instance?,
+        () = &mut termination => {
+            instance::log_unstarted_stop();
+            return Ok(());
+        }
+    };
+    let mut settings_watcher = reload::SettingsWatcher::new(path, settings);
     let driver = instance.driver.clone();
     loop {
         tokio::select! {
@@ -106,8 +116,14 @@
 }
 
 impl Instance {
-    /// Starts all tasks of an instance.
+    /// Binds all ports, before anything connects to others, and starts all tasks of an instance.
     pub async fn start(settings: Settings, hosted: Hosted) -> Result<Self, Error> {
+        let ports = HostedPorts::bind(&settings, &hosted).await?;
+        Self::serve(ports, &settings, hosted)
+    }
+
+    /// Starts all tasks of an instance.
+    fn serve(ports: HostedPorts, settings: &Settings, hosted: Hosted) -> Result<Self, Error> {
         let clock = Clock::new();
         let (crash_history_sender, crash_history_receiver) =
             watch::channel(crash_history::LocalHistory::default());
@@ -119,6 +135,7 @@
         let (gossip_sender, gossip_receiver) = mpsc::unbounded_channel();
         let gossip_messages = gossip_sender.clone();
         let meter = meter::Meter::new(settings.metrics);
+        meter.count(Counter::ListenRetried, ports.retries);
         let bound = StalenessBound {
             bound_ms: hosted.apply_ms.min(hosted.leave_ms),
         };
@@ -137,7 +154,7 @@
             quarantine_updates: quarantine_sender,
             traffic: Traffic::default(),
         };
-        let (driver, _) = Driver::start(&settings, clock, outputs);
+        let (driver, _) = Driver::start(settings, clock, outputs);
 
         let gateway = tunnel::Gateway::new(driver.clone(), stopping.clone());
         let ready = ReadinessEndpoint {
@@ -145,7 +162,7 @@
             stopping: stopping.clone(),
         };
         let ready = Router::with_path("{**path}").goal(ready);
-        serve(Port::Ready, hosted.ready, ready, limits_receiver.clone()).await?;
+        serve(Port::Ready, ports.ready, ready, limits_receiver.clone())?;
         let endpoint = relay::Endpoint {
             driver: driver.clone(),
             limits: limits_receiver.clone(),
@@ -154,12 +171,18 @@
         let callers = unanswered::counted(Router::with_path("{**path}").goal(endpoint));
         let callers = serve(
             Port::Callers,
-            settings.listen.callers,
+            ports.callers,
             callers,
             limits_receiver.clone(),
-        )
-        .await?;
-        serve(Port::Metrics, hosted.metrics, metrics, limits_receiver).await?;
+        )?;
+        let serving = serve_metrics(
+            ports.metrics,
+            hosted.metrics,
+            metrics,
+            limits_receiver,
+            driver.clone(),
+        );
+        tokio::spawn(serving);
         let gossip = gossip::Gossip {
             client: client.clone(),
             crash_history: crash_history_receiver,
@@ -170,21 +193,14 @@
             listen: hosted.peers,
             own: own.clone(),
             peer_reports: heard,
+            socket: ports.peer_datagrams,
         };
-        let members = gossip
-            .start(gossip_messages.clone(), gossip_receiver)
-            .await?;
-        tokio::spawn(publish_members(
-            members.clone(),
-            own.clone(),
-            driver.clone(),
-        ));
+        let members = gossip.start(gossip_messages.clone(), gossip_receiver);
+        let publishing = publish_members(members.clone(), own.clone(), driver.clone());
+        tokio::spawn(publishing);
         let (requests_sender, peer_requests) = mpsc::unbounded_channel();
-        let listener = tokio::net::TcpListener::bind(hosted.peers).await;
-        let listener =
-            listener.map_err(|error| Error::Bind(Port::PeerConnections, hosted.peers, error))?;
         let responder = exchange::Responder::new(requests_sender, gateway.clone());
-        tokio::spawn(responder.run(listener));
+        tokio::spawn(responder.run(ports.peer_connections));
         let store_sync = store_sync::StoreSync {
             bound,
             client,
@@ -199,7 +215,7 @@
             peer_requests,
         };
         tokio::spawn(store_sync.run(peer_reports));
-        log_start(&settings, &hosted);
+        log_start(settings, &hosted);
         Ok(Self {
             callers,
             driver,
@@ -329,17 +345,34 @@
     }
 }
 
-/// Starts to serve a router at an address. The idle time-out of a new connection follows from the limits in force.
-async fn serve(
-    port: Port,
+/// Serves the metrics once their port is bound. An instance whose metrics nobody can read serves callers nevertheless.
+async fn serve_metrics(
+    listener: Option<tokio::net::TcpListener>,
     address: SocketAddr,
     router: Router,
     limits: watch::Receiver<platform::configuration::Limits>,
+    driver: Driver,
+) {
+    let listener = match listener {
+        Some(listener) => listener,
+        None => listener::wait_for_metrics(address, driver).await,
+    };
+    if let Err(error) = serve(Port::Metrics, listener, router, limits) {
+        error!("the metrics are not served: {error}");
+    }
+}
+
+/// Starts to serve a router at a port. The idle time-out of a new connection follows from the limits in force.
+fn serve(
+    port: Port,
+    listener: tokio::net::TcpListener,
+    router: Router,
+    limits: watch::Receiver<platform::configuration::Limits>,
 ) -> Result<Serving, Error> {
-    let acceptor = TcpListener::new(address)
-        .try_bind()
-        .await
-        .map_err(|error| Error::Bind(port, address, std::io::Error::other(error)))?;
+    let address = listener.local_addr();
+    let address = address.unwrap_or_else(|_| SocketAddr::from(([0, 0, 0, 0], 0)));
+    let acceptor = TcpAcceptor::try_from(listener);
+    let acceptor = acceptor.map_err(|error| Error::Bind(port, address, error))?;
     let fuse = move |_: &FuseInfo| {
         let idle = limits.borrow().idle_timeout.mul_f64(IDLE_TIMEOUT_FACTOR);
         FuseAction::Accept(FuseConfig::disabled().with_http1_header_timeout(idle))
--- a/crates/node/src/instance.rs
+++ b/crates/node/src/instance.rs
@@ -42,6 +42,14 @@
 impl Instance {
     /// Binds all addresses and starts all tasks of an instance.
     pub async fn start(settings: Settings) -> Result<Self, Error> {
+        let ports = listener::OwnPorts::bind(&settings).await?;
+        Self::serve(ports, settings)
+    }
+
+    /// Starts all tasks of an instance.
+    fn serve(ports: listener::OwnPorts, settings: Settings) -> Result<Self, Error> {
+        let acceptor = TcpAcceptor::try_from(ports.callers)
+            .map_err(|error| Error::Bind(Port::Callers, settings.listen.callers, error))?;
         let clock = Clock::new();
         let store_timeout = Duration::from_millis(settings.store_timeout_ms);
         let traffic = Traffic::default();
@@ -53,12 +61,9 @@
         let (peers, peers_receiver) = watch::channel(peer::Peers::new());
         let (stop_phase, stop_phase_receiver) = watch::channel(StopPhase::Serving);
 
-        let peer_socket = listen(Port::PeerConnections, settings.listen.peers).await?;
-        let operator_socket = listen(Port::Operators, settings.listen.operators).await?;
-        let acceptor = acceptor(settings.listen.callers).await?;
-
         let (leaving, leaving_receiver) = watch::channel(driver::LeavingUpstreams::new());
         let meter = meter::Meter::new(settings.metrics);
+        meter.count(Counter::ListenRetried, ports.retries);
         let ends = driver::CoreOutputs::new(claims.clone(), leaving, meter, traffic.clone());
         let (driver, core) = Driver::start(&settings, clock, ends);
         let claimer = claimer::Claimer {
@@ -117,9 +122,9 @@
                 orders,
                 held_receiver,
             )),
-            tokio::spawn(links.clone().accept(peer_socket)),
+            tokio::spawn(links.clone().accept(ports.peers)),
             tokio::spawn(links.connect(list_receiver)),
-            tokio::spawn(serve_operators(operators, operator_socket)),
+            tokio::spawn(serve_operators(operators, ports.operators)),
         ];
         let serving = tokio::spawn(server.serve(router));
         let address = settings.listen.callers.to_string();
@@ -189,17 +194,10 @@
     }
 }
 
-async fn acceptor(address: SocketAddr) -> Result<salvo::conn::tcp::TcpAcceptor, Error> {
-    TcpListener::new(address)
-        .try_bind()
-        .await
-        .map_err(|error| Error::Bind(Port::Callers, address, std::io::Error::other(error)))
-}
-
-async fn listen(port: Port, address: SocketAddr) -> Result<tokio::net::TcpListener, Error> {
-    tokio::net::TcpListener::bind(address)
-        .await
-        .map_err(|error| Error::Bind(port, address, error))
+/// Logs the planned stop of an instance that waits for its ports: it has accepted nothing.
+pub(crate) fn log_unstarted_stop() {
+    info!("stopping");
+    info!("stopped");
 }
 
 pub(crate) async fn serve_operators(service: operator::Service, socket: tokio::net::TcpListener) {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -76,7 +76,7 @@
     prost::Message as _,
     reader::{Fault, Reader},
     reply::Reply,
-    salvo::{Listener, Router, Server, conn::TcpListener},
+    salvo::{Router, Server, conn::tcp::TcpAcceptor},
     serde::Deserialize,
     serde_json::{Map, Value, json},
     sse_stream::{Sse, SseStream},
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -8,6 +8,9 @@
 /// Default of `link_mbps`: the minimum bandwidth of an instance's link, in megabits per second.
 const DEFAULT_LINK_MBPS: f64 = 10.0;
 
+/// Default of `listen_ms`: the operating system keeps the port of a closed connection for 60 s.
+const DEFAULT_LISTEN_MS: u64 = 90_000;
+
 /// Upper limit of settings that are times, in milliseconds.
 pub(crate) const MILLIS_MAX: u64 = 3_600_000;
 
@@ -33,6 +36,8 @@
     pub instance: String,
     /// Addresses that the instance listens on.
     pub listen: Listen,
+    /// Time for which a starting instance waits for ports that are taken, in milliseconds.
+    pub listen_ms: u64,
     /// Interval between reads of the platform's list, in milliseconds.
     pub list_ms: u64,
     /// Statsd server that counters are sent to; `None` to send none.
@@ -134,6 +139,7 @@
                 "operators": "127.0.0.1:8081",
                 "peers": "127.0.0.1:8082",
             },
+            "listen_ms": DEFAULT_LISTEN_MS,
             "metrics": null,
             "operator_key": "change-me",
             "peer_links": 4,
@@ -173,6 +179,7 @@
             heartbeat_ms: reader.number("heartbeat_ms", 500, 50..=10_000),
             instance: reader.string("instance", None).unwrap_or_default(),
             list_ms: reader.number("list_ms", 1_000, 50..=60_000),
+            listen_ms: reader.number("listen_ms", DEFAULT_LISTEN_MS, 0..=MILLIS_MAX),
             listen: Self::read_listen(reader.section("listen"), hosted.is_some()),
             metrics: reader.address_or_none("metrics"),
             operator_key: String::new(),
--- a/crates/node/tests/ends.rs
+++ b/crates/node/tests/ends.rs
@@ -2,14 +2,16 @@
 
 use {
     googletest::prelude::*,
+    rustix::net::{self, AddressFamily, SocketFlags, SocketType},
     serde_json::{Value, json},
     std::{
         fs::File,
         io::{ErrorKind, Read, Write},
         net::{SocketAddr, TcpListener, TcpStream, UdpSocket},
-        os::unix::process::ExitStatusExt,
+        os::{fd::OwnedFd, unix::process::ExitStatusExt},
         path::PathBuf,
         process::{Child, Command, ExitStatus},
+        sync::atomic::{AtomicU16, Ordering},
         time::{Duration, Instant},
     },
     wellplank_node::Settings,
@@ -48,10 +50,24 @@
     settings
 }
 
-/// An address that is free now. A process that another test starts meanwhile may hold its listener for a moment.
+/// Ports of these tests, below those that the operating system gives to connections: on a busy machine each of those has
+/// some connection of some process, or one that has closed, at nearly any time.
+const PORTS: std::ops::Range<u16> = 30_100..32_700;
+
+/// An address that is free now, and given once by this process.
 fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    listener.local_addr().unwrap()
+    static NEXT: AtomicU16 = AtomicU16::new(0);
+    // Test processes that run side by side begin at different ports.
+    let first = std::process::id() as usize * 97;
+    loop {
+        let step = usize::from(NEXT.fetch_add(1, Ordering::Relaxed));
+        let port = PORTS.start + ((first + step) % PORTS.len()) as u16;
+        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        let is_free = TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok();
+        if is_free {
+            return address;
+        }
+    }
 }
 
 /// A caller's connection to an instance of the own interface.
@@ -103,20 +119,9 @@
     /// Starts a process that reads its settings from a pipe, and sends it a signal while it waits for them. Waits until it
     /// has started its tasks or ended.
     fn signalled_before_settings(settings: fn() -> Value, signal: &str) -> Self {
-        let start = |settings: &Value| Self::signal_before_settings(settings, signal);
-        Self::at_free_addresses(settings, start).0
-    }
-
-    /// Starts a process; at other addresses if another process took one of them meanwhile.
-    fn at_free_addresses(settings: fn() -> Value, start: impl Fn(&Value) -> Self) -> (Self, Value) {
-        loop {
-            let settings = settings();
-            let mut process = start(&settings);
-            if process.wait_for_line("started") || !process.errors().contains("failed to listen on")
-            {
-                return (process, settings);
-            }
-        }
+        let mut process = Self::signal_before_settings(&settings(), signal);
+        process.wait_for_line("started");
+        process
     }
 
     fn signal_before_settings(settings: &Value, signal: &str) -> Self {
@@ -139,11 +144,9 @@
 
     /// Starts a process and waits until it has started its tasks; its settings too.
     fn started(settings: fn() -> Value) -> (Self, Value) {
-        let start = |settings: &Value| {
-            Self::spawn(|file| std::fs::write(file, settings.to_string()).unwrap())
-        };
-        let (process, settings) = Self::at_free_addresses(settings, start);
-        expect_that!(process.has_line("started"), eq(true));
+        let settings = settings();
+        let mut process = Self::starting(&settings);
+        expect_that!(process.wait_for_line("started"), eq(true));
         (process, settings)
     }
 
@@ -176,13 +179,18 @@
     }
 
     fn has_line(&self, message: &str) -> bool {
+        self.line(message).is_some()
+    }
+
+    /// The first line of its log with a message.
+    fn line(&self, message: &str) -> Option<Value> {
         let text = std::fs::read_to_string(self.folder.join("log")).unwrap();
         let lines = text
             .lines()
             .filter_map(|line| serde_json::from_str(line).ok());
         lines
             .into_iter()
-            .any(|line: Value| line["message"] == message)
+            .find(|line: &Value| line["message"] == message)
     }
 
     /// What it wrote to standard error.
@@ -353,7 +361,7 @@
 impl Taken {
     fn new(how: Use) -> Self {
         if let Use::Datagrams = how {
-            let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
+            let socket = UdpSocket::bind(free_address()).unwrap();
             return Self {
                 address: socket.local_addr().unwrap(),
                 _connections: Vec::new(),
@@ -361,7 +369,7 @@
                 _listener: None,
             };
         }
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let listener = TcpListener::bind(free_address()).unwrap();
         let target = listener.local_addr().unwrap();
         if let Use::Listener = how {
             return Self {
@@ -371,16 +379,23 @@
                 _listener: Some(listener),
             };
         }
-        let outgoing = TcpStream::connect(target).unwrap();
+        let outgoing = tcp_socket().unwrap();
+        net::bind(&outgoing, &free_address()).unwrap();
+        net::connect(&outgoing, &target).unwrap();
+        let outgoing = TcpStream::from(outgoing);
         let (accepted, address) = listener.accept().unwrap();
         let mut connections = vec![outgoing, accepted];
         if let Use::TimeWait = how {
-            // The end that closes first waits.
-            for connection in std::mem::take(&mut connections) {
+            // The end that closes first keeps its port for a minute.
+            for connection in connections.drain(..) {
                 drop(connection);
                 std::thread::sleep(POLL_INTERVAL);
             }
         }
+        for connection in &connections {
+            // A connection that is reset at its close does not keep its port.
+            net::sockopt::set_socket_linger(connection, Some(Duration::ZERO)).unwrap();
+        }
         Self {
             address,
             _connections: connections,
@@ -402,9 +417,15 @@
     text.unwrap().parse().unwrap()
 }
 
+/// A socket that the processes of these tests do not inherit.
+fn tcp_socket() -> rustix::io::Result<OwnedFd> {
+    let kind = SocketType::STREAM;
+    net::socket_with(AddressFamily::INET, kind, SocketFlags::CLOEXEC, None)
+}
+
 /// Sends a request to an address; the first bytes of the answer. `None` if there is no connection, so that nothing was sent.
 fn ask(address: SocketAddr) -> Option<std::io::Result<String>> {
-    let stream = TcpStream::connect(address).ok()?;
+    let stream = connect(address).ok()?;
     // A port that nobody listens on may be given to the very connection that looks for it.
     if stream.local_addr().ok() == stream.peer_addr().ok() {
         return None;
@@ -412,6 +433,15 @@
     Some(Connection(stream).exchange())
 }
 
+/// Connects to an address. Unlike other connections it does not keep a process from listening on its local port: thousands
+/// of them look for a port that nobody listens on yet, and one may be given that very port.
+fn connect(address: SocketAddr) -> std::io::Result<TcpStream> {
+    let socket = tcp_socket()?;
+    net::sockopt::set_socket_reuseaddr(&socket, true)?;
+    net::connect(&socket, &address)?;
+    Ok(socket.into())
+}
+
 impl Connection {
     /// Sends a request; the first bytes of its answer, or how it ended without one.
     fn exchange(&mut self) -> std::io::Result<String> {
@@ -516,6 +546,7 @@
 /// the operating system keeps it for a minute.
 #[gtest]
 fn port_of_a_closed_connection_does_not_end_a_starting_process() {
+    let begun = Instant::now();
     let ports = [
         "/listen/callers",
         "/hosted/ready",
@@ -532,14 +563,13 @@
             "/hosted/peers" => address_at(&settings, "/listen/callers"),
             _ => address_at(&settings, port),
         };
-        let begun = Instant::now();
-        let mut is_answered = false;
-        while process.runs() && !is_answered && begun.elapsed() < TIME_WAIT_MAX {
-            is_answered = answers(port_answers, TAKEN);
+        while process.runs() && !process.has_line("started") && begun.elapsed() < TIME_WAIT_MAX {
+            std::thread::sleep(POLL_INTERVAL);
         }
-        expect_that!(is_answered, eq(true), "{port}");
         expect_that!(process.runs(), eq(true), "{port}");
         expect_that!(process.has_line("started"), eq(true), "{port}");
+        let is_answered = process.runs() && answers(port_answers, PATIENCE);
+        expect_that!(is_answered, eq(true), "{port}");
     }
 }
 
@@ -603,3 +633,48 @@
         }
     }
 }
+
+/// Guards against a process that waits for ever, unseen by its supervisor, for a port that another process keeps.
+#[gtest]
+fn port_that_stays_taken_ends_the_process_with_its_error() {
+    let cases = [
+        (hosted_settings as fn() -> Value, "/hosted/ready", "ready"),
+        (own_settings, "/listen/operators", "operators"),
+    ];
+    for (settings, port, step) in cases {
+        let taken = Taken::new(Use::Listener);
+        let mut settings = with_port(settings(), port, taken.address);
+        settings["listen_ms"] = 700.into();
+        let begun = Instant::now();
+        let mut process = Process::starting(&settings);
+        expect_that!(process.wait().code(), some(eq(1)));
+        expect_that!(begun.elapsed(), ge(Duration::from_millis(700)));
+        expect_that!(process.errors(), contains_substring("failed to listen on"));
+        let end = process.line("ends by itself").unwrap_or_default();
+        expect_that!(end["level"], eq(&json!("error")));
+        expect_that!(end["kind"], eq(&json!("bind")));
+        expect_that!(end["step"], eq(&json!(step)));
+        expect_that!(end["unanswered"], eq(&json!(0)));
+        expect_that!(
+            process.has_line("port can not be bound, trying again"),
+            eq(true)
+        );
+    }
+}
+
+/// Guards against settings with an address of another machine that show as an instance which starts for ever.
+#[gtest]
+fn address_of_another_machine_ends_the_process_at_once() {
+    let address = SocketAddr::from(([192, 0, 2, 1], 8_080));
+    for (settings, port) in [
+        (hosted_settings as fn() -> Value, "/listen/callers"),
+        (hosted_settings, "/hosted/peers"),
+        (own_settings, "/listen/callers"),
+    ] {
+        let begun = Instant::now();
+        let mut process = Process::starting(&with_port(settings(), port, address));
+        expect_that!(process.wait().code(), some(eq(1)));
+        expect_that!(begun.elapsed(), le(EXIT_MAX));
+        expect_that!(process.has_line("ends by itself"), eq(true));
+    }
+}
--- a/crates/standin/src/site.rs
+++ b/crates/standin/src/site.rs
@@ -404,6 +404,8 @@
                 "instance_bytes": self.unread.instance_bytes,
                 "request_bytes": self.unread.request_bytes,
             });
+            // Other addresses are chosen at once below.
+            settings["listen_ms"] = 0.into();
             let settings = wellplank_node::Settings::parse(&settings.to_string());
             let settings = settings.expect("the settings have no fault");
             let hosted = settings.hosted.expect("the settings are for the platform");
