Leave names of versions to the instances that write for all

In a large fleet with a copy of the store that is seconds old, each instance would have written a new version's name itself 1 s behind its first look: a thousand writes where 400 a second are allowed. Now only the two that write streams write names, whoever they are by then, and the others look for them in longer and longer intervals. By reading and calculation; the tests of young streams pass as before.

--- a/crates/node/src/version_names.rs
+++ b/crates/node/src/version_names.rs
@@ -15,15 +15,16 @@
 /// Time-out of a call. Streams of unknown origin wait for a read, and capacity may for a write.
 const CALL_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Time between two attempts to write names.
+/// Time between the first two attempts to find or write names; doubled with each further one. The copy of the store that is
+/// read may be seconds old.
 const RETRY_INTERVAL: Duration = Duration::from_millis(300);
 
+/// Longest time between two attempts.
+const RETRY_INTERVAL_MAX: Duration = Duration::from_secs(3);
+
 /// Time over which instances of a large fleet spread their first look at whether another one has written a name.
 const SPREAD: Duration = Duration::from_millis(200);
 
-/// Attempts from which on an instance that leaves names to others writes them itself.
-const OWN_ATTEMPT: u32 = 3;
-
 /// Maximum number of names that one call writes.
 const BATCH: usize = 32;
 
@@ -51,6 +52,8 @@
 struct Session {
     client: platform_store::Client,
     driver: Driver,
+    members: watch::Receiver<Members>,
+    own: LocalMember,
     several: watch::Sender<bool>,
 }
 
@@ -60,19 +63,19 @@
         let session = Session {
             client: self.client,
             driver: self.driver,
+            members: self.members,
+            own: self.own,
             several: self.several,
         };
         while let Some(call) = self.calls.recv().await {
             let session = session.clone();
-            let is_writer = || self.own.persists_streams(&self.members.borrow());
             match call {
-                Call::Forget(name) if is_writer() => {
+                Call::Forget(name) if session.is_writer() => {
                     tokio::spawn(async move { session.forget(&name).await });
                 }
                 Call::Forget(_) => {}
                 Call::Name(names) => {
-                    let is_writer = is_writer();
-                    tokio::spawn(async move { session.name(names, is_writer).await });
+                    tokio::spawn(async move { session.name(names).await });
                 }
                 Call::Read(number) => {
                     tokio::spawn(async move { session.read_for(number).await });
@@ -83,6 +86,11 @@
 }
 
 impl Session {
+    /// Whether this instance writes names on behalf of all.
+    fn is_writer(&self) -> bool {
+        self.own.persists_streams(&self.members.borrow())
+    }
+
     async fn read(&self, consistency: Consistency) -> Result<Vec<Name>, Error> {
         let read = self.client.read_prefix(PREFIX, CALL_TIMEOUT, consistency);
         let (items, _) = read.await?;
@@ -106,35 +114,40 @@
             .send_event(Event::VersionsRead { names, number });
     }
 
-    /// Has names written that are not in the store yet, by this instance if it is a writer or the writers do not do so.
-    async fn name(&self, mut names: Vec<Name>, is_writer: bool) {
-        if !is_writer {
+    /// Has names written that are not in the store yet: by this instance if it writes them on behalf of all, otherwise by
+    /// those that do.
+    async fn name(&self, mut names: Vec<Name>) {
+        if !self.is_writer() {
             let delay = rand::rng().random_range(Duration::ZERO..SPREAD);
             sleep(delay).await;
         }
-        let mut attempt = 0;
+        let mut pause = RETRY_INTERVAL;
         loop {
             if let Ok(known) = self.read(Consistency::Serializable).await {
                 names.retain(|name| !known.contains(name));
                 self.driver.send_event(Event::VersionsNamed(known));
             }
-            if (is_writer || attempt >= OWN_ATTEMPT) && !names.is_empty() {
-                match self.write(&names).await {
-                    Ok(()) => {
-                        self.driver
-                            .send_event(Event::VersionsNamed(std::mem::take(&mut names)));
-                        // Whether a pool has several versions now.
-                        let _ = self.read(Consistency::Linearizable).await;
-                    }
-                    Err(error) => debug!("naming versions failed: {error}"),
-                }
+            if !names.is_empty() && self.is_writer() {
+                self.write_all(&mut names).await;
             }
             if names.is_empty() {
                 return;
             }
-            attempt += 1;
-            sleep(RETRY_INTERVAL).await;
+            sleep(pause).await;
+            pause = RETRY_INTERVAL_MAX.min(2 * pause);
+        }
+    }
+
+    /// Writes names; those that are written are taken from the list.
+    async fn write_all(&self, names: &mut Vec<Name>) {
+        if let Err(error) = self.write(names).await {
+            debug!("naming versions failed: {error}");
+            return;
         }
+        let written = std::mem::take(names);
+        self.driver.send_event(Event::VersionsNamed(written));
+        // Shows whether a pool has several versions now; if it fails, the next one does.
+        drop(self.read(Consistency::Linearizable).await);
     }
 
     async fn write(&self, names: &[Name]) -> Result<(), Error> {
@@ -158,7 +171,7 @@
         if let Err(error) = self.client.call(removed, CALL_TIMEOUT).await {
             debug!("removing the name of a version failed: {error}");
         }
-        let _ = self.read(Consistency::Linearizable).await;
+        drop(self.read(Consistency::Linearizable).await);
     }
 }
 
