--- a/crates/standin/tests/stream_version.rs
+++ b/crates/standin/tests/stream_version.rs
@@ -215,6 +215,9 @@
 /// Time for which callers take up a stream again and again.
 const RETRYING: Duration = Duration::from_millis(2_500);
 
+/// Time behind the store's return within which an instance serves streams of unknown origin again.
+const RECOVERY: Duration = Duration::from_secs(6);
+
 /// Pause between two of their tries.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
 
@@ -312,6 +315,38 @@
     }
 }
 
+/// Guards against refusing what can not be of another version: the store names one.
+#[gtest]
+fn young_streams_of_the_only_version_go_on_behind_the_loss_of_all_instances() {
+    for instances in [1, 3, 6] {
+        run(plan(instances, &["v1"]), async |mut site: Site| {
+            let (whole, _) = lose_all(&mut site, Duration::ZERO, Gone::Never).await;
+            println!("{instances}: {whole} of {STREAMS} went on");
+            expect_that!(whole, ge(STREAMS / 2), "{instances}");
+        });
+    }
+}
+
+/// Guards against a conclusion from a store that says nothing: a stream that nobody knows is not sent on, and goes on once
+/// the store answers.
+#[gtest]
+fn stream_of_unknown_origin_goes_on_at_no_version_while_the_store_does_not_answer() {
+    run(plan(1, &["v1"]), async |site: Site| {
+        site.shelf.away(true);
+        let ask = ask(1, "again").taking_up("nobody-knows", 3);
+        let got = ask.send(site.instances[0].callers).await;
+        expect_that!(got.status.as_u16(), eq(503), "{}", got.body);
+        site.shelf.away(false);
+        let end = Instant::now() + RECOVERY;
+        let mut whole = false;
+        while !whole && Instant::now() < end {
+            sleep(RETRY_PAUSE).await;
+            whole = ask.send(site.instances[0].callers).await.whole;
+        }
+        expect_that!(whole, eq(true));
+    });
+}
+
 #[gtest]
 fn versions_serve_side_by_side_without_an_order() {
     run(plan(2, &["v1", "v2", "v3"]), async |site: Site| {
