Bound the slots that an entry may claim, and deal them out without memory for each

What callers saw: the process ended, so all its requests were lost, and again at each start for as long as the entry stood. One valid entry with 2^32-1 slots in a pool whose upstreams say that they fall over, or announce rate limits, was enough: dealing out the slots took 24 bytes for each claimed one, about 100 GB, at the next call. With an address space of 6 GB both new tests ended in call_place.rs:224 with a failed allocation; they pass now. An entry counts with 4,096 slots at most, wherever it was read, and only the own slots are kept.

Ruled out: without brittle or limited upstreams the same entry took no memory, since its pool is never near its capacity. Open, and listed: what a dead address claims still admits calls that nobody serves.

--- a/crates/core/src/call_place.rs
+++ b/crates/core/src/call_place.rs
@@ -217,18 +217,32 @@
     /// where instances outnumber slots, some share one.
     pub(crate) fn home_slots(&self, candidates: &[upstream::Key]) -> Vec<upstream::Key> {
         let (rank, instances) = self.members.rank();
-        let mut slots: Vec<(u32, u64, upstream::Key)> = Vec::new();
+        let mut upstreams: Vec<(u64, u32, upstream::Key)> = Vec::new();
         for key in candidates {
             let upstream = &self.upstreams[*key];
-            let id = upstream.incarnation.id;
-            slots.extend((0..upstream.listed_slots).map(|slot| (slot, id, *key)));
+            upstreams.push((upstream.incarnation.id, upstream.listed_slots, *key));
         }
-        slots.sort_unstable_by_key(|(slot, id, _)| (*slot, *id));
-        let own = match slots.len() {
+        upstreams.retain(|(_, slots, _)| *slots > 0);
+        upstreams.sort_unstable_by_key(|(id, ..)| *id);
+        let slots = upstreams.iter().map(|(_, slots, _)| *slots as usize);
+        let count: usize = slots.sum();
+        let (mut next, step) = match count {
             0 => return Vec::new(),
-            count if instances >= count => slots.iter().skip(rank % count).step_by(count),
-            _ => slots.iter().skip(rank).step_by(instances),
+            count if instances >= count => (rank % count, count),
+            _ => (rank, instances),
         };
-        own.map(|(.., key)| *key).collect()
+        let mut own = Vec::new();
+        let mut round = 0;
+        // In each round, each upstream with a slot left gives one; `next` is the place of the next own slot from its start.
+        while !upstreams.is_empty() {
+            while let Some((.., key)) = upstreams.get(next) {
+                own.push(*key);
+                next += step;
+            }
+            next -= upstreams.len();
+            round += 1;
+            upstreams.retain(|(_, slots, _)| *slots > round);
+        }
+        own
     }
 }
--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -102,6 +102,11 @@
     Good,
 }
 
+/// Number of slots that an entry may claim; a larger claim counts as this many. Slots are dealt out one by one and summed up, and
+/// no upstream runs as many requests at once, so that one odd entry neither takes time and memory by its claim nor makes all
+/// others count for nothing.
+pub const SLOTS_MAX: u32 = 4_096;
+
 /// Entry of an upstream, or of an instance, in the platform's list.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct ListEntry {
@@ -140,6 +145,11 @@
     pub fn incarnation(&self) -> Incarnation {
         Incarnation::new(&self.name, self.born)
     }
+
+    /// Number of slots by which it counts.
+    pub fn counted_slots(&self) -> u32 {
+        self.slots.min(SLOTS_MAX)
+    }
 }
 
 /// Event that the core handles.
--- a/crates/core/src/list.rs
+++ b/crates/core/src/list.rs
@@ -177,7 +177,7 @@
             self.ended
                 .contains_listed(incarnation, entry.address, self.now);
             self.upstreams[key].leaving = entry.leaving;
-            self.upstreams[key].listed_slots = entry.slots;
+            self.upstreams[key].listed_slots = entry.counted_slots();
             self.set_version(key, &entry.version);
             return ListedUpstream {
                 is_new: false,
@@ -225,7 +225,7 @@
             leaving_until: Time::default(),
             limit_bucket: None,
             listed_at: self.now,
-            listed_slots: entry.slots,
+            listed_slots: entry.counted_slots(),
             load: Load::default(),
             mean_call_ms: 0.0,
             reported_at: Time::default(),
--- a/crates/core/tests/relay/main.rs
+++ b/crates/core/tests/relay/main.rs
@@ -55,6 +55,7 @@
 mod liveness_load;
 mod liveness_methods;
 mod notice;
+mod odd;
 mod open_request;
 mod poison;
 mod rank;
