Sum numbers of entries, reports and requests without overflow

What callers see: debug builds end in a panic of the core; release builds wrap, so that an upstream with two absurd reports looks idle or a pool looks as if it had no slots, and an upstream that holds streams of 2^32-1 tokens looks empty. By reading: slots (window, brittle, admission), running and waiting (route, upstream), weights of a route, sums of times. Tokens of an upstream are summed in 64 bits, since sums that are subtracted again must not saturate; the others saturate.

--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -394,11 +394,13 @@
 
     /// Draws a share of a route by weight.
     fn draw_share<'a>(&mut self, route: &'a config::Route) -> Option<&'a config::Share> {
-        let total: u32 = route.shares.iter().map(|share| share.weight).sum();
+        let weights = route.shares.iter().map(|share| u64::from(share.weight));
+        let total: u64 = weights.sum();
         let mut point = self.rng.random_range(0..total.max(1));
         let share = route.shares.iter().find(|share| {
-            let hit = point < share.weight;
-            point = point.saturating_sub(share.weight);
+            let weight = u64::from(share.weight);
+            let hit = point < weight;
+            point = point.saturating_sub(weight);
             hit
         });
         share.or(route.shares.first())
@@ -423,7 +425,7 @@
             .filter_map(|key| self.upstreams.get(*key))
             .filter(|upstream| upstream.accepts_work(self.now))
             .map(Upstream::slots)
-            .sum();
+            .fold(0, u32::saturating_add);
         let share = f64::from(slots.max(1)) / f64::from(self.instances.max(1));
         (ahead as f64 * pool.mean_duration_ms / share.max(1.0)) as u64
     }
--- a/crates/core/src/attempt.rs
+++ b/crates/core/src/attempt.rs
@@ -14,7 +14,7 @@
     pub ahead_streams: u32,
     /// Estimated number of prompt tokens that the upstream had to prefill at the time of sending,
     /// including this request's own.
-    pub ahead_tokens: u32,
+    pub ahead_tokens: u64,
     /// Upstream that keeps a copy of the run's KV cache; for relayed streams.
     pub backup: Option<upstream::Key>,
     /// Copied KV cache that the attempt resumes from, if any.
--- a/crates/core/src/brittle.rs
+++ b/crates/core/src/brittle.rs
@@ -165,7 +165,8 @@
     /// Number of slots of the upstreams of a pool.
     fn slot_count(&self, pool: &core::Pool) -> u32 {
         let upstreams = self.upstreams_of(pool);
-        upstreams.map(|upstream| upstream.listed_slots).sum()
+        let slots = upstreams.map(|upstream| upstream.listed_slots);
+        slots.fold(0, u32::saturating_add)
     }
 
     /// Whether this instance may have a call more under way than there are slots of its own, at an upstream of any: one, and
--- a/crates/core/src/capacity.rs
+++ b/crates/core/src/capacity.rs
@@ -54,7 +54,7 @@
     /// Whether the stream fits into a fraction of the memory of an upstream with this usage; 0
     /// means unbounded. An idle upstream may try a request of any size.
     fn fits(self, usage: Usage, fraction: f64) -> bool {
-        let filled = f64::from(usage.tokens + self.tokens);
+        let filled = usage.tokens as f64 + f64::from(self.tokens);
         fraction == 0.0 || usage.tokens == 0 || filled <= fraction * self.memory
     }
 }
@@ -144,17 +144,18 @@
         let tokens = own.min(self.counted_tokens(request));
         let pool = self.pools.get(request.service.pool());
         let prefill_ms = pool.map_or(0, |pool| {
-            pool.estimates.prefill_ms(usage.prefill_tokens + tokens)
+            pool.estimates
+                .prefill_ms(usage.prefill_tokens + u64::from(tokens))
         });
         let is_unbounded = self.settings.room.late_fill == 0.0;
-        let prefill_ms = prefill_ms + self.overtaken_ms(request, tokens);
+        let prefill_ms = prefill_ms.saturating_add(self.overtaken_ms(request, tokens));
         is_unbounded || self.now.after(prefill_ms) <= request.first_event_due
     }
 
     /// Number of streams with this need that an upstream with this usage has capacity for.
     fn stream_capacity(&self, need: Need, usage: Usage) -> usize {
         let limits = self.settings.room;
-        let free = limits.fill * need.memory - f64::from(usage.tokens);
+        let free = limits.fill * need.memory - usage.tokens as f64;
         let by_memory = (free / f64::from(need.tokens)) as usize;
         let prefills = limits.reading.saturating_sub(usage.prefilling) as usize;
         match (limits.fill > 0.0, limits.reading > 0) {
@@ -178,7 +179,7 @@
         };
         let limits = self.settings.room;
         let all_candidates = self.relay_candidates(request);
-        let used: u32 = all_candidates
+        let used: u64 = all_candidates
             .iter()
             .map(|key| self.usage(own, *key).tokens)
             .sum();
@@ -215,8 +216,8 @@
     pub(crate) fn own_prefill_ms(&self, request: &Request) -> u64 {
         let tokens = self.counted_tokens(request);
         let pool = self.pools.get(request.service.pool());
-        let prefill_ms = pool.map_or(0, |pool| pool.estimates.prefill_ms(tokens));
-        prefill_ms + self.overtaken_ms(request, tokens)
+        let prefill_ms = pool.map_or(0, |pool| pool.estimates.prefill_ms(tokens.into()));
+        prefill_ms.saturating_add(self.overtaken_ms(request, tokens))
     }
 
     /// Time in milliseconds by which the prefill of a request takes longer since engines prefill more
@@ -228,7 +229,7 @@
         };
         let share = pool.estimates.started_above(rank, self.now);
         let overtaking = (share / (1.0 - share).max(f64::EPSILON)).min(MAX_OVERTAKING);
-        (pool.estimates.prefill_ms(tokens) as f64 * overtaking) as u64
+        (pool.estimates.prefill_ms(tokens.into()) as f64 * overtaking) as u64
     }
 
     /// Tokens by which a request is admitted and queued: in a lasting shortage the mean of the
@@ -272,7 +273,7 @@
         }
         let shortage_ms = self.record_shortage(request);
         let wait_ms = self.expected_wait_ms(request, queued_streams + 1);
-        let starts_at = self.now.after(wait_ms + self.own_prefill_ms(request));
+        let starts_at = self.now.after(wait_ms).after(self.own_prefill_ms(request));
         let is_late = self.is_late(request);
         let is_futile = if is_late {
             shortage_ms > request.service.max_wait_ms
@@ -312,14 +313,14 @@
         let prefill_ms = if request.progress.has_cached_prompt() {
             0
         } else {
-            pool.estimates.prefill_ms(relay.tokens)
+            pool.estimates.prefill_ms(relay.tokens.into())
         };
         let remaining_ms = pool
             .estimates
             .remaining_ms(relay.max_answer_tokens, relay.position);
         let left = request.deadline.since(self.now);
         let hopeless = self.settings.room.hopeless;
-        hopeless > 0.0 && (prefill_ms + remaining_ms) as f64 > left as f64 * hopeless
+        hopeless > 0.0 && prefill_ms.saturating_add(remaining_ms) as f64 > left as f64 * hopeless
     }
 
     /// Number of streams that wait for capacity in a pool, here and at other instances, before a request: all that came
--- a/crates/core/src/demand.rs
+++ b/crates/core/src/demand.rs
@@ -311,7 +311,7 @@
             if now.since(peer.at) < valid_ms {
                 announced.busy.extend_from_slice(&peer.busy);
                 announced.reports += 1;
-                announced.running += peer.running;
+                announced.running = announced.running.saturating_add(peer.running);
             }
         }
         announced
--- a/crates/core/src/engine_watch.rs
+++ b/crates/core/src/engine_watch.rs
@@ -188,7 +188,7 @@
             Some(millis) if millis > 0 => millis,
             _ => self.first_event_timeout_ms(key),
         };
-        let prefill_ms = prefill_ms + self.expected_queue_ms(key, hints);
+        let prefill_ms = prefill_ms.saturating_add(self.expected_queue_ms(key, hints));
         let pace = upstream.observed.pace.get(self.now);
         let intervals = pool.map(|pool| pool.intervals).unwrap_or_default();
         let expectation = intervals.first_event(prefill_ms, pace);
--- a/crates/core/src/estimates.rs
+++ b/crates/core/src/estimates.rs
@@ -119,14 +119,14 @@
 
     /// Time in milliseconds in which one upstream prefills requests of this many tokens; 0 before
     /// the first sample.
-    pub fn prefill_ms(&self, tokens: u32) -> u64 {
-        (self.prefill_ms_per_token.get() * f64::from(tokens)) as u64
+    pub fn prefill_ms(&self, tokens: u64) -> u64 {
+        (self.prefill_ms_per_token.get() * tokens as f64) as u64
     }
 
     /// Like [`Self::prefill_ms`]; `None` before the first sample.
-    pub fn known_prefill_ms(&self, tokens: u32) -> Option<u64> {
+    pub fn known_prefill_ms(&self, tokens: u64) -> Option<u64> {
         let per_token = self.prefill_ms_per_token.0?;
-        Some((per_token * f64::from(tokens)) as u64)
+        Some((per_token * tokens as f64) as u64)
     }
 
     /// Merges a sample from another instance. With hundreds of instances, each sees too few streams
@@ -144,14 +144,14 @@
     pub fn record_prefill(
         &mut self,
         pool: Arc<str>,
-        tokens: u32,
+        tokens: u64,
         millis: u64,
         now: Time,
     ) -> Option<EngineSpeed> {
         if tokens == 0 {
             return None;
         }
-        let prefill_ms_per_token = millis as f64 / f64::from(tokens);
+        let prefill_ms_per_token = millis as f64 / tokens as f64;
         self.prefill_ms_per_token.add(prefill_ms_per_token);
         self.shortage_ms(now)?;
         Some(EngineSpeed {
--- a/crates/core/src/place.rs
+++ b/crates/core/src/place.rs
@@ -263,7 +263,7 @@
             .map_or(0, |relay| relay.memory_tokens);
         if memory > 0 {
             let need = request.work.relay().map_or(0, |relay| relay.tokens);
-            let filled = f64::from(usage.tokens + need) / f64::from(memory);
+            let filled = (usage.tokens as f64 + f64::from(need)) / f64::from(memory);
             cost += filled * weights.memory + (filled - 1.0).max(0.0) * OVERCOMMIT_COST;
         }
         cost
--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -128,7 +128,7 @@
         }
         let request = &mut self.requests[owner];
         let is_only_attempt = request.attempts == [key];
-        let next = request.progress.position + 1;
+        let next = request.progress.position.saturating_add(1);
         if !self.check_invariant(is_only_attempt, Invariant::SameGeneration) {
             self.fail(owner, Kind::Internal);
             return;
@@ -229,7 +229,10 @@
             self.record_peer_start(&name, &record);
             let pool = self.pools.entry(name).or_default();
             pool.estimates.record_stream_start(record.rank, self.now);
-            if let Some(millis) = pool.estimates.known_prefill_ms(ahead + record.tokens) {
+            if let Some(millis) = pool
+                .estimates
+                .known_prefill_ms(ahead + u64::from(record.tokens))
+            {
                 prefill_ms = millis;
             }
         }
--- a/crates/core/src/route.rs
+++ b/crates/core/src/route.rs
@@ -111,7 +111,7 @@
     fn choose_by_reported_load(&self, keys: &[upstream::Key]) -> Option<upstream::Key> {
         let reported = |key: &upstream::Key| {
             let upstream = &self.upstreams[*key];
-            (upstream.load.running + upstream.load.waiting) * 1_000 / upstream.slots()
+            upstream.load.requests() * 1_000 / u64::from(upstream.slots())
         };
         keys.iter().copied().min_by_key(reported)
     }
--- a/crates/core/src/shutdown.rs
+++ b/crates/core/src/shutdown.rs
@@ -142,6 +142,6 @@
         if request.progress.has_cached_prompt() {
             return events_ms;
         }
-        self.own_prefill_ms(request) + events_ms
+        self.own_prefill_ms(request).saturating_add(events_ms)
     }
 }
--- a/crates/core/src/upstream.rs
+++ b/crates/core/src/upstream.rs
@@ -33,6 +33,13 @@
     pub waiting: u32,
 }
 
+impl Load {
+    /// Requests that are processed or queued.
+    pub fn requests(self) -> u64 {
+        u64::from(self.running) + u64::from(self.waiting)
+    }
+}
+
 /// Value of `Load::pace_percent` for an upstream that does not report it.
 pub const USUAL_PACE_PERCENT: u32 = 100;
 
@@ -187,8 +194,9 @@
     ///
     /// The combination of report and local count follows the `RouteGrail` paper.
     pub fn estimated_load(&self) -> u32 {
-        let reported = i64::from(self.load.running + self.load.waiting) + self.unreported;
-        (reported.max(0) as u32).max(self.attempts.len() as u32)
+        let reported = self.load.requests().saturating_add_signed(self.unreported);
+        let reported = u32::try_from(reported).unwrap_or(u32::MAX);
+        reported.max(self.attempts.len() as u32)
     }
 
     /// Records that something was received from it.
--- a/crates/core/src/usage.rs
+++ b/crates/core/src/usage.rs
@@ -6,18 +6,18 @@
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub(crate) struct RankUsage {
     /// Tokens of the streams in prefill.
-    prefill_tokens: [u32; rank::RANKS],
+    prefill_tokens: [u64; rank::RANKS],
     /// Streams in prefill.
     prefilling: [u32; rank::RANKS],
     /// Tokens of the streams whose caller has a part of the response.
-    streaming_tokens: [u32; rank::RANKS],
+    streaming_tokens: [u64; rank::RANKS],
 }
 
 /// Estimated usage of an upstream.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub(crate) struct Usage {
-    /// Tokens of the requests in prefill.
-    pub prefill_tokens: u32,
+    /// Tokens of the requests in prefill. Sums are wider than the numbers that callers state.
+    pub prefill_tokens: u64,
     /// Prompts in prefill.
     pub prefilling: u32,
     /// The part that streams with a rank account for.
@@ -25,12 +25,13 @@
     /// Requests running or queued.
     pub running: u32,
     /// Tokens in memory, including copies of streams of other upstreams.
-    pub tokens: u32,
+    pub tokens: u64,
 }
 
 impl Usage {
     /// Usage by one request; `rank` is `None` if no ranks are in force in its pool.
     pub fn new(is_prefilling: bool, tokens: u32, rank: Option<Rank>) -> Self {
+        let tokens = u64::from(tokens);
         let counts_prefill = is_prefilling && tokens > 0;
         let mut ranks = RankUsage::default();
         if let Some(rank) = rank {
@@ -73,14 +74,14 @@
             return self;
         };
         let below = usize::from(rank.number()) + 1..;
-        let prefill_tokens: u32 = self.ranks.prefill_tokens[below.clone()].iter().sum();
+        let prefill_tokens: u64 = self.ranks.prefill_tokens[below.clone()].iter().sum();
         let prefilling: u32 = self.ranks.prefilling[below.clone()].iter().sum();
         self.prefill_tokens -= prefill_tokens;
         self.prefilling -= prefilling;
         self.running -= prefilling;
         self.tokens -= prefill_tokens;
         if yielding == Yielding::All {
-            self.tokens -= self.ranks.streaming_tokens[below].iter().sum::<u32>();
+            self.tokens -= self.ranks.streaming_tokens[below].iter().sum::<u64>();
         }
         self
     }
@@ -89,7 +90,7 @@
     pub fn add(&mut self, other: Self) {
         self.prefill_tokens += other.prefill_tokens;
         self.prefilling += other.prefilling;
-        self.ranks.combine(&other.ranks, |sum, other| *sum += other);
+        self.ranks.add(&other.ranks);
         self.running += other.running;
         self.tokens += other.tokens;
     }
@@ -98,23 +99,26 @@
     pub fn subtract(&mut self, other: Self) {
         self.prefill_tokens -= other.prefill_tokens;
         self.prefilling -= other.prefilling;
-        self.ranks.combine(&other.ranks, |sum, other| *sum -= other);
+        self.ranks.subtract(&other.ranks);
         self.running -= other.running;
         self.tokens -= other.tokens;
     }
 }
 
 impl RankUsage {
-    fn combine(&mut self, other: &Self, operation: fn(&mut u32, u32)) {
-        let sums = [
-            (&mut self.prefill_tokens, &other.prefill_tokens),
-            (&mut self.prefilling, &other.prefilling),
-            (&mut self.streaming_tokens, &other.streaming_tokens),
-        ];
-        for (sums, others) in sums {
-            for (sum, other) in sums.iter_mut().zip(others) {
-                operation(sum, *other);
-            }
+    fn add(&mut self, other: &Self) {
+        for place in 0..rank::RANKS {
+            self.prefill_tokens[place] += other.prefill_tokens[place];
+            self.prefilling[place] += other.prefilling[place];
+            self.streaming_tokens[place] += other.streaming_tokens[place];
+        }
+    }
+
+    fn subtract(&mut self, other: &Self) {
+        for place in 0..rank::RANKS {
+            self.prefill_tokens[place] -= other.prefill_tokens[place];
+            self.prefilling[place] -= other.prefilling[place];
+            self.streaming_tokens[place] -= other.streaming_tokens[place];
         }
     }
 }
--- a/crates/core/src/window.rs
+++ b/crates/core/src/window.rs
@@ -79,7 +79,8 @@
             return true;
         };
         let slots = self.upstreams_of(pool).map(|upstream| upstream.load.slots);
-        self.calls_in_pool(pool) < pool.window.size(slots.sum(), self.instances)
+        let slots = slots.fold(0, u32::saturating_add);
+        self.calls_in_pool(pool) < pool.window.size(slots, self.instances)
     }
 
     /// Records whether a relayed call ended with a response.
