--- a/crates/node/src/store_sync.rs
+++ b/crates/node/src/store_sync.rs
@@ -459,24 +459,35 @@
             Topic::Upstreams => {
                 let changes = changes
                     .iter()
-                    .map(|change| self.decode_change(change, position.era));
+                    .filter_map(|change| self.decode_change(change, position.era));
                 Content::Upstreams(changes.collect())
             }
         };
         Input::Answered(call.id, Answer::Complete(content, position))
     }
 
-    /// Decodes a change of the list that was read in an era of the store.
-    fn decode_change(&self, change: &Change, era: u64) -> roster::Change {
-        let (entry, key, revision) = match change {
-            Change::Removed { key, revision } => (Entry::Deleted, key, *revision),
-            Change::Written(item) => (self.decode_entry(item, era), &item.key, item.revision),
+    /// Decodes a change of the list that was read in an era of the store; `None` if no upstream can have its key.
+    fn decode_change(&self, change: &Change, era: u64) -> Option<roster::Change> {
+        let (key, revision) = match change {
+            Change::Removed { key, revision } => (key, *revision),
+            Change::Written(item) => (&item.key, item.revision),
         };
-        roster::Change {
+        let name = match platform::upstream::listed_name(key) {
+            Ok(name) => name,
+            Err(error) => {
+                self.report_invalid_entry(&error);
+                return None;
+            }
+        };
+        let entry = match change {
+            Change::Removed { .. } => Entry::Deleted,
+            Change::Written(item) => self.decode_entry(item, era),
+        };
+        Some(roster::Change {
             entry,
-            name: platform::upstream::name(key).into(),
+            name: name.into(),
             position: Position::new(era, revision),
-        }
+        })
     }
 
     /// Decodes an entry that was read in an era of the store.
@@ -484,14 +495,18 @@
         match platform::upstream::decode(item, era) {
             Ok(listed) => Entry::Listed(listed),
             Err(error) => {
-                let reason = error.reason();
-                warn!(reason; "ignored a malformed upstream entry: {error}");
-                self.params.driver.count(Counter::EntryInvalid(reason));
+                self.report_invalid_entry(&error);
                 Entry::Invalid
             }
         }
     }
 
+    fn report_invalid_entry(&self, error: &platform::Error) {
+        let reason = error.reason();
+        warn!(reason; "ignored a malformed upstream entry: {error}");
+        self.params.driver.count(Counter::EntryInvalid(reason));
+    }
+
     /// Decodes the newest configuration among changes.
     fn decode_configuration(&mut self, changes: Vec<Change>) -> Content {
         let newest = changes.into_iter().rev().find_map(|change| match change {
