Decode the elements of the platform's list of instances one by one

One odd element made the whole list fail, so that an instance knew no other and followed no change until the element was gone. Elements that are malformed are now logged, counted (entry.odd.listed_instance) and left out.

--- a/crates/node/src/instance_list.rs
+++ b/crates/node/src/instance_list.rs
@@ -22,8 +22,11 @@
 
 /// Result of a read.
 enum ReadResult {
-    /// The instances, and the entity tag with which the next read asks whether they have changed.
-    Changed(Vec<ListedInstance>, Option<header::HeaderValue>),
+    /// The elements, and the entity tag with which the next read asks whether they have changed.
+    Changed(
+        Vec<Result<ListedInstance, platform::Error>>,
+        Option<header::HeaderValue>,
+    ),
     /// No valid response in time.
     Failed,
     /// The list has not changed since the last read.
@@ -47,8 +50,9 @@
         ticks.tick().await;
         let requested_at = clock.now();
         match read(&http, settings.platform.list, etag.as_ref()).await {
-            ReadResult::Changed(instances, new_etag) => {
+            ReadResult::Changed(read, new_etag) => {
                 etag = new_etag;
+                let instances = valid_instances(read, &driver);
                 let entries = Some(instances.iter().map(list_entry).collect());
                 driver.send_event(Event::List {
                     requested_at,
@@ -65,6 +69,24 @@
     }
 }
 
+/// The instances without the malformed elements, which are logged and counted.
+fn valid_instances(
+    read: Vec<Result<ListedInstance, platform::Error>>,
+    driver: &Driver,
+) -> Vec<ListedInstance> {
+    let mut instances = Vec::new();
+    for element in read {
+        match element {
+            Ok(instance) => instances.push(instance),
+            Err(error) => {
+                warn!("ignored a malformed element of the platform's list: {error}");
+                driver.count(Counter::EntryInvalid("listed_instance"));
+            }
+        }
+    }
+    instances
+}
+
 fn list_entry(instance: &ListedInstance) -> event::ListEntry {
     event::ListEntry {
         address: instance.address,
@@ -96,10 +118,8 @@
     let etag = response.headers().get(header::ETAG).cloned();
     match response.status() {
         StatusCode::NOT_MODIFIED => ReadResult::Unchanged,
-        StatusCode::OK => serde_json::from_slice(response.body())
-            .map_or(ReadResult::Failed, |instances| {
-                ReadResult::Changed(instances, etag)
-            }),
+        StatusCode::OK => platform::list::decode("instances", response.body())
+            .map_or(ReadResult::Failed, |read| ReadResult::Changed(read, etag)),
         _ => ReadResult::Failed,
     }
 }
