Give work to upstreams of a pool that is called as that of instances

Entries of the store whose service is named wellplank were left out as if they were instances, which only the platform's list of instances names in that way; a route to such a service had no upstream. Its test with real sockets follows.

--- a/crates/core/src/list.rs
+++ b/crates/core/src/list.rs
@@ -52,7 +52,9 @@
         }
         self.upstream_visits += self.upstreams.len() as u64;
         let known: Vec<upstream::Key> = self.upstreams.keys().collect();
-        let applied = self.apply_entries(listed);
+        let upstreams = listed.iter();
+        let upstreams = upstreams.filter(|entry| entry.pool != core::INSTANCE_POOL);
+        let applied = self.apply_entries(upstreams);
         let is_unlisted = |key: &upstream::Key| {
             !applied.kept.contains(key)
                 && !applied.predecessors.contains(key)
@@ -63,25 +65,22 @@
         self.finish_list(requested_at, applied, unlisted);
     }
 
-    /// Applies the entries of the platform's list that have changed.
+    /// Applies the entries of the platform's list that have changed. They are all of upstreams, whatever their pools are called.
     pub(crate) fn apply_list_delta(&mut self, requested_at: Time, delta: &event::ListDelta) {
         if requested_at >= self.resumed_at {
             self.list_stale_until = Time::default();
         }
-        let applied = self.apply_entries(&delta.listed);
+        let applied = self.apply_entries(delta.listed.iter());
         let removed = delta.removed.iter();
         let unlisted = removed.filter_map(|name| self.upstream_by_name(Incarnation::new(name, 0)));
         let unlisted = unlisted.chain(applied.moved.iter().copied()).collect();
         self.finish_list(requested_at, applied, unlisted);
     }
 
-    fn apply_entries(&mut self, listed: &[event::ListEntry]) -> Applied {
+    fn apply_entries<'a>(&mut self, listed: impl Iterator<Item = &'a event::ListEntry>) -> Applied {
         let mut applied = Applied::default();
-        self.upstream_visits += listed.len() as u64;
         for entry in listed {
-            if entry.pool == core::INSTANCE_POOL {
-                continue;
-            }
+            self.upstream_visits += 1;
             let upstream = self.upsert_listed(entry);
             self.departed.remove(&upstream.key);
             applied.kept.insert(upstream.key);
