--- a/crates/node/src/engine.rs
+++ b/crates/node/src/engine.rs
@@ -165,7 +165,7 @@
             return false;
         };
         let position = chunk.position;
-        let end = position + choice.token_ids.len() as u32;
+        let end = position.saturating_add(choice.token_ids.len() as u32);
         if !choice.token_ids.is_empty() {
             driver.send_event(Event::Tokens {
                 attempt,
--- a/crates/node/src/revision.rs
+++ b/crates/node/src/revision.rs
@@ -235,7 +235,7 @@
         let mut next = Head {
             changes: head.changes,
             parts: parts.to_vec(),
-            revision: head.revision + 1,
+            revision: head.revision.saturating_add(1),
         };
         next.changes.push(peers::Change {
             revision: next.revision,
