--- a/crates/core/src/stream_record.rs
+++ b/crates/core/src/stream_record.rs
@@ -114,13 +114,13 @@
 }
 
 /// Resources that a stream of another instance is estimated to hold.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 enum Reservation {
     Nothing,
     /// Position in the queue of its pool, and in the order of its turns if it has a rank.
     QueueSlot(Option<Turn>),
     /// Memory and compute of its upstream, and memory of the upstream with its copy.
-    Resources(Usage),
+    Resources(Box<Usage>),
 }
 
 /// Records of streams, and the sum of their reservations. Sums are updated incrementally, so that the cost of a
@@ -160,7 +160,8 @@
         let age = now.since(self.at);
         let tokens = self.record.tokens;
         let resources = |is_prefilling| {
-            Reservation::Resources(Usage::new(is_prefilling, tokens, self.record.rank))
+            let usage = Usage::new(is_prefilling, tokens, self.record.rank);
+            Reservation::Resources(usage.into())
         };
         let (reservation, until) = match self.record.stage {
             _ if self.source == Source::Own || self.is_superseded => {
@@ -398,7 +399,7 @@
         self.due.remove(&(entry.expires_at, id));
         (entry.reservation, entry.expires_at) = entry.reservation_at(now);
         self.due.insert((entry.expires_at, id));
-        match entry.reservation {
+        match &entry.reservation {
             Reservation::Nothing => {}
             Reservation::Resources(usage) => {
                 for (key, usage) in usage.split(entry.upstream, entry.backup) {
@@ -412,7 +413,7 @@
                 if entry.record.has_begun {
                     self.begun.entry(pool.clone()).or_default().insert(id);
                 }
-                if let Some(turn) = turn {
+                if let Some(turn) = *turn {
                     let turns = self.turns.entry(pool.clone()).or_default();
                     turns.insert((turn, id));
                 }
