--- a/crates/standin/src/http.rs
+++ b/crates/standin/src/http.rs
@@ -52,7 +52,12 @@
 
 /// Answers with JSON.
 pub(crate) fn answer(response: &mut Response, status: StatusCode, body: &Value) {
+    answer_text(response, status, body.to_string());
+}
+
+/// The same with text, which need not be valid JSON.
+pub(crate) fn answer_text(response: &mut Response, status: StatusCode, body: String) {
     response.status_code(status);
     let _ = response.add_header(header::CONTENT_TYPE, "application/json", true);
-    let _ = response.write_body(body.to_string());
+    let _ = response.write_body(body);
 }
--- a/crates/standin/src/shelf.rs
+++ b/crates/standin/src/shelf.rs
@@ -78,6 +78,8 @@
     /// Prefix of which the next waiting read that sees a change is never answered.
     muted: Option<String>,
     next_lease: u64,
+    /// Text that stands before the items and changes of every answer that has a list of them, as if the store held it.
+    odd: String,
     /// What reads that may be old are given.
     old: Option<Old>,
     oldest: u64,
@@ -295,6 +297,36 @@
         self.changed.notify_waiters();
     }
 
+    /// Writes an item of any bytes, as another program may.
+    pub fn put_bytes(&self, key: &str, value: Vec<u8>) {
+        self.lock().put(key, value, 0);
+        self.changed.notify_waiters();
+    }
+
+    /// Has all lists of items and changes in answers begin with an element of its own; none if it is empty.
+    pub fn spoil(&self, element: &str) {
+        element.clone_into(&mut self.lock().odd);
+    }
+
+    /// The text of an answer, with the element that lists are to begin with.
+    fn text(&self, answer: &Value) -> String {
+        let text = answer.to_string();
+        let odd = &self.lock().odd;
+        if odd.is_empty() {
+            return text;
+        }
+        let begin = |text: String, list: &str| {
+            let empty = format!("\"{list}\":[]");
+            let text = text.replacen(&empty, &format!("\"{list}\":[{odd}]"), 1);
+            text.replacen(
+                &format!("\"{list}\":[{{"),
+                &format!("\"{list}\":[{odd},{{"),
+                1,
+            )
+        };
+        begin(begin(text, "items"), "events")
+    }
+
     /// Removes an item.
     pub fn remove(&self, key: &str) {
         self.lock().remove(key);
@@ -512,7 +544,7 @@
         match answer {
             Some(mut body) => {
                 self.shelf.name_links(&mut body);
-                http::answer(response, StatusCode::OK, &body);
+                http::answer_text(response, StatusCode::OK, self.shelf.text(&body));
             }
             None => {
                 response.status_code(missing);
