--- a/crates/core/tests/relay/main.rs
+++ b/crates/core/tests/relay/main.rs
@@ -57,6 +57,7 @@
 mod liveness_methods;
 mod names;
 mod notice;
+mod odd;
 mod open_request;
 mod poison;
 mod rank;
