--- a/crates/node/src/hosted.rs
+++ b/crates/node/src/hosted.rs
@@ -142,10 +142,7 @@
         };
         let client = platform_store::Client::new(hosted, bound, clock, meter.clone());
         let metrics = Router::with_path("metrics").get(MetricsEndpoint(meter.clone()));
-        let own = members::LocalMember {
-            data_centre: settings.data_centre.clone(),
-            name: settings.instance.clone(),
-        };
+        let own = local_member(settings);
         let outputs = driver::CoreOutputs {
             claims: mpsc::unbounded_channel().0,
             crash_history: crash_history_sender,
@@ -322,6 +319,14 @@
     }
 }
 
+/// This instance as others know it.
+fn local_member(settings: &Settings) -> members::LocalMember {
+    members::LocalMember {
+        data_centre: settings.data_centre.clone(),
+        name: settings.instance.clone(),
+    }
+}
+
 /// Logs the addresses of an instance that has started.
 fn log_start(settings: &Settings, hosted: &Hosted) {
     let address = settings.listen.callers.to_string();
