Name versions again when the store comes back from an older copy

What the store wrote behind its copy is lost, names of versions with it, while instances take them for named: a stream of a version that is missing there could be concluded to be of the other one. Each instance keeps the names that it asked for, and has them written again in a new era.

--- a/crates/node/src/version_names.rs
+++ b/crates/node/src/version_names.rs
@@ -67,7 +67,29 @@
             own: self.own,
             several: self.several,
         };
-        while let Some(call) = self.calls.recv().await {
+        let mut availability = session.client.availability();
+        let mut era = availability.borrow().era();
+        // Those that upstreams were last known to have, to be named again once the store was restored from a backup.
+        let mut kept: BTreeSet<Name> = BTreeSet::new();
+        loop {
+            let call = tokio::select! {
+                call = self.calls.recv() => call,
+                Ok(()) = availability.changed() => {
+                    let current = availability.borrow_and_update().era();
+                    if std::mem::replace(&mut era, current) == current || kept.is_empty() {
+                        continue;
+                    }
+                    Some(Call::Name(kept.iter().cloned().collect()))
+                }
+            };
+            let Some(call) = call else {
+                return;
+            };
+            match &call {
+                Call::Forget(name) => drop(kept.remove(name)),
+                Call::Name(names) => kept.extend(names.iter().cloned()),
+                Call::Read(_) => {}
+            }
             let session = session.clone();
             match call {
                 Call::Forget(name) if session.is_writer() => {
--- a/crates/standin/tests/stream_version.rs
+++ b/crates/standin/tests/stream_version.rs
@@ -347,6 +347,24 @@
     });
 }
 
+/// Guards against names that are lost with what the store wrote behind its copy.
+#[gtest]
+fn versions_are_named_again_when_the_store_comes_back_from_a_copy() {
+    run(plan(3, &["v1", "v2"]), async |site: Site| {
+        let names = || site.shelf.keys("wellplank/versions/");
+        expect_that!(names().len(), eq(2));
+        let key = names().pop().expect("versions are named");
+        site.shelf.remove(&key);
+        let copy = site.shelf.copy();
+        site.shelf.restore(&copy);
+        let end = Instant::now() + RECOVERY;
+        while names().len() < 2 && Instant::now() < end {
+            sleep(RETRY_PAUSE).await;
+        }
+        expect_that!(names().len(), eq(2));
+    });
+}
+
 #[gtest]
 fn versions_serve_side_by_side_without_an_order() {
     run(plan(2, &["v1", "v2", "v3"]), async |site: Site| {
