Visit upstreams for names of versions only while some are held back

A tick looked at each upstream of each pool twenty times a second though no version was being named: ten thousand at each of a thousand instances.

--- a/crates/core/src/names.rs
+++ b/crates/core/src/names.rs
@@ -49,6 +49,8 @@
     begun: u64,
     /// Number of the last read that has ended.
     ended: u64,
+    /// Whether upstreams are held back.
+    are_held: bool,
     /// What the last successful read showed, with its number and end.
     read: Option<(u64, Time, BTreeSet<Name>)>,
     /// Versions that are being written, with the time at which an upstream of them was first listed.
@@ -230,13 +232,20 @@
             return;
         }
         let now = self.now;
+        let is_recent = |since: &Time| now.since(*since) < HOLD_MS;
+        let are_recent = self.names.unnamed.values().any(is_recent);
+        // A tick must not visit all upstreams of a large fleet.
+        if !are_recent && !self.names.are_held {
+            return;
+        }
         let unnamed = &self.names.unnamed;
         let is_held_back = |pool: &Arc<str>, version: Version| {
             let pool = pool.clone();
             let since = unnamed.get(&Name { pool, version });
-            since.is_some_and(|since| now.since(*since) < HOLD_MS)
+            since.is_some_and(is_recent)
         };
         let mut changed = Vec::new();
+        let mut are_held = false;
         for (name, pool) in &self.pools {
             let versions = pool.versions.counts().keys().copied();
             let held: BTreeSet<Version> = versions
@@ -249,12 +258,14 @@
                     && upstream.health != Health::Lost
             };
             let has_others = !held.is_empty() && pool.upstreams.iter().any(is_other);
+            are_held |= has_others;
             let is_changed = |key: &&upstream::Key| {
                 let upstream = &self.upstreams[**key];
                 upstream.held != (has_others && held.contains(&upstream.version))
             };
             changed.extend(pool.upstreams.iter().filter(is_changed).copied());
         }
+        self.names.are_held = are_held;
         for key in changed {
             let upstream = &mut self.upstreams[key];
             upstream.held = !upstream.held;
