Let others listen on the local ports of an instance's connections

What callers saw: a process that does not start, or starts late, while other instances of its machine are busy. Each relayed request opens a connection, and the operating system may give it the port that a starting process is to listen on, and keeps that for 60 s behind the close.

A listener may share such a port only if both sockets have SO_REUSEADDR; listeners have it, connections had not. Now all connections that an instance opens have it (upstreams, store, other instances). Those of other programs are not ours to change; for them a starting process waits.

--- a/crates/node/src/claim_forwarder.rs
+++ b/crates/node/src/claim_forwarder.rs
@@ -50,7 +50,7 @@
 
     /// Forwards claims until the connection is idle for too long or fails; then returns those without an outcome.
     pub async fn run(mut self, mut claims: mpsc::UnboundedReceiver<claimer::PendingClaim>) {
-        let connection = timeout(RESPONSE_TIMEOUT, TcpStream::connect(self.owner)).await;
+        let connection = timeout(RESPONSE_TIMEOUT, connection::connect_plain(self.owner)).await;
         if let Ok(Ok(socket)) = connection {
             let _ = socket.set_nodelay(true);
             let connection = Framed::new(socket, frame::Codec::new());
--- a/crates/node/src/connection.rs
+++ b/crates/node/src/connection.rs
@@ -24,13 +24,26 @@
 
 /// Connects to an upstream or another instance.
 pub(crate) async fn connect(address: SocketAddr) -> std::io::Result<TcpStream> {
+    let socket = new_socket(address)?;
+    set_options(&socket)?;
+    let connected = timeout(CONNECT_TIMEOUT, socket.connect(address)).await;
+    connected.map_err(|_| std::io::Error::from(std::io::ErrorKind::TimedOut))?
+}
+
+/// Connects to an instance or service. Its local port does not keep another process from listening on that port: the operating
+/// system may give it the port of a process that is being started.
+pub(crate) async fn connect_plain(address: SocketAddr) -> std::io::Result<TcpStream> {
+    new_socket(address)?.connect(address).await
+}
+
+/// A socket for an outgoing connection.
+fn new_socket(address: SocketAddr) -> std::io::Result<TcpSocket> {
     let socket = match address {
         SocketAddr::V4(_) => TcpSocket::new_v4()?,
         SocketAddr::V6(_) => TcpSocket::new_v6()?,
     };
-    set_options(&socket)?;
-    let connected = timeout(CONNECT_TIMEOUT, socket.connect(address)).await;
-    connected.map_err(|_| std::io::Error::from(std::io::ErrorKind::TimedOut))?
+    socket.set_reuseaddr(true)?;
+    Ok(socket)
 }
 
 /// Sets the options by which a connection shows that its other end is unreachable.
--- a/crates/node/src/exchange.rs
+++ b/crates/node/src/exchange.rs
@@ -317,7 +317,7 @@
 /// Connects and sends a request.
 async fn request(address: SocketAddr, body: peers::frame::Body) -> Result<Frames, Error> {
     let failed = |error: &dyn Display| Error::Peer(address, error.to_string());
-    let socket = TcpStream::connect(address).await;
+    let socket = connection::connect_plain(address).await;
     let socket = socket.map_err(|error| failed(&error))?;
     let mut frames = Framed::new(socket, frame::Codec::new());
     let sent = frames.send(peers::Frame { body: Some(body) }).await;
--- a/crates/node/src/http.rs
+++ b/crates/node/src/http.rs
@@ -116,6 +116,7 @@
         let mut connector = HttpConnector::new();
         connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
         connector.set_nodelay(true);
+        connector.set_reuse_address(true);
         if let Some(user_timeout) = user_timeout {
             connector.set_keepalive(Some(KEEPALIVE_INTERVAL));
             connector.set_keepalive_interval(Some(KEEPALIVE_INTERVAL));
--- a/crates/node/src/peer.rs
+++ b/crates/node/src/peer.rs
@@ -89,7 +89,7 @@
     }
 
     async fn open(self, address: SocketAddr) {
-        match TcpStream::connect(address).await {
+        match connection::connect_plain(address).await {
             Ok(socket) => self.serve(socket).await,
             Err(error) => debug!("connecting to peer {address}: {error}"),
         }
@@ -346,7 +346,7 @@
     body: peers::frame::Body,
     decode: impl Fn(peers::frame::Body) -> Option<T>,
 ) -> Option<T> {
-    let socket = TcpStream::connect(address).await.ok()?;
+    let socket = connection::connect_plain(address).await.ok()?;
     let mut frames = Framed::new(socket, frame::Codec::new());
     let frame = peers::Frame { body: Some(body) };
     frames.send(frame).await.ok()?;
--- a/crates/node/tests/ends.rs
+++ b/crates/node/tests/ends.rs
@@ -678,3 +678,19 @@
         expect_that!(process.has_line("ends by itself"), eq(true));
     }
 }
+
+/// Guards against connections of an instance that keep another process of its machine from starting: the operating system may
+/// give them the port of one that is being started, and keeps it for a minute behind their close.
+#[gtest]
+fn connection_of_an_instance_does_not_keep_others_from_listening_on_its_port() {
+    let store = TcpListener::bind(free_address()).unwrap();
+    let mut settings = hosted_settings();
+    settings["hosted"]["store"] = store.local_addr().unwrap().to_string().into();
+    let _process = Process::starting(&settings);
+    // On a busy machine a connection of some other process may have the same local port.
+    let frees_its_port = (0..20).any(|_| {
+        let (_connection, local) = store.accept().unwrap();
+        TcpListener::bind(local).is_ok()
+    });
+    expect_that!(frees_its_port, eq(true));
+}
