Wait for a settings file that is being written at the start

A process whose settings file was missing, empty or half written when it started ended at once with exit code 2, though the file was whole a moment later. It reads such a file again for up to 2 s; faults of a whole file end it at once, as before.

--- a/crates/node/src/arguments.rs
+++ b/crates/node/src/arguments.rs
@@ -2,6 +2,12 @@
 
 use super::*;
 
+/// Time that a settings file has to become whole before a start ends with its faults.
+const SETTINGS_TIME_MAX: Duration = Duration::from_secs(2);
+
+/// Interval between two reads of a settings file that is not whole.
+const SETTINGS_INTERVAL: Duration = Duration::from_millis(20);
+
 /// Name in the log of an instance whose settings could not be read.
 const UNNAMED: &str = "unnamed";
 
@@ -57,7 +63,7 @@
     let context = runtime.enter();
     signals::install().map_err(Error::Runtime)?;
     drop(context);
-    let settings = load_settings(arguments).inspect_err(|error| {
+    let settings = wait_for_settings(settings_path(arguments)).inspect_err(|error| {
         logger::start(UNNAMED);
         log_end(error, begun);
     })?;
@@ -83,6 +89,19 @@
     path
 }
 
+/// Reads a settings file that may be being written: it may be missing, or end early, for a moment.
+fn wait_for_settings(path: &Path) -> Result<Settings, Error> {
+    let begun = Instant::now();
+    loop {
+        match read_settings(path) {
+            Err(error) if error.is_unfinished_file() && begun.elapsed() < SETTINGS_TIME_MAX => {
+                std::thread::sleep(SETTINGS_INTERVAL);
+            }
+            result => return result,
+        }
+    }
+}
+
 /// Reads and validates a settings file.
 pub fn read_settings(path: &Path) -> Result<Settings, Error> {
     let text =
--- a/crates/node/src/error.rs
+++ b/crates/node/src/error.rs
@@ -27,6 +27,18 @@
 }
 
 impl Error {
+    /// Whether it is that of a settings file which is being written: missing, or no whole JSON document.
+    pub fn is_unfinished_file(&self) -> bool {
+        match self {
+            Self::Read(_, error) => matches!(
+                error.kind(),
+                std::io::ErrorKind::InvalidData | std::io::ErrorKind::NotFound
+            ),
+            Self::Settings(_, faults) => faults.iter().any(|fault| fault.place == settings::FILE),
+            _ => false,
+        }
+    }
+
     /// Name of its kind in logs.
     pub fn kind(&self) -> &'static str {
         match self {
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -8,6 +8,9 @@
 /// Default of `link_mbps`: the minimum bandwidth of an instance's link, in megabits per second.
 const DEFAULT_LINK_MBPS: f64 = 10.0;
 
+/// Place of a fault of the whole file: it is no JSON document.
+pub(crate) const FILE: &str = "file";
+
 /// Default of `listen_ms`: the operating system keeps the port of a closed connection for 60 s.
 const DEFAULT_LISTEN_MS: u64 = 90_000;
 
@@ -107,7 +110,7 @@
     pub fn parse(text: &str) -> Result<Self, Vec<Fault>> {
         let value = serde_json::from_str(text).map_err(|error| {
             vec![Fault {
-                place: "file".into(),
+                place: FILE.into(),
                 text: format!("invalid JSON: {error}"),
             }]
         })?;
--- a/crates/node/tests/ends.rs
+++ b/crates/node/tests/ends.rs
@@ -694,3 +694,29 @@
     });
     expect_that!(frees_its_port, eq(true));
 }
+
+/// Guards against a process that ends by itself since its settings file is being written when it starts.
+#[gtest]
+fn settings_file_that_is_being_written_does_not_end_a_starting_process() {
+    for part in [None, Some(0), Some(40)] {
+        let text = hosted_settings().to_string();
+        let mut process = Process::spawn(|file| {
+            if let Some(length) = part {
+                std::fs::write(file, &text[..length]).unwrap();
+            }
+        });
+        std::thread::sleep(TAKEN);
+        expect_that!(process.runs(), eq(true), "{part:?}");
+        std::fs::write(process.settings_file(), &text).unwrap();
+        expect_that!(process.wait_for_line("started"), eq(true), "{part:?}");
+    }
+}
+
+/// Guards against a process that waits for ever for settings that nobody completes, without a line in its log.
+#[gtest]
+fn settings_file_that_stays_broken_ends_a_starting_process_with_its_error() {
+    let mut process = Process::spawn(|file| std::fs::write(file, "{").unwrap());
+    expect_that!(process.wait().code(), some(eq(2)));
+    let end = process.line("ends by itself").unwrap_or_default();
+    expect_that!(end["kind"], eq(&json!("settings")));
+}
