--- a/crates/node/tests/ends.rs
+++ b/crates/node/tests/ends.rs
@@ -720,3 +720,23 @@
     let end = process.line("ends by itself").unwrap_or_default();
     expect_that!(end["kind"], eq(&json!("settings")));
 }
+
+/// Guards against an instance that ends, or accepts no more, once connections have used up its descriptors.
+#[gtest]
+fn instance_answers_again_after_its_descriptors_were_used_up() {
+    for settings in [hosted_settings as fn() -> Value, own_settings] {
+        let (mut process, settings) = Process::started(settings);
+        let id = process.child.id().to_string();
+        let mut limit = Command::new("prlimit");
+        limit.args(["--pid", &id, "--nofile=40:40"]);
+        expect_that!(limit.status().unwrap().success(), eq(true));
+        let callers = address_at(&settings, "/listen/callers");
+        let connections: Vec<_> = (0..80).filter_map(|_| connect(callers).ok()).collect();
+        expect_that!(connections.len(), eq(80));
+        std::thread::sleep(TAKEN);
+        expect_that!(process.runs(), eq(true));
+        drop(connections);
+        expect_that!(answers(callers, PATIENCE), eq(true));
+        expect_that!(process.runs(), eq(true));
+    }
+}
