Stop an instance of the users' platform one of whose tasks has panicked

What callers would see: an instance that stays ready and serves by a configuration and a list that it no longer follows, since the task that reads the store, receives datagrams or discovers members panicked. It said so in one line and lived on half alive.

The own interface is left open, and what one datagram or entry can do is not bounded here.

--- a/crates/node/src/error.rs
+++ b/crates/node/src/error.rs
@@ -24,6 +24,8 @@
     Store(String),
     /// The platform's store did not respond within this time, in milliseconds.
     StoreTimeout(u128),
+    /// A task that the instance can't do without panicked.
+    TaskEnded(&'static str),
 }
 
 impl Error {
@@ -50,15 +52,17 @@
             Self::Settings(..) => "settings",
             Self::Store(_) => "store",
             Self::StoreTimeout(_) => "store_timeout",
+            Self::TaskEnded(_) => "task_ended",
         }
     }
 
-    /// The step of the start that failed, in logs; empty for an error behind the start.
+    /// The step of the start that failed, or the task that ended, in logs; empty for other errors.
     pub fn step(&self) -> String {
         match self {
             Self::Bind(port, ..) => port.to_string(),
             Self::Read(..) | Self::Settings(..) => "settings".into(),
             Self::Runtime(_) => "runtime".into(),
+            Self::TaskEnded(task) => (*task).into(),
             Self::CoreEnded | Self::Peer(..) | Self::Store(_) | Self::StoreTimeout(_) => {
                 String::new()
             }
@@ -74,7 +78,8 @@
             | Self::Peer(..)
             | Self::Runtime(_)
             | Self::Store(_)
-            | Self::StoreTimeout(_) => ExitCode::FAILURE,
+            | Self::StoreTimeout(_)
+            | Self::TaskEnded(_) => ExitCode::FAILURE,
         }
     }
 }
@@ -98,6 +103,7 @@
                     .try_for_each(|fault| write!(formatter, "\n  {fault}"))
             }
             Self::Store(text) => write!(formatter, "platform: {text}"),
+            Self::TaskEnded(task) => write!(formatter, "the task {task} panicked"),
             Self::StoreTimeout(millis) => {
                 write!(formatter, "platform: no response within {millis} ms")
             }
--- a/crates/node/src/gossip.rs
+++ b/crates/node/src/gossip.rs
@@ -133,6 +133,7 @@
         self,
         outgoing: mpsc::UnboundedSender<Message>,
         messages: mpsc::UnboundedReceiver<Message>,
+        tasks: &tasks::Tasks,
     ) -> watch::Receiver<Members> {
         let socket = Arc::new(self.socket);
         let (members_sender, members) = watch::channel(Members::new());
@@ -149,13 +150,13 @@
             socket: socket.clone(),
             streams: streams.clone(),
         };
-        tokio::spawn(receiver.run());
+        tasks.spawn("datagram_receiver", receiver.run());
         let discovery = members::Discovery {
             client: self.client.clone(),
             own: self.own.clone(),
             sender: members_sender,
         };
-        tokio::spawn(discovery.run());
+        tasks.spawn("discovery", discovery.run());
         let sender = DatagramSender {
             crash_history: self.crash_history,
             demands: BTreeMap::new(),
@@ -175,7 +176,7 @@
             socket,
             streams: streams.clone(),
         };
-        tokio::spawn(sender.run(messages));
+        tasks.spawn("datagram_sender", sender.run(messages));
         let writer = store_writer::StoreWriter {
             client: self.client,
             driver: self.driver,
@@ -187,7 +188,7 @@
             streams: known_streams,
             streams_sender: streams,
         };
-        tokio::spawn(writer.run());
+        tasks.spawn("store_writer", writer.run());
         members
     }
 }
--- a/crates/node/src/hosted.rs
+++ b/crates/node/src/hosted.rs
@@ -74,6 +74,8 @@
     driver: Driver,
     gateway: tunnel::Gateway,
     grace_period: Duration,
+    /// Names of tasks that panicked.
+    panicked: mpsc::UnboundedReceiver<&'static str>,
     stop: watch::Sender<Option<relay::Shutdown>>,
 }
 
@@ -108,6 +110,11 @@
                 instance.close().await;
                 return Err(Error::CoreEnded);
             }
+            // The instance would follow the store or the others no more; what it has is answered first.
+            Some(task) = instance.panicked.recv() => {
+                instance.stop().await;
+                return Err(Error::TaskEnded(task));
+            }
             settings = settings_watcher.next() => instance.configure(&settings),
         }
     }
@@ -125,6 +132,7 @@
     /// Starts all tasks of an instance.
     fn serve(ports: HostedPorts, settings: &Settings, hosted: Hosted) -> Result<Self, Error> {
         let clock = Clock::new();
+        let (tasks, panicked) = tasks::Tasks::new();
         let (crash_history_sender, crash_history_receiver) =
             watch::channel(crash_history::LocalHistory::default());
         let (heard, peer_reports) = mpsc::unbounded_channel();
@@ -195,12 +203,12 @@
             peer_reports: heard,
             socket: ports.peer_datagrams,
         };
-        let members = gossip.start(gossip_messages.clone(), gossip_receiver);
+        let members = gossip.start(gossip_messages.clone(), gossip_receiver, &tasks);
         let publishing = publish_members(members.clone(), own.clone(), driver.clone());
-        tokio::spawn(publishing);
+        tasks.spawn("members", publishing);
         let (requests_sender, peer_requests) = mpsc::unbounded_channel();
         let responder = exchange::Responder::new(requests_sender, gateway.clone());
-        tokio::spawn(responder.run(ports.peer_connections));
+        tasks.spawn("responder", responder.run(ports.peer_connections));
         let store_sync = store_sync::StoreSync {
             bound,
             client,
@@ -214,13 +222,14 @@
             own,
             peer_requests,
         };
-        tokio::spawn(store_sync.run(peer_reports));
+        tasks.spawn("store_sync", store_sync.run(peer_reports));
         log_start(settings, &hosted);
         Ok(Self {
             callers,
             driver,
             gateway,
             grace_period: Duration::from_millis(hosted.grace_ms),
+            panicked,
             stop,
         })
     }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod reader;
 pub mod settings;
 pub mod store_writer;
+pub mod tasks;
 
 mod caller;
 mod calls;
