--- a/crates/node/src/gossip.rs
+++ b/crates/node/src/gossip.rs
@@ -135,6 +135,7 @@
         self,
         outgoing: mpsc::UnboundedSender<Message>,
         messages: mpsc::UnboundedReceiver<Message>,
+        tasks: &tasks::Tasks,
     ) -> watch::Receiver<Members> {
         let socket = Arc::new(self.socket);
         let (members_sender, members) = watch::channel(Members::new());
@@ -151,13 +152,13 @@
             socket: socket.clone(),
             streams: streams.clone(),
         };
-        tokio::spawn(receiver.run());
+        tasks.spawn("datagram_receiver", receiver.run());
         let discovery = members::Discovery {
             client: self.client.clone(),
             own: self.own.clone(),
             sender: members_sender,
         };
-        tokio::spawn(discovery.run());
+        tasks.spawn("discovery", discovery.run());
         let sender = DatagramSender {
             crash_history: self.crash_history,
             demands: BTreeMap::new(),
@@ -177,7 +178,7 @@
             socket,
             streams: streams.clone(),
         };
-        tokio::spawn(sender.run(messages));
+        tasks.spawn("datagram_sender", sender.run(messages));
         let (several, several_versions) = watch::channel(false);
         let names = version_names::VersionNames {
             calls: self.name_calls,
@@ -187,7 +188,7 @@
             own: self.own.clone(),
             several,
         };
-        tokio::spawn(names.run());
+        tasks.spawn("version_names", names.run());
         let writer = store_writer::StoreWriter {
             client: self.client,
             driver: self.driver,
@@ -200,7 +201,7 @@
             streams: known_streams,
             streams_sender: streams,
         };
-        tokio::spawn(writer.run());
+        tasks.spawn("store_writer", writer.run());
         members
     }
 }
--- a/crates/node/tests/ends.rs
+++ b/crates/node/tests/ends.rs
@@ -678,3 +678,65 @@
         expect_that!(process.has_line("ends by itself"), eq(true));
     }
 }
+
+/// Guards against connections of an instance that keep another process of its machine from starting: the operating system may
+/// give them the port of one that is being started, and keeps it for a minute behind their close.
+#[gtest]
+fn connection_of_an_instance_does_not_keep_others_from_listening_on_its_port() {
+    let store = TcpListener::bind(free_address()).unwrap();
+    let mut settings = hosted_settings();
+    settings["hosted"]["store"] = store.local_addr().unwrap().to_string().into();
+    let _process = Process::starting(&settings);
+    // On a busy machine a connection of some other process may have the same local port.
+    let frees_its_port = (0..20).any(|_| {
+        let (_connection, local) = store.accept().unwrap();
+        TcpListener::bind(local).is_ok()
+    });
+    expect_that!(frees_its_port, eq(true));
+}
+
+/// Guards against a process that ends by itself since its settings file is being written when it starts.
+#[gtest]
+fn settings_file_that_is_being_written_does_not_end_a_starting_process() {
+    for part in [None, Some(0), Some(40)] {
+        let text = hosted_settings().to_string();
+        let mut process = Process::spawn(|file| {
+            if let Some(length) = part {
+                std::fs::write(file, &text[..length]).unwrap();
+            }
+        });
+        std::thread::sleep(TAKEN);
+        expect_that!(process.runs(), eq(true), "{part:?}");
+        std::fs::write(process.settings_file(), &text).unwrap();
+        expect_that!(process.wait_for_line("started"), eq(true), "{part:?}");
+    }
+}
+
+/// Guards against a process that waits for ever for settings that nobody completes, without a line in its log.
+#[gtest]
+fn settings_file_that_stays_broken_ends_a_starting_process_with_its_error() {
+    let mut process = Process::spawn(|file| std::fs::write(file, "{").unwrap());
+    expect_that!(process.wait().code(), some(eq(2)));
+    let end = process.line("ends by itself").unwrap_or_default();
+    expect_that!(end["kind"], eq(&json!("settings")));
+}
+
+/// Guards against an instance that ends, or accepts no more, once connections have used up its descriptors.
+#[gtest]
+fn instance_answers_again_after_its_descriptors_were_used_up() {
+    for settings in [hosted_settings as fn() -> Value, own_settings] {
+        let (mut process, settings) = Process::started(settings);
+        let id = process.child.id().to_string();
+        let mut limit = Command::new("prlimit");
+        limit.args(["--pid", &id, "--nofile=40:40"]);
+        expect_that!(limit.status().unwrap().success(), eq(true));
+        let callers = address_at(&settings, "/listen/callers");
+        let connections: Vec<_> = (0..80).filter_map(|_| connect(callers).ok()).collect();
+        expect_that!(connections.len(), eq(80));
+        std::thread::sleep(TAKEN);
+        expect_that!(process.runs(), eq(true));
+        drop(connections);
+        expect_that!(answers(callers, PATIENCE), eq(true));
+        expect_that!(process.runs(), eq(true));
+    }
+}
