--- a/crates/standin/src/arguments.rs
+++ b/crates/standin/src/arguments.rs
@@ -87,6 +87,9 @@
                 .arg(listen),
         )
         .subcommand(randomised())
+        .subcommand(collision::command())
+        .subcommand(odd_entries::command())
+        .subcommand(rejoining::command())
         .subcommand_required(true)
 }
 
@@ -240,7 +243,7 @@
         )
 }
 
-fn number(name: &'static str, help: &'static str, default: &'static str) -> Arg {
+pub(crate) fn number(name: &'static str, help: &'static str, default: &'static str) -> Arg {
     Arg::new(name)
         .default_value(default)
         .help(help)
@@ -265,6 +268,9 @@
             "demo" if arguments.get_flag("site") => return demo::run_site().await,
             "demo" => return demo::run().await,
             "soak" => return soak(arguments).await,
+            collision::NAME => return exit(collision::main(arguments).await),
+            odd_entries::NAME => return exit(odd_entries::main(arguments).await),
+            rejoining::NAME => return exit(rejoining::main(arguments).await),
             "matrix" => return matrix(arguments),
             "measure" => return measure(arguments).await,
             "random" => return random(arguments),
--- a/crates/standin/src/awkward.rs
+++ b/crates/standin/src/awkward.rs
@@ -187,6 +187,7 @@
         grace_ms: RULE.grace_ms,
         queue: Some(setting.queue),
         slots: setting.slots,
+        ..Layout::default()
     };
     let timing = match setting.work {
         Work::Configuration => Timing {
--- a/crates/standin/src/daemon.rs
+++ b/crates/standin/src/daemon.rs
@@ -66,7 +66,7 @@
     /// Bytes that earlier processes wrote to standard error.
     error_start: u64,
     /// Its settings; logs lie beside them.
-    file: PathBuf,
+    pub(crate) file: PathBuf,
     /// Numbers of the signals that the running process was sent.
     signals: Vec<i32>,
 }
@@ -112,6 +112,19 @@
         }
     }
 
+    /// Ends the processes of all instances at one moment.
+    pub(crate) fn kill_all(daemons: &mut [Self]) {
+        for daemon in daemons.iter_mut().filter(|daemon| daemon.child.is_some()) {
+            daemon.signals.push(SIGKILL);
+            if let Some(child) = &mut daemon.child {
+                let _ = child.kill();
+            }
+        }
+        for daemon in daemons {
+            daemon.kill();
+        }
+    }
+
     /// Whether the process runs; an end of it is noted.
     pub(crate) fn runs(&mut self) -> bool {
         let Some(child) = &mut self.child else {
--- a/crates/standin/src/patron.rs
+++ b/crates/standin/src/patron.rs
@@ -70,6 +70,17 @@
         ask: &Ask,
         address: SocketAddr,
         patience: Duration,
+    ) -> Result<Got, Miss> {
+        self.send_for(ask, address, patience, usize::MAX).await
+    }
+
+    /// The same; it hangs up behind this many bytes.
+    pub(crate) async fn send_for(
+        &self,
+        ask: &Ask,
+        address: SocketAddr,
+        patience: Duration,
+        most: usize,
     ) -> Result<Got, Miss> {
         let mut request = hyper::Request::post(format!("http://{address}{}", ask.path));
         for (name, value) in &ask.headers {
@@ -85,13 +96,13 @@
             Ok(Err(_)) => return Err(Miss::Closed),
             Ok(Ok(response)) => response,
         };
-        let read = tokio::time::timeout(patience, self.read(response)).await;
+        let read = tokio::time::timeout(patience, self.read(response, most)).await;
         read.map_err(|_| Miss::Late)
     }
 
-    async fn read(&self, response: hyper::Response<hyper::body::Incoming>) -> Got {
+    async fn read(&self, response: hyper::Response<hyper::body::Incoming>, most: usize) -> Got {
         let Habit::Slow(pause) = self.habit else {
-            return Got::read(response, usize::MAX).await;
+            return Got::read(response, most).await;
         };
         let (parts, mut body) = response.into_parts();
         let mut bytes = Vec::new();
--- a/crates/standin/src/shelf.rs
+++ b/crates/standin/src/shelf.rs
@@ -295,6 +295,12 @@
         self.changed.notify_waiters();
     }
 
+    /// Writes any bytes as an item, as another writer may.
+    pub fn put_bytes(&self, key: &str, bytes: &[u8]) {
+        self.lock().put(key, bytes.to_vec(), 0);
+        self.changed.notify_waiters();
+    }
+
     /// Removes an item.
     pub fn remove(&self, key: &str) {
         self.lock().remove(key);
--- a/crates/standin/src/soak.rs
+++ b/crates/standin/src/soak.rs
@@ -73,6 +73,15 @@
     pub seed: u64,
 }
 
+/// Where instances listen.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Ports {
+    /// Below the ports that outgoing connections are given.
+    Apart,
+    /// Among them.
+    Shared,
+}
+
 /// What instances and upstreams are given.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Layout {
@@ -82,6 +91,10 @@
     pub(crate) desks: usize,
     /// Time that an instance has to end in order, in milliseconds.
     pub(crate) grace_ms: u64,
+    /// Whether the upstream at a place is listed from its start.
+    pub(crate) is_listed: fn(usize) -> bool,
+    /// Where instances listen.
+    pub(crate) ports: Ports,
     /// Queue of each upstream that streams; without one they refuse nothing.
     pub(crate) queue: Option<Queue>,
     /// Requests that each upstream has room for.
@@ -94,6 +107,8 @@
             configuration: site::configuration,
             desks: DESKS,
             grace_ms: GRACE_MS,
+            is_listed: |_| true,
+            ports: Ports::Apart,
             queue: None,
             slots: worker::SLOTS,
         }
@@ -387,7 +402,10 @@
     fn instance(&mut self, index: usize) {
         let store = Proxy::new(self.free_address(), self.store);
         self.host.spawn(store.clone().serve());
-        let settings = site::settings(index, self.layout.grace_ms, store.address);
+        let mut settings = site::settings(index, self.layout.grace_ms, store.address);
+        if self.layout.ports == Ports::Shared {
+            ephemeral::move_in(&mut settings, &mut self.random);
+        }
         let hosted = &settings["hosted"];
         for address in [
             &hosted["metrics"],
@@ -455,7 +473,9 @@
         seat.host = Host::new(1);
         seat.host.spawn(seat.worker.clone().serve());
         seat.proxy.aim(address);
-        self.enter(index, "ready");
+        if (self.layout.is_listed)(index) {
+            self.enter(index, "ready");
+        }
     }
 
     /// The life of the upstream at a place.
