Show streams of two versions at an instance that is cut off from the store and the others

Datagrams and connections between the first instance and the others pass relays, which the store names to each side.

--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -61,6 +61,7 @@
 pub mod worker;
 pub mod world;
 
+mod apart;
 mod arguments;
 mod ask;
 mod batch;
--- a/crates/standin/src/rejoining.rs
+++ b/crates/standin/src/rejoining.rs
@@ -5,6 +5,7 @@
 //! their version serve.
 
 use super::*;
+use apart::Ways;
 use arguments::number;
 use client::Ask;
 use daemon::{Daemon, Signal};
@@ -54,6 +55,8 @@
 /// How one instance is out of step.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Lapse {
+    /// Neither the store nor any other instance is heard by it or hears it.
+    Apart,
     /// It stands still.
     Pause,
     /// The store says nothing to it, on any connection.
@@ -157,6 +160,13 @@
     };
     let mut soak = Soak::start_by(plan, layout);
     soak.wait_ready().await;
+    let ways = match setting.loss {
+        Loss::OutOfStep(Lapse::Apart, ..) => Some(Ways::between(&mut soak).await),
+        _ => None,
+    };
+    if ways.is_some() {
+        soak.wait_ready().await;
+    }
     let callers = match setting.loss {
         Loss::All(down, leave) => {
             sleep(KNOWN).await;
@@ -164,9 +174,9 @@
             sleep(KNOWN).await;
             lose_all(&mut soak, plan, setting, down, leave).await
         }
-        Loss::OutOfStep(lapse, lasts, joins_late) => {
+        Loss::OutOfStep(..) => {
             sleep(KNOWN).await;
-            lapse_of_one(&mut soak, plan, setting, lapse, lasts, joins_late).await
+            lapse_of_one(&mut soak, plan, setting, ways.as_ref()).await
         }
     };
     let mut streams = Vec::new();
@@ -223,13 +233,17 @@
     soak: &mut Soak,
     plan: Plan,
     setting: Setting,
-    lapse: Lapse,
-    lasts: Duration,
-    joins_late: bool,
+    ways: Option<&Ways>,
 ) -> Vec<tokio::task::JoinHandle<Stream>> {
+    let Loss::OutOfStep(lapse, lasts, joins_late) = setting.loss else {
+        return Vec::new();
+    };
+    if let Some(ways) = ways {
+        ways.cut(true);
+    }
     match lapse {
         Lapse::Pause => soak.instances[0].signal(Signal::Pause),
-        Lapse::Store => soak.stores[0].set(Way::Silent),
+        Lapse::Apart | Lapse::Store => soak.stores[0].set(Way::Silent),
         Lapse::Watch => soak.stores[0].hush(Hushed::All),
     }
     if !joins_late {
@@ -244,6 +258,9 @@
     sleep(BEGIN).await;
     soak.instances[0].signal(Signal::Continue);
     soak.stores[0].set(Way::Open);
+    if let Some(ways) = ways {
+        ways.cut(false);
+    }
     callers
 }
 
@@ -408,7 +425,7 @@
         .arg(number("down-ms", "Time for which all instances are gone, or one is out of step", "500"))
         .arg(number("patience-ms", "Time of each caller", "25000"))
         .arg(word("leave", "When the old upstreams leave", &["at", "before", "behind", "never"]))
-        .arg(word("lapse", "How the first instance is out of step, instead of the loss of all", &["none", "pause", "store", "watch"]))
+        .arg(word("lapse", "How the first instance is out of step, instead of the loss of all", &["none", "apart", "pause", "store", "watch"]))
         .arg(
             Arg::new("late")
                 .action(clap::ArgAction::SetTrue)
@@ -435,6 +452,7 @@
     };
     let is_late = arguments.get_flag("late");
     let loss = match word("lapse") {
+        "apart" => Loss::OutOfStep(Lapse::Apart, lasts, is_late),
         "pause" => Loss::OutOfStep(Lapse::Pause, lasts, is_late),
         "store" => Loss::OutOfStep(Lapse::Store, lasts, is_late),
         "watch" => Loss::OutOfStep(Lapse::Watch, lasts, is_late),
--- a/crates/standin/tests/rejoining.rs
+++ b/crates/standin/tests/rejoining.rs
@@ -5,7 +5,7 @@
     googletest::prelude::*,
     std::time::Duration,
     wellplank_standin::{
-        rejoining::{self, Count, Leave, Loss, Outcome, Setting},
+        rejoining::{self, Count, Lapse, Leave, Loss, Outcome, Setting},
         soak::Plan,
     },
 };
@@ -32,6 +32,24 @@
     outcome
 }
 
+/// Streams that began elsewhere on upstreams which joined while the first instance was out of step, and that their callers
+/// took up there.
+fn run_out_of_step(lapse: Lapse, lasts_ms: u64) -> Outcome {
+    let setting = Setting {
+        begun: Duration::ZERO,
+        callers: 24,
+        loss: Loss::OutOfStep(lapse, Duration::from_millis(lasts_ms), true),
+        patience: Duration::from_secs(4),
+    };
+    let plan = Plan { seed: 2, ..PLAN };
+    let runtime = tokio::runtime::Runtime::new().unwrap();
+    let outcome = runtime.block_on(rejoining::run(plan, setting));
+    runtime.shutdown_background();
+    expect_that!(outcome.ends, eq(0));
+    expect_that!(of(&outcome, "v2").broken, gt(0));
+    outcome
+}
+
 /// What became of the streams of one version.
 fn of(outcome: &Outcome, version: &str) -> Count {
     outcome.counts.get(version).copied().unwrap_or_default()
@@ -64,3 +82,18 @@
         expect_that!(2 * count.whole, ge(count.broken), "{version}: {count:?}");
     }
 }
+
+/// Streams of upstreams that had joined within the second for which an instance heard neither the store nor the others went
+/// on there at the version that it knew.
+#[gtest]
+fn streams_of_a_version_that_an_instance_missed_while_cut_off_hold_no_events_of_another() {
+    let outcome = run_out_of_step(Lapse::Apart, 1_000);
+    expect_that!(outcome.joined, is_empty());
+}
+
+/// The same at an instance that stood still.
+#[gtest]
+fn streams_of_a_version_that_an_instance_missed_in_a_pause_hold_no_events_of_another() {
+    let outcome = run_out_of_step(Lapse::Pause, 1_000);
+    expect_that!(outcome.joined, is_empty());
+}
