--- a/crates/standin/src/shelf.rs
+++ b/crates/standin/src/shelf.rs
@@ -298,8 +298,8 @@
     }
 
     /// Writes an item of any bytes, as another program may.
-    pub fn put_bytes(&self, key: &str, value: Vec<u8>) {
-        self.lock().put(key, value, 0);
+    pub fn put_bytes(&self, key: &str, value: impl Into<Vec<u8>>) {
+        self.lock().put(key, value.into(), 0);
         self.changed.notify_waiters();
     }
 
