Let no stream of unknown origin go on where its route has or had several services

Callers whose streams had broken off were answered 200 and got the rest from another service: the desired state splits routes and moves them, and a stream of which nothing is known went to a drawn part of the route, or to the service that its route names now, whose only version was taken for the one that began it. The names in the store did not speak against it: they were asked for that one pool only.

Cause: of the class of this issue, a conclusion about the past (which service began it) from what is in force now. Now the services that a route names, and named for as long as callers wait, must be one; otherwise other instances are asked for the stream, and without its record it is refused as version_unknown (basis unknown.several_pools).

Left: an instance that started behind the move has not seen it.

--- a/crates/core/src/core.rs
+++ b/crates/core/src/core.rs
@@ -127,6 +127,8 @@
     pub(crate) instances: u32,
     /// When the list was first read from the store; `None` before.
     pub(crate) first_list_at: Option<Time>,
+    /// Routes that streams took before the configuration changed.
+    pub(crate) former_routes: FormerRoutes,
     /// Whether queued requests are being sent.
     pub(crate) is_dispatching: bool,
     /// Upstreams with a rate limit.
@@ -331,6 +333,7 @@
             held_bytes: 0,
             instances: 1,
             first_list_at: None,
+            former_routes: FormerRoutes::default(),
             is_dispatching: false,
             limited: BTreeSet::new(),
             list_read_at: None,
@@ -401,6 +404,9 @@
     fn apply_config(&mut self, config: Arc<Config>) {
         let current = self.revision().unwrap_or(0);
         if config.revision > current || self.config.is_none() {
+            if let Some(before) = &self.config {
+                self.former_routes.replace(before, &config, self.now);
+            }
             self.config = Some(config);
             self.update_ranks();
             self.resolve_address_conflicts();
--- a/crates/core/src/directory.rs
+++ b/crates/core/src/directory.rs
@@ -122,6 +122,9 @@
         let Some(route) = config.and_then(|config| config.route(&relay.host, &relay.path)) else {
             return false;
         };
+        if self.only_pool(&relay.host, &relay.path).is_none() {
+            return is_such(origin::Gap::SeveralPools);
+        }
         let mut pools = route.shares.iter().map(|share| share.service.pool());
         pools.any(|pool| self.only_version(pool, number).is_err_and(&is_such))
     }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -69,6 +69,7 @@
 mod ended;
 mod engine_watch;
 mod failure;
+mod former_routes;
 mod gateways;
 mod list;
 mod list_updates;
@@ -111,6 +112,7 @@
     estimates::{EngineSpeed, PoolEstimates},
     event::{Event, Failure, ListDelta, ListEntry, OutputToken},
     fingerprint::RequestFingerprint,
+    former_routes::FormerRoutes,
     gateways::Gateways,
     incarnation::Incarnation,
     informer_io::CancelReason,
--- a/crates/core/src/origin.rs
+++ b/crates/core/src/origin.rs
@@ -73,6 +73,8 @@
     SeveralListed,
     /// The store names several versions of its pool.
     SeveralNamed,
+    /// The route of the stream goes, or recently went, to several pools.
+    SeveralPools,
     /// Streams were recently reported of a version that no upstream of any pool has or recently had.
     SeveralReported,
     /// The store does not answer, or has only just begun to.
@@ -104,6 +106,7 @@
             Self::NotRestored => "not_restored",
             Self::SeveralListed => "several_listed",
             Self::SeveralNamed => "several_named",
+            Self::SeveralPools => "several_pools",
             Self::SeveralReported => "several_reported",
             Self::StoreAway => "store_away",
             Self::Unconfirmed => "unconfirmed",
@@ -185,10 +188,19 @@
 impl Core {
     /// The origin of a stream of which this is known, where its caller takes it up, and what that is based on. `number` is that of
     /// the first read of names that began behind its arrival.
-    pub(crate) fn origin_of(&self, taken_up: &TakenUp, pool: &str, number: u64) -> (Origin, Basis) {
+    pub(crate) fn origin_of(
+        &self,
+        taken_up: &TakenUp,
+        relay: &request::Relay,
+        pool: &str,
+        number: u64,
+    ) -> (Origin, Basis) {
         if let Some(version) = self.version_of(taken_up) {
             return (Origin::Begun(version), self.basis_of(taken_up));
         }
+        if self.only_pool(&relay.host, &relay.path).is_none() {
+            return (Origin::Unknown, Basis::Unknown(Gap::SeveralPools));
+        }
         match self.only_version(pool, number) {
             Ok(version) => (Origin::Begun(version), Basis::OnlyVersion),
             Err(gap) => (Origin::Unknown, Basis::Unknown(gap)),
--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -302,7 +302,7 @@
             return progress;
         }
         let taken_up = self.taken_up(relay);
-        let (origin, basis) = self.origin_of(&taken_up, pool, names_read);
+        let (origin, basis) = self.origin_of(&taken_up, relay, pool, names_read);
         progress.basis = Some(basis);
         progress.origin = origin;
         if let Some(run) = relay.resumes {
--- a/crates/core/tests/relay/names.rs
+++ b/crates/core/tests/relay/names.rs
@@ -227,3 +227,80 @@
         expect_that!(forgotten(&test), eq(!is_away));
     }
 }
+
+/// Three upstreams of each of two pools, each of one version.
+fn two_pools() -> Vec<ListEntry> {
+    let other = (3..6).map(|index| ListEntry {
+        pool: "other".into(),
+        ..of_version(index, "v1")
+    });
+    old().into_iter().chain(other).collect()
+}
+
+/// The names of the versions of both pools.
+fn names_of_two_pools() -> Vec<Name> {
+    let other = Name {
+        pool: "other".into(),
+        version: Version::new("other", "v1"),
+    };
+    vec![name("v1"), other]
+}
+
+/// A core that has seen streams go to the pools, each of one version, for longer than callers wait.
+fn settled_with(pools: &[&str]) -> Test {
+    let mut test = Test::without_configuration().naming_versions();
+    let config = stream_version::streaming_to(1, pools);
+    test.handle(Event::Config(Arc::new(config)));
+    test.list(two_pools());
+    test.handle(Event::VersionsNamed(names_of_two_pools()));
+    test.advance(CALLERS_WAIT_MS + 1_000);
+    test
+}
+
+/// Ends the read that has begun, if any, with the names of both pools.
+fn end_read_of_two_pools(test: &mut Test) {
+    if let Some(number) = reads(test).last().copied() {
+        let names = Some(names_of_two_pools());
+        test.handle(Event::VersionsRead { names, number });
+    }
+    test.advance(300);
+}
+
+/// Guards against a stream that one service of a split route began and another one goes on with, as the draw by weight falls.
+#[gtest]
+fn stream_of_unknown_origin_does_not_go_on_at_a_route_of_two_services() {
+    let mut test = settled_with(&["pool", "other"]);
+    for _ in 0..10 {
+        take_up(&mut test);
+    }
+    end_read_of_two_pools(&mut test);
+    expect_that!(test.sent(), is_empty());
+    expect_that!(refusals(&test).len(), eq(10));
+}
+
+/// Guards against a stream that begins at one service and goes on at another one to which the operator has moved its route.
+#[gtest]
+fn stream_of_unknown_origin_does_not_go_on_at_the_service_that_its_route_has_moved_to() {
+    let mut test = settled_with(&["pool"]);
+    let moved = stream_version::streaming_to(2, &["other"]);
+    test.handle(Event::Config(Arc::new(moved)));
+    test.handle(Event::VersionsNamed(names_of_two_pools()));
+    test.advance(1_000);
+    take_up(&mut test);
+    end_read_of_two_pools(&mut test);
+    expect_that!(test.sent(), is_empty());
+    expect_that!(refusals(&test).len(), eq(1));
+}
+
+/// Guards against streams refused for ever since a route was moved: callers wait for a bounded time.
+#[gtest]
+fn stream_of_unknown_origin_goes_on_at_the_service_that_its_route_moved_to_long_ago() {
+    let mut test = settled_with(&["pool"]);
+    let moved = stream_version::streaming_to(2, &["other"]);
+    test.handle(Event::Config(Arc::new(moved)));
+    test.handle(Event::VersionsNamed(names_of_two_pools()));
+    test.advance(CALLERS_WAIT_MS + 1_000);
+    take_up(&mut test);
+    end_read_of_two_pools(&mut test);
+    expect_that!(test.sent().len(), eq(1));
+}
--- a/crates/core/tests/relay/stream_version.rs
+++ b/crates/core/tests/relay/stream_version.rs
@@ -377,7 +377,7 @@
 }
 
 /// A configuration whose streams go to the pools in equal parts.
-fn streaming_to(revision: u64, pools: &[&str]) -> Config {
+pub fn streaming_to(revision: u64, pools: &[&str]) -> Config {
     let mut config = configuration(revision);
     let route = &mut config.routes[0];
     let share = route.shares[0].clone();
