Give each pool whose upstreams state no version a name of its own

Of several pools whose upstreams state no version only one was named in the store: the number of the unstated version is the same for all, and was the whole key, so each write took the name of another pool away. Its streams of unknown origin were refused for ever (unnamed), and instances that do not write names read them every 3 s for ever, since those that write took all for written.

The key holds the number of the pool too. each_pool_whose_engines_state_no_version_has_a_name_of_its_own, real sockets: one name of two before, two now.

--- a/crates/node/src/version_names.rs
+++ b/crates/node/src/version_names.rs
@@ -9,7 +9,7 @@
     version::Version,
 };
 
-/// Key prefix of the names. The rest of a key is the number of the version, its value the name of the pool.
+/// Key prefix of the names. The rest of a key is the number of the version and that of its pool, its value the name of the pool.
 const PREFIX: &str = "wellplank/versions/";
 
 /// Time-out of a call. Streams of unknown origin wait for a read, and capacity may for a write.
@@ -175,14 +175,15 @@
     }
 }
 
-/// Key of a name.
+/// Key of a name. Pools whose upstreams state no version have the same number for it.
 fn key(name: &Name) -> String {
-    format!("{PREFIX}{:016x}", name.version.0)
+    let pool = wellplank_core::upstream::id(&name.pool);
+    format!("{PREFIX}{:016x}-{pool:016x}", name.version.0)
 }
 
 /// The name in an item of the store; `None` if another program wrote it.
 fn decode(item: &platform::store::Item) -> Option<Name> {
-    let version = item.key.strip_prefix(PREFIX)?;
+    let (version, _) = item.key.strip_prefix(PREFIX)?.split_once('-')?;
     let version = Version(u64::from_str_radix(version, 16).ok()?);
     let pool = std::str::from_utf8(item.bytes().ok()?).ok()?;
     let pool = pool.into();
--- a/crates/standin/tests/stream_version.rs
+++ b/crates/standin/tests/stream_version.rs
@@ -386,3 +386,45 @@
 fn streams_of_300_instances_stay_at_their_versions() {
     expect_bound(300);
 }
+
+/// Prefix of the names of versions in the store.
+const NAMES: &str = "wellplank/versions/";
+
+/// Time within which the versions of a pool are named.
+const NAMED: Duration = Duration::from_secs(3);
+
+/// Waits until the store holds so many names, and returns how many it holds.
+async fn count_names(site: &Site, wanted: usize) -> usize {
+    let end = Instant::now() + NAMED;
+    while site.shelf.keys(NAMES).len() < wanted && Instant::now() < end {
+        sleep(KNOWN).await;
+    }
+    site.shelf.keys(NAMES).len()
+}
+
+/// Guards against pools that share one name, so that each name that is written takes that of another pool away.
+#[gtest]
+fn each_pool_whose_engines_state_no_version_has_a_name_of_its_own() {
+    run(plan(1, &[""]), async |site: Site| {
+        expect_that!(count_names(&site, 1).await, eq(1));
+        let mut configuration = wellplank_standin::site::configuration(2);
+        let mut route = configuration["routes"][0].clone();
+        route["name"] = "stream-2".into();
+        route["path_prefix"] = "/other/".into();
+        route["service"] = "other".into();
+        let routes = configuration["routes"].as_array_mut().unwrap();
+        routes.push(route);
+        let mut service = configuration["services"][0].clone();
+        service["name"] = "other".into();
+        let services = configuration["services"].as_array_mut().unwrap();
+        services.push(service);
+        site.shelf.put("op/config", &configuration);
+        sleep(KNOWN).await;
+        let entry = serde_json::json!({
+            "service": "other", "address": wellplank_standin::host::free_address(), "zone": "dc-0",
+            "slots": 1, "state": "ready", "cold_left_ms": 0, "call_seq": 0,
+        });
+        site.shelf.put("servers/other-0", &entry);
+        expect_that!(count_names(&site, 2).await, eq(2));
+    });
+}
