Name versions again once the store was restored from a backup

Behind a restore from a backup that lacks names of versions they stayed away as long as their upstreams were listed: instances took them for written. Streams of unknown origin were refused for ever where the backup named no version (unnamed), and could go on beside a version that it did not name.

The quarantine and the streams are written again behind a restore; names now too: the core forgets which versions are named, and a copy of the store from before the restore says nothing. versions_are_named_again_behind_a_restore_of_the_store_from_a_backup_without_them, two instances, two versions, real sockets: no name within 3 s before, both now.

--- a/crates/core/src/core.rs
+++ b/crates/core/src/core.rs
@@ -298,6 +298,7 @@
             Event::StreamsRestored => self.handle_streams_restored(),
             Event::Submit(submission) => self.submit(*submission),
             Event::Tick => self.tick(),
+            Event::NamesLost => self.handle_names_lost(),
             Event::VersionsNamed(names) => self.handle_versions_named(&names),
             Event::VersionsRead { names, number } => self.handle_names_read(number, names),
             Event::Tokens {
--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -346,6 +346,8 @@
         /// The tokens.
         tokens: Vec<OutputToken>,
     },
+    /// The store was restored from a backup, which may lack names of versions.
+    NamesLost,
     /// The store names these versions, among others.
     VersionsNamed(Vec<names::Name>),
     /// A read of all names of versions ended.
@@ -401,6 +403,7 @@
             Self::Submit(_) => "submit",
             Self::Tick => "tick",
             Self::Tokens { .. } => "tokens",
+            Self::NamesLost => "names_lost",
             Self::VersionsNamed(_) => "versions_named",
             Self::VersionsRead { .. } => "versions_read",
         }
--- a/crates/core/src/names.rs
+++ b/crates/core/src/names.rs
@@ -150,6 +150,15 @@
         self.dispatch_all();
     }
 
+    /// Has all versions named again that are listed.
+    pub(crate) fn handle_names_lost(&mut self) {
+        self.names.listed_at.clear();
+        self.names.unnamed.clear();
+        self.names.read = None;
+        self.update_names();
+        self.dispatch_all();
+    }
+
     fn learn_names(&mut self, names: &[Name]) {
         for name in names {
             self.names.unnamed.remove(name);
--- a/crates/node/src/version_names.rs
+++ b/crates/node/src/version_names.rs
@@ -67,7 +67,23 @@
             own: self.own,
             several: self.several,
         };
-        while let Some(call) = self.calls.recv().await {
+        let mut availability = session.client.availability();
+        let mut era = availability.borrow().era();
+        loop {
+            let call = tokio::select! {
+                call = self.calls.recv() => call,
+                Ok(()) = availability.changed() => {
+                    let current_era = availability.borrow_and_update().era();
+                    if current_era > era {
+                        era = current_era;
+                        session.driver.send_event(Event::NamesLost);
+                    }
+                    continue;
+                }
+            };
+            let Some(call) = call else {
+                return;
+            };
             let session = session.clone();
             match call {
                 Call::Forget(name) if session.is_writer() => {
@@ -93,7 +109,10 @@
 
     async fn read(&self, consistency: Consistency) -> Result<Vec<Name>, Error> {
         let read = self.client.read_prefix(PREFIX, CALL_TIMEOUT, consistency);
-        let (items, _) = read.await?;
+        let (items, position) = read.await?;
+        if position.era < self.client.availability().borrow().era() {
+            return Err(Error::Store(format!("{PREFIX}: read before a restore")));
+        }
         let names: Vec<Name> = items.iter().filter_map(decode).collect();
         let pools: BTreeSet<&Arc<str>> = names.iter().map(|name| &name.pool).collect();
         let is_several = pools.len() < names.len();
--- a/crates/standin/tests/stream_version.rs
+++ b/crates/standin/tests/stream_version.rs
@@ -428,3 +428,18 @@
         expect_that!(count_names(&site, 2).await, eq(2));
     });
 }
+
+/// Guards against names that a store which was restored from a backup lacks for ever: streams of unknown origin would be refused,
+/// or go on beside a version that is not named.
+#[gtest]
+fn versions_are_named_again_behind_a_restore_of_the_store_from_a_backup_without_them() {
+    run(plan(2, &["v1", "v2"]), async |site: Site| {
+        expect_that!(count_names(&site, 2).await, eq(2));
+        for key in site.shelf.keys(NAMES) {
+            site.shelf.remove(&key);
+        }
+        let copy = site.shelf.copy();
+        site.shelf.restore(&copy);
+        expect_that!(count_names(&site, 2).await, eq(2));
+    });
+}
