Look for the name of a version only as long as its upstreams are listed

An instance that does not write names read them every 3 s until it found the name, also when no upstream had the version any more. A version that came and went before those that write names saw it is named by nobody, so each such version left one reader an instance for ever: with 300 instances 100 calls a second for each (by calculation).

A call ends behind 15 s, and the core asks again for what is still listed and unnamed.

--- a/crates/core/src/names.rs
+++ b/crates/core/src/names.rs
@@ -11,6 +11,10 @@
 /// write to a store that answers takes a fraction of it. Where the store does not answer, capacity counts for more.
 const HOLD_MS: u64 = 1_500;
 
+/// Time for which a call of [`Call::Name`] is repeated until it succeeds, and behind which it is made anew for versions that are
+/// still listed and not named, in milliseconds.
+pub const NAMING_MS: u64 = 15_000;
+
 /// Time for which a name stays behind the last upstream of its version, in milliseconds: longer than streams come back and than
 /// an instance that does not see upstreams of that version any more takes it for named.
 const FORGET_MS: u64 = 2 * origin::RETENTION_MS;
@@ -38,6 +42,15 @@
     Read(u64),
 }
 
+/// Version that is not named yet.
+#[derive(Clone, Copy, Debug)]
+struct Unnamed {
+    /// When it was last asked to be named.
+    asked_at: Time,
+    /// When an upstream of it was first listed.
+    listed_at: Time,
+}
+
 /// Names of versions as far as this instance knows them.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Names {
@@ -51,8 +64,8 @@
     ended: u64,
     /// What the last successful read showed, with its number and end.
     read: Option<(u64, Time, BTreeSet<Name>)>,
-    /// Versions that are being written, with the time at which an upstream of them was first listed.
-    unnamed: BTreeMap<Name, Time>,
+    /// Versions that are being written.
+    unnamed: BTreeMap<Name, Unnamed>,
     /// Number of the read that a stream waits for.
     wanted: u64,
 }
@@ -206,11 +219,20 @@
             let is_lapsed = names.listed_at.get(name).is_none_or(is_lapsed);
             if !is_lapsed {
                 names.listed_at.insert(name.clone(), now);
-            } else if !names.unnamed.contains_key(name) {
-                names.listed_at.remove(name);
-                names.unnamed.insert(name.clone(), now);
-                unnamed.push(name.clone());
+                continue;
             }
+            names.listed_at.remove(name);
+            let known = names.unnamed.get(name);
+            if known.is_some_and(|known| now.since(known.asked_at) < NAMING_MS) {
+                continue;
+            }
+            let listed_at = known.map_or(now, |known| known.listed_at);
+            let asked = Unnamed {
+                asked_at: now,
+                listed_at,
+            };
+            names.unnamed.insert(name.clone(), asked);
+            unnamed.push(name.clone());
         }
         names.unnamed.retain(|name, _| listed.contains(name));
         if !unnamed.is_empty() {
@@ -242,8 +264,8 @@
         let unnamed = &self.names.unnamed;
         let is_held_back = |pool: &Arc<str>, version: Version| {
             let pool = pool.clone();
-            let since = unnamed.get(&Name { pool, version });
-            since.is_some_and(|since| now.since(*since) < HOLD_MS)
+            let unnamed = unnamed.get(&Name { pool, version });
+            unnamed.is_some_and(|unnamed| now.since(unnamed.listed_at) < HOLD_MS)
         };
         let mut changed = Vec::new();
         for (name, pool) in &self.pools {
--- a/crates/core/tests/relay/names.rs
+++ b/crates/core/tests/relay/names.rs
@@ -304,3 +304,22 @@
     end_read_of_two_pools(&mut test);
     expect_that!(test.sent().len(), eq(1));
 }
+
+/// Time within which a version is asked for once more that is still not named, in milliseconds.
+const ASKED_AGAIN_MS: u64 = 20_000;
+
+/// Guards against instances that look for a name for ever though no upstream has its version any more, or that never look again.
+#[gtest]
+fn version_that_stays_unnamed_is_asked_for_as_long_as_it_is_listed() {
+    let mut test = settled();
+    let new = (3..6).map(|index| of_version(index, "v2"));
+    test.list(old().into_iter().chain(new).collect());
+    test.effects.clear();
+    test.advance(ASKED_AGAIN_MS);
+    expect_that!(calls(&test), contains(eq(&Call::Name(vec![name("v2")]))));
+    test.request(STREAM);
+    test.list(old());
+    test.effects.clear();
+    test.advance(2 * ASKED_AGAIN_MS);
+    expect_that!(calls(&test), is_empty());
+}
--- a/crates/node/src/version_names.rs
+++ b/crates/node/src/version_names.rs
@@ -5,7 +5,7 @@
 use rand::RngExt;
 use wellplank_core::{
     informer_io::Consistency,
-    names::{Call, Name},
+    names::{Call, NAMING_MS, Name},
     version::Version,
 };
 
@@ -22,6 +22,9 @@
 /// Longest time between two attempts.
 const RETRY_INTERVAL_MAX: Duration = Duration::from_secs(3);
 
+/// Time for which names are looked for and written; the core asks again for those whose versions are still listed then.
+const NAMING_TIME: Duration = Duration::from_millis(NAMING_MS);
+
 /// Time over which instances of a large fleet spread their first look at whether another one has written a name.
 const SPREAD: Duration = Duration::from_millis(200);
 
@@ -140,6 +143,7 @@
             let delay = rand::rng().random_range(Duration::ZERO..SPREAD);
             sleep(delay).await;
         }
+        let begun = Instant::now();
         let mut pause = RETRY_INTERVAL;
         loop {
             if let Ok(known) = self.read(Consistency::Serializable).await {
@@ -149,7 +153,7 @@
             if !names.is_empty() && self.is_writer() {
                 self.write_all(&mut names).await;
             }
-            if names.is_empty() {
+            if names.is_empty() || begun.elapsed() + pause >= NAMING_TIME {
                 return;
             }
             sleep(pause).await;
