Read names of versions at no more than a bounded rate of all instances

Each end of a read began the next one where a stream of unknown origin had come meanwhile: as many reads as answers. 30 and 300 instances that each meet such a stream every 10 ms made 3,000 and 30,000 reads a second, where the store takes 2,000 of all and refuses the rest, which counts as its absence for all that an instance concludes from that. Now there is 1 ms for each other instance between two reads of one, during which streams wait and share the next. names::reads_of_names_leave_the_rate_of_the_store_to_others: 3,000 and 30,000 before, within 1,030 and 1,300 now; with one instance as before.

--- a/crates/core/src/names.rs
+++ b/crates/core/src/names.rs
@@ -19,6 +19,10 @@
 /// an instance that does not see upstreams of that version any more takes it for named.
 const FORGET_MS: u64 = 2 * origin::RETENTION_MS;
 
+/// Time between two reads for each other instance of the fleet, in milliseconds: the store refuses what goes beyond a rate for all of
+/// them, and calls of others with it.
+const READ_INTERVAL_MS: u64 = 1;
+
 /// Time for which a read that showed several versions of a pool is not repeated, in milliseconds.
 const SEVERAL_MS: u64 = 2_000;
 
@@ -60,6 +64,8 @@
     are_kept: bool,
     /// Number of the last read that has begun.
     begun: u64,
+    /// When it began.
+    begun_at: Time,
     /// Number of the last read that has ended.
     ended: u64,
     /// What the last successful read showed, with its number and end.
@@ -128,18 +134,23 @@
         self.names.ended >= number
     }
 
-    /// Reads the names, unless a read with this number or a later one has begun. One that is under way ends first.
+    /// Reads the names, unless a read with this number or a later one has begun. One that is under way ends first, and others
+    /// begin at intervals, as each tick asks for those that are still wanted.
     pub(crate) fn read_names(&mut self, number: u64) {
         self.names.wanted = self.names.wanted.max(number);
         self.begin_names_read();
     }
 
     fn begin_names_read(&mut self) {
+        let others = u64::from(self.instances.saturating_sub(1));
+        let interval_ms = READ_INTERVAL_MS * others;
         let names = &mut self.names;
-        if names.begun > names.ended || names.begun >= names.wanted {
+        let is_early = self.now.since(names.begun_at) < interval_ms;
+        if names.begun > names.ended || names.begun >= names.wanted || is_early {
             return;
         }
         names.begun += 1;
+        names.begun_at = self.now;
         let call = Call::Read(names.begun);
         self.effects.push(Effect::Names(call));
     }
--- a/crates/core/tests/relay/names.rs
+++ b/crates/core/tests/relay/names.rs
@@ -323,3 +323,30 @@
     test.advance(2 * ASKED_AGAIN_MS);
     expect_that!(calls(&test), is_empty());
 }
+
+/// Guards against reads that use up what all instances together may read from the store, so that calls of others are refused.
+#[gtest]
+fn reads_of_names_leave_the_rate_of_the_store_to_others() {
+    const READS_PER_SECOND: u64 = 2_000;
+    for instances in [1, 6, 30, 300] {
+        let reads = instances * reads_in_a_second(instances);
+        expect_that!(reads, le(READS_PER_SECOND / 2 + instances), "{instances}");
+    }
+}
+
+/// Reads of an instance that meets a stream of unknown origin in each 10 ms of a second.
+fn reads_in_a_second(instances: u64) -> u64 {
+    const ANSWERED_MS: u64 = 10;
+    let mut test = settled();
+    test.handle(Event::Instances(View::numbered(0, instances)));
+    for number in 0..1_000 / ANSWERED_MS {
+        test.resumes = Some(RunId::new(&format!("elsewhere-{number}")));
+        test.request_as("key", STREAM, 9);
+        test.advance(ANSWERED_MS);
+        end_read(&mut test, Some(&["v1"]));
+    }
+    let count = reads(&test).len() as u64;
+    test.advance(1_000);
+    expect_that!(test.sent().len(), gt(0));
+    count
+}
