Name versions in place of the instances that write for all, while those are lost

Two instances write the names for all. Where both are lost, cut off or stand still, others know them for up to 20 s (their leases), and nobody named a version that joined: its upstreams got work without a name behind 1.5 s, so that an instance out of step could go on with their streams at another version, and streams of unknown origin were refused.

An instance that finds no name 0.6 s behind its listing, and 50 ms more for each one before it, asks the store as it is now and writes the name itself. version_that_joins_is_named_while_the_instances_that_write_for_all_are_lost, four instances, real sockets, the two that write killed: no name of the new version within 1.5 s before, named now.

--- a/crates/node/src/members.rs
+++ b/crates/node/src/members.rs
@@ -192,7 +192,7 @@
     }
 
     /// Number of instances among `names` that rank before it.
-    fn count_before<'a>(&self, names: impl Iterator<Item = &'a String>) -> usize {
+    pub fn count_before<'a>(&self, names: impl Iterator<Item = &'a String>) -> usize {
         let own = upstream::id(&self.name);
         names.filter(|name| upstream::id(name) < own).count()
     }
--- a/crates/node/src/version_names.rs
+++ b/crates/node/src/version_names.rs
@@ -25,6 +25,13 @@
 /// Time for which names are looked for and written; the core asks again for those whose versions are still listed then.
 const NAMING_TIME: Duration = Duration::from_millis(NAMING_MS);
 
+/// Time after which instances that do not write names do, for each instance before them in the order of those that write: entries of
+/// instances that are lost last for seconds, and upstreams get work without a name behind 1.5 s.
+const STAND_IN_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Time in which a name that is written by others is found, before any other instance writes it.
+const STAND_IN_AFTER: Duration = Duration::from_millis(600);
+
 /// Time over which instances of a large fleet spread their first look at whether another one has written a name.
 const SPREAD: Duration = Duration::from_millis(200);
 
@@ -110,6 +117,12 @@
         self.own.persists_streams(&self.members.borrow())
     }
 
+    /// Time after which this instance writes names in place of those that write for all.
+    fn stand_in_time(&self) -> Duration {
+        let before = self.own.count_before(self.members.borrow().keys());
+        STAND_IN_AFTER + STAND_IN_INTERVAL * before as u32
+    }
+
     async fn read(&self, consistency: Consistency) -> Result<Vec<Name>, Error> {
         let read = self.client.read_prefix(PREFIX, CALL_TIMEOUT, consistency);
         let (items, position) = read.await?;
@@ -146,11 +159,20 @@
         let begun = Instant::now();
         let mut pause = RETRY_INTERVAL;
         loop {
-            if let Ok(known) = self.read(Consistency::Serializable).await {
+            let stands_in = !self.is_writer() && begun.elapsed() >= self.stand_in_time();
+            // What only an old copy lacks is not written by one more.
+            let consistency = if stands_in {
+                Consistency::Linearizable
+            } else {
+                Consistency::Serializable
+            };
+            let read = self.read(consistency).await;
+            let is_read = read.is_ok();
+            if let Ok(known) = read {
                 names.retain(|name| !known.contains(name));
                 self.driver.send_event(Event::VersionsNamed(known));
             }
-            if !names.is_empty() && self.is_writer() {
+            if !names.is_empty() && (self.is_writer() || stands_in && is_read) {
                 self.write_all(&mut names).await;
             }
             if names.is_empty() || begun.elapsed() + pause >= NAMING_TIME {
--- a/crates/standin/tests/stream_version.rs
+++ b/crates/standin/tests/stream_version.rs
@@ -443,3 +443,27 @@
         expect_that!(count_names(&site, 2).await, eq(2));
     });
 }
+
+/// Time that the store holds back no name for: as long as streams of a version that is not named wait.
+const HELD: Duration = Duration::from_millis(1_500);
+
+/// Guards against versions that nobody names while the instances that write for all are lost and their entries last.
+#[gtest]
+fn version_that_joins_is_named_while_the_instances_that_write_for_all_are_lost() {
+    run(plan(4, &["v1"]), async |mut site: Site| {
+        expect_that!(count_names(&site, 1).await, eq(1));
+        sleep(2 * WRITTEN).await;
+        let mut order: Vec<usize> = (0..4).collect();
+        order.sort_by_key(|index| wellplank_core::upstream::id(&format!("instance-{index}")));
+        for index in &order[..2] {
+            site.instances[*index].host.kill();
+        }
+        let entry = serde_json::json!({
+            "service": "engines", "address": wellplank_standin::host::free_address(), "zone": "dc-0",
+            "version": "v2", "slots": 1, "state": "ready", "cold_left_ms": 0, "call_seq": 0,
+        });
+        site.shelf.put("servers/new-0", &entry);
+        sleep(HELD).await;
+        expect_that!(site.shelf.keys(NAMES).len(), eq(2));
+    });
+}
