--- a/crates/core/src/names.rs
+++ b/crates/core/src/names.rs
@@ -11,10 +11,18 @@
 /// write to a store that answers takes a fraction of it. Where the store does not answer, capacity counts for more.
 const HOLD_MS: u64 = 1_500;
 
+/// Time for which a call of [`Call::Name`] is repeated until it succeeds, and behind which it is made anew for versions that are
+/// still listed and not named, in milliseconds.
+pub const NAMING_MS: u64 = 15_000;
+
 /// Time for which a name stays behind the last upstream of its version, in milliseconds: longer than streams come back and than
 /// an instance that does not see upstreams of that version any more takes it for named.
 const FORGET_MS: u64 = 2 * origin::RETENTION_MS;
 
+/// Time between two reads for each other instance of the fleet, in milliseconds: the store refuses what goes beyond a rate for all of
+/// them, and calls of others with it.
+const READ_INTERVAL_MS: u64 = 1;
+
 /// Time for which a read that showed several versions of a pool is not repeated, in milliseconds.
 const SEVERAL_MS: u64 = 2_000;
 
@@ -38,6 +46,15 @@
     Read(u64),
 }
 
+/// Version that is not named yet.
+#[derive(Clone, Copy, Debug)]
+struct Unnamed {
+    /// When it was last asked to be named.
+    asked_at: Time,
+    /// When an upstream of it was first listed.
+    listed_at: Time,
+}
+
 /// Names of versions as far as this instance knows them.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Names {
@@ -47,14 +64,16 @@
     are_kept: bool,
     /// Number of the last read that has begun.
     begun: u64,
+    /// When it began.
+    begun_at: Time,
     /// Number of the last read that has ended.
     ended: u64,
     /// Whether upstreams are held back.
     are_held: bool,
     /// What the last successful read showed, with its number and end.
     read: Option<(u64, Time, BTreeSet<Name>)>,
-    /// Versions that are being written, with the time at which an upstream of them was first listed.
-    unnamed: BTreeMap<Name, Time>,
+    /// Versions that are being written.
+    unnamed: BTreeMap<Name, Unnamed>,
     /// Number of the read that a stream waits for.
     wanted: u64,
 }
@@ -117,18 +136,23 @@
         self.names.ended >= number
     }
 
-    /// Reads the names, unless a read with this number or a later one has begun. One that is under way ends first.
+    /// Reads the names, unless a read with this number or a later one has begun. One that is under way ends first, and others
+    /// begin at intervals, as each tick asks for those that are still wanted.
     pub(crate) fn read_names(&mut self, number: u64) {
         self.names.wanted = self.names.wanted.max(number);
         self.begin_names_read();
     }
 
     fn begin_names_read(&mut self) {
+        let others = u64::from(self.instances.saturating_sub(1));
+        let interval_ms = READ_INTERVAL_MS * others;
         let names = &mut self.names;
-        if names.begun > names.ended || names.begun >= names.wanted {
+        let is_early = self.now.since(names.begun_at) < interval_ms;
+        if names.begun > names.ended || names.begun >= names.wanted || is_early {
             return;
         }
         names.begun += 1;
+        names.begun_at = self.now;
         let call = Call::Read(names.begun);
         self.effects.push(Effect::Names(call));
     }
@@ -152,6 +176,15 @@
         self.dispatch_all();
     }
 
+    /// Has all versions named again that are listed.
+    pub(crate) fn handle_names_lost(&mut self) {
+        self.names.listed_at.clear();
+        self.names.unnamed.clear();
+        self.names.read = None;
+        self.update_names();
+        self.dispatch_all();
+    }
+
     fn learn_names(&mut self, names: &[Name]) {
         for name in names {
             self.names.unnamed.remove(name);
@@ -199,11 +232,20 @@
             let is_lapsed = names.listed_at.get(name).is_none_or(is_lapsed);
             if !is_lapsed {
                 names.listed_at.insert(name.clone(), now);
-            } else if !names.unnamed.contains_key(name) {
-                names.listed_at.remove(name);
-                names.unnamed.insert(name.clone(), now);
-                unnamed.push(name.clone());
+                continue;
             }
+            names.listed_at.remove(name);
+            let known = names.unnamed.get(name);
+            if known.is_some_and(|known| now.since(known.asked_at) < NAMING_MS) {
+                continue;
+            }
+            let listed_at = known.map_or(now, |known| known.listed_at);
+            let asked = Unnamed {
+                asked_at: now,
+                listed_at,
+            };
+            names.unnamed.insert(name.clone(), asked);
+            unnamed.push(name.clone());
         }
         names.unnamed.retain(|name, _| listed.contains(name));
         if !unnamed.is_empty() {
@@ -232,7 +274,7 @@
             return;
         }
         let now = self.now;
-        let is_recent = |since: &Time| now.since(*since) < HOLD_MS;
+        let is_recent = |unnamed: &Unnamed| now.since(unnamed.listed_at) < HOLD_MS;
         let are_recent = self.names.unnamed.values().any(is_recent);
         // A tick must not visit all upstreams of a large fleet.
         if !are_recent && !self.names.are_held {
@@ -241,8 +283,8 @@
         let unnamed = &self.names.unnamed;
         let is_held_back = |pool: &Arc<str>, version: Version| {
             let pool = pool.clone();
-            let since = unnamed.get(&Name { pool, version });
-            since.is_some_and(is_recent)
+            let unnamed = unnamed.get(&Name { pool, version });
+            unnamed.is_some_and(is_recent)
         };
         let mut changed = Vec::new();
         let mut are_held = false;
--- a/crates/node/src/version_names.rs
+++ b/crates/node/src/version_names.rs
@@ -5,11 +5,11 @@
 use rand::RngExt;
 use wellplank_core::{
     informer_io::Consistency,
-    names::{Call, Name},
+    names::{Call, NAMING_MS, Name},
     version::Version,
 };
 
-/// Key prefix of the names. The rest of a key is the number of the version, its value the name of the pool.
+/// Key prefix of the names. The rest of a key is the number of the version and that of its pool, its value the name of the pool.
 const PREFIX: &str = "wellplank/versions/";
 
 /// Time-out of a call. Streams of unknown origin wait for a read, and capacity may for a write.
@@ -22,6 +22,16 @@
 /// Longest time between two attempts.
 const RETRY_INTERVAL_MAX: Duration = Duration::from_secs(3);
 
+/// Time for which names are looked for and written; the core asks again for those whose versions are still listed then.
+const NAMING_TIME: Duration = Duration::from_millis(NAMING_MS);
+
+/// Time after which instances that do not write names do, for each instance before them in the order of those that write: entries of
+/// instances that are lost last for seconds, and upstreams get work without a name behind 1.5 s.
+const STAND_IN_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Time in which a name that is written by others is found, before any other instance writes it.
+const STAND_IN_AFTER: Duration = Duration::from_millis(600);
+
 /// Time over which instances of a large fleet spread their first look at whether another one has written a name.
 const SPREAD: Duration = Duration::from_millis(200);
 
@@ -69,27 +79,21 @@
         };
         let mut availability = session.client.availability();
         let mut era = availability.borrow().era();
-        // Those that upstreams were last known to have, to be named again once the store was restored from a backup.
-        let mut kept: BTreeSet<Name> = BTreeSet::new();
         loop {
             let call = tokio::select! {
                 call = self.calls.recv() => call,
                 Ok(()) = availability.changed() => {
-                    let current = availability.borrow_and_update().era();
-                    if std::mem::replace(&mut era, current) == current || kept.is_empty() {
-                        continue;
+                    let current_era = availability.borrow_and_update().era();
+                    if current_era > era {
+                        era = current_era;
+                        session.driver.send_event(Event::NamesLost);
                     }
-                    Some(Call::Name(kept.iter().cloned().collect()))
+                    continue;
                 }
             };
             let Some(call) = call else {
                 return;
             };
-            match &call {
-                Call::Forget(name) => drop(kept.remove(name)),
-                Call::Name(names) => kept.extend(names.iter().cloned()),
-                Call::Read(_) => {}
-            }
             let session = session.clone();
             match call {
                 Call::Forget(name) if session.is_writer() => {
@@ -113,9 +117,18 @@
         self.own.persists_streams(&self.members.borrow())
     }
 
+    /// Time after which this instance writes names in place of those that write for all.
+    fn stand_in_time(&self) -> Duration {
+        let before = self.own.count_before(self.members.borrow().keys());
+        STAND_IN_AFTER + STAND_IN_INTERVAL * before as u32
+    }
+
     async fn read(&self, consistency: Consistency) -> Result<Vec<Name>, Error> {
         let read = self.client.read_prefix(PREFIX, CALL_TIMEOUT, consistency);
-        let (items, _) = read.await?;
+        let (items, position) = read.await?;
+        if position.era < self.client.availability().borrow().era() {
+            return Err(Error::Store(format!("{PREFIX}: read before a restore")));
+        }
         let names: Vec<Name> = items.iter().filter_map(decode).collect();
         let pools: BTreeSet<&Arc<str>> = names.iter().map(|name| &name.pool).collect();
         let is_several = pools.len() < names.len();
@@ -143,16 +156,26 @@
             let delay = rand::rng().random_range(Duration::ZERO..SPREAD);
             sleep(delay).await;
         }
+        let begun = Instant::now();
         let mut pause = RETRY_INTERVAL;
         loop {
-            if let Ok(known) = self.read(Consistency::Serializable).await {
+            let stands_in = !self.is_writer() && begun.elapsed() >= self.stand_in_time();
+            // What only an old copy lacks is not written by one more.
+            let consistency = if stands_in {
+                Consistency::Linearizable
+            } else {
+                Consistency::Serializable
+            };
+            let read = self.read(consistency).await;
+            let is_read = read.is_ok();
+            if let Ok(known) = read {
                 names.retain(|name| !known.contains(name));
                 self.driver.send_event(Event::VersionsNamed(known));
             }
-            if !names.is_empty() && self.is_writer() {
+            if !names.is_empty() && (self.is_writer() || stands_in && is_read) {
                 self.write_all(&mut names).await;
             }
-            if names.is_empty() {
+            if names.is_empty() || begun.elapsed() + pause >= NAMING_TIME {
                 return;
             }
             sleep(pause).await;
@@ -197,14 +220,15 @@
     }
 }
 
-/// Key of a name.
+/// Key of a name. Pools whose upstreams state no version have the same number for it.
 fn key(name: &Name) -> String {
-    format!("{PREFIX}{:016x}", name.version.0)
+    let pool = wellplank_core::upstream::id(&name.pool);
+    format!("{PREFIX}{:016x}-{pool:016x}", name.version.0)
 }
 
 /// The name in an item of the store; `None` if another program wrote it.
 fn decode(item: &platform::store::Item) -> Option<Name> {
-    let version = item.key.strip_prefix(PREFIX)?;
+    let (version, _) = item.key.strip_prefix(PREFIX)?.split_once('-')?;
     let version = Version(u64::from_str_radix(version, 16).ok()?);
     let pool = std::str::from_utf8(item.bytes().ok()?).ok()?;
     let pool = pool.into();
