Read settings that are written while an instance waits for a port

An instance that waited for a port took no note of settings written meanwhile: the time of its file was looked up behind the wait, so that the file seemed unchanged until the next change or SIGHUP. Since ports are waited for that time is up to 90 s; before it was none. The file is watched from before the wait. settings_that_are_written_during_the_wait_for_a_port_are_read: not read within 20 s before, read now.

--- a/crates/node/src/hosted.rs
+++ b/crates/node/src/hosted.rs
@@ -88,7 +88,9 @@
 pub async fn run(path: PathBuf, settings: Settings, hosted: Hosted) -> Result<(), Error> {
     let termination = instance::wait_for_termination();
     tokio::pin!(termination);
-    let start = Instance::start(settings.clone(), hosted);
+    // Changes of the file count from here: ports may be waited for.
+    let mut settings_watcher = reload::SettingsWatcher::new(path, settings.clone());
+    let start = Instance::start(settings, hosted);
     let mut instance = tokio::select! {
         // A signal that came before the ports were bound leads to a planned stop too.
         biased;
@@ -98,7 +100,6 @@
             return Ok(());
         }
     };
-    let mut settings_watcher = reload::SettingsWatcher::new(path, settings);
     let driver = instance.driver.clone();
     loop {
         tokio::select! {
--- a/crates/node/tests/ends.rs
+++ b/crates/node/tests/ends.rs
@@ -678,3 +678,22 @@
         expect_that!(process.has_line("ends by itself"), eq(true));
     }
 }
+
+/// Guards against settings that are not in force though their file holds them: it was written while a port was waited for.
+#[gtest]
+fn settings_that_are_written_during_the_wait_for_a_port_are_read() {
+    let taken = Taken::new(Use::Listener);
+    let mut settings = with_port(hosted_settings(), "/listen/callers", taken.address);
+    let mut process = Process::starting(&settings);
+    expect_that!(
+        process.wait_for_line("port can not be bound, trying again"),
+        eq(true)
+    );
+    settings["hosted"]["grace_ms"] = 5_000.into();
+    std::fs::write(process.settings_file(), settings.to_string()).unwrap();
+    drop(taken);
+    expect_that!(process.wait_for_line("started"), eq(true));
+    expect_that!(process.wait_for_line("settings read again"), eq(true));
+    process.signal("-TERM");
+    expect_that!(end(process.wait()), eq((true, None)));
+}
