Show two ways in which streams of unknown origin may still be joined behind a start

Two tests, committed failing: an instance that starts beside two versions of a pool sends streams to one that is not named yet, and one that starts behind the move of a route takes up streams of unknown origin at the service that the route names now. Both need a stream whose record is nowhere.

--- a/crates/core/tests/relay/names.rs
+++ b/crates/core/tests/relay/names.rs
@@ -350,3 +350,42 @@
     expect_that!(test.sent().len(), gt(0));
     count
 }
+
+/// Guards against streams of a version that nobody has named yet: it joined while all instances were lost, and another instance
+/// that started with an older copy of the list does not know of it.
+#[gtest]
+fn starting_instance_gives_no_stream_to_one_of_several_versions_before_it_is_named() {
+    let mut test = Test::without_configuration().naming_versions();
+    test.handle(Event::Config(Arc::new(configuration(1))));
+    let new = (3..6).map(|index| of_version(index, "v2"));
+    test.list(old().into_iter().chain(new).collect());
+    for _ in 0..10 {
+        test.request(STREAM);
+    }
+    expect_that!(test.sent(), not(contains(field!(&Sent.upstream, ge(3)))));
+    test.handle(Event::VersionsNamed(vec![name("v1")]));
+    for _ in 0..10 {
+        test.request(STREAM);
+    }
+    expect_that!(test.sent(), not(contains(field!(&Sent.upstream, ge(3)))));
+    test.handle(Event::VersionsNamed(vec![name("v2")]));
+    for _ in 0..10 {
+        test.request(STREAM);
+    }
+    expect_that!(test.sent(), contains(field!(&Sent.upstream, ge(3))));
+}
+
+/// Guards against streams that go on at the service that their route has moved to, at an instance that started behind the move.
+#[gtest]
+fn stream_of_unknown_origin_does_not_go_on_at_an_instance_that_started_behind_the_move_of_its_route()
+ {
+    let mut test = Test::without_configuration().naming_versions();
+    let moved = stream_version::streaming_to(2, &["other"]);
+    test.handle(Event::Config(Arc::new(moved)));
+    test.list(two_pools());
+    test.handle(Event::VersionsNamed(names_of_two_pools()));
+    test.advance(1_000);
+    take_up(&mut test);
+    end_read_of_two_pools(&mut test);
+    expect_that!(test.sent(), is_empty());
+}
