--- a/crates/core/src/names.rs
+++ b/crates/core/src/names.rs
@@ -2,8 +2,9 @@
 //!
 //! What an instance has not seen is no evidence: its memory begins with its start, and lacks what came while it stood still or
 //! was cut off. So the store names the versions of each pool, and an upstream gets new streams once its version is named. A
-//! stream of unknown origin may then go on where a read of the names that began behind its arrival shows a single version:
-//! whatever instance began it, had to name its version first.
+//! stream of unknown origin may then go on where a read of the names that began behind its arrival shows a single version.
+//! Work goes to a version without a name only where capacity counts for more: behind [`HOLD_MS`], where no other upstream of
+//! the pool can take it, and at an instance that starts and has not read the names yet.
 
 use super::*;
 
