Show the memory of the process and how long its core task was held up

An end by the limit of memory left no line and no figure, and nothing told a task that keeps the one thread from a machine that is short of processor time. Cost: one read of a file of the system twice a second.

--- a/crates/node/src/driver.rs
+++ b/crates/node/src/driver.rs
@@ -193,6 +193,7 @@
     peers: HashMap<u64, SocketAddr>,
     pooled: HttpClient,
     probes: HttpClient,
+    process_state: process_state::ProcessState,
     names: mpsc::UnboundedSender<wellplank_core::names::Call>,
     quarantine_updates: mpsc::UnboundedSender<store_writer::QuarantineUpdate>,
     receiver: mpsc::UnboundedReceiver<Message>,
@@ -279,6 +280,7 @@
             peers: HashMap::new(),
             pooled: HttpClient::pooled(),
             probes: HttpClient::metered(&outputs.traffic),
+            process_state: process_state::ProcessState::new(),
             names: outputs.names,
             quarantine_updates: outputs.quarantine_updates,
             receiver,
@@ -433,6 +435,7 @@
                     if let Some(suspended_ms) = self.clock.detect_suspension() {
                         warn!(suspended_ms; "resumed");
                     }
+                    self.process_state.record_tick();
                     self.report_reads();
                     self.handle_event(Event::Tick);
                     self.set_gauges();
@@ -539,6 +542,7 @@
         if self.gauges_set_at.elapsed() >= GAUGE_INTERVAL {
             self.gauges_set_at = Instant::now();
             self.meter.set_buffers(self.core.buffers());
+            self.process_state.report(&self.meter, self.core.running());
         }
     }
 
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -42,6 +42,7 @@
 mod plain;
 mod platform_store;
 mod probe;
+mod process_state;
 mod relay;
 mod reload;
 mod reply;
--- a/crates/node/src/meter.rs
+++ b/crates/node/src/meter.rs
@@ -40,6 +40,8 @@
     instances: IntGauge,
     paused_streams: IntGauge,
     registry: Registry,
+    resident: IntGauge,
+    tick_gap: IntGauge,
 }
 
 impl Latency {
@@ -113,6 +115,16 @@
             "Streams that are not read, since their callers do not read.",
         )
         .expect("the metric name is valid");
+        let resident = IntGauge::new(
+            "wellplank_resident_bytes",
+            "Resident memory of the process.",
+        )
+        .expect("the metric name is valid");
+        let tick_gap = IntGauge::new(
+            "wellplank_tick_gap_ms",
+            "Longest time between two ticks of the core task in the last half second.",
+        )
+        .expect("the metric name is valid");
         let registry = Registry::new();
         for collector in [
             Box::new(counters.clone()) as Box<dyn prometheus::core::Collector>,
@@ -121,6 +133,8 @@
             Box::new(customer_bytes.clone()),
             Box::new(instances.clone()),
             Box::new(paused_streams.clone()),
+            Box::new(resident.clone()),
+            Box::new(tick_gap.clone()),
         ] {
             registry
                 .register(collector)
@@ -135,6 +149,8 @@
             instances,
             paused_streams,
             registry,
+            resident,
+            tick_gap,
         }
     }
 
@@ -150,6 +166,16 @@
         self.instances.set(instances.into());
     }
 
+    /// Sets the resident memory of the process, in bytes.
+    pub fn set_resident(&self, bytes: u64) {
+        self.resident.set(bytes.cast_signed());
+    }
+
+    /// Sets the longest recent time between two ticks of the core task.
+    pub fn set_tick_gap(&self, gap: Duration) {
+        self.tick_gap.set(gap.as_millis() as i64);
+    }
+
     /// Sets the gauges of what is held for callers and upstreams.
     pub fn set_buffers(&self, buffers: &Buffers) {
         let set = |gauges: &IntGaugeVec, labels: &[&str], bytes: u64| {
--- a/crates/standin/tests/logs.rs
+++ b/crates/standin/tests/logs.rs
@@ -248,6 +248,31 @@
     });
 }
 
+/// Guards against a process that the system ends for its memory, or whose thread one task keeps, without a figure that shows it.
+#[gtest]
+fn page_has_the_memory_of_the_process_and_the_gap_between_ticks() {
+    run(async || {
+        let test = Test::start(true).await;
+        let value = |page: &str, name: &str| {
+            let line = page.lines().find_map(|line| line.strip_prefix(name))?;
+            line.trim().parse::<u64>().ok()
+        };
+        let end = Instant::now() + PATIENCE;
+        let (resident, gap) = loop {
+            let page = test.page().await;
+            let resident = value(&page, "wellplank_resident_bytes").unwrap_or(0);
+            let gap = value(&page, "wellplank_tick_gap_ms").unwrap_or(0);
+            if (resident > 0 && gap > 0) || Instant::now() >= end {
+                break (resident, gap);
+            }
+            sleep(Duration::from_millis(50)).await;
+        };
+        // A program with its libraries takes more than a mebibyte, and ticks are 10 ms apart.
+        expect_that!(resident, gt(1 << 20));
+        expect_that!(gap, ge(9));
+    });
+}
+
 #[gtest]
 fn settings_are_read_again_on_a_signal_and_faults_change_nothing() {
     run(async || {
