Bound what is read of an upstream's head and whole body

Callers saw requests end with their instance: an upstream that never ended a body had the instance keep it all, and informational heads without end kept its one thread from every other task. A body was collected without a bound, and a connection that finds bytes at each read never gives way.

A connection to an upstream now fails after 64 KiB before the head of the answer is complete, and gives way after 32 KiB. A whole body is copied into at most core.answers.body_bytes; all answers that an instance is reading share core.answers.instance_bytes, beyond which the largest is ended. The end is logged with the bound and the bytes, counted as answer_bound.BOUND, and handled as an exchange that broke off: a request that may be repeated goes elsewhere, another one has its 502 at once.

--- a/crates/core/src/counter.rs
+++ b/crates/core/src/counter.rs
@@ -8,6 +8,8 @@
 pub enum Counter {
     /// Requests admitted.
     Admitted,
+    /// Answers of upstreams that were not read to their end, by the bound that they exceeded.
+    AnswerBound(AnswerBound),
     /// Requests that received a complete response.
     Answered,
     /// Requests sent to an upstream that breaks off, to find out whether it answers.
@@ -109,6 +111,30 @@
     UpstreamLost,
 }
 
+/// A bound on what is read of an upstream's answer.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub enum AnswerBound {
+    /// Of a whole body.
+    Body,
+    /// Of an event.
+    Event,
+    /// Of the head, informational ones included.
+    Head,
+    /// Of all answers together that an instance is reading.
+    Instance,
+}
+
+impl Display for AnswerBound {
+    fn fmt(&self, formatter: &mut Formatter) -> fmt::Result {
+        formatter.write_str(match self {
+            Self::Body => "body",
+            Self::Event => "event",
+            Self::Head => "head",
+            Self::Instance => "instance",
+        })
+    }
+}
+
 /// A duration that is measured.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub enum Timing {
@@ -202,6 +228,7 @@
             Self::BreaksOff => write!(formatter, "upstream.breaks_off"),
             Self::BreakOffProbe => write!(formatter, "upstream.breaks_off_probe"),
             Self::Admitted => write!(formatter, "admitted"),
+            Self::AnswerBound(bound) => write!(formatter, "answer_bound.{bound}"),
             Self::Answered => write!(formatter, "answered"),
             Self::CallerGone => write!(formatter, "caller_gone"),
             Self::CallAtOwnSlot => write!(formatter, "call.own_slot"),
--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -393,6 +393,27 @@
     }
 }
 
+/// Limits on the bytes that are read of upstreams' answers.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct AnswerLimits {
+    /// Bytes of a whole answer beyond which it is not read.
+    pub body_bytes: u64,
+    /// Bytes of an event beyond which its stream is not read.
+    pub event_bytes: u64,
+    /// Bytes of all answers that an instance is reading beyond which the largest is ended.
+    pub instance_bytes: u64,
+}
+
+impl Default for AnswerLimits {
+    fn default() -> Self {
+        Self {
+            body_bytes: 16 << 20,
+            event_bytes: 2 << 20,
+            instance_bytes: 48 << 20,
+        }
+    }
+}
+
 /// Limits on the bytes of events that wait for callers; 0 for none.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct UnreadLimits {
@@ -479,6 +500,8 @@
 /// Settings of the core, constant for the lifetime of an instance.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
+    /// Limits on what is read of upstreams' answers.
+    pub answers: AnswerLimits,
     /// Maximum number of attempts per request.
     pub attempts_max: u32,
     /// Limits on calls of plain services.
@@ -573,6 +596,7 @@
 impl Default for Settings {
     fn default() -> Self {
         Self {
+            answers: AnswerLimits::default(),
             attempts_max: 8,
             calls: CallLimits::default(),
             claim_retry_ms: 250,
--- a/crates/node/src/connection.rs
+++ b/crates/node/src/connection.rs
@@ -57,20 +57,27 @@
     Ok(())
 }
 
-/// Sends a request over a new connection and reads the response up to its headers. An error may mean that the request runs.
+/// Sends a request over a new connection and reads the response up to its headers, which are bounded. An error may mean that
+/// the request runs.
 pub(crate) async fn send(
     connection: impl AsyncRead + AsyncWrite + Send + Unpin + 'static,
     mut request: Request<http::Body>,
 ) -> Result<hyper::Response<hyper::body::Incoming>, hyper::Error> {
     use_origin_form(&mut request);
-    let (mut sender, connection) =
-        hyper::client::conn::http1::handshake(TokioIo::new(connection)).await?;
+    let limit = ReceiveLimit::new(bounded_connection::HEAD_BYTES_MAX as u64);
+    let connection = BoundedConnection::new(connection, limit.clone());
+    let (mut sender, connection) = hyper::client::conn::http1::Builder::new()
+        .max_buf_size(bounded_connection::HEAD_BYTES_MAX)
+        .handshake(TokioIo::new(connection))
+        .await?;
     tokio::spawn(async move {
         if let Err(error) = connection.await {
             debug!("connection for a relayed request: {error}");
         }
     });
-    sender.send_request(request).await
+    let response = sender.send_request(request).await?;
+    limit.lift();
+    Ok(response)
 }
 
 /// Moves the authority of a request's URI to the `host` header, unless it has one.
--- a/crates/node/src/core_settings.rs
+++ b/crates/node/src/core_settings.rs
@@ -4,15 +4,17 @@
 use reader::Reader;
 use settings::MILLIS_MAX;
 use wellplank_core::settings::{
-    CallAdmission, CallLimits, CallPlacement, CapacityLimits, LimitHolders, LivenessMethod,
-    PlacementWeights, QuarantineRule, ResumeMode, RetryBound, Routing, Settings, SharedSettings,
-    ShutdownPolicy, UnreadLimits, UrgencyMode, UrgencySettings, VersionPolicy, Yielding,
+    AnswerLimits, CallAdmission, CallLimits, CallPlacement, CapacityLimits, LimitHolders,
+    LivenessMethod, PlacementWeights, QuarantineRule, ResumeMode, RetryBound, Routing, Settings,
+    SharedSettings, ShutdownPolicy, UnreadLimits, UrgencyMode, UrgencySettings, VersionPolicy,
+    Yielding,
 };
 
 /// The section with all settings at their defaults.
 pub(crate) fn defaults() -> Value {
     let core = Settings::default();
     json!({
+        "answers": default_answers(&core),
         "attempts_max": core.attempts_max,
         "calls": default_calls(&core),
         "claim_retry_ms": core.claim_retry_ms,
@@ -57,6 +59,15 @@
     })
 }
 
+/// Limits on what is read of answers, at their defaults.
+fn default_answers(core: &Settings) -> Value {
+    json!({
+        "body_bytes": core.answers.body_bytes,
+        "event_bytes": core.answers.event_bytes,
+        "instance_bytes": core.answers.instance_bytes,
+    })
+}
+
 /// Limits of calls at their defaults.
 fn default_calls(core: &Settings) -> Value {
     json!({
@@ -168,6 +179,7 @@
     let attempts_max = u64::from(default.attempts_max);
     let tokens_max = u64::from(default.tokens_max);
     let settings = Settings {
+        answers: read_answers(reader.section("answers")),
         attempts_max: reader.number("attempts_max", attempts_max, 1..=100) as u32,
         calls: read_calls(reader.section("calls")),
         claim_retry_ms,
@@ -215,6 +227,18 @@
     settings
 }
 
+fn read_answers(mut reader: Reader) -> AnswerLimits {
+    let default = AnswerLimits::default();
+    let mut bytes = |name: &str, default: u64| reader.number(name, default, 1 << 16..=1 << 40);
+    let answers = AnswerLimits {
+        body_bytes: bytes("body_bytes", default.body_bytes),
+        event_bytes: bytes("event_bytes", default.event_bytes),
+        instance_bytes: bytes("instance_bytes", default.instance_bytes),
+    };
+    reader.finish();
+    answers
+}
+
 fn read_calls(mut reader: Reader) -> CallLimits {
     let default = CallLimits::default();
     let calls = CallLimits {
--- a/crates/node/src/driver.rs
+++ b/crates/node/src/driver.rs
@@ -1,7 +1,9 @@
 //! The core task: owns the core, feeds events into it and executes its effects.
 
 use super::*;
-use wellplank_core::{buffer::Buffers, counter, members::View, open_request::OpenRequest};
+use wellplank_core::{
+    buffer::Buffers, counter, members::View, open_request::OpenRequest, settings::AnswerLimits,
+};
 
 /// Interval between ticks of the core.
 const TICK_INTERVAL: Duration = Duration::from_millis(10);
@@ -169,9 +171,12 @@
 
 /// State of the core task.
 struct Task {
+    answers: AnswerLimits,
     attempts: HashMap<attempt::Key, RunningAttempt>,
     /// Messages that were received and are not handled yet, the last one first.
     batch: Vec<Message>,
+    /// Bound on all answers that are being read.
+    budget: ReadBudget,
     callers: HashMap<Caller, PendingCaller>,
     claims: mpsc::UnboundedSender<claimer::PendingClaim>,
     clock: Clock,
@@ -261,8 +266,10 @@
             core = core.restoring_streams().naming_versions();
         }
         let task = Task {
+            answers: settings.core.answers,
             attempts: HashMap::new(),
             batch: Vec::with_capacity(BATCH_SIZE),
+            budget: ReadBudget::new(settings.core.answers.instance_bytes),
             callers: HashMap::new(),
             claims: outputs.claims,
             clock,
@@ -925,10 +932,12 @@
         let exchange = forward::Exchange {
             address,
             attempt,
+            budget: self.budget.clone(),
             caller: *caller,
             driver: self.driver.clone(),
             gateway,
             incarnation: self.core.incarnation(upstream)?,
+            limits: self.answers,
             paused,
             request_id: original.request_id.clone(),
             streams: *streams,
@@ -995,6 +1004,13 @@
         }
     }
 
+    /// Applies new settings; attempts that are in progress keep their own bounds.
+    fn configure(&mut self, settings: wellplank_core::settings::Settings) {
+        self.answers = settings.answers;
+        self.budget.set_max(settings.answers.instance_bytes);
+        self.core.configure(settings);
+    }
+
     fn tunnel_target(&mut self, incarnation: Incarnation) -> Result<TunnelTarget, Option<u64>> {
         let target = self.core.tunnel_target(incarnation);
         let (upstream, address) = target.ok_or_else(|| self.core.known_gateway())?;
@@ -1057,7 +1073,7 @@
                     self.handle_event(event);
                 }
             }
-            Message::Settings(settings) => self.core.configure(*settings),
+            Message::Settings(settings) => self.configure(*settings),
             Message::Status(sender) => {
                 let _ = sender.send(self.status());
             }
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -1,9 +1,10 @@
 //! Forwards relayed requests to upstreams, and the responses back, without changing their bodies.
 
 use super::*;
+use bounded_connection::Exceeded;
 use platform::response::Classification;
 use request_log::Break;
-use wellplank_core::notice::Notice;
+use wellplank_core::{counter::AnswerBound, notice::Notice, settings::AnswerLimits};
 
 /// A request as its caller sent it.
 #[derive(Debug)]
@@ -46,12 +47,16 @@
     pub attempt: attempt::Key,
     /// The caller that sent the request.
     pub caller: Caller,
+    /// Bound on all answers that the instance is reading.
+    pub budget: ReadBudget,
     /// Handle of the core task.
     pub driver: Driver,
     /// Address of the instance through which the request is sent; `None` for a connection of this one.
     pub gateway: Option<SocketAddr>,
     /// Incarnation of the upstream.
     pub incarnation: Incarnation,
+    /// Bounds on the response.
+    pub limits: AnswerLimits,
     /// Whether the events of the response are not read, since the caller does not read.
     pub paused: watch::Receiver<bool>,
     /// Request ID, which the response must repeat.
@@ -131,7 +136,31 @@
             self.driver.send_event(Event::Connected(self.attempt));
             connection::send(connection, request).await
         };
-        response.map_err(|error| self.broken(Break::Head(&error)))
+        response.map_err(|error| match Exceeded::of(&error) {
+            Some(exceeded) => self.exceeded(AnswerBound::Head, exceeded.bytes),
+            None => self.broken(Break::Head(&error)),
+        })
+    }
+
+    /// Reads a whole body.
+    async fn read_whole(&self, body: hyper::body::Incoming) -> Result<Bytes, Failure> {
+        let share = self.budget.share();
+        let body = whole_body::read(body, self.limits.body_bytes, &share).await;
+        body.map_err(|error| self.unread(error))
+    }
+
+    /// Counts and logs that the answer exceeded a bound.
+    fn exceeded(&self, bound: AnswerBound, bytes: u64) -> Failure {
+        self.driver.count(Counter::AnswerBound(bound));
+        self.broken(Break::Bound(bound, bytes))
+    }
+
+    /// The failure of a body that was not read to its end.
+    fn unread(&self, error: whole_body::Error<hyper::Error>) -> Failure {
+        match error {
+            whole_body::Error::Bound { bound, bytes } => self.exceeded(bound, bytes),
+            whole_body::Error::Broken(error) => self.broken(Break::Body(&error)),
+        }
     }
 
     /// Logs how the exchange broke off.
@@ -181,12 +210,8 @@
                 self.read_stream(body, has_end_marker).await
             }
             Classification::Unary(verdict) => {
-                let body = body.collect().await;
-                let body = body.map_err(|error| self.broken(Break::Body(&error)))?;
-                let response = CompleteResponse {
-                    body: body.to_bytes(),
-                    head,
-                };
+                let body = self.read_whole(body).await?;
+                let response = CompleteResponse { body, head };
                 let event = Event::Answered {
                     attempt: self.attempt,
                     verdict,
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,5 +1,8 @@
 //! One instance of wellplank: the core and the tasks that own its sockets.
 
+// The settings file at its defaults is one `json!` of more entries than the default limit permits.
+#![recursion_limit = "256"]
+
 pub mod arguments;
 pub mod clock;
 pub mod declaration;
@@ -17,6 +20,7 @@
 pub mod store_writer;
 pub mod tasks;
 
+mod bounded_connection;
 mod caller;
 mod calls;
 mod claim_forwarder;
@@ -42,6 +46,7 @@
 mod plain;
 mod platform_store;
 mod probe;
+mod read_budget;
 mod relay;
 mod reload;
 mod reply;
@@ -55,11 +60,13 @@
 mod unanswered;
 mod unknown_headers;
 mod version_names;
+mod whole_body;
 
 pub use {caller::fingerprint, clock::Clock, error::Error, instance::Instance, settings::Settings};
 
 use {
     base64::{Engine as _, prelude::BASE64_STANDARD, prelude::BASE64_URL_SAFE_NO_PAD},
+    bounded_connection::{BoundedConnection, ReceiveLimit},
     bytes::{Bytes, BytesMut},
     cadence::{Counted, MetricSink, QueuingMetricSink, StatsdClient, UdpMetricSink},
     clap::{Arg, ArgMatches, Command},
@@ -76,6 +83,7 @@
     log::{debug, error, info, warn},
     outlet::Outlet,
     prost::Message as _,
+    read_budget::ReadBudget,
     reader::{Fault, Reader},
     reply::Reply,
     salvo::{Router, Server, conn::tcp::TcpAcceptor},
--- a/crates/node/src/request_log.rs
+++ b/crates/node/src/request_log.rs
@@ -109,6 +109,8 @@
 pub(crate) enum Break<'a> {
     /// The connection ended or failed before the head of the response.
     Head(&'a hyper::Error),
+    /// The answer exceeded a bound, after so many bytes.
+    Bound(counter::AnswerBound, u64),
     /// The connection ended or failed within the body.
     Body(&'a hyper::Error),
     /// The response ended within an event.
@@ -119,9 +121,15 @@
 
 /// Logs that an exchange with an upstream broke off.
 pub(crate) fn log_break(request: &str, upstream: &str, broken: Break<'_>) {
+    if let Break::Bound(bound, bytes) = broken {
+        let bound = bound.to_string();
+        warn!(request, upstream, stage = "bound", bound, bytes; "exchange broke off");
+        return;
+    }
     let (stage, error) = match broken {
         Break::Head(error) => ("head", Some(error)),
         Break::Body(error) => ("body", Some(error)),
+        Break::Bound(..) => ("bound", None),
         Break::Partial => ("partial_event", None),
         Break::Event => ("malformed_event", None),
     };
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod cuts;
 pub mod demo;
 pub mod departure;
+pub mod endless;
 pub mod engine;
 pub mod fake;
 pub mod fleet;
--- a/crates/standin/src/worker.rs
+++ b/crates/standin/src/worker.rs
@@ -2,9 +2,10 @@
 //! copies of other upstreams' streams, and can fail in every way that one may.
 
 use super::*;
+use endless::Endless;
 use std::sync::{
     Arc, Mutex,
-    atomic::{AtomicBool, Ordering},
+    atomic::{AtomicBool, AtomicU64, Ordering},
 };
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -51,6 +52,8 @@
 pub enum Mode {
     /// Breaks an answer off in its middle, and a stream within an event.
     Cut,
+    /// Answers without an end.
+    Endless(Endless),
     /// Answers with a body that was encoded.
     Encoded,
     /// Writes a second answer behind each.
@@ -251,6 +254,8 @@
     room: Option<Room>,
     /// Slots, as its entry says.
     pub slots: usize,
+    /// Bytes of answers without an end that it could write.
+    written: Arc<AtomicU64>,
 }
 
 /// A request that runs; its end is noted in the ledger however it ends.
@@ -296,6 +301,7 @@
             room: None,
             slots: SLOTS,
             version: VERSION,
+            written: Arc::default(),
         }
     }
 
@@ -358,6 +364,11 @@
         Some([running, held.saturating_sub(running), self.slots])
     }
 
+    /// Bytes of answers without an end that it could write.
+    pub fn written(&self) -> u64 {
+        self.written.load(Ordering::Relaxed)
+    }
+
     /// How a request has ended it, once nothing listens there any more, as with a process: its listener is closed before its
     /// connections break. Whoever holds its runtime is to end that too.
     pub fn crash(&self) -> Option<Crash> {
@@ -502,6 +513,10 @@
         if mode == Mode::Garbage {
             return connection.write_all(b"\x00\x01 no answer \r\n\r\n").await;
         }
+        if let Mode::Endless(endless) = mode {
+            let head = head(run, 200, mode, self.remark());
+            return endless.write(connection, &head, &self.written).await;
+        }
         if run.header("wellplank-token-usage").is_empty() {
             if mode == Mode::Paced {
                 sleep(PACED_CALL).await;
