Bound an event and the events that wait for the core task

Callers saw requests end with their instance: an upstream whose event had no end filled its memory, and one whose events had no end queued them faster than the core task handled them. The reader kept an event until its empty line, moved all bytes behind an event for each event of a read, and the queue of the core task had no bound.

An event ends its stream beyond core.answers.event_bytes, and an incomplete one counts among the answers that an instance is reading. Events are split off without moving the rest.

--- a/crates/node/src/driver.rs
+++ b/crates/node/src/driver.rs
@@ -1,6 +1,7 @@
 //! The core task: owns the core, feeds events into it and executes its effects.
 
 use super::*;
+use tokio::sync::OwnedSemaphorePermit;
 use wellplank_core::{
     buffer::Buffers, counter, members::View, open_request::OpenRequest, settings::AnswerLimits,
 };
@@ -31,6 +32,8 @@
     Count(Counter),
     /// An event for the core.
     Event(Event),
+    /// An event of a relayed stream, and its places in the queue.
+    StreamEvent(Event, OwnedSemaphorePermit),
     /// A request to relay: its submission, the original request, and the channel for its replies with the outlet at its
     /// other end.
     Relay(
@@ -227,6 +230,11 @@
         self.send(Message::Event(event));
     }
 
+    /// Queues an event of a relayed stream, which holds its places until the core has handled it.
+    pub(crate) fn send_stream_event(&self, event: Event, places: OwnedSemaphorePermit) {
+        self.send(Message::StreamEvent(event, places));
+    }
+
     /// Ends every open request, as a graceful shutdown ends; returns how many there were.
     pub(crate) async fn end_shutdown(&self) -> usize {
         let (sender, receiver) = oneshot::channel();
@@ -368,7 +376,9 @@
         match self {
             Self::Count(_) => "count",
             Self::EndShutdown(_) => "end_shutdown",
-            Self::Event(event) | Self::Response(_, _, _, event) => event.name(),
+            Self::Event(event) | Self::Response(_, _, _, event) | Self::StreamEvent(event, _) => {
+                event.name()
+            }
             Self::Members(..) => "members",
             Self::Relay(..) | Self::Submit(..) => "submit",
             Self::Settings(_) => "settings",
@@ -1077,6 +1087,10 @@
             Message::Status(sender) => {
                 let _ = sender.send(self.status());
             }
+            Message::StreamEvent(event, places) => {
+                self.handle_event(event);
+                drop(places);
+            }
             Message::Submit(submission, replies) => {
                 let pending = PendingCaller {
                     has_head: false,
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -2,7 +2,9 @@
 
 use super::*;
 use bounded_connection::Exceeded;
+use event_queue::EventQueue;
 use platform::response::Classification;
+use read_budget::Share;
 use request_log::Break;
 use wellplank_core::{counter::AnswerBound, notice::Notice, settings::AnswerLimits};
 
@@ -258,10 +260,17 @@
         mut body: hyper::body::Incoming,
         has_end_marker: bool,
     ) -> Result<(), Failure> {
-        let mut buffer = Vec::new();
+        let share = self.budget.share();
+        let queue = EventQueue::new();
+        let mut buffer = BytesMut::new();
         // Bytes of an event are searched once, however many frames it arrives in.
         let mut searched = 0;
-        while let Some(frame) = self.next_frame(&mut body).await {
+        loop {
+            let frame = tokio::select! {
+                frame = self.next_frame(&mut body) => frame,
+                () = share.ended() => return Err(self.used_up(&buffer)),
+            };
+            let Some(frame) = frame else { break };
             let frame = frame.map_err(|error| self.broken(Break::Body(&error)))?;
             let Ok(data) = frame.into_data() else {
                 continue;
@@ -269,16 +278,11 @@
             buffer.extend_from_slice(&data);
             while let Some(end) = event_end(&buffer, searched) {
                 searched = 0;
-                let event: Vec<u8> = buffer.drain(..end).collect();
-                let position = platform::response::position(&event);
-                let position = position.ok_or_else(|| self.broken(Break::Event))?;
-                self.driver.send_event(Event::StreamEvent {
-                    attempt: self.attempt,
-                    bytes: event.into(),
-                    position,
-                });
+                let event = buffer.split_to(end);
+                self.report_event(&event, &queue).await?;
             }
             searched = buffer.len();
+            self.check_partial(&buffer, &share)?;
         }
         if !buffer.is_empty() {
             return Err(self.broken(Break::Partial));
@@ -289,6 +293,37 @@
         });
         Ok(())
     }
+
+    /// Reports an event to the core task once the queue has places for it.
+    async fn report_event(&self, event: &[u8], queue: &EventQueue) -> Result<(), Failure> {
+        let position = platform::response::position(event);
+        let position = position.ok_or_else(|| self.broken(Break::Event))?;
+        let places = queue.places(event.len()).await;
+        let event = Event::StreamEvent {
+            attempt: self.attempt,
+            bytes: event.into(),
+            position,
+        };
+        self.driver.send_stream_event(event, places);
+        Ok(())
+    }
+
+    /// Checks the bounds on an event that is not complete.
+    fn check_partial(&self, buffer: &BytesMut, share: &Share) -> Result<(), Failure> {
+        let bytes = buffer.len() as u64;
+        if bytes > self.limits.event_bytes {
+            return Err(self.exceeded(AnswerBound::Event, bytes));
+        }
+        if share.set(bytes) {
+            return Err(self.used_up(buffer));
+        }
+        Ok(())
+    }
+
+    /// The end of a stream whose incomplete event is the largest of the answers that exceed the instance's bound together.
+    fn used_up(&self, buffer: &BytesMut) -> Failure {
+        self.exceeded(AnswerBound::Instance, buffer.len() as u64)
+    }
 }
 
 /// Length of the first event in a buffer, with the empty line that ends it; `None` if the event is incomplete. The first
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -34,6 +34,7 @@
 mod crash_history;
 mod datagram;
 mod engine;
+mod event_queue;
 mod exchange;
 mod forward;
 mod gossip;
--- a/crates/standin/tests/endless.rs
+++ b/crates/standin/tests/endless.rs
@@ -28,8 +28,9 @@
 /// Bytes that may be on their way in the buffers of a connection's two sockets.
 const SOCKETS: u64 = 16 << 20;
 
-/// Largest whole answer that an instance reads.
+/// Largest whole answer and largest event that an instance reads.
 const BODY: u64 = 16 << 20;
+const EVENT: u64 = 2 << 20;
 
 /// Requests at a faulty upstream at the same time.
 const ASKED: usize = 3;
@@ -181,6 +182,58 @@
     });
 }
 
+/// Guards against an event that is kept without a bound.
+#[gtest]
+fn event_that_does_not_end_is_not_kept() {
+    run(Plan::default(), async |site: Site| {
+        let flooded = flood(
+            &site,
+            &site.engines,
+            Endless::Event,
+            Ask::stream,
+            Ask::again,
+        )
+        .await;
+        for (got, took) in &flooded.answers {
+            expect_that!(got.status.is_success() && got.whole, eq(false));
+            expect_that!(*took, lt(ANSWERED));
+        }
+        expect_that!(flooded.others, lt(OBJECTIVE));
+        let exceeded = count(&site, "answer_bound.event").await;
+        expect_that!(exceeded, ge(ASKED as u64));
+        expect_that!(flooded.written, le(exceeded * (EVENT + SOCKETS)));
+    });
+}
+
+/// Guards against events that fill the queue of the core task.
+#[gtest]
+fn events_that_do_not_end_hold_up_no_other_request() {
+    run(Plan::default(), async |site: Site| {
+        let ask = |run: &str| Ask::stream(run).with("wellplank-timeout-ms", "3000");
+        let flooded = flood(&site, &site.engines, Endless::Events, ask, Ask::again).await;
+        for (got, took) in &flooded.answers {
+            expect_that!(got.whole, eq(false));
+            expect_that!(*took, lt(ANSWERED));
+        }
+        expect_that!(flooded.others, lt(OBJECTIVE));
+    });
+}
+
+/// Guards against events that are read faster than the core task handles them, and wait in its queue.
+#[gtest]
+fn events_that_do_not_end_and_that_no_caller_reads_are_not_kept() {
+    run(Plan::default(), async |site: Site| {
+        for seat in &site.engines {
+            seat.worker.set(Mode::Endless(Endless::Events));
+        }
+        let response = Ask::stream("unread").open(address(&site)).await;
+        sleep(OBJECTIVE).await;
+        let written: u64 = site.engines.iter().map(|seat| seat.worker.written()).sum();
+        expect_that!(written, le(2 * SOCKETS));
+        drop(response);
+    });
+}
+
 /// Guards against bounded answers that together take more than the instance has.
 #[gtest]
 fn answers_that_are_read_together_are_bounded_and_small_ones_go_on() {
