Show the bytes of answers that are being read

Nothing told how much an instance held of answers that had not ended. wellplank_held_bytes has them as reading, and the status as held.reading_bytes.

--- a/crates/node/src/driver.rs
+++ b/crates/node/src/driver.rs
@@ -556,6 +556,7 @@
         if self.gauges_set_at.elapsed() >= GAUGE_INTERVAL {
             self.gauges_set_at = Instant::now();
             self.meter.set_buffers(self.core.buffers());
+            self.meter.set_reading(self.budget.bytes());
         }
     }
 
@@ -1039,6 +1040,10 @@
                 .into_iter()
                 .chain(self.traffic.counts())
                 .chain(held_counts(self.core.buffers()))
+                .chain([schema::Count {
+                    name: "held.reading_bytes".into(),
+                    value: self.budget.bytes(),
+                }])
                 .collect(),
             revision: self.core.revision(),
             running: self.core.running(),
--- a/crates/node/src/meter.rs
+++ b/crates/node/src/meter.rs
@@ -168,6 +168,12 @@
         }
     }
 
+    /// Sets the gauge of the bytes of answers that are being read.
+    pub fn set_reading(&self, bytes: u64) {
+        let gauge = self.held_bytes.with_label_values(&["reading"]);
+        gauge.set(bytes.cast_signed());
+    }
+
     /// All metrics in the Prometheus text format.
     pub fn render(&self) -> Vec<u8> {
         let mut page = Vec::new();
--- a/crates/node/src/read_budget.rs
+++ b/crates/node/src/read_budget.rs
@@ -52,6 +52,11 @@
         self.lock().bytes_max = bytes_max;
     }
 
+    /// Bytes that answers hold now.
+    pub fn bytes(&self) -> u64 {
+        self.lock().total
+    }
+
     /// A share of an answer that holds nothing yet.
     pub fn share(&self) -> Share {
         let mut reading = self.lock();
