--- a/crates/node/src/driver.rs
+++ b/crates/node/src/driver.rs
@@ -1,7 +1,10 @@
 //! The core task: owns the core, feeds events into it and executes its effects.
 
 use super::*;
-use wellplank_core::{buffer::Buffers, counter, members::View, open_request::OpenRequest};
+use tokio::sync::OwnedSemaphorePermit;
+use wellplank_core::{
+    buffer::Buffers, counter, members::View, open_request::OpenRequest, settings::AnswerLimits,
+};
 
 /// Interval between ticks of the core.
 const TICK_INTERVAL: Duration = Duration::from_millis(10);
@@ -29,6 +32,8 @@
     Count(Counter),
     /// An event for the core.
     Event(Event),
+    /// An event of a relayed stream, and its places in the queue.
+    StreamEvent(Event, OwnedSemaphorePermit),
     /// A request to relay: its submission, the original request, and the channel for its replies with the outlet at its
     /// other end.
     Relay(
@@ -169,9 +174,12 @@
 
 /// State of the core task.
 struct Task {
+    answers: AnswerLimits,
     attempts: HashMap<attempt::Key, RunningAttempt>,
     /// Messages that were received and are not handled yet, the last one first.
     batch: Vec<Message>,
+    /// Bound on all answers that are being read.
+    budget: ReadBudget,
     callers: HashMap<Caller, PendingCaller>,
     claims: mpsc::UnboundedSender<claimer::PendingClaim>,
     clock: Clock,
@@ -223,6 +231,11 @@
         self.send(Message::Event(event));
     }
 
+    /// Queues an event of a relayed stream, which holds its places until the core has handled it.
+    pub(crate) fn send_stream_event(&self, event: Event, places: OwnedSemaphorePermit) {
+        self.send(Message::StreamEvent(event, places));
+    }
+
     /// Ends every open request, as a graceful shutdown ends; returns how many there were.
     pub(crate) async fn end_shutdown(&self) -> usize {
         let (sender, receiver) = oneshot::channel();
@@ -262,8 +275,10 @@
             core = core.restoring_streams().naming_versions();
         }
         let task = Task {
+            answers: settings.core.answers,
             attempts: HashMap::new(),
             batch: Vec::with_capacity(BATCH_SIZE),
+            budget: ReadBudget::new(settings.core.answers.instance_bytes),
             callers: HashMap::new(),
             claims: outputs.claims,
             clock,
@@ -363,7 +378,9 @@
         match self {
             Self::Count(_) => "count",
             Self::EndShutdown(_) => "end_shutdown",
-            Self::Event(event) | Self::Response(_, _, _, event) => event.name(),
+            Self::Event(event) | Self::Response(_, _, _, event) | Self::StreamEvent(event, _) => {
+                event.name()
+            }
             Self::Members(..) => "members",
             Self::Relay(..) | Self::Submit(..) => "submit",
             Self::Settings(_) => "settings",
@@ -543,6 +560,7 @@
             self.gauges_set_at = Instant::now();
             self.meter.set_buffers(self.core.buffers());
             self.process_state.report(&self.meter, self.core.running());
+            self.meter.set_reading(self.budget.bytes());
         }
     }
 
@@ -929,10 +947,12 @@
         let exchange = forward::Exchange {
             address,
             attempt,
+            budget: self.budget.clone(),
             caller: *caller,
             driver: self.driver.clone(),
             gateway,
             incarnation: self.core.incarnation(upstream)?,
+            limits: self.answers,
             paused,
             request_id: original.request_id.clone(),
             streams: *streams,
@@ -999,6 +1019,13 @@
         }
     }
 
+    /// Applies new settings; attempts that are in progress keep their own bounds.
+    fn configure(&mut self, settings: wellplank_core::settings::Settings) {
+        self.answers = settings.answers;
+        self.budget.set_max(settings.answers.instance_bytes);
+        self.core.configure(settings);
+    }
+
     fn tunnel_target(&mut self, incarnation: Incarnation) -> Result<TunnelTarget, Option<u64>> {
         let target = self.core.tunnel_target(incarnation);
         let (upstream, address) = target.ok_or_else(|| self.core.known_gateway())?;
@@ -1017,6 +1044,10 @@
                 .into_iter()
                 .chain(self.traffic.counts())
                 .chain(held_counts(self.core.buffers()))
+                .chain([schema::Count {
+                    name: "held.reading_bytes".into(),
+                    value: self.budget.bytes(),
+                }])
                 .collect(),
             revision: self.core.revision(),
             running: self.core.running(),
@@ -1061,10 +1092,14 @@
                     self.handle_event(event);
                 }
             }
-            Message::Settings(settings) => self.core.configure(*settings),
+            Message::Settings(settings) => self.configure(*settings),
             Message::Status(sender) => {
                 let _ = sender.send(self.status());
             }
+            Message::StreamEvent(event, places) => {
+                self.handle_event(event);
+                drop(places);
+            }
             Message::Submit(submission, replies) => {
                 let pending = PendingCaller {
                     has_head: false,
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -1,9 +1,12 @@
 //! Forwards relayed requests to upstreams, and the responses back, without changing their bodies.
 
 use super::*;
+use bounded_connection::Exceeded;
+use event_queue::EventQueue;
 use platform::response::Classification;
+use read_budget::Share;
 use request_log::Break;
-use wellplank_core::notice::Notice;
+use wellplank_core::{counter::AnswerBound, notice::Notice, settings::AnswerLimits};
 
 /// A request as its caller sent it.
 #[derive(Debug)]
@@ -46,12 +49,16 @@
     pub attempt: attempt::Key,
     /// The caller that sent the request.
     pub caller: Caller,
+    /// Bound on all answers that the instance is reading.
+    pub budget: ReadBudget,
     /// Handle of the core task.
     pub driver: Driver,
     /// Address of the instance through which the request is sent; `None` for a connection of this one.
     pub gateway: Option<SocketAddr>,
     /// Incarnation of the upstream.
     pub incarnation: Incarnation,
+    /// Bounds on the response.
+    pub limits: AnswerLimits,
     /// Whether the events of the response are not read, since the caller does not read.
     pub paused: watch::Receiver<bool>,
     /// Request ID, which the response must repeat.
@@ -131,7 +138,31 @@
             self.driver.send_event(Event::Connected(self.attempt));
             connection::send(connection, request).await
         };
-        response.map_err(|error| self.broken(Break::Head(&error)))
+        response.map_err(|error| match Exceeded::of(&error) {
+            Some(exceeded) => self.exceeded(AnswerBound::Head, exceeded.bytes),
+            None => self.broken(Break::Head(&error)),
+        })
+    }
+
+    /// Reads a whole body.
+    async fn read_whole(&self, body: hyper::body::Incoming) -> Result<Bytes, Failure> {
+        let share = self.budget.share();
+        let body = whole_body::read(body, self.limits.body_bytes, &share).await;
+        body.map_err(|error| self.unread(error))
+    }
+
+    /// Counts and logs that the answer exceeded a bound.
+    fn exceeded(&self, bound: AnswerBound, bytes: u64) -> Failure {
+        self.driver.count(Counter::AnswerBound(bound));
+        self.broken(Break::Bound(bound, bytes))
+    }
+
+    /// The failure of a body that was not read to its end.
+    fn unread(&self, error: whole_body::Error<hyper::Error>) -> Failure {
+        match error {
+            whole_body::Error::Bound { bound, bytes } => self.exceeded(bound, bytes),
+            whole_body::Error::Broken(error) => self.broken(Break::Body(&error)),
+        }
     }
 
     /// Logs how the exchange broke off.
@@ -181,12 +212,8 @@
                 self.read_stream(body, has_end_marker).await
             }
             Classification::Unary(verdict) => {
-                let body = body.collect().await;
-                let body = body.map_err(|error| self.broken(Break::Body(&error)))?;
-                let response = CompleteResponse {
-                    body: body.to_bytes(),
-                    head,
-                };
+                let body = self.read_whole(body).await?;
+                let response = CompleteResponse { body, head };
                 let event = Event::Answered {
                     attempt: self.attempt,
                     verdict,
@@ -233,10 +260,17 @@
         mut body: hyper::body::Incoming,
         has_end_marker: bool,
     ) -> Result<(), Failure> {
-        let mut buffer = Vec::new();
+        let share = self.budget.share();
+        let queue = EventQueue::new();
+        let mut buffer = BytesMut::new();
         // Bytes of an event are searched once, however many frames it arrives in.
         let mut searched = 0;
-        while let Some(frame) = self.next_frame(&mut body).await {
+        loop {
+            let frame = tokio::select! {
+                frame = self.next_frame(&mut body) => frame,
+                () = share.ended() => return Err(self.used_up(&buffer)),
+            };
+            let Some(frame) = frame else { break };
             let frame = frame.map_err(|error| self.broken(Break::Body(&error)))?;
             let Ok(data) = frame.into_data() else {
                 continue;
@@ -244,16 +278,11 @@
             buffer.extend_from_slice(&data);
             while let Some(end) = event_end(&buffer, searched) {
                 searched = 0;
-                let event: Vec<u8> = buffer.drain(..end).collect();
-                let position = platform::response::position(&event);
-                let position = position.ok_or_else(|| self.broken(Break::Event))?;
-                self.driver.send_event(Event::StreamEvent {
-                    attempt: self.attempt,
-                    bytes: event.into(),
-                    position,
-                });
+                let event = buffer.split_to(end);
+                self.report_event(&event, &queue).await?;
             }
             searched = buffer.len();
+            self.check_partial(&buffer, &share)?;
         }
         if !buffer.is_empty() {
             return Err(self.broken(Break::Partial));
@@ -264,6 +293,37 @@
         });
         Ok(())
     }
+
+    /// Reports an event to the core task once the queue has places for it.
+    async fn report_event(&self, event: &[u8], queue: &EventQueue) -> Result<(), Failure> {
+        let position = platform::response::position(event);
+        let position = position.ok_or_else(|| self.broken(Break::Event))?;
+        let places = queue.places(event.len()).await;
+        let event = Event::StreamEvent {
+            attempt: self.attempt,
+            bytes: event.into(),
+            position,
+        };
+        self.driver.send_stream_event(event, places);
+        Ok(())
+    }
+
+    /// Checks the bounds on an event that is not complete.
+    fn check_partial(&self, buffer: &BytesMut, share: &Share) -> Result<(), Failure> {
+        let bytes = buffer.len() as u64;
+        if bytes > self.limits.event_bytes {
+            return Err(self.exceeded(AnswerBound::Event, bytes));
+        }
+        if share.set(bytes) {
+            return Err(self.used_up(buffer));
+        }
+        Ok(())
+    }
+
+    /// The end of a stream whose incomplete event is the largest of the answers that exceed the instance's bound together.
+    fn used_up(&self, buffer: &BytesMut) -> Failure {
+        self.exceeded(AnswerBound::Instance, buffer.len() as u64)
+    }
 }
 
 /// Length of the first event in a buffer, with the empty line that ends it; `None` if the event is incomplete. The first
