Take requests at a planned stop only if they end in time

Cause: the length of a call was taken from one mean for the whole pool. Calls that are longer than the mean, routes that nothing is known of (taken for 0 ms) and upstreams that slow down were sent and ended.

Now a request that arrives behind the signal is taken if its deadline (the caller's time and the route's) lies before the end, or if a high quantile of the durations of its route fits into the time left: 0.99 for calls that may be repeated, the longest for others. A call that waits and may run once is held to the same. The endpoint no longer refuses all in the last 1.7 s, so that calls with a short time are served to the end.

"taken at the stop" logs each request that is taken, with why and its expected end, and counts it.

In stream_that_could_not_end_in_time_is_refused_on_arrival a call that may be repeated was sent though nothing was known of its route. Its calls are now made known as short before; it asks for the same behind that.

--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -228,6 +228,7 @@
             self.count_refused(&request);
             return Err(refusal);
         }
+        self.record_late(&request);
         request.held_bytes = request.work.bytes() + 4 * u64::from(request.work.max_tokens());
         self.held_bytes += request.held_bytes;
         self.buffers
--- a/crates/core/src/core.rs
+++ b/crates/core/src/core.rs
@@ -113,6 +113,8 @@
     pub(crate) departed: BTreeSet<upstream::Key>,
     /// Requests that arrived before this instance had the state to serve them.
     pub(crate) deferred: Vec<DeferredRequest>,
+    /// How long requests take, by service.
+    pub(crate) durations: Durations,
     pub(crate) effects: Vec<Effect>,
     /// Incarnations of upstreams that have ended.
     pub(crate) ended: EndedIncarnations,
@@ -326,6 +328,7 @@
             data_centre: Arc::from(""),
             departed: BTreeSet::new(),
             deferred: Vec::new(),
+            durations: Durations::default(),
             effects: Vec::new(),
             ended: EndedIncarnations::default(),
             expiry_checked_at: now,
@@ -487,7 +490,10 @@
                 pool.queue.finish(&request.customer);
             }
             if let Some(first_sent_at) = request.first_sent_at {
-                let duration = self.now.since(first_sent_at) as f64;
+                let millis = self.now.since(first_sent_at);
+                let duration = millis as f64;
+                self.durations
+                    .record(&request.service.name, millis, self.now);
                 pool.mean_duration_ms += DURATION_SMOOTHING * (duration - pool.mean_duration_ms);
             }
         }
--- a/crates/core/src/counter.rs
+++ b/crates/core/src/counter.rs
@@ -101,6 +101,8 @@
     StreamCut(Cut),
     /// Upstreams suspected with all their work.
     Suspected,
+    /// Requests that arrived at an instance that stops and were taken, by why they are expected to end in time.
+    TakenAtStop(shutdown::Fit),
     /// Streams that callers took up, by what the decision whether they go on was based on.
     TakenUp(origin::Basis),
     /// Tokens delivered to callers.
@@ -249,6 +251,7 @@
             Self::StoreRestored => write!(formatter, "store.returned"),
             Self::StreamCut(cut) => write!(formatter, "stream_cut.{cut}"),
             Self::Suspected => write!(formatter, "upstream.suspected"),
+            Self::TakenAtStop(fit) => write!(formatter, "taken_at_stop.{fit}"),
             Self::TakenUp(basis) => write!(formatter, "taken_up.{basis}"),
             Self::Tokens => write!(formatter, "tokens"),
             Self::UpstreamLost => write!(formatter, "upstream.lost"),
--- a/crates/core/src/effect.rs
+++ b/crates/core/src/effect.rs
@@ -133,6 +133,8 @@
         /// Software version of the upstream.
         version: Arc<str>,
     },
+    /// The request arrived while this instance stops, and is expected to end in time.
+    TakenAtStop(shutdown::Late),
     /// The caller takes a stream up; what the decision whether it goes on, and at which version, is based on.
     TakenUp(origin::Basis),
     /// The request waits for capacity; only where ranks are in force.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod digest;
 pub mod directory;
 pub mod dissemination;
+mod duration;
 pub mod effect;
 pub mod estimates;
 pub mod event;
@@ -107,6 +108,7 @@
     detector::StallDetector,
     digest::Digest,
     directory::{Audience, Lookups},
+    duration::Durations,
     effect::Effect,
     ended::EndedIncarnations,
     estimates::{EngineSpeed, PoolEstimates},
--- a/crates/core/src/shutdown.rs
+++ b/crates/core/src/shutdown.rs
@@ -2,6 +2,10 @@
 //!
 //! A caller that is refused at once reaches another instance with most of its time left. One that waits at this instance
 //! for an upstream that comes too late is refused when the instance ends, with little time left.
+//!
+//! A request that arrives behind the signal is taken if its deadline lies before the end, so that it ends in time whatever it
+//! does, or if what is known of its route says that it will. A mean does not say so: the longer requests of the route would be
+//! sent and ended by the stop.
 
 use super::*;
 
@@ -9,14 +13,69 @@
 /// another instance.
 pub const RETRY_AFTER_MS: u64 = 50;
 
+/// Time behind the signal within which load balancers still send new callers, in milliseconds: two of their health checks, which
+/// are one second apart, and a reserve. Requests that arrive later come from callers that keep connections, and that reach
+/// another instance once they are refused.
+const BALANCED_MS: u64 = 2_500;
+
+/// Part of the requests of a route whose duration counts as the longest that one may take: all but the rarest of those that may
+/// be repeated, and all others.
+const REPEATABLE_PART: f64 = 0.99;
+const LONGEST_PART: f64 = 1.0;
+
+/// Factor by which a request that is open for longer than is known of its route is expected to outlast its age: its upstream has
+/// slowed down.
+const OPEN_FACTOR: u64 = 2;
+
+/// Time reserved between the expected end of a request and that of the shutdown, in milliseconds: on a busy machine responses are
+/// read and passed on late.
+const RESERVE_MS: u64 = 200;
+
+/// Why a request that arrives behind the signal is expected to end in time.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub enum Fit {
+    /// Its deadline lies before the end.
+    Deadline,
+    /// The durations of its route are known.
+    Durations,
+    /// It is a stream that its caller takes up, whose rest is short.
+    Rest,
+}
+
+impl Display for Fit {
+    fn fmt(&self, formatter: &mut Formatter) -> fmt::Result {
+        formatter.write_str(match self {
+            Self::Deadline => "deadline",
+            Self::Durations => "durations",
+            Self::Rest => "rest",
+        })
+    }
+}
+
+/// A request that was taken behind the signal.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Late {
+    /// Time until it is expected to end at the latest, in milliseconds.
+    pub expected_ms: u64,
+    /// Why it is expected to end in time.
+    pub fit: Fit,
+    /// Time until open requests end, in milliseconds.
+    pub left_ms: u64,
+}
+
 /// How far a graceful shutdown is.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub(crate) enum Shutdown {
     /// None has started.
     #[default]
     None,
-    /// It has started; requests that are open at this time end.
-    Draining(Time),
+    /// It has started.
+    Draining {
+        /// When it started.
+        since: Time,
+        /// When requests that are still open end.
+        until: Time,
+    },
     /// Open requests were ended, and new ones are refused.
     Ended,
 }
@@ -24,7 +83,10 @@
 impl Core {
     /// Starts a graceful shutdown: from now on a request is kept only while it can be answered whole within `left_ms`.
     pub(crate) fn start_shutdown(&mut self, left_ms: u64) {
-        self.shutdown = Shutdown::Draining(self.now.after(left_ms));
+        self.shutdown = Shutdown::Draining {
+            since: self.now,
+            until: self.now.after(left_ms),
+        };
         self.refuse_unfinishable();
     }
 
@@ -50,11 +112,13 @@
         self.refuse(caller, Kind::Stopping, Some(RETRY_AFTER_MS));
     }
 
-    /// Refuses a new request that could not be answered whole before this instance ends.
+    /// Refuses a new request that might not be answered whole before this instance ends.
     pub(crate) fn check_shutdown(&self, request: &Request) -> Result<(), admission::Refusal> {
-        let wait_ms = self.shutdown_wait_ms(request);
+        let Shutdown::Draining { since, until } = self.shutdown else {
+            return Ok(());
+        };
         let is_bounded = self.settings.room.shutdown != ShutdownPolicy::AtEnd;
-        if !is_bounded || self.finishes_in_time(request, wait_ms) {
+        if !is_bounded || self.fit(request, since, until).is_some() {
             return Ok(());
         }
         Err(admission::Refusal {
@@ -63,10 +127,72 @@
         })
     }
 
+    /// Counts and logs that a request was taken behind the signal, and why.
+    pub(crate) fn record_late(&mut self, request: &Request) {
+        let Shutdown::Draining { since, until } = self.shutdown else {
+            return;
+        };
+        if let Some(late) = self.fit(request, since, until) {
+            self.count(Counter::TakenAtStop(late.fit));
+            self.log_step(request, effect::Step::TakenAtStop(late), None);
+        }
+    }
+
+    /// Why a new request is expected to end before the shutdown does; `None` if it might not.
+    fn fit(&self, request: &Request, since: Time, until: Time) -> Option<Late> {
+        let left_ms = until.since(self.now);
+        let late = |fit, expected_ms| Late {
+            expected_ms,
+            fit,
+            left_ms,
+        };
+        if request.deadline <= until {
+            return Some(late(Fit::Deadline, request.deadline.since(self.now)));
+        }
+        let (fit, response_ms) = if request.service.streams() && request.position() > 0 {
+            (Fit::Rest, self.response_ms(request))
+        } else {
+            (Fit::Durations, self.longest_ms(request, since)?)
+        };
+        let expected_ms = self.shutdown_wait_ms(request) + response_ms;
+        let is_in_time = self.now.after(expected_ms + RESERVE_MS) <= until;
+        is_in_time.then(|| late(fit, expected_ms))
+    }
+
+    /// Time in milliseconds that a new request takes at most, by those of its route; `None` if that is not known well enough.
+    fn longest_ms(&self, request: &Request, since: Time) -> Option<u64> {
+        let service = &request.service;
+        let is_late = self.now.since(since) > BALANCED_MS;
+        // What is known is not certain, and nothing makes up for a call that ends here and may not be repeated elsewhere, or
+        // for a stream that is cut.
+        let is_moved = service.repeatable && !service.streams();
+        if is_late && !is_moved {
+            return None;
+        }
+        let part = if is_moved {
+            REPEATABLE_PART
+        } else {
+            LONGEST_PART
+        };
+        let known_ms = self.durations.quantile(&service.name, part)?;
+        let open = self.requests.values();
+        let open = open.filter(|open| open.service.name == service.name);
+        let ages_ms = open.filter_map(|open| Some(self.now.since(open.first_sent_at?)));
+        let open_ms = ages_ms.max().unwrap_or(0);
+        let outlasts = open_ms > known_ms;
+        let known_ms = if outlasts {
+            open_ms.saturating_mul(OPEN_FACTOR)
+        } else {
+            known_ms
+        };
+        // A stream may be longer than those before it.
+        Some(known_ms.max(self.response_ms(request)))
+    }
+
     /// Refuses the requests that wait and could not be answered whole any more before this instance ends. A begun stream is
     /// kept: its caller would have to take up the rest elsewhere in any case.
     pub(crate) fn refuse_unfinishable(&mut self) {
-        if !matches!(self.shutdown, Shutdown::Draining(_)) {
+        if !matches!(self.shutdown, Shutdown::Draining { .. }) {
             return;
         }
         let is_unfinishable = |request: &Request| {
@@ -98,16 +224,25 @@
         match self.settings.room.shutdown {
             ShutdownPolicy::AtEnd => true,
             ShutdownPolicy::AtOnce => false,
-            ShutdownPolicy::Unfinishable => self.finishes_in_time(request, 0),
+            ShutdownPolicy::Unfinishable => self.finishes_in_time(request),
         }
     }
 
-    /// Whether a request that is sent after a wait is expected to be answered whole before this instance ends.
-    fn finishes_in_time(&self, request: &Request, wait_ms: u64) -> bool {
+    /// Whether a request that waits, and is sent now, is expected to be answered whole before this instance ends.
+    fn finishes_in_time(&self, request: &Request) -> bool {
         match self.shutdown {
             Shutdown::None => true,
-            Shutdown::Draining(until) => {
-                self.now.after(wait_ms + self.response_ms(request)) <= until
+            Shutdown::Draining { since, until } => {
+                if request.deadline <= until {
+                    return true;
+                }
+                let may_run_once = !request.service.repeatable && !request.service.streams();
+                let response_ms = if may_run_once {
+                    self.longest_ms(request, since)
+                } else {
+                    Some(self.response_ms(request))
+                };
+                response_ms.is_some_and(|response_ms| self.now.after(response_ms) <= until)
             }
             Shutdown::Ended => false,
         }
@@ -117,7 +252,7 @@
     /// stream that is taken up, which is sent before those that are queued.
     fn shutdown_wait_ms(&self, request: &Request) -> u64 {
         let is_new_stream = request.service.streams() && request.position() == 0;
-        if !matches!(self.shutdown, Shutdown::Draining(_)) || !is_new_stream {
+        if !matches!(self.shutdown, Shutdown::Draining { .. }) || !is_new_stream {
             return 0;
         }
         let ahead = self.streams_ahead(request);
--- a/crates/core/tests/relay/main.rs
+++ b/crates/core/tests/relay/main.rs
@@ -51,6 +51,7 @@
 mod engine_model;
 mod fleet;
 mod incarnation;
+mod late;
 mod limit;
 mod liveness;
 mod liveness_load;
--- a/crates/core/tests/relay/shutdown.rs
+++ b/crates/core/tests/relay/shutdown.rs
@@ -115,6 +115,13 @@
 #[gtest]
 fn stream_that_could_not_end_in_time_is_refused_on_arrival() {
     let mut test = Test::with_streams_of_five_seconds();
+    for _ in 0..20 {
+        test.request(REPEATABLE);
+        let sent = test.last_sent();
+        test.advance(50);
+        test.answer(&sent, Verdict::Good);
+    }
+    test.effects.clear();
     test.start_shutdown();
     test.request(STREAM);
     expect_that!(test.sent().len(), eq(1));
@@ -123,6 +130,7 @@
     test.request(STREAM);
     expect_that!(test.outcomes(), elements_are![eq("stopping")]);
     expect_that!(test.retry_afters(), elements_are![eq(&RETRY_AFTER_MS)]);
+    // Calls are known to be short.
     test.request(REPEATABLE);
     expect_that!(test.sent().len(), eq(2));
 }
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -3,13 +3,9 @@
 use super::*;
 use caller::CallerGuard;
 
-/// Time after the start of a shutdown during which long requests are still accepted: the load balancer keeps
-/// sending new callers for two of its health checks, which are one second apart.
-const LONG_REQUEST_WINDOW: Duration = Duration::from_millis(2_500);
-
-/// Time before the deadline of a shutdown in which no new requests are accepted: the time that a short
-/// request may take.
-const SHORT_REQUEST_RESERVE: Duration = Duration::from_millis(1_700);
+/// Time after the start of a shutdown during which streams are accepted whose callers wait for longer than the instance does: the
+/// load balancer keeps sending new callers for two of its health checks, which are one second apart.
+const STREAM_WINDOW: Duration = Duration::from_millis(2_500);
 
 /// A graceful shutdown in progress.
 #[derive(Clone, Copy, Debug)]
@@ -24,11 +20,17 @@
 pub(crate) type ShutdownReceiver = watch::Receiver<Option<Shutdown>>;
 
 impl Shutdown {
-    /// Whether a new request is still accepted.
-    fn accepts(self, is_long: bool) -> bool {
+    /// Whether a new request is passed on to the core, which decides whether it is taken. A stream that outlasts the shutdown
+    /// would be cut, with its caller in the middle of it.
+    fn accepts(self, relay: &request::Relay) -> bool {
         let left = self.deadline.saturating_duration_since(Instant::now());
-        left > SHORT_REQUEST_RESERVE
-            && (!is_long || self.started_at.elapsed() <= LONG_REQUEST_WINDOW)
+        if left.is_zero() {
+            return false;
+        }
+        let timeout = relay.timeout_ms.map(Duration::from_millis);
+        let ends_in_time = timeout.is_some_and(|timeout| timeout <= left);
+        let is_stream = relay.prompt != 0;
+        !is_stream || ends_in_time || self.started_at.elapsed() <= STREAM_WINDOW
     }
 }
 
@@ -74,9 +76,8 @@
             debug!("malformed request: {error}");
             Kind::BadBody
         })?;
-        let is_long = parsed.relay.prompt != 0;
         let shutdown = *self.shutdown.borrow();
-        if shutdown.is_some_and(|shutdown| !shutdown.accepts(is_long)) {
+        if shutdown.is_some_and(|shutdown| !shutdown.accepts(&parsed.relay)) {
             self.driver.count(Counter::Refused(Kind::Stopping));
             let request_id = &parsed.relay.run;
             write_error(
--- a/crates/node/src/request_log.rs
+++ b/crates/node/src/request_log.rs
@@ -11,6 +11,7 @@
     origin::{Basis, Origin},
     quarantine::CrashHistory,
     retry_window::RetryClass,
+    shutdown::Late,
 };
 
 /// Logs a change of an upstream's status.
@@ -139,6 +140,18 @@
     warn!(request, stage, age_ms, position; "open at the end of the stop");
 }
 
+/// Logs that a request was taken behind the signal to stop, and when it is expected to end at the latest.
+fn log_taken_at_stop(entry: &RequestLog, request: &str, late: Late) {
+    let service = entry.service.name.as_str();
+    let fit = late.fit.to_string();
+    let Late {
+        expected_ms,
+        left_ms,
+        ..
+    } = late;
+    info!(request, service, fit, expected_ms, left_ms; "taken at the stop");
+}
+
 /// Logs that the bound on attempts permits no other attempt of a request.
 fn log_retry_refused(entry: &RequestLog, request: &str, class: RetryClass) {
     let customer = entry.customer.name.as_str();
@@ -251,6 +264,7 @@
             info!(request, fingerprint, customer, service, model, upstream, position, backup, copy, left_ms, list_age_ms, tunnelled, version, origin; "sent");
         }
         Step::RetryRefused(class) => log_retry_refused(entry, &request, *class),
+        Step::TakenAtStop(late) => log_taken_at_stop(entry, &request, *late),
         Step::TakenUp(basis) => log_taken_up(entry, &request, *basis),
         Step::Waits(outlook) => {
             let (rank, ahead, wait_ms) = (outlook.rank.number(), outlook.ahead, outlook.wait_ms);
--- a/crates/standin/src/worker.rs
+++ b/crates/standin/src/worker.rs
@@ -30,6 +30,9 @@
 /// Time for which an impatient worker waits until a connection takes an event.
 const IMPATIENCE: Duration = Duration::from_millis(300);
 
+/// Header of a call that asks for an answer after this many milliseconds.
+pub const ANSWER_MS: &str = "x-answer-ms";
+
 /// Bytes of a request's head that are read, at most.
 const HEAD: usize = 64 << 10;
 
@@ -503,6 +506,8 @@
             return connection.write_all(b"\x00\x01 no answer \r\n\r\n").await;
         }
         if run.header("wellplank-token-usage").is_empty() {
+            let asked_ms = run.header(ANSWER_MS).parse().unwrap_or(0);
+            sleep(Duration::from_millis(asked_ms)).await;
             if mode == Mode::Paced {
                 sleep(PACED_CALL).await;
             }
