Bound answers that HTTP clients of upstreams and services keep whole

One upstream whose load report never ends, a list of instances, an answer or a watch of the key-value service, or a whole answer of a plain service took all memory of an instance, and callers saw all of its requests end. The client collected bodies without a bound, frame by frame, and read heads without a bound either.

Each exchange now names its bound: 64 KiB for load reports and answers to cancellations, 16 MiB for the list and the key-value service, core.answers.body_bytes for plain calls, which share the bound of the instance with relayed ones. Connections of the client are bounded up to the head of each response, and give way, like those of relayed requests; the limit is an extension of the response, so that it is lifted once the head is there and restored by the next request on the connection. An answer beyond its bound fails its call as a broken one does, is logged with its bound and sender, and counted as answer_bound.BOUND.

--- a/crates/core/src/counter.rs
+++ b/crates/core/src/counter.rs
@@ -8,7 +8,7 @@
 pub enum Counter {
     /// Requests admitted.
     Admitted,
-    /// Answers of upstreams that were not read to their end, by the bound that they exceeded.
+    /// Answers of upstreams, stores and other instances that were not read to their end, by the bound that they exceeded.
     AnswerBound(AnswerBound),
     /// Requests that received a complete response.
     Answered,
@@ -111,7 +111,7 @@
     UpstreamLost,
 }
 
-/// A bound on what is read of an upstream's answer.
+/// A bound on what is read of an answer.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub enum AnswerBound {
     /// Of a whole body.
@@ -122,6 +122,16 @@
     Head,
     /// Of all answers together that an instance is reading.
     Instance,
+    /// Of an answer or a line of a watch of the key-value service.
+    KeyValue,
+    /// Of the platform's list of instances.
+    List,
+    /// Of a load report.
+    Load,
+    /// Of a list or configuration of another instance.
+    Peer,
+    /// Of all pages of a read of the platform's store.
+    Store,
 }
 
 impl Display for AnswerBound {
@@ -131,6 +141,11 @@
             Self::Event => "event",
             Self::Head => "head",
             Self::Instance => "instance",
+            Self::KeyValue => "key_value",
+            Self::List => "list",
+            Self::Load => "load",
+            Self::Peer => "peer",
+            Self::Store => "store",
         })
     }
 }
--- a/crates/node/src/bounded_connection.rs
+++ b/crates/node/src/bounded_connection.rs
@@ -31,7 +31,11 @@
 
 /// The number of bytes that may be received on a connection after each written request; clones share it.
 #[derive(Clone, Debug)]
-pub(crate) struct ReceiveLimit(Arc<AtomicU64>);
+pub(crate) struct ReceiveLimit {
+    bytes: Arc<AtomicU64>,
+    /// The limit that a written request restores; `None` if it stays lifted.
+    restored: Option<u64>,
+}
 
 /// More was received than is due.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -43,16 +47,33 @@
 impl ReceiveLimit {
     /// A limit of so many bytes.
     pub fn new(bytes: u64) -> Self {
-        Self(Arc::new(AtomicU64::new(bytes)))
+        Self {
+            bytes: Arc::new(AtomicU64::new(bytes)),
+            restored: None,
+        }
+    }
+
+    /// The same for a connection that carries one request after another: each of them restores the limit.
+    pub fn restored(bytes: u64) -> Self {
+        Self {
+            restored: Some(bytes),
+            ..Self::new(bytes)
+        }
     }
 
     /// Lifts the limit: what follows is bounded where it is read.
     pub fn lift(&self) {
-        self.0.store(u64::MAX, Ordering::Relaxed);
+        self.bytes.store(u64::MAX, Ordering::Relaxed);
     }
 
     fn bytes(&self) -> u64 {
-        self.0.load(Ordering::Relaxed)
+        self.bytes.load(Ordering::Relaxed)
+    }
+
+    fn restore(&self) {
+        if let Some(bytes) = self.restored {
+            self.bytes.store(bytes, Ordering::Relaxed);
+        }
     }
 }
 
@@ -96,6 +117,12 @@
         }
     }
 
+    /// Bytes are due from now on.
+    fn begin_request(&mut self) {
+        self.received = 0;
+        self.limit.restore();
+    }
+
     /// Counts received bytes.
     fn record(&mut self, length: usize) -> io::Result<()> {
         self.turn += length;
@@ -140,7 +167,7 @@
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
         let this = self.get_mut();
-        this.received = 0;
+        this.begin_request();
         Pin::new(&mut this.inner).poll_write(context, bytes)
     }
 
@@ -162,13 +189,14 @@
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         let this = self.get_mut();
-        this.received = 0;
+        this.begin_request();
         Pin::new(&mut this.inner).poll_write_vectored(context, slices)
     }
 }
 
 impl<C: Connection> Connection for BoundedConnection<C> {
     fn connected(&self) -> Connected {
-        self.inner.connected()
+        // The limit is an extension of each response, so that the client lifts it once it has the head.
+        self.inner.connected().extra(self.limit.clone())
     }
 }
--- a/crates/node/src/driver.rs
+++ b/crates/node/src/driver.rs
@@ -217,6 +217,12 @@
         self.send(Message::Count(counter));
     }
 
+    /// Logs and counts an answer that was given up at its bound.
+    pub(crate) fn report_too_long(&self, bound: http::Bound, from: SocketAddr) {
+        log_too_long(bound, from);
+        self.count(Counter::AnswerBound(bound.subject));
+    }
+
     /// Waits until the core task has ended.
     pub(crate) async fn ended(&self) {
         self.sender.closed().await;
@@ -399,6 +405,13 @@
     }
 }
 
+/// Logs an answer that was given up at its bound.
+pub(crate) fn log_too_long(bound: http::Bound, from: SocketAddr) {
+    let http::Bound { bytes, subject } = bound;
+    let (bound, from) = (subject.to_string(), from.to_string());
+    warn!(bound, bytes, from; "answer given up at its bound");
+}
+
 impl CoreOutputs {
     /// Outputs of an instance that sends frames over links to its peers: it neither gossips by datagram nor persists the
     /// quarantine, so these channels have no receiver.
@@ -977,8 +990,17 @@
                     &self.unpooled
                 };
                 plain::request(address, &path, &payload, request).map(|request| {
-                    let call = plain::run(http.clone(), driver, attempt, upstream, request);
-                    RunningAttempt::unpaused(tokio::spawn(call))
+                    let http = http.clone();
+                    let call = plain::Call {
+                        address,
+                        attempt,
+                        body_bytes_max: self.answers.body_bytes,
+                        driver,
+                        http,
+                        share: self.budget.share(),
+                        upstream,
+                    };
+                    RunningAttempt::unpaused(tokio::spawn(call.run(request)))
                 })
             }
             outbound @ Outbound::Relay { .. } => {
--- a/crates/node/src/engine.rs
+++ b/crates/node/src/engine.rs
@@ -8,7 +8,10 @@
 //!   many seconds it accepts no requests from this instance.
 
 use super::*;
-use wellplank_core::notice::{Backoff, Notice};
+use wellplank_core::{
+    counter::AnswerBound,
+    notice::{Backoff, Notice},
+};
 
 /// Header of a refusal by an upstream that is leaving.
 const LEAVING_HEADER: &str = "x-leaving";
@@ -16,6 +19,12 @@
 /// Timeout for the cancellation of a stream.
 const CANCEL_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Bound of the answer to a cancellation, which says nothing.
+const CANCEL_BOUND: http::Bound = http::Bound {
+    bytes: 64 << 10,
+    subject: AnswerBound::Body,
+};
+
 /// One event of a stream.
 #[derive(Debug, Deserialize)]
 struct Chunk {
@@ -43,7 +52,7 @@
 ) {
     let path = format!("/v1/completions/{}/cancel", stream_id(stream));
     let request = http::post(address, &path, &json!({}));
-    let _ = timeout(CANCEL_TIMEOUT, http.exchange(request)).await;
+    let _ = timeout(CANCEL_TIMEOUT, http.exchange(request, CANCEL_BOUND)).await;
 }
 
 /// Sends a request for a stream, reads the stream to its end and reports its events to the core task.
@@ -57,7 +66,7 @@
 ) {
     let failure = match http.send(request).await {
         Err(http::Error::NotSent(_)) => Failure::NotSent,
-        Err(http::Error::Broken(_)) => Failure::Broken,
+        Err(http::Error::Broken(_) | http::Error::TooLong(_)) => Failure::Broken,
         Ok(response) if response.status() == StatusCode::OK => {
             if read_stream(&driver, attempt, response.into_body()).await {
                 return;
--- a/crates/node/src/http.rs
+++ b/crates/node/src/http.rs
@@ -1,6 +1,10 @@
 //! HTTP client for upstreams and the platform.
 
 use super::*;
+use bounded_connection::{Exceeded, HEAD_BYTES_MAX};
+use bounded_connector::BoundedConnector;
+use read_budget::Share;
+use wellplank_core::counter::AnswerBound;
 
 /// Body of a request, held in memory.
 pub(crate) type Body = Full<Bytes>;
@@ -17,6 +21,18 @@
 /// Time after which an idle pooled connection is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// Bytes of all answers that a client of the platform's services and of load reports is reading, beyond which the largest is ended.
+const CONTROL_BYTES_MAX: u64 = 32 << 20;
+
+/// Bound of an answer that is kept until it is complete.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) struct Bound {
+    /// Maximum size of the body, in bytes.
+    pub bytes: u64,
+    /// What the answer is, in logs and counters.
+    pub subject: AnswerBound,
+}
+
 /// Why an exchange failed.
 #[derive(Debug)]
 pub(crate) enum Error {
@@ -24,6 +40,8 @@
     Broken(String),
     /// No connection could be established: nothing was sent.
     NotSent(String),
+    /// The response exceeded a bound.
+    TooLong(Bound),
 }
 
 /// Estimated bytes of a request line or status line without the path, and of the headers that the
@@ -33,7 +51,8 @@
 /// An HTTP client that never retries a request on its own.
 #[derive(Clone)]
 pub(crate) struct HttpClient {
-    client: Client<HttpConnector, Body>,
+    budget: ReadBudget,
+    client: Client<BoundedConnector, Body>,
     traffic: Option<Traffic>,
 }
 
@@ -42,26 +61,34 @@
         match self {
             Self::Broken(text) => write!(formatter, "request failed: {text}"),
             Self::NotSent(text) => write!(formatter, "request not sent: {text}"),
+            Self::TooLong(Bound { bytes, subject }) => {
+                write!(formatter, "answer ({subject}) of more than {bytes} bytes")
+            }
         }
     }
 }
 
+impl std::error::Error for Error {}
+
 impl HttpClient {
-    /// Sends a request and reads the complete response; returns its status and body.
-    pub async fn exchange(&self, request: Request<Body>) -> Result<(StatusCode, Bytes), Error> {
-        let response = self.exchange_with_headers(request).await?;
+    /// Sends a request and reads the complete response within a bound; returns its status and body.
+    pub async fn exchange(
+        &self,
+        request: Request<Body>,
+        bound: Bound,
+    ) -> Result<(StatusCode, Bytes), Error> {
+        let response = self.exchange_with_headers(request, bound).await?;
         Ok((response.status(), response.into_body()))
     }
 
-    /// Sends a request and reads the complete response, including its headers.
+    /// Sends a request and reads the complete response within a bound, including its headers.
     pub async fn exchange_with_headers(
         &self,
         request: Request<Body>,
+        bound: Bound,
     ) -> Result<hyper::Response<Bytes>, Error> {
         let (head, body) = self.send(request).await?.into_parts();
-        let body = body.collect().await;
-        let body = body.map_err(|error| Error::Broken(error.to_string()))?;
-        let body = body.to_bytes();
+        let body = read_body(body, bound, &self.budget.share()).await?;
         self.count(HEAD_BYTES + header_bytes(&head.headers) + body.len());
         Ok(hyper::Response::from_parts(head, body))
     }
@@ -89,13 +116,21 @@
         self.count(
             HEAD_BYTES + path + header_bytes(request.headers()) + body.unwrap_or(0) as usize,
         );
-        self.client.request(request).await.map_err(|error| {
-            if error.is_connect() {
+        let response = self.client.request(request).await;
+        let response = response.map_err(|error| {
+            if let Some(Exceeded { bytes }) = Exceeded::of(&error) {
+                let subject = AnswerBound::Head;
+                Error::TooLong(Bound { bytes, subject })
+            } else if error.is_connect() {
                 Error::NotSent(error.to_string())
             } else {
                 Error::Broken(error.to_string())
             }
-        })
+        })?;
+        if let Some(limit) = response.extensions().get::<ReceiveLimit>() {
+            limit.lift();
+        }
+        Ok(response)
     }
 
     /// A client that opens a new connection for each request.
@@ -124,11 +159,16 @@
             connector.set_tcp_user_timeout(Some(user_timeout));
         }
         let client = Client::builder(TokioExecutor::new())
+            .http1_max_buf_size(HEAD_BYTES_MAX)
             .pool_idle_timeout(IDLE_TIMEOUT)
             .pool_max_idle_per_host(max_idle)
             .retry_canceled_requests(false)
-            .build(connector);
+            .build(BoundedConnector {
+                connector,
+                is_pooled: max_idle > 0,
+            });
         Self {
+            budget: ReadBudget::new(CONTROL_BYTES_MAX),
             client,
             traffic: None,
         }
@@ -141,6 +181,26 @@
     }
 }
 
+/// Reads a body up to its end, within a bound.
+pub(crate) async fn read_body(
+    body: hyper::body::Incoming,
+    bound: Bound,
+    share: &Share,
+) -> Result<Bytes, Error> {
+    let body = whole_body::read(body, bound.bytes, share).await;
+    body.map_err(|error| match error {
+        whole_body::Error::Bound {
+            bound: AnswerBound::Body,
+            ..
+        } => Error::TooLong(bound),
+        whole_body::Error::Bound {
+            bound: subject,
+            bytes,
+        } => Error::TooLong(Bound { bytes, subject }),
+        whole_body::Error::Broken(error) => Error::Broken(error.to_string()),
+    })
+}
+
 /// Builds a POST request with a JSON body.
 pub(crate) fn post(address: SocketAddr, path: &str, body: &Value) -> Request<Body> {
     Request::post(format!("http://{address}{path}"))
--- a/crates/node/src/instance.rs
+++ b/crates/node/src/instance.rs
@@ -53,7 +53,6 @@
         let clock = Clock::new();
         let store_timeout = Duration::from_millis(settings.store_timeout_ms);
         let traffic = Traffic::default();
-        let store = Store::new(settings.platform.store, store_timeout, &traffic);
         let (claims, claim_receiver) = mpsc::unbounded_channel();
         let (orders, revision_receiver) = mpsc::unbounded_channel();
         let (held, held_receiver) = watch::channel(revision::ActiveConfig::default());
@@ -66,6 +65,7 @@
         meter.count(Counter::ListenRetried, ports.retries);
         let ends = driver::CoreOutputs::new(claims.clone(), leaving, meter, traffic.clone());
         let (driver, core) = Driver::start(&settings, clock, ends);
+        let store = Store::new(settings.platform.store, store_timeout, &driver, &traffic);
         let claimer = claimer::Claimer {
             claims: claims.clone(),
             driver: driver.clone(),
--- a/crates/node/src/instance_list.rs
+++ b/crates/node/src/instance_list.rs
@@ -1,10 +1,17 @@
 //! The platform's list of instances, polled with `GET /instances`. The list lags behind the fleet.
 
 use super::*;
+use wellplank_core::counter::AnswerBound;
 
 /// Time-out of a read.
 const RESPONSE_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Bound of the list: some hundred bytes for each of tens of thousands of instances and upstreams.
+const LIST_BOUND: http::Bound = http::Bound {
+    bytes: 16 << 20,
+    subject: AnswerBound::List,
+};
+
 /// An instance on the list.
 #[derive(Clone, Debug, Deserialize, PartialEq)]
 pub(crate) struct ListedInstance {
@@ -49,7 +56,7 @@
     loop {
         ticks.tick().await;
         let requested_at = clock.now();
-        match read(&http, settings.platform.list, etag.as_ref()).await {
+        match read(&http, &driver, settings.platform.list, etag.as_ref()).await {
             ReadResult::Changed(read, new_etag) => {
                 etag = new_etag;
                 let instances = valid_instances(read, &driver);
@@ -103,6 +110,7 @@
 
 async fn read(
     http: &HttpClient,
+    driver: &Driver,
     address: SocketAddr,
     etag: Option<&header::HeaderValue>,
 ) -> ReadResult {
@@ -111,9 +119,17 @@
         let headers = request.headers_mut();
         headers.insert(header::IF_NONE_MATCH, etag.clone());
     }
-    let exchange = timeout(RESPONSE_TIMEOUT, http.exchange_with_headers(request));
-    let Ok(Ok(response)) = exchange.await else {
-        return ReadResult::Failed;
+    let exchange = timeout(
+        RESPONSE_TIMEOUT,
+        http.exchange_with_headers(request, LIST_BOUND),
+    );
+    let response = match exchange.await {
+        Ok(Ok(response)) => response,
+        Ok(Err(http::Error::TooLong(bound))) => {
+            driver.report_too_long(bound, address);
+            return ReadResult::Failed;
+        }
+        Ok(Err(_)) | Err(_) => return ReadResult::Failed,
     };
     let etag = response.headers().get(header::ETAG).cloned();
     match response.status() {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod tasks;
 
 mod bounded_connection;
+mod bounded_connector;
 mod caller;
 mod calls;
 mod claim_forwarder;
--- a/crates/node/src/plain.rs
+++ b/crates/node/src/plain.rs
@@ -1,36 +1,73 @@
 //! Client for plain services: calls over HTTP.
 
 use super::*;
+use read_budget::Share;
+use wellplank_core::counter::AnswerBound;
 
 /// Header with the identifier of the request, for the service's logs.
 const REQUEST_ID: &str = "x-request-id";
 
-/// Sends one call and reports the response to the core task.
-pub(crate) async fn run(
-    http: HttpClient,
-    driver: Driver,
-    attempt: attempt::Key,
-    upstream: upstream::Key,
-    request: Request<http::Body>,
-) {
-    let response = match http.send(request).await {
-        Err(http::Error::NotSent(_)) => return report_failure(&driver, attempt, Failure::NotSent),
-        Err(http::Error::Broken(_)) => return report_failure(&driver, attempt, Failure::Broken),
-        Ok(response) => response,
-    };
-    let status = response.status();
-    if engine::is_refusal(status) {
-        engine::report_backoff(&driver, attempt, upstream, &response);
-        let failure = engine::classify_error(&response, false);
-        return report_failure(&driver, attempt, failure);
+/// One attempt of a call.
+pub(crate) struct Call {
+    /// Address of the upstream.
+    pub address: SocketAddr,
+    /// The attempt.
+    pub attempt: attempt::Key,
+    /// Maximum size of the body of the response, in bytes.
+    pub body_bytes_max: u64,
+    /// The core task.
+    pub driver: Driver,
+    /// Client with which it is sent.
+    pub http: HttpClient,
+    /// Its part of the bytes that the instance is reading.
+    pub share: Share,
+    /// The upstream.
+    pub upstream: upstream::Key,
+}
+
+impl Call {
+    /// Sends the call and reports the response to the core task.
+    pub async fn run(self, request: Request<http::Body>) {
+        let event = match self.exchange(request).await {
+            Ok(event) => event,
+            Err(failure) => Event::Failed {
+                attempt: self.attempt,
+                failure,
+            },
+        };
+        self.driver.send_event(event);
     }
-    match response.into_body().collect().await {
-        Err(_) => report_failure(&driver, attempt, Failure::Broken),
-        Ok(body) => driver.send_event(Event::Replied {
-            attempt,
-            body: body.to_bytes().to_vec(),
+
+    async fn exchange(&self, request: Request<http::Body>) -> Result<Event, Failure> {
+        let response = self.http.send(request).await;
+        let response = response.map_err(|error| self.failure(&error))?;
+        let status = response.status();
+        if engine::is_refusal(status) {
+            engine::report_backoff(&self.driver, self.attempt, self.upstream, &response);
+            return Err(engine::classify_error(&response, false));
+        }
+        let bound = http::Bound {
+            bytes: self.body_bytes_max,
+            subject: AnswerBound::Body,
+        };
+        let body = http::read_body(response.into_body(), bound, &self.share).await;
+        let body = body.map_err(|error| self.failure(&error))?;
+        Ok(Event::Replied {
+            attempt: self.attempt,
+            body: body.to_vec(),
             status: status.as_u16(),
-        }),
+        })
+    }
+
+    fn failure(&self, error: &http::Error) -> Failure {
+        match error {
+            http::Error::NotSent(_) => Failure::NotSent,
+            http::Error::Broken(_) => Failure::Broken,
+            http::Error::TooLong(bound) => {
+                self.driver.report_too_long(*bound, self.address);
+                Failure::Broken
+            }
+        }
     }
 }
 
@@ -49,7 +86,3 @@
         .body(http::Body::from(payload.to_vec()))
         .ok()
 }
-
-fn report_failure(driver: &Driver, attempt: attempt::Key, failure: Failure) {
-    driver.send_event(Event::Failed { attempt, failure });
-}
--- a/crates/node/src/store.rs
+++ b/crates/node/src/store.rs
@@ -3,6 +3,13 @@
 //! The gateway encodes 64-bit integers as strings, and keys and values in base64.
 
 use super::*;
+use wellplank_core::counter::AnswerBound;
+
+/// Bound of an answer and of a line of a watch: values have 1.5 MB at most, which base64 lengthens by a third.
+const ANSWER_BOUND: http::Bound = http::Bound {
+    bytes: 16 << 20,
+    subject: AnswerBound::KeyValue,
+};
 
 /// A key's value and its revision.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -49,6 +56,7 @@
 pub(crate) struct Store {
     address: SocketAddr,
     call_timeout: Duration,
+    driver: Driver,
     http: HttpClient,
 }
 
@@ -140,10 +148,16 @@
     }
 
     /// A client of the service at `address` with a time-out for each call.
-    pub fn new(address: SocketAddr, call_timeout: Duration, traffic: &Traffic) -> Self {
+    pub fn new(
+        address: SocketAddr,
+        call_timeout: Duration,
+        driver: &Driver,
+        traffic: &Traffic,
+    ) -> Self {
         Self {
             address,
             call_timeout,
+            driver: driver.clone(),
             http: HttpClient::metered(traffic),
         }
     }
@@ -192,7 +206,11 @@
         let mut body = response.into_body();
         let mut buffer = Vec::new();
         while let Some(Ok(chunk)) = body.frame().await {
-            buffer.extend_from_slice(chunk.data_ref().map_or(&[][..], |data| data));
+            let data = chunk.data_ref().map_or(&[][..], |data| data);
+            if (buffer.len() + data.len()) as u64 > ANSWER_BOUND.bytes {
+                return Err(self.failed(&http::Error::TooLong(ANSWER_BOUND)));
+            }
+            buffer.extend_from_slice(data);
             while let Some(end) = buffer.iter().position(|byte| *byte == b'\n') {
                 let line: Vec<u8> = buffer.drain(..=end).collect();
                 let message: WatchMessage = parse_json(&line)?;
@@ -221,10 +239,18 @@
 
     async fn exchange(&self, path: &str, body: &Value) -> Result<(StatusCode, Bytes), Error> {
         let request = http::post(self.address, path, body);
-        timeout(self.call_timeout, self.http.exchange(request))
+        timeout(self.call_timeout, self.http.exchange(request, ANSWER_BOUND))
             .await
             .map_err(|_| Error::Store("no answer in time".into()))?
-            .map_err(|error| Error::Store(error.to_string()))
+            .map_err(|error| self.failed(&error))
+    }
+
+    /// The error of a call; an answer beyond its bound is logged and counted.
+    fn failed(&self, error: &http::Error) -> Error {
+        if let http::Error::TooLong(bound) = error {
+            self.driver.report_too_long(*bound, self.address);
+        }
+        Error::Store(error.to_string())
     }
 }
 
--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -236,7 +236,12 @@
 
     /// Puts one more upstream on the list.
     pub async fn add_upstream(&mut self, name: &str, address: SocketAddr) {
-        self.lines.push(line(name, RUNNERS, address));
+        self.add_upstream_of(RUNNERS, name, address).await;
+    }
+
+    /// Puts one more upstream of a pool on the list.
+    pub async fn add_upstream_of(&mut self, pool: &str, name: &str, address: SocketAddr) {
+        self.lines.push(line(name, pool, address));
         self.publish().await;
     }
 
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod demo;
 pub mod departure;
 pub mod endless;
+pub mod endless_server;
 pub mod engine;
 pub mod fake;
 pub mod fleet;
