Bound the events of engines, and read no further ahead than the core

An engine of the own interface whose event never ends filled the memory of its instance, and all of its callers lost their requests. The event was kept up to its empty line, however long, and tokens went into the unbounded channel of the core as fast as they came.

The bytes of an event are counted up to its empty line. Beyond core.answers.event_bytes the stream counts as broken off, is logged and counted as answer_bound.event. Behind 64 events the reader waits until the core has handled them, which also has its task give way.

On the code before, the test failed: 201,326,650 bytes of one event were taken, and nothing was counted. What the wait behind 64 events saves is by reading; no test shows it.

--- a/crates/node/src/driver.rs
+++ b/crates/node/src/driver.rs
@@ -47,6 +47,8 @@
     Settings(Box<wellplank_core::settings::Settings>),
     /// End the open requests, which are logged and counted: a graceful shutdown ends. The answer is their number.
     EndShutdown(oneshot::Sender<usize>),
+    /// Asks for a word once the messages before this one are handled.
+    Handled(oneshot::Sender<()>),
     /// Request for the current state.
     Status(oneshot::Sender<Snapshot>),
     /// A request, and the channel for its replies.
@@ -246,6 +248,14 @@
         self.send_event(Event::ShutdownStarted { left_ms });
     }
 
+    /// Waits until the core task has handled what was sent to it before.
+    pub(crate) async fn handled(&self) {
+        let (sender, receiver) = oneshot::channel();
+        self.send(Message::Handled(sender));
+        // The core task may have ended: nothing is waited for then.
+        let _ = receiver.await;
+    }
+
     /// The state as reported to operators; empty if the core task has ended.
     pub(crate) async fn status(&self) -> Snapshot {
         let (sender, receiver) = oneshot::channel();
@@ -378,6 +388,7 @@
             Self::Members(..) => "members",
             Self::Relay(..) | Self::Submit(..) => "submit",
             Self::Settings(_) => "settings",
+            Self::Handled(_) => "handled",
             Self::Status(_) => "status",
             Self::TunnelTarget(..) => "tunnel_target",
             Self::UnknownHeader(..) => "unknown_header",
@@ -1007,12 +1018,17 @@
                 self.start_forward(address, attempt, &outbound, upstream)
             }
             outbound => {
-                let attach = matches!(outbound, Outbound::Attach { .. });
-                engine::request(address, outbound).map(|request| {
-                    let http = self.unpooled.clone();
-                    let generation = engine::run(http, driver, attempt, upstream, request, attach);
-                    RunningAttempt::unpaused(tokio::spawn(generation))
-                })
+                let generation = engine::Generation {
+                    address,
+                    attach: matches!(outbound, Outbound::Attach { .. }),
+                    attempt,
+                    driver,
+                    event_bytes_max: self.answers.event_bytes,
+                    http: self.unpooled.clone(),
+                    upstream,
+                };
+                engine::request(address, outbound)
+                    .map(|request| RunningAttempt::unpaused(tokio::spawn(generation.run(request))))
             }
         };
         match task {
@@ -1096,6 +1112,9 @@
                 }
             }
             Message::Settings(settings) => self.configure(*settings),
+            Message::Handled(sender) => {
+                let _ = sender.send(());
+            }
             Message::Status(sender) => {
                 let _ = sender.send(self.status());
             }
--- a/crates/node/src/engine.rs
+++ b/crates/node/src/engine.rs
@@ -25,6 +25,38 @@
     subject: AnswerBound::Body,
 };
 
+/// Number of events behind which a reader waits until the core has handled them.
+const EVENTS_AHEAD_MAX: u32 = 64;
+
+/// One attempt of a stream at an engine.
+pub(crate) struct Generation {
+    /// Address of the engine.
+    pub address: SocketAddr,
+    /// Whether it re-attaches to a stream.
+    pub attach: bool,
+    /// The attempt.
+    pub attempt: attempt::Key,
+    /// The core task.
+    pub driver: Driver,
+    /// Maximum size of an event, in bytes.
+    pub event_bytes_max: u64,
+    /// Client with which it is sent.
+    pub http: HttpClient,
+    /// The engine.
+    pub upstream: upstream::Key,
+}
+
+/// Counts the bytes of an event up to its empty line.
+#[derive(Debug, Default)]
+struct EventSize {
+    /// Bytes of the event so far.
+    event: usize,
+    /// Whether the last byte was a carriage return, so that a line feed belongs to the same end of a line.
+    is_behind_return: bool,
+    /// Bytes of the line so far.
+    line: usize,
+}
+
 /// One event of a stream.
 #[derive(Debug, Deserialize)]
 struct Chunk {
@@ -34,6 +66,16 @@
     position: u32,
 }
 
+/// How far a stream is behind an event.
+enum Progress {
+    /// The event was the last one.
+    Ended,
+    /// The event can't be used.
+    Malformed,
+    /// More events follow.
+    Running,
+}
+
 /// The only choice of an event.
 #[derive(Debug, Deserialize)]
 struct Choice {
@@ -55,30 +97,139 @@
     let _ = timeout(CANCEL_TIMEOUT, http.exchange(request, CANCEL_BOUND)).await;
 }
 
-/// Sends a request for a stream, reads the stream to its end and reports its events to the core task.
-pub(crate) async fn run(
-    http: HttpClient,
-    driver: Driver,
-    attempt: attempt::Key,
-    upstream: upstream::Key,
-    request: Request<http::Body>,
-    attach: bool,
-) {
-    let failure = match http.send(request).await {
-        Err(http::Error::NotSent(_)) => Failure::NotSent,
-        Err(http::Error::Broken(_) | http::Error::TooLong(_)) => Failure::Broken,
-        Ok(response) if response.status() == StatusCode::OK => {
-            if read_stream(&driver, attempt, response.into_body()).await {
-                return;
+impl Generation {
+    /// Sends a request for a stream, reads the stream to its end and reports its events to the core task.
+    pub async fn run(self, request: Request<http::Body>) {
+        let failure = match self.http.send(request).await {
+            Err(http::Error::NotSent(_)) => Failure::NotSent,
+            Err(error) => {
+                self.report_break(Some(&error));
+                Failure::Broken
+            }
+            Ok(response) if response.status() == StatusCode::OK => {
+                if self.read_stream(response.into_body()).await {
+                    return;
+                }
+                Failure::Broken
+            }
+            Ok(response) => {
+                report_backoff(&self.driver, self.attempt, self.upstream, &response);
+                classify_error(&response, self.attach)
+            }
+        };
+        self.driver.send_event(Event::Failed {
+            attempt: self.attempt,
+            failure,
+        });
+    }
+
+    /// Reads a stream and reports its events; false if it ends without a finish reason or an event is malformed or too long.
+    async fn read_stream(&self, body: hyper::body::Incoming) -> bool {
+        let mut events =
+            SseStream::new(StreamBody::new(bounded_events(body, self.event_bytes_max)));
+        let mut ahead = 0;
+        loop {
+            let event = match events.next().await {
+                Some(Ok(event)) => event,
+                Some(Err(sse_stream::Error::Body(error))) => {
+                    self.report_break(error.downcast_ref());
+                    return false;
+                }
+                Some(Err(_)) | None => return false,
+            };
+            let Some(data) = event.data else { continue };
+            let Ok(chunk) = serde_json::from_str::<Chunk>(&data) else {
+                return false;
+            };
+            match self.report_chunk(chunk) {
+                Progress::Ended => return true,
+                Progress::Malformed => return false,
+                Progress::Running => {}
+            }
+            ahead += 1;
+            if ahead == EVENTS_AHEAD_MAX {
+                ahead = 0;
+                self.driver.handled().await;
+            }
+        }
+    }
+
+    /// Reports an event that exceeded its bound.
+    fn report_break(&self, error: Option<&http::Error>) {
+        if let Some(http::Error::TooLong(bound)) = error {
+            self.driver.report_too_long(*bound, self.address);
+        }
+    }
+
+    /// Reports the content of an event to the core task.
+    fn report_chunk(&self, chunk: Chunk) -> Progress {
+        let attempt = self.attempt;
+        let Some(choice) = chunk.choices.into_iter().next() else {
+            return Progress::Malformed;
+        };
+        let position = chunk.position;
+        let end = position.saturating_add(choice.token_ids.len() as u32);
+        if !choice.token_ids.is_empty() {
+            self.driver.send_event(Event::Tokens {
+                attempt,
+                tokens: output_tokens(&choice.token_ids, choice.text),
+                position,
+            });
+        }
+        if let Some(report) = chunk.load {
+            let load = report.load();
+            self.driver
+                .send_event(Event::PiggybackedLoad { attempt, load });
+        }
+        let Some(reason) = choice.finish_reason else {
+            return Progress::Running;
+        };
+        self.driver.send_event(Event::GenerationFinished {
+            attempt,
+            position: end,
+            reason,
+        });
+        Progress::Ended
+    }
+}
+
+impl EventSize {
+    /// Adds bytes of a stream; returns the size of the longest event, or part of one, that they end or continue.
+    fn add(&mut self, bytes: &[u8]) -> usize {
+        let mut longest = 0;
+        for byte in bytes {
+            self.event += 1;
+            longest = longest.max(self.event);
+            match byte {
+                b'\n' if self.is_behind_return => {}
+                b'\n' | b'\r' if self.line == 0 => self.event = 0,
+                b'\n' | b'\r' => self.line = 0,
+                _ => self.line += 1,
             }
-            Failure::Broken
+            self.is_behind_return = *byte == b'\r';
         }
-        Ok(response) => {
-            report_backoff(&driver, attempt, upstream, &response);
-            classify_error(&response, attach)
+        longest
+    }
+}
+
+/// The frames of a stream of events, up to an event that exceeds its bound.
+fn bounded_events(
+    body: hyper::body::Incoming,
+    bytes_max: u64,
+) -> impl Stream<Item = Result<hyper::body::Frame<Bytes>, http::Error>> {
+    let mut size = EventSize::default();
+    let body = BodyStream::new(body);
+    body.map(move |frame| {
+        let frame = frame.map_err(|error| http::Error::Broken(error.to_string()))?;
+        let longest = frame.data_ref().map_or(0, |bytes| size.add(bytes));
+        if longest as u64 > bytes_max {
+            return Err(http::Error::TooLong(http::Bound {
+                bytes: bytes_max,
+                subject: AnswerBound::Event,
+            }));
         }
-    };
-    driver.send_event(Event::Failed { attempt, failure });
+        Ok(frame)
+    })
 }
 
 /// The request that starts or re-attaches to a stream; `None` if the payload is not a JSON object or the message is
@@ -162,42 +313,6 @@
     format!("{generation}.{}", stream.number)
 }
 
-/// Reads a stream and reports its events; false if it ends without a finish reason or an event is malformed.
-async fn read_stream(driver: &Driver, attempt: attempt::Key, body: hyper::body::Incoming) -> bool {
-    let mut events = SseStream::new(body);
-    while let Some(Ok(event)) = events.next().await {
-        let Some(data) = event.data else { continue };
-        let Ok(chunk) = serde_json::from_str::<Chunk>(&data) else {
-            return false;
-        };
-        let Some(choice) = chunk.choices.into_iter().next() else {
-            return false;
-        };
-        let position = chunk.position;
-        let end = position.saturating_add(choice.token_ids.len() as u32);
-        if !choice.token_ids.is_empty() {
-            driver.send_event(Event::Tokens {
-                attempt,
-                tokens: output_tokens(&choice.token_ids, choice.text),
-                position,
-            });
-        }
-        if let Some(report) = chunk.load {
-            let load = report.load();
-            driver.send_event(Event::PiggybackedLoad { attempt, load });
-        }
-        if let Some(reason) = choice.finish_reason {
-            driver.send_event(Event::GenerationFinished {
-                attempt,
-                position: end,
-                reason,
-            });
-            return true;
-        }
-    }
-    false
-}
-
 /// Tokens with their text; the text of several tokens is assigned to the last of them.
 fn output_tokens(ids: &[u32], text: String) -> Vec<OutputToken> {
     let mut tokens: Vec<OutputToken> = ids
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -74,7 +74,7 @@
     driver::Driver,
     futures_util::{SinkExt, Stream, StreamExt},
     http::HttpClient,
-    http_body_util::{BodyExt, Full},
+    http_body_util::{BodyExt, BodyStream, Full, StreamBody},
     hyper::{Request, StatusCode, header},
     hyper_util::{
         client::legacy::{Client, connect::HttpConnector},
--- a/crates/standin/tests/endless_reads.rs
+++ b/crates/standin/tests/endless_reads.rs
@@ -15,6 +15,7 @@
     tokio::time::{Instant, sleep, timeout},
     wellplank_standin::{
         Caller, Fleet, Host,
+        caller::Ask,
         endless_server::{Answer, EndlessServer},
         fleet,
     },
@@ -184,6 +185,54 @@
     });
 }
 
+/// A fleet with one more upstream, which answers load reports and in another way everything else.
+async fn add_faulty(
+    fleet: &mut Fleet,
+    answer: impl Fn(&str) -> Answer + Clone + Send + 'static,
+) -> EndlessServer {
+    let report = json!({ "running": 0, "slots": 64, "waiting": 0 });
+    let server = EndlessServer::start(ENDLESS, move |request| {
+        if request == "GET /load" {
+            return Answer::json(&report);
+        }
+        answer(request)
+    });
+    for engine in &mut fleet.engines {
+        engine.host.kill();
+    }
+    fleet.add_upstream("faulty", server.address).await;
+    server
+}
+
+/// A stream of a fleet whose only engine answers in a faulty way; what the engine had taken of its answer.
+async fn generate(fleet: &mut Fleet, start: &str, again: Vec<u8>) -> (EndlessServer, usize) {
+    let head = format!("HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\r\n{start}");
+    let server = add_faulty(fleet, move |_| {
+        Answer::Endless(head.clone().into_bytes(), again.clone())
+    })
+    .await;
+    let begun = Instant::now();
+    let mut tokens = 0;
+    while server.closed() == 0 && begun.elapsed() < PATIENCE {
+        let (ask, caller) = (Ask::new("cutting-plan", "a prompt", 8), caller());
+        let outcome = caller.generate(fleet.caller_address(0), &ask);
+        let outcome = timeout(CALL_TIMEOUT, outcome).await;
+        tokens = tokens.max(outcome.map_or(0, |outcome| outcome.tokens.len()));
+    }
+    (server, tokens)
+}
+
+/// Guards against an event of an engine that is kept without a bound, up to its end which never comes.
+#[gtest]
+fn event_of_an_engine_without_end_is_given_up_at_its_bound() {
+    run_fleet(async |mut fleet: Fleet| {
+        let (server, _) = generate(&mut fleet, "data: ", vec![b'z'; 64 << 10]).await;
+        expect_that!(server.closed(), ge(1));
+        expect_that!(server.most_taken(), le(SHORT + SOCKETS));
+        expect_that!(fleet.counter("answer_bound.event").await, ge(1));
+    });
+}
+
 /// Guards against an answer of a plain service that is kept without a bound.
 #[gtest]
 fn answer_of_a_plain_service_without_end_is_given_up_at_its_bound() {
