Bound what a read of the platform's store keeps, and its time

A store, or what stands before it, whose answer never ends filled the memory of every instance that follows it, and callers lost all of their requests. An answer was kept to its end, and so were pages that follow each other; an answer that trickles was read for ever, since each chunk came within a second. Informational heads without end kept the one thread of an instance from callers.

One read with all its pages keeps 64 MiB at most, as do all reads together, of which the largest is ended. An answer below 1,000 bytes a second over its first five seconds counts as stalled. A read that is given up counts as a failed call of the store, so the instance goes on with what it has, logs the bound and counts answer_bound.store or .instance.

That the whole instance keeps no more than 64 MiB follows from the shared budget; the test measures each answer.

--- a/crates/node/src/platform_store.rs
+++ b/crates/node/src/platform_store.rs
@@ -2,14 +2,42 @@
 
 use super::*;
 use platform::store::{Call, Item, Page, WatchResponse};
+use read_budget::Share;
 use wellplank_core::{
-    informer_io::Consistency, staleness::StalenessBound, store_calls::StoreCalls,
+    counter::AnswerBound, informer_io::Consistency, staleness::StalenessBound,
+    store_calls::StoreCalls,
 };
 
 /// Maximum time between two chunks of a response; equal to the TCP user timeout of the connection. However long a list is
 /// and however slow the link, a chunk arrives sooner.
 const CHUNK_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Maximum number of bytes of one read with all its pages, and of all reads that are not complete. A page has some megabytes, and
+/// a hundred of the largest values that others may have written 57 MiB.
+const READ_BYTES_MAX: u64 = 64 << 20;
+
+/// Time behind which a response must have arrived at [`BYTES_PER_SECOND_MIN`].
+const SLOW_TIME_MAX: Duration = Duration::from_secs(5);
+
+/// Rate below which a response counts as stalled: what a link of 20 Mbit/s leaves to each of 2,500 readers.
+const BYTES_PER_SECOND_MIN: f64 = 1_000.0;
+
+/// What one read of the store keeps until it is complete.
+struct ReadState {
+    /// Bytes of all pages so far.
+    bytes: u64,
+    /// Its part of what all reads keep.
+    share: Share,
+}
+
+/// A read of all pages with a key prefix.
+struct PageRead<'a> {
+    consistency: Consistency,
+    on_progress: &'a (dyn Fn() + Sync),
+    prefix: &'a str,
+    response_timeout: Duration,
+}
+
 /// A response of the store.
 #[derive(Debug)]
 pub(crate) struct Response {
@@ -28,6 +56,8 @@
     /// Availability of the store as the results of all calls show it.
     availability: Arc<watch::Sender<Availability>>,
     clock: Clock,
+    /// Bound on what all reads keep.
+    budget: ReadBudget,
     /// Connection pool; replaced when one of its connections may be dead.
     http: Arc<watch::Sender<HttpClient>>,
     meter: meter::Meter,
@@ -48,6 +78,7 @@
             availability: Arc::new(watch::Sender::new(availability)),
             clock,
             http: Arc::new(watch::Sender::new(HttpClient::with_keepalive())),
+            budget: ReadBudget::new(READ_BYTES_MAX),
             meter,
             staleness_bound,
         }
@@ -79,7 +110,8 @@
 
     /// Makes a call that the store answers without waiting for a change.
     pub async fn call(&self, call: Call, response_timeout: Duration) -> Result<Response, Error> {
-        self.call_with_progress(call, response_timeout, &|| {})
+        let mut state = self.new_read();
+        self.call_with_progress(call, response_timeout, &|| {}, &mut state)
             .await
     }
 
@@ -89,10 +121,11 @@
         call: Call,
         response_timeout: Duration,
         on_progress: &(dyn Fn() + Sync),
+        state: &mut ReadState,
     ) -> Result<Response, Error> {
         let started_at = Instant::now();
         let response = self
-            .exchange(call, Duration::ZERO, response_timeout, on_progress)
+            .exchange(call, Duration::ZERO, response_timeout, on_progress, state)
             .await?;
         let millis = started_at.elapsed().as_secs_f64() * 1_000.0;
         self.meter.observe(meter::Latency::Store, millis);
@@ -106,9 +139,12 @@
         wait: Duration,
         response_timeout: Duration,
         on_progress: &(dyn Fn() + Sync),
+        state: &mut ReadState,
     ) -> Result<Response, Error> {
         let wait_end = self.clock.now().after(wait.as_millis() as u64);
-        let response = self.send(call, wait + response_timeout, on_progress).await;
+        let response = self
+            .send(call, wait + response_timeout, on_progress, state)
+            .await;
         let is_answered = matches!(&response, Ok(response) if !is_refusal(response.status));
         self.availability.send_modify(|availability| {
             if let Ok(response) = &response
@@ -135,6 +171,7 @@
         call: Call,
         response_timeout: Duration,
         on_progress: &(dyn Fn() + Sync),
+        state: &mut ReadState,
     ) -> Result<Response, Error> {
         let request = Request::builder()
             .method(call.method)
@@ -149,14 +186,70 @@
                 self.reconnect();
                 Error::StoreTimeout(response_timeout.as_millis())
             })?
-            .map_err(|error| Error::Store(error.to_string()))?;
+            .map_err(|error| match error {
+                http::Error::TooLong(http::Bound { subject, .. }) => self.too_long(subject),
+                error => Error::Store(error.to_string()),
+            })?;
         on_progress();
         let status = response.status();
         let era = self.era(response.headers());
-        let body = read_body(response.into_body()).await?;
+        let body = self.read_body(response.into_body(), state).await?;
         Ok(Response { body, era, status })
     }
 
+    /// Reads a response body. Fails if no chunk arrives for a while, if the body arrives too slowly, or if it and what the read
+    /// keeps already are too large.
+    async fn read_body(
+        &self,
+        mut body: hyper::body::Incoming,
+        state: &mut ReadState,
+    ) -> Result<Bytes, Error> {
+        let started_at = Instant::now();
+        let mut bytes = BytesMut::new();
+        let stalled = |length| Error::Store(format!("response stalled after {length} bytes"));
+        loop {
+            let frame = tokio::select! {
+                frame = timeout(CHUNK_TIMEOUT, body.frame()) => frame,
+                () = state.share.ended() => return Err(self.too_long(AnswerBound::Instance)),
+            };
+            let Some(frame) = frame.map_err(|_| stalled(bytes.len()))? else {
+                return Ok(bytes.freeze());
+            };
+            let frame = frame.map_err(|error| Error::Store(error.to_string()))?;
+            let Some(chunk) = frame.data_ref() else {
+                continue;
+            };
+            state.bytes += chunk.len() as u64;
+            if state.bytes > READ_BYTES_MAX {
+                return Err(self.too_long(AnswerBound::Store));
+            }
+            if state.share.set(state.bytes) {
+                return Err(self.too_long(AnswerBound::Instance));
+            }
+            bytes.extend_from_slice(chunk);
+            if is_too_slow(bytes.len(), started_at.elapsed()) {
+                return Err(stalled(bytes.len()));
+            }
+        }
+    }
+
+    /// The error of a read that exceeds a bound, which is logged and counted.
+    fn too_long(&self, subject: AnswerBound) -> Error {
+        let bytes = READ_BYTES_MAX;
+        let bound = http::Bound { bytes, subject };
+        driver::log_too_long(bound, self.address);
+        self.meter.count(Counter::AnswerBound(subject), 1);
+        Error::Store(http::Error::TooLong(bound).to_string())
+    }
+
+    /// A read that keeps nothing yet.
+    fn new_read(&self) -> ReadState {
+        ReadState {
+            bytes: 0,
+            share: self.budget.share(),
+        }
+    }
+
     /// Number of restores of the store from a backup, by the headers of a response; the newest known number if the
     /// header is missing or malformed.
     fn era(&self, headers: &hyper::HeaderMap) -> u64 {
@@ -191,24 +284,21 @@
         consistency: Consistency,
         on_progress: &(dyn Fn() + Sync),
     ) -> Result<(Vec<Item>, Position), Error> {
-        let (mut page, era) = self
-            .read_page(prefix, None, response_timeout, consistency, on_progress)
-            .await?;
+        let mut state = self.new_read();
+        let read = PageRead {
+            consistency,
+            on_progress,
+            prefix,
+            response_timeout,
+        };
+        let (mut page, era) = self.read_page(&read, None, &mut state).await?;
         let position = Position::new(era, page.revision);
         let mut items = std::mem::take(&mut page.items);
         while page.has_more {
             let last = items.last().map(|item| item.key.clone());
             let last = last.ok_or_else(|| Error::Store(format!("{prefix}: page without keys")))?;
             let page_era;
-            (page, page_era) = self
-                .read_page(
-                    prefix,
-                    Some(&last),
-                    response_timeout,
-                    consistency,
-                    on_progress,
-                )
-                .await?;
+            (page, page_era) = self.read_page(&read, Some(&last), &mut state).await?;
             if page_era != era {
                 return Err(Error::Store(format!(
                     "{prefix}: the store was restored between pages, from era {era} to {page_era}"
@@ -224,14 +314,15 @@
 
     async fn read_page(
         &self,
-        prefix: &str,
+        read: &PageRead<'_>,
         after: Option<&str>,
-        response_timeout: Duration,
-        consistency: Consistency,
-        on_progress: &(dyn Fn() + Sync),
+        state: &mut ReadState,
     ) -> Result<(Page, u64), Error> {
-        let call = platform::store::range(prefix, after, consistency == Consistency::Serializable);
-        let response = self.call_with_progress(call, response_timeout, on_progress);
+        let prefix = read.prefix;
+        let allow_stale = read.consistency == Consistency::Serializable;
+        let call = platform::store::range(prefix, after, allow_stale);
+        let response =
+            self.call_with_progress(call, read.response_timeout, read.on_progress, state);
         let Response { body, era, status } = response.await?;
         if status != StatusCode::OK {
             return Err(Error::Store(format!("reading {prefix}: {status}")));
@@ -269,7 +360,8 @@
         on_progress: &(dyn Fn() + Sync),
     ) -> Result<Option<(WatchResponse, Position)>, Error> {
         let call = platform::store::watch(prefix, revision, wait);
-        let response = self.exchange(call, wait, response_timeout, on_progress);
+        let mut state = self.new_read();
+        let response = self.exchange(call, wait, response_timeout, on_progress, &mut state);
         let Response { body, era, status } = response.await?;
         if platform::store::is_compacted(status) {
             return Ok(None);
@@ -290,21 +382,10 @@
     status.is_server_error() || status == StatusCode::TOO_MANY_REQUESTS
 }
 
-/// Reads a response body; fails if no chunk arrives for a while.
-async fn read_body(mut body: hyper::body::Incoming) -> Result<Bytes, Error> {
-    let mut bytes = BytesMut::new();
-    loop {
-        let frame = timeout(CHUNK_TIMEOUT, body.frame())
-            .await
-            .map_err(|_| Error::Store(format!("response stalled after {} bytes", bytes.len())))?;
-        let Some(frame) = frame else {
-            return Ok(bytes.freeze());
-        };
-        let frame = frame.map_err(|error| Error::Store(error.to_string()))?;
-        if let Some(chunk) = frame.data_ref() {
-            bytes.extend_from_slice(chunk);
-        }
-    }
+/// Whether a response has arrived at less than the lowest rate.
+fn is_too_slow(bytes: usize, time: Duration) -> bool {
+    let due = time.saturating_sub(SLOW_TIME_MAX).as_secs_f64() * BYTES_PER_SECOND_MIN;
+    (bytes as f64) < due
 }
 
 /// Time-outs and backoff of one task that reads a part of the store.
