Bound the list and the configuration that another instance sends

An instance that asks another one for its list kept what came: parts that follow each other without an end, and entries that take a thousand times their bytes once they are decompressed and decoded. A faulty instance, or what stands at its address, could end each instance that asked it.

A list has 25 parts of 2,000 entries at most, 16 MiB decompressed together, and the entries of a part are counted before they are decoded. A document or list that decompresses to more is an error, where it was cut off and failed as malformed. The call fails, is logged with the bound and counted as answer_bound.peer, and the list comes from another instance or the store.

On the code before, with fetch_list made public, the tests of parts and of empty entries failed: 800,000 entries of 400 parts and 1,048,576 empty entries of one part of two megabytes were taken. That of entries that decompress without an end failed by its message only: they were cut off at 16 MiB.

--- a/crates/node/src/error.rs
+++ b/crates/node/src/error.rs
@@ -14,6 +14,8 @@
     CoreEnded,
     /// Another instance did not answer a request.
     Peer(SocketAddr, String),
+    /// The answer of another instance exceeded a bound.
+    PeerBound(SocketAddr, String),
     /// Reading a file failed.
     Read(PathBuf, std::io::Error),
     /// Starting the async runtime failed.
@@ -47,6 +49,7 @@
             Self::Bind(..) => "bind",
             Self::CoreEnded => "core_ended",
             Self::Peer(..) => "peer",
+            Self::PeerBound(..) => "peer_bound",
             Self::Read(..) => "read",
             Self::Runtime(_) => "runtime",
             Self::Settings(..) => "settings",
@@ -63,9 +66,11 @@
             Self::Read(..) | Self::Settings(..) => "settings".into(),
             Self::Runtime(_) => "runtime".into(),
             Self::TaskEnded(task) => (*task).into(),
-            Self::CoreEnded | Self::Peer(..) | Self::Store(_) | Self::StoreTimeout(_) => {
-                String::new()
-            }
+            Self::CoreEnded
+            | Self::Peer(..)
+            | Self::PeerBound(..)
+            | Self::Store(_)
+            | Self::StoreTimeout(_) => String::new(),
         }
     }
 
@@ -76,6 +81,7 @@
             Self::Bind(..)
             | Self::CoreEnded
             | Self::Peer(..)
+            | Self::PeerBound(..)
             | Self::Runtime(_)
             | Self::Store(_)
             | Self::StoreTimeout(_)
@@ -91,7 +97,9 @@
                 write!(formatter, "failed to listen on {address} ({port}): {error}")
             }
             Self::CoreEnded => write!(formatter, "the core task ended"),
-            Self::Peer(address, text) => write!(formatter, "instance {address}: {text}"),
+            Self::Peer(address, text) | Self::PeerBound(address, text) => {
+                write!(formatter, "instance {address}: {text}")
+            }
             Self::Read(path, error) => {
                 write!(formatter, "failed to read {}: {error}", path.display())
             }
--- a/crates/node/src/exchange.rs
+++ b/crates/node/src/exchange.rs
@@ -28,9 +28,13 @@
 /// The same for lists, which take hundreds of kilobytes each.
 const LISTS_MAX: usize = 4;
 
-/// Maximum size of a configuration or of a part of a list, in bytes; what is larger is cut off.
+/// Maximum size of a configuration, and of the entries of a list with all its parts, in bytes; what is larger is not read. Ten
+/// thousand entries take two megabytes.
 const BYTES_MAX: u64 = 16 << 20;
 
+/// Maximum number of parts of a list: with [`PART_ENTRIES`] each, five times the largest fleet.
+const PARTS_MAX: usize = 25;
+
 /// Pause after a failure to accept a connection.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
 
@@ -74,9 +78,9 @@
         })
     }
 
-    /// Decompresses the document.
+    /// Decompresses the document; fails if it is larger than a configuration may be.
     pub fn decompress(&self) -> std::io::Result<Vec<u8>> {
-        decompress(&self.document)
+        decompress(&self.document, BYTES_MAX)
     }
 }
 
@@ -86,11 +90,15 @@
     encoder.finish()
 }
 
-fn decompress(bytes: &[u8]) -> std::io::Result<Vec<u8>> {
+/// Decompresses at most `bytes_max` bytes; fails if there are more.
+fn decompress(bytes: &[u8], bytes_max: u64) -> std::io::Result<Vec<u8>> {
     let mut decompressed = Vec::new();
-    DeflateDecoder::new(bytes)
-        .take(BYTES_MAX)
-        .read_to_end(&mut decompressed)?;
+    let decoder = DeflateDecoder::new(bytes);
+    decoder.take(bytes_max + 1).read_to_end(&mut decompressed)?;
+    if decompressed.len() as u64 > bytes_max {
+        let text = format!("more than {bytes_max} bytes");
+        return Err(std::io::Error::new(std::io::ErrorKind::FileTooLarge, text));
+    }
     Ok(decompressed)
 }
 
@@ -237,11 +245,46 @@
     parts.collect()
 }
 
-/// Decodes the entries of a part.
-fn decode_entries(part: &peers::ListPart) -> Result<Vec<peers::Entry>, String> {
-    let bytes = decompress(&part.entries).map_err(|error| error.to_string())?;
-    let decoded = peers::Entries::decode(&bytes[..]).map_err(|error| error.to_string())?;
-    Ok(decoded.entries)
+/// What the list of another instance may still hold.
+struct ListBudget {
+    /// The other instance.
+    address: SocketAddr,
+    bytes: u64,
+    parts: usize,
+}
+
+impl ListBudget {
+    /// Decodes the entries of a part within the budget.
+    fn decode(&mut self, part: &peers::ListPart) -> Result<Vec<peers::Entry>, Error> {
+        let exceeded = |text| Error::PeerBound(self.address, text);
+        let failed = |error: &dyn Display| Error::Peer(self.address, error.to_string());
+        let parts = self.parts.checked_sub(1);
+        self.parts = parts.ok_or_else(|| exceeded(format!("more than {PARTS_MAX} parts")))?;
+        let bytes = decompress(&part.entries, self.bytes).map_err(|error| match error.kind() {
+            std::io::ErrorKind::FileTooLarge => exceeded(error.to_string()),
+            _ => failed(&error),
+        })?;
+        let count = count_entries(&bytes).map_err(|error| failed(&error))?;
+        if count > PART_ENTRIES {
+            return Err(exceeded(format!("{count} entries in one part")));
+        }
+        let decoded = peers::Entries::decode(&bytes[..]).map_err(|error| failed(&error))?;
+        self.bytes -= bytes.len() as u64;
+        Ok(decoded.entries)
+    }
+}
+
+/// Number of entries of an encoded part. They are counted before they are decoded: an empty one takes two bytes encoded, and a
+/// hundred times that decoded.
+fn count_entries(mut bytes: &[u8]) -> Result<usize, prost::DecodeError> {
+    use prost::encoding::{DecodeContext, decode_key, skip_field};
+    let mut count = 0;
+    while !bytes.is_empty() {
+        let (tag, wire_type) = decode_key(&mut bytes)?;
+        skip_field(wire_type, tag, &mut bytes, DecodeContext::default())?;
+        count += 1;
+    }
+    Ok(count)
 }
 
 /// Requests the configuration in force at another instance, which must arrive within `response_timeout`.
@@ -271,7 +314,7 @@
 
 /// Requests the list, or the changes after a position, from another instance. `on_progress` is called when its answer
 /// begins to arrive.
-pub(crate) async fn fetch_list(
+pub async fn fetch_list(
     address: SocketAddr,
     since: Option<Position>,
     on_progress: impl Fn(),
@@ -297,12 +340,17 @@
         is_complete: first.is_complete,
         to: Position::new(first.era, first.to),
     };
+    let mut budget = ListBudget {
+        address,
+        bytes: BYTES_MAX,
+        parts: PARTS_MAX,
+    };
     let mut part = first;
     loop {
         if part.is_unavailable {
             return Err(Error::Peer(address, "it has no list to give".into()));
         }
-        let entries = decode_entries(&part).map_err(|error| Error::Peer(address, error))?;
+        let entries = budget.decode(&part)?;
         let changes = entries.into_iter();
         list.changes
             .extend(changes.map(|entry| datagram::decode_change(entry, list.to.era)));
--- a/crates/node/src/store_sync.rs
+++ b/crates/node/src/store_sync.rs
@@ -8,6 +8,7 @@
 use platform_store::{AvailabilityLog, Client};
 use tokio::task::AbortHandle;
 use wellplank_core::{
+    counter::AnswerBound,
     dissemination,
     informer::Informer,
     informer_io::{
@@ -365,11 +366,18 @@
             (Source::Peer, Topic::Upstreams) => self.random_peer(),
             (Source::Store, _) => None,
         };
+        let driver = self.params.driver.clone();
         let task = tokio::spawn(async move {
             // A send fails only if the receiving task has ended, which it does only with the instance.
             let on_progress = || drop(events.send(CallEvent::Progressed(call.id)));
             let result = match call.source {
-                Source::Peer => fetch(peer, call, on_progress).await,
+                Source::Peer => {
+                    let result = fetch(peer, call, on_progress).await;
+                    if let Err(Error::PeerBound(..)) = result {
+                        driver.count(Counter::AnswerBound(AnswerBound::Peer));
+                    }
+                    result
+                }
                 Source::Store => execute(&client, call, &on_progress).await,
             };
             drop(events.send(CallEvent::Finished(FinishedCall { call, result })));
