--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -36,6 +36,7 @@
 mod crash_history;
 mod datagram;
 mod engine;
+mod event_queue;
 mod forward;
 mod gossip;
 mod http;
