End a generation at the number of tokens that was requested

An engine of the own interface that sends tokens without an end kept its caller's generation open until its deadline, and the instance kept all of its tokens for a resumption. The number that the caller requested was passed to the engine and never checked.

The core drops tokens behind it, answers the caller with the reason length, cancels the stream at the engine, and counts frame.beyond.

On the code before, the test failed: 200 of 200 tokens were delivered where 100 were requested, and the generation went on.

--- a/crates/core/src/counter.rs
+++ b/crates/core/src/counter.rs
@@ -43,6 +43,8 @@
     RankRefused(Rank),
     /// Streams that waited for capacity where ranks are in force, by rank.
     RankWaited(Rank),
+    /// Streams ended because their upstream sent more tokens than were requested.
+    FrameBeyond,
     /// Streams abandoned because tokens were missing.
     FrameGap,
     /// Hedged continuations: started while the current upstream is only suspected.
@@ -255,6 +257,7 @@
                 write!(formatter, "ended_early.{kind}.{bound}")
             }
             Self::EntryInvalid(reason) => write!(formatter, "entry.odd.{reason}"),
+            Self::FrameBeyond => write!(formatter, "frame.beyond"),
             Self::FrameGap => write!(formatter, "frame.gap"),
             Self::FrameLate => write!(formatter, "frame.late"),
             Self::FrameRepeated => write!(formatter, "frame.repeated"),
--- a/crates/core/src/stream.rs
+++ b/crates/core/src/stream.rs
@@ -2,6 +2,9 @@
 
 use super::*;
 
+/// Reason of the end of an answer that has as many tokens as were requested.
+const LENGTH: &str = "length";
+
 impl Core {
     /// Handles the end of a caller's connection. The stream of a generation that has begun is not
     /// cancelled: the engine keeps it for a while, since its caller may resume it with a cursor.
@@ -52,6 +55,17 @@
         }
         self.record_activity(key);
         self.remove_attempt(key);
+        self.finish_generation(owner, attempt_upstream, position, reason);
+    }
+
+    /// Ends a generation as complete; its other attempts are cancelled.
+    fn finish_generation(
+        &mut self,
+        owner: request::Key,
+        attempt_upstream: upstream::Key,
+        position: u32,
+        reason: String,
+    ) {
         for other in self.requests[owner].attempts.clone() {
             self.cancel(other);
         }
@@ -108,7 +122,8 @@
             return;
         };
         let (owner, number) = (attempt.request, attempt.number);
-        let upstream = self.upstreams[attempt.upstream].incarnation.id;
+        let attempt_upstream = attempt.upstream;
+        let upstream = self.upstreams[attempt_upstream].incarnation.id;
         let request = &self.requests[owner];
         let next = request.position();
         let repeated = tokens.len().min(next.saturating_sub(position) as usize);
@@ -140,7 +155,17 @@
             self.fail(owner, Kind::Internal);
             return;
         }
-        self.deliver(owner, number, upstream, tokens);
+        let max_tokens = self.requests[owner].work.max_tokens();
+        let is_beyond = next as usize + tokens.len() > max_tokens as usize;
+        tokens.truncate(max_tokens.saturating_sub(next) as usize);
+        if !tokens.is_empty() {
+            self.deliver(owner, number, upstream, tokens);
+        }
+        if is_beyond && self.requests.contains_key(owner) {
+            // The engine goes on behind the end: the answer is complete, and what follows is not read.
+            self.count(Counter::FrameBeyond);
+            self.finish_generation(owner, attempt_upstream, max_tokens, LENGTH.into());
+        }
     }
 
     /// Adds tokens to a request and sends the caller those that it does not have.
--- a/crates/core/tests/core.rs
+++ b/crates/core/tests/core.rs
@@ -252,6 +252,27 @@
     }
 }
 
+/// Guards against an engine that sends tokens without an end, which are all kept for their caller.
+#[gtest]
+fn tokens_behind_the_last_one_that_was_requested_end_the_generation() {
+    let mut test = Test::new(Settings::default(), 1);
+    test.submit("mill");
+    let attempt = test.attempts()[0];
+    for position in 0..200 {
+        test.send_token(attempt, position, 7);
+    }
+    let delivered = |effect: &Effect| match effect {
+        Effect::Deliver { tokens, .. } => Some(tokens.len()),
+        _ => None,
+    };
+    let delivered: usize = test.effects.iter().filter_map(delivered).sum();
+    let is_finish = |effect: &&Effect| matches!(effect, Effect::Finish { position: 100, .. });
+    let is_cancel = |effect: &&Effect| matches!(effect, Effect::Cancel { .. });
+    expect_that!(delivered, eq(100));
+    expect_that!(test.effects.iter().filter(is_finish).count(), eq(1));
+    expect_that!(test.effects.iter().filter(is_cancel).count(), eq(1));
+}
+
 #[gtest]
 fn generation_is_not_sent_to_an_engine_in_backoff() {
     let mut test = Test::new(Settings::default(), 1);
