Read the events of engines through the queue of their attempt

Two ways bounded the events that wait for the core task. Those of engines of the own interface now hold places until they are handled, like those of relayed streams.

--- a/crates/node/src/driver.rs
+++ b/crates/node/src/driver.rs
@@ -32,7 +32,7 @@
     Count(Counter),
     /// An event for the core.
     Event(Event),
-    /// An event of a relayed stream, and its places in the queue.
+    /// An event of a stream, and its places in the queue.
     StreamEvent(Event, OwnedSemaphorePermit),
     /// A request to relay: its submission, the original request, and the channel for its replies with the outlet at its
     /// other end.
@@ -50,8 +50,6 @@
     Settings(Box<wellplank_core::settings::Settings>),
     /// End the open requests, which are logged and counted: a graceful shutdown ends. The answer is their number.
     EndShutdown(oneshot::Sender<usize>),
-    /// Asks for a word once the messages before this one are handled.
-    Handled(oneshot::Sender<()>),
     /// Request for the current state.
     Status(oneshot::Sender<Snapshot>),
     /// A request, and the channel for its replies.
@@ -238,7 +236,7 @@
         self.send(Message::Event(event));
     }
 
-    /// Queues an event of a relayed stream, which holds its places until the core has handled it.
+    /// Queues an event of a stream, which holds its places until the core has handled it.
     pub(crate) fn send_stream_event(&self, event: Event, places: OwnedSemaphorePermit) {
         self.send(Message::StreamEvent(event, places));
     }
@@ -256,14 +254,6 @@
         self.send_event(Event::ShutdownStarted { left_ms });
     }
 
-    /// Waits until the core task has handled what was sent to it before.
-    pub(crate) async fn handled(&self) {
-        let (sender, receiver) = oneshot::channel();
-        self.send(Message::Handled(sender));
-        // The core task may have ended: nothing is waited for then.
-        let _ = receiver.await;
-    }
-
     /// The state as reported to operators; empty if the core task has ended.
     pub(crate) async fn status(&self) -> Snapshot {
         let (sender, receiver) = oneshot::channel();
@@ -398,7 +388,6 @@
             Self::Members(..) => "members",
             Self::Relay(..) | Self::Submit(..) => "submit",
             Self::Settings(_) => "settings",
-            Self::Handled(_) => "handled",
             Self::Status(_) => "status",
             Self::TunnelTarget(..) => "tunnel_target",
             Self::UnknownHeader(..) => "unknown_header",
@@ -1127,9 +1116,6 @@
                 }
             }
             Message::Settings(settings) => self.configure(*settings),
-            Message::Handled(sender) => {
-                let _ = sender.send(());
-            }
             Message::Status(sender) => {
                 let _ = sender.send(self.status());
             }
--- a/crates/node/src/engine.rs
+++ b/crates/node/src/engine.rs
@@ -8,6 +8,8 @@
 //!   many seconds it accepts no requests from this instance.
 
 use super::*;
+use event_queue::EventQueue;
+use tokio::sync::OwnedSemaphorePermit;
 use wellplank_core::{
     counter::AnswerBound,
     notice::{Backoff, Notice},
@@ -25,9 +27,6 @@
     subject: AnswerBound::Body,
 };
 
-/// Number of events behind which a reader waits until the core has handled them.
-const EVENTS_AHEAD_MAX: u32 = 64;
-
 /// One attempt of a stream at an engine.
 pub(crate) struct Generation {
     /// Address of the engine.
@@ -127,7 +126,7 @@
     async fn read_stream(&self, body: hyper::body::Incoming) -> bool {
         let mut events =
             SseStream::new(StreamBody::new(bounded_events(body, self.event_bytes_max)));
-        let mut ahead = 0;
+        let queue = EventQueue::new();
         loop {
             let event = match events.next().await {
                 Some(Ok(event)) => event,
@@ -141,16 +140,12 @@
             let Ok(chunk) = serde_json::from_str::<Chunk>(&data) else {
                 return false;
             };
-            match self.report_chunk(chunk) {
+            let places = queue.places(data.len()).await;
+            match self.report_chunk(chunk, places) {
                 Progress::Ended => return true,
                 Progress::Malformed => return false,
                 Progress::Running => {}
             }
-            ahead += 1;
-            if ahead == EVENTS_AHEAD_MAX {
-                ahead = 0;
-                self.driver.handled().await;
-            }
         }
     }
 
@@ -161,8 +156,8 @@
         }
     }
 
-    /// Reports the content of an event to the core task.
-    fn report_chunk(&self, chunk: Chunk) -> Progress {
+    /// Reports the content of an event to the core task, which has `places` until its tokens are handled.
+    fn report_chunk(&self, chunk: Chunk, places: OwnedSemaphorePermit) -> Progress {
         let attempt = self.attempt;
         let Some(choice) = chunk.choices.into_iter().next() else {
             return Progress::Malformed;
@@ -170,11 +165,12 @@
         let position = chunk.position;
         let end = position.saturating_add(choice.token_ids.len() as u32);
         if !choice.token_ids.is_empty() {
-            self.driver.send_event(Event::Tokens {
+            let tokens = Event::Tokens {
                 attempt,
                 tokens: output_tokens(&choice.token_ids, choice.text),
                 position,
-            });
+            };
+            self.driver.send_stream_event(tokens, places);
         }
         if let Some(report) = chunk.load {
             let load = report.load();
