--- a/crates/node/src/driver.rs
+++ b/crates/node/src/driver.rs
@@ -201,6 +201,7 @@
     peers: HashMap<u64, SocketAddr>,
     pooled: HttpClient,
     probes: HttpClient,
+    process_state: process_state::ProcessState,
     names: mpsc::UnboundedSender<wellplank_core::names::Call>,
     quarantine_updates: mpsc::UnboundedSender<store_writer::QuarantineUpdate>,
     receiver: mpsc::UnboundedReceiver<Message>,
@@ -300,6 +301,7 @@
             peers: HashMap::new(),
             pooled: HttpClient::pooled(),
             probes: HttpClient::metered(&outputs.traffic),
+            process_state: process_state::ProcessState::new(),
             names: outputs.names,
             quarantine_updates: outputs.quarantine_updates,
             receiver,
@@ -463,6 +465,7 @@
                     if let Some(suspended_ms) = self.clock.detect_suspension() {
                         warn!(suspended_ms; "resumed");
                     }
+                    self.process_state.record_tick();
                     self.report_reads();
                     self.handle_event(Event::Tick);
                     self.set_gauges();
@@ -569,6 +572,7 @@
         if self.gauges_set_at.elapsed() >= GAUGE_INTERVAL {
             self.gauges_set_at = Instant::now();
             self.meter.set_buffers(self.core.buffers());
+            self.process_state.report(&self.meter, self.core.running());
             self.meter.set_reading(self.budget.bytes());
         }
     }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -48,6 +48,7 @@
 mod plain;
 mod platform_store;
 mod probe;
+mod process_state;
 mod read_budget;
 mod relay;
 mod reload;
