--- a/crates/node/src/driver.rs
+++ b/crates/node/src/driver.rs
@@ -32,7 +32,7 @@
     Count(Counter),
     /// An event for the core.
     Event(Event),
-    /// An event of a relayed stream, and its places in the queue.
+    /// An event of a stream, and its places in the queue.
     StreamEvent(Event, OwnedSemaphorePermit),
     /// A request to relay: its submission, the original request, and the channel for its replies with the outlet at its
     /// other end.
@@ -221,6 +221,12 @@
         self.send(Message::Count(counter));
     }
 
+    /// Logs and counts an answer that was given up at its bound.
+    pub(crate) fn report_too_long(&self, bound: http::Bound, from: SocketAddr) {
+        log_too_long(bound, from);
+        self.count(Counter::AnswerBound(bound.subject));
+    }
+
     /// Waits until the core task has ended.
     pub(crate) async fn ended(&self) {
         self.sender.closed().await;
@@ -231,7 +237,7 @@
         self.send(Message::Event(event));
     }
 
-    /// Queues an event of a relayed stream, which holds its places until the core has handled it.
+    /// Queues an event of a stream, which holds its places until the core has handled it.
     pub(crate) fn send_stream_event(&self, event: Event, places: OwnedSemaphorePermit) {
         self.send(Message::StreamEvent(event, places));
     }
@@ -411,6 +417,13 @@
     }
 }
 
+/// Logs an answer that was given up at its bound.
+pub(crate) fn log_too_long(bound: http::Bound, from: SocketAddr) {
+    let http::Bound { bytes, subject } = bound;
+    let (bound, from) = (subject.to_string(), from.to_string());
+    warn!(bound, bytes, from; "answer given up at its bound");
+}
+
 impl CoreOutputs {
     /// Outputs of an instance that sends frames over links to its peers: it neither gossips by datagram nor persists the
     /// quarantine, so these channels have no receiver.
@@ -992,20 +1005,34 @@
                     &self.unpooled
                 };
                 plain::request(address, &path, &payload, request).map(|request| {
-                    let call = plain::run(http.clone(), driver, attempt, upstream, request);
-                    RunningAttempt::unpaused(tokio::spawn(call))
+                    let http = http.clone();
+                    let call = plain::Call {
+                        address,
+                        attempt,
+                        body_bytes_max: self.answers.body_bytes,
+                        driver,
+                        http,
+                        share: self.budget.share(),
+                        upstream,
+                    };
+                    RunningAttempt::unpaused(tokio::spawn(call.run(request)))
                 })
             }
             outbound @ Outbound::Relay { .. } => {
                 self.start_forward(address, attempt, &outbound, upstream)
             }
             outbound => {
-                let attach = matches!(outbound, Outbound::Attach { .. });
-                engine::request(address, outbound).map(|request| {
-                    let http = self.unpooled.clone();
-                    let generation = engine::run(http, driver, attempt, upstream, request, attach);
-                    RunningAttempt::unpaused(tokio::spawn(generation))
-                })
+                let generation = engine::Generation {
+                    address,
+                    attach: matches!(outbound, Outbound::Attach { .. }),
+                    attempt,
+                    driver,
+                    event_bytes_max: self.answers.event_bytes,
+                    http: self.unpooled.clone(),
+                    upstream,
+                };
+                engine::request(address, outbound)
+                    .map(|request| RunningAttempt::unpaused(tokio::spawn(generation.run(request))))
             }
         };
         match task {
