Do not end an answer as whole that is not known to be

Callers of HTTP/1.0 got streams that were broken off as 200 with an empty or short body and an orderly close, which is the end of an answer to them. Callers of HTTP/1.1 got streams with the last chunk though only the close of the upstream's connection had ended them: without any event, if two upstreams ended before the first, or where the stream could not be continued. A body with a transfer coding other than chunks counted as one with an end.

Cause: a dropped connection is closed in order, an end that two upstreams agree on counted as confirmed at position 0 too, and an end that could not be confirmed was passed on as a whole one.

Now a stream that is broken off resets the connection of a caller to which a close is the end (the acceptor of callers' connections is the project's own for that), an empty stream is never confirmed, and an unconfirmed end has an effect of its own: the close of the connection, or chunks without the last one. Calls that only a close ended reach callers of HTTP/1.0 in the same form.

A link of the test site passes a reset by the upstream on as a reset; it had closed in order, which showed as a fault of tunnels that was none.

--- a/crates/core/src/effect.rs
+++ b/crates/core/src/effect.rs
@@ -335,6 +335,8 @@
     },
     /// Stop reading a stream without cancelling it, since its caller may reconnect.
     Detach(attempt::Key),
+    /// End a relayed stream that ended with the connection of its upstream, which does not tell whether it is complete.
+    CloseStream(request::Caller),
     /// End a relayed stream that is complete.
     EndStream(request::Caller),
     /// Answer a request with an error.
--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -59,7 +59,8 @@
 
     /// Handles a relayed stream that ended without an error. An end without an end marker is
     /// accepted once a second upstream, asked to continue after the last event, sends no more
-    /// events either.
+    /// events either; a stream without any event is not, since two upstreams may have ended before the first. An end that is
+    /// not accepted, of a stream that can not be continued, reaches the caller as what it is.
     pub(crate) fn handle_stream_end(&mut self, key: attempt::Key, marked: bool) {
         let Some(attempt) = self.remove_attempt(key) else {
             self.count(Counter::FrameLate);
@@ -72,7 +73,8 @@
             return;
         }
         let ended_before = progress.unmarked_end.replace(progress.position);
-        let is_complete = marked || ended_before == Some(progress.position);
+        let is_confirmed = progress.position > 0 && ended_before == Some(progress.position);
+        let is_complete = marked || is_confirmed;
         if !is_complete && self.may_continue(owner) {
             self.remember_copy(&attempt);
             if self.was_cut_unread(&attempt) {
@@ -86,7 +88,12 @@
             return;
         }
         self.record_run(&attempt);
-        self.complete(attempt.request, attempt.upstream, Effect::EndStream);
+        let effect = if is_complete {
+            Effect::EndStream
+        } else {
+            Effect::CloseStream
+        };
+        self.complete(attempt.request, attempt.upstream, effect);
     }
 
     /// Handles the start of a relayed stream. Only the first response head is forwarded to the
--- a/crates/core/tests/disorder/oracle.rs
+++ b/crates/core/tests/disorder/oracle.rs
@@ -17,6 +17,7 @@
 pub fn addressed(effect: &Effect) -> Option<(Caller, bool)> {
     match effect {
         Effect::AbortStream(caller)
+        | Effect::CloseStream(caller)
         | Effect::EndStream(caller)
         | Effect::Fail { caller, .. }
         | Effect::Finish { caller, .. }
--- a/crates/core/tests/relay/builder.rs
+++ b/crates/core/tests/relay/builder.rs
@@ -289,6 +289,7 @@
     pub fn outcomes(&self) -> Vec<String> {
         let outcome = |effect: &Effect| match effect {
             Effect::ForwardResponse(_) => Some("answer".into()),
+            Effect::CloseStream(_) => Some("unmarked close".into()),
             Effect::EndStream(_) => Some("close".into()),
             Effect::AbortStream(_) => Some("cut".into()),
             Effect::Fail { kind, .. } => Some(kind.to_string()),
--- a/crates/core/tests/relay/main.rs
+++ b/crates/core/tests/relay/main.rs
@@ -97,6 +97,19 @@
     expect_that!(test.outcomes(), elements_are![eq("close")]);
 }
 
+// Guards against an empty stream that counts as complete since two upstreams ended before its first event.
+#[gtest]
+fn stream_that_two_upstreams_end_before_its_first_event_is_not_complete() {
+    let mut test = Test::new(6);
+    let first = test.stream(0);
+    test.close(&first, false);
+    let second = test.last_sent();
+    expect_that!(second.attempt, not(eq(first.attempt)));
+    test.handle(Event::StreamOpened(second.attempt));
+    test.close(&second, false);
+    expect_that!(test.outcomes(), not(contains(eq("close"))));
+}
+
 #[gtest]
 fn stream_with_unmarked_end_is_resumed_when_a_second_upstream_sends_more_events() {
     let mut test = Test::new(6);
--- a/crates/node/src/completion_response.rs
+++ b/crates/node/src/completion_response.rs
@@ -57,6 +57,7 @@
         match reply {
             Reply::Abort
             | Reply::Body { .. }
+            | Reply::CloseStream
             | Reply::EndStream
             | Reply::Event(_)
             | Reply::Head(_)
--- a/crates/node/src/completions.rs
+++ b/crates/node/src/completions.rs
@@ -165,6 +165,7 @@
         match reply {
             Reply::Abort
             | Reply::Body { .. }
+            | Reply::CloseStream
             | Reply::EndStream
             | Reply::Event(_)
             | Reply::Head(_)
--- a/crates/node/src/driver.rs
+++ b/crates/node/src/driver.rs
@@ -584,12 +584,8 @@
                 self.send_reply(caller, reply);
             }
             Effect::Detach(attempt) => self.abort(attempt),
-            Effect::EndStream(caller) => {
-                if let Some(kept) = self.outlets.get_mut(&caller) {
-                    kept.is_complete = true;
-                }
-                self.finish_caller(caller, Reply::EndStream);
-            }
+            Effect::CloseStream(caller) => self.finish_stream(caller, Reply::CloseStream),
+            Effect::EndStream(caller) => self.finish_stream(caller, Reply::EndStream),
             Effect::Fail {
                 caller,
                 kind,
@@ -655,6 +651,14 @@
         }
     }
 
+    /// Ends a stream whose events are all queued.
+    fn finish_stream(&mut self, caller: Caller, reply: Reply) {
+        if let Some(kept) = self.outlets.get_mut(&caller) {
+            kept.is_complete = true;
+        }
+        self.finish_caller(caller, reply);
+    }
+
     /// Sends the held head of a stream's response to its caller.
     fn forward_head(&mut self, caller: Caller) {
         if let Some(HeldResponse::Head(head)) = self.take_held(caller) {
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -23,6 +23,8 @@
 /// Head of an upstream's response.
 #[derive(Debug)]
 pub(crate) struct Head {
+    /// Whether only the end of the upstream's connection ends the body.
+    pub ends_by_close: bool,
     /// End-to-end headers.
     pub headers: hyper::HeaderMap,
     /// HTTP status.
@@ -160,14 +162,14 @@
             &self.request_id,
             self.streams,
         );
-        let has_end_marker = parts.headers.contains_key(header::TRANSFER_ENCODING)
-            || parts.headers.contains_key(header::CONTENT_LENGTH);
+        let ends_by_close = platform::response::ends_by_close(parts.status, &parts.headers);
         let notice = platform::response::notice(parts.status, &parts.headers, &self.request_id);
         self.report_notice(parts.status, notice);
         for name in platform::response::unknown_headers(&parts.headers) {
             self.driver.report_unknown_header(name, &self.upstream_name);
         }
         let head = Head {
+            ends_by_close,
             headers: platform::request::end_to_end(&parts.headers),
             status: parts.status,
         };
@@ -178,7 +180,7 @@
                 let held = driver::HeldResponse::Head(Box::new(head));
                 self.driver
                     .hold_response(self.attempt, self.caller, held, event);
-                self.read_stream(body, has_end_marker).await
+                self.read_stream(body, !ends_by_close).await
             }
             Classification::Unary(verdict) => {
                 let body = body.collect().await;
--- a/crates/node/src/hosted.rs
+++ b/crates/node/src/hosted.rs
@@ -1,8 +1,12 @@
 //! An instance on the users' platform: starts and stops its tasks.
 
 use super::*;
+use caller_socket::{Resets, SocketAcceptor};
 use listener::HostedPorts;
-use salvo::fuse::{FuseAction, FuseConfig, FuseInfo};
+use salvo::{
+    conn::Acceptor,
+    fuse::{FuseAction, FuseConfig, FuseInfo},
+};
 use settings::Hosted;
 use wellplank_core::{informer_io::KnownState, staleness::StalenessBound};
 
@@ -171,18 +175,15 @@
         };
         let ready = Router::with_path("{**path}").goal(ready);
         serve(Port::Ready, ports.ready, ready, limits_receiver.clone())?;
+        let resets = Resets::default();
         let endpoint = relay::Endpoint {
             driver: driver.clone(),
             limits: limits_receiver.clone(),
+            resets: resets.clone(),
             shutdown: stopping,
         };
         let callers = unanswered::counted(Router::with_path("{**path}").goal(endpoint));
-        let callers = serve(
-            Port::Callers,
-            ports.callers,
-            callers,
-            limits_receiver.clone(),
-        )?;
+        let callers = serve_callers(ports.callers, callers, limits_receiver.clone(), resets)?;
         let serving = serve_metrics(
             ports.metrics,
             hosted.metrics,
@@ -381,7 +382,7 @@
     }
 }
 
-/// Starts to serve a router at a port. The idle time-out of a new connection follows from the limits in force.
+/// Starts to serve a router at a port.
 fn serve(
     port: Port,
     listener: tokio::net::TcpListener,
@@ -392,6 +393,29 @@
     let address = address.unwrap_or_else(|_| SocketAddr::from(([0, 0, 0, 0], 0)));
     let acceptor = TcpAcceptor::try_from(listener);
     let acceptor = acceptor.map_err(|error| Error::Bind(port, address, error))?;
+    Ok(serve_accepted(acceptor, router, limits))
+}
+
+/// Starts to serve callers, some of whose connections are reset.
+fn serve_callers(
+    listener: tokio::net::TcpListener,
+    router: Router,
+    limits: watch::Receiver<platform::configuration::Limits>,
+    resets: Resets,
+) -> Result<Serving, Error> {
+    let address = listener.local_addr();
+    let address = address.unwrap_or_else(|_| SocketAddr::from(([0, 0, 0, 0], 0)));
+    let acceptor = SocketAcceptor::new(listener, resets);
+    let acceptor = acceptor.map_err(|error| Error::Bind(Port::Callers, address, error))?;
+    Ok(serve_accepted(acceptor, router, limits))
+}
+
+/// Starts to serve a router. The idle time-out of a new connection follows from the limits in force.
+fn serve_accepted(
+    acceptor: impl Acceptor + 'static,
+    router: Router,
+    limits: watch::Receiver<platform::configuration::Limits>,
+) -> Serving {
     let fuse = move |_: &FuseInfo| {
         let idle = limits.borrow().idle_timeout.mul_f64(IDLE_TIMEOUT_FACTOR);
         FuseAction::Accept(FuseConfig::disabled().with_http1_header_timeout(idle))
@@ -399,5 +423,5 @@
     let server = Server::new(acceptor).fuse_policy(fuse);
     let handle = server.handle();
     let task = tokio::spawn(server.serve(router));
-    Ok(Serving { handle, task })
+    Serving { handle, task }
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod tasks;
 
 mod caller;
+mod caller_socket;
 mod calls;
 mod claim_forwarder;
 mod claimer;
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -2,6 +2,7 @@
 
 use super::*;
 use caller::CallerGuard;
+use caller_socket::Resets;
 
 /// Time after the start of a shutdown during which long requests are still accepted: the load balancer keeps
 /// sending new callers for two of its health checks, which are one second apart.
@@ -38,6 +39,8 @@
     pub driver: Driver,
     /// Limits on the requests of callers.
     pub limits: watch::Receiver<platform::configuration::Limits>,
+    /// Callers whose connections are reset.
+    pub resets: Resets,
     /// Watches for a graceful shutdown.
     pub shutdown: ShutdownReceiver,
 }
@@ -111,7 +114,19 @@
         };
         let request_id = original.request_id.clone();
         let outlet = self.driver.submit_relay(submission, original);
-        respond(&request_id, outlet, guard, response).await;
+        let end = if request.version() == hyper::Version::HTTP_10 {
+            BodyEnd::Close
+        } else {
+            BodyEnd::Chunk
+        };
+        let responder = Responder {
+            end,
+            peer: request.remote_addr().clone().into_std(),
+            resets: self.resets.clone(),
+        };
+        responder
+            .respond(&request_id, outlet, guard, response)
+            .await;
         Ok(())
     }
 }
@@ -131,84 +146,152 @@
     })
 }
 
-/// Writes the replies of the core to the response.
-async fn respond(
-    request_id: &str,
+/// What ends the body of a response whose length is not known at its head.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum BodyEnd {
+    /// A last chunk, to callers of HTTP/1.1.
+    Chunk,
+    /// The end of the connection, to callers of HTTP/1.0.
+    Close,
+}
+
+/// Writes the response to one caller.
+struct Responder {
+    end: BodyEnd,
+    /// Address of the caller; `None` if it is not known.
+    peer: Option<SocketAddr>,
+    resets: Resets,
+}
+
+/// A relayed stream on its way to its caller.
+struct EventStream {
+    guard: CallerGuard,
+    is_aborted: bool,
     outlet: Arc<Outlet>,
-    mut guard: CallerGuard,
-    response: &mut salvo::Response,
-) {
-    match outlet.recv().await {
-        Some(Reply::Response(upstream_response)) => {
-            guard.is_finished = true;
-            write_head(response, upstream_response.head);
-            response.body(salvo::http::ResBody::Once(upstream_response.body));
+    responder: Responder,
+}
+
+impl Responder {
+    /// Writes the replies of the core to the response.
+    async fn respond(
+        self,
+        request_id: &str,
+        outlet: Arc<Outlet>,
+        mut guard: CallerGuard,
+        response: &mut salvo::Response,
+    ) {
+        match outlet.recv().await {
+            Some(Reply::Response(upstream_response)) => {
+                guard.is_finished = true;
+                self.write_response(response, *upstream_response);
+            }
+            Some(Reply::Failed {
+                kind,
+                retry_after_ms,
+            }) => {
+                guard.is_finished = true;
+                write_error(response, request_id, kind, retry_after_ms);
+            }
+            Some(Reply::Head(head)) => {
+                write_head(response, *head);
+                let events = EventStream {
+                    guard,
+                    is_aborted: false,
+                    outlet,
+                    responder: self,
+                };
+                response.stream(events.into_chunks());
+            }
+            _ => write_error(response, request_id, Kind::Internal, None),
         }
-        Some(Reply::Failed {
-            kind,
-            retry_after_ms,
-        }) => {
-            guard.is_finished = true;
-            write_error(response, request_id, kind, retry_after_ms);
+    }
+
+    /// Writes the complete response of an upstream. If only the end of the upstream's connection ended it, and the caller takes
+    /// such responses, it has that form too: the upstream may have ended early.
+    fn write_response(
+        &self,
+        response: &mut salvo::Response,
+        upstream_response: forward::CompleteResponse,
+    ) {
+        let forward::CompleteResponse { body, head } = upstream_response;
+        let ends_by_close = head.ends_by_close && self.end == BodyEnd::Close;
+        write_head(response, head);
+        if ends_by_close {
+            response.stream(futures_util::stream::iter([Ok::<_, std::io::Error>(body)]));
+        } else {
+            response.body(salvo::http::ResBody::Once(body));
         }
-        Some(Reply::Head(head)) => {
-            write_head(response, *head);
-            response.stream(events(outlet, guard));
+    }
+
+    /// Breaks the response off so that it does not look complete: without its last chunk, or by a reset where a close would be
+    /// its end.
+    fn break_off(&self) -> std::io::Error {
+        if self.end == BodyEnd::Close
+            && let Some(peer) = self.peer
+        {
+            self.resets.insert(peer);
         }
-        _ => write_error(response, request_id, Kind::Internal, None),
+        std::io::Error::other("relayed stream aborted before it was complete")
     }
 }
 
-/// The events of a stream; events that are queued go into one chunk, up to its maximum size. An aborted stream ends with an error, which closes
-/// the caller's connection before the response is complete.
-fn events(
-    outlet: Arc<Outlet>,
-    guard: CallerGuard,
-) -> impl Stream<Item = Result<Bytes, std::io::Error>> {
-    futures_util::stream::unfold(
-        (outlet, guard, false),
-        |(outlet, mut guard, mut is_aborted)| async move {
-            if is_aborted {
-                let error = std::io::Error::other("relayed stream aborted before it was complete");
-                return Some((Err(error), (outlet, guard, false)));
-            }
-            if guard.is_finished {
-                return None;
-            }
-            let mut bytes = Vec::new();
-            let mut next = outlet.recv().await;
-            loop {
-                match next {
-                    Some(Reply::Event(event)) => bytes.extend_from_slice(&event),
-                    Some(Reply::EndStream) => {
-                        guard.is_finished = true;
-                        break;
-                    }
-                    _ => {
-                        guard.is_finished = true;
-                        is_aborted = true;
-                        break;
-                    }
-                }
-                if bytes.len() >= outlet::CHUNK_BYTES {
-                    break;
-                }
-                match outlet.try_recv() {
-                    Some(reply) => next = Some(reply),
-                    None => break,
+impl EventStream {
+    /// The chunks of the response. An aborted stream ends with an error, which closes the caller's connection before the
+    /// response is complete.
+    fn into_chunks(self) -> impl Stream<Item = Result<Bytes, std::io::Error>> {
+        futures_util::stream::unfold(self, |mut events| async {
+            let chunk = events.next_chunk().await?;
+            Some((chunk, events))
+        })
+    }
+
+    /// The next chunk; events that are queued go into one, up to its maximum size.
+    async fn next_chunk(&mut self) -> Option<Result<Bytes, std::io::Error>> {
+        if std::mem::take(&mut self.is_aborted) {
+            return Some(Err(self.responder.break_off()));
+        }
+        if self.guard.is_finished {
+            return None;
+        }
+        let bytes = self.queued_events().await;
+        if !bytes.is_empty() {
+            return Some(Ok(self.outlet.chunk(bytes)));
+        }
+        std::mem::take(&mut self.is_aborted).then(|| Err(self.responder.break_off()))
+    }
+
+    /// Waits for an event or the end, and takes the events that are queued behind it.
+    async fn queued_events(&mut self) -> Vec<u8> {
+        let mut bytes = Vec::new();
+        let mut next = self.outlet.recv().await;
+        loop {
+            match next {
+                Some(Reply::Event(event)) => bytes.extend_from_slice(&event),
+                reply => {
+                    self.guard.is_finished = true;
+                    self.is_aborted = !self.is_end(reply.as_ref());
+                    return bytes;
                 }
             }
-            if bytes.is_empty() && is_aborted {
-                let error = std::io::Error::other("relayed stream aborted before it was complete");
-                return Some((Err(error), (outlet, guard, false)));
+            if bytes.len() >= outlet::CHUNK_BYTES {
+                return bytes;
             }
-            if bytes.is_empty() {
-                return None;
+            match self.outlet.try_recv() {
+                Some(reply) => next = Some(reply),
+                None => return bytes,
             }
-            let chunk = outlet.chunk(bytes);
-            Some((Ok(chunk), (outlet, guard, is_aborted)))
-        },
-    )
+        }
+    }
+
+    /// Whether the response ends in order with a reply. A stream that may be incomplete may only end by a close, since a last
+    /// chunk says that it is complete.
+    fn is_end(&self, reply: Option<&Reply>) -> bool {
+        match reply {
+            Some(Reply::EndStream) => true,
+            Some(Reply::CloseStream) => self.responder.end == BodyEnd::Close,
+            _ => false,
+        }
+    }
 }
 
 /// Logs and writes an error response. Its `retry-after` header has fractions of seconds.
@@ -230,6 +313,7 @@
     }
 }
 
+/// Writes the head of an upstream's response.
 fn write_head(response: &mut salvo::Response, head: forward::Head) {
     response.status_code(head.status);
     response.set_headers(head.headers);
--- a/crates/node/src/reply.rs
+++ b/crates/node/src/reply.rs
@@ -14,6 +14,8 @@
         /// HTTP status.
         status: u16,
     },
+    /// A relayed stream ended with the connection of its upstream, which does not tell whether it is complete.
+    CloseStream,
     /// A relayed stream is complete.
     EndStream,
     /// One event of a relayed stream.
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -55,6 +55,7 @@
 pub mod timeline;
 pub mod token;
 pub mod trial;
+pub mod truncated;
 pub mod uplink;
 pub mod urgency;
 pub mod versions;
--- a/crates/standin/src/relaying.rs
+++ b/crates/standin/src/relaying.rs
@@ -681,7 +681,7 @@
             Effect::Count(Counter::Invariant(invariant), _) => {
                 self.broken(format_args!("invariant {invariant}"));
             }
-            Effect::AbortStream(caller) => self.end(caller, false),
+            Effect::AbortStream(caller) | Effect::CloseStream(caller) => self.end(caller, false),
             Effect::Fail { caller, kind, .. } => {
                 let answer = kind.answer();
                 if let Some(asker) = self.connections.get(&caller) {
--- a/crates/standin/src/uplink.rs
+++ b/crates/standin/src/uplink.rs
@@ -122,15 +122,16 @@
     filled
 }
 
-/// Carries a connection both ways until either end closes it or the link resets it.
+/// Carries a connection both ways until either end closes or resets it, or the link does. What the upstream resets is reset
+/// before the instance too.
 async fn pass(mut near: TcpStream, mut far: TcpStream, state: watch::Receiver<State>) {
     let mut resets = state.clone();
     let is_reset = {
         let (near_in, near_out) = near.split();
         let (far_in, far_out) = far.split();
         tokio::select! {
-            () = carry(near_in, far_out, state.clone()) => false,
-            () = carry(far_in, near_out, state) => false,
+            carried = carry(near_in, far_out, state.clone()) => carried.is_err(),
+            carried = carry(far_in, near_out, state) => carried.is_err(),
             _ = resets.wait_for(|state| *state == State::Resets) => true,
         }
     };
@@ -139,17 +140,18 @@
     }
 }
 
-/// Carries bytes one way; what comes while the link hangs is held up.
+/// Carries bytes one way; what comes while the link hangs is held up. An error means that the sender reset the connection.
 async fn carry(
     mut from: impl AsyncRead + Unpin,
     mut to: impl AsyncWrite + Unpin,
     mut state: watch::Receiver<State>,
-) {
+) -> std::io::Result<()> {
     let mut piece = vec![0; PIECE];
-    while let Ok(length) = from.read(&mut piece).await {
+    loop {
+        let length = from.read(&mut piece).await?;
         let _ = state.wait_for(|state| *state != State::Hangs).await;
         if length == 0 || to.write_all(&piece[..length]).await.is_err() {
-            return;
+            return Ok(());
         }
     }
 }
--- a/crates/standin/src/world.rs
+++ b/crates/standin/src/world.rs
@@ -17,7 +17,7 @@
     position::Position,
     request::{self, Caller as Connection},
     settings::Settings,
-    upstream::Load,
+    upstream::{self, Load},
 };
 
 /// Start of virtual time.
@@ -381,6 +381,7 @@
             | Effect::GossipBreakOff(_)
             | Effect::GossipLost(_)
             | Effect::GossipEnded(_)
+            | Effect::CloseStream(_)
             | Effect::EndStream(_)
             | Effect::AbortStream(_)
             | Effect::GossipDemand { .. }
@@ -396,24 +397,7 @@
             | Effect::GossipStream { .. }
             | Effect::Observe(..)
             | Effect::Buffering(_) => {}
-            Effect::Probe { address, upstream } => {
-                let index = index_of(address);
-                let alive = match self.upstreams[index].mode {
-                    Mode::CutOut | Mode::Frozen | Mode::Silent => return,
-                    Mode::Dead => false,
-                    _ => true,
-                };
-                if alive {
-                    let load = Load {
-                        leaving: self.upstreams[index].mode == Mode::Leaving,
-                        running: self.upstreams[index].running(),
-                        slots: 8,
-                        ..Load::default()
-                    };
-                    self.event(instance, 3, Event::Load { upstream, load });
-                }
-                self.event(instance, 4, Event::Probed { upstream, alive });
-            }
+            Effect::Probe { address, upstream } => self.probe(instance, address, upstream),
             Effect::Send {
                 address,
                 attempt,
@@ -426,6 +410,26 @@
         }
     }
 
+    /// Asks an upstream for its load.
+    fn probe(&mut self, instance: usize, address: SocketAddr, upstream: upstream::Key) {
+        let index = index_of(address);
+        let alive = match self.upstreams[index].mode {
+            Mode::CutOut | Mode::Frozen | Mode::Silent => return,
+            Mode::Dead => false,
+            _ => true,
+        };
+        if alive {
+            let load = Load {
+                leaving: self.upstreams[index].mode == Mode::Leaving,
+                running: self.upstreams[index].running(),
+                slots: 8,
+                ..Load::default()
+            };
+            self.event(instance, 3, Event::Load { upstream, load });
+        }
+        self.event(instance, 4, Event::Probed { upstream, alive });
+    }
+
     fn claim(&mut self, instance: usize, claim: &Claim, request: request::Key) {
         for asker in 0..self.askers.len() {
             if self.askers[asker].instance == instance && self.askers[asker].end.is_none() {
