--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -24,6 +24,7 @@
 mod bounded_connection;
 mod bounded_connector;
 mod caller;
+mod caller_socket;
 mod calls;
 mod claim_forwarder;
 mod claimer;
