Run instances before upstreams whose answers never end

`standin endless` starts instances as processes before sound upstreams and ones whose bytes never end, in each of fifteen places of an answer, and ends a process whose resident memory is over a limit, as the users' platform does.

Callers of an instance with one such upstream of four in each pool see connections cut, reset and refused: a body or an event without end takes the process over 160 MiB one to four times in 4 s. With four of seven that send informational heads, the process answers nothing and does not end within its grace period behind SIGTERM.

--- a/crates/standin/src/arguments.rs
+++ b/crates/standin/src/arguments.rs
@@ -88,6 +88,7 @@
         )
         .subcommand(randomised())
         .subcommand(collision::command())
+        .subcommand(endless::command())
         .subcommand(odd_entries::command())
         .subcommand(rejoining::command())
         .subcommand_required(true)
@@ -269,6 +270,7 @@
             "demo" => return demo::run().await,
             "soak" => return soak(arguments).await,
             collision::NAME => return exit(collision::main(arguments).await),
+            endless::NAME => return exit(endless::main(arguments).await),
             odd_entries::NAME => return exit(odd_entries::main(arguments).await),
             rejoining::NAME => return exit(rejoining::main(arguments).await),
             "matrix" => return matrix(arguments),
--- a/crates/standin/src/daemon.rs
+++ b/crates/standin/src/daemon.rs
@@ -125,6 +125,11 @@
         }
     }
 
+    /// Number of the process, if one was started and no end of it was seen.
+    pub(crate) fn process_id(&self) -> Option<u32> {
+        self.child.as_ref().map(Child::id)
+    }
+
     /// Whether the process runs; an end of it is noted.
     pub(crate) fn runs(&mut self) -> bool {
         let Some(child) = &mut self.child else {
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -14,6 +14,8 @@
 pub mod cuts;
 pub mod demo;
 pub mod departure;
+pub mod endless;
+pub mod endless_upstream;
 pub mod engine;
 pub mod fake;
 pub mod fleet;
--- a/crates/standin/src/process.rs
+++ b/crates/standin/src/process.rs
@@ -84,3 +84,10 @@
         }
     }
 }
+
+/// Resident memory of a process at its peak, in kibibytes; `None` if it is gone.
+pub(crate) fn peak_kib(id: u32) -> Option<u64> {
+    let status = std::fs::read_to_string(format!("/proc/{id}/status")).ok()?;
+    let line = status.lines().find(|line| line.starts_with("VmHWM:"))?;
+    line.split_whitespace().nth(1)?.parse().ok()
+}
