Bound the memory of instances in runs of endless answers, and tell how long exits take

The limit of resident memory is watched from outside, and a busy machine sees it late: a process had 1,089 MiB at a limit of 160. The shell's `ulimit -d` at twice the limit now bounds each process from inside; one that is over it ends by itself, with the size of the allocation that failed. Runs of stops say how long processes take from SIGTERM to their end, and how many are over the grace period, behind which the users' platform ends them by SIGKILL.

--- a/crates/standin/src/daemon.rs
+++ b/crates/standin/src/daemon.rs
@@ -61,14 +61,20 @@
     /// Where callers connect.
     pub(crate) callers: SocketAddr,
     child: Option<Child>,
+    /// Data that a process may have, in kibibytes, by the shell's `ulimit -d`; it gets no more memory beyond.
+    pub(crate) data_kib: Option<u64>,
     /// Ends of its processes that nobody asked for.
     pub(crate) ends: Vec<End>,
+    /// Times from SIGTERM to the end of a process, as they were seen.
+    pub(crate) exits: Vec<Duration>,
     /// Bytes that earlier processes wrote to standard error.
     error_start: u64,
     /// Its settings; logs lie beside them.
     pub(crate) file: PathBuf,
     /// Numbers of the signals that the running process was sent.
     signals: Vec<i32>,
+    /// When the running process was told to end in order.
+    terminated: Option<Instant>,
 }
 
 impl Daemon {
@@ -77,10 +83,13 @@
         Self {
             callers,
             child: None,
+            data_kib: None,
             ends: Vec::new(),
             error_start: 0,
+            exits: Vec::new(),
             file,
             signals: Vec::new(),
+            terminated: None,
         }
     }
 
@@ -93,6 +102,9 @@
             return;
         };
         self.signals.push(signal.number());
+        if signal == Signal::Terminate {
+            self.terminated.get_or_insert_with(Instant::now);
+        }
         let (id, number) = (child.id().to_string(), format!("-{}", signal.number()));
         let _ = Program::new("kill").args([number, id]).status();
     }
@@ -150,9 +162,10 @@
         }
         let program = std::env::var_os(PROGRAM).map(PathBuf::from).or_else(built);
         self.signals.clear();
+        self.terminated = None;
         self.error_start = std::fs::metadata(self.error_file()).map_or(0, |file| file.len());
         self.child = program.and_then(|program| {
-            Program::new(program)
+            self.program(&program)
                 .args(["run", "--settings"])
                 .arg(&self.file)
                 .stdout(append(&self.file.with_extension("log")))
@@ -162,6 +175,17 @@
         });
     }
 
+    /// The program, which a shell starts in its own place if there is a limit.
+    fn program(&self, program: &std::path::Path) -> Program {
+        let Some(data_kib) = self.data_kib else {
+            return Program::new(program);
+        };
+        let mut shell = Program::new("sh");
+        let script = format!("ulimit -d {data_kib} && exec \"$0\" \"$@\"");
+        shell.arg("-c").arg(script).arg(program);
+        shell
+    }
+
     /// Where standard error is kept.
     fn error_file(&self) -> PathBuf {
         self.file.with_extension("err")
@@ -169,6 +193,8 @@
 
     /// Notes an end unless a signal that was sent asked for it. A process that is told to end in order must say that it did.
     fn note(&mut self, status: ExitStatus) {
+        let exit = self.terminated.take().map(|at| at.elapsed());
+        self.exits.extend(exit);
         let by_signal = status
             .signal()
             .is_some_and(|signal| self.signals.contains(&signal));
--- a/crates/standin/src/endless.rs
+++ b/crates/standin/src/endless.rs
@@ -39,6 +39,9 @@
 /// Part of the requests to sound upstreams that must be answered within it.
 const IN_TIME: f64 = 0.99;
 
+/// Data that a process may have, over its limit of resident memory: the limit is seen late on a busy machine.
+const DATA_FACTOR: u64 = 2;
+
 /// Time that an instance has to end in order, as its settings say.
 const GRACE: Duration = Duration::from_millis(soak::GRACE_MS);
 
@@ -225,6 +228,7 @@
 /// Runs instances before endless upstreams of a form.
 pub async fn run(plan: Plan, setting: Setting) -> Outcome {
     let layout = Layout {
+        data_kib: Some(setting.memory_kib * DATA_FACTOR),
         desks: DESKS.max(plan.engines / 3),
         ..Layout::default()
     };
--- a/crates/standin/src/soak.rs
+++ b/crates/standin/src/soak.rs
@@ -87,6 +87,8 @@
 pub(crate) struct Layout {
     /// Configuration by its version.
     pub(crate) configuration: fn(u64) -> Value,
+    /// Data that the process of an instance may have, in kibibytes.
+    pub(crate) data_kib: Option<u64>,
     /// Upstreams that answer calls.
     pub(crate) desks: usize,
     /// Time that an instance has to end in order, in milliseconds.
@@ -105,6 +107,7 @@
     fn default() -> Self {
         Self {
             configuration: site::configuration,
+            data_kib: None,
             desks: DESKS,
             grace_ms: GRACE_MS,
             is_listed: |_| true,
@@ -326,6 +329,20 @@
         self.instances.iter().map(|one| one.callers).collect()
     }
 
+    /// Times from SIGTERM to the end of a process, and how many are over a grace period, which another platform would have ended.
+    pub(crate) fn tell_exits(&self, grace: Duration) -> String {
+        let exits = self.instances.iter().flat_map(|one| one.exits.clone());
+        let mut exits: Vec<Duration> = exits.collect();
+        exits.sort_unstable();
+        let over = exits.iter().filter(|exit| **exit > grace).count();
+        let median = exits.get(exits.len() / 2).copied().unwrap_or_default();
+        let longest = exits.last().copied().unwrap_or_default();
+        format!(
+            "{} exits behind SIGTERM, median {median:.1?}, longest {longest:.1?}, {over} over {grace:?}",
+            exits.len()
+        )
+    }
+
     /// Has the callers stop, now that no fault is left, and checks what came of it all.
     pub(crate) async fn end(mut self, callers: Vec<JoinHandle<()>>, faults: usize) -> Outcome {
         self.shared.stop.store(true, Ordering::Relaxed);
@@ -423,6 +440,7 @@
         let callers = settings["listen"]["callers"].as_str().unwrap_or_default();
         let callers = callers.parse().expect("settings hold addresses");
         let mut instance = Daemon::new(callers, file);
+        instance.data_kib = self.layout.data_kib;
         instance.start();
         self.instances.push(instance);
     }
--- a/crates/standin/src/stopping.rs
+++ b/crates/standin/src/stopping.rs
@@ -318,7 +318,12 @@
     }
 
     /// Has the callers stop and checks what must always hold.
-    pub(crate) async fn end(mut self, callers: Vec<JoinHandle<()>>, notes: Vec<String>) -> Outcome {
+    pub(crate) async fn end(
+        mut self,
+        callers: Vec<JoinHandle<()>>,
+        mut notes: Vec<String>,
+    ) -> Outcome {
+        notes.push(self.soak.tell_exits(GRACE));
         let late = self.soak.lateness.late();
         let late = late.into_iter().map(|(from, to)| to - from).sum();
         self.soak.heal();
