--- a/crates/standin/src/endless.rs
+++ b/crates/standin/src/endless.rs
@@ -153,6 +153,8 @@
 pub struct Outcome {
     /// Each instance.
     pub instances: Vec<Usage>,
+    /// Time in which the machine was slowed, which may explain answers that came late.
+    pub late: Duration,
     /// Instances that had not ended in order a grace period behind SIGTERM.
     pub overdue: usize,
     /// Requests by their kind.
@@ -188,9 +190,10 @@
         let over: usize = self.instances.iter().map(|one| one.over).sum();
         let verdict = if self.holds() { "holds" } else { "broken" };
         let mut lines = vec![format!(
-            "{verdict}: {} ends, {over} of them over the limit of memory, peaks of {peaks:?} MiB, {} overdue at the stop",
+            "{verdict}: {} ends, {over} of them over the limit of memory, peaks of {peaks:?} MiB, {} overdue at the stop, machine late {:.1?}",
             self.ends(),
             self.overdue,
+            self.late,
         )];
         let kinds = self.kinds.iter();
         lines.extend(kinds.map(|(kind, tally)| format!("{kind}: {}", tally.text())));
@@ -254,8 +257,10 @@
         let _ = caller.await;
     }
     let overdue = stop(&mut soak, &mut usages, setting.memory_kib).await;
+    let late = soak.lateness.late();
     let outcome = Outcome {
         instances: usages,
+        late: late.into_iter().map(|(from, to)| to - from).sum(),
         overdue,
         ..Outcome::default()
     };
