--- a/crates/standin/src/endless.rs
+++ b/crates/standin/src/endless.rs
@@ -22,8 +22,11 @@
 /// Threads that write for all endless upstreams.
 const WRITERS: usize = 2;
 
-/// Callers of each instance: each kind on kept connections and on new ones.
-const CALLERS: usize = 6;
+/// Callers of each instance of which nothing else is said: each kind on kept connections and on new ones.
+pub const CALLERS: usize = 6;
+
+/// Kinds of requests.
+const KINDS: usize = 3;
 
 /// Pause of a caller between two requests.
 const PAUSE: Duration = Duration::from_millis(100);
@@ -52,6 +55,8 @@
 /// Endless upstreams beside the sound ones.
 #[derive(Clone, Copy, Debug)]
 pub struct Setting {
+    /// Callers of each instance.
+    pub callers: usize,
     /// Endless upstreams in each pool.
     pub endless: usize,
     /// What they send.
@@ -238,8 +243,13 @@
     let mut soak = Soak::start_by(plan, layout);
     soak.wait_ready().await;
     let seen = Seen::default();
-    let callers: Vec<_> = (0..plan.instances * CALLERS)
-        .map(|index| tokio::spawn(call(soak.addresses(), index, seen.clone())))
+    let addresses = soak.addresses();
+    let callers: Vec<_> = (0..plan.instances * setting.callers)
+        .map(|index| {
+            let address = addresses[index % plan.instances];
+            let number = index / plan.instances;
+            tokio::spawn(call(address, index, number, seen.clone()))
+        })
         .collect();
     let host = Host::new(WRITERS);
     let upstream = EndlessUpstream::default();
@@ -330,15 +340,14 @@
     }
 }
 
-/// Asks an instance until told to stop.
-async fn call(addresses: Vec<SocketAddr>, index: usize, seen: Seen) {
-    let address = addresses[index / CALLERS];
-    let (kind, work, due) = match index % 3 {
+/// Asks an instance until told to stop; the number of the caller there decides what it asks for, and how.
+async fn call(address: SocketAddr, index: usize, caller: usize, seen: Seen) {
+    let (kind, work, due) = match caller % KINDS {
         0 => ("again", Work::Call, OBJECTIVE),
         1 => ("once", Work::Once, OBJECTIVE),
         _ => ("stream", Work::Stream, OBJECTIVE + STREAM),
     };
-    let habit = if index % CALLERS < CALLERS / 2 {
+    let habit = if (caller / KINDS).is_multiple_of(2) {
         Habit::Fresh
     } else {
         Habit::Kept
@@ -389,6 +398,7 @@
         .arg(number("seed", "Seed", "1"))
         .arg(number("instances", "Instances, each a process", "6"))
         .arg(number("engines", "Sound upstreams that stream", "6"))
+        .arg(number("callers", "Callers of each instance", "6"))
         .arg(number("endless", "Endless upstreams in each pool", "1"))
         .arg(number("seconds", "Time for each form", "5"))
         .arg(number(
@@ -420,6 +430,7 @@
             continue;
         }
         let setting = Setting {
+            callers: number("callers") as usize,
             endless: number("endless") as usize,
             form,
             memory_kib: number("memory-mib") << 10,
--- a/crates/standin/tests/endless.rs
+++ b/crates/standin/tests/endless.rs
@@ -27,6 +27,7 @@
 /// Runs an instance before this many endless upstreams in each pool.
 fn run(form: Form, endless: usize) -> Outcome {
     let setting = Setting {
+        callers: endless::CALLERS,
         endless,
         form,
         memory_kib: MEMORY_KIB,
