--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -16,6 +16,8 @@
 pub mod departure;
 pub mod endless;
 pub mod endless_server;
+pub mod endless_soak;
+pub mod endless_upstream;
 pub mod engine;
 pub mod fake;
 pub mod fleet;
