Leave room for a read of the body before a head is handled

The HTTP library may read once more behind a head before the task that waits for it runs, so that a large sound head and the start of its body could exceed the bound on heads together. No such failure was seen. The bound is now twice the largest head.

--- a/crates/node/src/bounded_connection.rs
+++ b/crates/node/src/bounded_connection.rs
@@ -9,10 +9,13 @@
 };
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
-/// Bytes of the head of an answer, with the informational heads before it, beyond which its connection fails. The users' heads
-/// have up to 16 KiB.
+/// Bytes of the head of an answer beyond which its connection fails, and of one read. The users' heads have up to 16 KiB.
 pub(crate) const HEAD_BYTES_MAX: usize = 64 << 10;
 
+/// Bytes that may be received before the head of an answer is handled, informational heads included: the largest head, and one
+/// read of the body behind it.
+pub(crate) const UNTIL_HEAD_BYTES_MAX: u64 = 2 * HEAD_BYTES_MAX as u64;
+
 /// Bytes that are read without giving way to other tasks: the smallest events and heads of that many are handled within a
 /// few milliseconds.
 const TURN_BYTES: usize = 32 << 10;
--- a/crates/node/src/connection.rs
+++ b/crates/node/src/connection.rs
@@ -64,7 +64,7 @@
     mut request: Request<http::Body>,
 ) -> Result<hyper::Response<hyper::body::Incoming>, hyper::Error> {
     use_origin_form(&mut request);
-    let limit = ReceiveLimit::new(bounded_connection::HEAD_BYTES_MAX as u64);
+    let limit = ReceiveLimit::new(bounded_connection::UNTIL_HEAD_BYTES_MAX);
     let connection = BoundedConnection::new(connection, limit.clone());
     let (mut sender, connection) = hyper::client::conn::http1::Builder::new()
         .max_buf_size(bounded_connection::HEAD_BYTES_MAX)
--- a/crates/node/tests/settings.rs
+++ b/crates/node/tests/settings.rs
@@ -115,6 +115,18 @@
     expect_that!(Settings::parse("[]").unwrap_err().is_empty(), eq(false));
 }
 
+/// Guards against a bound on answers that refuses ordinary ones.
+#[gtest]
+fn bounds_on_answers_below_64_kib_are_faults() {
+    for name in ["body_bytes", "event_bytes", "instance_bytes"] {
+        let faults = Test::new()
+            .set(&format!("/core/answers/{name}"), json!(65_535))
+            .faults();
+        let place = format!("core.answers.{name}: ");
+        expect_that!(faults, elements_are![starts_with(place.as_str())]);
+    }
+}
+
 #[gtest]
 fn stall_limits_must_be_in_order() {
     let faults = Test::new().set("/core/stall_min_ms", json!(5_000)).faults();
