--- a/crates/standin/tests/endless.rs
+++ b/crates/standin/tests/endless.rs
@@ -15,6 +15,7 @@
         endless::Endless,
         http,
         site::{Plan, Seat, Site, run},
+        uplink::State,
         worker::{self, Mode},
     },
 };
@@ -265,6 +266,28 @@
     });
 }
 
+/// Guards against a tunnel that carries a body faster than it is read, or behind its bound.
+#[gtest]
+fn body_that_does_not_end_is_not_kept_behind_a_tunnel() {
+    let plan = Plan {
+        instances: 2,
+        links: true,
+        ..Plan::default()
+    };
+    run(plan, async |site: Site| {
+        site.instances[0].set_links(State::Refuses);
+        let flooded = flood(&site, &site.desks, Endless::Close, Ask::once, Ask::stream).await;
+        for (got, took) in &flooded.answers {
+            expect_that!(got.status.as_u16(), eq(502), "{}", got.body);
+            expect_that!(*took, lt(ANSWERED));
+        }
+        // Each tunnel has two connections.
+        let bytes = BODY + 2 * SOCKETS;
+        expect_that!(flooded.written, le(ASKED as u64 * bytes));
+        expect_that!(count(&site, "answer_bound.body").await, eq(ASKED as u64));
+    });
+}
+
 /// Guards against a request that may be repeated and gets the end of an answer by a bound.
 #[gtest]
 fn request_that_may_be_repeated_is_tried_elsewhere() {
