Send the events of streams to callers as they come

The acceptor of callers' connections that can be reset took the place of the library's, without an option that has small segments leave at once. Found by reading at the join; not measured apart.

--- a/crates/node/src/caller_socket.rs
+++ b/crates/node/src/caller_socket.rs
@@ -138,6 +138,8 @@
         fuse_policy: Option<Arc<dyn FusePolicy>>,
     ) -> io::Result<Accepted<Self::Coupler, Self::Stream>> {
         let (stream, peer) = self.listener.accept().await?;
+        // Events are small, and each is to leave as it comes.
+        stream.set_nodelay(true)?;
         let holding = &self.holdings[0];
         let mut fuse_config = None;
         if let Some(policy) = fuse_policy {
