--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -409,7 +409,7 @@
         Self {
             body_bytes: 16 << 20,
             event_bytes: 2 << 20,
-            instance_bytes: 48 << 20,
+            instance_bytes: 32 << 20,
         }
     }
 }
--- a/crates/standin/tests/endless.rs
+++ b/crates/standin/tests/endless.rs
@@ -34,7 +34,7 @@
 const EVENT: u64 = 2 << 20;
 
 /// Bytes of all answers together that an instance reads.
-const ALL: u64 = 48 << 20;
+const ALL: u64 = 32 << 20;
 
 /// Requests at a faulty upstream at the same time.
 const ASKED: usize = 3;
