--- a/crates/core/tests/relay/main.rs
+++ b/crates/core/tests/relay/main.rs
@@ -67,6 +67,7 @@
 mod recovery;
 mod removal;
 mod retry;
+mod review_92;
 mod sameness;
 mod shutdown;
 mod silent_upstream;
