--- a/crates/core/src/counter.rs
+++ b/crates/core/src/counter.rs
@@ -8,7 +8,7 @@
 pub enum Counter {
     /// Requests admitted.
     Admitted,
-    /// Answers of upstreams that were not read to their end, by the bound that they exceeded.
+    /// Answers of upstreams, stores and other instances that were not read to their end, by the bound that they exceeded.
     AnswerBound(AnswerBound),
     /// Requests that received a complete response.
     Answered,
@@ -43,6 +43,8 @@
     RankRefused(Rank),
     /// Streams that waited for capacity where ranks are in force, by rank.
     RankWaited(Rank),
+    /// Streams ended because their upstream sent more tokens than were requested.
+    FrameBeyond,
     /// Streams abandoned because tokens were missing.
     FrameGap,
     /// Hedged continuations: started while the current upstream is only suspected.
@@ -113,7 +115,7 @@
     UpstreamLost,
 }
 
-/// A bound on what is read of an upstream's answer.
+/// A bound on what is read of an answer.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub enum AnswerBound {
     /// Of a whole body.
@@ -124,6 +126,16 @@
     Head,
     /// Of all answers together that an instance is reading.
     Instance,
+    /// Of an answer or a line of a watch of the key-value service.
+    KeyValue,
+    /// Of the platform's list of instances.
+    List,
+    /// Of a load report.
+    Load,
+    /// Of a list or configuration of another instance.
+    Peer,
+    /// Of all pages of a read of the platform's store.
+    Store,
 }
 
 impl Display for AnswerBound {
@@ -133,6 +145,11 @@
             Self::Event => "event",
             Self::Head => "head",
             Self::Instance => "instance",
+            Self::KeyValue => "key_value",
+            Self::List => "list",
+            Self::Load => "load",
+            Self::Peer => "peer",
+            Self::Store => "store",
         })
     }
 }
@@ -242,6 +259,7 @@
                 write!(formatter, "ended_early.{kind}.{bound}")
             }
             Self::EntryInvalid(reason) => write!(formatter, "entry.odd.{reason}"),
+            Self::FrameBeyond => write!(formatter, "frame.beyond"),
             Self::FrameGap => write!(formatter, "frame.gap"),
             Self::FrameLate => write!(formatter, "frame.late"),
             Self::FrameRepeated => write!(formatter, "frame.repeated"),
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod driver;
 pub mod ended_announcements;
 pub mod error;
+pub mod exchange;
 pub mod hosted;
 pub mod instance;
 pub mod listener;
@@ -21,7 +22,9 @@
 pub mod tasks;
 
 mod bounded_connection;
+mod bounded_connector;
 mod caller;
+mod caller_socket;
 mod calls;
 mod claim_forwarder;
 mod claimer;
@@ -35,7 +38,6 @@
 mod datagram;
 mod engine;
 mod event_queue;
-mod exchange;
 mod forward;
 mod gossip;
 mod http;
@@ -75,7 +77,7 @@
     driver::Driver,
     futures_util::{SinkExt, Stream, StreamExt},
     http::HttpClient,
-    http_body_util::{BodyExt, Full},
+    http_body_util::{BodyExt, BodyStream, Full, StreamBody},
     hyper::{Request, StatusCode, header},
     hyper_util::{
         client::legacy::{Client, connect::HttpConnector},
