Bound the bodies of callers that are being read together

80 connections that each sent 3.9 MB of a body of 4 MB took 151 and 192 MiB, above the whole memory of a small instance: each body was bounded and their sum was not, before any key was asked for. They share 32 MiB now; beyond it the largest above 64 KiB is refused as not run (overloaded, back in 250 ms). bodies_of_callers_that_do_not_end_are_bounded_together failed before.

--- a/crates/node/src/hosted.rs
+++ b/crates/node/src/hosted.rs
@@ -177,6 +177,7 @@
         serve(Port::Ready, ports.ready, ready, limits_receiver.clone())?;
         let resets = Resets::default();
         let endpoint = relay::Endpoint {
+            bodies: ReadBudget::new(relay::BODIES_BYTES_MAX),
             driver: driver.clone(),
             limits: limits_receiver.clone(),
             resets: resets.clone(),
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -3,11 +3,18 @@
 use super::*;
 use caller::CallerGuard;
 use caller_socket::Resets;
+use wellplank_core::counter::AnswerBound;
 
 /// Time after the start of a shutdown during which streams are accepted whose callers wait for longer than the instance does: the
 /// load balancer keeps sending new callers for two of its health checks, which are one second apart.
 const STREAM_WINDOW: Duration = Duration::from_millis(2_500);
 
+/// Bytes of the bodies that an instance is reading beyond which the largest is refused.
+pub(crate) const BODIES_BYTES_MAX: u64 = 32 << 20;
+
+/// Time after which a caller whose body is refused for the others may come back, in milliseconds.
+const BODIES_RETRY_MS: u64 = 250;
+
 /// A graceful shutdown in progress.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Shutdown {
@@ -37,6 +44,8 @@
 
 /// The endpoint of relayed requests.
 pub(crate) struct Endpoint {
+    /// Bound on all bodies of callers that are being read.
+    pub bodies: ReadBudget,
     /// Handle of the core task.
     pub driver: Driver,
     /// Limits on the requests of callers.
@@ -53,7 +62,9 @@
         if let Err(kind) = self.relay(request, response).await {
             self.driver.count(Counter::Refused(kind));
             let request_id = platform::request::request_id(request.headers());
-            write_error(response, request_id.unwrap_or_default(), kind, None);
+            let request_id = request_id.unwrap_or_default();
+            let retry_after_ms = (kind == Kind::Overloaded).then_some(BODIES_RETRY_MS);
+            write_error(response, request_id, kind, retry_after_ms);
         }
         if self.shutdown.borrow().is_some() {
             let close = header::HeaderValue::from_static("close");
@@ -63,6 +74,28 @@
 }
 
 impl Endpoint {
+    /// Reads the complete body of a request, within the limits on its size, on the time it takes and on all bodies together.
+    async fn read_body(
+        &self,
+        request: &mut salvo::Request,
+        limits: platform::configuration::Limits,
+    ) -> Result<Bytes, Kind> {
+        let share = self.bodies.share();
+        let max = limits.max_body_bytes as u64;
+        let body = whole_body::read(request.take_body(), max, &share);
+        let Ok(body) = timeout(limits.header_timeout, body).await else {
+            return Err(Kind::SlowBody);
+        };
+        body.map_err(|error| match error {
+            whole_body::Error::Bound {
+                bound: AnswerBound::Body,
+                ..
+            } => Kind::TooLarge,
+            whole_body::Error::Bound { .. } => Kind::Overloaded,
+            whole_body::Error::Broken(_) => Kind::BadBody,
+        })
+    }
+
     async fn relay(
         &self,
         request: &mut salvo::Request,
@@ -72,7 +105,7 @@
         if http::header_bytes(request.headers()) > limits.max_header_bytes {
             return Err(Kind::HeadTooLarge);
         }
-        let body = read_body(request, limits).await?;
+        let body = self.read_body(request, limits).await?;
         let uri = request.uri();
         let parsed = platform::request::parse(uri.path(), uri.query(), request.headers(), &body);
         let parsed = parsed.map_err(|error| {
@@ -132,21 +165,6 @@
     }
 }
 
-/// Reads the complete body of a request, within the limits on its size and on the time it takes.
-async fn read_body(
-    request: &mut salvo::Request,
-    limits: platform::configuration::Limits,
-) -> Result<Bytes, Kind> {
-    let body = request.payload_with_max_size(limits.max_body_bytes);
-    let Ok(body) = timeout(limits.header_timeout, body).await else {
-        return Err(Kind::SlowBody);
-    };
-    body.cloned().map_err(|error| match error {
-        salvo::http::ParseError::PayloadTooLarge => Kind::TooLarge,
-        _ => Kind::BadBody,
-    })
-}
-
 /// What ends the body of a response whose length is not known at its head.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum BodyEnd {
