Take new streams at a planned stop by their estimate again

Streams were judged by the longest duration of their route, and refused from the signal on: callers who come back meet other instances that stop. Calls keep the stricter rule.

--- a/crates/core/src/shutdown.rs
+++ b/crates/core/src/shutdown.rs
@@ -27,7 +27,7 @@
 /// slowed down.
 const OPEN_FACTOR: u64 = 2;
 
-/// Time reserved between the expected end of a request and that of the shutdown, in milliseconds: on a busy machine responses are
+/// Time reserved between the expected end of a call and that of the shutdown, in milliseconds: on a busy machine responses are
 /// read and passed on late.
 const RESERVE_MS: u64 = 200;
 
@@ -38,6 +38,8 @@
     Deadline,
     /// The durations of its route are known.
     Durations,
+    /// It is a new stream, by the speed of its pool's upstreams.
+    Estimate,
     /// It is a stream that its caller takes up, whose rest is short.
     Rest,
 }
@@ -47,6 +49,7 @@
         formatter.write_str(match self {
             Self::Deadline => "deadline",
             Self::Durations => "durations",
+            Self::Estimate => "estimate",
             Self::Rest => "rest",
         })
     }
@@ -166,14 +169,20 @@
         if request.deadline <= until {
             return Some(late(Fit::Deadline, request.deadline.since(self.now)));
         }
+        let is_late = self.now.since(since) > BALANCED_MS;
         let (fit, response_ms) = if request.service.streams() && request.position() > 0 {
             (Fit::Rest, self.response_ms(request))
+        } else if request.service.streams() {
+            // A stream that outlasts its estimate goes on elsewhere; each refusal may meet another instance that stops.
+            let estimate_ms = (!is_late).then(|| self.response_ms(request));
+            (Fit::Estimate, estimate_ms?)
         } else {
             let open_ms = self.open_ms(&request.service.name);
-            (Fit::Durations, self.longest_ms(request, since, open_ms)?)
+            let longest_ms = self.longest_ms(request, since, open_ms)?;
+            (Fit::Durations, longest_ms + RESERVE_MS)
         };
         let expected_ms = self.shutdown_wait_ms(request) + response_ms;
-        let is_in_time = self.now.after(expected_ms + RESERVE_MS) <= until;
+        let is_in_time = self.now.after(expected_ms) <= until;
         is_in_time.then(|| late(fit, expected_ms))
     }
 
@@ -198,18 +207,16 @@
         ages
     }
 
-    /// Time in milliseconds that a new request takes at most, by those of its route, of which one has been open for `open_ms`;
+    /// Time in milliseconds that a new call takes at most, by those of its route, of which one has been open for `open_ms`;
     /// `None` if that is not known well enough.
     fn longest_ms(&self, request: &Request, since: Time, open_ms: u64) -> Option<u64> {
         let service = &request.service;
         let is_late = self.now.since(since) > BALANCED_MS;
-        // What is known is not certain, and nothing makes up for a call that ends here and may not be repeated elsewhere, or
-        // for a stream that is cut.
-        let is_moved = service.repeatable && !service.streams();
-        if is_late && !is_moved {
+        // What is known is not certain, and nothing makes up for a call that ends here and may not be repeated elsewhere.
+        if is_late && !service.repeatable {
             return None;
         }
-        let part = if is_moved {
+        let part = if service.repeatable {
             REPEATABLE_PART
         } else {
             LONGEST_PART
@@ -221,7 +228,6 @@
         } else {
             known_ms
         };
-        // A stream may be longer than those before it.
         Some(known_ms.max(self.response_ms(request)))
     }
 
