--- a/crates/standin/tests/bounds.rs
+++ b/crates/standin/tests/bounds.rs
@@ -3,7 +3,11 @@
 use {
     futures_util::future::join_all,
     googletest::prelude::*,
-    std::{net::SocketAddr, time::Duration},
+    std::{
+        net::SocketAddr,
+        sync::{Mutex, PoisonError},
+        time::Duration,
+    },
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
         net::TcpStream,
@@ -12,11 +16,20 @@
     wellplank_standin::{
         client::Ask,
         endless::Endless,
-        site::{self, Plan, Site, run},
+        site::{self, Plan, Site},
         worker::{self, Mode},
     },
 };
 
+/// Held by the test that runs: the memory of the process is that of all tests in it.
+static RUNNING: Mutex<()> = Mutex::new(());
+
+/// Runs a test against a site, alone in the process.
+fn run<F: Future<Output = ()>>(plan: Plan, test: impl FnOnce(Site) -> F) {
+    let _running = RUNNING.lock().unwrap_or_else(PoisonError::into_inner);
+    site::run(plan, test);
+}
+
 /// Memory that all answers which are read, and all that wait for callers, may take together, with as much again for copies.
 const MEMORY: u64 = (2 * (48 + 16)) << 20;
 
