Gather the ages of open requests in one place, and name the balancers' window once

The age of one service's oldest request was a second walk beside that over all services, and the endpoint had the 2.5 s in which load balancers still send beside the core's own.

--- a/crates/core/src/shutdown.rs
+++ b/crates/core/src/shutdown.rs
@@ -16,7 +16,7 @@
 /// Time behind the signal within which load balancers still send new callers, in milliseconds: two of their health checks, which
 /// are one second apart, and a reserve. Requests that arrive later come from callers that keep connections, and that reach
 /// another instance once they are refused.
-const BALANCED_MS: u64 = 2_500;
+pub const BALANCED_MS: u64 = 2_500;
 
 /// Part of the requests of a route whose duration counts as the longest that one may take: all but the rarest of those that may
 /// be repeated, and all others.
@@ -31,6 +31,10 @@
 /// read and passed on late.
 const RESERVE_MS: u64 = 200;
 
+/// Time before the end from which requests must be known to end in time also where those that wait are kept to the end, in
+/// milliseconds.
+const LAST_MS: u64 = 1_700;
+
 /// Why a request that arrives behind the signal is expected to end in time.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub enum Fit {
@@ -66,10 +70,6 @@
     pub left_ms: u64,
 }
 
-/// Time before the end from which requests must be known to end in time also where those that wait are kept to the end, in
-/// milliseconds.
-const LAST_MS: u64 = 1_700;
-
 /// The longest time in milliseconds since the first sending of an open request, by service.
 type OpenAges<'a> = HashMap<&'a str, u64>;
 
@@ -188,10 +188,7 @@
 
     /// The longest time in milliseconds since the first sending of an open request of a service; 0 if none was sent.
     fn open_ms(&self, service: &str) -> u64 {
-        let open = self.requests.values();
-        let open = open.filter(|open| open.service.name == service);
-        let ages_ms = open.filter_map(|open| Some(self.now.since(open.first_sent_at?)));
-        ages_ms.max().unwrap_or(0)
+        self.open_ages().get(service).copied().unwrap_or(0)
     }
 
     /// The same for all services, in one pass over the open requests.
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -5,9 +5,8 @@
 use caller_socket::Resets;
 use wellplank_core::counter::AnswerBound;
 
-/// Time after the start of a shutdown during which streams are accepted whose callers wait for longer than the instance does: the
-/// load balancer keeps sending new callers for two of its health checks, which are one second apart.
-const STREAM_WINDOW: Duration = Duration::from_millis(2_500);
+/// Time after the start of a shutdown during which streams are accepted whose callers wait for longer than the instance does.
+const STREAM_WINDOW: Duration = Duration::from_millis(shutdown::BALANCED_MS);
 
 /// Bytes of the bodies that an instance is reading beyond which the largest is refused.
 pub(crate) const BODIES_BYTES_MAX: u64 = 32 << 20;
