--- a/review/standin-2/alike.rs
+++ b/review/standin-2/alike.rs
@@ -57,7 +57,7 @@
     store.serve(listener);
     fleet::configure(&store, 1, ROUTE, SERVICE);
     let zones = ["beja-hall", "aindraham-hall", "jendouba-hall"];
-    let Ok(engines) = Engines::start(&store, "pool", &[zones[0], zones[1], zones[2], zones[0]], 40, None) else {
+    let Ok(engines) = Engines::start(&store, "pool", "v1", &[zones[0], zones[1], zones[2], zones[0]], 40) else {
         return Verdict::NotRun;
     };
     let names = [
@@ -74,7 +74,7 @@
     let attempts = Attempts::default();
     let mut clients = Vec::new();
     let mut start = |name: String, subject: String, first: usize, delay_ms: u64| {
-        let stream = Stream { name, subject, first, events: 120 };
+        let stream = Stream { name, path: "/lohu930/2f", subject, first, prompt: 500, events: 120 };
         let (addresses, attempts) = (addresses.clone(), attempts.clone());
         clients.push(thread::spawn(move || {
             thread::sleep(Duration::from_millis(delay_ms));
--- a/review/standin-2/client.rs
+++ b/review/standin-2/client.rs
@@ -29,6 +29,9 @@
     pub subject: String,
     /// Place of the first instance among the addresses.
     pub first: usize,
+    pub path: &'static str,
+    /// Tokens of the prompt.
+    pub prompt: u64,
     pub events: u64,
 }
 
@@ -75,8 +78,11 @@
         let body = format!("summary of {}", self.subject);
         let hash = self.subject.bytes().fold(7u32, |hash, byte| hash.wrapping_mul(31).wrapping_add(u32::from(byte)));
         let head = format!(
-            "POST /lohu930/2f HTTP/1.1\r\nHost: ficu95.example\r\nWellplank-Request-Id: {id}\r\n{resumes}Wellplank-Model: m\r\nWellplank-Token-Usage: 500,{}\r\nWellplank-Prefix-Hash: 5c1e07a2:200,{hash:08x}:300\r\nWellplank-Timeout-Ms: {}\r\nAuthorization: Token key-1\r\nContent-Length: {}\r\n\r\n{body}",
+            "POST {} HTTP/1.1\r\nHost: ficu95.example\r\nWellplank-Request-Id: {id}\r\n{resumes}Wellplank-Model: m\r\nWellplank-Token-Usage: {},{}\r\nWellplank-Prefix-Hash: {hash:08x}:{}\r\nWellplank-Timeout-Ms: {}\r\nAuthorization: Token key-1\r\nContent-Length: {}\r\n\r\n{body}",
+            self.path,
+            self.prompt,
             self.events * 5,
+            self.prompt,
             left.as_millis(),
             body.len(),
         );
--- a/review/standin-2/engine.rs
+++ b/review/standin-2/engine.rs
@@ -6,7 +6,7 @@
     store::{Store, listen},
 };
 use std::{
-    collections::HashMap,
+    collections::{HashMap, HashSet},
     io,
     sync::{Arc, Mutex},
     thread,
@@ -46,26 +46,26 @@
     copies: Arc<Mutex<HashMap<(String, String), Memory>>>,
     pub continued: Arc<Mutex<Vec<Continued>>>,
     event_ms: u64,
-    /// The event behind which the first run of a request falls silent, and for how long.
-    pub silence: Option<(u64, Duration)>,
+    /// The runs that produced events.
+    pub runs: Arc<Mutex<HashSet<String>>>,
 }
 
 impl Engines {
     /// Starts runners that register in the store.
-    pub fn start(store: &Store, service: &str, zones: &[&str], event_ms: u64, silence: Option<(u64, Duration)>) -> io::Result<Self> {
+    pub fn start(store: &Store, service: &str, version: &str, zones: &[&str], event_ms: u64) -> io::Result<Self> {
         let engines = Self {
             copies: Arc::default(),
             continued: Arc::default(),
             event_ms,
-            silence,
+            runs: Arc::default(),
         };
         for (number, zone) in zones.iter().enumerate() {
             let (listener, address) = listen("127.0.0.1")?;
-            let id = format!("i-{number}{:06x}", std::process::id());
+            let id = format!("i-{service}-{number}");
             store.put(
                 &format!("servers/{id}"),
                 &format!(
-                    r#"{{"service":"{service}","address":"{address}","zone":"{zone}","version":"v1","slots":64,"state":"ready","cold_left_ms":0,"call_seq":0}}"#
+                    r#"{{"service":"{service}","address":"{address}","zone":"{zone}","version":"{version}","slots":64,"state":"ready","cold_left_ms":0,"call_seq":0}}"#
                 ),
             );
             let engines = engines.clone();
@@ -136,6 +136,7 @@
         )?;
         let events = tokens(request, 1) / EVENT_TOKENS;
         for number in after + 1..=events {
+            self.runs.lock().unwrap().insert(text.clone());
             let event = format!("id: {number}\ndata: {text}.{number}\n\n");
             connection.write(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes())?;
             if !backup.is_empty() {
@@ -143,14 +144,6 @@
                 self.copies.lock().unwrap().insert((backup.clone(), run.clone()), memory);
             }
             thread::sleep(Duration::from_millis(self.event_ms));
-            if let Some((behind, pause)) = self.silence.filter(|(behind, _)| *behind == number && after == 0) {
-                note(&format!("runner {id}: {run} is silent behind event {behind}, and works on"));
-                let until = Instant::now() + pause;
-                while Instant::now() < until && !is_closed(&connection) {
-                    thread::sleep(Duration::from_millis(10));
-                }
-                note(&format!("runner {id}: the silence of {run} ends"));
-            }
             if is_closed(&connection) {
                 note(&format!("runner {id}: the connection of {run} is closed behind event {number}"));
                 return Ok(());
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -6,6 +6,7 @@
 mod fleet;
 mod http;
 mod json;
+mod moved;
 mod record;
 mod store;
 
@@ -28,6 +29,7 @@
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let verdict = match case.as_str() {
         "alike" => alike::run(trouble),
+        "moved" => moved::run(trouble),
         _ => Verdict::NotRun,
     };
     let (code, text) = match verdict {
