Review case 4: in a large fleet a stream goes on from the memory of another request with the same content

A busy instance tells all others of its streams, a quiet one only four; who was told of one takes it for the only one.

--- a/review/standin-2/client.rs
+++ b/review/standin-2/client.rs
@@ -4,7 +4,10 @@
 use std::{
     collections::HashMap,
     io,
-    sync::{Arc, Mutex, atomic::{AtomicU64, Ordering}},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicU64, Ordering},
+    },
     thread,
     time::{Duration, Instant},
 };
@@ -14,7 +17,10 @@
 /// A new id of one client attempt.
 pub fn attempt_id() -> String {
     let number = NEXT.fetch_add(1, Ordering::Relaxed);
-    format!("{:016x}", (number << 32 | u64::from(std::process::id())).wrapping_mul(0x9e37_79b9_7f4a_7c15))
+    format!(
+        "{:016x}",
+        (number << 32 | u64::from(std::process::id())).wrapping_mul(0x9e37_79b9_7f4a_7c15)
+    )
 }
 
 /// Which request each client attempt belongs to.
@@ -52,16 +58,28 @@
         while Instant::now() < until && !received.complete {
             let address = &addresses[(self.first + received.attempts as usize) % addresses.len()];
             let id = attempt_id();
-            attempts.lock().unwrap().insert(id.clone(), self.name.clone());
+            attempts
+                .lock()
+                .unwrap()
+                .insert(id.clone(), self.name.clone());
             received.attempts += 1;
             let left = until.saturating_duration_since(Instant::now());
             let last = received.data.len();
-            note(&format!("client {} sends {id} to {address}, last event {last}", self.name));
+            note(&format!(
+                "client {} sends {id} to {address}, last event {last}",
+                self.name
+            ));
             let result = self.attempt(address, &id, left, &mut received);
             let got = received.data.len();
             match result {
-                Ok(()) => note(&format!("client {}: {id} is complete with event {got}", self.name)),
-                Err(error) => note(&format!("client {}: {id} ended behind event {got}: {error}", self.name)),
+                Ok(()) => note(&format!(
+                    "client {}: {id} is complete with event {got}",
+                    self.name
+                )),
+                Err(error) => note(&format!(
+                    "client {}: {id} ended behind event {got}: {error}",
+                    self.name
+                )),
             }
             if !received.complete {
                 thread::sleep(Duration::from_millis(150));
@@ -70,13 +88,27 @@
         received
     }
 
-    fn attempt(&self, address: &str, id: &str, left: Duration, received: &mut Received) -> io::Result<()> {
+    fn attempt(
+        &self,
+        address: &str,
+        id: &str,
+        left: Duration,
+        received: &mut Received,
+    ) -> io::Result<()> {
         let mut connection = Connection::connect(address, Duration::from_secs(1))?;
-        connection.stream().set_read_timeout(Some(Duration::from_secs(10)))?;
+        connection
+            .stream()
+            .set_read_timeout(Some(Duration::from_secs(10)))?;
         let last = received.data.len();
-        let resumes = if last > 0 { format!("Last-Event-Id: {last}\r\n") } else { String::new() };
+        let resumes = if last > 0 {
+            format!("Last-Event-Id: {last}\r\n")
+        } else {
+            String::new()
+        };
         let body = format!("summary of {}", self.subject);
-        let hash = self.subject.bytes().fold(7u32, |hash, byte| hash.wrapping_mul(31).wrapping_add(u32::from(byte)));
+        let hash = self.subject.bytes().fold(7u32, |hash, byte| {
+            hash.wrapping_mul(31).wrapping_add(u32::from(byte))
+        });
         let head = format!(
             "POST {} HTTP/1.1\r\nHost: ficu95.example\r\nWellplank-Request-Id: {id}\r\n{resumes}Wellplank-Model: m\r\nWellplank-Token-Usage: {},{}\r\nWellplank-Prefix-Hash: {hash:08x}:{}\r\nWellplank-Timeout-Ms: {}\r\nAuthorization: Token key-1\r\nContent-Length: {}\r\n\r\n{body}",
             self.path,
@@ -95,10 +127,20 @@
         while let Some(chunk) = connection.chunk()? {
             text.push_str(&String::from_utf8_lossy(&chunk));
             while let Some((event, rest)) = text.split_once("\n\n") {
-                let field = |name: &str| event.lines().find_map(|line| line.strip_prefix(name)).unwrap_or("").trim().to_owned();
+                let field = |name: &str| {
+                    event
+                        .lines()
+                        .find_map(|line| line.strip_prefix(name))
+                        .unwrap_or("")
+                        .trim()
+                        .to_owned()
+                };
                 let (number, data) = (field("id:"), field("data:"));
                 if number.parse() != Ok(received.data.len() + 1) {
-                    note(&format!("client {}: event {number} out of order", self.name));
+                    note(&format!(
+                        "client {}: event {number} out of order",
+                        self.name
+                    ));
                 }
                 received.data.push(data);
                 text = rest.to_owned();
--- a/review/standin-2/engine.rs
+++ b/review/standin-2/engine.rs
@@ -52,7 +52,13 @@
 
 impl Engines {
     /// Starts runners that register in the store.
-    pub fn start(store: &Store, service: &str, version: &str, zones: &[&str], event_ms: u64) -> io::Result<Self> {
+    pub fn start(
+        store: &Store,
+        service: &str,
+        version: &str,
+        zones: &[&str],
+        event_ms: u64,
+    ) -> io::Result<Self> {
         let engines = Self {
             copies: Arc::default(),
             continued: Arc::default(),
@@ -73,7 +79,8 @@
                 for stream in listener.incoming().flatten() {
                     let (engines, id, address) = (engines.clone(), id.clone(), address.clone());
                     thread::spawn(move || {
-                        let served = Connection::new(stream).and_then(|connection| engines.serve(connection, &id, &address));
+                        let served = Connection::new(stream)
+                            .and_then(|connection| engines.serve(connection, &id, &address));
                         if let Err(error) = served {
                             note(&format!("runner {id}: connection ended: {error}"));
                         }
@@ -91,7 +98,11 @@
             };
             let expected = request.header("wellplank-expect-instance");
             if !expected.is_empty() && expected != id {
-                connection.answer("421 Misdirected Request", &format!("Wellplank-Instance-Id: {id}\r\n"), "")?;
+                connection.answer(
+                    "421 Misdirected Request",
+                    &format!("Wellplank-Instance-Id: {id}\r\n"),
+                    "",
+                )?;
                 continue;
             }
             if request.path() == "/health" {
@@ -103,23 +114,39 @@
     }
 
     /// Runs a request and streams its events.
-    fn run(&self, mut connection: Connection, request: &Message, id: &str, address: &str) -> io::Result<()> {
+    fn run(
+        &self,
+        mut connection: Connection,
+        request: &Message,
+        id: &str,
+        address: &str,
+    ) -> io::Result<()> {
         let run = request.header("wellplank-request-id").to_owned();
         let after: u64 = request.header("last-event-id").parse().unwrap_or(0);
         let source = request.header("kv-from");
         let backup = request.header("wellplank-kv-backup").to_owned();
-        note(&format!("runner {id} gets {run}, behind event {after}, from copy `{source}`, backup at `{backup}`"));
+        note(&format!(
+            "runner {id} gets {run}, behind event {after}, from copy `{source}`, backup at `{backup}`"
+        ));
         let mut text = run.clone();
         let mut prefill = tokens(request, 0) / PREFILL_PER_MS;
         if let Some((at, of)) = source.rsplit_once('/') {
-            let copy = self.copies.lock().unwrap().remove(&(at.to_owned(), of.to_owned()));
+            let copy = self
+                .copies
+                .lock()
+                .unwrap()
+                .remove(&(at.to_owned(), of.to_owned()));
             let copy = copy.filter(|copy| at == address && copy.at.elapsed() < COPY_TIME);
             let Some(copy) = copy else {
                 note(&format!("runner {id} has no copy for {run}"));
-                let headers = format!("Wellplank-Request-Id: {run}\r\nWellplank-Not-Executed: 1\r\n");
+                let headers =
+                    format!("Wellplank-Request-Id: {run}\r\nWellplank-Not-Executed: 1\r\n");
                 return connection.answer("503 Service Unavailable", &headers, "");
             };
-            note(&format!("runner {id}: {run} goes on from the memory of {of}, which is text {}", copy.text));
+            note(&format!(
+                "runner {id}: {run} goes on from the memory of {of}, which is text {}",
+                copy.text
+            ));
             self.continued.lock().unwrap().push(Continued {
                 request: run.clone(),
                 copy_of: of.to_owned(),
@@ -140,12 +167,20 @@
             let event = format!("id: {number}\ndata: {text}.{number}\n\n");
             connection.write(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes())?;
             if !backup.is_empty() {
-                let memory = Memory { text: text.clone(), at: Instant::now() };
-                self.copies.lock().unwrap().insert((backup.clone(), run.clone()), memory);
+                let memory = Memory {
+                    text: text.clone(),
+                    at: Instant::now(),
+                };
+                self.copies
+                    .lock()
+                    .unwrap()
+                    .insert((backup.clone(), run.clone()), memory);
             }
             thread::sleep(Duration::from_millis(self.event_ms));
             if is_closed(&connection) {
-                note(&format!("runner {id}: the connection of {run} is closed behind event {number}"));
+                note(&format!(
+                    "runner {id}: the connection of {run} is closed behind event {number}"
+                ));
                 return Ok(());
             }
         }
@@ -157,7 +192,11 @@
 
 fn tokens(request: &Message, place: usize) -> u64 {
     let usage = request.header("wellplank-token-usage");
-    usage.split(',').nth(place).and_then(|number| number.trim().parse().ok()).unwrap_or(0)
+    usage
+        .split(',')
+        .nth(place)
+        .and_then(|number| number.trim().parse().ok())
+        .unwrap_or(0)
 }
 
 /// Whether the other end has closed a connection.
--- a/review/standin-2/fleet.rs
+++ b/review/standin-2/fleet.rs
@@ -41,14 +41,15 @@
         format!("{}:{}", self.ip, self.port + CALLERS)
     }
 
-    pub fn metrics(&self) -> String {
-        format!("{}:{}", self.ip, self.port + METRICS)
-    }
-
     pub fn is_ready(&self) -> bool {
         let ask = || {
-            let mut connection = Connection::connect(&format!("{}:{}", self.ip, self.port + READY), Duration::from_millis(300))?;
-            connection.stream().set_read_timeout(Some(Duration::from_millis(500)))?;
+            let mut connection = Connection::connect(
+                &format!("{}:{}", self.ip, self.port + READY),
+                Duration::from_millis(300),
+            )?;
+            connection
+                .stream()
+                .set_read_timeout(Some(Duration::from_millis(500)))?;
             connection.write(b"GET /api/ready HTTP/1.1\r\nHost: ready\r\n\r\n")?;
             connection.message()
         };
@@ -57,7 +58,11 @@
 
     pub fn start(&mut self) {
         let log = self.settings.with_extension("log");
-        let log = fs::File::options().create(true).append(true).open(log).expect("the folder is writable");
+        let log = fs::File::options()
+            .create(true)
+            .append(true)
+            .open(log)
+            .expect("the folder is writable");
         let errors = log.try_clone().expect("the file is open");
         let process = Command::new("target/release/wellplank")
             .args(["run", "--settings"])
@@ -77,19 +82,6 @@
             note(&format!("kill {}", self.name));
         }
     }
-
-    /// Sends a signal by the name that `kill` knows.
-    pub fn signal(&self, signal: &str) {
-        if let Some(process) = &self.process {
-            let _ = Command::new("kill").args(["-s", signal, &process.id().to_string()]).status();
-            note(&format!("{signal} to {}", self.name));
-        }
-    }
-
-    /// Whether the process has ended by itself.
-    pub fn has_ended(&mut self) -> bool {
-        self.process.as_mut().is_some_and(|process| matches!(process.try_wait(), Ok(Some(_))))
-    }
 }
 
 /// A loopback network that is most likely not in use by another run.
@@ -101,13 +93,17 @@
 /// The first of a few ports that are free at the addresses of so many instances.
 fn free_ports(instances: usize) -> Option<u16> {
     let is_free = |port: u16| {
-        let mut places = (0..instances).flat_map(|number| (0..PORTS).map(move |place| (number, port + place)));
+        let mut places =
+            (0..instances).flat_map(|number| (0..PORTS).map(move |place| (number, port + place)));
         places.all(|(number, port)| {
             let ip = format!("{}.{}", network(), 10 + number);
-            TcpListener::bind((ip.as_str(), port)).is_ok() && UdpSocket::bind((ip.as_str(), port)).is_ok()
+            TcpListener::bind((ip.as_str(), port)).is_ok()
+                && UdpSocket::bind((ip.as_str(), port)).is_ok()
         })
     };
-    (0..200).map(|step| FIRST_PORT + PORT_STEP * step).find(|port| is_free(*port))
+    (0..200)
+        .map(|step| FIRST_PORT + PORT_STEP * step)
+        .find(|port| is_free(*port))
 }
 
 impl Fleet {
@@ -116,12 +112,21 @@
         let folder = std::env::temp_dir().join(format!("wellplank-case-{}", std::process::id()));
         fs::create_dir_all(&folder).ok()?;
         let port = free_ports(names.len())?;
-        let mut fleet = Self { folder: folder.clone(), instances: Vec::new() };
+        let mut fleet = Self {
+            folder: folder.clone(),
+            instances: Vec::new(),
+        };
         for (number, (name, zone)) in names.iter().enumerate() {
             let ip = format!("{}.{}", network(), 10 + number);
             let settings = folder.join(format!("{name}.json"));
             fs::write(&settings, text(name, zone, &ip, port, store)).ok()?;
-            let mut instance = Instance { name: (*name).to_owned(), ip, port, settings, process: None };
+            let mut instance = Instance {
+                name: (*name).to_owned(),
+                ip,
+                port,
+                settings,
+                process: None,
+            };
             instance.start();
             fleet.instances.push(instance);
         }
@@ -163,7 +168,8 @@
 
 /// The settings of an instance, as the template of the deploy file gives them.
 fn text(name: &str, zone: &str, ip: &str, port: u16, store: &str) -> String {
-    let [callers, ready, peers, metrics] = [CALLERS, READY, PEERS, METRICS].map(|place| port + place);
+    let [callers, ready, peers, metrics] =
+        [CALLERS, READY, PEERS, METRICS].map(|place| port + place);
     format!(
         r#"{{
   "core": {{
--- a/review/standin-2/http.rs
+++ b/review/standin-2/http.rs
@@ -22,10 +22,6 @@
         self.headers.get(name).map_or("", String::as_str)
     }
 
-    pub fn method(&self) -> &str {
-        self.first.split(' ').next().unwrap_or("")
-    }
-
     pub fn target(&self) -> &str {
         self.first.split(' ').nth(1).unwrap_or("")
     }
@@ -38,11 +34,17 @@
     pub fn query(&self, name: &str) -> Option<String> {
         let query = self.target().split_once('?')?.1;
         let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
-        pairs.find(|(key, _)| *key == name).map(|(_, value)| unescape(value))
+        pairs
+            .find(|(key, _)| *key == name)
+            .map(|(_, value)| unescape(value))
     }
 
     pub fn status(&self) -> u16 {
-        self.first.split(' ').nth(1).and_then(|status| status.parse().ok()).unwrap_or(0)
+        self.first
+            .split(' ')
+            .nth(1)
+            .and_then(|status| status.parse().ok())
+            .unwrap_or(0)
     }
 }
 
@@ -105,7 +107,9 @@
                 return Ok(message);
             }
             if let Some((name, value)) = line.split_once(':') {
-                message.headers.insert(name.trim().to_ascii_lowercase(), value.trim().to_owned());
+                message
+                    .headers
+                    .insert(name.trim().to_ascii_lowercase(), value.trim().to_owned());
             }
         }
     }
@@ -124,7 +128,10 @@
     /// Reads a head and its whole body.
     pub fn message(&mut self) -> io::Result<Message> {
         let mut message = self.head()?;
-        if message.header("transfer-encoding").eq_ignore_ascii_case("chunked") {
+        if message
+            .header("transfer-encoding")
+            .eq_ignore_ascii_case("chunked")
+        {
             while let Some(data) = self.chunk()? {
                 message.body.extend(data);
             }
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -3,6 +3,7 @@
 mod alike;
 mod client;
 mod engine;
+mod few;
 mod fleet;
 mod http;
 mod json;
@@ -29,6 +30,7 @@
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let verdict = match case.as_str() {
         "alike" => alike::run(trouble),
+        "few" => few::run(trouble),
         "moved" => moved::run(trouble),
         _ => Verdict::NotRun,
     };
--- a/review/standin-2/moved.rs
+++ b/review/standin-2/moved.rs
@@ -40,7 +40,11 @@
             r#"{{"name":"{name}","host":"ficu95.example","path_prefix":"{path}","kind":"streaming","timeout_ms":25000,"slo_ms":4500,"priority":1,"service":"{service}","max_attempts":5,"public":false,"sticky":true,"can_resume":true,"gap_target_ms":700}}"#
         )
     };
-    format!("{},{}", route("r-plan", "/lohu930/", service), route("r-digest", "/pufi791/", "pool-b"))
+    format!(
+        "{},{}",
+        route("r-plan", "/lohu930/", service),
+        route("r-digest", "/pufi791/", "pool-b")
+    )
 }
 
 fn services() -> String {
@@ -64,8 +68,14 @@
             Verdict::NotRun => return Verdict::NotRun,
         }
     }
-    note(&format!("the rule was broken in {broken} of {rounds} rounds"));
-    if broken > 0 { Verdict::Broken } else { Verdict::Held }
+    note(&format!(
+        "the rule was broken in {broken} of {rounds} rounds"
+    ));
+    if broken > 0 {
+        Verdict::Broken
+    } else {
+        Verdict::Held
+    }
 }
 
 fn round(trouble: bool) -> Verdict {
@@ -83,7 +93,11 @@
     let [Ok(former), Ok(later)] = engines else {
         return Verdict::NotRun;
     };
-    let names = [("front-beja-hall-1", ZONES[0]), ("front-aindraham-hall-1", ZONES[1]), ("front-jendouba-hall-1", ZONES[2])];
+    let names = [
+        ("front-beja-hall-1", ZONES[0]),
+        ("front-aindraham-hall-1", ZONES[1]),
+        ("front-jendouba-hall-1", ZONES[2]),
+    ];
     let Some(mut fleet) = Fleet::start(&names, &address) else {
         return Verdict::NotRun;
     };
@@ -139,15 +153,29 @@
         let is_joined = services.len() > 1;
         joined += u64::from(is_joined);
         let (name, tries) = (&stream.name, received.attempts);
-        let end = if received.complete { "complete" } else { "not complete" };
-        note(&format!("client {name} received {count} events in {tries} attempts, {end}, made by {services:?}"));
+        let end = if received.complete {
+            "complete"
+        } else {
+            "not complete"
+        };
+        note(&format!(
+            "client {name} received {count} events in {tries} attempts, {end}, made by {services:?}"
+        ));
         if is_joined {
-            note(&format!("ORDER: the answer of {name} is joined from {services:?}"));
+            note(&format!(
+                "ORDER: the answer of {name} is joined from {services:?}"
+            ));
         }
     }
-    note(&format!("{complete} of {STREAMS} requests complete, {joined} joined from two services"));
+    note(&format!(
+        "{complete} of {STREAMS} requests complete, {joined} joined from two services"
+    ));
     if complete == 0 {
         return Verdict::NotRun;
     }
-    if joined > 0 { Verdict::Broken } else { Verdict::Held }
+    if joined > 0 {
+        Verdict::Broken
+    } else {
+        Verdict::Held
+    }
 }
--- a/review/standin-2/record.rs
+++ b/review/standin-2/record.rs
@@ -17,7 +17,9 @@
 
 /// Milliseconds since the start.
 pub fn now_ms() -> u64 {
-    RECORD.get().map_or(0, |(_, start)| start.elapsed().as_millis() as u64)
+    RECORD
+        .get()
+        .map_or(0, |(_, start)| start.elapsed().as_millis() as u64)
 }
 
 /// Writes a line.
--- a/review/standin-2/store.rs
+++ b/review/standin-2/store.rs
@@ -1,6 +1,9 @@
 //! A stand-in for the platform's store: items, leases, transactions and watches, as the users' page describes them.
 
-use crate::{http::{Connection, Message}, json::Json};
+use crate::{
+    http::{Connection, Message},
+    json::Json,
+};
 use std::{
     collections::BTreeMap,
     io,
@@ -44,7 +47,10 @@
 impl State {
     fn put(&mut self, key: &str, value: String, lease: u64) {
         self.revision += 1;
-        let created = self.items.get(key).map_or(self.revision, |item| item.created);
+        let created = self
+            .items
+            .get(key)
+            .map_or(self.revision, |item| item.created);
         let item = Item {
             value,
             revision: self.revision,
@@ -72,7 +78,12 @@
 
     fn expire(&mut self) {
         let now = Instant::now();
-        let over: Vec<u64> = self.leases.iter().filter(|(_, (end, _))| *end <= now).map(|(id, _)| *id).collect();
+        let over: Vec<u64> = self
+            .leases
+            .iter()
+            .filter(|(_, (end, _))| *end <= now)
+            .map(|(id, _)| *id)
+            .collect();
         for lease in over {
             self.end_lease(lease);
         }
@@ -80,7 +91,12 @@
 
     fn end_lease(&mut self, lease: u64) {
         self.leases.remove(&lease);
-        let keys: Vec<String> = self.items.iter().filter(|(_, item)| item.lease == lease).map(|(key, _)| key.clone()).collect();
+        let keys: Vec<String> = self
+            .items
+            .iter()
+            .filter(|(_, item)| item.lease == lease)
+            .map(|(key, _)| key.clone())
+            .collect();
         for key in keys {
             self.remove(&key);
         }
@@ -102,7 +118,9 @@
             for stream in listener.incoming().flatten() {
                 let store = store.clone();
                 thread::spawn(move || {
-                    let Ok(mut connection) = Connection::new(stream) else { return };
+                    let Ok(mut connection) = Connection::new(stream) else {
+                        return;
+                    };
                     while let Ok(request) = connection.message() {
                         let (status, body) = store.call(&request);
                         let headers = "Content-Type: application/json\r\n";
@@ -114,9 +132,11 @@
             }
         });
         let store = self.clone();
-        thread::spawn(move || loop {
-            thread::sleep(Duration::from_millis(20));
-            store.change(State::expire);
+        thread::spawn(move || {
+            loop {
+                thread::sleep(Duration::from_millis(20));
+                store.change(State::expire);
+            }
         });
     }
 
@@ -125,11 +145,6 @@
         self.change(|state| state.put(key, base64(value.as_bytes()), 0));
     }
 
-    /// Removes an item.
-    pub fn remove(&self, key: &str) {
-        self.change(|state| state.remove(key));
-    }
-
     fn change<T>(&self, apply: impl FnOnce(&mut State) -> T) -> T {
         let (state, changed) = &*self.0;
         let mut state = state.lock().unwrap();
@@ -143,7 +158,12 @@
 
     fn call(&self, request: &Message) -> (&'static str, String) {
         let path = request.path().to_owned();
-        let id = || path.rsplit('/').next().and_then(|id| id.parse().ok()).unwrap_or(0);
+        let id = || {
+            path.rsplit('/')
+                .next()
+                .and_then(|id| id.parse().ok())
+                .unwrap_or(0)
+        };
         match path.as_str() {
             "/api/kv-key" => self.key(request),
             "/api/kv-range" => self.range(request),
@@ -175,31 +195,58 @@
         let prefix = request.query("path_prefix").unwrap_or_default();
         let after = request.query("since_rev").unwrap_or_default();
         self.change(|state| {
-            let fits = |key: &&String| key.starts_with(&prefix) && (after.is_empty() || **key > after);
+            let fits =
+                |key: &&String| key.starts_with(&prefix) && (after.is_empty() || **key > after);
             let keys: Vec<&String> = state.items.keys().filter(fits).collect();
-            let shown: Vec<String> = keys.iter().take(PAGE).map(|key| show(key, &state.items[*key])).collect();
+            let shown: Vec<String> = keys
+                .iter()
+                .take(PAGE)
+                .map(|key| show(key, &state.items[*key]))
+                .collect();
             let has_more = keys.len() > PAGE;
-            let body = format!(r#"{{"items":[{}],"has_more":{has_more},"as_of":{}}}"#, shown.join(","), state.revision);
+            let body = format!(
+                r#"{{"items":[{}],"has_more":{has_more},"as_of":{}}}"#,
+                shown.join(","),
+                state.revision
+            );
             ("200 OK", body)
         })
     }
 
     fn watch(&self, request: &Message) -> (&'static str, String) {
         let prefix = request.query("path_prefix").unwrap_or_default();
-        let number = |name: &str| request.query(name).and_then(|text| text.parse::<u64>().ok()).unwrap_or(0);
+        let number = |name: &str| {
+            request
+                .query(name)
+                .and_then(|text| text.parse::<u64>().ok())
+                .unwrap_or(0)
+        };
         let since = number("since_rev");
         let until = Instant::now() + Duration::from_millis(number("wait_ms").min(30_000));
         let (state, changed) = &*self.0;
         let mut state = state.lock().unwrap();
         loop {
-            let fits = |change: &&Change| change.revision > since && change.key.starts_with(&prefix);
-            let events: Vec<String> = state.history.iter().filter(fits).map(|change| match &change.item {
-                Some(item) => show(&change.key, item),
-                None => format!(r#"{{"private_key":"{}","revision":{},"deleted":true}}"#, change.key, change.revision),
-            }).collect();
+            let fits =
+                |change: &&Change| change.revision > since && change.key.starts_with(&prefix);
+            let events: Vec<String> = state
+                .history
+                .iter()
+                .filter(fits)
+                .map(|change| match &change.item {
+                    Some(item) => show(&change.key, item),
+                    None => format!(
+                        r#"{{"private_key":"{}","revision":{},"deleted":true}}"#,
+                        change.key, change.revision
+                    ),
+                })
+                .collect();
             let left = until.saturating_duration_since(Instant::now());
             if !events.is_empty() || left.is_zero() {
-                let body = format!(r#"{{"events":[{}],"as_of":{}}}"#, events.join(","), state.revision);
+                let body = format!(
+                    r#"{{"events":[{}],"as_of":{}}}"#,
+                    events.join(","),
+                    state.revision
+                );
                 return ("200 OK", body);
             }
             state = changed.wait_timeout(state, left).unwrap().0;
@@ -211,13 +258,22 @@
         let Some(body) = Json::parse(&body) else {
             return ("400 Bad Request", "{}".into());
         };
-        let rows = |name: &str| body.get(name).map_or(Vec::new(), |rows| rows.list().to_vec());
-        let text = |row: &Json, name: &str| row.get(name).map_or(String::new(), |field| field.text().to_owned());
+        let rows = |name: &str| {
+            body.get(name)
+                .map_or(Vec::new(), |rows| rows.list().to_vec())
+        };
+        let text = |row: &Json, name: &str| {
+            row.get(name)
+                .map_or(String::new(), |field| field.text().to_owned())
+        };
         let number = |row: &Json, name: &str| row.get(name).map_or(0, Json::number);
         self.change(|state| {
             state.expire();
             for row in rows("expected_rev") {
-                let known = state.items.get(&text(&row, "private_key")).map_or(0, |item| item.revision);
+                let known = state
+                    .items
+                    .get(&text(&row, "private_key"))
+                    .map_or(0, |item| item.revision);
                 if known != number(&row, "revision") {
                     return ("412 Precondition Failed", r#"{"items":[]}"#.into());
                 }
@@ -229,7 +285,11 @@
                 }
             }
             for row in rows("puts") {
-                state.put(&text(&row, "private_key"), text(&row, "value"), number(&row, "lease"));
+                state.put(
+                    &text(&row, "private_key"),
+                    text(&row, "value"),
+                    number(&row, "lease"),
+                );
             }
             for key in rows("remove") {
                 state.remove(key.text());
@@ -240,13 +300,19 @@
 
     fn grant(&self, request: &Message) -> (&'static str, String) {
         let body = Json::parse(&String::from_utf8_lossy(&request.body));
-        let ttl_ms = body.and_then(|body| body.get("ttl_ms").map(Json::number)).unwrap_or(1_000).max(1_000);
+        let ttl_ms = body
+            .and_then(|body| body.get("ttl_ms").map(Json::number))
+            .unwrap_or(1_000)
+            .max(1_000);
         let ttl = Duration::from_millis(ttl_ms);
         self.change(|state| {
             state.next_lease += 1;
             let lease = 77_000 + state.next_lease;
             state.leases.insert(lease, (Instant::now() + ttl, ttl));
-            ("200 OK", format!(r#"{{"lease":{lease},"ttl_ms":{ttl_ms}}}"#))
+            (
+                "200 OK",
+                format!(r#"{{"lease":{lease},"ttl_ms":{ttl_ms}}}"#),
+            )
         })
     }
 
@@ -266,10 +332,17 @@
     const SIGNS: &[u8; 64] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
     let mut text = String::new();
     for part in bytes.chunks(3) {
-        let number = part.iter().fold(0u32, |number, byte| number << 8 | u32::from(*byte)) << (8 * (3 - part.len()));
+        let number = part
+            .iter()
+            .fold(0u32, |number, byte| number << 8 | u32::from(*byte))
+            << (8 * (3 - part.len()));
         for place in 0..4 {
             let sign = SIGNS[(number >> (18 - 6 * place)) as usize & 63];
-            text.push(if place <= part.len() { sign as char } else { '=' });
+            text.push(if place <= part.len() {
+                sign as char
+            } else {
+                '='
+            });
         }
     }
     text
