--- a/review/standin-2/few.rs
+++ b/review/second_few.rs
@@ -25,8 +25,8 @@
 
 const PAIRS: usize = 6;
 
-/// Requests of the busy instance before those of the pairs.
-const OTHERS: usize = 4;
+/// Requests of the busy instance before those of the pairs: of all that are asked for, three in ten are asked for twice.
+const OTHERS: usize = 14;
 
 /// Place of the busy instance, and of those with the second requests: the first one, and the distance to the next.
 const BUSY: usize = 0;
--- a/review/standin-2/fleet.rs
+++ b/review/second_fleet.rs
@@ -166,7 +166,7 @@
     }
 }
 
-/// The settings of an instance, as the template of the deploy file gives them.
+/// The settings of an instance, as the template of the deploy file gives them with the bounds of the grown site.
 fn text(name: &str, zone: &str, ip: &str, port: u16, store: &str) -> String {
     let [callers, ready, peers, metrics] =
         [CALLERS, READY, PEERS, METRICS].map(|place| port + place);
@@ -182,11 +182,11 @@
   }},
   "data_centre": "{zone}",
   "hosted": {{
-    "apply_ms": 2000,
+    "apply_ms": 3000,
     "grace_ms": 8e3,
     "heartbeat_ms": 1200,
-    "link_mbps": 1000.0,
-    "leave_ms": 2000,
+    "link_mbps": 200.0,
+    "leave_ms": 3000,
     "metrics": "{ip}:{metrics}",
     "peers": "{ip}:{peers}",
     "ready": "{ip}:{ready}",
