--- a/review/third_foreign.rs
+++ b/review/third_foreign.rs
@@ -21,12 +21,12 @@
 const STATE: &str = "{\"version\":3,\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":4194304,\
     \"header_timeout_ms\":3000,\"idle_timeout_ms\":15000},\"routes\":[\
     {\"name\":\"lot-check\",\"host\":\"yard.example\",\"path_prefix\":\"/lots/\",\"kind\":\"non_idempotent\",\
-    \"timeout_ms\":800,\"slo_ms\":150,\"priority\":2,\"service\":\"yard-desk\",\"max_attempts\":1},\
+    \"timeout_ms\":800,\"slo_ms\":150,\"priority\":2,\"service\":\"yard-desk\",\"max_attempts\":1,\"public\":false},\
     {\"name\":\"ledger\",\"host\":\"yard.example\",\"path_prefix\":\"/ledger/\",\"kind\":\"non_idempotent\",\
-    \"timeout_ms\":800,\"slo_ms\":150,\"priority\":2,\"service\":\"yard-ledger\",\"max_attempts\":1}],\
+    \"timeout_ms\":800,\"slo_ms\":150,\"priority\":2,\"service\":\"yard-ledger\",\"max_attempts\":1,\"public\":false}],\
     \"services\":[{\"name\":\"yard-desk\",\"health_path\":\"/health\",\"max_conns\":96},\
     {\"name\":\"yard-ledger\",\"health_path\":\"/health\",\"max_conns\":96}],\
-    \"tenants\":[{\"name\":\"mill-a\",\"api_keys\":[\"key-a\"]}]}";
+    \"tenants\":[{\"name\":\"mill-a\",\"api_keys\":[\"key-a\"],\"priority\":1}]}";
 
 /// An entry of another writer: `cold_left_ms` and `born` are missing, `version` and `call_seq` are of another type.
 fn odd_entry(runner: &Runner) -> String {
--- a/review/third_keys.rs
+++ b/review/third_keys.rs
@@ -24,7 +24,7 @@
         "{{\"version\":{version},\"limits\":{{\"max_header_bytes\":16384,\"max_body_bytes\":4194304,\
          \"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}},\
          \"routes\":[{{\"name\":\"lot-check\",\"host\":\"yard.example\",\"path_prefix\":\"/lots/\",\"kind\":\"non_idempotent\",\
-         \"timeout_ms\":800,\"slo_ms\":150,\"priority\":2,\"service\":\"yard-desk\",\"max_attempts\":1}}],\
+         \"timeout_ms\":800,\"slo_ms\":150,\"priority\":2,\"service\":\"yard-desk\",\"max_attempts\":1,\"public\":false}}],\
          \"services\":[{{\"name\":\"yard-desk\",\"health_path\":\"/health\",\"max_conns\":96}}],\"tenants\":[{tenants}]}}"
     )
 }
@@ -33,7 +33,7 @@
 pub fn play(record: &Record, trouble: bool) -> Outcome {
     let (store, address) = Store::start();
     let runs = Runs::default();
-    let both = "{\"name\":\"mill-a\",\"api_keys\":[\"key-a\"]},{\"name\":\"mill-b\",\"api_keys\":[\"key-b\"]}";
+    let both = "{\"name\":\"mill-a\",\"api_keys\":[\"key-a\"],\"priority\":1},{\"name\":\"mill-b\",\"api_keys\":[\"key-b\"],\"priority\":1}";
     store.write("op/config", &state(3, both));
     for (id, zone) in [("i-desk-1", "beja-hall"), ("i-desk-2", "tabarka-hall")] {
         runner::start(id, "yard-desk", zone, &store, &runs, record);
@@ -75,7 +75,7 @@
         return Outcome::Failed(format!("before the change, {before:?} requests ran"));
     }
     if trouble {
-        let left = "{\"name\":\"mill-a\",\"api_keys\":[\"key-a\"]}";
+        let left = "{\"name\":\"mill-a\",\"api_keys\":[\"key-a\"],\"priority\":1}";
         store.write("op/config", &state(5, left));
         record.line("operator: version 5 is acknowledged, key-b is taken away with its tenant");
         sleep(GAP);
--- a/review/third_odd.rs
+++ b/review/third_odd.rs
@@ -25,7 +25,7 @@
 fn route(name: &str, prefix: &str, service: &str) -> String {
     format!(
         "{{\"name\":\"{name}\",\"host\":\"yard.example\",\"path_prefix\":\"{prefix}\",\"kind\":\"idempotent\",\
-         \"timeout_ms\":800,\"slo_ms\":150,\"priority\":2,\"service\":\"{service}\",\"max_attempts\":2}}"
+         \"timeout_ms\":800,\"slo_ms\":150,\"priority\":2,\"service\":\"{service}\",\"max_attempts\":2,\"public\":false}}"
     )
 }
 
@@ -36,7 +36,7 @@
          \"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}},\"routes\":[{}],\
          \"services\":[{{\"name\":\"yard-desk\",\"health_path\":\"/health\",\"max_conns\":96}},\
          {{\"name\":\"yard-ledger\",\"health_path\":\"/health\",\"max_conns\":96}}],\
-         \"tenants\":[{{\"name\":\"mill-a\",\"api_keys\":[\"key-a\"]}}]}}",
+         \"tenants\":[{{\"name\":\"mill-a\",\"api_keys\":[\"key-a\"],\"priority\":1}}]}}",
         routes.join(",")
     )
 }
