--- a/review/third.rs
+++ b/review/third.rs
@@ -1,4 +1,4 @@
-//! Stand-ins for the cases of the third part of the second review: a store, runners and clients, and the instances as processes of their own.
+//! Stand-ins for cases 7 and 8 and a further one: a store, runners and clients, and the instances as processes of their own.
 
 #[path = "third_fleet.rs"]
 mod fleet;
@@ -10,10 +10,10 @@
 mod json;
 #[path = "third_keys.rs"]
 mod keys;
-#[path = "third_odd.rs"]
-mod odd;
 #[path = "third_record.rs"]
 mod record;
+#[path = "third_reuse.rs"]
+mod reuse;
 #[path = "third_runner.rs"]
 mod runner;
 #[path = "third_store.rs"]
@@ -39,7 +39,7 @@
     let outcome = match case.as_str() {
         "foreign" => foreign::play(&record, trouble),
         "keys" => keys::play(&record, trouble),
-        "odd" => odd::play(&record, trouble),
+        "reuse" => reuse::play(&record, trouble),
         _ => Outcome::Failed(format!("no case {case:?}")),
     };
     match outcome {
--- a/review/third_foreign.rs
+++ b/review/third_foreign.rs
@@ -4,7 +4,7 @@
     Outcome,
     fleet::Fleet,
     record::Record,
-    runner::{self, Runner, Runs},
+    runner::{Pool, Runner},
     store::Store,
 };
 use std::{thread::sleep, time::Duration};
@@ -40,12 +40,13 @@
 /// Plays the case.
 pub fn play(record: &Record, trouble: bool) -> Outcome {
     let (store, address) = Store::start();
-    let runs = Runs::default();
+    let pool = Pool::new(&store, record);
     store.write("op/config", STATE);
     let desks = [("i-desk-1", "beja-hall"), ("i-desk-2", "tabarka-hall")];
-    let desks = desks.map(|(id, zone)| runner::start(id, "yard-desk", zone, &store, &runs, record));
+    let desks = desks.map(|(id, zone)| pool.start(id, "yard-desk", zone));
+    let mut ledgers = Vec::new();
     for (id, zone) in [("i-ledger-1", "beja-hall"), ("i-ledger-2", "tabarka-hall")] {
-        runner::start(id, "yard-ledger", zone, &store, &runs, record);
+        ledgers.push(pool.start(id, "yard-ledger", zone));
     }
     let fleet = match Fleet::start(&["beja-hall", "tabarka-hall"], address, record) {
         Ok(fleet) => fleet,
@@ -63,7 +64,7 @@
                 usize::from(fleet.ask(number, "/ledger/7", &run, Some("key-a"), record) == 200);
             sleep(PAUSE);
         }
-        let runs = runs.lock().unwrap();
+        let runs = pool.runs.lock().unwrap();
         let of_phase = runs
             .iter()
             .filter(|(run, _)| run.starts_with(&format!("{phase}-")));
--- a/review/third_http.rs
+++ b/review/third_http.rs
@@ -3,7 +3,10 @@
 use std::{
     io::{self, BufRead, BufReader, Write},
     net::{SocketAddr, TcpListener, TcpStream},
-    sync::Arc,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
     time::Duration,
 };
 
@@ -79,15 +82,46 @@
     [bytes.into_bytes(), body.to_vec()].concat()
 }
 
-/// Serves connections on a free port, each in a thread; `handle` gives the answer to a request.
-pub fn serve(handle: impl Fn(&Message) -> Vec<u8> + Send + Sync + 'static) -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
-    let address = listener.local_addr().expect("a bound port has an address");
-    let handle = Arc::new(handle);
+/// A server, until it is closed.
+#[derive(Clone)]
+pub struct Server {
+    pub address: SocketAddr,
+    is_closed: Arc<AtomicBool>,
+}
+
+impl Server {
+    /// Refuses further connections.
+    pub fn close(&self) {
+        self.is_closed.store(true, Ordering::Relaxed);
+    }
+}
+
+/// An address with a free port.
+pub fn free_port() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+/// Serves connections, each in a thread; `handle` gives the answer to a request.
+pub fn serve(
+    address: SocketAddr,
+    handle: impl Fn(&Message) -> Vec<u8> + Send + Sync + 'static,
+) -> io::Result<Server> {
+    let listener = TcpListener::bind(address)?;
+    listener.set_nonblocking(true)?;
+    let server = Server {
+        address: listener.local_addr()?,
+        is_closed: Arc::default(),
+    };
+    let (handle, is_closed) = (Arc::new(handle), server.is_closed.clone());
     std::thread::spawn(move || {
-        for stream in listener.incoming().flatten() {
+        while !is_closed.load(Ordering::Relaxed) {
+            let Ok((stream, _)) = listener.accept() else {
+                std::thread::sleep(Duration::from_millis(1));
+                continue;
+            };
             let handle = handle.clone();
             std::thread::spawn(move || {
+                let _ = stream.set_nonblocking(false);
                 let _ = stream.set_nodelay(true);
                 let mut reader = BufReader::new(stream);
                 while let Ok(request) = read(&mut reader) {
@@ -98,7 +132,7 @@
             });
         }
     });
-    address
+    Ok(server)
 }
 
 /// Sends a request on a connection of its own; an error if no whole answer comes in time.
--- a/review/third_keys.rs
+++ b/review/third_keys.rs
@@ -1,12 +1,6 @@
 //! The last keys are taken away, one after the other.
 
-use crate::{
-    Outcome,
-    fleet::Fleet,
-    record::Record,
-    runner::{self, Runs},
-    store::Store,
-};
+use crate::{Outcome, fleet::Fleet, record::Record, runner::Pool, store::Store};
 use std::{thread::sleep, time::Duration};
 
 /// Pause between two changes of the desired state.
@@ -32,11 +26,12 @@
 /// Plays the case.
 pub fn play(record: &Record, trouble: bool) -> Outcome {
     let (store, address) = Store::start();
-    let runs = Runs::default();
+    let pool = Pool::new(&store, record);
     let both = "{\"name\":\"mill-a\",\"api_keys\":[\"key-a\"],\"priority\":1},{\"name\":\"mill-b\",\"api_keys\":[\"key-b\"],\"priority\":1}";
     store.write("op/config", &state(3, both));
+    let mut runners = Vec::new();
     for (id, zone) in [("i-desk-1", "beja-hall"), ("i-desk-2", "tabarka-hall")] {
-        runner::start(id, "yard-desk", zone, &store, &runs, record);
+        runners.push(pool.start(id, "yard-desk", zone));
     }
     let fleet = match Fleet::start(&["beja-hall", "tabarka-hall"], address, record) {
         Ok(fleet) => fleet,
@@ -54,7 +49,8 @@
             .collect();
         statuses.sort_unstable();
         let prefix = format!("{phase}-{name}-");
-        let ran = runs
+        let ran = pool
+            .runs
             .lock()
             .unwrap()
             .iter()
--- a/review/third_odd.rs
+++ b/review/third_reuse.rs
@@ -1,22 +1,19 @@
-//! Another writer's entries appear among those of runners for a while, with addresses of runners.
+//! Runners start again under their ids, at addresses of runners of another service that have ended.
 
-use crate::{
-    Outcome,
-    fleet::Fleet,
-    record::Record,
-    runner::{self, Runner, Runs},
-    store::Store,
-};
+use crate::{Outcome, fleet::Fleet, record::Record, runner::Pool, store::Store};
 use std::{thread::sleep, time::Duration};
 
 /// `config_apply_ms`, and a second more.
 const APPLIED: Duration = Duration::from_millis(3_000);
 
-/// Time for which the other writer's entries are there.
-const ODD: Duration = Duration::from_secs(5);
+/// `reuse_delay_s`, and a little more.
+const REUSE_DELAY: Duration = Duration::from_millis(2_020);
 
-/// Time behind their removal after which all is calm again: longer than `contact_ms`.
-const CALM: Duration = Duration::from_secs(6);
+/// Time for which the runners that start again are down; shorter than three heartbeats.
+const DOWN: Duration = Duration::from_millis(1_000);
+
+/// Time behind the restart after which all is calm again: the entries of the ended runners are gone, and `contact_ms` is over.
+const CALM: Duration = Duration::from_secs(8);
 
 /// Requests on each route in each phase, and the pause between two.
 const REQUESTS: usize = 60;
@@ -41,29 +38,18 @@
     )
 }
 
-/// An entry of another writer: `version` is of another type, `cold_left_ms` and `born` are missing, `call_seq` is of another type.
-fn odd_entry(runner: &Runner) -> String {
-    format!(
-        "{{\"service\":\"yard-ledger\",\"address\":\"{}\",\"zone\":\"beja-hall\",\"version\":7,\"slots\":6,\
-         \"state\":\"ready\",\"call_seq\":\"none\"}}",
-        runner.address
-    )
-}
-
 /// Plays the case.
 pub fn play(record: &Record, trouble: bool) -> Outcome {
     let (store, address) = Store::start();
-    let runs = Runs::default();
+    let pool = Pool::new(&store, record);
     let first = route("lot-reserve", "/lots/", "yard-desk");
     let late = route("stock-ledger", "/ledger/", "yard-ledger");
     store.write("op/config", &state(3, std::slice::from_ref(&first)));
-    for (id, zone) in [("i-desk-1", "beja-hall"), ("i-desk-2", "tabarka-hall")] {
-        runner::start(id, "yard-desk", zone, &store, &runs, record);
-    }
-    let ledgers = [("i-ledger-1", "beja-hall"), ("i-ledger-2", "tabarka-hall")];
-    let ledgers =
-        ledgers.map(|(id, zone)| runner::start(id, "yard-ledger", zone, &store, &runs, record));
-    let fleet = match Fleet::start(&["beja-hall", "tabarka-hall"], address, record) {
+    let zones = ["beja-hall", "tabarka-hall"];
+    let ledgers = zones.map(|zone| pool.start(&format!("i-ledger-{zone}"), "yard-ledger", zone));
+    let _desks = zones.map(|zone| pool.start(&format!("i-desk-{zone}"), "yard-desk", zone));
+    let ending = zones.map(|zone| pool.start(&format!("i-desk-2-{zone}"), "yard-desk", zone));
+    let fleet = match Fleet::start(&zones, address, record) {
         Ok(fleet) => fleet,
         Err(error) => return Outcome::Failed(error),
     };
@@ -77,38 +63,31 @@
         let (mut first, mut late) = (0, 0);
         for number in 0..REQUESTS {
             let run = |route: &str| format!("{phase}-{route}-{number}");
-            let key = Some("key-a");
-            first += usize::from(fleet.ask(number, "/lots/7", &run("first"), key, record) == 200);
-            late += usize::from(fleet.ask(number, "/ledger/7", &run("late"), key, record) == 200);
+            let is_served = |path: &str, route: &str| {
+                fleet.ask(number, path, &run(route), Some("key-a"), record) == 200
+            };
+            first += usize::from(is_served("/lots/7", "first"));
+            late += usize::from(is_served("/ledger/7", "late"));
             sleep(PAUSE);
         }
-        record.line(&format!("{phase}: {first} of {REQUESTS} on the first route served, {late} of {REQUESTS} on the later one"));
+        record.line(&format!(
+            "{phase}: {first} of {REQUESTS} on the first route served, {late} of {REQUESTS} on the later one"
+        ));
         (first, late)
     };
     let before = served("before");
     if before != (REQUESTS, REQUESTS) {
-        return Outcome::Failed(format!(
-            "before the other writer's entries, {before:?} were served"
-        ));
-    }
-    if trouble {
-        for runner in &ledgers {
-            store.write(
-                &format!("servers/copy-of-{}", runner.id),
-                &odd_entry(runner),
-            );
-        }
-        record.line(
-            "another writer wrote two entries with the addresses of the runners of yard-ledger",
-        );
+        return Outcome::Failed(format!("before the crashes, {before:?} were served"));
     }
-    served("meanwhile");
-    sleep(ODD.saturating_sub(PAUSE * REQUESTS as u32));
+    let mut restarted = Vec::new();
     if trouble {
-        for runner in &ledgers {
-            store.delete(&format!("servers/copy-of-{}", runner.id));
+        ending.iter().for_each(|runner| runner.crash(record));
+        sleep(REUSE_DELAY - DOWN);
+        ledgers.iter().for_each(|runner| runner.crash(record));
+        sleep(DOWN);
+        for ((ledger, ended), zone) in ledgers.iter().zip(&ending).zip(zones) {
+            restarted.push(pool.start_at(ended.address, &ledger.id, "yard-ledger", zone));
         }
-        record.line("the other writer's entries are removed");
     }
     sleep(CALM);
     let (first, late) = served("after");
--- a/review/third_store.rs
+++ b/review/third_store.rs
@@ -98,7 +98,8 @@
     pub fn start() -> (Self, SocketAddr) {
         let store = Self::default();
         let served = store.clone();
-        let address = http::serve(move |request| served.answer(request));
+        let served = http::serve(http::free_port(), move |request| served.answer(request));
+        let address = served.expect("a port is free").address;
         let expiring = store.clone();
         std::thread::spawn(move || {
             loop {
@@ -115,7 +116,7 @@
     pub fn write(&self, key: &str, value: &str) {
         let mut state = self.0.0.lock().unwrap();
         state.revision += 1;
-        state.put(key, base64(value.as_bytes()), 0);
+        state.put(key, encode(value), 0);
         self.0.1.notify_all();
     }
 
@@ -127,16 +128,21 @@
         self.0.1.notify_all();
     }
 
-    /// Writes an item as a runner does with each heartbeat: only another value changes the entry.
+    /// Writes an item as a runner does with each heartbeat: only another value changes the entry. Returns whether it did.
     pub fn refresh(&self, key: &str, value: &str) -> bool {
-        let is_same = |item: &Item| item.value == base64(value.as_bytes());
-        if self.0.0.lock().unwrap().items.get(key).is_some_and(is_same) {
+        if self.value(key) == Some(encode(value)) {
             return false;
         }
         self.write(key, value);
         true
     }
 
+    /// Value of an item, as the store keeps it; `None` if there is none.
+    pub fn value(&self, key: &str) -> Option<String> {
+        let state = self.0.0.lock().unwrap();
+        state.items.get(key).map(|item| item.value.clone())
+    }
+
     fn answer(&self, request: &Message) -> Vec<u8> {
         let (method, target) = request.target();
         let (path, query) = target.split_once('?').unwrap_or((target, ""));
@@ -238,6 +244,11 @@
     }
 }
 
+/// A value as the store keeps it.
+pub fn encode(value: &str) -> String {
+    base64(value.as_bytes())
+}
+
 /// A field of a query; empty if it is missing.
 fn field(query: &str, name: &str) -> String {
     let fields = query.split('&').filter_map(|field| field.split_once('='));
