--- a/review/third.rs
+++ b/review/third.rs
@@ -33,9 +33,11 @@
 
 fn main() -> ExitCode {
     let case = std::env::args().nth(1).unwrap_or_default();
-    let folder = std::env::args().nth(2).unwrap_or_else(|| ".".into());
+    let file = std::env::args()
+        .nth(2)
+        .unwrap_or_else(|| "record.txt".into());
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
-    let record = record::Record::new(&format!("{folder}/record.txt"));
+    let record = record::Record::new(&file);
     let outcome = match case.as_str() {
         "foreign" => foreign::play(&record, trouble),
         "keys" => keys::play(&record, trouble),
--- a/review/third_fleet.rs
+++ b/review/third_fleet.rs
@@ -55,8 +55,8 @@
         let settings = format!(
             "{{\"core\":{{\"held_bytes_max\":67108864,\"probe_ms\":1000,\"probes\":false,\
              \"retry\":{{\"extra\":150,\"ratio\":0.8,\"window_ms\":10e3}},\"retry_earn\":0.4,\"versions\":\"side_by_side\"}},\
-             \"data_centre\":\"{zone}\",\"hosted\":{{\"apply_ms\":2000,\"grace_ms\":8e3,\"heartbeat_ms\":1200,\
-             \"link_mbps\":1000.0,\"leave_ms\":2000,\"metrics\":\"{metrics}\",\"peers\":\"{peers}\",\"ready\":\"{ready}\",\
+             \"data_centre\":\"{zone}\",\"hosted\":{{\"apply_ms\":3000,\"grace_ms\":8e3,\"heartbeat_ms\":1200,\
+             \"link_mbps\":1000.0,\"leave_ms\":3000,\"metrics\":\"{metrics}\",\"peers\":\"{peers}\",\"ready\":\"{ready}\",\
              \"store\":\"{store}\"}},\"instance\":\"front-{number}\",\"listen\":{{\"callers\":\"{front}\"}}}}"
         );
         let path = self.folder.join(format!("{number}.json"));
--- a/review/third_foreign.rs
+++ b/review/third_foreign.rs
@@ -10,7 +10,7 @@
 use std::{thread::sleep, time::Duration};
 
 /// `config_apply_ms`, and a second more.
-const APPLIED: Duration = Duration::from_millis(3_000);
+const APPLIED: Duration = Duration::from_millis(4_000);
 
 /// Requests before the other writer's entries and behind them, and the pause between two.
 const BEFORE: usize = 20;
--- a/review/third_keys.rs
+++ b/review/third_keys.rs
@@ -7,7 +7,7 @@
 const GAP: Duration = Duration::from_millis(1_500);
 
 /// `config_apply_ms`, and a second more.
-const APPLIED: Duration = Duration::from_millis(3_000);
+const APPLIED: Duration = Duration::from_millis(4_000);
 
 /// Requests with each key.
 const REQUESTS: usize = 10;
--- a/review/third_reuse.rs
+++ b/review/third_reuse.rs
@@ -4,7 +4,7 @@
 use std::{thread::sleep, time::Duration};
 
 /// `config_apply_ms`, and a second more.
-const APPLIED: Duration = Duration::from_millis(3_000);
+const APPLIED: Duration = Duration::from_millis(4_000);
 
 /// `reuse_delay_s`, and a little more.
 const REUSE_DELAY: Duration = Duration::from_millis(2_020);
