--- a/crates/standin/src/daemon.rs
+++ b/crates/standin/src/daemon.rs
@@ -63,6 +63,8 @@
     child: Option<Child>,
     /// Data that a process may have, in kibibytes, by the shell's `ulimit -d`; it gets no more memory beyond.
     pub(crate) data_kib: Option<u64>,
+    /// Descriptors that a process may have, by the shell's `ulimit -n`.
+    pub(crate) descriptors: Option<u64>,
     /// Ends of its processes that nobody asked for.
     pub(crate) ends: Vec<End>,
     /// Times from SIGTERM to the end of a process, as they were seen.
@@ -84,6 +86,7 @@
             callers,
             child: None,
             data_kib: None,
+            descriptors: None,
             ends: Vec::new(),
             error_start: 0,
             exits: Vec::new(),
@@ -137,6 +140,14 @@
         }
     }
 
+    /// Where it says whether it is ready, as its settings say.
+    pub(crate) fn ready(&self) -> SocketAddr {
+        let text = std::fs::read_to_string(&self.file).expect("settings were written");
+        let settings: Value = serde_json::from_str(&text).expect("settings are JSON");
+        let ready = settings["hosted"]["ready"].as_str().unwrap_or_default();
+        ready.parse().expect("settings hold addresses")
+    }
+
     /// Number of the process, if one was started and no end of it was seen.
     pub(crate) fn process_id(&self) -> Option<u32> {
         self.child.as_ref().map(Child::id)
@@ -177,11 +188,18 @@
 
     /// The program, which a shell starts in its own place if there is a limit.
     fn program(&self, program: &std::path::Path) -> Program {
-        let Some(data_kib) = self.data_kib else {
+        let limits = [("-d", self.data_kib), ("-n", self.descriptors)];
+        let limits = limits
+            .into_iter()
+            .filter_map(|(flag, limit)| Some((flag, limit?)));
+        let limits: String = limits
+            .map(|(flag, limit)| format!("ulimit {flag} {limit} && "))
+            .collect();
+        if limits.is_empty() {
             return Program::new(program);
-        };
+        }
         let mut shell = Program::new("sh");
-        let script = format!("ulimit -d {data_kib} && exec \"$0\" \"$@\"");
+        let script = format!("{limits}exec \"$0\" \"$@\"");
         shell.arg("-c").arg(script).arg(program);
         shell
     }
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod engine;
 pub mod fake;
 pub mod fleet;
+pub mod flood;
 pub mod host;
 pub mod http;
 pub mod layout;
--- a/crates/standin/src/soak.rs
+++ b/crates/standin/src/soak.rs
@@ -89,6 +89,8 @@
     pub(crate) configuration: fn(u64) -> Value,
     /// Data that the process of an instance may have, in kibibytes.
     pub(crate) data_kib: Option<u64>,
+    /// Descriptors that the process of an instance may have.
+    pub(crate) descriptors: Option<u64>,
     /// Upstreams that answer calls.
     pub(crate) desks: usize,
     /// Time that an instance has to end in order, in milliseconds.
@@ -108,6 +110,7 @@
         Self {
             configuration: site::configuration,
             data_kib: None,
+            descriptors: None,
             desks: DESKS,
             grace_ms: GRACE_MS,
             is_listed: |_| true,
@@ -441,6 +444,7 @@
         let callers = callers.parse().expect("settings hold addresses");
         let mut instance = Daemon::new(callers, file);
         instance.data_kib = self.layout.data_kib;
+        instance.descriptors = self.layout.descriptors;
         instance.start();
         self.instances.push(instance);
     }
