--- a/crates/standin/src/daemon.rs
+++ b/crates/standin/src/daemon.rs
@@ -189,12 +189,9 @@
     /// The program, which a shell starts in its own place if there is a limit.
     fn program(&self, program: &std::path::Path) -> Program {
         let limits = [("-d", self.data_kib), ("-n", self.descriptors)];
-        let limits = limits
-            .into_iter()
-            .filter_map(|(flag, limit)| Some((flag, limit?)));
-        let limits: String = limits
-            .map(|(flag, limit)| format!("ulimit {flag} {limit} && "))
-            .collect();
+        let limits =
+            limits.map(|(flag, limit)| limit.map(|limit| format!("ulimit {flag} {limit} && ")));
+        let limits: String = limits.into_iter().flatten().collect();
         if limits.is_empty() {
             return Program::new(program);
         }
--- a/crates/standin/src/flood.rs
+++ b/crates/standin/src/flood.rs
@@ -34,7 +34,7 @@
 const PAUSE: Duration = Duration::from_millis(100);
 
 /// Time in which a client that behaves must get an answer before the process counts as hung, and for one try.
-const PATIENCE: Duration = Duration::from_secs(60);
+const PATIENCE: Duration = Duration::from_mins(1);
 const TRY: Duration = Duration::from_secs(10);
 
 /// Time between two looks at the process.
