Bound unfinished heads of clients in bytes, together and in time, before they are parsed

What callers saw: a process of the smallest machine that ran out of memory. Cause: `max_header_bytes` was checked behind the parse; until a head is complete the HTTP server keeps some 400 KB a connection, and it skips empty lines before a request in that same buffer. Connections times 400 KB is the memory, at the ports of callers, readiness and metrics alike.

A reader between socket and server now ends a connection whose head has more than the limit in force and 4 KiB for the request line (431), or is not complete a header time-out behind its first byte (408); empty lines count. The largest unfinished head is closed where all of them exceed a 32nd of the memory (`hosted.memory_mb`, 88 by default, by the template from the machine's). It reads less than the server's buffer at a time, so that it does not grow, and gives way after 32 KiB, also while a body is read: zeros of a chunk's size kept the one thread. A request behind a response that is not taken is not read. What is closed is decided in the core (`connections`), with tests.

The own interface has the same reader.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod claim;
 pub mod clock;
 pub mod config;
+pub mod connections;
 pub mod connectivity;
 pub mod core;
 pub mod counter;
--- a/crates/node/src/caller.rs
+++ b/crates/node/src/caller.rs
@@ -1,6 +1,7 @@
 //! The HTTP interface for callers: routes, and what completions and calls of plain services have in common.
 
 use super::*;
+use caller_connections::{Hold, Registry};
 use instance::StopPhase;
 
 /// Header with the caller's idempotency key, a `UUIDv7`.
@@ -33,6 +34,7 @@
 /// Submits requests to the core.
 #[derive(Clone)]
 pub(crate) struct Submitter {
+    connections: Registry,
     driver: Driver,
     max_body_bytes: usize,
     stop_phase: watch::Receiver<StopPhase>,
@@ -61,22 +63,27 @@
     cursor: Option<Vec<u8>>,
     customer: String,
     idempotency_key: Option<u128>,
+    /// Address of the caller; `None` if it is not known.
+    peer: Option<SocketAddr>,
 }
 
 /// Reports to the core that a caller disconnected if it is dropped before the response is complete.
 pub(crate) struct CallerGuard {
     caller: Caller,
     driver: Driver,
+    /// Keeps the caller's connection from being closed for others.
+    _hold: Option<Hold>,
     /// Whether the last reply has arrived.
     pub is_finished: bool,
 }
 
 impl CallerGuard {
     /// A guard for a caller that awaits its response.
-    pub fn new(caller: Caller, driver: &Driver) -> Self {
+    pub fn new(caller: Caller, driver: &Driver, hold: Option<Hold>) -> Self {
         Self {
             caller,
             driver: driver.clone(),
+            _hold: hold,
             is_finished: false,
         }
     }
@@ -94,11 +101,13 @@
 pub(crate) fn router(
     settings: &Settings,
     driver: &Driver,
+    connections: &Registry,
     stop_phase: &watch::Receiver<StopPhase>,
 ) -> Router {
     let endpoint = |operation| Endpoint {
         operation,
         submitter: Submitter {
+            connections: connections.clone(),
             driver: driver.clone(),
             max_body_bytes: settings.body_max,
             stop_phase: stop_phase.clone(),
@@ -167,7 +176,11 @@
         parsed: ParsedRequest,
     ) -> Submitted {
         let caller = self.driver.new_caller();
-        let guard = CallerGuard::new(caller, &self.driver);
+        let hold = self.connections.hold(headers.peer);
+        if let Some(hold) = &hold {
+            hold.finish_read();
+        }
+        let guard = CallerGuard::new(caller, &self.driver, hold);
         let replies = self.driver.submit(Submission {
             caller,
             cursor: headers.cursor,
@@ -190,6 +203,7 @@
             customer: customer_digest(request)?,
             idempotency_key: idempotency_key(request)?,
             cursor: cursor(request)?,
+            peer: request.remote_addr().clone().into_std(),
         })
     }
 }
--- a/crates/node/src/hosted.rs
+++ b/crates/node/src/hosted.rs
@@ -1,14 +1,21 @@
 //! An instance on the users' platform: starts and stops its tasks.
 
 use super::*;
-use caller_socket::{Resets, SocketAcceptor};
+use caller_connections::Registry;
+use caller_socket::SocketAcceptor;
 use listener::HostedPorts;
-use salvo::{
-    conn::Acceptor,
-    fuse::{FuseAction, FuseConfig, FuseInfo},
-};
+use salvo::fuse::{FuseAction, FuseConfig, FuseInfo};
 use settings::Hosted;
-use wellplank_core::{informer_io::KnownState, staleness::StalenessBound};
+use wellplank_core::{connections::Bounds, informer_io::KnownState, staleness::StalenessBound};
+
+/// Divisor of the memory of an instance that gives the bytes of unfinished heads of callers.
+const HEADS_DIVISOR: u64 = 32;
+
+/// Bounds on the connections of the platform, at the ports of readiness checks and of metrics.
+const PLATFORM_BOUNDS: Bounds = Bounds {
+    connections: 32,
+    heads_bytes: 256 << 10,
+};
 
 /// Interval between two checks whether a stopping instance may exit.
 const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(50);
@@ -71,6 +78,20 @@
     }
 }
 
+impl ReadinessEndpoint {
+    /// Starts to answer the platform's readiness checks.
+    fn serve(
+        self,
+        listener: tokio::net::TcpListener,
+        limits: watch::Receiver<platform::configuration::Limits>,
+        clock: Clock,
+    ) -> Result<Serving, Error> {
+        let connections = Registry::new(PLATFORM_BOUNDS, clock);
+        let router = Router::with_path("{**path}").goal(self);
+        serve(Port::Ready, listener, router, limits, &connections)
+    }
+}
+
 /// A running instance on the users' platform.
 pub struct Instance {
     /// Serves callers.
@@ -173,23 +194,21 @@
             known_state: known_state.clone(),
             stopping: stopping.clone(),
         };
-        let ready = Router::with_path("{**path}").goal(ready);
-        serve(Port::Ready, ports.ready, ready, limits_receiver.clone())?;
-        let resets = Resets::default();
+        ready.serve(ports.ready, limits_receiver.clone(), clock)?;
         let endpoint = relay::Endpoint {
             bodies: ReadBudget::new(relay::BODIES_BYTES_MAX),
             driver: driver.clone(),
+            connections: Registry::new(caller_bounds(&hosted), clock),
             limits: limits_receiver.clone(),
-            resets: resets.clone(),
             shutdown: stopping,
         };
-        let callers = unanswered::counted(Router::with_path("{**path}").goal(endpoint));
-        let callers = serve_callers(ports.callers, callers, limits_receiver.clone(), resets)?;
+        let callers = serve_callers(ports.callers, endpoint)?;
         let serving = serve_metrics(
             ports.metrics,
             hosted.metrics,
             metrics,
             limits_receiver,
+            Registry::new(PLATFORM_BOUNDS, clock),
             driver.clone(),
         );
         tokio::spawn(serving);
@@ -372,57 +391,54 @@
     address: SocketAddr,
     router: Router,
     limits: watch::Receiver<platform::configuration::Limits>,
+    connections: Registry,
     driver: Driver,
 ) {
     let listener = match listener {
         Some(listener) => listener,
         None => listener::wait_for_metrics(address, driver).await,
     };
-    if let Err(error) = serve(Port::Metrics, listener, router, limits) {
+    if let Err(error) = serve(Port::Metrics, listener, router, limits, &connections) {
         error!("the metrics are not served: {error}");
     }
 }
 
-/// Starts to serve a router at a port.
-fn serve(
-    port: Port,
+/// Starts to serve callers.
+fn serve_callers(
     listener: tokio::net::TcpListener,
-    router: Router,
-    limits: watch::Receiver<platform::configuration::Limits>,
+    endpoint: relay::Endpoint,
 ) -> Result<Serving, Error> {
-    let address = listener.local_addr();
-    let address = address.unwrap_or_else(|_| SocketAddr::from(([0, 0, 0, 0], 0)));
-    let acceptor = TcpAcceptor::try_from(listener);
-    let acceptor = acceptor.map_err(|error| Error::Bind(port, address, error))?;
-    Ok(serve_accepted(acceptor, router, limits))
+    let (limits, connections) = (endpoint.limits.clone(), endpoint.connections.clone());
+    let router = unanswered::counted(Router::with_path("{**path}").goal(endpoint));
+    serve(Port::Callers, listener, router, limits, &connections)
 }
 
-/// Starts to serve callers, some of whose connections are reset.
-fn serve_callers(
+/// Bounds on the connections of callers.
+fn caller_bounds(hosted: &Hosted) -> Bounds {
+    Bounds {
+        connections: usize::MAX,
+        heads_bytes: hosted.memory_bytes / HEADS_DIVISOR,
+    }
+}
+
+/// Starts to serve a router at a port. The idle time-out of a new connection follows from the limits in force.
+fn serve(
+    port: Port,
     listener: tokio::net::TcpListener,
     router: Router,
     limits: watch::Receiver<platform::configuration::Limits>,
-    resets: Resets,
+    connections: &Registry,
 ) -> Result<Serving, Error> {
     let address = listener.local_addr();
     let address = address.unwrap_or_else(|_| SocketAddr::from(([0, 0, 0, 0], 0)));
-    let acceptor = SocketAcceptor::new(listener, resets);
-    let acceptor = acceptor.map_err(|error| Error::Bind(Port::Callers, address, error))?;
-    Ok(serve_accepted(acceptor, router, limits))
-}
-
-/// Starts to serve a router. The idle time-out of a new connection follows from the limits in force.
-fn serve_accepted(
-    acceptor: impl Acceptor + 'static,
-    router: Router,
-    limits: watch::Receiver<platform::configuration::Limits>,
-) -> Serving {
+    let acceptor = SocketAcceptor::new(listener, connections.clone(), limits.clone());
+    let acceptor = acceptor.map_err(|error| Error::Bind(port, address, error))?;
     let fuse = move |_: &FuseInfo| {
         let idle = limits.borrow().idle_timeout.mul_f64(IDLE_TIMEOUT_FACTOR);
         FuseAction::Accept(FuseConfig::disabled().with_http1_header_timeout(idle))
     };
     let server = Server::new(acceptor).fuse_policy(fuse);
     let handle = server.handle();
-    let task = tokio::spawn(server.serve(router));
-    Serving { handle, task }
+    let task = tokio::spawn(server.serve(connections.holding(router)));
+    Ok(Serving { handle, task })
 }
--- a/crates/node/src/instance.rs
+++ b/crates/node/src/instance.rs
@@ -1,13 +1,22 @@
 //! Start and stop of an instance with all of its tasks.
 
 use super::*;
+use caller_connections::Registry;
+use caller_socket::SocketAcceptor;
 use hosted::{CLOSE_TIME_MAX, REFUSAL_TIME};
+use wellplank_core::connections::Bounds;
 
 pub(crate) use signals::wait_for_termination;
 
 /// Interval at which a stopping instance checks whether requests still run.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Bounds on the connections of callers.
+const CALLER_BOUNDS: Bounds = Bounds {
+    connections: usize::MAX,
+    heads_bytes: 8 << 20,
+};
+
 /// How far a planned stop is.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum StopPhase {
@@ -48,9 +57,11 @@
 
     /// Starts all tasks of an instance.
     fn serve(ports: listener::OwnPorts, settings: Settings) -> Result<Self, Error> {
-        let acceptor = TcpAcceptor::try_from(ports.callers)
-            .map_err(|error| Error::Bind(Port::Callers, settings.listen.callers, error))?;
         let clock = Clock::new();
+        let connections = Registry::new(CALLER_BOUNDS, clock);
+        let (_, limits) = watch::channel(platform::configuration::Limits::default());
+        let acceptor = SocketAcceptor::new(ports.callers, connections.clone(), limits)
+            .map_err(|error| Error::Bind(Port::Callers, settings.listen.callers, error))?;
         let store_timeout = Duration::from_millis(settings.store_timeout_ms);
         let traffic = Traffic::default();
         let (claims, claim_receiver) = mpsc::unbounded_channel();
@@ -101,7 +112,8 @@
             list: list_receiver.clone(),
             store: store.clone(),
         };
-        let router = unanswered::counted(caller::router(&settings, &driver, &stop_phase_receiver));
+        let router = caller::router(&settings, &driver, &connections, &stop_phase_receiver);
+        let router = connections.holding(unanswered::counted(router));
         let server = Server::new(acceptor);
         let handle = server.handle();
         let tasks = vec![
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -24,6 +24,7 @@
 mod bounded_connection;
 mod bounded_connector;
 mod caller;
+mod caller_connections;
 mod caller_socket;
 mod calls;
 mod claim_forwarder;
@@ -90,7 +91,7 @@
     read_budget::ReadBudget,
     reader::{Fault, Reader},
     reply::Reply,
-    salvo::{Router, Server, conn::tcp::TcpAcceptor},
+    salvo::{Router, Server},
     serde::Deserialize,
     serde_json::{Map, Value, json},
     sse_stream::{Sse, SseStream},
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -2,7 +2,7 @@
 
 use super::*;
 use caller::CallerGuard;
-use caller_socket::Resets;
+use caller_connections::{Hold, Registry};
 use wellplank_core::counter::AnswerBound;
 
 /// Time after the start of a shutdown during which streams are accepted whose callers wait for longer than the instance does.
@@ -45,12 +45,12 @@
 pub(crate) struct Endpoint {
     /// Bound on all bodies of callers that are being read.
     pub bodies: ReadBudget,
+    /// Open connections of callers.
+    pub connections: Registry,
     /// Handle of the core task.
     pub driver: Driver,
     /// Limits on the requests of callers.
     pub limits: watch::Receiver<platform::configuration::Limits>,
-    /// Callers whose connections are reset.
-    pub resets: Resets,
     /// Watches for a graceful shutdown.
     pub shutdown: ShutdownReceiver,
 }
@@ -104,7 +104,16 @@
         if http::header_bytes(request.headers()) > limits.max_header_bytes {
             return Err(Kind::HeadTooLarge);
         }
-        let body = self.read_body(request, limits).await?;
+        let peer = request.remote_addr().clone().into_std();
+        let hold = self.connections.hold(peer);
+        let body = self.read_body(request, limits).await;
+        if body.is_err() && hold.as_ref().is_some_and(Hold::is_closed) {
+            return Err(Kind::Overloaded);
+        }
+        let body = body?;
+        if let Some(hold) = &hold {
+            hold.finish_read();
+        }
         let uri = request.uri();
         let parsed = platform::request::parse(uri.path(), uri.query(), request.headers(), &body);
         let parsed = parsed.map_err(|error| {
@@ -133,7 +142,7 @@
                 .map_or_else(String::new, ToString::to_string),
         };
         let caller = self.driver.new_caller();
-        let guard = CallerGuard::new(caller, &self.driver);
+        let guard = CallerGuard::new(caller, &self.driver, hold);
         let submission = Submission {
             caller,
             cursor: None,
@@ -153,9 +162,9 @@
             BodyEnd::Chunk
         };
         let responder = Responder {
+            connections: self.connections.clone(),
             end,
-            peer: request.remote_addr().clone().into_std(),
-            resets: self.resets.clone(),
+            peer,
         };
         responder
             .respond(&request_id, outlet, guard, response)
@@ -175,10 +184,10 @@
 
 /// Writes the response to one caller.
 struct Responder {
+    connections: Registry,
     end: BodyEnd,
     /// Address of the caller; `None` if it is not known.
     peer: Option<SocketAddr>,
-    resets: Resets,
 }
 
 /// A relayed stream on its way to its caller.
@@ -247,7 +256,7 @@
         if self.end == BodyEnd::Close
             && let Some(peer) = self.peer
         {
-            self.resets.insert(peer);
+            self.connections.reset(peer);
         }
         std::io::Error::other("relayed stream aborted before it was complete")
     }
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -11,6 +11,9 @@
 /// Place of a fault of the whole file: it is no JSON document.
 pub(crate) const FILE: &str = "file";
 
+/// Default of `hosted.memory_mb`: the memory of the users' smallest machines, in megabytes.
+const DEFAULT_MEMORY_MB: u64 = 88;
+
 /// Default of `listen_ms`: the operating system keeps the port of a closed connection for 60 s.
 const DEFAULT_LISTEN_MS: u64 = 90_000;
 
@@ -75,6 +78,8 @@
     pub link_mbps: f64,
     /// Time within which a draining upstream must stop being given work, in milliseconds.
     pub leave_ms: u64,
+    /// Memory that the process may take, in bytes.
+    pub memory_bytes: u64,
     /// Address that serves the metrics to Prometheus.
     pub metrics: SocketAddr,
     /// UDP address for gossip from other instances.
@@ -204,6 +209,7 @@
             heartbeat_ms: reader.millis("heartbeat_ms", 1_200, 50..=MILLIS_MAX),
             link_mbps: reader.float("link_mbps", DEFAULT_LINK_MBPS, 0.1..=1e6),
             leave_ms: reader.millis("leave_ms", 2_000, 100..=MILLIS_MAX),
+            memory_bytes: reader.number("memory_mb", DEFAULT_MEMORY_MB, 16..=1 << 20) << 20,
             metrics: reader.address("metrics"),
             peers: reader.address("peers"),
             ready: reader.address("ready"),
--- a/crates/node/tests/template.rs
+++ b/crates/node/tests/template.rs
@@ -18,7 +18,7 @@
         "heartbeat_ms": 1200,
         "internal_ports": [7200, 7215],
         "ip": "10.1.0.19",
-        "limits": { "link_mbps": 1000.0 },
+        "limits": { "link_mbps": 1000.0, "max_fds": 4100, "memory_mb": 260 },
         "listen": { "front": "10.1.0.19:8740", "readiness": "10.1.0.19:8749" },
         "node_name": "front-ukkel-hall-1",
         "platform": { "address": "10.200.1.7:8742" },
