Bound the connections of clients below the descriptors of the process

What callers saw: none of them was served while silent, resting or half-sent connections had all descriptors of a process; the store, upstreams and other instances got none either. Cause: every connection that came was kept, for 1.25 times the idle time-out.

At the bound the connection that has been silent for longest is closed, never one whose request was read whole; if all are at work the new one gets 503 and a time to come back. A shortage at accept closes one connection and pauses in place of trying again at once.

--- a/crates/core/src/connections.rs
+++ b/crates/core/src/connections.rs
@@ -60,6 +60,8 @@
     /// Bytes of unfinished heads.
     heads_bytes: u64,
     open: SlotMap<Key, Connection>,
+    /// The largest number of open connections so far.
+    peak: usize,
 }
 
 impl Connection {
@@ -91,6 +93,7 @@
             bounds,
             heads_bytes: 0,
             open: SlotMap::with_key(),
+            peak: 0,
         }
     }
 
@@ -99,6 +102,11 @@
         self.open.len()
     }
 
+    /// The largest number of open connections so far.
+    pub fn peak(&self) -> usize {
+        self.peak
+    }
+
     /// Bytes of unfinished heads on all connections.
     pub fn heads_bytes(&self) -> u64 {
         self.heads_bytes
@@ -119,7 +127,9 @@
             blocked_since: None,
             stage: Stage::Head { bytes: 0 },
         };
-        Opened::Kept(self.open.insert(connection), closed)
+        let key = self.open.insert(connection);
+        self.peak = self.peak.max(self.open.len());
+        Opened::Kept(key, closed)
     }
 
     /// Counts bytes that were received. Returns the connection to be closed if unfinished heads exceed their bound: the one with
--- a/crates/core/src/counter.rs
+++ b/crates/core/src/counter.rs
@@ -24,6 +24,8 @@
     CallOverflow,
     /// Configurations taken from another instance.
     ConfigurationFromPeer,
+    /// Connections of clients that were closed or refused, by reason.
+    ConnectionClosed(ConnectionEnd),
     /// Times that this instance found itself cut off from upstreams.
     CutOff,
     /// Requests that may have run and failed with over half of their time left, by kind and by the bound that kept them from
@@ -154,6 +156,30 @@
     }
 }
 
+/// Why a connection of a client was closed or refused.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub enum ConnectionEnd {
+    /// It was closed for others, at a bound on all of them.
+    ForOthers,
+    /// The head of a request had too many bytes.
+    HeadBytes,
+    /// The head of a request took too long to arrive.
+    HeadTime,
+    /// It was refused, since no other one could be closed for it.
+    Refused,
+}
+
+impl Display for ConnectionEnd {
+    fn fmt(&self, formatter: &mut Formatter) -> fmt::Result {
+        formatter.write_str(match self {
+            Self::ForOthers => "for_others",
+            Self::HeadBytes => "head_bytes",
+            Self::HeadTime => "head_time",
+            Self::Refused => "refused",
+        })
+    }
+}
+
 /// A duration that is measured.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub enum Timing {
@@ -253,6 +279,7 @@
             Self::CallAtOwnSlot => write!(formatter, "call.own_slot"),
             Self::CallOverflow => write!(formatter, "call.overflow"),
             Self::ConfigurationFromPeer => write!(formatter, "configuration.from_peer"),
+            Self::ConnectionClosed(end) => write!(formatter, "connection.{end}"),
             Self::CutOff => write!(formatter, "cut_off"),
             Self::EndedEarly(kind, None) => write!(formatter, "ended_early.{kind}"),
             Self::EndedEarly(kind, Some(bound)) => {
--- a/crates/node/src/caller_connections.rs
+++ b/crates/node/src/caller_connections.rs
@@ -2,14 +2,26 @@
 
 use super::*;
 use futures_util::task::AtomicWaker;
+use meter::Meter;
+use rustix::process::{Resource, getrlimit};
 use salvo::{Depot, FlowCtrl, Handler, Response};
 use std::sync::{Mutex, MutexGuard, PoisonError, atomic::AtomicBool};
-use wellplank_core::connections::{Bounds, Connections, Key, Opened};
+use wellplank_core::{
+    connections::{Bounds, Connections, Key, Opened},
+    counter::ConnectionEnd,
+};
+
+/// Eighths of the descriptors of a process that connections of callers may take.
+const CALLERS_EIGHTHS: u64 = 3;
+
+/// Interval between two warnings about connections that are closed for others.
+const WARNING_INTERVAL: Duration = Duration::from_secs(10);
 
 /// The open connections of a port. Clones share them.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
 pub(crate) struct Registry {
     clock: Clock,
+    meter: Meter,
     state: Arc<Mutex<State>>,
 }
 
@@ -18,6 +30,8 @@
     connections: Connections,
     /// Connections that are open, or whose sockets are not dropped yet.
     sockets: HashMap<SocketAddr, Arc<Socket>>,
+    /// When it was last warned that connections are closed for others.
+    warned_at: Option<Instant>,
 }
 
 /// What others ask of an open connection.
@@ -36,7 +50,6 @@
 }
 
 /// A request on a connection, which keeps the connection from resting until it is dropped.
-#[derive(Debug)]
 pub(crate) struct Hold {
     registry: Registry,
     socket: Arc<Socket>,
@@ -45,6 +58,14 @@
 /// Holds the connection of each request for as long as its handler runs.
 struct Holding(Registry);
 
+/// Connections of callers that a process with so many descriptors keeps: each may need another one to an upstream, and the store,
+/// other instances and files need some.
+pub(crate) fn bound(descriptors: u64) -> usize {
+    let limit = getrlimit(Resource::Nofile).current;
+    let descriptors = limit.map_or(descriptors, |limit| limit.min(descriptors));
+    (descriptors / 8 * CALLERS_EIGHTHS) as usize
+}
+
 impl Socket {
     /// Whether the connection is closed for others.
     pub fn is_closed(&self) -> bool {
@@ -64,13 +85,15 @@
 
 impl Registry {
     /// A registry of connections within bounds.
-    pub fn new(bounds: Bounds, clock: Clock) -> Self {
+    pub fn new(bounds: Bounds, clock: Clock, meter: Meter) -> Self {
         let state = State {
             connections: Connections::new(bounds),
             sockets: HashMap::new(),
+            warned_at: None,
         };
         Self {
             clock,
+            meter,
             state: Arc::new(Mutex::new(state)),
         }
     }
@@ -79,9 +102,10 @@
     pub fn open(&self, peer: SocketAddr) -> Option<Arc<Socket>> {
         let mut state = self.lock();
         let Opened::Kept(key, closed) = state.connections.open(self.clock.now()) else {
+            self.count(ConnectionEnd::Refused);
             return None;
         };
-        state.close(closed);
+        self.close(&mut state, closed);
         let socket = Arc::new(Socket {
             is_closed: AtomicBool::new(false),
             is_reset: AtomicBool::new(false),
@@ -103,12 +127,19 @@
         }
     }
 
+    /// Closes a connection for want of descriptors or memory, if there is one that may be closed.
+    pub fn close_one(&self) {
+        let mut state = self.lock();
+        let closed = state.connections.close_one(self.clock.now());
+        self.close(&mut state, closed);
+    }
+
     /// Counts received bytes; another connection is closed if unfinished heads exceed their bound.
     pub fn receive(&self, socket: &Socket, bytes: u64) {
         let mut state = self.lock();
         let now = self.clock.now();
         let closed = state.connections.receive(socket.key, bytes, now);
-        state.close(closed);
+        self.close(&mut state, closed);
     }
 
     /// Bytes of the unfinished head on a connection; `None` if its head is complete.
@@ -144,21 +175,38 @@
         Router::new().hoop(Holding(self.clone())).push(router)
     }
 
-    fn lock(&self) -> MutexGuard<'_, State> {
-        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    /// The largest number of open connections so far.
+    pub fn peak(&self) -> usize {
+        self.lock().connections.peak()
+    }
+
+    /// Counts a connection that is closed or refused.
+    pub fn count(&self, end: ConnectionEnd) {
+        self.meter.count(Counter::ConnectionClosed(end), 1);
     }
-}
 
-impl State {
     /// Has the socket of a connection end that no longer counts.
-    fn close(&mut self, closed: Option<Key>) {
+    fn close(&self, state: &mut State, closed: Option<Key>) {
         let Some(closed) = closed else {
             return;
         };
-        let mut sockets = self.sockets.values();
+        self.count(ConnectionEnd::ForOthers);
+        let mut sockets = state.sockets.values();
         if let Some(socket) = sockets.find(|socket| socket.key == closed) {
             socket.close();
         }
+        if state
+            .warned_at
+            .is_none_or(|at| at.elapsed() >= WARNING_INTERVAL)
+        {
+            state.warned_at = Some(Instant::now());
+            let (open, heads_bytes) = (state.connections.count(), state.connections.heads_bytes());
+            warn!(open, heads_bytes; "connections are closed for others");
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
--- a/crates/node/src/caller_socket.rs
+++ b/crates/node/src/caller_socket.rs
@@ -19,6 +19,10 @@
     net::{TcpListener, TcpStream},
     time::Sleep,
 };
+use wellplank_core::counter::ConnectionEnd;
+
+/// Time without accepting behind a failure that lasts: descriptors or memory are used up.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
 /// Bytes that a head may have besides its headers: the request line, and empty lines before it.
 const LINE_BYTES: u64 = 4 << 10;
@@ -87,7 +91,9 @@
         let limits = *self.limits.borrow();
         let bytes_max = limits.max_header_bytes as u64 + LINE_BYTES;
         let Some(left) = bytes_max.checked_sub(received).filter(|left| *left > 0) else {
-            return Poll::Ready(Err(self.refuse(Kind::HeadTooLarge)));
+            return Poll::Ready(Err(
+                self.refuse(Kind::HeadTooLarge, ConnectionEnd::HeadBytes)
+            ));
         };
         if self
             .poll_read_most(context, buffer, left.min(READ_BYTES))?
@@ -103,11 +109,12 @@
             .head_timer
             .get_or_insert_with(|| Box::pin(sleep(limits.header_timeout)));
         ready!(timer.as_mut().poll(context));
-        Poll::Ready(Err(self.refuse(Kind::SlowBody)))
+        Poll::Ready(Err(self.refuse(Kind::SlowBody, ConnectionEnd::HeadTime)))
     }
 
     /// Refuses a request whose head is not read to its end, as far as the connection takes that at once; the error that ends it.
-    fn refuse(&self, kind: Kind) -> io::Error {
+    fn refuse(&self, kind: Kind, end: ConnectionEnd) -> io::Error {
+        self.registry.count(end);
         let status = kind.answer().status;
         let _ = self.stream.get_ref().try_write(&refusal(status, None));
         io::Error::new(io::ErrorKind::InvalidData, kind.answer().name)
@@ -239,9 +246,9 @@
     }
 
     /// The next connection that is kept.
-    async fn next(&self) -> io::Result<Socket> {
+    async fn next(&self) -> Socket {
         loop {
-            let (stream, peer) = self.listener.accept().await?;
+            let (stream, peer) = self.accept_stream().await;
             let Some(registered) = self.registry.open(peer) else {
                 let status = Kind::Overloaded.answer().status;
                 let _ = stream.try_write(&refusal(status, Some(REFUSED_RETRY_MS)));
@@ -249,7 +256,7 @@
             };
             // Events are small, and each is to leave as it comes.
             let _ = stream.set_nodelay(true);
-            return Ok(Socket {
+            return Socket {
                 head_timer: None,
                 is_read_deferred: false,
                 is_write_blocked: false,
@@ -258,7 +265,22 @@
                 registry: self.registry.clone(),
                 stream: stream.take(READ_BYTES),
                 turn: 0,
-            });
+            };
+        }
+    }
+
+    /// The next connection. Where descriptors or memory are used up, others are closed until one can be accepted.
+    async fn accept_stream(&self) -> (TcpStream, SocketAddr) {
+        loop {
+            let error = match self.listener.accept().await {
+                Ok(accepted) => return accepted,
+                Err(error) => error,
+            };
+            // Any other failure is of the connection that was to be accepted.
+            if listener::is_shortage(&error) {
+                self.registry.close_one();
+                sleep(ACCEPT_PAUSE).await;
+            }
         }
     }
 }
@@ -284,7 +306,7 @@
         &mut self,
         fuse_policy: Option<Arc<dyn FusePolicy>>,
     ) -> io::Result<Accepted<Self::Coupler, Self::Stream>> {
-        let socket = self.next().await?;
+        let socket = self.next().await;
         let peer = socket.registered.peer;
         let holding = &self.holdings[0];
         let mut fuse_config = None;
--- a/crates/node/src/hosted.rs
+++ b/crates/node/src/hosted.rs
@@ -52,6 +52,13 @@
 /// callers sent some hundred milliseconds ago.
 const IDLE_CLOSE_TIME_MAX: Duration = Duration::from_secs(1);
 
+/// Open connections by their ports.
+struct PortConnections {
+    callers: Registry,
+    metrics: Registry,
+    ready: Registry,
+}
+
 /// Readiness check of the platform.
 struct ReadinessEndpoint {
     known_state: watch::Receiver<KnownState>,
@@ -78,17 +85,31 @@
     }
 }
 
+impl PortConnections {
+    fn new(hosted: &Hosted, clock: Clock, meter: &meter::Meter) -> Self {
+        let callers = Bounds {
+            connections: caller_connections::bound(hosted.descriptors),
+            heads_bytes: hosted.memory_bytes / HEADS_DIVISOR,
+        };
+        let registry = |bounds| Registry::new(bounds, clock, meter.clone());
+        Self {
+            callers: registry(callers),
+            metrics: registry(PLATFORM_BOUNDS),
+            ready: registry(PLATFORM_BOUNDS),
+        }
+    }
+}
+
 impl ReadinessEndpoint {
     /// Starts to answer the platform's readiness checks.
     fn serve(
         self,
         listener: tokio::net::TcpListener,
         limits: watch::Receiver<platform::configuration::Limits>,
-        clock: Clock,
+        connections: &Registry,
     ) -> Result<Serving, Error> {
-        let connections = Registry::new(PLATFORM_BOUNDS, clock);
         let router = Router::with_path("{**path}").goal(self);
-        serve(Port::Ready, listener, router, limits, &connections)
+        serve(Port::Ready, listener, router, limits, connections)
     }
 }
 
@@ -96,6 +117,8 @@
 pub struct Instance {
     /// Serves callers.
     callers: Serving,
+    /// Open connections of callers.
+    connections: Registry,
     driver: Driver,
     gateway: tunnel::Gateway,
     grace_period: Duration,
@@ -176,6 +199,7 @@
         };
         let client = platform_store::Client::new(hosted, bound, clock, meter.clone());
         let metrics = Router::with_path("metrics").get(MetricsEndpoint(meter.clone()));
+        let connections = PortConnections::new(&hosted, clock, &meter);
         let own = local_member(settings);
         let outputs = driver::CoreOutputs {
             claims: mpsc::unbounded_channel().0,
@@ -194,11 +218,11 @@
             known_state: known_state.clone(),
             stopping: stopping.clone(),
         };
-        ready.serve(ports.ready, limits_receiver.clone(), clock)?;
+        ready.serve(ports.ready, limits_receiver.clone(), &connections.ready)?;
         let endpoint = relay::Endpoint {
             bodies: ReadBudget::new(relay::BODIES_BYTES_MAX),
             driver: driver.clone(),
-            connections: Registry::new(caller_bounds(&hosted), clock),
+            connections: connections.callers.clone(),
             limits: limits_receiver.clone(),
             shutdown: stopping,
         };
@@ -208,7 +232,7 @@
             hosted.metrics,
             metrics,
             limits_receiver,
-            Registry::new(PLATFORM_BOUNDS, clock),
+            connections.metrics,
             driver.clone(),
         );
         tokio::spawn(serving);
@@ -248,6 +272,7 @@
         log_start(settings, &hosted);
         Ok(Self {
             callers,
+            connections: connections.callers,
             driver,
             gateway,
             grace_period: Duration::from_millis(hosted.grace_ms),
@@ -311,7 +336,8 @@
         } = self.driver.status().await;
         let tunnels = self.gateway.open();
         let took_ms = begun.elapsed().as_millis() as u64;
-        info!(open, running, took_ms, tunnels, unread_bytes; "stopped");
+        let connections_peak = self.connections.peak();
+        info!(connections_peak, open, running, took_ms, tunnels, unread_bytes; "stopped");
     }
 
     /// Waits until nothing is running and all responses are read, but not less than until `earliest` or longer than until
@@ -413,14 +439,6 @@
     serve(Port::Callers, listener, router, limits, &connections)
 }
 
-/// Bounds on the connections of callers.
-fn caller_bounds(hosted: &Hosted) -> Bounds {
-    Bounds {
-        connections: usize::MAX,
-        heads_bytes: hosted.memory_bytes / HEADS_DIVISOR,
-    }
-}
-
 /// Starts to serve a router at a port. The idle time-out of a new connection follows from the limits in force.
 fn serve(
     port: Port,
--- a/crates/node/src/instance.rs
+++ b/crates/node/src/instance.rs
@@ -11,11 +11,8 @@
 /// Interval at which a stopping instance checks whether requests still run.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
-/// Bounds on the connections of callers.
-const CALLER_BOUNDS: Bounds = Bounds {
-    connections: usize::MAX,
-    heads_bytes: 8 << 20,
-};
+/// Bytes of unfinished heads of callers.
+const HEADS_BYTES: u64 = 8 << 20;
 
 /// How far a planned stop is.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -58,10 +55,11 @@
     /// Starts all tasks of an instance.
     fn serve(ports: listener::OwnPorts, settings: Settings) -> Result<Self, Error> {
         let clock = Clock::new();
-        let connections = Registry::new(CALLER_BOUNDS, clock);
+        let bounds = Bounds {
+            connections: caller_connections::bound(u64::MAX),
+            heads_bytes: HEADS_BYTES,
+        };
         let (_, limits) = watch::channel(platform::configuration::Limits::default());
-        let acceptor = SocketAcceptor::new(ports.callers, connections.clone(), limits)
-            .map_err(|error| Error::Bind(Port::Callers, settings.listen.callers, error))?;
         let store_timeout = Duration::from_millis(settings.store_timeout_ms);
         let traffic = Traffic::default();
         let (claims, claim_receiver) = mpsc::unbounded_channel();
@@ -74,6 +72,9 @@
         let (leaving, leaving_receiver) = watch::channel(driver::LeavingUpstreams::new());
         let meter = meter::Meter::new(settings.metrics);
         meter.count(Counter::ListenRetried, ports.retries);
+        let connections = Registry::new(bounds, clock, meter.clone());
+        let acceptor = SocketAcceptor::new(ports.callers, connections.clone(), limits)
+            .map_err(|error| Error::Bind(Port::Callers, settings.listen.callers, error))?;
         let ends = driver::CoreOutputs::new(claims.clone(), leaving, meter, traffic.clone());
         let (driver, core) = Driver::start(&settings, clock, ends);
         let store = Store::new(settings.platform.store, store_timeout, &driver, &traffic);
--- a/crates/node/src/listener.rs
+++ b/crates/node/src/listener.rs
@@ -245,9 +245,14 @@
     let Error::Bind(_, _, error) = error else {
         return false;
     };
+    is_shortage(error) || Errno::from_io_error(error) == Some(Errno::ADDRINUSE)
+}
+
+/// Whether descriptors or memory are used up.
+pub(crate) fn is_shortage(error: &io::Error) -> bool {
     matches!(
         Errno::from_io_error(error),
-        Some(Errno::ADDRINUSE | Errno::MFILE | Errno::NFILE | Errno::NOBUFS | Errno::NOMEM)
+        Some(Errno::MFILE | Errno::NFILE | Errno::NOBUFS | Errno::NOMEM)
     )
 }
 
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -11,6 +11,9 @@
 /// Place of a fault of the whole file: it is no JSON document.
 pub(crate) const FILE: &str = "file";
 
+/// Default of `hosted.descriptors`: the descriptors of the users' smallest machines.
+const DEFAULT_DESCRIPTORS: u64 = 4_100;
+
 /// Default of `hosted.memory_mb`: the memory of the users' smallest machines, in megabytes.
 const DEFAULT_MEMORY_MB: u64 = 88;
 
@@ -70,6 +73,8 @@
 pub struct Hosted {
     /// Time within which a change of the configuration must take effect, in milliseconds.
     pub apply_ms: u64,
+    /// Descriptors that the process may open; the operating system may allow fewer.
+    pub descriptors: u64,
     /// Grace period from SIGTERM until the platform kills the process, in milliseconds.
     pub grace_ms: u64,
     /// Interval at which an upstream rewrites its entry in the store, in milliseconds.
@@ -205,6 +210,7 @@
     fn read_hosted(mut reader: Reader) -> Hosted {
         let hosted = Hosted {
             apply_ms: reader.millis("apply_ms", 2_000, 100..=MILLIS_MAX),
+            descriptors: reader.number("descriptors", DEFAULT_DESCRIPTORS, 64..=1 << 30),
             grace_ms: reader.millis("grace_ms", 8_000, 100..=MILLIS_MAX),
             heartbeat_ms: reader.millis("heartbeat_ms", 1_200, 50..=MILLIS_MAX),
             link_mbps: reader.float("link_mbps", DEFAULT_LINK_MBPS, 0.1..=1e6),
