Hold bodies of requests within the memory of the machine

What callers saw: a process of the smallest machine (88 MB) that ran out of memory while requests with large bodies were at work. Cause: bodies that are being read were bounded at 32 MiB and requests that are held at 64 MiB whatever the machine has. Both are now parts of its memory as well: an eighth and a quarter. A body that the operator's limit allows is read in calm whatever that part is. A request beyond it is refused as not run, with a time to come back, as before.

Machines of 256 MB and more keep their bounds.

--- a/crates/node/src/hosted.rs
+++ b/crates/node/src/hosted.rs
@@ -8,8 +8,12 @@
 use settings::Hosted;
 use wellplank_core::{connections::Bounds, informer_io::KnownState, staleness::StalenessBound};
 
-/// Divisor of the memory of an instance that gives the bytes of unfinished heads of callers.
+/// Divisors of the memory of an instance that give the bytes of unfinished heads, and of bodies that are being read.
 const HEADS_DIVISOR: u64 = 32;
+const BODIES_DIVISOR: u64 = 8;
+
+/// Bytes of the bodies that are being read, whatever the memory.
+const BODIES_BYTES_MAX: u64 = 32 << 20;
 
 /// Bounds on the connections of the platform, at the ports of readiness checks and of metrics.
 const PLATFORM_BOUNDS: Bounds = Bounds {
@@ -219,8 +223,10 @@
             stopping: stopping.clone(),
         };
         ready.serve(ports.ready, limits_receiver.clone(), &connections.ready)?;
+        let bodies_bytes = BODIES_BYTES_MAX.min(hosted.memory_bytes / BODIES_DIVISOR);
         let endpoint = relay::Endpoint {
-            bodies: ReadBudget::new(relay::BODIES_BYTES_MAX),
+            bodies: ReadBudget::new(bodies_bytes),
+            bodies_bytes_min: bodies_bytes,
             driver: driver.clone(),
             connections: connections.callers.clone(),
             limits: limits_receiver.clone(),
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -8,9 +8,6 @@
 /// Time after the start of a shutdown during which streams are accepted whose callers wait for longer than the instance does.
 const STREAM_WINDOW: Duration = Duration::from_millis(shutdown::BALANCED_MS);
 
-/// Bytes of the bodies that an instance is reading beyond which the largest is refused.
-pub(crate) const BODIES_BYTES_MAX: u64 = 32 << 20;
-
 /// Time after which a caller whose body is refused for the others may come back, in milliseconds.
 const BODIES_RETRY_MS: u64 = 250;
 
@@ -45,6 +42,8 @@
 pub(crate) struct Endpoint {
     /// Bound on all bodies of callers that are being read.
     pub bodies: ReadBudget,
+    /// The least that the bound is, in bytes: it is never below that on a single body.
+    pub bodies_bytes_min: u64,
     /// Open connections of callers.
     pub connections: Registry,
     /// Handle of the core task.
@@ -81,6 +80,7 @@
     ) -> Result<Bytes, Kind> {
         let share = self.bodies.share();
         let max = limits.max_body_bytes as u64;
+        self.bodies.set_max(self.bodies_bytes_min.max(max));
         let body = whole_body::read(request.take_body(), max, &share);
         let Ok(body) = timeout(limits.header_timeout, body).await else {
             return Err(Kind::SlowBody);
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -17,6 +17,9 @@
 /// Default of `hosted.memory_mb`: the memory of the users' smallest machines, in megabytes.
 const DEFAULT_MEMORY_MB: u64 = 88;
 
+/// Divisor of the memory of an instance that gives the most that requests, and answers that callers have not read, may hold.
+const HELD_DIVISOR: u64 = 4;
+
 /// Default of `listen_ms`: the operating system keeps the port of a closed connection for 60 s.
 const DEFAULT_LISTEN_MS: u64 = 90_000;
 
@@ -180,7 +183,12 @@
     fn read_common(reader: &mut Reader, hosted: Option<Hosted>) -> Self {
         let unspecified = SocketAddr::from(([0, 0, 0, 0], 0));
         let data_centre = reader.string("data_centre", None).unwrap_or_default();
-        let core = core_settings::read(reader.section("core"));
+        let mut core = core_settings::read(reader.section("core"));
+        if let Some(hosted) = &hosted {
+            // Requests that are held must fit into the machine, whatever the file says.
+            let bytes_max = hosted.memory_bytes / HELD_DIVISOR;
+            core.held_bytes_max = core.held_bytes_max.min(bytes_max);
+        }
         Self {
             accept_ms: reader.number("accept_ms", 10_000, 0..=MILLIS_MAX),
             body_max: reader.number("body_max", 4 << 20, 1_024..=256 << 20) as usize,
