Count whole answers until they are written, and close clients that take nothing of them

Cause: an answer counted in the bound on answers only while it was being read; complete ones were kept without a bound, for as long as their clients liked.

An answer now keeps its share of that bound until it is written. While kept ones use it up, others of more than 64 KiB wait, and so do their upstreams; a sound client frees them by reading.

--- a/crates/core/src/connections.rs
+++ b/crates/core/src/connections.rs
@@ -215,6 +215,19 @@
         Some(closed)
     }
 
+    /// Removes the connections whose clients have taken nothing of a whole response for too long, where what waits for clients has
+    /// used up half of its memory.
+    pub fn close_stalled(&mut self, now: Time) -> Vec<Key> {
+        let open = self.open.iter();
+        let stalled = open
+            .filter(|(_, connection)| connection.is_stalled(now) && connection.is_closable(now));
+        let stalled: Vec<Key> = stalled.map(|(key, _)| key).collect();
+        for key in &stalled {
+            self.remove(*key);
+        }
+        stalled
+    }
+
     /// Removes a connection that ended or is closed.
     pub fn remove(&mut self, key: Key) {
         if let Some(connection) = self.open.remove(key) {
--- a/crates/core/tests/connections.rs
+++ b/crates/core/tests/connections.rs
@@ -80,6 +80,24 @@
     );
 }
 
+/// Load: whole answers that nobody reads, beside a stream that its upstream goes on with.
+#[gtest]
+fn stalled_answers_are_closed_and_streams_at_work_are_not() {
+    let (mut connections, keys) = filled();
+    connections.set_blocked(keys[0], true, Time(10));
+    connections.hold(keys[1]);
+    connections.finish_read(keys[1]);
+    connections.set_blocked(keys[1], true, Time(10));
+    expect_that!(
+        connections.close_stalled(Time(9 + STALL_MS)),
+        elements_are![]
+    );
+    expect_that!(
+        connections.close_stalled(Time(10 + STALL_MS)),
+        elements_are![eq(&keys[0])]
+    );
+}
+
 /// Load: a stream, which is held on behind the end of its handler.
 #[gtest]
 fn connection_rests_behind_the_last_holder() {
--- a/crates/node/src/caller_connections.rs
+++ b/crates/node/src/caller_connections.rs
@@ -134,6 +134,14 @@
         self.close(&mut state, closed);
     }
 
+    /// Closes the connections whose clients have taken nothing of a whole response for too long.
+    pub fn close_stalled(&self) {
+        let mut state = self.lock();
+        for closed in state.connections.close_stalled(self.clock.now()) {
+            self.close(&mut state, Some(closed));
+        }
+    }
+
     /// Counts received bytes; another connection is closed if unfinished heads exceed their bound.
     pub fn receive(&self, socket: &Socket, bytes: u64) {
         let mut state = self.lock();
--- a/crates/node/src/driver.rs
+++ b/crates/node/src/driver.rs
@@ -148,6 +148,8 @@
 /// Handle for sending messages to the core task; clones share the task.
 #[derive(Clone, Debug)]
 pub struct Driver {
+    /// Bound on all answers that are being read, or kept until they are written.
+    answers: ReadBudget,
     next_caller: Arc<AtomicU64>,
     sender: mpsc::UnboundedSender<Message>,
 }
@@ -269,7 +271,9 @@
         outputs: CoreOutputs,
     ) -> (Self, JoinHandle<()>) {
         let (sender, receiver) = mpsc::unbounded_channel();
+        let budget = ReadBudget::new(settings.core.answers.instance_bytes);
         let driver = Self {
+            answers: budget.clone(),
             next_caller: Arc::default(),
             sender,
         };
@@ -284,7 +288,7 @@
             answers: settings.core.answers,
             attempts: HashMap::new(),
             batch: Vec::with_capacity(BATCH_SIZE),
-            budget: ReadBudget::new(settings.core.answers.instance_bytes),
+            budget,
             callers: HashMap::new(),
             claims: outputs.claims,
             clock,
@@ -351,6 +355,11 @@
         self.send(Message::Response(attempt, caller, held, event));
     }
 
+    /// Whether answers that wait for callers hold half of what all answers may.
+    pub(crate) fn is_pressed_by_answers(&self) -> bool {
+        self.answers.is_pressed()
+    }
+
     /// Submits a request to relay; the outlet yields its replies.
     pub(crate) fn submit_relay(
         &self,
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -43,6 +43,12 @@
     pub head: Head,
 }
 
+/// The body of a complete response, whose bytes count until it is dropped.
+struct KeptBody {
+    body: Bytes,
+    _share: Share,
+}
+
 /// One attempt of a request at one upstream.
 pub(crate) struct Exchange {
     /// Address of the upstream.
@@ -113,6 +119,26 @@
     }
 }
 
+impl KeptBody {
+    /// Counts the bytes of a body until it is written. Small ones leave the process at once.
+    fn wrap(body: Bytes, share: Share) -> Bytes {
+        if body.len() < outlet::COUNTED_BODY_BYTES {
+            return body;
+        }
+        share.keep();
+        Bytes::from_owner(Self {
+            body,
+            _share: share,
+        })
+    }
+}
+
+impl AsRef<[u8]> for KeptBody {
+    fn as_ref(&self) -> &[u8] {
+        &self.body
+    }
+}
+
 impl Exchange {
     /// Sends the request and reports the response to the core task, up to its end.
     pub async fn run(mut self, request: Request<http::Body>) {
@@ -150,7 +176,8 @@
     async fn read_whole(&self, body: hyper::body::Incoming) -> Result<Bytes, Failure> {
         let share = self.budget.share();
         let body = whole_body::read(body, self.limits.body_bytes, &share).await;
-        body.map_err(|error| self.unread(error))
+        let body = body.map_err(|error| self.unread(error))?;
+        Ok(KeptBody::wrap(body, share))
     }
 
     /// Counts and logs that the answer exceeded a bound.
--- a/crates/node/src/hosted.rs
+++ b/crates/node/src/hosted.rs
@@ -12,6 +12,9 @@
 const HEADS_DIVISOR: u64 = 32;
 const BODIES_DIVISOR: u64 = 8;
 
+/// Interval between two checks whether connections are to be closed whose clients do not read.
+const STALL_CHECK_INTERVAL: Duration = Duration::from_millis(250);
+
 /// Bytes of the bodies that are being read, whatever the memory.
 const BODIES_BYTES_MAX: u64 = 32 << 20;
 
@@ -232,7 +235,7 @@
             limits: limits_receiver.clone(),
             shutdown: stopping,
         };
-        let callers = serve_callers(ports.callers, endpoint)?;
+        let callers = serve_callers(ports.callers, endpoint, &tasks)?;
         let serving = serve_metrics(
             ports.metrics,
             hosted.metrics,
@@ -399,6 +402,16 @@
     info!(address, data_centre, peers, store; "started");
 }
 
+/// Closes connections whose clients take nothing, whenever the answers that wait for clients press on memory.
+async fn close_stalled(connections: Registry, driver: Driver) {
+    loop {
+        sleep(STALL_CHECK_INTERVAL).await;
+        if driver.is_pressed_by_answers() {
+            connections.close_stalled();
+        }
+    }
+}
+
 /// Passes each change of the fleet's members to the core until the instance ends.
 async fn publish_members(
     mut members: watch::Receiver<members::Members>,
@@ -439,8 +452,11 @@
 fn serve_callers(
     listener: tokio::net::TcpListener,
     endpoint: relay::Endpoint,
+    tasks: &tasks::Tasks,
 ) -> Result<Serving, Error> {
     let (limits, connections) = (endpoint.limits.clone(), endpoint.connections.clone());
+    let closing = close_stalled(connections.clone(), endpoint.driver.clone());
+    tasks.spawn("close_stalled", closing);
     let router = unanswered::counted(Router::with_path("{**path}").goal(endpoint));
     serve(Port::Callers, listener, router, limits, &connections)
 }
--- a/crates/node/src/read_budget.rs
+++ b/crates/node/src/read_budget.rs
@@ -1,4 +1,4 @@
-//! The bytes of answers that are being read and are not complete, of a whole instance.
+//! The bytes of answers that are being read, and of whole ones that callers have not read, of a whole instance.
 
 use super::*;
 use std::sync::{Mutex, MutexGuard, PoisonError};
@@ -7,14 +7,23 @@
 /// Bytes that each answer may hold, whatever the others hold.
 const GUARANTEED_BYTES: u64 = 64 << 10;
 
-/// A bound on the bytes of all answers that are being read; clones share it. When it is used up, the answer with the most
-/// bytes is ended.
+/// A bound on the bytes of all answers that are being read, and of those that are kept until they are written; clones share it. When
+/// it is used up, answers that are being read wait for kept ones; without any, the answer with the most bytes is ended.
 #[derive(Clone, Debug)]
-pub(crate) struct ReadBudget(Arc<Mutex<Reading>>);
+pub(crate) struct ReadBudget(Arc<Budget>);
+
+#[derive(Debug)]
+struct Budget {
+    /// Notified when an answer holds less.
+    freed: Notify,
+    reading: Mutex<Reading>,
+}
 
 #[derive(Debug)]
 struct Reading {
     bytes_max: u64,
+    /// Bytes of answers that are kept, which count in the total.
+    kept: u64,
     next: u64,
     shares: BTreeMap<u64, Held>,
     total: u64,
@@ -26,6 +35,19 @@
     bytes: u64,
     /// Notified when the answer is to end.
     ended: Arc<Notify>,
+    /// Whether it is complete, and kept until it is written.
+    is_kept: bool,
+}
+
+/// What follows when an answer grows.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Growth {
+    /// It must end.
+    End,
+    /// It is read on.
+    Fits,
+    /// It is read on once kept answers hold less.
+    Wait,
 }
 
 /// The part of the budget that one answer holds, until it is dropped.
@@ -39,12 +61,16 @@
 impl ReadBudget {
     /// A budget of so many bytes.
     pub fn new(bytes_max: u64) -> Self {
-        Self(Arc::new(Mutex::new(Reading {
-            bytes_max,
-            next: 0,
-            shares: BTreeMap::new(),
-            total: 0,
-        })))
+        Self(Arc::new(Budget {
+            freed: Notify::new(),
+            reading: Mutex::new(Reading {
+                bytes_max,
+                kept: 0,
+                next: 0,
+                shares: BTreeMap::new(),
+                total: 0,
+            }),
+        }))
     }
 
     /// Changes the bound; answers that hold more are ended when one of them grows.
@@ -57,6 +83,12 @@
         self.lock().total
     }
 
+    /// Whether answers that are kept hold half of the budget or more.
+    pub fn is_pressed(&self) -> bool {
+        let reading = self.lock();
+        reading.kept >= reading.bytes_max / 2
+    }
+
     /// A share of an answer that holds nothing yet.
     pub fn share(&self) -> Share {
         let mut reading = self.lock();
@@ -73,7 +105,8 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, Reading> {
-        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+        let lock = self.0.reading.lock();
+        lock.unwrap_or_else(PoisonError::into_inner)
     }
 }
 
@@ -82,16 +115,40 @@
     fn set(&mut self, number: u64, bytes: u64) {
         if let Some(held) = self.shares.get_mut(&number) {
             self.total = self.total - held.bytes + bytes;
+            if held.is_kept {
+                self.kept = self.kept - held.bytes + bytes;
+            }
             held.bytes = bytes;
         }
     }
 
+    /// What follows when the answer of a number has grown; another one may be told to end.
+    fn growth(&self, number: u64) -> Growth {
+        let bytes = self.shares.get(&number).map_or(0, |held| held.bytes);
+        if self.kept > 0 && self.total > self.bytes_max {
+            return if bytes > GUARANTEED_BYTES {
+                Growth::Wait
+            } else {
+                Growth::Fits
+            };
+        }
+        match self.largest() {
+            Some((largest, _)) if largest == number => Growth::End,
+            Some((_, held)) => {
+                held.ended.notify_one();
+                Growth::Fits
+            }
+            None => Growth::Fits,
+        }
+    }
+
     /// The answer to end, if the budget is used up.
     fn largest(&self) -> Option<(u64, &Held)> {
         if self.total <= self.bytes_max {
             return None;
         }
-        let shares = self.shares.iter().map(|(number, held)| (*number, held));
+        let shares = self.shares.iter().filter(|(_, held)| !held.is_kept);
+        let shares = shares.map(|(number, held)| (*number, held));
         shares
             .max_by_key(|(_, held)| held.bytes)
             .filter(|(_, held)| held.bytes > GUARANTEED_BYTES)
@@ -105,14 +162,34 @@
     pub fn set(&self, bytes: u64) -> bool {
         let mut reading = self.budget.lock();
         reading.set(self.number, bytes);
-        match reading.largest() {
-            Some((number, _)) if number == self.number => true,
-            Some((_, held)) => {
-                held.ended.notify_one();
-                false
-            }
-            None => false,
+        reading.growth(self.number) == Growth::End
+    }
+
+    /// The same; returns once kept answers leave room for it.
+    pub async fn grow(&self, bytes: u64) -> bool {
+        let mut freed = self.budget.0.freed.notified();
+        let mut must_end = self.set(bytes);
+        while self.waits() {
+            freed.await;
+            freed = self.budget.0.freed.notified();
+            must_end = self.set(bytes);
         }
+        must_end
+    }
+
+    fn waits(&self) -> bool {
+        self.budget.lock().growth(self.number) == Growth::Wait
+    }
+
+    /// Notes that the answer is complete: its bytes are kept until the share is dropped.
+    pub fn keep(&self) {
+        let mut reading = self.budget.lock();
+        let Some(held) = reading.shares.get_mut(&self.number) else {
+            return;
+        };
+        held.is_kept = true;
+        let bytes = held.bytes;
+        reading.kept += bytes;
     }
 
     /// Waits until the answer must end for others.
@@ -126,5 +203,7 @@
         let mut reading = self.budget.lock();
         reading.set(self.number, 0);
         reading.shares.remove(&self.number);
+        drop(reading);
+        self.budget.0.freed.notify_waiters();
     }
 }
--- a/crates/node/src/whole_body.rs
+++ b/crates/node/src/whole_body.rs
@@ -55,7 +55,7 @@
         };
         let bytes = (whole.len() + data.len()) as u64;
         check(AnswerBound::Body, bytes, bytes_max)?;
-        if share.set(bytes) {
+        if share.grow(bytes).await {
             return Err(used_up(bytes));
         }
         whole.extend_from_slice(&data);
--- a/crates/standin/src/worker.rs
+++ b/crates/standin/src/worker.rs
@@ -37,6 +37,9 @@
 /// Bytes of a request's head that are read, at most.
 const HEAD: usize = 64 << 10;
 
+/// Piece of a large answer.
+static PIECE: [u8; 64 << 10] = [b'x'; 64 << 10];
+
 /// Slots of a worker of which nothing else is said. They are what its entry says; without a queue it refuses nothing beyond
 /// them.
 pub const SLOTS: usize = 8;
@@ -526,7 +529,7 @@
             if mode == Mode::Paced {
                 sleep(PACED_CALL).await;
             }
-            connection.write_all(&whole(run, mode, self.remark())).await
+            self.write_whole(connection, run, mode).await
         } else {
             let written = self.stream(connection, run, mode).await;
             if written.is_err() {
@@ -536,6 +539,31 @@
         }
     }
 
+    /// Writes an answer to a call. A large one is written in pieces: the memory of a test that an instance has wait is its own.
+    async fn write_whole(
+        &self,
+        connection: &mut TcpStream,
+        run: &Run,
+        mode: Mode,
+    ) -> std::io::Result<()> {
+        let size: usize = run.header(EVENT_BYTES).parse().unwrap_or(0);
+        if mode != Mode::Good || size <= PIECE.len() {
+            let answer = whole(run, mode, self.remark());
+            return connection.write_all(&answer).await;
+        }
+        let start = reply(&run.body);
+        let head = head(run, 200, mode, self.remark());
+        let head = format!("{head}content-length: {size}\r\n\r\n{start}");
+        connection.write_all(head.as_bytes()).await?;
+        let mut left = size - start.len();
+        while left > 0 {
+            let piece = &PIECE[..left.min(PIECE.len())];
+            connection.write_all(piece).await?;
+            left -= piece.len();
+        }
+        Ok(())
+    }
+
     /// Waits for a slot, if there is a queue; `None` if the connection ends meanwhile.
     async fn slot(&self, connection: &mut TcpStream) -> Option<Option<OwnedSemaphorePermit>> {
         let Some(room) = &self.room else {
