Pass on no answer whose status is none of a final response

What callers could get: an upstream in trouble that answers with status 101, or with one from 600 to 999, had that passed on as its answer; callers that asked for no upgrade got 101, behind which anything may follow on their connection.

Cause: the status of a head was checked for success, refusals and server errors only. A response whose status is not from 200 to 599 now counts as broken off, so that the request may have run and no promise is made; so it is for calls of plain services, engines, stores and load reports (one client). Unusual statuses within that range are passed on as before.

--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -214,6 +214,9 @@
     async fn exchange(&mut self, request: Request<http::Body>) -> Result<(), Failure> {
         let response = self.send(request).await?;
         let (parts, body) = response.into_parts();
+        if !http::is_final(parts.status) {
+            return Err(self.broken(Break::Status(parts.status)));
+        }
         let classification = platform::response::classify(
             parts.status,
             &parts.headers,
--- a/crates/node/src/http.rs
+++ b/crates/node/src/http.rs
@@ -127,6 +127,12 @@
                 Error::Broken(error.to_string())
             }
         })?;
+        if !is_final(response.status()) {
+            let status = response.status().as_u16();
+            return Err(Error::Broken(format!(
+                "no final response has the status {status}"
+            )));
+        }
         if let Some(limit) = response.extensions().get::<ReceiveLimit>() {
             limit.lift();
         }
@@ -181,6 +187,11 @@
     }
 }
 
+/// Whether a final response may have a status: informational ones precede another response, and there are none from 600 on.
+pub(crate) fn is_final(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 /// Reads a body up to its end, within a bound.
 pub(crate) async fn read_body(
     body: hyper::body::Incoming,
--- a/crates/node/src/request_log.rs
+++ b/crates/node/src/request_log.rs
@@ -118,6 +118,8 @@
     Partial,
     /// An event has no position.
     Event,
+    /// The status is none of a final response.
+    Status(StatusCode),
 }
 
 /// Logs that an exchange with an upstream broke off.
@@ -133,6 +135,11 @@
         Break::Bound(..) => ("bound", None),
         Break::Partial => ("partial_event", None),
         Break::Event => ("malformed_event", None),
+        Break::Status(status) => {
+            let status = status.as_u16();
+            info!(request, upstream, stage = "status", status; "exchange broke off");
+            return;
+        }
     };
     let error = error.map_or_else(String::new, |error| {
         let cause = std::error::Error::source(error);
--- a/crates/standin/src/worker.rs
+++ b/crates/standin/src/worker.rs
@@ -89,6 +89,8 @@
     Slow,
     /// Writes each event in two parts, divided within the empty line that ends it.
     Split,
+    /// Answers with this in the place of a status.
+    Status(&'static str),
     /// Answers to another request.
     Stray,
     /// Answers without a length, and ends with its connection.
@@ -685,6 +687,10 @@
 
 fn head(run: &Run, status: u16, mode: Mode, remark: Remark) -> String {
     let (born, worker) = (run.born, &run.worker);
+    let status = match mode {
+        Mode::Status(text) => text.to_owned(),
+        _ => status.to_string(),
+    };
     let mut head = format!("HTTP/1.1 {status} Status\r\nx-worker: {worker}\r\nx-born: {born}\r\n");
     let name = match mode {
         Mode::Stray => "another",
