Bound the connections of clients by the memory of the machine as well

What callers saw: 400 clients that send one request behind the other and read no answer took 12 to 15 MB where an eighth of the smallest machine leaves 8. What was ruled out: requests at work (the next one of a connection is not read before the answer before it is written, and memory does not rise with the number of requests: the same in a release build, which serves several times as many), and answers (some 200 bytes). Cause: what a connection takes while requests follow each other on it. Measured once in a release build, 180 connections: silent 12.5 KB each, half a head 18, one request 33, 200 requests in a row 63. The 1,537 connections that 4,100 descriptors leave take some 97 MB, more than 88.

--- a/crates/node/src/hosted.rs
+++ b/crates/node/src/hosted.rs
@@ -8,6 +8,15 @@
 use settings::Hosted;
 use wellplank_core::{connections::Bounds, informer_io::KnownState, staleness::StalenessBound};
 
+/// Memory that an instance takes without clients, in bytes. Connections of callers take up to half of the rest.
+const INSTANCE_BYTES: u64 = 24 << 20;
+
+/// Memory that a connection takes while requests and responses follow each other on it, in bytes, without bodies.
+const CONNECTION_BYTES: u64 = 64 << 10;
+
+/// Connections of callers that are kept whatever the memory.
+const CONNECTIONS_MIN: u64 = 32;
+
 /// Divisors of the memory of an instance that give the bytes of unfinished heads, and of bodies that are being read.
 const HEADS_DIVISOR: u64 = 32;
 const BODIES_DIVISOR: u64 = 8;
@@ -94,8 +103,10 @@
 
 impl PortConnections {
     fn new(hosted: &Hosted, clock: Clock, meter: &meter::Meter) -> Self {
+        let left = hosted.memory_bytes.saturating_sub(INSTANCE_BYTES);
+        let by_memory = (left / 2 / CONNECTION_BYTES).max(CONNECTIONS_MIN) as usize;
         let callers = Bounds {
-            connections: caller_connections::bound(hosted.descriptors),
+            connections: caller_connections::bound(hosted.descriptors).min(by_memory),
             heads_bytes: hosted.memory_bytes / HEADS_DIVISOR,
         };
         let registry = |bounds| Registry::new(bounds, clock, meter.clone());
--- a/crates/standin/src/daemon.rs
+++ b/crates/standin/src/daemon.rs
@@ -140,12 +140,12 @@
         }
     }
 
-    /// Where it says whether it is ready, as its settings say.
-    pub(crate) fn ready(&self) -> SocketAddr {
+    /// An address of its settings that callers do not use, by its name.
+    pub(crate) fn hosted(&self, name: &str) -> SocketAddr {
         let text = std::fs::read_to_string(&self.file).expect("settings were written");
         let settings: Value = serde_json::from_str(&text).expect("settings are JSON");
-        let ready = settings["hosted"]["ready"].as_str().unwrap_or_default();
-        ready.parse().expect("settings hold addresses")
+        let address = settings["hosted"][name].as_str().unwrap_or_default();
+        address.parse().expect("settings hold addresses")
     }
 
     /// Number of the process, if one was started and no end of it was seen.
--- a/crates/standin/src/flood.rs
+++ b/crates/standin/src/flood.rs
@@ -65,6 +65,8 @@
     pub configuration: fn(u64) -> Value,
     /// Descriptors that the process is given.
     pub descriptors: u64,
+    /// Memory of its machine, in megabytes, as its settings say.
+    pub memory_mb: u64,
     /// The port that they connect to.
     pub port: Port,
     /// What the client of a number does.
@@ -76,6 +78,8 @@
 pub enum Port {
     /// Requests of callers.
     Callers,
+    /// Scrapes of the metrics.
+    Metrics,
     /// Readiness checks.
     Ready,
 }
@@ -124,6 +128,7 @@
         data_kib: Some(DATA_KIB),
         descriptors: Some(setting.descriptors),
         desks: DESKS,
+        memory_mb: Some(setting.memory_mb),
         ..Layout::default()
     };
     let mut soak = Soak::start_by(plan, layout);
@@ -137,7 +142,8 @@
     let crowd = Crowd {
         address: match setting.port {
             Port::Callers => callers,
-            Port::Ready => soak.instances[0].ready(),
+            Port::Metrics => soak.instances[0].hosted("metrics"),
+            Port::Ready => soak.instances[0].hosted("ready"),
         },
         done: Arc::default(),
         stop: Arc::default(),
--- a/crates/standin/src/soak.rs
+++ b/crates/standin/src/soak.rs
@@ -97,6 +97,8 @@
     pub(crate) grace_ms: u64,
     /// Whether the upstream at a place is listed from its start.
     pub(crate) is_listed: fn(usize) -> bool,
+    /// Memory of the machine of an instance, in megabytes, as its settings say; the users' smallest if they say nothing.
+    pub(crate) memory_mb: Option<u64>,
     /// Where instances listen.
     pub(crate) ports: Ports,
     /// Queue of each upstream that streams; without one they refuse nothing.
@@ -114,6 +116,7 @@
             desks: DESKS,
             grace_ms: GRACE_MS,
             is_listed: |_| true,
+            memory_mb: None,
             ports: Ports::Apart,
             queue: None,
             slots: worker::SLOTS,
@@ -426,6 +429,9 @@
         if self.layout.ports == Ports::Shared {
             ephemeral::move_in(&mut settings, &mut self.random);
         }
+        if let Some(memory_mb) = self.layout.memory_mb {
+            settings["hosted"]["memory_mb"] = memory_mb.into();
+        }
         let hosted = &settings["hosted"];
         for address in [
             &hosted["metrics"],
--- a/crates/standin/tests/flood.rs
+++ b/crates/standin/tests/flood.rs
@@ -1,7 +1,8 @@
 //! Clients that do not keep to the limits, before an instance as a process of its own.
 //!
 //! The machine is the smallest of the users' pages. Where a crowd is as large as an eighth of its descriptors, the process has an
-//! eighth of its descriptors, of the memory that it leaves for clients, and of the limits on heads and bodies.
+//! eighth of its descriptors, of the memory that an instance leaves for clients, and of the limits on heads and bodies; its settings
+//! say so.
 
 use {
     googletest::prelude::*,
@@ -69,6 +70,7 @@
         clients: CLIENTS,
         configuration: scaled,
         descriptors: DESCRIPTORS,
+        memory_mb: (INSTANCE_KIB + CROWD_KIB) >> 10,
         port: Port::Callers,
         script,
     }
@@ -241,6 +243,7 @@
         clients: FEW_CLIENTS,
         configuration: unscaled,
         descriptors: MACHINE_DESCRIPTORS,
+        memory_mb: MACHINE_KIB >> 10,
         port: Port::Callers,
         script,
     }
@@ -292,3 +295,22 @@
         once(ask.with(worker::EVENT_BYTES, "200000").bytes())
     }));
 }
+
+#[gtest]
+fn zeros_of_a_chunks_size_without_end_do_not_hold_up_a_process() {
+    expect_holds(setting(|number| {
+        let head = head("/again/1", number) + "transfer-encoding: chunked\r\n\r\n";
+        Script {
+            bytes_max: usize::MAX,
+            ..endless(head, b"00000000")
+        }
+    }));
+}
+
+#[gtest]
+fn heads_at_the_metrics_port_without_end_do_not_fill_memory() {
+    expect_holds(Setting {
+        port: Port::Metrics,
+        ..setting(|number| endless(head("/metrics", number), b"x-a: b\r\n"))
+    });
+}
