Serve requests with more than a hundred headers, and count what headers take

Looked at beside it, without a fault: heads at the limit, absurd numbers, names and keys (12 headers, nine values), odd request lines, requests within requests by two lengths, two codings or an upgrade: none ran.

--- a/crates/node/src/caller_socket.rs
+++ b/crates/node/src/caller_socket.rs
@@ -27,6 +27,9 @@
 /// Bytes that a head may have besides its headers: the request line, and empty lines before it.
 const LINE_BYTES: u64 = 4 << 10;
 
+/// Headers of a request: more than fit into the head that the users' pages allow.
+pub(crate) const HEADERS_MAX: usize = 4_096;
+
 /// Bytes of one read. The HTTP server's buffer, of 8 KiB, grows when a read fills it.
 const READ_BYTES: u64 = (8 << 10) - 1;
 
--- a/crates/node/src/hosted.rs
+++ b/crates/node/src/hosted.rs
@@ -488,7 +488,8 @@
         let idle = limits.borrow().idle_timeout.mul_f64(IDLE_TIMEOUT_FACTOR);
         FuseAction::Accept(FuseConfig::disabled().with_http1_header_timeout(idle))
     };
-    let server = Server::new(acceptor).fuse_policy(fuse);
+    let mut server = Server::new(acceptor).fuse_policy(fuse);
+    server.http1_mut().max_headers(caller_socket::HEADERS_MAX);
     let handle = server.handle();
     let task = tokio::spawn(server.serve(connections.holding(router)));
     Ok(Serving { handle, task })
--- a/crates/node/src/instance.rs
+++ b/crates/node/src/instance.rs
@@ -115,7 +115,8 @@
         };
         let router = caller::router(&settings, &driver, &connections, &stop_phase_receiver);
         let router = connections.holding(unanswered::counted(router));
-        let server = Server::new(acceptor);
+        let mut server = Server::new(acceptor);
+        server.http1_mut().max_headers(caller_socket::HEADERS_MAX);
         let handle = server.handle();
         let tasks = vec![
             core,
--- a/crates/node/src/read_budget.rs
+++ b/crates/node/src/read_budget.rs
@@ -53,6 +53,8 @@
 /// The part of the budget that one answer holds, until it is dropped.
 #[derive(Debug)]
 pub(crate) struct Share {
+    /// Bytes that it holds beside those of the body.
+    beside: u64,
     budget: ReadBudget,
     ended: Arc<Notify>,
     number: u64,
@@ -91,13 +93,23 @@
 
     /// A share of an answer that holds nothing yet.
     pub fn share(&self) -> Share {
+        self.share_beside(0)
+    }
+
+    /// A share of a message that holds so many bytes beside those of its body.
+    pub fn share_beside(&self, bytes: u64) -> Share {
         let mut reading = self.lock();
         let number = reading.next;
         reading.next += 1;
-        let held = Held::default();
+        reading.total += bytes;
+        let held = Held {
+            bytes,
+            ..Held::default()
+        };
         let ended = held.ended.clone();
         reading.shares.insert(number, held);
         Share {
+            beside: bytes,
             budget: self.clone(),
             ended,
             number,
@@ -161,7 +173,7 @@
     #[must_use]
     pub fn set(&self, bytes: u64) -> bool {
         let mut reading = self.budget.lock();
-        reading.set(self.number, bytes);
+        reading.set(self.number, self.beside + bytes);
         reading.growth(self.number) == Growth::End
     }
 
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -8,6 +8,15 @@
 /// Time after the start of a shutdown during which streams are accepted whose callers wait for longer than the instance does.
 const STREAM_WINDOW: Duration = Duration::from_millis(shutdown::BALANCED_MS);
 
+/// Headers that a request may have whose memory is not counted.
+const USUAL_HEADERS: usize = 64;
+
+/// Memory of a header besides the bytes that were received, in bytes.
+const HEADER_BYTES: u64 = 256;
+
+/// Copies of the headers of a request that is held: as it came, and as it is sent to two upstreams at a time.
+const HEADER_COPIES: u64 = 3;
+
 /// Time after which a caller whose body is refused for the others may come back, in milliseconds.
 const BODIES_RETRY_MS: u64 = 250;
 
@@ -78,7 +87,7 @@
         request: &mut salvo::Request,
         limits: platform::configuration::Limits,
     ) -> Result<Bytes, Kind> {
-        let share = self.bodies.share();
+        let share = self.bodies.share_beside(header_memory(request.headers()));
         let max = limits.max_body_bytes as u64;
         self.bodies.set_max(self.bodies_bytes_min.max(max));
         let body = whole_body::read(request.take_body(), max, &share);
@@ -116,10 +125,11 @@
         }
         let uri = request.uri();
         let parsed = platform::request::parse(uri.path(), uri.query(), request.headers(), &body);
-        let parsed = parsed.map_err(|error| {
+        let mut parsed = parsed.map_err(|error| {
             debug!("malformed request: {error}");
             Kind::BadBody
         })?;
+        parsed.relay.bytes += HEADER_COPIES * header_memory(request.headers());
         let shutdown = *self.shutdown.borrow();
         if shutdown.is_some_and(|shutdown| !shutdown.accepts(&parsed.relay)) {
             self.driver.count(Counter::Refused(Kind::Stopping));
@@ -132,14 +142,15 @@
             );
             return Ok(());
         }
+        let target = uri
+            .path_and_query()
+            .map_or_else(String::new, ToString::to_string);
         let original = forward::OriginalRequest {
             body,
-            headers: request.headers().clone(),
+            headers: std::mem::take(request.headers_mut()),
             method: request.method().clone(),
             request_id: parsed.relay.run.clone(),
-            target: uri
-                .path_and_query()
-                .map_or_else(String::new, ToString::to_string),
+            target,
         };
         let caller = self.driver.new_caller();
         let guard = CallerGuard::new(caller, &self.driver, hold);
@@ -173,6 +184,12 @@
     }
 }
 
+/// Memory that headers take, in bytes, beyond what every request takes.
+fn header_memory(headers: &hyper::HeaderMap) -> u64 {
+    let others = headers.len().saturating_sub(USUAL_HEADERS) as u64;
+    others * HEADER_BYTES
+}
+
 /// What ends the body of a response whose length is not known at its head.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum BodyEnd {
--- a/crates/standin/tests/flood.rs
+++ b/crates/standin/tests/flood.rs
@@ -314,3 +314,21 @@
         ..setting(|number| endless(head("/metrics", number), b"x-a: b\r\n"))
     });
 }
+
+/// Headers of as few bytes as there are, as many as the limit on heads allows, before bodies that stop.
+#[gtest]
+fn smallest_headers_fit_into_memory() {
+    expect_fits(Setting {
+        clients: CLIENTS,
+        ..whole(|number| {
+            let lines = (0..2_100).map(|line| format!("{line:x}:\r\n"));
+            let lines = lines.collect::<Vec<String>>().concat();
+            let start = head("/again/1", number) + &lines;
+            if number % 2 == 0 {
+                once(start + "content-length: 9\r\n\r\nhalf")
+            } else {
+                once(start + "x-answer-ms: 6000\r\ncontent-length: 0\r\n\r\n")
+            }
+        })
+    });
+}
