--- a/crates/standin/src/flood.rs
+++ b/crates/standin/src/flood.rs
@@ -5,7 +5,7 @@
 
 use super::*;
 use client::{Ask, Got};
-use daemon::Daemon;
+use daemon::{Daemon, Signal};
 use soak::{Layout, Plan, Soak};
 use std::sync::{
     Arc,
@@ -14,6 +14,7 @@
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
+    task::JoinHandle,
 };
 
 /// Upstreams that stream, and that answer calls.
@@ -63,8 +64,12 @@
     pub clients: usize,
     /// Desired state by its version.
     pub configuration: fn(u64) -> Value,
+    /// Crowds, one behind the other.
+    pub crowds: usize,
     /// Descriptors that the process is given.
     pub descriptors: u64,
+    /// Whether the process is told to end beside the last crowd.
+    pub is_stopped: bool,
     /// Memory of its machine, in megabytes, as its settings say.
     pub memory_mb: u64,
     /// The port that they connect to.
@@ -91,8 +96,10 @@
     pub answered: [bool; 2],
     /// Descriptors of the process at their peak.
     pub descriptors: usize,
-    /// Ends of the process, a line each.
+    /// Ends of the process that nobody asked for, a line each.
     pub ends: Vec<String>,
+    /// Whether it has ended beside the crowd; `None` if it was not told to.
+    pub has_stopped: Option<bool>,
     /// Resident memory of the process at its peak, in kibibytes.
     pub peak_kib: u64,
     /// The same before the crowd came.
@@ -139,43 +146,49 @@
     look(&soak.instances[0], &mut outcome);
     outcome.rest_kib = outcome.peak_kib;
 
-    let crowd = Crowd {
-        address: match setting.port {
-            Port::Callers => callers,
-            Port::Metrics => soak.instances[0].hosted("metrics"),
-            Port::Ready => soak.instances[0].hosted("ready"),
-        },
-        done: Arc::default(),
-        stop: Arc::default(),
+    let address = match setting.port {
+        Port::Callers => callers,
+        Port::Metrics => soak.instances[0].hosted("metrics"),
+        Port::Ready => soak.instances[0].hosted("ready"),
     };
-    let clients: Vec<_> = (0..setting.clients)
-        .map(|number| tokio::spawn(crowd.clone().attend((setting.script)(number))))
-        .collect();
-    let end = Instant::now() + CROWD_PATIENCE;
-    while crowd.done.load(Ordering::Relaxed) < setting.clients && Instant::now() < end {
-        look(&soak.instances[0], &mut outcome);
-        sleep(LOOK).await;
-    }
-    let end = Instant::now() + REST;
-    while Instant::now() < end {
+    outcome.answered = [true; 2];
+    for number in 1..=setting.crowds {
+        let (crowd, clients) = Crowd::gather(address, &setting);
+        crowd
+            .watch(&setting, &soak.instances[0], &mut outcome)
+            .await;
+        if setting.is_stopped && number == setting.crowds {
+            outcome.has_stopped = Some(stop(&mut soak.instances[0]).await);
+        } else {
+            outcome.answered[0] &= is_answered(callers, "beside").await;
+        }
         look(&soak.instances[0], &mut outcome);
-        sleep(LOOK).await;
-    }
-    outcome.answered[0] = is_answered(callers, "beside").await;
-    look(&soak.instances[0], &mut outcome);
-    crowd.stop.store(true, Ordering::Relaxed);
-    for client in clients {
-        client.abort();
-        let _ = client.await;
+        crowd.stop.store(true, Ordering::Relaxed);
+        for client in clients {
+            client.abort();
+            let _ = client.await;
+        }
+        if outcome.has_stopped.is_none() {
+            outcome.answered[1] &= is_answered(callers, "behind").await;
+            look(&soak.instances[0], &mut outcome);
+        }
     }
-    outcome.answered[1] = is_answered(callers, "behind").await;
-    look(&soak.instances[0], &mut outcome);
     soak.instances[0].runs();
     let ends = soak.instances[0].ends.iter();
     outcome.ends = ends.map(|end| end.text.clone()).collect();
     outcome
 }
 
+/// Tells a process to end in order; whether it ends by itself.
+async fn stop(daemon: &mut Daemon) -> bool {
+    daemon.signal(Signal::Terminate);
+    let end = Instant::now() + PATIENCE;
+    while daemon.runs() && Instant::now() < end {
+        sleep(PAUSE).await;
+    }
+    !daemon.runs()
+}
+
 /// Whether an ordinary request is answered whole, by one try of several.
 async fn is_answered(address: SocketAddr, name: &str) -> bool {
     let end = Instant::now() + PATIENCE;
@@ -212,6 +225,33 @@
 }
 
 impl Crowd {
+    /// Has the clients of a crowd connect to an address.
+    fn gather(address: SocketAddr, setting: &Setting) -> (Self, Vec<JoinHandle<()>>) {
+        let crowd = Self {
+            address,
+            done: Arc::default(),
+            stop: Arc::default(),
+        };
+        let clients = (0..setting.clients)
+            .map(|number| tokio::spawn(crowd.clone().attend((setting.script)(number))))
+            .collect();
+        (crowd, clients)
+    }
+
+    /// Looks at the process until the clients have done all they do, and for some time behind it.
+    async fn watch(&self, setting: &Setting, daemon: &Daemon, outcome: &mut Outcome) {
+        let end = Instant::now() + CROWD_PATIENCE;
+        while self.done.load(Ordering::Relaxed) < setting.clients && Instant::now() < end {
+            look(daemon, outcome);
+            sleep(LOOK).await;
+        }
+        let end = Instant::now() + REST;
+        while Instant::now() < end {
+            look(daemon, outcome);
+            sleep(LOOK).await;
+        }
+    }
+
     /// Does what the script says on several connections, and keeps the last one open.
     async fn attend(self, script: Script) {
         for number in 1..=CONNECTIONS {
--- a/crates/standin/tests/flood.rs
+++ b/crates/standin/tests/flood.rs
@@ -69,7 +69,9 @@
     Setting {
         clients: CLIENTS,
         configuration: scaled,
+        crowds: 8,
         descriptors: DESCRIPTORS,
+        is_stopped: false,
         memory_mb: (INSTANCE_KIB + CROWD_KIB) >> 10,
         port: Port::Callers,
         script,
@@ -242,7 +244,9 @@
     Setting {
         clients: FEW_CLIENTS,
         configuration: unscaled,
+        crowds: 8,
         descriptors: MACHINE_DESCRIPTORS,
+        is_stopped: false,
         memory_mb: MACHINE_KIB >> 10,
         port: Port::Callers,
         script,
@@ -332,3 +336,50 @@
         })
     });
 }
+
+/// What one crowd leaves behind is what the next one starts from.
+#[gtest]
+fn crowds_in_a_row_do_not_add_up() {
+    expect_fits(Setting {
+        crowds: 8,
+        ..whole(|number| {
+            let ask = Ask::again(&format!("r-{number}"));
+            match number % 4 {
+                0 => once(ask.with(worker::EVENT_BYTES, "4000000").bytes()),
+                1 => endless(ask.bytes(), b"\r\n"),
+                2 => Script {
+                    bytes_max: BODY_BYTES,
+                    ..endless(
+                        head("/again/1", number) + "content-length: 4194304\r\n\r\n",
+                        b"z",
+                    )
+                },
+                _ => endless(ask.bytes(), &ask.bytes()),
+            }
+        })
+    });
+}
+
+/// A process that is told to end beside a crowd ends in order, by itself.
+#[gtest]
+fn process_ends_in_order_beside_a_crowd() {
+    for script in [
+        (|_| Script::default()) as fn(usize) -> Script,
+        |number| once(head("/again/1", number) + "content-length: 100\r\n\r\nhalf"),
+        |number| {
+            once(
+                Ask::again(&format!("r-{number}"))
+                    .with(worker::EVENT_BYTES, "4000000")
+                    .bytes(),
+            )
+        },
+        |_| endless("\r\n", b"\r\n"),
+    ] {
+        let outcome = run(Setting {
+            is_stopped: true,
+            ..whole(script)
+        });
+        expect_that!(outcome.ends, elements_are![]);
+        expect_that!(outcome.has_stopped, some(eq(true)));
+    }
+}
