Learn nothing of the length of answers from callers whose words they disprove

What callers saw: behind one stream with `Last-Event-Id:`, which its upstream ended at once, an instance refused every later stream as `too_late`, for good; so it did behind a few streams that state one token and get forty events.

Cause: the events of a whole answer, divided by the tokens that its caller states, are the estimate by which all streams of the pool are judged, and streams that are refused give no samples that would correct it. An answer with more events than its caller allowed tokens is no sample now: an event holds a token at least. Both tests failed before.

--- a/crates/core/src/estimates.rs
+++ b/crates/core/src/estimates.rs
@@ -88,10 +88,10 @@
 }
 
 impl PoolEstimates {
-    /// Records the number of events of a complete response, and the maximum number of tokens that
-    /// it could have had.
+    /// Records the number of events of a complete response, and the maximum number of tokens that it could have had. A caller
+    /// that states fewer tokens than there were events, or a position that no response reaches, tells nothing about others.
     pub fn record_answer(&mut self, events: u64, max_tokens: u32) {
-        if max_tokens > 0 {
+        if max_tokens > 0 && events <= u64::from(max_tokens) {
             self.events_per_token
                 .add(events as f64 / f64::from(max_tokens));
         }
--- a/crates/standin/tests/odd_requests.rs
+++ b/crates/standin/tests/odd_requests.rs
@@ -190,3 +190,33 @@
         expect_serves(&site, "odd request lines").await;
     });
 }
+
+/// One stream with a position that no response reaches, which its upstream ended at once, had an instance take the answers of
+/// all others for endless: each later stream was refused as too late, for good.
+#[gtest]
+fn position_that_no_response_reaches_has_no_other_stream_refused() {
+    expect_streams_behind("last-event-id", "18446744073709551615");
+}
+
+/// The same by a number of tokens below that of the events.
+#[gtest]
+fn tokens_that_are_fewer_than_the_events_have_no_other_stream_refused() {
+    expect_streams_behind("wellplank-token-usage", "5200,1");
+}
+
+/// Runs streams with a header, and ordinary ones behind them.
+fn expect_streams_behind(name: &'static str, value: &str) {
+    run(Plan::default(), async |site: Site| {
+        let address = site.instances[0].callers;
+        for number in 0..5 {
+            let ask = Ask::stream(&format!("odd-{number}")).with(name, value);
+            let _ = ask.send(address).await;
+        }
+        for number in 0..3 {
+            let got = Ask::stream(&format!("ordinary-{number}"))
+                .send(address)
+                .await;
+            expect_that!(got.status.as_u16(), eq(200), "{}", got.body);
+        }
+    });
+}
