Learn the time of a prompt's token from prompts of 64 tokens or more

What callers saw: behind five streams that state a prompt of one token, an instance refused every stream of ordinary length as `too_late`, for good. Cause: the time to the first event, divided by the tokens that were stated, is the estimate for all prompts of the pool; with one token it is the way there and back, times thousands for a prompt of thousands, and refused streams give no samples. Those of fewer than 64 tokens in prefill are no samples now; the users' prompts have 200 and more.

Looked at, and not mended: a caller may still state more or fewer tokens than it sends, above 64; upstreams of the pages work by what is stated, so that such a sample is true of them.

--- a/crates/core/src/estimates.rs
+++ b/crates/core/src/estimates.rs
@@ -3,6 +3,10 @@
 
 use super::*;
 
+/// Tokens in prefill from which on the time to the first event tells the time per token: that of fewer is mostly the way there
+/// and back.
+const PREFILL_TOKENS_MIN: u64 = 64;
+
 /// Weight of a new sample in an exponential moving average.
 const GAIN: f64 = 0.1;
 
@@ -148,7 +152,7 @@
         millis: u64,
         now: Time,
     ) -> Option<EngineSpeed> {
-        if tokens == 0 {
+        if tokens < PREFILL_TOKENS_MIN {
             return None;
         }
         let prefill_ms_per_token = millis as f64 / tokens as f64;
--- a/crates/standin/tests/odd_requests.rs
+++ b/crates/standin/tests/odd_requests.rs
@@ -204,6 +204,12 @@
     expect_streams_behind("wellplank-token-usage", "5200,1");
 }
 
+/// The same by a prompt that is longer than it is stated to be.
+#[gtest]
+fn prompts_that_are_longer_than_stated_have_no_other_stream_refused() {
+    expect_streams_behind("wellplank-token-usage", "1,0");
+}
+
 /// Runs streams with a header, and ordinary ones behind them.
 fn expect_streams_behind(name: &'static str, value: &str) {
     run(Plan::default(), async |site: Site| {
