Try another address where a test's own listener finds its address taken

Either another check's tests took it, or a process that another test was starting held a copy of the socket of that look until it began its program; which of them can't be told from the output. The listener is now made at the first address that takes it. No check, bound or case is changed.

--- a/crates/node/tests/ends.rs
+++ b/crates/node/tests/ends.rs
@@ -337,6 +337,16 @@
 /// Time in which an instance that has nothing to end leaves behind a signal: a second is one interval of a supervisor.
 const EXIT_MAX: Duration = Duration::from_secs(1);
 
+/// A listener at a free address. A process that another test is starting may hold a copy of the socket by which an address was
+/// found to be free, until it has begun its program.
+fn free_listener() -> TcpListener {
+    loop {
+        if let Ok(listener) = TcpListener::bind(free_address()) {
+            return listener;
+        }
+    }
+}
+
 /// How something else has the address of a port.
 #[derive(Clone, Copy, Debug)]
 enum Use {
@@ -369,7 +379,7 @@
                 _listener: None,
             };
         }
-        let listener = TcpListener::bind(free_address()).unwrap();
+        let listener = free_listener();
         let target = listener.local_addr().unwrap();
         if let Use::Listener = how {
             return Self {
@@ -683,7 +693,7 @@
 /// give them the port of one that is being started, and keeps it for a minute behind their close.
 #[gtest]
 fn connection_of_an_instance_does_not_keep_others_from_listening_on_its_port() {
-    let store = TcpListener::bind(free_address()).unwrap();
+    let store = free_listener();
     let mut settings = hosted_settings();
     settings["hosted"]["store"] = store.local_addr().unwrap().to_string().into();
     let _process = Process::starting(&settings);
