Close clients that take nothing as soon as other answers wait for theirs

What callers saw: beside 40 clients that read nothing of answers of 4 MB an ordinary call was answered late: the test of it took 62 s. Cause: such clients were closed once whole answers hold half of the bound on answers; with 16 MiB, two of 8,000,000 bytes together are below half, others that are being read waited for them, and their upstreams' slots with those, until deadlines ended them. They are now closed also whenever others wait.

--- a/crates/node/src/read_budget.rs
+++ b/crates/node/src/read_budget.rs
@@ -85,10 +85,11 @@
         self.lock().total
     }
 
-    /// Whether answers that are kept hold half of the budget or more.
+    /// Whether answers that are kept hold half of the budget or more, or others wait for them.
     pub fn is_pressed(&self) -> bool {
         let reading = self.lock();
-        reading.kept >= reading.bytes_max / 2
+        let others_wait = reading.kept > 0 && reading.total > reading.bytes_max;
+        others_wait || reading.kept >= reading.bytes_max / 2
     }
 
     /// A share of an answer that holds nothing yet.
