Close clients that take nothing of their answers only while others wait

Cause: such clients were closed once whole answers hold half of the bound on answers, whether anybody needed that memory or not; ready answers are to be delivered, late too. They are closed now only while another answer that is being read waits for theirs.

--- a/crates/core/src/connections.rs
+++ b/crates/core/src/connections.rs
@@ -215,8 +215,8 @@
         Some(closed)
     }
 
-    /// Removes the connections whose clients have taken nothing of a whole response for too long, where what waits for clients has
-    /// used up half of its memory.
+    /// Removes the connections whose clients have taken nothing of a whole response for too long, where others wait for the memory
+    /// of these.
     pub fn close_stalled(&mut self, now: Time) -> Vec<Key> {
         let open = self.open.iter();
         let stalled = open
--- a/crates/node/src/driver.rs
+++ b/crates/node/src/driver.rs
@@ -355,9 +355,9 @@
         self.send(Message::Response(attempt, caller, held, event));
     }
 
-    /// Whether answers that wait for callers hold half of what all answers may.
-    pub(crate) fn is_pressed_by_answers(&self) -> bool {
-        self.answers.is_pressed()
+    /// Whether answers wait for whole ones that callers do not read.
+    pub(crate) fn is_held_up_by_answers(&self) -> bool {
+        self.answers.is_used_up_by_kept()
     }
 
     /// Submits a request to relay; the outlet yields its replies.
--- a/crates/node/src/hosted.rs
+++ b/crates/node/src/hosted.rs
@@ -413,11 +413,11 @@
     info!(address, data_centre, peers, store; "started");
 }
 
-/// Closes connections whose clients take nothing, whenever the answers that wait for clients press on memory.
+/// Closes connections whose clients take nothing of whole answers, whenever other answers wait for these.
 async fn close_stalled(connections: Registry, driver: Driver) {
     loop {
         sleep(STALL_CHECK_INTERVAL).await;
-        if driver.is_pressed_by_answers() {
+        if driver.is_held_up_by_answers() {
             connections.close_stalled();
         }
     }
--- a/crates/node/src/read_budget.rs
+++ b/crates/node/src/read_budget.rs
@@ -85,11 +85,10 @@
         self.lock().total
     }
 
-    /// Whether answers that are kept hold half of the budget or more, or others wait for them.
-    pub fn is_pressed(&self) -> bool {
+    /// Whether answers that are kept use the budget up, so that others wait for them.
+    pub fn is_used_up_by_kept(&self) -> bool {
         let reading = self.lock();
-        let others_wait = reading.kept > 0 && reading.total > reading.bytes_max;
-        others_wait || reading.kept >= reading.bytes_max / 2
+        reading.kept > 0 && reading.total > reading.bytes_max
     }
 
     /// A share of an answer that holds nothing yet.
