Work out once what follows when an answer grows, and whether a client takes what is written

A growing answer had its share looked at twice a frame, and each look may tell another answer to end; one look decides now, and the test for a budget used up by kept answers stands once. Whether a client takes what is written was told by the outcome of a write and by its length: a short write is followed by another one at once, so that waiting alone tells it. The connection that is closed for a new one, and for want of descriptors, is chosen by one function.

--- a/crates/core/src/connections.rs
+++ b/crates/core/src/connections.rs
@@ -116,11 +116,10 @@
     pub fn open(&mut self, now: Time) -> Opened {
         let mut closed = None;
         if self.open.len() >= self.bounds.connections {
-            closed = self.longest_silent(now);
-            let Some(key) = closed else {
+            closed = self.close_one(now);
+            if closed.is_none() {
                 return Opened::Refused;
-            };
-            self.remove(key);
+            }
         }
         let connection = Connection {
             active_at: now,
@@ -210,7 +209,10 @@
 
     /// Removes the connection that may be closed on which nothing was received for longest, as where descriptors are used up.
     pub fn close_one(&mut self, now: Time) -> Option<Key> {
-        let closed = self.longest_silent(now)?;
+        let closable = self.open.iter();
+        let closable = closable.filter(|(_, connection)| connection.is_closable(now));
+        let longest = closable.min_by_key(|(key, connection)| (connection.active_at, *key));
+        let (closed, _) = longest?;
         self.remove(closed);
         Some(closed)
     }
@@ -235,14 +237,6 @@
         }
     }
 
-    /// The connection that may be closed on which nothing was received for longest.
-    fn longest_silent(&self, now: Time) -> Option<Key> {
-        let closable = self.open.iter();
-        let closable = closable.filter(|(_, connection)| connection.is_closable(now));
-        let longest = closable.min_by_key(|(key, connection)| (connection.active_at, *key));
-        longest.map(|(key, _)| key)
-    }
-
     /// The connection with the most bytes of an unfinished head.
     fn largest_head(&self) -> Option<Key> {
         let open = self.open.iter();
--- a/crates/node/src/caller_socket.rs
+++ b/crates/node/src/caller_socket.rs
@@ -123,26 +123,13 @@
         io::Error::new(io::ErrorKind::InvalidData, kind.answer().name)
     }
 
-    /// Notes how far the client has taken what was written.
-    fn record_write(
-        &mut self,
-        context: &mut Context<'_>,
-        length: usize,
-        written: &Poll<io::Result<usize>>,
-    ) {
-        let is_blocked = match written {
-            Poll::Pending => true,
-            Poll::Ready(Ok(bytes)) => *bytes < length,
-            Poll::Ready(Err(_)) => false,
-        };
-        let has_progress = written.is_ready() && self.is_write_blocked;
-        if has_progress {
-            self.registry.set_blocked(&self.registered, false);
-        }
-        if is_blocked && (has_progress || !self.is_write_blocked) {
-            self.registry.set_blocked(&self.registered, true);
+    /// Notes whether the client takes what is written.
+    fn record_write(&mut self, context: &mut Context<'_>, written: &Poll<io::Result<usize>>) {
+        let is_blocked = written.is_pending();
+        if is_blocked != self.is_write_blocked {
+            self.is_write_blocked = is_blocked;
+            self.registry.set_blocked(&self.registered, is_blocked);
         }
-        self.is_write_blocked = is_blocked;
         if !is_blocked && std::mem::take(&mut self.is_read_deferred) {
             context.waker().wake_by_ref();
         }
@@ -195,7 +182,7 @@
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
         let written = Pin::new(self.stream.get_mut()).poll_write(context, bytes);
-        self.record_write(context, bytes.len(), &written);
+        self.record_write(context, &written);
         written
     }
 
@@ -218,8 +205,7 @@
         buffers: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         let written = Pin::new(self.stream.get_mut()).poll_write_vectored(context, buffers);
-        let length = buffers.iter().map(|buffer| buffer.len()).sum();
-        self.record_write(context, length, &written);
+        self.record_write(context, &written);
         written
     }
 
--- a/crates/node/src/read_budget.rs
+++ b/crates/node/src/read_budget.rs
@@ -87,8 +87,7 @@
 
     /// Whether answers that are kept use the budget up, so that others wait for them.
     pub fn is_used_up_by_kept(&self) -> bool {
-        let reading = self.lock();
-        reading.kept > 0 && reading.total > reading.bytes_max
+        self.lock().is_used_up_by_kept()
     }
 
     /// A share of an answer that holds nothing yet.
@@ -134,10 +133,15 @@
         }
     }
 
+    /// Whether answers that are kept use the budget up.
+    fn is_used_up_by_kept(&self) -> bool {
+        self.kept > 0 && self.total > self.bytes_max
+    }
+
     /// What follows when the answer of a number has grown; another one may be told to end.
     fn growth(&self, number: u64) -> Growth {
         let bytes = self.shares.get(&number).map_or(0, |held| held.bytes);
-        if self.kept > 0 && self.total > self.bytes_max {
+        if self.is_used_up_by_kept() {
             return if bytes > GUARANTEED_BYTES {
                 Growth::Wait
             } else {
@@ -172,25 +176,26 @@
     /// holds the most and the budget is used up; another one that does is told to end.
     #[must_use]
     pub fn set(&self, bytes: u64) -> bool {
-        let mut reading = self.budget.lock();
-        reading.set(self.number, self.beside + bytes);
-        reading.growth(self.number) == Growth::End
+        self.update(bytes) == Growth::End
     }
 
     /// The same; returns once kept answers leave room for it.
     pub async fn grow(&self, bytes: u64) -> bool {
-        let mut freed = self.budget.0.freed.notified();
-        let mut must_end = self.set(bytes);
-        while self.waits() {
-            freed.await;
-            freed = self.budget.0.freed.notified();
-            must_end = self.set(bytes);
+        loop {
+            // Before the look, so that nothing that is freed behind it is missed.
+            let freed = self.budget.0.freed.notified();
+            match self.update(bytes) {
+                Growth::End => return true,
+                Growth::Fits => return false,
+                Growth::Wait => freed.await,
+            }
         }
-        must_end
     }
 
-    fn waits(&self) -> bool {
-        self.budget.lock().growth(self.number) == Growth::Wait
+    fn update(&self, bytes: u64) -> Growth {
+        let mut reading = self.budget.lock();
+        reading.set(self.number, self.beside + bytes);
+        reading.growth(self.number)
     }
 
     /// Notes that the answer is complete: its bytes are kept until the share is dropped.
