Keep the parts of a machine's memory in one module

The bounds on what clients may have an instance hold were parts of one memory, and stood as divisors in two files (`hosted`, `settings`); `memory::Parts` gives them all.

--- a/crates/node/src/caller_socket.rs
+++ b/crates/node/src/caller_socket.rs
@@ -28,7 +28,7 @@
 const LINE_BYTES: u64 = 4 << 10;
 
 /// Headers of a request: more than fit into the head that the users' pages allow.
-pub(crate) const HEADERS_MAX: usize = 4_096;
+const HEADERS_MAX: usize = 4_096;
 
 /// Bytes of one read. The HTTP server's buffer, of 8 KiB, grows when a read fills it.
 const READ_BYTES: u64 = (8 << 10) - 1;
@@ -234,6 +234,13 @@
         })
     }
 
+    /// A server of its connections.
+    pub fn server(self) -> Server<Self> {
+        let mut server = Server::new(self);
+        server.http1_mut().max_headers(HEADERS_MAX);
+        server
+    }
+
     /// The next connection that is kept.
     async fn next(&self) -> Socket {
         loop {
--- a/crates/node/src/hosted.rs
+++ b/crates/node/src/hosted.rs
@@ -8,25 +8,9 @@
 use settings::Hosted;
 use wellplank_core::{connections::Bounds, informer_io::KnownState, staleness::StalenessBound};
 
-/// Memory that an instance takes without clients, in bytes. Connections of callers take up to half of the rest.
-const INSTANCE_BYTES: u64 = 24 << 20;
-
-/// Memory that a connection takes while requests and responses follow each other on it, in bytes, without bodies.
-const CONNECTION_BYTES: u64 = 64 << 10;
-
-/// Connections of callers that are kept whatever the memory.
-const CONNECTIONS_MIN: u64 = 32;
-
-/// Divisors of the memory of an instance that give the bytes of unfinished heads, and of bodies that are being read.
-const HEADS_DIVISOR: u64 = 32;
-const BODIES_DIVISOR: u64 = 8;
-
 /// Interval between two checks whether connections are to be closed whose clients do not read.
 const STALL_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
-/// Bytes of the bodies that are being read, whatever the memory.
-const BODIES_BYTES_MAX: u64 = 32 << 20;
-
 /// Bounds on the connections of the platform, at the ports of readiness checks and of metrics.
 const PLATFORM_BOUNDS: Bounds = Bounds {
     connections: 32,
@@ -103,11 +87,10 @@
 
 impl PortConnections {
     fn new(hosted: &Hosted, clock: Clock, meter: &meter::Meter) -> Self {
-        let left = hosted.memory_bytes.saturating_sub(INSTANCE_BYTES);
-        let by_memory = (left / 2 / CONNECTION_BYTES).max(CONNECTIONS_MIN) as usize;
+        let parts = memory::Parts::of(hosted.memory_bytes);
         let callers = Bounds {
-            connections: caller_connections::bound(hosted.descriptors).min(by_memory),
-            heads_bytes: hosted.memory_bytes / HEADS_DIVISOR,
+            connections: caller_connections::bound(hosted.descriptors).min(parts.connections),
+            heads_bytes: parts.heads_bytes,
         };
         let registry = |bounds| Registry::new(bounds, clock, meter.clone());
         Self {
@@ -237,7 +220,7 @@
             stopping: stopping.clone(),
         };
         ready.serve(ports.ready, limits_receiver.clone(), &connections.ready)?;
-        let bodies_bytes = BODIES_BYTES_MAX.min(hosted.memory_bytes / BODIES_DIVISOR);
+        let bodies_bytes = memory::Parts::of(hosted.memory_bytes).bodies_bytes;
         let endpoint = relay::Endpoint {
             bodies: ReadBudget::new(bodies_bytes),
             bodies_bytes_min: bodies_bytes,
@@ -488,8 +471,7 @@
         let idle = limits.borrow().idle_timeout.mul_f64(IDLE_TIMEOUT_FACTOR);
         FuseAction::Accept(FuseConfig::disabled().with_http1_header_timeout(idle))
     };
-    let mut server = Server::new(acceptor).fuse_policy(fuse);
-    server.http1_mut().max_headers(caller_socket::HEADERS_MAX);
+    let server = acceptor.server().fuse_policy(fuse);
     let handle = server.handle();
     let task = tokio::spawn(server.serve(connections.holding(router)));
     Ok(Serving { handle, task })
--- a/crates/node/src/instance.rs
+++ b/crates/node/src/instance.rs
@@ -115,8 +115,7 @@
         };
         let router = caller::router(&settings, &driver, &connections, &stop_phase_receiver);
         let router = connections.holding(unanswered::counted(router));
-        let mut server = Server::new(acceptor);
-        server.http1_mut().max_headers(caller_socket::HEADERS_MAX);
+        let server = acceptor.server();
         let handle = server.handle();
         let tasks = vec![
             core,
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -43,6 +43,7 @@
 mod gossip;
 mod http;
 mod instance_list;
+mod memory;
 mod meter;
 mod operator;
 mod outlet;
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -17,12 +17,6 @@
 /// Default of `hosted.memory_mb`: the memory of the users' smallest machines, in megabytes.
 const DEFAULT_MEMORY_MB: u64 = 88;
 
-/// Divisor of the memory of an instance that gives the most that answers may hold which are being read or written.
-const ANSWERS_DIVISOR: u64 = 8;
-
-/// Divisor of the memory of an instance that gives the most that requests and unread answers may hold.
-const HELD_DIVISOR: u64 = 4;
-
 /// Default of `listen_ms`: the operating system keeps the port of a closed connection for 60 s.
 const DEFAULT_LISTEN_MS: u64 = 90_000;
 
@@ -189,10 +183,10 @@
         let mut core = core_settings::read(reader.section("core"));
         if let Some(hosted) = &hosted {
             // What is held must fit into the machine, whatever the file says; one whole answer passes.
-            let held_max = hosted.memory_bytes / HELD_DIVISOR;
-            core.held_bytes_max = core.held_bytes_max.min(held_max);
+            let parts = memory::Parts::of(hosted.memory_bytes);
+            core.held_bytes_max = core.held_bytes_max.min(parts.held_bytes);
             let answers = &mut core.answers;
-            let answers_max = (hosted.memory_bytes / ANSWERS_DIVISOR).max(answers.body_bytes);
+            let answers_max = parts.answers_bytes.max(answers.body_bytes);
             answers.instance_bytes = answers.instance_bytes.min(answers_max);
         }
         Self {
