Tell in the core that nobody has a key from that no key is required

The two facts were one flag beside an empty map: the decoder made every route public where no key is required, so that each reader of `public` (admission and ranks) had to know what an empty map meant beside it. `config::Access` has a variant for each, and the compiler asks at each use; a route is public only where its operators wrote so. The default is that nobody has a key, also for configurations of the own interface, which never require none.

Tests: three kinds of access, three kinds of route and a public one, with a customer's key, an unknown one and none; the own interface under the two kinds without customers; ranks with callers that have no key; streams that run while their key is taken away end whole, in the core and on real instances, and are not taken up again with it (401).

--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -39,7 +39,7 @@
     config: &Config,
     submission: &event::Submission,
 ) -> Result<(Arc<config::Customer>, Arc<config::Service>), Kind> {
-    let customer = config.customers.get(&submission.customer);
+    let customer = config.access.customer(&submission.customer);
     let customer = customer.ok_or(Kind::Unauthorized)?;
     let service = config.services.get(&submission.service);
     let service = service.ok_or(Kind::UnknownService)?;
@@ -399,11 +399,8 @@
         let route = config
             .route(&relay.host, &relay.path)
             .ok_or(Kind::UnknownService)?;
-        let customer = match config.customers.get(customer) {
-            Some(customer) => customer.clone(),
-            None if route.public => Arc::new(config::Customer::anonymous()),
-            None => return Err(Kind::Unauthorized),
-        };
+        let customer = config.access.customer_of_route(customer, route);
+        let customer = customer.ok_or(Kind::Unauthorized)?;
         let origin = self.share_of_origin(route, relay);
         let share = origin.or_else(|| self.draw_share(route));
         let share = share.ok_or(Kind::UnknownService)?;
--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -8,8 +8,8 @@
 /// A configuration from the key-value store; validated before it was stored.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Config {
-    /// Customers by the digest of their key.
-    pub customers: HashMap<String, Arc<Customer>>,
+    /// Who may use services and routes that are not public.
+    pub access: Access,
     /// Models by name.
     pub models: BTreeMap<String, Arc<Model>>,
     /// Revision; increases with every accepted change.
@@ -28,6 +28,60 @@
         let services = services.chain(self.services.values());
         services.map(|service| service.pool()).collect()
     }
+
+    /// Whether any route serves callers without a known key.
+    pub(crate) fn serves_anonymous(&self) -> bool {
+        self.access.is_open() || self.routes.iter().any(|route| route.public)
+    }
+}
+
+/// Who may use what is not public. That nobody has a key and that no key is required are different cases.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Access {
+    /// The customers by the digest of each of their keys, and nobody else.
+    Keys(HashMap<String, Arc<Customer>>),
+    /// Everybody: routes require no key.
+    Open,
+}
+
+impl Access {
+    /// The customer with a key of this digest.
+    pub fn customer(&self, digest: &str) -> Option<&Arc<Customer>> {
+        match self {
+            Self::Keys(customers) => customers.get(digest),
+            Self::Open => None,
+        }
+    }
+
+    /// Whether everybody has access.
+    pub fn is_open(&self) -> bool {
+        matches!(self, Self::Open)
+    }
+
+    /// The customers, once for each of their keys.
+    pub fn customers(&self) -> impl Iterator<Item = &Arc<Customer>> {
+        let customers = match self {
+            Self::Keys(customers) => Some(customers.values()),
+            Self::Open => None,
+        };
+        customers.into_iter().flatten()
+    }
+
+    /// The customer as whom a route serves a request, whose key may be unknown or missing; `None` if it is unauthorized.
+    pub(crate) fn customer_of_route(&self, digest: &str, route: &Route) -> Option<Arc<Customer>> {
+        if let Some(customer) = self.customer(digest) {
+            return Some(customer.clone());
+        }
+        let needs_no_key = route.public || self.is_open();
+        needs_no_key.then(|| Arc::new(Customer::anonymous()))
+    }
+}
+
+impl Default for Access {
+    /// Nobody has a key.
+    fn default() -> Self {
+        Self::Keys(HashMap::new())
+    }
 }
 
 /// A caller that may use services.
@@ -87,7 +141,7 @@
     pub host: String,
     /// Path prefix; the longest match applies.
     pub prefix: String,
-    /// Whether callers need no key.
+    /// Whether callers need no key here, even if other routes require one.
     pub public: bool,
     /// Services between which the requests are split; at least one.
     pub shares: Vec<Share>,
--- a/crates/core/src/rank.rs
+++ b/crates/core/src/rank.rs
@@ -62,9 +62,10 @@
         if routes.len() < 2 {
             return None;
         }
-        let is_public = config.routes.iter().any(|route| route.public);
-        let anonymous = is_public.then_some(config::DEFAULT_PRIORITY);
-        let customers = config.customers.values().map(|customer| customer.priority);
+        let anonymous = config.serves_anonymous();
+        let anonymous = anonymous.then_some(config::DEFAULT_PRIORITY);
+        let customers = config.access.customers();
+        let customers = customers.map(|customer| customer.priority);
         let customers: BTreeSet<u32> = customers.chain(anonymous).collect();
         let pairs = customers.iter();
         let pairs = pairs.flat_map(|customer| routes.iter().map(|route| (*customer, *route)));
--- a/crates/core/tests/core.rs
+++ b/crates/core/tests/core.rs
@@ -2,11 +2,11 @@
 
 use {
     googletest::prelude::*,
-    std::{collections::HashMap, net::SocketAddr, sync::Arc},
+    std::{net::SocketAddr, sync::Arc},
     wellplank_core::{
         attempt,
         clock::Time,
-        config::{Config, Customer, Model, Policy, Priority, Service, Target},
+        config::{Access, Config, Customer, Model, Policy, Priority, Service, Target},
         core::Core,
         counter::Counter,
         effect::{Effect, Outbound},
@@ -240,7 +240,7 @@
         (name.to_owned(), Arc::new(customer))
     };
     Config {
-        customers: HashMap::from([customer("mill", 1_000), customer("small", 2)]),
+        access: Access::Keys([customer("mill", 1_000), customer("small", 2)].into()),
         models: std::collections::BTreeMap::new(),
         revision,
         routes: Vec::new(),
--- a/crates/core/tests/disorder/main.rs
+++ b/crates/core/tests/disorder/main.rs
@@ -9,7 +9,7 @@
     rand_pcg::Pcg64Mcg,
     std::{
         cell::RefCell,
-        collections::{BTreeMap, BTreeSet},
+        collections::{BTreeMap, BTreeSet, HashMap},
         net::SocketAddr,
         panic::{AssertUnwindSafe, catch_unwind, set_hook, take_hook},
         sync::{Arc, Once},
@@ -19,7 +19,9 @@
         brittle::Brittleness,
         call_place::BusyUpstream,
         clock::Time,
-        config::{self, Config, Customer, Model, Policy, Priority, Route, Service, Share, Target},
+        config::{
+            self, Access, Config, Customer, Model, Policy, Priority, Route, Service, Share, Target,
+        },
         core::Core,
         counter::Counter,
         demand::{Demand, FinishedCall},
--- a/crates/core/tests/disorder/steps.rs
+++ b/crates/core/tests/disorder/steps.rs
@@ -787,14 +787,16 @@
             shares: shares.collect(),
         });
     }
+    let mut customers = HashMap::new();
     for (key, name) in [("key", "mill"), ("second", "forge")] {
         let customer = Customer {
             name: name.into(),
             priority: world.random.random_range(0..3),
             ..Customer::anonymous()
         };
-        config.customers.insert(key.into(), Arc::new(customer));
+        customers.insert(key.into(), Arc::new(customer));
     }
+    config.access = Access::Keys(customers);
     let model = Arc::new(Model {
         adapters: Vec::new(),
         name: "llm".into(),
--- a/crates/core/tests/ended.rs
+++ b/crates/core/tests/ended.rs
@@ -14,7 +14,7 @@
     wellplank_core::{
         attempt,
         clock::Time,
-        config::{self, Config, Customer, Policy, Priority, Route, Service, Share, Target},
+        config::{self, Access, Config, Customer, Policy, Priority, Route, Service, Share, Target},
         core::Core,
         counter::Counter,
         effect::{Effect, Outbound, Quarantine},
@@ -154,7 +154,7 @@
     };
     let customer = Arc::new(Customer::anonymous());
     Config {
-        customers: [("key".to_owned(), customer)].into(),
+        access: Access::Keys([("key".to_owned(), customer)].into()),
         revision: 1,
         routes: vec![Route {
             host: "a.example".into(),
--- a/crates/core/tests/relay/builder.rs
+++ b/crates/core/tests/relay/builder.rs
@@ -342,6 +342,14 @@
     }
 }
 
+/// Adds a customer with this key to those of a configuration.
+pub fn add_customer(config: &mut Config, key: &str, customer: Customer) {
+    let Access::Keys(customers) = &mut config.access else {
+        panic!("the configuration requires no keys");
+    };
+    customers.insert(key.into(), Arc::new(customer));
+}
+
 pub fn route(prefix: &str, relay: config::Relay, repeatable: bool, public: bool) -> Route {
     let service = Service {
         deadline_ms: 25_000,
@@ -391,7 +399,7 @@
         ..Customer::anonymous()
     };
     Config {
-        customers: [("key".to_owned(), Arc::new(customer))].into(),
+        access: Access::Keys([("key".to_owned(), Arc::new(customer))].into()),
         revision,
         routes: vec![
             route("/stream/", stream, true, false),
--- a/crates/core/tests/relay/main.rs
+++ b/crates/core/tests/relay/main.rs
@@ -3,14 +3,14 @@
 use {
     googletest::prelude::*,
     std::{
-        collections::{BTreeMap, BTreeSet},
+        collections::{BTreeMap, BTreeSet, HashMap},
         net::SocketAddr,
         sync::Arc,
     },
     wellplank_core::{
         attempt,
         clock::Time,
-        config::{self, Config, Customer, Policy, Priority, Route, Service, Share, Target},
+        config::{self, Access, Config, Customer, Policy, Priority, Route, Service, Share, Target},
         connectivity::Path,
         core::Core,
         counter::{Counter, Reason},
@@ -37,6 +37,7 @@
 };
 
 mod absence;
+mod access;
 mod break_off;
 mod break_off_fleet;
 mod brittle;
--- a/crates/core/tests/relay/rank.rs
+++ b/crates/core/tests/relay/rank.rs
@@ -23,8 +23,6 @@
         priority: 0,
         ..Customer::anonymous()
     };
-    let mut customers = base.customers.clone();
-    customers.insert(PREFERRED.into(), Arc::new(preferred));
     let kind = |kind: usize| {
         let relay = config::Relay {
             objective_ms: OBJECTIVES_MS[kind],
@@ -33,11 +31,12 @@
         };
         route(&KINDS[kind][..8], relay, true, false)
     };
-    Config {
-        customers,
+    let mut config = Config {
         routes: (0..KINDS.len()).map(kind).collect(),
         ..base
-    }
+    };
+    add_customer(&mut config, PREFERRED, preferred);
+    config
 }
 
 impl Test {
@@ -167,7 +166,8 @@
     let ranks = PoolRanks::of(&config, "pool").unwrap();
     let rank = |key: &str, kind: usize| {
         let relay = config.routes[kind].shares[0].service.relay().unwrap();
-        ranks.rank(&config.customers[key], relay).number()
+        let customer = config.access.customer(key).unwrap();
+        ranks.rank(customer, relay).number()
     };
     expect_that!([0, 1, 2].map(|kind| rank(PREFERRED, kind)), eq([0, 1, 2]));
     expect_that!([0, 1, 2].map(|kind| rank("key", kind)), eq([3, 4, 5]));
@@ -183,20 +183,13 @@
             priority,
             ..Customer::anonymous()
         };
-        config
-            .customers
-            .insert(format!("key-{priority}"), Arc::new(customer));
+        add_customer(&mut config, &format!("key-{priority}"), customer);
     }
     let ranks = PoolRanks::of(&config, "pool").unwrap();
     let relay = config.routes[2].shares[0].service.relay().unwrap();
-    expect_that!(
-        ranks.rank(&config.customers["key-7"], relay),
-        eq(Rank::new(9))
-    );
-    expect_that!(
-        ranks.rank(&config.customers["key-3"], relay),
-        lt(Rank::new(9))
-    );
+    let rank = |key: &str| ranks.rank(config.access.customer(key).unwrap(), relay);
+    expect_that!(rank("key-7"), eq(Rank::new(9)));
+    expect_that!(rank("key-3"), lt(Rank::new(9)));
 }
 
 /// Everything that a core does in a random play of streams, shortage and reports of other instances.
--- a/crates/core/tests/relay/readers.rs
+++ b/crates/core/tests/relay/readers.rs
@@ -31,7 +31,7 @@
         name: "other".into(),
         ..Customer::anonymous()
     };
-    config.customers.insert("other".into(), Arc::new(other));
+    add_customer(&mut config, "other", other);
     test.handle(Event::Config(Arc::new(config)));
     test
 }
--- a/crates/node/src/declaration.rs
+++ b/crates/node/src/declaration.rs
@@ -185,7 +185,7 @@
         })
         .collect();
     Config {
-        customers,
+        access: config::Access::Keys(customers),
         models,
         revision,
         routes: Vec::new(),
--- a/crates/node/src/store_sync.rs
+++ b/crates/node/src/store_sync.rs
@@ -289,10 +289,10 @@
             Output::Call(call) => self.start_call(call),
             Output::Configuration(config) => {
                 let (revision, routes) = (config.revision, config.routes.len());
-                let keys = config.customers.len();
-                let public = config.routes.iter().filter(|route| route.public).count();
+                let keys = config.access.customers().count();
+                let open = config.access.is_open();
                 let (limits, store_revision) = self.limits;
-                info!(keys, public, revision, routes, store_revision; "configuration in force");
+                info!(keys, open, revision, routes, store_revision; "configuration in force");
                 self.params.driver.send_event(Event::Config(config));
                 self.params.limits.send_replace(limits);
             }
--- a/crates/standin/src/ask.rs
+++ b/crates/standin/src/ask.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 use wellplank_core::{
-    config::{Config, Customer, Route, Service, Share},
+    config::{Access, Config, Customer, Route, Service, Share},
     event::Submission,
     request::{Caller, Relay, Work},
 };
@@ -15,7 +15,7 @@
 /// A configuration with one route, all of which goes to a service.
 pub(crate) fn configuration(service: Service) -> Config {
     Config {
-        customers: [(KEY.to_owned(), Arc::new(Customer::anonymous()))].into(),
+        access: Access::Keys([(KEY.to_owned(), Arc::new(Customer::anonymous()))].into()),
         revision: 1,
         routes: vec![Route {
             host: HOST.into(),
--- a/crates/standin/src/asker.rs
+++ b/crates/standin/src/asker.rs
@@ -174,7 +174,7 @@
         weight: 1,
     };
     Config {
-        customers: HashMap::from([("customer".into(), Arc::new(customer))]),
+        access: config::Access::Keys([("customer".into(), Arc::new(customer))].into()),
         models: BTreeMap::from([("llm".into(), model.clone())]),
         revision: 1,
         routes: Vec::new(),
--- a/crates/standin/src/bench.rs
+++ b/crates/standin/src/bench.rs
@@ -586,7 +586,7 @@
         (customer.name.clone(), Arc::new(customer))
     };
     Config {
-        customers: (0..CUSTOMERS).map(customer).collect(),
+        access: config::Access::Keys((0..CUSTOMERS).map(customer).collect()),
         models: BTreeMap::from([("llm".into(), model.clone())]),
         revision: 1,
         routes: Vec::new(),
--- a/crates/standin/src/relaying.rs
+++ b/crates/standin/src/relaying.rs
@@ -9,7 +9,7 @@
 use timeline::Timeline;
 use wellplank_core::{
     clock::Time,
-    config::{self, Config, Customer, Policy, Priority, Route, Service, Share, Target},
+    config::{self, Access, Config, Customer, Policy, Priority, Route, Service, Share, Target},
     connectivity::Path,
     core::Core,
     counter::{Counter, Timing},
@@ -316,11 +316,13 @@
         (key.to_owned(), Arc::new(customer))
     };
     Config {
-        customers: [
-            customer(crowd::KEY, "mill"),
-            customer(alike::OTHER_KEY, "loom"),
-        ]
-        .into(),
+        access: Access::Keys(
+            [
+                customer(crowd::KEY, "mill"),
+                customer(alike::OTHER_KEY, "loom"),
+            ]
+            .into(),
+        ),
         revision: 1,
         routes: vec![
             route("/again/", "desk", true, false),
--- a/crates/standin/src/urgency.rs
+++ b/crates/standin/src/urgency.rs
@@ -345,7 +345,7 @@
         (key(index), Arc::new(customer))
     };
     Config {
-        customers: (0..CUSTOMERS).map(customer).collect(),
+        access: config::Access::Keys((0..CUSTOMERS).map(customer).collect()),
         revision: 1,
         routes: (0..OBJECTIVES_MS.len()).map(route).collect(),
         ..Config::default()
--- a/crates/standin/tests/keys.rs
+++ b/crates/standin/tests/keys.rs
@@ -6,8 +6,9 @@
     std::{net::SocketAddr, time::Duration},
     tokio::time::sleep,
     wellplank_standin::{
-        client::Ask,
+        client::{Ask, Got},
         site::{KEY, Plan, Site, configuration, run},
+        worker,
     },
 };
 
@@ -146,3 +147,23 @@
         expect_that!(names.collect::<Vec<_>>(), each(eq(&"")));
     });
 }
+
+/// Guards against streams that are cut by the revocation of their key, and against callers that take them up again with it.
+#[gtest]
+fn running_stream_ends_whole_behind_the_revocation_and_is_not_taken_up_again() {
+    run(plan(), async |site: Site| {
+        let ask = Ask::stream("r1");
+        let response = ask.open(site.instances[0].callers).await;
+        site.shelf.put("op/config", &with_customers(5, json!([])));
+        let got = Got::read(response, usize::MAX).await;
+        expect_that!(got.whole, eq(true));
+        expect_that!(got.body, eq(&worker::events(&ask.body, 0)));
+        sleep(APPLIED).await;
+        for instance in &site.instances {
+            let ask = Ask::stream("r2").taking_up("r1", 3);
+            let got = ask.send(instance.callers).await;
+            expect_that!(got.status.as_u16(), eq(401));
+        }
+        expect_that!(site.ledger.runs().len(), eq(1));
+    });
+}
