Refuse a change of the configuration that brings no declaration

What callers saw, on the own interface: behind a call of `Apply` whose field `declaration` is not set, nobody has access any more; customers, models and services are all gone, accepted as a revision of its own.

An absent message was read as an empty declaration, which takes everything away. `wellplankctl` always sets the field; any other client of the schema may not.

It is a fault of the change now, with the place `declaration`; nothing is accepted. An empty declaration that is given is accepted as before.

Failed before: change_without_a_declaration_changes_nothing (the reply had revision 2, the declaration in force was empty). The stand-in's tests use tonic, which the workspace has.

--- a/crates/node/src/declaration.rs
+++ b/crates/node/src/declaration.rs
@@ -163,6 +163,14 @@
     checker.faults
 }
 
+/// The fault of a change without a declaration, which is not one with an empty declaration: that takes everything away.
+pub fn missing() -> schema::Fault {
+    schema::Fault {
+        place: "declaration".into(),
+        text: "must be given, though it may be empty".into(),
+    }
+}
+
 /// Compiles a checked declaration to the configuration. Services of undeclared models are left out.
 pub fn compile(declaration: &schema::Declaration, revision: u64) -> Config {
     let models: BTreeMap<String, Arc<config::Model>> = declaration
--- a/crates/node/src/revision.rs
+++ b/crates/node/src/revision.rs
@@ -151,8 +151,9 @@
 
     /// Applies a change: writes its parts, then swaps the head.
     async fn apply(&mut self, request: schema::ApplyRequest) -> Result<schema::ApplyReply, Error> {
+        let faults = request.declaration.as_ref();
+        let faults = faults.map_or_else(|| vec![declaration::missing()], declaration::check);
         let declaration = request.declaration.unwrap_or_default();
-        let faults = declaration::check(&declaration);
         if !faults.is_empty() || request.dry_run {
             let revision = self.active_config.borrow().head.revision;
             return Ok(schema::ApplyReply {
--- a/crates/standin/tests/configuration.rs
+++ b/crates/standin/tests/configuration.rs
@@ -4,9 +4,15 @@
     googletest::prelude::*,
     serde_json::json,
     std::time::Duration,
+    tonic::transport::Channel,
     wellplank_ctl::Error,
-    wellplank_standin::{Caller, Fleet, caller::Ask, fleet::Plan, http},
-    wellplank_wire::operator::Declaration,
+    wellplank_standin::{
+        Caller, Fleet,
+        caller::Ask,
+        fleet::{OPERATOR_KEY, Plan},
+        http,
+    },
+    wellplank_wire::operator::{ApplyRequest, Declaration, operator_client::OperatorClient},
 };
 
 fn run(plan: Plan, test: impl AsyncFnOnce(Fleet, Plan)) {
@@ -174,6 +180,29 @@
     });
 }
 
+/// Guards against a change that brings no declaration and takes everything away.
+#[gtest]
+fn change_without_a_declaration_changes_nothing() {
+    run(Plan::default(), async |fleet, _| {
+        let address = fleet.operators[0];
+        let channel = Channel::from_shared(format!("http://{address}")).unwrap();
+        let mut operator = OperatorClient::new(channel.connect().await.unwrap());
+        let mut request = tonic::Request::new(ApplyRequest {
+            change: "none".into(),
+            ..Default::default()
+        });
+        let key = format!("Bearer {OPERATOR_KEY}").parse().unwrap();
+        request.metadata_mut().insert("authorization", key);
+        let before = fleet.operator(0).await.get().await.unwrap();
+        let reply = operator.apply(request).await.unwrap().into_inner();
+        let places: Vec<&str> = reply.faults.iter().map(|fault| &*fault.place).collect();
+        expect_that!(places, elements_are![eq(&"declaration")]);
+        let after = fleet.operator(0).await.get().await.unwrap();
+        expect_that!(after.revision, eq(before.revision));
+        expect_that!(after.declaration, eq(&before.declaration));
+    });
+}
+
 #[gtest]
 fn instance_that_does_not_answer_is_named() {
     run(Plan::default(), async |mut fleet, _| {
