Refuse folders that hold no declaration, and those that can not be read whole

What operators saw: `wellplankctl apply -f` of a folder without a `.json` file, such as the wrong one, brings the empty declaration into force, which takes all customers, models and services away; an entry of the folder that can not be read was left out, as if the operator had removed what it declares.

Both are errors of the file now, before any connection is made (exit code 2).

Failed before: folder_without_a_declaration_is_refused (it went on to connect). An entry that can not be read was not provoked by a test.

--- a/crates/ctl/src/declaration.rs
+++ b/crates/ctl/src/declaration.rs
@@ -2,7 +2,8 @@
 
 use super::*;
 
-/// Reads a file as a declaration, or merges all `.json` files of a directory in the order of their names.
+/// Reads a file as a declaration, or merges all `.json` files of a directory in the order of their names. A directory without any
+/// is an error: it is not the declaration that takes everything away.
 pub fn read(path: &Path) -> Result<Declaration, Error> {
     if !path.is_dir() {
         return read_file(path);
@@ -10,12 +11,16 @@
     let failed = |error: std::io::Error| Error::File(path.to_owned(), error.to_string());
     let mut files: Vec<PathBuf> = std::fs::read_dir(path)
         .map_err(failed)?
-        .filter_map(|entry| Some(entry.ok()?.path()))
-        .filter(|file| {
-            file.extension()
-                .is_some_and(|extension| extension == "json")
-        })
-        .collect();
+        .map(|entry| entry.map(|entry| entry.path()))
+        .collect::<Result<_, _>>()
+        .map_err(failed)?;
+    files.retain(|file| {
+        file.extension()
+            .is_some_and(|extension| extension == "json")
+    });
+    if files.is_empty() {
+        return Err(Error::File(path.to_owned(), "holds no .json file".into()));
+    }
     files.sort();
     files
         .iter()
--- a/crates/ctl/tests/command.rs
+++ b/crates/ctl/tests/command.rs
@@ -79,6 +79,25 @@
     expect_that!(error, contains_substring("line 2"));
 }
 
+/// Guards against the wrong folder, which holds no declaration, and takes everything away when it is applied.
+#[gtest]
+fn folder_without_a_declaration_is_refused() {
+    let path = std::env::temp_dir().join(format!("wellplank-ctl-empty-{}", std::process::id()));
+    std::fs::create_dir_all(&path).unwrap();
+    std::fs::write(path.join("readme.txt"), "no declaration").unwrap();
+    let arguments = [
+        "--address",
+        "127.0.0.1:1",
+        "apply",
+        "-f",
+        path.to_str().unwrap(),
+    ];
+    let (code, _, error) = Test::arguments(&arguments).run();
+    std::fs::remove_dir_all(&path).unwrap();
+    expect_that!(code, some(eq(2)));
+    expect_that!(error, contains_substring("holds no .json file"));
+}
+
 #[gtest]
 fn failed_connection_is_an_error() {
     let arguments = ["--address", "127.0.0.1:1", "status"];
