Send nothing by a route whose shares have no weight

What callers saw: requests of a route that is split between services, each with weight 0, all ran at the first of them.

That no share has any weight and that none was drawn were one value, which fell back to the first share. With any weight the draw always finds a share, so the fallback served this case alone.

Such a request gets 404 now, as on a path without a route. A share of weight 0 beside others was never drawn and is not. Draws of random numbers are the same as before.

Failed before: route_without_any_weight_sends_requests_nowhere.

--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -421,18 +421,17 @@
         })
     }
 
-    /// Draws a share of a route by weight.
+    /// Draws a share of a route by weight; `None` if none has any weight.
     fn draw_share<'a>(&mut self, route: &'a config::Route) -> Option<&'a config::Share> {
         let weights = route.shares.iter().map(|share| u64::from(share.weight));
         let total: u64 = weights.sum();
         let mut point = self.rng.random_range(0..total.max(1));
-        let share = route.shares.iter().find(|share| {
+        route.shares.iter().find(|share| {
             let weight = u64::from(share.weight);
             let hit = point < weight;
             point = point.saturating_sub(weight);
             hit
-        });
-        share.or(route.shares.first())
+        })
     }
 
     /// Expected queueing time of a new request, in milliseconds: from the recent service rate of
--- a/crates/core/tests/relay/access.rs
+++ b/crates/core/tests/relay/access.rs
@@ -1,4 +1,4 @@
-//! Who may use routes: customers with keys, nobody, or everybody.
+//! Who may use routes, customers with keys, nobody or everybody, and where routes may send their requests.
 
 use super::*;
 
@@ -142,3 +142,23 @@
     expect_that!(rank(Access::Open, &late), eq(2));
     expect_that!(rank(Access::Open, &Customer::anonymous()), eq(1));
 }
+
+/// Guards against requests at a service that no share of their route's traffic goes to.
+#[gtest]
+fn route_without_any_weight_sends_requests_nowhere() {
+    let weigh = |weights: [u32; 2]| {
+        let mut config = configuration(2);
+        let shares = &mut config.routes[1].shares;
+        shares.push(shares[0].clone());
+        for (share, weight) in shares.iter_mut().zip(weights) {
+            share.weight = weight;
+        }
+        let mut test = Test::new(6);
+        test.handle(Event::Config(Arc::new(config)));
+        test.request(REPEATABLE);
+        (test.sent().len(), test.outcomes())
+    };
+    expect_that!(weigh([0, 0]), eq(&(0, vec!["unknown_service".to_owned()])));
+    expect_that!(weigh([0, 1]), eq(&(1, vec![])));
+    expect_that!(weigh([1, 0]), eq(&(1, vec![])));
+}
