Use no entry without a start time where an upstream that states its own has written

What callers saw: calls for one service ran at the upstreams of another behind an entry of another writer that was whole but for `born`. It counted as another life under the same name, with its own service, until the upstream wrote again.

Cause: an absent start time and one that is not known were one value. An upstream that states its start time does so in all that it says of itself; an entry without it is another writer's and names nobody, like any that can't be read, until a good one comes or the entry is deleted. Upstreams that never stated one are used as before.

The check stands where changes are corrected: behind the watch, whole reads and updates of other instances alike.

--- a/crates/core/src/roster.rs
+++ b/crates/core/src/roster.rs
@@ -174,7 +174,7 @@
         }
         for change in &update.changes {
             if change.position > known {
-                let change = self.correct_restored(change.clone(), now);
+                let change = self.correct(change.clone(), now);
                 self.apply(&change, now);
                 self.remember(change);
             }
@@ -334,7 +334,7 @@
         }
         for entry in entries {
             self.last_change = self.last_change.max(entry.position);
-            let entry = self.correct_restored(entry.clone(), now);
+            let entry = self.correct(entry.clone(), now);
             self.apply(&entry, now);
         }
         self.history.clear();
@@ -418,7 +418,7 @@
         self.record_own_outage(outage);
         for change in changes {
             self.last_change = self.last_change.max(change.position);
-            let change = self.correct_restored(change, now);
+            let change = self.correct(change, now);
             self.apply(&change, now);
             self.remember(change.clone());
             self.unannounced.push(change);
@@ -455,6 +455,25 @@
         }
     }
 
+    /// Corrects a change before it is applied.
+    fn correct(&self, mut change: Change, now: Time) -> Change {
+        if self.is_foreign(&change) {
+            change.entry = Entry::Invalid;
+        }
+        self.correct_restored(change, now)
+    }
+
+    /// Whether an entry without a start time stands where an upstream that states its own has written: it is another
+    /// writer's, and names no upstream.
+    fn is_foreign(&self, change: &Change) -> bool {
+        let Entry::Listed(listed) = &change.entry else {
+            return false;
+        };
+        let known = self.entries.get(&change.name).map(ListEntry::incarnation);
+        let known = known.or_else(|| self.overwritten.get(&change.name).copied());
+        listed.born == 0 && known.is_some_and(|known| known.born > 0)
+    }
+
     /// Corrects a change from a store that may have been restored from a backup older than a departure: an incarnation
     /// that announced its leaving is still leaving, and a deleted one stays deleted unless it has written since.
     /// Otherwise such incarnations got work again for as long as the restored entries stood.
--- a/crates/core/tests/roster.rs
+++ b/crates/core/tests/roster.rs
@@ -321,3 +321,47 @@
     expect_that!(count(at(4)), some(eq(1)));
     expect_that!(count(Position::new(1, 4)), none());
 }
+
+/// A change at revision `to` that an upstream started at `born` wrote; 0 if the entry does not say when it started.
+fn written(from: u64, to: u64, born: u64) -> RosterUpdate {
+    let mut update = update(from, to);
+    let change = &mut update.changes[0];
+    change.name = "engine".into();
+    if let Entry::Listed(listed) = &mut change.entry {
+        listed.name = "engine".into();
+        listed.born = born;
+    }
+    update
+}
+
+/// Guards against an entry of another writer that lacks the start time and counts as a restart of the upstream.
+#[gtest]
+fn entry_without_a_start_time_names_no_upstream_where_one_with_it_has_written() {
+    let mut roster = Roster::default();
+    let mut names_after = |from: u64, born: u64| {
+        roster.apply_update(&written(from, from + 1, born), at(from), NOW);
+        let born = roster.listed().into_iter().map(|entry| entry.born);
+        born.collect::<Vec<u64>>()
+    };
+    let nobody: Vec<u64> = Vec::new();
+    expect_that!(
+        names_after(1, 0),
+        eq(&vec![0]),
+        "it never states a start time"
+    );
+    expect_that!(names_after(2, 7), eq(&vec![7]));
+    expect_that!(names_after(3, 0), eq(&nobody), "over its entry");
+    expect_that!(names_after(4, 0), eq(&nobody), "once more");
+    expect_that!(names_after(5, 7), eq(&vec![7]), "its own entry again");
+    expect_that!(names_after(6, 8), eq(&vec![8]), "its next life");
+}
+
+/// Guards against a name that can never be used again by an upstream that states no start time.
+#[gtest]
+fn name_whose_entry_was_deleted_may_be_used_without_a_start_time() {
+    let mut roster = Roster::default();
+    roster.apply_update(&written(1, 2, 7), at(1), NOW);
+    roster.apply_update(&deleted(2, 3, "engine"), at(2), NOW);
+    roster.apply_update(&written(3, 4, 0), at(3), NOW);
+    expect_that!(names(&roster), elements_are![eq("engine")]);
+}
