--- a/crates/standin/src/site.rs
+++ b/crates/standin/src/site.rs
@@ -14,10 +14,10 @@
 use worker::{Ledger, Worker};
 
 /// Name of the pool that streams.
-pub(crate) const ENGINES: &str = "engines";
+pub const ENGINES: &str = "engines";
 
 /// Name of the pool that answers calls.
-pub(crate) const DESK: &str = "desk";
+pub const DESK: &str = "desk";
 
 /// Key of the customer.
 pub const KEY: &str = "key-1";
--- a/crates/standin/tests/stream_version.rs
+++ b/crates/standin/tests/stream_version.rs
@@ -440,7 +440,7 @@
         sleep(KNOWN).await;
         let entry = serde_json::json!({
             "service": "other", "address": wellplank_standin::host::free_address(), "zone": "dc-0",
-            "slots": 1, "state": "ready", "cold_left_ms": 0, "call_seq": 0,
+            "version": "", "slots": 1, "state": "ready", "cold_left_ms": 0, "call_seq": 0,
         });
         site.shelf.put("servers/other-0", &entry);
         expect_that!(count_names(&site, 2).await, eq(2));
