Judge what an older copy of the store holds before entries of other writers

What callers would see: behind a restore of the store from an older copy, an upstream that lives gets no new work until it writes again, since the copy's entry is of a former life that stated no start time and counted as another writer's.

Failed before, small and without time: former_life_in_an_older_copy_takes_the_known_one_away_only_as_a_missing_entry.

--- a/crates/core/src/roster.rs
+++ b/crates/core/src/roster.rs
@@ -455,12 +455,13 @@
         }
     }
 
-    /// Corrects a change before it is applied.
-    fn correct(&self, mut change: Change, now: Time) -> Change {
+    /// Corrects a change before it is applied. What an older copy of the store holds of a former life is no other writer's.
+    fn correct(&self, change: Change, now: Time) -> Change {
+        let mut change = self.correct_restored(change, now);
         if self.is_foreign(&change) {
             change.entry = Entry::Invalid;
         }
-        self.correct_restored(change, now)
+        change
     }
 
     /// Whether an entry without a start time stands where an upstream that states its own has written: it is another
--- a/crates/core/tests/roster.rs
+++ b/crates/core/tests/roster.rs
@@ -3,6 +3,7 @@
 use {
     googletest::prelude::*,
     wellplank_core::{
+        availability::Span,
         clock::Time,
         event::{ListDelta, ListEntry},
         position::Position,
@@ -356,6 +357,23 @@
     expect_that!(names_after(6, 8), eq(&vec![8]), "its next life");
 }
 
+/// Guards against a former life in an older copy of the store that counts as another writer's since it states no start time: the
+/// upstream has written since, and its entry may just be missing.
+#[gtest]
+fn former_life_in_an_older_copy_takes_the_known_one_away_only_as_a_missing_entry() {
+    let mut roster = Roster::default();
+    roster.apply_update(&written(5, 6, 7), at(5), NOW);
+    let mut restored = written(2, 3, 0).changes;
+    restored[0].position = Position::new(1, 3);
+    let outage = Span {
+        from: Time(NOW.0 - 1_000),
+        to: Time(NOW.0 - 100),
+    };
+    roster.apply_changes(restored, Some(outage), NOW);
+    expect_that!(names(&roster), elements_are![eq("engine")]);
+    expect_that!(roster.has_missing(), eq(true));
+}
+
 /// Guards against a name that can never be used again by an upstream that states no start time.
 #[gtest]
 fn name_whose_entry_was_deleted_may_be_used_without_a_start_time() {
